--- /dev/null
+++ b/src/galenastall/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load generator and experiments against the stand-ins."""
--- /dev/null
+++ b/src/galenastall/node/__init__.py
@@ -0,0 +1,1 @@
+"""The entry host daemon: drivers that connect the pure core to the transports."""
--- /dev/null
+++ b/src/galenastall/proof/__init__.py
@@ -0,0 +1,1 @@
+"""History recorder and invariant checker."""
--- /dev/null
+++ b/src/galenastall/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, used by the demo, the tests and the bench."""
