--- /dev/null
+++ b/src/galenastall/protocol/security.py
@@ -0,0 +1,27 @@
+"""Certificates and keys of a process, as its settings give them."""
+
+from dataclasses import dataclass, field
+
+from galenastall.state.ids import HostId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TlsFiles:
+    """PEM files of an HTTP side."""
+
+    cert_file: str
+    """Certificate chain of this process."""
+    key_file: str
+    """Its private key."""
+    ca_file: str | None = None
+    """Authority that certificates of others must come from; None trusts the system's."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CurveKeys:
+    """CURVE keys of an entry host's peer link, all in Z85 text."""
+
+    public_key: str
+    secret_key: str = field(repr=False)
+    allowed_by_host_id: dict[HostId, str] = field(default_factory=dict)
+    """Public key of every entry host that may connect; each may only claim its own host id."""
--- /dev/null
+++ b/src/galenastall/transport/http_messages.py
@@ -0,0 +1,108 @@
+"""Requests and responses as handlers see them, with bodies whole or streamed."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+from returns.result import Failure, Result, Success
+
+from galenastall.state.errors import GalenastallError, Reason, StepError
+
+Receive = Callable[[], Awaitable[Any]]
+
+
+class RequestCutError(GalenastallError):
+    """The client went away before its request body was whole."""
+
+
+class BodyStream:
+    """Chunks of one request's body, read once and in order."""
+
+    def __init__(self, *, receive: Receive, is_complete: bool = False) -> None:
+        """Read from an ASGI `receive` callable; `is_complete` if there is no body."""
+        self._receive = receive
+        self.is_complete = is_complete
+        """Whether the last chunk was read."""
+        self.ended = trio.Event()
+        """Set by `discard` once the client has sent everything, or is gone."""
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the chunks; raises RequestCutError if the client breaks off."""
+        while not self.is_complete:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                raise RequestCutError("the client closed the connection inside the body")
+            self.is_complete = not message.get("more_body", False)
+            if chunk := message.get("body", b""):
+                yield chunk
+
+    async def discard(self) -> None:
+        """Read and drop whatever comes until the client is gone."""
+        while True:
+            message = await self._receive()
+            if not message.get("more_body", False):
+                self.ended.set()
+            if message["type"] == "http.disconnect":
+                return
+
+    @classmethod
+    def of(cls, body: bytes) -> "BodyStream":
+        """Return a stream of one chunk, for requests that did not come over a socket."""
+
+        async def receive() -> dict[str, Any]:
+            return {"type": "http.request", "body": body, "more_body": False}
+
+        return cls(receive=receive)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HttpRequest:
+    """One request; names of headers are in lower case."""
+
+    method: str
+    path: str
+    """The path as sent, still percent-encoded."""
+    path_params: Mapping[str, str] = field(default_factory=dict)
+    """Decoded values of the route's placeholders."""
+    query: Mapping[str, str] = field(default_factory=dict)
+    headers: Mapping[str, str] = field(default_factory=dict)
+    """Repeated headers are joined by a comma."""
+    client: str = ""
+    """`IP:port` of the other side."""
+    stream: BodyStream = field(default_factory=lambda: BodyStream.of(b""), repr=False)
+
+    def body(self) -> AsyncIterator[bytes]:
+        """Return the body's chunks; raises RequestCutError if the client breaks off."""
+        return self.stream.chunks()
+
+    async def read_body(self, limit_bytes: int) -> Result[bytes, StepError]:
+        """Return the whole body; INVALID above `limit_bytes`, CUT if the client breaks off."""
+        parts: list[bytes] = []
+        size = 0
+        try:
+            async for chunk in self.body():
+                size += len(chunk)
+                if size > limit_bytes:
+                    return Failure(self._error(Reason.INVALID, f"body over {limit_bytes} bytes"))
+                parts.append(chunk)
+        except RequestCutError as error:
+            return Failure(self._error(Reason.CUT, str(error)))
+        return Success(b"".join(parts))
+
+    async def wait_disconnected(self) -> None:
+        """Return once the client is gone; read the body first, as what is left of it is dropped."""
+        await self.stream.discard()
+
+    def _error(self, reason: Reason, detail: str) -> StepError:
+        return StepError(step="http.read_body", peer=self.client, reason=reason, detail=detail)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HttpResponse:
+    """One response; a streamed body that raises aborts the connection."""
+
+    status: int = 200
+    headers: Mapping[str, str] = field(default_factory=dict)
+    """A content-length given here must be met by a streamed body."""
+    body: bytes | AsyncIterator[bytes] = b""
