Call HTTP servers with errors that say whether the request left

Cause: 'not run' must be proved, so the client has to know whether a byte of a request was handed to the kernel; httpcore's pool does not tell, and polls each idle connection at each request. Change: a small pool over httpcore's HTTP/1.1 connections, a stream that records what was sent and joins head and body, typed errors, answers without a checkable end refused as cut.

--- /dev/null
+++ b/src/galenastall/transport/http_client.py
@@ -0,0 +1,311 @@
+"""HTTP client over httpcore whose errors say whether the request may have taken effect.
+
+UNREACHABLE is returned only if not a byte of the request was handed to the kernel. Whatever fails
+after that is TIMEOUT or CUT, also on a kept connection that the server closed meanwhile.
+"""
+
+import ssl
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
+from typing import Final, TypeVar
+
+import msgspec
+import trio
+from returns.result import Failure, Result, Success
+
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.security import TlsFiles
+from galenastall.state.errors import Reason, StepError
+from galenastall.transport.http_exchange import (
+    AnswerCutError,
+    Call,
+    Exchange,
+    HttpAnswer,
+    open_exchange,
+)
+from galenastall.transport.http_json import decode_json
+from galenastall.transport.http_pool import DEFAULT_KEEP_ALIVE_S, AddressPool
+
+T = TypeVar("T")
+
+DEFAULT_MAX_CONNECTIONS: Final = 64
+"""Connections to one address."""
+DEFAULT_CONNECT_TIMEOUT_S: Final = 2.0
+ANSWER_LIMIT_BYTES: Final = 64 * 1024 * 1024
+"""Largest answer that `request` holds whole."""
+_PRUNE_EVERY_S: Final = 5.0
+_DETAIL_LIMIT_BYTES: Final = 200
+_SUCCESS_CLASS: Final = 2
+_CLIENT_ERROR_CLASS: Final = 4
+_REASON_BY_STATUS: Final = {
+    400: Reason.INVALID,
+    403: Reason.REFUSED,
+    404: Reason.NOT_FOUND,
+    408: Reason.TIMEOUT,
+    409: Reason.CONFLICT,
+    410: Reason.TRIMMED,
+    421: Reason.NOT_OWNER,
+    429: Reason.OVERLOADED,
+    503: Reason.UNAVAILABLE,
+    504: Reason.TIMEOUT,
+}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WholeAnswer:
+    """An answer that came to its end."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class HttpClient:
+    """Calls to any number of addresses, with connections pooled for each."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        tls: TlsFiles | None = None,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        keep_alive_s: float = DEFAULT_KEEP_ALIVE_S,
+        connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
+    ) -> None:
+        """Talk TLS if `tls` is given; `max_connections` is for each address."""
+        self._clock = clock
+        self._tls_context = None if tls is None else _client_context(tls)
+        self._max_connections = max_connections
+        self._keep_alive_s = keep_alive_s
+        self._connect_timeout_s = connect_timeout_s
+        self._pools_by_address: dict[str, AddressPool] = {}
+        self._pruned_at = clock.now()
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        *,
+        method: str,
+        address: str,
+        path: str,
+        timeout_s: float,
+        headers: Mapping[str, str] | None = None,
+        body: bytes | AsyncIterator[bytes] = b"",
+        content_length: int | None = None,
+        step: str = "http.call",
+    ) -> AsyncIterator[Result[HttpAnswer, StepError]]:
+        """Send a request and stream its answer; `timeout_s` bounds all of it.
+
+        `path` is sent as it is, query included. A streamed `body` goes out in chunks unless
+        `content_length` is given; an exception of its own is raised from here after the connection
+        was closed, and the request may then have taken effect.
+        """
+        opened = await self._open(
+            method=method,
+            address=address,
+            path=path,
+            timeout_s=timeout_s,
+            headers=headers,
+            body=body,
+            content_length=content_length,
+            step=step,
+        )
+        if isinstance(opened, Failure):
+            yield opened
+            return
+        exchange = opened.unwrap()
+        try:
+            yield Success(exchange.answer)
+        finally:
+            await exchange.aclose()
+
+    async def request(
+        self,
+        *,
+        method: str,
+        address: str,
+        path: str,
+        timeout_s: float,
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b"",
+        limit_bytes: int = ANSWER_LIMIT_BYTES,
+        step: str = "http.call",
+    ) -> Result[WholeAnswer, StepError]:
+        """Send a request and return its whole answer, whatever its status."""
+        opened = await self._open(
+            method=method,
+            address=address,
+            path=path,
+            timeout_s=timeout_s,
+            headers=headers,
+            body=body,
+            content_length=None,
+            step=step,
+        )
+        if isinstance(opened, Failure):
+            return opened
+        exchange = opened.unwrap()
+        answer = exchange.answer
+        try:
+            parts: list[bytes] = []
+            size = 0
+            async for chunk in answer.body:
+                parts.append(chunk)
+                size += len(chunk)
+                if size > limit_bytes:
+                    return Failure(
+                        exchange.call.error(Reason.CUT, f"answer over {limit_bytes} bytes")
+                    )
+        except AnswerCutError as error:
+            return Failure(error.error)
+        finally:
+            await exchange.aclose()
+        return Success(
+            WholeAnswer(status=answer.status, headers=answer.headers, body=b"".join(parts))
+        )
+
+    async def get_json(
+        self,
+        *,
+        address: str,
+        path: str,
+        answer_type: type[T],
+        timeout_s: float,
+        step: str = "http.get_json",
+    ) -> Result[T, StepError]:
+        """Get a typed answer; a status outside 200 to 299 is a Failure."""
+        answer = await self.request(
+            method="GET", address=address, path=path, timeout_s=timeout_s, step=step
+        )
+        return _typed(answer, answer_type, step=step, peer=address)
+
+    async def post_json(
+        self,
+        *,
+        address: str,
+        path: str,
+        message: object,
+        answer_type: type[T],
+        timeout_s: float,
+        headers: Mapping[str, str] | None = None,
+        step: str = "http.post_json",
+    ) -> Result[T, StepError]:
+        """Post a JSON message and return the typed answer; other statuses are a Failure."""
+        answer = await self.request(
+            method="POST",
+            address=address,
+            path=path,
+            timeout_s=timeout_s,
+            headers={"content-type": "application/json", **(headers or {})},
+            body=msgspec.json.encode(message),
+            step=step,
+        )
+        return _typed(answer, answer_type, step=step, peer=address)
+
+    async def aclose(self) -> None:
+        """Close all idle connections; those in use close when their answers end."""
+        for pool in self._pools_by_address.values():
+            await pool.aclose()
+
+    async def _open(
+        self,
+        *,
+        method: str,
+        address: str,
+        path: str,
+        timeout_s: float,
+        headers: Mapping[str, str] | None,
+        body: bytes | AsyncIterator[bytes],
+        content_length: int | None,
+        step: str,
+    ) -> Result[Exchange, StepError]:
+        call = Call(
+            step=step,
+            address=address,
+            method=method,
+            path=path,
+            headers=headers or {},
+            body=body,
+            content_length=content_length,
+            deadline=trio.current_time() + timeout_s,
+            connect_timeout_s=self._connect_timeout_s,
+        )
+        await self._prune()
+        pool = self._pools_by_address.get(address)
+        if pool is None:
+            try:
+                pool = self._new_pool(address)
+            except ValueError as error:
+                return Failure(call.error(Reason.UNREACHABLE, str(error)))
+        return await open_exchange(call, pool)
+
+    def _new_pool(self, address: str) -> AddressPool:
+        pool = AddressPool(
+            address=address,
+            max_connections=self._max_connections,
+            keep_alive_s=self._keep_alive_s,
+            tls_context=self._tls_context,
+            clock=self._clock,
+        )
+        self._pools_by_address[address] = pool
+        return pool
+
+    async def _prune(self) -> None:
+        now = self._clock.now()
+        if now - self._pruned_at < _PRUNE_EVERY_S:
+            return
+        self._pruned_at = now
+        for address, pool in list(self._pools_by_address.items()):
+            await pool.close_stale()
+            if pool.is_unused:
+                self._pools_by_address.pop(address, None)
+
+
+def _client_context(tls: TlsFiles) -> ssl.SSLContext:
+    context = ssl.create_default_context(cafile=tls.ca_file)
+    context.set_alpn_protocols(["http/1.1"])
+    context.load_cert_chain(tls.cert_file, tls.key_file)
+    return context
+
+
+def _typed(
+    answer: Result[WholeAnswer, StepError], wanted: type[T], *, step: str, peer: str
+) -> Result[T, StepError]:
+    if isinstance(answer, Failure):
+        return answer
+    whole = answer.unwrap()
+    if whole.status // 100 != _SUCCESS_CLASS:
+        return Failure(error_of_answer(whole, step=step, peer=peer))
+    # The server did say that it succeeded, so what can't be read may have taken effect.
+    return decode_json(whole.body, wanted, step=step, peer=peer).alt(
+        lambda error: replace(error, reason=Reason.CUT)
+    )
+
+
+def error_of_answer(answer: WholeAnswer, *, step: str, peer: str) -> StepError:
+    """Return what an answer with an error status means.
+
+    A typed error in the body is kept, with the peer that answered; else the status decides, and a
+    server error of unknown meaning counts as one after which the request may have taken effect.
+    """
+    try:
+        typed = msgspec.json.decode(answer.body, type=StepError)
+    except msgspec.MsgspecError:
+        reason = _REASON_BY_STATUS.get(answer.status, _reason_of_class(answer.status))
+        text = answer.body[:_DETAIL_LIMIT_BYTES].decode("utf-8", "replace")
+        detail = f"status {answer.status}: {text}"
+        retry_after_s = _retry_after(answer.headers)
+        return StepError(
+            step=step, peer=peer, reason=reason, detail=detail, retry_after_s=retry_after_s
+        )
+    return replace(typed, peer=typed.peer or peer)
+
+
+def _reason_of_class(status: int) -> Reason:
+    return Reason.INVALID if status // 100 == _CLIENT_ERROR_CLASS else Reason.CUT
+
+
+def _retry_after(headers: Mapping[str, str]) -> float | None:
+    text = headers.get("retry-after", "")
+    return float(text) if text.isdigit() else None
--- /dev/null
+++ b/src/galenastall/transport/http_exchange.py
@@ -0,0 +1,206 @@
+"""One request and its answer over a pooled connection, with exact errors."""
+
+from collections.abc import AsyncIterator, Mapping
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import httpcore
+import trio
+from returns.result import Failure, Result, Success
+
+from galenastall.state.errors import Reason, StepError
+from galenastall.transport.http_pool import AddressPool, PooledConnection
+
+_NO_BODY_STATUSES: Final = frozenset({204, 304})
+
+
+class AnswerCutError(Exception):
+    """An answer's body broke off, was late, or had no end that could be checked."""
+
+    def __init__(self, error: StepError) -> None:
+        """Carry the typed error."""
+        super().__init__(str(error))
+        self.error = error
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HttpAnswer:
+    """Head of an answer; the body follows as a stream."""
+
+    status: int
+    headers: Mapping[str, str]
+    """Names in lower case."""
+    body: AsyncIterator[bytes]
+    """Raises AnswerCutError if the answer breaks off or passes the deadline."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Call:
+    """What is asked, and until when."""
+
+    step: str
+    address: str
+    method: str
+    path: str
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes | AsyncIterator[bytes] = b""
+    content_length: int | None = None
+    deadline: float
+    """Runtime time in seconds by which the answer must be whole."""
+    connect_timeout_s: float
+
+    def error(self, reason: Reason, detail: str) -> StepError:
+        """Return an error of this call."""
+        return StepError(step=self.step, peer=self.address, reason=reason, detail=detail)
+
+
+class _AnswerBody:
+    """Chunks of an answer; a class rather than a generator, so that leaving it early is cheap."""
+
+    def __init__(self, *, call: Call, chunks: Any) -> None:
+        self._call = call
+        self._chunks = chunks
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        return self
+
+    async def __anext__(self) -> bytes:
+        with trio.move_on_at(self._call.deadline):
+            try:
+                chunk: bytes = await self._chunks.__anext__()
+            except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+                detail = f"answer broke off: {error or type(error).__name__}"
+                raise AnswerCutError(self._call.error(Reason.CUT, detail)) from error
+            return chunk
+        raise AnswerCutError(self._call.error(Reason.TIMEOUT, "answer not whole in time"))
+
+
+class Exchange:
+    """An answer whose head is here; close it to give the connection back."""
+
+    def __init__(
+        self,
+        *,
+        call: Call,
+        pool: AddressPool,
+        connection: PooledConnection,
+        response: httpcore.Response,
+        headers: Mapping[str, str],
+    ) -> None:
+        """Take over the connection and its place in the pool."""
+        self.call = call
+        self._pool = pool
+        self._connection = connection
+        self._response = response
+        stream: Any = response.stream
+        self._chunks = stream.__aiter__()
+        body = _AnswerBody(call=call, chunks=self._chunks)
+        self.answer = HttpAnswer(status=response.status, headers=headers, body=body)
+
+    async def aclose(self) -> None:
+        """Keep the connection if the answer was read to its end, else close it."""
+        with trio.CancelScope(shield=True):
+            await self._chunks.aclose()
+            await self._response.aclose()
+            if not self._pool.keep(self._connection):
+                await self._connection.stream.aclose()
+        self._pool.give_back_room()
+
+
+async def open_exchange(call: Call, pool: AddressPool) -> Result[Exchange, StepError]:
+    """Send the request and return its answer's head."""
+    with trio.move_on_at(call.deadline) as scope:
+        await pool.wait_for_room()
+    if scope.cancelled_caught:
+        return Failure(call.error(Reason.UNREACHABLE, "no free connection in time"))
+    has_room = True
+    try:
+        connection = await _connect(call, pool)
+        if isinstance(connection, Failure):
+            return connection
+        exchange = await _send(call, pool, connection.unwrap())
+        has_room = isinstance(exchange, Failure)
+        return exchange
+    finally:
+        if has_room:
+            pool.give_back_room()
+
+
+async def _connect(call: Call, pool: AddressPool) -> Result[PooledConnection, StepError]:
+    deadline = min(call.deadline, trio.current_time() + call.connect_timeout_s)
+    with trio.move_on_at(deadline):
+        try:
+            return Success(await pool.take())
+        except (OSError, trio.BrokenResourceError) as error:
+            cause = error.__cause__ or error
+            return Failure(call.error(Reason.UNREACHABLE, f"connect: {cause}"))
+    return Failure(call.error(Reason.UNREACHABLE, "connect: not in time"))
+
+
+async def _send(
+    call: Call, pool: AddressPool, connection: PooledConnection
+) -> Result[Exchange, StepError]:
+    response: httpcore.Response | None = None
+    try:
+        with trio.move_on_at(call.deadline):
+            response = await connection.http.handle_async_request(_build_request(call, pool))
+    except (httpcore.NetworkError, httpcore.RemoteProtocolError) as error:
+        detail = f"no answer: {error or type(error).__name__}"
+        return Failure(await _give_up(call, connection, Reason.CUT, detail))
+    except BaseException:
+        await connection.stream.aclose()
+        raise
+    if response is None:
+        return Failure(await _give_up(call, connection, Reason.TIMEOUT, "no answer in time"))
+    headers = _headers_of(response)
+    if not _has_checked_end(call, response.status, headers):
+        detail = f"answer with status {response.status} has no length to check"
+        return Failure(await _give_up(call, connection, Reason.CUT, detail))
+    return Success(
+        Exchange(call=call, pool=pool, connection=connection, response=response, headers=headers)
+    )
+
+
+async def _give_up(
+    call: Call, connection: PooledConnection, reason: Reason, detail: str
+) -> StepError:
+    was_sent = connection.stream.has_sent
+    with trio.CancelScope(shield=True):
+        await connection.stream.aclose()
+    if not was_sent:
+        return call.error(Reason.UNREACHABLE, f"nothing sent: {detail}")
+    return call.error(reason, detail)
+
+
+def _build_request(call: Call, pool: AddressPool) -> httpcore.Request:
+    headers = [(b"host", pool.host_header)]
+    headers += [(k.encode("latin-1"), v.encode("latin-1")) for k, v in call.headers.items()]
+    if isinstance(call.body, bytes):
+        if call.body or call.method not in {"GET", "HEAD", "DELETE"}:
+            headers.append((b"content-length", b"%d" % len(call.body)))
+    elif call.content_length is not None:
+        headers.append((b"content-length", b"%d" % call.content_length))
+    else:
+        headers.append((b"transfer-encoding", b"chunked"))
+    url = httpcore.URL(
+        scheme=pool.scheme, host=pool.host, port=pool.port, target=call.path.encode("ascii")
+    )
+    return httpcore.Request(
+        call.method.encode("ascii"), url, headers=headers, content=call.body or None
+    )
+
+
+def _headers_of(response: httpcore.Response) -> dict[str, str]:
+    return {
+        name.decode("latin-1").lower(): value.decode("latin-1") for name, value in response.headers
+    }
+
+
+def _has_checked_end(call: Call, status: int, headers: Mapping[str, str]) -> bool:
+    """Whether the end of the answer can be told from a cut.
+
+    A body that ends when the connection closes looks the same whether whole or cut.
+    """
+    if status in _NO_BODY_STATUSES or call.method == "HEAD":
+        return True
+    return "content-length" in headers or "transfer-encoding" in headers
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 import trio
+import trio.testing
 from returns.result import Failure
 
 from galenastall.state.errors import Reason
