Link entry hosts over ZeroMQ with keys bound to host ids

Cause: drivers need typed calls between entry hosts that say whether a call may have been handled. Change: ROUTER and one DEALER a peer driven on the trio loop through their descriptors; ZeroMQ takes messages only for connected peers, so UNREACHABLE is proved; the target's digest in each message refuses calls to a reused address; ZAP on the loop puts the key's host id into each message.

--- /dev/null
+++ b/src/galenastall/transport/peer_inbox.py
@@ -0,0 +1,82 @@
+"""What comes from peers: the ROUTER socket, who sent each frame, and the way back."""
+
+from collections import defaultdict
+from collections.abc import Callable
+from typing import Any, Final
+
+import zmq
+
+from galenastall.protocol.security import CurveKeys
+from galenastall.state.ids import HostId
+from galenastall.transport.link_faults import DroppedCounters, LinkCounters
+from galenastall.transport.peer_wire import Envelope, decode_envelope
+from galenastall.transport.zmq_sockets import Context, SocketReader, bound_address, make_router
+
+_FRAMES: Final = 2
+
+OnRequest = Callable[[bytes, HostId, Envelope], None]
+"""Takes the way back, the sender and the envelope."""
+
+
+class PeerInbox:
+    """Reads calls and one-way messages, checks their sender, and sends answers back."""
+
+    def __init__(
+        self,
+        *,
+        context: Context,
+        bind: str,
+        curve: CurveKeys | None,
+        counters_by_id: defaultdict[HostId, LinkCounters],
+        dropped: DroppedCounters,
+        on_request: OnRequest,
+    ) -> None:
+        """Bind; with CURVE the sender must be the host that its key belongs to."""
+        self._socket = make_router(context=context, bind=bind, curve=curve)
+        self.address = bound_address(self._socket)
+        self._is_checked = curve is not None
+        self._counters_by_id = counters_by_id
+        self._dropped = dropped
+        self._on_request = on_request
+        self._reader = SocketReader(socket=self._socket, on_readable=self._read)
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        await self._reader.run()
+
+    def answer(self, way_back: bytes, asker: HostId, frame: bytes) -> None:
+        """Send an answer, or count it if the asker is gone or its queue is full."""
+        try:
+            self._socket.send_multipart([way_back, frame], zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self._dropped.unsent_answers += 1
+            return
+        counters = self._counters_by_id[asker]
+        counters.messages_out += 1
+        counters.bytes_out += len(frame)
+        while self._reader.drain():
+            pass
+
+    def _read(self) -> None:
+        if not self._is_checked:
+            frames = self._socket.recv_multipart(zmq.NOBLOCK)
+            self._take(frames, proved=None)
+            return
+        # Only frames, not plain bytes, carry the host id that the authentication found.
+        checked: list[Any] = self._socket.recv_multipart(zmq.NOBLOCK, copy=False)
+        proved = checked[-1].get("User-Id")
+        self._take([frame.bytes for frame in checked], proved=proved)
+
+    def _take(self, frames: list[bytes], *, proved: str | None) -> None:
+        envelope = decode_envelope(frames[1]) if len(frames) == _FRAMES else None
+        if envelope is None or not envelope.sender:
+            self._dropped.malformed += 1
+            return
+        if self._is_checked and proved != envelope.sender:
+            self._dropped.forged += 1
+            return
+        sender = HostId(envelope.sender)
+        counters = self._counters_by_id[sender]
+        counters.messages_in += 1
+        counters.bytes_in += len(frames[1])
+        self._on_request(frames[0], sender, envelope)
--- /dev/null
+++ b/src/galenastall/transport/peer_link.py
@@ -0,0 +1,336 @@
+"""Peer link over ZeroMQ: one ROUTER that peers connect to, one DEALER for each peer called.
+
+Answers come back on the connection of their call. A call is UNREACHABLE only if it was not handed
+to ZeroMQ, which takes messages only for connected peers; from then on it is TIMEOUT or CUT.
+Each message is handled in a task of its own, so handlers run in no promised order.
+"""
+
+import itertools
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Final, TypeVar
+
+import trio
+import xxhash
+import zmq
+from returns.result import Failure, Result, Success
+
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.codec import decode_message
+from galenastall.protocol.peers import PeerHandler
+from galenastall.protocol.security import CurveKeys
+from galenastall.state.errors import Reason, StepError
+from galenastall.state.ids import HostId, Incarnation
+from galenastall.transport import peer_wire
+from galenastall.transport.delay_line import DelayLine
+from galenastall.transport.link_faults import DroppedCounters, LinkCounters, LinkFaults
+from galenastall.transport.peer_handlers import ErrorLog, PeerHandlers
+from galenastall.transport.peer_inbox import PeerInbox
+from galenastall.transport.peer_outbox import PeerOutbox
+from galenastall.transport.peer_wire import Envelope
+from galenastall.transport.zap_server import ZapServer
+from galenastall.transport.zmq_sockets import MAX_MESSAGE_BYTES, Context, make_dealer
+
+M = TypeVar("M")
+
+MAX_HANDLED_AT_ONCE: Final = 2_000
+"""Messages in the hands of handlers; calls beyond it are answered OVERLOADED."""
+_STEP: Final = "peer.call"
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class _Pending:
+    peer: HostId
+    done: trio.Event = field(default_factory=trio.Event)
+    answer: Envelope | None = None
+
+
+class ZmqPeerLink:
+    """PeerLink of this process; see `protocol.peers.PeerLink`."""
+
+    def __init__(
+        self,
+        *,
+        host_id: HostId,
+        incarnation: Incarnation,
+        clock: Clock,
+        bind: str = "127.0.0.1:0",
+        curve: CurveKeys | None = None,
+        faults: LinkFaults | None = None,
+        log_error: ErrorLog | None = None,
+    ) -> None:
+        """Prepare the link; `run` binds it. With `curve` only hosts of its list get in."""
+        self._host_id = host_id
+        self._digest = peer_wire.host_digest(host_id)
+        self._bind = bind
+        self._curve = curve
+        self._faults = faults or LinkFaults()
+        self._clock = clock
+        self._handlers = PeerHandlers(host_id=host_id, log_error=log_error)
+        self._addresses_by_id: dict[HostId, str] = {}
+        self._outboxes_by_id: dict[HostId, PeerOutbox] = {}
+        self._pending_by_id: dict[int, _Pending] = {}
+        # Ids of two lives of a process differ, so that their calls can be told apart in logs.
+        first = xxhash.xxh32_intdigest(incarnation.encode()) << 24
+        self._correlation_ids = itertools.count(first + 1)
+        self._delays = DelayLine()
+        self._handling = 0
+        self._context: Context | None = None
+        self._nursery: trio.Nursery | None = None
+        self._inbox: PeerInbox | None = None
+        self._zap: ZapServer | None = None
+        self.counters_by_id: defaultdict[HostId, LinkCounters] = defaultdict(LinkCounters)
+        """Messages and bytes by peer."""
+        self.dropped = DroppedCounters()
+        """Messages taken in and not used."""
+
+    @property
+    def host_id(self) -> HostId:
+        """This entry host."""
+        return self._host_id
+
+    @property
+    def address(self) -> str:
+        """`IP:port` really bound; empty before `run` has started."""
+        return self._inbox.address if self._inbox else ""
+
+    @property
+    def refused_connections(self) -> int:
+        """Connections refused for an unknown key."""
+        return self._zap.refused if self._zap else 0
+
+    def set_peers(self, addresses_by_id: dict[HostId, str]) -> None:
+        """Replace the known addresses; a peer is connected to when first called."""
+        self._addresses_by_id = dict(addresses_by_id)
+        for peer, outbox in list(self._outboxes_by_id.items()):
+            if addresses_by_id.get(peer) != outbox.address:
+                del self._outboxes_by_id[peer]
+                outbox.close()
+        for gone in self.counters_by_id.keys() - addresses_by_id.keys():
+            del self.counters_by_id[gone]
+
+    def set_allowed_keys(self, allowed_by_host_id: dict[HostId, str]) -> None:
+        """Replace the list of public keys; connections that are up stay."""
+        if self._curve is None or self._zap is None:
+            raise ValueError("this link runs without CURVE keys")
+        self._zap.set_allowed(allowed_by_host_id)
+        self._curve.allowed_by_host_id.clear()
+        self._curve.allowed_by_host_id.update(allowed_by_host_id)
+
+    def handle(self, message_type: type[M], handler: PeerHandler) -> None:
+        """Route messages of this type to `handler`; raises ValueError if one is there."""
+        self._handlers.add(message_type, handler)
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Bind and serve until cancelled; reports started once peers can connect."""
+        context: Context = zmq.Context()
+        try:
+            async with trio.open_nursery() as nursery:
+                if self._curve is not None:
+                    self._zap = ZapServer(context=context, allowed=self._curve.allowed_by_host_id)
+                    await nursery.start(self._zap.run)
+                self._inbox = PeerInbox(
+                    context=context,
+                    bind=self._bind,
+                    curve=self._curve,
+                    counters_by_id=self.counters_by_id,
+                    dropped=self.dropped,
+                    on_request=self._take_request,
+                )
+                self._context, self._nursery = context, nursery
+                nursery.start_soon(self._inbox.run)
+                nursery.start_soon(self._delays.run)
+                task_status.started()
+        finally:
+            self._nursery = None
+            context.term()
+
+    async def call(
+        self, *, peer: HostId, message: object, timeout_s: float
+    ) -> Result[Any, StepError]:
+        """Send and wait for the typed answer; see the protocol for the errors."""
+        if peer == self._host_id:
+            return await self._call_here(message, timeout_s)
+        outbox = self._outbox_of(peer)
+        if outbox is None:
+            return _failure(peer, Reason.UNREACHABLE, "not known, not allowed or cut off")
+        correlation_id = next(self._correlation_ids)
+        frame = self._request_frame(peer_wire.CALL, correlation_id, peer, message)
+        if len(frame) > MAX_MESSAGE_BYTES:
+            return _failure(peer, Reason.INVALID, f"message of {len(frame)} bytes is too large")
+        return await self._exchange(outbox, peer, correlation_id, frame, timeout_s)
+
+    def send(self, *, peer: HostId, message: object) -> None:
+        """Send without an answer; lost silently if the peer can't be reached."""
+        if peer == self._host_id:
+            if self._nursery is not None:
+                self._nursery.start_soon(self._handle, None, peer, 0, message)
+            return
+        outbox = self._outbox_of(peer)
+        if outbox is None:
+            return
+        frame = self._request_frame(peer_wire.ONE_WAY, 0, peer, message)
+        if len(frame) <= MAX_MESSAGE_BYTES:
+            self._depart(peer, lambda: outbox.send_or_wait(frame))
+
+    async def _exchange(
+        self, outbox: PeerOutbox, peer: HostId, correlation_id: int, frame: bytes, timeout_s: float
+    ) -> Result[Any, StepError]:
+        pending = self._pending_by_id[correlation_id] = _Pending(peer=peer)
+        is_sent = False
+        try:
+            with trio.move_on_after(timeout_s):
+                is_sent = await self._hand_over(outbox, peer, frame)
+                if is_sent:
+                    await pending.done.wait()
+        finally:
+            del self._pending_by_id[correlation_id]
+        if pending.answer is not None:
+            return peer_wire.decode_answer(pending.answer, peer=peer)
+        if not is_sent:
+            return _failure(peer, Reason.UNREACHABLE, "not connected, or its queue is full")
+        return _failure(peer, Reason.TIMEOUT, f"no answer in {timeout_s:g} s")
+
+    async def _hand_over(self, outbox: PeerOutbox, peer: HostId, frame: bytes) -> bool:
+        if peer in self._faults.lossy or peer in self._faults.delay_s_by_peer:
+            self._depart(peer, lambda: outbox.send_or_wait(frame))
+            return True
+        while not outbox.try_send(frame):
+            if outbox.is_closed:
+                return False
+            await outbox.wait_writable()
+        return True
+
+    def _depart(self, peer: HostId, send: Callable[[], object]) -> None:
+        """Send now, later or never, as the faults have it."""
+        if peer in self._faults.lossy or peer in self._faults.cut:
+            return
+        delay_s = self._faults.delay_s_by_peer.get(peer, 0.0)
+        if delay_s > 0:
+            self._delays.add(delay_s, send)
+        else:
+            send()
+
+    def _request_frame(
+        self, kind: int, correlation_id: int, peer: HostId, message: object
+    ) -> bytes:
+        return peer_wire.encode_request(
+            kind=kind,
+            correlation_id=correlation_id,
+            sender=self._host_id,
+            target=peer_wire.host_digest(peer),
+            message=message,
+        )
+
+    def _outbox_of(self, peer: HostId) -> PeerOutbox | None:
+        if peer in self._faults.cut:
+            return None
+        outbox = self._outboxes_by_id.get(peer)
+        return outbox if outbox is not None else self._connect(peer)
+
+    def _connect(self, peer: HostId) -> PeerOutbox | None:
+        address = self._addresses_by_id.get(peer)
+        if address is None or self._nursery is None or self._context is None:
+            return None
+        server_key = ""
+        if self._curve is not None:
+            server_key = self._curve.allowed_by_host_id.get(peer, "")
+            if not server_key:
+                return None
+        socket = make_dealer(
+            context=self._context, address=address, curve=self._curve, server_key=server_key
+        )
+        outbox = PeerOutbox(
+            address=address,
+            socket=socket,
+            counters=self.counters_by_id[peer],
+            dropped=self.dropped,
+            clock=self._clock,
+            on_frame=lambda frame: self._take_answer(peer, frame),
+        )
+        self._outboxes_by_id[peer] = outbox
+        self._nursery.start_soon(outbox.run)
+        return outbox
+
+    def _take_answer(self, peer: HostId, frame: bytes) -> None:
+        envelope = peer_wire.decode_envelope(frame)
+        if envelope is None:
+            self.dropped.malformed += 1
+            return
+        if peer in self._faults.cut:
+            return
+        pending = self._pending_by_id.get(envelope.correlation_id)
+        if pending is None or pending.peer != peer or pending.answer is not None:
+            self.dropped.late_answers += 1
+            return
+        pending.answer = envelope
+        pending.done.set()
+
+    def _take_request(self, way_back: bytes, sender: HostId, envelope: Envelope) -> None:
+        if sender in self._faults.cut or self._nursery is None:
+            return
+        if envelope.target != self._digest:
+            self.dropped.misdirected += 1
+            detail = f"this address belongs to {self._host_id}"
+            self._refuse(way_back, sender, envelope, Reason.REFUSED, detail)
+            return
+        if self._handling >= MAX_HANDLED_AT_ONCE:
+            self.dropped.overloaded += 1
+            self._refuse(way_back, sender, envelope, Reason.OVERLOADED, "too many messages at once")
+            return
+        message = decode_message(envelope.name, bytes(envelope.body), peer=sender)
+        if isinstance(message, Failure):
+            self.dropped.malformed += 1
+            detail = message.failure().detail
+            self._refuse(way_back, sender, envelope, Reason.INVALID, detail)
+            return
+        asked = way_back if envelope.kind == peer_wire.CALL else None
+        self._handling += 1
+        self._nursery.start_soon(
+            self._handle_remote, asked, sender, envelope.correlation_id, message.unwrap()
+        )
+
+    def _refuse(
+        self, way_back: bytes, sender: HostId, envelope: Envelope, reason: Reason, detail: str
+    ) -> None:
+        if envelope.kind == peer_wire.CALL:
+            error = self._handlers.error(reason, detail)
+            self._answer(way_back, sender, envelope.correlation_id, error)
+
+    async def _handle_remote(
+        self, way_back: bytes | None, sender: HostId, correlation_id: int, message: Any
+    ) -> None:
+        try:
+            await self._handle(way_back, sender, correlation_id, message)
+        finally:
+            self._handling -= 1
+
+    async def _handle(
+        self, way_back: bytes | None, sender: HostId, correlation_id: int, message: Any
+    ) -> None:
+        answer = await self._handlers.ask(sender, message)
+        if way_back is not None:
+            self._answer(way_back, sender, correlation_id, answer)
+
+    def _answer(self, way_back: bytes, asker: HostId, correlation_id: int, answer: Any) -> None:
+        frame = peer_wire.encode_answer(correlation_id=correlation_id, answer=answer)
+        if len(frame) > MAX_MESSAGE_BYTES:
+            detail = f"answer of {len(frame)} bytes is too large"
+            error = self._handlers.error(Reason.CUT, detail)
+            frame = peer_wire.encode_answer(correlation_id=correlation_id, answer=error)
+        inbox = self._inbox
+        assert inbox is not None, "requests come only from the inbox"
+        self._depart(asker, lambda: inbox.answer(way_back, asker, frame))
+
+    async def _call_here(self, message: object, timeout_s: float) -> Result[Any, StepError]:
+        with trio.move_on_after(timeout_s):
+            answer = await self._handlers.ask(self._host_id, message)
+            if isinstance(answer, (Success, Failure)):
+                return answer
+            return Failure(answer) if isinstance(answer, StepError) else Success(answer)
+        return _failure(self._host_id, Reason.TIMEOUT, f"no answer in {timeout_s:g} s")
+
+
+def _failure(peer: HostId, reason: Reason, detail: str) -> Result[Any, StepError]:
+    return Failure(StepError(step=_STEP, peer=peer, reason=reason, detail=detail))
--- /dev/null
+++ b/src/galenastall/transport/peer_outbox.py
@@ -0,0 +1,106 @@
+"""What goes to one peer: its DEALER socket, and one-way messages that wait for the connection."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Final
+
+import trio
+import zmq
+
+from galenastall.protocol.clock import Clock
+from galenastall.transport.link_faults import DroppedCounters, LinkCounters
+from galenastall.transport.zmq_sockets import Socket, SocketReader
+
+WAITING_ONE_WAY: Final = 64
+"""One-way messages that wait for a connection; the oldest gives way."""
+ONE_WAY_PATIENCE_S: Final = 1.0
+"""Seconds after which a one-way message that still waits is dropped."""
+
+
+class PeerOutbox:
+    """Hands frames to one peer's socket; says truthfully whether it took them."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        socket: Socket,
+        counters: LinkCounters,
+        dropped: DroppedCounters,
+        clock: Clock,
+        on_frame: Callable[[bytes], None],
+    ) -> None:
+        """Take over the socket; `on_frame` gets each frame that the peer answers with."""
+        self.address = address
+        self._socket = socket
+        self._counters = counters
+        self._dropped = dropped
+        self._clock = clock
+        self._on_frame = on_frame
+        self._writable = trio.Event()
+        self._waiting: deque[tuple[float, bytes]] = deque(maxlen=WAITING_ONE_WAY)
+        self._reader = SocketReader(
+            socket=socket, on_readable=self._read, on_writable=self._flush_waiting
+        )
+        self.is_closed = False
+
+    async def run(self) -> None:
+        """Read answers until closed."""
+        await self._reader.run()
+
+    def close(self) -> None:
+        """End `run`; whoever waits to send is told."""
+        self.is_closed = True
+        self._writable.set()
+        self._reader.stop()
+
+    def try_send(self, frame: bytes) -> bool:
+        """Hand the frame over; False if not connected or the queue is full: nothing was taken."""
+        if self.is_closed or not self._hand_over(frame):
+            return False
+        while self._reader.drain():
+            pass
+        return True
+
+    def send_or_wait(self, frame: bytes) -> None:
+        """Hand the frame over now or as soon as the peer is connected, within the patience."""
+        if self.try_send(frame):
+            return
+        if len(self._waiting) == WAITING_ONE_WAY:
+            self._dropped.expired += 1
+        self._waiting.append((self._clock.now() + ONE_WAY_PATIENCE_S, frame))
+
+    async def wait_writable(self) -> None:
+        """Return when sending is worth another try."""
+        event = self._writable
+        if event.is_set():
+            event = self._writable = trio.Event()
+        await event.wait()
+
+    def _hand_over(self, frame: bytes) -> bool:
+        try:
+            self._socket.send(frame, zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        self._counters.messages_out += 1
+        self._counters.bytes_out += len(frame)
+        return True
+
+    def _flush_waiting(self) -> None:
+        self._writable.set()
+        now = self._clock.now()
+        while self._waiting:
+            expiry, frame = self._waiting[0]
+            if expiry >= now and not self._hand_over(frame):
+                return
+            self._waiting.popleft()
+            self._dropped.expired += expiry < now
+
+    def _read(self) -> None:
+        frames = self._socket.recv_multipart(zmq.NOBLOCK)
+        self._counters.messages_in += 1
+        self._counters.bytes_in += sum(map(len, frames))
+        if len(frames) != 1:
+            self._dropped.malformed += 1
+            return
+        self._on_frame(frames[0])
--- /dev/null
+++ b/src/galenastall/transport/peer_wire.py
@@ -0,0 +1,98 @@
+"""Frames between entry hosts: one msgpack array for each call, one-way message or answer."""
+
+from dataclasses import replace
+from typing import Any, Final
+
+import msgspec
+import xxhash
+from returns.result import Failure, Result, Success
+
+from galenastall.protocol.codec import decode_message, encode_message
+from galenastall.state.errors import Reason, StepError
+from galenastall.state.ids import HostId
+
+CALL: Final = 1
+"""Wants an answer."""
+ONE_WAY: Final = 2
+ANSWER: Final = 3
+"""Carries the handler's message."""
+NO_MESSAGE: Final = 4
+"""An answer whose handler returned nothing."""
+ERROR: Final = 5
+"""Carries the handler's StepError."""
+
+_NOTHING: Final = msgspec.Raw(msgspec.msgpack.encode(None))
+
+
+class Envelope(msgspec.Struct, array_like=True, gc=False, frozen=True):
+    """What is around a message."""
+
+    kind: int
+    correlation_id: int
+    """Matches an answer to its call; 0 for one-way messages."""
+    sender: str = ""
+    """Host id of the sender; empty in answers."""
+    target: int = 0
+    """Digest of the host id meant, since addresses are reused; 0 in answers."""
+    name: str = ""
+    """Wire name of the message."""
+    body: msgspec.Raw = _NOTHING
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(Envelope).decode
+
+
+def host_digest(host: HostId) -> int:
+    """Return 32 bits that stand for a host id."""
+    return xxhash.xxh32_intdigest(host.encode())
+
+
+def encode_request(
+    *, kind: int, correlation_id: int, sender: HostId, target: int, message: object
+) -> bytes:
+    """Return the frame of a call or one-way message."""
+    name, body = encode_message(message)
+    return _encode(Envelope(kind, correlation_id, sender, target, name, msgspec.Raw(body)))
+
+
+def encode_answer(*, correlation_id: int, answer: Any) -> bytes:
+    """Return the frame of an answer: a message, a Result of one, a StepError or None."""
+    if isinstance(answer, Success):
+        answer = answer.unwrap()
+    elif isinstance(answer, Failure):
+        answer = answer.failure()
+    if answer is None:
+        return _encode(Envelope(NO_MESSAGE, correlation_id))
+    if isinstance(answer, StepError):
+        body = msgspec.Raw(msgspec.msgpack.encode(answer))
+        return _encode(Envelope(ERROR, correlation_id, "", 0, "", body))
+    name, encoded = encode_message(answer)
+    return _encode(Envelope(ANSWER, correlation_id, "", 0, name, msgspec.Raw(encoded)))
+
+
+def decode_envelope(frame: bytes) -> Envelope | None:
+    """Return the envelope, or None if the frame is not one."""
+    try:
+        return _decode(frame)
+    except msgspec.MsgspecError:
+        return None
+
+
+def decode_answer(envelope: Envelope, *, peer: HostId) -> Result[Any, StepError]:
+    """Return what the peer's handler returned; an unreadable answer counts as cut."""
+    if envelope.kind == NO_MESSAGE:
+        return Success(None)
+    if envelope.kind == ANSWER:
+        return decode_message(envelope.name, bytes(envelope.body), peer=peer).alt(
+            lambda error: _cut(peer, error.detail)
+        )
+    try:
+        error = msgspec.msgpack.decode(envelope.body, type=StepError)
+    except msgspec.MsgspecError as fault:
+        return Failure(_cut(peer, str(fault)))
+    return Failure(error if error.peer else replace(error, peer=peer))
+
+
+def _cut(peer: HostId, detail: str) -> StepError:
+    return StepError(step="peer.call", peer=peer, reason=Reason.CUT, detail=detail)
--- /dev/null
+++ b/src/galenastall/transport/zmq_sockets.py
@@ -0,0 +1,123 @@
+"""ZeroMQ sockets set up for peer links, and reading them from the trio loop.
+
+A socket's descriptor is edge-triggered: it tells of a change only once, and sending may consume
+that. So both a wake-up and a send are followed by reading until nothing is left.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import trio
+import zmq
+
+from galenastall.protocol.security import CurveKeys
+from galenastall.transport.zap_server import ZAP_DOMAIN
+
+MAX_MESSAGE_BYTES: Final = 4 * 1024 * 1024
+"""Larger messages are refused by the sender and end the connection at the receiver."""
+QUEUE_MESSAGES: Final = 1000
+"""Messages queued for a peer, and from it, before sending waits."""
+_UNACKNOWLEDGED_MS: Final = 10_000
+"""Milliseconds after which TCP gives up a connection whose bytes nobody acknowledges."""
+_RECONNECT_MS: Final = 100
+_RECONNECT_MAX_MS: Final = 2_000
+_KEEPALIVE_IDLE_S: Final = 30
+_CLOSE_LINGER_MS: Final = 200
+_READ_AT_ONCE: Final = 256
+
+Socket = zmq.Socket[bytes]
+Context = zmq.Context[Socket]
+
+
+def make_router(*, context: Context, bind: str, curve: CurveKeys | None) -> Socket:
+    """Return the bound socket that peers connect to; raises zmq.ZMQError if it can't bind."""
+    socket = context.socket(zmq.ROUTER)
+    _set_limits(socket)
+    socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
+    if curve is not None:
+        socket.setsockopt(zmq.CURVE_SERVER, 1)
+        socket.setsockopt(zmq.CURVE_SECRETKEY, curve.secret_key.encode())
+        socket.setsockopt(zmq.ZAP_DOMAIN, ZAP_DOMAIN)
+    try:
+        socket.bind(f"tcp://{bind}")
+    except zmq.ZMQError:
+        socket.close(linger=0)
+        raise
+    return socket
+
+
+def make_dealer(
+    *, context: Context, address: str, curve: CurveKeys | None, server_key: str
+) -> Socket:
+    """Return a socket that connects to a peer and queues nothing until it is connected."""
+    socket = context.socket(zmq.DEALER)
+    _set_limits(socket)
+    socket.setsockopt(zmq.IMMEDIATE, 1)
+    socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
+    socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+    if curve is not None:
+        socket.setsockopt(zmq.CURVE_SERVERKEY, server_key.encode())
+        socket.setsockopt(zmq.CURVE_PUBLICKEY, curve.public_key.encode())
+        socket.setsockopt(zmq.CURVE_SECRETKEY, curve.secret_key.encode())
+    socket.connect(f"tcp://{address}")
+    return socket
+
+
+def bound_address(socket: Socket) -> str:
+    """Return the `IP:port` that a socket is bound to."""
+    endpoint: Any = socket.getsockopt(zmq.LAST_ENDPOINT)
+    return str(endpoint.decode().rstrip("\0").removeprefix("tcp://"))
+
+
+def _set_limits(socket: Socket) -> None:
+    socket.setsockopt(zmq.LINGER, _CLOSE_LINGER_MS)
+    socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+    socket.setsockopt(zmq.SNDHWM, QUEUE_MESSAGES)
+    socket.setsockopt(zmq.RCVHWM, QUEUE_MESSAGES)
+    socket.setsockopt(zmq.TCP_MAXRT, _UNACKNOWLEDGED_MS)
+    socket.setsockopt(zmq.TCP_KEEPALIVE, 1)
+    socket.setsockopt(zmq.TCP_KEEPALIVE_IDLE, _KEEPALIVE_IDLE_S)
+
+
+class SocketReader:
+    """Feeds a socket's messages to a callback on the loop."""
+
+    def __init__(
+        self,
+        *,
+        socket: Socket,
+        on_readable: Callable[[], None],
+        on_writable: Callable[[], None] | None = None,
+    ) -> None:
+        """`on_readable` takes one message off the socket; neither callback may block."""
+        self._socket = socket
+        self._on_readable = on_readable
+        self._on_writable = on_writable
+        self._scope = trio.CancelScope()
+        self._descriptor = int(socket.getsockopt(zmq.FD))
+
+    def drain(self) -> bool:
+        """Read what is there, up to a bound; return whether more may be left."""
+        for _ in range(_READ_AT_ONCE):
+            events = int(self._socket.getsockopt(zmq.EVENTS))
+            if events & zmq.POLLOUT and self._on_writable is not None:
+                self._on_writable()
+            if not events & zmq.POLLIN:
+                return False
+            self._on_readable()
+        return True
+
+    async def run(self) -> None:
+        """Read until stopped, then close the socket."""
+        try:
+            with self._scope:
+                while True:
+                    while self.drain():
+                        await trio.lowlevel.checkpoint()
+                    await trio.lowlevel.wait_readable(self._descriptor)
+        finally:
+            self._socket.close()
+
+    def stop(self) -> None:
+        """End `run`."""
+        self._scope.cancel()
