--- a/src/galenastall/protocol/security.py
+++ b/src/galenastall/protocol/security.py
@@ -1,6 +1,7 @@
 """Certificates and keys of a process, as its settings give them."""
 
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from galenastall.state.ids import HostId
 
@@ -14,7 +15,14 @@
     key_file: str
     """Its private key."""
     ca_file: str | None = None
-    """Authority that certificates of others must come from; None trusts the system's."""
+    """Authority that servers' certificates must come from; None trusts the system's."""
+
+    def check(self) -> None:
+        """Raise FileNotFoundError naming the field and the path of a file that is not there."""
+        for name in ("cert_file", "key_file", "ca_file"):
+            path = getattr(self, name)
+            if path is not None and not Path(path).is_file():
+                raise FileNotFoundError(f"tls.{name}: no file {path!r}")
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/galenastall/transport/http_client.py
+++ b/src/galenastall/transport/http_client.py
@@ -263,6 +263,7 @@
 
 
 def _client_context(tls: TlsFiles) -> ssl.SSLContext:
+    tls.check()
     context = ssl.create_default_context(cafile=tls.ca_file)
     context.set_alpn_protocols(["http/1.1"])
     context.load_cert_chain(tls.cert_file, tls.key_file)
--- a/src/galenastall/transport/http_server.py
+++ b/src/galenastall/transport/http_server.py
@@ -42,6 +42,7 @@
         self.keep_alive_timeout = keep_alive_s
         self.keep_alive_max_requests = _MAX_REQUESTS_PER_CONNECTION
         if tls is not None:
+            tls.check()
             self.certfile = tls.cert_file
             self.keyfile = tls.key_file
 
