Tell what happened: time line over processes, logs, metrics, explanations

Cause: operators need one line of events over all processes and a reason for each outcome. HttpServer can demand client certificates.

--- /dev/null
+++ b/src/galenastall/node/http_ops.py
@@ -0,0 +1,102 @@
+"""Routes for operators and their machines: health, readiness, metrics, time line, explanation."""
+
+from collections.abc import Callable, Sequence
+
+from galenastall.coordination.explain import explain, explanation_text
+from galenastall.coordination.timeline_merge import MergedTimeline, timeline_text
+from galenastall.node.timeline_service import TimelineService
+from galenastall.state.errors import Reason, StepError
+from galenastall.transport.http_json import error_response, json_response
+from galenastall.transport.http_messages import HttpRequest, HttpResponse
+from galenastall.transport.http_routes import route
+from galenastall.transport.metrics import CONTENT_TYPE, Metrics
+from galenastall.transport.timeline_plot import PlotUnavailableError, plot_timeline
+
+_TEXT = {"content-type": "text/plain; charset=utf-8"}
+_IMAGE_TYPES = {"svg": "image/svg+xml", "png": "image/png"}
+
+
+class HttpOps:
+    """Handler of the operators' routes."""
+
+    def __init__(
+        self,
+        *,
+        metrics: Metrics,
+        timeline: TimelineService,
+        not_ready_reasons: Callable[[], Sequence[str]],
+    ) -> None:
+        """Ready while `not_ready_reasons` returns nothing."""
+        self._metrics = metrics
+        self._timeline = timeline
+        self._not_ready_reasons = not_ready_reasons
+
+    @route("GET", "/healthz")
+    async def health(self, request: HttpRequest) -> HttpResponse:
+        """Answer 200 while the loop turns."""
+        return json_response(200, {"status": "ok"})
+
+    @route("GET", "/readyz")
+    async def ready(self, request: HttpRequest) -> HttpResponse:
+        """Answer 200 when work is welcome, else 503 with the reasons."""
+        reasons = list(self._not_ready_reasons())
+        return json_response(503 if reasons else 200, {"ready": not reasons, "reasons": reasons})
+
+    @route("GET", "/metrics")
+    async def metrics(self, request: HttpRequest) -> HttpResponse:
+        """Answer with Prometheus's text format."""
+        return HttpResponse(headers={"content-type": CONTENT_TYPE}, body=self._metrics.page())
+
+    @route("GET", "/v1/timeline")
+    async def latest(self, request: HttpRequest) -> HttpResponse:
+        """Answer with the latest events about anything."""
+        return _render_timeline(request, await self._timeline.gather(""))
+
+    @route("GET", "/v1/timeline/{subject*}")
+    async def timeline(self, request: HttpRequest) -> HttpResponse:
+        """Answer with the events about an id; `format` is json, text, svg or png."""
+        subject = request.path_params["subject"]
+        return _render_timeline(request, await self._timeline.gather(subject))
+
+    @route("GET", "/v1/explain/{subject*}")
+    async def explain(self, request: HttpRequest) -> HttpResponse:
+        """Answer with sentences about an id; `format` is json or text."""
+        explanation = explain(await self._timeline.gather(request.path_params["subject"]))
+        match request.query.get("format", "json"):
+            case "json":
+                return json_response(200, explanation)
+            case "text":
+                return HttpResponse(headers=_TEXT, body=explanation_text(explanation).encode())
+            case other:
+                return _unknown_format(request, other, "json, text")
+
+
+def _render_timeline(request: HttpRequest, timeline: MergedTimeline) -> HttpResponse:
+    match request.query.get("format", "json"):
+        case "json":
+            return json_response(200, timeline)
+        case "text":
+            return HttpResponse(headers=_TEXT, body=timeline_text(timeline).encode())
+        case ("svg" | "png") as image:
+            return _render_image(request, timeline, image)
+        case other:
+            return _unknown_format(request, other, "json, text, svg, png")
+
+
+def _render_image(
+    request: HttpRequest, timeline: MergedTimeline, image_format: str
+) -> HttpResponse:
+    try:
+        body = plot_timeline(timeline, image_format="png" if image_format == "png" else "svg")
+    except PlotUnavailableError as error:
+        return error_response(_error(request, Reason.UNAVAILABLE, str(error)), status=501)
+    return HttpResponse(headers={"content-type": _IMAGE_TYPES[image_format]}, body=body)
+
+
+def _unknown_format(request: HttpRequest, value: str, allowed: str) -> HttpResponse:
+    detail = f"format: {value!r} is unknown; allowed: {allowed}"
+    return error_response(_error(request, Reason.INVALID, detail))
+
+
+def _error(request: HttpRequest, reason: Reason, detail: str) -> StepError:
+    return StepError(step="ops.timeline", peer=request.client, reason=reason, detail=detail)
--- /dev/null
+++ b/src/galenastall/node/timeline_service.py
@@ -0,0 +1,73 @@
+"""The time line over all processes: answers peers from this ring, and gathers theirs."""
+
+from collections.abc import Callable, Iterable
+from typing import Any, Final
+
+import trio
+from returns.result import Success
+
+from galenastall.coordination.timeline_merge import MergedTimeline, merge_timelines
+from galenastall.protocol.peers import PeerLink
+from galenastall.protocol.timeline_messages import TimelineEvents, TimelineQuery
+from galenastall.state.ids import HostId
+from galenastall.state.timeline import TimelineEvent
+from galenastall.state.timeline_ring import TimelineRing
+
+GATHER_TIMEOUT_S: Final = 2.0
+"""Seconds that a peer has for its part."""
+EVENTS_LIMIT: Final = 2_000
+"""Most events that one process gives."""
+
+
+class TimelineService:
+    """Gathers the events about an id from all peers that can be reached."""
+
+    def __init__(
+        self,
+        *,
+        link: PeerLink,
+        ring: TimelineRing,
+        peers: Callable[[], Iterable[HostId]],
+        timeout_s: float = GATHER_TIMEOUT_S,
+    ) -> None:
+        """Answer peers' queries from `ring`; `peers` returns whom to ask."""
+        self._link = link
+        self._ring = ring
+        self._peers = peers
+        self._timeout_s = timeout_s
+        link.handle(TimelineQuery, self._answer)
+
+    async def gather(self, subject: str) -> MergedTimeline:
+        """Return one line over all processes; those that don't answer in time are named."""
+        query = TimelineQuery(subject=subject, limit=EVENTS_LIMIT)
+        here = self._own_events(query)
+        rings: list[tuple[TimelineEvent, ...]] = [here.events]
+        forgetful = [str(self._link.host_id)] if here.is_forgetful else []
+        unreachable: list[str] = []
+
+        async def ask(peer: HostId) -> None:
+            result = await self._link.call(peer=peer, message=query, timeout_s=self._timeout_s)
+            if not isinstance(result, Success):
+                unreachable.append(peer)
+                return
+            answer: TimelineEvents = result.unwrap()
+            rings.append(answer.events)
+            if answer.is_forgetful:
+                forgetful.append(peer)
+
+        async with trio.open_nursery() as nursery:
+            for peer in self._peers():
+                if peer != self._link.host_id:
+                    nursery.start_soon(ask, peer)
+        return merge_timelines(rings, subject=subject, unreachable=unreachable, forgetful=forgetful)
+
+    async def _answer(self, sender: HostId, query: Any) -> TimelineEvents:
+        return self._own_events(query)
+
+    def _own_events(self, query: TimelineQuery) -> TimelineEvents:
+        limit = min(query.limit, EVENTS_LIMIT)
+        if query.subject:
+            events = self._ring.about(query.subject, limit=limit)
+        else:
+            events = self._ring.latest(limit)
+        return TimelineEvents(events=events, is_forgetful=self._ring.forgotten > 0)
--- a/src/galenastall/protocol/security.py
+++ b/src/galenastall/protocol/security.py
@@ -15,7 +15,7 @@
     key_file: str
     """Its private key."""
     ca_file: str | None = None
-    """Authority that servers' certificates must come from; None trusts the system's."""
+    """Authority that others' certificates must come from; None trusts the system's."""
 
     def check(self) -> None:
         """Raise FileNotFoundError naming the field and the path of a file that is not there."""
--- /dev/null
+++ b/src/galenastall/state/timeline_ring.py
@@ -0,0 +1,59 @@
+"""Bounded memory of a process's events, found again by the ids that they are about.
+
+Events of single requests go to a ring of their own, so that a flood of them does not push out what
+happened to jobs, owners and settings. Queries scan; recording, which happens thousands of times for
+each query, only appends.
+"""
+
+from collections import deque
+from collections.abc import Iterator
+from typing import Final
+
+from galenastall.state.timeline import TimelineEvent
+
+DEFAULT_CAPACITY: Final = 20_000
+"""Events kept, half of them for single requests."""
+
+
+class TimelineRing:
+    """The latest events of one process."""
+
+    def __init__(self, *, capacity: int = DEFAULT_CAPACITY) -> None:
+        """Keep at most `capacity` events, half of them details."""
+        if capacity < 2:  # noqa: PLR2004 - one place in each half
+            raise ValueError(f"capacity: expected at least 2, got {capacity}")
+        self._events: deque[TimelineEvent] = deque(maxlen=capacity - capacity // 2)
+        self._details: deque[TimelineEvent] = deque(maxlen=capacity // 2)
+        self.recorded = 0
+        """Events recorded since the start."""
+
+    def append(self, event: TimelineEvent, *, is_detail: bool = False) -> None:
+        """Keep an event; the oldest of its half gives way."""
+        self.recorded += 1
+        (self._details if is_detail else self._events).append(event)
+
+    @property
+    def forgotten(self) -> int:
+        """Events that gave way to newer ones."""
+        return self.recorded - len(self)
+
+    def about(self, subject: str, *, limit: int | None = None) -> tuple[TimelineEvent, ...]:
+        """Return the events about an id in time order, the latest `limit` of them."""
+        return self._latest((event for event in self if subject in event.subjects), limit)
+
+    def latest(self, limit: int) -> tuple[TimelineEvent, ...]:
+        """Return the latest events about anything, in time order."""
+        return self._latest(iter(self), limit)
+
+    def _latest(
+        self, events: Iterator[TimelineEvent], limit: int | None
+    ) -> tuple[TimelineEvent, ...]:
+        ordered = sorted(events, key=lambda event: event.at)
+        return tuple(ordered if limit is None else ordered[max(0, len(ordered) - limit) :])
+
+    def __len__(self) -> int:
+        return len(self._events) + len(self._details)
+
+    def __iter__(self) -> Iterator[TimelineEvent]:
+        yield from self._events
+        yield from self._details
--- a/src/galenastall/transport/http_server.py
+++ b/src/galenastall/transport/http_server.py
@@ -6,6 +6,7 @@
 
 import logging
 import socket
+import ssl
 from collections.abc import Iterable
 from typing import Any, Final
 
@@ -32,7 +33,7 @@
 class _BoundConfig(Config):
     """Hypercorn's settings over a listening socket that is bound already."""
 
-    def __init__(self, *, tls: TlsFiles | None, keep_alive_s: float) -> None:
+    def __init__(self, *, tls: TlsFiles | None, verify_clients: bool, keep_alive_s: float) -> None:
         super().__init__()
         self.accesslog = None
         self.errorlog = _logger
@@ -45,6 +46,11 @@
             tls.check()
             self.certfile = tls.cert_file
             self.keyfile = tls.key_file
+            if verify_clients:
+                if tls.ca_file is None:
+                    raise ValueError("tls.ca_file: needed to verify clients")
+                self.ca_certs = tls.ca_file
+                self.verify_mode = ssl.CERT_REQUIRED
 
 
 class HttpServer:
@@ -57,16 +63,22 @@
         clock: Clock,
         bind: str = "127.0.0.1:0",
         tls: TlsFiles | None = None,
+        verify_clients: bool = False,
         keep_alive_s: float = KEEP_ALIVE_S,
         linger_s: float = DRAIN_LINGER_S,
         log_error: ErrorLog | None = None,
     ) -> None:
-        """Collect the handlers' routes; the socket is bound by `run`."""
+        """Collect the handlers' routes; the socket is bound by `run`.
+
+        `verify_clients` demands a certificate by `tls.ca_file` from every client.
+        """
         self._app = HttpApp(handlers=handlers, log_error=log_error)
         self._clock = clock
         self._bind = bind
         self._linger_s = linger_s
-        self._config = _BoundConfig(tls=tls, keep_alive_s=keep_alive_s)
+        self._config = _BoundConfig(
+            tls=tls, verify_clients=verify_clients, keep_alive_s=keep_alive_s
+        )
         self._address = ""
         self._stop = trio.Event()
         self._stopped = trio.Event()
--- a/src/galenastall/transport/peer_link.py
+++ b/src/galenastall/transport/peer_link.py
@@ -16,6 +16,7 @@
 import zmq
 from returns.result import Failure, Result, Success
 
+from galenastall.coordination.hybrid_clock import HybridClock
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.codec import decode_message
 from galenastall.protocol.peers import PeerHandler
@@ -58,15 +59,20 @@
         bind: str = "127.0.0.1:0",
         curve: CurveKeys | None = None,
         faults: LinkFaults | None = None,
+        hybrid: HybridClock | None = None,
         log_error: ErrorLog | None = None,
     ) -> None:
-        """Prepare the link; `run` binds it. With `curve` only hosts of its list get in."""
+        """Prepare the link; `run` binds it. With `curve` only hosts of its list get in.
+
+        `hybrid` should be the clock of the process's events: messages carry its time.
+        """
         self._host_id = host_id
         self._digest = peer_wire.host_digest(host_id)
         self._bind = bind
         self._curve = curve
         self._faults = faults or LinkFaults()
         self._clock = clock
+        self._hybrid = hybrid or HybridClock()
         self._handlers = PeerHandlers(host_id=host_id, log_error=log_error)
         self._addresses_by_id: dict[HostId, str] = {}
         self._outboxes_by_id: dict[HostId, PeerOutbox] = {}
@@ -221,6 +227,7 @@
             sender=self._host_id,
             target=peer_wire.host_digest(peer),
             message=message,
+            at=self._hybrid.tick(self._clock.wall()),
         )
 
     def _outbox_of(self, peer: HostId) -> PeerOutbox | None:
@@ -264,6 +271,7 @@
         if pending is None or pending.peer != peer or pending.answer is not None:
             self.dropped.late_answers += 1
             return
+        self._observe(envelope)
         pending.answer = envelope
         pending.done.set()
 
@@ -279,6 +287,7 @@
             self.dropped.overloaded += 1
             self._refuse(way_back, sender, envelope, Reason.OVERLOADED, "too many messages at once")
             return
+        self._observe(envelope)
         message = decode_message(envelope.name, bytes(envelope.body), peer=sender)
         if isinstance(message, Failure):
             self.dropped.malformed += 1
@@ -291,6 +300,9 @@
             self._handle_remote, asked, sender, envelope.correlation_id, message.unwrap()
         )
 
+    def _observe(self, envelope: Envelope) -> None:
+        self._hybrid.observe(envelope.wall_ms, envelope.counter, wall_s=self._clock.wall())
+
     def _refuse(
         self, way_back: bytes, sender: HostId, envelope: Envelope, reason: Reason, detail: str
     ) -> None:
@@ -314,7 +326,8 @@
             self._answer(way_back, sender, correlation_id, answer)
 
     def _answer(self, way_back: bytes, asker: HostId, correlation_id: int, answer: Any) -> None:
-        frame = peer_wire.encode_answer(correlation_id=correlation_id, answer=answer)
+        at = self._hybrid.tick(self._clock.wall())
+        frame = peer_wire.encode_answer(correlation_id=correlation_id, answer=answer, at=at)
         if len(frame) > MAX_MESSAGE_BYTES:
             detail = f"answer of {len(frame)} bytes is too large"
             error = self._handlers.error(Reason.CUT, detail)
--- a/src/galenastall/transport/peer_wire.py
+++ b/src/galenastall/transport/peer_wire.py
@@ -10,6 +10,7 @@
 from galenastall.protocol.codec import decode_message, encode_message
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId
+from galenastall.state.timeline import HybridTime
 
 CALL: Final = 1
 """Wants an answer."""
@@ -21,6 +22,8 @@
 ERROR: Final = 5
 """Carries the handler's StepError."""
 
+NO_TIME: Final = HybridTime(wall_ms=0)
+"""The hybrid time of a process that keeps none."""
 _NOTHING: Final = msgspec.Raw(msgspec.msgpack.encode(None))
 
 
@@ -37,6 +40,9 @@
     name: str = ""
     """Wire name of the message."""
     body: msgspec.Raw = _NOTHING
+    wall_ms: int = 0
+    """Hybrid time of the sender, so that the events of both ends keep their order."""
+    counter: int = 0
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -49,26 +55,39 @@
 
 
 def encode_request(
-    *, kind: int, correlation_id: int, sender: HostId, target: int, message: object
+    *,
+    kind: int,
+    correlation_id: int,
+    sender: HostId,
+    target: int,
+    message: object,
+    at: HybridTime = NO_TIME,
 ) -> bytes:
     """Return the frame of a call or one-way message."""
     name, body = encode_message(message)
-    return _encode(Envelope(kind, correlation_id, sender, target, name, msgspec.Raw(body)))
+    raw = msgspec.Raw(body)
+    return _encode(
+        Envelope(kind, correlation_id, sender, target, name, raw, at.wall_ms, at.counter)
+    )
 
 
-def encode_answer(*, correlation_id: int, answer: Any) -> bytes:
+def encode_answer(*, correlation_id: int, answer: Any, at: HybridTime = NO_TIME) -> bytes:
     """Return the frame of an answer: a message, a Result of one, a StepError or None."""
     if isinstance(answer, Success):
         answer = answer.unwrap()
     elif isinstance(answer, Failure):
         answer = answer.failure()
+    kind, name, body = _answer_parts(answer)
+    return _encode(Envelope(kind, correlation_id, "", 0, name, body, at.wall_ms, at.counter))
+
+
+def _answer_parts(answer: Any) -> tuple[int, str, msgspec.Raw]:
     if answer is None:
-        return _encode(Envelope(NO_MESSAGE, correlation_id))
+        return NO_MESSAGE, "", _NOTHING
     if isinstance(answer, StepError):
-        body = msgspec.Raw(msgspec.msgpack.encode(answer))
-        return _encode(Envelope(ERROR, correlation_id, "", 0, "", body))
-    name, encoded = encode_message(answer)
-    return _encode(Envelope(ANSWER, correlation_id, "", 0, name, msgspec.Raw(encoded)))
+        return ERROR, "", msgspec.Raw(msgspec.msgpack.encode(answer))
+    name, body = encode_message(answer)
+    return ANSWER, name, msgspec.Raw(body)
 
 
 def decode_envelope(frame: bytes) -> Envelope | None:
--- a/tests/test_http_tls.py
+++ b/tests/test_http_tls.py
@@ -40,8 +40,14 @@
 
 
 @asynccontextmanager
-async def tls_server(tls: TlsFiles) -> AsyncIterator[HttpServer]:
-    server = HttpServer(handlers=[Hello()], clock=TrioClock(), tls=tls, linger_s=0.0)
+async def tls_server(tls: TlsFiles, *, verify_clients: bool = False) -> AsyncIterator[HttpServer]:
+    server = HttpServer(
+        handlers=[Hello()],
+        clock=TrioClock(),
+        tls=tls,
+        verify_clients=verify_clients,
+        linger_s=0.0,
+    )
     async with trio.open_nursery() as nursery:
         await nursery.start(server.run)
         yield server
@@ -71,6 +77,14 @@
         async with tls_server(issue(tmp_path, ours, name="server")) as server:
             assert await get(server, issue(tmp_path, other, name="client")) is Reason.UNREACHABLE
 
+    async def test_server_can_demand_certificates_of_its_authority(self, tmp_path: Path) -> None:
+        ours, other = trustme.CA(), trustme.CA()
+        tls = issue(tmp_path, ours, name="server")
+        stranger = replace(issue(tmp_path, other, name="stranger"), ca_file=tls.ca_file)
+        async with tls_server(tls, verify_clients=True) as server:
+            assert await get(server, issue(tmp_path, ours, name="client")) == b"hello"
+            assert await get(server, stranger) is Reason.CUT
+
     async def test_plain_client_of_a_tls_server_gets_no_answer(self, tmp_path: Path) -> None:
         async with tls_server(issue(tmp_path, trustme.CA(), name="server")) as server:
             assert await get(server, None) is Reason.CUT
