Add the stand-in platform in memory

Change: log, host list, workers and executors behind the interfaces of protocol/platform.py, on trio's clock and one seed. Workers share one queue of due events, so late commands, ends and lapses take effect in order of time without background tasks. TaskEnd names how a run ended (FinishedTask.detail). Contract tests drive them through the interfaces.

--- a/src/galenastall/state/work.py
+++ b/src/galenastall/state/work.py
@@ -104,6 +104,16 @@
     """Last reported usage; lags."""
 
 
+class TaskEnd(StrEnum):
+    """Ends of a run that workers name in `FinishedTask.detail`, besides details of their own."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    CHECKPOINTED = "checkpointed"
+    LEASE_LAPSED = "lease_lapsed"
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FinishedTask:
     """A task that ended, kept by the worker until acknowledged."""
--- /dev/null
+++ b/tests/test_standin_contract.py
@@ -0,0 +1,547 @@
+"""Cases that the stand-ins pass alike in memory and behind HTTP."""
+
+from dataclasses import replace
+from functools import partial
+
+import pytest
+import trio
+from returns.result import Failure, Result, Success
+from trio.testing import MockClock
+
+from galenastall.protocol.platform import UpstreamCutError
+from galenastall.standin.echo import EchoVerdict, check_echo
+from galenastall.standin.faults import (
+    BeyondSlots,
+    ExecutorFaults,
+    HostListFaults,
+    LogFaults,
+    WorkerFaults,
+)
+from galenastall.standin.service_time import ServiceTime
+from galenastall.standin.violations import ViolationKind
+from galenastall.state.errors import Reason, StepError
+from galenastall.state.hosts import HostState
+from galenastall.state.ids import Epoch, Offset, StreamName, TaskId
+from galenastall.state.outcomes import Outcome
+from galenastall.state.resources import Resources
+from galenastall.state.work import TaskEnd
+from standin_cases import (
+    FAR,
+    OpenRig,
+    Rig,
+    make_batch,
+    make_call,
+    make_task,
+    one_chunk,
+    open_memory_rig,
+)
+
+STREAM = StreamName("data-centre.mapo")
+SLOW = 0.05
+TIMEOUT = 0.2
+
+pytestmark = pytest.mark.parametrize("open_rig", [pytest.param(open_memory_rig, id="memory")])
+
+
+@pytest.fixture
+def jumping_clock() -> MockClock:
+    """Jump over idle time, but only once loopback sockets had a moment to deliver."""
+    return MockClock(autojump_threshold=0.005)
+
+
+def reason_of(result: Result[object, StepError]) -> Reason:
+    assert isinstance(result, Failure), result
+    error: StepError = result.failure()
+    return error.reason
+
+
+class TestLog:
+    async def test_batch_gets_consecutive_offsets_in_its_stream(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            log = rig.services.log
+            assert await log.append(stream=STREAM, texts=["a", "b"]) == Success(0)
+            assert await log.append(stream=STREAM, texts=["ç"]) == Success(2)
+            assert await log.append(stream=StreamName("settings"), texts=["x"]) == Success(0)
+            page = (await log.read(stream=STREAM, start=Offset(1))).unwrap()
+            assert [(entry.offset, entry.text) for entry in page.entries] == [(1, "b"), (2, "ç")]
+            assert (page.start, page.end) == (0, 3)
+            assert rig.model.log.counters.appends == 3
+
+    async def test_limit_bounds_a_page(self, open_rig: OpenRig, jumping_clock: MockClock) -> None:
+        async with open_rig() as rig:
+            await rig.services.log.append(stream=STREAM, texts=list("abcdef"))
+            page = (await rig.services.log.read(stream=STREAM, start=Offset(1), limit=2)).unwrap()
+            assert [entry.text for entry in page.entries] == ["b", "c"]
+
+    async def test_waiting_read_wakes_on_append(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig, trio.open_nursery() as nursery:
+            pages = []
+
+            async def follow() -> None:
+                pages.append(await rig.services.log.read(stream=STREAM, start=Offset(0), wait_s=5))
+
+            nursery.start_soon(follow)
+            await trio.sleep(SLOW)
+            await rig.services.log.append(stream=STREAM, texts=["a"])
+            await trio.sleep(SLOW)
+            assert [entry.text for entry in pages[0].unwrap().entries] == ["a"]
+
+    async def test_waiting_read_ends_empty(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            page = (
+                await rig.services.log.read(stream=STREAM, start=Offset(0), wait_s=SLOW)
+            ).unwrap()
+            assert (page.entries, page.end) == ((), 0)
+
+    async def test_trimmed_start_is_named(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            rig.model.log.set_faults(LogFaults(keep_records=2))
+            await rig.services.log.append(stream=STREAM, texts=list("abcde"))
+            result = await rig.services.log.read(stream=STREAM, start=Offset(1))
+            assert reason_of(result) is Reason.TRIMMED
+            assert result.failure().detail == "3"
+            page = (await rig.services.log.read(stream=STREAM, start=Offset(3))).unwrap()
+            assert [entry.text for entry in page.entries] == ["d", "e"]
+
+    async def test_outage_appends_nothing(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            rig.model.log.set_faults(LogFaults(outage=True))
+            appended = await rig.services.log.append(stream=STREAM, texts=["a"])
+            assert reason_of(appended) is Reason.UNAVAILABLE
+            read = await rig.services.log.read(stream=STREAM, start=Offset(0))
+            assert reason_of(read) is Reason.UNAVAILABLE
+            rig.model.log.set_faults(LogFaults())
+            assert rig.model.log.snapshot(STREAM) == ()
+
+    async def test_outage_ends_waiting_reads(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig, trio.open_nursery() as nursery:
+            ended: list[Reason] = []
+
+            async def follow() -> None:
+                read = await rig.services.log.read(stream=STREAM, start=Offset(0), wait_s=60)
+                ended.append(reason_of(read))
+
+            nursery.start_soon(follow)
+            await trio.sleep(SLOW)
+            rig.model.log.set_faults(LogFaults(outage=True))
+            await trio.sleep(SLOW)
+            assert ended == [Reason.UNAVAILABLE]
+
+    @pytest.mark.parametrize(
+        ("faults", "kept"),
+        [
+            (LogFaults(drop_after=1.0, call_timeout_s=TIMEOUT), ("a",)),
+            (LogFaults(drop_before=1.0, call_timeout_s=TIMEOUT), ()),
+        ],
+        ids=["after", "before"],
+    )
+    async def test_lost_append_may_have_taken_effect(
+        self, open_rig: OpenRig, jumping_clock: MockClock, faults: LogFaults, kept: tuple[str, ...]
+    ) -> None:
+        async with open_rig() as rig:
+            rig.model.log.set_faults(faults)
+            appended = await rig.services.log.append(stream=STREAM, texts=["a"])
+            assert appended.failure().may_have_taken_effect
+            assert rig.model.log.snapshot(STREAM) == kept
+
+    async def test_late_append_lands_after_its_caller_gave_up(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            rig.model.log.set_faults(LogFaults(delay_s=3 * TIMEOUT, call_timeout_s=TIMEOUT))
+            with trio.move_on_after(TIMEOUT) as scope:
+                assert reason_of(await rig.services.log.append(stream=STREAM, texts=["late"])) in (
+                    Reason.TIMEOUT,
+                    Reason.CUT,
+                )
+            del scope
+            rig.model.log.set_faults(LogFaults())
+            assert rig.model.log.snapshot(STREAM) == ()
+            await trio.sleep(4 * TIMEOUT)
+            assert rig.model.log.snapshot(STREAM) == ("late",)
+
+    async def test_appends_beyond_the_rate_are_refused_whole(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            rig.model.log.set_faults(LogFaults(appends_per_s=1.0))
+            results = [await rig.services.log.append(stream=STREAM, texts=["a"]) for _ in "ab"]
+            assert isinstance(results[0], Success)
+            refusal = results[1].failure()
+            assert refusal.reason is Reason.OVERLOADED
+            assert refusal.retry_after_s is not None
+            assert 0 < refusal.retry_after_s <= 1.0
+            assert rig.model.log.snapshot(STREAM) == ("a",)
+
+
+class TestHostList:
+    async def test_shows_changes_after_the_lag(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            host = rig.hosts[0]
+            rig.model.host_list.set_faults(HostListFaults(lag_s=2 * TIMEOUT))
+            await trio.sleep(3 * TIMEOUT)
+            rig.model.host_list.set_state(host.host_id, HostState.LEAVING)
+            before = (await rig.services.host_list.fetch()).unwrap()
+            assert before.by_id[host.host_id] == host
+            await trio.sleep(3 * TIMEOUT)
+            after = (await rig.services.host_list.fetch()).unwrap()
+            assert after.by_id[host.host_id] == replace(host, state=HostState.LEAVING)
+            assert after.as_of - before.as_of >= 3 * TIMEOUT
+
+    async def test_outage(self, open_rig: OpenRig, jumping_clock: MockClock) -> None:
+        async with open_rig() as rig:
+            rig.model.host_list.set_faults(HostListFaults(outage=True))
+            assert reason_of(await rig.services.host_list.fetch()) is Reason.UNAVAILABLE
+
+
+class TestWorkers:
+    async def test_task_runs_to_its_real_end(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            workers, model = rig.services.workers, rig.model.workers
+            model.set_faults(rig.worker, WorkerFaults(usage_lag_s=0.0))
+            payload = '{"run_s": 0.4, "peak_mb": 1700}'
+            task = make_task(payload=payload, run_s=60.0)
+            batch = make_batch(task, lease_until=rig.lease(30))
+            (answer,) = (await workers.start(address=rig.worker, batch=batch)).unwrap()
+            assert answer.ok
+            listing = (await workers.listing(address=rig.worker)).unwrap()
+            assert [row.task for row in listing.running] == [task]
+            assert listing.running[0].epoch == 1
+            assert listing.used.memory_mb == 1700
+            await trio.sleep(0.6)
+            listing = (await workers.listing(address=rig.worker)).unwrap()
+            assert listing.running == ()
+            assert [(row.task_id, row.ok) for row in listing.finished] == [(task.task_id, True)]
+            await workers.acknowledge(address=rig.worker, tasks=[task.task_id])
+            assert (await workers.listing(address=rig.worker)).unwrap().finished == ()
+
+    async def test_lease_lapses_unless_renewed(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            workers = rig.services.workers
+            kept, lost = make_task(0, run_s=60), make_task(1, run_s=60)
+            batch = make_batch(kept, lost, lease_until=rig.lease(0.4))
+            await workers.start(address=rig.worker, batch=batch)
+            renewed = await workers.renew(
+                address=rig.worker,
+                tasks=[kept.task_id, TaskId("gone/0")],
+                lease_until=rig.lease(30),
+            )
+            assert [answer.ok for answer in renewed.unwrap()] == [True, False]
+            await trio.sleep(0.6)
+            listing = (await workers.listing(address=rig.worker)).unwrap()
+            assert [row.task for row in listing.running] == [kept]
+            assert [row.detail for row in listing.finished] == [TaskEnd.LEASE_LAPSED]
+
+    async def test_starts_what_does_not_fit_and_reports_it(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            size = Resources(cores_milli=40_000)
+            tasks = [replace(make_task(index, run_s=60), resources=size) for index in range(2)]
+            batch = make_batch(*tasks, lease_until=rig.lease(30))
+            answers = (await rig.services.workers.start(address=rig.worker, batch=batch)).unwrap()
+            assert all(answer.ok for answer in answers)
+            violations = rig.model.workers.violations
+            assert violations.counts_by_kind == {ViolationKind.OVERCOMMIT: 1}
+
+    @pytest.mark.parametrize("place", [0, 1], ids=["same worker", "other worker"])
+    async def test_second_start_runs_twice_and_is_reported(
+        self, open_rig: OpenRig, jumping_clock: MockClock, place: int
+    ) -> None:
+        async with open_rig() as rig:
+            batch = make_batch(make_task(run_s=60), lease_until=rig.lease(30))
+            await rig.services.workers.start(address=rig.worker, batch=batch)
+            again = await rig.services.workers.start(address=rig.hosts[place].address, batch=batch)
+            assert again.unwrap()[0].ok
+            assert rig.model.workers.ledger.running() == 2
+            assert rig.model.workers.violations.counts_by_kind == {ViolationKind.DOUBLE_RUN: 1}
+
+    async def test_epochs_are_compared_if_the_knob_says_so(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            workers = rig.services.workers
+            rig.model.workers.set_faults(rig.worker, WorkerFaults(compares_epochs=True))
+
+            async def start(
+                index: int, *, epoch: int, not_after: float = FAR
+            ) -> Result[object, StepError]:
+                batch = make_batch(
+                    make_task(index, run_s=60),
+                    lease_until=rig.lease(30),
+                    epoch=epoch,
+                    not_after=not_after,
+                )
+                return await workers.start(address=rig.worker, batch=batch)
+
+            assert isinstance(await start(0, epoch=5), Success)
+            assert reason_of(await start(1, epoch=4)) is Reason.CONFLICT
+            late = await start(1, epoch=5, not_after=rig.lease(-1))
+            assert reason_of(late) is Reason.REFUSED
+            stopped = await workers.stop(
+                address=rig.worker, tasks=[make_task(0).task_id], epoch=Epoch(4)
+            )
+            assert reason_of(stopped) is Reason.CONFLICT
+            listing = (await workers.listing(address=rig.worker)).unwrap()
+            assert (len(listing.running), listing.highest_epoch) == (1, 5)
+
+    async def test_lost_answer_to_a_start_that_runs(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            faults = WorkerFaults(drop_after=1.0, call_timeout_s=TIMEOUT)
+            rig.model.workers.set_faults(rig.worker, faults)
+            batch = make_batch(make_task(run_s=60), lease_until=rig.lease(30))
+            started = await rig.services.workers.start(address=rig.worker, batch=batch)
+            assert started.failure().may_have_taken_effect
+            rig.model.workers.set_faults(rig.worker, WorkerFaults())
+            listing = (await rig.services.workers.listing(address=rig.worker)).unwrap()
+            assert len(listing.running) == 1
+
+    async def test_delayed_start_arrives_after_its_caller_gave_up(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            faults = WorkerFaults(delay_s=3 * TIMEOUT, call_timeout_s=TIMEOUT)
+            rig.model.workers.set_faults(rig.worker, faults)
+            batch = make_batch(make_task(run_s=60), lease_until=rig.lease(30))
+            with trio.move_on_after(TIMEOUT):
+                started = await rig.services.workers.start(address=rig.worker, batch=batch)
+                assert started.failure().may_have_taken_effect
+            assert rig.model.workers.ledger.running() == 0
+            await trio.sleep(4 * TIMEOUT)
+            rig.model.workers.settle()
+            assert rig.model.workers.ledger.running() == 1
+
+    async def test_paused_worker_takes_the_call_on_resume(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            rig.model.workers.set_faults(
+                rig.worker, WorkerFaults(paused=True, call_timeout_s=TIMEOUT)
+            )
+            batch = make_batch(make_task(run_s=60), lease_until=rig.lease(30))
+            with trio.move_on_after(2 * TIMEOUT):
+                started = await rig.services.workers.start(address=rig.worker, batch=batch)
+                assert started.failure().may_have_taken_effect
+            assert rig.model.workers.ledger.running() == 0
+            rig.model.workers.set_faults(rig.worker, WorkerFaults())
+            assert rig.model.workers.ledger.running() == 1
+
+    async def test_down_worker_loses_its_tasks(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            batch = make_batch(make_task(run_s=60), lease_until=rig.lease(30))
+            await rig.services.workers.start(address=rig.worker, batch=batch)
+            rig.model.workers.set_faults(rig.worker, WorkerFaults(down=True))
+            assert rig.model.workers.ledger.running() == 0
+            listing = await rig.services.workers.listing(address=rig.worker)
+            assert reason_of(listing) is Reason.UNREACHABLE
+
+    async def test_checkpointed_task_goes_on_elsewhere(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            workers = rig.services.workers
+            batch = make_batch(make_task(run_s=1.0), lease_until=rig.lease(30))
+            await workers.start(address=rig.worker, batch=batch)
+            await trio.sleep(0.6)
+            task = batch.starts[0].task.task_id
+            saved = await workers.checkpoint(address=rig.worker, tasks=[task], epoch=Epoch(1))
+            assert saved.unwrap()[0].ok
+            other = rig.hosts[1].address
+            await workers.start(address=other, batch=batch)
+            await trio.sleep(0.6)
+            listing = (await workers.listing(address=other)).unwrap()
+            assert [(row.task_id, row.ok) for row in listing.finished] == [(task, True)]
+            assert not rig.model.workers.violations.kept
+
+    async def test_throttled_task_uses_less_and_takes_longer(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            workers = rig.services.workers
+            rig.model.workers.set_faults(rig.worker, WorkerFaults(usage_lag_s=0.0))
+            batch = make_batch(make_task(run_s=0.4), lease_until=rig.lease(30))
+            await workers.start(address=rig.worker, batch=batch)
+            task = batch.starts[0].task.task_id
+            await workers.throttle(address=rig.worker, tasks=[task], epoch=Epoch(1), share=0.25)
+            await trio.sleep(0.6)
+            listing = (await workers.listing(address=rig.worker)).unwrap()
+            assert [row.used.cores_milli for row in listing.running] == [250]
+
+    @pytest.mark.parametrize(
+        ("faults", "ok"),
+        [(WorkerFaults(fail_starts=True), False), (WorkerFaults(fail_runs_after_s=0.1), True)],
+        ids=["at the start", "in the run"],
+    )
+    async def test_worker_that_fails_everything(
+        self, open_rig: OpenRig, jumping_clock: MockClock, faults: WorkerFaults, ok: bool
+    ) -> None:
+        async with open_rig() as rig:
+            rig.model.workers.set_faults(rig.worker, faults)
+            batch = make_batch(make_task(run_s=60), lease_until=rig.lease(30))
+            started = await rig.services.workers.start(address=rig.worker, batch=batch)
+            assert started.unwrap()[0].ok is ok
+            await trio.sleep(0.3)
+            listing = (await rig.services.workers.listing(address=rig.worker)).unwrap()
+            assert listing.running == ()
+            assert [row.ok for row in listing.finished] == [False] * ok
+
+    async def test_usage_lags(self, open_rig: OpenRig, jumping_clock: MockClock) -> None:
+        async with open_rig() as rig:
+            rig.model.workers.set_faults(rig.worker, WorkerFaults(usage_lag_s=0.4))
+            batch = make_batch(make_task(run_s=60), lease_until=rig.lease(30))
+            await rig.services.workers.start(address=rig.worker, batch=batch)
+            listing = (await rig.services.workers.listing(address=rig.worker)).unwrap()
+            assert listing.used == Resources()
+            await trio.sleep(0.6)
+            listing = (await rig.services.workers.listing(address=rig.worker)).unwrap()
+            assert listing.used.memory_mb == 1000
+
+    async def test_unknown_address_is_unreachable(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            rig.model.workers.remove(rig.worker)
+            listing = await rig.services.workers.listing(address=rig.worker)
+            assert reason_of(listing) in (Reason.UNREACHABLE, Reason.NOT_FOUND)
+
+
+class TestExecutors:
+    async def _call(
+        self, rig: Rig, *, number: int = 1, request: bytes = b"minutes of the board"
+    ) -> Result[tuple[Outcome, bool, EchoVerdict], StepError]:
+        call = make_call(number)
+        async with rig.services.upstreams.call(
+            address=rig.executor, call=call, body=one_chunk(request)
+        ) as result:
+            if isinstance(result, Failure):
+                return result
+            answer = result.unwrap()
+            assert answer.attempt_id == call.attempt_id
+            body = b"".join([chunk async for chunk in answer.body])
+            verdict = check_echo(body, request_id=call.request_id, request_body=request)
+            return Success((answer.outcome, answer.leaving, verdict))
+
+    async def test_whole_own_answer(self, open_rig: OpenRig, jumping_clock: MockClock) -> None:
+        async with open_rig() as rig:
+            faults = ExecutorFaults(answer_bytes=200_000, leaving=True)
+            rig.model.executors.set_faults(rig.executor, faults)
+            answered = await self._call(rig, request=b"x" * 200_000)
+            assert answered == Success((Outcome.DONE, True, EchoVerdict.OWN))
+            (execution,) = rig.model.executors.log.records
+            assert (execution.request_id, execution.epoch) == ("request-1", 7)
+
+    async def test_failed_run(self, open_rig: OpenRig, jumping_clock: MockClock) -> None:
+        async with open_rig() as rig:
+            rig.model.executors.set_faults(rig.executor, ExecutorFaults(fail=1.0))
+            answered = await self._call(rig)
+            assert answered.unwrap()[0] is Outcome.FAILED
+
+    @pytest.mark.parametrize("size", [256, 300_000])
+    async def test_cut_answer_is_never_whole(
+        self, open_rig: OpenRig, jumping_clock: MockClock, size: int
+    ) -> None:
+        async with open_rig() as rig:
+            faults = ExecutorFaults(cut=1.0, answer_bytes=size)
+            rig.model.executors.set_faults(rig.executor, faults)
+            with pytest.raises(UpstreamCutError):
+                await self._call(rig)
+
+    async def test_lost_answer_ran(self, open_rig: OpenRig, jumping_clock: MockClock) -> None:
+        async with open_rig() as rig:
+            faults = ExecutorFaults(drop_after=1.0, call_timeout_s=TIMEOUT)
+            rig.model.executors.set_faults(rig.executor, faults)
+            assert (await self._call(rig)).failure().may_have_taken_effect
+            assert rig.model.executors.log.runs_of("request-1") == 1
+
+    async def test_beyond_its_slots_it_refuses_and_does_not_run(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig, trio.open_nursery() as nursery:
+            service = ServiceTime(mean_s=10.0)
+            faults = ExecutorFaults(service=service, beyond_slots=BeyondSlots.REFUSE)
+            rig.model.executors.set_faults(rig.executor, faults)
+            for number in range(8):
+                nursery.start_soon(partial(self._call, rig, number=number))
+            await trio.sleep(SLOW)
+            assert rig.model.executors.by_address[rig.executor].busy() == 8
+            refused = (await self._call(rig, number=9)).failure()
+            assert refused.reason is Reason.OVERLOADED
+            assert refused.retry_after_s == 1.0
+            assert rig.model.executors.log.runs_of("request-9") == 0
+            nursery.cancel_scope.cancel()
+
+    async def test_beyond_its_slots_it_queues(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig, trio.open_nursery() as nursery:
+            service = ServiceTime(mean_s=0.1)
+            rig.model.executors.set_faults(rig.executor, ExecutorFaults(service=service))
+            for number in range(17):
+                nursery.start_soon(partial(self._call, rig, number=number))
+            await trio.sleep(0.05)
+            executor = rig.model.executors.by_address[rig.executor]
+            assert executor.counters.peak_busy == 8
+            started = trio.current_time()
+            await self._call(rig, number=17)
+            assert trio.current_time() - started >= 0.2
+
+    async def test_past_not_after_is_refused_if_the_knob_says_so(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            call = make_call(not_after=rig.lease(-1))
+
+            async def send() -> Result[object, StepError]:
+                async with rig.services.upstreams.call(
+                    address=rig.executor, call=call, body=one_chunk(b"x")
+                ) as result:
+                    return result
+
+            assert isinstance(await send(), Success)
+            faults = ExecutorFaults(refuse_past_not_after=True)
+            rig.model.executors.set_faults(rig.executor, faults)
+            assert reason_of(await send()) is Reason.REFUSED
+            counters = rig.model.executors.by_address[rig.executor].counters
+            assert (counters.past_not_after, counters.refused_past_not_after) == (2, 1)
+
+    async def test_paused_executor_runs_nothing_until_resumed(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig, trio.open_nursery() as nursery:
+            rig.model.executors.set_faults(rig.executor, ExecutorFaults(paused=True))
+            nursery.start_soon(lambda: self._call(rig))
+            await trio.sleep(TIMEOUT)
+            assert rig.model.executors.log.runs_of("request-1") == 0
+            rig.model.executors.set_faults(rig.executor, ExecutorFaults())
+            await trio.sleep(TIMEOUT)
+            assert rig.model.executors.log.runs_of("request-1") == 1
+
+    async def test_unreachable_ran_nothing(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            rig.model.executors.set_faults(rig.executor, ExecutorFaults(unreachable=True))
+            assert reason_of(await self._call(rig)) is Reason.UNREACHABLE
+            assert rig.model.executors.log.runs_of("request-1") == 0
