Serve the stand-in over HTTP and reach it through the http adapter

An executor's answer counts only if it echoes the attempt; only its own word proves 'not run'. The contract cases run in memory and over HTTP. Conclusion: the same faults have the same effect behind both faces.

--- /dev/null
+++ b/src/galenastall/standin/caller_services.py
@@ -0,0 +1,168 @@
+"""The platform's services as one entry host reaches them, with its cuts."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from contextlib import asynccontextmanager
+from typing import TypeVar
+
+from returns.result import Failure, Result
+
+from galenastall.protocol.platform import (
+    HostListService,
+    LogPage,
+    LogService,
+    Platform,
+    StartBatch,
+    TaskAnswer,
+    UpstreamAnswer,
+    UpstreamCall,
+    UpstreamService,
+    WorkerListing,
+    WorkerService,
+)
+from galenastall.standin.cuts import Cuts, Service
+from galenastall.state.errors import StepError
+from galenastall.state.hosts import HostListing
+from galenastall.state.ids import Epoch, HostId, Offset, StreamName, TaskId
+
+T = TypeVar("T")
+Answers = Result[tuple[TaskAnswer, ...], StepError]
+
+
+class _Gate:
+    """Loses what a cut caller sends, and the answers that come back into a cut."""
+
+    def __init__(self, *, cuts: Cuts, caller: HostId, service: Service) -> None:
+        self._cuts = cuts
+        self._caller = caller
+        self._service = service
+
+    @property
+    def is_cut(self) -> bool:
+        return self._cuts.is_cut(self._caller, self._service)
+
+    async def lose(self, step: str, peer: str) -> Failure[StepError]:
+        return Failure(await self._cuts.lose(step=step, peer=peer))
+
+    async def pass_on(
+        self, step: str, peer: str, send: Callable[[], Awaitable[Result[T, StepError]]]
+    ) -> Result[T, StepError]:
+        if self.is_cut:
+            return await self.lose(step, peer)
+        answer = await send()
+        return await self.lose(step, peer) if self.is_cut else answer
+
+
+class _CallerLog:
+    def __init__(self, *, log: LogService, gate: _Gate) -> None:
+        self._log = log
+        self._gate = gate
+
+    async def append(
+        self, *, stream: StreamName, texts: Sequence[str]
+    ) -> Result[Offset, StepError]:
+        return await self._gate.pass_on(
+            "log.append", "log", lambda: self._log.append(stream=stream, texts=texts)
+        )
+
+    async def read(
+        self, *, stream: StreamName, start: Offset, limit: int = 1000, wait_s: float = 0.0
+    ) -> Result[LogPage, StepError]:
+        return await self._gate.pass_on(
+            "log.read",
+            "log",
+            lambda: self._log.read(stream=stream, start=start, limit=limit, wait_s=wait_s),
+        )
+
+
+class _CallerHostList:
+    def __init__(self, *, host_list: HostListService, gate: _Gate) -> None:
+        self._host_list = host_list
+        self._gate = gate
+
+    async def fetch(self) -> Result[HostListing, StepError]:
+        return await self._gate.pass_on("host_list.fetch", "host-list", self._host_list.fetch)
+
+
+class _CallerWorkers:
+    def __init__(self, *, workers: WorkerService, gate: _Gate) -> None:
+        self._workers = workers
+        self._gate = gate
+
+    async def start(self, *, address: str, batch: StartBatch) -> Answers:
+        return await self._gate.pass_on(
+            "worker.start", address, lambda: self._workers.start(address=address, batch=batch)
+        )
+
+    async def renew(self, *, address: str, tasks: Sequence[TaskId], lease_until: float) -> Answers:
+        return await self._gate.pass_on(
+            "worker.renew",
+            address,
+            lambda: self._workers.renew(address=address, tasks=tasks, lease_until=lease_until),
+        )
+
+    async def checkpoint(self, *, address: str, tasks: Sequence[TaskId], epoch: Epoch) -> Answers:
+        return await self._gate.pass_on(
+            "worker.checkpoint",
+            address,
+            lambda: self._workers.checkpoint(address=address, tasks=tasks, epoch=epoch),
+        )
+
+    async def throttle(
+        self, *, address: str, tasks: Sequence[TaskId], epoch: Epoch, share: float
+    ) -> Answers:
+        return await self._gate.pass_on(
+            "worker.throttle",
+            address,
+            lambda: self._workers.throttle(address=address, tasks=tasks, epoch=epoch, share=share),
+        )
+
+    async def stop(self, *, address: str, tasks: Sequence[TaskId], epoch: Epoch) -> Answers:
+        return await self._gate.pass_on(
+            "worker.stop",
+            address,
+            lambda: self._workers.stop(address=address, tasks=tasks, epoch=epoch),
+        )
+
+    async def acknowledge(
+        self, *, address: str, tasks: Sequence[TaskId]
+    ) -> Result[None, StepError]:
+        return await self._gate.pass_on(
+            "worker.acknowledge",
+            address,
+            lambda: self._workers.acknowledge(address=address, tasks=tasks),
+        )
+
+    async def listing(self, *, address: str) -> Result[WorkerListing, StepError]:
+        return await self._gate.pass_on(
+            "worker.listing", address, lambda: self._workers.listing(address=address)
+        )
+
+
+class _CallerUpstreams:
+    def __init__(self, *, upstreams: UpstreamService, gate: _Gate) -> None:
+        self._upstreams = upstreams
+        self._gate = gate
+
+    @asynccontextmanager
+    async def call(
+        self, *, address: str, call: UpstreamCall, body: AsyncIterator[bytes]
+    ) -> AsyncIterator[Result[UpstreamAnswer, StepError]]:
+        if self._gate.is_cut:
+            yield await self._gate.lose("upstream.call", address)
+            return
+        async with self._upstreams.call(address=address, call=call, body=body) as answer:
+            yield await self._gate.lose("upstream.call", address) if self._gate.is_cut else answer
+
+
+def services_of_caller(*, platform: Platform, cuts: Cuts, caller: HostId) -> Platform:
+    """Return the platform as `caller` reaches it."""
+
+    def gate(service: Service) -> _Gate:
+        return _Gate(cuts=cuts, caller=caller, service=service)
+
+    return Platform(
+        log=_CallerLog(log=platform.log, gate=gate(Service.LOG)),
+        host_list=_CallerHostList(host_list=platform.host_list, gate=gate(Service.HOST_LIST)),
+        workers=_CallerWorkers(workers=platform.workers, gate=gate(Service.WORKERS)),
+        upstreams=_CallerUpstreams(upstreams=platform.upstreams, gate=gate(Service.UPSTREAMS)),
+    )
--- /dev/null
+++ b/src/galenastall/standin/control_http_face.py
@@ -0,0 +1,259 @@
+"""Control side of the stand-in over HTTP: knobs, hosts, counters, runs and violations."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, Final, Protocol
+
+from returns.result import Failure
+
+from galenastall.standin.control_messages import (
+    ALL_HOSTS,
+    CutsMessage,
+    ExecutionPage,
+    Repeats,
+    RunPage,
+    StandinCounters,
+    StateMessage,
+    TrimMessage,
+    ViolationReport,
+)
+from galenastall.standin.faults import ExecutorFaults, HostListFaults, LogFaults, WorkerFaults
+from galenastall.standin.memory_platform import MemoryPlatform
+from galenastall.state.errors import Reason, StepError
+from galenastall.state.hosts import HostKind, ListedHost
+from galenastall.state.ids import HostId
+from galenastall.transport.http_json import error_response, json_response, parse_json
+from galenastall.transport.http_messages import HttpRequest, HttpResponse
+from galenastall.transport.http_routes import route
+
+PAGE_RECORDS: Final = 10_000
+"""Runs or executions in one answer."""
+
+
+class HostRaiser(Protocol):
+    """Brings hosts up on ports of their own and takes them down."""
+
+    def raise_host(self, host: ListedHost) -> ListedHost:
+        """Bring up a host without an address and list it; one with an address is only listed."""
+
+    def remove_host(self, host_id: HostId) -> None:
+        """Take a host down and off the list; raises KeyError for an unknown host."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Knob:
+    """One replaceable set of faults."""
+
+    faults_type: type[Any]
+    read: Callable[[], Any]
+    write: Callable[[Any], None]
+
+
+class ControlFace:
+    """Routes under /control."""
+
+    def __init__(self, *, model: MemoryPlatform, raiser: HostRaiser) -> None:
+        self._model = model
+        self._raiser = raiser
+
+    @route("GET", "/control/faults/{target*}")
+    async def faults(self, request: HttpRequest) -> HttpResponse:
+        """Return the knobs of one target by name."""
+        knobs = self._knobs(request.path_params["target"])
+        if not knobs:
+            return _not_found(request, request.path_params["target"])
+        return json_response(200, {name: knob.read() for name, knob in knobs.items()})
+
+    @route("PUT", "/control/faults/{target*}")
+    async def set_faults(self, request: HttpRequest) -> HttpResponse:
+        """Replace the knobs of `log`, `host-list`, `workers/<id>` or `executors/<id>`."""
+        knobs = self._knobs(request.path_params["target"])
+        if not knobs:
+            return _not_found(request, request.path_params["target"])
+        faults_type = next(iter(knobs.values())).faults_type
+        faults = await parse_json(request, faults_type)
+        if isinstance(faults, Failure):
+            return error_response(faults.failure())
+        for knob in knobs.values():
+            knob.write(faults.unwrap())
+        return json_response(200, {name: knob.read() for name, knob in knobs.items()})
+
+    @route("GET", "/control/cuts")
+    async def cuts(self, request: HttpRequest) -> HttpResponse:
+        """Return the cuts in force."""
+        return json_response(200, CutsMessage(cuts=self._model.cuts.current()))
+
+    @route("PUT", "/control/cuts")
+    async def set_cuts(self, request: HttpRequest) -> HttpResponse:
+        """Replace all cuts."""
+        message = await parse_json(request, CutsMessage)
+        if isinstance(message, Failure):
+            return error_response(message.failure())
+        self._model.cuts.replace(message.unwrap().cuts)
+        return json_response(200, message.unwrap())
+
+    @route("GET", "/control/hosts")
+    async def hosts(self, request: HttpRequest) -> HttpResponse:
+        """Return the hosts as they are, without the list's lag."""
+        return json_response(200, tuple(self._model.host_list.current().values()))
+
+    @route("POST", "/control/hosts")
+    async def add_host(self, request: HttpRequest) -> HttpResponse:
+        """List a host; a worker or upstream without an address is brought up."""
+        host = await parse_json(request, ListedHost)
+        if isinstance(host, Failure):
+            return error_response(host.failure())
+        return json_response(200, self._raiser.raise_host(host.unwrap()))
+
+    @route("PUT", "/control/hosts/{host_id}/state")
+    async def set_state(self, request: HttpRequest) -> HttpResponse:
+        """Change a host's state in the list."""
+        message = await parse_json(request, StateMessage)
+        if isinstance(message, Failure):
+            return error_response(message.failure())
+        host_id = HostId(request.path_params["host_id"])
+        if host_id not in self._model.host_list.current():
+            return _not_found(request, host_id)
+        self._model.host_list.set_state(host_id, message.unwrap().state)
+        return json_response(200, self._model.host_list.current()[host_id])
+
+    @route("DELETE", "/control/hosts/{host_id}")
+    async def remove_host(self, request: HttpRequest) -> HttpResponse:
+        """Take a host down and off the list."""
+        host_id = HostId(request.path_params["host_id"])
+        if host_id not in self._model.host_list.current():
+            return _not_found(request, host_id)
+        self._raiser.remove_host(host_id)
+        return json_response(200, None)
+
+    @route("POST", "/control/trim")
+    async def trim(self, request: HttpRequest) -> HttpResponse:
+        """Drop a stream's oldest records."""
+        message = await parse_json(request, TrimMessage)
+        if isinstance(message, Failure):
+            return error_response(message.failure())
+        trim = message.unwrap()
+        self._model.log.trim(stream=trim.stream, before=trim.before)
+        return json_response(200, None)
+
+    @route("GET", "/control/counters")
+    async def counters(self, request: HttpRequest) -> HttpResponse:
+        """Return what was counted since the start."""
+        return json_response(200, counters_of(self._model))
+
+    @route("GET", "/control/runs")
+    async def runs(self, request: HttpRequest) -> HttpResponse:
+        """Return task runs from the position `start`."""
+        self._model.workers.settle()
+        records, position = self._model.workers.ledger.records.page(
+            _start_of(request), PAGE_RECORDS
+        )
+        return json_response(200, RunPage(records=records, next=position))
+
+    @route("GET", "/control/executions")
+    async def executions(self, request: HttpRequest) -> HttpResponse:
+        """Return executions from the position `start`."""
+        records, position = self._model.executors.log.records.page(_start_of(request), PAGE_RECORDS)
+        return json_response(200, ExecutionPage(records=records, next=position))
+
+    @route("GET", "/control/repeats")
+    async def repeats(self, request: HttpRequest) -> HttpResponse:
+        """Return what ran more than once on executors."""
+        log = self._model.executors.log
+        repeats = Repeats(
+            runs_by_request=log.repeated_requests(), runs_by_body=log.repeated_bodies()
+        )
+        return json_response(200, repeats)
+
+    @route("GET", "/control/violations")
+    async def violations(self, request: HttpRequest) -> HttpResponse:
+        """Return the promises that the workers saw broken."""
+        self._model.workers.settle()
+        seen = self._model.workers.violations
+        report = ViolationReport(counts_by_kind=dict(seen.counts_by_kind), kept=tuple(seen.kept))
+        return json_response(200, report)
+
+    def _knobs(self, target: str) -> dict[str, _Knob]:
+        kind, _, host = target.partition("/")
+        if target == "log":
+            return {"log": self._log_knob()}
+        if target == "host-list":
+            return {"host-list": self._host_list_knob()}
+        if kind == "workers":
+            hosts = self._hosts(HostKind.WORKER, host)
+            return {found.host_id: self._worker_knob(found.address) for found in hosts}
+        if kind == "executors":
+            hosts = self._hosts(HostKind.UPSTREAM, host)
+            return {found.host_id: self._executor_knob(found.address) for found in hosts}
+        return {}
+
+    def _hosts(self, kind: HostKind, host: str) -> Iterable[ListedHost]:
+        model = self._model
+        return (
+            found
+            for found in model.host_list.current().values()
+            if found.kind is kind
+            and host in (found.host_id, ALL_HOSTS)
+            and (
+                found.address in model.workers.by_address
+                or found.address in model.executors.by_address
+            )
+        )
+
+    def _log_knob(self) -> _Knob:
+        log = self._model.log
+        return _Knob(faults_type=LogFaults, read=lambda: log.faults, write=log.set_faults)
+
+    def _host_list_knob(self) -> _Knob:
+        hosts = self._model.host_list
+        return _Knob(faults_type=HostListFaults, read=lambda: hosts.faults, write=hosts.set_faults)
+
+    def _worker_knob(self, address: str) -> _Knob:
+        workers = self._model.workers
+        return _Knob(
+            faults_type=WorkerFaults,
+            read=lambda: workers.by_address[address].faults,
+            write=lambda faults: workers.set_faults(address, faults),
+        )
+
+    def _executor_knob(self, address: str) -> _Knob:
+        executors = self._model.executors
+        return _Knob(
+            faults_type=ExecutorFaults,
+            read=lambda: executors.by_address[address].faults,
+            write=lambda faults: executors.set_faults(address, faults),
+        )
+
+
+def counters_of(model: MemoryPlatform) -> StandinCounters:
+    """Return what the stand-ins counted since their start."""
+    model.workers.settle()
+    return StandinCounters(
+        log=model.log.counters,
+        worker_calls_by_host={
+            worker.host_id: dict(worker.calls_by_step)
+            for worker in model.workers.by_address.values()
+        },
+        executors_by_host={
+            executor.host_id: executor.counters for executor in model.executors.by_address.values()
+        },
+        runs=model.workers.ledger.runs,
+        running=model.workers.ledger.running(),
+        violations_by_kind=dict(model.workers.violations.counts_by_kind),
+    )
+
+
+def _start_of(request: HttpRequest) -> int:
+    text = request.query.get("start", "0")
+    return int(text) if text.isdecimal() else 0
+
+
+def _not_found(request: HttpRequest, name: str) -> HttpResponse:
+    return error_response(
+        StepError(
+            step="control",
+            peer=request.client,
+            reason=Reason.NOT_FOUND,
+            detail=f"nothing is named {name!r} here",
+        )
+    )
--- a/src/galenastall/standin/executor.py
+++ b/src/galenastall/standin/executor.py
@@ -7,11 +7,13 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+import trio
+
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.platform import UpstreamCall
 from galenastall.standin.echo import Echo, digest, encode_echo
 from galenastall.standin.executor_log import Execution, ExecutionLog, ExecutorCounters
-from galenastall.standin.faults import BeyondSlots, ExecutorFaults, draw_fate
+from galenastall.standin.faults import BeyondSlots, ExecutorFaults
 from galenastall.standin.slot_clock import SlotClock
 from galenastall.state.ids import HostId
 
@@ -31,6 +33,8 @@
     """Refused, not run: no slot or no connection."""
     TOO_LATE = "too_late"
     """Refused, not run: past the not-after time."""
+    LOST = "lost"
+    """Never arrived: not run, and nobody says so."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -53,6 +57,17 @@
         return self.sent_bytes < len(self.body)
 
 
+class Arrival:
+    """One call on its way into an executor."""
+
+    def __init__(self, *, call: UpstreamCall, body: bytes, is_answer_lost: bool) -> None:
+        self.call = call
+        self.body = body
+        self.is_answer_lost = is_answer_lost
+        self.plan: ExecutorPlan | None = None
+        self.planned = trio.Event()
+
+
 class MemoryExecutor:
     """State of one executor."""
 
@@ -73,18 +88,39 @@
         self.faults = faults or ExecutorFaults()
         self.counters = ExecutorCounters()
         self.open_calls = 0
+        self.open_connections = 0
         self._clock = clock
         self._rng = rng
         self._log = log
+        self._inbox: list[Arrival] = []
         self._slot_clock = SlotClock(slots=slots)
 
-    def plan(self, call: UpstreamCall, request_body: bytes) -> ExecutorPlan:
-        """Decide on a call whose body has come in whole; it runs even if the caller gives up."""
-        now = self._clock.now()
+    def set_faults(self, faults: ExecutorFaults) -> None:
+        """Replace the knobs; what waited for a resume is taken now."""
+        self.faults = faults
+        if faults.paused:
+            return
+        waiting, self._inbox = self._inbox, []
+        for arrival in waiting:
+            self.receive(arrival)
+
+    def receive(self, arrival: Arrival) -> None:
+        """Plan a call whose body has come in whole, or keep it until a resume.
+
+        It arrives after the network's delay, and runs even if the caller gives up before.
+        """
+        if self.faults.paused:
+            self._inbox.append(arrival)
+            return
+        arrival.plan = self._plan(arrival)
+        arrival.planned.set()
+
+    def _plan(self, arrival: Arrival) -> ExecutorPlan:
+        now = self._clock.now() + self.faults.delay_s
         self.counters.calls += 1
         if self.faults.leaving:
             self.counters.calls_while_leaving += 1
-        if self._clock.wall() > call.not_after:
+        if self._clock.wall() + self.faults.delay_s > arrival.call.not_after:
             self.counters.past_not_after += 1
             if self.faults.refuse_past_not_after:
                 self.counters.refused_past_not_after += 1
@@ -92,7 +128,11 @@
         if self._is_full(now):
             self.counters.refused_full += 1
             return self._refusal(Verdict.FULL, now)
-        return self._run(call, request_body, now)
+        return self._run(arrival, now)
+
+    def plan_loss(self) -> ExecutorPlan:
+        """Return what becomes of a call that never arrived."""
+        return self._refusal(Verdict.LOST, self._clock.now())
 
     def busy(self) -> int:
         """Return how many slots are taken now."""
@@ -105,13 +145,14 @@
         is_refusing = self.faults.beyond_slots is BeyondSlots.REFUSE
         return is_refusing and self._slot_clock.starts_at(now) > now
 
-    def _run(self, call: UpstreamCall, request_body: bytes, now: float) -> ExecutorPlan:
+    def _run(self, arrival: Arrival, now: float) -> ExecutorPlan:
+        call, is_lost = arrival.call, arrival.is_answer_lost
         faults, counters = self.faults, self.counters
         service_s = faults.service.draw(self._rng) * faults.slow_factor
         start, end = self._slot_clock.assign(now, service_s)
         counters.peak_busy = max(counters.peak_busy, self._slot_clock.busy(now))
-        body_digest = digest(request_body)
-        self._record(call, body_digest, start - now)
+        body_digest = digest(arrival.body)
+        self._record(call, body_digest, start - self._clock.now())
         echo = Echo(
             request_id=call.request_id,
             attempt_id=call.attempt_id,
@@ -122,7 +163,6 @@
         has_failed = self._happens(faults.fail)
         is_cut = self._happens(faults.cut)
         is_late = self._happens(faults.late)
-        is_lost = draw_fate(faults=faults, clock=self._clock, rng=self._rng).answer_lost
         counters.failed += has_failed
         counters.answers_cut += is_cut
         counters.answers_late += is_late
@@ -155,7 +195,7 @@
             answer_at=now,
             body=b"",
             sent_bytes=0,
-            is_lost=False,
+            is_lost=verdict is Verdict.LOST,
             leaving=self.faults.leaving,
         )
 
--- a/src/galenastall/standin/executor_log.py
+++ b/src/galenastall/standin/executor_log.py
@@ -1,10 +1,11 @@
 """What executors ran, by request and by body, so that double runs can be counted."""
 
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
+from galenastall.standin.history import History
 from galenastall.state.ids import AttemptId, HostId, RequestId
 
 MAX_RECORDS: Final = 500_000
@@ -41,6 +42,9 @@
     answers_late: int = 0
     over_connections: int = 0
     """Calls beyond the connections that the executor has."""
+    peak_connections: int = 0
+    broken_connections: int = 0
+    """Connections that clients broke off or spoke badly on."""
     peak_busy: int = 0
     calls_while_leaving: int = 0
 
@@ -49,13 +53,13 @@
     """Executions of all executors."""
 
     def __init__(self) -> None:
-        self.records: deque[Execution] = deque(maxlen=MAX_RECORDS)
+        self.records: History[Execution] = History(keep=MAX_RECORDS)
         self._runs_by_request: Counter[str] = Counter()
         self._runs_by_body: Counter[str] = Counter()
 
     def add(self, execution: Execution) -> None:
         """Record one run."""
-        self.records.append(execution)
+        self.records.add(execution)
         self._runs_by_request[execution.request_id] += 1
         self._runs_by_body[execution.body_digest] += 1
 
--- a/src/galenastall/standin/executors.py
+++ b/src/galenastall/standin/executors.py
@@ -13,6 +13,7 @@
     DEFAULT_CONNECTIONS,
     DEFAULT_SLOTS,
     RETRY_AFTER_S,
+    Arrival,
     ExecutorPlan,
     MemoryExecutor,
     Verdict,
@@ -72,51 +73,83 @@
 
     def set_faults(self, address: str, faults: ExecutorFaults) -> None:
         """Replace an executor's knobs; raises KeyError for an unknown address."""
-        self.by_address[address].faults = faults
+        self.by_address[address].set_faults(faults)
         changed, self._changed_by_address[address] = (
             self._changed_by_address[address],
             trio.Event(),
         )
         changed.set()
 
-    async def resumed(self, address: str) -> None:
-        """Return once the executor is not paused."""
-        while (executor := self.by_address.get(address)) and executor.faults.paused:
+    async def reachability_changed(self, address: str) -> bool:
+        """Wait until the executor goes down or comes up; return whether it can be reached."""
+        was_reachable = self._is_reachable(address)
+        while address in self.by_address and self._is_reachable(address) is was_reachable:
             await self._changed_by_address[address].wait()
+        return self._is_reachable(address)
+
+    def _is_reachable(self, address: str) -> bool:
+        executor = self.by_address.get(address)
+        return executor is not None and not executor.faults.unreachable
 
     @asynccontextmanager
     async def call(
         self, *, address: str, call: UpstreamCall, body: AsyncIterator[bytes]
     ) -> AsyncIterator[Result[UpstreamAnswer, StepError]]:
-        """Send a request; see UpstreamService. OVERLOADED: no slot or connection, not run."""
+        """Send a request; see UpstreamService. OVERLOADED: no slot or connection, not run.
+
+        The call lasts until its not-after time; one that is past it is not sent.
+        """
         executor = self.by_address.get(address)
         if executor is None or executor.faults.unreachable:
             yield Failure(_error(address, Reason.UNREACHABLE))
             return
+        timeout_s = call.not_after - self._clock.wall()
+        if timeout_s <= 0:
+            yield Failure(_error(address, Reason.UNREACHABLE))
+            return
         executor.open_calls += 1
+        answer: Result[UpstreamAnswer, StepError] = Failure(_error(address, Reason.TIMEOUT))
         try:
-            yield await self._answer(executor, address, call, body)
+            with trio.move_on_after(timeout_s):
+                answer = await self._answer(address, call, body)
+            yield answer
         finally:
             executor.open_calls -= 1
 
-    async def _answer(
-        self, executor: MemoryExecutor, address: str, call: UpstreamCall, body: AsyncIterator[bytes]
-    ) -> Result[UpstreamAnswer, StepError]:
+    async def carry_out(self, *, address: str, call: UpstreamCall, body: bytes) -> ExecutorPlan:
+        """Do what becomes of a call and return when its answer is due; both faces use it.
+
+        Cancelling this doesn't call the request back: it runs, at the latest on a resume.
+        """
+        executor = self.by_address[address]
         faults = executor.faults
-        request_body = b"".join([chunk async for chunk in body])
         fate = draw_fate(faults=faults, clock=self._clock, rng=self._rng)
         if fate.lost:
             await trio.sleep(faults.call_timeout_s)
-            return Failure(_error(address, Reason.TIMEOUT))
-        await trio.sleep(faults.delay_s)
-        await self.resumed(address)
-        plan = executor.plan(call, request_body)
+            return executor.plan_loss()
+        arrival = Arrival(call=call, body=body, is_answer_lost=fate.answer_lost)
+        executor.receive(arrival)
+        if arrival.plan is None:
+            await arrival.planned.wait()
+        plan = arrival.plan
+        assert plan is not None
+        wait_s = plan.answer_at - self._clock.now()
+        if plan.is_lost:
+            wait_s += faults.call_timeout_s
+        if wait_s > 0:
+            await trio.sleep(wait_s)
+        return plan
+
+    async def _answer(
+        self, address: str, call: UpstreamCall, body: AsyncIterator[bytes]
+    ) -> Result[UpstreamAnswer, StepError]:
+        request_body = b"".join([chunk async for chunk in body])
+        await trio.lowlevel.checkpoint()
+        plan = await self.carry_out(address=address, call=call, body=request_body)
         reason = _REFUSALS.get(plan.verdict)
         if reason is not None:
             return Failure(_error(address, reason, retry_after_s=RETRY_AFTER_S))
-        await trio.sleep(max(0.0, plan.answer_at - self._clock.now()))
         if plan.is_lost:
-            await trio.sleep(faults.call_timeout_s)
             return Failure(_error(address, Reason.TIMEOUT))
         return Success(_make_answer(plan, call, address))
 
--- a/src/galenastall/standin/host_list.py
+++ b/src/galenastall/standin/host_list.py
@@ -53,6 +53,12 @@
         del hosts[host_id]
         self._publish(hosts)
 
+    def catch_up(self) -> None:
+        """Show the present hosts at once, as if they had never been others."""
+        hosts = self.current()
+        self._versions.clear()
+        self._versions.append((float("-inf"), hosts))
+
     def current(self) -> dict[HostId, ListedHost]:
         """Return the hosts as they are now, without the lag."""
         return self._versions[-1][1]
--- a/src/galenastall/standin/memory_platform.py
+++ b/src/galenastall/standin/memory_platform.py
@@ -5,6 +5,8 @@
 
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.platform import Platform
+from galenastall.standin.caller_services import services_of_caller
+from galenastall.standin.cuts import Cuts
 from galenastall.standin.executors import MemoryExecutors
 from galenastall.standin.host_list import MemoryHostList
 from galenastall.standin.log import MemoryLog
@@ -17,45 +19,59 @@
     """Log, host list, workers and executors on one clock and one seed."""
 
     def __init__(self, *, clock: Clock, seed: int, hosts: Iterable[ListedHost] = ()) -> None:
+        """Bring up and list `hosts`, which are listed from before the start."""
         self.clock = clock
         rng = random.Random(seed)
+        self.cuts = Cuts()
         self.log = MemoryLog(clock=clock, rng=_branch(rng))
-        self.host_list = MemoryHostList(clock=clock, rng=_branch(rng))
+        hosts = tuple(hosts)
+        self.host_list = MemoryHostList(clock=clock, rng=_branch(rng), hosts=hosts)
         self.workers = MemoryWorkers(clock=clock, rng=_branch(rng))
         self.executors = MemoryExecutors(clock=clock, rng=_branch(rng))
+        self._services = Platform(
+            log=self.log,
+            host_list=self.host_list,
+            workers=self.workers,
+            upstreams=self.executors,
+        )
+        self._services_by_caller: dict[HostId, Platform] = {}
         for host in hosts:
-            self.add_host(host)
+            self._bring_up(host)
 
     def add_host(self, host: ListedHost) -> None:
         """List a host and, for workers and upstreams, bring it up at its address."""
-        if host.kind is HostKind.WORKER:
-            self.workers.add(address=host.address, host_id=host.host_id, capacity=host.capacity)
-        elif host.kind is HostKind.UPSTREAM:
-            self.executors.add(
-                address=host.address,
-                host_id=host.host_id,
-                slots=host.slots,
-                connections=host.connections,
-            )
+        self._bring_up(host)
         self.host_list.put(host)
 
     def remove_host(self, host_id: HostId) -> None:
         """Take a host off the list and down; raises KeyError for an unknown host."""
         host = self.host_list.current()[host_id]
         self.host_list.remove(host_id)
-        if host.kind is HostKind.WORKER:
+        if host.address in self.workers.by_address:
             self.workers.remove(host.address)
-        elif host.kind is HostKind.UPSTREAM:
+        if host.address in self.executors.by_address:
             self.executors.remove(host.address)
 
-    def services(self) -> Platform:
-        """Return the services as one entry host uses them."""
-        return Platform(
-            log=self.log,
-            host_list=self.host_list,
-            workers=self.workers,
-            upstreams=self.executors,
-        )
+    def services(self, *, caller: HostId | None = None) -> Platform:
+        """Return the services, as `caller` reaches them if it is given; see Cuts."""
+        if caller is None:
+            return self._services
+        found = self._services_by_caller.get(caller)
+        if found is None:
+            found = services_of_caller(platform=self._services, cuts=self.cuts, caller=caller)
+            self._services_by_caller[caller] = found
+        return found
+
+    def _bring_up(self, host: ListedHost) -> None:
+        if host.kind is HostKind.WORKER:
+            self.workers.add(address=host.address, host_id=host.host_id, capacity=host.capacity)
+        elif host.kind is HostKind.UPSTREAM:
+            self.executors.add(
+                address=host.address,
+                host_id=host.host_id,
+                slots=host.slots,
+                connections=host.connections,
+            )
 
 
 def _branch(rng: random.Random) -> random.Random:
--- a/src/galenastall/standin/run_ledger.py
+++ b/src/galenastall/standin/run_ledger.py
@@ -1,10 +1,9 @@
 """All runs of all stand-in workers: double runs are seen across workers."""
 
-from collections import deque
-from collections.abc import Iterator
 from typing import Final
 
 from galenastall.protocol.clock import Clock
+from galenastall.standin.history import History
 from galenastall.standin.run import Run, RunRecord
 from galenastall.standin.violations import Violation, ViolationKind, ViolationLog
 from galenastall.state.ids import HostId, TaskId
@@ -20,7 +19,7 @@
     def __init__(self, *, clock: Clock, violations: ViolationLog) -> None:
         self._clock = clock
         self._violations = violations
-        self._records: deque[RunRecord] = deque(maxlen=MAX_RECORDS)
+        self.records: History[RunRecord] = History(keep=MAX_RECORDS)
         self._live_by_number: dict[int, RunRecord] = {}
         self._live_by_task: dict[TaskId, set[int]] = {}
         self._checkpointed: dict[TaskId, float] = {}
@@ -48,7 +47,7 @@
             reserved=run.reserved,
             started_at=self._wall(now),
         )
-        self._records.append(record)
+        self.records.add(record)
         self._live_by_number[run.number] = record
         self._live_by_task.setdefault(task, set()).add(run.number)
         self._checkpointed.pop(task, None)
@@ -69,10 +68,6 @@
             self._checkpointed[task] = run.progress(now)
             self._ran_once.discard(task)
 
-    def records(self) -> Iterator[RunRecord]:
-        """Return the kept records in order of their starts."""
-        return iter(self._records)
-
     def running(self) -> int:
         """Return how many runs go on."""
         return len(self._live_by_number)
--- /dev/null
+++ b/src/galenastall/standin/server.py
@@ -0,0 +1,116 @@
+"""The stand-in platform as one process: every service on loopback ports of its own."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import trio
+
+from galenastall.protocol.clock import Clock
+from galenastall.standin.control_http_face import ControlFace
+from galenastall.standin.executor_http import ExecutorServer
+from galenastall.standin.fleet import FleetShape, make_hosts
+from galenastall.standin.memory_platform import MemoryPlatform
+from galenastall.standin.platform_http_face import LostAnswerError, PlatformFace
+from galenastall.standin.workers_http_face import WorkersFace
+from galenastall.state.errors import StepError
+from galenastall.state.hosts import HostKind, ListedHost
+from galenastall.state.ids import HostId
+from galenastall.transport.http_server import HttpServer
+
+ErrorSink = Callable[[StepError, BaseException], None]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StandinAddresses:
+    """Where a running stand-in is reached."""
+
+    platform: str
+    """`IP:port` of the log, the host list and the control side."""
+    workers: str
+    hosts: tuple[ListedHost, ...]
+
+
+class StandinServer:
+    """Serves a MemoryPlatform over HTTP until cancelled."""
+
+    def __init__(
+        self,
+        *,
+        model: MemoryPlatform,
+        clock: Clock,
+        shape: FleetShape,
+        bind_host: str = "127.0.0.1",
+        port: int = 0,
+        on_error: ErrorSink | None = None,
+    ) -> None:
+        """Serve `model` and bring up the hosts of `shape`; port 0 lets the system choose."""
+        self.model = model
+        self._shape = shape
+        self._bind_host = bind_host
+        self._on_error = on_error
+        self._nursery: trio.Nursery | None = None
+        self._platform = HttpServer(
+            handlers=[PlatformFace(model=model), ControlFace(model=model, raiser=self)],
+            clock=clock,
+            bind=f"{bind_host}:{port}",
+            log_error=self._log_error,
+        )
+        self._workers = HttpServer(
+            handlers=[WorkersFace(model=model, address_of=self._worker_address)],
+            clock=clock,
+            bind=f"{bind_host}:0",
+            log_error=self._log_error,
+        )
+
+    @property
+    def addresses(self) -> StandinAddresses:
+        """Where everything is, once `run` has started."""
+        return StandinAddresses(
+            platform=self._platform.address,
+            workers=self._workers.address,
+            hosts=tuple(self.model.host_list.current().values()),
+        )
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[StandinAddresses] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve; reports its addresses once everything can be reached."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await nursery.start(self._platform.run)
+            await nursery.start(self._workers.run)
+            for host in make_hosts(self._shape):
+                self.raise_host(replace(host, address=""))
+            self.model.host_list.catch_up()
+            task_status.started(self.addresses)
+
+    def raise_host(self, host: ListedHost) -> ListedHost:
+        """Bring up a host without an address and list it; one with an address is only listed."""
+        if host.address or host.kind is HostKind.ENTRY:
+            self.model.host_list.put(host)
+            return host
+        if host.kind is HostKind.WORKER:
+            raised = replace(host, address=self._worker_address(host.host_id))
+            self.model.add_host(raised)
+            return raised
+        return self._raise_executor(host)
+
+    def remove_host(self, host_id: HostId) -> None:
+        """Take a host down and off the list; raises KeyError for an unknown host."""
+        self.model.remove_host(host_id)
+
+    def _raise_executor(self, host: ListedHost) -> ListedHost:
+        assert self._nursery is not None, "hosts are brought up while the server runs"
+        server = ExecutorServer(model=self.model, bind_host=self._bind_host)
+        raised = replace(host, address=server.address)
+        self.model.add_host(raised)
+        self._nursery.start_soon(server.run)
+        return raised
+
+    def _worker_address(self, host_id: str) -> str:
+        return f"{self._workers.address}/workers/{host_id}"
+
+    def _log_error(self, step_error: StepError, error: BaseException) -> None:
+        if isinstance(error, LostAnswerError) or self._on_error is None:
+            return
+        self._on_error(step_error, error)
--- /dev/null
+++ b/src/galenastall/transport/platform_http_upstreams.py
@@ -0,0 +1,142 @@
+"""Calls to executors over HTTP: bodies streamed, answers matched by attempt, never guessed."""
+
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from typing import Final
+
+from returns.result import Failure, Result, Success
+
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.platform import UpstreamAnswer, UpstreamCall, UpstreamCutError
+from galenastall.protocol.upstream_headers import (
+    ATTEMPT_ID,
+    EPOCH,
+    LEAVING,
+    NOT_AFTER,
+    OUTCOME,
+    REQUEST_ID,
+)
+from galenastall.state.errors import Reason, StepError
+from galenastall.state.outcomes import Outcome
+from galenastall.transport.http_client import HttpClient
+from galenastall.transport.http_exchange import AnswerCutError, HttpAnswer
+
+STEP: Final = "upstream.call"
+DEFAULT_CONTENT_TYPE: Final = "application/octet-stream"
+
+_OK_CLASS: Final = 2
+_OUTCOMES_BY_WORD: Final = {outcome.value: outcome for outcome in Outcome}
+_REASONS_BY_STATUS: Final = {
+    403: Reason.REFUSED,
+    409: Reason.CONFLICT,
+    429: Reason.OVERLOADED,
+    503: Reason.OVERLOADED,
+}
+"""What an executor that ran nothing means; anything else is REFUSED."""
+
+
+class HttpUpstreams:
+    """Executors by address; implements protocol.platform.UpstreamService."""
+
+    def __init__(self, *, client: HttpClient, clock: Clock, headers: Mapping[str, str]) -> None:
+        """Send `headers` with each call."""
+        self._client = client
+        self._clock = clock
+        self._headers = headers
+
+    @asynccontextmanager
+    async def call(
+        self, *, address: str, call: UpstreamCall, body: AsyncIterator[bytes]
+    ) -> AsyncIterator[Result[UpstreamAnswer, StepError]]:
+        """Send a request and stream its answer; see UpstreamService.
+
+        The call lasts until its not-after time; one that is past it is not sent.
+        """
+        timeout_s = call.not_after - self._clock.wall()
+        if timeout_s <= 0:
+            detail = "not sent: past its not-after time"
+            yield Failure(_error(address, Reason.UNREACHABLE, detail))
+            return
+        async with self._client.stream(
+            method="POST",
+            address=address,
+            path=f"/{call.operation}",
+            timeout_s=timeout_s,
+            headers=self._headers_of(call),
+            body=body,
+            content_length=call.content_length,
+            step=STEP,
+        ) as sent:
+            yield sent.bind(lambda answer: _interpret(answer, call, address))
+
+    def _headers_of(self, call: UpstreamCall) -> dict[str, str]:
+        return {
+            **self._headers,
+            "content-type": call.content_type,
+            REQUEST_ID: call.request_id,
+            ATTEMPT_ID: call.attempt_id,
+            EPOCH: str(call.epoch),
+            NOT_AFTER: repr(call.not_after),
+        }
+
+
+def _interpret(
+    answer: HttpAnswer, call: UpstreamCall, address: str
+) -> Result[UpstreamAnswer, StepError]:
+    """Take an answer for what it says, and only if it names this attempt."""
+    echoed = answer.headers.get(ATTEMPT_ID, "")
+    if echoed != call.attempt_id:
+        detail = f"status {answer.status} names attempt {echoed!r}, not {call.attempt_id!r}"
+        return Failure(_error(address, Reason.CUT, detail))
+    outcome = _outcome_of(answer)
+    if outcome is Outcome.NOT_RUN:
+        return Failure(_refusal(answer, address))
+    return Success(
+        UpstreamAnswer(
+            outcome=outcome,
+            attempt_id=call.attempt_id,
+            status=answer.status,
+            content_type=answer.headers.get("content-type", DEFAULT_CONTENT_TYPE),
+            body=_CheckedBody(answer.body),
+            leaving=answer.headers.get(LEAVING) == "1",
+        )
+    )
+
+
+def _outcome_of(answer: HttpAnswer) -> Outcome:
+    """Return the executor's word; without one a success is done and the rest is unknown."""
+    outcome = _OUTCOMES_BY_WORD.get(answer.headers.get(OUTCOME, ""))
+    if outcome is not None:
+        return outcome
+    return Outcome.DONE if answer.status // 100 == _OK_CLASS else Outcome.UNKNOWN
+
+
+def _refusal(answer: HttpAnswer, address: str) -> StepError:
+    retry_after = answer.headers.get("retry-after", "")
+    return StepError(
+        step=STEP,
+        peer=address,
+        reason=_REASONS_BY_STATUS.get(answer.status, Reason.REFUSED),
+        detail=f"status {answer.status}",
+        retry_after_s=float(retry_after) if retry_after.isdigit() else None,
+    )
+
+
+class _CheckedBody:
+    """Chunks of an answer's body, with a break told as UpstreamCutError."""
+
+    def __init__(self, chunks: AsyncIterator[bytes]) -> None:
+        self._chunks = chunks
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        return self
+
+    async def __anext__(self) -> bytes:
+        try:
+            return await self._chunks.__anext__()
+        except AnswerCutError as error:
+            raise UpstreamCutError(str(error)) from error
+
+
+def _error(address: str, reason: Reason, detail: str) -> StepError:
+    return StepError(step=STEP, peer=address, reason=reason, detail=detail)
--- a/tests/standin_cases.py
+++ b/tests/standin_cases.py
@@ -4,6 +4,8 @@
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import dataclass
 
+import trio
+
 from galenastall.protocol.platform import (
     Platform,
     StartBatch,
@@ -12,6 +14,7 @@
 )
 from galenastall.standin.fleet import FleetShape, make_hosts
 from galenastall.standin.memory_platform import MemoryPlatform
+from galenastall.standin.server import StandinServer
 from galenastall.state.hosts import ListedHost
 from galenastall.state.ids import (
     AttemptId,
@@ -26,10 +29,13 @@
 from galenastall.state.resources import Resources
 from galenastall.state.work import TaskSpec, Urgency, Workload
 from galenastall.transport.clock import TrioClock
+from galenastall.transport.http_client import HttpClient
+from galenastall.transport.platform_http import build_http_platform
 
 SHAPE = FleetShape(data_centres=(DataCentre("mapo"),), workers=2, executors=2)
 SIZE = Resources(cores_milli=1000, memory_mb=1000)
 FAR = 1e12
+CLIENT_TIMEOUT_S = 5.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -109,3 +115,19 @@
 
 async def one_chunk(chunk: bytes) -> AsyncIterator[bytes]:
     yield chunk
+
+
+@asynccontextmanager
+async def open_http_rig() -> AsyncIterator[Rig]:
+    clock = TrioClock(wall_at_start=1e9)
+    model = MemoryPlatform(clock=clock, seed=1)
+    server = StandinServer(model=model, clock=clock, shape=SHAPE)
+    client = HttpClient(clock=clock)
+    async with trio.open_nursery() as nursery:
+        addresses = await nursery.start(server.run)
+        services = build_http_platform(
+            address=addresses.platform, client=client, clock=clock, timeout_s=CLIENT_TIMEOUT_S
+        )
+        yield Rig(model=model, services=services, hosts=addresses.hosts)
+        await client.aclose()
+        nursery.cancel_scope.cancel()
--- a/tests/test_standin_contract.py
+++ b/tests/test_standin_contract.py
@@ -33,6 +33,7 @@
     make_call,
     make_task,
     one_chunk,
+    open_http_rig,
     open_memory_rig,
 )
 
@@ -40,7 +41,9 @@
 SLOW = 0.05
 TIMEOUT = 0.2
 
-pytestmark = pytest.mark.parametrize("open_rig", [pytest.param(open_memory_rig, id="memory")])
+pytestmark = pytest.mark.parametrize(
+    "open_rig", [pytest.param(open_memory_rig, id="memory"), pytest.param(open_http_rig, id="http")]
+)
 
 
 @pytest.fixture
@@ -443,6 +446,10 @@
             verdict = check_echo(body, request_id=call.request_id, request_body=request)
             return Success((answer.outcome, answer.leaving, verdict))
 
+    async def _give_up_on(self, rig: Rig) -> None:
+        with trio.move_on_after(TIMEOUT):
+            await self._call(rig)
+
     async def test_whole_own_answer(self, open_rig: OpenRig, jumping_clock: MockClock) -> None:
         async with open_rig() as rig:
             faults = ExecutorFaults(answer_bytes=200_000, leaving=True)
@@ -511,28 +518,41 @@
         self, open_rig: OpenRig, jumping_clock: MockClock
     ) -> None:
         async with open_rig() as rig:
-            call = make_call(not_after=rig.lease(-1))
-
-            async def send() -> Result[object, StepError]:
+            executor = rig.model.executors.by_address[rig.executor]
+            for refuses, counted in ((False, (1, 0, 1)), (True, (2, 1, 1))):
+                faults = ExecutorFaults(delay_s=2 * TIMEOUT, refuse_past_not_after=refuses)
+                rig.model.executors.set_faults(rig.executor, faults)
                 async with rig.services.upstreams.call(
-                    address=rig.executor, call=call, body=one_chunk(b"x")
+                    address=rig.executor,
+                    call=make_call(not_after=rig.lease(TIMEOUT)),
+                    body=one_chunk(b"x"),
                 ) as result:
-                    return result
-
-            assert isinstance(await send(), Success)
-            faults = ExecutorFaults(refuse_past_not_after=True)
-            rig.model.executors.set_faults(rig.executor, faults)
-            assert reason_of(await send()) is Reason.REFUSED
-            counters = rig.model.executors.by_address[rig.executor].counters
-            assert (counters.past_not_after, counters.refused_past_not_after) == (2, 1)
+                    assert reason_of(result) is Reason.TIMEOUT
+                await trio.sleep(2 * TIMEOUT)
+                counters = executor.counters
+                assert (
+                    counters.past_not_after,
+                    counters.refused_past_not_after,
+                    counters.runs,
+                ) == counted
+
+    async def test_past_not_after_is_not_sent(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            async with rig.services.upstreams.call(
+                address=rig.executor, call=make_call(not_after=rig.lease(-1)), body=one_chunk(b"x")
+            ) as result:
+                assert reason_of(result) is Reason.UNREACHABLE
+            assert rig.model.executors.by_address[rig.executor].counters.calls == 0
 
-    async def test_paused_executor_runs_nothing_until_resumed(
+    async def test_paused_executor_runs_on_resume_what_was_given_up(
         self, open_rig: OpenRig, jumping_clock: MockClock
     ) -> None:
         async with open_rig() as rig, trio.open_nursery() as nursery:
             rig.model.executors.set_faults(rig.executor, ExecutorFaults(paused=True))
-            nursery.start_soon(lambda: self._call(rig))
-            await trio.sleep(TIMEOUT)
+            nursery.start_soon(self._give_up_on, rig)
+            await trio.sleep(2 * TIMEOUT)
             assert rig.model.executors.log.runs_of("request-1") == 0
             rig.model.executors.set_faults(rig.executor, ExecutorFaults())
             await trio.sleep(TIMEOUT)
@@ -543,5 +563,6 @@
     ) -> None:
         async with open_rig() as rig:
             rig.model.executors.set_faults(rig.executor, ExecutorFaults(unreachable=True))
+            await trio.sleep(SLOW)
             assert reason_of(await self._call(rig)) is Reason.UNREACHABLE
             assert rig.model.executors.log.runs_of("request-1") == 0
