Refuse unknown knobs of the stand-in

Cause: msgspec passes over unknown keys of data classes, so a misspelt knob changed nothing silently. Change: the control side checks the keys and names the wrong one with those allowed. Conclusion: a wrong knob is told.

--- a/src/galenastall/standin/control_http_face.py
+++ b/src/galenastall/standin/control_http_face.py
@@ -1,10 +1,11 @@
 """Control side of the stand-in over HTTP: knobs, hosts, counters, runs and violations."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import Any, Final, Protocol
 
-from returns.result import Failure
+import msgspec
+from returns.result import Failure, Result
 
 from galenastall.standin.control_messages import (
     ALL_HOSTS,
@@ -22,7 +23,7 @@
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.hosts import HostKind, ListedHost
 from galenastall.state.ids import HostId
-from galenastall.transport.http_json import error_response, json_response, parse_json
+from galenastall.transport.http_json import decode_json, error_response, json_response, parse_json
 from galenastall.transport.http_messages import HttpRequest, HttpResponse
 from galenastall.transport.http_routes import route
 
@@ -71,7 +72,7 @@
         if not knobs:
             return _not_found(request, request.path_params["target"])
         faults_type = next(iter(knobs.values())).faults_type
-        faults = await parse_json(request, faults_type)
+        faults = await _parse_faults(request, faults_type)
         if isinstance(faults, Failure):
             return error_response(faults.failure())
         for knob in knobs.values():
@@ -243,17 +244,28 @@
     )
 
 
+async def _parse_faults(request: HttpRequest, faults_type: type[Any]) -> Result[Any, StepError]:
+    """Return the knobs; INVALID also for a key that is none of theirs."""
+    raw = await parse_json(request, dict[str, Any])
+    if isinstance(raw, Failure):
+        return raw
+    allowed = sorted(field.name for field in fields(faults_type))
+    unknown = sorted(set(raw.unwrap()) - set(allowed))
+    if unknown:
+        detail = f"unknown key {unknown[0]!r}; allowed: {', '.join(allowed)}"
+        return Failure(_error(request, Reason.INVALID, detail))
+    body = msgspec.json.encode(raw.unwrap())
+    return decode_json(body, faults_type, step="control", peer=request.client)
+
+
 def _start_of(request: HttpRequest) -> int:
     text = request.query.get("start", "0")
     return int(text) if text.isdecimal() else 0
 
 
 def _not_found(request: HttpRequest, name: str) -> HttpResponse:
-    return error_response(
-        StepError(
-            step="control",
-            peer=request.client,
-            reason=Reason.NOT_FOUND,
-            detail=f"nothing is named {name!r} here",
-        )
-    )
+    return error_response(_error(request, Reason.NOT_FOUND, f"nothing is named {name!r} here"))
+
+
+def _error(request: HttpRequest, reason: Reason, detail: str) -> StepError:
+    return StepError(step="control", peer=request.client, reason=reason, detail=detail)
--- a/tests/test_standin_server.py
+++ b/tests/test_standin_server.py
@@ -107,6 +107,21 @@
         async with open_process() as process:
             unknown = await process.control.set_worker_faults("nobody", WorkerFaults())
             assert unknown.failure().reason is Reason.NOT_FOUND
+            client = HttpClient(clock=process.clock)
+            for body, at_fault in (
+                (b'{"outtage": true}', "outtage"),
+                (b'{"delay_s": "x"}', "delay_s"),
+            ):
+                answer = await client.request(
+                    method="PUT",
+                    address=process.addresses.platform,
+                    path="/control/faults/log",
+                    timeout_s=1.0,
+                    body=body,
+                )
+                assert answer.unwrap().status == 400
+                assert at_fault in answer.unwrap().body.decode()
+            await client.aclose()
             gone = await process.control.remove_host(HostId("nobody"))
             assert gone.failure().reason is Reason.NOT_FOUND
 
