Check the settings file of a process

Cause: a process learns its addresses, keys and limits from one YAML file; a typing slip in it must not pass for a default.

--- /dev/null
+++ b/src/galenastall/protocol/addresses.py
@@ -0,0 +1,47 @@
+"""Addresses as settings give them: IP number and port, never a host name.
+
+Host names would make the start of a process depend on a resolver that may be cut off.
+"""
+
+import ipaddress
+from typing import Annotated, Final
+
+from pydantic import AfterValidator
+
+MAX_PORT: Final = 65535
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return IP and port of `IP:port` (`[IP]:port` for IPv6); raises ValueError otherwise."""
+    ip, separator, port = address.rpartition(":")
+    if not separator or not port.isdecimal() or int(port) > MAX_PORT:
+        raise ValueError(f"must be IP:port with a port of 0 to {MAX_PORT}, for example 10.0.0.1:80")
+    if ip.startswith("[") and ip.endswith("]"):
+        return str(ipaddress.IPv6Address(ip[1:-1])), int(port)
+    try:
+        return str(ipaddress.IPv4Address(ip)), int(port)
+    except ValueError:
+        raise ValueError(f"must start with an IP number, not a host name: {ip!r}") from None
+
+
+def is_wildcard(address: str) -> bool:
+    """Return whether the address stands for all interfaces."""
+    return ipaddress.ip_address(split_address(address)[0]).is_unspecified
+
+
+def _check_bind(address: str) -> str:
+    split_address(address)
+    return address
+
+
+def _check_reachable(address: str) -> str:
+    _, port = split_address(address)
+    if port == 0 or is_wildcard(address):
+        raise ValueError("must be one address that others can connect to, with a port above 0")
+    return address
+
+
+BindAddress = Annotated[str, AfterValidator(_check_bind)]
+"""`IP:port` to listen on; port 0 lets the system choose."""
+ReachableAddress = Annotated[str, AfterValidator(_check_reachable)]
+"""`IP:port` that another process can connect to."""
