--- a/src/galenastall/protocol/process_settings.py
+++ b/src/galenastall/protocol/process_settings.py
@@ -19,23 +19,23 @@
 """A CURVE key in the 40 characters of Z85."""
 
 
-class TlsFiles(SettingsModel):
+class TlsSettings(SettingsModel):
     """Files of the HTTP side's TLS, in PEM."""
 
-    certificate: Path
+    cert_file: Path
     """Certificate chain shown to callers."""
-    private_key: Path
-    client_authority: Path | None = None
+    key_file: Path
+    ca_file: Path | None = None
     """Authority that must have signed callers' certificates; None lets callers come without."""
 
 
-class CurveKeys(SettingsModel):
+class CurveSettings(SettingsModel):
     """CURVE keys of the zmq side; an entry host with any other key gets in nowhere."""
 
     public_key: CurveKey
     secret_key: CurveKey
-    peer_public_keys: tuple[CurveKey, ...] = ()
-    """Public keys of all entry hosts that may connect."""
+    allowed_by_host_id: dict[Name, CurveKey] = Field(default_factory=dict)
+    """Public key of every entry host that may connect; each may claim only its own host id."""
 
 
 class PlatformAccess(SettingsModel):
@@ -75,8 +75,8 @@
     platform: PlatformAccess
     seeds: dict[Name, ReachableAddress] = Field(default_factory=dict)
     """Peer addresses by host id, for a start while the platform's list can't be read."""
-    tls: TlsFiles | None = None
-    curve: CurveKeys | None = None
+    tls: TlsSettings | None = None
+    curve: CurveSettings | None = None
     drain_timeout_seconds: float = Field(default=30.0, ge=0, le=3600)
     """Longest wait for callers' requests in progress at a planned stop."""
     log_level: Literal["debug", "info", "warning", "error"] = "info"
