--- a/src/galenastall/standin/server.py
+++ b/src/galenastall/standin/server.py
@@ -42,12 +42,17 @@
         bind_host: str = "127.0.0.1",
         port: int = 0,
         on_error: ErrorSink | None = None,
+        on_raised: Callable[[ListedHost], None] | None = None,
     ) -> None:
-        """Serve `model` and bring up the hosts of `shape`; port 0 lets the system choose."""
+        """Serve `model` and bring up the hosts of `shape`; port 0 lets the system choose.
+
+        `on_raised` is called for each host that is brought up, before anybody can call it.
+        """
         self.model = model
         self._shape = shape
         self._bind_host = bind_host
         self._on_error = on_error
+        self._on_raised = on_raised or (lambda host: None)
         self._nursery: trio.Nursery | None = None
         self._platform = HttpServer(
             handlers=[PlatformFace(model=model), ControlFace(model=model, raiser=self)],
@@ -92,6 +97,7 @@
         if host.kind is HostKind.WORKER:
             raised = replace(host, address=self._worker_address(host.host_id))
             self.model.add_host(raised)
+            self._on_raised(raised)
             return raised
         return self._raise_executor(host)
 
@@ -104,6 +110,7 @@
         server = ExecutorServer(model=self.model, bind_host=self._bind_host)
         raised = replace(host, address=server.address)
         self.model.add_host(raised)
+        self._on_raised(raised)
         self._nursery.start_soon(server.run)
         return raised
 
--- /dev/null
+++ b/src/galenastall/standin/settings.py
@@ -0,0 +1,138 @@
+"""Settings file of a stand-in process: sizes of the fleet, seed, ports and first knobs."""
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import Field
+from returns.result import Result
+
+from galenastall.protocol.addresses import BindAddress
+from galenastall.protocol.process_settings import Name
+from galenastall.protocol.yaml_files import load_yaml
+from galenastall.standin.executor import DEFAULT_CONNECTIONS, DEFAULT_SLOTS
+from galenastall.standin.faults import (
+    BeyondSlots,
+    ExecutorFaults,
+    HostListFaults,
+    LogFaults,
+    WorkerFaults,
+)
+from galenastall.standin.fleet import FleetShape
+from galenastall.standin.service_time import ServiceTime
+from galenastall.state.ids import DataCentre
+from galenastall.state.resources import Resources
+from galenastall.state.settings_problems import SettingsModel, SettingsProblems, check_tree
+
+MB_PER_GB = 1024
+MILLI_PER_CORE = 1000
+
+Count = Annotated[int, Field(ge=0, le=5000)]
+
+
+class WorkerSettings(SettingsModel):
+    """Size of each worker and its first knobs."""
+
+    count: Count = 24
+    cores: int = Field(default=64, ge=1)
+    memory_gb: int = Field(default=128, ge=1)
+    accelerators: int = Field(default=0, ge=0)
+    compares_epochs: bool = False
+    usage_lag_seconds: float = Field(default=5.0, ge=0)
+
+    def capacity(self) -> Resources:
+        """Return what one worker holds."""
+        return Resources(
+            cores_milli=self.cores * MILLI_PER_CORE,
+            memory_mb=self.memory_gb * MB_PER_GB,
+            accelerators=self.accelerators,
+        )
+
+    def faults(self) -> WorkerFaults:
+        """Return the first knobs of each worker."""
+        return WorkerFaults(
+            compares_epochs=self.compares_epochs, usage_lag_s=self.usage_lag_seconds
+        )
+
+
+class ServiceTimeSettings(SettingsModel):
+    """How long executors take for a request."""
+
+    distribution: Literal["fixed", "exponential", "lognormal"] = "fixed"
+    mean_ms: float = Field(default=20.0, ge=0)
+    sigma: float = Field(default=1.0, ge=0)
+    """Spread of the lognormal distribution."""
+
+
+class ExecutorSettings(SettingsModel):
+    """Size of each executor and its first knobs."""
+
+    count: Count = 24
+    slots: int = Field(default=DEFAULT_SLOTS, ge=1)
+    connections: int = Field(default=DEFAULT_CONNECTIONS, ge=1)
+    beyond_slots: Literal["queue", "refuse"] = "queue"
+    answer_bytes: int = Field(default=256, ge=0)
+    service_time: ServiceTimeSettings = Field(default_factory=ServiceTimeSettings)
+
+    def faults(self) -> ExecutorFaults:
+        """Return the first knobs of each executor."""
+        service = self.service_time
+        return ExecutorFaults(
+            beyond_slots=BeyondSlots(self.beyond_slots),
+            answer_bytes=self.answer_bytes,
+            service=ServiceTime(
+                distribution=service.distribution,
+                mean_s=service.mean_ms / 1000,
+                sigma=service.sigma,
+            ),
+        )
+
+
+class LogSettings(SettingsModel):
+    """First knobs of the log."""
+
+    appends_per_second: float = Field(default=500.0, gt=0)
+    keep_records: int | None = Field(default=None, ge=1)
+    keep_seconds: float | None = Field(default=None, gt=0)
+
+    def faults(self) -> LogFaults:
+        """Return the log's first knobs."""
+        return LogFaults(
+            appends_per_s=self.appends_per_second,
+            keep_records=self.keep_records,
+            keep_s=self.keep_seconds,
+        )
+
+
+class StandinSettings(SettingsModel):
+    """Settings of a stand-in process."""
+
+    bind: BindAddress = "127.0.0.1:0"
+    """Where log, host list and control listen; the others choose ports of their own there."""
+    seed: int = 1
+    data_centres: tuple[Name, ...] = Field(min_length=1)
+    hosts_per_rack: int = Field(default=8, ge=1)
+    host_list_lag_seconds: float = Field(default=1.0, ge=0)
+    workers: WorkerSettings = Field(default_factory=WorkerSettings)
+    executors: ExecutorSettings = Field(default_factory=ExecutorSettings)
+    log: LogSettings = Field(default_factory=LogSettings)
+
+    def shape(self) -> FleetShape:
+        """Return the fleet of these settings."""
+        return FleetShape(
+            data_centres=tuple(map(DataCentre, self.data_centres)),
+            workers=self.workers.count,
+            executors=self.executors.count,
+            hosts_per_rack=self.hosts_per_rack,
+            worker_capacity=self.workers.capacity(),
+            slots=self.executors.slots,
+            connections=self.executors.connections,
+        )
+
+    def host_list_faults(self) -> HostListFaults:
+        """Return the host list's first knobs."""
+        return HostListFaults(lag_s=self.host_list_lag_seconds)
+
+
+def load_standin_settings(path: Path) -> Result[StandinSettings, SettingsProblems]:
+    """Return the checked settings of a file, or everything that is wrong in it."""
+    return load_yaml(path).bind(lambda tree: check_tree(StandinSettings, tree, source=str(path)))
