--- a/src/galenastall/standin/executor.py
+++ b/src/galenastall/standin/executor.py
@@ -88,7 +88,6 @@
         self.faults = faults or ExecutorFaults()
         self.counters = ExecutorCounters()
         self.open_calls = 0
-        self.open_connections = 0
         self._clock = clock
         self._rng = rng
         self._log = log
@@ -150,7 +149,8 @@
         faults, counters = self.faults, self.counters
         service_s = faults.service.draw(self._rng) * faults.slow_factor
         start, end = self._slot_clock.assign(now, service_s)
-        counters.peak_busy = max(counters.peak_busy, self._slot_clock.busy(now))
+        if counters.peak_busy < self.slots:
+            counters.peak_busy = max(counters.peak_busy, self._slot_clock.busy(now))
         body_digest = digest(arrival.body)
         self._record(call, body_digest, start - self._clock.now())
         echo = Echo(
--- a/src/galenastall/standin/executor_log.py
+++ b/src/galenastall/standin/executor_log.py
@@ -8,7 +8,7 @@
 from galenastall.standin.history import History
 from galenastall.state.ids import AttemptId, HostId, RequestId
 
-MAX_RECORDS: Final = 500_000
+MAX_RECORDS: Final = 200_000
 """Executions kept; the oldest go first."""
 
 
--- a/src/galenastall/standin/platform_http_face.py
+++ b/src/galenastall/standin/platform_http_face.py
@@ -1,12 +1,13 @@
 """HTTP face of the stand-in's log and host list."""
 
-from collections.abc import AsyncIterator
+from dataclasses import dataclass
 from typing import Any, Final
 
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from galenastall.protocol.platform import Platform
 from galenastall.protocol.upstream_headers import CALLER
+from galenastall.standin.lean_routes import LostAnswerError
 from galenastall.standin.memory_platform import MemoryPlatform
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId, Offset, StreamName
@@ -16,10 +17,8 @@
 from galenastall.transport.platform_http_log import AppendAnswer, AppendMessage
 
 DEFAULT_LIMIT: Final = 1000
-
-
-class LostAnswerError(Exception):
-    """An answer that is to get lost: the connection breaks instead."""
+MAX_WAIT_S: Final = 300.0
+"""Longest wait of a read."""
 
 
 class PlatformFace:
@@ -42,19 +41,15 @@
     @route("GET", "/log/{stream}")
     async def read(self, request: HttpRequest) -> HttpResponse:
         """Read from `start`, waiting up to `wait_s`."""
-        try:
-            start = Offset(int(request.query.get("start", "0")))
-            limit = int(request.query.get("limit", DEFAULT_LIMIT))
-            wait_s = float(request.query.get("wait_s", "0"))
-        except ValueError as error:
-            return error_response(
-                StepError(
-                    step="log.read", peer=request.client, reason=Reason.INVALID, detail=str(error)
-                )
-            )
+        asked = _parse_read(request)
+        if isinstance(asked, Failure):
+            return error_response(asked.failure())
+        read = asked.unwrap()
         stream = StreamName(request.path_params["stream"])
         log = services_for(self._model, request).log
-        return respond(await log.read(stream=stream, start=start, limit=limit, wait_s=wait_s))
+        return respond(
+            await log.read(stream=stream, start=read.start, limit=read.limit, wait_s=read.wait_s)
+        )
 
     @route("GET", "/hosts")
     async def hosts(self, request: HttpRequest) -> HttpResponse:
@@ -62,6 +57,37 @@
         return respond(await services_for(self._model, request).host_list.fetch())
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Read:
+    """Query of a read."""
+
+    start: Offset
+    limit: int
+    wait_s: float
+
+
+def _parse_read(request: HttpRequest) -> Result[_Read, StepError]:
+    query = request.query
+    try:
+        read = _Read(
+            start=Offset(int(query.get("start", "0"))),
+            limit=int(query.get("limit", DEFAULT_LIMIT)),
+            wait_s=float(query.get("wait_s", "0")),
+        )
+    except ValueError as error:
+        return Failure(_invalid(request, str(error)))
+    if read.limit < 1:
+        return Failure(_invalid(request, f"limit must be at least 1, not {read.limit}"))
+    if not 0 <= read.wait_s <= MAX_WAIT_S:
+        detail = f"wait_s must be 0 to {MAX_WAIT_S:g} seconds, not {read.wait_s}"
+        return Failure(_invalid(request, detail))
+    return Success(read)
+
+
+def _invalid(request: HttpRequest, detail: str) -> StepError:
+    return StepError(step="log.read", peer=request.client, reason=Reason.INVALID, detail=detail)
+
+
 def services_for(model: MemoryPlatform, request: HttpRequest) -> Platform:
     """Return the model as the request's caller reaches it."""
     caller = request.headers.get(CALLER)
@@ -69,15 +95,10 @@
 
 
 def respond(result: Result[Any, StepError]) -> HttpResponse:
-    """Return the model's answer; one that the model lost breaks the connection."""
+    """Return the model's answer; raises LostAnswerError for one that the model lost."""
     if not isinstance(result, Failure):
         return json_response(200, result.unwrap())
     error: StepError = result.failure()
     if error.may_have_taken_effect:
-        return HttpResponse(headers={"content-length": "1"}, body=_break_off())
+        raise LostAnswerError
     return error_response(error)
-
-
-async def _break_off() -> AsyncIterator[bytes]:
-    yield b""
-    raise LostAnswerError
--- a/src/galenastall/standin/process.py
+++ b/src/galenastall/standin/process.py
@@ -31,6 +31,7 @@
         shape=settings.shape(),
         bind_host=bind_host,
         port=port,
+        control_bind=settings.control_bind,
         on_error=on_error,
         on_raised=partial(_set_first_faults, model=model, settings=settings),
     )
--- a/src/galenastall/standin/run_ledger.py
+++ b/src/galenastall/standin/run_ledger.py
@@ -9,7 +9,7 @@
 from galenastall.state.ids import HostId, TaskId
 from galenastall.state.work import TaskEnd
 
-MAX_RECORDS: Final = 500_000
+MAX_RECORDS: Final = 200_000
 """Run records kept; the oldest go first."""
 
 
--- a/src/galenastall/standin/server.py
+++ b/src/galenastall/standin/server.py
@@ -9,8 +9,10 @@
 from galenastall.standin.control_http_face import ControlFace
 from galenastall.standin.executor_http import ExecutorServer
 from galenastall.standin.fleet import FleetShape, make_hosts
+from galenastall.standin.lean_http import LeanServer
+from galenastall.standin.lean_routes import RoutedAnswerer
 from galenastall.standin.memory_platform import MemoryPlatform
-from galenastall.standin.platform_http_face import LostAnswerError, PlatformFace
+from galenastall.standin.platform_http_face import PlatformFace
 from galenastall.standin.workers_http_face import WorkersFace
 from galenastall.state.errors import StepError
 from galenastall.state.hosts import HostKind, ListedHost
@@ -25,7 +27,9 @@
     """Where a running stand-in is reached."""
 
     platform: str
-    """`IP:port` of the log, the host list and the control side."""
+    """`IP:port` of the log and the host list."""
+    control: str
+    """`IP:port` of the knobs, counters and records."""
     workers: str
     hosts: tuple[ListedHost, ...]
 
@@ -41,37 +45,40 @@
         shape: FleetShape,
         bind_host: str = "127.0.0.1",
         port: int = 0,
+        control_bind: str = "127.0.0.1:0",
         on_error: ErrorSink | None = None,
         on_raised: Callable[[ListedHost], None] | None = None,
     ) -> None:
         """Serve `model` and bring up the hosts of `shape`; port 0 lets the system choose.
 
+        `port` is that of the log and the host list; all others but control's choose their own.
         `on_raised` is called for each host that is brought up, before anybody can call it.
         """
         self.model = model
         self._shape = shape
         self._bind_host = bind_host
-        self._on_error = on_error
         self._on_raised = on_raised or (lambda host: None)
         self._nursery: trio.Nursery | None = None
-        self._platform = HttpServer(
-            handlers=[PlatformFace(model=model), ControlFace(model=model, raiser=self)],
+        self._control = HttpServer(
+            handlers=[ControlFace(model=model, raiser=self)],
             clock=clock,
-            bind=f"{bind_host}:{port}",
-            log_error=self._log_error,
+            bind=control_bind,
+            log_error=on_error,
         )
-        self._workers = HttpServer(
-            handlers=[WorkersFace(model=model, address_of=self._worker_address)],
-            clock=clock,
-            bind=f"{bind_host}:0",
-            log_error=self._log_error,
+        self._platform = LeanServer(
+            answer=RoutedAnswerer(handlers=[PlatformFace(model=model)]),
+            bind_host=bind_host,
+            port=port,
         )
+        workers = WorkersFace(model=model, address_of=self._worker_address)
+        self._workers = LeanServer(answer=RoutedAnswerer(handlers=[workers]), bind_host=bind_host)
 
     @property
     def addresses(self) -> StandinAddresses:
         """Where everything is, once `run` has started."""
         return StandinAddresses(
             platform=self._platform.address,
+            control=self._control.address,
             workers=self._workers.address,
             hosts=tuple(self.model.host_list.current().values()),
         )
@@ -82,8 +89,10 @@
         """Serve; reports its addresses once everything can be reached."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            await nursery.start(self._platform.run)
-            await nursery.start(self._workers.run)
+            # The other ports are bound already, so connections wait until they are served.
+            await nursery.start(self._control.run)
+            nursery.start_soon(self._platform.run)
+            nursery.start_soon(self._workers.run)
             for host in make_hosts(self._shape):
                 self.raise_host(replace(host, address=""))
             self.model.host_list.catch_up()
@@ -116,8 +125,3 @@
 
     def _worker_address(self, host_id: str) -> str:
         return f"{self._workers.address}/workers/{host_id}"
-
-    def _log_error(self, step_error: StepError, error: BaseException) -> None:
-        if isinstance(error, LostAnswerError) or self._on_error is None:
-            return
-        self._on_error(step_error, error)
--- a/src/galenastall/standin/settings.py
+++ b/src/galenastall/standin/settings.py
@@ -107,7 +107,9 @@
     """Settings of a stand-in process."""
 
     bind: BindAddress = "127.0.0.1:0"
-    """Where log, host list and control listen; the others choose ports of their own there."""
+    """Where log and host list listen; workers and executors choose ports of their own there."""
+    control_bind: BindAddress = "127.0.0.1:0"
+    """Where knobs, counters and records are served."""
     seed: int = 1
     data_centres: tuple[Name, ...] = Field(min_length=1)
     hosts_per_rack: int = Field(default=8, ge=1)
--- a/tests/test_standin_server.py
+++ b/tests/test_standin_server.py
@@ -63,7 +63,7 @@
         addresses = await nursery.start(server.run)
         yield Process(
             clock=clock,
-            control=StandinControl(client=client, address=addresses.platform),
+            control=StandinControl(client=client, address=addresses.control),
             services=build_http_platform(
                 address=addresses.platform,
                 client=client,
@@ -114,7 +114,7 @@
             ):
                 answer = await client.request(
                     method="PUT",
-                    address=process.addresses.platform,
+                    address=process.addresses.control,
                     path="/control/faults/log",
                     timeout_s=1.0,
                     body=body,
@@ -279,6 +279,33 @@
             assert not answer.startswith(b"HTTP/1.1 200")
             assert (await process.control.executions()).unwrap().records == ()
 
+    @pytest.mark.parametrize(
+        "query", ["start=x", "start=0&limit=0", "start=0&wait_s=nan", "start=0&wait_s=1e9"]
+    )
+    async def test_bad_reads_are_named(self, query: str, jumping_clock: MockClock) -> None:
+        async with open_process() as process:
+            client = HttpClient(clock=process.clock)
+            answer = await client.request(
+                method="GET",
+                address=process.addresses.platform,
+                path=f"/log/settings?{query}",
+                timeout_s=5.0,
+            )
+            await client.aclose()
+            assert answer.unwrap().status == 400
+
+    async def test_pipelined_requests_are_answered_in_order(self, jumping_clock: MockClock) -> None:
+        async with open_process() as process:
+            host, _, port = process.addresses.platform.partition(":")
+            stream = await trio.open_tcp_stream(host, int(port))
+            request = b"GET /%s HTTP/1.1\r\nhost: a\r\n\r\n"
+            async with stream:
+                await stream.send_all(request % b"hosts" + request % b"nothing")
+                await stream.send_eof()
+                answers = b"".join([bytes(chunk) async for chunk in stream])
+            assert answers.startswith(b"HTTP/1.1 200 OK\r\n")
+            assert answers.count(b"HTTP/1.1 404 Not Found\r\n") == 1
+
     async def test_cut_answer_breaks_the_stream(self, jumping_clock: MockClock) -> None:
         async with open_process() as process:
             host = process.host(HostKind.UPSTREAM)
