Test the http adapter against answers that are not what they should be

Cause: an entry host must never conclude 'not run' from a status, nor take a stray or cut answer. Conclusion: only an executor's own word about this very attempt counts.

--- a/tests/test_standin_contract.py
+++ b/tests/test_standin_contract.py
@@ -475,6 +475,16 @@
             with pytest.raises(UpstreamCutError):
                 await self._call(rig)
 
+    async def test_late_answer_is_still_the_own_one(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            rig.model.executors.set_faults(rig.executor, ExecutorFaults(late=1.0, late_s=30.0))
+            started = trio.current_time()
+            answered = await self._call(rig)
+            assert answered.unwrap()[2] is EchoVerdict.OWN
+            assert trio.current_time() - started >= 30.0
+
     async def test_lost_answer_ran(self, open_rig: OpenRig, jumping_clock: MockClock) -> None:
         async with open_rig() as rig:
             faults = ExecutorFaults(drop_after=1.0, call_timeout_s=TIMEOUT)
