--- /dev/null
+++ b/src/galenastall/coordination/membership.py
@@ -0,0 +1,113 @@
+"""Which members of a data centre's roster are alive, by their beats and by the platform's list."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from galenastall.coordination.ownership_messages import Beat
+from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.state.ids import HostId, Incarnation, Offset
+from galenastall.state.ownership_records import Member, Members
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerView:
+    """What a member's latest beat said."""
+
+    sequence: int
+    next_offset: Offset
+    is_leaving: bool
+    silent: frozenset[Incarnation]
+
+
+class Membership:
+    """Silence by timeout, since beats come at a steady pace; absence by the list's lag bound."""
+
+    def __init__(self, *, me: Member, timings: OwnershipTimings) -> None:
+        """Know nobody."""
+        self._me = me
+        self._timings = timings
+        self._heard_at: dict[Incarnation, float] = {}
+        self._view_by_incarnation: dict[Incarnation, PeerView] = {}
+        self._absent_since_by_host: dict[HostId, float] = {}
+        self._gone: frozenset[HostId] = frozenset()
+
+    def track(self, members: Members, now: float) -> None:
+        """Watch exactly these members; a new one gets the benefit of the doubt."""
+        known = {member.incarnation for member in members}
+        for incarnation in known - self._heard_at.keys():
+            self._heard_at[incarnation] = now
+        for incarnation in self._heard_at.keys() - known:
+            del self._heard_at[incarnation]
+            self._view_by_incarnation.pop(incarnation, None)
+
+    def excuse(self, now: float) -> None:
+        """Forgive all silence up to now: this process itself was paused."""
+        for incarnation in self._heard_at:
+            self._heard_at[incarnation] = now
+
+    def on_beat(self, beat: Beat, now: float) -> bool:
+        """Take in a beat; return whether it is new."""
+        known = self._view_by_incarnation.get(beat.sender)
+        if known is not None and beat.sequence <= known.sequence:
+            return False
+        self._heard_at[beat.sender] = now
+        next_offset = (
+            beat.next_offset if known is None else max(known.next_offset, beat.next_offset)
+        )
+        self._view_by_incarnation[beat.sender] = PeerView(
+            sequence=beat.sequence,
+            next_offset=next_offset,
+            is_leaving=beat.is_leaving,
+            silent=frozenset(beat.silent),
+        )
+        return True
+
+    def on_listing(self, shown: frozenset[HostId], watched: Iterable[HostId], now: float) -> None:
+        """Note which of the `watched` hosts a list fetched at `now` shows live or leaving."""
+        since = self._absent_since_by_host
+        self._absent_since_by_host = {
+            host: since.get(host, now) for host in watched if host not in shown
+        }
+        self._gone = frozenset(
+            host
+            for host, absent_since in self._absent_since_by_host.items()
+            if now - absent_since > self._timings.list_lag_s
+        )
+
+    def view(self, incarnation: Incarnation) -> PeerView | None:
+        """Return what the member's latest beat said."""
+        return self._view_by_incarnation.get(incarnation)
+
+    def is_gone(self, host: HostId) -> bool:
+        """Return whether the list has not shown the host for longer than it may lag."""
+        return host in self._gone
+
+    def is_silent(self, incarnation: Incarnation, now: float) -> bool:
+        """Return whether the member is unknown or was not heard for too long."""
+        if incarnation == self._me.incarnation:
+            return False
+        heard_at = self._heard_at.get(incarnation)
+        return heard_at is None or now - heard_at > self._timings.suspect_s
+
+    def silent(self, now: float) -> tuple[Incarnation, ...]:
+        """Return the tracked members that are silent, sorted."""
+        return tuple(sorted(i for i in self._heard_at if self.is_silent(i, now)))
+
+    def says_silent(self, voter: Incarnation, subject: Incarnation, now: float) -> bool:
+        """Return whether a member that is heard says that it does not hear another."""
+        if voter == self._me.incarnation:
+            return self.is_silent(subject, now)
+        view = self._view_by_incarnation.get(voter)
+        return view is not None and not self.is_silent(voter, now) and subject in view.silent
+
+    def live(self, members: Members, now: float) -> Members:
+        """Return the members that can take on work."""
+        return tuple(member for member in members if self._is_live(member, now))
+
+    def _is_live(self, member: Member, now: float) -> bool:
+        if member == self._me:
+            return True
+        view = self._view_by_incarnation.get(member.incarnation)
+        if view is None or view.is_leaving or self.is_gone(member.host):
+            return False
+        return not self.is_silent(member.incarnation, now)
--- /dev/null
+++ b/src/galenastall/coordination/ownership_beats.py
@@ -0,0 +1,87 @@
+"""Writes the beats of one member: pings, vouches and the log's tip in one message per peer."""
+
+from collections.abc import Iterator
+from math import ceil, inf
+from typing import Final
+
+from galenastall.coordination.membership import Membership
+from galenastall.coordination.ownership_holdings import Holdings
+from galenastall.coordination.ownership_legs import Legs
+from galenastall.coordination.ownership_messages import (
+    Beat,
+    ContestedClaim,
+    Fence,
+    SendMessage,
+)
+from galenastall.coordination.ownership_takeover import Takeover
+from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.state.ownership_fold import OwnershipFold
+from galenastall.state.ownership_records import Member
+
+LEAST_GAP_S: Final = 0.1
+"""Least time between rounds, also when news should go out at once."""
+
+
+class BeatWriter:
+    """Sends a round at a steady pace, and at once when the set of silent members changes."""
+
+    def __init__(
+        self,
+        *,
+        me: Member,
+        timings: OwnershipTimings,
+        fold: OwnershipFold,
+        legs: Legs,
+        membership: Membership,
+        holdings: Holdings,
+    ) -> None:
+        """Share the core's parts."""
+        self._me = me
+        self._timings = timings
+        self._fold = fold
+        self._legs = legs
+        self._membership = membership
+        self._holdings = holdings
+        self._last_round_at = -inf
+        self._last_news: tuple[object, ...] = ()
+
+    def round(self, now: float, *, is_leaving: bool) -> Iterator[SendMessage]:
+        """Yield a beat for each other member of the roster if a round is due."""
+        peers = [m for m in self._fold.members() if m != self._me]
+        silent = self._membership.silent(now)
+        news = (silent, is_leaving)
+        gap = self._timings.beat_interval_s(peers=len(peers))
+        if news != self._last_news:
+            gap = LEAST_GAP_S
+        if now - self._last_round_at < gap or not peers:
+            return
+        self._last_round_at = now
+        self._last_news = news
+        sequence = self._legs.next_sequence(now)
+        tip_age_ms = ceil((now - self._legs.tip_read_at) * 1000)
+        for peer in peers:
+            echo, claims = self._vouch(peer)
+            beat = Beat(
+                sender=self._me.incarnation,
+                receiver=peer.incarnation,
+                sequence=sequence,
+                echo=echo,
+                next_offset=self._fold.next_offset,
+                tip_age_ms=tip_age_ms,
+                is_leaving=is_leaving,
+                silent=silent,
+                claims=claims,
+            )
+            yield SendMessage(to=peer.host, message=beat)
+
+    def fence(self, member: Member, takeover: Takeover) -> Fence:
+        """Return the message that asks `member` for its promise."""
+        claim = ContestedClaim(epoch=takeover.epoch, ownables=takeover.ownables)
+        return Fence(sender=self._me.incarnation, receiver=member.incarnation, claim=claim)
+
+    def _vouch(self, peer: Member) -> tuple[int, tuple[ContestedClaim, ...]]:
+        view = self._membership.view(peer.incarnation)
+        if view is None or view.next_offset < self._fold.known_from:
+            return 0, ()
+        claims = tuple(self._holdings.claims_from(view.next_offset, reader=peer))
+        return view.sequence, claims
--- /dev/null
+++ b/src/galenastall/coordination/ownership_claims.py
@@ -0,0 +1,145 @@
+"""Which ownables this member should claim now: free ones, and those of owners that are dead."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+from galenastall.coordination.membership import Membership
+from galenastall.coordination.ownership_candidates import rank, spread
+from galenastall.coordination.ownership_takeover import is_majority
+from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.state.ids import Epoch, HostId, OwnableId
+from galenastall.state.ownership_fold import OwnershipFold
+from galenastall.state.ownership_records import Claim, Member, Members, OwnableState
+
+
+class ClaimPlanner:
+    """Chooses claims; being wrong here costs time, never safety."""
+
+    def __init__(
+        self,
+        *,
+        me: Member,
+        timings: OwnershipTimings,
+        fold: OwnershipFold,
+        membership: Membership,
+    ) -> None:
+        """Share the core's fold and membership."""
+        self._me = me
+        self._timings = timings
+        self._fold = fold
+        self._membership = membership
+        self._since_by_subject: dict[str, float] = {}
+        self._claim_seen_at: dict[Epoch, float] = {}
+        self._wanted_key: tuple[object, ...] = ()
+        self._wanted: dict[OwnableId, HostId] = {}
+
+    def plan(
+        self, *, ownables: frozenset[OwnableId], live: Members, now: float, is_settled: bool
+    ) -> Claim | None:
+        """Return the next claim to append, covering all that can be fenced alike."""
+        group = self._dead_group(live, now) or tuple(
+            self._free(ownables, live, now, is_settled=is_settled)
+        )
+        if not group:
+            return None
+        return Claim(by=self._me, ownables=tuple(sorted(group)), seen=self._fold.next_offset)
+
+    def wanted(self, ownables: frozenset[OwnableId], live: Members) -> dict[OwnableId, HostId]:
+        """Return which live host should own what, for an even spread."""
+        key = (ownables, live)
+        if key != self._wanted_key:
+            self._wanted_key = key
+            self._wanted = spread(ownables, sorted(member.host for member in live))
+        return self._wanted
+
+    def can_fence(self, members: Members, now: float) -> bool:
+        """Return whether more than half of a roster is dead or within reach."""
+        reachable = sum(
+            self.is_dead(m) or not self._membership.is_silent(m.incarnation, now) for m in members
+        )
+        return is_majority(reachable, members)
+
+    def is_dead(self, member: Member) -> bool:
+        """Return whether the log or the list says that this incarnation never acts again."""
+        return not self._fold.has_member(member) or self._membership.is_gone(member.host)
+
+    def _free(
+        self, ownables: frozenset[OwnableId], live: Members, now: float, *, is_settled: bool
+    ) -> Iterator[OwnableId]:
+        states = self._fold.state_by_ownable
+        free = [o for o in ownables if o not in states or states[o].is_free]
+        if not free:
+            return
+        wanted = self.wanted(ownables, live)
+        hosts = [member.host for member in live]
+        for ownable in free:
+            is_mine = is_settled and wanted.get(ownable) == self._me.host
+            if is_mine or self._is_my_turn(f"free/{ownable}", hosts, now, first_wait=1):
+                yield ownable
+
+    def _dead_group(self, live: Members, now: float) -> tuple[OwnableId, ...]:
+        ownables_by_roster: dict[Members | None, list[OwnableId]] = defaultdict(list)
+        verdict_by_state: dict[OwnableState, bool] = {}
+        seen: set[str] = set()
+        for ownable, state in self._fold.state_by_ownable.items():
+            if state.is_free:
+                continue
+            verdict = verdict_by_state.get(state)
+            if verdict is None:
+                verdict = verdict_by_state[state] = self._may_take(state, live, now, seen)
+            if verdict:
+                ownables_by_roster[state.tenure.members if state.tenure else None].append(ownable)
+        self._forget_subjects(seen)
+        groups = sorted(ownables_by_roster.values(), key=len)
+        return tuple(groups[-1]) if groups else ()
+
+    def _may_take(self, state: OwnableState, live: Members, now: float, seen: set[str]) -> bool:
+        claimant = state.claim.by
+        if claimant is None or claimant == self._me:
+            return False
+        if not self._is_lost_cause(state, claimant, now):
+            return False
+        if state.tenure is not None and not self.can_fence(state.tenure.members, now):
+            return False
+        subject = f"dead/{claimant.incarnation}"
+        seen.add(subject)
+        return self._is_my_turn(subject, [member.host for member in live], now, first_wait=0)
+
+    def _is_lost_cause(self, state: OwnableState, claimant: Member, now: float) -> bool:
+        if not self._fold.has_member(claimant):
+            return True
+        if state.is_settled:
+            assert state.tenure is not None
+            return self._is_dead_by_votes(claimant, state.tenure.members, now)
+        seen_at = self._claim_seen_at.setdefault(state.claim.epoch, now)
+        if now - seen_at > self._timings.claim_stale_s:
+            return True
+        return self._membership.is_silent(claimant.incarnation, now)
+
+    def _is_dead_by_votes(self, owner: Member, members: Members, now: float) -> bool:
+        if not self._membership.is_silent(owner.incarnation, now):
+            return False
+        votes = sum(
+            self.is_dead(m) or self._membership.says_silent(m.incarnation, owner.incarnation, now)
+            for m in members
+        )
+        return is_majority(votes, members)
+
+    def _is_my_turn(self, subject: str, hosts: list[HostId], now: float, first_wait: int) -> bool:
+        since = self._since_by_subject.setdefault(subject, now)
+        turn = rank(hosts, subject).index(self._me.host) + first_wait
+        return now - since >= turn * self._timings.stagger_s
+
+    def _forget_subjects(self, seen: set[str]) -> None:
+        states = self._fold.state_by_ownable
+        for subject in list(self._since_by_subject):
+            kind, _, name = subject.partition("/")
+            if kind == "dead" and subject not in seen:
+                del self._since_by_subject[subject]
+            elif kind == "free":
+                state = states.get(OwnableId(name))
+                if state is not None and not state.is_free:
+                    del self._since_by_subject[subject]
+        if self._claim_seen_at:
+            pending = {s.claim.epoch for s in states.values() if not s.is_settled}
+            self._claim_seen_at = {e: t for e, t in self._claim_seen_at.items() if e in pending}
--- /dev/null
+++ b/src/galenastall/coordination/ownership_legs.py
@@ -0,0 +1,90 @@
+"""The two legs on which an owner may act: a recent read of the log's tip, or recent vouches."""
+
+from collections.abc import Iterable
+from math import inf
+
+from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.state.ids import Incarnation
+
+Roster = frozenset[Incarnation]
+
+
+class Legs:
+    """Both legs as the times until which they stand; all of this member's own clock."""
+
+    def __init__(self, *, me: Incarnation, timings: OwnershipTimings) -> None:
+        """Start with neither leg."""
+        self._me = me
+        self._timings = timings
+        self.tip_read_at = -inf
+        self._sequence = 0
+        self._sent_at_by_sequence: dict[int, float] = {}
+        self._vouched_at: dict[Incarnation, float] = {}
+        self._until_by_roster: dict[Roster, float] = {}
+        self._unconfirmed_by_generation: dict[int, Roster] = {}
+
+    def next_sequence(self, now: float) -> int:
+        """Return the number of a round of beats that is sent now."""
+        self._sequence += 1
+        self._sent_at_by_sequence[self._sequence] = now
+        oldest = next(iter(self._sent_at_by_sequence))
+        while now - self._sent_at_by_sequence[oldest] > self._timings.vouch_s:
+            del self._sent_at_by_sequence[oldest]
+            oldest = next(iter(self._sent_at_by_sequence))
+        return self._sequence
+
+    def sent_at(self, sequence: int) -> float | None:
+        """Return when a round was sent; None if that is too long ago to count."""
+        return self._sent_at_by_sequence.get(sequence)
+
+    def on_echo(self, voucher: Incarnation, sent_at: float) -> None:
+        """Count a vouch from the time at which the beat that it echoes was sent."""
+        self._vouched_at[voucher] = max(sent_at, self._vouched_at.get(voucher, -inf))
+        self._until_by_roster.clear()
+
+    def on_tip(self, read_at: float) -> None:
+        """Count a read of the log's tip from the time at which it was sent."""
+        self.tip_read_at = max(self.tip_read_at, read_at)
+
+    def keep_only(self, members: Iterable[Incarnation]) -> None:
+        """Forget vouches of all others."""
+        kept = set(members)
+        self._vouched_at = {i: at for i, at in self._vouched_at.items() if i in kept}
+        self._until_by_roster.clear()
+
+    def expect_roster(self, generation: int, roster: Roster) -> None:
+        """Demand this roster's vouches too, since a record that names it may be in the log."""
+        self._unconfirmed_by_generation[generation] = roster
+        self._until_by_roster.clear()
+
+    def drop_roster(self, generation: int) -> None:
+        """Stop demanding a roster whose record is known not to be in the log."""
+        self._unconfirmed_by_generation.pop(generation, None)
+        self._until_by_roster.clear()
+
+    def confirm_generation(self, generation: int) -> None:
+        """Stop demanding rosters of records up to `generation`: they are read or void."""
+        unconfirmed = self._unconfirmed_by_generation
+        self._unconfirmed_by_generation = {g: r for g, r in unconfirmed.items() if g > generation}
+        self._until_by_roster.clear()
+
+    def has_log(self, now: float) -> bool:
+        """Return whether the log leg stands."""
+        return now < self.tip_read_at + self._timings.read_s
+
+    def has_vouches(self, roster: Roster, now: float) -> bool:
+        """Return whether the vouch leg stands for what is owned under `roster`."""
+        until = self._until_by_roster.get(roster)
+        if until is None:
+            rosters = (roster, *self._unconfirmed_by_generation.values())
+            until = min(map(self._vouched_until, rosters))
+            self._until_by_roster[roster] = until
+        return now < until
+
+    def _vouched_until(self, roster: Roster) -> float:
+        vouched_at = self._vouched_at
+        times = sorted(
+            (inf if i == self._me else vouched_at.get(i, -inf) for i in roster), reverse=True
+        )
+        majority = len(roster) // 2 + 1
+        return times[majority - 1] + self._timings.vouch_s
--- /dev/null
+++ b/src/galenastall/coordination/ownership_spread.py
@@ -0,0 +1,35 @@
+"""Which ownables this member should give away, and to whom."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+
+from galenastall.state.ids import HostId, OwnableId
+from galenastall.state.ownership_records import Gift, Member, Members
+
+
+def plan_gifts(
+    *,
+    owned: Iterable[OwnableId],
+    wanted: Mapping[OwnableId, HostId],
+    live: Members,
+    me: Member,
+    limit: int,
+) -> tuple[Gift, ...]:
+    """Return gifts that bring the spread nearer to the wanted one, `limit` ownables at most.
+
+    What nobody should own any more, since its host left the list, is set free.
+    """
+    member_by_host = {member.host: member for member in live}
+    ownables_by_target: dict[Member | None, list[OwnableId]] = defaultdict(list)
+    left = limit
+    for ownable in sorted(owned):
+        host = wanted.get(ownable)
+        if left == 0:
+            break
+        if host == me.host:
+            continue
+        ownables_by_target[member_by_host.get(host) if host else None].append(ownable)
+        left -= 1
+    return tuple(
+        Gift(to=target, ownables=tuple(ownables)) for target, ownables in ownables_by_target.items()
+    )
--- /dev/null
+++ b/src/galenastall/coordination/ownership_takeover.py
@@ -0,0 +1,74 @@
+"""One claim of this member on its way to activation: fence the roster, then wait."""
+
+from collections.abc import Callable
+from math import inf
+
+from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.state.ids import Epoch, Incarnation, OwnableId
+from galenastall.state.ownership_fold import OwnershipFold
+from galenastall.state.ownership_records import Member, Members
+
+
+class Takeover:
+    """A claim that this member read back.
+
+    It is ready once more than half of each old roster can vouch for no lower epoch, and every time
+    on which the old owner may still count has passed.
+    """
+
+    def __init__(
+        self, *, epoch: Epoch, now: float, fold: OwnershipFold, timings: OwnershipTimings
+    ) -> None:
+        """Read from the fold what the claim at `epoch` took; `now` is after its append."""
+        self.epoch = epoch
+        self._timings = timings
+        self._claimed_at = now
+        self.ownables: tuple[OwnableId, ...] = tuple(
+            o for o, state in fold.state_by_ownable.items() if state.claim.epoch == epoch
+        )
+        tenures = (fold.state_by_ownable[ownable].tenure for ownable in self.ownables)
+        self._fenced_at_by_roster: dict[Members, float] = {
+            tenure.members: inf for tenure in tenures if tenure is not None
+        }
+        self._acked: set[Incarnation] = set()
+        self.fence_sent_at = -inf
+
+    @property
+    def has_old_owner(self) -> bool:
+        """Whether anything of it had an owner, so that there is somebody to wait for."""
+        return bool(self._fenced_at_by_roster)
+
+    def on_ack(self, member: Incarnation) -> None:
+        """Count a member's promise."""
+        self._acked.add(member)
+
+    def unacked(self, fold: OwnershipFold) -> set[Member]:
+        """Return the members of the old rosters that are still to be told."""
+        members = {m for roster in self._fenced_at_by_roster for m in roster}
+        return {m for m in members if m.incarnation not in self._acked and fold.has_member(m)}
+
+    def update(self, is_dead: Callable[[Member], bool], me: Member, now: float) -> None:
+        """Note the rosters that are fenced by now."""
+        for members, fenced_at in self._fenced_at_by_roster.items():
+            if fenced_at != inf:
+                continue
+            fenced = sum(m == me or m.incarnation in self._acked or is_dead(m) for m in members)
+            if is_majority(fenced, members):
+                self._fenced_at_by_roster[members] = now
+
+    def ready_at(self) -> float:
+        """Return when the claim may be activated; infinite while a roster is not fenced."""
+        if not self.has_old_owner:
+            return self._claimed_at
+        timings = self._timings
+        fenced_at = max(self._fenced_at_by_roster.values())
+        legs_end = max(
+            fenced_at + timings.vouch_s * timings.rate_factor,
+            self._claimed_at + timings.read_s * timings.rate_factor,
+        )
+        return legs_end + timings.flight_s * timings.rate_factor
+
+
+def is_majority(count: int, members: Members) -> bool:
+    """Return whether `count` is more than half of the roster."""
+    return 2 * count > len(members)
--- /dev/null
+++ b/src/galenastall/coordination/ownership_timings.py
@@ -0,0 +1,52 @@
+"""Times and bounds of the ownership mechanism; all members of a data centre use the same ones."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OwnershipTimings:
+    """Safety rests on `vouch_s`, `read_s`, `flight_s`, `clock_rate_bound` and `list_lag_s`.
+
+    A claimant waits for the longest that any member may count on the first three, so they must be
+    raised on all members before they are raised anywhere in effect; the rest is only pace.
+    """
+
+    vouch_s: float = 3.0
+    """T: how long after sending a beat its echo lets the sender act."""
+    read_s: float = 3.0
+    """READ: how long after sending a read of the log's tip its answer lets the sender act."""
+    flight_s: float = 0.5
+    """Longest time from the check of `may_act` to the command's not-after time, skew included."""
+    clock_rate_bound: float = 0.01
+    """Largest relative difference of a member's clock rate from true time."""
+    list_lag_s: float = 30.0
+    """A host that the platform's list has not shown for longer than this is dead for good."""
+    beat_s: float = 0.5
+    """Least time between two beats to the same member."""
+    beats_per_s: float = 12.0
+    """Beats a member sends a second at most; a large roster is told less often."""
+    suspect_s: float = 2.5
+    """Silence after which a member is suspected."""
+    settle_s: float = 1.0
+    """How long the set of live members must be unchanged before ownables are spread over it."""
+    stagger_s: float = 1.5
+    """How long the next candidate waits for the one before it."""
+    append_retry_s: float = 1.0
+    """Pause after a failed append."""
+    claim_stale_s: float = 15.0
+    """Age at which a claim that was not activated may be claimed over."""
+    handover_batch: int = 64
+    """Ownables handed to one member in one record while spreading load."""
+    snapshot_every_s: float = 600.0
+    """Longest time between snapshots of a stream; must be well under the log's retention."""
+    snapshot_every_records: int = 2000
+    """Most records between snapshots."""
+
+    @property
+    def rate_factor(self) -> float:
+        """By how much a wait on a slow clock must be stretched to outlast one on a fast clock."""
+        return (1.0 + self.clock_rate_bound) / (1.0 - self.clock_rate_bound)
+
+    def beat_interval_s(self, *, peers: int) -> float:
+        """Return the time between beats to each of `peers` members."""
+        return max(self.beat_s, peers / self.beats_per_s)
--- /dev/null
+++ b/src/galenastall/coordination/ownership_upkeep.py
@@ -0,0 +1,182 @@
+"""What a member writes to the log while it is up: claims, gifts, rosters, snapshots, departures."""
+
+from __future__ import annotations
+
+from math import inf
+from typing import TYPE_CHECKING, Any
+
+from galenastall.coordination.ownership_candidates import rank, spread
+from galenastall.coordination.ownership_spread import plan_gifts
+from galenastall.state.ids import OwnableId
+from galenastall.state.ownership_records import (
+    Gift,
+    HandOver,
+    Join,
+    Leave,
+    OwnershipSnapshot,
+    Reroster,
+)
+
+if TYPE_CHECKING:
+    from galenastall.coordination.ownership import OwnershipCore
+
+
+class Upkeep:
+    """Plans this member's records, one step a tick."""
+
+    def __init__(self, *, core: OwnershipCore) -> None:
+        """Plan on behalf of `core`."""
+        self._core = core
+        self.must_confirm = False
+        """Whether a record with a generation may or may not be in the log."""
+        self._generation = 0
+        self._gifts: tuple[Gift, ...] = ()
+        self._gifts_ready_at = inf
+        self._last_gifts_at = -inf
+        self._roster_changed_at = -inf
+        self._snapshot_seen_at: float | None = None
+        self._snapshot_due_since: float | None = None
+
+    def on_record(self, record: Any, now: float) -> None:
+        """Note what bears on later plans."""
+        self._roster_changed_at = now if _changes_roster(record) else self._roster_changed_at
+        if isinstance(record, OwnershipSnapshot):
+            self._snapshot_seen_at = now
+            self._snapshot_due_since = None
+        elif isinstance(record, HandOver | Reroster) and record.by == self._core.me:
+            self.must_confirm = self.must_confirm and record.generation < self._generation
+
+    def run(self, now: float) -> None:
+        """Do what is due; only while the log leg stands."""
+        core = self._core
+        if core.is_leaving:
+            self._leave(now)
+            return
+        self._claim(now)
+        self._send_gifts(now)
+        self._plan_gifts(now)
+        self._reroster(now)
+        self._remove_dead(now)
+        self._snapshot(now)
+
+    def _is_settled(self, now: float) -> bool:
+        return now - self._core.live_since >= self._core.timings.settle_s
+
+    def _claim(self, now: float) -> None:
+        core = self._core
+        if core.ownables is None:
+            return
+        claim = core.claims.plan(
+            ownables=core.ownables, live=core.live, now=now, is_settled=self._is_settled(now)
+        )
+        if claim is not None:
+            core.append(claim, now)
+
+    def _plan_gifts(self, now: float) -> None:
+        core = self._core
+        if core.ownables is None or self._gifts or core.holdings.suspended:
+            return
+        if not self._is_settled(now) or now - self._last_gifts_at < core.timings.settle_s:
+            return
+        gifts = plan_gifts(
+            owned=core.holdings.holding_by_ownable,
+            wanted=core.claims.wanted(core.ownables, core.live),
+            live=core.live,
+            me=core.me,
+            limit=core.timings.handover_batch,
+        )
+        if gifts:
+            self._stop_acting(gifts, now)
+
+    def _stop_acting(self, gifts: tuple[Gift, ...], now: float) -> None:
+        core = self._core
+        self._gifts = gifts
+        self._gifts_ready_at = now + core.timings.flight_s * core.timings.rate_factor
+        core.suspend([ownable for gift in gifts for ownable in gift.ownables])
+
+    def _send_gifts(self, now: float) -> None:
+        core = self._core
+        if not self._gifts or now < self._gifts_ready_at:
+            return
+        generation = self._next_generation()
+        members = core.wanted_members()
+        handover = HandOver(by=core.me, generation=generation, gifts=self._gifts, members=members)
+        if not core.append(handover, now):
+            return
+        self._generation = generation
+        ownables = [ownable for gift in self._gifts for ownable in gift.ownables]
+        core.holdings.bind_suspension(ownables, generation)
+        self._gifts = ()
+        self._last_gifts_at = now
+
+    def _reroster(self, now: float) -> None:
+        core = self._core
+        members = core.wanted_members()
+        roster = frozenset(member.incarnation for member in members)
+        holdings = core.holdings.holding_by_ownable.values()
+        is_current = all(holding.roster == roster for holding in holdings)
+        is_calm = now - self._roster_changed_at >= core.timings.settle_s
+        if not self.must_confirm and (is_current or not is_calm):
+            return
+        generation = self._next_generation()
+        if core.append(Reroster(by=core.me, generation=generation, members=members), now):
+            self._generation = generation
+            core.legs.expect_roster(generation, roster)
+
+    def _remove_dead(self, now: float) -> None:
+        core = self._core
+        for member in core.fold.members():
+            if member == core.me or not core.membership.is_gone(member.host):
+                continue
+            is_mine = rank([m.host for m in core.live], member.incarnation)[:1] == [core.me.host]
+            if is_mine and core.membership.is_silent(member.incarnation, now):
+                core.append(Leave(member=member), now)
+                return
+
+    def _snapshot(self, now: float) -> None:
+        core = self._core
+        if self._snapshot_seen_at is None:
+            self._snapshot_seen_at = now
+        timings = core.timings
+        records = core.fold.next_offset - core.fold.last_snapshot_covers
+        is_old = now - self._snapshot_seen_at > timings.snapshot_every_s
+        if not is_old and records <= timings.snapshot_every_records:
+            return
+        if self._snapshot_due_since is None:
+            self._snapshot_due_since = now
+        key = f"snapshot/{core.fold.last_snapshot_covers}"
+        turn = rank([m.host for m in core.live], key).index(core.me.host)
+        if now - self._snapshot_due_since >= turn * timings.stagger_s:
+            core.append(core.fold.make_snapshot(), now)
+
+    def _leave(self, now: float) -> None:
+        core = self._core
+        mine = self._mine()
+        if not mine:
+            core.append(Leave(member=core.me), now)
+            return
+        if self._gifts_ready_at == inf or core.holdings.holding_by_ownable:
+            self._stop_acting(self._gifts, now)
+            core.suspend(mine)
+        self._gifts = self._farewell_gifts(mine)
+        self._send_gifts(now)
+
+    def _mine(self) -> list[OwnableId]:
+        core = self._core
+        return [
+            ownable
+            for ownable, state in core.fold.state_by_ownable.items()
+            if state.is_settled and state.claim.by == core.me
+        ]
+
+    def _farewell_gifts(self, mine: list[OwnableId]) -> tuple[Gift, ...]:
+        core = self._core
+        wanted = spread(mine, sorted(member.host for member in core.live))
+        return plan_gifts(owned=mine, wanted=wanted, live=core.live, me=core.me, limit=len(mine))
+
+    def _next_generation(self) -> int:
+        return self._generation + 1
+
+
+def _changes_roster(record: Any) -> bool:
+    return isinstance(record, Join | Leave | OwnershipSnapshot)
