--- /dev/null
+++ b/src/galenastall/transport/http_server.py
@@ -0,0 +1,145 @@
+"""HTTP server: hypercorn on trio in front of a thin ASGI application of our own.
+
+Draining first tells clients to close their connections, and only then stops accepting, so that no
+request that is in progress is cut off.
+"""
+
+import logging
+import socket
+from collections.abc import Iterable
+from typing import Any, Final
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.security import TlsFiles
+from galenastall.transport.http_app import ErrorLog, HttpApp
+
+KEEP_ALIVE_S: Final = 75.0
+"""Seconds that an idle connection is kept; longer than clients of ours keep theirs."""
+DRAIN_LINGER_S: Final = 0.5
+"""Seconds in which a draining server still takes requests, telling each client to close."""
+STALLED_WRITE_S: Final = 30.0
+"""Seconds after which a client that takes no bytes is cut off."""
+_BACKLOG: Final = 512
+_MAX_REQUESTS_PER_CONNECTION: Final = 1_000_000
+
+_logger = logging.getLogger("galenastall.http")
+
+
+class _BoundConfig(Config):
+    """Hypercorn's settings over a listening socket that is bound already."""
+
+    def __init__(self, *, tls: TlsFiles | None, keep_alive_s: float) -> None:
+        super().__init__()
+        self.accesslog = None
+        self.errorlog = _logger
+        self.alpn_protocols = ["http/1.1"]
+        self.backlog = _BACKLOG
+        self.include_server_header = False
+        self.keep_alive_timeout = keep_alive_s
+        self.keep_alive_max_requests = _MAX_REQUESTS_PER_CONNECTION
+        if tls is not None:
+            self.certfile = tls.cert_file
+            self.keyfile = tls.key_file
+
+
+class HttpServer:
+    """Serves the routes of its handlers until drained or cancelled."""
+
+    def __init__(
+        self,
+        *,
+        handlers: Iterable[object],
+        clock: Clock,
+        bind: str = "127.0.0.1:0",
+        tls: TlsFiles | None = None,
+        keep_alive_s: float = KEEP_ALIVE_S,
+        linger_s: float = DRAIN_LINGER_S,
+        log_error: ErrorLog | None = None,
+    ) -> None:
+        """Collect the handlers' routes; the socket is bound by `run`."""
+        self._app = HttpApp(handlers=handlers, log_error=log_error)
+        self._clock = clock
+        self._bind = bind
+        self._linger_s = linger_s
+        self._config = _BoundConfig(tls=tls, keep_alive_s=keep_alive_s)
+        self._address = ""
+        self._stop = trio.Event()
+        self._stopped = trio.Event()
+
+    @property
+    def address(self) -> str:
+        """`IP:port` really bound; empty before `run` has started."""
+        return self._address
+
+    @property
+    def open_requests(self) -> int:
+        """Requests that wait for their answer's last byte."""
+        return self._app.open_requests
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether `drain` was called."""
+        return self._app.is_draining
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Bind and serve; reports started once connections are accepted."""
+        listener = _bind_socket(self._bind)
+        host, port = listener.getsockname()[:2]
+        self._address = f"{host}:{port}"
+        self._config.bind = f"fd://{listener.detach()}"
+        try:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self._serve)
+                task_status.started()
+        finally:
+            self._stopped.set()
+
+    async def _serve(self, *, task_status: trio.TaskStatus[list[str]]) -> None:
+        app: Any = self._app
+        await serve(
+            app,
+            self._config,
+            shutdown_trigger=self._stop.wait,
+            task_status=task_status,
+            mode="asgi",
+        )
+
+    async def drain(self, timeout_s: float) -> int:
+        """Finish what is in progress, then stop; return how many requests were cut off.
+
+        Clients are told to close their connections for the linger time first. Nothing is cut off
+        before `timeout_s` seconds have passed.
+        """
+        deadline = self._clock.now() + timeout_s
+        self._app.is_draining = True
+        await trio.sleep(min(self._linger_s, timeout_s))
+        left_s = max(0.0, deadline - self._clock.now())
+        self._config.graceful_timeout = left_s
+        self._stop.set()
+        with trio.move_on_after(left_s):
+            await self._stopped.wait()
+        return self._app.open_requests
+
+
+def _bind_socket(bind: str) -> socket.socket:
+    host, _, port = bind.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if hasattr(socket, "TCP_USER_TIMEOUT"):
+        # Hypercorn shields its writes from cancellation, so the kernel has to end stalled ones.
+        listener.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(STALLED_WRITE_S * 1000)
+        )
+    try:
+        listener.bind((host, int(port)))
+    except (OSError, ValueError) as error:
+        listener.close()
+        raise OSError(f"bind: can't listen on {bind!r}: {error}") from error
+    return listener
