--- /dev/null
+++ b/src/galenastall/coordination/gang_holds.py
@@ -0,0 +1,205 @@
+"""Hold room for all tasks of a gang, for a bounded time, or for none of them.
+
+A gang that spans owners is held owner by owner in host id order, each hold with an end, so that two
+gangs can't wait for each other for ever. Of the gangs that find no room only one at a time, the
+first by class and id, keeps room promised between its tries; the order is the same at every owner.
+"""
+
+from collections.abc import Mapping, Sequence
+
+from returns.result import Failure, Result, Success
+
+from galenastall.coordination.feasibility import describe_amount
+from galenastall.coordination.placement_commands import Hold, HoldId
+from galenastall.coordination.placement_state import Placed, Worker
+from galenastall.coordination.placement_tables import PlacementTables
+from galenastall.coordination.placer import Placer
+from galenastall.coordination.promises import Promise
+from galenastall.state.errors import Reason, StepError
+from galenastall.state.ids import TaskId
+from galenastall.state.ledger import LedgerPhase
+from galenastall.state.resources import NOTHING, Resources
+from galenastall.state.work import TaskPhase, TaskSpec
+
+RETRY_S = 1.0
+"""When to ask again for a hold that found no room, in seconds."""
+
+
+class GangHolds:
+    """The holds of this owner."""
+
+    def __init__(self, *, tables: PlacementTables, placer: Placer) -> None:
+        """Hold in these tables, by the placer's choice of workers."""
+        self._tables = tables
+        self._placer = placer
+        self._holds_by_id: dict[HoldId, Hold] = {}
+        self._made = 0
+        self._waiting_gang: tuple[int, str] | None = None
+
+    def hold(
+        self, gang_id: str, tasks: Sequence[TaskSpec], now: float, until: float
+    ) -> Result[Hold, StepError]:
+        """Hold room for all tasks until `until`, in wall seconds."""
+        error = self._find_error(gang_id, tasks)
+        if error is not None:
+            return Failure(error)
+        for task in tasks:
+            self._tables.queue.remove(task.task_id)
+        promised = self._take_promises(gang_id, now)
+        held: list[Placed] = []
+        for task in sorted(tasks, key=_size, reverse=True):
+            placed = self._hold_one(task, promised.get(task.task_id), now)
+            if placed is None:
+                self._give_up(gang_id, tasks, held, promised, now)
+                detail = f"{task.task_id}: no room for {describe_amount(task.resources)}"
+                return Failure(_error(gang_id, Reason.OVERLOADED, detail))
+            held.append(placed)
+        return Success(self._keep(gang_id, held, until))
+
+    def start(self, hold_id: HoldId, now: float) -> Result[list[Placed], StepError]:
+        """Move all tasks of a hold to starting; none if any of them can't."""
+        hold = self._holds_by_id.get(hold_id)
+        if hold is None or hold.until <= now:
+            return Failure(_error(hold_id, Reason.NOT_FOUND, "expired or released"))
+        held = [self._held(task_id) for task_id in hold.worker_by_task]
+        whole = [placed for placed in held if placed is not None and placed.worker.is_open]
+        if len(whole) < len(held):
+            self.release(hold_id)
+            return Failure(_error(hold_id, Reason.CONFLICT, "a task or its worker was lost"))
+        del self._holds_by_id[hold_id]
+        for placed in whole:
+            placed.worker.ledger.move(placed.task.task_id, LedgerPhase.STARTING)
+            placed.decided_at = now
+        return Success(whole)
+
+    def release(self, hold_id: HoldId) -> bool:
+        """Free a hold that was not started; return whether there was one."""
+        hold = self._holds_by_id.pop(hold_id, None)
+        if hold is None:
+            return False
+        for task_id in hold.worker_by_task:
+            placed = self._held(task_id)
+            if placed is not None:
+                self._tables.forget(placed)
+        return True
+
+    def expire(self, now: float) -> tuple[HoldId, ...]:
+        """Free the holds whose time is over, and promises too; return the holds' ids."""
+        for promise in self._tables.promises.ended(now):
+            self._tables.drop_promise(promise.task_id)
+        if self._waiting_gang and not self._tables.promises.of_gang(self._waiting_gang[1]):
+            self._waiting_gang = None
+        expired = [hold.hold_id for hold in self._holds_by_id.values() if hold.until <= now]
+        for hold_id in expired:
+            self.release(hold_id)
+        return tuple(expired)
+
+    def _find_error(self, gang_id: str, tasks: Sequence[TaskSpec]) -> StepError | None:
+        tables = self._tables
+        if not tasks:
+            return _error(gang_id, Reason.INVALID, "tasks: a gang has at least one")
+        total = NOTHING
+        for task in tasks:
+            total = total + self._placer.amount_of(task)
+            if task.task_id in tables.placed_by_task:
+                return _error(gang_id, Reason.CONFLICT, f"{task.task_id} is already placed")
+            obstacle = tables.capacities.obstacle(task.resources)
+            if obstacle is not None:
+                return _error(gang_id, Reason.REFUSED, f"{task.task_id} {obstacle}")
+        if not tables.queue.allows(tasks[0].team, total):
+            return _error(gang_id, Reason.OVERLOADED, f"{tasks[0].team} is at its quota")
+        return None
+
+    def _hold_one(self, task: TaskSpec, promise: Promise | None, now: float) -> Placed | None:
+        amount = self._placer.amount_of(task)
+        if promise is not None and promise.worker.is_open:
+            placed = self._reserve(task, promise.worker, amount, now)
+            if placed is not None:
+                return placed
+        worker = self._placer.find(task, amount, now)
+        return None if worker is None else self._reserve(task, worker, amount, now)
+
+    def _reserve(
+        self, task: TaskSpec, worker: Worker, amount: Resources, now: float
+    ) -> Placed | None:
+        return self._tables.reserve(
+            task, worker, amount, phase=LedgerPhase.HELD, now=now, since=now
+        )
+
+    def _keep(self, gang_id: str, held: Sequence[Placed], until: float) -> Hold:
+        self._made += 1
+        hold = Hold(
+            hold_id=HoldId(f"{gang_id}#{self._made}"),
+            gang_id=gang_id,
+            until=until,
+            worker_by_task={placed.task.task_id: placed.worker.worker_id for placed in held},
+        )
+        self._holds_by_id[hold.hold_id] = hold
+        return hold
+
+    def _give_up(
+        self,
+        gang_id: str,
+        tasks: Sequence[TaskSpec],
+        held: Sequence[Placed],
+        promised: Mapping[TaskId, Promise],
+        now: float,
+    ) -> None:
+        """Free what was held, and keep room promised if this is the first gang that waits."""
+        for placed in held:
+            self._tables.forget(placed)
+        rank = (int(tasks[0].urgency), gang_id)
+        if self._waiting_gang is not None and self._waiting_gang < rank:
+            return
+        if self._waiting_gang is not None and self._waiting_gang != rank:
+            self._take_promises(self._waiting_gang[1], now)
+        self._waiting_gang = rank
+        held_on = {placed.task.task_id: placed.worker for placed in held}
+        for task in tasks:
+            worker = held_on.get(task.task_id)
+            earlier = promised.get(task.task_id)
+            if worker is not None:
+                self._promise(gang_id, task, worker, now, now)
+            elif earlier is not None and earlier.worker.is_open:
+                self._promise(gang_id, task, earlier.worker, now, earlier.expected_at)
+            else:
+                self._placer.demand(task, self._placer.amount_of(task), now, gang_id=gang_id)
+
+    def _promise(
+        self, gang_id: str, task: TaskSpec, worker: Worker, now: float, expected_at: float
+    ) -> None:
+        promise = Promise(
+            task_id=task.task_id,
+            worker=worker,
+            amount=self._placer.amount_of(task),
+            now=now,
+            expected_at=expected_at,
+            until=now + self._tables.settings.gang_promise_s,
+            gang_id=gang_id,
+        )
+        self._tables.make_promise(promise)
+
+    def _take_promises(self, gang_id: str, now: float) -> dict[TaskId, Promise]:
+        """End a gang's promises and return them."""
+        promises = {promise.task_id: promise for promise in self._tables.promises.of_gang(gang_id)}
+        for task_id in promises:
+            self._tables.drop_promise(task_id)
+        if promises:
+            self._tables.settle_growth(now)
+        return promises
+
+    def _held(self, task_id: TaskId) -> Placed | None:
+        placed = self._tables.placed_by_task.get(task_id)
+        return placed if placed is not None and placed.phase is TaskPhase.HELD else None
+
+
+def _size(task: TaskSpec) -> tuple[int, int, int, str]:
+    need = task.resources
+    return need.accelerators, need.cores_milli, need.memory_mb, task.task_id
+
+
+def _error(peer: str, reason: Reason, detail: str) -> StepError:
+    retry = RETRY_S if reason is Reason.OVERLOADED else None
+    return StepError(
+        step="placement.hold", peer=peer, reason=reason, detail=detail, retry_after_s=retry
+    )
--- /dev/null
+++ b/src/galenastall/coordination/overrun.py
@@ -0,0 +1,100 @@
+"""Answer memory overruns before a worker is full: throttle, then checkpoint, then stop.
+
+Usage lags, so what counts is the last report plus its growth since the one before. A worker under
+pressure gets nothing new until its usage has fallen well below the first threshold.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from galenastall.coordination.placement_commands import CommandKind
+from galenastall.coordination.placement_state import Placed, Worker
+from galenastall.state.work import TaskPhase, Workload
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OverrunSettings:
+    """Shares of a worker's memory, 0 to 1, at which something is done."""
+
+    throttle_at: float = 0.85
+    checkpoint_at: float = 0.92
+    stop_at: float = 0.97
+    relaxed_below: float = 0.80
+    """Usage below which the worker gets new tasks again."""
+    throttled_share: float = 0.5
+    """What a throttled task is left of its reservation."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OverrunAction:
+    """What to do to one task."""
+
+    placed: Placed
+    command: CommandKind
+    cause: str
+
+
+def expected_memory(worker: Worker) -> int:
+    """Return the memory in MB that the worker is expected to use by the next report."""
+    used = worker.used.memory_mb
+    return used + max(used - worker.used_before.memory_mb, 0)
+
+
+def find_overruns(
+    worker: Worker, placed: Iterable[Placed], settings: OverrunSettings
+) -> list[OverrunAction]:
+    """Return what to do about a worker whose memory runs out; nothing below the thresholds."""
+    capacity = worker.ledger.capacity.memory_mb
+    expected = expected_memory(worker)
+    if not capacity or expected < settings.throttle_at * capacity:
+        return []
+    candidates = [task for task in placed if task.phase is TaskPhase.RUNNING]
+    cause = f"{worker.worker_id} is expected to use {expected} of {capacity} MB"
+    actions = [
+        OverrunAction(placed=task, command=CommandKind.THROTTLE, cause=cause)
+        for task in candidates
+        if excess_of(task) > 0 and not task.is_throttled and task.ending is None
+    ]
+    if expected < settings.checkpoint_at * capacity:
+        return actions
+    may_stop = expected >= settings.stop_at * capacity
+    surplus = expected - int(settings.throttle_at * capacity)
+    actions.extend(_endings(candidates, surplus, cause, may_stop=may_stop))
+    return actions
+
+
+def excess_of(placed: Placed) -> int:
+    """Return by how many MB a task uses more memory than was reserved for it."""
+    return placed.used.memory_mb - placed.entry.amount.memory_mb
+
+
+def _endings(
+    candidates: list[Placed], surplus: int, cause: str, *, may_stop: bool
+) -> Iterator[OverrunAction]:
+    """End tasks until `surplus` MB will be free: lowest class first, then overrunning ones."""
+    for task in sorted(candidates, key=_by_claim):
+        if surplus <= 0:
+            return
+        if task.ending in (CommandKind.STOP, CommandKind.CHECKPOINT):
+            surplus -= task.used.memory_mb
+            continue
+        if task.can_checkpoint:
+            yield OverrunAction(placed=task, command=CommandKind.CHECKPOINT, cause=cause)
+        elif may_stop:
+            yield OverrunAction(placed=task, command=CommandKind.STOP, cause=cause)
+        else:
+            continue
+        surplus -= task.used.memory_mb
+
+
+def _by_claim(placed: Placed) -> tuple[bool, int, bool, bool, int]:
+    task = placed.task
+    is_lost_for_good = not task.idempotent and not placed.can_checkpoint
+    is_shared = task.workload is not Workload.BATCH
+    return (
+        is_lost_for_good,
+        -task.urgency,
+        is_shared,
+        excess_of(placed) <= 0,
+        -placed.used.memory_mb,
+    )
--- a/src/galenastall/coordination/placement_commands.py
+++ b/src/galenastall/coordination/placement_commands.py
@@ -69,11 +69,9 @@
     """Why a task is given up without ever being started again."""
 
     IMPOSSIBLE = "impossible"
-    """Larger than the largest worker, or than its team's quota."""
+    """Larger than every worker of this owner, or than its team's quota."""
     BAD_JOB = "bad_job"
     """Its job failed on several different workers."""
-    TOO_LATE = "too_late"
-    """Its deadline passed before it could start."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -167,6 +165,8 @@
     """It failed; enqueue it again with the next attempt number."""
     GIVE_UP = "give_up"
     """Its job is bad: it failed on several different workers."""
+    REQUEUED = "requeued"
+    """It was stopped to make way and waits again here, as its next attempt."""
     CANCELLED = "cancelled"
     """It ended after its cancellation."""
 
@@ -181,6 +181,8 @@
     advice: EndAdvice
     detail: str = ""
     """For GIVE_UP the history of failures: workers and what they said."""
+    worker_change: str = ""
+    """Set when this end put the worker under quarantine or took it out."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/galenastall/coordination/placement_settings.py
+++ b/src/galenastall/coordination/placement_settings.py
@@ -4,7 +4,9 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from galenastall.coordination.overrun import OverrunSettings
 from galenastall.coordination.placement_commands import TeamShare
+from galenastall.coordination.quarantine import QuarantineSettings
 from galenastall.state.ids import TeamPath
 from galenastall.state.work import TaskSpec, Urgency, Workload
 
@@ -49,5 +51,11 @@
     its not-after time, its longest delay in the network and the skew between clocks."""
     command_retry_s: float = 5.0
     """When to repeat a stop or checkpoint that had no effect yet."""
+    refusal_pause_s: float = 1.0
+    """How long a worker that refused a start gets nothing new."""
+    gang_promise_s: float = 10.0
+    """How long room stays promised to a gang that could not be held whole and asks again."""
+    quarantine: QuarantineSettings = field(default_factory=QuarantineSettings)
+    overrun: OverrunSettings = field(default_factory=OverrunSettings)
     remembered_ends: int = 50_000
     """Ended tasks kept, so that a late cancellation is told that they were done."""
--- a/src/galenastall/coordination/placement_state.py
+++ b/src/galenastall/coordination/placement_state.py
@@ -1,19 +1,20 @@
-"""What the placement core knows: its workers and the tasks on them.
+"""What the placement core knows of its workers and of the tasks on them.
 
 Plain mutable classes with slots, since these are touched on every placement; only the core holds
 them, everything that it hands out is frozen.
 """
 
 from dataclasses import dataclass
+from typing import Final
 
-from galenastall.coordination.placement_commands import CommandKind, WorkerState
+from galenastall.coordination.placement_commands import CommandKind, PlacedTask, WorkerState
 from galenastall.state.hosts import ListedHost
 from galenastall.state.ids import Epoch, HostId, TaskId
 from galenastall.state.ledger import Ledger, LedgerEntry, LedgerPhase
 from galenastall.state.resources import NOTHING, Resources
 from galenastall.state.work import TaskPhase, TaskSpec
 
-PHASE_NAMES = {
+PHASE_NAMES: Final = {
     LedgerPhase.HELD: TaskPhase.HELD,
     LedgerPhase.STARTING: TaskPhase.STARTING,
     LedgerPhase.RUNNING: TaskPhase.RUNNING,
@@ -22,45 +23,118 @@
 
 
 class Worker:
-    """An owned worker with its ledger."""
+    """An owned worker with its ledger.
 
-    __slots__ = ("epoch", "host", "ledger", "rack", "state", "used", "worker_id")
+    `room_*` is what the ledger has free less what is promised to tasks that wait for this worker;
+    policies look only at room.
+    """
 
-    def __init__(self, *, host: ListedHost, epoch: Epoch) -> None:
-        """Start with an empty ledger of the host's capacity."""
+    __slots__ = (
+        "epoch",
+        "has_accelerators",
+        "host",
+        "is_paused",
+        "is_pressed",
+        "is_quarantined",
+        "ledger",
+        "per_core",
+        "per_memory",
+        "promised",
+        "rack",
+        "room_accelerators",
+        "room_cores",
+        "room_memory",
+        "slot",
+        "state",
+        "used",
+        "used_before",
+        "worker_id",
+    )
+
+    def __init__(self, *, host: ListedHost, epoch: Epoch, slot: int) -> None:
+        """Start with an empty ledger of the host's capacity; `slot` is unique in the core."""
+        capacity = host.capacity
         self.host = host
         self.worker_id: HostId = host.host_id
         self.rack = host.rack
         self.epoch = epoch
-        self.ledger = Ledger(capacity=host.capacity)
+        self.slot = slot
+        self.ledger = Ledger(capacity=capacity)
         self.state = WorkerState.LIVE
+        self.is_paused = False
+        self.is_pressed = False
+        self.is_quarantined = False
+        self.promised: Resources = NOTHING
         self.used: Resources = NOTHING
+        self.used_before: Resources = NOTHING
+        self.has_accelerators = capacity.accelerators > 0
+        self.per_core = 1.0 / capacity.cores_milli if capacity.cores_milli else 0.0
+        self.per_memory = 1.0 / capacity.memory_mb if capacity.memory_mb else 0.0
+        self.refresh_room()
+
+    def refresh_room(self) -> None:
+        """Work out room again after the ledger or the promises changed."""
+        ledger = self.ledger
+        promised = self.promised
+        self.room_cores = ledger.free_cores - promised.cores_milli
+        self.room_memory = ledger.free_memory - promised.memory_mb
+        self.room_accelerators = ledger.free_accelerators - promised.accelerators
+
+    def has_room(self, amount: Resources) -> bool:
+        """Return whether `amount` fits besides what is promised."""
+        return (
+            amount.cores_milli <= self.room_cores
+            and amount.memory_mb <= self.room_memory
+            and amount.accelerators <= self.room_accelerators
+        )
+
+    @property
+    def is_open(self) -> bool:
+        """Whether it may be given new tasks at all."""
+        return (
+            self.state is WorkerState.LIVE
+            and not self.is_paused
+            and not self.is_pressed
+            and not self.is_quarantined
+            and not self.ledger.is_overcommitted
+        )
+
+    @property
+    def may_be_probed(self) -> bool:
+        """Whether it may be given a probe while under quarantine."""
+        return self.state is WorkerState.LIVE and not self.is_pressed
 
 
 class Placed:
     """A task that has an amount in a worker's ledger."""
 
     __slots__ = (
+        "can_checkpoint",
         "cause",
         "commanded_at",
         "decided_at",
         "ending",
         "entry",
         "is_cancelled",
-        "started_at",
+        "is_throttled",
+        "since",
         "task",
         "used",
         "worker",
     )
 
-    def __init__(self, *, task: TaskSpec, worker: Worker, entry: LedgerEntry, now: float) -> None:
-        """Record where the task is and since when."""
+    def __init__(
+        self, *, task: TaskSpec, worker: Worker, entry: LedgerEntry, now: float, since: float
+    ) -> None:
+        """Record where the task is, from when on, and since when it had waited."""
         self.task = task
         self.worker = worker
         self.entry = entry
         self.decided_at = now
-        self.started_at = now
+        self.since = since
         self.is_cancelled = False
+        self.is_throttled = False
+        self.can_checkpoint = task.checkpointable
         self.ending: CommandKind | None = None
         self.commanded_at = now
         self.cause = ""
@@ -71,6 +145,15 @@
         """Where the task stands."""
         return PHASE_NAMES[self.entry.phase]
 
+    def describe(self) -> PlacedTask:
+        """Return a frozen picture for the outside."""
+        return PlacedTask(
+            task=self.task,
+            worker_id=self.worker.worker_id,
+            phase=self.phase,
+            reserved=self.entry.amount,
+        )
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EndMemory:
--- /dev/null
+++ b/src/galenastall/coordination/placement_tables.py
@@ -0,0 +1,261 @@
+"""The placement core's shared tables, kept consistent by the few operations that change them.
+
+Every change of a ledger goes through here, so that the index, the teams' shares, the replica counts
+and the promises always agree with the ledgers.
+"""
+
+from collections import OrderedDict
+from dataclasses import replace
+from random import Random
+from typing import Final
+
+from galenastall.coordination.estimates import Estimates
+from galenastall.coordination.feasibility import CapacityShapes
+from galenastall.coordination.pending_commands import PendingCommands
+from galenastall.coordination.placement_settings import PlacementSettings
+from galenastall.coordination.placement_state import EndMemory, Placed, Worker
+from galenastall.coordination.promises import Promise, Promises
+from galenastall.coordination.quarantine import Quarantine
+from galenastall.coordination.replica_spread import ReplicaSpread
+from galenastall.coordination.team_queue import QUEUE_ORDERS
+from galenastall.coordination.waiting import Waiting
+from galenastall.coordination.worker_index import WorkerIndex
+from galenastall.state.hosts import ListedHost
+from galenastall.state.ids import Epoch, HostId, TaskId
+from galenastall.state.ledger import LedgerPhase
+from galenastall.state.resources import NOTHING, Resources
+from galenastall.state.work import RunningTask, TaskSpec
+
+MOST_FAILED_SHAPES: Final = 32
+"""Shapes remembered as having no room; more are tried again instead."""
+
+
+class FailedShapes:
+    """Shapes for which no room was found, until room grows that would do."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._shapes: list[tuple[int, int, int]] = []
+
+    def covers(self, amount: Resources) -> bool:
+        """Return whether something no larger found no room."""
+        cores, memory, accelerators = amount.cores_milli, amount.memory_mb, amount.accelerators
+        for shape in self._shapes:
+            if cores >= shape[0] and memory >= shape[1] and accelerators >= shape[2]:
+                return True
+        return False
+
+    def add(self, amount: Resources) -> None:
+        """Remember a shape that found no room."""
+        if len(self._shapes) < MOST_FAILED_SHAPES:
+            self._shapes.append((amount.cores_milli, amount.memory_mb, amount.accelerators))
+
+    def room_grew(self, room: tuple[int, int, int]) -> None:
+        """Forget the shapes that such room might fit."""
+        if self._shapes:
+            self._shapes = [
+                shape
+                for shape in self._shapes
+                if shape[0] > room[0] or shape[1] > room[1] or shape[2] > room[2]
+            ]
+
+
+class PlacementTables:
+    """Workers, tasks on them, tasks that wait, and what follows from these."""
+
+    def __init__(self, *, settings: PlacementSettings, seed: int) -> None:
+        """Start with nothing; `seed` fixes all random choices."""
+        self.settings = settings
+        self.rng = Random(seed)
+        self.workers_by_id: dict[HostId, Worker] = {}
+        self.placed_by_task: dict[TaskId, Placed] = {}
+        self.index = WorkerIndex(rng=self.rng)
+        self.spread = ReplicaSpread()
+        self.queue = QUEUE_ORDERS.get(settings.queue_order)(settings=settings)
+        self.promises = Promises()
+        self.pending = PendingCommands()
+        self.capacities = CapacityShapes()
+        self.estimates = Estimates()
+        self.quarantine = Quarantine(settings=settings.quarantine)
+        self.quarantined_by_id: dict[HostId, Worker] = {}
+        self.failed_shapes = FailedShapes()
+        self.ends_by_task: OrderedDict[TaskId, EndMemory] = OrderedDict()
+        self._paused_until_by_id: dict[HostId, float] = {}
+        self._grown: tuple[int, int, int] | None = None
+        self._total = NOTHING
+        self._slots = 0
+
+    def add_worker(self, host: ListedHost, epoch: Epoch) -> Worker:
+        """Take in a worker with an empty ledger."""
+        self._slots += 1
+        worker = Worker(host=host, epoch=epoch, slot=self._slots)
+        self.workers_by_id[host.host_id] = worker
+        self.capacities.add(host.capacity)
+        self._total = self._total + host.capacity
+        self.queue.set_total(self._total)
+        self.refresh(worker, grew=True)
+        return worker
+
+    def remove_worker(self, worker: Worker) -> list[Placed]:
+        """Forget a worker and everything on it; return what was on it."""
+        for promise in self.promises.on_worker(worker.worker_id):
+            self.promises.drop(promise.task_id)
+        here = [self.placed_by_task.get(task_id) for task_id in worker.ledger.tasks()]
+        lost = [placed for placed in here if placed is not None and placed.worker is worker]
+        for placed in lost:
+            self.forget(placed)
+        self.index.drop(worker)
+        self.pending.forget_worker(worker.worker_id)
+        self.quarantine.forget_worker(worker.worker_id)
+        self.quarantined_by_id.pop(worker.worker_id, None)
+        self._paused_until_by_id.pop(worker.worker_id, None)
+        del self.workers_by_id[worker.worker_id]
+        self.capacities.remove(worker.ledger.capacity)
+        self._total = self._total - worker.ledger.capacity
+        self.queue.set_total(self._total)
+        return lost
+
+    def refresh(self, worker: Worker, *, grew: bool) -> None:
+        """Bring the index up to date after a worker's ledger, promises or state changed."""
+        worker.refresh_room()
+        if not worker.is_open:
+            self.index.drop(worker)
+            return
+        self.index.put(worker)
+        if not grew:
+            return
+        grown = self._grown or (0, 0, 0)
+        self._grown = (
+            max(grown[0], worker.room_cores),
+            max(grown[1], worker.room_memory),
+            max(grown[2], worker.room_accelerators),
+        )
+
+    def settle_growth(self, now: float) -> None:
+        """Let what had no room be tried again where room grew; open paused workers."""
+        for worker_id in [w for w, until in self._paused_until_by_id.items() if until <= now]:
+            del self._paused_until_by_id[worker_id]
+            worker = self.workers_by_id[worker_id]
+            worker.is_paused = False
+            self.refresh(worker, grew=True)
+        if self._grown is not None:
+            self.failed_shapes.room_grew(self._grown)
+            self.queue.room_grew(self._grown)
+            self._grown = None
+
+    def pause(self, worker: Worker, now: float) -> None:
+        """Give a worker nothing new for a moment, since it refused a start."""
+        worker.is_paused = True
+        self._paused_until_by_id[worker.worker_id] = now + self.settings.refusal_pause_s
+        self.refresh(worker, grew=False)
+
+    def set_quarantined(self, worker: Worker, *, quarantined: bool) -> None:
+        """Put a worker under quarantine or take it out."""
+        worker.is_quarantined = quarantined
+        if quarantined:
+            self.quarantined_by_id[worker.worker_id] = worker
+        else:
+            self.quarantined_by_id.pop(worker.worker_id, None)
+        self.refresh(worker, grew=True)
+
+    def reserve(
+        self,
+        task: TaskSpec,
+        worker: Worker,
+        amount: Resources,
+        *,
+        phase: LedgerPhase,
+        now: float,
+        since: float,
+    ) -> Placed | None:
+        """Take room for a task, if the ledger has it."""
+        if not worker.ledger.reserve(task.task_id, amount, phase):
+            return None
+        return self._enter(task, worker, now, since)
+
+    def adopt(self, worker: Worker, listed: RunningTask, now: float) -> Placed:
+        """Record a task that already runs, whether it fits or not."""
+        task = listed.task
+        waiting = self.leave_queue(task.task_id)
+        worker.ledger.adopt(task.task_id, listed.reserved)
+        since = now if waiting is None else waiting.since
+        placed = self._enter(task, worker, now, since)
+        placed.used = listed.used
+        return placed
+
+    def resize(self, placed: Placed, amount: Resources) -> bool:
+        """Change what is reserved for a task, if it fits."""
+        before = placed.entry.amount
+        if not placed.worker.ledger.resize(placed.task.task_id, amount):
+            return False
+        self.queue.credit(placed.task.team, before)
+        self.queue.charge(placed.task.team, amount)
+        self.refresh(placed.worker, grew=amount.fits_in(before))
+        return True
+
+    def forget(self, placed: Placed) -> None:
+        """Free a task's room: it is proved not to run, or its worker is not ours any more."""
+        task = placed.task
+        worker = placed.worker
+        worker.ledger.release(task.task_id)
+        del self.placed_by_task[task.task_id]
+        self.queue.credit(task.team, placed.entry.amount)
+        self.spread.remove(task, worker.worker_id, worker.rack)
+        self.pending.forget_task(task.task_id)
+        if worker.is_quarantined:
+            self.quarantine.on_probe_lost(worker.worker_id, task.task_id)
+        self.refresh(worker, grew=True)
+
+    def requeue(self, placed: Placed, *, next_attempt: bool) -> None:
+        """Let a task wait again, ahead of its team's others, with the wait it already had."""
+        task = placed.task
+        if next_attempt:
+            task = replace(task, attempt=task.attempt + 1)
+        self.queue.add(task, placed.since, first=True)
+
+    def leave_queue(self, task_id: TaskId) -> Waiting | None:
+        """Take a task out of the queue, with the promise made to it."""
+        self.drop_promise(task_id)
+        return self.queue.remove(task_id)
+
+    def make_promise(self, promise: Promise) -> None:
+        """Keep room for a waiting task."""
+        self.promises.add(promise)
+        self.refresh(promise.worker, grew=False)
+
+    def drop_promise(self, task_id: TaskId) -> None:
+        """Give back what was promised to a task, if anything."""
+        worker = self.promises.drop(task_id)
+        if worker is not None:
+            self.refresh(worker, grew=True)
+
+    def remember_end(self, placed: Placed, *, ok: bool, detail: str) -> None:
+        """Keep an end for a while, for late cancellations and explanations."""
+        task_id = placed.task.task_id
+        self.ends_by_task[task_id] = EndMemory(
+            task_id=task_id, worker_id=placed.worker.worker_id, ok=ok, detail=detail
+        )
+        if len(self.ends_by_task) > self.settings.remembered_ends:
+            self.ends_by_task.popitem(last=False)
+
+    def placed_at(self, task_id: TaskId, worker_id: HostId) -> Placed | None:
+        """Return a task if it is on this worker."""
+        placed = self.placed_by_task.get(task_id)
+        if placed is None or placed.worker.worker_id != worker_id:
+            return None
+        return placed
+
+    def on_worker(self, worker: Worker) -> list[Placed]:
+        """Return the tasks on a worker."""
+        by_task = self.placed_by_task
+        return [by_task[task_id] for task_id in worker.ledger.tasks() if task_id in by_task]
+
+    def _enter(self, task: TaskSpec, worker: Worker, now: float, since: float) -> Placed:
+        entry = worker.ledger.entry(task.task_id)
+        assert entry is not None  # the caller has just made it
+        placed = Placed(task=task, worker=worker, entry=entry, now=now, since=since)
+        self.placed_by_task[task.task_id] = placed
+        self.queue.charge(task.team, entry.amount)
+        self.spread.add(task, worker.worker_id, worker.rack)
+        self.refresh(worker, grew=False)
+        return placed
--- /dev/null
+++ b/src/galenastall/coordination/placer.py
@@ -0,0 +1,258 @@
+"""Place one waiting task, or see to it that room comes: preemption, then a promise."""
+
+from math import inf
+from typing import Final
+
+from galenastall.coordination.feasibility import describe_amount
+from galenastall.coordination.placement_commands import CommandKind, Refusal, RefusalReason
+from galenastall.coordination.placement_settings import class_of
+from galenastall.coordination.placement_state import Placed, Worker
+from galenastall.coordination.placement_tables import PlacementTables
+from galenastall.coordination.policies import PLACEMENT_POLICIES, PlacementPolicy
+from galenastall.coordination.preemption import PreemptionPlan, cheapest, plan_on
+from galenastall.coordination.promises import Promise
+from galenastall.coordination.waiting import Lane, Waiting, WaitReason
+from galenastall.state.ledger import LedgerPhase
+from galenastall.state.resources import Resources
+from galenastall.state.work import TaskSpec, Urgency, Workload
+
+WORKERS_WEIGHED: Final = 8
+"""Workers looked at for victims or for a promise, drawn at random."""
+DEMANDS_PER_DECISION: Final = 2
+"""Tasks for which victims or a promise are sought in one decision; the next takes on more."""
+PREEMPTED_WITHIN_S: Final = 10.0
+"""When room asked for by preemption is expected, in seconds."""
+PROMISE_SLACK_S: Final = 30.0
+"""How long past its expected time a promise stands before another worker is tried."""
+UNKNOWN_RUN_S: Final = 600.0
+"""Remaining run time taken for batch tasks of which none is known."""
+PROMISES_PER_WORKER: Final = 4
+"""Promises made to urgent tasks, for each worker; a quarter of that many to starving ones."""
+
+
+class Placer:
+    """Finds a worker for a task; all state is in the tables."""
+
+    def __init__(self, *, tables: PlacementTables) -> None:
+        """Place from and into these tables."""
+        self._tables = tables
+        self._policies_by_class: dict[str, PlacementPolicy] = {}
+        self._demands_left = 0
+        self.refusals: list[Refusal] = []
+        self.use_policies()
+
+    def use_policies(self) -> None:
+        """Make the policies that the settings name; raises UnknownNameError for others."""
+        tables = self._tables
+        self._policies_by_class = {
+            name: PLACEMENT_POLICIES.get(policy)(
+                index=tables.index, spread=tables.spread, rng=tables.rng
+            )
+            for name, policy in tables.settings.policies_by_class.items()
+        }
+
+    def begin(self) -> None:
+        """Start a decision: allow its share of preemptions and promises."""
+        self._demands_left = DEMANDS_PER_DECISION
+
+    def place(self, waiting: Waiting, now: float) -> Placed | None:
+        """Reserve room for a waiting task and take it out of the queue, or note why not."""
+        tables = self._tables
+        task = waiting.task
+        if tables.quarantine.is_bad_job(task.job_id):
+            self._refuse(task, RefusalReason.BAD_JOB, tables.quarantine.history(task.job_id))
+            return None
+        amount = self.amount_of(task)
+        if not tables.queue.allows(task.team, amount):
+            waiting.reason = WaitReason.QUOTA
+            self._refuse_over_quota(task)
+            return None
+        worker = self._promised_worker(task, amount) or self.find(task, amount, now)
+        if worker is None:
+            self._on_no_room(waiting, amount, now)
+            return None
+        placed = tables.reserve(
+            task, worker, amount, phase=LedgerPhase.STARTING, now=now, since=waiting.since
+        )
+        if placed is not None:
+            tables.leave_queue(task.task_id)
+        return placed
+
+    def amount_of(self, task: TaskSpec) -> Resources:
+        """Return what to reserve for a task: the larger of declared and learned."""
+        tables = self._tables
+        if not tables.settings.is_learning or not task.kind:
+            return task.resources
+        return tables.estimates.amount(task, tables.capacities.most)
+
+    def find(self, task: TaskSpec, amount: Resources, now: float) -> Worker | None:
+        """Return the worker that the class's policy chooses, or None if none has room."""
+        tables = self._tables
+        if tables.quarantined_by_id:
+            probed = self._probe(task, amount, now)
+            if probed is not None:
+                return probed
+        avoid = tables.quarantine.workers_to_avoid(task.job_id)
+        if not tables.failed_shapes.covers(amount):
+            policy = self._policies_by_class[class_of(task)]
+            worker = policy.choose(task=task, amount=amount, avoid=avoid)
+            if worker is not None:
+                return worker
+            if not avoid:
+                tables.failed_shapes.add(amount)
+        return self._backfill(task, amount, now)
+
+    def demand(
+        self, task: TaskSpec, amount: Resources, now: float, *, gang_id: str = ""
+    ) -> Promise | None:
+        """See to it that a task gets room: end lower classes, or let a worker empty."""
+        tables = self._tables
+        drawn = tables.index.draw(4 * WORKERS_WEIGHED, accelerated=amount.accelerators > 0)
+        workers = [worker for worker in drawn if amount.fits_in(worker.ledger.capacity)]
+        workers = workers[:WORKERS_WEIGHED]
+        plan = self._preempt(task, amount, workers, now)
+        if plan is not None:
+            until = now + PREEMPTED_WITHIN_S
+            return self._promise(
+                task, plan.worker, amount, now=now, expected_at=until, until=until, gang_id=gang_id
+            )
+        times = [(self._room_at(worker, amount, now), worker.slot, worker) for worker in workers]
+        expected_at, _, worker = min(times, default=(inf, 0, None))
+        if worker is None or expected_at == inf:
+            return None
+        until = expected_at + PROMISE_SLACK_S
+        return self._promise(
+            task, worker, amount, now=now, expected_at=expected_at, until=until, gang_id=gang_id
+        )
+
+    def _promised_worker(self, task: TaskSpec, amount: Resources) -> Worker | None:
+        promise = self._tables.promises.get(task.task_id)
+        if promise is None or not promise.worker.is_open:
+            return None
+        return promise.worker if promise.worker.ledger.fits(amount) else None
+
+    def _probe(self, task: TaskSpec, amount: Resources, now: float) -> Worker | None:
+        """Return a quarantined worker that is due to be tried, if this task may be risked."""
+        if not task.idempotent or task.urgency is Urgency.URGENT:
+            return None
+        if task.workload is not Workload.BATCH:
+            return None
+        tables = self._tables
+        for worker in tables.quarantined_by_id.values():
+            if not worker.may_be_probed or not worker.ledger.fits(amount):
+                continue
+            if tables.quarantine.is_probe_due(worker.worker_id, now):
+                tables.quarantine.on_probe(worker.worker_id, task.task_id)
+                return worker
+        return None
+
+    def _backfill(self, task: TaskSpec, amount: Resources, now: float) -> Worker | None:
+        tables = self._tables
+        if task.workload is not Workload.BATCH or not len(tables.promises):
+            return None
+        run_s = tables.estimates.run_s(task)
+        if run_s is None:
+            return None
+        worker = tables.promises.backfill(amount, now + run_s)
+        if worker is None or worker.worker_id in tables.quarantine.workers_to_avoid(task.job_id):
+            return None
+        return worker
+
+    def _on_no_room(self, waiting: Waiting, amount: Resources, now: float) -> None:
+        task = waiting.task
+        obstacle = self._tables.capacities.obstacle(task.resources)
+        if obstacle is not None:
+            self._refuse(task, RefusalReason.IMPOSSIBLE, obstacle)
+            return
+        if waiting.lane is Lane.TEAM or self._demands_left <= 0:
+            waiting.reason = WaitReason.ROOM
+            return
+        if self._tables.promises.get(task.task_id) is not None:
+            return
+        if len(self._tables.promises) >= self._most_promises(waiting.lane):
+            waiting.reason = WaitReason.ROOM
+            return
+        self._demands_left -= 1
+        promise = self.demand(task, amount, now)
+        waiting.reason = WaitReason.ROOM if promise is None else WaitReason.PROMISED
+
+    def _most_promises(self, lane: Lane | None) -> int:
+        most = PROMISES_PER_WORKER * len(self._tables.workers_by_id)
+        return most if lane is Lane.URGENT else max(most // 16, 1)
+
+    def _preempt(
+        self, task: TaskSpec, amount: Resources, workers: list[Worker], now: float
+    ) -> PreemptionPlan | None:
+        tables = self._tables
+        if not tables.settings.is_preempting or task.urgency is Urgency.BACKFILL:
+            return None
+        plans = (plan_on(worker, tables.on_worker(worker), task, amount, now) for worker in workers)
+        plan = cheapest(plans)
+        if plan is None:
+            return None
+        for victim in plan.victims:
+            cause = f"makes way for {task.task_id}"
+            if victim.command is CommandKind.CHECKPOINT:
+                tables.pending.checkpoint(victim.placed, cause)
+            else:
+                tables.pending.stop(victim.placed, cause)
+            victim.placed.ending = victim.command
+        return plan
+
+    def _promise(
+        self,
+        task: TaskSpec,
+        worker: Worker,
+        amount: Resources,
+        *,
+        now: float,
+        expected_at: float,
+        until: float,
+        gang_id: str,
+    ) -> Promise:
+        if gang_id:
+            until = now + self._tables.settings.gang_promise_s
+        promise = Promise(
+            task_id=task.task_id,
+            worker=worker,
+            amount=amount,
+            now=now,
+            expected_at=expected_at,
+            until=until,
+            gang_id=gang_id,
+        )
+        self._tables.make_promise(promise)
+        return promise
+
+    def _room_at(self, worker: Worker, amount: Resources, now: float) -> float:
+        """Return when a worker is expected to have room, in wall seconds; inf if not foreseen."""
+        free = worker.ledger.free - worker.promised
+        if amount.fits_in(free):
+            return now
+        ends = [(self._ends_at(placed, now), placed) for placed in self._tables.on_worker(worker)]
+        ends.sort(key=lambda end: end[0])
+        for ends_at, placed in ends:
+            free = free + placed.entry.amount
+            if amount.fits_in(free):
+                return ends_at
+        return inf
+
+    def _ends_at(self, placed: Placed, now: float) -> float:
+        if placed.ending is not None:
+            return now + PREEMPTED_WITHIN_S
+        if placed.task.workload is Workload.SERVICE:
+            return inf
+        run_s = self._tables.estimates.run_s(placed.task)
+        left = UNKNOWN_RUN_S if run_s is None else placed.decided_at + run_s - now
+        return now + max(left, 1.0)
+
+    def _refuse_over_quota(self, task: TaskSpec) -> None:
+        quota = self._tables.queue.quota(task.team)
+        if quota is not None and not task.resources.fits_in(quota):
+            detail = f"needs {describe_amount(task.resources)}; "
+            detail += f"the quota of {task.team} is {describe_amount(quota)}"
+            self._refuse(task, RefusalReason.IMPOSSIBLE, detail)
+
+    def _refuse(self, task: TaskSpec, reason: RefusalReason, detail: str) -> None:
+        self._tables.leave_queue(task.task_id)
+        self.refusals.append(Refusal(task=task, reason=reason, detail=detail))
--- /dev/null
+++ b/src/galenastall/coordination/preemption.py
@@ -0,0 +1,126 @@
+"""Choose which tasks of lower classes make way for an urgent one, at the least loss.
+
+Only lower classes, checkpoint before stop, never a task that can't be run again, never a member of
+a gang (one stopped member wastes them all). A set of victims is chosen on each of a few workers and
+the cheapest set is taken.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from galenastall.coordination.placement_commands import CommandKind
+from galenastall.coordination.placement_state import Placed, Worker
+from galenastall.state.resources import Resources
+from galenastall.state.work import TaskPhase, TaskSpec, Workload
+
+CHECKPOINT_COST_S: Final = 5.0
+"""Core-seconds that a checkpoint and a restart are reckoned to lose, for each core."""
+SERVICE_COST_S: Final = 600.0
+"""Core-seconds added for stopping a service's replica, which callers notice."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Victim:
+    """A task to make way, and how."""
+
+    placed: Placed
+    command: CommandKind
+    cost: float
+    """Core-seconds of work lost."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PreemptionPlan:
+    """What to end on one worker so that a task fits there."""
+
+    worker: Worker
+    victims: tuple[Victim, ...]
+    cost: float
+
+
+def victim_of(placed: Placed, task: TaskSpec, now: float) -> Victim | None:
+    """Return how `placed` would make way for `task`, or None if it must not."""
+    other = placed.task
+    if other.urgency <= task.urgency or other.workload is Workload.GANG:
+        return None
+    if placed.ending is not None or placed.phase is not TaskPhase.RUNNING:
+        return None
+    cores = placed.entry.amount.cores_milli / 1000
+    extra = SERVICE_COST_S if other.workload is Workload.SERVICE else 0.0
+    if placed.can_checkpoint:
+        cost = CHECKPOINT_COST_S * cores + extra
+        return Victim(placed=placed, command=CommandKind.CHECKPOINT, cost=cost)
+    if not other.idempotent:
+        return None
+    cost = (now - placed.decided_at) * cores + extra
+    return Victim(placed=placed, command=CommandKind.STOP, cost=cost)
+
+
+def plan_on(
+    worker: Worker, placed: Iterable[Placed], task: TaskSpec, amount: Resources, now: float
+) -> PreemptionPlan | None:
+    """Return the cheapest victims found on this worker that make room, or None if none do.
+
+    What is promised to others there is not counted as room; what is ending already is.
+    """
+    free = worker.ledger.free - worker.promised
+    victims: list[Victim] = []
+    for other in placed:
+        if other.ending in (CommandKind.STOP, CommandKind.CHECKPOINT):
+            free = free + other.entry.amount
+            continue
+        victim = victim_of(other, task, now)
+        if victim is not None:
+            victims.append(victim)
+    victims.sort(key=_by_loss)
+    chosen: list[Victim] = []
+    for victim in victims:
+        if amount.fits_in(free):
+            break
+        if _helps(victim, amount, free):
+            free = free + victim.placed.entry.amount
+            chosen.append(victim)
+    if not amount.fits_in(free):
+        return None
+    return _without_surplus(worker, chosen, amount, free)
+
+
+def cheapest(plans: Iterable[PreemptionPlan | None]) -> PreemptionPlan | None:
+    """Return the plan that stops the fewest tasks, then loses the least work."""
+    real = [plan for plan in plans if plan is not None]
+    return min(real, key=_plan_key, default=None)
+
+
+def _without_surplus(
+    worker: Worker, chosen: list[Victim], amount: Resources, free: Resources
+) -> PreemptionPlan:
+    kept: list[Victim] = []
+    for victim in reversed(chosen):
+        less = free - victim.placed.entry.amount
+        if amount.fits_in(less):
+            free = less
+        else:
+            kept.append(victim)
+    cost = sum(victim.cost for victim in kept)
+    return PreemptionPlan(worker=worker, victims=tuple(kept), cost=cost)
+
+
+def _helps(victim: Victim, amount: Resources, free: Resources) -> bool:
+    missing = amount - free
+    gives = victim.placed.entry.amount
+    return (
+        (missing.cores_milli > 0 and gives.cores_milli > 0)
+        or (missing.memory_mb > 0 and gives.memory_mb > 0)
+        or (missing.accelerators > 0 and gives.accelerators > 0)
+    )
+
+
+def _by_loss(victim: Victim) -> tuple[bool, int, float]:
+    is_stop = victim.command is CommandKind.STOP
+    return is_stop, -victim.placed.task.urgency, victim.cost
+
+
+def _plan_key(plan: PreemptionPlan) -> tuple[int, float, str]:
+    stops = sum(victim.command is CommandKind.STOP for victim in plan.victims)
+    return stops, plan.cost, plan.worker.worker_id
--- /dev/null
+++ b/src/galenastall/coordination/promises.py
@@ -0,0 +1,99 @@
+"""Room promised to tasks that wait for one worker to empty.
+
+A promise takes room away from all others on that worker until the task starts there, so that small
+tasks can't for ever take what a large or urgent one waits for. A task that is expected to end
+before the promised start may still use the room meanwhile (backfill).
+"""
+
+from galenastall.coordination.placement_state import Worker
+from galenastall.state.ids import HostId, TaskId
+from galenastall.state.resources import Resources
+
+
+class Promise:
+    """Room on one worker for one waiting task."""
+
+    __slots__ = ("amount", "expected_at", "gang_id", "made_at", "task_id", "until", "worker")
+
+    def __init__(
+        self,
+        *,
+        task_id: TaskId,
+        worker: Worker,
+        amount: Resources,
+        now: float,
+        expected_at: float,
+        until: float,
+        gang_id: str = "",
+    ) -> None:
+        """Record the room, when it is expected to be free and when the promise ends."""
+        self.task_id = task_id
+        self.worker = worker
+        self.amount = amount
+        self.made_at = now
+        self.expected_at = expected_at
+        self.until = until
+        self.gang_id = gang_id
+
+
+class Promises:
+    """All promises; a task has at most one."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._by_task: dict[TaskId, Promise] = {}
+        self._by_worker: dict[HostId, dict[TaskId, Promise]] = {}
+
+    def add(self, promise: Promise) -> None:
+        """Take the room away from others; raises ValueError if the task has a promise."""
+        if promise.task_id in self._by_task:
+            raise ValueError(f"{promise.task_id}: a task has one promise at most")
+        self._by_task[promise.task_id] = promise
+        self._by_worker.setdefault(promise.worker.worker_id, {})[promise.task_id] = promise
+        promise.worker.promised = promise.worker.promised + promise.amount
+
+    def drop(self, task_id: TaskId) -> Worker | None:
+        """End a task's promise; return the worker whose room grew, or None."""
+        promise = self._by_task.pop(task_id, None)
+        if promise is None:
+            return None
+        worker = promise.worker
+        of_worker = self._by_worker[worker.worker_id]
+        del of_worker[task_id]
+        if not of_worker:
+            del self._by_worker[worker.worker_id]
+        worker.promised = worker.promised - promise.amount
+        return worker
+
+    def get(self, task_id: TaskId) -> Promise | None:
+        """Return a task's promise."""
+        return self._by_task.get(task_id)
+
+    def on_worker(self, worker_id: HostId) -> tuple[Promise, ...]:
+        """Return the promises on a worker."""
+        return tuple(self._by_worker.get(worker_id, {}).values())
+
+    def ended(self, now: float) -> list[Promise]:
+        """Return the promises whose time is over."""
+        return [promise for promise in self._by_task.values() if promise.until <= now]
+
+    def gang_ids(self) -> set[str]:
+        """Return the gangs that have promises."""
+        return {promise.gang_id for promise in self._by_task.values() if promise.gang_id}
+
+    def of_gang(self, gang_id: str) -> list[Promise]:
+        """Return a gang's promises."""
+        return [promise for promise in self._by_task.values() if promise.gang_id == gang_id]
+
+    def backfill(self, amount: Resources, ends_at: float) -> Worker | None:
+        """Return a worker with free room that will be free again before it is needed."""
+        for promises in self._by_worker.values():
+            worker = next(iter(promises.values())).worker
+            if not worker.is_open or not worker.ledger.fits(amount):
+                continue
+            if all(ends_at <= promise.expected_at for promise in promises.values()):
+                return worker
+        return None
+
+    def __len__(self) -> int:
+        return len(self._by_task)
--- /dev/null
+++ b/src/galenastall/coordination/team_queue.py
@@ -0,0 +1,319 @@
+"""Order of waiting tasks: urgent by deadline, starving by age, then teams by dominant share.
+
+All operations are O(log n) in tasks and teams. A scan tries a bounded number of tasks; teams none
+of whose tasks fit are parked until room grows that the smallest tried one would fit, so that a
+full data centre costs nothing to look at again and again.
+"""
+
+from collections.abc import Iterator, Mapping
+from heapq import heappop, heappush
+from math import inf
+from typing import Final
+
+from sortedcontainers import SortedDict, SortedList
+
+from galenastall.coordination.placement_commands import TeamShare
+from galenastall.coordination.placement_settings import PlacementSettings
+from galenastall.coordination.waiting import Lane, TeamLine, Waiting
+from galenastall.state.ids import TaskId, TeamPath
+from galenastall.state.registry import Registry
+from galenastall.state.resources import NOTHING, Resources
+from galenastall.state.work import TaskSpec, Urgency
+
+URGENT_TRIES: Final = 32
+"""Urgent tasks tried in vain before a scan goes on to the teams."""
+OVERDUE_TRIES: Final = 4
+"""Starving tasks tried in a scan."""
+JOB_TRIES: Final = 16
+"""Jobs of one team tried before the team is parked."""
+SCAN_TRIES: Final = 256
+"""Tasks of teams tried in vain in one scan."""
+
+
+class TeamQueue:
+    """The waiting tasks, in fair order."""
+
+    def __init__(self, *, settings: PlacementSettings) -> None:
+        """Start empty, with the teams that the settings name."""
+        self._settings = settings
+        self._total: Resources = NOTHING
+        self._waiting_by_id: dict[TaskId, Waiting] = {}
+        self._lines_by_team: dict[TeamPath, TeamLine] = {}
+        self._by_share: SortedList = SortedList()
+        self._parked_by_team: dict[TeamPath, TeamLine] = {}
+        self._urgent: SortedDict = SortedDict()
+        self._overdue: SortedDict = SortedDict()
+        self._due_heap: list[tuple[float, int, TaskId]] = []
+        self._counts_by_urgency = dict.fromkeys(Urgency, 0)
+        self._seq = 0
+        self._since_overdue = 0
+
+    def apply_settings(self, settings: PlacementSettings) -> None:
+        """Use other weights, quotas and bounds from now on."""
+        self._settings = settings
+        for line in self._lines_by_team.values():
+            share = self._share_setting(line.path)
+            line.weight = share.weight
+            line.quota = share.quota
+            self._unpark(line)
+            self._refile(line)
+
+    def set_total(self, total: Resources) -> None:
+        """Say what all owned workers hold together; shares are shares of this."""
+        self._total = total
+        for line in self._lines_by_team.values():
+            self._refile(line)
+
+    def set_elsewhere(self, reserved_by_team: Mapping[TeamPath, Resources]) -> None:
+        """Say what teams have reserved with other owners, for shares and quotas."""
+        for path in reserved_by_team.keys() | self._lines_by_team.keys():
+            line = self._line(path)
+            line.elsewhere = reserved_by_team.get(path, NOTHING)
+            self._unpark(line)
+            self._refile(line)
+
+    def add(self, task: TaskSpec, since: float, *, first: bool = False) -> Waiting | None:
+        """Let a task wait; `first` puts it ahead of its team's others. None if it waits already."""
+        if task.task_id in self._waiting_by_id:
+            return None
+        self._seq += 1
+        waiting = Waiting(task=task, since=since, seq=self._seq)
+        self._waiting_by_id[task.task_id] = waiting
+        self._counts_by_urgency[task.urgency] += 1
+        if task.urgency is Urgency.URGENT:
+            deadline = inf if task.deadline is None else task.deadline
+            waiting.lane = Lane.URGENT
+            waiting.order = (deadline, waiting.seq)
+            self._urgent[waiting.order] = waiting
+            return waiting
+        due_at = since + self._settings.starvation_s
+        heappush(self._due_heap, (due_at, waiting.seq, task.task_id))
+        waiting.lane = Lane.TEAM
+        line = self._line(task.team)
+        line.add(waiting, first=first)
+        if line.parked is not None and not _covers(line.parked, task.resources):
+            self._unpark(line)
+        self._refile(line)
+        return waiting
+
+    def remove(self, task_id: TaskId) -> Waiting | None:
+        """Take a task out, placed or given up; None if it doesn't wait."""
+        waiting = self._waiting_by_id.pop(task_id, None)
+        if waiting is None:
+            return None
+        self._counts_by_urgency[waiting.task.urgency] -= 1
+        if waiting.lane is Lane.URGENT:
+            del self._urgent[waiting.order]
+        elif waiting.lane is Lane.OVERDUE:
+            del self._overdue[waiting.order]
+        else:
+            line = self._lines_by_team[waiting.task.team]
+            line.remove(waiting)
+            if line.is_empty:
+                self._unpark(line)
+                self._refile(line)
+        waiting.lane = None
+        return waiting
+
+    def get(self, task_id: TaskId) -> Waiting | None:
+        """Return a waiting task."""
+        return self._waiting_by_id.get(task_id)
+
+    def charge(self, team: TeamPath, amount: Resources) -> None:
+        """Count what was reserved for a team."""
+        line = self._line(team)
+        line.cores += amount.cores_milli
+        line.memory += amount.memory_mb
+        line.accelerators += amount.accelerators
+        self._refile(line)
+
+    def credit(self, team: TeamPath, amount: Resources) -> None:
+        """Count what a team gave back."""
+        line = self._line(team)
+        line.cores -= amount.cores_milli
+        line.memory -= amount.memory_mb
+        line.accelerators -= amount.accelerators
+        if line.quota is not None:
+            self._unpark(line)
+        self._refile(line)
+
+    def allows(self, team: TeamPath, amount: Resources) -> bool:
+        """Return whether a team's quota lets it reserve `amount` more."""
+        return self._line(team).allows(amount)
+
+    def quota(self, team: TeamPath) -> Resources | None:
+        """Return the most that a team may have reserved at once."""
+        return self._line(team).quota
+
+    def share(self, team: TeamPath) -> float:
+        """Return a team's dominant share over its weight."""
+        return self._line(team).share_of(self._total)
+
+    def reserved_by_team(self) -> dict[TeamPath, Resources]:
+        """Return what each team has reserved with this owner."""
+        return {
+            path: Resources(
+                cores_milli=line.cores, memory_mb=line.memory, accelerators=line.accelerators
+            )
+            for path, line in self._lines_by_team.items()
+            if line.cores or line.memory or line.accelerators
+        }
+
+    def waiting_by_class(self) -> dict[str, int]:
+        """Return how many tasks wait, by urgency."""
+        return {urgency.name.lower(): count for urgency, count in self._counts_by_urgency.items()}
+
+    def oldest(self) -> Waiting | None:
+        """Return the task that came first among those that wait."""
+        return next(iter(self._waiting_by_id.values()), None)
+
+    def room_grew(self, room: tuple[int, int, int]) -> None:
+        """Try parked teams again whose smallest tried task would fit such room."""
+        if not self._parked_by_team:
+            return
+        cores, memory, accelerators = room
+        for line in list(self._parked_by_team.values()):
+            parked = line.parked
+            if parked is None:
+                continue
+            if parked[0] <= cores and parked[1] <= memory and parked[2] <= accelerators:
+                self._unpark(line)
+                self._refile(line)
+
+    def scan(self, now: float) -> Iterator[Waiting]:
+        """Return tasks in the order in which to try them; the caller removes what it placed."""
+        self._promote(now)
+        if self._overdue and self._since_overdue >= self._settings.overdue_every - 1:
+            yield from self._scan_overdue()
+        yield from self._scan_urgent()
+        yield from self._scan_overdue()
+        yield from self._scan_teams()
+
+    def __len__(self) -> int:
+        return len(self._waiting_by_id)
+
+    def __contains__(self, task_id: object) -> bool:
+        return task_id in self._waiting_by_id
+
+    def _scan_urgent(self) -> Iterator[Waiting]:
+        misses = 0
+        position = 0
+        while position < len(self._urgent) and misses < URGENT_TRIES:
+            waiting: Waiting = self._urgent.peekitem(position)[1]
+            yield waiting
+            if waiting.lane is None:
+                self._since_overdue += 1
+                if self._overdue and self._since_overdue >= self._settings.overdue_every - 1:
+                    yield from self._scan_overdue()
+                continue
+            misses += 1
+            position += 1
+
+    def _scan_overdue(self) -> Iterator[Waiting]:
+        for waiting in list(self._overdue.values()[:OVERDUE_TRIES]):
+            if waiting.lane is not Lane.OVERDUE:
+                continue
+            yield waiting
+            if waiting.lane is None:
+                self._since_overdue = 0
+
+    def _scan_teams(self) -> Iterator[Waiting]:
+        misses = 0
+        while self._by_share and misses < SCAN_TRIES:
+            line = self._lines_by_team[self._by_share[0][1]]
+            smallest: tuple[int, int, int] | None = None
+            placed = False
+            for waiting in line.heads(JOB_TRIES):
+                yield waiting
+                if waiting.lane is None:
+                    placed = True
+                    self._since_overdue += 1
+                    break
+                misses += 1
+                smallest = _smaller(smallest, waiting.task.resources)
+            if not placed:
+                self._park(line, smallest)
+
+    def _promote(self, now: float) -> None:
+        while self._due_heap and self._due_heap[0][0] <= now:
+            _, seq, task_id = heappop(self._due_heap)
+            waiting = self._waiting_by_id.get(task_id)
+            if waiting is None or waiting.seq != seq or waiting.lane is not Lane.TEAM:
+                continue
+            line = self._lines_by_team[waiting.task.team]
+            line.remove(waiting)
+            waiting.lane = Lane.OVERDUE
+            self._overdue[waiting.order] = waiting
+            if line.is_empty:
+                self._unpark(line)
+                self._refile(line)
+
+    def _line(self, path: TeamPath) -> TeamLine:
+        line = self._lines_by_team.get(path)
+        if line is None:
+            line = TeamLine(path=path, share=self._share_setting(path))
+            self._lines_by_team[path] = line
+        return line
+
+    def _share_setting(self, path: TeamPath) -> TeamShare:
+        return self._settings.teams_by_path.get(path, self._settings.default_share)
+
+    def _refile(self, line: TeamLine) -> None:
+        wanted = None
+        if line.parked is None and not line.is_empty:
+            wanted = (line.share_of(self._total), line.path)
+        if wanted == line.key:
+            return
+        if line.key is not None:
+            self._by_share.remove(line.key)
+        if wanted is not None:
+            self._by_share.add(wanted)
+        line.key = wanted
+
+    def _park(self, line: TeamLine, smallest: tuple[int, int, int] | None) -> None:
+        line.parked = smallest or (0, 0, 0)
+        self._parked_by_team[line.path] = line
+        self._refile(line)
+
+    def _unpark(self, line: TeamLine) -> None:
+        if line.parked is None:
+            return
+        line.parked = None
+        del self._parked_by_team[line.path]
+
+
+class ArrivalQueue(TeamQueue):
+    """The waiting tasks by arrival, each tried in turn; a baseline, linear in tasks."""
+
+    def scan(self, now: float) -> Iterator[Waiting]:
+        """Return the first task of each job by arrival, and the next while they are placed."""
+        blocked: set[object] = set()
+        for waiting in list(self._waiting_by_id.values()):
+            if waiting.task.job_id in blocked:
+                continue
+            yield waiting
+            if waiting.lane is not None:
+                blocked.add(waiting.task.job_id)
+
+
+QUEUE_ORDERS: Final[Registry[type[TeamQueue]]] = Registry(kind="queue order")
+QUEUE_ORDERS.register("fair")(TeamQueue)
+QUEUE_ORDERS.register("fifo")(ArrivalQueue)
+
+
+def _covers(parked: tuple[int, int, int], need: Resources) -> bool:
+    return (
+        parked[0] <= need.cores_milli
+        and parked[1] <= need.memory_mb
+        and parked[2] <= need.accelerators
+    )
+
+
+def _smaller(smallest: tuple[int, int, int] | None, need: Resources) -> tuple[int, int, int]:
+    if smallest is None:
+        return need.cores_milli, need.memory_mb, need.accelerators
+    return (
+        min(smallest[0], need.cores_milli),
+        min(smallest[1], need.memory_mb),
+        min(smallest[2], need.accelerators),
+    )
--- /dev/null
+++ b/src/galenastall/coordination/waiting.py
@@ -0,0 +1,141 @@
+"""A task that waits, and the tasks of one team in the order in which they go."""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from enum import StrEnum
+from itertools import islice
+
+from galenastall.coordination.placement_commands import TeamShare
+from galenastall.state.ids import JobId, TaskId, TeamPath
+from galenastall.state.resources import NOTHING, Resources
+from galenastall.state.work import TaskSpec, Urgency
+
+
+class WaitReason(StrEnum):
+    """Why the last try to place a task did not succeed."""
+
+    NOT_TRIED = "not tried yet"
+    ROOM = "no worker has room"
+    QUOTA = "its team is at its quota"
+    PROMISED = "a worker is being emptied for it"
+
+
+class Lane(StrEnum):
+    """Which part of the queue a task is in."""
+
+    URGENT = "urgent"
+    OVERDUE = "overdue"
+    TEAM = "team"
+
+
+class Waiting:
+    """One waiting task; `lane` is None once it left the queue."""
+
+    __slots__ = ("lane", "order", "reason", "seq", "since", "task")
+
+    def __init__(self, *, task: TaskSpec, since: float, seq: int) -> None:
+        """Record since when it waits, in wall seconds, and its place among equals."""
+        self.task = task
+        self.since = since
+        self.seq = seq
+        self.lane: Lane | None = None
+        self.order: tuple[float, int] = (since, seq)
+        self.reason = WaitReason.NOT_TRIED
+
+
+class TeamLine:
+    """A team's waiting tasks, grouped by job, and what the team has reserved.
+
+    Tasks of one job are alike, so that only the first of each job has to be tried.
+    """
+
+    __slots__ = (
+        "accelerators",
+        "cores",
+        "elsewhere",
+        "key",
+        "lines_by_urgency",
+        "memory",
+        "parked",
+        "path",
+        "quota",
+        "weight",
+    )
+
+    def __init__(self, *, path: TeamPath, share: TeamShare) -> None:
+        """Start with nothing waiting and nothing reserved."""
+        self.path = path
+        self.weight = share.weight
+        self.quota = share.quota
+        self.cores = 0
+        self.memory = 0
+        self.accelerators = 0
+        self.elsewhere: Resources = NOTHING
+        self.key: tuple[float, TeamPath] | None = None
+        self.parked: tuple[int, int, int] | None = None
+        self.lines_by_urgency: dict[Urgency, OrderedDict[JobId, OrderedDict[TaskId, Waiting]]] = {
+            Urgency.NORMAL: OrderedDict(),
+            Urgency.BACKFILL: OrderedDict(),
+        }
+
+    def add(self, waiting: Waiting, *, first: bool) -> None:
+        """Let a task wait behind, or ahead of, the team's others of its class."""
+        task = waiting.task
+        jobs = self.lines_by_urgency[task.urgency]
+        tasks = jobs.get(task.job_id)
+        if tasks is None:
+            tasks = jobs[task.job_id] = OrderedDict()
+        tasks[task.task_id] = waiting
+        if first:
+            tasks.move_to_end(task.task_id, last=False)
+            jobs.move_to_end(task.job_id, last=False)
+
+    def remove(self, waiting: Waiting) -> None:
+        """Take out a task that waits here."""
+        task = waiting.task
+        jobs = self.lines_by_urgency[task.urgency]
+        tasks = jobs[task.job_id]
+        del tasks[task.task_id]
+        if not tasks:
+            del jobs[task.job_id]
+
+    def heads(self, limit: int) -> Iterator[Waiting]:
+        """Return the first task of each of the first `limit` jobs, normal before backfill."""
+        normal = self.lines_by_urgency[Urgency.NORMAL]
+        backfill = self.lines_by_urgency[Urgency.BACKFILL]
+        for tasks in list(islice(normal.values(), limit)):
+            yield next(iter(tasks.values()))
+        for tasks in list(islice(backfill.values(), max(limit - len(normal), 0))):
+            yield next(iter(tasks.values()))
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing waits."""
+        return not any(self.lines_by_urgency.values())
+
+    def share_of(self, total: Resources) -> float:
+        """Return the dominant-resource share over the weight."""
+        cores = self.cores + self.elsewhere.cores_milli
+        memory = self.memory + self.elsewhere.memory_mb
+        accelerators = self.accelerators + self.elsewhere.accelerators
+        share = 0.0
+        if total.cores_milli:
+            share = cores / total.cores_milli
+        if total.memory_mb:
+            share = max(share, memory / total.memory_mb)
+        if total.accelerators:
+            share = max(share, accelerators / total.accelerators)
+        return share / self.weight
+
+    def allows(self, amount: Resources) -> bool:
+        """Return whether `amount` more stays within the team's quota."""
+        quota = self.quota
+        if quota is None:
+            return True
+        elsewhere = self.elsewhere
+        return (
+            self.cores + elsewhere.cores_milli + amount.cores_milli <= quota.cores_milli
+            and self.memory + elsewhere.memory_mb + amount.memory_mb <= quota.memory_mb
+            and self.accelerators + elsewhere.accelerators + amount.accelerators
+            <= quota.accelerators
+        )
--- /dev/null
+++ b/src/galenastall/coordination/worker_index.py
@@ -0,0 +1,188 @@
+"""Find workers with room for a shape without looking at all of them.
+
+Workers are kept in a grid: by free accelerators, then by a logarithmic bucket of free cores, and
+within a bucket sorted by free memory. A search starts at the tightest bucket that may fit and stops
+at enough candidates, so its cost grows with the number of occupied buckets (at most four a power of
+two) and the logarithm of a bucket's length, not with the number of workers.
+"""
+
+from collections.abc import Iterator
+from itertools import islice
+from random import Random
+from typing import Final
+
+from sortedcontainers import SortedDict, SortedList
+
+from galenastall.coordination.placement_state import Worker
+from galenastall.state.ids import HostId
+from galenastall.state.resources import Resources
+
+NO_ACCELERATORS: Final = -1
+"""Level of workers that have none at all; others are filed by how many are free."""
+
+_SINGLE_BUCKETS: Final = 4
+"""Amounts below this have a bucket each."""
+_BOUNDARY_SCAN: Final = 64
+"""Entries looked at in the bucket that only partly fits before larger buckets are tried."""
+
+
+def bucket_of(amount: int) -> int:
+    """Return the bucket of a free amount: four to a power of two, monotone in the amount."""
+    if amount < _SINGLE_BUCKETS:
+        return max(amount, 0)
+    bits = amount.bit_length()
+    return (bits << 2) | ((amount >> (bits - 3)) & 3)
+
+
+class _Grid:
+    """The workers of one level, by bucket of free cores and then free memory."""
+
+    __slots__ = ("entries_by_bucket",)
+
+    def __init__(self) -> None:
+        self.entries_by_bucket: SortedDict = SortedDict()
+
+    def add(self, bucket: int, entry: tuple[int, int]) -> None:
+        entries = self.entries_by_bucket.get(bucket)
+        if entries is None:
+            entries = self.entries_by_bucket[bucket] = SortedList()
+        entries.add(entry)
+
+    def remove(self, bucket: int, entry: tuple[int, int]) -> None:
+        entries = self.entries_by_bucket[bucket]
+        entries.remove(entry)
+        if not entries:
+            del self.entries_by_bucket[bucket]
+
+
+class WorkerIndex:
+    """The workers that may be given something, searchable by room; one entry a worker."""
+
+    def __init__(self, *, rng: Random) -> None:
+        """Start empty; `rng` draws the samples."""
+        self._rng = rng
+        self._grids_by_level: SortedDict = SortedDict()
+        self._workers_by_slot: dict[int, Worker] = {}
+        self._keys_by_slot: dict[int, tuple[int, int, tuple[int, int]]] = {}
+        self._sampled: list[Worker] = []
+        self._positions_by_slot: dict[int, int] = {}
+        self._by_id: SortedDict = SortedDict()
+        self._accelerated_by_slot: dict[int, Worker] = {}
+
+    def put(self, worker: Worker) -> None:
+        """File a worker under its present room, or move it there."""
+        slot = worker.slot
+        level = worker.room_accelerators if worker.has_accelerators else NO_ACCELERATORS
+        key = (level, bucket_of(worker.room_cores), (worker.room_memory, slot))
+        old = self._keys_by_slot.get(slot)
+        if old == key:
+            return
+        if old is None:
+            self._enter(worker)
+        else:
+            self._unfile(old)
+        grid = self._grids_by_level.get(level)
+        if grid is None:
+            grid = self._grids_by_level[level] = _Grid()
+        grid.add(key[1], key[2])
+        self._keys_by_slot[slot] = key
+
+    def drop(self, worker: Worker) -> None:
+        """Leave a worker out of all searches; one that is not filed is passed over."""
+        key = self._keys_by_slot.pop(worker.slot, None)
+        if key is None:
+            return
+        self._unfile(key)
+        del self._workers_by_slot[worker.slot]
+        del self._by_id[worker.worker_id]
+        self._accelerated_by_slot.pop(worker.slot, None)
+        position = self._positions_by_slot.pop(worker.slot)
+        last = self._sampled.pop()
+        if last is not worker:
+            self._sampled[position] = last
+            self._positions_by_slot[last.slot] = position
+
+    def candidates(self, amount: Resources, limit: int) -> list[Worker]:
+        """Return up to `limit` workers with room, tightest first; empty only if none has room.
+
+        Workers without accelerators come first, then those with the fewest free, so that
+        accelerators stay free for the tasks that need them.
+        """
+        found: list[Worker] = []
+        lowest = amount.accelerators or NO_ACCELERATORS
+        for level in self._grids_by_level.irange(lowest):
+            self._collect(self._grids_by_level[level], amount, limit, found)
+            if found:
+                return found
+        return found
+
+    def sample(self, amount: Resources, limit: int) -> list[Worker]:
+        """Return those with room among up to `limit` workers drawn at random."""
+        drawn = self.draw(limit, accelerated=amount.accelerators > 0)
+        return [worker for worker in drawn if worker.has_room(amount)]
+
+    def draw(self, limit: int, *, accelerated: bool = False) -> list[Worker]:
+        """Return up to `limit` different workers drawn at random, whatever their room."""
+        drawn_from = list(self._accelerated_by_slot.values()) if accelerated else self._sampled
+        if len(drawn_from) <= limit:
+            return list(drawn_from)
+        return self._rng.sample(drawn_from, limit)
+
+    def in_order(self) -> Iterator[Worker]:
+        """Return all workers by id; for policies that are meant to look at all."""
+        return iter(self._by_id.values())
+
+    def get(self, worker_id: HostId) -> Worker | None:
+        """Return the worker if it is filed."""
+        worker: Worker | None = self._by_id.get(worker_id)
+        return worker
+
+    def __len__(self) -> int:
+        return len(self._sampled)
+
+    def _enter(self, worker: Worker) -> None:
+        self._workers_by_slot[worker.slot] = worker
+        self._by_id[worker.worker_id] = worker
+        self._positions_by_slot[worker.slot] = len(self._sampled)
+        self._sampled.append(worker)
+        if worker.has_accelerators:
+            self._accelerated_by_slot[worker.slot] = worker
+
+    def _unfile(self, key: tuple[int, int, tuple[int, int]]) -> None:
+        level, bucket, entry = key
+        grid = self._grids_by_level[level]
+        grid.remove(bucket, entry)
+        if not grid.entries_by_bucket:
+            del self._grids_by_level[level]
+
+    def _collect(self, grid: _Grid, amount: Resources, limit: int, found: list[Worker]) -> None:
+        cores = amount.cores_milli
+        first = (amount.memory_mb, -1)
+        boundary = bucket_of(cores)
+        rest: Iterator[Worker] = iter(())
+        for bucket in grid.entries_by_bucket.irange(boundary):
+            entries = grid.entries_by_bucket[bucket]
+            start = entries.bisect_left(first)
+            if bucket == boundary:
+                fitting = self._in_boundary(entries, start, cores)
+                found.extend(islice(fitting, limit - len(found)))
+                rest = self._beyond_boundary(entries, start, cores)
+            else:
+                for _, slot in entries.islice(start, start + limit - len(found)):
+                    found.append(self._workers_by_slot[slot])
+            if len(found) >= limit:
+                return
+        if not found:
+            found.extend(islice(rest, limit))
+
+    def _in_boundary(self, entries: SortedList, start: int, cores: int) -> Iterator[Worker]:
+        return self._with_cores(entries.islice(start, start + _BOUNDARY_SCAN), cores)
+
+    def _beyond_boundary(self, entries: SortedList, start: int, cores: int) -> Iterator[Worker]:
+        return self._with_cores(entries.islice(start + _BOUNDARY_SCAN), cores)
+
+    def _with_cores(self, entries: Iterator[tuple[int, int]], cores: int) -> Iterator[Worker]:
+        for _, slot in entries:
+            worker = self._workers_by_slot[slot]
+            if worker.room_cores >= cores:
+                yield worker
