--- /dev/null
+++ b/src/galenastall/coordination/ejection.py
@@ -0,0 +1,135 @@
+"""Take failing or slow upstreams out for a while, never more than a share of them.
+
+Ejection answers to what requests saw, not to probes: consecutive failures, or a mean latency far
+above the median of the others. An upstream comes back slowly, one request at a time at first.
+"""
+
+from dataclasses import dataclass
+from statistics import median
+from typing import Final
+
+from galenastall.state.ids import HostId
+
+LATENCY_WEIGHT: Final = 0.1
+"""Weight of the newest latency in an upstream's mean."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EjectionLimits:
+    """When an upstream is taken out and for how long."""
+
+    consecutive_failures: int = 5
+    latency_factor: float = 4.0
+    """Mean latency over the median of all that ejects."""
+    latency_samples: int = 20
+    """Answers since the last ejection before latency counts."""
+    latency_floor_s: float = 0.05
+    """Means below this never eject, in seconds."""
+    base_s: float = 5.0
+    """First ejection, in seconds; doubles with each further one."""
+    max_s: float = 120.0
+    max_share: float = 0.3
+    """Largest share of the upstreams that may be out at once."""
+
+
+class _Record:
+    __slots__ = ("ejected_until", "ejections", "failures", "latency_s", "reentry", "samples")
+
+    def __init__(self) -> None:
+        self.failures = 0
+        self.samples = 0
+        self.latency_s = 0.0
+        self.ejections = 0
+        self.ejected_until = 0.0
+        self.reentry: int | None = None
+
+
+class Ejection:
+    """The standing of each upstream that this entry host owns."""
+
+    def __init__(self, *, limits: EjectionLimits) -> None:
+        """Start with no upstreams."""
+        self.limits = limits
+        self._records_by_id: dict[HostId, _Record] = {}
+
+    def add(self, upstream: HostId) -> None:
+        """Follow an upstream."""
+        self._records_by_id.setdefault(upstream, _Record())
+
+    def remove(self, upstream: HostId) -> None:
+        """Forget an upstream."""
+        self._records_by_id.pop(upstream, None)
+
+    def ejected(self, *, now: float) -> frozenset[HostId]:
+        """Return the upstreams that are out now."""
+        records = self._records_by_id.items()
+        return frozenset(upstream for upstream, record in records if record.ejected_until > now)
+
+    def allowed(self, *, upstream: HostId, slots: int, now: float) -> int:
+        """Return how many of its slots may be used now."""
+        record = self._records_by_id.get(upstream)
+        if record is None:
+            return slots
+        if record.ejected_until > now:
+            return 0
+        return slots if record.reentry is None else min(slots, record.reentry)
+
+    def next_return(self, *, now: float) -> float | None:
+        """Runtime time at which the next ejected upstream comes back, if any is out."""
+        later = (r.ejected_until for r in self._records_by_id.values() if r.ejected_until > now)
+        return min(later, default=None)
+
+    def succeeded(self, *, upstream: HostId, latency_s: float, slots: int, now: float) -> bool:
+        """Take in a good answer; return True if its latency ejected the upstream."""
+        record = self._records_by_id.get(upstream)
+        if record is None:
+            return False
+        record.failures = 0
+        self._widen(record, slots)
+        record.samples += 1
+        weight = 1.0 if record.samples == 1 else LATENCY_WEIGHT
+        record.latency_s += weight * (latency_s - record.latency_s)
+        return self._is_slow(record) and self._eject(record, now)
+
+    def failed(self, *, upstream: HostId, now: float) -> bool:
+        """Take in a failure; return True if it ejected the upstream."""
+        record = self._records_by_id.get(upstream)
+        if record is None:
+            return False
+        record.failures += 1
+        limit = 1 if record.reentry is not None else self.limits.consecutive_failures
+        return record.failures >= limit and self._eject(record, now)
+
+    def _widen(self, record: _Record, slots: int) -> None:
+        if record.reentry is None:
+            return
+        record.reentry *= 2
+        if record.reentry >= slots:
+            record.reentry = None
+            record.ejections = max(0, record.ejections - 1)
+
+    def _is_slow(self, record: _Record) -> bool:
+        limits = self.limits
+        if record.samples < limits.latency_samples or record.latency_s < limits.latency_floor_s:
+            return False
+        others = [
+            other.latency_s
+            for other in self._records_by_id.values()
+            if other is not record and other.samples >= limits.latency_samples
+        ]
+        return bool(others) and record.latency_s > limits.latency_factor * median(others)
+
+    def _eject(self, record: _Record, now: float) -> bool:
+        if record.ejected_until > now:
+            return False
+        out = sum(1 for other in self._records_by_id.values() if other.ejected_until > now)
+        if out + 1 > self.limits.max_share * len(self._records_by_id):
+            return False
+        span = min(self.limits.max_s, self.limits.base_s * 2**record.ejections)
+        record.ejected_until = now + span
+        record.ejections += 1
+        record.reentry = 1
+        record.failures = 0
+        record.samples = 0
+        record.latency_s = 0.0
+        return True
--- /dev/null
+++ b/src/galenastall/coordination/rates.py
@@ -0,0 +1,61 @@
+"""Rates and run times as measured, smoothed over recent samples."""
+
+from typing import Final
+
+DRAIN_WEIGHT: Final = 0.05
+"""Weight of the newest gap between two requests handed out."""
+FALL_WEIGHT: Final = 0.3
+RISE_WEIGHT: Final = 0.02
+"""A shortest-time estimate follows faster answers quickly and slower ones slowly."""
+MIN_GAP_S: Final = 1e-6
+
+
+class DrainRate:
+    """How fast a queue empties, measured only over spans in which something waited."""
+
+    def __init__(self) -> None:
+        """Start without a measurement."""
+        self._gap_s: float | None = None
+        self._last: float | None = None
+
+    def took(self, *, now: float, left: int) -> None:
+        """Note that one was taken and how many are left."""
+        if self._last is not None:
+            gap = now - self._last
+            old = gap if self._gap_s is None else self._gap_s
+            self._gap_s = old + DRAIN_WEIGHT * (gap - old)
+        self._last = now if left else None
+
+    @property
+    def per_second(self) -> float | None:
+        """Requests a second, or None before two were taken in a row."""
+        if self._gap_s is None:
+            return None
+        return 1.0 / max(self._gap_s, MIN_GAP_S)
+
+
+class ShortestTime:
+    """Lower envelope of run times by operation: what a request needs at the very least.
+
+    It errs low on purpose: it decides what is dropped as hopeless, and a drop must be certain.
+    """
+
+    def __init__(self, *, max_operations: int = 1_000) -> None:
+        """Keep at most `max_operations` estimates; the oldest goes first."""
+        self._max_operations = max_operations
+        self._seconds_by_operation: dict[str, float] = {}
+
+    def note(self, *, operation: str, seconds: float) -> None:
+        """Take in the run time of a request that ended well."""
+        old = self._seconds_by_operation.get(operation)
+        if old is None:
+            if len(self._seconds_by_operation) >= self._max_operations:
+                self._seconds_by_operation.pop(next(iter(self._seconds_by_operation)))
+            self._seconds_by_operation[operation] = seconds
+            return
+        weight = FALL_WEIGHT if seconds < old else RISE_WEIGHT
+        self._seconds_by_operation[operation] = old + weight * (seconds - old)
+
+    def seconds(self, operation: str) -> float:
+        """Return the estimate in seconds; 0 if nothing was measured."""
+        return self._seconds_by_operation.get(operation, 0.0)
--- /dev/null
+++ b/src/galenastall/state/key_fold.py
@@ -0,0 +1,262 @@
+"""Idempotency keys as a data centre's stream records them.
+
+A key's intent is in the log before its request leaves, so whoever owns the key's shard later knows
+that the request may have run. Intents of an owner that has been replaced are passed over: its
+successor's `KeyShardOpened` comes first in the stream, and the old owner learns of it by reading
+its own record back.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from galenastall.state.ids import Epoch, HostId, Offset, RequestId
+from galenastall.state.outcomes import Outcome
+from galenastall.state.records import RECORDS, LoggedRecord
+
+
+@RECORDS.register("key_shard_opened")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeyShardOpened:
+    """A new owner of a shard of keys: intents of earlier ones no longer count from here on."""
+
+    shard: str
+    epoch: Epoch
+    opened_at: float
+    """Wall time in seconds."""
+
+
+@RECORDS.register("key_shard_ready")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeyShardReady:
+    """The owner of that epoch has read back what was held, and serves from here on."""
+
+    shard: str
+    epoch: Epoch
+    holders: tuple[HostId, ...]
+    """The entry hosts more than half of which hold its intents in a log outage."""
+    ready_at: float
+    """Wall time in seconds."""
+    incomplete_until: float = 0.0
+    """Wall time before which intents may have been lost, since too few holders answered."""
+
+
+@RECORDS.register("key_intent")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeyIntent:
+    """A request with a key that is about to be dispatched."""
+
+    shard: str
+    key: str
+    digest: str
+    """Of operation and body; a repeat must have the same."""
+    request_id: RequestId
+    runner: HostId
+    """The entry host that dispatches it."""
+    epoch: Epoch
+    """Of the shard's owner."""
+    serial: int = 1
+    """Counts the requests that came with this key; a further one only after a `not_run`."""
+    ends_at: float
+    """Wall time in seconds by which it is over; after that without an end it is unknown."""
+    until: float
+    """Wall time in seconds until which the key is remembered."""
+
+
+@RECORDS.register("key_ended")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeyEnded:
+    """What became of a key's request."""
+
+    shard: str
+    key: str
+    request_id: RequestId
+    outcome: Outcome
+    status: int = 0
+    """HTTP status of the executor's answer; 0 if there was none."""
+
+
+@RECORDS.register("keys_carried")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeysCarried:
+    """Keys written once more, compactly, before the log trims their first records."""
+
+    shard: str
+    epoch: Epoch
+    entries: tuple["KeyEntry", ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeyEntry:
+    """What is known of one key."""
+
+    key: str
+    digest: str
+    request_id: RequestId
+    runner: HostId
+    epoch: Epoch
+    serial: int
+    ends_at: float
+    until: float
+    outcome: Outcome | None = None
+    """None while no end is recorded."""
+    status: int = 0
+
+
+@dataclass(slots=True)
+class ShardState:
+    """One shard of keys."""
+
+    opened: KeyShardOpened | None = None
+    serving: KeyShardReady | None = None
+    """The last owner that got ready; its holders may hold intents that the log lacks."""
+    incomplete_until: float = 0.0
+    """Wall time before which intents may have been lost with their holders."""
+    entries_by_key: dict[str, KeyEntry] = field(default_factory=dict)
+    opened_offset: Offset = Offset(0)
+    """Where the older of its opening and its getting ready stands."""
+    first_offset_by_key: dict[str, Offset] = field(default_factory=dict)
+    """Where the oldest record of each key still needed stands."""
+
+
+class KeyFold:
+    """All shards of one data centre, built from its stream in offset order.
+
+    `first_offset` is that of the first record seen: above 0, older ones had been trimmed.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._shards_by_name: dict[str, ShardState] = {}
+        self.first_offset: Offset | None = None
+
+    def apply(self, logged: LoggedRecord) -> None:
+        """Take in the next record; other matters' records are passed over."""
+        if self.first_offset is None:
+            self.first_offset = logged.offset
+        record = logged.record
+        match record:
+            case KeyShardOpened():
+                self._open(record, logged.offset)
+            case KeyShardReady():
+                self._ready(record)
+            case KeyIntent():
+                self._intend(record, logged.offset)
+            case KeyEnded():
+                self._end(record)
+            case KeysCarried():
+                self._carry(record, logged.offset)
+            case _:
+                return
+
+    def shard(self, name: str) -> ShardState:
+        """Return the state of a shard, empty if nothing was recorded."""
+        return self._shards_by_name.setdefault(name, ShardState())
+
+    def entry(self, *, shard: str, key: str) -> KeyEntry | None:
+        """Return what is recorded of a key."""
+        return self.shard(shard).entries_by_key.get(key)
+
+    def epoch(self, shard: str) -> Epoch:
+        """Return the epoch of the shard's last recorded owner; 0 if it had none."""
+        opened = self.shard(shard).opened
+        return opened.epoch if opened else Epoch(0)
+
+    def recorded_before(self, *, shard: str, offset: Offset) -> Iterator[KeyEntry]:
+        """Yield the keys whose records would be lost if the stream were trimmed to `offset`."""
+        state = self.shard(shard)
+        for key, first in state.first_offset_by_key.items():
+            if first < offset:
+                yield state.entries_by_key[key]
+
+    def forget(self, *, wall: float) -> int:
+        """Drop keys past their time; return how many."""
+        dropped = 0
+        for state in self._shards_by_name.values():
+            old = [key for key, entry in state.entries_by_key.items() if entry.until <= wall]
+            for key in old:
+                del state.entries_by_key[key]
+                del state.first_offset_by_key[key]
+            dropped += len(old)
+        return dropped
+
+    def __len__(self) -> int:
+        return sum(len(state.entries_by_key) for state in self._shards_by_name.values())
+
+    def _open(self, record: KeyShardOpened, offset: Offset) -> None:
+        state = self.shard(record.shard)
+        if state.opened is not None and record.epoch < state.opened.epoch:
+            return
+        state.opened = record
+        state.opened_offset = offset
+
+    def _ready(self, record: KeyShardReady) -> None:
+        state = self.shard(record.shard)
+        if state.opened is None or record.epoch != state.opened.epoch:
+            return
+        state.serving = record
+        state.incomplete_until = max(state.incomplete_until, record.incomplete_until)
+
+    def _intend(self, record: KeyIntent, offset: Offset) -> None:
+        state = self.shard(record.shard)
+        if state.opened is None or record.epoch != state.opened.epoch:
+            return
+        known = state.entries_by_key.get(record.key)
+        if known is not None and known.outcome is not Outcome.NOT_RUN:
+            return
+        state.entries_by_key[record.key] = entry_of(record)
+        state.first_offset_by_key[record.key] = offset
+
+    def _end(self, record: KeyEnded) -> None:
+        entries = self.shard(record.shard).entries_by_key
+        known = entries.get(record.key)
+        if known is None or known.request_id != record.request_id:
+            return
+        entries[record.key] = ended(known, outcome=record.outcome, status=record.status)
+
+    def _carry(self, record: KeysCarried, offset: Offset) -> None:
+        state = self.shard(record.shard)
+        if state.opened is not None and record.epoch < state.opened.epoch:
+            return
+        for entry in record.entries:
+            known = state.entries_by_key.get(entry.key)
+            if known is not None and rank(known) > rank(entry):
+                continue
+            state.entries_by_key[entry.key] = entry
+            state.first_offset_by_key[entry.key] = offset
+
+
+def rank(entry: KeyEntry) -> tuple[int, int, bool]:
+    """Return what orders two entries of one key: the higher one holds."""
+    return entry.epoch, entry.serial, entry.outcome is not None
+
+
+def entry_of(intent: KeyIntent) -> KeyEntry:
+    """Return the entry that an intent opens."""
+    return KeyEntry(
+        key=intent.key,
+        digest=intent.digest,
+        request_id=intent.request_id,
+        runner=intent.runner,
+        epoch=intent.epoch,
+        serial=intent.serial,
+        ends_at=intent.ends_at,
+        until=intent.until,
+    )
+
+
+def ended(entry: KeyEntry, *, outcome: Outcome, status: int) -> KeyEntry:
+    """Return the entry with its outcome; a recorded outcome stands."""
+    if entry.outcome is not None:
+        return entry
+    return KeyEntry(
+        key=entry.key,
+        digest=entry.digest,
+        request_id=entry.request_id,
+        runner=entry.runner,
+        epoch=entry.epoch,
+        serial=entry.serial,
+        ends_at=entry.ends_at,
+        until=entry.until,
+        outcome=outcome,
+        status=status,
+    )
