Fold the jobs of a data centre's stream

Cause: accepted jobs must outlast all entry hosts, and the log trims. Change: records of acceptance, cancellation, ended tasks and compaction; a fold whose merge does not depend on what was trimmed.

--- /dev/null
+++ b/src/galenastall/state/job_fold.py
@@ -0,0 +1,244 @@
+"""Fold of the jobs of one data centre's stream.
+
+Ends merge by precedence, so the fold of a compacted record and the tail equals that of the full
+history whatever was trimmed between them: an end that comes before its job's compacted record
+waits for it, and an ended job is not revived by a compacted record that was on its way.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any, Final
+
+from galenastall.state.ids import JobId, Offset
+from galenastall.state.job_records import (
+    EndedRanges,
+    IndexRange,
+    JobAccepted,
+    JobCancelled,
+    JobCompacted,
+    JobEnded,
+    JobVerdict,
+    TasksEnded,
+)
+from galenastall.state.records import LoggedRecord
+from galenastall.state.work import JobSpec, TaskPhase, Workload
+
+OPEN: Final = 0
+CODES_BY_PHASE: Final = {
+    TaskPhase.CANCELLED: 1,
+    TaskPhase.UNKNOWN: 2,
+    TaskPhase.FAILED: 3,
+    TaskPhase.DONE: 4,
+}
+"""A higher code wins: a task thought unknown that turns out done is done."""
+PHASES_BY_CODE: Final = {code: phase for phase, code in CODES_BY_PHASE.items()}
+ENDED_JOBS_KEPT: Final = 20_000
+"""Ended jobs kept for callers' questions, a day and a half at 12,000 jobs a day."""
+ORPHANS_KEPT: Final = 20_000
+"""Jobs whose ends came before their compacted record; older ones belong to ended jobs."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobEnd:
+    """How and when a job ended."""
+
+    verdict: JobVerdict
+    detail: str
+    at: float
+
+
+class JobState:
+    """One job as the log tells it: a byte a task."""
+
+    __slots__ = ("accepted_at", "cancelled", "codes", "end", "spec")
+
+    def __init__(self, *, spec: JobSpec, accepted_at: Offset | None) -> None:
+        """Start with all tasks open; `accepted_at` is None until the log holds the job."""
+        self.spec = spec
+        self.accepted_at = accepted_at
+        self.cancelled = False
+        self.end: JobEnd | None = None
+        self.codes = bytearray(spec.tasks if spec.workload is not Workload.SERVICE else 0)
+
+    def merge(self, phase: TaskPhase, ranges: tuple[IndexRange, ...]) -> None:
+        """Mark tasks ended; a higher code wins, indices out of range are passed over."""
+        code = CODES_BY_PHASE[phase]
+        for each in ranges:
+            for index in range(max(each.start, 0), min(each.stop, len(self.codes))):
+                self.codes[index] = max(self.codes[index], code)
+
+    def phase_of(self, index: int) -> TaskPhase | None:
+        """Return how the task ended, or None while it is open."""
+        if index >= len(self.codes):
+            return None
+        return PHASES_BY_CODE.get(self.codes[index])
+
+    def open_indices(self) -> Iterator[int]:
+        """Yield the tasks that have not ended for good; all replicas of a service."""
+        if self.spec.workload is Workload.SERVICE:
+            yield from range(self.spec.tasks)
+            return
+        index = self.codes.find(OPEN)
+        while index >= 0:
+            yield index
+            index = self.codes.find(OPEN, index + 1)
+
+    def count(self, phase: TaskPhase) -> int:
+        """Return how many tasks ended so."""
+        return self.codes.count(CODES_BY_PHASE[phase])
+
+    def ends(self) -> tuple[EndedRanges, ...]:
+        """Return the ended tasks as ranges by phase."""
+        found: dict[int, list[IndexRange]] = {}
+        start = 0
+        for index in range(1, len(self.codes) + 1):
+            if index < len(self.codes) and self.codes[index] == self.codes[start]:
+                continue
+            if self.codes[start] != OPEN:
+                ranges = found.setdefault(self.codes[start], [])
+                ranges.append(IndexRange(start=start, stop=index))
+            start = index
+        return tuple(
+            EndedRanges(
+                job_id=self.spec.job_id, phase=PHASES_BY_CODE[code], ranges=tuple(found[code])
+            )
+            for code in sorted(found)
+        )
+
+    def compacted(self) -> JobCompacted:
+        """Return the record that stands for all records of this live job."""
+        return JobCompacted(spec=self.spec, cancelled=self.cancelled, ends=self.ends())
+
+
+class JobListener:
+    """What a fold tells its listener; override what matters."""
+
+    def on_job(self, job: JobState) -> None:
+        """Take note of a job that the log now holds."""
+
+    def on_cancelled(self, job: JobState) -> None:
+        """Take note of a cancellation."""
+
+    def on_ended(self, job: JobState) -> None:
+        """Take note of a job's end."""
+
+
+class JobFold:
+    """All live jobs of a data centre and the latest ended ones."""
+
+    def __init__(self, *, ended_kept: int = ENDED_JOBS_KEPT) -> None:
+        """Start empty; `ended_kept` bounds how many ended jobs are remembered."""
+        self.live_by_id: dict[JobId, JobState] = {}
+        self.ended_by_id: OrderedDict[JobId, JobState] = OrderedDict()
+        self.renewed_at_by_id: dict[JobId, Offset] = {}
+        """Offset of the newest record that holds each live job's spec."""
+        self._ended_kept = ended_kept
+        self._ended_ids: OrderedDict[JobId, JobEnded] = OrderedDict()
+        self._orphans: OrderedDict[JobId, list[EndedRanges]] = OrderedDict()
+        self._orphan_cancels: OrderedDict[JobId, None] = OrderedDict()
+        self._listeners: list[JobListener] = []
+        self._apply_by_type: dict[type[Any], Callable[[Any, Offset], None]] = {
+            JobAccepted: self._accept,
+            JobCompacted: self._take_compacted,
+            JobCancelled: self._cancel,
+            TasksEnded: self._end_tasks,
+            JobEnded: self._end,
+        }
+
+    def listen(self, listener: JobListener) -> None:
+        """Tell `listener` of every further change."""
+        self._listeners.append(listener)
+
+    def get(self, job_id: JobId) -> JobState | None:
+        """Return the job, live or ended."""
+        return self.live_by_id.get(job_id) or self.ended_by_id.get(job_id)
+
+    def apply(self, logged: LoggedRecord) -> None:
+        """Take in the next record; types of others are passed over."""
+        handler = self._apply_by_type.get(type(logged.record))
+        if handler is not None:
+            handler(logged.record, logged.offset)
+
+    def due_for_compaction(self, *, before: Offset) -> list[JobState]:
+        """Return live jobs whose newest spec record lies before `before`, oldest first."""
+        due = [(at, job) for job, at in self.renewed_at_by_id.items() if at < before]
+        return [self.live_by_id[job] for _, job in sorted(due)]
+
+    def _accept(self, record: JobAccepted, offset: Offset) -> None:
+        job_id = record.spec.job_id
+        if job_id in self._ended_ids or job_id in self.live_by_id:
+            return
+        self._add(JobState(spec=record.spec, accepted_at=offset), offset)
+
+    def _take_compacted(self, record: JobCompacted, offset: Offset) -> None:
+        job_id = record.spec.job_id
+        if job_id in self._ended_ids:
+            return
+        job = self.live_by_id.get(job_id)
+        is_new = job is None
+        if job is None:
+            job = JobState(spec=record.spec, accepted_at=offset)
+        job.cancelled = job.cancelled or record.cancelled
+        for end in record.ends:
+            job.merge(end.phase, end.ranges)
+        if is_new:
+            self._add(job, offset)
+            return
+        self.renewed_at_by_id[job_id] = offset
+
+    def _add(self, job: JobState, offset: Offset) -> None:
+        job_id = job.spec.job_id
+        self.live_by_id[job_id] = job
+        self.renewed_at_by_id[job_id] = offset
+        for end in self._orphans.pop(job_id, []):
+            job.merge(end.phase, end.ranges)
+        if job_id in self._orphan_cancels:
+            del self._orphan_cancels[job_id]
+            job.cancelled = True
+        for listener in self._listeners:
+            listener.on_job(job)
+
+    def _cancel(self, record: JobCancelled, _offset: Offset) -> None:
+        job = self.live_by_id.get(record.job_id)
+        if job is None:
+            if record.job_id not in self._ended_ids:
+                self._orphan_cancels[record.job_id] = None
+                _trim(self._orphan_cancels, ORPHANS_KEPT)
+            return
+        if job.cancelled:
+            return
+        job.cancelled = True
+        for listener in self._listeners:
+            listener.on_cancelled(job)
+
+    def _end_tasks(self, record: TasksEnded, _offset: Offset) -> None:
+        for end in record.ends:
+            job = self.live_by_id.get(end.job_id)
+            if job is not None:
+                job.merge(end.phase, end.ranges)
+            elif end.job_id not in self._ended_ids:
+                self._orphans.setdefault(end.job_id, []).append(end)
+        _trim(self._orphans, ORPHANS_KEPT)
+
+    def _end(self, record: JobEnded, _offset: Offset) -> None:
+        if record.job_id in self._ended_ids:
+            return
+        self._ended_ids[record.job_id] = record
+        _trim(self._ended_ids, self._ended_kept)
+        self._orphans.pop(record.job_id, None)
+        self._orphan_cancels.pop(record.job_id, None)
+        job = self.live_by_id.pop(record.job_id, None)
+        if job is None:
+            return
+        del self.renewed_at_by_id[record.job_id]
+        job.end = JobEnd(verdict=record.verdict, detail=record.detail, at=record.at)
+        self.ended_by_id[record.job_id] = job
+        _trim(self.ended_by_id, self._ended_kept)
+        for listener in self._listeners:
+            listener.on_ended(job)
+
+
+def _trim(kept: OrderedDict[Any, Any], most: int) -> None:
+    while len(kept) > most:
+        kept.popitem(last=False)
