--- a/src/galenastall/proof/history.py
+++ b/src/galenastall/proof/history.py
@@ -22,6 +22,9 @@
 DEFAULT_LIMIT: Final = 2_000_000
 """Events that a recorder keeps at most."""
 
+FOR_EVER: Final = 1e12
+"""Wall time in seconds of what never ends; finite, so that JSON can carry it."""
+
 E = TypeVar("E", bound="HistoryEvent")
 T = TypeVar("T")
 
