--- a/src/galenastall/coordination/gang_holds.py
+++ b/src/galenastall/coordination/gang_holds.py
@@ -162,8 +162,15 @@
                 self._promise(gang_id, task, worker, now, now)
             elif earlier is not None and earlier.worker.is_open:
                 self._promise(gang_id, task, earlier.worker, now, earlier.expected_at)
-            else:
-                self._placer.demand(task, self._placer.amount_of(task), now, gang_id=gang_id)
+            elif not self._demand(gang_id, task, now):
+                self._take_promises(gang_id, now)
+                self._waiting_gang = None
+                return
+
+    def _demand(self, gang_id: str, task: TaskSpec, now: float) -> bool:
+        """Seek room for one task; if none is foreseen, the gang must not block others."""
+        amount = self._placer.amount_of(task)
+        return self._placer.demand(task, amount, now, gang_id=gang_id) is not None
 
     def _promise(
         self, gang_id: str, task: TaskSpec, worker: Worker, now: float, expected_at: float
--- a/src/galenastall/coordination/overrun.py
+++ b/src/galenastall/coordination/overrun.py
@@ -9,6 +9,7 @@
 
 from galenastall.coordination.placement_commands import CommandKind
 from galenastall.coordination.placement_state import Placed, Worker
+from galenastall.coordination.preemption import ENDINGS
 from galenastall.state.work import TaskPhase, Workload
 
 
@@ -75,7 +76,7 @@
     for task in sorted(candidates, key=_by_claim):
         if surplus <= 0:
             return
-        if task.ending in (CommandKind.STOP, CommandKind.CHECKPOINT):
+        if task.ending in ENDINGS:
             surplus -= task.used.memory_mb
             continue
         if task.can_checkpoint:
--- a/src/galenastall/coordination/placer.py
+++ b/src/galenastall/coordination/placer.py
@@ -16,10 +16,12 @@
 from galenastall.state.resources import Resources
 from galenastall.state.work import TaskSpec, Urgency, Workload
 
-WORKERS_WEIGHED: Final = 8
+WORKERS_WEIGHED: Final = 6
 """Workers looked at for victims or for a promise, drawn at random."""
 DEMANDS_PER_DECISION: Final = 2
 """Tasks for which victims or a promise are sought in one decision; the next takes on more."""
+SEEK_AGAIN_S: Final = 1.0
+"""When an urgent task without victims looks for some again, on other workers."""
 PREEMPTED_WITHIN_S: Final = 10.0
 """When room asked for by preemption is expected, in seconds."""
 PROMISE_SLACK_S: Final = 30.0
@@ -114,7 +116,14 @@
         if plan is not None:
             until = now + PREEMPTED_WITHIN_S
             return self._promise(
-                task, plan.worker, amount, now=now, expected_at=until, until=until, gang_id=gang_id
+                task,
+                plan.worker,
+                amount,
+                now=now,
+                expected_at=until,
+                until=until,
+                gang_id=gang_id,
+                is_preempting=True,
             )
         times = [(self._room_at(worker, amount, now), worker.slot, worker) for worker in workers]
         expected_at, _, worker = min(times, default=(inf, 0, None))
@@ -122,7 +131,14 @@
             return None
         until = expected_at + PROMISE_SLACK_S
         return self._promise(
-            task, worker, amount, now=now, expected_at=expected_at, until=until, gang_id=gang_id
+            task,
+            worker,
+            amount,
+            now=now,
+            expected_at=expected_at,
+            until=until,
+            gang_id=gang_id,
+            is_preempting=False,
         )
 
     def _promised_worker(self, task: TaskSpec, amount: Resources) -> Worker | None:
@@ -167,15 +183,23 @@
         if waiting.lane is Lane.TEAM or self._demands_left <= 0:
             waiting.reason = WaitReason.ROOM
             return
-        if self._tables.promises.get(task.task_id) is not None:
+        promise = self._tables.promises.get(task.task_id)
+        if promise is not None and not self._may_seek_again(task, promise, now):
             return
         if len(self._tables.promises) >= self._most_promises(waiting.lane):
             waiting.reason = WaitReason.ROOM
             return
         self._demands_left -= 1
+        self._tables.drop_promise(task.task_id)
         promise = self.demand(task, amount, now)
         waiting.reason = WaitReason.ROOM if promise is None else WaitReason.PROMISED
 
+    def _may_seek_again(self, task: TaskSpec, promise: Promise, now: float) -> bool:
+        """Whether an urgent task that waits for a worker to empty should look for victims again."""
+        if task.urgency is not Urgency.URGENT or promise.is_preempting:
+            return False
+        return now - promise.made_at >= SEEK_AGAIN_S
+
     def _most_promises(self, lane: Lane | None) -> int:
         most = PROMISES_PER_WORKER * len(self._tables.workers_by_id)
         return most if lane is Lane.URGENT else max(most // 16, 1)
@@ -209,6 +233,7 @@
         expected_at: float,
         until: float,
         gang_id: str,
+        is_preempting: bool,
     ) -> Promise:
         if gang_id:
             until = now + self._tables.settings.gang_promise_s
@@ -220,6 +245,7 @@
             expected_at=expected_at,
             until=until,
             gang_id=gang_id,
+            is_preempting=is_preempting,
         )
         self._tables.make_promise(promise)
         return promise
--- a/src/galenastall/coordination/preemption.py
+++ b/src/galenastall/coordination/preemption.py
@@ -11,13 +11,19 @@
 
 from galenastall.coordination.placement_commands import CommandKind
 from galenastall.coordination.placement_state import Placed, Worker
+from galenastall.state.ledger import LedgerPhase
 from galenastall.state.resources import Resources
-from galenastall.state.work import TaskPhase, TaskSpec, Workload
+from galenastall.state.work import TaskSpec, Workload
 
 CHECKPOINT_COST_S: Final = 5.0
 """Core-seconds that a checkpoint and a restart are reckoned to lose, for each core."""
 SERVICE_COST_S: Final = 600.0
 """Core-seconds added for stopping a service's replica, which callers notice."""
+ENDINGS: Final = frozenset({CommandKind.STOP, CommandKind.CHECKPOINT})
+"""Commands after which a task's room is coming."""
+
+Loss = tuple[bool, int, float]
+"""Whether it has to be stopped, its class with the lowest first, core-seconds of work lost."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -39,22 +45,20 @@
     cost: float
 
 
-def victim_of(placed: Placed, task: TaskSpec, now: float) -> Victim | None:
-    """Return how `placed` would make way for `task`, or None if it must not."""
+def loss_of(placed: Placed, task: TaskSpec, now: float) -> Loss | None:
+    """Return what it would lose to have `placed` make way for `task`, or None if it must not."""
     other = placed.task
-    if other.urgency <= task.urgency or other.workload is Workload.GANG:
+    if other.urgency <= task.urgency or placed.ending is not None:
         return None
-    if placed.ending is not None or placed.phase is not TaskPhase.RUNNING:
+    if placed.entry.phase is not LedgerPhase.RUNNING or other.workload is Workload.GANG:
         return None
-    cores = placed.entry.amount.cores_milli / 1000
     extra = SERVICE_COST_S if other.workload is Workload.SERVICE else 0.0
+    cores = placed.entry.amount.cores_milli / 1000
     if placed.can_checkpoint:
-        cost = CHECKPOINT_COST_S * cores + extra
-        return Victim(placed=placed, command=CommandKind.CHECKPOINT, cost=cost)
+        return False, -other.urgency, CHECKPOINT_COST_S * cores + extra
     if not other.idempotent:
         return None
-    cost = (now - placed.decided_at) * cores + extra
-    return Victim(placed=placed, command=CommandKind.STOP, cost=cost)
+    return True, -other.urgency, (now - placed.decided_at) * cores + extra
 
 
 def plan_on(
@@ -65,22 +69,24 @@
     What is promised to others there is not counted as room; what is ending already is.
     """
     free = worker.ledger.free - worker.promised
-    victims: list[Victim] = []
-    for other in placed:
-        if other.ending in (CommandKind.STOP, CommandKind.CHECKPOINT):
+    losses: list[tuple[Loss, int, Placed]] = []
+    for position, other in enumerate(placed):
+        if other.ending in ENDINGS:
             free = free + other.entry.amount
             continue
-        victim = victim_of(other, task, now)
-        if victim is not None:
-            victims.append(victim)
-    victims.sort(key=_by_loss)
+        loss = loss_of(other, task, now)
+        if loss is not None:
+            losses.append((loss, position, other))
+    losses.sort()
     chosen: list[Victim] = []
-    for victim in victims:
+    for loss, _, other in losses:
         if amount.fits_in(free):
             break
-        if _helps(victim, amount, free):
-            free = free + victim.placed.entry.amount
-            chosen.append(victim)
+        gives = other.entry.amount
+        if _helps(gives, amount, free):
+            free = free + gives
+            command = CommandKind.STOP if loss[0] else CommandKind.CHECKPOINT
+            chosen.append(Victim(placed=other, command=command, cost=loss[2]))
     if not amount.fits_in(free):
         return None
     return _without_surplus(worker, chosen, amount, free)
@@ -106,9 +112,8 @@
     return PreemptionPlan(worker=worker, victims=tuple(kept), cost=cost)
 
 
-def _helps(victim: Victim, amount: Resources, free: Resources) -> bool:
+def _helps(gives: Resources, amount: Resources, free: Resources) -> bool:
     missing = amount - free
-    gives = victim.placed.entry.amount
     return (
         (missing.cores_milli > 0 and gives.cores_milli > 0)
         or (missing.memory_mb > 0 and gives.memory_mb > 0)
@@ -116,11 +121,6 @@
     )
 
 
-def _by_loss(victim: Victim) -> tuple[bool, int, float]:
-    is_stop = victim.command is CommandKind.STOP
-    return is_stop, -victim.placed.task.urgency, victim.cost
-
-
 def _plan_key(plan: PreemptionPlan) -> tuple[int, float, str]:
     stops = sum(victim.command is CommandKind.STOP for victim in plan.victims)
     return stops, plan.cost, plan.worker.worker_id
--- a/src/galenastall/coordination/promises.py
+++ b/src/galenastall/coordination/promises.py
@@ -13,7 +13,16 @@
 class Promise:
     """Room on one worker for one waiting task."""
 
-    __slots__ = ("amount", "expected_at", "gang_id", "made_at", "task_id", "until", "worker")
+    __slots__ = (
+        "amount",
+        "expected_at",
+        "gang_id",
+        "is_preempting",
+        "made_at",
+        "task_id",
+        "until",
+        "worker",
+    )
 
     def __init__(
         self,
@@ -25,6 +34,7 @@
         expected_at: float,
         until: float,
         gang_id: str = "",
+        is_preempting: bool = False,
     ) -> None:
         """Record the room, when it is expected to be free and when the promise ends."""
         self.task_id = task_id
@@ -34,6 +44,7 @@
         self.expected_at = expected_at
         self.until = until
         self.gang_id = gang_id
+        self.is_preempting = is_preempting
 
 
 class Promises:
--- a/src/galenastall/coordination/worker_index.py
+++ b/src/galenastall/coordination/worker_index.py
@@ -22,7 +22,7 @@
 
 _SINGLE_BUCKETS: Final = 4
 """Amounts below this have a bucket each."""
-_BOUNDARY_SCAN: Final = 64
+_BOUNDARY_SCAN: Final = 16
 """Entries looked at in the bucket that only partly fits before larger buckets are tried."""
 
 
@@ -159,30 +159,22 @@
         cores = amount.cores_milli
         first = (amount.memory_mb, -1)
         boundary = bucket_of(cores)
-        rest: Iterator[Worker] = iter(())
+        by_slot = self._workers_by_slot
+        rest: Iterator[tuple[int, int]] = iter(())
         for bucket in grid.entries_by_bucket.irange(boundary):
             entries = grid.entries_by_bucket[bucket]
             start = entries.bisect_left(first)
             if bucket == boundary:
-                fitting = self._in_boundary(entries, start, cores)
-                found.extend(islice(fitting, limit - len(found)))
-                rest = self._beyond_boundary(entries, start, cores)
+                for _, slot in entries.islice(start, start + _BOUNDARY_SCAN):
+                    worker = by_slot[slot]
+                    if worker.room_cores >= cores:
+                        found.append(worker)
+                rest = entries.islice(start + _BOUNDARY_SCAN)
             else:
                 for _, slot in entries.islice(start, start + limit - len(found)):
-                    found.append(self._workers_by_slot[slot])
+                    found.append(by_slot[slot])
             if len(found) >= limit:
                 return
         if not found:
-            found.extend(islice(rest, limit))
-
-    def _in_boundary(self, entries: SortedList, start: int, cores: int) -> Iterator[Worker]:
-        return self._with_cores(entries.islice(start, start + _BOUNDARY_SCAN), cores)
-
-    def _beyond_boundary(self, entries: SortedList, start: int, cores: int) -> Iterator[Worker]:
-        return self._with_cores(entries.islice(start + _BOUNDARY_SCAN), cores)
-
-    def _with_cores(self, entries: Iterator[tuple[int, int]], cores: int) -> Iterator[Worker]:
-        for _, slot in entries:
-            worker = self._workers_by_slot[slot]
-            if worker.room_cores >= cores:
-                yield worker
+            fitting = (by_slot[slot] for _, slot in rest if by_slot[slot].room_cores >= cores)
+            found.extend(islice(fitting, limit))
