--- /dev/null
+++ b/src/galenastall/coordination/assignees.py
@@ -0,0 +1,164 @@
+"""Choose the worker-owning entry host for tasks, by gossiped capacity summaries.
+
+Summaries lag, so what was assigned since the last one counts against the free room that it showed.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from galenastall.coordination.placement_commands import CapacitySummary, Hole
+from galenastall.state.ids import HostId
+from galenastall.state.resources import NOTHING, Resources
+from galenastall.state.work import Urgency
+
+DEFAULT_BACKLOG: Final = 256
+"""Tasks of one shard that may wait at one assignee: enough for a worker owner to choose from."""
+URGENT_EXTRA: Final = 256
+"""Further tasks if they are urgent: these may preempt, which only the assignee can decide."""
+AVOID_S: Final = 1.0
+"""How long an assignee that refused tasks is passed over, in seconds."""
+
+
+@dataclass(kw_only=True, slots=True)
+class _Assignee:
+    summary: CapacitySummary
+    pending: Resources = NOTHING
+    queued: int = 0
+    """Tasks of this shard that are assigned there and were not reported started."""
+    avoid_until: float = 0.0
+
+
+def fits_whole(summary: CapacitySummary, need: Resources) -> bool:
+    """Return whether some worker there is large enough when empty."""
+    return _fits_one(summary.largest_worker, need)
+
+
+def count_fitting(room: Resources, need: Resources) -> int:
+    """Return how many tasks of this size the total room would hold; an upper bound."""
+    bounds = [
+        free // asked
+        for free, asked in (
+            (room.cores_milli, need.cores_milli),
+            (room.memory_mb, need.memory_mb),
+            (room.accelerators, need.accelerators),
+        )
+        if asked > 0
+    ]
+    return max(min(bounds), 0) if bounds else DEFAULT_BACKLOG
+
+
+class AssigneeBook:
+    """The living worker owners of a data centre as one job shard sees them."""
+
+    def __init__(self, *, backlog: int = DEFAULT_BACKLOG) -> None:
+        """Start with nobody; `backlog` bounds the tasks that wait at each assignee."""
+        self._backlog = backlog
+        self._by_host: dict[HostId, _Assignee] = {}
+
+    def update(self, summaries: Mapping[HostId, CapacitySummary]) -> None:
+        """Take the newest summaries; hosts that are missing get nothing more."""
+        kept = self._by_host
+        self._by_host = {}
+        for host, summary in sorted(summaries.items()):
+            known = kept.get(host)
+            if known is None:
+                self._by_host[host] = _Assignee(summary=summary)
+                continue
+            if known.summary is not summary:
+                known.summary = summary
+                known.pending = NOTHING
+            self._by_host[host] = known
+
+    def forget(self, host: HostId) -> None:
+        """Drop what is counted against a host, since it is another process now."""
+        self._by_host.pop(host, None)
+
+    def hosts(self) -> tuple[HostId, ...]:
+        """Return the hosts that tasks may be assigned to."""
+        return tuple(self._by_host)
+
+    def avoid(self, host: HostId, now: float) -> None:
+        """Pass a host over for a moment, since it refused."""
+        if host in self._by_host:
+            self._by_host[host].avoid_until = now + AVOID_S
+
+    def choose(
+        self, *, need: Resources, urgency: Urgency, want: int, now: float
+    ) -> tuple[HostId, int] | None:
+        """Return a host and how many of `want` like tasks to assign there; None if nowhere.
+
+        The host with the most room left comes first. Beyond its free room a host is given a
+        bounded backlog, so that it has tasks of all teams to choose from.
+        """
+        best: tuple[int, int, HostId] | None = None
+        for host, each in self._by_host.items():
+            limit = self._backlog + (URGENT_EXTRA if urgency is Urgency.URGENT else 0)
+            if each.queued >= limit or each.avoid_until > now:
+                continue
+            if not fits_whole(each.summary, need):
+                continue
+            fitting = count_fitting(each.summary.free - each.pending, need)
+            rank = (fitting, -each.queued)
+            if best is None or rank > best[:2]:
+                best = (*rank, host)
+        if best is None:
+            return None
+        chosen = self._by_host[best[2]]
+        room = max(best[0], 1)
+        limit = self._backlog + (URGENT_EXTRA if urgency is Urgency.URGENT else 0)
+        return best[2], min(want, room, limit - chosen.queued)
+
+    def assigned(self, host: HostId, need: Resources, count: int) -> None:
+        """Count tasks against a host's room and backlog."""
+        each = self._by_host.get(host)
+        if each is None:
+            return
+        each.queued += count
+        each.pending = each.pending + _times(need, count)
+
+    def reserve(self, host: HostId, need: Resources, count: int) -> None:
+        """Count tasks against a host's room but not against its backlog, as for a gang's hold."""
+        self.assigned(host, need, count)
+        self.unqueued(host, count)
+
+    def unqueued(self, host: HostId, count: int = 1) -> None:
+        """Count tasks as started, ended or given back."""
+        each = self._by_host.get(host)
+        if each is not None:
+            each.queued = max(each.queued - count, 0)
+
+    def plan_gang(self, *, need: Resources, tasks: int, now: float) -> dict[HostId, int] | None:
+        """Return how many tasks of a gang to hold at which host, on as few hosts as will do."""
+        fitting = sorted(
+            (
+                (count_fitting(each.summary.free - each.pending, need), host)
+                for host, each in self._by_host.items()
+                if each.avoid_until <= now and fits_whole(each.summary, need)
+            ),
+            key=lambda entry: (-entry[0], entry[1]),
+        )
+        planned: dict[HostId, int] = {}
+        missing = tasks
+        for count, host in fitting:
+            if missing == 0 or count == 0:
+                break
+            planned[host] = min(count, missing)
+            missing -= planned[host]
+        return dict(sorted(planned.items())) if missing == 0 else None
+
+    def can_ever_run(self, need: Resources) -> bool:
+        """Return whether some worker that is known now is large enough when empty."""
+        return any(fits_whole(each.summary, need) for each in self._by_host.values())
+
+
+def _fits_one(holes: tuple[Hole, ...], need: Resources) -> bool:
+    return any(need.fits_in(hole.free) for hole in holes)
+
+
+def _times(need: Resources, count: int) -> Resources:
+    return Resources(
+        cores_milli=need.cores_milli * count,
+        memory_mb=need.memory_mb * count,
+        accelerators=need.accelerators * count,
+    )
--- /dev/null
+++ b/src/galenastall/coordination/attempt_rules.py
@@ -0,0 +1,81 @@
+"""What follows from an attempt that is over: end the task, try again, or stop the job."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from galenastall.coordination.job_run import JobRun
+from galenastall.coordination.shard_commands import ShardSettings
+from galenastall.coordination.task_reports import ReportKind, TaskReport
+from galenastall.state.work import TaskPhase
+
+
+class NextMove(StrEnum):
+    """What to do with the task."""
+
+    OFFER = "offer"
+    """Give it out again at once: it provably never started."""
+    RETRY = "retry"
+    """Give it out again after a wait."""
+    CLOSE = "close"
+    """It ended for good."""
+    STOP_JOB = "stop_job"
+    """It ended for good and its job gives out nothing more."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Verdict:
+    """A move, and the phase with which the task ends if it does."""
+
+    move: NextMove
+    phase: TaskPhase = TaskPhase.CANCELLED
+
+
+def judge(run: JobRun, index: int, report: TaskReport, settings: ShardSettings) -> Verdict:
+    """Return what to do after the last report on an attempt.
+
+    A task that may have run is tried again only if it is idempotent; otherwise it ends as what is
+    known of it: failed, or unknown.
+    """
+    if run.is_stopped:
+        return Verdict(move=NextMove.CLOSE, phase=phase_when_stopped(run, report.kind))
+    if report.kind is ReportKind.RETURNED:
+        return Verdict(move=NextMove.OFFER)
+    if report.kind is ReportKind.REFUSED:
+        move = NextMove.STOP_JOB if report.give_up else NextMove.CLOSE
+        return Verdict(move=move, phase=TaskPhase.CANCELLED)
+    if report.kind is ReportKind.DONE and not run.is_service:
+        return Verdict(move=NextMove.CLOSE, phase=TaskPhase.DONE)
+    if run.is_service:
+        return Verdict(move=NextMove.RETRY)
+    if report.kind is ReportKind.FAILED and is_bad_job(run, index, report, settings):
+        return Verdict(move=NextMove.STOP_JOB, phase=TaskPhase.FAILED)
+    if run.state.spec.idempotent:
+        return Verdict(move=NextMove.RETRY)
+    phase = TaskPhase.FAILED if report.kind is ReportKind.FAILED else TaskPhase.UNKNOWN
+    return Verdict(move=NextMove.CLOSE, phase=phase)
+
+
+def phase_when_stopped(run: JobRun, kind: ReportKind) -> TaskPhase:
+    """Return how a task of a stopped job ends after this last report."""
+    if kind is ReportKind.DONE and not run.is_service:
+        return TaskPhase.DONE
+    if kind is ReportKind.FAILED:
+        return TaskPhase.FAILED
+    if kind is ReportKind.LOST and not run.state.spec.idempotent:
+        return TaskPhase.UNKNOWN
+    return run.stop_phase
+
+
+def is_bad_job(run: JobRun, index: int, report: TaskReport, settings: ShardSettings) -> bool:
+    """Return whether the failures speak against the job rather than against a worker."""
+    workers = {each.worker_id for each in run.failures}
+    own = sum(1 for each in run.failures if each.index == index)
+    return (
+        report.give_up or len(workers) >= settings.bad_job_workers or own >= settings.max_failures
+    )
+
+
+def retry_delay_s(run: JobRun, index: int, settings: ShardSettings) -> float:
+    """Return the wait before the next try; it doubles with each failure of the task."""
+    failures = sum(1 for each in run.failures if each.index == index)
+    return min(settings.retry_s * float(2 ** min(failures, 10)), settings.max_retry_s)
--- /dev/null
+++ b/src/galenastall/coordination/gang_desk.py
@@ -0,0 +1,171 @@
+"""The gangs of one job shard: plan, hold, start, undo, try again.
+
+A gang's tasks end together: one that is done stays open until all are, so that the whole gang can
+be tried again. What each task last said is kept with its assignee's entry.
+"""
+
+from collections.abc import Iterable
+
+from galenastall.coordination.assignees import AssigneeBook
+from galenastall.coordination.gangs import Gang, GangPhase, GangStep, GangStepKind
+from galenastall.coordination.job_run import Assigned, JobRun
+from galenastall.coordination.shard_commands import ShardSettings, StopBatch
+from galenastall.coordination.task_reports import ENDING_KINDS, ReportKind, TaskReport
+from galenastall.state.ids import HostId, JobId, make_task_id
+
+
+class GangDesk:
+    """Drives every gang of a shard; the shard closes tasks when a gang has ended."""
+
+    def __init__(self, *, settings: ShardSettings, assignees: AssigneeBook) -> None:
+        """Start without gangs."""
+        self._settings = settings
+        self._assignees = assignees
+        self._gangs_by_id: dict[JobId, Gang] = {}
+        self._runs_by_id: dict[JobId, JobRun] = {}
+        self._steps: list[tuple[JobId, GangStep]] = []
+        self._repeat_at: dict[JobId, float] = {}
+
+    def add(self, run: JobRun) -> None:
+        """Take on a gang."""
+        spec = run.state.spec
+        self._runs_by_id[spec.job_id] = run
+        self._gangs_by_id[spec.job_id] = Gang(
+            job_id=spec.job_id, tasks=spec.tasks, hold_s=self._settings.hold_s
+        )
+
+    def forget(self, job_id: JobId) -> None:
+        """Drop a gang."""
+        self._gangs_by_id.pop(job_id, None)
+        self._runs_by_id.pop(job_id, None)
+        self._repeat_at.pop(job_id, None)
+
+    def __contains__(self, job_id: JobId) -> bool:
+        return job_id in self._gangs_by_id
+
+    def phase_of(self, job_id: JobId) -> GangPhase:
+        """Return where a gang stands."""
+        return self._gangs_by_id[job_id].phase
+
+    def kinds_of(self, job_id: JobId) -> dict[int, ReportKind]:
+        """Return the last word on each task of the present attempt."""
+        return self._gangs_by_id[job_id].kind_by_index
+
+    def decide(self, now: float) -> None:
+        """Begin what can begin and repeat what got no answer."""
+        for job_id, gang in self._gangs_by_id.items():
+            if gang.phase is GangPhase.WAITING:
+                self._try_to_begin(self._runs_by_id[job_id], gang, now)
+            elif self._repeat_at.get(job_id, 0.0) <= now:
+                self._repeat_at[job_id] = now + self._settings.gang_repeat_s
+                self._push(job_id, gang.tick(now))
+
+    def take_steps(self) -> tuple[list[tuple[JobId, GangStep]], list[StopBatch]]:
+        """Return the messages due: holds, starts and releases, and the tasks to stop."""
+        steps, self._steps = self._steps, []
+        sent: list[tuple[JobId, GangStep]] = []
+        stops: list[StopBatch] = []
+        for job_id, step in steps:
+            if step.kind is GangStepKind.STOP:
+                stops.extend(self._stops_of(job_id, step))
+            else:
+                sent.append((job_id, step))
+        return sent, stops
+
+    def on_hold(self, job_id: JobId, host: HostId, key: str, *, is_held: bool, now: float) -> None:
+        """Take an owner's answer to a hold."""
+        gang = self._gangs_by_id.get(job_id)
+        if gang is None:
+            return
+        if not is_held:
+            self._assignees.avoid(host, now)
+        before = gang.phase
+        self._push(job_id, gang.on_hold(host, key, is_held=is_held, now=now))
+        if before is not gang.phase is GangPhase.STARTING:
+            self._repeat_at[job_id] = now + self._settings.gang_repeat_s
+            run = self._runs_by_id[job_id]
+            for each, indices in gang.plan.items():
+                for index in indices:
+                    run.assigned_by_index[index] = Assigned(host=each, attempt=gang.attempt)
+
+    def on_start(
+        self, job_id: JobId, host: HostId, key: str, *, is_started: bool, now: float
+    ) -> None:
+        """Take an owner's word on its part."""
+        gang = self._gangs_by_id.get(job_id)
+        if gang is None or key != gang.key:
+            return
+        self._push(job_id, gang.on_start(host, key, is_started=is_started, now=now))
+        if is_started:
+            return
+        assigned_by_index = self._runs_by_id[job_id].assigned_by_index
+        for index in gang.plan[host]:
+            if index in assigned_by_index:
+                assigned_by_index[index].kind = ReportKind.RETURNED
+
+    def on_report(self, job_id: JobId, index: int, report: TaskReport, now: float) -> None:
+        """Take the word on one task."""
+        gang = self._gangs_by_id[job_id]
+        self._push(job_id, gang.on_report(index, report.attempt, report.kind, now))
+
+    def cancel(self, job_id: JobId, now: float) -> None:
+        """Release or stop all of a gang."""
+        gang = self._gangs_by_id.get(job_id)
+        if gang is not None:
+            self._push(job_id, gang.cancel(now))
+
+    def resolve(self, run: JobRun, doubtful: Iterable[int], now: float) -> None:
+        """Go on after a census: what is nowhere is lost to its gang's attempt."""
+        job_id = run.state.spec.job_id
+        gang = self._gangs_by_id[job_id]
+        if gang.phase is GangPhase.WAITING:
+            kinds = {
+                index: (each.host, each.attempt, each.kind)
+                for index, each in run.assigned_by_index.items()
+            }
+            gang.resume(kinds, now)
+            return
+        for index in sorted(doubtful):
+            self._push(job_id, gang.on_report(index, gang.attempt, ReportKind.LOST, now))
+
+    def is_over(self, job_id: JobId) -> bool:
+        """Return whether the present attempt has ended for all tasks."""
+        return self._gangs_by_id[job_id].phase is GangPhase.ENDED
+
+    def retry(self, run: JobRun, now: float) -> None:
+        """Let an ended gang wait for another try."""
+        run.assigned_by_index.clear()
+        self._gangs_by_id[run.state.spec.job_id].retry(now)
+
+    def may_have_run(self, job_id: JobId) -> bool:
+        """Return whether some task of the present attempt may have run."""
+        return self._gangs_by_id[job_id].may_have_run
+
+    def _try_to_begin(self, run: JobRun, gang: Gang, now: float) -> None:
+        if run.doubtful or run.is_stopped or gang.not_before > now or run.assigned_by_index:
+            return
+        spec = run.state.spec
+        plan = self._assignees.plan_gang(need=spec.resources, tasks=spec.tasks, now=now)
+        if plan is None:
+            return
+        highest = max(run.tries_by_index.values(), default=-1)
+        attempt = max(run.base_attempt + highest, gang.attempt) + 1
+        run.tries_by_index = {0: attempt - run.base_attempt}
+        for host, count in plan.items():
+            self._assignees.reserve(host, spec.resources, count)
+        self._push(spec.job_id, gang.begin(plan, attempt=attempt, now=now))
+
+    def _stops_of(self, job_id: JobId, step: GangStep) -> Iterable[StopBatch]:
+        run = self._runs_by_id.get(job_id)
+        if run is None:
+            return
+        tasks_by_host: dict[HostId, list[int]] = {}
+        for index in step.indices:
+            assigned = run.assigned_by_index.get(index)
+            if assigned is not None and assigned.kind not in ENDING_KINDS:
+                tasks_by_host.setdefault(assigned.host, []).append(index)
+        for host, indices in tasks_by_host.items():
+            yield StopBatch(host=host, tasks=tuple(make_task_id(job_id, i) for i in indices))
+
+    def _push(self, job_id: JobId, steps: Iterable[GangStep]) -> None:
+        self._steps.extend((job_id, step) for step in steps)
--- /dev/null
+++ b/src/galenastall/coordination/job_run.py
@@ -0,0 +1,182 @@
+"""One job's progress as its shard owner keeps it: who has which task, and what is still to give.
+
+Tasks that wait cost nothing: they are taken from a rising index, and only those that came back are
+listed. What is placed with an assignee has an entry each.
+"""
+
+import bisect
+import heapq
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Final
+
+from galenastall.coordination.task_reports import ReportKind
+from galenastall.state.ids import HostId, make_task_id
+from galenastall.state.job_fold import CODES_BY_PHASE, OPEN, JobState
+from galenastall.state.job_records import IndexRange
+from galenastall.state.work import TaskPhase, TaskSpec, Workload
+
+_OPEN_RUN: Final = re.compile(rb"\x00+")
+FAILURES_KEPT: Final = 50
+"""Failed attempts kept for a job's history."""
+
+
+@dataclass(kw_only=True, slots=True)
+class Assigned:
+    """One task with its assignee."""
+
+    host: HostId
+    attempt: int
+    kind: ReportKind = ReportKind.QUEUED
+    worker_id: HostId = HostId("")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TaskFailure:
+    """One failed attempt, kept for the job's history."""
+
+    index: int
+    worker_id: HostId
+    detail: str
+
+
+@dataclass(kw_only=True, slots=True)
+class JobRun:
+    """A live job at its shard's owner."""
+
+    state: JobState
+    base_attempt: int
+    assigned_by_index: dict[int, Assigned] = field(default_factory=dict)
+    doubtful: set[int] = field(default_factory=set)
+    """May be somewhere; nobody has said so yet. Not given out until a census is complete."""
+    tries_by_index: dict[int, int] = field(default_factory=dict)
+    failures: list[TaskFailure] = field(default_factory=list)
+    delayed: set[int] = field(default_factory=set)
+    """Wait for their retry time."""
+    is_stopped: bool = False
+    """Gives out nothing more: cancelled, or stopped for its failures."""
+    stop_phase: TaskPhase = TaskPhase.CANCELLED
+    detail: str = ""
+    waiting_reason: str = ""
+    is_ending: bool = False
+    _returned: list[int] = field(default_factory=list)
+    _next: int = 0
+
+    @property
+    def is_service(self) -> bool:
+        """Whether ended tasks are replaced rather than counted."""
+        return self.state.spec.workload is Workload.SERVICE
+
+    @property
+    def open_count(self) -> int:
+        """Return how many tasks have not ended for good."""
+        if self.is_service:
+            return self.state.spec.tasks
+        return self.state.codes.count(OPEN)
+
+    @property
+    def waiting_count(self) -> int:
+        """Return how many tasks could be given out now."""
+        if self.is_stopped:
+            return 0
+        held_back = len(self.assigned_by_index) + len(self.doubtful) + len(self.delayed)
+        return self.open_count - held_back
+
+    def is_open(self, index: int) -> bool:
+        """Return whether the task has not ended for good."""
+        return self.is_service or self.state.codes[index] == OPEN
+
+    def take(self, count: int) -> list[int]:
+        """Take up to `count` waiting tasks; those given back go first."""
+        taken: list[int] = []
+        while self._returned and len(taken) < count:
+            index = heapq.heappop(self._returned)
+            if self._may_give(index):
+                taken.append(index)
+        while self._next < self.state.spec.tasks and len(taken) < count:
+            if self._may_give(self._next):
+                taken.append(self._next)
+            self._next += 1
+        return taken
+
+    def give_back(self, index: int) -> None:
+        """Let a task wait again."""
+        if index < self._next:
+            heapq.heappush(self._returned, index)
+
+    def close(self, index: int, phase: TaskPhase) -> bool:
+        """Mark a task ended for good; return whether that is news."""
+        code = CODES_BY_PHASE[phase]
+        if self.is_service or self.state.codes[index] >= code:
+            return False
+        self.state.codes[index] = code
+        return True
+
+    def close_waiting(self, phase: TaskPhase) -> tuple[IndexRange, ...]:
+        """Close all that wait, at once; return the ranges."""
+        held_back = self.assigned_by_index.keys() | self.doubtful
+        self.delayed.clear()
+        self._returned.clear()
+        self._next = self.state.spec.tasks
+        if self.is_service:
+            return ()
+        ranges = tuple(self._open_segments(sorted(held_back)))
+        code = CODES_BY_PHASE[phase]
+        for each in ranges:
+            self.state.codes[each.start : each.stop] = bytes([code]) * (each.stop - each.start)
+        return ranges
+
+    def add_failure(self, failure: TaskFailure) -> None:
+        """Remember a failed attempt; the oldest ones are forgotten."""
+        self.failures.append(failure)
+        del self.failures[:-FAILURES_KEPT]
+
+    def history(self) -> str:
+        """Return the failures in words."""
+        return "; ".join(
+            f"task {each.index} failed on {each.worker_id}: {each.detail}"
+            for each in self.failures[-10:]
+        )
+
+    def attempt_of(self, index: int) -> int:
+        """Return the number of the task's next attempt."""
+        return self.base_attempt + self.tries_by_index.get(index, 0)
+
+    def make_task(self, index: int) -> TaskSpec:
+        """Return the task as assignees see it."""
+        spec = self.state.spec
+        return TaskSpec(
+            task_id=make_task_id(spec.job_id, index),
+            job_id=spec.job_id,
+            team=spec.team,
+            workload=spec.workload,
+            urgency=spec.urgency,
+            resources=spec.resources,
+            run_s=spec.run_s,
+            deadline=spec.deadline,
+            checkpointable=spec.checkpointable,
+            idempotent=spec.idempotent,
+            kind=spec.kind,
+            attempt=self.attempt_of(index),
+            payload=spec.payload,
+        )
+
+    def _open_segments(self, held_back: list[int]) -> Iterator[IndexRange]:
+        for match in _OPEN_RUN.finditer(self.state.codes):
+            start, stop = match.span()
+            first = bisect.bisect_left(held_back, start)
+            for index in held_back[first : bisect.bisect_left(held_back, stop)]:
+                if index > start:
+                    yield IndexRange(start=start, stop=index)
+                start = index + 1
+            if stop > start:
+                yield IndexRange(start=start, stop=stop)
+
+    def _may_give(self, index: int) -> bool:
+        return (
+            index not in self.assigned_by_index
+            and index not in self.doubtful
+            and index not in self.delayed
+            and self.is_open(index)
+        )
--- /dev/null
+++ b/src/galenastall/coordination/job_shard.py
@@ -0,0 +1,480 @@
+"""Give out the tasks of one shard's jobs: the pure core of a job shard's owner.
+
+Each waiting task goes to exactly one worker-owning entry host. Nothing that may be somewhere is
+given out again: it is in doubt until a census of all entry hosts and workers says otherwise.
+Times are wall seconds.
+"""
+
+import heapq
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final
+
+from galenastall.coordination.assignees import AssigneeBook
+from galenastall.coordination.attempt_rules import (
+    NextMove,
+    judge,
+    phase_when_stopped,
+    retry_delay_s,
+)
+from galenastall.coordination.gang_desk import GangDesk
+from galenastall.coordination.job_ends import JobEnds
+from galenastall.coordination.job_queue import JobQueue
+from galenastall.coordination.job_run import Assigned, JobRun, TaskFailure
+from galenastall.coordination.placement_commands import CapacitySummary
+from galenastall.coordination.shard_commands import (
+    AssignAnswer,
+    AssignBatch,
+    CancelCounts,
+    ShardDecision,
+    ShardNote,
+    ShardSettings,
+    StopBatch,
+)
+from galenastall.coordination.task_reports import (
+    ENDING_KINDS,
+    ReportKind,
+    TaskReport,
+    first_attempt,
+)
+from galenastall.state.ids import Epoch, HostId, JobId, TaskId, make_task_id, split_task_id
+from galenastall.state.job_fold import JobState
+from galenastall.state.work import TaskPhase, Workload
+
+CHUNK: Final = 16
+"""Tasks of one job given out before the next job has its turn."""
+MISSES: Final = 64
+"""Jobs that found no place before a decision gives up; the next begins with other teams."""
+
+
+class JobShard:
+    """One shard under one epoch."""
+
+    def __init__(
+        self,
+        *,
+        shard: int,
+        epoch: Epoch,
+        is_ended: Callable[[JobId], bool],
+        settings: ShardSettings | None = None,
+    ) -> None:
+        """Start without jobs.
+
+        `epoch` is that of the shard's ownership; `is_ended` says whether the log holds the end of
+        a job that is not live.
+        """
+        self.shard = shard
+        self.epoch = epoch
+        self.settings = settings or ShardSettings()
+        self.assignees = AssigneeBook(backlog=self.settings.backlog)
+        self.ends = JobEnds(shard=shard)
+        self.gangs = GangDesk(settings=self.settings, assignees=self.assignees)
+        self.runs_by_id: dict[JobId, JobRun] = {}
+        self.duplicates = 0
+        """Tasks that were found at two workers; each is an alarm."""
+        self.doubts = 0
+        """Rises with each new doubt: a census that began before proves nothing about it."""
+        self._is_ended = is_ended
+        self._queue = JobQueue()
+        self._delayed: list[tuple[float, JobId, int]] = []
+        self._stops: dict[HostId, dict[TaskId, None]] = {}
+        self._notes: list[ShardNote] = []
+        self._doubtful_jobs: set[JobId] = set()
+
+    @property
+    def needs_census(self) -> bool:
+        """Whether some task is in doubt."""
+        return bool(self._doubtful_jobs)
+
+    def add_job(self, state: JobState, *, is_fresh: bool, now: float) -> None:
+        """Take on a job; unless it is fresh, all its open tasks are in doubt."""
+        job_id = state.spec.job_id
+        if job_id in self.runs_by_id or state.end is not None:
+            return
+        run = JobRun(state=state, base_attempt=first_attempt(self.epoch))
+        self.runs_by_id[job_id] = run
+        if state.spec.workload is Workload.GANG:
+            self.gangs.add(run)
+        if not is_fresh:
+            run.doubtful = set(state.open_indices())
+            if run.doubtful:
+                self._doubtful_jobs.add(job_id)
+                self.doubts += 1
+        if state.cancelled:
+            self._stop_run(run, TaskPhase.CANCELLED, "cancelled", now)
+        self._requeue(run)
+        self._maybe_end(run)
+
+    def cancel(self, job_id: JobId, now: float) -> CancelCounts | None:
+        """Stop a job; the cost doesn't grow with what waits. None if it isn't live here."""
+        run = self.runs_by_id.get(job_id)
+        if run is None:
+            return None
+        closed = 0 if run.is_service else run.state.spec.tasks - run.open_count
+        in_hand = len(run.assigned_by_index) + len(run.doubtful)
+        counts = CancelCounts(
+            never_started=run.state.spec.tasks - closed - in_hand,
+            stopping=in_hand,
+            already_done=closed,
+        )
+        run.state.cancelled = True
+        if not run.is_stopped:
+            self._note("cancelled", (job_id,), "the caller cancelled it")
+            self._stop_run(run, TaskPhase.CANCELLED, "cancelled", now)
+            self._maybe_end(run)
+        return counts
+
+    def resolve_doubts(self, now: float, *, may_have_lost_ends: bool = False) -> int:
+        """After a complete census: give out again what nobody has; return how many.
+
+        With `may_have_lost_ends` a worker is gone that may have run tasks to their end, so a task
+        that must not run twice is closed as unknown instead.
+        """
+        count = 0
+        doubtful_jobs, self._doubtful_jobs = self._doubtful_jobs, set()
+        for job_id in sorted(doubtful_jobs):
+            run = self.runs_by_id.get(job_id)
+            if run is None:
+                continue
+            doubtful, run.doubtful = run.doubtful, set()
+            count += len(doubtful)
+            self._note("resolved", (job_id,), f"{len(doubtful)} tasks in doubt are nowhere")
+            if job_id in self.gangs:
+                self.gangs.resolve(run, doubtful, now)
+                self._after_gang(run, now)
+            else:
+                self._resolve(run, doubtful, may_have_lost_ends=may_have_lost_ends)
+            self._requeue(run)
+            self._maybe_end(run)
+        return count
+
+    def on_assignee_gone(self, host: HostId) -> int:
+        """Put all tasks of an entry host that left the roster in doubt; return how many."""
+        count = 0
+        self.assignees.forget(host)
+        for run in self.runs_by_id.values():
+            gone = [i for i, each in run.assigned_by_index.items() if each.host == host]
+            for index in gone:
+                self._doubt(run, index)
+            if gone:
+                self._note("in_doubt", (run.state.spec.job_id, host), "its assignee is gone")
+            count += len(gone)
+        return count
+
+    def decide(
+        self, now: float, *, summaries: Mapping[HostId, CapacitySummary], limit: int
+    ) -> ShardDecision:
+        """Return what to send now, with at most `limit` tasks to assign."""
+        self.assignees.update(summaries)
+        self._wake_delayed(now)
+        self.gangs.decide(now)
+        batches = self._assign(now, limit)
+        gang_steps, gang_stops = self.gangs.take_steps()
+        stops, self._stops = self._stops, {}
+        notes, self._notes = self._notes, []
+        return ShardDecision(
+            assigns=tuple(batches),
+            stops=(
+                *(StopBatch(host=host, tasks=tuple(tasks)) for host, tasks in stops.items()),
+                *gang_stops,
+            ),
+            gang_steps=tuple(gang_steps),
+            notes=tuple(notes),
+        )
+
+    def on_assign_answer(self, batch: AssignBatch, answer: AssignAnswer, now: float) -> None:
+        """Take in what became of an assignment; an unknown one is to be sent again."""
+        if answer is not AssignAnswer.REFUSED:
+            return
+        self.assignees.avoid(batch.host, now)
+        for task in batch.tasks:
+            report = TaskReport(
+                task_id=task.task_id, attempt=task.attempt, kind=ReportKind.RETURNED
+            )
+            self._on_report(batch.host, report, now)
+
+    def on_reports(
+        self, host: HostId, reports: Iterable[TaskReport], now: float
+    ) -> tuple[TaskReport, ...]:
+        """Take in an assignee's reports; return those that it need not keep or repeat."""
+        return tuple(report for report in reports if self._on_report(host, report, now))
+
+    def on_hold_answer(
+        self, job_id: JobId, host: HostId, key: str, *, is_held: bool, now: float
+    ) -> None:
+        """Take in an owner's answer to a gang's hold."""
+        self.gangs.on_hold(job_id, host, key, is_held=is_held, now=now)
+
+    def on_gang_start_answer(
+        self, job_id: JobId, host: HostId, key: str, *, is_started: bool, now: float
+    ) -> None:
+        """Take in an owner's word on the start of its part of a gang."""
+        self.gangs.on_start(job_id, host, key, is_started=is_started, now=now)
+        run = self.runs_by_id.get(job_id)
+        if run is not None:
+            self._after_gang(run, now)
+            self._maybe_end(run)
+
+    def forget(self, job_id: JobId) -> None:
+        """Drop a job whose end is in the log."""
+        run = self.runs_by_id.pop(job_id, None)
+        self.gangs.forget(job_id)
+        self._doubtful_jobs.discard(job_id)
+        if run is not None:
+            self._queue.discard(run.state.spec)
+
+    def _on_report(self, host: HostId, report: TaskReport, now: float) -> bool:
+        job_id, index = split_task_id(report.task_id)
+        run = self.runs_by_id.get(job_id)
+        if run is None:
+            return self._is_ended(job_id) and self._reject(host, report)
+        if not 0 <= index < run.state.spec.tasks:
+            return self._reject(host, report)
+        if not run.is_open(index):
+            return self._on_closed(run, index, host, report)
+        assigned = run.assigned_by_index.get(index)
+        is_ending = report.kind in ENDING_KINDS
+        if assigned is None and is_ending and index not in run.doubtful:
+            return True
+        if assigned is not None and report.attempt < assigned.attempt:
+            return self._reject(host, report)
+        if assigned is not None and _is_second_copy(assigned, host, report):
+            self.duplicates += 1
+            self._note("duplicate", (report.task_id, host), f"also at {assigned.worker_id}")
+            return self._reject(host, report)
+        if assigned is not None and _is_hearsay(assigned, host, report):
+            return True
+        if report.kind is ReportKind.ORPHANED:
+            self._doubt(run, index)
+            return True
+        self._merge(run, index, host, report)
+        if job_id in self.gangs:
+            self._on_gang_report(run, index, report, now)
+        elif is_ending:
+            self._end_attempt(run, index, report, now)
+        if run.is_stopped and not is_ending:
+            self._stop_task(host, report.task_id)
+        self._maybe_end(run)
+        return not is_ending or self._is_settled(run, index)
+
+    def _doubt(self, run: JobRun, index: int) -> None:
+        run.assigned_by_index.pop(index, None)
+        run.doubtful.add(index)
+        self._doubtful_jobs.add(run.state.spec.job_id)
+        self.doubts += 1
+
+    def _merge(self, run: JobRun, index: int, host: HostId, report: TaskReport) -> None:
+        run.doubtful.discard(index)
+        known = run.assigned_by_index.get(index)
+        is_gang = run.state.spec.workload is Workload.GANG
+        was_queued = known is not None and known.kind is ReportKind.QUEUED and not is_gang
+        if known is not None and was_queued and report.kind is not ReportKind.QUEUED:
+            self.assignees.unqueued(known.host)
+        if report.kind is ReportKind.RUNNING and (
+            known is None or known.kind is not ReportKind.RUNNING
+        ):
+            self._note("started", (report.task_id, report.worker_id), "its owner says so", host)
+        run.assigned_by_index[index] = Assigned(
+            host=host, attempt=report.attempt, kind=report.kind, worker_id=report.worker_id
+        )
+        tries = report.attempt - run.base_attempt
+        run.tries_by_index[index] = max(run.tries_by_index.get(index, 0), tries)
+
+    def _reject(self, host: HostId, report: TaskReport) -> bool:
+        if report.kind not in ENDING_KINDS:
+            self._stop_task(host, report.task_id)
+        return True
+
+    def _on_closed(self, run: JobRun, index: int, host: HostId, report: TaskReport) -> bool:
+        if report.kind is ReportKind.DONE:
+            self._close(run, index, TaskPhase.DONE)
+        if report.kind not in ENDING_KINDS:
+            return self._reject(host, report)
+        return self._is_settled(run, index)
+
+    def _is_settled(self, run: JobRun, index: int) -> bool:
+        job_id = run.state.spec.job_id
+        assigned = run.assigned_by_index.get(index)
+        is_kept = assigned is not None and assigned.kind in ENDING_KINDS
+        return not is_kept and not self.ends.is_pending(job_id, index)
+
+    def _end_attempt(self, run: JobRun, index: int, report: TaskReport, now: float) -> None:
+        del run.assigned_by_index[index]
+        run.tries_by_index[index] = run.tries_by_index.get(index, 0) + 1
+        if report.kind is ReportKind.FAILED:
+            run.add_failure(
+                TaskFailure(index=index, worker_id=report.worker_id, detail=report.detail)
+            )
+        verdict = judge(run, index, report, self.settings)
+        if verdict.move is NextMove.OFFER:
+            self._offer_again(run, index)
+        elif verdict.move is NextMove.RETRY:
+            delay = retry_delay_s(run, index, self.settings)
+            run.delayed.add(index)
+            heapq.heappush(self._delayed, (now + delay, run.state.spec.job_id, index))
+            self._note("retry", (report.task_id,), f"{report.kind.value}: {report.detail}")
+        else:
+            if verdict.move is NextMove.STOP_JOB:
+                self._stop_run(run, verdict.phase, run.history() or report.detail, now)
+            self._close(run, index, verdict.phase)
+            self._note("ended", (report.task_id, report.worker_id), verdict.phase.value)
+
+    def _on_gang_report(self, run: JobRun, index: int, report: TaskReport, now: float) -> None:
+        if report.kind is ReportKind.FAILED:
+            run.add_failure(
+                TaskFailure(index=index, worker_id=report.worker_id, detail=report.detail)
+            )
+        self.gangs.on_report(run.state.spec.job_id, index, report, now)
+        self._after_gang(run, now)
+
+    def _after_gang(self, run: JobRun, now: float) -> None:
+        job_id = run.state.spec.job_id
+        if job_id not in self.gangs or run.doubtful or not self.gangs.is_over(job_id):
+            return
+        kinds = self.gangs.kinds_of(job_id)
+        is_done = bool(kinds) and all(kind is ReportKind.DONE for kind in kinds.values())
+        if not is_done and not run.is_stopped:
+            is_bad = len(run.failures) >= self.settings.max_failures
+            if not is_bad and (run.state.spec.idempotent or not self.gangs.may_have_run(job_id)):
+                self._note("gang_retry", (job_id,), run.history() or "its gang broke off")
+                self.gangs.retry(run, now)
+                return
+            self._stop_run(run, TaskPhase.FAILED, run.history() or "its gang broke off", now)
+        run.assigned_by_index.clear()
+        for index in list(run.state.open_indices()):
+            kind = kinds.get(index, ReportKind.RETURNED)
+            self._close(run, index, phase_when_stopped(run, kind))
+
+    def _resolve(self, run: JobRun, doubtful: set[int], *, may_have_lost_ends: bool) -> None:
+        is_once = not run.state.spec.idempotent and not run.is_service
+        for index in sorted(doubtful):
+            if not run.is_open(index):
+                continue
+            if is_once and may_have_lost_ends:
+                self._close(run, index, TaskPhase.UNKNOWN)
+            elif run.is_stopped:
+                self._close(run, index, run.stop_phase)
+            else:
+                run.tries_by_index[index] = run.tries_by_index.get(index, 0) + 1
+                run.give_back(index)
+
+    def _close(self, run: JobRun, index: int, phase: TaskPhase) -> None:
+        if run.close(index, phase):
+            self.ends.add(run.state.spec.job_id, index, phase)
+
+    def _stop_run(self, run: JobRun, phase: TaskPhase, detail: str, now: float) -> None:
+        run.is_stopped = True
+        run.stop_phase = phase
+        run.detail = run.detail or detail
+        self._queue.discard(run.state.spec)
+        job_id = run.state.spec.job_id
+        self.gangs.cancel(job_id, now)
+        for index, assigned in run.assigned_by_index.items():
+            if assigned.kind not in ENDING_KINDS:
+                self._stop_task(assigned.host, make_task_id(job_id, index))
+
+    def _stop_task(self, host: HostId, task_id: TaskId) -> None:
+        self._stops.setdefault(host, {})[task_id] = None
+
+    def _offer_again(self, run: JobRun, index: int) -> None:
+        run.give_back(index)
+        self._requeue(run)
+
+    def _requeue(self, run: JobRun) -> None:
+        is_gang = run.state.spec.workload is Workload.GANG
+        if not is_gang and run.waiting_count > 0:
+            self._queue.add(run.state.spec)
+
+    def _wake_delayed(self, now: float) -> None:
+        while self._delayed and self._delayed[0][0] <= now:
+            _, job_id, index = heapq.heappop(self._delayed)
+            run = self.runs_by_id.get(job_id)
+            if run is not None and index in run.delayed:
+                run.delayed.discard(index)
+                self._offer_again(run, index)
+
+    def _assign(self, now: float, limit: int) -> list[AssignBatch]:
+        given_by_host: dict[HostId, list[tuple[JobRun, int]]] = {}
+        misses, left, before = 0, limit, limit + 1
+        while 0 < left < before and misses < MISSES:
+            before = left
+            for job_id in self._queue.in_order():
+                given = self._assign_some(job_id, min(CHUNK, left), now, given_by_host)
+                left -= given
+                misses += given == 0
+                if left <= 0 or misses >= MISSES:
+                    break
+        return [
+            AssignBatch(host=host, tasks=tuple(run.make_task(index) for run, index in given))
+            for host, given in given_by_host.items()
+        ]
+
+    def _assign_some(
+        self,
+        job_id: JobId,
+        want: int,
+        now: float,
+        given_by_host: dict[HostId, list[tuple[JobRun, int]]],
+    ) -> int:
+        run = self.runs_by_id[job_id]
+        spec = run.state.spec
+        choice = self.assignees.choose(
+            need=spec.resources, urgency=spec.urgency, want=want, now=now
+        )
+        if choice is None:
+            self._note_waiting(run)
+            return 0
+        host, count = choice
+        indices = run.take(count)
+        for index in indices:
+            run.assigned_by_index[index] = Assigned(host=host, attempt=run.attempt_of(index))
+            given_by_host.setdefault(host, []).append((run, index))
+        if indices:
+            run.waiting_reason = ""
+            self.assignees.assigned(host, spec.resources, len(indices))
+            self._note("assigned", (job_id, host), f"{len(indices)} tasks: it has most room", host)
+        if run.waiting_count <= 0 or not indices:
+            self._queue.discard(spec)
+        return len(indices)
+
+    def _note_waiting(self, run: JobRun) -> None:
+        fits = self.assignees.can_ever_run(run.state.spec.resources)
+        reason = "all worker owners have enough" if fits else "no worker is large enough now"
+        if reason != run.waiting_reason:
+            run.waiting_reason = reason
+            self._note("waits", (run.state.spec.job_id,), reason)
+
+    def _maybe_end(self, run: JobRun) -> None:
+        if run.is_ending or run.assigned_by_index or run.doubtful:
+            return
+        job_id = run.state.spec.job_id
+        if run.is_stopped:
+            if job_id in self.gangs and not self.gangs.is_over(job_id):
+                return
+            ranges = run.close_waiting(run.stop_phase)
+            self.ends.add_ranges(job_id, run.stop_phase, ranges)
+        elif run.is_service or run.open_count > 0:
+            return
+        run.is_ending = True
+        self._queue.discard(run.state.spec)
+        self.gangs.forget(job_id)
+        self.ends.finish(run)
+        self._note("job_ended", (job_id,), run.detail)
+
+    def _note(self, step: str, subjects: tuple[str, ...], cause: str, peer: str = "") -> None:
+        self._notes.append(ShardNote(step=step, subjects=subjects, cause=cause, peer=peer))
+
+
+def _is_second_copy(assigned: Assigned, host: HostId, report: TaskReport) -> bool:
+    if report.attempt > assigned.attempt or report.kind in ENDING_KINDS:
+        return False
+    if report.kind is ReportKind.QUEUED:
+        return assigned.host != host
+    is_placed = assigned.kind in (ReportKind.RUNNING, ReportKind.UNKNOWN)
+    return is_placed and assigned.host != host and assigned.worker_id != report.worker_id
+
+
+def _is_hearsay(assigned: Assigned, host: HostId, report: TaskReport) -> bool:
+    """Return whether this host speaks of a task that another host has by now."""
+    if assigned.host == host or report.attempt > assigned.attempt:
+        return False
+    return report.kind not in (ReportKind.RUNNING, ReportKind.DONE, ReportKind.FAILED)
--- /dev/null
+++ b/src/galenastall/coordination/shard_commands.py
@@ -0,0 +1,84 @@
+"""Typed commands, answers and settings of a job shard's owner."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from galenastall.coordination.gangs import GangStep
+from galenastall.state.ids import HostId, JobId, TaskId
+from galenastall.state.work import TaskSpec
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShardSettings:
+    """What operators may set; all times in seconds."""
+
+    backlog: int = 256
+    """Tasks of a shard that may wait at one assignee."""
+    retry_s: float = 0.5
+    """Wait before the first retry of a task; doubles with each failure."""
+    max_retry_s: float = 60.0
+    max_failures: int = 5
+    """Failures of one task after which its job is stopped."""
+    bad_job_workers: int = 3
+    """Different workers on which a job's tasks fail before the job is stopped."""
+    hold_s: float = 5.0
+    """How long a gang's holds last."""
+    gang_repeat_s: float = 0.5
+    """How often an unanswered gang step is sent again."""
+
+
+class AssignAnswer(StrEnum):
+    """What became of an assignment."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    """The assignee said no, or nothing was sent: the tasks are not there."""
+    UNKNOWN = "unknown"
+    """No answer: they may be there; the same batch is sent again until there is an answer."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AssignBatch:
+    """Tasks for one worker owner."""
+
+    host: HostId
+    tasks: tuple[TaskSpec, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StopBatch:
+    """Tasks that one worker owner must not start, or must stop."""
+
+    host: HostId
+    tasks: tuple[TaskId, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShardNote:
+    """Something for the time line."""
+
+    step: str
+    subjects: tuple[str, ...]
+    cause: str
+    peer: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShardDecision:
+    """What to send now."""
+
+    assigns: tuple[AssignBatch, ...] = ()
+    stops: tuple[StopBatch, ...] = ()
+    gang_steps: tuple[tuple[JobId, GangStep], ...] = ()
+    notes: tuple[ShardNote, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CancelCounts:
+    """What a cancellation found, by tasks."""
+
+    never_started: int
+    """Not given to any worker owner: they never start."""
+    stopping: int
+    """With a worker owner: stopped, or told to be never started, by the job's end."""
+    already_done: int
--- a/src/galenastall/state/job_fold.py
+++ b/src/galenastall/state/job_fold.py
@@ -51,11 +51,17 @@
 class JobState:
     """One job as the log tells it: a byte a task."""
 
-    __slots__ = ("accepted_at", "cancelled", "codes", "end", "spec")
+    __slots__ = ("accepted_at", "cancelled", "codes", "end", "spec", "was_held")
 
-    def __init__(self, *, spec: JobSpec, accepted_at: Offset | None) -> None:
-        """Start with all tasks open; `accepted_at` is None until the log holds the job."""
+    def __init__(
+        self, *, spec: JobSpec, accepted_at: Offset | None, was_held: bool = False
+    ) -> None:
+        """Start with all tasks open; `accepted_at` is None until the log holds the job.
+
+        `was_held`: tasks may have started before the log held it.
+        """
         self.spec = spec
+        self.was_held = was_held
         self.accepted_at = accepted_at
         self.cancelled = False
         self.end: JobEnd | None = None
@@ -150,6 +156,10 @@
         """Tell `listener` of every further change."""
         self._listeners.append(listener)
 
+    def is_ended(self, job_id: JobId) -> bool:
+        """Return whether the job's end was read."""
+        return job_id in self._ended_ids
+
     def get(self, job_id: JobId) -> JobState | None:
         """Return the job, live or ended."""
         return self.live_by_id.get(job_id) or self.ended_by_id.get(job_id)
@@ -169,7 +179,8 @@
         job_id = record.spec.job_id
         if job_id in self._ended_ids or job_id in self.live_by_id:
             return
-        self._add(JobState(spec=record.spec, accepted_at=offset), offset)
+        state = JobState(spec=record.spec, accepted_at=offset, was_held=record.was_held)
+        self._add(state, offset)
 
     def _take_compacted(self, record: JobCompacted, offset: Offset) -> None:
         job_id = record.spec.job_id
@@ -178,7 +189,7 @@
         job = self.live_by_id.get(job_id)
         is_new = job is None
         if job is None:
-            job = JobState(spec=record.spec, accepted_at=offset)
+            job = JobState(spec=record.spec, accepted_at=offset, was_held=True)
         job.cancelled = job.cancelled or record.cancelled
         for end in record.ends:
             job.merge(end.phase, end.ranges)
--- a/src/galenastall/state/job_records.py
+++ b/src/galenastall/state/job_records.py
@@ -49,6 +49,8 @@
     """A caller was, or is about to be, told that the job is accepted."""
 
     spec: JobSpec
+    was_held: bool = False
+    """It was first kept by entry hosts alone, in a log outage, so tasks of it may have started."""
 
 
 @RECORDS.register("job.cancelled")
