--- /dev/null
+++ b/src/galenastall/coordination/assigned_tasks.py
@@ -0,0 +1,236 @@
+"""What a worker owner was given by job shards, and what it still has to tell them.
+
+Assignments are valid only while their shard's owner is heard: a queued task whose shard was not
+heard in time, or has a newer owner, is dropped before it can start. So a shard's next owner knows
+after that time that nothing queued is left at entry hosts that it can't reach.
+"""
+
+from collections import OrderedDict
+from collections.abc import Container, Iterable, Sequence
+from dataclasses import dataclass, replace
+from typing import Final
+
+from galenastall.coordination.task_reports import ENDING_KINDS, ReportKind, TaskReport
+from galenastall.state.ids import Epoch, HostId, TaskId
+from galenastall.state.work import TaskSpec
+
+OVER_KEPT: Final = 50_000
+"""Attempts that are over and remembered, so that a late assignment does not start them again."""
+REPEAT_S: Final = 1.0
+"""When an ending report that is not settled is sent again, in seconds."""
+
+
+@dataclass(kw_only=True, slots=True)
+class ShardWord:
+    """What was last heard of a shard's owner."""
+
+    owner: HostId
+    epoch: Epoch
+    valid_until: float
+    """Wall time until which queued tasks of the shard may be started."""
+
+
+@dataclass(kw_only=True, slots=True)
+class AssignedTask:
+    """One task here, and the latest word on it."""
+
+    report: TaskReport
+    shard: int
+    task: TaskSpec | None
+    is_unsent: bool = True
+    sent_at: float = 0.0
+
+
+class AssignedTasks:
+    """Tasks of all shards at this worker owner."""
+
+    def __init__(self) -> None:
+        """Start with nothing."""
+        self._shards: dict[int, ShardWord] = {}
+        self._by_task: dict[TaskId, AssignedTask] = {}
+        self._unsent: dict[int, dict[TaskId, None]] = {}
+        self._ending: dict[int, dict[TaskId, None]] = {}
+        self._over: OrderedDict[TaskId, int] = OrderedDict()
+
+    def hear(self, shard: int, owner: HostId, epoch: Epoch, valid_until: float) -> bool:
+        """Take the word of a shard's owner; False from one that has a successor."""
+        known = self._shards.get(shard)
+        if known is None:
+            word = ShardWord(owner=owner, epoch=epoch, valid_until=valid_until)
+            self._shards[shard] = word
+            return True
+        if epoch < known.epoch:
+            return False
+        if epoch > known.epoch:
+            known.epoch, known.owner, known.valid_until = epoch, owner, 0.0
+        known.valid_until = max(known.valid_until, valid_until)
+        return True
+
+    def epoch_of(self, shard: int) -> Epoch:
+        """Return the highest epoch heard of a shard."""
+        known = self._shards.get(shard)
+        return known.epoch if known else Epoch(0)
+
+    def owner_of(self, shard: int) -> HostId | None:
+        """Return the owner last heard of a shard."""
+        known = self._shards.get(shard)
+        return known.owner if known else None
+
+    def is_valid(self, task_id: TaskId, now: float) -> bool:
+        """Return whether a queued task may still be started."""
+        each = self._by_task.get(task_id)
+        if each is None:
+            return False
+        word = self._shards.get(each.shard)
+        return word is not None and now < word.valid_until
+
+    def accept(self, shard: int, tasks: Sequence[TaskSpec]) -> list[TaskSpec]:
+        """Take assignments; return those that are new and are to be queued."""
+        return [task for task in tasks if self._accept_one(shard, task)]
+
+    def _accept_one(self, shard: int, task: TaskSpec) -> bool:
+        if task.attempt <= self._over.get(task.task_id, -1):
+            return False
+        known = self._by_task.get(task.task_id)
+        if known is not None:
+            is_over = known.report.kind in ENDING_KINDS and known.report.attempt < task.attempt
+            if not is_over:
+                self._mark_unsent(known, task.task_id)
+                return False
+            self._forget(task.task_id)
+        report = TaskReport(task_id=task.task_id, attempt=task.attempt, kind=ReportKind.QUEUED)
+        # A task that was just accepted needs no report: the answer to the assignment says it.
+        self._by_task[task.task_id] = AssignedTask(
+            report=report, shard=shard, task=task, is_unsent=False
+        )
+        return True
+
+    def get(self, task_id: TaskId) -> AssignedTask | None:
+        """Return what is known of a task here."""
+        return self._by_task.get(task_id)
+
+    def note(self, report: TaskReport, *, shard: int, task: TaskSpec | None = None) -> None:
+        """Take the latest word on a task; it is sent with the next reports.
+
+        Words on an attempt that is over are passed over.
+        """
+        known = self._by_task.get(report.task_id)
+        if known is None:
+            if report.attempt <= self._over.get(report.task_id, -1):
+                return
+            known = AssignedTask(report=report, shard=shard, task=task)
+            self._by_task[report.task_id] = known
+        elif _is_no_news(known.report, report):
+            return
+        known.report = report
+        known.task = task or known.task
+        self._mark_unsent(known, report.task_id)
+        if report.kind in ENDING_KINDS:
+            self._ending.setdefault(known.shard, {})[report.task_id] = None
+
+    def set_quietly(self, task_id: TaskId, kind: ReportKind) -> None:
+        """Change the word on a task without telling: a start is on its way, or did not leave."""
+        known = self._by_task.get(task_id)
+        if known is not None and known.report.kind not in ENDING_KINDS:
+            known.report = replace(known.report, kind=kind)
+
+    def drop_invalid(self, now: float) -> list[TaskSpec]:
+        """Return the queued tasks of shards that were not heard in time; unqueue them."""
+        late = {shard for shard, word in self._shards.items() if word.valid_until <= now}
+        if not late:
+            return []
+        return [
+            each.task
+            for each in self._by_task.values()
+            if each.shard in late and each.task and each.report.kind is ReportKind.QUEUED
+        ]
+
+    def take_reports(
+        self, now: float, *, skip: Container[int] = (), limit: int = 512
+    ) -> dict[int, list[TaskReport]]:
+        """Return by shard what changed, and endings that were not settled for a while.
+
+        Shards in `skip` have a batch under way and are left alone.
+        """
+        taken: dict[int, list[TaskReport]] = {}
+        for shard in {*self._unsent, *self._ending}:
+            if shard in skip:
+                continue
+            unsent = self._unsent.get(shard, {})
+            chosen = [self._by_task[task_id] for task_id in list(unsent)[:limit]]
+            for task_id in self._ending.get(shard, ()):
+                if len(chosen) >= limit:
+                    break
+                each = self._by_task[task_id]
+                if not each.is_unsent and each.sent_at <= now - REPEAT_S:
+                    chosen.append(each)
+            for each in chosen:
+                each.is_unsent = False
+                each.sent_at = now
+                unsent.pop(each.report.task_id, None)
+            if chosen:
+                taken[shard] = [each.report for each in chosen]
+        return taken
+
+    def put_back(self, reports: Iterable[TaskReport]) -> None:
+        """Mark reports as not sent, after a failed call."""
+        for report in reports:
+            known = self._by_task.get(report.task_id)
+            if known is not None:
+                self._mark_unsent(known, report.task_id)
+
+    def settle(self, reports: Iterable[TaskReport]) -> list[TaskReport]:
+        """Forget attempts whose end the shard's owner keeps now; return those that were here."""
+        settled: list[TaskReport] = []
+        for report in reports:
+            known = self._by_task.get(report.task_id)
+            if known is None or report.kind not in ENDING_KINDS:
+                continue
+            if known.report.kind not in ENDING_KINDS or known.report.attempt != report.attempt:
+                continue
+            settled.append(known.report)
+            self._forget(report.task_id)
+        return settled
+
+    def settle_ids(self, attempts: Iterable[tuple[TaskId, int]]) -> list[TaskReport]:
+        """Forget ended attempts by task and number, as `settle`."""
+        known = ((self._by_task.get(task_id), attempt) for task_id, attempt in attempts)
+        return self.settle(
+            each.report for each, attempt in known if each and each.report.attempt == attempt
+        )
+
+    def census(self, shard: int) -> tuple[TaskReport, ...]:
+        """Return the latest word on all tasks of a shard."""
+        return tuple(each.report for each in self._by_task.values() if each.shard == shard)
+
+    def queued_of(self, shard: int) -> list[TaskSpec]:
+        """Return the queued tasks of a shard."""
+        return [
+            each.task
+            for each in self._by_task.values()
+            if each.shard == shard and each.task and each.report.kind is ReportKind.QUEUED
+        ]
+
+    def forget(self, task_id: TaskId) -> None:
+        """Drop a task that the shard's owner knows to be no longer here."""
+        if task_id in self._by_task:
+            self._forget(task_id)
+
+    def _mark_unsent(self, each: AssignedTask, task_id: TaskId) -> None:
+        each.is_unsent = True
+        self._unsent.setdefault(each.shard, {})[task_id] = None
+
+    def _forget(self, task_id: TaskId) -> None:
+        each = self._by_task.pop(task_id)
+        self._unsent.get(each.shard, {}).pop(task_id, None)
+        self._ending.get(each.shard, {}).pop(task_id, None)
+        self._over[task_id] = max(each.report.attempt, self._over.get(task_id, -1))
+        self._over.move_to_end(task_id)
+        if len(self._over) > OVER_KEPT:
+            self._over.popitem(last=False)
+
+
+def _is_no_news(known: TaskReport, report: TaskReport) -> bool:
+    if known.attempt != report.attempt:
+        return known.attempt > report.attempt
+    return known.kind in ENDING_KINDS or known == report
--- a/src/galenastall/coordination/census.py
+++ b/src/galenastall/coordination/census.py
@@ -14,9 +14,15 @@
 class Census:
     """One round of asking all entry hosts."""
 
-    def __init__(self, *, started_at: float) -> None:
-        """Start with no answers; `started_at` is wall seconds."""
-        self.started_at = started_at
+    def __init__(self, *, doubts: int, queues_void_at: float) -> None:
+        """Start with no answers.
+
+        `doubts` is the shard's count of doubts at the start: later ones need another census. At
+        `queues_void_at`, in wall seconds, no task that another epoch or a lost assignee queued is
+        valid any more.
+        """
+        self.doubts = doubts
+        self._queues_void_at = queues_void_at
         self._answered: set[HostId] = set()
         self._workers: set[HostId] = set()
 
@@ -33,6 +39,14 @@
         """Return the workers that nobody spoke for."""
         return set(workers) - self._workers
 
-    def is_complete(self, *, roster: Iterable[HostId], workers: Iterable[HostId]) -> bool:
-        """Return whether a task that nobody reported is provably nowhere."""
-        return not self.missing_hosts(roster) and not self.missing_workers(workers)
+    def is_complete(
+        self, *, roster: Iterable[HostId], workers: Iterable[HostId], now: float
+    ) -> bool:
+        """Return whether a task that nobody reported is provably nowhere.
+
+        Entry hosts that don't answer matter only while what they have queued is valid; what runs on
+        their workers is told by the workers' next owners.
+        """
+        if self.missing_workers(workers):
+            return False
+        return now > self._queues_void_at or not self.missing_hosts(roster)
--- a/src/galenastall/coordination/job_ends.py
+++ b/src/galenastall/coordination/job_ends.py
@@ -1,7 +1,9 @@
 """Collect final ends of a shard's tasks until they are in the log, one record a window."""
 
+from dataclasses import dataclass
+
 from galenastall.coordination.job_run import JobRun
-from galenastall.state.ids import JobId
+from galenastall.state.ids import HostId, JobId, TaskId
 from galenastall.state.job_fold import CODES_BY_PHASE
 from galenastall.state.job_records import (
     EndedRanges,
@@ -14,6 +16,15 @@
 from galenastall.state.work import TaskPhase
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ToldBy:
+    """The assignee that keeps an end until it is durable."""
+
+    host: HostId
+    task_id: TaskId
+    attempt: int
+
+
 class JobEnds:
     """Ends that are known here and not yet durable."""
 
@@ -22,13 +33,14 @@
         self._shard = shard
         self._indices: dict[tuple[JobId, TaskPhase], list[int]] = {}
         self._ranges: dict[tuple[JobId, TaskPhase], list[IndexRange]] = {}
-        self._pending: dict[JobId, set[int]] = {}
+        self._pending: dict[JobId, dict[int, ToldBy]] = {}
         self._ended_runs: dict[JobId, JobRun] = {}
 
-    def add(self, job_id: JobId, index: int, phase: TaskPhase) -> None:
-        """Note one task's end."""
+    def add(self, job_id: JobId, index: int, phase: TaskPhase, told_by: ToldBy | None) -> None:
+        """Note one task's end, and who told of it and waits for it to be durable."""
         self._indices.setdefault((job_id, phase), []).append(index)
-        self._pending.setdefault(job_id, set()).add(index)
+        if told_by is not None:
+            self._pending.setdefault(job_id, {})[index] = told_by
 
     def add_ranges(self, job_id: JobId, phase: TaskPhase, ranges: tuple[IndexRange, ...]) -> None:
         """Note the end of many tasks that no worker knows of."""
@@ -65,20 +77,19 @@
         jobs = tuple(_job_ended(run, at) for run in runs.values())
         return (TasksEnded(shard=self._shard, ends=ends) if ends else None), jobs
 
-    def logged(self, record: TasksEnded) -> tuple[tuple[JobId, int], ...]:
-        """Take note that a record is durable; return the tasks that were waiting for it."""
-        settled: list[tuple[JobId, int]] = []
+    def logged(self, record: TasksEnded) -> list[ToldBy]:
+        """Take note that a record is durable; return the reports that were waiting for it."""
+        settled: list[ToldBy] = []
         for end in record.ends:
             pending = self._pending.get(end.job_id)
             if pending is None:
                 continue
             for each in end.ranges:
-                hit = pending.intersection(range(each.start, each.stop))
-                pending -= hit
-                settled.extend((end.job_id, index) for index in sorted(hit))
+                hits = [index for index in pending if each.start <= index < each.stop]
+                settled.extend(pending.pop(index) for index in hits)
             if not pending:
                 del self._pending[end.job_id]
-        return tuple(settled)
+        return settled
 
     def put_back(self, record: TasksEnded) -> None:
         """Take back a record that is not in the log, or may not be; to be logged again."""
--- a/src/galenastall/coordination/job_shard.py
+++ b/src/galenastall/coordination/job_shard.py
@@ -17,7 +17,7 @@
     retry_delay_s,
 )
 from galenastall.coordination.gang_desk import GangDesk
-from galenastall.coordination.job_ends import JobEnds
+from galenastall.coordination.job_ends import JobEnds, ToldBy
 from galenastall.coordination.job_queue import JobQueue
 from galenastall.coordination.job_run import Assigned, JobRun, TaskFailure
 from galenastall.coordination.placement_commands import CapacitySummary
@@ -250,7 +250,7 @@
         if job_id in self.gangs:
             self._on_gang_report(run, index, report, now)
         elif is_ending:
-            self._end_attempt(run, index, report, now)
+            self._end_attempt(run, index, host, report, now)
         if run.is_stopped and not is_ending:
             self._stop_task(host, report.task_id)
         self._maybe_end(run)
@@ -286,7 +286,7 @@
 
     def _on_closed(self, run: JobRun, index: int, host: HostId, report: TaskReport) -> bool:
         if report.kind is ReportKind.DONE:
-            self._close(run, index, TaskPhase.DONE)
+            self._close(run, index, TaskPhase.DONE, _told_by(host, report))
         if report.kind not in ENDING_KINDS:
             return self._reject(host, report)
         return self._is_settled(run, index)
@@ -297,7 +297,9 @@
         is_kept = assigned is not None and assigned.kind in ENDING_KINDS
         return not is_kept and not self.ends.is_pending(job_id, index)
 
-    def _end_attempt(self, run: JobRun, index: int, report: TaskReport, now: float) -> None:
+    def _end_attempt(
+        self, run: JobRun, index: int, host: HostId, report: TaskReport, now: float
+    ) -> None:
         del run.assigned_by_index[index]
         run.tries_by_index[index] = run.tries_by_index.get(index, 0) + 1
         if report.kind is ReportKind.FAILED:
@@ -315,7 +317,7 @@
         else:
             if verdict.move is NextMove.STOP_JOB:
                 self._stop_run(run, verdict.phase, run.history() or report.detail, now)
-            self._close(run, index, verdict.phase)
+            self._close(run, index, verdict.phase, _told_by(host, report))
             self._note("ended", (report.task_id, report.worker_id), verdict.phase.value)
 
     def _on_gang_report(self, run: JobRun, index: int, report: TaskReport, now: float) -> None:
@@ -339,10 +341,18 @@
                 self.gangs.retry(run, now)
                 return
             self._stop_run(run, TaskPhase.FAILED, run.history() or "its gang broke off", now)
-        run.assigned_by_index.clear()
+        assigned_by_index, run.assigned_by_index = run.assigned_by_index, {}
         for index in list(run.state.open_indices()):
             kind = kinds.get(index, ReportKind.RETURNED)
-            self._close(run, index, phase_when_stopped(run, kind))
+            assigned = assigned_by_index.get(index)
+            told_by = None
+            if assigned is not None:
+                told_by = ToldBy(
+                    host=assigned.host,
+                    task_id=make_task_id(job_id, index),
+                    attempt=assigned.attempt,
+                )
+            self._close(run, index, phase_when_stopped(run, kind), told_by)
 
     def _resolve(self, run: JobRun, doubtful: set[int], *, may_have_lost_ends: bool) -> None:
         is_once = not run.state.spec.idempotent and not run.is_service
@@ -357,9 +367,11 @@
                 run.tries_by_index[index] = run.tries_by_index.get(index, 0) + 1
                 run.give_back(index)
 
-    def _close(self, run: JobRun, index: int, phase: TaskPhase) -> None:
+    def _close(
+        self, run: JobRun, index: int, phase: TaskPhase, told_by: ToldBy | None = None
+    ) -> None:
         if run.close(index, phase):
-            self.ends.add(run.state.spec.job_id, index, phase)
+            self.ends.add(run.state.spec.job_id, index, phase, told_by)
 
     def _stop_run(self, run: JobRun, phase: TaskPhase, detail: str, now: float) -> None:
         run.is_stopped = True
@@ -464,6 +476,10 @@
         self._notes.append(ShardNote(step=step, subjects=subjects, cause=cause, peer=peer))
 
 
+def _told_by(host: HostId, report: TaskReport) -> ToldBy:
+    return ToldBy(host=host, task_id=report.task_id, attempt=report.attempt)
+
+
 def _is_second_copy(assigned: Assigned, host: HostId, report: TaskReport) -> bool:
     if report.attempt > assigned.attempt or report.kind in ENDING_KINDS:
         return False
--- /dev/null
+++ b/src/galenastall/node/gang_holds.py
@@ -0,0 +1,107 @@
+"""A worker owner's side of gangs: holds by the gang's key, each started or released once."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Final
+
+from returns.result import Failure, Success
+
+from galenastall.coordination.assigned_tasks import AssignedTasks
+from galenastall.coordination.placement import PlacementCore
+from galenastall.coordination.placement_commands import Decision, HoldId
+from galenastall.node.job_link import JobLink
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.job_messages import GangHold, GangRelease, GangStart, JobWord
+from galenastall.state.ids import HostId
+from galenastall.state.work import TaskSpec
+
+STARTED_KEPT: Final = 4096
+
+
+class GangHolds:
+    """Answers holds and starts; repeated ones get the answer of the first."""
+
+    def __init__(
+        self,
+        *,
+        core: PlacementCore,
+        assigned: AssignedTasks,
+        link: JobLink,
+        clock: Clock,
+        carry_out: Callable[[Decision], None],
+        is_taking: Callable[[], bool],
+    ) -> None:
+        """`carry_out` sends the starts; `is_taking` is False while this entry host drains."""
+        self._core = core
+        self._assigned = assigned
+        self._clock = clock
+        self._carry_out = carry_out
+        self._is_taking = is_taking
+        self._held_by_key: dict[str, tuple[HoldId, GangHold]] = {}
+        self._started: OrderedDict[str, None] = OrderedDict()
+        link.answer(GangHold, self._on_hold)
+        link.answer(GangStart, self._on_start)
+        link.take(GangRelease, self._on_release)
+
+    def expired(self, holds: tuple[HoldId, ...]) -> None:
+        """Forget holds that the core has released."""
+        for key in [key for key, (hold, _) in self._held_by_key.items() if hold in holds]:
+            del self._held_by_key[key]
+
+    def release_shard(self, shard: int) -> None:
+        """Release all holds of a shard that has a new owner."""
+        for key, (_, message) in list(self._held_by_key.items()):
+            if message.shard == shard:
+                self._release(key)
+
+    async def _on_hold(self, sender: HostId, message: GangHold) -> JobWord:
+        now = self._clock.wall()
+        if not self._assigned.hear(message.shard, sender, message.epoch, message.until):
+            return JobWord(ok=False, detail="the shard has a later owner")
+        if message.key in self._held_by_key:
+            return JobWord(ok=True)
+        if not self._is_taking() or message.key in self._started or message.until <= now:
+            return JobWord(ok=False, detail="draining, started or too late")
+        match self._core.hold(message.key, message.tasks, now, message.until):
+            case Success(hold):
+                self._held_by_key[message.key] = (hold.hold_id, message)
+                return JobWord(ok=True)
+            case Failure(error):
+                return JobWord(ok=False, detail=str(error))
+        return JobWord(ok=False)
+
+    async def _on_start(self, sender: HostId, message: GangStart) -> JobWord:
+        now = self._clock.wall()
+        if message.epoch < self._assigned.epoch_of(message.shard):
+            return JobWord(ok=False, detail="the shard has a later owner")
+        if message.key in self._started:
+            return JobWord(ok=True)
+        held = self._held_by_key.pop(message.key, None)
+        if held is None:
+            return JobWord(ok=False, detail="not held, or no longer")
+        hold_id, hold = held
+        match self._core.start_hold(hold_id, now):
+            case Success(decision):
+                self._remember(message.key)
+                self._take(message.shard, hold.tasks)
+                self._carry_out(decision)
+                return JobWord(ok=True)
+            case Failure(error):
+                return JobWord(ok=False, detail=str(error))
+        return JobWord(ok=False)
+
+    def _on_release(self, _sender: HostId, message: GangRelease) -> None:
+        self._release(message.key)
+
+    def _release(self, key: str) -> None:
+        held = self._held_by_key.pop(key, None)
+        if held is not None:
+            self._core.release_hold(held[0])
+
+    def _take(self, shard: int, tasks: tuple[TaskSpec, ...]) -> None:
+        self._assigned.accept(shard, tasks)
+
+    def _remember(self, key: str) -> None:
+        self._started[key] = None
+        if len(self._started) > STARTED_KEPT:
+            self._started.popitem(last=False)
--- /dev/null
+++ b/src/galenastall/node/task_reporter.py
@@ -0,0 +1,93 @@
+"""Send what a worker owner learns of tasks to the owners of their shards, in batches."""
+
+from collections.abc import Callable, Iterable
+
+import trio
+from returns.result import Failure, Success
+
+from galenastall.coordination.assigned_tasks import AssignedTasks
+from galenastall.coordination.placement_commands import CapacitySummary
+from galenastall.coordination.task_reports import TaskReport
+from galenastall.node.job_link import JobLink
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.job_messages import TaskEvents, TaskEventsAnswer, TasksSettled
+from galenastall.protocol.ownership_view import OwnershipView
+from galenastall.state.ids import HostId
+from galenastall.state.job_shards import shard_ownable
+
+RETRY_S = 0.5
+
+
+class TaskReporter:
+    """Keeps at most one batch a shard under way; what is not answered is sent again."""
+
+    def __init__(
+        self,
+        *,
+        assigned: AssignedTasks,
+        link: JobLink,
+        ownership: OwnershipView,
+        clock: Clock,
+        summary: Callable[[], CapacitySummary],
+        settled: Callable[[Iterable[TaskReport]], None],
+        window_s: float,
+    ) -> None:
+        """`settled` is told which ends are durable; `summary` is sent along with each batch."""
+        self._assigned = assigned
+        self._link = link
+        self._ownership = ownership
+        self._clock = clock
+        self._summary = summary
+        self._settled = settled
+        self._window_s = window_s
+        self._due = trio.Event()
+        self._in_flight: set[int] = set()
+        link.take(TasksSettled, self._on_settled)
+
+    def wake(self) -> None:
+        """Send what is new soon."""
+        self._due.set()
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Send until cancelled."""
+        async with trio.open_nursery() as nursery:
+            task_status.started()
+            while True:
+                with trio.move_on_after(RETRY_S):
+                    await self._due.wait()
+                self._due = trio.Event()
+                await trio.sleep(self._window_s)
+                for shard, reports in self._take():
+                    self._in_flight.add(shard)
+                    nursery.start_soon(self._send, shard, reports)
+
+    def _take(self) -> Iterable[tuple[int, list[TaskReport]]]:
+        now = self._clock.wall()
+        return self._assigned.take_reports(now, skip=self._in_flight).items()
+
+    async def _send(self, shard: int, reports: list[TaskReport]) -> None:
+        try:
+            if not await self._send_batch(shard, reports):
+                self._assigned.put_back(reports)
+                await trio.sleep(RETRY_S)
+        finally:
+            self._in_flight.discard(shard)
+            self._due.set()
+
+    async def _send_batch(self, shard: int, reports: list[TaskReport]) -> bool:
+        owner = self._ownership.owner_of(shard_ownable(shard))
+        if owner is None:
+            return False
+        message = TaskEvents(shard=shard, reports=tuple(reports), summary=self._summary())
+        match await self._link.call(owner, message):
+            case Success(TaskEventsAnswer(settled=settled)):
+                known = [reports[each] for each in settled if each < len(reports)]
+                self._settled(self._assigned.settle(known))
+                return True
+            case Failure(_):
+                return False
+        return False
+
+    def _on_settled(self, _sender: HostId, message: TasksSettled) -> None:
+        attempts = ((each.task_id, each.attempt) for each in message.tasks)
+        self._settled(self._assigned.settle_ids(attempts))
