--- a/src/galenastall/coordination/assigned_tasks.py
+++ b/src/galenastall/coordination/assigned_tasks.py
@@ -145,6 +145,17 @@
             if each.shard in late and each.task and each.report.kind is ReportKind.QUEUED
         ]
 
+    def has_unsent(self) -> bool:
+        """Return whether some word was not yet sent, or some end not settled."""
+        return any(self._unsent.values()) or any(self._ending.values())
+
+    def is_over(self, task_id: TaskId, attempt: int) -> bool:
+        """Return whether the shard's owner has settled this attempt, or moved past it."""
+        known = self._by_task.get(task_id)
+        if known is not None and known.report.attempt > attempt:
+            return True
+        return attempt <= self._over.get(task_id, -1)
+
     def take_reports(
         self, now: float, *, skip: Container[int] = (), limit: int = 512
     ) -> dict[int, list[TaskReport]]:
--- a/src/galenastall/coordination/gang_desk.py
+++ b/src/galenastall/coordination/gang_desk.py
@@ -9,8 +9,13 @@
 from galenastall.coordination.assignees import AssigneeBook
 from galenastall.coordination.gangs import Gang, GangPhase, GangStep, GangStepKind
 from galenastall.coordination.job_run import Assigned, JobRun
-from galenastall.coordination.shard_commands import ShardSettings, StopBatch
-from galenastall.coordination.task_reports import ENDING_KINDS, ReportKind, TaskReport
+from galenastall.coordination.shard_commands import GangCall, ShardSettings, StopBatch
+from galenastall.coordination.task_reports import (
+    ENDING_KINDS,
+    ReportKind,
+    TaskReport,
+    next_attempt,
+)
 from galenastall.state.ids import HostId, JobId, make_task_id
 
 
@@ -60,17 +65,24 @@
                 self._repeat_at[job_id] = now + self._settings.gang_repeat_s
                 self._push(job_id, gang.tick(now))
 
-    def take_steps(self) -> tuple[list[tuple[JobId, GangStep]], list[StopBatch]]:
+    def take_calls(self) -> tuple[tuple[GangCall, ...], list[StopBatch]]:
         """Return the messages due: holds, starts and releases, and the tasks to stop."""
         steps, self._steps = self._steps, []
-        sent: list[tuple[JobId, GangStep]] = []
+        calls: list[GangCall] = []
         stops: list[StopBatch] = []
         for job_id, step in steps:
             if step.kind is GangStepKind.STOP:
                 stops.extend(self._stops_of(job_id, step))
             else:
-                sent.append((job_id, step))
-        return sent, stops
+                calls.append(self._call_of(job_id, step))
+        return tuple(calls), stops
+
+    def _call_of(self, job_id: JobId, step: GangStep) -> GangCall:
+        run, gang = self._runs_by_id.get(job_id), self._gangs_by_id.get(job_id)
+        if step.kind is not GangStepKind.HOLD or run is None or gang is None:
+            return GangCall(job_id=job_id, step=step)
+        tasks = tuple(run.make_task(index, attempt=gang.attempt) for index in step.indices)
+        return GangCall(job_id=job_id, step=step, tasks=tasks)
 
     def on_hold(self, job_id: JobId, host: HostId, key: str, *, is_held: bool, now: float) -> None:
         """Take an owner's answer to a hold."""
@@ -148,9 +160,9 @@
         plan = self._assignees.plan_gang(need=spec.resources, tasks=spec.tasks, now=now)
         if plan is None:
             return
-        highest = max(run.tries_by_index.values(), default=-1)
-        attempt = max(run.base_attempt + highest, gang.attempt) + 1
-        run.tries_by_index = {0: attempt - run.base_attempt}
+        highest = max((0, gang.attempt - run.base_attempt, *run.tries_by_index.values()))
+        run.tries_by_index = {0: next_attempt(highest)}
+        attempt = run.base_attempt + run.tries_by_index[0]
         for host, count in plan.items():
             self._assignees.reserve(host, spec.resources, count)
         self._push(spec.job_id, gang.begin(plan, attempt=attempt, now=now))
--- a/src/galenastall/coordination/job_ends.py
+++ b/src/galenastall/coordination/job_ends.py
@@ -35,6 +35,7 @@
         self._ranges: dict[tuple[JobId, TaskPhase], list[IndexRange]] = {}
         self._pending: dict[JobId, dict[int, ToldBy]] = {}
         self._ended_runs: dict[JobId, JobRun] = {}
+        self._ended_jobs: list[JobEnded] = []
 
     def add(self, job_id: JobId, index: int, phase: TaskPhase, told_by: ToldBy | None) -> None:
         """Note one task's end, and who told of it and waits for it to be durable."""
@@ -56,7 +57,7 @@
         return index in self._pending.get(job_id, ())
 
     def __bool__(self) -> bool:
-        return bool(self._indices or self._ranges or self._ended_runs)
+        return bool(self._indices or self._ranges or self._ended_runs or self._ended_jobs)
 
     def take(self, at: float) -> tuple[TasksEnded | None, tuple[JobEnded, ...]]:
         """Take all that is to be logged; give it back with `put_back` if the log refused it."""
@@ -74,7 +75,8 @@
         )
         runs = self._ended_runs
         self._indices, self._ranges, self._ended_runs = {}, {}, {}
-        jobs = tuple(_job_ended(run, at) for run in runs.values())
+        jobs = (*self._ended_jobs, *(_job_ended(run, at) for run in runs.values()))
+        self._ended_jobs = []
         return (TasksEnded(shard=self._shard, ends=ends) if ends else None), jobs
 
     def logged(self, record: TasksEnded) -> list[ToldBy]:
@@ -96,6 +98,10 @@
         for end in record.ends:
             self._ranges.setdefault((end.job_id, end.phase), []).extend(end.ranges)
 
+    def put_back_jobs(self, jobs: tuple[JobEnded, ...]) -> None:
+        """Take back jobs' ends that are not in the log, or may not be."""
+        self._ended_jobs.extend(jobs)
+
 
 def _job_ended(run: JobRun, at: float) -> JobEnded:
     return JobEnded(job_id=run.state.spec.job_id, verdict=verdict_of(run), detail=run.detail, at=at)
--- a/src/galenastall/coordination/job_run.py
+++ b/src/galenastall/coordination/job_run.py
@@ -87,6 +87,20 @@
         """Return whether the task has not ended for good."""
         return self.is_service or self.state.codes[index] == OPEN
 
+    def phase_of(self, index: int) -> TaskPhase:
+        """Return where a task stands, as far as it is known here."""
+        ended = self.state.phase_of(index)
+        if ended is not None:
+            return ended
+        if index in self.doubtful:
+            return TaskPhase.UNKNOWN
+        assigned = self.assigned_by_index.get(index)
+        if assigned is None or assigned.kind is ReportKind.QUEUED:
+            return TaskPhase.WAITING
+        if assigned.kind is ReportKind.DONE:
+            return TaskPhase.DONE
+        return TaskPhase.RUNNING if assigned.kind is ReportKind.RUNNING else TaskPhase.UNKNOWN
+
     def take(self, count: int) -> list[int]:
         """Take up to `count` waiting tasks; those given back go first."""
         taken: list[int] = []
@@ -143,8 +157,8 @@
         """Return the number of the task's next attempt."""
         return self.base_attempt + self.tries_by_index.get(index, 0)
 
-    def make_task(self, index: int) -> TaskSpec:
-        """Return the task as assignees see it."""
+    def make_task(self, index: int, *, attempt: int | None = None) -> TaskSpec:
+        """Return the task as assignees see it, as its next attempt or the given one."""
         spec = self.state.spec
         return TaskSpec(
             task_id=make_task_id(spec.job_id, index),
@@ -158,7 +172,7 @@
             checkpointable=spec.checkpointable,
             idempotent=spec.idempotent,
             kind=spec.kind,
-            attempt=self.attempt_of(index),
+            attempt=self.attempt_of(index) if attempt is None else attempt,
             payload=spec.payload,
         )
 
--- a/src/galenastall/coordination/job_shard.py
+++ b/src/galenastall/coordination/job_shard.py
@@ -35,6 +35,7 @@
     ReportKind,
     TaskReport,
     first_attempt,
+    next_attempt,
 )
 from galenastall.state.ids import Epoch, HostId, JobId, TaskId, make_task_id, split_task_id
 from galenastall.state.job_fold import JobState
@@ -168,7 +169,7 @@
         self._wake_delayed(now)
         self.gangs.decide(now)
         batches = self._assign(now, limit)
-        gang_steps, gang_stops = self.gangs.take_steps()
+        gang_calls, gang_stops = self.gangs.take_calls()
         stops, self._stops = self._stops, {}
         notes, self._notes = self._notes, []
         return ShardDecision(
@@ -177,7 +178,7 @@
                 *(StopBatch(host=host, tasks=tuple(tasks)) for host, tasks in stops.items()),
                 *gang_stops,
             ),
-            gang_steps=tuple(gang_steps),
+            gang_calls=gang_calls,
             notes=tuple(notes),
         )
 
@@ -301,7 +302,7 @@
         self, run: JobRun, index: int, host: HostId, report: TaskReport, now: float
     ) -> None:
         del run.assigned_by_index[index]
-        run.tries_by_index[index] = run.tries_by_index.get(index, 0) + 1
+        run.tries_by_index[index] = next_attempt(run.tries_by_index.get(index, 0))
         if report.kind is ReportKind.FAILED:
             run.add_failure(
                 TaskFailure(index=index, worker_id=report.worker_id, detail=report.detail)
@@ -364,7 +365,7 @@
             elif run.is_stopped:
                 self._close(run, index, run.stop_phase)
             else:
-                run.tries_by_index[index] = run.tries_by_index.get(index, 0) + 1
+                run.tries_by_index[index] = next_attempt(run.tries_by_index.get(index, 0))
                 run.give_back(index)
 
     def _close(
--- a/src/galenastall/coordination/shard_commands.py
+++ b/src/galenastall/coordination/shard_commands.py
@@ -53,6 +53,16 @@
     tasks: tuple[TaskId, ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GangCall:
+    """A hold, start or release to ask an owner for."""
+
+    job_id: JobId
+    step: GangStep
+    tasks: tuple[TaskSpec, ...] = ()
+    """With a hold: what to hold capacity for."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ShardNote:
     """Something for the time line."""
@@ -69,7 +79,7 @@
 
     assigns: tuple[AssignBatch, ...] = ()
     stops: tuple[StopBatch, ...] = ()
-    gang_steps: tuple[tuple[JobId, GangStep], ...] = ()
+    gang_calls: tuple[GangCall, ...] = ()
     notes: tuple[ShardNote, ...] = ()
 
 
--- a/src/galenastall/coordination/task_reports.py
+++ b/src/galenastall/coordination/task_reports.py
@@ -6,8 +6,10 @@
 
 from galenastall.state.ids import Epoch, HostId, TaskId
 
-TRIES_PER_EPOCH: Final = 1 << 20
-"""Attempt numbers of one task under one shard epoch; far above any count of reassignments."""
+TRIES_PER_EPOCH: Final = 1 << 24
+"""Attempt numbers of one task under one shard epoch."""
+TRIES_PER_ASSIGNMENT: Final = 64
+"""Attempt numbers that an assignee may use by itself, each time that a task makes way there."""
 
 
 class ReportKind(StrEnum):
@@ -79,6 +81,13 @@
     return epoch * TRIES_PER_EPOCH
 
 
-def tries_of(attempt: int) -> int:
-    """Return how many tries under the same epoch came before this attempt."""
-    return attempt % TRIES_PER_EPOCH
+def next_attempt(tries: int) -> int:
+    """Return the first number, within an epoch, after the assignment that `tries` is of."""
+    return (tries // TRIES_PER_ASSIGNMENT + 1) * TRIES_PER_ASSIGNMENT
+
+
+def describe_attempt(attempt: int) -> str:
+    """Return an attempt's number in words: epoch, assignment under it, and run within that."""
+    epoch, tries = divmod(attempt, TRIES_PER_EPOCH)
+    assignment, run = divmod(tries, TRIES_PER_ASSIGNMENT)
+    return f"{epoch}.{assignment}.{run}"
--- a/src/galenastall/node/gang_holds.py
+++ b/src/galenastall/node/held_gangs.py
@@ -18,7 +18,7 @@
 STARTED_KEPT: Final = 4096
 
 
-class GangHolds:
+class HeldGangs:
     """Answers holds and starts; repeated ones get the answer of the first."""
 
     def __init__(
--- /dev/null
+++ b/src/galenastall/node/job_service.py
@@ -0,0 +1,386 @@
+"""Owner of job shards: a core for each owned shard, fed from the log and by the peers."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import trio
+from returns.result import Failure, Success
+
+from galenastall.coordination.job_shard import JobShard
+from galenastall.coordination.placement_commands import CapacitySummary
+from galenastall.coordination.shard_commands import CancelCounts, ShardSettings
+from galenastall.node.job_link import JobLink
+from galenastall.node.job_timings import JobTimings
+from galenastall.node.job_views import view_run
+from galenastall.node.shard_driver import ShardDriver
+from galenastall.node.worker_service import WorkerService
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.event_sink import EventSink, NullEventSink
+from galenastall.protocol.job_messages import (
+    JobAsk,
+    JobBeat,
+    JobCancel,
+    JobCancelAnswer,
+    JobHold,
+    JobView,
+    JobWord,
+    ShardEpoch,
+    TaskEvents,
+    TaskEventsAnswer,
+)
+from galenastall.protocol.log_access import LogAppender, StreamFollower
+from galenastall.protocol.ownership_view import OwnershipView
+from galenastall.state.errors import Reason, StepError
+from galenastall.state.hosts import HostState
+from galenastall.state.ids import (
+    Epoch,
+    HostId,
+    JobId,
+    OwnableId,
+    OwnableKind,
+    RecordId,
+    split_ownable_id,
+)
+from galenastall.state.job_fold import JobFold, JobListener, JobState
+from galenastall.state.job_records import JobAccepted, JobCancelled
+from galenastall.state.job_shards import shard_of, shard_ownable
+from galenastall.state.work import JobSpec
+
+
+class JobService(JobListener):
+    """All job shards that this entry host owns, and the beats to the other entry hosts."""
+
+    def __init__(
+        self,
+        *,
+        fold: JobFold,
+        worker_service: WorkerService,
+        ownership: OwnershipView,
+        link: JobLink,
+        appender: LogAppender,
+        follower: StreamFollower,
+        clock: Clock,
+        incarnation: str,
+        shards: int,
+        settings: ShardSettings | None = None,
+        timings: JobTimings | None = None,
+        events: EventSink | None = None,
+    ) -> None:
+        """`fold` is subscribed to `follower`, the data centre's stream, before it runs."""
+        self.fold = fold
+        self.drivers_by_shard: dict[int, ShardDriver] = {}
+        self._workers = worker_service
+        self._ownership = ownership
+        self._link = link
+        self._appender = appender
+        self._follower = follower
+        self._clock = clock
+        self._incarnation = incarnation
+        self._shards = shards
+        self._settings = settings or ShardSettings()
+        self._timings = timings or JobTimings()
+        self._events = events or NullEventSink()
+        self._nursery: trio.Nursery | None = None
+        self._summaries: dict[HostId, CapacitySummary] = {}
+        self._heard_at: dict[HostId, float] = {}
+        self._incarnations: dict[HostId, str] = {}
+        self._void_at: dict[HostId, float] = {}
+        self._seen_live: dict[HostId, float] = {}
+        self._has_lost_worker = False
+        self._held: dict[JobId, JobState] = {}
+        self._cancels_to_log: dict[JobId, str] = {}
+        self._is_draining = False
+        fold.listen(self)
+        link.answer(TaskEvents, self._on_events)
+        link.answer(JobHold, self._on_hold)
+        link.answer(JobCancel, self._on_cancel)
+        link.answer(JobAsk, self._on_ask)
+        link.take(JobBeat, self._on_beat)
+        ownership.on_activated(self._on_activated)
+        ownership.on_lost(self._on_lost)
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Drive the owned shards until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for driver in self.drivers_by_shard.values():
+                nursery.start_soon(driver.run)
+            nursery.start_soon(self._log_held)
+            nursery.start_soon(self._compact)
+            task_status.started()
+            while True:
+                self._beat()
+                peers = len(self._ownership.roster())
+                await trio.sleep(self._timings.beat_s + self._timings.beat_s_per_peer * peers)
+
+    async def drain(self) -> None:
+        """Give out nothing more; what is decided and not yet logged is logged first."""
+        self._is_draining = True
+        for driver in self.drivers_by_shard.values():
+            await driver.drain()
+
+    def on_job(self, job: JobState) -> None:
+        """Take on a job of an owned shard that the log now holds."""
+        self._held.pop(job.spec.job_id, None)
+        driver = self._driver_of(job.spec.job_id)
+        if driver is not None:
+            self._add(driver, job)
+
+    def on_cancelled(self, job: JobState) -> None:
+        """Stop a job of an owned shard."""
+        self._cancels_to_log.pop(job.spec.job_id, None)
+        driver = self._driver_of(job.spec.job_id)
+        if driver is not None:
+            driver.core.cancel(job.spec.job_id, self._clock.wall())
+            driver.wake()
+
+    def on_ended(self, job: JobState) -> None:
+        """Forget a job of an owned shard."""
+        driver = self._driver_of(job.spec.job_id)
+        if driver is not None:
+            driver.core.forget(job.spec.job_id)
+
+    def owner_of(self, job_id: JobId) -> HostId | None:
+        """Return the owner of a job's shard as far as the log was read."""
+        return self._ownership.owner_of(_ownable_of(job_id, self._shards))
+
+    def held(self, job_id: JobId) -> JobState | None:
+        """Return a job that this entry host keeps while the log can't take it."""
+        return self._held.get(job_id)
+
+    def summaries(self) -> Mapping[HostId, CapacitySummary]:
+        """Return the newest capacity summary of each entry host that was heard lately."""
+        now = self._clock.wall()
+        fresh = {
+            host: summary
+            for host, summary in self._summaries.items()
+            if now <= self._heard_at.get(host, 0.0) + self._timings.silent_s
+        }
+        fresh[self._link.host_id] = self._own_summary()
+        return fresh
+
+    def hold(self, spec: JobSpec) -> None:
+        """Keep a job until the log can take it; run it if its shard is owned here."""
+        if self.fold.get(spec.job_id) is not None or spec.job_id in self._held:
+            return
+        state = JobState(spec=spec, accepted_at=None, was_held=True)
+        self._held[spec.job_id] = state
+        driver = self._driver_of(spec.job_id)
+        if driver is not None:
+            driver.core.add_job(state, is_fresh=False, now=self._clock.wall())
+            driver.wake()
+
+    def cancel_later(self, job_id: JobId, cause: str) -> None:
+        """Log a cancellation when the log is back."""
+        self._cancels_to_log[job_id] = cause
+
+    def view(self, ask: JobAsk) -> JobView:
+        """Return how a job of an owned shard stands."""
+        driver = self._driver_of(ask.job_id)
+        run = driver.core.runs_by_id.get(ask.job_id) if driver else None
+        if driver is None or run is None:
+            return JobView(is_known=False, counts={})
+        return view_run(run, ask)
+
+    def _own_summary(self) -> CapacitySummary:
+        return self._workers.core.summary()
+
+    def _driver_of(self, job_id: JobId) -> ShardDriver | None:
+        return self.drivers_by_shard.get(shard_of(job_id, shards=self._shards))
+
+    def _add(self, driver: ShardDriver, job: JobState) -> None:
+        # A job logged after this shard's claim was never given out by an earlier owner.
+        is_fresh = (
+            job.accepted_at is not None and job.accepted_at > driver.core.epoch and not job.was_held
+        )
+        driver.core.add_job(job, is_fresh=is_fresh, now=self._clock.wall())
+        driver.wake()
+
+    def _on_activated(self, ownable: OwnableId, epoch: Epoch) -> None:
+        kind, name = split_ownable_id(ownable)
+        if kind is not OwnableKind.JOBS:
+            return
+        shard = int(name)
+        self._drop(shard)
+        core = JobShard(
+            shard=shard, epoch=epoch, is_ended=self.fold.is_ended, settings=self._settings
+        )
+        driver = ShardDriver(
+            core=core,
+            link=self._link,
+            ownership=self._ownership,
+            appender=self._appender,
+            follower=self._follower,
+            clock=self._clock,
+            timings=self._timings,
+            events=self._events,
+            summaries=self.summaries,
+            workers_expected=self._workers_expected,
+            may_have_lost_ends=lambda: self._has_lost_worker,
+        )
+        self.drivers_by_shard[shard] = driver
+        for job in (*self.fold.live_by_id.values(), *self._held.values()):
+            if shard_of(job.spec.job_id, shards=self._shards) == shard:
+                self._add(driver, job)
+        if self._nursery is not None:
+            self._nursery.start_soon(driver.run)
+
+    def _on_lost(self, ownable: OwnableId) -> None:
+        kind, name = split_ownable_id(ownable)
+        if kind is OwnableKind.JOBS:
+            self._drop(int(name))
+
+    def _drop(self, shard: int) -> None:
+        driver = self.drivers_by_shard.pop(shard, None)
+        if driver is not None:
+            driver.cancel()
+
+    def _beat(self) -> None:
+        now = self._clock.wall()
+        self._note_workers(now)
+        shards = tuple(
+            ShardEpoch(shard=shard, epoch=driver.core.epoch)
+            for shard, driver in self.drivers_by_shard.items()
+            if driver.may_act
+        )
+        beat = JobBeat(
+            incarnation=self._incarnation,
+            shards=shards,
+            valid_until=now + self._timings.valid_s,
+            summary=self._own_summary(),
+            renewing=self._workers.helper.renewing(),
+        )
+        silent = JobBeat(
+            incarnation=beat.incarnation,
+            shards=(),
+            valid_until=0.0,
+            summary=beat.summary,
+            renewing=beat.renewing,
+        )
+        me = self._link.host_id
+        self._workers.hear_beat(me, beat)
+        roster = self._ownership.roster()
+        for host in roster - {me}:
+            is_silent = now > self._heard_at.get(host, 0.0) + self._timings.silent_s
+            self._link.send(host, silent if is_silent else beat)
+            if is_silent:
+                self._on_silent(host, now)
+            else:
+                self._void_at.pop(host, None)
+        for host in self._heard_at.keys() - roster:
+            self._forget_host(host)
+
+    def _on_silent(self, host: HostId, now: float) -> None:
+        """Stop keeping a silent host's queued tasks valid; once they are void, doubt them."""
+        void_at = self._void_at.setdefault(host, now + self._timings.valid_s + self._timings.skew_s)
+        if now > void_at:
+            self._void_at[host] = now + self._timings.valid_s + self._timings.skew_s
+            self._doubt(host)
+
+    def _forget_host(self, host: HostId) -> None:
+        self._heard_at.pop(host, None)
+        self._summaries.pop(host, None)
+        self._incarnations.pop(host, None)
+        self._void_at.pop(host, None)
+        self._doubt(host)
+
+    def _doubt(self, host: HostId) -> None:
+        for driver in self.drivers_by_shard.values():
+            if driver.core.on_assignee_gone(host):
+                driver.wake()
+
+    def _on_beat(self, sender: HostId, beat: JobBeat) -> None:
+        now = self._clock.wall()
+        if self._incarnations.get(sender, beat.incarnation) != beat.incarnation:
+            self._doubt(sender)
+        self._incarnations[sender] = beat.incarnation
+        self._heard_at[sender] = now
+        self._summaries[sender] = beat.summary
+        self._workers.hear_beat(sender, beat)
+
+    def _note_workers(self, now: float) -> None:
+        for worker, host in self._workers.listed_workers().items():
+            if host.state is not HostState.GONE:
+                self._seen_live[worker] = now
+        for worker, seen in list(self._seen_live.items()):
+            if now > seen + self._timings.vanished_s:
+                del self._seen_live[worker]
+                self._has_lost_worker = True
+
+    def _workers_expected(self) -> tuple[HostId, ...]:
+        self._note_workers(self._clock.wall())
+        return tuple(self._seen_live)
+
+    async def _on_events(self, sender: HostId, message: TaskEvents) -> Any:
+        driver = self.drivers_by_shard.get(message.shard)
+        if driver is None or not driver.may_act:
+            return StepError(
+                step="job.task_events", peer=self._link.host_id, reason=Reason.NOT_OWNER
+            )
+        self._summaries[sender] = message.summary
+        settled = driver.core.on_reports(sender, message.reports, self._clock.wall())
+        kept = {id(report) for report in settled}
+        driver.wake()
+        return TaskEventsAnswer(
+            settled=tuple(
+                position for position, report in enumerate(message.reports) if id(report) in kept
+            )
+        )
+
+    async def _on_hold(self, _sender: HostId, message: JobHold) -> JobWord:
+        self.hold(message.spec)
+        return JobWord(ok=True)
+
+    async def _on_cancel(self, _sender: HostId, message: JobCancel) -> Any:
+        driver = self._driver_of(message.job_id)
+        if driver is None or not driver.may_act:
+            return StepError(step="job.cancel", peer=self._link.host_id, reason=Reason.NOT_OWNER)
+        counts: CancelCounts | None = driver.core.cancel(message.job_id, self._clock.wall())
+        driver.wake()
+        return JobCancelAnswer(counts=counts)
+
+    async def _on_ask(self, _sender: HostId, message: JobAsk) -> JobView:
+        return self.view(message)
+
+    async def _log_held(self) -> None:
+        while True:
+            await trio.sleep(self._timings.log_retry_s)
+            if not self._appender.is_log_up:
+                continue
+            for job_id, state in list(self._held.items()):
+                await self._append(
+                    JobAccepted(spec=state.spec, was_held=True), f"job.held/{job_id}"
+                )
+            for job_id, cause in list(self._cancels_to_log.items()):
+                record = JobCancelled(job_id=job_id, cause=cause)
+                if await self._append(record, f"job.cancelled/{job_id}"):
+                    self._cancels_to_log.pop(job_id, None)
+
+    async def _compact(self) -> None:
+        while True:
+            await trio.sleep(self._timings.compact_every_s)
+            before = self._clock.wall() - self._timings.compact_after_s
+            for driver in list(self.drivers_by_shard.values()):
+                if not driver.may_act or not self._appender.is_log_up:
+                    continue
+                for job_id in list(driver.core.runs_by_id):
+                    job = self.fold.live_by_id.get(job_id)
+                    if job is not None and job.renewed_wall < before:
+                        await self._append(job.compacted(at=self._clock.wall()), None)
+
+    async def _append(self, record: object, record_id: str | None) -> bool:
+        result = await self._appender.append(
+            stream=self._follower.stream,
+            record=record,
+            record_id=None if record_id is None else RecordId(record_id),
+        )
+        match result:
+            case Success(_):
+                return True
+            case Failure(error):
+                self._events.record("job.not_logged", cause=str(error))
+        return False
+
+
+def _ownable_of(job_id: JobId, shards: int) -> OwnableId:
+    return shard_ownable(shard_of(job_id, shards=shards))
--- /dev/null
+++ b/src/galenastall/node/lease_helper.py
@@ -0,0 +1,118 @@
+"""Renew the leases of running tasks whose worker's owner is silent.
+
+So the death of an owner kills no running work, also while nobody can take over because the log is
+down. A peer says so in its beats for a while before it renews, since the worker's owner, if it is
+only cut off from us, must not take the leases for lapsed.
+"""
+
+from collections.abc import Callable, Mapping
+
+import trio
+import xxhash
+from returns.result import Success
+
+from galenastall.node.worker_timings import WorkerTimings
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.event_sink import EventSink
+from galenastall.protocol.ownership_view import OwnershipView
+from galenastall.protocol.platform import WorkerService
+from galenastall.state.hosts import HostState, ListedHost
+from galenastall.state.ids import HostId, OwnableKind, make_ownable_id
+
+
+class LeaseHelper:
+    """Decides which workers of silent owners this entry host renews on, and does."""
+
+    def __init__(
+        self,
+        *,
+        host_id: HostId,
+        workers: WorkerService,
+        ownership: OwnershipView,
+        clock: Clock,
+        timings: WorkerTimings,
+        listed_workers: Callable[[], Mapping[HostId, ListedHost]],
+        events: EventSink,
+    ) -> None:
+        """`listed_workers` returns the data centre's workers."""
+        self._host_id = host_id
+        self._workers = workers
+        self._ownership = ownership
+        self._clock = clock
+        self._timings = timings
+        self._listed_workers = listed_workers
+        self._events = events
+        self._heard_at: dict[HostId, float] = {}
+        self._since: dict[HostId, float] = {}
+        self._started_at = clock.wall()
+
+    def hear_owner(self, host: HostId, now: float) -> None:
+        """Take note that an entry host is alive."""
+        self._heard_at[host] = now
+
+    def renewing(self) -> tuple[HostId, ...]:
+        """Return the workers of others that this entry host renews on, or will soon."""
+        return tuple(self._since)
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Check and renew until cancelled."""
+        task_status.started()
+        while True:
+            await trio.sleep(self._timings.announce_s / 2)
+            now = self._clock.wall()
+            self._choose(now)
+            due = [
+                worker
+                for worker, since in self._since.items()
+                if now >= since + self._timings.announce_s
+            ]
+            async with trio.open_nursery() as nursery:
+                for worker in due:
+                    nursery.start_soon(self._renew, worker)
+
+    def _choose(self, now: float) -> None:
+        chosen: dict[HostId, float] = {}
+        living = [
+            host
+            for host in sorted(self._ownership.roster() | {self._host_id})
+            if host == self._host_id or not self._is_silent(host, now)
+        ]
+        for worker, host in self._listed_workers().items():
+            owner = self._ownership.owner_of(make_ownable_id(OwnableKind.WORKER, worker))
+            if host.state is HostState.GONE or owner is None or owner == self._host_id:
+                continue
+            if not self._is_silent(owner, now):
+                continue
+            if min(living, key=lambda each: _rank(each, worker)) == self._host_id:
+                chosen[worker] = self._since.get(worker, now)
+        for worker in chosen.keys() - self._since.keys():
+            self._events.record(
+                "lease.help", peer=worker, cause="its owner is silent; renewing for it"
+            )
+        self._since = chosen
+
+    def _is_silent(self, host: HostId, now: float) -> bool:
+        heard = self._heard_at.get(host, self._started_at)
+        return now > heard + self._timings.owner_silent_s
+
+    async def _renew(self, worker: HostId) -> None:
+        host = self._listed_workers().get(worker)
+        if host is None:
+            return
+        with trio.move_on_after(self._timings.call_s):
+            listed = await self._workers.listing(address=host.address)
+            if not isinstance(listed, Success):
+                return
+            tasks = [running.task.task_id for running in listed.unwrap().running]
+            # The list may have been long in coming: only a help that is still announced counts.
+            if not tasks or worker not in self._since:
+                return
+            await self._workers.renew(
+                address=host.address,
+                tasks=tasks,
+                lease_until=self._clock.wall() + self._timings.lease_s,
+            )
+
+
+def _rank(host: HostId, worker: HostId) -> int:
+    return int(xxhash.xxh64_intdigest(f"{host}/{worker}".encode()))
--- /dev/null
+++ b/src/galenastall/node/shard_driver.py
@@ -0,0 +1,307 @@
+"""Carry out what one job shard's core decides: assign, stop, hold, take the census, log ends."""
+
+from collections.abc import Callable, Iterable, Mapping
+
+import trio
+from returns.result import Failure, Success
+
+from galenastall.coordination.census import Census
+from galenastall.coordination.gangs import GangStepKind
+from galenastall.coordination.job_ends import ToldBy
+from galenastall.coordination.job_shard import JobShard
+from galenastall.coordination.placement_commands import CapacitySummary
+from galenastall.coordination.shard_commands import (
+    AssignAnswer,
+    AssignBatch,
+    GangCall,
+    ShardDecision,
+)
+from galenastall.coordination.task_reports import HostCensus
+from galenastall.node.job_link import JobLink, nothing_sent
+from galenastall.node.job_timings import JobTimings
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.event_sink import EventSink
+from galenastall.protocol.job_messages import (
+    GangHold,
+    GangRelease,
+    GangStart,
+    JobWord,
+    ShardCensus,
+    ShardRecover,
+    TaskAssign,
+    TaskAttempt,
+    TasksSettled,
+    TaskStop,
+)
+from galenastall.protocol.log_access import LogAppender, StreamFollower
+from galenastall.protocol.ownership_view import OwnershipView
+from galenastall.state.ids import HostId, RecordId, TaskId
+from galenastall.state.job_records import JobEnded
+from galenastall.state.job_shards import shard_ownable
+
+
+class ShardDriver:
+    """One owned shard, from its activation until it is lost."""
+
+    def __init__(
+        self,
+        *,
+        core: JobShard,
+        link: JobLink,
+        ownership: OwnershipView,
+        appender: LogAppender,
+        follower: StreamFollower,
+        clock: Clock,
+        timings: JobTimings,
+        events: EventSink,
+        summaries: Callable[[], Mapping[HostId, CapacitySummary]],
+        workers_expected: Callable[[], Iterable[HostId]],
+        may_have_lost_ends: Callable[[], bool],
+    ) -> None:
+        """`workers_expected` returns all workers on which tasks may run now."""
+        self.core = core
+        self._link = link
+        self._ownership = ownership
+        self._appender = appender
+        self._follower = follower
+        self._clock = clock
+        self._timings = timings
+        self._events = events
+        self._summaries = summaries
+        self._workers_expected = workers_expected
+        self._may_have_lost_ends = may_have_lost_ends
+        self._scope = trio.CancelScope()
+        self._wake = trio.Event()
+        self._logging = trio.Event()
+        self._stops: dict[HostId, dict[TaskId, None]] = {}
+        self._stopping: set[HostId] = set()
+        self._census: Census | None = None
+        self._census_done_at: float | None = None
+        self._needs_tip = True
+        self._asking: set[HostId] = set()
+
+    def cancel(self) -> None:
+        """Stop, since the shard has another owner."""
+        self._scope.cancel()
+
+    def wake(self) -> None:
+        """Decide soon."""
+        self._wake.set()
+
+    @property
+    def may_act(self) -> bool:
+        """Whether this entry host may act on the shard now."""
+        return self._ownership.may_act(shard_ownable(self.core.shard)) == self.core.epoch
+
+    def valid_until(self) -> float:
+        """Return until when an assignment that is sent now is valid."""
+        return self._clock.wall() + self._timings.valid_s
+
+    async def drain(self) -> None:
+        """Return once all ends that are known are logged, or can't be now."""
+        while self.core.ends and self._appender.is_log_up:
+            self._logging.set()
+            await trio.sleep(self._timings.window_s)
+
+    async def run(self) -> None:
+        """Decide and log until cancelled."""
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._log_ends)
+                while True:
+                    with trio.move_on_after(self._timings.tick_s):
+                        await self._wake.wait()
+                    self._wake = trio.Event()
+                    await trio.sleep(self._timings.window_s)
+                    if self.may_act:
+                        self._step(nursery)
+
+    def _step(self, nursery: trio.Nursery) -> None:
+        self._take_census(nursery)
+        decision = self.core.decide(
+            self._clock.wall(), summaries=self._summaries(), limit=self._timings.decide_limit
+        )
+        self._record(decision)
+        for batch in decision.assigns:
+            nursery.start_soon(self._assign, batch)
+        for stop in decision.stops:
+            self._stops.setdefault(stop.host, {}).update(dict.fromkeys(stop.tasks))
+        for host in self._stops.keys() - self._stopping:
+            self._stopping.add(host)
+            nursery.start_soon(self._stop, host)
+        for call in decision.gang_calls:
+            nursery.start_soon(self._call_gang, call)
+        if self.core.ends:
+            self._logging.set()
+
+    async def _assign(self, batch: AssignBatch) -> None:
+        """Send until there is an answer, or the assignee is gone and a census tells."""
+        is_repeat = False
+        while self.may_act and batch.host in self._ownership.roster():
+            message = TaskAssign(
+                shard=self.core.shard,
+                epoch=self.core.epoch,
+                valid_until=self.valid_until(),
+                tasks=batch.tasks,
+            )
+            result = await self._link.call(batch.host, message)
+            answer = AssignAnswer.UNKNOWN
+            match result:
+                case Success(JobWord(ok=ok)):
+                    answer = AssignAnswer.ACCEPTED if ok else AssignAnswer.REFUSED
+                case Failure(error) if nothing_sent(error) and not is_repeat:
+                    answer = AssignAnswer.REFUSED
+            if answer is not AssignAnswer.UNKNOWN:
+                self.core.on_assign_answer(batch, answer, self._clock.wall())
+                self.wake()
+                return
+            is_repeat = True
+            await trio.sleep(self._timings.resend_s)
+
+    async def _stop(self, host: HostId) -> None:
+        try:
+            while self._stops.get(host) and host in self._ownership.roster():
+                tasks = self._stops.pop(host)
+                message = TaskStop(shard=self.core.shard, epoch=self.core.epoch, tasks=tuple(tasks))
+                if not isinstance(await self._link.call(host, message), Success):
+                    self._stops.setdefault(host, {}).update(tasks)
+                    await trio.sleep(self._timings.resend_s)
+        finally:
+            self._stopping.discard(host)
+
+    async def _call_gang(self, call: GangCall) -> None:
+        step = call.step
+        shard, epoch = self.core.shard, self.core.epoch
+        if step.kind is GangStepKind.RELEASE:
+            self._link.send(step.host, GangRelease(shard=shard, key=step.key))
+            return
+        message: GangHold | GangStart = GangStart(shard=shard, epoch=epoch, key=step.key)
+        if step.kind is GangStepKind.HOLD:
+            message = GangHold(
+                shard=shard, epoch=epoch, key=step.key, until=step.until, tasks=call.tasks
+            )
+        result = await self._link.call(step.host, message)
+        now = self._clock.wall()
+        match result:
+            case Success(JobWord(ok=ok)):
+                is_ok = ok
+            case Failure(_) if step.kind is GangStepKind.START:
+                return  # No answer: it is asked again.
+            case _:
+                is_ok = False
+        if step.kind is GangStepKind.HOLD:
+            self.core.on_hold_answer(call.job_id, step.host, step.key, is_held=is_ok, now=now)
+        else:
+            self.core.on_gang_start_answer(
+                call.job_id, step.host, step.key, is_started=is_ok, now=now
+            )
+        self.wake()
+
+    def _take_census(self, nursery: trio.Nursery) -> None:
+        if not self.core.needs_census:
+            self._census = None
+            return
+        if self._census is None or self._census.doubts != self.core.doubts:
+            self._begin_census()
+        census = self._census
+        if census is None:
+            return
+        roster = self._ownership.roster()
+        expected = set(self._workers_expected())
+        is_complete = census.is_complete(roster=roster, workers=expected, now=self._clock.wall())
+        if is_complete:
+            self._end_census()
+            return
+        self._census_done_at = None
+        for host in roster - self._asking:
+            if host in census.missing_hosts(roster) or census.missing_workers(expected):
+                self._asking.add(host)
+                nursery.start_soon(self._ask, host, census)
+
+    def _begin_census(self) -> None:
+        void_at = self._clock.wall() + self._timings.valid_s + self._timings.skew_s
+        self._census = Census(doubts=self.core.doubts, queues_void_at=void_at)
+        self._census_done_at = None
+        self._events.record(
+            "shard.census",
+            subjects=(shard_ownable(self.core.shard),),
+            cause="tasks may be somewhere; asking all entry hosts",
+            fields={"epoch": str(self.core.epoch)},
+        )
+
+    def _end_census(self) -> None:
+        """Give out again what is nowhere, once all ends that were logged before were read."""
+        if self._census_done_at is None:
+            self._census_done_at = self._clock.now()
+        tip_read_at = self._follower.tip_read_at
+        if self._needs_tip and (tip_read_at is None or tip_read_at < self._census_done_at):
+            return
+        count = self.core.resolve_doubts(
+            self._clock.wall(), may_have_lost_ends=self._may_have_lost_ends()
+        )
+        self._needs_tip = False
+        self._census = None
+        self._events.record(
+            "shard.recovered",
+            subjects=(shard_ownable(self.core.shard),),
+            cause=f"{count} tasks in doubt are nowhere",
+        )
+
+    async def _ask(self, host: HostId, census: Census) -> None:
+        message = ShardRecover(
+            shard=self.core.shard, epoch=self.core.epoch, valid_until=self.valid_until()
+        )
+        result = await self._link.call(host, message)
+        match result:
+            case Success(ShardCensus(is_current=True) as answer):
+                now = self._clock.wall()
+                self.core.on_reports(host, answer.reports, now)
+                census.on_answer(
+                    HostCensus(host_id=host, reports=answer.reports, workers=answer.workers)
+                )
+        await trio.sleep(self._timings.resend_s)
+        self._asking.discard(host)
+        self.wake()
+
+    async def _log_ends(self) -> None:
+        while True:
+            await self._logging.wait()
+            self._logging = trio.Event()
+            record, jobs = self.core.ends.take(self._clock.wall())
+            if record is not None:
+                result = await self._appender.append(stream=self._follower.stream, record=record)
+                if isinstance(result, Failure):
+                    self.core.ends.put_back(record)
+                    self.core.ends.put_back_jobs(jobs)
+                    await trio.sleep(self._timings.log_retry_s)
+                    self._logging.set()
+                    continue
+                self._tell_settled(self.core.ends.logged(record))
+            async with trio.open_nursery() as nursery:
+                for job in jobs:
+                    nursery.start_soon(self._log_job_end, job)
+
+    async def _log_job_end(self, job: JobEnded) -> None:
+        result = await self._appender.append(
+            stream=self._follower.stream,
+            record=job,
+            record_id=RecordId(f"job.ended/{job.job_id}"),
+        )
+        if isinstance(result, Failure):
+            self.core.ends.put_back_jobs((job,))
+            await trio.sleep(self._timings.log_retry_s)
+            self._logging.set()
+
+    def _tell_settled(self, settled: Iterable[ToldBy]) -> None:
+        attempts_by_host: dict[HostId, list[TaskAttempt]] = {}
+        for each in settled:
+            attempt = TaskAttempt(task_id=each.task_id, attempt=each.attempt)
+            attempts_by_host.setdefault(each.host, []).append(attempt)
+        for host, attempts in attempts_by_host.items():
+            self._link.send(host, TasksSettled(shard=self.core.shard, tasks=tuple(attempts)))
+
+    def _record(self, decision: ShardDecision) -> None:
+        for note in decision.notes:
+            self._events.record(
+                f"job.{note.step}", peer=note.peer, subjects=note.subjects, cause=note.cause
+            )
--- a/src/galenastall/node/task_reporter.py
+++ b/src/galenastall/node/task_reporter.py
@@ -41,6 +41,7 @@
         self._settled = settled
         self._window_s = window_s
         self._due = trio.Event()
+        self._progress = trio.Event()
         self._in_flight: set[int] = set()
         link.take(TasksSettled, self._on_settled)
 
@@ -48,6 +49,10 @@
         """Send what is new soon."""
         self._due.set()
 
+    async def progress(self) -> None:
+        """Return once some end was settled or some batch was answered."""
+        await self._progress.wait()
+
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Send until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -73,6 +78,7 @@
         finally:
             self._in_flight.discard(shard)
             self._due.set()
+            self._note_progress()
 
     async def _send_batch(self, shard: int, reports: list[TaskReport]) -> bool:
         owner = self._ownership.owner_of(shard_ownable(shard))
@@ -91,3 +97,8 @@
     def _on_settled(self, _sender: HostId, message: TasksSettled) -> None:
         attempts = ((each.task_id, each.attempt) for each in message.tasks)
         self._settled(self._assigned.settle_ids(attempts))
+        self._note_progress()
+
+    def _note_progress(self) -> None:
+        self._progress.set()
+        self._progress = trio.Event()
--- /dev/null
+++ b/src/galenastall/node/worker_watch.py
@@ -0,0 +1,260 @@
+"""Watch one owned worker: list and adopt, poll, renew leases, acknowledge ends."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+from returns.result import Failure, Success
+
+from galenastall.coordination.placement_commands import (
+    EndAdvice,
+    EndedTask,
+    ReconcileReport,
+    WorkerState,
+)
+from galenastall.coordination.task_reports import ReportKind, TaskReport
+from galenastall.node.worker_timings import WorkerTimings
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.event_sink import EventSink
+from galenastall.protocol.ownership_view import OwnershipView
+from galenastall.protocol.platform import WorkerListing, WorkerService
+from galenastall.state.hosts import HostState
+from galenastall.state.ids import Epoch, HostId, TaskId
+from galenastall.state.work import FinishedTask, TaskEnd
+
+if TYPE_CHECKING:
+    from galenastall.node.worker_service import WorkerService as Owner
+
+KIND_BY_ADVICE = {
+    EndAdvice.DONE: ReportKind.DONE,
+    EndAdvice.RETRY: ReportKind.FAILED,
+    EndAdvice.GIVE_UP: ReportKind.FAILED,
+    EndAdvice.CANCELLED: ReportKind.STOPPED,
+}
+KIND_BY_DETAIL = {
+    TaskEnd.LEASE_LAPSED.value: ReportKind.LOST,
+    TaskEnd.STOPPED.value: ReportKind.STOPPED,
+    TaskEnd.CHECKPOINTED.value: ReportKind.LOST,
+}
+"""Ends that say nothing against the task: its work was broken off."""
+
+
+class WorkerWatch:
+    """One worker under one epoch of its ownership."""
+
+    def __init__(
+        self,
+        *,
+        worker_id: HostId,
+        epoch: Epoch,
+        owner: Owner,
+        workers: WorkerService,
+        ownership: OwnershipView,
+        clock: Clock,
+        timings: WorkerTimings,
+        events: EventSink,
+    ) -> None:
+        """`owner` holds the core, the assigned tasks and the leases."""
+        self.worker_id = worker_id
+        self.epoch = epoch
+        self.is_adopted = False
+        self.has_lapsed = False
+        self._owner = owner
+        self._workers = workers
+        self._ownership = ownership
+        self._clock = clock
+        self._timings = timings
+        self._events = events
+        self._scope = trio.CancelScope()
+        self._kick = trio.Event()
+        self._acks: dict[TaskId, None] = {}
+
+    @property
+    def is_spoken_for(self) -> bool:
+        """Whether this owner knows all that runs there."""
+        return self.is_adopted or self.has_lapsed
+
+    def cancel(self) -> None:
+        """Stop watching, since the worker has another owner."""
+        self._scope.cancel()
+
+    def kick(self) -> None:
+        """Ask the worker soon."""
+        self._kick.set()
+
+    def acknowledge(self, task_id: TaskId) -> None:
+        """Let the worker forget an ended task with the next poll."""
+        self._acks[task_id] = None
+        self._kick.set()
+
+    def state(self, now: float) -> WorkerState:
+        """Return whether new tasks may go there."""
+        if not self._owner.may_act(self.worker_id, self.epoch):
+            return WorkerState.SILENT
+        if self._owner.leases.silent_s(self.worker_id, now) > self._timings.silent_after_s:
+            return WorkerState.SILENT
+        host = self._owner.listed_workers().get(self.worker_id)
+        is_live = host is not None and host.state is HostState.LIVE
+        return WorkerState.LIVE if is_live else WorkerState.LEAVING
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        with self._scope:
+            while True:
+                await self._poll()
+                with trio.move_on_after(self._timings.poll_every_s):
+                    await self._kick.wait()
+                self._kick = trio.Event()
+
+    async def _poll(self) -> None:
+        address = self._owner.address_of(self.worker_id)
+        asked_at = self._clock.wall()
+        result = None
+        if address is not None:
+            await self._send_acks(address)
+            asked_at = self._clock.wall()
+            with trio.move_on_after(self._timings.call_s):
+                result = await self._workers.listing(address=address)
+        match result:
+            case Success(listing):
+                self._take_listing(listing, asked_at)
+                await self._renew_if_due(str(address), listing)
+            case _:
+                self._check_lapse()
+
+    def _take_listing(self, listing: WorkerListing, asked_at: float) -> None:
+        now = self._clock.wall()
+        owner = self._owner
+        untils = [running.lease_until for running in listing.running]
+        owner.leases.heard(self.worker_id, untils, now)
+        self.has_lapsed = False
+        if not self.is_adopted:
+            host = owner.listed_workers().get(self.worker_id)
+            if host is None:
+                return
+            report = owner.core.add_worker(host, self.epoch, listing.running, now)
+            self._take_report(report, listing)
+            self.is_adopted = True
+            self._events.record(
+                "worker.adopted",
+                peer=self.worker_id,
+                cause=f"{len(report.adopted)} tasks run there",
+                fields={"epoch": str(self.epoch)},
+            )
+        report = owner.core.on_listing(self.worker_id, listing, now, asked_at)
+        self._take_report(report, listing)
+        self._take_finished(listing)
+        owner.wake()
+
+    def _take_report(self, report: ReconcileReport, listing: WorkerListing) -> None:
+        owner = self._owner
+        known_here = {*report.adopted, *report.confirmed}
+        for running in listing.running:
+            if running.task.task_id in known_here:
+                owner.note(running.task, ReportKind.RUNNING, self.worker_id, "listed")
+        for ended in report.ended:
+            self._take_ended(ended)
+        for task in report.lapsed:
+            owner.note(task, ReportKind.LOST, self.worker_id, "it is not listed any more")
+        for task_id in report.requeued:
+            owner.requeued(task_id, is_next_attempt=True)
+        for task_id in report.duplicates:
+            self._events.record(
+                "worker.duplicate", peer=self.worker_id, subjects=(task_id,), cause="two copies"
+            )
+
+    def _take_ended(self, ended: EndedTask) -> None:
+        if ended.worker_change:
+            self._events.record("worker.health", peer=self.worker_id, cause=ended.worker_change)
+        if ended.advice is EndAdvice.REQUEUED:
+            self._owner.requeued(ended.task.task_id, is_next_attempt=True)
+            return
+        kind = KIND_BY_ADVICE[ended.advice]
+        if kind is ReportKind.FAILED:
+            kind = KIND_BY_DETAIL.get(ended.detail, kind)
+        report = TaskReport(
+            task_id=ended.task.task_id,
+            attempt=ended.task.attempt,
+            kind=kind,
+            worker_id=self.worker_id,
+            detail=ended.detail,
+            give_up=ended.advice is EndAdvice.GIVE_UP,
+        )
+        self._owner.note_report(report, ended.task)
+
+    def _take_finished(self, listing: WorkerListing) -> None:
+        """Report ends that the core knew nothing of, and forget those that are settled."""
+        for end in listing.finished:
+            if self._owner.assigned.is_over(end.task_id, end.attempt):
+                self._acks[end.task_id] = None
+                continue
+            known = self._owner.assigned.get(end.task_id)
+            if known is None or known.report.attempt <= end.attempt:
+                self._owner.note_report(_report_of(end, self.worker_id))
+
+    async def _renew_if_due(self, address: str, listing: WorkerListing) -> None:
+        leases = self._owner.leases
+        now = self._clock.wall()
+        if not listing.running or not leases.is_renewal_due(self.worker_id, now):
+            return
+        if not self._owner.may_renew(self.worker_id):
+            return
+        tasks = [running.task.task_id for running in listing.running]
+        until = leases.grant(self.worker_id, now)
+        with trio.move_on_after(self._timings.call_s):
+            result = await self._workers.renew(address=address, tasks=tasks, lease_until=until)
+            if isinstance(result, Success):
+                leases.renewed(self.worker_id, now)
+
+    async def _send_acks(self, address: str) -> None:
+        placed = self._owner.core.placed
+        tasks = []
+        for task_id in self._acks:
+            now_at = placed(task_id)
+            # The worker forgets by task, so a newer run there must end first.
+            if now_at is None or now_at.worker_id != self.worker_id:
+                tasks.append(task_id)
+        if not tasks:
+            return
+        with trio.move_on_after(self._timings.call_s):
+            result = await self._workers.acknowledge(address=address, tasks=tasks)
+            if isinstance(result, Failure):
+                return
+            for task_id in tasks:
+                self._acks.pop(task_id, None)
+
+    def _check_lapse(self) -> None:
+        now = self._clock.wall()
+        owner = self._owner
+        if owner.leases.silent_s(self.worker_id, now) > self._timings.silent_after_s:
+            self._tell_silent()
+        peers = self._ownership.roster() - {owner.host_id}
+        if self.has_lapsed or not owner.leases.has_lapsed(self.worker_id, peers, now):
+            return
+        self.has_lapsed = True
+        self._events.record(
+            "worker.lapsed", peer=self.worker_id, cause="all leases there have run out"
+        )
+        empty = WorkerListing(running=(), finished=())
+        report = owner.core.on_listing(self.worker_id, empty, now, now)
+        self._take_report(report, empty)
+
+    def _tell_silent(self) -> None:
+        for placed in self._owner.core.on_worker(self.worker_id):
+            known = self._owner.assigned.get(placed.task.task_id)
+            if known is not None and known.report.kind is ReportKind.RUNNING:
+                self._owner.note(
+                    placed.task, ReportKind.UNKNOWN, self.worker_id, "its worker is silent"
+                )
+
+
+def _report_of(end: FinishedTask, worker: HostId) -> TaskReport:
+    kind = ReportKind.DONE if end.ok else KIND_BY_DETAIL.get(end.detail, ReportKind.FAILED)
+    return TaskReport(
+        task_id=end.task_id,
+        attempt=end.attempt,
+        kind=kind,
+        worker_id=worker,
+        detail=end.detail,
+    )
--- a/src/galenastall/state/job_fold.py
+++ b/src/galenastall/state/job_fold.py
@@ -51,7 +51,15 @@
 class JobState:
     """One job as the log tells it: a byte a task."""
 
-    __slots__ = ("accepted_at", "cancelled", "codes", "end", "spec", "was_held")
+    __slots__ = (
+        "accepted_at",
+        "cancelled",
+        "codes",
+        "end",
+        "renewed_wall",
+        "spec",
+        "was_held",
+    )
 
     def __init__(
         self, *, spec: JobSpec, accepted_at: Offset | None, was_held: bool = False
@@ -62,6 +70,8 @@
         """
         self.spec = spec
         self.was_held = was_held
+        self.renewed_wall = spec.submitted_at
+        """Wall time in seconds of the newest record that holds the spec."""
         self.accepted_at = accepted_at
         self.cancelled = False
         self.end: JobEnd | None = None
@@ -112,9 +122,9 @@
             for code in sorted(found)
         )
 
-    def compacted(self) -> JobCompacted:
-        """Return the record that stands for all records of this live job."""
-        return JobCompacted(spec=self.spec, cancelled=self.cancelled, ends=self.ends())
+    def compacted(self, *, at: float) -> JobCompacted:
+        """Return the record that stands for all records of this live job, at this wall time."""
+        return JobCompacted(spec=self.spec, at=at, cancelled=self.cancelled, ends=self.ends())
 
 
 class JobListener:
@@ -190,6 +200,7 @@
         is_new = job is None
         if job is None:
             job = JobState(spec=record.spec, accepted_at=offset, was_held=True)
+        job.renewed_wall = max(job.renewed_wall, record.at)
         job.cancelled = job.cancelled or record.cancelled
         for end in record.ends:
             job.merge(end.phase, end.ranges)
--- a/src/galenastall/state/job_records.py
+++ b/src/galenastall/state/job_records.py
@@ -89,6 +89,8 @@
     """A live job as folded so far, appended again before the log trims its earlier records."""
 
     spec: JobSpec
+    at: float
+    """Wall time in seconds."""
     cancelled: bool
     ends: tuple[EndedRanges, ...]
 
--- a/tests/test_job_fold.py
+++ b/tests/test_job_fold.py
@@ -105,14 +105,14 @@
                     )
                     write(TasksEnded(shard=0, ends=(end,)))
                 case "compact" if job:
-                    write(job.compacted())
+                    write(job.compacted(at=9.0))
                 case "compact_late" if job:
-                    late.append(job.compacted())
+                    late.append(job.compacted(at=9.0))
 
         for step in drawn[:cut]:
             play(step)
         trimmed_at = Offset(len(history))
-        late += [job.compacted() for job in full.due_for_compaction(before=trimmed_at)]
+        late += [job.compacted(at=9.0) for job in full.due_for_compaction(before=trimmed_at)]
         for step in drawn[cut:]:
             play(step)
         for record in late:
@@ -122,7 +122,7 @@
 
     def test_ended_job_is_not_revived_by_a_late_compacted_record(self) -> None:
         fold = fold_of([logged(JobAccepted(spec=make_spec("a")), 0)])
-        compacted = fold.live_by_id[JobId("a")].compacted()
+        compacted = fold.live_by_id[JobId("a")].compacted(at=9.0)
         fold.apply(logged(JobEnded(job_id=JobId("a"), verdict=JobVerdict.DONE), 1))
         fold.apply(logged(compacted, 2))
         assert fold.live_by_id == {}
