--- /dev/null
+++ b/src/galenastall/bench/capacity_page.py
@@ -0,0 +1,143 @@
+"""Write the tables of docs/CAPACITY.md from the model, so that page and model can't differ."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import replace
+from pathlib import Path
+from typing import Final
+
+from galenastall.bench import capacity_lines
+from galenastall.bench.capacity import (
+    CPU_BUDGET_PERCENT,
+    MEMORY_BUDGET_MB,
+    WIRE_BUDGET_KB_S,
+    CapacityModel,
+    FleetSize,
+    HostTotal,
+    Line,
+    all_lines,
+    host_total,
+)
+from galenastall.bench.slopes import Slope, load_slopes
+from galenastall.state.errors import GalenastallError
+
+BEGIN: Final = "<!-- begin: written by `galenastall bench capacity --write` -->"
+END: Final = "<!-- end -->"
+HOST_COUNTS: Final = (3, 5, 7, 9, 13, 17, 25, 33)
+LINES_MODULE: Final = capacity_lines
+"""Imported so that the registry of lines is full."""
+
+
+class PageError(GalenastallError):
+    """The page lacks the marks between which the tables go."""
+
+
+def model_from(directory: Path, *, size: FleetSize | None = None) -> CapacityModel:
+    """Return the model over the slopes kept in `directory`."""
+    return CapacityModel(size=size or FleetSize(), slopes=load_slopes(directory))
+
+
+def render(directory: Path) -> str:
+    """Return all tables as Markdown."""
+    model = model_from(directory)
+    parts = [*_roles(model), *_host_counts(directory), *_slopes(directory), *_assumptions(model)]
+    return "\n".join(parts) + "\n"
+
+
+def put_into(page: str, tables: str) -> str:
+    """Return the page with its tables replaced; raises PageError if a mark is missing."""
+    head, begin, rest = page.partition(BEGIN)
+    _, end, tail = rest.partition(END)
+    if not begin or not end:
+        raise PageError(f"the page has no {BEGIN!r} ... {END!r}")
+    return f"{head}{BEGIN}\n{tables}{END}{tail}"
+
+
+def _roles(model: CapacityModel) -> Iterator[str]:
+    lines_by_role: dict[str, list[Line]] = {}
+    for each in all_lines(model):
+        lines_by_role.setdefault(each.kind.role, []).append(each)
+    for role, lines in lines_by_role.items():
+        yield f"### {role[0].upper()}{role[1:]}\n"
+        yield from _table(
+            ("what", "amount", "counted in", "known how", "rests on", "mechanism"),
+            (_line_cells(each) for each in lines),
+        )
+
+
+def _line_cells(each: Line) -> tuple[str, ...]:
+    amount = "?" if each.value is None else f"{each.value:.3g}"
+    if each.kind.at_most is not None and each.value is not None:
+        word = "fits" if each.value <= each.kind.at_most else "**does not fit**"
+        amount += f" of {each.kind.at_most:g}: {word}"
+    kind = each.kind
+    return (kind.what, amount, kind.quantity.value, each.basis.value, each.source, kind.mechanism)
+
+
+def _host_counts(directory: Path) -> Iterator[str]:
+    yield "### One entry host, all roles together, by entry hosts in its data centre\n"
+    totals = [
+        host_total(model_from(directory, size=replace(FleetSize(), hosts_per_data_centre=count)))
+        for count in HOST_COUNTS
+    ]
+    yield from _table(
+        (
+            "entry hosts",
+            f"% of a core (of {CPU_BUDGET_PERCENT})",
+            f"MB (of {MEMORY_BUDGET_MB:g})",
+            f"KB/s (of {WIRE_BUDGET_KB_S:g})",
+            "fits",
+            "lines without a figure",
+        ),
+        (_total_cells(total) for total in totals),
+    )
+
+
+def _total_cells(total: HostTotal) -> tuple[str, ...]:
+    return (
+        str(total.hosts_per_data_centre),
+        _margin(total.cpu_percent, CPU_BUDGET_PERCENT),
+        _margin(total.memory_mb, MEMORY_BUDGET_MB),
+        _margin(total.wire_kb_s, WIRE_BUDGET_KB_S),
+        "yes" if total.fits else "**no**",
+        str(total.missing),
+    )
+
+
+def _margin(value: float, budget: float) -> str:
+    return f"{value:.3g} (margin {1 - value / budget:.0%})"
+
+
+def _slopes(directory: Path) -> Iterator[str]:
+    yield "### Slopes, all measured\n"
+    yield from _table(
+        ("slope", "of what", "points", "for each more", "at none", "residual", "noise", "command"),
+        (_slope_cells(each) for each in load_slopes(directory).values()),
+    )
+
+
+def _slope_cells(each: Slope) -> tuple[str, ...]:
+    points = "; ".join(f"{point.x:g}: {point.y:.4g}" for point in each.points)
+    return (
+        each.name,
+        f"{each.what}, by {each.x_name}",
+        points,
+        f"{each.slope:.4g} {each.y_unit}",
+        f"{each.intercept:.4g}",
+        f"{each.residual:.1%}",
+        f"{each.noise_spread:.0%}",
+        f"`{each.command}`",
+    )
+
+
+def _assumptions(model: CapacityModel) -> Iterator[str]:
+    yield "### Assumed\n"
+    rows = [(name, f"{each.value:g} {each.unit}", each.why) for name, each in model.assumptions()]
+    yield from _table(("name", "value", "why"), rows)
+
+
+def _table(head: tuple[str, ...], rows: Iterable[tuple[str, ...]]) -> Iterator[str]:
+    yield f"| {' | '.join(head)} |"
+    yield f"|{'---|' * len(head)}"
+    for row in rows:
+        yield f"| {' | '.join(row)} |"
+    yield ""
--- /dev/null
+++ b/src/galenastall/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line."""
