Add the small fleet, the request scenarios and the bench commands

Cause: each thing to show needs one command that starts processes, loads, harms and judges. Change: a fleet of a stand-in and entry hosts from written settings files, the stand-in's records as the history's truth, four request scenarios, comparison of checkouts or settings, typer commands. The load client was run against the stand-in's executors in tests.

--- a/src/galenastall/bench/client.py
+++ b/src/galenastall/bench/client.py
@@ -22,9 +22,9 @@
     summary = await LoadClient(plan=plan, clock=TrioClock(), recorder=recorder).run()
     history = recorder.history()
     lines = b"".join(write_lines(history.events))
-    await trio.Path(output.with_suffix(".history")).write_bytes(lines)
+    await trio.Path(f"{output}.history").write_bytes(lines)
     text = msgspec.json.encode({"summary": summary, "dropped": history.dropped})
-    await trio.Path(output.with_suffix(".summary")).write_bytes(text)
+    await trio.Path(f"{output}.summary").write_bytes(text)
 
 
 def main() -> None:
--- a/src/galenastall/bench/load.py
+++ b/src/galenastall/bench/load.py
@@ -17,6 +17,7 @@
 from galenastall.bench.mixes import MIXES, RequestArrival, draw_requests
 from galenastall.proof.history import HistoryRecorder, RequestAnswered, RequestCut, RequestSent
 from galenastall.protocol.clock import Clock
+from galenastall.protocol.upstream_headers import ATTEMPT_ID, EPOCH, NOT_AFTER, REQUEST_ID
 from galenastall.standin.echo import decode_echo, digest
 from galenastall.state.ids import HostId, RequestId
 from galenastall.state.outcomes import Outcome
@@ -43,6 +44,8 @@
     address: str
     """`IP:port`."""
     path_prefix: str = "/v1/requests/"
+    is_executor: bool = False
+    """Call it as an entry host calls executors, to measure without the system between."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -77,7 +80,7 @@
     counts_by_trouble: dict[str, int] = field(default_factory=dict)
     """Cut, timed out, unreachable, without an outcome, wrong bodies, beyond the client's limit."""
     histograms_by_label: dict[str, str] = field(default_factory=dict)
-    """Encoded HDR histograms of microseconds by `operation|class|outcome`."""
+    """Encoded HDR histograms of microseconds by `operation|class|outcome|reason`."""
     worst_lag_ms: float = 0.0
     """How far this client's own sends fell behind their times: its figures are worth less then."""
 
@@ -209,7 +212,7 @@
             response = await pool.request(
                 "POST",
                 f"http://{target.address}{target.path_prefix}{arrival.kind.operation}",
-                headers=self._headers(arrival, request_id, deadline_ms),
+                headers=self._headers(arrival, request_id, deadline_ms, target),
                 content=body,
                 extensions={"timeout": _timeouts(deadline_ms / 1000.0 + ANSWER_MARGIN_S)},
             )
@@ -263,14 +266,15 @@
                 at=now,
                 request_id=request_id,
                 outcome=outcome,
-                answered_id=RequestId(headers.get(b"galenastall-request-id", b"").decode()),
+                answered_id=_answered_id(headers),
                 digest=found,
             )
         )
         if outcome is Outcome.DONE and found != f"{request_id} {body_digest}":
             self._troubles["wrong body"] += 1
         self._outcomes[said] += 1
-        label = f"{arrival.kind.operation}|{arrival.kind.urgency}|{said}"
+        reason = headers.get(b"galenastall-reason", b"").decode()
+        label = f"{arrival.kind.operation}|{arrival.kind.urgency}|{said}|{reason}"
         histogram = self._histograms.setdefault(label, new_histogram())
         histogram.record_value(min(HIGHEST_LATENCY_US, max(1, round((now - due) * 1e6))))
 
@@ -280,8 +284,15 @@
         self._recorder.record(event)
 
     def _headers(
-        self, arrival: RequestArrival, request_id: RequestId, deadline_ms: int
+        self, arrival: RequestArrival, request_id: RequestId, deadline_ms: int, target: Target
     ) -> list[tuple[str, str]]:
+        if target.is_executor:
+            return [
+                (REQUEST_ID, request_id),
+                (ATTEMPT_ID, f"{request_id}#1"),
+                (EPOCH, "0"),
+                (NOT_AFTER, str(self._clock.wall() + deadline_ms / 1000.0)),
+            ]
         headers = [
             ("Content-Type", "application/octet-stream"),
             ("Galenastall-Team", arrival.team),
@@ -336,6 +347,13 @@
     return {"connect": 1.0, "read": read_s, "write": read_s, "pool": 1.0}
 
 
+def _answered_id(headers: dict[bytes, bytes]) -> RequestId:
+    """Return the request that an answer names; executors name the attempt."""
+    named = headers.get(REQUEST_ID.encode(), b"").decode()
+    attempt = headers.get(ATTEMPT_ID.encode(), b"").decode()
+    return RequestId(named or attempt.partition("#")[0])
+
+
 def _read_digest(body: bytes) -> str:
     echo = decode_echo(body)
     return "not whole" if echo is None else f"{echo.request_id} {echo.body_digest}"
--- a/src/galenastall/bench/mixes.py
+++ b/src/galenastall/bench/mixes.py
@@ -349,3 +349,46 @@
         ),
     )
 )
+
+MIXES.register("lookups")(
+    Mix(
+        worker_capacity=_cores(16, 64),
+        teams=_CITELIQ_TEAMS,
+        requests=(
+            RequestKind(
+                operation="lookup",
+                weight=1,
+                urgency="urgent",
+                deadline_ms=4000,
+                idempotent=True,
+                body_bytes=512,
+                teams=_CITELIQ_TEAMS,
+            ),
+        ),
+        jobs=(),
+    )
+)
+
+MIXES.register("three-classes")(
+    Mix(
+        worker_capacity=_cores(16, 64),
+        teams=_CITELIQ_TEAMS,
+        requests=tuple(
+            RequestKind(
+                operation=operation,
+                weight=weight,
+                urgency=urgency,
+                deadline_ms=deadline_ms,
+                idempotent=True,
+                body_bytes=1024,
+                teams=_CITELIQ_TEAMS,
+            )
+            for operation, weight, urgency, deadline_ms in (
+                ("lookup", 20, "urgent", 1000),
+                ("bibliography", 50, "normal", 3000),
+                ("reindex", 30, "backfill", 3000),
+            )
+        ),
+        jobs=(),
+    )
+)
--- /dev/null
+++ b/src/galenastall/bench/scenarios/__init__.py
@@ -0,0 +1,10 @@
+"""Scenarios, one module for each thing to show; importing this fills their registry."""
+
+from galenastall.bench.scenarios import (
+    lookup_throughput,
+    overload,
+    request_faults,
+    rolling_restart,
+)
+
+MODULES = (lookup_throughput, overload, request_faults, rolling_restart)
--- /dev/null
+++ b/src/galenastall/bench/scenarios/overload.py
@@ -0,0 +1,77 @@
+"""Overload at twice the executors' capacity: goodput, fast refusals, urgent deadlines."""
+
+from typing import Final
+
+from galenastall.bench.experiment import (
+    ExperimentSettings,
+    add_load_figures,
+    close_and_judge,
+    run_clients,
+    scenario,
+)
+from galenastall.bench.fleet import running_fleet
+from galenastall.bench.load import LoadPlan, LoadSummary
+from galenastall.bench.report import ScenarioResult
+from galenastall.proof.history import HistoryRecorder
+
+EXECUTORS: Final = 3
+SLOTS: Final = 4
+SERVICE_MS: Final = 60.0
+CAPACITY_PER_S: Final = EXECUTORS * SLOTS * 1000.0 / SERVICE_MS
+"""200 requests a second; the entry hosts can pass on more, so the executors are what is full."""
+ENTRY_HOSTS: Final = 3
+STEP_S: Final = 20.0
+AIM_GOODPUT: Final = 0.9
+AIM_REFUSAL_MS: Final = 20.0
+AIM_URGENT: Final = 0.99
+
+
+@scenario("overload", shows="goodput, refusals and urgent work at twice the capacity")
+async def overload(settings: ExperimentSettings, result: ScenarioResult) -> None:
+    """Find the goodput at several rates, then judge the one at twice the capacity."""
+    plan = settings.fleet_plan(
+        entry_hosts_by_data_centre={"gangnam": ENTRY_HOSTS},
+        workers=0,
+        executors=EXECUTORS,
+        slots=SLOTS,
+        service_mean_ms=SERVICE_MS,
+        service_distribution="fixed",
+    )
+    recorder = HistoryRecorder()
+    async with running_fleet(plan, settings.directory) as fleet:
+        goodputs = {}
+        for factor in (0.8, 1.0, 2.0):
+            load = LoadPlan(
+                name=f"load-{factor:g}",
+                targets=fleet.targets(),
+                mix="three-classes",
+                rate=CAPACITY_PER_S * factor,
+                duration_s=STEP_S * settings.scale,
+                seed=settings.seed,
+                start_wall=0.0,
+            )
+            summary = await run_clients(fleet, recorder, settings.directory, load, clients=2)
+            goodputs[factor] = _goodput(summary, load.duration_s)
+            result.add(f"goodput at {factor:g}x", goodputs[factor], "requests/s")
+        add_load_figures(result, "2x", summary)
+        share = goodputs[2.0] / max(goodputs.values())
+        result.add("goodput at 2x over peak", share, "of peak", at_least=AIM_GOODPUT)
+        _judge_classes(result, summary)
+        names = ("answers-whole-and-own", "not-run-is-true", "every-request-answered")
+        await close_and_judge(fleet, recorder, result, names=names, directory=settings.directory)
+
+
+def _goodput(summary: LoadSummary, duration_s: float) -> float:
+    return summary.counts_by_outcome.get("done", 0) / duration_s
+
+
+def _judge_classes(result: ScenarioResult, summary: LoadSummary) -> None:
+    refusals = summary.histogram(contains="|not_run|overloaded")
+    result.add("early refusals", refusals.get_total_count(), "requests")
+    if refusals.get_total_count():
+        p99_ms = refusals.get_value_at_percentile(99.0) / 1000.0
+        result.add("early refusals p99", p99_ms, "ms", at_most=AIM_REFUSAL_MS)
+    urgent = summary.histogram(contains="|urgent|").get_total_count()
+    in_time = summary.histogram(contains="|urgent|done|").get_total_count()
+    share = in_time / max(1, urgent)
+    result.add("urgent done by their deadline", share, "of urgent", at_least=AIM_URGENT)
--- /dev/null
+++ b/src/galenastall/bench/scenarios/request_faults.py
@@ -0,0 +1,104 @@
+"""Requests under faults: lost answers, a killed and a paused entry host, a leaving executor."""
+
+from typing import Final
+
+import trio
+
+from galenastall.bench.experiment import (
+    ExperimentSettings,
+    add_load_figures,
+    close_and_judge,
+    run_clients,
+    scenario,
+)
+from galenastall.bench.fleet import Fleet, running_fleet
+from galenastall.bench.load import LoadPlan
+from galenastall.bench.report import ScenarioResult
+from galenastall.bench.schedule import FaultContext, FaultSchedule, ScheduledFault
+from galenastall.proof.history import HistoryRecorder, UpstreamLeaving
+from galenastall.standin.control_messages import ALL_HOSTS
+from galenastall.standin.faults import ExecutorFaults
+from galenastall.standin.service_time import ServiceTime
+from galenastall.state.hosts import HostKind, HostState
+
+RATE: Final = 320.0
+DURATION_S: Final = 66.0
+LEAST_REQUESTS: Final = 20_000
+DROPPED_ANSWERS: Final = 0.01
+SERVICE: Final = ServiceTime(distribution="lognormal", mean_s=0.02, sigma=1.0)
+
+
+@scenario(
+    "request-faults",
+    shows="no double run, wrong answer or false `not run` under lost answers, kill, pause, leaving",
+)
+async def request_faults(settings: ExperimentSettings, result: ScenarioResult) -> None:
+    """Send over 20,000 requests through six entry hosts while faults come about."""
+    plan = settings.fleet_plan(
+        entry_hosts_by_data_centre={"gangnam": 2, "mapo": 2, "seongsu": 2},
+        workers=0,
+        executors=24,
+    )
+    recorder = HistoryRecorder()
+    async with running_fleet(plan, settings.directory) as fleet:
+        losing = ExecutorFaults(drop_after=DROPPED_ANSWERS, service=SERVICE)
+        await fleet.control.set_executor_faults(ALL_HOSTS, losing)
+        load = LoadPlan(
+            name="load",
+            targets=fleet.targets(),
+            mix="dongmun",
+            rate=RATE,
+            duration_s=DURATION_S * settings.scale,
+            seed=settings.seed,
+            start_wall=0.0,
+        )
+
+        async def during() -> None:
+            await _faults(fleet, recorder, settings.scale)
+
+        summary = await run_clients(
+            fleet, recorder, settings.directory, load, clients=3, during=during
+        )
+        add_load_figures(result, "load", summary)
+        least = LEAST_REQUESTS if settings.scale >= 1 else None
+        result.add("requests", summary.sent, "requests", at_least=least)
+        result.add("unknown", summary.counts_by_outcome.get("unknown", 0), "requests")
+        await close_and_judge(
+            fleet,
+            recorder,
+            result,
+            names=(
+                "answers-whole-and-own",
+                "done-did-run",
+                "not-run-is-true",
+                "at-most-once",
+                "leaving-gets-nothing-new",
+                "every-request-answered",
+            ),
+            directory=settings.directory,
+        )
+
+
+async def _faults(fleet: Fleet, recorder: HistoryRecorder, scale: float) -> None:
+    killed, paused = list(fleet.entry_hosts_by_id)[:3:2]
+    schedule = FaultSchedule(
+        faults=(
+            ScheduledFault(after_s=8 * scale, kind="kill", target=killed, lasts_s=6 * scale),
+            ScheduledFault(after_s=22 * scale, kind="pause", target=paused, lasts_s=20 * scale),
+        ),
+        context=FaultContext(
+            driver=fleet.driver, standin=fleet.control, restart=fleet.start_entry_host
+        ),
+        recorder=recorder,
+        clock=fleet.clock,
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(schedule.run)
+        nursery.start_soon(_executor_leaves, fleet, recorder, 46 * scale)
+
+
+async def _executor_leaves(fleet: Fleet, recorder: HistoryRecorder, after_s: float) -> None:
+    await trio.sleep(after_s)
+    executor = (await fleet.hosts_of(HostKind.UPSTREAM))[0].host_id
+    recorder.record(UpstreamLeaving(at=fleet.clock.wall(), executor=executor))
+    await fleet.control.set_host_state(executor, HostState.LEAVING)
--- a/src/galenastall/cli/bench_commands.py
+++ b/src/galenastall/cli/bench_commands.py
@@ -1,16 +1,27 @@
-"""Commands of `galenastall bench`: scenarios, slopes and the capacity page."""
+"""Commands of `galenastall bench`: scenarios, comparisons, slopes and the capacity page."""
 
+from enum import StrEnum
+from functools import partial
 from pathlib import Path
-from typing import Annotated
+from tempfile import mkdtemp
+from typing import Annotated, Any
 
+import trio
 import typer
+import yaml
 
-from galenastall.bench import core_slopes, wire_slopes
+from galenastall.bench import core_slopes, scenarios, wire_slopes
 from galenastall.bench.capacity_page import put_into, render
+from galenastall.bench.compare import compare
+from galenastall.bench.compare import to_table as comparison_table
+from galenastall.bench.experiment import SCENARIOS, ExperimentSettings, run_scenario
+from galenastall.bench.report import ScenarioResult, to_json, to_table, write_plot
 from galenastall.bench.slopes import SLOPES, measure_slope, save_slope
 
 SLOPE_MODULES = (core_slopes, wire_slopes)
 """Imported so that the registry of slopes is full."""
+SCENARIO_MODULES = scenarios.MODULES
+"""Imported so that the registry of scenarios is full."""
 
 DEFAULT_SLOPES_DIRECTORY = Path("docs/measurements/slopes")
 
@@ -51,3 +62,91 @@
         typer.echo(tables)
         return
     write.write_text(put_into(write.read_text(), tables))
+
+
+class Output(StrEnum):
+    """Forms of a result."""
+
+    TABLE = "table"
+    JSON = "json"
+
+
+Name = Annotated[str, typer.Argument(help="A scenario; `galenastall bench list` names them.")]
+Seed = Annotated[int, typer.Option(help="Seed of all arrivals and faults.")]
+Scale = Annotated[
+    float, typer.Option(min=0.05, max=4.0, help="Share of the full duration; below 1 for trials.")
+]
+Keep = Annotated[
+    Path | None, typer.Option(help="Directory for logs, settings files and the history.")
+]
+
+
+@bench_app.command("list")
+def list_command() -> None:
+    """List the scenarios and what each shows."""
+    for name, each in SCENARIOS:
+        typer.echo(f"{name}: {each.shows}")
+
+
+@bench_app.command("run")
+def run_command(
+    name: Name,
+    *,
+    seed: Seed = 1,
+    output: Annotated[Output, typer.Option(help="Form of the result.")] = Output.TABLE,
+    scale: Scale = 1.0,
+    keep: Keep = None,
+    plot: Annotated[
+        Path | None, typer.Option(help="File for a plot of latencies, .svg or .png.")
+    ] = None,
+) -> None:
+    """Run a scenario on real processes over loopback.
+
+    Exits with 0 if all aims are met and no invariant is broken, with 1 otherwise.
+    """
+    directory = keep or Path(mkdtemp(prefix="galenastall-bench-"))
+    settings = ExperimentSettings(seed=seed, directory=directory, scale=scale)
+    result = trio.run(run_scenario, name, settings)
+    typer.echo(to_json(result) if output is Output.JSON else to_table(result))
+    if plot is not None:
+        write_plot(result, plot)
+    raise typer.Exit(0 if result.holds else 1)
+
+
+@bench_app.command("compare")
+def compare_command(
+    name: Name,
+    *,
+    a: Annotated[str, typer.Option(help="A checkout's directory, or PATH=YAML in the tree.")],
+    b: Annotated[str, typer.Option(help="What to compare it with, in the same form.")],
+    rounds: Annotated[int, typer.Option(help="Pairs of runs, 1 to 20.")] = 3,
+    seed: Seed = 1,
+    scale: Scale = 1.0,
+    keep: Keep = None,
+) -> None:
+    """Compare two checkouts or two settings, interleaved, and print ratios with their spread."""
+    directory = keep or Path(mkdtemp(prefix="galenastall-bench-"))
+    variant = partial(_run_variant, name=name, seed=seed, scale=scale)
+    run_a = partial(variant, variant=a, directory=directory / "a")
+    run_b = partial(variant, variant=b, directory=directory / "b")
+
+    async def run() -> None:
+        found = await compare(name_a=a, name_b=b, run_a=run_a, run_b=run_b, rounds=rounds)
+        typer.echo(comparison_table(found))
+
+    trio.run(run)
+
+
+async def _run_variant(
+    number: int, *, name: str, variant: str, directory: Path, seed: int, scale: float
+) -> ScenarioResult:
+    path, is_setting, text = variant.partition("=")
+    shared: dict[str, Any] = {path: yaml.safe_load(text)} if is_setting else {}
+    settings = ExperimentSettings(
+        seed=seed + number,
+        directory=directory / str(number),
+        source=None if is_setting else Path(variant),
+        shared=shared,
+        scale=scale,
+    )
+    return await run_scenario(name, settings)
