Add job load and the placement scenarios

Change: jobs submitted at drawn times, followed to their end and cancelled in a wave; figures from the stand-in's own task runs; eight scenarios. Figures: none; not run yet. Conclusion: to be run with the daemons.

--- a/src/galenastall/bench/capacity.py
+++ b/src/galenastall/bench/capacity.py
@@ -82,7 +82,7 @@
         value=10.0, unit="s", why="setting: a third of a 30 s lease"
     )
     listing_every_s: Assumption = Assumption(
-        value=5.0, unit="s", why="setting: how often an owner lists a worker"
+        value=1.0, unit="s", why="setting: how often an owner lists a worker"
     )
     start_batch: Assumption = Assumption(
         value=1.0, unit="tasks", why="starts a call; 1 is the worst case of spread work"
--- a/src/galenastall/bench/scenarios/__init__.py
+++ b/src/galenastall/bench/scenarios/__init__.py
@@ -3,8 +3,17 @@
 from galenastall.bench.scenarios import (
     lookup_throughput,
     overload,
+    placement_failures,
+    placement_load,
     request_faults,
     rolling_restart,
 )
 
-MODULES = (lookup_throughput, overload, request_faults, rolling_restart)
+MODULES = (
+    lookup_throughput,
+    overload,
+    placement_failures,
+    placement_load,
+    request_faults,
+    rolling_restart,
+)
--- /dev/null
+++ b/src/galenastall/bench/scenarios/placement_failures.py
@@ -0,0 +1,147 @@
+"""Six failures while jobs are placed: nothing overcommitted, doubled or lost; time to recover."""
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+import trio
+
+from galenastall.bench.experiment import ExperimentSettings, close_and_judge, scenario
+from galenastall.bench.fleet import Fleet, running_fleet
+from galenastall.bench.job_load import JobLoad
+from galenastall.bench.mixes import MIXES, draw_jobs
+from galenastall.bench.report import ScenarioResult
+from galenastall.bench.schedule import FaultContext, FaultSchedule, ScheduledFault
+from galenastall.proof.history import History, HistoryRecorder, TaskStarted
+from galenastall.standin.control_messages import ALL_HOSTS
+from galenastall.state.hosts import HostKind
+from galenastall.state.ids import HostId
+
+AT_S: Final = 10.0
+"""The fault comes so long after the load's start."""
+RATE: Final = 3.0
+AFTER_S: Final = 30.0
+"""The load goes on for so long after the fault."""
+SETTLE_S: Final = 90.0
+DATA_CENTRE: Final = "gangnam"
+DATA_CENTRES: Final = {DATA_CENTRE: 3, "mapo": 3}
+NAMES: Final = ("capacity-reserved", "task-in-one-place", "no-job-lost")
+
+Faults = Callable[[list[str]], tuple[ScheduledFault, ...]]
+"""Takes the entry hosts of the affected data centre."""
+
+
+def _kill(hosts: list[str]) -> tuple[ScheduledFault, ...]:
+    return (ScheduledFault(after_s=AT_S, kind="kill", target=hosts[0]),)
+
+
+def _pause(hosts: list[str]) -> tuple[ScheduledFault, ...]:
+    return (ScheduledFault(after_s=AT_S, kind="pause", target=hosts[0], lasts_s=30.0),)
+
+
+def _outage(hosts: list[str]) -> tuple[ScheduledFault, ...]:
+    return (
+        ScheduledFault(after_s=AT_S, kind="log-outage", target="log", lasts_s=120.0),
+        ScheduledFault(after_s=AT_S + 20.0, kind="kill", target=hosts[0]),
+    )
+
+
+def _cut(hosts: list[str]) -> tuple[ScheduledFault, ...]:
+    return (ScheduledFault(after_s=AT_S, kind="cut", target=",".join(hosts), lasts_s=40.0),)
+
+
+def _lost_answers(hosts: list[str]) -> tuple[ScheduledFault, ...]:
+    fault = ScheduledFault(after_s=AT_S, kind="lost-start-answers", target=ALL_HOSTS, lasts_s=20.0)
+    return (fault,)
+
+
+def _replace_all(hosts: list[str]) -> tuple[ScheduledFault, ...]:
+    return tuple(
+        ScheduledFault(after_s=AT_S, kind="kill", target=host, lasts_s=2.0) for host in hosts
+    )
+
+
+FAILURES: Final[dict[str, tuple[Faults, float]]] = {
+    "owner-killed": (_kill, 0.0),
+    "owner-paused": (_pause, 30.0),
+    "owner-dies-in-log-outage": (_outage, 120.0),
+    "data-centre-cut": (_cut, 40.0),
+    "start-answers-lost": (_lost_answers, 20.0),
+    "entry-hosts-replaced": (_replace_all, 0.0),
+}
+"""Faults by name, and how long they last."""
+
+
+def _register(name: str, faults: Faults, lasts_s: float) -> None:
+    @scenario(f"failure-{name}", shows=f"{name}: nothing overcommitted, doubled or lost")
+    async def run(settings: ExperimentSettings, result: ScenarioResult) -> None:
+        await _run(settings, result, faults, lasts_s)
+
+
+for _name, (_faults, _lasts_s) in FAILURES.items():
+    _register(_name, _faults, _lasts_s)
+
+
+async def _run(
+    settings: ExperimentSettings, result: ScenarioResult, faults: Faults, lasts_s: float
+) -> None:
+    plan = settings.fleet_plan(
+        entry_hosts_by_data_centre=DATA_CENTRES, workers=16, executors=0, worker_cores=16
+    )
+    recorder = HistoryRecorder()
+    rng = random.Random(settings.seed)
+    async with running_fleet(plan, settings.directory) as fleet:
+        arrivals = draw_jobs(
+            MIXES.get("citeliq"),
+            rng=rng,
+            rate=RATE,
+            duration_s=AT_S + lasts_s + AFTER_S,
+            prefix=f"failure-{settings.seed}",
+            now_wall=fleet.clock.wall(),
+        )
+        load = JobLoad(fleet=fleet, recorder=recorder, arrivals=arrivals, rng=rng)
+        hosts = [
+            str(host.host_id)
+            for host in fleet.entry_hosts_by_id.values()
+            if host.data_centre == DATA_CENTRE
+        ]
+        schedule = FaultSchedule(
+            faults=faults(hosts),
+            context=FaultContext(
+                driver=fleet.driver, standin=fleet.control, restart=fleet.start_entry_host
+            ),
+            recorder=recorder,
+            clock=fleet.clock,
+        )
+        began = fleet.clock.wall()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(schedule.run)
+            tally = await load.run(settle_s=SETTLE_S)
+        result.add("jobs accepted", len(tally.accepted_at_by_id), "jobs")
+        result.add("submissions without an answer", tally.unknown, "jobs")
+        result.add("accepted jobs not ended in time", len(tally.open_jobs()), "jobs", at_most=0)
+        await close_and_judge(fleet, recorder, result, names=NAMES, directory=settings.directory)
+        workers = await _workers(fleet)
+        _add_recovery(result, recorder.history(), workers, began + AT_S)
+
+
+async def _workers(fleet: Fleet) -> list[HostId]:
+    hosts = await fleet.hosts_of(HostKind.WORKER)
+    return [host.host_id for host in hosts if host.data_centre == DATA_CENTRE]
+
+
+def _add_recovery(
+    result: ScenarioResult, history: History, workers: list[HostId], fault_at: float
+) -> None:
+    """Add the longest time without a start on any one of the affected workers after the fault."""
+    starts_by_worker = history.grouped(TaskStarted, lambda start: start.worker)
+    gaps = []
+    for worker in workers:
+        times = [start.at for start in starts_by_worker.get(worker, []) if start.at > fault_at]
+        if not times:
+            result.notes.append(f"{worker} got no start after the fault")
+            continue
+        gaps.append(max(b - a for a, b in zip([fault_at, *times], times, strict=False)))
+    if gaps:
+        result.add("longest time without a start on an affected worker", max(gaps), "s")
+        result.add("shortest such time over the affected workers", min(gaps), "s")
--- /dev/null
+++ b/src/galenastall/bench/scenarios/placement_load.py
@@ -0,0 +1,119 @@
+"""Jobs of both users through eight entry hosts: starts, waits, packing, appends, control cost."""
+
+import random
+from typing import Final
+
+from galenastall.bench.experiment import ExperimentSettings, close_and_judge, scenario
+from galenastall.bench.fleet import CallError, Fleet, running_fleet
+from galenastall.bench.job_load import Cancellation, JobLoad, JobTally
+from galenastall.bench.mixes import MIXES, JobArrival, cancellation_wave, draw_jobs
+from galenastall.bench.placement_figures import add_packing, add_starts, add_waits
+from galenastall.bench.report import ScenarioResult
+from galenastall.proof.history import HistoryRecorder
+from galenastall.standin.faults import WorkerFaults
+from galenastall.state.hosts import HostKind
+
+APPEND_BUDGET_PER_S: Final = 150.0
+DURATION_S: Final = 40.0
+SETTLE_S: Final = 90.0
+WAVE_AT: Final = 0.6
+"""Share of the load's duration at which the wave comes."""
+WAVE_SHARE: Final = 0.3
+DATA_CENTRES: Final = {"gangnam": 3, "mapo": 3, "seongsu": 2}
+JOB_RATES: Final = {"dongmun": 6.0, "citeliq": 4.0}
+CORES_AND_GB: Final = {"dongmun": (64, 128), "citeliq": (16, 64)}
+NAMES: Final = ("capacity-reserved", "task-in-one-place", "no-job-lost")
+
+
+@scenario("placement-dongmun", shows="starts, waits, packing and control cost, Dongmun's jobs")
+async def placement_dongmun(settings: ExperimentSettings, result: ScenarioResult) -> None:
+    """Run Dongmun's mix."""
+    await _run(settings, result, "dongmun")
+
+
+@scenario("placement-citeliq", shows="starts, waits, packing and control cost, Citeliq's jobs")
+async def placement_citeliq(settings: ExperimentSettings, result: ScenarioResult) -> None:
+    """Run Citeliq's mix."""
+    await _run(settings, result, "citeliq")
+
+
+async def _run(settings: ExperimentSettings, result: ScenarioResult, mix: str) -> None:
+    cores, memory_gb = CORES_AND_GB[mix]
+    plan = settings.fleet_plan(
+        entry_hosts_by_data_centre=DATA_CENTRES,
+        workers=24,
+        executors=0,
+        worker_cores=cores,
+        worker_memory_gb=memory_gb,
+    )
+    recorder = HistoryRecorder()
+    rng = random.Random(settings.seed)
+    duration_s = DURATION_S * settings.scale
+    async with running_fleet(plan, settings.directory) as fleet:
+        await _spoil_one_worker(fleet)
+        arrivals = list(
+            draw_jobs(
+                MIXES.get(mix),
+                rng=rng,
+                rate=JOB_RATES[mix],
+                duration_s=duration_s,
+                prefix=f"{mix}-{settings.seed}",
+                now_wall=fleet.clock.wall(),
+            )
+        )
+        load = JobLoad(
+            fleet=fleet,
+            recorder=recorder,
+            arrivals=arrivals,
+            cancellations=_wave(arrivals, rng, duration_s),
+            rng=rng,
+        )
+        before = await _appends(fleet)
+        cpu_before = sum(each.cpu_s for each in fleet.usage().values())
+        began = fleet.clock.wall()
+        tally = await load.run(settle_s=SETTLE_S)
+        spent_s = fleet.clock.wall() - began
+        appends = (await _appends(fleet) - before) / spent_s
+        cpu = sum(each.cpu_s for each in fleet.usage().values()) - cpu_before
+        result.add("appends a second", appends, "appends/s", at_most=APPEND_BUDGET_PER_S)
+        result.add("processor time of all entry hosts", cpu / spent_s * 100, "% of a core")
+        _add_tally(result, tally, arrivals)
+        await close_and_judge(fleet, recorder, result, names=NAMES, directory=settings.directory)
+        history = recorder.history()
+        until = began + duration_s
+        add_starts(result, history, began=began, until=until)
+        add_waits(result, history, arrivals, tally)
+        add_packing(result, history, began=began, until=until)
+
+
+def _wave(arrivals: list[JobArrival], rng: random.Random, duration_s: float) -> list[Cancellation]:
+    at = duration_s * WAVE_AT
+    arrived = [each for each in arrivals if each.after_s < at]
+    wave = cancellation_wave(arrived, rng=rng, share=WAVE_SHARE)
+    return [Cancellation(job_id=job_id, after_s=at) for job_id in wave]
+
+
+def _add_tally(result: ScenarioResult, tally: JobTally, arrivals: list[JobArrival]) -> None:
+    impossible = sum(each.impossible for each in arrivals)
+    result.add("jobs submitted", len(arrivals), "jobs")
+    result.add("jobs accepted", len(tally.accepted_at_by_id), "jobs")
+    result.add("jobs that can never run", impossible, "jobs")
+    refused = tally.refusals["can never run"]
+    result.add("impossible jobs refused at once", refused, "jobs", at_least=impossible)
+    result.add("submissions without an answer", tally.unknown, "jobs")
+    result.add("accepted jobs not ended in time", len(tally.open_jobs()), "jobs", at_most=0)
+    for state in sorted(set(tally.ended.values())):
+        count = sum(each == state for each in tally.ended.values())
+        result.add(f"jobs that ended {state}", count, "jobs")
+
+
+async def _spoil_one_worker(fleet: Fleet) -> None:
+    worker = (await fleet.hosts_of(HostKind.WORKER))[0].host_id
+    await fleet.control.set_worker_faults(worker, WorkerFaults(fail_runs_after_s=0.2))
+
+
+async def _appends(fleet: Fleet) -> int:
+    counted = (await fleet.control.counters()).value_or(None)
+    if counted is None:
+        raise CallError("counters: the stand-in gave none")
+    return counted.log.appends
