--- a/src/galenastall/bench/capacity.py
+++ b/src/galenastall/bench/capacity.py
@@ -145,6 +145,12 @@
     flight_s: Assumption = Assumption(
         value=0.5, unit="s", why="setting: longest flight of a command"
     )
+    job_beat_s: Assumption = Assumption(
+        value=1.0, unit="s", why="setting: least time between two job beats to one member"
+    )
+    job_beat_s_per_peer: Assumption = Assumption(
+        value=0.3, unit="s", why="setting: further time for each peer"
+    )
     beat_s: Assumption = Assumption(
         value=0.5, unit="s", why="setting: least time between beats to one member"
     )
--- a/src/galenastall/bench/capacity_lines.py
+++ b/src/galenastall/bench/capacity_lines.py
@@ -359,6 +359,36 @@
     return beats_sent_per_s(model) * model.each("beat-cpu") * US_PER_S_TO_PERCENT
 
 
+def job_beats_sent_per_s(model: CapacityModel) -> float:
+    """Return job beats a second that one member sends; their interval grows with the peers."""
+    peers = model.size.hosts_per_data_centre - 1
+    return peers / (model.assume("job_beat_s") + peers * model.assume("job_beat_s_per_peer"))
+
+
+@line(
+    "member-job-wire",
+    role="member",
+    quantity=Quantity.WIRE,
+    what="job beats to and from all members of the data centre",
+    mechanism="capacity summary and validity of assignments in one message a peer",
+)
+def member_job_wire(model: CapacityModel) -> float:
+    """Return bytes of job beats both ways."""
+    return 2 * job_beats_sent_per_s(model) * model.each("job-beat-bytes") / KB
+
+
+@line(
+    "member-job-cpu",
+    role="member",
+    quantity=Quantity.CPU,
+    what="job beats to and from all members of the data centre",
+    mechanism="capacity summary and validity of assignments in one message a peer",
+)
+def member_job_cpu(model: CapacityModel) -> float:
+    """Return processor time of job beats."""
+    return job_beats_sent_per_s(model) * model.each("job-beat-cpu") * US_PER_S_TO_PERCENT
+
+
 @line(
     "relay-wire",
     role="relay",
--- a/src/galenastall/bench/schedule.py
+++ b/src/galenastall/bench/schedule.py
@@ -6,14 +6,12 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, Protocol
 
 import trio
 
-from galenastall.bench.processes import Driver
 from galenastall.proof.history import FOR_EVER, Fault, HistoryRecorder
 from galenastall.protocol.clock import Clock
-from galenastall.standin.control_client import StandinControl
 from galenastall.standin.cuts import Cut, Service
 from galenastall.standin.faults import LogFaults, WorkerFaults
 from galenastall.state.registry import Registry
@@ -31,12 +29,44 @@
     lasts_s: float = 0.0
 
 
+class Processes(Protocol):
+    """What faults do to processes; the driver's methods."""
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+
+    def terminate(self, name: str) -> None:
+        """Ask a process to stop gracefully."""
+
+    def pause(self, name: str) -> None:
+        """Freeze a process."""
+
+    def resume(self, name: str) -> None:
+        """Let a frozen process go on."""
+
+    async def wait_ended(self, *, name: str, timeout_s: float) -> int:
+        """Return the exit code."""
+
+
+class Knobs(Protocol):
+    """What faults do to the stand-in; its control client's methods."""
+
+    async def set_log_faults(self, faults: LogFaults) -> object:
+        """Replace the log's knobs."""
+
+    async def set_worker_faults(self, host: str, faults: WorkerFaults) -> object:
+        """Replace a worker's knobs, or those of `all`."""
+
+    async def set_cuts(self, *cuts: Cut) -> object:
+        """Put exactly these cuts in force."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FaultContext:
     """What faults act on."""
 
-    driver: Driver
-    standin: StandinControl
+    driver: Processes
+    standin: Knobs
     restart: Callable[[str], Awaitable[None]]
     """Start an entry host again that has ended, and wait until it is ready."""
 
