--- /dev/null
+++ b/src/galenastall/node/job_side.py
@@ -0,0 +1,107 @@
+"""The job side of an entry host: shards, owned workers and the callers' routes, run together."""
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from galenastall.coordination.placement import PlacementCore
+from galenastall.coordination.placement_settings import PlacementSettings
+from galenastall.node.http_jobs import HttpJobs
+from galenastall.node.job_intake import JobIntake
+from galenastall.node.job_link import JobLink
+from galenastall.node.job_service import JobService
+from galenastall.node.worker_service import WorkerService
+from galenastall.node.worker_timings import WorkerTimings
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.event_sink import EventSink
+from galenastall.protocol.log_access import LogAppender, StreamFollower
+from galenastall.protocol.ownership_view import OwnershipView
+from galenastall.protocol.peers import PeerLink
+from galenastall.protocol.platform import WorkerService as WorkerCalls
+from galenastall.state.hosts import HostListing
+from galenastall.state.ids import DataCentre, Incarnation
+from galenastall.state.job_fold import JobFold
+from galenastall.state.work import JobSpec
+
+
+class JobSide:
+    """Everything of an entry host that jobs need."""
+
+    def __init__(
+        self,
+        *,
+        data_centre: DataCentre,
+        incarnation: Incarnation,
+        shards: int,
+        placement: PlacementSettings,
+        worker_timings: WorkerTimings,
+        worker_calls: WorkerCalls,
+        ownership: OwnershipView,
+        peers: PeerLink,
+        appender: LogAppender,
+        follower: StreamFollower,
+        hosts: Callable[[], HostListing | None],
+        team_problem: Callable[[JobSpec], str | None],
+        clock: Clock,
+        rng: random.Random,
+        events: EventSink,
+    ) -> None:
+        """Build the services; `follower` is the data centre's stream and must not run yet."""
+        fold = JobFold()
+        follower.subscribe(fold)
+        link = JobLink(peers=peers)
+        self.core = PlacementCore(settings=placement, seed=rng.getrandbits(32))
+        self.workers = WorkerService(
+            data_centre=data_centre,
+            core=self.core,
+            workers=worker_calls,
+            ownership=ownership,
+            link=link,
+            clock=clock,
+            hosts=hosts,
+            shards=shards,
+            timings=worker_timings,
+            events=events,
+        )
+        self.jobs = JobService(
+            fold=fold,
+            worker_service=self.workers,
+            ownership=ownership,
+            link=link,
+            appender=appender,
+            follower=follower,
+            clock=clock,
+            incarnation=incarnation,
+            shards=shards,
+            events=events,
+        )
+        intake = JobIntake(
+            data_centre=data_centre,
+            fold=fold,
+            jobs=self.jobs,
+            workers=self.workers,
+            ownership=ownership,
+            link=link,
+            appender=appender,
+            follower=follower,
+            clock=clock,
+            rng=rng,
+            events=events,
+            team_problem=team_problem,
+        )
+        self.routes = HttpJobs(
+            intake=intake, fold=fold, workers=self.workers, ownership=ownership, clock=clock
+        )
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Drive shards and workers until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.workers.run)
+            await nursery.start(self.jobs.run)
+            task_status.started()
+
+    async def drain(self) -> None:
+        """Give out nothing more; what waits here goes back to the shards' next owners."""
+        await self.jobs.drain()
+        await self.workers.drain()
