--- /dev/null
+++ b/src/galenastall/node/entry_host.py
@@ -0,0 +1,237 @@
+"""One entry host: builds all services, starts them in order, and stops them without cutting off."""
+
+import random
+from collections.abc import Sequence
+from typing import BinaryIO, Final
+
+import trio
+
+from galenastall.node.host_list_service import HostListPoller, peer_addresses
+from galenastall.node.http_ops import HttpOps
+from galenastall.node.job_side import JobSide
+from galenastall.node.log_service import LogSide
+from galenastall.node.ownables import ShardCounts
+from galenastall.node.ownership_service import OwnershipService
+from galenastall.node.request_side import RequestSide
+from galenastall.node.settings_mapping import (
+    find_team_problem,
+    make_ownership_timings,
+    make_placement_settings,
+    make_request_settings,
+    make_window_limits,
+    make_worker_timings,
+)
+from galenastall.node.timeline_service import TimelineService
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.platform import Platform
+from galenastall.protocol.process_settings import ProcessSettings
+from galenastall.protocol.security import CurveKeys, TlsFiles
+from galenastall.state.hosts import HostListing
+from galenastall.state.ids import (
+    SETTINGS_STREAM,
+    DataCentre,
+    HostId,
+    Incarnation,
+    data_centre_stream,
+)
+from galenastall.state.shared_settings import SharedSettings
+from galenastall.state.timeline_ring import TimelineRing
+from galenastall.state.work import JobSpec
+from galenastall.transport.http_server import HttpServer
+from galenastall.transport.link_faults import LinkFaults
+from galenastall.transport.logs import Level, Recorder
+from galenastall.transport.metrics import Metrics
+from galenastall.transport.peer_link import ZmqPeerLink
+
+SHARDS: Final = ShardCounts()
+"""The same on every entry host: it decides which shard a key or a job is in."""
+
+
+class EntryHost:
+    """All services of one entry host on one loop."""
+
+    def __init__(
+        self,
+        *,
+        settings: ProcessSettings,
+        platform: Platform,
+        clock: Clock,
+        rng: random.Random,
+        incarnation: Incarnation,
+        link_faults: LinkFaults | None = None,
+        log_stream: BinaryIO | None = None,
+    ) -> None:
+        """Build everything; `incarnation` must differ from that of every earlier process."""
+        self.settings = settings
+        self.host_id = HostId(settings.host_id)
+        self.data_centre = DataCentre(settings.data_centre)
+        self.shared = SharedSettings()
+        self.metrics = Metrics()
+        self.recorder = Recorder(
+            process=settings.host_id,
+            clock=clock,
+            ring=TimelineRing(capacity=settings.timeline_ring_events),
+            log_level=Level[settings.log_level.upper()],
+            stream=log_stream,
+        )
+        self.link = ZmqPeerLink(
+            host_id=self.host_id,
+            incarnation=incarnation,
+            clock=clock,
+            bind=settings.peer_bind,
+            curve=_curve_keys(settings),
+            faults=link_faults,
+            log_error=self.recorder.record_error,
+        )
+        self._peer_ids: tuple[HostId, ...] = ()
+        self._seeds = {HostId(name): address for name, address in settings.seeds.items()}
+        self._set_peers(self._seeds)
+        own_stream = data_centre_stream(self.data_centre)
+        self.log_side = LogSide(
+            log=platform.log,
+            clock=clock,
+            rng=rng,
+            writer=f"{settings.host_id}.{incarnation}",
+            streams=(SETTINGS_STREAM, own_stream),
+            live_hosts=lambda: 1 + len(self._peer_ids),
+            limits=lambda: make_window_limits(self.shared),
+            events=self.recorder,
+        )
+        self.host_list = HostListPoller(
+            service=platform.host_list, clock=clock, rng=rng, events=self.recorder
+        )
+        self.host_list.subscribe(self._on_listing)
+        appender = self.log_side.appender
+        follower = self.log_side.followers_by_stream[own_stream]
+        self.ownership = OwnershipService(
+            host_id=self.host_id,
+            incarnation=incarnation,
+            data_centre=self.data_centre,
+            timings=make_ownership_timings(self.shared),
+            shards=SHARDS,
+            clock=clock,
+            appender=appender,
+            follower=follower,
+            peers=self.link,
+            host_list=self.host_list,
+            events=self.recorder,
+        )
+        self.request_side = RequestSide(
+            data_centre=self.data_centre,
+            incarnation=incarnation,
+            upstreams=platform.upstreams,
+            ownership=self.ownership,
+            peers=self.link,
+            appender=appender,
+            follower=follower,
+            settings=lambda: make_request_settings(self.shared),
+            clock=clock,
+            rng=rng,
+            events=self.recorder,
+        )
+        self.host_list.subscribe(self.request_side.set_hosts)
+        self.job_side = JobSide(
+            data_centre=self.data_centre,
+            incarnation=incarnation,
+            shards=SHARDS.jobs,
+            placement=make_placement_settings(self.shared),
+            worker_timings=make_worker_timings(self.shared),
+            worker_calls=platform.workers,
+            ownership=self.ownership,
+            peers=self.link,
+            appender=appender,
+            follower=follower,
+            hosts=lambda: self.host_list.latest,
+            team_problem=self._find_team_problem,
+            clock=clock,
+            rng=rng,
+            events=self.recorder,
+        )
+        self.timeline = TimelineService(
+            link=self.link, ring=self.recorder.ring, peers=lambda: self._peer_ids
+        )
+        ops = HttpOps(
+            metrics=self.metrics, timeline=self.timeline, not_ready_reasons=self.not_ready_reasons
+        )
+        self.server = HttpServer(
+            handlers=(ops, self.request_side.routes, self.job_side.routes),
+            clock=clock,
+            bind=settings.http_bind,
+            tls=_tls_files(settings),
+            log_error=self.recorder.record_error,
+        )
+        self._is_draining = False
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Run all services until cancelled; reports started once both sides are bound."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.link.run)
+            await nursery.start(self.server.run)
+            task_status.started()
+            await nursery.start(self.host_list.run)
+            await nursery.start(self.log_side.run)
+            await nursery.start(self.ownership.run)
+            await nursery.start(self.request_side.run)
+            await nursery.start(self.job_side.run)
+
+    async def drain(self) -> int:
+        """Finish what is in progress, hand over, leave; return how many requests were cut off.
+
+        New work is refused first, so that callers go elsewhere while what runs here ends.
+        """
+        self._is_draining = True
+        timeout_s = self.settings.drain_timeout_seconds
+        self.recorder.record("node.drain", subjects=(self.host_id,))
+        with trio.move_on_after(timeout_s):
+            await self.job_side.drain()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.request_side.drain)
+                nursery.start_soon(self.ownership.drain)
+        cut_off = await self.server.drain(timeout_s)
+        self.recorder.record(
+            "node.drained", subjects=(self.host_id,), fields={"cut_off": str(cut_off)}
+        )
+        return cut_off
+
+    def not_ready_reasons(self) -> Sequence[str]:
+        """Return why the balancer should send nothing here; empty if it should."""
+        reasons = []
+        if self._is_draining:
+            reasons.append("draining")
+        if self.host_list.latest is None:
+            reasons.append("the platform's list of hosts was never read")
+        if not self.ownership.is_member:
+            reasons.append("not yet in the roster of its data centre")
+        return reasons
+
+    def _on_listing(self, listing: HostListing, fetched_at: float) -> None:
+        self._set_peers({**self._seeds, **peer_addresses(listing, own=self.host_id)})
+
+    def _set_peers(self, addresses_by_id: dict[HostId, str]) -> None:
+        self._peer_ids = tuple(addresses_by_id)
+        self.link.set_peers(addresses_by_id)
+
+    def _find_team_problem(self, spec: JobSpec) -> str | None:
+        return find_team_problem(self.shared, spec)
+
+
+def _curve_keys(settings: ProcessSettings) -> CurveKeys | None:
+    if settings.curve is None:
+        return None
+    allowed = {HostId(name): key for name, key in settings.curve.allowed_by_host_id.items()}
+    return CurveKeys(
+        public_key=settings.curve.public_key,
+        secret_key=settings.curve.secret_key,
+        allowed_by_host_id=allowed,
+    )
+
+
+def _tls_files(settings: ProcessSettings) -> TlsFiles | None:
+    if settings.tls is None:
+        return None
+    ca_file = settings.tls.ca_file
+    return TlsFiles(
+        cert_file=str(settings.tls.cert_file),
+        key_file=str(settings.tls.key_file),
+        ca_file=None if ca_file is None else str(ca_file),
+    )
--- a/src/galenastall/node/process.py
+++ b/src/galenastall/node/process.py
@@ -3,6 +3,7 @@
 import random
 import signal
 import uuid
+from collections.abc import AsyncIterator
 from functools import partial
 
 import trio
@@ -39,14 +40,16 @@
         incarnation=Incarnation(uuid.uuid4().hex[:12]),
         log_stream=default_stream(),
     )
+    cut_off, is_drained = 0, False
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
             await nursery.start(host.run)
             await anext(signals)
             nursery.start_soon(_cancel_on_signal, signals, nursery.cancel_scope)
             cut_off = await host.drain()
+            is_drained = True
             nursery.cancel_scope.cancel()
-    return cut_off if nursery.cancel_scope.cancelled_caught is False else cut_off
+    return cut_off if is_drained else host.server.open_requests
 
 
 def connect_platform(
@@ -66,7 +69,7 @@
 
 
 async def _cancel_on_signal(
-    signals: "trio.abc.ReceiveChannel[int]", scope: trio.CancelScope
+    signals: AsyncIterator[int], scope: trio.CancelScope
 ) -> None:
     await anext(signals)
     scope.cancel()
