--- a/src/galenastall/coordination/ownership.py
+++ b/src/galenastall/coordination/ownership.py
@@ -56,11 +56,13 @@
 class OwnershipCore:
     """Decides what this member owns; ask `may_act` right before any command leaves."""
 
-    def __init__(self, *, me: Member, timings: OwnershipTimings) -> None:
-        """Own nothing and know nothing of the log."""
+    def __init__(
+        self, *, me: Member, timings: OwnershipTimings, fold: OwnershipFold | None = None
+    ) -> None:
+        """Own nothing; know of the log what `fold`, if given, has read."""
         self.me = me
         self.timings = timings
-        self.fold = OwnershipFold()
+        self.fold = fold or OwnershipFold()
         self.legs = Legs(me=me.incarnation, timings=timings)
         self.membership = Membership(me=me, timings=timings)
         self.holdings = Holdings(me=me, fold=self.fold)
--- a/src/galenastall/coordination/ownership_candidates.py
+++ b/src/galenastall/coordination/ownership_candidates.py
@@ -42,7 +42,8 @@
 def _spread_kind(
     ownables: list[OwnableId], hosts: Sequence[HostId]
 ) -> Iterable[tuple[OwnableId, HostId]]:
-    cap = ceil(len(ownables) / len(hosts) * LOAD_CAP)
+    mean = len(ownables) / len(hosts)
+    cap = max(ceil(mean), round(mean * LOAD_CAP))
     room_by_host = dict.fromkeys(hosts, cap)
     for ownable in sorted(ownables):
         host = next(host for host in rank(hosts, ownable) if room_by_host[host])
--- /dev/null
+++ b/src/galenastall/node/ownership_service.py
@@ -0,0 +1,328 @@
+"""Driver of ownership: feeds the core from log, peers, list and clock; implements the view.
+
+Everything runs on the loop without a pause between an event and the core's commands, so that a
+member that heard of a claim never vouches as if it had not.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Final
+
+import trio
+from returns.result import Failure, Result, Success
+
+import galenastall.protocol.ownership_messages  # noqa: F401 (files the messages)
+from galenastall.coordination.ownership import AppendOutcome, OwnershipCore
+from galenastall.coordination.ownership_messages import (
+    Activated,
+    AppendRecord,
+    Beat,
+    Expelled,
+    Fence,
+    FenceAck,
+    FetchTail,
+    Lost,
+    OwnershipCommand,
+    SendMessage,
+    TailAnswer,
+    TailRequest,
+)
+from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.node.host_list_service import HostListPoller
+from galenastall.node.ownables import OwnableSet, ShardCounts, shown_entry_hosts
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.codec import decode_record, encode_record
+from galenastall.protocol.event_sink import EventSink, NullEventSink
+from galenastall.protocol.log_access import LogAppender, StreamFollower
+from galenastall.protocol.peers import PeerLink
+from galenastall.state.errors import Reason, StepError
+from galenastall.state.hosts import HostListing
+from galenastall.state.ids import DataCentre, Epoch, HostId, Incarnation, Offset, OwnableId
+from galenastall.state.ownership_fold import OWNERSHIP_RECORDS
+from galenastall.state.ownership_records import Member
+from galenastall.state.records import LoggedRecord
+
+TICK_S: Final = 0.1
+TAIL_KEPT: Final = 512
+"""Ownership records kept for peers that are cut off from the log."""
+TAIL_TIMEOUT_S: Final = 1.0
+
+
+class OwnershipService:
+    """Ownership of one entry host; see protocol.ownership_view.OwnershipView."""
+
+    def __init__(
+        self,
+        *,
+        host_id: HostId,
+        incarnation: Incarnation,
+        data_centre: DataCentre,
+        timings: OwnershipTimings,
+        shards: ShardCounts,
+        clock: Clock,
+        appender: LogAppender,
+        follower: StreamFollower,
+        peers: PeerLink,
+        host_list: HostListPoller,
+        events: EventSink | None = None,
+    ) -> None:
+        """Subscribe to the data centre's stream, the peers and the list; `run` starts acting.
+
+        `incarnation` must differ from that of every earlier process of this host.
+        """
+        self._data_centre = data_centre
+        self._timings = timings
+        self._clock = clock
+        self._appender = appender
+        self._follower = follower
+        self._peers = peers
+        self._events = events or NullEventSink()
+        self._first_incarnation = incarnation
+        self._lives = 1
+        self._core = OwnershipCore(
+            me=Member(host=host_id, incarnation=incarnation), timings=timings
+        )
+        self._ownables = OwnableSet(
+            data_centre=data_centre, shards=shards, lag_s=timings.list_lag_s
+        )
+        self._tail: deque[LoggedRecord] = deque(maxlen=TAIL_KEPT)
+        self._tail_start: Offset | None = None
+        self._activated_callbacks: list[Callable[[OwnableId, Epoch], None]] = []
+        self._lost_callbacks: list[Callable[[OwnableId], None]] = []
+        self._nursery: trio.Nursery | None = None
+        self._commands: deque[OwnershipCommand] = deque()
+        self._is_carrying_out = False
+        self._left = trio.Event()
+        self.appended = 0
+        """Records handed to the log, for metrics."""
+        self.messages = 0
+        """Messages sent to peers, for metrics."""
+        follower.subscribe(self)
+        host_list.subscribe(self._on_listing)
+        for message_type in (Beat, Fence, FenceAck):
+            peers.handle(message_type, self._on_message)
+        peers.handle(TailRequest, self._on_tail_request)
+
+    # OwnershipView
+
+    def may_act(self, ownable: OwnableId) -> Epoch | None:
+        """Return the epoch under which this entry host may act on `ownable` now, else None."""
+        return self._core.may_act(ownable, self._clock.now())
+
+    def owner_of(self, ownable: OwnableId) -> HostId | None:
+        """Return the owner according to the log; None while there is none or it is contested."""
+        state = self._core.fold.state_by_ownable.get(ownable)
+        if state is None or state.tenure is None or not state.is_settled:
+            return None
+        return state.tenure.owner.host
+
+    def owned(self) -> frozenset[OwnableId]:
+        """Return what this entry host has activated and not lost."""
+        return frozenset(self._core.holdings.holding_by_ownable)
+
+    def roster(self) -> frozenset[HostId]:
+        """Return the members that are heard and not leaving, this one included."""
+        return frozenset(member.host for member in self._core.live) | {self._core.me.host}
+
+    def on_activated(self, callback: Callable[[OwnableId, Epoch], None]) -> None:
+        """Call back whenever this entry host becomes the owner of something."""
+        self._activated_callbacks.append(callback)
+
+    def on_lost(self, callback: Callable[[OwnableId], None]) -> None:
+        """Call back whenever this entry host stops being an owner."""
+        self._lost_callbacks.append(callback)
+
+    # For operators and metrics
+
+    @property
+    def is_member(self) -> bool:
+        """Whether this process is in the data centre's roster."""
+        return self._core.fold.has_member(self._core.me)
+
+    @property
+    def has_log_leg(self) -> bool:
+        """Whether the log's tip was read recently enough to act on."""
+        return self._core.legs.has_log(self._clock.now())
+
+    def ownables(self) -> frozenset[OwnableId]:
+        """Return all that should have an owner in this data centre."""
+        return self._core.ownables or frozenset()
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Take part until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            try:
+                while True:
+                    self._tick()
+                    await trio.sleep(TICK_S)
+            finally:
+                self._nursery = None
+
+    async def drain(self) -> None:
+        """Hand everything over and leave the roster; returns when that is in the log.
+
+        In a log outage it cannot end: the caller bounds it and warns. Stop deciding before.
+        """
+        self._core.begin_leave()
+        await self._left.wait()
+
+    def apply(self, logged: LoggedRecord) -> None:
+        """Take in the next record of the data centre's stream."""
+        self._keep(logged)
+        self._core.on_record(logged, self._clock.now())
+        self._carry_out()
+
+    # Events in
+
+    def _tick(self) -> None:
+        now = self._clock.now()
+        self._core.on_tip(
+            read_at=self._follower.tip_read_at, next_offset=self._follower.next_offset, now=now
+        )
+        self._core.on_tick(now)
+        self._carry_out()
+        if self._core.is_out and self._core.is_leaving:
+            self._left.set()
+
+    def _on_listing(self, listing: HostListing, fetched_at: float) -> None:
+        self._core.on_listing(shown_entry_hosts(listing, data_centre=self._data_centre), fetched_at)
+        self._core.on_ownables(self._ownables.update(listing, fetched_at))
+
+    async def _on_message(self, sender: HostId, message: Any) -> None:
+        self._core.on_message(sender, message, self._clock.now())
+        self._carry_out()
+
+    async def _on_tail_request(self, sender: HostId, request: TailRequest) -> Any:
+        fold = self._core.fold
+        if not fold.is_complete or self._tail_start is None or request.start < self._tail_start:
+            detail = f"records from {request.start} on are no longer kept"
+            return StepError(step="ownership.tail", peer="", reason=Reason.NOT_FOUND, detail=detail)
+        records = [logged for logged in self._tail if logged.offset >= request.start]
+        return TailAnswer(
+            start=request.start,
+            end=fold.next_offset,
+            offsets=tuple(logged.offset for logged in records),
+            texts=tuple(encode_record(r.record, record_id=r.record_id) for r in records),
+        )
+
+    def _keep(self, logged: LoggedRecord) -> None:
+        if self._tail_start is None:
+            self._tail_start = logged.offset
+        if not isinstance(logged.record, OWNERSHIP_RECORDS):
+            return
+        if self._tail and logged.offset <= self._tail[-1].offset:
+            return
+        if len(self._tail) == TAIL_KEPT:
+            self._tail_start = Offset(self._tail[0].offset + 1)
+        self._tail.append(logged)
+
+    # Commands out
+
+    def _carry_out(self) -> None:
+        """Carry out commands in order, also those that callbacks give rise to."""
+        self._commands.extend(self._core.drain_commands())
+        if self._is_carrying_out:
+            return
+        self._is_carrying_out = True
+        try:
+            while self._commands:
+                self._carry_out_one(self._commands.popleft())
+        finally:
+            self._is_carrying_out = False
+
+    def _carry_out_one(self, command: OwnershipCommand) -> None:
+        match command:
+            case SendMessage():
+                self.messages += 1
+                self._peers.send(peer=command.to, message=command.message)
+            case AppendRecord():
+                self._start(self._append, self._core, command)
+            case FetchTail():
+                self._start(self._fetch_tail, command)
+            case Activated():
+                self._activated(command)
+            case Lost():
+                self._lost(command)
+            case Expelled():
+                self._join_again()
+
+    def _start(self, work: Callable[..., Any], *args: Any) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(work, *args)
+
+    def _activated(self, command: Activated) -> None:
+        self._events.record(
+            "ownership.activated",
+            subjects=(command.ownable,),
+            fields={"epoch": str(command.epoch)},
+        )
+        for callback in self._activated_callbacks:
+            callback(command.ownable, command.epoch)
+
+    def _lost(self, command: Lost) -> None:
+        self._events.record("ownership.lost", subjects=(command.ownable,))
+        for callback in self._lost_callbacks:
+            callback(command.ownable)
+
+    def _join_again(self) -> None:
+        """Go on as a new member: the log says that the old incarnation is dead."""
+        self._lives += 1
+        incarnation = Incarnation(f"{self._first_incarnation}+{self._lives}")
+        cause = "the roster no longer lists this incarnation"
+        self._events.record("ownership.expelled", cause=cause, fields={"next": incarnation})
+        old = self._core
+        self._core = OwnershipCore(
+            me=Member(host=old.me.host, incarnation=incarnation),
+            timings=self._timings,
+            fold=old.fold,
+        )
+        if old.ownables is not None:
+            self._core.on_ownables(old.ownables)
+
+    async def _append(self, core: OwnershipCore, command: AppendRecord) -> None:
+        self.appended += 1
+        appended = await self._appender.append(
+            stream=self._follower.stream, record=command.record, record_id=command.record_id
+        )
+        core.on_append_outcome(command.record_id, _outcome(appended), self._clock.now())
+        if isinstance(appended, Failure):
+            error = appended.failure()
+            self._events.record("ownership.append_failed", peer=error.peer, cause=str(error))
+        self._carry_out()
+
+    async def _fetch_tail(self, command: FetchTail) -> None:
+        answered = await self._peers.call(
+            peer=command.peer,
+            message=TailRequest(start=command.start),
+            timeout_s=TAIL_TIMEOUT_S,
+        )
+        if not isinstance(answered, Success):
+            return
+        answer: TailAnswer = answered.unwrap()
+        records = list(self._decode_tail(answer))
+        if len(records) < len(answer.texts):
+            return
+        for logged in records:
+            self._keep(logged)
+        self._core.on_tail(
+            start=answer.start, end=answer.end, records=records, now=self._clock.now()
+        )
+        self._carry_out()
+
+    def _decode_tail(self, answer: TailAnswer) -> list[LoggedRecord]:
+        stream = self._follower.stream
+        decoded = (
+            decode_record(text, stream=stream, offset=offset)
+            for offset, text in zip(answer.offsets, answer.texts, strict=True)
+        )
+        return [result.unwrap() for result in decoded if isinstance(result, Success)]
+
+
+def _outcome(appended: Result[Offset, StepError]) -> AppendOutcome:
+    if isinstance(appended, Success):
+        return AppendOutcome.APPENDED
+    if appended.failure().may_have_taken_effect:
+        return AppendOutcome.UNKNOWN
+    return AppendOutcome.NOT_APPENDED
