Let held intents and their flush interleave in the key machine

Cause: mutations of the fold's epoch check were not found, as the flush always came at once. Change: the log's return and each owner's flush are rules of their own. Conclusion: the machine still holds.

--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -297,8 +297,13 @@
 
     @rule()
     def log_comes_back(self) -> None:
-        """The current owner writes what it held; earlier ones are passed over."""
         self.log_up = True
+
+    @rule()
+    def flush(self) -> None:
+        """Every owner, replaced or not, writes what it held."""
+        if not self.log_up:
+            return
         for shard in self.shards:
             entries = shard.unlogged()
             self.log.append(KeysCarried(shard="0", epoch=shard.epoch, entries=entries))
