--- a/src/galenastall/coordination/admission.py
+++ b/src/galenastall/coordination/admission.py
@@ -220,6 +220,15 @@
         self._prune_latest_starts()
         return Offered(displaced=displaced)
 
+    def check(self, *, request: WaitingRequest, now: float) -> Refusal | None:
+        """Return why an offer would be refused now, without queueing anything."""
+        refusal = self._refusal(request, now)
+        if refusal is not None or len(self._entries_by_id) < self.limits.waiting:
+            return refusal
+        if any(self._classes[urgency].size for urgency in Urgency if urgency > request.urgency):
+            return None
+        return self._refuse("queue_full", request.urgency)
+
     def take(self, *, now: float) -> WaitingRequest | None:
         """Remove and return the request to dispatch next; drop late ones with `expire` first."""
         if not self._entries_by_id:
--- a/src/galenastall/coordination/keys.py
+++ b/src/galenastall/coordination/keys.py
@@ -237,6 +237,17 @@
         return KeyAnswer(verdict=verdict, epoch=self.epoch, first=first)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HeldRead:
+    """What one process holds of a shard, as it tells a new owner."""
+
+    is_holder: bool
+    """It holds for the new owner from now on; False if that one has been replaced."""
+    was_holder: bool
+    """It held for the owner that served last, all the time since."""
+    entries: tuple[KeyEntry, ...]
+
+
 class HeldIntents:
     """Intents that this process holds for the owners of shards while the log is down.
 
@@ -262,22 +273,15 @@
                 held[entry.key] = entry
         return True
 
-    def read(
-        self, *, shard: str, epoch: Epoch, serving: Epoch | None
-    ) -> tuple[KeyEntry, ...] | None:
-        """Return what is held to a new owner, and hold nothing for earlier ones from now on.
-
-        None if this process was not a holder of the owner that served last (`serving`), or if
-        `epoch` has been replaced; it is a holder of the new owner all the same, unless replaced.
-        """
+    def read(self, *, shard: str, epoch: Epoch, serving: Epoch | None) -> HeldRead:
+        """Return what is held to a new owner, and hold nothing for earlier ones from now on."""
         if epoch < self._fences_by_shard.get(shard, 0):
-            return None
+            return HeldRead(is_holder=False, was_holder=False, entries=())
         self._fences_by_shard[shard] = epoch
         since = self._since_by_shard.setdefault(shard, epoch)
         entries = self._entries_by_shard.setdefault(shard, {})
-        if serving is not None and since > serving:
-            return None
-        return tuple(entries.values())
+        was_holder = serving is None or since <= serving
+        return HeldRead(is_holder=True, was_holder=was_holder, entries=tuple(entries.values()))
 
     def forget(self, *, fold: KeyFold, wall: float) -> None:
         """Drop what the log shows as well, and keys past their time."""
@@ -293,10 +297,15 @@
 
 
 def is_majority(*, count: int, of: int) -> bool:
-    """Return whether `count` is more than half of `of`."""
+    """Return whether `count` is more than half of `of`: so many hold each intent."""
     return 2 * count > of
 
 
+def meets_every_majority(*, count: int, of: int) -> bool:
+    """Return whether any `count` of `of` include one of each majority: so many must be read."""
+    return count >= of - of // 2
+
+
 def _hash(text: str) -> int:
     return int(xxhash.xxh3_64_intdigest(text.encode()))
 
--- a/src/galenastall/coordination/slots.py
+++ b/src/galenastall/coordination/slots.py
@@ -7,63 +7,21 @@
 """
 
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
+from galenastall.coordination.permit_types import (
+    HeldPermit,
+    LedgerUse,
+    OwnedUpstream,
+    Permit,
+    PermitLedger,
+    PermitLimits,
+)
 from galenastall.state.ids import Epoch, HostId
 from galenastall.state.work import Urgency
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PermitLimits:
-    """Spans of a permit, in seconds; the same at owner and asker."""
-
-    ask_ttl_s: float = 1.0
-    """For how long an ask waits at the owner before the asker chooses anew."""
-    begin_within_s: float = 2.0
-    """From the ask until the request must have left; later the permit is void."""
-    longest_s: float = 30.0
-    """From the ask until the request is over at the latest; bounds a takeover."""
-    grace_s: float = 1.0
-    """Further time for which the owner counts an unreturned slot as in use."""
-    asks_per_client: int = 256
-    """Asks that one entry host may have waiting at an owner."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Permit:
-    """The right to have one request in progress at an upstream."""
-
-    permit_id: str
-    upstream: HostId
-    address: str
-    epoch: Epoch
-    ask_id: int
-    """The asker's number of its ask; times count from when it sent that."""
-    begin_within_s: float
-    ends_within_s: float
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class HeldPermit:
-    """A permit that an entry host still holds, as it reports it to a new owner."""
-
-    permit_id: str
-    upstream: HostId
-    ends_in_s: float
-    """Seconds until it is over at the latest, at the moment of the report."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class OwnedUpstream:
-    """What the owner needs to know of an upstream when it opens it."""
-
-    host_id: HostId
-    address: str
-    slots: int
-    connections: int
-
-
 @dataclass(slots=True)
 class _Use:
     client: HostId
@@ -79,12 +37,16 @@
     uses_by_permit: dict[str, _Use] = field(default_factory=dict)
     uses_by_client: dict[HostId, int] = field(default_factory=dict)
     silent_until_by_client: dict[HostId, float] = field(default_factory=dict)
+    returned_early: set[str] = field(default_factory=set)
+    """Permits given back before anyone told of them."""
+    forget_at: float = 0.0
 
 
 @dataclass(slots=True)
 class _Ask:
     ask_id: int
     until: float
+    avoid: tuple[HostId, ...]
 
 
 AllowedSlots = Callable[[HostId, int], int]
@@ -105,6 +67,7 @@
         self.clients = clients
         self._upstreams_by_id: dict[HostId, _Upstream] = {}
         self._upstream_by_permit: dict[str, _Upstream] = {}
+        self._closed_by_id: dict[HostId, _Upstream] = {}
         self._asks: dict[Urgency, OrderedDict[HostId, deque[_Ask]]] = {
             urgency: OrderedDict() for urgency in Urgency
         }
@@ -121,7 +84,7 @@
         until = now + self.limits.longest_s + self.limits.grace_s
         opened = _Upstream(info=upstream, epoch=epoch)
         opened.silent_until_by_client = dict.fromkeys(silent, until)
-        self.close(upstream.host_id)
+        self.close(upstream.host_id, now=now)
         self._upstreams_by_id[upstream.host_id] = opened
 
     def report(
@@ -137,22 +100,64 @@
 
         Ask for a report under the epoch that `open` was given; a report for another is passed over.
         """
-        opened = self._upstreams_by_id.get(upstream)
-        if opened is None or opened.epoch != epoch:
+        opened = self._opened_under(upstream, epoch)
+        if opened is None:
             return
         for permit in held:
-            if permit.permit_id not in opened.uses_by_permit:
-                until = now + permit.ends_in_s + self.limits.grace_s
-                self._use(opened, permit.permit_id, client, until)
-        opened.silent_until_by_client.pop(client, None)
+            self._adopt(opened, permit.permit_id, client, now + permit.ends_in_s)
+        self._heard(opened, client)
+
+    def take_over(
+        self, *, upstream: HostId, epoch: Epoch, ledger: PermitLedger, now: float
+    ) -> None:
+        """Go on from the last owner's ledger: nobody is silent but whom it had not heard itself."""
+        opened = self._opened_under(upstream, epoch)
+        if opened is None:
+            return
+        for use in ledger.uses:
+            self._adopt(opened, use.permit_id, use.client, now + use.ends_in_s)
+        opened.silent_until_by_client = {client: now + s for client, s in ledger.silent}
+        self._drop_early(opened)
+
+    def expect(
+        self, *, upstream: HostId, epoch: Epoch, silent: Mapping[HostId, float], now: float
+    ) -> None:
+        """Replace who is waited for: seconds by entry host for which it may hold permits."""
+        opened = self._opened_under(upstream, epoch)
+        if opened is not None:
+            opened.silent_until_by_client = {client: now + s for client, s in silent.items()}
+
+    def ledger(self, *, upstream: HostId, before: Epoch, now: float) -> PermitLedger | None:
+        """Return the ledger for the owner of the later epoch `before`; None if there is none.
 
-    def close(self, upstream: HostId) -> None:
-        """Stop granting on an upstream, for example when its ownership was lost."""
+        The upstream is closed by this, so that nothing is granted after the ledger was given out.
+        """
+        opened = self._upstreams_by_id.get(upstream)
+        if opened is not None and opened.epoch < before:
+            self.close(upstream, now=now)
+        closed = self._closed_by_id.get(upstream)
+        if closed is None or closed.epoch >= before:
+            return None
+        silent = closed.silent_until_by_client.items()
+        return PermitLedger(
+            uses=tuple(
+                LedgerUse(permit_id=permit_id, client=use.client, ends_in_s=use.until - now)
+                for permit_id, use in closed.uses_by_permit.items()
+                if use.until > now
+            ),
+            silent=tuple((client, until - now) for client, until in silent if until > now),
+        )
+
+    def close(self, upstream: HostId, *, now: float) -> None:
+        """Stop granting on an upstream, for example when its ownership was lost.
+
+        What is in use stays known for as long as a permit lasts, for the next owner to ask.
+        """
         closed = self._upstreams_by_id.pop(upstream, None)
         if closed is None:
             return
-        for permit_id in closed.uses_by_permit:
-            self._upstream_by_permit.pop(permit_id, None)
+        closed.forget_at = now + self.limits.longest_s + self.limits.grace_s
+        self._closed_by_id[upstream] = closed
 
     def set_leaving(self, upstream: HostId, leaving: bool) -> None:
         """Grant nothing more on an upstream that leaves, or take it back."""
@@ -160,16 +165,40 @@
         if opened is not None:
             opened.leaving = leaving
 
-    def ask(self, *, client: HostId, urgency: Urgency, ask_id: int, now: float) -> bool:
-        """Queue an ask; False if the entry host has too many waiting."""
+    def ask(
+        self,
+        *,
+        client: HostId,
+        urgency: Urgency,
+        ask_id: int,
+        now: float,
+        avoid: tuple[HostId, ...] = (),
+    ) -> bool:
+        """Queue an ask; False if the entry host has too many waiting.
+
+        Upstreams in `avoid` are granted only if no other is free.
+        """
         waiting = self._asks_by_client.get(client, 0)
         if waiting >= self.limits.asks_per_client:
             return False
         self._asks_by_client[client] = waiting + 1
         asks = self._asks[urgency].setdefault(client, deque())
-        asks.append(_Ask(ask_id, now + self.limits.ask_ttl_s))
+        asks.append(_Ask(ask_id, now + self.limits.ask_ttl_s, avoid))
         return True
 
+    def drop_asks(self) -> list[tuple[HostId, int]]:
+        """Remove and return all waiting asks, for an owner that has nothing left to grant."""
+        dropped = [
+            (client, ask.ask_id)
+            for asks_by_client in self._asks.values()
+            for client, asks in asks_by_client.items()
+            for ask in asks
+        ]
+        for asks_by_client in self._asks.values():
+            asks_by_client.clear()
+        self._asks_by_client.clear()
+        return dropped
+
     def forget_client(self, client: HostId) -> None:
         """Drop the waiting asks of an entry host that is gone; its permits stay until they end."""
         self._asks_by_client.pop(client, None)
@@ -201,6 +230,7 @@
         """
         opened = self._upstream_by_permit.get(permit_id)
         if opened is None:
+            self._note_early(permit_id, busy_for_s)
             return None
         if busy_for_s <= 0:
             self._free_use(opened, permit_id)
@@ -219,7 +249,10 @@
             expired += len(ended)
             silent = opened.silent_until_by_client
             for client in [c for c, until in silent.items() if until <= now]:
-                del silent[client]
+                self._heard(opened, client)
+        for upstream in [u for u, closed in self._closed_by_id.items() if closed.forget_at <= now]:
+            for permit_id in list(self._closed_by_id.pop(upstream).uses_by_permit):
+                self._upstream_by_permit.pop(permit_id, None)
         return expired
 
     @property
@@ -234,6 +267,10 @@
             return max(opened.info.slots, len(opened.uses_by_permit))
         return len(opened.uses_by_permit)
 
+    def slots_of(self, upstream: HostId) -> int:
+        """Return how many slots an open upstream has."""
+        return self._upstreams_by_id[upstream].info.slots
+
     def totals(self, *, allowed: AllowedSlots = all_slots) -> tuple[int, int]:
         """Return the slots that may be granted and those in use, over all upstreams."""
         slots = in_use = 0
@@ -253,6 +290,32 @@
         opened = self._upstreams_by_id.get(upstream)
         return frozenset(opened.silent_until_by_client) if opened else frozenset()
 
+    def is_open(self, upstream: HostId) -> bool:
+        """Return whether this entry host grants on the upstream."""
+        return upstream in self._upstreams_by_id
+
+    def _opened_under(self, upstream: HostId, epoch: Epoch) -> _Upstream | None:
+        opened = self._upstreams_by_id.get(upstream)
+        return opened if opened is not None and opened.epoch == epoch else None
+
+    def _adopt(self, opened: _Upstream, permit_id: str, client: HostId, ends_at: float) -> None:
+        if permit_id in opened.uses_by_permit or permit_id in opened.returned_early:
+            return
+        self._use(opened, permit_id, client, ends_at + self.limits.grace_s)
+
+    def _heard(self, opened: _Upstream, client: HostId) -> None:
+        opened.silent_until_by_client.pop(client, None)
+        self._drop_early(opened)
+
+    def _drop_early(self, opened: _Upstream) -> None:
+        if not opened.silent_until_by_client:
+            opened.returned_early.clear()
+
+    def _note_early(self, permit_id: str, busy_for_s: float) -> None:
+        opened = self._upstreams_by_id.get(HostId(permit_id.rsplit(":", 2)[0]))
+        if opened is not None and opened.silent_until_by_client and busy_for_s <= 0:
+            opened.returned_early.add(permit_id)
+
     def _free(
         self, now: float, may_act: Callable[[HostId], Epoch | None], allowed: AllowedSlots
     ) -> dict[HostId, int]:
@@ -281,7 +344,7 @@
                 del asks_by_client[client]
                 continue
             asks_by_client.move_to_end(client)
-            opened = self._pick(client, free_by_id)
+            opened = self._pick(client, asks[0].avoid, free_by_id)
             if opened is None:
                 passed_over += 1
                 continue
@@ -305,15 +368,18 @@
         else:
             del self._asks_by_client[client]
 
-    def _pick(self, client: HostId, free_by_id: dict[HostId, int]) -> _Upstream | None:
+    def _pick(
+        self, client: HostId, avoid: tuple[HostId, ...], free_by_id: dict[HostId, int]
+    ) -> _Upstream | None:
         """Return the upstream with most free slots on which the client may open a connection."""
         best: _Upstream | None = None
-        most = 0
+        best_rank = (False, 0)
         for host_id, free in free_by_id.items():
             opened = self._upstreams_by_id[host_id]
             share = max(1, opened.info.connections // max(1, self.clients))
-            if free > most and opened.uses_by_client.get(client, 0) < share:
-                best, most = opened, free
+            rank = (host_id not in avoid, free)
+            if rank > best_rank and opened.uses_by_client.get(client, 0) < share:
+                best, best_rank = opened, rank
         return best
 
     def _grant_on(self, opened: _Upstream, client: HostId, ask: _Ask, now: float) -> Permit:
@@ -338,7 +404,7 @@
 
     def _free_use(self, opened: _Upstream, permit_id: str) -> None:
         use = opened.uses_by_permit.pop(permit_id)
-        del self._upstream_by_permit[permit_id]
+        self._upstream_by_permit.pop(permit_id, None)
         left = opened.uses_by_client[use.client] - 1
         if left:
             opened.uses_by_client[use.client] = left
--- /dev/null
+++ b/src/galenastall/node/key_owner.py
@@ -0,0 +1,389 @@
+"""Owner of shards of idempotency keys: makes intents durable before their requests leave."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, Final
+
+import trio
+from returns.result import Failure, Result, Success
+
+from galenastall.coordination.keys import (
+    HeldIntents,
+    KeyAnswer,
+    KeyShard,
+    KeyVerdict,
+    is_majority,
+    meets_every_majority,
+    shard_of,
+)
+from galenastall.node.permit_settings import RequestSettings
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.event_sink import EventSink
+from galenastall.protocol.key_messages import KeyHeld, KeyHold, KeyRead, KeyReadAnswer, KeyReserve
+from galenastall.protocol.log_access import LogAppender
+from galenastall.protocol.ownership_view import OwnershipView
+from galenastall.protocol.peers import PeerLink
+from galenastall.state.errors import Reason, StepError
+from galenastall.state.ids import (
+    Epoch,
+    HostId,
+    OwnableId,
+    OwnableKind,
+    StreamName,
+    make_ownable_id,
+)
+from galenastall.state.key_fold import (
+    KeyEnded,
+    KeyEntry,
+    KeyFold,
+    KeyIntent,
+    KeysCarried,
+    KeyShardOpened,
+    KeyShardReady,
+    entry_of,
+)
+from galenastall.state.outcomes import Outcome
+
+HOLD_CALL_S: Final = 0.5
+READ_TRIES: Final = 4
+"""Rounds of reading back before intents held in an outage are given up as lost."""
+RETRY_S: Final = 1.0
+CARRY_CHUNK: Final = 200
+"""Keys in one carried record."""
+
+
+@dataclass(kw_only=True, slots=True)
+class OwnedShard:
+    """One shard that this entry host serves."""
+
+    shard: KeyShard
+    holder_sets: tuple[frozenset[HostId], ...]
+    """More than half of each must hold an intent; two while a change of holders is in doubt."""
+    needs_flush: bool = False
+
+
+class KeyOwner:
+    """Serves the shards that this entry host owns."""
+
+    def __init__(
+        self,
+        *,
+        stream: StreamName,
+        fold: KeyFold,
+        held: HeldIntents,
+        clock: Clock,
+        peers: PeerLink,
+        ownership: OwnershipView,
+        appender: LogAppender,
+        settings: Callable[[], RequestSettings],
+        events: EventSink,
+    ) -> None:
+        """`fold` follows the data centre's stream; `held` is what this process holds for others."""
+        self._stream = stream
+        self._fold = fold
+        self._held = held
+        self._clock = clock
+        self._peers = peers
+        self._me = peers.host_id
+        self._ownership = ownership
+        self._appender = appender
+        self._settings = settings
+        self._events = events
+        self._owned_by_name: dict[str, OwnedShard] = {}
+        self._epochs_by_name: dict[str, Epoch] = {}
+        self._nursery: trio.Nursery | None = None
+        self._to_open: list[tuple[str, Epoch]] = []
+        ownership.on_activated(self._on_activated)
+        ownership.on_lost(self._on_lost)
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Open shards as they are activated and write what the log lacks, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for name, epoch in self._to_open:
+                nursery.start_soon(self._open, name, epoch)
+            task_status.started()
+            while True:
+                await trio.sleep(RETRY_S)
+                for owned in list(self._owned_by_name.values()):
+                    await self._keep_up(owned)
+
+    @property
+    def serving(self) -> frozenset[str]:
+        """Names of the shards served."""
+        return frozenset(self._owned_by_name)
+
+    async def reserve(self, *, runner: HostId, wanted: KeyReserve) -> Result[KeyAnswer, StepError]:
+        """Return the verdict; a GO only once the intent is durable."""
+        owned = self._owned_by_name.get(shard_of(wanted.key))
+        if owned is None or not self._may_act(owned.shard):
+            return Failure(_error(Reason.NOT_OWNER, f"key shard {shard_of(wanted.key)}"))
+        answer = owned.shard.check(
+            key=wanted.key, digest=wanted.digest, made_at=wanted.made_at, wall=self._clock.wall()
+        )
+        if answer.verdict is not KeyVerdict.GO:
+            return Success(answer)
+        intent = owned.shard.begin(
+            key=wanted.key,
+            digest=wanted.digest,
+            made_at=wanted.made_at,
+            request_id=wanted.request_id,
+            runner=runner,
+            ends_at=wanted.ends_at,
+        )
+        if await self._make_durable(owned, intent):
+            return Success(answer)
+        await self.end(_not_run(intent))
+        return Failure(_error(Reason.UNAVAILABLE, "the intent is neither in the log nor held"))
+
+    async def end(self, ended: KeyEnded) -> bool:
+        """Take in a request's end; False if its shard is not served here."""
+        owned = self._owned_by_name.get(ended.shard)
+        if owned is None:
+            return False
+        record = owned.shard.end(
+            key=ended.key,
+            request_id=ended.request_id,
+            outcome=ended.outcome,
+            status=ended.status,
+        )
+        if record is None:
+            return True
+        if self._appender.is_log_up:
+            appended = await self._appender.append(stream=self._stream, record=record)
+            if isinstance(appended, Success):
+                return True
+        owned.needs_flush = True
+        entries = [entry for entry in owned.shard.unlogged() if entry.key == ended.key]
+        await self._hold(owned, tuple(entries))
+        return True
+
+    async def _make_durable(self, owned: OwnedShard, intent: KeyIntent) -> bool:
+        if self._appender.is_log_up:
+            appended = await self._appender.append(stream=self._stream, record=intent)
+            if isinstance(appended, Success):
+                return owned.shard.is_recorded(intent)
+        owned.needs_flush = True
+        return await self._hold(owned, (entry_of(intent),))
+
+    async def _hold(self, owned: OwnedShard, entries: tuple[KeyEntry, ...]) -> bool:
+        """Have the entries held; return whether more than half of the holders do."""
+        message = KeyHold(shard=owned.shard.name, epoch=owned.shard.epoch, entries=entries)
+        holding: set[HostId] = set()
+
+        async def ask(holder: HostId) -> None:
+            if await self._is_held(holder, message):
+                holding.add(holder)
+
+        async with trio.open_nursery() as nursery:
+            for holder in frozenset().union(*owned.holder_sets):
+                nursery.start_soon(ask, holder)
+        return all(
+            is_majority(count=len(holders & holding), of=len(holders))
+            for holders in owned.holder_sets
+        )
+
+    async def _is_held(self, holder: HostId, message: KeyHold) -> bool:
+        if holder == self._me:
+            return self._held.hold(
+                shard=message.shard, epoch=message.epoch, entries=message.entries
+            )
+        answer = await self._peers.call(peer=holder, message=message, timeout_s=HOLD_CALL_S)
+        return isinstance(answer, Success) and answer.unwrap() == KeyHeld(held=True)
+
+    def _may_act(self, shard: KeyShard) -> bool:
+        return self._ownership.may_act(_ownable(shard.name)) == shard.epoch
+
+    def _on_activated(self, ownable: OwnableId, epoch: Epoch) -> None:
+        kind, _, name = ownable.partition("/")
+        if kind != OwnableKind.KEYS:
+            return
+        self._epochs_by_name[name] = epoch
+        if self._nursery is None:
+            self._to_open.append((name, epoch))
+            return
+        self._nursery.start_soon(self._open, name, epoch)
+
+    def _on_lost(self, ownable: OwnableId) -> None:
+        kind, _, name = ownable.partition("/")
+        if kind == OwnableKind.KEYS:
+            self._epochs_by_name.pop(name, None)
+            self._owned_by_name.pop(name, None)
+
+    async def _open(self, name: str, epoch: Epoch) -> None:
+        """Fence earlier owners in the log and at the holders, read back, then serve."""
+        opened = KeyShardOpened(shard=name, epoch=epoch, opened_at=self._clock.wall())
+        if not await self._append_until_done(name, epoch, opened):
+            return
+        shard = KeyShard(name=name, epoch=epoch, fold=self._fold, rules=self._settings().keys)
+        serving = self._fold.shard(name).serving
+        entries, holders, complete = await self._read_back(name, epoch, serving)
+        restored = shard.restore(entries)
+        for first in range(0, len(restored), CARRY_CHUNK):
+            chunk = restored[first : first + CARRY_CHUNK]
+            carried = KeysCarried(shard=name, epoch=epoch, entries=chunk)
+            if not await self._append_until_done(name, epoch, carried):
+                return
+        ready = KeyShardReady(
+            shard=name,
+            epoch=epoch,
+            holders=tuple(sorted(holders)),
+            ready_at=self._clock.wall(),
+            incomplete_until=0.0 if complete else self._clock.wall(),
+        )
+        if not await self._append_until_done(name, epoch, ready):
+            return
+        self._owned_by_name[name] = OwnedShard(shard=shard, holder_sets=(holders,))
+        cause = "complete" if complete else "intents may be lost"
+        self._events.record("keys.serving", subjects=(_ownable(name),), cause=cause)
+
+    async def _append_until_done(self, name: str, epoch: Epoch, record: Any) -> bool:
+        """Append while this entry host owns the shard; False once it does not."""
+        while self._epochs_by_name.get(name) == epoch:
+            appended = await self._appender.append(stream=self._stream, record=record)
+            if isinstance(appended, Success):
+                return self._epochs_by_name.get(name) == epoch
+            await trio.sleep(RETRY_S)
+        return False
+
+    async def _read_back(
+        self, name: str, epoch: Epoch, serving: KeyShardReady | None
+    ) -> tuple[list[KeyEntry], frozenset[HostId], bool]:
+        """Return what is held, who holds from now on, and whether nothing can be missing."""
+        last_holders = frozenset(serving.holders) if serving else frozenset()
+        asked = last_holders | self._ownership.roster()
+        request = KeyRead(shard=name, epoch=epoch, serving=serving.epoch if serving else None)
+        reads_by_host: dict[HostId, KeyReadAnswer] = {}
+
+        async def ask(host: HostId) -> None:
+            read = await self._read_one(host, request)
+            if read is not None:
+                reads_by_host[host] = read
+
+        complete = False
+        for tried in range(READ_TRIES):
+            async with trio.open_nursery() as nursery:
+                for host in asked - reads_by_host.keys():
+                    nursery.start_soon(ask, host)
+            answered = [
+                h for h in last_holders if h in reads_by_host and reads_by_host[h].was_holder
+            ]
+            complete = self._is_complete(serving, len(answered))
+            if complete or tried + 1 == READ_TRIES:
+                break
+            await trio.sleep(RETRY_S)
+        entries = [entry for read in reads_by_host.values() for entry in read.entries]
+        roster = self._ownership.roster()
+        holders = frozenset(
+            h for h, read in reads_by_host.items() if read.is_holder and h in roster
+        )
+        return entries, holders | {self._me}, complete
+
+    def _is_complete(self, serving: KeyShardReady | None, answered: int) -> bool:
+        if serving is None:
+            return self._fold.first_offset in (None, 0)
+        return meets_every_majority(count=answered, of=len(serving.holders))
+
+    async def _read_one(self, host: HostId, request: KeyRead) -> KeyReadAnswer | None:
+        if host == self._me:
+            read = self._held.read(
+                shard=request.shard, epoch=request.epoch, serving=request.serving
+            )
+            return KeyReadAnswer(
+                is_holder=read.is_holder, was_holder=read.was_holder, entries=read.entries
+            )
+        answer = await self._peers.call(peer=host, message=request, timeout_s=HOLD_CALL_S)
+        if isinstance(answer, Failure):
+            return None
+        read_back: KeyReadAnswer = answer.unwrap()
+        return read_back
+
+    async def _keep_up(self, owned: OwnedShard) -> None:
+        """Write what was held once the log is back, then follow changes of the roster."""
+        if not self._appender.is_log_up or not self._may_act(owned.shard):
+            return
+        if owned.needs_flush and not await self._flush(owned):
+            return
+        roster = self._ownership.roster()
+        if len(owned.holder_sets) == 1 and owned.holder_sets[0] == roster:
+            return
+        await self._change_holders(owned, roster)
+
+    async def _flush(self, owned: OwnedShard) -> bool:
+        owned.needs_flush = False
+        if await self.carry(owned.shard, owned.shard.unlogged()):
+            return True
+        owned.needs_flush = True
+        return False
+
+    async def carry(self, shard: KeyShard, entries: Iterable[KeyEntry]) -> bool:
+        """Write entries once more in chunks; False as soon as one is not known to be written."""
+        pending = tuple(entries)
+        for first in range(0, len(pending), CARRY_CHUNK):
+            chunk = pending[first : first + CARRY_CHUNK]
+            record = KeysCarried(shard=shard.name, epoch=shard.epoch, entries=chunk)
+            appended = await self._appender.append(stream=self._stream, record=record)
+            if isinstance(appended, Failure):
+                return False
+        return True
+
+    async def _change_holders(self, owned: OwnedShard, roster: frozenset[HostId]) -> None:
+        request = KeyRead(
+            shard=owned.shard.name, epoch=owned.shard.epoch, serving=owned.shard.epoch
+        )
+        holders = set()
+        for host in roster:
+            read = await self._read_one(host, request)
+            if read is not None and read.is_holder:
+                holders.add(host)
+        new = frozenset(holders | {self._me})
+        if owned.holder_sets == (new,):
+            return
+        owned.holder_sets = (*owned.holder_sets, new)
+        if await self.announce(owned.shard, new):
+            owned.holder_sets = (new,)
+
+    async def announce(self, shard: KeyShard, holders: frozenset[HostId]) -> bool:
+        """Record who holds from now on; False if that is not known to be in the log."""
+        state = self._fold.shard(shard.name)
+        record = KeyShardReady(
+            shard=shard.name,
+            epoch=shard.epoch,
+            holders=tuple(sorted(holders)),
+            ready_at=self._clock.wall(),
+            incomplete_until=state.incomplete_until,
+        )
+        appended = await self._appender.append(stream=self._stream, record=record)
+        return isinstance(appended, Success)
+
+    async def reopen(self, owned: OwnedShard) -> bool:
+        """Record the opening once more under the same epoch, before the log trims it."""
+        opened = KeyShardOpened(
+            shard=owned.shard.name, epoch=owned.shard.epoch, opened_at=self._clock.wall()
+        )
+        appended = await self._appender.append(stream=self._stream, record=opened)
+        if isinstance(appended, Failure):
+            return False
+        holders = frozenset().union(*owned.holder_sets)
+        return len(owned.holder_sets) == 1 and await self.announce(owned.shard, holders)
+
+    def owned(self) -> tuple[OwnedShard, ...]:
+        """Return the shards served."""
+        return tuple(self._owned_by_name.values())
+
+
+def _ownable(name: str) -> OwnableId:
+    return make_ownable_id(OwnableKind.KEYS, name)
+
+
+def _not_run(intent: KeyIntent) -> KeyEnded:
+    return KeyEnded(
+        shard=intent.shard,
+        key=intent.key,
+        request_id=intent.request_id,
+        outcome=Outcome.NOT_RUN,
+    )
+
+
+def _error(reason: Reason, detail: str) -> StepError:
+    return StepError(step="keys.reserve", peer="", reason=reason, detail=detail)
--- /dev/null
+++ b/src/galenastall/node/request_attempt.py
@@ -0,0 +1,282 @@
+"""One attempt at one request: sends it under a permit and says exactly how it ended."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+
+from returns.result import Failure, Result
+
+from galenastall.coordination.permit_types import Permit
+from galenastall.node.answer_stream import AnswerStream
+from galenastall.node.permit_service import PermitService
+from galenastall.node.permit_settings import RequestSettings
+from galenastall.node.request_types import Body, RequestCall, RequestCounters, RequestReason
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.permit_messages import PermitReturn
+from galenastall.protocol.platform import (
+    UpstreamAnswer,
+    UpstreamCall,
+    UpstreamCutError,
+    UpstreamService,
+)
+from galenastall.state.errors import Reason, StepError
+from galenastall.state.ids import AttemptId
+from galenastall.state.outcomes import Outcome
+
+SERVER_FAULT = 500
+"""Lowest HTTP status that is the upstream's own fault."""
+
+NOT_RUN_REASONS = {
+    Reason.UNREACHABLE: RequestReason.UNREACHABLE,
+    Reason.REFUSED: RequestReason.REFUSED_BY_UPSTREAM,
+    Reason.CONFLICT: RequestReason.REFUSED_BY_UPSTREAM,
+    Reason.OVERLOADED: RequestReason.REFUSED_BY_UPSTREAM,
+}
+"""What proves that a call did not run; after anything else it may have run."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AttemptResult:
+    """How an attempt ended."""
+
+    outcome: Outcome
+    reason: RequestReason = RequestReason.NONE
+    status: int = 0
+    content_type: str = ""
+    body: Body = b""
+    detail: str = ""
+    body_replayable: bool = True
+
+
+class OutgoingBody:
+    """The request body of one attempt; knows whether a streamed one was begun."""
+
+    def __init__(self, body: Body) -> None:
+        self._body = body
+        self.is_begun = False
+
+    @property
+    def is_replayable(self) -> bool:
+        """Whether a further attempt can send it whole."""
+        return isinstance(self._body, bytes) or not self.is_begun
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body."""
+        self.is_begun = True
+        if isinstance(self._body, bytes):
+            if self._body:
+                yield self._body
+            return
+        async for chunk in self._body:
+            yield chunk
+
+
+class Attempts:
+    """Makes attempts; each gives its permit back exactly once."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        upstreams: UpstreamService,
+        permits: PermitService,
+        settings: Callable[[], RequestSettings],
+        counters: RequestCounters,
+        note_time: Callable[[str, float], None],
+    ) -> None:
+        """`note_time` takes the operation and run time of each request that is done."""
+        self._clock = clock
+        self._upstreams = upstreams
+        self._permits = permits
+        self._settings = settings
+        self._counters = counters
+        self._note_time = note_time
+
+    async def make(
+        self, *, call: RequestCall, permit: Permit, attempt_id: AttemptId
+    ) -> AttemptResult:
+        """Send the request now; the caller has checked that the permit may begin."""
+        now = self._clock.now()
+        ends_at = min(call.deadline, self._permits.ends_at(permit))
+        upstream_call = UpstreamCall(
+            request_id=call.request_id,
+            attempt_id=attempt_id,
+            epoch=permit.epoch,
+            not_after=self._clock.wall() + ends_at - now,
+            content_type=call.content_type,
+            operation=call.operation,
+            content_length=len(call.body) if isinstance(call.body, bytes) else call.content_length,
+        )
+        run = _Run(self, call.operation, permit, now)
+        body = OutgoingBody(call.body)
+        try:
+            async with AsyncExitStack() as stack:
+                sent = await stack.enter_async_context(
+                    self._upstreams.call(
+                        address=permit.address, call=upstream_call, body=body.chunks()
+                    )
+                )
+                return await self._judge(sent, upstream_call, body, run, stack)
+        finally:
+            run.give_up()
+
+    async def _judge(
+        self,
+        sent: Result[UpstreamAnswer, StepError],
+        call: UpstreamCall,
+        body: OutgoingBody,
+        run: "_Run",
+        stack: AsyncExitStack,
+    ) -> AttemptResult:
+        if isinstance(sent, Failure):
+            return self._not_answered(sent.failure(), body, run)
+        answer = sent.unwrap()
+        if answer.attempt_id != call.attempt_id:
+            self._counters.foreign_answers += 1
+            run.end(Outcome.UNKNOWN, is_fault=True)
+            return _unknown(RequestReason.FOREIGN_ANSWER, body, f"names {answer.attempt_id!r}")
+        if answer.outcome is Outcome.UNKNOWN:
+            run.end(Outcome.UNKNOWN, is_fault=True, leaving=answer.leaving)
+            return _unknown(RequestReason.NO_ANSWER, body, f"status {answer.status}")
+        if answer.outcome is Outcome.NOT_RUN:
+            run.end(Outcome.NOT_RUN, leaving=answer.leaving)
+            return AttemptResult(
+                outcome=Outcome.NOT_RUN,
+                reason=RequestReason.REFUSED_BY_UPSTREAM,
+                body_replayable=body.is_replayable,
+            )
+        return await self._read(answer, body, run, stack)
+
+    def _not_answered(self, error: StepError, body: OutgoingBody, run: "_Run") -> AttemptResult:
+        reason = NOT_RUN_REASONS.get(error.reason)
+        if reason is not None:
+            run.end(Outcome.NOT_RUN, is_fault=error.reason is Reason.UNREACHABLE)
+            return AttemptResult(
+                outcome=Outcome.NOT_RUN,
+                reason=reason,
+                detail=str(error),
+                body_replayable=body.is_replayable,
+            )
+        run.end(Outcome.UNKNOWN, is_fault=True)
+        cut = error.reason is Reason.CUT
+        self._counters.cut_answers += cut
+        reason = RequestReason.ANSWER_CUT if cut else RequestReason.NO_ANSWER
+        return _unknown(reason, body, str(error))
+
+    async def _read(
+        self, answer: UpstreamAnswer, body: OutgoingBody, run: "_Run", stack: AsyncExitStack
+    ) -> AttemptResult:
+        """Read a small answer whole; hand a large one on as a stream."""
+        limit = self._settings().whole_answer_bytes
+        chunks: list[bytes] = []
+        size = 0
+        try:
+            async for chunk in answer.body:
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > limit:
+                    return self._stream(answer, chunks, run, stack)
+        except UpstreamCutError as error:
+            self._counters.cut_answers += 1
+            run.end(Outcome.UNKNOWN, is_fault=True, leaving=answer.leaving)
+            return _unknown(RequestReason.ANSWER_CUT, body, str(error))
+        run.end_answered(answer)
+        whole = chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        return _answered(answer, whole)
+
+    def _stream(
+        self, answer: UpstreamAnswer, first: list[bytes], run: "_Run", stack: AsyncExitStack
+    ) -> AttemptResult:
+        def ended(whole: bool) -> None:
+            if whole:
+                run.end_answered(answer)
+                return
+            self._counters.broken_streams += 1
+            run.end(Outcome.UNKNOWN, leaving=answer.leaving)
+
+        run.is_handed_on = True
+        stream = AnswerStream(first=first, rest=answer.body, call=stack.pop_all(), ended=ended)
+        return _answered(answer, stream)
+
+    def give_back(self, returned: PermitReturn) -> None:
+        """Give a permit back."""
+        self._permits.give_back(returned)
+
+    def now(self) -> float:
+        """Return the runtime time."""
+        return self._clock.now()
+
+    def ran(self, operation: str, seconds: float) -> None:
+        """Note the run time of a request that is done."""
+        self._note_time(operation, seconds)
+
+    @property
+    def overrun_s(self) -> float:
+        """Time for which an upstream may go on with a request given up, in seconds."""
+        return self._settings().overrun_s
+
+
+class _Run:
+    """One permit in use; ends once, whichever way comes first."""
+
+    __slots__ = ("_attempts", "_is_over", "_operation", "_permit", "_started_at", "is_handed_on")
+
+    def __init__(
+        self, attempts: Attempts, operation: str, permit: Permit, started_at: float
+    ) -> None:
+        self._attempts = attempts
+        self._operation = operation
+        self._permit = permit
+        self._started_at = started_at
+        self._is_over = False
+        self.is_handed_on = False
+
+    def end_answered(self, answer: UpstreamAnswer) -> None:
+        """End with a whole answer."""
+        done = answer.outcome is Outcome.DONE
+        if done:
+            self._attempts.ran(self._operation, self._attempts.now() - self._started_at)
+        fault = not done and answer.status >= SERVER_FAULT
+        self.end(answer.outcome, is_fault=fault, leaving=answer.leaving)
+
+    def end(self, outcome: Outcome, *, is_fault: bool = False, leaving: bool = False) -> None:
+        """Give the permit back with what the attempt saw."""
+        if self._is_over:
+            return
+        self._is_over = True
+        self._attempts.give_back(
+            PermitReturn(
+                permit_id=self._permit.permit_id,
+                upstream=self._permit.upstream,
+                outcome=outcome,
+                latency_s=self._attempts.now() - self._started_at,
+                busy_for_s=self._attempts.overrun_s if outcome is Outcome.UNKNOWN else 0.0,
+                is_fault=is_fault,
+                leaving=leaving,
+            )
+        )
+
+    def give_up(self) -> None:
+        """End an attempt that was left by an exception; it may have run."""
+        if not self.is_handed_on:
+            self.end(Outcome.UNKNOWN)
+
+
+def _answered(answer: UpstreamAnswer, body: Body) -> AttemptResult:
+    done = answer.outcome is Outcome.DONE
+    return AttemptResult(
+        outcome=answer.outcome,
+        reason=RequestReason.NONE if done else RequestReason.FAILED_BY_UPSTREAM,
+        status=answer.status,
+        content_type=answer.content_type,
+        body=body,
+    )
+
+
+def _unknown(reason: RequestReason, body: OutgoingBody, detail: str) -> AttemptResult:
+    return AttemptResult(
+        outcome=Outcome.UNKNOWN,
+        reason=reason,
+        detail=detail,
+        body_replayable=body.is_replayable,
+    )
--- /dev/null
+++ b/src/galenastall/node/request_book.py
@@ -0,0 +1,53 @@
+"""What became of the last requests of this entry host, by the caller's id."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import Final
+
+from galenastall.node.request_types import RequestAnswer, RequestReason
+from galenastall.state.ids import HostId, RequestId
+from galenastall.state.outcomes import Outcome
+
+KEPT: Final = 10_000
+"""Requests remembered; the oldest go first."""
+
+
+@dataclass(slots=True)
+class RequestStatus:
+    """Where a request stands; `outcome` is None while it is in progress."""
+
+    request_id: RequestId
+    state: str = "waiting"
+    """`waiting`, `sent` or `ended`."""
+    outcome: Outcome | None = None
+    reason: RequestReason = RequestReason.NONE
+    upstream: HostId = HostId("")
+    attempts: int = 0
+
+
+class RequestBook:
+    """Bounded memory of requests, for the status page."""
+
+    def __init__(self, *, kept: int = KEPT) -> None:
+        """Start empty."""
+        self._kept = kept
+        self._statuses_by_id: OrderedDict[RequestId, RequestStatus] = OrderedDict()
+
+    def open(self, request_id: RequestId) -> RequestStatus:
+        """Begin a request; a later one of the same id replaces it."""
+        status = RequestStatus(request_id)
+        self._statuses_by_id[request_id] = status
+        if len(self._statuses_by_id) > self._kept:
+            self._statuses_by_id.popitem(last=False)
+        return status
+
+    def close(self, status: RequestStatus, answer: RequestAnswer) -> None:
+        """Note the final answer."""
+        status.state = "ended"
+        status.outcome = answer.outcome
+        status.reason = answer.reason
+        status.attempts = answer.attempts
+
+    def get(self, request_id: RequestId) -> RequestStatus | None:
+        """Return where a request stands, or None if it is not known here."""
+        return self._statuses_by_id.get(request_id)
--- /dev/null
+++ b/src/galenastall/node/request_service.py
@@ -0,0 +1,339 @@
+"""The request path of one entry host: queue, permit, attempt, retry, and one exact outcome."""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Final
+
+import trio
+
+from galenastall.coordination.admission import Admission, Offered, WaitingRequest
+from galenastall.coordination.permit_types import Permit
+from galenastall.coordination.rates import ShortestTime
+from galenastall.coordination.retries import AttemptEnd, RetryBudget, may_retry
+from galenastall.node.permit_service import TICK_S, PermitService
+from galenastall.node.permit_settings import RequestSettings
+from galenastall.node.request_attempt import AttemptResult, Attempts
+from galenastall.node.request_book import RequestBook, RequestStatus
+from galenastall.node.request_types import (
+    RequestAnswer,
+    RequestCall,
+    RequestCounters,
+    RequestReason,
+)
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.event_sink import EventSink
+from galenastall.protocol.platform import UpstreamService
+from galenastall.state.ids import AttemptId, HostId, Incarnation, RequestId
+from galenastall.state.outcomes import Outcome
+from galenastall.state.work import Urgency
+
+MAX_SWAPS: Final = 2
+"""Permits of an upstream tried before that a retry gives back in the hope of another."""
+DRAIN_RETRY_S: Final = 1.0
+NO_UPSTREAM_RETRY_S: Final = 2.0
+
+
+@dataclass(slots=True)
+class _Waiter:
+    """A request in the queue and what it gets: a permit, or a reason why not."""
+
+    woken: trio.Event = field(default_factory=trio.Event)
+    permit: Permit | None = None
+    reason: RequestReason = RequestReason.NONE
+
+
+@dataclass(slots=True)
+class _Run:
+    """A request from submit to its answer."""
+
+    call: RequestCall
+    ticket: RequestId
+    status: RequestStatus
+    tried: set[HostId] = field(default_factory=set)
+    attempts: int = 0
+    swaps: int = 0
+    maybe_ran: AttemptResult | None = None
+    """The last attempt that may have run: from then on nothing can be called `not run`."""
+
+
+class RequestService:
+    """Runs requests on the upstreams of this data centre."""
+
+    def __init__(
+        self,
+        *,
+        incarnation: Incarnation,
+        clock: Clock,
+        upstreams: UpstreamService,
+        permits: PermitService,
+        settings: Callable[[], RequestSettings],
+        events: EventSink,
+    ) -> None:
+        """`incarnation` makes attempt ids unique over processes."""
+        self.counters = RequestCounters()
+        self.book = RequestBook()
+        self._clock = clock
+        self._permits = permits
+        self._settings = settings
+        self._events = events
+        self._admission = Admission(limits=settings().admission)
+        self._budget = RetryBudget(limits=settings().retries)
+        self._shortest = ShortestTime()
+        self._waiters_by_ticket: dict[RequestId, _Waiter] = {}
+        self._tickets = (RequestId(f"{incarnation}.{n}") for n in itertools.count(1))
+        self._in_progress = 0
+        self._is_draining = False
+        self._drained = trio.Event()
+        self._attempts = Attempts(
+            clock=clock,
+            upstreams=upstreams,
+            permits=permits,
+            settings=settings,
+            counters=self.counters,
+            note_time=self._note_time,
+        )
+        permits.connect(take=self._take_permit, wanted=self._wanted)
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return len(self._admission)
+
+    @property
+    def in_progress(self) -> int:
+        """Requests that have no final answer yet."""
+        return self._in_progress
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Drop what can no longer be in time, until cancelled."""
+        task_status.started()
+        while True:
+            self._tick()
+            await trio.sleep(TICK_S)
+
+    def begin_drain(self) -> None:
+        """Refuse new requests from now on."""
+        self._is_draining = True
+
+    async def drain(self) -> None:
+        """Refuse new requests; return once all accepted ones are answered, streams included."""
+        self.begin_drain()
+        await self._drained.wait()
+
+    def next_ticket(self) -> RequestId:
+        """Return an id that no other request of any entry host has."""
+        return next(self._tickets)
+
+    def count(self, answer: RequestAnswer) -> RequestAnswer:
+        """Count an answer that was given before the request came to `submit`; return it."""
+        self.counters.ended(answer)
+        return answer
+
+    def refusal(self, call: RequestCall) -> RequestAnswer | None:
+        """Return why the request would be refused now, before anything is recorded for it."""
+        if self._is_draining:
+            return self._not_run(call, RequestReason.DRAINING, DRAIN_RETRY_S)
+        if not self._permits.has_upstreams():
+            return self._not_run(call, RequestReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
+        refused = self._admission.check(
+            request=self._waiting_of(call, call.request_id), now=self._clock.now()
+        )
+        if refused is None:
+            return None
+        return self._not_run(call, RequestReason(refused.reason), refused.retry_after_s)
+
+    async def submit(self, call: RequestCall) -> RequestAnswer:
+        """Run a request; returns its final answer, exactly one of the four outcomes."""
+        run = _Run(call=call, ticket=next(self._tickets), status=self.book.open(call.request_id))
+        self._in_progress += 1
+        try:
+            answer = self.refusal(call) or await self._until_final(run)
+        finally:
+            self._in_progress -= 1
+        self.counters.ended(answer)
+        self.book.close(run.status, answer)
+        self._record(run, answer)
+        return answer
+
+    async def _until_final(self, run: _Run) -> RequestAnswer:
+        self._budget.first_attempt()
+        while True:
+            permit = await self._permit_for(run)
+            if isinstance(permit, RequestAnswer):
+                return permit
+            if not self._permits.may_begin(permit):
+                self.counters.void_permits += 1
+                self._permits.give_back_unused(permit)
+                continue
+            result = await self._attempt(run, permit)
+            if not self._goes_on(run, result):
+                return self._final(run, result)
+            self.counters.retries += 1
+
+    async def _attempt(self, run: _Run, permit: Permit) -> AttemptResult:
+        run.attempts += 1
+        run.tried.add(permit.upstream)
+        run.status.state = "sent"
+        run.status.upstream = permit.upstream
+        run.status.attempts = run.attempts
+        attempt_id = AttemptId(f"{run.call.request_id}#{run.ticket}.{run.attempts}")
+        result = await self._attempts.make(call=run.call, permit=permit, attempt_id=attempt_id)
+        if result.outcome is Outcome.UNKNOWN:
+            run.maybe_ran = result
+        if result.outcome is not Outcome.DONE:
+            self._events.record(
+                "request.attempt",
+                peer=permit.upstream,
+                subjects=(run.call.request_id, attempt_id),
+                cause=f"{result.outcome}: {result.reason}",
+            )
+        return result
+
+    def _goes_on(self, run: _Run, result: AttemptResult) -> bool:
+        end = AttemptEnd(
+            outcome=result.outcome,
+            attempt=run.attempts,
+            idempotent=run.call.idempotent,
+            body_replayable=result.body_replayable,
+            remaining_s=run.call.deadline - self._clock.now(),
+        )
+        shortest_s = self._shortest.seconds(run.call.operation)
+        if not may_retry(end=end, limits=self._settings().retries, shortest_s=shortest_s):
+            return False
+        if self._budget.spend():
+            return True
+        self.counters.retries_denied += 1
+        return False
+
+    async def _permit_for(self, run: _Run) -> Permit | RequestAnswer:
+        """Wait for a permit, of an upstream not tried before if there is one."""
+        while True:
+            waiter = _Waiter()
+            self._waiters_by_ticket[run.ticket] = waiter
+            try:
+                offered = self._offer(run)
+                if offered.refusal is not None:
+                    return self._gave_up(run, RequestReason(offered.refusal.reason))
+                if waiter.permit is None and not waiter.reason:
+                    await waiter.woken.wait()
+            except BaseException:
+                self._admission.withdraw(run.ticket)
+                if waiter.permit is not None:
+                    self._permits.give_back_unused(waiter.permit)
+                raise
+            finally:
+                del self._waiters_by_ticket[run.ticket]
+            if waiter.permit is None:
+                return self._gave_up(run, waiter.reason)
+            if waiter.permit.upstream not in run.tried or run.swaps >= MAX_SWAPS:
+                return waiter.permit
+            run.swaps += 1
+            self._permits.give_back_unused(waiter.permit)
+
+    def _offer(self, run: _Run) -> Offered:
+        offered = self._admission.offer(
+            request=self._waiting_of(run.call, run.ticket), now=self._clock.now()
+        )
+        if offered.displaced is not None:
+            self._wake(offered.displaced.request_id, RequestReason.DISPLACED)
+        if offered.refusal is None:
+            self._permits.pump(avoid=tuple(run.tried))
+        return offered
+
+    def _waiting_of(self, call: RequestCall, ticket: RequestId) -> WaitingRequest:
+        service_s = self._shortest.seconds(call.operation)
+        if service_s:
+            service_s += self._settings().dispatch_margin_s
+        return WaitingRequest(
+            request_id=ticket,
+            team=call.team,
+            urgency=call.urgency,
+            deadline=call.deadline,
+            service_s=service_s,
+        )
+
+    def _take_permit(self, permit: Permit) -> bool:
+        """Give a permit to the request that goes first now; False if none waits."""
+        now = self._clock.now()
+        self._drop_late(now)
+        waiting = self._admission.take(now=now)
+        if waiting is None:
+            return False
+        waiter = self._waiters_by_ticket[waiting.request_id]
+        waiter.permit = permit
+        waiter.woken.set()
+        return True
+
+    def _wanted(self) -> tuple[int, Urgency]:
+        waiting = len(self._admission)
+        for urgency in Urgency:
+            if self._admission.waiting_of(urgency):
+                return waiting, urgency
+        return waiting, Urgency.NORMAL
+
+    def _tick(self) -> None:
+        settings = self._settings()
+        self._admission.limits = settings.admission
+        self._admission.weights_by_team = settings.weights_by_team
+        self._budget.limits = settings.retries
+        self._drop_late(self._clock.now())
+        if self._is_draining and not self._in_progress and not self._permits.held:
+            self._drained.set()
+
+    def _drop_late(self, now: float) -> None:
+        for request in self._admission.expire(now=now):
+            self._wake(request.request_id, RequestReason.DEADLINE_PASSED)
+
+    def _wake(self, ticket: RequestId, reason: RequestReason) -> None:
+        waiter = self._waiters_by_ticket[ticket]
+        waiter.reason = reason
+        waiter.woken.set()
+
+    def _note_time(self, operation: str, seconds: float) -> None:
+        self._shortest.note(operation=operation, seconds=seconds)
+
+    def _gave_up(self, run: _Run, reason: RequestReason) -> RequestAnswer:
+        """Answer a request that gets no further permit; one that may have run is unknown."""
+        if run.maybe_ran is not None:
+            return self._final(run, run.maybe_ran)
+        answer = self._not_run(run.call, reason, self._admission.retry_after_s(run.call.urgency))
+        return replace(answer, attempts=run.attempts)
+
+    def _final(self, run: _Run, result: AttemptResult) -> RequestAnswer:
+        if result.outcome is Outcome.NOT_RUN and run.maybe_ran is not None:
+            result = run.maybe_ran
+        retry_after_s = None
+        if result.outcome is Outcome.NOT_RUN:
+            retry_after_s = self._admission.retry_after_s(run.call.urgency)
+        return RequestAnswer(
+            request_id=run.call.request_id,
+            outcome=result.outcome,
+            reason=result.reason,
+            status=result.status,
+            content_type=result.content_type,
+            body=result.body,
+            retry_after_s=retry_after_s,
+            upstream=run.status.upstream,
+            attempts=run.attempts,
+            detail=result.detail,
+        )
+
+    def _not_run(
+        self, call: RequestCall, reason: RequestReason, retry_after_s: float
+    ) -> RequestAnswer:
+        return RequestAnswer(
+            request_id=call.request_id,
+            outcome=Outcome.NOT_RUN,
+            reason=reason,
+            retry_after_s=retry_after_s,
+        )
+
+    def _record(self, run: _Run, answer: RequestAnswer) -> None:
+        self._events.record(
+            "request.ended",
+            peer=answer.upstream,
+            subjects=(run.call.request_id, run.call.team),
+            cause=f"{answer.outcome}: {answer.reason}" if answer.reason else answer.outcome,
+            fields={"operation": run.call.operation, "attempts": str(run.attempts)},
+        )
--- a/src/galenastall/state/key_fold.py
+++ b/src/galenastall/state/key_fold.py
@@ -201,7 +201,7 @@
         if state.opened is None or record.epoch != state.opened.epoch:
             return
         known = state.entries_by_key.get(record.key)
-        if known is not None and known.outcome is not Outcome.NOT_RUN:
+        if known is not None and not _may_follow(known, record):
             return
         state.entries_by_key[record.key] = entry_of(record)
         state.first_offset_by_key[record.key] = offset
@@ -225,6 +225,11 @@
             state.first_offset_by_key[entry.key] = offset
 
 
+def _may_follow(known: KeyEntry, record: KeyIntent) -> bool:
+    """Return whether the key may be taken again; a late append of an older intent may not."""
+    return known.outcome is Outcome.NOT_RUN and record.serial > known.serial
+
+
 def rank(entry: KeyEntry) -> tuple[int, int, bool]:
     """Return what orders two entries of one key: the higher one holds."""
     return entry.epoch, entry.serial, entry.outcome is not None
--- /dev/null
+++ b/src/galenastall/state/upstream_tenures.py
@@ -0,0 +1,71 @@
+"""Which entry hosts owned an ownable before, according to a data centre's stream.
+
+A new owner of an upstream asks the one before it which permits are out; an ownable that nobody
+owned before has none.
+"""
+
+from galenastall.state.ids import Epoch, HostId, Offset, OwnableId
+from galenastall.state.ownership_records import Activate, Claim, HandOver, OwnershipSnapshot
+from galenastall.state.records import LoggedRecord
+
+
+class TenureHistory:
+    """The last two owners of each ownable, in offset order."""
+
+    def __init__(self) -> None:
+        """Start before the stream's first record."""
+        self._claimed_by_epoch: dict[Epoch, tuple[OwnableId, ...]] = {}
+        self._tenures_by_ownable: dict[OwnableId, list[tuple[Epoch, HostId]]] = {}
+        self._known_from: Offset | None = None
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the stream was read from its first record on, or from a snapshot on."""
+        return self._known_from is None or self._known_from == 0
+
+    def apply(self, logged: LoggedRecord) -> None:
+        """Take in the next record; other matters' records are passed over."""
+        if self._known_from is None:
+            self._known_from = logged.offset
+        match logged.record:
+            case Claim() as claim:
+                self._claimed_by_epoch[Epoch(logged.offset)] = claim.ownables
+            case Activate() as activate:
+                for ownable in self._claimed_by_epoch.pop(activate.epoch, ()):
+                    self._add(ownable, activate.epoch, activate.by.host)
+            case HandOver() as handover:
+                self._hand_over(handover, Epoch(logged.offset))
+            case OwnershipSnapshot() as snapshot:
+                self._read(snapshot)
+
+    def previous_owner(self, *, ownable: OwnableId, epoch: Epoch) -> HostId | None:
+        """Return the owner before the one of `epoch`, if any is known."""
+        earlier = [t for t in self._tenures_by_ownable.get(ownable, ()) if t[0] < epoch]
+        return earlier[-1][1] if earlier else None
+
+    def is_first(self, *, ownable: OwnableId, epoch: Epoch) -> bool:
+        """Return whether nobody can have owned it before `epoch`."""
+        return self.is_complete and self.previous_owner(ownable=ownable, epoch=epoch) is None
+
+    def _hand_over(self, handover: HandOver, epoch: Epoch) -> None:
+        for gift in handover.gifts:
+            for ownable in gift.ownables:
+                if not self._tenures_by_ownable.get(ownable):
+                    self._add(ownable, Epoch(0), handover.by.host)
+                if gift.to is not None:
+                    self._add(ownable, epoch, gift.to.host)
+
+    def _read(self, snapshot: OwnershipSnapshot) -> None:
+        if self.is_complete:
+            return
+        for group in snapshot.groups:
+            for ownable in group.ownables:
+                if group.state.tenure is not None and ownable not in self._tenures_by_ownable:
+                    tenure = group.state.tenure
+                    self._add(ownable, tenure.epoch, tenure.owner.host)
+
+    def _add(self, ownable: OwnableId, epoch: Epoch, host: HostId) -> None:
+        tenures = self._tenures_by_ownable.setdefault(ownable, [])
+        tenures.append((epoch, host))
+        tenures.sort()
+        del tenures[:-2]
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -16,6 +16,7 @@
     home_of,
     is_majority,
     key_time,
+    meets_every_majority,
 )
 from galenastall.protocol.codec import decode_record, encode_record
 from galenastall.state.ids import DataCentre, Epoch, HostId, Offset, RecordId, RequestId, StreamName
@@ -185,22 +186,42 @@
 
 
 class TestHeldIntents:
+    @pytest.mark.parametrize("size", range(1, 9))
+    def test_each_read_meets_each_majority(self, size: int) -> None:
+        for held in range(size + 1):
+            for read in range(size + 1):
+                enough = is_majority(count=held, of=size) and meets_every_majority(
+                    count=read, of=size
+                )
+                assert not enough or held + read > size
+
     def test_a_read_by_a_new_owner_fences_the_old_one(self) -> None:
         held = HeldIntents()
         shard = KeyShard(name="0", epoch=Epoch(1), fold=KeyFold(), rules=RULES)
         entry = entry_of(begin(shard, "r1"))
         held.read(shard="0", epoch=Epoch(1), serving=None)
         assert held.hold(shard="0", epoch=Epoch(1), entries=(entry,))
-        assert held.read(shard="0", epoch=Epoch(2), serving=Epoch(1)) == (entry,)
+        assert held.read(shard="0", epoch=Epoch(2), serving=Epoch(1)).entries == (entry,)
         assert not held.hold(shard="0", epoch=Epoch(1), entries=(entry,))
-        assert held.read(shard="0", epoch=Epoch(1), serving=Epoch(1)) is None
+        assert not held.read(shard="0", epoch=Epoch(1), serving=Epoch(1)).is_holder
 
     def test_a_restarted_process_does_not_pass_for_a_holder(self) -> None:
         held = HeldIntents()
         assert not held.hold(shard="0", epoch=Epoch(1), entries=())
-        assert held.read(shard="0", epoch=Epoch(2), serving=Epoch(1)) is None
+        read = held.read(shard="0", epoch=Epoch(2), serving=Epoch(1))
+        assert (read.is_holder, read.was_holder) == (True, False)
         assert held.hold(shard="0", epoch=Epoch(2), entries=())
 
+    def test_a_holder_that_missed_the_second_run_does_not_hide_it(self) -> None:
+        shard = KeyShard(name="0", epoch=Epoch(1), fold=KeyFold(), rules=RULES)
+        first = entry_of(begin(shard, "r1", ends_at=200.0))
+        shard.end(key="100-k", request_id=RequestId("r1"), outcome=Outcome.NOT_RUN, status=0)
+        (ended_first,) = shard.unlogged()
+        second = entry_of(begin(shard, "r2", ends_at=110.0))
+        new = KeyShard(name="0", epoch=Epoch(2), fold=KeyFold(), rules=RULES)
+        new.restore((second, first, ended_first))
+        assert verdict(new) is KeyVerdict.IN_PROGRESS
+
 
 class KeyMachine(RuleBasedStateMachine):
     """One key, owners that replace each other, a log that goes down, holders that die."""
@@ -231,14 +252,12 @@
         found: list[KeyEntry] = []
         answered = 0
         for holder, is_reached in zip(self.held, reached, strict=True):
-            entries = None
             if is_reached:
                 last = serving.epoch if serving else None
-                entries = holder.read(shard="0", epoch=epoch, serving=last)
-            if entries is not None:
-                answered += 1
-                found += entries
-        complete = serving is None or is_majority(count=answered, of=len(HOLDERS))
+                read = holder.read(shard="0", epoch=epoch, serving=last)
+                answered += read.was_holder
+                found += read.entries
+        complete = serving is None or meets_every_majority(count=answered, of=len(HOLDERS))
         restored = shard.restore(found)
         self.log.append(KeysCarried(shard="0", epoch=epoch, entries=restored))
         lost = 0.0 if complete else 100.0
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -4,14 +4,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from galenastall.coordination.permit_types import OwnedUpstream, Permit, PermitLimits
 from galenastall.coordination.permits import PermitHolder
-from galenastall.coordination.slots import (
-    OwnedSlots,
-    OwnedUpstream,
-    Permit,
-    PermitLimits,
-    all_slots,
-)
+from galenastall.coordination.slots import OwnedSlots, all_slots
 from galenastall.state.ids import Epoch, HostId
 from galenastall.state.work import Urgency
 
@@ -143,6 +138,22 @@
         reported = holder.report(upstream=UPSTREAM, epoch=Epoch(9), owner=HostId("new"), now=2.0)
         assert [held.ends_in_s for held in reported] == [2.0]
 
+    def test_the_last_owners_ledger_saves_the_wait(self) -> None:
+        old = owner_of(upstream(slots=2))
+        ask(old, CLIENTS[0], 2)
+        first, second = grants(old)
+        new = OwnedSlots(limits=LIMITS, clients=3)
+        new.open(upstream=upstream(slots=2), epoch=Epoch(7), silent=CLIENTS, now=0.0)
+        new.give_back(permit_id=first.permit_id, busy_for_s=0.0, now=0.0)
+        ledger = old.ledger(upstream=UPSTREAM, before=Epoch(7), now=0.0)
+        assert ledger is not None
+        assert not old.is_open(UPSTREAM)
+        new.take_over(upstream=UPSTREAM, epoch=Epoch(7), ledger=ledger, now=0.0)
+        assert new.in_use(UPSTREAM) == 1
+        new.give_back(permit_id=second.permit_id, busy_for_s=0.0, now=0.0)
+        assert new.in_use(UPSTREAM) == 0
+        assert new.ledger(upstream=UPSTREAM, before=Epoch(7), now=0.0) is None
+
 
 class PermitMachine(RuleBasedStateMachine):
     """Three askers, one upstream whose owner changes, and a network that holds messages back."""
@@ -245,6 +256,17 @@
         owner = self.owners[self.epoch] = OwnedSlots(limits=LIMITS, clients=3)
         owner.open(upstream=upstream(), epoch=Epoch(self.epoch), silent=CLIENTS, now=self.now)
 
+    @rule()
+    def take_over_from_ledger(self) -> None:
+        last = self.owners[self.epoch]
+        self.take_over()
+        epoch = Epoch(self.epoch)
+        ledger = last.ledger(upstream=UPSTREAM, before=epoch, now=self.now)
+        if ledger is not None:
+            self.owners[self.epoch].take_over(
+                upstream=UPSTREAM, epoch=epoch, ledger=ledger, now=self.now
+            )
+
     @rule(client=st.sampled_from(CLIENTS))
     def report(self, client: HostId) -> None:
         epoch = Epoch(self.epoch)
