--- a/src/galenastall/node/http_requests.py
+++ b/src/galenastall/node/http_requests.py
@@ -55,6 +55,7 @@
     RequestReason.KEY_HOME_ELSEWHERE: 421,
     RequestReason.KEY_MISMATCH: 422,
     RequestReason.KEY_REFUSED: 400,
+    RequestReason.INVALID: 400,
 }
 """Reasons with a status of their own, whatever the outcome."""
 NOT_RUN_STATUS_BY_REASON: Final = {
@@ -100,7 +101,7 @@
         key = request.headers.get(KEY, "")
         body = await self._body(request, settings, keyed=bool(key))
         if isinstance(body, Failure):
-            return self._refuse(body.failure(), request)
+            return self._refuse(body.failure(), request, RequestReason.BODY_TOO_LARGE)
         length = request.headers.get("content-length", "")
         call = RequestCall(
             request_id=_request_id(request.headers) or self._requests.next_ticket(),
@@ -142,12 +143,17 @@
                 return Success(_chained(first, chunks))
         return Success(first[0] if len(first) == 1 else b"".join(first))
 
-    def _refuse(self, error: StepError, request: HttpRequest) -> HttpResponse:
-        """Answer a request that never came to be one: malformed, too large or broken off."""
-        headers = {OUTCOME: Outcome.NOT_RUN.value, REASON: "invalid"}
+    def _refuse(
+        self,
+        error: StepError,
+        request: HttpRequest,
+        reason: RequestReason = RequestReason.INVALID,
+    ) -> HttpResponse:
+        """Answer a request that never came to be one: malformed, or too large."""
+        headers = {OUTCOME: Outcome.NOT_RUN.value, REASON: reason.value}
         if request_id := _request_id(request.headers):
             headers[REQUEST_ID] = request_id
-        return json_response(400, error, headers=headers)
+        return json_response(STATUS_BY_REASON[reason], error, headers=headers)
 
 
 def respond(answer: RequestAnswer) -> HttpResponse:
--- a/src/galenastall/node/request_types.py
+++ b/src/galenastall/node/request_types.py
@@ -47,7 +47,8 @@
     KEY_NOT_DURABLE = "key_not_durable"
     """The intent could not be recorded, so the request was not let out."""
     BODY_TOO_LARGE = "body_too_large"
-    CALLER_GONE = "caller_gone"
+    INVALID = "invalid"
+    """A header is missing or makes no sense."""
 
 
 Body = bytes | AsyncIterator[bytes]
