--- a/src/galenastall/state/job_records.py
+++ b/src/galenastall/state/job_records.py
@@ -49,6 +49,8 @@
     """A caller was, or is about to be, told that the job is accepted."""
 
     spec: JobSpec
+    was_held: bool = False
+    """It was first kept by entry hosts alone, in a log outage, so tasks of it may have started."""
 
 
 @RECORDS.register("job.cancelled")
@@ -87,10 +89,20 @@
     """A live job as folded so far, appended again before the log trims its earlier records."""
 
     spec: JobSpec
+    at: float
+    """Wall time in seconds."""
     cancelled: bool
     ends: tuple[EndedRanges, ...]
 
 
+@RECORDS.register("job.barrier")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShardBarrier:
+    """Says nothing of jobs: whoever reads it back has read all ends that were logged before."""
+
+    shard: int
+
+
 def ranges_of(indices: list[int]) -> tuple[IndexRange, ...]:
     """Return sorted, distinct indices as the fewest ranges."""
     ranges: list[IndexRange] = []
