Draw workers at random for victims and promises, and keep a gang's promises apart

Cause: with few workers the draw returned the list in its order, so the same six were looked at for ever; a gang's tasks took room that was promised to the gang's other tasks.

Change: the draw is always random; a gang's promises stay until each task takes its own.

--- a/src/galenastall/coordination/gang_holds.py
+++ b/src/galenastall/coordination/gang_holds.py
@@ -5,7 +5,7 @@
 first by class and id, keeps room promised between its tries; the order is the same at every owner.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Container, Sequence
 
 from returns.result import Failure, Result, Success
 
@@ -45,12 +45,12 @@
             return Failure(error)
         for task in tasks:
             self._tables.queue.remove(task.task_id)
-        promised = self._take_promises(gang_id, now)
+        self._drop_promises(gang_id, now, kept={task.task_id for task in tasks})
         held: list[Placed] = []
         for task in sorted(tasks, key=_size, reverse=True):
-            placed = self._hold_one(task, promised.get(task.task_id), now)
+            placed = self._hold_one(task, now)
             if placed is None:
-                self._give_up(gang_id, tasks, held, promised, now)
+                self._give_up(gang_id, tasks, held, now)
                 detail = f"{task.task_id}: no room for {describe_amount(task.resources)}"
                 return Failure(_error(gang_id, Reason.OVERLOADED, detail))
             held.append(placed)
@@ -110,11 +110,13 @@
             return _error(gang_id, Reason.OVERLOADED, f"{tasks[0].team} is at its quota")
         return None
 
-    def _hold_one(self, task: TaskSpec, promise: Promise | None, now: float) -> Placed | None:
+    def _hold_one(self, task: TaskSpec, now: float) -> Placed | None:
         amount = self._placer.amount_of(task)
+        promise = self._tables.promises.get(task.task_id)
         if promise is not None and promise.worker.is_open:
             placed = self._reserve(task, promise.worker, amount, now)
             if placed is not None:
+                self._tables.drop_promise(task.task_id)
                 return placed
         worker = self._placer.find(task, amount, now)
         return None if worker is None else self._reserve(task, worker, amount, now)
@@ -142,7 +144,6 @@
         gang_id: str,
         tasks: Sequence[TaskSpec],
         held: Sequence[Placed],
-        promised: Mapping[TaskId, Promise],
         now: float,
     ) -> None:
         """Free what was held, and keep room promised if this is the first gang that waits."""
@@ -152,18 +153,18 @@
         if self._waiting_gang is not None and self._waiting_gang < rank:
             return
         if self._waiting_gang is not None and self._waiting_gang != rank:
-            self._take_promises(self._waiting_gang[1], now)
+            self._drop_promises(self._waiting_gang[1], now)
         self._waiting_gang = rank
         held_on = {placed.task.task_id: placed.worker for placed in held}
         for task in tasks:
             worker = held_on.get(task.task_id)
-            earlier = promised.get(task.task_id)
-            if worker is not None:
+            earlier = self._tables.promises.get(task.task_id)
+            if earlier is not None:
+                earlier.until = now + self._tables.settings.gang_promise_s
+            elif worker is not None:
                 self._promise(gang_id, task, worker, now, now)
-            elif earlier is not None and earlier.worker.is_open:
-                self._promise(gang_id, task, earlier.worker, now, earlier.expected_at)
             elif not self._demand(gang_id, task, now):
-                self._take_promises(gang_id, now)
+                self._drop_promises(gang_id, now)
                 self._waiting_gang = None
                 return
 
@@ -186,14 +187,14 @@
         )
         self._tables.make_promise(promise)
 
-    def _take_promises(self, gang_id: str, now: float) -> dict[TaskId, Promise]:
-        """End a gang's promises and return them."""
-        promises = {promise.task_id: promise for promise in self._tables.promises.of_gang(gang_id)}
-        for task_id in promises:
+    def _drop_promises(self, gang_id: str, now: float, kept: Container[TaskId] = ()) -> None:
+        """End a gang's promises but for the tasks in `kept`."""
+        promises = self._tables.promises.of_gang(gang_id)
+        dropped = [promise.task_id for promise in promises if promise.task_id not in kept]
+        for task_id in dropped:
             self._tables.drop_promise(task_id)
-        if promises:
+        if dropped:
             self._tables.settle_growth(now)
-        return promises
 
     def _held(self, task_id: TaskId) -> Placed | None:
         placed = self._tables.placed_by_task.get(task_id)
--- a/src/galenastall/coordination/worker_index.py
+++ b/src/galenastall/coordination/worker_index.py
@@ -124,9 +124,7 @@
     def draw(self, limit: int, *, accelerated: bool = False) -> list[Worker]:
         """Return up to `limit` different workers drawn at random, whatever their room."""
         drawn_from = list(self._accelerated_by_slot.values()) if accelerated else self._sampled
-        if len(drawn_from) <= limit:
-            return list(drawn_from)
-        return self._rng.sample(drawn_from, limit)
+        return self._rng.sample(drawn_from, min(limit, len(drawn_from)))
 
     def in_order(self) -> Iterator[Worker]:
         """Return all workers by id; for policies that are meant to look at all."""
