Follow the stand-in's control port; spread lookups over three clients

Cause: the stand-in's control side moved to a port of its own, and one client process stalls at 600 requests a second.

--- a/src/galenastall/bench/fleet.py
+++ b/src/galenastall/bench/fleet.py
@@ -84,8 +84,10 @@
         self.clock = TrioClock()
         self.client = HttpClient(clock=self.clock, max_connections=256)
         self.entry_hosts_by_id: dict[HostId, EntryHost] = {}
-        self.platform_address = f"127.0.0.1:{reserve_ports(1)[0]}"
-        self.control = StandinControl(client=self.client, address=self.platform_address)
+        platform_port, control_port = reserve_ports(2)
+        self.platform_address = f"127.0.0.1:{platform_port}"
+        self._control_address = f"127.0.0.1:{control_port}"
+        self.control = StandinControl(client=self.client, address=self._control_address)
         self._directory = directory
 
     async def start(self) -> None:
@@ -175,6 +177,7 @@
         plan = self.plan
         settings = {
             "bind": self.platform_address,
+            "control_bind": self._control_address,
             "seed": plan.seed,
             "data_centres": list(plan.entry_hosts_by_data_centre),
             "host_list_lag_seconds": plan.host_list_lag_s,
@@ -196,7 +199,7 @@
         path = self._write("standin.yaml", settings)
         command = (sys.executable, "-m", "galenastall", "standin", "--settings", str(path))
         await self.driver.start(name=STANDIN, command=command, extra_env=self._environment())
-        url = f"http://{self.platform_address}/control/hosts"
+        url = f"http://{self._control_address}/control/hosts"
         await self.driver.wait_ready(name=STANDIN, url=url, timeout_s=READY_TIMEOUT_S)
 
     def _add_entry_host(self, host_id: str, data_centre: str) -> None:
--- a/src/galenastall/bench/scenarios/lookup_throughput.py
+++ b/src/galenastall/bench/scenarios/lookup_throughput.py
@@ -106,7 +106,7 @@
     for rate in RATES:
         before = fleet.driver.usage(host_id).cpu_s
         plan = replace(load, name=f"rate-{rate:g}", targets=fleet.targets(), rate=rate)
-        summary = await run_clients(fleet, recorder, settings.directory, plan, clients=2)
+        summary = await run_clients(fleet, recorder, settings.directory, plan, clients=3)
         used_s = fleet.driver.usage(host_id).cpu_s - before
         done = summary.counts_by_outcome.get("done", 0)
         share = done / max(1, summary.sent)
@@ -144,7 +144,9 @@
         duration_s=WAITING / AIM_RATE,
         deadline_ms=WAITING_DEADLINE_MS,
     )
-    summary = await run_clients(fleet, recorder, settings.directory, plan, during=release)
+    summary = await run_clients(
+        fleet, recorder, settings.directory, plan, clients=3, during=release
+    )
     add_load_figures(result, "waiting", summary)
     peak_mb = fleet.driver.usage(host_id).peak_rss_mb
     result.add("peak memory", peak_mb, "MB", at_most=AIM_MEMORY_MB)
