--- /dev/null
+++ b/src/galenastall/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The whole path in one process: `python -m galenastall.demo`."""
--- /dev/null
+++ b/src/galenastall/demo/__main__.py
@@ -0,0 +1,156 @@
+"""Send requests, a batch and a gang through two entry hosts and print what became of each."""
+
+import sys
+from pathlib import Path
+from typing import Any, Final
+
+import trio
+from returns.result import Failure
+
+from galenastall.demo.fleet import DemoFleet, raise_fleet
+from galenastall.node.entry_host import EntryHost
+
+ENTRY_HOSTS: Final = ("gangnam-entry-1", "mapo-entry-1")
+REQUESTS: Final = 12
+TIMEOUT_S: Final = 20.0
+JOB_WITHIN_S: Final = 30.0
+OPERATIONS: Final = ("packs/preview", "packs/redact", "packs/assemble")
+BATCH: Final = {
+    "job_id": "demo-redactions",
+    "team": "redaction",
+    "workload": "batch",
+    "tasks": 8,
+    "resources": {"cores_milli": 2000, "memory_mb": 2048},
+    "run_s": 1.0,
+}
+GANG: Final = {
+    "job_id": "demo-full-pack",
+    "team": "packs/full",
+    "workload": "gang",
+    "urgency": "urgent",
+    "tasks": 4,
+    "resources": {"cores_milli": 16000, "memory_mb": 16384},
+    "run_s": 1.0,
+}
+
+
+async def run_demo(examples: Path) -> bool:
+    """Run all of it; return whether everything came out as promised."""
+    async with raise_fleet(examples=examples, names=ENTRY_HOSTS) as fleet:
+        _say("two entry hosts are ready:")
+        for host in fleet.hosts:
+            _say(f"  {host.host_id} in {host.data_centre}, http {host.server.address}")
+        results = [await _send_request(fleet, number) for number in range(REQUESTS)]
+        jobs = [
+            await _run_job(fleet, fleet.hosts[0], BATCH),
+            await _run_job(fleet, fleet.hosts[1], GANG),
+        ]
+        _say("\ntime line of request demo-0, over all processes:")
+        _say(await _fetch_text(fleet, fleet.hosts[1], "/v1/timeline/demo-0?format=text"))
+        _say("why job demo-full-pack ran where it did:")
+        _say(await _fetch_text(fleet, fleet.hosts[1], "/v1/explain/demo-full-pack?format=text"))
+    return all(results) and all(jobs)
+
+
+async def _send_request(fleet: DemoFleet, number: int) -> bool:
+    host = fleet.hosts[number % len(fleet.hosts)]
+    operation = OPERATIONS[number % len(OPERATIONS)]
+    is_idempotent = operation == "packs/preview"
+    answered = await fleet.client.request(
+        method="POST",
+        address=host.server.address,
+        path=f"/v1/requests/{operation}",
+        headers={
+            "Galenastall-Team": "packs/previews" if is_idempotent else "packs/full",
+            "Galenastall-Class": "urgent" if number % 4 == 0 else "normal",
+            "Galenastall-Deadline-Ms": "5000",
+            "Galenastall-Idempotent": "true" if is_idempotent else "false",
+            "Galenastall-Request-Id": f"demo-{number}",
+        },
+        body=f"papers of meeting {number}".encode(),
+        timeout_s=TIMEOUT_S,
+    )
+    if isinstance(answered, Failure):
+        _say(f"request demo-{number} by {host.host_id}: {answered.failure()}")
+        return False
+    answer = answered.unwrap()
+    outcome = answer.headers.get("galenastall-outcome", "none")
+    upstream = answer.headers.get("galenastall-upstream", "?")
+    _say(
+        f"request demo-{number} ({operation}) by {host.host_id}: {outcome} at {upstream}, "
+        f"{len(answer.body)} bytes"
+    )
+    return outcome == "done"
+
+
+async def _run_job(fleet: DemoFleet, host: EntryHost, job: dict[str, Any]) -> bool:
+    accepted = await fleet.client.post_json(
+        address=host.server.address,
+        path="/v1/jobs",
+        message=job,
+        answer_type=dict[str, Any],
+        timeout_s=TIMEOUT_S,
+    )
+    if isinstance(accepted, Failure):
+        _say(f"job {job['job_id']} by {host.host_id}: {accepted.failure()}")
+        return False
+    _say(f"\njob {job['job_id']} ({job['workload']}) accepted, durable in {_durability(accepted)}")
+    places: dict[str, str] = {}
+    with trio.move_on_after(JOB_WITHIN_S):
+        state = "live"
+        while state == "live":
+            await trio.sleep(0.1)
+            state = await _job_state(fleet, host, job, places)
+        for task_id, place in sorted(places.items()):
+            _say(f"  task {task_id} ran on {place}")
+        _say(f"  job {job['job_id']}: {state}")
+        return state == "done" and len(places) == job["tasks"]
+    _say(f"  job {job['job_id']} did not end within {JOB_WITHIN_S:.0f} s")
+    return False
+
+
+def _durability(accepted: Any) -> str:
+    return str(accepted.unwrap()["durability"])
+
+
+async def _job_state(
+    fleet: DemoFleet, host: EntryHost, job: dict[str, Any], places: dict[str, str]
+) -> str:
+    path = f"/v1/jobs/{job['job_id']}"
+    tasks = await _get(fleet, host, f"{path}/tasks")
+    for task in tasks["tasks"]:
+        if task["worker"]:
+            places[task["task_id"]] = task["worker"]
+    return str((await _get(fleet, host, path))["state"])
+
+
+async def _get(fleet: DemoFleet, host: EntryHost, path: str) -> Any:
+    result = await fleet.client.get_json(
+        address=host.server.address, path=path, answer_type=Any, timeout_s=TIMEOUT_S
+    )
+    return result.unwrap()
+
+
+async def _fetch_text(fleet: DemoFleet, host: EntryHost, path: str) -> str:
+    answered = await fleet.client.request(
+        method="GET", address=host.server.address, path=path, timeout_s=TIMEOUT_S
+    )
+    return answered.unwrap().body.decode()
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(f"{line}\n")
+
+
+def main() -> None:
+    """Run the demo from the repository's root; exit 1 if anything came out otherwise."""
+    examples = Path("examples")
+    if not examples.is_dir():
+        sys.exit("run the demo from the repository's root: no directory 'examples' here")
+    is_good = trio.run(run_demo, examples)
+    _say("everything came out as promised" if is_good else "something did not come out as promised")
+    sys.exit(0 if is_good else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/galenastall/node/entry_host.py
+++ b/src/galenastall/node/entry_host.py
@@ -7,6 +7,7 @@
 import trio
 
 from galenastall.node.host_list_service import HostListPoller, peer_addresses
+from galenastall.node.http_drain import HttpDrain
 from galenastall.node.http_ops import HttpOps
 from galenastall.node.job_side import JobSide
 from galenastall.node.log_service import LogSide
@@ -153,8 +154,9 @@
         ops = HttpOps(
             metrics=self.metrics, timeline=self.timeline, not_ready_reasons=self.not_ready_reasons
         )
+        self.drain_route = HttpDrain(is_log_up=lambda: appender.is_log_up)
         self.server = HttpServer(
-            handlers=(ops, self.request_side.routes, self.job_side.routes),
+            handlers=(ops, self.drain_route, self.request_side.routes, self.job_side.routes),
             clock=clock,
             bind=settings.http_bind,
             tls=_tls_files(settings),
--- a/src/galenastall/node/process.py
+++ b/src/galenastall/node/process.py
@@ -44,7 +44,7 @@
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
             await nursery.start(host.run)
-            await anext(signals)
+            await _wait_for_stop(signals, host.drain_route.asked)
             nursery.start_soon(_cancel_on_signal, signals, nursery.cancel_scope)
             cut_off = await host.drain()
             is_drained = True
@@ -68,8 +68,13 @@
     return platform
 
 
-async def _cancel_on_signal(
-    signals: AsyncIterator[int], scope: trio.CancelScope
-) -> None:
+async def _wait_for_stop(signals: AsyncIterator[int], asked: trio.Event) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_on_signal, signals, nursery.cancel_scope)
+        await asked.wait()
+        nursery.cancel_scope.cancel()
+
+
+async def _cancel_on_signal(signals: AsyncIterator[int], scope: trio.CancelScope) -> None:
     await anext(signals)
     scope.cancel()
--- a/src/galenastall/node/request_side.py
+++ b/src/galenastall/node/request_side.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from galenastall.node.http_requests import HttpRequests
+from galenastall.node.http_requests import RequestRoutes
 from galenastall.node.key_service import KeyService
 from galenastall.node.keyed_requests import KeyedRequests
 from galenastall.node.permit_service import PermitService
@@ -74,7 +74,7 @@
         keyed = KeyedRequests(
             data_centre=data_centre, clock=clock, keys=self.keys, requests=self.requests
         )
-        self.routes = HttpRequests(
+        self.routes = RequestRoutes(
             clock=clock, requests=self.requests, keyed=keyed, settings=settings
         )
 
--- a/src/galenastall/node/settings_mapping.py
+++ b/src/galenastall/node/settings_mapping.py
@@ -1,5 +1,7 @@
 """From the shared tree to the settings that each matter takes."""
 
+from dataclasses import replace
+
 from galenastall.coordination.admission import AdmissionLimits
 from galenastall.coordination.append_window import WindowLimits
 from galenastall.coordination.ejection import EjectionLimits
@@ -39,9 +41,8 @@
 def make_placement_settings(shared: SharedSettings) -> PlacementSettings:
     """Return what the placement core goes by."""
     shares_by_path = {path: _share(team) for path, team in shared.teams_by_path.items()}
-    return fill(
-        PlacementSettings,
-        shared.placement,
+    return replace(
+        fill(PlacementSettings, shared.placement),
         policies_by_class=shared.placement.policies_by_class.model_dump(),
         teams_by_path=shares_by_path,
         starvation_s=shared.classes.normal.starvation_s,
