--- a/src/galenastall/protocol/yaml_files.py
+++ b/src/galenastall/protocol/yaml_files.py
@@ -1,9 +1,11 @@
 """Read settings files: plain YAML, in which a key may stand only once in a mapping.
 
 The library lets the last of two equal keys win silently; here that is an error, since one of the
-two values would not be in force although it stands in the file.
+two values would not be in force although it stands in the file. Infinite numbers are refused too:
+JSON, in which settings travel, has none.
 """
 
+import math
 from pathlib import Path
 from typing import Any
 
@@ -33,6 +35,16 @@
     return loader.construct_mapping(node, deep=True)
 
 
+def _construct_float(loader: _UniqueKeyLoader, node: yaml.ScalarNode) -> float:
+    value = float(loader.construct_yaml_float(node))
+    if not math.isfinite(value):
+        raise yaml.constructor.ConstructorError(
+            None, None, f"number {node.value} is not finite", node.start_mark
+        )
+    return value
+
+
+_UniqueKeyLoader.add_constructor("tag:yaml.org,2002:float", _construct_float)
 _UniqueKeyLoader.add_constructor(yaml.resolver.BaseResolver.DEFAULT_MAPPING_TAG, _construct_mapping)
 
 
--- /dev/null
+++ b/src/galenastall/state/settings_authority.py
@@ -0,0 +1,54 @@
+"""Who may change what in the shared tree.
+
+Authors are named by the caller; that the name is true is for the operators' HTTP side to assure
+(client certificates). What is checked here keeps teams out of each other's settings.
+"""
+
+from collections.abc import Iterator
+
+from galenastall.state.settings_paths import split_path
+from galenastall.state.shared_settings import SharedSettings, TeamSettings
+
+_TEAMS = "teams"
+
+
+def find_objection(
+    *, before: SharedSettings, after: SharedSettings, path: str, author: str
+) -> str | None:
+    """Return why `author` may not make this change, None if it is allowed.
+
+    Operators may change all. An owner of a team may change what lies in it and below, but not its
+    own weight, quota and owners: those are granted from above.
+    """
+    if author in before.operators:
+        return None
+    chain = tuple(_teams_on(before, split_path(path)))
+    owned = next((found for found in chain if author in found[1].owners), None)
+    if owned is not None:
+        return _grant_objection(after, owned)
+    if before.operators or any(team.owners for _, team in chain):
+        return f"{author!r} is neither an operator nor an owner of {path or 'the root'!r}"
+    return None
+
+
+def _grant_objection(after: SharedSettings, owned: tuple[str, TeamSettings]) -> str | None:
+    path, was = owned
+    now = dict(_teams_on(after, split_path(path))).get(path)
+    if now is None:
+        return f"an owner can't remove {path!r}"
+    if (now.weight, now.quota, now.owners) != (was.weight, was.quota, was.owners):
+        return f"weight, quota and owners of {path!r} are granted from above"
+    return None
+
+
+def _teams_on(
+    settings: SharedSettings, keys: tuple[str, ...]
+) -> Iterator[tuple[str, TeamSettings]]:
+    """Yield path and settings of each team on the way, topmost first."""
+    teams = settings.teams
+    for index in range(0, len(keys) - 1, 2):
+        if keys[index] != _TEAMS or keys[index + 1] not in teams:
+            return
+        team = teams[keys[index + 1]]
+        yield "/".join(keys[: index + 2]), team
+        teams = team.teams
--- a/src/galenastall/state/settings_problems.py
+++ b/src/galenastall/state/settings_problems.py
@@ -73,7 +73,7 @@
     except ValidationError as error:
         problems = tuple(_problem_of(model, found) for found in error.errors(include_url=False))
         return Failure(SettingsProblems(source=source, problems=problems))
-    except (TypeError, msgspec.MsgspecError) as error:
+    except (TypeError, OverflowError, RecursionError, msgspec.MsgspecError) as error:
         problem = SettingsProblem(path="", value="", allowed=f"only plain YAML values: {error}")
         return Failure(SettingsProblems(source=source, problems=(problem,)))
 
--- a/tests/test_process_settings.py
+++ b/tests/test_process_settings.py
@@ -69,7 +69,9 @@
         found = problems_of(tmp_path, "host_id: a\n")
         assert "platform: required, but missing" in found
 
-    @pytest.mark.parametrize("text", ["host_id: a\nhost_id: b\n", "a: [", "- a\n", "1: x\n"])
+    @pytest.mark.parametrize(
+        "text", ["host_id: a\nhost_id: b\n", "a: [", "- a\n", "1: x\n", "a: .inf"]
+    )
     def test_unusable_yaml(self, tmp_path: Path, text: str) -> None:
         assert len(problems_of(tmp_path, text)) == 1
 
