--- /dev/null
+++ b/src/galenastall/coordination/placement.py
@@ -0,0 +1,314 @@
+"""Decide which owned worker runs which task: the pure core of a worker owner.
+
+It takes typed events with a time and returns typed commands. Room is taken in an exact ledger
+before a start is commanded and given back only on proof: a worker's word that the task ended or
+was refused, or a listing after the time in which an unanswered start could take effect.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+
+from returns.result import Failure, Result, Success
+
+from galenastall.coordination.explanations import explain, summarise
+from galenastall.coordination.gang_holds import GangHolds
+from galenastall.coordination.overrun import expected_memory, find_overruns
+from galenastall.coordination.placement_commands import (
+    CancelVerdict,
+    CapacitySummary,
+    CommandAnswer,
+    CommandKind,
+    Decision,
+    EndedTask,
+    Hold,
+    HoldId,
+    Listing,
+    PlacedTask,
+    ReconcileReport,
+    Refusal,
+    RefusalReason,
+    StartAnswer,
+    WorkerState,
+)
+from galenastall.coordination.placement_settings import PlacementSettings
+from galenastall.coordination.placement_state import Placed, Worker
+from galenastall.coordination.placement_tables import PlacementTables
+from galenastall.coordination.placer import Placer
+from galenastall.coordination.reconcile import Reconciler, grow_to_usage
+from galenastall.state.errors import StepError
+from galenastall.state.hosts import ListedHost
+from galenastall.state.ids import Epoch, HostId, TaskId, TeamPath
+from galenastall.state.resources import Resources
+from galenastall.state.work import FinishedTask, RunningTask, TaskPhase, TaskSpec
+
+
+class PlacementCore:
+    """Places tasks on the workers that this entry host owns; all times are wall seconds."""
+
+    def __init__(self, *, settings: PlacementSettings | None = None, seed: int = 0) -> None:
+        """Start with no workers and nothing waiting; `seed` fixes all random choices.
+
+        Raises UnknownNameError if the settings name a policy or queue order that doesn't exist.
+        """
+        self._tables = PlacementTables(settings=settings or PlacementSettings(), seed=seed)
+        self._placer = Placer(tables=self._tables)
+        self._holds = GangHolds(tables=self._tables, placer=self._placer)
+        self._reconciler = Reconciler(tables=self._tables)
+        self._refusals: list[Refusal] = []
+        self._now = 0.0
+
+    def apply_settings(self, settings: PlacementSettings) -> None:
+        """Use other settings from the next decision on; the queue's order stays as it began."""
+        self._tables.settings = settings
+        self._tables.quarantine.settings = settings.quarantine
+        self._tables.queue.apply_settings(settings)
+        self._placer.use_policies()
+
+    def add_worker(
+        self, worker: ListedHost, epoch: Epoch, running: Sequence[RunningTask], now: float
+    ) -> ReconcileReport:
+        """Take a worker into the ledger with what its listing shows, after activation."""
+        known = self._tables.workers_by_id.get(worker.host_id)
+        if known is None:
+            known = self._tables.add_worker(worker, epoch)
+        known.epoch = epoch
+        return self._reconciler.running(known, running, now)
+
+    def remove_worker(self, worker_id: HostId) -> tuple[PlacedTask, ...]:
+        """Forget a worker whose ownership was lost; return what was on it, as known here."""
+        worker = self._tables.workers_by_id.get(worker_id)
+        if worker is None:
+            return ()
+        described = tuple(
+            placed.describe()
+            for placed in self._tables.on_worker(worker)
+            if placed.worker is worker
+        )
+        self._tables.remove_worker(worker)
+        self._reconciler.forget_worker(worker_id)
+        return described
+
+    def set_worker_state(self, worker_id: HostId, state: WorkerState) -> None:
+        """Say whether a worker may get new tasks; unknown workers are passed over.
+
+        Quarantine that the core itself decided stands beside this and ends by a probe.
+        """
+        worker = self._tables.workers_by_id.get(worker_id)
+        if worker is None or worker.state is state:
+            return
+        worker.state = state
+        self._tables.refresh(worker, grew=True)
+        if state is WorkerState.LIVE:
+            return
+        for promise in self._tables.promises.on_worker(worker_id):
+            self._tables.drop_promise(promise.task_id)
+
+    def set_reserved_elsewhere(self, reserved_by_team: Mapping[TeamPath, Resources]) -> None:
+        """Say what teams have reserved with other owners, so that quotas hold over all of them."""
+        self._tables.queue.set_elsewhere(reserved_by_team)
+
+    def enqueue(self, tasks: Sequence[TaskSpec], now: float) -> None:
+        """Let tasks wait for a place; those already waiting or placed here are passed over."""
+        tables = self._tables
+        for task in tasks:
+            if task.task_id in tables.placed_by_task:
+                continue
+            obstacle = tables.capacities.obstacle(task.resources)
+            if obstacle is None:
+                tables.queue.add(task, now)
+                continue
+            self._refusals.append(
+                Refusal(task=task, reason=RefusalReason.IMPOSSIBLE, detail=obstacle)
+            )
+
+    def cancel(self, task_ids: Iterable[TaskId], now: float) -> Mapping[TaskId, CancelVerdict]:
+        """Give up tasks at constant cost each; call it before deciding in the same window."""
+        return {task_id: self._cancel(task_id) for task_id in task_ids}
+
+    def decide(self, now: float, limit: int) -> Decision:
+        """Return the commands due now, with at most `limit` starts."""
+        self._now = now
+        expired = self._holds.expire(now)
+        self._tables.settle_growth(now)
+        self._placer.begin()
+        starts: list[Placed] = []
+        more = False
+        for waiting in self._tables.queue.scan(now):
+            if len(starts) >= limit:
+                more = True
+                break
+            placed = self._placer.place(waiting, now)
+            if placed is not None:
+                starts.append(placed)
+        return Decision(
+            by_worker=self._tables.pending.take(starts, now),
+            refusals=self._take_refusals(),
+            expired_holds=expired,
+            more=more,
+        )
+
+    def on_start_answer(
+        self, task_id: TaskId, worker_id: HostId, answer: StartAnswer, now: float
+    ) -> TaskPhase:
+        """Take in what became of a start; return where the task now stands.
+
+        WAITING: it waits again. CANCELLED: it never started and its cancellation is final. DONE:
+        nothing is known of such a start any more.
+        """
+        return self._reconciler.start_answer(task_id, worker_id, answer, now)
+
+    def on_command_answer(
+        self,
+        task_id: TaskId,
+        worker_id: HostId,
+        command: CommandKind,
+        answer: CommandAnswer,
+        now: float,
+    ) -> TaskPhase:
+        """Take in what became of a checkpoint, throttle or stop.
+
+        Answer DONE only if the worker says that the task has ended. WAITING: it made way and waits
+        again as its next attempt. CANCELLED: its cancellation is final. Otherwise it stands where
+        it stood; a command without effect is repeated after a listing that still shows the task.
+        """
+        return self._reconciler.command_answer(task_id, worker_id, command, answer)
+
+    def on_finished(
+        self, worker_id: HostId, finished: Sequence[FinishedTask], now: float
+    ) -> tuple[EndedTask, ...]:
+        """Take in ended tasks; ends of tasks that are not placed or waiting here are passed over.
+
+        After a takeover such ends may belong to a task that this owner never knew: hand the
+        listing's own ends to the job's shard as well.
+        """
+        return tuple(self._reconciler.finished(worker_id, finished, now))
+
+    def on_listing(
+        self, worker_id: HostId, listing: Listing, now: float, asked_at: float | None = None
+    ) -> ReconcileReport:
+        """Reconcile with a worker's listing that was asked for at `asked_at` (`now` if None)."""
+        worker = self._tables.workers_by_id.get(worker_id)
+        if worker is None:
+            return ReconcileReport()
+        asked = now if asked_at is None else asked_at
+        report = self._reconciler.listing(worker, listing, now, asked)
+        used_by_task = {entry.task.task_id: entry.used for entry in listing.running}
+        self.on_usage(worker_id, listing.used, used_by_task, now)
+        return report
+
+    def on_usage(
+        self,
+        worker_id: HostId,
+        used: Resources,
+        used_by_task: Mapping[TaskId, Resources],
+        now: float,
+    ) -> None:
+        """Take in measured usage of a worker and of its tasks; act before memory runs out."""
+        tables = self._tables
+        worker = tables.workers_by_id.get(worker_id)
+        if worker is None:
+            return
+        worker.used_before = worker.used
+        worker.used = used
+        for task_id, amount in used_by_task.items():
+            placed = tables.placed_at(task_id, worker_id)
+            if placed is not None:
+                placed.used = amount
+        grow_to_usage(tables, worker)
+        self._relieve(worker)
+
+    def hold(
+        self, gang_id: str, tasks: Sequence[TaskSpec], now: float, until: float
+    ) -> Result[Hold, StepError]:
+        """Hold room for all of a gang's tasks here until `until`, or for none.
+
+        A gang's tasks are not enqueued. OVERLOADED: no room now, ask again after the time given;
+        the first gang that waits keeps room promised meanwhile. REFUSED: a task fits no worker of
+        this owner. CONFLICT: a task is already placed. INVALID: no tasks.
+        """
+        self._tables.settle_growth(now)
+        return self._holds.hold(gang_id, tasks, now, until)
+
+    def start_hold(self, hold_id: HoldId, now: float) -> Result[Decision, StepError]:
+        """Return the starts of all tasks of a hold.
+
+        NOT_FOUND: it expired or was released. CONFLICT: a task was cancelled or its worker may not
+        start anything any more; then the whole hold is released.
+        """
+        started = self._holds.start(hold_id, now)
+        if isinstance(started, Failure):
+            return Failure(started.failure())
+        commands = self._tables.pending.take(started.unwrap(), now)
+        return Success(Decision(by_worker=commands))
+
+    def release_hold(self, hold_id: HoldId) -> bool:
+        """Free a hold that was not started; return whether there was one."""
+        return self._holds.release(hold_id)
+
+    def summary(self) -> CapacitySummary:
+        """Return free totals and the largest holes, for others to choose this owner by."""
+        return summarise(self._tables, self._now)
+
+    def reserved_by_team(self) -> Mapping[TeamPath, Resources]:
+        """Return what each team has reserved with this owner."""
+        return self._tables.queue.reserved_by_team()
+
+    def quarantined(self) -> tuple[HostId, ...]:
+        """Return the workers that the core keeps under quarantine."""
+        return tuple(self._tables.quarantined_by_id)
+
+    def explain(self, task_id: TaskId) -> tuple[str, ...]:
+        """Return sentences on where the task is or why it waits, as of the last decision."""
+        return explain(self._tables, task_id, self._now)
+
+    def placed(self, task_id: TaskId) -> PlacedTask | None:
+        """Return where a task is, or None if it is on no worker."""
+        placed = self._tables.placed_by_task.get(task_id)
+        return None if placed is None else placed.describe()
+
+    def on_worker(self, worker_id: HostId) -> tuple[PlacedTask, ...]:
+        """Return the tasks on a worker, for renewing their leases."""
+        worker = self._tables.workers_by_id.get(worker_id)
+        if worker is None:
+            return ()
+        return tuple(placed.describe() for placed in self._tables.on_worker(worker))
+
+    def _cancel(self, task_id: TaskId) -> CancelVerdict:
+        tables = self._tables
+        if tables.leave_queue(task_id) is not None:
+            return CancelVerdict.NEVER_STARTED
+        placed = tables.placed_by_task.get(task_id)
+        if placed is None:
+            known = task_id in tables.ends_by_task
+            return CancelVerdict.ALREADY_DONE if known else CancelVerdict.NOT_HERE
+        if placed.phase is TaskPhase.HELD:
+            tables.forget(placed)
+            return CancelVerdict.NEVER_STARTED
+        if not placed.is_cancelled:
+            placed.is_cancelled = True
+            tables.pending.stop(placed, "cancelled")
+        return CancelVerdict.STOPPING
+
+    def _relieve(self, worker: Worker) -> None:
+        tables = self._tables
+        settings = tables.settings.overrun
+        capacity = worker.ledger.capacity.memory_mb
+        if worker.is_pressed and worker.used.memory_mb < settings.relaxed_below * capacity:
+            worker.is_pressed = False
+            tables.refresh(worker, grew=True)
+        if not capacity or expected_memory(worker) < settings.throttle_at * capacity:
+            return
+        worker.is_pressed = True
+        tables.refresh(worker, grew=False)
+        for action in find_overruns(worker, tables.on_worker(worker), settings):
+            if action.command is CommandKind.THROTTLE:
+                tables.pending.throttle(action.placed, settings.throttled_share, action.cause)
+            elif action.command is CommandKind.CHECKPOINT:
+                tables.pending.checkpoint(action.placed, action.cause)
+            else:
+                tables.pending.stop(action.placed, action.cause)
+
+    def _take_refusals(self) -> tuple[Refusal, ...]:
+        refusals = (*self._refusals, *self._placer.refusals)
+        self._refusals.clear()
+        self._placer.refusals.clear()
+        return refusals
--- /dev/null
+++ b/src/galenastall/coordination/slots.py
@@ -0,0 +1,412 @@
+"""The owner's side of its upstreams: exact slots and connections, permits, and who waits for them.
+
+Only the owner of an upstream grants permits on it, from the exact count kept here. Times in a
+permit are spans counted from the moment at which the asking entry host *sent* its ask, so that no
+two clocks are compared: the owner, which heard of it later, frees the slot later than the asker
+stops using it.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from galenastall.coordination.permit_types import (
+    HeldPermit,
+    LedgerUse,
+    OwnedUpstream,
+    Permit,
+    PermitLedger,
+    PermitLimits,
+)
+from galenastall.state.ids import Epoch, HostId
+from galenastall.state.work import Urgency
+
+
+@dataclass(slots=True)
+class _Use:
+    client: HostId
+    until: float
+
+
+@dataclass(slots=True)
+class _Upstream:
+    info: OwnedUpstream
+    epoch: Epoch
+    serial: int = 0
+    leaving: bool = False
+    uses_by_permit: dict[str, _Use] = field(default_factory=dict)
+    uses_by_client: dict[HostId, int] = field(default_factory=dict)
+    silent_until_by_client: dict[HostId, float] = field(default_factory=dict)
+    returned_early: set[str] = field(default_factory=set)
+    """Permits given back before anyone told of them."""
+    forget_at: float = 0.0
+
+
+@dataclass(slots=True)
+class _Ask:
+    ask_id: int
+    until: float
+    avoid: tuple[HostId, ...]
+
+
+AllowedSlots = Callable[[HostId, int], int]
+"""Takes an upstream and its slots; returns how many may be used now (outlier ejection)."""
+
+
+def all_slots(_upstream: HostId, slots: int) -> int:
+    """Allow every slot."""
+    return slots
+
+
+class OwnedSlots:
+    """All upstreams that this entry host owns and the asks that wait for them."""
+
+    def __init__(self, *, limits: PermitLimits, clients: int = 1) -> None:
+        """Own nothing yet; `clients` is how many entry hosts may hold permits."""
+        self.limits = limits
+        self.clients = clients
+        self._upstreams_by_id: dict[HostId, _Upstream] = {}
+        self._upstream_by_permit: dict[str, _Upstream] = {}
+        self._closed_by_id: dict[HostId, _Upstream] = {}
+        self._asks: dict[Urgency, OrderedDict[HostId, deque[_Ask]]] = {
+            urgency: OrderedDict() for urgency in Urgency
+        }
+        self._asks_by_client: dict[HostId, int] = {}
+
+    def open(
+        self, *, upstream: OwnedUpstream, epoch: Epoch, silent: Iterable[HostId], now: float
+    ) -> None:
+        """Begin to grant on an upstream under a new epoch.
+
+        Each entry host in `silent` may hold permits of an earlier owner: until it has reported, or
+        the longest permit has passed, the upstream counts as full.
+        """
+        until = now + self.limits.longest_s + self.limits.grace_s
+        opened = _Upstream(info=upstream, epoch=epoch)
+        opened.silent_until_by_client = dict.fromkeys(silent, until)
+        self.close(upstream.host_id, now=now)
+        self._upstreams_by_id[upstream.host_id] = opened
+
+    def report(
+        self,
+        *,
+        upstream: HostId,
+        epoch: Epoch,
+        client: HostId,
+        held: Iterable[HeldPermit],
+        now: float,
+    ) -> None:
+        """Count what an entry host still holds; it is silent no more.
+
+        Ask for a report under the epoch that `open` was given; a report for another is passed over.
+        """
+        opened = self._opened_under(upstream, epoch)
+        if opened is None:
+            return
+        for permit in held:
+            self._adopt(opened, permit.permit_id, client, now + permit.ends_in_s)
+        self._heard(opened, client)
+
+    def take_over(
+        self, *, upstream: HostId, epoch: Epoch, ledger: PermitLedger, now: float
+    ) -> None:
+        """Go on from the last owner's ledger: nobody is silent but whom it had not heard itself."""
+        opened = self._opened_under(upstream, epoch)
+        if opened is None:
+            return
+        for use in ledger.uses:
+            self._adopt(opened, use.permit_id, use.client, now + use.ends_in_s)
+        opened.silent_until_by_client = {client: now + s for client, s in ledger.silent}
+        self._drop_early(opened)
+
+    def expect(
+        self, *, upstream: HostId, epoch: Epoch, silent: Mapping[HostId, float], now: float
+    ) -> None:
+        """Replace who is waited for: seconds by entry host for which it may hold permits."""
+        opened = self._opened_under(upstream, epoch)
+        if opened is not None:
+            opened.silent_until_by_client = {client: now + s for client, s in silent.items()}
+
+    def ledger(self, *, upstream: HostId, before: Epoch, now: float) -> PermitLedger | None:
+        """Return the ledger for the owner of the later epoch `before`; None if there is none.
+
+        The upstream is closed by this, so that nothing is granted after the ledger was given out.
+        """
+        opened = self._upstreams_by_id.get(upstream)
+        if opened is not None and opened.epoch < before:
+            self.close(upstream, now=now)
+        closed = self._closed_by_id.get(upstream)
+        if closed is None or closed.epoch >= before:
+            return None
+        silent = closed.silent_until_by_client.items()
+        return PermitLedger(
+            uses=tuple(
+                LedgerUse(permit_id=permit_id, client=use.client, ends_in_s=use.until - now)
+                for permit_id, use in closed.uses_by_permit.items()
+                if use.until > now
+            ),
+            silent=tuple((client, until - now) for client, until in silent if until > now),
+        )
+
+    def close(self, upstream: HostId, *, now: float) -> None:
+        """Stop granting on an upstream, for example when its ownership was lost.
+
+        What is in use stays known for as long as a permit lasts, for the next owner to ask.
+        """
+        closed = self._upstreams_by_id.pop(upstream, None)
+        if closed is None:
+            return
+        closed.forget_at = now + self.limits.longest_s + self.limits.grace_s
+        self._closed_by_id[upstream] = closed
+
+    def set_leaving(self, upstream: HostId, leaving: bool) -> None:
+        """Grant nothing more on an upstream that leaves, or take it back."""
+        opened = self._upstreams_by_id.get(upstream)
+        if opened is not None:
+            opened.leaving = leaving
+
+    def ask(
+        self,
+        *,
+        client: HostId,
+        urgency: Urgency,
+        ask_id: int,
+        now: float,
+        avoid: tuple[HostId, ...] = (),
+    ) -> bool:
+        """Queue an ask; False if the entry host has too many waiting.
+
+        Upstreams in `avoid` are granted only if no other is free.
+        """
+        waiting = self._asks_by_client.get(client, 0)
+        if waiting >= self.limits.asks_per_client:
+            return False
+        self._asks_by_client[client] = waiting + 1
+        asks = self._asks[urgency].setdefault(client, deque())
+        asks.append(_Ask(ask_id, now + self.limits.ask_ttl_s, avoid))
+        return True
+
+    def drop_asks(self) -> list[tuple[HostId, int]]:
+        """Remove and return all waiting asks, for an owner that has nothing left to grant."""
+        dropped = [
+            (client, ask.ask_id)
+            for asks_by_client in self._asks.values()
+            for client, asks in asks_by_client.items()
+            for ask in asks
+        ]
+        for asks_by_client in self._asks.values():
+            asks_by_client.clear()
+        self._asks_by_client.clear()
+        return dropped
+
+    def forget_client(self, client: HostId) -> None:
+        """Drop the waiting asks of an entry host that is gone; its permits stay until they end."""
+        self._asks_by_client.pop(client, None)
+        for asks_by_client in self._asks.values():
+            asks_by_client.pop(client, None)
+
+    def grant(
+        self, *, now: float, may_act: Callable[[HostId], Epoch | None], allowed: AllowedSlots
+    ) -> list[tuple[HostId, Permit]]:
+        """Grant free slots to waiting asks: urgent first, then turn by turn over entry hosts.
+
+        `may_act` is asked for each upstream at this moment; one whose epoch differs grants nothing.
+        """
+        granted: list[tuple[HostId, Permit]] = []
+        if not self._asks_by_client:
+            return granted
+        free_by_id = self._free(now, may_act, allowed)
+        for urgency in Urgency:
+            self._grant_class(self._asks[urgency], free_by_id, now, granted)
+            if not free_by_id:
+                break
+        return granted
+
+    def give_back(self, *, permit_id: str, busy_for_s: float, now: float) -> HostId | None:
+        """Free a permit's slot; return its upstream, or None if the permit is not known.
+
+        `busy_for_s` above 0 says that the request may still run for so many seconds: the slot stays
+        in use until then, or until the permit's own end if that is earlier.
+        """
+        opened = self._upstream_by_permit.get(permit_id)
+        if opened is None:
+            self._note_early(permit_id, busy_for_s)
+            return None
+        if busy_for_s <= 0:
+            self._free_use(opened, permit_id)
+            return opened.info.host_id
+        use = opened.uses_by_permit[permit_id]
+        use.until = min(use.until, now + busy_for_s)
+        return opened.info.host_id
+
+    def expire(self, *, now: float) -> int:
+        """Free slots whose permits ended without being given back; return how many."""
+        expired = 0
+        for opened in self._upstreams_by_id.values():
+            ended = [p for p, use in opened.uses_by_permit.items() if use.until <= now]
+            for permit_id in ended:
+                self._free_use(opened, permit_id)
+            expired += len(ended)
+            silent = opened.silent_until_by_client
+            for client in [c for c, until in silent.items() if until <= now]:
+                self._heard(opened, client)
+        for upstream in [u for u, closed in self._closed_by_id.items() if closed.forget_at <= now]:
+            for permit_id in list(self._closed_by_id.pop(upstream).uses_by_permit):
+                self._upstream_by_permit.pop(permit_id, None)
+        return expired
+
+    @property
+    def waiting(self) -> int:
+        """Asks that wait, expired ones not yet met included."""
+        return sum(self._asks_by_client.values())
+
+    def in_use(self, upstream: HostId) -> int:
+        """Return the slots in use, those that silent entry hosts may use included."""
+        opened = self._upstreams_by_id[upstream]
+        if opened.silent_until_by_client:
+            return max(opened.info.slots, len(opened.uses_by_permit))
+        return len(opened.uses_by_permit)
+
+    def slots_of(self, upstream: HostId) -> int:
+        """Return how many slots an open upstream has."""
+        return self._upstreams_by_id[upstream].info.slots
+
+    def totals(self, *, allowed: AllowedSlots = all_slots) -> tuple[int, int]:
+        """Return the slots that may be granted and those in use, over all upstreams."""
+        slots = in_use = 0
+        for host_id, opened in self._upstreams_by_id.items():
+            if opened.leaving:
+                continue
+            slots += allowed(host_id, opened.info.slots)
+            in_use += min(self.in_use(host_id), opened.info.slots)
+        return slots, in_use
+
+    def upstreams(self) -> tuple[HostId, ...]:
+        """Return the upstreams opened here."""
+        return tuple(self._upstreams_by_id)
+
+    def silent(self, upstream: HostId) -> frozenset[HostId]:
+        """Return the entry hosts that have not reported their permits yet."""
+        opened = self._upstreams_by_id.get(upstream)
+        return frozenset(opened.silent_until_by_client) if opened else frozenset()
+
+    def is_open(self, upstream: HostId) -> bool:
+        """Return whether this entry host grants on the upstream."""
+        return upstream in self._upstreams_by_id
+
+    def _opened_under(self, upstream: HostId, epoch: Epoch) -> _Upstream | None:
+        opened = self._upstreams_by_id.get(upstream)
+        return opened if opened is not None and opened.epoch == epoch else None
+
+    def _adopt(self, opened: _Upstream, permit_id: str, client: HostId, ends_at: float) -> None:
+        if permit_id in opened.uses_by_permit or permit_id in opened.returned_early:
+            return
+        self._use(opened, permit_id, client, ends_at + self.limits.grace_s)
+
+    def _heard(self, opened: _Upstream, client: HostId) -> None:
+        opened.silent_until_by_client.pop(client, None)
+        self._drop_early(opened)
+
+    def _drop_early(self, opened: _Upstream) -> None:
+        if not opened.silent_until_by_client:
+            opened.returned_early.clear()
+
+    def _note_early(self, permit_id: str, busy_for_s: float) -> None:
+        opened = self._upstreams_by_id.get(HostId(permit_id.rsplit(":", 2)[0]))
+        if opened is not None and opened.silent_until_by_client and busy_for_s <= 0:
+            opened.returned_early.add(permit_id)
+
+    def _free(
+        self, now: float, may_act: Callable[[HostId], Epoch | None], allowed: AllowedSlots
+    ) -> dict[HostId, int]:
+        free_by_id: dict[HostId, int] = {}
+        for host_id, opened in self._upstreams_by_id.items():
+            if opened.leaving or opened.silent_until_by_client:
+                continue
+            slots = min(opened.info.slots, allowed(host_id, opened.info.slots))
+            free = slots - len(opened.uses_by_permit)
+            if free > 0 and may_act(host_id) == opened.epoch:
+                free_by_id[host_id] = free
+        return free_by_id
+
+    def _grant_class(
+        self,
+        asks_by_client: OrderedDict[HostId, deque[_Ask]],
+        free_by_id: dict[HostId, int],
+        now: float,
+        granted: list[tuple[HostId, Permit]],
+    ) -> None:
+        passed_over = 0
+        while asks_by_client and free_by_id and passed_over < len(asks_by_client):
+            client, asks = next(iter(asks_by_client.items()))
+            self._drop_expired(client, asks, now)
+            if not asks:
+                del asks_by_client[client]
+                continue
+            asks_by_client.move_to_end(client)
+            opened = self._pick(client, asks[0].avoid, free_by_id)
+            if opened is None:
+                passed_over += 1
+                continue
+            passed_over = 0
+            ask = asks.popleft()
+            self._count_ask_gone(client)
+            granted.append((client, self._grant_on(opened, client, ask, now)))
+            free_by_id[opened.info.host_id] -= 1
+            if not free_by_id[opened.info.host_id]:
+                del free_by_id[opened.info.host_id]
+
+    def _drop_expired(self, client: HostId, asks: deque[_Ask], now: float) -> None:
+        while asks and asks[0].until <= now:
+            asks.popleft()
+            self._count_ask_gone(client)
+
+    def _count_ask_gone(self, client: HostId) -> None:
+        left = self._asks_by_client[client] - 1
+        if left:
+            self._asks_by_client[client] = left
+        else:
+            del self._asks_by_client[client]
+
+    def _pick(
+        self, client: HostId, avoid: tuple[HostId, ...], free_by_id: dict[HostId, int]
+    ) -> _Upstream | None:
+        """Return the upstream with most free slots on which the client may open a connection."""
+        best: _Upstream | None = None
+        best_rank = (False, 0)
+        for host_id, free in free_by_id.items():
+            opened = self._upstreams_by_id[host_id]
+            share = max(1, opened.info.connections // max(1, self.clients))
+            rank = (host_id not in avoid, free)
+            if rank > best_rank and opened.uses_by_client.get(client, 0) < share:
+                best, best_rank = opened, rank
+        return best
+
+    def _grant_on(self, opened: _Upstream, client: HostId, ask: _Ask, now: float) -> Permit:
+        opened.serial += 1
+        host_id = opened.info.host_id
+        permit_id = f"{host_id}:{opened.epoch}:{opened.serial}"
+        self._use(opened, permit_id, client, now + self.limits.longest_s + self.limits.grace_s)
+        return Permit(
+            permit_id=permit_id,
+            upstream=host_id,
+            address=opened.info.address,
+            epoch=opened.epoch,
+            ask_id=ask.ask_id,
+            begin_within_s=self.limits.begin_within_s,
+            ends_within_s=self.limits.longest_s,
+        )
+
+    def _use(self, opened: _Upstream, permit_id: str, client: HostId, until: float) -> None:
+        opened.uses_by_permit[permit_id] = _Use(client, until)
+        opened.uses_by_client[client] = opened.uses_by_client.get(client, 0) + 1
+        self._upstream_by_permit[permit_id] = opened
+
+    def _free_use(self, opened: _Upstream, permit_id: str) -> None:
+        use = opened.uses_by_permit.pop(permit_id)
+        self._upstream_by_permit.pop(permit_id, None)
+        left = opened.uses_by_client[use.client] - 1
+        if left:
+            opened.uses_by_client[use.client] = left
+        else:
+            del opened.uses_by_client[use.client]
