--- a/src/galenastall/bench/mix_workloads.py
+++ b/src/galenastall/bench/mix_workloads.py
@@ -53,6 +53,9 @@
     services: int
     """Services that run all the time, each with `REPLICAS` replicas."""
     service_size: Resources
+    load: float
+    """Offered share of all cores on average; the peak is half as much again, so that with sizes
+    declared too large the fleet is overloaded for part of the run."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -81,6 +84,7 @@
         name="dongmun",
         worker=Resources(cores_milli=64_000, memory_mb=131_072),
         services=6,
+        load=0.7,
         service_size=Resources(cores_milli=4000, memory_mb=8192),
         kinds=(
             Kind(
@@ -144,6 +148,7 @@
         name="citeliq",
         worker=Resources(cores_milli=16_000, memory_mb=65_536),
         services=9,
+        load=0.55,
         service_size=Resources(cores_milli=1000, memory_mb=3072),
         kinds=(
             Kind(
--- a/src/galenastall/coordination/explanations.py
+++ b/src/galenastall/coordination/explanations.py
@@ -76,13 +76,14 @@
 def _of_waiting(tables: PlacementTables, waiting: Waiting, now: float) -> Iterable[str]:
     task = waiting.task
     share = tables.queue.share(task.team)
+    reason = tables.queue.reason_of(waiting)
     yield (
         f"{task.task_id} ({task.urgency.name.lower()}) waits since {now - waiting.since:.1f} s "
-        f"for {describe_amount(task.resources)}: {waiting.reason.value}."
+        f"for {describe_amount(task.resources)}: {reason.value}."
     )
     yield f"Its team {task.team} has a dominant share over its weight of {share:.1%}."
     quota = tables.queue.quota(task.team)
-    if waiting.reason is WaitReason.QUOTA and quota is not None:
+    if reason is WaitReason.QUOTA and quota is not None:
         yield f"The quota of {task.team} is {describe_amount(quota)}."
     promise = tables.promises.get(task.task_id)
     if promise is not None:
--- a/src/galenastall/coordination/gang_holds.py
+++ b/src/galenastall/coordination/gang_holds.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Container, Sequence
+from dataclasses import replace
 
 from returns.result import Failure, Result, Success
 
@@ -72,6 +73,17 @@
             placed.decided_at = now
         return Success(whole)
 
+    def extend(self, hold_id: HoldId, now: float, until: float) -> bool:
+        """Let a hold stand until `until`; False if it is not whole any more or was released."""
+        hold = self._holds_by_id.get(hold_id)
+        if hold is None or hold.until <= now:
+            return False
+        held = [self._held(task_id) for task_id in hold.worker_by_task]
+        if any(placed is None or not placed.worker.is_open for placed in held):
+            return False
+        self._holds_by_id[hold_id] = replace(hold, until=until)
+        return True
+
     def release(self, hold_id: HoldId) -> bool:
         """Free a hold that was not started; return whether there was one."""
         hold = self._holds_by_id.pop(hold_id, None)
@@ -163,7 +175,10 @@
                 earlier.until = now + self._tables.settings.gang_promise_s
             elif worker is not None:
                 self._promise(gang_id, task, worker, now, now)
-            elif not self._demand(gang_id, task, now):
+        for task in tasks:
+            if self._tables.promises.get(task.task_id) is not None:
+                continue
+            if not self._demand(gang_id, task, now):
                 self._drop_promises(gang_id, now)
                 self._waiting_gang = None
                 return
--- a/src/galenastall/coordination/overrun.py
+++ b/src/galenastall/coordination/overrun.py
@@ -38,7 +38,14 @@
 def expected_memory(worker: Worker) -> int:
     """Return the memory in MB that the worker is expected to use by the next report."""
     used = worker.used.memory_mb
-    return used + max(used - worker.used_before.memory_mb, 0)
+    before = worker.used_before
+    return used if before is None else used + max(used - before.memory_mb, 0)
+
+
+def is_overrun(worker: Worker, placed: Iterable[Placed]) -> bool:
+    """Return whether anything uses more memory than was granted; else the ledger suffices."""
+    reserved = worker.ledger.capacity.memory_mb - worker.ledger.free_memory
+    return worker.used.memory_mb > reserved or any(excess_of(task) > 0 for task in placed)
 
 
 def find_overruns(
@@ -47,8 +54,6 @@
     """Return what to do about a worker whose memory runs out; nothing below the thresholds."""
     capacity = worker.ledger.capacity.memory_mb
     expected = expected_memory(worker)
-    if not capacity or expected < settings.throttle_at * capacity:
-        return []
     candidates = [task for task in placed if task.phase is TaskPhase.RUNNING]
     cause = f"{worker.worker_id} is expected to use {expected} of {capacity} MB"
     actions = [
@@ -65,8 +70,8 @@
 
 
 def excess_of(placed: Placed) -> int:
-    """Return by how many MB a task uses more memory than was reserved for it."""
-    return placed.used.memory_mb - placed.entry.amount.memory_mb
+    """Return by how many MB a task uses more memory than was reserved at its start."""
+    return placed.used.memory_mb - placed.granted_mb
 
 
 def _endings(
--- a/src/galenastall/coordination/placement.py
+++ b/src/galenastall/coordination/placement.py
@@ -9,9 +9,9 @@
 
 from returns.result import Failure, Result, Success
 
+from galenastall.coordination import overrun
 from galenastall.coordination.explanations import explain, summarise
 from galenastall.coordination.gang_holds import GangHolds
-from galenastall.coordination.overrun import expected_memory, find_overruns
 from galenastall.coordination.placement_commands import (
     CancelVerdict,
     CapacitySummary,
@@ -207,7 +207,8 @@
         worker = tables.workers_by_id.get(worker_id)
         if worker is None:
             return
-        worker.used_before = worker.used
+        worker.used_before = worker.used if worker.is_measured else None
+        worker.is_measured = True
         worker.used = used
         for task_id, amount in used_by_task.items():
             placed = tables.placed_at(task_id, worker_id)
@@ -228,6 +229,14 @@
         self._tables.settle_growth(now)
         return self._holds.hold(gang_id, tasks, now, until)
 
+    def extend_hold(self, hold_id: HoldId, now: float, until: float) -> bool:
+        """Let a hold stand until `until`; False if it can't be started any more.
+
+        A gang over several owners extends all its holds before it starts the first, so that none
+        expires between two starts.
+        """
+        return self._holds.extend(hold_id, now, until)
+
     def start_hold(self, hold_id: HoldId, now: float) -> Result[Decision, StepError]:
         """Return the starts of all tasks of a hold.
 
@@ -292,14 +301,18 @@
         tables = self._tables
         settings = tables.settings.overrun
         capacity = worker.ledger.capacity.memory_mb
-        if worker.is_pressed and worker.used.memory_mb < settings.relaxed_below * capacity:
+        here = tables.on_worker(worker)
+        is_overrun = bool(capacity) and overrun.is_overrun(worker, here)
+        relaxed = worker.used.memory_mb < settings.relaxed_below * capacity
+        if worker.is_pressed and (relaxed or not is_overrun):
             worker.is_pressed = False
             tables.refresh(worker, grew=True)
-        if not capacity or expected_memory(worker) < settings.throttle_at * capacity:
+        expected = overrun.expected_memory(worker)
+        if not is_overrun or expected < settings.throttle_at * capacity:
             return
         worker.is_pressed = True
         tables.refresh(worker, grew=False)
-        for action in find_overruns(worker, tables.on_worker(worker), settings):
+        for action in overrun.find_overruns(worker, here, settings):
             if action.command is CommandKind.THROTTLE:
                 tables.pending.throttle(action.placed, settings.throttled_share, action.cause)
             elif action.command is CommandKind.CHECKPOINT:
--- a/src/galenastall/coordination/placement_state.py
+++ b/src/galenastall/coordination/placement_state.py
@@ -33,6 +33,7 @@
         "epoch",
         "has_accelerators",
         "host",
+        "is_measured",
         "is_paused",
         "is_pressed",
         "is_quarantined",
@@ -61,12 +62,13 @@
         self.slot = slot
         self.ledger = Ledger(capacity=capacity)
         self.state = WorkerState.LIVE
+        self.is_measured = False
         self.is_paused = False
         self.is_pressed = False
         self.is_quarantined = False
         self.promised: Resources = NOTHING
         self.used: Resources = NOTHING
-        self.used_before: Resources = NOTHING
+        self.used_before: Resources | None = None
         self.has_accelerators = capacity.accelerators > 0
         self.per_core = 1.0 / capacity.cores_milli if capacity.cores_milli else 0.0
         self.per_memory = 1.0 / capacity.memory_mb if capacity.memory_mb else 0.0
@@ -115,6 +117,7 @@
         "decided_at",
         "ending",
         "entry",
+        "granted_mb",
         "is_cancelled",
         "is_throttled",
         "since",
@@ -130,6 +133,7 @@
         self.task = task
         self.worker = worker
         self.entry = entry
+        self.granted_mb = entry.amount.memory_mb
         self.decided_at = now
         self.since = since
         self.is_cancelled = False
--- a/src/galenastall/coordination/placement_tables.py
+++ b/src/galenastall/coordination/placement_tables.py
@@ -124,12 +124,7 @@
         self.index.put(worker)
         if not grew:
             return
-        grown = self._grown or (0, 0, 0)
-        self._grown = (
-            max(grown[0], worker.room_cores),
-            max(grown[1], worker.room_memory),
-            max(grown[2], worker.room_accelerators),
-        )
+        self._note_growth(worker)
 
     def settle_growth(self, now: float) -> None:
         """Let what had no room be tried again where room grew; open paused workers."""
@@ -138,6 +133,9 @@
             worker = self.workers_by_id[worker_id]
             worker.is_paused = False
             self.refresh(worker, grew=True)
+        for worker in self.quarantined_by_id.values():
+            if worker.may_be_probed and self.quarantine.is_probe_due(worker.worker_id, now):
+                self._note_growth(worker)
         if self._grown is not None:
             self.failed_shapes.room_grew(self._grown)
             self.queue.room_grew(self._grown)
@@ -250,6 +248,16 @@
         by_task = self.placed_by_task
         return [by_task[task_id] for task_id in worker.ledger.tasks() if task_id in by_task]
 
+    def _note_growth(self, worker: Worker) -> None:
+        """Remember what is free there, promised or not, since backfill may use what is promised."""
+        ledger = worker.ledger
+        grown = self._grown or (0, 0, 0)
+        self._grown = (
+            max(grown[0], ledger.free_cores),
+            max(grown[1], ledger.free_memory),
+            max(grown[2], ledger.free_accelerators),
+        )
+
     def _enter(self, task: TaskSpec, worker: Worker, now: float, since: float) -> Placed:
         entry = worker.ledger.entry(task.task_id)
         assert entry is not None  # the caller has just made it
--- a/src/galenastall/coordination/team_queue.py
+++ b/src/galenastall/coordination/team_queue.py
@@ -14,7 +14,7 @@
 
 from galenastall.coordination.placement_commands import TeamShare
 from galenastall.coordination.placement_settings import PlacementSettings
-from galenastall.coordination.waiting import Lane, TeamLine, Waiting
+from galenastall.coordination.waiting import Lane, TeamLine, Waiting, WaitReason
 from galenastall.state.ids import TaskId, TeamPath
 from galenastall.state.registry import Registry
 from galenastall.state.resources import NOTHING, Resources
@@ -26,7 +26,7 @@
 """Starving tasks tried in a scan."""
 JOB_TRIES: Final = 16
 """Jobs of one team tried before the team is parked."""
-SCAN_TRIES: Final = 256
+SCAN_TRIES: Final = 128
 """Tasks of teams tried in vain in one scan."""
 
 
@@ -119,6 +119,12 @@
         """Return a waiting task."""
         return self._waiting_by_id.get(task_id)
 
+    def reason_of(self, waiting: Waiting) -> WaitReason:
+        """Return why a task waits; one that was not tried shares the reason of its job's first."""
+        if waiting.lane is not Lane.TEAM or waiting.reason is not WaitReason.NOT_TRIED:
+            return waiting.reason
+        return self._lines_by_team[waiting.task.team].first_of_job(waiting).reason
+
     def charge(self, team: TeamPath, amount: Resources) -> None:
         """Count what was reserved for a team."""
         line = self._line(team)
--- a/src/galenastall/coordination/waiting.py
+++ b/src/galenastall/coordination/waiting.py
@@ -108,6 +108,11 @@
         for tasks in list(islice(backfill.values(), max(limit - len(normal), 0))):
             yield next(iter(tasks.values()))
 
+    def first_of_job(self, waiting: Waiting) -> Waiting:
+        """Return the task of the same job that is tried first."""
+        tasks = self.lines_by_urgency[waiting.task.urgency][waiting.task.job_id]
+        return next(iter(tasks.values()))
+
     @property
     def is_empty(self) -> bool:
         """Whether nothing waits."""
