Keep unlogged ends out of the fold and orphaned tasks out of endless censuses

Cause: random faults on the paused clock found three faults. A shard that came back to the same process took ends that were never logged for durable ones, so a non-idempotent task ran twice. Words on tasks whose worker had moved restarted the census for ever. An assignment over an older attempt was answered as taken and never queued. Change: a shard works on its own copy of a job and is told of logged ends; orphaned words are settled and forgotten; refused tasks are named in the answer. Stops name the attempt. Conclusion: the copy costs one byte a task.

--- a/src/galenastall/coordination/assigned_tasks.py
+++ b/src/galenastall/coordination/assigned_tasks.py
@@ -10,7 +10,12 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-from galenastall.coordination.task_reports import ENDING_KINDS, ReportKind, TaskReport
+from galenastall.coordination.task_reports import (
+    ENDING_KINDS,
+    TRIES_PER_ASSIGNMENT,
+    ReportKind,
+    TaskReport,
+)
 from galenastall.state.ids import Epoch, HostId, TaskId
 from galenastall.state.work import TaskSpec
 
@@ -84,26 +89,35 @@
         word = self._shards.get(each.shard)
         return word is not None and now < word.valid_until
 
-    def accept(self, shard: int, tasks: Sequence[TaskSpec]) -> list[TaskSpec]:
-        """Take assignments; return those that are new and are to be queued."""
-        return [task for task in tasks if self._accept_one(shard, task)]
+    def accept(self, shard: int, tasks: Sequence[TaskSpec]) -> tuple[list[TaskSpec], list[TaskId]]:
+        """Take assignments; return those that are new and to be queued, and those refused.
 
-    def _accept_one(self, shard: int, task: TaskSpec) -> bool:
-        if task.attempt <= self._over.get(task.task_id, -1):
-            return False
-        known = self._by_task.get(task.task_id)
-        if known is not None:
-            is_over = known.report.kind in ENDING_KINDS and known.report.attempt < task.attempt
-            if not is_over:
-                self._mark_unsent(known, task.task_id)
-                return False
+        Refused is what has an earlier attempt here that may still run. An assignment that came
+        before is neither.
+        """
+        new: list[TaskSpec] = []
+        refused: list[TaskId] = []
+        for task in tasks:
+            known = self._by_task.get(task.task_id)
+            if task.attempt <= self._over.get(task.task_id, -1):
+                continue
+            if known is None or _is_replaceable(known.report, task.attempt):
+                self._take(shard, task)
+                new.append(task)
+                continue
+            self._mark_unsent(known, task.task_id)
+            if known.report.attempt < task.attempt:
+                refused.append(task.task_id)
+        return new, refused
+
+    def _take(self, shard: int, task: TaskSpec) -> None:
+        if task.task_id in self._by_task:
             self._forget(task.task_id)
         report = TaskReport(task_id=task.task_id, attempt=task.attempt, kind=ReportKind.QUEUED)
         # A task that was just accepted needs no report: the answer to the assignment says it.
         self._by_task[task.task_id] = AssignedTask(
             report=report, shard=shard, task=task, is_unsent=False
         )
-        return True
 
     def get(self, task_id: TaskId) -> AssignedTask | None:
         """Return what is known of a task here."""
@@ -149,6 +163,13 @@
         """Return whether some word was not yet sent, or some end not settled."""
         return any(self._unsent.values()) or any(self._ending.values())
 
+    def is_newer(self, task_id: TaskId, attempt: int) -> bool:
+        """Return whether a later assignment of the task than that of `attempt` is here."""
+        known = self._by_task.get(task_id)
+        if known is None:
+            return False
+        return known.report.attempt // TRIES_PER_ASSIGNMENT > attempt // TRIES_PER_ASSIGNMENT
+
     def is_over(self, task_id: TaskId, attempt: int) -> bool:
         """Return whether the shard's owner has settled this attempt, or moved past it."""
         known = self._by_task.get(task_id)
@@ -195,7 +216,13 @@
         settled: list[TaskReport] = []
         for report in reports:
             known = self._by_task.get(report.task_id)
-            if known is None or report.kind not in ENDING_KINDS:
+            if known is None:
+                continue
+            if report.kind is ReportKind.ORPHANED and known.report == report:
+                # Not over: the worker may come back to this owner with the same attempt.
+                self._remove(report.task_id)
+                continue
+            if report.kind not in ENDING_KINDS:
                 continue
             if known.report.kind not in ENDING_KINDS or known.report.attempt != report.attempt:
                 continue
@@ -231,16 +258,25 @@
         each.is_unsent = True
         self._unsent.setdefault(each.shard, {})[task_id] = None
 
-    def _forget(self, task_id: TaskId) -> None:
+    def _remove(self, task_id: TaskId) -> AssignedTask:
         each = self._by_task.pop(task_id)
         self._unsent.get(each.shard, {}).pop(task_id, None)
         self._ending.get(each.shard, {}).pop(task_id, None)
+        return each
+
+    def _forget(self, task_id: TaskId) -> None:
+        each = self._remove(task_id)
         self._over[task_id] = max(each.report.attempt, self._over.get(task_id, -1))
         self._over.move_to_end(task_id)
         if len(self._over) > OVER_KEPT:
             self._over.popitem(last=False)
 
 
+def _is_replaceable(known: TaskReport, attempt: int) -> bool:
+    may_run = known.kind in (ReportKind.RUNNING, ReportKind.UNKNOWN)
+    return known.attempt < attempt and not may_run
+
+
 def _is_no_news(known: TaskReport, report: TaskReport) -> bool:
     if known.attempt != report.attempt:
         return known.attempt > report.attempt
--- a/src/galenastall/coordination/gang_desk.py
+++ b/src/galenastall/coordination/gang_desk.py
@@ -13,6 +13,7 @@
 from galenastall.coordination.task_reports import (
     ENDING_KINDS,
     ReportKind,
+    TaskAttempt,
     TaskReport,
     next_attempt,
 )
@@ -173,13 +174,14 @@
         run = self._runs_by_id.get(job_id)
         if run is None:
             return
-        tasks_by_host: dict[HostId, list[int]] = {}
+        tasks_by_host: dict[HostId, list[TaskAttempt]] = {}
         for index in step.indices:
             assigned = run.assigned_by_index.get(index)
             if assigned is not None and assigned.kind not in ENDING_KINDS:
-                tasks_by_host.setdefault(assigned.host, []).append(index)
-        for host, indices in tasks_by_host.items():
-            yield StopBatch(host=host, tasks=tuple(make_task_id(job_id, i) for i in indices))
+                attempt = TaskAttempt(task_id=make_task_id(job_id, index), attempt=assigned.attempt)
+                tasks_by_host.setdefault(assigned.host, []).append(attempt)
+        for host, tasks in tasks_by_host.items():
+            yield StopBatch(host=host, tasks=tuple(tasks))
 
     def _push(self, job_id: JobId, steps: Iterable[GangStep]) -> None:
         self._steps.extend((job_id, step) for step in steps)
--- a/src/galenastall/coordination/job_shard.py
+++ b/src/galenastall/coordination/job_shard.py
@@ -6,7 +6,7 @@
 """
 
 import heapq
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Final
 
 from galenastall.coordination.assignees import AssigneeBook
@@ -34,12 +34,14 @@
 from galenastall.coordination.task_reports import (
     ENDING_KINDS,
     ReportKind,
+    TaskAttempt,
     TaskReport,
     first_attempt,
     next_attempt,
 )
 from galenastall.state.ids import Epoch, HostId, JobId, TaskId, make_task_id, split_task_id
 from galenastall.state.job_fold import JobState
+from galenastall.state.job_records import EndedRanges
 from galenastall.state.work import TaskPhase, Workload
 
 CHUNK: Final = 16
@@ -78,7 +80,7 @@
         self._is_ended = is_ended
         self._queue = JobQueue()
         self._delayed: list[tuple[float, JobId, int]] = []
-        self._stops: dict[HostId, dict[TaskId, None]] = {}
+        self._stops: dict[HostId, dict[TaskId, int]] = {}
         self._notes: list[ShardNote] = []
         self._started: dict[tuple[HostId, HostId], list[str]] = {}
         self._ended: dict[tuple[HostId, str], list[str]] = {}
@@ -95,7 +97,7 @@
         job_id = state.spec.job_id
         if job_id in self.runs_by_id or state.end is not None:
             return
-        run = JobRun(state=state, base_attempt=first_attempt(self.epoch))
+        run = JobRun(state=state.copy(), base_attempt=first_attempt(self.epoch))
         self.runs_by_id[job_id] = run
         if state.spec.workload is Workload.GANG:
             self.gangs.add(run)
@@ -109,6 +111,23 @@
         self._requeue(run)
         self._maybe_end(run)
 
+    def on_tasks_ended(self, end: EndedRanges) -> None:
+        """Take in ends that the log holds, which an earlier owner of the shard may have written."""
+        run = self.runs_by_id.get(end.job_id)
+        if run is None or run.is_service:
+            return
+        for each in end.ranges:
+            for index in range(each.start, min(each.stop, run.state.spec.tasks)):
+                if not run.close(index, end.phase):
+                    continue
+                run.doubtful.discard(index)
+                run.delayed.discard(index)
+                assigned = run.assigned_by_index.pop(index, None)
+                if assigned is not None:
+                    task_id = make_task_id(end.job_id, index)
+                    self._stop_task(assigned.host, task_id, assigned.attempt)
+        self._maybe_end(run)
+
     def cancel(self, job_id: JobId, now: float) -> CancelCounts | None:
         """Stop a job; the cost doesn't grow with what waits. None if it isn't live here."""
         run = self.runs_by_id.get(job_id)
@@ -184,7 +203,7 @@
         return ShardDecision(
             assigns=tuple(batches),
             stops=(
-                *(StopBatch(host=host, tasks=tuple(tasks)) for host, tasks in stops.items()),
+                *(_stop_batch(host, attempts) for host, attempts in stops.items()),
                 *gang_stops,
             ),
             recalls=tuple(recalls),
@@ -197,7 +216,13 @@
         if answer is not AssignAnswer.REFUSED:
             return
         self.assignees.avoid(batch.host, now)
+        self.on_tasks_refused(batch, {task.task_id for task in batch.tasks}, now)
+
+    def on_tasks_refused(self, batch: AssignBatch, refused: Collection[TaskId], now: float) -> None:
+        """Take back the tasks of an assignment that the assignee did not take."""
         for task in batch.tasks:
+            if task.task_id not in refused:
+                continue
             report = TaskReport(
                 task_id=task.task_id, attempt=task.attempt, kind=ReportKind.RETURNED
             )
@@ -263,12 +288,14 @@
         elif is_ending:
             self._end_attempt(run, index, host, report, now)
         if run.is_stopped and not is_ending:
-            self._stop_task(host, report.task_id)
+            self._stop_task(host, report.task_id, report.attempt)
         self._maybe_end(run)
         return not is_ending or self._is_settled(run, index)
 
     def _doubt(self, run: JobRun, index: int) -> None:
         run.assigned_by_index.pop(index, None)
+        if index in run.doubtful:
+            return
         run.doubtful.add(index)
         self._doubtful_jobs.add(run.state.spec.job_id)
         self.doubts += 1
@@ -296,7 +323,7 @@
 
     def _reject(self, host: HostId, report: TaskReport) -> bool:
         if report.kind not in ENDING_KINDS:
-            self._stop_task(host, report.task_id)
+            self._stop_task(host, report.task_id, report.attempt)
         return True
 
     def _on_closed(self, run: JobRun, index: int, host: HostId, report: TaskReport) -> bool:
@@ -398,10 +425,11 @@
         self.gangs.cancel(job_id, now)
         for index, assigned in run.assigned_by_index.items():
             if assigned.kind not in ENDING_KINDS:
-                self._stop_task(assigned.host, make_task_id(job_id, index))
+                task_id = make_task_id(job_id, index)
+                self._stop_task(assigned.host, task_id, assigned.attempt)
 
-    def _stop_task(self, host: HostId, task_id: TaskId) -> None:
-        self._stops.setdefault(host, {})[task_id] = None
+    def _stop_task(self, host: HostId, task_id: TaskId, attempt: int) -> None:
+        self._stops.setdefault(host, {})[task_id] = attempt
 
     def _offer_again(self, run: JobRun, index: int) -> None:
         run.give_back(index)
@@ -507,6 +535,11 @@
         self._notes.append(ShardNote(step=step, subjects=subjects, cause=cause, peer=peer))
 
 
+def _stop_batch(host: HostId, attempts: dict[TaskId, int]) -> StopBatch:
+    tasks = (TaskAttempt(task_id=each, attempt=attempt) for each, attempt in attempts.items())
+    return StopBatch(host=host, tasks=tuple(tasks))
+
+
 def _told_by(host: HostId, report: TaskReport) -> ToldBy:
     return ToldBy(host=host, task_id=report.task_id, attempt=report.attempt)
 
--- a/src/galenastall/coordination/recalls.py
+++ b/src/galenastall/coordination/recalls.py
@@ -10,8 +10,8 @@
 from galenastall.coordination.assignees import AssigneeBook
 from galenastall.coordination.job_run import JobRun
 from galenastall.coordination.shard_commands import ShardSettings, StopBatch
-from galenastall.coordination.task_reports import ReportKind
-from galenastall.state.ids import HostId, TaskId, make_task_id
+from galenastall.coordination.task_reports import ReportKind, TaskAttempt
+from galenastall.state.ids import HostId, make_task_id
 from galenastall.state.work import Workload
 
 
@@ -19,26 +19,30 @@
     runs: Iterable[JobRun], assignees: AssigneeBook, settings: ShardSettings, now: float
 ) -> list[StopBatch]:
     """Return tasks to recall by host, at most as many of a job as others have room for."""
-    tasks_by_host: dict[HostId, list[TaskId]] = {}
+    tasks_by_host: dict[HostId, list[TaskAttempt]] = {}
     before = now - settings.recall_after_s
     for run in runs:
         spec = run.state.spec
         if run.is_stopped or spec.workload is Workload.GANG:
             continue
         stuck = [
-            (index, each.host)
+            (index, each)
             for index, each in run.assigned_by_index.items()
             if each.kind is ReportKind.QUEUED and each.since < before
         ]
         if not stuck:
             continue
         room_by_host = assignees.with_room(spec.resources)
-        for index, host in stuck:
+        for index, assigned in stuck:
+            host = assigned.host
             room = sum(count for other, count in room_by_host.items() if other != host)
             if room <= 0 or host in run.avoided_hosts >= room_by_host.keys():
                 continue
             run.avoided_hosts.add(host)
-            tasks_by_host.setdefault(host, []).append(make_task_id(spec.job_id, index))
+            attempt = TaskAttempt(
+                task_id=make_task_id(spec.job_id, index), attempt=assigned.attempt
+            )
+            tasks_by_host.setdefault(host, []).append(attempt)
             _take_one(room_by_host, host)
     return [StopBatch(host=host, tasks=tuple(tasks)) for host, tasks in tasks_by_host.items()]
 
--- a/src/galenastall/coordination/shard_commands.py
+++ b/src/galenastall/coordination/shard_commands.py
@@ -4,7 +4,8 @@
 from enum import StrEnum
 
 from galenastall.coordination.gangs import GangStep
-from galenastall.state.ids import HostId, JobId, TaskId
+from galenastall.coordination.task_reports import TaskAttempt
+from galenastall.state.ids import HostId, JobId
 from galenastall.state.work import TaskSpec
 
 
@@ -50,10 +51,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StopBatch:
-    """Tasks that one worker owner must not start, or must stop."""
+    """Attempts that one worker owner must not start, or must stop."""
 
     host: HostId
-    tasks: tuple[TaskId, ...]
+    tasks: tuple[TaskAttempt, ...]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/galenastall/coordination/task_reports.py
+++ b/src/galenastall/coordination/task_reports.py
@@ -62,6 +62,14 @@
     """With FAILED: the owner saw the job fail on several different workers."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TaskAttempt:
+    """One attempt at one task."""
+
+    task_id: TaskId
+    attempt: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HostCensus:
     """All that one entry host has of a shard, and the workers that it speaks for."""
--- a/src/galenastall/node/held_gangs.py
+++ b/src/galenastall/node/held_gangs.py
@@ -1,7 +1,7 @@
 """A worker owner's side of gangs: holds by the gang's key, each started or released once."""
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from returns.result import Failure, Success
@@ -9,6 +9,7 @@
 from galenastall.coordination.assigned_tasks import AssignedTasks
 from galenastall.coordination.placement import PlacementCore
 from galenastall.coordination.placement_commands import Decision, HoldId
+from galenastall.coordination.task_reports import TaskAttempt
 from galenastall.node.job_link import JobLink
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.job_messages import GangHold, GangRelease, GangStart, JobWord
@@ -48,6 +49,16 @@
         for key in [key for key, (hold, _) in self._held_by_key.items() if hold in holds]:
             del self._held_by_key[key]
 
+    def release_tasks(self, attempts: Iterable[TaskAttempt]) -> None:
+        """Release the holds that any of these attempts belong to; they can't be started then."""
+        stopped = set(attempts)
+        for key, (_, message) in list(self._held_by_key.items()):
+            held = (
+                TaskAttempt(task_id=task.task_id, attempt=task.attempt) for task in message.tasks
+            )
+            if not stopped.isdisjoint(held):
+                self._release(key)
+
     def release_shard(self, shard: int) -> None:
         """Release all holds of a shard that has a new owner."""
         for key, (_, message) in list(self._held_by_key.items()):
--- a/src/galenastall/node/job_service.py
+++ b/src/galenastall/node/job_service.py
@@ -42,7 +42,7 @@
     split_ownable_id,
 )
 from galenastall.state.job_fold import JobFold, JobListener, JobState
-from galenastall.state.job_records import JobAccepted, JobCancelled
+from galenastall.state.job_records import EndedRanges, JobAccepted, JobCancelled
 from galenastall.state.job_shards import shard_of, shard_ownable
 from galenastall.state.work import JobSpec
 
@@ -126,6 +126,12 @@
         if driver is not None:
             self._add(driver, job)
 
+    def on_tasks_ended(self, end: EndedRanges) -> None:
+        """Tell an owned shard of ends that the log now holds."""
+        driver = self._driver_of(end.job_id)
+        if driver is not None:
+            driver.core.on_tasks_ended(end)
+
     def on_cancelled(self, job: JobState) -> None:
         """Stop a job of an owned shard."""
         self._cancels_to_log.pop(job.spec.job_id, None)
--- a/src/galenastall/node/shard_driver.py
+++ b/src/galenastall/node/shard_driver.py
@@ -16,7 +16,7 @@
     GangCall,
     ShardDecision,
 )
-from galenastall.coordination.task_reports import HostCensus
+from galenastall.coordination.task_reports import HostCensus, TaskAttempt
 from galenastall.node.job_link import JobLink, nothing_sent
 from galenastall.node.job_timings import JobTimings
 from galenastall.protocol.clock import Clock
@@ -29,14 +29,13 @@
     ShardCensus,
     ShardRecover,
     TaskAssign,
-    TaskAttempt,
     TaskRecall,
     TasksSettled,
     TaskStop,
 )
 from galenastall.protocol.log_access import LogAppender, StreamFollower
 from galenastall.protocol.ownership_view import OwnershipView
-from galenastall.state.ids import HostId, RecordId, TaskId
+from galenastall.state.ids import HostId, RecordId
 from galenastall.state.job_records import JobEnded, ShardBarrier
 from galenastall.state.job_shards import shard_ownable
 
@@ -74,7 +73,7 @@
         self._scope = trio.CancelScope()
         self._wake = trio.Event()
         self._logging = trio.Event()
-        self._stops: dict[HostId, dict[TaskId, None]] = {}
+        self._stops: dict[HostId, dict[TaskAttempt, None]] = {}
         self._stopping: set[HostId] = set()
         self._census: Census | None = None
         self._needs_barrier = False
@@ -152,8 +151,11 @@
             result = await self._link.call(batch.host, message)
             answer = AssignAnswer.UNKNOWN
             match result:
-                case Success(JobWord(ok=ok)):
-                    answer = AssignAnswer.ACCEPTED if ok else AssignAnswer.REFUSED
+                case Success(JobWord(ok=True, refused=refused)):
+                    answer = AssignAnswer.ACCEPTED
+                    self.core.on_tasks_refused(batch, refused, self._clock.wall())
+                case Success(JobWord(ok=False)):
+                    answer = AssignAnswer.REFUSED
                 case Failure(error) if nothing_sent(error) and not is_repeat:
                     answer = AssignAnswer.REFUSED
             if answer is not AssignAnswer.UNKNOWN:
--- a/src/galenastall/node/worker_service.py
+++ b/src/galenastall/node/worker_service.py
@@ -428,15 +428,22 @@
             return JobWord(ok=False, detail="the shard has a later owner")
         if self._is_draining:
             return JobWord(ok=False, detail="this entry host drains")
-        new = self.assigned.accept(message.shard, message.tasks)
+        new, refused = self.assigned.accept(message.shard, message.tasks)
         self.core.enqueue(new, self._clock.wall())
         self.wake()
-        return JobWord(ok=True)
+        self.reporter.wake()
+        return JobWord(ok=True, refused=tuple(refused))
 
     async def _on_stop(self, sender: HostId, message: TaskStop) -> JobWord:
         if message.epoch < self.assigned.epoch_of(message.shard):
             return JobWord(ok=False, detail="the shard has a later owner")
-        for task_id, verdict in self.core.cancel(message.tasks, self._clock.wall()).items():
+        self._gangs.release_tasks(message.tasks)
+        stopped = [
+            each.task_id
+            for each in message.tasks
+            if not self.assigned.is_newer(each.task_id, each.attempt)
+        ]
+        for task_id, verdict in self.core.cancel(stopped, self._clock.wall()).items():
             self._on_cancelled(task_id, verdict)
         self.wake()
         return JobWord(ok=True)
@@ -453,7 +460,7 @@
     async def _on_recall(self, sender: HostId, message: TaskRecall) -> JobWord:
         if message.epoch < self.assigned.epoch_of(message.shard):
             return JobWord(ok=False, detail="the shard has a later owner")
-        known = (self.assigned.get(task_id) for task_id in message.tasks)
+        known = (self.assigned.get(each.task_id) for each in message.tasks)
         queued = [
             each.task
             for each in known
--- a/src/galenastall/protocol/job_messages.py
+++ b/src/galenastall/protocol/job_messages.py
@@ -4,7 +4,7 @@
 
 from galenastall.coordination.placement_commands import CapacitySummary
 from galenastall.coordination.shard_commands import CancelCounts
-from galenastall.coordination.task_reports import TaskReport
+from galenastall.coordination.task_reports import TaskAttempt, TaskReport
 from galenastall.protocol.codec import PEER_MESSAGES
 from galenastall.state.ids import Epoch, HostId, JobId, TaskId
 from galenastall.state.work import JobSpec, TaskPhase, TaskSpec
@@ -49,11 +49,11 @@
 @PEER_MESSAGES.register("task_stop")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TaskStop:
-    """Unqueue or stop these tasks; what became of them follows in reports."""
+    """Unqueue, release or stop these attempts; what became of them follows in reports."""
 
     shard: int
     epoch: Epoch
-    tasks: tuple[TaskId, ...]
+    tasks: tuple[TaskAttempt, ...]
 
 
 @PEER_MESSAGES.register("task_recall")
@@ -63,7 +63,7 @@
 
     shard: int
     epoch: Epoch
-    tasks: tuple[TaskId, ...]
+    tasks: tuple[TaskAttempt, ...]
 
 
 @PEER_MESSAGES.register("job_word")
@@ -73,6 +73,8 @@
 
     ok: bool
     detail: str = ""
+    refused: tuple[TaskId, ...] = ()
+    """Of an assignment: tasks that were not taken although the rest was."""
 
 
 @PEER_MESSAGES.register("task_events")
@@ -94,14 +96,6 @@
     settled: tuple[int, ...]
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class TaskAttempt:
-    """One attempt at one task."""
-
-    task_id: TaskId
-    attempt: int
-
-
 @PEER_MESSAGES.register("tasks_settled")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TasksSettled:
--- a/src/galenastall/state/job_fold.py
+++ b/src/galenastall/state/job_fold.py
@@ -77,6 +77,13 @@
         self.end: JobEnd | None = None
         self.codes = bytearray(spec.tasks if spec.workload is not Workload.SERVICE else 0)
 
+    def copy(self) -> "JobState":
+        """Return a copy to write to what the log doesn't hold yet."""
+        other = JobState(spec=self.spec, accepted_at=self.accepted_at, was_held=self.was_held)
+        other.cancelled = self.cancelled
+        other.codes[:] = self.codes
+        return other
+
     def merge(self, phase: TaskPhase, ranges: tuple[IndexRange, ...]) -> None:
         """Mark tasks ended; a higher code wins, indices out of range are passed over."""
         code = CODES_BY_PHASE[phase]
@@ -133,6 +140,9 @@
     def on_job(self, job: JobState) -> None:
         """Take note of a job that the log now holds."""
 
+    def on_tasks_ended(self, end: EndedRanges) -> None:
+        """Take note of ends of a live job's tasks that the log now holds."""
+
     def on_cancelled(self, job: JobState) -> None:
         """Take note of a cancellation."""
 
@@ -239,6 +249,8 @@
             job = self.live_by_id.get(end.job_id)
             if job is not None:
                 job.merge(end.phase, end.ranges)
+                for listener in self._listeners:
+                    listener.on_tasks_ended(end)
             elif end.job_id not in self._ended_ids:
                 self._orphans.setdefault(end.job_id, []).append(end)
         _trim(self._orphans, ORPHANS_KEPT)
