Measure beats between entry hosts and the indexed placement core

Cause: four lines of the capacity page had no slope, and placement has changed. Change: slopes of ownership and job beats over real links; decisions and memory measured again.

--- a/src/galenastall/cli/bench_commands.py
+++ b/src/galenastall/cli/bench_commands.py
@@ -10,7 +10,7 @@
 import typer
 import yaml
 
-from galenastall.bench import core_slopes, scenarios, wire_slopes
+from galenastall.bench import core_slopes, peer_slopes, process_slopes, scenarios, wire_slopes
 from galenastall.bench.capacity_page import put_into, render
 from galenastall.bench.compare import compare
 from galenastall.bench.compare import to_table as comparison_table
@@ -18,7 +18,7 @@
 from galenastall.bench.report import ScenarioResult, to_json, to_table, write_plot
 from galenastall.bench.slopes import SLOPES, measure_slope, save_slope
 
-SLOPE_MODULES = (core_slopes, wire_slopes)
+SLOPE_MODULES = (core_slopes, peer_slopes, process_slopes, wire_slopes)
 """Imported so that the registry of slopes is full."""
 SCENARIO_MODULES = scenarios.MODULES
 """Imported so that the registry of scenarios is full."""
