Say what the named changes would leave on the capacity page

Cause: a line that doesn't fit has to say what must change, and whether that is enough. Change: a second set of assumptions for the changes, worked out over the same slopes; the host list counts every 2 s, as it is polled.

--- a/src/galenastall/bench/capacity.py
+++ b/src/galenastall/bench/capacity.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, fields, replace
 from enum import StrEnum
 from typing import Final
 
@@ -84,6 +84,12 @@
     listing_every_s: Assumption = Assumption(
         value=1.0, unit="s", why="setting: how often an owner lists a worker"
     )
+    listing_share: Assumption = Assumption(
+        value=1.0, unit="of a listing", why="listings are sent whole"
+    )
+    read_gap_s: Assumption = Assumption(
+        value=0.0, unit="s", why="least time between two reads of a stream: none is kept today"
+    )
     start_batch: Assumption = Assumption(
         value=1.0, unit="tasks", why="starts a call; 1 is the worst case of spread work"
     )
@@ -118,7 +124,7 @@
         value=24.0, unit="KB", why="task, connection and buffers of a waiting request"
     )
     host_list_every_s: Assumption = Assumption(
-        value=5.0, unit="s", why="setting: how often the platform's list is fetched"
+        value=2.0, unit="s", why="constant: how often the platform's list is fetched"
     )
     list_scope_share: Assumption = Assumption(
         value=1.0, unit="of the fleet", why="the platform's list is not cut by data centre"
@@ -156,6 +162,20 @@
     )
 
 
+PLANNED: Final = replace(
+    Assumptions(),
+    listing_every_s=Assumption(value=10.0, unit="s", why="with the renewal, in one call"),
+    listing_share=Assumption(value=0.1, unit="of a listing", why="what changed since the last"),
+    start_batch=Assumption(value=4.0, unit="tasks", why="starts gathered for a worker at the peak"),
+    read_gap_s=Assumption(value=0.5, unit="s", why="a least time between reads"),
+    host_list_every_s=Assumption(value=60.0, unit="s", why="asked for only if it changed"),
+    list_scope_share=Assumption(value=1 / 11, unit="of the fleet", why="one data centre's hosts"),
+    beats_per_s=Assumption(value=4.0, unit="beats/s", why="beats every 2 s to 8 peers"),
+    job_beat_s_per_peer=Assumption(value=1.0, unit="s", why="summaries as deltas would do as well"),
+)
+"""What the changes named on the page would make of the numbers above; all assumed."""
+
+
 class Basis(StrEnum):
     """How a cell came about."""
 
--- a/src/galenastall/bench/capacity_lines.py
+++ b/src/galenastall/bench/capacity_lines.py
@@ -61,6 +61,13 @@
     return model.assume("append_budget_per_s") / model.size.data_centres
 
 
+def reads_per_s(model: CapacityModel) -> float:
+    """Return reads a second of one follower: of a busy stream and of the quiet settings stream."""
+    appends = stream_appends_per_s(model)
+    gap_s = max(model.assume("read_gap_s"), 1.0 / appends)
+    return 1.0 / gap_s + 1.0 / model.assume("poll_wait_s")
+
+
 def end_groups_per_s(model: CapacityModel) -> float:
     """Return jobs with ended tasks a second in the busiest data centre: as many ends as starts."""
     return model.size.peak_starts_here / model.assume("task_end_group")
@@ -181,7 +188,7 @@
 )
 def owner_listings_wire(model: CapacityModel) -> float:
     """Return bytes of listings."""
-    body = model.at("listing-body-bytes", tasks_per_worker(model))
+    body = model.at("listing-body-bytes", tasks_per_worker(model)) * model.assume("listing_share")
     return listing_calls_per_s(model) * call_bytes(model, body) / KB
 
 
@@ -285,8 +292,7 @@
 )
 def follower_reads_cpu(model: CapacityModel) -> float:
     """Return processor time of reads."""
-    reads = stream_appends_per_s(model) + 1.0 / model.assume("poll_wait_s")
-    return reads * model.each("http-call-cpu") * US_PER_S_TO_PERCENT
+    return reads_per_s(model) * model.each("http-call-cpu") * US_PER_S_TO_PERCENT
 
 
 @line(
@@ -298,8 +304,7 @@
 )
 def follower_reads_wire(model: CapacityModel) -> float:
     """Return bytes of reads."""
-    reads = stream_appends_per_s(model) + 1.0 / model.assume("poll_wait_s")
-    return reads * call_bytes(model, 60.0) / KB
+    return reads_per_s(model) * call_bytes(model, 60.0) / KB
 
 
 @line(
@@ -447,8 +452,7 @@
 )
 def log_reads(model: CapacityModel) -> float:
     """Return reads a second."""
-    here = stream_appends_per_s(model) + 1.0 / model.assume("poll_wait_s")
-    return here * model.size.entry_hosts
+    return reads_per_s(model) * model.size.entry_hosts
 
 
 @line(
--- a/src/galenastall/bench/capacity_page.py
+++ b/src/galenastall/bench/capacity_page.py
@@ -1,7 +1,7 @@
 """Write the tables of docs/CAPACITY.md from the model, so that page and model can't differ."""
 
 from collections.abc import Iterable, Iterator
-from dataclasses import replace
+from dataclasses import fields, replace
 from pathlib import Path
 from typing import Final
 
@@ -9,7 +9,9 @@
 from galenastall.bench.capacity import (
     CPU_BUDGET_PERCENT,
     MEMORY_BUDGET_MB,
+    PLANNED,
     WIRE_BUDGET_KB_S,
+    Assumptions,
     CapacityModel,
     FleetSize,
     HostTotal,
@@ -31,15 +33,27 @@
     """The page lacks the marks between which the tables go."""
 
 
-def model_from(directory: Path, *, size: FleetSize | None = None) -> CapacityModel:
+def model_from(
+    directory: Path, *, size: FleetSize | None = None, assumptions: Assumptions | None = None
+) -> CapacityModel:
     """Return the model over the slopes kept in `directory`."""
-    return CapacityModel(size=size or FleetSize(), slopes=load_slopes(directory))
+    return CapacityModel(
+        size=size or FleetSize(), slopes=load_slopes(directory), assumptions=assumptions
+    )
 
 
 def render(directory: Path) -> str:
     """Return all tables as Markdown."""
     model = model_from(directory)
-    parts = [*_roles(model), *_host_counts(directory), *_slopes(directory), *_assumptions(model)]
+    all_roles = "One entry host, all roles together, by entry hosts in its data centre"
+    parts = [
+        *_roles(model),
+        *_host_counts(directory, f"{all_roles}: as built", Assumptions()),
+        *_host_counts(directory, f"{all_roles}: after the changes named above", PLANNED),
+        *_slopes(directory),
+        *_assumptions("Assumed", Assumptions(), Assumptions()),
+        *_assumptions("Assumed for the changes named above", PLANNED, Assumptions()),
+    ]
     return "\n".join(parts) + "\n"
 
 
@@ -73,11 +87,11 @@
     return (kind.what, amount, kind.quantity.value, each.basis.value, each.source, kind.mechanism)
 
 
-def _host_counts(directory: Path) -> Iterator[str]:
-    yield "### One entry host, all roles together, by entry hosts in its data centre\n"
+def _host_counts(directory: Path, title: str, assumptions: Assumptions) -> Iterator[str]:
+    yield f"### {title}\n"
+    sizes = [replace(FleetSize(), hosts_per_data_centre=count) for count in HOST_COUNTS]
     totals = [
-        host_total(model_from(directory, size=replace(FleetSize(), hosts_per_data_centre=count)))
-        for count in HOST_COUNTS
+        host_total(model_from(directory, size=size, assumptions=assumptions)) for size in sizes
     ]
     yield from _table(
         (
@@ -129,9 +143,15 @@
     )
 
 
-def _assumptions(model: CapacityModel) -> Iterator[str]:
-    yield "### Assumed\n"
-    rows = [(name, f"{each.value:g} {each.unit}", each.why) for name, each in model.assumptions()]
+def _assumptions(title: str, assumptions: Assumptions, built: Assumptions) -> Iterator[str]:
+    """Yield all of `built`, or only what differs from it."""
+    yield f"### {title}\n"
+    rows = [
+        (each.name, f"{value.value:g} {value.unit}", value.why)
+        for each in fields(assumptions)
+        if assumptions == built or getattr(assumptions, each.name) != getattr(built, each.name)
+        for value in (getattr(assumptions, each.name),)
+    ]
     yield from _table(("name", "value", "why"), rows)
 
 
