--- /dev/null
+++ b/src/galenastall/coordination/team_gossip.py
@@ -0,0 +1,66 @@
+"""Tell other worker owners what each team has reserved here, a few teams a beat.
+
+Quotas hold over all owners of a data centre within the lag of this: it steers, it protects no host.
+"""
+
+from collections.abc import Mapping
+from typing import Final
+
+from galenastall.state.ids import HostId, TeamPath
+from galenastall.state.resources import NOTHING, Resources
+
+CHANGED_PER_BEAT: Final = 6
+"""Teams told of because their amount changed, those that changed most first."""
+REPEATED_PER_BEAT: Final = 2
+"""Teams told of again in turn, in case a beat was lost."""
+
+
+class TeamGossip:
+    """Amounts by team, told and heard."""
+
+    def __init__(self) -> None:
+        """Start with nothing told and nothing heard."""
+        self._told: dict[TeamPath, Resources] = {}
+        self._heard: dict[HostId, dict[TeamPath, Resources]] = {}
+
+    def tell(self, reserved: Mapping[TeamPath, Resources]) -> dict[TeamPath, Resources]:
+        """Return what to tell with the next beat."""
+        teams = {*reserved, *self._told}
+        changes = {
+            team: _distance(reserved.get(team, NOTHING), self._told.get(team, NOTHING))
+            for team in teams
+        }
+        changed = sorted((team for team in teams if changes[team]), key=lambda t: (-changes[t], t))
+        chosen = changed[:CHANGED_PER_BEAT]
+        chosen += [team for team in self._told if team not in chosen][:REPEATED_PER_BEAT]
+        told = {team: reserved.get(team, NOTHING) for team in chosen}
+        for team, amount in told.items():
+            # Told last, repeated last.
+            self._told.pop(team, None)
+            self._told[team] = amount
+        return told
+
+    def hear(self, sender: HostId, told: Mapping[TeamPath, Resources]) -> None:
+        """Take in a peer's word."""
+        heard = self._heard.setdefault(sender, {})
+        heard.update(told)
+        for team in [team for team, amount in heard.items() if amount == NOTHING]:
+            del heard[team]
+
+    def forget(self, sender: HostId) -> None:
+        """Drop what a peer said that is gone."""
+        self._heard.pop(sender, None)
+
+    def elsewhere(self) -> dict[TeamPath, Resources]:
+        """Return what teams have reserved with all other owners."""
+        total: dict[TeamPath, Resources] = {}
+        for heard in self._heard.values():
+            for team, amount in heard.items():
+                total[team] = total.get(team, NOTHING) + amount
+        return total
+
+
+def _distance(one: Resources, other: Resources) -> int:
+    cores = abs(one.cores_milli - other.cores_milli)
+    memory = abs(one.memory_mb - other.memory_mb)
+    return cores + memory + 1000 * abs(one.accelerators - other.accelerators)
--- a/src/galenastall/node/job_service.py
+++ b/src/galenastall/node/job_service.py
@@ -1,6 +1,7 @@
 """Owner of job shards: a core for each owned shard, fed from the log and by the peers."""
 
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Any
 
 import trio
@@ -9,6 +10,7 @@
 from galenastall.coordination.job_shard import JobShard
 from galenastall.coordination.placement_commands import CapacitySummary
 from galenastall.coordination.shard_commands import CancelCounts, ShardSettings
+from galenastall.coordination.team_gossip import TeamGossip
 from galenastall.node.job_link import JobLink
 from galenastall.node.job_timings import JobTimings
 from galenastall.node.job_views import view_run
@@ -87,6 +89,7 @@
         self._void_at: dict[HostId, float] = {}
         self._seen_live: dict[HostId, float] = {}
         self._has_lost_worker = False
+        self._teams = TeamGossip()
         self._held: dict[JobId, JobState] = {}
         self._cancels_to_log: dict[JobId, str] = {}
         self._is_draining = False
@@ -255,14 +258,11 @@
             valid_until=now + self._timings.valid_s,
             summary=self._own_summary(),
             renewing=self._workers.helper.renewing(),
+            reserved_by_team=self._teams.tell(self._workers.core.reserved_by_team()),
         )
-        silent = JobBeat(
-            incarnation=beat.incarnation,
-            shards=(),
-            valid_until=0.0,
-            summary=beat.summary,
-            renewing=beat.renewing,
-        )
+        self._workers.core.set_reserved_elsewhere(self._teams.elsewhere())
+        # Without shards it keeps nothing valid that the host may have queued.
+        silent = replace(beat, shards=(), valid_until=0.0)
         me = self._link.host_id
         self._workers.hear_beat(me, beat)
         roster = self._ownership.roster()
@@ -288,6 +288,7 @@
         self._summaries.pop(host, None)
         self._incarnations.pop(host, None)
         self._void_at.pop(host, None)
+        self._teams.forget(host)
         self._doubt(host)
 
     def _doubt(self, host: HostId) -> None:
@@ -302,6 +303,7 @@
         self._incarnations[sender] = beat.incarnation
         self._heard_at[sender] = now
         self._summaries[sender] = beat.summary
+        self._teams.hear(sender, beat.reserved_by_team)
         self._workers.hear_beat(sender, beat)
 
     def _note_workers(self, now: float) -> None:
--- a/src/galenastall/node/worker_service.py
+++ b/src/galenastall/node/worker_service.py
@@ -4,7 +4,7 @@
 validity of each assignment, are asked for again right before a start leaves.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
 import trio
@@ -45,7 +45,7 @@
 from galenastall.protocol.platform import StartBatch, StartRequest, TaskAnswer
 from galenastall.protocol.platform import WorkerService as WorkerCalls
 from galenastall.state.errors import StepError
-from galenastall.state.hosts import HostListing, ListedHost
+from galenastall.state.hosts import HostKind, HostListing, ListedHost
 from galenastall.state.ids import (
     DataCentre,
     Epoch,
@@ -95,6 +95,8 @@
         self._events = events or NullEventSink()
         self._wake = trio.Event()
         self._is_draining = False
+        self._listing: HostListing | None = None
+        self._listed: Mapping[HostId, ListedHost] = {}
         self._nursery: trio.Nursery | None = None
         times = self._timings
         self.leases = LeaseBook(
@@ -181,15 +183,19 @@
         self.leases.hear_peer(sender, beat.renewing, now)
         self.helper.hear_owner(sender, now)
 
-    def listed_workers(self) -> dict[HostId, ListedHost]:
+    def listed_workers(self) -> Mapping[HostId, ListedHost]:
         """Return this data centre's workers as the platform's list shows them."""
         listing = self._hosts()
-        if listing is None:
-            return {}
+        if listing is not self._listing:
+            self._listing = listing
+            self._listed = {} if listing is None else self._select_workers(listing)
+        return self._listed
+
+    def _select_workers(self, listing: HostListing) -> dict[HostId, ListedHost]:
         return {
             host_id: host
             for host_id, host in listing.by_id.items()
-            if host.kind.value == OwnableKind.WORKER.value and host.data_centre == self._data_centre
+            if host.kind is HostKind.WORKER and host.data_centre == self._data_centre
         }
 
     def address_of(self, worker: HostId) -> str | None:
--- a/src/galenastall/protocol/job_messages.py
+++ b/src/galenastall/protocol/job_messages.py
@@ -1,12 +1,13 @@
 """Peer messages of jobs: between shard owners, worker owners and the hosts that callers reach."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from galenastall.coordination.placement_commands import CapacitySummary
 from galenastall.coordination.shard_commands import CancelCounts
 from galenastall.coordination.task_reports import TaskAttempt, TaskReport
 from galenastall.protocol.codec import PEER_MESSAGES
-from galenastall.state.ids import Epoch, HostId, JobId, TaskId
+from galenastall.state.ids import Epoch, HostId, JobId, TaskId, TeamPath
+from galenastall.state.resources import Resources
 from galenastall.state.work import JobSpec, TaskPhase, TaskSpec
 
 
@@ -33,6 +34,8 @@
     """Wall time until which queued tasks of these shards may start."""
     summary: CapacitySummary
     renewing: tuple[HostId, ...] = ()
+    reserved_by_team: dict[TeamPath, Resources] = field(default_factory=dict)
+    """Some of the teams, in turn."""
 
 
 @PEER_MESSAGES.register("task_assign")
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -254,6 +254,7 @@
         self.job_timings = JobTimings()
         self._nursery = nursery
         self._lives = 0
+        self._listing: HostListing | None = None
 
     @staticmethod
     def make_worker(index: int, capacity: Resources) -> ListedHost:
