Serve normal before backfill in all teams, and learn from a job's own tasks first

Cause: a team's backfill went ahead of other teams' normal tasks; a kind's quantile reserved a third too much for jobs that declared well.

Change: teams have a lane for each class, and all of a class goes before the next; after two ended tasks a job's own peaks are what is learned.

Conclusion: classes are now ordered strictly; backfill pays for it, bounded by the starvation time.

--- a/src/galenastall/coordination/estimates.py
+++ b/src/galenastall/coordination/estimates.py
@@ -1,15 +1,19 @@
 """Learn from what ended how much tasks of a team and kind use and how long they run.
 
 Declared sizes are often far off. A reservation is the larger of declared and learned, so learning
-never takes away what a caller asked for. Histograms are logarithmic and decayed, some hundred bytes
-each: a full HDR histogram of the same range takes 16 KB, too much for three a kind at 260 teams.
+never takes away what a caller asked for. What a job's own tasks used counts before what others of
+its team and kind did, since tasks of one job are alike and a kind's quantile is wide.
+
+Histograms are logarithmic and decayed, some hundred bytes each: a full HDR histogram of the same
+range takes 16 KB, too much for three a kind at 260 teams.
 """
 
 from collections import OrderedDict
+from collections.abc import Callable
 from math import exp2, log2
-from typing import Final
+from typing import Final, TypeVar
 
-from galenastall.state.ids import TeamPath
+from galenastall.state.ids import JobId, TeamPath
 from galenastall.state.resources import Resources
 from galenastall.state.work import FinishedTask, TaskSpec
 
@@ -25,6 +29,16 @@
 RUN_QUANTILE: Final = 0.9
 MOST_KINDS: Final = 4096
 """Teams' kinds remembered; the least recently used goes first."""
+MOST_JOBS: Final = 8192
+"""Jobs remembered; the least recently used goes first."""
+LEAST_OF_JOB: Final = 2
+"""Ended tasks of a job after which its own usage counts."""
+JOB_MARGIN: Final = 1.05
+"""How much above the largest of a job's own peaks is reserved."""
+
+
+K = TypeVar("K")
+V = TypeVar("V")
 
 
 class DecayedHistogram:
@@ -91,26 +105,40 @@
         self.run_s = self.times.quantile(RUN_QUANTILE) or None
 
 
+class _JobPeaks:
+    __slots__ = ("cores", "memory", "samples", "size")
+
+    def __init__(self) -> None:
+        self.cores = 0
+        self.memory = 0
+        self.samples = 0
+        self.size: Resources | None = None
+
+    def record(self, peak: Resources) -> None:
+        self.cores = max(self.cores, peak.cores_milli)
+        self.memory = max(self.memory, peak.memory_mb)
+        self.samples += 1
+        if self.samples >= LEAST_OF_JOB:
+            self.size = Resources(
+                cores_milli=int(self.cores * JOB_MARGIN), memory_mb=int(self.memory * JOB_MARGIN)
+            )
+
+
 class Estimates:
-    """Learned sizes and run times by team and kind; unlabelled tasks teach nothing."""
+    """Learned sizes and run times, by job and by team and kind; unlabelled tasks teach nothing."""
 
     def __init__(self) -> None:
         """Start without having learned anything."""
+        self._peaks_by_job: OrderedDict[JobId, _JobPeaks] = OrderedDict()
         self._learned_by_kind: OrderedDict[tuple[TeamPath, str], _Learned] = OrderedDict()
 
     def record(self, task: TaskSpec, end: FinishedTask) -> None:
         """Learn from a task that ended; one whose peak was not measured teaches nothing."""
         if not task.kind or (not end.peak.memory_mb and not end.peak.cores_milli):
             return
-        key = (task.team, task.kind)
-        learned = self._learned_by_kind.get(key)
-        if learned is None:
-            learned = self._learned_by_kind[key] = _Learned()
-            if len(self._learned_by_kind) > MOST_KINDS:
-                self._learned_by_kind.popitem(last=False)
-        else:
-            self._learned_by_kind.move_to_end(key)
-        learned.record(end)
+        kind = (task.team, task.kind)
+        _recent(self._learned_by_kind, kind, _Learned, MOST_KINDS).record(end)
+        _recent(self._peaks_by_job, task.job_id, _JobPeaks, MOST_JOBS).record(end.peak)
 
     def amount(self, task: TaskSpec, most: Resources) -> Resources:
         """Return what to reserve: the larger of declared and learned, the latter up to `most`.
@@ -118,10 +146,9 @@
         `most` is the largest worker: learning must not make a task impossible.
         """
         declared = task.resources
-        learned = self._learned_by_kind.get((task.team, task.kind))
-        if learned is None or learned.size is None:
+        size = self._learned_size(task)
+        if size is None:
             return declared
-        size = learned.size
         if size.cores_milli <= declared.cores_milli and size.memory_mb <= declared.memory_mb:
             return declared
         return Resources(
@@ -130,9 +157,28 @@
             accelerators=declared.accelerators,
         )
 
+    def _learned_size(self, task: TaskSpec) -> Resources | None:
+        peaks = self._peaks_by_job.get(task.job_id)
+        if peaks is not None and peaks.size is not None:
+            return peaks.size
+        learned = self._learned_by_kind.get((task.team, task.kind))
+        return None if learned is None else learned.size
+
     def run_s(self, task: TaskSpec) -> float | None:
         """Return how long the task is expected to run in seconds: learned, else declared."""
         learned = self._learned_by_kind.get((task.team, task.kind))
         if learned is None or learned.run_s is None:
             return task.run_s
         return learned.run_s
+
+
+def _recent(entries: OrderedDict[K, V], key: K, make: Callable[[], V], most: int) -> V:
+    """Return the entry, made if there is none, as the most recent of at most `most`."""
+    entry = entries.get(key)
+    if entry is None:
+        entry = entries[key] = make()
+        if len(entries) > most:
+            entries.popitem(last=False)
+    else:
+        entries.move_to_end(key)
+    return entry
--- a/src/galenastall/coordination/team_queue.py
+++ b/src/galenastall/coordination/team_queue.py
@@ -14,7 +14,7 @@
 
 from galenastall.coordination.placement_commands import TeamShare
 from galenastall.coordination.placement_settings import PlacementSettings
-from galenastall.coordination.waiting import Lane, TeamLine, Waiting, WaitReason
+from galenastall.coordination.waiting import Lane, TeamLane, TeamLine, Waiting, WaitReason
 from galenastall.state.ids import TaskId, TeamPath
 from galenastall.state.registry import Registry
 from galenastall.state.resources import NOTHING, Resources
@@ -26,8 +26,10 @@
 """Starving tasks tried in a scan."""
 JOB_TRIES: Final = 16
 """Jobs of one team tried before the team is parked."""
+TEAM_CLASSES: Final = (Urgency.NORMAL, Urgency.BACKFILL)
+"""Classes that go by teams' shares; all of a class goes before the next one."""
 SCAN_TRIES: Final = 128
-"""Tasks of teams tried in vain in one scan."""
+"""Tasks of one class tried in vain in one scan."""
 
 
 class TeamQueue:
@@ -39,8 +41,8 @@
         self._total: Resources = NOTHING
         self._waiting_by_id: dict[TaskId, Waiting] = {}
         self._lines_by_team: dict[TeamPath, TeamLine] = {}
-        self._by_share: SortedList = SortedList()
-        self._parked_by_team: dict[TeamPath, TeamLine] = {}
+        self._by_share = {urgency: SortedList() for urgency in TEAM_CLASSES}
+        self._parked: dict[tuple[Urgency, TeamPath], TeamLane] = {}
         self._urgent: SortedDict = SortedDict()
         self._overdue: SortedDict = SortedDict()
         self._due_heap: list[tuple[float, int, TaskId]] = []
@@ -55,8 +57,7 @@
             share = self._share_setting(line.path)
             line.weight = share.weight
             line.quota = share.quota
-            self._unpark(line)
-            self._refile(line)
+            self._unpark_all(line)
 
     def set_total(self, total: Resources) -> None:
         """Say what all owned workers hold together; shares are shares of this."""
@@ -69,8 +70,7 @@
         for path in reserved_by_team.keys() | self._lines_by_team.keys():
             line = self._line(path)
             line.elsewhere = reserved_by_team.get(path, NOTHING)
-            self._unpark(line)
-            self._refile(line)
+            self._unpark_all(line)
 
     def add(self, task: TaskSpec, since: float, *, first: bool = False) -> Waiting | None:
         """Let a task wait; `first` puts it ahead of its team's others. None if it waits already."""
@@ -89,11 +89,11 @@
         due_at = since + self._settings.starvation_s
         heappush(self._due_heap, (due_at, waiting.seq, task.task_id))
         waiting.lane = Lane.TEAM
-        line = self._line(task.team)
-        line.add(waiting, first=first)
-        if line.parked is not None and not _covers(line.parked, task.resources):
-            self._unpark(line)
-        self._refile(line)
+        lane = self._line(task.team).lanes_by_urgency[task.urgency]
+        lane.add(waiting, first=first)
+        if lane.parked is not None and not _covers(lane.parked, task.resources):
+            self._unpark(lane)
+        self._refile_lane(lane)
         return waiting
 
     def remove(self, task_id: TaskId) -> Waiting | None:
@@ -107,11 +107,7 @@
         elif waiting.lane is Lane.OVERDUE:
             del self._overdue[waiting.order]
         else:
-            line = self._lines_by_team[waiting.task.team]
-            line.remove(waiting)
-            if line.is_empty:
-                self._unpark(line)
-                self._refile(line)
+            self._leave_lane(waiting)
         waiting.lane = None
         return waiting
 
@@ -123,7 +119,7 @@
         """Return why a task waits; one that was not tried shares the reason of its job's first."""
         if waiting.lane is not Lane.TEAM or waiting.reason is not WaitReason.NOT_TRIED:
             return waiting.reason
-        return self._lines_by_team[waiting.task.team].first_of_job(waiting).reason
+        return self._lane_of(waiting).first_of_job(waiting).reason
 
     def charge(self, team: TeamPath, amount: Resources) -> None:
         """Count what was reserved for a team."""
@@ -140,8 +136,9 @@
         line.memory -= amount.memory_mb
         line.accelerators -= amount.accelerators
         if line.quota is not None:
-            self._unpark(line)
-        self._refile(line)
+            self._unpark_all(line)
+        else:
+            self._refile(line)
 
     def allows(self, team: TeamPath, amount: Resources) -> bool:
         """Return whether a team's quota lets it reserve `amount` more."""
@@ -175,16 +172,16 @@
 
     def room_grew(self, room: tuple[int, int, int]) -> None:
         """Try parked teams again whose smallest tried task would fit such room."""
-        if not self._parked_by_team:
+        if not self._parked:
             return
         cores, memory, accelerators = room
-        for line in list(self._parked_by_team.values()):
-            parked = line.parked
+        for lane in list(self._parked.values()):
+            parked = lane.parked
             if parked is None:
                 continue
             if parked[0] <= cores and parked[1] <= memory and parked[2] <= accelerators:
-                self._unpark(line)
-                self._refile(line)
+                self._unpark(lane)
+                self._refile_lane(lane)
 
     def scan(self, now: float) -> Iterator[Waiting]:
         """Return tasks in the order in which to try them; the caller removes what it placed."""
@@ -193,7 +190,8 @@
             yield from self._scan_overdue()
         yield from self._scan_urgent()
         yield from self._scan_overdue()
-        yield from self._scan_teams()
+        for urgency in TEAM_CLASSES:
+            yield from self._scan_teams(urgency)
 
     def __len__(self) -> int:
         return len(self._waiting_by_id)
@@ -223,13 +221,14 @@
             if waiting.lane is None:
                 self._since_overdue = 0
 
-    def _scan_teams(self) -> Iterator[Waiting]:
+    def _scan_teams(self, urgency: Urgency) -> Iterator[Waiting]:
+        by_share = self._by_share[urgency]
         misses = 0
-        while self._by_share and misses < SCAN_TRIES:
-            line = self._lines_by_team[self._by_share[0][1]]
+        while by_share and misses < SCAN_TRIES:
+            lane = self._lines_by_team[by_share[0][1]].lanes_by_urgency[urgency]
             smallest: tuple[int, int, int] | None = None
             placed = False
-            for waiting in line.heads(JOB_TRIES):
+            for waiting in lane.heads(JOB_TRIES):
                 yield waiting
                 if waiting.lane is None:
                     placed = True
@@ -238,7 +237,7 @@
                 misses += 1
                 smallest = _smaller(smallest, waiting.task.resources)
             if not placed:
-                self._park(line, smallest)
+                self._park(lane, smallest)
 
     def _promote(self, now: float) -> None:
         while self._due_heap and self._due_heap[0][0] <= now:
@@ -246,13 +245,9 @@
             waiting = self._waiting_by_id.get(task_id)
             if waiting is None or waiting.seq != seq or waiting.lane is not Lane.TEAM:
                 continue
-            line = self._lines_by_team[waiting.task.team]
-            line.remove(waiting)
+            self._leave_lane(waiting)
             waiting.lane = Lane.OVERDUE
             self._overdue[waiting.order] = waiting
-            if line.is_empty:
-                self._unpark(line)
-                self._refile(line)
 
     def _line(self, path: TeamPath) -> TeamLine:
         line = self._lines_by_team.get(path)
@@ -264,28 +259,49 @@
     def _share_setting(self, path: TeamPath) -> TeamShare:
         return self._settings.teams_by_path.get(path, self._settings.default_share)
 
+    def _lane_of(self, waiting: Waiting) -> TeamLane:
+        task = waiting.task
+        return self._lines_by_team[task.team].lanes_by_urgency[task.urgency]
+
+    def _leave_lane(self, waiting: Waiting) -> None:
+        lane = self._lane_of(waiting)
+        lane.remove(waiting)
+        if not lane.tasks_by_job:
+            self._unpark(lane)
+            self._refile_lane(lane)
+
     def _refile(self, line: TeamLine) -> None:
+        for lane in line.lanes_by_urgency.values():
+            if lane.key is not None:
+                self._refile_lane(lane)
+
+    def _refile_lane(self, lane: TeamLane) -> None:
         wanted = None
-        if line.parked is None and not line.is_empty:
-            wanted = (line.share_of(self._total), line.path)
-        if wanted == line.key:
+        if lane.parked is None and lane.tasks_by_job:
+            wanted = (lane.line.share_of(self._total), lane.line.path)
+        if wanted == lane.key:
             return
-        if line.key is not None:
-            self._by_share.remove(line.key)
+        if lane.key is not None:
+            self._by_share[lane.urgency].remove(lane.key)
         if wanted is not None:
-            self._by_share.add(wanted)
-        line.key = wanted
+            self._by_share[lane.urgency].add(wanted)
+        lane.key = wanted
 
-    def _park(self, line: TeamLine, smallest: tuple[int, int, int] | None) -> None:
-        line.parked = smallest or (0, 0, 0)
-        self._parked_by_team[line.path] = line
-        self._refile(line)
+    def _park(self, lane: TeamLane, smallest: tuple[int, int, int] | None) -> None:
+        lane.parked = smallest or (0, 0, 0)
+        self._parked[lane.urgency, lane.line.path] = lane
+        self._refile_lane(lane)
 
-    def _unpark(self, line: TeamLine) -> None:
-        if line.parked is None:
+    def _unpark(self, lane: TeamLane) -> None:
+        if lane.parked is None:
             return
-        line.parked = None
-        del self._parked_by_team[line.path]
+        lane.parked = None
+        del self._parked[lane.urgency, lane.line.path]
+
+    def _unpark_all(self, line: TeamLine) -> None:
+        for lane in line.lanes_by_urgency.values():
+            self._unpark(lane)
+            self._refile_lane(lane)
 
 
 class ArrivalQueue(TeamQueue):
--- a/src/galenastall/coordination/waiting.py
+++ b/src/galenastall/coordination/waiting.py
@@ -43,80 +43,78 @@
         self.reason = WaitReason.NOT_TRIED
 
 
-class TeamLine:
-    """A team's waiting tasks, grouped by job, and what the team has reserved.
+class TeamLane:
+    """A team's waiting tasks of one class, grouped by job.
 
     Tasks of one job are alike, so that only the first of each job has to be tried.
     """
 
-    __slots__ = (
-        "accelerators",
-        "cores",
-        "elsewhere",
-        "key",
-        "lines_by_urgency",
-        "memory",
-        "parked",
-        "path",
-        "quota",
-        "weight",
-    )
+    __slots__ = ("key", "line", "parked", "tasks_by_job", "urgency")
 
-    def __init__(self, *, path: TeamPath, share: TeamShare) -> None:
-        """Start with nothing waiting and nothing reserved."""
-        self.path = path
-        self.weight = share.weight
-        self.quota = share.quota
-        self.cores = 0
-        self.memory = 0
-        self.accelerators = 0
-        self.elsewhere: Resources = NOTHING
+    def __init__(self, *, line: "TeamLine", urgency: Urgency) -> None:
+        """Start with nothing waiting."""
+        self.line = line
+        self.urgency = urgency
         self.key: tuple[float, TeamPath] | None = None
         self.parked: tuple[int, int, int] | None = None
-        self.lines_by_urgency: dict[Urgency, OrderedDict[JobId, OrderedDict[TaskId, Waiting]]] = {
-            Urgency.NORMAL: OrderedDict(),
-            Urgency.BACKFILL: OrderedDict(),
-        }
+        self.tasks_by_job: OrderedDict[JobId, OrderedDict[TaskId, Waiting]] = OrderedDict()
 
     def add(self, waiting: Waiting, *, first: bool) -> None:
         """Let a task wait behind, or ahead of, the team's others of its class."""
         task = waiting.task
-        jobs = self.lines_by_urgency[task.urgency]
-        tasks = jobs.get(task.job_id)
+        tasks = self.tasks_by_job.get(task.job_id)
         if tasks is None:
-            tasks = jobs[task.job_id] = OrderedDict()
+            tasks = self.tasks_by_job[task.job_id] = OrderedDict()
         tasks[task.task_id] = waiting
         if first:
             tasks.move_to_end(task.task_id, last=False)
-            jobs.move_to_end(task.job_id, last=False)
+            self.tasks_by_job.move_to_end(task.job_id, last=False)
 
     def remove(self, waiting: Waiting) -> None:
         """Take out a task that waits here."""
-        task = waiting.task
-        jobs = self.lines_by_urgency[task.urgency]
-        tasks = jobs[task.job_id]
-        del tasks[task.task_id]
+        job_id = waiting.task.job_id
+        tasks = self.tasks_by_job[job_id]
+        del tasks[waiting.task.task_id]
         if not tasks:
-            del jobs[task.job_id]
+            del self.tasks_by_job[job_id]
 
     def heads(self, limit: int) -> Iterator[Waiting]:
-        """Return the first task of each of the first `limit` jobs, normal before backfill."""
-        normal = self.lines_by_urgency[Urgency.NORMAL]
-        backfill = self.lines_by_urgency[Urgency.BACKFILL]
-        for tasks in list(islice(normal.values(), limit)):
-            yield next(iter(tasks.values()))
-        for tasks in list(islice(backfill.values(), max(limit - len(normal), 0))):
+        """Return the first task of each of the first `limit` jobs."""
+        for tasks in list(islice(self.tasks_by_job.values(), limit)):
             yield next(iter(tasks.values()))
 
     def first_of_job(self, waiting: Waiting) -> Waiting:
         """Return the task of the same job that is tried first."""
-        tasks = self.lines_by_urgency[waiting.task.urgency][waiting.task.job_id]
-        return next(iter(tasks.values()))
+        return next(iter(self.tasks_by_job[waiting.task.job_id].values()))
+
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether nothing waits."""
-        return not any(self.lines_by_urgency.values())
+class TeamLine:
+    """What a team may have and has reserved, and its lanes of waiting tasks."""
+
+    __slots__ = (
+        "accelerators",
+        "cores",
+        "elsewhere",
+        "lanes_by_urgency",
+        "memory",
+        "path",
+        "quota",
+        "weight",
+    )
+
+    def __init__(self, *, path: TeamPath, share: TeamShare) -> None:
+        """Start with nothing waiting and nothing reserved."""
+        self.path = path
+        self.weight = share.weight
+        self.quota = share.quota
+        self.cores = 0
+        self.memory = 0
+        self.accelerators = 0
+        self.elsewhere: Resources = NOTHING
+        self.lanes_by_urgency = {
+            urgency: TeamLane(line=self, urgency=urgency)
+            for urgency in (Urgency.NORMAL, Urgency.BACKFILL)
+        }
 
     def share_of(self, total: Resources) -> float:
         """Return the dominant-resource share over the weight."""
--- a/tests/test_placement_rules.py
+++ b/tests/test_placement_rules.py
@@ -238,6 +238,15 @@
         self.learn(core, Resources(cores_milli=9000, memory_mb=9000))
         assert self.reserved(core, make_task("x/0", kind="pack")) == ROOM
 
+    def test_what_the_job_itself_used_counts_before_its_kind(self) -> None:
+        core = make_core()
+        self.learn(core, Resources(cores_milli=500, memory_mb=2000))
+        for index in range(2):
+            run(core, make_task(f"x/{index}", kind="pack"))
+            peak = Resources(cores_milli=100, memory_mb=800)
+            core.on_finished(W1, [ended(f"x/{index}", peak=peak)], 1.0)
+        assert self.reserved(core, make_task("x/2", kind="pack")).memory_mb == 840
+
     def test_kinds_and_teams_are_apart(self) -> None:
         core = make_core()
         self.learn(core, Resources(cores_milli=500, memory_mb=2000))
