Show what an entry host counts as metrics

Cause: services counted and nobody could read it. Change: gauges over link, log, ownership, requests and jobs, read at each scrape only.

--- a/src/galenastall/node/entry_host.py
+++ b/src/galenastall/node/entry_host.py
@@ -7,6 +7,7 @@
 import trio
 
 from galenastall.node.host_list_service import HostListPoller, peer_addresses
+from galenastall.node.host_metrics import register_host_metrics
 from galenastall.node.http_drain import HttpDrain
 from galenastall.node.http_ops import HttpOps
 from galenastall.node.job_side import JobSide
@@ -154,6 +155,14 @@
         ops = HttpOps(
             metrics=self.metrics, timeline=self.timeline, not_ready_reasons=self.not_ready_reasons
         )
+        register_host_metrics(
+            metrics=self.metrics,
+            link=self.link,
+            log_side=self.log_side,
+            ownership=self.ownership,
+            request_side=self.request_side,
+            job_side=self.job_side,
+        )
         self.drain_route = HttpDrain(is_log_up=lambda: appender.is_log_up)
         self.server = HttpServer(
             handlers=(ops, self.drain_route, self.request_side.routes, self.job_side.routes),
--- /dev/null
+++ b/src/galenastall/node/host_metrics.py
@@ -0,0 +1,130 @@
+"""Gauges over all services of an entry host; read at each scrape, so they cost nothing between."""
+
+from functools import partial
+
+from galenastall.node.job_side import JobSide
+from galenastall.node.log_service import LogSide
+from galenastall.node.ownership_service import OwnershipService
+from galenastall.node.request_side import RequestSide
+from galenastall.state.ids import split_ownable_id
+from galenastall.transport.metrics import Metrics
+from galenastall.transport.peer_link import ZmqPeerLink
+
+Labels = tuple[str, ...]
+
+
+def register_host_metrics(
+    *,
+    metrics: Metrics,
+    link: ZmqPeerLink,
+    log_side: LogSide,
+    ownership: OwnershipService,
+    request_side: RequestSide,
+    job_side: JobSide,
+) -> None:
+    """Show what the services count; the guide's page on metrics says what each means."""
+    _register_link(metrics, link)
+    _register_log(metrics, log_side)
+    _register_ownership(metrics, ownership)
+    _register_requests(metrics, request_side)
+    _register_jobs(metrics, job_side)
+
+
+def _register_link(metrics: Metrics, link: ZmqPeerLink) -> None:
+    def traffic(field: str) -> dict[Labels, float]:
+        return {(peer,): getattr(each, field) for peer, each in link.counters_by_id.items()}
+
+    for field in ("messages_out", "messages_in", "bytes_out", "bytes_in"):
+        metrics.gauge(
+            f"galenastall_peer_{field}",
+            f"{field.replace('_', ' ')} since start, by peer",
+            partial(traffic, field),
+            labels=("peer",),
+        )
+    metrics.gauge(
+        "galenastall_peer_refused_connections",
+        "connections of hosts without an allowed key",
+        lambda: float(link.refused_connections),
+    )
+
+
+def _register_log(metrics: Metrics, log_side: LogSide) -> None:
+    def offsets() -> dict[Labels, float]:
+        followers = log_side.followers_by_stream
+        return {(stream,): float(each.next_offset) for stream, each in followers.items()}
+
+    metrics.gauge("galenastall_log_next_offset", "next offset to fold", offsets, labels=("stream",))
+    metrics.gauge(
+        "galenastall_log_appends",
+        "appends to the log since start",
+        lambda: float(log_side.appender.appends),
+    )
+    metrics.gauge(
+        "galenastall_log_up",
+        "1 if the last call to the log succeeded",
+        lambda: float(log_side.appender.is_log_up),
+    )
+
+
+def _register_ownership(metrics: Metrics, ownership: OwnershipService) -> None:
+    def owned() -> dict[Labels, float]:
+        counts: dict[Labels, float] = {}
+        for ownable in ownership.owned():
+            kind, _ = split_ownable_id(ownable)
+            counts[(kind.value,)] = counts.get((kind.value,), 0.0) + 1.0
+        return counts
+
+    metrics.gauge("galenastall_owned", "what this host owns, by kind", owned, labels=("kind",))
+    metrics.gauge(
+        "galenastall_roster", "live members of the data centre", lambda: len(ownership.roster())
+    )
+    metrics.gauge(
+        "galenastall_log_leg",
+        "1 if the log's tip was read recently enough to act on",
+        lambda: float(ownership.has_log_leg),
+    )
+
+
+def _register_requests(metrics: Metrics, side: RequestSide) -> None:
+    counters = side.requests.counters
+
+    def outcomes() -> dict[Labels, float]:
+        return {(outcome.value,): count for outcome, count in counters.ended_by_outcome.items()}
+
+    def refusals() -> dict[Labels, float]:
+        return {(reason.value,): count for reason, count in counters.refused_by_reason.items()}
+
+    metrics.gauge(
+        "galenastall_requests_ended", "requests by outcome", outcomes, labels=("outcome",)
+    )
+    metrics.gauge(
+        "galenastall_requests_refused", "requests not run, by reason", refusals, labels=("reason",)
+    )
+    metrics.gauge("galenastall_requests_waiting", "requests queued", lambda: side.requests.waiting)
+    metrics.gauge(
+        "galenastall_requests_in_progress",
+        "requests without a final answer",
+        lambda: side.requests.in_progress,
+    )
+    for name in ("retries", "retries_denied", "foreign_answers", "cut_answers", "void_permits"):
+        metrics.gauge(
+            f"galenastall_requests_{name}",
+            f"{name.replace('_', ' ')} since start",
+            partial(getattr, counters, name),
+        )
+
+
+def _register_jobs(metrics: Metrics, side: JobSide) -> None:
+    def waiting() -> dict[Labels, float]:
+        by_class = side.core.summary().waiting_by_class
+        return {(name,): float(count) for name, count in by_class.items()}
+
+    metrics.gauge("galenastall_tasks_waiting", "tasks queued here", waiting, labels=("class",))
+    metrics.gauge(
+        "galenastall_tasks_placed",
+        "tasks that hold capacity on owned workers",
+        lambda: float(side.core.summary().running),
+    )
+    metrics.gauge(
+        "galenastall_job_shards", "job shards driven here", lambda: len(side.jobs.drivers_by_shard)
+    )
