--- a/src/galenastall/standin/process.py
+++ b/src/galenastall/standin/process.py
@@ -29,6 +29,8 @@
     model = MemoryPlatform(clock=clock, seed=settings.seed)
     model.log.set_faults(settings.log.faults())
     model.host_list.set_faults(settings.host_list_faults())
+    for host in settings.listed_entry_hosts():
+        model.add_host(host)
     bind_host, port = split_address(settings.bind)
     return StandinServer(
         model=model,
--- a/src/galenastall/standin/settings.py
+++ b/src/galenastall/standin/settings.py
@@ -1,12 +1,13 @@
 """Settings file of a stand-in process: sizes of the fleet, seed, ports and first knobs."""
 
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Annotated, Literal
 
 from pydantic import Field
 from returns.result import Result
 
-from galenastall.protocol.addresses import BindAddress
+from galenastall.protocol.addresses import BindAddress, ReachableAddress
 from galenastall.protocol.process_settings import Name
 from galenastall.protocol.yaml_files import load_yaml
 from galenastall.standin.executor import DEFAULT_CONNECTIONS, DEFAULT_SLOTS
@@ -19,7 +20,8 @@
 )
 from galenastall.standin.fleet import FleetShape
 from galenastall.standin.service_time import ServiceTime
-from galenastall.state.ids import DataCentre
+from galenastall.state.hosts import HostKind, ListedHost
+from galenastall.state.ids import DataCentre, HostId
 from galenastall.state.resources import Resources
 from galenastall.state.settings_problems import SettingsModel, SettingsProblems, check_tree
 
@@ -103,6 +105,14 @@
         )
 
 
+class EntryHostSettings(SettingsModel):
+    """An entry host that the platform's list shows from the start."""
+
+    data_centre: Name
+    http_address: ReachableAddress
+    peer_address: ReachableAddress
+
+
 class StandinSettings(SettingsModel):
     """Settings of a stand-in process."""
 
@@ -114,6 +124,8 @@
     data_centres: tuple[Name, ...] = Field(min_length=1)
     hosts_per_rack: int = Field(default=8, ge=1)
     host_list_lag_seconds: float = Field(default=1.0, ge=0)
+    entry_hosts: dict[Name, EntryHostSettings] = Field(default_factory=dict)
+    """Entry hosts by host id; others are added over the control port."""
     workers: WorkerSettings = Field(default_factory=WorkerSettings)
     executors: ExecutorSettings = Field(default_factory=ExecutorSettings)
     log: LogSettings = Field(default_factory=LogSettings)
@@ -130,6 +142,17 @@
             connections=self.executors.connections,
         )
 
+    def listed_entry_hosts(self) -> Iterator[ListedHost]:
+        """Yield the rows of the entry hosts."""
+        for name, entry in self.entry_hosts.items():
+            yield ListedHost(
+                host_id=HostId(name),
+                kind=HostKind.ENTRY,
+                data_centre=DataCentre(entry.data_centre),
+                address=entry.http_address,
+                peer_address=entry.peer_address,
+            )
+
     def host_list_faults(self) -> HostListFaults:
         """Return the host list's first knobs."""
         return HostListFaults(lag_s=self.host_list_lag_seconds)
