--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -36,6 +36,13 @@
         self._kept: dict[StreamName, _Kept] = {}
         self._late: list[tuple[float, StreamName, tuple[str, ...]]] = []
 
+    def view(self) -> "FakeLog":
+        """Return another way to the same streams, with faults of its own."""
+        other = FakeLog()
+        other._kept = self._kept
+        other._late = self._late
+        return other
+
     def texts(self, stream: StreamName) -> list[str]:
         return list(self._of(stream).texts)
 
