Command the shared tree: settings show, apply, status, history, validate

Cause: operators drive the fleet only by settings, race each other and lose answers. Change: settings_app with documented exit codes and text or JSON output. apply wants the revision that its author saw, unless nothing was ever set there, so no command overwrites another's change unseen; it prints the change id first, under which it can be asked for or repeated.

--- /dev/null
+++ b/src/galenastall/cli/settings_commands.py
@@ -0,0 +1,215 @@
+"""Commands for the shared tree: `settings show`, `apply`, `history` and `validate`."""
+
+import uuid
+from pathlib import Path
+from typing import Annotated, Any, Final, NoReturn
+from urllib.parse import quote
+
+import msgspec
+import typer
+import yaml
+from returns.result import Failure
+
+from galenastall.cli.entry_client import EntryOption, call_entry, call_entry_json
+from galenastall.cli.exit_codes import EXIT_CODE_HELP, ExitCode
+from galenastall.cli.output import OutputFormat, OutputOption, fail, fail_usage, print_value
+from galenastall.protocol.process_settings import ProcessSettings
+from galenastall.protocol.yaml_files import load_yaml, parse_yaml
+from galenastall.state.settings_paths import NO_REVISION
+from galenastall.state.settings_problems import SettingsProblems, check_tree
+from galenastall.state.settings_records import Verdict, VerdictKind
+from galenastall.state.shared_settings import SharedSettings
+from galenastall.transport.http_client import WholeAnswer, error_of_answer
+
+settings_app = typer.Typer(help=f"Show and change the shared tree. {EXIT_CODE_HELP}")
+
+PROCESS_KEY: Final = "host_id"
+"""A key that only the settings file of a process has."""
+_CODES_BY_VERDICT: Final = {
+    VerdictKind.ACCEPTED: ExitCode.OK,
+    VerdictKind.STALE: ExitCode.REFUSED,
+    VerdictKind.FORBIDDEN: ExitCode.REFUSED,
+    VerdictKind.INVALID: ExitCode.USAGE,
+}
+
+PathArgument = Annotated[
+    str, typer.Argument(help="Path in the tree, for example teams/packs; the root if left out.")
+]
+
+
+@settings_app.command()
+def show(
+    entry: EntryOption,
+    path: PathArgument = "",
+    *,
+    in_force: Annotated[
+        bool, typer.Option("--in-force", help="The whole tree with all defaults filled in.")
+    ] = False,
+    output: OutputOption = OutputFormat.TEXT,
+) -> None:
+    """Show a subtree as it was set, and the revision that a change of it must be based on.
+
+    Exit codes: 0 shown, 2 bad path, 4 no entry host answered or it is not ready.
+    """
+    url = "/v1/settings/in-force" if in_force else _url(path)
+    result = call_entry_json(entry=entry, method="GET", path=url)
+    if isinstance(result, Failure):
+        fail(result.failure(), output)
+    shown = result.unwrap()
+    if output is OutputFormat.JSON:
+        print_value(shown, output)
+        return
+    if not in_force:
+        typer.echo(f"# path {path or '(root)'}, revision {shown['revision']}")
+        for blocked in shown["blocked_paths"]:
+            typer.echo(f"# a newer version's change of {blocked} is not in force here")
+        shown = shown["subtree"]
+    typer.echo(yaml.safe_dump(shown, sort_keys=False, allow_unicode=True).rstrip())
+
+
+@settings_app.command()
+def apply(
+    entry: EntryOption,
+    author: Annotated[str, typer.Option(envvar="GALENASTALL_AUTHOR", help="Who changes it.")],
+    path: PathArgument = "",
+    *,
+    file: Annotated[Path | None, typer.Option(help="YAML with the new subtree.")] = None,
+    value: Annotated[str | None, typer.Option(help="The new subtree as YAML text.")] = None,
+    remove: Annotated[bool, typer.Option("--remove", help="Go back to the defaults.")] = False,
+    base: Annotated[
+        int | None,
+        typer.Option(
+            help="Revision that the change is based on, as `show` gave it; may be left out for a "
+            "path on which nothing was ever set."
+        ),
+    ] = None,
+    change_id: Annotated[
+        str | None, typer.Option(help="Id of the change; repeat a change only under its id.")
+    ] = None,
+    output: OutputOption = OutputFormat.TEXT,
+) -> None:
+    """Replace a subtree, and answer once the change was read back from the log.
+
+    A change by somebody else since --base makes it stale: show the path again and decide anew.
+    Exit codes: 0 accepted and in force, 2 invalid, 3 stale or not allowed, 4 nothing was submitted,
+    5 unknown: ask `settings status CHANGE_ID`, or repeat with the same --change-id and --base.
+    """
+    subtree = _read_subtree(file=file, value=value, remove=remove)
+    if base is None:
+        shown = call_entry_json(entry=entry, method="GET", path=_url(path))
+        if isinstance(shown, Failure):
+            fail(shown.failure(), output)
+        base = int(shown.unwrap()["revision"])
+        if base != NO_REVISION:
+            fail_usage(
+                f"{path or 'the root'} was last set at {base}: look at it, give --base {base}"
+            )
+    change_id = change_id or str(uuid.uuid4())
+    typer.echo(f"change id {change_id}, base {base}", err=True)
+    body = msgspec.json.encode(
+        {"change_id": change_id, "base_revision": base, "author": author, "subtree": subtree}
+    )
+    answered = call_entry(
+        entry=entry,
+        method="PUT",
+        path=_url(path),
+        body=body,
+        headers={"content-type": "application/json"},
+    )
+    if isinstance(answered, Failure):
+        fail(answered.failure(), output)
+    answer = answered.unwrap()
+    verdict = _verdict_of(answer)
+    if verdict is None:
+        fail(error_of_answer(answer, step="cli.settings_apply", peer=entry), output)
+    print_value(verdict, output)
+    raise typer.Exit(_CODES_BY_VERDICT[verdict.kind])
+
+
+@settings_app.command()
+def status(
+    change_id: Annotated[str, typer.Argument(help="Id of the change.")],
+    entry: EntryOption,
+    output: OutputOption = OutputFormat.TEXT,
+) -> None:
+    """Say what became of a change.
+
+    Exit codes: 0 known, 4 no entry host answered, 6 not seen in the log or too old to be known.
+    """
+    url = f"/v1/settings/changes/{quote(change_id, safe='')}"
+    result = call_entry_json(entry=entry, method="GET", path=url)
+    if isinstance(result, Failure):
+        fail(result.failure(), output)
+    print_value(result.unwrap(), output)
+
+
+@settings_app.command()
+def history(entry: EntryOption, output: OutputOption = OutputFormat.TEXT) -> None:
+    """List the last changes and what was decided on them, oldest first.
+
+    Exit codes: 0 shown, 4 no entry host answered.
+    """
+    result = call_entry_json(entry=entry, method="GET", path="/v1/settings/history")
+    if isinstance(result, Failure):
+        fail(result.failure(), output)
+    if output is OutputFormat.JSON:
+        print_value(result.unwrap(), output)
+        return
+    for found in result.unwrap()["verdicts"]:
+        detail = f": {found['detail']}" if found["detail"] else ""
+        where = found["path"] or "(root)"
+        line = f"{found['offset']} {found['kind']} {where} by {found['author']}"
+        typer.echo(f"{line} [{found['change_id']}]{detail}")
+
+
+@settings_app.command()
+def validate(
+    file: Annotated[Path, typer.Argument(help="A shared tree, or the settings of a process.")],
+    output: OutputOption = OutputFormat.TEXT,
+) -> None:
+    """Check a file offline and name everything that is wrong in it.
+
+    Exit codes: 0 valid, 2 not valid.
+    """
+    loaded = load_yaml(file)
+    if isinstance(loaded, Failure):
+        _fail_problems(loaded.failure(), output)
+    tree = loaded.unwrap()
+    is_process = isinstance(tree, dict) and PROCESS_KEY in tree
+    checked = check_tree(ProcessSettings if is_process else SharedSettings, tree, source=str(file))
+    if isinstance(checked, Failure):
+        _fail_problems(checked.failure(), output)
+    kind = "settings of a process" if is_process else "shared tree"
+    print_value({"file": str(file), "kind": kind, "valid": True}, output)
+
+
+def _url(path: str) -> str:
+    return f"/v1/settings/tree/{quote(path)}" if path else "/v1/settings"
+
+
+def _read_subtree(*, file: Path | None, value: str | None, remove: bool) -> Any:
+    if (file is not None) + (value is not None) + remove != 1:
+        fail_usage("give exactly one of --file, --value and --remove")
+    if remove:
+        return None
+    loaded = load_yaml(file) if file is not None else parse_yaml(value or "", source="--value")
+    if isinstance(loaded, Failure):
+        fail_usage(str(loaded.failure()))
+    subtree = loaded.unwrap()
+    if subtree is None:
+        fail_usage("the new subtree is empty: use --remove to go back to the defaults")
+    return subtree
+
+
+def _verdict_of(answer: WholeAnswer) -> Verdict | None:
+    try:
+        return msgspec.json.decode(answer.body, type=Verdict)
+    except msgspec.MsgspecError:
+        return None
+
+
+def _fail_problems(problems: SettingsProblems, output: OutputFormat) -> NoReturn:
+    is_json = output is OutputFormat.JSON
+    text = msgspec.json.encode(problems).decode() if is_json else str(problems)
+    typer.echo(text, err=not is_json)
+    raise typer.Exit(ExitCode.USAGE)
