--- a/src/galenastall/coordination/ownership.py
+++ b/src/galenastall/coordination/ownership.py
@@ -177,7 +177,7 @@
             return
         self.legs.drop_roster(record.generation)
         if not self.is_leaving:
-            self._refresh(self.holdings.resume(record.generation))
+            self._refresh(self.holdings.resume_undone(record.generation))
 
     def on_tick(self, now: float) -> None:
         """Do what is due; call several times per `beat_s`."""
@@ -265,7 +265,7 @@
         self._in_flight.clear()
 
     def _refresh(self, ownables: Iterable[OwnableId]) -> None:
-        self._commands.extend(self.holdings.refresh(ownables))
+        self._commands.extend(self.holdings.refresh(sorted(ownables)))
 
     def _start_takeover(self, epoch: Epoch, now: float) -> None:
         takeover = Takeover(epoch=epoch, now=now, fold=self.fold, timings=self.timings)
--- a/src/galenastall/coordination/ownership_claims.py
+++ b/src/galenastall/coordination/ownership_claims.py
@@ -79,15 +79,16 @@
 
     def _dead_group(self, live: Members, now: float) -> tuple[OwnableId, ...]:
         ownables_by_roster: dict[Members | None, list[OwnableId]] = defaultdict(list)
-        verdict_by_epochs: dict[tuple[Epoch, Epoch | None], bool] = {}
+        verdict_by_case: dict[tuple[Epoch, Member | None, Epoch | None], bool] = {}
         seen: set[str] = set()
         for ownable, state in self._fold.state_by_ownable.items():
             if state.is_free:
                 continue
-            epochs = (state.claim.epoch, state.tenure.epoch if state.tenure else None)
-            if epochs not in verdict_by_epochs:
-                verdict_by_epochs[epochs] = self._may_take(state, live, now, seen)
-            if verdict_by_epochs[epochs]:
+            tenure_epoch = state.tenure.epoch if state.tenure else None
+            case = (state.claim.epoch, state.claim.by, tenure_epoch)
+            if case not in verdict_by_case:
+                verdict_by_case[case] = self._may_take(state, live, now, seen)
+            if verdict_by_case[case]:
                 ownables_by_roster[state.tenure.members if state.tenure else None].append(ownable)
         self._forget_subjects(seen)
         groups = sorted(ownables_by_roster.values(), key=len)
--- a/src/galenastall/coordination/ownership_holdings.py
+++ b/src/galenastall/coordination/ownership_holdings.py
@@ -81,10 +81,18 @@
         """Let the suspension end once the member's record of `generation` or above is read."""
         self._suspended_until_generation.update(dict.fromkeys(ownables, generation))
 
-    def resume(self, generation: float) -> tuple[OwnableId, ...]:
+    def resume(self, generation: int) -> tuple[OwnableId, ...]:
         """End suspensions bound to `generation` or below; return what to refresh."""
+        bounds = self._suspended_until_generation.items()
+        return self._resume(tuple(o for o, bound in bounds if bound <= generation))
+
+    def resume_undone(self, generation: int) -> tuple[OwnableId, ...]:
+        """End suspensions for a record that is not in the log; those for others stay."""
+        bounds = self._suspended_until_generation.items()
+        return self._resume(tuple(o for o, bound in bounds if bound == generation))
+
+    def _resume(self, ended: tuple[OwnableId, ...]) -> tuple[OwnableId, ...]:
         suspended = self._suspended_until_generation
-        ended = tuple(o for o, bound in suspended.items() if bound <= generation)
         for ownable in ended:
             del suspended[ownable]
         return ended
--- a/src/galenastall/coordination/ownership_takeover.py
+++ b/src/galenastall/coordination/ownership_takeover.py
@@ -42,10 +42,11 @@
         """Count a member's promise."""
         self._acked.add(member)
 
-    def unacked(self, fold: OwnershipFold) -> set[Member]:
-        """Return the members of the old rosters that are still to be told."""
+    def unacked(self, fold: OwnershipFold) -> list[Member]:
+        """Return the members of the old rosters that are still to be told, sorted."""
         members = {m for roster in self._fenced_at_by_roster for m in roster}
-        return {m for m in members if m.incarnation not in self._acked and fold.has_member(m)}
+        unacked = (m for m in members if m.incarnation not in self._acked and fold.has_member(m))
+        return sorted(unacked, key=lambda member: member.incarnation)
 
     def update(self, is_dead: Callable[[Member], bool], me: Member, now: float) -> None:
         """Note the rosters that are fenced by now."""
--- /dev/null
+++ b/src/galenastall/proof/ownership_weakenings.py
@@ -0,0 +1,104 @@
+"""The ownership mechanism with one of its safeguards taken out, to show that the model notices."""
+
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager
+from typing import Any, Final
+from unittest.mock import patch
+
+from galenastall.coordination import ownership_takeover
+from galenastall.coordination.ownership_holdings import Holdings
+from galenastall.coordination.ownership_legs import Legs
+from galenastall.coordination.ownership_messages import ContestedClaim
+from galenastall.coordination.ownership_takeover import Takeover
+from galenastall.state.ids import Offset
+from galenastall.state.ownership_fold import OwnershipFold
+from galenastall.state.ownership_records import Member, Members
+from galenastall.state.registry import Registry
+
+Weakening = Callable[[], AbstractContextManager[Any]]
+
+WEAKENINGS: Final[Registry[Weakening]] = Registry(kind="weakening of ownership")
+"""Context managers by name, each in force for all cores while entered."""
+
+
+@WEAKENINGS.register("no-fencing")
+@contextmanager
+def no_fencing() -> Iterator[None]:
+    """Let members acknowledge fences and go on vouching as if they had not heard."""
+
+    def forget(self: Holdings, claim: ContestedClaim) -> None:
+        return None
+
+    def silence(self: Holdings, offset: Offset, *, reader: Member) -> Iterator[ContestedClaim]:
+        return iter(())
+
+    with patch.object(Holdings, "hear", forget), patch.object(Holdings, "claims_from", silence):
+        yield
+
+
+@WEAKENINGS.register("no-waits")
+@contextmanager
+def no_waits() -> Iterator[None]:
+    """Let a claimant activate as soon as the roster is fenced."""
+
+    def ready_at(self: Takeover) -> float:
+        fenced_at = self._fenced_at_by_roster.values()
+        return max(fenced_at, default=self._claimed_at)
+
+    with patch.object(Takeover, "ready_at", ready_at):
+        yield
+
+
+@WEAKENINGS.register("one-is-enough")
+@contextmanager
+def one_is_enough() -> Iterator[None]:
+    """Let a claimant count a roster as fenced once one member of it is."""
+
+    def is_any(count: int, members: Members) -> bool:
+        return count > 0
+
+    with patch.object(ownership_takeover, "is_majority", is_any):
+        yield
+
+
+@WEAKENINGS.register("newer-roster")
+@contextmanager
+def newer_roster() -> Iterator[None]:
+    """Let an owner be vouched for by the roster of now, not by that of its own record."""
+    original = Holdings._roster
+
+    def roster_of_now(self: Holdings, members: Members) -> frozenset[Any]:
+        return original(self, self._fold.members())
+
+    with patch.object(Holdings, "_roster", roster_of_now):
+        yield
+
+
+@WEAKENINGS.register("vouches-from-receipt")
+@contextmanager
+def vouches_from_receipt() -> Iterator[None]:
+    """Count a vouch from its arrival, not from the sending of the beat that it echoes."""
+
+    def latest(self: Legs, sequence: int) -> float | None:
+        return max(self._sent_at_by_sequence.values(), default=None)
+
+    with patch.object(Legs, "sent_at", latest):
+        yield
+
+
+@WEAKENINGS.register("stale-activation")
+@contextmanager
+def stale_activation() -> Iterator[None]:
+    """Accept an activation although a later claim stands: the claimant goes by its own claim."""
+    original = OwnershipFold._claim
+
+    def keep_first(self: OwnershipFold, offset: Offset, claim: Any) -> None:
+        before = dict(self.state_by_ownable)
+        original(self, offset, claim)
+        for ownable in claim.ownables:
+            state = before.get(ownable)
+            if state is not None and not state.is_settled and not state.is_free:
+                self.state_by_ownable[ownable] = state
+
+    with patch.object(OwnershipFold, "_claim", keep_first):
+        yield
