--- a/src/galenastall/cli/work_commands.py
+++ b/src/galenastall/cli/work_commands.py
@@ -15,9 +15,7 @@
 from galenastall.state.errors import StepError
 from galenastall.state.outcomes import Outcome
 
-submit_app = typer.Typer(
-    no_args_is_help=True, help=f"Submit a job or a request. {EXIT_CODE_HELP}"
-)
+submit_app = typer.Typer(no_args_is_help=True, help=f"Submit a job or a request. {EXIT_CODE_HELP}")
 
 _EXIT_BY_OUTCOME = {
     Outcome.DONE: ExitCode.OK,
@@ -44,9 +42,7 @@
     entry: EntryOption,
     team: Annotated[str, typer.Option(help="Team that asks.")],
     file: Annotated[Path | None, typer.Option(help="Body of the request; empty if none.")] = None,
-    urgency: Annotated[
-        str, typer.Option("--class", help="urgent, normal or backfill.")
-    ] = "normal",
+    urgency: Annotated[str, typer.Option("--class", help="urgent, normal or backfill.")] = "normal",
     deadline_ms: Annotated[int, typer.Option(help="Milliseconds until it is useless.")] = 30_000,
     idempotent: Annotated[
         bool, typer.Option(help="Whether it may run twice; without it, at most once.")
--- a/src/galenastall/coordination/admission.py
+++ b/src/galenastall/coordination/admission.py
@@ -29,6 +29,8 @@
     """Requests that may wait, over all classes and teams."""
     waiting_per_team: int = 500
     """Requests that one team may have waiting."""
+    wait_share: float = 0.5
+    """Share of the time to its latest start that a request may be expected to wait."""
     lower_class_every: int = 20
     """Every n-th request handed out is of the lowest class waiting, so that none starves."""
 
@@ -306,7 +308,8 @@
         if team_waiting >= self.limits.waiting_per_team:
             return self._refuse("team_queue_full", request.urgency)
         rate = self._drain.per_second
-        if rate is not None and self._wait_s(request, rate) > request.latest_start - now:
+        may_wait_s = (request.latest_start - now) * self.limits.wait_share
+        if rate is not None and self._wait_s(request, rate) > may_wait_s:
             return self._refuse("would_miss_deadline", request.urgency)
         return None
 
--- a/src/galenastall/coordination/ejection.py
+++ b/src/galenastall/coordination/ejection.py
@@ -51,6 +51,7 @@
         """Start with no upstreams."""
         self.limits = limits
         self._records_by_id: dict[HostId, _Record] = {}
+        self._limited: set[HostId] = set()
 
     def add(self, upstream: HostId) -> None:
         """Follow an upstream."""
@@ -59,6 +60,7 @@
     def remove(self, upstream: HostId) -> None:
         """Forget an upstream."""
         self._records_by_id.pop(upstream, None)
+        self._limited.discard(upstream)
 
     def ejected(self, *, now: float) -> frozenset[HostId]:
         """Return the upstreams that are out now."""
@@ -74,6 +76,10 @@
             return 0
         return slots if record.reentry is None else min(slots, record.reentry)
 
+    def limits_any(self) -> bool:
+        """Return whether any upstream is out or on its way back."""
+        return bool(self._limited)
+
     def next_return(self, *, now: float) -> float | None:
         """Runtime time at which the next ejected upstream comes back, if any is out."""
         later = (r.ejected_until for r in self._records_by_id.values() if r.ejected_until > now)
@@ -85,11 +91,12 @@
         if record is None:
             return False
         record.failures = 0
-        self._widen(record, slots)
+        if self._widen(record, slots):
+            self._limited.discard(upstream)
         record.samples += 1
         weight = 1.0 if record.samples == 1 else LATENCY_WEIGHT
         record.latency_s += weight * (latency_s - record.latency_s)
-        return self._is_slow(record) and self._eject(record, now)
+        return self._is_slow(record) and self._eject(upstream, record, now)
 
     def failed(self, *, upstream: HostId, now: float) -> bool:
         """Take in a failure; return True if it ejected the upstream."""
@@ -98,15 +105,18 @@
             return False
         record.failures += 1
         limit = 1 if record.reentry is not None else self.limits.consecutive_failures
-        return record.failures >= limit and self._eject(record, now)
+        return record.failures >= limit and self._eject(upstream, record, now)
 
-    def _widen(self, record: _Record, slots: int) -> None:
+    def _widen(self, record: _Record, slots: int) -> bool:
+        """Allow twice as many requests; return whether the upstream is fully back by that."""
         if record.reentry is None:
-            return
+            return False
         record.reentry *= 2
-        if record.reentry >= slots:
-            record.reentry = None
-            record.ejections = max(0, record.ejections - 1)
+        if record.reentry < slots:
+            return False
+        record.reentry = None
+        record.ejections = max(0, record.ejections - 1)
+        return True
 
     def _is_slow(self, record: _Record) -> bool:
         limits = self.limits
@@ -119,7 +129,7 @@
         ]
         return bool(others) and record.latency_s > limits.latency_factor * median(others)
 
-    def _eject(self, record: _Record, now: float) -> bool:
+    def _eject(self, upstream: HostId, record: _Record, now: float) -> bool:
         if record.ejected_until > now:
             return False
         out = sum(1 for other in self._records_by_id.values() if other.ejected_until > now)
@@ -127,6 +137,7 @@
             return False
         span = min(self.limits.max_s, self.limits.base_s * 2**record.ejections)
         record.ejected_until = now + span
+        self._limited.add(upstream)
         record.ejections += 1
         record.reentry = 1
         record.failures = 0
--- a/src/galenastall/coordination/slots.py
+++ b/src/galenastall/coordination/slots.py
@@ -277,8 +277,10 @@
         for host_id, opened in self._upstreams_by_id.items():
             if opened.leaving:
                 continue
-            slots += allowed(host_id, opened.info.slots)
-            in_use += min(self.in_use(host_id), opened.info.slots)
+            all_of_it = opened.info.slots
+            slots += all_of_it if allowed is all_slots else allowed(host_id, all_of_it)
+            used = len(opened.uses_by_permit)
+            in_use += all_of_it if opened.silent_until_by_client else min(used, all_of_it)
         return slots, in_use
 
     def upstreams(self) -> tuple[HostId, ...]:
@@ -323,7 +325,9 @@
         for host_id, opened in self._upstreams_by_id.items():
             if opened.leaving or opened.silent_until_by_client:
                 continue
-            slots = min(opened.info.slots, allowed(host_id, opened.info.slots))
+            slots = opened.info.slots
+            if allowed is not all_slots:
+                slots = min(slots, allowed(host_id, slots))
             free = slots - len(opened.uses_by_permit)
             if free > 0 and may_act(host_id) == opened.epoch:
                 free_by_id[host_id] = free
--- a/src/galenastall/node/permit_owner.py
+++ b/src/galenastall/node/permit_owner.py
@@ -10,7 +10,7 @@
 
 from galenastall.coordination.ejection import Ejection, EjectionLimits
 from galenastall.coordination.permit_types import OwnedUpstream, Permit, PermitLimits
-from galenastall.coordination.slots import OwnedSlots
+from galenastall.coordination.slots import AllowedSlots, OwnedSlots, all_slots
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink
 from galenastall.protocol.ownership_view import OwnershipView
@@ -142,7 +142,7 @@
     def grant(self) -> None:
         """Grant what is free; this entry host's own permits are delivered at once."""
         now = self._clock.now()
-        granted = self.slots.grant(now=now, may_act=self._may_act, allowed=self._allowed)
+        granted = self.slots.grant(now=now, may_act=self._may_act, allowed=self._allowance())
         for client, permit in granted:
             if client == self._me:
                 self._deliver(permit)
@@ -165,7 +165,7 @@
 
     def load(self) -> tuple[int, int, int]:
         """Return slots that may be granted, slots in use and asks waiting."""
-        slots, in_use = self.slots.totals(allowed=self._allowed)
+        slots, in_use = self.slots.totals(allowed=self._allowance())
         return slots, in_use, self.slots.waiting
 
     def _judge(self, returned: PermitReturn, now: float) -> None:
@@ -187,8 +187,14 @@
     def _may_act(self, upstream: HostId) -> Epoch | None:
         return self._ownership.may_act(self._ownables_by_id[upstream])
 
-    def _allowed(self, upstream: HostId, slots: int) -> int:
-        return self.ejection.allowed(upstream=upstream, slots=slots, now=self._clock.now())
+    def _allowance(self) -> AllowedSlots:
+        """Return how many slots of an upstream may be used now; no work while none is ejected."""
+        if not self.ejection.limits_any():
+            return all_slots
+        now = self._clock.now()
+        return lambda upstream, slots: self.ejection.allowed(
+            upstream=upstream, slots=slots, now=now
+        )
 
     def _on_activated(self, ownable: OwnableId, epoch: Epoch) -> None:
         kind, _, name = ownable.partition("/")
--- a/src/galenastall/state/upstream_tenures.py
+++ b/src/galenastall/state/upstream_tenures.py
@@ -4,18 +4,24 @@
 owned before has none.
 """
 
+from typing import Final
+
 from galenastall.state.ids import Epoch, HostId, Offset, OwnableId
 from galenastall.state.ownership_records import Activate, Claim, HandOver, OwnershipSnapshot
 from galenastall.state.records import LoggedRecord
 
+TENURES_KEPT: Final = 4
+"""Of each ownable; the earliest epoch is remembered besides."""
+
 
 class TenureHistory:
-    """The last two owners of each ownable, in offset order."""
+    """The last owners of each ownable, in offset order."""
 
     def __init__(self) -> None:
         """Start before the stream's first record."""
         self._claimed_by_epoch: dict[Epoch, tuple[OwnableId, ...]] = {}
         self._tenures_by_ownable: dict[OwnableId, list[tuple[Epoch, HostId]]] = {}
+        self._first_epoch_by_ownable: dict[OwnableId, Epoch] = {}
         self._known_from: Offset | None = None
 
     @property
@@ -45,7 +51,7 @@
 
     def is_first(self, *, ownable: OwnableId, epoch: Epoch) -> bool:
         """Return whether nobody can have owned it before `epoch`."""
-        return self.is_complete and self.previous_owner(ownable=ownable, epoch=epoch) is None
+        return self.is_complete and self._first_epoch_by_ownable.get(ownable, epoch) >= epoch
 
     def _hand_over(self, handover: HandOver, epoch: Epoch) -> None:
         for gift in handover.gifts:
@@ -68,4 +74,6 @@
         tenures = self._tenures_by_ownable.setdefault(ownable, [])
         tenures.append((epoch, host))
         tenures.sort()
-        del tenures[:-2]
+        del tenures[:-TENURES_KEPT]
+        first = self._first_epoch_by_ownable.get(ownable, epoch)
+        self._first_epoch_by_ownable[ownable] = min(first, epoch)
