--- a/src/galenastall/cli/work_commands.py
+++ b/src/galenastall/cli/work_commands.py
@@ -37,7 +37,7 @@
 
 
 @submit_app.command("request")
-def submit_request(
+def submit_request(  # noqa: PLR0917 (typer calls it by keyword)
     operation: Annotated[str, typer.Argument(help="Operation of the upstreams.")],
     entry: EntryOption,
     team: Annotated[str, typer.Option(help="Team that asks.")],
--- a/src/galenastall/node/worker_service.py
+++ b/src/galenastall/node/worker_service.py
@@ -4,7 +4,7 @@
 validity of each assignment, are asked for again right before a start leaves.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
 import trio
@@ -45,7 +45,7 @@
 from galenastall.protocol.platform import StartBatch, StartRequest, TaskAnswer
 from galenastall.protocol.platform import WorkerService as WorkerCalls
 from galenastall.state.errors import StepError
-from galenastall.state.hosts import HostListing, ListedHost
+from galenastall.state.hosts import HostKind, HostListing, ListedHost
 from galenastall.state.ids import (
     DataCentre,
     Epoch,
@@ -95,6 +95,8 @@
         self._events = events or NullEventSink()
         self._wake = trio.Event()
         self._is_draining = False
+        self._listing: HostListing | None = None
+        self._listed: Mapping[HostId, ListedHost] = {}
         self._nursery: trio.Nursery | None = None
         times = self._timings
         self.leases = LeaseBook(
@@ -181,15 +183,19 @@
         self.leases.hear_peer(sender, beat.renewing, now)
         self.helper.hear_owner(sender, now)
 
-    def listed_workers(self) -> dict[HostId, ListedHost]:
+    def listed_workers(self) -> Mapping[HostId, ListedHost]:
         """Return this data centre's workers as the platform's list shows them."""
         listing = self._hosts()
-        if listing is None:
-            return {}
+        if listing is not self._listing:
+            self._listing = listing
+            self._listed = {} if listing is None else self._select_workers(listing)
+        return self._listed
+
+    def _select_workers(self, listing: HostListing) -> dict[HostId, ListedHost]:
         return {
             host_id: host
             for host_id, host in listing.by_id.items()
-            if host.kind.value == OwnableKind.WORKER.value and host.data_centre == self._data_centre
+            if host.kind is HostKind.WORKER and host.data_centre == self._data_centre
         }
 
     def address_of(self, worker: HostId) -> str | None:
@@ -428,15 +434,22 @@
             return JobWord(ok=False, detail="the shard has a later owner")
         if self._is_draining:
             return JobWord(ok=False, detail="this entry host drains")
-        new = self.assigned.accept(message.shard, message.tasks)
+        new, refused = self.assigned.accept(message.shard, message.tasks)
         self.core.enqueue(new, self._clock.wall())
         self.wake()
-        return JobWord(ok=True)
+        self.reporter.wake()
+        return JobWord(ok=True, refused=tuple(refused))
 
     async def _on_stop(self, sender: HostId, message: TaskStop) -> JobWord:
         if message.epoch < self.assigned.epoch_of(message.shard):
             return JobWord(ok=False, detail="the shard has a later owner")
-        for task_id, verdict in self.core.cancel(message.tasks, self._clock.wall()).items():
+        self._gangs.release_tasks(message.tasks)
+        stopped = [
+            each.task_id
+            for each in message.tasks
+            if not self.assigned.is_newer(each.task_id, each.attempt)
+        ]
+        for task_id, verdict in self.core.cancel(stopped, self._clock.wall()).items():
             self._on_cancelled(task_id, verdict)
         self.wake()
         return JobWord(ok=True)
@@ -453,7 +466,7 @@
     async def _on_recall(self, sender: HostId, message: TaskRecall) -> JobWord:
         if message.epoch < self.assigned.epoch_of(message.shard):
             return JobWord(ok=False, detail="the shard has a later owner")
-        known = (self.assigned.get(task_id) for task_id in message.tasks)
+        known = (self.assigned.get(each.task_id) for each in message.tasks)
         queued = [
             each.task
             for each in known
