Read the request settings a few times a second instead of at each use

Cause: the settings were built from the shared tree at each of some ten uses in a request. Change: CachedSettings between the tree and the request side. Conclusion: a change of settings is seen within 0.25 s.

--- a/src/galenastall/node/permit_settings.py
+++ b/src/galenastall/node/permit_settings.py
@@ -1,14 +1,20 @@
 """Settings of permits and requests that operators change while the process runs."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Final
 
 from galenastall.coordination.admission import AdmissionLimits
 from galenastall.coordination.ejection import EjectionLimits
 from galenastall.coordination.keys import KeyHomes, KeyRules
 from galenastall.coordination.permit_types import PermitLimits
 from galenastall.coordination.retries import RetryLimits
+from galenastall.protocol.clock import Clock
 from galenastall.state.ids import HostId, TeamPath
 
+REFRESH_S: Final = 0.25
+"""Age at which settings are read from the shared tree again."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestSettings:
@@ -42,3 +48,22 @@
     """Time for which an upstream may go on with a request that nobody waits for any more."""
     leaving_word_s: float = 60.0
     """For how long an upstream's own word that it is leaving stands."""
+
+
+class CachedSettings:
+    """Settings read anew a few times a second, since the request path asks for them often."""
+
+    def __init__(self, *, make: Callable[[], RequestSettings], clock: Clock) -> None:
+        """`make` builds them from the shared tree."""
+        self._make = make
+        self._clock = clock
+        self._read_at = clock.now()
+        self._settings = make()
+
+    def __call__(self) -> RequestSettings:
+        """Return the settings in force, at most REFRESH_S old."""
+        now = self._clock.now()
+        if now >= self._read_at + REFRESH_S:
+            self._read_at = now
+            self._settings = self._make()
+        return self._settings
--- a/src/galenastall/node/request_side.py
+++ b/src/galenastall/node/request_side.py
@@ -9,7 +9,7 @@
 from galenastall.node.key_service import KeyService
 from galenastall.node.keyed_requests import KeyedRequests
 from galenastall.node.permit_service import PermitService
-from galenastall.node.permit_settings import RequestSettings
+from galenastall.node.permit_settings import CachedSettings, RequestSettings
 from galenastall.node.request_service import RequestService
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink
@@ -41,6 +41,7 @@
         events: EventSink,
     ) -> None:
         """Build the services; `follower` is the data centre's stream and must not run yet."""
+        settings = CachedSettings(make=settings, clock=clock)
         tenures = TenureHistory()
         follower.subscribe(tenures)
         self.permits = PermitService(
