Keep tasks at their quota from holding up other teams, and drain workers

Cause: urgent or starving tasks of a team at its quota stayed at the head of the queue, so that after a bounded number of tries nothing behind them was looked at.

Change: urgent tasks at their quota are kept aside until their team gives something back; starving ones go back to their team's line, since a quota's wait is not starvation. drain_worker checkpoints what can go on elsewhere.

Conclusion: a quota now only holds up its own team.

--- a/src/galenastall/coordination/placement.py
+++ b/src/galenastall/coordination/placement.py
@@ -102,6 +102,16 @@
         for promise in self._tables.promises.on_worker(worker_id):
             self._tables.drop_promise(promise.task_id)
 
+    def drain_worker(self, worker_id: HostId) -> None:
+        """Give a worker nothing new and checkpoint what can go on elsewhere; the rest runs out."""
+        self.set_worker_state(worker_id, WorkerState.LEAVING)
+        worker = self._tables.workers_by_id.get(worker_id)
+        if worker is None:
+            return
+        for placed in self._tables.on_worker(worker):
+            if placed.can_checkpoint and placed.phase is TaskPhase.RUNNING:
+                self._tables.pending.checkpoint(placed, f"{worker_id} is drained")
+
     def set_reserved_elsewhere(self, reserved_by_team: Mapping[TeamPath, Resources]) -> None:
         """Say what teams have reserved with other owners, so that quotas hold over all of them."""
         self._tables.queue.set_elsewhere(reserved_by_team)
--- a/src/galenastall/coordination/team_queue.py
+++ b/src/galenastall/coordination/team_queue.py
@@ -24,6 +24,8 @@
 """Urgent tasks tried in vain before a scan goes on to the teams."""
 OVERDUE_TRIES: Final = 4
 """Starving tasks tried in a scan."""
+QUOTA_TRIES: Final = 8
+"""Urgent tasks of a team at its quota tried again when it gives something back."""
 JOB_TRIES: Final = 16
 """Jobs of one team tried before the team is parked."""
 TEAM_CLASSES: Final = (Urgency.NORMAL, Urgency.BACKFILL)
@@ -45,6 +47,7 @@
         self._parked: dict[tuple[Urgency, TeamPath], TeamLane] = {}
         self._urgent: SortedDict = SortedDict()
         self._overdue: SortedDict = SortedDict()
+        self._at_quota_by_team: dict[TeamPath, SortedDict] = {}
         self._due_heap: list[tuple[float, int, TaskId]] = []
         self._counts_by_urgency = dict.fromkeys(Urgency, 0)
         self._seq = 0
@@ -106,6 +109,8 @@
             del self._urgent[waiting.order]
         elif waiting.lane is Lane.OVERDUE:
             del self._overdue[waiting.order]
+        elif waiting.lane is Lane.AT_QUOTA:
+            self._leave_quota_line(waiting)
         else:
             self._leave_lane(waiting)
         waiting.lane = None
@@ -136,7 +141,7 @@
         line.memory -= amount.memory_mb
         line.accelerators -= amount.accelerators
         if line.quota is not None:
-            self._unpark_all(line)
+            self._unpark_all(line, urgent=QUOTA_TRIES)
         else:
             self._refile(line)
 
@@ -187,9 +192,9 @@
         """Return tasks in the order in which to try them; the caller removes what it placed."""
         self._promote(now)
         if self._overdue and self._since_overdue >= self._settings.overdue_every - 1:
-            yield from self._scan_overdue()
-        yield from self._scan_urgent()
-        yield from self._scan_overdue()
+            yield from self._scan_overdue(now)
+        yield from self._scan_urgent(now)
+        yield from self._scan_overdue(now)
         for urgency in TEAM_CLASSES:
             yield from self._scan_teams(urgency)
 
@@ -199,7 +204,7 @@
     def __contains__(self, task_id: object) -> bool:
         return task_id in self._waiting_by_id
 
-    def _scan_urgent(self) -> Iterator[Waiting]:
+    def _scan_urgent(self, now: float) -> Iterator[Waiting]:
         misses = 0
         position = 0
         while position < len(self._urgent) and misses < URGENT_TRIES:
@@ -208,18 +213,27 @@
             if waiting.lane is None:
                 self._since_overdue += 1
                 if self._overdue and self._since_overdue >= self._settings.overdue_every - 1:
-                    yield from self._scan_overdue()
+                    yield from self._scan_overdue(now)
+                continue
+            if waiting.reason is WaitReason.QUOTA:
+                self._hold_at_quota(waiting)
                 continue
             misses += 1
             position += 1
 
-    def _scan_overdue(self) -> Iterator[Waiting]:
-        for waiting in list(self._overdue.values()[:OVERDUE_TRIES]):
-            if waiting.lane is not Lane.OVERDUE:
-                continue
+    def _scan_overdue(self, now: float) -> Iterator[Waiting]:
+        misses = 0
+        position = 0
+        while position < len(self._overdue) and misses < OVERDUE_TRIES:
+            waiting: Waiting = self._overdue.peekitem(position)[1]
             yield waiting
             if waiting.lane is None:
                 self._since_overdue = 0
+            elif waiting.reason is WaitReason.QUOTA:
+                self._return_to_team(waiting, now)
+            else:
+                misses += 1
+                position += 1
 
     def _scan_teams(self, urgency: Urgency) -> Iterator[Waiting]:
         by_share = self._by_share[urgency]
@@ -259,6 +273,29 @@
     def _share_setting(self, path: TeamPath) -> TeamShare:
         return self._settings.teams_by_path.get(path, self._settings.default_share)
 
+    def _hold_at_quota(self, waiting: Waiting) -> None:
+        """Keep an urgent task aside until its team is below its quota again."""
+        del self._urgent[waiting.order]
+        waiting.lane = Lane.AT_QUOTA
+        line = self._at_quota_by_team.setdefault(waiting.task.team, SortedDict())
+        line[waiting.order] = waiting
+
+    def _leave_quota_line(self, waiting: Waiting) -> None:
+        line = self._at_quota_by_team[waiting.task.team]
+        del line[waiting.order]
+        if not line:
+            del self._at_quota_by_team[waiting.task.team]
+
+    def _return_to_team(self, waiting: Waiting, now: float) -> None:
+        """Let a starving task wait as before: what its quota makes it wait is not starvation."""
+        del self._overdue[waiting.order]
+        waiting.lane = Lane.TEAM
+        due_at = now + self._settings.starvation_s
+        heappush(self._due_heap, (due_at, waiting.seq, waiting.task.task_id))
+        lane = self._lane_of(waiting)
+        lane.add(waiting, first=True)
+        self._refile_lane(lane)
+
     def _lane_of(self, waiting: Waiting) -> TeamLane:
         task = waiting.task
         return self._lines_by_team[task.team].lanes_by_urgency[task.urgency]
@@ -298,10 +335,18 @@
         lane.parked = None
         del self._parked[lane.urgency, lane.line.path]
 
-    def _unpark_all(self, line: TeamLine) -> None:
+    def _unpark_all(self, line: TeamLine, *, urgent: int | None = None) -> None:
+        """Try all of a team's tasks again, and the first `urgent` of its urgent ones."""
         for lane in line.lanes_by_urgency.values():
             self._unpark(lane)
             self._refile_lane(lane)
+        at_quota = self._at_quota_by_team.get(line.path)
+        if at_quota is None:
+            return
+        for waiting in list(at_quota.values()[:urgent]):
+            self._leave_quota_line(waiting)
+            waiting.lane = Lane.URGENT
+            self._urgent[waiting.order] = waiting
 
 
 class ArrivalQueue(TeamQueue):
--- a/src/galenastall/coordination/waiting.py
+++ b/src/galenastall/coordination/waiting.py
@@ -24,6 +24,8 @@
     """Which part of the queue a task is in."""
 
     URGENT = "urgent"
+    AT_QUOTA = "at_quota"
+    """Urgent, and kept aside while its team is at its quota."""
     OVERDUE = "overdue"
     TEAM = "team"
 
--- a/tests/test_placement_rules.py
+++ b/tests/test_placement_rules.py
@@ -278,6 +278,19 @@
         assert "no workers yet" in core.explain(TaskId("x/0"))[-1]
 
 
+class TestDrain:
+    def test_what_can_go_on_elsewhere_does(self) -> None:
+        core = make_core(make_worker("w1"), make_worker("w2"))
+        [where] = run(core, make_task("x/0", checkpointable=True)).values()
+        run(core, make_task("y/0"))
+        core.drain_worker(HostId(where))
+        assert commanded(core.decide(1.0, 10), CommandKind.CHECKPOINT) == ["x/0"]
+        answer = (CommandKind.CHECKPOINT, CommandAnswer.DONE, 2.0)
+        core.on_command_answer(TaskId("x/0"), HostId(where), *answer)
+        [again] = places(core.decide(2.0, 10)).values()
+        assert again != where
+
+
 class TestReconciliation:
     def test_a_listed_end_keeps_a_waiting_task_from_running_again(self) -> None:
         core = make_core()
--- a/tests/test_team_queue.py
+++ b/tests/test_team_queue.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from galenastall.coordination.placement_commands import RefusalReason, TeamShare
+from galenastall.coordination.placement_commands import CancelVerdict, RefusalReason, TeamShare
 from galenastall.coordination.placement_settings import PlacementSettings
 from galenastall.state.errors import UnknownNameError
 from galenastall.state.ids import TaskId, TeamPath
@@ -70,6 +70,28 @@
         core.set_reserved_elsewhere({})
         assert started(core.decide(1.0, 10)) == ["a/3"]
 
+    def test_urgent_tasks_at_their_quota_hold_up_no_other_team(self) -> None:
+        core = make_core(make_worker(capacity=BIG), settings=quotas(a=1000))
+        mine = [make_task(f"a/{i}", team="a", urgency=Urgency.URGENT) for i in range(100)]
+        other = make_task("b/0", team="b", urgency=Urgency.URGENT)
+        core.enqueue([*mine, other], 0.0)
+        assert started(core.decide(0.0, 10)) == ["a/0", "b/0"]
+        core.on_finished(W1, [FinishedTask(task_id=TaskId("a/0"), attempt=0, ok=True)], 1.0)
+        assert started(core.decide(1.0, 10)) == ["a/1"]
+        assert core.summary().waiting_by_class["urgent"] == 98
+        assert set(core.cancel([task.task_id for task in mine[2:]], 1.0).values()) == {
+            CancelVerdict.NEVER_STARTED
+        }
+        assert core.summary().waiting_by_class["urgent"] == 0
+
+    def test_starving_tasks_at_their_quota_hold_up_no_other_team(self) -> None:
+        core = make_core(make_worker(capacity=BIG), settings=quotas(a=1000))
+        run(core, make_task("first/0", team="a"))
+        core.enqueue([make_task(f"a{i}/0", team="a") for i in range(10)], 0.0)
+        core.enqueue([make_task("b/0", team="b", cores=99_500)], 0.0)
+        core.decide(700.0, 10)
+        assert "kept for it" in " ".join(core.explain(TaskId("b/0")))
+
     def test_more_than_the_quota_is_impossible(self) -> None:
         core = make_core(make_worker(capacity=BIG), settings=quotas(a=3000))
         core.enqueue([make_task("a/0", team="a", cores=3001)], 0.0)
