Keep the index's buckets as plain sorted lists

Cause: slicing the sorted lists of the index was the largest part of a decision.

Change: buckets are plain lists kept sorted by bisection.

--- a/src/galenastall/coordination/worker_index.py
+++ b/src/galenastall/coordination/worker_index.py
@@ -6,12 +6,13 @@
 two) and the logarithm of a bucket's length, not with the number of workers.
 """
 
+from bisect import bisect_left, insort
 from collections.abc import Iterator
 from itertools import islice
 from random import Random
 from typing import Final
 
-from sortedcontainers import SortedDict, SortedList
+from sortedcontainers import SortedDict
 
 from galenastall.coordination.placement_state import Worker
 from galenastall.state.ids import HostId
@@ -35,7 +36,10 @@
 
 
 class _Grid:
-    """The workers of one level, by bucket of free cores and then free memory."""
+    """The workers of one level, by bucket of free cores and then free memory.
+
+    Buckets are plain sorted lists: they are short enough for insertion to cost less than a tree.
+    """
 
     __slots__ = ("entries_by_bucket",)
 
@@ -45,12 +49,13 @@
     def add(self, bucket: int, entry: tuple[int, int]) -> None:
         entries = self.entries_by_bucket.get(bucket)
         if entries is None:
-            entries = self.entries_by_bucket[bucket] = SortedList()
-        entries.add(entry)
+            self.entries_by_bucket[bucket] = [entry]
+        else:
+            insort(entries, entry)
 
     def remove(self, bucket: int, entry: tuple[int, int]) -> None:
         entries = self.entries_by_bucket[bucket]
-        entries.remove(entry)
+        del entries[bisect_left(entries, entry)]
         if not entries:
             del self.entries_by_bucket[bucket]
 
@@ -158,18 +163,18 @@
         first = (amount.memory_mb, -1)
         boundary = bucket_of(cores)
         by_slot = self._workers_by_slot
-        rest: Iterator[tuple[int, int]] = iter(())
+        rest: list[tuple[int, int]] = []
         for bucket in grid.entries_by_bucket.irange(boundary):
             entries = grid.entries_by_bucket[bucket]
-            start = entries.bisect_left(first)
+            start = bisect_left(entries, first)
             if bucket == boundary:
-                for _, slot in entries.islice(start, start + _BOUNDARY_SCAN):
+                for _, slot in entries[start : start + _BOUNDARY_SCAN]:
                     worker = by_slot[slot]
                     if worker.room_cores >= cores:
                         found.append(worker)
-                rest = entries.islice(start + _BOUNDARY_SCAN)
+                rest = entries[start + _BOUNDARY_SCAN :]
             else:
-                for _, slot in entries.islice(start, start + limit - len(found)):
+                for _, slot in entries[start : start + limit - len(found)]:
                     found.append(by_slot[slot])
             if len(found) >= limit:
                 return
