Log the giving of tasks that must run once, and which workers there were

Cause: after all entry hosts were replaced nobody could tell whether a task that must not run twice had run on a worker that was lost meanwhile, and a fresh entry host took workers that left the list for lapsed at once. Change: a record before such tasks are first given out, a record of workers seen and gone; what is in doubt on a lost worker ends as unknown; the census waits for the list, and for the leases on workers that left it. Figures: of 40 tasks, 4 on a worker lost with all entry hosts end as unknown and 36 run once. Conclusion: in a log outage tasks that must run once wait for their record.

--- a/src/galenastall/coordination/assignees.py
+++ b/src/galenastall/coordination/assignees.py
@@ -93,12 +93,13 @@
         want: int,
         now: float,
         avoid: Container[HostId] = (),
+        within_room: bool = False,
     ) -> tuple[HostId, int] | None:
         """Return a host and how many of `want` like tasks to assign there; None if nowhere.
 
         The host with the most room left comes first. Beyond its free room a host is given a
         bounded backlog, so that it has tasks of all teams to choose from. Hosts in `avoid` come
-        last.
+        last. With `within_room` none is given more than it has room for.
         """
         limit = self._backlog + (URGENT_EXTRA if urgency is Urgency.URGENT else 0)
         best: tuple[bool, int, int, HostId] | None = None
@@ -108,6 +109,8 @@
             if not fits_whole(each.summary, need):
                 continue
             fitting = count_fitting(each.summary.free - each.pending, need)
+            if within_room and fitting <= 0:
+                continue
             rank = (host not in avoid, fitting, -each.queued)
             if best is None or rank > best[:3]:
                 best = (*rank, host)
--- a/src/galenastall/coordination/gang_desk.py
+++ b/src/galenastall/coordination/gang_desk.py
@@ -10,6 +10,7 @@
 from galenastall.coordination.gangs import Gang, GangPhase, GangStep, GangStepKind
 from galenastall.coordination.job_run import Assigned, JobRun
 from galenastall.coordination.shard_commands import GangCall, ShardSettings, StopBatch
+from galenastall.coordination.task_intents import TaskIntents
 from galenastall.coordination.task_reports import (
     ENDING_KINDS,
     ReportKind,
@@ -23,8 +24,11 @@
 class GangDesk:
     """Drives every gang of a shard; the shard closes tasks when a gang has ended."""
 
-    def __init__(self, *, settings: ShardSettings, assignees: AssigneeBook) -> None:
-        """Start without gangs."""
+    def __init__(
+        self, *, settings: ShardSettings, assignees: AssigneeBook, intents: TaskIntents
+    ) -> None:
+        """Start without gangs; `intents` takes the tasks that need a record first."""
+        self._intents = intents
         self._settings = settings
         self._assignees = assignees
         self._gangs_by_id: dict[JobId, Gang] = {}
@@ -160,6 +164,8 @@
         if run.doubtful or run.is_stopped or gang.not_before > now or run.assigned_by_index:
             return
         spec = run.state.spec
+        if run.giving or not self._all_given(run):
+            return
         plan = self._assignees.plan_gang(need=spec.resources, tasks=spec.tasks, now=now)
         if plan is None:
             return
@@ -170,6 +176,14 @@
             self._assignees.reserve(host, spec.resources, count)
         self._push(spec.job_id, gang.begin(plan, attempt=attempt, now=now))
 
+    def _all_given(self, run: JobRun) -> bool:
+        if not run.is_once or run.state.may_have_run(0):
+            return True
+        indices = list(range(run.state.spec.tasks))
+        run.giving.update(indices)
+        self._intents.add(run.state.spec.job_id, indices)
+        return False
+
     def _stops_of(self, job_id: JobId, step: GangStep) -> Iterable[StopBatch]:
         run = self._runs_by_id.get(job_id)
         if run is None:
--- a/src/galenastall/coordination/job_run.py
+++ b/src/galenastall/coordination/job_run.py
@@ -56,6 +56,8 @@
     failures: list[TaskFailure] = field(default_factory=list)
     delayed: set[int] = field(default_factory=set)
     """Wait for their retry time."""
+    giving: set[int] = field(default_factory=set)
+    """Must not run twice, and wait for the record that lets them be given out."""
     is_stopped: bool = False
     """Gives out nothing more: cancelled, or stopped for its failures."""
     stop_phase: TaskPhase = TaskPhase.CANCELLED
@@ -67,6 +69,11 @@
     _returned: list[int] = field(default_factory=list)
     _next: int = 0
 
+    @property
+    def is_once(self) -> bool:
+        """Whether a task that may have run must not be started again."""
+        return bool(self.state.given)
+
     @property
     def is_service(self) -> bool:
         """Whether ended tasks are replaced rather than counted."""
@@ -84,8 +91,8 @@
         """Return how many tasks could be given out now."""
         if self.is_stopped:
             return 0
-        held_back = len(self.assigned_by_index) + len(self.doubtful) + len(self.delayed)
-        return self.open_count - held_back
+        held_back = len(self.assigned_by_index) + len(self.doubtful)
+        return self.open_count - held_back - len(self.delayed) - len(self.giving)
 
     def is_open(self, index: int) -> bool:
         """Return whether the task has not ended for good."""
@@ -135,6 +142,7 @@
         """Close all that wait, at once; return the ranges."""
         held_back = self.assigned_by_index.keys() | self.doubtful
         self.delayed.clear()
+        self.giving.clear()
         self._returned.clear()
         self._next = self.state.spec.tasks
         if self.is_service:
@@ -196,5 +204,6 @@
             index not in self.assigned_by_index
             and index not in self.doubtful
             and index not in self.delayed
+            and index not in self.giving
             and self.is_open(index)
         )
--- a/src/galenastall/coordination/job_shard.py
+++ b/src/galenastall/coordination/job_shard.py
@@ -31,6 +31,7 @@
     ShardSettings,
     StopBatch,
 )
+from galenastall.coordination.task_intents import TaskIntents
 from galenastall.coordination.task_reports import (
     ENDING_KINDS,
     ReportKind,
@@ -41,8 +42,8 @@
 )
 from galenastall.state.ids import Epoch, HostId, JobId, TaskId, make_task_id, split_task_id
 from galenastall.state.job_fold import JobState
-from galenastall.state.job_records import EndedRanges
-from galenastall.state.work import TaskPhase, Workload
+from galenastall.state.job_records import EndedRanges, TasksGiven
+from galenastall.state.work import TaskPhase, Urgency, Workload
 
 CHUNK: Final = 16
 """Tasks of one job given out before the next job has its turn."""
@@ -71,7 +72,10 @@
         self.settings = settings or ShardSettings()
         self.assignees = AssigneeBook(backlog=self.settings.backlog)
         self.ends = JobEnds(shard=shard)
-        self.gangs = GangDesk(settings=self.settings, assignees=self.assignees)
+        self.intents = TaskIntents(shard=shard)
+        self.gangs = GangDesk(
+            settings=self.settings, assignees=self.assignees, intents=self.intents
+        )
         self.runs_by_id: dict[JobId, JobRun] = {}
         self.duplicates = 0
         """Tasks that were found at two workers; each is an alarm."""
@@ -102,7 +106,7 @@
         if state.spec.workload is Workload.GANG:
             self.gangs.add(run)
         if not is_fresh:
-            run.doubtful = set(state.open_indices())
+            run.doubtful = {index for index in state.open_indices() if state.may_have_run(index)}
             if run.doubtful:
                 self._doubtful_jobs.add(job_id)
                 self.doubts += 1
@@ -147,11 +151,13 @@
             self._maybe_end(run)
         return counts
 
-    def resolve_doubts(self, now: float, *, may_have_lost_ends: bool = False) -> int:
+    def resolve_doubts(
+        self, now: float, *, may_have_lost_ends: Callable[[JobState], bool] = lambda _job: False
+    ) -> int:
         """After a complete census: give out again what nobody has; return how many.
 
-        With `may_have_lost_ends` a worker is gone that may have run tasks to their end, so a task
-        that must not run twice is closed as unknown instead.
+        `may_have_lost_ends` says whether a worker is gone that may have run tasks of a job to their
+        end; then a task that must not run twice is closed as unknown instead.
         """
         count = 0
         doubtful_jobs, self._doubtful_jobs = self._doubtful_jobs, set()
@@ -166,7 +172,8 @@
                 self.gangs.resolve(run, doubtful, now)
                 self._after_gang(run, now)
             else:
-                self._resolve(run, doubtful, may_have_lost_ends=may_have_lost_ends)
+                is_lost = run.is_once and may_have_lost_ends(run.state)
+                self._resolve(run, doubtful, may_have_lost_ends=is_lost)
             self._requeue(run)
             self._maybe_end(run)
         return count
@@ -398,11 +405,10 @@
             self._close(run, index, phase_when_stopped(run, kind), told_by)
 
     def _resolve(self, run: JobRun, doubtful: set[int], *, may_have_lost_ends: bool) -> None:
-        is_once = not run.state.spec.idempotent and not run.is_service
         for index in sorted(doubtful):
             if not run.is_open(index):
                 continue
-            if is_once and may_have_lost_ends:
+            if may_have_lost_ends:
                 self._close(run, index, TaskPhase.UNKNOWN)
             elif run.is_stopped:
                 self._close(run, index, run.stop_phase)
@@ -479,12 +485,14 @@
             want=want,
             now=now,
             avoid=run.avoided_hosts,
+            # What is given out and then lost with its assignee may end as unknown.
+            within_room=run.is_once and spec.urgency is not Urgency.URGENT,
         )
         if choice is None:
             self._note_waiting(run)
             return 0
         host, count = choice
-        indices = run.take(count)
+        indices = self._only_given(run, run.take(count))
         for index in indices:
             run.assigned_by_index[index] = Assigned(
                 host=host, attempt=run.attempt_of(index), since=now
@@ -498,6 +506,34 @@
             self._queue.discard(spec)
         return len(indices)
 
+    def _only_given(self, run: JobRun, indices: list[int]) -> list[int]:
+        """Return the tasks that may be given out now; the others wait for their record."""
+        if not run.is_once:
+            return indices
+        missing = [index for index in indices if not run.state.may_have_run(index)]
+        if not missing:
+            return indices
+        run.giving.update(missing)
+        self.intents.add(run.state.spec.job_id, missing)
+        run.waiting_reason = "its tasks must not run twice: waits for their record in the log"
+        return [index for index in indices if index not in run.giving]
+
+    def on_given(self, record: TasksGiven, *, is_logged: bool) -> None:
+        """Take in that tasks may be given out, or that their record is not in the log."""
+        for given in record.given:
+            run = self.runs_by_id.get(given.job_id)
+            if run is None:
+                continue
+            if is_logged:
+                run.state.give(given.ranges)
+            for each in given.ranges:
+                for index in range(each.start, each.stop):
+                    if index in run.giving:
+                        run.giving.discard(index)
+                        run.give_back(index)
+            self._requeue(run)
+            self._maybe_end(run)
+
     def _note_waiting(self, run: JobRun) -> None:
         fits = self.assignees.can_ever_run(run.state.spec.resources)
         reason = "all worker owners have enough" if fits else "no worker is large enough now"
@@ -508,6 +544,8 @@
     def _maybe_end(self, run: JobRun) -> None:
         if run.is_ending or run.assigned_by_index or run.doubtful:
             return
+        if run.is_stopped:
+            run.giving.clear()
         job_id = run.state.spec.job_id
         if run.is_stopped:
             if job_id in self.gangs and not self.gangs.is_over(job_id):
--- a/src/galenastall/node/job_service.py
+++ b/src/galenastall/node/job_service.py
@@ -44,7 +44,7 @@
     split_ownable_id,
 )
 from galenastall.state.job_fold import JobFold, JobListener, JobState
-from galenastall.state.job_records import EndedRanges, JobAccepted, JobCancelled
+from galenastall.state.job_records import EndedRanges, JobAccepted, JobCancelled, WorkersChanged
 from galenastall.state.job_shards import shard_of, shard_ownable
 from galenastall.state.work import JobSpec
 
@@ -88,7 +88,7 @@
         self._incarnations: dict[HostId, str] = {}
         self._void_at: dict[HostId, float] = {}
         self._seen_live: dict[HostId, float] = {}
-        self._has_lost_worker = False
+        self._is_logging_workers = False
         self._teams = TeamGossip()
         self._held: dict[JobId, JobState] = {}
         self._cancels_to_log: dict[JobId, str] = {}
@@ -225,7 +225,7 @@
             events=self._events,
             summaries=self.summaries,
             workers_expected=self._workers_expected,
-            may_have_lost_ends=lambda: self._has_lost_worker,
+            may_have_lost_ends=self._may_have_lost_ends,
         )
         self.drivers_by_shard[shard] = driver
         for job in (*self.fold.live_by_id.values(), *self._held.values()):
@@ -310,14 +310,50 @@
         for worker, host in self._workers.listed_workers().items():
             if host.state is not HostState.GONE:
                 self._seen_live[worker] = now
+        first = self.drivers_by_shard.get(0)
+        is_ready = first is not None and first.may_act and self._appender.is_log_up
+        is_ready = is_ready and bool(self._workers.listed_workers())
+        if is_ready and self._nursery is not None and not self._is_logging_workers:
+            self._is_logging_workers = True
+            self._nursery.start_soon(self._log_workers)
         for worker, seen in list(self._seen_live.items()):
             if now > seen + self._timings.vanished_s:
                 del self._seen_live[worker]
-                self._has_lost_worker = True
 
-    def _workers_expected(self) -> tuple[HostId, ...]:
+    def _workers_expected(self) -> set[HostId] | None:
+        """Return the workers on which tasks may run; None while the list is not known."""
         self._note_workers(self._clock.wall())
-        return tuple(self._seen_live)
+        if not self._workers.listed_workers():
+            return None
+        since = self._clock.wall() - self._timings.vanished_s
+        logged = {
+            worker
+            for worker, gone_at in self.fold.gone_at_by_worker.items()
+            if gone_at is None or gone_at > since
+        }
+        return logged | self._seen_live.keys()
+
+    def _may_have_lost_ends(self, job: JobState) -> bool:
+        """Return whether a worker is gone that was there since the job was accepted."""
+        since = job.spec.submitted_at
+        for worker, gone_at in self.fold.gone_at_by_worker.items():
+            if gone_at is not None and gone_at >= since:
+                return True
+            if gone_at is None and worker not in self._seen_live:
+                return True
+        return False
+
+    async def _log_workers(self) -> None:
+        """Keep in the log which workers there were; written by the owner of the first shard."""
+        known = self.fold.gone_at_by_worker
+        seen = tuple(sorted(w for w in self._seen_live if known.get(w, 0.0) is not None))
+        gone = tuple(
+            sorted(w for w, at in known.items() if at is None and w not in self._seen_live)
+        )
+        if seen or gone:
+            record = WorkersChanged(seen=seen, gone=gone, at=self._clock.wall())
+            await self._append(record, None)
+        self._is_logging_workers = False
 
     async def _on_events(self, sender: HostId, message: TaskEvents) -> Any:
         driver = self.drivers_by_shard.get(message.shard)
--- a/src/galenastall/node/job_timings.py
+++ b/src/galenastall/node/job_timings.py
@@ -30,5 +30,6 @@
     compact_after_s: float = 3600.0
     """Age at which a live job's record is appended again; well below the log's retention."""
     compact_every_s: float = 60.0
-    vanished_s: float = 31.0
-    """How long a worker that left the platform's list may still run tasks: the longest lease."""
+    vanished_s: float = 40.0
+    """How long a worker that left the platform's list may still run tasks: the longest lease, and
+    the difference between what two entry hosts see of the list."""
--- a/src/galenastall/node/shard_driver.py
+++ b/src/galenastall/node/shard_driver.py
@@ -1,6 +1,6 @@
 """Carry out what one job shard's core decides: assign, stop, hold, take the census, log ends."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import trio
 from returns.result import Failure, Success
@@ -36,6 +36,7 @@
 from galenastall.protocol.log_access import LogAppender, StreamFollower
 from galenastall.protocol.ownership_view import OwnershipView
 from galenastall.state.ids import HostId, RecordId
+from galenastall.state.job_fold import JobState
 from galenastall.state.job_records import JobEnded, ShardBarrier
 from galenastall.state.job_shards import shard_ownable
 
@@ -55,10 +56,10 @@
         timings: JobTimings,
         events: EventSink,
         summaries: Callable[[], Mapping[HostId, CapacitySummary]],
-        workers_expected: Callable[[], Iterable[HostId]],
-        may_have_lost_ends: Callable[[], bool],
+        workers_expected: Callable[[], Collection[HostId] | None],
+        may_have_lost_ends: Callable[[JobState], bool],
     ) -> None:
-        """`workers_expected` returns all workers on which tasks may run now."""
+        """`workers_expected` returns all workers on which tasks may run, None if not known."""
         self.core = core
         self._link = link
         self._ownership = ownership
@@ -78,6 +79,7 @@
         self._census: Census | None = None
         self._needs_barrier = False
         self._is_at_barrier = False
+        self._is_giving = False
         self._asking: set[HostId] = set()
 
     def cancel(self) -> None:
@@ -137,6 +139,9 @@
             nursery.start_soon(self._call_gang, call)
         if self.core.ends:
             self._logging.set()
+        if self.core.intents and not self._is_giving:
+            self._is_giving = True
+            nursery.start_soon(self._log_intents)
 
     async def _assign(self, batch: AssignBatch) -> None:
         """Send until there is an answer, or the assignee is gone and a census tells."""
@@ -214,7 +219,10 @@
         if census is None:
             return
         roster = self._ownership.roster()
-        expected = set(self._workers_expected())
+        workers = self._workers_expected()
+        if workers is None:
+            return
+        expected = set(workers)
         is_complete = census.is_complete(roster=roster, workers=expected, now=self._clock.wall())
         if is_complete:
             self._end_census(nursery)
@@ -242,7 +250,7 @@
                 nursery.start_soon(self._pass_barrier, self._census)
             return
         count = self.core.resolve_doubts(
-            self._clock.wall(), may_have_lost_ends=self._may_have_lost_ends()
+            self._clock.wall(), may_have_lost_ends=self._may_have_lost_ends
         )
         self._census = None
         self._events.record(
@@ -301,6 +309,20 @@
                 for job in jobs:
                     nursery.start_soon(self._log_job_end, job)
 
+    async def _log_intents(self) -> None:
+        """Read back the record of first givings before the tasks are given out."""
+        record = self.core.intents.take()
+        if record is not None and self.may_act:
+            result = await self._appender.append(stream=self._follower.stream, record=record)
+            is_logged = isinstance(result, Success)
+            if not is_logged:
+                await trio.sleep(self._timings.log_retry_s)
+            self.core.on_given(record, is_logged=is_logged)
+        elif record is not None:
+            self.core.on_given(record, is_logged=False)
+        self._is_giving = False
+        self.wake()
+
     async def _log_job_end(self, job: JobEnded) -> None:
         result = await self._appender.append(
             stream=self._follower.stream,
--- a/src/galenastall/state/job_fold.py
+++ b/src/galenastall/state/job_fold.py
@@ -10,9 +10,10 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from galenastall.state.ids import JobId, Offset
+from galenastall.state.ids import HostId, JobId, Offset
 from galenastall.state.job_records import (
     EndedRanges,
+    GivenRanges,
     IndexRange,
     JobAccepted,
     JobCancelled,
@@ -20,6 +21,8 @@
     JobEnded,
     JobVerdict,
     TasksEnded,
+    TasksGiven,
+    WorkersChanged,
 )
 from galenastall.state.records import LoggedRecord
 from galenastall.state.work import JobSpec, TaskPhase, Workload
@@ -56,6 +59,7 @@
         "cancelled",
         "codes",
         "end",
+        "given",
         "renewed_wall",
         "spec",
         "was_held",
@@ -75,13 +79,17 @@
         self.accepted_at = accepted_at
         self.cancelled = False
         self.end: JobEnd | None = None
-        self.codes = bytearray(spec.tasks if spec.workload is not Workload.SERVICE else 0)
+        is_service = spec.workload is Workload.SERVICE
+        self.codes = bytearray(0 if is_service else spec.tasks)
+        self.given = bytearray(0 if is_service or spec.idempotent else spec.tasks)
+        """For tasks that must not run twice: 1 if one may have been given out, by index."""
 
     def copy(self) -> "JobState":
         """Return a copy to write to what the log doesn't hold yet."""
         other = JobState(spec=self.spec, accepted_at=self.accepted_at, was_held=self.was_held)
         other.cancelled = self.cancelled
         other.codes[:] = self.codes
+        other.given[:] = self.given
         return other
 
     def merge(self, phase: TaskPhase, ranges: tuple[IndexRange, ...]) -> None:
@@ -91,6 +99,16 @@
             for index in range(max(each.start, 0), min(each.stop, len(self.codes))):
                 self.codes[index] = max(self.codes[index], code)
 
+    def give(self, ranges: tuple[IndexRange, ...]) -> None:
+        """Mark tasks as given out; of no meaning for tasks that may run twice."""
+        for each in ranges:
+            for index in range(max(each.start, 0), min(each.stop, len(self.given))):
+                self.given[index] = 1
+
+    def may_have_run(self, index: int) -> bool:
+        """Return whether a task may ever have been given out, as far as the log tells."""
+        return not self.given or self.given[index] == 1
+
     def phase_of(self, index: int) -> TaskPhase | None:
         """Return how the task ended, or None while it is open."""
         if index >= len(self.codes):
@@ -161,7 +179,9 @@
         """Offset of the newest record that holds each live job's spec."""
         self._ended_kept = ended_kept
         self._ended_ids: OrderedDict[JobId, JobEnded] = OrderedDict()
-        self._orphans: OrderedDict[JobId, list[EndedRanges]] = OrderedDict()
+        self.gone_at_by_worker: dict[HostId, float | None] = {}
+        """Workers that were ever listed; wall time at which one was gone, or None."""
+        self._orphans: OrderedDict[JobId, list[EndedRanges | GivenRanges]] = OrderedDict()
         self._orphan_cancels: OrderedDict[JobId, None] = OrderedDict()
         self._listeners: list[JobListener] = []
         self._apply_by_type: dict[type[Any], Callable[[Any, Offset], None]] = {
@@ -169,6 +189,8 @@
             JobCompacted: self._take_compacted,
             JobCancelled: self._cancel,
             TasksEnded: self._end_tasks,
+            TasksGiven: self._give_tasks,
+            WorkersChanged: self._change_workers,
             JobEnded: self._end,
         }
 
@@ -214,6 +236,7 @@
         job.cancelled = job.cancelled or record.cancelled
         for end in record.ends:
             job.merge(end.phase, end.ranges)
+        job.give(record.given)
         if is_new:
             self._add(job, offset)
             return
@@ -223,8 +246,11 @@
         job_id = job.spec.job_id
         self.live_by_id[job_id] = job
         self.renewed_at_by_id[job_id] = offset
-        for end in self._orphans.pop(job_id, []):
-            job.merge(end.phase, end.ranges)
+        for orphan in self._orphans.pop(job_id, []):
+            if isinstance(orphan, EndedRanges):
+                job.merge(orphan.phase, orphan.ranges)
+            else:
+                job.give(orphan.ranges)
         if job_id in self._orphan_cancels:
             del self._orphan_cancels[job_id]
             job.cancelled = True
@@ -255,6 +281,21 @@
                 self._orphans.setdefault(end.job_id, []).append(end)
         _trim(self._orphans, ORPHANS_KEPT)
 
+    def _give_tasks(self, record: TasksGiven, _offset: Offset) -> None:
+        for given in record.given:
+            job = self.live_by_id.get(given.job_id)
+            if job is not None:
+                job.give(given.ranges)
+            elif given.job_id not in self._ended_ids:
+                self._orphans.setdefault(given.job_id, []).append(given)
+        _trim(self._orphans, ORPHANS_KEPT)
+
+    def _change_workers(self, record: WorkersChanged, _offset: Offset) -> None:
+        for worker in record.seen:
+            self.gone_at_by_worker[worker] = None
+        for worker in record.gone:
+            self.gone_at_by_worker[worker] = record.at
+
     def _end(self, record: JobEnded, _offset: Offset) -> None:
         if record.job_id in self._ended_ids:
             return
--- a/src/galenastall/state/job_records.py
+++ b/src/galenastall/state/job_records.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from galenastall.state.ids import JobId
+from galenastall.state.ids import HostId, JobId
 from galenastall.state.records import RECORDS
 from galenastall.state.work import JobSpec, TaskPhase
 
@@ -71,6 +71,37 @@
     ends: tuple[EndedRanges, ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GivenRanges:
+    """Tasks of one job that may be given to worker owners from now on."""
+
+    job_id: JobId
+    ranges: tuple[IndexRange, ...]
+
+
+@RECORDS.register("job.tasks_given")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TasksGiven:
+    """Written before tasks that must not run twice are given out for the first time.
+
+    Whatever is not in such a record has provably never run, whoever owned the shard.
+    """
+
+    shard: int
+    given: tuple[GivenRanges, ...]
+
+
+@RECORDS.register("job.workers")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkersChanged:
+    """Workers that the platform's list showed for the first time, or no longer shows."""
+
+    seen: tuple[HostId, ...]
+    gone: tuple[HostId, ...]
+    at: float
+    """Wall time in seconds."""
+
+
 @RECORDS.register("job.ended")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobEnded:
@@ -93,6 +124,7 @@
     """Wall time in seconds."""
     cancelled: bool
     ends: tuple[EndedRanges, ...]
+    given: tuple[IndexRange, ...] = ()
 
 
 @RECORDS.register("job.barrier")
--- a/tests/test_job_failures.py
+++ b/tests/test_job_failures.py
@@ -123,6 +123,28 @@
             assert all(cluster.starts_of(task) == 1 for task in running)
             assert {"s/0", "s/1"} <= cluster.running().keys()
 
+    async def test_what_ran_on_a_worker_lost_meanwhile_is_unknown_and_the_rest_runs(
+        self, autojump_clock: Any
+    ) -> None:
+        async with open_cluster(names="ab") as cluster:
+            await cluster.submit(make_spec("once", tasks=40, run_s=40.0, idempotent=False))
+            await cluster.until(lambda: len(cluster.running()) == 16)
+            await trio.sleep(3)
+            lost = {task for task, places in cluster.running().items() if places == ["w0"]}
+            for name in "ab":
+                cluster.kill(name)
+            cluster.owners.roster.clear()
+            cluster.platform.remove_host(HostId("w0"))
+            for name in "cd":
+                await cluster.start(name)
+            cluster.spread()
+            await cluster.until(lambda: cluster.ended("once"), limit_s=400)
+            cluster.assert_sound()
+            job = cluster.hosts[HostId("c")].fold.get(JobId("once"))
+            assert job is not None
+            assert len(lost) == job.count(TaskPhase.UNKNOWN) == 4
+            assert job.count(TaskPhase.DONE) == 36
+
     async def test_peer_renews_leases_while_nobody_takes_over(self, autojump_clock: Any) -> None:
         async with open_cluster(names="ab") as cluster:
             await cluster.submit(make_spec("j", tasks=8, run_s=150.0))
@@ -290,6 +312,22 @@
 
 
 class TestLogOutage:
+    async def test_what_must_run_once_waits_for_its_record(self, autojump_clock: Any) -> None:
+        async with open_cluster() as cluster:
+            await cluster.submit(make_spec("first"))
+            await cluster.until(lambda: cluster.ended("first"))
+            cluster.platform.log.set_faults(LogFaults(outage=True))
+            intake = cluster.hosts[A].intake
+            for name, idempotent in (("once", False), ("often", True)):
+                spec = make_spec(name, tasks=2, idempotent=idempotent)
+                held = await intake.submit(spec, durability=Durability.DATA_CENTRE)
+                assert held.unwrap().durability is Durability.DATA_CENTRE
+            await trio.sleep(20)
+            assert (cluster.starts_of("once/0"), cluster.starts_of("often/0")) == (0, 1)
+            cluster.platform.log.set_faults(LogFaults())
+            await cluster.until(lambda: cluster.ended("once") and cluster.ended("often"))
+            cluster.assert_sound()
+
     async def test_submit_in_an_outage_says_what_it_got(self, autojump_clock: Any) -> None:
         async with open_cluster() as cluster:
             await trio.sleep(2)
