Put the shared tree in force on an entry host

Cause: the settings service had landed and the entry host still ran on defaults. Conclusion: lease and ownership timings still need a restart to change.

--- a/src/galenastall/cli/app.py
+++ b/src/galenastall/cli/app.py
@@ -6,6 +6,7 @@
 from galenastall.cli.daemon_commands import node, standin
 from galenastall.cli.exit_codes import EXIT_CODE_HELP
 from galenastall.cli.ops_commands import drain, explain, timeline
+from galenastall.cli.settings_commands import settings_app
 from galenastall.cli.work_commands import cancel, status, submit_app
 
 app = typer.Typer(
@@ -22,4 +23,5 @@
 app.command()(timeline)
 app.command()(explain)
 app.command()(drain)
+app.add_typer(settings_app, name="settings")
 app.add_typer(bench_app, name="bench")
--- a/src/galenastall/demo/__main__.py
+++ b/src/galenastall/demo/__main__.py
@@ -4,16 +4,20 @@
 from pathlib import Path
 from typing import Any, Final
 
+import msgspec
 import trio
+import yaml
 from returns.result import Failure
 
 from galenastall.demo.fleet import DemoFleet, raise_fleet
 from galenastall.node.entry_host import EntryHost
+from galenastall.state.settings_paths import NO_REVISION
 
 ENTRY_HOSTS: Final = ("gangnam-entry-1", "mapo-entry-1")
 REQUESTS: Final = 12
 TIMEOUT_S: Final = 20.0
 JOB_WITHIN_S: Final = 30.0
+IN_FORCE_WITHIN_S: Final = 5.0
 OPERATIONS: Final = ("packs/preview", "packs/redact", "packs/assemble")
 BATCH: Final = {
     "job_id": "demo-redactions",
@@ -40,6 +44,7 @@
         _say("two entry hosts are ready:")
         for host in fleet.hosts:
             _say(f"  {host.host_id} in {host.data_centre}, http {host.server.address}")
+        is_set = await _apply_settings(fleet, fleet.hosts[0], examples / "dongmun" / "shared.yaml")
         results = [await _send_request(fleet, number) for number in range(REQUESTS)]
         jobs = [
             await _run_job(fleet, fleet.hosts[0], BATCH),
@@ -49,7 +54,35 @@
         _say(await _fetch_text(fleet, fleet.hosts[1], "/v1/timeline/demo-0?format=text"))
         _say("why job demo-full-pack ran where it did:")
         _say(await _fetch_text(fleet, fleet.hosts[1], "/v1/explain/demo-full-pack?format=text"))
-    return all(results) and all(jobs)
+    return is_set and all(results) and all(jobs)
+
+
+async def _apply_settings(fleet: DemoFleet, host: EntryHost, file: Path) -> bool:
+    change = {
+        "change_id": "demo-settings",
+        "base_revision": NO_REVISION,
+        "author": "ops-seoul",
+        "subtree": yaml.safe_load(await trio.Path(file).read_text()),
+    }
+    answered = await fleet.client.request(
+        method="PUT",
+        address=host.server.address,
+        path="/v1/settings",
+        headers={"content-type": "application/json"},
+        body=msgspec.json.encode(change),
+        timeout_s=TIMEOUT_S,
+    )
+    if isinstance(answered, Failure):
+        _say(f"settings of {file}: {answered.failure()}")
+        return False
+    verdict = msgspec.json.decode(answered.unwrap().body)
+    _say(f"settings of {file}: {verdict.get('kind', verdict)}\n")
+    with trio.move_on_after(IN_FORCE_WITHIN_S):
+        while not all(each.shared.current.teams for each in fleet.hosts):  # noqa: ASYNC110
+            await trio.sleep(0.05)
+        return bool(verdict.get("kind") == "accepted")
+    _say(f"they were not in force everywhere within {IN_FORCE_WITHIN_S:.0f} s")
+    return False
 
 
 async def _send_request(fleet: DemoFleet, number: int) -> bool:
--- a/src/galenastall/node/entry_host.py
+++ b/src/galenastall/node/entry_host.py
@@ -10,6 +10,7 @@
 from galenastall.node.host_metrics import register_host_metrics
 from galenastall.node.http_drain import HttpDrain
 from galenastall.node.http_ops import HttpOps
+from galenastall.node.http_settings import HttpSettings
 from galenastall.node.job_side import JobSide
 from galenastall.node.log_service import LogSide
 from galenastall.node.ownables import ShardCounts
@@ -17,12 +18,14 @@
 from galenastall.node.request_side import RequestSide
 from galenastall.node.settings_mapping import (
     find_team_problem,
+    find_unknown_name,
     make_ownership_timings,
     make_placement_settings,
     make_request_settings,
     make_window_limits,
     make_worker_timings,
 )
+from galenastall.node.settings_service import SettingsService
 from galenastall.node.timeline_service import TimelineService
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.platform import Platform
@@ -67,7 +70,6 @@
         self.settings = settings
         self.host_id = HostId(settings.host_id)
         self.data_centre = DataCentre(settings.data_centre)
-        self.shared = SharedSettings()
         self.metrics = Metrics()
         self.recorder = Recorder(
             process=settings.host_id,
@@ -96,7 +98,7 @@
             writer=f"{settings.host_id}.{incarnation}",
             streams=(SETTINGS_STREAM, own_stream),
             live_hosts=lambda: 1 + len(self._peer_ids),
-            limits=lambda: make_window_limits(self.shared),
+            limits=lambda: make_window_limits(self.shared.current),
             events=self.recorder,
         )
         self.host_list = HostListPoller(
@@ -104,12 +106,24 @@
         )
         self.host_list.subscribe(self._on_listing)
         appender = self.log_side.appender
+        self.shared = SettingsService(
+            clock=clock,
+            rng=rng,
+            appender=appender,
+            follower=self.log_side.followers_by_stream[SETTINGS_STREAM],
+            peers=self.link,
+            peer_ids=lambda: self._peer_ids,
+            find_problem=find_unknown_name,
+            events=self.recorder,
+        )
+        self.shared.on_change(self._on_settings)
+        self._request_settings = make_request_settings(self.shared.current)
         follower = self.log_side.followers_by_stream[own_stream]
         self.ownership = OwnershipService(
             host_id=self.host_id,
             incarnation=incarnation,
             data_centre=self.data_centre,
-            timings=make_ownership_timings(self.shared),
+            timings=make_ownership_timings(self.shared.current),
             shards=SHARDS,
             clock=clock,
             appender=appender,
@@ -126,7 +140,7 @@
             peers=self.link,
             appender=appender,
             follower=follower,
-            settings=lambda: make_request_settings(self.shared),
+            settings=lambda: self._request_settings,
             clock=clock,
             rng=rng,
             events=self.recorder,
@@ -136,8 +150,8 @@
             data_centre=self.data_centre,
             incarnation=incarnation,
             shards=SHARDS.jobs,
-            placement=make_placement_settings(self.shared),
-            worker_timings=make_worker_timings(self.shared),
+            placement=make_placement_settings(self.shared.current),
+            worker_timings=make_worker_timings(self.shared.current),
             worker_calls=platform.workers,
             ownership=self.ownership,
             peers=self.link,
@@ -165,7 +179,13 @@
         )
         self.drain_route = HttpDrain(is_log_up=lambda: appender.is_log_up)
         self.server = HttpServer(
-            handlers=(ops, self.drain_route, self.request_side.routes, self.job_side.routes),
+            handlers=(
+                ops,
+                self.drain_route,
+                HttpSettings(service=self.shared),
+                self.request_side.routes,
+                self.job_side.routes,
+            ),
             clock=clock,
             bind=settings.http_bind,
             tls=_tls_files(settings),
@@ -181,6 +201,7 @@
             task_status.started()
             await nursery.start(self.host_list.run)
             await nursery.start(self.log_side.run)
+            await nursery.start(self.shared.run)
             await nursery.start(self.ownership.run)
             await nursery.start(self.request_side.run)
             await nursery.start(self.job_side.run)
@@ -213,8 +234,13 @@
             reasons.append("the platform's list of hosts was never read")
         if not self.ownership.is_member:
             reasons.append("not yet in the roster of its data centre")
+        reasons.extend(self.shared.not_ready_reasons())
         return reasons
 
+    def _on_settings(self, current: SharedSettings) -> None:
+        self._request_settings = make_request_settings(current)
+        self.job_side.core.apply_settings(make_placement_settings(current))
+
     def _on_listing(self, listing: HostListing, fetched_at: float) -> None:
         self._set_peers({**self._seeds, **peer_addresses(listing, own=self.host_id)})
 
@@ -223,7 +249,7 @@
         self.link.set_peers(addresses_by_id)
 
     def _find_team_problem(self, spec: JobSpec) -> str | None:
-        return find_team_problem(self.shared, spec)
+        return find_team_problem(self.shared.current, spec)
 
 
 def _curve_keys(settings: ProcessSettings) -> CurveKeys | None:
--- a/src/galenastall/node/settings_mapping.py
+++ b/src/galenastall/node/settings_mapping.py
@@ -10,6 +10,7 @@
 from galenastall.coordination.permit_types import PermitLimits
 from galenastall.coordination.placement_commands import TeamShare
 from galenastall.coordination.placement_settings import PlacementSettings
+from galenastall.coordination.policies import PLACEMENT_POLICIES
 from galenastall.coordination.retries import RetryLimits
 from galenastall.node.permit_settings import RequestSettings
 from galenastall.node.worker_timings import WorkerTimings
@@ -66,6 +67,15 @@
     )
 
 
+def find_unknown_name(shared: SharedSettings) -> str | None:
+    """Return which policy of the tree no registry holds, or None."""
+    for field, name in shared.placement.policies_by_class.model_dump().items():
+        if name not in PLACEMENT_POLICIES:
+            allowed = ", ".join(PLACEMENT_POLICIES.names())
+            return f"placement.policies_by_class.{field}: {name!r}; allowed: {allowed}"
+    return None
+
+
 def find_team_problem(shared: SharedSettings, spec: JobSpec) -> str | None:
     """Return why the tree refuses a job, or None; without any teams, every team may submit."""
     if shared.teams and spec.team not in shared.teams_by_path:
