--- a/src/galenastall/standin/control_client.py
+++ b/src/galenastall/standin/control_client.py
@@ -1,5 +1,6 @@
 """Client of the stand-in's control side, for benches and end-to-end tests."""
 
+from collections.abc import Mapping
 from typing import Any, Final, TypeVar
 
 import msgspec
@@ -57,6 +58,12 @@
             "PUT", f"faults/executors/{host}", faults, dict[str, ExecutorFaults]
         )
 
+    async def change_faults(
+        self, target: str, changes: Mapping[str, object]
+    ) -> Result[Any, StepError]:
+        """Change only the named knobs of `log`, `host-list`, `workers/ID` or `executors/ID`."""
+        return await self._send("PATCH", f"faults/{target}", changes, dict[str, Any])
+
     async def set_cuts(self, *cuts: Cut) -> Result[CutsMessage, StepError]:
         """Put exactly these cuts in force."""
         return await self._send("PUT", "cuts", CutsMessage(cuts=cuts), CutsMessage)
--- a/src/galenastall/standin/control_http_face.py
+++ b/src/galenastall/standin/control_http_face.py
@@ -68,16 +68,31 @@
     @route("PUT", "/control/faults/{target*}")
     async def set_faults(self, request: HttpRequest) -> HttpResponse:
         """Replace the knobs of `log`, `host-list`, `workers/<id>` or `executors/<id>`."""
-        knobs = self._knobs(request.path_params["target"])
+        return await self._write_faults(request, is_whole=True)
+
+    @route("PATCH", "/control/faults/{target*}")
+    async def change_faults(self, request: HttpRequest) -> HttpResponse:
+        """Change the knobs that the body names and leave the others as they are."""
+        return await self._write_faults(request, is_whole=False)
+
+    async def _write_faults(self, request: HttpRequest, *, is_whole: bool) -> HttpResponse:
+        target = request.path_params["target"]
+        knobs = self._knobs(target)
         if not knobs:
-            return _not_found(request, request.path_params["target"])
-        faults_type = next(iter(knobs.values())).faults_type
-        faults = await _parse_faults(request, faults_type)
-        if isinstance(faults, Failure):
-            return error_response(faults.failure())
-        for knob in knobs.values():
-            knob.write(faults.unwrap())
-        return json_response(200, {name: knob.read() for name, knob in knobs.items()})
+            return _not_found(request, target)
+        changes = await parse_json(request, dict[str, Any])
+        if isinstance(changes, Failure):
+            return error_response(changes.failure())
+        parsed: dict[str, Any] = {}
+        for name, knob in knobs.items():
+            kept = {} if is_whole else msgspec.to_builtins(knob.read())
+            faults = _parse_faults(request, kept, changes.unwrap(), knob.faults_type)
+            if isinstance(faults, Failure):
+                return error_response(faults.failure())
+            parsed[name] = faults.unwrap()
+        for name, faults in parsed.items():
+            knobs[name].write(faults)
+        return json_response(200, parsed)
 
     @route("GET", "/control/cuts")
     async def cuts(self, request: HttpRequest) -> HttpResponse:
@@ -244,17 +259,16 @@
     )
 
 
-async def _parse_faults(request: HttpRequest, faults_type: type[Any]) -> Result[Any, StepError]:
+def _parse_faults(
+    request: HttpRequest, kept: dict[str, Any], changes: dict[str, Any], faults_type: type[Any]
+) -> Result[Any, StepError]:
     """Return the knobs; INVALID also for a key that is none of theirs."""
-    raw = await parse_json(request, dict[str, Any])
-    if isinstance(raw, Failure):
-        return raw
     allowed = sorted(field.name for field in fields(faults_type))
-    unknown = sorted(set(raw.unwrap()) - set(allowed))
+    unknown = sorted(set(changes) - set(allowed))
     if unknown:
         detail = f"unknown key {unknown[0]!r}; allowed: {', '.join(allowed)}"
         return Failure(_error(request, Reason.INVALID, detail))
-    body = msgspec.json.encode(raw.unwrap())
+    body = msgspec.json.encode({**kept, **changes})
     return decode_json(body, faults_type, step="control", peer=request.client)
 
 
--- a/tests/test_standin_server.py
+++ b/tests/test_standin_server.py
@@ -103,6 +103,20 @@
                 ) as answer:
                     assert answer.unwrap().leaving
 
+    async def test_change_leaves_other_knobs_alone(self, jumping_clock: MockClock) -> None:
+        async with open_process() as process:
+            control = process.control
+            await control.set_executor_faults("all", ExecutorFaults(answer_bytes=500, late_s=3.0))
+            changed = (await control.change_faults("executors/all", {"late": 1.0})).unwrap()
+            assert len(changed) == SHAPE.executors
+            for knobs in changed.values():
+                assert (knobs["late"], knobs["late_s"], knobs["answer_bytes"]) == (1.0, 3.0, 500)
+            refused = await control.change_faults("executors/all", {"late": 0.0, "soon": 1})
+            assert refused.failure().reason is Reason.INVALID
+            assert "'soon'" in refused.failure().detail
+            after = (await control.change_faults("executors/all", {})).unwrap()
+            assert after == changed
+
     async def test_unknown_targets_and_fields_are_refused(self, jumping_clock: MockClock) -> None:
         async with open_process() as process:
             unknown = await process.control.set_worker_faults("nobody", WorkerFaults())
