Harden the link's end, totals of traffic, and cut answers asked twice

Cause: a call on a link that is ending met a closed socket, and a socket opened in that moment would have held up its context for ever; totals by peer shrank when the list of peers changed; a cut answer whose iterator was asked again looked ended. Change: outboxes say that they are closed; ZmqPeerLink.totals keeps what gone peers had; the cut is raised again. Tests: peer dies in a call and comes back at its address, ended link, clients that heed 'Connection: close' through a drain.

--- a/src/galenastall/transport/http_exchange.py
+++ b/src/galenastall/transport/http_exchange.py
@@ -60,19 +60,25 @@
     def __init__(self, *, call: Call, chunks: Any) -> None:
         self._call = call
         self._chunks = chunks
+        self._error: AnswerCutError | None = None
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         return self
 
     async def __anext__(self) -> bytes:
+        if self._error is not None:
+            # Asked again, a broken generator only says that it has ended, as if it were whole.
+            raise self._error
         with trio.move_on_at(self._call.deadline):
             try:
                 chunk: bytes = await self._chunks.__anext__()
             except (httpcore.NetworkError, httpcore.ProtocolError) as error:
                 detail = f"answer broke off: {error or type(error).__name__}"
-                raise AnswerCutError(self._call.error(Reason.CUT, detail)) from error
+                self._error = AnswerCutError(self._call.error(Reason.CUT, detail))
+                raise self._error from error
             return chunk
-        raise AnswerCutError(self._call.error(Reason.TIMEOUT, "answer not whole in time"))
+        self._error = AnswerCutError(self._call.error(Reason.TIMEOUT, "answer not whole in time"))
+        raise self._error
 
 
 class Exchange:
@@ -99,12 +105,14 @@
 
     async def aclose(self) -> None:
         """Keep the connection if the answer was read to its end, else close it."""
-        with trio.CancelScope(shield=True):
-            await self._chunks.aclose()
-            await self._response.aclose()
-            if not self._pool.keep(self._connection):
-                await self._connection.stream.aclose()
-        self._pool.give_back_room()
+        try:
+            with trio.CancelScope(shield=True):
+                await self._chunks.aclose()
+                await self._response.aclose()
+                if not self._pool.keep(self._connection):
+                    await self._connection.stream.aclose()
+        finally:
+            self._pool.give_back_room()
 
 
 async def open_exchange(call: Call, pool: AddressPool) -> Result[Exchange, StepError]:
--- a/src/galenastall/transport/link_faults.py
+++ b/src/galenastall/transport/link_faults.py
@@ -26,6 +26,13 @@
     messages_in: int = 0
     bytes_in: int = 0
 
+    def add(self, other: "LinkCounters") -> None:
+        """Add another's counts to these."""
+        self.messages_out += other.messages_out
+        self.bytes_out += other.bytes_out
+        self.messages_in += other.messages_in
+        self.bytes_in += other.bytes_in
+
 
 @dataclass(kw_only=True, slots=True)
 class DroppedCounters:
--- a/src/galenastall/transport/peer_link.py
+++ b/src/galenastall/transport/peer_link.py
@@ -88,6 +88,7 @@
         self._zap: ZapServer | None = None
         self.counters_by_id: defaultdict[HostId, LinkCounters] = defaultdict(LinkCounters)
         """Messages and bytes by peer."""
+        self._gone_counters = LinkCounters()
         self.dropped = DroppedCounters()
         """Messages taken in and not used."""
 
@@ -101,6 +102,15 @@
         """`IP:port` really bound; empty before `run` has started."""
         return self._inbox.address if self._inbox else ""
 
+    @property
+    def totals(self) -> LinkCounters:
+        """Messages and bytes to and from all peers since the start, those gone included."""
+        totals = LinkCounters()
+        totals.add(self._gone_counters)
+        for counters in self.counters_by_id.values():
+            totals.add(counters)
+        return totals
+
     @property
     def refused_connections(self) -> int:
         """Connections refused for an unknown key."""
@@ -114,7 +124,7 @@
                 del self._outboxes_by_id[peer]
                 outbox.close()
         for gone in self.counters_by_id.keys() - addresses_by_id.keys():
-            del self.counters_by_id[gone]
+            self._gone_counters.add(self.counters_by_id.pop(gone))
 
     def set_allowed_keys(self, allowed_by_host_id: dict[HostId, str]) -> None:
         """Replace the list of public keys; connections that are up stay."""
@@ -150,6 +160,7 @@
                 task_status.started()
         finally:
             self._nursery = None
+            self._outboxes_by_id.clear()
             context.term()
 
     async def call(
@@ -256,8 +267,13 @@
             clock=self._clock,
             on_frame=lambda frame: self._take_answer(peer, frame),
         )
+        try:
+            self._nursery.start_soon(outbox.run)
+        except RuntimeError:
+            # The link has ended; a socket left open would hold up its context for ever.
+            socket.close(linger=0)
+            return None
         self._outboxes_by_id[peer] = outbox
-        self._nursery.start_soon(outbox.run)
         return outbox
 
     def _take_answer(self, peer: HostId, frame: bytes) -> None:
--- a/src/galenastall/transport/peer_outbox.py
+++ b/src/galenastall/transport/peer_outbox.py
@@ -46,7 +46,11 @@
 
     async def run(self) -> None:
         """Read answers until closed."""
-        await self._reader.run()
+        try:
+            await self._reader.run()
+        finally:
+            self.is_closed = True
+            self._writable.set()
 
     def close(self) -> None:
         """End `run`; whoever waits to send is told."""
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -215,9 +215,10 @@
             async with client.stream(
                 method="GET", address=address, path="/", timeout_s=FAR_S, step="upstream.call"
             ) as result:
-                with pytest.raises(AnswerCutError) as caught:
-                    async for _ in result.unwrap().body:
-                        pass
+                for _ in range(2):
+                    with pytest.raises(AnswerCutError) as caught:
+                        async for _ in result.unwrap().body:
+                            pass
         assert caught.value.error.step == "upstream.call"
         assert caught.value.error.reason is Reason.CUT
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -13,7 +13,7 @@
 from galenastall.transport.http_json import json_response, parse_json
 from galenastall.transport.http_messages import BodyStream, HttpRequest, HttpResponse
 from galenastall.transport.http_routes import RouteTable, route
-from http_support import connect, serving
+from http_support import RawAnswer, connect, serving
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -195,6 +195,31 @@
             assert answer.headers["connection"] == "close"
             nursery.cancel_scope.cancel()
 
+    async def test_clients_that_heed_the_close_lose_nothing(
+        self, mock_clock: trio.testing.MockClock
+    ) -> None:
+        answers: list[RawAnswer] = []
+
+        async def ask_until_told_to_close(address: str) -> None:
+            client = await connect(address)
+            while True:
+                answers.append(await client.ask("GET", "/stream"))
+                if answers[-1].headers.get("connection") == "close":
+                    return
+
+        async with serving(Handlers(), linger_s=5.0) as server:
+            still_open: list[int] = []
+            async with trio.open_nursery() as nursery:
+                async with trio.open_nursery() as clients:
+                    for _ in range(20):
+                        clients.start_soon(ask_until_told_to_close, server.address)
+                    while len(answers) < 100:
+                        await trio.lowlevel.checkpoint()
+                    nursery.start_soon(_drain_into, server, still_open)
+                mock_clock.jump(6.0)
+        assert all(answer.is_whole for answer in answers)
+        assert still_open == [0]
+
     async def test_reports_what_the_timeout_cut_off(self) -> None:
         handlers = Handlers()
         async with serving(handlers) as server:
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -67,18 +67,25 @@
         self.echoes: dict[HostId, Echo] = {}
 
     async def add(
-        self, host: HostId, *, curve: CurveKeys | None = None, faults: LinkFaults | None = None
+        self,
+        host: HostId,
+        *,
+        curve: CurveKeys | None = None,
+        faults: LinkFaults | None = None,
+        bind: str = "127.0.0.1:0",
+        nursery: trio.Nursery | None = None,
     ) -> ZmqPeerLink:
         link = ZmqPeerLink(
             host_id=host,
             incarnation=Incarnation(f"{host}.1"),
             clock=TrioClock(),
+            bind=bind,
             curve=curve,
             faults=faults,
         )
         self.links[host], self.echoes[host] = link, Echo()
         link.handle(Ping, self.echoes[host])
-        await self._nursery.start(link.run)
+        await (nursery or self._nursery).start(link.run)
         self.introduce()
         return link
 
@@ -270,6 +277,44 @@
             after = await link.call(peer=B, message=Ping(number=2), timeout_s=FAR_S)
         assert after.unwrap().number == 2
 
+    async def test_peer_that_dies_in_a_call_and_comes_back(
+        self, mock_clock: trio.testing.MockClock
+    ) -> None:
+        async with fleet() as made:
+            link = await made.add(A)
+            results: list[Any] = []
+
+            async def ask() -> None:
+                results.append(await link.call(peer=B, message=Ping(number=1), timeout_s=3.0))
+
+            async with trio.open_nursery() as nursery:
+                async with trio.open_nursery() as life:
+                    first = await made.add(B, nursery=life)
+                    made.echoes[B].release = trio.Event()
+                    nursery.start_soon(ask)
+                    await made.echoes[B].arrived.wait()
+                    life.cancel_scope.cancel()
+                mock_clock.jump(4.0)
+            await made.add(B, bind=first.address)
+            back = await link.call(peer=B, message=Ping(number=2), timeout_s=FAR_S)
+            totals_before = link.totals
+            link.set_peers({})
+            assert link.totals == totals_before
+        assert reason_of(results[0]) is Reason.TIMEOUT
+        assert back.unwrap().number == 2
+        assert totals_before.messages_out == 2
+
+    async def test_ended_link_sends_nothing(self) -> None:
+        async with fleet() as made:
+            await made.add(B)
+            async with trio.open_nursery() as life:
+                link = await made.add(A, nursery=life)
+                assert (await link.call(peer=B, message=Ping(), timeout_s=FAR_S)).unwrap()
+                life.cancel_scope.cancel()
+            after = await link.call(peer=B, message=Ping(number=9), timeout_s=FAR_S)
+        assert reason_of(after) is Reason.UNREACHABLE
+        assert made.echoes[B].seen == [(A, 0)]
+
     async def test_delay_holds_messages_back(self, mock_clock: trio.testing.MockClock) -> None:
         async with fleet() as made:
             link = await made.add(A, faults=LinkFaults(delay_s_by_peer={B: 2.0}))
