Spread light load over upstreams, re-arm holders, match the number of key shards

Cause: at light load one executor got every request; restarted holders never held again; ownership made 8 key shards where keys went to 16, so half of the keys had no owner. Change: least granted first among equals; holders are asked anew every 10 s; one constant for the shards; events when a request is taken and sent.

--- a/src/galenastall/coordination/keys.py
+++ b/src/galenastall/coordination/keys.py
@@ -18,7 +18,7 @@
 from galenastall.state.key_fold import KeyEnded, KeyEntry, KeyFold, KeyIntent, ended, entry_of, rank
 from galenastall.state.outcomes import Outcome
 
-KEY_SHARDS: Final = 16
+KEY_SHARDS: Final = 8
 """Shards of keys in each data centre; a change would move keys away from their records."""
 MAX_KEY_LENGTH: Final = 200
 UUID_LENGTH: Final = 36
--- a/src/galenastall/coordination/slots.py
+++ b/src/galenastall/coordination/slots.py
@@ -375,13 +375,16 @@
     def _pick(
         self, client: HostId, avoid: tuple[HostId, ...], free_by_id: dict[HostId, int]
     ) -> _Upstream | None:
-        """Return the upstream with most free slots on which the client may open a connection."""
+        """Return the upstream with most free slots on which the client may open a connection.
+
+        Among equals the one that was granted least goes first, so that light load spreads too.
+        """
         best: _Upstream | None = None
-        best_rank = (False, 0)
+        best_rank = (False, 0, 0)
         for host_id, free in free_by_id.items():
             opened = self._upstreams_by_id[host_id]
             share = max(1, opened.info.connections // max(1, self.clients))
-            rank = (host_id not in avoid, free)
+            rank = (host_id not in avoid, free, -opened.serial)
             if rank > best_rank and opened.uses_by_client.get(client, 0) < share:
                 best, best_rank = opened, rank
         return best
--- a/src/galenastall/node/key_owner.py
+++ b/src/galenastall/node/key_owner.py
@@ -48,6 +48,8 @@
 READ_TRIES: Final = 4
 """Rounds of reading back before intents held in an outage are given up as lost."""
 RETRY_S: Final = 1.0
+REARM_ROUNDS: Final = 10
+"""Every so many rounds the holders are asked anew, since a restarted process holds for nobody."""
 CARRY_CHUNK: Final = 200
 """Keys in one carried record."""
 
@@ -60,6 +62,7 @@
     holder_sets: tuple[frozenset[HostId], ...]
     """More than half of each must hold an intent; two while a change of holders is in doubt."""
     needs_flush: bool = False
+    rounds: int = 0
 
 
 class KeyOwner:
@@ -305,7 +308,9 @@
         if owned.needs_flush and not await self._flush(owned):
             return
         roster = self._ownership.roster()
-        if len(owned.holder_sets) == 1 and owned.holder_sets[0] == roster:
+        owned.rounds += 1
+        is_current = len(owned.holder_sets) == 1 and owned.holder_sets[0] == roster
+        if is_current and owned.rounds % REARM_ROUNDS:
             return
         await self._change_holders(owned, roster)
 
--- a/src/galenastall/node/ownables.py
+++ b/src/galenastall/node/ownables.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from galenastall.coordination.keys import KEY_SHARDS
 from galenastall.state.hosts import HostKind, HostListing, HostState
 from galenastall.state.ids import DataCentre, HostId, OwnableId, OwnableKind, make_ownable_id
 
@@ -16,7 +17,7 @@
 class ShardCounts:
     """How many shards a data centre has; the same on all of its entry hosts."""
 
-    keys: int = 8
+    keys: int = KEY_SHARDS
     jobs: int = 8
 
     def ownables(self) -> frozenset[OwnableId]:
--- a/src/galenastall/node/request_service.py
+++ b/src/galenastall/node/request_service.py
@@ -147,6 +147,12 @@
         """Run a request; returns its final answer, exactly one of the four outcomes."""
         run = _Run(call=call, ticket=next(self._tickets), status=self.book.open(call.request_id))
         self._in_progress += 1
+        self._events.record(
+            "request.taken",
+            subjects=(call.request_id, call.team),
+            cause=call.urgency.name.lower(),
+            fields={"operation": call.operation},
+        )
         try:
             answer = self.refusal(call) or await self._until_final(run)
         finally:
@@ -178,6 +184,12 @@
         run.status.upstream = permit.upstream
         run.status.attempts = run.attempts
         attempt_id = AttemptId(f"{run.call.request_id}#{run.ticket}.{run.attempts}")
+        self._events.record(
+            "request.sent",
+            peer=permit.upstream,
+            subjects=(run.call.request_id, attempt_id),
+            cause=f"permit {permit.permit_id}",
+        )
         result = await self._attempts.make(call=run.call, permit=permit, attempt_id=attempt_id)
         if result.outcome is Outcome.UNKNOWN:
             run.maybe_ran = result
--- a/tests/test_key_service.py
+++ b/tests/test_key_service.py
@@ -164,6 +164,19 @@
             assert verdict(await ask(rig, "e3")) == "done answer_not_kept"
             assert rig.runs == 1
 
+    async def test_restarted_holders_hold_again_before_the_next_outage(
+        self, autojump_clock: MockClock
+    ) -> None:
+        async with open_rig(hosts=3, executors=1) as rig:
+            await serve_keys(rig, "e1")
+            for name in ("e2", "e3"):
+                rig.kill(name)
+                await rig.add_host(name)
+            await trio.sleep(15.0)
+            rig.log.is_down = True
+            await trio.sleep(5.0)
+            assert verdict(await ask(rig, "e2")) == "done"
+
     async def test_without_a_majority_nothing_leaves(self, autojump_clock: MockClock) -> None:
         async with open_rig(hosts=3, executors=3) as rig:
             await serve_keys(rig, "e1")
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -87,6 +87,16 @@
         ask(owned, CLIENTS[1], 1)
         assert len(grants(owned)) == 1
 
+    def test_one_after_the_other_they_spread_over_the_upstreams(self) -> None:
+        owned = owner_of(upstream("a"), upstream("b"), upstream("c"))
+        used = []
+        for _ in range(6):
+            ask(owned, CLIENTS[0], 1)
+            (permit,) = grants(owned)
+            used.append(permit.upstream)
+            owned.give_back(permit_id=permit.permit_id, busy_for_s=0.0, now=0.0)
+        assert sorted(used) == ["a", "a", "b", "b", "c", "c"]
+
     def test_a_slot_that_may_still_be_busy_is_kept(self) -> None:
         owned = owner_of(upstream(slots=1))
         ask(owned, CLIENTS[0], 2)
