Hold quotas over teams below, and obey two settings that had no effect

Cause: a team's quota did not bound the teams below it; the tree's learned_quantile and the starvation time of backfill were accepted and did nothing.

Change: what a team reserves counts against the quotas of all teams above it; the core takes learned_quantile and backfill_starvation_s, and the mapping passes the latter on. A refusal or an explanation names the team whose quota it is.

Weights are still compared over all teams at once, not among siblings.

--- a/src/galenastall/coordination/estimates.py
+++ b/src/galenastall/coordination/estimates.py
@@ -90,7 +90,7 @@
         self.size: Resources | None = None
         self.run_s: float | None = None
 
-    def record(self, end: FinishedTask) -> None:
+    def record(self, end: FinishedTask, quantile: float) -> None:
         self.cores.record(end.peak.cores_milli)
         self.memory.record(end.peak.memory_mb)
         if end.ok:
@@ -99,8 +99,8 @@
         if self.samples < LEAST_SAMPLES or self.samples % REFRESH_EVERY:
             return
         self.size = Resources(
-            cores_milli=int(self.cores.quantile(SIZE_QUANTILE)),
-            memory_mb=int(self.memory.quantile(SIZE_QUANTILE)),
+            cores_milli=int(self.cores.quantile(quantile)),
+            memory_mb=int(self.memory.quantile(quantile)),
         )
         self.run_s = self.times.quantile(RUN_QUANTILE) or None
 
@@ -127,8 +127,9 @@
 class Estimates:
     """Learned sizes and run times, by job and by team and kind; unlabelled tasks teach nothing."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, quantile: float = SIZE_QUANTILE) -> None:
         """Start without having learned anything."""
+        self.quantile = quantile
         self._peaks_by_job: OrderedDict[JobId, _JobPeaks] = OrderedDict()
         self._learned_by_kind: OrderedDict[tuple[TeamPath, str], _Learned] = OrderedDict()
 
@@ -137,7 +138,7 @@
         if not task.kind or (not end.peak.memory_mb and not end.peak.cores_milli):
             return
         kind = (task.team, task.kind)
-        _recent(self._learned_by_kind, kind, _Learned, MOST_KINDS).record(end)
+        _recent(self._learned_by_kind, kind, _Learned, MOST_KINDS).record(end, self.quantile)
         _recent(self._peaks_by_job, task.job_id, _JobPeaks, MOST_JOBS).record(end.peak)
 
     def amount(self, task: TaskSpec, most: Resources) -> Resources:
--- a/src/galenastall/coordination/explanations.py
+++ b/src/galenastall/coordination/explanations.py
@@ -82,9 +82,9 @@
         f"for {describe_amount(task.resources)}: {reason.value}."
     )
     yield f"Its team {task.team} has a dominant share over its weight of {share:.1%}."
-    quota = tables.queue.quota(task.team)
-    if reason is WaitReason.QUOTA and quota is not None:
-        yield f"The quota of {task.team} is {describe_amount(quota)}."
+    full = tables.queue.full_quota(task.team, task.resources)
+    if reason is WaitReason.QUOTA and full is not None:
+        yield f"The quota of {full[0]} is {describe_amount(full[1])}."
     promise = tables.promises.get(task.task_id)
     if promise is not None:
         due = promise.expected_at - now
--- a/src/galenastall/coordination/placement.py
+++ b/src/galenastall/coordination/placement.py
@@ -60,6 +60,7 @@
         """Use other settings from the next decision on; the queue's order stays as it began."""
         self._tables.settings = settings
         self._tables.quarantine.settings = settings.quarantine
+        self._tables.estimates.quantile = settings.learned_quantile
         self._tables.queue.apply_settings(settings)
         self._placer.use_policies()
 
--- a/src/galenastall/coordination/placement_settings.py
+++ b/src/galenastall/coordination/placement_settings.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from galenastall.coordination.estimates import SIZE_QUANTILE
 from galenastall.coordination.overrun import OverrunSettings
 from galenastall.coordination.placement_commands import TeamShare
 from galenastall.coordination.quarantine import QuarantineSettings
@@ -40,10 +41,14 @@
     """`fair`: urgent by deadline, then teams by share; `fifo`: by arrival, as a baseline."""
     is_learning: bool = True
     """Whether reservations follow learned sizes where these are larger than declared."""
+    learned_quantile: float = SIZE_QUANTILE
+    """Quantile of measured peaks that a learned size stands for, 0 to 1."""
     is_preempting: bool = True
     """Whether urgent tasks may have lower classes checkpointed or stopped."""
     starvation_s: float = 600.0
     """After this wait a task goes ahead of all but urgent ones and has a worker drained for it."""
+    backfill_starvation_s: float | None = None
+    """The same for backfill; None for `starvation_s`."""
     overdue_every: int = 8
     """At least one of so many placements goes to a starving task, whatever is urgent."""
     start_settle_s: float = 15.0
@@ -59,3 +64,9 @@
     overrun: OverrunSettings = field(default_factory=OverrunSettings)
     remembered_ends: int = 50_000
     """Ended tasks kept, so that a late cancellation is told that they were done."""
+
+    def starvation_of(self, urgency: Urgency) -> float:
+        """Return after how many seconds a waiting task of this class is starving."""
+        if urgency is Urgency.BACKFILL and self.backfill_starvation_s is not None:
+            return self.backfill_starvation_s
+        return self.starvation_s
--- a/src/galenastall/coordination/placement_tables.py
+++ b/src/galenastall/coordination/placement_tables.py
@@ -75,7 +75,7 @@
         self.promises = Promises()
         self.pending = PendingCommands()
         self.capacities = CapacityShapes()
-        self.estimates = Estimates()
+        self.estimates = Estimates(quantile=settings.learned_quantile)
         self.quarantine = Quarantine(settings=settings.quarantine)
         self.quarantined_by_id: dict[HostId, Worker] = {}
         self.failed_shapes = FailedShapes()
--- a/src/galenastall/coordination/placer.py
+++ b/src/galenastall/coordination/placer.py
@@ -273,11 +273,13 @@
         return now + max(left, 1.0)
 
     def _refuse_over_quota(self, task: TaskSpec) -> None:
-        quota = self._tables.queue.quota(task.team)
-        if quota is not None and not task.resources.fits_in(quota):
-            detail = f"needs {describe_amount(task.resources)}; "
-            detail += f"the quota of {task.team} is {describe_amount(quota)}"
-            self._refuse(task, RefusalReason.IMPOSSIBLE, detail)
+        """Refuse a task for which a quota would not do even with nothing else reserved."""
+        full = self._tables.queue.full_quota(task.team, task.resources)
+        if full is None or task.resources.fits_in(full[1]):
+            return
+        detail = f"needs {describe_amount(task.resources)}; "
+        detail += f"the quota of {full[0]} is {describe_amount(full[1])}"
+        self._refuse(task, RefusalReason.IMPOSSIBLE, detail)
 
     def _refuse(self, task: TaskSpec, reason: RefusalReason, detail: str) -> None:
         self._tables.leave_queue(task.task_id)
--- a/src/galenastall/coordination/team_queue.py
+++ b/src/galenastall/coordination/team_queue.py
@@ -70,9 +70,16 @@
 
     def set_elsewhere(self, reserved_by_team: Mapping[TeamPath, Resources]) -> None:
         """Say what teams have reserved with other owners, for shares and quotas."""
-        for path in reserved_by_team.keys() | self._lines_by_team.keys():
-            line = self._line(path)
-            line.elsewhere = reserved_by_team.get(path, NOTHING)
+        for path in reserved_by_team:
+            self._line(path)
+        for line in self._lines_by_team.values():
+            line.elsewhere = reserved_by_team.get(line.path, NOTHING)
+            line.elsewhere_below = NOTHING
+        for line in self._lines_by_team.values():
+            over: TeamLine | None = line
+            while over is not None:
+                over.elsewhere_below = over.elsewhere_below + line.elsewhere
+                over = over.above
             self._unpark_all(line)
 
     def add(self, task: TaskSpec, since: float, *, first: bool = False) -> Waiting | None:
@@ -89,7 +96,7 @@
             waiting.order = (deadline, waiting.seq)
             self._urgent[waiting.order] = waiting
             return waiting
-        due_at = since + self._settings.starvation_s
+        due_at = since + self._settings.starvation_of(task.urgency)
         heappush(self._due_heap, (due_at, waiting.seq, task.task_id))
         waiting.lane = Lane.TEAM
         lane = self._line(task.team).lanes_by_urgency[task.urgency]
@@ -129,29 +136,30 @@
     def charge(self, team: TeamPath, amount: Resources) -> None:
         """Count what was reserved for a team."""
         line = self._line(team)
-        line.cores += amount.cores_milli
-        line.memory += amount.memory_mb
-        line.accelerators += amount.accelerators
+        line.take(amount, 1)
         self._refile(line)
 
     def credit(self, team: TeamPath, amount: Resources) -> None:
         """Count what a team gave back."""
         line = self._line(team)
-        line.cores -= amount.cores_milli
-        line.memory -= amount.memory_mb
-        line.accelerators -= amount.accelerators
-        if line.quota is not None:
-            self._unpark_all(line, urgent=QUOTA_TRIES)
-        else:
+        line.take(amount, -1)
+        bounded = line.bounded_by()
+        if bounded is None:
             self._refile(line)
+            return
+        for other in _with_below(bounded):
+            self._unpark_all(other, urgent=QUOTA_TRIES)
 
     def allows(self, team: TeamPath, amount: Resources) -> bool:
-        """Return whether a team's quota lets it reserve `amount` more."""
-        return self._line(team).allows(amount)
+        """Return whether a team's quota, and those of the teams above, leave room for `amount`."""
+        return self._line(team).find_full(amount) is None
 
-    def quota(self, team: TeamPath) -> Resources | None:
-        """Return the most that a team may have reserved at once."""
-        return self._line(team).quota
+    def full_quota(self, team: TeamPath, amount: Resources) -> tuple[TeamPath, Resources] | None:
+        """Return the team and the quota that leave no room for `amount` more, if any does."""
+        line = self._line(team).find_full(amount)
+        if line is None or line.quota is None:
+            return None
+        return line.path, line.quota
 
     def share(self, team: TeamPath) -> float:
         """Return a team's dominant share over its weight."""
@@ -266,7 +274,9 @@
     def _line(self, path: TeamPath) -> TeamLine:
         line = self._lines_by_team.get(path)
         if line is None:
-            line = TeamLine(path=path, share=self._share_setting(path))
+            name_above, _, _ = path.rpartition("/")
+            above = self._line(TeamPath(name_above)) if name_above else None
+            line = TeamLine(path=path, share=self._share_setting(path), above=above)
             self._lines_by_team[path] = line
         return line
 
@@ -290,7 +300,7 @@
         """Let a starving task wait as before: what its quota makes it wait is not starvation."""
         del self._overdue[waiting.order]
         waiting.lane = Lane.TEAM
-        due_at = now + self._settings.starvation_s
+        due_at = now + self._settings.starvation_of(waiting.task.urgency)
         heappush(self._due_heap, (due_at, waiting.seq, waiting.task.task_id))
         lane = self._lane_of(waiting)
         lane.add(waiting, first=True)
@@ -368,6 +378,12 @@
 QUEUE_ORDERS.register("fifo")(ArrivalQueue)
 
 
+def _with_below(line: TeamLine) -> Iterator[TeamLine]:
+    yield line
+    for below in line.below:
+        yield from _with_below(below)
+
+
 def _covers(parked: tuple[int, int, int], need: Resources) -> bool:
     return (
         parked[0] <= need.cores_milli
--- a/src/galenastall/coordination/waiting.py
+++ b/src/galenastall/coordination/waiting.py
@@ -94,21 +94,31 @@
     """What a team may have and has reserved, and its lanes of waiting tasks."""
 
     __slots__ = (
+        "above",
         "accelerators",
+        "below",
         "cores",
         "elsewhere",
+        "elsewhere_below",
         "lanes_by_urgency",
         "memory",
         "path",
         "quota",
+        "reserved_below",
         "weight",
     )
 
-    def __init__(self, *, path: TeamPath, share: TeamShare) -> None:
-        """Start with nothing waiting and nothing reserved."""
+    def __init__(self, *, path: TeamPath, share: TeamShare, above: "TeamLine | None") -> None:
+        """Start with nothing waiting or reserved; `above` is the team that this is part of."""
         self.path = path
         self.weight = share.weight
         self.quota = share.quota
+        self.above = above
+        self.below: list[TeamLine] = []
+        if above is not None:
+            above.below.append(self)
+        self.reserved_below: Resources = NOTHING
+        self.elsewhere_below: Resources = NOTHING
         self.cores = 0
         self.memory = 0
         self.accelerators = 0
@@ -132,15 +142,34 @@
             share = max(share, accelerators / total.accelerators)
         return share / self.weight
 
-    def allows(self, amount: Resources) -> bool:
-        """Return whether `amount` more stays within the team's quota."""
-        quota = self.quota
-        if quota is None:
-            return True
-        elsewhere = self.elsewhere
-        return (
-            self.cores + elsewhere.cores_milli + amount.cores_milli <= quota.cores_milli
-            and self.memory + elsewhere.memory_mb + amount.memory_mb <= quota.memory_mb
-            and self.accelerators + elsewhere.accelerators + amount.accelerators
-            <= quota.accelerators
-        )
+    def take(self, amount: Resources, sign: int) -> None:
+        """Count an amount in (1) or out (-1), here and in quotas of the teams above."""
+        self.cores += sign * amount.cores_milli
+        self.memory += sign * amount.memory_mb
+        self.accelerators += sign * amount.accelerators
+        line: TeamLine | None = self
+        while line is not None:
+            before = line.reserved_below
+            line.reserved_below = before + amount if sign > 0 else before - amount
+            line = line.above
+
+    def find_full(self, amount: Resources) -> "TeamLine | None":
+        """Return the team, this or one above, whose quota leaves no room for `amount` more."""
+        line: TeamLine | None = self
+        while line is not None:
+            if line.quota is not None:
+                taken = line.reserved_below + line.elsewhere_below + amount
+                if not taken.fits_in(line.quota):
+                    return line
+            line = line.above
+        return None
+
+    def bounded_by(self) -> "TeamLine | None":
+        """Return the highest team with a quota among this and those above."""
+        highest: TeamLine | None = None
+        line: TeamLine | None = self
+        while line is not None:
+            if line.quota is not None:
+                highest = line
+            line = line.above
+        return highest
--- a/src/galenastall/node/settings_mapping.py
+++ b/src/galenastall/node/settings_mapping.py
@@ -46,6 +46,7 @@
         policies_by_class=shared.placement.policies_by_class.model_dump(),
         teams_by_path=shares_by_path,
         starvation_s=shared.classes.normal.starvation_s,
+        backfill_starvation_s=shared.classes.backfill.starvation_s,
         gang_promise_s=shared.placement.gang_hold_s,
     )
 
--- a/tests/test_team_queue.py
+++ b/tests/test_team_queue.py
@@ -70,6 +70,29 @@
         core.set_reserved_elsewhere({})
         assert started(core.decide(1.0, 10)) == ["a/3"]
 
+    def test_a_quota_bounds_all_teams_below(self) -> None:
+        core = make_core(make_worker(capacity=BIG), settings=quotas(a=3000))
+        tasks = [make_task(f"{name}/{i}", team=f"a/{name}") for name in "xy" for i in range(3)]
+        placed = run(core, *tasks)
+        assert len(placed) == 3
+        assert core.reserved_by_team().keys() == {"a/x", "a/y"}
+        one = next(iter(placed))
+        core.on_finished(W1, [FinishedTask(task_id=TaskId(one), attempt=0, ok=True)], 1.0)
+        assert len(started(core.decide(1.0, 10))) == 1
+        core.set_reserved_elsewhere({TeamPath("a/z"): Resources(cores_milli=500)})
+        waiting = [task.task_id for task in tasks if core.placed(task.task_id) is None]
+        assert "The quota of a is 3 cores" in " ".join(core.explain(waiting[-1]))
+
+    def test_backfill_starves_after_a_time_of_its_own(self) -> None:
+        settings = PlacementSettings(starvation_s=60.0, backfill_starvation_s=3600.0)
+        core = make_core(settings=settings)
+        run(core, make_task("running/0", cores=4000))
+        core.enqueue([make_task("b/0", cores=4000, urgency=Urgency.BACKFILL)], 0.0)
+        core.decide(3599.0, 10)
+        assert "kept for it" not in " ".join(core.explain(TaskId("b/0")))
+        core.decide(3600.0, 10)
+        assert "kept for it" in " ".join(core.explain(TaskId("b/0")))
+
     def test_urgent_tasks_at_their_quota_hold_up_no_other_team(self) -> None:
         core = make_core(make_worker(capacity=BIG), settings=quotas(a=1000))
         mine = [make_task(f"a/{i}", team="a", urgency=Urgency.URGENT) for i in range(100)]
