--- a/src/galenastall/bench/peer_slopes.py
+++ b/src/galenastall/bench/peer_slopes.py
@@ -10,6 +10,7 @@
 from galenastall.coordination.ownership_messages import Beat
 from galenastall.coordination.placement_commands import CapacitySummary, Hole
 from galenastall.protocol import ownership_messages
+from galenastall.protocol.amount_rows import pack_summary
 from galenastall.protocol.job_messages import JobBeat, ShardEpoch
 from galenastall.state.ids import Epoch, HostId, Incarnation, Offset
 from galenastall.state.resources import Resources
@@ -47,15 +48,17 @@
         incarnation="north-1-entry-1.0123456789ab",
         shards=tuple(ShardEpoch(shard=each, epoch=Epoch(123_456)) for each in range(SHARDS)),
         valid_until=1_800_000_000.25 + sequence,
-        summary=CapacitySummary(
-            workers=28,
-            capacity=some,
-            free=some,
-            holes=holes,
-            largest_worker=holes,
-            waiting_by_class={"urgent": 3, "normal": 40, "backfill": 500},
-            running=200,
-            oldest_wait_s=12.5,
+        summary=pack_summary(
+            CapacitySummary(
+                workers=28,
+                capacity=some,
+                free=some,
+                holes=holes,
+                largest_worker=holes,
+                waiting_by_class={"urgent": 3, "normal": 40, "backfill": 500},
+                running=200,
+                oldest_wait_s=12.5,
+            )
         ),
     )
 
--- a/src/galenastall/node/held_gangs.py
+++ b/src/galenastall/node/held_gangs.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Final
 
 from returns.result import Failure, Success
@@ -13,12 +14,22 @@
 from galenastall.node.job_link import JobLink
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.job_messages import GangHold, GangRelease, GangStart, JobWord
+from galenastall.protocol.task_rows import unpack_tasks
 from galenastall.state.ids import HostId
 from galenastall.state.work import TaskSpec
 
 STARTED_KEPT: Final = 4096
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HeldGang:
+    """This owner's part of a gang, held and not started."""
+
+    hold_id: HoldId
+    shard: int
+    tasks: tuple[TaskSpec, ...]
+
+
 class HeldGangs:
     """Answers holds and starts; repeated ones get the answer of the first."""
 
@@ -38,7 +49,7 @@
         self._clock = clock
         self._carry_out = carry_out
         self._is_taking = is_taking
-        self._held_by_key: dict[str, tuple[HoldId, GangHold]] = {}
+        self._held_by_key: dict[str, HeldGang] = {}
         self._started: OrderedDict[str, None] = OrderedDict()
         link.answer(GangHold, self._on_hold)
         link.answer(GangStart, self._on_start)
@@ -46,23 +57,21 @@
 
     def expired(self, holds: tuple[HoldId, ...]) -> None:
         """Forget holds that the core has released."""
-        for key in [key for key, (hold, _) in self._held_by_key.items() if hold in holds]:
+        for key in [key for key, gang in self._held_by_key.items() if gang.hold_id in holds]:
             del self._held_by_key[key]
 
     def release_tasks(self, attempts: Iterable[TaskAttempt]) -> None:
         """Release the holds that any of these attempts belong to; they can't be started then."""
         stopped = set(attempts)
-        for key, (_, message) in list(self._held_by_key.items()):
-            held = (
-                TaskAttempt(task_id=task.task_id, attempt=task.attempt) for task in message.tasks
-            )
+        for key, gang in list(self._held_by_key.items()):
+            held = (TaskAttempt(task_id=task.task_id, attempt=task.attempt) for task in gang.tasks)
             if not stopped.isdisjoint(held):
                 self._release(key)
 
     def release_shard(self, shard: int) -> None:
         """Release all holds of a shard that has a new owner."""
-        for key, (_, message) in list(self._held_by_key.items()):
-            if message.shard == shard:
+        for key, gang in list(self._held_by_key.items()):
+            if gang.shard == shard:
                 self._release(key)
 
     async def _on_hold(self, sender: HostId, message: GangHold) -> JobWord:
@@ -73,9 +82,12 @@
             return JobWord(ok=True)
         if not self._is_taking() or message.key in self._started or message.until <= now:
             return JobWord(ok=False, detail="draining, started or too late")
-        match self._core.hold(message.key, message.tasks, now, message.until):
+        tasks = tuple(unpack_tasks(message.groups))
+        match self._core.hold(message.key, tasks, now, message.until):
             case Success(hold):
-                self._held_by_key[message.key] = (hold.hold_id, message)
+                self._held_by_key[message.key] = HeldGang(
+                    hold_id=hold.hold_id, shard=message.shard, tasks=tasks
+                )
                 return JobWord(ok=True)
             case Failure(error):
                 return JobWord(ok=False, detail=str(error))
@@ -90,11 +102,10 @@
         held = self._held_by_key.pop(message.key, None)
         if held is None:
             return JobWord(ok=False, detail="not held, or no longer")
-        hold_id, hold = held
-        match self._core.start_hold(hold_id, now):
+        match self._core.start_hold(held.hold_id, now):
             case Success(decision):
                 self._remember(message.key)
-                self._take(message.shard, hold.tasks)
+                self._take(message.shard, held.tasks)
                 self._carry_out(decision)
                 return JobWord(ok=True)
             case Failure(error):
@@ -107,7 +118,7 @@
     def _release(self, key: str) -> None:
         held = self._held_by_key.pop(key, None)
         if held is not None:
-            self._core.release_hold(held[0])
+            self._core.release_hold(held.hold_id)
 
     def _take(self, shard: int, tasks: tuple[TaskSpec, ...]) -> None:
         self._assigned.accept(shard, tasks)
--- a/src/galenastall/node/job_service.py
+++ b/src/galenastall/node/job_service.py
@@ -16,6 +16,12 @@
 from galenastall.node.job_views import view_run
 from galenastall.node.shard_driver import ShardDriver
 from galenastall.node.worker_service import WorkerService
+from galenastall.protocol.amount_rows import (
+    pack_amount,
+    pack_summary,
+    unpack_amount,
+    unpack_summary,
+)
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink, NullEventSink
 from galenastall.protocol.job_messages import (
@@ -32,6 +38,7 @@
 )
 from galenastall.protocol.log_access import LogAppender, StreamFollower
 from galenastall.protocol.ownership_view import OwnershipView
+from galenastall.protocol.task_rows import unpack_reports
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.hosts import HostState
 from galenastall.state.ids import (
@@ -252,13 +259,14 @@
             for shard, driver in self.drivers_by_shard.items()
             if driver.may_act
         )
+        told = self._teams.tell(self._workers.core.reserved_by_team())
         beat = JobBeat(
             incarnation=self._incarnation,
             shards=shards,
             valid_until=now + self._timings.valid_s,
-            summary=self._own_summary(),
+            summary=pack_summary(self._own_summary()),
             renewing=self._workers.helper.renewing(),
-            reserved_by_team=self._teams.tell(self._workers.core.reserved_by_team()),
+            reserved_by_team={team: pack_amount(amount) for team, amount in told.items()},
         )
         self._workers.core.set_reserved_elsewhere(self._teams.elsewhere())
         # Without shards it keeps nothing valid that the host may have queued.
@@ -302,8 +310,9 @@
             self._doubt(sender)
         self._incarnations[sender] = beat.incarnation
         self._heard_at[sender] = now
-        self._summaries[sender] = beat.summary
-        self._teams.hear(sender, beat.reserved_by_team)
+        self._summaries[sender] = unpack_summary(beat.summary)
+        heard = {team: unpack_amount(row) for team, row in beat.reserved_by_team.items()}
+        self._teams.hear(sender, heard)
         self._workers.hear_beat(sender, beat)
 
     def _note_workers(self, now: float) -> None:
@@ -361,14 +370,13 @@
             return StepError(
                 step="job.task_events", peer=self._link.host_id, reason=Reason.NOT_OWNER
             )
-        self._summaries[sender] = message.summary
-        settled = driver.core.on_reports(sender, message.reports, self._clock.wall())
+        self._summaries[sender] = unpack_summary(message.summary)
+        reports = unpack_reports(message.reports)
+        settled = driver.core.on_reports(sender, reports, self._clock.wall())
         kept = {id(report) for report in settled}
         driver.wake()
         return TaskEventsAnswer(
-            settled=tuple(
-                position for position, report in enumerate(message.reports) if id(report) in kept
-            )
+            settled=tuple(position for position, report in enumerate(reports) if id(report) in kept)
         )
 
     async def _on_hold(self, _sender: HostId, message: JobHold) -> JobWord:
--- a/src/galenastall/node/shard_driver.py
+++ b/src/galenastall/node/shard_driver.py
@@ -35,6 +35,7 @@
 )
 from galenastall.protocol.log_access import LogAppender, StreamFollower
 from galenastall.protocol.ownership_view import OwnershipView
+from galenastall.protocol.task_rows import pack_tasks, unpack_reports
 from galenastall.state.ids import HostId, RecordId
 from galenastall.state.job_fold import JobState
 from galenastall.state.job_records import JobEnded, ShardBarrier
@@ -151,7 +152,7 @@
                 shard=self.core.shard,
                 epoch=self.core.epoch,
                 valid_until=self.valid_until(),
-                tasks=batch.tasks,
+                groups=pack_tasks(batch.tasks),
             )
             result = await self._link.call(batch.host, message)
             answer = AssignAnswer.UNKNOWN
@@ -190,7 +191,11 @@
         message: GangHold | GangStart = GangStart(shard=shard, epoch=epoch, key=step.key)
         if step.kind is GangStepKind.HOLD:
             message = GangHold(
-                shard=shard, epoch=epoch, key=step.key, until=step.until, tasks=call.tasks
+                shard=shard,
+                epoch=epoch,
+                key=step.key,
+                until=step.until,
+                groups=pack_tasks(call.tasks),
             )
         result = await self._link.call(step.host, message)
         now = self._clock.wall()
@@ -283,10 +288,9 @@
         match result:
             case Success(ShardCensus(is_current=True) as answer):
                 now = self._clock.wall()
-                self.core.on_reports(host, answer.reports, now)
-                census.on_answer(
-                    HostCensus(host_id=host, reports=answer.reports, workers=answer.workers)
-                )
+                reports = tuple(unpack_reports(answer.reports))
+                self.core.on_reports(host, reports, now)
+                census.on_answer(HostCensus(host_id=host, reports=reports, workers=answer.workers))
         await trio.sleep(self._timings.resend_s)
         self._asking.discard(host)
         self.wake()
--- a/src/galenastall/node/task_reporter.py
+++ b/src/galenastall/node/task_reporter.py
@@ -9,9 +9,11 @@
 from galenastall.coordination.placement_commands import CapacitySummary
 from galenastall.coordination.task_reports import TaskReport
 from galenastall.node.job_link import JobLink
+from galenastall.protocol.amount_rows import pack_summary
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.job_messages import TaskEvents, TaskEventsAnswer, TasksSettled
 from galenastall.protocol.ownership_view import OwnershipView
+from galenastall.protocol.task_rows import pack_reports
 from galenastall.state.ids import HostId
 from galenastall.state.job_shards import shard_ownable
 
@@ -84,7 +86,9 @@
         owner = self._ownership.owner_of(shard_ownable(shard))
         if owner is None:
             return False
-        message = TaskEvents(shard=shard, reports=tuple(reports), summary=self._summary())
+        message = TaskEvents(
+            shard=shard, reports=pack_reports(reports), summary=pack_summary(self._summary())
+        )
         match await self._link.call(owner, message):
             case Success(TaskEventsAnswer(settled=settled)):
                 known = [reports[each] for each in settled if each < len(reports)]
--- a/src/galenastall/node/worker_service.py
+++ b/src/galenastall/node/worker_service.py
@@ -44,6 +44,7 @@
 from galenastall.protocol.ownership_view import OwnershipView
 from galenastall.protocol.platform import StartBatch, StartRequest, TaskAnswer
 from galenastall.protocol.platform import WorkerService as WorkerCalls
+from galenastall.protocol.task_rows import pack_reports, unpack_tasks
 from galenastall.state.errors import StepError
 from galenastall.state.hosts import HostKind, HostListing, ListedHost
 from galenastall.state.ids import (
@@ -434,7 +435,7 @@
             return JobWord(ok=False, detail="the shard has a later owner")
         if self._is_draining:
             return JobWord(ok=False, detail="this entry host drains")
-        new, refused = self.assigned.accept(message.shard, message.tasks)
+        new, refused = self.assigned.accept(message.shard, unpack_tasks(message.groups))
         self.core.enqueue(new, self._clock.wall())
         self.wake()
         self.reporter.wake()
@@ -483,7 +484,7 @@
             return ShardCensus(is_current=False)
         return ShardCensus(
             is_current=True,
-            reports=self.assigned.census(message.shard),
+            reports=pack_reports(self.assigned.census(message.shard)),
             workers=tuple(
                 worker for worker, watch in self.watches_by_id.items() if watch.is_spoken_for
             ),
--- /dev/null
+++ b/src/galenastall/protocol/amount_rows.py
@@ -0,0 +1,82 @@
+"""Amounts and summaries as rows on the wire, without field names, since beats carry many."""
+
+import msgspec
+
+from galenastall.coordination.placement_commands import CapacitySummary, Hole
+from galenastall.state.resources import Resources
+
+
+class AmountRow(msgspec.Struct, frozen=True, array_like=True):
+    """One amount of resources."""
+
+    cores_milli: int
+    memory_mb: int
+    accelerators: int
+
+
+class HoleRow(msgspec.Struct, frozen=True, array_like=True):
+    """One hole: the resource in which it is the largest, and the room."""
+
+    by: str
+    free: AmountRow
+
+
+class SummaryRow(msgspec.Struct, frozen=True, array_like=True):
+    """A capacity summary."""
+
+    workers: int
+    capacity: AmountRow
+    free: AmountRow
+    holes: tuple[HoleRow, ...]
+    largest_worker: tuple[HoleRow, ...]
+    waiting_by_class: dict[str, int]
+    running: int
+    oldest_wait_s: float
+
+
+def pack_amount(amount: Resources) -> AmountRow:
+    """Return the amount as a row."""
+    return AmountRow(amount.cores_milli, amount.memory_mb, amount.accelerators)
+
+
+def unpack_amount(row: AmountRow) -> Resources:
+    """Return the amount of a row."""
+    return Resources(
+        cores_milli=row.cores_milli, memory_mb=row.memory_mb, accelerators=row.accelerators
+    )
+
+
+def pack_summary(summary: CapacitySummary) -> SummaryRow:
+    """Return the summary as a row."""
+    return SummaryRow(
+        summary.workers,
+        pack_amount(summary.capacity),
+        pack_amount(summary.free),
+        tuple(_pack_hole(hole) for hole in summary.holes),
+        tuple(_pack_hole(hole) for hole in summary.largest_worker),
+        dict(summary.waiting_by_class),
+        summary.running,
+        round(summary.oldest_wait_s, 3),
+    )
+
+
+def unpack_summary(row: SummaryRow) -> CapacitySummary:
+    """Return the summary of a row."""
+    return CapacitySummary(
+        workers=row.workers,
+        capacity=unpack_amount(row.capacity),
+        free=unpack_amount(row.free),
+        holes=tuple(_unpack_hole(hole) for hole in row.holes),
+        largest_worker=tuple(_unpack_hole(hole) for hole in row.largest_worker),
+        waiting_by_class=row.waiting_by_class,
+        running=row.running,
+        oldest_wait_s=row.oldest_wait_s,
+    )
+
+
+def _pack_hole(hole: Hole) -> HoleRow:
+    return HoleRow(hole.by, pack_amount(hole.free))
+
+
+def _unpack_hole(row: HoleRow) -> Hole:
+    return Hole(by=row.by, free=unpack_amount(row.free))
--- a/src/galenastall/protocol/job_messages.py
+++ b/src/galenastall/protocol/job_messages.py
@@ -2,13 +2,13 @@
 
 from dataclasses import dataclass, field
 
-from galenastall.coordination.placement_commands import CapacitySummary
 from galenastall.coordination.shard_commands import CancelCounts
-from galenastall.coordination.task_reports import TaskAttempt, TaskReport
+from galenastall.coordination.task_reports import TaskAttempt
+from galenastall.protocol.amount_rows import AmountRow, SummaryRow
 from galenastall.protocol.codec import PEER_MESSAGES
+from galenastall.protocol.task_rows import ReportRow, TaskGroup
 from galenastall.state.ids import Epoch, HostId, JobId, TaskId, TeamPath
-from galenastall.state.resources import Resources
-from galenastall.state.work import JobSpec, TaskPhase, TaskSpec
+from galenastall.state.work import JobSpec, TaskPhase
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -32,9 +32,9 @@
     shards: tuple[ShardEpoch, ...]
     valid_until: float
     """Wall time until which queued tasks of these shards may start."""
-    summary: CapacitySummary
+    summary: SummaryRow
     renewing: tuple[HostId, ...] = ()
-    reserved_by_team: dict[TeamPath, Resources] = field(default_factory=dict)
+    reserved_by_team: dict[TeamPath, AmountRow] = field(default_factory=dict)
     """Some of the teams, in turn."""
 
 
@@ -46,7 +46,7 @@
     shard: int
     epoch: Epoch
     valid_until: float
-    tasks: tuple[TaskSpec, ...]
+    groups: tuple[TaskGroup, ...]
 
 
 @PEER_MESSAGES.register("task_stop")
@@ -86,8 +86,8 @@
     """The latest word on tasks of one shard."""
 
     shard: int
-    reports: tuple[TaskReport, ...]
-    summary: CapacitySummary
+    reports: tuple[ReportRow, ...]
+    summary: SummaryRow
     """Fresh with each batch, so that freed room is used before the next beat."""
 
 
@@ -128,7 +128,7 @@
 
     is_current: bool
     """False if a later epoch of the shard is known; the rest is empty then."""
-    reports: tuple[TaskReport, ...] = ()
+    reports: tuple[ReportRow, ...] = ()
     workers: tuple[HostId, ...] = ()
     """Owned workers that were listed, or whose leases provably lapsed, since they are owned."""
 
@@ -142,7 +142,7 @@
     epoch: Epoch
     key: str
     until: float
-    tasks: tuple[TaskSpec, ...]
+    groups: tuple[TaskGroup, ...]
 
 
 @PEER_MESSAGES.register("gang_start")
