Watch each connection with one task, and free those that clients close

Cause: hypercorn starts a task for its idle timer after each response, and a connection that an idle client has closed stays until that timer ends; an error on one connection ends the whole server. Change: hypercorn's connection class with an idle watch of our own and without empty writes, accepted by our own loop in place of hypercorn.trio.serve; a request that has arrived on an idle connection is served in a drain; errors of one connection are logged and end only that one.

--- /dev/null
+++ b/src/galenastall/transport/http_connection.py
@@ -0,0 +1,171 @@
+"""Hypercorn's connections with a cheaper idle timer, and the loop that accepts them.
+
+Hypercorn starts a task for its idle timer after each response, which takes a quarter of what a
+request costs, and keeps a connection that an idle client has closed until that timer ends. Here one
+task watches a connection for its whole life. While draining, an idle connection on which a request
+has already arrived is served rather than closed.
+"""
+
+import logging
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any, Final
+
+import trio
+from hypercorn.config import Config
+from hypercorn.events import Event, RawData
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import AppWrapper, ConnectionState
+
+_logger = logging.getLogger("galenastall.http")
+
+_RECHECK_S: Final = 0.01
+"""Seconds between two looks at a connection whose next request is arriving during a drain."""
+_RECHECKS: Final = 10
+
+
+class _IdleWatch:
+    """Stands in for hypercorn's restartable timer, with the same two methods."""
+
+    def __init__(self, *, keep_alive_s: float, connection: "HttpConnection") -> None:
+        self._keep_alive_s = keep_alive_s
+        self._connection = connection
+        self._idle_since: float | None = None
+        self._is_started = False
+        self._scope = trio.CancelScope()
+
+    async def restart(self, task_group: Any, action: Callable[[], Awaitable[None]]) -> None:
+        """Count the connection as idle from now on."""
+        self._idle_since = trio.current_time()
+        if not self._is_started:
+            self._is_started = True
+            task_group.spawn(self._run)
+
+    async def stop(self) -> None:
+        """Count the connection as busy."""
+        self._idle_since = None
+
+    def end(self) -> None:
+        """End the watch: the connection is no more."""
+        self._scope.cancel()
+
+    async def _run(self) -> None:
+        with self._scope:
+            if await self._wait_until_unwanted():
+                with trio.CancelScope(shield=True):
+                    await self._connection.close_idle()
+
+    async def _wait_until_unwanted(self) -> bool:
+        while True:
+            since = self._idle_since if self._idle_since is not None else trio.current_time()
+            with trio.move_on_at(since + self._keep_alive_s):
+                await self._connection.context.terminated.wait()
+                return await self._wait_for_quiet()
+            idle_since = self._idle_since
+            if idle_since is not None and trio.current_time() >= idle_since + self._keep_alive_s:
+                return True
+
+    async def _wait_for_quiet(self) -> bool:
+        """Whether to close a draining connection; a busy one closes after its response."""
+        for _ in range(_RECHECKS):
+            if self._idle_since is None or not self._connection.has_input():
+                break
+            await trio.sleep(_RECHECK_S)
+        return self._idle_since is not None
+
+
+class HttpConnection(TCPServer):
+    """One connection, from its first byte to its last."""
+
+    def __init__(
+        self,
+        app: AppWrapper,
+        config: Config,
+        context: WorkerContext,
+        state: ConnectionState,
+        stream: Any,
+    ) -> None:
+        """Take over an accepted stream."""
+        super().__init__(app, config, context, state, stream)
+        self._watch = _IdleWatch(keep_alive_s=config.keep_alive_timeout, connection=self)
+        watch: Any = self._watch
+        self.idle_task = watch
+
+    async def protocol_send(self, event: Event) -> None:
+        """Send what the protocol has to say, leaving out empty writes."""
+        if isinstance(event, RawData) and not event.data:
+            return
+        await super().protocol_send(event)
+
+    async def _read_data(self) -> None:
+        try:
+            await super()._read_data()
+        finally:
+            self._watch.end()
+
+    async def close_idle(self) -> None:
+        """Close a connection that is idle."""
+        await self._initiate_server_close()
+
+    def has_input(self) -> bool:
+        """Whether bytes from the client wait to be read."""
+        stream: Any = self.stream
+        plain = stream.transport_stream if isinstance(stream, trio.SSLStream) else stream
+        try:
+            return bool(plain.socket.is_readable())
+        except OSError:
+            return False
+
+
+class ConnectionServer:
+    """Accepts connections until told to stop."""
+
+    def __init__(self, *, app: AppWrapper, config: Config) -> None:
+        """Serve `app` with hypercorn's settings."""
+        self._app = app
+        self._config = config
+        self._context = WorkerContext(None)
+        self._stop = trio.Event()
+        self._grace_s = 0.0
+        self.open_connections = 0
+        """Connections open now."""
+
+    def stop(self, grace_s: float) -> None:
+        """Accept no more; requests in progress have `grace_s` seconds."""
+        self._grace_s = grace_s
+        self._stop.set()
+
+    async def run(
+        self, listener: trio.SocketListener, *, task_status: trio.TaskStatus[None]
+    ) -> None:
+        """Serve until stopped and the last connection has closed."""
+        accepted: Any = listener
+        tls_context = self._config.create_ssl_context()
+        if tls_context is not None:
+            accepted = trio.SSLListener(listener, tls_context, https_compatible=True)
+        async with trio.open_nursery() as connections:
+            async with trio.open_nursery() as accepting:
+                accepting.start_soon(
+                    partial(
+                        trio.serve_listeners, self._serve, [accepted], handler_nursery=connections
+                    )
+                )
+                task_status.started()
+                await self._stop.wait()
+                accepting.cancel_scope.cancel()
+            await self._context.terminated.set()
+            connections.cancel_scope.deadline = trio.current_time() + self._grace_s
+
+    async def _serve(self, stream: Any) -> None:
+        self.open_connections += 1
+        try:
+            connection = HttpConnection(
+                self._app, self._config, self._context, ConnectionState({}), stream
+            )
+            await connection.run()
+        except Exception:
+            # A defect met on one connection must not end all others.
+            _logger.exception("connection failed")
+        finally:
+            self.open_connections -= 1
--- a/src/galenastall/transport/http_server.py
+++ b/src/galenastall/transport/http_server.py
@@ -11,12 +11,13 @@
 from typing import Any, Final
 
 import trio
+from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.security import TlsFiles
 from galenastall.transport.http_app import ErrorLog, HttpApp
+from galenastall.transport.http_connection import ConnectionServer
 
 KEEP_ALIVE_S: Final = 75.0
 """Seconds that an idle connection is kept; longer than clients of ours keep theirs."""
@@ -30,27 +31,25 @@
 _logger = logging.getLogger("galenastall.http")
 
 
-class _BoundConfig(Config):
-    """Hypercorn's settings over a listening socket that is bound already."""
-
-    def __init__(self, *, tls: TlsFiles | None, verify_clients: bool, keep_alive_s: float) -> None:
-        super().__init__()
-        self.accesslog = None
-        self.errorlog = _logger
-        self.alpn_protocols = ["http/1.1"]
-        self.backlog = _BACKLOG
-        self.include_server_header = False
-        self.keep_alive_timeout = keep_alive_s
-        self.keep_alive_max_requests = _MAX_REQUESTS_PER_CONNECTION
-        if tls is not None:
-            tls.check()
-            self.certfile = tls.cert_file
-            self.keyfile = tls.key_file
-            if verify_clients:
-                if tls.ca_file is None:
-                    raise ValueError("tls.ca_file: needed to verify clients")
-                self.ca_certs = tls.ca_file
-                self.verify_mode = ssl.CERT_REQUIRED
+def _make_config(*, tls: TlsFiles | None, verify_clients: bool, keep_alive_s: float) -> Config:
+    config = Config()
+    config.accesslog = None
+    config.errorlog = _logger
+    config.alpn_protocols = ["http/1.1"]
+    config.include_server_header = False
+    config.keep_alive_timeout = keep_alive_s
+    config.keep_alive_max_requests = _MAX_REQUESTS_PER_CONNECTION
+    if tls is None:
+        return config
+    tls.check()
+    config.certfile = tls.cert_file
+    config.keyfile = tls.key_file
+    if verify_clients:
+        if tls.ca_file is None:
+            raise ValueError("tls.ca_file: needed to verify clients")
+        config.ca_certs = tls.ca_file
+        config.verify_mode = ssl.CERT_REQUIRED
+    return config
 
 
 class HttpServer:
@@ -76,11 +75,12 @@
         self._clock = clock
         self._bind = bind
         self._linger_s = linger_s
-        self._config = _BoundConfig(
-            tls=tls, verify_clients=verify_clients, keep_alive_s=keep_alive_s
+        app: Any = self._app
+        self._connections = ConnectionServer(
+            app=ASGIWrapper(app),
+            config=_make_config(tls=tls, verify_clients=verify_clients, keep_alive_s=keep_alive_s),
         )
         self._address = ""
-        self._stop = trio.Event()
         self._stopped = trio.Event()
 
     @property
@@ -93,6 +93,11 @@
         """Requests that wait for their answer's last byte."""
         return self._app.open_requests
 
+    @property
+    def open_connections(self) -> int:
+        """Connections open now, idle ones included."""
+        return self._connections.open_connections
+
     @property
     def is_draining(self) -> bool:
         """Whether `drain` was called."""
@@ -103,24 +108,14 @@
         listener = _bind_socket(self._bind)
         host, port = listener.getsockname()[:2]
         self._address = f"{host}:{port}"
-        self._config.bind = f"fd://{listener.detach()}"
         try:
-            async with trio.open_nursery() as nursery:
-                await nursery.start(self._serve)
-                task_status.started()
+            await self._connections.run(
+                trio.SocketListener(trio.socket.from_stdlib_socket(listener)),
+                task_status=task_status,
+            )
         finally:
             self._stopped.set()
 
-    async def _serve(self, *, task_status: trio.TaskStatus[list[str]]) -> None:
-        app: Any = self._app
-        await serve(
-            app,
-            self._config,
-            shutdown_trigger=self._stop.wait,
-            task_status=task_status,
-            mode="asgi",
-        )
-
     async def drain(self, timeout_s: float) -> int:
         """Finish what is in progress, then stop; return how many requests were cut off.
 
@@ -131,8 +126,7 @@
         self._app.is_draining = True
         await trio.sleep(min(self._linger_s, timeout_s))
         left_s = max(0.0, deadline - self._clock.now())
-        self._config.graceful_timeout = left_s
-        self._stop.set()
+        self._connections.stop(left_s)
         with trio.move_on_after(left_s):
             await self._stopped.wait()
         return self._app.open_requests
@@ -152,6 +146,7 @@
         )
     try:
         listener.bind((host, int(port)))
+        listener.listen(_BACKLOG)
     except (OSError, ValueError) as error:
         listener.close()
         raise OSError(f"bind: can't listen on {bind!r}: {error}") from error
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -13,6 +13,7 @@
 from galenastall.transport.http_json import json_response, parse_json
 from galenastall.transport.http_messages import BodyStream, HttpRequest, HttpResponse
 from galenastall.transport.http_routes import RouteTable, route
+from galenastall.transport.http_server import KEEP_ALIVE_S
 from http_support import RawAnswer, connect, serving
 
 
@@ -165,6 +166,44 @@
             await handlers.was_disconnected.wait()
 
 
+class TestIdleConnections:
+    async def test_one_that_the_client_closes_is_freed_at_once(
+        self, mock_clock: trio.testing.MockClock
+    ) -> None:
+        async with serving(Handlers()) as server:
+            client = await connect(server.address)
+            assert (await client.ask("GET", "/stream")).is_whole
+            assert server.open_connections == 1
+            await client.stream.aclose()
+            while server.open_connections:
+                await trio.testing.wait_all_tasks_blocked(0.001)
+
+    async def test_one_is_closed_after_its_time_and_not_before(
+        self, mock_clock: trio.testing.MockClock
+    ) -> None:
+        async with serving(Handlers()) as server:
+            client = await connect(server.address)
+            assert (await client.ask("GET", "/stream")).is_whole
+            for _ in range(2):
+                await trio.testing.wait_all_tasks_blocked(0.01)
+                mock_clock.jump(KEEP_ALIVE_S - 1)
+                assert (await client.ask("GET", "/stream")).is_whole
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            mock_clock.jump(KEEP_ALIVE_S + 1)
+            assert await client.stream.receive_some() == b""
+
+    async def test_a_long_request_is_no_idle_time(self, mock_clock: trio.testing.MockClock) -> None:
+        handlers = Handlers()
+        async with serving(handlers) as server:
+            client = await connect(server.address)
+            await client.send("GET", "/held")
+            await handlers.entered.wait()
+            mock_clock.jump(KEEP_ALIVE_S * 2)
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            handlers.release.set()
+            assert (await client.receive()).is_whole
+
+
 class TestDrain:
     async def test_finishes_what_is_in_progress_and_closes_keep_alive(self) -> None:
         handlers = Handlers()
