--- a/src/galenastall/node/group_commit.py
+++ b/src/galenastall/node/group_commit.py
@@ -111,7 +111,7 @@
 class GroupCommitAppender:
     """Group commit of one entry host; see protocol.log_access.LogAppender.
 
-    It reads its own records back through the followers. A follower feeds a page to all folds
+    It reads its own records back through the followers. A follower feeds a record to all folds
     without a pause, so every fold has taken a record in before its writer runs again.
     """
 
--- a/src/galenastall/node/stream_follower.py
+++ b/src/galenastall/node/stream_follower.py
@@ -18,6 +18,8 @@
 from galenastall.state.records import LoggedRecord, RecordFold, UnknownRecord
 
 PAGE_RECORDS: Final = 1000
+RECORDS_A_TURN: Final = 32
+"""Records folded before other tasks get a turn; a settings change takes milliseconds."""
 DEFAULT_POLL_WAIT_S: Final = 1.0
 """Also the age that `tip_read_at` reaches in quiet times, so well below the READ setting."""
 RETRY_MIN_S: Final = 0.1
@@ -136,8 +138,10 @@
         self._health.is_up = True
         self._answered = True
         self._retry_s = RETRY_MIN_S
-        for entry in page.entries:
+        for index, entry in enumerate(page.entries, start=1):
             self._fold(entry)
+            if index % RECORDS_A_TURN == 0:
+                await trio.lowlevel.checkpoint()
         self._wake_waiters()
         if self._next >= page.end:
             self._tip_read_at = sent_at
--- a/src/galenastall/state/shared_settings.py
+++ b/src/galenastall/state/shared_settings.py
@@ -74,7 +74,7 @@
 
     @model_validator(mode="after")
     def _check_quotas(self) -> "TeamSettings":
-        if self.quota is None:
+        if self.quota is None or not self.teams:
             return self
         room = self.quota.to_resources()
         for name, team in self.teams.items():
