--- /dev/null
+++ b/tests/test_ownership_hazards.py
@@ -0,0 +1,256 @@
+"""The hazards of ownership, each brought about on the model's clock."""
+
+from collections.abc import Callable
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from galenastall.coordination.ownership import AppendOutcome, OwnershipCore
+from galenastall.coordination.ownership_messages import AppendRecord
+from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.proof.ownership_model import FAULTS, MODEL_TIMINGS, OwnershipModel, ViolationError
+from galenastall.proof.ownership_search import run_schedule, search
+from galenastall.proof.ownership_weakenings import WEAKENINGS
+from galenastall.state.ids import HostId, Incarnation, Offset, OwnableId, RecordId, StreamName
+from galenastall.state.ownership_records import Activate, Claim, HandOver, Join, Member, Reroster
+from galenastall.state.records import LoggedRecord
+
+X = OwnableId("worker/w0")
+TAKEOVER_S = 12.0
+
+
+def served(hosts: int, seed: int = 1, settle_s: float = 6.0) -> OwnershipModel:
+    model = OwnershipModel(seed=seed, hosts=hosts)
+    assert model.run_until(model.is_served, within=20) is not None
+    model.run_for(settle_s)
+    return model
+
+
+def split(model: OwnershipModel, away: set[HostId]) -> None:
+    """Cut `away` off from the log and from all others."""
+    for host in away:
+        model.nodes_by_host[host].has_log = False
+        model.cuts |= {frozenset((host, o)) for o in model.nodes_by_host if o not in away}
+
+
+class TestHazards:
+    def test_owner_paused_resumes_after_a_takeover(self) -> None:
+        model = served(3)
+        (owner,) = model.actors(X)
+        model.pause(owner)
+        assert model.run_until(model.is_served, within=TAKEOVER_S) is not None
+        (heir,) = model.actors(X)
+        model.run_for(20)
+        model.resume(owner)
+        assert owner != heir
+        assert owner not in model.actors(X)
+
+    def test_owner_cut_off_from_the_log_alone_keeps_acting(self) -> None:
+        model = served(3)
+        (owner,) = model.actors(X)
+        model.nodes_by_host[owner].has_log = False
+        model.run_for(30)
+        assert model.actors(X) == [owner]
+
+    def test_owner_cut_off_from_log_and_peers_is_replaced_and_stops_first(self) -> None:
+        model = served(3)
+        (owner,) = model.actors(X)
+        split(model, {owner})
+        assert model.run_until(lambda: not model.actors(X), within=4) is not None
+        assert model.run_until(model.is_served, within=TAKEOVER_S) is not None
+        assert model.actors(X) != [owner]
+
+    def test_owner_dying_in_an_outage_is_replaced_once_the_log_is_back(self) -> None:
+        model = served(3)
+        (owner,) = model.actors(X)
+        others = {o for o in model.ownables if model.actors(o) != [owner]}
+        model.is_log_up = False
+        model.run_for(30)
+        model.kill(owner)
+        model.run_for(60)
+        assert {o for o in model.ownables if model.actors(o)} == others
+        model.is_log_up = True
+        assert model.run_until(model.is_served, within=TAKEOVER_S) is not None
+
+    def test_command_in_flight_lands_before_the_heir_acts(self) -> None:
+        model = served(3)
+        (owner,) = model.actors(X)
+        model.kill(owner)
+        sent_at = model.now
+        assert model.run_until(lambda: bool(model.actors(X)), within=TAKEOVER_S) is not None
+        assert model.now - sent_at > MODEL_TIMINGS.flight_s
+
+    @pytest.mark.parametrize("seed", range(4))
+    def test_lost_answers_of_the_log_leave_one_owner(self, seed: int) -> None:
+        model = OwnershipModel(seed=seed, hosts=3)
+        model.lose_answers = 12
+        assert model.run_until(model.is_served, within=60) is not None
+        model.join()
+        model.lose_answers = 6
+        model.run_for(20)
+        assert model.is_served()
+
+    def test_newcomer_in_the_middle_of_a_takeover(self) -> None:
+        model = served(3)
+        (owner,) = model.actors(X)
+        model.kill(owner)
+        model.run_for(3.5)
+        newcomer = model.join()
+        assert model.run_until(model.is_served, within=TAKEOVER_S) is not None
+        assert model.run_until(lambda: model.owned(newcomer) > 0, within=20) is not None
+
+    def test_planned_stop_hands_over_without_a_takeover(self) -> None:
+        model = served(3)
+        (owner,) = model.actors(X)
+        model.nodes_by_host[owner].core.begin_leave()
+        assert model.run_until(lambda: bool(model.actors(X)), within=0.1) is not None
+        model.run_for(0.2)
+        assert model.run_until(model.is_served, within=3) is not None
+        assert model.actors(X) != [owner]
+
+    def test_rolling_restart_of_all(self) -> None:
+        model = served(3)
+        for host in list(model.alive()):
+            model.restart(host)
+            assert model.run_until(model.is_served, within=TAKEOVER_S) is not None
+            model.run_for(3)
+
+    def test_all_replaced_at_once(self) -> None:
+        model = served(3)
+        for host in list(model.alive()):
+            model.kill(host)
+        for _ in range(3):
+            model.join()
+        bound = 2 * MODEL_TIMINGS.list_lag_s + TAKEOVER_S
+        assert model.run_until(model.is_served, within=bound) is not None
+
+    def test_slow_pairwise_cut_does_not_cost_an_owner_its_ownables(self) -> None:
+        model = served(3)
+        (owner,) = model.actors(X)
+        other = next(host for host in model.alive() if host != owner)
+        model.cuts.add(frozenset((owner, other)))
+        model.run_for(30)
+        assert model.actors(X) == [owner]
+
+
+def minority_claims() -> None:
+    """Three of five act on by vouches without the log; one of the other two may see it."""
+    model = served(5)
+    (owner,) = model.actors(X)
+    others = [host for host in model.alive() if host != owner]
+    split(model, {owner, *others[:2]})
+    model.run_for(20)
+
+
+def newcomers_vouch() -> None:
+    """The owner and two newcomers are split off before the owner wrote a roster with them."""
+    model = OwnershipModel(seed=3, hosts=3, timings=OwnershipTimings(list_lag_s=10.0, settle_s=8.0))
+    assert model.run_until(model.is_served, within=40) is not None
+    model.run_for(10)
+    (owner,) = model.actors(X)
+    newcomers = {model.join(), model.join()}
+    model.run_for(3)
+    split(model, {owner, *newcomers})
+    model.run_for(20)
+
+
+def seeds(*numbers: int) -> Callable[[], None]:
+    def run() -> None:
+        for number in numbers:
+            violation = run_schedule(number).violation
+            if violation is not None:
+                raise ViolationError(violation)
+
+    return run
+
+
+class TestWeakenedVariants:
+    """A checker that can't fail is a defect: each safeguard taken out must show."""
+
+    @pytest.mark.parametrize(
+        ("weakening", "schedule"),
+        [
+            ("no-fencing", seeds(12, 141)),
+            ("no-waits", seeds(6, 7)),
+            ("one-is-enough", minority_claims),
+            ("newer-roster", newcomers_vouch),
+            ("vouches-from-receipt", seeds(43)),
+        ],
+    )
+    def test_violation_with_the_safeguard_out_and_none_with_it(
+        self, weakening: str, schedule: Callable[[], None]
+    ) -> None:
+        schedule()
+        with WEAKENINGS.get(weakening)(), pytest.raises(ViolationError):
+            schedule()
+
+
+class TestFoundBySearch:
+    @pytest.mark.parametrize("seed", [271, 83, 254, 294, 1068, 81])
+    def test_seeds_that_once_failed(self, seed: int) -> None:
+        (result,) = search(runs=1, seed=seed)
+        assert result.is_good, result
+
+    def test_failed_reroster_does_not_undo_a_handover_of_unknown_fate(self) -> None:
+        a, b = (Member(host=HostId(h), incarnation=Incarnation(f"{h}.1")) for h in "ab")
+        core = OwnershipCore(me=a, timings=OwnershipTimings())
+        feed(core, Join(member=a, seen=Offset(0)), Join(member=b, seen=Offset(0)))
+        feed(core, Claim(by=a, ownables=(X,), seen=Offset(2)))
+        feed(core, Activate(by=a, epoch=core.fold.max_claim_epoch, members=(a, b)))
+        assert core.may_act(X, 0.0) is not None
+        core.on_ownables(frozenset())
+        for tick in (0.0, 1.1, 1.2):
+            core.on_tick(tick)
+        core.drain_commands()
+        core.on_tick(1.8)
+        (handover,) = appended(core)
+        core.on_append_outcome(handover.record_id, AppendOutcome.UNKNOWN, 1.85)
+        core.on_tick(2.9)
+        (reroster,) = appended(core)
+        core.on_append_outcome(reroster.record_id, AppendOutcome.NOT_APPENDED, 2.95)
+        assert (type(handover.record), type(reroster.record)) == (HandOver, Reroster)
+        assert core.may_act(X, 2.95) is None
+
+
+def feed(core: OwnershipCore, *records: object) -> None:
+    for record in records:
+        offset = core.fold.next_offset
+        logged = LoggedRecord(
+            stream=StreamName("s"), offset=offset, record_id=RecordId(f"{offset}"), record=record
+        )
+        core.on_record(logged, 0.0)
+    core.on_tip(read_at=0.0, next_offset=core.fold.next_offset, now=0.0)
+
+
+def appended(core: OwnershipCore) -> list[AppendRecord]:
+    commands = core.drain_commands()
+    return [c for c in commands if isinstance(c, AppendRecord)]
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Faults as rules; the model checks the invariant at each of its events."""
+
+    @initialize(seed=st.integers(0, 10_000), hosts=st.integers(2, 5))
+    def start(self, seed: int, hosts: int) -> None:
+        self.model = OwnershipModel(seed=seed, hosts=hosts)
+        self.model.run_for(4)
+
+    @rule(name=st.sampled_from(sorted(FAULTS)), seconds=st.floats(0.05, 4))
+    def fault(self, name: str, seconds: float) -> None:
+        FAULTS[name](self.model, self.model.random)
+        self.model.run_for(seconds)
+
+    @rule(seconds=st.floats(1, 8))
+    def wait(self, seconds: float) -> None:
+        self.model.run_for(seconds)
+
+    def teardown(self) -> None:
+        if hasattr(self, "model"):
+            self.model.heal()
+            assert self.model.run_until(self.model.is_served, within=90) is not None
+
+
+TestOwnershipMachine = OwnershipMachine.TestCase
+TestOwnershipMachine.settings = settings(max_examples=25, stateful_step_count=20)
