--- a/tests/request_rig.py
+++ b/tests/request_rig.py
@@ -179,6 +179,7 @@
         self.platform = MemoryPlatform(clock=self.clock, seed=1, hosts=self.listed.values())
         self.owners: dict[OwnableId, tuple[HostId, Epoch]] = {}
         self.hosts: dict[HostId, EntryHost] = {}
+        self.lives = 0
 
     def set_faults(self, faults: ExecutorFaults, *names: HostId) -> None:
         for name in names or self.upstreams:
@@ -206,8 +207,9 @@
         host_id = HostId(name)
         link = Link(self.network, host_id)
         ownership = Ownership(self, host_id)
-        incarnation = Incarnation(f"{name}-{len(self.hosts)}")
-        rng = random.Random(len(self.hosts))
+        self.lives += 1
+        incarnation = Incarnation(f"{name}-{self.lives}")
+        rng = random.Random(self.lives)
         log = LogSide(
             log=self.log,
             clock=self.clock,
