--- a/src/galenastall/node/job_service.py
+++ b/src/galenastall/node/job_service.py
@@ -16,6 +16,12 @@
 from galenastall.node.job_views import view_run
 from galenastall.node.shard_driver import ShardDriver
 from galenastall.node.worker_service import WorkerService
+from galenastall.protocol.amount_rows import (
+    pack_amount,
+    pack_summary,
+    unpack_amount,
+    unpack_summary,
+)
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink, NullEventSink
 from galenastall.protocol.job_messages import (
@@ -32,6 +38,7 @@
 )
 from galenastall.protocol.log_access import LogAppender, StreamFollower
 from galenastall.protocol.ownership_view import OwnershipView
+from galenastall.protocol.task_rows import unpack_reports
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.hosts import HostState
 from galenastall.state.ids import (
@@ -44,7 +51,7 @@
     split_ownable_id,
 )
 from galenastall.state.job_fold import JobFold, JobListener, JobState
-from galenastall.state.job_records import EndedRanges, JobAccepted, JobCancelled
+from galenastall.state.job_records import EndedRanges, JobAccepted, JobCancelled, WorkersChanged
 from galenastall.state.job_shards import shard_of, shard_ownable
 from galenastall.state.work import JobSpec
 
@@ -88,7 +95,7 @@
         self._incarnations: dict[HostId, str] = {}
         self._void_at: dict[HostId, float] = {}
         self._seen_live: dict[HostId, float] = {}
-        self._has_lost_worker = False
+        self._is_logging_workers = False
         self._teams = TeamGossip()
         self._held: dict[JobId, JobState] = {}
         self._cancels_to_log: dict[JobId, str] = {}
@@ -225,7 +232,7 @@
             events=self._events,
             summaries=self.summaries,
             workers_expected=self._workers_expected,
-            may_have_lost_ends=lambda: self._has_lost_worker,
+            may_have_lost_ends=self._may_have_lost_ends,
         )
         self.drivers_by_shard[shard] = driver
         for job in (*self.fold.live_by_id.values(), *self._held.values()):
@@ -252,13 +259,14 @@
             for shard, driver in self.drivers_by_shard.items()
             if driver.may_act
         )
+        told = self._teams.tell(self._workers.core.reserved_by_team())
         beat = JobBeat(
             incarnation=self._incarnation,
             shards=shards,
             valid_until=now + self._timings.valid_s,
-            summary=self._own_summary(),
+            summary=pack_summary(self._own_summary()),
             renewing=self._workers.helper.renewing(),
-            reserved_by_team=self._teams.tell(self._workers.core.reserved_by_team()),
+            reserved_by_team={team: pack_amount(amount) for team, amount in told.items()},
         )
         self._workers.core.set_reserved_elsewhere(self._teams.elsewhere())
         # Without shards it keeps nothing valid that the host may have queued.
@@ -302,22 +310,59 @@
             self._doubt(sender)
         self._incarnations[sender] = beat.incarnation
         self._heard_at[sender] = now
-        self._summaries[sender] = beat.summary
-        self._teams.hear(sender, beat.reserved_by_team)
+        self._summaries[sender] = unpack_summary(beat.summary)
+        heard = {team: unpack_amount(row) for team, row in beat.reserved_by_team.items()}
+        self._teams.hear(sender, heard)
         self._workers.hear_beat(sender, beat)
 
     def _note_workers(self, now: float) -> None:
         for worker, host in self._workers.listed_workers().items():
             if host.state is not HostState.GONE:
                 self._seen_live[worker] = now
+        first = self.drivers_by_shard.get(0)
+        is_ready = first is not None and first.may_act and self._appender.is_log_up
+        is_ready = is_ready and bool(self._workers.listed_workers())
+        if is_ready and self._nursery is not None and not self._is_logging_workers:
+            self._is_logging_workers = True
+            self._nursery.start_soon(self._log_workers)
         for worker, seen in list(self._seen_live.items()):
             if now > seen + self._timings.vanished_s:
                 del self._seen_live[worker]
-                self._has_lost_worker = True
 
-    def _workers_expected(self) -> tuple[HostId, ...]:
+    def _workers_expected(self) -> set[HostId] | None:
+        """Return the workers on which tasks may run; None while the list is not known."""
         self._note_workers(self._clock.wall())
-        return tuple(self._seen_live)
+        if not self._workers.listed_workers():
+            return None
+        since = self._clock.wall() - self._timings.vanished_s
+        logged = {
+            worker
+            for worker, gone_at in self.fold.gone_at_by_worker.items()
+            if gone_at is None or gone_at > since
+        }
+        return logged | self._seen_live.keys()
+
+    def _may_have_lost_ends(self, job: JobState) -> bool:
+        """Return whether a worker is gone that was there since the job was accepted."""
+        since = job.spec.submitted_at
+        for worker, gone_at in self.fold.gone_at_by_worker.items():
+            if gone_at is not None and gone_at >= since:
+                return True
+            if gone_at is None and worker not in self._seen_live:
+                return True
+        return False
+
+    async def _log_workers(self) -> None:
+        """Keep in the log which workers there were; written by the owner of the first shard."""
+        known = self.fold.gone_at_by_worker
+        seen = tuple(sorted(w for w in self._seen_live if known.get(w, 0.0) is not None))
+        gone = tuple(
+            sorted(w for w, at in known.items() if at is None and w not in self._seen_live)
+        )
+        if seen or gone:
+            record = WorkersChanged(seen=seen, gone=gone, at=self._clock.wall())
+            await self._append(record, None)
+        self._is_logging_workers = False
 
     async def _on_events(self, sender: HostId, message: TaskEvents) -> Any:
         driver = self.drivers_by_shard.get(message.shard)
@@ -325,14 +370,13 @@
             return StepError(
                 step="job.task_events", peer=self._link.host_id, reason=Reason.NOT_OWNER
             )
-        self._summaries[sender] = message.summary
-        settled = driver.core.on_reports(sender, message.reports, self._clock.wall())
+        self._summaries[sender] = unpack_summary(message.summary)
+        reports = unpack_reports(message.reports)
+        settled = driver.core.on_reports(sender, reports, self._clock.wall())
         kept = {id(report) for report in settled}
         driver.wake()
         return TaskEventsAnswer(
-            settled=tuple(
-                position for position, report in enumerate(message.reports) if id(report) in kept
-            )
+            settled=tuple(position for position, report in enumerate(reports) if id(report) in kept)
         )
 
     async def _on_hold(self, _sender: HostId, message: JobHold) -> JobWord:
--- a/src/galenastall/node/shard_driver.py
+++ b/src/galenastall/node/shard_driver.py
@@ -1,6 +1,6 @@
 """Carry out what one job shard's core decides: assign, stop, hold, take the census, log ends."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import trio
 from returns.result import Failure, Success
@@ -35,7 +35,9 @@
 )
 from galenastall.protocol.log_access import LogAppender, StreamFollower
 from galenastall.protocol.ownership_view import OwnershipView
+from galenastall.protocol.task_rows import pack_tasks, unpack_reports
 from galenastall.state.ids import HostId, RecordId
+from galenastall.state.job_fold import JobState
 from galenastall.state.job_records import JobEnded, ShardBarrier
 from galenastall.state.job_shards import shard_ownable
 
@@ -55,10 +57,10 @@
         timings: JobTimings,
         events: EventSink,
         summaries: Callable[[], Mapping[HostId, CapacitySummary]],
-        workers_expected: Callable[[], Iterable[HostId]],
-        may_have_lost_ends: Callable[[], bool],
+        workers_expected: Callable[[], Collection[HostId] | None],
+        may_have_lost_ends: Callable[[JobState], bool],
     ) -> None:
-        """`workers_expected` returns all workers on which tasks may run now."""
+        """`workers_expected` returns all workers on which tasks may run, None if not known."""
         self.core = core
         self._link = link
         self._ownership = ownership
@@ -78,6 +80,7 @@
         self._census: Census | None = None
         self._needs_barrier = False
         self._is_at_barrier = False
+        self._is_giving = False
         self._asking: set[HostId] = set()
 
     def cancel(self) -> None:
@@ -137,6 +140,9 @@
             nursery.start_soon(self._call_gang, call)
         if self.core.ends:
             self._logging.set()
+        if self.core.intents and not self._is_giving:
+            self._is_giving = True
+            nursery.start_soon(self._log_intents)
 
     async def _assign(self, batch: AssignBatch) -> None:
         """Send until there is an answer, or the assignee is gone and a census tells."""
@@ -146,7 +152,7 @@
                 shard=self.core.shard,
                 epoch=self.core.epoch,
                 valid_until=self.valid_until(),
-                tasks=batch.tasks,
+                groups=pack_tasks(batch.tasks),
             )
             result = await self._link.call(batch.host, message)
             answer = AssignAnswer.UNKNOWN
@@ -185,7 +191,11 @@
         message: GangHold | GangStart = GangStart(shard=shard, epoch=epoch, key=step.key)
         if step.kind is GangStepKind.HOLD:
             message = GangHold(
-                shard=shard, epoch=epoch, key=step.key, until=step.until, tasks=call.tasks
+                shard=shard,
+                epoch=epoch,
+                key=step.key,
+                until=step.until,
+                groups=pack_tasks(call.tasks),
             )
         result = await self._link.call(step.host, message)
         now = self._clock.wall()
@@ -214,7 +224,10 @@
         if census is None:
             return
         roster = self._ownership.roster()
-        expected = set(self._workers_expected())
+        workers = self._workers_expected()
+        if workers is None:
+            return
+        expected = set(workers)
         is_complete = census.is_complete(roster=roster, workers=expected, now=self._clock.wall())
         if is_complete:
             self._end_census(nursery)
@@ -242,7 +255,7 @@
                 nursery.start_soon(self._pass_barrier, self._census)
             return
         count = self.core.resolve_doubts(
-            self._clock.wall(), may_have_lost_ends=self._may_have_lost_ends()
+            self._clock.wall(), may_have_lost_ends=self._may_have_lost_ends
         )
         self._census = None
         self._events.record(
@@ -275,10 +288,9 @@
         match result:
             case Success(ShardCensus(is_current=True) as answer):
                 now = self._clock.wall()
-                self.core.on_reports(host, answer.reports, now)
-                census.on_answer(
-                    HostCensus(host_id=host, reports=answer.reports, workers=answer.workers)
-                )
+                reports = tuple(unpack_reports(answer.reports))
+                self.core.on_reports(host, reports, now)
+                census.on_answer(HostCensus(host_id=host, reports=reports, workers=answer.workers))
         await trio.sleep(self._timings.resend_s)
         self._asking.discard(host)
         self.wake()
@@ -301,6 +313,20 @@
                 for job in jobs:
                     nursery.start_soon(self._log_job_end, job)
 
+    async def _log_intents(self) -> None:
+        """Read back the record of first givings before the tasks are given out."""
+        record = self.core.intents.take()
+        if record is not None and self.may_act:
+            result = await self._appender.append(stream=self._follower.stream, record=record)
+            is_logged = isinstance(result, Success)
+            if not is_logged:
+                await trio.sleep(self._timings.log_retry_s)
+            self.core.on_given(record, is_logged=is_logged)
+        elif record is not None:
+            self.core.on_given(record, is_logged=False)
+        self._is_giving = False
+        self.wake()
+
     async def _log_job_end(self, job: JobEnded) -> None:
         result = await self._appender.append(
             stream=self._follower.stream,
