--- a/src/galenastall/bench/mix_driver.py
+++ b/src/galenastall/bench/mix_driver.py
@@ -6,7 +6,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
@@ -15,6 +15,7 @@
 
 from returns.result import Failure
 
+from galenastall.bench.mix_figures import MixBooks, MixFigures, group_of, hash_of
 from galenastall.bench.mix_workloads import Arrival, Mix, TrueTask, services_of, workers_of
 from galenastall.coordination.placement import PlacementCore
 from galenastall.coordination.placement_commands import (
@@ -30,7 +31,7 @@
 from galenastall.coordination.placement_settings import PlacementSettings
 from galenastall.state.ids import Epoch, HostId, TaskId
 from galenastall.state.resources import NOTHING, Resources
-from galenastall.state.work import FinishedTask, RunningTask, TaskSpec, Urgency, Workload
+from galenastall.state.work import FinishedTask, RunningTask, TaskSpec, Workload
 
 DECIDE_EVERY_S: Final = 0.02
 STARTS_PER_DECISION: Final = 256
@@ -47,35 +48,6 @@
 """Starts whose answer is lost; half of them took effect."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class MixFigures:
-    """What one run gave."""
-
-    waits_by_class: dict[str, list[float]]
-    unstarted_by_class: dict[str, int]
-    packing: float
-    """Reserved over capacity of the workers that hold anything, mean of cores and memory."""
-    used_of_reserved: float
-    stranded: float
-    """Free cores on workers where no waiting task fits, of all cores, while tasks wait."""
-    overcommits: int
-    memory_full: int
-    """Usage reports at which a worker's tasks truly used more memory than it has."""
-    commands: dict[str, int]
-    messages: int
-    core_cpu_s: float
-    done: int
-    core_s_done: float
-    refused: int
-    wrongly_refused: int
-    given_up: int
-    wrongly_given_up: int
-    """Given up although neither the job nor its size was at fault."""
-    cancels: dict[str, int]
-    cancel_us: float
-    quarantined: tuple[str, ...]
-
-
 class _Running:
     """A task on a fake worker."""
 
@@ -89,29 +61,6 @@
         self.is_throttled = False
 
 
-@dataclass(slots=True)
-class _Books:
-    reserved_s: float = 0.0
-    held_s: float = 0.0
-    used: float = 0.0
-    used_of: float = 0.0
-    stranded_s: float = 0.0
-    waiting_s: float = 0.0
-    overcommits: int = 0
-    memory_full: int = 0
-    messages: int = 0
-    done: int = 0
-    core_s_done: float = 0.0
-    refused: int = 0
-    wrongly_refused: int = 0
-    given_up: int = 0
-    wrongly_given_up: int = 0
-    cpu_ns: int = 0
-    cancel_ns: int = 0
-    commands: dict[str, int] = field(default_factory=lambda: defaultdict(int))
-    cancels: dict[str, int] = field(default_factory=lambda: defaultdict(int))
-
-
 class MixDriver:
     """One run of one mix under one set of settings."""
 
@@ -123,7 +72,7 @@
         self.core = PlacementCore(settings=settings, seed=seed)
         self.rng = Random(seed + 1)
         self.now = 0.0
-        self.books = _Books()
+        self.books = MixBooks()
         self._arrivals = arrivals
         self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._order = count()
@@ -441,15 +390,3 @@
     running: tuple[RunningTask, ...]
     used: Resources
     finished: tuple[FinishedTask, ...] = ()
-
-
-def group_of(task: TaskSpec) -> str:
-    """Return the class under which a task's wait is reported."""
-    if task.urgency is Urgency.URGENT or task.workload is Workload.BATCH:
-        return task.urgency.name.lower()
-    return task.workload.value
-
-
-def hash_of(text: str) -> int:
-    """Return a number that is the same in every process."""
-    return sum(ord(letter) * (place + 1) for place, letter in enumerate(text))
--- a/src/galenastall/bench/placement_mix.py
+++ b/src/galenastall/bench/placement_mix.py
@@ -14,7 +14,8 @@
 
 import msgspec
 
-from galenastall.bench.mix_driver import MixDriver, MixFigures
+from galenastall.bench.mix_driver import MixDriver
+from galenastall.bench.mix_figures import MixFigures
 from galenastall.bench.mix_workloads import MIXES, draw_arrivals
 from galenastall.coordination.placement_settings import PlacementSettings, default_policies
 
--- a/src/galenastall/coordination/placement_tables.py
+++ b/src/galenastall/coordination/placement_tables.py
@@ -16,8 +16,8 @@
 from galenastall.coordination.placement_state import EndMemory, Placed, Worker
 from galenastall.coordination.promises import Promise, Promises
 from galenastall.coordination.quarantine import Quarantine
+from galenastall.coordination.queue_orders import QUEUE_ORDERS
 from galenastall.coordination.replica_spread import ReplicaSpread
-from galenastall.coordination.team_queue import QUEUE_ORDERS
 from galenastall.coordination.waiting import Waiting
 from galenastall.coordination.worker_index import WorkerIndex
 from galenastall.state.hosts import ListedHost
@@ -27,7 +27,7 @@
 from galenastall.state.work import RunningTask, TaskSpec
 
 MOST_FAILED_SHAPES: Final = 32
-"""Shapes remembered as having no room; more are tried again instead."""
+"""Smallest shapes remembered as having no room; more are tried again instead."""
 
 
 class FailedShapes:
@@ -47,8 +47,14 @@
 
     def add(self, amount: Resources) -> None:
         """Remember a shape that found no room."""
+        new = (amount.cores_milli, amount.memory_mb, amount.accelerators)
+        self._shapes = [
+            shape
+            for shape in self._shapes
+            if shape[0] < new[0] or shape[1] < new[1] or shape[2] < new[2]
+        ]
         if len(self._shapes) < MOST_FAILED_SHAPES:
-            self._shapes.append((amount.cores_milli, amount.memory_mb, amount.accelerators))
+            self._shapes.append(new)
 
     def room_grew(self, room: tuple[int, int, int]) -> None:
         """Forget the shapes that such room might fit."""
@@ -152,6 +158,8 @@
         worker.is_quarantined = quarantined
         if quarantined:
             self.quarantined_by_id[worker.worker_id] = worker
+            for promise in self.promises.on_worker(worker.worker_id):
+                self.drop_promise(promise.task_id)
         else:
             self.quarantined_by_id.pop(worker.worker_id, None)
         self.refresh(worker, grew=True)
--- a/src/galenastall/coordination/placer.py
+++ b/src/galenastall/coordination/placer.py
@@ -25,7 +25,8 @@
 PREEMPTED_WITHIN_S: Final = 10.0
 """When room asked for by preemption is expected, in seconds."""
 PROMISE_SLACK_S: Final = 30.0
-"""How long past its expected time a promise stands before another worker is tried."""
+"""How long past its expected time an urgent task's promise stands; others' stand longer, for the
+time after which they starve, so that wrong estimates don't move them from worker to worker."""
 UNKNOWN_RUN_S: Final = 600.0
 """Remaining run time taken for batch tasks of which none is known."""
 PROMISES_PER_WORKER: Final = 4
@@ -129,7 +130,10 @@
         expected_at, _, worker = min(times, default=(inf, 0, None))
         if worker is None or expected_at == inf:
             return None
-        until = expected_at + PROMISE_SLACK_S
+        slack_s = PROMISE_SLACK_S
+        if task.urgency is not Urgency.URGENT:
+            slack_s = tables.settings.starvation_of(task.urgency)
+        until = expected_at + slack_s
         return self._promise(
             task,
             worker,
--- a/src/galenastall/coordination/team_queue.py
+++ b/src/galenastall/coordination/team_queue.py
@@ -16,7 +16,6 @@
 from galenastall.coordination.placement_settings import PlacementSettings
 from galenastall.coordination.waiting import Lane, TeamLane, TeamLine, Waiting, WaitReason
 from galenastall.state.ids import TaskId, TeamPath
-from galenastall.state.registry import Registry
 from galenastall.state.resources import NOTHING, Resources
 from galenastall.state.work import TaskSpec, Urgency
 
@@ -206,6 +205,10 @@
         for urgency in TEAM_CLASSES:
             yield from self._scan_teams(urgency)
 
+    def by_arrival(self) -> list[Waiting]:
+        """Return all waiting tasks as they came."""
+        return list(self._waiting_by_id.values())
+
     def __len__(self) -> int:
         return len(self._waiting_by_id)
 
@@ -359,25 +362,6 @@
             self._urgent[waiting.order] = waiting
 
 
-class ArrivalQueue(TeamQueue):
-    """The waiting tasks by arrival, each tried in turn; a baseline, linear in tasks."""
-
-    def scan(self, now: float) -> Iterator[Waiting]:
-        """Return the first task of each job by arrival, and the next while they are placed."""
-        blocked: set[object] = set()
-        for waiting in list(self._waiting_by_id.values()):
-            if waiting.task.job_id in blocked:
-                continue
-            yield waiting
-            if waiting.lane is not None:
-                blocked.add(waiting.task.job_id)
-
-
-QUEUE_ORDERS: Final[Registry[type[TeamQueue]]] = Registry(kind="queue order")
-QUEUE_ORDERS.register("fair")(TeamQueue)
-QUEUE_ORDERS.register("fifo")(ArrivalQueue)
-
-
 def _with_below(line: TeamLine) -> Iterator[TeamLine]:
     yield line
     for below in line.below:
