Split the job drivers by matter

Change: starts, shard owners' messages, known workers and background records are modules of their own; an assignment that can't be sent for a moment is kept; a task that only this owner can't fit goes back to its shard instead of ending its job.

--- a/src/galenastall/node/job_service.py
+++ b/src/galenastall/node/job_service.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import trio
-from returns.result import Failure, Success
 
 from galenastall.coordination.job_shard import JobShard
 from galenastall.coordination.placement_commands import CapacitySummary
@@ -13,7 +12,9 @@
 from galenastall.coordination.team_gossip import TeamGossip
 from galenastall.node.job_link import JobLink
 from galenastall.node.job_timings import JobTimings
+from galenastall.node.job_upkeep import JobUpkeep
 from galenastall.node.job_views import view_run
+from galenastall.node.known_workers import KnownWorkers
 from galenastall.node.shard_driver import ShardDriver
 from galenastall.node.worker_service import WorkerService
 from galenastall.protocol.amount_rows import (
@@ -40,18 +41,16 @@
 from galenastall.protocol.ownership_view import OwnershipView
 from galenastall.protocol.task_rows import unpack_reports
 from galenastall.state.errors import Reason, StepError
-from galenastall.state.hosts import HostState
 from galenastall.state.ids import (
     Epoch,
     HostId,
     JobId,
     OwnableId,
     OwnableKind,
-    RecordId,
     split_ownable_id,
 )
 from galenastall.state.job_fold import JobFold, JobListener, JobState
-from galenastall.state.job_records import EndedRanges, JobAccepted, JobCancelled, WorkersChanged
+from galenastall.state.job_records import EndedRanges
 from galenastall.state.job_shards import shard_of, shard_ownable
 from galenastall.state.work import JobSpec
 
@@ -94,11 +93,27 @@
         self._heard_at: dict[HostId, float] = {}
         self._incarnations: dict[HostId, str] = {}
         self._void_at: dict[HostId, float] = {}
-        self._seen_live: dict[HostId, float] = {}
-        self._is_logging_workers = False
-        self._teams = TeamGossip()
         self._held: dict[JobId, JobState] = {}
         self._cancels_to_log: dict[JobId, str] = {}
+        self._teams = TeamGossip()
+        self._known_workers = KnownWorkers(
+            fold=fold,
+            listed=worker_service.listed_workers,
+            clock=clock,
+            vanished_s=self._timings.vanished_s,
+        )
+        self._upkeep = JobUpkeep(
+            fold=fold,
+            known_workers=self._known_workers,
+            drivers=lambda: list(self.drivers_by_shard.values()),
+            held=self._held,
+            cancels=self._cancels_to_log,
+            appender=appender,
+            stream=follower.stream,
+            clock=clock,
+            timings=self._timings,
+            events=self._events,
+        )
         self._is_draining = False
         fold.listen(self)
         link.answer(TaskEvents, self._on_events)
@@ -115,8 +130,7 @@
             self._nursery = nursery
             for driver in self.drivers_by_shard.values():
                 nursery.start_soon(driver.run)
-            nursery.start_soon(self._log_held)
-            nursery.start_soon(self._compact)
+            nursery.start_soon(self._upkeep.run)
             task_status.started()
             while True:
                 self._beat()
@@ -231,8 +245,8 @@
             timings=self._timings,
             events=self._events,
             summaries=self.summaries,
-            workers_expected=self._workers_expected,
-            may_have_lost_ends=self._may_have_lost_ends,
+            workers_expected=self._known_workers.expected,
+            may_have_lost_ends=self._known_workers.may_have_lost_ends,
         )
         self.drivers_by_shard[shard] = driver
         for job in (*self.fold.live_by_id.values(), *self._held.values()):
@@ -253,7 +267,10 @@
 
     def _beat(self) -> None:
         now = self._clock.wall()
-        self._note_workers(now)
+        self._known_workers.note(now)
+        first = self.drivers_by_shard.get(0)
+        if first is not None and first.may_act and self._nursery is not None:
+            self._nursery.start_soon(self._upkeep.log_workers)
         shards = tuple(
             ShardEpoch(shard=shard, epoch=driver.core.epoch)
             for shard, driver in self.drivers_by_shard.items()
@@ -315,55 +332,6 @@
         self._teams.hear(sender, heard)
         self._workers.hear_beat(sender, beat)
 
-    def _note_workers(self, now: float) -> None:
-        for worker, host in self._workers.listed_workers().items():
-            if host.state is not HostState.GONE:
-                self._seen_live[worker] = now
-        first = self.drivers_by_shard.get(0)
-        is_ready = first is not None and first.may_act and self._appender.is_log_up
-        is_ready = is_ready and bool(self._workers.listed_workers())
-        if is_ready and self._nursery is not None and not self._is_logging_workers:
-            self._is_logging_workers = True
-            self._nursery.start_soon(self._log_workers)
-        for worker, seen in list(self._seen_live.items()):
-            if now > seen + self._timings.vanished_s:
-                del self._seen_live[worker]
-
-    def _workers_expected(self) -> set[HostId] | None:
-        """Return the workers on which tasks may run; None while the list is not known."""
-        self._note_workers(self._clock.wall())
-        if not self._workers.listed_workers():
-            return None
-        since = self._clock.wall() - self._timings.vanished_s
-        logged = {
-            worker
-            for worker, gone_at in self.fold.gone_at_by_worker.items()
-            if gone_at is None or gone_at > since
-        }
-        return logged | self._seen_live.keys()
-
-    def _may_have_lost_ends(self, job: JobState) -> bool:
-        """Return whether a worker is gone that was there since the job was accepted."""
-        since = job.spec.submitted_at
-        for worker, gone_at in self.fold.gone_at_by_worker.items():
-            if gone_at is not None and gone_at >= since:
-                return True
-            if gone_at is None and worker not in self._seen_live:
-                return True
-        return False
-
-    async def _log_workers(self) -> None:
-        """Keep in the log which workers there were; written by the owner of the first shard."""
-        known = self.fold.gone_at_by_worker
-        seen = tuple(sorted(w for w in self._seen_live if known.get(w, 0.0) is not None))
-        gone = tuple(
-            sorted(w for w, at in known.items() if at is None and w not in self._seen_live)
-        )
-        if seen or gone:
-            record = WorkersChanged(seen=seen, gone=gone, at=self._clock.wall())
-            await self._append(record, None)
-        self._is_logging_workers = False
-
     async def _on_events(self, sender: HostId, message: TaskEvents) -> Any:
         driver = self.drivers_by_shard.get(message.shard)
         if driver is None or not driver.may_act:
@@ -394,45 +362,6 @@
     async def _on_ask(self, _sender: HostId, message: JobAsk) -> JobView:
         return self.view(message)
 
-    async def _log_held(self) -> None:
-        while True:
-            await trio.sleep(self._timings.log_retry_s)
-            if not self._appender.is_log_up:
-                continue
-            for job_id, state in list(self._held.items()):
-                await self._append(
-                    JobAccepted(spec=state.spec, was_held=True), f"job.held/{job_id}"
-                )
-            for job_id, cause in list(self._cancels_to_log.items()):
-                record = JobCancelled(job_id=job_id, cause=cause)
-                if await self._append(record, f"job.cancelled/{job_id}"):
-                    self._cancels_to_log.pop(job_id, None)
-
-    async def _compact(self) -> None:
-        while True:
-            await trio.sleep(self._timings.compact_every_s)
-            before = self._clock.wall() - self._timings.compact_after_s
-            for driver in list(self.drivers_by_shard.values()):
-                if not driver.may_act or not self._appender.is_log_up:
-                    continue
-                for job_id in list(driver.core.runs_by_id):
-                    job = self.fold.live_by_id.get(job_id)
-                    if job is not None and job.renewed_wall < before:
-                        await self._append(job.compacted(at=self._clock.wall()), None)
-
-    async def _append(self, record: object, record_id: str | None) -> bool:
-        result = await self._appender.append(
-            stream=self._follower.stream,
-            record=record,
-            record_id=None if record_id is None else RecordId(record_id),
-        )
-        match result:
-            case Success(_):
-                return True
-            case Failure(error):
-                self._events.record("job.not_logged", cause=str(error))
-        return False
-
 
 def _ownable_of(job_id: JobId, shards: int) -> OwnableId:
     return shard_ownable(shard_of(job_id, shards=shards))
--- a/src/galenastall/node/shard_driver.py
+++ b/src/galenastall/node/shard_driver.py
@@ -133,6 +133,8 @@
         for recall in decision.recalls:
             message = TaskRecall(shard=self.core.shard, epoch=self.core.epoch, tasks=recall.tasks)
             nursery.start_soon(self._link.call, recall.host, message)
+        for host in self._stops.keys() - self._ownership.roster():
+            del self._stops[host]
         for host in self._stops.keys() - self._stopping:
             self._stopping.add(host)
             nursery.start_soon(self._stop, host)
@@ -147,7 +149,10 @@
     async def _assign(self, batch: AssignBatch) -> None:
         """Send until there is an answer, or the assignee is gone and a census tells."""
         is_repeat = False
-        while self.may_act and batch.host in self._ownership.roster():
+        while batch.host in self._ownership.roster():
+            if not self.may_act:
+                await trio.sleep(self._timings.resend_s)
+                continue
             message = TaskAssign(
                 shard=self.core.shard,
                 epoch=self.core.epoch,
--- a/src/galenastall/node/worker_commands.py
+++ b/src/galenastall/node/worker_commands.py
@@ -71,12 +71,6 @@
             )
         self._wake()
 
-    def unanswered(self, step: str, worker: HostId) -> Answers:
-        """Return the failure of a call that was given up."""
-        detail = f"no answer in {self._call_s} s"
-        error = StepError(step=step, peer=worker, reason=Reason.TIMEOUT, detail=detail)
-        return Failure(error)
-
     async def _send_kind(
         self,
         commands: WorkerCommands,
@@ -89,7 +83,7 @@
             return
         worker = commands.worker_id
         address = self._address_of(worker)
-        result = self.unanswered(f"worker.{kind.value}", worker)
+        result = unanswered(f"worker.{kind.value}", worker, self._call_s)
         if address is not None and self._may_act(worker, commands.epoch):
             with trio.move_on_after(self._call_s):
                 result = await call(address=address, tasks=tasks, epoch=commands.epoch, **extra)
@@ -119,3 +113,10 @@
         return CommandAnswer.DONE
     # A refused stop may mean "not running" or "not yet running": only a listing tells.
     return CommandAnswer.UNKNOWN if kind is CommandKind.STOP else CommandAnswer.REFUSED
+
+
+def unanswered(step: str, worker: HostId, after_s: float) -> Answers:
+    """Return the failure of a call that was given up after `after_s` seconds."""
+    detail = f"no answer in {after_s} s"
+    error = StepError(step=step, peer=worker, reason=Reason.TIMEOUT, detail=detail)
+    return Failure(error)
--- a/src/galenastall/node/worker_service.py
+++ b/src/galenastall/node/worker_service.py
@@ -8,44 +8,32 @@
 from dataclasses import replace
 
 import trio
-from returns.result import Failure, Result, Success
 
 from galenastall.coordination.assigned_tasks import AssignedTasks
+from galenastall.coordination.feasibility import find_obstacle_on_hosts
 from galenastall.coordination.leases import LeaseBook
 from galenastall.coordination.placement import PlacementCore
 from galenastall.coordination.placement_commands import (
-    CancelVerdict,
     Decision,
-    StartAnswer,
-    StartTask,
-    WorkerCommands,
+    Refusal,
 )
 from galenastall.coordination.task_reports import ReportKind, TaskReport
 from galenastall.node.held_gangs import HeldGangs
-from galenastall.node.job_link import JobLink, nothing_sent
+from galenastall.node.job_link import JobLink
 from galenastall.node.lease_helper import LeaseHelper
+from galenastall.node.task_inbox import TaskInbox
 from galenastall.node.task_reporter import TaskReporter
 from galenastall.node.worker_commands import WorkerCommander
+from galenastall.node.worker_starts import WorkerStarter
 from galenastall.node.worker_timings import WorkerTimings
 from galenastall.node.worker_watch import WorkerWatch
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink, NullEventSink
 from galenastall.protocol.job_messages import (
     JobBeat,
-    JobWord,
-    ShardCensus,
-    ShardRecover,
-    TaskAssign,
-    TaskExplain,
-    TaskExplained,
-    TaskRecall,
-    TaskStop,
 )
 from galenastall.protocol.ownership_view import OwnershipView
-from galenastall.protocol.platform import StartBatch, StartRequest, TaskAnswer
 from galenastall.protocol.platform import WorkerService as WorkerCalls
-from galenastall.protocol.task_rows import pack_reports, unpack_tasks
-from galenastall.state.errors import StepError
 from galenastall.state.hosts import HostKind, HostListing, ListedHost
 from galenastall.state.ids import (
     DataCentre,
@@ -93,7 +81,7 @@
         self._hosts = hosts
         self._shards = shards
         self._timings = timings or WorkerTimings()
-        self._events = events or NullEventSink()
+        self.events = events or NullEventSink()
         self._wake = trio.Event()
         self._is_draining = False
         self._listing: HostListing | None = None
@@ -133,6 +121,8 @@
             carry_out=self._carry_out,
             is_taking=lambda: not self._is_draining,
         )
+        self._starter = WorkerStarter(owner=self, workers=workers, clock=clock, timings=times)
+        self._inbox = TaskInbox(owner=self, gangs=self._gangs, link=link, clock=clock)
         self.helper = LeaseHelper(
             host_id=link.host_id,
             workers=workers,
@@ -140,13 +130,8 @@
             clock=clock,
             timings=times,
             listed_workers=self.listed_workers,
-            events=self._events,
+            events=self.events,
         )
-        link.answer(TaskAssign, self._on_assign)
-        link.answer(TaskStop, self._on_stop)
-        link.answer(TaskRecall, self._on_recall)
-        link.answer(ShardRecover, self._on_recover)
-        link.answer(TaskExplain, self._on_explain)
         ownership.on_activated(self._on_activated)
         ownership.on_lost(self._on_lost)
 
@@ -166,12 +151,17 @@
         self._is_draining = True
         now = self._clock.wall()
         for shard in range(self._shards):
-            self._give_back(self.assigned.queued_of(shard), "this entry host drains", now)
+            self._inbox.give_back(self.assigned.queued_of(shard), "this entry host drains", now)
         self.reporter.wake()
         with trio.move_on_after(timeout_s):
             while self.assigned.has_unsent():
                 await self.reporter.progress()
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether nothing new is taken or started."""
+        return self._is_draining
+
     def wake(self) -> None:
         """Decide soon."""
         self._wake.set()
@@ -179,7 +169,7 @@
     def hear_beat(self, sender: HostId, beat: JobBeat) -> None:
         """Take a shard owner's beat: its assignments stay valid."""
         for each in beat.shards:
-            self._hear(each.shard, sender, each.epoch, beat.valid_until)
+            self._inbox.hear(each.shard, sender, each.epoch, beat.valid_until)
         now = self._clock.wall()
         self.leases.hear_peer(sender, beat.renewing, now)
         self.helper.hear_owner(sender, now)
@@ -273,7 +263,7 @@
             ownership=self._ownership,
             clock=self._clock,
             timings=self._timings,
-            events=self._events,
+            events=self.events,
         )
         self.watches_by_id[worker] = watch
         self.leases.add(worker, self._clock.wall())
@@ -306,24 +296,37 @@
 
     def _decide(self) -> None:
         now = self._clock.wall()
-        self._give_back(self.assigned.drop_invalid(now), "its shard's owner went silent", now)
+        late = self.assigned.drop_invalid(now)
+        self._inbox.give_back(late, "its shard's owner went silent", now)
         for worker, watch in self.watches_by_id.items():
             self.core.set_worker_state(worker, watch.state(now))
         decision = self.core.decide(now, 0 if self._is_draining else self._timings.decide_limit)
         self._gangs.expired(decision.expired_holds)
         for refusal in decision.refusals:
-            report = TaskReport(
-                task_id=refusal.task.task_id,
-                attempt=refusal.task.attempt,
-                kind=ReportKind.REFUSED,
-                detail=f"{refusal.reason.value}: {refusal.detail}",
-                give_up=True,
-            )
-            self.note_report(report, refusal.task)
+            self._take_refusal(refusal)
         self._carry_out(decision)
         if decision.more and not self._is_draining:
             self.wake()
 
+    def _take_refusal(self, refusal: Refusal) -> None:
+        """Give a task up, or back if only this owner has no worker that is large enough."""
+        need = refusal.task.resources
+        owned = [
+            host for worker, host in self.listed_workers().items() if worker in self.watches_by_id
+        ]
+        fits_elsewhere = (
+            find_obstacle_on_hosts(need, owned) is not None
+            and find_obstacle_on_hosts(need, self.listed_workers().values()) is None
+        )
+        report = TaskReport(
+            task_id=refusal.task.task_id,
+            attempt=refusal.task.attempt,
+            kind=ReportKind.RETURNED if fits_elsewhere else ReportKind.REFUSED,
+            detail=f"{refusal.reason.value}: {refusal.detail}",
+            give_up=not fits_elsewhere,
+        )
+        self.note_report(report, refusal.task)
+
     def _carry_out(self, decision: Decision) -> None:
         if self._nursery is None:
             return
@@ -331,168 +334,10 @@
             if commands.starts:
                 for start in commands.starts:
                     self.assigned.set_quietly(start.task.task_id, ReportKind.UNKNOWN)
-                self._nursery.start_soon(self._start, commands)
+                self._nursery.start_soon(self._starter.start, commands)
             if commands.stops or commands.checkpoints or commands.throttles:
                 self._nursery.start_soon(self._commander.send, commands)
 
-    async def _start(self, commands: WorkerCommands) -> None:
-        worker = commands.worker_id
-        valid: list[StartTask] = []
-        now = self._clock.wall()
-        for start in commands.starts:
-            if self.assigned.is_valid(start.task.task_id, now):
-                valid.append(start)
-            else:
-                self._on_start_answer(start, StartAnswer.REFUSED, "its shard went silent")
-        address = self.address_of(worker)
-        if not valid:
-            return
-        if address is None or not self.may_act(worker, commands.epoch):
-            for start in valid:
-                self._on_start_answer(start, StartAnswer.REFUSED, "this host may not act now")
-            return
-        result = await self._send_start(address, commands, valid)
-        answers_by_task: dict[TaskId, TaskAnswer] = {}
-        fallback = StartAnswer.UNKNOWN
-        detail = "no answer to the start"
-        match result:
-            case Success(answers):
-                answers_by_task = {answer.task_id: answer for answer in answers}
-            case Failure(error):
-                detail = str(error)
-                fallback = StartAnswer.REFUSED if nothing_sent(error) else StartAnswer.UNKNOWN
-        for start in valid:
-            answer = answers_by_task.get(start.task.task_id)
-            if answer is None:
-                self._on_start_answer(start, fallback, detail)
-            else:
-                outcome = StartAnswer.STARTED if answer.ok else StartAnswer.REFUSED
-                self._on_start_answer(start, outcome, answer.detail)
-        watch = self.watches_by_id.get(worker)
-        if watch is not None and fallback is StartAnswer.UNKNOWN and not answers_by_task:
-            watch.kick()
-        self.wake()
-
-    async def _send_start(
-        self, address: str, commands: WorkerCommands, starts: list[StartTask]
-    ) -> Result[tuple[TaskAnswer, ...], StepError]:
-        now = self._clock.wall()
-        lease_until = self.leases.grant(commands.worker_id, now)
-        batch = StartBatch(
-            owner=self._link.host_id,
-            epoch=commands.epoch,
-            not_after=now + self._timings.flight_s,
-            starts=tuple(
-                StartRequest(task=each.task, reserved=each.reserved, lease_until=lease_until)
-                for each in starts
-            ),
-        )
-        self._events.record(
-            "worker.start",
-            peer=commands.worker_id,
-            subjects=tuple(each.task.task_id for each in starts),
-            cause=f"{len(starts)} tasks placed by the policy of their class",
-            fields={"epoch": str(commands.epoch)},
-        )
-        with trio.move_on_after(self._timings.call_s):
-            return await self._workers.start(address=address, batch=batch)
-        return self._commander.unanswered("worker.start", commands.worker_id)
-
-    def _on_start_answer(self, start: StartTask, answer: StartAnswer, detail: str) -> None:
-        now = self._clock.wall()
-        task, worker = start.task, start.worker_id
-        phase = self.core.on_start_answer(task.task_id, worker, answer, now)
-        if phase is TaskPhase.RUNNING:
-            self.note(task, ReportKind.RUNNING, worker)
-        elif phase is TaskPhase.UNKNOWN:
-            self.note(task, ReportKind.UNKNOWN, worker, detail)
-        elif phase is TaskPhase.CANCELLED:
-            self.note(task, ReportKind.RETURNED, worker, "cancelled before it started")
-        elif phase is TaskPhase.WAITING:
-            self._events.record(
-                "worker.not_started", peer=worker, subjects=(task.task_id,), cause=detail
-            )
-            self.requeued(task.task_id, is_next_attempt=False)
-
-    def _give_back(self, tasks: Iterable[TaskSpec], why: str, now: float) -> None:
-        tasks_by_id = {task.task_id: task for task in tasks}
-        for task_id, verdict in self.core.cancel(tuple(tasks_by_id), now).items():
-            if verdict in (CancelVerdict.NEVER_STARTED, CancelVerdict.NOT_HERE):
-                self.note(tasks_by_id[task_id], ReportKind.RETURNED, detail=why)
-
-    def _hear(self, shard: int, owner: HostId, epoch: Epoch, valid_until: float) -> bool:
-        if epoch > self.assigned.epoch_of(shard):
-            now = self._clock.wall()
-            queued = self.assigned.queued_of(shard)
-            for task_id, verdict in self.core.cancel([t.task_id for t in queued], now).items():
-                if verdict in (CancelVerdict.NEVER_STARTED, CancelVerdict.NOT_HERE):
-                    self.assigned.forget(task_id)
-            self._gangs.release_shard(shard)
-        return self.assigned.hear(shard, owner, epoch, valid_until)
-
-    async def _on_assign(self, sender: HostId, message: TaskAssign) -> JobWord:
-        if not self._hear(message.shard, sender, message.epoch, message.valid_until):
-            return JobWord(ok=False, detail="the shard has a later owner")
-        if self._is_draining:
-            return JobWord(ok=False, detail="this entry host drains")
-        new, refused = self.assigned.accept(message.shard, unpack_tasks(message.groups))
-        self.core.enqueue(new, self._clock.wall())
-        self.wake()
-        self.reporter.wake()
-        return JobWord(ok=True, refused=tuple(refused))
-
-    async def _on_stop(self, sender: HostId, message: TaskStop) -> JobWord:
-        if message.epoch < self.assigned.epoch_of(message.shard):
-            return JobWord(ok=False, detail="the shard has a later owner")
-        self._gangs.release_tasks(message.tasks)
-        stopped = [
-            each.task_id
-            for each in message.tasks
-            if not self.assigned.is_newer(each.task_id, each.attempt)
-        ]
-        for task_id, verdict in self.core.cancel(stopped, self._clock.wall()).items():
-            self._on_cancelled(task_id, verdict)
-        self.wake()
-        return JobWord(ok=True)
-
-    def _on_cancelled(self, task_id: TaskId, verdict: CancelVerdict) -> None:
-        known = self.assigned.get(task_id)
-        if known is None or known.task is None:
-            return
-        if verdict is CancelVerdict.NEVER_STARTED:
-            self.note(known.task, ReportKind.RETURNED, detail="it was still queued")
-        elif verdict is CancelVerdict.NOT_HERE and known.report.kind is ReportKind.QUEUED:
-            self.note(known.task, ReportKind.RETURNED, detail="it was not queued any more")
-
-    async def _on_recall(self, sender: HostId, message: TaskRecall) -> JobWord:
-        if message.epoch < self.assigned.epoch_of(message.shard):
-            return JobWord(ok=False, detail="the shard has a later owner")
-        known = (self.assigned.get(each.task_id) for each in message.tasks)
-        queued = [
-            each.task
-            for each in known
-            if each
-            and each.task
-            and self.core.placed(each.task.task_id) is None
-            and each.report.kind is ReportKind.QUEUED
-        ]
-        self._give_back(queued, "its shard's owner has room for it elsewhere", self._clock.wall())
-        return JobWord(ok=True)
-
-    async def _on_recover(self, sender: HostId, message: ShardRecover) -> ShardCensus:
-        if not self._hear(message.shard, sender, message.epoch, message.valid_until):
-            return ShardCensus(is_current=False)
-        return ShardCensus(
-            is_current=True,
-            reports=pack_reports(self.assigned.census(message.shard)),
-            workers=tuple(
-                worker for worker, watch in self.watches_by_id.items() if watch.is_spoken_for
-            ),
-        )
-
-    async def _on_explain(self, _sender: HostId, message: TaskExplain) -> TaskExplained:
-        return TaskExplained(sentences=self.core.explain(message.task_id))
-
     def _on_settled(self, reports: Iterable[TaskReport]) -> None:
         for report in reports:
             watch = self.watches_by_id.get(report.worker_id)
--- /dev/null
+++ b/src/galenastall/node/worker_starts.py
@@ -0,0 +1,116 @@
+"""Send the starts of one decision to a worker: one call, checked right before it leaves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+from returns.result import Failure, Result, Success
+
+from galenastall.coordination.placement_commands import StartAnswer, StartTask, WorkerCommands
+from galenastall.coordination.task_reports import ReportKind
+from galenastall.node.job_link import nothing_sent
+from galenastall.node.worker_commands import unanswered
+from galenastall.node.worker_timings import WorkerTimings
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.platform import StartBatch, StartRequest, TaskAnswer, WorkerService
+from galenastall.state.errors import StepError
+from galenastall.state.ids import TaskId
+from galenastall.state.work import TaskPhase
+
+if TYPE_CHECKING:
+    from galenastall.node.worker_service import WorkerService as Owner
+
+
+class WorkerStarter:
+    """Starts tasks on owned workers."""
+
+    def __init__(
+        self, *, owner: Owner, workers: WorkerService, clock: Clock, timings: WorkerTimings
+    ) -> None:
+        """`owner` holds the core, the assigned tasks and the leases."""
+        self._owner = owner
+        self._workers = workers
+        self._clock = clock
+        self._timings = timings
+
+    async def start(self, commands: WorkerCommands) -> None:
+        """Send the starts that may still leave, and take in the answers."""
+        owner = self._owner
+        worker = commands.worker_id
+        valid: list[StartTask] = []
+        now = self._clock.wall()
+        for start in commands.starts:
+            if owner.assigned.is_valid(start.task.task_id, now):
+                valid.append(start)
+            else:
+                self._on_start_answer(start, StartAnswer.REFUSED, "its shard went silent")
+        address = owner.address_of(worker)
+        if not valid:
+            return
+        if address is None or not owner.may_act(worker, commands.epoch):
+            for start in valid:
+                self._on_start_answer(start, StartAnswer.REFUSED, "this host may not act now")
+            return
+        result = await self._send_start(address, commands, valid)
+        answers_by_task: dict[TaskId, TaskAnswer] = {}
+        fallback = StartAnswer.UNKNOWN
+        detail = "no answer to the start"
+        match result:
+            case Success(answers):
+                answers_by_task = {answer.task_id: answer for answer in answers}
+            case Failure(error):
+                detail = str(error)
+                fallback = StartAnswer.REFUSED if nothing_sent(error) else StartAnswer.UNKNOWN
+        for start in valid:
+            answer = answers_by_task.get(start.task.task_id)
+            if answer is None:
+                self._on_start_answer(start, fallback, detail)
+            else:
+                outcome = StartAnswer.STARTED if answer.ok else StartAnswer.REFUSED
+                self._on_start_answer(start, outcome, answer.detail)
+        watch = owner.watches_by_id.get(worker)
+        if watch is not None and fallback is StartAnswer.UNKNOWN and not answers_by_task:
+            watch.kick()
+        owner.wake()
+
+    async def _send_start(
+        self, address: str, commands: WorkerCommands, starts: list[StartTask]
+    ) -> Result[tuple[TaskAnswer, ...], StepError]:
+        now = self._clock.wall()
+        lease_until = self._owner.leases.grant(commands.worker_id, now)
+        batch = StartBatch(
+            owner=self._owner.host_id,
+            epoch=commands.epoch,
+            not_after=now + self._timings.flight_s,
+            starts=tuple(
+                StartRequest(task=each.task, reserved=each.reserved, lease_until=lease_until)
+                for each in starts
+            ),
+        )
+        self._owner.events.record(
+            "worker.start",
+            peer=commands.worker_id,
+            subjects=tuple(each.task.task_id for each in starts),
+            cause=f"{len(starts)} tasks placed by the policy of their class",
+            fields={"epoch": str(commands.epoch)},
+        )
+        with trio.move_on_after(self._timings.call_s):
+            return await self._workers.start(address=address, batch=batch)
+        return unanswered("worker.start", commands.worker_id, self._timings.call_s)
+
+    def _on_start_answer(self, start: StartTask, answer: StartAnswer, detail: str) -> None:
+        now = self._clock.wall()
+        task, worker = start.task, start.worker_id
+        phase = self._owner.core.on_start_answer(task.task_id, worker, answer, now)
+        if phase is TaskPhase.RUNNING:
+            self._owner.note(task, ReportKind.RUNNING, worker)
+        elif phase is TaskPhase.UNKNOWN:
+            self._owner.note(task, ReportKind.UNKNOWN, worker, detail)
+        elif phase is TaskPhase.CANCELLED:
+            self._owner.note(task, ReportKind.RETURNED, worker, "cancelled before it started")
+        elif phase is TaskPhase.WAITING:
+            self._owner.events.record(
+                "worker.not_started", peer=worker, subjects=(task.task_id,), cause=detail
+            )
+            self._owner.requeued(task.task_id, is_next_attempt=False)
