--- a/src/galenastall/coordination/job_shard.py
+++ b/src/galenastall/coordination/job_shard.py
@@ -5,9 +5,7 @@
 Times are wall seconds.
 """
 
-import heapq
 from collections.abc import Callable, Collection, Iterable, Mapping
-from typing import Final
 
 from galenastall.coordination.assignees import AssigneeBook
 from galenastall.coordination.attempt_rules import (
@@ -18,7 +16,6 @@
 )
 from galenastall.coordination.gang_desk import GangDesk
 from galenastall.coordination.job_ends import JobEnds, ToldBy
-from galenastall.coordination.job_queue import JobQueue
 from galenastall.coordination.job_run import Assigned, JobRun, TaskFailure
 from galenastall.coordination.placement_commands import CapacitySummary
 from galenastall.coordination.recalls import find_recalls
@@ -27,10 +24,11 @@
     AssignBatch,
     CancelCounts,
     ShardDecision,
-    ShardNote,
     ShardSettings,
     StopBatch,
 )
+from galenastall.coordination.shard_notes import ShardNotes
+from galenastall.coordination.task_giver import TaskGiver
 from galenastall.coordination.task_intents import TaskIntents
 from galenastall.coordination.task_reports import (
     ENDING_KINDS,
@@ -43,12 +41,7 @@
 from galenastall.state.ids import Epoch, HostId, JobId, TaskId, make_task_id, split_task_id
 from galenastall.state.job_fold import JobState
 from galenastall.state.job_records import EndedRanges, TasksGiven
-from galenastall.state.work import TaskPhase, Urgency, Workload
-
-CHUNK: Final = 16
-"""Tasks of one job given out before the next job has its turn."""
-MISSES: Final = 64
-"""Jobs that found no place before a decision gives up; the next begins with other teams."""
+from galenastall.state.work import TaskPhase, Workload
 
 
 class JobShard:
@@ -82,12 +75,14 @@
         self.doubts = 0
         """Rises with each new doubt: a census that began before proves nothing about it."""
         self._is_ended = is_ended
-        self._queue = JobQueue()
-        self._delayed: list[tuple[float, JobId, int]] = []
         self._stops: dict[HostId, dict[TaskId, int]] = {}
-        self._notes: list[ShardNote] = []
-        self._started: dict[tuple[HostId, HostId], list[str]] = {}
-        self._ended: dict[tuple[HostId, str], list[str]] = {}
+        self._notes = ShardNotes()
+        self._giver = TaskGiver(
+            runs_by_id=self.runs_by_id,
+            assignees=self.assignees,
+            intents=self.intents,
+            notes=self._notes,
+        )
         self._recall_at = 0.0
         self._doubtful_jobs: set[JobId] = set()
 
@@ -112,7 +107,7 @@
                 self.doubts += 1
         if state.cancelled:
             self._stop_run(run, TaskPhase.CANCELLED, "cancelled", now)
-        self._requeue(run)
+        self._giver.requeue(run)
         self._maybe_end(run)
 
     def on_tasks_ended(self, end: EndedRanges) -> None:
@@ -146,7 +141,7 @@
         )
         run.state.cancelled = True
         if not run.is_stopped:
-            self._note("cancelled", (job_id,), "the caller cancelled it")
+            self._notes.add("cancelled", (job_id,), "the caller cancelled it")
             self._stop_run(run, TaskPhase.CANCELLED, "cancelled", now)
             self._maybe_end(run)
         return counts
@@ -167,14 +162,14 @@
                 continue
             doubtful, run.doubtful = run.doubtful, set()
             count += len(doubtful)
-            self._note("resolved", (job_id,), f"{len(doubtful)} tasks in doubt are nowhere")
+            self._notes.add("resolved", (job_id,), f"{len(doubtful)} tasks in doubt are nowhere")
             if job_id in self.gangs:
                 self.gangs.resolve(run, doubtful, now)
                 self._after_gang(run, now)
             else:
                 is_lost = run.is_once and may_have_lost_ends(run.state)
                 self._resolve(run, doubtful, may_have_lost_ends=is_lost)
-            self._requeue(run)
+            self._giver.requeue(run)
             self._maybe_end(run)
         return count
 
@@ -187,7 +182,7 @@
             for index in gone:
                 self._doubt(run, index)
             if gone:
-                self._note("in_doubt", (run.state.spec.job_id, host), "its assignee is gone")
+                self._notes.add("in_doubt", (run.state.spec.job_id, host), "its assignee is gone")
             count += len(gone)
         return count
 
@@ -196,17 +191,15 @@
     ) -> ShardDecision:
         """Return what to send now, with at most `limit` tasks to assign."""
         self.assignees.update(summaries)
-        self._wake_delayed(now)
+        self._giver.wake_delayed(now)
         self.gangs.decide(now)
-        batches = self._assign(now, limit)
+        batches = self._giver.assign(now, limit)
         recalls: list[StopBatch] = []
         if now >= self._recall_at:
             self._recall_at = now + self.settings.recall_every_s
             recalls = find_recalls(self.runs_by_id.values(), self.assignees, self.settings, now)
         gang_calls, gang_stops = self.gangs.take_calls()
         stops, self._stops = self._stops, {}
-        self._note_tasks()
-        notes, self._notes = self._notes, []
         return ShardDecision(
             assigns=tuple(batches),
             stops=(
@@ -215,7 +208,7 @@
             ),
             recalls=tuple(recalls),
             gang_calls=gang_calls,
-            notes=tuple(notes),
+            notes=self._notes.take(),
         )
 
     def on_assign_answer(self, batch: AssignBatch, answer: AssignAnswer, now: float) -> None:
@@ -263,7 +256,7 @@
         self.gangs.forget(job_id)
         self._doubtful_jobs.discard(job_id)
         if run is not None:
-            self._queue.discard(run.state.spec)
+            self._giver.discard(run)
 
     def _on_report(self, host: HostId, report: TaskReport, now: float) -> bool:
         job_id, index = split_task_id(report.task_id)
@@ -282,7 +275,7 @@
             return self._reject(host, report)
         if assigned is not None and _is_second_copy(assigned, host, report):
             self.duplicates += 1
-            self._note("duplicate", (report.task_id, host), f"also at {assigned.worker_id}")
+            self._notes.add("duplicate", (report.task_id, host), f"also at {assigned.worker_id}")
             return self._reject(host, report)
         if assigned is not None and _is_hearsay(assigned, host, report):
             return True
@@ -317,7 +310,7 @@
         if report.kind is ReportKind.RUNNING and (
             known is None or known.kind is not ReportKind.RUNNING
         ):
-            self._started.setdefault((host, report.worker_id), []).append(report.task_id)
+            self._notes.add_started(report.task_id, report.worker_id, host)
         run.assigned_by_index[index] = Assigned(
             host=host,
             attempt=report.attempt,
@@ -357,18 +350,16 @@
             )
         verdict = judge(run, index, report, self.settings)
         if verdict.move is NextMove.OFFER:
-            self._offer_again(run, index)
+            self._giver.offer_again(run, index)
         elif verdict.move is NextMove.RETRY:
             delay = retry_delay_s(run, index, self.settings)
-            run.delayed.add(index)
-            heapq.heappush(self._delayed, (now + delay, run.state.spec.job_id, index))
-            self._note("retry", (report.task_id,), f"{report.kind.value}: {report.detail}")
+            self._giver.delay(run, index, now + delay)
+            self._notes.add("retry", (report.task_id,), f"{report.kind.value}: {report.detail}")
         else:
             if verdict.move is NextMove.STOP_JOB:
                 self._stop_run(run, verdict.phase, run.history() or report.detail, now)
             self._close(run, index, verdict.phase, _told_by(host, report))
-            key = (report.worker_id, verdict.phase.value)
-            self._ended.setdefault(key, []).append(report.task_id)
+            self._notes.add_ended(report.task_id, report.worker_id, verdict.phase)
 
     def _on_gang_report(self, run: JobRun, index: int, report: TaskReport, now: float) -> None:
         if report.kind is ReportKind.FAILED:
@@ -387,7 +378,7 @@
         if not is_done and not run.is_stopped:
             is_bad = len(run.failures) >= self.settings.max_failures
             if not is_bad and (run.state.spec.idempotent or not self.gangs.may_have_run(job_id)):
-                self._note("gang_retry", (job_id,), run.history() or "its gang broke off")
+                self._notes.add("gang_retry", (job_id,), run.history() or "its gang broke off")
                 self.gangs.retry(run, now)
                 return
             self._stop_run(run, TaskPhase.FAILED, run.history() or "its gang broke off", now)
@@ -426,7 +417,7 @@
         run.is_stopped = True
         run.stop_phase = phase
         run.detail = run.detail or detail
-        self._queue.discard(run.state.spec)
+        self._giver.discard(run)
         job_id = run.state.spec.job_id
         self.gangs.cancel(job_id, now)
         for index, assigned in run.assigned_by_index.items():
@@ -437,87 +428,6 @@
     def _stop_task(self, host: HostId, task_id: TaskId, attempt: int) -> None:
         self._stops.setdefault(host, {})[task_id] = attempt
 
-    def _offer_again(self, run: JobRun, index: int) -> None:
-        run.give_back(index)
-        self._requeue(run)
-
-    def _requeue(self, run: JobRun) -> None:
-        is_gang = run.state.spec.workload is Workload.GANG
-        if not is_gang and run.waiting_count > 0:
-            self._queue.add(run.state.spec)
-
-    def _wake_delayed(self, now: float) -> None:
-        while self._delayed and self._delayed[0][0] <= now:
-            _, job_id, index = heapq.heappop(self._delayed)
-            run = self.runs_by_id.get(job_id)
-            if run is not None and index in run.delayed:
-                run.delayed.discard(index)
-                self._offer_again(run, index)
-
-    def _assign(self, now: float, limit: int) -> list[AssignBatch]:
-        given_by_host: dict[HostId, list[tuple[JobRun, int]]] = {}
-        misses, left, before = 0, limit, limit + 1
-        while 0 < left < before and misses < MISSES:
-            before = left
-            for job_id in self._queue.in_order():
-                given = self._assign_some(job_id, min(CHUNK, left), now, given_by_host)
-                left -= given
-                misses += given == 0
-                if left <= 0 or misses >= MISSES:
-                    break
-        return [
-            AssignBatch(host=host, tasks=tuple(run.make_task(index) for run, index in given))
-            for host, given in given_by_host.items()
-        ]
-
-    def _assign_some(
-        self,
-        job_id: JobId,
-        want: int,
-        now: float,
-        given_by_host: dict[HostId, list[tuple[JobRun, int]]],
-    ) -> int:
-        run = self.runs_by_id[job_id]
-        spec = run.state.spec
-        choice = self.assignees.choose(
-            need=spec.resources,
-            urgency=spec.urgency,
-            want=want,
-            now=now,
-            avoid=run.avoided_hosts,
-            # What is given out and then lost with its assignee may end as unknown.
-            within_room=run.is_once and spec.urgency is not Urgency.URGENT,
-        )
-        if choice is None:
-            self._note_waiting(run)
-            return 0
-        host, count = choice
-        indices = self._only_given(run, run.take(count))
-        for index in indices:
-            run.assigned_by_index[index] = Assigned(
-                host=host, attempt=run.attempt_of(index), since=now
-            )
-            given_by_host.setdefault(host, []).append((run, index))
-        if indices:
-            run.waiting_reason = ""
-            self.assignees.assigned(host, spec.resources, len(indices))
-            self._note("assigned", (job_id, host), f"{len(indices)} tasks: it has most room", host)
-        if run.waiting_count <= 0 or not indices:
-            self._queue.discard(spec)
-        return len(indices)
-
-    def _only_given(self, run: JobRun, indices: list[int]) -> list[int]:
-        """Return the tasks that may be given out now; the others wait for their record."""
-        if not run.is_once:
-            return indices
-        missing = [index for index in indices if not run.state.may_have_run(index)]
-        if not missing:
-            return indices
-        run.giving.update(missing)
-        self.intents.add(run.state.spec.job_id, missing)
-        run.waiting_reason = "its tasks must not run twice: waits for their record in the log"
-        return [index for index in indices if index not in run.giving]
-
     def on_given(self, record: TasksGiven, *, is_logged: bool) -> None:
         """Take in that tasks may be given out, or that their record is not in the log."""
         for given in record.given:
@@ -531,16 +441,9 @@
                     if index in run.giving:
                         run.giving.discard(index)
                         run.give_back(index)
-            self._requeue(run)
+            self._giver.requeue(run)
             self._maybe_end(run)
 
-    def _note_waiting(self, run: JobRun) -> None:
-        fits = self.assignees.can_ever_run(run.state.spec.resources)
-        reason = "all worker owners have enough" if fits else "no worker is large enough now"
-        if reason != run.waiting_reason:
-            run.waiting_reason = reason
-            self._note("waits", (run.state.spec.job_id,), reason)
-
     def _maybe_end(self, run: JobRun) -> None:
         if run.is_ending or run.assigned_by_index or run.doubtful:
             return
@@ -555,22 +458,10 @@
         elif run.is_service or run.open_count > 0:
             return
         run.is_ending = True
-        self._queue.discard(run.state.spec)
+        self._giver.discard(run)
         self.gangs.forget(job_id)
         self.ends.finish(run)
-        self._note("job_ended", (job_id,), run.detail)
-
-    def _note_tasks(self) -> None:
-        """Tell of the window's starts and ends, one note a worker."""
-        for (host, worker), tasks in self._started.items():
-            self._note("started", (worker, *tasks), "its owner says so", host)
-        for (worker, phase), tasks in self._ended.items():
-            self._note("ended", (worker, *tasks), phase)
-        self._started.clear()
-        self._ended.clear()
-
-    def _note(self, step: str, subjects: tuple[str, ...], cause: str, peer: str = "") -> None:
-        self._notes.append(ShardNote(step=step, subjects=subjects, cause=cause, peer=peer))
+        self._notes.add("job_ended", (job_id,), run.detail)
 
 
 def _stop_batch(host: HostId, attempts: dict[TaskId, int]) -> StopBatch:
--- /dev/null
+++ b/src/galenastall/coordination/task_giver.py
@@ -0,0 +1,142 @@
+"""Give waiting tasks out to worker owners, in the jobs' order and by the owners' room."""
+
+import heapq
+from collections.abc import Mapping
+from typing import Final
+
+from galenastall.coordination.assignees import AssigneeBook
+from galenastall.coordination.job_queue import JobQueue
+from galenastall.coordination.job_run import Assigned, JobRun
+from galenastall.coordination.shard_commands import AssignBatch
+from galenastall.coordination.shard_notes import ShardNotes
+from galenastall.coordination.task_intents import TaskIntents
+from galenastall.state.ids import HostId, JobId
+from galenastall.state.work import Urgency, Workload
+
+CHUNK: Final = 16
+"""Tasks of one job given out before the next job has its turn."""
+MISSES: Final = 64
+"""Jobs that found no place before a decision gives up; the next begins with other teams."""
+
+
+class TaskGiver:
+    """The waiting tasks of one shard's batches and services."""
+
+    def __init__(
+        self,
+        *,
+        runs_by_id: Mapping[JobId, JobRun],
+        assignees: AssigneeBook,
+        intents: TaskIntents,
+        notes: ShardNotes,
+    ) -> None:
+        """Read the shard's jobs; `intents` takes the tasks that need a record first."""
+        self._runs_by_id = runs_by_id
+        self._assignees = assignees
+        self._intents = intents
+        self._notes = notes
+        self._queue = JobQueue()
+        self._delayed: list[tuple[float, JobId, int]] = []
+
+    def assign(self, now: float, limit: int) -> list[AssignBatch]:
+        """Give out up to `limit` waiting tasks."""
+        given_by_host: dict[HostId, list[tuple[JobRun, int]]] = {}
+        misses, left, before = 0, limit, limit + 1
+        while 0 < left < before and misses < MISSES:
+            before = left
+            for job_id in self._queue.in_order():
+                given = self._assign_some(job_id, min(CHUNK, left), now, given_by_host)
+                left -= given
+                misses += given == 0
+                if left <= 0 or misses >= MISSES:
+                    break
+        return [
+            AssignBatch(host=host, tasks=tuple(run.make_task(index) for run, index in given))
+            for host, given in given_by_host.items()
+        ]
+
+    def _assign_some(
+        self,
+        job_id: JobId,
+        want: int,
+        now: float,
+        given_by_host: dict[HostId, list[tuple[JobRun, int]]],
+    ) -> int:
+        run = self._runs_by_id[job_id]
+        spec = run.state.spec
+        choice = self._assignees.choose(
+            need=spec.resources,
+            urgency=spec.urgency,
+            want=want,
+            now=now,
+            avoid=run.avoided_hosts,
+            # What is given out and then lost with its assignee may end as unknown.
+            within_room=run.is_once and spec.urgency is not Urgency.URGENT,
+        )
+        if choice is None:
+            self._note_waiting(run)
+            return 0
+        host, count = choice
+        indices = self._only_given(run, run.take(count))
+        for index in indices:
+            run.assigned_by_index[index] = Assigned(
+                host=host, attempt=run.attempt_of(index), since=now
+            )
+            given_by_host.setdefault(host, []).append((run, index))
+        if indices:
+            run.waiting_reason = ""
+            self._assignees.assigned(host, spec.resources, len(indices))
+            self._notes.add(
+                "assigned", (job_id, host), f"{len(indices)} tasks: it has most room", host
+            )
+        if run.waiting_count <= 0 or not indices:
+            self._queue.discard(spec)
+        return len(indices)
+
+    def _only_given(self, run: JobRun, indices: list[int]) -> list[int]:
+        """Return the tasks that may be given out now; the others wait for their record."""
+        if not run.is_once:
+            return indices
+        missing = [index for index in indices if not run.state.may_have_run(index)]
+        if not missing:
+            return indices
+        run.giving.update(missing)
+        self._intents.add(run.state.spec.job_id, missing)
+        run.waiting_reason = "its tasks must not run twice: waits for their record in the log"
+        return [index for index in indices if index not in run.giving]
+
+    def _note_waiting(self, run: JobRun) -> None:
+        fits = self._assignees.can_ever_run(run.state.spec.resources)
+        reason = "all worker owners have enough" if fits else "no worker is large enough now"
+        if reason != run.waiting_reason:
+            run.waiting_reason = reason
+            self._notes.add("waits", (run.state.spec.job_id,), reason)
+
+    def offer_again(self, run: JobRun, index: int) -> None:
+        """Let a task wait again."""
+        run.give_back(index)
+        self.requeue(run)
+
+    def requeue(self, run: JobRun) -> None:
+        """Queue a job if it has tasks to give out; gangs are started otherwise."""
+        is_gang = run.state.spec.workload is Workload.GANG
+        if not is_gang and run.waiting_count > 0:
+            self._queue.add(run.state.spec)
+
+    def delay(self, run: JobRun, index: int, until: float) -> None:
+        """Let a task wait for its next try."""
+        run.delayed.add(index)
+        heapq.heappush(self._delayed, (until, run.state.spec.job_id, index))
+
+    def discard(self, run: JobRun) -> None:
+        """Give out nothing more of a job."""
+        self._queue.discard(run.state.spec)
+
+    def wake_delayed(self, now: float) -> None:
+        """Let tasks wait again whose time has come."""
+        while self._delayed and self._delayed[0][0] <= now:
+            _, job_id, index = heapq.heappop(self._delayed)
+            run = self._runs_by_id.get(job_id)
+            if run is not None and index in run.delayed:
+                run.delayed.discard(index)
+                self.offer_again(run, index)
