Bring about a pause between deciding and sending, and trimming of live jobs

Change: a test that jumps the clock between decision and sending; the renewal test has tasks on the dead owner's workers now, which it had not; a test of compaction before the log trims. Conclusion: the renewal test was weaker than its name.

--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -351,6 +351,7 @@
     workers: int = 4,
     capacity: Resources | None = None,
     shards: int = 2,
+    job_timings: JobTimings | None = None,
 ) -> AsyncIterator[Cluster]:
     async with trio.open_nursery() as nursery:
         cluster = Cluster(
@@ -359,6 +360,7 @@
             capacity=capacity or Resources(cores_milli=4000, memory_mb=8192),
             shards=shards,
         )
+        cluster.job_timings = job_timings or cluster.job_timings
         for name in names:
             await cluster.start(name)
         cluster.spread()
--- a/tests/test_job_failures.py
+++ b/tests/test_job_failures.py
@@ -7,6 +7,7 @@
 import trio
 
 from galenastall.node.job_intake import Durability
+from galenastall.node.job_timings import JobTimings
 from galenastall.standin.faults import LogFaults, WorkerFaults
 from galenastall.state.errors import Reason
 from galenastall.state.ids import HostId, JobId
@@ -147,16 +148,16 @@
 
     async def test_peer_renews_leases_while_nobody_takes_over(self, autojump_clock: Any) -> None:
         async with open_cluster(names="ab") as cluster:
-            await cluster.submit(make_spec("j", tasks=8, run_s=150.0))
-            await cluster.until(lambda: len(cluster.running()) == 8)
+            await cluster.submit(make_spec("j", tasks=16, run_s=150.0))
+            await cluster.until(lambda: len(cluster.running()) == 16)
             cluster.kill("b")
             await trio.sleep(120)
-            assert len(cluster.running()) == 8
+            assert len(cluster.running()) == 16
             cluster.owners.roster.discard(B)
             cluster.spread()
             await cluster.until(lambda: cluster.ended("j"), limit_s=300)
             cluster.assert_sound()
-            assert all(cluster.starts_of(f"j/{index}") == 1 for index in range(8))
+            assert all(cluster.starts_of(f"j/{index}") == 1 for index in range(16))
 
 
 class TestStaleOwner:
@@ -177,6 +178,30 @@
             assert done_count(cluster, "j") == 100
             assert all(cluster.starts_of(f"j/{index}") == 1 for index in range(100))
 
+    async def test_owner_paused_between_deciding_and_sending_sends_nothing(
+        self, autojump_clock: Any
+    ) -> None:
+        async with open_cluster(names="ab") as cluster:
+            await cluster.submit(make_spec("j", tasks=8))
+            workers = cluster.hosts[A].workers
+            queued: set[tuple[str, int]] = set()
+            for _ in range(5000):
+                queued = {
+                    (task.task_id, task.attempt)
+                    for shard in range(cluster.shards)
+                    for task in workers.assigned.queued_of(shard)
+                }
+                if queued:
+                    break
+                await trio.sleep(0.001)
+            assert queued
+            workers._decide()
+            autojump_clock.jump(30.0)
+            await cluster.until(lambda: cluster.ended("j"), limit_s=120)
+            cluster.assert_sound()
+            records = cluster.platform.workers.ledger.records
+            assert queued.isdisjoint((each.task_id, each.attempt) for each in records)
+
     async def test_fenced_owner_starts_nothing(self, autojump_clock: Any) -> None:
         async with open_cluster(names="ab") as cluster:
             for host in cluster.hosts.values():
@@ -365,6 +390,25 @@
             assert done_count(cluster, "j") == 16
 
 
+class TestCompaction:
+    async def test_live_job_outlasts_the_trimming_of_its_records(self, autojump_clock: Any) -> None:
+        timings = JobTimings(compact_after_s=30.0, compact_every_s=5.0)
+        async with open_cluster(job_timings=timings) as cluster:
+            cluster.platform.log.set_faults(LogFaults(keep_s=60.0))
+            await cluster.submit(make_spec("j", tasks=48, run_s=70.0, idempotent=False))
+            await trio.sleep(190)
+            assert 0 < done_count(cluster, "j") < 48
+            for name in "ab":
+                cluster.kill(name)
+            cluster.owners.roster.clear()
+            for name in "cd":
+                await cluster.start(name)
+            cluster.spread()
+            await cluster.until(lambda: cluster.ended("j"), limit_s=400)
+            cluster.assert_sound()
+            assert done_count(cluster, "j") == 48
+
+
 class TestDrain:
     async def test_drained_host_gives_back_what_waits(self, autojump_clock: Any) -> None:
         async with open_cluster(names="ab") as cluster:
