Send load over the project's HTTP client; race operators; stop all on SIGTERM

Cause: the pool of httpcore slows with the number of connections, so that at overload the client was what was measured; keys without a time were all refused; a terminated bench left its processes. Change: the load client uses transport.http_client; keys begin with their time; goodput counts answers within the deadline; a scenario of racing operators; SIGTERM unwinds like Ctrl-C.

--- a/src/galenastall/bench/fleet.py
+++ b/src/galenastall/bench/fleet.py
@@ -146,12 +146,20 @@
             if self.driver.is_running(host_id)
         }
 
-    async def put_settings(
-        self, path: str, subtree: object, *, host_id: HostId | None = None
-    ) -> WholeAnswer:
+    async def put_settings(self, path: str, subtree: object) -> WholeAnswer:
         """Change a subtree of the shared tree; raises CallError if it is refused."""
-        host = self.entry_hosts_by_id[host_id or next(iter(self.entry_hosts_by_id))]
-        answer = await self.call("PUT", host, f"/v1/settings/{path}", {"value": subtree})
+        host = next(iter(self.entry_hosts_by_id.values()))
+        route = f"/v1/settings/tree/{path}"
+        shown = await self.call("GET", host, route)
+        if shown.status // 100 != OK_CLASS:
+            raise CallError(f"settings {path}: {shown.status} {shown.body[:300]!r}")
+        message = {
+            "change_id": f"bench-{path}-{self.clock.wall():.6f}",
+            "base_revision": msgspec.json.decode(shown.body)["revision"],
+            "author": "bench",
+            "subtree": subtree,
+        }
+        answer = await self.call("PUT", host, route, message)
         if answer.status // 100 != OK_CLASS:
             raise CallError(f"settings {path}: {answer.status} {answer.body[:300]!r}")
         return answer
@@ -165,7 +173,7 @@
             address=host.http_address,
             path=path,
             timeout_s=CALL_TIMEOUT_S,
-            headers={"content-type": "application/json", "galenastall-author": "bench"},
+            headers={"content-type": "application/json"},
             body=b"" if message is None else msgspec.json.encode(message),
             step="bench.call",
         )
--- a/src/galenastall/bench/load.py
+++ b/src/galenastall/bench/load.py
@@ -6,21 +6,23 @@
 
 import random
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
-import httpcore
 import trio
 from hdrh.histogram import HdrHistogram
+from returns.result import Failure, Success
 
 from galenastall.bench.mixes import MIXES, RequestArrival, draw_requests
 from galenastall.proof.history import HistoryRecorder, RequestAnswered, RequestCut, RequestSent
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.upstream_headers import ATTEMPT_ID, EPOCH, NOT_AFTER, REQUEST_ID
 from galenastall.standin.echo import decode_echo, digest
+from galenastall.state.errors import Reason
 from galenastall.state.ids import HostId, RequestId
 from galenastall.state.outcomes import Outcome
+from galenastall.transport.http_client import HttpClient, WholeAnswer
 
 HIGHEST_LATENCY_US: Final = 600_000_000
 SIGNIFICANT_DIGITS: Final = 3
@@ -32,8 +34,7 @@
 MAX_IN_FLIGHT: Final = 4000
 HTTP_OK: Final = 200
 
-NOT_SENT_ERRORS: Final = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
-CUT_ERRORS: Final = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
+READY_TIMEOUT_S: Final = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -75,6 +76,8 @@
     """Counts and latencies of one client, or of several merged."""
 
     sent: int = 0
+    in_time_by_class: dict[str, int] = field(default_factory=dict)
+    """Requests done within their deadline of the intended time, by class."""
     counts_by_outcome: dict[str, int] = field(default_factory=dict)
     counts_by_status: dict[str, int] = field(default_factory=dict)
     counts_by_trouble: dict[str, int] = field(default_factory=dict)
@@ -89,6 +92,7 @@
         self.sent += other.sent
         self.worst_lag_ms = max(self.worst_lag_ms, other.worst_lag_ms)
         for mine, theirs in (
+            (self.in_time_by_class, other.in_time_by_class),
             (self.counts_by_outcome, other.counts_by_outcome),
             (self.counts_by_status, other.counts_by_status),
             (self.counts_by_trouble, other.counts_by_trouble),
@@ -134,6 +138,7 @@
         self._turn = 0
         self._in_flight = 0
         self._sent = 0
+        self._in_time: Counter[str] = Counter()
         self._outcomes: Counter[str] = Counter()
         self._statuses: Counter[str] = Counter()
         self._troubles: Counter[str] = Counter()
@@ -142,20 +147,17 @@
 
     async def run(self) -> LoadSummary:
         """Send everything and wait for all answers."""
-        async with (
-            httpcore.AsyncConnectionPool(
-                max_connections=MAX_IN_FLIGHT, max_keepalive_connections=512, keepalive_expiry=10.0
-            ) as pool,
-            trio.open_nursery() as watchers,
-        ):
+        client = HttpClient(clock=self._clock, max_connections=MAX_IN_FLIGHT)
+        async with trio.open_nursery() as watchers:
             if self._plan.checks_ready:
-                watchers.start_soon(self._watch_ready, pool)
+                watchers.start_soon(self._watch_ready, client)
             async with trio.open_nursery() as senders:
-                await self._send_all(pool, senders)
+                await self._send_all(client, senders)
             watchers.cancel_scope.cancel()
+        await client.aclose()
         return self._summary()
 
-    async def _send_all(self, pool: httpcore.AsyncConnectionPool, nursery: trio.Nursery) -> None:
+    async def _send_all(self, client: HttpClient, nursery: trio.Nursery) -> None:
         for index, arrival in enumerate(self._arrivals()):
             due = self._plan.start_wall + arrival.after_s
             lag_s = self._clock.wall() - due
@@ -166,7 +168,7 @@
                 self._troubles["beyond the client's limit"] += 1
                 continue
             request_id = RequestId(f"{self._plan.name}-{index}")
-            nursery.start_soon(self._send, pool, arrival, request_id, due)
+            nursery.start_soon(self._send, client, arrival, request_id, due)
 
     def _arrivals(self) -> Iterator[RequestArrival]:
         plan = self._plan
@@ -180,7 +182,7 @@
 
     async def _send(
         self,
-        pool: httpcore.AsyncConnectionPool,
+        client: HttpClient,
         arrival: RequestArrival,
         request_id: RequestId,
         due: float,
@@ -189,7 +191,7 @@
         self._sent += 1
         try:
             for _ in range(SEND_TRIES):
-                if await self._try_send(pool, arrival, request_id, due):
+                if await self._try_send(client, arrival, request_id, due):
                     return
             self._cut(request_id, "unreachable")
         finally:
@@ -197,7 +199,7 @@
 
     async def _try_send(
         self,
-        pool: httpcore.AsyncConnectionPool,
+        client: HttpClient,
         arrival: RequestArrival,
         request_id: RequestId,
         due: float,
@@ -208,24 +210,23 @@
         body_digest = digest(body)
         deadline_ms = self._plan.deadline_ms or arrival.kind.deadline_ms
         self._record_sent(arrival, request_id, target, body_digest)
-        try:
-            response = await pool.request(
-                "POST",
-                f"http://{target.address}{target.path_prefix}{arrival.kind.operation}",
-                headers=self._headers(arrival, request_id, deadline_ms, target),
-                content=body,
-                extensions={"timeout": _timeouts(deadline_ms / 1000.0 + ANSWER_MARGIN_S)},
-            )
-        except NOT_SENT_ERRORS:
-            self._ready.discard(target)
-            return False
-        except httpcore.TimeoutException:
-            self._cut(request_id, "timeout")
-            return True
-        except CUT_ERRORS as error:
-            self._cut(request_id, type(error).__name__)
-            return True
-        self._answered(arrival, request_id, response, body_digest, due)
+        answered = await client.request(
+            method="POST",
+            address=target.address,
+            path=f"{target.path_prefix}{arrival.kind.operation}",
+            headers=self._headers(arrival, request_id, deadline_ms, target),
+            body=body,
+            timeout_s=deadline_ms / 1000.0 + ANSWER_MARGIN_S,
+            step="bench.request",
+        )
+        match answered:
+            case Success(answer):
+                self._answered(arrival, request_id, answer, body_digest, due)
+            case Failure(error) if error.reason is Reason.UNREACHABLE:
+                self._ready.discard(target)
+                return False
+            case Failure(error):
+                self._cut(request_id, error.reason.value)
         return True
 
     def _record_sent(
@@ -238,7 +239,7 @@
                 entry_host=target.host_id,
                 operation=arrival.kind.operation,
                 idempotent=arrival.kind.idempotent,
-                key="" if arrival.kind.idempotent else f"key-{request_id}",
+                key="" if arrival.kind.idempotent else self._key(request_id),
                 expected_digest=f"{request_id} {body_digest}",
                 team=arrival.team,
             )
@@ -248,19 +249,19 @@
         self,
         arrival: RequestArrival,
         request_id: RequestId,
-        response: httpcore.Response,
+        answer: WholeAnswer,
         body_digest: str,
         due: float,
     ) -> None:
         now = self._clock.wall()
-        self._statuses[str(response.status)] += 1
-        headers = {name.lower(): value for name, value in response.headers}
-        said = headers.get(b"galenastall-outcome", b"").decode()
+        self._statuses[str(answer.status)] += 1
+        headers = answer.headers
+        said = headers.get("galenastall-outcome", "")
         if said not in set(Outcome):
-            self._cut(request_id, f"status {response.status} without an outcome")
+            self._cut(request_id, f"status {answer.status} without an outcome")
             return
         outcome = Outcome(said)
-        found = _read_digest(response.content)
+        found = _read_digest(answer.body)
         self._recorder.record(
             RequestAnswered(
                 at=now,
@@ -272,8 +273,11 @@
         )
         if outcome is Outcome.DONE and found != f"{request_id} {body_digest}":
             self._troubles["wrong body"] += 1
+        deadline_s = (self._plan.deadline_ms or arrival.kind.deadline_ms) / 1000.0
+        if outcome is Outcome.DONE and now - due <= deadline_s:
+            self._in_time[arrival.kind.urgency] += 1
         self._outcomes[said] += 1
-        reason = headers.get(b"galenastall-reason", b"").decode()
+        reason = headers.get("galenastall-reason", "")
         label = f"{arrival.kind.operation}|{arrival.kind.urgency}|{said}|{reason}"
         histogram = self._histograms.setdefault(label, new_histogram())
         histogram.record_value(min(HIGHEST_LATENCY_US, max(1, round((now - due) * 1e6))))
@@ -285,26 +289,30 @@
 
     def _headers(
         self, arrival: RequestArrival, request_id: RequestId, deadline_ms: int, target: Target
-    ) -> list[tuple[str, str]]:
+    ) -> dict[str, str]:
         if target.is_executor:
-            return [
-                (REQUEST_ID, request_id),
-                (ATTEMPT_ID, f"{request_id}#1"),
-                (EPOCH, "0"),
-                (NOT_AFTER, str(self._clock.wall() + deadline_ms / 1000.0)),
-            ]
-        headers = [
-            ("Content-Type", "application/octet-stream"),
-            ("Galenastall-Team", arrival.team),
-            ("Galenastall-Class", arrival.kind.urgency),
-            ("Galenastall-Deadline-Ms", str(deadline_ms)),
-            ("Galenastall-Idempotent", "true" if arrival.kind.idempotent else "false"),
-            ("Galenastall-Request-Id", request_id),
-        ]
+            return {
+                REQUEST_ID: request_id,
+                ATTEMPT_ID: f"{request_id}#1",
+                EPOCH: "0",
+                NOT_AFTER: str(self._clock.wall() + deadline_ms / 1000.0),
+            }
+        headers = {
+            "Content-Type": "application/octet-stream",
+            "Galenastall-Team": arrival.team,
+            "Galenastall-Class": arrival.kind.urgency,
+            "Galenastall-Deadline-Ms": str(deadline_ms),
+            "Galenastall-Idempotent": "true" if arrival.kind.idempotent else "false",
+            "Galenastall-Request-Id": request_id,
+        }
         if not arrival.kind.idempotent:
-            headers.append(("Galenastall-Idempotency-Key", f"key-{request_id}"))
+            headers["Galenastall-Idempotency-Key"] = self._key(request_id)
         return headers
 
+    def _key(self, request_id: RequestId) -> str:
+        """Return the request's idempotency key, which begins with the time that it was made at."""
+        return f"{int(self._plan.start_wall)}-{request_id}"
+
     def _body(self, arrival: RequestArrival, request_id: RequestId) -> bytes:
         size = self._plan.body_bytes or arrival.kind.body_bytes
         head = f"{request_id}\n".encode()
@@ -317,14 +325,14 @@
         self._turn += 1
         return targets[self._turn % len(targets)]
 
-    async def _watch_ready(self, pool: httpcore.AsyncConnectionPool) -> None:
+    async def _watch_ready(self, client: HttpClient) -> None:
         async with trio.open_nursery() as nursery:
             for target in self._plan.targets:
-                nursery.start_soon(self._watch_one, pool, target)
+                nursery.start_soon(self._watch_one, client, target)
 
-    async def _watch_one(self, pool: httpcore.AsyncConnectionPool, target: Target) -> None:
+    async def _watch_one(self, client: HttpClient, target: Target) -> None:
         while True:
-            if await _is_ready(pool, target):
+            if await _is_ready(client, target):
                 self._ready.add(target)
             else:
                 self._ready.discard(target)
@@ -333,6 +341,7 @@
     def _summary(self) -> LoadSummary:
         return LoadSummary(
             sent=self._sent,
+            in_time_by_class=dict(self._in_time),
             counts_by_outcome=dict(self._outcomes),
             counts_by_status=dict(self._statuses),
             counts_by_trouble=dict(self._troubles),
@@ -343,14 +352,10 @@
         )
 
 
-def _timeouts(read_s: float) -> dict[str, float]:
-    return {"connect": 1.0, "read": read_s, "write": read_s, "pool": 1.0}
-
-
-def _answered_id(headers: dict[bytes, bytes]) -> RequestId:
+def _answered_id(headers: Mapping[str, str]) -> RequestId:
     """Return the request that an answer names; executors name the attempt."""
-    named = headers.get(REQUEST_ID.encode(), b"").decode()
-    attempt = headers.get(ATTEMPT_ID.encode(), b"").decode()
+    named = headers.get(REQUEST_ID, "")
+    attempt = headers.get(ATTEMPT_ID, "")
     return RequestId(named or attempt.partition("#")[0])
 
 
@@ -359,11 +364,8 @@
     return "not whole" if echo is None else f"{echo.request_id} {echo.body_digest}"
 
 
-async def _is_ready(pool: httpcore.AsyncConnectionPool, target: Target) -> bool:
-    try:
-        response = await pool.request(
-            "GET", f"http://{target.address}/readyz", extensions={"timeout": _timeouts(1.0)}
-        )
-    except CUT_ERRORS:
-        return False
-    return response.status == HTTP_OK
+async def _is_ready(client: HttpClient, target: Target) -> bool:
+    answered = await client.request(
+        method="GET", address=target.address, path="/readyz", timeout_s=READY_TIMEOUT_S
+    )
+    return isinstance(answered, Success) and answered.unwrap().status == HTTP_OK
--- a/src/galenastall/bench/processes.py
+++ b/src/galenastall/bench/processes.py
@@ -7,8 +7,8 @@
 import os
 import signal
 import socket
-from collections.abc import AsyncIterator, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator, Sequence
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 from subprocess import STDOUT
@@ -176,12 +176,23 @@
     """Provide a driver that stops all its processes on the way out, whatever happens."""
     driver = Driver(directory=directory)
     try:
-        yield driver
+        with _terminate_as_interrupt():
+            yield driver
     finally:
         with trio.CancelScope(shield=True):
             await driver.stop_all()
 
 
+@contextmanager
+def _terminate_as_interrupt() -> Iterator[None]:
+    """Let SIGTERM unwind the experiment like Ctrl-C, so that nothing is left running."""
+    before = signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
+    try:
+        yield
+    finally:
+        signal.signal(signal.SIGTERM, before)
+
+
 def reserve_ports(count: int) -> list[int]:
     """Return ports on loopback that the system just chose.
 
--- a/src/galenastall/bench/scenarios/__init__.py
+++ b/src/galenastall/bench/scenarios/__init__.py
@@ -7,6 +7,7 @@
     placement_load,
     request_faults,
     rolling_restart,
+    settings_race,
 )
 
 MODULES = (
@@ -16,4 +17,5 @@
     placement_load,
     request_faults,
     rolling_restart,
+    settings_race,
 )
--- a/src/galenastall/bench/scenarios/overload.py
+++ b/src/galenastall/bench/scenarios/overload.py
@@ -62,7 +62,8 @@
 
 
 def _goodput(summary: LoadSummary, duration_s: float) -> float:
-    return summary.counts_by_outcome.get("done", 0) / duration_s
+    """Return requests done by their deadline a second."""
+    return sum(summary.in_time_by_class.values()) / duration_s
 
 
 def _judge_classes(result: ScenarioResult, summary: LoadSummary) -> None:
@@ -72,6 +73,6 @@
         p99_ms = refusals.get_value_at_percentile(99.0) / 1000.0
         result.add("early refusals p99", p99_ms, "ms", at_most=AIM_REFUSAL_MS)
     urgent = summary.histogram(contains="|urgent|").get_total_count()
-    in_time = summary.histogram(contains="|urgent|done|").get_total_count()
+    in_time = summary.in_time_by_class.get("urgent", 0)
     share = in_time / max(1, urgent)
     result.add("urgent done by their deadline", share, "of urgent", at_least=AIM_URGENT)
--- /dev/null
+++ b/src/galenastall/bench/scenarios/settings_race.py
@@ -0,0 +1,203 @@
+"""Racing operators with a log outage in the middle: in force everywhere soon, never reverted."""
+
+import random
+from dataclasses import dataclass
+from typing import Any, Final
+
+import msgspec
+import trio
+
+from galenastall.bench.experiment import ExperimentSettings, close_and_judge, scenario
+from galenastall.bench.fleet import CallError, EntryHost, Fleet, running_fleet
+from galenastall.bench.report import ScenarioResult
+from galenastall.bench.schedule import FaultContext, FaultSchedule, ScheduledFault
+from galenastall.proof.history import HistoryRecorder, SettingAccepted, SettingsInForce
+from galenastall.proof.invariants import Bounds
+
+OPERATORS: Final = 4
+CHANGES: Final = 100
+PATHS: Final = tuple(f"teams/race-{number}" for number in range(5))
+OUTAGE_AT_S: Final = 10.0
+OUTAGE_S: Final = 60.0
+PAUSE_S: Final = 0.8
+RETRY_S: Final = 1.0
+SAMPLE_EVERY_S: Final = 0.25
+LIMIT_S: Final = 180.0
+IN_FORCE_S: Final = 5.0
+OK: Final = 200
+STALE: Final = 409
+CONFLICTS: Final = (STALE, 422)
+
+
+@scenario("settings-race", shows="accepted changes in force everywhere within 5 s, none reverted")
+async def settings_race(settings: ExperimentSettings, result: ScenarioResult) -> None:
+    """Let four operators make 100 changes on five paths while the log is down for a minute."""
+    plan = settings.fleet_plan(
+        entry_hosts_by_data_centre={"gangnam": 2, "mapo": 2, "seongsu": 2},
+        workers=0,
+        executors=0,
+    )
+    recorder = HistoryRecorder()
+    async with running_fleet(plan, settings.directory) as fleet:
+        race = _Race(fleet=fleet, recorder=recorder, seed=settings.seed, scale=settings.scale)
+        schedule = FaultSchedule(
+            faults=(
+                ScheduledFault(
+                    after_s=OUTAGE_AT_S * settings.scale,
+                    kind="log-outage",
+                    target="log",
+                    lasts_s=OUTAGE_S * settings.scale,
+                ),
+            ),
+            context=FaultContext(
+                driver=fleet.driver, standin=fleet.control, restart=fleet.start_entry_host
+            ),
+            recorder=recorder,
+            clock=fleet.clock,
+        )
+        async with trio.open_nursery() as samplers:
+            for host in fleet.entry_hosts_by_id.values():
+                samplers.start_soon(race.sample, host)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(schedule.run)
+                for number in range(OPERATORS):
+                    nursery.start_soon(race.operate, f"operator-{number}")
+            await trio.sleep(IN_FORCE_S + 2 * SAMPLE_EVERY_S * len(PATHS))
+            samplers.cancel_scope.cancel()
+        wanted = round(CHANGES * settings.scale)
+        result.add("changes accepted", race.accepted, "changes", at_least=wanted)
+        result.add("changes refused as stale", race.stale, "changes")
+        result.add("sendings without a verdict", race.undecided, "sendings")
+        result.add("slowest in force on a host", race.slowest_s(), "s", at_most=IN_FORCE_S)
+        names = (
+            "settings-monotone",
+            "settings-agree",
+            "settings-never-revert",
+            "settings-in-force-soon",
+        )
+        await close_and_judge(
+            fleet,
+            recorder,
+            result,
+            names=names,
+            bounds=Bounds(in_force_s=IN_FORCE_S),
+            directory=settings.directory,
+        )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Change:
+    change_id: str
+    path: str
+    weight: float
+
+
+class _Race:
+    """Operators and samplers of one run."""
+
+    def __init__(self, *, fleet: Fleet, recorder: HistoryRecorder, seed: int, scale: float) -> None:
+        self._fleet = fleet
+        self._recorder = recorder
+        self._rng = random.Random(seed)
+        self._hosts = list(fleet.entry_hosts_by_id.values())
+        self._each = round(CHANGES * scale / OPERATORS)
+        self._pause_s = PAUSE_S
+        self._deadline = trio.current_time() + LIMIT_S
+        self.accepted = 0
+        self.stale = 0
+        self.undecided = 0
+
+    async def operate(self, author: str) -> None:
+        """Make changes until enough were accepted or the time is over."""
+        done = sent = 0
+        while done < self._each and trio.current_time() < self._deadline:
+            sent += 1
+            change = _Change(
+                change_id=f"{author}-{sent}",
+                path=self._rng.choice(PATHS),
+                weight=1.0 + self._rng.random(),
+            )
+            if await self._make(author, change):
+                done += 1
+            await trio.sleep(self._pause_s * (0.5 + self._rng.random()))
+
+    async def _make(self, author: str, change: _Change) -> bool:
+        """Send a change until there is a verdict; the same id makes a repeat recognisable."""
+        revision = await self._revision(change.path)
+        message = {
+            "change_id": change.change_id,
+            "base_revision": revision,
+            "author": author,
+            "subtree": {"weight": change.weight},
+        }
+        while trio.current_time() < self._deadline:
+            host = self._rng.choice(self._hosts)
+            found = await self._call("PUT", host, f"/v1/settings/tree/{change.path}", message)
+            if found is not None and found[0] == OK:
+                self._accept(change, found[1]["offset"])
+                return True
+            if found is not None and found[0] in CONFLICTS and "kind" in found[1]:
+                self.stale += 1
+                return False
+            self.undecided += 1
+            await trio.sleep(RETRY_S)
+        return False
+
+    def _accept(self, change: _Change, offset: int) -> None:
+        self.accepted += 1
+        event = SettingAccepted(
+            at=self._fleet.clock.wall(),
+            change_id=change.change_id,
+            path=change.path,
+            offset=offset,
+        )
+        self._recorder.record(event)
+
+    async def _revision(self, path: str) -> int:
+        while trio.current_time() < self._deadline:
+            host = self._rng.choice(self._hosts)
+            found = await self._call("GET", host, f"/v1/settings/tree/{path}")
+            if found is not None and found[0] == OK:
+                return int(found[1]["revision"])
+            await trio.sleep(RETRY_S)
+        raise CallError(f"no entry host showed {path} within {LIMIT_S:g} s")
+
+    async def sample(self, host: EntryHost) -> None:
+        """Ask an entry host again and again what it has in force, one path after the other."""
+        turn = 0
+        while True:
+            path = PATHS[turn % len(PATHS)]
+            turn += 1
+            found = await self._call("GET", host, f"/v1/settings/tree/{path}")
+            if found is not None and found[0] == OK:
+                view = found[1]
+                event = SettingsInForce(
+                    at=self._fleet.clock.wall(),
+                    entry_host=host.host_id,
+                    offset=view["next_offset"] - 1,
+                    digest=view["digest"],
+                    revisions_by_path={path: view["revision"]},
+                )
+                self._recorder.record(event)
+            await trio.sleep(SAMPLE_EVERY_S)
+
+    def slowest_s(self) -> float:
+        """Return the longest time from an acceptance to a host's first word that has it."""
+        history = self._recorder.history()
+        samples_by_host = history.grouped(SettingsInForce, lambda sample: sample.entry_host)
+        slowest = 0.0
+        for change in history.of(SettingAccepted):
+            for samples in samples_by_host.values():
+                first = next((s.at for s in samples if s.offset >= change.offset), None)
+                waited = self._fleet.clock.wall() if first is None else first
+                slowest = max(slowest, waited - change.at)
+        return slowest
+
+    async def _call(
+        self, method: str, host: EntryHost, path: str, message: Any = None
+    ) -> tuple[int, Any] | None:
+        try:
+            answer = await self._fleet.call(method, host, path, message)
+            return answer.status, msgspec.json.decode(answer.body)
+        except (CallError, msgspec.DecodeError):
+            return None
--- a/tests/test_bench_processes.py
+++ b/tests/test_bench_processes.py
@@ -1,3 +1,4 @@
+import subprocess
 import sys
 from pathlib import Path
 
@@ -76,3 +77,24 @@
                 scope.cancel()
                 await trio.sleep_forever()
         assert not managed.is_running
+
+    async def test_a_terminated_driver_leaves_nothing_running(self, tmp_path: Path) -> None:
+        program = (
+            "import sys, trio\n"
+            "from pathlib import Path\n"
+            "from galenastall.bench.processes import running_driver\n"
+            "async def main():\n"
+            f"    async with running_driver(Path({str(tmp_path)!r})) as driver:\n"
+            f"        managed = await driver.start(name='one', command={WAIT!r})\n"
+            "        print(managed.pid, flush=True)\n"
+            "        await trio.sleep_forever()\n"
+            "trio.run(main)\n"
+        )
+        process = await trio.lowlevel.open_process(
+            [sys.executable, "-c", program], stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
+        )
+        assert process.stdout is not None
+        pid = int(await process.stdout.receive_some())
+        process.terminate()
+        assert await process.wait() != 0
+        assert not await trio.Path(f"/proc/{pid}").exists()
