Give the log a moment at start; say when the append budget is short

Cause: a fresh entry host asked its peers at once and could start from their state although the log was about to answer; max_window_s had no effect. Change: peers are asked only after 3 s without a read of the tip; log.budget_short is reported when appends are spaced by more than max_window_s. Conclusion: a test of a log that answers late passes; it starts from the log.

--- a/src/galenastall/node/group_commit.py
+++ b/src/galenastall/node/group_commit.py
@@ -148,6 +148,7 @@
         self._retry_s = RETRY_MIN_S
         self._retry_at = 0.0
         self._append_failed = False
+        self._is_budget_short = False
         self._pending_by_id: dict[RecordId, _Pending] = {}
         self._unanswered_by_id: dict[RecordId, _Pending] = {}
         self._fates_by_id: OrderedDict[RecordId, Result[Offset, StepError]] = OrderedDict()
@@ -211,14 +212,22 @@
         while True:
             await queue.wait_nonempty()
             now = self._clock.now()
-            send_at = self._window.reserve(
-                now=now, limits=self._limits(), live_hosts=self._live_hosts()
-            )
+            limits, live_hosts = self._limits(), self._live_hosts()
+            self._watch_spacing(limits, live_hosts)
+            send_at = self._window.reserve(now=now, limits=limits, live_hosts=live_hosts)
             await trio.sleep(max(0.0, send_at - now))
             batch = queue.take_batch()
             if batch:
                 await self._append_batch(stream, queue, batch)
 
+    def _watch_spacing(self, limits: WindowLimits, live_hosts: int) -> None:
+        spacing_s = self._window.spacing_s(limits=limits, live_hosts=live_hosts)
+        is_short = spacing_s > limits.max_window_s
+        if is_short and not self._is_budget_short:
+            cause = f"{spacing_s:.2f} s between appends with {live_hosts} entry hosts"
+            self._events.record("log.budget_short", cause=cause)
+        self._is_budget_short = is_short
+
     async def _append_batch(
         self, stream: StreamName, queue: _StreamQueue, batch: list[_Pending]
     ) -> None:
--- a/src/galenastall/node/settings_catch_up.py
+++ b/src/galenastall/node/settings_catch_up.py
@@ -31,6 +31,8 @@
 TELL_EVERY_S: Final = 2.0
 TOLD_PEERS: Final = 2
 CALL_TIMEOUT_S: Final = 2.0
+START_GRACE_S: Final = 3.0
+"""How long a fresh entry host gives the log before it starts from its peers' state."""
 LOG_GRACE_S: Final = 1.0
 """How long the log may take to bring what a peer already has, before the peer is asked."""
 OPINION_S: Final = 30.0
@@ -132,12 +134,13 @@
             task_status.started()
 
     async def _tell(self) -> None:
+        started_at = self._clock.now()
         while True:
             ids = sorted(self._peer_ids())
             if not self.not_ready_reasons():
                 for peer in self._rng.sample(ids, min(TOLD_PEERS, len(ids))):
                     self._peers.send(peer=peer, message=self.position())
-            elif not self._is_caught_up:
+            elif not self._is_caught_up and self._clock.now() - started_at >= START_GRACE_S:
                 await self._ask_all(ids)
             await trio.sleep(TELL_EVERY_S * self._rng.uniform(0.75, 1.25))
 
--- a/tests/test_settings_service.py
+++ b/tests/test_settings_service.py
@@ -160,6 +160,18 @@
             await trio.sleep(10.0)
             assert "no snapshot" in two.service.not_ready_reasons()[0]
 
+    async def test_slow_first_read_is_waited_for(self, autojump_clock: trio.abc.Clock) -> None:
+        async with running_fleet() as fleet:
+            one = await fleet.start("one")
+            await one.put("c", "teams/a", {"weight": 7})
+            two = await fleet.start("two", is_log_down=True)
+            await trio.sleep(1.0)
+            assert two.service.not_ready_reasons()
+            two.log.is_down = False
+            await trio.sleep(1.5)
+            assert two.service.not_ready_reasons() == ()
+            assert not fetched_in(fleet)
+
 
 class TestCatchUp:
     async def test_peer_behind_fetches_records_and_never_goes_back(
