--- a/src/galenastall/coordination/team_queue.py
+++ b/src/galenastall/coordination/team_queue.py
@@ -16,7 +16,6 @@
 from galenastall.coordination.placement_settings import PlacementSettings
 from galenastall.coordination.waiting import Lane, TeamLane, TeamLine, Waiting, WaitReason
 from galenastall.state.ids import TaskId, TeamPath
-from galenastall.state.registry import Registry
 from galenastall.state.resources import NOTHING, Resources
 from galenastall.state.work import TaskSpec, Urgency
 
@@ -24,6 +23,8 @@
 """Urgent tasks tried in vain before a scan goes on to the teams."""
 OVERDUE_TRIES: Final = 4
 """Starving tasks tried in a scan."""
+QUOTA_TRIES: Final = 8
+"""Urgent tasks of a team at its quota tried again when it gives something back."""
 JOB_TRIES: Final = 16
 """Jobs of one team tried before the team is parked."""
 TEAM_CLASSES: Final = (Urgency.NORMAL, Urgency.BACKFILL)
@@ -45,6 +46,7 @@
         self._parked: dict[tuple[Urgency, TeamPath], TeamLane] = {}
         self._urgent: SortedDict = SortedDict()
         self._overdue: SortedDict = SortedDict()
+        self._at_quota_by_team: dict[TeamPath, SortedDict] = {}
         self._due_heap: list[tuple[float, int, TaskId]] = []
         self._counts_by_urgency = dict.fromkeys(Urgency, 0)
         self._seq = 0
@@ -67,9 +69,16 @@
 
     def set_elsewhere(self, reserved_by_team: Mapping[TeamPath, Resources]) -> None:
         """Say what teams have reserved with other owners, for shares and quotas."""
-        for path in reserved_by_team.keys() | self._lines_by_team.keys():
-            line = self._line(path)
-            line.elsewhere = reserved_by_team.get(path, NOTHING)
+        for path in reserved_by_team:
+            self._line(path)
+        for line in self._lines_by_team.values():
+            line.elsewhere = reserved_by_team.get(line.path, NOTHING)
+            line.elsewhere_below = NOTHING
+        for line in self._lines_by_team.values():
+            over: TeamLine | None = line
+            while over is not None:
+                over.elsewhere_below = over.elsewhere_below + line.elsewhere
+                over = over.above
             self._unpark_all(line)
 
     def add(self, task: TaskSpec, since: float, *, first: bool = False) -> Waiting | None:
@@ -86,7 +95,7 @@
             waiting.order = (deadline, waiting.seq)
             self._urgent[waiting.order] = waiting
             return waiting
-        due_at = since + self._settings.starvation_s
+        due_at = since + self._settings.starvation_of(task.urgency)
         heappush(self._due_heap, (due_at, waiting.seq, task.task_id))
         waiting.lane = Lane.TEAM
         lane = self._line(task.team).lanes_by_urgency[task.urgency]
@@ -106,6 +115,8 @@
             del self._urgent[waiting.order]
         elif waiting.lane is Lane.OVERDUE:
             del self._overdue[waiting.order]
+        elif waiting.lane is Lane.AT_QUOTA:
+            self._leave_quota_line(waiting)
         else:
             self._leave_lane(waiting)
         waiting.lane = None
@@ -124,29 +135,30 @@
     def charge(self, team: TeamPath, amount: Resources) -> None:
         """Count what was reserved for a team."""
         line = self._line(team)
-        line.cores += amount.cores_milli
-        line.memory += amount.memory_mb
-        line.accelerators += amount.accelerators
+        line.take(amount, 1)
         self._refile(line)
 
     def credit(self, team: TeamPath, amount: Resources) -> None:
         """Count what a team gave back."""
         line = self._line(team)
-        line.cores -= amount.cores_milli
-        line.memory -= amount.memory_mb
-        line.accelerators -= amount.accelerators
-        if line.quota is not None:
-            self._unpark_all(line)
-        else:
+        line.take(amount, -1)
+        bounded = line.bounded_by()
+        if bounded is None:
             self._refile(line)
+            return
+        for other in _with_below(bounded):
+            self._unpark_all(other, urgent=QUOTA_TRIES)
 
     def allows(self, team: TeamPath, amount: Resources) -> bool:
-        """Return whether a team's quota lets it reserve `amount` more."""
-        return self._line(team).allows(amount)
+        """Return whether a team's quota, and those of the teams above, leave room for `amount`."""
+        return self._line(team).find_full(amount) is None
 
-    def quota(self, team: TeamPath) -> Resources | None:
-        """Return the most that a team may have reserved at once."""
-        return self._line(team).quota
+    def full_quota(self, team: TeamPath, amount: Resources) -> tuple[TeamPath, Resources] | None:
+        """Return the team and the quota that leave no room for `amount` more, if any does."""
+        line = self._line(team).find_full(amount)
+        if line is None or line.quota is None:
+            return None
+        return line.path, line.quota
 
     def share(self, team: TeamPath) -> float:
         """Return a team's dominant share over its weight."""
@@ -187,19 +199,23 @@
         """Return tasks in the order in which to try them; the caller removes what it placed."""
         self._promote(now)
         if self._overdue and self._since_overdue >= self._settings.overdue_every - 1:
-            yield from self._scan_overdue()
-        yield from self._scan_urgent()
-        yield from self._scan_overdue()
+            yield from self._scan_overdue(now)
+        yield from self._scan_urgent(now)
+        yield from self._scan_overdue(now)
         for urgency in TEAM_CLASSES:
             yield from self._scan_teams(urgency)
 
+    def by_arrival(self) -> list[Waiting]:
+        """Return all waiting tasks as they came."""
+        return list(self._waiting_by_id.values())
+
     def __len__(self) -> int:
         return len(self._waiting_by_id)
 
     def __contains__(self, task_id: object) -> bool:
         return task_id in self._waiting_by_id
 
-    def _scan_urgent(self) -> Iterator[Waiting]:
+    def _scan_urgent(self, now: float) -> Iterator[Waiting]:
         misses = 0
         position = 0
         while position < len(self._urgent) and misses < URGENT_TRIES:
@@ -208,18 +224,27 @@
             if waiting.lane is None:
                 self._since_overdue += 1
                 if self._overdue and self._since_overdue >= self._settings.overdue_every - 1:
-                    yield from self._scan_overdue()
+                    yield from self._scan_overdue(now)
+                continue
+            if waiting.reason is WaitReason.QUOTA:
+                self._hold_at_quota(waiting)
                 continue
             misses += 1
             position += 1
 
-    def _scan_overdue(self) -> Iterator[Waiting]:
-        for waiting in list(self._overdue.values()[:OVERDUE_TRIES]):
-            if waiting.lane is not Lane.OVERDUE:
-                continue
+    def _scan_overdue(self, now: float) -> Iterator[Waiting]:
+        misses = 0
+        position = 0
+        while position < len(self._overdue) and misses < OVERDUE_TRIES:
+            waiting: Waiting = self._overdue.peekitem(position)[1]
             yield waiting
             if waiting.lane is None:
                 self._since_overdue = 0
+            elif waiting.reason is WaitReason.QUOTA:
+                self._return_to_team(waiting, now)
+            else:
+                misses += 1
+                position += 1
 
     def _scan_teams(self, urgency: Urgency) -> Iterator[Waiting]:
         by_share = self._by_share[urgency]
@@ -252,13 +277,38 @@
     def _line(self, path: TeamPath) -> TeamLine:
         line = self._lines_by_team.get(path)
         if line is None:
-            line = TeamLine(path=path, share=self._share_setting(path))
+            name_above, _, _ = path.rpartition("/")
+            above = self._line(TeamPath(name_above)) if name_above else None
+            line = TeamLine(path=path, share=self._share_setting(path), above=above)
             self._lines_by_team[path] = line
         return line
 
     def _share_setting(self, path: TeamPath) -> TeamShare:
         return self._settings.teams_by_path.get(path, self._settings.default_share)
 
+    def _hold_at_quota(self, waiting: Waiting) -> None:
+        """Keep an urgent task aside until its team is below its quota again."""
+        del self._urgent[waiting.order]
+        waiting.lane = Lane.AT_QUOTA
+        line = self._at_quota_by_team.setdefault(waiting.task.team, SortedDict())
+        line[waiting.order] = waiting
+
+    def _leave_quota_line(self, waiting: Waiting) -> None:
+        line = self._at_quota_by_team[waiting.task.team]
+        del line[waiting.order]
+        if not line:
+            del self._at_quota_by_team[waiting.task.team]
+
+    def _return_to_team(self, waiting: Waiting, now: float) -> None:
+        """Let a starving task wait as before: what its quota makes it wait is not starvation."""
+        del self._overdue[waiting.order]
+        waiting.lane = Lane.TEAM
+        due_at = now + self._settings.starvation_of(waiting.task.urgency)
+        heappush(self._due_heap, (due_at, waiting.seq, waiting.task.task_id))
+        lane = self._lane_of(waiting)
+        lane.add(waiting, first=True)
+        self._refile_lane(lane)
+
     def _lane_of(self, waiting: Waiting) -> TeamLane:
         task = waiting.task
         return self._lines_by_team[task.team].lanes_by_urgency[task.urgency]
@@ -298,29 +348,24 @@
         lane.parked = None
         del self._parked[lane.urgency, lane.line.path]
 
-    def _unpark_all(self, line: TeamLine) -> None:
+    def _unpark_all(self, line: TeamLine, *, urgent: int | None = None) -> None:
+        """Try all of a team's tasks again, and the first `urgent` of its urgent ones."""
         for lane in line.lanes_by_urgency.values():
             self._unpark(lane)
             self._refile_lane(lane)
+        at_quota = self._at_quota_by_team.get(line.path)
+        if at_quota is None:
+            return
+        for waiting in list(at_quota.values()[:urgent]):
+            self._leave_quota_line(waiting)
+            waiting.lane = Lane.URGENT
+            self._urgent[waiting.order] = waiting
 
 
-class ArrivalQueue(TeamQueue):
-    """The waiting tasks by arrival, each tried in turn; a baseline, linear in tasks."""
-
-    def scan(self, now: float) -> Iterator[Waiting]:
-        """Return the first task of each job by arrival, and the next while they are placed."""
-        blocked: set[object] = set()
-        for waiting in list(self._waiting_by_id.values()):
-            if waiting.task.job_id in blocked:
-                continue
-            yield waiting
-            if waiting.lane is not None:
-                blocked.add(waiting.task.job_id)
-
-
-QUEUE_ORDERS: Final[Registry[type[TeamQueue]]] = Registry(kind="queue order")
-QUEUE_ORDERS.register("fair")(TeamQueue)
-QUEUE_ORDERS.register("fifo")(ArrivalQueue)
+def _with_below(line: TeamLine) -> Iterator[TeamLine]:
+    yield line
+    for below in line.below:
+        yield from _with_below(below)
 
 
 def _covers(parked: tuple[int, int, int], need: Resources) -> bool:
--- a/src/galenastall/node/job_service.py
+++ b/src/galenastall/node/job_service.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import trio
-from returns.result import Failure, Success
 
 from galenastall.coordination.job_shard import JobShard
 from galenastall.coordination.placement_commands import CapacitySummary
@@ -13,9 +12,17 @@
 from galenastall.coordination.team_gossip import TeamGossip
 from galenastall.node.job_link import JobLink
 from galenastall.node.job_timings import JobTimings
+from galenastall.node.job_upkeep import JobUpkeep
 from galenastall.node.job_views import view_run
+from galenastall.node.known_workers import KnownWorkers
 from galenastall.node.shard_driver import ShardDriver
 from galenastall.node.worker_service import WorkerService
+from galenastall.protocol.amount_rows import (
+    pack_amount,
+    pack_summary,
+    unpack_amount,
+    unpack_summary,
+)
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink, NullEventSink
 from galenastall.protocol.job_messages import (
@@ -32,19 +39,18 @@
 )
 from galenastall.protocol.log_access import LogAppender, StreamFollower
 from galenastall.protocol.ownership_view import OwnershipView
+from galenastall.protocol.task_rows import unpack_reports
 from galenastall.state.errors import Reason, StepError
-from galenastall.state.hosts import HostState
 from galenastall.state.ids import (
     Epoch,
     HostId,
     JobId,
     OwnableId,
     OwnableKind,
-    RecordId,
     split_ownable_id,
 )
 from galenastall.state.job_fold import JobFold, JobListener, JobState
-from galenastall.state.job_records import EndedRanges, JobAccepted, JobCancelled
+from galenastall.state.job_records import EndedRanges
 from galenastall.state.job_shards import shard_of, shard_ownable
 from galenastall.state.work import JobSpec
 
@@ -87,11 +93,27 @@
         self._heard_at: dict[HostId, float] = {}
         self._incarnations: dict[HostId, str] = {}
         self._void_at: dict[HostId, float] = {}
-        self._seen_live: dict[HostId, float] = {}
-        self._has_lost_worker = False
-        self._teams = TeamGossip()
         self._held: dict[JobId, JobState] = {}
         self._cancels_to_log: dict[JobId, str] = {}
+        self._teams = TeamGossip()
+        self._known_workers = KnownWorkers(
+            fold=fold,
+            listed=worker_service.listed_workers,
+            clock=clock,
+            vanished_s=self._timings.vanished_s,
+        )
+        self._upkeep = JobUpkeep(
+            fold=fold,
+            known_workers=self._known_workers,
+            drivers=lambda: list(self.drivers_by_shard.values()),
+            held=self._held,
+            cancels=self._cancels_to_log,
+            appender=appender,
+            stream=follower.stream,
+            clock=clock,
+            timings=self._timings,
+            events=self._events,
+        )
         self._is_draining = False
         fold.listen(self)
         link.answer(TaskEvents, self._on_events)
@@ -108,8 +130,7 @@
             self._nursery = nursery
             for driver in self.drivers_by_shard.values():
                 nursery.start_soon(driver.run)
-            nursery.start_soon(self._log_held)
-            nursery.start_soon(self._compact)
+            nursery.start_soon(self._upkeep.run)
             task_status.started()
             while True:
                 self._beat()
@@ -224,8 +245,8 @@
             timings=self._timings,
             events=self._events,
             summaries=self.summaries,
-            workers_expected=self._workers_expected,
-            may_have_lost_ends=lambda: self._has_lost_worker,
+            workers_expected=self._known_workers.expected,
+            may_have_lost_ends=self._known_workers.may_have_lost_ends,
         )
         self.drivers_by_shard[shard] = driver
         for job in (*self.fold.live_by_id.values(), *self._held.values()):
@@ -246,19 +267,23 @@
 
     def _beat(self) -> None:
         now = self._clock.wall()
-        self._note_workers(now)
+        self._known_workers.note(now)
+        first = self.drivers_by_shard.get(0)
+        if first is not None and first.may_act and self._nursery is not None:
+            self._nursery.start_soon(self._upkeep.log_workers)
         shards = tuple(
             ShardEpoch(shard=shard, epoch=driver.core.epoch)
             for shard, driver in self.drivers_by_shard.items()
             if driver.may_act
         )
+        told = self._teams.tell(self._workers.core.reserved_by_team())
         beat = JobBeat(
             incarnation=self._incarnation,
             shards=shards,
             valid_until=now + self._timings.valid_s,
-            summary=self._own_summary(),
+            summary=pack_summary(self._own_summary()),
             renewing=self._workers.helper.renewing(),
-            reserved_by_team=self._teams.tell(self._workers.core.reserved_by_team()),
+            reserved_by_team={team: pack_amount(amount) for team, amount in told.items()},
         )
         self._workers.core.set_reserved_elsewhere(self._teams.elsewhere())
         # Without shards it keeps nothing valid that the host may have queued.
@@ -302,37 +327,24 @@
             self._doubt(sender)
         self._incarnations[sender] = beat.incarnation
         self._heard_at[sender] = now
-        self._summaries[sender] = beat.summary
-        self._teams.hear(sender, beat.reserved_by_team)
+        self._summaries[sender] = unpack_summary(beat.summary)
+        heard = {team: unpack_amount(row) for team, row in beat.reserved_by_team.items()}
+        self._teams.hear(sender, heard)
         self._workers.hear_beat(sender, beat)
 
-    def _note_workers(self, now: float) -> None:
-        for worker, host in self._workers.listed_workers().items():
-            if host.state is not HostState.GONE:
-                self._seen_live[worker] = now
-        for worker, seen in list(self._seen_live.items()):
-            if now > seen + self._timings.vanished_s:
-                del self._seen_live[worker]
-                self._has_lost_worker = True
-
-    def _workers_expected(self) -> tuple[HostId, ...]:
-        self._note_workers(self._clock.wall())
-        return tuple(self._seen_live)
-
     async def _on_events(self, sender: HostId, message: TaskEvents) -> Any:
         driver = self.drivers_by_shard.get(message.shard)
         if driver is None or not driver.may_act:
             return StepError(
                 step="job.task_events", peer=self._link.host_id, reason=Reason.NOT_OWNER
             )
-        self._summaries[sender] = message.summary
-        settled = driver.core.on_reports(sender, message.reports, self._clock.wall())
+        self._summaries[sender] = unpack_summary(message.summary)
+        reports = unpack_reports(message.reports)
+        settled = driver.core.on_reports(sender, reports, self._clock.wall())
         kept = {id(report) for report in settled}
         driver.wake()
         return TaskEventsAnswer(
-            settled=tuple(
-                position for position, report in enumerate(message.reports) if id(report) in kept
-            )
+            settled=tuple(position for position, report in enumerate(reports) if id(report) in kept)
         )
 
     async def _on_hold(self, _sender: HostId, message: JobHold) -> JobWord:
@@ -350,45 +362,6 @@
     async def _on_ask(self, _sender: HostId, message: JobAsk) -> JobView:
         return self.view(message)
 
-    async def _log_held(self) -> None:
-        while True:
-            await trio.sleep(self._timings.log_retry_s)
-            if not self._appender.is_log_up:
-                continue
-            for job_id, state in list(self._held.items()):
-                await self._append(
-                    JobAccepted(spec=state.spec, was_held=True), f"job.held/{job_id}"
-                )
-            for job_id, cause in list(self._cancels_to_log.items()):
-                record = JobCancelled(job_id=job_id, cause=cause)
-                if await self._append(record, f"job.cancelled/{job_id}"):
-                    self._cancels_to_log.pop(job_id, None)
-
-    async def _compact(self) -> None:
-        while True:
-            await trio.sleep(self._timings.compact_every_s)
-            before = self._clock.wall() - self._timings.compact_after_s
-            for driver in list(self.drivers_by_shard.values()):
-                if not driver.may_act or not self._appender.is_log_up:
-                    continue
-                for job_id in list(driver.core.runs_by_id):
-                    job = self.fold.live_by_id.get(job_id)
-                    if job is not None and job.renewed_wall < before:
-                        await self._append(job.compacted(at=self._clock.wall()), None)
-
-    async def _append(self, record: object, record_id: str | None) -> bool:
-        result = await self._appender.append(
-            stream=self._follower.stream,
-            record=record,
-            record_id=None if record_id is None else RecordId(record_id),
-        )
-        match result:
-            case Success(_):
-                return True
-            case Failure(error):
-                self._events.record("job.not_logged", cause=str(error))
-        return False
-
 
 def _ownable_of(job_id: JobId, shards: int) -> OwnableId:
     return shard_ownable(shard_of(job_id, shards=shards))
