--- a/src/galenastall/coordination/ownership_claims.py
+++ b/src/galenastall/coordination/ownership_claims.py
@@ -81,8 +81,15 @@
         ownables_by_roster: dict[Members | None, list[OwnableId]] = defaultdict(list)
         verdict_by_case: dict[tuple[Epoch, Member | None, Epoch | None], bool] = {}
         seen: set[str] = set()
+        heard = {
+            incarnation
+            for incarnation in self._fold.roster_by_incarnation
+            if not self._membership.is_silent(incarnation, now)
+        }
         for ownable, state in self._fold.state_by_ownable.items():
-            if state.is_free:
+            if state.claim.by is None:
+                continue
+            if state.claim.by.incarnation in heard and state.is_settled:
                 continue
             tenure_epoch = state.tenure.epoch if state.tenure else None
             case = (state.claim.epoch, state.claim.by, tenure_epoch)
