Record every answer to a keyed request and requests whose caller broke off

Cause: answers given before dispatch (key refused, repeat, not durable) and broken uploads left no trace. Change: one end for all of them: counters, status page, time line; reason 'abandoned'. Conclusion: each request taken has an end in the time line.

--- a/src/galenastall/node/keyed_requests.py
+++ b/src/galenastall/node/keyed_requests.py
@@ -39,6 +39,13 @@
         """
         if not call.key:
             return await self._requests.submit(call)
+        reserved = await self._reserve(call)
+        if isinstance(reserved, RequestAnswer):
+            return self._requests.note(call, reserved)
+        return await self._run(call, reserved)
+
+    async def _reserve(self, call: RequestCall) -> RequestAnswer | RequestId:
+        """Take the key; return the run's id once it may leave, else the final answer."""
         checked = self._keys.check(call.key)
         made = checked.value_or(None)
         if made is None:
@@ -49,20 +56,16 @@
             return _answer(call, Outcome.NOT_RUN, RequestReason.KEY_HOME_ELSEWHERE, home=home)
         refused = self._requests.refusal(call)
         if refused is not None:
-            return self._requests.count(refused)
-        return await self._reserve_and_run(call, made_at)
-
-    async def _reserve_and_run(self, call: RequestCall, made_at: float) -> RequestAnswer:
+            return refused
         assert isinstance(call.body, bytes)
         run_id = self._requests.next_ticket()
-        ends_at = self._clock.wall() + call.deadline - self._clock.now()
         reserved = await self._keys.reserve(
             key=call.key,
             operation=call.operation,
             body=call.body,
             request_id=run_id,
             made_at=made_at,
-            ends_at=ends_at,
+            ends_at=self._clock.wall() + call.deadline - self._clock.now(),
         )
         answer = reserved.value_or(None)
         if answer is None:
@@ -75,7 +78,7 @@
             )
         if answer.verdict is not KeyVerdict.GO:
             return await self._answer_repeat(call, answer)
-        return await self._run(call, run_id)
+        return run_id
 
     async def _run(self, call: RequestCall, run_id: RequestId) -> RequestAnswer:
         outcome, status = Outcome.UNKNOWN, 0
--- a/src/galenastall/node/request_service.py
+++ b/src/galenastall/node/request_service.py
@@ -125,9 +125,10 @@
         """Return an id that no other request of any entry host has."""
         return next(self._tickets)
 
-    def count(self, answer: RequestAnswer) -> RequestAnswer:
-        """Count an answer that was given before the request came to `submit`; return it."""
-        self.counters.ended(answer)
+    def note(self, call: RequestCall, answer: RequestAnswer) -> RequestAnswer:
+        """Count and record an answer given before the request came to `submit`; return it."""
+        run = _Run(call=call, ticket=RequestId(""), status=self.book.open(call.request_id))
+        self._end(run, answer)
         return answer
 
     def refusal(self, call: RequestCall) -> RequestAnswer | None:
@@ -155,11 +156,12 @@
         )
         try:
             answer = self.refusal(call) or await self._until_final(run)
+        except BaseException:
+            self._end(run, self._abandoned(run))
+            raise
         finally:
             self._in_progress -= 1
-        self.counters.ended(answer)
-        self.book.close(run.status, answer)
-        self._record(run, answer)
+        self._end(run, answer)
         return answer
 
     async def _until_final(self, run: _Run) -> RequestAnswer:
@@ -341,7 +343,19 @@
             retry_after_s=retry_after_s,
         )
 
-    def _record(self, run: _Run, answer: RequestAnswer) -> None:
+    def _abandoned(self, run: _Run) -> RequestAnswer:
+        """Return what is recorded of a request whose caller or process broke off."""
+        return RequestAnswer(
+            request_id=run.call.request_id,
+            outcome=Outcome.UNKNOWN if run.attempts else Outcome.NOT_RUN,
+            reason=RequestReason.ABANDONED,
+            upstream=run.status.upstream,
+            attempts=run.attempts,
+        )
+
+    def _end(self, run: _Run, answer: RequestAnswer) -> None:
+        self.counters.ended(answer)
+        self.book.close(run.status, answer)
         self._events.record(
             "request.ended",
             peer=answer.upstream,
--- a/src/galenastall/node/request_types.py
+++ b/src/galenastall/node/request_types.py
@@ -47,6 +47,8 @@
     KEY_NOT_DURABLE = "key_not_durable"
     """The intent could not be recorded, so the request was not let out."""
     BODY_TOO_LARGE = "body_too_large"
+    ABANDONED = "abandoned"
+    """Its caller broke off inside the body, or this process was stopped; nobody is answered."""
     INVALID = "invalid"
     """A header is missing or makes no sense."""
 
--- a/tests/test_request_service.py
+++ b/tests/test_request_service.py
@@ -1,6 +1,7 @@
 """The request path: each fault comes to its exact outcome, and slots hold."""
 
 from collections import Counter
+from collections.abc import AsyncIterator
 from functools import partial
 
 import pytest
@@ -15,9 +16,10 @@
 from galenastall.standin.faults import BeyondSlots, ExecutorFaults
 from galenastall.standin.service_time import ServiceTime
 from galenastall.state.hosts import HostState
-from galenastall.state.ids import HostId, OwnableKind, make_ownable_id
+from galenastall.state.ids import HostId, OwnableKind, RequestId, make_ownable_id
 from galenastall.state.outcomes import Outcome
 from galenastall.state.work import Urgency
+from galenastall.transport.http_messages import RequestCutError
 from request_rig import gather, open_rig, outcomes
 
 SLOW = ExecutorFaults(service=ServiceTime(mean_s=0.5))
@@ -120,6 +122,24 @@
             assert rig.hosts[HostId("e1")].permits.held == 0
 
 
+class TestCallerGone:
+    async def test_a_body_that_breaks_off_is_recorded_and_frees_the_permit(
+        self, autojump_clock: MockClock
+    ) -> None:
+        async def broken() -> AsyncIterator[bytes]:
+            yield b"half"
+            raise RequestCutError("gone")
+
+        async with open_rig(hosts=1) as rig:
+            host = rig.hosts[HostId("e1")]
+            with pytest.raises(RequestCutError):
+                await rig.ask("e1", rig.call(body=broken()))
+            status = host.requests.book.get(RequestId("r"))
+            assert status is not None
+            assert (status.outcome, status.reason) == (Outcome.UNKNOWN, RequestReason.ABANDONED)
+            assert (host.permits.held, host.requests.in_progress) == (0, 0)
+
+
 class TestSlots:
     async def test_no_executor_gets_more_than_its_slots(self, autojump_clock: MockClock) -> None:
         async with open_rig(hosts=3, executors=2, slots=4) as rig:
