Make ids of attempts differ between entry hosts whatever their incarnations

Cause: ids rested on the incarnation alone, which the demo gives to both entry hosts; two runs with one id would share a kept answer. Change: the host id is part of it; a changed address or size of an upstream reaches its owner. Conclusion: ids are unique as long as one host's lives have different incarnations.

--- a/src/galenastall/coordination/slots.py
+++ b/src/galenastall/coordination/slots.py
@@ -159,6 +159,12 @@
         closed.forget_at = now + self.limits.longest_s + self.limits.grace_s
         self._closed_by_id[upstream] = closed
 
+    def update(self, upstream: OwnedUpstream) -> None:
+        """Take in a changed address or size; fewer slots than are in use just grant nothing."""
+        opened = self._upstreams_by_id.get(upstream.host_id)
+        if opened is not None and opened.info != upstream:
+            opened.info = upstream
+
     def set_leaving(self, upstream: HostId, leaving: bool) -> None:
         """Grant nothing more on an upstream that leaves, or take it back."""
         opened = self._upstreams_by_id.get(upstream)
--- a/src/galenastall/node/permit_owner.py
+++ b/src/galenastall/node/permit_owner.py
@@ -115,7 +115,12 @@
         self._hosts_by_id = dict(hosts_by_id)
         self.slots.clients = max(1, len(self._ownership.roster()))
         for upstream, epoch in list(self._epochs_by_id.items()):
-            if not self.slots.is_open(upstream):
+            listed = self._hosts_by_id.get(upstream)
+            if listed is None:
+                continue
+            if self.slots.is_open(upstream):
+                self.slots.update(_owned_upstream(listed))
+            else:
                 self._open(upstream, epoch)
 
     def tick(self) -> None:
@@ -232,12 +237,7 @@
         ownable = self._ownables_by_id[upstream]
         is_first = self._tenures.is_first(ownable=ownable, epoch=epoch)
         self.slots.open(
-            upstream=OwnedUpstream(
-                host_id=upstream,
-                address=listed.address,
-                slots=listed.slots,
-                connections=listed.connections,
-            ),
+            upstream=_owned_upstream(listed),
             epoch=epoch,
             silent=() if is_first else (self._me,),
             now=self._clock.now(),
@@ -350,3 +350,12 @@
                     waiting=waiting,
                 )
                 self._peers.send(peer=client, message=message)
+
+
+def _owned_upstream(listed: ListedHost) -> OwnedUpstream:
+    return OwnedUpstream(
+        host_id=listed.host_id,
+        address=listed.address,
+        slots=listed.slots,
+        connections=listed.connections,
+    )
--- a/src/galenastall/node/permit_service.py
+++ b/src/galenastall/node/permit_service.py
@@ -203,6 +203,11 @@
         self.unused += 1
         self.give_back(PermitReturn(permit_id=permit.permit_id, upstream=permit.upstream))
 
+    @property
+    def host_id(self) -> HostId:
+        """This entry host."""
+        return self._me
+
     @property
     def held(self) -> int:
         """Permits held."""
--- a/src/galenastall/node/request_service.py
+++ b/src/galenastall/node/request_service.py
@@ -70,7 +70,7 @@
         settings: Callable[[], RequestSettings],
         events: EventSink,
     ) -> None:
-        """`incarnation` makes attempt ids unique over processes."""
+        """`incarnation` must differ for each life of the process: ids of attempts rest on it."""
         self.counters = RequestCounters()
         self.book = RequestBook()
         self._clock = clock
@@ -81,7 +81,9 @@
         self._budget = RetryBudget(limits=settings().retries)
         self._shortest = ShortestTime()
         self._waiters_by_ticket: dict[RequestId, _Waiter] = {}
-        self._tickets = (RequestId(f"{incarnation}.{n}") for n in itertools.count(1))
+        self._tickets = (
+            RequestId(f"{permits.host_id}.{incarnation}.{n}") for n in itertools.count(1)
+        )
         self._in_progress = 0
         self._is_draining = False
         self._drained = trio.Event()
--- a/tests/request_rig.py
+++ b/tests/request_rig.py
@@ -208,7 +208,7 @@
         link = Link(self.network, host_id)
         ownership = Ownership(self, host_id)
         self.lives += 1
-        incarnation = Incarnation(f"{name}-{self.lives}")
+        incarnation = Incarnation(str(self.lives))
         rng = random.Random(self.lives)
         log = LogSide(
             log=self.log,
--- a/tests/test_request_service.py
+++ b/tests/test_request_service.py
@@ -122,6 +122,13 @@
             assert rig.hosts[HostId("e1")].permits.held == 0
 
 
+class TestIds:
+    async def test_no_two_entry_hosts_make_the_same_id(self, autojump_clock: MockClock) -> None:
+        async with open_rig(hosts=3) as rig:
+            ids = [host.requests.next_ticket() for host in rig.hosts.values() for _ in range(3)]
+            assert len(set(ids)) == 9
+
+
 class TestCallerGone:
     async def test_a_body_that_breaks_off_is_recorded_and_frees_the_permit(
         self, autojump_clock: MockClock
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -87,6 +87,18 @@
         ask(owned, CLIENTS[1], 1)
         assert len(grants(owned)) == 1
 
+    def test_a_smaller_upstream_gets_nothing_until_it_has_room(self) -> None:
+        owned = owner_of(upstream(slots=4))
+        ask(owned, CLIENTS[0], 4)
+        held = grants(owned)
+        owned.update(upstream(slots=2))
+        ask(owned, CLIENTS[1], 1)
+        for permit in held[:2]:
+            owned.give_back(permit_id=permit.permit_id, busy_for_s=0.0, now=0.0)
+            assert grants(owned) == []
+        owned.give_back(permit_id=held[2].permit_id, busy_for_s=0.0, now=0.0)
+        assert len(grants(owned)) == 1
+
     def test_one_after_the_other_they_spread_over_the_upstreams(self) -> None:
         owned = owner_of(upstream("a"), upstream("b"), upstream("c"))
         used = []
