--- a/src/galenastall/node/request_service.py
+++ b/src/galenastall/node/request_service.py
@@ -70,7 +70,7 @@
         settings: Callable[[], RequestSettings],
         events: EventSink,
     ) -> None:
-        """`incarnation` makes attempt ids unique over processes."""
+        """`incarnation` must differ for each life of the process: ids of attempts rest on it."""
         self.counters = RequestCounters()
         self.book = RequestBook()
         self._clock = clock
@@ -81,7 +81,9 @@
         self._budget = RetryBudget(limits=settings().retries)
         self._shortest = ShortestTime()
         self._waiters_by_ticket: dict[RequestId, _Waiter] = {}
-        self._tickets = (RequestId(f"{incarnation}.{n}") for n in itertools.count(1))
+        self._tickets = (
+            RequestId(f"{permits.host_id}.{incarnation}.{n}") for n in itertools.count(1)
+        )
         self._in_progress = 0
         self._is_draining = False
         self._drained = trio.Event()
@@ -125,9 +127,10 @@
         """Return an id that no other request of any entry host has."""
         return next(self._tickets)
 
-    def count(self, answer: RequestAnswer) -> RequestAnswer:
-        """Count an answer that was given before the request came to `submit`; return it."""
-        self.counters.ended(answer)
+    def note(self, call: RequestCall, answer: RequestAnswer) -> RequestAnswer:
+        """Count and record an answer given before the request came to `submit`; return it."""
+        run = _Run(call=call, ticket=RequestId(""), status=self.book.open(call.request_id))
+        self._end(run, answer)
         return answer
 
     def refusal(self, call: RequestCall) -> RequestAnswer | None:
@@ -155,11 +158,12 @@
         )
         try:
             answer = self.refusal(call) or await self._until_final(run)
+        except BaseException:
+            self._end(run, self._abandoned(run))
+            raise
         finally:
             self._in_progress -= 1
-        self.counters.ended(answer)
-        self.book.close(run.status, answer)
-        self._record(run, answer)
+        self._end(run, answer)
         return answer
 
     async def _until_final(self, run: _Run) -> RequestAnswer:
@@ -341,7 +345,19 @@
             retry_after_s=retry_after_s,
         )
 
-    def _record(self, run: _Run, answer: RequestAnswer) -> None:
+    def _abandoned(self, run: _Run) -> RequestAnswer:
+        """Return what is recorded of a request whose caller or process broke off."""
+        return RequestAnswer(
+            request_id=run.call.request_id,
+            outcome=Outcome.UNKNOWN if run.attempts else Outcome.NOT_RUN,
+            reason=RequestReason.ABANDONED,
+            upstream=run.status.upstream,
+            attempts=run.attempts,
+        )
+
+    def _end(self, run: _Run, answer: RequestAnswer) -> None:
+        self.counters.ended(answer)
+        self.book.close(run.status, answer)
         self._events.record(
             "request.ended",
             peer=answer.upstream,
