Make the pause between deciding and sending the same in every run

Cause: the test before this failed in about half of its runs, since a beat of the resumed process could legitimately keep the assignment valid before the check ran. Change: the check is called right after the jump, with nothing run between.

--- a/tests/test_job_failures.py
+++ b/tests/test_job_failures.py
@@ -195,8 +195,12 @@
                     break
                 await trio.sleep(0.001)
             assert queued
-            workers._decide()
+            decision = workers.core.decide(cluster.clock.wall(), 100)
+            assert decision.by_worker
+            # Nothing else runs in the jump, as in a paused process, nor before the check.
             autojump_clock.jump(30.0)
+            for commands in decision.by_worker:
+                await workers._starter.start(commands)
             await cluster.until(lambda: cluster.ended("j"), limit_s=120)
             cluster.assert_sound()
             records = cluster.platform.workers.ledger.records
