Restart an entry host under its name without moving its shard in the test

Cause: the test moved all shards, so a census came anyway. Change: only the workers go to the new process.

--- a/tests/test_job_failures.py
+++ b/tests/test_job_failures.py
@@ -91,12 +91,13 @@
     async def test_restarted_host_of_the_same_name_is_another_process(
         self, autojump_clock: Any
     ) -> None:
-        async with open_cluster(names="ab") as cluster:
+        async with open_cluster(names="ab", shards=1) as cluster:
             await cluster.submit(make_spec("j", tasks=60))
             await trio.sleep(2)
             cluster.kill("b")
             await cluster.start("b")
-            cluster.spread()
+            for worker in ("w1", "w3"):
+                cluster.give_worker(worker, "b")
             await cluster.until(lambda: cluster.ended("j"), limit_s=300)
             cluster.assert_sound()
             assert done_count(cluster, "j") == 60
