Let the restarted entry host have tasks queued before it dies

Cause: the shard's owner gave all tasks to itself before the first beats, so the test had nothing to lose; the comparison of incarnations was not needed for it to pass. Change: the test waits for the beats first and checks that the host has tasks queued. Conclusion: tasks given out in the first seconds all wait at one owner until they are recalled.

--- a/tests/test_job_failures.py
+++ b/tests/test_job_failures.py
@@ -92,8 +92,10 @@
         self, autojump_clock: Any
     ) -> None:
         async with open_cluster(names="ab", shards=1) as cluster:
+            await trio.sleep(3)  # Until the shard's owner knows of b's workers.
             await cluster.submit(make_spec("j", tasks=60))
             await trio.sleep(2)
+            assert cluster.hosts[B].workers.assigned.queued_of(0)
             cluster.kill("b")
             await cluster.start("b")
             for worker in ("w1", "w3"):
