--- a/src/galenastall/bench/scenarios/request_faults.py
+++ b/src/galenastall/bench/scenarios/request_faults.py
@@ -13,6 +13,7 @@
 )
 from galenastall.bench.fleet import Fleet, running_fleet
 from galenastall.bench.load import LoadPlan
+from galenastall.bench.processes import Usage
 from galenastall.bench.report import ScenarioResult
 from galenastall.bench.schedule import FaultContext, FaultSchedule, ScheduledFault
 from galenastall.proof.history import HistoryRecorder, UpstreamLeaving
@@ -56,9 +57,11 @@
         async def during() -> None:
             await _faults(fleet, recorder, settings.scale)
 
+        before, began = fleet.usage(), fleet.clock.wall()
         summary = await run_clients(
             fleet, recorder, settings.directory, load, clients=3, during=during
         )
+        _add_busiest(fleet, result, before, fleet.clock.wall() - began)
         add_load_figures(result, "load", summary)
         least = LEAST_REQUESTS if settings.scale >= 1 else None
         result.add("requests", summary.sent, "requests", at_least=least)
@@ -79,6 +82,14 @@
         )
 
 
+def _add_busiest(
+    fleet: Fleet, result: ScenarioResult, before: dict[str, Usage], spent_s: float
+) -> None:
+    """Add the processor time of the busiest entry host; one that was killed began anew."""
+    used = [usage.cpu_s - before[host].cpu_s for host, usage in fleet.usage().items()]
+    result.add("busiest entry host", max(used) / spent_s * 100.0, "% of a core")
+
+
 async def _faults(fleet: Fleet, recorder: HistoryRecorder, scale: float) -> None:
     killed, paused = list(fleet.entry_hosts_by_id)[:3:2]
     schedule = FaultSchedule(
