--- a/src/galenastall/bench/capacity.py
+++ b/src/galenastall/bench/capacity.py
@@ -111,9 +111,6 @@
     ended_jobs_kept: Assumption = Assumption(
         value=20_000.0, unit="jobs", why="constant of the job fold"
     )
-    base_rss_mb: Assumption = Assumption(
-        value=70.0, unit="MB", why="interpreter and libraries of an idle entry host"
-    )
     rss_factor: Assumption = Assumption(
         value=1.4, unit="x", why="resident memory over what Python holds"
     )
--- a/src/galenastall/bench/capacity_lines.py
+++ b/src/galenastall/bench/capacity_lines.py
@@ -149,9 +149,10 @@
     mechanism="one HTTP call a worker; its answer holds all that runs there",
 )
 def owner_listings_cpu(model: CapacityModel) -> float:
-    """Return processor time of listings."""
-    cost_us = model.each("http-call-cpu") + model.at("listing-cpu", tasks_per_worker(model))
-    return listing_calls_per_s(model) * cost_us * US_PER_S_TO_PERCENT
+    """Return processor time of listings; idle workers were measured at one listing a second."""
+    idle = listing_calls_per_s(model) * model.each("idle-worker-cpu")
+    tasks_us = listing_calls_per_s(model) * tasks_per_worker(model) * model.each("listing-cpu")
+    return idle + tasks_us * US_PER_S_TO_PERCENT
 
 
 @line(
@@ -418,6 +419,18 @@
     return model.assume("waiting_requests") * model.assume("waiting_request_kb") / 1024.0
 
 
+@line(
+    "process-cpu",
+    role="process",
+    quantity=Quantity.CPU,
+    what="an idle entry host alone in its data centre, without workers",
+    mechanism="timers of all services, long polls of two streams, the platform's list, logs",
+)
+def process_cpu(model: CapacityModel) -> float:
+    """Return processor time of an idle process."""
+    return model.at("idle-worker-cpu", 0.0)
+
+
 @line(
     "process-memory",
     role="process",
@@ -427,7 +440,7 @@
 )
 def process_memory(model: CapacityModel) -> float:
     """Return resident memory of an idle process."""
-    return model.assume("base_rss_mb")
+    return model.at("idle-host-memory", model.size.hosts_per_data_centre)
 
 
 @line(
