--- a/src/galenastall/cli/daemon_commands.py
+++ b/src/galenastall/cli/daemon_commands.py
@@ -1,43 +1,67 @@
 """Commands that run a process: `node` and `standin`."""
 
+import sys
 from pathlib import Path
 from typing import Annotated
 
-import structlog
+import msgspec
 import typer
 from returns.result import Failure
 
 from galenastall.cli.exit_codes import ExitCode
-from galenastall.node.process import run_entry_host
+from galenastall.node.process import StartError, run_entry_host
 from galenastall.protocol.process_settings import load_process_settings
 from galenastall.standin.process import run_standin
+from galenastall.standin.server import StandinAddresses
 from galenastall.standin.settings import load_standin_settings
+from galenastall.transport.logs import configure_logging, default_stream
 
 SettingsOption = Annotated[Path, typer.Option("--settings", help="YAML settings of this process.")]
 
 
 def node(settings: SettingsOption) -> None:
-    """Run an entry host until SIGTERM, then drain and leave.
+    """Run an entry host until SIGTERM or SIGINT, then drain and leave; a second signal ends it.
 
-    Exits with 0 after a drain that cut nothing off, 1 if requests were still open at its end, and
-    2 if the settings are unusable.
+    Writes one line of JSON to standard output once it is bound, with the addresses that it listens
+    on, and its log as JSON to standard error.
+
+    Exit codes: 0 drained and cut nothing off, 1 requests were cut off or a second signal broke the
+    drain off, 2 the settings are unusable.
     """
     loaded = load_process_settings(settings)
     if isinstance(loaded, Failure):
         typer.echo(str(loaded.failure()), err=True)
         raise typer.Exit(ExitCode.USAGE)
-    cut_off = run_entry_host(settings=loaded.unwrap())
-    raise typer.Exit(ExitCode.OK if cut_off == 0 else ExitCode.FAILED)
+    try:
+        ending = run_entry_host(settings=loaded.unwrap(), on_bound=print_event)
+    except StartError as error:
+        typer.echo(f"{settings}: {error}", err=True)
+        raise typer.Exit(ExitCode.USAGE) from None
+    raise typer.Exit(ExitCode.OK if ending.is_clean else ExitCode.FAILED)
 
 
 def standin(settings: SettingsOption) -> None:
-    """Run a stand-in of the platform, its workers and its upstreams until SIGTERM."""
+    """Run a stand-in of the platform, its workers and its upstreams until SIGTERM or SIGINT.
+
+    Writes one line of JSON to standard output once all is up, with the addresses of the log and
+    host list (`platform`), the knobs (`control`) and all hosts, and its log as JSON to standard
+    error.
+
+    Exit codes: 0 stopped by a signal, 2 the settings are unusable.
+    """
     loaded = load_standin_settings(settings)
     if isinstance(loaded, Failure):
         typer.echo(str(loaded.failure()), err=True)
         raise typer.Exit(ExitCode.USAGE)
-    log = structlog.get_logger("galenastall.standin")
-    run_standin(
-        settings=loaded.unwrap(),
-        on_ready=lambda addresses: log.info("standin.ready", addresses=addresses),
-    )
+    configure_logging(stream=default_stream())
+    run_standin(settings=loaded.unwrap(), on_ready=_print_ready)
+
+
+def print_event(event: object) -> None:
+    """Write one line of JSON to standard output, for whoever started this process."""
+    sys.stdout.write(msgspec.json.encode(event).decode() + "\n")
+    sys.stdout.flush()
+
+
+def _print_ready(addresses: StandinAddresses) -> None:
+    print_event({"event": "standin.ready", **msgspec.to_builtins(addresses)})
--- a/src/galenastall/coordination/admission.py
+++ b/src/galenastall/coordination/admission.py
@@ -6,7 +6,7 @@
 
 import heapq
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from galenastall.coordination.rates import DrainRate
@@ -29,6 +29,8 @@
     """Requests that may wait, over all classes and teams."""
     waiting_per_team: int = 500
     """Requests that one team may have waiting."""
+    waiting_by_team: Mapping[TeamPath, int] = field(default_factory=dict)
+    """The same for teams with a lower bound of their own."""
     wait_share: float = 0.5
     """Share of the time to its latest start that a request may be expected to wait."""
     lower_class_every: int = 20
@@ -305,7 +307,8 @@
         if request.latest_start <= now:
             return self._refuse("deadline_too_near", request.urgency)
         team_waiting = sum(queue.size_of(request.team) for queue in self._classes.values())
-        if team_waiting >= self.limits.waiting_per_team:
+        limits = self.limits
+        if team_waiting >= limits.waiting_by_team.get(request.team, limits.waiting_per_team):
             return self._refuse("team_queue_full", request.urgency)
         rate = self._drain.per_second
         may_wait_s = (request.latest_start - now) * self.limits.wait_share
--- a/src/galenastall/coordination/append_window.py
+++ b/src/galenastall/coordination/append_window.py
@@ -9,6 +9,7 @@
 
 DEFAULT_BUDGET_PER_S: Final = 150.0
 DEFAULT_GATHER_S: Final = 0.005
+DEFAULT_LONGEST_S: Final = 2.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -19,6 +20,8 @@
     """Appends a second of the whole fleet over all streams."""
     gather_s: float = DEFAULT_GATHER_S
     """Shortest wait for company, in seconds; the whole wait while the log is idle."""
+    longest_s: float = DEFAULT_LONGEST_S
+    """A longer wait for the next append is reported: the budget is short."""
 
 
 class AppendWindow:
--- a/src/galenastall/coordination/leases.py
+++ b/src/galenastall/coordination/leases.py
@@ -36,17 +36,33 @@
 class LeaseBook:
     """Leases by worker."""
 
-    def __init__(self, *, lease_s: float, renew_every_s: float, peer_word_s: float) -> None:
-        """`peer_word_s`: how fresh a peer's word must be to prove that it renews nothing."""
-        self._lease_s = lease_s
-        self._renew_every_s = renew_every_s
+    def __init__(
+        self,
+        *,
+        lease_s: float,
+        renew_every_s: float,
+        peer_word_s: float,
+        longest_lease_s: float = 0.0,
+    ) -> None:
+        """`peer_word_s`: how fresh a peer's word must be to prove that it renews nothing.
+
+        `longest_lease_s`: what any other entry host may have given, whatever it was told to give.
+        """
+        self._longest_lease_s = longest_lease_s
+        self.apply(lease_s=lease_s, renew_every_s=renew_every_s)
         self._peer_word_s = peer_word_s
         self._by_worker: dict[HostId, WorkerLease] = {}
         self._words: dict[HostId, PeerWord] = {}
 
+    def apply(self, *, lease_s: float, renew_every_s: float) -> None:
+        """Give leases of another length from now on; what was given stays in mind."""
+        self._lease_s = lease_s
+        self._renew_every_s = renew_every_s
+        self._longest_s = max(lease_s, self._longest_lease_s)
+
     def add(self, worker: HostId, now: float) -> None:
         """Begin with a worker: leases that another gave may end as late as one given now."""
-        self._by_worker[worker] = WorkerLease(latest_until=now + self._lease_s, heard_at=now)
+        self._by_worker[worker] = WorkerLease(latest_until=now + self._longest_s, heard_at=now)
 
     def remove(self, worker: HostId) -> None:
         """Forget a worker."""
@@ -100,7 +116,7 @@
         if any(word is None or word.at < now - self._peer_word_s for word in words):
             return False
         if any(worker in word.renewing for word in words if word):
-            lease.latest_until = max(lease.latest_until, now + self._lease_s)
+            lease.latest_until = max(lease.latest_until, now + self._longest_s)
             return False
         return now > lease.latest_until + CLOCK_SKEW_S
 
--- a/src/galenastall/coordination/membership.py
+++ b/src/galenastall/coordination/membership.py
@@ -25,7 +25,8 @@
     def __init__(self, *, me: Member, timings: OwnershipTimings) -> None:
         """Know nobody."""
         self._me = me
-        self._timings = timings
+        self.timings = timings
+        """Replaced when operators change them."""
         self._heard_at: dict[Incarnation, float] = {}
         self._view_by_incarnation: dict[Incarnation, PeerView] = {}
         self._absent_since_by_host: dict[HostId, float] = {}
@@ -71,7 +72,7 @@
         self._gone = frozenset(
             host
             for host, absent_since in self._absent_since_by_host.items()
-            if now - absent_since > self._timings.list_lag_s
+            if now - absent_since > self.timings.list_lag_s
         )
 
     def view(self, incarnation: Incarnation) -> PeerView | None:
@@ -87,7 +88,7 @@
         if incarnation == self._me.incarnation:
             return False
         heard_at = self._heard_at.get(incarnation)
-        return heard_at is None or now - heard_at > self._timings.suspect_s
+        return heard_at is None or now - heard_at > self.timings.suspect_s
 
     def silent(self, now: float) -> tuple[Incarnation, ...]:
         """Return the tracked members that are silent, sorted."""
--- a/src/galenastall/coordination/ownership.py
+++ b/src/galenastall/coordination/ownership.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
 from enum import StrEnum
 from math import inf
 from typing import Any, Final
@@ -106,6 +107,19 @@
             return holding.epoch
         return None
 
+    def apply_timings(self, timings: OwnershipTimings) -> None:
+        """Act by other timings from now on.
+
+        Takeovers go on waiting by the spans that this core was made with: no member acts on longer
+        ones, so members may take over a change one after the other.
+        """
+        self.legs.timings = timings
+        self.membership.timings = timings
+        caps = self.timings
+        self.timings = replace(
+            timings, vouch_s=caps.vouch_s, read_s=caps.read_s, flight_s=caps.flight_s
+        )
+
     def drain_commands(self) -> list[OwnershipCommand]:
         """Return and forget the commands to carry out, in order."""
         commands, self._commands = self._commands, []
--- a/src/galenastall/coordination/ownership_legs.py
+++ b/src/galenastall/coordination/ownership_legs.py
@@ -15,7 +15,8 @@
     def __init__(self, *, me: Incarnation, timings: OwnershipTimings) -> None:
         """Start with neither leg."""
         self._me = me
-        self._timings = timings
+        self.timings = timings
+        """Replaced when operators change them."""
         self.tip_read_at = -inf
         self._sequence = 0
         self._sent_at_by_sequence: dict[int, float] = {}
@@ -28,7 +29,7 @@
         self._sequence += 1
         self._sent_at_by_sequence[self._sequence] = now
         oldest = next(iter(self._sent_at_by_sequence))
-        while now - self._sent_at_by_sequence[oldest] > self._timings.vouch_s:
+        while now - self._sent_at_by_sequence[oldest] > self.timings.vouch_s:
             del self._sent_at_by_sequence[oldest]
             oldest = next(iter(self._sent_at_by_sequence))
         return self._sequence
@@ -70,7 +71,7 @@
 
     def has_log(self, now: float) -> bool:
         """Return whether the log leg stands."""
-        return now < self.tip_read_at + self._timings.read_s
+        return now < self.tip_read_at + self.timings.read_s
 
     def has_vouches(self, roster: Roster, now: float) -> bool:
         """Return whether the vouch leg stands for what is owned under `roster`."""
@@ -87,4 +88,4 @@
             (inf if i == self._me else vouched_at.get(i, -inf) for i in roster), reverse=True
         )
         majority = len(roster) // 2 + 1
-        return times[majority - 1] + self._timings.vouch_s
+        return times[majority - 1] + self.timings.vouch_s
--- a/src/galenastall/coordination/permit_types.py
+++ b/src/galenastall/coordination/permit_types.py
@@ -14,12 +14,19 @@
     begin_within_s: float = 2.0
     """From the ask until the request must have left; later the permit is void."""
     longest_s: float = 30.0
-    """From the ask until the request is over at the latest; bounds a takeover."""
+    """From the ask until the request is over at the latest."""
+    longest_cap_s: float = 0.0
+    """No owner grants longer ones; a takeover waits by this if it is above `longest_s`."""
     grace_s: float = 1.0
     """Further time for which the owner counts an unreturned slot as in use."""
     asks_per_client: int = 256
     """Asks that one entry host may have waiting at an owner."""
 
+    @property
+    def takeover_s(self) -> float:
+        """For how long permits of earlier owners may be out, whatever their settings were."""
+        return max(self.longest_s, self.longest_cap_s) + self.grace_s
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Permit:
--- a/src/galenastall/coordination/placement.py
+++ b/src/galenastall/coordination/placement.py
@@ -38,7 +38,7 @@
 from galenastall.state.hosts import ListedHost
 from galenastall.state.ids import Epoch, HostId, TaskId, TeamPath
 from galenastall.state.resources import Resources
-from galenastall.state.work import FinishedTask, RunningTask, TaskPhase, TaskSpec
+from galenastall.state.work import FinishedTask, RunningTask, TaskPhase, TaskSpec, Workload
 
 
 class PlacementCore:
@@ -104,14 +104,22 @@
             self._tables.drop_promise(promise.task_id)
 
     def drain_worker(self, worker_id: HostId) -> None:
-        """Give a worker nothing new and checkpoint what can go on elsewhere; the rest runs out."""
+        """Give a worker nothing new and let its tasks move; may be asked for again and again.
+
+        What can be checkpointed goes on elsewhere, services that may run again are stopped since
+        they would never end by themselves, and the rest runs out.
+        """
         self.set_worker_state(worker_id, WorkerState.LEAVING)
         worker = self._tables.workers_by_id.get(worker_id)
         if worker is None:
             return
         for placed in self._tables.on_worker(worker):
-            if placed.can_checkpoint and placed.phase is TaskPhase.RUNNING:
+            if placed.phase is not TaskPhase.RUNNING or placed.ending is not None:
+                continue
+            if placed.can_checkpoint:
                 self._tables.pending.checkpoint(placed, f"{worker_id} is drained")
+            elif placed.task.workload is Workload.SERVICE and placed.task.idempotent:
+                self._tables.pending.stop(placed, f"{worker_id} is drained")
 
     def set_reserved_elsewhere(self, reserved_by_team: Mapping[TeamPath, Resources]) -> None:
         """Say what teams have reserved with other owners, so that quotas hold over all of them."""
--- a/src/galenastall/coordination/slots.py
+++ b/src/galenastall/coordination/slots.py
@@ -81,7 +81,7 @@
         Each entry host in `silent` may hold permits of an earlier owner: until it has reported, or
         the longest permit has passed, the upstream counts as full.
         """
-        until = now + self.limits.longest_s + self.limits.grace_s
+        until = now + self.limits.takeover_s
         opened = _Upstream(info=upstream, epoch=epoch)
         opened.silent_until_by_client = dict.fromkeys(silent, until)
         self.close(upstream.host_id, now=now)
--- /dev/null
+++ b/src/galenastall/coordination/team_rates.py
@@ -0,0 +1,69 @@
+"""Limit the rate of each team's requests by token buckets; a team counts against those above it."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+from galenastall.state.ids import TeamPath
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TeamRate:
+    """How often a team may ask."""
+
+    per_s: float
+    burst: float
+    """Requests that may come at once after a pause."""
+
+
+class _Bucket:
+    __slots__ = ("at", "tokens")
+
+    def __init__(self, *, rate: TeamRate, now: float) -> None:
+        self.tokens = rate.burst
+        self.at = now
+
+    def fill(self, rate: TeamRate, now: float) -> None:
+        self.tokens = min(rate.burst, self.tokens + (now - self.at) * rate.per_s)
+        self.at = now
+
+
+class TeamRates:
+    """The buckets of one entry host."""
+
+    def __init__(self) -> None:
+        """Start with full buckets."""
+        self._buckets_by_team: dict[TeamPath, _Bucket] = {}
+
+    def take(
+        self, *, team: TeamPath, rates_by_team: Mapping[TeamPath, TeamRate], now: float
+    ) -> float:
+        """Count one request; return 0, or the seconds to wait if it is one too many.
+
+        A request that is one too many for the team or any team above it counts for none of them.
+        """
+        spent: list[_Bucket] = []
+        wait_s = 0.0
+        for path in _lineage(team):
+            rate = rates_by_team.get(path)
+            if rate is None:
+                self._buckets_by_team.pop(path, None)
+                continue
+            bucket = self._buckets_by_team.get(path)
+            if bucket is None:
+                bucket = self._buckets_by_team[path] = _Bucket(rate=rate, now=now)
+            bucket.fill(rate, now)
+            wait_s = max(wait_s, (1.0 - bucket.tokens) / rate.per_s)
+            spent.append(bucket)
+        if wait_s > 0.0:
+            return wait_s
+        for bucket in spent:
+            bucket.tokens -= 1.0
+        return 0.0
+
+
+def _lineage(team: TeamPath) -> Iterator[TeamPath]:
+    """Yield the team and all teams above it."""
+    path: str = team
+    while path:
+        yield TeamPath(path)
+        path = path.rpartition("/")[0]
--- a/src/galenastall/node/entry_host.py
+++ b/src/galenastall/node/entry_host.py
@@ -6,19 +6,23 @@
 
 import trio
 
+from galenastall import __version__
 from galenastall.node.host_list_service import HostListPoller, peer_addresses
-from galenastall.node.host_metrics import register_host_metrics
-from galenastall.node.http_drain import HttpDrain
+from galenastall.node.host_metrics import owned_by_kind, register_host_metrics
+from galenastall.node.http_drain import OUTAGE_WARNING, HttpDrain
 from galenastall.node.http_ops import HttpOps
 from galenastall.node.http_settings import HttpSettings
+from galenastall.node.http_status import HostStatus, HttpStatus, LogStatus, WorkStatus
 from galenastall.node.job_side import JobSide
 from galenastall.node.log_service import LogSide
+from galenastall.node.memory_watch import MemoryWatch
 from galenastall.node.ownables import ShardCounts
 from galenastall.node.ownership_service import OwnershipService
+from galenastall.node.process_security import curve_keys, tls_files
 from galenastall.node.request_side import RequestSide
 from galenastall.node.settings_mapping import (
+    find_problem,
     find_team_problem,
-    find_unknown_name,
     make_ownership_timings,
     make_placement_settings,
     make_request_settings,
@@ -30,7 +34,6 @@
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.platform import Platform
 from galenastall.protocol.process_settings import ProcessSettings
-from galenastall.protocol.security import CurveKeys, TlsFiles
 from galenastall.state.hosts import HostListing
 from galenastall.state.ids import (
     SETTINGS_STREAM,
@@ -50,6 +53,8 @@
 
 SHARDS: Final = ShardCounts()
 """The same on every entry host: it decides which shard a key or a job is in."""
+LAST_ANSWERS_S: Final = 2.0
+"""Least time for answers on their way when a drain ends, in seconds."""
 
 
 class EntryHost:
@@ -83,9 +88,11 @@
             incarnation=incarnation,
             clock=clock,
             bind=settings.peer_bind,
-            curve=_curve_keys(settings),
+            curve=curve_keys(settings),
             faults=link_faults,
+            hybrid=self.recorder.hybrid,
             log_error=self.recorder.record_error,
+            on_intruder=self._on_intruder,
         )
         self._peer_ids: tuple[HostId, ...] = ()
         self._seeds = {HostId(name): address for name, address in settings.seeds.items()}
@@ -100,6 +107,8 @@
             live_hosts=lambda: 1 + len(self._peer_ids),
             limits=lambda: make_window_limits(self.shared.current),
             events=self.recorder,
+            settle_s=SharedSettings().log.settle_s,
+            queue_records=settings.memory.log_queue_records,
         )
         self.host_list = HostListPoller(
             service=platform.host_list, clock=clock, rng=rng, events=self.recorder
@@ -113,11 +122,11 @@
             follower=self.log_side.followers_by_stream[SETTINGS_STREAM],
             peers=self.link,
             peer_ids=lambda: self._peer_ids,
-            find_problem=find_unknown_name,
+            find_problem=find_problem,
             events=self.recorder,
         )
         self.shared.on_change(self._on_settings)
-        self._request_settings = make_request_settings(self.shared.current)
+        self._request_settings = make_request_settings(self.shared.current, settings.memory)
         follower = self.log_side.followers_by_stream[own_stream]
         self.ownership = OwnershipService(
             host_id=self.host_id,
@@ -163,6 +172,7 @@
             rng=rng,
             events=self.recorder,
         )
+        self.memory = MemoryWatch(limit_mb=settings.memory.total_mb, events=self.recorder)
         self.timeline = TimelineService(
             link=self.link, ring=self.recorder.ring, peers=lambda: self._peer_ids
         )
@@ -176,21 +186,27 @@
             ownership=self.ownership,
             request_side=self.request_side,
             job_side=self.job_side,
+            memory=self.memory,
         )
         self.drain_route = HttpDrain(is_log_up=lambda: appender.is_log_up)
         self.server = HttpServer(
             handlers=(
                 ops,
                 self.drain_route,
+                HttpStatus(describe=self.status),
                 HttpSettings(service=self.shared),
                 self.request_side.routes,
                 self.job_side.routes,
             ),
             clock=clock,
             bind=settings.http_bind,
-            tls=_tls_files(settings),
+            tls=tls_files(settings),
+            verify_clients=settings.tls is not None and settings.tls.ca_file is not None,
             log_error=self.recorder.record_error,
         )
+        self._incarnation = incarnation
+        self._clock = clock
+        self._started_at = clock.now()
         self._is_draining = False
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -198,7 +214,9 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self.link.run)
             await nursery.start(self.server.run)
+            self._record_bound()
             task_status.started()
+            await nursery.start(self.memory.run)
             await nursery.start(self.host_list.run)
             await nursery.start(self.log_side.run)
             await nursery.start(self.shared.run)
@@ -212,14 +230,20 @@
         New work is refused first, so that callers go elsewhere while what runs here ends.
         """
         self._is_draining = True
-        timeout_s = self.settings.drain_timeout_seconds
-        self.recorder.record("node.drain", subjects=(self.host_id,))
-        with trio.move_on_after(timeout_s):
+        deadline = self._clock.now() + self.settings.drain_timeout_seconds
+        is_log_up = self.log_side.appender.is_log_up
+        self.recorder.record(
+            "node.drain",
+            subjects=(self.host_id,),
+            cause="" if is_log_up else OUTAGE_WARNING,
+            level=Level.INFO if is_log_up else Level.WARNING,
+        )
+        with trio.move_on_after(self.settings.drain_timeout_seconds):
             await self.job_side.drain()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.request_side.drain)
                 nursery.start_soon(self.ownership.drain)
-        cut_off = await self.server.drain(timeout_s)
+        cut_off = await self.server.drain(max(LAST_ANSWERS_S, deadline - self._clock.now()))
         self.recorder.record(
             "node.drained", subjects=(self.host_id,), fields={"cut_off": str(cut_off)}
         )
@@ -235,11 +259,76 @@
         if not self.ownership.is_member:
             reasons.append("not yet in the roster of its data centre")
         reasons.extend(self.shared.not_ready_reasons())
+        reasons.extend(self.memory.not_ready_reasons())
         return reasons
 
+    def status(self) -> HostStatus:
+        """Return how this entry host stands, for operators."""
+        reasons = tuple(self.not_ready_reasons())
+        return HostStatus(
+            host_id=self.host_id,
+            data_centre=self.data_centre,
+            incarnation=self._incarnation,
+            version=__version__,
+            http_address=self.server.address,
+            peer_address=self.link.address,
+            uptime_s=round(self._clock.now() - self._started_at, 3),
+            ready=not reasons,
+            reasons=reasons,
+            draining=self._is_draining,
+            roster=tuple(sorted(self.ownership.roster())),
+            owned_by_kind=owned_by_kind(self.ownership),
+            host_list_age_s=self.host_list.age_s(),
+            settings_digest=self.shared.fold.digest,
+            log=self._log_status(),
+            work=self._work_status(),
+            resident_mb=round(self.memory.resident_mb, 1),
+        )
+
+    def _log_status(self) -> LogStatus:
+        appender = self.log_side.appender
+        followers = self.log_side.followers_by_stream.items()
+        return LogStatus(
+            is_up=appender.is_log_up,
+            is_fresh=self.ownership.has_log_leg,
+            next_offset_by_stream={name: int(each.next_offset) for name, each in followers},
+            queued=appender.queued,
+            unresolved=len(appender.unresolved),
+        )
+
+    def _work_status(self) -> WorkStatus:
+        summary = self.job_side.core.summary()
+        return WorkStatus(
+            requests_waiting=self.request_side.requests.waiting,
+            requests_in_progress=self.request_side.requests.in_progress,
+            permits_held=self.request_side.permits.held,
+            tasks_waiting_by_class={str(k): v for k, v in summary.waiting_by_class.items()},
+            tasks_placed=summary.running,
+        )
+
+    def _record_bound(self) -> None:
+        self.recorder.record(
+            "node.bound",
+            subjects=(self.host_id,),
+            fields={"http": self.server.address, "peer": self.link.address},
+        )
+
+    def _on_intruder(self, peer: str, why: str) -> None:
+        self.recorder.record("peer.kept_out", peer=peer, cause=why, level=Level.WARNING)
+
     def _on_settings(self, current: SharedSettings) -> None:
-        self._request_settings = make_request_settings(current)
-        self.job_side.core.apply_settings(make_placement_settings(current))
+        self._request_settings = make_request_settings(current, self.settings.memory)
+        self.ownership.apply_timings(make_ownership_timings(current))
+        self.log_side.appender.set_settle(current.log.settle_s)
+        self.job_side.apply_settings(
+            placement=make_placement_settings(current),
+            timings=make_worker_timings(current),
+            drained=current.drained_ids,
+        )
+        if self.host_id in current.drained_ids and not self.drain_route.asked.is_set():
+            cause = "the shared settings list it under drains"
+            self.recorder.record("node.drain_asked", subjects=(self.host_id,), cause=cause)
+            self.drain_route.asked.set()
 
     def _on_listing(self, listing: HostListing, fetched_at: float) -> None:
         self._set_peers({**self._seeds, **peer_addresses(listing, own=self.host_id)})
@@ -250,25 +339,3 @@
 
     def _find_team_problem(self, spec: JobSpec) -> str | None:
         return find_team_problem(self.shared.current, spec)
-
-
-def _curve_keys(settings: ProcessSettings) -> CurveKeys | None:
-    if settings.curve is None:
-        return None
-    allowed = {HostId(name): key for name, key in settings.curve.allowed_by_host_id.items()}
-    return CurveKeys(
-        public_key=settings.curve.public_key,
-        secret_key=settings.curve.secret_key,
-        allowed_by_host_id=allowed,
-    )
-
-
-def _tls_files(settings: ProcessSettings) -> TlsFiles | None:
-    if settings.tls is None:
-        return None
-    ca_file = settings.tls.ca_file
-    return TlsFiles(
-        cert_file=str(settings.tls.cert_file),
-        key_file=str(settings.tls.key_file),
-        ca_file=None if ca_file is None else str(ca_file),
-    )
--- a/src/galenastall/node/group_commit.py
+++ b/src/galenastall/node/group_commit.py
@@ -160,6 +160,15 @@
             follower.on_tip(self._settle_unseen)
             follower.on_gap(partial(self._passed_over, follower.stream))
 
+    @property
+    def queued(self) -> int:
+        """Records that wait to be sent."""
+        return sum(len(queue.waiting) for queue in self._queues_by_stream.values())
+
+    def set_settle(self, settle_s: float) -> None:
+        """Take the platform's word on how long an unanswered append may still take effect."""
+        self._settle_s = settle_s
+
     @property
     def is_log_up(self) -> bool:
         """Whether the last call to the log succeeded."""
@@ -211,14 +220,23 @@
         while True:
             await queue.wait_nonempty()
             now = self._clock.now()
-            send_at = self._window.reserve(
-                now=now, limits=self._limits(), live_hosts=self._live_hosts()
-            )
+            limits = self._limits()
+            send_at = self._window.reserve(now=now, limits=limits, live_hosts=self._live_hosts())
+            if send_at - now > limits.longest_s:
+                self._note_short_budget(stream, send_at - now, limits)
             await trio.sleep(max(0.0, send_at - now))
             batch = queue.take_batch()
             if batch:
                 await self._append_batch(stream, queue, batch)
 
+    def _note_short_budget(self, stream: StreamName, wait_s: float, limits: WindowLimits) -> None:
+        self._events.record(
+            "log.budget_short",
+            peer=stream,
+            cause=f"the next append waits {wait_s:.1f} s for its share of the budget",
+            fields={"budget_per_s": f"{limits.budget_per_s:g}"},
+        )
+
     async def _append_batch(
         self, stream: StreamName, queue: _StreamQueue, batch: list[_Pending]
     ) -> None:
--- a/src/galenastall/node/host_metrics.py
+++ b/src/galenastall/node/host_metrics.py
@@ -1,16 +1,21 @@
 """Gauges over all services of an entry host; read at each scrape, so they cost nothing between."""
 
+from dataclasses import fields
 from functools import partial
+from typing import Final
 
 from galenastall.node.job_side import JobSide
 from galenastall.node.log_service import LogSide
+from galenastall.node.memory_watch import MemoryWatch
 from galenastall.node.ownership_service import OwnershipService
 from galenastall.node.request_side import RequestSide
 from galenastall.state.ids import split_ownable_id
+from galenastall.transport.link_faults import DroppedCounters
 from galenastall.transport.metrics import Metrics
 from galenastall.transport.peer_link import ZmqPeerLink
 
 Labels = tuple[str, ...]
+DROPPED: Final = tuple(field.name for field in fields(DroppedCounters))
 
 
 def register_host_metrics(
@@ -21,6 +26,7 @@
     ownership: OwnershipService,
     request_side: RequestSide,
     job_side: JobSide,
+    memory: MemoryWatch,
 ) -> None:
     """Show what the services count; the guide's page on metrics says what each means."""
     _register_link(metrics, link)
@@ -28,6 +34,18 @@
     _register_ownership(metrics, ownership)
     _register_requests(metrics, request_side)
     _register_jobs(metrics, job_side)
+    metrics.gauge(
+        "galenastall_resident_mb", "resident memory in mebibytes", lambda: memory.resident_mb
+    )
+
+
+def owned_by_kind(ownership: OwnershipService) -> dict[str, int]:
+    """Return how many ownables of each kind this entry host owns."""
+    counts: dict[str, int] = {}
+    for ownable in ownership.owned():
+        kind, _ = split_ownable_id(ownable)
+        counts[kind.value] = counts.get(kind.value, 0) + 1
+    return counts
 
 
 def _register_link(metrics: Metrics, link: ZmqPeerLink) -> None:
@@ -46,6 +64,18 @@
         "connections of hosts without an allowed key",
         lambda: float(link.refused_connections),
     )
+    metrics.gauge(
+        "galenastall_peer_refused_keys",
+        "the same by IP number and public key",
+        lambda: {peer: float(count) for peer, count in link.refused_by_peer.items()},
+        labels=("address", "key"),
+    )
+    for field in DROPPED:
+        metrics.gauge(
+            f"galenastall_peer_dropped_{field}",
+            f"peer messages dropped: {field.replace('_', ' ')}",
+            partial(getattr, link.dropped, field),
+        )
 
 
 def _register_log(metrics: Metrics, log_side: LogSide) -> None:
@@ -59,6 +89,16 @@
         "appends to the log since start",
         lambda: float(log_side.appender.appends),
     )
+    metrics.gauge(
+        "galenastall_log_queued",
+        "records that wait for an append",
+        lambda: float(log_side.appender.queued),
+    )
+    metrics.gauge(
+        "galenastall_log_unresolved",
+        "records sent of which nobody knows yet whether they were appended",
+        lambda: float(len(log_side.appender.unresolved)),
+    )
     metrics.gauge(
         "galenastall_log_up",
         "1 if the last call to the log succeeded",
@@ -68,11 +108,7 @@
 
 def _register_ownership(metrics: Metrics, ownership: OwnershipService) -> None:
     def owned() -> dict[Labels, float]:
-        counts: dict[Labels, float] = {}
-        for ownable in ownership.owned():
-            kind, _ = split_ownable_id(ownable)
-            counts[(kind.value,)] = counts.get((kind.value,), 0.0) + 1.0
-        return counts
+        return {(kind,): float(count) for kind, count in owned_by_kind(ownership).items()}
 
     metrics.gauge("galenastall_owned", "what this host owns, by kind", owned, labels=("kind",))
     metrics.gauge(
@@ -106,7 +142,14 @@
         "requests without a final answer",
         lambda: side.requests.in_progress,
     )
-    for name in ("retries", "retries_denied", "foreign_answers", "cut_answers", "void_permits"):
+    for name in (
+        "retries",
+        "retries_denied",
+        "foreign_answers",
+        "cut_answers",
+        "broken_streams",
+        "void_permits",
+    ):
         metrics.gauge(
             f"galenastall_requests_{name}",
             f"{name.replace('_', ' ')} since start",
--- a/src/galenastall/node/http_requests.py
+++ b/src/galenastall/node/http_requests.py
@@ -11,6 +11,7 @@
 from galenastall.node.permit_settings import RequestSettings
 from galenastall.node.request_service import RequestService
 from galenastall.node.request_types import Body, RequestAnswer, RequestCall, RequestReason
+from galenastall.node.team_gate import TeamGate
 from galenastall.protocol.clock import Clock
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import RequestId, TeamPath
@@ -56,6 +57,7 @@
     RequestReason.KEY_MISMATCH: 422,
     RequestReason.KEY_REFUSED: 400,
     RequestReason.INVALID: 400,
+    RequestReason.UNKNOWN_TEAM: 403,
 }
 """Reasons with a status of their own, whatever the outcome."""
 NOT_RUN_STATUS_BY_REASON: Final = {
@@ -72,6 +74,15 @@
     idempotent: bool
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RefusalBody:
+    """What a caller reads where there is no answer of an upstream to read."""
+
+    outcome: Outcome
+    reason: RequestReason
+    detail: str
+
+
 class RequestRoutes:
     """Routes for callers."""
 
@@ -84,6 +95,7 @@
         settings: Callable[[], RequestSettings],
     ) -> None:
         """`keyed` also takes requests without a key."""
+        self._gate = TeamGate(clock=clock, settings=settings)
         self._clock = clock
         self._requests = requests
         self._keyed = keyed
@@ -98,6 +110,9 @@
         if isinstance(parsed, Failure):
             return self._refuse(parsed.failure(), request)
         headers = parsed.unwrap()
+        shut = self._gate.check(team=headers.team, request_id=_request_id(request.headers))
+        if shut is not None:
+            return respond(self._requests.count(shut))
         key = request.headers.get(KEY, "")
         body = await self._body(request, settings, keyed=bool(key))
         if isinstance(body, Failure):
@@ -170,6 +185,9 @@
         headers[RETRY_AFTER_MS] = str(math.ceil(answer.retry_after_s * 1000))
     if answer.home:
         headers[HOME] = answer.home
+    if not answer.body and answer.detail:
+        why = RefusalBody(outcome=answer.outcome, reason=answer.reason, detail=answer.detail)
+        return json_response(_status(answer), why, headers=headers)
     if answer.content_type:
         headers["content-type"] = answer.content_type
     return HttpResponse(status=_status(answer), headers=headers, body=answer.body)
--- a/src/galenastall/node/job_side.py
+++ b/src/galenastall/node/job_side.py
@@ -20,7 +20,7 @@
 from galenastall.protocol.peers import PeerLink
 from galenastall.protocol.platform import WorkerService as WorkerCalls
 from galenastall.state.hosts import HostListing
-from galenastall.state.ids import DataCentre, Incarnation
+from galenastall.state.ids import DataCentre, HostId, Incarnation
 from galenastall.state.job_fold import JobFold
 from galenastall.state.work import JobSpec
 
@@ -94,6 +94,13 @@
             intake=intake, fold=fold, workers=self.workers, ownership=ownership, clock=clock
         )
 
+    def apply_settings(
+        self, *, placement: PlacementSettings, timings: WorkerTimings, drained: frozenset[HostId]
+    ) -> None:
+        """Go by other settings from the next decision on; `drained` names workers to empty."""
+        self.core.apply_settings(placement)
+        self.workers.apply_settings(timings, drained)
+
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Drive shards and workers until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/src/galenastall/node/lease_helper.py
+++ b/src/galenastall/node/lease_helper.py
@@ -39,7 +39,7 @@
         self._workers = workers
         self._ownership = ownership
         self._clock = clock
-        self._timings = timings
+        self.timings = timings
         self._listed_workers = listed_workers
         self._events = events
         self._heard_at: dict[HostId, float] = {}
@@ -58,13 +58,13 @@
         """Check and renew until cancelled."""
         task_status.started()
         while True:
-            await trio.sleep(self._timings.announce_s / 2)
+            await trio.sleep(self.timings.announce_s / 2)
             now = self._clock.wall()
             self._choose(now)
             due = [
                 worker
                 for worker, since in self._since.items()
-                if now >= since + self._timings.announce_s
+                if now >= since + self.timings.announce_s
             ]
             async with trio.open_nursery() as nursery:
                 for worker in due:
@@ -93,13 +93,13 @@
 
     def _is_silent(self, host: HostId, now: float) -> bool:
         heard = self._heard_at.get(host, self._started_at)
-        return now > heard + self._timings.owner_silent_s
+        return now > heard + self.timings.owner_silent_s
 
     async def _renew(self, worker: HostId) -> None:
         host = self._listed_workers().get(worker)
         if host is None:
             return
-        with trio.move_on_after(self._timings.call_s):
+        with trio.move_on_after(self.timings.call_s):
             listed = await self._workers.listing(address=host.address)
             if not isinstance(listed, Success):
                 return
@@ -110,7 +110,7 @@
             await self._workers.renew(
                 address=host.address,
                 tasks=tasks,
-                lease_until=self._clock.wall() + self._timings.lease_s,
+                lease_until=self._clock.wall() + self.timings.lease_s,
             )
 
 
--- a/src/galenastall/node/log_service.py
+++ b/src/galenastall/node/log_service.py
@@ -6,7 +6,11 @@
 import trio
 
 from galenastall.coordination.append_window import WindowLimits
-from galenastall.node.group_commit import DEFAULT_SETTLE_S, GroupCommitAppender
+from galenastall.node.group_commit import (
+    DEFAULT_QUEUE_RECORDS,
+    DEFAULT_SETTLE_S,
+    GroupCommitAppender,
+)
 from galenastall.node.stream_follower import DEFAULT_POLL_WAIT_S, LogHealth, LogStreamFollower
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink
@@ -32,6 +36,7 @@
         events: EventSink | None = None,
         poll_wait_s: float = DEFAULT_POLL_WAIT_S,
         settle_s: float = DEFAULT_SETTLE_S,
+        queue_records: int = DEFAULT_QUEUE_RECORDS,
     ) -> None:
         """`writer` must be unique for each life of a process; folds subscribe before `run`."""
         self.health = LogHealth()
@@ -58,6 +63,7 @@
             limits=limits,
             events=events,
             settle_s=settle_s,
+            queue_records=queue_records,
         )
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
--- a/src/galenastall/node/ownership_service.py
+++ b/src/galenastall/node/ownership_service.py
@@ -72,6 +72,7 @@
         """
         self._data_centre = data_centre
         self._timings = timings
+        self._in_force = timings
         self._clock = clock
         self._appender = appender
         self._follower = follower
@@ -148,6 +149,11 @@
         """Return all that should have an owner in this data centre."""
         return self._core.ownables or frozenset()
 
+    def apply_timings(self, timings: OwnershipTimings) -> None:
+        """Act by other timings from now on; takeovers wait by those that this was made with."""
+        self._in_force = timings
+        self._core.apply_timings(timings)
+
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Take part until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -278,6 +284,7 @@
             timings=self._timings,
             fold=old.fold,
         )
+        self._core.apply_timings(self._in_force)
         if old.ownables is not None:
             self._core.on_ownables(old.ownables)
 
--- a/src/galenastall/node/permit_owner.py
+++ b/src/galenastall/node/permit_owner.py
@@ -298,8 +298,7 @@
         self, upstream: HostId, epoch: Epoch, client: HostId, report: PermitReport
     ) -> None:
         """Count what an entry host holds; a young process's earlier life stays waited for."""
-        limits = self.slots.limits
-        if report.alive_s < limits.longest_s + limits.grace_s:
+        if report.alive_s < self.slots.limits.takeover_s:
             return
         self.slots.report(
             upstream=upstream,
--- a/src/galenastall/node/permit_service.py
+++ b/src/galenastall/node/permit_service.py
@@ -62,8 +62,8 @@
         self._events = events
         self._started_at = clock.now()
         limits = settings().permits
+        self._longest_s = limits.takeover_s
         self._holder = PermitHolder(limits=limits)
-        self._longest_s = limits.longest_s + limits.grace_s
         self.owner = PermitOwner(
             clock=clock,
             peers=peers,
@@ -253,6 +253,7 @@
 
     def _tick(self) -> None:
         now = self._clock.now()
+        self._apply_settings()
         self._refresh_owners()
         self._seen_at_by_client.update(dict.fromkeys(self._ownership.roster(), now))
         stale = [o for o, at in self._heard_at_by_id.items() if at + LOAD_STALE_S <= now]
@@ -263,6 +264,14 @@
         self.owner.tick()
         self.pump()
 
+    def _apply_settings(self) -> None:
+        settings = self._settings()
+        limits = settings.permits
+        self._holder.limits = limits
+        self._longest_s = limits.takeover_s
+        self.owner.slots.limits = limits
+        self.owner.ejection.limits = settings.ejection
+
     def _refresh_owners(self) -> None:
         owners = {
             owner
--- a/src/galenastall/node/permit_settings.py
+++ b/src/galenastall/node/permit_settings.py
@@ -9,6 +9,7 @@
 from galenastall.coordination.keys import KeyHomes, KeyRules
 from galenastall.coordination.permit_types import PermitLimits
 from galenastall.coordination.retries import RetryLimits
+from galenastall.coordination.team_rates import TeamRate
 from galenastall.protocol.clock import Clock
 from galenastall.state.ids import HostId, TeamPath
 
@@ -22,12 +23,15 @@
 
     admission: AdmissionLimits = field(default_factory=AdmissionLimits)
     permits: PermitLimits = field(default_factory=PermitLimits)
-    """Taken at start; a change needs a restart, since owner and asker must agree."""
     retries: RetryLimits = field(default_factory=RetryLimits)
     ejection: EjectionLimits = field(default_factory=EjectionLimits)
     keys: KeyRules = field(default_factory=KeyRules)
     key_homes: tuple[KeyHomes, ...] = ()
     """Data centres that share the keys; empty: each key is at home where it arrives."""
+    rates_by_team: dict[TeamPath, TeamRate] = field(default_factory=dict)
+    """Teams whose requests are limited in rate."""
+    teams: frozenset[TeamPath] = frozenset()
+    """Teams that may ask; empty: every team may."""
     weights_by_team: dict[TeamPath, float] = field(default_factory=dict)
     leaving: frozenset[HostId] = frozenset()
     """Upstreams that get nothing new."""
--- a/src/galenastall/node/process.py
+++ b/src/galenastall/node/process.py
@@ -3,7 +3,8 @@
 import random
 import signal
 import uuid
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
 from functools import partial
 
 import trio
@@ -11,6 +12,7 @@
 from galenastall.node.entry_host import EntryHost
 from galenastall.protocol.platform import PLATFORM_ADAPTERS, Platform
 from galenastall.protocol.process_settings import ProcessSettings
+from galenastall.state.errors import GalenastallError, UnknownNameError
 from galenastall.state.ids import HostId, Incarnation
 from galenastall.transport import platform_http
 from galenastall.transport.clock import TrioClock
@@ -21,35 +23,101 @@
 """Imported so that the registry of adapters is full."""
 
 
-def run_entry_host(*, settings: ProcessSettings) -> int:
-    """Run until SIGTERM or SIGINT, drain, and return how many requests were cut off."""
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ending:
+    """How a process ended."""
+
+    cut_off: int
+    """Requests that were still open."""
+    is_drained: bool
+    """False if a second signal broke the drain off."""
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether nothing was cut off."""
+        return self.is_drained and not self.cut_off
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BoundAddresses:
+    """Where an entry host is reached, known once it is bound."""
+
+    host_id: str
+    http: str
+    peer: str
+    event: str = "node.bound"
+
+
+BoundSink = Callable[[BoundAddresses], None]
+
+
+class StartError(GalenastallError):
+    """The settings are well formed, and the process can't run with them."""
+
+
+def run_entry_host(*, settings: ProcessSettings, on_bound: BoundSink) -> Ending:
+    """Run until SIGTERM or SIGINT and drain; `on_bound` gets the addresses.
+
+    Raises StartError naming what is in the way.
+    """
     configure_logging(stream=default_stream(), level=Level[settings.log_level.upper()])
-    return trio.run(partial(serve_entry_host, settings=settings))
+    return trio.run(partial(serve_entry_host, settings=settings, on_bound=on_bound))
 
 
-async def serve_entry_host(*, settings: ProcessSettings) -> int:
+async def serve_entry_host(*, settings: ProcessSettings, on_bound: BoundSink) -> Ending:
     """Serve until a signal to stop; a second signal ends the drain at once."""
-    clock = TrioClock()
-    client = HttpClient(clock=clock)
-    rng = random.Random(uuid.uuid4().int)
-    host = EntryHost(
-        settings=settings,
-        platform=connect_platform(settings=settings, client=client, clock=clock),
-        clock=clock,
-        rng=rng,
-        incarnation=Incarnation(uuid.uuid4().hex[:12]),
-        log_stream=default_stream(),
-    )
+    host = build_entry_host(settings=settings)
     cut_off, is_drained = 0, False
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
-            await nursery.start(host.run)
+            await _start(host, nursery)
+            on_bound(
+                BoundAddresses(
+                    host_id=settings.host_id, http=host.server.address, peer=host.link.address
+                )
+            )
             await _wait_for_stop(signals, host.drain_route.asked)
             nursery.start_soon(_cancel_on_signal, signals, nursery.cancel_scope)
             cut_off = await host.drain()
             is_drained = True
             nursery.cancel_scope.cancel()
-    return cut_off if is_drained else host.server.open_requests
+    if not is_drained:
+        cut_off = host.server.open_requests
+    return Ending(cut_off=cut_off, is_drained=is_drained)
+
+
+def build_entry_host(*, settings: ProcessSettings) -> EntryHost:
+    """Return an entry host that is not yet running; raises StartError for unusable settings."""
+    clock = TrioClock()
+    client = HttpClient(clock=clock)
+    try:
+        return EntryHost(
+            settings=settings,
+            platform=connect_platform(settings=settings, client=client, clock=clock),
+            clock=clock,
+            rng=random.Random(uuid.uuid4().int),
+            incarnation=Incarnation(uuid.uuid4().hex[:12]),
+            log_stream=default_stream(),
+        )
+    except UnknownNameError as error:
+        raise StartError(f"platform.adapter: {error}") from error
+    except (OSError, ValueError) as error:
+        raise StartError(str(error)) from error
+
+
+async def _start(host: EntryHost, nursery: trio.Nursery) -> None:
+    try:
+        await nursery.start(host.run)
+    except BaseExceptionGroup as group:
+        found = group.subgroup((OSError, ValueError))
+        if found is None:
+            raise
+        raise StartError(str(_first_leaf(found))) from group
+
+
+def _first_leaf(group: BaseExceptionGroup[BaseException]) -> BaseException:
+    found = group.exceptions[0]
+    return _first_leaf(found) if isinstance(found, BaseExceptionGroup) else found
 
 
 def connect_platform(
--- a/src/galenastall/node/request_side.py
+++ b/src/galenastall/node/request_side.py
@@ -76,7 +76,10 @@
             data_centre=data_centre, clock=clock, keys=self.keys, requests=self.requests
         )
         self.routes = RequestRoutes(
-            clock=clock, requests=self.requests, keyed=keyed, settings=settings
+            clock=clock,
+            requests=self.requests,
+            keyed=keyed,
+            settings=settings,
         )
 
     def set_hosts(self, listing: HostListing, fetched_at: float) -> None:
--- a/src/galenastall/node/request_types.py
+++ b/src/galenastall/node/request_types.py
@@ -14,6 +14,10 @@
 
     NONE = ""
     QUEUE_FULL = "queue_full"
+    UNKNOWN_TEAM = "unknown_team"
+    """The shared settings name teams, and not this one."""
+    TEAM_RATE = "team_rate"
+    """The team, or one above it, asks more often than its settings allow."""
     TEAM_QUEUE_FULL = "team_queue_full"
     DEADLINE_TOO_NEAR = "deadline_too_near"
     WOULD_MISS_DEADLINE = "would_miss_deadline"
--- a/src/galenastall/node/settings_mapping.py
+++ b/src/galenastall/node/settings_mapping.py
@@ -1,6 +1,8 @@
 """From the shared tree to the settings that each matter takes."""
 
+from collections.abc import Iterator
 from dataclasses import replace
+from typing import Final
 
 from galenastall.coordination.admission import AdmissionLimits
 from galenastall.coordination.append_window import WindowLimits
@@ -9,16 +11,34 @@
 from galenastall.coordination.ownership_timings import OwnershipTimings
 from galenastall.coordination.permit_types import PermitLimits
 from galenastall.coordination.placement_commands import TeamShare
-from galenastall.coordination.placement_settings import PlacementSettings
+from galenastall.coordination.placement_settings import DEFAULT_POLICY, PlacementSettings
 from galenastall.coordination.policies import PLACEMENT_POLICIES
 from galenastall.coordination.retries import RetryLimits
+from galenastall.coordination.team_rates import TeamRate
 from galenastall.node.permit_settings import RequestSettings
 from galenastall.node.worker_timings import WorkerTimings
+from galenastall.protocol.process_settings import MemoryLimits
 from galenastall.state.ids import DataCentre
-from galenastall.state.shared_settings import SharedSettings, TeamSettings, fill
-from galenastall.state.work import JobSpec
-
-MILLISECONDS_PER_S = 1000.0
+from galenastall.state.shared_settings import (
+    LEASE_CAP_S,
+    PERMIT_CAP_S,
+    SharedSettings,
+    TeamSettings,
+    fill,
+)
+from galenastall.state.work import JobSpec, Urgency
+
+MILLISECONDS_PER_S: Final = 1000.0
+BYTES_PER_KB: Final = 1024
+SKEW_SHARE: Final = 0.2
+"""Share of ownership's `flight_s` that is left for the skew between this host and a worker."""
+NO_EFFECT: Final = (
+    "classes.*.queue_bound",
+    "classes.urgent.starvation_s",
+    "requests.leaving_grace_s",
+    "data_centres.*.region",
+)
+"""Settings that this version keeps and checks, and does not act on."""
 
 
 def make_ownership_timings(shared: SharedSettings) -> OwnershipTimings:
@@ -28,7 +48,13 @@
 
 def make_worker_timings(shared: SharedSettings) -> WorkerTimings:
     """Return the timings of leases and worker calls."""
-    return fill(WorkerTimings, shared.ownership, renew_every_s=shared.ownership.renew_s)
+    section = shared.ownership
+    return WorkerTimings(
+        lease_s=section.lease_s,
+        longest_lease_s=LEASE_CAP_S,
+        renew_every_s=section.renew_s,
+        flight_s=section.flight_s * (1.0 - SKEW_SHARE),
+    )
 
 
 def make_window_limits(shared: SharedSettings) -> WindowLimits:
@@ -36,6 +62,7 @@
     return WindowLimits(
         budget_per_s=shared.log.append_budget_per_s,
         gather_s=shared.log.gather_ms / MILLISECONDS_PER_S,
+        longest_s=shared.log.max_window_s,
     )
 
 
@@ -44,7 +71,7 @@
     shares_by_path = {path: _share(team) for path, team in shared.teams_by_path.items()}
     return replace(
         fill(PlacementSettings, shared.placement),
-        policies_by_class=shared.placement.policies_by_class.model_dump(),
+        policies_by_class=_known_policies(shared),
         teams_by_path=shares_by_path,
         starvation_s=shared.classes.normal.starvation_s,
         backfill_starvation_s=shared.classes.backfill.starvation_s,
@@ -52,29 +79,64 @@
     )
 
 
-def make_request_settings(shared: SharedSettings) -> RequestSettings:
-    """Return what the request path goes by."""
+def make_request_settings(shared: SharedSettings, memory: MemoryLimits) -> RequestSettings:
+    """Return what the request path goes by, within the memory of this process."""
     requests = shared.requests
+    queue = requests.queue
+    teams = shared.teams_by_path
     data_centres = tuple(DataCentre(name) for name in sorted(shared.data_centres))
+    buffer_bytes = memory.body_buffer_kb * BYTES_PER_KB
     return RequestSettings(
-        admission=fill(AdmissionLimits, requests.queue),
-        permits=fill(PermitLimits, requests.permits),
+        admission=AdmissionLimits(
+            waiting=min(queue.waiting, memory.waiting_requests),
+            waiting_per_team=queue.waiting_per_team,
+            waiting_by_team={
+                path: min(team.requests.waiting, queue.waiting_per_team)
+                for path, team in teams.items()
+            },
+            lower_class_every=queue.lower_class_every,
+        ),
+        permits=fill(PermitLimits, requests.permits, longest_cap_s=PERMIT_CAP_S),
         retries=fill(RetryLimits, requests.retries),
         ejection=fill(EjectionLimits, requests.ejection),
         keys=KeyRules(memory_s=requests.key_memory_s),
         key_homes=(KeyHomes(since=0.0, data_centres=data_centres),) if data_centres else (),
-        weights_by_team={path: team.weight for path, team in shared.teams_by_path.items()},
+        weights_by_team={path: team.weight for path, team in teams.items()},
+        teams=frozenset(teams),
+        rates_by_team={
+            path: TeamRate(per_s=team.requests.rate_per_s, burst=team.requests.burst)
+            for path, team in teams.items()
+            if team.requests.rate_per_s is not None
+        },
         leaving=shared.leaving_upstream_ids,
+        whole_answer_bytes=buffer_bytes,
+        replay_bytes=buffer_bytes,
     )
 
 
-def find_unknown_name(shared: SharedSettings) -> str | None:
-    """Return which policy of the tree no registry holds, or None."""
+def find_problem(shared: SharedSettings) -> str | None:
+    """Return what of the tree this version can't put in force, or None.
+
+    A change that would be accepted without effect is refused instead.
+    """
+    return next(_problems(shared), None)
+
+
+def _problems(shared: SharedSettings) -> Iterator[str]:
     for field, name in shared.placement.policies_by_class.model_dump().items():
         if name not in PLACEMENT_POLICIES:
             allowed = ", ".join(PLACEMENT_POLICIES.names())
-            return f"placement.policies_by_class.{field}: {name!r}; allowed: {allowed}"
-    return None
+            yield f"placement.policies_by_class.{field}: {name!r}; allowed: {allowed}"
+    defaults = SharedSettings()
+    for urgency in Urgency:
+        policy, allowed = shared.classes.of(urgency).policy, defaults.classes.of(urgency).policy
+        if policy != allowed:
+            yield f"classes.{urgency.name.lower()}.policy: {policy!r}; allowed: {allowed}"
+    if shared.placement.queue_order != defaults.placement.queue_order:
+        order = shared.placement.queue_order
+        yield f"placement.queue_order: {order!r} can't be put in force while running; allowed: fair"
+    if shared.requests.is_hedging:
+        yield "requests.is_hedging: true is not supported by this version; allowed: false"
 
 
 def find_team_problem(shared: SharedSettings, spec: JobSpec) -> str | None:
@@ -85,6 +147,15 @@
     return None
 
 
+def _known_policies(shared: SharedSettings) -> dict[str, str]:
+    """Return the policies; one that only a newer version knows counts as the default."""
+    names_by_class: dict[str, str] = shared.placement.policies_by_class.model_dump()
+    return {
+        name: policy if policy in PLACEMENT_POLICIES else DEFAULT_POLICY
+        for name, policy in names_by_class.items()
+    }
+
+
 def _share(team: TeamSettings) -> TeamShare:
     quota = None if team.quota is None else team.quota.to_resources()
     return TeamShare(weight=team.weight, quota=quota)
--- a/src/galenastall/node/settings_service.py
+++ b/src/galenastall/node/settings_service.py
@@ -79,6 +79,7 @@
         self._appender = appender
         self._follower = follower
         self._peer_ids = peer_ids
+        self._find_problem = find_problem
         self._events = events or NullEventSink()
         self._callbacks: list[Callable[[SharedSettings], None]] = []
         self._recent = RecentChanges()
@@ -228,7 +229,10 @@
         if size > MAX_CHANGE_BYTES:
             detail = f"not submitted: {size} bytes, at most {MAX_CHANGE_BYTES} are allowed"
             return self._error(Reason.INVALID, detail)
-        problem = self.fold.find_problem(change.path, change.subtree)
+        built = self.fold.preview(change.path, change.subtree)
+        problem = (
+            self._find_problem(built.unwrap()) if isinstance(built, Success) else built.failure()
+        )
         if problem is not None:
             return self._error(Reason.INVALID, f"not submitted: {problem}")
         return None
--- a/src/galenastall/node/worker_commands.py
+++ b/src/galenastall/node/worker_commands.py
@@ -47,7 +47,7 @@
         self._core = core
         self._workers = workers
         self._clock = clock
-        self._call_s = call_s
+        self.call_s = call_s
         self._note = note
         self._may_act = may_act
         self._address_of = address_of
@@ -73,7 +73,7 @@
 
     def unanswered(self, step: str, worker: HostId) -> Answers:
         """Return the failure of a call that was given up."""
-        detail = f"no answer in {self._call_s} s"
+        detail = f"no answer in {self.call_s} s"
         error = StepError(step=step, peer=worker, reason=Reason.TIMEOUT, detail=detail)
         return Failure(error)
 
@@ -91,7 +91,7 @@
         address = self._address_of(worker)
         result = self.unanswered(f"worker.{kind.value}", worker)
         if address is not None and self._may_act(worker, commands.epoch):
-            with trio.move_on_after(self._call_s):
+            with trio.move_on_after(self.call_s):
                 result = await call(address=address, tasks=tasks, epoch=commands.epoch, **extra)
         answers_by_task: dict[TaskId, TaskAnswer] = {}
         if isinstance(result, Success):
--- a/src/galenastall/node/worker_service.py
+++ b/src/galenastall/node/worker_service.py
@@ -96,6 +96,8 @@
         self._events = events or NullEventSink()
         self._wake = trio.Event()
         self._is_draining = False
+        self.drained: frozenset[HostId] = frozenset()
+        """Workers that operators drain."""
         self._listing: HostListing | None = None
         self._listed: Mapping[HostId, ListedHost] = {}
         self._nursery: trio.Nursery | None = None
@@ -104,6 +106,7 @@
             lease_s=times.lease_s,
             renew_every_s=times.renew_every_s,
             peer_word_s=times.announce_s,
+            longest_lease_s=times.longest_lease_s,
         )
         self.reporter = TaskReporter(
             assigned=self.assigned,
@@ -172,6 +175,16 @@
             while self.assigned.has_unsent():
                 await self.reporter.progress()
 
+    def apply_settings(self, timings: WorkerTimings, drained: frozenset[HostId]) -> None:
+        """Use other timings, and let the tasks of other workers move, from now on."""
+        self._timings = timings
+        self.leases.apply(lease_s=timings.lease_s, renew_every_s=timings.renew_every_s)
+        self.helper.timings = timings
+        for watch in self.watches_by_id.values():
+            watch.timings = timings
+        self.drained = drained
+        self.wake()
+
     def wake(self) -> None:
         """Decide soon."""
         self._wake.set()
@@ -309,6 +322,8 @@
         self._give_back(self.assigned.drop_invalid(now), "its shard's owner went silent", now)
         for worker, watch in self.watches_by_id.items():
             self.core.set_worker_state(worker, watch.state(now))
+            if watch.is_leaving and self.may_act(worker, watch.epoch):
+                self.core.drain_worker(worker)
         decision = self.core.decide(now, 0 if self._is_draining else self._timings.decide_limit)
         self._gangs.expired(decision.expired_holds)
         for refusal in decision.refusals:
--- a/src/galenastall/node/worker_timings.py
+++ b/src/galenastall/node/worker_timings.py
@@ -16,6 +16,8 @@
     call_s: float = 2.0
     """After this an unanswered call to a worker counts as unknown."""
     lease_s: float = 30.0
+    longest_lease_s: float = 0.0
+    """No entry host gives longer leases; a new owner waits by this if it is above `lease_s`."""
     renew_every_s: float = 10.0
     poll_every_s: float = 1.0
     """How often a worker is asked what runs and what ended."""
--- a/src/galenastall/node/worker_watch.py
+++ b/src/galenastall/node/worker_watch.py
@@ -64,7 +64,8 @@
         self._workers = workers
         self._ownership = ownership
         self._clock = clock
-        self._timings = timings
+        self.timings = timings
+        """Replaced when operators change them."""
         self._events = events
         self._scope = trio.CancelScope()
         self._kick = trio.Event()
@@ -92,18 +93,24 @@
         """Return whether new tasks may go there."""
         if not self._owner.may_act(self.worker_id, self.epoch):
             return WorkerState.SILENT
-        if self._owner.leases.silent_s(self.worker_id, now) > self._timings.silent_after_s:
+        if self._owner.leases.silent_s(self.worker_id, now) > self.timings.silent_after_s:
             return WorkerState.SILENT
+        return WorkerState.LEAVING if self.is_leaving else WorkerState.LIVE
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether operators drain the worker, or the platform's list does not show it live."""
+        if self.worker_id in self._owner.drained:
+            return True
         host = self._owner.listed_workers().get(self.worker_id)
-        is_live = host is not None and host.state is HostState.LIVE
-        return WorkerState.LIVE if is_live else WorkerState.LEAVING
+        return host is None or host.state is not HostState.LIVE
 
     async def run(self) -> None:
         """Watch until cancelled."""
         with self._scope:
             while True:
                 await self._poll()
-                with trio.move_on_after(self._timings.poll_every_s):
+                with trio.move_on_after(self.timings.poll_every_s):
                     await self._kick.wait()
                 self._kick = trio.Event()
 
@@ -114,7 +121,7 @@
         if address is not None:
             await self._send_acks(address)
             asked_at = self._clock.wall()
-            with trio.move_on_after(self._timings.call_s):
+            with trio.move_on_after(self.timings.call_s):
                 result = await self._workers.listing(address=address)
         match result:
             case Success(listing):
@@ -202,7 +209,7 @@
             return
         tasks = [running.task.task_id for running in listing.running]
         until = leases.grant(self.worker_id, now)
-        with trio.move_on_after(self._timings.call_s):
+        with trio.move_on_after(self.timings.call_s):
             result = await self._workers.renew(address=address, tasks=tasks, lease_until=until)
             if isinstance(result, Success):
                 leases.renewed(self.worker_id, now)
@@ -217,7 +224,7 @@
                 tasks.append(task_id)
         if not tasks:
             return
-        with trio.move_on_after(self._timings.call_s):
+        with trio.move_on_after(self.timings.call_s):
             result = await self._workers.acknowledge(address=address, tasks=tasks)
             if isinstance(result, Failure):
                 return
@@ -227,7 +234,7 @@
     def _check_lapse(self) -> None:
         now = self._clock.wall()
         owner = self._owner
-        if owner.leases.silent_s(self.worker_id, now) > self._timings.silent_after_s:
+        if owner.leases.silent_s(self.worker_id, now) > self.timings.silent_after_s:
             self._tell_silent()
         peers = self._ownership.roster() - {owner.host_id}
         if self.has_lapsed or not owner.leases.has_lapsed(self.worker_id, peers, now):
--- a/src/galenastall/state/settings_tree.py
+++ b/src/galenastall/state/settings_tree.py
@@ -212,6 +212,10 @@
         built = self._build(path, subtree)
         return built.failure() if isinstance(built, Failure) else None
 
+    def preview(self, path: str, subtree: Any) -> Result[SharedSettings, str]:
+        """Return what would be in force with `subtree` at `path`, or why it would be invalid."""
+        return self._build(path, subtree).map(lambda built: built[1])
+
     def _build(self, path: str, subtree: Any) -> Result[tuple[Tree, SharedSettings], str]:
         try:
             tree = replace_subtree(self._tree, path, subtree)
--- a/src/galenastall/state/shared_settings.py
+++ b/src/galenastall/state/shared_settings.py
@@ -24,6 +24,10 @@
 FLIGHT_CAP_S: Final = 0.5
 """Claimants always wait by these caps, whatever the tree says. So each entry host may take over a
 new value in its own time: one that still has another value stays within what claimants wait for."""
+PERMIT_CAP_S: Final = 30.0
+"""Longest permit; the next owner of an upstream waits by it, for the same reason."""
+LEASE_CAP_S: Final = 30.0
+"""Longest lease of a task; the next owner of a silent worker waits by it, for the same reason."""
 
 Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
 """A key or name: no slash, since paths join keys by slashes."""
@@ -173,7 +177,7 @@
 
     ask_ttl_s: Seconds = 1.0
     begin_within_s: Seconds = 2.0
-    longest_s: Seconds = 30.0
+    longest_s: float = Field(default=PERMIT_CAP_S, gt=0, le=PERMIT_CAP_S)
     grace_s: Seconds = 1.0
     asks_per_client: Count = 256
 
@@ -221,7 +225,7 @@
     """Largest relative difference of a clock's rate from true time."""
     list_lag_s: Seconds = 30.0
     """A host that the platform's list has not shown for longer than this is dead for good."""
-    lease_s: Seconds = 30.0
+    lease_s: float = Field(default=LEASE_CAP_S, gt=0, le=LEASE_CAP_S)
     renew_s: Seconds = 10.0
 
     @model_validator(mode="after")
--- a/src/galenastall/transport/http_client.py
+++ b/src/galenastall/transport/http_client.py
@@ -15,7 +15,7 @@
 from returns.result import Failure, Result, Success
 
 from galenastall.protocol.clock import Clock
-from galenastall.protocol.security import TlsFiles
+from galenastall.protocol.security import ClientTls, TlsFiles
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.http_exchange import (
     AnswerCutError,
@@ -68,7 +68,7 @@
         self,
         *,
         clock: Clock,
-        tls: TlsFiles | None = None,
+        tls: TlsFiles | ClientTls | None = None,
         max_connections: int = DEFAULT_MAX_CONNECTIONS,
         keep_alive_s: float = DEFAULT_KEEP_ALIVE_S,
         connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
@@ -262,11 +262,12 @@
                 self._pools_by_address.pop(address, None)
 
 
-def _client_context(tls: TlsFiles) -> ssl.SSLContext:
+def _client_context(tls: TlsFiles | ClientTls) -> ssl.SSLContext:
     tls.check()
     context = ssl.create_default_context(cafile=tls.ca_file)
     context.set_alpn_protocols(["http/1.1"])
-    context.load_cert_chain(tls.cert_file, tls.key_file)
+    if tls.cert_file is not None:
+        context.load_cert_chain(tls.cert_file, tls.key_file)
     return context
 
 
--- a/src/galenastall/transport/peer_inbox.py
+++ b/src/galenastall/transport/peer_inbox.py
@@ -17,6 +17,9 @@
 OnRequest = Callable[[bytes, HostId, Envelope], None]
 """Takes the way back, the sender and the envelope."""
 
+OnForged = Callable[[str, str], None]
+"""Takes the host id that a message claimed and the one that its key belongs to."""
+
 
 class PeerInbox:
     """Reads calls and one-way messages, checks their sender, and sends answers back."""
@@ -30,6 +33,7 @@
         counters_by_id: defaultdict[HostId, LinkCounters],
         dropped: DroppedCounters,
         on_request: OnRequest,
+        on_forged: OnForged = lambda _claimed, _proved: None,
     ) -> None:
         """Bind; with CURVE the sender must be the host that its key belongs to."""
         self._socket = make_router(context=context, bind=bind, curve=curve)
@@ -38,6 +42,7 @@
         self._counters_by_id = counters_by_id
         self._dropped = dropped
         self._on_request = on_request
+        self._on_forged = on_forged
         self._reader = SocketReader(socket=self._socket, on_readable=self._read)
 
     async def run(self) -> None:
@@ -74,6 +79,7 @@
             return
         if self._is_checked and proved != envelope.sender:
             self._dropped.forged += 1
+            self._on_forged(envelope.sender, proved or "")
             return
         sender = HostId(envelope.sender)
         counters = self._counters_by_id[sender]
--- a/src/galenastall/transport/peer_link.py
+++ b/src/galenastall/transport/peer_link.py
@@ -38,6 +38,10 @@
 MAX_HANDLED_AT_ONCE: Final = 2_000
 """Messages in the hands of handlers; calls beyond it are answered OVERLOADED."""
 _STEP: Final = "peer.call"
+_FORGERS_KEPT: Final = 256
+
+OnIntruder = Callable[[str, str], None]
+"""Takes who was kept out, by IP number or host id, and why; once for each."""
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -61,6 +65,7 @@
         faults: LinkFaults | None = None,
         hybrid: HybridClock | None = None,
         log_error: ErrorLog | None = None,
+        on_intruder: OnIntruder = lambda _peer, _why: None,
     ) -> None:
         """Prepare the link; `run` binds it. With `curve` only hosts of its list get in.
 
@@ -71,6 +76,8 @@
         self._bind = bind
         self._curve = curve
         self._faults = faults or LinkFaults()
+        self._on_intruder = on_intruder
+        self._forgers: set[tuple[str, str]] = set()
         self._clock = clock
         self._hybrid = hybrid or HybridClock()
         self._handlers = PeerHandlers(host_id=host_id, log_error=log_error)
@@ -116,6 +123,11 @@
         """Connections refused for an unknown key."""
         return self._zap.refused if self._zap else 0
 
+    @property
+    def refused_by_peer(self) -> dict[tuple[str, str], int]:
+        """The same by IP number and public key of the other side."""
+        return dict(self._zap.refused_by_peer) if self._zap else {}
+
     def set_peers(self, addresses_by_id: dict[HostId, str]) -> None:
         """Replace the known addresses; a peer is connected to when first called."""
         self._addresses_by_id = dict(addresses_by_id)
@@ -144,7 +156,11 @@
         try:
             async with trio.open_nursery() as nursery:
                 if self._curve is not None:
-                    self._zap = ZapServer(context=context, allowed=self._curve.allowed_by_host_id)
+                    self._zap = ZapServer(
+                        context=context,
+                        allowed=self._curve.allowed_by_host_id,
+                        on_refused=self._on_refused_key,
+                    )
                     await nursery.start(self._zap.run)
                 self._inbox = PeerInbox(
                     context=context,
@@ -153,6 +169,7 @@
                     counters_by_id=self.counters_by_id,
                     dropped=self.dropped,
                     on_request=self._take_request,
+                    on_forged=self._on_forged,
                 )
                 self._context, self._nursery = context, nursery
                 nursery.start_soon(self._inbox.run)
@@ -276,6 +293,15 @@
         self._outboxes_by_id[peer] = outbox
         return outbox
 
+    def _on_refused_key(self, address: str, key: str) -> None:
+        self._on_intruder(address, f"public key {key} is not allowed")
+
+    def _on_forged(self, claimed: str, proved: str) -> None:
+        if (claimed, proved) in self._forgers or len(self._forgers) >= _FORGERS_KEPT:
+            return
+        self._forgers.add((claimed, proved))
+        self._on_intruder(proved, f"its key is that of {proved!r}, but it claims {claimed!r}")
+
     def _take_answer(self, peer: HostId, frame: bytes) -> None:
         envelope = peer_wire.decode_envelope(frame)
         if envelope is None:
--- a/src/galenastall/transport/zap_server.py
+++ b/src/galenastall/transport/zap_server.py
@@ -5,6 +5,7 @@
 against the host id that the message claims.
 """
 
+from collections.abc import Callable
 from typing import Final
 
 import trio
@@ -17,18 +18,31 @@
 _ENDPOINT: Final = "inproc://zeromq.zap.01"
 _VERSION: Final = b"1.0"
 _REQUEST_FRAMES: Final = 7
+_KEYS_KEPT: Final = 256
+"""Refused keys counted one by one; further ones are counted together."""
+OTHER_KEYS: Final = "other"
+
+OnRefused = Callable[[str, str], None]
+"""Takes the other side's IP number and its public key in Z85, once for each."""
 
 
 class ZapServer:
     """Says for each connecting key whose it is."""
 
     def __init__(
-        self, *, context: "zmq.Context[zmq.Socket[bytes]]", allowed: dict[HostId, str]
+        self,
+        *,
+        context: "zmq.Context[zmq.Socket[bytes]]",
+        allowed: dict[HostId, str],
+        on_refused: OnRefused = lambda _address, _key: None,
     ) -> None:
         """Bind before any socket that asks; `allowed` gives Z85 public keys."""
+        self._on_refused = on_refused
         self._hosts_by_key: dict[bytes, HostId] = {}
         self.refused = 0
         """Connections refused so far."""
+        self.refused_by_peer: dict[tuple[str, str], int] = {}
+        """The same by IP number and public key."""
         self.set_allowed(allowed)
         self._socket = context.socket(zmq.REP)
         self._socket.bind(_ENDPOINT)
@@ -59,7 +73,7 @@
         host = self._host_of(frames)
         request_id = frames[1] if len(frames) > 1 else b""
         if host is None:
-            self.refused += 1
+            self._note_refused(frames)
             reply = [_VERSION, request_id, b"400", b"unknown key", b"", b""]
         else:
             reply = [_VERSION, request_id, b"200", b"OK", host.encode(), b""]
@@ -69,3 +83,15 @@
         if len(frames) < _REQUEST_FRAMES or frames[0] != _VERSION or frames[5] != b"CURVE":
             return None
         return self._hosts_by_key.get(frames[6])
+
+    def _note_refused(self, frames: list[bytes]) -> None:
+        self.refused += 1
+        if len(frames) < _REQUEST_FRAMES or frames[5] != b"CURVE":
+            return
+        peer = (frames[3].decode("ascii", "replace"), z85.encode(frames[6]).decode())
+        if peer not in self.refused_by_peer:
+            if len(self.refused_by_peer) >= _KEYS_KEPT:
+                peer = (OTHER_KEYS, OTHER_KEYS)
+            else:
+                self._on_refused(*peer)
+        self.refused_by_peer[peer] = self.refused_by_peer.get(peer, 0) + 1
--- a/src/galenastall/transport/zmq_sockets.py
+++ b/src/galenastall/transport/zmq_sockets.py
@@ -30,7 +30,7 @@
 
 
 def make_router(*, context: Context, bind: str, curve: CurveKeys | None) -> Socket:
-    """Return the bound socket that peers connect to; raises zmq.ZMQError if it can't bind."""
+    """Return the bound socket that peers connect to; raises OSError if it can't bind."""
     socket = context.socket(zmq.ROUTER)
     _set_limits(socket)
     socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
@@ -40,9 +40,9 @@
         socket.setsockopt(zmq.ZAP_DOMAIN, ZAP_DOMAIN)
     try:
         socket.bind(f"tcp://{bind}")
-    except zmq.ZMQError:
+    except zmq.ZMQError as error:
         socket.close(linger=0)
-        raise
+        raise OSError(f"bind: can't listen on {bind!r}: {error}") from error
     return socket
 
 
