--- a/src/galenastall/node/worker_watch.py
+++ b/src/galenastall/node/worker_watch.py
@@ -95,15 +95,21 @@
             return WorkerState.SILENT
         if self._owner.leases.silent_s(self.worker_id, now) > self.timings.silent_after_s:
             return WorkerState.SILENT
-        return WorkerState.LEAVING if self.is_leaving else WorkerState.LIVE
+        host = self._owner.listed_workers().get(self.worker_id)
+        is_live = host is not None and host.state is HostState.LIVE
+        is_drained = self.worker_id in self._owner.drained
+        return WorkerState.LIVE if is_live and not is_drained else WorkerState.LEAVING
 
     @property
-    def is_leaving(self) -> bool:
-        """Whether operators drain the worker, or the platform's list does not show it live."""
+    def is_to_be_emptied(self) -> bool:
+        """Whether operators drain the worker, or the platform's list says that it leaves.
+
+        A worker that the list merely doesn't show keeps its tasks: lists have gaps.
+        """
         if self.worker_id in self._owner.drained:
             return True
         host = self._owner.listed_workers().get(self.worker_id)
-        return host is None or host.state is not HostState.LIVE
+        return host is not None and host.state is HostState.LEAVING
 
     async def run(self) -> None:
         """Watch until cancelled."""
