--- a/src/galenastall/node/group_commit.py
+++ b/src/galenastall/node/group_commit.py
@@ -161,6 +161,15 @@
             follower.on_tip(self._settle_unseen)
             follower.on_gap(partial(self._passed_over, follower.stream))
 
+    @property
+    def queued(self) -> int:
+        """Records that wait to be sent."""
+        return sum(len(queue.waiting) for queue in self._queues_by_stream.values())
+
+    def set_settle(self, settle_s: float) -> None:
+        """Take the platform's word on how long an unanswered append may still take effect."""
+        self._settle_s = settle_s
+
     @property
     def is_log_up(self) -> bool:
         """Whether the last call to the log succeeded."""
--- a/src/galenastall/node/request_service.py
+++ b/src/galenastall/node/request_service.py
@@ -345,6 +345,11 @@
             retry_after_s=retry_after_s,
         )
 
+    def count(self, answer: RequestAnswer) -> RequestAnswer:
+        """Count an answer that was given without a run, and return it."""
+        self.counters.ended(answer)
+        return answer
+
     def _abandoned(self, run: _Run) -> RequestAnswer:
         """Return what is recorded of a request whose caller or process broke off."""
         return RequestAnswer(
--- a/src/galenastall/node/worker_commands.py
+++ b/src/galenastall/node/worker_commands.py
@@ -47,7 +47,7 @@
         self._core = core
         self._workers = workers
         self._clock = clock
-        self._call_s = call_s
+        self.call_s = call_s
         self._note = note
         self._may_act = may_act
         self._address_of = address_of
@@ -83,9 +83,9 @@
             return
         worker = commands.worker_id
         address = self._address_of(worker)
-        result = unanswered(f"worker.{kind.value}", worker, self._call_s)
+        result = unanswered(f"worker.{kind.value}", worker, self.call_s)
         if address is not None and self._may_act(worker, commands.epoch):
-            with trio.move_on_after(self._call_s):
+            with trio.move_on_after(self.call_s):
                 result = await call(address=address, tasks=tasks, epoch=commands.epoch, **extra)
         answers_by_task: dict[TaskId, TaskAnswer] = {}
         if isinstance(result, Success):
--- a/src/galenastall/node/worker_starts.py
+++ b/src/galenastall/node/worker_starts.py
@@ -32,7 +32,8 @@
         self._owner = owner
         self._workers = workers
         self._clock = clock
-        self._timings = timings
+        self.timings = timings
+        """Replaced when operators change them."""
 
     async def start(self, commands: WorkerCommands) -> None:
         """Send the starts that may still leave, and take in the answers."""
@@ -82,7 +83,7 @@
         batch = StartBatch(
             owner=self._owner.host_id,
             epoch=commands.epoch,
-            not_after=now + self._timings.flight_s,
+            not_after=now + self.timings.flight_s,
             starts=tuple(
                 StartRequest(task=each.task, reserved=each.reserved, lease_until=lease_until)
                 for each in starts
@@ -95,9 +96,9 @@
             cause=f"{len(starts)} tasks placed by the policy of their class",
             fields={"epoch": str(commands.epoch)},
         )
-        with trio.move_on_after(self._timings.call_s):
+        with trio.move_on_after(self.timings.call_s):
             return await self._workers.start(address=address, batch=batch)
-        return unanswered("worker.start", commands.worker_id, self._timings.call_s)
+        return unanswered("worker.start", commands.worker_id, self.timings.call_s)
 
     def _on_start_answer(self, start: StartTask, answer: StartAnswer, detail: str) -> None:
         now = self._clock.wall()
