--- a/src/galenastall/cli/daemon_commands.py
+++ b/src/galenastall/cli/daemon_commands.py
@@ -33,11 +33,11 @@
         typer.echo(str(loaded.failure()), err=True)
         raise typer.Exit(ExitCode.USAGE)
     try:
-        ending = run_entry_host(settings=loaded.unwrap(), on_bound=print_event)
+        cut_off = run_entry_host(settings=loaded.unwrap(), on_bound=print_event)
     except StartError as error:
         typer.echo(f"{settings}: {error}", err=True)
         raise typer.Exit(ExitCode.USAGE) from None
-    raise typer.Exit(ExitCode.OK if ending.is_clean else ExitCode.FAILED)
+    raise typer.Exit(ExitCode.OK if cut_off == 0 else ExitCode.FAILED)
 
 
 def standin(settings: SettingsOption) -> None:
--- a/src/galenastall/cli/entry_client.py
+++ b/src/galenastall/cli/entry_client.py
@@ -8,6 +8,9 @@
 import typer
 from returns.result import Failure, Result, Success
 
+from galenastall.cli.output import fail_usage
+from galenastall.cli.tls_options import current_tls
+from galenastall.protocol.addresses import split_address
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.clock import TrioClock
 from galenastall.transport.http_client import HttpClient, WholeAnswer, error_of_answer
@@ -33,9 +36,15 @@
     timeout_s: float = DEFAULT_TIMEOUT_S,
 ) -> Result[WholeAnswer, StepError]:
     """Make one call and return its whole answer, whatever its status."""
+    try:
+        split_address(entry)
+    except ValueError as error:
+        fail_usage(f"--entry {entry}: {error}")
+
+    tls = current_tls()
 
     async def call() -> Result[WholeAnswer, StepError]:
-        client = HttpClient(clock=TrioClock())
+        client = HttpClient(clock=TrioClock(), tls=tls)
         try:
             return await client.request(
                 method=method,
--- a/src/galenastall/cli/ops_commands.py
+++ b/src/galenastall/cli/ops_commands.py
@@ -9,7 +9,7 @@
 from returns.result import Failure
 
 from galenastall.cli.entry_client import EntryOption, call_entry, call_entry_json
-from galenastall.cli.output import OutputFormat, OutputOption, fail, print_value
+from galenastall.cli.output import OutputFormat, OutputOption, fail, fail_usage, print_value
 from galenastall.transport.http_client import error_of_answer
 
 _OK = 200
@@ -36,35 +36,58 @@
     ] = TimelineFormat.TEXT,
     file: Annotated[Path | None, typer.Option(help="Write here; standard output if none.")] = None,
 ) -> None:
-    """Show the events about an id over all processes, and which could not be reached."""
-    body = _fetch(entry, f"/v1/timeline/{quote(subject)}?format={output.value}")
+    """Show the events about an id over all processes, and which could not be reached.
+
+    An id that nobody knows, or that is forgotten, has no events; that is no error.
+
+    Exit codes: 0 shown, 2 the file can't be written, 4 no entry host answered or it can't draw.
+    """
+    errors_as = OutputFormat.JSON if output is TimelineFormat.JSON else OutputFormat.TEXT
+    body = _fetch(entry, f"/v1/timeline/{quote(subject)}?format={output.value}", errors_as)
     if file is not None:
-        file.write_bytes(body)
-        return
-    typer.echo(body if output is TimelineFormat.PNG else body.decode().rstrip())
+        _write(file, body)
+    elif output is TimelineFormat.PNG:
+        typer.echo(body, nl=False)
+    else:
+        typer.echo(body.decode().rstrip())
 
 
 def explain(
     subject: SubjectArgument, entry: EntryOption, output: OutputOption = OutputFormat.TEXT
 ) -> None:
-    """Say why something waits, where it ran or why it was refused."""
-    body = _fetch(entry, f"/v1/explain/{quote(subject)}?format={output.value}")
+    """Say why something waits, where it ran or why it was refused.
+
+    Exit codes: 0 shown, 4 no entry host answered.
+    """
+    body = _fetch(entry, f"/v1/explain/{quote(subject)}?format={output.value}", output)
     typer.echo(body.decode().rstrip())
 
 
+def _write(file: Path, body: bytes) -> None:
+    try:
+        file.write_bytes(body)
+    except OSError as error:
+        fail_usage(f"--file {file}: {error.strerror}")
+
+
 def drain(entry: EntryOption, output: OutputOption = OutputFormat.TEXT) -> None:
-    """Ask an entry host to finish what it has, hand over and stop; warns in a log outage."""
+    """Ask an entry host to finish what it has, hand over and stop; warns in a log outage.
+
+    The answer comes at once; the process ends when it is done or its drain timeout has passed.
+
+    Exit codes: 0 it drains, 4 no entry host answered, 5 no answer: it may drain.
+    """
     result = call_entry_json(entry=entry, method="POST", path="/v1/drain", message={})
     if isinstance(result, Failure):
         fail(result.failure(), output)
     print_value(result.unwrap(), output)
 
 
-def _fetch(entry: str, path: str) -> bytes:
+def _fetch(entry: str, path: str, errors_as: OutputFormat) -> bytes:
     answered = call_entry(entry=entry, method="GET", path=path)
     if isinstance(answered, Failure):
-        fail(answered.failure(), OutputFormat.TEXT)
+        fail(answered.failure(), errors_as)
     answer = answered.unwrap()
     if answer.status != _OK:
-        fail(error_of_answer(answer, step="cli.call", peer=entry), OutputFormat.TEXT)
+        fail(error_of_answer(answer, step="cli.call", peer=entry), errors_as)
     return answer.body
--- a/src/galenastall/cli/settings_commands.py
+++ b/src/galenastall/cli/settings_commands.py
@@ -13,6 +13,7 @@
 from galenastall.cli.entry_client import EntryOption, call_entry, call_entry_json
 from galenastall.cli.exit_codes import EXIT_CODE_HELP, ExitCode
 from galenastall.cli.output import OutputFormat, OutputOption, fail, fail_usage, print_value
+from galenastall.node.http_settings import NO_EFFECT_HEADER
 from galenastall.protocol.process_settings import ProcessSettings
 from galenastall.protocol.yaml_files import load_yaml, parse_yaml
 from galenastall.state.settings_paths import NO_REVISION
@@ -23,6 +24,7 @@
 
 settings_app = typer.Typer(help=f"Show and change the shared tree. {EXIT_CODE_HELP}")
 
+_OK: Final = 200
 PROCESS_KEY: Final = "host_id"
 """A key that only the settings file of a process has."""
 _CODES_BY_VERDICT: Final = {
@@ -49,22 +51,25 @@
 ) -> None:
     """Show a subtree as it was set, and the revision that a change of it must be based on.
 
+    With --in-force the lines before the tree name the settings that this version keeps without
+    acting on them.
+
     Exit codes: 0 shown, 2 bad path, 4 no entry host answered or it is not ready.
     """
-    url = "/v1/settings/in-force" if in_force else _url(path)
-    result = call_entry_json(entry=entry, method="GET", path=url)
+    if in_force:
+        _show_in_force(entry, output)
+        return
+    result = call_entry_json(entry=entry, method="GET", path=_url(path))
     if isinstance(result, Failure):
         fail(result.failure(), output)
     shown = result.unwrap()
     if output is OutputFormat.JSON:
         print_value(shown, output)
         return
-    if not in_force:
-        typer.echo(f"# path {path or '(root)'}, revision {shown['revision']}")
-        for blocked in shown["blocked_paths"]:
-            typer.echo(f"# a newer version's change of {blocked} is not in force here")
-        shown = shown["subtree"]
-    typer.echo(yaml.safe_dump(shown, sort_keys=False, allow_unicode=True).rstrip())
+    typer.echo(f"# path {path or '(root)'}, revision {shown['revision']}")
+    for blocked in shown["blocked_paths"]:
+        typer.echo(f"# a newer version's change of {blocked} is not in force here")
+    _print_yaml(shown["subtree"])
 
 
 @settings_app.command()
@@ -134,7 +139,7 @@
 ) -> None:
     """Say what became of a change.
 
-    Exit codes: 0 known, 4 no entry host answered, 6 not seen in the log or too old to be known.
+    Exit codes: 0 known, 4 no entry host answered, 6 not seen in the log, or too long ago.
     """
     url = f"/v1/settings/changes/{quote(change_id, safe='')}"
     result = call_entry_json(entry=entry, method="GET", path=url)
@@ -183,6 +188,27 @@
     print_value({"file": str(file), "kind": kind, "valid": True}, output)
 
 
+def _show_in_force(entry: str, output: OutputFormat) -> None:
+    answered = call_entry(entry=entry, method="GET", path="/v1/settings/in-force")
+    if isinstance(answered, Failure):
+        fail(answered.failure(), output)
+    answer = answered.unwrap()
+    if answer.status != _OK:
+        fail(error_of_answer(answer, step="cli.settings_show", peer=entry), output)
+    tree = msgspec.json.decode(answer.body)
+    if output is OutputFormat.JSON:
+        print_value(tree, output)
+        return
+    without_effect = answer.headers.get(NO_EFFECT_HEADER, "")
+    if without_effect:
+        typer.echo(f"# kept, but not acted on by this version: {without_effect}")
+    _print_yaml(tree)
+
+
+def _print_yaml(tree: Any) -> None:
+    typer.echo(yaml.safe_dump(tree, sort_keys=False, allow_unicode=True).rstrip())
+
+
 def _url(path: str) -> str:
     return f"/v1/settings/tree/{quote(path)}" if path else "/v1/settings"
 
--- a/src/galenastall/cli/work_commands.py
+++ b/src/galenastall/cli/work_commands.py
@@ -1,19 +1,38 @@
 """Commands for callers: `submit`, `cancel` and `status`."""
 
+import base64
 import uuid
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any
 from urllib.parse import quote
 
 import typer
-import yaml
 from returns.result import Failure, Result, Success
 
 from galenastall.cli.entry_client import EntryOption, call_entry, call_entry_json
 from galenastall.cli.exit_codes import EXIT_CODE_HELP, ExitCode
 from galenastall.cli.output import OutputFormat, OutputOption, fail, fail_usage, print_value
+from galenastall.protocol.yaml_files import load_yaml
 from galenastall.state.errors import StepError
 from galenastall.state.outcomes import Outcome
+from galenastall.transport.http_client import WholeAnswer, error_of_answer
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RequestEnding:
+    """How a request ended, as one object."""
+
+    request_id: str
+    outcome: str
+    reason: str
+    status: int
+    upstream: str
+    retry_after_ms: int | None
+    body: str
+    body_encoding: str
+    """`utf-8`, or `base64` if the answer is no such text."""
+
 
 submit_app = typer.Typer(no_args_is_help=True, help=f"Submit a job or a request. {EXIT_CODE_HELP}")
 
@@ -23,6 +42,7 @@
     Outcome.FAILED: ExitCode.FAILED,
     Outcome.UNKNOWN: ExitCode.UNKNOWN,
 }
+_REASONS_OF_BAD_INPUT = frozenset({"invalid", "key_refused", "key_mismatch", "body_too_large"})
 
 
 @submit_app.command("job")
@@ -31,7 +51,13 @@
     entry: EntryOption,
     output: OutputOption = OutputFormat.TEXT,
 ) -> None:
-    """Submit a job; "accepted" is said only once it is durable."""
+    """Submit a job; "accepted" is said only once it is durable.
+
+    Give the job an id of its own (job_id in the file), so that the command can be repeated.
+
+    Exit codes: 0 accepted, 2 the file makes no sense, 3 refused or another job has the id, 4 no
+    entry host answered or it can't accept now, 5 it may be accepted: repeat it with its id.
+    """
     job = _read_mapping(file)
     _finish(call_entry_json(entry=entry, method="POST", path="/v1/jobs", message=job), output)
 
@@ -48,14 +74,25 @@
         bool, typer.Option(help="Whether it may run twice; without it, at most once.")
     ] = False,
     key: Annotated[str, typer.Option(help="Idempotency key; repeats get the first answer.")] = "",
+    request_id: Annotated[
+        str, typer.Option(help="Id for `status request:ID` and `timeline`; made up if empty.")
+    ] = "",
+    output: OutputOption = OutputFormat.TEXT,
 ) -> None:
-    """Send one request and write its answer to standard output."""
+    """Send one request; its answer goes to standard output, and how it ended to standard error.
+
+    With --output json all of it goes to standard output as one object.
+
+    Exit codes: 0 done, 1 it ran and failed, 2 malformed, 3 not run, 4 no entry host answered, 5
+    nobody knows whether it ran.
+    """
+    request_id = request_id or uuid.uuid4().hex
     headers = {
         "Galenastall-Team": team,
         "Galenastall-Class": urgency,
         "Galenastall-Deadline-Ms": str(deadline_ms),
         "Galenastall-Idempotent": "true" if idempotent else "false",
-        "Galenastall-Request-Id": uuid.uuid4().hex,
+        "Galenastall-Request-Id": request_id,
     }
     if key:
         headers["Galenastall-Idempotency-Key"] = key
@@ -63,20 +100,21 @@
         entry=entry,
         method="POST",
         path=f"/v1/requests/{quote(operation)}",
-        body=file.read_bytes() if file else b"",
+        body=_read_bytes(file) if file else b"",
         headers=headers,
         timeout_s=deadline_ms / 1000 + 5,
     )
     if isinstance(answered, Failure):
-        fail(answered.failure(), OutputFormat.TEXT)
-    answer = answered.unwrap()
-    outcome = answer.headers.get("galenastall-outcome", "")
-    reason = answer.headers.get("galenastall-reason", "")
-    typer.echo(f"{outcome or answer.status} {reason}".strip(), err=True)
-    typer.echo(answer.body.decode(errors="replace"))
-    if outcome not in set(Outcome):
+        fail(answered.failure(), output)
+    ended = _ending_of(answered.unwrap(), request_id=request_id, entry=entry, output=output)
+    if output is OutputFormat.JSON:
+        print_value(ended, output)
+    else:
+        typer.echo(f"{request_id}: {ended.outcome} {ended.reason}".rstrip(), err=True)
+        typer.echo(answered.unwrap().body, nl=False)
+    if ended.reason in _REASONS_OF_BAD_INPUT:
         raise typer.Exit(ExitCode.USAGE)
-    raise typer.Exit(_EXIT_BY_OUTCOME[Outcome(outcome)])
+    raise typer.Exit(_EXIT_BY_OUTCOME[Outcome(ended.outcome)])
 
 
 def cancel(
@@ -84,7 +122,11 @@
     entry: EntryOption,
     output: OutputOption = OutputFormat.TEXT,
 ) -> None:
-    """Cancel a job; the answer says which tasks never started, were stopped or were done."""
+    """Cancel a job; the answer says which tasks never started, were stopped or were done.
+
+    Exit codes: 0 cancelled, 4 no entry host answered or it can't now, 5 it may be cancelled: ask
+    again, 6 no such job.
+    """
     path = f"/v1/jobs/{quote(job)}/cancel"
     _finish(call_entry_json(entry=entry, method="POST", path=path, message={}), output)
 
@@ -96,15 +138,50 @@
     ] = "",
     output: OutputOption = OutputFormat.TEXT,
 ) -> None:
-    """Show the state of a job, a request or the entry host."""
-    path = "/readyz"
+    """Show the state of a job, a request or the entry host.
+
+    Exit codes: 0 shown, 4 no entry host answered or (without an item) it is not ready, 6 no such
+    job or request. Requests are known to the entry host that took them only.
+    """
+    if not item:
+        _show_host(entry, output)
+        return
+    path = f"/v1/jobs/{quote(item)}"
     if item.startswith("request:"):
         path = f"/v1/requests/{quote(item.removeprefix('request:'))}"
-    elif item:
-        path = f"/v1/jobs/{quote(item)}"
     _finish(call_entry_json(entry=entry, method="GET", path=path), output)
 
 
+def _show_host(entry: str, output: OutputFormat) -> None:
+    shown = call_entry_json(entry=entry, method="GET", path="/v1/status")
+    _finish(shown, output)
+    if not shown.unwrap()["ready"]:
+        raise typer.Exit(ExitCode.UNREACHABLE)
+
+
+def _ending_of(
+    answer: WholeAnswer, *, request_id: str, entry: str, output: OutputFormat
+) -> RequestEnding:
+    outcome = answer.headers.get("galenastall-outcome", "")
+    if outcome not in set(Outcome):
+        fail(error_of_answer(answer, step="cli.submit_request", peer=entry), output)
+    retry_after_ms = answer.headers.get("galenastall-retry-after-ms", "")
+    try:
+        body, encoding = answer.body.decode(), "utf-8"
+    except UnicodeDecodeError:
+        body, encoding = base64.b64encode(answer.body).decode(), "base64"
+    return RequestEnding(
+        request_id=request_id,
+        outcome=outcome,
+        reason=answer.headers.get("galenastall-reason", ""),
+        status=answer.status,
+        upstream=answer.headers.get("galenastall-upstream", ""),
+        retry_after_ms=int(retry_after_ms) if retry_after_ms else None,
+        body=body,
+        body_encoding=encoding,
+    )
+
+
 def _finish(result: Result[Any, StepError], output: OutputFormat) -> None:
     match result:
         case Success(value):
@@ -113,11 +190,18 @@
             fail(error, output)
 
 
-def _read_mapping(file: Path) -> dict[str, Any]:
+def _read_bytes(file: Path) -> bytes:
     try:
-        value = yaml.safe_load(file.read_text())
-    except (OSError, yaml.YAMLError) as error:
-        fail_usage(f"{file}: {error}")
+        return file.read_bytes()
+    except OSError as error:
+        fail_usage(f"--file {file}: {error.strerror}")
+
+
+def _read_mapping(file: Path) -> dict[str, Any]:
+    loaded = load_yaml(file)
+    if isinstance(loaded, Failure):
+        fail_usage(str(loaded.failure()))
+    value = loaded.unwrap()
     if not isinstance(value, dict):
         fail_usage(f"{file}: expected a mapping of fields, found {type(value).__name__}")
     return value
--- a/src/galenastall/node/http_settings.py
+++ b/src/galenastall/node/http_settings.py
@@ -5,6 +5,7 @@
 
 from returns.result import Failure
 
+from galenastall.node.settings_mapping import NO_EFFECT
 from galenastall.node.settings_service import ChangePhase, SettingsService
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import ChangeId, Offset
@@ -21,6 +22,8 @@
     VerdictKind.FORBIDDEN: 403,
 }
 MAX_ID_CHARS: Final = 200
+NO_EFFECT_HEADER: Final = "galenastall-no-effect"
+"""Names the settings that this version keeps without acting on them."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,8 +70,10 @@
 
     @route("GET", "/v1/settings/in-force")
     async def show_in_force(self, request: HttpRequest) -> HttpResponse:
-        """Return the whole tree with all defaults filled in."""
-        return json_response(200, self._service.current.model_dump(mode="json"))
+        """Return the whole tree with all defaults filled in; a header names what has no effect."""
+        tree = self._service.current.model_dump(mode="json")
+        headers = {NO_EFFECT_HEADER: ", ".join(NO_EFFECT)}
+        return json_response(200, tree, headers=headers)
 
     @route("GET", "/v1/settings/history")
     async def show_history(self, request: HttpRequest) -> HttpResponse:
--- a/src/galenastall/node/process.py
+++ b/src/galenastall/node/process.py
@@ -1,11 +1,13 @@
 """The entry host as a process: settings in, signals, a drain, and the count of what was cut off."""
 
+import os
 import random
 import signal
 import uuid
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from functools import partial
+from typing import Final
 
 import trio
 
@@ -21,21 +23,8 @@
 
 ADAPTER_MODULES = (platform_http,)
 """Imported so that the registry of adapters is full."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Ending:
-    """How a process ended."""
-
-    cut_off: int
-    """Requests that were still open."""
-    is_drained: bool
-    """False if a second signal broke the drain off."""
-
-    @property
-    def is_clean(self) -> bool:
-        """Whether nothing was cut off."""
-        return self.is_drained and not self.cut_off
+BROKEN_OFF: Final = 1
+"""Exit code after a second signal."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -55,19 +44,28 @@
     """The settings are well formed, and the process can't run with them."""
 
 
-def run_entry_host(*, settings: ProcessSettings, on_bound: BoundSink) -> Ending:
-    """Run until SIGTERM or SIGINT and drain; `on_bound` gets the addresses.
+def run_entry_host(*, settings: ProcessSettings, on_bound: BoundSink) -> int:
+    """Run until SIGTERM or SIGINT and drain; return how many requests were cut off.
 
-    Raises StartError naming what is in the way.
+    `on_bound` gets the addresses. A second signal ends the process at once with BROKEN_OFF. Raises
+    StartError naming what is in the way.
     """
     configure_logging(stream=default_stream(), level=Level[settings.log_level.upper()])
-    return trio.run(partial(serve_entry_host, settings=settings, on_bound=on_bound))
+    try:
+        return trio.run(partial(serve_entry_host, settings=settings, on_bound=on_bound))
+    except BaseExceptionGroup as group:
+        found = group.subgroup(StartError)
+        if found is None:
+            raise
+        raise _first_leaf(found) from None
+
 
+async def serve_entry_host(*, settings: ProcessSettings, on_bound: BoundSink) -> int:
+    """Serve until a signal to stop and drain; return how many requests were cut off.
 
-async def serve_entry_host(*, settings: ProcessSettings, on_bound: BoundSink) -> Ending:
-    """Serve until a signal to stop; a second signal ends the drain at once."""
+    A second signal ends the process at once.
+    """
     host = build_entry_host(settings=settings)
-    cut_off, is_drained = 0, False
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
             await _start(host, nursery)
@@ -77,13 +75,10 @@
                 )
             )
             await _wait_for_stop(signals, host.drain_route.asked)
-            nursery.start_soon(_cancel_on_signal, signals, nursery.cancel_scope)
+            nursery.start_soon(_break_off_on_signal, signals, host)
             cut_off = await host.drain()
-            is_drained = True
             nursery.cancel_scope.cancel()
-    if not is_drained:
-        cut_off = host.server.open_requests
-    return Ending(cut_off=cut_off, is_drained=is_drained)
+    return cut_off
 
 
 def build_entry_host(*, settings: ProcessSettings) -> EntryHost:
@@ -143,6 +138,19 @@
         nursery.cancel_scope.cancel()
 
 
+async def _break_off_on_signal(signals: AsyncIterator[int], host: EntryHost) -> None:
+    """End the process; cancelling would wait for writes that the HTTP library shields."""
+    await anext(signals)
+    host.recorder.record(
+        "node.broken_off",
+        subjects=(host.host_id,),
+        cause="a second signal came",
+        fields={"cut_off": str(host.server.open_requests)},
+        level=Level.WARNING,
+    )
+    os._exit(BROKEN_OFF)
+
+
 async def _cancel_on_signal(signals: AsyncIterator[int], scope: trio.CancelScope) -> None:
     await anext(signals)
     scope.cancel()
--- a/src/galenastall/node/process_security.py
+++ b/src/galenastall/node/process_security.py
@@ -3,18 +3,21 @@
 from galenastall.protocol.process_settings import ProcessSettings
 from galenastall.protocol.security import CurveKeys, TlsFiles
 from galenastall.state.ids import HostId
+from galenastall.transport.zmq_sockets import check_curve_keys
 
 
 def curve_keys(settings: ProcessSettings) -> CurveKeys | None:
-    """Return the keys of the zmq side; None if it runs in clear."""
+    """Return the keys of the zmq side, None if it runs in clear; raises ValueError for bad ones."""
     if settings.curve is None:
         return None
     allowed = {HostId(name): key for name, key in settings.curve.allowed_by_host_id.items()}
-    return CurveKeys(
+    keys = CurveKeys(
         public_key=settings.curve.public_key,
         secret_key=settings.curve.secret_key,
         allowed_by_host_id=allowed,
     )
+    check_curve_keys(keys)
+    return keys
 
 
 def tls_files(settings: ProcessSettings) -> TlsFiles | None:
--- a/src/galenastall/transport/zmq_sockets.py
+++ b/src/galenastall/transport/zmq_sockets.py
@@ -9,6 +9,7 @@
 
 import trio
 import zmq
+from zmq.utils import z85
 
 from galenastall.protocol.security import CurveKeys
 from galenastall.transport.zap_server import ZAP_DOMAIN
@@ -29,6 +30,21 @@
 Context = zmq.Context[Socket]
 
 
+def check_curve_keys(curve: CurveKeys) -> None:
+    """Raise ValueError naming the key that is malformed or does not belong to the other."""
+    try:
+        public_key = zmq.curve_public(curve.secret_key.encode())
+    except (ValueError, zmq.ZMQError):
+        raise ValueError("curve.secret_key: is no CURVE key") from None
+    if public_key != curve.public_key.encode():
+        raise ValueError("curve.public_key: does not belong to curve.secret_key")
+    for host, key in curve.allowed_by_host_id.items():
+        try:
+            z85.decode(key.encode())
+        except (ValueError, KeyError):
+            raise ValueError(f"curve.allowed_by_host_id.{host}: is no CURVE key") from None
+
+
 def make_router(*, context: Context, bind: str, curve: CurveKeys | None) -> Socket:
     """Return the bound socket that peers connect to; raises OSError if it can't bind."""
     socket = context.socket(zmq.ROUTER)
