Keep full garbage collections away from the entry host's loop

Cause: with 20,000 tasks held, a full collection stopped the loop for 126 to 224 ms; the stand-in already put them off, the entry host did not.

--- a/src/galenastall/node/process.py
+++ b/src/galenastall/node/process.py
@@ -1,5 +1,6 @@
 """The entry host as a process: settings in, signals, a drain, and the count of what was cut off."""
 
+import gc
 import os
 import random
 import signal
@@ -23,6 +24,8 @@
 
 ADAPTER_MODULES = (platform_http,)
 """Imported so that the registry of adapters is full."""
+GC_THRESHOLDS: Final = (2_000, 50, 1_000)
+"""New objects, young and middle collections that set off the next larger collection."""
 BROKEN_OFF: Final = 1
 """Exit code after a second signal."""
 
@@ -51,6 +54,7 @@
     StartError naming what is in the way.
     """
     configure_logging(stream=default_stream(), level=Level[settings.log_level.upper()])
+    _spare_long_collections()
     try:
         return trio.run(partial(serve_entry_host, settings=settings, on_bound=on_bound))
     except BaseExceptionGroup as group:
@@ -115,6 +119,16 @@
     return _first_leaf(found) if isinstance(found, BaseExceptionGroup) else found
 
 
+def _spare_long_collections() -> None:
+    """Keep the libraries out of garbage collection, and collect old objects seldom.
+
+    A full collection stops the loop for 150 ms and more once 20,000 tasks are held; see
+    docs/measurements/process.md.
+    """
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+
+
 def connect_platform(
     *, settings: ProcessSettings, client: HttpClient, clock: TrioClock
 ) -> Platform:
