Never run a task twice after an overrun; reserve what was measured

Cause: a task that was stopped for memory overrun was queued again whether or not it was idempotent, also when it had failed by itself after a checkpoint was asked for; its next attempt reserved the declared size again. A learned size that fits no worker or quota was waited for without end. Change: only idempotent tasks, and those whose checkpoint was made, wait again; others end as failed with the reason, and are stopped only if they overrun. What an overrunning task used is a floor for its next attempt and teaches its job; a floor above every worker is refused with the reason. Ends that were broken off do not count against workers. Learned sizes are not asked for beyond the need where no worker or quota holds them. No run on real processes yet.

--- a/src/galenastall/coordination/estimates.py
+++ b/src/galenastall/coordination/estimates.py
@@ -13,7 +13,7 @@
 from math import exp2, log2
 from typing import Final, TypeVar
 
-from galenastall.state.ids import JobId, TeamPath
+from galenastall.state.ids import JobId, TaskId, TeamPath
 from galenastall.state.resources import Resources
 from galenastall.state.work import FinishedTask, TaskSpec
 
@@ -38,6 +38,11 @@
 """Ended tasks of a job after which its own usage counts."""
 JOB_MARGIN: Final = 1.05
 """How much above the largest of a job's own peaks is reserved."""
+FLOOR_MARGIN: Final = 1.25
+"""How much above what an overrunning task was seen to use is reserved at its next attempt: it was
+stopped while it grew, so that what was seen is less than it needs."""
+MOST_FLOORS: Final = 8192
+"""Tasks remembered that overran; the oldest goes first."""
 
 
 K = TypeVar("K")
@@ -136,6 +141,7 @@
         """Start without having learned anything."""
         self.quantile = quantile
         self._peaks_by_job: OrderedDict[JobId, _JobPeaks] = OrderedDict()
+        self._floors_by_task: OrderedDict[TaskId, int] = OrderedDict()
         self._learned_by_kind: OrderedDict[tuple[TeamPath, str], _Learned] = OrderedDict()
 
     def record(self, task: TaskSpec, end: FinishedTask) -> None:
@@ -146,12 +152,37 @@
         _recent(self._learned_by_kind, kind, _Learned, MOST_KINDS).record(end, self.quantile)
         _recent(self._peaks_by_job, task.job_id, _JobPeaks, MOST_JOBS).record(end.peak)
 
+    def raise_floor(self, task: TaskSpec, used: Resources, most: Resources) -> None:
+        """Remember what an overrunning task was seen to use, for its next attempt.
+
+        The margin goes no further than `most`, the largest worker; what was seen counts whole, so
+        that a task that needs more than any worker has is found impossible.
+        """
+        seen = max(used.memory_mb, min(int(used.memory_mb * FLOOR_MARGIN), most.memory_mb))
+        before = self._floors_by_task.get(task.task_id, 0)
+        self._floors_by_task[task.task_id] = max(before, seen)
+        if len(self._floors_by_task) > MOST_FLOORS:
+            self._floors_by_task.popitem(last=False)
+        if task.kind:
+            _recent(self._peaks_by_job, task.job_id, _JobPeaks, MOST_JOBS).record(used)
+
+    def drop_floor(self, task_id: TaskId) -> None:
+        """Forget a task that ended."""
+        self._floors_by_task.pop(task_id, None)
+
+    def need(self, task: TaskSpec) -> Resources:
+        """Return the least that a task needs: declared, or what an earlier attempt used."""
+        floor_mb = self._floors_by_task.get(task.task_id, 0)
+        if floor_mb <= task.resources.memory_mb:
+            return task.resources
+        return task.resources.at_least(Resources(memory_mb=floor_mb))
+
     def amount(self, task: TaskSpec, most: Resources) -> Resources:
-        """Return what to reserve: the larger of declared and learned, the latter up to `most`.
+        """Return what to reserve: the larger of needed and learned, the latter up to `most`.
 
         `most` is the largest worker: learning must not make a task impossible.
         """
-        declared = task.resources
+        declared = self.need(task)
         size = self._learned_size(task)
         if size is None:
             return declared
--- a/src/galenastall/coordination/explanations.py
+++ b/src/galenastall/coordination/explanations.py
@@ -82,14 +82,14 @@
         f"for {describe_amount(task.resources)}: {reason.value}."
     )
     yield f"Its team {task.team} has a dominant share over its weight of {share:.1%}."
-    full = tables.queue.full_quota(task.team, task.resources)
+    full = tables.queue.full_quota(task.team, tables.estimates.need(task))
     if reason is WaitReason.QUOTA and full is not None:
         yield f"The quota of {full[0]} is {describe_amount(full[1])}."
     promise = tables.promises.get(task.task_id)
     if promise is not None:
         due = promise.expected_at - now
         yield f"{promise.worker.worker_id} is kept for it, expected free in {due:.0f} s."
-    obstacle = tables.capacities.obstacle(task.resources)
+    obstacle = tables.capacities.obstacle(tables.estimates.need(task))
     if obstacle is not None:
         yield f"No worker of this owner can ever run it: it {obstacle}."
     if not tables.workers_by_id:
--- a/src/galenastall/coordination/gang_holds.py
+++ b/src/galenastall/coordination/gang_holds.py
@@ -115,7 +115,7 @@
             total = total + self._placer.amount_of(task)
             if task.task_id in tables.placed_by_task:
                 return _error(gang_id, Reason.CONFLICT, f"{task.task_id} is already placed")
-            obstacle = tables.capacities.obstacle(task.resources)
+            obstacle = tables.capacities.obstacle(tables.estimates.need(task))
             if obstacle is not None:
                 return _error(gang_id, Reason.REFUSED, f"{task.task_id} {obstacle}")
         if not tables.queue.allows(tasks[0].team, total):
--- a/src/galenastall/coordination/overrun.py
+++ b/src/galenastall/coordination/overrun.py
@@ -1,5 +1,8 @@
 """Answer memory overruns before a worker is full: throttle, then checkpoint, then stop.
 
+A task that can neither be checkpointed nor run again is only throttled while it keeps to what was
+reserved for it; one that overruns is stopped last of all, and then ends as failed.
+
 Usage lags, so what counts is the last report plus its growth since the one before. A worker under
 pressure gets nothing new until its usage has fallen well below the first threshold.
 """
@@ -84,6 +87,8 @@
         if task.ending in ENDINGS:
             surplus -= task.used.memory_mb
             continue
+        if _is_lost_for_good(task) and excess_of(task) <= 0:
+            continue
         if task.can_checkpoint:
             yield OverrunAction(placed=task, command=CommandKind.CHECKPOINT, cause=cause)
         elif may_stop:
@@ -93,12 +98,15 @@
         surplus -= task.used.memory_mb
 
 
+def _is_lost_for_good(placed: Placed) -> bool:
+    return not placed.task.idempotent and not placed.can_checkpoint
+
+
 def _by_claim(placed: Placed) -> tuple[bool, int, bool, bool, int]:
     task = placed.task
-    is_lost_for_good = not task.idempotent and not placed.can_checkpoint
     is_shared = task.workload is not Workload.BATCH
     return (
-        is_lost_for_good,
+        _is_lost_for_good(placed),
         -task.urgency,
         is_shared,
         excess_of(placed) <= 0,
--- a/src/galenastall/coordination/placement.py
+++ b/src/galenastall/coordination/placement.py
@@ -131,12 +131,13 @@
         for task in tasks:
             if task.task_id in tables.placed_by_task:
                 continue
-            obstacle = tables.capacities.obstacle(task.resources)
+            need = tables.estimates.need(task)
+            obstacle = tables.capacities.obstacle(need)
             if obstacle is None:
                 tables.queue.add(task, now)
                 continue
             self._refusals.append(
-                Refusal(task=task, reason=RefusalReason.IMPOSSIBLE, detail=obstacle)
+                Refusal(task=task, reason=RefusalReason.IMPOSSIBLE, detail=obstacle, need=need)
             )
 
     def cancel(self, task_ids: Iterable[TaskId], now: float) -> Mapping[TaskId, CancelVerdict]:
--- a/src/galenastall/coordination/placement_commands.py
+++ b/src/galenastall/coordination/placement_commands.py
@@ -134,6 +134,8 @@
     task: TaskSpec
     reason: RefusalReason
     detail: str
+    need: Resources
+    """What it needs: declared, or what an earlier attempt was seen to use."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/galenastall/coordination/placement_tables.py
+++ b/src/galenastall/coordination/placement_tables.py
@@ -215,6 +215,8 @@
     def requeue(self, placed: Placed, *, next_attempt: bool) -> None:
         """Let a task wait again, ahead of its team's others, with the wait it already had."""
         task = placed.task
+        if placed.used.memory_mb > placed.granted_mb:
+            self.estimates.raise_floor(task, placed.used, self.capacities.most)
         if next_attempt:
             task = replace(task, attempt=task.attempt + 1)
         self.queue.add(task, placed.since, first=True)
@@ -238,6 +240,7 @@
     def remember_end(self, placed: Placed, *, ok: bool, detail: str) -> None:
         """Keep an end for a while, for late cancellations and explanations."""
         task_id = placed.task.task_id
+        self.estimates.drop_floor(task_id)
         self.ends_by_task[task_id] = EndMemory(
             task_id=task_id, worker_id=placed.worker.worker_id, ok=ok, detail=detail
         )
--- a/src/galenastall/coordination/placer.py
+++ b/src/galenastall/coordination/placer.py
@@ -82,11 +82,22 @@
         return placed
 
     def amount_of(self, task: TaskSpec) -> Resources:
-        """Return what to reserve for a task: the larger of declared and learned."""
+        """Return what to reserve for a task: the larger of needed and learned.
+
+        Learning must not make a task wait for ever: what no worker or no quota holds is not asked
+        for beyond the need.
+        """
         tables = self._tables
+        need = tables.estimates.need(task)
         if not tables.settings.is_learning or not task.kind:
-            return task.resources
-        return tables.estimates.amount(task, tables.capacities.most)
+            return need
+        amount = tables.estimates.amount(task, tables.capacities.most)
+        if amount is need or amount == need:
+            return need
+        full = tables.queue.full_quota(task.team, amount)
+        if full is not None and not amount.fits_in(full[1]):
+            return need
+        return need if tables.capacities.obstacle(amount) is not None else amount
 
     def find(self, task: TaskSpec, amount: Resources, now: float) -> Worker | None:
         """Return the worker that the class's policy chooses, or None if none has room."""
@@ -180,7 +191,7 @@
 
     def _on_no_room(self, waiting: Waiting, amount: Resources, now: float) -> None:
         task = waiting.task
-        obstacle = self._tables.capacities.obstacle(task.resources)
+        obstacle = self._tables.capacities.obstacle(self._tables.estimates.need(task))
         if obstacle is not None:
             self._refuse(task, RefusalReason.IMPOSSIBLE, obstacle)
             return
@@ -278,13 +289,15 @@
 
     def _refuse_over_quota(self, task: TaskSpec) -> None:
         """Refuse a task for which a quota would not do even with nothing else reserved."""
-        full = self._tables.queue.full_quota(task.team, task.resources)
-        if full is None or task.resources.fits_in(full[1]):
+        need = self._tables.estimates.need(task)
+        full = self._tables.queue.full_quota(task.team, need)
+        if full is None or need.fits_in(full[1]):
             return
-        detail = f"needs {describe_amount(task.resources)}; "
+        detail = f"needs {describe_amount(need)}; "
         detail += f"the quota of {full[0]} is {describe_amount(full[1])}"
         self._refuse(task, RefusalReason.IMPOSSIBLE, detail)
 
     def _refuse(self, task: TaskSpec, reason: RefusalReason, detail: str) -> None:
         self._tables.leave_queue(task.task_id)
-        self.refusals.append(Refusal(task=task, reason=reason, detail=detail))
+        need = self._tables.estimates.need(task)
+        self.refusals.append(Refusal(task=task, reason=reason, detail=detail, need=need))
--- a/src/galenastall/coordination/reconcile.py
+++ b/src/galenastall/coordination/reconcile.py
@@ -13,13 +13,18 @@
 )
 from galenastall.coordination.placement_state import Placed, Worker
 from galenastall.coordination.placement_tables import PlacementTables
+from galenastall.coordination.preemption import ENDINGS
 from galenastall.coordination.quarantine import HealthVerdict
 from galenastall.state.ids import HostId, TaskId
 from galenastall.state.ledger import LedgerPhase
 from galenastall.state.resources import Resources
-from galenastall.state.work import FinishedTask, RunningTask, TaskPhase, TaskSpec
+from galenastall.state.work import FinishedTask, RunningTask, TaskEnd, TaskPhase, TaskSpec
 
 CANCELLED = "cancelled"
+BROKEN_OFF = frozenset(
+    {TaskEnd.STOPPED.value, TaskEnd.CHECKPOINTED.value, TaskEnd.LEASE_LAPSED.value}
+)
+"""Ends that speak neither against the task nor against the worker."""
 
 
 class _Missing:
@@ -84,6 +89,8 @@
         if answer is CommandAnswer.REFUSED:
             self._on_refused_ending(placed, command)
             return placed.phase
+        if command is CommandKind.STOP and not placed.is_cancelled and not placed.task.idempotent:
+            return placed.phase  # it must not run again: the listing tells how it ended
         return self._on_proved_ended(placed)
 
     def finished(
@@ -168,17 +175,20 @@
         tables.estimates.record(placed.task, end)
         worker = placed.worker
         was_stopped = placed.ending is not None and not end.ok
+        may_repeat = placed.task.idempotent or end.detail == TaskEnd.CHECKPOINTED.value
         verdict = HealthVerdict.NOTHING
-        if not was_stopped:
+        if not (was_stopped and may_repeat) and end.detail not in BROKEN_OFF:
             verdict = self._judge(placed, end, now)
         tables.forget(placed)
-        if was_stopped and not placed.is_cancelled:
+        if was_stopped and may_repeat and not placed.is_cancelled:
             tables.requeue(placed, next_attempt=True)
             advice = EndAdvice.REQUEUED
         else:
             tables.remember_end(placed, ok=end.ok, detail=end.detail)
             advice = _advice(placed, end, verdict)
         detail = end.detail
+        if advice is EndAdvice.RETRY and was_stopped and detail == TaskEnd.STOPPED.value:
+            detail = f"stopped: {placed.cause}"
         if advice is EndAdvice.GIVE_UP:
             detail = tables.quarantine.history(placed.task.job_id)
         return EndedTask(
@@ -281,8 +291,8 @@
                 )
             )
             return
-        may_repeat = task.idempotent and (was_unknown or placed.ending is CommandKind.STOP)
-        if may_repeat or placed.ending is CommandKind.CHECKPOINT:
+        # An unseen end may have been any: that a checkpoint was asked for proves none was made.
+        if task.idempotent and (was_unknown or placed.ending in ENDINGS):
             tables.requeue(placed, next_attempt=True)
             missing.requeued.append(task.task_id)
             return
--- a/src/galenastall/node/worker_service.py
+++ b/src/galenastall/node/worker_service.py
@@ -326,7 +326,7 @@
 
     def _take_refusal(self, refusal: Refusal) -> None:
         """Give a task up, or back if only this owner has no worker that is large enough."""
-        need = refusal.task.resources
+        need = refusal.need
         owned = [
             host for worker, host in self.listed_workers().items() if worker in self.watches_by_id
         ]
--- a/tests/placement_builders.py
+++ b/tests/placement_builders.py
@@ -95,6 +95,10 @@
     )
 
 
+def broken_off(name: str, detail: str) -> FinishedTask:
+    return FinishedTask(task_id=TaskId(name), attempt=0, ok=False, detail=detail)
+
+
 def started(decision: Decision) -> list[str]:
     return [start.task.task_id for batch in decision.by_worker for start in batch.starts]
 
--- a/tests/test_placement_rules.py
+++ b/tests/test_placement_rules.py
@@ -9,6 +9,7 @@
 from galenastall.coordination.placement_commands import (
     CommandAnswer,
     CommandKind,
+    Decision,
     EndAdvice,
     RefusalReason,
     StartAnswer,
@@ -22,6 +23,7 @@
     W1,
     W2,
     FakeListing,
+    broken_off,
     commanded,
     ended,
     listed,
@@ -155,6 +157,101 @@
         assert started(core.decide(1.0, 10)) == []
 
 
+class TestOverrunOfTasksThatMustNotRunTwice:
+    def press(self, core: PlacementCore, used_mb: int = 4050, now: float = 1.0) -> Decision:
+        used = Resources(memory_mb=used_mb)
+        core.on_usage(W1, used, {TaskId("once/0"): used}, now)
+        return core.decide(now, 10)
+
+    def test_it_is_stopped_last_of_all_and_ends_as_failed_with_the_reason(self) -> None:
+        core = make_core()
+        once = make_task("once/0", memory=1024, idempotent=False)
+        run(core, once)
+        assert commanded(self.press(core), CommandKind.STOP) == ["once/0"]
+        answer = CommandAnswer.DONE
+        phase = core.on_command_answer(once.task_id, W1, CommandKind.STOP, answer, 2.0)
+        assert phase is TaskPhase.RUNNING
+        report = core.on_listing(W1, FakeListing(finished=(broken_off("once/0", "stopped"),)), 3.0)
+        [end] = report.ended
+        assert end.advice is EndAdvice.RETRY
+        assert end.detail == "stopped: w1 is expected to use 4050 of 4096 MB"
+        assert started(core.decide(4.0, 10)) == []
+        assert core.quarantined() == ()
+
+    def test_it_is_never_stopped_while_it_keeps_to_its_reservation(self) -> None:
+        core = make_core()
+        run(core, make_task("once/0", memory=3600, idempotent=False), make_task("b/0", memory=100))
+        by_task = {
+            TaskId("once/0"): Resources(memory_mb=3600),
+            TaskId("b/0"): Resources(memory_mb=496),
+        }
+        core.on_usage(W1, Resources(memory_mb=4096), by_task, 1.0)
+        assert commanded(core.decide(1.0, 10), CommandKind.STOP) == ["b/0"]
+
+    @pytest.mark.parametrize(
+        ("detail", "is_again"), [("checkpointed", True), ("failed", False), ("stopped", False)]
+    )
+    def test_only_a_checkpoint_that_was_made_lets_it_start_again(
+        self, detail: str, is_again: bool
+    ) -> None:
+        core = make_core()
+        run(core, make_task("once/0", memory=1024, idempotent=False, checkpointable=True))
+        assert commanded(self.press(core), CommandKind.CHECKPOINT) == ["once/0"]
+        core.on_finished(W1, [broken_off("once/0", detail)], 2.0)
+        core.on_usage(W1, Resources(), {}, 3.0)
+        assert started(core.decide(3.0, 10)) == (["once/0"] if is_again else [])
+
+    def test_an_unseen_end_after_a_checkpoint_was_asked_for_is_not_run_again(self) -> None:
+        core = make_core()
+        run(core, make_task("once/0", memory=1024, idempotent=False, checkpointable=True))
+        self.press(core)
+        report = core.on_listing(W1, FakeListing(), 3.0)
+        assert [task.task_id for task in report.lapsed] == ["once/0"]
+        assert started(core.decide(4.0, 10)) == []
+
+
+class TestFloorOfOverruns:
+    def overrun(self, core: PlacementCore, task: TaskSpec, used_mb: int, now: float) -> None:
+        used = Resources(memory_mb=used_mb)
+        core.on_usage(W1, used, {task.task_id: used}, now)
+        assert commanded(core.decide(now, 10), CommandKind.STOP) == [task.task_id]
+        core.on_command_answer(task.task_id, W1, CommandKind.STOP, CommandAnswer.DONE, now)
+        core.on_usage(W1, Resources(), {}, now + 1)
+
+    def test_the_next_attempt_reserves_at_least_what_was_measured(self) -> None:
+        core = make_core()
+        task = make_task("a/0", memory=512)
+        run(core, task)
+        self.overrun(core, task, 4000, 1.0)
+        [batch] = core.decide(3.0, 10).by_worker
+        [start] = batch.starts
+        assert (start.task.attempt, start.reserved.memory_mb) == (1, 4096)
+
+    def test_a_task_that_used_more_than_any_worker_has_is_refused_with_the_reason(self) -> None:
+        core = make_core()
+        task = make_task("a/0", memory=512)
+        run(core, task)
+        self.overrun(core, task, 5000, 1.0)
+        decision = core.decide(3.0, 10)
+        [refusal] = decision.refusals
+        assert started(decision) == []
+        assert refusal.reason is RefusalReason.IMPOSSIBLE
+        assert "needs 1 cores and 5000 MB; the largest worker has" in refusal.detail
+        assert refusal.need.memory_mb == 5000
+
+    def test_learned_sizes_beyond_every_worker_or_quota_are_not_waited_for(self) -> None:
+        wide = make_worker("w1", capacity=Resources(cores_milli=8000, memory_mb=1024))
+        tall = make_worker("w2", capacity=Resources(cores_milli=1000, memory_mb=8192))
+        core = make_core(wide, tall)
+        for index in range(2):
+            run(core, make_task(f"j/{index}", cores=500, kind="k"))
+            peak = Resources(cores_milli=6000, memory_mb=6000)
+            where = core.placed(TaskId(f"j/{index}"))
+            assert where is not None
+            core.on_finished(where.worker_id, [ended(f"j/{index}", peak=peak)], 1.0)
+        assert run(core, make_task("j/2", cores=500, kind="k"), now=2.0)
+
+
 class TestQuarantine:
     def fail(self, core: PlacementCore, name: str, where: str, now: float) -> EndAdvice:
         [end] = core.on_finished(HostId(where), [ended(name, ok=False)], now)
