End scheduled faults by patches of the knob that they set

Cause: ending a fault replaced all knobs of the log or of the workers, so that other faults ended with it, as that of a worker that fails its runs. Change: faults change only their own knob, by the stand-in's PATCH; the tests of schedules check the knob and its value by name (their fake took whole knobs). Conclusion: overlapping faults no longer undo each other, except cuts.

--- a/src/galenastall/bench/schedule.py
+++ b/src/galenastall/bench/schedule.py
@@ -4,7 +4,7 @@
 history what harm was done to whom and until when, so that the checker can allow for it.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import Final, Protocol
 
@@ -13,7 +13,6 @@
 from galenastall.proof.history import FOR_EVER, Fault, HistoryRecorder
 from galenastall.protocol.clock import Clock
 from galenastall.standin.cuts import Cut, Service
-from galenastall.standin.faults import LogFaults, WorkerFaults
 from galenastall.state.registry import Registry
 
 
@@ -51,11 +50,8 @@
 class Knobs(Protocol):
     """What faults do to the stand-in; its control client's methods."""
 
-    async def set_log_faults(self, faults: LogFaults) -> object:
-        """Replace the log's knobs."""
-
-    async def set_worker_faults(self, host: str, faults: WorkerFaults) -> object:
-        """Replace a worker's knobs, or those of `all`."""
+    async def change_faults(self, target: str, changes: Mapping[str, object]) -> object:
+        """Change only the named knobs of `log` or `workers/ID`, where ID may be `all`."""
 
     async def set_cuts(self, *cuts: Cut) -> object:
         """Put exactly these cuts in force."""
@@ -99,17 +95,18 @@
 @FAULTS.register("log-outage")
 async def log_outage(context: FaultContext, fault: ScheduledFault) -> None:
     """Let the log refuse everything for `lasts_s`."""
-    await context.standin.set_log_faults(LogFaults(outage=True))
+    await context.standin.change_faults("log", {"outage": True})
     await trio.sleep(fault.lasts_s)
-    await context.standin.set_log_faults(LogFaults())
+    await context.standin.change_faults("log", {"outage": False})
 
 
 @FAULTS.register("lost-start-answers")
 async def lost_start_answers(context: FaultContext, fault: ScheduledFault) -> None:
     """Lose a third of the answers of a worker (or `all`) for `lasts_s`, after their effect."""
-    await context.standin.set_worker_faults(fault.target, WorkerFaults(drop_after=LOST_SHARE))
+    target = f"workers/{fault.target}"
+    await context.standin.change_faults(target, {"drop_after": LOST_SHARE})
     await trio.sleep(fault.lasts_s)
-    await context.standin.set_worker_faults(fault.target, WorkerFaults())
+    await context.standin.change_faults(target, {"drop_after": 0.0})
 
 
 @FAULTS.register("cut")
--- a/tests/test_bench_schedule.py
+++ b/tests/test_bench_schedule.py
@@ -1,3 +1,5 @@
+from collections.abc import Mapping
+
 import pytest
 import trio
 from trio.testing import MockClock
@@ -5,7 +7,6 @@
 from galenastall.bench.schedule import FAULTS, FaultContext, FaultSchedule, ScheduledFault
 from galenastall.proof.history import FOR_EVER, Fault, HistoryRecorder
 from galenastall.standin.cuts import Cut
-from galenastall.standin.faults import LogFaults, WorkerFaults
 from galenastall.state.errors import UnknownNameError
 from galenastall.transport.clock import TrioClock
 
@@ -40,11 +41,8 @@
     async def restart(self, name: str) -> None:
         self.note(f"restart {name}")
 
-    async def set_log_faults(self, faults: LogFaults) -> None:
-        self.note(f"outage {faults.outage}")
-
-    async def set_worker_faults(self, host: str, faults: WorkerFaults) -> None:
-        self.note(f"{host} drops {faults.drop_after}")
+    async def change_faults(self, target: str, changes: Mapping[str, object]) -> None:
+        self.note(f"{target} {dict(changes)}")
 
     async def set_cuts(self, *cuts: Cut) -> None:
         self.note(f"cut {[cut.caller for cut in cuts]}")
@@ -69,7 +67,12 @@
             ScheduledFault(after_s=5, kind="pause", target="a", lasts_s=20),
             ScheduledFault(after_s=10, kind="log-outage", target="log", lasts_s=5),
         )
-        assert done == [(5, "pause a"), (10, "outage True"), (15, "outage False"), (25, "resume a")]
+        assert done == [
+            (5, "pause a"),
+            (10, "log {'outage': True}"),
+            (15, "log {'outage': False}"),
+            (25, "resume a"),
+        ]
         assert [(fault.host, fault.at, fault.until) for fault in faults] == [
             ("a", 1005, 1025),
             ("log", 1010, 1015),
@@ -86,7 +89,10 @@
             ("kill", ["kill a,b", "restart a,b"]),
             ("restart", ["terminate a,b", "restart a,b"]),
             ("cut", ["cut ['a', 'b']", "cut []"]),
-            ("lost-start-answers", ["a,b drops 0.33", "a,b drops 0.0"]),
+            (
+                "lost-start-answers",
+                ["workers/a,b {'drop_after': 0.33}", "workers/a,b {'drop_after': 0.0}"],
+            ),
         ],
     )
     async def test_each_fault_undoes_its_harm(
