Tell whose workers a failure struck and when each got its first start

Cause: recovery was told as the longest time without a start over all workers of the data centre, also of those that the failure did not touch. Change: the owners are read from the entry hosts' logs; soonest, median and latest first start on the workers that the fault struck, and the longest gap.

--- a/src/galenastall/bench/scenarios/placement_failures.py
+++ b/src/galenastall/bench/scenarios/placement_failures.py
@@ -1,9 +1,12 @@
 """Six failures while jobs are placed: nothing overcommitted, doubled or lost; time to recover."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
+from pathlib import Path
+from statistics import median
 from typing import Final
 
+import msgspec
 import trio
 
 from galenastall.bench.experiment import ExperimentSettings, close_and_judge, scenario
@@ -12,9 +15,8 @@
 from galenastall.bench.mixes import MIXES, draw_jobs
 from galenastall.bench.report import ScenarioResult
 from galenastall.bench.schedule import FaultContext, FaultSchedule, ScheduledFault
-from galenastall.proof.history import History, HistoryRecorder, TaskStarted
+from galenastall.proof.history import Fault, History, HistoryRecorder, TaskStarted
 from galenastall.standin.control_messages import ALL_HOSTS
-from galenastall.state.hosts import HostKind
 from galenastall.state.ids import HostId
 
 AT_S: Final = 10.0
@@ -121,27 +123,58 @@
         result.add("submissions without an answer", tally.unknown, "jobs")
         result.add("accepted jobs not ended in time", len(tally.open_jobs()), "jobs", at_most=0)
         await close_and_judge(fleet, recorder, result, names=NAMES, directory=settings.directory)
-        workers = await _workers(fleet)
-        _add_recovery(result, recorder.history(), workers, began + AT_S)
+        owners = await _owners(fleet, settings.directory, began + AT_S)
+        add_recovery(result, recorder.history(), owners)
 
 
-async def _workers(fleet: Fleet) -> list[HostId]:
-    hosts = await fleet.hosts_of(HostKind.WORKER)
-    return [host.host_id for host in hosts if host.data_centre == DATA_CENTRE]
-
-
-def _add_recovery(
-    result: ScenarioResult, history: History, workers: list[HostId], fault_at: float
-) -> None:
-    """Add the longest time without a start on any one of the affected workers after the fault."""
+def read_owners(lines: Iterable[bytes], before: float) -> dict[HostId, str]:
+    """Return from entry hosts' log lines who had last adopted each worker at a wall time."""
+    adopted: list[tuple[float, HostId, str]] = []
+    for line in lines:
+        if b'"worker.adopted"' not in line:
+            continue
+        row = msgspec.json.decode(line)
+        at = float(row["at"].partition(".")[0]) / 1000
+        if at < before:
+            adopted.append((at, HostId(row["peer"]), row["process"]))
+    return {worker: process for _, worker, process in sorted(adopted)}
+
+
+async def _owners(fleet: Fleet, directory: Path, before: float) -> dict[HostId, str]:
+    lines: list[bytes] = []
+    for host_id in fleet.entry_hosts_by_id:
+        text = await (trio.Path(directory) / f"{host_id}.log").read_bytes()
+        lines.extend(text.splitlines())
+    return read_owners(lines, before)
+
+
+def affected_workers(history: History, owners: Mapping[HostId, str]) -> tuple[float, list[HostId]]:
+    """Return when the last fault came and whose workers it struck; `all` and `log` mean all."""
+    fault = max(history.of(Fault), key=lambda each: each.at)
+    struck = set(fault.host.split(","))
+    everyone = not struck.isdisjoint({ALL_HOSTS, "log"})
+    if fault.kind == "kill":
+        struck = {each.host for each in history.of(Fault) if each.kind == "kill"}
+    return fault.at, [worker for worker, owner in owners.items() if everyone or owner in struck]
+
+
+def add_recovery(result: ScenarioResult, history: History, owners: Mapping[HostId, str]) -> None:
+    """Add how long after the fault each affected worker got its first start, and the gaps."""
+    fault_at, workers = affected_workers(history, owners)
     starts_by_worker = history.grouped(TaskStarted, lambda start: start.worker)
-    gaps = []
+    firsts: list[float] = []
+    gaps: list[float] = []
     for worker in workers:
         times = [start.at for start in starts_by_worker.get(worker, []) if start.at > fault_at]
         if not times:
             result.notes.append(f"{worker} got no start after the fault")
             continue
+        firsts.append(times[0] - fault_at)
         gaps.append(max(b - a for a, b in zip([fault_at, *times], times, strict=False)))
-    if gaps:
-        result.add("longest time without a start on an affected worker", max(gaps), "s")
-        result.add("shortest such time over the affected workers", min(gaps), "s")
+    result.add("affected workers", len(workers), "workers")
+    if not firsts:
+        return
+    result.add("first start on an affected worker after the fault, soonest", min(firsts), "s")
+    result.add("first start on an affected worker after the fault, median", median(firsts), "s")
+    result.add("first start on an affected worker after the fault, latest", max(firsts), "s")
+    result.add("longest time without a start on an affected worker", max(gaps), "s")
