Fetch only this data centre's hosts and all entry hosts, and only if they changed

Cause: each entry host fetched the platform's whole list every 2 s: 358 KB/s at 2,800 hosts, of a budget of 3 KB/s. Change: HostListService.fetch takes data_centre, kind and known_version; the stand-in names each cut by what its rows say and answers "unchanged" without rows. The poller fetches its data centre's hosts every 2 s and all entry hosts every 10 s; an unchanged answer confirms the rows as a whole one did, and a platform without versions or cuts still works.

--- a/src/galenastall/node/entry_host.py
+++ b/src/galenastall/node/entry_host.py
@@ -111,7 +111,11 @@
             queue_records=settings.memory.log_queue_records,
         )
         self.host_list = HostListPoller(
-            service=platform.host_list, clock=clock, rng=rng, events=self.recorder
+            service=platform.host_list,
+            clock=clock,
+            rng=rng,
+            data_centre=self.data_centre,
+            events=self.recorder,
         )
         self.host_list.subscribe(self._on_listing)
         appender = self.log_side.appender
--- a/src/galenastall/node/host_list_service.py
+++ b/src/galenastall/node/host_list_service.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Final
 
 import trio
@@ -12,11 +13,13 @@
 from galenastall.protocol.platform import HostListService
 from galenastall.state.errors import StepError
 from galenastall.state.hosts import HostKind, HostListing
-from galenastall.state.ids import HostId
+from galenastall.state.ids import DataCentre, HostId
 
 DEFAULT_POLL_S: Final = 2.0
 """Bounds how long a leaving host goes unnoticed beyond the platform's own lag."""
 JITTER: Final = 0.1
+ENTRY_HOSTS_EVERY_S: Final = 10.0
+"""How often entry hosts of other data centres are looked up; only links to them need these."""
 
 ListingCallback = Callable[[HostListing, float], None]
 """Takes the listing and the runtime time at which its fetch was sent."""
@@ -31,10 +34,19 @@
         service: HostListService,
         clock: Clock,
         rng: random.Random,
+        data_centre: DataCentre | None = None,
         poll_s: float = DEFAULT_POLL_S,
         events: EventSink | None = None,
     ) -> None:
-        """Poll `service` every `poll_s` seconds, spread by a tenth so that hosts fall apart."""
+        """Poll `service` every `poll_s` seconds, spread by a tenth so that hosts fall apart.
+
+        With a `data_centre` the list holds its hosts and all entry hosts, and only these are
+        fetched: the whole list is two orders of magnitude beyond what a host may spend.
+        """
+        self._data_centre = data_centre
+        self._own = _Cut(data_centre=data_centre)
+        self._entry_hosts = _Cut(kind=HostKind.ENTRY)
+        self._entry_hosts_due_at = clock.now()
         self._service = service
         self._clock = clock
         self._rng = rng
@@ -71,16 +83,50 @@
     async def poll_once(self) -> None:
         """Fetch the list once and tell the subscribers."""
         sent_at = self._clock.now()
-        match await self._service.fetch():
+        if not await self._refresh(self._own):
+            return
+        self.last_error = None
+        self._publish(sent_at)
+        if self._data_centre is None or sent_at < self._entry_hosts_due_at:
+            return
+        known = self._entry_hosts.listing
+        if await self._refresh(self._entry_hosts):
+            self._entry_hosts_due_at = sent_at + ENTRY_HOSTS_EVERY_S
+            if self._entry_hosts.listing is not known:
+                self._publish(sent_at)
+
+    async def _refresh(self, cut: "_Cut") -> bool:
+        """Fetch a cut unless it is as it was; return whether the platform answered."""
+        known = cut.listing
+        fetched = await self._service.fetch(
+            data_centre=cut.data_centre,
+            kind=cut.kind,
+            known_version=known.version or None if known else None,
+        )
+        match fetched:
+            case Success(listing) if not listing.is_unchanged:
+                cut.listing = listing
+                cut.as_of = listing.as_of
             case Success(listing):
-                self._take(listing, sent_at)
+                cut.as_of = listing.as_of
             case Failure(error):
                 if self.last_error is None:
                     self._events.record("host_list.down", peer=error.peer, cause=str(error))
                 self.last_error = error
-
-    def _take(self, listing: HostListing, sent_at: float) -> None:
-        self.last_error = None
+                return False
+        return True
+
+    def _publish(self, sent_at: float) -> None:
+        """Tell what is known; an unchanged answer confirms the list as much as a whole one."""
+        own = self._own.listing
+        if own is None:
+            return
+        by_id = own.by_id
+        if self._data_centre is not None and self._entry_hosts.listing is not None:
+            others = self._entry_hosts.listing.by_id.items()
+            elsewhere = {i: host for i, host in others if host.data_centre != self._data_centre}
+            by_id = {**elsewhere, **by_id}
+        listing = HostListing(as_of=self._own.as_of, by_id=by_id, version=own.version)
         self.latest = listing
         self.fetched_at = sent_at
         self._listed.set()
@@ -88,6 +134,17 @@
             callback(listing, sent_at)
 
 
+@dataclass(kw_only=True, slots=True)
+class _Cut:
+    """A part of the list and what is known of it."""
+
+    data_centre: DataCentre | None = None
+    kind: HostKind | None = None
+    listing: HostListing | None = None
+    as_of: float = 0.0
+    """Wall seconds that the last answer, whole or unchanged, describes."""
+
+
 def peer_addresses(listing: HostListing, *, own: HostId) -> dict[HostId, str]:
     """Return the peer addresses of all other entry hosts of a listing."""
     return {
--- a/src/galenastall/protocol/platform.py
+++ b/src/galenastall/protocol/platform.py
@@ -12,8 +12,17 @@
 from returns.result import Result
 
 from galenastall.state.errors import StepError
-from galenastall.state.hosts import HostListing
-from galenastall.state.ids import AttemptId, Epoch, HostId, Offset, RequestId, StreamName, TaskId
+from galenastall.state.hosts import HostKind, HostListing
+from galenastall.state.ids import (
+    AttemptId,
+    DataCentre,
+    Epoch,
+    HostId,
+    Offset,
+    RequestId,
+    StreamName,
+    TaskId,
+)
 from galenastall.state.outcomes import Outcome
 from galenastall.state.registry import Registry
 from galenastall.state.resources import Resources
@@ -64,8 +73,18 @@
 class HostListService(Protocol):
     """The platform's lagging list of hosts."""
 
-    async def fetch(self) -> Result[HostListing, StepError]:
-        """Return the list as the platform now shows it."""
+    async def fetch(
+        self,
+        *,
+        data_centre: DataCentre | None = None,
+        kind: HostKind | None = None,
+        known_version: str | None = None,
+    ) -> Result[HostListing, StepError]:
+        """Return the list as the platform now shows it, cut to a data centre and a kind of host.
+
+        An answer may be unchanged, without rows, if `known_version` is what the same cut had. A
+        platform that knows no versions or no cuts answers with more rows than asked for.
+        """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/galenastall/standin/caller_services.py
+++ b/src/galenastall/standin/caller_services.py
@@ -21,8 +21,8 @@
 )
 from galenastall.standin.cuts import Cuts, Service
 from galenastall.state.errors import StepError
-from galenastall.state.hosts import HostListing
-from galenastall.state.ids import Epoch, HostId, Offset, StreamName, TaskId
+from galenastall.state.hosts import HostKind, HostListing
+from galenastall.state.ids import DataCentre, Epoch, HostId, Offset, StreamName, TaskId
 
 T = TypeVar("T")
 Answers = Result[tuple[TaskAnswer, ...], StepError]
@@ -79,8 +79,20 @@
         self._host_list = host_list
         self._gate = gate
 
-    async def fetch(self) -> Result[HostListing, StepError]:
-        return await self._gate.pass_on("host_list.fetch", "host-list", self._host_list.fetch)
+    async def fetch(
+        self,
+        *,
+        data_centre: DataCentre | None = None,
+        kind: HostKind | None = None,
+        known_version: str | None = None,
+    ) -> Result[HostListing, StepError]:
+        return await self._gate.pass_on(
+            "host_list.fetch",
+            "host-list",
+            lambda: self._host_list.fetch(
+                data_centre=data_centre, kind=kind, known_version=known_version
+            ),
+        )
 
 
 class _CallerWorkers:
--- a/src/galenastall/standin/host_list.py
+++ b/src/galenastall/standin/host_list.py
@@ -2,17 +2,19 @@
 
 import random
 from collections import deque
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from typing import Final
 
+import msgspec
 import trio
+import xxhash
 from returns.result import Failure, Result, Success
 
 from galenastall.protocol.clock import Clock
 from galenastall.standin.faults import HostListFaults, draw_fate
 from galenastall.state.errors import Reason, StepError
-from galenastall.state.hosts import HostListing, HostState, ListedHost
-from galenastall.state.ids import HostId
+from galenastall.state.hosts import HostKind, HostListing, HostState, ListedHost
+from galenastall.state.ids import DataCentre, HostId
 
 PEER: Final = "host-list"
 MAX_VERSIONS: Final = 4096
@@ -32,8 +34,10 @@
         self._clock = clock
         self._rng = rng
         self.faults = faults or HostListFaults()
-        self._versions: deque[tuple[float, dict[HostId, ListedHost]]] = deque(maxlen=MAX_VERSIONS)
-        self._versions.append((float("-inf"), {host.host_id: host for host in hosts}))
+        self._versions: deque[_Version] = deque(maxlen=MAX_VERSIONS)
+        self._versions.append(
+            _Version(since=float("-inf"), hosts={host.host_id: host for host in hosts})
+        )
 
     def set_faults(self, faults: HostListFaults) -> None:
         """Replace the knobs."""
@@ -57,13 +61,19 @@
         """Show the present hosts at once, as if they had never been others."""
         hosts = self.current()
         self._versions.clear()
-        self._versions.append((float("-inf"), hosts))
+        self._versions.append(_Version(since=float("-inf"), hosts=hosts))
 
     def current(self) -> dict[HostId, ListedHost]:
         """Return the hosts as they are now, without the lag."""
-        return self._versions[-1][1]
+        return self._versions[-1].hosts
 
-    async def fetch(self) -> Result[HostListing, StepError]:
+    async def fetch(
+        self,
+        *,
+        data_centre: DataCentre | None = None,
+        kind: HostKind | None = None,
+        known_version: str | None = None,
+    ) -> Result[HostListing, StepError]:
         """Return the list as it was `lag_s` ago; see HostListService."""
         faults = self.faults
         fate = draw_fate(faults=faults, clock=self._clock, rng=self._rng)
@@ -76,17 +86,58 @@
         if self.faults.outage:
             return Failure(_error(Reason.UNAVAILABLE))
         lag_s = self.faults.lag_s
-        hosts = self._as_of(self._clock.now() - lag_s)
-        return Success(HostListing(as_of=self._clock.wall() - lag_s, by_id=dict(hosts)))
+        cut = self._as_of(self._clock.now() - lag_s).cut(data_centre, kind)
+        is_unchanged = known_version == cut.name
+        return Success(
+            HostListing(
+                as_of=self._clock.wall() - lag_s,
+                by_id={} if is_unchanged else dict(cut.hosts),
+                version=cut.name,
+                is_unchanged=is_unchanged,
+            )
+        )
 
     def _publish(self, hosts: dict[HostId, ListedHost]) -> None:
-        self._versions.append((self._clock.now(), hosts))
-
-    def _as_of(self, moment: float) -> dict[HostId, ListedHost]:
-        for since, hosts in reversed(self._versions):
-            if since <= moment:
-                return hosts
-        return self._versions[0][1]
+        self._versions.append(_Version(since=self._clock.now(), hosts=hosts))
+
+    def _as_of(self, moment: float) -> "_Version":
+        for version in reversed(self._versions):
+            if version.since <= moment:
+                return version
+        return self._versions[0]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Cut:
+    """Some rows of a version, named by what they say, so that a restart changes no name."""
+
+    name: str
+    hosts: dict[HostId, ListedHost]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Version:
+    """All rows from one moment on, and the cuts that were asked for."""
+
+    since: float
+    """Runtime seconds."""
+    hosts: dict[HostId, ListedHost]
+    cuts: dict[tuple[DataCentre | None, HostKind | None], _Cut] = field(default_factory=dict)
+
+    def cut(self, data_centre: DataCentre | None, kind: HostKind | None) -> _Cut:
+        """Return the rows of a data centre and a kind; None stands for all."""
+        found = self.cuts.get((data_centre, kind))
+        if found is not None:
+            return found
+        hosts = {
+            host_id: host
+            for host_id, host in self.hosts.items()
+            if data_centre in (None, host.data_centre) and kind in (None, host.kind)
+        }
+        rows = sorted(hosts.values(), key=lambda host: host.host_id)
+        name = xxhash.xxh3_128_hexdigest(msgspec.json.encode(rows))
+        cut = self.cuts[data_centre, kind] = _Cut(name=name, hosts=hosts)
+        return cut
 
 
 def _error(reason: Reason) -> StepError:
--- a/src/galenastall/standin/platform_http_face.py
+++ b/src/galenastall/standin/platform_http_face.py
@@ -10,7 +10,8 @@
 from galenastall.standin.lean_routes import LostAnswerError
 from galenastall.standin.memory_platform import MemoryPlatform
 from galenastall.state.errors import Reason, StepError
-from galenastall.state.ids import HostId, Offset, StreamName
+from galenastall.state.hosts import HostKind
+from galenastall.state.ids import DataCentre, HostId, Offset, StreamName
 from galenastall.transport.http_json import error_response, json_response, parse_json
 from galenastall.transport.http_messages import HttpRequest, HttpResponse
 from galenastall.transport.http_routes import route
@@ -19,6 +20,7 @@
 DEFAULT_LIMIT: Final = 1000
 MAX_WAIT_S: Final = 300.0
 """Longest wait of a read."""
+_HOST_KINDS: Final = frozenset(kind.value for kind in HostKind)
 
 
 class PlatformFace:
@@ -53,8 +55,19 @@
 
     @route("GET", "/hosts")
     async def hosts(self, request: HttpRequest) -> HttpResponse:
-        """Return the lagging list."""
-        return respond(await services_for(self._model, request).host_list.fetch())
+        """Return the lagging list, cut as the query says."""
+        query = request.query
+        asked_kind = query.get("kind")
+        if asked_kind is not None and asked_kind not in _HOST_KINDS:
+            detail = f"unknown kind {asked_kind!r}; allowed: {', '.join(sorted(_HOST_KINDS))}"
+            return error_response(_invalid(request, detail, step="host_list.fetch"))
+        data_centre = query.get("data_centre")
+        fetched = await services_for(self._model, request).host_list.fetch(
+            data_centre=None if data_centre is None else DataCentre(data_centre),
+            kind=None if asked_kind is None else HostKind(asked_kind),
+            known_version=query.get("known_version"),
+        )
+        return respond(fetched)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -84,8 +97,8 @@
     return Success(read)
 
 
-def _invalid(request: HttpRequest, detail: str) -> StepError:
-    return StepError(step="log.read", peer=request.client, reason=Reason.INVALID, detail=detail)
+def _invalid(request: HttpRequest, detail: str, step: str = "log.read") -> StepError:
+    return StepError(step=step, peer=request.client, reason=Reason.INVALID, detail=detail)
 
 
 def services_for(model: MemoryPlatform, request: HttpRequest) -> Platform:
--- a/src/galenastall/state/hosts.py
+++ b/src/galenastall/state/hosts.py
@@ -50,3 +50,7 @@
     as_of: float
     """Wall time in seconds that the list describes."""
     by_id: dict[HostId, ListedHost]
+    version: str = ""
+    """Names the rows asked for; empty if the platform gives no versions."""
+    is_unchanged: bool = False
+    """The rows are still those of the version that the asker named; `by_id` is then empty."""
--- a/src/galenastall/transport/platform_http_log.py
+++ b/src/galenastall/transport/platform_http_log.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 from returns.result import Result
 
 from galenastall.protocol.platform import LogPage
 from galenastall.state.errors import StepError
-from galenastall.state.hosts import HostListing
-from galenastall.state.ids import Offset, StreamName
+from galenastall.state.hosts import HostKind, HostListing
+from galenastall.state.ids import DataCentre, Offset, StreamName
 from galenastall.transport.platform_http_call import JsonCaller
 
 
@@ -67,10 +67,21 @@
         self._address = address
         self._caller = caller
 
-    async def fetch(self) -> Result[HostListing, StepError]:
-        """Return the list as the platform now shows it."""
+    async def fetch(
+        self,
+        *,
+        data_centre: DataCentre | None = None,
+        kind: HostKind | None = None,
+        known_version: str | None = None,
+    ) -> Result[HostListing, StepError]:
+        """Return the list as the platform now shows it; see HostListService."""
+        asked = {"data_centre": data_centre, "kind": kind, "known_version": known_version}
+        query = urlencode({name: value for name, value in asked.items() if value})
         return await self._caller.get(
-            address=self._address, path="/hosts", answer_type=HostListing, step="host_list.fetch"
+            address=self._address,
+            path=f"/hosts?{query}" if query else "/hosts",
+            answer_type=HostListing,
+            step="host_list.fetch",
         )
 
 
--- a/tests/test_ownership_service.py
+++ b/tests/test_ownership_service.py
@@ -1,7 +1,7 @@
 import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import pytest
@@ -10,7 +10,11 @@
 from trio.testing import MockClock
 
 from galenastall.coordination.ownership_timings import OwnershipTimings
-from galenastall.node.host_list_service import HostListPoller, peer_addresses
+from galenastall.node.host_list_service import (
+    ENTRY_HOSTS_EVERY_S,
+    HostListPoller,
+    peer_addresses,
+)
 from galenastall.node.log_service import LogSide
 from galenastall.node.ownables import ShardCounts
 from galenastall.node.ownership_service import OwnershipService
@@ -287,6 +291,39 @@
         assert first is not None
         assert peer_addresses(first, own=HostId("a")) == {HostId("b"): "b:1"}
 
+    async def test_only_the_own_data_centre_and_entry_hosts_are_kept(
+        self, autojump_clock: MockClock
+    ) -> None:
+        clock = TrioClock(wall_at_start=0.0)
+        far = replace(entry("far"), data_centre=DataCentre("far"))
+        hosts = [entry("a"), worker("w"), far, replace(worker("v"), data_centre=far.data_centre)]
+        platform = MemoryPlatform(clock=clock, seed=1, hosts=hosts)
+        platform.host_list.set_faults(HostListFaults(lag_s=0.0))
+        poller = HostListPoller(
+            service=platform.services().host_list,
+            clock=clock,
+            rng=random.Random(1),
+            data_centre=DC,
+        )
+        told: list[tuple[set[str], float]] = []
+        poller.subscribe(lambda listing, at: told.append((set(listing.by_id), at)))
+        await poller.poll_once()
+        assert told == [({"a", "w"}, 0.0), ({"a", "w", "far"}, 0.0)]
+        await trio.sleep(2)
+        await poller.poll_once()
+        assert told[2:] == [({"a", "w", "far"}, 2.0)], "an unchanged answer confirms the rows"
+        assert poller.latest is not None
+        assert poller.latest.as_of == 2.0
+        platform.host_list.put(replace(far, host_id=HostId("new")))
+        platform.host_list.remove(HostId("w"))
+        await trio.sleep(ENTRY_HOSTS_EVERY_S)
+        await poller.poll_once()
+        assert told[-1][0] == {"a", "far", "new"}
+        platform.host_list.set_faults(HostListFaults(outage=True))
+        await trio.sleep(5)
+        await poller.poll_once()
+        assert poller.age_s() == pytest.approx(5, abs=0.1), "a failure confirms nothing"
+
     async def test_leaving_host_is_told_within_a_poll(self, autojump_clock: MockClock) -> None:
         clock = TrioClock(wall_at_start=0.0)
         platform = MemoryPlatform(clock=clock, seed=1, hosts=[worker("w")])
--- a/tests/test_standin_contract.py
+++ b/tests/test_standin_contract.py
@@ -20,8 +20,8 @@
 from galenastall.standin.service_time import ServiceTime
 from galenastall.standin.violations import ViolationKind
 from galenastall.state.errors import Reason, StepError
-from galenastall.state.hosts import HostState
-from galenastall.state.ids import Epoch, Offset, StreamName, TaskId
+from galenastall.state.hosts import HostKind, HostListing, HostState, ListedHost
+from galenastall.state.ids import DataCentre, Epoch, HostId, Offset, StreamName, TaskId
 from galenastall.state.outcomes import Outcome
 from galenastall.state.resources import Resources
 from galenastall.state.work import TaskEnd
@@ -209,6 +209,55 @@
         async with open_rig() as rig:
             rig.model.host_list.set_faults(HostListFaults(outage=True))
             assert reason_of(await rig.services.host_list.fetch()) is Reason.UNAVAILABLE
+            again = await rig.services.host_list.fetch(known_version="v")
+            assert reason_of(again) is Reason.UNAVAILABLE
+
+    async def test_is_cut_by_data_centre_and_kind(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            rig.model.host_list.set_faults(HostListFaults(lag_s=0.0))
+            entry = ListedHost(
+                host_id=HostId("far"), kind=HostKind.ENTRY, data_centre=DataCentre("bochum east")
+            )
+            rig.model.host_list.put(entry)
+            fetch = rig.services.host_list.fetch
+            here = (await fetch(data_centre=rig.hosts[0].data_centre)).unwrap()
+            assert here.by_id == {host.host_id: host for host in rig.hosts}
+            assert (await fetch(kind=HostKind.ENTRY)).unwrap().by_id == {entry.host_id: entry}
+            there = await fetch(data_centre=entry.data_centre, kind=HostKind.ENTRY)
+            assert there.unwrap().by_id == {entry.host_id: entry}
+            none = await fetch(data_centre=entry.data_centre, kind=HostKind.WORKER)
+            assert none.unwrap().by_id == {}
+
+    async def test_answers_unchanged_until_a_row_of_the_cut_changes(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            rig.model.host_list.set_faults(HostListFaults(lag_s=0.0))
+            host = rig.hosts[0]
+            fetch = rig.services.host_list.fetch
+            first = (await fetch(data_centre=host.data_centre)).unwrap()
+            assert first.version
+            assert not first.is_unchanged
+
+            async def ask() -> HostListing:
+                asked = await fetch(data_centre=host.data_centre, known_version=first.version)
+                return asked.unwrap()
+
+            elsewhere = replace(host, host_id=HostId("far"), data_centre=DataCentre("far"))
+            rig.model.host_list.put(elsewhere)
+            await trio.sleep(1)
+            same = await ask()
+            assert (same.is_unchanged, same.by_id, same.version) == (True, {}, first.version)
+            assert same.as_of - first.as_of >= 1
+            rig.model.host_list.set_state(host.host_id, HostState.LEAVING)
+            changed = await ask()
+            assert not changed.is_unchanged
+            assert changed.by_id[host.host_id].state is HostState.LEAVING
+            assert changed.version != first.version
+            rig.model.host_list.remove(host.host_id)
+            assert host.host_id not in (await ask()).by_id
 
 
 class TestWorkers:
