Add starts and appends a second to the failure scenarios

Cause: they told neither; the issue asks for both with each failure. Change: the same figures as in the load scenarios, from the same functions.

--- a/src/galenastall/bench/placement_figures.py
+++ b/src/galenastall/bench/placement_figures.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 
+from galenastall.bench.fleet import CallError, Fleet
 from galenastall.bench.job_load import JobTally
 from galenastall.bench.load import new_histogram
 from galenastall.bench.mixes import JobArrival
@@ -10,6 +11,14 @@
 from galenastall.state.ids import JobId, TaskId, split_task_id
 
 
+async def count_appends(fleet: Fleet) -> int:
+    """Return the appends that the log has taken so far; raises CallError without an answer."""
+    counted = (await fleet.control.counters()).value_or(None)
+    if counted is None:
+        raise CallError("counters: the stand-in gave none")
+    return counted.log.appends
+
+
 def add_starts(result: ScenarioResult, history: History, *, began: float, until: float) -> None:
     """Add task starts a second: on average over the load, and in the best second."""
     by_second: dict[int, int] = defaultdict(int)
--- a/src/galenastall/bench/scenarios/placement_failures.py
+++ b/src/galenastall/bench/scenarios/placement_failures.py
@@ -13,6 +13,7 @@
 from galenastall.bench.fleet import Fleet, running_fleet
 from galenastall.bench.job_load import JobLoad
 from galenastall.bench.mixes import MIXES, draw_jobs
+from galenastall.bench.placement_figures import add_starts, count_appends
 from galenastall.bench.report import ScenarioResult
 from galenastall.bench.schedule import FaultContext, FaultSchedule, ScheduledFault
 from galenastall.proof.history import Fault, History, HistoryRecorder, TaskStarted
@@ -21,6 +22,7 @@
 
 AT_S: Final = 10.0
 """The fault comes so long after the load's start."""
+APPEND_BUDGET_PER_S: Final = 150.0
 RATE: Final = 3.0
 AFTER_S: Final = 30.0
 """The load goes on for so long after the fault."""
@@ -115,15 +117,21 @@
             recorder=recorder,
             clock=fleet.clock,
         )
+        appends_before = await count_appends(fleet)
         began = fleet.clock.wall()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(schedule.run)
             tally = await load.run(settle_s=SETTLE_S)
+        spent_s = fleet.clock.wall() - began
+        appends = (await count_appends(fleet) - appends_before) / spent_s
+        result.add("appends a second", appends, "appends/s", at_most=APPEND_BUDGET_PER_S)
         result.add("jobs accepted", len(tally.accepted_at_by_id), "jobs")
         result.add("submissions without an answer", tally.unknown, "jobs")
         result.add("accepted jobs not ended in time", len(tally.open_jobs()), "jobs", at_most=0)
         await close_and_judge(fleet, recorder, result, names=NAMES, directory=settings.directory)
         owners = await _owners(fleet, settings.directory, began + AT_S)
+        until = began + AT_S + lasts_s + AFTER_S
+        add_starts(result, recorder.history(), began=began, until=until)
         add_recovery(result, recorder.history(), owners)
 
 
--- a/src/galenastall/bench/scenarios/placement_load.py
+++ b/src/galenastall/bench/scenarios/placement_load.py
@@ -4,10 +4,15 @@
 from typing import Final
 
 from galenastall.bench.experiment import ExperimentSettings, close_and_judge, scenario
-from galenastall.bench.fleet import CallError, Fleet, running_fleet
+from galenastall.bench.fleet import Fleet, running_fleet
 from galenastall.bench.job_load import Cancellation, JobLoad, JobTally
 from galenastall.bench.mixes import MIXES, JobArrival, cancellation_wave, draw_jobs
-from galenastall.bench.placement_figures import add_packing, add_starts, add_waits
+from galenastall.bench.placement_figures import (
+    add_packing,
+    add_starts,
+    add_waits,
+    count_appends,
+)
 from galenastall.bench.report import ScenarioResult
 from galenastall.proof.history import HistoryRecorder
 from galenastall.standin.faults import WorkerFaults
@@ -68,12 +73,12 @@
             cancellations=_wave(arrivals, rng, duration_s),
             rng=rng,
         )
-        before = await _appends(fleet)
+        before = await count_appends(fleet)
         cpu_before = sum(each.cpu_s for each in fleet.usage().values())
         began = fleet.clock.wall()
         tally = await load.run(settle_s=SETTLE_S)
         spent_s = fleet.clock.wall() - began
-        appends = (await _appends(fleet) - before) / spent_s
+        appends = (await count_appends(fleet) - before) / spent_s
         cpu = sum(each.cpu_s for each in fleet.usage().values()) - cpu_before
         result.add("appends a second", appends, "appends/s", at_most=APPEND_BUDGET_PER_S)
         result.add("processor time of all entry hosts", cpu / spent_s * 100, "% of a core")
@@ -110,10 +115,3 @@
 async def _spoil_one_worker(fleet: Fleet) -> None:
     worker = (await fleet.hosts_of(HostKind.WORKER))[0].host_id
     await fleet.control.set_worker_faults(worker, WorkerFaults(fail_runs_after_s=0.2))
-
-
-async def _appends(fleet: Fleet) -> int:
-    counted = (await fleet.control.counters()).value_or(None)
-    if counted is None:
-        raise CallError("counters: the stand-in gave none")
-    return counted.log.appends
