Tell each step of requests, jobs, changes and ownership in sentences

Cause: a request's line had only taken, sent and ended, each with a log line; explain JOB said 'Last of all, x noted job: job ended', since tasks' events do not name their job.

Change: events for queued, sent (permit's owner and epoch), answered, retried, passed over, refused with its hint and withdrawn; job.assigned, worker.start with the placer's reason, worker.refused, worker.ending, worker.made_way; settings.submitted and not_submitted; ownership.claimed and handed_over. Steps of one request are details (EventSink.detail), sampled by the new process setting timeline_detail_share; unknown, failed and withdrawn are kept whatever the share. Sentences for all of them in four modules; a job's line has its tasks' events, a task's line its job's; explanations end with the present state. log_level 'debug' raised KeyError: Level has that name now.

At 450 requests a second the details' half of the ring lasts 7 s at share 1.0, so a busy fleet needs a smaller share.

--- a/src/galenastall/bench/transport_costs.py
+++ b/src/galenastall/bench/transport_costs.py
@@ -20,9 +20,13 @@
 import trio
 import zmq
 
+from galenastall.coordination.permit_types import Permit
+from galenastall.node.request_trace import RequestTrace
+from galenastall.node.request_types import RequestAnswer, RequestCall
 from galenastall.protocol.codec import PEER_MESSAGES
 from galenastall.protocol.security import CurveKeys
-from galenastall.state.ids import HostId, Incarnation
+from galenastall.state.ids import Epoch, HostId, Incarnation, RequestId, TeamPath
+from galenastall.state.outcomes import Outcome
 from galenastall.state.timeline_ring import TimelineRing
 from galenastall.transport.clock import TrioClock
 from galenastall.transport.http_app import HttpApp
@@ -246,6 +250,42 @@
     return (time.thread_time() - start) / CALLS * 1e6
 
 
+async def _trace_cost(*, share: float) -> float:
+    recorder = Recorder(
+        process="entry-1",
+        clock=TrioClock(),
+        ring=TimelineRing(),
+        detail_share=share,
+        stream=io.BytesIO(),
+    )
+    trace = RequestTrace(events=recorder)
+    upstream = HostId("executor-1")
+    permit = Permit(
+        permit_id="executor-1:1:1",
+        upstream=upstream,
+        address="127.0.0.1:1",
+        epoch=Epoch(7),
+        ask_id=1,
+        begin_within_s=1.0,
+        ends_within_s=1.0,
+    )
+    start = time.thread_time()
+    for number in range(CALLS):
+        call = RequestCall(
+            request_id=RequestId(f"request-{number}"),
+            team=TeamPath("board"),
+            operation="packs/preview",
+            deadline=1.0,
+        )
+        trace.queued(call, ahead=3)
+        trace.sent(call, permit, owner=HostId("entry-1"), number=1)
+        answer = RequestAnswer(
+            request_id=call.request_id, outcome=Outcome.DONE, upstream=upstream, attempts=1
+        )
+        trace.ended(call, answer, attempts=1)
+    return (time.thread_time() - start) / CALLS * 1e6
+
+
 async def _counter_cost() -> float:
     counter = Metrics().counter("requests", "Requests.", labels=("team", "outcome"))
     start = time.thread_time()
@@ -290,6 +330,8 @@
         "record a detail": lambda: _record_cost(level=Level.DETAIL),
         "record a detail that is left out": lambda: _record_cost(level=Level.DETAIL, share=0.01),
         "record with a log line": lambda: _record_cost(level=Level.INFO),
+        "all events of a request": lambda: _trace_cost(share=1.0),
+        "all events of a request that is left out": lambda: _trace_cost(share=0.01),
         "counter, two labels": _counter_cost,
         "histogram, one label": _histogram_cost,
         "metrics page, 260 teams": _page_cost,
--- a/src/galenastall/coordination/explain.py
+++ b/src/galenastall/coordination/explain.py
@@ -4,14 +4,18 @@
 so that nothing recorded is left out.
 """
 
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, replace
 from typing import Final
 
 from galenastall.coordination.timeline_merge import MergedTimeline
+from galenastall.state.ids import job_of_task
 from galenastall.state.registry import Registry
 from galenastall.state.timeline import TimelineEvent
 
+NAMED: Final = 4
+"""Ids that a sentence names before it counts the rest."""
+
 SentenceBuilder = Callable[[TimelineEvent], str]
 """Returns a sentence without its full stop."""
 
@@ -32,11 +36,13 @@
     """What could not be asked and may be missing."""
 
 
-def explain(timeline: MergedTimeline) -> Explanation:
-    """Return the sentences of a time line."""
+def explain(timeline: MergedTimeline, *, present: Sequence[str] = ()) -> Explanation:
+    """Return the sentences of a time line, and where its subject stands now if that is known."""
     sentences = tuple(_timed_sentences(timeline))
-    if timeline.events:
-        last = timeline.events[-1]
+    if present:
+        summary = f"Now: {' '.join(present)}"
+    elif timeline.events:
+        last = _narrowed(timeline.events[-1], timeline.subject)
         summary = f"Last of all, {_uncapitalised(sentence_of(last))}."
     else:
         summary = (
@@ -52,8 +58,8 @@
 
 
 def explanation_text(explanation: Explanation) -> str:
-    """Return the explanation as lines of text."""
-    lines = [explanation.summary, *explanation.sentences, *explanation.caveats]
+    """Return the explanation as lines of text, the present state last."""
+    lines = [*explanation.sentences, *explanation.caveats, explanation.summary]
     return "\n".join(lines) + "\n"
 
 
@@ -69,6 +75,23 @@
     return f" because {event.cause}" if event.cause else ""
 
 
+def listed(ids: Sequence[str]) -> str:
+    """Return ids in words, the first of many by name and the rest by number."""
+    if len(ids) > NAMED:
+        return f"{', '.join(ids[:NAMED])} and {len(ids) - NAMED} more"
+    return " and ".join((", ".join(ids[:-1]), ids[-1])) if len(ids) > 1 else "".join(ids)
+
+
+def _narrowed(event: TimelineEvent, subject: str) -> TimelineEvent:
+    """Return an event of a job or task without the tasks of others that shared its batch."""
+    prefix = f"{subject}/"
+    own = {each for each in event.subjects if each == subject or each.startswith(prefix)}
+    if not any(job_of_task(each) is not None for each in own):
+        return event
+    about = tuple(each for each in event.subjects if each in own or job_of_task(each) is None)
+    return replace(event, subjects=about)
+
+
 def _plain_sentence(event: TimelineEvent) -> str:
     layer, _, verb = event.step.partition(".")
     what = f"{layer}: {verb.replace('_', ' ')}" if verb else layer.replace("_", " ")
@@ -83,7 +106,8 @@
         return
     start_ms = timeline.events[0].at.wall_ms
     for event in timeline.events:
-        yield f"After {(event.at.wall_ms - start_ms) / 1000:.3f} s {sentence_of(event)}."
+        sentence = sentence_of(_narrowed(event, timeline.subject))
+        yield f"After {(event.at.wall_ms - start_ms) / 1000:.3f} s {sentence}."
 
 
 def _caveats(timeline: MergedTimeline) -> Iterator[str]:
--- /dev/null
+++ b/src/galenastall/coordination/explain_requests.py
@@ -0,0 +1,75 @@
+"""Sentences about requests."""
+
+from galenastall.coordination.explain import SENTENCES, because
+from galenastall.state.timeline import TimelineEvent
+
+
+@SENTENCES.register("request.queued")
+def _queued(event: TimelineEvent) -> str:
+    fields = event.fields
+    ahead = fields.get("ahead", "0")
+    place = "with nothing ahead of it" if ahead == "0" else f"with {ahead} ahead of it"
+    return (
+        f"{event.process} queued the request for {fields.get('operation')} of team "
+        f"{fields.get('team')} in class {fields.get('class')}, {place}"
+    )
+
+
+@SENTENCES.register("request.passed_over")
+def _passed_over(event: TimelineEvent) -> str:
+    return f"{event.process} gave the slot at {event.peer} back unused{because(event)}"
+
+
+@SENTENCES.register("request.sent")
+def _sent(event: TimelineEvent) -> str:
+    owner = event.fields.get("owner") or "an owner that is gone"
+    whose = "a permit of its own" if owner == event.process else f"a permit from {owner}"
+    return (
+        f"{event.process} sent attempt {event.fields.get('attempt')} to {event.peer} under "
+        f"{whose}, epoch {event.fields.get('epoch')}"
+    )
+
+
+@SENTENCES.register("request.answered")
+def _answered(event: TimelineEvent) -> str:
+    outcome = _words(event.fields.get("outcome"))
+    return f"the attempt at {event.peer} came out as {outcome}{_why(event)}"
+
+
+@SENTENCES.register("request.retried")
+def _retried(event: TimelineEvent) -> str:
+    return f"{event.process} tried once more after {event.peer}{_why(event)}"
+
+
+@SENTENCES.register("request.refused")
+def _refused(event: TimelineEvent) -> str:
+    return f"{event.process} refused the request{_why(event)}, and it was not run{_hint(event)}"
+
+
+@SENTENCES.register("request.ended")
+def _ended(event: TimelineEvent) -> str:
+    attempts = event.fields.get("attempts", "0")
+    times = "1 attempt" if attempts == "1" else f"{attempts} attempts"
+    outcome = _words(event.fields.get("outcome"))
+    return (
+        f"{event.process} answered the caller: {outcome}, after {times}{_why(event)}{_hint(event)}"
+    )
+
+
+@SENTENCES.register("request.withdrawn")
+def _withdrawn(event: TimelineEvent) -> str:
+    ran = "it was not run" if event.fields.get("outcome") == "not_run" else "it may have run"
+    return f"the caller or {event.process} broke the request off, and {ran}"
+
+
+def _words(outcome: str | None) -> str:
+    return (outcome or "unknown").replace("_", " ")
+
+
+def _why(event: TimelineEvent) -> str:
+    return f" because of {event.cause.replace('_', ' ')}" if event.cause else ""
+
+
+def _hint(event: TimelineEvent) -> str:
+    after_s = event.fields.get("retry_after_s")
+    return f"; the caller may come again after {after_s} s" if after_s else ""
--- a/src/galenastall/coordination/gang_holds.py
+++ b/src/galenastall/coordination/gang_holds.py
@@ -131,7 +131,12 @@
                 self._tables.drop_promise(task.task_id)
                 return placed
         worker = self._placer.find(task, amount, now)
-        return None if worker is None else self._reserve(task, worker, amount, now)
+        if worker is None:
+            return None
+        placed = self._reserve(task, worker, amount, now)
+        if placed is not None:
+            placed.why = f"all of its gang found room at once and {self._placer.why}"
+        return placed
 
     def _reserve(
         self, task: TaskSpec, worker: Worker, amount: Resources, now: float
--- a/src/galenastall/coordination/pending_commands.py
+++ b/src/galenastall/coordination/pending_commands.py
@@ -129,6 +129,7 @@
         epoch=worker.epoch,
         task=placed.task,
         reserved=placed.entry.amount,
+        why=placed.why,
     )
 
 
--- a/src/galenastall/coordination/permits.py
+++ b/src/galenastall/coordination/permits.py
@@ -54,6 +54,11 @@
         """Permits held."""
         return len(self._held_by_id)
 
+    def owner_of(self, *, permit_id: str) -> HostId | None:
+        """Return who granted a permit that is held."""
+        held = self._held_by_id.get(permit_id)
+        return None if held is None else held.owner
+
     def ask(self, *, owner: HostId, now: float) -> int:
         """Note an ask that is about to be sent; return its number."""
         self._next_ask += 1
--- a/src/galenastall/coordination/placement_commands.py
+++ b/src/galenastall/coordination/placement_commands.py
@@ -82,6 +82,8 @@
     epoch: Epoch
     task: TaskSpec
     reserved: Resources
+    why: str = ""
+    """Why there, for the time line."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/galenastall/coordination/placement_state.py
+++ b/src/galenastall/coordination/placement_state.py
@@ -123,6 +123,7 @@
         "since",
         "task",
         "used",
+        "why",
         "worker",
     )
 
@@ -143,6 +144,8 @@
         self.commanded_at = now
         self.cause = ""
         self.used: Resources = NOTHING
+        self.why = ""
+        """Why it was placed there."""
 
     @property
     def phase(self) -> TaskPhase:
--- a/src/galenastall/coordination/placer.py
+++ b/src/galenastall/coordination/placer.py
@@ -41,6 +41,9 @@
         self._tables = tables
         self._policies_by_class: dict[str, PlacementPolicy] = {}
         self._demands_left = 0
+        self._words_by_class: dict[str, str] = {}
+        self.why = ""
+        """Why the worker found last was chosen."""
         self.refusals: list[Refusal] = []
         self.use_policies()
 
@@ -53,6 +56,10 @@
             )
             for name, policy in tables.settings.policies_by_class.items()
         }
+        self._words_by_class = {
+            name: f"policy {policy} of class {name} chose it among the workers with room"
+            for name, policy in tables.settings.policies_by_class.items()
+        }
 
     def begin(self) -> None:
         """Start a decision: allow its share of preemptions and promises."""
@@ -78,6 +85,7 @@
             task, worker, amount, phase=LedgerPhase.STARTING, now=now, since=waiting.since
         )
         if placed is not None:
+            placed.why = self.why
             tables.leave_queue(task.task_id)
         return placed
 
@@ -94,12 +102,14 @@
         if tables.quarantined_by_id:
             probed = self._probe(task, amount, now)
             if probed is not None:
+                self.why = "the worker was quarantined and due to be probed"
                 return probed
         avoid = tables.quarantine.workers_to_avoid(task.job_id)
         if not tables.failed_shapes.covers(amount):
             policy = self._policies_by_class[class_of(task)]
             worker = policy.choose(task=task, amount=amount, avoid=avoid)
             if worker is not None:
+                self.why = self._words_by_class[class_of(task)]
                 return worker
             if not avoid:
                 tables.failed_shapes.add(amount)
@@ -149,7 +159,10 @@
         promise = self._tables.promises.get(task.task_id)
         if promise is None or not promise.worker.is_open:
             return None
-        return promise.worker if promise.worker.ledger.fits(amount) else None
+        if not promise.worker.ledger.fits(amount):
+            return None
+        self.why = "room there was promised to it while it waited"
+        return promise.worker
 
     def _probe(self, task: TaskSpec, amount: Resources, now: float) -> Worker | None:
         """Return a quarantined worker that is due to be tried, if this task may be risked."""
@@ -176,6 +189,7 @@
         worker = tables.promises.backfill(amount, now + run_s)
         if worker is None or worker.worker_id in tables.quarantine.workers_to_avoid(task.job_id):
             return None
+        self.why = "it ends before the task that the room is promised to needs it"
         return worker
 
     def _on_no_room(self, waiting: Waiting, amount: Resources, now: float) -> None:
--- a/src/galenastall/demo/__main__.py
+++ b/src/galenastall/demo/__main__.py
@@ -52,8 +52,9 @@
         ]
         _say("\ntime line of request demo-0, over all processes:")
         _say(await _fetch_text(fleet, fleet.hosts[1], "/v1/timeline/demo-0?format=text"))
-        _say("why job demo-full-pack ran where it did:")
-        _say(await _fetch_text(fleet, fleet.hosts[1], "/v1/explain/demo-full-pack?format=text"))
+        for subject in ("demo-0", "demo-full-pack"):
+            _say(f"what happened to {subject}:")
+            _say(await _fetch_text(fleet, fleet.hosts[1], f"/v1/explain/{subject}?format=text"))
     return is_set and all(results) and all(jobs)
 
 
--- a/src/galenastall/node/entry_host.py
+++ b/src/galenastall/node/entry_host.py
@@ -18,6 +18,7 @@
 from galenastall.node.memory_watch import MemoryWatch
 from galenastall.node.ownables import ShardCounts
 from galenastall.node.ownership_service import OwnershipService
+from galenastall.node.present_state import PresentState
 from galenastall.node.process_security import curve_keys, tls_files
 from galenastall.node.request_side import RequestSide
 from galenastall.node.settings_mapping import (
@@ -81,6 +82,7 @@
             clock=clock,
             ring=TimelineRing(capacity=settings.timeline_ring_events),
             log_level=Level[settings.log_level.upper()],
+            detail_share=settings.timeline_detail_share,
             stream=log_stream,
         )
         self.link = ZmqPeerLink(
@@ -177,7 +179,12 @@
             link=self.link, ring=self.recorder.ring, peers=lambda: self._peer_ids
         )
         ops = HttpOps(
-            metrics=self.metrics, timeline=self.timeline, not_ready_reasons=self.not_ready_reasons
+            metrics=self.metrics,
+            timeline=self.timeline,
+            not_ready_reasons=self.not_ready_reasons,
+            present=PresentState(
+                jobs=self.job_side.intake, requests=self.request_side.requests.book
+            ).describe,
         )
         register_host_metrics(
             metrics=self.metrics,
--- a/src/galenastall/node/http_ops.py
+++ b/src/galenastall/node/http_ops.py
@@ -1,7 +1,13 @@
 """Routes for operators and their machines: health, readiness, metrics, time line, explanation."""
 
-from collections.abc import Callable, Sequence
-
+from collections.abc import Awaitable, Callable, Sequence
+
+from galenastall.coordination import (
+    explain_jobs,
+    explain_ownership,
+    explain_requests,
+    explain_settings,
+)
 from galenastall.coordination.explain import explain, explanation_text
 from galenastall.coordination.timeline_merge import MergedTimeline, timeline_text
 from galenastall.node.timeline_service import TimelineService
@@ -12,7 +18,13 @@
 from galenastall.transport.metrics import CONTENT_TYPE, Metrics
 from galenastall.transport.timeline_plot import PlotUnavailableError, plot_timeline
 
+SENTENCE_MODULES = (explain_jobs, explain_ownership, explain_requests, explain_settings)
+"""Modules that file their sentences when they are loaded."""
+
 _TEXT = {"content-type": "text/plain; charset=utf-8"}
+PresentSentences = Callable[[str], Awaitable[tuple[str, ...]]]
+"""Returns sentences on how an id stands now; none if that is not known here."""
+
 _IMAGE_TYPES = {"svg": "image/svg+xml", "png": "image/png"}
 
 
@@ -25,8 +37,10 @@
         metrics: Metrics,
         timeline: TimelineService,
         not_ready_reasons: Callable[[], Sequence[str]],
+        present: PresentSentences | None = None,
     ) -> None:
-        """Ready while `not_ready_reasons` returns nothing."""
+        """Ready while `not_ready_reasons` returns nothing; `present` ends explanations."""
+        self._present = present
         self._metrics = metrics
         self._timeline = timeline
         self._not_ready_reasons = not_ready_reasons
@@ -62,7 +76,10 @@
     @route("GET", "/v1/explain/{subject*}")
     async def explain(self, request: HttpRequest) -> HttpResponse:
         """Answer with sentences about an id; `format` is json or text."""
-        explanation = explain(await self._timeline.gather(request.path_params["subject"]))
+        subject = request.path_params["subject"]
+        line = await self._timeline.gather(subject)
+        present = () if self._present is None else await self._present(subject)
+        explanation = explain(line, present=present)
         match request.query.get("format", "json"):
             case "json":
                 return json_response(200, explanation)
--- a/src/galenastall/node/job_side.py
+++ b/src/galenastall/node/job_side.py
@@ -76,7 +76,7 @@
             shards=shards,
             events=events,
         )
-        intake = JobIntake(
+        self.intake = JobIntake(
             data_centre=data_centre,
             fold=fold,
             jobs=self.jobs,
@@ -91,7 +91,7 @@
             team_problem=team_problem,
         )
         self.routes = HttpJobs(
-            intake=intake, fold=fold, workers=self.workers, ownership=ownership, clock=clock
+            intake=self.intake, fold=fold, workers=self.workers, ownership=ownership, clock=clock
         )
 
     def apply_settings(
--- a/src/galenastall/node/ownership_service.py
+++ b/src/galenastall/node/ownership_service.py
@@ -39,7 +39,7 @@
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.hosts import HostListing
 from galenastall.state.ids import DataCentre, Epoch, HostId, Incarnation, Offset, OwnableId
-from galenastall.state.ownership_records import Member
+from galenastall.state.ownership_records import Claim, HandOver, Member
 from galenastall.state.records import LoggedRecord
 
 TICK_S: Final = 0.1
@@ -279,11 +279,22 @@
             stream=self._follower.stream, record=command.record, record_id=command.record_id
         )
         core.on_append_outcome(command.record_id, _outcome(appended), self._clock.now())
+        if isinstance(appended, Success):
+            self._tell_written(command.record)
         if isinstance(appended, Failure):
             error = appended.failure()
             self._events.record("ownership.append_failed", peer=error.peer, cause=str(error))
         self._carry_out()
 
+    def _tell_written(self, record: Any) -> None:
+        match record:
+            case Claim(ownables=ownables):
+                self._events.record("ownership.claimed", subjects=ownables)
+            case HandOver(gifts=gifts):
+                for gift in gifts:
+                    peer = gift.to.host if gift.to else ""
+                    self._events.record("ownership.handed_over", peer=peer, subjects=gift.ownables)
+
     async def _fetch_tail(self, command: FetchTail) -> None:
         answered = await self._peers.call(
             peer=command.peer,
--- a/src/galenastall/node/permit_service.py
+++ b/src/galenastall/node/permit_service.py
@@ -187,6 +187,10 @@
         """Return the runtime time by which the request must be over."""
         return self._holder.ends_at(permit_id=permit.permit_id)
 
+    def owner_of(self, permit: Permit) -> HostId | None:
+        """Return who granted a permit that is held."""
+        return self._holder.owner_of(permit_id=permit.permit_id)
+
     def give_back(self, returned: PermitReturn) -> None:
         """Give a permit back with what the request saw."""
         if returned.leaving:
--- /dev/null
+++ b/src/galenastall/node/present_state.py
@@ -0,0 +1,31 @@
+"""Sentences on how an id stands now, as far as this entry host knows or can ask."""
+
+from galenastall.node.job_intake import JobIntake
+from galenastall.node.request_book import RequestBook, RequestStatus
+from galenastall.state.ids import JobId, RequestId, job_of_task
+
+
+class PresentState:
+    """Tells how jobs of this data centre and requests of this entry host stand."""
+
+    def __init__(self, *, jobs: JobIntake, requests: RequestBook) -> None:
+        """Ask these."""
+        self._jobs = jobs
+        self._requests = requests
+
+    async def describe(self, subject: str) -> tuple[str, ...]:
+        """Return sentences on an id; none if it is not known here."""
+        if self._jobs.find(JobId(job_of_task(subject) or subject)) is not None:
+            return await self._jobs.explain(subject)
+        status = self._requests.get(RequestId(subject))
+        return () if status is None else (_of_request(status),)
+
+
+def _of_request(status: RequestStatus) -> str:
+    name = f"Request {status.request_id}"
+    if status.outcome is not None:
+        reason = f": {status.reason.value.replace('_', ' ')}" if status.reason else ""
+        return f"{name} has ended as {status.outcome.value.replace('_', ' ')}{reason}."
+    if status.state == "sent":
+        return f"{name} is at {status.upstream}, attempt {status.attempts}."
+    return f"{name} waits for a slot."
--- a/src/galenastall/node/request_service.py
+++ b/src/galenastall/node/request_service.py
@@ -15,6 +15,7 @@
 from galenastall.node.permit_settings import RequestSettings
 from galenastall.node.request_attempt import AttemptResult, Attempts
 from galenastall.node.request_book import RequestBook, RequestStatus
+from galenastall.node.request_trace import RequestTrace
 from galenastall.node.request_types import (
     RequestAnswer,
     RequestCall,
@@ -76,7 +77,7 @@
         self._clock = clock
         self._permits = permits
         self._settings = settings
-        self._events = events
+        self._trace = RequestTrace(events=events)
         self._admission = Admission(limits=settings().admission)
         self._budget = RetryBudget(limits=settings().retries)
         self._shortest = ShortestTime()
@@ -150,16 +151,12 @@
         """Run a request; returns its final answer, exactly one of the four outcomes."""
         run = _Run(call=call, ticket=next(self._tickets), status=self.book.open(call.request_id))
         self._in_progress += 1
-        self._events.record(
-            "request.taken",
-            subjects=(call.request_id, call.team),
-            cause=call.urgency.name.lower(),
-            fields={"operation": call.operation},
-        )
         try:
             answer = self.refusal(call) or await self._until_final(run)
         except BaseException:
-            self._end(run, self._abandoned(run))
+            answer = self._abandoned(run)
+            self._trace.withdrawn(call, answer)
+            self._close(run, answer)
             raise
         finally:
             self._in_progress -= 1
@@ -174,12 +171,14 @@
                 return permit
             if not self._permits.may_begin(permit):
                 self.counters.void_permits += 1
+                self._trace.passed_over(run.call, permit, "it came too late to begin under it")
                 self._permits.give_back_unused(permit)
                 continue
             result = await self._attempt(run, permit)
             if not self._goes_on(run, result):
                 return self._final(run, result)
             self.counters.retries += 1
+            self._trace.retried(run.call, run.status.upstream, result.reason or result.outcome)
 
     async def _attempt(self, run: _Run, permit: Permit) -> AttemptResult:
         run.attempts += 1
@@ -188,22 +187,12 @@
         run.status.upstream = permit.upstream
         run.status.attempts = run.attempts
         attempt_id = AttemptId(f"{run.call.request_id}#{run.ticket}.{run.attempts}")
-        self._events.record(
-            "request.sent",
-            peer=permit.upstream,
-            subjects=(run.call.request_id, attempt_id),
-            cause=f"permit {permit.permit_id}",
-        )
+        owner = self._permits.owner_of(permit)
+        self._trace.sent(run.call, permit, owner=owner, number=run.attempts)
         result = await self._attempts.make(call=run.call, permit=permit, attempt_id=attempt_id)
         if result.outcome is Outcome.UNKNOWN:
             run.maybe_ran = result
-        if result.outcome is not Outcome.DONE:
-            self._events.record(
-                "request.attempt",
-                peer=permit.upstream,
-                subjects=(run.call.request_id, attempt_id),
-                cause=f"{result.outcome}: {result.reason}",
-            )
+        self._trace.answered(run.call, permit, result.outcome, result.detail or result.reason)
         return result
 
     def _goes_on(self, run: _Run, result: AttemptResult) -> bool:
@@ -228,9 +217,11 @@
             waiter = _Waiter()
             self._waiters_by_ticket[run.ticket] = waiter
             try:
+                ahead = len(self._admission)
                 offered = self._offer(run)
                 if offered.refusal is not None:
                     return self._gave_up(run, RequestReason(offered.refusal.reason))
+                self._trace.queued(run.call, ahead=ahead)
                 if waiter.permit is None and not waiter.reason:
                     await waiter.woken.wait()
             except BaseException:
@@ -245,6 +236,7 @@
             if waiter.permit.upstream not in run.tried or run.swaps >= MAX_SWAPS:
                 return waiter.permit
             run.swaps += 1
+            self._trace.passed_over(run.call, waiter.permit, "it was tried there before")
             self._permits.give_back_unused(waiter.permit)
 
     def _offer(self, run: _Run) -> Offered:
@@ -346,7 +338,8 @@
         )
 
     def count(self, answer: RequestAnswer) -> RequestAnswer:
-        """Count an answer that was given without a run, and return it."""
+        """Count and record an answer that was given without a run, and return it."""
+        self._trace.refused(answer)
         self.counters.ended(answer)
         return answer
 
@@ -361,12 +354,9 @@
         )
 
     def _end(self, run: _Run, answer: RequestAnswer) -> None:
+        self._trace.ended(run.call, answer, attempts=run.attempts)
+        self._close(run, answer)
+
+    def _close(self, run: _Run, answer: RequestAnswer) -> None:
         self.counters.ended(answer)
         self.book.close(run.status, answer)
-        self._events.record(
-            "request.ended",
-            peer=answer.upstream,
-            subjects=(run.call.request_id, run.call.team),
-            cause=f"{answer.outcome}: {answer.reason}" if answer.reason else answer.outcome,
-            fields={"operation": run.call.operation, "attempts": str(run.attempts)},
-        )
--- a/src/galenastall/node/settings_service.py
+++ b/src/galenastall/node/settings_service.py
@@ -135,7 +135,15 @@
             return self._same_change(change, known)
         refusal = self._refusal(change)
         if refusal is not None:
+            self._events.record(
+                "settings.not_submitted", subjects=(change.change_id,), cause=refusal.detail
+            )
             return Failure(refusal)
+        self._events.record(
+            "settings.submitted",
+            subjects=(change.change_id,),
+            fields={"path": change.path, "author": change.author},
+        )
         self._open.add(change.change_id)
         appended = await self._appender.append(
             stream=SETTINGS_STREAM,
--- a/src/galenastall/node/timeline_service.py
+++ b/src/galenastall/node/timeline_service.py
@@ -9,7 +9,7 @@
 from galenastall.coordination.timeline_merge import MergedTimeline, merge_timelines
 from galenastall.protocol.peers import PeerLink
 from galenastall.protocol.timeline_messages import TimelineEvents, TimelineQuery
-from galenastall.state.ids import HostId
+from galenastall.state.ids import HostId, job_of_task
 from galenastall.state.timeline import TimelineEvent
 from galenastall.state.timeline_ring import TimelineRing
 
@@ -38,8 +38,25 @@
         link.handle(TimelineQuery, self._answer)
 
     async def gather(self, subject: str) -> MergedTimeline:
-        """Return one line over all processes; those that don't answer in time are named."""
-        query = TimelineQuery(subject=subject, limit=EVENTS_LIMIT)
+        """Return one line over all processes; those that don't answer in time are named.
+
+        A job's line has its tasks' events, and a task's line those of its job as a whole.
+        """
+        line = await self._gather(
+            TimelineQuery(subject=subject, limit=EVENTS_LIMIT, with_parts=True)
+        )
+        job_id = job_of_task(subject)
+        if job_id is None:
+            return line
+        of_job = await self._gather(TimelineQuery(subject=job_id, limit=EVENTS_LIMIT))
+        return merge_timelines(
+            (line.events, of_job.events),
+            subject=subject,
+            unreachable=(*line.unreachable, *of_job.unreachable),
+            forgetful=(*line.forgetful, *of_job.forgetful),
+        )
+
+    async def _gather(self, query: TimelineQuery) -> MergedTimeline:
         here = self._own_events(query)
         rings: list[tuple[TimelineEvent, ...]] = [here.events]
         forgetful = [str(self._link.host_id)] if here.is_forgetful else []
@@ -59,7 +76,9 @@
             for peer in self._peers():
                 if peer != self._link.host_id:
                     nursery.start_soon(ask, peer)
-        return merge_timelines(rings, subject=subject, unreachable=unreachable, forgetful=forgetful)
+        return merge_timelines(
+            rings, subject=query.subject, unreachable=unreachable, forgetful=forgetful
+        )
 
     async def _answer(self, sender: HostId, query: Any) -> TimelineEvents:
         return self._own_events(query)
@@ -67,7 +86,7 @@
     def _own_events(self, query: TimelineQuery) -> TimelineEvents:
         limit = min(query.limit, EVENTS_LIMIT)
         if query.subject:
-            events = self._ring.about(query.subject, limit=limit)
+            events = self._ring.about(query.subject, limit=limit, with_parts=query.with_parts)
         else:
             events = self._ring.latest(limit)
         return TimelineEvents(events=events, is_forgetful=self._ring.forgotten > 0)
--- a/src/galenastall/node/worker_service.py
+++ b/src/galenastall/node/worker_service.py
@@ -16,6 +16,7 @@
 from galenastall.coordination.placement_commands import (
     Decision,
     Refusal,
+    WorkerCommands,
 )
 from galenastall.coordination.task_reports import ReportKind, TaskReport
 from galenastall.node.held_gangs import HeldGangs
@@ -258,6 +259,7 @@
             self.note(known.task, kind, detail="it broke off here")
             return
         if is_next_attempt:
+            self.events.record("worker.made_way", subjects=(task_id,))
             self.note(task, ReportKind.QUEUED, detail="it made way and waits again")
         else:
             self.assigned.set_quietly(task_id, ReportKind.QUEUED)
@@ -341,6 +343,7 @@
             detail=f"{refusal.reason.value}: {refusal.detail}",
             give_up=not fits_elsewhere,
         )
+        self.events.record("worker.refused", subjects=(refusal.task.task_id,), cause=report.detail)
         self.note_report(report, refusal.task)
 
     def _carry_out(self, decision: Decision) -> None:
@@ -352,8 +355,24 @@
                     self.assigned.set_quietly(start.task.task_id, ReportKind.UNKNOWN)
                 self._nursery.start_soon(self._starter.start, commands)
             if commands.stops or commands.checkpoints or commands.throttles:
+                self._tell_endings(commands)
                 self._nursery.start_soon(self._commander.send, commands)
 
+    def _tell_endings(self, commands: WorkerCommands) -> None:
+        for how, tasks in (
+            ("stop", commands.stops),
+            ("checkpoint", commands.checkpoints),
+            ("throttle", commands.throttles),
+        ):
+            for task in tasks:
+                self.events.record(
+                    "worker.ending",
+                    peer=commands.worker_id,
+                    subjects=(task.task_id,),
+                    cause=task.cause,
+                    fields={"how": how},
+                )
+
     def _on_settled(self, reports: Iterable[TaskReport]) -> None:
         for report in reports:
             watch = self.watches_by_id.get(report.worker_id)
--- a/src/galenastall/node/worker_starts.py
+++ b/src/galenastall/node/worker_starts.py
@@ -89,17 +89,25 @@
                 for each in starts
             ),
         )
-        self._owner.events.record(
-            "worker.start",
-            peer=commands.worker_id,
-            subjects=tuple(each.task.task_id for each in starts),
-            cause=f"{len(starts)} tasks placed by the policy of their class",
-            fields={"epoch": str(commands.epoch)},
-        )
+        self._tell_starts(commands, starts)
         with trio.move_on_after(self.timings.call_s):
             return await self._workers.start(address=address, batch=batch)
         return unanswered("worker.start", commands.worker_id, self.timings.call_s)
 
+    def _tell_starts(self, commands: WorkerCommands, starts: list[StartTask]) -> None:
+        """Record one event for each reason, since most of a batch share one."""
+        tasks_by_why: dict[str, list[TaskId]] = {}
+        for start in starts:
+            tasks_by_why.setdefault(start.why, []).append(start.task.task_id)
+        for why, tasks in tasks_by_why.items():
+            self._owner.events.record(
+                "worker.start",
+                peer=commands.worker_id,
+                subjects=tasks,
+                cause=why,
+                fields={"epoch": str(commands.epoch)},
+            )
+
     def _on_start_answer(self, start: StartTask, answer: StartAnswer, detail: str) -> None:
         now = self._clock.wall()
         task, worker = start.task, start.worker_id
--- a/src/galenastall/protocol/event_sink.py
+++ b/src/galenastall/protocol/event_sink.py
@@ -18,6 +18,17 @@
     ) -> None:
         """Keep one event; never blocks and never fails."""
 
+    def detail(
+        self,
+        step: str,
+        subject: str,
+        *,
+        peer: str = "",
+        cause: str = "",
+        fields: dict[str, str] | None = None,
+    ) -> None:
+        """Keep one step of a single request, if its details are kept; `fields` is not copied."""
+
 
 class NullEventSink:
     """Drops all events, for tools and tests that do not look at them."""
@@ -32,3 +43,14 @@
         fields: Mapping[str, str] | None = None,
     ) -> None:
         """Drop the event."""
+
+    def detail(
+        self,
+        step: str,
+        subject: str,
+        *,
+        peer: str = "",
+        cause: str = "",
+        fields: dict[str, str] | None = None,
+    ) -> None:
+        """Drop the event."""
--- a/src/galenastall/protocol/process_settings.py
+++ b/src/galenastall/protocol/process_settings.py
@@ -83,6 +83,8 @@
     clock_skew_bound_ms: int = Field(default=500, ge=0, le=60_000)
     """Assumed bound on how far wall clocks of two hosts differ."""
     timeline_ring_events: int = Field(default=20_000, ge=100, le=1_000_000)
+    timeline_detail_share: float = Field(default=1.0, ge=0, le=1)
+    """Share of request ids whose single steps are kept; the same ids on all entry hosts."""
     memory: MemoryLimits = Field(default_factory=MemoryLimits)
 
     @model_validator(mode="after")
--- a/src/galenastall/protocol/timeline_messages.py
+++ b/src/galenastall/protocol/timeline_messages.py
@@ -13,6 +13,8 @@
 
     subject: str
     limit: int
+    with_parts: bool = False
+    """Whether events about a part of the subject count too: a job's tasks."""
 
 
 @PEER_MESSAGES.register("timeline_events")
--- a/src/galenastall/state/ids.py
+++ b/src/galenastall/state/ids.py
@@ -64,6 +64,12 @@
     return TaskId(f"{job}/{index}")
 
 
+def job_of_task(subject: str) -> JobId | None:
+    """Return the job of a task's id, or None if the id has not the form of one."""
+    job, _, index = subject.rpartition("/")
+    return JobId(job) if job and index.isdecimal() else None
+
+
 def split_task_id(task: TaskId) -> tuple[JobId, int]:
     """Return the job and the index of a task."""
     job, _, index = task.rpartition("/")
--- a/src/galenastall/state/timeline_ring.py
+++ b/src/galenastall/state/timeline_ring.py
@@ -15,6 +15,14 @@
 """Events kept, half of them for single requests."""
 
 
+def is_about(event: TimelineEvent, subject: str) -> bool:
+    """Return whether an event is about an id or a part of it."""
+    if subject in event.subjects:
+        return True
+    prefix = f"{subject}/"
+    return any(each.startswith(prefix) for each in event.subjects)
+
+
 class TimelineRing:
     """The latest events of one process."""
 
@@ -37,8 +45,15 @@
         """Events that gave way to newer ones."""
         return self.recorded - len(self)
 
-    def about(self, subject: str, *, limit: int | None = None) -> tuple[TimelineEvent, ...]:
-        """Return the events about an id in time order, the latest `limit` of them."""
+    def about(
+        self, subject: str, *, limit: int | None = None, with_parts: bool = False
+    ) -> tuple[TimelineEvent, ...]:
+        """Return the events about an id in time order, the latest `limit` of them.
+
+        With parts, events about ids that go on after a slash count too, as a job's tasks do.
+        """
+        if with_parts:
+            return self._latest((event for event in self if is_about(event, subject)), limit)
         return self._latest((event for event in self if subject in event.subjects), limit)
 
     def latest(self, limit: int) -> tuple[TimelineEvent, ...]:
--- a/src/galenastall/transport/logs.py
+++ b/src/galenastall/transport/logs.py
@@ -29,6 +29,8 @@
 
     DETAIL = logging.DEBUG
     """A step of a single request: kept for a sample of requests, apart from the rest."""
+    DEBUG = DETAIL
+    """The name that settings use."""
     INFO = logging.INFO
     WARNING = logging.WARNING
     ERROR = logging.ERROR
@@ -100,6 +102,31 @@
         if self._log is not None and level >= self._log_level:
             self._write(event, level, None)
 
+    def detail(
+        self,
+        step: str,
+        subject: str,
+        *,
+        peer: str = "",
+        cause: str = "",
+        fields: dict[str, str] | None = None,
+    ) -> None:
+        """Keep one step of a single request, if it is in the share whose details are kept."""
+        if self._is_left_out(subject):
+            return
+        event = TimelineEvent(
+            at=self._hybrid.tick(self._clock.wall()),
+            process=self._process,
+            step=step,
+            peer=peer,
+            subjects=(subject,),
+            cause=cause,
+            fields=_NO_FIELDS if fields is None else fields,
+        )
+        self._ring.append(event, is_detail=True)
+        if self._log is not None and self._log_level <= Level.DETAIL:
+            self._write(event, Level.DETAIL, None)
+
     def record_error(self, error: StepError, exception: BaseException | None = None) -> None:
         """Keep a typed error as an event, with the traceback of the exception in its log line."""
         event = TimelineEvent(
@@ -115,6 +142,8 @@
             self._write(event, Level.ERROR, exception)
 
     def _is_left_out(self, subject: str) -> bool:
+        if self._detail_limit >= _SHARE_STEPS:
+            return False
         return xxhash.xxh32_intdigest(subject.encode()) >= self._detail_limit
 
     def _write(self, event: TimelineEvent, level: Level, exception: BaseException | None) -> None:
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -35,8 +35,10 @@
 from galenastall.state.job_records import JobAccepted
 from galenastall.state.job_shards import shard_ownable
 from galenastall.state.resources import Resources
+from galenastall.state.timeline_ring import TimelineRing
 from galenastall.state.work import JobSpec, Workload
 from galenastall.transport.clock import TrioClock
+from galenastall.transport.logs import Recorder
 
 MAPO = DataCentre("mapo")
 STREAM = data_centre_stream(MAPO)
@@ -184,6 +186,7 @@
         self.link = MemoryLink(host_id=host_id, net=cluster.net)
         self.view = View(host_id=host_id, owners=cluster.owners)
         job_link = JobLink(peers=self.link)
+        events = Recorder(process=host_id, clock=clock, ring=cluster.ring)
         self.workers = WorkerService(
             data_centre=MAPO,
             core=PlacementCore(),
@@ -194,6 +197,7 @@
             hosts=cluster.listing,
             shards=cluster.shards,
             timings=cluster.worker_timings,
+            events=events,
         )
         self.jobs = JobService(
             fold=self.fold,
@@ -206,6 +210,7 @@
             incarnation=f"{host_id}.{life}",
             shards=cluster.shards,
             timings=cluster.job_timings,
+            events=events,
         )
         self.intake = JobIntake(
             data_centre=MAPO,
@@ -218,6 +223,7 @@
             follower=self.follower,
             clock=clock,
             rng=random.Random(life),
+            events=events,
         )
         self._cluster = cluster
 
@@ -254,6 +260,8 @@
         self.job_timings = JobTimings()
         self._nursery = nursery
         self._lives = 0
+        self.ring = TimelineRing()
+        """What happened on all hosts."""
         self._listing: HostListing | None = None
 
     @staticmethod
--- a/tests/request_rig.py
+++ b/tests/request_rig.py
@@ -38,9 +38,11 @@
 )
 from galenastall.state.outcomes import Outcome
 from galenastall.state.ownership_records import Activate, Claim, Member
+from galenastall.state.timeline_ring import TimelineRing
 from galenastall.state.upstream_tenures import TenureHistory
 from galenastall.state.work import Urgency
 from galenastall.transport.clock import TrioClock
+from galenastall.transport.logs import Recorder
 
 DATA_CENTRE = DataCentre("gangnam")
 STREAM = data_centre_stream(DATA_CENTRE)
@@ -180,6 +182,8 @@
         self.owners: dict[OwnableId, tuple[HostId, Epoch]] = {}
         self.hosts: dict[HostId, EntryHost] = {}
         self.lives = 0
+        self.ring = TimelineRing()
+        """What happened to requests on all hosts."""
 
     def set_faults(self, faults: ExecutorFaults, *names: HostId) -> None:
         for name in names or self.upstreams:
@@ -247,7 +251,7 @@
             upstreams=self.platform.services(caller=host_id).upstreams,
             permits=permits,
             settings=lambda: self.settings,
-            events=NullEventSink(),
+            events=Recorder(process=name, clock=self.clock, ring=self.ring),
         )
         keyed = KeyedRequests(
             data_centre=DATA_CENTRE, clock=self.clock, keys=keys, requests=requests
