--- a/src/galenastall/node/worker_service.py
+++ b/src/galenastall/node/worker_service.py
@@ -233,6 +233,7 @@
             kind=kind,
             worker_id=worker,
             detail=detail,
+            need_mb=self.core.raised_need_mb(task),
         )
         self.note_report(report, task)
 
@@ -328,7 +329,7 @@
 
     def _take_refusal(self, refusal: Refusal) -> None:
         """Give a task up, or back if only this owner has no worker that is large enough."""
-        need = refusal.task.resources
+        need = refusal.need
         owned = [
             host for worker, host in self.listed_workers().items() if worker in self.watches_by_id
         ]
