--- a/src/galenastall/coordination/explain_jobs.py
+++ b/src/galenastall/coordination/explain_jobs.py
@@ -38,6 +38,11 @@
     return f"{event.process} gave {_tasks(event)} to {event.peer} to place"
 
 
+@SENTENCES.register("job.waits")
+def _waits(event: TimelineEvent) -> str:
+    return f"{event.process} let job {listed(event.subjects)} wait{because(event)}"
+
+
 @SENTENCES.register("worker.start")
 def _start(event: TimelineEvent) -> str:
     verb = "was" if len(_task_ids(event)) == 1 else "were"
--- a/src/galenastall/demo/__main__.py
+++ b/src/galenastall/demo/__main__.py
@@ -51,10 +51,10 @@
             await _run_job(fleet, fleet.hosts[1], GANG),
         ]
         _say("\ntime line of request demo-0, over all processes:")
-        _say(await _fetch_text(fleet, fleet.hosts[1], "/v1/timeline/demo-0?format=text"))
-        for subject in ("demo-0", "demo-full-pack"):
+        _say(await _fetch_text(fleet, fleet.hosts[0], "/v1/timeline/demo-0?format=text"))
+        for host, subject in zip(fleet.hosts, ("demo-0", "demo-full-pack"), strict=True):
             _say(f"what happened to {subject}:")
-            _say(await _fetch_text(fleet, fleet.hosts[1], f"/v1/explain/{subject}?format=text"))
+            _say(await _fetch_text(fleet, host, f"/v1/explain/{subject}?format=text"))
     return is_set and all(results) and all(jobs)
 
 
