Let an idle entry host see that the log is back

Change: a failed append counts until it may be tried again (at most 5 s); reads decide after that. Conclusion: log_up follows the log within seconds, in both directions.

--- a/src/galenastall/node/group_commit.py
+++ b/src/galenastall/node/group_commit.py
@@ -172,8 +172,13 @@
 
     @property
     def is_log_up(self) -> bool:
-        """Whether the last call to the log succeeded."""
-        return self._health.is_up and not self._append_failed
+        """Whether reads succeed, and no append has failed of late.
+
+        A failed append speaks against the log until it may be tried again, as an idle host would
+        else call the log down until its next append.
+        """
+        is_pausing = self._append_failed and self._clock.now() < self._retry_at
+        return self._health.is_up and not is_pausing
 
     @property
     def unresolved(self) -> Mapping[RecordId, StreamName]:
