End jobs whose tasks need more than any worker, gangs too

Cause: a gang whose members were seen to need more than every worker was held again without end; and the margin over what was seen could keep a gang that fits from ever fitting at once (5 members of 4,000 MB on 4 workers of 8,192). Change: the owner tells the shard that no worker is large enough, and the job ends as failed with the sizes as its reason; gangs get no margin. Conclusion: an overrunning job either ends within few attempts or says why not.

--- a/src/galenastall/coordination/estimates.py
+++ b/src/galenastall/coordination/estimates.py
@@ -15,7 +15,7 @@
 
 from galenastall.state.ids import JobId, TaskId, TeamPath
 from galenastall.state.resources import Resources
-from galenastall.state.work import FinishedTask, TaskSpec
+from galenastall.state.work import FinishedTask, TaskSpec, Workload
 
 STEPS_PER_DOUBLING: Final = 8
 """Buckets to a power of two: a quantile is at most 9% too high."""
@@ -156,9 +156,11 @@
         """Remember what an overrunning task was seen to use, for its next attempt.
 
         The margin goes no further than `most`, the largest worker; what was seen counts whole, so
-        that a task that needs more than any worker has is found impossible.
+        that a task that needs more than any worker has is found impossible. Gangs get no margin:
+        it could keep all of one from ever fitting at once.
         """
-        seen = max(used.memory_mb, min(int(used.memory_mb * FLOOR_MARGIN), most.memory_mb))
+        margin = 1.0 if task.workload is Workload.GANG else FLOOR_MARGIN
+        seen = max(used.memory_mb, min(int(used.memory_mb * margin), most.memory_mb))
         before = self._floors_by_task.get(task.task_id, 0)
         self._floors_by_task[task.task_id] = max(before, seen)
         if len(self._floors_by_task) > MOST_FLOORS:
--- a/src/galenastall/coordination/job_run.py
+++ b/src/galenastall/coordination/job_run.py
@@ -67,6 +67,8 @@
     avoided_hosts: set[HostId] = field(default_factory=set)
     """Assignees that had tasks of the job for long without starting them."""
     is_ending: bool = False
+    is_given_up: bool = False
+    """An owner said that no further try of the gang can succeed."""
     need_mb: int = 0
     """Most memory in MB that an overrunning task of the job was seen to need; tasks are alike."""
     _returned: list[int] = field(default_factory=list)
--- a/src/galenastall/coordination/job_shard.py
+++ b/src/galenastall/coordination/job_shard.py
@@ -383,6 +383,7 @@
             self._notes.add_ended(report.task_id, report.worker_id, verdict.phase)
 
     def _on_gang_report(self, run: JobRun, index: int, report: TaskReport, now: float) -> None:
+        run.is_given_up = run.is_given_up or report.give_up
         if report.kind is ReportKind.FAILED:
             run.add_failure(
                 TaskFailure(index=index, worker_id=report.worker_id, detail=report.detail)
@@ -397,7 +398,7 @@
         kinds = self.gangs.kinds_of(job_id)
         is_done = bool(kinds) and all(kind is ReportKind.DONE for kind in kinds.values())
         if not is_done and not run.is_stopped:
-            is_bad = len(run.failures) >= self.settings.max_failures
+            is_bad = run.is_given_up or len(run.failures) >= self.settings.max_failures
             if not is_bad and (run.state.spec.idempotent or not self.gangs.may_have_run(job_id)):
                 self._notes.add("gang_retry", (job_id,), run.history() or "its gang broke off")
                 self.gangs.retry(run, now)
--- a/src/galenastall/node/worker_service.py
+++ b/src/galenastall/node/worker_service.py
@@ -47,6 +47,7 @@
     split_task_id,
 )
 from galenastall.state.job_shards import shard_of
+from galenastall.state.resources import Resources
 from galenastall.state.work import TaskPhase, TaskSpec, Workload
 
 NO_HOST = HostId("")
@@ -256,6 +257,8 @@
         ):
             self.core.cancel((task_id,), self._clock.wall())
             kind = ReportKind.STOPPED if is_next_attempt else ReportKind.RETURNED
+            if is_next_attempt and self._give_up_if_too_large(known.task):
+                return
             self.note(known.task, kind, detail="it broke off here")
             return
         if is_next_attempt:
@@ -264,6 +267,22 @@
             self.assigned.set_quietly(task_id, ReportKind.QUEUED)
         self.wake()
 
+    def _give_up_if_too_large(self, task: TaskSpec) -> bool:
+        """Tell its shard if a task was seen to need more than any listed worker has."""
+        need = task.resources.at_least(Resources(memory_mb=self.core.raised_need_mb(task)))
+        obstacle = find_obstacle_on_hosts(need, self.listed_workers().values())
+        if obstacle is None:
+            return False
+        report = TaskReport(
+            task_id=task.task_id,
+            attempt=task.attempt,
+            kind=ReportKind.FAILED,
+            detail=obstacle,
+            give_up=True,
+        )
+        self.note_report(report, task)
+        return True
+
     def _on_activated(self, ownable: OwnableId, epoch: Epoch) -> None:
         kind, name = split_ownable_id(ownable)
         if kind is not OwnableKind.WORKER:
--- a/tests/test_job_failures.py
+++ b/tests/test_job_failures.py
@@ -454,3 +454,40 @@
             refused = await cluster.hosts[A].intake.submit(spec)
             assert refused.failure().reason is Reason.REFUSED
             assert "largest worker" in refused.failure().detail
+
+
+class TestOverruns:
+    @pytest.mark.parametrize("workload", [Workload.BATCH, Workload.GANG])
+    async def test_what_needs_more_than_every_worker_ends_with_the_reason(
+        self, workload: Workload, autojump_clock: Any
+    ) -> None:
+        async with open_cluster() as cluster:
+            payload = '{"run_s":60,"peak_mb":9000}'
+            await cluster.submit(make_spec("j", tasks=2, workload=workload, payload=payload))
+            await cluster.until(lambda: cluster.ended("j"), limit_s=120)
+            state = next(iter(cluster.hosts.values())).fold.get(JobId("j"))
+            assert state is not None
+            assert state.end is not None
+            assert "9000 MB; the largest worker has 4 cores and 8192 MB" in state.end.detail
+            assert max(cluster.starts_of(f"j/{index}") for index in range(2)) <= 2
+
+    @pytest.mark.parametrize("workload", [Workload.BATCH, Workload.GANG])
+    async def test_overrunning_tasks_end_after_few_attempts(
+        self, workload: Workload, autojump_clock: Any
+    ) -> None:
+        async with open_cluster() as cluster:
+            payload = '{"run_s":10,"peak_mb":4000}'
+            await cluster.submit(make_spec("j", tasks=5, workload=workload, payload=payload))
+            await cluster.until(lambda: cluster.ended("j"), limit_s=300)
+            assert done_count(cluster, "j") == 5
+            assert max(cluster.starts_of(f"j/{index}") for index in range(5)) <= 4
+
+    async def test_tasks_that_must_not_run_twice_start_once(self, autojump_clock: Any) -> None:
+        async with open_cluster() as cluster:
+            payload = '{"run_s":10,"peak_mb":4000}'
+            await cluster.submit(make_spec("j", tasks=12, idempotent=False, payload=payload))
+            await cluster.until(lambda: cluster.ended("j"), limit_s=300)
+            assert max(cluster.starts_of(f"j/{index}") for index in range(12)) == 1
+            state = next(iter(cluster.hosts.values())).fold.get(JobId("j"))
+            assert state is not None
+            assert state.count(TaskPhase.DONE) + state.count(TaskPhase.FAILED) == 12
