--- a/tests/test_placement_rules.py
+++ b/tests/test_placement_rules.py
@@ -270,6 +270,15 @@
         assert "out of quarantine" in end.worker_change
         assert started(core.decide(32.0, 10)) == ["next/1"]
 
+    @pytest.mark.parametrize("detail", ["lease_lapsed", "stopped", "checkpointed"])
+    def test_what_was_broken_off_speaks_against_nobody(self, detail: str) -> None:
+        core = make_core()
+        for index in range(4):
+            run(core, make_task(f"job{index}/0"))
+            [end] = core.on_finished(W1, [broken_off(f"job{index}/0", detail)], 1.0)
+            assert end.advice is EndAdvice.RETRY
+        assert core.quarantined() == ()
+
     def test_a_failed_probe_doubles_the_wait(self) -> None:
         core = make_core()
         for index in range(3):
