--- a/src/galenastall/coordination/estimates.py
+++ b/src/galenastall/coordination/estimates.py
@@ -124,6 +124,14 @@
         self.samples = 0
         self.size: Resources | None = None
 
+    def observe(self, memory_mb: int) -> None:
+        """Count what a running task uses at once: waiting for ends would place more like it."""
+        if memory_mb <= self.memory and self.size is not None:
+            return
+        self.memory = max(self.memory, memory_mb)
+        before = self.size or Resources()
+        self.size = before.at_least(Resources(memory_mb=int(self.memory * JOB_MARGIN)))
+
     def record(self, peak: Resources) -> None:
         self.cores = max(self.cores, peak.cores_milli)
         self.memory = max(self.memory, peak.memory_mb)
@@ -165,8 +173,12 @@
         self._floors_by_task[task.task_id] = max(before, seen)
         if len(self._floors_by_task) > MOST_FLOORS:
             self._floors_by_task.popitem(last=False)
+
+    def observe(self, task: TaskSpec, used: Resources) -> None:
+        """Learn from a task that runs and uses more memory than was granted."""
         if task.kind:
-            _recent(self._peaks_by_job, task.job_id, _JobPeaks, MOST_JOBS).record(used)
+            peaks = _recent(self._peaks_by_job, task.job_id, _JobPeaks, MOST_JOBS)
+            peaks.observe(used.memory_mb)
 
     def drop_floor(self, task_id: TaskId) -> None:
         """Forget a task that ended."""
--- a/src/galenastall/coordination/reconcile.py
+++ b/src/galenastall/coordination/reconcile.py
@@ -303,6 +303,8 @@
     """Reserve what overrunning tasks really use, as far as it fits."""
     for placed in tables.on_worker(worker):
         amount = placed.entry.amount
+        if placed.used.memory_mb > placed.granted_mb:
+            tables.estimates.observe(placed.task, placed.used)
         if placed.used.memory_mb > amount.memory_mb:
             more = Resources(memory_mb=placed.used.memory_mb)
             tables.resize(placed, amount.at_least(more))
--- a/tests/test_placement_rules.py
+++ b/tests/test_placement_rules.py
@@ -239,6 +239,15 @@
         assert "needs 1 cores and 5000 MB; the largest worker has" in refusal.detail
         assert refusal.need.memory_mb == 5000
 
+    def test_what_a_running_task_overuses_is_reserved_for_the_next_of_its_job(self) -> None:
+        core = make_core()
+        run(core, make_task("j/0", memory=512, kind="k"))
+        used = Resources(memory_mb=1000)
+        core.on_usage(W1, used, {TaskId("j/0"): used}, 1.0)
+        core.enqueue([make_task("j/1", memory=512, kind="k")], 1.0)
+        [batch] = core.decide(1.0, 10).by_worker
+        assert [start.reserved.memory_mb for start in batch.starts] == [1050]
+
     def test_learned_sizes_beyond_every_worker_or_quota_are_not_waited_for(self) -> None:
         wide = make_worker("w1", capacity=Resources(cores_milli=8000, memory_mb=1024))
         tall = make_worker("w2", capacity=Resources(cores_milli=1000, memory_mb=8192))
