Answer a poll of a worker with what changed since the last one

Change: WorkerService.listing takes a cursor; a worker that still has that listing answers with new rows, changed leases and usage, and tasks that are gone. The watch puts the whole listing together, so that the core sees what it saw; after an unanswered call, a change of owner or an answer that does not fit, it asks for the whole. Busy workers are asked as often as before.

--- a/src/galenastall/bench/capacity.py
+++ b/src/galenastall/bench/capacity.py
@@ -85,7 +85,7 @@
         value=1.0, unit="s", why="setting: how often an owner lists a worker"
     )
     listing_share: Assumption = Assumption(
-        value=1.0, unit="of a listing", why="listings are sent whole"
+        value=1.0, unit="of the tasks", why="rows of a listing whose usage changed: all of them"
     )
     read_gap_s: Assumption = Assumption(
         value=0.0, unit="s", why="least time between two reads of a stream: none is kept today"
@@ -123,8 +123,17 @@
     host_list_every_s: Assumption = Assumption(
         value=2.0, unit="s", why="constant: how often the platform's list is fetched"
     )
-    list_scope_share: Assumption = Assumption(
-        value=1.0, unit="of the fleet", why="the platform's list is not cut by data centre"
+    entry_list_every_s: Assumption = Assumption(
+        value=10.0, unit="s", why="constant: how often all entry hosts are looked up"
+    )
+    unchanged_bytes: Assumption = Assumption(
+        value=100.0, unit="bytes", why="body of an unchanged answer, as measured once"
+    )
+    ended_row_bytes: Assumption = Assumption(
+        value=146.0, unit="bytes", why="an ended task in a listing, listed once; measured once"
+    )
+    list_changes_per_day: Assumption = Assumption(
+        value=900.0, unit="changes", why="two for each of 210 restarts and 240 other changes"
     )
     decision_window_s: Assumption = Assumption(
         value=0.05, unit="s", why="setting: how long starts gather before a decision"
@@ -161,12 +170,10 @@
 
 PLANNED: Final = replace(
     Assumptions(),
-    listing_every_s=Assumption(value=10.0, unit="s", why="with the renewal, in one call"),
-    listing_share=Assumption(value=0.1, unit="of a listing", why="what changed since the last"),
+    listing_every_s=Assumption(value=2.0, unit="s", why="where nothing is about to end"),
+    listing_share=Assumption(value=0.1, unit="of the tasks", why="only usage that moved much"),
     start_batch=Assumption(value=4.0, unit="tasks", why="starts gathered for a worker at the peak"),
     read_gap_s=Assumption(value=0.5, unit="s", why="a least time between reads"),
-    host_list_every_s=Assumption(value=60.0, unit="s", why="asked for only if it changed"),
-    list_scope_share=Assumption(value=1 / 11, unit="of the fleet", why="one data centre's hosts"),
     beats_per_s=Assumption(value=4.0, unit="beats/s", why="beats every 2 s to 8 peers"),
     job_beat_s_per_peer=Assumption(value=1.0, unit="s", why="summaries as deltas would do as well"),
 )
--- a/src/galenastall/bench/capacity_lines.py
+++ b/src/galenastall/bench/capacity_lines.py
@@ -10,6 +10,7 @@
     Quantity,
     line,
 )
+from galenastall.node.worker_watch import IDLE_POLLS
 
 MB: Final = 2**20
 KB: Final = 1000.0
@@ -149,8 +150,8 @@
     mechanism="one HTTP call a worker; its answer holds all that runs there",
 )
 def owner_listings_cpu(model: CapacityModel) -> float:
-    """Return processor time of listings; idle workers were measured at one listing a second."""
-    idle = listing_calls_per_s(model) * model.each("idle-worker-cpu")
+    """Return processor time of listings; idle workers were measured at their own pace."""
+    idle = listing_calls_per_s(model) * model.each("idle-worker-cpu") * IDLE_POLLS
     tasks_us = listing_calls_per_s(model) * tasks_per_worker(model) * model.each("listing-cpu")
     return idle + tasks_us * US_PER_S_TO_PERCENT
 
@@ -185,12 +186,16 @@
     role="owner",
     quantity=Quantity.WIRE,
     what="listings of workers",
-    mechanism="JSON over HTTP; whole listings",
+    mechanism="JSON over HTTP; changes since the last answer, new tasks with their specification",
 )
 def owner_listings_wire(model: CapacityModel) -> float:
-    """Return bytes of listings."""
-    body = model.at("listing-body-bytes", tasks_per_worker(model)) * model.assume("listing_share")
-    return listing_calls_per_s(model) * call_bytes(model, body) / KB
+    """Return bytes of listings: rows of changed usage, each start and each end once."""
+    rows = model.at("listing-changes-bytes", tasks_per_worker(model)) * model.assume(
+        "listing_share"
+    )
+    calls = listing_calls_per_s(model) * call_bytes(model, rows)
+    a_task = model.each("listing-body-bytes") + model.assume("ended_row_bytes")
+    return (calls + owned_starts_per_s(model) * a_task) / KB
 
 
 @line(
@@ -312,27 +317,34 @@
     "follower-host-list-cpu",
     role="follower",
     quantity=Quantity.CPU,
-    what="the platform's list of all hosts",
-    mechanism="fetched whole, every few seconds",
+    what="the platform's list: this data centre's hosts, and all entry hosts",
+    mechanism="asked for every few seconds, with rows only if they changed",
 )
 def follower_host_list_cpu(model: CapacityModel) -> float:
-    """Return processor time of the list."""
-    cost_us = model.at("host-list-cpu", model.size.workers * model.assume("list_scope_share"))
-    cost_us += model.each("http-call-cpu")
-    return cost_us / model.assume("host_list_every_s") * US_PER_S_TO_PERCENT
+    """Return processor time of the list: the calls, since rows come some 100 times a day."""
+    return host_list_calls_per_s(model) * model.each("http-call-cpu") * US_PER_S_TO_PERCENT
 
 
 @line(
     "follower-host-list-wire",
     role="follower",
     quantity=Quantity.WIRE,
-    what="the platform's list of all hosts",
-    mechanism="fetched whole, every few seconds",
+    what="the platform's list: this data centre's hosts, and all entry hosts",
+    mechanism="asked for every few seconds, with rows only if they changed",
 )
 def follower_host_list_wire(model: CapacityModel) -> float:
-    """Return bytes of the list."""
-    hosts = model.size.workers * model.assume("list_scope_share")
-    return model.at("host-list-bytes", hosts) / model.assume("host_list_every_s") / KB
+    """Return bytes of the list: unchanged answers, and the rows after each change."""
+    quiet = host_list_calls_per_s(model) * call_bytes(model, model.assume("unchanged_bytes"))
+    data_centres = model.size.data_centres
+    here = model.at("host-list-bytes", model.size.workers / data_centres) / data_centres
+    entry_hosts = model.at("host-list-bytes", model.size.hosts_per_data_centre * data_centres)
+    changes_per_s = model.assume("list_changes_per_day") / DAY_S
+    return (quiet + changes_per_s * (here + entry_hosts)) / KB
+
+
+def host_list_calls_per_s(model: CapacityModel) -> float:
+    """Return fetches a second of one entry host."""
+    return 1.0 / model.assume("host_list_every_s") + 1.0 / model.assume("entry_list_every_s")
 
 
 def beats_sent_per_s(model: CapacityModel) -> float:
--- a/src/galenastall/bench/wire_slopes.py
+++ b/src/galenastall/bench/wire_slopes.py
@@ -5,6 +5,7 @@
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Final
 
@@ -16,6 +17,7 @@
 from galenastall.bench.relay import Relay
 from galenastall.bench.slopes import REPEATS, least_cpu_us, slope
 from galenastall.protocol.codec import decode_record, encode_record
+from galenastall.protocol.listing_changes import apply_changes, changes_since
 from galenastall.protocol.platform import StartBatch, StartRequest, WorkerListing
 from galenastall.state.hosts import HostKind, HostListing, ListedHost
 from galenastall.state.ids import Epoch, HostId, JobId, Offset, RecordId
@@ -27,6 +29,7 @@
 from galenastall.transport.http_client import HttpClient
 
 CALL_BODY: Final = b"x" * 200
+CURSOR: Final = "1764700000.123456-86400"
 WORKER: Final = HostId("worker-00000")
 
 Calls = Callable[[HttpClient, str], Awaitable[None]]
@@ -59,9 +62,17 @@
             for task in (make_task(index, rng) for index in range(tasks))
         ),
         finished=(),
+        cursor=CURSOR,
     )
 
 
+def make_changes(base: WorkerListing) -> WorkerListing:
+    """Return the answer that says that the usage of all tasks of a listing is another."""
+    used = Resources(cores_milli=650, memory_mb=910)
+    running = tuple(replace(row, used=used) for row in base.running)
+    return changes_since(base, replace(base, running=running, cursor=f"{CURSOR}1"))
+
+
 def make_host_list(hosts: int) -> HostListing:
     """Return the platform's list."""
     return HostListing(
@@ -117,9 +128,21 @@
     return float(len(msgspec.json.encode(make_listing(tasks))))
 
 
+@slope(
+    "listing-changes-bytes",
+    what="body of a worker's listing since the last one, when every task's usage is another",
+    x_name="tasks",
+    y_unit="bytes",
+    sizes=(1, 8, 64),
+)
+def listing_changes_bytes(tasks: int) -> float:
+    """Measure the JSON of an answer by changes."""
+    return float(len(msgspec.json.encode(make_changes(make_listing(tasks)))))
+
+
 @slope(
     "listing-cpu",
-    what="decode a worker's listing and reconcile the ledger with it",
+    what="decode a worker's changed usage, put the listing together and reconcile the ledger",
     x_name="tasks",
     y_unit="us of processor time",
     sizes=(1, 8, 64),
@@ -127,13 +150,16 @@
 def listing_cpu(tasks: int) -> float:
     """Measure an owner that takes in what it knows already."""
     core = make_core(1)
-    body = msgspec.json.encode(make_listing(tasks))
-    core.on_listing(WORKER, make_listing(tasks), WALL)
+    known = make_listing(tasks)
+    body = msgspec.json.encode(make_changes(known))
+    core.on_listing(WORKER, known, WALL)
     rounds = 50
 
     def take_in() -> None:
         for _ in range(rounds):
-            listing = msgspec.json.decode(body, type=WorkerListing)
+            listing = apply_changes(known, msgspec.json.decode(body, type=WorkerListing))
+            if listing is None:
+                raise AssertionError("the changes do not build on the listing")
             core.on_listing(WORKER, listing, WALL)
 
     return least_cpu_us(take_in) / rounds
--- a/src/galenastall/node/worker_watch.py
+++ b/src/galenastall/node/worker_watch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import trio
 from returns.result import Failure, Success
@@ -17,6 +17,7 @@
 from galenastall.node.worker_timings import WorkerTimings
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink
+from galenastall.protocol.listing_changes import apply_changes
 from galenastall.protocol.ownership_view import OwnershipView
 from galenastall.protocol.platform import WorkerListing, WorkerService
 from galenastall.state.hosts import HostState
@@ -26,6 +27,8 @@
 if TYPE_CHECKING:
     from galenastall.node.worker_service import WorkerService as Owner
 
+IDLE_POLLS: Final = 3
+"""An idle worker is asked once in so many polls; silence counts from its last answer."""
 KIND_BY_ADVICE = {
     EndAdvice.DONE: ReportKind.DONE,
     EndAdvice.RETRY: ReportKind.FAILED,
@@ -70,6 +73,8 @@
         self._scope = trio.CancelScope()
         self._kick = trio.Event()
         self._acks: dict[TaskId, None] = {}
+        self._known: WorkerListing | None = None
+        """The last whole listing, on which the next answer may build."""
 
     @property
     def is_spoken_for(self) -> bool:
@@ -116,10 +121,21 @@
         with self._scope:
             while True:
                 await self._poll()
-                with trio.move_on_after(self.timings.poll_every_s):
-                    await self._kick.wait()
+                for _ in range(IDLE_POLLS):
+                    with trio.move_on_after(self.timings.poll_every_s):
+                        await self._kick.wait()
+                    if self._kick.is_set() or not self._is_idle:
+                        break
                 self._kick = trio.Event()
 
+    @property
+    def _is_idle(self) -> bool:
+        """Whether nothing that can end was there at the last answer, nor was started since."""
+        known = self._known
+        if known is None or known.running or known.finished or not self.is_adopted:
+            return False
+        return not self._acks and not self._owner.core.on_worker(self.worker_id)
+
     async def _poll(self) -> None:
         address = self._owner.address_of(self.worker_id)
         asked_at = self._clock.wall()
@@ -128,15 +144,20 @@
             await self._send_acks(address)
             asked_at = self._clock.wall()
             with trio.move_on_after(self.timings.call_s):
-                result = await self._workers.listing(address=address)
-        match result:
-            case Success(listing):
-                self._take_listing(listing, asked_at)
-                await self._renew_if_due(str(address), listing)
-            case _:
-                self._check_lapse()
+                since = self._known.cursor if self._known is not None else ""
+                result = await self._workers.listing(address=address, since=since)
+        listing = self._whole(result.unwrap()) if isinstance(result, Success) else None
+        before, self._known = self._known, listing
+        if listing is None:
+            self._check_lapse()
+            return
+        self._take_listing(listing, asked_at, is_news=listing != before)
+        await self._renew_if_due(str(address), listing)
 
-    def _take_listing(self, listing: WorkerListing, asked_at: float) -> None:
+    def _whole(self, answer: WorkerListing) -> WorkerListing | None:
+        return apply_changes(self._known or WorkerListing(running=(), finished=()), answer)
+
+    def _take_listing(self, listing: WorkerListing, asked_at: float, *, is_news: bool) -> None:
         now = self._clock.wall()
         owner = self._owner
         untils = [running.lease_until for running in listing.running]
@@ -155,6 +176,8 @@
                 cause=f"{len(report.adopted)} tasks run there",
                 fields={"epoch": str(self.epoch)},
             )
+        elif not is_news and self._is_idle:
+            return
         report = owner.core.on_listing(self.worker_id, listing, now, asked_at)
         self._take_report(report, listing)
         self._take_finished(listing)
--- /dev/null
+++ b/src/galenastall/protocol/listing_changes.py
@@ -0,0 +1,77 @@
+"""What changed between two listings of one worker, and a listing put together from that.
+
+A listing repeats the specification of every task, some 400 bytes each; an owner that polls needs
+only what is new. The core goes on to see whole listings.
+"""
+
+from dataclasses import replace
+
+from galenastall.protocol.platform import TaskChange, WorkerListing
+from galenastall.state.ids import TaskId
+from galenastall.state.resources import Resources
+from galenastall.state.work import RunningTask
+
+
+def changes_since(base: WorkerListing, listing: WorkerListing) -> WorkerListing:
+    """Return an answer that says what makes `listing` of `base`; all of it if that is not exact.
+
+    Rows are told apart by task: a worker that runs one task twice lists everything.
+    """
+    known, running = _by_task(base), _by_task(listing)
+    if known is None or running is None:
+        return listing
+    new: list[RunningTask] = []
+    changed: list[TaskChange] = []
+    for task_id, row in running.items():
+        before = known.get(task_id)
+        if before == row:
+            continue
+        if before is not None and _with_measures_of(before, row) == row:
+            changed.append((task_id, row.lease_until, row.used))
+        else:
+            new.append(row)
+    return replace(
+        listing,
+        running=tuple(new),
+        base=base.cursor,
+        changed=tuple(changed),
+        gone=tuple(task_id for task_id in known if task_id not in running),
+    )
+
+
+def apply_changes(base: WorkerListing, answer: WorkerListing) -> WorkerListing | None:
+    """Return the whole listing that an answer stands for; None if it does not build on `base`."""
+    if not answer.base:
+        return answer
+    known = _by_task(base)
+    if known is None or answer.base != base.cursor:
+        return None
+    for task_id in answer.gone:
+        known.pop(task_id, None)
+    for task_id, lease_until, used in answer.changed:
+        row = known.get(task_id)
+        if row is None:
+            return None
+        known[task_id] = _measured(row, lease_until, used)
+    known.update((row.task.task_id, row) for row in answer.running)
+    return replace(answer, running=tuple(known.values()), base="", changed=(), gone=())
+
+
+def _by_task(listing: WorkerListing) -> dict[TaskId, RunningTask] | None:
+    rows = {row.task.task_id: row for row in listing.running}
+    return rows if len(rows) == len(listing.running) else None
+
+
+def _with_measures_of(row: RunningTask, other: RunningTask) -> RunningTask:
+    return _measured(row, other.lease_until, other.used)
+
+
+def _measured(row: RunningTask, lease_until: float, used: Resources) -> RunningTask:
+    """Return the row with other measures; `replace` takes several times as long."""
+    return RunningTask(
+        task=row.task,
+        reserved=row.reserved,
+        epoch=row.epoch,
+        lease_until=lease_until,
+        used=used,
+    )
--- a/src/galenastall/protocol/platform.py
+++ b/src/galenastall/protocol/platform.py
@@ -117,6 +117,10 @@
     detail: str = ""
 
 
+TaskChange = tuple[TaskId, float, Resources]
+"""A listed task whose lease (wall seconds) or usage changed; a tuple, since bytes count."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerListing:
     """What a worker runs and what it finished but has not had acknowledged."""
@@ -127,6 +131,14 @@
     """Measured usage of the whole worker; lags."""
     highest_epoch: Epoch = Epoch(0)
     """Highest epoch in any command; 0 from workers that can't compare epochs."""
+    cursor: str = ""
+    """Names what runs and what ended as listed here; empty from workers that keep none."""
+    base: str = ""
+    """The cursor on whose listing this one builds; empty if `running` is all that runs."""
+    changed: tuple[TaskChange, ...] = ()
+    """With a base: tasks listed there whose lease or usage is another now."""
+    gone: tuple[TaskId, ...] = ()
+    """With a base: tasks listed there that don't run any more."""
 
 
 class WorkerService(Protocol):
@@ -162,8 +174,11 @@
     ) -> Result[None, StepError]:
         """Let the worker forget finished tasks whose end is durable."""
 
-    async def listing(self, *, address: str) -> Result[WorkerListing, StepError]:
-        """Return what runs and what finished."""
+    async def listing(self, *, address: str, since: str = "") -> Result[WorkerListing, StepError]:
+        """Return what runs and what finished, or what changed since the cursor `since`.
+
+        A worker that does not know the cursor any more, or knows none, answers whole.
+        """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/galenastall/standin/caller_services.py
+++ b/src/galenastall/standin/caller_services.py
@@ -144,9 +144,9 @@
             lambda: self._workers.acknowledge(address=address, tasks=tasks),
         )
 
-    async def listing(self, *, address: str) -> Result[WorkerListing, StepError]:
+    async def listing(self, *, address: str, since: str = "") -> Result[WorkerListing, StepError]:
         return await self._gate.pass_on(
-            "worker.listing", address, lambda: self._workers.listing(address=address)
+            "worker.listing", address, lambda: self._workers.listing(address=address, since=since)
         )
 
 
--- a/src/galenastall/standin/worker.py
+++ b/src/galenastall/standin/worker.py
@@ -10,6 +10,7 @@
 from galenastall.protocol.platform import StartBatch, StartRequest, TaskAnswer, WorkerListing
 from galenastall.standin.event_queue import EventQueue
 from galenastall.standin.faults import WorkerFaults
+from galenastall.standin.listing_cursors import ListingCursors
 from galenastall.standin.run import Run
 from galenastall.standin.run_ledger import RunLedger
 from galenastall.standin.task_payload import read_payload, run_time_of
@@ -47,6 +48,7 @@
         self._runs_by_task: dict[TaskId, list[Run]] = {}
         self._finished_by_task: dict[TaskId, list[FinishedTask]] = {}
         self._reserved = NOTHING
+        self._cursors = ListingCursors(prefix=f"{clock.wall():.6f}")
 
     @property
     def reserved(self) -> Resources:
@@ -126,17 +128,20 @@
             self._finished_by_task.pop(task, None)
         return Success(None)
 
-    def listing(self, now: float) -> Result[WorkerListing, StepError]:
-        """Return what runs and what finished, with lagging usage."""
+    def listing(self, now: float, since: str = "") -> Result[WorkerListing, StepError]:
+        """Return what runs and what finished, or what changed; usage lags."""
         self._check_memory(now)
         lag_s = self.faults.usage_lag_s
         running = tuple(run.listed(now, lag_s) for run in self.runs())
         return Success(
-            WorkerListing(
-                running=running,
-                finished=tuple(self._finished()),
-                used=_sum(row.used for row in running),
-                highest_epoch=self.highest_epoch if self.faults.compares_epochs else Epoch(0),
+            self._cursors.answer(
+                WorkerListing(
+                    running=running,
+                    finished=tuple(self._finished()),
+                    used=_sum(row.used for row in running),
+                    highest_epoch=self.highest_epoch if self.faults.compares_epochs else Epoch(0),
+                ),
+                since=since,
             )
         )
 
@@ -146,6 +151,7 @@
             self._end(run, TaskEnd.FAILED, now)
         self._finished_by_task.clear()
         self.inbox.clear()
+        self._cursors.forget()
 
     def _start_one(self, start: StartRequest, epoch: Epoch, now: float) -> TaskAnswer:
         task = start.task
--- a/src/galenastall/standin/workers.py
+++ b/src/galenastall/standin/workers.py
@@ -141,9 +141,11 @@
             address, "worker.acknowledge", lambda worker, now: worker.acknowledge(tasks, now)
         )
 
-    async def listing(self, *, address: str) -> Result[WorkerListing, StepError]:
+    async def listing(self, *, address: str, since: str = "") -> Result[WorkerListing, StepError]:
         """List what runs and what finished; see WorkerService."""
-        return await self._call(address, "worker.listing", lambda worker, now: worker.listing(now))
+        return await self._call(
+            address, "worker.listing", lambda worker, now: worker.listing(now, since)
+        )
 
     async def _call(self, address: str, step: str, effect: Effect[T]) -> Result[T, StepError]:
         worker = self.by_address.get(address)
--- a/src/galenastall/standin/workers_http_face.py
+++ b/src/galenastall/standin/workers_http_face.py
@@ -69,9 +69,11 @@
 
     @route("GET", "/workers/{host_id}/listing")
     async def listing(self, request: HttpRequest) -> HttpResponse:
-        """Return what runs and what finished."""
+        """Return what runs and what finished, or what changed since a cursor."""
         address = self._address_of(request.path_params["host_id"])
-        return respond(await services_for(self._model, request).workers.listing(address=address))
+        workers = services_for(self._model, request).workers
+        since = request.query.get("since", "")
+        return respond(await workers.listing(address=address, since=since))
 
 
 def _no_such_verb(request: HttpRequest, verb: str) -> StepError:
--- a/src/galenastall/transport/platform_http_workers.py
+++ b/src/galenastall/transport/platform_http_workers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from urllib.parse import quote
 
 from returns.result import Result
 
@@ -83,11 +84,15 @@
             step="worker.acknowledge",
         )
 
-    async def listing(self, *, address: str) -> Result[WorkerListing, StepError]:
+    async def listing(self, *, address: str, since: str = "") -> Result[WorkerListing, StepError]:
         """List what runs and what finished; see WorkerService."""
         host, path = _split(address)
+        query = f"?since={quote(since, safe='')}" if since else ""
         return await self._caller.get(
-            address=host, path=f"{path}/listing", answer_type=WorkerListing, step="worker.listing"
+            address=host,
+            path=f"{path}/listing{query}",
+            answer_type=WorkerListing,
+            step="worker.listing",
         )
 
     async def _post(self, address: str, verb: str, message: object) -> Answers:
--- a/tests/test_standin_contract.py
+++ b/tests/test_standin_contract.py
@@ -8,7 +8,8 @@
 from returns.result import Failure, Result, Success
 from trio.testing import MockClock
 
-from galenastall.protocol.platform import UpstreamCutError
+from galenastall.protocol.listing_changes import apply_changes
+from galenastall.protocol.platform import UpstreamCutError, WorkerListing
 from galenastall.standin.echo import EchoVerdict, check_echo
 from galenastall.standin.faults import (
     BeyondSlots,
@@ -260,6 +261,82 @@
             assert host.host_id not in (await ask()).by_id
 
 
+class TestListingSinceACursor:
+    async def test_changes_add_up_to_the_whole(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        """Ask by every cursor in turn through starts, renewals, usage, ends and forgetting."""
+        async with open_rig() as rig:
+            workers, address = rig.services.workers, rig.worker
+            known = (await workers.listing(address=address)).unwrap()
+            assert (known.base, known.running, bool(known.cursor)) == ("", (), True)
+            lasting, short = make_task(1, run_s=500.0), make_task(2, run_s=5.0)
+
+            async def follow() -> WorkerListing:
+                nonlocal known
+                answer = (await workers.listing(address=address, since=known.cursor)).unwrap()
+                assert answer.base == known.cursor
+                merged = apply_changes(known, answer)
+                whole = (await workers.listing(address=address)).unwrap()
+                assert merged is not None
+                assert sorted(merged.running, key=lambda row: row.task.task_id) == sorted(
+                    whole.running, key=lambda row: row.task.task_id
+                )
+                assert replace(merged, running=()) == replace(whole, running=())
+                known = whole
+                return answer
+
+            batch = make_batch(lasting, short, lease_until=rig.lease(60))
+            await workers.start(address=address, batch=batch)
+            assert {row.task for row in (await follow()).running} == {lasting, short}
+            await workers.renew(
+                address=address, tasks=[lasting.task_id], lease_until=rig.lease(400)
+            )
+            renewed = await follow()
+            assert renewed.running == ()
+            assert [task for task, _, _ in renewed.changed][:1] == [lasting.task_id]
+            await trio.sleep(30)
+            ended = await follow()
+            assert ended.gone == (short.task_id,)
+            assert [row.task_id for row in ended.finished] == [short.task_id]
+            await workers.acknowledge(address=address, tasks=[short.task_id])
+            assert (await follow()).finished == ()
+            cursor = known.cursor
+            quiet = await follow()
+            assert (quiet.running, quiet.changed, quiet.gone) == ((), (), ())
+            assert quiet.cursor == cursor
+
+    async def test_second_copy_and_unknown_cursor_are_answered_whole(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            workers, address = rig.services.workers, rig.worker
+            rig.model.workers.set_faults(rig.worker, WorkerFaults(compares_epochs=False))
+            batch = make_batch(make_task(1, run_s=500.0), lease_until=rig.lease(400))
+            await workers.start(address=address, batch=batch)
+            one = (await workers.listing(address=address)).unwrap()
+            await workers.start(address=address, batch=batch)
+            two = (await workers.listing(address=address, since=one.cursor)).unwrap()
+            assert (two.base, len(two.running)) == ("", 2)
+            assert apply_changes(one, two) == two
+            stray = (await workers.listing(address=address, since="never & given")).unwrap()
+            assert (stray.base, len(stray.running)) == ("", 2)
+
+    async def test_lost_worker_knows_no_cursor(
+        self, open_rig: OpenRig, jumping_clock: MockClock
+    ) -> None:
+        async with open_rig() as rig:
+            workers, address = rig.services.workers, rig.worker
+            batch = make_batch(make_task(1, run_s=500.0), lease_until=rig.lease(400))
+            await workers.start(address=address, batch=batch)
+            known = (await workers.listing(address=address)).unwrap()
+            rig.model.workers.set_faults(address, WorkerFaults(down=True))
+            rig.model.workers.set_faults(address, WorkerFaults())
+            after = (await workers.listing(address=address, since=known.cursor)).unwrap()
+            assert (after.base, after.running) == ("", ())
+            assert after.cursor != known.cursor
+
+
 class TestWorkers:
     async def test_task_runs_to_its_real_end(
         self, open_rig: OpenRig, jumping_clock: MockClock
