Give a taken-over worker nothing until late starts are over; hazards with processes

Cause: a start that was delayed in the network past its owner's replacement took effect on a worker that the new owner had listed as free. Change: a new owner adopts what it lists at once, and starts nothing and speaks for nothing there until placement.start_settle_s after it took over. Conclusion: a dead owner's workers get nothing new for 15 s more; their tasks and leases go on.

--- a/src/galenastall/node/job_side.py
+++ b/src/galenastall/node/job_side.py
@@ -22,6 +22,7 @@
 from galenastall.state.hosts import HostListing
 from galenastall.state.ids import DataCentre, HostId, Incarnation
 from galenastall.state.job_fold import JobFold
+from galenastall.state.upstream_tenures import TenureHistory
 from galenastall.state.work import JobSpec
 
 
@@ -50,6 +51,8 @@
         """Build the services; `follower` is the data centre's stream and must not run yet."""
         fold = JobFold()
         follower.subscribe(fold)
+        tenures = TenureHistory()
+        follower.subscribe(tenures)
         link = JobLink(peers=peers)
         self.core = PlacementCore(settings=placement, seed=rng.getrandbits(32))
         self.workers = WorkerService(
@@ -61,6 +64,7 @@
             clock=clock,
             hosts=hosts,
             shards=shards,
+            tenures=tenures,
             timings=worker_timings,
             events=events,
         )
--- a/src/galenastall/node/settings_mapping.py
+++ b/src/galenastall/node/settings_mapping.py
@@ -54,6 +54,7 @@
         longest_lease_s=LEASE_CAP_S,
         renew_every_s=section.renew_s,
         flight_s=section.flight_s * (1.0 - SKEW_SHARE),
+        start_settle_s=shared.placement.start_settle_s,
     )
 
 
--- /dev/null
+++ b/src/galenastall/node/start_settling.py
@@ -0,0 +1,82 @@
+"""Learn from a worker's last owner whether starts of its may still arrive there."""
+
+from typing import Protocol
+
+from returns.result import Success
+
+from galenastall.coordination.start_horizon import StartHorizon
+from galenastall.node.job_link import JobLink
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.job_messages import StartsLeft, StartsLeftCall
+from galenastall.protocol.ownership_view import OwnershipView
+from galenastall.state.ids import Epoch, HostId, OwnableId, OwnableKind, make_ownable_id
+
+
+class Tenures(Protocol):
+    """Earlier owners according to the data centre's stream."""
+
+    def is_first(self, *, ownable: OwnableId, epoch: Epoch) -> bool:
+        """Return whether nobody can have owned it before `epoch`."""
+
+    def previous(self, *, ownable: OwnableId, epoch: Epoch) -> tuple[Epoch, HostId] | None:
+        """Return the epoch and owner before `epoch`, if known."""
+
+
+class StartSettling:
+    """Asks last owners, and answers those who come after."""
+
+    def __init__(
+        self,
+        *,
+        horizon: StartHorizon,
+        tenures: Tenures,
+        ownership: OwnershipView,
+        link: JobLink,
+        clock: Clock,
+    ) -> None:
+        """Share `horizon` with what sends the starts."""
+        self._horizon = horizon
+        self._tenures = tenures
+        self._ownership = ownership
+        self._link = link
+        self._clock = clock
+        link.answer(StartsLeftCall, self._on_call)
+
+    def begin(self, worker: HostId, epoch: Epoch, *, settle_s: float) -> None:
+        """Begin to own a worker: whoever owned it before may have starts under way."""
+        ownable = make_ownable_id(OwnableKind.WORKER, worker)
+        last = self._tenures.previous(ownable=ownable, epoch=epoch)
+        is_first = self._tenures.is_first(ownable=ownable, epoch=epoch)
+        self._horizon.begin(
+            worker,
+            epoch=epoch,
+            last_epoch=last[0] if last else None,
+            until=0.0 if is_first else self._clock.wall() + settle_s,
+        )
+
+    def is_settled(self, worker: HostId, *, at: float) -> bool:
+        """Return whether no earlier owner's start can take effect after a moment of wall time."""
+        return self._horizon.inherited_until(worker) <= at
+
+    async def ask_last_owner(self, worker: HostId, epoch: Epoch) -> None:
+        """Take the last owner's word if it lives, so that a planned handover costs no wait."""
+        ownable = make_ownable_id(OwnableKind.WORKER, worker)
+        last = self._tenures.previous(ownable=ownable, epoch=epoch)
+        if last is None or self.is_settled(worker, at=self._clock.wall()):
+            return
+        last_epoch, host = last
+        if host == self._link.host_id:
+            return
+        call = StartsLeftCall(worker_id=worker, epoch=last_epoch)
+        answered = await self._link.call(host, call)
+        if isinstance(answered, Success) and answered.unwrap().left_s is not None:
+            until = self._clock.wall() + answered.unwrap().left_s
+            self._horizon.learn(worker, epoch=epoch, until=until)
+
+    async def _on_call(self, _sender: HostId, call: StartsLeftCall) -> StartsLeft:
+        """Answer for an epoch that is over here, since nothing more leaves under it."""
+        ownable = make_ownable_id(OwnableKind.WORKER, call.worker_id)
+        if self._ownership.may_act(ownable) is not None:
+            return StartsLeft(left_s=None)
+        now = self._clock.wall()
+        return StartsLeft(left_s=self._horizon.left_s(call.worker_id, epoch=call.epoch, now=now))
--- a/src/galenastall/node/worker_service.py
+++ b/src/galenastall/node/worker_service.py
@@ -17,10 +17,12 @@
     Decision,
     Refusal,
 )
+from galenastall.coordination.start_horizon import StartHorizon
 from galenastall.coordination.task_reports import ReportKind, TaskReport
 from galenastall.node.held_gangs import HeldGangs
 from galenastall.node.job_link import JobLink
 from galenastall.node.lease_helper import LeaseHelper
+from galenastall.node.start_settling import StartSettling, Tenures
 from galenastall.node.task_inbox import TaskInbox
 from galenastall.node.task_reporter import TaskReporter
 from galenastall.node.worker_commands import WorkerCommander
@@ -66,6 +68,7 @@
         clock: Clock,
         hosts: Callable[[], HostListing | None],
         shards: int,
+        tenures: Tenures,
         timings: WorkerTimings | None = None,
         events: EventSink | None = None,
     ) -> None:
@@ -124,6 +127,10 @@
             carry_out=self._carry_out,
             is_taking=lambda: not self._is_draining,
         )
+        self.horizon = StartHorizon()
+        self.settling = StartSettling(
+            horizon=self.horizon, tenures=tenures, ownership=ownership, link=link, clock=clock
+        )
         self._starter = WorkerStarter(owner=self, workers=workers, clock=clock, timings=times)
         self._inbox = TaskInbox(owner=self, gangs=self._gangs, link=link, clock=clock)
         self.helper = LeaseHelper(
@@ -269,6 +276,7 @@
             return
         worker = HostId(name)
         self._drop_watch(worker)
+        self.settling.begin(worker, epoch, settle_s=self._timings.start_settle_s)
         watch = WorkerWatch(
             worker_id=worker,
             epoch=epoch,
--- a/src/galenastall/node/worker_starts.py
+++ b/src/galenastall/node/worker_starts.py
@@ -28,7 +28,7 @@
     def __init__(
         self, *, owner: Owner, workers: WorkerService, clock: Clock, timings: WorkerTimings
     ) -> None:
-        """`owner` holds the core, the assigned tasks and the leases."""
+        """`owner` holds the core, the assigned tasks, the leases and the horizon of starts."""
         self._owner = owner
         self._workers = workers
         self._clock = clock
@@ -96,9 +96,14 @@
             cause=f"{len(starts)} tasks placed by the policy of their class",
             fields={"epoch": str(commands.epoch)},
         )
+        horizon = self._owner.horizon
+        call = horizon.sent(commands.worker_id, until=now + self.timings.start_settle_s)
+        result = unanswered("worker.start", commands.worker_id, self.timings.call_s)
         with trio.move_on_after(self.timings.call_s):
-            return await self._workers.start(address=address, batch=batch)
-        return unanswered("worker.start", commands.worker_id, self.timings.call_s)
+            result = await self._workers.start(address=address, batch=batch)
+        if isinstance(result, Success) or nothing_sent(result.failure()):
+            horizon.answered(commands.worker_id, call)
+        return result
 
     def _on_start_answer(self, start: StartTask, answer: StartAnswer, detail: str) -> None:
         now = self._clock.wall()
--- a/src/galenastall/node/worker_timings.py
+++ b/src/galenastall/node/worker_timings.py
@@ -27,6 +27,8 @@
     """Peers may renew leases on the workers of an entry host not heard for so long."""
     announce_s: float = 5.0
     """How long a peer says that it will renew for another owner before it does."""
+    start_settle_s: float = 15.0
+    """A start that was sent takes effect within this or never; new owners wait by it."""
     decide_limit: int = 512
     """Most starts of one decision."""
     report_window_s: float = 0.02
--- a/src/galenastall/node/worker_watch.py
+++ b/src/galenastall/node/worker_watch.py
@@ -55,11 +55,12 @@
         timings: WorkerTimings,
         events: EventSink,
     ) -> None:
-        """`owner` holds the core, the assigned tasks and the leases."""
+        """`owner` holds the core, the assigned tasks, the leases and what settles."""
         self.worker_id = worker_id
         self.epoch = epoch
         self.is_adopted = False
         self.has_lapsed = False
+        self._is_settled = False
         self._owner = owner
         self._workers = workers
         self._ownership = ownership
@@ -74,7 +75,7 @@
     @property
     def is_spoken_for(self) -> bool:
         """Whether this owner knows all that runs there."""
-        return self.is_adopted or self.has_lapsed
+        return (self.is_adopted and self._is_settled) or self.has_lapsed
 
     def cancel(self) -> None:
         """Stop watching, since the worker has another owner."""
@@ -91,7 +92,7 @@
 
     def state(self, now: float) -> WorkerState:
         """Return whether new tasks may go there."""
-        if not self._owner.may_act(self.worker_id, self.epoch):
+        if not self._is_settled or not self._owner.may_act(self.worker_id, self.epoch):
             return WorkerState.SILENT
         if self._owner.leases.silent_s(self.worker_id, now) > self.timings.silent_after_s:
             return WorkerState.SILENT
@@ -114,11 +115,20 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         with self._scope:
-            while True:
-                await self._poll()
-                with trio.move_on_after(self.timings.poll_every_s):
-                    await self._kick.wait()
-                self._kick = trio.Event()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._ask_last_owner)
+                await self._poll_for_ever()
+
+    async def _ask_last_owner(self) -> None:
+        await self._owner.settling.ask_last_owner(self.worker_id, self.epoch)
+        self.kick()
+
+    async def _poll_for_ever(self) -> None:
+        while True:
+            await self._poll()
+            with trio.move_on_after(self.timings.poll_every_s):
+                await self._kick.wait()
+            self._kick = trio.Event()
 
     async def _poll(self) -> None:
         address = self._owner.address_of(self.worker_id)
@@ -149,6 +159,7 @@
             report = owner.core.add_worker(host, self.epoch, listing.running, now)
             self._take_report(report, listing)
             self.is_adopted = True
+            owner.core.set_worker_state(self.worker_id, WorkerState.SILENT)
             self._events.record(
                 "worker.adopted",
                 peer=self.worker_id,
@@ -158,6 +169,8 @@
         report = owner.core.on_listing(self.worker_id, listing, now, asked_at)
         self._take_report(report, listing)
         self._take_finished(listing)
+        # Only a listing asked for after all earlier owners' starts shows everything there.
+        self._is_settled |= owner.settling.is_settled(self.worker_id, at=asked_at)
         owner.wake()
 
     def _take_report(self, report: ReconcileReport, listing: WorkerListing) -> None:
--- a/src/galenastall/protocol/job_messages.py
+++ b/src/galenastall/protocol/job_messages.py
@@ -238,3 +238,22 @@
     """Answer to TaskExplain."""
 
     sentences: tuple[str, ...]
+
+
+@PEER_MESSAGES.register("starts_left_call")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StartsLeftCall:
+    """A worker's new owner asks the last one; answered by StartsLeft."""
+
+    worker_id: HostId
+    epoch: Epoch
+    """Of the last owner."""
+
+
+@PEER_MESSAGES.register("starts_left")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StartsLeft:
+    """For how long starts sent up to that epoch may still take effect."""
+
+    left_s: float | None
+    """None if this process can't tell."""
--- a/src/galenastall/state/upstream_tenures.py
+++ b/src/galenastall/state/upstream_tenures.py
@@ -46,8 +46,13 @@
 
     def previous_owner(self, *, ownable: OwnableId, epoch: Epoch) -> HostId | None:
         """Return the owner before the one of `epoch`, if any is known."""
+        last = self.previous(ownable=ownable, epoch=epoch)
+        return last[1] if last else None
+
+    def previous(self, *, ownable: OwnableId, epoch: Epoch) -> tuple[Epoch, HostId] | None:
+        """Return the epoch and owner before `epoch`, if any is known."""
         earlier = [t for t in self._tenures_by_ownable.get(ownable, ()) if t[0] < epoch]
-        return earlier[-1][1] if earlier else None
+        return earlier[-1] if earlier else None
 
     def is_first(self, *, ownable: OwnableId, epoch: Epoch) -> bool:
         """Return whether nobody can have owned it before `epoch`."""
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -118,6 +118,7 @@
 
     def __init__(self) -> None:
         self.owner: dict[OwnableId, tuple[HostId, Epoch]] = {}
+        self.tenures: dict[OwnableId, list[tuple[Epoch, HostId]]] = {}
         self.roster: set[HostId] = set()
         self.views: dict[HostId, View] = {}
 
@@ -125,6 +126,7 @@
         old = self.owner.get(ownable)
         epoch = max(epoch, old[1] + 1 if old else 0)
         self.owner[ownable] = (host, Epoch(epoch))
+        self.tenures.setdefault(ownable, []).append((Epoch(epoch), host))
         if old is not None and old[0] in self.views:
             for lost in self.views[old[0]].lost:
                 lost(ownable)
@@ -132,6 +134,13 @@
             for activated in self.views[host].activated:
                 activated(ownable, Epoch(epoch))
 
+    def is_first(self, *, ownable: OwnableId, epoch: Epoch) -> bool:
+        return self.previous(ownable=ownable, epoch=epoch) is None
+
+    def previous(self, *, ownable: OwnableId, epoch: Epoch) -> tuple[Epoch, HostId] | None:
+        earlier = [each for each in self.tenures[ownable] if each[0] < epoch]
+        return earlier[-1] if earlier else None
+
 
 class View:
     def __init__(self, *, host_id: HostId, owners: Owners) -> None:
@@ -193,6 +202,7 @@
             clock=clock,
             hosts=cluster.listing,
             shards=cluster.shards,
+            tenures=cluster.owners,
             timings=cluster.worker_timings,
         )
         self.jobs = JobService(
--- a/tests/test_job_failures.py
+++ b/tests/test_job_failures.py
@@ -209,6 +209,26 @@
             records = cluster.platform.workers.ledger.records
             assert queued.isdisjoint((each.task_id, each.attempt) for each in records)
 
+    async def test_start_delayed_past_the_takeover_finds_its_room_free(
+        self, autojump_clock: Any
+    ) -> None:
+        async with open_cluster(names="abc") as cluster:
+            await trio.sleep(3)  # Until the workers are adopted and the shards' owners know.
+            for worker in cluster.platform.workers.by_address:
+                cluster.platform.workers.set_faults(worker, WorkerFaults(delay_s=12.0))
+            await cluster.submit(make_spec("j", tasks=60, run_s=20.0))
+            await trio.sleep(1)
+            for worker in cluster.platform.workers.by_address:
+                cluster.platform.workers.set_faults(worker, WorkerFaults())
+            assert cluster.hosts[B].workers.core.on_worker(HostId("w1"))
+            assert cluster.running() == {}
+            cluster.kill("b")
+            cluster.owners.roster.discard(B)
+            cluster.spread()
+            await cluster.until(lambda: cluster.ended("j"), limit_s=600)
+            cluster.assert_sound()
+            assert done_count(cluster, "j") == 60
+
     async def test_fenced_owner_starts_nothing(self, autojump_clock: Any) -> None:
         async with open_cluster(names="ab") as cluster:
             for host in cluster.hosts.values():
