Keep a history of the data centres that share idempotency keys

Cause: the homes of keys followed from the present list of data centres, so adding one moved the keys made before, and a repeat of such a key could run a second time elsewhere. Change: the tree carries key_homes, a history that every fold lets only grow (changes of schema 1 are judged as before); the entry host that takes a change refuses a list that begins less than two hours ahead or names unknown data centres. Without a history, data_centres is its one entry and can't be changed. SCHEMA_VERSION is 2. Conclusion: an accepted change can't move a key that was made up to two hours after it.

--- a/src/galenastall/node/settings_mapping.py
+++ b/src/galenastall/node/settings_mapping.py
@@ -18,7 +18,7 @@
 from galenastall.node.permit_settings import RequestSettings
 from galenastall.node.worker_timings import WorkerTimings
 from galenastall.protocol.process_settings import MemoryLimits
-from galenastall.state.ids import DataCentre
+from galenastall.state.key_home_history import key_homes_of
 from galenastall.state.shared_settings import (
     LEASE_CAP_S,
     PERMIT_CAP_S,
@@ -85,7 +85,6 @@
     requests = shared.requests
     queue = requests.queue
     teams = shared.teams_by_path
-    data_centres = tuple(DataCentre(name) for name in sorted(shared.data_centres))
     buffer_bytes = memory.body_buffer_kb * BYTES_PER_KB
     return RequestSettings(
         admission=AdmissionLimits(
@@ -101,7 +100,9 @@
         retries=fill(RetryLimits, requests.retries),
         ejection=fill(EjectionLimits, requests.ejection),
         keys=KeyRules(memory_s=requests.key_memory_s),
-        key_homes=(KeyHomes(since=0.0, data_centres=data_centres),) if data_centres else (),
+        key_homes=tuple(
+            KeyHomes(since=since, data_centres=names) for since, names in key_homes_of(shared)
+        ),
         weights_by_team={path: team.weight for path, team in teams.items()},
         teams=frozenset(teams),
         rates_by_team={
--- a/src/galenastall/node/settings_service.py
+++ b/src/galenastall/node/settings_service.py
@@ -22,6 +22,7 @@
 from galenastall.protocol.peers import PeerLink
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import SETTINGS_STREAM, ChangeId, HostId, Offset, RecordId
+from galenastall.state.key_home_history import find_early_homes, find_moved_keys
 from galenastall.state.records import LoggedRecord
 from galenastall.state.settings_paths import split_path
 from galenastall.state.settings_records import SettingsChange, SettingsSnapshot, Verdict
@@ -239,12 +240,22 @@
             return self._error(Reason.INVALID, detail)
         built = self.fold.preview(change.path, change.subtree)
         problem = (
-            self._find_problem(built.unwrap()) if isinstance(built, Success) else built.failure()
+            self._find_new_problem(built.unwrap())
+            if isinstance(built, Success)
+            else built.failure()
         )
         if problem is not None:
             return self._error(Reason.INVALID, f"not submitted: {problem}")
         return None
 
+    def _find_new_problem(self, after: SharedSettings) -> str | None:
+        before = self.fold.settings
+        return (
+            find_moved_keys(before=before, after=after)
+            or find_early_homes(before=before, after=after, now=self._clock.wall())
+            or self._find_problem(after)
+        )
+
     async def _write_snapshots(self) -> None:
         while True:
             hosts = 1 + len(self._peer_ids())
--- a/src/galenastall/state/settings_tree.py
+++ b/src/galenastall/state/settings_tree.py
@@ -15,6 +15,7 @@
 from returns.result import Failure, Result, Success
 
 from galenastall.state.ids import ChangeId, Offset
+from galenastall.state.key_home_history import HISTORY_SCHEMA, find_moved_keys
 from galenastall.state.records import LoggedRecord
 from galenastall.state.settings_authority import find_objection
 from galenastall.state.settings_paths import (
@@ -239,6 +240,9 @@
         )
         if objection is not None:
             return VerdictKind.FORBIDDEN, objection
+        moved = find_moved_keys(before=self._settings, after=settings)
+        if moved is not None and change.schema_version >= HISTORY_SCHEMA:
+            return VerdictKind.INVALID, moved
         self._tree = tree
         self._settings = settings
         self._revisions.note(change.path, offset)
--- a/src/galenastall/state/shared_settings.py
+++ b/src/galenastall/state/shared_settings.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 from functools import cached_property
+from itertools import pairwise
 from typing import Annotated, Any, Final, Literal, TypeVar, cast
 
 from pydantic import Field, StringConstraints, model_validator
@@ -16,7 +17,7 @@
 from galenastall.state.settings_problems import SettingsModel
 from galenastall.state.work import Urgency
 
-SCHEMA_VERSION: Final = 1
+SCHEMA_VERSION: Final = 2
 MAX_AMOUNT: Final = 1_000_000_000_000
 MAX_SPAN_S: Final = 30 * 86_400.0
 VOUCH_CAP_S: Final = 3.0
@@ -264,6 +265,20 @@
     region: Name = "default"
 
 
+class KeyHomesSettings(SettingsModel):
+    """The data centres that share the idempotency keys made from a moment on."""
+
+    since: float = Field(ge=0)
+    """Wall time in seconds since 1970; 0 in the first entry."""
+    data_centres: tuple[Name, ...] = Field(min_length=1)
+
+    @model_validator(mode="after")
+    def _check_names(self) -> "KeyHomesSettings":
+        if len(set(self.data_centres)) < len(self.data_centres):
+            raise ValueError("data_centres must not name one twice")
+        return self
+
+
 class Departure(SettingsModel):
     """An upstream that leaves or a host that is drained."""
 
@@ -289,6 +304,17 @@
     drains: dict[Name, Departure] = Field(default_factory=dict)
     """Workers and entry hosts to empty, by host id."""
     data_centres: dict[Name, DataCentreSettings] = Field(default_factory=dict)
+    key_homes: tuple[KeyHomesSettings, ...] = ()
+    """History of the data centres that share the keys; empty: `data_centres`, for all keys."""
+
+    @model_validator(mode="after")
+    def _check_key_homes(self) -> "SharedSettings":
+        sinces = [one.since for one in self.key_homes]
+        if sinces and sinces[0] != 0:
+            raise ValueError("key_homes: since must be 0 in the first entry")
+        if any(later <= earlier for earlier, later in pairwise(sinces)):
+            raise ValueError("key_homes: since must rise from entry to entry")
+        return self
 
     @cached_property
     def teams_by_path(self) -> dict[TeamPath, TeamSettings]:
