--- a/src/galenastall/coordination/explain_settings.py
+++ b/src/galenastall/coordination/explain_settings.py
@@ -25,9 +25,15 @@
     )
 
 
-@SENTENCES.register("settings.rejected")
+@SENTENCES.register("settings.stale")
+@SENTENCES.register("settings.invalid")
+@SENTENCES.register("settings.forbidden")
 def _rejected(event: TimelineEvent) -> str:
-    return f"{event.process} read that change {listed(event.subjects)} was rejected{because(event)}"
+    kind = event.step.partition(".")[2]
+    return (
+        f"{event.process} read that change {listed(event.subjects)} was rejected as {kind}"
+        f"{because(event)}"
+    )
 
 
 @SENTENCES.register("settings.blocked")
--- a/src/galenastall/proof/ownership_search.py
+++ b/src/galenastall/proof/ownership_search.py
@@ -14,7 +14,8 @@
 
 import typer
 
-from galenastall.proof.ownership_model import OwnershipModel, ViolationError, random_fault
+from galenastall.proof.ownership_faults import random_fault
+from galenastall.proof.ownership_model import OwnershipModel, ViolationError
 from galenastall.proof.ownership_weakenings import WEAKENINGS
 
 SERVED_WITHIN_S: Final = 90.0
