--- a/src/galenastall/bench/mix_workloads.py
+++ b/src/galenastall/bench/mix_workloads.py
@@ -31,8 +31,8 @@
     """One kind of job in a mix."""
 
     name: str
-    workload: Workload
-    urgency: Urgency
+    workload: Workload = Workload.BATCH
+    urgency: Urgency = Urgency.NORMAL
     weight: float
     """Share of the offered core-seconds."""
     tasks: tuple[int, int]
@@ -89,7 +89,6 @@
         kinds=(
             Kind(
                 name="pack",
-                workload=Workload.BATCH,
                 urgency=Urgency.URGENT,
                 weight=0.20,
                 tasks=(4, 16),
@@ -99,7 +98,6 @@
             ),
             Kind(
                 name="preview",
-                workload=Workload.BATCH,
                 urgency=Urgency.URGENT,
                 weight=0.05,
                 tasks=(1, 3),
@@ -109,8 +107,6 @@
             ),
             Kind(
                 name="redaction",
-                workload=Workload.BATCH,
-                urgency=Urgency.NORMAL,
                 weight=0.35,
                 tasks=(5, 40),
                 cores_milli=2000,
@@ -121,7 +117,6 @@
             Kind(
                 name="layout",
                 workload=Workload.GANG,
-                urgency=Urgency.NORMAL,
                 weight=0.10,
                 tasks=(4, 8),
                 cores_milli=16_000,
@@ -130,7 +125,6 @@
             ),
             Kind(
                 name="archive",
-                workload=Workload.BATCH,
                 urgency=Urgency.BACKFILL,
                 weight=0.30,
                 tasks=(5, 30),
@@ -153,7 +147,6 @@
         kinds=(
             Kind(
                 name="thesis",
-                workload=Workload.BATCH,
                 urgency=Urgency.URGENT,
                 weight=0.20,
                 tasks=(1, 6),
@@ -163,8 +156,6 @@
             ),
             Kind(
                 name="conversion",
-                workload=Workload.BATCH,
-                urgency=Urgency.NORMAL,
                 weight=0.40,
                 tasks=(5, 30),
                 cores_milli=1000,
@@ -176,7 +167,6 @@
             Kind(
                 name="merge",
                 workload=Workload.GANG,
-                urgency=Urgency.NORMAL,
                 weight=0.05,
                 tasks=(3, 6),
                 cores_milli=6000,
@@ -185,7 +175,6 @@
             ),
             Kind(
                 name="coursework",
-                workload=Workload.BATCH,
                 urgency=Urgency.BACKFILL,
                 weight=0.35,
                 tasks=(5, 30),
--- a/src/galenastall/bench/mixes.py
+++ b/src/galenastall/bench/mixes.py
@@ -25,10 +25,10 @@
 
     operation: str
     weight: float
-    urgency: str
+    urgency: str = "normal"
     """Value of the Galenastall-Class header."""
     deadline_ms: int
-    idempotent: bool
+    idempotent: bool = True
     body_bytes: int
     teams: tuple[str, ...]
 
@@ -39,8 +39,8 @@
 
     kind: str
     weight: float
-    workload: Workload
-    urgency: Urgency
+    workload: Workload = Workload.BATCH
+    urgency: Urgency = Urgency.NORMAL
     tasks: tuple[int, int]
     """Least and most tasks."""
     resources: Resources
@@ -174,6 +174,11 @@
 _DONGMUN_TEAMS: Final = ("board/packs", "board/redaction", "board/previews")
 _CITELIQ_TEAMS: Final = ("cite/students", "cite/supervisors", "cite/libraries")
 
+_IMPOSSIBLE: Final = JobKind(
+    kind="impossible", weight=10, tasks=(1, 1), resources=Resources(), run_s=5.0, impossible=True
+)
+"""A tenth of all jobs asks for more than any worker has."""
+
 MIXES.register("dongmun")(
     Mix(
         worker_capacity=_cores(64, 128),
@@ -184,23 +189,19 @@
                 weight=70,
                 urgency="urgent",
                 deadline_ms=4000,
-                idempotent=True,
                 body_bytes=2048,
                 teams=("board/previews",),
             ),
             RequestKind(
                 operation="redact",
                 weight=20,
-                urgency="normal",
                 deadline_ms=15000,
-                idempotent=True,
                 body_bytes=16384,
                 teams=("board/redaction",),
             ),
             RequestKind(
                 operation="deliver",
                 weight=10,
-                urgency="normal",
                 deadline_ms=15000,
                 idempotent=False,
                 body_bytes=16384,
@@ -211,7 +212,6 @@
             JobKind(
                 kind="full-pack",
                 weight=20,
-                workload=Workload.BATCH,
                 urgency=Urgency.URGENT,
                 tasks=(1, 4),
                 resources=_cores(8, 12),
@@ -222,8 +222,6 @@
             JobKind(
                 kind="redaction",
                 weight=35,
-                workload=Workload.BATCH,
-                urgency=Urgency.NORMAL,
                 tasks=(1, 12),
                 resources=_cores(4, 6),
                 run_s=4.0,
@@ -232,7 +230,6 @@
             JobKind(
                 kind="index",
                 weight=25,
-                workload=Workload.BATCH,
                 urgency=Urgency.BACKFILL,
                 tasks=(4, 24),
                 resources=_cores(2, 4),
@@ -243,21 +240,11 @@
                 kind="render-all",
                 weight=10,
                 workload=Workload.GANG,
-                urgency=Urgency.NORMAL,
                 tasks=(2, 6),
                 resources=_cores(16, 24),
                 run_s=5.0,
             ),
-            JobKind(
-                kind="impossible",
-                weight=10,
-                workload=Workload.BATCH,
-                urgency=Urgency.NORMAL,
-                tasks=(1, 1),
-                resources=Resources(),
-                run_s=5.0,
-                impossible=True,
-            ),
+            _IMPOSSIBLE,
         ),
     )
 )
@@ -272,23 +259,19 @@
                 weight=85,
                 urgency="urgent",
                 deadline_ms=2000,
-                idempotent=True,
                 body_bytes=512,
                 teams=("cite/students", "cite/supervisors"),
             ),
             RequestKind(
                 operation="bibliography",
                 weight=10,
-                urgency="normal",
                 deadline_ms=10000,
-                idempotent=True,
                 body_bytes=8192,
                 teams=_CITELIQ_TEAMS,
             ),
             RequestKind(
                 operation="convert",
                 weight=5,
-                urgency="normal",
                 deadline_ms=20000,
                 idempotent=False,
                 body_bytes=16384,
@@ -299,7 +282,6 @@
             JobKind(
                 kind="thesis",
                 weight=15,
-                workload=Workload.BATCH,
                 urgency=Urgency.URGENT,
                 tasks=(1, 2),
                 resources=_cores(2, 4),
@@ -310,8 +292,6 @@
             JobKind(
                 kind="conversion",
                 weight=45,
-                workload=Workload.BATCH,
-                urgency=Urgency.NORMAL,
                 tasks=(2, 16),
                 resources=_cores(1, 3),
                 run_s=4.0,
@@ -320,7 +300,6 @@
             JobKind(
                 kind="reindex",
                 weight=25,
-                workload=Workload.BATCH,
                 urgency=Urgency.BACKFILL,
                 tasks=(4, 20),
                 resources=_cores(0.5, 2),
@@ -331,21 +310,11 @@
                 kind="merge",
                 weight=5,
                 workload=Workload.GANG,
-                urgency=Urgency.NORMAL,
                 tasks=(2, 4),
                 resources=_cores(4, 8),
                 run_s=4.0,
             ),
-            JobKind(
-                kind="impossible",
-                weight=10,
-                workload=Workload.BATCH,
-                urgency=Urgency.NORMAL,
-                tasks=(1, 1),
-                resources=Resources(),
-                run_s=5.0,
-                impossible=True,
-            ),
+            _IMPOSSIBLE,
         ),
     )
 )
@@ -360,7 +329,6 @@
                 weight=1,
                 urgency="urgent",
                 deadline_ms=4000,
-                idempotent=True,
                 body_bytes=512,
                 teams=_CITELIQ_TEAMS,
             ),
@@ -379,7 +347,6 @@
                 weight=weight,
                 urgency=urgency,
                 deadline_ms=deadline_ms,
-                idempotent=True,
                 body_bytes=1024,
                 teams=_CITELIQ_TEAMS,
             )
--- a/src/galenastall/coordination/team_queue.py
+++ b/src/galenastall/coordination/team_queue.py
@@ -12,8 +12,8 @@
 
 from sortedcontainers import SortedDict, SortedList
 
-from galenastall.coordination.placement_commands import TeamShare
 from galenastall.coordination.placement_settings import PlacementSettings
+from galenastall.coordination.team_lines import TeamLines, with_below
 from galenastall.coordination.waiting import Lane, TeamLane, TeamLine, Waiting, WaitReason
 from galenastall.state.ids import TaskId, TeamPath
 from galenastall.state.resources import NOTHING, Resources
@@ -41,7 +41,7 @@
         self._settings = settings
         self._total: Resources = NOTHING
         self._waiting_by_id: dict[TaskId, Waiting] = {}
-        self._lines_by_team: dict[TeamPath, TeamLine] = {}
+        self._lines = TeamLines(settings=settings)
         self._by_share = {urgency: SortedList() for urgency in TEAM_CLASSES}
         self._parked: dict[tuple[Urgency, TeamPath], TeamLane] = {}
         self._urgent: SortedDict = SortedDict()
@@ -55,30 +55,20 @@
     def apply_settings(self, settings: PlacementSettings) -> None:
         """Use other weights, quotas and bounds from now on."""
         self._settings = settings
-        for line in self._lines_by_team.values():
-            share = self._share_setting(line.path)
-            line.weight = share.weight
-            line.quota = share.quota
+        self._lines.apply_settings(settings)
+        for line in self._lines:
             self._unpark_all(line)
 
     def set_total(self, total: Resources) -> None:
         """Say what all owned workers hold together; shares are shares of this."""
         self._total = total
-        for line in self._lines_by_team.values():
+        for line in self._lines:
             self._refile(line)
 
     def set_elsewhere(self, reserved_by_team: Mapping[TeamPath, Resources]) -> None:
         """Say what teams have reserved with other owners, for shares and quotas."""
-        for path in reserved_by_team:
-            self._line(path)
-        for line in self._lines_by_team.values():
-            line.elsewhere = reserved_by_team.get(line.path, NOTHING)
-            line.elsewhere_below = NOTHING
-        for line in self._lines_by_team.values():
-            over: TeamLine | None = line
-            while over is not None:
-                over.elsewhere_below = over.elsewhere_below + line.elsewhere
-                over = over.above
+        self._lines.set_elsewhere(reserved_by_team)
+        for line in self._lines:
             self._unpark_all(line)
 
     def add(self, task: TaskSpec, since: float, *, first: bool = False) -> Waiting | None:
@@ -98,7 +88,7 @@
         due_at = since + self._settings.starvation_of(task.urgency)
         heappush(self._due_heap, (due_at, waiting.seq, task.task_id))
         waiting.lane = Lane.TEAM
-        lane = self._line(task.team).lanes_by_urgency[task.urgency]
+        lane = self._lines.get(task.team).lanes_by_urgency[task.urgency]
         lane.add(waiting, first=first)
         if lane.parked is not None and not _covers(lane.parked, task.resources):
             self._unpark(lane)
@@ -134,45 +124,36 @@
 
     def charge(self, team: TeamPath, amount: Resources) -> None:
         """Count what was reserved for a team."""
-        line = self._line(team)
+        line = self._lines.get(team)
         line.take(amount, 1)
         self._refile(line)
 
     def credit(self, team: TeamPath, amount: Resources) -> None:
         """Count what a team gave back."""
-        line = self._line(team)
+        line = self._lines.get(team)
         line.take(amount, -1)
         bounded = line.bounded_by()
         if bounded is None:
             self._refile(line)
             return
-        for other in _with_below(bounded):
+        for other in with_below(bounded):
             self._unpark_all(other, urgent=QUOTA_TRIES)
 
     def allows(self, team: TeamPath, amount: Resources) -> bool:
         """Return whether a team's quota, and those of the teams above, leave room for `amount`."""
-        return self._line(team).find_full(amount) is None
+        return self._lines.get(team).find_full(amount) is None
 
     def full_quota(self, team: TeamPath, amount: Resources) -> tuple[TeamPath, Resources] | None:
         """Return the team and the quota that leave no room for `amount` more, if any does."""
-        line = self._line(team).find_full(amount)
-        if line is None or line.quota is None:
-            return None
-        return line.path, line.quota
+        return self._lines.full_quota(team, amount)
 
     def share(self, team: TeamPath) -> float:
         """Return a team's dominant share over its weight."""
-        return self._line(team).share_of(self._total)
+        return self._lines.get(team).share_of(self._total)
 
     def reserved_by_team(self) -> dict[TeamPath, Resources]:
         """Return what each team has reserved with this owner."""
-        return {
-            path: Resources(
-                cores_milli=line.cores, memory_mb=line.memory, accelerators=line.accelerators
-            )
-            for path, line in self._lines_by_team.items()
-            if line.cores or line.memory or line.accelerators
-        }
+        return self._lines.reserved_by_team()
 
     def waiting_by_class(self) -> dict[str, int]:
         """Return how many tasks wait, by urgency."""
@@ -250,7 +231,7 @@
         by_share = self._by_share[urgency]
         misses = 0
         while by_share and misses < SCAN_TRIES:
-            lane = self._lines_by_team[by_share[0][1]].lanes_by_urgency[urgency]
+            lane = self._lines.get(by_share[0][1]).lanes_by_urgency[urgency]
             smallest: tuple[int, int, int] | None = None
             placed = False
             for waiting in lane.heads(JOB_TRIES):
@@ -274,18 +255,6 @@
             waiting.lane = Lane.OVERDUE
             self._overdue[waiting.order] = waiting
 
-    def _line(self, path: TeamPath) -> TeamLine:
-        line = self._lines_by_team.get(path)
-        if line is None:
-            name_above, _, _ = path.rpartition("/")
-            above = self._line(TeamPath(name_above)) if name_above else None
-            line = TeamLine(path=path, share=self._share_setting(path), above=above)
-            self._lines_by_team[path] = line
-        return line
-
-    def _share_setting(self, path: TeamPath) -> TeamShare:
-        return self._settings.teams_by_path.get(path, self._settings.default_share)
-
     def _hold_at_quota(self, waiting: Waiting) -> None:
         """Keep an urgent task aside until its team is below its quota again."""
         del self._urgent[waiting.order]
@@ -311,7 +280,7 @@
 
     def _lane_of(self, waiting: Waiting) -> TeamLane:
         task = waiting.task
-        return self._lines_by_team[task.team].lanes_by_urgency[task.urgency]
+        return self._lines.get(task.team).lanes_by_urgency[task.urgency]
 
     def _leave_lane(self, waiting: Waiting) -> None:
         lane = self._lane_of(waiting)
@@ -362,12 +331,6 @@
             self._urgent[waiting.order] = waiting
 
 
-def _with_below(line: TeamLine) -> Iterator[TeamLine]:
-    yield line
-    for below in line.below:
-        yield from _with_below(below)
-
-
 def _covers(parked: tuple[int, int, int], need: Resources) -> bool:
     return (
         parked[0] <= need.cores_milli
