--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -139,7 +139,7 @@
 
     def test_every_module_of_sentences_is_loaded_with_the_route(self) -> None:
         assert http_ops.SENTENCE_MODULES
-        for step in ("request.refused", "job.accepted", "settings.rejected", "ownership.lost"):
+        for step in ("request.refused", "job.accepted", "settings.stale", "ownership.lost"):
             assert step in SENTENCES
 
 
