Name the tasks that a shard gives out, and give refusals' reasons in plain words

Cause: job.assigned was noted by job and chunk of 16 tasks, so 15 events a decision for a large job, and named no task, so that a task's line began at its start; the event added for that stood twice. Causes held an error's step and reason before its words.

Change: one job.assigned a window and owner with all its tasks; sentences for doubts; a request is told of as queued once a try, not at each permit that it passes over. test_timeline used job.waits as its step without a sentence; it has one since, so the test uses test.waits and asks for the same words.

--- a/src/galenastall/coordination/explain_jobs.py
+++ b/src/galenastall/coordination/explain_jobs.py
@@ -35,7 +35,23 @@
 
 @SENTENCES.register("job.assigned")
 def _assigned(event: TimelineEvent) -> str:
-    return f"{event.process} gave {_tasks(event)} to {event.peer} to place"
+    return f"{event.process} gave {_tasks(event)} to {event.peer} to place{because(event)}"
+
+
+@SENTENCES.register("job.in_doubt")
+def _in_doubt(event: TimelineEvent) -> str:
+    job_id, host = (*event.subjects, "", "")[:2]
+    return f"{event.process} could not tell what {host} had done of job {job_id}{because(event)}"
+
+
+@SENTENCES.register("job.resolved")
+def _resolved(event: TimelineEvent) -> str:
+    return f"{event.process} has asked all hosts about job {listed(event.subjects)}: {event.cause}"
+
+
+@SENTENCES.register("job.duplicate")
+def _duplicate(event: TimelineEvent) -> str:
+    return f"{_tasks(event)} was found a second time by {_other(event)}, {event.cause}"
 
 
 @SENTENCES.register("job.waits")
--- a/src/galenastall/coordination/explain_requests.py
+++ b/src/galenastall/coordination/explain_requests.py
@@ -17,7 +17,7 @@
 
 @SENTENCES.register("request.passed_over")
 def _passed_over(event: TimelineEvent) -> str:
-    return f"{event.process} gave the slot at {event.peer} back unused{because(event)}"
+    return f"{event.process} gave the permit for {event.peer} back unused{because(event)}"
 
 
 @SENTENCES.register("request.sent")
--- a/src/galenastall/coordination/shard_notes.py
+++ b/src/galenastall/coordination/shard_notes.py
@@ -1,5 +1,7 @@
 """What a job shard's owner tells the time line, starts and ends by worker and window."""
 
+from collections.abc import Iterable
+
 from galenastall.coordination.shard_commands import ShardNote
 from galenastall.state.ids import HostId, TaskId
 from galenastall.state.work import TaskPhase
@@ -11,6 +13,7 @@
     def __init__(self) -> None:
         """Start with none."""
         self._notes: list[ShardNote] = []
+        self._assigned: dict[HostId, list[TaskId]] = {}
         self._started: dict[tuple[HostId, HostId], list[TaskId]] = {}
         self._ended: dict[tuple[HostId, TaskPhase], list[TaskId]] = {}
 
@@ -18,6 +21,10 @@
         """Note a step."""
         self._notes.append(ShardNote(step=step, subjects=subjects, cause=cause, peer=peer))
 
+    def add_assigned(self, task_ids: Iterable[TaskId], owner: HostId) -> None:
+        """Note that tasks are given to an owner of workers, which queues and places them."""
+        self._assigned.setdefault(owner, []).extend(task_ids)
+
     def add_started(self, task_id: TaskId, worker: HostId, owner: HostId) -> None:
         """Note that a task runs, as its worker's owner says."""
         self._started.setdefault((owner, worker), []).append(task_id)
@@ -28,12 +35,15 @@
 
     def take(self) -> tuple[ShardNote, ...]:
         """Return all notes, and begin the next window."""
+        for owner, tasks in self._assigned.items():
+            self.add("assigned", (owner, *tasks), "it has most room", owner)
         for (owner, worker), tasks in self._started.items():
             self.add("started", (worker, *tasks), "its owner says so", owner)
         for (worker, phase), tasks in self._ended.items():
             self.add("ended", (worker, *tasks), phase.value)
         taken = tuple(self._notes)
         self._notes.clear()
+        self._assigned.clear()
         self._started.clear()
         self._ended.clear()
         return taken
--- a/src/galenastall/coordination/task_giver.py
+++ b/src/galenastall/coordination/task_giver.py
@@ -10,7 +10,7 @@
 from galenastall.coordination.shard_commands import AssignBatch
 from galenastall.coordination.shard_notes import ShardNotes
 from galenastall.coordination.task_intents import TaskIntents
-from galenastall.state.ids import HostId, JobId
+from galenastall.state.ids import HostId, JobId, make_task_id
 from galenastall.state.work import Urgency, Workload
 
 CHUNK: Final = 16
@@ -86,9 +86,7 @@
         if indices:
             run.waiting_reason = ""
             self._assignees.assigned(host, run.need, len(indices))
-            self._notes.add(
-                "assigned", (job_id, host), f"{len(indices)} tasks: it has most room", host
-            )
+            self._notes.add_assigned((make_task_id(job_id, index) for index in indices), host)
         if run.waiting_count <= 0 or not indices:
             self._queue.discard(spec)
         return len(indices)
--- a/src/galenastall/node/job_intake.py
+++ b/src/galenastall/node/job_intake.py
@@ -120,7 +120,7 @@
         """
         refusal = self._refusal(spec)
         if refusal is not None:
-            self._events.record("job.refused", subjects=(spec.job_id,), cause=str(refusal))
+            self._events.record("job.refused", subjects=(spec.job_id,), cause=refusal.detail)
             return Failure(refusal)
         known = self._fold.get(spec.job_id) or self._jobs.held(spec.job_id)
         if known is not None:
--- a/src/galenastall/node/request_service.py
+++ b/src/galenastall/node/request_service.py
@@ -192,7 +192,7 @@
         result = await self._attempts.make(call=run.call, permit=permit, attempt_id=attempt_id)
         if result.outcome is Outcome.UNKNOWN:
             run.maybe_ran = result
-        self._trace.answered(run.call, permit, result.outcome, result.detail or result.reason)
+        self._trace.answered(run.call, permit, result.outcome, result.reason or result.detail)
         return result
 
     def _goes_on(self, run: _Run, result: AttemptResult) -> bool:
@@ -213,6 +213,7 @@
 
     async def _permit_for(self, run: _Run) -> Permit | RequestAnswer:
         """Wait for a permit, of an upstream not tried before if there is one."""
+        swaps_before = run.swaps
         while True:
             waiter = _Waiter()
             self._waiters_by_ticket[run.ticket] = waiter
@@ -221,7 +222,8 @@
                 offered = self._offer(run)
                 if offered.refusal is not None:
                     return self._gave_up(run, RequestReason(offered.refusal.reason))
-                self._trace.queued(run.call, ahead=ahead)
+                if run.swaps == swaps_before:
+                    self._trace.queued(run.call, ahead=ahead)
                 if waiter.permit is None and not waiter.reason:
                     await waiter.woken.wait()
             except BaseException:
--- a/src/galenastall/node/request_trace.py
+++ b/src/galenastall/node/request_trace.py
@@ -72,7 +72,9 @@
         step = "request.ended"
         if answer.outcome is Outcome.NOT_RUN and not attempts:
             step = "request.refused"
-        cause = answer.detail or answer.reason.value
+        cause = answer.reason.value or answer.detail
+        if answer.detail:
+            fields["detail"] = answer.detail
         if answer.outcome in ACCOUNTED:
             self._events.record(
                 step,
--- a/src/galenastall/node/shard_driver.py
+++ b/src/galenastall/node/shard_driver.py
@@ -164,11 +164,6 @@
             match result:
                 case Success(JobWord(ok=True, refused=refused)):
                     answer = AssignAnswer.ACCEPTED
-                    self._events.record(
-                        "job.assigned",
-                        peer=batch.host,
-                        subjects=tuple(task.task_id for task in batch.tasks),
-                    )
                     self.core.on_tasks_refused(batch, refused, self._clock.wall())
                 case Success(JobWord(ok=False)):
                     answer = AssignAnswer.REFUSED
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -76,6 +76,8 @@
         assert "task j/0 ended on w" in task
         assert "j/1" not in task
         assert "k/" not in job
+        assert "gave tasks j/0, j/1 and j/2 to" in job
+        assert "  " not in job
 
     async def test_an_impossible_job_is_refused_and_says_what_it_lacks(
         self, autojump_clock: Any
@@ -86,7 +88,7 @@
             assert isinstance(await host.intake.submit(huge), Failure)
             text = told(cluster.ring, "huge")
         assert "a refused job huge because" in text
-        assert "it can never run" in text
+        assert "because it can never run: needs 9000 cores" in text
         assert "9000" in text
 
     async def test_a_waiting_task_ends_with_what_it_waits_for(self, autojump_clock: Any) -> None:
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -134,11 +134,11 @@
             fields={"team": "board"},
         )
         waiting = TimelineEvent(
-            at=HybridTime(wall_ms=1000), process="entry-a", step="job.waits", cause="no room"
+            at=HybridTime(wall_ms=1000), process="entry-a", step="test.waits", cause="no room"
         )
         explanation = explain(merge_timelines([[refused, waiting]], subject="j"))
         assert explanation.sentences == (
-            "After 0.000 s entry-a noted job: waits because no room.",
+            "After 0.000 s entry-a noted test: waits because no room.",
             "After 0.500 s Team board was refused.",
         )
         assert explanation.summary == "Last of all, team board was refused."
