--- a/src/galenastall/bench/capacity_owner_lines.py
+++ b/src/galenastall/bench/capacity_owner_lines.py
@@ -14,6 +14,7 @@
     start_calls_per_s,
     tasks_per_worker,
 )
+from galenastall.node.worker_watch import IDLE_POLLS
 
 
 @line(
@@ -87,8 +88,8 @@
     mechanism="one HTTP call a worker; its answer holds all that runs there",
 )
 def owner_listings_cpu(model: CapacityModel) -> float:
-    """Return processor time of listings; idle workers were measured at one listing a second."""
-    idle = listing_calls_per_s(model) * model.each("idle-worker-cpu")
+    """Return processor time of listings; idle workers were measured at their own pace."""
+    idle = listing_calls_per_s(model) * model.each("idle-worker-cpu") * IDLE_POLLS
     tasks_us = listing_calls_per_s(model) * tasks_per_worker(model) * model.each("listing-cpu")
     return idle + tasks_us * US_PER_S_TO_PERCENT
 
@@ -123,9 +124,13 @@
     role="owner",
     quantity=Quantity.WIRE,
     what="listings of workers",
-    mechanism="JSON over HTTP; whole listings",
+    mechanism="JSON over HTTP; changes since the last answer, new tasks with their specification",
 )
 def owner_listings_wire(model: CapacityModel) -> float:
-    """Return bytes of listings."""
-    body = model.at("listing-body-bytes", tasks_per_worker(model)) * model.assume("listing_share")
-    return listing_calls_per_s(model) * call_bytes(model, body) / KB
+    """Return bytes of listings: rows of changed usage, each start and each end once."""
+    rows = model.at("listing-changes-bytes", tasks_per_worker(model)) * model.assume(
+        "listing_share"
+    )
+    calls = listing_calls_per_s(model) * call_bytes(model, rows)
+    a_task = model.each("listing-body-bytes") + model.assume("ended_row_bytes")
+    return (calls + owned_starts_per_s(model) * a_task) / KB
--- a/src/galenastall/bench/capacity_rates.py
+++ b/src/galenastall/bench/capacity_rates.py
@@ -81,3 +81,8 @@
     """Return job beats a second that one member sends; their interval grows with the peers."""
     peers = model.size.hosts_per_data_centre - 1
     return peers / (model.assume("job_beat_s") + peers * model.assume("job_beat_s_per_peer"))
+
+
+def host_list_calls_per_s(model: CapacityModel) -> float:
+    """Return fetches a second of one entry host."""
+    return 1.0 / model.assume("host_list_every_s") + 1.0 / model.assume("entry_list_every_s")
--- a/src/galenastall/coordination/estimates.py
+++ b/src/galenastall/coordination/estimates.py
@@ -15,7 +15,7 @@
 
 from galenastall.state.ids import JobId, TaskId, TeamPath
 from galenastall.state.resources import Resources
-from galenastall.state.work import FinishedTask, TaskSpec
+from galenastall.state.work import FinishedTask, TaskSpec, Workload
 
 STEPS_PER_DOUBLING: Final = 8
 """Buckets to a power of two: a quantile is at most 9% too high."""
@@ -124,6 +124,14 @@
         self.samples = 0
         self.size: Resources | None = None
 
+    def observe(self, memory_mb: int) -> None:
+        """Count what a running task uses at once: waiting for ends would place more like it."""
+        if memory_mb <= self.memory and self.size is not None:
+            return
+        self.memory = max(self.memory, memory_mb)
+        before = self.size or Resources()
+        self.size = before.at_least(Resources(memory_mb=int(self.memory * JOB_MARGIN)))
+
     def record(self, peak: Resources) -> None:
         self.cores = max(self.cores, peak.cores_milli)
         self.memory = max(self.memory, peak.memory_mb)
@@ -156,15 +164,21 @@
         """Remember what an overrunning task was seen to use, for its next attempt.
 
         The margin goes no further than `most`, the largest worker; what was seen counts whole, so
-        that a task that needs more than any worker has is found impossible.
+        that a task that needs more than any worker has is found impossible. Gangs get no margin:
+        it could keep all of one from ever fitting at once.
         """
-        seen = max(used.memory_mb, min(int(used.memory_mb * FLOOR_MARGIN), most.memory_mb))
+        margin = 1.0 if task.workload is Workload.GANG else FLOOR_MARGIN
+        seen = max(used.memory_mb, min(int(used.memory_mb * margin), most.memory_mb))
         before = self._floors_by_task.get(task.task_id, 0)
         self._floors_by_task[task.task_id] = max(before, seen)
         if len(self._floors_by_task) > MOST_FLOORS:
             self._floors_by_task.popitem(last=False)
+
+    def observe(self, task: TaskSpec, used: Resources) -> None:
+        """Learn from a task that runs and uses more memory than was granted."""
         if task.kind:
-            _recent(self._peaks_by_job, task.job_id, _JobPeaks, MOST_JOBS).record(used)
+            peaks = _recent(self._peaks_by_job, task.job_id, _JobPeaks, MOST_JOBS)
+            peaks.observe(used.memory_mb)
 
     def drop_floor(self, task_id: TaskId) -> None:
         """Forget a task that ended."""
--- a/src/galenastall/node/worker_service.py
+++ b/src/galenastall/node/worker_service.py
@@ -18,10 +18,12 @@
     Refusal,
     WorkerCommands,
 )
+from galenastall.coordination.start_horizon import StartHorizon
 from galenastall.coordination.task_reports import ReportKind, TaskReport
 from galenastall.node.held_gangs import HeldGangs
 from galenastall.node.job_link import JobLink
 from galenastall.node.lease_helper import LeaseHelper
+from galenastall.node.start_settling import StartSettling, Tenures
 from galenastall.node.task_inbox import TaskInbox
 from galenastall.node.task_reporter import TaskReporter
 from galenastall.node.worker_commands import WorkerCommander
@@ -48,6 +50,7 @@
     split_task_id,
 )
 from galenastall.state.job_shards import shard_of
+from galenastall.state.resources import Resources
 from galenastall.state.work import TaskPhase, TaskSpec, Workload
 
 NO_HOST = HostId("")
@@ -67,6 +70,7 @@
         clock: Clock,
         hosts: Callable[[], HostListing | None],
         shards: int,
+        tenures: Tenures,
         timings: WorkerTimings | None = None,
         events: EventSink | None = None,
     ) -> None:
@@ -125,6 +129,10 @@
             carry_out=self._carry_out,
             is_taking=lambda: not self._is_draining,
         )
+        self.horizon = StartHorizon()
+        self.settling = StartSettling(
+            horizon=self.horizon, tenures=tenures, ownership=ownership, link=link, clock=clock
+        )
         self._starter = WorkerStarter(owner=self, workers=workers, clock=clock, timings=times)
         self._inbox = TaskInbox(owner=self, gangs=self._gangs, link=link, clock=clock)
         self.helper = LeaseHelper(
@@ -257,6 +265,8 @@
         ):
             self.core.cancel((task_id,), self._clock.wall())
             kind = ReportKind.STOPPED if is_next_attempt else ReportKind.RETURNED
+            if is_next_attempt and self._give_up_if_too_large(known.task):
+                return
             self.note(known.task, kind, detail="it broke off here")
             return
         if is_next_attempt:
@@ -266,12 +276,29 @@
             self.assigned.set_quietly(task_id, ReportKind.QUEUED)
         self.wake()
 
+    def _give_up_if_too_large(self, task: TaskSpec) -> bool:
+        """Tell its shard if a task was seen to need more than any listed worker has."""
+        need = task.resources.at_least(Resources(memory_mb=self.core.raised_need_mb(task)))
+        obstacle = find_obstacle_on_hosts(need, self.listed_workers().values())
+        if obstacle is None:
+            return False
+        report = TaskReport(
+            task_id=task.task_id,
+            attempt=task.attempt,
+            kind=ReportKind.FAILED,
+            detail=obstacle,
+            give_up=True,
+        )
+        self.note_report(report, task)
+        return True
+
     def _on_activated(self, ownable: OwnableId, epoch: Epoch) -> None:
         kind, name = split_ownable_id(ownable)
         if kind is not OwnableKind.WORKER:
             return
         worker = HostId(name)
         self._drop_watch(worker)
+        self.settling.begin(worker, epoch, settle_s=self._timings.start_settle_s)
         watch = WorkerWatch(
             worker_id=worker,
             epoch=epoch,
