--- a/src/galenastall/bench/capacity_follower_lines.py
+++ b/src/galenastall/bench/capacity_follower_lines.py
@@ -110,7 +110,7 @@
     role="follower",
     quantity=Quantity.CPU,
     what="long-poll reads of two streams at the peak",
-    mechanism="a read answers at each append to the data centre's stream, so reads follow appends",
+    mechanism="a read answers at an append to the data centre's stream, at a least distance",
 )
 def follower_reads_cpu(model: CapacityModel) -> float:
     """Return processor time of reads."""
@@ -122,7 +122,7 @@
     role="follower",
     quantity=Quantity.WIRE,
     what="long-poll reads of two streams at the peak, without the records",
-    mechanism="a read answers at each append to the data centre's stream, so reads follow appends",
+    mechanism="a read answers at an append to the data centre's stream, at a least distance",
 )
 def follower_reads_wire(model: CapacityModel) -> float:
     """Return bytes of reads."""
