--- a/src/galenastall/bench/capacity_follower_lines.py
+++ b/src/galenastall/bench/capacity_follower_lines.py
@@ -2,12 +2,14 @@
 
 from galenastall.bench.capacity import CapacityModel, Quantity, line
 from galenastall.bench.capacity_rates import (
+    DAY_S,
     HOUR_S,
     KB,
     MB,
     US_PER_S_TO_PERCENT,
     call_bytes,
     end_groups_per_s,
+    host_list_calls_per_s,
     reads_per_s,
 )
 
@@ -108,7 +110,7 @@
     role="follower",
     quantity=Quantity.CPU,
     what="long-poll reads of two streams at the peak",
-    mechanism="a read answers at each append to the data centre's stream, so reads follow appends",
+    mechanism="a read answers at an append to the data centre's stream, at a least distance",
 )
 def follower_reads_cpu(model: CapacityModel) -> float:
     """Return processor time of reads."""
@@ -120,7 +122,7 @@
     role="follower",
     quantity=Quantity.WIRE,
     what="long-poll reads of two streams at the peak, without the records",
-    mechanism="a read answers at each append to the data centre's stream, so reads follow appends",
+    mechanism="a read answers at an append to the data centre's stream, at a least distance",
 )
 def follower_reads_wire(model: CapacityModel) -> float:
     """Return bytes of reads."""
@@ -131,24 +133,26 @@
     "follower-host-list-cpu",
     role="follower",
     quantity=Quantity.CPU,
-    what="the platform's list of all hosts",
-    mechanism="fetched whole, every few seconds",
+    what="the platform's list: this data centre's hosts, and all entry hosts",
+    mechanism="asked for every few seconds, with rows only if they changed",
 )
 def follower_host_list_cpu(model: CapacityModel) -> float:
-    """Return processor time of the list."""
-    cost_us = model.at("host-list-cpu", model.size.workers * model.assume("list_scope_share"))
-    cost_us += model.each("http-call-cpu")
-    return cost_us / model.assume("host_list_every_s") * US_PER_S_TO_PERCENT
+    """Return processor time of the list: the calls, since rows come some 100 times a day."""
+    return host_list_calls_per_s(model) * model.each("http-call-cpu") * US_PER_S_TO_PERCENT
 
 
 @line(
     "follower-host-list-wire",
     role="follower",
     quantity=Quantity.WIRE,
-    what="the platform's list of all hosts",
-    mechanism="fetched whole, every few seconds",
+    what="the platform's list: this data centre's hosts, and all entry hosts",
+    mechanism="asked for every few seconds, with rows only if they changed",
 )
 def follower_host_list_wire(model: CapacityModel) -> float:
-    """Return bytes of the list."""
-    hosts = model.size.workers * model.assume("list_scope_share")
-    return model.at("host-list-bytes", hosts) / model.assume("host_list_every_s") / KB
+    """Return bytes of the list: unchanged answers, and the rows after each change."""
+    quiet = host_list_calls_per_s(model) * call_bytes(model, model.assume("unchanged_bytes"))
+    data_centres = model.size.data_centres
+    here = model.at("host-list-bytes", model.size.workers / data_centres) / data_centres
+    entry_hosts = model.at("host-list-bytes", model.size.hosts_per_data_centre * data_centres)
+    changes_per_s = model.assume("list_changes_per_day") / DAY_S
+    return (quiet + changes_per_s * (here + entry_hosts)) / KB
--- a/src/galenastall/bench/capacity_log_lines.py
+++ b/src/galenastall/bench/capacity_log_lines.py
@@ -35,7 +35,7 @@
     role="platform's log",
     quantity=Quantity.MESSAGES,
     what="reads a second of the whole fleet at the peak",
-    mechanism="each append wakes the long polls of its data centre's entry hosts",
+    mechanism="appends wake the long polls of their data centre's entry hosts, at a least distance",
 )
 def log_reads(model: CapacityModel) -> float:
     """Return reads a second."""
@@ -63,7 +63,7 @@
     role="times",
     quantity=Quantity.TIME,
     what="an urgent task from acceptance to its start call, owner alive",
-    mechanism="append and read back, window of appends, decision, one call",
+    mechanism="append, its reading by the shard's owner, window of appends, decision, one call",
     at_most=URGENT_START_BUDGET_S,
 )
 def time_urgent_start(model: CapacityModel) -> float:
@@ -72,6 +72,7 @@
     queue = owned_starts_per_s(model) * model.assume("decision_window_s")
     decide = queue * model.at("placement-decision", owned_workers(model)) / 1e6
     wait = model.assume("log_append_s") + spacing + model.assume("decision_window_s")
+    wait += model.assume("read_gap_s")
     return wait + decide + 2 * model.each("http-call-cpu") / 1e6
 
 
@@ -87,6 +88,7 @@
     """Return seconds."""
     spacing = model.size.entry_hosts / model.assume("append_budget_per_s")
     delay = 2 * model.assume("one_way_delay_s")
+    delay += model.assume("read_gap_s")
     return model.assume("log_append_s") + spacing + delay + model.assume("poll_wait_s")
 
 
@@ -101,7 +103,6 @@
 def time_owner_dies(model: CapacityModel) -> float:
     """Return seconds."""
     legs = model.assume("legs_s") * model.assume("clock_rate_factor")
-    appends = 2 * (
-        model.assume("log_append_s") + model.size.entry_hosts / model.assume("append_budget_per_s")
-    )
+    spacing = model.size.entry_hosts / model.assume("append_budget_per_s")
+    appends = 2 * (model.assume("log_append_s") + spacing + model.assume("read_gap_s"))
     return model.assume("suspect_s") + legs + model.assume("flight_s") + appends
