Reckon with more urgent arrivals when a wait is estimated

Cause: at twice the capacity 159 of 2,443 requests were told 'not run' only at their deadline, all of the two lower classes: the estimate divided what is ahead by the whole drain rate, while the more urgent classes took most of it. Change: what more urgent classes brought in over about the last 2 s is taken off the rate, down to the turns that the lowest class has in any case.

--- a/src/galenastall/coordination/admission.py
+++ b/src/galenastall/coordination/admission.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from galenastall.coordination.rates import DrainRate
+from galenastall.coordination.rates import ArrivalRate, DrainRate
 from galenastall.state.ids import RequestId, TeamPath
 from galenastall.state.work import Urgency
 
@@ -198,6 +198,7 @@
         self._sequence = 0
         self._taken = 0
         self._drain = DrainRate()
+        self._arrivals = {urgency: ArrivalRate() for urgency in Urgency}
 
     def __len__(self) -> int:
         return len(self._entries_by_id)
@@ -219,6 +220,7 @@
         self._sequence += 1
         self._entries_by_id[request.request_id] = _Entry(self._sequence, request)
         self._classes[request.urgency].add(request, self._sequence)
+        self._arrivals[request.urgency].note(now=now)
         entry = (request.latest_start, self._sequence, request.request_id)
         heapq.heappush(self._latest_starts, entry)
         self._prune_latest_starts()
@@ -312,17 +314,29 @@
             return self._refuse("team_queue_full", request.urgency)
         rate = self._drain.per_second
         may_wait_s = (request.latest_start - now) * self.limits.wait_share
-        if rate is not None and self._wait_s(request, rate) > may_wait_s:
+        if rate is not None and self._wait_s(request, rate, now) > may_wait_s:
             return self._refuse("would_miss_deadline", request.urgency)
         return None
 
-    def _wait_s(self, request: WaitingRequest, rate: float) -> float:
-        """Return the wait to expect: classes above, and the team's fair share of its own class."""
+    def _wait_s(self, request: WaitingRequest, rate: float, now: float) -> float:
+        """Return the wait to expect: classes above, and the team's fair share of its own class.
+
+        What more urgent classes bring in while the request waits goes before it too, so only the
+        rest of the rate serves what is ahead of it, and at least the lowest class's turns.
+        """
         own_class = self._classes[request.urgency]
         above = self._ahead_of(request.urgency) - own_class.size
         teams = max(1, own_class.active_teams)
         behind_own = own_class.size_of(request.team) * teams
-        return (above + min(own_class.size, behind_own)) / rate
+        ahead = above + min(own_class.size, behind_own)
+        if not ahead:
+            return 0.0
+        overtaking = sum(
+            self._arrivals[other].per_second(now=now)
+            for other in Urgency
+            if other < request.urgency
+        )
+        return ahead / max(rate - overtaking, rate / self.limits.lower_class_every)
 
     def _refuse(self, reason: str, urgency: Urgency) -> Refusal:
         return Refusal(reason=reason, retry_after_s=self.retry_after_s(urgency))
--- a/src/galenastall/coordination/rates.py
+++ b/src/galenastall/coordination/rates.py
@@ -1,9 +1,12 @@
 """Rates and run times as measured, smoothed over recent samples."""
 
+import math
 from typing import Final
 
 DRAIN_WEIGHT: Final = 0.05
 """Weight of the newest gap between two requests handed out."""
+ARRIVAL_SPAN_S: Final = 2.0
+"""Time over which arrivals are averaged."""
 FALL_WEIGHT: Final = 0.3
 RISE_WEIGHT: Final = 0.02
 """A shortest-time estimate follows faster answers quickly and slower ones slowly."""
@@ -34,6 +37,27 @@
         return 1.0 / max(self._gap_s, MIN_GAP_S)
 
 
+class ArrivalRate:
+    """How many come a second, as a count that decays."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._count = 0.0
+        self._noted_at = 0.0
+
+    def note(self, *, now: float) -> None:
+        """Note that one came."""
+        self._count = self._decayed(now) + 1.0
+        self._noted_at = now
+
+    def per_second(self, *, now: float) -> float:
+        """Return arrivals a second over about the last ARRIVAL_SPAN_S."""
+        return self._decayed(now) / ARRIVAL_SPAN_S
+
+    def _decayed(self, now: float) -> float:
+        return self._count * math.exp((self._noted_at - now) / ARRIVAL_SPAN_S)
+
+
 class ShortestTime:
     """Lower envelope of run times by operation: what a request needs at the very least.
 
