Withdraw a waiting request whose caller has gone

Cause: a request whose caller had closed the connection kept its place, took a permit and ran in vain. Change: while it waits for a permit the connection is watched; it leaves the queue as not run, reason abandoned, which the counters show. What has been sent is not called back. A request that gets its permit at once isn't watched and costs nothing more. A body that didn't come over a socket no longer repeats itself for ever to who reads on.

--- a/src/galenastall/node/http_requests.py
+++ b/src/galenastall/node/http_requests.py
@@ -130,6 +130,7 @@
             content_type=request.headers.get("content-type", "application/octet-stream"),
             content_length=int(length) if length.isdigit() else None,
             body=body.unwrap(),
+            caller_gone=request.wait_disconnected if request.stream.is_complete else None,
         )
         return respond(await self._keyed.submit(call))
 
--- a/src/galenastall/node/request_service.py
+++ b/src/galenastall/node/request_service.py
@@ -1,7 +1,7 @@
 """The request path of one entry host: queue, permit, attempt, retry, and one exact outcome."""
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 from typing import Final
 
@@ -232,7 +232,7 @@
                 if offered.refusal is not None:
                     return self._gave_up(run, RequestReason(offered.refusal.reason))
                 if waiter.permit is None and not waiter.reason:
-                    await waiter.woken.wait()
+                    await self._wait(run, waiter)
             except BaseException:
                 self._admission.withdraw(run.ticket)
                 if waiter.permit is not None:
@@ -247,6 +247,25 @@
             run.swaps += 1
             self._permits.give_back_unused(waiter.permit)
 
+    async def _wait(self, run: _Run, waiter: _Waiter) -> None:
+        """Wait for a permit or a reason; a request whose caller goes away leaves the queue."""
+        gone = run.call.caller_gone
+        if gone is None:
+            await waiter.woken.wait()
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._withdraw_if_gone, run, waiter, gone)
+            await waiter.woken.wait()
+            nursery.cancel_scope.cancel()
+
+    async def _withdraw_if_gone(
+        self, run: _Run, waiter: _Waiter, gone: Callable[[], Awaitable[None]]
+    ) -> None:
+        await gone()
+        if self._admission.withdraw(run.ticket) is not None:
+            waiter.reason = RequestReason.ABANDONED
+            waiter.woken.set()
+
     def _offer(self, run: _Run) -> Offered:
         offered = self._admission.offer(
             request=self._waiting_of(run.call, run.ticket), now=self._clock.now()
--- a/src/galenastall/node/request_types.py
+++ b/src/galenastall/node/request_types.py
@@ -1,6 +1,6 @@
 """What the request path takes and gives: typed requests, answers, and why."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -54,7 +54,8 @@
     """The entry host itself has more to do than it can; nothing of the request was looked at."""
     BODY_TOO_LARGE = "body_too_large"
     ABANDONED = "abandoned"
-    """Its caller broke off inside the body, or this process was stopped; nobody is answered."""
+    """Its caller broke off inside the body or while it waited, or this process was stopped; nobody
+    is answered."""
     INVALID = "invalid"
     """A header is missing or makes no sense."""
 
@@ -80,6 +81,8 @@
     content_length: int | None = None
     body: Body = b""
     """Whole if it was small enough, so that it can be sent again."""
+    caller_gone: Callable[[], Awaitable[None]] | None = None
+    """Returns once nobody waits for the answer any more; None if that can't be told."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/galenastall/transport/http_messages.py
+++ b/src/galenastall/transport/http_messages.py
@@ -59,9 +59,13 @@
     @classmethod
     def of(cls, body: bytes) -> "BodyStream":
         """Return a stream of one chunk, for requests that did not come over a socket."""
+        messages = iter(({"type": "http.request", "body": body, "more_body": False},))
 
         async def receive() -> dict[str, Any]:
-            return {"type": "http.request", "body": body, "more_body": False}
+            message = next(messages, None)
+            if message is None:
+                await trio.sleep_forever()
+            return message
 
         return cls(receive=receive)
 
--- a/tests/test_request_service.py
+++ b/tests/test_request_service.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import AsyncIterator
+from dataclasses import replace
 from functools import partial
 
 import pytest
@@ -94,6 +95,34 @@
 
 
 class TestStreams:
+    async def test_a_request_whose_caller_goes_away_leaves_the_queue(
+        self, autojump_clock: MockClock
+    ) -> None:
+        """The first two hold both slots; of the two that wait, one is withdrawn at once."""
+        async with open_rig(hosts=1, executors=1, slots=2) as rig:
+            rig.set_faults(SLOW)
+            gone = trio.Event()
+            ended: dict[str, tuple[RequestAnswer, float]] = {}
+
+            async def ask(name: str, *, leaves: bool = False) -> None:
+                call = replace(rig.call(name), caller_gone=gone.wait if leaves else None)
+                answer = await rig.ask("e1", call)
+                ended[name] = (answer, trio.current_time())
+
+            async with trio.open_nursery() as nursery:
+                for name in ("r0", "r1", "r2"):
+                    nursery.start_soon(ask, name)
+                await trio.sleep(0.1)
+                nursery.start_soon(partial(ask, "leaver", leaves=True))
+                await trio.sleep(0.1)
+                left_at = trio.current_time()
+                gone.set()
+            answer, at = ended["leaver"]
+            assert (answer.outcome, answer.reason) == (Outcome.NOT_RUN, RequestReason.ABANDONED)
+            assert at == left_at
+            assert {ended[name][0].outcome for name in ("r0", "r1", "r2")} == {Outcome.DONE}
+            assert rig.runs == 3
+
     async def test_a_large_answer_is_streamed_whole(self, autojump_clock: MockClock) -> None:
         async with open_rig() as rig:
             rig.set_faults(ExecutorFaults(answer_bytes=300_000))
