Give up at once on waiting requests that more urgent ones have overtaken

Cause: what was taken in while fewer urgent ones came still waited until its latest start, and was told 'not run' only then. Change: four times a second the queue looks for requests that its class's part of the rate does not reach within one and a half times the time left; they are told at once (not_run, reason overtaken, Retry-After). The overload scenario counts refusals at arrival, those given up while they waited and those told at their deadline apart; before, the latter two were one group, which the bound on early refusals left out and still leaves out.

--- a/src/galenastall/bench/scenarios/overload.py
+++ b/src/galenastall/bench/scenarios/overload.py
@@ -10,7 +10,7 @@
     scenario,
 )
 from galenastall.bench.fleet import running_fleet
-from galenastall.bench.load import LoadPlan, LoadSummary
+from galenastall.bench.load import LoadPlan, LoadSummary, new_histogram
 from galenastall.bench.report import ScenarioResult
 from galenastall.proof.history import HistoryRecorder
 
@@ -21,6 +21,8 @@
 """200 requests a second; the entry hosts can pass on more, so the executors are what is full."""
 ENTRY_HOSTS: Final = 3
 STEP_S: Final = 20.0
+REASONS_AFTER_WAIT: Final = ("|deadline_passed", "|overtaken")
+"""Reasons of requests that were taken in; the rest were refused at arrival."""
 AIM_GOODPUT: Final = 0.9
 AIM_REFUSAL_MS: Final = 20.0
 AIM_URGENT: Final = 0.99
@@ -67,7 +69,17 @@
 
 
 def _judge_classes(result: ScenarioResult, summary: LoadSummary) -> None:
-    refusals = summary.histogram(contains="|not_run|", without="|deadline_passed")
+    refusals, after_wait = new_histogram(), new_histogram()
+    for label in summary.histograms_by_label:
+        if "|not_run|" in label:
+            waited = label.endswith(REASONS_AFTER_WAIT)
+            (after_wait if waited else refusals).add(summary.histogram(contains=label))
+    result.add("given up while they waited", after_wait.get_total_count(), "requests")
+    if after_wait.get_total_count():
+        p50_ms = after_wait.get_value_at_percentile(50) / 1000.0
+        result.add("given up after p50", p50_ms, "ms")
+    told_late = summary.histogram(contains="|deadline_passed").get_total_count()
+    result.add("told not run only at their deadline", told_late, "requests")
     result.add("early refusals", refusals.get_total_count(), "requests")
     if refusals.get_total_count():
         p99_ms = refusals.get_value_at_percentile(99.0) / 1000.0
--- a/src/galenastall/coordination/admission.py
+++ b/src/galenastall/coordination/admission.py
@@ -17,6 +17,8 @@
 """Least service time charged to a team, in seconds, so that shares stay finite."""
 MIN_RETRY_S: Final = 0.1
 MAX_RETRY_S: Final = 30.0
+GIVE_UP_SLACK: Final = 1.5
+"""A wait is hopeless if it is expected to take so many times the time that is left."""
 PRUNE_SLACK: Final = 1_000
 """Stale heap entries tolerated beyond four for each waiting request."""
 
@@ -257,6 +259,41 @@
                 self.withdraw(request_id)
                 yield request
 
+    def give_up(self, *, now: float) -> list[WaitingRequest]:
+        """Remove and return those that others have overtaken for good.
+
+        What is served next is sure enough; it is the end of a queue that more urgent arrivals
+        leave no room for. It hears so now rather than at its deadline.
+        """
+        rate = self._drain.per_second
+        if rate is None:
+            return []
+        hopeless = [
+            entry.request
+            for urgency in Urgency
+            if urgency is not Urgency.URGENT and self._classes[urgency].size
+            for entry in self._hopeless_of(urgency, rate, now)
+        ]
+        for request in hopeless:
+            self.withdraw(request.request_id)
+        return hopeless
+
+    def _hopeless_of(self, urgency: Urgency, rate: float, now: float) -> Iterator[_Entry]:
+        """Yield what its class's rate does not reach in GIVE_UP_SLACK times the time left."""
+        own_rate = self._rate_of(urgency, rate, now)
+        teams = max(1, self._classes[urgency].active_teams)
+        above = self._ahead_of(urgency) - self._classes[urgency].size
+        ahead_by_team: dict[TeamPath, int] = {}
+        entries = [e for e in self._entries_by_id.values() if e.request.urgency is urgency]
+        entries.sort(key=lambda entry: (entry.request.deadline, entry.sequence))
+        for entry in entries:
+            ahead = ahead_by_team.get(entry.request.team, 0)
+            needed_s = (above + ahead * teams) / own_rate
+            if needed_s > (entry.request.latest_start - now) * GIVE_UP_SLACK:
+                yield entry
+            else:
+                ahead_by_team[entry.request.team] = ahead + 1
+
     @property
     def next_expiry(self) -> float | None:
         """Runtime time of the next drop, or None if nothing waits."""
@@ -331,12 +368,13 @@
         ahead = above + min(own_class.size, behind_own)
         if not ahead:
             return 0.0
+        return ahead / self._rate_of(request.urgency, rate, now)
+
+    def _rate_of(self, urgency: Urgency, rate: float, now: float) -> float:
         overtaking = sum(
-            self._arrivals[other].per_second(now=now)
-            for other in Urgency
-            if other < request.urgency
+            self._arrivals[other].per_second(now=now) for other in Urgency if other < urgency
         )
-        return ahead / max(rate - overtaking, rate / self.limits.lower_class_every)
+        return max(rate - overtaking, rate / self.limits.lower_class_every)
 
     def _refuse(self, reason: str, urgency: Urgency) -> Refusal:
         return Refusal(reason=reason, retry_after_s=self.retry_after_s(urgency))
--- a/src/galenastall/node/request_service.py
+++ b/src/galenastall/node/request_service.py
@@ -30,6 +30,8 @@
 
 MAX_SWAPS: Final = 2
 """Permits of an upstream tried before that a retry gives back in the hope of another."""
+GIVE_UP_EVERY_S: Final = 0.25
+"""Time between two looks for requests that wait in vain."""
 DRAIN_RETRY_S: Final = 1.0
 NO_UPSTREAM_RETRY_S: Final = 2.0
 
@@ -85,6 +87,7 @@
             RequestId(f"{permits.host_id}.{incarnation}.{n}") for n in itertools.count(1)
         )
         self._in_progress = 0
+        self._gives_up_at = 0.0
         self._is_draining = False
         self._drained = trio.Event()
         self._attempts = Attempts(
@@ -312,7 +315,9 @@
         self._admission.limits = settings.admission
         self._admission.weights_by_team = settings.weights_by_team
         self._budget.limits = settings.retries
-        self._drop_late(self._clock.now())
+        now = self._clock.now()
+        self._drop_late(now)
+        self._drop_hopeless(now)
         if self._is_draining and not self._in_progress and not self._permits.held:
             self._drained.set()
 
@@ -320,6 +325,13 @@
         for request in self._admission.expire(now=now):
             self._wake(request.request_id, RequestReason.DEADLINE_PASSED)
 
+    def _drop_hopeless(self, now: float) -> None:
+        if now < self._gives_up_at:
+            return
+        self._gives_up_at = now + GIVE_UP_EVERY_S
+        for request in self._admission.give_up(now=now):
+            self._wake(request.request_id, RequestReason.OVERTAKEN)
+
     def _wake(self, ticket: RequestId, reason: RequestReason) -> None:
         waiter = self._waiters_by_ticket[ticket]
         waiter.reason = reason
--- a/src/galenastall/node/request_types.py
+++ b/src/galenastall/node/request_types.py
@@ -23,6 +23,8 @@
     WOULD_MISS_DEADLINE = "would_miss_deadline"
     DEADLINE_PASSED = "deadline_passed"
     """It waited until it could no longer be in time, and was dropped before it left."""
+    OVERTAKEN = "overtaken"
+    """While it waited, more urgent ones left no room for it before its deadline."""
     DISPLACED = "displaced"
     """It made room for a more urgent one."""
     DRAINING = "draining"
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -175,3 +175,44 @@
                 inside -= {one.request_id for one in queue.expire(now=float(now))}
             assert len(queue) == len(inside) <= 6
             assert sum(queue.waiting_of(one) for one in Urgency) == len(inside)
+
+
+class TestOvertaken:
+    def overtaken(self, *, urgent_every: int, deadline: float = 30.0) -> Admission:
+        """Return a queue that hands out 10/s, in which urgent ones overtake ten of backfill."""
+        queue = Admission(limits=AdmissionLimits(wait_share=1.0, lower_class_every=1_000))
+        for number in range(10):
+            request = waiting(f"b{number}", urgency=Urgency.BACKFILL, deadline=deadline)
+            queue.offer(request=request, now=0.0)
+        for step in range(1, 101):
+            if step % urgent_every == 0:
+                request = waiting(f"u{step}", urgency=Urgency.URGENT)
+                queue.offer(request=request, now=step / 10)
+                assert queue.take(now=step / 10) == request
+        return queue
+
+    def test_what_has_no_chance_is_given_up_long_before_its_deadline(self) -> None:
+        queue = self.overtaken(urgent_every=1)
+        given_up = queue.give_up(now=10.0)
+        assert 0 < len(given_up) < 10
+        assert {one.urgency for one in given_up} == {Urgency.BACKFILL}
+        assert len(queue) == 10 - len(given_up)
+        assert queue.give_up(now=10.0) == []
+
+    def test_the_first_in_line_is_kept_and_a_long_deadline_too(self) -> None:
+        assert self.overtaken(urgent_every=1).waiting_of(Urgency.BACKFILL) == 10
+        assert self.overtaken(urgent_every=1, deadline=1e9).give_up(now=10.0) == []
+
+    def test_a_new_one_that_would_be_overtaken_is_refused(self) -> None:
+        queue = self.overtaken(urgent_every=1)
+        late = waiting("new", urgency=Urgency.BACKFILL, deadline=30.0)
+        refused = queue.offer(request=late, now=10.0).refusal
+        assert refused is not None
+        assert refused.reason == "would_miss_deadline"
+        normal = waiting("normal", deadline=30.0)
+        assert queue.offer(request=normal, now=10.0).refusal is None
+
+    def test_nothing_is_given_up_before_a_rate_is_known(self) -> None:
+        queue = Admission(limits=AdmissionLimits())
+        queue.offer(request=waiting("b", urgency=Urgency.BACKFILL, deadline=0.1), now=0.0)
+        assert queue.give_up(now=0.05) == []
