--- a/src/galenastall/node/request_service.py
+++ b/src/galenastall/node/request_service.py
@@ -11,10 +11,11 @@
 from galenastall.coordination.permit_types import Permit
 from galenastall.coordination.rates import ShortestTime
 from galenastall.coordination.retries import AttemptEnd, RetryBudget, may_retry
-from galenastall.node.permit_service import TICK_S, PermitService
+from galenastall.node.permit_service import IDLE_TICK_S, TICK_S, PermitService
 from galenastall.node.permit_settings import RequestSettings
 from galenastall.node.request_attempt import AttemptResult, Attempts
 from galenastall.node.request_book import RequestBook, RequestStatus
+from galenastall.node.request_trace import RequestTrace
 from galenastall.node.request_types import (
     RequestAnswer,
     RequestCall,
@@ -78,7 +79,7 @@
         self._clock = clock
         self._permits = permits
         self._settings = settings
-        self._events = events
+        self._trace = RequestTrace(events=events)
         self._admission = Admission(limits=settings().admission)
         self._budget = RetryBudget(limits=settings().retries)
         self._shortest = ShortestTime()
@@ -90,6 +91,8 @@
         self._gives_up_at = 0.0
         self._is_draining = False
         self._drained = trio.Event()
+        self._busy = trio.Event()
+        """Set by a request that waits; ends a long pause between ticks."""
         self._attempts = Attempts(
             clock=clock,
             upstreams=upstreams,
@@ -116,10 +119,15 @@
         while True:
             self._tick()
             await trio.sleep(TICK_S)
+            if not self._waiters_by_ticket and not self._is_draining:
+                with trio.move_on_after(IDLE_TICK_S):
+                    await self._busy.wait()
+            self._busy = trio.Event()
 
     def begin_drain(self) -> None:
         """Refuse new requests from now on."""
         self._is_draining = True
+        self._busy.set()
 
     async def drain(self) -> None:
         """Refuse new requests; return once all accepted ones are answered, streams included."""
@@ -142,6 +150,8 @@
             return self._not_run(call, RequestReason.DRAINING, DRAIN_RETRY_S)
         if not self._permits.has_upstreams():
             return self._not_run(call, RequestReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
+        if not self._waiters_by_ticket:
+            self._apply_settings()  # The last tick may lie a long pause back.
         refused = self._admission.check(
             request=self._waiting_of(call, call.request_id), now=self._clock.now()
         )
@@ -153,16 +163,12 @@
         """Run a request; returns its final answer, exactly one of the four outcomes."""
         run = _Run(call=call, ticket=next(self._tickets), status=self.book.open(call.request_id))
         self._in_progress += 1
-        self._events.record(
-            "request.taken",
-            subjects=(call.request_id, call.team),
-            cause=call.urgency.name.lower(),
-            fields={"operation": call.operation},
-        )
         try:
             answer = self.refusal(call) or await self._until_final(run)
         except BaseException:
-            self._end(run, self._abandoned(run))
+            answer = self._abandoned(run)
+            self._trace.withdrawn(call, answer)
+            self._close(run, answer)
             raise
         finally:
             self._in_progress -= 1
@@ -177,12 +183,14 @@
                 return permit
             if not self._permits.may_begin(permit):
                 self.counters.void_permits += 1
+                self._trace.passed_over(run.call, permit, "it came too late to begin under it")
                 self._permits.give_back_unused(permit)
                 continue
             result = await self._attempt(run, permit)
             if not self._goes_on(run, result):
                 return self._final(run, result)
             self.counters.retries += 1
+            self._trace.retried(run.call, run.status.upstream, result.reason or result.outcome)
 
     async def _attempt(self, run: _Run, permit: Permit) -> AttemptResult:
         run.attempts += 1
@@ -191,22 +199,12 @@
         run.status.upstream = permit.upstream
         run.status.attempts = run.attempts
         attempt_id = AttemptId(f"{run.call.request_id}#{run.ticket}.{run.attempts}")
-        self._events.record(
-            "request.sent",
-            peer=permit.upstream,
-            subjects=(run.call.request_id, attempt_id),
-            cause=f"permit {permit.permit_id}",
-        )
+        owner = self._permits.owner_of(permit)
+        self._trace.sent(run.call, permit, owner=owner, number=run.attempts)
         result = await self._attempts.make(call=run.call, permit=permit, attempt_id=attempt_id)
         if result.outcome is Outcome.UNKNOWN:
             run.maybe_ran = result
-        if result.outcome is not Outcome.DONE:
-            self._events.record(
-                "request.attempt",
-                peer=permit.upstream,
-                subjects=(run.call.request_id, attempt_id),
-                cause=f"{result.outcome}: {result.reason}",
-            )
+        self._trace.answered(run.call, permit, result.outcome, result.detail or result.reason)
         return result
 
     def _goes_on(self, run: _Run, result: AttemptResult) -> bool:
@@ -230,10 +228,13 @@
         while True:
             waiter = _Waiter()
             self._waiters_by_ticket[run.ticket] = waiter
+            self._busy.set()
             try:
+                ahead = len(self._admission)
                 offered = self._offer(run)
                 if offered.refusal is not None:
                     return self._gave_up(run, RequestReason(offered.refusal.reason))
+                self._trace.queued(run.call, ahead=ahead)
                 if waiter.permit is None and not waiter.reason:
                     await self._wait(run, waiter)
             except BaseException:
@@ -248,6 +249,7 @@
             if waiter.permit.upstream not in run.tried or run.swaps >= MAX_SWAPS:
                 return waiter.permit
             run.swaps += 1
+            self._trace.passed_over(run.call, waiter.permit, "it was tried there before")
             self._permits.give_back_unused(waiter.permit)
 
     async def _wait(self, run: _Run, waiter: _Waiter) -> None:
@@ -311,16 +313,19 @@
         return waiting, Urgency.NORMAL
 
     def _tick(self) -> None:
-        settings = self._settings()
-        self._admission.limits = settings.admission
-        self._admission.weights_by_team = settings.weights_by_team
-        self._budget.limits = settings.retries
+        self._apply_settings()
         now = self._clock.now()
         self._drop_late(now)
         self._drop_hopeless(now)
         if self._is_draining and not self._in_progress and not self._permits.held:
             self._drained.set()
 
+    def _apply_settings(self) -> None:
+        settings = self._settings()
+        self._admission.limits = settings.admission
+        self._admission.weights_by_team = settings.weights_by_team
+        self._budget.limits = settings.retries
+
     def _drop_late(self, now: float) -> None:
         for request in self._admission.expire(now=now):
             self._wake(request.request_id, RequestReason.DEADLINE_PASSED)
@@ -377,7 +382,8 @@
         )
 
     def count(self, answer: RequestAnswer) -> RequestAnswer:
-        """Count an answer that was given without a run, and return it."""
+        """Count and record an answer that was given without a run, and return it."""
+        self._trace.refused(answer)
         self.counters.ended(answer)
         return answer
 
@@ -392,12 +398,9 @@
         )
 
     def _end(self, run: _Run, answer: RequestAnswer) -> None:
+        self._trace.ended(run.call, answer, attempts=run.attempts)
+        self._close(run, answer)
+
+    def _close(self, run: _Run, answer: RequestAnswer) -> None:
         self.counters.ended(answer)
         self.book.close(run.status, answer)
-        self._events.record(
-            "request.ended",
-            peer=answer.upstream,
-            subjects=(run.call.request_id, run.call.team),
-            cause=f"{answer.outcome}: {answer.reason}" if answer.reason else answer.outcome,
-            fields={"operation": run.call.operation, "attempts": str(run.attempts)},
-        )
--- a/src/galenastall/protocol/platform.py
+++ b/src/galenastall/protocol/platform.py
@@ -12,8 +12,17 @@
 from returns.result import Result
 
 from galenastall.state.errors import StepError
-from galenastall.state.hosts import HostListing
-from galenastall.state.ids import AttemptId, Epoch, HostId, Offset, RequestId, StreamName, TaskId
+from galenastall.state.hosts import HostKind, HostListing
+from galenastall.state.ids import (
+    AttemptId,
+    DataCentre,
+    Epoch,
+    HostId,
+    Offset,
+    RequestId,
+    StreamName,
+    TaskId,
+)
 from galenastall.state.outcomes import Outcome
 from galenastall.state.registry import Registry
 from galenastall.state.resources import Resources
@@ -64,8 +73,18 @@
 class HostListService(Protocol):
     """The platform's lagging list of hosts."""
 
-    async def fetch(self) -> Result[HostListing, StepError]:
-        """Return the list as the platform now shows it."""
+    async def fetch(
+        self,
+        *,
+        data_centre: DataCentre | None = None,
+        kind: HostKind | None = None,
+        known_version: str | None = None,
+    ) -> Result[HostListing, StepError]:
+        """Return the list as the platform now shows it, cut to a data centre and a kind of host.
+
+        An answer may be unchanged, without rows, if `known_version` is what the same cut had. A
+        platform that knows no versions or no cuts answers with more rows than asked for.
+        """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -98,6 +117,10 @@
     detail: str = ""
 
 
+TaskChange = tuple[TaskId, float, Resources]
+"""A listed task whose lease (wall seconds) or usage changed; a tuple, since bytes count."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerListing:
     """What a worker runs and what it finished but has not had acknowledged."""
@@ -108,6 +131,14 @@
     """Measured usage of the whole worker; lags."""
     highest_epoch: Epoch = Epoch(0)
     """Highest epoch in any command; 0 from workers that can't compare epochs."""
+    cursor: str = ""
+    """Names what runs and what ended as listed here; empty from workers that keep none."""
+    base: str = ""
+    """The cursor on whose listing this one builds; empty if `running` is all that runs."""
+    changed: tuple[TaskChange, ...] = ()
+    """With a base: tasks listed there whose lease or usage is another now."""
+    gone: tuple[TaskId, ...] = ()
+    """With a base: tasks listed there that don't run any more."""
 
 
 class WorkerService(Protocol):
@@ -143,8 +174,11 @@
     ) -> Result[None, StepError]:
         """Let the worker forget finished tasks whose end is durable."""
 
-    async def listing(self, *, address: str) -> Result[WorkerListing, StepError]:
-        """Return what runs and what finished."""
+    async def listing(self, *, address: str, since: str = "") -> Result[WorkerListing, StepError]:
+        """Return what runs and what finished, or what changed since the cursor `since`.
+
+        A worker that does not know the cursor any more, or knows none, answers whole.
+        """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
