--- a/src/galenastall/coordination/admission.py
+++ b/src/galenastall/coordination/admission.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from galenastall.coordination.rates import DrainRate
+from galenastall.coordination.rates import ArrivalRate, DrainRate
 from galenastall.state.ids import RequestId, TeamPath
 from galenastall.state.work import Urgency
 
@@ -17,6 +17,8 @@
 """Least service time charged to a team, in seconds, so that shares stay finite."""
 MIN_RETRY_S: Final = 0.1
 MAX_RETRY_S: Final = 30.0
+GIVE_UP_SLACK: Final = 1.5
+"""A wait is hopeless if it is expected to take so many times the time that is left."""
 PRUNE_SLACK: Final = 1_000
 """Stale heap entries tolerated beyond four for each waiting request."""
 
@@ -198,6 +200,7 @@
         self._sequence = 0
         self._taken = 0
         self._drain = DrainRate()
+        self._arrivals = {urgency: ArrivalRate() for urgency in Urgency}
 
     def __len__(self) -> int:
         return len(self._entries_by_id)
@@ -219,6 +222,7 @@
         self._sequence += 1
         self._entries_by_id[request.request_id] = _Entry(self._sequence, request)
         self._classes[request.urgency].add(request, self._sequence)
+        self._arrivals[request.urgency].note(now=now)
         entry = (request.latest_start, self._sequence, request.request_id)
         heapq.heappush(self._latest_starts, entry)
         self._prune_latest_starts()
@@ -255,6 +259,41 @@
                 self.withdraw(request_id)
                 yield request
 
+    def give_up(self, *, now: float) -> list[WaitingRequest]:
+        """Remove and return those that others have overtaken for good.
+
+        What is served next is sure enough; it is the end of a queue that more urgent arrivals
+        leave no room for. It hears so now rather than at its deadline.
+        """
+        rate = self._drain.per_second
+        if rate is None:
+            return []
+        hopeless = [
+            entry.request
+            for urgency in Urgency
+            if urgency is not Urgency.URGENT and self._classes[urgency].size
+            for entry in self._hopeless_of(urgency, rate, now)
+        ]
+        for request in hopeless:
+            self.withdraw(request.request_id)
+        return hopeless
+
+    def _hopeless_of(self, urgency: Urgency, rate: float, now: float) -> Iterator[_Entry]:
+        """Yield what its class's rate does not reach in GIVE_UP_SLACK times the time left."""
+        own_rate = self._rate_of(urgency, rate, now)
+        teams = max(1, self._classes[urgency].active_teams)
+        above = self._ahead_of(urgency) - self._classes[urgency].size
+        ahead_by_team: dict[TeamPath, int] = {}
+        entries = [e for e in self._entries_by_id.values() if e.request.urgency is urgency]
+        entries.sort(key=lambda entry: (entry.request.deadline, entry.sequence))
+        for entry in entries:
+            ahead = ahead_by_team.get(entry.request.team, 0)
+            needed_s = (above + ahead * teams) / own_rate
+            if needed_s > (entry.request.latest_start - now) * GIVE_UP_SLACK:
+                yield entry
+            else:
+                ahead_by_team[entry.request.team] = ahead + 1
+
     @property
     def next_expiry(self) -> float | None:
         """Runtime time of the next drop, or None if nothing waits."""
@@ -312,17 +351,30 @@
             return self._refuse("team_queue_full", request.urgency)
         rate = self._drain.per_second
         may_wait_s = (request.latest_start - now) * self.limits.wait_share
-        if rate is not None and self._wait_s(request, rate) > may_wait_s:
+        if rate is not None and self._wait_s(request, rate, now) > may_wait_s:
             return self._refuse("would_miss_deadline", request.urgency)
         return None
 
-    def _wait_s(self, request: WaitingRequest, rate: float) -> float:
-        """Return the wait to expect: classes above, and the team's fair share of its own class."""
+    def _wait_s(self, request: WaitingRequest, rate: float, now: float) -> float:
+        """Return the wait to expect: classes above, and the team's fair share of its own class.
+
+        What more urgent classes bring in while the request waits goes before it too, so only the
+        rest of the rate serves what is ahead of it, and at least the lowest class's turns.
+        """
         own_class = self._classes[request.urgency]
         above = self._ahead_of(request.urgency) - own_class.size
         teams = max(1, own_class.active_teams)
         behind_own = own_class.size_of(request.team) * teams
-        return (above + min(own_class.size, behind_own)) / rate
+        ahead = above + min(own_class.size, behind_own)
+        if not ahead:
+            return 0.0
+        return ahead / self._rate_of(request.urgency, rate, now)
+
+    def _rate_of(self, urgency: Urgency, rate: float, now: float) -> float:
+        overtaking = sum(
+            self._arrivals[other].per_second(now=now) for other in Urgency if other < urgency
+        )
+        return max(rate - overtaking, rate / self.limits.lower_class_every)
 
     def _refuse(self, reason: str, urgency: Urgency) -> Refusal:
         return Refusal(reason=reason, retry_after_s=self.retry_after_s(urgency))
--- a/src/galenastall/node/request_service.py
+++ b/src/galenastall/node/request_service.py
@@ -1,7 +1,7 @@
 """The request path of one entry host: queue, permit, attempt, retry, and one exact outcome."""
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 from typing import Final
 
@@ -31,6 +31,8 @@
 
 MAX_SWAPS: Final = 2
 """Permits of an upstream tried before that a retry gives back in the hope of another."""
+GIVE_UP_EVERY_S: Final = 0.25
+"""Time between two looks for requests that wait in vain."""
 DRAIN_RETRY_S: Final = 1.0
 NO_UPSTREAM_RETRY_S: Final = 2.0
 
@@ -86,6 +88,7 @@
             RequestId(f"{permits.host_id}.{incarnation}.{n}") for n in itertools.count(1)
         )
         self._in_progress = 0
+        self._gives_up_at = 0.0
         self._is_draining = False
         self._drained = trio.Event()
         self._busy = trio.Event()
@@ -235,7 +238,7 @@
                 if run.swaps == swaps_before:
                     self._trace.queued(run.call, ahead=ahead)
                 if waiter.permit is None and not waiter.reason:
-                    await waiter.woken.wait()
+                    await self._wait(run, waiter)
             except BaseException:
                 self._admission.withdraw(run.ticket)
                 if waiter.permit is not None:
@@ -251,6 +254,25 @@
             self._trace.passed_over(run.call, waiter.permit, "it was tried there before")
             self._permits.give_back_unused(waiter.permit)
 
+    async def _wait(self, run: _Run, waiter: _Waiter) -> None:
+        """Wait for a permit or a reason; a request whose caller goes away leaves the queue."""
+        gone = run.call.caller_gone
+        if gone is None:
+            await waiter.woken.wait()
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._withdraw_if_gone, run, waiter, gone)
+            await waiter.woken.wait()
+            nursery.cancel_scope.cancel()
+
+    async def _withdraw_if_gone(
+        self, run: _Run, waiter: _Waiter, gone: Callable[[], Awaitable[None]]
+    ) -> None:
+        await gone()
+        if self._admission.withdraw(run.ticket) is not None:
+            waiter.reason = RequestReason.ABANDONED
+            waiter.woken.set()
+
     def _offer(self, run: _Run) -> Offered:
         offered = self._admission.offer(
             request=self._waiting_of(run.call, run.ticket), now=self._clock.now()
@@ -294,7 +316,9 @@
 
     def _tick(self) -> None:
         self._apply_settings()
-        self._drop_late(self._clock.now())
+        now = self._clock.now()
+        self._drop_late(now)
+        self._drop_hopeless(now)
         if self._is_draining and not self._in_progress and not self._permits.held:
             self._drained.set()
 
@@ -308,6 +332,13 @@
         for request in self._admission.expire(now=now):
             self._wake(request.request_id, RequestReason.DEADLINE_PASSED)
 
+    def _drop_hopeless(self, now: float) -> None:
+        if now < self._gives_up_at:
+            return
+        self._gives_up_at = now + GIVE_UP_EVERY_S
+        for request in self._admission.give_up(now=now):
+            self._wake(request.request_id, RequestReason.OVERTAKEN)
+
     def _wake(self, ticket: RequestId, reason: RequestReason) -> None:
         waiter = self._waiters_by_ticket[ticket]
         waiter.reason = reason
