--- a/src/galenastall/node/entry_host.py
+++ b/src/galenastall/node/entry_host.py
@@ -14,10 +14,12 @@
 from galenastall.node.http_settings import HttpSettings
 from galenastall.node.http_status import HostStatus, HttpStatus, LogStatus, WorkStatus
 from galenastall.node.job_side import JobSide
+from galenastall.node.load_guard import LoadGuard
 from galenastall.node.log_service import LogSide
 from galenastall.node.memory_watch import MemoryWatch
 from galenastall.node.ownables import ShardCounts
 from galenastall.node.ownership_service import OwnershipService
+from galenastall.node.present_state import PresentState
 from galenastall.node.process_security import curve_keys, tls_files
 from galenastall.node.request_side import RequestSide
 from galenastall.node.settings_mapping import (
@@ -81,6 +83,7 @@
             clock=clock,
             ring=TimelineRing(capacity=settings.timeline_ring_events),
             log_level=Level[settings.log_level.upper()],
+            detail_share=settings.timeline_detail_share,
             stream=log_stream,
         )
         self.link = ZmqPeerLink(
@@ -181,7 +184,12 @@
             link=self.link, ring=self.recorder.ring, peers=lambda: self._peer_ids
         )
         ops = HttpOps(
-            metrics=self.metrics, timeline=self.timeline, not_ready_reasons=self.not_ready_reasons
+            metrics=self.metrics,
+            timeline=self.timeline,
+            not_ready_reasons=self.not_ready_reasons,
+            present=PresentState(
+                jobs=self.job_side.intake, requests=self.request_side.requests.book
+            ).describe,
         )
         register_host_metrics(
             metrics=self.metrics,
@@ -193,6 +201,7 @@
             memory=self.memory,
         )
         self.drain_route = HttpDrain(is_log_up=lambda: appender.is_log_up)
+        self.guard = LoadGuard(clock=clock, counters=self.request_side.requests.counters)
         self.server = HttpServer(
             handlers=(
                 ops,
@@ -207,6 +216,7 @@
             tls=tls_files(settings),
             verify_clients=settings.tls is not None and settings.tls.ca_file is not None,
             log_error=self.recorder.record_error,
+            guard=self.guard.check,
         )
         self._incarnation = incarnation
         self._clock = clock
@@ -217,6 +227,7 @@
         """Run all services until cancelled; reports started once both sides are bound."""
         async with trio.open_nursery() as nursery:
             await nursery.start(self.link.run)
+            nursery.start_soon(self.guard.run)
             await nursery.start(self.server.run)
             self._record_bound()
             task_status.started()
--- a/src/galenastall/node/worker_service.py
+++ b/src/galenastall/node/worker_service.py
@@ -16,11 +16,14 @@
 from galenastall.coordination.placement_commands import (
     Decision,
     Refusal,
+    WorkerCommands,
 )
+from galenastall.coordination.start_horizon import StartHorizon
 from galenastall.coordination.task_reports import ReportKind, TaskReport
 from galenastall.node.held_gangs import HeldGangs
 from galenastall.node.job_link import JobLink
 from galenastall.node.lease_helper import LeaseHelper
+from galenastall.node.start_settling import StartSettling, Tenures
 from galenastall.node.task_inbox import TaskInbox
 from galenastall.node.task_reporter import TaskReporter
 from galenastall.node.worker_commands import WorkerCommander
@@ -67,6 +70,7 @@
         clock: Clock,
         hosts: Callable[[], HostListing | None],
         shards: int,
+        tenures: Tenures,
         timings: WorkerTimings | None = None,
         events: EventSink | None = None,
     ) -> None:
@@ -125,6 +129,10 @@
             carry_out=self._carry_out,
             is_taking=lambda: not self._is_draining,
         )
+        self.horizon = StartHorizon()
+        self.settling = StartSettling(
+            horizon=self.horizon, tenures=tenures, ownership=ownership, link=link, clock=clock
+        )
         self._starter = WorkerStarter(owner=self, workers=workers, clock=clock, timings=times)
         self._inbox = TaskInbox(owner=self, gangs=self._gangs, link=link, clock=clock)
         self.helper = LeaseHelper(
@@ -262,6 +270,7 @@
             self.note(known.task, kind, detail="it broke off here")
             return
         if is_next_attempt:
+            self.events.record("worker.made_way", subjects=(task_id,))
             self.note(task, ReportKind.QUEUED, detail="it made way and waits again")
         else:
             self.assigned.set_quietly(task_id, ReportKind.QUEUED)
@@ -289,6 +298,7 @@
             return
         worker = HostId(name)
         self._drop_watch(worker)
+        self.settling.begin(worker, epoch, settle_s=self._timings.start_settle_s)
         watch = WorkerWatch(
             worker_id=worker,
             epoch=epoch,
@@ -361,6 +371,7 @@
             detail=f"{refusal.reason.value}: {refusal.detail}",
             give_up=not fits_elsewhere,
         )
+        self.events.record("worker.refused", subjects=(refusal.task.task_id,), cause=report.detail)
         self.note_report(report, refusal.task)
 
     def _carry_out(self, decision: Decision) -> None:
@@ -372,8 +383,24 @@
                     self.assigned.set_quietly(start.task.task_id, ReportKind.UNKNOWN)
                 self._nursery.start_soon(self._starter.start, commands)
             if commands.stops or commands.checkpoints or commands.throttles:
+                self._tell_endings(commands)
                 self._nursery.start_soon(self._commander.send, commands)
 
+    def _tell_endings(self, commands: WorkerCommands) -> None:
+        for how, tasks in (
+            ("stop", commands.stops),
+            ("checkpoint", commands.checkpoints),
+            ("throttle", commands.throttles),
+        ):
+            for task in tasks:
+                self.events.record(
+                    "worker.ending",
+                    peer=commands.worker_id,
+                    subjects=(task.task_id,),
+                    cause=task.cause,
+                    fields={"how": how},
+                )
+
     def _on_settled(self, reports: Iterable[TaskReport]) -> None:
         for report in reports:
             watch = self.watches_by_id.get(report.worker_id)
