--- a/src/galenastall/bench/capacity_lines.py
+++ b/src/galenastall/bench/capacity_lines.py
@@ -66,7 +66,8 @@
     """Return reads a second of one follower: of a busy stream and of the quiet settings stream."""
     appends = stream_appends_per_s(model)
     gap_s = max(model.assume("read_gap_s"), 1.0 / appends)
-    return 1.0 / gap_s + 1.0 / model.assume("poll_wait_s")
+    own = model.assume("append_budget_per_s") / model.size.entry_hosts  # These end the pause.
+    return min(appends, 1.0 / gap_s + own) + 1.0 / model.assume("poll_wait_s")
 
 
 def end_groups_per_s(model: CapacityModel) -> float:
--- a/src/galenastall/node/worker_watch.py
+++ b/src/galenastall/node/worker_watch.py
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from galenastall.node.worker_service import WorkerService as Owner
 
-IDLE_POLLS: Final = 3
+IDLE_POLLS: Final = 2
 """An idle worker is asked once in so many polls; silence counts from its last answer."""
 KIND_BY_ADVICE = {
     EndAdvice.DONE: ReportKind.DONE,
