--- /dev/null
+++ b/src/galenastall/bench/capacity_log_lines.py
@@ -0,0 +1,108 @@
+"""Lines of the capacity page: the platform's log, and how long things take."""
+
+from galenastall.bench.capacity import (
+    IN_FORCE_BUDGET_S,
+    LOG_APPENDS_PER_S,
+    URGENT_START_BUDGET_S,
+    CapacityModel,
+    Quantity,
+    line,
+)
+from galenastall.bench.capacity_rates import (
+    HOUR_S,
+    KB,
+    owned_starts_per_s,
+    owned_workers,
+    reads_per_s,
+)
+
+
+@line(
+    "log-appends",
+    role="platform's log",
+    quantity=Quantity.APPENDS,
+    what="appends of the whole fleet at the peak",
+    mechanism="group commit; each host spaces its appends by live hosts / budget",
+    at_most=LOG_APPENDS_PER_S,
+)
+def log_appends(model: CapacityModel) -> float:
+    """Return appends a second: the budget, whatever the load."""
+    return model.assume("append_budget_per_s")
+
+
+@line(
+    "log-reads",
+    role="platform's log",
+    quantity=Quantity.MESSAGES,
+    what="reads a second of the whole fleet at the peak",
+    mechanism="appends wake the long polls of their data centre's entry hosts, at a least distance",
+)
+def log_reads(model: CapacityModel) -> float:
+    """Return reads a second."""
+    return reads_per_s(model) * model.size.entry_hosts
+
+
+@line(
+    "log-bytes",
+    role="platform's log",
+    quantity=Quantity.WIRE,
+    what="records written at the peak",
+    mechanism="ended tasks by index ranges; accepted jobs; changes",
+)
+def log_bytes(model: CapacityModel) -> float:
+    """Return bytes a second appended over all streams."""
+    groups = model.size.starts_per_s / model.assume("task_end_group")
+    busy = model.assume("busy_hour_share") / HOUR_S
+    jobs = model.size.jobs_per_day * busy * model.each("job-record-bytes")
+    changes = model.size.changes_per_day * busy * model.assume("change_bytes")
+    return (groups * model.each("task-ends-bytes") + jobs + changes) / KB
+
+
+@line(
+    "time-urgent-start",
+    role="times",
+    quantity=Quantity.TIME,
+    what="an urgent task from acceptance to its start call, owner alive",
+    mechanism="append, its reading by the shard's owner, window of appends, decision, one call",
+    at_most=URGENT_START_BUDGET_S,
+)
+def time_urgent_start(model: CapacityModel) -> float:
+    """Return seconds."""
+    spacing = model.size.entry_hosts / model.assume("append_budget_per_s")
+    queue = owned_starts_per_s(model) * model.assume("decision_window_s")
+    decide = queue * model.at("placement-decision", owned_workers(model)) / 1e6
+    wait = model.assume("log_append_s") + spacing + model.assume("decision_window_s")
+    wait += model.assume("read_gap_s")
+    return wait + decide + 2 * model.each("http-call-cpu") / 1e6
+
+
+@line(
+    "time-in-force",
+    role="times",
+    quantity=Quantity.TIME,
+    what="a settings change from its sending to being in force everywhere, log up",
+    mechanism="append window, append, long poll, fold",
+    at_most=IN_FORCE_BUDGET_S,
+)
+def time_in_force(model: CapacityModel) -> float:
+    """Return seconds."""
+    spacing = model.size.entry_hosts / model.assume("append_budget_per_s")
+    delay = 2 * model.assume("one_way_delay_s")
+    delay += model.assume("read_gap_s")
+    return model.assume("log_append_s") + spacing + delay + model.assume("poll_wait_s")
+
+
+@line(
+    "time-owner-dies",
+    role="times",
+    quantity=Quantity.TIME,
+    what="an urgent task that can only run on a dead owner's workers",
+    mechanism="suspicion, claim, fencing, wait for both legs, activation, listings",
+    at_most=URGENT_START_BUDGET_S,
+)
+def time_owner_dies(model: CapacityModel) -> float:
+    """Return seconds."""
+    legs = model.assume("legs_s") * model.assume("clock_rate_factor")
+    spacing = model.size.entry_hosts / model.assume("append_budget_per_s")
+    appends = 2 * (model.assume("log_append_s") + spacing + model.assume("read_gap_s"))
+    return model.assume("suspect_s") + legs + model.assume("flight_s") + appends
--- a/src/galenastall/bench/capacity_page.py
+++ b/src/galenastall/bench/capacity_page.py
@@ -5,7 +5,13 @@
 from pathlib import Path
 from typing import Final
 
-from galenastall.bench import capacity_lines
+from galenastall.bench import (
+    capacity_failures_lines,
+    capacity_follower_lines,
+    capacity_log_lines,
+    capacity_member_lines,
+    capacity_owner_lines,
+)
 from galenastall.bench.capacity import (
     CPU_BUDGET_PERCENT,
     MEMORY_BUDGET_MB,
@@ -25,7 +31,13 @@
 BEGIN: Final = "<!-- begin: written by `galenastall bench capacity --write` -->"
 END: Final = "<!-- end -->"
 HOST_COUNTS: Final = (3, 5, 7, 9, 13, 17, 25, 33)
-LINES_MODULE: Final = capacity_lines
+LINE_MODULES: Final = (
+    capacity_owner_lines,
+    capacity_follower_lines,
+    capacity_member_lines,
+    capacity_log_lines,
+    capacity_failures_lines,
+)
 """Imported so that the registry of lines is full."""
 
 
--- a/src/galenastall/coordination/placement_commands.py
+++ b/src/galenastall/coordination/placement_commands.py
@@ -82,6 +82,8 @@
     epoch: Epoch
     task: TaskSpec
     reserved: Resources
+    why: str = ""
+    """Why there, for the time line."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -134,6 +136,8 @@
     task: TaskSpec
     reason: RefusalReason
     detail: str
+    need: Resources
+    """What it needs: declared, or what an earlier attempt was seen to use."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/galenastall/coordination/placer.py
+++ b/src/galenastall/coordination/placer.py
@@ -41,6 +41,9 @@
         self._tables = tables
         self._policies_by_class: dict[str, PlacementPolicy] = {}
         self._demands_left = 0
+        self._words_by_class: dict[str, str] = {}
+        self.why = ""
+        """Why the worker found last was chosen."""
         self.refusals: list[Refusal] = []
         self.use_policies()
 
@@ -53,6 +56,10 @@
             )
             for name, policy in tables.settings.policies_by_class.items()
         }
+        self._words_by_class = {
+            name: f"policy {policy} of class {name} chose it among the workers with room"
+            for name, policy in tables.settings.policies_by_class.items()
+        }
 
     def begin(self) -> None:
         """Start a decision: allow its share of preemptions and promises."""
@@ -78,15 +85,27 @@
             task, worker, amount, phase=LedgerPhase.STARTING, now=now, since=waiting.since
         )
         if placed is not None:
+            placed.why = self.why
             tables.leave_queue(task.task_id)
         return placed
 
     def amount_of(self, task: TaskSpec) -> Resources:
-        """Return what to reserve for a task: the larger of declared and learned."""
+        """Return what to reserve for a task: the larger of needed and learned.
+
+        Learning must not make a task wait for ever: what no worker or no quota holds is not asked
+        for beyond the need.
+        """
         tables = self._tables
+        need = tables.estimates.need(task)
         if not tables.settings.is_learning or not task.kind:
-            return task.resources
-        return tables.estimates.amount(task, tables.capacities.most)
+            return need
+        amount = tables.estimates.amount(task, tables.capacities.most)
+        if amount is need or amount == need:
+            return need
+        full = tables.queue.full_quota(task.team, amount)
+        if full is not None and not amount.fits_in(full[1]):
+            return need
+        return need if tables.capacities.obstacle(amount) is not None else amount
 
     def find(self, task: TaskSpec, amount: Resources, now: float) -> Worker | None:
         """Return the worker that the class's policy chooses, or None if none has room."""
@@ -94,12 +113,14 @@
         if tables.quarantined_by_id:
             probed = self._probe(task, amount, now)
             if probed is not None:
+                self.why = "the worker was quarantined and due to be probed"
                 return probed
         avoid = tables.quarantine.workers_to_avoid(task.job_id)
         if not tables.failed_shapes.covers(amount):
             policy = self._policies_by_class[class_of(task)]
             worker = policy.choose(task=task, amount=amount, avoid=avoid)
             if worker is not None:
+                self.why = self._words_by_class[class_of(task)]
                 return worker
             if not avoid:
                 tables.failed_shapes.add(amount)
@@ -149,7 +170,10 @@
         promise = self._tables.promises.get(task.task_id)
         if promise is None or not promise.worker.is_open:
             return None
-        return promise.worker if promise.worker.ledger.fits(amount) else None
+        if not promise.worker.ledger.fits(amount):
+            return None
+        self.why = "room there was promised to it while it waited"
+        return promise.worker
 
     def _probe(self, task: TaskSpec, amount: Resources, now: float) -> Worker | None:
         """Return a quarantined worker that is due to be tried, if this task may be risked."""
@@ -176,11 +200,12 @@
         worker = tables.promises.backfill(amount, now + run_s)
         if worker is None or worker.worker_id in tables.quarantine.workers_to_avoid(task.job_id):
             return None
+        self.why = "it ends before the task that the room is promised to needs it"
         return worker
 
     def _on_no_room(self, waiting: Waiting, amount: Resources, now: float) -> None:
         task = waiting.task
-        obstacle = self._tables.capacities.obstacle(task.resources)
+        obstacle = self._tables.capacities.obstacle(self._tables.estimates.need(task))
         if obstacle is not None:
             self._refuse(task, RefusalReason.IMPOSSIBLE, obstacle)
             return
@@ -278,13 +303,15 @@
 
     def _refuse_over_quota(self, task: TaskSpec) -> None:
         """Refuse a task for which a quota would not do even with nothing else reserved."""
-        full = self._tables.queue.full_quota(task.team, task.resources)
-        if full is None or task.resources.fits_in(full[1]):
+        need = self._tables.estimates.need(task)
+        full = self._tables.queue.full_quota(task.team, need)
+        if full is None or need.fits_in(full[1]):
             return
-        detail = f"needs {describe_amount(task.resources)}; "
+        detail = f"needs {describe_amount(need)}; "
         detail += f"the quota of {full[0]} is {describe_amount(full[1])}"
         self._refuse(task, RefusalReason.IMPOSSIBLE, detail)
 
     def _refuse(self, task: TaskSpec, reason: RefusalReason, detail: str) -> None:
         self._tables.leave_queue(task.task_id)
-        self.refusals.append(Refusal(task=task, reason=reason, detail=detail))
+        need = self._tables.estimates.need(task)
+        self.refusals.append(Refusal(task=task, reason=reason, detail=detail, need=need))
--- a/src/galenastall/node/request_service.py
+++ b/src/galenastall/node/request_service.py
@@ -1,7 +1,7 @@
 """The request path of one entry host: queue, permit, attempt, retry, and one exact outcome."""
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 from typing import Final
 
@@ -15,6 +15,7 @@
 from galenastall.node.permit_settings import RequestSettings
 from galenastall.node.request_attempt import AttemptResult, Attempts
 from galenastall.node.request_book import RequestBook, RequestStatus
+from galenastall.node.request_trace import RequestTrace
 from galenastall.node.request_types import (
     RequestAnswer,
     RequestCall,
@@ -30,6 +31,8 @@
 
 MAX_SWAPS: Final = 2
 """Permits of an upstream tried before that a retry gives back in the hope of another."""
+GIVE_UP_EVERY_S: Final = 0.25
+"""Time between two looks for requests that wait in vain."""
 DRAIN_RETRY_S: Final = 1.0
 NO_UPSTREAM_RETRY_S: Final = 2.0
 
@@ -76,7 +79,7 @@
         self._clock = clock
         self._permits = permits
         self._settings = settings
-        self._events = events
+        self._trace = RequestTrace(events=events)
         self._admission = Admission(limits=settings().admission)
         self._budget = RetryBudget(limits=settings().retries)
         self._shortest = ShortestTime()
@@ -85,6 +88,7 @@
             RequestId(f"{permits.host_id}.{incarnation}.{n}") for n in itertools.count(1)
         )
         self._in_progress = 0
+        self._gives_up_at = 0.0
         self._is_draining = False
         self._drained = trio.Event()
         self._busy = trio.Event()
@@ -159,16 +163,12 @@
         """Run a request; returns its final answer, exactly one of the four outcomes."""
         run = _Run(call=call, ticket=next(self._tickets), status=self.book.open(call.request_id))
         self._in_progress += 1
-        self._events.record(
-            "request.taken",
-            subjects=(call.request_id, call.team),
-            cause=call.urgency.name.lower(),
-            fields={"operation": call.operation},
-        )
         try:
             answer = self.refusal(call) or await self._until_final(run)
         except BaseException:
-            self._end(run, self._abandoned(run))
+            answer = self._abandoned(run)
+            self._trace.withdrawn(call, answer)
+            self._close(run, answer)
             raise
         finally:
             self._in_progress -= 1
@@ -183,12 +183,14 @@
                 return permit
             if not self._permits.may_begin(permit):
                 self.counters.void_permits += 1
+                self._trace.passed_over(run.call, permit, "it came too late to begin under it")
                 self._permits.give_back_unused(permit)
                 continue
             result = await self._attempt(run, permit)
             if not self._goes_on(run, result):
                 return self._final(run, result)
             self.counters.retries += 1
+            self._trace.retried(run.call, run.status.upstream, result.reason or result.outcome)
 
     async def _attempt(self, run: _Run, permit: Permit) -> AttemptResult:
         run.attempts += 1
@@ -197,22 +199,12 @@
         run.status.upstream = permit.upstream
         run.status.attempts = run.attempts
         attempt_id = AttemptId(f"{run.call.request_id}#{run.ticket}.{run.attempts}")
-        self._events.record(
-            "request.sent",
-            peer=permit.upstream,
-            subjects=(run.call.request_id, attempt_id),
-            cause=f"permit {permit.permit_id}",
-        )
+        owner = self._permits.owner_of(permit)
+        self._trace.sent(run.call, permit, owner=owner, number=run.attempts)
         result = await self._attempts.make(call=run.call, permit=permit, attempt_id=attempt_id)
         if result.outcome is Outcome.UNKNOWN:
             run.maybe_ran = result
-        if result.outcome is not Outcome.DONE:
-            self._events.record(
-                "request.attempt",
-                peer=permit.upstream,
-                subjects=(run.call.request_id, attempt_id),
-                cause=f"{result.outcome}: {result.reason}",
-            )
+        self._trace.answered(run.call, permit, result.outcome, result.reason or result.detail)
         return result
 
     def _goes_on(self, run: _Run, result: AttemptResult) -> bool:
@@ -233,16 +225,20 @@
 
     async def _permit_for(self, run: _Run) -> Permit | RequestAnswer:
         """Wait for a permit, of an upstream not tried before if there is one."""
+        swaps_before = run.swaps
         while True:
             waiter = _Waiter()
             self._waiters_by_ticket[run.ticket] = waiter
             self._busy.set()
             try:
+                ahead = len(self._admission)
                 offered = self._offer(run)
                 if offered.refusal is not None:
                     return self._gave_up(run, RequestReason(offered.refusal.reason))
+                if run.swaps == swaps_before:
+                    self._trace.queued(run.call, ahead=ahead)
                 if waiter.permit is None and not waiter.reason:
-                    await waiter.woken.wait()
+                    await self._wait(run, waiter)
             except BaseException:
                 self._admission.withdraw(run.ticket)
                 if waiter.permit is not None:
@@ -255,8 +251,28 @@
             if waiter.permit.upstream not in run.tried or run.swaps >= MAX_SWAPS:
                 return waiter.permit
             run.swaps += 1
+            self._trace.passed_over(run.call, waiter.permit, "it was tried there before")
             self._permits.give_back_unused(waiter.permit)
 
+    async def _wait(self, run: _Run, waiter: _Waiter) -> None:
+        """Wait for a permit or a reason; a request whose caller goes away leaves the queue."""
+        gone = run.call.caller_gone
+        if gone is None:
+            await waiter.woken.wait()
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._withdraw_if_gone, run, waiter, gone)
+            await waiter.woken.wait()
+            nursery.cancel_scope.cancel()
+
+    async def _withdraw_if_gone(
+        self, run: _Run, waiter: _Waiter, gone: Callable[[], Awaitable[None]]
+    ) -> None:
+        await gone()
+        if self._admission.withdraw(run.ticket) is not None:
+            waiter.reason = RequestReason.ABANDONED
+            waiter.woken.set()
+
     def _offer(self, run: _Run) -> Offered:
         offered = self._admission.offer(
             request=self._waiting_of(run.call, run.ticket), now=self._clock.now()
@@ -300,7 +316,9 @@
 
     def _tick(self) -> None:
         self._apply_settings()
-        self._drop_late(self._clock.now())
+        now = self._clock.now()
+        self._drop_late(now)
+        self._drop_hopeless(now)
         if self._is_draining and not self._in_progress and not self._permits.held:
             self._drained.set()
 
@@ -314,6 +332,13 @@
         for request in self._admission.expire(now=now):
             self._wake(request.request_id, RequestReason.DEADLINE_PASSED)
 
+    def _drop_hopeless(self, now: float) -> None:
+        if now < self._gives_up_at:
+            return
+        self._gives_up_at = now + GIVE_UP_EVERY_S
+        for request in self._admission.give_up(now=now):
+            self._wake(request.request_id, RequestReason.OVERTAKEN)
+
     def _wake(self, ticket: RequestId, reason: RequestReason) -> None:
         waiter = self._waiters_by_ticket[ticket]
         waiter.reason = reason
@@ -359,7 +384,8 @@
         )
 
     def count(self, answer: RequestAnswer) -> RequestAnswer:
-        """Count an answer that was given without a run, and return it."""
+        """Count and record an answer that was given without a run, and return it."""
+        self._trace.refused(answer)
         self.counters.ended(answer)
         return answer
 
@@ -374,12 +400,9 @@
         )
 
     def _end(self, run: _Run, answer: RequestAnswer) -> None:
+        self._trace.ended(run.call, answer, attempts=run.attempts)
+        self._close(run, answer)
+
+    def _close(self, run: _Run, answer: RequestAnswer) -> None:
         self.counters.ended(answer)
         self.book.close(run.status, answer)
-        self._events.record(
-            "request.ended",
-            peer=answer.upstream,
-            subjects=(run.call.request_id, run.call.team),
-            cause=f"{answer.outcome}: {answer.reason}" if answer.reason else answer.outcome,
-            fields={"operation": run.call.operation, "attempts": str(run.attempts)},
-        )
--- a/src/galenastall/node/worker_watch.py
+++ b/src/galenastall/node/worker_watch.py
@@ -58,11 +58,12 @@
         timings: WorkerTimings,
         events: EventSink,
     ) -> None:
-        """`owner` holds the core, the assigned tasks and the leases."""
+        """`owner` holds the core, the assigned tasks, the leases and what settles."""
         self.worker_id = worker_id
         self.epoch = epoch
         self.is_adopted = False
         self.has_lapsed = False
+        self._is_settled = False
         self._owner = owner
         self._workers = workers
         self._ownership = ownership
@@ -79,7 +80,7 @@
     @property
     def is_spoken_for(self) -> bool:
         """Whether this owner knows all that runs there."""
-        return self.is_adopted or self.has_lapsed
+        return (self.is_adopted and self._is_settled) or self.has_lapsed
 
     def cancel(self) -> None:
         """Stop watching, since the worker has another owner."""
@@ -96,7 +97,7 @@
 
     def state(self, now: float) -> WorkerState:
         """Return whether new tasks may go there."""
-        if not self._owner.may_act(self.worker_id, self.epoch):
+        if not self._is_settled or not self._owner.may_act(self.worker_id, self.epoch):
             return WorkerState.SILENT
         if self._owner.leases.silent_s(self.worker_id, now) > self.timings.silent_after_s:
             return WorkerState.SILENT
@@ -119,20 +120,29 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         with self._scope:
-            while True:
-                await self._poll()
-                for _ in range(IDLE_POLLS):
-                    with trio.move_on_after(self.timings.poll_every_s):
-                        await self._kick.wait()
-                    if self._kick.is_set() or not self._is_idle:
-                        break
-                self._kick = trio.Event()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._ask_last_owner)
+                await self._poll_for_ever()
+
+    async def _ask_last_owner(self) -> None:
+        await self._owner.settling.ask_last_owner(self.worker_id, self.epoch)
+        self.kick()
+
+    async def _poll_for_ever(self) -> None:
+        while True:
+            await self._poll()
+            for _ in range(IDLE_POLLS):
+                with trio.move_on_after(self.timings.poll_every_s):
+                    await self._kick.wait()
+                if self._kick.is_set() or not self._is_idle:
+                    break
+            self._kick = trio.Event()
 
     @property
     def _is_idle(self) -> bool:
         """Whether nothing that can end was there at the last answer, nor was started since."""
         known = self._known
-        if known is None or known.running or known.finished or not self.is_adopted:
+        if known is None or known.running or known.finished or not self.is_spoken_for:
             return False
         return not self._acks and not self._owner.core.on_worker(self.worker_id)
 
@@ -170,6 +180,7 @@
             report = owner.core.add_worker(host, self.epoch, listing.running, now)
             self._take_report(report, listing)
             self.is_adopted = True
+            owner.core.set_worker_state(self.worker_id, WorkerState.SILENT)
             self._events.record(
                 "worker.adopted",
                 peer=self.worker_id,
@@ -181,6 +192,8 @@
         report = owner.core.on_listing(self.worker_id, listing, now, asked_at)
         self._take_report(report, listing)
         self._take_finished(listing)
+        # Only a listing asked for after all earlier owners' starts shows everything there.
+        self._is_settled |= owner.settling.is_settled(self.worker_id, at=asked_at)
         owner.wake()
 
     def _take_report(self, report: ReconcileReport, listing: WorkerListing) -> None:
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -35,8 +35,10 @@
 from galenastall.state.job_records import JobAccepted
 from galenastall.state.job_shards import shard_ownable
 from galenastall.state.resources import Resources
+from galenastall.state.timeline_ring import TimelineRing
 from galenastall.state.work import JobSpec, Workload
 from galenastall.transport.clock import TrioClock
+from galenastall.transport.logs import Recorder
 
 MAPO = DataCentre("mapo")
 STREAM = data_centre_stream(MAPO)
@@ -118,6 +120,7 @@
 
     def __init__(self) -> None:
         self.owner: dict[OwnableId, tuple[HostId, Epoch]] = {}
+        self.tenures: dict[OwnableId, list[tuple[Epoch, HostId]]] = {}
         self.roster: set[HostId] = set()
         self.views: dict[HostId, View] = {}
 
@@ -125,6 +128,7 @@
         old = self.owner.get(ownable)
         epoch = max(epoch, old[1] + 1 if old else 0)
         self.owner[ownable] = (host, Epoch(epoch))
+        self.tenures.setdefault(ownable, []).append((Epoch(epoch), host))
         if old is not None and old[0] in self.views:
             for lost in self.views[old[0]].lost:
                 lost(ownable)
@@ -132,6 +136,13 @@
             for activated in self.views[host].activated:
                 activated(ownable, Epoch(epoch))
 
+    def is_first(self, *, ownable: OwnableId, epoch: Epoch) -> bool:
+        return self.previous(ownable=ownable, epoch=epoch) is None
+
+    def previous(self, *, ownable: OwnableId, epoch: Epoch) -> tuple[Epoch, HostId] | None:
+        earlier = [each for each in self.tenures[ownable] if each[0] < epoch]
+        return earlier[-1] if earlier else None
+
 
 class View:
     def __init__(self, *, host_id: HostId, owners: Owners) -> None:
@@ -184,6 +195,7 @@
         self.link = MemoryLink(host_id=host_id, net=cluster.net)
         self.view = View(host_id=host_id, owners=cluster.owners)
         job_link = JobLink(peers=self.link)
+        events = Recorder(process=host_id, clock=clock, ring=cluster.ring)
         self.workers = WorkerService(
             data_centre=MAPO,
             core=PlacementCore(),
@@ -193,7 +205,9 @@
             clock=clock,
             hosts=cluster.listing,
             shards=cluster.shards,
+            tenures=cluster.owners,
             timings=cluster.worker_timings,
+            events=events,
         )
         self.jobs = JobService(
             fold=self.fold,
@@ -206,6 +220,7 @@
             incarnation=f"{host_id}.{life}",
             shards=cluster.shards,
             timings=cluster.job_timings,
+            events=events,
         )
         self.intake = JobIntake(
             data_centre=MAPO,
@@ -218,6 +233,7 @@
             follower=self.follower,
             clock=clock,
             rng=random.Random(life),
+            events=events,
         )
         self._cluster = cluster
 
@@ -254,6 +270,8 @@
         self.job_timings = JobTimings()
         self._nursery = nursery
         self._lives = 0
+        self.ring = TimelineRing()
+        """What happened on all hosts."""
         self._listing: HostListing | None = None
 
     @staticmethod
--- a/tests/test_ownership_hazards.py
+++ b/tests/test_ownership_hazards.py
@@ -11,7 +11,8 @@
 from galenastall.coordination.ownership_messages import AppendRecord
 from galenastall.coordination.ownership_tail import RecordTail
 from galenastall.coordination.ownership_timings import OwnershipTimings
-from galenastall.proof.ownership_model import FAULTS, MODEL_TIMINGS, OwnershipModel, ViolationError
+from galenastall.proof.ownership_faults import FAULTS
+from galenastall.proof.ownership_model import MODEL_TIMINGS, OwnershipModel, ViolationError
 from galenastall.proof.ownership_search import run_schedule, search
 from galenastall.proof.ownership_weakenings import WEAKENINGS
 from galenastall.state.ids import HostId, Incarnation, Offset, OwnableId, RecordId, StreamName
