Say nothing of earlier owners beyond what was read of the stream

Cause: ownership may be ahead of the other folds, since a host that is cut off from the log follows it through peers. Its history of tenures then took an ownable for never owned, or named an older owner. Change: the history answers only for epochs up to which it has read; beyond, owners wait in full.

--- a/src/galenastall/state/upstream_tenures.py
+++ b/src/galenastall/state/upstream_tenures.py
@@ -23,6 +23,7 @@
         self._tenures_by_ownable: dict[OwnableId, list[tuple[Epoch, HostId]]] = {}
         self._first_epoch_by_ownable: dict[OwnableId, Epoch] = {}
         self._known_from: Offset | None = None
+        self._next = Offset(0)
 
     @property
     def is_complete(self) -> bool:
@@ -33,6 +34,7 @@
         """Take in the next record; other matters' records are passed over."""
         if self._known_from is None:
             self._known_from = logged.offset
+        self._next = Offset(logged.offset + 1)
         match logged.record:
             case Claim() as claim:
                 self._claimed_by_epoch[Epoch(logged.offset)] = claim.ownables
@@ -50,12 +52,19 @@
         return last[1] if last else None
 
     def previous(self, *, ownable: OwnableId, epoch: Epoch) -> tuple[Epoch, HostId] | None:
-        """Return the epoch and owner before `epoch`, if any is known."""
+        """Return the epoch and owner before `epoch`, if that is known."""
+        if self._next < epoch:
+            return None
         earlier = [t for t in self._tenures_by_ownable.get(ownable, ()) if t[0] < epoch]
         return earlier[-1] if earlier else None
 
     def is_first(self, *, ownable: OwnableId, epoch: Epoch) -> bool:
-        """Return whether nobody can have owned it before `epoch`."""
+        """Return whether nobody can have owned it before `epoch`.
+
+        Never while this has not read up to `epoch`: ownership may, through a peer, be ahead of it.
+        """
+        if self._next < epoch:
+            return False
         return self.is_complete and self._first_epoch_by_ownable.get(ownable, epoch) >= epoch
 
     def _hand_over(self, handover: HandOver, epoch: Epoch) -> None:
--- a/tests/test_upstream_tenures.py
+++ b/tests/test_upstream_tenures.py
@@ -68,6 +68,14 @@
         assert folded.previous_owner(ownable=UP, epoch=Epoch(2)) == "e1"
         assert folded.previous_owner(ownable=UP, epoch=Epoch(4)) == "e2"
 
+    def test_nothing_is_said_of_epochs_beyond_what_was_read(self) -> None:
+        folded = history(claim(E1), activate(E1, 0))
+        assert folded.previous_owner(ownable=UP, epoch=Epoch(2)) == "e1"
+        assert folded.previous_owner(ownable=UP, epoch=Epoch(3)) is None
+        other = OwnableId("upstream/x1")
+        assert folded.is_first(ownable=other, epoch=Epoch(2))
+        assert not folded.is_first(ownable=other, epoch=Epoch(3))
+
     def test_a_trimmed_stream_leaves_it_open_who_came_before(self) -> None:
         folded = history(claim(E1), activate(E1, 500), start=500)
         assert folded.previous_owner(ownable=UP, epoch=Epoch(500)) is None
