--- a/src/galenastall/node/job_service.py
+++ b/src/galenastall/node/job_service.py
@@ -54,6 +54,9 @@
 from galenastall.state.job_shards import shard_of, shard_ownable
 from galenastall.state.work import JobSpec
 
+READ_POLL_S = 0.1
+"""How often a shard that waits for the log is looked at, in seconds."""
+
 
 class JobService(JobListener):
     """All job shards that this entry host owns, and the beats to the other entry hosts."""
@@ -226,12 +229,31 @@
         driver.core.add_job(job, is_fresh=is_fresh, now=self._clock.wall())
         driver.wake()
 
+    async def _activate_once_read(self, ownable: OwnableId, epoch: Epoch) -> None:
+        """Serve a shard only from a fold that holds all that earlier owners logged.
+
+        Ownership may be ahead of it, since it also follows the log through peers.
+        """
+        # The follower has no event for an offset; this happens only in a cut from the log.
+        while self._follower.next_offset < epoch:  # noqa: ASYNC110
+            await trio.sleep(READ_POLL_S)
+        while ownable in self._ownership.owned():
+            current = self._ownership.may_act(ownable)
+            if current is not None:
+                if current == epoch:
+                    self._on_activated(ownable, epoch)
+                return
+            await trio.sleep(READ_POLL_S)
+
     def _on_activated(self, ownable: OwnableId, epoch: Epoch) -> None:
         kind, name = split_ownable_id(ownable)
         if kind is not OwnableKind.JOBS:
             return
         shard = int(name)
         self._drop(shard)
+        if self._follower.next_offset < epoch and self._nursery is not None:
+            self._nursery.start_soon(self._activate_once_read, ownable, epoch)
+            return
         core = JobShard(
             shard=shard, epoch=epoch, is_ended=self.fold.is_ended, settings=self._settings
         )
