--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -16,7 +16,7 @@
 from galenastall.node.log_service import LogSide
 from galenastall.node.worker_service import WorkerService
 from galenastall.node.worker_timings import WorkerTimings
-from galenastall.protocol.codec import decode_message, encode_message
+from galenastall.protocol.codec import decode_message, encode_message, encode_record
 from galenastall.standin.memory_platform import MemoryPlatform
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.hosts import HostKind, HostListing, ListedHost
@@ -24,9 +24,12 @@
     DataCentre,
     Epoch,
     HostId,
+    Incarnation,
     JobId,
+    Offset,
     OwnableId,
     OwnableKind,
+    RecordId,
     TeamPath,
     data_centre_stream,
     make_ownable_id,
@@ -34,6 +37,7 @@
 from galenastall.state.job_fold import JobFold
 from galenastall.state.job_records import JobAccepted
 from galenastall.state.job_shards import shard_ownable
+from galenastall.state.ownership_records import Claim, Member
 from galenastall.state.resources import Resources
 from galenastall.state.timeline_ring import TimelineRing
 from galenastall.state.work import JobSpec, Workload
@@ -307,14 +311,22 @@
 
     def give_worker(self, worker: str, host: str) -> None:
         ownable = make_ownable_id(OwnableKind.WORKER, worker)
-        self.owners.give(ownable, HostId(host), epoch=self._claim_offset())
+        self.owners.give(ownable, HostId(host), epoch=self._write_claim(ownable, host))
 
     def give_shard(self, shard: int, host: str) -> None:
-        self.owners.give(shard_ownable(shard), HostId(host), epoch=self._claim_offset())
-
-    def _claim_offset(self) -> int:
-        """Return the offset that the last record has, as if it were the claim."""
-        return max((each.follower.next_offset for each in self.hosts.values()), default=1) - 1
+        ownable = shard_ownable(shard)
+        self.owners.give(ownable, HostId(host), epoch=self._write_claim(ownable, host))
+
+    def _write_claim(self, ownable: OwnableId, host: str) -> int:
+        """Put a claim into the log past all faults, and return its offset: the epoch."""
+        by = Member(host=HostId(host), incarnation=Incarnation("scripted"))
+        claim = Claim(by=by, ownables=(ownable,), seen=Offset(0))
+        stream = self.platform.log._stream(STREAM)
+        offset = stream.end
+        text = encode_record(claim, record_id=RecordId(f"claim-{offset}"))
+        stream.records.append((self.clock.now(), text))
+        stream.notify()
+        return offset
 
     def spread(self) -> None:
         """Give all workers and shards round robin to the hosts that live."""
