--- /dev/null
+++ b/deploy/entry_host.py
@@ -0,0 +1,7 @@
+"""Start an entry host from the folder that the build fills."""
+
+import sys
+
+from galenastall.platform.process import main
+
+sys.exit(main())
--- /dev/null
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -0,0 +1,97 @@
+"""The leader's tables: jobs, executors, what waits, and what must be written next."""
+
+from collections.abc import Iterable
+
+from galenastall.coordination.cell.commands import AskAdvice, Note, StartOrder, StopOrder
+from galenastall.coordination.cell.executors import Executor
+from galenastall.coordination.cell.job_runs import JobRun, StepRun, TaskRun
+from galenastall.coordination.cell.timings import CellTimings
+from galenastall.state.cell.jobs import Queue, StepKey, TaskKey
+from galenastall.state.cell.phases import TaskPhase
+
+
+class CellState:
+    """Shared by the parts of the core; holds no rule of its own beyond consistency."""
+
+    def __init__(self, *, timings: CellTimings, fenced_at: float) -> None:
+        """Create empty tables of a leader whose fence stands since `fenced_at`."""
+        self.timings = timings
+        self.fenced_at = fenced_at
+        self.jobs_by_id: dict[str, JobRun] = {}
+        self.executors_by_id: dict[str, Executor] = {}
+        self.queues_by_name: dict[str, Queue] = {}
+        self.waiting_steps: set[StepKey] = set()
+        """Steps whose turn has come and that have tasks without a run."""
+        self.dirty_jobs: set[str] = set()
+        self.noted_executors: set[str] = set()
+        """Executors with ends that were applied and are not yet durable."""
+        self.new_starts: list[StartOrder] = []
+        self.stops: list[StopOrder] = []
+        self.asks: list[AskAdvice] = []
+        self.notes: list[Note] = []
+        self._seq = 0
+
+    def next_seq(self) -> int:
+        """Return the next number of this leader's sends and receives, in their order."""
+        self._seq += 1
+        return self._seq
+
+    def note(
+        self, step: str, *subjects: str, cause: str = "", fields: dict[str, str] | None = None
+    ) -> None:
+        """Keep a decision for the log."""
+        self.notes.append(Note(step=step, subjects=subjects, cause=cause, fields=fields or {}))
+
+    def find(self, key: TaskKey) -> tuple[JobRun, StepRun, TaskRun] | None:
+        """Return a task with its step and job, or None if it is not known."""
+        job = self.jobs_by_id.get(key.job)
+        if job is None:
+            return None
+        step = job.find_step(key.step_key)
+        if step is None or not 0 <= key.number < len(step.tasks):
+            return None
+        return job, step, step.tasks[key.number]
+
+    def queue_of(self, job: JobRun) -> Queue:
+        """Return the policy in force for a job; a dropped queue keeps its last one."""
+        queue = self.queues_by_name.get(job.queue.name)
+        if queue is not None and queue is not job.queue:
+            job.queue = queue
+        return job.queue
+
+    def assign(
+        self, task: TaskRun, step: StepRun, executor: Executor, run: int, now: float
+    ) -> None:
+        """Reserve room for a new run of a task and count it in the ledger."""
+        task.assign(run=run, executor_id=executor.executor_id, now=now)
+        executor.take(step.step.need)
+        executor.runs_by_task[task.key] = run
+        self.dirty_jobs.add(task.key.job)
+
+    def free(self, task: TaskRun, step: StepRun) -> Executor | None:
+        """Give back the room of a task's run, which has ended; return its executor if known."""
+        executor = self.executors_by_id.get(task.executor_id)
+        if executor is not None and executor.runs_by_task.pop(task.key, None) is not None:
+            executor.give_back(step.step.need)
+        self.dirty_jobs.add(task.key.job)
+        return executor
+
+    def refresh_waiting(self, job: JobRun) -> None:
+        """Put the job's steps that have something to start into the queue, and take out others."""
+        for occurrence in job.occurrences_by_number.values():
+            for step in occurrence.steps:
+                wanted = (
+                    job.is_durable
+                    and not job.has_ended
+                    and not step.is_done
+                    and occurrence.is_ready(step)
+                    and any(task.phase is TaskPhase.WAITING for task in step.tasks)
+                )
+                if wanted:
+                    self.waiting_steps.add(step.key)
+                else:
+                    self.waiting_steps.discard(step.key)
+
+    def drop_waiting(self, steps: Iterable[StepKey]) -> None:
+        """Take steps out of the queue."""
+        self.waiting_steps.difference_update(steps)
--- /dev/null
+++ b/src/galenastall/coordination/cell/election.py
@@ -0,0 +1,122 @@
+"""When a standby claims the leadership: beats have stopped, and the state's end stands still.
+
+The store alone decides who leads: a claim's token fences all older leaders. This class only keeps
+standbys from claiming while a leader is well, also one that this host can't hear.
+"""
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from galenastall.coordination.cell.timings import CellTimings
+
+
+class Move(Enum):
+    """What a standby should do next."""
+
+    WAIT = auto()
+    LOOK = auto()
+    """Look at the store for signs of the leader."""
+    CLAIM = auto()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HeardBeat:
+    """The last heartbeat of the leader with the highest token."""
+
+    token: int
+    leader: str
+    heard_at: float
+    confirm_age_s: float
+
+    def confirm_age_at(self, now: float) -> float:
+        """Return how long ago the store confirmed the leader, at least."""
+        return self.confirm_age_s + (now - self.heard_at)
+
+
+class Election:
+    """One host's view of who leads, and its patience."""
+
+    def __init__(self, *, timings: CellTimings, jitter_s: float, may_start: bool) -> None:
+        """`jitter_s` delays this host's claims; `may_start`: the system may be all new."""
+        self._timings = timings
+        self._jitter_s = jitter_s
+        self._may_start = may_start
+        self._beat: HeardBeat | None = None
+        self._token = 0
+        self._looked_at = float("-inf")
+        self._tip: int | None = None
+        self._tip_moved_at = 0.0
+        self._not_before = 0.0
+
+    @property
+    def leader(self) -> str:
+        """Host that beats with the highest token; empty if none has been heard."""
+        return self._beat.leader if self._beat else ""
+
+    @property
+    def token(self) -> int:
+        """The highest token seen."""
+        return self._token
+
+    def is_heard(self, now: float) -> bool:
+        """Whether the leader's beats go on."""
+        if self._beat is None:
+            return False
+        return now - self._beat.heard_at <= self._timings.beat_silence_s
+
+    def on_beat(self, beat: HeardBeat) -> bool:
+        """Take a heartbeat; False if a newer leader is known."""
+        if beat.token < self._token:
+            return False
+        self._token = beat.token
+        self._beat = beat
+        if beat.confirm_age_s < self._timings.stale_confirm_s / 2:
+            self._tip = None
+        return True
+
+    def withdraw(self, until: float) -> None:
+        """Make no claim before `until`."""
+        self._not_before = until
+
+    def on_look(self, *, token: int, tip: int, now: float) -> None:
+        """Take what the store shows."""
+        if token > self._token:
+            # A newer leader, which may not have reached this host yet.
+            self._token = token
+            self._beat = None
+            self._tip_moved_at = now
+            self._tip = tip
+        elif self._tip is None or tip != self._tip:
+            self._tip = tip
+            self._tip_moved_at = now
+        if token == 0 and self._may_start:
+            self._tip_moved_at = min(self._tip_moved_at, now - self._timings.tip_silence_s)
+
+    def next_move(self, now: float) -> Move:
+        """Return what to do now."""
+        if not self._is_doubtful(now):
+            return Move.WAIT
+        if self._tip is not None and self._is_silent(now):
+            still_s = now - self._tip_moved_at
+            is_still = still_s >= self._timings.tip_silence_s + self._jitter_s
+            is_fresh = now - self._looked_at <= 2 * self._timings.tip_every_s
+            if is_still and is_fresh and now >= self._not_before:
+                return Move.CLAIM
+        if now - self._looked_at >= self._timings.tip_every_s:
+            self._looked_at = now
+            return Move.LOOK
+        return Move.WAIT
+
+    def _is_doubtful(self, now: float) -> bool:
+        timings = self._timings
+        if self._beat is None:
+            return True
+        if now - self._beat.heard_at > timings.beat_silence_s:
+            return True
+        return self._beat.confirm_age_at(now) > timings.stale_confirm_s * 0.6
+
+    def _is_silent(self, now: float) -> bool:
+        timings = self._timings
+        if self._beat is None or now - self._beat.heard_at > timings.beat_silence_s:
+            return True
+        return self._beat.confirm_age_at(now) > timings.stale_confirm_s
--- /dev/null
+++ b/src/galenastall/coordination/cell/executors.py
@@ -0,0 +1,124 @@
+"""Executors as the leader sees them: room, reachability, and the runs that may be there."""
+
+from dataclasses import dataclass
+
+from galenastall.coordination.cell.lease_clock import LeaseClock
+from galenastall.state.cell.jobs import StepKey, TaskKey
+from galenastall.state.resources import Resources
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ExecutorInfo:
+    """One life of an executor, as the platform's list names it."""
+
+    executor_id: str
+    host: str
+    """The host that it lives on; its next life has another id and the same host."""
+    address: str
+    data_centre: str
+    service: str
+    capacity: Resources
+    labels: tuple[str, ...] = ()
+    is_draining: bool = False
+    leaves_in_s: float = 0.0
+    """Least time in seconds until it leaves, while it drains."""
+
+
+class Executor:
+    """One life of an executor; the ledger counts every run that may be there."""
+
+    def __init__(self, *, info: ExecutorInfo, clock: LeaseClock, now: float) -> None:
+        """Start with an empty ledger; nothing is placed before the first listing."""
+        self.info = info
+        self.clock = clock
+        self.runs_by_task: dict[TaskKey, int] = {}
+        self.held_by_step: dict[StepKey, Resources] = {}
+        """Room kept for a step whose advice is being asked again."""
+        self.strangers: frozenset[tuple[TaskKey, int]] = frozenset()
+        """Runs listed there that no live job accounts for; they are stopped first."""
+        self.is_listed = True
+        self.delisted_at = now
+        self.answered_at: float | None = None
+        """Leader's time of its last good listing."""
+        self.paused_until = 0.0
+        self.noted = 0
+        """Position in its list of ends up to which ends were applied."""
+        self.durable = 0
+        """Position up to which applied ends are durable, so that it may forget them."""
+        self.consecutive_failures = 0
+        self._leaves_at: float | None = None
+        self.wants_look = False
+        """Whether a listing is needed now, without waiting for an end."""
+        self.free_cores_milli = info.capacity.cores_milli
+        self.free_memory_mb = info.capacity.memory_mb
+        self.free_accelerators = info.capacity.accelerators
+
+    @property
+    def executor_id(self) -> str:
+        """Id of this life."""
+        return self.info.executor_id
+
+    def set_info(self, info: ExecutorInfo) -> None:
+        """Take what the list says now; the ledger follows a changed capacity."""
+        old, new = self.info.capacity, info.capacity
+        if new != old:
+            self.give_back(new)
+            self.take(old)
+        self.info = info
+
+    def leaves_at(self, now: float) -> float:
+        """Return the time at which a draining executor may leave, as first read off the list."""
+        if self._leaves_at is None:
+            self._leaves_at = now + self.info.leaves_in_s
+        return self._leaves_at
+
+    def has_room(self, need: Resources) -> bool:
+        """Whether the ledger has room for one more of `need`."""
+        return (
+            need.cores_milli <= self.free_cores_milli
+            and need.memory_mb <= self.free_memory_mb
+            and need.accelerators <= self.free_accelerators
+        )
+
+    def room_for(self, need: Resources, most: int) -> int:
+        """Return how many of `need` fit now, `most` at the highest."""
+        count = most
+        if need.cores_milli:
+            count = min(count, self.free_cores_milli // need.cores_milli)
+        if need.memory_mb:
+            count = min(count, self.free_memory_mb // need.memory_mb)
+        if need.accelerators:
+            count = min(count, self.free_accelerators // need.accelerators)
+        return max(count, 0)
+
+    def take(self, need: Resources) -> None:
+        """Reserve room."""
+        self.free_cores_milli -= need.cores_milli
+        self.free_memory_mb -= need.memory_mb
+        self.free_accelerators -= need.accelerators
+
+    def give_back(self, need: Resources) -> None:
+        """Return reserved room."""
+        self.free_cores_milli += need.cores_milli
+        self.free_memory_mb += need.memory_mb
+        self.free_accelerators += need.accelerators
+
+    def hold_room(self, step: StepKey, amount: Resources) -> None:
+        """Keep room for a step until `drop_hold`."""
+        self.drop_hold(step)
+        self.held_by_step[step] = amount
+        self.take(amount)
+
+    def drop_hold(self, step: StepKey) -> None:
+        """Give back what was kept for a step, if anything."""
+        amount = self.held_by_step.pop(step, None)
+        if amount is not None:
+            self.give_back(amount)
+
+    def is_open(self, *, now: float, reach_s: float, delisted_grace_s: float) -> bool:
+        """Whether new work may be placed here now."""
+        if self.info.is_draining or self.strangers or now < self.paused_until:
+            return False
+        if not self.is_listed and now - self.delisted_at > delisted_grace_s:
+            return False
+        return self.answered_at is not None and now - self.answered_at <= reach_s
--- /dev/null
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -0,0 +1,157 @@
+"""Executors that come, drain, vanish and are born again."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from galenastall.coordination.cell.cell_state import CellState
+from galenastall.coordination.cell.executors import Executor, ExecutorInfo
+from galenastall.coordination.cell.job_runs import JobRun, StartState, TaskRun
+from galenastall.coordination.cell.lease_clock import LeaseClock
+from galenastall.coordination.cell.run_ends import RunEnds
+from galenastall.state.cell.phases import RunEnd
+from galenastall.state.resources import NOTHING
+
+FORGET_AFTER_S: Final = 5.0
+"""An executor without runs that has been off the list for longer is forgotten."""
+LEAVE_MARGIN_S: Final = 0.3
+"""A run on a leaving executor is moved unless it ends this much before the executor leaves."""
+STILL_S: Final = 3.0
+"""A run whose progress has stood still for longer is stopped and started elsewhere. Sound runs
+show progress each 0.2 s, and a gang waits at most as long for its members."""
+STILL_PAUSE_S: Final = 4.0
+"""How long an executor on which a run stood still gets no new work."""
+_WHOLE: Final = 100
+
+
+class Fleet:
+    """Keeps the table of executors in step with the platform's list, and ends lapsed runs."""
+
+    def __init__(self, *, state: CellState, ends: RunEnds) -> None:
+        """Work on these tables."""
+        self._state = state
+        self._ends = ends
+
+    def adopt(self, run: JobRun) -> None:
+        """Count the runs that earlier leaders assigned, on executors that may not be listed yet."""
+        for task in run.assigned():
+            step = run.find_step(task.key.step_key)
+            if step is None:
+                continue
+            info = _unlisted(task.executor_id)
+            executor = self._state.executors_by_id.get(task.executor_id)
+            if executor is None:
+                executor = self._add(info, now=self._state.fenced_at)
+                executor.is_listed = False
+            executor.take(step.step.need)
+            executor.runs_by_task[task.key] = task.run
+
+    def update(self, infos: Iterable[ExecutorInfo], *, now: float, wall: float) -> None:
+        """Take the list as it is now."""
+        listed_by_id = {info.executor_id: info for info in infos}
+        for info in listed_by_id.values():
+            self._see(info, now=now, wall=wall)
+        for executor in list(self._state.executors_by_id.values()):
+            if executor.executor_id not in listed_by_id:
+                self._miss(executor, now)
+
+    def _see(self, info: ExecutorInfo, *, now: float, wall: float) -> None:
+        executor = self._state.executors_by_id.get(info.executor_id)
+        if executor is None:
+            self._end_earlier_life(info, wall)
+            executor = self._add(info, now=now)
+            self._state.note("executor.seen", info.executor_id, fields={"host": info.host})
+        was_draining = executor.info.is_draining
+        executor.set_info(info)
+        executor.is_listed = True
+        if info.is_draining and not was_draining:
+            cause = "the platform's list says so"
+            self._state.note("executor.draining", info.executor_id, cause=cause)
+
+    def _end_earlier_life(self, info: ExecutorInfo, wall: float) -> None:
+        for executor in list(self._state.executors_by_id.values()):
+            if info.host and executor.info.host == info.host:
+                cause = f"a new life is on its host as {info.executor_id}"
+                self.end_life(executor.executor_id, cause=cause, wall=wall)
+
+    def _add(self, info: ExecutorInfo, *, now: float) -> Executor:
+        timings = self._state.timings
+        longest_s = timings.lease_s / (1.0 - timings.clock_rate_slack) + timings.lease_slack_s
+        clock = LeaseClock(timings=timings, unknown_until=self._state.fenced_at + longest_s)
+        executor = Executor(info=info, clock=clock, now=now)
+        self._state.executors_by_id[info.executor_id] = executor
+        return executor
+
+    def _miss(self, executor: Executor, now: float) -> None:
+        if executor.is_listed:
+            executor.is_listed = False
+            executor.delisted_at = now
+            self._state.note("executor.delisted", executor.executor_id)
+        if not executor.runs_by_task and now - executor.delisted_at > FORGET_AFTER_S:
+            del self._state.executors_by_id[executor.executor_id]
+            self._state.note("executor.forgotten", executor.executor_id)
+
+    def end_life(self, executor_id: str, *, cause: str, wall: float) -> None:
+        """End all runs of an executor's life that is over, and forget it."""
+        executor = self._state.executors_by_id.get(executor_id)
+        if executor is None:
+            return
+        self._state.note("executor.life_ended", executor_id, cause=cause)
+        for key, run in list(executor.runs_by_task.items()):
+            self._ends.apply(key, run, RunEnd.LOST, wall=wall)
+        self._state.executors_by_id.pop(executor_id, None)
+
+    def expire(self, *, now: float, wall: float) -> None:
+        """End runs whose leases have surely lapsed on executors that do not answer."""
+        for executor in list(self._state.executors_by_id.values()):
+            if not executor.runs_by_task or not executor.clock.has_lapsed(now):
+                continue
+            self._state.note(
+                "executor.lapsed",
+                executor.executor_id,
+                cause="its leases ended before it answered again",
+                fields={"runs": str(len(executor.runs_by_task))},
+            )
+            for key, run in list(executor.runs_by_task.items()):
+                self._ends.apply(key, run, RunEnd.LAPSED, wall=wall)
+
+    def move_runs(self, *, now: float) -> None:
+        """Stop runs that stand still, or that would not end before their executor leaves."""
+        for executor in list(self._state.executors_by_id.values()):
+            for key in list(executor.runs_by_task):
+                found = self._state.find(key)
+                if found is None or found[0].has_ended or found[1].is_done:
+                    continue
+                task = found[2]
+                if task.is_stopping or task.state is not StartState.STARTED:
+                    continue
+                if executor.info.is_draining:
+                    self._move_if_it_ends_late(executor, task, now)
+                elif not found[1].step.is_long_running:
+                    self._move_if_still(executor, task, now)
+
+    def _move_if_it_ends_late(self, executor: Executor, task: TaskRun, now: float) -> None:
+        leaves_at = executor.leaves_at(now)
+        if task.percent <= 0 or task.percent >= _WHOLE:
+            return
+        elapsed_s = max(task.percent_at - task.started_at, 0.0)
+        ends_at = task.percent_at + elapsed_s * (_WHOLE - task.percent) / task.percent
+        if ends_at > leaves_at - LEAVE_MARGIN_S:
+            self._ends.stop(task, cause="its executor leaves before it would end")
+
+    def _move_if_still(self, executor: Executor, task: TaskRun, now: float) -> None:
+        if executor.answered_at is None or executor.answered_at - task.percent_at < STILL_S:
+            return
+        executor.paused_until = now + STILL_PAUSE_S
+        self._ends.stop(task, cause=f"no progress for {STILL_S:g} s at {task.percent}%")
+
+
+def _unlisted(executor_id: str) -> ExecutorInfo:
+    """Return what is known of an executor of which only the id is stored."""
+    return ExecutorInfo(
+        executor_id=executor_id,
+        host="",
+        address="",
+        data_centre="",
+        service="",
+        capacity=NOTHING,
+    )
--- /dev/null
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -0,0 +1,299 @@
+"""A job in the leader's memory: occurrences, steps and tasks, restored from and saved as rows."""
+
+from collections.abc import Iterator
+from enum import Enum, auto
+
+from galenastall.coordination.cell.objectives import objective_at
+from galenastall.state.cell.jobs import CellJob, Queue, Step, StepKey, TaskKey
+from galenastall.state.cell.phases import ENDED_PHASES, JobPhase, TaskPhase
+from galenastall.state.cell.rows import ProgressRow, TaskRow
+
+
+class StartState(Enum):
+    """What is known of an assigned task's run."""
+
+    WRITING = auto()
+    """Its assignment is not durable; no order has left."""
+    SENT = auto()
+    """An order is on its way; no answer yet."""
+    UNSURE = auto()
+    """The order got no answer; it may be carried out late."""
+    STARTED = auto()
+    """The executor has confirmed it."""
+    INHERITED = auto()
+    """Assigned by an earlier leader; the first listing under this leader's token decides."""
+
+
+class TaskRun:
+    """One task and its last run."""
+
+    __slots__ = (
+        "checkpoint",
+        "executor_id",
+        "failures",
+        "is_stopping",
+        "key",
+        "known_seq",
+        "percent",
+        "percent_at",
+        "phase",
+        "run",
+        "started_at",
+        "state",
+        "stop_sent_at",
+        "stop_seq",
+        "tries",
+    )
+
+    def __init__(self, *, key: TaskKey) -> None:
+        """Create a task that has had no run."""
+        self.key = key
+        self.phase = TaskPhase.WAITING
+        self.run = 0
+        self.executor_id = ""
+        self.failures = 0
+        self.checkpoint = ""
+        self.state = StartState.WRITING
+        self.tries = 0
+        self.known_seq = 0
+        """Sequence number after which a listing that lacks the run proves that it has ended."""
+        self.is_stopping = False
+        self.stop_sent_at = 0.0
+        self.stop_seq = 0
+        """Sequence number of the answer to its stop; 0 before."""
+        self.started_at = 0.0
+        self.percent = 0
+        self.percent_at = 0.0
+        """Leader's time at which the share of its work done last rose."""
+
+    def assign(self, *, run: int, executor_id: str, now: float) -> None:
+        """Give the task a new run on an executor."""
+        self.phase = TaskPhase.ASSIGNED
+        self.run = run
+        self.executor_id = executor_id
+        self.state = StartState.WRITING
+        self.tries = 0
+        self.known_seq = 0
+        self.is_stopping = False
+        self.stop_seq = 0
+        self.started_at = now
+        self.percent = 0
+        self.percent_at = now
+
+    def release(self) -> None:
+        """Wait again: its last run is known to have ended."""
+        self.phase = TaskPhase.WAITING
+        self.executor_id = ""
+        self.is_stopping = False
+
+
+class StepRun:
+    """The tasks of one step of one occurrence."""
+
+    def __init__(self, *, key: StepKey, step: Step) -> None:
+        """Create all its tasks."""
+        self.key = key
+        self.step = step
+        self.tasks = [TaskRun(key=TaskKey(*key, index)) for index in range(step.count)]
+        self.is_done = False
+        self.gang_failures = 0
+        self.failed_run = 0
+        """The last run of a gang that was counted as failed."""
+
+    @property
+    def highest_run(self) -> int:
+        """The highest run number of its tasks."""
+        return max(task.run for task in self.tasks)
+
+    def waiting(self) -> list[TaskRun]:
+        """Return the tasks that have no run now."""
+        return [task for task in self.tasks if task.phase is TaskPhase.WAITING]
+
+    def check_done(self) -> bool:
+        """Note and return whether all tasks are done; a gang's first end as done counts for all."""
+        if not self.is_done:
+            self.is_done = all(task.phase is TaskPhase.DONE for task in self.tasks)
+        return self.is_done
+
+
+class Occurrence:
+    """One time that a job's steps run."""
+
+    def __init__(self, *, job: CellJob, number: int, begins_at: float, queue: Queue) -> None:
+        """Create its steps; `begins_at` is in wall seconds."""
+        self.number = number
+        self.begins_at = begins_at
+        self.objective = objective_at(steps=job.steps, queue=queue, begins_at=begins_at)
+        self.steps = [
+            StepRun(key=StepKey(job.job_id, number, index), step=step)
+            for index, step in enumerate(job.steps)
+        ]
+
+    def is_ready(self, step: StepRun) -> bool:
+        """Whether all steps that it comes after are done."""
+        return all(self.steps[index].is_done for index in step.step.after)
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all steps are done."""
+        return all(step.is_done for step in self.steps)
+
+
+class JobRun:
+    """An accepted job, or one whose acceptance is being written."""
+
+    def __init__(self, *, job: CellJob) -> None:
+        """Create a job without occurrences; `open_due` adds them."""
+        self.job = job
+        self.queue = job.queue
+        self.phase = JobPhase.QUEUED
+        self.shown_phase = JobPhase.QUEUED
+        """What callers may be told: the last durable phase."""
+        self.is_written = False
+        """Whether its acceptance has left for the store."""
+        self.is_durable = False
+        self.has_started = False
+        self.ended_at = 0.0
+        self.occurrences_opened = 0
+        self.occurrences_by_number: dict[int, Occurrence] = {}
+        self.done_occurrences: set[int] = set()
+        """Numbers of occurrences of a timed job that are done and forgotten."""
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether nothing of it starts any more."""
+        return self.phase in ENDED_PHASES
+
+    @property
+    def is_long_running(self) -> bool:
+        """Whether it goes on until cancelled."""
+        return any(step.is_long_running for step in self.job.steps)
+
+    def next_due(self) -> float | None:
+        """Return the wall time at which the next occurrence is due, or None after the last."""
+        recurrence = self.job.recurrence
+        if recurrence is None:
+            return self.job.submitted_at if self.occurrences_opened == 0 else None
+        if self.occurrences_opened >= recurrence.times:
+            return None
+        return recurrence.first_due + self.occurrences_opened * recurrence.interval_s
+
+    def open_due(self, wall: float) -> list[Occurrence]:
+        """Open and return the occurrences that have come due; a job that is not timed has one."""
+        opened: list[Occurrence] = []
+        while True:
+            due = self.next_due()
+            if due is None or (self.job.recurrence is not None and due > wall):
+                return opened
+            opened.append(self._open(due))
+
+    def _open(self, due: float) -> Occurrence:
+        number = self.occurrences_opened
+        occurrence = Occurrence(job=self.job, number=number, begins_at=due, queue=self.queue)
+        self.occurrences_by_number[number] = occurrence
+        self.occurrences_opened += 1
+        return occurrence
+
+    def tasks(self) -> Iterator[TaskRun]:
+        """Yield the tasks of all open occurrences."""
+        for occurrence in self.occurrences_by_number.values():
+            for step in occurrence.steps:
+                yield from step.tasks
+
+    def assigned(self) -> list[TaskRun]:
+        """Return the tasks whose runs may exist."""
+        return [task for task in self.tasks() if task.phase is TaskPhase.ASSIGNED]
+
+    def find_step(self, key: StepKey) -> StepRun | None:
+        """Return a step, or None if its occurrence is not open."""
+        occurrence = self.occurrences_by_number.get(key.occurrence)
+        if occurrence is None or not 0 <= key.step < len(occurrence.steps):
+            return None
+        return occurrence.steps[key.step]
+
+    def find_task(self, key: TaskKey) -> TaskRun | None:
+        """Return a task, or None if there is none of that name."""
+        step = self.find_step(key.step_key)
+        if step is None or not 0 <= key.number < len(step.tasks):
+            return None
+        return step.tasks[key.number]
+
+    def drop_done_occurrences(self) -> None:
+        """Forget occurrences that are done and have no runs left; their number stays counted."""
+        if self.job.recurrence is None:
+            return
+        for number, occurrence in list(self.occurrences_by_number.items()):
+            idle = all(t.phase is not TaskPhase.ASSIGNED for s in occurrence.steps for t in s.tasks)
+            if occurrence.is_done and idle:
+                self.done_occurrences.add(number)
+                del self.occurrences_by_number[number]
+
+    def row(self) -> ProgressRow:
+        """Return what must be durable of its progress."""
+        if self.has_ended:
+            tasks: tuple[TaskRow, ...] = ()
+        else:
+            tasks = tuple(_task_row(task) for task in self.tasks() if _is_worth_a_row(task))
+        return ProgressRow(
+            phase=self.phase,
+            queue_name=self.queue.name,
+            has_started=self.has_started,
+            occurrences_opened=self.occurrences_opened,
+            done_occurrences=tuple(sorted(self.done_occurrences)),
+            ended_at=self.ended_at,
+            tasks=tasks,
+        )
+
+    def restore(self, row: ProgressRow, *, wall: float) -> None:
+        """Take over the progress that an earlier leader made durable."""
+        self.is_written = self.is_durable = True
+        self.phase = self.shown_phase = row.phase
+        self.has_started = row.has_started
+        self.ended_at = row.ended_at
+        while self.occurrences_opened < row.occurrences_opened:
+            due = self.next_due()
+            self._open(wall if due is None else due)
+        for number in row.done_occurrences:
+            self.done_occurrences.add(number)
+            self.occurrences_by_number.pop(number, None)
+        for task_row in row.tasks:
+            key = TaskKey(self.job.job_id, task_row.occurrence, task_row.step, task_row.index)
+            task = self.find_task(key)
+            if task is not None:
+                _restore_task(task, task_row)
+        for occurrence in self.occurrences_by_number.values():
+            for step in occurrence.steps:
+                _restore_step(step)
+
+
+def _restore_step(step: StepRun) -> None:
+    if step.step.is_gang:
+        step.is_done = any(task.phase is TaskPhase.DONE for task in step.tasks)
+        step.gang_failures = max(task.failures for task in step.tasks)
+    step.check_done()
+
+
+def _is_worth_a_row(task: TaskRun) -> bool:
+    return task.run > 0 or task.phase is not TaskPhase.WAITING
+
+
+def _task_row(task: TaskRun) -> TaskRow:
+    return TaskRow(
+        occurrence=task.key.occurrence,
+        step=task.key.step,
+        index=task.key.number,
+        phase=task.phase,
+        run=task.run,
+        executor_id=task.executor_id,
+        failures=task.failures,
+        checkpoint=task.checkpoint,
+    )
+
+
+def _restore_task(task: TaskRun, row: TaskRow) -> None:
+    task.phase = row.phase
+    task.run = row.run
+    task.executor_id = row.executor_id
+    task.failures = row.failures
+    task.checkpoint = row.checkpoint
+    task.state = StartState.INHERITED
--- /dev/null
+++ b/src/galenastall/coordination/cell/listings.py
@@ -0,0 +1,143 @@
+"""What an executor's listing says about the runs that the ledger counts there."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from galenastall.coordination.cell.cell_state import CellState
+from galenastall.coordination.cell.commands import StopOrder
+from galenastall.coordination.cell.executors import Executor
+from galenastall.coordination.cell.job_runs import StartState, TaskRun
+from galenastall.coordination.cell.run_ends import RunEnds
+from galenastall.state.cell.jobs import TaskKey
+from galenastall.state.cell.phases import RunEnd, TaskPhase
+
+ENDS_IN_A_LISTING: Final = 500
+"""Ends that one listing shows at most; a full one proves nothing about what it lacks."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ListedRun:
+    """A run that is at work."""
+
+    task: TaskKey
+    run: int
+    saved: str = ""
+    """Its last checkpoint."""
+    percent: int = 0
+    """Share of its work done, 0 to 100."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ListedEnd:
+    """A run that has ended and is not yet acknowledged."""
+
+    position: int
+    task: TaskKey
+    run: int
+    end: RunEnd
+    saved: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Listing:
+    """All that an executor says about itself."""
+
+    clock_ms: int
+    running: tuple[ListedRun, ...]
+    ended: tuple[ListedEnd, ...]
+
+
+class ListingReader:
+    """Applies listings to the tables."""
+
+    def __init__(self, *, state: CellState, ends: RunEnds) -> None:
+        """Work on these tables; ends go to `ends`."""
+        self._state = state
+        self._ends = ends
+
+    def read(
+        self, executor: Executor, listing: Listing, *, asked_seq: int, now: float, wall: float
+    ) -> None:
+        """Apply a listing that was asked for at `asked_seq`."""
+        executor.answered_at = now
+        running = {(run.task, run.run): run for run in listing.running}
+        for end in listing.ended:
+            self._apply_end(executor, end, wall)
+        self._see_running(executor, listing, now)
+        if len(listing.ended) < ENDS_IN_A_LISTING:
+            self._settle_missing(executor, running, asked_seq, wall)
+        self._stop_strangers(executor, running, now)
+
+    def _apply_end(self, executor: Executor, end: ListedEnd, wall: float) -> None:
+        if end.position <= executor.noted:
+            return
+        executor.noted = end.position
+        self._state.noted_executors.add(executor.executor_id)
+        found = self._state.find(end.task)
+        if found is None or found[2].executor_id != executor.executor_id:
+            return
+        self._ends.apply(end.task, end.run, end.end, wall=wall, saved=end.saved)
+
+    def _see_running(self, executor: Executor, listing: Listing, now: float) -> None:
+        for run in listing.running:
+            if executor.runs_by_task.get(run.task) != run.run:
+                continue
+            found = self._state.find(run.task)
+            if found is None:
+                continue
+            task = found[2]
+            task.state = StartState.STARTED
+            if run.saved:
+                task.checkpoint = run.saved
+            if run.percent > task.percent:
+                task.percent = run.percent
+                task.percent_at = now
+
+    def _settle_missing(
+        self,
+        executor: Executor,
+        running: dict[tuple[TaskKey, int], ListedRun],
+        asked_seq: int,
+        wall: float,
+    ) -> None:
+        """End the runs that the executor would list if they existed."""
+        for key, run in list(executor.runs_by_task.items()):
+            if (key, run) in running:
+                continue
+            found = self._state.find(key)
+            if found is None:
+                continue
+            if _is_settled(found[2], asked_seq):
+                self._ends.apply(key, run, RunEnd.NEVER_STARTED, wall=wall)
+
+    def _stop_strangers(
+        self, executor: Executor, running: dict[tuple[TaskKey, int], ListedRun], now: float
+    ) -> None:
+        strangers = frozenset(
+            (task, run) for task, run in running if executor.runs_by_task.get(task) != run
+        )
+        for task, run in strangers - executor.strangers:
+            self._state.note(
+                "run.stranger",
+                task.job,
+                cause="no live job accounts for this run",
+                fields={"run": str(run), "executor": executor.executor_id},
+            )
+        if strangers:
+            self._state.stops.extend(
+                StopOrder(task=task, run=run, executor_id=executor.executor_id)
+                for task, run in strangers
+            )
+        executor.strangers = strangers
+
+
+def _is_settled(task: TaskRun, asked_seq: int) -> bool:
+    """Whether a listing asked for at `asked_seq` that lacks the run proves that it has ended."""
+    if task.phase is not TaskPhase.ASSIGNED:
+        return False
+    if task.stop_seq and asked_seq > task.stop_seq:
+        return True
+    if task.state is StartState.INHERITED:
+        # Orders of earlier leaders are fenced since the call that brought this listing.
+        return True
+    return task.state is StartState.STARTED and 0 < task.known_seq < asked_seq
--- /dev/null
+++ b/src/galenastall/coordination/cell/objectives.py
@@ -0,0 +1,35 @@
+"""When a job should be done, and in which order waiting steps are looked at."""
+
+from typing import Final
+
+from galenastall.state.cell.jobs import Queue, Step
+
+ADVISED_EXECUTORS: Final = 30
+"""Executors that one call for advice names at most; the objective counts a call on as many."""
+
+
+def longest_chain_s(steps: tuple[Step, ...], queue: Queue) -> float:
+    """Return the longest chain of declared run times, with a call for advice a step."""
+    advice_s = 0.0
+    if queue.advisor is not None:
+        advice_s = queue.advisor.base_s + ADVISED_EXECUTORS * queue.advisor.per_executor_s
+    ends: list[float] = []
+    for step in steps:
+        begins = max((ends[earlier] for earlier in step.after), default=0.0)
+        ends.append(begins + step.estimate_s + advice_s)
+    return max(ends, default=0.0)
+
+
+def objective_at(*, steps: tuple[Step, ...], queue: Queue, begins_at: float) -> float:
+    """Return the wall time by which an occurrence that begins at `begins_at` should be done."""
+    return begins_at + queue.stretch * longest_chain_s(steps, queue) + queue.target_s
+
+
+def lateness_rank(*, objective: float, begins_at: float, now: float) -> int:
+    """Return 0 while the objective can be met, 1 once it has passed, 2 past three times of it.
+
+    Work that is past its objective earns a fifth, and past three times of it nothing.
+    """
+    if now <= objective:
+        return 0
+    return 1 if now <= begins_at + 3.0 * (objective - begins_at) else 2
--- /dev/null
+++ b/src/galenastall/coordination/cell/orders.py
@@ -0,0 +1,133 @@
+"""What answers to starts and stops, and their absence, say about runs."""
+
+from enum import StrEnum
+
+from galenastall.coordination.cell.advice import AdviceBook
+from galenastall.coordination.cell.cell_state import CellState
+from galenastall.coordination.cell.commands import StartOrder, StopOrder
+from galenastall.coordination.cell.job_runs import StartState, TaskRun
+from galenastall.coordination.cell.run_ends import RunEnds
+from galenastall.state.cell.phases import RunEnd, TaskPhase
+
+
+class StartOutcome(StrEnum):
+    """What is known after a start order."""
+
+    STARTED = "started"
+    NOT_STARTED = "not_started"
+    """The executor refused it, or nothing was sent: it never runs."""
+    ENDED = "ended"
+    """This run or a later one was stopped or has ended there; a listing tells which."""
+    NO_TICKET = "no_ticket"
+    """Refused for its ticket."""
+    UNHEALTHY = "unhealthy"
+    """Refused by an executor that needs a pause."""
+    UNKNOWN = "unknown"
+    """No answer: it may have been carried out, or may be later."""
+
+
+class OrderBook:
+    """Applies answers to the tables."""
+
+    def __init__(self, *, state: CellState, ends: RunEnds, advice: AdviceBook) -> None:
+        """Work on these tables."""
+        self._state = state
+        self._ends = ends
+        self._advice = advice
+
+    def on_start(
+        self, order: StartOrder, outcome: StartOutcome, *, now: float, wall: float
+    ) -> bool:
+        """Apply a start's outcome; return whether the same order should be sent once more."""
+        task = self._current(order)
+        if task is None:
+            return False
+        task.tries += 1
+        if outcome is StartOutcome.STARTED:
+            self._on_started(task)
+            return False
+        if outcome is StartOutcome.UNKNOWN:
+            return self._on_unknown(task)
+        if outcome is StartOutcome.ENDED:
+            self._on_ended(task)
+            return False
+        self._on_refused(order, outcome, now=now, wall=wall)
+        return False
+
+    def _current(self, order: StartOrder) -> TaskRun | None:
+        found = self._state.find(order.task)
+        if found is None:
+            return None
+        task = found[2]
+        is_current = task.phase is TaskPhase.ASSIGNED and task.run == order.run
+        return task if is_current else None
+
+    def _on_started(self, task: TaskRun) -> None:
+        task.state = StartState.STARTED
+        task.known_seq = self._state.next_seq()
+        if task.is_stopping:
+            self._state.stops.append(_stop_of(task))
+
+    def _on_unknown(self, task: TaskRun) -> bool:
+        task.state = StartState.UNSURE
+        if task.is_stopping:
+            self._state.stops.append(_stop_of(task))
+            return False
+        if task.tries < self._state.timings.start_tries:
+            return True
+        self._ends.stop(task, cause=f"no answer to {task.tries} starts")
+        return False
+
+    def _on_ended(self, task: TaskRun) -> None:
+        task.state = StartState.STARTED
+        task.known_seq = self._state.next_seq()
+        executor = self._state.executors_by_id.get(task.executor_id)
+        if executor is not None:
+            executor.wants_look = True
+
+    def _on_refused(
+        self, order: StartOrder, outcome: StartOutcome, *, now: float, wall: float
+    ) -> None:
+        found = self._state.find(order.task)
+        if found is not None and found[2].tries > 1:
+            # An earlier try got no answer and may still be carried out: only a stop settles it.
+            self._ends.stop(found[2], cause=f"refused as {outcome.value} after an unanswered try")
+            return
+        executor = self._state.executors_by_id.get(order.executor_id)
+        if executor is not None and outcome is not StartOutcome.NO_TICKET:
+            executor.paused_until = now + self._state.timings.refused_pause_s
+        if outcome is StartOutcome.NO_TICKET:
+            self._advice.drop_ticket(order.task.step_key, order.executor_id)
+        self._state.note(
+            "run.refused",
+            order.task.job,
+            cause=outcome.value,
+            fields={"run": str(order.run), "executor": order.executor_id},
+        )
+        self._ends.apply(order.task, order.run, RunEnd.NEVER_STARTED, wall=wall)
+
+    def on_stop(self, order: StopOrder) -> None:
+        """Apply the answer to a stop: from now on the run is listed as ended, or never comes."""
+        executor = self._state.executors_by_id.get(order.executor_id)
+        if executor is not None:
+            executor.wants_look = True
+        found = self._state.find(order.task)
+        if found is not None and found[2].run == order.run:
+            found[2].stop_seq = self._state.next_seq()
+
+    def repeat_stops(self, now: float) -> None:
+        """Ask again for stops whose runs are not listed as ended yet."""
+        for executor in self._state.executors_by_id.values():
+            for key in executor.runs_by_task:
+                found = self._state.find(key)
+                if found is None:
+                    continue
+                task = found[2]
+                is_due = now - task.stop_sent_at >= self._state.timings.resend_after_s
+                if task.is_stopping and task.state is not StartState.WRITING and is_due:
+                    task.stop_sent_at = now
+                    self._state.stops.append(_stop_of(task))
+
+
+def _stop_of(task: TaskRun) -> StopOrder:
+    return StopOrder(task=task.key, run=task.run, executor_id=task.executor_id)
--- /dev/null
+++ b/src/galenastall/coordination/cell/run_ends.py
@@ -0,0 +1,137 @@
+"""What the end of a run means for its task, its step and its job."""
+
+from galenastall.coordination.cell.cell_state import CellState
+from galenastall.coordination.cell.commands import StopOrder
+from galenastall.coordination.cell.executors import Executor
+from galenastall.coordination.cell.job_runs import JobRun, StartState, StepRun, TaskRun
+from galenastall.state.cell.jobs import TaskKey
+from galenastall.state.cell.phases import JobPhase, RunEnd, TaskPhase
+
+_NO_ATTEMPT = frozenset(
+    {
+        RunEnd.STOPPED,
+        RunEnd.LAPSED,
+        RunEnd.BROKEN,
+        RunEnd.ALONE,
+        RunEnd.NEVER_STARTED,
+        RunEnd.LOST,
+    }
+)
+"""Ends that say nothing about the task itself."""
+
+
+class RunEnds:
+    """Applies ends, and asks for what follows from them."""
+
+    def __init__(self, *, state: CellState) -> None:
+        """Work on these tables."""
+        self._state = state
+
+    def apply(self, key: TaskKey, run: int, end: RunEnd, *, wall: float, saved: str = "") -> bool:
+        """Apply the end of a run; False if the task has no such run now."""
+        found = self._state.find(key)
+        if found is None:
+            return False
+        job, step, task = found
+        if task.phase is not TaskPhase.ASSIGNED or task.run != run:
+            return False
+        executor = self._state.free(task, step)
+        if saved:
+            task.checkpoint = saved
+        task.release()
+        self._state.note(
+            "run.ended",
+            key.job,
+            _name(key),
+            cause=end.value,
+            fields={"run": str(run), "executor": executor.executor_id if executor else ""},
+        )
+        self._judge_executor(executor, end)
+        self._settle(job, step, task, end, wall=wall)
+        self._state.refresh_waiting(job)
+        return True
+
+    def _judge_executor(self, executor: Executor | None, end: RunEnd) -> None:
+        if executor is None:
+            return
+        if end is RunEnd.FAILED:
+            executor.consecutive_failures += 1
+        elif end is RunEnd.DONE:
+            executor.consecutive_failures = 0
+
+    def _settle(
+        self, job: JobRun, step: StepRun, task: TaskRun, end: RunEnd, *, wall: float
+    ) -> None:
+        if job.has_ended:
+            return
+        if end is RunEnd.DONE and not step.step.is_long_running:
+            task.phase = TaskPhase.DONE
+            self._on_done(job, step, wall=wall)
+            return
+        if step.is_done:
+            task.phase = TaskPhase.DONE
+            return
+        if step.step.is_gang:
+            self.stop_members(step, cause=f"member {task.key.number} ended as {end.value}")
+        if end in _NO_ATTEMPT or step.step.is_long_running or end is RunEnd.DONE:
+            return
+        task.failures += 1
+        self._check_attempts(job, step, task, wall=wall)
+
+    def _check_attempts(self, job: JobRun, step: StepRun, task: TaskRun, *, wall: float) -> None:
+        failures = task.failures
+        if step.step.is_gang:
+            # One failed run of a gang is one attempt, however many of its members failed.
+            if step.failed_run < task.run:
+                step.failed_run = task.run
+                step.gang_failures += 1
+            failures = task.failures = step.gang_failures
+        most = self._state.queue_of(job).max_attempts
+        if failures >= most:
+            self.end_job(job, JobPhase.FAILED, wall=wall, cause=f"{failures} of {most} runs failed")
+
+    def _on_done(self, job: JobRun, step: StepRun, *, wall: float) -> None:
+        if step.step.is_gang:
+            step.is_done = True
+            for member in step.waiting():
+                member.phase = TaskPhase.DONE
+        if not step.check_done():
+            return
+        job.drop_done_occurrences()
+        if job.next_due() is not None:
+            return
+        if all(occurrence.is_done for occurrence in job.occurrences_by_number.values()):
+            self.end_job(job, JobPhase.COMPLETED, wall=wall, cause="all tasks are done")
+
+    def end_job(self, job: JobRun, phase: JobPhase, *, wall: float, cause: str) -> None:
+        """End a job; runs that are left are stopped once the end is durable."""
+        job.phase = phase
+        job.ended_at = wall
+        self._state.dirty_jobs.add(job.job.job_id)
+        self._state.refresh_waiting(job)
+        self._state.note("job.ended", job.job.job_id, cause=cause, fields={"phase": phase.value})
+
+    def stop_members(self, step: StepRun, *, cause: str) -> None:
+        """Stop what is left of a gang's run."""
+        for member in step.tasks:
+            if member.phase is TaskPhase.ASSIGNED:
+                self.stop(member, cause=cause)
+
+    def stop(self, task: TaskRun, *, cause: str) -> None:
+        """Ask for the stop of a task's run, once; drivers repeat it until it is listed as ended."""
+        if task.is_stopping:
+            return
+        task.is_stopping = True
+        if task.state is StartState.WRITING:
+            # Its order has not left and is dropped when the assignment is durable.
+            return
+        self._state.note(
+            "run.stop", task.key.job, _name(task.key), cause=cause, fields={"run": str(task.run)}
+        )
+        self._state.stops.append(
+            StopOrder(task=task.key, run=task.run, executor_id=task.executor_id)
+        )
+
+
+def _name(key: TaskKey) -> str:
+    return f"{key.occurrence}.{key.step}.{key.number}"
--- /dev/null
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -0,0 +1,305 @@
+"""The core of a cell's leader: typed events in, batches and orders out."""
+
+from collections.abc import Iterable
+
+from galenastall.coordination.cell.advice import AdviceBook, Approval
+from galenastall.coordination.cell.cell_state import CellState
+from galenastall.coordination.cell.commands import (
+    AskAdvice,
+    Batch,
+    Note,
+    StartOrder,
+    StopOrder,
+)
+from galenastall.coordination.cell.executors import Executor, ExecutorInfo
+from galenastall.coordination.cell.fleet import Fleet
+from galenastall.coordination.cell.job_runs import JobRun, StartState
+from galenastall.coordination.cell.listings import Listing, ListingReader
+from galenastall.coordination.cell.orders import OrderBook, StartOutcome
+from galenastall.coordination.cell.placer import Placer
+from galenastall.coordination.cell.run_ends import RunEnds
+from galenastall.coordination.cell.timings import CellTimings
+from galenastall.state.cell.jobs import CellJob, Queue, StepKey
+from galenastall.state.cell.phases import JobPhase, RunEnd, TaskPhase
+from galenastall.state.cell.rows import (
+    JOB_PREFIX,
+    PROGRESS_PREFIX,
+    ProgressRow,
+    Rows,
+    encode_job,
+    encode_progress,
+)
+
+
+class CellScheduler:
+    """All decisions of one term of leadership; `now` is trio's time, `wall` is since 1970."""
+
+    def __init__(self, *, timings: CellTimings, fenced_at: float) -> None:
+        """Create the core of a leader whose fence at the store stands since `fenced_at`."""
+        self._state = CellState(timings=timings, fenced_at=fenced_at)
+        self._advice = AdviceBook()
+        self._ends = RunEnds(state=self._state)
+        self._listings = ListingReader(state=self._state, ends=self._ends)
+        self._orders = OrderBook(state=self._state, ends=self._ends, advice=self._advice)
+        self._placer = Placer(state=self._state, advice=self._advice)
+        self._fleet = Fleet(state=self._state, ends=self._ends)
+        self._dropped_keys: set[str] = set()
+
+    @property
+    def executors_by_id(self) -> dict[str, Executor]:
+        """Executors that are listed, or that may still run something."""
+        return self._state.executors_by_id
+
+    @property
+    def jobs_by_id(self) -> dict[str, JobRun]:
+        """Jobs that are known, ended ones included for as long as callers may ask."""
+        return self._state.jobs_by_id
+
+    def next_seq(self) -> int:
+        """Return the next number of this leader's sends and receives."""
+        return self._state.next_seq()
+
+    def restore(self, rows: Rows, *, wall: float) -> None:
+        """Take over what the store keeps."""
+        for key in rows.unreadable:
+            cause = "a stored row can't be decoded"
+            self._state.note("rows.unreadable", cause=cause, fields={"key": key})
+        for job_id, job in rows.jobs_by_id.items():
+            run = JobRun(job=job)
+            progress = rows.progress_by_id.get(job_id)
+            if progress is None:
+                run.is_durable = True
+            else:
+                run.restore(progress, wall=wall)
+            self._state.jobs_by_id[job_id] = run
+            self._fleet.adopt(run)
+        for job_id, progress in rows.progress_by_id.items():
+            if job_id not in self._state.jobs_by_id:
+                self._restore_ended(job_id, progress)
+        for run in self._state.jobs_by_id.values():
+            self._open_due(run, wall)
+
+    def _restore_ended(self, job_id: str, progress: ProgressRow) -> None:
+        queue = Queue(name=progress.queue_name, service="")
+        run = JobRun(job=CellJob(job_id=job_id, queue=queue, payload="", steps=()))
+        run.restore(progress, wall=progress.ended_at)
+        self._state.jobs_by_id[job_id] = run
+
+    def set_queues(self, queues: Iterable[Queue]) -> None:
+        """Take the queues of a newer configuration."""
+        self._state.queues_by_name = {queue.name: queue for queue in queues}
+
+    def submit(self, job: CellJob, *, wall: float) -> JobRun:
+        """Return the job of this id, taking it in if it is new; durable with the next batch."""
+        known = self._state.jobs_by_id.get(job.job_id)
+        if known is not None:
+            return known
+        run = JobRun(job=job)
+        self._state.jobs_by_id[job.job_id] = run
+        self._open_due(run, wall)
+        self._state.dirty_jobs.add(job.job_id)
+        return run
+
+    def withdraw(self, job_id: str) -> bool:
+        """Forget a job whose acceptance was not begun; False if it may be durable."""
+        run = self._state.jobs_by_id.get(job_id)
+        if run is None or run.is_durable or run.is_written:
+            return False
+        del self._state.jobs_by_id[job_id]
+        self._state.dirty_jobs.discard(job_id)
+        return True
+
+    def cancel(self, job_id: str, *, wall: float) -> JobRun | None:
+        """Cancel a job; its runs are stopped once that is durable. None if it is not known."""
+        run = self._state.jobs_by_id.get(job_id)
+        if run is not None and not run.has_ended:
+            self._ends.end_job(run, JobPhase.CANCELLED, wall=wall, cause="a caller cancelled it")
+        return run
+
+    def pending_of(self, queue_name: str) -> int:
+        """Return how many accepted jobs of a queue have had no start."""
+        return sum(
+            1
+            for run in self._state.jobs_by_id.values()
+            if run.is_durable
+            and not run.has_ended
+            and not run.has_started
+            and run.queue.name == queue_name
+        )
+
+    def on_fleet(self, infos: Iterable[ExecutorInfo], *, now: float, wall: float) -> None:
+        """Take the platform's list of executors."""
+        self._fleet.update(infos, now=now, wall=wall)
+
+    def on_listing(
+        self, executor_id: str, listing: Listing, *, asked_seq: int, now: float, wall: float
+    ) -> None:
+        """Take an executor's listing that was asked for at `asked_seq`."""
+        executor = self._state.executors_by_id.get(executor_id)
+        if executor is None:
+            return
+        executor.clock.observe(clock_ms=listing.clock_ms, received_at=now)
+        self._listings.read(executor, listing, asked_seq=asked_seq, now=now, wall=wall)
+
+    def on_other_life(self, executor_id: str, *, wall: float) -> None:
+        """Note that another life answers at an executor's address: this one has ended."""
+        self._fleet.end_life(executor_id, cause="another life answers at its address", wall=wall)
+
+    def on_start(
+        self, order: StartOrder, outcome: StartOutcome, *, now: float, wall: float
+    ) -> bool:
+        """Apply a start's outcome; return whether the same order should be sent once more."""
+        return self._orders.on_start(order, outcome, now=now, wall=wall)
+
+    def on_stop(self, order: StopOrder) -> None:
+        """Apply an executor's answer to a stop."""
+        self._orders.on_stop(order)
+
+    def on_advice(
+        self, step: StepKey, approved: tuple[Approval, ...], *, validity_s: float, now: float
+    ) -> None:
+        """Take the advisor's answer."""
+        if step.job in self._state.jobs_by_id:
+            self._advice.answer(step, approved, validity_s=validity_s, now=now)
+
+    def on_advice_failed(self, step: StepKey, *, now: float) -> None:
+        """Note that the advisor gave no answer."""
+        if step.job in self._state.jobs_by_id:
+            self._advice.fail(step, now)
+
+    def decide(self, *, now: float, wall: float) -> None:
+        """Open what has come due, end what has lapsed, repeat stops, and place what fits."""
+        self._fleet.expire(now=now, wall=wall)
+        self._open_all_due(wall)
+        self._forget_ended(wall)
+        self._fleet.move_runs(now=now)
+        self._orders.repeat_stops(now)
+        self._placer.decide(now=now, wall=wall)
+
+    def take_batch(self) -> Batch:
+        """Return all changes since the last batch; none of them is durable before `commit`."""
+        state = self._state
+        values: dict[str, bytes] = dict.fromkeys(self._dropped_keys, b"")
+        job_ids = tuple(sorted(state.dirty_jobs))
+        for job_id in job_ids:
+            run = state.jobs_by_id.get(job_id)
+            if run is not None:
+                values.update(_rows_of(run))
+                run.is_written = True
+        noted = {
+            executor_id: state.executors_by_id[executor_id].noted
+            for executor_id in state.noted_executors
+            if executor_id in state.executors_by_id
+        }
+        batch = Batch(
+            values_by_key=values,
+            starts=tuple(state.new_starts),
+            noted_by_executor=noted,
+            job_ids=job_ids,
+        )
+        state.dirty_jobs.clear()
+        state.noted_executors.clear()
+        state.new_starts.clear()
+        self._dropped_keys.clear()
+        return batch
+
+    def commit(self, batch: Batch, *, wall: float) -> list[StartOrder]:
+        """Note that a batch is durable; return the starts that may leave now."""
+        for executor_id, position in batch.noted_by_executor.items():
+            executor = self._state.executors_by_id.get(executor_id)
+            if executor is not None:
+                executor.durable = position
+        for job_id in batch.job_ids:
+            run = self._state.jobs_by_id.get(job_id)
+            if run is not None and job_id not in self._state.dirty_jobs:
+                self._on_durable(run)
+            elif run is not None:
+                self._on_durable_in_part(run)
+        return [order for order in batch.starts if self._may_leave(order, wall)]
+
+    def _on_durable(self, run: JobRun) -> None:
+        run.shown_phase = self._shown(run)
+        self._on_durable_in_part(run)
+        if not run.has_ended:
+            return
+        self._advice.forget_job(run.job.job_id)
+        for task in run.assigned():
+            step = run.find_step(task.key.step_key)
+            if step is not None and not step.is_done:
+                self._ends.stop(task, cause=f"its job is {run.phase.value}")
+
+    def _on_durable_in_part(self, run: JobRun) -> None:
+        """Note that an earlier state of a job is durable: at least its acceptance is."""
+        if not run.is_durable:
+            run.is_durable = True
+            self._state.refresh_waiting(run)
+            self._state.note("job.accepted", run.job.job_id, fields={"queue": run.queue.name})
+
+    @staticmethod
+    def _shown(run: JobRun) -> JobPhase:
+        if run.phase is JobPhase.QUEUED and run.has_started:
+            return JobPhase.RUNNING
+        return run.phase
+
+    def _may_leave(self, order: StartOrder, wall: float) -> bool:
+        found = self._state.find(order.task)
+        if found is None:
+            return False
+        task = found[2]
+        if task.phase is not TaskPhase.ASSIGNED or task.run != order.run:
+            return False
+        if task.is_stopping or found[0].has_ended:
+            self._ends.apply(order.task, order.run, RunEnd.NEVER_STARTED, wall=wall)
+            return False
+        task.state = StartState.SENT
+        return True
+
+    def take_stops(self) -> list[StopOrder]:
+        """Return the stops to send now."""
+        stops, self._state.stops = self._state.stops, []
+        return stops
+
+    def take_asks(self) -> list[AskAdvice]:
+        """Return the questions for the advisor."""
+        asks, self._state.asks = self._state.asks, []
+        return asks
+
+    def take_notes(self) -> list[Note]:
+        """Return the decisions to log."""
+        notes, self._state.notes = self._state.notes, []
+        return notes
+
+    @property
+    def has_changes(self) -> bool:
+        """Whether a batch would hold anything."""
+        state = self._state
+        return bool(state.dirty_jobs or state.noted_executors or state.new_starts)
+
+    def _open_all_due(self, wall: float) -> None:
+        for run in self._state.jobs_by_id.values():
+            if run.job.recurrence is not None and not run.has_ended:
+                self._open_due(run, wall)
+
+    def _open_due(self, run: JobRun, wall: float) -> None:
+        if run.has_ended:
+            return
+        if run.open_due(wall):
+            self._state.dirty_jobs.add(run.job.job_id)
+        self._state.refresh_waiting(run)
+
+    def _forget_ended(self, wall: float) -> None:
+        oldest = wall - self._state.timings.ended_kept_s
+        for job_id, run in list(self._state.jobs_by_id.items()):
+            if run.has_ended and run.ended_at < oldest and not run.assigned():
+                del self._state.jobs_by_id[job_id]
+                self._dropped_keys.add(PROGRESS_PREFIX + job_id)
+
+
+def _rows_of(run: JobRun) -> dict[str, bytes]:
+    job_id = run.job.job_id
+    rows = {PROGRESS_PREFIX + job_id: encode_progress(run.row())}
+    if run.has_ended:
+        rows[JOB_PREFIX + job_id] = b""
+    elif not run.is_durable:
+        rows[JOB_PREFIX + job_id] = encode_job(run.job)
+    return rows
--- /dev/null
+++ b/src/galenastall/coordination/cell/timings.py
@@ -0,0 +1,45 @@
+"""Times that a cell's leader and its standbys go by, in seconds."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CellTimings:
+    """All times of leadership, leases and orders; the adapter fills in the platform's bounds."""
+
+    lease_s: float = 10.0
+    """How far ahead of the last confirmed time a lease may reach; the platform's longest."""
+    clock_rate_slack: float = 0.02
+    """Share by which an executor's clock may run slow, as the platform states it."""
+    lease_slack_s: float = 0.3
+    """Added to a lapse before it counts as certain; covers the sweep that ends lapsed runs."""
+    reach_s: float = 1.8
+    """An executor that has not answered for longer gets no new work: a long poll and its margin."""
+    delisted_grace_s: float = 2.0
+    """How long an executor that answers may be missing from the list, as the platform states it."""
+    resend_after_s: float = 0.5
+    """Between two tries of a stop that the executor has not yet listed as ended."""
+    start_tries: int = 3
+    """Tries of one start with one run number before the run is stopped instead."""
+    refused_pause_s: float = 0.7
+    """Pause of an executor that refused a start for want of health or room."""
+    commit_every_s: float = 0.03
+    """Least time between two appends; 33 a second cost under 1% of what a day earns."""
+    confirm_every_s: float = 0.3
+    """An idle leader appends this often, so that leases go on and standbys see it alive."""
+    beat_every_s: float = 0.2
+    """Between two heartbeats of the leader to each standby."""
+    beat_silence_s: float = 0.7
+    """Silence after which a standby looks at the store for signs of the leader."""
+    stale_confirm_s: float = 1.3
+    """A leader whose last confirmation is older counts as silent; slow stores stay below it."""
+    tip_silence_s: float = 0.7
+    """How long the state's end must stand still before a standby claims: two confirmations."""
+    tip_every_s: float = 0.2
+    """Between two looks at the store while the leader is silent."""
+    claim_jitter_s: float = 0.25
+    """Standbys draw a delay up to this, so that most claims have one claimant."""
+    withdrawn_pause_s: float = 3.0
+    """A leader that gave up its place leaves it to others for this long."""
+    ended_kept_s: float = 150.0
+    """How long an ended job is kept for callers that ask; the platform's bound and a margin."""
--- /dev/null
+++ b/src/galenastall/node/cell/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers of a cell: leadership, group commit, executor sessions and callers' requests."""
--- /dev/null
+++ b/src/galenastall/node/cell/caller_desk.py
@@ -0,0 +1,172 @@
+"""Callers' operations on jobs, from any entry host: found leader, retries, true refusals."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+import trio
+from returns.result import Failure, Result, Success
+
+from galenastall.node.cell.standing import Standing
+from galenastall.protocol.cell.messages import (
+    AskJob,
+    CancelJob,
+    CountPending,
+    JobAnswer,
+    PendingAnswer,
+    SubmitAnswer,
+    SubmitJob,
+    SubmitVerdict,
+)
+from galenastall.protocol.peers import PeerLink
+from galenastall.state.cell.jobs import CellJob
+from galenastall.state.cell.phases import JobPhase
+from galenastall.state.errors import Reason, StepError
+from galenastall.state.ids import HostId
+
+NO_LEADER_S: Final = 1.2
+"""How long a submission waits for a leader before it is refused; a takeover takes about 1.5 s."""
+ANSWER_MARGIN_S: Final = 0.15
+"""Kept of a caller's time for the way back."""
+RETRY_S: Final = 0.05
+RETRY_AFTER_S: Final = 1.0
+"""When callers are told to come back: by then a takeover is mostly over."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Submitted:
+    """What became of a submission."""
+
+    verdict: SubmitVerdict
+    cause: str = ""
+    retry_after_s: float = RETRY_AFTER_S
+
+
+class CallerDesk:
+    """Passes callers' operations to the leader."""
+
+    def __init__(self, *, host_id: HostId, link: PeerLink, standing: Standing) -> None:
+        """Answer here if this host leads, else through `link`."""
+        self._host_id = host_id
+        self._link = link
+        self._standing = standing
+        link.handle(SubmitJob, self._on_submit)
+        link.handle(AskJob, self._on_ask)
+        link.handle(CancelJob, self._on_cancel)
+        link.handle(CountPending, self._on_count)
+
+    async def submit(self, job: CellJob, *, patience_s: float) -> Submitted:
+        """Hand a job in; NOT_RUN only if it is stored nowhere and never will be."""
+        until = trio.current_time() + patience_s - ANSWER_MARGIN_S
+        leaderless_until = min(until, trio.current_time() + NO_LEADER_S)
+        may_be_stored = False
+        cause = "no leader is heard"
+        while trio.current_time() < (until if may_be_stored else leaderless_until):
+            left_s = until - trio.current_time()
+            message = SubmitJob(job=job, patience_s=left_s)
+            answer = await self._call(message, left_s)
+            if isinstance(answer, Success):
+                found: SubmitAnswer = answer.unwrap()
+                if found.verdict is SubmitVerdict.NOT_RUN and not may_be_stored:
+                    return Submitted(verdict=found.verdict, cause=found.cause)
+                if found.verdict is SubmitVerdict.ACCEPTED:
+                    return Submitted(verdict=found.verdict)
+                may_be_stored = may_be_stored or found.verdict is SubmitVerdict.UNKNOWN
+                cause = found.cause
+            else:
+                error = answer.failure()
+                may_be_stored = may_be_stored or error.may_have_taken_effect
+                cause = str(error)
+            await trio.sleep(RETRY_S)
+        verdict = SubmitVerdict.UNKNOWN if may_be_stored else SubmitVerdict.NOT_RUN
+        return Submitted(verdict=verdict, cause=cause)
+
+    async def phase(self, job_id: str, *, patience_s: float) -> Result[JobPhase | None, StepError]:
+        """Return a job's phase, None if there is no such job."""
+        return await self._ask(lambda left: AskJob(job_id=job_id, patience_s=left), patience_s)
+
+    async def cancel(self, job_id: str, *, patience_s: float) -> Result[JobPhase | None, StepError]:
+        """Cancel a job; returns its phase, None if there is no such job."""
+        return await self._ask(lambda left: CancelJob(job_id=job_id, patience_s=left), patience_s)
+
+    async def pending(self, queue_name: str, *, patience_s: float) -> Result[int, StepError]:
+        """Return how many accepted jobs of a queue have had no start."""
+        answer = await self._repeat(lambda _: CountPending(queue_name=queue_name), patience_s)
+        return answer.map(_count_of)
+
+    async def _ask(
+        self, build: Callable[[float], object], patience_s: float
+    ) -> Result[JobPhase | None, StepError]:
+        answer = await self._repeat(build, patience_s)
+        return answer.map(_phase_of)
+
+    async def _repeat(
+        self, build: Callable[[float], object], patience_s: float
+    ) -> Result[Any, StepError]:
+        """Repeat an idempotent call until it is answered or the time is over."""
+        until = trio.current_time() + patience_s - ANSWER_MARGIN_S
+        answer = self._failure(Reason.UNAVAILABLE, "no leader is heard")
+        while trio.current_time() < until:
+            left_s = until - trio.current_time()
+            answer = await self._call(build(left_s), left_s)
+            if isinstance(answer, Success):
+                return answer
+            await trio.sleep(RETRY_S)
+        return answer
+
+    async def _call(self, message: object, timeout_s: float) -> Result[Any, StepError]:
+        """Call the leader once; the call is broken off when another host leads."""
+        leader = self._standing.leader
+        changed = self._standing.changed
+        if leader is None:
+            with trio.move_on_after(min(timeout_s, RETRY_S)):
+                await changed.wait()
+            return self._failure(Reason.UNREACHABLE, "no leader is heard")
+        answer: Result[Any, StepError] = self._failure(Reason.CUT, "another host leads now")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_when, changed, nursery.cancel_scope)
+            answer = await self._link.call(peer=leader, message=message, timeout_s=timeout_s)
+            nursery.cancel_scope.cancel()
+        return answer
+
+    def _failure(self, reason: Reason, detail: str) -> Result[Any, StepError]:
+        return Failure(
+            StepError(step="cell.call", peer=self._host_id, reason=reason, detail=detail)
+        )
+
+    async def _on_submit(self, _: HostId, message: SubmitJob) -> Any:
+        desk = self._standing.desk
+        return self._not_leading() if desk is None else await desk.submit(message)
+
+    async def _on_ask(self, _: HostId, message: AskJob) -> Any:
+        desk = self._standing.desk
+        return self._not_leading() if desk is None else await desk.ask(message)
+
+    async def _on_cancel(self, _: HostId, message: CancelJob) -> Any:
+        desk = self._standing.desk
+        return self._not_leading() if desk is None else await desk.cancel(message)
+
+    async def _on_count(self, _: HostId, message: CountPending) -> Any:
+        desk = self._standing.desk
+        return self._not_leading() if desk is None else await desk.count_pending(message)
+
+    def _not_leading(self) -> StepError:
+        return StepError(
+            step="cell.call",
+            peer=self._host_id,
+            reason=Reason.NOT_OWNER,
+            detail="this host does not lead",
+        )
+
+
+async def _cancel_when(event: trio.Event, scope: trio.CancelScope) -> None:
+    await event.wait()
+    scope.cancel()
+
+
+def _phase_of(answer: JobAnswer) -> JobPhase | None:
+    return answer.phase
+
+
+def _count_of(answer: PendingAnswer) -> int:
+    return answer.count
--- /dev/null
+++ b/src/galenastall/node/cell/cell_host.py
@@ -0,0 +1,123 @@
+"""One entry host of a cell: its parts, wired together."""
+
+from dataclasses import dataclass
+from typing import Final
+
+import trio
+
+from galenastall.coordination.cell.election import Election
+from galenastall.coordination.cell.timings import CellTimings
+from galenastall.node.cell.advice_proxy import AdviceProxy
+from galenastall.node.cell.caller_desk import CallerDesk
+from galenastall.node.cell.config_keeper import ConfigKeeper
+from galenastall.node.cell.leader_term import TermParts
+from galenastall.node.cell.standing import Standing
+from galenastall.protocol.cell.executor_port import ExecutorPort
+from galenastall.protocol.cell.ports import AdvisorPort, ConfigPort, FleetPort, StatePort
+from galenastall.protocol.clock import Clock
+from galenastall.state.ids import HostId, Incarnation
+from galenastall.transport.logs import Recorder
+from galenastall.transport.peer_link import ZmqPeerLink
+
+HANDOVER_S: Final = 0.3
+"""How long a stopping leader waits for its successor before it drains."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CellPorts:
+    """The platform, through its adapter."""
+
+    state: StatePort
+    fleet: FleetPort
+    config: ConfigPort
+    executors: ExecutorPort
+    advisor: AdvisorPort | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CellHostSettings:
+    """Who a host is."""
+
+    host_id: HostId
+    incarnation: Incarnation
+    peer_bind: str
+    """`IP:port` of the peer link."""
+    weight: float
+    """Processor cores; heavier hosts are preferred as leaders."""
+    claim_delay_s: float
+    """This host's place among claimants, as a delay in seconds."""
+    may_start: bool
+    """Whether the whole system may be starting for the first time."""
+
+
+class CellHost:
+    """Serves callers' operations, stands by for the leadership, and leads when it is its turn."""
+
+    def __init__(
+        self,
+        *,
+        settings: CellHostSettings,
+        ports: CellPorts,
+        timings: CellTimings,
+        clock: Clock,
+        recorder: Recorder,
+    ) -> None:
+        """Wire the parts; `run` starts them."""
+        self._recorder = recorder
+        self.link = ZmqPeerLink(
+            host_id=settings.host_id,
+            incarnation=settings.incarnation,
+            clock=clock,
+            bind=settings.peer_bind,
+            log_error=recorder.record_error,
+        )
+        self.config = ConfigKeeper(port=ports.config, link=self.link, recorder=recorder)
+        AdviceProxy(link=self.link, advisor=ports.advisor)
+        self.standing = Standing(
+            host_id=settings.host_id,
+            address=settings.peer_bind,
+            weight=settings.weight,
+            election=Election(
+                timings=timings,
+                jitter_s=settings.claim_delay_s,
+                may_start=settings.may_start,
+            ),
+            parts=TermParts(
+                state=ports.state,
+                fleet=ports.fleet,
+                executors=ports.executors,
+                link=self.link,
+                clock=clock,
+                recorder=recorder,
+                timings=timings,
+                config=self.config.current,
+                hosts=self._hosts,
+            ),
+            timings=timings,
+            on_newer_config=lambda version: self.config.hear_of(version, self.standing.leader),
+        )
+        self.desk = CallerDesk(host_id=settings.host_id, link=self.link, standing=self.standing)
+
+    def _hosts(self) -> tuple[HostId, ...]:
+        return self.standing.hosts()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers' operations can be served now."""
+        return self.config.config is not None and self.standing.is_heard
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Run all parts until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.link.run)
+            nursery.start_soon(self.config.run)
+            nursery.start_soon(self.standing.run)
+            task_status.started()
+            self._recorder.record("host.started")
+
+    async def leave(self) -> None:
+        """Hand over what others can take; operations go on being served through them."""
+        was_leading = self.standing.term is not None
+        await self.standing.leave()
+        if was_leading:
+            await trio.sleep(HANDOVER_S)
--- /dev/null
+++ b/src/galenastall/node/cell/executor_session.py
@@ -0,0 +1,188 @@
+"""The leader's side of one executor: long polls that renew its lease, and orders."""
+
+from typing import Final
+
+import trio
+from returns.result import Failure
+
+from galenastall.coordination.cell.commands import StartOrder, StopOrder
+from galenastall.coordination.cell.executors import Executor
+from galenastall.coordination.cell.orders import StartOutcome
+from galenastall.node.cell.term_context import TermContext
+from galenastall.protocol.cell.executor_port import ListingAnswer, StartVerdict
+from galenastall.state.errors import StepError
+
+BUSY_WAIT_S: Final = 1.0
+"""Long poll of an executor that runs something: renews a lease ten times over."""
+IDLE_WAIT_S: Final = 1.2
+"""Long poll of an idle executor; still within the time after which it gets no new work."""
+LATE_ANSWER_S: Final = 0.6
+"""Wait for an answer beyond the long poll; a round trip takes 1 to 8 ms."""
+ORDER_TIMEOUT_S: Final = 0.8
+"""Wait for the answer to an order."""
+RETRY_S: Final = 0.2
+"""Pause after a failed call."""
+DURABLE_WAIT_S: Final = 0.5
+"""How long the next poll waits until ends are durable; leases must go on in an outage."""
+GATHER_S: Final = 0.02
+"""Pause between two polls, so that ends that come together cost one call."""
+
+_OUTCOME_BY_VERDICT: Final = {
+    StartVerdict.STARTED: StartOutcome.STARTED,
+    StartVerdict.OLD_RUN: StartOutcome.ENDED,
+    StartVerdict.NO_ROOM: StartOutcome.UNHEALTHY,
+    StartVerdict.TOO_LATE: StartOutcome.NOT_STARTED,
+    StartVerdict.NO_TICKET: StartOutcome.NO_TICKET,
+    StartVerdict.UNHEALTHY: StartOutcome.UNHEALTHY,
+    StartVerdict.OTHER_LIFE: StartOutcome.NOT_STARTED,
+    StartVerdict.MALFORMED: StartOutcome.UNHEALTHY,
+}
+
+
+class ExecutorSession:
+    """Polls one executor until its life ends or the term does."""
+
+    def __init__(self, *, context: TermContext, executor: Executor) -> None:
+        """Speak to `executor` in the term of `context`."""
+        self._context = context
+        self._executor = executor
+        self._is_looking = False
+        self._is_lost = False
+
+    async def run(self) -> None:
+        """Poll for as long as the executor is in the leader's table."""
+        context = self._context
+        executor_id = self._executor.executor_id
+        while context.core.executors_by_id.get(executor_id) is self._executor:
+            if not self._executor.info.address:
+                await trio.sleep(RETRY_S)
+                continue
+            is_answered = await self._poll(self._wait_s())
+            if not is_answered:
+                await trio.sleep(RETRY_S)
+                continue
+            await self._wait_until_durable()
+            await trio.sleep(GATHER_S)
+
+    def _wait_s(self) -> float:
+        if not self._executor.clock.is_known:
+            return 0.0
+        return BUSY_WAIT_S if self._executor.runs_by_task else IDLE_WAIT_S
+
+    async def _wait_until_durable(self) -> None:
+        with trio.move_on_after(DURABLE_WAIT_S):
+            while self._executor.durable < self._executor.noted:
+                await self._context.committed.wait()
+
+    async def look(self) -> None:
+        """Get a listing now, beside the long poll."""
+        if self._is_looking:
+            return
+        self._is_looking = True
+        try:
+            await self._poll(0.0)
+        finally:
+            self._is_looking = False
+
+    async def _poll(self, wait_s: float) -> bool:
+        context, executor = self._context, self._executor
+        executor.wants_look = False
+        asked_seq = context.core.next_seq()
+        answer = await context.executors.renew(
+            address=executor.info.address,
+            executor_id=executor.executor_id,
+            deadline_ms=executor.clock.deadline_ms(confirmed_at=context.confirmed_at),
+            noted=executor.durable,
+            wait_s=wait_s,
+            token=context.token,
+            timeout_s=wait_s + LATE_ANSWER_S,
+        )
+        if isinstance(answer, Failure):
+            self._on_failure(answer.failure())
+            return False
+        return self._take(answer.unwrap(), asked_seq)
+
+    def _take(self, answer: ListingAnswer, asked_seq: int) -> bool:
+        context = self._context
+        if answer.verdict is StartVerdict.FENCED:
+            context.lose(f"executor {self._executor.executor_id} has seen a higher token")
+            return False
+        if answer.verdict is StartVerdict.OTHER_LIFE:
+            context.core.on_other_life(self._executor.executor_id, wall=context.wall())
+            context.wake()
+            return False
+        if answer.listing is None:
+            return False
+        if self._is_lost:
+            self._is_lost = False
+            context.note("executor.regained", self._executor.executor_id)
+        context.core.on_listing(
+            self._executor.executor_id,
+            answer.listing,
+            asked_seq=asked_seq,
+            now=trio.current_time(),
+            wall=context.wall(),
+        )
+        context.wake()
+        return True
+
+    def _on_failure(self, error: StepError) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            self._context.note("executor.lost", self._executor.executor_id, cause=str(error))
+
+    async def start(self, order: StartOrder) -> None:
+        """Send a start, and again with the same run number while its fate is open."""
+        context = self._context
+        is_wanted = True
+        while is_wanted:
+            outcome = await self._send_start(order)
+            is_wanted = context.core.on_start(
+                order, outcome, now=trio.current_time(), wall=context.wall()
+            )
+            context.wake()
+            if is_wanted:
+                await trio.sleep(RETRY_S)
+
+    async def _send_start(self, order: StartOrder) -> StartOutcome:
+        context, executor = self._context, self._executor
+        deadline_ms = executor.clock.deadline_ms(confirmed_at=context.confirmed_at)
+        if deadline_ms is None:
+            return StartOutcome.NOT_STARTED
+        answer = await context.executors.start(
+            address=executor.info.address,
+            order=order,
+            deadline_ms=deadline_ms,
+            token=context.token,
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+        if isinstance(answer, Failure):
+            error = answer.failure()
+            context.note("run.start_failed", order.task.job, cause=str(error))
+            if error.may_have_taken_effect:
+                return StartOutcome.UNKNOWN
+            return StartOutcome.UNHEALTHY
+        verdict = answer.unwrap().verdict
+        if verdict is StartVerdict.FENCED:
+            context.lose(f"executor {executor.executor_id} has seen a higher token")
+            return StartOutcome.NOT_STARTED
+        return _OUTCOME_BY_VERDICT[verdict]
+
+    async def stop(self, order: StopOrder) -> None:
+        """Send a stop; the core repeats it until the run is listed as ended."""
+        context, executor = self._context, self._executor
+        answer = await context.executors.stop(
+            address=executor.info.address,
+            order=order,
+            token=context.token,
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+        if isinstance(answer, Failure):
+            return
+        verdict = answer.unwrap().verdict
+        if verdict is StartVerdict.FENCED:
+            context.lose(f"executor {executor.executor_id} has seen a higher token")
+            return
+        if verdict is StartVerdict.STARTED:
+            context.core.on_stop(order)
+            context.wake()
--- /dev/null
+++ b/src/galenastall/node/cell/leader_desk.py
@@ -0,0 +1,114 @@
+"""Answers entry hosts' calls about jobs in the leader's name."""
+
+from typing import Final
+
+import trio
+
+from galenastall.coordination.cell.job_runs import JobRun
+from galenastall.node.cell.leader_term import LeaderTerm
+from galenastall.protocol.cell.messages import (
+    AskJob,
+    CancelJob,
+    CountPending,
+    JobAnswer,
+    PendingAnswer,
+    SubmitAnswer,
+    SubmitJob,
+    SubmitVerdict,
+)
+from galenastall.state.cell.phases import ENDED_PHASES
+from galenastall.state.errors import Reason, StepError
+
+BEGIN_WITHIN_S: Final = 1.0
+"""A submission whose writing has not begun by then is withdrawn and answered as not run."""
+
+
+class LeaderDesk:
+    """Serves calls during one term."""
+
+    def __init__(self, *, term: LeaderTerm, host_id: str) -> None:
+        """Answer from the core of `term`."""
+        self._term = term
+        self._host_id = host_id
+
+    async def submit(self, message: SubmitJob) -> SubmitAnswer | StepError:
+        """Take a job in, and answer once its fate is known or the caller's patience ends."""
+        if not await self._is_ready(message.patience_s):
+            return self._error(Reason.NOT_OWNER, "not leading yet")
+        term = self._term
+        run = term.core.submit(message.job, wall=term.context.wall())
+        term.want_commit()
+        await self._wait_durable(run, min(message.patience_s, BEGIN_WITHIN_S))
+        if run.is_durable:
+            return SubmitAnswer(verdict=SubmitVerdict.ACCEPTED)
+        if term.core.withdraw(message.job.job_id):
+            if term.loss:
+                return self._error(Reason.NOT_OWNER, term.loss)
+            term.context.note("job.withdrawn", message.job.job_id, cause="the store is away")
+            return SubmitAnswer(verdict=SubmitVerdict.NOT_RUN, cause="the store is away")
+        await self._wait_durable(run, max(message.patience_s - BEGIN_WITHIN_S, 0.0))
+        if run.is_durable:
+            return SubmitAnswer(verdict=SubmitVerdict.ACCEPTED)
+        return SubmitAnswer(verdict=SubmitVerdict.UNKNOWN, cause="no answer from the store")
+
+    async def _wait_durable(self, run: JobRun, timeout_s: float) -> None:
+        """Wait until a job's acceptance is durable, the time is over or the term has ended."""
+        with trio.move_on_after(timeout_s):
+            while not run.is_durable and not self._term.loss:
+                await self._term.context.committed.wait()
+
+    async def ask(self, message: AskJob) -> JobAnswer | StepError:
+        """Return a job's durable phase."""
+        if not await self._is_ready(message.patience_s):
+            return self._error(Reason.NOT_OWNER, "not leading yet")
+        run = self._term.core.jobs_by_id.get(message.job_id)
+        if run is not None and run.is_durable:
+            return JobAnswer(phase=run.shown_phase)
+        # Only a leader whom the store confirms after the question may say that a job is unknown.
+        if not await self._confirm(message.patience_s):
+            return self._error(Reason.UNAVAILABLE, "the store does not confirm this leader")
+        run = self._term.core.jobs_by_id.get(message.job_id)
+        is_known = run is not None and run.is_durable
+        return JobAnswer(phase=run.shown_phase if run is not None and is_known else None)
+
+    async def cancel(self, message: CancelJob) -> JobAnswer | StepError:
+        """Cancel a job, and answer once that is durable."""
+        if not await self._is_ready(message.patience_s):
+            return self._error(Reason.NOT_OWNER, "not leading yet")
+        term = self._term
+        run = term.core.cancel(message.job_id, wall=term.context.wall())
+        if run is None:
+            if not await self._confirm(message.patience_s):
+                return self._error(Reason.UNAVAILABLE, "the store does not confirm this leader")
+            return JobAnswer(phase=None)
+        term.want_commit()
+        term.context.wake()
+        with trio.move_on_after(message.patience_s):
+            while run.shown_phase is not run.phase and not term.loss:
+                await term.context.committed.wait()
+        if run.shown_phase in ENDED_PHASES:
+            return JobAnswer(phase=run.shown_phase)
+        return self._error(Reason.TIMEOUT, "cancelled, and not yet durable")
+
+    async def count_pending(self, message: CountPending) -> PendingAnswer | StepError:
+        """Return how many jobs of a queue wait for their first start."""
+        if not self._term.ready.is_set():
+            return self._error(Reason.NOT_OWNER, "not leading yet")
+        return PendingAnswer(count=self._term.core.pending_of(message.queue_name))
+
+    async def _is_ready(self, patience_s: float) -> bool:
+        with trio.move_on_after(patience_s):
+            await self._term.ready.wait()
+        return self._term.ready.is_set() and not self._term.loss
+
+    async def _confirm(self, patience_s: float) -> bool:
+        """Whether the store confirms the term by a call sent from now on."""
+        asked_at = trio.current_time()
+        self._term.want_commit()
+        with trio.move_on_after(patience_s):
+            while self._term.context.confirmed_at < asked_at and not self._term.loss:
+                await self._term.context.committed.wait()
+        return self._term.context.confirmed_at >= asked_at
+
+    def _error(self, reason: Reason, detail: str) -> StepError:
+        return StepError(step="cell.leader", peer=self._host_id, reason=reason, detail=detail)
--- /dev/null
+++ b/src/galenastall/node/cell/leader_term.py
@@ -0,0 +1,201 @@
+"""One term of leadership, from the claim to the loss of it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from typing import Final
+
+import trio
+from returns.result import Failure
+
+from galenastall.coordination.cell.commands import StartOrder
+from galenastall.coordination.cell.scheduler import CellScheduler
+from galenastall.coordination.cell.timings import CellTimings
+from galenastall.node.cell.advice_desk import AdviceDesk
+from galenastall.node.cell.commit_loop import CommitLoop
+from galenastall.node.cell.executor_session import ExecutorSession
+from galenastall.node.cell.term_context import TermContext
+from galenastall.protocol.cell.config import CellConfig
+from galenastall.protocol.cell.executor_port import ExecutorPort
+from galenastall.protocol.cell.ports import FleetPort, StatePort
+from galenastall.protocol.clock import Clock
+from galenastall.protocol.peers import PeerLink
+from galenastall.state.cell.rows import decode_rows
+from galenastall.state.errors import StepError
+from galenastall.state.ids import HostId
+from galenastall.transport.logs import Recorder
+
+FLEET_EVERY_S: Final = 0.3
+"""Between two reads of the list of executors: drains allow 2 s, and a read costs little."""
+DECIDE_EVERY_S: Final = 0.004
+"""Least time between two decisions, so that events that come together share one."""
+DECIDE_AT_LEAST_EVERY_S: Final = 0.1
+"""Longest time between two decisions: leases lapse and occurrences come due without an event."""
+LOAD_RETRY_S: Final = 0.1
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TermParts:
+    """What a term needs; the same for all terms of a process."""
+
+    state: StatePort
+    fleet: FleetPort
+    executors: ExecutorPort
+    link: PeerLink
+    clock: Clock
+    recorder: Recorder
+    timings: CellTimings
+    config: Callable[[], CellConfig | None]
+    hosts: Callable[[], tuple[HostId, ...]]
+    """Entry hosts through which the advisor can be asked."""
+
+
+class LeaderTerm:
+    """Leads under one token until the term is lost or given up."""
+
+    def __init__(self, *, parts: TermParts, token: int, claimed_at: float) -> None:
+        """Prepare the term of `token`, whose claim was sent at `claimed_at`."""
+        self._parts = parts
+        self.token = token
+        self.core = CellScheduler(timings=parts.timings, fenced_at=trio.current_time())
+        self.context = TermContext(
+            core=self.core,
+            token=token,
+            confirmed_at=claimed_at,
+            executors=parts.executors,
+            clock=parts.clock,
+            recorder=parts.recorder,
+            on_lost=self._on_lost,
+        )
+        self._commits = CommitLoop(context=self.context, state=parts.state, timings=parts.timings)
+        self._advice = AdviceDesk(context=self.context, link=parts.link, hosts=parts.hosts)
+        self._sessions_by_id: dict[str, ExecutorSession] = {}
+        self._scope = trio.CancelScope()
+        self._config_version = -1
+        self.ready = trio.Event()
+        """Set once the stored state was taken over."""
+        self.loss = ""
+        """Why the term has ended; empty before."""
+
+    @property
+    def confirm_age_s(self) -> float:
+        """Seconds since the sending of the last call that the store confirmed."""
+        return trio.current_time() - self.context.confirmed_at
+
+    def give_up(self, cause: str) -> None:
+        """End the term."""
+        self._on_lost(cause)
+
+    def _on_lost(self, cause: str) -> None:
+        if not self.loss:
+            self.loss = cause
+            self.context.note("leader.lost", cause=cause, token=str(self.token))
+            self.context.tell_committed()
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Fence, load and lead; returns when the term has ended."""
+        with self._scope:
+            if await self._fence() and await self._load():
+                self.ready.set()
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._follow_fleet, nursery)
+                    nursery.start_soon(self._decide_forever, nursery)
+                    nursery.start_soon(self._commits.run, partial(self._start, nursery))
+        if not self.loss:
+            self._on_lost("cancelled")
+
+    async def _fence(self) -> bool:
+        sent_at = trio.current_time()
+        answer = await self._parts.state.fence(token=self.token)
+        if isinstance(answer, Failure):
+            self._on_lost(f"fence: {answer.failure()}")
+            return False
+        self.context.confirmed_at = sent_at
+        return True
+
+    async def _load(self) -> bool:
+        error: StepError | None = None
+        for _ in range(3):
+            answer = await self._parts.state.load()
+            if not isinstance(answer, Failure):
+                rows = decode_rows(answer.unwrap())
+                self.core.restore(rows, wall=self.context.wall())
+                self.context.note(
+                    "leader.loaded",
+                    token=str(self.token),
+                    jobs=str(len(rows.jobs_by_id)),
+                    rows=str(len(rows.progress_by_id)),
+                )
+                return True
+            error = answer.failure()
+            await trio.sleep(LOAD_RETRY_S)
+        self._on_lost(f"load: {error}")
+        return False
+
+    async def _follow_fleet(self, nursery: trio.Nursery) -> None:
+        is_lost = False
+        while True:
+            answer = await self._parts.fleet.read()
+            if isinstance(answer, Failure):
+                if not is_lost:
+                    self.context.note("fleet.lost", cause=str(answer.failure()))
+                is_lost = True
+            else:
+                is_lost = False
+                now, wall = trio.current_time(), self.context.wall()
+                self.core.on_fleet(answer.unwrap(), now=now, wall=wall)
+                self._open_sessions(nursery)
+                self.context.wake()
+            await trio.sleep(FLEET_EVERY_S)
+
+    def _open_sessions(self, nursery: trio.Nursery) -> None:
+        executors_by_id = self.core.executors_by_id
+        for gone in self._sessions_by_id.keys() - executors_by_id.keys():
+            del self._sessions_by_id[gone]
+        for executor_id, executor in executors_by_id.items():
+            if executor_id not in self._sessions_by_id:
+                session = ExecutorSession(context=self.context, executor=executor)
+                self._sessions_by_id[executor_id] = session
+                nursery.start_soon(session.run)
+
+    async def _decide_forever(self, nursery: trio.Nursery) -> None:
+        while True:
+            with trio.move_on_after(DECIDE_AT_LEAST_EVERY_S):
+                await self.context.changed.wait()
+            self.context.changed = trio.Event()
+            self._decide(nursery)
+            await trio.sleep(DECIDE_EVERY_S)
+
+    def _decide(self, nursery: trio.Nursery) -> None:
+        config = self._parts.config()
+        if config is not None and config.version != self._config_version:
+            self._config_version = config.version
+            self.core.set_queues(config.queues())
+        self.core.decide(now=trio.current_time(), wall=self.context.wall())
+        for ask in self.core.take_asks():
+            nursery.start_soon(self._advice.ask, ask)
+        for stop in self.core.take_stops():
+            session = self._sessions_by_id.get(stop.executor_id)
+            if session is not None:
+                nursery.start_soon(session.stop, stop)
+        for executor_id, session in self._sessions_by_id.items():
+            executor = self.core.executors_by_id.get(executor_id)
+            if executor is not None and executor.wants_look:
+                nursery.start_soon(session.look)
+        for note in self.core.take_notes():
+            self._parts.recorder.record(
+                note.step, subjects=note.subjects, cause=note.cause, fields=note.fields
+            )
+        if self.core.has_changes:
+            self._commits.want()
+
+    def want_commit(self) -> None:
+        """Have changes made durable soon, without waiting for the next decision."""
+        self._commits.want()
+
+    def _start(self, nursery: trio.Nursery, orders: list[StartOrder]) -> None:
+        for order in orders:
+            session = self._sessions_by_id.get(order.executor_id)
+            if session is not None:
+                nursery.start_soon(session.start, order)
--- /dev/null
+++ b/src/galenastall/node/cell/standing.py
@@ -0,0 +1,258 @@
+"""Who leads, as this host knows it: heartbeats, looks at the store, claims and terms."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+import trio
+from returns.result import Failure
+
+from galenastall.coordination.cell.election import Election, HeardBeat, Move
+from galenastall.coordination.cell.timings import CellTimings
+from galenastall.node.cell.leader_desk import LeaderDesk
+from galenastall.node.cell.leader_term import LeaderTerm, TermParts
+from galenastall.protocol.cell.config import CellConfig
+from galenastall.protocol.cell.messages import Beat, Hello, TakeOver
+from galenastall.protocol.cell.ports import StoreView
+from galenastall.protocol.peers import PeerLink
+from galenastall.state.ids import HostId
+from galenastall.transport.logs import Recorder
+
+TICK_S: Final = 0.05
+"""Between two looks at what to do about the leadership."""
+HELLO_EVERY_S: Final = 0.5
+"""Between two messages by which a standby makes itself known to the leader."""
+HOST_KEPT_S: Final = 3.0
+"""A host that has not made itself known for longer gets no more heartbeats."""
+
+
+@dataclass(slots=True)
+class _KnownHost:
+    address: str
+    weight: float
+    heard_at: float
+    is_leaving: bool
+
+
+class Standing:
+    """Runs the election on this host, and the term when it wins."""
+
+    def __init__(
+        self,
+        *,
+        host_id: HostId,
+        address: str,
+        weight: float,
+        election: Election,
+        parts: TermParts,
+        timings: CellTimings,
+        on_newer_config: Callable[[int], None],
+    ) -> None:
+        """`address` is where peers reach this host; `on_newer_config` takes a version heard of."""
+        self._host_id = host_id
+        self._address = address
+        self._weight = weight
+        self._election = election
+        self._parts = parts
+        self._timings = timings
+        self._on_newer_config = on_newer_config
+        self._hosts_by_id: dict[HostId, _KnownHost] = {}
+        self._addresses_by_host: dict[str, str] = {}
+        self._is_leaving = False
+        self._is_asked_to_claim = False
+        self._link: PeerLink = parts.link
+        self._recorder: Recorder = parts.recorder
+        self.changed = trio.Event()
+        """Set, and replaced, whenever another host leads."""
+        self.term: LeaderTerm | None = None
+        """The term of this host, if it leads."""
+        self.desk: LeaderDesk | None = None
+        self._link.handle(Beat, self._on_beat)
+        self._link.handle(Hello, self._on_hello)
+        self._link.handle(TakeOver, self._on_take_over)
+
+    @property
+    def leader(self) -> HostId | None:
+        """The host that leads, or None if none is heard."""
+        if self.term is not None:
+            return self._host_id
+        return HostId(self._election.leader) if self.is_heard and self._election.leader else None
+
+    @property
+    def is_heard(self) -> bool:
+        """Whether this host leads or hears who does."""
+        return self.term is not None or self._election.is_heard(trio.current_time())
+
+    def hosts(self) -> tuple[HostId, ...]:
+        """Return the hosts that have made themselves known lately, this one included."""
+        oldest = trio.current_time() - HOST_KEPT_S
+        known = (h for h, k in self._hosts_by_id.items() if k.heard_at > oldest)
+        return (self._host_id, *known)
+
+    async def run(self) -> None:
+        """Run the election until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._say_hello)
+            while True:
+                await self._step(nursery)
+                await trio.sleep(TICK_S)
+
+    async def _step(self, nursery: trio.Nursery) -> None:
+        if self.term is not None or self._is_leaving:
+            return
+        if self._is_asked_to_claim:
+            self._is_asked_to_claim = False
+            await self._claim(nursery, cause="the leader hands over")
+            return
+        move = self._election.next_move(trio.current_time())
+        if move is Move.LOOK:
+            await self._look()
+        elif move is Move.CLAIM:
+            await self._claim(nursery, cause="no heartbeat, and the state's end stands still")
+
+    async def _look(self) -> None:
+        answer = await self._parts.state.look()
+        if isinstance(answer, Failure):
+            return
+        view: StoreView = answer.unwrap()
+        token = view.leader.token if view.leader else 0
+        self._election.on_look(token=token, tip=view.tip, now=trio.current_time())
+        if view.leader is not None and view.leader.host_id != self._host_id:
+            self._addresses_by_host.setdefault(view.leader.host_id, view.leader.address)
+            self._addresses_by_host[view.leader.host_id] = view.leader.address
+            self._apply_addresses()
+            self._link.send(peer=HostId(view.leader.host_id), message=self._hello())
+
+    async def _claim(self, nursery: trio.Nursery, *, cause: str) -> None:
+        claimed_at = trio.current_time()
+        answer = await self._parts.state.claim(host_id=self._host_id, address=self._address)
+        if isinstance(answer, Failure):
+            self._recorder.record("leader.claim_failed", cause=str(answer.failure()))
+            return
+        token: int = answer.unwrap()
+        if token < self._election.token or self._is_leaving:
+            return
+        self._recorder.record("leader.claimed", cause=cause, fields={"token": str(token)})
+        self._election.on_look(token=token, tip=-1, now=trio.current_time())
+        term = LeaderTerm(parts=self._parts, token=token, claimed_at=claimed_at)
+        self.term = term
+        self.desk = LeaderDesk(term=term, host_id=self._host_id)
+        self._tell_changed()
+        nursery.start_soon(self._lead, term)
+
+    async def _lead(self, term: LeaderTerm) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._beat_forever, term)
+            await term.run()
+            nursery.cancel_scope.cancel()
+        self.term = None
+        self.desk = None
+        self._election.withdraw(trio.current_time() + self._timings.withdrawn_pause_s)
+        self._tell_changed()
+
+    async def _beat_forever(self, term: LeaderTerm) -> None:
+        while True:
+            self._beat(term)
+            await trio.sleep(self._timings.beat_every_s)
+
+    def _beat(self, term: LeaderTerm) -> None:
+        config: CellConfig | None = self._parts.config()
+        addresses = {host: known.address for host, known in self._hosts_by_id.items()}
+        addresses[self._host_id] = self._address
+        message = Beat(
+            token=term.token,
+            address=self._address,
+            confirm_age_s=term.confirm_age_s,
+            config_version=config.version if config else 0,
+            addresses_by_host={str(host): address for host, address in addresses.items()},
+        )
+        for host in {*self.hosts(), *map(HostId, self._addresses_by_host)} - {self._host_id}:
+            self._link.send(peer=host, message=message)
+
+    async def _say_hello(self) -> None:
+        while True:
+            leader = self._election.leader
+            if self.term is None and leader and leader != self._host_id:
+                self._link.send(peer=HostId(leader), message=self._hello())
+            await trio.sleep(HELLO_EVERY_S)
+
+    def _hello(self) -> Hello:
+        return Hello(address=self._address, weight=self._weight, is_leaving=self._is_leaving)
+
+    async def _on_beat(self, sender: HostId, beat: Beat) -> Any:
+        now = trio.current_time()
+        heard = HeardBeat(
+            token=beat.token,
+            leader=sender,
+            heard_at=now,
+            confirm_age_s=beat.confirm_age_s,
+        )
+        before = self._election.leader, self._election.token
+        if not self._election.on_beat(heard):
+            return None
+        if self.term is not None and beat.token > self.term.token:
+            self.term.give_up(f"{sender} leads with a higher token")
+        self._addresses_by_host = {
+            **beat.addresses_by_host,
+            str(sender): beat.address,
+        }
+        self._apply_addresses()
+        if (self._election.leader, self._election.token) != before:
+            self._recorder.record("leader.heard", peer=sender, fields={"token": str(beat.token)})
+            self._link.send(peer=sender, message=self._hello())
+            self._tell_changed()
+        self._on_newer_config(beat.config_version)
+        return None
+
+    async def _on_hello(self, sender: HostId, hello: Hello) -> Any:
+        self._hosts_by_id[sender] = _KnownHost(
+            address=hello.address,
+            weight=hello.weight,
+            heard_at=trio.current_time(),
+            is_leaving=hello.is_leaving,
+        )
+        self._addresses_by_host[str(sender)] = hello.address
+        self._apply_addresses()
+        return None
+
+    async def _on_take_over(self, sender: HostId, message: TakeOver) -> Any:
+        if self.term is None and message.token >= self._election.token:
+            self._is_asked_to_claim = True
+        return None
+
+    def _apply_addresses(self) -> None:
+        self._link.set_peers(
+            {
+                HostId(host): address
+                for host, address in self._addresses_by_host.items()
+                if host != self._host_id
+            }
+        )
+
+    def _tell_changed(self) -> None:
+        event, self.changed = self.changed, trio.Event()
+        event.set()
+
+    async def leave(self) -> None:
+        """Hand the leadership over, if this host has it, and claim no more."""
+        self._is_leaving = True
+        term = self.term
+        if term is None:
+            leader = self._election.leader
+            if leader:
+                self._link.send(peer=HostId(leader), message=self._hello())
+            return
+        successor = self._successor()
+        term.give_up("this process stops")
+        if successor is not None:
+            self._recorder.record("leader.hands_over", peer=successor)
+            self._link.send(peer=successor, message=TakeOver(token=term.token))
+
+    def _successor(self) -> HostId | None:
+        oldest = trio.current_time() - HOST_KEPT_S / 2
+        fit = [
+            (-known.weight, host)
+            for host, known in self._hosts_by_id.items()
+            if known.heard_at > oldest and not known.is_leaving
+        ]
+        return min(fit)[1] if fit else None
--- /dev/null
+++ b/src/galenastall/platform/advisor.py
@@ -0,0 +1,58 @@
+"""The platform's placement advisor."""
+
+from typing import Final
+
+import msgspec
+from returns.result import Failure, Result
+
+from galenastall.coordination.cell.advice import Approval
+from galenastall.platform.calls import PlatformCalls, decode_answer, refused
+from galenastall.platform.names import step_name
+from galenastall.protocol.cell.messages import AdviceAnswer
+from galenastall.state.cell.jobs import StepKey
+from galenastall.state.errors import StepError
+
+_OK: Final = 200
+_STEP: Final = "advisor.advise"
+
+
+class WireAdvice(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """Rows of executor and ticket, and how long the tickets are good."""
+
+    approved: list[tuple[str, str]] = []
+    validity_ms: float = 0.0
+
+    def to_answer(self) -> AdviceAnswer:
+        """Return the product's type."""
+        return AdviceAnswer(
+            approved=tuple(Approval(executor_id=i, ticket=t) for i, t in self.approved),
+            validity_s=self.validity_ms / 1000.0,
+        )
+
+
+class PlatformAdvisor:
+    """AdvisorPort over HTTP."""
+
+    def __init__(self, *, calls: PlatformCalls, address: str) -> None:
+        """Ask the service at `address`."""
+        self._calls = calls
+        self._address = address
+
+    async def advise(
+        self, *, step: StepKey, executor_ids: tuple[str, ...], timeout_s: float
+    ) -> Result[AdviceAnswer, StepError]:
+        """Return which of the executors may run the step."""
+        answer = await self._calls.post_json(
+            step=_STEP,
+            address=self._address,
+            path="/advise",
+            message={"step": step_name(step), "workers": executor_ids},
+            timeout_s=timeout_s,
+        )
+        if isinstance(answer, Failure):
+            return answer
+        whole = answer.unwrap()
+        if whole.status != _OK:
+            return refused(whole, step=_STEP, peer=self._address)
+        advice = decode_answer(whole, WireAdvice, step=_STEP, peer=self._address)
+        return advice.map(WireAdvice.to_answer)
--- /dev/null
+++ b/src/galenastall/platform/calls.py
@@ -0,0 +1,86 @@
+"""One HTTP client for everything that the platform serves, with JSON bodies and typed errors."""
+
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from galenastall.state.errors import Reason, StepError
+from galenastall.transport.http_client import HttpClient, WholeAnswer, error_of_answer
+
+T = TypeVar("T")
+_JSON_HEADERS = {"content-type": "application/json"}
+
+
+class PlatformCalls:
+    """Calls to the platform's addresses."""
+
+    def __init__(self, *, client: HttpClient) -> None:
+        """Call through `client`."""
+        self._client = client
+
+    async def get(
+        self, *, step: str, address: str, path: str, timeout_s: float
+    ) -> Result[WholeAnswer, StepError]:
+        """Get an answer of any status."""
+        return await self._client.request(
+            method="GET", address=address, path=path, timeout_s=timeout_s, step=step
+        )
+
+    async def post(
+        self,
+        *,
+        step: str,
+        address: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        headers: Mapping[str, str] | None = None,
+    ) -> Result[WholeAnswer, StepError]:
+        """Post a body and return an answer of any status."""
+        return await self._client.request(
+            method="POST",
+            address=address,
+            path=path,
+            timeout_s=timeout_s,
+            headers=headers,
+            body=body,
+            step=step,
+        )
+
+    async def post_json(
+        self,
+        *,
+        step: str,
+        address: str,
+        path: str,
+        message: Any,
+        timeout_s: float,
+        headers: Mapping[str, str] | None = None,
+    ) -> Result[WholeAnswer, StepError]:
+        """Post a JSON message and return an answer of any status."""
+        return await self.post(
+            step=step,
+            address=address,
+            path=path,
+            body=msgspec.json.encode(message),
+            timeout_s=timeout_s,
+            headers={**_JSON_HEADERS, **(headers or {})},
+        )
+
+
+def decode_answer(
+    answer: WholeAnswer, wanted: type[T], *, step: str, peer: str
+) -> Result[T, StepError]:
+    """Return the typed body of an answer; CUT if it can't be read."""
+    try:
+        return Success(msgspec.json.decode(answer.body, type=wanted))
+    except msgspec.MsgspecError as error:
+        detail = f"status {answer.status}: {error}"
+        return Failure(StepError(step=step, peer=peer, reason=Reason.CUT, detail=detail))
+
+
+def refused(answer: WholeAnswer, *, step: str, peer: str) -> Failure[StepError]:
+    """Return what an answer with an error status means."""
+    return Failure(error_of_answer(answer, step=step, peer=peer))
--- /dev/null
+++ b/src/galenastall/platform/executors.py
@@ -0,0 +1,222 @@
+"""Orders to executors and their listings, as the platform's pages have them."""
+
+from typing import Any, Final
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from galenastall.coordination.cell.commands import StartOrder, StopOrder
+from galenastall.coordination.cell.listings import ListedEnd, ListedRun, Listing
+from galenastall.platform.calls import PlatformCalls, decode_answer
+from galenastall.platform.names import END_BY_NAME, parse_task, task_name
+from galenastall.protocol.cell.executor_port import (
+    ExecutorPort,
+    ListingAnswer,
+    OrderAnswer,
+    StartVerdict,
+)
+from galenastall.state.errors import Reason, StepError
+from galenastall.transport.http_client import WholeAnswer
+
+_OK: Final = 200
+_BAD_REQUEST: Final = 400
+_CONFLICT: Final = 409
+_OTHER_LIFE: Final = 421
+_UNHEALTHY: Final = frozenset({429, 503})
+_LIFE_HEADER: Final = "Expected-Instance"
+"""Names the life that an order is meant for; any other answers that it is not the one."""
+_VERDICT_BY_REASON: Final = {
+    "fence": StartVerdict.FENCED,
+    "old": StartVerdict.OLD_RUN,
+    "late": StartVerdict.TOO_LATE,
+    "room": StartVerdict.NO_ROOM,
+    "ticket": StartVerdict.NO_TICKET,
+}
+
+
+class WireAnswer(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """What every answer of an executor may carry."""
+
+    clock_ms: int | None = None
+    reason: str = ""
+
+
+class WireListing(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """Rows of what runs and of what has ended."""
+
+    clock_ms: int
+    running: list[list[Any]] = []
+    """Task, run, checkpoint, percent, and a rough figure of use or of its tail."""
+    finished: list[list[Any]] = []
+    """Position, task, run, end, checkpoint."""
+
+    def to_listing(self) -> Listing:
+        """Return the product's type; rows with unknown names are left out."""
+        return Listing(
+            clock_ms=self.clock_ms,
+            running=tuple(run for row in self.running if (run := _running(row)) is not None),
+            ended=tuple(end for row in self.finished if (end := _ended(row)) is not None),
+        )
+
+
+def _running(row: list[Any]) -> ListedRun | None:
+    task = parse_task(str(row[0]))
+    if task is None:
+        return None
+    return ListedRun(task=task, run=int(row[1]), saved=str(row[2]), percent=int(row[3]))
+
+
+def _ended(row: list[Any]) -> ListedEnd | None:
+    task = parse_task(str(row[1]))
+    end = END_BY_NAME.get(str(row[3]))
+    if task is None or end is None:
+        return None
+    return ListedEnd(position=int(row[0]), task=task, run=int(row[2]), end=end, saved=str(row[4]))
+
+
+class PlatformExecutors(ExecutorPort):
+    """ExecutorPort over HTTP."""
+
+    def __init__(self, *, calls: PlatformCalls) -> None:
+        """Call through `calls`."""
+        self._calls = calls
+
+    async def start(
+        self, *, address: str, order: StartOrder, deadline_ms: int, token: int, timeout_s: float
+    ) -> Result[OrderAnswer, StepError]:
+        """Start a run."""
+        message: dict[str, Any] = {
+            "task": task_name(order.task),
+            "run": order.run,
+            "specification": order.payload,
+            "deadlineMs": deadline_ms,
+            "fencingToken": token,
+        }
+        if order.checkpoint:
+            message["checkpoint"] = order.checkpoint
+        if order.ticket:
+            message["ticket"] = order.ticket
+        return await self._order(
+            step="executor.start",
+            address=address,
+            path="/run-start",
+            message=message,
+            executor_id=order.executor_id,
+            timeout_s=timeout_s,
+        )
+
+    async def stop(
+        self, *, address: str, order: StopOrder, token: int, timeout_s: float
+    ) -> Result[OrderAnswer, StepError]:
+        """Stop a run."""
+        message = {"task": task_name(order.task), "run": order.run, "fencingToken": token}
+        return await self._order(
+            step="executor.stop",
+            address=address,
+            path="/run-stop",
+            message=message,
+            executor_id=order.executor_id,
+            timeout_s=timeout_s,
+        )
+
+    async def renew(
+        self,
+        *,
+        address: str,
+        executor_id: str,
+        deadline_ms: int | None,
+        noted: int,
+        wait_s: float,
+        token: int,
+        timeout_s: float,
+    ) -> Result[ListingAnswer, StepError]:
+        """Renew the lease and return the listing."""
+        step = "executor.renew"
+        message: dict[str, Any] = {"fencingToken": token, "ackPosition": noted}
+        if deadline_ms is not None:
+            message["deadlineMs"] = deadline_ms
+        if wait_s > 0:
+            message["waitMs"] = int(wait_s * 1000)
+        answer = await self._call(
+            step=step,
+            address=address,
+            path="/hold",
+            message=message,
+            executor_id=executor_id,
+            timeout_s=timeout_s,
+        )
+        if isinstance(answer, Failure):
+            return answer
+        whole = answer.unwrap()
+        if whole.status == _OK:
+            listing = decode_answer(whole, WireListing, step=step, peer=address)
+            return listing.map(
+                lambda found: ListingAnswer(
+                    verdict=StartVerdict.STARTED, listing=found.to_listing()
+                )
+            )
+        return _verdict(whole, step=step, peer=address).map(
+            lambda found: ListingAnswer(verdict=found.verdict, listing=None)
+        )
+
+    async def _order(
+        self,
+        *,
+        step: str,
+        address: str,
+        path: str,
+        message: dict[str, Any],
+        executor_id: str,
+        timeout_s: float,
+    ) -> Result[OrderAnswer, StepError]:
+        answer = await self._call(
+            step=step,
+            address=address,
+            path=path,
+            message=message,
+            executor_id=executor_id,
+            timeout_s=timeout_s,
+        )
+        if isinstance(answer, Failure):
+            return answer
+        return _verdict(answer.unwrap(), step=step, peer=address)
+
+    async def _call(
+        self,
+        *,
+        step: str,
+        address: str,
+        path: str,
+        message: dict[str, Any],
+        executor_id: str,
+        timeout_s: float,
+    ) -> Result[WholeAnswer, StepError]:
+        return await self._calls.post_json(
+            step=step,
+            address=address,
+            path=path,
+            message=message,
+            timeout_s=timeout_s,
+            headers={_LIFE_HEADER: executor_id},
+        )
+
+
+def _verdict(whole: WholeAnswer, *, step: str, peer: str) -> Result[OrderAnswer, StepError]:
+    """Return what an answer says; CUT where its meaning is not known."""
+    if whole.status == _OTHER_LIFE:
+        return Success(OrderAnswer(verdict=StartVerdict.OTHER_LIFE, clock_ms=None))
+    if whole.status in _UNHEALTHY:
+        return Success(OrderAnswer(verdict=StartVerdict.UNHEALTHY, clock_ms=None))
+    if whole.status == _BAD_REQUEST:
+        return Success(OrderAnswer(verdict=StartVerdict.MALFORMED, clock_ms=None))
+    if whole.status not in {_OK, _CONFLICT}:
+        detail = f"unexpected status {whole.status}"
+        return Failure(StepError(step=step, peer=peer, reason=Reason.CUT, detail=detail))
+    body = decode_answer(whole, WireAnswer, step=step, peer=peer)
+    if isinstance(body, Failure):
+        return body
+    found = body.unwrap()
+    if whole.status == _OK:
+        return Success(OrderAnswer(verdict=StartVerdict.STARTED, clock_ms=found.clock_ms))
+    verdict = _VERDICT_BY_REASON.get(found.reason, StartVerdict.UNHEALTHY)
+    return Success(OrderAnswer(verdict=verdict, clock_ms=found.clock_ms))
--- /dev/null
+++ b/src/galenastall/platform/keyed_follower.py
@@ -0,0 +1,79 @@
+"""Follows a keyed topic: the newest value of each key, by pages first and then by reads."""
+
+from typing import Final
+
+from returns.result import Failure, Result, Success
+
+from galenastall.platform.calls import PlatformCalls, refused
+from galenastall.platform.log_wire import WireError, decode_read, split_keyed
+from galenastall.platform.newest import NewestReader
+from galenastall.state.errors import Reason, StepError
+
+ANSWER_MARGIN_S: Final = 0.8
+"""Wait for an answer beyond a long poll; a slow store takes up to 0.4 s."""
+_OK: Final = 200
+_GONE: Final = 410
+_NOT_FOUND: Final = 404
+
+
+class KeyedFollower:
+    """Values of a topic that others write."""
+
+    def __init__(self, *, calls: PlatformCalls, address: str, topic: str) -> None:
+        """Follow partition 0 of `topic`."""
+        self._calls = calls
+        self._address = address
+        self._topic = topic
+        self._newest = NewestReader(calls=calls, address=address)
+        self._offset: int | None = None
+        self.values_by_key: dict[str, bytes] = {}
+
+    async def refresh(self, *, wait_s: float) -> Result[bool, StepError]:
+        """Read what is new, waiting up to `wait_s` for it; True if any value has changed."""
+        if self._offset is None:
+            return await self._read_newest()
+        return await self._read_on(self._offset, wait_s)
+
+    async def _read_newest(self) -> Result[bool, StepError]:
+        answer = await self._newest.all(self._topic)
+        if isinstance(answer, Failure):
+            return answer
+        page = answer.unwrap()
+        values_by_key = {item.key: item.content() for item in page.items}
+        has_changed = values_by_key != self.values_by_key
+        self.values_by_key = values_by_key
+        self._offset = page.end_offset
+        return Success(has_changed)
+
+    async def _read_on(self, offset: int, wait_s: float) -> Result[bool, StepError]:
+        step = "store.read"
+        path = f"/log-read?topic={self._topic}&part=0&from={offset}&waitMs={int(wait_s * 1000)}"
+        answer = await self._calls.get(
+            step=step, address=self._address, path=path, timeout_s=wait_s + ANSWER_MARGIN_S
+        )
+        if isinstance(answer, Failure):
+            return answer
+        whole = answer.unwrap()
+        if whole.status in {_GONE, _NOT_FOUND}:
+            # History is gone: only the newest record of each key is left.
+            self._offset = None
+            return await self._read_newest()
+        if whole.status != _OK:
+            return refused(whole, step=step, peer=self._address)
+        try:
+            page = decode_read(whole.body)
+            for record in page.records:
+                self._apply(*split_keyed(record))
+        except WireError as error:
+            self._offset = None
+            return Failure(
+                StepError(step=step, peer=self._address, reason=Reason.CUT, detail=str(error))
+            )
+        self._offset = offset + len(page.records)
+        return Success(bool(page.records))
+
+    def _apply(self, key: str, value: bytes) -> None:
+        if value:
+            self.values_by_key[key] = value
+        else:
+            self.values_by_key.pop(key, None)
--- /dev/null
+++ b/src/galenastall/platform/log_wire.py
@@ -0,0 +1,106 @@
+"""Bytes of the platform's log: framed records, keys and values, and answers to reads."""
+
+import base64
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+import msgspec
+
+_LENGTH: Final = struct.Struct(">I")
+_READ_HEAD: Final = struct.Struct(">QQ")
+_LONGEST_KEY: Final = 255
+
+
+class WireError(ValueError):
+    """Bytes that do not follow the platform's format."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadAnswer:
+    """A page of a partition."""
+
+    end: int
+    """Offset after the partition's last record."""
+    first: int
+    """First offset that is still kept."""
+    records: tuple[bytes, ...]
+
+
+class NewestItem(msgspec.Struct, frozen=True, kw_only=True):
+    """The newest record of one key."""
+
+    key: str
+    value: str = ""
+    """In base64."""
+    offset: int = 0
+
+    def content(self) -> bytes:
+        """Return the value's bytes."""
+        return base64.b64decode(self.value)
+
+
+class NewestPage(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """One page of the newest records of all keys."""
+
+    items: list[NewestItem] = []
+    has_more: bool = False
+    end_offset: int = 0
+
+
+class AppendAnswer(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """Where appended records are."""
+
+    offset: int = 0
+    end_offset: int = 0
+
+
+class AppendRefusal(msgspec.Struct, frozen=True, kw_only=True):
+    """Why an append was refused as conflicting."""
+
+    reason: str = ""
+    sequence: int | None = None
+    """The sequence number expected, where that was wrong."""
+
+
+def frame_record(content: bytes) -> bytes:
+    """Return a record as appends carry it."""
+    return _LENGTH.pack(len(content)) + content
+
+
+def keyed_record(key: str, value: bytes) -> bytes:
+    """Return a framed record of a keyed topic; an empty value drops the key."""
+    name = key.encode()
+    if not name or len(name) > _LONGEST_KEY:
+        raise WireError(f"key: expected 1 to {_LONGEST_KEY} bytes, got {len(name)}")
+    return frame_record(bytes([len(name)]) + name + value)
+
+
+def split_keyed(content: bytes) -> tuple[str, bytes]:
+    """Return key and value of a keyed record; the value is empty where the key was dropped."""
+    if not content or len(content) < 1 + content[0]:
+        raise WireError("a keyed record is shorter than its key")
+    end = 1 + content[0]
+    return content[1:end].decode(), content[end:]
+
+
+def decode_read(body: bytes) -> ReadAnswer:
+    """Return the page that a read answered with."""
+    if len(body) < _READ_HEAD.size:
+        raise WireError(f"a page has at least {_READ_HEAD.size} bytes, got {len(body)}")
+    end, first = _READ_HEAD.unpack_from(body)
+    return ReadAnswer(end=end, first=first, records=tuple(_records(body)))
+
+
+def _records(body: bytes) -> Iterator[bytes]:
+    at = _READ_HEAD.size
+    while at < len(body):
+        if at + _LENGTH.size > len(body):
+            raise WireError("a record's length is cut off")
+        (length,) = _LENGTH.unpack_from(body, at)
+        begin = at + _LENGTH.size
+        if begin + length > len(body):
+            raise WireError("a record is cut off")
+        yield body[begin : begin + length]
+        at = begin + length
--- /dev/null
+++ b/src/galenastall/platform/settings.py
@@ -0,0 +1,157 @@
+"""The platform's settings file of a process, decoded into what the product needs."""
+
+import os
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final, TypeVar
+
+from galenastall.coordination.cell.timings import CellTimings
+from galenastall.state.errors import GalenastallError
+
+SETTINGS_VARIABLE: Final = "GALENASTALL_SETTINGS"
+"""Names the path of the settings file; chosen by the platform."""
+ORDERS_BY_CALL: Final = "duty_call"
+"""The one way of giving orders to executors that is served."""
+FIRST_CLAIM_STEP_S: Final = 0.06
+"""Between the first claims of the hosts that the settings name as seeds, at the first start."""
+T = TypeVar("T")
+
+
+class SettingsError(GalenastallError):
+    """A field is missing or wrong; the text names it and its value."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreSettings:
+    """The platform's metadata store."""
+
+    address: str
+    request_bytes: int
+    """Largest body of one append."""
+    record_bytes: int
+    """Largest record."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlatformSettings:
+    """All that the process takes from the file."""
+
+    host_id: str
+    data_centre: str
+    callers_bind: str
+    """Where callers connect."""
+    readiness_bind: str
+    """Where the platform's balancer asks whether the host is ready."""
+    peer_bind: str
+    """Where other entry hosts connect."""
+    metrics_bind: str
+    store: StoreSettings
+    advisor_address: str
+    """Empty if the deployment has no placement advisor."""
+    seeds: tuple[str, ...]
+    control_address: str
+    cores: float
+    memory_mb: int
+    may_start: bool
+    """Whether the whole system is starting for the first time."""
+    heartbeat_s: float
+    """Between two heartbeats of an executor to the store."""
+    stop_grace_s: float
+    """From the signal to stop until the process is killed."""
+    longest_lease_s: float
+
+    def claim_delay_s(self, jitter: float) -> float:
+        """Return this host's delay before a claim; seeds go first, `jitter` (0 to 1) decides."""
+        longest = CellTimings().claim_jitter_s
+        if self.control_address in self.seeds:
+            return self.seeds.index(self.control_address) * FIRST_CLAIM_STEP_S
+        first = len(self.seeds) * FIRST_CLAIM_STEP_S
+        return first + jitter * max(longest - first, FIRST_CLAIM_STEP_S)
+
+
+def settings_path(environment: dict[str, str] | None = None) -> Path:
+    """Return the path of the settings file; raises SettingsError if the variable is missing."""
+    path = (environment if environment is not None else dict(os.environ)).get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(f"{SETTINGS_VARIABLE}: not set; it names the settings file")
+    return Path(path)
+
+
+def load_settings(path: Path) -> PlatformSettings:
+    """Return the settings; raises SettingsError naming the field and value at fault."""
+    try:
+        table = tomllib.loads(path.read_text())
+    except OSError as error:
+        raise SettingsError(f"{path}: can't be read: {error.strerror}") from error
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"{path}: is not TOML: {error}") from error
+    return decode_settings(table)
+
+
+def decode_settings(table: dict[str, Any]) -> PlatformSettings:
+    """Return the settings of a decoded file; unknown fields are ignored."""
+    orders = _get(table, "orders", str, default=ORDERS_BY_CALL)
+    if orders != ORDERS_BY_CALL:
+        raise SettingsError(f"orders: expected {ORDERS_BY_CALL!r}, got {orders!r}")
+    form = _get(table, "platform.form", str, default="log")
+    if form != "log":
+        raise SettingsError(f"platform.form: expected 'log', got {form!r}")
+    ip = _get(table, "ipAddress", str)
+    ports = _get(table, "internalPortRange", list)
+    match ports:
+        case [int(first), int(last)] if first < last:
+            pass
+        case _:
+            raise SettingsError(f"internalPortRange: expected two rising ports, got {ports!r}")
+    return PlatformSettings(
+        host_id=_get(table, "nodeName", str),
+        data_centre=_get(table, "zone", str),
+        callers_bind=_get(table, "listenAddresses.front", str),
+        readiness_bind=_get(table, "listenAddresses.readiness", str),
+        peer_bind=f"{ip}:{first}",
+        metrics_bind=f"{ip}:{first + 1}",
+        store=StoreSettings(
+            address=_get(table, "platform.address", str),
+            request_bytes=_get(table, "platform.requestBytes", int, default=2_097_152),
+            record_bytes=_get(table, "platform.recordBytes", int, default=262_144),
+        ),
+        advisor_address=_get(table, "placementAdvisor", str, default=""),
+        seeds=tuple(_get(table, "seedNodes", list, default=[])),
+        control_address=_get(table, "listenAddresses.control", str, default=""),
+        cores=_number(table, "limits.cpuShare", 1.0) * _number(table, "limits.cpuCores", 1.0),
+        memory_mb=_get(table, "limits.memoryMb", int, default=300),
+        may_start=_get(table, "bootstrap", bool, default=False),
+        heartbeat_s=_number(table, "heartbeatMs", 1500.0) / 1000.0,
+        stop_grace_s=_number(table, "bounds.graceS", 6.0),
+        longest_lease_s=_number(table, "bounds.maxHoldMs", 10_000.0) / 1000.0,
+    )
+
+
+def _find(table: dict[str, Any], name: str) -> Any:
+    value: Any = table
+    for part in name.split("."):
+        if not isinstance(value, dict) or part not in value:
+            return None
+        value = value[part]
+    return value
+
+
+def _get(table: dict[str, Any], name: str, kind: type[T], *, default: T | None = None) -> T:
+    value = _find(table, name)
+    if value is None:
+        if default is None:
+            raise SettingsError(f"{name}: missing")
+        return default
+    if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+        raise SettingsError(f"{name}: expected {kind.__name__}, got {value!r}")
+    return value
+
+
+def _number(table: dict[str, Any], name: str, default: float) -> float:
+    value = _find(table, name)
+    if value is None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+        raise SettingsError(f"{name}: expected a number above 0, got {value!r}")
+    return float(value)
--- /dev/null
+++ b/src/galenastall/platform/store.py
@@ -0,0 +1,126 @@
+"""The cell's state in keyed topics of the platform's log, fenced by producer epochs."""
+
+from typing import Final
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from galenastall.platform.calls import PlatformCalls, decode_answer, refused
+from galenastall.platform.log_wire import (
+    AppendAnswer,
+    AppendRefusal,
+    keyed_record,
+)
+from galenastall.platform.newest import NewestReader
+from galenastall.protocol.cell.ports import LeaderRecord, StoreView
+from galenastall.state.errors import Reason, StepError
+from galenastall.transport.http_client import WholeAnswer
+
+CLAIMS_TOPIC: Final = "keyed.galenastall-leader"
+STATE_TOPIC: Final = "keyed.galenastall-cell"
+CLAIM_KEY: Final = "leader"
+PRODUCER: Final = "leader"
+"""One name for all leaders, so that the epoch of one fences those before it."""
+CALL_TIMEOUT_S: Final = 1.0
+_OK: Final = 200
+_CONFLICT: Final = 409
+_AFTER_ALL_KEYS: Final = "~"
+"""Sorts behind all keys: a page after it shows only where the topic ends."""
+
+
+class _Claim(msgspec.Struct, frozen=True, kw_only=True):
+    host_id: str
+    address: str
+
+
+class PlatformStore:
+    """StatePort over the platform's log."""
+
+    def __init__(self, *, calls: PlatformCalls, address: str) -> None:
+        """Use the store at `address`."""
+        self._calls = calls
+        self._newest = NewestReader(calls=calls, address=address)
+        self._address = address
+
+    async def claim(self, *, host_id: str, address: str) -> Result[int, StepError]:
+        """Append a claim; its offset + 1 is the token."""
+        value = msgspec.json.encode(_Claim(host_id=host_id, address=address))
+        answer = await self._append(
+            step="store.claim",
+            path=f"/log-append?topic={CLAIMS_TOPIC}&part=0",
+            body=keyed_record(CLAIM_KEY, value),
+            timeout_s=CALL_TIMEOUT_S,
+        )
+        return answer.map(lambda appended: appended.offset + 1)
+
+    async def fence(self, *, token: int) -> Result[None, StepError]:
+        """Set the epoch by an empty append."""
+        answer = await self._append(
+            step="store.fence",
+            path=_fenced_path(token, 0),
+            body=b"",
+            timeout_s=CALL_TIMEOUT_S,
+        )
+        return answer.map(lambda _: None)
+
+    async def append(
+        self, *, token: int, sequence: int, values_by_key: dict[str, bytes], timeout_s: float
+    ) -> Result[None, StepError]:
+        """Append one record a key, all or none."""
+        answer = await self._append(
+            step="store.append",
+            path=_fenced_path(token, sequence),
+            body=b"".join(keyed_record(key, value) for key, value in values_by_key.items()),
+            timeout_s=timeout_s,
+        )
+        return answer.map(lambda _: None)
+
+    async def load(self) -> Result[dict[str, bytes], StepError]:
+        """Read all pages; under a fence nobody writes between them."""
+        answer = await self._newest.all(STATE_TOPIC)
+        return answer.map(lambda page: {item.key: item.content() for item in page.items})
+
+    async def look(self) -> Result[StoreView, StepError]:
+        """Read the newest claim and the state's end."""
+        claims = await self._newest.page(CLAIMS_TOPIC)
+        if isinstance(claims, Failure):
+            return claims
+        state = await self._newest.page(STATE_TOPIC, _AFTER_ALL_KEYS)
+        if isinstance(state, Failure):
+            return state
+        leader: LeaderRecord | None = None
+        for item in claims.unwrap().items:
+            claim = msgspec.json.decode(item.content(), type=_Claim)
+            leader = LeaderRecord(
+                token=item.offset + 1, host_id=claim.host_id, address=claim.address
+            )
+        return Success(StoreView(leader=leader, tip=state.unwrap().end_offset))
+
+    async def _append(
+        self, *, step: str, path: str, body: bytes, timeout_s: float
+    ) -> Result[AppendAnswer, StepError]:
+        answer = await self._calls.post(
+            step=step, address=self._address, path=path, body=body, timeout_s=timeout_s
+        )
+        if isinstance(answer, Failure):
+            return answer
+        whole = answer.unwrap()
+        if whole.status == _CONFLICT:
+            return self._conflict(whole, step)
+        if whole.status != _OK:
+            return refused(whole, step=step, peer=self._address)
+        return decode_answer(whole, AppendAnswer, step=step, peer=self._address)
+
+    def _conflict(self, whole: WholeAnswer, step: str) -> Result[AppendAnswer, StepError]:
+        """Return CONFLICT: a newer epoch stands, or another writer used ours."""
+        refusal = decode_answer(whole, AppendRefusal, step=step, peer=self._address)
+        detail = f"{refusal.value_or(AppendRefusal(reason='unreadable'))}"
+        return Failure(self._error(step, Reason.CONFLICT, detail))
+
+    def _error(self, step: str, reason: Reason, detail: str) -> StepError:
+        return StepError(step=step, peer=self._address, reason=reason, detail=detail)
+
+
+def _fenced_path(token: int, sequence: int) -> str:
+    fence = f"producer={PRODUCER}&epoch={token}&sequence={sequence}"
+    return f"/log-append?topic={STATE_TOPIC}&part=0&{fence}"
--- /dev/null
+++ b/src/galenastall/platform/submissions.py
@@ -0,0 +1,144 @@
+"""Jobs as callers of the platform hand them in, decoded into the product's types."""
+
+from typing import Final
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from galenastall.state.cell.jobs import CellJob, Queue, Recurrence, Step
+from galenastall.state.errors import Reason, StepError
+from galenastall.state.resources import Resources
+from galenastall.transport.http_json import decode_json
+
+PAYLOAD_LIMIT_BYTES: Final = 4_000
+"""Longest specification, as the platform states it."""
+TASKS_AT_MOST: Final = 10_000
+"""Tasks of one step; far above what callers send, and bounds what one submission can hold."""
+_STEP: Final = "job.decode"
+
+
+class WireStep(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """One step; fields that are 0, false or empty are left out by callers."""
+
+    count: int = 0
+    cpu: int = 0
+    """Thousandths of a core."""
+    memory_request_mb: int = 0
+    gpus: int = 0
+    estimated_ms: float = 0.0
+    after: list[int] = []
+    gang_scheduled: bool = False
+    same_rack: bool = False
+    requirements: str = ""
+    """One label."""
+    data_rack: str = ""
+    anti_affinity: int = 0
+    """Most tasks of the step on one executor."""
+    checkpointing: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0.0
+    fills: bool = False
+    allow_miss: int = 0
+
+    def to_step(self) -> Step:
+        """Return the product's type; a filler's processor time is not reserved."""
+        need = Resources(
+            cores_milli=0 if self.fills else self.cpu,
+            memory_mb=self.memory_request_mb,
+            accelerators=self.gpus,
+        )
+        return Step(
+            count=self.count,
+            need=need,
+            estimate_s=self.estimated_ms / 1000.0,
+            after=tuple(self.after),
+            is_gang=self.gang_scheduled,
+            wants_one_rack=self.same_rack,
+            label=self.requirements,
+            data_rack=self.data_rack,
+            most_per_executor=self.anti_affinity,
+            is_checkpointing=self.checkpointing,
+            is_long_running=self.long_running,
+            is_filler=self.fills,
+            image=self.image,
+            tail_target_ms=int(self.target_ms),
+            most_unavailable=self.allow_miss,
+        )
+
+
+class WireJob(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """A submission's body."""
+
+    specification: str = ""
+    steps: list[WireStep] = []
+    repetitions: int = 0
+    first_run_ms: float = 0.0
+    """Wall time of the first occurrence."""
+    interval_ms: float = 0.0
+
+    def recurrence(self) -> Recurrence | None:
+        """Return when its steps run again, None for a job that runs once."""
+        if self.repetitions <= 0:
+            return None
+        return Recurrence(
+            first_due=self.first_run_ms / 1000.0,
+            interval_s=self.interval_ms / 1000.0,
+            times=self.repetitions,
+        )
+
+
+def decode_job(
+    body: bytes, *, job_id: str, queue: Queue, wall: float, peer: str
+) -> Result[CellJob, StepError]:
+    """Return the typed job, or INVALID naming the field and its value."""
+    decoded = decode_json(body, WireJob, step=_STEP, peer=peer)
+    if isinstance(decoded, Failure):
+        return decoded
+    wire = decoded.unwrap()
+    problem = _problem_of(wire)
+    if problem:
+        return Failure(StepError(step=_STEP, peer=peer, reason=Reason.INVALID, detail=problem))
+    return Success(
+        CellJob(
+            job_id=job_id,
+            queue=queue,
+            payload=wire.specification,
+            steps=tuple(step.to_step() for step in wire.steps),
+            recurrence=wire.recurrence(),
+            submitted_at=wall,
+        )
+    )
+
+
+def _problem_of(wire: WireJob) -> str:
+    if len(wire.specification.encode()) > PAYLOAD_LIMIT_BYTES:
+        size = len(wire.specification.encode())
+        return f"specification: at most {PAYLOAD_LIMIT_BYTES} bytes, got {size}"
+    if not wire.steps:
+        return "steps: expected at least one, got []"
+    if wire.repetitions > 0 and wire.interval_ms < 0:
+        return f"intervalMs: expected 0 or more, got {wire.interval_ms}"
+    for index, step in enumerate(wire.steps):
+        problem = _problem_of_step(step, index)
+        if problem:
+            return f"steps[{index}].{problem}"
+    return ""
+
+
+def _problem_of_step(step: WireStep, index: int) -> str:
+    if not 1 <= step.count <= TASKS_AT_MOST:
+        return f"count: expected 1 to {TASKS_AT_MOST}, got {step.count}"
+    for name, value in (
+        ("cpu", step.cpu),
+        ("memoryRequestMb", step.memory_request_mb),
+        ("gpus", step.gpus),
+        ("estimatedMs", step.estimated_ms),
+        ("antiAffinity", step.anti_affinity),
+    ):
+        if value < 0:
+            return f"{name}: expected 0 or more, got {value}"
+    for earlier in step.after:
+        if not 0 <= earlier < index:
+            return f"after: expected numbers of earlier steps, got {earlier}"
+    return ""
--- /dev/null
+++ b/src/galenastall/protocol/cell/config.py
@@ -0,0 +1,40 @@
+"""The operator's configuration as the product sees it."""
+
+from dataclasses import dataclass, field
+
+from galenastall.state.cell.jobs import Queue
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class QueueRoute:
+    """Which requests of callers belong to a queue."""
+
+    host: str
+    """Value of the request's Host header, without a port."""
+    path_prefix: str
+    queue: Queue
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CellConfig:
+    """One version of the configuration, whole."""
+
+    version: int
+    routes: tuple[QueueRoute, ...] = ()
+    standby_services: frozenset[str] = field(default_factory=frozenset)
+    """Services whose hosts are off until they are moved."""
+
+    def find(self, *, host: str, path: str) -> QueueRoute | None:
+        """Return the route with the longest matching prefix, or None."""
+        name = host.partition(":")[0].lower()
+        best: QueueRoute | None = None
+        for route in self.routes:
+            if route.host.lower() != name or not path.startswith(route.path_prefix):
+                continue
+            if best is None or len(route.path_prefix) > len(best.path_prefix):
+                best = route
+        return best
+
+    def queues(self) -> tuple[Queue, ...]:
+        """Return the queues of all routes."""
+        return tuple(route.queue for route in self.routes)
--- /dev/null
+++ b/src/galenastall/protocol/cell/messages.py
@@ -0,0 +1,152 @@
+"""Messages between the entry hosts of a cell."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from galenastall.coordination.cell.advice import Approval
+from galenastall.protocol.cell.config import CellConfig
+from galenastall.protocol.codec import PEER_MESSAGES
+from galenastall.state.cell.jobs import CellJob, StepKey
+from galenastall.state.cell.phases import JobPhase
+
+
+class SubmitVerdict(StrEnum):
+    """What became of a submission."""
+
+    ACCEPTED = "accepted"
+    """Durable, now or before."""
+    NOT_RUN = "not_run"
+    """Not stored, and never will be."""
+    UNKNOWN = "unknown"
+    """It may be stored."""
+
+
+@PEER_MESSAGES.register("cell.hello")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Hello:
+    """A host makes itself known to the leader; sent again and again."""
+
+    address: str
+    """Where its peer link listens."""
+    weight: float
+    """Cores that it has; heavier hosts claim first."""
+    is_leaving: bool = False
+
+
+@PEER_MESSAGES.register("cell.beat")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Beat:
+    """Heartbeat of the leader to each host that it knows."""
+
+    token: int
+    """Fencing token of its term."""
+    address: str
+    confirm_age_s: float
+    """Seconds since the store last confirmed the term."""
+    config_version: int
+    addresses_by_host: dict[str, str] = field(default_factory=dict)
+    """All hosts that it knows, itself included."""
+
+
+@PEER_MESSAGES.register("cell.take_over")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TakeOver:
+    """A leader that stops asks this host to claim at once."""
+
+    token: int
+
+
+@PEER_MESSAGES.register("cell.submit")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SubmitJob:
+    """Hand a job in; idempotent by its id."""
+
+    job: CellJob
+    patience_s: float
+    """How long the caller's side waits for an answer."""
+
+
+@PEER_MESSAGES.register("cell.submitted")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SubmitAnswer:
+    """What became of a submission."""
+
+    verdict: SubmitVerdict
+    cause: str = ""
+
+
+@PEER_MESSAGES.register("cell.ask_job")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskJob:
+    """Ask for a job's phase."""
+
+    job_id: str
+    patience_s: float
+
+
+@PEER_MESSAGES.register("cell.cancel_job")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CancelJob:
+    """Cancel a job; idempotent."""
+
+    job_id: str
+    patience_s: float
+
+
+@PEER_MESSAGES.register("cell.job")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobAnswer:
+    """A job's durable phase; None if there is no such job."""
+
+    phase: JobPhase | None
+
+
+@PEER_MESSAGES.register("cell.count_pending")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CountPending:
+    """Ask how many accepted jobs of a queue have had no start."""
+
+    queue_name: str
+
+
+@PEER_MESSAGES.register("cell.pending")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PendingAnswer:
+    """The number asked for."""
+
+    count: int
+
+
+@PEER_MESSAGES.register("cell.get_advice")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GetAdvice:
+    """Ask the advisor in the leader's stead: it serves one call at a time for each host."""
+
+    step: StepKey
+    executor_ids: tuple[str, ...]
+    timeout_s: float
+
+
+@PEER_MESSAGES.register("cell.advice")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AdviceAnswer:
+    """What the advisor said."""
+
+    approved: tuple[Approval, ...]
+    validity_s: float
+
+
+@PEER_MESSAGES.register("cell.get_config")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GetConfig:
+    """Ask the leader for its configuration, if the store can't be read from here."""
+
+    known_version: int
+
+
+@PEER_MESSAGES.register("cell.config")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigAnswer:
+    """The configuration; None if it is not newer than the asker's."""
+
+    config: CellConfig | None
--- /dev/null
+++ b/src/galenastall/protocol/cell/ports.py
@@ -0,0 +1,79 @@
+"""What a cell needs of the platform besides its executors: store, lists, configuration, advice."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from returns.result import Result
+
+from galenastall.coordination.cell.executors import ExecutorInfo
+from galenastall.protocol.cell.config import CellConfig
+from galenastall.protocol.cell.messages import AdviceAnswer
+from galenastall.state.cell.jobs import StepKey
+from galenastall.state.errors import StepError
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeaderRecord:
+    """The newest claim."""
+
+    token: int
+    host_id: str
+    address: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreView:
+    """What a look at the store shows of who leads."""
+
+    leader: LeaderRecord | None
+    tip: int
+    """End of the state; it moves while a leader is confirmed."""
+
+
+class StatePort(Protocol):
+    """Durable state of the cell; writes are fenced by token.
+
+    Failures: CONFLICT says that a newer token stands. UNREACHABLE, OVERLOADED and UNAVAILABLE
+    say that nothing was done. After TIMEOUT and CUT the call may have been carried out, or may
+    be carried out later.
+    """
+
+    async def claim(self, *, host_id: str, address: str) -> Result[int, StepError]:
+        """Append a claim and return its token; tokens are unique and rise."""
+
+    async def fence(self, *, token: int) -> Result[None, StepError]:
+        """Have all writes under lower tokens refused from now on."""
+
+    async def append(
+        self, *, token: int, sequence: int, values_by_key: dict[str, bytes], timeout_s: float
+    ) -> Result[None, StepError]:
+        """Write all values or none; repeating a sequence number repeats nothing."""
+
+    async def load(self) -> Result[dict[str, bytes], StepError]:
+        """Return the newest value of each key."""
+
+    async def look(self) -> Result[StoreView, StepError]:
+        """Return who claimed last and how far the state goes."""
+
+
+class FleetPort(Protocol):
+    """The platform's list of executors."""
+
+    async def read(self) -> Result[tuple[ExecutorInfo, ...], StepError]:
+        """Return the list as it is now."""
+
+
+class ConfigPort(Protocol):
+    """The operator's configuration."""
+
+    async def wait(self) -> Result[CellConfig | None, StepError]:
+        """Return the newest configuration once it may have changed, None if there is none."""
+
+
+class AdvisorPort(Protocol):
+    """The placement advisor."""
+
+    async def advise(
+        self, *, step: StepKey, executor_ids: tuple[str, ...], timeout_s: float
+    ) -> Result[AdviceAnswer, StepError]:
+        """Return which of the executors may run the step."""
--- /dev/null
+++ b/src/galenastall/state/cell/rows.py
@@ -0,0 +1,80 @@
+"""Durable rows of a job: its definition, written once, and its progress, written at each change."""
+
+from typing import Final
+
+import msgspec
+
+from galenastall.state.cell.jobs import CellJob
+from galenastall.state.cell.phases import JobPhase, TaskPhase
+
+JOB_PREFIX: Final = "job/"
+"""Keys of definitions; dropped when the job has ended."""
+PROGRESS_PREFIX: Final = "run/"
+"""Keys of progress; kept for as long as callers may ask for an ended job."""
+
+
+class TaskRow(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """Progress of one task."""
+
+    occurrence: int
+    step: int
+    index: int
+    phase: TaskPhase
+    run: int
+    """Number of its last run; rises with each start."""
+    executor_id: str = ""
+    """Where its last run is, or may be; empty unless assigned."""
+    failures: int = 0
+    """Runs that ended as failed."""
+    checkpoint: str = ""
+
+
+class ProgressRow(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """Progress of one job; tasks that never had a run are left out."""
+
+    phase: JobPhase
+    queue_name: str
+    has_started: bool = False
+    occurrences_opened: int = 0
+    done_occurrences: tuple[int, ...] = ()
+    """Numbers of a timed job's occurrences that are done; their tasks are left out."""
+    ended_at: float = 0.0
+    """Wall time in seconds of its end; 0 while it goes on."""
+    tasks: tuple[TaskRow, ...] = ()
+
+
+class Rows(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything that the store keeps about jobs."""
+
+    jobs_by_id: dict[str, CellJob]
+    progress_by_id: dict[str, ProgressRow]
+    unreadable: tuple[str, ...] = ()
+    """Keys whose values could not be decoded."""
+
+
+def encode_job(job: CellJob) -> bytes:
+    """Return the value of a definition's key."""
+    return msgspec.msgpack.encode(job)
+
+
+def encode_progress(row: ProgressRow) -> bytes:
+    """Return the value of a progress key."""
+    return msgspec.msgpack.encode(row)
+
+
+def decode_rows(values_by_key: dict[str, bytes]) -> Rows:
+    """Return the typed rows; what can't be read is named, not dropped in silence."""
+    jobs_by_id: dict[str, CellJob] = {}
+    progress_by_id: dict[str, ProgressRow] = {}
+    unreadable: list[str] = []
+    for key, value in values_by_key.items():
+        try:
+            if key.startswith(JOB_PREFIX):
+                job = msgspec.msgpack.decode(value, type=CellJob)
+                jobs_by_id[job.job_id] = job
+            elif key.startswith(PROGRESS_PREFIX):
+                row = msgspec.msgpack.decode(value, type=ProgressRow)
+                progress_by_id[key.removeprefix(PROGRESS_PREFIX)] = row
+        except msgspec.MsgspecError:
+            unreadable.append(key)
+    return Rows(jobs_by_id=jobs_by_id, progress_by_id=progress_by_id, unreadable=tuple(unreadable))
