Test the cell's leadership and recovery on a platform in memory

Change: lives that are over stay over; a host looks once more right before it claims; the peer link is handed in, so that tests run the real drivers in memory on trio's mock clock.

--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -30,6 +30,8 @@
         """Work on these tables."""
         self._state = state
         self._ends = ends
+        self._ended_lives: set[str] = set()
+        """Ids of lives that are over; their entries may stay listed for some heartbeats."""
 
     def adopt(self, run: JobRun) -> None:
         """Count the runs that earlier leaders assigned, on executors that may not be listed yet."""
@@ -48,16 +50,21 @@
     def update(self, infos: Iterable[ExecutorInfo], *, now: float, wall: float) -> None:
         """Take the list as it is now."""
         listed_by_id = {info.executor_id: info for info in infos}
+        self._ended_lives &= listed_by_id.keys()
+        known_before = set(self._state.executors_by_id)
         for info in listed_by_id.values():
-            self._see(info, now=now, wall=wall)
+            if info.executor_id not in self._ended_lives:
+                self._see(info, known_before, now=now, wall=wall)
         for executor in list(self._state.executors_by_id.values()):
             if executor.executor_id not in listed_by_id:
                 self._miss(executor, now)
 
-    def _see(self, info: ExecutorInfo, *, now: float, wall: float) -> None:
+    def _see(
+        self, info: ExecutorInfo, known_before: set[str], *, now: float, wall: float
+    ) -> None:
         executor = self._state.executors_by_id.get(info.executor_id)
         if executor is None:
-            self._end_earlier_life(info, wall)
+            self._end_earlier_life(info, known_before, wall)
             executor = self._add(info, now=now)
             self._state.note("executor.seen", info.executor_id, fields={"host": info.host})
         was_draining = executor.info.is_draining
@@ -67,8 +74,10 @@
             cause = "the platform's list says so"
             self._state.note("executor.draining", info.executor_id, cause=cause)
 
-    def _end_earlier_life(self, info: ExecutorInfo, wall: float) -> None:
-        for executor in list(self._state.executors_by_id.values()):
+    def _end_earlier_life(self, info: ExecutorInfo, known_before: set[str], wall: float) -> None:
+        """End a life on the same host that earlier lists had; of two new ones none is the older."""
+        for executor_id in known_before & self._state.executors_by_id.keys():
+            executor = self._state.executors_by_id[executor_id]
             if info.host and executor.info.host == info.host:
                 cause = f"a new life is on its host as {info.executor_id}"
                 self.end_life(executor.executor_id, cause=cause, wall=wall)
@@ -99,6 +108,7 @@
         for key, run in list(executor.runs_by_task.items()):
             self._ends.apply(key, run, RunEnd.LOST, wall=wall)
         self._state.executors_by_id.pop(executor_id, None)
+        self._ended_lives.add(executor_id)
 
     def expire(self, *, now: float, wall: float) -> None:
         """End runs whose leases have surely lapsed on executors that do not answer."""
--- a/src/galenastall/node/cell/cell_host.py
+++ b/src/galenastall/node/cell/cell_host.py
@@ -1,7 +1,7 @@
 """One entry host of a cell: its parts, wired together."""
 
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, Protocol
 
 import trio
 
@@ -15,9 +15,9 @@
 from galenastall.protocol.cell.executor_port import ExecutorPort
 from galenastall.protocol.cell.ports import AdvisorPort, ConfigPort, FleetPort, StatePort
 from galenastall.protocol.clock import Clock
-from galenastall.state.ids import HostId, Incarnation
+from galenastall.protocol.peers import PeerLink
+from galenastall.state.ids import HostId
 from galenastall.transport.logs import Recorder
-from galenastall.transport.peer_link import ZmqPeerLink
 
 HANDOVER_S: Final = 0.3
 """How long a stopping leader waits for its successor before it drains."""
@@ -39,9 +39,8 @@
     """Who a host is."""
 
     host_id: HostId
-    incarnation: Incarnation
-    peer_bind: str
-    """`IP:port` of the peer link."""
+    peer_address: str
+    """`IP:port` at which peers reach its link."""
     weight: float
     """Processor cores; heavier hosts are preferred as leaders."""
     claim_delay_s: float
@@ -50,6 +49,13 @@
     """Whether the whole system may be starting for the first time."""
 
 
+class RunnableLink(PeerLink, Protocol):
+    """A peer link that has to be run."""
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled; reports started once peers can connect."""
+
+
 class CellHost:
     """Serves callers' operations, stands by for the leadership, and leads when it is its turn."""
 
@@ -58,24 +64,19 @@
         *,
         settings: CellHostSettings,
         ports: CellPorts,
+        link: RunnableLink,
         timings: CellTimings,
         clock: Clock,
         recorder: Recorder,
     ) -> None:
         """Wire the parts; `run` starts them."""
         self._recorder = recorder
-        self.link = ZmqPeerLink(
-            host_id=settings.host_id,
-            incarnation=settings.incarnation,
-            clock=clock,
-            bind=settings.peer_bind,
-            log_error=recorder.record_error,
-        )
+        self.link = link
         self.config = ConfigKeeper(port=ports.config, link=self.link, recorder=recorder)
         AdviceProxy(link=self.link, advisor=ports.advisor)
         self.standing = Standing(
             host_id=settings.host_id,
-            address=settings.peer_bind,
+            address=settings.peer_address,
             weight=settings.weight,
             election=Election(
                 timings=timings,
--- a/src/galenastall/node/cell/standing.py
+++ b/src/galenastall/node/cell/standing.py
@@ -108,7 +108,10 @@
         if move is Move.LOOK:
             await self._look()
         elif move is Move.CLAIM:
-            await self._claim(nursery, cause="no heartbeat, and the state's end stands still")
+            # Another claim may have come since the last look; two claims cost a second takeover.
+            await self._look()
+            if self._election.next_move(trio.current_time()) is Move.CLAIM:
+                await self._claim(nursery, cause="no heartbeat, and the state's end stands still")
 
     async def _look(self) -> None:
         answer = await self._parts.state.look()
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -34,6 +34,7 @@
 from galenastall.transport.http_client import HttpClient
 from galenastall.transport.http_server import HttpServer
 from galenastall.transport.logs import Recorder
+from galenastall.transport.peer_link import ZmqPeerLink
 
 EXIT_SETTINGS: Final = 2
 """Exit code when the settings can't be used."""
@@ -104,13 +105,19 @@
         self.host = CellHost(
             settings=CellHostSettings(
                 host_id=HostId(settings.host_id),
-                incarnation=incarnation,
-                peer_bind=settings.peer_bind,
+                peer_address=settings.peer_bind,
                 weight=settings.cores,
                 claim_delay_s=settings.claim_delay_s(random.random()),
                 may_start=settings.may_start,
             ),
             ports=self._ports(PlatformCalls(client=client)),
+            link=ZmqPeerLink(
+                host_id=HostId(settings.host_id),
+                incarnation=incarnation,
+                clock=clock,
+                bind=settings.peer_bind,
+                log_error=self.recorder.record_error,
+            ),
             timings=replace(CellTimings(), lease_s=settings.longest_lease_s),
             clock=clock,
             recorder=self.recorder,
--- /dev/null
+++ b/tests/cell/cluster.py
@@ -0,0 +1,195 @@
+"""Cell hosts in one process over a world in memory, and callers that hand jobs in."""
+
+from dataclasses import dataclass
+from random import Random
+
+import trio
+from cell.world import HostView, MemoryLink, World
+
+from galenastall.coordination.cell.timings import CellTimings
+from galenastall.node.cell.cell_host import CellHost, CellHostSettings, CellPorts
+from galenastall.protocol.cell.messages import SubmitVerdict
+from galenastall.state.cell.jobs import CellJob, Step
+from galenastall.state.cell.phases import ENDED_PHASES, JobPhase
+from galenastall.state.ids import HostId
+from galenastall.state.resources import Resources
+from galenastall.state.timeline_ring import TimelineRing
+from galenastall.transport.clock import TrioClock
+from galenastall.transport.logs import Recorder
+
+TIMINGS = CellTimings()
+
+
+@dataclass(kw_only=True)
+class LiveHost:
+    """A host that runs, and the scope that kills it."""
+
+    host: CellHost
+    scope: trio.CancelScope
+    recorder: Recorder
+
+
+class Cluster:
+    """Some hosts that are killed, cut off and started again."""
+
+    def __init__(self, *, world: World, rng: Random, nursery: trio.Nursery, hosts: int = 3) -> None:
+        self.world = world
+        self.rng = rng
+        self.nursery = nursery
+        self.live: dict[str, LiveHost] = {}
+        self.all_recorders: list[Recorder] = []
+        """Recorders of all lives of all hosts, to see afterwards what they did."""
+        self.names = [f"entry-{number}" for number in range(hosts)]
+        self.accepted: set[str] = set()
+        self.refused: set[str] = set()
+        self.cancelled: set[str] = set()
+        """Jobs whose cancelling was acknowledged."""
+        self.cancel_asked: set[str] = set()
+
+    async def start_all(self) -> None:
+        for name in self.names:
+            await self.start(name)
+
+    async def start(self, name: str) -> None:
+        """Start a host's process."""
+        view = HostView(world=self.world, host_id=name)
+        clock = TrioClock(wall_at_start=1_000.0 + trio.current_time())
+        recorder = Recorder(process=name, clock=clock, ring=TimelineRing(capacity=20_000))
+        self.all_recorders.append(recorder)
+        host = CellHost(
+            settings=CellHostSettings(
+                host_id=HostId(name),
+                peer_address=name,
+                weight=1.0,
+                claim_delay_s=0.06 * self.names.index(name),
+                may_start=True,
+            ),
+            ports=CellPorts(state=view, fleet=view, config=view, executors=view, advisor=None),
+            link=MemoryLink(world=self.world, host_id=name),
+            timings=TIMINGS,
+            clock=clock,
+            recorder=recorder,
+        )
+        scope = trio.CancelScope()
+        self.live[name] = LiveHost(host=host, scope=scope, recorder=recorder)
+
+        async def run(task_status: trio.TaskStatus[None]) -> None:
+            with scope:
+                await host.run(task_status=task_status)
+
+        await self.nursery.start(run)
+
+    def kill(self, name: str) -> None:
+        """Kill a host's process."""
+        live = self.live.pop(name, None)
+        if live is not None:
+            self.world.links.pop(name, None)
+            live.scope.cancel()
+
+    @property
+    def leader(self) -> str | None:
+        """The host that leads with the highest token."""
+        terms = [
+            (live.host.standing.term.token, name)
+            for name, live in self.live.items()
+            if live.host.standing.term is not None
+        ]
+        return max(terms)[1] if terms else None
+
+    async def wait_for_leader(self, timeout_s: float = 10.0) -> str:
+        with trio.fail_after(timeout_s):
+            while True:
+                name = self.leader
+                term = self.live[name].host.standing.term if name else None
+                if name is not None and term is not None and term.ready.is_set():
+                    return name
+                await trio.sleep(0.02)
+
+    def any_host(self) -> CellHost | None:
+        names = sorted(self.live)
+        return self.live[self.rng.choice(names)].host if names else None
+
+    async def submit(self, job: CellJob, tries: int = 3) -> bool:
+        """Hand a job in as a caller does, with retries at any host."""
+        self.world.jobs[job.job_id] = job
+        was_rejected = True
+        for _ in range(tries):
+            host = self.any_host()
+            if host is None:
+                await trio.sleep(0.5)
+                continue
+            submitted = await host.desk.submit(job, patience_s=3.0)
+            if submitted.verdict is SubmitVerdict.ACCEPTED:
+                self.accepted.add(job.job_id)
+                return True
+            was_rejected = was_rejected and submitted.verdict is SubmitVerdict.NOT_RUN
+            await trio.sleep(0.3)
+        if was_rejected:
+            self.refused.add(job.job_id)
+        return False
+
+    async def cancel(self, job_id: str) -> bool:
+        host = self.any_host()
+        if host is None:
+            return False
+        self.cancel_asked.add(job_id)
+        answer = await host.desk.cancel(job_id, patience_s=3.0)
+        if answer.value_or(None) is JobPhase.CANCELLED:
+            self.cancelled.add(job_id)
+            return True
+        return False
+
+    async def phase(self, job_id: str) -> JobPhase | None:
+        """Return a job's phase once a host answers."""
+        while True:
+            host = self.any_host()
+            if host is not None:
+                answer = await host.desk.phase(job_id, patience_s=3.0)
+                if answer.value_or("no answer") != "no answer":
+                    return answer.unwrap()
+            await trio.sleep(0.2)
+
+    async def wait_ended(self, job_id: str, timeout_s: float = 60.0) -> JobPhase | None:
+        with trio.move_on_after(timeout_s):
+            while True:
+                phase = await self.phase(job_id)
+                if phase is None or phase in ENDED_PHASES:
+                    return phase
+                await trio.sleep(0.2)
+        return JobPhase.RUNNING
+
+    def check_refusals(self) -> None:
+        """A job whose submissions were all refused has never run."""
+        started = {
+            task.job
+            for executor in self.world.executors.values()
+            for task in executor.dead_runs.keys() | executor.runs.keys()
+        }
+        for job_id in self.refused & started:
+            self.world.violations.append(f"{job_id} was refused and ran")
+
+
+def make_job(world: World, rng: Random, number: int) -> CellJob:
+    """Return a job of one or two steps, some of them gangs."""
+    steps = [_make_step(rng, ())]
+    if rng.random() < 0.4:
+        steps.append(_make_step(rng, (0,)))
+    return CellJob(
+        job_id=f"{number:016x}",
+        queue=world.queue,
+        payload=f"payload {number}",
+        steps=tuple(steps),
+        submitted_at=1_000.0 + trio.current_time(),
+    )
+
+
+def _make_step(rng: Random, after: tuple[int, ...]) -> Step:
+    is_gang = rng.random() < 0.3
+    return Step(
+        count=rng.randint(2, 5) if is_gang else rng.randint(1, 6),
+        need=Resources(cores_milli=rng.choice([500, 1000, 2000]), memory_mb=1000),
+        estimate_s=1.0,
+        after=after,
+        is_gang=is_gang,
+        most_per_executor=0 if is_gang else rng.choice([0, 0, 2]),
+    )
--- /dev/null
+++ b/tests/cell/world.py
@@ -0,0 +1,561 @@
+"""A platform in memory for cell hosts: store, executors, links and faults, all on trio's clock.
+
+It plays what the platform promises and no more: calls may be refused, cut off, left unanswered after
+they were carried out, or carried out seconds later. It watches for what must never happen.
+"""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import trio
+from returns.result import Failure, Result, Success
+
+from galenastall.coordination.cell.commands import StartOrder, StopOrder
+from galenastall.coordination.cell.executors import ExecutorInfo
+from galenastall.coordination.cell.listings import ListedEnd, ListedRun, Listing
+from galenastall.protocol.cell.config import CellConfig, QueueRoute
+from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
+from galenastall.protocol.cell.ports import LeaderRecord, StoreView
+from galenastall.state.cell.jobs import CellJob, Queue, Step, TaskKey
+from galenastall.state.cell.phases import RunEnd
+from galenastall.state.errors import Reason, StepError
+from galenastall.state.ids import HostId
+from galenastall.state.resources import NOTHING, Resources
+
+GANG_WAIT_S = 3.0
+STOP_S = 0.2
+CAPACITY = Resources(cores_milli=8000, memory_mb=32000)
+
+
+@dataclass(kw_only=True)
+class Faults:
+    """What goes wrong now; changed by tests while hosts run."""
+
+    cut: set[tuple[str, str]] = field(default_factory=set)
+    """Pairs of caller and callee between which calls get lost."""
+    store_refuses: set[str] = field(default_factory=set)
+    """Hosts that the store turns away."""
+    lost: float = 0.0
+    """Share of calls that are carried out and not answered."""
+    late: float = 0.0
+    """Share of calls that are not answered and carried out 2 to 6 s later."""
+    slow_s: float = 0.0
+    """Added to each answer of the store."""
+
+    def clear(self) -> None:
+        """End all trouble."""
+        self.cut.clear()
+        self.store_refuses.clear()
+        self.lost = self.late = self.slow_s = 0.0
+
+
+@dataclass(kw_only=True)
+class Run:
+    """A run on an executor."""
+
+    task: TaskKey
+    run: int
+    need: Resources
+    ends_at: float | None
+    fails: bool
+    stops_at: float | None = None
+    waits_until: float | None = None
+
+
+class Executor:
+    """One life of an executor, by the rules of the platform's pages."""
+
+    def __init__(self, *, world: "World", executor_id: str, host: str, rate: float) -> None:
+        self.world = world
+        self.info = ExecutorInfo(
+            executor_id=executor_id,
+            host=host,
+            address=executor_id,
+            data_centre="dc",
+            service="service",
+            capacity=CAPACITY,
+            labels=("a",),
+        )
+        self.rate = rate
+        self.born = trio.current_time()
+        self.is_up = True
+        self.fence = 0
+        self.deadline_ms = 0.0
+        self.runs: dict[TaskKey, Run] = {}
+        self.ended: list[ListedEnd] = []
+        self.position = 0
+        self.dead_runs: dict[TaskKey, int] = {}
+        self.changed = trio.Event()
+
+    def clock_ms(self) -> float:
+        return (trio.current_time() - self.born) * 1000.0 * self.rate + 500_000.0
+
+    def sweep(self) -> None:
+        """Bring the runs up to now."""
+        now = trio.current_time()
+        if not self.is_up:
+            return
+        if self.clock_ms() >= self.deadline_ms:
+            lapsed_at = now - (self.clock_ms() - self.deadline_ms) / 1000.0 / self.rate
+            self._end_due(lapsed_at)
+            for run in list(self.runs.values()):
+                self.end(run, RunEnd.LAPSED)
+        self._end_due(now)
+
+    def _end_due(self, now: float) -> None:
+        for run in list(self.runs.values()):
+            if run.task not in self.runs:
+                continue
+            if run.stops_at is not None and run.stops_at <= now:
+                self.end(run, RunEnd.STOPPED)
+            elif run.waits_until is not None and run.waits_until <= now:
+                self.world.alone.append((run.task, run.run))
+                self.end(run, RunEnd.ALONE)
+            elif run.ends_at is not None and run.ends_at <= now:
+                self.end(run, RunEnd.FAILED if run.fails else RunEnd.DONE)
+
+    def end(self, run: Run, how: RunEnd) -> None:
+        if self.runs.pop(run.task, None) is None:
+            return
+        self.position += 1
+        self.dead_runs[run.task] = max(self.dead_runs.get(run.task, 0), run.run)
+        self.ended.append(ListedEnd(position=self.position, task=run.task, run=run.run, end=how))
+        self.world.on_end(self, run, how)
+        event, self.changed = self.changed, trio.Event()
+        event.set()
+
+    def start(self, order: StartOrder, deadline_ms: float, token: int) -> StartVerdict:
+        self.world.sweep()
+        if token < self.fence:
+            return StartVerdict.FENCED
+        self.fence = token
+        self.deadline_ms = max(self.deadline_ms, deadline_ms)
+        there = self.runs.get(order.task)
+        if there is not None and there.run == order.run:
+            return StartVerdict.STARTED
+        if there is not None or order.run <= self.dead_runs.get(order.task, 0):
+            return StartVerdict.OLD_RUN
+        if deadline_ms <= self.clock_ms():
+            return StartVerdict.TOO_LATE
+        run = self.world.on_start(self, order)
+        self.runs[order.task] = run
+        self.world.check_room(self)
+        self.world.join_gang(run)
+        return StartVerdict.STARTED
+
+    def stop(self, order: StopOrder, token: int) -> StartVerdict:
+        self.world.sweep()
+        if token < self.fence:
+            return StartVerdict.FENCED
+        self.fence = token
+        self.dead_runs[order.task] = max(self.dead_runs.get(order.task, 0), order.run)
+        there = self.runs.get(order.task)
+        if there is not None and there.run <= order.run and there.stops_at is None:
+            there.stops_at = trio.current_time() + STOP_S
+        return StartVerdict.STARTED
+
+    def hold(self, deadline_ms: float | None, noted: int, token: int) -> StartVerdict:
+        self.world.sweep()
+        if token < self.fence:
+            return StartVerdict.FENCED
+        self.fence = token
+        if deadline_ms is not None:
+            self.deadline_ms = max(self.deadline_ms, deadline_ms)
+        for end in self.ended:
+            if end.position <= noted:
+                self.world.on_noted(end)
+        self.ended = [end for end in self.ended if end.position > noted]
+        return StartVerdict.STARTED
+
+    def listing(self) -> Listing:
+        self.world.sweep()
+        now = trio.current_time()
+        return Listing(
+            clock_ms=int(self.clock_ms()),
+            running=tuple(
+                ListedRun(task=run.task, run=run.run, percent=min(99, int(now * 10) % 100))
+                for run in self.runs.values()
+            ),
+            ended=tuple(self.ended[:500]),
+        )
+
+
+class Store:
+    """Keyed topics with epochs and sequence numbers."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, bytes] = {}
+        self.tip = 0
+        self.epoch = 0
+        self.last_sequence = -1
+        self.claims: list[tuple[str, str]] = []
+
+    def claim(self, host_id: str, address: str) -> int:
+        self.claims.append((host_id, address))
+        return len(self.claims)
+
+    def fence(self, token: int) -> bool:
+        if token < self.epoch:
+            return False
+        if token > self.epoch:
+            self.epoch, self.last_sequence = token, -1
+        return True
+
+    def append(self, token: int, sequence: int, values: dict[str, bytes]) -> bool:
+        if not self.fence(token):
+            return False
+        if sequence <= self.last_sequence:
+            return True
+        self.last_sequence = sequence
+        self.tip += len(values)
+        for key, value in values.items():
+            if value:
+                self.values[key] = value
+            else:
+                self.values.pop(key, None)
+        return True
+
+
+class World:
+    """Everything outside the hosts, and the watch over what must hold."""
+
+    def __init__(self, *, rng: Random, nursery: trio.Nursery, executors: int = 4) -> None:
+        self.rng = rng
+        self.nursery = nursery
+        self.faults = Faults()
+        self.store = Store()
+        self.links: dict[str, MemoryLink] = {}
+        self.executors: dict[str, Executor] = {}
+        self.listed: dict[str, ExecutorInfo] = {}
+        self.jobs: dict[str, CellJob] = {}
+        self.violations: list[str] = []
+        self.alone: list[tuple[TaskKey, int]] = []
+        self.noted_done: set[TaskKey] = set()
+        self.done: set[TaskKey] = set()
+        self.starts = 0
+        self.starts_of: defaultdict[TaskKey, list[float]] = defaultdict(list)
+        self.noted_ends: defaultdict[TaskKey, list[tuple[float, RunEnd]]] = defaultdict(list)
+        self.ended_at: dict[tuple[TaskKey, int], float] = {}
+        self.gangs: defaultdict[tuple[Any, ...], dict[TaskKey, Run]] = defaultdict(dict)
+        self.queue = Queue(name="queue", service="service", max_attempts=3, stretch=4.0)
+        self.config = CellConfig(
+            version=1, routes=(QueueRoute(host="q", path_prefix="/q/", queue=self.queue),)
+        )
+        self.fail_share = 0.05
+        self._lives = 0
+        for number in range(executors):
+            self.give_life(f"host-{number}")
+
+    def give_life(self, host: str) -> Executor:
+        """Start a new life on a host."""
+        self._lives += 1
+        executor = Executor(
+            world=self,
+            executor_id=f"executor-{self._lives}",
+            host=host,
+            rate=self.rng.choice([1.0, 0.98, 0.99]),
+        )
+        self.executors[executor.info.executor_id] = executor
+        self.listed[executor.info.executor_id] = executor.info
+        return executor
+
+    def crash(self, executor: Executor) -> None:
+        """End a life, with all that runs there; its entry stays listed for a while."""
+        self.sweep()
+        executor.is_up = False
+        for run in list(executor.runs.values()):
+            if executor.runs.pop(run.task, None) is not None:
+                self._break_gang(run)
+
+    def sweep(self) -> None:
+        for executor in self.executors.values():
+            executor.sweep()
+
+    def step_of(self, task: TaskKey) -> Step:
+        return self.jobs[task.job].steps[task.step]
+
+    def on_start(self, executor: Executor, order: StartOrder) -> Run:
+        self.starts += 1
+        task = order.task
+        step = self.step_of(task)
+        for other in self.executors.values():
+            if task in other.runs and other is not executor:
+                self.violations.append(f"{task} runs twice at {trio.current_time():.2f}")
+        if task in self.noted_done:
+            self.violations.append(f"{task} starts after its end was noted")
+        self.starts_of[task].append(trio.current_time())
+        for earlier in step.after:
+            for number in range(self.jobs[task.job].steps[earlier].count):
+                before = TaskKey(task.job, task.occurrence, earlier, number)
+                is_done = before in self.done or self.jobs[task.job].steps[earlier].is_gang
+                if not is_done:
+                    self.violations.append(f"{task} starts before {before}")
+        lasts_s = self.rng.uniform(0.2, 2.5)
+        return Run(
+            task=task,
+            run=order.run,
+            need=step.need,
+            ends_at=None if step.is_gang else trio.current_time() + lasts_s,
+            fails=self.rng.random() < self.fail_share,
+            waits_until=trio.current_time() + GANG_WAIT_S if step.is_gang else None,
+        )
+
+    def join_gang(self, run: Run) -> None:
+        step = self.step_of(run.task)
+        if not step.is_gang:
+            return
+        members = self.gangs[(*run.task.step_key, run.run)]
+        members[run.task] = run
+        if len(members) == step.count:
+            ends_at = trio.current_time() + self.rng.uniform(0.2, 2.0)
+            fails = any(member.fails for member in members.values())
+            first = min(members)
+            for member in members.values():
+                member.waits_until = None
+                member.fails = fails and member.task == first
+                # The others of a failed run are broken by the one that fails.
+                member.ends_at = ends_at if member.fails or not fails else None
+
+    def check_room(self, executor: Executor) -> None:
+        used = NOTHING
+        for run in executor.runs.values():
+            used = used + run.need
+        if not used.fits_in(executor.info.capacity):
+            self.violations.append(f"{executor.info.executor_id} is over its capacity: {used}")
+
+    def on_end(self, executor: Executor, run: Run, how: RunEnd) -> None:
+        self.ended_at.setdefault((run.task, run.run), trio.current_time())
+        if how is RunEnd.DONE:
+            self.done.add(run.task)
+        if how is not RunEnd.DONE:
+            self._break_gang(run)
+
+    def _break_gang(self, run: Run) -> None:
+        if not self.step_of(run.task).is_gang:
+            return
+        members = self.gangs[(*run.task.step_key, run.run)]
+        members.pop(run.task, None)
+        for executor in self.executors.values():
+            for member in list(members.values()):
+                if executor.runs.get(member.task) is member:
+                    executor.end(member, RunEnd.BROKEN)
+
+    def on_noted(self, end: ListedEnd) -> None:
+        self.noted_ends[end.task].append((self.ended_at[end.task, end.run], end.end))
+        if end.end is RunEnd.DONE and not self.step_of(end.task).is_gang:
+            self.noted_done.add(end.task)
+
+    def check_history(self) -> None:
+        """Check starts against ends that were taken note of, also those noted after the start."""
+        for task, starts in self.starts_of.items():
+            ends = self.noted_ends[task]
+            is_gang = self.step_of(task).is_gang
+            for started in starts:
+                before = [how for at, how in ends if at < started]
+                if RunEnd.DONE in before and not is_gang:
+                    self.violations.append(f"{task} starts after it was done")
+                if before.count(RunEnd.FAILED) >= self.queue.max_attempts:
+                    self.violations.append(f"{task} starts after {before.count(RunEnd.FAILED)}")
+
+
+class HostView:
+    """The platform's ports as one host reaches them."""
+
+    def __init__(self, *, world: World, host_id: str) -> None:
+        self.world = world
+        self.host_id = host_id
+
+    async def _call(self, callee: str, timeout_s: float, act: Any) -> Result[Any, StepError]:
+        """Carry a call out, or what the faults make of it."""
+        world, faults = self.world, self.world.faults
+        await trio.sleep(world.rng.uniform(0.001, 0.004))
+        if callee == "store" and self.host_id in faults.store_refuses:
+            return self._failure(callee, Reason.UNAVAILABLE)
+        if (self.host_id, callee) in faults.cut:
+            await trio.sleep(timeout_s)
+            return self._failure(callee, Reason.TIMEOUT)
+        if world.rng.random() < faults.late:
+            world.nursery.start_soon(self._act_late, act, world.rng.uniform(2.0, 6.0))
+            await trio.sleep(timeout_s)
+            return self._failure(callee, Reason.TIMEOUT)
+        found = act()
+        if world.rng.random() < faults.lost:
+            await trio.sleep(timeout_s)
+            return self._failure(callee, Reason.TIMEOUT)
+        slow_s = faults.slow_s if callee == "store" else 0.0
+        await trio.sleep(world.rng.uniform(0.001, 0.004) + slow_s)
+        return Success(found)
+
+    async def _act_late(self, act: Any, after_s: float) -> None:
+        await trio.sleep(after_s)
+        act()
+
+    def _failure(self, callee: str, reason: Reason) -> Failure[StepError]:
+        return Failure(StepError(step="world.call", peer=callee, reason=reason))
+
+    async def claim(self, *, host_id: str, address: str) -> Result[int, StepError]:
+        return await self._call("store", 1.0, lambda: self.world.store.claim(host_id, address))
+
+    async def fence(self, *, token: int) -> Result[None, StepError]:
+        answer = await self._call("store", 1.0, lambda: self.world.store.fence(token))
+        return self._checked(answer)
+
+    async def append(
+        self, *, token: int, sequence: int, values_by_key: dict[str, bytes], timeout_s: float
+    ) -> Result[None, StepError]:
+        store = self.world.store
+        answer = await self._call(
+            "store", timeout_s, lambda: store.append(token, sequence, values_by_key)
+        )
+        return self._checked(answer)
+
+    def _checked(self, answer: Result[bool, StepError]) -> Result[None, StepError]:
+        if isinstance(answer, Failure):
+            return answer
+        if not answer.unwrap():
+            return self._failure("store", Reason.CONFLICT)
+        return Success(None)
+
+    async def load(self) -> Result[dict[str, bytes], StepError]:
+        return await self._call("store", 1.0, lambda: dict(self.world.store.values))
+
+    async def look(self) -> Result[StoreView, StepError]:
+        return await self._call("store", 1.0, self._view)
+
+    def _view(self) -> StoreView:
+        store = self.world.store
+        leader = None
+        if store.claims:
+            host_id, address = store.claims[-1]
+            leader = LeaderRecord(token=len(store.claims), host_id=host_id, address=address)
+        return StoreView(leader=leader, tip=store.tip)
+
+    async def read(self) -> Result[tuple[ExecutorInfo, ...], StepError]:
+        return await self._call("store", 1.0, lambda: tuple(self.world.listed.values()))
+
+    async def wait(self) -> Result[CellConfig | None, StepError]:
+        await trio.sleep(0.5)
+        return await self._call("store", 1.0, lambda: self.world.config)
+
+    def _executor(self, executor_id: str) -> Executor | None:
+        executor = self.world.executors.get(executor_id)
+        return executor if executor is not None and executor.is_up else None
+
+    async def start(
+        self, *, address: str, order: StartOrder, deadline_ms: int, token: int, timeout_s: float
+    ) -> Result[OrderAnswer, StepError]:
+        return await self._order(
+            order.executor_id, timeout_s, lambda e: e.start(order, deadline_ms, token)
+        )
+
+    async def stop(
+        self, *, address: str, order: StopOrder, token: int, timeout_s: float
+    ) -> Result[OrderAnswer, StepError]:
+        return await self._order(order.executor_id, timeout_s, lambda e: e.stop(order, token))
+
+    async def _order(
+        self, executor_id: str, timeout_s: float, act: Any
+    ) -> Result[OrderAnswer, StepError]:
+        if self._executor(executor_id) is None:
+            await trio.sleep(timeout_s)
+            return self._failure(executor_id, Reason.TIMEOUT)
+
+        def carry_out() -> OrderAnswer | None:
+            executor = self._executor(executor_id)
+            if executor is None:
+                return None
+            return OrderAnswer(verdict=act(executor), clock_ms=int(executor.clock_ms()))
+
+        answer = await self._call(executor_id, timeout_s, carry_out)
+        if isinstance(answer, Success) and answer.unwrap() is None:
+            return self._failure(executor_id, Reason.CUT)
+        return answer
+
+    async def renew(
+        self,
+        *,
+        address: str,
+        executor_id: str,
+        deadline_ms: int | None,
+        noted: int,
+        wait_s: float,
+        token: int,
+        timeout_s: float,
+    ) -> Result[ListingAnswer, StepError]:
+        answer = await self._order(
+            executor_id, timeout_s, lambda e: e.hold(deadline_ms, noted, token)
+        )
+        if isinstance(answer, Failure):
+            return answer
+        verdict = answer.unwrap().verdict
+        executor = self._executor(executor_id)
+        if verdict is not StartVerdict.STARTED or executor is None:
+            return Success(ListingAnswer(verdict=verdict, listing=None))
+        until = trio.current_time() + wait_s
+        while trio.current_time() < until:
+            executor.sweep()
+            if executor.ended or not executor.is_up:
+                break
+            with trio.move_on_after(min(0.05, until - trio.current_time())):
+                await executor.changed.wait()
+        if not executor.is_up or (self.host_id, executor_id) in self.world.faults.cut:
+            await trio.sleep(0.5)
+            return self._failure(executor_id, Reason.TIMEOUT)
+        listing = executor.listing()
+        await trio.sleep(self.world.rng.uniform(0.001, 0.003))
+        return Success(ListingAnswer(verdict=verdict, listing=listing))
+
+
+class MemoryLink:
+    """A peer link in memory; messages pass unless the pair is cut."""
+
+    def __init__(self, *, world: World, host_id: str) -> None:
+        self.world = world
+        self._host_id = HostId(host_id)
+        self._handlers: dict[type[Any], Any] = {}
+        self._nursery: trio.Nursery | None = None
+        self._peers: dict[HostId, str] = {}
+
+    @property
+    def host_id(self) -> HostId:
+        return self._host_id
+
+    def set_peers(self, addresses_by_id: dict[HostId, str]) -> None:
+        self._peers = dict(addresses_by_id)
+
+    def handle(self, message_type: type[Any], handler: Any) -> None:
+        self._handlers[message_type] = handler
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self.world.links[self._host_id] = self
+            task_status.started()
+            await trio.sleep_forever()
+
+    def _reach(self, peer: str) -> "MemoryLink | None":
+        is_cut = (self._host_id, peer) in self.world.faults.cut
+        known = peer == self._host_id or peer in self._peers
+        return self.world.links.get(peer) if known and not is_cut else None
+
+    async def call(self, *, peer: HostId, message: object, timeout_s: float) -> Any:
+        target = self._reach(peer)
+        if target is None:
+            await trio.sleep(0.01)
+            reason = Reason.UNREACHABLE
+            return Failure(StepError(step="world.peer", peer=peer, reason=reason))
+        with trio.move_on_after(timeout_s):
+            await trio.sleep(0.001)
+            answer = await target._handlers[type(message)](self._host_id, message)
+            if self.world.links.get(peer) is target:
+                return Failure(answer) if isinstance(answer, StepError) else Success(answer)
+            await trio.sleep_forever()
+        return Failure(StepError(step="world.peer", peer=peer, reason=Reason.TIMEOUT))
+
+    def send(self, *, peer: HostId, message: object) -> None:
+        target = self._reach(peer)
+        if target is not None and target._nursery is not None:
+            handler = target._handlers[type(message)]
+            target._nursery.start_soon(handler, self._host_id, message)
--- /dev/null
+++ b/tests/test_cell_leadership.py
@@ -0,0 +1,295 @@
+"""Leadership, recovery and work of a cell over a platform in memory."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import pytest
+import trio
+import trio.testing
+from cell.cluster import Cluster, make_job
+from cell.world import World
+
+from galenastall.state.cell.phases import JobPhase
+
+Scenario = Callable[[Cluster, World, Random], Awaitable[None]]
+
+
+async def play(scenario: Scenario, *, seed: int, hosts: int = 3, executors: int = 4) -> Cluster:
+    """Play a scenario on a cluster; fails on anything that must never happen."""
+    rng = Random(seed)
+    async with trio.open_nursery() as nursery:
+        world = World(rng=rng, nursery=nursery, executors=executors)
+        cluster = Cluster(world=world, rng=rng, nursery=nursery, hosts=hosts)
+        await cluster.start_all()
+        await scenario(cluster, world, rng)
+        cluster.check_refusals()
+        world.check_history()
+        nursery.cancel_scope.cancel()
+    assert world.violations == []
+    return cluster
+
+
+async def hand_in(cluster: Cluster, world: World, rng: Random, jobs: int, every_s: float) -> None:
+    for number in range(jobs):
+        cluster.nursery.start_soon(cluster.submit, make_job(world, rng, number))
+        await trio.sleep(rng.uniform(0.0, 2 * every_s))
+
+
+async def check_all_end(cluster: Cluster, timeout_s: float = 90.0) -> None:
+    for job_id in sorted(cluster.accepted):
+        phase = await cluster.wait_ended(job_id, timeout_s)
+        wanted = {JobPhase.COMPLETED, JobPhase.FAILED}
+        if job_id in cluster.cancelled:
+            wanted = {JobPhase.CANCELLED}
+        elif job_id in cluster.cancel_asked:
+            wanted = wanted | {JobPhase.CANCELLED}
+        assert phase in wanted, f"{job_id} is {phase}"
+
+
+class TestQuiet:
+    async def test_jobs_are_accepted_run_and_completed(self, autojump_clock: object) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            world.fail_share = 0.0
+            await cluster.wait_for_leader()
+            await hand_in(cluster, world, rng, 30, 0.1)
+            await check_all_end(cluster)
+            assert len(cluster.accepted) == 30
+            phases = {await cluster.phase(job) for job in cluster.accepted}
+            assert phases == {JobPhase.COMPLETED}
+            assert world.alone == []
+
+        await play(scenario, seed=1)
+
+    async def test_a_job_that_fails_too_often_is_shown_as_failed(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            world.fail_share = 1.0
+            await cluster.wait_for_leader()
+            await hand_in(cluster, world, rng, 4, 0.1)
+            await check_all_end(cluster)
+            assert {await cluster.phase(job) for job in cluster.accepted} == {JobPhase.FAILED}
+
+        await play(scenario, seed=2)
+
+    async def test_a_cancelled_job_stops_and_stays_cancelled(self, autojump_clock: object) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            await cluster.wait_for_leader()
+            job = make_job(world, rng, 1)
+            assert await cluster.submit(job)
+            await trio.sleep(0.1)
+            assert await cluster.cancel(job.job_id)
+            await trio.sleep(1.5)
+            world.sweep()
+            assert all(not executor.runs for executor in world.executors.values())
+            assert await cluster.submit(job)
+            assert await cluster.phase(job.job_id) is JobPhase.CANCELLED
+
+        await play(scenario, seed=3)
+
+    async def test_an_unknown_job_is_not_there(self, autojump_clock: object) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            await cluster.wait_for_leader()
+            assert await cluster.phase("f" * 16) is None
+
+        await play(scenario, seed=4)
+
+
+class TestTakeover:
+    async def test_a_killed_leader_is_replaced_within_two_seconds(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            first = await cluster.wait_for_leader()
+            await hand_in(cluster, world, rng, 10, 0.05)
+            await trio.sleep(0.5)
+            killed_at = trio.current_time()
+            cluster.kill(first)
+            second = await cluster.wait_for_leader()
+            assert second != first
+            assert trio.current_time() - killed_at < 2.0
+            await check_all_end(cluster)
+
+        await play(scenario, seed=5)
+
+    async def test_a_stopping_leader_hands_over_at_once(self, autojump_clock: object) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            first = await cluster.wait_for_leader()
+            await hand_in(cluster, world, rng, 10, 0.05)
+            await trio.sleep(1.0)
+            asked_at = trio.current_time()
+            cluster.nursery.start_soon(cluster.live[first].host.leave)
+            await trio.sleep(0.01)
+            second = await cluster.wait_for_leader()
+            assert second != first
+            assert trio.current_time() - asked_at < 0.3
+            await check_all_end(cluster)
+
+        await play(scenario, seed=6)
+
+    async def test_a_leader_that_the_store_turns_away_is_replaced(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            first = await cluster.wait_for_leader()
+            await trio.sleep(1.0)
+            world.faults.store_refuses.add(first)
+            refused_at = trio.current_time()
+            while cluster.leader == first:
+                await trio.sleep(0.02)
+            await cluster.wait_for_leader()
+            assert trio.current_time() - refused_at < 3.0
+            await hand_in(cluster, world, rng, 10, 0.05)
+            await check_all_end(cluster)
+
+        await play(scenario, seed=7)
+
+    async def test_a_host_that_only_it_can_not_hear_the_leader_claims_nothing(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            first = await cluster.wait_for_leader()
+            await trio.sleep(1.0)
+            other = next(name for name in cluster.names if name != first)
+            world.faults.cut |= {(first, other), (other, first)}
+            claims = len(world.store.claims)
+            await trio.sleep(10.0)
+            assert len(world.store.claims) == claims
+            assert cluster.leader == first
+
+        await play(scenario, seed=8)
+
+    async def test_all_hosts_lost_at_once_come_back_with_every_accepted_job(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            await cluster.wait_for_leader()
+            await hand_in(cluster, world, rng, 20, 0.05)
+            for name in cluster.names:
+                cluster.kill(name)
+            await trio.sleep(1.0)
+            await cluster.start_all()
+            await check_all_end(cluster)
+
+        await play(scenario, seed=9)
+
+
+class TestExecutors:
+    async def test_a_crashed_executor_s_work_runs_elsewhere(self, autojump_clock: object) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            await cluster.wait_for_leader()
+            await hand_in(cluster, world, rng, 10, 0.02)
+            victim = world.executors["executor-1"]
+            world.crash(victim)
+            await trio.sleep(3.0)
+            del world.listed["executor-1"]
+            world.give_life("host-0")
+            await check_all_end(cluster)
+
+        await play(scenario, seed=10)
+
+    async def test_a_cut_executor_s_runs_are_waited_for(self, autojump_clock: object) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            await cluster.wait_for_leader()
+            await hand_in(cluster, world, rng, 10, 0.02)
+            for name in cluster.names:
+                world.faults.cut.add((name, "executor-2"))
+            del world.listed["executor-2"]
+            await trio.sleep(15.0)
+            world.faults.clear()
+            world.listed["executor-2"] = world.executors["executor-2"].info
+            await check_all_end(cluster)
+
+        await play(scenario, seed=11)
+
+
+async def trouble(cluster: Cluster, world: World, rng: Random, until: float) -> None:
+    """Bring about random trouble, a few at a time, until then."""
+    while trio.current_time() < until:
+        kind = rng.randrange(9)
+        names = sorted(cluster.live)
+        lasts_s = rng.uniform(0.5, 6.0)
+        if kind == 0 and names:
+            name = rng.choice(names)
+            cluster.kill(name)
+            await trio.sleep(rng.uniform(0.2, 2.0))
+            await cluster.start(name)
+            continue
+        if kind == 1 and cluster.leader:
+            name = cluster.leader
+            cluster.kill(name)
+            await trio.sleep(rng.uniform(0.2, 2.0))
+            await cluster.start(name)
+            continue
+        if kind == 2:
+            name = cluster.leader if cluster.leader and rng.random() < 0.7 else cluster.names[0]
+            world.faults.store_refuses.add(name)
+        elif kind == 3:
+            name = rng.choice(cluster.names)
+            for other in (*cluster.names, "store"):
+                world.faults.cut |= {(name, other), (other, name)} - {(name, name)}
+        elif kind == 4:
+            name = rng.choice(sorted(world.executors))
+            for host in cluster.names:
+                if rng.random() < 0.8:
+                    world.faults.cut.add((host, name))
+        elif kind == 5:
+            world.faults.lost = rng.choice([0.02, 0.2])
+        elif kind == 6:
+            world.faults.late = rng.choice([0.02, 0.1])
+        elif kind == 7:
+            for host in cluster.names:
+                world.faults.cut.add((host, "store"))
+        else:
+            world.faults.slow_s = 0.25
+        await trio.sleep(lasts_s)
+        if rng.random() < 0.8:
+            world.faults.clear()
+        await trio.sleep(rng.uniform(0.0, 3.0))
+
+
+async def crashes(world: World, rng: Random, until: float) -> None:
+    """Crash executors now and then; each is born again at its host."""
+    while trio.current_time() < until:
+        await trio.sleep(rng.uniform(4.0, 12.0))
+        up = [e for e in world.executors.values() if e.is_up]
+        if len(up) < 3:
+            continue
+        victim = rng.choice(up)
+        world.crash(victim)
+        await trio.sleep(rng.uniform(0.5, 3.0))
+        world.give_life(victim.info.host)
+        await trio.sleep(rng.uniform(0.0, 3.0))
+        world.listed.pop(victim.info.executor_id, None)
+
+
+async def random_trouble(cluster: Cluster, world: World, rng: Random) -> None:
+    """Hand jobs in through a minute of trouble, then see all of them ended."""
+    await cluster.wait_for_leader()
+    until = trio.current_time() + 40.0
+    cluster.nursery.start_soon(crashes, world, rng, until)
+    cluster.nursery.start_soon(hand_in, cluster, world, rng, 80, 0.4)
+    cluster.nursery.start_soon(cancels, cluster, rng, until)
+    await trouble(cluster, world, rng, until)
+    world.faults.clear()
+    for name in cluster.names:
+        if name not in cluster.live:
+            await cluster.start(name)
+    await trio.sleep(20.0)
+    await check_all_end(cluster)
+    assert world.starts > 50
+
+
+async def cancels(cluster: Cluster, rng: Random, until: float) -> None:
+    while trio.current_time() < until:
+        await trio.sleep(rng.uniform(0.5, 4.0))
+        if cluster.accepted:
+            await cluster.cancel(rng.choice(sorted(cluster.accepted)))
+
+
+class TestRandomTrouble:
+    @pytest.mark.parametrize("seed", range(100, 108))
+    async def test_nothing_runs_twice_and_nothing_accepted_is_lost(
+        self, autojump_clock: object, seed: int
+    ) -> None:
+        await play(random_trouble, seed=seed)
