Keep hosts with a leader that stands when a claim's answer is lost; drop starts of given-up runs

Ruled out: fencing (the store refused nothing wrongly), the restart of hosts. Change: claims seen at the store only reset the patience, heartbeats decide; an order is checked again right before it is sent; executors that answer are never taken as lapsed; nothing is placed while appends fail.

--- a/src/galenastall/coordination/cell/election.py
+++ b/src/galenastall/coordination/cell/election.py
@@ -43,6 +43,8 @@
         self._may_start = may_start
         self._beat: HeardBeat | None = None
         self._token = 0
+        self._claimed_token = 0
+        """The newest claim seen at the store; whoever made it may never have learned of it."""
         self._looked_at = float("-inf")
         self._tip: int | None = None
         self._tip_moved_at = 0.0
@@ -55,7 +57,7 @@
 
     @property
     def token(self) -> int:
-        """The highest token seen."""
+        """The highest token of a leader that was heard."""
         return self._token
 
     def is_heard(self, now: float) -> bool:
@@ -80,10 +82,10 @@
 
     def on_look(self, *, token: int, tip: int, now: float) -> None:
         """Take what the store shows."""
-        if token > self._token:
-            # A newer leader, which may not have reached this host yet.
-            self._token = token
-            self._beat = None
+        if token > max(self._claimed_token, self._token):
+            # A newer leader may not have reached this host yet. Until it is heard, the one before
+            # counts: a claim whose answer was lost has no leader, and fences nobody.
+            self._claimed_token = token
             self._tip_moved_at = now
             self._tip = tip
         elif self._tip is None or tip != self._tip:
--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -121,4 +121,8 @@
             return False
         if not self.is_listed and now - self.delisted_at > delisted_grace_s:
             return False
+        return self.has_answered(now=now, reach_s=reach_s)
+
+    def has_answered(self, *, now: float, reach_s: float) -> bool:
+        """Whether it has given a listing within `reach_s`."""
         return self.answered_at is not None and now - self.answered_at <= reach_s
--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -59,9 +59,7 @@
             if executor.executor_id not in listed_by_id:
                 self._miss(executor, now)
 
-    def _see(
-        self, info: ExecutorInfo, known_before: set[str], *, now: float, wall: float
-    ) -> None:
+    def _see(self, info: ExecutorInfo, known_before: set[str], *, now: float, wall: float) -> None:
         executor = self._state.executors_by_id.get(info.executor_id)
         if executor is None:
             self._end_earlier_life(info, known_before, wall)
@@ -115,6 +113,9 @@
         for executor in list(self._state.executors_by_id.values()):
             if not executor.runs_by_task or not executor.clock.has_lapsed(now):
                 continue
+            if executor.has_answered(now=now, reach_s=self._state.timings.reach_s):
+                # Its listings tell what has ended.
+                continue
             self._state.note(
                 "executor.lapsed",
                 executor.executor_id,
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -167,14 +167,27 @@
         if step.job in self._state.jobs_by_id:
             self._advice.fail(step, now)
 
-    def decide(self, *, now: float, wall: float) -> None:
-        """Open what has come due, end what has lapsed, repeat stops, and place what fits."""
+    def is_wanted(self, order: StartOrder) -> bool:
+        """Whether an order that may leave is still to be sent: its run has not been given up."""
+        found = self._state.find(order.task)
+        if found is None:
+            return False
+        task = found[2]
+        is_current = task.phase is TaskPhase.ASSIGNED and task.run == order.run
+        return is_current and not task.is_stopping
+
+    def decide(self, *, now: float, wall: float, may_place: bool = True) -> None:
+        """Open what has come due, end what has lapsed, repeat stops, and place what fits.
+
+        Nothing is placed while assignments can't be made durable (`may_place` is False).
+        """
         self._fleet.expire(now=now, wall=wall)
         self._open_all_due(wall)
         self._forget_ended(wall)
         self._fleet.move_runs(now=now)
         self._orders.repeat_stops(now)
-        self._placer.decide(now=now, wall=wall)
+        if may_place:
+            self._placer.decide(now=now, wall=wall)
 
     def take_batch(self) -> Batch:
         """Return all changes since the last batch; none of them is durable before `commit`."""
--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -135,7 +135,7 @@
         """Send a start, and again with the same run number while its fate is open."""
         context = self._context
         is_wanted = True
-        while is_wanted:
+        while is_wanted and context.core.is_wanted(order):
             outcome = await self._send_start(order)
             is_wanted = context.core.on_start(
                 order, outcome, now=trio.current_time(), wall=context.wall()
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -172,7 +172,11 @@
         if config is not None and config.version != self._config_version:
             self._config_version = config.version
             self.core.set_queues(config.queues())
-        self.core.decide(now=trio.current_time(), wall=self.context.wall())
+        self.core.decide(
+            now=trio.current_time(),
+            wall=self.context.wall(),
+            may_place=self._commits.failing_since is None,
+        )
         for ask in self.core.take_asks():
             nursery.start_soon(self._advice.ask, ask)
         for stop in self.core.take_stops():
