Test each rule of the leader; give runs that were taken over time to show progress

Cause (found by the new unit tests): after a takeover the progress of adopted runs counted from the epoch of the clock, so every run still at 0% was stopped as standing still and its executor paused. A stop was also sent twice in one decision. Change: progress counts from the first listing that shows the run; stops are ordered in one place.

--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -20,7 +20,6 @@
 show progress each 0.2 s, and a gang waits at most as long for its members."""
 STILL_PAUSE_S: Final = 4.0
 """How long an executor on which a run stood still gets no new work."""
-_WHOLE: Final = 100
 
 
 class Fleet:
@@ -142,15 +141,14 @@
 
     def _move_if_it_ends_late(self, executor: Executor, task: TaskRun, now: float) -> None:
         leaves_at = executor.leaves_at(now)
-        if task.percent <= 0 or task.percent >= _WHOLE:
-            return
-        elapsed_s = max(task.percent_at - task.started_at, 0.0)
-        ends_at = task.percent_at + elapsed_s * (_WHOLE - task.percent) / task.percent
-        if ends_at > leaves_at - LEAVE_MARGIN_S:
+        ends_at = task.ends_at()
+        if ends_at is not None and ends_at > leaves_at - LEAVE_MARGIN_S:
             self._ends.stop(task, cause="its executor leaves before it would end")
 
     def _move_if_still(self, executor: Executor, task: TaskRun, now: float) -> None:
-        if executor.answered_at is None or executor.answered_at - task.percent_at < STILL_S:
+        if task.first_seen_at is None or executor.answered_at is None:
+            return
+        if executor.answered_at - task.percent_at < STILL_S:
             return
         executor.paused_until = now + STILL_PAUSE_S
         self._ends.stop(task, cause=f"no progress for {STILL_S:g} s at {task.percent}%")
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -2,12 +2,16 @@
 
 from collections.abc import Iterator
 from enum import Enum, auto
+from typing import Final
 
 from galenastall.coordination.cell.objectives import objective_at
 from galenastall.state.cell.jobs import CellJob, Queue, Step, StepKey, TaskKey
 from galenastall.state.cell.phases import ENDED_PHASES, JobPhase, TaskPhase
 from galenastall.state.cell.rows import ProgressRow, TaskRow
 
+WHOLE_PERCENT: Final = 100
+"""What the progress of a run that is done would be."""
+
 
 class StartState(Enum):
     """What is known of an assigned task's run."""
@@ -31,6 +35,8 @@
         "checkpoint",
         "executor_id",
         "failures",
+        "first_percent",
+        "first_seen_at",
         "is_stopping",
         "key",
         "known_seq",
@@ -38,7 +44,6 @@
         "percent_at",
         "phase",
         "run",
-        "started_at",
         "state",
         "stop_sent_at",
         "stop_seq",
@@ -61,10 +66,12 @@
         self.stop_sent_at = 0.0
         self.stop_seq = 0
         """Sequence number of the answer to its stop; 0 before."""
-        self.started_at = 0.0
         self.percent = 0
         self.percent_at = 0.0
         """Leader's time at which the share of its work done last rose."""
+        self.first_percent = 0
+        self.first_seen_at: float | None = None
+        """Leader's time of the first listing that showed this run at work."""
 
     def assign(self, *, run: int, executor_id: str, now: float) -> None:
         """Give the task a new run on an executor."""
@@ -76,9 +83,27 @@
         self.known_seq = 0
         self.is_stopping = False
         self.stop_seq = 0
-        self.started_at = now
         self.percent = 0
         self.percent_at = now
+        self.first_seen_at = None
+
+    def see(self, *, percent: int, now: float) -> None:
+        """Take a listing that shows the run at work."""
+        self.state = StartState.STARTED
+        if self.first_seen_at is None:
+            self.first_percent = self.percent = percent
+            self.first_seen_at = self.percent_at = now
+        elif percent > self.percent:
+            self.percent = percent
+            self.percent_at = now
+
+    def ends_at(self) -> float | None:
+        """Return when the run should end at the pace seen so far; None before it is known."""
+        gained = self.percent - self.first_percent
+        if self.first_seen_at is None or gained <= 0:
+            return None
+        pace_s = (self.percent_at - self.first_seen_at) / gained
+        return self.percent_at + pace_s * (WHOLE_PERCENT - self.percent)
 
     def release(self) -> None:
         """Wait again: its last run is known to have ended."""
--- a/src/galenastall/coordination/cell/listings.py
+++ b/src/galenastall/coordination/cell/listings.py
@@ -86,12 +86,9 @@
             if found is None:
                 continue
             task = found[2]
-            task.state = StartState.STARTED
+            task.see(percent=run.percent, now=now)
             if run.saved:
                 task.checkpoint = run.saved
-            if run.percent > task.percent:
-                task.percent = run.percent
-                task.percent_at = now
 
     def _settle_missing(
         self,
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -44,7 +44,8 @@
             return False
         task.tries += 1
         if outcome is StartOutcome.STARTED:
-            self._on_started(task)
+            task.state = StartState.STARTED
+            task.known_seq = self._state.next_seq()
             return False
         if outcome is StartOutcome.UNKNOWN:
             return self._on_unknown(task)
@@ -62,16 +63,9 @@
         is_current = task.phase is TaskPhase.ASSIGNED and task.run == order.run
         return task if is_current else None
 
-    def _on_started(self, task: TaskRun) -> None:
-        task.state = StartState.STARTED
-        task.known_seq = self._state.next_seq()
-        if task.is_stopping:
-            self._state.stops.append(_stop_of(task))
-
     def _on_unknown(self, task: TaskRun) -> bool:
         task.state = StartState.UNSURE
         if task.is_stopping:
-            self._state.stops.append(_stop_of(task))
             return False
         if task.tries < self._state.timings.start_tries:
             return True
@@ -115,18 +109,20 @@
         if found is not None and found[2].run == order.run:
             found[2].stop_seq = self._state.next_seq()
 
-    def repeat_stops(self, now: float) -> None:
-        """Ask again for stops whose runs are not listed as ended yet."""
+    def order_stops(self, now: float) -> None:
+        """Order the stops that are wanted, and again those not listed as ended after a while."""
         for executor in self._state.executors_by_id.values():
             for key in executor.runs_by_task:
                 found = self._state.find(key)
-                if found is None:
-                    continue
-                task = found[2]
-                is_due = now - task.stop_sent_at >= self._state.timings.resend_after_s
-                if task.is_stopping and task.state is not StartState.WRITING and is_due:
-                    task.stop_sent_at = now
-                    self._state.stops.append(_stop_of(task))
+                if found is not None and self._is_stop_due(found[2], now):
+                    found[2].stop_sent_at = now
+                    self._state.stops.append(_stop_of(found[2]))
+
+    def _is_stop_due(self, task: TaskRun, now: float) -> bool:
+        """Whether to send a stop; an order that has not left is dropped instead."""
+        if not task.is_stopping or task.state is StartState.WRITING:
+            return False
+        return now - task.stop_sent_at >= self._state.timings.resend_after_s
 
 
 def _stop_of(task: TaskRun) -> StopOrder:
--- a/src/galenastall/coordination/cell/run_ends.py
+++ b/src/galenastall/coordination/cell/run_ends.py
@@ -1,9 +1,8 @@
 """What the end of a run means for its task, its step and its job."""
 
 from galenastall.coordination.cell.cell_state import CellState
-from galenastall.coordination.cell.commands import StopOrder
 from galenastall.coordination.cell.executors import Executor
-from galenastall.coordination.cell.job_runs import JobRun, StartState, StepRun, TaskRun
+from galenastall.coordination.cell.job_runs import JobRun, StepRun, TaskRun
 from galenastall.state.cell.jobs import TaskKey
 from galenastall.state.cell.phases import JobPhase, RunEnd, TaskPhase
 
@@ -118,19 +117,14 @@
                 self.stop(member, cause=cause)
 
     def stop(self, task: TaskRun, *, cause: str) -> None:
-        """Ask for the stop of a task's run, once; drivers repeat it until it is listed as ended."""
+        """Have a task's run stopped; the next decision orders it, and again until it has ended."""
         if task.is_stopping:
             return
         task.is_stopping = True
-        if task.state is StartState.WRITING:
-            # Its order has not left and is dropped when the assignment is durable.
-            return
+        task.stop_sent_at = float("-inf")
         self._state.note(
             "run.stop", task.key.job, _name(task.key), cause=cause, fields={"run": str(task.run)}
         )
-        self._state.stops.append(
-            StopOrder(task=task.key, run=task.run, executor_id=task.executor_id)
-        )
 
 
 def _name(key: TaskKey) -> str:
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -185,7 +185,7 @@
         self._open_all_due(wall)
         self._forget_ended(wall)
         self._fleet.move_runs(now=now)
-        self._orders.repeat_stops(now)
+        self._orders.order_stops(now)
         if may_place:
             self._placer.decide(now=now, wall=wall)
 
--- /dev/null
+++ b/tests/test_cell_core.py
@@ -0,0 +1,754 @@
+"""Rules of a cell's leader, one subject a class, without I/O."""
+
+from dataclasses import replace
+
+import pytest
+
+from galenastall.coordination.cell.advice import AdviceBook, Approval
+from galenastall.coordination.cell.commands import StartOrder, StopOrder
+from galenastall.coordination.cell.election import Election, HeardBeat, Move
+from galenastall.coordination.cell.executors import ExecutorInfo
+from galenastall.coordination.cell.lease_clock import LeaseClock
+from galenastall.coordination.cell.listings import ListedEnd, ListedRun, Listing
+from galenastall.coordination.cell.objectives import lateness_rank, longest_chain_s
+from galenastall.coordination.cell.orders import StartOutcome
+from galenastall.coordination.cell.scheduler import CellScheduler
+from galenastall.coordination.cell.timings import CellTimings
+from galenastall.state.cell.jobs import (
+    AdvisorTiming,
+    CellJob,
+    Queue,
+    Recurrence,
+    Step,
+    TaskKey,
+)
+from galenastall.state.cell.phases import JobPhase, RunEnd
+from galenastall.state.cell.rows import decode_rows
+from galenastall.state.resources import Resources
+
+TIMINGS = CellTimings()
+JOB = "0123456789abcdef"
+QUEUE = Queue(name="q", service="s", max_attempts=2, stretch=2.0, target_s=1.0)
+WALL = 1_000.0
+
+
+def make_info(executor_id: str, *, host: str = "", cores: int = 4000) -> ExecutorInfo:
+    return ExecutorInfo(
+        executor_id=executor_id,
+        host=host or executor_id,
+        address=executor_id,
+        data_centre="dc",
+        service="s",
+        capacity=Resources(cores_milli=cores, memory_mb=8000),
+        labels=("a", "r1"),
+    )
+
+
+def make_step(count: int = 1, *, cores: int = 1000, **fields: object) -> Step:
+    need = Resources(cores_milli=cores, memory_mb=100)
+    return replace(Step(count=count, need=need, estimate_s=1.0), **fields)  # type: ignore[arg-type]
+
+
+def make_job(*steps: Step, job_id: str = JOB, queue: Queue = QUEUE, **fields: object) -> CellJob:
+    job = CellJob(job_id=job_id, queue=queue, payload="p", steps=steps, submitted_at=WALL)
+    return replace(job, **fields)  # type: ignore[arg-type]
+
+
+class Rig:
+    """A core, with a store that keeps what it writes."""
+
+    def __init__(self, *infos: ExecutorInfo, rows: dict[str, bytes] | None = None) -> None:
+        self.now = 100.0
+        self.core = CellScheduler(timings=TIMINGS, fenced_at=self.now)
+        self.rows = dict(rows or {})
+        self.core.set_queues([QUEUE])
+        self.core.restore(decode_rows(self.rows), wall=self.wall)
+        self.infos = infos
+        self.see(*infos)
+        for info in infos:
+            self.listing(info.executor_id)
+
+    @property
+    def wall(self) -> float:
+        return WALL + self.now - 100.0
+
+    def see(self, *infos: ExecutorInfo) -> None:
+        self.core.on_fleet(infos, now=self.now, wall=self.wall)
+
+    def listing(
+        self, executor_id: str, running: tuple[ListedRun, ...] = (), *ended: ListedEnd
+    ) -> None:
+        seq = self.core.next_seq()
+        executor = self.core.executors_by_id[executor_id]
+        executor.clock.deadline_ms(confirmed_at=self.now)
+        listing = Listing(clock_ms=int(self.now * 1000), running=running, ended=ended)
+        self.core.on_listing(executor_id, listing, asked_seq=seq, now=self.now, wall=self.wall)
+
+    def step(self) -> list[StartOrder]:
+        """Decide, make it durable, and return the starts that leave."""
+        self.core.decide(now=self.now, wall=self.wall)
+        return self.commit()
+
+    def shown(self) -> JobPhase:
+        """Return what callers are told about the job."""
+        return self.core.jobs_by_id[JOB].shown_phase
+
+    def stops(self) -> list[StopOrder]:
+        """Decide, and return the stops that are sent now."""
+        self.core.decide(now=self.now, wall=self.wall)
+        return self.core.take_stops()
+
+    def commit(self) -> list[StartOrder]:
+        batch = self.core.take_batch()
+        for key, value in batch.values_by_key.items():
+            if value:
+                self.rows[key] = value
+            else:
+                self.rows.pop(key, None)
+        return self.core.commit(batch, wall=self.wall)
+
+    def submit(self, job: CellJob) -> None:
+        self.core.submit(job, wall=self.wall)
+        self.commit()
+
+    def run_all(self, orders: list[StartOrder]) -> None:
+        for order in orders:
+            self.core.on_start(order, StartOutcome.STARTED, now=self.now, wall=self.wall)
+
+    def end(self, order: StartOrder, how: RunEnd, position: int = 1, saved: str = "") -> None:
+        end = ListedEnd(position=position, task=order.task, run=order.run, end=how, saved=saved)
+        there = self.core.executors_by_id[order.executor_id].runs_by_task
+        running = tuple(ListedRun(task=t, run=r) for t, r in there.items() if t != order.task)
+        self.listing(order.executor_id, running, end)
+
+
+class TestElection:
+    def make(self) -> Election:
+        return Election(timings=TIMINGS, jitter_s=0.1, may_start=False)
+
+    def beat(self, election: Election, token: int, now: float, age: float = 0.0) -> bool:
+        beat = HeardBeat(token=token, leader=f"h{token}", heard_at=now, confirm_age_s=age)
+        return election.on_beat(beat)
+
+    def test_a_well_leader_is_left_alone(self) -> None:
+        election = self.make()
+        self.beat(election, 3, 10.0)
+        assert election.next_move(10.2) is Move.WAIT
+
+    def test_a_silent_leader_whose_state_moves_is_not_replaced(self) -> None:
+        election = self.make()
+        self.beat(election, 3, 10.0)
+        for step in range(40):
+            now = 11.0 + step * 0.21
+            assert election.next_move(now) is Move.LOOK
+            election.on_look(token=3, tip=step, now=now)
+
+    def test_a_silent_leader_whose_state_stands_still_is_replaced(self) -> None:
+        election = self.make()
+        self.beat(election, 3, 10.0)
+        moves = []
+        for step in range(7):
+            now = 11.0 + step * 0.21
+            moves.append(election.next_move(now))
+            election.on_look(token=3, tip=7, now=now)
+        assert moves[0] is Move.LOOK
+        assert moves[-1] is Move.CLAIM
+
+    def test_a_leader_that_the_store_does_not_confirm_is_replaced(self) -> None:
+        election = self.make()
+        claimed_at = 0.0
+        for step in range(30):
+            now = 10.0 + step * 0.1
+            self.beat(election, 3, now, age=step * 0.1)
+            move = election.next_move(now)
+            if move is Move.LOOK:
+                election.on_look(token=3, tip=7, now=now)
+            if move is Move.CLAIM:
+                claimed_at = now
+                break
+        assert 11.2 < claimed_at < 12.6
+
+    def test_a_claim_without_a_leader_does_not_hide_the_one_that_stands(self) -> None:
+        election = self.make()
+        self.beat(election, 4, 10.0)
+        election.on_look(token=5, tip=7, now=10.1)
+        assert self.beat(election, 4, 10.2)
+        assert election.leader == "h4"
+
+    def test_beats_of_an_older_leader_are_ignored_once_a_newer_one_is_heard(self) -> None:
+        election = self.make()
+        self.beat(election, 5, 10.0)
+        assert not self.beat(election, 4, 10.1)
+        assert election.leader == "h5"
+
+    def test_a_host_that_withdrew_waits(self) -> None:
+        election = self.make()
+        election.withdraw(100.0)
+        for step in range(20):
+            election.on_look(token=1, tip=7, now=10.0 + step * 0.21)
+            assert election.next_move(10.05 + step * 0.21) is not Move.CLAIM
+
+
+class TestLeaseClock:
+    def make(self) -> LeaseClock:
+        return LeaseClock(timings=TIMINGS, unknown_until=50.0)
+
+    def test_no_deadline_is_named_before_the_first_answer(self) -> None:
+        assert self.make().deadline_ms(confirmed_at=1.0) is None
+
+    def test_a_deadline_reaches_one_lease_beyond_the_confirmation(self) -> None:
+        clock = self.make()
+        clock.observe(clock_ms=70_000, received_at=100.0)
+        assert clock.deadline_ms(confirmed_at=99.0) == 79_000
+        assert clock.deadline_ms(confirmed_at=101.5) == 81_500
+
+    def test_a_lapse_counts_from_the_latest_deadline_with_a_slow_clock(self) -> None:
+        clock = self.make()
+        clock.observe(clock_ms=70_000, received_at=100.0)
+        clock.deadline_ms(confirmed_at=100.0)
+        assert not clock.has_lapsed(110.4)
+        assert clock.has_lapsed(110.6)
+
+    def test_an_executor_never_reached_lapses_with_earlier_leaders_leases(self) -> None:
+        clock = self.make()
+        assert not clock.has_lapsed(49.9)
+        assert clock.has_lapsed(50.0)
+
+
+class TestPlacement:
+    def test_starts_leave_only_once_they_are_durable(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.core.submit(make_job(make_step(2)), wall=rig.wall)
+        rig.core.decide(now=rig.now, wall=rig.wall)
+        assert rig.core.take_batch().starts == ()
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(2)))
+        rig.core.decide(now=rig.now, wall=rig.wall)
+        batch = rig.core.take_batch()
+        assert len(batch.starts) == 2
+        assert len(rig.core.commit(batch, wall=rig.wall)) == 2
+
+    def test_no_more_is_placed_than_fits(self) -> None:
+        rig = Rig(make_info("e1"), make_info("e2"))
+        rig.submit(make_job(make_step(20, cores=1500)))
+        orders = rig.step()
+        assert sorted(order.executor_id for order in orders) == ["e1", "e1", "e2", "e2"]
+
+    def test_a_gang_starts_whole_or_not_at_all(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(5, is_gang=True)))
+        assert rig.step() == []
+        rig.see(make_info("e1"), make_info("e2"))
+        rig.listing("e2")
+        orders = rig.step()
+        assert len(orders) == 5
+        assert {order.run for order in orders} == {1}
+
+    def test_most_per_executor_is_kept(self) -> None:
+        rig = Rig(make_info("e1"), make_info("e2"))
+        rig.submit(make_job(make_step(6, cores=100, most_per_executor=2)))
+        orders = rig.step()
+        assert sorted(order.executor_id for order in orders) == ["e1", "e1", "e2", "e2"]
+
+    def test_a_label_that_is_required_must_be_there(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(1, label="b")))
+        assert rig.step() == []
+
+    def test_the_data_s_rack_is_preferred(self) -> None:
+        near = replace(make_info("e2"), labels=("a", "r2"))
+        rig = Rig(make_info("e1"), near)
+        rig.submit(make_job(make_step(1, data_rack="r2")))
+        assert [order.executor_id for order in rig.step()] == ["e2"]
+
+    def test_a_later_step_waits_for_all_tasks_before_it(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(2), make_step(1, after=(0,))))
+        orders = rig.step()
+        rig.run_all(orders)
+        assert [order.task.step for order in orders] == [0, 0]
+        rig.end(orders[0], RunEnd.DONE, 1)
+        assert rig.step() == []
+        rig.end(orders[1], RunEnd.DONE, 2)
+        assert [order.task.step for order in rig.step()] == [1]
+
+    def test_a_draining_executor_gets_nothing(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.see(replace(make_info("e1"), is_draining=True))
+        rig.submit(make_job(make_step(1)))
+        assert rig.step() == []
+
+    def test_an_executor_that_has_not_answered_lately_gets_nothing(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(1)))
+        rig.now += 5.0
+        assert rig.step() == []
+
+    def test_nothing_is_placed_while_assignments_can_not_be_written(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(1)))
+        rig.core.decide(now=rig.now, wall=rig.wall, may_place=False)
+        assert rig.commit() == []
+
+    def test_the_most_pressing_job_goes_first(self) -> None:
+        rig = Rig(make_info("e1", cores=1000))
+        rig.submit(make_job(make_step(1, estimate_s=9.0), job_id="a" * 16))
+        rig.submit(make_job(make_step(1, estimate_s=1.0), job_id="b" * 16))
+        assert [order.task.job for order in rig.step()] == ["b" * 16]
+
+
+class TestEnds:
+    def start(self, rig: Rig, *steps: Step) -> list[StartOrder]:
+        rig.submit(make_job(*steps))
+        orders = rig.step()
+        rig.run_all(orders)
+        return orders
+
+    def test_an_end_frees_its_room_and_completes_the_job_once_durable(self) -> None:
+        rig = Rig(make_info("e1"))
+        orders = self.start(rig, make_step(1, cores=4000))
+        rig.end(orders[0], RunEnd.DONE)
+        assert rig.shown() is not JobPhase.COMPLETED
+        rig.commit()
+        assert rig.shown() is JobPhase.COMPLETED
+        assert rig.core.executors_by_id["e1"].free_cores_milli == 4000
+
+    def test_ends_are_acknowledged_only_once_durable(self) -> None:
+        rig = Rig(make_info("e1"))
+        orders = self.start(rig, make_step(1))
+        rig.end(orders[0], RunEnd.DONE, 7)
+        executor = rig.core.executors_by_id["e1"]
+        assert (executor.noted, executor.durable) == (7, 0)
+        rig.commit()
+        assert executor.durable == 7
+
+    def test_a_failed_run_is_tried_again_up_to_the_limit(self) -> None:
+        rig = Rig(make_info("e1"))
+        orders = self.start(rig, make_step(1))
+        rig.end(orders[0], RunEnd.FAILED, 1)
+        again = rig.step()
+        assert [order.run for order in again] == [2]
+        rig.run_all(again)
+        rig.end(again[0], RunEnd.FAILED, 2)
+        assert rig.step() == []
+        assert rig.core.jobs_by_id[JOB].shown_phase is JobPhase.FAILED
+
+    @pytest.mark.parametrize(
+        "how", [RunEnd.STOPPED, RunEnd.LAPSED, RunEnd.BROKEN, RunEnd.ALONE, RunEnd.LOST]
+    )
+    def test_other_ends_are_no_attempts(self, how: RunEnd) -> None:
+        rig = Rig(make_info("e1"))
+        orders = self.start(rig, make_step(1))
+        for position in range(1, 6):
+            rig.end(orders[0], how, position)
+            orders = rig.step()
+            rig.run_all(orders)
+        assert [order.run for order in orders] == [6]
+
+    def test_a_checkpoint_goes_into_the_next_start(self) -> None:
+        rig = Rig(make_info("e1"))
+        orders = self.start(rig, make_step(1, is_checkpointing=True))
+        rig.end(orders[0], RunEnd.STOPPED, 1, saved="saved")
+        assert [order.checkpoint for order in rig.step()] == ["saved"]
+
+    def test_a_gang_s_run_that_fails_in_two_members_is_one_attempt(self) -> None:
+        rig = Rig(make_info("e1"))
+        orders = self.start(rig, make_step(2, is_gang=True))
+        rig.end(orders[0], RunEnd.FAILED, 1)
+        rig.end(orders[1], RunEnd.FAILED, 2)
+        assert [order.run for order in rig.step()] == [2, 2]
+
+    def test_one_member_s_end_as_done_counts_for_the_gang(self) -> None:
+        rig = Rig(make_info("e1"))
+        orders = self.start(rig, make_step(3, is_gang=True))
+        rig.end(orders[0], RunEnd.DONE)
+        rig.commit()
+        assert rig.core.jobs_by_id[JOB].shown_phase is JobPhase.COMPLETED
+        assert rig.stops() == []
+
+    def test_a_gang_is_stopped_when_a_member_can_not_start(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(2, is_gang=True)))
+        orders = rig.step()
+        rig.core.on_start(orders[0], StartOutcome.STARTED, now=rig.now, wall=rig.wall)
+        rig.core.on_start(orders[1], StartOutcome.UNHEALTHY, now=rig.now, wall=rig.wall)
+        assert [stop.task for stop in rig.stops()] == [orders[0].task]
+
+    def test_a_long_running_task_is_restarted_however_it_ends(self) -> None:
+        rig = Rig(make_info("e1"))
+        orders = self.start(rig, make_step(1, is_long_running=True))
+        for position, how in enumerate([RunEnd.DONE, RunEnd.FAILED, RunEnd.FAILED], 1):
+            rig.end(orders[0], how, position)
+            orders = rig.step()
+            rig.run_all(orders)
+            assert len(orders) == 1
+
+    def test_a_timed_job_runs_each_occurrence_when_due(self) -> None:
+        rig = Rig(make_info("e1"))
+        recurrence = Recurrence(first_due=WALL + 2.0, interval_s=3.0, times=2)
+        rig.submit(make_job(make_step(1), recurrence=recurrence))
+        assert rig.step() == []
+        rig.now += 2.1
+        rig.listing("e1")
+        orders = rig.step()
+        assert [order.task.occurrence for order in orders] == [0]
+        rig.run_all(orders)
+        rig.end(orders[0], RunEnd.DONE, 1)
+        rig.commit()
+        assert rig.core.jobs_by_id[JOB].shown_phase is JobPhase.RUNNING
+        rig.now += 3.0
+        rig.listing("e1")
+        orders = rig.step()
+        assert [order.task.occurrence for order in orders] == [1]
+        rig.run_all(orders)
+        rig.end(orders[0], RunEnd.DONE, 2)
+        rig.commit()
+        assert rig.core.jobs_by_id[JOB].shown_phase is JobPhase.COMPLETED
+
+
+class TestUnansweredStarts:
+    def start(self, rig: Rig) -> StartOrder:
+        rig.submit(make_job(make_step(1, cores=4000)))
+        return rig.step()[0]
+
+    def answer(self, rig: Rig, order: StartOrder, outcome: StartOutcome) -> bool:
+        return rig.core.on_start(order, outcome, now=rig.now, wall=rig.wall)
+
+    def test_the_same_start_is_sent_again_and_its_room_stays_taken(self) -> None:
+        rig = Rig(make_info("e1"), make_info("e2"))
+        order = self.start(rig)
+        assert self.answer(rig, order, StartOutcome.UNKNOWN)
+        rig.listing(order.executor_id)
+        assert rig.step() == []
+
+    def test_after_some_tries_it_is_stopped_and_then_started_elsewhere(self) -> None:
+        rig = Rig(make_info("e1"), make_info("e2"))
+        order = self.start(rig)
+        for _ in range(TIMINGS.start_tries):
+            wants_more = self.answer(rig, order, StartOutcome.UNKNOWN)
+        assert not wants_more
+        stops = rig.stops()
+        assert [stop.task for stop in stops] == [order.task]
+        rig.listing(order.executor_id)
+        assert rig.step() == []
+        rig.core.on_stop(stops[0])
+        rig.listing(order.executor_id)
+        assert [again.run for again in rig.step()] == [2]
+
+    def test_a_listing_asked_for_before_the_answer_proves_nothing(self) -> None:
+        rig = Rig(make_info("e1"))
+        order = self.start(rig)
+        asked_seq = rig.core.next_seq()
+        self.answer(rig, order, StartOutcome.STARTED)
+        listing = Listing(clock_ms=1, running=(), ended=())
+        rig.core.on_listing("e1", listing, asked_seq=asked_seq, now=rig.now, wall=rig.wall)
+        assert rig.core.executors_by_id["e1"].runs_by_task == {order.task: 1}
+
+    def test_a_refusal_after_an_unanswered_try_is_settled_by_a_stop(self) -> None:
+        rig = Rig(make_info("e1"), make_info("e2"))
+        order = self.start(rig)
+        self.answer(rig, order, StartOutcome.UNKNOWN)
+        self.answer(rig, order, StartOutcome.UNHEALTHY)
+        assert [stop.run for stop in rig.stops()] == [1]
+        assert rig.step() == []
+
+    def test_an_order_whose_run_was_given_up_is_not_wanted(self) -> None:
+        rig = Rig(make_info("e1"))
+        order = self.start(rig)
+        assert rig.core.is_wanted(order)
+        rig.now += 30.0
+        rig.core.decide(now=rig.now, wall=rig.wall)
+        assert not rig.core.is_wanted(order)
+
+    def test_a_start_refused_for_its_ticket_frees_the_room(self) -> None:
+        rig = Rig(make_info("e1"))
+        order = self.start(rig)
+        self.answer(rig, order, StartOutcome.NO_TICKET)
+        assert rig.core.executors_by_id["e1"].free_cores_milli == 4000
+
+
+class TestLives:
+    def test_a_new_life_on_a_host_ends_the_runs_of_the_one_before(self) -> None:
+        rig = Rig(make_info("e1", host="h"), make_info("x"))
+        rig.submit(make_job(make_step(1, cores=4000)))
+        order = rig.step()[0]
+        rig.run_all([order])
+        rig.see(make_info("e1", host="h"), make_info("e2", host="h"), make_info("x"))
+        assert "e1" not in rig.core.executors_by_id
+        rig.listing("e2")
+        assert [again.run for again in rig.step()] == [2]
+
+    def test_an_entry_that_stays_listed_after_its_life_ended_changes_nothing(self) -> None:
+        rig = Rig(make_info("e1", host="h"))
+        for _ in range(3):
+            rig.see(make_info("e1", host="h"), make_info("e2", host="h"))
+            assert set(rig.core.executors_by_id) == {"e2"}
+
+    def test_two_lives_first_seen_together_are_both_kept(self) -> None:
+        rig = Rig()
+        rig.see(make_info("e1", host="h"), make_info("e2", host="h"))
+        assert set(rig.core.executors_by_id) == {"e1", "e2"}
+
+    def test_a_silent_executor_s_runs_are_waited_for_until_its_leases_lapse(self) -> None:
+        rig = Rig(make_info("e1"), make_info("e2"))
+        rig.submit(make_job(make_step(1, cores=4000)))
+        order = rig.step()[0]
+        rig.run_all([order])
+        other = "e2" if order.executor_id == "e1" else "e1"
+        rig.see(make_info(other))
+        rig.now += 9.0
+        rig.listing(other)
+        assert rig.step() == []
+        rig.now += 2.0
+        rig.listing(other)
+        assert [again.executor_id for again in rig.step()] == [other]
+
+    def test_an_executor_that_answers_is_never_taken_as_lapsed(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(1)))
+        order = rig.step()[0]
+        rig.run_all([order])
+        executor = rig.core.executors_by_id["e1"]
+        rig.now += 20.0
+        executor.answered_at = rig.now
+        rig.core.decide(now=rig.now, wall=rig.wall)
+        assert executor.runs_by_task == {order.task: 1}
+
+    def test_a_run_that_nobody_accounts_for_is_stopped_before_anything_is_placed(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(1)))
+        stranger = TaskKey("f" * 16, 0, 0, 0)
+        rig.listing("e1", (ListedRun(task=stranger, run=3),))
+        assert rig.step() == []
+        assert [(stop.task, stop.run) for stop in rig.stops()] == [(stranger, 3)]
+        rig.listing("e1")
+        assert len(rig.step()) == 1
+
+
+class TestRecovery:
+    def test_runs_are_adopted_by_the_next_leader_s_first_listing(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(2)))
+        first, second = rig.step()
+        rig.run_all([first, second])
+        after = Rig(rows=rig.rows)
+        after.see(make_info("e1"))
+        assert after.step() == []
+        after.listing("e1", (ListedRun(task=first.task, run=1),))
+        assert [order.run for order in after.step()] == [2]
+
+    def test_runs_on_an_executor_that_is_not_reached_are_waited_for(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(1)))
+        rig.run_all(rig.step())
+        after = Rig(make_info("e2"), rows=rig.rows)
+        assert after.step() == []
+        after.now += 10.0
+        after.listing("e2")
+        assert after.step() == []
+        after.now += 1.0
+        after.listing("e2")
+        assert [order.run for order in after.step()] == [2]
+
+    def test_done_tasks_and_failures_survive(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(2), make_step(1, after=(0,))))
+        first, second = rig.step()
+        rig.run_all([first, second])
+        rig.end(first, RunEnd.DONE, 1)
+        rig.end(second, RunEnd.FAILED, 2)
+        rig.commit()
+        after = Rig(make_info("e1"), rows=rig.rows)
+        orders = after.step()
+        assert [(order.task, order.run) for order in orders] == [(second.task, 2)]
+        after.run_all(orders)
+        after.end(orders[0], RunEnd.FAILED, 3)
+        after.commit()
+        assert after.core.jobs_by_id[JOB].shown_phase is JobPhase.FAILED
+
+    def test_an_ended_job_is_still_known(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(1)))
+        rig.core.cancel(JOB, wall=rig.wall)
+        rig.commit()
+        after = Rig(make_info("e1"), rows=rig.rows)
+        assert after.core.jobs_by_id[JOB].shown_phase is JobPhase.CANCELLED
+        assert after.step() == []
+
+    def test_occurrences_that_are_done_do_not_run_again(self) -> None:
+        rig = Rig(make_info("e1"))
+        recurrence = Recurrence(first_due=WALL, interval_s=50.0, times=2)
+        rig.submit(make_job(make_step(1), recurrence=recurrence))
+        orders = rig.step()
+        rig.run_all(orders)
+        rig.end(orders[0], RunEnd.DONE)
+        rig.commit()
+        after = Rig(make_info("e1"), rows=rig.rows)
+        assert after.step() == []
+
+    def test_a_row_that_can_not_be_read_is_named(self) -> None:
+        rig = Rig(rows={"job/x": b"\xc1"})
+        assert [note.step for note in rig.core.take_notes()] == ["rows.unreadable"]
+
+
+class TestMoves:
+    def start(self, rig: Rig) -> StartOrder:
+        rig.submit(make_job(make_step(1)))
+        order = rig.step()[0]
+        rig.run_all([order])
+        return order
+
+    def show(self, rig: Rig, order: StartOrder, percent: int) -> int:
+        rig.listing(order.executor_id, (ListedRun(task=order.task, run=1, percent=percent),))
+        return len(rig.stops())
+
+    def test_a_run_that_stands_still_is_stopped(self) -> None:
+        rig = Rig(make_info("e1"))
+        order = self.start(rig)
+        assert self.show(rig, order, 40) == 0
+        rig.now += 2.9
+        assert self.show(rig, order, 40) == 0
+        rig.now += 0.2
+        assert self.show(rig, order, 40) == 1
+
+    def test_a_slow_run_goes_on(self) -> None:
+        rig = Rig(make_info("e1"))
+        order = self.start(rig)
+        for percent in range(8):
+            rig.now += 2.0
+            assert self.show(rig, order, percent) == 0
+
+    def test_a_run_taken_over_has_its_full_time_to_show_progress(self) -> None:
+        rig = Rig(make_info("e1"))
+        order = self.start(rig)
+        after = Rig(rows=rig.rows)
+        after.see(make_info("e1"))
+        assert self.show(after, order, 0) == 0
+        after.now += 2.9
+        assert self.show(after, order, 0) == 0
+
+    @pytest.mark.parametrize(("percent", "stops"), [(20, 1), (60, 0)])
+    def test_a_run_that_would_outlast_its_leaving_executor_is_moved(
+        self, percent: int, stops: int
+    ) -> None:
+        rig = Rig(make_info("e1"))
+        order = self.start(rig)
+        assert self.show(rig, order, 0) == 0
+        rig.now += 1.0
+        rig.see(replace(make_info("e1"), is_draining=True, leaves_in_s=2.0))
+        assert self.show(rig, order, percent) == stops
+
+
+class TestCancel:
+    def test_runs_are_stopped_once_the_cancelling_is_durable(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(2)))
+        rig.run_all(rig.step())
+        rig.core.cancel(JOB, wall=rig.wall)
+        assert rig.stops() == []
+        rig.commit()
+        assert len(rig.stops()) == 2
+
+    def test_a_start_that_has_not_left_stays(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(2)))
+        rig.core.decide(now=rig.now, wall=rig.wall)
+        rig.core.cancel(JOB, wall=rig.wall)
+        assert rig.commit() == []
+        assert rig.core.executors_by_id["e1"].free_cores_milli == 4000
+
+    def test_a_submission_that_has_not_left_can_be_withdrawn(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.core.submit(make_job(make_step(1)), wall=rig.wall)
+        assert rig.core.withdraw(JOB)
+        assert rig.commit() == []
+        assert rig.rows == {}
+
+    def test_a_submission_that_may_be_durable_can_not(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.core.submit(make_job(make_step(1)), wall=rig.wall)
+        rig.core.take_batch()
+        assert not rig.core.withdraw(JOB)
+
+
+class TestAdvice:
+    TIMING = AdvisorTiming(base_s=0.1, per_executor_s=0.01, validity_s=1.5)
+    ADVISED = replace(QUEUE, name="advised", advisor=TIMING)
+
+    def rig(self, *steps: Step) -> Rig:
+        rig = Rig(make_info("e1"), make_info("e2"))
+        rig.core.set_queues([self.ADVISED])
+        rig.submit(make_job(*steps, queue=self.ADVISED))
+        assert rig.step() == []
+        return rig
+
+    def approve(self, rig: Rig, step: int, *executors: str) -> None:
+        key = TaskKey(JOB, 0, step, 0).step_key
+        approved = tuple(Approval(executor_id=e, ticket=f"t-{e}") for e in executors)
+        rig.core.on_advice(key, approved, validity_s=1.5, now=rig.now)
+
+    def test_all_executors_are_asked_about_once(self) -> None:
+        rig = self.rig(make_step(1))
+        asks = rig.core.take_asks()
+        assert [set(ask.executor_ids) for ask in asks] == [{"e1", "e2"}]
+        rig.step()
+        assert rig.core.take_asks() == []
+
+    def test_only_approved_executors_get_the_step_with_their_tickets(self) -> None:
+        rig = self.rig(make_step(2))
+        self.approve(rig, 0, "e2")
+        assert [(o.executor_id, o.ticket) for o in rig.step()] == [("e2", "t-e2")] * 2
+
+    def test_a_ticket_that_ran_out_is_asked_for_again_and_room_is_kept(self) -> None:
+        rig = self.rig(make_step(8, cores=1000))
+        self.approve(rig, 0, "e2")
+        orders = rig.step()
+        assert len(orders) == 4
+        rig.run_all(orders)
+        rig.core.take_asks()
+        rig.now += 2.0
+        end = ListedEnd(position=1, task=orders[0].task, run=1, end=RunEnd.DONE)
+        running = tuple(ListedRun(task=o.task, run=1) for o in orders[1:])
+        rig.listing("e1")
+        rig.listing("e2", running, end)
+        assert rig.step() == []
+        assert [ask.executor_ids for ask in rig.core.take_asks()] == [("e2",)]
+        assert rig.core.executors_by_id["e2"].free_cores_milli == 0
+        self.approve(rig, 0, "e2")
+        assert len(rig.step()) == 1
+
+    def test_a_failed_call_is_made_again_after_a_pause(self) -> None:
+        rig = self.rig(make_step(1))
+        rig.core.take_asks()
+        rig.core.on_advice_failed(TaskKey(JOB, 0, 0, 0).step_key, now=rig.now)
+        rig.step()
+        assert rig.core.take_asks() == []
+        rig.now += 0.2
+        rig.step()
+        assert len(rig.core.take_asks()) == 1
+
+    def test_a_ticket_is_not_used_close_to_its_end(self) -> None:
+        book = AdviceBook()
+        key = TaskKey(JOB, 0, 0, 0).step_key
+        book.begin(key, ("e1",), 0.0)
+        book.answer(key, (Approval(executor_id="e1", ticket="t"),), validity_s=1.5, now=0.1)
+        assert book.of(key).ticket("e1", 1.3) == "t"
+        assert book.of(key).ticket("e1", 1.4) is None
+
+
+class TestObjectives:
+    def test_the_chain_is_the_longest_path_with_a_call_for_advice_a_step(self) -> None:
+        steps = (
+            make_step(1, estimate_s=2.0),
+            make_step(1, estimate_s=5.0),
+            make_step(1, estimate_s=1.0, after=(0, 1)),
+        )
+        assert longest_chain_s(steps, QUEUE) == 6.0
+        advised = replace(
+            QUEUE, advisor=AdvisorTiming(base_s=0.1, per_executor_s=0.01, validity_s=1)
+        )
+        assert longest_chain_s(steps, advised) == pytest.approx(6.8)
+
+    @pytest.mark.parametrize(("now", "rank"), [(5.0, 0), (11.0, 1), (29.0, 1), (31.0, 2)])
+    def test_lateness_follows_what_a_job_still_earns(self, now: float, rank: int) -> None:
+        assert lateness_rank(objective=10.0, begins_at=0.0, now=now) == rank
