Place a job in the append that accepts it; take over sooner; end silent connections

Found on the way by the random trouble: a job that was withdrawn and handed in again could start twice under run 1; orders are now matched by executor too.

--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -52,6 +52,22 @@
             return None
         return job, step, step.tasks[key.number]
 
+    def find_ordered(self, order: StartOrder | StopOrder) -> TaskRun | None:
+        """Return the task of an order, or None if the order's run is not its run any more.
+
+        The executor counts too: a job that was withdrawn and handed in again begins at run 1.
+        """
+        found = self.find(order.task)
+        if found is None:
+            return None
+        task = found[2]
+        is_same = task.run == order.run and task.executor_id == order.executor_id
+        return task if is_same and task.phase is TaskPhase.ASSIGNED else None
+
+    def drop_starts(self, job_id: str) -> None:
+        """Drop the starts of a job that have not left."""
+        self.new_starts = [order for order in self.new_starts if order.task.job != job_id]
+
     def queue_of(self, job: JobRun) -> Queue:
         """Return the policy in force for a job; a dropped queue keeps its last one."""
         queue = self.queues_by_name.get(job.queue.name)
@@ -77,12 +93,15 @@
         return executor
 
     def refresh_waiting(self, job: JobRun) -> None:
-        """Put the job's steps that have something to start into the queue, and take out others."""
+        """Put the job's steps that have something to start into the queue, and take out others.
+
+        A job whose acceptance is not durable yet is placed too: its first assignments go into the
+        same append, which saves 25 ms before its first start.
+        """
         for occurrence in job.occurrences_by_number.values():
             for step in occurrence.steps:
                 wanted = (
-                    job.is_durable
-                    and not job.has_ended
+                    not job.has_ended
                     and not step.is_done
                     and occurrence.is_ready(step)
                     and any(task.phase is TaskPhase.WAITING for task in step.tasks)
--- a/src/galenastall/coordination/cell/election.py
+++ b/src/galenastall/coordination/cell/election.py
@@ -72,7 +72,7 @@
             return False
         self._token = beat.token
         self._beat = beat
-        if beat.confirm_age_s < self._timings.stale_confirm_s / 2:
+        if beat.confirm_age_s < self._timings.confirm_doubt_s:
             self._tip = None
         return True
 
@@ -101,7 +101,7 @@
         if self._tip is not None and self._is_silent(now):
             still_s = now - self._tip_moved_at
             is_still = still_s >= self._timings.tip_silence_s + self._jitter_s
-            is_fresh = now - self._looked_at <= 2 * self._timings.tip_every_s
+            is_fresh = now - self._looked_at <= 3 * self._timings.tip_every_s
             if is_still and is_fresh and now >= self._not_before:
                 return Move.CLAIM
         if now - self._looked_at >= self._timings.tip_every_s:
@@ -113,9 +113,9 @@
         timings = self._timings
         if self._beat is None:
             return True
-        if now - self._beat.heard_at > timings.beat_silence_s:
+        if now - self._beat.heard_at > timings.beat_doubt_s:
             return True
-        return self._beat.confirm_age_at(now) > timings.stale_confirm_s * 0.6
+        return self._beat.confirm_age_at(now) > timings.confirm_doubt_s
 
     def _is_silent(self, now: float) -> bool:
         timings = self._timings
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -7,7 +7,7 @@
 from galenastall.coordination.cell.commands import StartOrder, StopOrder
 from galenastall.coordination.cell.job_runs import StartState, TaskRun
 from galenastall.coordination.cell.run_ends import RunEnds
-from galenastall.state.cell.phases import RunEnd, TaskPhase
+from galenastall.state.cell.phases import RunEnd
 
 
 class StartOutcome(StrEnum):
@@ -39,7 +39,7 @@
         self, order: StartOrder, outcome: StartOutcome, *, now: float, wall: float
     ) -> bool:
         """Apply a start's outcome; return whether the same order should be sent once more."""
-        task = self._current(order)
+        task = self._state.find_ordered(order)
         if task is None:
             return False
         task.tries += 1
@@ -55,14 +55,6 @@
         self._on_refused(order, outcome, now=now, wall=wall)
         return False
 
-    def _current(self, order: StartOrder) -> TaskRun | None:
-        found = self._state.find(order.task)
-        if found is None:
-            return None
-        task = found[2]
-        is_current = task.phase is TaskPhase.ASSIGNED and task.run == order.run
-        return task if is_current else None
-
     def _on_unknown(self, task: TaskRun) -> bool:
         task.state = StartState.UNSURE
         if task.is_stopping:
@@ -82,10 +74,10 @@
     def _on_refused(
         self, order: StartOrder, outcome: StartOutcome, *, now: float, wall: float
     ) -> None:
-        found = self._state.find(order.task)
-        if found is not None and found[2].tries > 1:
+        task = self._state.find_ordered(order)
+        if task is not None and task.tries > 1:
             # An earlier try got no answer and may still be carried out: only a stop settles it.
-            self._ends.stop(found[2], cause=f"refused as {outcome.value} after an unanswered try")
+            self._ends.stop(task, cause=f"refused as {outcome.value} after an unanswered try")
             return
         executor = self._state.executors_by_id.get(order.executor_id)
         if executor is not None and outcome is not StartOutcome.NO_TICKET:
@@ -105,9 +97,9 @@
         executor = self._state.executors_by_id.get(order.executor_id)
         if executor is not None:
             executor.wants_look = True
-        found = self._state.find(order.task)
-        if found is not None and found[2].run == order.run:
-            found[2].stop_seq = self._state.next_seq()
+        task = self._state.find_ordered(order)
+        if task is not None:
+            task.stop_seq = self._state.next_seq()
 
     def order_stops(self, now: float) -> None:
         """Order the stops that are wanted, and again those not listed as ended after a while."""
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -20,7 +20,7 @@
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.state.cell.jobs import CellJob, Queue, StepKey
-from galenastall.state.cell.phases import JobPhase, RunEnd, TaskPhase
+from galenastall.state.cell.phases import JobPhase, RunEnd
 from galenastall.state.cell.rows import (
     JOB_PREFIX,
     PROGRESS_PREFIX,
@@ -105,6 +105,12 @@
         run = self._state.jobs_by_id.get(job_id)
         if run is None or run.is_durable or run.is_written:
             return False
+        for task in run.assigned():
+            step = run.find_step(task.key.step_key)
+            if step is not None:
+                self._state.free(task, step)
+        self._state.drop_starts(job_id)
+        self._advice.forget_job(job_id)
         del self._state.jobs_by_id[job_id]
         self._state.dirty_jobs.discard(job_id)
         return True
@@ -169,12 +175,8 @@
 
     def is_wanted(self, order: StartOrder) -> bool:
         """Whether an order that may leave is still to be sent: its run has not been given up."""
-        found = self._state.find(order.task)
-        if found is None:
-            return False
-        task = found[2]
-        is_current = task.phase is TaskPhase.ASSIGNED and task.run == order.run
-        return is_current and not task.is_stopping
+        task = self._state.find_ordered(order)
+        return task is not None and not task.is_stopping
 
     def decide(self, *, now: float, wall: float, may_place: bool = True) -> None:
         """Open what has come due, end what has lapsed, repeat stops, and place what fits.
@@ -245,7 +247,6 @@
         """Note that an earlier state of a job is durable: at least its acceptance is."""
         if not run.is_durable:
             run.is_durable = True
-            self._state.refresh_waiting(run)
             self._state.note("job.accepted", run.job.job_id, fields={"queue": run.queue.name})
 
     @staticmethod
@@ -255,13 +256,10 @@
         return run.phase
 
     def _may_leave(self, order: StartOrder, wall: float) -> bool:
-        found = self._state.find(order.task)
-        if found is None:
-            return False
-        task = found[2]
-        if task.phase is not TaskPhase.ASSIGNED or task.run != order.run:
+        task = self._state.find_ordered(order)
+        if task is None:
             return False
-        if task.is_stopping or found[0].has_ended:
+        if task.is_stopping or self._state.jobs_by_id[order.task.job].has_ended:
             self._ends.apply(order.task, order.run, RunEnd.NEVER_STARTED, wall=wall)
             return False
         task.state = StartState.SENT
--- a/src/galenastall/coordination/cell/timings.py
+++ b/src/galenastall/coordination/cell/timings.py
@@ -23,19 +23,23 @@
     """Tries of one start with one run number before the run is stopped instead."""
     refused_pause_s: float = 0.7
     """Pause of an executor that refused a start for want of health or room."""
-    commit_every_s: float = 0.03
-    """Least time between two appends; 33 a second cost under 1% of what a day earns."""
-    confirm_every_s: float = 0.3
+    commit_every_s: float = 0.02
+    """Least time between two appends; 50 a second cost under 1% of what a day earns."""
+    confirm_every_s: float = 0.2
     """An idle leader appends this often, so that leases go on and standbys see it alive."""
-    beat_every_s: float = 0.2
+    beat_every_s: float = 0.15
     """Between two heartbeats of the leader to each standby."""
-    beat_silence_s: float = 0.7
-    """Silence after which a standby looks at the store for signs of the leader."""
+    beat_doubt_s: float = 0.35
+    """Silence after which a standby looks at the store for signs of the leader: two beats lost."""
+    beat_silence_s: float = 0.6
+    """Silence after which a standby claims if the store shows no sign either."""
+    confirm_doubt_s: float = 0.8
+    """A leader whose last confirmation is older makes standbys look at the store."""
     stale_confirm_s: float = 1.3
     """A leader whose last confirmation is older counts as silent; slow stores stay below it."""
-    tip_silence_s: float = 0.7
+    tip_silence_s: float = 0.5
     """How long the state's end must stand still before a standby claims: two confirmations."""
-    tip_every_s: float = 0.2
+    tip_every_s: float = 0.15
     """Between two looks at the store while the leader is silent."""
     claim_jitter_s: float = 0.25
     """Standbys draw a delay up to this, so that most claims have one claimant."""
--- a/src/galenastall/transport/http_exchange.py
+++ b/src/galenastall/transport/http_exchange.py
@@ -159,6 +159,8 @@
         await connection.stream.aclose()
         raise
     if response is None:
+        # Other kept connections to the address may have gone silent together with this one.
+        await pool.aclose()
         return Failure(await _give_up(call, connection, Reason.TIMEOUT, "no answer in time"))
     headers = _headers_of(response)
     if not _has_checked_end(call, response.status, headers):
--- a/src/galenastall/transport/zmq_sockets.py
+++ b/src/galenastall/transport/zmq_sockets.py
@@ -21,7 +21,11 @@
 _UNACKNOWLEDGED_MS: Final = 10_000
 """Milliseconds after which TCP gives up a connection whose bytes nobody acknowledges."""
 _RECONNECT_MS: Final = 100
-_RECONNECT_MAX_MS: Final = 2_000
+_RECONNECT_MAX_MS: Final = 400
+"""Longest pause before the next try: a host that is back after a takeover of 1 s must be heard."""
+_HEARTBEAT_MS: Final = 500
+"""Between two pings of a connection, so that one that has gone silent without a reset is ended."""
+_HEARTBEAT_TIMEOUT_MS: Final = 1_500
 _KEEPALIVE_IDLE_S: Final = 30
 _CLOSE_LINGER_MS: Final = 200
 _READ_AT_ONCE: Final = 256
@@ -91,6 +95,8 @@
     socket.setsockopt(zmq.SNDHWM, QUEUE_MESSAGES)
     socket.setsockopt(zmq.RCVHWM, QUEUE_MESSAGES)
     socket.setsockopt(zmq.TCP_MAXRT, _UNACKNOWLEDGED_MS)
+    socket.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MS)
     socket.setsockopt(zmq.TCP_KEEPALIVE, 1)
     socket.setsockopt(zmq.TCP_KEEPALIVE_IDLE, _KEEPALIVE_IDLE_S)
 
