Let the leases of an executor that is gone for good run out

Ruled out: the list (delisted at 25 s), placement. Change: an executor that has not answered for 2.5 s is polled without renewing its lease.

--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -18,6 +18,9 @@
 """Long poll of an idle executor; still within the time after which it gets no new work."""
 LATE_ANSWER_S: Final = 0.6
 """Wait for an answer beyond the long poll; a round trip takes 1 to 8 ms."""
+RENEW_REACH_S: Final = 2.5
+"""An executor that has not answered for longer is polled without renewing: one lost long poll
+and a second try stay within it."""
 ORDER_TIMEOUT_S: Final = 0.8
 """Wait for the answer to an order."""
 RETRY_S: Final = 0.2
@@ -91,7 +94,7 @@
         answer = await context.executors.renew(
             address=executor.info.address,
             executor_id=executor.executor_id,
-            deadline_ms=executor.clock.deadline_ms(confirmed_at=context.confirmed_at),
+            deadline_ms=self._lease_deadline_ms(),
             noted=executor.durable,
             wait_s=wait_s,
             token=context.token,
@@ -102,6 +105,18 @@
             return False
         return self._take(answer.unwrap(), asked_seq)
 
+    def _lease_deadline_ms(self) -> int | None:
+        """Return the deadline to renew to; None for an executor that has stopped answering.
+
+        Each deadline that is named, also in a call that gets lost, puts off the time at which the
+        runs there count as lapsed. Renewed without end, the runs of an executor that is gone for
+        good would never be started elsewhere.
+        """
+        executor = self._executor
+        if not executor.has_answered(now=trio.current_time(), reach_s=RENEW_REACH_S):
+            return None
+        return executor.clock.deadline_ms(confirmed_at=self._context.confirmed_at)
+
     def _take(self, answer: ListingAnswer, asked_seq: int) -> bool:
         context = self._context
         if answer.verdict is StartVerdict.FENCED:
--- a/tests/test_cell_leadership.py
+++ b/tests/test_cell_leadership.py
@@ -187,6 +187,23 @@
 
         await play(scenario, seed=10)
 
+    async def test_the_work_of_an_executor_that_is_gone_for_good_runs_elsewhere(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            await cluster.wait_for_leader()
+            await hand_in(cluster, world, rng, 10, 0.02)
+            await trio.sleep(0.3)
+            gone_at = trio.current_time()
+            for name in ("executor-1", "executor-2"):
+                world.crash(world.executors[name])
+            await trio.sleep(4.0)
+            del world.listed["executor-1"], world.listed["executor-2"]
+            await check_all_end(cluster, 20.0)
+            assert trio.current_time() - gone_at < 25.0
+
+        await play(scenario, seed=12)
+
     async def test_a_cut_executor_s_runs_are_waited_for(self, autojump_clock: object) -> None:
         async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
             await cluster.wait_for_leader()
