--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -19,6 +19,8 @@
     service: str
     capacity: Resources
     labels: tuple[str, ...] = ()
+    """What steps may require: its kind, and more."""
+    rack: str = ""
     is_draining: bool = False
     leaves_in_s: float = 0.0
     """Least time in seconds until it leaves, while it drains."""
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -21,7 +21,10 @@
 """Failed runs in a row after which an executor is the last choice."""
 URGENT_PRIORITY: Final = 0
 
-OrderKey = tuple[int, int, float, StepKey]
+WORTHLESS_RANK: Final = 2
+"""Rank of what is so late that it earns nothing more; it runs when nothing else wants the room."""
+
+OrderKey = tuple[int, int, int, float, StepKey]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -41,13 +44,18 @@
         return "" if self.advice is None else self.advice.ticket(executor_id, self.now)
 
     def order_key(self, wall: float) -> OrderKey:
-        """Return its place in the order of decisions."""
+        """Return its place in the order of decisions.
+
+        Urgent work goes before other work also when it is late: it is an eighth of all work, and
+        what waits behind work with seconds to spare ends up earning nothing.
+        """
         occurrence = self.occurrence
         rank = lateness_rank(
             objective=occurrence.objective, begins_at=occurrence.begins_at, now=wall
         )
         urgency = 0 if self.queue.priority == URGENT_PRIORITY else 1
-        return (rank, urgency, occurrence.objective, self.step.key)
+        worthless = 1 if rank >= WORTHLESS_RANK else 0
+        return (worthless, urgency, rank, occurrence.objective, self.step.key)
 
 
 class Placer:
@@ -285,7 +293,7 @@
 def _preference(executor: Executor, step: StepRun) -> tuple[int, int, float, str]:
     doubtful = 1 if executor.consecutive_failures >= FAILURES_TO_AVOID else 0
     rack = step.step.data_rack
-    far = 1 if rack and rack not in executor.info.labels else 0
+    far = 1 if rack and rack != executor.info.rack else 0
     need = step.step.need
     capacity = executor.info.capacity
     cores_left = (executor.free_cores_milli - need.cores_milli) / max(capacity.cores_milli, 1)
@@ -306,8 +314,8 @@
 def _choose_for_gang(usable: list[Executor], step: StepRun, count: int) -> list[Executor] | None:
     """Return an executor for each member, on one rack if that is wanted and possible."""
     if step.step.wants_one_rack:
-        for rack in sorted({label for e in usable for label in e.info.labels}):
-            on_rack = [e for e in usable if rack in e.info.labels]
+        for rack in sorted({e.info.rack for e in usable}):
+            on_rack = [e for e in usable if e.info.rack == rack]
             chosen = _fill(on_rack, step, count)
             if chosen is not None:
                 return chosen
--- a/src/galenastall/node/cell/cell_host.py
+++ b/src/galenastall/node/cell/cell_host.py
@@ -92,15 +92,15 @@
                 recorder=recorder,
                 timings=timings,
                 config=self.config.current,
-                hosts=self._hosts,
+                helpers=self._helpers,
             ),
             timings=timings,
             on_newer_config=lambda version: self.config.hear_of(version, self.standing.leader),
         )
         self.desk = CallerDesk(host_id=settings.host_id, link=self.link, standing=self.standing)
 
-    def _hosts(self) -> tuple[HostId, ...]:
-        return self.standing.hosts()
+    def _helpers(self) -> tuple[HostId, ...]:
+        return self.standing.helpers()
 
     @property
     def is_ready(self) -> bool:
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -46,7 +46,7 @@
     recorder: Recorder
     timings: CellTimings
     config: Callable[[], CellConfig | None]
-    hosts: Callable[[], tuple[HostId, ...]]
+    helpers: Callable[[], tuple[HostId, ...]]
     """Entry hosts through which the advisor can be asked."""
 
 
@@ -68,7 +68,7 @@
             on_lost=self._on_lost,
         )
         self._commits = CommitLoop(context=self.context, state=parts.state, timings=parts.timings)
-        self._advice = AdviceDesk(context=self.context, link=parts.link, hosts=parts.hosts)
+        self._advice = AdviceDesk(context=self.context, link=parts.link, helpers=parts.helpers)
         self._sessions_by_id: dict[str, ExecutorSession] = {}
         self._scope = trio.CancelScope()
         self._config_version = -1
--- a/src/galenastall/node/cell/standing.py
+++ b/src/galenastall/node/cell/standing.py
@@ -22,14 +22,16 @@
 """Between two looks at what to do about the leadership."""
 HELLO_EVERY_S: Final = 0.5
 """Between two messages by which a standby makes itself known to the leader."""
-HOST_KEPT_S: Final = 3.0
-"""A host that has not made itself known for longer gets no more heartbeats."""
+HELPER_HEARD_S: Final = 1.2
+"""A host that has not made itself known for longer, two messages, is asked for nothing."""
 
 
 @dataclass(slots=True)
 class _KnownHost:
     address: str
     weight: float
+    started_at: float
+    """Leader's time at which its process started."""
     heard_at: float
     is_leaving: bool
 
@@ -58,6 +60,7 @@
         self._on_newer_config = on_newer_config
         self._hosts_by_id: dict[HostId, _KnownHost] = {}
         self._addresses_by_host: dict[str, str] = {}
+        self._started_at = trio.current_time()
         self._is_leaving = False
         self._is_asked_to_claim = False
         self._link: PeerLink = parts.link
@@ -83,10 +86,14 @@
         """Whether this host leads or hears who does."""
         return self.term is not None or self._election.is_heard(trio.current_time())
 
-    def hosts(self) -> tuple[HostId, ...]:
-        """Return the hosts that have made themselves known lately, this one included."""
-        oldest = trio.current_time() - HOST_KEPT_S
-        known = (h for h, k in self._hosts_by_id.items() if k.heard_at > oldest)
+    def helpers(self) -> tuple[HostId, ...]:
+        """Return the hosts that can be asked to do something for the leader, itself included."""
+        oldest = trio.current_time() - HELPER_HEARD_S
+        known = (
+            host
+            for host, known in self._hosts_by_id.items()
+            if known.heard_at > oldest and not known.is_leaving
+        )
         return (self._host_id, *known)
 
     async def run(self) -> None:
@@ -168,7 +175,7 @@
             config_version=config.version if config else 0,
             addresses_by_host={str(host): address for host, address in addresses.items()},
         )
-        for host in {*self.hosts(), *map(HostId, self._addresses_by_host)} - {self._host_id}:
+        for host in set(map(HostId, self._addresses_by_host)) - {self._host_id}:
             self._link.send(peer=host, message=message)
 
     async def _say_hello(self) -> None:
@@ -179,7 +186,12 @@
             await trio.sleep(HELLO_EVERY_S)
 
     def _hello(self) -> Hello:
-        return Hello(address=self._address, weight=self._weight, is_leaving=self._is_leaving)
+        return Hello(
+            address=self._address,
+            weight=self._weight,
+            uptime_s=trio.current_time() - self._started_at,
+            is_leaving=self._is_leaving,
+        )
 
     async def _on_beat(self, sender: HostId, beat: Beat) -> Any:
         if self.term is not None and beat.token < self.term.token:
@@ -212,6 +224,7 @@
         self._hosts_by_id[sender] = _KnownHost(
             address=hello.address,
             weight=hello.weight,
+            started_at=trio.current_time() - hello.uptime_s,
             heard_at=trio.current_time(),
             is_leaving=hello.is_leaving,
         )
@@ -253,10 +266,10 @@
             self._link.send(peer=successor, message=TakeOver(token=term.token))
 
     def _successor(self) -> HostId | None:
-        oldest = trio.current_time() - HOST_KEPT_S / 2
+        oldest = trio.current_time() - HELPER_HEARD_S
         fit = [
-            (-known.weight, host)
+            (-known.weight, -known.started_at, host)
             for host, known in self._hosts_by_id.items()
             if known.heard_at > oldest and not known.is_leaving
         ]
-        return min(fit)[1] if fit else None
+        return min(fit)[-1] if fit else None
--- a/src/galenastall/platform/fleet.py
+++ b/src/galenastall/platform/fleet.py
@@ -38,6 +38,7 @@
     state: str = "ready"
     capacity: WireCapacity = WireCapacity()
     labels: list[str] = []
+    """Its kind, then its rack."""
     machine: str = ""
     """The host that it is a life of; empty where the platform names none."""
     drain_remaining_ms: float = 0.0
@@ -52,6 +53,7 @@
             service=self.service,
             capacity=self.capacity.to_resources(),
             labels=tuple(self.labels),
+            rack=self.labels[1] if len(self.labels) > 1 else "",
             is_draining=self.state == _DRAINING,
             leaves_in_s=self.drain_remaining_ms / 1000.0,
         )
--- a/src/galenastall/protocol/cell/messages.py
+++ b/src/galenastall/protocol/cell/messages.py
@@ -29,7 +29,9 @@
     address: str
     """Where its peer link listens."""
     weight: float
-    """Cores that it has; heavier hosts claim first."""
+    """Cores that it has; heavier hosts are preferred as leaders."""
+    uptime_s: float
+    """Since its process started. In a rolling restart the youngest are stopped last."""
     is_leaving: bool = False
 
 
--- a/tests/test_cell_core.py
+++ b/tests/test_cell_core.py
@@ -40,7 +40,8 @@
         data_centre="dc",
         service="s",
         capacity=Resources(cores_milli=cores, memory_mb=8000),
-        labels=("a", "r1"),
+        labels=("a",),
+        rack="r1",
     )
 
 
@@ -253,7 +254,7 @@
         assert rig.step() == []
 
     def test_the_data_s_rack_is_preferred(self) -> None:
-        near = replace(make_info("e2"), labels=("a", "r2"))
+        near = replace(make_info("e2"), rack="r2")
         rig = Rig(make_info("e1"), near)
         rig.submit(make_job(make_step(1, data_rack="r2")))
         assert [order.executor_id for order in rig.step()] == ["e2"]
@@ -293,6 +294,35 @@
         rig.submit(make_job(make_step(1, estimate_s=1.0), job_id="b" * 16))
         assert [order.task.job for order in rig.step()] == ["b" * 16]
 
+    def test_a_gang_that_wants_one_rack_gets_one_if_it_has_room(self) -> None:
+        rig = Rig(
+            make_info("e1"),
+            replace(make_info("e2"), rack="r2"),
+            replace(make_info("e3"), rack="r2"),
+        )
+        rig.submit(make_job(make_step(6, is_gang=True, wants_one_rack=True)))
+        assert {order.executor_id for order in rig.step()} == {"e2", "e3"}
+
+    def test_late_urgent_work_goes_before_work_with_time_to_spare(self) -> None:
+        rig = Rig(make_info("e1", cores=1000))
+        urgent = replace(QUEUE, name="urgent", priority=0)
+        rig.core.set_queues([QUEUE, urgent])
+        rig.submit(make_job(make_step(1, estimate_s=60.0), job_id="a" * 16))
+        rig.submit(make_job(make_step(1, estimate_s=1.0), job_id="b" * 16, queue=urgent))
+        rig.now += 4.0
+        rig.listing("e1")
+        assert [order.task.job for order in rig.step()] == ["b" * 16]
+
+    def test_work_that_earns_nothing_more_goes_last(self) -> None:
+        rig = Rig(make_info("e1", cores=1000))
+        urgent = replace(QUEUE, name="urgent", priority=0)
+        rig.core.set_queues([QUEUE, urgent])
+        rig.submit(make_job(make_step(1, estimate_s=60.0), job_id="a" * 16))
+        rig.submit(make_job(make_step(1, estimate_s=1.0), job_id="b" * 16, queue=urgent))
+        rig.now += 20.0
+        rig.listing("e1")
+        assert [order.task.job for order in rig.step()] == ["a" * 16]
+
 
 class TestEnds:
     def start(self, rig: Rig, *steps: Step) -> list[StartOrder]:
