--- a/src/galenastall/coordination/cell/commands.py
+++ b/src/galenastall/coordination/cell/commands.py
@@ -33,6 +33,8 @@
     step: StepKey
     executor_ids: tuple[str, ...]
     timing: AdvisorTiming
+    is_urgent: bool = False
+    """Goes before calls for other work."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -163,7 +163,14 @@
             self._hold(waiting, left, wanted)
         ids = tuple(executor.executor_id for executor in wanted)
         self._advice.begin(waiting.step.key, ids, waiting.now)
-        self._state.asks.append(AskAdvice(step=waiting.step.key, executor_ids=ids, timing=timing))
+        self._state.asks.append(
+            AskAdvice(
+                step=waiting.step.key,
+                executor_ids=ids,
+                timing=timing,
+                is_urgent=waiting.queue.priority == URGENT_PRIORITY,
+            )
+        )
 
     def _worth_renewing(
         self, waiting: _Waiting, advice: StepAdvice, left: int, usable: list[Executor]
--- a/src/galenastall/node/cell/advice_desk.py
+++ b/src/galenastall/node/cell/advice_desk.py
@@ -1,5 +1,6 @@
 """Spread calls for advice over the entry hosts: the advisor serves one a time for each of them."""
 
+from collections import deque
 from collections.abc import Callable
 from typing import Final
 
@@ -10,7 +11,7 @@
 from galenastall.node.cell.term_context import TermContext
 from galenastall.protocol.cell.messages import AdviceAnswer, GetAdvice
 from galenastall.protocol.peers import PeerLink
-from galenastall.state.errors import Reason, StepError
+from galenastall.state.errors import StepError
 from galenastall.state.ids import HostId
 
 ADVICE_SLACK_S: Final = 0.5
@@ -19,43 +20,82 @@
 """Hosts through which one call is tried: some may just have been killed."""
 AVOID_S: Final = 1.0
 """How long a host through which a call failed is not used."""
+KEPT_FOR_URGENT: Final = 2
+"""Hosts that calls for other work leave free: one such call takes up to 0.9 s, an urgent 10 ms."""
 
 
 class AdviceDesk:
-    """Chooses for each call the host that is free first."""
+    """Gives each call to a host that makes no other one; urgent calls go first."""
 
     def __init__(
-        self, *, context: TermContext, link: PeerLink, helpers: Callable[[], tuple[HostId, ...]]
+        self,
+        *,
+        context: TermContext,
+        link: PeerLink,
+        helpers: Callable[[], tuple[HostId, ...]],
+        nursery: trio.Nursery,
     ) -> None:
         """Ask through `helpers`, which include this host."""
         self._context = context
         self._link = link
         self._helpers = helpers
-        self._free_at_by_host: dict[HostId, float] = {}
+        self._nursery = nursery
+        self._urgent: deque[tuple[AskAdvice, int]] = deque()
+        self._other: deque[tuple[AskAdvice, int]] = deque()
+        """Calls that wait for a host, with the tries that they have had."""
+        self._busy: set[HostId] = set()
+        self._avoided_until: dict[HostId, float] = {}
 
-    async def ask(self, ask: AskAdvice) -> None:
-        """Make one call, by another host if one fails, and hand its answer to the core."""
-        for _ in range(TRIES):
-            answer = await self._ask_through_one(ask)
-            if not isinstance(answer, Failure):
-                self._take(ask, answer.unwrap())
-                return
-        self._context.core.on_advice_failed(ask.step, now=trio.current_time())
-        self._context.wake()
+    def ask(self, ask: AskAdvice) -> None:
+        """Make a call as soon as a host is free for it."""
+        self._put(ask, 0)
+        self._dispatch()
+
+    def _put(self, ask: AskAdvice, tries: int) -> None:
+        (self._urgent if ask.is_urgent else self._other).append((ask, tries))
+
+    def _dispatch(self) -> None:
+        now = trio.current_time()
+        helpers = self._helpers()
+        well = [host for host in helpers if self._avoided_until.get(host, 0.0) <= now]
+        usable = well or list(helpers)
+        free = [host for host in usable if host not in self._busy]
+        while free and self._urgent:
+            self._begin(free.pop(), *self._urgent.popleft())
+        kept = KEPT_FOR_URGENT if len(usable) > KEPT_FOR_URGENT else 0
+        while len(free) > kept and self._other:
+            self._begin(free.pop(), *self._other.popleft())
+
+    def _begin(self, host: HostId, ask: AskAdvice, tries: int) -> None:
+        self._busy.add(host)
+        self._nursery.start_soon(self._ask_through, host, ask, tries)
 
-    async def _ask_through_one(self, ask: AskAdvice) -> Result[AdviceAnswer, StepError]:
+    async def _ask_through(self, host: HostId, ask: AskAdvice, tries: int) -> None:
+        try:
+            answer = await self._call(host, ask)
+        finally:
+            self._busy.discard(host)
+        if not isinstance(answer, Failure):
+            self._take(ask, answer.unwrap())
+        else:
+            self._on_failure(host, ask, tries + 1, answer.failure())
+        self._dispatch()
+
+    async def _call(self, host: HostId, ask: AskAdvice) -> Result[AdviceAnswer, StepError]:
         takes_s = ask.timing.base_s + len(ask.executor_ids) * ask.timing.per_executor_s
-        host, free_at = self._choose(trio.current_time(), takes_s)
-        waits_s = max(0.0, free_at - trio.current_time())
-        timeout_s = waits_s + takes_s + ADVICE_SLACK_S
+        timeout_s = takes_s + ADVICE_SLACK_S
         message = GetAdvice(step=ask.step, executor_ids=ask.executor_ids, timeout_s=timeout_s)
-        answer = await self._link.call(peer=host, message=message, timeout_s=timeout_s)
-        if isinstance(answer, Failure):
-            error = answer.failure()
-            if error.reason is not Reason.OVERLOADED:
-                self._free_at_by_host[host] = trio.current_time() + AVOID_S
-            self._context.note("advice.failed", ask.step.job, cause=str(error), host=host)
-        return answer
+        return await self._link.call(peer=host, message=message, timeout_s=timeout_s)
+
+    def _on_failure(self, host: HostId, ask: AskAdvice, tries: int, error: StepError) -> None:
+        now = trio.current_time()
+        self._avoided_until[host] = now + AVOID_S
+        self._context.note("advice.failed", ask.step.job, cause=str(error), host=host)
+        if tries < TRIES:
+            self._put(ask, tries)
+            return
+        self._context.core.on_advice_failed(ask.step, now=now)
+        self._context.wake()
 
     def _take(self, ask: AskAdvice, advice: AdviceAnswer) -> None:
         self._context.note(
@@ -68,9 +108,3 @@
             ask.step, advice.approved, validity_s=advice.validity_s, now=trio.current_time()
         )
         self._context.wake()
-
-    def _choose(self, now: float, takes_s: float) -> tuple[HostId, float]:
-        host = min(self._helpers(), key=lambda h: (self._free_at_by_host.get(h, 0.0), h))
-        free_at = max(self._free_at_by_host.get(host, 0.0), now)
-        self._free_at_by_host[host] = free_at + takes_s
-        return host, free_at
--- a/src/galenastall/node/cell/cell_host.py
+++ b/src/galenastall/node/cell/cell_host.py
@@ -116,9 +116,12 @@
             task_status.started()
             self._recorder.record("host.started")
 
-    async def leave(self) -> None:
-        """Hand over what others can take; operations go on being served through them."""
+    async def leave(self, patience_s: float) -> None:
+        """Hand over what others can take, within `patience_s` and a little more.
+
+        Callers' operations go on being served, through the new leader.
+        """
         was_leading = self.standing.term is not None
-        await self.standing.leave()
+        await self.standing.leave(patience_s)
         if was_leading:
             await trio.sleep(HANDOVER_S)
--- a/src/galenastall/node/cell/commit_loop.py
+++ b/src/galenastall/node/cell/commit_loop.py
@@ -30,6 +30,8 @@
         self._timings = timings
         self._sequence = 0
         self._wanted = trio.Event()
+        self.last_append_s = 0.0
+        """How long the last answered append took."""
         self.failing_since: float | None = None
         """When appends began to fail; None while they go through."""
 
@@ -72,6 +74,7 @@
             )
             if not isinstance(answer, Failure):
                 context.confirmed_at = sent_at
+                self.last_append_s = trio.current_time() - sent_at
                 self._note_regained()
                 return
             error = answer.failure()
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -32,6 +32,8 @@
 DECIDE_AT_LEAST_EVERY_S: Final = 0.1
 """Longest time between two decisions: leases lapse and occurrences come due without an event."""
 LOAD_RETRY_S: Final = 0.1
+SLOW_APPEND_S: Final = 0.1
+"""An append takes 7 ms; with one above this a takeover takes a second and more."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -68,7 +70,6 @@
             on_lost=self._on_lost,
         )
         self._commits = CommitLoop(context=self.context, state=parts.state, timings=parts.timings)
-        self._advice = AdviceDesk(context=self.context, link=parts.link, helpers=parts.helpers)
         self._sessions_by_id: dict[str, ExecutorSession] = {}
         self._scope = trio.CancelScope()
         self._config_version = -1
@@ -82,6 +83,12 @@
         """Seconds since the sending of the last call that the store confirmed."""
         return trio.current_time() - self.context.confirmed_at
 
+    @property
+    def is_store_slow(self) -> bool:
+        """Whether the store takes its time, so that a takeover would, too."""
+        confirm_is_late = self.confirm_age_s > self._parts.timings.confirm_every_s + SLOW_APPEND_S
+        return confirm_is_late or self._commits.last_append_s > SLOW_APPEND_S
+
     def give_up(self, cause: str) -> None:
         """End the term."""
         self._on_lost(cause)
@@ -100,7 +107,13 @@
                 self.ready.set()
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._follow_fleet, nursery)
-                    nursery.start_soon(self._decide_forever, nursery)
+                    desk = AdviceDesk(
+                        context=self.context,
+                        link=self._parts.link,
+                        helpers=self._parts.helpers,
+                        nursery=nursery,
+                    )
+                    nursery.start_soon(self._decide_forever, nursery, desk)
                     nursery.start_soon(self._commits.run, partial(self._start, nursery))
         if not self.loss:
             self._on_lost("cancelled")
@@ -159,15 +172,15 @@
                 self._sessions_by_id[executor_id] = session
                 nursery.start_soon(session.run)
 
-    async def _decide_forever(self, nursery: trio.Nursery) -> None:
+    async def _decide_forever(self, nursery: trio.Nursery, desk: AdviceDesk) -> None:
         while True:
             with trio.move_on_after(DECIDE_AT_LEAST_EVERY_S):
                 await self.context.changed.wait()
             self.context.changed = trio.Event()
-            self._decide(nursery)
+            self._decide(nursery, desk)
             await trio.sleep(DECIDE_EVERY_S)
 
-    def _decide(self, nursery: trio.Nursery) -> None:
+    def _decide(self, nursery: trio.Nursery, desk: AdviceDesk) -> None:
         config = self._parts.config()
         if config is not None and config.version != self._config_version:
             self._config_version = config.version
@@ -178,7 +191,7 @@
             may_place=self._commits.failing_since is None,
         )
         for ask in self.core.take_asks():
-            nursery.start_soon(self._advice.ask, ask)
+            desk.ask(ask)
         for stop in self.core.take_stops():
             session = self._sessions_by_id.get(stop.executor_id)
             if session is not None:
--- a/src/galenastall/node/cell/standing.py
+++ b/src/galenastall/node/cell/standing.py
@@ -113,7 +113,7 @@
             return
         move = self._election.next_move(trio.current_time())
         if move is Move.LOOK:
-            await self._look()
+            nursery.start_soon(self._look)
         elif move is Move.CLAIM:
             # Another claim may have come since the last look; two claims cost a second takeover.
             await self._look()
@@ -250,9 +250,15 @@
         event, self.changed = self.changed, trio.Event()
         event.set()
 
-    async def leave(self) -> None:
-        """Hand the leadership over, if this host has it, and claim no more."""
+    async def leave(self, patience_s: float) -> None:
+        """Hand the leadership over, if this host has it, and claim no more.
+
+        Waits up to `patience_s` for a slow store: a takeover in the midst of it costs a second.
+        """
         self._is_leaving = True
+        with trio.move_on_after(patience_s):
+            while self.term is not None and self.term.is_store_slow:
+                await self.term.context.committed.wait()
         term = self.term
         if term is None:
             leader = self._election.leader
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -42,6 +42,8 @@
 """How long a stopping host takes new connections: the balancer notices within two probes."""
 STOP_MARGIN_S: Final = 0.7
 """Kept of the grace time, so that the process ends by itself."""
+HANDOVER_MARGIN_S: Final = 2.5
+"""Kept of the grace time for the handover and the drain after a slow store was waited for."""
 CONNECT_TIMEOUT_S: Final = 0.5
 """Connecting takes some milliseconds; a lost opening packet is sent again after a second."""
 CONNECTIONS_PER_ADDRESS: Final = 8
@@ -180,6 +182,6 @@
         """Hand over, finish what callers wait for, and end."""
         self._is_stopping = True
         until = trio.current_time() + self._settings.stop_grace_s - STOP_MARGIN_S
-        await self.host.leave()
+        await self.host.leave(max(self._settings.stop_grace_s - HANDOVER_MARGIN_S, 0.0))
         cut_off = await self._callers.drain(max(until - trio.current_time(), 0.0))
         self.recorder.record("host.stopped", fields={"cut_off": str(cut_off)})
--- a/tests/test_cell_leadership.py
+++ b/tests/test_cell_leadership.py
@@ -119,7 +119,7 @@
             await hand_in(cluster, world, rng, 10, 0.05)
             await trio.sleep(1.0)
             asked_at = trio.current_time()
-            cluster.nursery.start_soon(cluster.live[first].host.leave)
+            cluster.nursery.start_soon(cluster.live[first].host.leave, 3.0)
             await trio.sleep(0.01)
             second = await cluster.wait_for_leader()
             assert second != first
@@ -128,6 +128,20 @@
 
         await play(scenario, seed=6)
 
+    async def test_a_stopping_leader_waits_for_a_slow_store(self, autojump_clock: object) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            first = await cluster.wait_for_leader()
+            world.faults.slow_s = 0.3
+            await trio.sleep(1.0)
+            cluster.nursery.start_soon(cluster.live[first].host.leave, 3.0)
+            await trio.sleep(1.0)
+            assert cluster.leader == first
+            world.faults.clear()
+            await trio.sleep(1.0)
+            assert await cluster.wait_for_leader() != first
+
+        await play(scenario, seed=13)
+
     async def test_a_leader_that_the_store_turns_away_is_replaced(
         self, autojump_clock: object
     ) -> None:
