--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,455 @@
+"""The operations platform's dialect: settings, bytes, calls, and the whole path over loopback."""
+
+import socket
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import httpcore
+import msgspec
+import pytest
+import trio
+from returns.result import Failure, Result
+
+from cell.platform_http import ExecutorFace, StoreFace
+from cell.world import World
+from galenastall.platform.calls import PlatformCalls
+from galenastall.platform.config import WireConfig
+from galenastall.platform.executors import WireListing
+from galenastall.platform.fleet import WireEntry
+from galenastall.platform.keyed_follower import KeyedFollower
+from galenastall.platform.log_wire import (
+    WireError,
+    decode_read,
+    frame_record,
+    keyed_record,
+    split_keyed,
+)
+from galenastall.platform.process import EntryProcess
+from galenastall.platform.settings import (
+    PlatformSettings,
+    SettingsError,
+    decode_settings,
+    load_settings,
+    settings_path,
+)
+from galenastall.platform.store import PlatformStore
+from galenastall.platform.submissions import decode_job
+from galenastall.protocol.cell.config import CellConfig
+from galenastall.state.cell.jobs import CellJob, Queue, TaskKey
+from galenastall.state.cell.phases import RunEnd
+from galenastall.state.errors import Reason, StepError
+from galenastall.state.resources import Resources
+from galenastall.transport.clock import TrioClock
+from galenastall.transport.http_client import HttpClient
+from galenastall.transport.http_server import HttpServer
+
+QUEUE = Queue(name="q", service="service")
+JOB = "00000000000000ab"
+TABLE: dict[str, Any] = {
+    "nodeName": "front-1",
+    "ipAddress": "127.0.0.1",
+    "zone": "dc",
+    "internalPortRange": [7000, 7010],
+    "bootstrap": True,
+    "heartbeatMs": 1500,
+    "seedNodes": ["10.0.0.1:8166"],
+    "listenAddresses": {"front": "127.0.0.1:1", "readiness": "127.0.0.1:2"},
+    "platform": {"address": "127.0.0.1:3", "form": "log"},
+    "bounds": {"graceS": 6, "maxHoldMs": 10000},
+    "unknownField": {"is": "ignored"},
+}
+
+
+class TestSettings:
+    def test_what_is_needed_is_decoded_and_the_rest_ignored(self) -> None:
+        settings = decode_settings(TABLE)
+        assert settings.host_id == "front-1"
+        assert settings.peer_bind == "127.0.0.1:7000"
+        assert settings.longest_lease_s == 10.0
+        assert settings.may_start
+
+    @pytest.mark.parametrize(
+        ("field", "value", "message"),
+        [
+            ("nodeName", None, "nodeName: missing"),
+            ("nodeName", 7, "nodeName: expected str, got 7"),
+            ("internalPortRange", [9, 8], "internalPortRange: expected two rising ports"),
+            ("orders", "heartbeat", "orders: expected 'duty_call', got 'heartbeat'"),
+            ("bounds", {"graceS": -1}, "bounds.graceS: expected a number above 0, got -1"),
+            ("platform", {"address": "x", "form": "tables"}, "platform.form: expected 'log'"),
+        ],
+    )
+    def test_a_bad_field_is_named_with_its_value(
+        self, field: str, value: object, message: str
+    ) -> None:
+        table = {**TABLE, field: value}
+        if value is None:
+            del table[field]
+        with pytest.raises(SettingsError, match=message.replace("[", r"\[")):
+            decode_settings(table)
+
+    def test_a_missing_file_and_a_missing_variable_are_named(self, tmp_path: Path) -> None:
+        with pytest.raises(SettingsError, match="GALENASTALL_SETTINGS: not set"):
+            settings_path({})
+        with pytest.raises(SettingsError, match="can't be read"):
+            load_settings(tmp_path / "gone.toml")
+
+    def test_seeds_claim_first(self) -> None:
+        settings = decode_settings(TABLE)
+        seed = replace(settings, control_address="10.0.0.1:8166")
+        assert seed.claim_delay_s(0.0) < settings.claim_delay_s(0.0)
+
+
+class TestLogWire:
+    @pytest.mark.parametrize("value", [b"", b"x", b"\x00" * 300])
+    def test_keyed_records_come_back(self, value: bytes) -> None:
+        framed = keyed_record("run/ab", value)
+        assert int.from_bytes(framed[:4], "big") == len(framed) - 4
+        assert split_keyed(framed[4:]) == ("run/ab", value)
+
+    def test_a_page_comes_back(self) -> None:
+        head = (9).to_bytes(8, "big") + (2).to_bytes(8, "big")
+        page = decode_read(head + frame_record(b"one") + frame_record(b""))
+        assert (page.end, page.first, page.records) == (9, 2, (b"one", b""))
+
+    @pytest.mark.parametrize("body", [b"short", b"\0" * 16 + b"\0\0", b"\0" * 16 + b"\0\0\0\x09ab"])
+    def test_cut_pages_are_errors(self, body: bytes) -> None:
+        with pytest.raises(WireError):
+            decode_read(body)
+
+
+class TestWireTypes:
+    def test_an_entry_becomes_an_executor(self) -> None:
+        text = b"""{"service":"s","address":"10.0.0.9:1","zone":"dc","version":"v1","slots":8,
+        "state":"draining","drainRemainingMs":1500,"capacity":{"cpu":16000,"memoryRequestMb":32768,
+        "gpus":0},"labels":["a","r1-3"],"clockMs":1,"sequence":4}"""
+        info = msgspec.json.decode(text, type=WireEntry).to_info("i-1")
+        assert info.capacity == Resources(cores_milli=16000, memory_mb=32768)
+        assert (info.rack, info.is_draining, info.leaves_in_s) == ("r1-3", True, 1.5)
+        assert info.host == "10.0.0.9:1"
+
+    def test_a_configuration_becomes_routes(self) -> None:
+        text = b"""{"version":7,"routes":[{"name":"r","host":"a.example","pathPrefix":"/l/",
+        "kind":"unsafe","timeoutMs":3000,"targetLatencyMs":1000,"priority":0,"service":"s",
+        "maxAttempts":2,"stretch":2.2,"placementAdvisor":{"decisionMs":656.0,"periodMs":5.9,
+        "validityMs":1500}},{"name":"t","host":"a.example","pathPrefix":"/l/x/"}],
+        "services":[{"name":"s","standby":true}],"limits":{}}"""
+        config = msgspec.json.decode(text, type=WireConfig).to_config()
+        queue = config.routes[0].queue
+        assert (queue.priority, queue.max_attempts, queue.target_s) == (0, 2, 1.0)
+        assert queue.advisor is not None
+        assert queue.advisor.base_s == 0.656
+        assert config.standby_services == {"s"}
+
+    def test_the_longest_prefix_of_the_host_wins(self) -> None:
+        routes = WireConfig(
+            version=1,
+            routes=msgspec.convert(
+                [
+                    {"name": "short", "host": "a.example", "pathPrefix": "/l/"},
+                    {"name": "long", "host": "a.example", "pathPrefix": "/l/x/"},
+                    {"name": "other", "host": "b.example", "pathPrefix": "/l/x/y/"},
+                ],
+                type=list[Any],
+            ),
+        )
+        config = msgspec.json.decode(msgspec.json.encode(routes), type=WireConfig).to_config()
+        found = config.find(host="A.example:80", path="/l/x/y/1")
+        assert found is not None
+        assert found.queue.name == "long"
+        assert config.find(host="c.example", path="/l/") is None
+
+    def test_a_listing_is_decoded_and_strange_rows_are_left_out(self) -> None:
+        text = b"""{"clockMs":5,"running":[["5c0e.0.1.17",2,"saved",41,3],["odd",1,"",0,0]],
+        "finished":[[58,"5c0e.0.1.9",1,"done",""],[59,"5c0e.0.1.8",1,"unheard",""]]}"""
+        listing = msgspec.json.decode(text, type=WireListing).to_listing()
+        assert [run.task for run in listing.running] == [TaskKey("5c0e", 0, 1, 17)]
+        assert [(end.position, end.end) for end in listing.ended] == [(58, RunEnd.DONE)]
+
+
+class TestSubmissions:
+    def decode(self, body: Any) -> Result[CellJob, StepError]:
+        return decode_job(
+            msgspec.json.encode(body), job_id=JOB, queue=QUEUE, wall=1.0, peer="caller"
+        )
+
+    def test_all_fields_of_a_step(self) -> None:
+        step = {
+            "count": 4,
+            "cpu": 500,
+            "memoryRequestMb": 256,
+            "gpus": 1,
+            "estimatedMs": 900,
+            "gangScheduled": True,
+            "sameRack": True,
+            "requirements": "a",
+            "dataRack": "r1-3",
+            "antiAffinity": 2,
+            "checkpointing": True,
+            "longRunning": True,
+            "image": "i",
+            "targetMs": 20,
+            "allowMiss": 1,
+            "speculative": True,
+        }
+        job = self.decode({"specification": "text", "steps": [step]}).unwrap()
+        found = job.steps[0]
+        assert found.need == Resources(cores_milli=500, memory_mb=256, accelerators=1)
+        assert found.is_gang
+        assert found.wants_one_rack
+        assert found.most_per_executor == 2
+        assert (found.label, found.data_rack, found.estimate_s) == ("a", "r1-3", 0.9)
+        assert found.is_long_running
+        assert found.most_unavailable == 1
+
+    def test_a_filler_reserves_no_processor(self) -> None:
+        job = self.decode({"steps": [{"count": 1, "cpu": 500, "fills": True}]}).unwrap()
+        assert job.steps[0].need.cores_milli == 0
+
+    def test_a_timed_job(self) -> None:
+        body = {
+            "steps": [{"count": 1}],
+            "repetitions": 3,
+            "firstRunMs": 5000,
+            "intervalMs": 250,
+        }
+        recurrence = self.decode(body).unwrap().recurrence
+        assert recurrence is not None
+        assert (recurrence.first_due, recurrence.interval_s, recurrence.times) == (5.0, 0.25, 3)
+
+    @pytest.mark.parametrize(
+        ("body", "message"),
+        [
+            ({"steps": []}, "steps: expected at least one"),
+            ({"steps": [{"cpu": 5}]}, "steps[0].count: expected 1 to 10000, got 0"),
+            ({"steps": [{"count": 1, "cpu": -5}]}, "steps[0].cpu: expected 0 or more, got -5"),
+            (
+                {"steps": [{"count": 1, "after": [0]}]},
+                "steps[0].after: expected numbers of earlier",
+            ),
+            ({"specification": "x" * 4001, "steps": [{"count": 1}]}, "specification: at most 4000"),
+            ({"steps": [{"count": "many"}]}, "steps[0].count"),
+        ],
+    )
+    def test_bad_input_names_field_and_value(self, body: Any, message: str) -> None:
+        error = self.decode(body).failure()
+        assert error.reason is Reason.INVALID
+        assert message in error.detail
+
+
+async def serve(nursery: trio.Nursery, *handlers: object) -> str:
+    server = HttpServer(handlers=handlers, clock=TrioClock())
+    await nursery.start(server.run)
+    return server.address
+
+
+def make_calls() -> PlatformCalls:
+    return PlatformCalls(client=HttpClient(clock=TrioClock()))
+
+
+class TestStore:
+    async def test_tokens_rise_and_a_fence_stops_older_writers(self) -> None:
+        async with trio.open_nursery() as nursery:
+            store = PlatformStore(calls=make_calls(), address=await serve(nursery, StoreFace()))
+            first = (await store.claim(host_id="a", address="a:1")).unwrap()
+            second = (await store.claim(host_id="b", address="b:1")).unwrap()
+            assert second > first
+            assert not isinstance(await store.fence(token=second), Failure)
+            refused = await store.append(
+                token=first, sequence=1, values_by_key={"k": b"old"}, timeout_s=1.0
+            )
+            assert refused.failure().reason is Reason.CONFLICT
+            view = (await store.look()).unwrap()
+            assert view.leader is not None
+            assert (view.leader.host_id, view.leader.token) == ("b", second)
+            nursery.cancel_scope.cancel()
+
+    async def test_a_repeated_append_is_written_once_and_all_pages_are_read(self) -> None:
+        async with trio.open_nursery() as nursery:
+            face = StoreFace()
+            store = PlatformStore(calls=make_calls(), address=await serve(nursery, face))
+            values = {f"run/{number}": bytes([number]) for number in range(8)}
+            for _ in range(2):
+                answer = await store.append(
+                    token=3, sequence=1, values_by_key=values, timeout_s=1.0
+                )
+                assert not isinstance(answer, Failure)
+            assert (await store.load()).unwrap() == values
+            assert (await store.look()).unwrap().tip == 8
+            nursery.cancel_scope.cancel()
+
+    async def test_a_refusal_says_that_nothing_was_done(self) -> None:
+        async with trio.open_nursery() as nursery:
+            face = StoreFace()
+            store = PlatformStore(calls=make_calls(), address=await serve(nursery, face))
+            face.is_refusing = True
+            answer = await store.append(token=1, sequence=1, values_by_key={}, timeout_s=1.0)
+            assert not answer.failure().may_have_taken_effect
+            nursery.cancel_scope.cancel()
+
+
+class TestKeyedFollower:
+    async def test_changes_drops_and_lost_history(self) -> None:
+        async with trio.open_nursery() as nursery:
+            face = StoreFace()
+            address = await serve(nursery, face)
+            follower = KeyedFollower(calls=make_calls(), address=address, topic="keyed.op")
+            for number in range(5):
+                face.put("keyed.op", f"k{number}", number)
+            assert (await follower.refresh(wait_s=0.0)).unwrap()
+            assert len(follower.values_by_key) == 5
+            assert not (await follower.refresh(wait_s=0.0)).unwrap()
+            face.put("keyed.op", "k0", None)
+            assert (await follower.refresh(wait_s=1.0)).unwrap()
+            assert "k0" not in follower.values_by_key
+            face.put("keyed.op", "k9", 9)
+            face.topics["keyed.op"].first = 7
+            assert (await follower.refresh(wait_s=0.0)).unwrap()
+            assert follower.values_by_key["k9"] == b"9"
+            nursery.cancel_scope.cancel()
+
+
+def free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def make_settings(name: str, store: str, advisor: str) -> PlatformSettings:
+    callers, readiness, peers = free_ports(3)
+    table = {
+        **TABLE,
+        "nodeName": name,
+        "internalPortRange": [peers, peers + 1],
+        "listenAddresses": {
+            "front": f"127.0.0.1:{callers}",
+            "readiness": f"127.0.0.1:{readiness}",
+        },
+        "platform": {"address": store, "form": "log"},
+        "placementAdvisor": advisor,
+    }
+    return decode_settings(table)
+
+
+class Caller:
+    """A caller of the platform."""
+
+    def __init__(self, *, address: str) -> None:
+        self.url = f"http://{address}"
+        self.pool = httpcore.AsyncConnectionPool()
+
+    async def ask(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        headers = [("Host", "q.example"), ("Deadline-Remaining", "3000")]
+        content = msgspec.json.encode(body) if body is not None else None
+        answer = await self.pool.request(method, self.url + path, headers=headers, content=content)
+        return answer.status, msgspec.json.decode(answer.content or b"null")
+
+    async def wait_ready(self, readiness: str) -> None:
+        for _ in range(400):
+            try:
+                answer = await self.pool.request("GET", f"http://{readiness}/readiness")
+            except httpcore.ConnectError:
+                await trio.sleep(0.05)
+                continue
+            if answer.status == 200:
+                return
+            await trio.sleep(0.05)
+        raise AssertionError("never ready")
+
+    async def wait_state(self, job: str, wanted: str) -> str:
+        state = ""
+        for _ in range(400):
+            status, answer = await self.ask("GET", f"/q/{job}")
+            state = answer["state"] if status == 200 else str(status)
+            if state == wanted:
+                return state
+            await trio.sleep(0.05)
+        return state
+
+
+class TestWholePath:
+    async def test_a_job_is_served_through_any_host_and_survives_the_leader(self) -> None:
+        async with trio.open_nursery() as nursery:
+            store = StoreFace()
+            store_address = await serve(nursery, store)
+            world = World(rng=Random(1), nursery=nursery, executors=2)
+            world.fail_share = 0.0
+            advisor = ""
+            for executor_id in list(world.executors):
+                advisor = await serve(nursery, ExecutorFace(world=world, executor_id=executor_id))
+                entry = {
+                    "service": "service",
+                    "address": advisor,
+                    "capacity": {"cpu": 8000, "memoryRequestMb": 32000},
+                    "labels": ["a", "r1"],
+                }
+                store.put("keyed.servers", executor_id, entry)
+            queue = {
+                "name": "q",
+                "host": "q.example",
+                "pathPrefix": "/q/",
+                "service": "service",
+                "maxAttempts": 2,
+                "placementAdvisor": {"decisionMs": 5, "periodMs": 1, "validityMs": 1500},
+            }
+            store.put("keyed.op", "config", {"version": 3, "routes": [queue]})
+            settings = [make_settings(name, store_address, advisor) for name in ("one", "two")]
+            processes = [EntryProcess(settings=each) for each in settings]
+            scopes: list[trio.CancelScope] = []
+            for process in processes:
+                scopes.append(await nursery.start(run_process, process))
+            callers = [Caller(address=each.callers_bind) for each in settings]
+            for caller, each in zip(callers, settings, strict=True):
+                await caller.wait_ready(each.readiness_bind)
+            body = {"specification": "x", "steps": [{"count": 2, "cpu": 1000, "estimatedMs": 500}]}
+            remember(world, JOB, body, processes[0].host.config.current())
+            assert await callers[0].ask("POST", f"/q/{JOB}", {"steps": []}) == (400, ANY)
+            assert await callers[0].ask("GET", f"/q/{JOB}") == (410, ANY)
+            assert await callers[0].ask("GET", "/none/x") == (404, ANY)
+            assert (await callers[0].ask("POST", f"/q/{JOB}", body))[0] == 200
+            assert (await callers[1].ask("POST", f"/q/{JOB}", body))[0] == 200
+            assert await callers[1].wait_state(JOB, "completed") == "completed"
+            assert await callers[0].ask("GET", "/q/") == (200, {"pending": 0})
+            leader = 0 if processes[0].host.standing.term is not None else 1
+            scopes[leader].cancel()
+            other = callers[1 - leader]
+            assert await other.wait_state(JOB, "completed") == "completed"
+            assert (await other.ask("DELETE", f"/q/{JOB}"))[0] == 200
+            assert world.violations == []
+            nursery.cancel_scope.cancel()
+
+
+class Anything:
+    """Equal to any answer."""
+
+    def __eq__(self, other: object) -> bool:
+        return True
+
+    __hash__ = None  # type: ignore[assignment]
+
+
+ANY = Anything()
+
+
+def remember(world: World, job_id: str, body: Any, config: CellConfig | None) -> None:
+    """Tell the world what it will be asked to run."""
+    assert config is not None
+    queue = config.routes[0].queue
+    text = msgspec.json.encode(body)
+    job = decode_job(text, job_id=job_id, queue=queue, wall=0.0, peer="").unwrap()
+    world.jobs[job_id] = job
+
+
+async def run_process(
+    process: EntryProcess, task_status: trio.TaskStatus[trio.CancelScope]
+) -> None:
+    with trio.CancelScope() as scope:
+        async with trio.open_nursery() as nursery:
+            await process.start(nursery)
+            task_status.started(scope)
