Judge executors by what becomes of runs: failures, standstill, pace

Cause: a failed task was tried again on the executor with the least room, mostly the one where it had just failed, though few attempts are allowed (2 for full packs); slow executors kept their runs. Change: other executors first for a task that failed; pauses that double for executors that fail three runs in a row, stall, or run below 0.35 of the median pace; runs are moved off slow ones if that brings their end forward by a second.

--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -17,6 +17,8 @@
         """Create empty tables of a leader whose fence stands since `fenced_at`."""
         self.timings = timings
         self.fenced_at = fenced_at
+        self.now = fenced_at
+        """Leader's time of the event in hand."""
         self.jobs_by_id: dict[str, JobRun] = {}
         self.executors_by_id: dict[str, Executor] = {}
         self.queues_by_name: dict[str, Queue] = {}
--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -48,6 +48,8 @@
         self.durable = 0
         """Position up to which applied ends are durable, so that it may forget them."""
         self.consecutive_failures = 0
+        self.pauses = 0
+        """Pauses since the last run that was done here."""
         self._leaves_at: float | None = None
         self.wants_look = False
         """Whether a listing is needed now, without waiting for an end."""
--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -4,8 +4,15 @@
 from typing import Final
 
 from galenastall.coordination.cell.cell_state import CellState
+from galenastall.coordination.cell.doubts import Doubts
 from galenastall.coordination.cell.executors import Executor, ExecutorInfo
-from galenastall.coordination.cell.job_runs import JobRun, StartState, TaskRun
+from galenastall.coordination.cell.job_runs import (
+    WHOLE_PERCENT,
+    JobRun,
+    StartState,
+    StepRun,
+    TaskRun,
+)
 from galenastall.coordination.cell.lease_clock import LeaseClock
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.state.cell.phases import RunEnd
@@ -18,17 +25,19 @@
 STILL_S: Final = 3.0
 """A run whose progress has stood still for longer is stopped and started elsewhere. Sound runs
 show progress each 0.2 s, and a gang waits at most as long for its members."""
-STILL_PAUSE_S: Final = 4.0
-"""How long an executor on which a run stood still gets no new work."""
+WORTH_MOVING_S: Final = 1.0
+"""A run on a slow executor is moved if that brings its end forward by more; a start from a
+checkpoint takes 0.3 s."""
 
 
 class Fleet:
     """Keeps the table of executors in step with the platform's list, and ends lapsed runs."""
 
-    def __init__(self, *, state: CellState, ends: RunEnds) -> None:
+    def __init__(self, *, state: CellState, ends: RunEnds, doubts: Doubts) -> None:
         """Work on these tables."""
         self._state = state
         self._ends = ends
+        self._doubts = doubts
         self._ended_lives: set[str] = set()
         """Ids of lives that are over; their entries may stay listed for some heartbeats."""
 
@@ -125,7 +134,8 @@
                 self._ends.apply(key, run, RunEnd.LAPSED, wall=wall)
 
     def move_runs(self, *, now: float) -> None:
-        """Stop runs that stand still, or that would not end before their executor leaves."""
+        """Stop runs that stand still, crawl, or would not end before their executor leaves."""
+        slow_ids = {executor.executor_id for executor in self._doubts.slow_executors()}
         for executor in list(self._state.executors_by_id.values()):
             for key in list(executor.runs_by_task):
                 found = self._state.find(key)
@@ -137,7 +147,9 @@
                 if executor.info.is_draining:
                     self._move_if_it_ends_late(executor, task, now)
                 elif not found[1].step.is_long_running:
-                    self._move_if_still(executor, task, now)
+                    self._move_if_still(executor, task)
+                    if executor.executor_id in slow_ids:
+                        self._move_if_worth_it(found[1], task, now)
 
     def _move_if_it_ends_late(self, executor: Executor, task: TaskRun, now: float) -> None:
         leaves_at = executor.leaves_at(now)
@@ -145,14 +157,23 @@
         if ends_at is not None and ends_at > leaves_at - LEAVE_MARGIN_S:
             self._ends.stop(task, cause="its executor leaves before it would end")
 
-    def _move_if_still(self, executor: Executor, task: TaskRun, now: float) -> None:
+    def _move_if_still(self, executor: Executor, task: TaskRun) -> None:
         if task.first_seen_at is None or executor.answered_at is None:
             return
         if executor.answered_at - task.percent_at < STILL_S:
             return
-        executor.paused_until = now + STILL_PAUSE_S
+        self._doubts.on_standstill(executor)
         self._ends.stop(task, cause=f"no progress for {STILL_S:g} s at {task.percent}%")
 
+    def _move_if_worth_it(self, step: StepRun, task: TaskRun, now: float) -> None:
+        """Move a run off a slow executor if it should end clearly sooner elsewhere."""
+        ends_at = task.ends_at()
+        if step.step.is_gang or ends_at is None:
+            return
+        left = 1.0 - task.percent / WHOLE_PERCENT if step.step.is_checkpointing else 1.0
+        if now + left * step.step.estimate_s + WORTH_MOVING_S < ends_at:
+            self._ends.stop(task, cause="its executor is slow; it ends sooner elsewhere")
+
 
 def _unlisted(executor_id: str) -> ExecutorInfo:
     """Return what is known of an executor of which only the id is stored."""
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -34,12 +34,14 @@
     __slots__ = (
         "checkpoint",
         "executor_id",
+        "failed_on",
         "failures",
         "first_percent",
         "first_seen_at",
         "is_stopping",
         "key",
         "known_seq",
+        "listed_at",
         "percent",
         "percent_at",
         "phase",
@@ -69,6 +71,10 @@
         self.percent = 0
         self.percent_at = 0.0
         """Leader's time at which the share of its work done last rose."""
+        self.listed_at = 0.0
+        """Leader's time of the last listing that showed it at work."""
+        self.failed_on: tuple[str, ...] = ()
+        """Executors on which runs of it failed; others are tried first."""
         self.first_percent = 0
         self.first_seen_at: float | None = None
         """Leader's time of the first listing that showed this run at work."""
@@ -90,6 +96,7 @@
     def see(self, *, percent: int, now: float) -> None:
         """Take a listing that shows the run at work."""
         self.state = StartState.STARTED
+        self.listed_at = now
         if self.first_seen_at is None:
             self.first_percent = self.percent = percent
             self.first_seen_at = self.percent_at = now
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -17,8 +17,6 @@
 """Waiting steps looked at in one decision, so that it stays within some milliseconds."""
 GANGS_WITH_KEPT_ROOM: Final = 2
 """Gangs that wait for room on executors closed to less pressing work."""
-FAILURES_TO_AVOID: Final = 3
-"""Failed runs in a row after which an executor is the last choice."""
 URGENT_PRIORITY: Final = 0
 
 WORTHLESS_RANK: Final = 2
@@ -218,7 +216,7 @@
             return self._place_gang(waiting, tasks, usable)
         placed = 0
         for task in tasks:
-            executor = _choose(usable, waiting.step)
+            executor = _choose(usable, waiting.step, task)
             if executor is None:
                 break
             self._start(waiting, task, executor, task.run + 1)
@@ -283,22 +281,29 @@
     return not step.label or step.label in labels
 
 
-def _choose(usable: Iterable[Executor], step: StepRun) -> Executor | None:
-    """Return the executor with the least room left that has some, near the data if possible."""
+def _choose(usable: Iterable[Executor], step: StepRun, task: TaskRun) -> Executor | None:
+    """Return the executor with the least room left that has some, near the data if possible.
+
+    One on which the task has failed is the last choice: few attempts are allowed, and the fault
+    may be the executor's.
+    """
     need = step.step.need
     best: Executor | None = None
     best_key: tuple[int, int, float, str] | None = None
     for executor in usable:
         if not executor.has_room(need) or not _may_add(executor, step, 0):
             continue
-        key = _preference(executor, step)
+        has_failed = executor.executor_id in task.failed_on
+        key = _preference(executor, step, has_failed=has_failed)
         if best_key is None or key < best_key:
             best, best_key = executor, key
     return best
 
 
-def _preference(executor: Executor, step: StepRun) -> tuple[int, int, float, str]:
-    doubtful = 1 if executor.consecutive_failures >= FAILURES_TO_AVOID else 0
+def _preference(
+    executor: Executor, step: StepRun, *, has_failed: bool
+) -> tuple[int, int, float, str]:
+    doubtful = 1 if has_failed or executor.consecutive_failures > 1 else 0
     rack = step.step.data_rack
     far = 1 if rack and rack != executor.info.rack else 0
     need = step.step.need
@@ -331,7 +336,12 @@
 
 def _fill(usable: list[Executor], step: StepRun, count: int) -> list[Executor] | None:
     chosen: list[Executor] = []
-    for executor in sorted(usable, key=lambda e: _preference(e, step)):
+    failed_on = {executor_id for task in step.tasks for executor_id in task.failed_on}
+
+    def preference(executor: Executor) -> tuple[int, int, float, str]:
+        return _preference(executor, step, has_failed=executor.executor_id in failed_on)
+
+    for executor in sorted(usable, key=preference):
         fitting = executor.room_for(step.step.need, count - len(chosen))
         most = step.step.most_per_executor
         if most > 0:
--- a/src/galenastall/coordination/cell/run_ends.py
+++ b/src/galenastall/coordination/cell/run_ends.py
@@ -1,6 +1,7 @@
 """What the end of a run means for its task, its step and its job."""
 
 from galenastall.coordination.cell.cell_state import CellState
+from galenastall.coordination.cell.doubts import Doubts
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.job_runs import JobRun, StepRun, TaskRun
 from galenastall.state.cell.jobs import TaskKey
@@ -22,9 +23,10 @@
 class RunEnds:
     """Applies ends, and asks for what follows from them."""
 
-    def __init__(self, *, state: CellState) -> None:
-        """Work on these tables."""
+    def __init__(self, *, state: CellState, doubts: Doubts) -> None:
+        """Work on these tables; `doubts` hears how runs end."""
         self._state = state
+        self._doubts = doubts
 
     def apply(self, key: TaskKey, run: int, end: RunEnd, *, wall: float, saved: str = "") -> bool:
         """Apply the end of a run; False if the task has no such run now."""
@@ -45,18 +47,18 @@
             cause=end.value,
             fields={"run": str(run), "executor": executor.executor_id if executor else ""},
         )
-        self._judge_executor(executor, end)
+        if executor is not None:
+            self._judge(executor, task, end)
         self._settle(job, step, task, end, wall=wall)
         self._state.refresh_waiting(job)
         return True
 
-    def _judge_executor(self, executor: Executor | None, end: RunEnd) -> None:
-        if executor is None:
-            return
+    def _judge(self, executor: Executor, task: TaskRun, end: RunEnd) -> None:
         if end is RunEnd.FAILED:
-            executor.consecutive_failures += 1
+            task.failed_on = (*task.failed_on, executor.executor_id)
+            self._doubts.on_failure(executor)
         elif end is RunEnd.DONE:
-            executor.consecutive_failures = 0
+            self._doubts.on_success(executor)
 
     def _settle(
         self, job: JobRun, step: StepRun, task: TaskRun, end: RunEnd, *, wall: float
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -11,6 +11,7 @@
     StartOrder,
     StopOrder,
 )
+from galenastall.coordination.cell.doubts import Doubts
 from galenastall.coordination.cell.executors import Executor, ExecutorInfo
 from galenastall.coordination.cell.fleet import Fleet
 from galenastall.coordination.cell.job_runs import JobRun, StartState
@@ -38,11 +39,12 @@
         """Create the core of a leader whose fence at the store stands since `fenced_at`."""
         self._state = CellState(timings=timings, fenced_at=fenced_at)
         self._advice = AdviceBook()
-        self._ends = RunEnds(state=self._state)
+        self._doubts = Doubts(state=self._state)
+        self._ends = RunEnds(state=self._state, doubts=self._doubts)
         self._listings = ListingReader(state=self._state, ends=self._ends)
         self._orders = OrderBook(state=self._state, ends=self._ends, advice=self._advice)
         self._placer = Placer(state=self._state, advice=self._advice)
-        self._fleet = Fleet(state=self._state, ends=self._ends)
+        self._fleet = Fleet(state=self._state, ends=self._ends, doubts=self._doubts)
         self._dropped_keys: set[str] = set()
 
     @property
@@ -144,6 +146,7 @@
         executor = self._state.executors_by_id.get(executor_id)
         if executor is None:
             return
+        self._state.now = now
         executor.clock.observe(clock_ms=listing.clock_ms, received_at=now)
         self._listings.read(executor, listing, asked_seq=asked_seq, now=now, wall=wall)
 
@@ -183,6 +186,7 @@
 
         Nothing is placed while assignments can't be made durable (`may_place` is False).
         """
+        self._state.now = now
         self._fleet.expire(now=now, wall=wall)
         self._open_all_due(wall)
         self._forget_ended(wall)
--- a/tests/test_cell_core.py
+++ b/tests/test_cell_core.py
@@ -666,6 +666,54 @@
         assert self.show(rig, order, percent) == stops
 
 
+class TestDoubts:
+    def test_a_failed_task_is_tried_elsewhere(self) -> None:
+        rig = Rig(make_info("e1"), make_info("e2"))
+        rig.submit(make_job(make_step(1)))
+        first = rig.step()
+        rig.run_all(first)
+        rig.end(first[0], RunEnd.FAILED)
+        again = rig.step()
+        assert again[0].executor_id != first[0].executor_id
+
+    def test_an_executor_that_fails_run_after_run_is_paused_and_tried_again(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(3)))
+        orders = rig.step()
+        rig.run_all(orders)
+        for position, order in enumerate(orders, 1):
+            rig.end(order, RunEnd.FAILED, position)
+        assert rig.step() == []
+        rig.now += 4.1
+        rig.listing("e1")
+        assert len(rig.step()) == 3
+
+    def rig_with_runs(self, slow_percent: int) -> tuple[Rig, list[StartOrder]]:
+        infos = [make_info(f"e{number}", cores=3000) for number in range(5)]
+        rig = Rig(*infos)
+        rig.submit(make_job(make_step(15, estimate_s=10.0, is_checkpointing=True)))
+        orders = rig.step()
+        rig.run_all(orders)
+        for percent, passed_s in ((0, 0.0), (20, 2.0)):
+            rig.now += passed_s
+            for info in infos:
+                there = [o for o in orders if o.executor_id == info.executor_id]
+                shown = slow_percent if info.executor_id == "e0" and percent else percent
+                running = tuple(ListedRun(task=o.task, run=1, percent=shown) for o in there)
+                rig.listing(info.executor_id, running)
+        return rig, orders
+
+    def test_runs_are_moved_off_a_slow_executor(self) -> None:
+        rig, _ = self.rig_with_runs(slow_percent=3)
+        stops = rig.stops()
+        assert len(stops) == 3
+        assert {stop.executor_id for stop in stops} == {"e0"}
+
+    def test_an_executor_of_usual_pace_keeps_its_runs(self) -> None:
+        rig, _ = self.rig_with_runs(slow_percent=14)
+        assert rig.stops() == []
+
+
 class TestCancel:
     def test_runs_are_stopped_once_the_cancelling_is_durable(self) -> None:
         rig = Rig(make_info("e1"))
