Bound the log, serve metrics, and take changed settings while running

Causes: a stalled reader of standard output would have stopped the loop; the metrics address of the deploy file had nobody behind it; a changed settings file was read and not used; each decision went through all jobs, ended ones too. Change: a stream that drops what is not read and says how much; a budget a second by kind of event, with refusals and ends last; counts of all events, a histogram and gauges on port 9464; store and advisor addresses in force within a second; ended jobs are tidied once a second and shed their tasks.

--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -1,6 +1,7 @@
 """A job in the leader's memory: occurrences, steps and tasks, restored from and saved as rows."""
 
 from collections.abc import Iterator
+from dataclasses import replace
 from enum import Enum, auto
 from typing import Final
 
@@ -260,6 +261,12 @@
                 self.done_occurrences.add(number)
                 del self.occurrences_by_number[number]
 
+    def forget_tasks(self) -> None:
+        """Forget the tasks and the payload of a job that has ended; some 10 KB a job."""
+        if self.occurrences_by_number:
+            self.occurrences_by_number.clear()
+            self.job = replace(self.job, payload="", steps=())
+
     def row(self) -> ProgressRow:
         """Return what must be durable of its progress."""
         if self.has_ended:
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -1,6 +1,7 @@
 """The core of a cell's leader: typed events in, batches and orders out."""
 
 from collections.abc import Iterable
+from typing import Final
 
 from galenastall.coordination.cell.advice import AdviceBook, Approval
 from galenastall.coordination.cell.cell_state import CellState
@@ -31,6 +32,9 @@
     encode_progress,
 )
 
+TIDY_EVERY_S: Final = 1.0
+"""Between two looks through all jobs; a thousand of them take half a millisecond."""
+
 
 class CellScheduler:
     """All decisions of one term of leadership; `now` is trio's time, `wall` is since 1970."""
@@ -46,6 +50,9 @@
         self._placer = Placer(state=self._state, advice=self._advice)
         self._fleet = Fleet(state=self._state, ends=self._ends, doubts=self._doubts)
         self._dropped_keys: set[str] = set()
+        self._timed_jobs: set[str] = set()
+        """Live jobs whose steps run several times."""
+        self._tidied_at = float("-inf")
 
     @property
     def executors_by_id(self) -> dict[str, Executor]:
@@ -189,7 +196,7 @@
         self._state.now = now
         self._fleet.expire(now=now, wall=wall)
         self._open_all_due(wall)
-        self._forget_ended(wall)
+        self._tidy(now, wall)
         self._fleet.move_runs(now=now)
         self._orders.order_stops(now)
         if may_place:
@@ -291,23 +298,36 @@
         return bool(state.dirty_jobs or state.noted_executors or state.new_starts)
 
     def _open_all_due(self, wall: float) -> None:
-        for run in self._state.jobs_by_id.values():
-            if run.job.recurrence is not None and not run.has_ended:
+        for job_id in list(self._timed_jobs):
+            run = self._state.jobs_by_id.get(job_id)
+            if run is None or run.has_ended:
+                self._timed_jobs.discard(job_id)
+            else:
                 self._open_due(run, wall)
 
     def _open_due(self, run: JobRun, wall: float) -> None:
         if run.has_ended:
             return
+        if run.job.recurrence is not None:
+            self._timed_jobs.add(run.job.job_id)
         if run.open_due(wall):
             self._state.dirty_jobs.add(run.job.job_id)
         self._state.refresh_waiting(run)
 
-    def _forget_ended(self, wall: float) -> None:
+    def _tidy(self, now: float, wall: float) -> None:
+        """Forget ended jobs that callers no longer ask for, and the tasks of the others."""
+        if now - self._tidied_at < TIDY_EVERY_S:
+            return
+        self._tidied_at = now
         oldest = wall - self._state.timings.ended_kept_s
         for job_id, run in list(self._state.jobs_by_id.items()):
-            if run.has_ended and run.ended_at < oldest and not run.assigned():
+            if not run.has_ended or run.assigned():
+                continue
+            if run.ended_at < oldest:
                 del self._state.jobs_by_id[job_id]
                 self._dropped_keys.add(PROGRESS_PREFIX + job_id)
+            elif run.shown_phase is run.phase:
+                run.forget_tasks()
 
 
 def _rows_of(run: JobRun) -> dict[str, bytes]:
--- /dev/null
+++ b/src/galenastall/node/cell/cell_metrics.py
@@ -0,0 +1,43 @@
+"""Metrics of an entry host of a cell, beside the counts of its log events."""
+
+from galenastall.node.cell.cell_host import CellHost
+from galenastall.transport.metrics import Histogram, Metrics
+
+_MILLISECONDS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+
+
+class CellMetrics:
+    """Registers what a scrape shows."""
+
+    def __init__(self, *, metrics: Metrics) -> None:
+        """Create the histograms; gauges follow with `watch`."""
+        self._metrics = metrics
+        self.submit_seconds: Histogram = metrics.histogram(
+            "galenastall_submit_seconds",
+            "From reading a submission to its answer, by verdict.",
+            labels=["verdict"],
+            bounds=_MILLISECONDS,
+        )
+
+    def watch(self, host: CellHost) -> None:
+        """Show the state of a host at each scrape."""
+        gauge = self._metrics.gauge
+        standing = host.standing
+        gauge("galenastall_leading", "1 while this host leads.", lambda: float(standing.is_leading))
+        gauge("galenastall_leader_token", "Token of the leader heard.", lambda: standing.token)
+        gauge(
+            "galenastall_config_version",
+            "Version of the configuration in force here.",
+            lambda: float(host.config.config.version if host.config.config else 0),
+        )
+        gauge("galenastall_jobs", "Jobs that the leader knows.", lambda: standing.job_count)
+        gauge(
+            "galenastall_executors",
+            "Executors that the leader knows.",
+            lambda: standing.executor_count,
+        )
+        gauge(
+            "galenastall_append_seconds",
+            "How long the leader's last append took.",
+            lambda: standing.last_append_s,
+        )
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -83,6 +83,11 @@
         """Seconds since the sending of the last call that the store confirmed."""
         return trio.current_time() - self.context.confirmed_at
 
+    @property
+    def last_append_s(self) -> float:
+        """How long the last answered append took."""
+        return self._commits.last_append_s
+
     @property
     def is_store_slow(self) -> bool:
         """Whether the store takes its time, so that a takeover would, too."""
--- a/src/galenastall/node/cell/standing.py
+++ b/src/galenastall/node/cell/standing.py
@@ -86,6 +86,31 @@
         """Whether this host leads or hears who does."""
         return self.term is not None or self._election.is_heard(trio.current_time())
 
+    @property
+    def is_leading(self) -> bool:
+        """Whether this host leads."""
+        return self.term is not None
+
+    @property
+    def token(self) -> int:
+        """Token of this host's term, or of the leader that it hears."""
+        return self.term.token if self.term is not None else self._election.token
+
+    @property
+    def job_count(self) -> int:
+        """Jobs that this host knows as leader."""
+        return len(self.term.core.jobs_by_id) if self.term is not None else 0
+
+    @property
+    def executor_count(self) -> int:
+        """Executors that this host knows as leader."""
+        return len(self.term.core.executors_by_id) if self.term is not None else 0
+
+    @property
+    def last_append_s(self) -> float:
+        """How long this host's last append as leader took."""
+        return self.term.last_append_s if self.term is not None else 0.0
+
     def helpers(self) -> tuple[HostId, ...]:
         """Return the hosts that can be asked to do something for the leader, itself included."""
         oldest = trio.current_time() - HELPER_HEARD_S
--- a/src/galenastall/platform/advisor.py
+++ b/src/galenastall/platform/advisor.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result
 
 from galenastall.coordination.cell.advice import Approval
-from galenastall.platform.calls import PlatformCalls, decode_answer, refused
+from galenastall.platform.calls import Address, PlatformCalls, decode_answer, refused
 from galenastall.platform.names import step_name
 from galenastall.protocol.cell.messages import AdviceAnswer
 from galenastall.state.cell.jobs import StepKey
@@ -33,7 +33,7 @@
 class PlatformAdvisor:
     """AdvisorPort over HTTP."""
 
-    def __init__(self, *, calls: PlatformCalls, address: str) -> None:
+    def __init__(self, *, calls: PlatformCalls, address: Address) -> None:
         """Ask the service at `address`."""
         self._calls = calls
         self._address = address
@@ -44,7 +44,7 @@
         """Return which of the executors may run the step."""
         answer = await self._calls.post_json(
             step=_STEP,
-            address=self._address,
+            address=self._address(),
             path="/advise",
             message={"step": step_name(step), "workers": executor_ids},
             timeout_s=timeout_s,
@@ -53,6 +53,6 @@
             return answer
         whole = answer.unwrap()
         if whole.status != _OK:
-            return refused(whole, step=_STEP, peer=self._address)
-        advice = decode_answer(whole, WireAdvice, step=_STEP, peer=self._address)
+            return refused(whole, step=_STEP, peer=self._address())
+        advice = decode_answer(whole, WireAdvice, step=_STEP, peer=self._address())
         return advice.map(WireAdvice.to_answer)
--- a/src/galenastall/platform/calls.py
+++ b/src/galenastall/platform/calls.py
@@ -1,6 +1,6 @@
 """One HTTP client for everything that the platform serves, with JSON bodies and typed errors."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
 import msgspec
@@ -10,6 +10,8 @@
 from galenastall.transport.http_client import HttpClient, WholeAnswer, error_of_answer
 
 T = TypeVar("T")
+Address = Callable[[], str]
+"""Returns the `IP:port` of a service now: the settings may change while the process runs."""
 _JSON_HEADERS = {"content-type": "application/json"}
 
 
--- a/src/galenastall/platform/config.py
+++ b/src/galenastall/platform/config.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from galenastall.platform.calls import PlatformCalls
+from galenastall.platform.calls import Address, PlatformCalls
 from galenastall.platform.keyed_follower import KeyedFollower
 from galenastall.protocol.cell.config import CellConfig, QueueRoute
 from galenastall.state.cell.jobs import AdvisorTiming, Queue
@@ -91,7 +91,7 @@
 class PlatformConfig:
     """ConfigPort over the store."""
 
-    def __init__(self, *, calls: PlatformCalls, address: str) -> None:
+    def __init__(self, *, calls: PlatformCalls, address: Address) -> None:
         """Read from the store at `address`."""
         self._address = address
         self._follower = KeyedFollower(calls=calls, address=address, topic=TOPIC)
@@ -110,7 +110,7 @@
             return Failure(
                 StepError(
                     step="config.decode",
-                    peer=self._address,
+                    peer=self._address(),
                     reason=Reason.INVALID,
                     detail=str(error),
                 )
--- a/src/galenastall/platform/fleet.py
+++ b/src/galenastall/platform/fleet.py
@@ -4,7 +4,7 @@
 from returns.result import Failure, Result, Success
 
 from galenastall.coordination.cell.executors import ExecutorInfo
-from galenastall.platform.calls import PlatformCalls
+from galenastall.platform.calls import Address, PlatformCalls
 from galenastall.platform.keyed_follower import KeyedFollower
 from galenastall.state.errors import StepError
 from galenastall.state.resources import Resources
@@ -62,7 +62,7 @@
 class PlatformFleet:
     """FleetPort over the store."""
 
-    def __init__(self, *, calls: PlatformCalls, address: str, recorder: Recorder) -> None:
+    def __init__(self, *, calls: PlatformCalls, address: Address, recorder: Recorder) -> None:
         """Read from the store at `address`."""
         self._follower = KeyedFollower(calls=calls, address=address, topic=TOPIC)
         self._recorder = recorder
--- a/src/galenastall/platform/jobs_face.py
+++ b/src/galenastall/platform/jobs_face.py
@@ -16,6 +16,7 @@
 from galenastall.transport.http_messages import HttpRequest, HttpResponse
 from galenastall.transport.http_routes import route
 from galenastall.transport.logs import Recorder
+from galenastall.transport.metrics import Histogram
 
 PATIENCE_HEADER: Final = "deadline-remaining"
 """Milliseconds for which the caller waits for an answer."""
@@ -35,8 +36,10 @@
         config: Callable[[], CellConfig | None],
         clock: Clock,
         recorder: Recorder,
+        submit_seconds: Histogram,
     ) -> None:
         """Pass operations to `desk`, by the routes of `config`."""
+        self._submit_seconds = submit_seconds
         self._desk = desk
         self._config = config
         self._clock = clock
@@ -63,7 +66,9 @@
         )
         if isinstance(job, Failure):
             return error_response(job.failure())
+        began_at = self._clock.now()
         submitted = await self._desk.submit(job.unwrap(), patience_s=_patience_s(request))
+        self._submit_seconds.record(self._clock.now() - began_at, submitted.verdict.value)
         if submitted.verdict is SubmitVerdict.ACCEPTED:
             return json_response(200, {})
         self._recorder.record(
--- a/src/galenastall/platform/keyed_follower.py
+++ b/src/galenastall/platform/keyed_follower.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure, Result, Success
 
-from galenastall.platform.calls import PlatformCalls, refused
+from galenastall.platform.calls import Address, PlatformCalls, refused
 from galenastall.platform.log_wire import WireError, decode_read, split_keyed
 from galenastall.platform.newest import NewestReader
 from galenastall.state.errors import Reason, StepError
@@ -19,7 +19,7 @@
 class KeyedFollower:
     """Values of a topic that others write."""
 
-    def __init__(self, *, calls: PlatformCalls, address: str, topic: str) -> None:
+    def __init__(self, *, calls: PlatformCalls, address: Address, topic: str) -> None:
         """Follow partition 0 of `topic`."""
         self._calls = calls
         self._address = address
@@ -49,7 +49,7 @@
         step = "store.read"
         path = f"/log-read?topic={self._topic}&part=0&from={offset}&waitMs={int(wait_s * 1000)}"
         answer = await self._calls.get(
-            step=step, address=self._address, path=path, timeout_s=wait_s + ANSWER_MARGIN_S
+            step=step, address=self._address(), path=path, timeout_s=wait_s + ANSWER_MARGIN_S
         )
         if isinstance(answer, Failure):
             return answer
@@ -59,7 +59,7 @@
             self._offset = None
             return await self._read_newest()
         if whole.status != _OK:
-            return refused(whole, step=step, peer=self._address)
+            return refused(whole, step=step, peer=self._address())
         try:
             page = decode_read(whole.body)
             for record in page.records:
@@ -67,7 +67,7 @@
         except WireError as error:
             self._offset = None
             return Failure(
-                StepError(step=step, peer=self._address, reason=Reason.CUT, detail=str(error))
+                StepError(step=step, peer=self._address(), reason=Reason.CUT, detail=str(error))
             )
         self._offset = offset + len(page.records)
         return Success(bool(page.records))
--- /dev/null
+++ b/src/galenastall/platform/live_settings.py
@@ -0,0 +1,65 @@
+"""The settings file while the process runs: it may change with a signal or without one."""
+
+from dataclasses import fields
+from pathlib import Path
+from typing import Final
+
+import trio
+
+from galenastall.platform.settings import PlatformSettings, SettingsError, load_settings
+from galenastall.transport.logs import Level, Recorder
+
+LOOK_EVERY_S: Final = 1.0
+"""Between two looks at the file; what changes in it has 2 s to be in force."""
+TAKEN_WHILE_RUNNING: Final = frozenset({"store", "advisor_address"})
+"""Fields whose new value is used at once; others take a restart, which the platform does."""
+
+
+class LiveSettings:
+    """The newest good settings."""
+
+    def __init__(self, *, path: Path, settings: PlatformSettings, recorder: Recorder) -> None:
+        """Begin with `settings`, read from `path`."""
+        self._path = path
+        self._recorder = recorder
+        self._last_error = ""
+        self.settings = settings
+
+    def store_address(self) -> str:
+        """Return where the store is now."""
+        return self.settings.store.address
+
+    def advisor_address(self) -> str:
+        """Return where the placement advisor is now."""
+        return self.settings.advisor_address
+
+    async def run(self) -> None:
+        """Look for changes until cancelled."""
+        while True:
+            await trio.sleep(LOOK_EVERY_S)
+            self.reload(asked=False)
+
+    def reload(self, *, asked: bool) -> None:
+        """Read the file; a bad one is named in the log and changes nothing."""
+        try:
+            settings = load_settings(self._path)
+        except SettingsError as error:
+            if asked or str(error) != self._last_error:
+                self._recorder.record("host.reload_failed", cause=str(error), level=Level.WARNING)
+            self._last_error = str(error)
+            return
+        self._last_error = ""
+        changed = _changed(self.settings, settings)
+        self.settings = settings
+        if changed or asked:
+            cause = "a signal asked for it" if asked else "the file has changed"
+            self._recorder.record("host.reloaded", cause=cause, fields=changed)
+
+
+def _changed(old: PlatformSettings, new: PlatformSettings) -> dict[str, str]:
+    """Return the fields that differ, with what becomes of them."""
+    return {
+        field.name: "in force" if field.name in TAKEN_WHILE_RUNNING else "from the next start on"
+        for field in fields(PlatformSettings)
+        if getattr(old, field.name) != getattr(new, field.name)
+    }
--- a/src/galenastall/platform/newest.py
+++ b/src/galenastall/platform/newest.py
@@ -5,7 +5,7 @@
 
 from returns.result import Failure, Result, Success
 
-from galenastall.platform.calls import PlatformCalls, decode_answer, refused
+from galenastall.platform.calls import Address, PlatformCalls, decode_answer, refused
 from galenastall.platform.log_wire import NewestItem, NewestPage
 from galenastall.state.errors import StepError
 
@@ -19,7 +19,7 @@
 class NewestReader:
     """Reads partition 0 of keyed topics."""
 
-    def __init__(self, *, calls: PlatformCalls, address: str) -> None:
+    def __init__(self, *, calls: PlatformCalls, address: Address) -> None:
         """Read from the store at `address`."""
         self._calls = calls
         self._address = address
@@ -30,7 +30,7 @@
         if after:
             path += f"&after={quote(after, safe='')}"
         answer = await self._calls.get(
-            step=_STEP, address=self._address, path=path, timeout_s=PAGE_TIMEOUT_S
+            step=_STEP, address=self._address(), path=path, timeout_s=PAGE_TIMEOUT_S
         )
         if isinstance(answer, Failure):
             return answer
@@ -38,8 +38,8 @@
         if whole.status == _NOT_FOUND:
             return Success(NewestPage())
         if whole.status != _OK:
-            return refused(whole, step=_STEP, peer=self._address)
-        return decode_answer(whole, NewestPage, step=_STEP, peer=self._address)
+            return refused(whole, step=_STEP, peer=self._address())
+        return decode_answer(whole, NewestPage, step=_STEP, peer=self._address())
 
     async def all(self, topic: str) -> Result[NewestPage, StepError]:
         """Return all keys; `end_offset` is the first page's, after which nothing is missed."""
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -8,18 +8,22 @@
 from collections.abc import AsyncIterator
 from dataclasses import replace
 from functools import partial
+from pathlib import Path
 from typing import Final
 
 import trio
 
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.node.cell.cell_host import CellHost, CellHostSettings, CellPorts
+from galenastall.node.cell.cell_metrics import CellMetrics
 from galenastall.platform.advisor import PlatformAdvisor
 from galenastall.platform.calls import PlatformCalls
 from galenastall.platform.config import PlatformConfig
 from galenastall.platform.executors import PlatformExecutors
 from galenastall.platform.fleet import PlatformFleet
 from galenastall.platform.jobs_face import JobsFace
+from galenastall.platform.live_settings import LiveSettings
+from galenastall.platform.metrics_face import MetricsFace
 from galenastall.platform.readiness import ReadinessFace
 from galenastall.platform.settings import (
     PlatformSettings,
@@ -33,7 +37,9 @@
 from galenastall.transport.clock import TrioClock
 from galenastall.transport.http_client import HttpClient
 from galenastall.transport.http_server import HttpServer
-from galenastall.transport.logs import Recorder
+from galenastall.transport.log_budget import BudgetedRecorder, LineBudget
+from galenastall.transport.log_stream import BoundedLogStream
+from galenastall.transport.metrics import Metrics
 from galenastall.transport.peer_link import ZmqPeerLink
 
 EXIT_SETTINGS: Final = 2
@@ -47,6 +53,7 @@
 CONNECT_TIMEOUT_S: Final = 0.5
 """Connecting takes some milliseconds; a lost opening packet is sent again after a second."""
 CONNECTIONS_PER_ADDRESS: Final = 8
+LOG_EVERY_S: Final = 1.0
 GC_THRESHOLDS: Final = (5_000, 50, 1_000)
 RING_EVENTS: Final = 2_000
 """Events kept in memory for the time line; some 2 MB."""
@@ -55,19 +62,20 @@
 def main() -> int:
     """Run until stopped; return the exit code."""
     try:
-        settings = load_settings(settings_path())
+        path = settings_path()
+        settings = load_settings(path)
     except SettingsError as error:
         print(f"settings: {error}", file=sys.stderr)  # noqa: T201
         return EXIT_SETTINGS
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
-    trio.run(partial(serve, settings))
+    trio.run(partial(serve, settings, path))
     return 0
 
 
-async def serve(settings: PlatformSettings) -> None:
+async def serve(settings: PlatformSettings, path: Path) -> None:
     """Serve until SIGTERM, then hand over and drain."""
-    process = EntryProcess(settings=settings)
+    process = EntryProcess(settings=settings, path=path)
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
             await process.start(nursery)
@@ -79,7 +87,7 @@
 async def _wait_for_stop(signals: AsyncIterator[int], process: "EntryProcess") -> None:
     async for number in signals:
         if number == signal.SIGHUP:
-            process.reload()
+            process.live.reload(asked=True)
             continue
         process.recorder.record("host.stopping", cause=signal.Signals(number).name)
         return
@@ -88,23 +96,48 @@
 class EntryProcess:
     """Servers around a cell host."""
 
-    def __init__(self, *, settings: PlatformSettings) -> None:
-        """Build all parts."""
+    def __init__(self, *, settings: PlatformSettings, path: Path) -> None:
+        """Build all parts; `path` is looked at for changed settings."""
         self._settings = settings
-        clock = TrioClock()
+        self._clock = TrioClock()
+        self._metrics = Metrics()
+        self._log = BoundedLogStream(descriptor=sys.stdout.fileno())
         incarnation = Incarnation(uuid.uuid4().hex[:12])
-        self.recorder = Recorder(
+        self.recorder = BudgetedRecorder(
+            budget=LineBudget(clock=self._clock),
+            metrics=self._metrics,
             process=f"{settings.host_id}/{incarnation}",
-            clock=clock,
+            clock=self._clock,
             ring=TimelineRing(capacity=RING_EVENTS),
-            stream=sys.stdout.buffer,
+            stream=self._log,
         )
+        self.live = LiveSettings(path=path, settings=settings, recorder=self.recorder)
+        self.host = self._make_host(incarnation)
+        self._is_stopping = False
+        cell_metrics = CellMetrics(metrics=self._metrics)
+        cell_metrics.watch(self.host)
+        jobs = JobsFace(
+            desk=self.host.desk,
+            config=self.host.config.current,
+            clock=self._clock,
+            recorder=self.recorder,
+            submit_seconds=cell_metrics.submit_seconds,
+        )
+        self._callers = self._server(settings.callers_bind, jobs, linger_s=LINGER_S)
+        readiness = ReadinessFace(is_ready=self._is_ready)
+        self._readiness = self._server(settings.readiness_bind, readiness)
+        self._metrics_server = self._server(
+            settings.metrics_bind, MetricsFace(metrics=self._metrics)
+        )
+
+    def _make_host(self, incarnation: Incarnation) -> CellHost:
+        settings = self._settings
         client = HttpClient(
-            clock=clock,
+            clock=self._clock,
             max_connections=CONNECTIONS_PER_ADDRESS,
             connect_timeout_s=CONNECT_TIMEOUT_S,
         )
-        self.host = CellHost(
+        return CellHost(
             settings=CellHostSettings(
                 host_id=HostId(settings.host_id),
                 peer_address=settings.peer_bind,
@@ -116,47 +149,32 @@
             link=ZmqPeerLink(
                 host_id=HostId(settings.host_id),
                 incarnation=incarnation,
-                clock=clock,
+                clock=self._clock,
                 bind=settings.peer_bind,
                 log_error=self.recorder.record_error,
             ),
             timings=replace(CellTimings(), lease_s=settings.longest_lease_s),
-            clock=clock,
+            clock=self._clock,
             recorder=self.recorder,
         )
-        self._is_stopping = False
-        self._callers = HttpServer(
-            handlers=[
-                JobsFace(
-                    desk=self.host.desk,
-                    config=self.host.config.current,
-                    clock=clock,
-                    recorder=self.recorder,
-                )
-            ],
-            clock=clock,
-            bind=settings.callers_bind,
-            linger_s=LINGER_S,
-            log_error=self.recorder.record_error,
-        )
-        self._readiness = HttpServer(
-            handlers=[ReadinessFace(is_ready=self._is_ready)],
-            clock=clock,
-            bind=settings.readiness_bind,
-        )
 
     def _ports(self, calls: PlatformCalls) -> CellPorts:
-        settings = self._settings
-        store = settings.store.address
-        advisor = None
-        if settings.advisor_address:
-            advisor = PlatformAdvisor(calls=calls, address=settings.advisor_address)
+        store = self.live.store_address
         return CellPorts(
             state=PlatformStore(calls=calls, address=store),
             fleet=PlatformFleet(calls=calls, address=store, recorder=self.recorder),
             config=PlatformConfig(calls=calls, address=store),
             executors=PlatformExecutors(calls=calls),
-            advisor=advisor,
+            advisor=PlatformAdvisor(calls=calls, address=self.live.advisor_address),
+        )
+
+    def _server(self, bind: str, face: object, *, linger_s: float = 0.0) -> HttpServer:
+        return HttpServer(
+            handlers=[face],
+            clock=self._clock,
+            bind=bind,
+            linger_s=linger_s,
+            log_error=self.recorder.record_error,
         )
 
     def _is_ready(self) -> bool:
@@ -166,17 +184,19 @@
         """Start serving."""
         await nursery.start(self._callers.run)
         await nursery.start(self._readiness.run)
+        await nursery.start(self._metrics_server.run)
         await nursery.start(self.host.run)
-
-    def reload(self) -> None:
-        """Read the settings file again; what changes while running is in the configuration."""
-        try:
-            settings = load_settings(settings_path())
-        except SettingsError as error:
-            self.recorder.record("host.reload_failed", cause=str(error))
-            return
-        is_same = settings == self._settings
-        self.recorder.record("host.reloaded", fields={"is_same": str(is_same)})
+        nursery.start_soon(self.live.run)
+        nursery.start_soon(self._keep_log)
+
+    async def _keep_log(self) -> None:
+        """Write what a slow reader left, and tell once a second what was left out."""
+        told = 0
+        while True:
+            await trio.sleep(LOG_EVERY_S)
+            self._log.flush()
+            dropped, told = self._log.dropped - told, self._log.dropped
+            self.recorder.tell_left_out(dropped)
 
     async def stop(self) -> None:
         """Hand over, finish what callers wait for, and end."""
--- a/src/galenastall/platform/settings.py
+++ b/src/galenastall/platform/settings.py
@@ -13,6 +13,8 @@
 """Names the path of the settings file; chosen by the platform."""
 ORDERS_BY_CALL: Final = "duty_call"
 """The one way of giving orders to executors that is served."""
+METRICS_PORT: Final = 9464
+"""Named in the deploy file too, which takes no placeholder there."""
 FIRST_CLAIM_STEP_S: Final = 0.06
 """Between the first claims of the hosts that the settings name as seeds, at the first start."""
 T = TypeVar("T")
@@ -110,7 +112,7 @@
         callers_bind=_get(table, "listenAddresses.front", str),
         readiness_bind=_get(table, "listenAddresses.readiness", str),
         peer_bind=f"{ip}:{first}",
-        metrics_bind=f"{ip}:{first + 1}",
+        metrics_bind=f"{ip}:{METRICS_PORT}",
         store=StoreSettings(
             address=_get(table, "platform.address", str),
             request_bytes=_get(table, "platform.requestBytes", int, default=2_097_152),
--- a/src/galenastall/platform/store.py
+++ b/src/galenastall/platform/store.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from galenastall.platform.calls import PlatformCalls, decode_answer, refused
+from galenastall.platform.calls import Address, PlatformCalls, decode_answer, refused
 from galenastall.platform.log_wire import (
     AppendAnswer,
     AppendRefusal,
@@ -36,7 +36,7 @@
 class PlatformStore:
     """StatePort over the platform's log."""
 
-    def __init__(self, *, calls: PlatformCalls, address: str) -> None:
+    def __init__(self, *, calls: PlatformCalls, address: Address) -> None:
         """Use the store at `address`."""
         self._calls = calls
         self._newest = NewestReader(calls=calls, address=address)
@@ -100,7 +100,7 @@
         self, *, step: str, path: str, body: bytes, timeout_s: float
     ) -> Result[AppendAnswer, StepError]:
         answer = await self._calls.post(
-            step=step, address=self._address, path=path, body=body, timeout_s=timeout_s
+            step=step, address=self._address(), path=path, body=body, timeout_s=timeout_s
         )
         if isinstance(answer, Failure):
             return answer
@@ -108,17 +108,17 @@
         if whole.status == _CONFLICT:
             return self._conflict(whole, step)
         if whole.status != _OK:
-            return refused(whole, step=step, peer=self._address)
-        return decode_answer(whole, AppendAnswer, step=step, peer=self._address)
+            return refused(whole, step=step, peer=self._address())
+        return decode_answer(whole, AppendAnswer, step=step, peer=self._address())
 
     def _conflict(self, whole: WholeAnswer, step: str) -> Result[AppendAnswer, StepError]:
         """Return CONFLICT: a newer epoch stands, or another writer used ours."""
-        refusal = decode_answer(whole, AppendRefusal, step=step, peer=self._address)
+        refusal = decode_answer(whole, AppendRefusal, step=step, peer=self._address())
         detail = f"{refusal.value_or(AppendRefusal(reason='unreadable'))}"
         return Failure(self._error(step, Reason.CONFLICT, detail))
 
     def _error(self, step: str, reason: Reason, detail: str) -> StepError:
-        return StepError(step=step, peer=self._address, reason=reason, detail=detail)
+        return StepError(step=step, peer=self._address(), reason=reason, detail=detail)
 
 
 def _fenced_path(token: int, sequence: int) -> str:
--- a/src/galenastall/transport/logs.py
+++ b/src/galenastall/transport/logs.py
@@ -8,7 +8,7 @@
 import sys
 from collections.abc import Mapping, Sequence
 from enum import IntEnum
-from typing import Any, BinaryIO, Final
+from typing import Any, BinaryIO, Final, Protocol, cast
 
 import msgspec
 import structlog
@@ -36,6 +36,16 @@
     ERROR = logging.ERROR
 
 
+class LineStream(Protocol):
+    """What log lines are written to."""
+
+    def write(self, data: bytes, /) -> int:
+        """Take a line."""
+
+    def flush(self) -> None:
+        """Write what was taken."""
+
+
 class Recorder:
     """Records events into the ring, and into the log from a level on."""
 
@@ -48,7 +58,7 @@
         hybrid: HybridClock | None = None,
         log_level: Level = Level.INFO,
         detail_share: float = 1.0,
-        stream: BinaryIO | None = None,
+        stream: LineStream | None = None,
     ) -> None:
         """Record for `process`; without `stream` no lines are written.
 
@@ -204,9 +214,9 @@
         self._stream.flush()
 
 
-def _json_logger(stream: BinaryIO, level: Level) -> Any:
+def _json_logger(stream: LineStream, level: Level) -> Any:
     return structlog.wrap_logger(
-        structlog.BytesLogger(stream),
+        structlog.BytesLogger(cast(BinaryIO, stream)),
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.format_exc_info,
--- a/tests/test_cell_core.py
+++ b/tests/test_cell_core.py
@@ -666,6 +666,23 @@
         assert self.show(rig, order, percent) == stops
 
 
+class TestTidying:
+    def test_an_ended_job_keeps_its_phase_and_later_goes(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(1)))
+        rig.core.cancel(JOB, wall=rig.wall)
+        rig.commit()
+        rig.now += 1.1
+        rig.step()
+        assert rig.core.jobs_by_id[JOB].job.steps == ()
+        assert rig.shown() is JobPhase.CANCELLED
+        rig.now += TIMINGS.ended_kept_s
+        rig.step()
+        assert rig.core.jobs_by_id == {}
+        rig.commit()
+        assert rig.rows == {}
+
+
 class TestDoubts:
     def test_a_failed_task_is_tried_elsewhere(self) -> None:
         rig = Rig(make_info("e1"), make_info("e2"))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -14,11 +14,12 @@
 
 from cell.platform_http import ExecutorFace, StoreFace
 from cell.world import World
-from galenastall.platform.calls import PlatformCalls
+from galenastall.platform.calls import Address, PlatformCalls
 from galenastall.platform.config import WireConfig
 from galenastall.platform.executors import WireListing
 from galenastall.platform.fleet import WireEntry
 from galenastall.platform.keyed_follower import KeyedFollower
+from galenastall.platform.live_settings import LiveSettings
 from galenastall.platform.log_wire import (
     WireError,
     decode_read,
@@ -41,9 +42,11 @@
 from galenastall.state.cell.phases import RunEnd
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.resources import Resources
+from galenastall.state.timeline_ring import TimelineRing
 from galenastall.transport.clock import TrioClock
 from galenastall.transport.http_client import HttpClient
 from galenastall.transport.http_server import HttpServer
+from galenastall.transport.logs import Recorder
 
 QUEUE = Queue(name="q", service="service")
 JOB = "00000000000000ab"
@@ -245,6 +248,11 @@
     return server.address
 
 
+async def at(nursery: trio.Nursery, face: object) -> Address:
+    address = await serve(nursery, face)
+    return lambda: address
+
+
 def make_calls() -> PlatformCalls:
     return PlatformCalls(client=HttpClient(clock=TrioClock()))
 
@@ -252,7 +260,7 @@
 class TestStore:
     async def test_tokens_rise_and_a_fence_stops_older_writers(self) -> None:
         async with trio.open_nursery() as nursery:
-            store = PlatformStore(calls=make_calls(), address=await serve(nursery, StoreFace()))
+            store = PlatformStore(calls=make_calls(), address=await at(nursery, StoreFace()))
             first = (await store.claim(host_id="a", address="a:1")).unwrap()
             second = (await store.claim(host_id="b", address="b:1")).unwrap()
             assert second > first
@@ -269,7 +277,7 @@
     async def test_a_repeated_append_is_written_once_and_all_pages_are_read(self) -> None:
         async with trio.open_nursery() as nursery:
             face = StoreFace()
-            store = PlatformStore(calls=make_calls(), address=await serve(nursery, face))
+            store = PlatformStore(calls=make_calls(), address=await at(nursery, face))
             values = {f"run/{number}": bytes([number]) for number in range(8)}
             for _ in range(2):
                 answer = await store.append(
@@ -283,7 +291,7 @@
     async def test_a_refusal_says_that_nothing_was_done(self) -> None:
         async with trio.open_nursery() as nursery:
             face = StoreFace()
-            store = PlatformStore(calls=make_calls(), address=await serve(nursery, face))
+            store = PlatformStore(calls=make_calls(), address=await at(nursery, face))
             face.is_refusing = True
             answer = await store.append(token=1, sequence=1, values_by_key={}, timeout_s=1.0)
             assert not answer.failure().may_have_taken_effect
@@ -294,7 +302,7 @@
     async def test_changes_drops_and_lost_history(self) -> None:
         async with trio.open_nursery() as nursery:
             face = StoreFace()
-            address = await serve(nursery, face)
+            address = await at(nursery, face)
             follower = KeyedFollower(calls=make_calls(), address=address, topic="keyed.op")
             for number in range(5):
                 face.put("keyed.op", f"k{number}", number)
@@ -334,7 +342,7 @@
         "platform": {"address": store, "form": "log"},
         "placementAdvisor": advisor,
     }
-    return decode_settings(table)
+    return replace(decode_settings(table), metrics_bind="127.0.0.1:0")
 
 
 class Caller:
@@ -400,7 +408,7 @@
             }
             store.put("keyed.op", "config", {"version": 3, "routes": [queue]})
             settings = [make_settings(name, store_address, advisor) for name in ("one", "two")]
-            processes = [EntryProcess(settings=each) for each in settings]
+            processes = [EntryProcess(settings=each, path=Path("none")) for each in settings]
             scopes: list[trio.CancelScope] = []
             for process in processes:
                 scopes.append(await nursery.start(run_process, process))
@@ -453,3 +461,44 @@
         async with trio.open_nursery() as nursery:
             await process.start(nursery)
             task_status.started(scope)
+
+
+class TestLiveSettings:
+    def write(self, path: Path, store: str, host: str = "front-1") -> None:
+        path.write_text(
+            f'nodeName = "{host}"\nipAddress = "127.0.0.1"\nzone = "dc"\n'
+            "internalPortRange = [7000, 7010]\n"
+            '[listenAddresses]\nfront = "127.0.0.1:1"\nreadiness = "127.0.0.1:2"\n'
+            f'[platform]\naddress = "{store}"\n'
+        )
+
+    def make(self, path: Path) -> tuple[LiveSettings, Recorder]:
+        recorder = Recorder(process="p", clock=TrioClock(), ring=TimelineRing())
+        return LiveSettings(path=path, settings=load_settings(path), recorder=recorder), recorder
+
+    async def test_a_new_store_address_is_used_without_a_signal(
+        self, tmp_path: Path, autojump_clock: object, nursery: trio.Nursery
+    ) -> None:
+        path = tmp_path / "node.toml"
+        self.write(path, "10.0.0.1:1")
+        live, recorder = self.make(path)
+        nursery.start_soon(live.run)
+        self.write(path, "10.0.0.2:1", host="front-2")
+        await trio.sleep(1.5)
+        assert live.store_address() == "10.0.0.2:1"
+        event = list(recorder.ring)[-1]
+        assert event.step == "host.reloaded"
+        assert event.fields == {"store": "in force", "host_id": "from the next start on"}
+
+    async def test_a_bad_file_changes_nothing_and_is_told_once(
+        self, tmp_path: Path, autojump_clock: object, nursery: trio.Nursery
+    ) -> None:
+        path = tmp_path / "node.toml"
+        self.write(path, "10.0.0.1:1")
+        live, recorder = self.make(path)
+        nursery.start_soon(live.run)
+        path.write_text("zone = 7")
+        await trio.sleep(5.5)
+        assert live.store_address() == "10.0.0.1:1"
+        told = [event for event in recorder.ring if event.step == "host.reload_failed"]
+        assert [event.cause for event in told] == ["ipAddress: missing"]
