Compare paces within a step only; send callers on from a data centre that is cut off

Change: a run's gain is compared with others of its step; a host is ready while a leader is heard that the store confirms; submissions are refused at once after half a second of failed appends.

--- a/src/galenastall/coordination/cell/doubts.py
+++ b/src/galenastall/coordination/cell/doubts.py
@@ -1,11 +1,13 @@
 """Which executors fail, stall or crawl, judged by what becomes of runs there."""
 
+from collections import defaultdict
 from statistics import median
 from typing import Final
 
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.executors import Executor
-from galenastall.coordination.cell.job_runs import StartState, StepRun, TaskRun
+from galenastall.coordination.cell.job_runs import StartState, TaskRun
+from galenastall.state.cell.jobs import StepKey
 
 FAILURES_IN_A_ROW: Final = 3
 """Failed runs in a row after which an executor is paused; sound ones fail one run in twenty."""
@@ -15,13 +17,14 @@
 seldom, and one that recovers is back soon."""
 WATCHED_S: Final = 0.6
 """A run is watched for this long before its pace counts; sound ones gain some 20% in it."""
-SLOW_SHARE: Final = 0.35
-"""An executor below this share of the median pace is slow; sound ones differ by 0.8 to 1.25, and
-declared times by a factor of two each way."""
-RUNS_TO_JUDGE: Final = 3
-"""Runs whose paces are needed before an executor is judged by them."""
-EXECUTORS_TO_COMPARE: Final = 4
-"""Executors with a pace that are needed before any of them is called slow."""
+SLOW_SHARE: Final = 0.4
+"""An executor whose runs gain less than this share of what others of their steps gain is slow;
+sound ones differ by 0.8 to 1.25, and tasks of one step by a third."""
+RUNS_TO_COMPARE: Final = 3
+"""Runs of one step that are needed to tell its usual pace. Declared times are off by up to a
+factor of ten between steps, so paces of different steps are not compared."""
+RUNS_TO_JUDGE: Final = 2
+"""Compared runs that are needed before an executor is judged by them."""
 
 
 class Doubts:
@@ -49,35 +52,33 @@
 
     def slow_executors(self) -> list[Executor]:
         """Return the executors that are much slower than most, and pause them."""
-        pace_by_id = {
-            executor.executor_id: pace
-            for executor in self._state.executors_by_id.values()
-            if (pace := self._pace(executor)) is not None
-        }
-        if len(pace_by_id) < EXECUTORS_TO_COMPARE:
-            return []
-        usual = median(pace_by_id.values())
-        slow = [
-            self._state.executors_by_id[executor_id]
-            for executor_id, pace in pace_by_id.items()
-            if pace < SLOW_SHARE * usual
-        ]
-        for executor in slow:
-            pace = pace_by_id[executor.executor_id]
-            self._pause(executor, f"its pace is {pace:.2f}, most are at {usual:.2f}")
+        slow = []
+        for executor_id, shares in self._shares_by_executor().items():
+            if len(shares) < RUNS_TO_JUDGE or median(shares) >= SLOW_SHARE:
+                continue
+            executor = self._state.executors_by_id[executor_id]
+            self._pause(executor, f"its runs gain {median(shares):.2f} of what others do")
+            slow.append(executor)
         return slow
 
-    def _pace(self, executor: Executor) -> float | None:
-        """Return the executor's median pace: declared seconds of work done in a second."""
-        paces = []
-        for key in executor.runs_by_task:
-            found = self._state.find(key)
-            if found is None:
-                continue
-            pace = _pace_of(found[1], found[2], self._state.now)
-            if pace is not None:
-                paces.append(pace)
-        return median(paces) if len(paces) >= RUNS_TO_JUDGE else None
+    def _shares_by_executor(self) -> dict[str, list[float]]:
+        """Return each run's pace as a share of the usual one of its step, by executor."""
+        gains_by_step: defaultdict[StepKey, list[tuple[str, float]]] = defaultdict(list)
+        for executor_id, executor in self._state.executors_by_id.items():
+            for key in executor.runs_by_task:
+                found = self._state.find(key)
+                if found is None or found[1].step.is_gang or found[1].step.is_long_running:
+                    continue
+                gain = _gain_a_second(found[2])
+                if gain is not None:
+                    gains_by_step[key.step_key].append((executor_id, gain))
+        shares: defaultdict[str, list[float]] = defaultdict(list)
+        for gains in gains_by_step.values():
+            usual = median(gain for _, gain in gains)
+            if len(gains) >= RUNS_TO_COMPARE and usual > 0:
+                for executor_id, gain in gains:
+                    shares[executor_id].append(gain / usual)
+        return shares
 
     def _pause(self, executor: Executor, cause: str) -> None:
         if executor.paused_until > self._state.now:
@@ -93,13 +94,11 @@
         )
 
 
-def _pace_of(step: StepRun, task: TaskRun, now: float) -> float | None:
-    """Return how much declared work a run does in a second; None while it can't be told."""
+def _gain_a_second(task: TaskRun) -> float | None:
+    """Return the percent of its work that a run does in a second; None while it can't be told."""
     if task.state is not StartState.STARTED or task.first_seen_at is None:
         return None
-    if step.step.is_long_running or step.step.estimate_s <= 0:
-        return None
     watched_s = task.listed_at - task.first_seen_at
-    if watched_s < WATCHED_S or (step.step.is_gang and task.percent == 0):
+    if watched_s < WATCHED_S:
         return None
-    return (task.percent - task.first_percent) / 100.0 * step.step.estimate_s / watched_s
+    return (task.percent - task.first_percent) / watched_s
--- a/src/galenastall/coordination/cell/election.py
+++ b/src/galenastall/coordination/cell/election.py
@@ -66,6 +66,12 @@
             return False
         return now - self._beat.heard_at <= self._timings.beat_silence_s
 
+    def is_confirmed(self, now: float) -> bool:
+        """Whether the leader is heard and the store confirms it."""
+        if self._beat is None or not self.is_heard(now):
+            return False
+        return self._beat.confirm_age_at(now) <= self._timings.stale_confirm_s
+
     def on_beat(self, beat: HeardBeat) -> bool:
         """Take a heartbeat; False if a newer leader is known."""
         if beat.token < self._token:
--- a/src/galenastall/node/cell/caller_desk.py
+++ b/src/galenastall/node/cell/caller_desk.py
@@ -25,7 +25,7 @@
 from galenastall.state.ids import HostId
 
 NO_LEADER_S: Final = 1.2
-"""How long a submission waits for a leader before it is refused; a takeover takes about 1.5 s."""
+"""How long a submission waits for a leader before it is refused; a takeover takes about 1.1 s."""
 ANSWER_MARGIN_S: Final = 0.15
 """Kept of a caller's time for the way back."""
 RETRY_S: Final = 0.05
--- a/src/galenastall/node/cell/cell_host.py
+++ b/src/galenastall/node/cell/cell_host.py
@@ -104,8 +104,8 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether callers' operations can be served now."""
-        return self.config.config is not None and self.standing.is_heard
+        """Whether new callers should come here: one data centre that is cut off sends them on."""
+        return self.config.config is not None and self.standing.is_confirmed
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run all parts until cancelled."""
--- a/src/galenastall/node/cell/leader_desk.py
+++ b/src/galenastall/node/cell/leader_desk.py
@@ -19,8 +19,10 @@
 from galenastall.state.cell.phases import ENDED_PHASES
 from galenastall.state.errors import Reason, StepError
 
-BEGIN_WITHIN_S: Final = 1.0
+BEGIN_WITHIN_S: Final = 0.7
 """A submission whose writing has not begun by then is withdrawn and answered as not run."""
+STORE_AWAY_S: Final = 0.5
+"""Once appends have failed for longer, submissions are refused at once: they would only wait."""
 
 
 class LeaderDesk:
@@ -36,6 +38,8 @@
         if not await self._is_ready(message.patience_s):
             return self._error(Reason.NOT_OWNER, "not leading yet")
         term = self._term
+        if term.store_away_s > STORE_AWAY_S and message.job.job_id not in term.core.jobs_by_id:
+            return SubmitAnswer(verdict=SubmitVerdict.NOT_RUN, cause="the store is away")
         run = term.core.submit(message.job, wall=term.context.wall())
         term.want_commit()
         await self._wait_durable(run, min(message.patience_s, BEGIN_WITHIN_S))
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -83,6 +83,12 @@
         """Seconds since the sending of the last call that the store confirmed."""
         return trio.current_time() - self.context.confirmed_at
 
+    @property
+    def store_away_s(self) -> float:
+        """For how long appends have failed; 0 while they go through."""
+        since = self._commits.failing_since
+        return 0.0 if since is None else trio.current_time() - since
+
     @property
     def last_append_s(self) -> float:
         """How long the last answered append took."""
--- a/src/galenastall/node/cell/standing.py
+++ b/src/galenastall/node/cell/standing.py
@@ -111,6 +111,13 @@
         """How long this host's last append as leader took."""
         return self.term.last_append_s if self.term is not None else 0.0
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether a leader is heard that the store confirms: only then is work taken in."""
+        if self.term is not None:
+            return self.term.confirm_age_s <= self._timings.stale_confirm_s
+        return self._election.is_confirmed(trio.current_time())
+
     def helpers(self) -> tuple[HostId, ...]:
         """Return the hosts that can be asked to do something for the leader, itself included."""
         oldest = trio.current_time() - HELPER_HEARD_S
--- a/tests/test_cell_leadership.py
+++ b/tests/test_cell_leadership.py
@@ -172,6 +172,36 @@
 
         await play(scenario, seed=8)
 
+    async def test_a_leader_cut_off_is_not_ready_and_sends_callers_on(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            first = await cluster.wait_for_leader()
+            await trio.sleep(1.0)
+            assert all(live.host.is_ready for live in cluster.live.values())
+            for other in (*cluster.names, "store"):
+                world.faults.cut |= {(first, other), (other, first)} - {(first, first)}
+            await trio.sleep(3.0)
+            ready = {name for name, live in cluster.live.items() if live.host.is_ready}
+            assert ready == set(cluster.names) - {first}
+
+        await play(scenario, seed=14)
+
+    async def test_submissions_are_refused_at_once_while_the_store_is_away(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            await cluster.wait_for_leader()
+            await trio.sleep(1.0)
+            world.faults.store_refuses.update(cluster.names)
+            await trio.sleep(1.0)
+            asked_at = trio.current_time()
+            assert not await cluster.submit(make_job(world, rng, 1), tries=1)
+            assert trio.current_time() - asked_at < 0.4
+            assert cluster.refused
+
+        await play(scenario, seed=15)
+
     async def test_all_hosts_lost_at_once_come_back_with_every_accepted_job(
         self, autojump_clock: object
     ) -> None:
