Repeat an unanswered append after a quarter of a second; answer callers while they can ask again

Change: waits for appends follow what appends take and double; submissions are told by 0.4 of the caller's time, but for those that a leader took that went away, which the next one answers for.

--- a/src/galenastall/node/cell/caller_desk.py
+++ b/src/galenastall/node/cell/caller_desk.py
@@ -7,6 +7,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from galenastall.node.cell.leader_desk import SHARE_OF_PATIENCE
 from galenastall.node.cell.standing import Standing
 from galenastall.protocol.cell.messages import (
     AskJob,
@@ -57,10 +58,12 @@
 
     async def submit(self, job: CellJob, *, patience_s: float) -> Submitted:
         """Hand a job in; NOT_RUN only if it is stored nowhere and never will be."""
-        until = trio.current_time() + patience_s - ANSWER_MARGIN_S
-        leaderless_until = min(until, trio.current_time() + NO_LEADER_S)
+        now = trio.current_time()
+        until = now + patience_s - ANSWER_MARGIN_S
+        leaderless_until = min(until, now + NO_LEADER_S, now + SHARE_OF_PATIENCE * patience_s)
         may_be_stored = False
         cause = "no leader is heard"
+        # A leader that went away may have stored the job; the next one knows within a second.
         while trio.current_time() < (until if may_be_stored else leaderless_until):
             left_s = until - trio.current_time()
             message = SubmitJob(job=job, patience_s=left_s)
@@ -69,9 +72,8 @@
                 found: SubmitAnswer = answer.unwrap()
                 if found.verdict is SubmitVerdict.NOT_RUN and not may_be_stored:
                     return Submitted(verdict=found.verdict, cause=found.cause)
-                if found.verdict is SubmitVerdict.ACCEPTED:
-                    return Submitted(verdict=found.verdict)
-                may_be_stored = may_be_stored or found.verdict is SubmitVerdict.UNKNOWN
+                if found.verdict is not SubmitVerdict.NOT_RUN:
+                    return Submitted(verdict=found.verdict, cause=found.cause)
                 cause = found.cause
             else:
                 error = answer.failure()
--- a/src/galenastall/node/cell/commit_loop.py
+++ b/src/galenastall/node/cell/commit_loop.py
@@ -12,9 +12,14 @@
 from galenastall.protocol.cell.ports import StatePort
 from galenastall.state.errors import Reason
 
-APPEND_TIMEOUT_S: Final = 1.2
-"""Wait for an append's answer; a slow store takes up to 0.4 s."""
-REPEAT_S: Final = 0.1
+SHORTEST_TIMEOUT_S: Final = 0.25
+"""Least wait for an append's answer, which takes 7 ms; where answers get lost, each lost one holds
+up all work for this long."""
+TIMEOUT_FACTOR: Final = 4.0
+"""The first wait is this many times what appends took lately."""
+LONGEST_TIMEOUT_S: Final = 1.5
+"""Waits double from try to try up to this; a slow store takes up to 0.4 s."""
+REPEAT_S: Final = 0.05
 """Pause before an append is repeated under its sequence number."""
 CONFIRM_KEY: Final = "confirm"
 """Key that an idle leader rewrites."""
@@ -64,14 +69,16 @@
 
     async def _append(self, values_by_key: dict[str, bytes]) -> None:
         context = self._context
+        timeout_s = max(SHORTEST_TIMEOUT_S, TIMEOUT_FACTOR * self.last_append_s)
         while True:
             sent_at = trio.current_time()
             answer = await self._state.append(
                 token=context.token,
                 sequence=self._sequence,
                 values_by_key=values_by_key,
-                timeout_s=APPEND_TIMEOUT_S,
+                timeout_s=min(timeout_s, LONGEST_TIMEOUT_S),
             )
+            timeout_s *= 2.0
             if not isinstance(answer, Failure):
                 context.confirmed_at = sent_at
                 self.last_append_s = trio.current_time() - sent_at
--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -21,8 +21,8 @@
 RENEW_REACH_S: Final = 2.5
 """An executor that has not answered for longer is polled without renewing: one lost long poll
 and a second try stay within it."""
-ORDER_TIMEOUT_S: Final = 0.8
-"""Wait for the answer to an order."""
+ORDER_TIMEOUT_S: Final = 0.5
+"""Wait for the answer to an order, which takes 2 to 8 ms; starts are safe to send again."""
 RETRY_S: Final = 0.2
 """Pause after a failed call."""
 DURABLE_WAIT_S: Final = 0.5
--- a/src/galenastall/node/cell/leader_desk.py
+++ b/src/galenastall/node/cell/leader_desk.py
@@ -21,6 +21,9 @@
 
 BEGIN_WITHIN_S: Final = 0.7
 """A submission whose writing has not begun by then is withdrawn and answered as not run."""
+SHARE_OF_PATIENCE: Final = 0.4
+"""Of the time that a caller waits, at most this much is spent before it is told that its job is
+not stored or that this is not known: it can still ask again."""
 STORE_AWAY_S: Final = 0.5
 """Once appends have failed for longer, submissions are refused at once: they would only wait."""
 
@@ -42,7 +45,8 @@
             return SubmitAnswer(verdict=SubmitVerdict.NOT_RUN, cause="the store is away")
         run = term.core.submit(message.job, wall=term.context.wall())
         term.want_commit()
-        await self._wait_durable(run, min(message.patience_s, BEGIN_WITHIN_S))
+        patience_s = SHARE_OF_PATIENCE * message.patience_s
+        await self._wait_durable(run, min(patience_s, BEGIN_WITHIN_S))
         if run.is_durable:
             return SubmitAnswer(verdict=SubmitVerdict.ACCEPTED)
         if term.core.withdraw(message.job.job_id):
@@ -50,7 +54,7 @@
                 return self._error(Reason.NOT_OWNER, term.loss)
             term.context.note("job.withdrawn", message.job.job_id, cause="the store is away")
             return SubmitAnswer(verdict=SubmitVerdict.NOT_RUN, cause="the store is away")
-        await self._wait_durable(run, max(message.patience_s - BEGIN_WITHIN_S, 0.0))
+        await self._wait_durable(run, max(patience_s - BEGIN_WITHIN_S, 0.0))
         if run.is_durable:
             return SubmitAnswer(verdict=SubmitVerdict.ACCEPTED)
         return SubmitAnswer(verdict=SubmitVerdict.UNKNOWN, cause="no answer from the store")
