--- /dev/null
+++ b/src/galenastall/coordination/cell/explain_logs.py
@@ -0,0 +1,164 @@
+"""Tell from log lines alone, also of many processes, what became of a job, and why."""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from itertools import pairwise
+from typing import Any, Final
+
+import msgspec
+
+_OWN_FIELDS: Final = frozenset({"at", "process", "event", "subjects", "cause", "peer", "level"})
+_AROUND: Final = frozenset(
+    {
+        "leader.claimed",
+        "leader.lost",
+        "leader.loaded",
+        "leader.hands_over",
+        "store.lost",
+        "store.regained",
+        "host.stopping",
+        "host.started",
+    }
+)
+"""Events that are about no job and may explain what became of one."""
+LONG_WAIT_S: Final = 0.5
+"""A gap between two of a job's steps that is worth naming."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LogLine:
+    """One line of the log."""
+
+    at_s: float
+    """Wall time in seconds of the writing process; processes may differ a little."""
+    counter: int
+    """Order within one millisecond, as processes heard of each other."""
+    process: str
+    event: str
+    subjects: tuple[str, ...]
+    cause: str
+    fields: Mapping[str, str]
+
+    def text(self, since_s: float) -> str:
+        """Return the line for people, with its time after `since_s`."""
+        details = " ".join(f"{key}={value}" for key, value in self.fields.items())
+        parts = [f"{self.at_s - since_s:+9.3f} s", self.process, self.event]
+        parts += [" ".join(self.subjects[1:]), details, f"({self.cause})" if self.cause else ""]
+        return "  ".join(part for part in parts if part)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LogStory:
+    """What became of a job."""
+
+    verdict: str
+    """One sentence, the cause in it."""
+    delays: tuple[str, ...]
+    """Waits and restarts on the way, the longest first."""
+    lines: tuple[LogLine, ...]
+
+
+def parse_lines(texts: Iterable[str]) -> list[LogLine]:
+    """Return the lines that are log lines, in the order of their times.
+
+    What stands before the first brace is passed over, so that prefixed lines can be read too.
+    """
+    found = [line for text in texts if (line := _parse(text)) is not None]
+    return sorted(found, key=lambda line: (line.at_s, line.counter))
+
+
+def _parse(text: str) -> LogLine | None:
+    begin = text.find("{")
+    if begin < 0:
+        return None
+    try:
+        value: Any = msgspec.json.decode(text[begin:].strip())
+    except msgspec.MsgspecError:
+        return None
+    if not isinstance(value, dict) or "event" not in value or "process" not in value:
+        return None
+    wall_ms, _, counter = str(value.get("at", "0.0")).partition(".")
+    if not wall_ms.isdigit():
+        return None
+    return LogLine(
+        at_s=int(wall_ms) / 1000.0,
+        counter=int(counter) if counter.isdigit() else 0,
+        process=str(value["process"]).partition("/")[0],
+        event=str(value["event"]),
+        subjects=tuple(str(each) for each in value.get("subjects", ())),
+        cause=str(value.get("cause", "")),
+        fields={k: str(v) for k, v in value.items() if k not in _OWN_FIELDS},
+    )
+
+
+def tell(lines: Sequence[LogLine], job_id: str) -> LogStory:
+    """Return the story of a job; its verdict says so if no line is about it."""
+    own = [line for line in lines if job_id in line.subjects]
+    if not own:
+        verdict = f"no line is about {job_id}: it reached no host, or its lines are not here"
+        return LogStory(verdict=verdict, delays=(), lines=())
+    first, last = own[0].at_s, own[-1].at_s
+    around = [
+        line for line in lines if line.event in _AROUND and first - 2.0 <= line.at_s <= last + 2.0
+    ]
+    together = sorted([*own, *around], key=lambda line: (line.at_s, line.counter))
+    return LogStory(
+        verdict=_verdict(own), delays=tuple(_delays(own, around)), lines=tuple(together)
+    )
+
+
+def _verdict(own: Sequence[LogLine]) -> str:
+    ends = [line for line in own if line.event == "job.ended"]
+    accepted = [line for line in own if line.event == "job.accepted"]
+    refusals = [line for line in own if line.event == "job.refused"]
+    if ends:
+        return _verdict_of_end(own, ends[-1], accepted)
+    if accepted:
+        last = own[-1]
+        return f"accepted and not ended; last heard of as {last.event} ({last.cause})"
+    if refusals:
+        last = refusals[-1]
+        known = "not run" if last.fields.get("verdict") == "not_run" else "not known whether stored"
+        return f"refused {len(refusals)} times, {known}: {last.cause}"
+    return f"never accepted; last heard of as {own[-1].event} ({own[-1].cause})"
+
+
+def _verdict_of_end(own: Sequence[LogLine], end: LogLine, accepted: Sequence[LogLine]) -> str:
+    phase = end.fields.get("phase", "ended")
+    took = f" {end.at_s - accepted[0].at_s:.3f} s after acceptance" if accepted else ""
+    verdict = f"{phase}{took}: {end.cause}"
+    failed = [
+        f"{_run(line)} on {line.fields.get('executor')}"
+        for line in own
+        if line.event == "run.ended" and line.cause == "failed"
+    ]
+    if phase == "failed" and failed:
+        verdict += f"; failed runs: {', '.join(failed)}"
+    return verdict
+
+
+def _delays(own: Sequence[LogLine], around: Sequence[LogLine]) -> list[str]:
+    """Return the long gaps of a job with what happened in them, and its restarts."""
+    gaps = [(after.at_s - before.at_s, before, after) for before, after in pairwise(own)]
+    gaps.sort(key=lambda gap: -gap[0])
+    delays = []
+    for gap_s, before, after in gaps:
+        if gap_s < LONG_WAIT_S:
+            break
+        meanwhile = [
+            f"{line.event} on {line.process}"
+            for line in around
+            if before.at_s <= line.at_s <= after.at_s
+        ]
+        told = f"{gap_s:.3f} s between {before.event} and {after.event}"
+        delays.append(f"{told}; meanwhile {', '.join(meanwhile)}" if meanwhile else told)
+    restarts = [
+        f"{_run(line)} ended as {line.cause}"
+        for line in own
+        if line.event == "run.ended" and line.cause not in {"done", "failed"}
+    ]
+    return delays + restarts
+
+
+def _run(line: LogLine) -> str:
+    return f"{' '.join(line.subjects[1:])} run {line.fields.get('run')}"
--- /dev/null
+++ b/tests/test_log_stories.py
@@ -0,0 +1,85 @@
+"""What became of a job, told from captured log lines of several processes."""
+
+import re
+from pathlib import Path
+
+from typer.testing import CliRunner
+
+from galenastall.cli.app import app
+from galenastall.coordination.cell.explain_logs import parse_lines, tell
+
+ROOT = Path(__file__).parent.parent
+LINES = (ROOT / "tests" / "data" / "three_jobs.log").read_text()
+
+
+class TestStories:
+    def test_a_refused_job(self) -> None:
+        story = tell(parse_lines(LINES.splitlines()), "5aaef4c568bb7c5b")
+        assert story.verdict == "refused 1 times, not run: the store is away"
+        assert [line.event for line in story.lines] == ["store.lost", "job.refused"]
+
+    def test_a_job_shown_as_failed(self) -> None:
+        story = tell(parse_lines(LINES.splitlines()), "b26dec3770259b18")
+        assert story.verdict.startswith("failed 0.724 s after acceptance: 1 of 1 runs failed")
+        assert "0.0.0 run 1 on i-1" in story.verdict
+
+    def test_a_job_that_was_late(self) -> None:
+        story = tell(parse_lines(LINES.splitlines()), "52b970c5ea38398b")
+        assert story.verdict == "completed 2.900 s after acceptance: all tasks are done"
+        assert story.delays[0].startswith("1.500 s between run.assigned and run.ended")
+        assert "leader.claimed on two" in story.delays[0]
+        assert story.delays[-1] == "0.0.0 run 1 ended as lapsed"
+
+    def test_an_id_that_no_line_is_about(self) -> None:
+        story = tell(parse_lines(LINES.splitlines()), "0" * 16)
+        assert story.verdict.startswith("no line is about")
+
+    def test_events_of_one_millisecond_keep_their_order(self) -> None:
+        lines = parse_lines(LINES.splitlines())
+        events = [line.event for line in lines if line.at_s == 1003.6]
+        assert events == ["run.ended", "run.assigned"]
+
+
+class TestLogCommands:
+    def test_explain_reads_folders(self, tmp_path: Path) -> None:
+        (tmp_path / "one.log").write_text(LINES)
+        arguments = ["logs", "explain", "b26dec3770259b18", "--logs", str(tmp_path)]
+        answer = CliRunner().invoke(app, arguments)
+        assert answer.exit_code == 0
+        assert answer.stdout.startswith("failed 0.724 s")
+
+    def test_timeline_reads_standard_input(self) -> None:
+        arguments = ["logs", "timeline", "5aaef4c568bb7c5b", "--logs", "-"]
+        answer = CliRunner().invoke(app, arguments, input=LINES)
+        assert "job.refused" in answer.stdout
+
+    def test_a_missing_file_is_named(self, tmp_path: Path) -> None:
+        gone = tmp_path / "gone.log"
+        answer = CliRunner().invoke(app, ["logs", "explain", "x", "--logs", str(gone)])
+        assert answer.exit_code == 2
+        assert "gone.log" in answer.output
+
+
+class TestOperationsPage:
+    FOLDERS = ("coordination/cell", "node/cell", "platform")
+    PAGE = ROOT / "docs" / "OPERATIONS.md"
+
+    def source(self) -> str:
+        files = [
+            file
+            for folder in self.FOLDERS
+            for file in sorted((ROOT / "src" / "galenastall" / folder).glob("*.py"))
+        ]
+        files.append(ROOT / "src" / "galenastall" / "transport" / "log_budget.py")
+        return "\n".join(file.read_text() for file in files)
+
+    def rows(self) -> set[str]:
+        return set(re.findall(r"^\| `([a-z_.]+)` \|", self.PAGE.read_text(), re.MULTILINE))
+
+    def test_its_table_has_all_events_and_no_others(self) -> None:
+        events = set(re.findall(r'\.(?:note|record)\(\s*"([a-z_]+\.[a-z_]+)"', self.source()))
+        assert events == {row for row in self.rows() if "." in row}
+
+    def test_its_table_has_all_metrics_and_no_others(self) -> None:
+        metrics = set(re.findall(r'"(galenastall_[a-z_]+)"', self.source()))
+        assert metrics == {row for row in self.rows() if row.startswith("galenastall_")}
