Pace fillers beside tasks that serve; fewer connections and appends

Change: one pace an executor, halved above 0.85 of a target and raised below 0.6; two connections for orders beside the long poll; 40 appends a second at most.

--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from galenastall.coordination.cell.commands import AskAdvice, Note, StartOrder, StopOrder
+from galenastall.coordination.cell.commands import AskAdvice, Note, PaceOrder, StartOrder, StopOrder
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.job_runs import JobRun, StepRun, TaskRun
 from galenastall.coordination.cell.timings import CellTimings
@@ -29,6 +29,7 @@
         """Executors with ends that were applied and are not yet durable."""
         self.new_starts: list[StartOrder] = []
         self.stops: list[StopOrder] = []
+        self.paces: list[PaceOrder] = []
         self.asks: list[AskAdvice] = []
         self.notes: list[Note] = []
         self._seq = 0
@@ -54,7 +55,7 @@
             return None
         return job, step, step.tasks[key.number]
 
-    def find_ordered(self, order: StartOrder | StopOrder) -> TaskRun | None:
+    def find_ordered(self, order: StartOrder | StopOrder | PaceOrder) -> TaskRun | None:
         """Return the task of an order, or None if the order's run is not its run any more.
 
         The executor counts too: a job that was withdrawn and handed in again begins at run 1.
--- a/src/galenastall/coordination/cell/commands.py
+++ b/src/galenastall/coordination/cell/commands.py
@@ -26,6 +26,17 @@
     executor_id: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PaceOrder:
+    """Let a run work at a share of its speed."""
+
+    task: TaskKey
+    run: int
+    executor_id: str
+    percent: int
+    """0 to 100."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AskAdvice:
     """Ask the advisor which of these executors may run a step."""
--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -51,6 +51,9 @@
         self.pauses = 0
         """Pauses since the last run that was done here."""
         self._leaves_at: float | None = None
+        self.filler_percent = 100
+        """Pace of the fillers here."""
+        self.paced_at = float("-inf")
         self.wants_look = False
         """Whether a listing is needed now, without waiting for an end."""
         self.free_cores_milli = info.capacity.cores_milli
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -37,12 +37,16 @@
         "executor_id",
         "failed_on",
         "failures",
+        "figure",
         "first_percent",
         "first_seen_at",
         "is_stopping",
         "key",
         "known_seq",
         "listed_at",
+        "pace_percent",
+        "pace_sent_at",
+        "pace_sent_percent",
         "percent",
         "percent_at",
         "phase",
@@ -72,6 +76,12 @@
         self.percent = 0
         self.percent_at = 0.0
         """Leader's time at which the share of its work done last rose."""
+        self.figure = 0
+        """Last tail in milliseconds of a task that serves; processor use of others."""
+        self.pace_percent = WHOLE_PERCENT
+        """Pace that its executor has confirmed."""
+        self.pace_sent_percent = WHOLE_PERCENT
+        self.pace_sent_at = float("-inf")
         self.listed_at = 0.0
         """Leader's time of the last listing that showed it at work."""
         self.failed_on: tuple[str, ...] = ()
@@ -93,10 +103,13 @@
         self.percent = 0
         self.percent_at = now
         self.first_seen_at = None
+        self.pace_percent = WHOLE_PERCENT
+        self.pace_sent_percent = WHOLE_PERCENT
 
-    def see(self, *, percent: int, now: float) -> None:
+    def see(self, *, percent: int, now: float, figure: int = 0) -> None:
         """Take a listing that shows the run at work."""
         self.state = StartState.STARTED
+        self.figure = figure
         self.listed_at = now
         if self.first_seen_at is None:
             self.first_percent = self.percent = percent
--- a/src/galenastall/coordination/cell/listings.py
+++ b/src/galenastall/coordination/cell/listings.py
@@ -25,6 +25,8 @@
     """Its last checkpoint."""
     percent: int = 0
     """Share of its work done, 0 to 100."""
+    figure: int = 0
+    """Tail in milliseconds of a task that serves; processor use of any other."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -86,7 +88,7 @@
             if found is None:
                 continue
             task = found[2]
-            task.see(percent=run.percent, now=now)
+            task.see(percent=run.percent, now=now, figure=run.figure)
             if run.saved:
                 task.checkpoint = run.saved
 
--- /dev/null
+++ b/src/galenastall/coordination/cell/pacing.py
@@ -0,0 +1,98 @@
+"""Slow fillers down where they harm the tasks that serve beside them, and speed them up again."""
+
+from typing import Final
+
+from galenastall.coordination.cell.cell_state import CellState
+from galenastall.coordination.cell.commands import PaceOrder
+from galenastall.coordination.cell.executors import Executor
+from galenastall.coordination.cell.job_runs import StartState, StepRun, TaskRun
+
+FULL_PERCENT: Final = 100
+TOO_CLOSE: Final = 0.85
+"""Share of a target at which fillers are halved: a tail is a rough figure of half a second."""
+WELL_BELOW: Final = 0.6
+"""Share of a target below which fillers may speed up by a step."""
+STEP_UP_PERCENT: Final = 10
+LOWEST_PERCENT: Final = 10
+"""Below this a filler stands still altogether."""
+CHANGE_EVERY_S: Final = 0.6
+"""Between two changes of an executor's pace: the figure of a tail follows within half a second."""
+REPEAT_S: Final = 0.5
+"""Between two tries of an order that was not confirmed."""
+
+
+class Pacing:
+    """One pace for all fillers of an executor, halved quickly and raised slowly."""
+
+    def __init__(self, *, state: CellState) -> None:
+        """Work on these tables."""
+        self._state = state
+
+    def on_listing(self, executor: Executor) -> None:
+        """Judge an executor by the tails that its listing has just shown."""
+        serving, fillers = self._split(executor)
+        if not fillers:
+            executor.filler_percent = FULL_PERCENT
+            return
+        shares = [
+            task.figure / step.step.tail_target_ms for step, task in serving if task.figure > 0
+        ]
+        self._change(executor, max(shares, default=0.0))
+        for task in fillers:
+            self._order(executor, task)
+
+    def on_paced(self, order: PaceOrder) -> None:
+        """Note that an executor has confirmed a pace."""
+        task = self._state.find_ordered(order)
+        if task is not None:
+            task.pace_percent = order.percent
+
+    def _split(self, executor: Executor) -> tuple[list[tuple[StepRun, TaskRun]], list[TaskRun]]:
+        serving: list[tuple[StepRun, TaskRun]] = []
+        fillers: list[TaskRun] = []
+        for key in executor.runs_by_task:
+            found = self._state.find(key)
+            if found is None or found[2].state is not StartState.STARTED:
+                continue
+            if found[1].step.is_filler:
+                fillers.append(found[2])
+            elif found[1].step.tail_target_ms > 0:
+                serving.append((found[1], found[2]))
+        return serving, fillers
+
+    def _change(self, executor: Executor, worst_share: float) -> None:
+        now = self._state.now
+        if now - executor.paced_at < CHANGE_EVERY_S:
+            return
+        percent = executor.filler_percent
+        if worst_share > TOO_CLOSE:
+            percent = percent // 2 if percent // 2 >= LOWEST_PERCENT else 0
+        elif worst_share < WELL_BELOW:
+            percent = min(percent + STEP_UP_PERCENT, FULL_PERCENT)
+        if percent == executor.filler_percent:
+            return
+        self._state.note(
+            "executor.paced",
+            executor.executor_id,
+            cause=f"the worst tail is at {worst_share:.2f} of its target",
+            fields={"percent": str(percent), "before": str(executor.filler_percent)},
+        )
+        executor.filler_percent = percent
+        executor.paced_at = now
+
+    def _order(self, executor: Executor, task: TaskRun) -> None:
+        now = self._state.now
+        if task.pace_percent == executor.filler_percent or task.is_stopping:
+            return
+        if now - task.pace_sent_at < REPEAT_S and task.pace_sent_percent == executor.filler_percent:
+            return
+        task.pace_sent_at = now
+        task.pace_sent_percent = executor.filler_percent
+        self._state.paces.append(
+            PaceOrder(
+                task=task.key,
+                run=task.run,
+                executor_id=executor.executor_id,
+                percent=executor.filler_percent,
+            )
+        )
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -9,6 +9,7 @@
     AskAdvice,
     Batch,
     Note,
+    PaceOrder,
     StartOrder,
     StopOrder,
 )
@@ -18,6 +19,7 @@
 from galenastall.coordination.cell.job_runs import JobRun, StartState
 from galenastall.coordination.cell.listings import Listing, ListingReader
 from galenastall.coordination.cell.orders import OrderBook, StartOutcome
+from galenastall.coordination.cell.pacing import Pacing
 from galenastall.coordination.cell.placer import Placer
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.timings import CellTimings
@@ -49,6 +51,7 @@
         self._orders = OrderBook(state=self._state, ends=self._ends, advice=self._advice)
         self._placer = Placer(state=self._state, advice=self._advice)
         self._fleet = Fleet(state=self._state, ends=self._ends, doubts=self._doubts)
+        self._pacing = Pacing(state=self._state)
         self._dropped_keys: set[str] = set()
         self._timed_jobs: set[str] = set()
         """Live jobs whose steps run several times."""
@@ -156,6 +159,7 @@
         self._state.now = now
         executor.clock.observe(clock_ms=listing.clock_ms, received_at=now)
         self._listings.read(executor, listing, asked_seq=asked_seq, now=now, wall=wall)
+        self._pacing.on_listing(executor)
 
     def on_other_life(self, executor_id: str, *, wall: float) -> None:
         """Note that another life answers at an executor's address: this one has ended."""
@@ -171,6 +175,10 @@
         """Apply an executor's answer to a stop."""
         self._orders.on_stop(order)
 
+    def on_paced(self, order: PaceOrder) -> None:
+        """Apply an executor's answer to a pace."""
+        self._pacing.on_paced(order)
+
     def on_advice(
         self, step: StepKey, approved: tuple[Approval, ...], *, validity_s: float, now: float
     ) -> None:
@@ -281,6 +289,11 @@
         stops, self._state.stops = self._state.stops, []
         return stops
 
+    def take_paces(self) -> list[PaceOrder]:
+        """Return the paces to order now."""
+        paces, self._state.paces = self._state.paces, []
+        return paces
+
     def take_asks(self) -> list[AskAdvice]:
         """Return the questions for the advisor."""
         asks, self._state.asks = self._state.asks, []
--- a/src/galenastall/coordination/cell/timings.py
+++ b/src/galenastall/coordination/cell/timings.py
@@ -23,8 +23,8 @@
     """Tries of one start with one run number before the run is stopped instead."""
     refused_pause_s: float = 0.7
     """Pause of an executor that refused a start for want of health or room."""
-    commit_every_s: float = 0.02
-    """Least time between two appends; 50 a second cost under 1% of what a day earns."""
+    commit_every_s: float = 0.025
+    """Least time between two appends; 40 a second cost 0.3% of what a day earns."""
     confirm_every_s: float = 0.2
     """An idle leader appends this often, so that leases go on and standbys see it alive."""
     beat_every_s: float = 0.15
--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -5,7 +5,7 @@
 import trio
 from returns.result import Failure
 
-from galenastall.coordination.cell.commands import StartOrder, StopOrder
+from galenastall.coordination.cell.commands import PaceOrder, StartOrder, StopOrder
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.orders import StartOutcome
 from galenastall.node.cell.term_context import TermContext
@@ -183,6 +183,23 @@
             return StartOutcome.NOT_STARTED
         return _OUTCOME_BY_VERDICT[verdict]
 
+    async def pace(self, order: PaceOrder) -> None:
+        """Send a pace; the core repeats it until it is confirmed."""
+        context, executor = self._context, self._executor
+        answer = await context.executors.pace(
+            address=executor.info.address,
+            order=order,
+            token=context.token,
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+        if isinstance(answer, Failure):
+            return
+        verdict = answer.unwrap().verdict
+        if verdict is StartVerdict.FENCED:
+            context.lose(f"executor {executor.executor_id} has seen a higher token")
+        elif verdict is StartVerdict.STARTED:
+            context.core.on_paced(order)
+
     async def stop(self, order: StopOrder) -> None:
         """Send a stop; the core repeats it until the run is listed as ended."""
         context, executor = self._context, self._executor
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -207,6 +207,10 @@
             session = self._sessions_by_id.get(stop.executor_id)
             if session is not None:
                 nursery.start_soon(session.stop, stop)
+        for pace in self.core.take_paces():
+            session = self._sessions_by_id.get(pace.executor_id)
+            if session is not None:
+                nursery.start_soon(session.pace, pace)
         for executor_id, session in self._sessions_by_id.items():
             executor = self.core.executors_by_id.get(executor_id)
             if executor is not None and executor.wants_look:
--- a/src/galenastall/platform/executors.py
+++ b/src/galenastall/platform/executors.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from galenastall.coordination.cell.commands import StartOrder, StopOrder
+from galenastall.coordination.cell.commands import PaceOrder, StartOrder, StopOrder
 from galenastall.coordination.cell.listings import ListedEnd, ListedRun, Listing
 from galenastall.platform.calls import PlatformCalls, decode_answer
 from galenastall.platform.names import END_BY_NAME, parse_task, task_name
@@ -23,6 +23,7 @@
 _CONFLICT: Final = 409
 _OTHER_LIFE: Final = 421
 _UNHEALTHY: Final = frozenset({429, 503})
+_FIGURE_AT: Final = 4
 _LIFE_HEADER: Final = "Expected-Instance"
 """Names the life that an order is meant for; any other answers that it is not the one."""
 _VERDICT_BY_REASON: Final = {
@@ -63,7 +64,13 @@
     task = parse_task(str(row[0]))
     if task is None:
         return None
-    return ListedRun(task=task, run=int(row[1]), saved=str(row[2]), percent=int(row[3]))
+    return ListedRun(
+        task=task,
+        run=int(row[1]),
+        saved=str(row[2]),
+        percent=int(row[3]),
+        figure=int(row[4]) if len(row) > _FIGURE_AT else 0,
+    )
 
 
 def _ended(row: list[Any]) -> ListedEnd | None:
@@ -119,6 +126,25 @@
             timeout_s=timeout_s,
         )
 
+    async def pace(
+        self, *, address: str, order: PaceOrder, token: int, timeout_s: float
+    ) -> Result[OrderAnswer, StepError]:
+        """Let a run work at a share of its speed."""
+        message = {
+            "task": task_name(order.task),
+            "run": order.run,
+            "percentage": order.percent,
+            "fencingToken": token,
+        }
+        return await self._order(
+            step="executor.pace",
+            address=address,
+            path="/pace",
+            message=message,
+            executor_id=order.executor_id,
+            timeout_s=timeout_s,
+        )
+
     async def renew(
         self,
         *,
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -52,7 +52,10 @@
 """Kept of the grace time for the handover and the drain after a slow store was waited for."""
 CONNECT_TIMEOUT_S: Final = 0.5
 """Connecting takes some milliseconds; a lost opening packet is sent again after a second."""
-CONNECTIONS_PER_ADDRESS: Final = 8
+STORE_CONNECTIONS: Final = 8
+"""To the store: an append, a look, a list and a long poll at once, and room for repeats."""
+EXECUTOR_CONNECTIONS: Final = 3
+"""To an executor: the long poll and two for orders, which take 3 ms each. Connections are priced."""
 LOG_EVERY_S: Final = 1.0
 GC_THRESHOLDS: Final = (5_000, 50, 1_000)
 RING_EVENTS: Final = 2_000
@@ -132,11 +135,6 @@
 
     def _make_host(self, incarnation: Incarnation) -> CellHost:
         settings = self._settings
-        client = HttpClient(
-            clock=self._clock,
-            max_connections=CONNECTIONS_PER_ADDRESS,
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-        )
         return CellHost(
             settings=CellHostSettings(
                 host_id=HostId(settings.host_id),
@@ -145,7 +143,7 @@
                 claim_delay_s=settings.claim_delay_s(random.random()),
                 may_start=settings.may_start,
             ),
-            ports=self._ports(PlatformCalls(client=client)),
+            ports=self._ports(),
             link=ZmqPeerLink(
                 host_id=HostId(settings.host_id),
                 incarnation=incarnation,
@@ -158,13 +156,22 @@
             recorder=self.recorder,
         )
 
-    def _ports(self, calls: PlatformCalls) -> CellPorts:
+    def _calls(self, max_connections: int) -> PlatformCalls:
+        client = HttpClient(
+            clock=self._clock,
+            max_connections=max_connections,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        )
+        return PlatformCalls(client=client)
+
+    def _ports(self) -> CellPorts:
+        calls = self._calls(STORE_CONNECTIONS)
         store = self.live.store_address
         return CellPorts(
             state=PlatformStore(calls=calls, address=store),
             fleet=PlatformFleet(calls=calls, address=store, recorder=self.recorder),
             config=PlatformConfig(calls=calls, address=store),
-            executors=PlatformExecutors(calls=calls),
+            executors=PlatformExecutors(calls=self._calls(EXECUTOR_CONNECTIONS)),
             advisor=PlatformAdvisor(calls=calls, address=self.live.advisor_address),
         )
 
--- a/src/galenastall/protocol/cell/executor_port.py
+++ b/src/galenastall/protocol/cell/executor_port.py
@@ -6,7 +6,7 @@
 
 from returns.result import Result
 
-from galenastall.coordination.cell.commands import StartOrder, StopOrder
+from galenastall.coordination.cell.commands import PaceOrder, StartOrder, StopOrder
 from galenastall.coordination.cell.listings import Listing
 from galenastall.state.errors import StepError
 
@@ -64,6 +64,11 @@
     ) -> Result[OrderAnswer, StepError]:
         """Stop a run, and have it rejected if it comes later."""
 
+    async def pace(
+        self, *, address: str, order: PaceOrder, token: int, timeout_s: float
+    ) -> Result[OrderAnswer, StepError]:
+        """Let a run work at a share of its speed; idempotent."""
+
     async def renew(
         self,
         *,
--- a/tests/cell/world.py
+++ b/tests/cell/world.py
@@ -12,7 +12,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from galenastall.coordination.cell.commands import StartOrder, StopOrder
+from galenastall.coordination.cell.commands import PaceOrder, StartOrder, StopOrder
 from galenastall.coordination.cell.executors import ExecutorInfo
 from galenastall.coordination.cell.listings import ListedEnd, ListedRun, Listing
 from galenastall.protocol.cell.config import CellConfig, QueueRoute
@@ -462,6 +462,11 @@
     ) -> Result[OrderAnswer, StepError]:
         return await self._order(order.executor_id, timeout_s, lambda e: e.stop(order, token))
 
+    async def pace(
+        self, *, address: str, order: PaceOrder, token: int, timeout_s: float
+    ) -> Result[OrderAnswer, StepError]:
+        return await self._order(order.executor_id, timeout_s, lambda e: StartVerdict.STARTED)
+
     async def _order(
         self, executor_id: str, timeout_s: float, act: Any
     ) -> Result[OrderAnswer, StepError]:
--- a/tests/test_cell_core.py
+++ b/tests/test_cell_core.py
@@ -666,6 +666,58 @@
         assert self.show(rig, order, percent) == stops
 
 
+class TestPacing:
+    def rig(self) -> tuple[Rig, StartOrder, StartOrder]:
+        rig = Rig(make_info("e1"))
+        serving = make_step(1, is_long_running=True, tail_target_ms=100)
+        filler = make_step(1, cores=0, is_filler=True)
+        rig.submit(make_job(serving, filler))
+        orders = rig.step()
+        rig.run_all(orders)
+        return rig, orders[0], orders[1]
+
+    def show(self, rig: Rig, tail_ms: int, *orders: StartOrder) -> list[int]:
+        rig.now += 1.0
+        rig.listing(
+            "e1",
+            tuple(
+                ListedRun(task=o.task, run=1, percent=int(rig.now) % 100, figure=tail_ms)
+                for o in orders
+            ),
+        )
+        paces = rig.core.take_paces()
+        for pace in paces:
+            assert pace.task == orders[1].task
+            rig.core.on_paced(pace)
+        return [pace.percent for pace in paces]
+
+    def test_a_filler_is_halved_until_the_tail_is_well_and_then_speeds_up(self) -> None:
+        rig, serving, filler = self.rig()
+        assert self.show(rig, 50, serving, filler) == []
+        assert self.show(rig, 120, serving, filler) == [50]
+        assert self.show(rig, 90, serving, filler) == [25]
+        assert self.show(rig, 70, serving, filler) == []
+        assert self.show(rig, 50, serving, filler) == [35]
+
+    def test_a_filler_stands_still_where_little_does_harm(self) -> None:
+        rig, serving, filler = self.rig()
+        paces = [self.show(rig, 200, serving, filler) for _ in range(5)]
+        assert paces == [[50], [25], [12], [0], []]
+
+    def test_an_order_that_is_not_confirmed_is_sent_again(self) -> None:
+        rig, serving, filler = self.rig()
+        rig.now += 1.0
+        shown = tuple(ListedRun(task=o.task, run=1, figure=150) for o in (serving, filler))
+        rig.listing("e1", shown)
+        assert len(rig.core.take_paces()) == 1
+        rig.now += 0.1
+        rig.listing("e1", shown)
+        assert rig.core.take_paces() == []
+        rig.now += 0.45
+        rig.listing("e1", shown)
+        assert [pace.percent for pace in rig.core.take_paces()] == [50]
+
+
 class TestTidying:
     def test_an_ended_job_keeps_its_phase_and_later_goes(self) -> None:
         rig = Rig(make_info("e1"))
