--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -3,13 +3,13 @@
 from typing import Final
 
 import trio
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from galenastall.coordination.cell.commands import PaceOrder, StartOrder, StopOrder
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.orders import StartOutcome
 from galenastall.node.cell.term_context import TermContext
-from galenastall.protocol.cell.executor_port import ListingAnswer, StartVerdict
+from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
 from galenastall.state.errors import StepError
 
 BUSY_WAIT_S: Final = 1.0
@@ -120,7 +120,7 @@
     def _take(self, answer: ListingAnswer, asked_seq: int) -> bool:
         context = self._context
         if answer.verdict is StartVerdict.FENCED:
-            context.lose(f"executor {self._executor.executor_id} has seen a higher token")
+            self._lose()
             return False
         if answer.verdict is StartVerdict.OTHER_LIFE:
             context.core.on_other_life(self._executor.executor_id, wall=context.wall())
@@ -179,7 +179,7 @@
             return StartOutcome.UNHEALTHY
         verdict = answer.unwrap().verdict
         if verdict is StartVerdict.FENCED:
-            context.lose(f"executor {executor.executor_id} has seen a higher token")
+            self._lose()
             return StartOutcome.NOT_STARTED
         return _OUTCOME_BY_VERDICT[verdict]
 
@@ -192,12 +192,7 @@
             token=context.token,
             timeout_s=ORDER_TIMEOUT_S,
         )
-        if isinstance(answer, Failure):
-            return
-        verdict = answer.unwrap().verdict
-        if verdict is StartVerdict.FENCED:
-            context.lose(f"executor {executor.executor_id} has seen a higher token")
-        elif verdict is StartVerdict.STARTED:
+        if self._is_obeyed(answer):
             context.core.on_paced(order)
 
     async def stop(self, order: StopOrder) -> None:
@@ -209,12 +204,19 @@
             token=context.token,
             timeout_s=ORDER_TIMEOUT_S,
         )
+        if self._is_obeyed(answer):
+            context.core.on_stop(order)
+            context.wake()
+
+    def _is_obeyed(self, answer: Result[OrderAnswer, StepError]) -> bool:
+        """Whether an order was carried out; one refused for its token ends the term."""
         if isinstance(answer, Failure):
-            return
+            return False
         verdict = answer.unwrap().verdict
         if verdict is StartVerdict.FENCED:
-            context.lose(f"executor {executor.executor_id} has seen a higher token")
-            return
-        if verdict is StartVerdict.STARTED:
-            context.core.on_stop(order)
-            context.wake()
+            self._lose()
+        return verdict is StartVerdict.STARTED
+
+    def _lose(self) -> None:
+        executor_id = self._executor.executor_id
+        self._context.lose(f"executor {executor_id} has seen a higher token")
--- a/src/galenastall/platform/executors.py
+++ b/src/galenastall/platform/executors.py
@@ -1,5 +1,6 @@
 """Orders to executors and their listings, as the platform's pages have them."""
 
+from dataclasses import dataclass
 from typing import Any, Final
 
 import msgspec
@@ -35,6 +36,21 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """One of an executor's calls."""
+
+    step: str
+    path: str
+
+
+_START: Final = _Call("executor.start", "/run-start")
+_STOP: Final = _Call("executor.stop", "/run-stop")
+_PACE: Final = _Call("executor.pace", "/pace")
+_RENEW: Final = _Call("executor.renew", "/hold")
+Message = dict[str, Any]
+
+
 class WireAnswer(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """What every answer of an executor may carry."""
 
@@ -92,7 +108,7 @@
         self, *, address: str, order: StartOrder, deadline_ms: int, token: int, timeout_s: float
     ) -> Result[OrderAnswer, StepError]:
         """Start a run."""
-        message: dict[str, Any] = {
+        message: Message = {
             "task": task_name(order.task),
             "run": order.run,
             "specification": order.payload,
@@ -103,47 +119,30 @@
             message["checkpoint"] = order.checkpoint
         if order.ticket:
             message["ticket"] = order.ticket
-        return await self._order(
-            step="executor.start",
-            address=address,
-            path="/run-start",
-            message=message,
-            executor_id=order.executor_id,
-            timeout_s=timeout_s,
-        )
+        return await self._order(_START, address, order.executor_id, message, timeout_s)
 
     async def stop(
         self, *, address: str, order: StopOrder, token: int, timeout_s: float
     ) -> Result[OrderAnswer, StepError]:
         """Stop a run."""
-        message = {"task": task_name(order.task), "run": order.run, "fencingToken": token}
-        return await self._order(
-            step="executor.stop",
-            address=address,
-            path="/run-stop",
-            message=message,
-            executor_id=order.executor_id,
-            timeout_s=timeout_s,
-        )
+        message: Message = {
+            "task": task_name(order.task),
+            "run": order.run,
+            "fencingToken": token,
+        }
+        return await self._order(_STOP, address, order.executor_id, message, timeout_s)
 
     async def pace(
         self, *, address: str, order: PaceOrder, token: int, timeout_s: float
     ) -> Result[OrderAnswer, StepError]:
         """Let a run work at a share of its speed."""
-        message = {
+        message: Message = {
             "task": task_name(order.task),
             "run": order.run,
             "percentage": order.percent,
             "fencingToken": token,
         }
-        return await self._order(
-            step="executor.pace",
-            address=address,
-            path="/pace",
-            message=message,
-            executor_id=order.executor_id,
-            timeout_s=timeout_s,
-        )
+        return await self._order(_PACE, address, order.executor_id, message, timeout_s)
 
     async def renew(
         self,
@@ -157,70 +156,41 @@
         timeout_s: float,
     ) -> Result[ListingAnswer, StepError]:
         """Renew the lease and return the listing."""
-        step = "executor.renew"
-        message: dict[str, Any] = {"fencingToken": token, "ackPosition": noted}
+        message: Message = {"fencingToken": token, "ackPosition": noted}
         if deadline_ms is not None:
             message["deadlineMs"] = deadline_ms
         if wait_s > 0:
             message["waitMs"] = int(wait_s * 1000)
-        answer = await self._call(
-            step=step,
-            address=address,
-            path="/hold",
-            message=message,
-            executor_id=executor_id,
-            timeout_s=timeout_s,
-        )
+        answer = await self._call(_RENEW, address, executor_id, message, timeout_s)
         if isinstance(answer, Failure):
             return answer
         whole = answer.unwrap()
         if whole.status == _OK:
-            listing = decode_answer(whole, WireListing, step=step, peer=address)
+            listing = decode_answer(whole, WireListing, step=_RENEW.step, peer=address)
             return listing.map(
                 lambda found: ListingAnswer(
                     verdict=StartVerdict.STARTED, listing=found.to_listing()
                 )
             )
-        return _verdict(whole, step=step, peer=address).map(
+        return _verdict(whole, step=_RENEW.step, peer=address).map(
             lambda found: ListingAnswer(verdict=found.verdict, listing=None)
         )
 
     async def _order(
-        self,
-        *,
-        step: str,
-        address: str,
-        path: str,
-        message: dict[str, Any],
-        executor_id: str,
-        timeout_s: float,
+        self, call: _Call, address: str, executor_id: str, message: Message, timeout_s: float
     ) -> Result[OrderAnswer, StepError]:
-        answer = await self._call(
-            step=step,
-            address=address,
-            path=path,
-            message=message,
-            executor_id=executor_id,
-            timeout_s=timeout_s,
-        )
+        answer = await self._call(call, address, executor_id, message, timeout_s)
         if isinstance(answer, Failure):
             return answer
-        return _verdict(answer.unwrap(), step=step, peer=address)
+        return _verdict(answer.unwrap(), step=call.step, peer=address)
 
     async def _call(
-        self,
-        *,
-        step: str,
-        address: str,
-        path: str,
-        message: dict[str, Any],
-        executor_id: str,
-        timeout_s: float,
+        self, call: _Call, address: str, executor_id: str, message: Message, timeout_s: float
     ) -> Result[WholeAnswer, StepError]:
         return await self._calls.post_json(
-            step=step,
+            step=call.step,
             address=address,
-            path=path,
+            path=call.path,
             message=message,
             timeout_s=timeout_s,
             headers={_LIFE_HEADER: executor_id},
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -55,7 +55,7 @@
 STORE_CONNECTIONS: Final = 8
 """To the store: an append, a look, a list and a long poll at once, and room for repeats."""
 EXECUTOR_CONNECTIONS: Final = 3
-"""To an executor: the long poll and two for orders, which take 3 ms each. Connections are priced."""
+"""To an executor: the long poll and two for orders, which take 3 ms each; each one is priced."""
 LOG_EVERY_S: Final = 1.0
 GC_THRESHOLDS: Final = (5_000, 50, 1_000)
 RING_EVENTS: Final = 2_000
