--- a/tests/test_cell_leadership.py
+++ b/tests/test_cell_leadership.py
@@ -293,7 +293,11 @@
     142: "a claim whose answer was lost kept hosts from following the leader that stood",
     168: "a start left after its run had been counted as lapsed in a long outage of the store",
 }
-"""Seeds that failed once, with their cause."""
+"""Seeds that failed once, with their cause.
+
+Trio's order of tasks differs between runners, so a seed may pass here over a fault that it showed
+elsewhere; `test_cell_core` holds each cause alone.
+"""
 
 
 class TestRandomTrouble:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -198,6 +198,41 @@
         assert reasons == [Reason.UNREACHABLE]
         assert script.requests == 1
 
+    async def test_after_a_timeout_no_other_kept_connection_is_trusted(
+        self, mock_clock: trio.testing.MockClock
+    ) -> None:
+        both = trio.Event()
+        third = trio.Event()
+        reasons: list[object] = []
+
+        async def ask(client: HttpClient, address: str) -> None:
+            reasons.append(await get(client, address, timeout_s=5.0))
+
+        async def behave(stream: trio.SocketStream, number: int) -> None:
+            if number == 2:
+                both.set()
+            if number <= 2:
+                await both.wait()
+            if number == 3:
+                third.set()
+            else:
+                await stream.send_all(WHOLE)
+
+        async with scripted(behave) as (address, script):
+            client = HttpClient(clock=TrioClock())
+            async with trio.open_nursery() as nursery:
+                for _ in range(2):
+                    nursery.start_soon(get, client, address)
+            assert script.connections == 2
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask, client, address)
+                await third.wait()
+                mock_clock.jump(6.0)
+            assert reasons == [Reason.TIMEOUT]
+            await get(client, address)
+        assert script.requests == 4
+        assert script.connections == 3
+
     async def test_leaving_a_streamed_answer_early_gives_the_place_back(self) -> None:
         async with scripted(sends(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart")) as made:
             address, _ = made
