Send no work where a start got no answer; name no later deadline to who is silent

Cause: of the work started in the first 1.8 s of a data centre's cut a third went into it, each start with three tries of 0.5 s, and stayed there until the cut healed or its leases lapsed; and runs on an executor that was gone for good waited 12.8 s, as each unanswered poll named a new deadline. Now an unanswered start closes its executor, and those of its data centre that have not answered since it left, until they answer; an order waits 0.35 s; a call after an unanswered one names no later deadline; renewals reach 8.5 s ahead instead of 10 (never beyond 10 s after the store's last confirmation).

--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -42,6 +42,10 @@
         self.delisted_at = now
         self.answered_at: float | None = None
         """Leader's time of its last good listing."""
+        self.doubted_at = float("-inf")
+        """Leader's time at which a start got no answer, here or next to it; it gets nothing new
+        before it has answered since. Of the starts sent into a cut, each unanswered one waits for
+        the cut's end or for its lease."""
         self.paused_until = 0.0
         self.noted = 0
         """Position in its list of ends up to which ends were applied."""
@@ -128,7 +132,12 @@
             return False
         if not self.is_listed and now - self.delisted_at > delisted_grace_s:
             return False
-        return self.has_answered(now=now, reach_s=reach_s)
+        return not self.is_doubted and self.has_answered(now=now, reach_s=reach_s)
+
+    @property
+    def is_doubted(self) -> bool:
+        """Whether a start got no answer since it last gave a listing."""
+        return self.answered_at is not None and self.answered_at <= self.doubted_at
 
     def has_answered(self, *, now: float, reach_s: float) -> bool:
         """Whether it has given a listing within `reach_s`."""
--- a/src/galenastall/coordination/cell/lease_clock.py
+++ b/src/galenastall/coordination/cell/lease_clock.py
@@ -30,15 +30,23 @@
             self._clock_ms = clock_ms
             self._received_at = received_at
 
-    def deadline_ms(self, *, confirmed_at: float) -> int | None:
-        """Return the latest deadline that may be named now, or None before the first answer.
+    @property
+    def promised_ms(self) -> int:
+        """The latest deadline that was named."""
+        return self._promised_ms
+
+    def deadline_ms(self, *, confirmed_at: float, now: float) -> int | None:
+        """Return the deadline to name now, or None before the first answer.
 
-        A pause of this process between the two readings makes the result earlier, never later.
+        It reaches one renewal beyond `now`, and never further than one lease beyond the store's
+        last confirmation. A pause of this process between the readings makes the result earlier,
+        never later.
         """
         if self._clock_ms is None:
             return None
-        elapsed_ms = (confirmed_at - self._received_at) * 1000.0
-        deadline = int(self._clock_ms + elapsed_ms + self._timings.lease_s * 1000.0)
+        timings = self._timings
+        until = min(now + timings.renewal_s, confirmed_at + timings.lease_s)
+        deadline = int(self._clock_ms + (until - self._received_at) * 1000.0)
         self._promised_ms = max(self._promised_ms, deadline)
         return deadline
 
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -48,6 +48,7 @@
             task.known_seq = self._state.next_seq()
             return False
         if outcome is StartOutcome.UNKNOWN:
+            self._doubt_path(task.executor_id, now)
             return self._on_unknown(task)
         if outcome is StartOutcome.ENDED:
             self._on_ended(task)
@@ -55,6 +56,19 @@
         self._on_refused(order, outcome, now=now, wall=wall)
         return False
 
+    def _doubt_path(self, executor_id: str, now: float) -> None:
+        """Place nothing on an executor, or beside it, that has not answered since a start left."""
+        silent = self._state.executors_by_id.get(executor_id)
+        if silent is None:
+            return
+        sent_at = now - self._state.timings.order_timeout_s
+        for executor in self._state.executors_by_id.values():
+            is_beside = executor.info.data_centre == silent.info.data_centre
+            has_answered = executor.answered_at is not None and executor.answered_at >= sent_at
+            if executor is silent or (is_beside and not has_answered):
+                executor.doubted_at = now
+                executor.wants_look = True
+
     def _on_unknown(self, task: TaskRun) -> bool:
         task.state = StartState.UNSURE
         if task.is_stopping:
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -58,6 +58,11 @@
         """Live jobs whose steps run several times."""
         self._tidied_at = float("-inf")
 
+    @property
+    def timings(self) -> CellTimings:
+        """Times that this leader goes by."""
+        return self._state.timings
+
     @property
     def executors_by_id(self) -> dict[str, Executor]:
         """Executors that are listed, or that may still run something."""
--- a/src/galenastall/coordination/cell/timings.py
+++ b/src/galenastall/coordination/cell/timings.py
@@ -9,6 +9,10 @@
 
     lease_s: float = 10.0
     """How far ahead of the last confirmed time a lease may reach; the platform's longest."""
+    renewal_s: float = 8.5
+    """How far ahead a renewal reaches while the store confirms the leader. It has to outlast the
+    cut of a data centre (up to 6.4 s so far) and one long poll; what runs on an executor that is
+    gone for good starts elsewhere that much later."""
     clock_rate_slack: float = 0.02
     """Share by which an executor's clock may run slow, as the platform states it."""
     lease_slack_s: float = 0.3
@@ -17,6 +21,8 @@
     """An executor that has not answered for longer gets no new work: a long poll and its margin."""
     delisted_grace_s: float = 2.0
     """How long an executor that answers may be missing from the list, as the platform states it."""
+    order_timeout_s: float = 0.35
+    """Wait for the answer to an order, which takes 2 to 8 ms; starts are safe to send again."""
     resend_after_s: float = 0.5
     """Between two tries of a stop that the executor has not yet listed as ended."""
     start_tries: int = 3
--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -21,8 +21,6 @@
 RENEW_REACH_S: Final = 2.5
 """An executor that has not answered for longer is polled without renewing: one lost long poll
 and a second try stay within it."""
-ORDER_TIMEOUT_S: Final = 0.5
-"""Wait for the answer to an order, which takes 2 to 8 ms; starts are safe to send again."""
 RETRY_S: Final = 0.2
 """Pause after a failed call."""
 DURABLE_WAIT_S: Final = 0.5
@@ -94,7 +92,7 @@
         answer = await context.executors.renew(
             address=executor.info.address,
             executor_id=executor.executor_id,
-            deadline_ms=self._lease_deadline_ms(),
+            deadline_ms=self._renewed_ms(),
             noted=executor.durable,
             wait_s=wait_s,
             token=context.token,
@@ -105,17 +103,24 @@
             return False
         return self._take(answer.unwrap(), asked_seq)
 
-    def _lease_deadline_ms(self) -> int | None:
-        """Return the deadline to renew to; None for an executor that has stopped answering.
+    def _renewed_ms(self) -> int | None:
+        """Return the deadline to renew to; None for an executor that has stopped answering."""
+        if not self._executor.has_answered(now=trio.current_time(), reach_s=RENEW_REACH_S):
+            return None
+        return self._deadline_ms()
+
+    def _deadline_ms(self) -> int | None:
+        """Return the deadline to name now; None before the executor's first answer.
 
         Each deadline that is named, also in a call that gets lost, puts off the time at which the
-        runs there count as lapsed. Renewed without end, the runs of an executor that is gone for
-        good would never be started elsewhere.
+        runs there count as lapsed. So a call after one without an answer names no later one: runs
+        on an executor that is gone for good start elsewhere 2.5 s sooner than with a new one each.
         """
         executor = self._executor
-        if not executor.has_answered(now=trio.current_time(), reach_s=RENEW_REACH_S):
-            return None
-        return executor.clock.deadline_ms(confirmed_at=self._context.confirmed_at)
+        if self._is_lost or executor.is_doubted:
+            return executor.clock.promised_ms
+        confirmed_at = self._context.confirmed_at
+        return executor.clock.deadline_ms(confirmed_at=confirmed_at, now=trio.current_time())
 
     def _take(self, answer: ListingAnswer, asked_seq: int) -> bool:
         context = self._context
@@ -161,7 +166,7 @@
 
     async def _send_start(self, order: StartOrder) -> StartOutcome:
         context, executor = self._context, self._executor
-        deadline_ms = executor.clock.deadline_ms(confirmed_at=context.confirmed_at)
+        deadline_ms = self._deadline_ms()
         if deadline_ms is None:
             return StartOutcome.NOT_STARTED
         answer = await context.executors.start(
@@ -169,7 +174,7 @@
             order=order,
             deadline_ms=deadline_ms,
             token=context.token,
-            timeout_s=ORDER_TIMEOUT_S,
+            timeout_s=context.core.timings.order_timeout_s,
         )
         if isinstance(answer, Failure):
             error = answer.failure()
@@ -190,7 +195,7 @@
             address=executor.info.address,
             order=order,
             token=context.token,
-            timeout_s=ORDER_TIMEOUT_S,
+            timeout_s=context.core.timings.order_timeout_s,
         )
         if self._is_obeyed(answer):
             context.core.on_paced(order)
@@ -202,7 +207,7 @@
             address=executor.info.address,
             order=order,
             token=context.token,
-            timeout_s=ORDER_TIMEOUT_S,
+            timeout_s=context.core.timings.order_timeout_s,
         )
         if self._is_obeyed(answer):
             context.core.on_stop(order)
