--- /dev/null
+++ b/src/galenastall/coordination/cell/fitting.py
@@ -0,0 +1,83 @@
+"""Which executors fit a step best; pure choices over their ledgers."""
+
+from collections.abc import Iterable
+
+from galenastall.coordination.cell.executors import Executor
+from galenastall.coordination.cell.job_runs import StepRun, TaskRun
+from galenastall.state.cell.jobs import Step
+
+Preference = tuple[int, int, float, str]
+
+
+def may_host(executor: Executor, step: Step, service: str) -> bool:
+    """Whether the executor is of the service and carries the label that the step requires."""
+    if executor.info.service != service:
+        return False
+    return not step.label or step.label in executor.info.labels
+
+
+def may_add(executor: Executor, step: StepRun) -> bool:
+    """Whether one more task of the step may share the executor."""
+    most = step.step.most_per_executor
+    if most <= 0:
+        return True
+    there = sum(1 for task in executor.runs_by_task if task.step_key == step.key)
+    return there < most
+
+
+def choose(usable: Iterable[Executor], step: StepRun, task: TaskRun) -> Executor | None:
+    """Return the executor with the least room left that has some, near the data if possible.
+
+    One on which the task has failed is the last choice: few attempts are allowed, and the fault
+    may be the executor's.
+    """
+    need = step.step.need
+    best: Executor | None = None
+    best_key: Preference | None = None
+    for executor in usable:
+        if not executor.has_room(need) or not may_add(executor, step):
+            continue
+        key = _preference(executor, step, has_failed=executor.executor_id in task.failed_on)
+        if best_key is None or key < best_key:
+            best, best_key = executor, key
+    return best
+
+
+def choose_for_gang(usable: list[Executor], step: StepRun, count: int) -> list[Executor] | None:
+    """Return an executor for each member, on one rack if that is wanted and possible."""
+    if step.step.wants_one_rack:
+        for rack in sorted({e.info.rack for e in usable}):
+            chosen = _fill([e for e in usable if e.info.rack == rack], step, count)
+            if chosen is not None:
+                return chosen
+    return _fill(usable, step, count)
+
+
+def _fill(usable: list[Executor], step: StepRun, count: int) -> list[Executor] | None:
+    chosen: list[Executor] = []
+    failed_on = {executor_id for task in step.tasks for executor_id in task.failed_on}
+
+    def preference(executor: Executor) -> Preference:
+        return _preference(executor, step, has_failed=executor.executor_id in failed_on)
+
+    for executor in sorted(usable, key=preference):
+        fitting = executor.room_for(step.step.need, count - len(chosen))
+        most = step.step.most_per_executor
+        if most > 0:
+            fitting = min(fitting, most)
+        chosen.extend([executor] * fitting)
+        if len(chosen) == count:
+            return chosen
+    return None
+
+
+def _preference(executor: Executor, step: StepRun, *, has_failed: bool) -> Preference:
+    doubtful = 1 if has_failed or executor.consecutive_failures > 1 else 0
+    rack = step.step.data_rack
+    far = 1 if rack and rack != executor.info.rack else 0
+    need = step.step.need
+    capacity = executor.info.capacity
+    cores_left = (executor.free_cores_milli - need.cores_milli) / max(capacity.cores_milli, 1)
+    memory_left = (executor.free_memory_mb - need.memory_mb) / max(capacity.memory_mb, 1)
+    uneven = abs(cores_left - memory_left)
+    return (doubtful, far, cores_left + memory_left + uneven, executor.executor_id)
--- /dev/null
+++ b/src/galenastall/coordination/cell/waiting_line.py
@@ -0,0 +1,99 @@
+"""Waiting steps in the order in which decisions look at them."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from galenastall.coordination.cell.advice import AdviceBook, StepAdvice
+from galenastall.coordination.cell.cell_state import CellState
+from galenastall.coordination.cell.job_runs import JobRun, Occurrence, StepRun
+from galenastall.coordination.cell.objectives import lateness_rank
+from galenastall.state.cell.jobs import Queue, StepKey
+
+STEPS_PER_DECISION: Final = 120
+"""Waiting steps looked at in one decision, so that it stays within some milliseconds."""
+URGENT_PRIORITY: Final = 0
+WORTHLESS_RANK: Final = 2
+"""Rank of what is so late that it earns nothing more; it runs when nothing else wants the room."""
+
+OrderKey = tuple[int, int, int, float, StepKey]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WaitingStep:
+    """A waiting step with what orders it."""
+
+    job: JobRun
+    occurrence: Occurrence
+    step: StepRun
+    queue: Queue
+    advice: StepAdvice | None
+    """What the advisor said; None on a queue without one."""
+    now: float
+    rank: int
+    """How late its job is, as `lateness_rank` tells."""
+
+    @property
+    def is_urgent(self) -> bool:
+        """Whether its queue goes first."""
+        return self.queue.priority == URGENT_PRIORITY
+
+    @property
+    def is_worthless(self) -> bool:
+        """Whether it is so late that it earns nothing more."""
+        return self.rank >= WORTHLESS_RANK
+
+    def ticket(self, executor_id: str) -> str | None:
+        """Return a ticket for the executor; empty where none is needed, None where one is."""
+        return "" if self.advice is None else self.advice.ticket(executor_id, self.now)
+
+    def is_approved(self, executor_id: str) -> bool:
+        """Whether an executor may run it, with a ticket that is still good or a renewed one."""
+        return self.advice is None or executor_id in self.advice.tickets_by_executor
+
+    def order_key(self) -> OrderKey:
+        """Return its place in the order of decisions.
+
+        Urgent work goes before other work also when it is late: it is an eighth of all work, and
+        what waits behind work with seconds to spare ends up earning nothing.
+        """
+        urgency = 0 if self.is_urgent else 1
+        worthless = 1 if self.is_worthless else 0
+        return (worthless, urgency, self.rank, self.occurrence.objective, self.step.key)
+
+
+class WaitingLine:
+    """Lists what waits, from the leader's tables."""
+
+    def __init__(self, *, state: CellState, advice: AdviceBook) -> None:
+        """Read these tables."""
+        self._state = state
+        self._advice = advice
+
+    def in_order(self, *, now: float, wall: float) -> list[WaitingStep]:
+        """Return the most pressing waiting steps, at most STEPS_PER_DECISION."""
+        found: list[tuple[OrderKey, WaitingStep]] = []
+        for key in list(self._state.waiting_steps):
+            job = self._state.jobs_by_id.get(key.job)
+            step = job.find_step(key) if job is not None else None
+            if job is None or step is None or job.has_ended:
+                self._state.waiting_steps.discard(key)
+                continue
+            waiting = self._describe(job, step, now, wall)
+            found.append((waiting.order_key(), waiting))
+        found.sort(key=lambda pair: pair[0])
+        return [waiting for _, waiting in found[:STEPS_PER_DECISION]]
+
+    def _describe(self, job: JobRun, step: StepRun, now: float, wall: float) -> WaitingStep:
+        queue = self._state.queue_of(job)
+        occurrence = job.occurrences_by_number[step.key.occurrence]
+        return WaitingStep(
+            job=job,
+            occurrence=occurrence,
+            step=step,
+            queue=queue,
+            advice=None if queue.advisor is None else self._advice.of(step.key),
+            now=now,
+            rank=lateness_rank(
+                objective=occurrence.objective, begins_at=occurrence.begins_at, now=wall
+            ),
+        )
--- a/tests/test_cell_core.py
+++ b/tests/test_cell_core.py
@@ -5,6 +5,7 @@
 import pytest
 
 from galenastall.coordination.cell.advice import AdviceBook, Approval
+from galenastall.coordination.cell.ahead import AHEAD_AFTER_S
 from galenastall.coordination.cell.commands import StartOrder, StopOrder
 from galenastall.coordination.cell.election import Election, HeardBeat, Move
 from galenastall.coordination.cell.executors import ExecutorInfo
@@ -356,9 +357,11 @@
         rig.run_all([order])
         return order
 
-    def wait(self, rig: Rig, name: str, *steps: Step, estimate_s: float, **fields: object) -> None:
+    def wait(
+        self, rig: Rig, name: str, *steps: Step, estimate_s: float, queue: Queue = QUEUE
+    ) -> None:
         steps = tuple(replace(step, estimate_s=estimate_s) for step in steps)
-        rig.submit(make_job(*steps, job_id=name * 16, **fields))
+        rig.submit(make_job(*steps, job_id=name * 16, queue=queue))
 
     def test_a_large_task_is_not_starved_by_small_ones(self) -> None:
         rig = Rig(make_info("e1"))
@@ -434,6 +437,139 @@
         assert rig.core.executors_by_id["e1"].free_cores_milli == 3000
 
 
+class TestAhead:
+    """Tasks that wait are assigned durably before there is room, for outages of the store."""
+
+    def fill(self, rig: Rig) -> list[StartOrder]:
+        """Run something that leaves no room."""
+        rig.submit(make_job(make_step(1, cores=4000), job_id="f" * 16))
+        orders = rig.step()
+        rig.run_all(orders)
+        return orders
+
+    def wait_long(self, rig: Rig, **running: int) -> None:
+        """Let what waits be assigned ahead, and make that durable."""
+        rig.step()
+        rig.now += AHEAD_AFTER_S
+        for executor_id, executor in rig.core.executors_by_id.items():
+            there = tuple(ListedRun(task=t, run=r) for t, r in executor.runs_by_task.items())
+            rig.listing(executor_id, there)
+        rig.step()
+
+    def outage(self, rig: Rig, lease_left_s: float = 8.0) -> list[StartOrder]:
+        """Decide while nothing can be written, and return the starts that leave."""
+        rig.core.decide(now=rig.now, wall=rig.wall, may_place=False, lease_left_s=lease_left_s)
+        return rig.core.take_ahead_starts()
+
+    def test_a_waiting_task_starts_in_an_outage_once_there_is_room(self) -> None:
+        rig = Rig(make_info("e1"))
+        (before,) = self.fill(rig)
+        rig.submit(make_job(make_step(1, cores=4000)))
+        self.wait_long(rig)
+        assert self.outage(rig) == []
+        rig.end(before, RunEnd.DONE)
+        (order,) = self.outage(rig)
+        assert (order.task.job, order.run, order.executor_id) == (JOB, 1, "e1")
+        assert rig.core.is_wanted(order)
+        assert self.outage(rig) == []
+
+    def test_it_does_not_start_before_its_assignment_is_durable(self) -> None:
+        rig = Rig(make_info("e1"))
+        (before,) = self.fill(rig)
+        rig.submit(make_job(make_step(1, cores=4000)))
+        rig.step()
+        rig.now += AHEAD_AFTER_S
+        rig.listing("e1", (ListedRun(task=before.task, run=1),))
+        rig.core.decide(now=rig.now, wall=rig.wall)
+        rig.core.take_batch()
+        rig.end(before, RunEnd.DONE)
+        assert self.outage(rig) == []
+
+    def test_it_does_not_start_under_a_lease_that_soon_ends(self) -> None:
+        rig = Rig(make_info("e1"))
+        (before,) = self.fill(rig)
+        rig.submit(make_job(make_step(1, cores=4000)))
+        self.wait_long(rig)
+        rig.end(before, RunEnd.DONE)
+        assert self.outage(rig, lease_left_s=2.0) == []
+
+    def test_the_next_leader_reckons_with_it_and_starts_it_once_it_is_known_not_to_run(
+        self,
+    ) -> None:
+        rig = Rig(make_info("e1"), make_info("e2"))
+        rig.submit(make_job(make_step(2, cores=4000), job_id="f" * 16))
+        rig.run_all(rig.step())
+        rig.submit(make_job(make_step(1, cores=4000)))
+        self.wait_long(rig)
+        following = Rig(rows=rig.rows)
+        following.see(make_info("e1"), make_info("e2"), make_info("e3"))
+        following.listing("e3")
+        assert following.step() == []
+        following.listing("e1")
+        following.listing("e2")
+        starts = {order.task.job: order.run for order in following.step()}
+        assert starts == {JOB: 2, "f" * 16: 2}
+
+    def test_placed_as_usual_it_gets_a_later_run_number(self) -> None:
+        rig = Rig(make_info("e1"))
+        (before,) = self.fill(rig)
+        rig.submit(make_job(make_step(1, cores=4000)))
+        self.wait_long(rig)
+        rig.end(before, RunEnd.DONE)
+        assert [order.run for order in rig.step()] == [2]
+
+    def test_a_gang_starts_whole_or_not_at_all(self) -> None:
+        rig = Rig(make_info("e1"), make_info("e2"))
+        rig.submit(make_job(make_step(2, cores=4000), job_id="f" * 16))
+        before = rig.step()
+        rig.run_all(before)
+        rig.submit(make_job(make_step(2, cores=4000, is_gang=True)))
+        self.wait_long(rig)
+        rig.end(before[0], RunEnd.DONE)
+        assert self.outage(rig) == []
+        rig.end(before[1], RunEnd.DONE)
+        orders = self.outage(rig)
+        assert {(order.executor_id, order.run) for order in orders} == {("e1", 1), ("e2", 1)}
+
+    @pytest.mark.parametrize("is_gang", [False, True])
+    def test_tickets_that_ran_out_are_asked_for_first(self, is_gang: bool) -> None:
+        rig = Rig(make_info("e1"), make_info("e2"))
+        queue = replace(
+            QUEUE,
+            name="advised",
+            advisor=AdvisorTiming(base_s=0.1, per_executor_s=0.0, validity_s=1.5),
+        )
+        rig.core.set_queues([QUEUE, queue])
+        rig.submit(make_job(make_step(2, cores=4000), job_id="f" * 16))
+        before = rig.step()
+        rig.run_all(before)
+        rig.submit(make_job(make_step(2, cores=4000, is_gang=is_gang), queue=queue))
+        rig.step()
+        self.answer(rig)
+        self.wait_long(rig)
+        rig.now += 2.0
+        rig.end(before[0], RunEnd.DONE)
+        rig.end(before[1], RunEnd.DONE)
+        assert self.outage(rig) == []
+        self.answer(rig)
+        assert len(self.outage(rig)) == 2
+
+    def answer(self, rig: Rig) -> None:
+        """Approve of all executors asked about."""
+        (ask,) = rig.core.take_asks()
+        approved = tuple(Approval(executor_id=e, ticket=f"t-{e}") for e in ask.executor_ids)
+        rig.core.on_advice(ask.step, approved, validity_s=1.5, now=rig.now)
+
+    def test_what_was_cancelled_does_not_start(self) -> None:
+        rig = Rig(make_info("e1"))
+        (before,) = self.fill(rig)
+        rig.submit(make_job(make_step(1, cores=4000)))
+        self.wait_long(rig)
+        rig.end(before, RunEnd.DONE)
+        rig.core.cancel(JOB, wall=rig.wall)
+        assert self.outage(rig) == []
+
+
 class TestEnds:
     def start(self, rig: Rig, *steps: Step) -> list[StartOrder]:
         rig.submit(make_job(*steps))
