--- a/src/galenastall/coordination/cell/advice_asker.py
+++ b/src/galenastall/coordination/cell/advice_asker.py
@@ -40,9 +40,9 @@
             wanted = self._worth_renewing(waiting, advice, left, usable) or wanted
             self._hold(waiting, left, wanted)
         if wanted:
-            self.ask(waiting, wanted)
+            self._ask(waiting, wanted)
 
-    def ask(self, waiting: WaitingStep, wanted: list[Executor]) -> None:
+    def _ask(self, waiting: WaitingStep, wanted: list[Executor]) -> None:
         """Ask about these executors."""
         timing = waiting.queue.advisor
         assert timing is not None, "only steps of advised queues come here"
--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -28,10 +28,6 @@
         self.noted_executors: set[str] = set()
         """Executors with ends that were applied and are not yet durable."""
         self.new_starts: list[StartOrder] = []
-        self.ahead_jobs: set[str] = set()
-        """Jobs with tasks assigned ahead whose assignments may not be durable yet."""
-        self.ahead_starts: list[StartOrder] = []
-        """Starts whose assignments have long been durable."""
         self.stops: list[StopOrder] = []
         self.paces: list[PaceOrder] = []
         self.asks: list[AskAdvice] = []
--- a/src/galenastall/coordination/cell/commands.py
+++ b/src/galenastall/coordination/cell/commands.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass, field
 
-from galenastall.coordination.cell.job_runs import AheadRun
 from galenastall.state.cell.jobs import AdvisorTiming, StepKey, TaskKey
 
 
@@ -70,5 +69,3 @@
     """Positions in executors' lists of ends that the rows cover."""
     job_ids: tuple[str, ...] = ()
     """Jobs whose progress the rows hold."""
-    ahead: tuple[AheadRun, ...] = ()
-    """Assignments ahead of need that the rows hold."""
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -1,7 +1,7 @@
 """A job in the leader's memory: occurrences, steps and tasks, restored from and saved as rows."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from enum import Enum, auto
 from typing import Final
 
@@ -29,20 +29,10 @@
     """Assigned by an earlier leader; the first listing under this leader's token decides."""
 
 
-@dataclass(slots=True)
-class AheadRun:
-    """A run that a waiting task may get while nothing can be made durable."""
-
-    run: int
-    executor_id: str
-    is_durable: bool = False
-
-
 class TaskRun:
     """One task and its last run."""
 
     __slots__ = (
-        "ahead",
         "checkpoint",
         "executor_id",
         "failed_on",
@@ -72,8 +62,6 @@
         self.key = key
         self.phase = TaskPhase.WAITING
         self.run = 0
-        self.ahead: AheadRun | None = None
-        """Where it is assigned ahead; only while it waits."""
         self.executor_id = ""
         self.failures = 0
         self.checkpoint = ""
@@ -102,20 +90,9 @@
         self.first_seen_at: float | None = None
         """Leader's time of the first listing that showed this run at work."""
 
-    @property
-    def last_run(self) -> int:
-        """The highest run number that may be durable."""
-        return max(self.run, self.ahead.run) if self.ahead is not None else self.run
-
-    @property
-    def next_run(self) -> int:
-        """The number of the next run; numbers rise with each."""
-        return self.last_run + 1
-
     def assign(self, *, run: int, executor_id: str, now: float) -> None:
         """Give the task a new run on an executor."""
         self.phase = TaskPhase.ASSIGNED
-        self.ahead = None
         self.run = run
         self.executor_id = executor_id
         self.state = StartState.WRITING
@@ -172,7 +149,7 @@
     @property
     def highest_run(self) -> int:
         """The highest run number of its tasks."""
-        return max(task.last_run for task in self.tasks)
+        return max(task.run for task in self.tasks)
 
     def waiting(self) -> list[TaskRun]:
         """Return the tasks that have no run now."""
@@ -356,12 +333,10 @@
 
 
 def _is_worth_a_row(task: TaskRun) -> bool:
-    return task.last_run > 0 or task.phase is not TaskPhase.WAITING
+    return task.run > 0 or task.phase is not TaskPhase.WAITING
 
 
 def _task_row(task: TaskRun) -> TaskRow:
-    if task.phase is TaskPhase.WAITING and task.ahead is not None:
-        return _ahead_row(task, task.ahead)
     return TaskRow(
         occurrence=task.key.occurrence,
         step=task.key.step,
@@ -374,20 +349,6 @@
     )
 
 
-def _ahead_row(task: TaskRun, ahead: AheadRun) -> TaskRow:
-    """Return a row that says what the next leader has to reckon with: the run may be there."""
-    return TaskRow(
-        occurrence=task.key.occurrence,
-        step=task.key.step,
-        index=task.key.number,
-        phase=TaskPhase.ASSIGNED,
-        run=ahead.run,
-        executor_id=ahead.executor_id,
-        failures=task.failures,
-        checkpoint=task.checkpoint,
-    )
-
-
 def _restore_task(task: TaskRun, row: TaskRow) -> None:
     task.phase = row.phase
     task.run = row.run
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -16,7 +16,7 @@
 from galenastall.coordination.cell.doubts import Doubts
 from galenastall.coordination.cell.executors import Executor, ExecutorInfo
 from galenastall.coordination.cell.fleet import Fleet
-from galenastall.coordination.cell.job_runs import AheadRun, JobRun, StartState
+from galenastall.coordination.cell.job_runs import JobRun, StartState
 from galenastall.coordination.cell.listings import Listing, ListingReader
 from galenastall.coordination.cell.load_report import report_load
 from galenastall.coordination.cell.orders import OrderBook, StartOutcome
@@ -35,8 +35,6 @@
     encode_progress,
 )
 
-SHORTEST_LEASE_S: Final = 3.0
-"""Nothing starts in an outage under a shorter lease: it would be lost before the store is back."""
 TIDY_EVERY_S: Final = 1.0
 """Between two looks through all jobs; a thousand of them take half a millisecond."""
 
@@ -204,13 +202,10 @@
         task = self._state.find_ordered(order)
         return task is not None and not task.is_stopping
 
-    def decide(
-        self, *, now: float, wall: float, may_place: bool = True, lease_left_s: float = 0.0
-    ) -> None:
+    def decide(self, *, now: float, wall: float, may_place: bool = True) -> None:
         """Open what has come due, end what has lapsed, repeat stops, and place what fits.
 
-        While assignments can't be made durable (`may_place` is False), only what was assigned
-        ahead starts, and that only if its lease would last: `lease_left_s` from now.
+        Nothing is placed while assignments can't be made durable (`may_place` is False).
         """
         self._state.now = now
         self._fleet.expire(now=now, wall=wall)
@@ -220,8 +215,6 @@
         self._orders.order_stops(now)
         if may_place:
             self._placer.decide(now=now, wall=wall)
-        elif lease_left_s >= SHORTEST_LEASE_S:
-            self._placer.start_ahead(now=now, wall=wall)
 
     def take_batch(self) -> Batch:
         """Return all changes since the last batch; none of them is durable before `commit`."""
@@ -243,7 +236,6 @@
             starts=tuple(state.new_starts),
             noted_by_executor=noted,
             job_ids=job_ids,
-            ahead=self._take_ahead(job_ids),
         )
         state.dirty_jobs.clear()
         state.noted_executors.clear()
@@ -251,25 +243,12 @@
         self._dropped_keys.clear()
         return batch
 
-    def _take_ahead(self, job_ids: tuple[str, ...]) -> tuple[AheadRun, ...]:
-        """Return the assignments ahead of need in the rows of these jobs."""
-        state = self._state
-        found: list[AheadRun] = []
-        for job_id in state.ahead_jobs.intersection(job_ids):
-            run = state.jobs_by_id.get(job_id)
-            if run is not None:
-                found += [task.ahead for task in run.tasks() if task.ahead is not None]
-        state.ahead_jobs.difference_update(job_ids)
-        return tuple(found)
-
     def commit(self, batch: Batch, *, wall: float) -> list[StartOrder]:
         """Note that a batch is durable; return the starts that may leave now."""
         for executor_id, position in batch.noted_by_executor.items():
             executor = self._state.executors_by_id.get(executor_id)
             if executor is not None:
                 executor.durable = position
-        for ahead in batch.ahead:
-            ahead.is_durable = True
         for job_id in batch.job_ids:
             run = self._state.jobs_by_id.get(job_id)
             if run is not None and job_id not in self._state.dirty_jobs:
@@ -315,11 +294,6 @@
         task.state = StartState.SENT
         return True
 
-    def take_ahead_starts(self) -> list[StartOrder]:
-        """Return the starts to send now, whose assignments were made durable before."""
-        starts, self._state.ahead_starts = self._state.ahead_starts, []
-        return starts
-
     def take_stops(self) -> list[StopOrder]:
         """Return the stops to send now."""
         stops, self._state.stops = self._state.stops, []
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -200,9 +200,7 @@
             now=trio.current_time(),
             wall=self.context.wall(),
             may_place=self._commits.failing_since is None,
-            lease_left_s=self._parts.timings.lease_s - self.confirm_age_s,
         )
-        self._start(nursery, self.core.take_ahead_starts())
         for ask in self.core.take_asks():
             desk.ask(ask)
         for stop in self.core.take_stops():
