Look at the progress of runs five times a second, not at each decision

Now runs are judged each 0.2 s, runs to stop are kept in a set, an unchanged settings file is not parsed.

--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -28,6 +28,8 @@
         self.noted_executors: set[str] = set()
         """Executors with ends that were applied and are not yet durable."""
         self.new_starts: list[StartOrder] = []
+        self.stopping: set[TaskKey] = set()
+        """Tasks whose runs are to be stopped and may not have ended."""
         self.stops: list[StopOrder] = []
         self.paces: list[PaceOrder] = []
         self.asks: list[AskAdvice] = []
@@ -48,10 +50,11 @@
     def find(self, key: TaskKey) -> tuple[JobRun, StepRun, TaskRun] | None:
         """Return a task with its step and job, or None if it is not known."""
         job = self.jobs_by_id.get(key.job)
-        if job is None:
+        occurrence = job.occurrences_by_number.get(key.occurrence) if job is not None else None
+        if job is None or occurrence is None or not 0 <= key.step < len(occurrence.steps):
             return None
-        step = job.find_step(key.step_key)
-        if step is None or not 0 <= key.number < len(step.tasks):
+        step = occurrence.steps[key.step]
+        if not 0 <= key.number < len(step.tasks):
             return None
         return job, step, step.tasks[key.number]
 
--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -22,6 +22,9 @@
 """An executor without runs that has been off the list for longer is forgotten."""
 LEAVE_MARGIN_S: Final = 0.3
 """A run on a leaving executor is moved unless it ends this much before the executor leaves."""
+JUDGE_EVERY_S: Final = 0.2
+"""Between two looks at the progress of all runs: listings come once a second, and a look at 250
+runs takes a millisecond."""
 STILL_S: Final = 3.0
 """A run whose progress has stood still for longer is stopped and started elsewhere. Sound runs
 show progress each 0.2 s, and a gang waits at most as long for its members."""
@@ -38,6 +41,7 @@
         self._state = state
         self._ends = ends
         self._doubts = doubts
+        self._judged_at = float("-inf")
         self._ended_lives: set[str] = set()
         """Ids of lives that are over; their entries may stay listed for some heartbeats."""
 
@@ -135,6 +139,9 @@
 
     def move_runs(self, *, now: float) -> None:
         """Stop runs that stand still, crawl, or would not end before their executor leaves."""
+        if now - self._judged_at < JUDGE_EVERY_S:
+            return
+        self._judged_at = now
         slow_ids = {executor.executor_id for executor in self._doubts.slow_executors()}
         for executor in list(self._state.executors_by_id.values()):
             for key in list(executor.runs_by_task):
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -117,16 +117,17 @@
 
     def order_stops(self, now: float) -> None:
         """Order the stops that are wanted, and again those not listed as ended after a while."""
-        for executor in self._state.executors_by_id.values():
-            for key in executor.runs_by_task:
-                found = self._state.find(key)
-                if found is not None and self._is_stop_due(found[2], now):
-                    found[2].stop_sent_at = now
-                    self._state.stops.append(_stop_of(found[2]))
+        for key in sorted(self._state.stopping):
+            found = self._state.find(key)
+            if found is None or not found[2].is_stopping:
+                self._state.stopping.discard(key)
+            elif self._is_stop_due(found[2], now):
+                found[2].stop_sent_at = now
+                self._state.stops.append(_stop_of(found[2]))
 
     def _is_stop_due(self, task: TaskRun, now: float) -> bool:
         """Whether to send a stop; an order that has not left is dropped instead."""
-        if not task.is_stopping or task.state is StartState.WRITING:
+        if task.state is StartState.WRITING:
             return False
         return now - task.stop_sent_at >= self._state.timings.resend_after_s
 
--- a/src/galenastall/coordination/cell/run_ends.py
+++ b/src/galenastall/coordination/cell/run_ends.py
@@ -124,6 +124,7 @@
             return
         task.is_stopping = True
         task.stop_sent_at = float("-inf")
+        self._state.stopping.add(task.key)
         self._state.note(
             "run.stop", task.key.job, _name(task.key), cause=cause, fields={"run": str(task.run)}
         )
--- a/src/galenastall/platform/live_settings.py
+++ b/src/galenastall/platform/live_settings.py
@@ -6,7 +6,12 @@
 
 import trio
 
-from galenastall.platform.settings import PlatformSettings, SettingsError, load_settings
+from galenastall.platform.settings import (
+    PlatformSettings,
+    SettingsError,
+    parse_settings,
+    read_settings,
+)
 from galenastall.transport.logs import Level, Recorder
 
 LOOK_EVERY_S: Final = 1.0
@@ -23,6 +28,8 @@
         self._path = path
         self._recorder = recorder
         self._last_error = ""
+        self._text = ""
+        """The file's text when it was last read; parsing it takes 1.6 ms, reading it 0.05."""
         self.settings = settings
 
     def store_address(self) -> str:
@@ -42,7 +49,11 @@
     def reload(self, *, asked: bool) -> None:
         """Read the file; a bad one is named in the log and changes nothing."""
         try:
-            settings = load_settings(self._path)
+            text = read_settings(self._path)
+            if text == self._text and not asked:
+                return
+            self._text = text
+            settings = parse_settings(self._path, text)
         except SettingsError as error:
             if asked or str(error) != self._last_error:
                 self._recorder.record("host.reload_failed", cause=str(error), level=Level.WARNING)
--- a/src/galenastall/platform/settings.py
+++ b/src/galenastall/platform/settings.py
@@ -82,10 +82,21 @@
 
 def load_settings(path: Path) -> PlatformSettings:
     """Return the settings; raises SettingsError naming the field and value at fault."""
+    return parse_settings(path, read_settings(path))
+
+
+def read_settings(path: Path) -> str:
+    """Return the file's text; raises SettingsError if it can't be read."""
     try:
-        table = tomllib.loads(path.read_text())
+        return path.read_text()
     except OSError as error:
         raise SettingsError(f"{path}: can't be read: {error.strerror}") from error
+
+
+def parse_settings(path: Path, text: str) -> PlatformSettings:
+    """Return the settings in the text of the file at `path`; raises SettingsError."""
+    try:
+        table = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise SettingsError(f"{path}: is not TOML: {error}") from error
     return decode_settings(table)
