Say that a job is not known only once no entry host can have accepted it

A job held by two hosts in an outage was unknown to the others. Ruled out: a lost record (the log held it), the fold (other hosts showed the job). Now a host that lacks a job reads the log up to where it ends at the time of the question and asks the other entry hosts; if it can't, it answers 503 with when to come back.

--- a/src/galenastall/node/http_jobs.py
+++ b/src/galenastall/node/http_jobs.py
@@ -151,11 +151,11 @@
     async def show(self, request: HttpRequest) -> HttpResponse:
         """Show how a job stands."""
         job_id = JobId(request.path_params["job_id"])
+        found = await self._intake.find_surely(job_id)
+        if isinstance(found, Failure):
+            return error_response(found.failure())
         view = await self._intake.view(job_id)
-        state = self._intake.find(job_id)
-        if view is None or state is None:
-            return error_response(_not_found("job.show", job_id))
-        return json_response(200, _answer(state, view))
+        return json_response(200, _answer(found.unwrap(), view))
 
     @route("GET", "/v1/jobs/{job_id}/tasks")
     async def show_tasks(self, request: HttpRequest) -> HttpResponse:
@@ -166,6 +166,9 @@
         for each in (first, count):
             if isinstance(each, Failure):
                 return error_response(each.failure())
+        found = await self._intake.find_surely(job_id)
+        if isinstance(found, Failure):
+            return error_response(found.failure())
         view = await self._intake.view(job_id, first=first.unwrap(), count=count.unwrap())
         if view is None:
             return error_response(_not_found("job.tasks", job_id))
--- a/src/galenastall/node/job_intake.py
+++ b/src/galenastall/node/job_intake.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 from typing import Final
 
+import trio
 from returns.result import Failure, Result, Success
 
 from galenastall.coordination.feasibility import find_obstacle_on_hosts
@@ -38,6 +39,10 @@
 from galenastall.state.job_records import JobAccepted, JobCancelled
 from galenastall.state.work import JobSpec, TaskPhase
 
+KNOWN_WITHIN_S: Final = 2.0
+"""How long a question about a job unknown here may take; a read of the log takes 20 ms."""
+UNSURE_RETRY_S: Final = 1.0
+"""When to come back after it could not be told whether a job is known, in seconds."""
 OUTAGE_RETRY_S: Final = 5.0
 """When to come back after the log could not take a job, in seconds."""
 
@@ -143,9 +148,9 @@
         """Cancel a job; NOT_FOUND if it is not known here, CONFLICT if it had ended."""
         if self._fold.is_ended(job_id):
             return Failure(self._error("job.cancel", Reason.CONFLICT, f"{job_id} has ended"))
-        if self._fold.get(job_id) is None and self._jobs.held(job_id) is None:
-            detail = f"job {job_id!r} is not known in {self._data_centre}"
-            return Failure(self._error("job.cancel", Reason.NOT_FOUND, detail))
+        found = await self.find_surely(job_id)
+        if isinstance(found, Failure):
+            return Failure(replace(found.failure(), step="job.cancel"))
         counts = await self._cancel_at_owner(job_id)
         result = await self._appender.append(
             stream=self._follower.stream,
@@ -178,14 +183,47 @@
         """Return a job as the log, or an entry host in an outage, has it."""
         return self._fold.get(job_id) or self._jobs.held(job_id)
 
+    async def find_surely(self, job_id: JobId) -> Result[JobState, StepError]:
+        """Return a job; NOT_FOUND only if no entry host accepted it before this was called.
+
+        The log may hold it and not have been read here yet, and in an outage of the log it may be
+        known only to the two hosts that hold it. UNAVAILABLE: one of them could not be asked.
+        """
+        state = self.find(job_id)
+        if state is not None:
+            return Success(state)
+        with trio.move_on_after(KNOWN_WITHIN_S):
+            caught_up = await self._follower.catch_up()
+            state = self.find(job_id)
+            if state is not None:
+                return Success(state)
+            if isinstance(caught_up, Success) and await self._nobody_holds(job_id):
+                detail = f"job {job_id!r} is not known in this data centre"
+                return Failure(self._error("job.show", Reason.NOT_FOUND, detail))
+        detail = f"job {job_id!r} is not known here, and it is not known whether it was accepted"
+        error = self._error("job.show", Reason.UNAVAILABLE, detail)
+        return Failure(replace(error, retry_after_s=UNSURE_RETRY_S))
+
+    async def _nobody_holds(self, job_id: JobId) -> bool:
+        """Whether all other entry hosts say that they do not have a job."""
+        for host in sorted(self._ownership.roster() - {self._link.host_id}):
+            match await self._link.call(host, JobAsk(job_id=job_id, first=0, count=0)):
+                case Success(JobView(is_known=False)):
+                    continue
+            return False
+        return True
+
     async def explain(self, subject: str) -> tuple[str, ...]:
         """Return sentences on a job, or on a task given as `<job>/<index>`."""
         if "/" in subject:
             return await self._explain_task(TaskId(subject))
-        view = await self.view(JobId(subject))
-        state = self.find(JobId(subject))
-        if view is None or state is None:
-            return (f"{subject} is not known in {self._data_centre}.",)
+        found = await self.find_surely(JobId(subject))
+        if isinstance(found, Failure):
+            return (f"{found.failure().detail}.",)
+        state = found.unwrap()
+        view = await self.view(JobId(subject)) or view_state(
+            state, JobAsk(job_id=JobId(subject), first=0, count=0)
+        )
         counts = ", ".join(f"{count} {phase}" for phase, count in view.counts.items())
         sentences = [f"{subject} of {state.spec.team} has {counts}."]
         if state.end is not None:
--- a/src/galenastall/node/job_service.py
+++ b/src/galenastall/node/job_service.py
@@ -13,7 +13,7 @@
 from galenastall.node.job_link import JobLink
 from galenastall.node.job_timings import JobTimings
 from galenastall.node.job_upkeep import JobUpkeep
-from galenastall.node.job_views import view_run
+from galenastall.node.job_views import view_run, view_state
 from galenastall.node.known_workers import KnownWorkers
 from galenastall.node.shard_driver import ShardDriver
 from galenastall.node.worker_service import WorkerService
@@ -208,12 +208,13 @@
         self._cancels_to_log[job_id] = cause
 
     def view(self, ask: JobAsk) -> JobView:
-        """Return how a job of an owned shard stands."""
+        """Return how a job of an owned shard, or one that is held here, stands."""
         driver = self._driver_of(ask.job_id)
         run = driver.core.runs_by_id.get(ask.job_id) if driver else None
-        if driver is None or run is None:
-            return JobView(is_known=False, counts={})
-        return view_run(run, ask)
+        if run is not None:
+            return view_run(run, ask)
+        held = self._held.get(ask.job_id)
+        return view_state(held, ask) if held else JobView(is_known=False, counts={})
 
     def _own_summary(self) -> CapacitySummary:
         return self._workers.core.summary()
--- a/src/galenastall/node/stream_follower.py
+++ b/src/galenastall/node/stream_follower.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 import trio
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.codec import decode_record
@@ -112,6 +112,16 @@
         self._awaited.set()
         await folded.wait()
 
+    async def catch_up(self) -> Result[None, StepError]:
+        """Return once everything is folded that the log holds now, or why that is not known."""
+        read = await self._log.read(stream=self._stream, start=self._next, limit=1, wait_s=0.0)
+        if isinstance(read, Failure):
+            return read
+        end = read.unwrap().end
+        if end > 0:
+            await self.wait_for(Offset(end - 1))
+        return Success(None)
+
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Follow until cancelled; reports started at once, as the log may be down for long."""
         task_status.started()
--- a/src/galenastall/protocol/log_access.py
+++ b/src/galenastall/protocol/log_access.py
@@ -46,3 +46,6 @@
 
     async def wait_for(self, offset: Offset) -> None:
         """Return once the record at `offset` has been folded."""
+
+    async def catch_up(self) -> Result[None, StepError]:
+        """Return once everything is folded that the log holds now, or why that is not known."""
--- a/tests/test_http_jobs.py
+++ b/tests/test_http_jobs.py
@@ -5,12 +5,14 @@
 import msgspec
 import pytest
 import trio
+from returns.result import Failure
 
 from galenastall.node.http_jobs import HttpJobs
+from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId
 from galenastall.transport.http_messages import BodyStream, HttpRequest
 from galenastall.transport.http_routes import RouteTable
-from job_cluster import WALL, Cluster, open_cluster
+from job_cluster import WALL, Cluster, make_spec, open_cluster
 
 JOB: dict[str, Any] = {
     "team": "board/packs",
@@ -20,6 +22,21 @@
 }
 
 
+class StalledLog:
+    """A log that can't be read for a while."""
+
+    def __init__(self, log: Any) -> None:
+        self.is_stalled = True
+        self._log = log
+
+    async def read(self, **options: Any) -> Any:
+        await trio.sleep(0.01)
+        if self.is_stalled:
+            error = StepError(step="log.read", peer="log", reason=Reason.UNAVAILABLE)
+            return Failure(error)
+        return await self._log.read(**options)
+
+
 class Caller:
     def __init__(self, cluster: Cluster, name: str = "a") -> None:
         host = cluster.hosts[HostId(name)]
@@ -146,6 +163,32 @@
         async with open_cluster() as cluster:
             assert (await Caller(cluster).ask("GET", path))[0] == 404
 
+    @pytest.mark.parametrize("path", ["/v1/jobs/pack-9", "/v1/jobs/pack-9/tasks"])
+    async def test_a_job_that_was_not_read_yet_is_never_said_to_be_unknown(
+        self, autojump_clock: Any, path: str
+    ) -> None:
+        async with open_cluster() as cluster:
+            stalled: Any = cluster.hosts[HostId("b")].follower
+            log = StalledLog(stalled._log)
+            stalled._log = log
+            await trio.sleep(60.0)
+            body = {**JOB, "job_id": "pack-9", "run_s": 60}
+            assert (await Caller(cluster).ask("POST", "/v1/jobs", body))[0] == 201
+            status, error = await Caller(cluster, "b").ask("GET", path)
+            assert status == 503, error
+            log.is_stalled = False
+            await trio.sleep(10.0)
+            assert (await Caller(cluster, "b").ask("GET", path))[0] == 200
+
+    async def test_a_job_held_by_others_only_is_never_said_to_be_unknown(
+        self, autojump_clock: Any
+    ) -> None:
+        async with open_cluster() as cluster:
+            host = cluster.hosts[HostId("a")]
+            host.jobs.hold(make_spec("pack-10"))
+            status, _ = await Caller(cluster, "b").ask("GET", "/v1/jobs/pack-10")
+            assert status in (200, 503)
+
     async def test_bad_numbers_are_named(self, autojump_clock: Any) -> None:
         async with open_cluster() as cluster:
             status, error = await Caller(cluster).ask("GET", "/v1/jobs/x/tasks", first="-1")
