--- a/src/galenastall/node/cell/commit_loop.py
+++ b/src/galenastall/node/cell/commit_loop.py
@@ -17,8 +17,8 @@
 each lost one holds up all work for this long."""
 TIMEOUT_FACTOR: Final = 4.0
 """The next try begins after this many times what appends took lately."""
-LONGEST_PAUSE_S: Final = 0.5
-"""Longest pause between two tries; a store that comes back is found out within it."""
+AGAIN_S: Final = 0.3
+"""Pause between further tries; a store that comes back is found out within it."""
 ANSWER_WITHIN_S: Final = 1.5
 """How long a try may take; a slow store takes up to 0.4 s."""
 MOST_UNDER_WAY: Final = 4
@@ -95,15 +95,17 @@
         try a time a leader was found silent at the end of an outage, for the last one still hung.
         """
         appending = _Appending(values_by_key=values_by_key)
-        again_s = max(SHORTEST_TIMEOUT_S, TIMEOUT_FACTOR * self.last_append_s)
+        # Each try keeps a slow store busy for some more 0.2 s, so the second waits longer there.
+        pause_s = max(SHORTEST_TIMEOUT_S, TIMEOUT_FACTOR * self.last_append_s)
         async with trio.open_nursery() as nursery:
             while not appending.is_over:
                 if appending.under_way < MOST_UNDER_WAY:
                     nursery.start_soon(self._try, appending)
-                with trio.move_on_after(min(again_s, LONGEST_PAUSE_S)):
+                with trio.move_on_after(min(pause_s, ANSWER_WITHIN_S)):
                     await appending.answered.wait()
                     await trio.sleep(0.0 if appending.is_over else REPEAT_S)
                 self._judge(appending)
+                pause_s = AGAIN_S
             nursery.cancel_scope.cancel()
 
     async def _try(self, appending: "_Appending") -> None:
