--- a/src/galenastall/coordination/cell/commands.py
+++ b/src/galenastall/coordination/cell/commands.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from galenastall.coordination.cell.host_orders import HostOrder
 from galenastall.state.cell.jobs import AdvisorTiming, StepKey, TaskKey
 
 
@@ -69,3 +70,4 @@
     """Positions in executors' lists of ends that the rows cover."""
     job_ids: tuple[str, ...] = ()
     """Jobs whose progress the rows hold."""
+    host_orders: tuple[HostOrder, ...] = ()
--- a/src/galenastall/coordination/cell/election.py
+++ b/src/galenastall/coordination/cell/election.py
@@ -66,6 +66,11 @@
         """The highest token of a leader that was heard."""
         return self._token
 
+    @property
+    def newest_token(self) -> int:
+        """The highest token that was heard of or seen at the store; a claim comes after it."""
+        return max(self._token, self._claimed_token)
+
     def is_heard(self, now: float) -> bool:
         """Whether the leader's beats go on."""
         if self._beat is None:
@@ -101,7 +106,7 @@
         if now - self._seen_at > LOOKS_IN_A_ROW * self._timings.tip_every_s:
             self._tip = None
         self._seen_at = now
-        if token > max(self._claimed_token, self._token):
+        if token > self.newest_token:
             # A newer leader may not have reached this host yet. Until it is heard, the one before
             # counts: a claim whose answer was lost has no leader, and fences nobody.
             self._claimed_token = token
--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -38,6 +38,8 @@
         """Room kept for a step whose advice is being asked again."""
         self.strangers: frozenset[tuple[TaskKey, int]] = frozenset()
         """Runs listed there that no live job accounts for; they are stopped first."""
+        self.is_cordoned = False
+        """Whether its host is being emptied, so that it gets nothing new."""
         self.is_listed = True
         self.delisted_at = now
         self.answered_at: float | None = None
@@ -128,7 +130,7 @@
 
     def is_open(self, *, now: float, reach_s: float, delisted_grace_s: float) -> bool:
         """Whether new work may be placed here now."""
-        if self.info.is_draining or self.strangers or now < self.paused_until:
+        if self.info.is_draining or self.is_cordoned or self.strangers or now < self.paused_until:
             return False
         if not self.is_listed and now - self.delisted_at > delisted_grace_s:
             return False
--- /dev/null
+++ b/src/galenastall/coordination/cell/host_care.py
@@ -0,0 +1,98 @@
+"""Maintenance and moves of hosts together: one list of hosts, one stream of orders and rows."""
+
+from collections.abc import Iterable
+
+from galenastall.coordination.cell.cell_state import CellState
+from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome
+from galenastall.coordination.cell.maintenance import Maintenance
+from galenastall.coordination.cell.pools import Pools
+from galenastall.coordination.cell.run_ends import RunEnds
+from galenastall.state.cell.hosts import (
+    MOVE_PREFIX,
+    WAVE_PREFIX,
+    MaintenanceWave,
+    PoolHost,
+    encode_move,
+    encode_wave,
+)
+from galenastall.state.cell.rows import Rows
+
+
+class HostCare:
+    """What the leader does to hosts; all of it is written ahead."""
+
+    def __init__(self, *, state: CellState, ends: RunEnds) -> None:
+        """Work on these tables."""
+        self._maintenance = Maintenance(state=state, ends=ends)
+        self._pools = Pools(state=state)
+        self._ready: list[HostOrder] = []
+
+    @property
+    def wants_list(self) -> bool:
+        """Whether the platform's list of hosts is needed."""
+        return self._maintenance.is_active or self._pools.is_active
+
+    @property
+    def has_changes(self) -> bool:
+        """Whether there is something to store."""
+        return self._maintenance.has_changes or self._pools.has_changes
+
+    def restore(self, rows: Rows) -> None:
+        """Take over what the store keeps; open orders are repeated first."""
+        self._maintenance.restore(rows.waves)
+        self._pools.restore(rows.moves)
+        self._ready.extend(self._pools.open_orders())
+
+    def set_standby(self, services: frozenset[str]) -> None:
+        """Take the names of the pools whose hosts are off."""
+        self._pools.set_standby(services)
+
+    def set_waves(self, waves: Iterable[MaintenanceWave], *, wall: float) -> None:
+        """Take the operator's waves; orders that an earlier leader left open are repeated."""
+        self._ready.extend(self._maintenance.set_waves(waves, wall=wall))
+
+    def set_hosts(self, hosts: tuple[PoolHost, ...], *, wall: float) -> None:
+        """Take the platform's list of hosts."""
+        self._maintenance.set_hosts(hosts, wall=wall)
+        self._pools.set_hosts(hosts)
+
+    def decide(self, *, now: float, wall: float) -> None:
+        """Empty, order and move what is due."""
+        self._maintenance.decide(wall=wall)
+        self._pools.decide(now=now)
+
+    def on_order(self, order: HostOrder, outcome: HostOutcome, *, wall: float) -> bool:
+        """Apply what became of an order; return whether it should be sent again."""
+        if order.pool:
+            return self._pools.on_order(order, outcome)
+        return self._maintenance.on_order(order, outcome, wall=wall)
+
+    def to_tell(self) -> dict[int, bool]:
+        """Return whether each wave is completed whose state the operator was not told yet."""
+        return self._maintenance.to_tell()
+
+    def on_told(self, number: int, *, is_completed: bool) -> None:
+        """Note that the operator was told of a wave's state."""
+        self._maintenance.on_told(number, is_completed=is_completed)
+
+    def take_values(self) -> dict[str, bytes]:
+        """Return the rows to write; an empty value drops its key."""
+        values: dict[str, bytes] = {}
+        for number, wave in self._maintenance.take_rows().items():
+            values[f"{WAVE_PREFIX}{number}"] = encode_wave(wave)
+        for host, move in self._pools.take_rows().items():
+            values[f"{MOVE_PREFIX}{host}"] = encode_move(move) if move is not None else b""
+        return values
+
+    def take_orders(self) -> tuple[HostOrder, ...]:
+        """Return the orders that belong to the rows taken last."""
+        return self._maintenance.take_orders() + self._pools.take_orders()
+
+    def release(self, orders: tuple[HostOrder, ...]) -> None:
+        """Let orders leave: their rows are durable."""
+        self._ready.extend(orders)
+
+    def take_ready(self) -> list[HostOrder]:
+        """Return the orders to send now."""
+        ready, self._ready = self._ready, []
+        return ready
--- a/src/galenastall/coordination/cell/load_report.py
+++ b/src/galenastall/coordination/cell/load_report.py
@@ -3,12 +3,11 @@
 from collections import Counter
 
 from galenastall.coordination.cell.cell_state import CellState
-from galenastall.coordination.cell.commands import Note
 from galenastall.state.cell.phases import TaskPhase
 
 
-def report_load(state: CellState, *, reserved: int) -> Note:
-    """Return the load as a line for the log; `reserved` executors keep room for gangs."""
+def report_load(state: CellState, *, reserved: int) -> None:
+    """Note the load for the log; `reserved` executors keep room for steps that wait for it."""
     timings = state.timings
     executors = [executor for executor in state.executors_by_id.values() if executor.is_listed]
     open_now = [
@@ -19,9 +18,8 @@
         )
     ]
     held = sum(amount.cores_milli for e in executors for amount in e.held_by_step.values())
-    return Note(
-        step="cell.load",
-        subjects=(),
+    state.note(
+        "cell.load",
         fields={
             "executors": str(len(executors)),
             "open": str(len(open_now)),
--- /dev/null
+++ b/src/galenastall/coordination/cell/maintenance.py
@@ -0,0 +1,279 @@
+"""Waves of maintenance: which host is emptied and taken down next, within what services allow.
+
+An order kills what runs on the host, so the host is emptied first. It is written ahead, like a
+start: the next leader repeats orders whose fate it can't know before it gives others of that wave.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from math import ceil
+from typing import Final
+
+from galenastall.coordination.cell.availability import Availability
+from galenastall.coordination.cell.cell_state import CellState
+from galenastall.coordination.cell.executors import Executor
+from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome
+from galenastall.coordination.cell.run_ends import RunEnds
+from galenastall.state.cell.hosts import HostState, MaintenanceWave, PoolHost, WaveRow
+
+TIME_FOR_WAVE: Final = 0.8
+"""Share of a wave's time after which all its hosts should have begun; the rest is a margin."""
+SEEN_UP_S: Final = 1.0
+"""How long a host counts as down beyond its maintenance: lists may be read before it began."""
+GONE_AFTER_S: Final = 5.0
+"""A host counts as gone once lists have lacked it for so long; pages of a list are no snapshot."""
+LEAST_PATIENCE_S: Final = 1.0
+"""How long a host's runs may go on at least before those that need not are stopped."""
+
+
+@dataclass(kw_only=True, slots=True)
+class WaveProgress:
+    """A wave under way."""
+
+    wave: MaintenanceWave
+    first_seen_at: float
+    """Wall time."""
+    ordered: set[str] = field(default_factory=set)
+    begun: set[str] = field(default_factory=set)
+    begun_at: dict[str, float] = field(default_factory=dict)
+    """Wall time at which this leader learned that a host's maintenance began."""
+    emptying_since: dict[str, float] = field(default_factory=dict)
+    """Wall time since which a host gets nothing new."""
+    is_completed: bool = False
+    is_told: bool = False
+    """Whether the operator was told of this state."""
+
+    def row(self) -> WaveRow:
+        """Return what is stored."""
+        return WaveRow(
+            number=self.wave.number,
+            first_seen_at=self.first_seen_at,
+            ordered=tuple(sorted(self.ordered)),
+            begun=tuple(sorted(self.begun)),
+            is_completed=self.is_completed,
+        )
+
+    def patience_s(self, down_s: float) -> float:
+        """Return how long each host may take to become empty by itself.
+
+        `down_s` is how long each is down for.
+        """
+        rounds = ceil(len(self.wave.hosts) / max(self.wave.most_down, 1))
+        spare_s = self.wave.duration_s * TIME_FOR_WAVE - rounds * down_s
+        return max(spare_s / rounds, LEAST_PATIENCE_S)
+
+
+class Maintenance:
+    """Works through waves."""
+
+    def __init__(self, *, state: CellState, ends: RunEnds) -> None:
+        """Work on these tables."""
+        self._state = state
+        self._ends = ends
+        self._availability = Availability(state=state)
+        self._rows_by_number: dict[int, WaveRow] = {}
+        self._progress_by_number: dict[int, WaveProgress] = {}
+        self._hosts_by_id: dict[str, PoolHost] = {}
+        self._seen_at: dict[str, float] = {}
+        """Wall time at which a list last had a host."""
+        self._listed_at = 0.0
+        """Wall time of the last list."""
+        self._unsent: list[HostOrder] = []
+        """Orders that are not durable yet."""
+        self._dirty: set[int] = set()
+
+    @property
+    def is_active(self) -> bool:
+        """Whether a wave is under way, so that the list of hosts is needed."""
+        return any(not each.is_completed for each in self._progress_by_number.values())
+
+    def restore(self, rows: Iterable[WaveRow]) -> None:
+        """Take over what earlier leaders stored."""
+        self._rows_by_number = {row.number: row for row in rows}
+
+    def set_waves(self, waves: Iterable[MaintenanceWave], *, wall: float) -> list[HostOrder]:
+        """Take the operator's waves; return the orders that an earlier leader left open."""
+        left_open: list[HostOrder] = []
+        for wave in waves:
+            known = self._progress_by_number.get(wave.number)
+            if known is not None:
+                known.wave = wave
+                continue
+            progress = self._progress_by_number[wave.number] = self._begin(wave, wall)
+            self._dirty.add(wave.number)
+            left_open += [HostOrder(host=h, wave=wave.number) for h in sorted(progress.ordered)]
+        return left_open
+
+    def _begin(self, wave: MaintenanceWave, wall: float) -> WaveProgress:
+        row = self._rows_by_number.get(wave.number)
+        if row is None:
+            fields = {"hosts": str(len(wave.hosts)), "most_down": str(wave.most_down)}
+            self._state.note("wave.begun", str(wave.number), fields=fields)
+            return WaveProgress(wave=wave, first_seen_at=wall)
+        return WaveProgress(
+            wave=wave,
+            first_seen_at=row.first_seen_at,
+            ordered=set(row.ordered),
+            begun=set(row.begun),
+            is_completed=row.is_completed,
+        )
+
+    def set_hosts(self, hosts: Iterable[PoolHost], *, wall: float) -> None:
+        """Take the platform's list of hosts."""
+        self._hosts_by_id = {host.host: host for host in hosts}
+        self._listed_at = wall
+        for host in self._hosts_by_id:
+            self._seen_at[host] = wall
+        for progress in self._progress_by_number.values():
+            for host in progress.wave.hosts:
+                self._seen_at.setdefault(host, wall)
+            for gone in [host for host in progress.ordered if self._is_gone(host)]:
+                progress.ordered.discard(gone)
+                self._dirty.add(progress.wave.number)
+
+    def _is_gone(self, host: str) -> bool:
+        return self._listed_at - self._seen_at.get(host, self._listed_at) >= GONE_AFTER_S
+
+    def decide(self, *, wall: float) -> None:
+        """Empty hosts whose turn it is, and order those that are empty."""
+        if not self._hosts_by_id:
+            return
+        for progress in self._progress_by_number.values():
+            if not progress.is_completed:
+                self._advance(progress, wall)
+
+    def _advance(self, progress: WaveProgress, wall: float) -> None:
+        left = [host for host in progress.wave.hosts if self._is_left(progress, host)]
+        if not left and not progress.ordered:
+            progress.is_completed = True
+            progress.is_told = False
+            self._dirty.add(progress.wave.number)
+            self._state.note("wave.completed", str(progress.wave.number))
+            return
+        down = self._count_down(progress, wall)
+        room = progress.wave.most_down - down - len(progress.emptying_since)
+        for host in self._next_hosts(progress, left)[: max(room, 0)]:
+            progress.emptying_since[host] = wall
+            self._state.note("host.emptied", host, cause=f"wave {progress.wave.number}")
+        patience_s = progress.patience_s(self._down_s)
+        for host, since in list(progress.emptying_since.items()):
+            if host not in self._hosts_by_id:
+                del progress.emptying_since[host]
+            else:
+                self._empty(progress, host, is_pressing=wall - since >= patience_s)
+
+    @property
+    def _down_s(self) -> float:
+        return self._state.timings.maintenance_s + SEEN_UP_S
+
+    def _is_left(self, progress: WaveProgress, host: str) -> bool:
+        is_open = host not in progress.begun and host not in progress.ordered
+        return is_open and not self._is_gone(host)
+
+    def _count_down(self, progress: WaveProgress, wall: float) -> int:
+        """Return how many hosts of the wave are, or may be, down for it."""
+        down = set(progress.ordered)
+        for host in progress.begun:
+            listed = self._hosts_by_id.get(host)
+            is_listed_down = listed is not None and listed.state is not HostState.UP
+            has_just_begun = wall - progress.begun_at.get(host, 0.0) < self._down_s
+            if is_listed_down or has_just_begun:
+                down.add(host)
+        return len(down)
+
+    def _next_hosts(self, progress: WaveProgress, left: list[str]) -> list[str]:
+        """Return hosts that are up, those with the fewest runs first."""
+        up = [host for host in left if host not in progress.emptying_since and self._is_up(host)]
+        return sorted(up, key=lambda host: (self._run_count(host), host))
+
+    def _is_up(self, host: str) -> bool:
+        listed = self._hosts_by_id.get(host)
+        return listed is not None and listed.state is HostState.UP
+
+    def _run_count(self, host: str) -> int:
+        executor = self._executor_on(host)
+        return len(executor.runs_by_task) if executor is not None else 0
+
+    def _executor_on(self, host: str) -> Executor | None:
+        listed = self._hosts_by_id.get(host)
+        if listed is not None and listed.executor_id in self._state.executors_by_id:
+            return self._state.executors_by_id[listed.executor_id]
+        for executor in self._state.executors_by_id.values():
+            if executor.info.host == host:
+                return executor
+        return None
+
+    def _empty(self, progress: WaveProgress, host: str, *, is_pressing: bool) -> None:
+        """Take work off a host, and order its maintenance once nothing is left there."""
+        executor = self._executor_on(host)
+        if executor is None:
+            self._order(progress, host)
+            return
+        executor.is_cordoned = True
+        if not executor.runs_by_task:
+            self._order(progress, host)
+            return
+        for key in executor.runs_by_task:
+            found = self._state.find(key)
+            if found is None or found[2].is_stopping:
+                continue
+            _, step, task = found
+            if step.step.is_long_running:
+                if self._availability.may_take_away(step, task):
+                    self._ends.stop(task, cause="its host is taken down for maintenance")
+            elif is_pressing:
+                self._ends.stop(task, cause="its host is taken down for maintenance")
+
+    def _order(self, progress: WaveProgress, host: str) -> None:
+        progress.emptying_since.pop(host, None)
+        progress.ordered.add(host)
+        self._dirty.add(progress.wave.number)
+        self._unsent.append(HostOrder(host=host, wave=progress.wave.number))
+
+    def on_order(self, order: HostOrder, outcome: HostOutcome, *, wall: float) -> bool:
+        """Apply what became of an order; return whether it should be sent again."""
+        progress = self._progress_by_number.get(order.wave)
+        if progress is None or order.host not in progress.ordered:
+            return False
+        if outcome in {HostOutcome.UNKNOWN, HostOutcome.BUSY}:
+            return True
+        progress.ordered.discard(order.host)
+        progress.begun.add(order.host)
+        executor = self._executor_on(order.host)
+        if outcome is HostOutcome.DONE:
+            progress.begun_at[order.host] = wall
+        elif executor is not None:
+            executor.is_cordoned = False
+        self._dirty.add(order.wave)
+        self._state.note("host.maintained", order.host, cause=f"wave {order.wave}: {outcome.value}")
+        return False
+
+    def take_rows(self) -> dict[int, WaveRow]:
+        """Return the progress to store."""
+        rows = {number: self._progress_by_number[number].row() for number in self._dirty}
+        self._dirty.clear()
+        return rows
+
+    def take_orders(self) -> tuple[HostOrder, ...]:
+        """Return orders that may leave once the rows taken with them are durable."""
+        orders, self._unsent = tuple(self._unsent), []
+        return orders
+
+    @property
+    def has_changes(self) -> bool:
+        """Whether there is something to store."""
+        return bool(self._dirty)
+
+    def to_tell(self) -> dict[int, bool]:
+        """Return whether each wave is completed whose state the operator was not told yet."""
+        return {
+            number: progress.is_completed
+            for number, progress in self._progress_by_number.items()
+            if not progress.is_told
+        }
+
+    def on_told(self, number: int, *, is_completed: bool) -> None:
+        """Note that the operator was told of a wave's state."""
+        progress = self._progress_by_number.get(number)
+        if progress is not None and progress.is_completed == is_completed:
+            progress.is_told = True
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -16,6 +16,7 @@
 from galenastall.coordination.cell.doubts import Doubts
 from galenastall.coordination.cell.executors import Executor, ExecutorInfo
 from galenastall.coordination.cell.fleet import Fleet
+from galenastall.coordination.cell.host_care import HostCare
 from galenastall.coordination.cell.job_runs import JobRun, StartState
 from galenastall.coordination.cell.listings import Listing, ListingReader
 from galenastall.coordination.cell.load_report import report_load
@@ -53,6 +54,7 @@
         self._placer = Placer(state=self._state, advice=self._advice)
         self._fleet = Fleet(state=self._state, ends=self._ends, doubts=self._doubts)
         self._pacing = Pacing(state=self._state)
+        self.hosts = HostCare(state=self._state, ends=self._ends)
         self._dropped_keys: set[str] = set()
         self._timed_jobs: set[str] = set()
         """Live jobs whose steps run several times."""
@@ -96,6 +98,7 @@
                 self._restore_ended(job_id, progress)
         for run in self._state.jobs_by_id.values():
             self._open_due(run, wall)
+        self.hosts.restore(rows)
 
     def _restore_ended(self, job_id: str, progress: ProgressRow) -> None:
         queue = Queue(name=progress.queue_name, service="")
@@ -212,6 +215,8 @@
         self._open_all_due(wall)
         self._tidy(now, wall)
         self._fleet.move_runs(now=now)
+        if may_place:
+            self.hosts.decide(now=now, wall=wall)
         self._orders.order_stops(now)
         if may_place:
             self._placer.decide(now=now, wall=wall)
@@ -226,6 +231,7 @@
             if run is not None:
                 values.update(_rows_of(run))
                 run.is_written = True
+        values.update(self.hosts.take_values())
         noted = {
             executor_id: state.executors_by_id[executor_id].noted
             for executor_id in state.noted_executors
@@ -236,6 +242,7 @@
             starts=tuple(state.new_starts),
             noted_by_executor=noted,
             job_ids=job_ids,
+            host_orders=self.hosts.take_orders(),
         )
         state.dirty_jobs.clear()
         state.noted_executors.clear()
@@ -255,6 +262,7 @@
                 self._on_durable(run)
             elif run is not None:
                 self._on_durable_in_part(run)
+        self.hosts.release(batch.host_orders)
         return [order for order in batch.starts if self._may_leave(order, wall)]
 
     def _on_durable(self, run: JobRun) -> None:
@@ -318,7 +326,8 @@
     def has_changes(self) -> bool:
         """Whether a batch would hold anything."""
         state = self._state
-        return bool(state.dirty_jobs or state.noted_executors or state.new_starts)
+        has_work = state.dirty_jobs or state.noted_executors or state.new_starts
+        return bool(has_work) or self.hosts.has_changes
 
     def _open_all_due(self, wall: float) -> None:
         for job_id in list(self._timed_jobs):
@@ -342,7 +351,7 @@
         if now - self._tidied_at < TIDY_EVERY_S:
             return
         self._tidied_at = now
-        self._state.notes.append(report_load(self._state, reserved=self._placer.reserved_count))
+        report_load(self._state, reserved=self._placer.reserved_count)
         oldest = wall - self._state.timings.ended_kept_s
         for job_id, run in list(self._state.jobs_by_id.items()):
             if not run.has_ended or run.assigned():
--- a/src/galenastall/coordination/cell/timings.py
+++ b/src/galenastall/coordination/cell/timings.py
@@ -17,6 +17,8 @@
     """Share by which an executor's clock may run slow, as the platform states it."""
     lease_slack_s: float = 0.3
     """Added to a lapse before it counts as certain; covers the sweep that ends lapsed runs."""
+    maintenance_s: float = 2.0
+    """How long a host is down for maintenance, as the platform states it."""
     reach_s: float = 1.8
     """An executor that has not answered for longer gets no new work: a long poll and its margin."""
     delisted_grace_s: float = 2.0
--- a/src/galenastall/node/cell/cell_host.py
+++ b/src/galenastall/node/cell/cell_host.py
@@ -13,7 +13,13 @@
 from galenastall.node.cell.leader_term import TermParts
 from galenastall.node.cell.standing import Standing
 from galenastall.protocol.cell.executor_port import ExecutorPort
-from galenastall.protocol.cell.ports import AdvisorPort, ConfigPort, FleetPort, StatePort
+from galenastall.protocol.cell.ports import (
+    AdvisorPort,
+    ConfigPort,
+    FleetPort,
+    HostsPort,
+    StatePort,
+)
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.peers import PeerLink
 from galenastall.state.ids import HostId
@@ -29,6 +35,7 @@
 
     state: StatePort
     fleet: FleetPort
+    hosts: HostsPort
     config: ConfigPort
     executors: ExecutorPort
     advisor: AdvisorPort | None
@@ -86,6 +93,8 @@
             parts=TermParts(
                 state=ports.state,
                 fleet=ports.fleet,
+                hosts=ports.hosts,
+                host_id=settings.host_id,
                 executors=ports.executors,
                 link=self.link,
                 clock=clock,
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -14,10 +14,11 @@
 from galenastall.node.cell.advice_desk import AdviceDesk
 from galenastall.node.cell.commit_loop import CommitLoop
 from galenastall.node.cell.executor_session import ExecutorSession
+from galenastall.node.cell.hosts_desk import HostsDesk
 from galenastall.node.cell.term_context import TermContext
 from galenastall.protocol.cell.config import CellConfig
 from galenastall.protocol.cell.executor_port import ExecutorPort
-from galenastall.protocol.cell.ports import FleetPort, StatePort
+from galenastall.protocol.cell.ports import FleetPort, HostsPort, StatePort
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.peers import PeerLink
 from galenastall.state.cell.rows import decode_rows
@@ -42,6 +43,8 @@
 
     state: StatePort
     fleet: FleetPort
+    hosts: HostsPort
+    host_id: HostId
     executors: ExecutorPort
     link: PeerLink
     clock: Clock
@@ -70,6 +73,7 @@
             on_lost=self._on_lost,
         )
         self._commits = CommitLoop(context=self.context, state=parts.state, timings=parts.timings)
+        self._hosts = HostsDesk(context=self.context, hosts=parts.hosts, host_id=parts.host_id)
         self._sessions_by_id: dict[str, ExecutorSession] = {}
         self._scope = trio.CancelScope()
         self._config_version = -1
@@ -124,6 +128,7 @@
                         helpers=self._parts.helpers,
                         nursery=nursery,
                     )
+                    nursery.start_soon(self._hosts.run)
                     nursery.start_soon(self._decide_forever, nursery, desk)
                     nursery.start_soon(self._commits.run, partial(self._start, nursery))
         if not self.loss:
@@ -196,6 +201,7 @@
         if config is not None and config.version != self._config_version:
             self._config_version = config.version
             self.core.set_queues(config.queues())
+            self.core.hosts.set_standby(config.standby_services)
         self.core.decide(
             now=trio.current_time(),
             wall=self.context.wall(),
@@ -211,6 +217,8 @@
             session = self._sessions_by_id.get(pace.executor_id)
             if session is not None:
                 nursery.start_soon(session.pace, pace)
+        for order in self.core.hosts.take_ready():
+            nursery.start_soon(self._hosts.send, order)
         for executor_id, session in self._sessions_by_id.items():
             executor = self.core.executors_by_id.get(executor_id)
             if executor is not None and executor.wants_look:
--- a/src/galenastall/node/cell/standing.py
+++ b/src/galenastall/node/cell/standing.py
@@ -167,7 +167,9 @@
 
     async def _claim(self, nursery: trio.Nursery, *, cause: str) -> None:
         claimed_at = trio.current_time()
-        answer = await self._parts.state.claim(host_id=self._host_id, address=self._address)
+        answer = await self._parts.state.claim(
+            host_id=self._host_id, address=self._address, after=self._election.newest_token
+        )
         if isinstance(answer, Failure):
             self._recorder.record("leader.claim_failed", cause=str(answer.failure()))
             return
--- a/src/galenastall/platform/config.py
+++ b/src/galenastall/platform/config.py
@@ -1,5 +1,6 @@
 """The operator's configuration as the platform's store holds it."""
 
+from collections.abc import Mapping
 from typing import Final
 
 import msgspec
@@ -96,6 +97,10 @@
         self._address = address
         self._follower = KeyedFollower(calls=calls, address=address, topic=TOPIC)
 
+    def operator_values(self) -> Mapping[str, bytes]:
+        """Return what was last read of all the operator's keys."""
+        return self._follower.values_by_key
+
     async def wait(self) -> Result[CellConfig | None, StepError]:
         """Return the newest configuration after a change or the long poll's time."""
         answer = await self._follower.refresh(wait_s=POLL_S)
--- a/src/galenastall/platform/live_settings.py
+++ b/src/galenastall/platform/live_settings.py
@@ -16,7 +16,7 @@
 
 LOOK_EVERY_S: Final = 1.0
 """Between two looks at the file; what changes in it has 2 s to be in force."""
-TAKEN_WHILE_RUNNING: Final = frozenset({"store", "advisor_address"})
+TAKEN_WHILE_RUNNING: Final = frozenset({"store", "advisor_address", "hosts_address"})
 """Fields whose new value is used at once; others take a restart, which the platform does."""
 
 
@@ -40,6 +40,10 @@
         """Return where the placement advisor is now."""
         return self.settings.advisor_address
 
+    def hosts_address(self) -> str:
+        """Return where orders to hosts go now."""
+        return self.settings.hosts_address
+
     async def run(self) -> None:
         """Look for changes until cancelled."""
         while True:
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -21,6 +21,7 @@
 from galenastall.platform.config import PlatformConfig
 from galenastall.platform.executors import PlatformExecutors
 from galenastall.platform.fleet import PlatformFleet
+from galenastall.platform.hosts import PlatformHosts
 from galenastall.platform.jobs_face import JobsFace
 from galenastall.platform.live_settings import LiveSettings
 from galenastall.platform.metrics_face import MetricsFace
@@ -151,7 +152,11 @@
                 bind=settings.peer_bind,
                 log_error=self.recorder.record_error,
             ),
-            timings=replace(CellTimings(), lease_s=settings.longest_lease_s),
+            timings=replace(
+                CellTimings(),
+                lease_s=settings.longest_lease_s,
+                maintenance_s=settings.maintenance_s,
+            ),
             clock=self._clock,
             recorder=self.recorder,
         )
@@ -167,10 +172,18 @@
     def _ports(self) -> CellPorts:
         calls = self._calls(STORE_CONNECTIONS)
         store = self.live.store_address
+        config = PlatformConfig(calls=calls, address=store)
         return CellPorts(
             state=PlatformStore(calls=calls, address=store),
             fleet=PlatformFleet(calls=calls, address=store, recorder=self.recorder),
-            config=PlatformConfig(calls=calls, address=store),
+            hosts=PlatformHosts(
+                calls=calls,
+                address=self.live.hosts_address,
+                store=store,
+                operator_values=config.operator_values,
+                recorder=self.recorder,
+            ),
+            config=config,
             executors=PlatformExecutors(calls=self._calls(EXECUTOR_CONNECTIONS)),
             advisor=PlatformAdvisor(calls=calls, address=self.live.advisor_address),
         )
--- a/src/galenastall/platform/settings.py
+++ b/src/galenastall/platform/settings.py
@@ -51,6 +51,8 @@
     store: StoreSettings
     advisor_address: str
     """Empty if the deployment has no placement advisor."""
+    hosts_address: str
+    """Where hosts are listed and ordered; empty if the deployment has no such service."""
     seeds: tuple[str, ...]
     control_address: str
     cores: float
@@ -62,6 +64,8 @@
     stop_grace_s: float
     """From the signal to stop until the process is killed."""
     longest_lease_s: float
+    maintenance_s: float
+    """How long a host is down for maintenance."""
 
     def claim_delay_s(self, jitter: float) -> float:
         """Return this host's delay before a claim; seeds go first, `jitter` (0 to 1) decides."""
@@ -130,6 +134,7 @@
             record_bytes=_get(table, "platform.recordBytes", int, default=262_144),
         ),
         advisor_address=_get(table, "placementAdvisor", str, default=""),
+        hosts_address=_get(table, "cloudApi.address", str, default=""),
         seeds=tuple(_get(table, "seedNodes", list, default=[])),
         control_address=_get(table, "listenAddresses.control", str, default=""),
         cores=_number(table, "limits.cpuShare", 1.0) * _number(table, "limits.cpuCores", 1.0),
@@ -137,6 +142,7 @@
         may_start=_get(table, "bootstrap", bool, default=False),
         heartbeat_s=_number(table, "heartbeatMs", 1500.0) / 1000.0,
         stop_grace_s=_number(table, "bounds.graceS", 6.0),
+        maintenance_s=_number(table, "bounds.maintenanceS", 2.0),
         longest_lease_s=_number(table, "bounds.maxHoldMs", 10_000.0) / 1000.0,
     )
 
--- a/src/galenastall/platform/store.py
+++ b/src/galenastall/platform/store.py
@@ -24,6 +24,7 @@
 CALL_TIMEOUT_S: Final = 1.0
 _OK: Final = 200
 _CONFLICT: Final = 409
+_NOT_AT_END: Final = 412
 _AFTER_ALL_KEYS: Final = "~"
 """Sorts behind all keys: a page after it shows only where the topic ends."""
 
@@ -42,12 +43,12 @@
         self._newest = NewestReader(calls=calls, address=address)
         self._address = address
 
-    async def claim(self, *, host_id: str, address: str) -> Result[int, StepError]:
-        """Append a claim; its offset + 1 is the token."""
+    async def claim(self, *, host_id: str, address: str, after: int) -> Result[int, StepError]:
+        """Append a claim if the topic ends at `after`; its offset + 1 is the token."""
         value = msgspec.json.encode(_Claim(host_id=host_id, address=address))
         answer = await self._append(
             step="store.claim",
-            path=f"/log-append?topic={CLAIMS_TOPIC}&part=0",
+            path=f"/log-append?topic={CLAIMS_TOPIC}&part=0&at={after}",
             body=keyed_record(CLAIM_KEY, value),
             timeout_s=CALL_TIMEOUT_S,
         )
@@ -105,6 +106,8 @@
         if isinstance(answer, Failure):
             return answer
         whole = answer.unwrap()
+        if whole.status == _NOT_AT_END:
+            return Failure(self._error(step, Reason.CONFLICT, "another record came first"))
         if whole.status == _CONFLICT:
             return self._conflict(whole, step)
         if whole.status != _OK:
--- a/src/galenastall/protocol/cell/ports.py
+++ b/src/galenastall/protocol/cell/ports.py
@@ -6,8 +6,10 @@
 from returns.result import Result
 
 from galenastall.coordination.cell.executors import ExecutorInfo
+from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome
 from galenastall.protocol.cell.config import CellConfig
 from galenastall.protocol.cell.messages import AdviceAnswer
+from galenastall.state.cell.hosts import MaintenanceWave, PoolHost
 from galenastall.state.cell.jobs import StepKey
 from galenastall.state.errors import StepError
 
@@ -38,8 +40,12 @@
     be carried out later.
     """
 
-    async def claim(self, *, host_id: str, address: str) -> Result[int, StepError]:
-        """Append a claim and return its token; tokens are unique and rise."""
+    async def claim(self, *, host_id: str, address: str, after: int) -> Result[int, StepError]:
+        """Append a claim and return its token; tokens are unique and rise.
+
+        `after` is the newest token that the claimant knows: CONFLICT says that there is a newer
+        one, and that nothing was appended.
+        """
 
     async def fence(self, *, token: int) -> Result[None, StepError]:
         """Have all writes under lower tokens refused from now on."""
@@ -77,3 +83,23 @@
         self, *, step: StepKey, executor_ids: tuple[str, ...], timeout_s: float
     ) -> Result[AdviceAnswer, StepError]:
         """Return which of the executors may run the step."""
+
+
+class HostsPort(Protocol):
+    """The platform's hosts and the operator's waves of maintenance."""
+
+    def waves(self) -> tuple[MaintenanceWave, ...]:
+        """Return the waves that the configuration's last reads have shown."""
+
+    async def list_hosts(self) -> Result[tuple[PoolHost, ...], StepError]:
+        """Return the hosts of all pools."""
+
+    async def order(
+        self, order: HostOrder, *, holder: str, token: int
+    ) -> Result[HostOutcome, StepError]:
+        """Give an order; CONFLICT says that a newer leader has given one to this host."""
+
+    async def tell_wave(
+        self, number: int, *, is_completed: bool, token: int, sequence: int
+    ) -> Result[None, StepError]:
+        """Tell the operator of a wave's state; fenced and repeatable like the cell's state."""
--- a/src/galenastall/state/cell/rows.py
+++ b/src/galenastall/state/cell/rows.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from galenastall.state.cell.hosts import MOVE_PREFIX, WAVE_PREFIX, MoveRow, WaveRow
 from galenastall.state.cell.jobs import CellJob
 from galenastall.state.cell.phases import JobPhase, TaskPhase
 
@@ -13,6 +14,15 @@
 """Keys of progress; kept for as long as callers may ask for an ended job."""
 
 
+class _Prefix:
+    """The prefixes as names that a match can compare with."""
+
+    JOB = JOB_PREFIX
+    PROGRESS = PROGRESS_PREFIX
+    WAVE = WAVE_PREFIX
+    MOVE = MOVE_PREFIX
+
+
 class TaskRow(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """Progress of one task."""
 
@@ -48,6 +58,8 @@
 
     jobs_by_id: dict[str, CellJob]
     progress_by_id: dict[str, ProgressRow]
+    waves: tuple[WaveRow, ...] = ()
+    moves: tuple[MoveRow, ...] = ()
     unreadable: tuple[str, ...] = ()
     """Keys whose values could not be decoded."""
 
@@ -66,15 +78,28 @@
     """Return the typed rows; what can't be read is named, not dropped in silence."""
     jobs_by_id: dict[str, CellJob] = {}
     progress_by_id: dict[str, ProgressRow] = {}
+    waves: list[WaveRow] = []
+    moves: list[MoveRow] = []
     unreadable: list[str] = []
     for key, value in values_by_key.items():
+        prefix, _, name = key.partition("/")
         try:
-            if key.startswith(JOB_PREFIX):
-                job = msgspec.msgpack.decode(value, type=CellJob)
-                jobs_by_id[job.job_id] = job
-            elif key.startswith(PROGRESS_PREFIX):
-                row = msgspec.msgpack.decode(value, type=ProgressRow)
-                progress_by_id[key.removeprefix(PROGRESS_PREFIX)] = row
+            match f"{prefix}/":
+                case _Prefix.JOB:
+                    job = msgspec.msgpack.decode(value, type=CellJob)
+                    jobs_by_id[job.job_id] = job
+                case _Prefix.PROGRESS:
+                    progress_by_id[name] = msgspec.msgpack.decode(value, type=ProgressRow)
+                case _Prefix.WAVE:
+                    waves.append(msgspec.msgpack.decode(value, type=WaveRow))
+                case _Prefix.MOVE:
+                    moves.append(msgspec.msgpack.decode(value, type=MoveRow))
         except msgspec.MsgspecError:
             unreadable.append(key)
-    return Rows(jobs_by_id=jobs_by_id, progress_by_id=progress_by_id, unreadable=tuple(unreadable))
+    return Rows(
+        jobs_by_id=jobs_by_id,
+        progress_by_id=progress_by_id,
+        waves=tuple(waves),
+        moves=tuple(moves),
+        unreadable=tuple(unreadable),
+    )
--- a/tests/cell/platform_http.py
+++ b/tests/cell/platform_http.py
@@ -69,6 +69,8 @@
         if self.is_refusing:
             return HttpResponse(status=503)
         topic = self.topics[request.query["topic"]]
+        if int(request.query.get("at", len(topic.records))) != len(topic.records):
+            return json_response(412, {"endOffset": len(topic.records)})
         producer = request.query.get("producer")
         if producer is not None:
             refusal = self._check_producer(topic, producer, request.query, bool(body))
--- /dev/null
+++ b/tests/cell/play.py
@@ -0,0 +1,69 @@
+"""Scenarios on a cluster, and what must hold after each."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import trio
+
+from cell.cluster import Cluster, make_job
+from cell.trouble import crashes, trouble
+from cell.world import World
+from galenastall.state.cell.phases import JobPhase
+
+Scenario = Callable[[Cluster, World, Random], Awaitable[None]]
+
+
+async def play(scenario: Scenario, *, seed: int, hosts: int = 3, executors: int = 4) -> Cluster:
+    """Play a scenario on a cluster; fails on anything that must never happen."""
+    rng = Random(seed)
+    async with trio.open_nursery() as nursery:
+        world = World(rng=rng, nursery=nursery, executors=executors)
+        cluster = Cluster(world=world, rng=rng, nursery=nursery, hosts=hosts)
+        await cluster.start_all()
+        await scenario(cluster, world, rng)
+        cluster.check_refusals()
+        world.check_history()
+        nursery.cancel_scope.cancel()
+    assert not world.violations, world.violations[:3]
+    return cluster
+
+
+async def hand_in(cluster: Cluster, world: World, rng: Random, jobs: int, every_s: float) -> None:
+    for number in range(jobs):
+        cluster.nursery.start_soon(cluster.submit, make_job(world, rng, number))
+        await trio.sleep(rng.uniform(0.0, 2 * every_s))
+
+
+async def check_all_end(cluster: Cluster, timeout_s: float = 90.0) -> None:
+    for job_id in sorted(cluster.accepted):
+        phase = await cluster.wait_ended(job_id, timeout_s)
+        wanted = {JobPhase.COMPLETED, JobPhase.FAILED}
+        if job_id in cluster.cancelled:
+            wanted = {JobPhase.CANCELLED}
+        elif job_id in cluster.cancel_asked:
+            wanted = wanted | {JobPhase.CANCELLED}
+        assert phase in wanted, f"{job_id} is {phase}"
+
+
+async def random_trouble(cluster: Cluster, world: World, rng: Random) -> None:
+    """Hand jobs in through a minute of trouble, then see all of them ended."""
+    await cluster.wait_for_leader()
+    until = trio.current_time() + 40.0
+    cluster.nursery.start_soon(crashes, world, rng, until)
+    cluster.nursery.start_soon(hand_in, cluster, world, rng, 80, 0.4)
+    cluster.nursery.start_soon(cancels, cluster, rng, until)
+    await trouble(cluster, world, rng, until)
+    world.faults.clear()
+    for name in cluster.names:
+        if name not in cluster.live:
+            await cluster.start(name)
+    await trio.sleep(20.0)
+    await check_all_end(cluster)
+    assert world.starts > 50
+
+
+async def cancels(cluster: Cluster, rng: Random, until: float) -> None:
+    while trio.current_time() < until:
+        await trio.sleep(rng.uniform(0.5, 4.0))
+        if cluster.accepted:
+            await cluster.cancel(rng.choice(sorted(cluster.accepted)))
--- /dev/null
+++ b/tests/cell/weakenings.py
@@ -0,0 +1,131 @@
+"""Rules of the leader taken out one at a time, to show that the checks notice their absence."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from galenastall.coordination.cell import listings
+from galenastall.coordination.cell.commands import Batch, StartOrder
+from galenastall.coordination.cell.election import Election, Move
+from galenastall.coordination.cell.job_runs import TaskRun
+from galenastall.coordination.cell.lease_clock import LeaseClock
+from galenastall.coordination.cell.orders import OrderBook, StartOutcome
+from galenastall.coordination.cell.scheduler import CellScheduler
+from galenastall.node.cell.commit_loop import CommitLoop
+from galenastall.state.cell.phases import RunEnd
+
+Weakening = Callable[[], Any]
+WEAKENINGS: dict[str, Weakening] = {}
+
+
+def weakening(begin: Weakening) -> Weakening:
+    """File a weakening under its name, as a context."""
+    WEAKENINGS[begin.__name__] = contextmanager(begin)
+    return begin
+
+
+@contextmanager
+def replaced(owner: Any, name: str, value: Any) -> Iterator[Any]:
+    """Replace an attribute for a while, and give out the original."""
+    original = owner.__dict__[name]
+    setattr(owner, name, value)
+    try:
+        yield original
+    finally:
+        setattr(owner, name, original)
+
+
+@weakening
+def starts_leave_before_they_are_durable() -> Iterator[None]:
+    async def commit(self: CommitLoop) -> list[StartOrder]:
+        context = self._context
+        batch: Batch = context.core.take_batch()
+        starts = context.core.commit(batch, wall=context.wall())
+        self._sequence += 1
+        values = batch.values_by_key or {"confirm": b""}
+        self._send_early(starts)  # type: ignore[attr-defined]
+        await self._append(values)
+        context.tell_committed()
+        return []
+
+    async def run(self: CommitLoop, send: Callable[[list[StartOrder]], None]) -> None:
+        self._send_early = send  # type: ignore[attr-defined]
+        await original_run(self, send)
+
+    with replaced(CommitLoop, "commit", commit), replaced(CommitLoop, "run", run) as original_run:
+        yield
+
+
+@weakening
+def who_does_not_answer_counts_as_lapsed_at_once() -> Iterator[None]:
+    with replaced(LeaseClock, "has_lapsed", lambda self, now: True):
+        yield
+
+
+@weakening
+def an_unanswered_start_counts_as_not_started() -> Iterator[None]:
+    def on_start(
+        self: OrderBook, order: StartOrder, outcome: StartOutcome, *, now: float, wall: float
+    ) -> bool:
+        if outcome is StartOutcome.UNKNOWN:
+            self._ends.apply(order.task, order.run, RunEnd.NEVER_STARTED, wall=wall)
+            return False
+        return bool(original(self, order, outcome, now=now, wall=wall))
+
+    with replaced(OrderBook, "on_start", on_start) as original:
+        yield
+
+
+@weakening
+def any_listing_that_lacks_a_run_ends_it() -> Iterator[None]:
+    def is_settled(task: TaskRun, asked_seq: int) -> bool:
+        return True
+
+    with replaced(listings, "_is_settled", is_settled):
+        yield
+
+
+@weakening
+def ends_are_acknowledged_before_they_are_durable() -> Iterator[None]:
+    def on_listing(self: CellScheduler, executor_id: str, *args: Any, **options: Any) -> None:
+        original(self, executor_id, *args, **options)
+        executor = self.executors_by_id.get(executor_id)
+        if executor is not None:
+            executor.durable = executor.noted
+
+    with replaced(CellScheduler, "on_listing", on_listing) as original:
+        yield
+
+
+@weakening
+def a_job_is_acknowledged_before_it_is_durable() -> Iterator[None]:
+    def submit(self: CellScheduler, job: Any, *, wall: float) -> Any:
+        run = original(self, job, wall=wall)
+        run.is_durable = True
+        return run
+
+    with replaced(CellScheduler, "submit", submit) as original:
+        yield
+
+
+@contextmanager
+def leases_reach_beyond_the_confirmation() -> Iterator[None]:
+    """Renew for as long as the executor answers, whether or not the store confirms the leader."""
+
+    def deadline_ms(self: LeaseClock, *, confirmed_at: float, now: float) -> int | None:
+        return original(self, confirmed_at=now, now=now)  # type: ignore[no-any-return]
+
+    with replaced(LeaseClock, "deadline_ms", deadline_ms) as original:
+        yield
+
+
+@contextmanager
+def standbys_claim_without_a_look() -> Iterator[None]:
+    """Claim at the first silence; that costs terms and must break nothing."""
+
+    def next_move(self: Election, now: float) -> Move:
+        is_heard = self.is_heard(now)
+        return Move.WAIT if is_heard or now < self._not_before else Move.CLAIM
+
+    with replaced(Election, "next_move", next_move):
+        yield
--- a/tests/cell/world.py
+++ b/tests/cell/world.py
@@ -14,10 +14,12 @@
 
 from galenastall.coordination.cell.commands import PaceOrder, StartOrder, StopOrder
 from galenastall.coordination.cell.executors import ExecutorInfo
+from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome
 from galenastall.coordination.cell.listings import ListedEnd, ListedRun, Listing
 from galenastall.protocol.cell.config import CellConfig, QueueRoute
 from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
 from galenastall.protocol.cell.ports import LeaderRecord, StoreView
+from galenastall.state.cell.hosts import HostState, MaintenanceWave, PoolHost
 from galenastall.state.cell.jobs import CellJob, Queue, Step, TaskKey
 from galenastall.state.cell.phases import RunEnd
 from galenastall.state.errors import Reason, StepError
@@ -26,6 +28,7 @@
 
 GANG_WAIT_S = 3.0
 STOP_S = 0.2
+MAINTENANCE_S = 2.0
 CAPACITY = Resources(cores_milli=8000, memory_mb=32000)
 
 
@@ -60,6 +63,7 @@
     need: Resources
     ends_at: float | None
     fails: bool
+    started_at: float = 0.0
     stops_at: float | None = None
     waits_until: float | None = None
 
@@ -177,12 +181,17 @@
         return Listing(
             clock_ms=int(self.clock_ms()),
             running=tuple(
-                ListedRun(task=run.task, run=run.run, percent=min(99, int(now * 10) % 100))
+                ListedRun(task=run.task, run=run.run, percent=self._percent(run, now))
                 for run in self.runs.values()
             ),
             ended=tuple(self.ended[:500]),
         )
 
+    def _percent(self, run: Run, now: float) -> int:
+        if not self.world.shows_progress or run.ends_at is None:
+            return min(99, int(now * 10) % 100)
+        return int(100 * (now - run.started_at) / (run.ends_at - run.started_at))
+
 
 class Store:
     """Keyed topics with epochs and sequence numbers."""
@@ -194,7 +203,10 @@
         self.last_sequence = -1
         self.claims: list[tuple[str, str]] = []
 
-    def claim(self, host_id: str, address: str) -> int:
+    def claim(self, host_id: str, address: str, after: int) -> int | None:
+        """Append a claim; None if another one came first."""
+        if after != len(self.claims):
+            return None
         self.claims.append((host_id, address))
         return len(self.claims)
 
@@ -220,6 +232,116 @@
         return True
 
 
+class Hosts:
+    """The platform's hosts: which are down for maintenance, and what was told of waves."""
+
+    def __init__(self, *, world: "World") -> None:
+        self.world = world
+        self.waves: list[MaintenanceWave] = []
+        self.begun: defaultdict[int, set[str]] = defaultdict(set)
+        self.down: dict[str, int] = {}
+        """Hosts that are down, with the wave that they are down for."""
+        self.moving: set[str] = set()
+        self.pools: dict[str, str] = {}
+        """Pools of hosts that are not in the service, or were not at first."""
+        self.fences: defaultdict[str, int] = defaultdict(int)
+        self.told: dict[int, bool] = {}
+        self.told_epoch = 0
+        self.told_sequence = -1
+
+    def list_all(self) -> tuple[PoolHost, ...]:
+        lives = {e.info.host: e for e in self.world.executors.values() if e.is_up}
+        all_hosts = {e.info.host for e in self.world.executors.values()} | self.pools.keys()
+        return tuple(
+            PoolHost(
+                host=host,
+                pool=self.pools.get(host, "service"),
+                state=self._state_of(host, is_alive=host in lives),
+                capacity=CAPACITY,
+                labels=("a",),
+                executor_id=lives[host].info.executor_id if host in lives else "",
+            )
+            for host in sorted(all_hosts)
+        )
+
+    def _state_of(self, host: str, *, is_alive: bool) -> HostState:
+        if host in self.down:
+            return HostState.MAINTENANCE
+        if host in self.moving:
+            return HostState.MOVING
+        is_off = self.pools.get(host, "service") != "service"
+        return HostState.UP if is_alive or is_off else HostState.DOWN
+
+    def _is_up(self, host: str) -> bool:
+        is_alive = any(e.info.host == host and e.is_up for e in self.world.executors.values())
+        return self._state_of(host, is_alive=is_alive) is HostState.UP
+
+    def order(self, order: HostOrder, token: int) -> HostOutcome | None:
+        """Carry an order out; None if it is fenced."""
+        if token < self.fences[order.host]:
+            return None
+        self.fences[order.host] = token
+        if order.pool:
+            return self._move(order.host, order.pool)
+        wave = next(wave for wave in self.waves if wave.number == order.wave)
+        if order.host in self.begun[order.wave]:
+            return HostOutcome.DONE
+        if order.host not in wave.hosts:
+            return HostOutcome.NOT_POSSIBLE
+        if not self._is_up(order.host):
+            return HostOutcome.BUSY
+        down = sum(1 for number in self.down.values() if number == order.wave)
+        if down >= wave.most_down:
+            at = f"{trio.current_time():.2f}"
+            self.world.violations.append(f"{order.host} goes down at {at} beside {down} others")
+        self.begun[order.wave].add(order.host)
+        self.down[order.host] = order.wave
+        self._end_life(order.host)
+        self.world.nursery.start_soon(self._come_back, order.host)
+        return HostOutcome.DONE
+
+    def _move(self, host: str, pool: str) -> HostOutcome:
+        if self.pools.get(host, "service") == pool:
+            return HostOutcome.DONE
+        if not self._is_up(host):
+            return HostOutcome.BUSY
+        self._end_life(host)
+        self.pools[host] = pool
+        self.moving.add(host)
+        self.world.nursery.start_soon(self._arrive, host)
+        return HostOutcome.DONE
+
+    async def _arrive(self, host: str) -> None:
+        await trio.sleep(1.5)
+        self.moving.discard(host)
+        if self.pools[host] == "service":
+            self.world.give_life(host)
+
+    def _end_life(self, host: str) -> None:
+        for executor in self.world.executors.values():
+            if executor.info.host == host and executor.is_up:
+                self.world.crash(executor)
+                self.world.listed.pop(executor.info.executor_id, None)
+
+    async def _come_back(self, host: str) -> None:
+        await trio.sleep(MAINTENANCE_S)
+        del self.down[host]
+        self.world.give_life(host)
+
+    def tell(self, number: int, is_completed: bool, token: int, sequence: int) -> bool:
+        if token < self.told_epoch:
+            return False
+        if token > self.told_epoch:
+            self.told_epoch, self.told_sequence = token, -1
+        if sequence > self.told_sequence:
+            self.told_sequence = sequence
+            self.told[number] = is_completed
+            wave = next(wave for wave in self.waves if wave.number == number)
+            if is_completed and not set(wave.hosts) <= self.begun[number]:
+                self.world.violations.append(f"wave {number} is told to be completed and is not")
+        return True
+
+
 class World:
     """Everything outside the hosts, and the watch over what must hold."""
 
@@ -228,6 +350,7 @@
         self.nursery = nursery
         self.faults = Faults()
         self.store = Store()
+        self.hosts = Hosts(world=self)
         self.links: dict[str, MemoryLink] = {}
         self.executors: dict[str, Executor] = {}
         self.listed: dict[str, ExecutorInfo] = {}
@@ -246,6 +369,9 @@
             version=1, routes=(QueueRoute(host="q", path_prefix="/q/", queue=self.queue),)
         )
         self.fail_share = 0.05
+        self.run_lasts_s = (0.2, 2.5)
+        self.shows_progress = False
+        """Whether listings tell how far runs are; else some figure that mostly rises."""
         self._lives = 0
         for number in range(executors):
             self.give_life(f"host-{number}")
@@ -294,13 +420,14 @@
                 is_done = before in self.done or self.jobs[task.job].steps[earlier].is_gang
                 if not is_done:
                     self.violations.append(f"{task} starts before {before}")
-        lasts_s = self.rng.uniform(0.2, 2.5)
+        lasts_s = self.rng.uniform(*self.run_lasts_s)
         return Run(
             task=task,
             run=order.run,
             need=step.need,
             ends_at=None if step.is_gang else trio.current_time() + lasts_s,
             fails=self.rng.random() < self.fail_share,
+            started_at=trio.current_time(),
             waits_until=trio.current_time() + GANG_WAIT_S if step.is_gang else None,
         )
 
@@ -402,8 +529,12 @@
     def _failure(self, callee: str, reason: Reason) -> Failure[StepError]:
         return Failure(StepError(step="world.call", peer=callee, reason=reason))
 
-    async def claim(self, *, host_id: str, address: str) -> Result[int, StepError]:
-        return await self._call("store", 1.0, lambda: self.world.store.claim(host_id, address))
+    async def claim(self, *, host_id: str, address: str, after: int) -> Result[int, StepError]:
+        store = self.world.store
+        answer = await self._call("store", 1.0, lambda: store.claim(host_id, address, after))
+        if isinstance(answer, Success) and answer.unwrap() is None:
+            return self._failure("store", Reason.CONFLICT)
+        return answer
 
     async def fence(self, *, token: int) -> Result[None, StepError]:
         answer = await self._call("store", 1.0, lambda: self.world.store.fence(token))
@@ -446,6 +577,29 @@
         await trio.sleep(0.5)
         return await self._call("store", 1.0, lambda: self.world.config)
 
+    def waves(self) -> tuple[MaintenanceWave, ...]:
+        return tuple(self.world.hosts.waves)
+
+    async def list_hosts(self) -> Result[tuple[PoolHost, ...], StepError]:
+        return await self._call("hosts", 1.0, self.world.hosts.list_all)
+
+    async def order(
+        self, order: HostOrder, *, holder: str, token: int
+    ) -> Result[HostOutcome, StepError]:
+        answer = await self._call("hosts", 1.0, lambda: self.world.hosts.order(order, token))
+        if isinstance(answer, Success) and answer.unwrap() is None:
+            return self._failure("hosts", Reason.CONFLICT)
+        return answer
+
+    async def tell_wave(
+        self, number: int, *, is_completed: bool, token: int, sequence: int
+    ) -> Result[None, StepError]:
+        hosts = self.world.hosts
+        answer = await self._call(
+            "store", 1.0, lambda: hosts.tell(number, is_completed, token, sequence)
+        )
+        return self._checked(answer)
+
     def _executor(self, executor_id: str) -> Executor | None:
         executor = self.world.executors.get(executor_id)
         return executor if executor is not None and executor.is_up else None
--- /dev/null
+++ b/tests/test_cell_weakenings.py
@@ -0,0 +1,78 @@
+"""Each rule of the leader is needed: without it the checks of the random trouble fail."""
+
+from random import Random
+
+import pytest
+import trio
+
+from cell.alone import play_alone
+from cell.cluster import Cluster
+from cell.play import check_all_end, hand_in, random_trouble
+from cell.weakenings import (
+    WEAKENINGS,
+    leases_reach_beyond_the_confirmation,
+    standbys_claim_without_a_look,
+)
+from cell.world import World
+
+SEEDS = range(300, 305)
+
+
+def innermost(error: BaseException) -> BaseException:
+    """Return the first failure inside of groups."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
+def fails(seed: int) -> bool:
+    """Whether a check of the random trouble fails."""
+    try:
+        play_alone(random_trouble, seed=seed)
+    except Exception as error:
+        if isinstance(innermost(error), AssertionError):
+            return True
+        raise
+    return False
+
+
+class TestWeakenedRules:
+    @pytest.mark.parametrize("name", sorted(WEAKENINGS))
+    def test_a_rule_taken_out_is_noticed(self, name: str) -> None:
+        with WEAKENINGS[name]():
+            assert any(fails(seed) for seed in SEEDS)
+
+    def test_with_all_rules_the_same_seeds_pass(self) -> None:
+        assert not any(fails(seed) for seed in SEEDS)
+
+    def test_claims_without_manners_cost_terms_and_break_nothing(self) -> None:
+        with standbys_claim_without_a_look():
+            assert not any(fails(seed) for seed in SEEDS[:3])
+
+
+async def leader_cut_off_with_an_executor(cluster: Cluster, world: World, rng: Random) -> None:
+    """Leave a leader alone with one executor, while the others lead and can't reach that one."""
+    world.run_lasts_s = (18.0, 20.0)
+    world.shows_progress = True
+    world.fail_share = 0.0
+    first = await cluster.wait_for_leader()
+    await hand_in(cluster, world, rng, 8, 0.02)
+    await trio.sleep(1.0)
+    others = [name for name in cluster.names if name != first]
+    for name in others:
+        world.faults.cut |= {(first, name), (name, first), (name, "executor-1")}
+    world.faults.cut |= {(first, each) for each in ("store", *world.executors)}
+    world.faults.cut.remove((first, "executor-1"))
+    await trio.sleep(16.0)
+    world.faults.clear()
+    await check_all_end(cluster, timeout_s=200.0)
+
+
+class TestConfirmedLeases:
+    def test_a_leader_that_the_store_does_not_confirm_lets_its_leases_end(self) -> None:
+        play_alone(leader_cut_off_with_an_executor, seed=40)
+
+    def test_without_that_rule_work_runs_twice(self) -> None:
+        with leases_reach_beyond_the_confirmation(), pytest.raises(BaseExceptionGroup) as raised:
+            play_alone(leader_cut_off_with_an_executor, seed=40)
+        assert "runs twice" in str(innermost(raised.value))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -14,10 +14,12 @@
 
 from cell.platform_http import ExecutorFace, StoreFace
 from cell.world import World
+from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome
 from galenastall.platform.calls import Address, PlatformCalls
 from galenastall.platform.config import WireConfig
 from galenastall.platform.executors import WireListing
 from galenastall.platform.fleet import WireEntry
+from galenastall.platform.hosts import PlatformHosts
 from galenastall.platform.keyed_follower import KeyedFollower
 from galenastall.platform.live_settings import LiveSettings
 from galenastall.platform.log_wire import (
@@ -38,6 +40,7 @@
 from galenastall.platform.store import PlatformStore
 from galenastall.platform.submissions import decode_job
 from galenastall.protocol.cell.config import CellConfig
+from galenastall.state.cell.hosts import HostState
 from galenastall.state.cell.jobs import CellJob, Queue, TaskKey
 from galenastall.state.cell.phases import RunEnd
 from galenastall.state.errors import Reason, StepError
@@ -45,6 +48,9 @@
 from galenastall.state.timeline_ring import TimelineRing
 from galenastall.transport.clock import TrioClock
 from galenastall.transport.http_client import HttpClient
+from galenastall.transport.http_json import json_response
+from galenastall.transport.http_messages import HttpRequest, HttpResponse
+from galenastall.transport.http_routes import route
 from galenastall.transport.http_server import HttpServer
 from galenastall.transport.logs import Recorder
 
@@ -261,9 +267,11 @@
     async def test_tokens_rise_and_a_fence_stops_older_writers(self) -> None:
         async with trio.open_nursery() as nursery:
             store = PlatformStore(calls=make_calls(), address=await at(nursery, StoreFace()))
-            first = (await store.claim(host_id="a", address="a:1")).unwrap()
-            second = (await store.claim(host_id="b", address="b:1")).unwrap()
+            first = (await store.claim(host_id="a", address="a:1", after=0)).unwrap()
+            second = (await store.claim(host_id="b", address="b:1", after=first)).unwrap()
             assert second > first
+            late = await store.claim(host_id="c", address="c:1", after=first)
+            assert late.failure().reason is Reason.CONFLICT
             assert not isinstance(await store.fence(token=second), Failure)
             refused = await store.append(
                 token=first, sequence=1, values_by_key={"k": b"old"}, timeout_s=1.0
@@ -298,6 +306,140 @@
             nursery.cancel_scope.cancel()
 
 
+class HostsFace:
+    """The platform's list of machines and its orders; one page a machine."""
+
+    def __init__(self, *machines: dict[str, Any]) -> None:
+        self.machines = machines
+        self.answers: list[HttpResponse] = []
+        self.orders: list[tuple[str, Any, str, str]] = []
+
+    @route("GET", "/machines")
+    async def show(self, request: HttpRequest) -> HttpResponse:
+        number = int(request.query.get("pageToken", "0"))
+        following = str(number + 1) if number + 1 < len(self.machines) else None
+        page = {"machines": [self.machines[number]], "nextPageToken": following}
+        return json_response(200, page)
+
+    @route("POST", "/machine-move")
+    async def move(self, request: HttpRequest) -> HttpResponse:
+        return await self._take("move", request)
+
+    @route("POST", "/machine-upkeep")
+    async def maintain(self, request: HttpRequest) -> HttpResponse:
+        return await self._take("upkeep", request)
+
+    async def _take(self, name: str, request: HttpRequest) -> HttpResponse:
+        message = msgspec.json.decode((await request.read_body(10_000)).unwrap())
+        holder, token = request.headers["lease-holder"], request.headers["fencing-token"]
+        self.orders.append((name, message, holder, token))
+        return self.answers.pop(0) if self.answers else HttpResponse(status=200)
+
+
+async def make_hosts_port(
+    nursery: trio.Nursery, face: HostsFace, values: dict[str, bytes] | None = None
+) -> tuple[PlatformHosts, StoreFace]:
+    store = StoreFace()
+    port = PlatformHosts(
+        calls=make_calls(),
+        address=await at(nursery, face),
+        store=await at(nursery, store),
+        operator_values=lambda: values or {},
+        recorder=Recorder(process="t", clock=TrioClock(), ring=TimelineRing(capacity=10)),
+    )
+    return port, store
+
+
+class TestHosts:
+    WAVE = b'{"wave":3,"machines":["m-1","m-2"],"durationS":20,"upperLimit":2}'
+
+    async def test_waves_are_decoded_and_unreadable_ones_left_out(self) -> None:
+        async with trio.open_nursery() as nursery:
+            values = {"wave/3": self.WAVE, "wave/4": b"{}", "config": b"{}"}
+            port, _ = await make_hosts_port(nursery, HostsFace(), values)
+            (wave,) = port.waves()
+            assert (wave.number, wave.hosts, wave.most_down) == (3, ("m-1", "m-2"), 2)
+            assert wave.duration_s == 20.0
+            nursery.cancel_scope.cancel()
+
+    async def test_all_pages_of_the_list_are_read(self) -> None:
+        machines: list[dict[str, Any]] = [
+            {"machine": "m-1", "pool": "s", "state": "up", "labels": ["a", "r1"], "id": "i-1"},
+            {"machine": "m-2", "pool": "off", "state": "upkeep", "capacity": {"cpu": 4000}},
+            {"machine": "m-3", "pool": "off", "state": "strange", "id": None},
+        ]
+        async with trio.open_nursery() as nursery:
+            port, _ = await make_hosts_port(nursery, HostsFace(*machines))
+            hosts = (await port.list_hosts()).unwrap()
+            assert [(host.host, host.pool, host.executor_id) for host in hosts] == [
+                ("m-1", "s", "i-1"),
+                ("m-2", "off", ""),
+                ("m-3", "off", ""),
+            ]
+            states = [host.state for host in hosts]
+            assert states == [HostState.UP, HostState.MAINTENANCE, HostState.DOWN]
+            assert hosts[1].capacity == Resources(cores_milli=4000)
+            nursery.cancel_scope.cancel()
+
+    async def test_orders_carry_holder_and_token(self) -> None:
+        async with trio.open_nursery() as nursery:
+            face = HostsFace()
+            port, _ = await make_hosts_port(nursery, face)
+            for order in (HostOrder(host="m-1", wave=3), HostOrder(host="m-1", pool="s")):
+                answer = await port.order(order, holder="front-1", token=9)
+                assert answer.unwrap() is HostOutcome.DONE
+            assert face.orders == [
+                ("upkeep", {"machine": "m-1", "wave": 3}, "front-1", "9"),
+                ("move", {"machine": "m-1", "pool": "s"}, "front-1", "9"),
+            ]
+            nursery.cancel_scope.cancel()
+
+    @pytest.mark.parametrize(
+        ("status", "body", "outcome"),
+        [
+            (409, {"reason": "busy"}, HostOutcome.BUSY),
+            (409, {"reason": "wave"}, HostOutcome.NOT_POSSIBLE),
+            (400, {}, HostOutcome.NOT_POSSIBLE),
+        ],
+    )
+    async def test_refusals_tell_what_became_of_an_order(
+        self, status: int, body: Any, outcome: HostOutcome
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            face = HostsFace()
+            face.answers.append(json_response(status, body))
+            port, _ = await make_hosts_port(nursery, face)
+            answer = await port.order(HostOrder(host="m-1", wave=3), holder="a", token=1)
+            assert answer.unwrap() is outcome
+            nursery.cancel_scope.cancel()
+
+    @pytest.mark.parametrize(
+        ("status", "body", "reason"),
+        [(409, {"reason": "fence"}, Reason.CONFLICT), (429, {}, Reason.OVERLOADED)],
+    )
+    async def test_other_refusals_are_failures(
+        self, status: int, body: Any, reason: Reason
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            face = HostsFace()
+            face.answers.append(json_response(status, body))
+            port, _ = await make_hosts_port(nursery, face)
+            answer = await port.order(HostOrder(host="m-1", wave=3), holder="a", token=1)
+            assert answer.failure().reason is reason
+            nursery.cancel_scope.cancel()
+
+    async def test_the_operator_is_told_once_by_the_newest_leader_only(self) -> None:
+        async with trio.open_nursery() as nursery:
+            port, store = await make_hosts_port(nursery, HostsFace())
+            for _ in range(2):
+                told = await port.tell_wave(3, is_completed=False, token=5, sequence=1)
+                assert not isinstance(told, Failure)
+            assert store.topics["keyed.status"].records == [("wave/3", b'{"state":"running"}')]
+            late = await port.tell_wave(3, is_completed=True, token=4, sequence=1)
+            assert late.failure().reason is Reason.CONFLICT
+            nursery.cancel_scope.cancel()
+
+
 class TestKeyedFollower:
     async def test_changes_drops_and_lost_history(self) -> None:
         async with trio.open_nursery() as nursery:
