Stand-in of the operations platform, processes on it under hazards, and the demo's jobs there

The stand-in serves the platform's dialect on loopback: the log store (epochs, sequence numbers, at, newest, history), executors that register themselves, lease, list and judge (twice, over capacity, order, attempts), the advisor. The model of an executor moved out of the tests' world, which now shares it. test_platform_processes: three real processes through kills and pauses of the leader, a leader killed while the store serves nobody, history dropped during a handover, all killed at once; what executors saw and what callers were told is judged. make demo runs the batch and the gang there too, with the leader lost meanwhile.

--- a/src/galenastall/demo/__main__.py
+++ b/src/galenastall/demo/__main__.py
@@ -1,4 +1,7 @@
-"""Send requests, a batch and a gang through two entry hosts and print what became of each."""
+"""Send requests, a batch and a gang through entry hosts and print what became of each.
+
+First on the product's own stand-in, then the jobs again on that of the operations platform.
+"""
 
 import sys
 from pathlib import Path
@@ -10,6 +13,7 @@
 from returns.result import Failure
 
 from galenastall.demo.fleet import DemoFleet, raise_fleet
+from galenastall.demo.platform_path import run_platform_demo
 from galenastall.node.entry_host import EntryHost
 from galenastall.state.settings_paths import NO_REVISION
 
@@ -181,7 +185,7 @@
     examples = Path("examples")
     if not examples.is_dir():
         sys.exit("run the demo from the repository's root: no directory 'examples' here")
-    is_good = trio.run(run_demo, examples)
+    is_good = trio.run(run_demo, examples) and trio.run(run_platform_demo, _say)
     _say("everything came out as promised" if is_good else "something did not come out as promised")
     sys.exit(0 if is_good else 1)
 
--- /dev/null
+++ b/src/galenastall/demo/platform_path.py
@@ -0,0 +1,158 @@
+"""Run the main jobs on the operations platform's stand-in, and lose the leader meanwhile."""
+
+import os
+import tempfile
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+import trio
+
+from galenastall.coordination.cell.explain_logs import LogLine, tell
+from galenastall.platform.process import EntryProcess
+from galenastall.platform.settings import load_settings
+from galenastall.platform.standin.callers import StandinCaller
+from galenastall.platform.standin.hosts import StandinHost, make_hosts
+from galenastall.platform.standin.server import PlatformStandin, StandinPlan
+from galenastall.standin.cell.live_world import JobPayload, StepPayload
+from galenastall.state.timeline_ring import TimelineRing
+from galenastall.transport.clock import TrioClock
+
+HOSTS: Final = {"gangnam": ("gangnam-1", "gangnam-2"), "mapo": ("mapo-1",)}
+READY_WITHIN_S: Final = 20.0
+JOB_WITHIN_S: Final = 30.0
+POLL_S: Final = 0.1
+ACCEPTED: Final = 200
+BATCH_ID: Final = "00000000000000b1"
+BATCH: Final = JobPayload(
+    steps=(
+        StepPayload(count=8, cores_milli=2000, memory_mb=2048, run_s=1.0),
+        StepPayload(count=1, cores_milli=1000, memory_mb=512, after=(0,), run_s=0.5),
+    )
+)
+GANG_ID: Final = "00000000000000c1"
+GANG: Final = JobPayload(
+    steps=(StepPayload(count=4, cores_milli=16_000, memory_mb=16_384, is_gang=True, run_s=3.0),)
+)
+
+Say = Callable[[str], None]
+
+
+@dataclass(kw_only=True, slots=True)
+class _Running:
+    host: StandinHost
+    process: EntryProcess
+    scope: trio.CancelScope
+
+
+async def run_platform_demo(say: Say) -> bool:
+    """Run all of it; return whether everything came out as promised."""
+    clock = TrioClock()
+    plan = StandinPlan(executors_by_data_centre={"gangnam": 3, "mapo": 3})
+    standin = PlatformStandin(plan=plan, clock=clock)
+    caller = StandinCaller()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(standin.run)
+        standin.configure(
+            standin.make_route("redaction", priority=2), standin.make_route("packs", priority=0)
+        )
+        running = await _start_hosts(nursery, standin)
+        with trio.fail_after(READY_WITHIN_S):
+            for each in running:
+                await caller.wait_ready(each.host)
+        say("\non the operations platform's stand-in, three entry hosts are ready:")
+        for each in running:
+            say(f"  {each.host.name} in {each.host.data_centre}, http {each.host.callers_address}")
+        is_good = await _run_jobs(running, caller, standin, say)
+        nursery.cancel_scope.cancel()
+    return is_good
+
+
+async def _start_hosts(nursery: trio.Nursery, standin: PlatformStandin) -> list[_Running]:
+    return [await nursery.start(_run_host, host, standin) for host in make_hosts(HOSTS)]
+
+
+async def _run_host(
+    host: StandinHost,
+    standin: PlatformStandin,
+    task_status: trio.TaskStatus[_Running] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    with tempfile.TemporaryDirectory() as folder, _nowhere() as nowhere:
+        path = Path(folder) / "node.toml"
+        await trio.Path(path).write_text(host.settings_text(standin))
+        process = EntryProcess(settings=load_settings(path), path=path, log_descriptor=nowhere)
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as nursery:
+                await process.start(nursery)
+                task_status.started(_Running(host=host, process=process, scope=scope))
+
+
+@contextmanager
+def _nowhere() -> Iterator[int]:
+    """Give a descriptor that swallows what is written."""
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    try:
+        yield descriptor
+    finally:
+        os.close(descriptor)
+
+
+async def _run_jobs(
+    running: list[_Running], caller: StandinCaller, standin: PlatformStandin, say: Say
+) -> bool:
+    first = running[0].host
+    for route, job_id, payload in (
+        ("redaction", BATCH_ID, BATCH),
+        ("packs", GANG_ID, GANG),
+    ):
+        status, _ = await caller.submit(first, route, job_id, payload)
+        say(f"job {job_id} of {route}, {payload.steps[0].count} tasks: status {status}")
+        if status != ACCEPTED:
+            return False
+    await trio.sleep(0.5)
+    leader = next(each for each in running if each.process.host.standing.is_leading)
+    say(f"{leader.host.name} leads; it is stopped without notice")
+    leader.scope.cancel()
+    left = [each for each in running if each is not leader]
+    states = [
+        await _wait_ended(caller, left[0].host, "redaction", BATCH_ID),
+        await _wait_ended(caller, left[1].host, "packs", GANG_ID),
+    ]
+    say(f"asked at the others: the batch is {states[0]}, the gang is {states[1]}")
+    new = next(each for each in left if each.process.host.standing.is_leading)
+    say(f"{new.host.name} leads now; what its log, and that of the one before, say of the gang:")
+    for line in _lines_about(GANG_ID, [leader, new]):
+        say(f"  {line}")
+    say(f"starts: {standin.world.starts}; rules broken: {standin.world.violations or 'none'}")
+    return states == ["completed", "completed"] and not standin.world.violations
+
+
+async def _wait_ended(caller: StandinCaller, host: StandinHost, route: str, job_id: str) -> str:
+    state = "not asked"
+    with trio.move_on_after(JOB_WITHIN_S):
+        while state not in {"completed", "failed", "cancelled"}:
+            state = await caller.state(host, route, job_id)
+            await trio.sleep(POLL_S)
+    return state
+
+
+def _lines_about(job_id: str, running: list[_Running]) -> list[str]:
+    rings: list[TimelineRing] = [each.process.recorder.ring for each in running]
+    lines = [
+        LogLine(
+            at_s=event.at.wall_ms / 1000.0,
+            counter=event.at.counter,
+            process=event.process.partition("/")[0],
+            event=event.step,
+            subjects=tuple(event.subjects),
+            cause=event.cause,
+            fields=event.fields,
+        )
+        for ring in rings
+        for event in ring
+    ]
+    lines.sort(key=lambda line: (line.at_s, line.counter))
+    story = tell(lines, job_id)
+    return [story.verdict, *(line.text(story.lines[0].at_s) for line in story.lines)]
--- a/src/galenastall/platform/log_wire.py
+++ b/src/galenastall/platform/log_wire.py
@@ -90,11 +90,17 @@
     if len(body) < _READ_HEAD.size:
         raise WireError(f"a page has at least {_READ_HEAD.size} bytes, got {len(body)}")
     end, first = _READ_HEAD.unpack_from(body)
-    return ReadAnswer(end=end, first=first, records=tuple(_records(body)))
+    records = split_records(body[_READ_HEAD.size :])
+    return ReadAnswer(end=end, first=first, records=tuple(records))
+
+
+def split_records(body: bytes) -> list[bytes]:
+    """Return the contents of framed records that follow each other."""
+    return list(_records(body))
 
 
 def _records(body: bytes) -> Iterator[bytes]:
-    at = _READ_HEAD.size
+    at = 0
     while at < len(body):
         if at + _LENGTH.size > len(body):
             raise WireError("a record's length is cut off")
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -100,12 +100,18 @@
 class EntryProcess:
     """Servers around a cell host."""
 
-    def __init__(self, *, settings: PlatformSettings, path: Path) -> None:
-        """Build all parts; `path` is looked at for changed settings."""
+    def __init__(
+        self, *, settings: PlatformSettings, path: Path, log_descriptor: int | None = None
+    ) -> None:
+        """Build all parts; `path` is looked at for changed settings.
+
+        Log lines go to `log_descriptor`, or to standard output.
+        """
         self._settings = settings
         self._clock = TrioClock()
         self._metrics = Metrics()
-        self._log = BoundedLogStream(descriptor=sys.stdout.fileno())
+        log_to = sys.stdout.fileno() if log_descriptor is None else log_descriptor
+        self._log = BoundedLogStream(descriptor=log_to)
         incarnation = Incarnation(uuid.uuid4().hex[:12])
         self.recorder = BudgetedRecorder(
             budget=LineBudget(clock=self._clock),
--- /dev/null
+++ b/src/galenastall/platform/standin/hosts.py
@@ -0,0 +1,87 @@
+"""Settings files of entry hosts beside the stand-in, as the platform writes them."""
+
+import socket
+from dataclasses import dataclass
+from typing import Final
+
+from galenastall.platform.standin.server import PlatformStandin
+
+GRACE_S: Final = 6
+PORTS_OF_A_HOST: Final = 3
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StandinHost:
+    """Addresses of one entry host; each has a loopback address of its own."""
+
+    name: str
+    data_centre: str
+    ip: str
+    callers_port: int
+    readiness_port: int
+    peer_port: int
+
+    @property
+    def callers_address(self) -> str:
+        """Where callers connect."""
+        return f"{self.ip}:{self.callers_port}"
+
+    @property
+    def readiness_address(self) -> str:
+        """Where the balancer asks."""
+        return f"{self.ip}:{self.readiness_port}"
+
+    def settings_text(self, standin: PlatformStandin) -> str:
+        """Return the settings file."""
+        return f"""
+nodeName = "{self.name}"
+ipAddress = "{self.ip}"
+zone = "{self.data_centre}"
+internalPortRange = [{self.peer_port}, {self.peer_port + 1}]
+bootstrap = true
+heartbeatMs = 1500
+placementAdvisor = "{standin.advisor_address}"
+[listenAddresses]
+front = "{self.callers_address}"
+readiness = "{self.readiness_address}"
+[platform]
+address = "{standin.store_address}"
+form = "log"
+[limits]
+cpuShare = 1.0
+cpuCores = 1
+memoryMb = 300
+[bounds]
+graceS = {GRACE_S}
+maxHoldMs = 10000
+"""
+
+
+def make_hosts(names_by_data_centre: dict[str, tuple[str, ...]]) -> list[StandinHost]:
+    """Return hosts with free ports, each on a loopback address of its own."""
+    hosts: list[StandinHost] = []
+    for data_centre, names in names_by_data_centre.items():
+        for name in names:
+            ip = f"127.0.1.{len(hosts) + 1}"
+            callers, readiness, peer = _free_ports(ip)
+            hosts.append(
+                StandinHost(
+                    name=name,
+                    data_centre=data_centre,
+                    ip=ip,
+                    callers_port=callers,
+                    readiness_port=readiness,
+                    peer_port=peer,
+                )
+            )
+    return hosts
+
+
+def _free_ports(ip: str) -> tuple[int, int, int]:
+    sockets = [socket.socket() for _ in range(PORTS_OF_A_HOST)]
+    for each in sockets:
+        each.bind((ip, 0))
+    callers, readiness, peer = (int(each.getsockname()[1]) for each in sockets)
+    for each in sockets:
+        each.close()
+    return callers, readiness, peer
--- /dev/null
+++ b/src/galenastall/platform/standin/server.py
@@ -0,0 +1,127 @@
+"""The stand-in as a whole: a store, executors that register themselves, and the advisor."""
+
+from dataclasses import dataclass
+from typing import Any, Final
+
+import trio
+
+from galenastall.coordination.cell.executors import ExecutorInfo
+from galenastall.platform.standin.executor_face import AdvisorFace, ExecutorFace
+from galenastall.platform.standin.log_face import StoreFace
+from galenastall.protocol.clock import Clock
+from galenastall.standin.cell.executors import Executor
+from galenastall.standin.cell.live_world import LiveWorld
+from galenastall.state.resources import Resources
+from galenastall.transport.http_server import HttpServer
+
+HEARTBEAT_S: Final = 1.5
+"""Between two writes of an executor's entry."""
+LOOPBACK: Final = "127.0.0.1:0"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StandinPlan:
+    """What the stand-in has."""
+
+    executors_by_data_centre: dict[str, int]
+    service: str = "service"
+    capacity: Resources = Resources(cores_milli=32_000, memory_mb=65_536)
+    advice_ms: float = 10.0
+    """What a call for advice takes."""
+
+
+class PlatformStandin:
+    """Serves all of it on loopback until cancelled."""
+
+    def __init__(self, *, plan: StandinPlan, clock: Clock) -> None:
+        """Build the faces of `plan`; `run` serves them."""
+        self.store = StoreFace()
+        self.world = LiveWorld()
+        self.advisor = AdvisorFace()
+        self.store_address = ""
+        self.advisor_address = ""
+        self._plan = plan
+        self._clock = clock
+        self._lives = 0
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve; reports started once all executors are listed."""
+        async with trio.open_nursery() as nursery:
+            self.store_address = await self._serve(nursery, self.store)
+            self.advisor_address = await self._serve(nursery, self.advisor)
+            for data_centre, count in self._plan.executors_by_data_centre.items():
+                for _ in range(count):
+                    await self._add_executor(nursery, data_centre)
+            task_status.started()
+
+    async def _serve(self, nursery: trio.Nursery, face: object) -> str:
+        server = HttpServer(handlers=[face], clock=self._clock, bind=LOOPBACK)
+        await nursery.start(server.run)
+        return server.address
+
+    async def _add_executor(self, nursery: trio.Nursery, data_centre: str) -> None:
+        self._lives += 1
+        name = f"executor-{self._lives}"
+        face = ExecutorFace(world=self.world, executor_id=name)
+        info = ExecutorInfo(
+            executor_id=name,
+            host=f"host-{self._lives}",
+            address=await self._serve(nursery, face),
+            data_centre=data_centre,
+            service=self._plan.service,
+            capacity=self._plan.capacity,
+            labels=("a", f"{data_centre}-rack"),
+        )
+        executor = Executor(world=self.world, info=info)
+        self.world.executors[name] = executor
+        self._register(executor, 0)
+        nursery.start_soon(self._beat, executor)
+
+    async def _beat(self, executor: Executor) -> None:
+        sequence = 0
+        while executor.is_up:
+            await trio.sleep(HEARTBEAT_S)
+            sequence += 1
+            self._register(executor, sequence)
+
+    def _register(self, executor: Executor, sequence: int) -> None:
+        info = executor.info
+        entry = {
+            "service": info.service,
+            "address": info.address,
+            "zone": info.data_centre,
+            "machine": info.host,
+            "state": "ready",
+            "capacity": {
+                "cpu": info.capacity.cores_milli,
+                "memoryRequestMb": info.capacity.memory_mb,
+                "gpus": info.capacity.accelerators,
+            },
+            "labels": list(info.labels),
+            "sequence": sequence,
+        }
+        self.store.put("keyed.servers", info.executor_id, entry)
+
+    def configure(self, *routes: dict[str, Any], version: int = 1) -> None:
+        """Write a configuration as the operator does."""
+        services = [{"name": self._plan.service}]
+        value = {"version": version, "routes": list(routes), "services": services}
+        self.store.put("keyed.op", "config", value)
+
+    def make_route(self, name: str, *, priority: int = 1, attempts: int = 2) -> dict[str, Any]:
+        """Return a queue whose requests begin with its name."""
+        return {
+            "name": name,
+            "host": "standin.example",
+            "pathPrefix": f"/{name}/",
+            "service": self._plan.service,
+            "priority": priority,
+            "maxAttempts": attempts,
+            "stretch": 3.0,
+            "targetLatencyMs": 1000,
+            "placementAdvisor": {
+                "decisionMs": self._plan.advice_ms,
+                "periodMs": 0.0,
+                "validityMs": 1500,
+            },
+        }
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,7 +12,6 @@
 import trio
 from returns.result import Failure, Result
 
-from cell.platform_http import ExecutorFace, StoreFace
 from cell.world import World
 from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome
 from galenastall.platform.calls import Address, PlatformCalls
@@ -37,6 +36,8 @@
     load_settings,
     settings_path,
 )
+from galenastall.platform.standin.executor_face import AdvisorFace, ExecutorFace
+from galenastall.platform.standin.log_face import StoreFace
 from galenastall.platform.store import PlatformStore
 from galenastall.platform.submissions import decode_job
 from galenastall.protocol.cell.config import CellConfig
@@ -266,7 +267,9 @@
 class TestStore:
     async def test_tokens_rise_and_a_fence_stops_older_writers(self) -> None:
         async with trio.open_nursery() as nursery:
-            store = PlatformStore(calls=make_calls(), address=await at(nursery, StoreFace()))
+            store = PlatformStore(
+                calls=make_calls(), address=await at(nursery, StoreFace(page_keys=3))
+            )
             first = (await store.claim(host_id="a", address="a:1", after=0)).unwrap()
             second = (await store.claim(host_id="b", address="b:1", after=first)).unwrap()
             assert second > first
@@ -434,7 +437,8 @@
             for _ in range(2):
                 told = await port.tell_wave(3, is_completed=False, token=5, sequence=1)
                 assert not isinstance(told, Failure)
-            assert store.topics["keyed.status"].records == [("wave/3", b'{"state":"running"}')]
+            assert store.value("keyed.status", "wave/3") == {"state": "running"}
+            assert store.topics["keyed.status"].end == 1
             late = await port.tell_wave(3, is_completed=True, token=4, sequence=1)
             assert late.failure().reason is Reason.CONFLICT
             nursery.cancel_scope.cancel()
@@ -455,7 +459,7 @@
             assert (await follower.refresh(wait_s=1.0)).unwrap()
             assert "k0" not in follower.values_by_key
             face.put("keyed.op", "k9", 9)
-            face.topics["keyed.op"].first = 7
+            face.topics["keyed.op"].forget_history()
             assert (await follower.refresh(wait_s=0.0)).unwrap()
             assert follower.values_by_key["k9"] == b"9"
             nursery.cancel_scope.cancel()
@@ -530,12 +534,12 @@
             store_address = await serve(nursery, store)
             world = World(rng=Random(1), nursery=nursery, executors=2)
             world.fail_share = 0.0
-            advisor = ""
+            advisor = await serve(nursery, AdvisorFace())
             for executor_id in list(world.executors):
-                advisor = await serve(nursery, ExecutorFace(world=world, executor_id=executor_id))
+                face = ExecutorFace(world=world, executor_id=executor_id)
                 entry = {
                     "service": "service",
-                    "address": advisor,
+                    "address": await serve(nursery, face),
                     "capacity": {"cpu": 8000, "memoryRequestMb": 32000},
                     "labels": ["a", "r1"],
                 }
--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,239 @@
+"""Entry hosts as real processes on the platform's stand-in: kills, pauses and outages overlap.
+
+What the hosts' executors saw is judged, and what callers were told. Nothing is timed: each step
+waits for its effect, within generous bounds.
+"""
+
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from random import Random
+from typing import Final
+
+import trio
+
+import galenastall
+from galenastall.platform.standin.callers import StandinCaller
+from galenastall.platform.standin.hosts import StandinHost, make_hosts
+from galenastall.platform.standin.server import PlatformStandin, StandinPlan
+from galenastall.standin.cell.live_world import JobPayload, StepPayload
+from galenastall.state.resources import Resources
+from galenastall.transport.clock import TrioClock
+
+SOURCE: Final = Path(galenastall.__file__).parents[1]
+WITHIN_S: Final = 60.0
+JOBS: Final = 24
+JOB_EVERY_S: Final = 0.15
+ENDED: Final = frozenset({"completed", "failed"})
+ROUTE: Final = "q"
+
+
+def make_payload(rng: Random) -> JobPayload:
+    """Return a job that often fills a good part of the executors."""
+    first = StepPayload(
+        count=rng.randint(2, 4),
+        cores_milli=rng.choice([1000, 2000]),
+        memory_mb=256,
+        is_gang=rng.random() < 0.4,
+        run_s=rng.uniform(0.2, 1.5),
+    )
+    second = StepPayload(count=1, cores_milli=500, memory_mb=128, after=(0,), run_s=0.2)
+    return JobPayload(steps=(first, second), attempts=2)
+
+
+class Fleet:
+    """Processes of entry hosts around a stand-in."""
+
+    def __init__(self, *, standin: PlatformStandin, folder: Path) -> None:
+        self.standin = standin
+        self.folder = folder
+        self.caller = StandinCaller()
+        self.hosts = make_hosts({"one": ("one-1", "one-2"), "two": ("two-1",)})
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.accepted: dict[str, StandinHost] = {}
+        self.refused: set[str] = set()
+        self.rng = Random(7)
+
+    def start(self, host: StandinHost) -> None:
+        """Start a host's process; its log lines go to a file of its own."""
+        path = self.folder / f"{host.name}.toml"
+        path.write_text(host.settings_text(self.standin))
+        environment = {
+            **os.environ,
+            "GALENASTALL_SETTINGS": str(path),
+            "PYTHONPATH": str(SOURCE),
+        }
+        with open(self.folder / f"{host.name}.log", "ab") as log:
+            self.processes[host.name] = subprocess.Popen(
+                [sys.executable, "-m", "galenastall.platform"],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, name: str, number: int) -> None:
+        self.processes[name].send_signal(number)
+
+    def end_all(self) -> None:
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+    @property
+    def leader(self) -> str:
+        """The host that claimed last."""
+        claim = self.standin.store.value("keyed.galenastall-leader", "leader")
+        return str(claim["host_id"]) if claim else ""
+
+    def host(self, name: str) -> StandinHost:
+        return next(host for host in self.hosts if host.name == name)
+
+    def others(self, name: str) -> list[StandinHost]:
+        return [host for host in self.hosts if host.name != name]
+
+    async def submit(self, number: int) -> None:
+        """Hand a job in as a caller does: with retries, at any host."""
+        job_id = f"{number:016x}"
+        payload = make_payload(Random(number))
+        was_rejected = True
+        for _ in range(40):
+            host = self.rng.choice(self.hosts)
+            status, _ = await self.caller.submit(host, ROUTE, job_id, payload)
+            if status == 200:
+                self.accepted[job_id] = host
+                return
+            was_rejected = was_rejected and status in (429, 503)
+            await trio.sleep(0.25)
+        if was_rejected:
+            self.refused.add(job_id)
+
+    async def submit_some(self, first: int) -> None:
+        async with trio.open_nursery() as nursery:
+            for number in range(first, first + JOBS):
+                nursery.start_soon(self.submit, number)
+                await trio.sleep(JOB_EVERY_S)
+
+    async def states(self) -> set[str]:
+        """Return how the accepted jobs stand, asked at any host."""
+        states = set()
+        for job_id in self.accepted:
+            states.add(await self.caller.state(self.rng.choice(self.hosts), ROUTE, job_id))
+        return states
+
+    async def wait_all_ended(self) -> None:
+        async def ended() -> bool:
+            states = await self.states()
+            assert "410" not in states, "an accepted job is not known"
+            return states <= ENDED
+
+        await eventually(ended)
+
+    async def wait_for_other_leader(self, name: str) -> None:
+        async def replaced() -> bool:
+            return self.leader != name
+
+        await eventually(replaced)
+
+
+async def eventually(holds: Callable[[], Awaitable[bool]]) -> None:
+    with trio.fail_after(WITHIN_S):
+        while not await holds():  # noqa: ASYNC110 - what processes do has no event here
+            await trio.sleep(0.1)
+
+
+@asynccontextmanager
+async def running_fleet(folder: Path) -> AsyncIterator[Fleet]:
+    clock = TrioClock()
+    plan = StandinPlan(
+        executors_by_data_centre={"one": 2, "two": 2},
+        capacity=Resources(cores_milli=8000, memory_mb=8192),
+    )
+    standin = PlatformStandin(plan=plan, clock=clock)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(standin.run)
+        standin.configure(standin.make_route(ROUTE))
+        fleet = Fleet(standin=standin, folder=folder)
+        try:
+            for host in fleet.hosts:
+                fleet.start(host)
+            with trio.fail_after(WITHIN_S):
+                for host in fleet.hosts:
+                    await fleet.caller.wait_ready(host)
+            yield fleet
+        finally:
+            fleet.end_all()
+        nursery.cancel_scope.cancel()
+
+
+async def kill_the_leader(fleet: Fleet) -> None:
+    leader = fleet.leader
+    fleet.signal(leader, signal.SIGKILL)
+    await fleet.wait_for_other_leader(leader)
+    fleet.start(fleet.host(leader))
+
+
+async def pause_the_leader(fleet: Fleet) -> None:
+    """Let a leader wake up again behind its successor."""
+    leader = fleet.leader
+    fleet.signal(leader, signal.SIGSTOP)
+    await fleet.wait_for_other_leader(leader)
+    await trio.sleep(1.0)
+    fleet.signal(leader, signal.SIGCONT)
+
+
+async def refuse_the_store(fleet: Fleet) -> None:
+    """Kill the leader while the store serves nobody."""
+    fleet.standin.store.is_refusing = True
+    await trio.sleep(1.0)
+    leader = fleet.leader
+    fleet.signal(leader, signal.SIGKILL)
+    await trio.sleep(1.0)
+    fleet.standin.store.is_refusing = False
+    await fleet.wait_for_other_leader(leader)
+    fleet.start(fleet.host(leader))
+
+
+async def forget_the_history(fleet: Fleet) -> None:
+    """Drop all records but the newest while a leader hands over."""
+    leader = fleet.leader
+    fleet.signal(leader, signal.SIGTERM)
+    for topic in fleet.standin.store.topics.values():
+        topic.forget_history()
+    await fleet.wait_for_other_leader(leader)
+    fleet.processes[leader].wait()
+    fleet.start(fleet.host(leader))
+
+
+async def kill_all(fleet: Fleet) -> None:
+    for host in fleet.hosts:
+        fleet.signal(host.name, signal.SIGKILL)
+        fleet.processes[host.name].wait()
+    for host in fleet.hosts:
+        fleet.start(host)
+
+
+class TestHazardsWithProcesses:
+    async def test_nothing_runs_twice_and_nothing_accepted_is_lost(self, tmp_path: Path) -> None:
+        async with running_fleet(tmp_path) as fleet:
+            hazards = (
+                kill_the_leader,
+                pause_the_leader,
+                refuse_the_store,
+                forget_the_history,
+                kill_all,
+            )
+            for number, bring_about in enumerate(hazards):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(fleet.submit_some, number * JOBS)
+                    await trio.sleep(8 * JOB_EVERY_S)
+                    await bring_about(fleet)
+            await fleet.wait_all_ended()
+            world = fleet.standin.world
+            started = {task.job for task in world.starts_of}
+            assert world.violations == []
+            assert not fleet.refused & started
+            assert len(fleet.accepted) > 4 * JOBS
