--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(BIN)/python -m pytest $(addprefix --deselect=,$(KNOWN_RED))
 
 known-red: setup
-	$(BIN)/python -m pytest $(KNOWN_RED)
+	$(if $(KNOWN_RED),$(BIN)/python -m pytest $(KNOWN_RED),@echo "KNOWN-RED.txt lists no test")
 
 lint: setup
 	$(BIN)/ruff check src tests
--- a/src/galenastall/cli/app.py
+++ b/src/galenastall/cli/app.py
@@ -5,7 +5,6 @@
 from galenastall.cli.bench_commands import bench_app
 from galenastall.cli.daemon_commands import node, standin
 from galenastall.cli.exit_codes import EXIT_CODE_HELP
-from galenastall.cli.log_commands import logs_app
 from galenastall.cli.ops_commands import drain, explain, timeline
 from galenastall.cli.settings_commands import settings_app
 from galenastall.cli.tls_options import tls_options
@@ -27,5 +26,4 @@
 app.command()(explain)
 app.command()(drain)
 app.add_typer(settings_app, name="settings")
-app.add_typer(logs_app, name="logs")
 app.add_typer(bench_app, name="bench")
--- a/src/galenastall/cli/log_commands.py
+++ b/src/galenastall/cli/log_files.py
@@ -1,4 +1,4 @@
-"""Commands over log files: what became of a job, without any live host."""
+"""What log files tell of a job, without any live host."""
 
 import sys
 from collections.abc import Iterator
@@ -10,20 +10,17 @@
 from galenastall.cli.output import fail_usage
 from galenastall.coordination.cell.explain_logs import LogLine, parse_lines, tell
 
-logs_app = typer.Typer(no_args_is_help=True, help="Read log files of entry hosts.")
-
 LogsOption = Annotated[
-    list[str], typer.Option("--logs", help="File or folder of log lines, or - for standard input.")
+    list[str] | None,
+    typer.Option(
+        "--logs",
+        help="Tell it from log lines instead: a file, a folder, or - for standard input.",
+    ),
 ]
-JobArgument = Annotated[str, typer.Argument(help="Id of a job.")]
-
 
-@logs_app.command()
-def explain(job: JobArgument, logs: LogsOption) -> None:
-    """Say what became of a job: the cause first, then delays, then all lines.
 
-    Exit codes: 0 shown, 2 a file can't be read.
-    """
+def show_explanation(job: str, logs: list[str]) -> None:
+    """Say what became of a job: the cause first, then delays, then all lines."""
     story = tell(_read(logs), job)
     typer.echo(story.verdict)
     for delay in story.delays:
@@ -31,12 +28,8 @@
     _show(story.lines)
 
 
-@logs_app.command()
-def timeline(job: JobArgument, logs: LogsOption) -> None:
-    """Show a job's lines, and what happened to leaders and the store meanwhile.
-
-    Exit codes: 0 shown, 2 a file can't be read.
-    """
+def show_lines(job: str, logs: list[str]) -> None:
+    """Show a job's lines, and what happened to leaders and the store meanwhile."""
     _show(tell(_read(logs), job).lines)
 
 
--- a/src/galenastall/cli/ops_commands.py
+++ b/src/galenastall/cli/ops_commands.py
@@ -9,6 +9,7 @@
 from returns.result import Failure
 
 from galenastall.cli.entry_client import EntryOption, call_entry, call_entry_json
+from galenastall.cli.log_files import LogsOption, show_explanation, show_lines
 from galenastall.cli.output import OutputFormat, OutputOption, fail, fail_usage, print_value
 from galenastall.transport.http_client import error_of_answer
 
@@ -30,18 +31,24 @@
 
 def timeline(
     subject: SubjectArgument,
-    entry: EntryOption,
+    entry: EntryOption = "",
     output: Annotated[
         TimelineFormat, typer.Option("--output", "-o", help="text, json, svg or png.")
     ] = TimelineFormat.TEXT,
     file: Annotated[Path | None, typer.Option(help="Write here; standard output if none.")] = None,
+    logs: LogsOption = None,
 ) -> None:
     """Show the events about an id over all processes, and which could not be reached.
 
     An id that nobody knows, or that is forgotten, has no events; that is no error.
 
-    Exit codes: 0 shown, 2 the file can't be written, 4 no entry host answered or it can't draw.
+    Exit codes: 0 shown, 2 a file can't be read or written, 4 no entry host answered or it can't
+    draw.
     """
+    if logs:
+        show_lines(subject, logs)
+        return
+    _check_source(entry)
     errors_as = OutputFormat.JSON if output is TimelineFormat.JSON else OutputFormat.TEXT
     body = _fetch(entry, f"/v1/timeline/{quote(subject)}?format={output.value}", errors_as)
     if file is not None:
@@ -53,16 +60,28 @@
 
 
 def explain(
-    subject: SubjectArgument, entry: EntryOption, output: OutputOption = OutputFormat.TEXT
+    subject: SubjectArgument,
+    entry: EntryOption = "",
+    output: OutputOption = OutputFormat.TEXT,
+    logs: LogsOption = None,
 ) -> None:
     """Say why something waits, where it ran or why it was refused.
 
-    Exit codes: 0 shown, 4 no entry host answered.
+    Exit codes: 0 shown, 2 a file can't be read, 4 no entry host answered.
     """
+    if logs:
+        show_explanation(subject, logs)
+        return
+    _check_source(entry)
     body = _fetch(entry, f"/v1/explain/{quote(subject)}?format={output.value}", output)
     typer.echo(body.decode().rstrip())
 
 
+def _check_source(entry: str) -> None:
+    if not entry:
+        fail_usage("--entry: missing; name an entry host, or log files by --logs")
+
+
 def _write(file: Path, body: bytes) -> None:
     try:
         file.write_bytes(body)
--- a/src/galenastall/node/cell/advice_desk.py
+++ b/src/galenastall/node/cell/advice_desk.py
@@ -71,12 +71,13 @@
         self._nursery.start_soon(self._ask_through, host, ask, tries)
 
     async def _ask_through(self, host: HostId, ask: AskAdvice, tries: int) -> None:
+        asked_at = trio.current_time()
         try:
             answer = await self._call(host, ask)
         finally:
             self._busy.discard(host)
         if not isinstance(answer, Failure):
-            self._take(ask, answer.unwrap())
+            self._take(ask, answer.unwrap(), took_s=trio.current_time() - asked_at)
         else:
             self._on_failure(host, ask, tries + 1, answer.failure())
         self._dispatch()
@@ -97,12 +98,13 @@
         self._context.core.on_advice_failed(ask.step, now=now)
         self._context.wake()
 
-    def _take(self, ask: AskAdvice, advice: AdviceAnswer) -> None:
+    def _take(self, ask: AskAdvice, advice: AdviceAnswer, *, took_s: float) -> None:
         self._context.note(
             "advice.answered",
             ask.step.job,
             asked=str(len(ask.executor_ids)),
             approved=str(len(advice.approved)),
+            took_ms=f"{took_s * 1000:.0f}",
         )
         self._context.core.on_advice(
             ask.step, advice.approved, validity_s=advice.validity_s, now=trio.current_time()
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -126,6 +126,11 @@
         self._is_stopping = False
         cell_metrics = CellMetrics(metrics=self._metrics)
         cell_metrics.watch(self.host)
+        self._metrics.gauge(
+            "galenastall_log_dropped",
+            "Log writes that no reader took in time.",
+            lambda: float(self._log.dropped),
+        )
         jobs = JobsFace(
             desk=self.host.desk,
             config=self.host.config.current,
--- a/tests/test_log_stories.py
+++ b/tests/test_log_stories.py
@@ -43,19 +43,19 @@
 class TestLogCommands:
     def test_explain_reads_folders(self, tmp_path: Path) -> None:
         (tmp_path / "one.log").write_text(LINES)
-        arguments = ["logs", "explain", "b26dec3770259b18", "--logs", str(tmp_path)]
+        arguments = ["explain", "b26dec3770259b18", "--logs", str(tmp_path)]
         answer = CliRunner().invoke(app, arguments)
         assert answer.exit_code == 0
         assert answer.stdout.startswith("failed 0.724 s")
 
     def test_timeline_reads_standard_input(self) -> None:
-        arguments = ["logs", "timeline", "5aaef4c568bb7c5b", "--logs", "-"]
+        arguments = ["timeline", "5aaef4c568bb7c5b", "--logs", "-"]
         answer = CliRunner().invoke(app, arguments, input=LINES)
         assert "job.refused" in answer.stdout
 
     def test_a_missing_file_is_named(self, tmp_path: Path) -> None:
         gone = tmp_path / "gone.log"
-        answer = CliRunner().invoke(app, ["logs", "explain", "x", "--logs", str(gone)])
+        answer = CliRunner().invoke(app, ["explain", "x", "--logs", str(gone)])
         assert answer.exit_code == 2
         assert "gone.log" in answer.output
 
