--- a/src/galenastall/bench/capacity_owner_lines.py
+++ b/src/galenastall/bench/capacity_owner_lines.py
@@ -14,7 +14,7 @@
     start_calls_per_s,
     tasks_per_worker,
 )
-from galenastall.node.worker_watch import IDLE_POLLS
+from galenastall.node.placement.worker_watch import IDLE_POLLS
 
 
 @line(
--- a/src/galenastall/bench/core_slopes.py
+++ b/src/galenastall/bench/core_slopes.py
@@ -5,8 +5,8 @@
 from typing import Final
 
 from galenastall.bench.slopes import cpu_us, held_bytes, least_cpu_us, slope
-from galenastall.coordination.placement import PlacementCore
-from galenastall.coordination.placement_commands import StartAnswer
+from galenastall.coordination.placement.placement import PlacementCore
+from galenastall.coordination.placement.placement_commands import StartAnswer
 from galenastall.protocol.codec import decode_record, encode_record
 from galenastall.state.hosts import HostKind, ListedHost
 from galenastall.state.ids import (
--- a/src/galenastall/bench/gc_pauses.py
+++ b/src/galenastall/bench/gc_pauses.py
@@ -25,9 +25,9 @@
     make_core,
     make_task,
 )
-from galenastall.coordination.admission import Admission, AdmissionLimits, WaitingRequest
-from galenastall.coordination.placement import PlacementCore
-from galenastall.coordination.placement_commands import StartAnswer
+from galenastall.coordination.placement.placement import PlacementCore
+from galenastall.coordination.placement.placement_commands import StartAnswer
+from galenastall.coordination.requests.admission import Admission, AdmissionLimits, WaitingRequest
 from galenastall.node.entry_host import EntryHost
 from galenastall.node.memory_watch import resident_mb
 from galenastall.node.process import GC_THRESHOLDS
--- a/src/galenastall/bench/job_costs.py
+++ b/src/galenastall/bench/job_costs.py
@@ -12,10 +12,10 @@
 
 import msgspec
 
-from galenastall.coordination.job_shard import JobShard
-from galenastall.coordination.placement_commands import CapacitySummary, Hole
-from galenastall.coordination.shard_commands import AssignBatch
-from galenastall.coordination.task_reports import ReportKind, TaskReport
+from galenastall.coordination.jobs.job_shard import JobShard
+from galenastall.coordination.jobs.shard_commands import AssignBatch
+from galenastall.coordination.placement.placement_commands import CapacitySummary, Hole
+from galenastall.coordination.placement.task_reports import ReportKind, TaskReport
 from galenastall.protocol.amount_rows import pack_amount, pack_summary
 from galenastall.protocol.codec import encode_message, encode_record
 from galenastall.protocol.job_messages import JobBeat, ShardEpoch, TaskAssign, TaskEvents
--- a/src/galenastall/bench/mix_driver.py
+++ b/src/galenastall/bench/mix_driver.py
@@ -17,8 +17,8 @@
 
 from galenastall.bench.mix_figures import MixBooks, MixFigures, group_of, hash_of
 from galenastall.bench.mix_workloads import Arrival, Mix, TrueTask, services_of, workers_of
-from galenastall.coordination.placement import PlacementCore
-from galenastall.coordination.placement_commands import (
+from galenastall.coordination.placement.placement import PlacementCore
+from galenastall.coordination.placement.placement_commands import (
     CancelVerdict,
     CommandAnswer,
     CommandKind,
@@ -28,7 +28,7 @@
     StartAnswer,
     StartTask,
 )
-from galenastall.coordination.placement_settings import PlacementSettings
+from galenastall.coordination.placement.placement_settings import PlacementSettings
 from galenastall.state.ids import Epoch, HostId, TaskId
 from galenastall.state.resources import NOTHING, Resources
 from galenastall.state.work import FinishedTask, RunningTask, TaskSpec, Workload
--- a/src/galenastall/bench/peer_slopes.py
+++ b/src/galenastall/bench/peer_slopes.py
@@ -7,8 +7,8 @@
 import trio
 
 from galenastall.bench.slopes import REPEATS, slope
-from galenastall.coordination.ownership_messages import Beat
-from galenastall.coordination.placement_commands import CapacitySummary, Hole
+from galenastall.coordination.ownership.ownership_messages import Beat
+from galenastall.coordination.placement.placement_commands import CapacitySummary, Hole
 from galenastall.protocol import ownership_messages
 from galenastall.protocol.amount_rows import pack_summary
 from galenastall.protocol.job_messages import JobBeat, ShardEpoch
--- a/src/galenastall/bench/placement_cost.py
+++ b/src/galenastall/bench/placement_cost.py
@@ -21,9 +21,12 @@
 
 import msgspec
 
-from galenastall.coordination.placement import PlacementCore
-from galenastall.coordination.placement_commands import Decision, StartAnswer, TeamShare
-from galenastall.coordination.placement_settings import PlacementSettings, default_policies
+from galenastall.coordination.placement.placement import PlacementCore
+from galenastall.coordination.placement.placement_commands import Decision, StartAnswer, TeamShare
+from galenastall.coordination.placement.placement_settings import (
+    PlacementSettings,
+    default_policies,
+)
 from galenastall.state.hosts import HostKind, ListedHost
 from galenastall.state.ids import DataCentre, Epoch, HostId, JobId, TaskId, TeamPath
 from galenastall.state.resources import Resources
--- a/src/galenastall/bench/placement_mix.py
+++ b/src/galenastall/bench/placement_mix.py
@@ -17,7 +17,10 @@
 from galenastall.bench.mix_driver import MixDriver
 from galenastall.bench.mix_figures import MixFigures
 from galenastall.bench.mix_workloads import MIXES, draw_arrivals
-from galenastall.coordination.placement_settings import PlacementSettings, default_policies
+from galenastall.coordination.placement.placement_settings import (
+    PlacementSettings,
+    default_policies,
+)
 
 CLASSES: Final = ("urgent", "gang", "service", "normal", "backfill")
 
--- a/src/galenastall/bench/request_cost.py
+++ b/src/galenastall/bench/request_cost.py
@@ -16,11 +16,11 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from galenastall.node.http_requests import respond
-from galenastall.node.permit_service import PermitService
-from galenastall.node.permit_settings import RequestSettings
-from galenastall.node.request_service import RequestService
-from galenastall.node.request_types import RequestCall
+from galenastall.node.requests.http_requests import respond
+from galenastall.node.requests.permit_service import PermitService
+from galenastall.node.requests.permit_settings import RequestSettings
+from galenastall.node.requests.request_service import RequestService
+from galenastall.node.requests.request_types import RequestCall
 from galenastall.protocol.event_sink import NullEventSink
 from galenastall.protocol.peers import M, PeerHandler
 from galenastall.protocol.platform import UpstreamAnswer, UpstreamCall
--- a/src/galenastall/bench/request_policies.py
+++ b/src/galenastall/bench/request_policies.py
@@ -18,10 +18,10 @@
 
 import msgspec
 
-from galenastall.coordination.admission import Admission, AdmissionLimits, WaitingRequest
-from galenastall.coordination.permit_types import OwnedUpstream, Permit, PermitLimits
-from galenastall.coordination.permits import PermitHolder
-from galenastall.coordination.slots import OwnedSlots, all_slots
+from galenastall.coordination.requests.admission import Admission, AdmissionLimits, WaitingRequest
+from galenastall.coordination.requests.permit_types import OwnedUpstream, Permit, PermitLimits
+from galenastall.coordination.requests.permits import PermitHolder
+from galenastall.coordination.requests.slots import OwnedSlots, all_slots
 from galenastall.state.ids import Epoch, HostId, RequestId, TeamPath
 from galenastall.state.registry import Registry
 from galenastall.state.work import Urgency
--- a/src/galenastall/bench/transport_costs.py
+++ b/src/galenastall/bench/transport_costs.py
@@ -20,9 +20,9 @@
 import trio
 import zmq
 
-from galenastall.coordination.permit_types import Permit
-from galenastall.node.request_trace import RequestTrace
-from galenastall.node.request_types import RequestAnswer, RequestCall
+from galenastall.coordination.requests.permit_types import Permit
+from galenastall.node.requests.request_trace import RequestTrace
+from galenastall.node.requests.request_types import RequestAnswer, RequestCall
 from galenastall.protocol.codec import PEER_MESSAGES
 from galenastall.protocol.security import CurveKeys
 from galenastall.state.ids import Epoch, HostId, Incarnation, RequestId, TeamPath
--- a/src/galenastall/cli/settings_commands.py
+++ b/src/galenastall/cli/settings_commands.py
@@ -13,7 +13,7 @@
 from galenastall.cli.entry_client import EntryOption, call_entry, call_entry_json
 from galenastall.cli.exit_codes import EXIT_CODE_HELP, ExitCode
 from galenastall.cli.output import OutputFormat, OutputOption, fail, fail_usage, print_value
-from galenastall.node.http_settings import NO_EFFECT_HEADER
+from galenastall.node.settings.http_settings import NO_EFFECT_HEADER
 from galenastall.protocol.process_settings import ProcessSettings
 from galenastall.protocol.yaml_files import load_yaml, parse_yaml
 from galenastall.state.settings_paths import NO_REVISION
--- a/src/galenastall/coordination/assignees.py
+++ b/src/galenastall/coordination/jobs/assignees.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from galenastall.coordination.placement_commands import CapacitySummary, Hole
+from galenastall.coordination.placement.placement_commands import CapacitySummary, Hole
 from galenastall.state.ids import HostId
 from galenastall.state.resources import NOTHING, Resources
 from galenastall.state.work import Urgency
--- a/src/galenastall/coordination/attempt_rules.py
+++ b/src/galenastall/coordination/jobs/attempt_rules.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from galenastall.coordination.job_run import JobRun
-from galenastall.coordination.shard_commands import ShardSettings
-from galenastall.coordination.task_reports import ReportKind, TaskReport
+from galenastall.coordination.jobs.job_run import JobRun
+from galenastall.coordination.jobs.shard_commands import ShardSettings
+from galenastall.coordination.placement.task_reports import ReportKind, TaskReport
 from galenastall.state.work import TaskPhase
 
 
--- a/src/galenastall/coordination/census.py
+++ b/src/galenastall/coordination/jobs/census.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable
 
-from galenastall.coordination.task_reports import HostCensus
+from galenastall.coordination.placement.task_reports import HostCensus
 from galenastall.state.ids import HostId
 
 
--- a/src/galenastall/coordination/gang_desk.py
+++ b/src/galenastall/coordination/jobs/gang_desk.py
@@ -6,12 +6,12 @@
 
 from collections.abc import Iterable
 
-from galenastall.coordination.assignees import AssigneeBook
-from galenastall.coordination.gangs import Gang, GangPhase, GangStep, GangStepKind
-from galenastall.coordination.job_run import Assigned, JobRun
-from galenastall.coordination.shard_commands import GangCall, ShardSettings, StopBatch
-from galenastall.coordination.task_intents import TaskIntents
-from galenastall.coordination.task_reports import (
+from galenastall.coordination.jobs.assignees import AssigneeBook
+from galenastall.coordination.jobs.gangs import Gang, GangPhase, GangStep, GangStepKind
+from galenastall.coordination.jobs.job_run import Assigned, JobRun
+from galenastall.coordination.jobs.shard_commands import GangCall, ShardSettings, StopBatch
+from galenastall.coordination.jobs.task_intents import TaskIntents
+from galenastall.coordination.placement.task_reports import (
     ENDING_KINDS,
     ReportKind,
     TaskAttempt,
--- a/src/galenastall/coordination/gangs.py
+++ b/src/galenastall/coordination/jobs/gangs.py
@@ -14,7 +14,7 @@
 
 import xxhash
 
-from galenastall.coordination.task_reports import ENDING_KINDS, ReportKind
+from galenastall.coordination.placement.task_reports import ENDING_KINDS, ReportKind
 from galenastall.state.ids import HostId, JobId
 
 HOLD_S: Final = 5.0
--- a/src/galenastall/coordination/job_ends.py
+++ b/src/galenastall/coordination/jobs/job_ends.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from galenastall.coordination.job_run import JobRun
+from galenastall.coordination.jobs.job_run import JobRun
 from galenastall.state.ids import HostId, JobId, TaskId
 from galenastall.state.job_fold import CODES_BY_PHASE
 from galenastall.state.job_records import (
--- a/src/galenastall/coordination/job_run.py
+++ b/src/galenastall/coordination/jobs/job_run.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from galenastall.coordination.task_reports import ReportKind
+from galenastall.coordination.placement.task_reports import ReportKind
 from galenastall.state.ids import HostId, make_task_id
 from galenastall.state.job_fold import CODES_BY_PHASE, OPEN, JobState
 from galenastall.state.job_records import IndexRange
--- a/src/galenastall/coordination/job_shard.py
+++ b/src/galenastall/coordination/jobs/job_shard.py
@@ -7,19 +7,18 @@
 
 from collections.abc import Callable, Collection, Iterable, Mapping
 
-from galenastall.coordination.assignees import AssigneeBook
-from galenastall.coordination.attempt_rules import (
+from galenastall.coordination.jobs.assignees import AssigneeBook
+from galenastall.coordination.jobs.attempt_rules import (
     NextMove,
     judge,
     phase_when_stopped,
     retry_delay_s,
 )
-from galenastall.coordination.gang_desk import GangDesk
-from galenastall.coordination.job_ends import JobEnds, ToldBy
-from galenastall.coordination.job_run import Assigned, JobRun, TaskFailure
-from galenastall.coordination.placement_commands import CapacitySummary
-from galenastall.coordination.recalls import find_recalls
-from galenastall.coordination.shard_commands import (
+from galenastall.coordination.jobs.gang_desk import GangDesk
+from galenastall.coordination.jobs.job_ends import JobEnds, ToldBy
+from galenastall.coordination.jobs.job_run import Assigned, JobRun, TaskFailure
+from galenastall.coordination.jobs.recalls import find_recalls
+from galenastall.coordination.jobs.shard_commands import (
     AssignAnswer,
     AssignBatch,
     CancelCounts,
@@ -27,10 +26,11 @@
     ShardSettings,
     StopBatch,
 )
-from galenastall.coordination.shard_notes import ShardNotes
-from galenastall.coordination.task_giver import TaskGiver
-from galenastall.coordination.task_intents import TaskIntents
-from galenastall.coordination.task_reports import (
+from galenastall.coordination.jobs.shard_notes import ShardNotes
+from galenastall.coordination.jobs.task_giver import TaskGiver
+from galenastall.coordination.jobs.task_intents import TaskIntents
+from galenastall.coordination.placement.placement_commands import CapacitySummary
+from galenastall.coordination.placement.task_reports import (
     ENDING_KINDS,
     ReportKind,
     TaskAttempt,
--- a/src/galenastall/coordination/recalls.py
+++ b/src/galenastall/coordination/jobs/recalls.py
@@ -7,10 +7,10 @@
 
 from collections.abc import Iterable
 
-from galenastall.coordination.assignees import AssigneeBook
-from galenastall.coordination.job_run import JobRun
-from galenastall.coordination.shard_commands import ShardSettings, StopBatch
-from galenastall.coordination.task_reports import ReportKind, TaskAttempt
+from galenastall.coordination.jobs.assignees import AssigneeBook
+from galenastall.coordination.jobs.job_run import JobRun
+from galenastall.coordination.jobs.shard_commands import ShardSettings, StopBatch
+from galenastall.coordination.placement.task_reports import ReportKind, TaskAttempt
 from galenastall.state.ids import HostId, make_task_id
 from galenastall.state.work import Workload
 
--- a/src/galenastall/coordination/shard_commands.py
+++ b/src/galenastall/coordination/jobs/shard_commands.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from galenastall.coordination.gangs import GangStep
-from galenastall.coordination.task_reports import TaskAttempt
+from galenastall.coordination.jobs.gangs import GangStep
+from galenastall.coordination.placement.task_reports import TaskAttempt
 from galenastall.state.ids import HostId, JobId
 from galenastall.state.work import TaskSpec
 
--- a/src/galenastall/coordination/shard_notes.py
+++ b/src/galenastall/coordination/jobs/shard_notes.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from galenastall.coordination.shard_commands import ShardNote
+from galenastall.coordination.jobs.shard_commands import ShardNote
 from galenastall.state.ids import HostId, TaskId
 from galenastall.state.work import TaskPhase
 
--- a/src/galenastall/coordination/task_giver.py
+++ b/src/galenastall/coordination/jobs/task_giver.py
@@ -4,12 +4,12 @@
 from collections.abc import Mapping
 from typing import Final
 
-from galenastall.coordination.assignees import AssigneeBook
-from galenastall.coordination.job_queue import JobQueue
-from galenastall.coordination.job_run import Assigned, JobRun
-from galenastall.coordination.shard_commands import AssignBatch
-from galenastall.coordination.shard_notes import ShardNotes
-from galenastall.coordination.task_intents import TaskIntents
+from galenastall.coordination.jobs.assignees import AssigneeBook
+from galenastall.coordination.jobs.job_queue import JobQueue
+from galenastall.coordination.jobs.job_run import Assigned, JobRun
+from galenastall.coordination.jobs.shard_commands import AssignBatch
+from galenastall.coordination.jobs.shard_notes import ShardNotes
+from galenastall.coordination.jobs.task_intents import TaskIntents
 from galenastall.state.ids import HostId, JobId, make_task_id
 from galenastall.state.work import Urgency, Workload
 
--- /dev/null
+++ b/src/galenastall/coordination/log/__init__.py
@@ -0,0 +1,1 @@
+"""When to append."""
--- /dev/null
+++ b/src/galenastall/coordination/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""At most one entry host acts on a worker, upstream or shard."""
--- a/src/galenastall/coordination/membership.py
+++ b/src/galenastall/coordination/ownership/membership.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from galenastall.coordination.ownership_messages import Beat
-from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.coordination.ownership.ownership_messages import Beat
+from galenastall.coordination.ownership.ownership_timings import OwnershipTimings
 from galenastall.state.ids import HostId, Incarnation, Offset
 from galenastall.state.ownership_records import Member, Members
 
--- a/src/galenastall/coordination/ownership.py
+++ b/src/galenastall/coordination/ownership/ownership.py
@@ -10,12 +10,12 @@
 from math import inf
 from typing import Any, Final
 
-from galenastall.coordination.membership import Membership
-from galenastall.coordination.ownership_beats import BeatWriter
-from galenastall.coordination.ownership_claims import ClaimPlanner
-from galenastall.coordination.ownership_holdings import Holdings
-from galenastall.coordination.ownership_legs import Legs
-from galenastall.coordination.ownership_messages import (
+from galenastall.coordination.ownership.membership import Membership
+from galenastall.coordination.ownership.ownership_beats import BeatWriter
+from galenastall.coordination.ownership.ownership_claims import ClaimPlanner
+from galenastall.coordination.ownership.ownership_holdings import Holdings
+from galenastall.coordination.ownership.ownership_legs import Legs
+from galenastall.coordination.ownership.ownership_messages import (
     AppendRecord,
     Beat,
     Expelled,
@@ -25,9 +25,9 @@
     OwnershipCommand,
     SendMessage,
 )
-from galenastall.coordination.ownership_takeover import Takeover
-from galenastall.coordination.ownership_timings import OwnershipTimings
-from galenastall.coordination.ownership_upkeep import Upkeep
+from galenastall.coordination.ownership.ownership_takeover import Takeover
+from galenastall.coordination.ownership.ownership_timings import OwnershipTimings
+from galenastall.coordination.ownership.ownership_upkeep import Upkeep
 from galenastall.state.ids import Epoch, HostId, Offset, OwnableId, RecordId
 from galenastall.state.ownership_fold import OWNERSHIP_RECORDS, OwnershipFold
 from galenastall.state.ownership_records import (
--- a/src/galenastall/coordination/ownership_beats.py
+++ b/src/galenastall/coordination/ownership/ownership_beats.py
@@ -4,17 +4,17 @@
 from math import ceil, inf
 from typing import Final
 
-from galenastall.coordination.membership import Membership
-from galenastall.coordination.ownership_holdings import Holdings
-from galenastall.coordination.ownership_legs import Legs
-from galenastall.coordination.ownership_messages import (
+from galenastall.coordination.ownership.membership import Membership
+from galenastall.coordination.ownership.ownership_holdings import Holdings
+from galenastall.coordination.ownership.ownership_legs import Legs
+from galenastall.coordination.ownership.ownership_messages import (
     Beat,
     ContestedClaim,
     Fence,
     SendMessage,
 )
-from galenastall.coordination.ownership_takeover import Takeover
-from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.coordination.ownership.ownership_takeover import Takeover
+from galenastall.coordination.ownership.ownership_timings import OwnershipTimings
 from galenastall.state.ownership_fold import OwnershipFold
 from galenastall.state.ownership_records import Member
 
--- a/src/galenastall/coordination/ownership_claims.py
+++ b/src/galenastall/coordination/ownership/ownership_claims.py
@@ -3,10 +3,10 @@
 from collections import defaultdict
 from collections.abc import Iterator
 
-from galenastall.coordination.membership import Membership
-from galenastall.coordination.ownership_candidates import rank, spread
-from galenastall.coordination.ownership_takeover import is_majority
-from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.coordination.ownership.membership import Membership
+from galenastall.coordination.ownership.ownership_candidates import rank, spread
+from galenastall.coordination.ownership.ownership_takeover import is_majority
+from galenastall.coordination.ownership.ownership_timings import OwnershipTimings
 from galenastall.state.ids import Epoch, HostId, OwnableId
 from galenastall.state.ownership_fold import OwnershipFold
 from galenastall.state.ownership_records import Claim, Member, Members, OwnableState
--- a/src/galenastall/coordination/ownership_holdings.py
+++ b/src/galenastall/coordination/ownership/ownership_holdings.py
@@ -5,8 +5,8 @@
 from math import inf
 from typing import Final
 
-from galenastall.coordination.ownership_legs import Roster
-from galenastall.coordination.ownership_messages import Activated, ContestedClaim, Lost
+from galenastall.coordination.ownership.ownership_legs import Roster
+from galenastall.coordination.ownership.ownership_messages import Activated, ContestedClaim, Lost
 from galenastall.state.ids import Epoch, Offset, OwnableId
 from galenastall.state.ownership_fold import OwnershipFold
 from galenastall.state.ownership_records import Member, Members
--- a/src/galenastall/coordination/ownership_legs.py
+++ b/src/galenastall/coordination/ownership/ownership_legs.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from math import inf
 
-from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.coordination.ownership.ownership_timings import OwnershipTimings
 from galenastall.state.ids import Incarnation
 
 Roster = frozenset[Incarnation]
--- a/src/galenastall/coordination/ownership_takeover.py
+++ b/src/galenastall/coordination/ownership/ownership_takeover.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from math import inf
 
-from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.coordination.ownership.ownership_timings import OwnershipTimings
 from galenastall.state.ids import Epoch, Incarnation, OwnableId
 from galenastall.state.ownership_fold import OwnershipFold
 from galenastall.state.ownership_records import Member, Members
--- a/src/galenastall/coordination/ownership_upkeep.py
+++ b/src/galenastall/coordination/ownership/ownership_upkeep.py
@@ -5,8 +5,8 @@
 from math import inf
 from typing import TYPE_CHECKING, Any
 
-from galenastall.coordination.ownership_candidates import rank, spread
-from galenastall.coordination.ownership_spread import plan_gifts
+from galenastall.coordination.ownership.ownership_candidates import rank, spread
+from galenastall.coordination.ownership.ownership_spread import plan_gifts
 from galenastall.state.ids import OwnableId
 from galenastall.state.ownership_records import (
     Gift,
@@ -18,7 +18,7 @@
 )
 
 if TYPE_CHECKING:
-    from galenastall.coordination.ownership import OwnershipCore
+    from galenastall.coordination.ownership.ownership import OwnershipCore
 
 
 class Upkeep:
--- /dev/null
+++ b/src/galenastall/coordination/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which owned worker runs which task."""
--- a/src/galenastall/coordination/assigned_tasks.py
+++ b/src/galenastall/coordination/placement/assigned_tasks.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-from galenastall.coordination.task_reports import (
+from galenastall.coordination.placement.task_reports import (
     ENDING_KINDS,
     TRIES_PER_ASSIGNMENT,
     ReportKind,
--- a/src/galenastall/coordination/explanations.py
+++ b/src/galenastall/coordination/placement/explanations.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Iterable
 
-from galenastall.coordination.feasibility import describe_amount
-from galenastall.coordination.placement_commands import CapacitySummary, Hole
-from galenastall.coordination.placement_state import Placed
-from galenastall.coordination.placement_tables import PlacementTables
-from galenastall.coordination.waiting import Waiting, WaitReason
+from galenastall.coordination.placement.feasibility import describe_amount
+from galenastall.coordination.placement.placement_commands import CapacitySummary, Hole
+from galenastall.coordination.placement.placement_state import Placed
+from galenastall.coordination.placement.placement_tables import PlacementTables
+from galenastall.coordination.placement.waiting import Waiting, WaitReason
 from galenastall.state.ids import TaskId
 from galenastall.state.resources import NOTHING, Resources
 from galenastall.state.work import TaskPhase
--- a/src/galenastall/coordination/gang_holds.py
+++ b/src/galenastall/coordination/placement/gang_holds.py
@@ -10,12 +10,12 @@
 
 from returns.result import Failure, Result, Success
 
-from galenastall.coordination.feasibility import describe_amount
-from galenastall.coordination.placement_commands import Hold, HoldId
-from galenastall.coordination.placement_state import Placed, Worker
-from galenastall.coordination.placement_tables import PlacementTables
-from galenastall.coordination.placer import Placer
-from galenastall.coordination.promises import Promise
+from galenastall.coordination.placement.feasibility import describe_amount
+from galenastall.coordination.placement.placement_commands import Hold, HoldId
+from galenastall.coordination.placement.placement_state import Placed, Worker
+from galenastall.coordination.placement.placement_tables import PlacementTables
+from galenastall.coordination.placement.placer import Placer
+from galenastall.coordination.placement.promises import Promise
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import TaskId
 from galenastall.state.ledger import LedgerPhase
--- a/src/galenastall/coordination/overrun.py
+++ b/src/galenastall/coordination/placement/overrun.py
@@ -10,9 +10,9 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-from galenastall.coordination.placement_commands import CommandKind
-from galenastall.coordination.placement_state import Placed, Worker
-from galenastall.coordination.preemption import ENDINGS
+from galenastall.coordination.placement.placement_commands import CommandKind
+from galenastall.coordination.placement.placement_state import Placed, Worker
+from galenastall.coordination.placement.preemption import ENDINGS
 from galenastall.state.work import TaskPhase, Workload
 
 
--- a/src/galenastall/coordination/pending_commands.py
+++ b/src/galenastall/coordination/placement/pending_commands.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
-from galenastall.coordination.placement_commands import (
+from galenastall.coordination.placement.placement_commands import (
     CheckpointTask,
     CommandKind,
     StartTask,
@@ -11,7 +11,7 @@
     ThrottleTask,
     WorkerCommands,
 )
-from galenastall.coordination.placement_state import Placed, Worker
+from galenastall.coordination.placement.placement_state import Placed, Worker
 from galenastall.state.ids import Epoch, HostId, TaskId
 
 
--- a/src/galenastall/coordination/placement.py
+++ b/src/galenastall/coordination/placement/placement.py
@@ -9,10 +9,10 @@
 
 from returns.result import Failure, Result, Success
 
-from galenastall.coordination import overrun
-from galenastall.coordination.explanations import explain, summarise
-from galenastall.coordination.gang_holds import GangHolds
-from galenastall.coordination.placement_commands import (
+from galenastall.coordination.placement import overrun
+from galenastall.coordination.placement.explanations import explain, summarise
+from galenastall.coordination.placement.gang_holds import GangHolds
+from galenastall.coordination.placement.placement_commands import (
     CancelVerdict,
     CapacitySummary,
     CommandAnswer,
@@ -29,11 +29,11 @@
     StartAnswer,
     WorkerState,
 )
-from galenastall.coordination.placement_settings import PlacementSettings
-from galenastall.coordination.placement_state import Placed, Worker
-from galenastall.coordination.placement_tables import PlacementTables
-from galenastall.coordination.placer import Placer
-from galenastall.coordination.reconcile import Reconciler, grow_to_usage
+from galenastall.coordination.placement.placement_settings import PlacementSettings
+from galenastall.coordination.placement.placement_state import Placed, Worker
+from galenastall.coordination.placement.placement_tables import PlacementTables
+from galenastall.coordination.placement.placer import Placer
+from galenastall.coordination.placement.reconcile import Reconciler, grow_to_usage
 from galenastall.state.errors import StepError
 from galenastall.state.hosts import ListedHost
 from galenastall.state.ids import Epoch, HostId, TaskId, TeamPath
--- a/src/galenastall/coordination/placement_settings.py
+++ b/src/galenastall/coordination/placement/placement_settings.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from galenastall.coordination.estimates import SIZE_QUANTILE
-from galenastall.coordination.overrun import OverrunSettings
-from galenastall.coordination.placement_commands import TeamShare
-from galenastall.coordination.quarantine import QuarantineSettings
+from galenastall.coordination.placement.estimates import SIZE_QUANTILE
+from galenastall.coordination.placement.overrun import OverrunSettings
+from galenastall.coordination.placement.placement_commands import TeamShare
+from galenastall.coordination.placement.quarantine import QuarantineSettings
 from galenastall.state.ids import TeamPath
 from galenastall.state.work import TaskSpec, Urgency, Workload
 
--- a/src/galenastall/coordination/placement_state.py
+++ b/src/galenastall/coordination/placement/placement_state.py
@@ -7,7 +7,11 @@
 from dataclasses import dataclass
 from typing import Final
 
-from galenastall.coordination.placement_commands import CommandKind, PlacedTask, WorkerState
+from galenastall.coordination.placement.placement_commands import (
+    CommandKind,
+    PlacedTask,
+    WorkerState,
+)
 from galenastall.state.hosts import ListedHost
 from galenastall.state.ids import Epoch, HostId, TaskId
 from galenastall.state.ledger import Ledger, LedgerEntry, LedgerPhase
--- a/src/galenastall/coordination/placement_tables.py
+++ b/src/galenastall/coordination/placement/placement_tables.py
@@ -9,17 +9,17 @@
 from random import Random
 from typing import Final
 
-from galenastall.coordination.estimates import Estimates
-from galenastall.coordination.feasibility import CapacityShapes
-from galenastall.coordination.pending_commands import PendingCommands
-from galenastall.coordination.placement_settings import PlacementSettings
-from galenastall.coordination.placement_state import EndMemory, Placed, Worker
-from galenastall.coordination.promises import Promise, Promises
-from galenastall.coordination.quarantine import Quarantine
-from galenastall.coordination.queue_orders import QUEUE_ORDERS
-from galenastall.coordination.replica_spread import ReplicaSpread
-from galenastall.coordination.waiting import Waiting
-from galenastall.coordination.worker_index import WorkerIndex
+from galenastall.coordination.placement.estimates import Estimates
+from galenastall.coordination.placement.feasibility import CapacityShapes
+from galenastall.coordination.placement.pending_commands import PendingCommands
+from galenastall.coordination.placement.placement_settings import PlacementSettings
+from galenastall.coordination.placement.placement_state import EndMemory, Placed, Worker
+from galenastall.coordination.placement.promises import Promise, Promises
+from galenastall.coordination.placement.quarantine import Quarantine
+from galenastall.coordination.placement.queue_orders import QUEUE_ORDERS
+from galenastall.coordination.placement.replica_spread import ReplicaSpread
+from galenastall.coordination.placement.waiting import Waiting
+from galenastall.coordination.placement.worker_index import WorkerIndex
 from galenastall.state.hosts import ListedHost
 from galenastall.state.ids import Epoch, HostId, TaskId
 from galenastall.state.ledger import LedgerPhase
--- a/src/galenastall/coordination/placer.py
+++ b/src/galenastall/coordination/placement/placer.py
@@ -3,15 +3,19 @@
 from math import inf
 from typing import Final
 
-from galenastall.coordination.feasibility import describe_amount
-from galenastall.coordination.placement_commands import CommandKind, Refusal, RefusalReason
-from galenastall.coordination.placement_settings import class_of
-from galenastall.coordination.placement_state import Placed, Worker
-from galenastall.coordination.placement_tables import PlacementTables
-from galenastall.coordination.policies import PLACEMENT_POLICIES, PlacementPolicy
-from galenastall.coordination.preemption import PreemptionPlan, cheapest, plan_on
-from galenastall.coordination.promises import Promise
-from galenastall.coordination.waiting import Lane, Waiting, WaitReason
+from galenastall.coordination.placement.feasibility import describe_amount
+from galenastall.coordination.placement.placement_commands import (
+    CommandKind,
+    Refusal,
+    RefusalReason,
+)
+from galenastall.coordination.placement.placement_settings import class_of
+from galenastall.coordination.placement.placement_state import Placed, Worker
+from galenastall.coordination.placement.placement_tables import PlacementTables
+from galenastall.coordination.placement.policies import PLACEMENT_POLICIES, PlacementPolicy
+from galenastall.coordination.placement.preemption import PreemptionPlan, cheapest, plan_on
+from galenastall.coordination.placement.promises import Promise
+from galenastall.coordination.placement.waiting import Lane, Waiting, WaitReason
 from galenastall.state.ledger import LedgerPhase
 from galenastall.state.resources import Resources
 from galenastall.state.work import TaskSpec, Urgency, Workload
--- a/src/galenastall/coordination/policies.py
+++ b/src/galenastall/coordination/placement/policies.py
@@ -7,9 +7,9 @@
 from random import Random
 from typing import Final, Protocol
 
-from galenastall.coordination.placement_state import Worker
-from galenastall.coordination.replica_spread import ReplicaSpread
-from galenastall.coordination.worker_index import WorkerIndex
+from galenastall.coordination.placement.placement_state import Worker
+from galenastall.coordination.placement.replica_spread import ReplicaSpread
+from galenastall.coordination.placement.worker_index import WorkerIndex
 from galenastall.state.ids import HostId
 from galenastall.state.registry import Registry
 from galenastall.state.resources import Resources
--- a/src/galenastall/coordination/preemption.py
+++ b/src/galenastall/coordination/placement/preemption.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from galenastall.coordination.placement_commands import CommandKind
-from galenastall.coordination.placement_state import Placed, Worker
+from galenastall.coordination.placement.placement_commands import CommandKind
+from galenastall.coordination.placement.placement_state import Placed, Worker
 from galenastall.state.ledger import LedgerPhase
 from galenastall.state.resources import Resources
 from galenastall.state.work import TaskSpec, Workload
--- a/src/galenastall/coordination/promises.py
+++ b/src/galenastall/coordination/placement/promises.py
@@ -5,7 +5,7 @@
 before the promised start may still use the room meanwhile (backfill).
 """
 
-from galenastall.coordination.placement_state import Worker
+from galenastall.coordination.placement.placement_state import Worker
 from galenastall.state.ids import HostId, TaskId
 from galenastall.state.resources import Resources
 
--- a/src/galenastall/coordination/queue_orders.py
+++ b/src/galenastall/coordination/placement/queue_orders.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 from typing import Final
 
-from galenastall.coordination.team_queue import TeamQueue
-from galenastall.coordination.waiting import Waiting
+from galenastall.coordination.placement.team_queue import TeamQueue
+from galenastall.coordination.placement.waiting import Waiting
 from galenastall.state.ids import JobId
 from galenastall.state.registry import Registry
 
--- a/src/galenastall/coordination/reconcile.py
+++ b/src/galenastall/coordination/placement/reconcile.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection, Iterator, Sequence
 
-from galenastall.coordination.placement_commands import (
+from galenastall.coordination.placement.placement_commands import (
     CommandAnswer,
     CommandKind,
     EndAdvice,
@@ -11,10 +11,10 @@
     ReconcileReport,
     StartAnswer,
 )
-from galenastall.coordination.placement_state import Placed, Worker
-from galenastall.coordination.placement_tables import PlacementTables
-from galenastall.coordination.preemption import ENDINGS
-from galenastall.coordination.quarantine import HealthVerdict
+from galenastall.coordination.placement.placement_state import Placed, Worker
+from galenastall.coordination.placement.placement_tables import PlacementTables
+from galenastall.coordination.placement.preemption import ENDINGS
+from galenastall.coordination.placement.quarantine import HealthVerdict
 from galenastall.state.ids import HostId, TaskId
 from galenastall.state.ledger import LedgerPhase
 from galenastall.state.resources import Resources
--- a/src/galenastall/coordination/team_lines.py
+++ b/src/galenastall/coordination/placement/team_lines.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterator, Mapping
 
-from galenastall.coordination.placement_settings import PlacementSettings
-from galenastall.coordination.waiting import TeamLine
+from galenastall.coordination.placement.placement_settings import PlacementSettings
+from galenastall.coordination.placement.waiting import TeamLine
 from galenastall.state.ids import TeamPath
 from galenastall.state.resources import NOTHING, Resources
 
--- a/src/galenastall/coordination/team_queue.py
+++ b/src/galenastall/coordination/placement/team_queue.py
@@ -12,9 +12,9 @@
 
 from sortedcontainers import SortedDict, SortedList
 
-from galenastall.coordination.placement_settings import PlacementSettings
-from galenastall.coordination.team_lines import TeamLines, with_below
-from galenastall.coordination.waiting import Lane, TeamLane, TeamLine, Waiting, WaitReason
+from galenastall.coordination.placement.placement_settings import PlacementSettings
+from galenastall.coordination.placement.team_lines import TeamLines, with_below
+from galenastall.coordination.placement.waiting import Lane, TeamLane, TeamLine, Waiting, WaitReason
 from galenastall.state.ids import TaskId, TeamPath
 from galenastall.state.resources import NOTHING, Resources
 from galenastall.state.work import TaskSpec, Urgency
--- a/src/galenastall/coordination/waiting.py
+++ b/src/galenastall/coordination/placement/waiting.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from itertools import islice
 
-from galenastall.coordination.placement_commands import TeamShare
+from galenastall.coordination.placement.placement_commands import TeamShare
 from galenastall.state.ids import JobId, TaskId, TeamPath
 from galenastall.state.resources import NOTHING, Resources
 from galenastall.state.work import TaskSpec, Urgency
--- a/src/galenastall/coordination/worker_index.py
+++ b/src/galenastall/coordination/placement/worker_index.py
@@ -14,7 +14,7 @@
 
 from sortedcontainers import SortedDict
 
-from galenastall.coordination.placement_state import Worker
+from galenastall.coordination.placement.placement_state import Worker
 from galenastall.state.ids import HostId
 from galenastall.state.resources import Resources
 
--- /dev/null
+++ b/src/galenastall/coordination/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, permits, retries and keys of requests."""
--- a/src/galenastall/coordination/admission.py
+++ b/src/galenastall/coordination/requests/admission.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from galenastall.coordination.rates import ArrivalRate, DrainRate
+from galenastall.coordination.requests.rates import ArrivalRate, DrainRate
 from galenastall.state.ids import RequestId, TeamPath
 from galenastall.state.work import Urgency
 
--- a/src/galenastall/coordination/permits.py
+++ b/src/galenastall/coordination/requests/permits.py
@@ -5,7 +5,7 @@
 from itertools import chain
 from typing import Final
 
-from galenastall.coordination.permit_types import HeldPermit, Permit, PermitLimits
+from galenastall.coordination.requests.permit_types import HeldPermit, Permit, PermitLimits
 from galenastall.state.ids import Epoch, HostId
 
 ANSWER_SLACK_S: Final = 0.25
--- a/src/galenastall/coordination/slots.py
+++ b/src/galenastall/coordination/requests/slots.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from galenastall.coordination.permit_types import (
+from galenastall.coordination.requests.permit_types import (
     HeldPermit,
     LedgerUse,
     OwnedUpstream,
--- a/src/galenastall/coordination/explain.py
+++ b/src/galenastall/coordination/timeline/explain.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-from galenastall.coordination.timeline_merge import MergedTimeline
+from galenastall.coordination.timeline.timeline_merge import MergedTimeline
 from galenastall.state.ids import job_of_task
 from galenastall.state.registry import Registry
 from galenastall.state.timeline import TimelineEvent
--- a/src/galenastall/coordination/explain_jobs.py
+++ b/src/galenastall/coordination/timeline/explain_jobs.py
@@ -1,6 +1,6 @@
 """Sentences about jobs and their tasks."""
 
-from galenastall.coordination.explain import SENTENCES, because, listed
+from galenastall.coordination.timeline.explain import SENTENCES, because, listed
 from galenastall.state.ids import job_of_task
 from galenastall.state.timeline import TimelineEvent
 
--- a/src/galenastall/coordination/explain_ownership.py
+++ b/src/galenastall/coordination/timeline/explain_ownership.py
@@ -1,6 +1,6 @@
 """Sentences about who owns what."""
 
-from galenastall.coordination.explain import SENTENCES, because, listed
+from galenastall.coordination.timeline.explain import SENTENCES, because, listed
 from galenastall.state.timeline import TimelineEvent
 
 
--- a/src/galenastall/coordination/explain_requests.py
+++ b/src/galenastall/coordination/timeline/explain_requests.py
@@ -1,6 +1,6 @@
 """Sentences about requests."""
 
-from galenastall.coordination.explain import SENTENCES, because
+from galenastall.coordination.timeline.explain import SENTENCES, because
 from galenastall.state.timeline import TimelineEvent
 
 
--- a/src/galenastall/node/entry_host.py
+++ b/src/galenastall/node/entry_host.py
@@ -11,18 +11,17 @@
 from galenastall.node.host_metrics import owned_by_kind, register_host_metrics
 from galenastall.node.http_drain import OUTAGE_WARNING, HttpDrain
 from galenastall.node.http_ops import HttpOps
-from galenastall.node.http_settings import HttpSettings
 from galenastall.node.http_status import HostStatus, HttpStatus, LogStatus, WorkStatus
-from galenastall.node.job_side import JobSide
-from galenastall.node.load_guard import LoadGuard
-from galenastall.node.log_service import LogSide
+from galenastall.node.jobs.job_side import JobSide
+from galenastall.node.log.log_service import LogSide
 from galenastall.node.memory_watch import MemoryWatch
-from galenastall.node.ownables import ShardCounts
-from galenastall.node.ownership_service import OwnershipService
-from galenastall.node.present_state import PresentState
+from galenastall.node.ownership.ownables import ShardCounts
+from galenastall.node.ownership.ownership_service import OwnershipService
 from galenastall.node.process_security import curve_keys, tls_files
-from galenastall.node.request_side import RequestSide
-from galenastall.node.settings_mapping import (
+from galenastall.node.requests.load_guard import LoadGuard
+from galenastall.node.requests.request_side import RequestSide
+from galenastall.node.settings.http_settings import HttpSettings
+from galenastall.node.settings.settings_mapping import (
     find_problem,
     find_team_problem,
     make_ownership_timings,
@@ -31,8 +30,9 @@
     make_window_limits,
     make_worker_timings,
 )
-from galenastall.node.settings_service import SettingsService
-from galenastall.node.timeline_service import TimelineService
+from galenastall.node.settings.settings_service import SettingsService
+from galenastall.node.timeline.present_state import PresentState
+from galenastall.node.timeline.timeline_service import TimelineService
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.platform import Platform
 from galenastall.protocol.process_settings import ProcessSettings
--- a/src/galenastall/node/host_metrics.py
+++ b/src/galenastall/node/host_metrics.py
@@ -4,11 +4,11 @@
 from functools import partial
 from typing import Final
 
-from galenastall.node.job_side import JobSide
-from galenastall.node.log_service import LogSide
+from galenastall.node.jobs.job_side import JobSide
+from galenastall.node.log.log_service import LogSide
 from galenastall.node.memory_watch import MemoryWatch
-from galenastall.node.ownership_service import OwnershipService
-from galenastall.node.request_side import RequestSide
+from galenastall.node.ownership.ownership_service import OwnershipService
+from galenastall.node.requests.request_side import RequestSide
 from galenastall.state.ids import split_ownable_id
 from galenastall.transport.link_faults import DroppedCounters
 from galenastall.transport.metrics import Metrics
--- a/src/galenastall/node/http_ops.py
+++ b/src/galenastall/node/http_ops.py
@@ -2,15 +2,15 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 
-from galenastall.coordination import (
+from galenastall.coordination.timeline import (
     explain_jobs,
     explain_ownership,
     explain_requests,
     explain_settings,
 )
-from galenastall.coordination.explain import explain, explanation_text
-from galenastall.coordination.timeline_merge import MergedTimeline, timeline_text
-from galenastall.node.timeline_service import TimelineService
+from galenastall.coordination.timeline.explain import explain, explanation_text
+from galenastall.coordination.timeline.timeline_merge import MergedTimeline, timeline_text
+from galenastall.node.timeline.timeline_service import TimelineService
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.http_json import error_response, json_response
 from galenastall.transport.http_messages import HttpRequest, HttpResponse
--- /dev/null
+++ b/src/galenastall/node/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers of job shards, and callers' routes of jobs."""
--- a/src/galenastall/node/http_jobs.py
+++ b/src/galenastall/node/jobs/http_jobs.py
@@ -6,9 +6,9 @@
 
 from returns.result import Failure, Result, Success
 
-from galenastall.node.job_intake import JobIntake
-from galenastall.node.job_requests import MOST_TASKS, JobRequest, check_request
-from galenastall.node.worker_service import WorkerService
+from galenastall.node.jobs.job_intake import JobIntake
+from galenastall.node.jobs.job_requests import MOST_TASKS, JobRequest, check_request
+from galenastall.node.placement.worker_service import WorkerService
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.job_messages import JobView, TaskView
 from galenastall.protocol.ownership_view import OwnershipView
--- a/src/galenastall/node/job_intake.py
+++ b/src/galenastall/node/jobs/job_intake.py
@@ -13,12 +13,12 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from galenastall.coordination.feasibility import find_obstacle_on_hosts
-from galenastall.coordination.shard_commands import CancelCounts
-from galenastall.node.job_link import JobLink
-from galenastall.node.job_service import JobService
-from galenastall.node.job_views import view_state
-from galenastall.node.worker_service import WorkerService
+from galenastall.coordination.jobs.shard_commands import CancelCounts
+from galenastall.coordination.placement.feasibility import find_obstacle_on_hosts
+from galenastall.node.jobs.job_link import JobLink
+from galenastall.node.jobs.job_service import JobService
+from galenastall.node.jobs.job_views import view_state
+from galenastall.node.placement.worker_service import WorkerService
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink, NullEventSink
 from galenastall.protocol.job_messages import (
--- a/src/galenastall/node/job_requests.py
+++ b/src/galenastall/node/jobs/job_requests.py
@@ -6,7 +6,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from galenastall.node.job_intake import Durability
+from galenastall.node.jobs.job_intake import Durability
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import DataCentre, JobId, TeamPath
 from galenastall.state.resources import Resources
--- a/src/galenastall/node/job_service.py
+++ b/src/galenastall/node/jobs/job_service.py
@@ -6,17 +6,17 @@
 
 import trio
 
-from galenastall.coordination.job_shard import JobShard
-from galenastall.coordination.placement_commands import CapacitySummary
-from galenastall.coordination.shard_commands import CancelCounts, ShardSettings
-from galenastall.coordination.team_gossip import TeamGossip
-from galenastall.node.job_link import JobLink
-from galenastall.node.job_timings import JobTimings
-from galenastall.node.job_upkeep import JobUpkeep
-from galenastall.node.job_views import view_run, view_state
-from galenastall.node.known_workers import KnownWorkers
-from galenastall.node.shard_driver import ShardDriver
-from galenastall.node.worker_service import WorkerService
+from galenastall.coordination.jobs.job_shard import JobShard
+from galenastall.coordination.jobs.shard_commands import CancelCounts, ShardSettings
+from galenastall.coordination.placement.placement_commands import CapacitySummary
+from galenastall.coordination.placement.team_gossip import TeamGossip
+from galenastall.node.jobs.job_link import JobLink
+from galenastall.node.jobs.job_timings import JobTimings
+from galenastall.node.jobs.job_upkeep import JobUpkeep
+from galenastall.node.jobs.job_views import view_run, view_state
+from galenastall.node.jobs.shard_driver import ShardDriver
+from galenastall.node.placement.known_workers import KnownWorkers
+from galenastall.node.placement.worker_service import WorkerService
 from galenastall.protocol.amount_rows import (
     pack_amount,
     pack_summary,
--- a/src/galenastall/node/job_side.py
+++ b/src/galenastall/node/jobs/job_side.py
@@ -5,14 +5,14 @@
 
 import trio
 
-from galenastall.coordination.placement import PlacementCore
-from galenastall.coordination.placement_settings import PlacementSettings
-from galenastall.node.http_jobs import HttpJobs
-from galenastall.node.job_intake import JobIntake
-from galenastall.node.job_link import JobLink
-from galenastall.node.job_service import JobService
-from galenastall.node.worker_service import WorkerService
-from galenastall.node.worker_timings import WorkerTimings
+from galenastall.coordination.placement.placement import PlacementCore
+from galenastall.coordination.placement.placement_settings import PlacementSettings
+from galenastall.node.jobs.http_jobs import HttpJobs
+from galenastall.node.jobs.job_intake import JobIntake
+from galenastall.node.jobs.job_link import JobLink
+from galenastall.node.jobs.job_service import JobService
+from galenastall.node.placement.worker_service import WorkerService
+from galenastall.node.placement.worker_timings import WorkerTimings
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink
 from galenastall.protocol.log_access import LogAppender, StreamFollower
--- a/src/galenastall/node/job_upkeep.py
+++ b/src/galenastall/node/jobs/job_upkeep.py
@@ -5,9 +5,9 @@
 import trio
 from returns.result import Failure, Success
 
-from galenastall.node.job_timings import JobTimings
-from galenastall.node.known_workers import KnownWorkers
-from galenastall.node.shard_driver import ShardDriver
+from galenastall.node.jobs.job_timings import JobTimings
+from galenastall.node.jobs.shard_driver import ShardDriver
+from galenastall.node.placement.known_workers import KnownWorkers
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink
 from galenastall.protocol.log_access import LogAppender
--- a/src/galenastall/node/job_views.py
+++ b/src/galenastall/node/jobs/job_views.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from galenastall.coordination.job_run import JobRun
+from galenastall.coordination.jobs.job_run import JobRun
 from galenastall.protocol.job_messages import JobAsk, JobView, TaskView
 from galenastall.state.ids import HostId, make_task_id
 from galenastall.state.job_fold import CODES_BY_PHASE, JobState
--- a/src/galenastall/node/shard_driver.py
+++ b/src/galenastall/node/jobs/shard_driver.py
@@ -6,20 +6,20 @@
 import trio
 from returns.result import Failure, Success
 
-from galenastall.coordination.census import Census
-from galenastall.coordination.gangs import GangStepKind
-from galenastall.coordination.job_ends import ToldBy
-from galenastall.coordination.job_shard import JobShard
-from galenastall.coordination.placement_commands import CapacitySummary
-from galenastall.coordination.shard_commands import (
+from galenastall.coordination.jobs.census import Census
+from galenastall.coordination.jobs.gangs import GangStepKind
+from galenastall.coordination.jobs.job_ends import ToldBy
+from galenastall.coordination.jobs.job_shard import JobShard
+from galenastall.coordination.jobs.shard_commands import (
     AssignAnswer,
     AssignBatch,
     GangCall,
     ShardDecision,
 )
-from galenastall.coordination.task_reports import HostCensus, TaskAttempt
-from galenastall.node.job_link import JobLink, nothing_sent
-from galenastall.node.job_timings import JobTimings
+from galenastall.coordination.placement.placement_commands import CapacitySummary
+from galenastall.coordination.placement.task_reports import HostCensus, TaskAttempt
+from galenastall.node.jobs.job_link import JobLink, nothing_sent
+from galenastall.node.jobs.job_timings import JobTimings
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink
 from galenastall.protocol.job_messages import (
--- /dev/null
+++ b/src/galenastall/node/log/__init__.py
@@ -0,0 +1,1 @@
+"""The local side of the log: followers and group commit."""
--- a/src/galenastall/node/group_commit.py
+++ b/src/galenastall/node/log/group_commit.py
@@ -23,8 +23,8 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from galenastall.coordination.append_window import AppendWindow, WindowLimits
-from galenastall.node.stream_follower import LogHealth, LogStreamFollower
+from galenastall.coordination.log.append_window import AppendWindow, WindowLimits
+from galenastall.node.log.stream_follower import LogHealth, LogStreamFollower
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.codec import encode_record
 from galenastall.protocol.event_sink import EventSink, NullEventSink
--- a/src/galenastall/node/log_service.py
+++ b/src/galenastall/node/log/log_service.py
@@ -5,13 +5,13 @@
 
 import trio
 
-from galenastall.coordination.append_window import WindowLimits
-from galenastall.node.group_commit import (
+from galenastall.coordination.log.append_window import WindowLimits
+from galenastall.node.log.group_commit import (
     DEFAULT_QUEUE_RECORDS,
     DEFAULT_SETTLE_S,
     GroupCommitAppender,
 )
-from galenastall.node.stream_follower import DEFAULT_POLL_WAIT_S, LogHealth, LogStreamFollower
+from galenastall.node.log.stream_follower import DEFAULT_POLL_WAIT_S, LogHealth, LogStreamFollower
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink
 from galenastall.protocol.platform import LogService
--- /dev/null
+++ b/src/galenastall/node/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers of ownership."""
--- a/src/galenastall/node/ownables.py
+++ b/src/galenastall/node/ownership/ownables.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from galenastall.coordination.keys import KEY_SHARDS
+from galenastall.coordination.requests.keys import KEY_SHARDS
 from galenastall.state.hosts import HostKind, HostListing, HostState
 from galenastall.state.ids import DataCentre, HostId, OwnableId, OwnableKind, make_ownable_id
 
--- a/src/galenastall/node/ownership_service.py
+++ b/src/galenastall/node/ownership/ownership_service.py
@@ -12,8 +12,8 @@
 from returns.result import Failure, Result, Success
 
 import galenastall.protocol.ownership_messages  # noqa: F401 (files the messages)
-from galenastall.coordination.ownership import AppendOutcome, OwnershipCore
-from galenastall.coordination.ownership_messages import (
+from galenastall.coordination.ownership.ownership import AppendOutcome, OwnershipCore
+from galenastall.coordination.ownership.ownership_messages import (
     Activated,
     AppendRecord,
     Beat,
@@ -27,10 +27,10 @@
     TailAnswer,
     TailRequest,
 )
-from galenastall.coordination.ownership_tail import RecordTail
-from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.coordination.ownership.ownership_tail import RecordTail
+from galenastall.coordination.ownership.ownership_timings import OwnershipTimings
 from galenastall.node.host_list_service import HostListPoller
-from galenastall.node.ownables import OwnableSet, ShardCounts, shown_entry_hosts
+from galenastall.node.ownership.ownables import OwnableSet, ShardCounts, shown_entry_hosts
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.codec import decode_record, encode_record
 from galenastall.protocol.event_sink import EventSink, NullEventSink
--- a/src/galenastall/node/held_gangs.py
+++ b/src/galenastall/node/placement/held_gangs.py
@@ -7,11 +7,11 @@
 
 from returns.result import Failure, Success
 
-from galenastall.coordination.assigned_tasks import AssignedTasks
-from galenastall.coordination.placement import PlacementCore
-from galenastall.coordination.placement_commands import Decision, HoldId
-from galenastall.coordination.task_reports import TaskAttempt
-from galenastall.node.job_link import JobLink
+from galenastall.coordination.placement.assigned_tasks import AssignedTasks
+from galenastall.coordination.placement.placement import PlacementCore
+from galenastall.coordination.placement.placement_commands import Decision, HoldId
+from galenastall.coordination.placement.task_reports import TaskAttempt
+from galenastall.node.jobs.job_link import JobLink
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.job_messages import GangHold, GangRelease, GangStart, JobWord
 from galenastall.protocol.task_rows import unpack_tasks
--- a/src/galenastall/node/lease_helper.py
+++ b/src/galenastall/node/placement/lease_helper.py
@@ -11,7 +11,7 @@
 import xxhash
 from returns.result import Success
 
-from galenastall.node.worker_timings import WorkerTimings
+from galenastall.node.placement.worker_timings import WorkerTimings
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink
 from galenastall.protocol.ownership_view import OwnershipView
--- a/src/galenastall/node/start_settling.py
+++ b/src/galenastall/node/placement/start_settling.py
@@ -4,8 +4,8 @@
 
 from returns.result import Success
 
-from galenastall.coordination.start_horizon import StartHorizon
-from galenastall.node.job_link import JobLink
+from galenastall.coordination.placement.start_horizon import StartHorizon
+from galenastall.node.jobs.job_link import JobLink
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.job_messages import StartsLeft, StartsLeftCall
 from galenastall.protocol.ownership_view import OwnershipView
--- a/src/galenastall/node/task_inbox.py
+++ b/src/galenastall/node/placement/task_inbox.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from galenastall.coordination.placement_commands import CancelVerdict
-from galenastall.coordination.task_reports import ReportKind
-from galenastall.node.held_gangs import HeldGangs
-from galenastall.node.job_link import JobLink
+from galenastall.coordination.placement.placement_commands import CancelVerdict
+from galenastall.coordination.placement.task_reports import ReportKind
+from galenastall.node.jobs.job_link import JobLink
+from galenastall.node.placement.held_gangs import HeldGangs
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.job_messages import (
     JobWord,
@@ -25,7 +25,7 @@
 from galenastall.state.work import TaskSpec
 
 if TYPE_CHECKING:
-    from galenastall.node.worker_service import WorkerService as Owner
+    from galenastall.node.placement.worker_service import WorkerService as Owner
 
 
 class TaskInbox:
--- a/src/galenastall/node/task_reporter.py
+++ b/src/galenastall/node/placement/task_reporter.py
@@ -5,10 +5,10 @@
 import trio
 from returns.result import Failure, Success
 
-from galenastall.coordination.assigned_tasks import AssignedTasks
-from galenastall.coordination.placement_commands import CapacitySummary
-from galenastall.coordination.task_reports import TaskReport
-from galenastall.node.job_link import JobLink
+from galenastall.coordination.placement.assigned_tasks import AssignedTasks
+from galenastall.coordination.placement.placement_commands import CapacitySummary
+from galenastall.coordination.placement.task_reports import TaskReport
+from galenastall.node.jobs.job_link import JobLink
 from galenastall.protocol.amount_rows import pack_summary
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.job_messages import TaskEvents, TaskEventsAnswer, TasksSettled
--- a/src/galenastall/node/worker_commands.py
+++ b/src/galenastall/node/placement/worker_commands.py
@@ -6,9 +6,13 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from galenastall.coordination.placement import PlacementCore
-from galenastall.coordination.placement_commands import CommandAnswer, CommandKind, WorkerCommands
-from galenastall.coordination.task_reports import ReportKind
+from galenastall.coordination.placement.placement import PlacementCore
+from galenastall.coordination.placement.placement_commands import (
+    CommandAnswer,
+    CommandKind,
+    WorkerCommands,
+)
+from galenastall.coordination.placement.task_reports import ReportKind
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.platform import TaskAnswer, WorkerService
 from galenastall.state.errors import Reason, StepError
--- a/src/galenastall/node/worker_service.py
+++ b/src/galenastall/node/placement/worker_service.py
@@ -9,27 +9,27 @@
 
 import trio
 
-from galenastall.coordination.assigned_tasks import AssignedTasks
-from galenastall.coordination.feasibility import find_obstacle_on_hosts
-from galenastall.coordination.leases import LeaseBook
-from galenastall.coordination.placement import PlacementCore
-from galenastall.coordination.placement_commands import (
+from galenastall.coordination.placement.assigned_tasks import AssignedTasks
+from galenastall.coordination.placement.feasibility import find_obstacle_on_hosts
+from galenastall.coordination.placement.leases import LeaseBook
+from galenastall.coordination.placement.placement import PlacementCore
+from galenastall.coordination.placement.placement_commands import (
     Decision,
     Refusal,
     WorkerCommands,
 )
-from galenastall.coordination.start_horizon import StartHorizon
-from galenastall.coordination.task_reports import ReportKind, TaskReport
-from galenastall.node.held_gangs import HeldGangs
-from galenastall.node.job_link import JobLink
-from galenastall.node.lease_helper import LeaseHelper
-from galenastall.node.start_settling import StartSettling, Tenures
-from galenastall.node.task_inbox import TaskInbox
-from galenastall.node.task_reporter import TaskReporter
-from galenastall.node.worker_commands import WorkerCommander
-from galenastall.node.worker_starts import WorkerStarter
-from galenastall.node.worker_timings import WorkerTimings
-from galenastall.node.worker_watch import WorkerWatch
+from galenastall.coordination.placement.start_horizon import StartHorizon
+from galenastall.coordination.placement.task_reports import ReportKind, TaskReport
+from galenastall.node.jobs.job_link import JobLink
+from galenastall.node.placement.held_gangs import HeldGangs
+from galenastall.node.placement.lease_helper import LeaseHelper
+from galenastall.node.placement.start_settling import StartSettling, Tenures
+from galenastall.node.placement.task_inbox import TaskInbox
+from galenastall.node.placement.task_reporter import TaskReporter
+from galenastall.node.placement.worker_commands import WorkerCommander
+from galenastall.node.placement.worker_starts import WorkerStarter
+from galenastall.node.placement.worker_timings import WorkerTimings
+from galenastall.node.placement.worker_watch import WorkerWatch
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink, NullEventSink
 from galenastall.protocol.job_messages import (
--- a/src/galenastall/node/worker_starts.py
+++ b/src/galenastall/node/placement/worker_starts.py
@@ -7,11 +7,15 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from galenastall.coordination.placement_commands import StartAnswer, StartTask, WorkerCommands
-from galenastall.coordination.task_reports import ReportKind
-from galenastall.node.job_link import nothing_sent
-from galenastall.node.worker_commands import unanswered
-from galenastall.node.worker_timings import WorkerTimings
+from galenastall.coordination.placement.placement_commands import (
+    StartAnswer,
+    StartTask,
+    WorkerCommands,
+)
+from galenastall.coordination.placement.task_reports import ReportKind
+from galenastall.node.jobs.job_link import nothing_sent
+from galenastall.node.placement.worker_commands import unanswered
+from galenastall.node.placement.worker_timings import WorkerTimings
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.platform import StartBatch, StartRequest, TaskAnswer, WorkerService
 from galenastall.state.errors import StepError
@@ -19,7 +23,7 @@
 from galenastall.state.work import TaskPhase
 
 if TYPE_CHECKING:
-    from galenastall.node.worker_service import WorkerService as Owner
+    from galenastall.node.placement.worker_service import WorkerService as Owner
 
 
 class WorkerStarter:
--- a/src/galenastall/node/worker_watch.py
+++ b/src/galenastall/node/placement/worker_watch.py
@@ -7,14 +7,14 @@
 import trio
 from returns.result import Failure, Success
 
-from galenastall.coordination.placement_commands import (
+from galenastall.coordination.placement.placement_commands import (
     EndAdvice,
     EndedTask,
     ReconcileReport,
     WorkerState,
 )
-from galenastall.coordination.task_reports import ReportKind, TaskReport
-from galenastall.node.worker_timings import WorkerTimings
+from galenastall.coordination.placement.task_reports import ReportKind, TaskReport
+from galenastall.node.placement.worker_timings import WorkerTimings
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink
 from galenastall.protocol.listing_changes import apply_changes
@@ -25,7 +25,7 @@
 from galenastall.state.work import FinishedTask, TaskEnd
 
 if TYPE_CHECKING:
-    from galenastall.node.worker_service import WorkerService as Owner
+    from galenastall.node.placement.worker_service import WorkerService as Owner
 
 IDLE_POLLS: Final = 2
 """An idle worker is asked once in so many polls; silence counts from its last answer."""
--- /dev/null
+++ b/src/galenastall/node/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers of the request path, and callers' routes of requests."""
--- a/src/galenastall/node/http_requests.py
+++ b/src/galenastall/node/requests/http_requests.py
@@ -7,11 +7,11 @@
 
 from returns.result import Failure, Result, Success
 
-from galenastall.node.keyed_requests import KeyedRequests
-from galenastall.node.permit_settings import RequestSettings
-from galenastall.node.request_service import RequestService
-from galenastall.node.request_types import Body, RequestAnswer, RequestCall, RequestReason
-from galenastall.node.team_gate import TeamGate
+from galenastall.node.requests.keyed_requests import KeyedRequests
+from galenastall.node.requests.permit_settings import RequestSettings
+from galenastall.node.requests.request_service import RequestService
+from galenastall.node.requests.request_types import Body, RequestAnswer, RequestCall, RequestReason
+from galenastall.node.requests.team_gate import TeamGate
 from galenastall.protocol.clock import Clock
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import RequestId, TeamPath
--- a/src/galenastall/node/key_owner.py
+++ b/src/galenastall/node/requests/key_owner.py
@@ -7,7 +7,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from galenastall.coordination.keys import (
+from galenastall.coordination.requests.keys import (
     HeldIntents,
     KeyAnswer,
     KeyShard,
@@ -16,7 +16,7 @@
     meets_every_majority,
     shard_of,
 )
-from galenastall.node.permit_settings import RequestSettings
+from galenastall.node.requests.permit_settings import RequestSettings
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink
 from galenastall.protocol.key_messages import KeyHeld, KeyHold, KeyRead, KeyReadAnswer, KeyReserve
--- a/src/galenastall/node/key_service.py
+++ b/src/galenastall/node/requests/key_service.py
@@ -7,7 +7,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from galenastall.coordination.keys import (
+from galenastall.coordination.requests.keys import (
     HeldIntents,
     KeyAnswer,
     check_age,
@@ -15,9 +15,9 @@
     home_of,
     shard_of,
 )
-from galenastall.node.key_answers import KeptAnswer, KeptAnswers
-from galenastall.node.key_owner import KeyOwner, OwnedShard
-from galenastall.node.permit_settings import RequestSettings
+from galenastall.node.requests.key_answers import KeptAnswer, KeptAnswers
+from galenastall.node.requests.key_owner import KeyOwner, OwnedShard
+from galenastall.node.requests.permit_settings import RequestSettings
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink
 from galenastall.protocol.key_messages import (
--- a/src/galenastall/node/keyed_requests.py
+++ b/src/galenastall/node/requests/keyed_requests.py
@@ -1,10 +1,10 @@
 """Requests with an idempotency key: intent first, then the run, then its end."""
 
-from galenastall.coordination.keys import KeyAnswer, KeyVerdict
-from galenastall.node.key_answers import KeptAnswer
-from galenastall.node.key_service import KeyService
-from galenastall.node.request_service import RequestService
-from galenastall.node.request_types import RequestAnswer, RequestCall, RequestReason
+from galenastall.coordination.requests.keys import KeyAnswer, KeyVerdict
+from galenastall.node.requests.key_answers import KeptAnswer
+from galenastall.node.requests.key_service import KeyService
+from galenastall.node.requests.request_service import RequestService
+from galenastall.node.requests.request_types import RequestAnswer, RequestCall, RequestReason
 from galenastall.protocol.clock import Clock
 from galenastall.state.ids import DataCentre, RequestId
 from galenastall.state.key_fold import KeyEntry
--- a/src/galenastall/node/load_guard.py
+++ b/src/galenastall/node/requests/load_guard.py
@@ -10,15 +10,15 @@
 
 import trio
 
-from galenastall.coordination.load_shed import LoadShedder
-from galenastall.node.http_requests import (
+from galenastall.coordination.requests.load_shed import LoadShedder
+from galenastall.node.requests.http_requests import (
     OUTCOME,
     REASON,
     REQUEST_ID,
     RETRY_AFTER_MS,
     STATUS_BY_REASON,
 )
-from galenastall.node.request_types import RequestAnswer, RequestCounters, RequestReason
+from galenastall.node.requests.request_types import RequestAnswer, RequestCounters, RequestReason
 from galenastall.protocol.clock import Clock
 from galenastall.state.ids import RequestId
 from galenastall.state.outcomes import Outcome
--- a/src/galenastall/node/permit_owner.py
+++ b/src/galenastall/node/requests/permit_owner.py
@@ -8,9 +8,9 @@
 import trio
 from returns.result import Success
 
-from galenastall.coordination.ejection import Ejection, EjectionLimits
-from galenastall.coordination.permit_types import OwnedUpstream, Permit, PermitLimits
-from galenastall.coordination.slots import AllowedSlots, OwnedSlots, all_slots
+from galenastall.coordination.requests.ejection import Ejection, EjectionLimits
+from galenastall.coordination.requests.permit_types import OwnedUpstream, Permit, PermitLimits
+from galenastall.coordination.requests.slots import AllowedSlots, OwnedSlots, all_slots
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink
 from galenastall.protocol.ownership_view import OwnershipView
--- a/src/galenastall/node/permit_service.py
+++ b/src/galenastall/node/requests/permit_service.py
@@ -7,11 +7,11 @@
 
 import trio
 
-from galenastall.coordination.permit_types import Permit
-from galenastall.coordination.permits import PermitHolder
-from galenastall.coordination.upstream_choice import CHOICE_POLICIES, OwnerLoad
-from galenastall.node.permit_owner import PermitOwner
-from galenastall.node.permit_settings import RequestSettings
+from galenastall.coordination.requests.permit_types import Permit
+from galenastall.coordination.requests.permits import PermitHolder
+from galenastall.coordination.requests.upstream_choice import CHOICE_POLICIES, OwnerLoad
+from galenastall.node.requests.permit_owner import PermitOwner
+from galenastall.node.requests.permit_settings import RequestSettings
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink
 from galenastall.protocol.ownership_view import OwnershipView
--- a/src/galenastall/node/permit_settings.py
+++ b/src/galenastall/node/requests/permit_settings.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from galenastall.coordination.admission import AdmissionLimits
-from galenastall.coordination.ejection import EjectionLimits
-from galenastall.coordination.keys import KeyHomes, KeyRules
-from galenastall.coordination.permit_types import PermitLimits
-from galenastall.coordination.retries import RetryLimits
-from galenastall.coordination.team_rates import TeamRate
+from galenastall.coordination.requests.admission import AdmissionLimits
+from galenastall.coordination.requests.ejection import EjectionLimits
+from galenastall.coordination.requests.keys import KeyHomes, KeyRules
+from galenastall.coordination.requests.permit_types import PermitLimits
+from galenastall.coordination.requests.retries import RetryLimits
+from galenastall.coordination.requests.team_rates import TeamRate
 from galenastall.protocol.clock import Clock
 from galenastall.state.ids import HostId, TeamPath
 
--- a/src/galenastall/node/request_attempt.py
+++ b/src/galenastall/node/requests/request_attempt.py
@@ -6,11 +6,16 @@
 
 from returns.result import Failure, Result
 
-from galenastall.coordination.permit_types import Permit
-from galenastall.node.answer_stream import AnswerStream
-from galenastall.node.permit_service import PermitService
-from galenastall.node.permit_settings import RequestSettings
-from galenastall.node.request_types import Body, RequestCall, RequestCounters, RequestReason
+from galenastall.coordination.requests.permit_types import Permit
+from galenastall.node.requests.answer_stream import AnswerStream
+from galenastall.node.requests.permit_service import PermitService
+from galenastall.node.requests.permit_settings import RequestSettings
+from galenastall.node.requests.request_types import (
+    Body,
+    RequestCall,
+    RequestCounters,
+    RequestReason,
+)
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.permit_messages import PermitReturn
 from galenastall.protocol.platform import (
--- a/src/galenastall/node/request_book.py
+++ b/src/galenastall/node/requests/request_book.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from galenastall.node.request_types import RequestAnswer, RequestReason
+from galenastall.node.requests.request_types import RequestAnswer, RequestReason
 from galenastall.state.ids import HostId, RequestId
 from galenastall.state.outcomes import Outcome
 
--- a/src/galenastall/node/request_service.py
+++ b/src/galenastall/node/requests/request_service.py
@@ -7,16 +7,16 @@
 
 import trio
 
-from galenastall.coordination.admission import Admission, Offered, WaitingRequest
-from galenastall.coordination.permit_types import Permit
-from galenastall.coordination.rates import ShortestTime
-from galenastall.coordination.retries import AttemptEnd, RetryBudget, may_retry
-from galenastall.node.permit_service import IDLE_TICK_S, TICK_S, PermitService
-from galenastall.node.permit_settings import RequestSettings
-from galenastall.node.request_attempt import AttemptResult, Attempts
-from galenastall.node.request_book import RequestBook, RequestStatus
-from galenastall.node.request_trace import RequestTrace
-from galenastall.node.request_types import (
+from galenastall.coordination.requests.admission import Admission, Offered, WaitingRequest
+from galenastall.coordination.requests.permit_types import Permit
+from galenastall.coordination.requests.rates import ShortestTime
+from galenastall.coordination.requests.retries import AttemptEnd, RetryBudget, may_retry
+from galenastall.node.requests.permit_service import IDLE_TICK_S, TICK_S, PermitService
+from galenastall.node.requests.permit_settings import RequestSettings
+from galenastall.node.requests.request_attempt import AttemptResult, Attempts
+from galenastall.node.requests.request_book import RequestBook, RequestStatus
+from galenastall.node.requests.request_trace import RequestTrace
+from galenastall.node.requests.request_types import (
     RequestAnswer,
     RequestCall,
     RequestCounters,
--- a/src/galenastall/node/request_side.py
+++ b/src/galenastall/node/requests/request_side.py
@@ -5,12 +5,12 @@
 
 import trio
 
-from galenastall.node.http_requests import RequestRoutes
-from galenastall.node.key_service import KeyService
-from galenastall.node.keyed_requests import KeyedRequests
-from galenastall.node.permit_service import PermitService
-from galenastall.node.permit_settings import CachedSettings, RequestSettings
-from galenastall.node.request_service import RequestService
+from galenastall.node.requests.http_requests import RequestRoutes
+from galenastall.node.requests.key_service import KeyService
+from galenastall.node.requests.keyed_requests import KeyedRequests
+from galenastall.node.requests.permit_service import PermitService
+from galenastall.node.requests.permit_settings import CachedSettings, RequestSettings
+from galenastall.node.requests.request_service import RequestService
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink
 from galenastall.protocol.log_access import LogAppender, StreamFollower
--- a/src/galenastall/node/request_trace.py
+++ b/src/galenastall/node/requests/request_trace.py
@@ -1,7 +1,7 @@
 """What the time line is told of a request; steps of one request are details, kept for a share."""
 
-from galenastall.coordination.permit_types import Permit
-from galenastall.node.request_types import RequestAnswer, RequestCall
+from galenastall.coordination.requests.permit_types import Permit
+from galenastall.node.requests.request_types import RequestAnswer, RequestCall
 from galenastall.protocol.event_sink import EventSink
 from galenastall.state.ids import HostId
 from galenastall.state.outcomes import Outcome
--- a/src/galenastall/node/team_gate.py
+++ b/src/galenastall/node/requests/team_gate.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from galenastall.coordination.team_rates import TeamRates
-from galenastall.node.permit_settings import RequestSettings
-from galenastall.node.request_types import RequestAnswer, RequestReason
+from galenastall.coordination.requests.team_rates import TeamRates
+from galenastall.node.requests.permit_settings import RequestSettings
+from galenastall.node.requests.request_types import RequestAnswer, RequestReason
 from galenastall.protocol.clock import Clock
 from galenastall.state.ids import RequestId, TeamPath
 from galenastall.state.outcomes import Outcome
--- /dev/null
+++ b/src/galenastall/node/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers of the shared tree, and operators' routes to it."""
--- a/src/galenastall/node/http_settings.py
+++ b/src/galenastall/node/settings/http_settings.py
@@ -5,8 +5,8 @@
 
 from returns.result import Failure
 
-from galenastall.node.settings_mapping import NO_EFFECT
-from galenastall.node.settings_service import ChangePhase, SettingsService
+from galenastall.node.settings.settings_mapping import NO_EFFECT
+from galenastall.node.settings.settings_service import ChangePhase, SettingsService
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import ChangeId, Offset
 from galenastall.state.settings_records import SettingsChange, Verdict, VerdictKind
--- a/src/galenastall/node/settings_mapping.py
+++ b/src/galenastall/node/settings/settings_mapping.py
@@ -4,19 +4,19 @@
 from dataclasses import replace
 from typing import Final
 
-from galenastall.coordination.admission import AdmissionLimits
-from galenastall.coordination.append_window import WindowLimits
-from galenastall.coordination.ejection import EjectionLimits
-from galenastall.coordination.keys import KeyHomes, KeyRules
-from galenastall.coordination.ownership_timings import OwnershipTimings
-from galenastall.coordination.permit_types import PermitLimits
-from galenastall.coordination.placement_commands import TeamShare
-from galenastall.coordination.placement_settings import DEFAULT_POLICY, PlacementSettings
-from galenastall.coordination.policies import PLACEMENT_POLICIES
-from galenastall.coordination.retries import RetryLimits
-from galenastall.coordination.team_rates import TeamRate
-from galenastall.node.permit_settings import RequestSettings
-from galenastall.node.worker_timings import WorkerTimings
+from galenastall.coordination.log.append_window import WindowLimits
+from galenastall.coordination.ownership.ownership_timings import OwnershipTimings
+from galenastall.coordination.placement.placement_commands import TeamShare
+from galenastall.coordination.placement.placement_settings import DEFAULT_POLICY, PlacementSettings
+from galenastall.coordination.placement.policies import PLACEMENT_POLICIES
+from galenastall.coordination.requests.admission import AdmissionLimits
+from galenastall.coordination.requests.ejection import EjectionLimits
+from galenastall.coordination.requests.keys import KeyHomes, KeyRules
+from galenastall.coordination.requests.permit_types import PermitLimits
+from galenastall.coordination.requests.retries import RetryLimits
+from galenastall.coordination.requests.team_rates import TeamRate
+from galenastall.node.placement.worker_timings import WorkerTimings
+from galenastall.node.requests.permit_settings import RequestSettings
 from galenastall.protocol.process_settings import MemoryLimits
 from galenastall.state.key_home_history import key_homes_of
 from galenastall.state.shared_settings import (
--- a/src/galenastall/node/settings_service.py
+++ b/src/galenastall/node/settings/settings_service.py
@@ -15,7 +15,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from galenastall.node.settings_catch_up import RecentChanges, SettingsCatchUp
+from galenastall.node.settings.settings_catch_up import RecentChanges, SettingsCatchUp
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.event_sink import EventSink, NullEventSink
 from galenastall.protocol.log_access import LogAppender, StreamFollower
--- /dev/null
+++ b/src/galenastall/node/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""The time line over all processes."""
--- a/src/galenastall/node/present_state.py
+++ b/src/galenastall/node/timeline/present_state.py
@@ -1,7 +1,7 @@
 """Sentences on how an id stands now, as far as this entry host knows or can ask."""
 
-from galenastall.node.job_intake import JobIntake
-from galenastall.node.request_book import RequestBook, RequestStatus
+from galenastall.node.jobs.job_intake import JobIntake
+from galenastall.node.requests.request_book import RequestBook, RequestStatus
 from galenastall.state.ids import JobId, RequestId, job_of_task
 
 
--- a/src/galenastall/node/timeline_service.py
+++ b/src/galenastall/node/timeline/timeline_service.py
@@ -6,7 +6,7 @@
 import trio
 from returns.result import Success
 
-from galenastall.coordination.timeline_merge import MergedTimeline, merge_timelines
+from galenastall.coordination.timeline.timeline_merge import MergedTimeline, merge_timelines
 from galenastall.protocol.peers import PeerLink
 from galenastall.protocol.timeline_messages import TimelineEvents, TimelineQuery
 from galenastall.state.ids import HostId, job_of_task
--- a/src/galenastall/proof/ownership_costs.py
+++ b/src/galenastall/proof/ownership_costs.py
@@ -14,7 +14,7 @@
 import typer
 
 import galenastall.protocol.ownership_messages  # noqa: F401 (files the messages for encoding)
-from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.coordination.ownership.ownership_timings import OwnershipTimings
 from galenastall.proof.ownership_model import ModelNode, OwnershipModel
 from galenastall.state.ids import HostId, OwnableId
 from galenastall.transport import peer_wire
--- a/src/galenastall/proof/ownership_model.py
+++ b/src/galenastall/proof/ownership_model.py
@@ -12,15 +12,15 @@
 from itertools import count
 from typing import Any, Final
 
-from galenastall.coordination.ownership import AppendOutcome, OwnershipCore
-from galenastall.coordination.ownership_messages import (
+from galenastall.coordination.ownership.ownership import AppendOutcome, OwnershipCore
+from galenastall.coordination.ownership.ownership_messages import (
     AppendRecord,
     Expelled,
     FetchTail,
     SendMessage,
 )
-from galenastall.coordination.ownership_tail import RecordTail
-from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.coordination.ownership.ownership_tail import RecordTail
+from galenastall.coordination.ownership.ownership_timings import OwnershipTimings
 from galenastall.state.ids import HostId, Incarnation, Offset, OwnableId, RecordId, StreamName
 from galenastall.state.ownership_records import Member, OwnershipSnapshot
 from galenastall.state.records import LoggedRecord
--- a/src/galenastall/proof/ownership_weakenings.py
+++ b/src/galenastall/proof/ownership_weakenings.py
@@ -5,12 +5,12 @@
 from typing import Any, Final
 from unittest.mock import patch
 
-from galenastall.coordination import ownership_claims, ownership_takeover
-from galenastall.coordination.ownership import OwnershipCore
-from galenastall.coordination.ownership_holdings import Holdings
-from galenastall.coordination.ownership_legs import Legs
-from galenastall.coordination.ownership_messages import ContestedClaim
-from galenastall.coordination.ownership_takeover import Takeover
+from galenastall.coordination.ownership import ownership_claims, ownership_takeover
+from galenastall.coordination.ownership.ownership import OwnershipCore
+from galenastall.coordination.ownership.ownership_holdings import Holdings
+from galenastall.coordination.ownership.ownership_legs import Legs
+from galenastall.coordination.ownership.ownership_messages import ContestedClaim
+from galenastall.coordination.ownership.ownership_takeover import Takeover
 from galenastall.state.ids import Epoch, Offset, OwnableId
 from galenastall.state.ownership_records import Member, Members
 from galenastall.state.registry import Registry
--- a/src/galenastall/protocol/amount_rows.py
+++ b/src/galenastall/protocol/amount_rows.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from galenastall.coordination.placement_commands import CapacitySummary, Hole
+from galenastall.coordination.placement.placement_commands import CapacitySummary, Hole
 from galenastall.state.resources import Resources
 
 
--- a/src/galenastall/protocol/job_messages.py
+++ b/src/galenastall/protocol/job_messages.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from galenastall.coordination.shard_commands import CancelCounts
-from galenastall.coordination.task_reports import TaskAttempt
+from galenastall.coordination.jobs.shard_commands import CancelCounts
+from galenastall.coordination.placement.task_reports import TaskAttempt
 from galenastall.protocol.amount_rows import AmountRow, SummaryRow
 from galenastall.protocol.codec import PEER_MESSAGES
 from galenastall.protocol.task_rows import ReportRow, TaskGroup
--- a/src/galenastall/protocol/key_messages.py
+++ b/src/galenastall/protocol/key_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from galenastall.coordination.keys import KeyAnswer
+from galenastall.coordination.requests.keys import KeyAnswer
 from galenastall.protocol.codec import PEER_MESSAGES
 from galenastall.state.ids import Epoch, RequestId
 from galenastall.state.key_fold import KeyEnded, KeyEntry
--- a/src/galenastall/protocol/ownership_messages.py
+++ b/src/galenastall/protocol/ownership_messages.py
@@ -1,6 +1,6 @@
 """Files the messages of ownership under their wire names."""
 
-from galenastall.coordination.ownership_messages import (
+from galenastall.coordination.ownership.ownership_messages import (
     Beat,
     Fence,
     FenceAck,
--- a/src/galenastall/protocol/permit_messages.py
+++ b/src/galenastall/protocol/permit_messages.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from galenastall.coordination.permit_types import HeldPermit, Permit, PermitLedger
+from galenastall.coordination.requests.permit_types import HeldPermit, Permit, PermitLedger
 from galenastall.protocol.codec import PEER_MESSAGES
 from galenastall.state.ids import Epoch, HostId
 from galenastall.state.outcomes import Outcome
--- a/src/galenastall/protocol/task_rows.py
+++ b/src/galenastall/protocol/task_rows.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from galenastall.coordination.task_reports import ReportKind, TaskReport
+from galenastall.coordination.placement.task_reports import ReportKind, TaskReport
 from galenastall.state.ids import HostId, JobId, TaskId, make_task_id, split_task_id
 from galenastall.state.work import TaskSpec
 
--- a/src/galenastall/transport/logs.py
+++ b/src/galenastall/transport/logs.py
@@ -14,7 +14,7 @@
 import structlog
 import xxhash
 
-from galenastall.coordination.hybrid_clock import HybridClock
+from galenastall.coordination.timeline.hybrid_clock import HybridClock
 from galenastall.protocol.clock import Clock
 from galenastall.state.errors import StepError
 from galenastall.state.timeline import HybridTime, TimelineEvent
--- a/src/galenastall/transport/peer_link.py
+++ b/src/galenastall/transport/peer_link.py
@@ -16,7 +16,7 @@
 import zmq
 from returns.result import Failure, Result, Success
 
-from galenastall.coordination.hybrid_clock import HybridClock
+from galenastall.coordination.timeline.hybrid_clock import HybridClock
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.codec import decode_message
 from galenastall.protocol.peers import PeerHandler
--- a/src/galenastall/transport/timeline_plot.py
+++ b/src/galenastall/transport/timeline_plot.py
@@ -6,7 +6,7 @@
 import io
 from typing import Any, Final, Literal
 
-from galenastall.coordination.timeline_merge import MergedTimeline
+from galenastall.coordination.timeline.timeline_merge import MergedTimeline
 from galenastall.state.errors import GalenastallError
 
 PlotFormat = Literal["svg", "png"]
--- a/tests/job_cluster.py
+++ b/tests/job_cluster.py
@@ -8,14 +8,14 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from galenastall.coordination.placement import PlacementCore
-from galenastall.node.job_intake import JobIntake
-from galenastall.node.job_link import JobLink
-from galenastall.node.job_service import JobService
-from galenastall.node.job_timings import JobTimings
-from galenastall.node.log_service import LogSide
-from galenastall.node.worker_service import WorkerService
-from galenastall.node.worker_timings import WorkerTimings
+from galenastall.coordination.placement.placement import PlacementCore
+from galenastall.node.jobs.job_intake import JobIntake
+from galenastall.node.jobs.job_link import JobLink
+from galenastall.node.jobs.job_service import JobService
+from galenastall.node.jobs.job_timings import JobTimings
+from galenastall.node.log.log_service import LogSide
+from galenastall.node.placement.worker_service import WorkerService
+from galenastall.node.placement.worker_timings import WorkerTimings
 from galenastall.protocol.codec import decode_message, encode_message, encode_record
 from galenastall.standin.memory_platform import MemoryPlatform
 from galenastall.state.errors import Reason, StepError
--- a/tests/placement_builders.py
+++ b/tests/placement_builders.py
@@ -2,14 +2,14 @@
 
 from dataclasses import dataclass, field
 
-from galenastall.coordination.placement import PlacementCore
-from galenastall.coordination.placement_commands import (
+from galenastall.coordination.placement.placement import PlacementCore
+from galenastall.coordination.placement.placement_commands import (
     CommandKind,
     Decision,
     StartAnswer,
     TeamShare,
 )
-from galenastall.coordination.placement_settings import PlacementSettings
+from galenastall.coordination.placement.placement_settings import PlacementSettings
 from galenastall.state.hosts import HostKind, ListedHost
 from galenastall.state.ids import DataCentre, Epoch, HostId, JobId, TaskId, TeamPath
 from galenastall.state.resources import Resources
--- a/tests/request_rig.py
+++ b/tests/request_rig.py
@@ -10,13 +10,13 @@
 from returns.result import Failure, Result, Success
 
 from fake_log import FakeLog
-from galenastall.node.key_service import KeyService
-from galenastall.node.keyed_requests import KeyedRequests
-from galenastall.node.log_service import LogSide
-from galenastall.node.permit_service import PermitService
-from galenastall.node.permit_settings import RequestSettings
-from galenastall.node.request_service import RequestService
-from galenastall.node.request_types import RequestAnswer, RequestCall
+from galenastall.node.log.log_service import LogSide
+from galenastall.node.requests.key_service import KeyService
+from galenastall.node.requests.keyed_requests import KeyedRequests
+from galenastall.node.requests.permit_service import PermitService
+from galenastall.node.requests.permit_settings import RequestSettings
+from galenastall.node.requests.request_service import RequestService
+from galenastall.node.requests.request_types import RequestAnswer, RequestCall
 from galenastall.protocol.codec import decode_message, encode_message
 from galenastall.protocol.event_sink import NullEventSink
 from galenastall.protocol.peers import M, PeerHandler
--- a/tests/settings_rig.py
+++ b/tests/settings_rig.py
@@ -10,8 +10,8 @@
 from returns.result import Failure, Result, Success
 
 from fake_log import FakeLog
-from galenastall.node.log_service import LogSide
-from galenastall.node.settings_service import SettingsService
+from galenastall.node.log.log_service import LogSide
+from galenastall.node.settings.settings_service import SettingsService
 from galenastall.protocol.codec import decode_message, encode_message
 from galenastall.protocol.peers import PeerHandler
 from galenastall.state.errors import Reason, StepError
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from galenastall.coordination.admission import Admission, AdmissionLimits, WaitingRequest
-from galenastall.coordination.rates import ShortestTime
+from galenastall.coordination.requests.admission import Admission, AdmissionLimits, WaitingRequest
+from galenastall.coordination.requests.rates import ShortestTime
 from galenastall.state.ids import RequestId, TeamPath
 from galenastall.state.work import Urgency
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -5,13 +5,13 @@
 import pytest
 from returns.result import Failure
 
-from galenastall.coordination.explain import SENTENCES, explain, explanation_text
-from galenastall.coordination.timeline_merge import merge_timelines
+from galenastall.coordination.timeline.explain import SENTENCES, explain, explanation_text
+from galenastall.coordination.timeline.timeline_merge import merge_timelines
 from galenastall.node import http_ops
-from galenastall.node.present_state import PresentState
-from galenastall.node.request_book import RequestBook
-from galenastall.node.request_trace import RequestTrace
-from galenastall.node.request_types import RequestAnswer, RequestCall
+from galenastall.node.requests.request_book import RequestBook
+from galenastall.node.requests.request_trace import RequestTrace
+from galenastall.node.requests.request_types import RequestAnswer, RequestCall
+from galenastall.node.timeline.present_state import PresentState
 from galenastall.standin.faults import ExecutorFaults
 from galenastall.state.ids import HostId, RequestId, TeamPath
 from galenastall.state.outcomes import Outcome
--- a/tests/test_gang_holds.py
+++ b/tests/test_gang_holds.py
@@ -4,8 +4,8 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
-from galenastall.coordination.placement import PlacementCore
-from galenastall.coordination.placement_commands import HoldId, WorkerState
+from galenastall.coordination.placement.placement import PlacementCore
+from galenastall.coordination.placement.placement_commands import HoldId, WorkerState
 from galenastall.state.errors import Reason
 from galenastall.state.resources import Resources
 from galenastall.state.work import TaskPhase, TaskSpec, Urgency, Workload
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from galenastall.coordination.gangs import Gang, GangPhase, GangStep, GangStepKind
-from galenastall.coordination.task_reports import ReportKind
+from galenastall.coordination.jobs.gangs import Gang, GangPhase, GangStep, GangStepKind
+from galenastall.coordination.placement.task_reports import ReportKind
 from galenastall.state.ids import HostId, JobId
 
 HOSTS = (HostId("h1"), HostId("h2"), HostId("h3"))
--- a/tests/test_http_jobs.py
+++ b/tests/test_http_jobs.py
@@ -7,7 +7,7 @@
 import trio
 from returns.result import Failure
 
-from galenastall.node.http_jobs import HttpJobs
+from galenastall.node.jobs.http_jobs import HttpJobs
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId
 from galenastall.transport.http_messages import BodyStream, HttpRequest
--- a/tests/test_http_requests.py
+++ b/tests/test_http_requests.py
@@ -3,9 +3,9 @@
 import pytest
 from trio.testing import MockClock
 
-from galenastall.node.http_requests import RequestRoutes, respond
-from galenastall.node.permit_settings import RequestSettings
-from galenastall.node.request_types import RequestAnswer, RequestReason
+from galenastall.node.requests.http_requests import RequestRoutes, respond
+from galenastall.node.requests.permit_settings import RequestSettings
+from galenastall.node.requests.request_types import RequestAnswer, RequestReason
 from galenastall.standin.faults import ExecutorFaults
 from galenastall.state.ids import DataCentre, HostId, RequestId
 from galenastall.state.outcomes import Outcome
--- a/tests/test_job_failures.py
+++ b/tests/test_job_failures.py
@@ -6,8 +6,8 @@
 import pytest
 import trio
 
-from galenastall.node.job_intake import Durability
-from galenastall.node.job_timings import JobTimings
+from galenastall.node.jobs.job_intake import Durability
+from galenastall.node.jobs.job_timings import JobTimings
 from galenastall.standin.faults import LogFaults, WorkerFaults
 from galenastall.state.errors import Reason
 from galenastall.state.ids import HostId, JobId
--- a/tests/test_job_shard.py
+++ b/tests/test_job_shard.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from galenastall.coordination.assignees import AssigneeBook
-from galenastall.coordination.job_shard import JobShard
-from galenastall.coordination.placement_commands import CapacitySummary, Hole
-from galenastall.coordination.task_reports import ReportKind, TaskReport, first_attempt
+from galenastall.coordination.jobs.assignees import AssigneeBook
+from galenastall.coordination.jobs.job_shard import JobShard
+from galenastall.coordination.placement.placement_commands import CapacitySummary, Hole
+from galenastall.coordination.placement.task_reports import ReportKind, TaskReport, first_attempt
 from galenastall.protocol.task_rows import pack_reports, unpack_reports
 from galenastall.state.ids import Epoch, HostId, JobId, Offset, TaskId, TeamPath
 from galenastall.state.job_fold import JobState
--- a/tests/test_key_home_history.py
+++ b/tests/test_key_home_history.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 from returns.result import Success
 
-from galenastall.coordination.keys import home_of
-from galenastall.node.settings_mapping import make_request_settings
+from galenastall.coordination.requests.keys import home_of
+from galenastall.node.settings.settings_mapping import make_request_settings
 from galenastall.protocol.process_settings import MemoryLimits
 from galenastall.state.ids import SETTINGS_STREAM, ChangeId, Offset, RecordId
 from galenastall.state.key_home_history import LEAD_S, find_early_homes, find_moved_keys
--- a/tests/test_key_service.py
+++ b/tests/test_key_service.py
@@ -6,9 +6,9 @@
 import trio
 from trio.testing import MockClock
 
-from galenastall.coordination.keys import KeyHomes, shard_of
-from galenastall.node.permit_settings import RequestSettings
-from galenastall.node.request_types import RequestAnswer
+from galenastall.coordination.requests.keys import KeyHomes, shard_of
+from galenastall.node.requests.permit_settings import RequestSettings
+from galenastall.node.requests.request_types import RequestAnswer
 from galenastall.protocol.key_messages import KeyReserved
 from galenastall.standin.faults import ExecutorFaults
 from galenastall.standin.service_time import ServiceTime
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -6,7 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from returns.result import Success
 
-from galenastall.coordination.keys import (
+from galenastall.coordination.requests.keys import (
     HeldIntents,
     KeyHomes,
     KeyRules,
--- a/tests/test_live_settings.py
+++ b/tests/test_live_settings.py
@@ -4,11 +4,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from galenastall.coordination.leases import CLOCK_SKEW_S, LeaseBook
-from galenastall.coordination.ownership import OwnershipCore
-from galenastall.coordination.team_rates import TeamRate, TeamRates
+from galenastall.coordination.ownership.ownership import OwnershipCore
+from galenastall.coordination.placement.leases import CLOCK_SKEW_S, LeaseBook
+from galenastall.coordination.requests.team_rates import TeamRate, TeamRates
 from galenastall.node.memory_watch import MemoryWatch
-from galenastall.node.settings_mapping import (
+from galenastall.node.settings.settings_mapping import (
     find_problem,
     make_ownership_timings,
     make_placement_settings,
--- a/tests/test_load_shed.py
+++ b/tests/test_load_shed.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from galenastall.coordination.load_shed import SAMPLES, LoadShedder, ShedLimits
-from galenastall.node.load_guard import LoadGuard
-from galenastall.node.request_types import RequestCounters, RequestReason
+from galenastall.coordination.requests.load_shed import SAMPLES, LoadShedder, ShedLimits
+from galenastall.node.requests.load_guard import LoadGuard
+from galenastall.node.requests.request_types import RequestCounters, RequestReason
 from galenastall.state.outcomes import Outcome
 from galenastall.transport.clock import TrioClock
 
--- a/tests/test_log_service.py
+++ b/tests/test_log_service.py
@@ -12,9 +12,9 @@
 from returns.result import Failure, Result, Success
 
 from fake_log import FakeLog
-from galenastall.coordination.append_window import AppendWindow, WindowLimits
-from galenastall.node.log_service import LogSide, LogStreamFollower
-from galenastall.node.stream_follower import READ_GAP_S
+from galenastall.coordination.log.append_window import AppendWindow, WindowLimits
+from galenastall.node.log.log_service import LogSide, LogStreamFollower
+from galenastall.node.log.stream_follower import READ_GAP_S
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import Offset, RecordId, StreamName
 from galenastall.state.records import RECORDS, LoggedRecord
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -10,7 +10,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from galenastall.node.http_ops import HttpOps
-from galenastall.node.timeline_service import TimelineService
+from galenastall.node.timeline.timeline_service import TimelineService
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId, Incarnation
 from galenastall.state.timeline_ring import TimelineRing
--- a/tests/test_ownership_hazards.py
+++ b/tests/test_ownership_hazards.py
@@ -7,10 +7,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from galenastall.coordination.ownership import AppendOutcome, OwnershipCore
-from galenastall.coordination.ownership_messages import AppendRecord
-from galenastall.coordination.ownership_tail import RecordTail
-from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.coordination.ownership.ownership import AppendOutcome, OwnershipCore
+from galenastall.coordination.ownership.ownership_messages import AppendRecord
+from galenastall.coordination.ownership.ownership_tail import RecordTail
+from galenastall.coordination.ownership.ownership_timings import OwnershipTimings
 from galenastall.proof.ownership_faults import FAULTS
 from galenastall.proof.ownership_model import MODEL_TIMINGS, OwnershipModel, ViolationError
 from galenastall.proof.ownership_search import run_schedule, search
--- a/tests/test_ownership_service.py
+++ b/tests/test_ownership_service.py
@@ -9,15 +9,15 @@
 from returns.result import Failure, Result, Success
 from trio.testing import MockClock
 
-from galenastall.coordination.ownership_timings import OwnershipTimings
+from galenastall.coordination.ownership.ownership_timings import OwnershipTimings
 from galenastall.node.host_list_service import (
     ENTRY_HOSTS_EVERY_S,
     HostListPoller,
     peer_addresses,
 )
-from galenastall.node.log_service import LogSide
-from galenastall.node.ownables import ShardCounts
-from galenastall.node.ownership_service import OwnershipService
+from galenastall.node.log.log_service import LogSide
+from galenastall.node.ownership.ownables import ShardCounts
+from galenastall.node.ownership.ownership_service import OwnershipService
 from galenastall.protocol.codec import decode_message, encode_message
 from galenastall.protocol.peers import PeerHandler
 from galenastall.standin.cuts import Cut, Service
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,8 +2,8 @@
 
 from returns.result import Success
 
-from galenastall.coordination.placement import PlacementCore
-from galenastall.coordination.placement_commands import CancelVerdict, StartAnswer
+from galenastall.coordination.placement.placement import PlacementCore
+from galenastall.coordination.placement.placement_commands import CancelVerdict, StartAnswer
 from galenastall.state.ids import Epoch, HostId, TaskId
 from galenastall.state.resources import NOTHING
 from galenastall.state.work import FinishedTask, TaskPhase, Workload
--- a/tests/test_placement_machine.py
+++ b/tests/test_placement_machine.py
@@ -6,8 +6,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from returns.result import Failure
 
-from galenastall.coordination.placement import PlacementCore
-from galenastall.coordination.placement_commands import (
+from galenastall.coordination.placement.placement import PlacementCore
+from galenastall.coordination.placement.placement_commands import (
     CommandAnswer,
     CommandKind,
     Decision,
@@ -16,7 +16,7 @@
     StartTask,
     WorkerState,
 )
-from galenastall.coordination.placement_settings import PlacementSettings
+from galenastall.coordination.placement.placement_settings import PlacementSettings
 from galenastall.state.ids import Epoch, HostId, TaskId
 from galenastall.state.resources import NOTHING, Resources
 from galenastall.state.work import FinishedTask, RunningTask, TaskSpec, Urgency, Workload
--- a/tests/test_placement_operations.py
+++ b/tests/test_placement_operations.py
@@ -6,7 +6,7 @@
 from types import FrameType
 from typing import Any
 
-from galenastall.coordination.placement import PlacementCore
+from galenastall.coordination.placement.placement import PlacementCore
 from galenastall.state.ids import TaskId
 from galenastall.state.resources import Resources
 from placement_builders import make_core, make_task, make_worker, run
--- a/tests/test_placement_rules.py
+++ b/tests/test_placement_rules.py
@@ -4,9 +4,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from galenastall.coordination.estimates import DecayedHistogram
-from galenastall.coordination.placement import PlacementCore
-from galenastall.coordination.placement_commands import (
+from galenastall.coordination.placement.estimates import DecayedHistogram
+from galenastall.coordination.placement.placement import PlacementCore
+from galenastall.coordination.placement.placement_commands import (
     CommandAnswer,
     CommandKind,
     Decision,
--- a/tests/test_request_chaos.py
+++ b/tests/test_request_chaos.py
@@ -8,8 +8,8 @@
 import trio
 from trio.testing import MockClock
 
-from galenastall.coordination.keys import KEY_SHARDS
-from galenastall.node.request_types import RequestAnswer, RequestReason
+from galenastall.coordination.requests.keys import KEY_SHARDS
+from galenastall.node.requests.request_types import RequestAnswer, RequestReason
 from galenastall.standin.echo import decode_echo, digest
 from galenastall.standin.faults import BeyondSlots, ExecutorFaults
 from galenastall.standin.service_time import ServiceTime
--- a/tests/test_request_service.py
+++ b/tests/test_request_service.py
@@ -9,9 +9,9 @@
 import trio
 from trio.testing import MockClock
 
-from galenastall.coordination.admission import AdmissionLimits
-from galenastall.node.permit_settings import RequestSettings
-from galenastall.node.request_types import RequestAnswer, RequestReason
+from galenastall.coordination.requests.admission import AdmissionLimits
+from galenastall.node.requests.permit_settings import RequestSettings
+from galenastall.node.requests.request_types import RequestAnswer, RequestReason
 from galenastall.protocol.platform import UpstreamCutError
 from galenastall.standin.echo import decode_echo
 from galenastall.standin.faults import BeyondSlots, ExecutorFaults
--- a/tests/test_retries_and_ejection.py
+++ b/tests/test_retries_and_ejection.py
@@ -2,8 +2,13 @@
 
 import pytest
 
-from galenastall.coordination.ejection import Ejection, EjectionLimits
-from galenastall.coordination.retries import AttemptEnd, RetryBudget, RetryLimits, may_retry
+from galenastall.coordination.requests.ejection import Ejection, EjectionLimits
+from galenastall.coordination.requests.retries import (
+    AttemptEnd,
+    RetryBudget,
+    RetryLimits,
+    may_retry,
+)
 from galenastall.state.ids import HostId
 from galenastall.state.outcomes import Outcome
 
--- a/tests/test_settings_commands.py
+++ b/tests/test_settings_commands.py
@@ -11,7 +11,7 @@
 from typer.testing import CliRunner, Result
 
 from galenastall.cli.settings_commands import settings_app
-from galenastall.node.http_settings import HttpSettings
+from galenastall.node.settings.http_settings import HttpSettings
 from galenastall.transport.clock import TrioClock
 from galenastall.transport.http_server import HttpServer
 from settings_rig import running_fleet
--- a/tests/test_settings_service.py
+++ b/tests/test_settings_service.py
@@ -5,8 +5,8 @@
 import trio
 from returns.result import Failure, Success
 
-from galenastall.node.http_settings import HttpSettings
-from galenastall.node.settings_service import ChangePhase
+from galenastall.node.settings.http_settings import HttpSettings
+from galenastall.node.settings.settings_service import ChangePhase
 from galenastall.protocol.codec import encode_record
 from galenastall.protocol.settings_messages import SettingsFetched
 from galenastall.state.errors import Reason
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -4,9 +4,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from galenastall.coordination.permit_types import OwnedUpstream, Permit, PermitLimits
-from galenastall.coordination.permits import PermitHolder
-from galenastall.coordination.slots import OwnedSlots, all_slots
+from galenastall.coordination.requests.permit_types import OwnedUpstream, Permit, PermitLimits
+from galenastall.coordination.requests.permits import PermitHolder
+from galenastall.coordination.requests.slots import OwnedSlots, all_slots
 from galenastall.state.ids import Epoch, HostId
 from galenastall.state.work import Urgency
 
--- a/tests/test_start_horizon.py
+++ b/tests/test_start_horizon.py
@@ -1,6 +1,6 @@
 """Starts that an earlier owner sent: until when they may still arrive."""
 
-from galenastall.coordination.start_horizon import StartHorizon
+from galenastall.coordination.placement.start_horizon import StartHorizon
 from galenastall.state.ids import Epoch, HostId
 
 W = HostId("w0")
--- a/tests/test_team_queue.py
+++ b/tests/test_team_queue.py
@@ -4,8 +4,12 @@
 
 import pytest
 
-from galenastall.coordination.placement_commands import CancelVerdict, RefusalReason, TeamShare
-from galenastall.coordination.placement_settings import PlacementSettings
+from galenastall.coordination.placement.placement_commands import (
+    CancelVerdict,
+    RefusalReason,
+    TeamShare,
+)
+from galenastall.coordination.placement.placement_settings import PlacementSettings
 from galenastall.state.errors import UnknownNameError
 from galenastall.state.ids import TaskId, TeamPath
 from galenastall.state.resources import Resources
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -6,9 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from galenastall.coordination.explain import SENTENCES, explain, explanation_text
-from galenastall.coordination.hybrid_clock import MAX_AHEAD_MS, HybridClock
-from galenastall.coordination.timeline_merge import merge_timelines, timeline_text
+from galenastall.coordination.timeline.explain import SENTENCES, explain, explanation_text
+from galenastall.coordination.timeline.hybrid_clock import MAX_AHEAD_MS, HybridClock
+from galenastall.coordination.timeline.timeline_merge import merge_timelines, timeline_text
 from galenastall.state.timeline import HybridTime, TimelineEvent
 from galenastall.state.timeline_ring import TimelineRing
 
--- a/tests/test_worker_index.py
+++ b/tests/test_worker_index.py
@@ -6,11 +6,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from galenastall.coordination.feasibility import find_obstacle_on_hosts
-from galenastall.coordination.placement_settings import PlacementSettings, default_policies
-from galenastall.coordination.placement_state import Worker
-from galenastall.coordination.policies import PLACEMENT_POLICIES
-from galenastall.coordination.worker_index import WorkerIndex, bucket_of
+from galenastall.coordination.placement.feasibility import find_obstacle_on_hosts
+from galenastall.coordination.placement.placement_settings import (
+    PlacementSettings,
+    default_policies,
+)
+from galenastall.coordination.placement.placement_state import Worker
+from galenastall.coordination.placement.policies import PLACEMENT_POLICIES
+from galenastall.coordination.placement.worker_index import WorkerIndex, bucket_of
 from galenastall.state.ids import Epoch
 from galenastall.state.resources import Resources
 from galenastall.state.work import Workload
