Claim sooner: the store takes one claim of several

A standby claims once the state's end has stood still for 0.35 s instead of 0.5, with a delay of up to 0.1 s instead of 0.25: claims are compare-and-set now, so that delays need not keep claimants apart. After a kill of all hosts 0.57 to 0.75 s went by between their start and a claim.

--- a/src/galenastall/coordination/cell/timings.py
+++ b/src/galenastall/coordination/cell/timings.py
@@ -45,12 +45,14 @@
     """A leader whose last confirmation is older makes standbys look at the store."""
     stale_confirm_s: float = 1.3
     """A leader whose last confirmation is older counts as silent; slow stores stay below it."""
-    tip_silence_s: float = 0.5
-    """How long the state's end must stand still before a standby claims: two confirmations."""
+    tip_silence_s: float = 0.35
+    """How long the state's end must stand still before a standby claims: a confirmation each 0.2 s
+    and an append of some 10 ms. A host that has just started hears a living leader within 0.2 s."""
     tip_every_s: float = 0.15
     """Between two looks at the store while the leader is silent."""
-    claim_jitter_s: float = 0.25
-    """Standbys draw a delay up to this, so that most claims have one claimant."""
+    claim_jitter_s: float = 0.1
+    """Standbys draw a delay up to this; the store takes one of several claims in any case, so it
+    only spares calls."""
     withdrawn_pause_s: float = 3.0
     """A leader that gave up its place leaves it to others for this long."""
     ended_kept_s: float = 150.0
--- a/src/galenastall/platform/settings.py
+++ b/src/galenastall/platform/settings.py
@@ -15,7 +15,7 @@
 """The one way of giving orders to executors that is served."""
 METRICS_PORT: Final = 9464
 """Named in the deploy file too, which takes no placeholder there."""
-FIRST_CLAIM_STEP_S: Final = 0.06
+FIRST_CLAIM_STEP_S: Final = 0.02
 """Between the first claims of the hosts that the settings name as seeds, at the first start."""
 T = TypeVar("T")
 
