End a life by a later one's answer, not by the list

Cause: executors were cut off and reborn behind the cut; when it healed, the entry that the dead life had written was carried out late (its writes had been held up for 4 s) and listed beside the new life's. It counted as a new id on that host, so all runs of the living one were taken for lost and started elsewhere; that the dead life was known to be over had been forgotten when its entry had gone from the list. Ruled out: leases (none had lapsed), advice, the leader (one term all the while). Now a life ends others on its host by answering a call sent after their last answers; ids of lives that are over stay so for the term.

--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -44,6 +44,8 @@
         self.delisted_at = now
         self.answered_at: float | None = None
         """Leader's time of its last good listing."""
+        self.answered_seq = 0
+        """Sequence number at which that listing came; 0 before the first."""
         self.doubted_at = float("-inf")
         """Leader's time at which a start got no answer, here or next to it; it gets nothing new
         before it has answered since. Of the starts sent into a cut, each unanswered one waits for
--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -43,7 +43,8 @@
         self._doubts = doubts
         self._judged_at = float("-inf")
         self._ended_lives: set[str] = set()
-        """Ids of lives that are over; their entries may stay listed for some heartbeats."""
+        """Ids of lives that are over. Their entries stay listed for some heartbeats, and one that
+        was held up on its way may be listed again seconds later."""
 
     def adopt(self, run: JobRun) -> None:
         """Count the runs that earlier leaders assigned, on executors that may not be listed yet."""
@@ -59,22 +60,19 @@
             executor.take(step.step.need)
             executor.runs_by_task[task.key] = task.run
 
-    def update(self, infos: Iterable[ExecutorInfo], *, now: float, wall: float) -> None:
-        """Take the list as it is now."""
+    def update(self, infos: Iterable[ExecutorInfo], *, now: float) -> None:
+        """Take the list as it is now; which of two lives on a host is over, only answers tell."""
         listed_by_id = {info.executor_id: info for info in infos}
-        self._ended_lives &= listed_by_id.keys()
-        known_before = set(self._state.executors_by_id)
         for info in listed_by_id.values():
             if info.executor_id not in self._ended_lives:
-                self._see(info, known_before, now=now, wall=wall)
+                self._see(info, now=now)
         for executor in list(self._state.executors_by_id.values()):
             if executor.executor_id not in listed_by_id:
                 self._miss(executor, now)
 
-    def _see(self, info: ExecutorInfo, known_before: set[str], *, now: float, wall: float) -> None:
+    def _see(self, info: ExecutorInfo, *, now: float) -> None:
         executor = self._state.executors_by_id.get(info.executor_id)
         if executor is None:
-            self._end_earlier_life(info, known_before, wall)
             executor = self._add(info, now=now)
             self._state.note("executor.seen", info.executor_id, fields={"host": info.host})
         was_draining = executor.info.is_draining
@@ -84,13 +82,21 @@
             cause = "the platform's list says so"
             self._state.note("executor.draining", info.executor_id, cause=cause)
 
-    def _end_earlier_life(self, info: ExecutorInfo, known_before: set[str], wall: float) -> None:
-        """End a life on the same host that earlier lists had; of two new ones none is the older."""
-        for executor_id in known_before & self._state.executors_by_id.keys():
-            executor = self._state.executors_by_id[executor_id]
-            if info.host and executor.info.host == info.host:
-                cause = f"a new life is on its host as {info.executor_id}"
-                self.end_life(executor.executor_id, cause=cause, wall=wall)
+    def end_earlier_lives(self, executor: Executor, *, asked_seq: int, wall: float) -> None:
+        """End the other lives on a host one of which has answered a call sent at `asked_seq`.
+
+        A host has one life at a time. One that answers a call sent after another's last answer came
+        is the later one. The list alone does not tell: the entry of a life that was over had been
+        held up for 4 s, and taken for a new one it ended the runs of the life that was there.
+        """
+        host = executor.info.host
+        for other in list(self._state.executors_by_id.values()):
+            if other is executor or not host or other.info.host != host:
+                continue
+            is_known_here = other.answered_seq > 0 or bool(other.runs_by_task)
+            if is_known_here and asked_seq > other.answered_seq:
+                cause = f"a later life answers on its host as {executor.executor_id}"
+                self.end_life(other.executor_id, cause=cause, wall=wall)
 
     def _add(self, info: ExecutorInfo, *, now: float) -> Executor:
         timings = self._state.timings
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -154,9 +154,9 @@
             and run.queue.name == queue_name
         )
 
-    def on_fleet(self, infos: Iterable[ExecutorInfo], *, now: float, wall: float) -> None:
+    def on_fleet(self, infos: Iterable[ExecutorInfo], *, now: float) -> None:
         """Take the platform's list of executors."""
-        self._fleet.update(infos, now=now, wall=wall)
+        self._fleet.update(infos, now=now)
 
     def on_listing(
         self, executor_id: str, listing: Listing, *, asked_seq: int, now: float, wall: float
@@ -167,6 +167,7 @@
             return
         self._state.now = now
         executor.clock.observe(clock_ms=listing.clock_ms, received_at=now)
+        self._fleet.end_earlier_lives(executor, asked_seq=asked_seq, wall=wall)
         self._listings.read(executor, listing, asked_seq=asked_seq, now=now, wall=wall)
         self._pacing.on_listing(executor)
 
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -172,8 +172,7 @@
                 is_lost = True
             else:
                 is_lost = False
-                now, wall = trio.current_time(), self.context.wall()
-                self.core.on_fleet(answer.unwrap(), now=now, wall=wall)
+                self.core.on_fleet(answer.unwrap(), now=trio.current_time())
                 self._open_sessions(nursery)
                 self.context.wake()
             await trio.sleep(FLEET_EVERY_S)
--- a/tests/test_cell_leadership.py
+++ b/tests/test_cell_leadership.py
@@ -229,6 +229,28 @@
 
         await play(scenario, seed=12)
 
+    async def test_an_old_life_s_entry_that_comes_late_ends_no_run(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            await cluster.wait_for_leader()
+            await hand_in(cluster, world, rng, 20, 0.02)
+            old = world.executors["executor-1"]
+            world.crash(old)
+            del world.listed["executor-1"]
+            await trio.sleep(0.5)
+            new = world.give_life(old.info.host)
+            await trio.sleep(1.5)
+            await hand_in(cluster, world, rng, 20, 0.02)
+            await trio.sleep(0.3)
+            assert new.runs
+            world.listed["executor-1"] = old.info
+            await trio.sleep(1.0)
+            del world.listed["executor-1"]
+            await check_all_end(cluster)
+
+        await play(scenario, seed=19)
+
     async def test_runs_on_a_silent_executor_lapse_one_renewal_after_its_last_answer(
         self, autojump_clock: object
     ) -> None:
