--- a/tests/test_cell_leadership.py
+++ b/tests/test_cell_leadership.py
@@ -241,8 +241,9 @@
             await trio.sleep(0.5)
             new = world.give_life(old.info.host)
             await trio.sleep(1.5)
-            await hand_in(cluster, world, rng, 20, 0.02)
-            await trio.sleep(0.3)
+            for number in range(100, 120):
+                cluster.nursery.start_soon(cluster.submit, make_job(world, rng, number))
+            await trio.sleep(0.2)
             assert new.runs
             world.listed["executor-1"] = old.info
             await trio.sleep(1.0)
