Read what other writers leave in the store record by record

Cause: one key that is not UTF-8 or one value that is not base64 raised past `except WireError` and ended the process; an entry with an unknown state counted as ready, and negative capacities, addresses that are none and services that no configuration names were taken and called.

Ruled out: failing the whole read (the next one meets the same record again).

Change: each record is decoded by itself; what can't be read is told once and left out, the others hold. An entry that stops being readable closes its executor to new work, its runs go on. Executors of services that no configuration names are not in the leader's table. Rows of our own state that can't be read still fail the load.

Test: tests/test_entries_of_others.py, hypothesis over bytes, fields and records. The whole-path test wrote an entry without a state, which the platform never does; it has one now.

--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -22,6 +22,8 @@
         self.jobs_by_id: dict[str, JobRun] = {}
         self.executors_by_id: dict[str, Executor] = {}
         self.queues_by_name: dict[str, Queue] = {}
+        self.named_services: frozenset[str] | None = None
+        """Services that the configuration names; None before the first configuration."""
         self.waiting_steps: set[StepKey] = set()
         """Steps whose turn has come and that have tasks without a run."""
         self.dirty_jobs: set[str] = set()
--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -31,6 +31,8 @@
     labels: tuple[str, ...] = ()
     """What steps may require: its kind, and more."""
     rack: str = ""
+    is_usable: bool = True
+    """False once its entry can't be read any more: it gets nothing new, and what runs goes on."""
     is_draining: bool = False
     leaves_in_s: float = 0.0
     """Least time in seconds until it leaves, while it drains."""
@@ -142,7 +144,9 @@
 
     def is_open(self, *, now: float, reach_s: float, delisted_grace_s: float) -> bool:
         """Whether new work may be placed here now."""
-        if self.info.is_draining or self.cordons or self.strangers or now < self.paused_until:
+        if self.info.is_draining or not self.info.is_usable:
+            return False
+        if self.cordons or self.strangers or now < self.paused_until:
             return False
         if not self.is_listed and now - self.delisted_at > delisted_grace_s:
             return False
--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -45,6 +45,8 @@
         self._ended_lives: set[str] = set()
         """Ids of lives that are over. Their entries stay listed for some heartbeats, and one that
         was held up on its way may be listed again seconds later."""
+        self._unnamed: set[str] = set()
+        """Executors that were told of once as being of no service that the configuration names."""
 
     def adopt(self, run: JobRun) -> None:
         """Count the runs that earlier leaders assigned, on executors that may not be listed yet."""
@@ -62,7 +64,7 @@
 
     def update(self, infos: Iterable[ExecutorInfo], *, now: float) -> None:
         """Take the list as it is now; which of two lives on a host is over, only answers tell."""
-        listed_by_id = {info.executor_id: info for info in infos}
+        listed_by_id = {info.executor_id: info for info in infos if self._is_of_service(info)}
         for info in listed_by_id.values():
             if info.executor_id not in self._ended_lives:
                 self._see(info, now=now)
@@ -70,6 +72,18 @@
             if executor.executor_id not in listed_by_id:
                 self._miss(executor, now)
 
+    def _is_of_service(self, info: ExecutorInfo) -> bool:
+        """Whether the configuration names the executor's service; others are not even called."""
+        services = self._state.named_services
+        if services is None or info.service in services:
+            self._unnamed.discard(info.executor_id)
+            return True
+        if info.executor_id not in self._unnamed:
+            self._unnamed.add(info.executor_id)
+            cause = f"no configuration names its service {info.service[:40]!r}"
+            self._state.note("executor.unnamed_service", info.executor_id, cause=cause)
+        return False
+
     def _see(self, info: ExecutorInfo, *, now: float) -> None:
         executor = self._state.executors_by_id.get(info.executor_id)
         if executor is None:
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -110,6 +110,10 @@
         """Take the queues of a newer configuration."""
         self._state.queues_by_name = {queue.name: queue for queue in queues}
 
+    def set_services(self, services: frozenset[str]) -> None:
+        """Take the services of a newer configuration; executors of others are not used."""
+        self._state.named_services = services
+
     def submit(self, job: CellJob, *, wall: float) -> JobRun:
         """Return the job of this id, taking it in if it is new; durable with the next batch."""
         known = self._state.jobs_by_id.get(job.job_id)
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -172,6 +172,7 @@
                 is_lost = True
             else:
                 is_lost = False
+                self._take_config()
                 self.core.on_fleet(answer.unwrap(), now=trio.current_time())
                 self._open_sessions(nursery)
                 self.context.wake()
@@ -195,12 +196,16 @@
             self._decide(nursery, desk)
             await trio.sleep(DECIDE_EVERY_S)
 
-    def _decide(self, nursery: trio.Nursery, desk: AdviceDesk) -> None:
+    def _take_config(self) -> None:
         config = self._parts.config()
         if config is not None and config.version != self._config_version:
             self._config_version = config.version
             self.core.set_queues(config.queues())
+            self.core.set_services(config.named_services)
             self.core.hosts.set_standby(config.standby_services)
+
+    def _decide(self, nursery: trio.Nursery, desk: AdviceDesk) -> None:
+        self._take_config()
         self.core.decide(
             now=trio.current_time(),
             wall=self.context.wall(),
--- a/src/galenastall/platform/config.py
+++ b/src/galenastall/platform/config.py
@@ -7,10 +7,12 @@
 from returns.result import Failure, Result, Success
 
 from galenastall.platform.calls import Address, PlatformCalls
+from galenastall.platform.entries import decode_entry
 from galenastall.platform.keyed_follower import KeyedFollower
 from galenastall.protocol.cell.config import CellConfig, QueueRoute
 from galenastall.state.cell.jobs import AdvisorTiming, Queue
 from galenastall.state.errors import Reason, StepError
+from galenastall.transport.logs import Recorder
 
 TOPIC: Final = "keyed.op"
 KEY: Final = "config"
@@ -85,6 +87,7 @@
         return CellConfig(
             version=self.version,
             routes=tuple(route.to_route() for route in self.routes),
+            services=frozenset(service.name for service in self.services),
             standby_services=frozenset(s.name for s in self.services if s.standby),
         )
 
@@ -92,10 +95,10 @@
 class PlatformConfig:
     """ConfigPort over the store."""
 
-    def __init__(self, *, calls: PlatformCalls, address: Address) -> None:
+    def __init__(self, *, calls: PlatformCalls, address: Address, recorder: Recorder) -> None:
         """Read from the store at `address`."""
         self._address = address
-        self._follower = KeyedFollower(calls=calls, address=address, topic=TOPIC)
+        self._follower = KeyedFollower(calls=calls, address=address, topic=TOPIC, recorder=recorder)
 
     def operator_values(self) -> Mapping[str, bytes]:
         """Return what was last read of all the operator's keys."""
@@ -109,14 +112,9 @@
         value = self._follower.values_by_key.get(KEY)
         if value is None or not answer.unwrap():
             return Success(None)
-        try:
-            return Success(msgspec.json.decode(value, type=WireConfig).to_config())
-        except msgspec.MsgspecError as error:
-            return Failure(
-                StepError(
-                    step="config.decode",
-                    peer=self._address(),
-                    reason=Reason.INVALID,
-                    detail=str(error),
-                )
-            )
+        return decode_entry(value, WireConfig).map(WireConfig.to_config).alt(self._unreadable)
+
+    def _unreadable(self, detail: str) -> StepError:
+        return StepError(
+            step="config.decode", peer=self._address(), reason=Reason.INVALID, detail=detail
+        )
--- a/src/galenastall/platform/fleet.py
+++ b/src/galenastall/platform/fleet.py
@@ -1,17 +1,24 @@
 """Executors as they register themselves in the platform's store."""
 
+from dataclasses import replace
+from ipaddress import AddressValueError, IPv4Address
+from typing import Final
+
 import msgspec
 from returns.result import Failure, Result, Success
 
 from galenastall.coordination.cell.executors import ExecutorInfo
 from galenastall.platform.calls import Address, PlatformCalls
+from galenastall.platform.entries import decode_entry
 from galenastall.platform.keyed_follower import KeyedFollower
 from galenastall.state.errors import StepError
 from galenastall.state.resources import Resources
 from galenastall.transport.logs import Level, Recorder
 
-TOPIC = "keyed.servers"
-_DRAINING = "draining"
+TOPIC: Final = "keyed.servers"
+HIGHEST_PORT: Final = 65_535
+_READY: Final = "ready"
+_DRAINING: Final = "draining"
 
 
 class WireCapacity(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
@@ -34,8 +41,8 @@
 
     service: str
     address: str
+    state: str
     zone: str = ""
-    state: str = "ready"
     capacity: WireCapacity = WireCapacity()
     labels: list[str] = []
     """Its kind, then its rack."""
@@ -43,6 +50,22 @@
     """The host that it is a life of; empty where the platform names none."""
     drain_remaining_ms: float = 0.0
 
+    def problem(self) -> str:
+        """Return why this can't be an executor's entry, naming field and value; empty if it can."""
+        if self.state not in {_READY, _DRAINING}:
+            return f"state: expected {_READY} or {_DRAINING}, got {self.state!r}"
+        if not _is_address(self.address):
+            return f"address: expected IP:port, got {self.address!r}"
+        for name, value in (
+            ("cpu", self.capacity.cpu),
+            ("memoryRequestMb", self.capacity.memory_request_mb),
+            ("gpus", self.capacity.gpus),
+            ("drainRemainingMs", self.drain_remaining_ms),
+        ):
+            if value < 0:
+                return f"{name}: expected 0 or more, got {value}"
+        return ""
+
     def to_info(self, executor_id: str) -> ExecutorInfo:
         """Return the product's type; an unnamed host is told by its address."""
         return ExecutorInfo(
@@ -64,7 +87,7 @@
 
     def __init__(self, *, calls: PlatformCalls, address: Address, recorder: Recorder) -> None:
         """Read from the store at `address`."""
-        self._follower = KeyedFollower(calls=calls, address=address, topic=TOPIC)
+        self._follower = KeyedFollower(calls=calls, address=address, topic=TOPIC, recorder=recorder)
         self._recorder = recorder
         self._infos_by_id: dict[str, ExecutorInfo] = {}
         self._values_by_id: dict[str, bytes] = {}
@@ -82,17 +105,38 @@
         for gone in self._infos_by_id.keys() - values_by_id.keys():
             del self._infos_by_id[gone]
         for executor_id, value in values_by_id.items():
-            if self._values_by_id.get(executor_id) is value:
-                continue
-            try:
-                entry = msgspec.json.decode(value, type=WireEntry)
-            except msgspec.MsgspecError as error:
-                self._recorder.record(
-                    "fleet.unreadable",
-                    subjects=(executor_id,),
-                    cause=str(error),
-                    level=Level.WARNING,
-                )
-                continue
-            self._infos_by_id[executor_id] = entry.to_info(executor_id)
+            if self._values_by_id.get(executor_id) is not value:
+                self._take(executor_id, value)
         self._values_by_id = dict(values_by_id)
+
+    def _take(self, executor_id: str, value: bytes) -> None:
+        entry = decode_executor(value)
+        if isinstance(entry, Success):
+            self._infos_by_id[executor_id] = entry.unwrap().to_info(executor_id)
+            return
+        self._recorder.record(
+            "fleet.unreadable", subjects=(executor_id,), cause=entry.failure(), level=Level.WARNING
+        )
+        known = self._infos_by_id.get(executor_id)
+        if known is not None:
+            # What runs there goes on and ends as its answers say.
+            self._infos_by_id[executor_id] = replace(known, is_usable=False)
+
+
+def decode_executor(value: bytes) -> Result[WireEntry, str]:
+    """Return an executor's entry, or what is wrong with it."""
+    return decode_entry(value, WireEntry).bind(_checked)
+
+
+def _checked(entry: WireEntry) -> Result[WireEntry, str]:
+    problem = entry.problem()
+    return Failure(problem) if problem else Success(entry)
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return False
+    return port.isascii() and port.isdecimal() and 0 < int(port) <= HIGHEST_PORT
--- a/src/galenastall/platform/hosts.py
+++ b/src/galenastall/platform/hosts.py
@@ -8,6 +8,7 @@
 
 from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome
 from galenastall.platform.calls import Address, PlatformCalls, decode_answer, refused
+from galenastall.platform.entries import decode_entry
 from galenastall.platform.fleet import WireCapacity
 from galenastall.platform.log_wire import keyed_record
 from galenastall.platform.store import PRODUCER
@@ -123,14 +124,12 @@
 
     def _decode_wave(self, key: str, value: bytes) -> MaintenanceWave | None:
         if value not in self._waves_by_value:
-            try:
-                wave = msgspec.json.decode(value, type=WireWave).to_wave()
-            except msgspec.MsgspecError as error:
+            entry = decode_entry(value, WireWave)
+            if isinstance(entry, Failure):
                 self._recorder.record(
-                    "wave.unreadable", subjects=(key,), cause=str(error), level=Level.WARNING
+                    "wave.unreadable", subjects=(key,), cause=entry.failure(), level=Level.WARNING
                 )
-                wave = None
-            self._waves_by_value[value] = wave
+            self._waves_by_value[value] = entry.map(WireWave.to_wave).value_or(None)
         return self._waves_by_value[value]
 
     async def list_hosts(self) -> Result[tuple[PoolHost, ...], StepError]:
--- a/src/galenastall/platform/keyed_follower.py
+++ b/src/galenastall/platform/keyed_follower.py
@@ -8,6 +8,7 @@
 from galenastall.platform.log_wire import WireError, decode_read, split_keyed
 from galenastall.platform.newest import NewestReader
 from galenastall.state.errors import Reason, StepError
+from galenastall.transport.logs import Level, Recorder
 
 ANSWER_MARGIN_S: Final = 0.8
 """Wait for an answer beyond a long poll; a slow store takes up to 0.4 s."""
@@ -19,12 +20,17 @@
 class KeyedFollower:
     """Values of a topic that others write."""
 
-    def __init__(self, *, calls: PlatformCalls, address: Address, topic: str) -> None:
-        """Follow partition 0 of `topic`."""
+    def __init__(
+        self, *, calls: PlatformCalls, address: Address, topic: str, recorder: Recorder
+    ) -> None:
+        """Follow partition 0 of `topic`; what can't be read goes to `recorder`, and is left out."""
         self._calls = calls
         self._address = address
         self._topic = topic
         self._newest = NewestReader(calls=calls, address=address)
+        self._recorder = recorder
+        self._told_problems: frozenset[str] = frozenset()
+        """Problems of the last read of all keys, which the next one mostly meets again."""
         self._offset: int | None = None
         self.values_by_key: dict[str, bytes] = {}
 
@@ -39,7 +45,11 @@
         if isinstance(answer, Failure):
             return answer
         page = answer.unwrap()
-        values_by_key = {item.key: item.content() for item in page.items}
+        problems = frozenset(page.problems)
+        for problem in sorted(problems - self._told_problems):
+            self._tell(problem)
+        self._told_problems = problems
+        values_by_key = page.values_by_key
         has_changed = values_by_key != self.values_by_key
         self.values_by_key = values_by_key
         self._offset = page.end_offset
@@ -62,18 +72,28 @@
             return refused(whole, step=step, peer=self._address())
         try:
             page = decode_read(whole.body)
-            for record in page.records:
-                self._apply(*split_keyed(record))
         except WireError as error:
             self._offset = None
             return Failure(
                 StepError(step=step, peer=self._address(), reason=Reason.CUT, detail=str(error))
             )
+        for record in page.records:
+            self._apply(record)
         self._offset = offset + len(page.records)
         return Success(bool(page.records))
 
-    def _apply(self, key: str, value: bytes) -> None:
+    def _apply(self, record: bytes) -> None:
+        try:
+            key, value = split_keyed(record)
+        except WireError as error:
+            self._tell(str(error))
+            return
         if value:
             self.values_by_key[key] = value
         else:
             self.values_by_key.pop(key, None)
+
+    def _tell(self, problem: str) -> None:
+        self._recorder.record(
+            "store.unreadable", subjects=(self._topic,), cause=problem, level=Level.WARNING
+        )
--- a/src/galenastall/platform/log_wire.py
+++ b/src/galenastall/platform/log_wire.py
@@ -1,6 +1,7 @@
 """Bytes of the platform's log: framed records, keys and values, and answers to reads."""
 
 import base64
+import binascii
 import struct
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -38,13 +39,17 @@
 
     def content(self) -> bytes:
         """Return the value's bytes."""
-        return base64.b64decode(self.value)
+        try:
+            return base64.b64decode(self.value, validate=True)
+        except binascii.Error as error:
+            raise WireError(f"value of {self.key[:40]!r}: {error}") from error
 
 
 class NewestPage(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """One page of the newest records of all keys."""
 
-    items: list[NewestItem] = []
+    items: list[msgspec.Raw] = []
+    """Each a `NewestItem`, decoded by itself: one that can't be read says nothing of others."""
     has_more: bool = False
     end_offset: int = 0
 
@@ -82,7 +87,10 @@
     if not content or len(content) < 1 + content[0]:
         raise WireError("a keyed record is shorter than its key")
     end = 1 + content[0]
-    return content[1:end].decode(), content[end:]
+    try:
+        return content[1:end].decode(), content[end:]
+    except UnicodeDecodeError as error:
+        raise WireError(f"key {content[1:end][:40]!r}: {error.reason}") from error
 
 
 def decode_read(body: bytes) -> ReadAnswer:
--- a/src/galenastall/platform/newest.py
+++ b/src/galenastall/platform/newest.py
@@ -1,13 +1,15 @@
 """Pages of the newest record of each key of a keyed topic."""
 
+from dataclasses import dataclass
 from typing import Final
 from urllib.parse import quote
 
+import msgspec
 from returns.result import Failure, Result, Success
 
 from galenastall.platform.calls import Address, PlatformCalls, decode_answer, refused
-from galenastall.platform.log_wire import NewestItem, NewestPage
-from galenastall.state.errors import StepError
+from galenastall.platform.log_wire import NewestItem, NewestPage, WireError
+from galenastall.state.errors import Reason, StepError
 
 PAGE_TIMEOUT_S: Final = 1.0
 """Wait for a page; a slow store takes up to 0.4 s."""
@@ -16,6 +18,33 @@
 _NOT_FOUND: Final = 404
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NewestRecord:
+    """The newest record of one key."""
+
+    key: str
+    value: bytes
+    offset: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NewestRecords:
+    """Newest records of a topic's keys, a page of them or all."""
+
+    records: tuple[NewestRecord, ...] = ()
+    problems: tuple[str, ...] = ()
+    """What is wrong with records that can't be read; they are left out."""
+    last_key: str = ""
+    """The last key of the page; the next page begins behind it."""
+    has_more: bool = False
+    end_offset: int = 0
+
+    @property
+    def values_by_key(self) -> dict[str, bytes]:
+        """Return the records' values by their keys."""
+        return {record.key: record.value for record in self.records}
+
+
 class NewestReader:
     """Reads partition 0 of keyed topics."""
 
@@ -24,7 +53,7 @@
         self._calls = calls
         self._address = address
 
-    async def page(self, topic: str, after: str = "") -> Result[NewestPage, StepError]:
+    async def page(self, topic: str, after: str = "") -> Result[NewestRecords, StepError]:
         """Return the keys that sort behind `after`; a topic that nobody wrote to is empty."""
         path = f"/log-newest?topic={topic}&part=0"
         if after:
@@ -36,23 +65,58 @@
             return answer
         whole = answer.unwrap()
         if whole.status == _NOT_FOUND:
-            return Success(NewestPage())
+            return Success(NewestRecords())
         if whole.status != _OK:
             return refused(whole, step=_STEP, peer=self._address())
-        return decode_answer(whole, NewestPage, step=_STEP, peer=self._address())
+        page = decode_answer(whole, NewestPage, step=_STEP, peer=self._address())
+        return page.map(decode_page)
 
-    async def all(self, topic: str) -> Result[NewestPage, StepError]:
+    async def all(self, topic: str) -> Result[NewestRecords, StepError]:
         """Return all keys; `end_offset` is the first page's, after which nothing is missed."""
-        items: list[NewestItem] = []
-        end: int | None = None
+        pages: list[NewestRecords] = []
         after = ""
         while True:
-            page = await self.page(topic, after)
-            if isinstance(page, Failure):
-                return page
-            found = page.unwrap()
-            items.extend(found.items)
-            end = found.end_offset if end is None else end
-            if not found.has_more or not found.items:
-                return Success(NewestPage(items=items, end_offset=end))
-            after = found.items[-1].key
+            answer = await self.page(topic, after)
+            if isinstance(answer, Failure):
+                return answer
+            page = answer.unwrap()
+            pages.append(page)
+            if not page.has_more:
+                return Success(_join(pages))
+            if not page.last_key:
+                detail = "a page has no key that can be read, so none behind it can be asked for"
+                return Failure(
+                    StepError(step=_STEP, peer=self._address(), reason=Reason.CUT, detail=detail)
+                )
+            after = page.last_key
+
+
+def decode_page(page: NewestPage) -> NewestRecords:
+    """Return the records of a page, each decoded by itself."""
+    records: list[NewestRecord] = []
+    problems: list[str] = []
+    last_key = ""
+    for raw in page.items:
+        try:
+            item = msgspec.json.decode(raw, type=NewestItem)
+            last_key = item.key
+            record = NewestRecord(key=item.key, value=item.content(), offset=item.offset)
+        except (msgspec.MsgspecError, UnicodeDecodeError, WireError) as error:
+            problems.append(str(error))
+            continue
+        records.append(record)
+    return NewestRecords(
+        records=tuple(records),
+        problems=tuple(problems),
+        last_key=last_key,
+        has_more=page.has_more and bool(page.items),
+        end_offset=page.end_offset,
+    )
+
+
+def _join(pages: list[NewestRecords]) -> NewestRecords:
+    return NewestRecords(
+        records=tuple(record for page in pages for record in page.records),
+        problems=tuple(problem for page in pages for problem in page.problems),
+        end_offset=pages[0].end_offset,
+    )
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -183,7 +183,7 @@
     def _ports(self) -> CellPorts:
         calls = self._calls(STORE_CONNECTIONS)
         store = self.live.store_address
-        config = PlatformConfig(calls=calls, address=store)
+        config = PlatformConfig(calls=calls, address=store, recorder=self.recorder)
         return CellPorts(
             state=PlatformStore(calls=calls, address=store),
             fleet=PlatformFleet(calls=calls, address=store, recorder=self.recorder),
--- a/src/galenastall/platform/standin/log_face.py
+++ b/src/galenastall/platform/standin/log_face.py
@@ -95,6 +95,12 @@
         found.add(bytes([len(name)]) + name + encoded, is_keyed=True)
         found.tell()
 
+    def put_record(self, topic: str, record: bytes) -> None:
+        """Write bytes of any kind as one record, which no key's newest value shows."""
+        found = self.topics[topic]
+        found.add(record, is_keyed=False)
+        found.tell()
+
     def value(self, topic: str, key: str) -> Any:
         """Return a key's newest value, or None."""
         found = self.topics[topic].newest.get(key)
--- a/src/galenastall/platform/store.py
+++ b/src/galenastall/platform/store.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from galenastall.platform.calls import Address, PlatformCalls, decode_answer, refused
+from galenastall.platform.entries import decode_entry
 from galenastall.platform.log_wire import (
     AppendAnswer,
     AppendRefusal,
@@ -79,7 +80,13 @@
     async def load(self) -> Result[dict[str, bytes], StepError]:
         """Read all pages; under a fence nobody writes between them."""
         answer = await self._newest.all(STATE_TOPIC)
-        return answer.map(lambda page: {item.key: item.content() for item in page.items})
+        if isinstance(answer, Failure):
+            return answer
+        found = answer.unwrap()
+        if found.problems:
+            # A row that is left out would be a job that is lost; all are ours, and written whole.
+            return Failure(self._error("store.load", Reason.CUT, "; ".join(found.problems)))
+        return Success(found.values_by_key)
 
     async def look(self) -> Result[StoreView, StepError]:
         """Read the newest claim and the state's end."""
@@ -90,10 +97,13 @@
         if isinstance(state, Failure):
             return state
         leader: LeaderRecord | None = None
-        for item in claims.unwrap().items:
-            claim = msgspec.json.decode(item.content(), type=_Claim)
+        for record in claims.unwrap().records:
+            decoded = decode_entry(record.value, _Claim)
+            if isinstance(decoded, Failure):
+                return Failure(self._error("store.look", Reason.CUT, decoded.failure()))
+            claim = decoded.unwrap()
             leader = LeaderRecord(
-                token=item.offset + 1, host_id=claim.host_id, address=claim.address
+                token=record.offset + 1, host_id=claim.host_id, address=claim.address
             )
         return Success(StoreView(leader=leader, tip=state.unwrap().end_offset))
 
--- a/src/galenastall/protocol/cell/config.py
+++ b/src/galenastall/protocol/cell/config.py
@@ -21,9 +21,16 @@
 
     version: int
     routes: tuple[QueueRoute, ...] = ()
+    services: frozenset[str] = field(default_factory=frozenset)
+    """Services that it lists; `named_services` has those of the routes too."""
     standby_services: frozenset[str] = field(default_factory=frozenset)
     """Services whose hosts are off until they are moved."""
 
+    @property
+    def named_services(self) -> frozenset[str]:
+        """Services whose executors may be used."""
+        return self.services | {route.queue.service for route in self.routes}
+
     def find(self, *, host: str, path: str) -> QueueRoute | None:
         """Return the route with the longest matching prefix, or None."""
         name = host.partition(":")[0].lower()
--- /dev/null
+++ b/tests/test_entries_of_others.py
@@ -0,0 +1,240 @@
+"""What other writers leave in the store: none of it ends or misleads a host."""
+
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from cell.rig import Rig, make_info, make_job, make_step
+from galenastall.coordination.cell.executors import ExecutorInfo
+from galenastall.platform.calls import PlatformCalls
+from galenastall.platform.config import TOPIC as OPERATOR_TOPIC
+from galenastall.platform.config import PlatformConfig, WireConfig
+from galenastall.platform.entries import decode_entry
+from galenastall.platform.fleet import TOPIC as FLEET_TOPIC
+from galenastall.platform.fleet import PlatformFleet, decode_executor
+from galenastall.platform.hosts import PlatformHosts, WireWave
+from galenastall.platform.log_wire import NewestPage, WireError, split_keyed
+from galenastall.platform.newest import decode_page
+from galenastall.platform.standin.log_face import StoreFace
+from galenastall.state.timeline_ring import TimelineRing
+from galenastall.transport.clock import TrioClock
+from galenastall.transport.http_client import HttpClient
+from galenastall.transport.http_server import HttpServer
+from galenastall.transport.logs import Recorder
+
+GOOD: dict[str, Any] = {
+    "service": "service",
+    "address": "10.0.0.9:8080",
+    "zone": "dc",
+    "state": "ready",
+    "capacity": {"cpu": 4000, "memoryRequestMb": 8000},
+    "labels": ["a", "r1"],
+}
+ROUTE: dict[str, Any] = {"name": "q", "host": "h", "service": "service"}
+NOT_TEXT = b"\x02\xff\xfe" + msgspec.json.encode(GOOD)
+"""A keyed record whose key is not UTF-8."""
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner),
+    max_leaves=6,
+)
+
+
+def changed(**fields: Any) -> dict[str, Any]:
+    return {**GOOD, **fields}
+
+
+def lacking(name: str) -> dict[str, Any]:
+    return {key: value for key, value in GOOD.items() if key != name}
+
+
+def make_recorder() -> Recorder:
+    return Recorder(process="p", clock=TrioClock(), ring=TimelineRing(capacity=1_000))
+
+
+def told(recorder: Recorder, step: str) -> int:
+    return sum(1 for event in recorder.ring if event.step == step)
+
+
+class OthersRig:
+    """A store over loopback, and the readers of what others write there."""
+
+    def __init__(self, *, face: StoreFace, address: str) -> None:
+        self.face = face
+        self.recorder = make_recorder()
+        calls = PlatformCalls(client=HttpClient(clock=TrioClock()))
+        self.fleet = PlatformFleet(calls=calls, address=lambda: address, recorder=self.recorder)
+        self.config = PlatformConfig(calls=calls, address=lambda: address, recorder=self.recorder)
+        self.hosts = PlatformHosts(
+            calls=calls,
+            address=lambda: address,
+            store=lambda: address,
+            operator_values=self.config.operator_values,
+            recorder=self.recorder,
+        )
+
+    async def infos(self) -> dict[str, ExecutorInfo]:
+        read = (await self.fleet.read()).unwrap()
+        return {info.executor_id: info for info in read}
+
+
+async def open_store(nursery: trio.Nursery) -> OthersRig:
+    face = StoreFace()
+    server = HttpServer(handlers=[face], clock=TrioClock())
+    await nursery.start(server.run)
+    return OthersRig(face=face, address=server.address)
+
+
+class TestDecoding:
+    @given(st.binary(max_size=80))
+    def test_any_bytes_are_an_entry_or_an_error(self, value: bytes) -> None:
+        for wanted in (WireConfig, WireWave):
+            assert isinstance(decode_entry(value, wanted), Success | Failure)
+        assert isinstance(decode_executor(value), Success | Failure)
+
+    @given(st.sampled_from(sorted(GOOD)), json_values)
+    def test_any_field_of_any_type_is_an_entry_or_an_error(self, name: str, value: Any) -> None:
+        entry = decode_executor(msgspec.json.encode(changed(**{name: value})))
+        if isinstance(entry, Success):
+            info = entry.unwrap().to_info("i-1")
+            assert info.capacity.cores_milli >= 0
+            assert info.leaves_in_s >= 0
+
+    def test_nesting_without_end_is_an_error(self) -> None:
+        value = b'{"x":' + b"[" * 100_000
+        assert isinstance(decode_executor(value), Failure)
+
+    @pytest.mark.parametrize(
+        ("entry", "named"),
+        [
+            (changed(state="resting"), "state"),
+            (lacking("state"), "state"),
+            (lacking("service"), "service"),
+            (lacking("address"), "address"),
+            (changed(service=7), "service"),
+            (changed(address="nowhere"), "address"),
+            (changed(address="10.0.0.9:0"), "address"),
+            (changed(address="10.0.0.9:65536"), "address"),
+            (changed(address="10.0.0.300:80"), "address"),
+            (changed(capacity={"cpu": -1}), "cpu"),
+            (changed(capacity={"memoryRequestMb": -1}), "memoryRequestMb"),
+            (changed(capacity=[1]), "capacity"),
+            (changed(labels="a"), "labels"),
+            (changed(drainRemainingMs=-5), "drainRemainingMs"),
+        ],
+    )
+    def test_what_names_no_executor_is_refused_by_field(
+        self, entry: dict[str, Any], named: str
+    ) -> None:
+        assert named in decode_executor(msgspec.json.encode(entry)).failure()
+
+    @given(st.binary(max_size=40))
+    def test_any_record_is_split_or_an_error(self, record: bytes) -> None:
+        try:
+            key, _ = split_keyed(record)
+        except WireError:
+            return
+        assert isinstance(key, str)
+
+    @given(st.lists(json_values, max_size=4))
+    def test_a_page_keeps_the_items_that_can_be_read(self, others: list[Any]) -> None:
+        good = {"key": "zz", "value": "eHg=", "offset": 3}
+        page = msgspec.json.decode(
+            msgspec.json.encode({"items": [*others, good], "endOffset": 9}), type=NewestPage
+        )
+        found = decode_page(page)
+        assert found.values_by_key["zz"] == b"xx"
+        assert len(found.records) + len(found.problems) == len(others) + 1
+
+    def test_a_value_that_is_not_base64_is_left_out(self) -> None:
+        items = [{"key": "a", "value": "not base64!"}, {"key": "b", "value": "eHg="}]
+        page = msgspec.json.decode(msgspec.json.encode({"items": items}), type=NewestPage)
+        found = decode_page(page)
+        assert found.values_by_key == {"b": b"xx"}
+        assert len(found.problems) == 1
+
+
+class TestFleet:
+    async def test_a_strange_entry_leaves_the_others(self) -> None:
+        async with trio.open_nursery() as nursery:
+            rig = await open_store(nursery)
+            rig.face.put(FLEET_TOPIC, "i-1", GOOD)
+            rig.face.put(FLEET_TOPIC, "i-2", changed(state="resting"))
+            assert set(await rig.infos()) == {"i-1"}
+            rig.face.put_record(FLEET_TOPIC, NOT_TEXT)
+            rig.face.put(FLEET_TOPIC, "i-3", GOOD)
+            assert set(await rig.infos()) == {"i-1", "i-3"}
+            assert set(await rig.infos()) == {"i-1", "i-3"}
+            assert told(rig.recorder, "fleet.unreadable") == 1
+            assert told(rig.recorder, "store.unreadable") == 1
+            nursery.cancel_scope.cancel()
+
+    async def test_an_entry_that_is_replaced_by_a_strange_one_gets_nothing_new(self) -> None:
+        async with trio.open_nursery() as nursery:
+            rig = await open_store(nursery)
+            rig.face.put(FLEET_TOPIC, "i-1", GOOD)
+            assert (await rig.infos())["i-1"].is_usable
+            rig.face.put(FLEET_TOPIC, "i-1", changed(state=None))
+            info = (await rig.infos())["i-1"]
+            assert not info.is_usable
+            assert info.address == GOOD["address"]
+            rig.face.put(FLEET_TOPIC, "i-1", GOOD)
+            assert (await rig.infos())["i-1"].is_usable
+            nursery.cancel_scope.cancel()
+
+
+class TestOperatorsEntries:
+    async def test_an_unreadable_configuration_is_a_failure_and_the_next_one_is_read(self) -> None:
+        async with trio.open_nursery() as nursery:
+            rig = await open_store(nursery)
+            rig.face.put(OPERATOR_TOPIC, "config", {"version": "new", "routes": 3})
+            assert isinstance(await rig.config.wait(), Failure)
+            rig.face.put_record(OPERATOR_TOPIC, NOT_TEXT)
+            rig.face.put(OPERATOR_TOPIC, "config", {"version": 2, "routes": [ROUTE]})
+            config = (await rig.config.wait()).unwrap()
+            assert config is not None
+            assert config.named_services == {"service"}
+            nursery.cancel_scope.cancel()
+
+    async def test_an_unreadable_wave_is_told_once(self) -> None:
+        async with trio.open_nursery() as nursery:
+            rig = await open_store(nursery)
+            rig.face.put(OPERATOR_TOPIC, "wave/1", {"wave": "first"})
+            rig.face.put(OPERATOR_TOPIC, "wave/2", {"wave": 2, "machines": ["m"]})
+            await rig.config.wait()
+            for _ in range(2):
+                assert [wave.number for wave in rig.hosts.waves()] == [2]
+            assert told(rig.recorder, "wave.unreadable") == 1
+            nursery.cancel_scope.cancel()
+
+
+class TestCore:
+    def test_an_unusable_executor_keeps_its_runs_and_gets_no_others(self) -> None:
+        info = make_info("e1")
+        rig = Rig(info)
+        rig.submit(make_job(make_step(2, cores=3000)))
+        orders = rig.step()
+        assert len(orders) == 1
+        rig.run_all(orders)
+        rig.see(replace(info, is_usable=False))
+        assert rig.runs_on("e1") == {orders[0].task}
+        assert not rig.core.executors_by_id["e1"].is_open(
+            now=rig.now, reach_s=10.0, delisted_grace_s=10.0
+        )
+
+    def test_executors_of_services_that_are_not_named_are_not_in_the_table(self) -> None:
+        rig = Rig()
+        strange = replace(make_info("e2"), service="strange")
+        rig.core.set_services(frozenset({"s"}))
+        rig.see(make_info("e1"), strange)
+        rig.see(make_info("e1"), strange)
+        assert set(rig.core.executors_by_id) == {"e1"}
+        notes = [n for n in rig.core.take_notes() if n.step == "executor.unnamed_service"]
+        assert [note.subjects for note in notes] == [("e2",)]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -537,12 +537,20 @@
             nursery.cancel_scope.cancel()
 
 
+def make_recorder() -> Recorder:
+    return Recorder(process="p", clock=TrioClock(), ring=TimelineRing(capacity=1_000))
+
+
+def make_follower(address: Address, topic: str) -> KeyedFollower:
+    return KeyedFollower(calls=make_calls(), address=address, topic=topic, recorder=make_recorder())
+
+
 class TestKeyedFollower:
     async def test_changes_drops_and_lost_history(self) -> None:
         async with trio.open_nursery() as nursery:
             face = StoreFace()
             address = await at(nursery, face)
-            follower = KeyedFollower(calls=make_calls(), address=address, topic="keyed.op")
+            follower = make_follower(address, "keyed.op")
             for number in range(5):
                 face.put("keyed.op", f"k{number}", number)
             assert (await follower.refresh(wait_s=0.0)).unwrap()
@@ -635,6 +643,7 @@
                 entry = {
                     "service": "service",
                     "address": await serve(nursery, face),
+                    "state": "ready",
                     "capacity": {"cpu": 8000, "memoryRequestMb": 32000},
                     "labels": ["a", "r1"],
                 }
