Claim the leadership in the state's own partition; begin a load lab

Cause: claims and state were one partition each of two topics, so either one's loss stopped a takeover.

Change: a claim is an append to the state's partition on the condition that it ends where the claimant last saw it end, then the empty append that fences, as before. A look reads one page instead of two. A host that finds the newest claim to be of an earlier life of its own claims without watching the end stand still.

With it the first part of the lab (bench/cell_load), on the policy as it was.

--- /dev/null
+++ b/src/galenastall/bench/cell_load/arrivals.py
@@ -0,0 +1,119 @@
+"""Draws the jobs of a workload, with the run times that only the executors know."""
+
+import math
+from dataclasses import dataclass
+from random import Random
+from typing import Final
+
+from galenastall.bench.cell_load.workload import QueueLoad, Spread, Workload
+from galenastall.coordination.cell.objectives import longest_chain_s
+from galenastall.state.cell.jobs import AdvisorTiming, CellJob, Queue, Step
+from galenastall.state.resources import Resources
+
+SERVICE: Final = "service"
+WORTH_AT_LEAST: Final = 0.3
+WORTH_BY_WORK: Final = 0.7
+MOST_WORTH: Final = 4.0
+"""A job is worth 0.3 + 0.7 x its work against the mean of its queue, at most four times it."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Arrival:
+    """A job that comes at a time."""
+
+    at_s: float
+    job: CellJob
+    run_s_by_step: tuple[tuple[float, ...], ...]
+    """Real run time of each task on an executor of usual speed."""
+    objective_s: float
+    """Time from its coming within which it should be done, by its real run times."""
+    worth: float
+
+
+def draw(spread: Spread, rng: Random) -> float:
+    """Return a value of a log-normal distribution."""
+    if spread.spread <= 0.0:
+        return min(spread.mean, spread.most)
+    sigma_squared = math.log(1.0 + spread.spread**2)
+    mu = math.log(spread.mean) - sigma_squared / 2.0
+    return min(rng.lognormvariate(mu, math.sqrt(sigma_squared)), spread.most)
+
+
+def queue_of(name: str, load: QueueLoad) -> Queue:
+    """Return the policy of a queue."""
+    advice = load.advice
+    timing = None
+    if advice is not None:
+        timing = AdvisorTiming(
+            base_s=advice.base_s,
+            per_executor_s=advice.per_executor_s,
+            validity_s=advice.validity_s,
+        )
+    return Queue(
+        name=name,
+        service=SERVICE,
+        priority=load.priority,
+        max_attempts=load.max_attempts,
+        stretch=load.stretch,
+        target_s=load.target_s,
+        advisor=timing,
+    )
+
+
+def draw_arrivals(workload: Workload, *, seed: int) -> list[Arrival]:
+    """Return all jobs in the order of their coming; the same for one seed."""
+    rng = Random(seed)
+    arrivals: list[Arrival] = []
+    for name, load in workload.queues.items():
+        at_s = 0.0
+        while True:
+            rate = load.jobs_per_s * workload.factor_at(name, at_s)
+            at_s += rng.expovariate(rate) if rate > 0 else workload.length_s
+            if at_s >= workload.length_s:
+                break
+            arrivals.append(_draw_job(name, load, at_s, len(arrivals), rng))
+    return sorted(arrivals, key=lambda arrival: arrival.at_s)
+
+
+def _draw_job(name: str, load: QueueLoad, at_s: float, number: int, rng: Random) -> Arrival:
+    queue = queue_of(name, load)
+    steps: list[Step] = []
+    run_s: list[tuple[float, ...]] = []
+    for index in range(max(1, round(draw(load.steps, rng)))):
+        count = max(1, round(draw(load.width, rng)))
+        usual_s = draw(load.run_s, rng)
+        times = tuple(usual_s * rng.uniform(0.85, 1.15) for _ in range(count))
+        run_s.append(times)
+        off = math.exp(rng.gauss(0.0, load.estimate_off))
+        steps.append(
+            Step(
+                count=count,
+                need=Resources(
+                    cores_milli=round(draw(load.cores_milli, rng)),
+                    memory_mb=round(draw(load.memory_mb, rng)),
+                ),
+                estimate_s=usual_s * off,
+                after=(index - 1,) if index else (),
+                is_gang=count > 1 and rng.random() < load.gang_share,
+            )
+        )
+    job = CellJob(job_id=f"{number:016x}", queue=queue, payload="", steps=tuple(steps))
+    return Arrival(
+        at_s=at_s,
+        job=job,
+        run_s_by_step=tuple(run_s),
+        objective_s=_objective_s(queue, steps, run_s),
+        worth=load.worth * _share_of_worth(load, steps, run_s),
+    )
+
+
+def _objective_s(queue: Queue, steps: list[Step], run_s: list[tuple[float, ...]]) -> float:
+    advice_s = longest_chain_s((Step(count=1, need=Resources()),), queue) * len(steps)
+    work_s = sum(max(times) for times in run_s)
+    return queue.stretch * (work_s + advice_s) + queue.target_s
+
+
+def _share_of_worth(load: QueueLoad, steps: list[Step], run_s: list[tuple[float, ...]]) -> float:
+    usual = load.steps.mean * load.width.mean * load.cores_milli.mean * load.run_s.mean
+    work = sum(step.need.cores_milli * sum(times) for step, times in zip(steps, run_s, strict=True))
+    return min(WORTH_AT_LEAST + WORTH_BY_WORK * work / usual, MOST_WORTH)
--- /dev/null
+++ b/src/galenastall/bench/cell_load/idle.py
@@ -0,0 +1,62 @@
+"""How much of the fleet lies idle though a waiting step could use it."""
+
+from galenastall.bench.cell_load.surroundings import LabWorld
+from galenastall.coordination.cell.scheduler import CellScheduler
+from galenastall.state.cell.jobs import Step, StepKey
+from galenastall.state.cell.phases import TaskPhase
+from galenastall.state.resources import Resources
+
+
+def usable_idle_cores(core: CellScheduler, world: LabWorld) -> int:
+    """Return the milli-cores that waiting steps could take up now, where they are approved.
+
+    What the executors really have free counts, not the leader's ledger: room that is kept for a
+    step that can't start yet is idle too.
+    """
+    free_by_id = _free(world)
+    taken = 0
+    for key, step, count in _waiting(core):
+        approved = [i for i in free_by_id if world.is_approved(key, i)]
+        slots = {i: _slots(free_by_id[i], step, count) for i in approved}
+        if step.is_gang and sum(slots.values()) < count:
+            continue
+        left = count
+        for executor_id, fitting in slots.items():
+            placed = min(fitting, left)
+            free_by_id[executor_id] -= step.need.times(placed)
+            taken += placed * step.need.cores_milli
+            left -= placed
+    return taken
+
+
+def _free(world: LabWorld) -> dict[str, Resources]:
+    free = {}
+    for executor_id, executor in world.executors.items():
+        if executor.is_up:
+            left = executor.info.capacity
+            for run in executor.runs.values():
+                left -= run.need
+            free[executor_id] = left
+    return free
+
+
+def _waiting(core: CellScheduler) -> list[tuple[StepKey, Step, int]]:
+    found = []
+    for job in core.jobs_by_id.values():
+        if job.has_ended or not job.is_durable:
+            continue
+        for occurrence in job.occurrences_by_number.values():
+            for step in occurrence.steps:
+                count = sum(1 for task in step.tasks if task.phase is TaskPhase.WAITING)
+                if count and occurrence.is_ready(step):
+                    found.append((step.key, step.step, count))
+    return found
+
+
+def _slots(free: Resources, step: Step, count: int) -> int:
+    slots = count
+    if step.need.cores_milli:
+        slots = min(slots, free.cores_milli // step.need.cores_milli)
+    if step.need.memory_mb:
+        slots = min(slots, free.memory_mb // step.need.memory_mb)
+    return max(slots, 0)
--- /dev/null
+++ b/src/galenastall/bench/cell_load/surroundings.py
@@ -0,0 +1,289 @@
+"""What a leader speaks to in the lab: store, list of executors, executors and advisor."""
+
+import hashlib
+from collections.abc import Iterable, Mapping
+from typing import Any, Final
+
+import trio
+from returns.result import Failure, Result, Success
+
+from galenastall.bench.cell_load.arrivals import SERVICE, Arrival
+from galenastall.bench.cell_load.workload import Workload
+from galenastall.coordination.cell.advice import Approval
+from galenastall.coordination.cell.commands import PaceOrder, StartOrder, StopOrder
+from galenastall.coordination.cell.executors import ExecutorInfo
+from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
+from galenastall.protocol.cell.messages import AdviceAnswer, GetAdvice
+from galenastall.protocol.cell.ports import StoreView
+from galenastall.standin.cell.executors import Executor, ExecutorWorld, Run
+from galenastall.state.cell.hosts import MaintenanceWave, PoolHost
+from galenastall.state.cell.jobs import Step, StepKey, TaskKey
+from galenastall.state.errors import Reason, StepError
+from galenastall.state.ids import HostId
+from galenastall.state.resources import Resources
+
+ORDER_S: Final = 0.003
+"""Time of a call to an executor and back."""
+APPEND_S: Final = 0.007
+"""Time of an append, as measured on the platform."""
+READ_S: Final = 0.005
+POLL_S: Final = 0.05
+"""Between two looks of a long poll at what has ended."""
+SPEEDS: Final = (0.8, 1.0, 1.25)
+"""Executors differ by these factors."""
+
+
+def chance(*parts: object) -> float:
+    """Return a number from 0 to 1 that is the same for the same parts, whatever the policy."""
+    digest = hashlib.blake2b(repr(parts).encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") / 2.0**64
+
+
+class LabWorld(ExecutorWorld):
+    """Executors that run what arrives for as long as was drawn."""
+
+    def __init__(self, *, workload: Workload, arrivals: Iterable[Arrival], seed: int) -> None:
+        """Start the fleet of a workload."""
+        super().__init__()
+        self.shows_progress = True
+        self.workload = workload
+        self.seed = seed
+        self.arrivals_by_id: Mapping[str, Arrival] = {a.job.job_id: a for a in arrivals}
+        self.infos_by_id: dict[str, ExecutorInfo] = {}
+        self._lives = 0
+        for number in range(workload.executors):
+            self.give_life(number)
+
+    def give_life(self, number: int) -> None:
+        """Start a life on a host."""
+        self._lives += 1
+        info = ExecutorInfo(
+            executor_id=f"executor-{self._lives}",
+            host=f"host-{number}",
+            address=f"10.0.0.1:{1000 + number}",
+            data_centre=f"dc-{number % 3}",
+            service=SERVICE,
+            capacity=Resources(
+                cores_milli=self.workload.executor_cores_milli,
+                memory_mb=self.workload.executor_memory_mb,
+            ),
+            rack=f"rack-{number // self.workload.rack_size}",
+        )
+        self.infos_by_id[info.executor_id] = info
+        self.executors[info.executor_id] = Executor(world=self, info=info)
+
+    def speed_of(self, executor: ExecutorInfo) -> float:
+        """Return how fast a host is."""
+        return SPEEDS[int(chance(self.seed, "speed", executor.host) * len(SPEEDS))]
+
+    def step_of(self, task: TaskKey) -> Step:
+        """Return the step that a task belongs to."""
+        return self.arrivals_by_id[task.job].job.steps[task.step]
+
+    def attempts_of(self, task: TaskKey) -> int:
+        """Return after how many failed runs a task must not start again."""
+        return self.arrivals_by_id[task.job].job.queue.max_attempts
+
+    def _run_s(self, task: TaskKey) -> float:
+        return self.arrivals_by_id[task.job].run_s_by_step[task.step][task.number]
+
+    def draw_run(self, order: StartOrder) -> tuple[float, bool]:
+        """Return how long a run lasts, and whether it fails."""
+        speed = self.speed_of(self.infos_by_id[order.executor_id])
+        load = self.workload.queues[self.arrivals_by_id[order.task.job].job.queue.name]
+        fails = chance(self.seed, "fails", order.task, order.run) < load.fail_share
+        return self._run_s(order.task) / speed, fails
+
+    def draw_gang_s(self, members: Iterable[Run]) -> float:
+        """Return how long a gang's run lasts: as its slowest member."""
+        return max(self._run_s(member.task) for member in members) / min(SPEEDS)
+
+    def is_approved(self, step: StepKey, executor_id: str) -> bool:
+        """Whether the advisor lets a host run a step."""
+        advice = self.workload.queues[self.arrivals_by_id[step.job].job.queue.name].advice
+        if advice is None:
+            return True
+        host = self.infos_by_id[executor_id].host
+        return chance(self.seed, "advice", step, host) < advice.approved_share
+
+
+class LabPorts:
+    """The ports of a leader onto a lab's world."""
+
+    def __init__(self, *, world: LabWorld) -> None:
+        """Serve from `world`."""
+        self._world = world
+        self._values: dict[str, bytes] = {}
+        self._epoch = 0
+        self._sequence = -1
+        self.is_store_away = False
+        self.advice_calls = 0
+        self.advised_executors = 0
+
+    async def claim(self, *, host_id: str, address: str, tip: int) -> Result[int, StepError]:
+        """Not used: the lab names the leader."""
+        raise NotImplementedError
+
+    async def look(self) -> Result[StoreView, StepError]:
+        """Not used: the lab names the leader."""
+        raise NotImplementedError
+
+    async def fence(self, *, token: int) -> Result[None, StepError]:
+        """Refuse older tokens from now on."""
+        await trio.sleep(APPEND_S)
+        self._epoch, self._sequence = max(self._epoch, token), -1
+        return Success(None)
+
+    async def append(
+        self, *, token: int, sequence: int, values_by_key: dict[str, bytes], timeout_s: float
+    ) -> Result[None, StepError]:
+        """Write once for each sequence number."""
+        await trio.sleep(APPEND_S)
+        if self.is_store_away:
+            return Failure(StepError(step="lab.append", peer="store", reason=Reason.UNAVAILABLE))
+        if token < self._epoch:
+            return Failure(StepError(step="lab.append", peer="store", reason=Reason.CONFLICT))
+        if sequence > self._sequence:
+            self._sequence = sequence
+            self._values.update(values_by_key)
+            for key in [key for key, value in values_by_key.items() if not value]:
+                self._values.pop(key, None)
+        return Success(None)
+
+    async def load(self) -> Result[dict[str, bytes], StepError]:
+        """Return all rows."""
+        await trio.sleep(READ_S)
+        return Success(dict(self._values))
+
+    async def read(self) -> Result[tuple[ExecutorInfo, ...], StepError]:
+        """Return the executors that are up."""
+        await trio.sleep(READ_S)
+        executors = self._world.executors
+        infos = self._world.infos_by_id.values()
+        return Success(tuple(i for i in infos if executors[i.executor_id].is_up))
+
+    def waves(self) -> tuple[MaintenanceWave, ...]:
+        """Return no waves."""
+        return ()
+
+    async def list_hosts(self) -> Result[tuple[PoolHost, ...], StepError]:
+        """Return no hosts: no wave or pool asks for them."""
+        return Success(())
+
+    async def order(self, *_: Any, **__: Any) -> Any:
+        """Not used: no wave or pool asks for it."""
+        raise NotImplementedError
+
+    async def tell_wave(self, *_: Any, **__: Any) -> Any:
+        """Not used: there are no waves."""
+        raise NotImplementedError
+
+    async def start(
+        self, *, address: str, order: StartOrder, deadline_ms: int, token: int, timeout_s: float
+    ) -> Result[OrderAnswer, StepError]:
+        """Start a run."""
+        executor = await self._reach(order.executor_id, timeout_s)
+        if executor is None:
+            return _silent(order.executor_id)
+        verdict = executor.start(order, deadline_ms, token)
+        return Success(OrderAnswer(verdict=verdict, clock_ms=int(executor.clock_ms())))
+
+    async def stop(
+        self, *, address: str, order: StopOrder, token: int, timeout_s: float
+    ) -> Result[OrderAnswer, StepError]:
+        """Stop a run."""
+        executor = await self._reach(order.executor_id, timeout_s)
+        if executor is None:
+            return _silent(order.executor_id)
+        verdict = executor.stop(order, token)
+        return Success(OrderAnswer(verdict=verdict, clock_ms=int(executor.clock_ms())))
+
+    async def pace(
+        self, *, address: str, order: PaceOrder, token: int, timeout_s: float
+    ) -> Result[OrderAnswer, StepError]:
+        """Confirm a pace; the lab's workloads have no fillers."""
+        await trio.sleep(ORDER_S)
+        return Success(OrderAnswer(verdict=StartVerdict.STARTED, clock_ms=None))
+
+    async def renew(
+        self,
+        *,
+        address: str,
+        executor_id: str,
+        deadline_ms: int | None,
+        noted: int,
+        wait_s: float,
+        token: int,
+        timeout_s: float,
+    ) -> Result[ListingAnswer, StepError]:
+        """Renew, and list once a run has ended or the wait is over."""
+        executor = await self._reach(executor_id, timeout_s)
+        if executor is None:
+            return _silent(executor_id)
+        verdict = executor.hold(deadline_ms, noted, token)
+        if verdict is not StartVerdict.STARTED:
+            return Success(ListingAnswer(verdict=verdict, listing=None))
+        until = trio.current_time() + wait_s
+        while trio.current_time() < until and executor.is_up and not executor.ended:
+            with trio.move_on_after(min(POLL_S, until - trio.current_time())):
+                await executor.changed.wait()
+            executor.sweep()
+        if not executor.is_up:
+            return _silent(executor_id)
+        return Success(ListingAnswer(verdict=verdict, listing=executor.listing()))
+
+    async def _reach(self, executor_id: str, timeout_s: float) -> Executor | None:
+        await trio.sleep(ORDER_S)
+        executor = self._world.executors[executor_id]
+        if executor.is_up:
+            return executor
+        await trio.sleep(timeout_s)
+        return None
+
+    async def advise(self, message: GetAdvice) -> AdviceAnswer:
+        """Answer a call for advice after the time that it takes."""
+        arrival = self._world.arrivals_by_id[message.step.job]
+        timing = arrival.job.queue.advisor
+        assert timing is not None, "only steps of advised queues are asked about"
+        self.advice_calls += 1
+        self.advised_executors += len(message.executor_ids)
+        await trio.sleep(timing.base_s + timing.per_executor_s * len(message.executor_ids))
+        approved = tuple(
+            Approval(executor_id=executor_id, ticket="ticket")
+            for executor_id in message.executor_ids
+            if self._world.is_approved(message.step, executor_id)
+        )
+        return AdviceAnswer(approved=approved, validity_s=timing.validity_s)
+
+
+class AdvisorLink:
+    """A peer link on which each host only asks the advisor."""
+
+    def __init__(self, *, ports: LabPorts) -> None:
+        """Ask through `ports`."""
+        self._ports = ports
+
+    @property
+    def host_id(self) -> HostId:
+        """The leader."""
+        return HostId("entry-0")
+
+    def set_peers(self, addresses_by_id: dict[HostId, str]) -> None:
+        """All hosts are known."""
+
+    def handle(self, message_type: type[Any], handler: Any) -> None:
+        """Nobody calls the leader over this link."""
+
+    def send(self, *, peer: HostId, message: object) -> None:
+        """Nothing is sent one way."""
+
+    async def call(
+        self, *, peer: HostId, message: object, timeout_s: float
+    ) -> Result[Any, StepError]:
+        """Ask the advisor through a host."""
+        assert isinstance(message, GetAdvice), "the leader asks hosts for advice only"
+        return Success(await self._ports.advise(message))
+
+
+def _silent(peer: str) -> Failure[StepError]:
+    return Failure(StepError(step="lab.call", peer=peer, reason=Reason.TIMEOUT))
--- /dev/null
+++ b/src/galenastall/bench/cell_load/workload.py
@@ -0,0 +1,131 @@
+"""Workload files: queues, rates, shapes of jobs, and what goes wrong when."""
+
+from pathlib import Path
+from typing import Final
+
+import msgspec
+import yaml
+
+MOST_EXECUTORS: Final = 4_000
+"""The largest fleet to design for has 2,800."""
+
+
+class WorkloadError(ValueError):
+    """A workload file that can't be played, with the field and its value."""
+
+
+class Spread(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A log-normal distribution."""
+
+    mean: float
+    spread: float = 0.0
+    """Standard deviation as a share of the mean."""
+    most: float = float("inf")
+
+
+class Advice(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What a call for advice costs, in seconds, and how many executors are approved."""
+
+    base_s: float
+    per_executor_s: float
+    validity_s: float
+    approved_share: float
+
+
+class QueueLoad(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Jobs of one queue."""
+
+    jobs_per_s: float
+    priority: int
+    stretch: float
+    target_s: float
+    steps: Spread
+    """Steps of a job, each after the one before."""
+    width: Spread
+    """Tasks of a step."""
+    cores_milli: Spread
+    memory_mb: Spread
+    run_s: Spread
+    worth: float = 1.0
+    """What a job of usual size earns in time; a fifth when late."""
+    max_attempts: int = 3
+    estimate_off: float = 0.5
+    """Spread of declared over real run time."""
+    gang_share: float = 0.0
+    fail_share: float = 0.0
+    advice: Advice | None = None
+
+
+class Burst(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """More jobs of a queue, or of all, for a while."""
+
+    at_s: float
+    for_s: float
+    factor: float
+    queue: str = ""
+
+
+class Span(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """From when and for how long something is away."""
+
+    at_s: float
+    for_s: float
+    share: float = 1.0
+    """Share of the executors that it hits."""
+
+
+class Workload(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One load on one fleet."""
+
+    name: str
+    shows: str
+    queues: dict[str, QueueLoad]
+    executors: int = 24
+    executor_cores_milli: int = 64_000
+    executor_memory_mb: int = 131_072
+    rack_size: int = 8
+    entry_hosts: int = 6
+    """Hosts through which the advisor can be asked, one call a time each."""
+    length_s: float = 40.0
+    settle_s: float = 25.0
+    """Time for what was accepted to end, after the last arrival."""
+    bursts: list[Burst] = []
+    store_outages: list[Span] = []
+    leader_losses: list[Span] = []
+    """All entry hosts are gone; one leads again after that time."""
+    crashes: list[Span] = []
+    """Executors that crash, and come back as new lives."""
+
+    def problem(self) -> str:
+        """Return what is wrong, naming field and value; empty if nothing is."""
+        if not 1 <= self.executors <= MOST_EXECUTORS:
+            return f"executors: expected 1 to {MOST_EXECUTORS}, got {self.executors}"
+        if not self.queues:
+            return "queues: expected at least one, got none"
+        if self.entry_hosts < 1:
+            return f"entry_hosts: expected 1 or more, got {self.entry_hosts}"
+        for burst in self.bursts:
+            if burst.queue and burst.queue not in self.queues:
+                return f"bursts: no queue {burst.queue!r}"
+        return ""
+
+    def factor_at(self, queue: str, at_s: float) -> float:
+        """Return how many times the usual rate a queue's jobs come."""
+        factor = 1.0
+        for burst in self.bursts:
+            is_on = burst.at_s <= at_s < burst.at_s + burst.for_s
+            if is_on and burst.queue in {"", queue}:
+                factor *= burst.factor
+        return factor
+
+
+def load_workload(path: Path) -> Workload:
+    """Read a workload file; WorkloadError names what is wrong with it."""
+    try:
+        workload = msgspec.convert(yaml.safe_load(path.read_text()), type=Workload)
+    except (OSError, yaml.YAMLError, msgspec.ValidationError) as error:
+        raise WorkloadError(f"{path}: {error}") from error
+    problem = workload.problem()
+    if problem:
+        raise WorkloadError(f"{path}: {problem}")
+    return workload
--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -5,6 +5,7 @@
 from galenastall.coordination.cell.commands import AskAdvice, Note, PaceOrder, StartOrder, StopOrder
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.job_runs import JobRun, StepRun, TaskRun
+from galenastall.coordination.cell.mechanisms import ALL_ON, Without
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.state.cell.jobs import Queue, StepKey, TaskKey
 from galenastall.state.cell.phases import TaskPhase
@@ -13,9 +14,13 @@
 class CellState:
     """Shared by the parts of the core; holds no rule of its own beyond consistency."""
 
-    def __init__(self, *, timings: CellTimings, fenced_at: float) -> None:
+    def __init__(
+        self, *, timings: CellTimings, fenced_at: float, without: Without = ALL_ON
+    ) -> None:
         """Create empty tables of a leader whose fence stands since `fenced_at`."""
         self.timings = timings
+        self.without = without
+        """Parts of the policy that are switched off, to measure what they are worth."""
         self.fenced_at = fenced_at
         self.now = fenced_at
         """Leader's time of the event in hand."""
--- a/src/galenastall/coordination/cell/election.py
+++ b/src/galenastall/coordination/cell/election.py
@@ -71,6 +71,11 @@
         """The highest token that was heard of or seen at the store; a claim comes after it."""
         return max(self._token, self._claimed_token)
 
+    @property
+    def tip(self) -> int | None:
+        """The state's end as the last look showed it; a claim comes right there."""
+        return self._tip
+
     def is_heard(self, now: float) -> bool:
         """Whether the leader's beats go on."""
         if self._beat is None:
@@ -97,8 +102,11 @@
         """Make no claim before `until`."""
         self._not_before = until
 
-    def on_look(self, *, token: int, tip: int, now: float) -> None:
-        """Take what the store shows.
+    def on_look(self, *, token: int, tip: int, now: float, is_orphaned: bool = False) -> None:
+        """Take what the store shows; `is_orphaned`: the newest claim is of an earlier life here.
+
+        An earlier life on this host is over, so the end need not be watched for standing still.
+        After a loss of all hosts that saves 0.35 s and the jitter of a takeover.
 
         What stood between looks that failed is not known: a leader takes a moment to be confirmed
         again after an outage, and claims at its end cost it 0.7 s and all its tickets.
@@ -115,6 +123,9 @@
         elif self._tip is None or tip != self._tip:
             self._tip = tip
             self._tip_moved_at = now
+        if is_orphaned:
+            still_s = self._timings.tip_silence_s + self._jitter_s
+            self._tip_moved_at = min(self._tip_moved_at, now - still_s)
         if token == 0 and self._may_start:
             self._tip_moved_at = min(self._tip_moved_at, now - self._timings.tip_silence_s)
 
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -20,6 +20,7 @@
 from galenastall.coordination.cell.job_runs import JobRun, StartState
 from galenastall.coordination.cell.listings import Listing, ListingReader
 from galenastall.coordination.cell.load_report import report_load
+from galenastall.coordination.cell.mechanisms import ALL_ON, Without
 from galenastall.coordination.cell.orders import OrderBook, StartOutcome
 from galenastall.coordination.cell.pacing import Pacing
 from galenastall.coordination.cell.placer import Placer
@@ -43,9 +44,11 @@
 class CellScheduler:
     """All decisions of one term of leadership; `now` is trio's time, `wall` is since 1970."""
 
-    def __init__(self, *, timings: CellTimings, fenced_at: float) -> None:
+    def __init__(
+        self, *, timings: CellTimings, fenced_at: float, without: Without = ALL_ON
+    ) -> None:
         """Create the core of a leader whose fence at the store stands since `fenced_at`."""
-        self._state = CellState(timings=timings, fenced_at=fenced_at)
+        self._state = CellState(timings=timings, fenced_at=fenced_at, without=without)
         self._advice = AdviceBook()
         self._doubts = Doubts(state=self._state)
         self._ends = RunEnds(state=self._state, doubts=self._doubts)
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -9,6 +9,7 @@
 from returns.result import Failure
 
 from galenastall.coordination.cell.commands import StartOrder
+from galenastall.coordination.cell.mechanisms import ALL_ON, Without
 from galenastall.coordination.cell.scheduler import CellScheduler
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.node.cell.advice_desk import AdviceDesk
@@ -53,6 +54,7 @@
     config: Callable[[], CellConfig | None]
     helpers: Callable[[], tuple[HostId, ...]]
     """Entry hosts through which the advisor can be asked."""
+    without: Without = ALL_ON
 
 
 class LeaderTerm:
@@ -62,7 +64,9 @@
         """Prepare the term of `token`, whose claim was sent at `claimed_at`."""
         self._parts = parts
         self.token = token
-        self.core = CellScheduler(timings=parts.timings, fenced_at=trio.current_time())
+        self.core = CellScheduler(
+            timings=parts.timings, fenced_at=trio.current_time(), without=parts.without
+        )
         self.context = TermContext(
             core=self.core,
             token=token,
--- a/src/galenastall/platform/store.py
+++ b/src/galenastall/platform/store.py
@@ -1,4 +1,4 @@
-"""The cell's state in keyed topics of the platform's log, fenced by producer epochs."""
+"""The cell's state and who leads, in one partition of the platform's log, fenced by epochs."""
 
 from typing import Final
 
@@ -17,17 +17,19 @@
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.http_client import WholeAnswer
 
-CLAIMS_TOPIC: Final = "keyed.galenastall-leader"
 STATE_TOPIC: Final = "keyed.galenastall-cell"
-CLAIM_KEY: Final = "leader"
+CLAIM_KEY: Final = "~leader"
+"""Key of the newest claim, in the state's own partition: a takeover needs this one to be up and no
+other. Of a store that is down in part, with 37% of its partitions away, two would be up 40% of the
+time and one is 63%. It sorts behind all other keys, so that a look reads it alone."""
 PRODUCER: Final = "leader"
 """One name for all leaders, so that the epoch of one fences those before it."""
 CALL_TIMEOUT_S: Final = 1.0
 _OK: Final = 200
 _CONFLICT: Final = 409
 _NOT_AT_END: Final = 412
-_AFTER_ALL_KEYS: Final = "~"
-"""Sorts behind all keys: a page after it shows only where the topic ends."""
+_BEHIND_ROWS: Final = "~"
+"""Sorts behind the keys of all rows, and before that of the claim."""
 
 
 class _Claim(msgspec.Struct, frozen=True, kw_only=True):
@@ -44,12 +46,12 @@
         self._newest = NewestReader(calls=calls, address=address)
         self._address = address
 
-    async def claim(self, *, host_id: str, address: str, after: int) -> Result[int, StepError]:
-        """Append a claim if the topic ends at `after`; its offset + 1 is the token."""
+    async def claim(self, *, host_id: str, address: str, tip: int) -> Result[int, StepError]:
+        """Append a claim if the state ends at `tip`; its offset + 1 is the token."""
         value = msgspec.json.encode(_Claim(host_id=host_id, address=address))
         answer = await self._append(
             step="store.claim",
-            path=f"/log-append?topic={CLAIMS_TOPIC}&part=0&at={after}",
+            path=f"/log-append?topic={STATE_TOPIC}&part=0&at={tip}",
             body=keyed_record(CLAIM_KEY, value),
             timeout_s=CALL_TIMEOUT_S,
         )
@@ -86,18 +88,19 @@
         if found.problems:
             # A row that is left out would be a job that is lost; all are ours, and written whole.
             return Failure(self._error("store.load", Reason.CUT, "; ".join(found.problems)))
-        return Success(found.values_by_key)
+        rows = {key: value for key, value in found.values_by_key.items() if key != CLAIM_KEY}
+        return Success(rows)
 
     async def look(self) -> Result[StoreView, StepError]:
-        """Read the newest claim and the state's end."""
-        claims = await self._newest.page(CLAIMS_TOPIC)
-        if isinstance(claims, Failure):
-            return claims
-        state = await self._newest.page(STATE_TOPIC, _AFTER_ALL_KEYS)
-        if isinstance(state, Failure):
-            return state
+        """Read the newest claim and the state's end, in one page."""
+        answer = await self._newest.page(STATE_TOPIC, _BEHIND_ROWS)
+        if isinstance(answer, Failure):
+            return answer
+        page = answer.unwrap()
         leader: LeaderRecord | None = None
-        for record in claims.unwrap().records:
+        for record in page.records:
+            if record.key != CLAIM_KEY:
+                continue
             decoded = decode_entry(record.value, _Claim)
             if isinstance(decoded, Failure):
                 return Failure(self._error("store.look", Reason.CUT, decoded.failure()))
@@ -105,7 +108,7 @@
             leader = LeaderRecord(
                 token=record.offset + 1, host_id=claim.host_id, address=claim.address
             )
-        return Success(StoreView(leader=leader, tip=state.unwrap().end_offset))
+        return Success(StoreView(leader=leader, tip=page.end_offset))
 
     async def _append(
         self, *, step: str, path: str, body: bytes, timeout_s: float
--- a/src/galenastall/protocol/cell/ports.py
+++ b/src/galenastall/protocol/cell/ports.py
@@ -29,7 +29,7 @@
 
     leader: LeaderRecord | None
     tip: int
-    """End of the state; it moves while a leader is confirmed."""
+    """End of the state; it moves with each claim, and while a leader is confirmed."""
 
 
 class StatePort(Protocol):
@@ -40,11 +40,11 @@
     be carried out later.
     """
 
-    async def claim(self, *, host_id: str, address: str, after: int) -> Result[int, StepError]:
+    async def claim(self, *, host_id: str, address: str, tip: int) -> Result[int, StepError]:
         """Append a claim and return its token; tokens are unique and rise.
 
-        `after` is the newest token that the claimant knows: CONFLICT says that there is a newer
-        one, and that nothing was appended.
+        `tip` is the state's end as the claimant last saw it: CONFLICT says that something has been
+        written since, by a leader or another claimant, and that nothing was appended.
         """
 
     async def fence(self, *, token: int) -> Result[None, StepError]:
--- a/tests/test_cell_leadership.py
+++ b/tests/test_cell_leadership.py
@@ -221,6 +221,35 @@
 
         await play(scenario, seed=16)
 
+    async def test_the_host_that_led_claims_at_once_when_all_come_back(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            first = await cluster.wait_for_leader()
+            await trio.sleep(1.0)
+            for name in cluster.names:
+                cluster.kill(name)
+            await trio.sleep(1.0)
+            back_at = trio.current_time()
+            await cluster.start_all()
+            assert await cluster.wait_for_leader() == first
+            assert trio.current_time() - back_at < TIMINGS.tip_silence_s
+
+        await play(scenario, seed=31)
+
+    async def test_a_handover_claims_where_the_last_append_ended(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            first = await cluster.wait_for_leader()
+            await trio.sleep(1.5)
+            begun_at = trio.current_time()
+            await cluster.live[first].host.standing.leave(1.0)
+            await cluster.wait_for_other_leader(first)
+            assert trio.current_time() - begun_at < TIMINGS.beat_doubt_s
+
+        await play(scenario, seed=32)
+
     async def test_all_hosts_lost_at_once_come_back_with_every_accepted_job(
         self, autojump_clock: object
     ) -> None:
