Wait for a start before pausing its owner in the hazards with real processes

The test now waits until the owner's log tells of a start to one of its workers: stricter, since the hazard must come about. The wait for ten further runs after the cut begins new jobs, since of the first 48 runs fewer than ten may be left.

--- a/tests/test_hazards_processes.py
+++ b/tests/test_hazards_processes.py
@@ -89,8 +89,9 @@
 class HazardRun:
     """A fleet under load and the ways to harm it."""
 
-    def __init__(self, *, fleet: Fleet, recorder: HistoryRecorder) -> None:
+    def __init__(self, *, fleet: Fleet, recorder: HistoryRecorder, directory: Path) -> None:
         self.fleet = fleet
+        self.directory = directory
         self.recorder = recorder
 
     async def run_jobs(self, name: str, run_s: float = RUN_S) -> None:
@@ -176,7 +177,7 @@
         first_late = self.fleet.clock.wall() + LATE_S
         async with self.worker_delay(workers):
             nursery.start_soon(self.run_jobs, "late", LONG_RUN_S)
-            await trio.sleep(4 * JOB_EVERY_S)
+            await eventually(lambda: self.has_sent_a_start(owner, workers))
             self.fleet.driver.pause(owner)
         last_late = self.fleet.clock.wall() + LATE_S
         await self.until_replaced(owner)
@@ -184,6 +185,15 @@
         await trio.sleep(max(0.0, last_late - self.fleet.clock.wall()))
         assert await self.was_started(workers, after=first_late, before=last_late)
 
+    async def has_sent_a_start(self, owner: HostId, workers: set[HostId]) -> bool:
+        """Return whether an owner's log tells of a start sent to one of its workers.
+
+        A paused owner that has sent none has nothing that could arrive late.
+        """
+        log = (self.directory / f"{owner}.log").read_text()
+        lines = [line for line in log.splitlines() if '"worker.start"' in line]
+        return any(f'"peer":"{worker}"' in line for line in lines for worker in workers)
+
     async def was_started(self, workers: set[HostId], *, after: float, before: float) -> bool:
         """Return whether any task was started on one of the workers in a span of wall time."""
         recorder = HistoryRecorder()
@@ -209,6 +219,8 @@
         await self.until_replaced(owner)
         self.fleet.driver.resume(owner)
         taken(await self.fleet.control.change_faults("workers/all", {"drop_after": 0.0}))
+        # Of the first jobs fewer runs may be left than are waited for.
+        nursery.start_soon(self.run_jobs, "regained")
         await self.until_runs()
         taken(await self.fleet.control.set_cuts())
 
@@ -244,7 +256,7 @@
     async def test_no_overcommitment_and_no_second_run(self, tmp_path: Path) -> None:
         recorder = HistoryRecorder()
         async with running_fleet(PLAN, tmp_path) as fleet:
-            run = HazardRun(fleet=fleet, recorder=recorder)
+            run = HazardRun(fleet=fleet, recorder=recorder, directory=tmp_path)
             async with trio.open_nursery() as requests:
                 requests.start_soon(run.send_requests)
                 for bring_about in (
