Keep room by one plan a decision, instead of holds and shares of the ledger

Cause: a gang that had advice on a part of what it needs held that room for the 0.65 s of each call and the wait before it, got fewer places than it needs, and began anew; gangs kept each other out.

Change: each blocked step, in the order of the line, is given the room that will be free soonest by the expected ends of runs, for the moment at which all of it is; what ends before, or fits beside it then, starts meanwhile. A gang that can't have all of its room keeps none. Nothing is kept beyond the decision. Gangs' tickets are renewed for the planned moment, within what the hosts can ask.

--- a/src/galenastall/coordination/cell/advice.py
+++ b/src/galenastall/coordination/cell/advice.py
@@ -57,6 +57,9 @@
     def __init__(self) -> None:
         """Create an empty book."""
         self._advice_by_step: dict[StepKey, StepAdvice] = {}
+        self._asking_steps: set[StepKey] = set()
+        self._answered = 0
+        self._approved = 0
 
     def of(self, step: StepKey) -> StepAdvice:
         """Return what is known about a step, creating an empty entry."""
@@ -70,23 +73,38 @@
         advice = self.of(step)
         advice.asking = frozenset(executor_ids)
         advice.asked_at = now
+        self._asking_steps.add(step)
+
+    @property
+    def calls_under_way(self) -> int:
+        """How many calls have no answer yet."""
+        return len(self._asking_steps)
+
+    @property
+    def approved_share(self) -> float:
+        """Share of the executors asked about that were approved so far; a half before any."""
+        return (self._approved + 1.0) / (self._answered + 2.0)
 
     def answer(
         self, step: StepKey, approved: tuple[Approval, ...], *, validity_s: float, now: float
     ) -> None:
         """Take in an answer that came at `now`; TICKET_MARGIN_S covers its way here."""
         advice = self.of(step)
+        self._answered += len(advice.asking - advice.asked)
+        self._approved += sum(1 for a in approved if a.executor_id not in advice.asked)
         advice.asked |= advice.asking
         for approval in approved:
             advice.tickets_by_executor[approval.executor_id] = approval.ticket
             advice.good_until_by_executor[approval.executor_id] = now + validity_s
         advice.asking = frozenset()
+        self._asking_steps.discard(step)
 
     def fail(self, step: StepKey, now: float) -> None:
         """Note that a call has failed."""
         advice = self.of(step)
         advice.asking = frozenset()
         advice.not_before = now + ASK_AGAIN_S
+        self._asking_steps.discard(step)
 
     def drop_ticket(self, step: StepKey, executor_id: str) -> None:
         """Forget a ticket that the executor did not accept."""
@@ -96,3 +114,4 @@
         """Forget all steps of a job."""
         for step in [step for step in self._advice_by_step if step.job == job_id]:
             del self._advice_by_step[step]
+            self._asking_steps.discard(step)
--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -41,6 +41,8 @@
         self.paces: list[PaceOrder] = []
         self.asks: list[AskAdvice] = []
         self.notes: list[Note] = []
+        self.advice_calls_at_once = 1
+        """Calls for advice that can be under way at a time: one for each entry host."""
         self._seq = 0
 
     def next_seq(self) -> int:
--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -4,7 +4,7 @@
 from enum import Enum, auto
 
 from galenastall.coordination.cell.lease_clock import LeaseClock
-from galenastall.state.cell.jobs import StepKey, TaskKey
+from galenastall.state.cell.jobs import TaskKey
 from galenastall.state.resources import Resources
 
 
@@ -46,8 +46,6 @@
         self.info = info
         self.clock = clock
         self.runs_by_task: dict[TaskKey, int] = {}
-        self.held_by_step: dict[StepKey, Resources] = {}
-        """Room kept for a step whose advice is being asked again."""
         self.strangers: frozenset[tuple[TaskKey, int]] = frozenset()
         """Runs listed there that no live job accounts for; they are stopped first."""
         self.cordons: set[Cordon] = set()
@@ -76,9 +74,10 @@
         self.paced_at = float("-inf")
         self.wants_look = False
         """Whether a listing is needed now, without waiting for an end."""
-        self.free_cores_milli = info.capacity.cores_milli
-        self.free_memory_mb = info.capacity.memory_mb
-        self.free_accelerators = info.capacity.accelerators
+        self.free = info.capacity
+        """What the ledger has left; negative where a capacity has shrunk."""
+        self.version = 0
+        """Rises with each change of the ledger and each listing that shows runs."""
 
     @property
     def executor_id(self) -> str:
@@ -99,48 +98,19 @@
             self._leaves_at = now + self.info.leaves_in_s
         return self._leaves_at
 
-    def has_room(self, need: Resources) -> bool:
-        """Whether the ledger has room for one more of `need`."""
-        return (
-            need.cores_milli <= self.free_cores_milli
-            and need.memory_mb <= self.free_memory_mb
-            and need.accelerators <= self.free_accelerators
-        )
-
     def room_for(self, need: Resources, most: int) -> int:
         """Return how many of `need` fit now, `most` at the highest."""
-        count = most
-        if need.cores_milli:
-            count = min(count, self.free_cores_milli // need.cores_milli)
-        if need.memory_mb:
-            count = min(count, self.free_memory_mb // need.memory_mb)
-        if need.accelerators:
-            count = min(count, self.free_accelerators // need.accelerators)
-        return max(count, 0)
+        return need.count_in(self.free, most)
 
     def take(self, need: Resources) -> None:
         """Reserve room."""
-        self.free_cores_milli -= need.cores_milli
-        self.free_memory_mb -= need.memory_mb
-        self.free_accelerators -= need.accelerators
+        self.free = self.free - need
+        self.version += 1
 
     def give_back(self, need: Resources) -> None:
         """Return reserved room."""
-        self.free_cores_milli += need.cores_milli
-        self.free_memory_mb += need.memory_mb
-        self.free_accelerators += need.accelerators
-
-    def hold_room(self, step: StepKey, amount: Resources) -> None:
-        """Keep room for a step until `drop_hold`."""
-        self.drop_hold(step)
-        self.held_by_step[step] = amount
-        self.take(amount)
-
-    def drop_hold(self, step: StepKey) -> None:
-        """Give back what was kept for a step, if anything."""
-        amount = self.held_by_step.pop(step, None)
-        if amount is not None:
-            self.give_back(amount)
+        self.free = self.free + need
+        self.version += 1
 
     def is_open(self, *, now: float, reach_s: float, delisted_grace_s: float) -> bool:
         """Whether new work may be placed here now."""
--- a/src/galenastall/coordination/cell/fitting.py
+++ b/src/galenastall/coordination/cell/fitting.py
@@ -1,9 +1,10 @@
-"""Which executors fit a step best; pure choices over their ledgers."""
+"""Which executors fit a step best; pure choices over their ledgers and what is kept there."""
 
 from collections.abc import Iterable
 
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.job_runs import StepRun, TaskRun
+from galenastall.coordination.cell.room_plan import RoomPlan
 from galenastall.state.cell.jobs import Step
 
 Preference = tuple[int, int, float, str]
@@ -25,17 +26,18 @@
     return there < most
 
 
-def choose(usable: Iterable[Executor], step: StepRun, task: TaskRun) -> Executor | None:
+def choose(
+    usable: Iterable[Executor], step: StepRun, task: TaskRun, plan: RoomPlan
+) -> Executor | None:
     """Return the executor with the least room left that has some, near the data if possible.
 
     One on which the task has failed is the last choice: few attempts are allowed, and the fault
     may be the executor's.
     """
-    need = step.step.need
     best: Executor | None = None
     best_key: Preference | None = None
     for executor in usable:
-        if not executor.has_room(need) or not may_add(executor, step):
+        if not plan.room_for(executor, step.step, 1) or not may_add(executor, step):
             continue
         key = _preference(executor, step, has_failed=executor.executor_id in task.failed_on)
         if best_key is None or key < best_key:
@@ -43,17 +45,21 @@
     return best
 
 
-def choose_for_gang(usable: list[Executor], step: StepRun, count: int) -> list[Executor] | None:
+def choose_for_gang(
+    usable: list[Executor], step: StepRun, count: int, plan: RoomPlan
+) -> list[Executor] | None:
     """Return an executor for each member, on one rack if that is wanted and possible."""
     if step.step.wants_one_rack:
         for rack in sorted({e.info.rack for e in usable}):
-            chosen = _fill([e for e in usable if e.info.rack == rack], step, count)
+            chosen = _fill([e for e in usable if e.info.rack == rack], step, count, plan)
             if chosen is not None:
                 return chosen
-    return _fill(usable, step, count)
+    return _fill(usable, step, count, plan)
 
 
-def _fill(usable: list[Executor], step: StepRun, count: int) -> list[Executor] | None:
+def _fill(
+    usable: list[Executor], step: StepRun, count: int, plan: RoomPlan
+) -> list[Executor] | None:
     chosen: list[Executor] = []
     failed_on = {executor_id for task in step.tasks for executor_id in task.failed_on}
 
@@ -61,7 +67,7 @@
         return _preference(executor, step, has_failed=executor.executor_id in failed_on)
 
     for executor in sorted(usable, key=preference):
-        fitting = executor.room_for(step.step.need, count - len(chosen))
+        fitting = plan.room_for(executor, step.step, count - len(chosen))
         most = step.step.most_per_executor
         if most > 0:
             fitting = min(fitting, most)
@@ -77,7 +83,7 @@
     far = 1 if rack and rack != executor.info.rack else 0
     need = step.step.need
     capacity = executor.info.capacity
-    cores_left = (executor.free_cores_milli - need.cores_milli) / max(capacity.cores_milli, 1)
-    memory_left = (executor.free_memory_mb - need.memory_mb) / max(capacity.memory_mb, 1)
+    cores_left = (executor.free.cores_milli - need.cores_milli) / max(capacity.cores_milli, 1)
+    memory_left = (executor.free.memory_mb - need.memory_mb) / max(capacity.memory_mb, 1)
     uneven = abs(cores_left - memory_left)
     return (doubtful, far, cores_left + memory_left + uneven, executor.executor_id)
--- /dev/null
+++ b/src/galenastall/coordination/cell/forecast.py
@@ -0,0 +1,61 @@
+"""When room on executors comes free, by the pace of the runs there and what callers declared."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from galenastall.coordination.cell.cell_state import CellState
+from galenastall.coordination.cell.executors import Executor
+from galenastall.coordination.cell.job_runs import StepRun, TaskRun
+from galenastall.state.resources import Resources
+
+OVERDUE_S: Final = 0.3
+"""A run that should have ended by now is taken to end this much later: declared times are off by
+a third and more, and listings come up to a second late."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Release:
+    """Room that a run gives back."""
+
+    at: float
+    """Leader's time."""
+    amount: Resources
+
+
+class Forecast:
+    """Expected ends of runs by executor; worked out again only where something has changed."""
+
+    def __init__(self, *, state: CellState) -> None:
+        """Read the runs of these tables."""
+        self._state = state
+        self._releases_by_id: dict[str, tuple[int, tuple[Release, ...]]] = {}
+
+    def releases(self, executor: Executor) -> tuple[Release, ...]:
+        """Return the expected ends on an executor, the next one first."""
+        version = executor.version
+        known = self._releases_by_id.get(executor.executor_id)
+        if known is None or known[0] != version:
+            known = (version, self._work_out(executor))
+            self._releases_by_id[executor.executor_id] = known
+        return known[1]
+
+    def _work_out(self, executor: Executor) -> tuple[Release, ...]:
+        releases: list[Release] = []
+        for key in executor.runs_by_task:
+            found = self._state.find(key)
+            if found is not None and not found[1].step.is_long_running:
+                release = Release(at=expected_end(found[1], found[2]), amount=found[1].step.need)
+                releases.append(release)
+        releases.sort(key=lambda release: release.at)
+        return tuple(releases)
+
+    def forget(self) -> None:
+        """Drop what is known of executors that are gone."""
+        for gone in self._releases_by_id.keys() - self._state.executors_by_id.keys():
+            del self._releases_by_id[gone]
+
+
+def expected_end(step: StepRun, task: TaskRun) -> float:
+    """Return when a run should end: by its pace once that shows, else by its declared time."""
+    by_pace = task.ends_at()
+    return by_pace if by_pace is not None else task.percent_at + step.step.estimate_s
--- a/src/galenastall/coordination/cell/listings.py
+++ b/src/galenastall/coordination/cell/listings.py
@@ -62,6 +62,7 @@
     ) -> None:
         """Apply a listing that was asked for at `asked_seq`."""
         executor.answered_at = now
+        executor.version += 1
         executor.answered_seq = self._state.next_seq()
         running = {(run.task, run.run): run for run in listing.running}
         for end in listing.ended:
--- a/src/galenastall/coordination/cell/load_report.py
+++ b/src/galenastall/coordination/cell/load_report.py
@@ -3,11 +3,12 @@
 from collections import Counter
 
 from galenastall.coordination.cell.cell_state import CellState
+from galenastall.coordination.cell.room_plan import RoomPlan
 from galenastall.state.cell.phases import TaskPhase
 
 
-def report_load(state: CellState, *, reserved: int) -> None:
-    """Note the load for the log; `reserved` executors keep room for steps that wait for it."""
+def report_load(state: CellState, plan: RoomPlan) -> None:
+    """Note the load for the log, with the room that the last decision kept."""
     timings = state.timings
     executors = [executor for executor in state.executors_by_id.values() if executor.is_listed]
     open_now = [
@@ -17,17 +18,16 @@
             now=state.now, reach_s=timings.reach_s, delisted_grace_s=timings.delisted_grace_s
         )
     ]
-    held = sum(amount.cores_milli for e in executors for amount in e.held_by_step.values())
     state.note(
         "cell.load",
         fields={
             "executors": str(len(executors)),
             "open": str(len(open_now)),
-            "reserved": str(reserved),
+            "kept_on": str(plan.kept_count),
+            "kept_cores_milli": str(plan.kept_cores_milli),
             "cores_milli": str(sum(e.info.capacity.cores_milli for e in executors)),
-            "free_cores_milli": str(sum(e.free_cores_milli for e in executors)),
-            "free_memory_mb": str(sum(e.free_memory_mb for e in executors)),
-            "held_cores_milli": str(held),
+            "free_cores_milli": str(sum(e.free.cores_milli for e in executors)),
+            "free_memory_mb": str(sum(e.free.memory_mb for e in executors)),
             "runs": str(sum(len(e.runs_by_task) for e in executors)),
             **_waiting_by_queue(state),
         },
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -1,15 +1,24 @@
 """Choose executors for waiting steps: the most pressing first, gangs whole or not at all."""
 
-from galenastall.coordination.cell.advice import AdviceBook, StepAdvice
-from galenastall.coordination.cell.advice_asker import AdviceAsker
+from collections import defaultdict
+from typing import Final
+
+from galenastall.coordination.cell.advice import AdviceBook
+from galenastall.coordination.cell.advice_planner import AdvicePlanner
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.commands import StartOrder
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.fitting import choose, choose_for_gang, may_host
+from galenastall.coordination.cell.forecast import Forecast
 from galenastall.coordination.cell.job_runs import TaskRun
-from galenastall.coordination.cell.reservations import Reservations
+from galenastall.coordination.cell.mechanisms import Mechanism
+from galenastall.coordination.cell.room_plan import PlannedStart, RoomPlan
 from galenastall.coordination.cell.waiting_line import WaitingLine, WaitingStep
 
+PLANNED_GANGS: Final = 12
+"""Gangs for which a decision works out when they could start; each takes half a millisecond with 60
+approved executors. Those behind them in the line keep no room yet."""
+
 
 class Placer:
     """Gives waiting tasks runs on executors with room, and asks for advice where it is needed."""
@@ -18,27 +27,26 @@
         """Work on these tables."""
         self._state = state
         self._line = WaitingLine(state=state, advice=advice)
-        self._asker = AdviceAsker(state=state, advice=advice)
-        self._reservations = Reservations()
-        self._fleet_size = 0
-        """Executors that were open to new work in this decision."""
-
-    @property
-    def reserved_count(self) -> int:
-        """On how many executors the last decision kept room for steps that wait for it."""
-        return self._reservations.executor_count
+        self._forecast = Forecast(state=state)
+        self._planner = AdvicePlanner(state=state, advice=advice, forecast=self._forecast)
+        self.plan = RoomPlan(forecast=self._forecast)
+        """Room that the last decision kept."""
+        self._planned_gangs = 0
 
     def decide(self, *, now: float, wall: float) -> None:
         """Place what fits; starts and questions to the advisor go into the tables."""
-        self._reservations.begin()
-        self._asker.drop_holds_but_of(self._state.waiting_steps)
         open_executors = self._open_executors(now)
+        self.plan.begin(now=now, fleet_size=len(open_executors))
+        self._planned_gangs = 0
         if not open_executors:
             return
-        self._fleet_size = len(open_executors)
+        by_service: defaultdict[str, list[Executor]] = defaultdict(list)
+        for executor in open_executors:
+            by_service[executor.info.service].append(executor)
         for waiting in self._line.in_order(now=now, wall=wall):
-            self._place(waiting, _usable(open_executors, waiting))
-        self._reservations.clear()
+            of_service = by_service[waiting.queue.service]
+            self._place(waiting, _usable(of_service, waiting))
+        self._forecast.forget()
 
     def _open_executors(self, now: float) -> list[Executor]:
         timings = self._state.timings
@@ -52,76 +60,83 @@
 
     def _place(self, waiting: WaitingStep, usable: list[Executor]) -> None:
         tasks = waiting.step.waiting()
-        if waiting.step.step.is_gang and len(tasks) < waiting.step.step.count:
-            # Members of its last run are still ending.
-            return
-        if waiting.advice is None:
-            left = self._place_on(waiting, tasks, usable)
-            self._keep_for(waiting, left, usable)
+        if not waiting.step.step.is_gang:
+            self._place_singly(waiting, tasks, usable)
+        elif len(tasks) == waiting.step.step.count:
+            # With fewer, members of its last run are still ending.
+            self._place_gang(waiting, tasks, usable)
+
+    def _place_singly(
+        self, waiting: WaitingStep, tasks: list[TaskRun], usable: list[Executor]
+    ) -> None:
+        left = self._start_singly(waiting, tasks, _ticketed(usable, waiting))
+        if not left:
             return
-        self._place_advised(waiting, waiting.advice, tasks, usable)
-
-    def _place_advised(
-        self,
-        waiting: WaitingStep,
-        advice: StepAdvice,
-        tasks: list[TaskRun],
-        usable: list[Executor],
+        advice = waiting.advice
+        if advice is not None and not advice.is_asking(waiting.now):
+            self._planner.ask_for_singles(waiting, advice, usable, left)
+        if self._may_keep(waiting):
+            approved = [e for e in usable if waiting.is_approved(e.executor_id)]
+            self.plan.keep_singles(waiting.step.step, left, approved)
+
+    def _place_gang(
+        self, waiting: WaitingStep, tasks: list[TaskRun], usable: list[Executor]
     ) -> None:
-        left = len(tasks)
-        if not advice.is_asking(waiting.now):
-            self._asker.drop_holds(waiting.step.key)
-            ticketed = [e for e in usable if waiting.ticket(e.executor_id) is not None]
-            left = self._place_on(waiting, tasks, ticketed)
-            if left:
-                self._asker.ask_if_useful(waiting, advice, left, usable)
-        self._keep_for(waiting, left, usable)
-
-    def _keep_for(self, waiting: WaitingStep, left: int, usable: list[Executor]) -> None:
-        """Keep room for the tasks that are left from the less pressing steps that come after."""
-        wanted = left - self._asker.held_count(waiting.step.key)
-        if wanted <= 0 or waiting.is_worthless:
+        if self._start_gang(waiting, tasks, _ticketed(usable, waiting)):
             return
-        candidates = [e for e in usable if waiting.is_approved(e.executor_id)]
+        planned = self._plan_gang(waiting, usable)
+        advice = waiting.advice
+        if advice is not None and not advice.is_asking(waiting.now):
+            self._planner.ask_for_gang(waiting, advice, usable, planned)
+
+    def _plan_gang(self, waiting: WaitingStep, usable: list[Executor]) -> PlannedStart | None:
+        """Return where a gang could start soonest, and keep that room if it is its turn."""
+        if self._planned_gangs >= PLANNED_GANGS:
+            return None
+        approved = [e for e in usable if waiting.is_approved(e.executor_id)]
         step = waiting.step.step
-        self._reservations.reserve(step, wanted, candidates, fleet_size=self._fleet_size)
-
-    def _place_on(self, waiting: WaitingStep, tasks: list[TaskRun], usable: list[Executor]) -> int:
-        """Place tasks, and return how many are left."""
-        place = self._place_gang if waiting.step.step.is_gang else self._place_singly
-        left = place(waiting, tasks, usable)
-        if left < len(tasks):
-            self._state.refresh_waiting(waiting.job)
-        return left
-
-    def _place_singly(
+        if not approved:
+            return None
+        self._planned_gangs += 1
+        planned = self.plan.earliest(step, step.count, approved, not_before=waiting.now)
+        if planned is not None and self._may_keep(waiting):
+            self.plan.keep_gang(planned, step)
+        return planned
+
+    def _may_keep(self, waiting: WaitingStep) -> bool:
+        return not waiting.is_worthless and Mechanism.RESERVATIONS not in self._state.without
+
+    def _start_singly(
         self, waiting: WaitingStep, tasks: list[TaskRun], usable: list[Executor]
     ) -> int:
+        """Start tasks one by one, and return how many are left."""
         placed = 0
         for task in tasks:
-            executor = choose(usable, waiting.step, task)
+            executor = choose(usable, waiting.step, task, self.plan)
             if executor is None:
                 break
-            self._state.new_starts.append(self._assign(waiting, task, executor, task.run + 1))
+            self._assign(waiting, task, executor, task.run + 1)
             placed += 1
+        if placed:
+            self._state.refresh_waiting(waiting.job)
         return len(tasks) - placed
 
-    def _place_gang(
+    def _start_gang(
         self, waiting: WaitingStep, tasks: list[TaskRun], usable: list[Executor]
-    ) -> int:
-        chosen = choose_for_gang(usable, waiting.step, len(tasks))
+    ) -> bool:
+        chosen = choose_for_gang(usable, waiting.step, len(tasks), self.plan)
         if chosen is None:
-            return len(tasks)
+            return False
         run = waiting.step.highest_run + 1
         for task, executor in zip(tasks, chosen, strict=True):
-            self._state.new_starts.append(self._assign(waiting, task, executor, run))
-        return 0
+            self._assign(waiting, task, executor, run)
+        self._state.refresh_waiting(waiting.job)
+        return True
 
-    def _assign(
-        self, waiting: WaitingStep, task: TaskRun, executor: Executor, run: int
-    ) -> StartOrder:
+    def _assign(self, waiting: WaitingStep, task: TaskRun, executor: Executor, run: int) -> None:
         state = self._state
         state.assign(task, waiting.step, executor, run, waiting.now)
+        self.plan.use(executor, waiting.step.step)
         waiting.job.has_started = True
         state.note(
             "run.assigned",
@@ -130,19 +145,30 @@
             fields={
                 "run": str(run),
                 "executor": executor.executor_id,
-                "free_cores_milli": str(executor.free_cores_milli),
+                "free_cores_milli": str(executor.free.cores_milli),
             },
         )
-        return StartOrder(
-            task=task.key,
-            run=run,
-            executor_id=executor.executor_id,
-            payload=waiting.job.job.payload,
-            checkpoint=task.checkpoint,
-            ticket=waiting.ticket(executor.executor_id) or "",
+        state.new_starts.append(
+            StartOrder(
+                task=task.key,
+                run=run,
+                executor_id=executor.executor_id,
+                payload=waiting.job.job.payload,
+                checkpoint=task.checkpoint,
+                ticket=waiting.ticket(executor.executor_id) or "",
+            )
         )
 
 
 def _usable(executors: list[Executor], waiting: WaitingStep) -> list[Executor]:
     step, service = waiting.step.step, waiting.queue.service
+    if not step.label:
+        return executors
     return [executor for executor in executors if may_host(executor, step, service)]
+
+
+def _ticketed(usable: list[Executor], waiting: WaitingStep) -> list[Executor]:
+    """Return the executors on which a step may start now."""
+    if waiting.advice is None:
+        return usable
+    return [executor for executor in usable if waiting.ticket(executor.executor_id) is not None]
--- a/src/galenastall/coordination/cell/pools.py
+++ b/src/galenastall/coordination/cell/pools.py
@@ -111,7 +111,7 @@
     def _is_load_low(self, service: str, now: float) -> bool:
         executors = [e for e in self._state.executors_by_id.values() if e.info.service == service]
         total = sum(e.info.capacity.cores_milli for e in executors)
-        free = sum(e.free_cores_milli for e in executors)
+        free = sum(e.free.cores_milli for e in executors)
         if not total or 1.0 - free / total >= LOW_LOAD:
             self._low_since.pop(service, None)
             for executor in executors:
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -117,6 +117,10 @@
         """Take the services of a newer configuration; executors of others are not used."""
         self._state.named_services = services
 
+    def set_advice_calls_at_once(self, count: int) -> None:
+        """Note through how many entry hosts the advisor can be asked now."""
+        self._state.advice_calls_at_once = count
+
     def submit(self, job: CellJob, *, wall: float) -> JobRun:
         """Return the job of this id, taking it in if it is new; durable with the next batch."""
         known = self._state.jobs_by_id.get(job.job_id)
@@ -359,7 +363,7 @@
         if now - self._tidied_at < TIDY_EVERY_S:
             return
         self._tidied_at = now
-        report_load(self._state, reserved=self._placer.reserved_count)
+        report_load(self._state, self._placer.plan)
         oldest = wall - self._state.timings.ended_kept_s
         for job_id, run in list(self._state.jobs_by_id.items()):
             if not run.has_ended or run.assigned():
--- a/src/galenastall/node/cell/advice_desk.py
+++ b/src/galenastall/node/cell/advice_desk.py
@@ -7,6 +7,7 @@
 import trio
 from returns.result import Failure, Result
 
+from galenastall.coordination.cell.advice_planner import KEPT_FOR_URGENT
 from galenastall.coordination.cell.commands import AskAdvice
 from galenastall.node.cell.term_context import TermContext
 from galenastall.protocol.cell.messages import AdviceAnswer, GetAdvice
@@ -20,8 +21,6 @@
 """Hosts through which one call is tried: some may just have been killed."""
 AVOID_S: Final = 1.0
 """How long a host through which a call failed is not used."""
-KEPT_FOR_URGENT: Final = 2
-"""Hosts that calls for other work leave free: one such call takes up to 0.9 s, an urgent 10 ms."""
 
 
 class AdviceDesk:
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -210,6 +210,7 @@
 
     def _decide(self, nursery: trio.Nursery, desk: AdviceDesk) -> None:
         self._take_config()
+        self.core.set_advice_calls_at_once(len(self._parts.helpers()))
         self.core.decide(
             now=trio.current_time(),
             wall=self.context.wall(),
--- a/src/galenastall/state/resources.py
+++ b/src/galenastall/state/resources.py
@@ -44,6 +44,17 @@
             and self.accelerators <= room.accelerators
         )
 
+    def count_in(self, room: "Resources", most: int) -> int:
+        """Return how many times this amount fits into `room`, `most` at the highest."""
+        count = most
+        if self.cores_milli:
+            count = min(count, room.cores_milli // self.cores_milli)
+        if self.memory_mb:
+            count = min(count, room.memory_mb // self.memory_mb)
+        if self.accelerators:
+            count = min(count, room.accelerators // self.accelerators)
+        return max(count, 0)
+
     def is_negative(self) -> bool:
         """Return whether any amount is below zero."""
         return self.cores_milli < 0 or self.memory_mb < 0 or self.accelerators < 0
