--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -44,6 +44,8 @@
     def __init__(self, *, info: ExecutorInfo, clock: LeaseClock, now: float) -> None:
         """Start with an empty ledger; nothing is placed before the first listing."""
         self.info = info
+        self.executor_id = info.executor_id
+        """Id of this life."""
         self.clock = clock
         self.runs_by_task: dict[TaskKey, int] = {}
         self.strangers: frozenset[tuple[TaskKey, int]] = frozenset()
@@ -79,11 +81,6 @@
         self.version = 0
         """Rises with each change of the ledger and each listing that shows runs."""
 
-    @property
-    def executor_id(self) -> str:
-        """Id of this life."""
-        return self.info.executor_id
-
     def set_info(self, info: ExecutorInfo) -> None:
         """Take what the list says now; the ledger follows a changed capacity."""
         old, new = self.info.capacity, info.capacity
