Have several calls for advice about one step under way at once

Change: answers and failures name the question that they belong to; a step's first question goes to several hosts. A start is planned where tickets are good or on their way if that is soon enough. Decisions pause for three times their own length.

--- a/src/galenastall/bench/cell_load/surroundings.py
+++ b/src/galenastall/bench/cell_load/surroundings.py
@@ -29,6 +29,7 @@
 READ_S: Final = 0.005
 POLL_S: Final = 0.05
 """Between two looks of a long poll at what has ended."""
+SWEEP_EVERY_S: Final = 0.005
 SPEEDS: Final = (0.8, 1.0, 1.25)
 """Executors differ by these factors."""
 
@@ -51,9 +52,20 @@
         self.arrivals_by_id: Mapping[str, Arrival] = {a.job.job_id: a for a in arrivals}
         self.infos_by_id: dict[str, ExecutorInfo] = {}
         self._lives = 0
+        self._swept_at = float("-inf")
         for number in range(workload.executors):
             self.give_life(number)
 
+    def sweep(self) -> None:
+        """Bring all runs up to now; with 176 executors not more often than ends can matter.
+
+        The leader learns of an end from its executor's own listing, which is brought up to date.
+        """
+        now = trio.current_time()
+        if now >= self._swept_at + SWEEP_EVERY_S:
+            self._swept_at = now
+            super().sweep()
+
     def give_life(self, number: int) -> None:
         """Start a life on a host."""
         self._lives += 1
@@ -220,6 +232,7 @@
         executor = await self._reach(executor_id, timeout_s)
         if executor is None:
             return _silent(executor_id)
+        executor.sweep()
         verdict = executor.hold(deadline_ms, noted, token)
         if verdict is not StartVerdict.STARTED:
             return Success(ListingAnswer(verdict=verdict, listing=None))
--- a/src/galenastall/coordination/cell/advice.py
+++ b/src/galenastall/coordination/cell/advice.py
@@ -1,5 +1,6 @@
 """Which executors the advisor lets run a step, and until when its tickets are good."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -30,21 +31,31 @@
     tickets_by_executor: dict[str, str] = field(default_factory=dict)
     good_until_by_executor: dict[str, float] = field(default_factory=dict)
     """Leader's time at which each ticket expires."""
-    asking: frozenset[str] = frozenset()
-    """Executors named by the call under way."""
-    asked_at: float = 0.0
+    asked_at_by_call: dict[frozenset[str], float] = field(default_factory=dict)
+    """Calls under way, by the executors that they name."""
     not_before: float = 0.0
 
     def ticket(self, executor_id: str, now: float) -> str | None:
         """Return a ticket that is good for long enough, or None."""
-        if self.good_until_by_executor.get(executor_id, 0.0) - now < TICKET_MARGIN_S:
+        if self.good_until_by_executor.get(executor_id, 0.0) < now + TICKET_MARGIN_S:
             return None
         return self.tickets_by_executor[executor_id]
 
+    def ticketed(self, now: float) -> list[str]:
+        """Return the executors whose tickets are good for long enough."""
+        until = now + TICKET_MARGIN_S
+        return [i for i, good_until in self.good_until_by_executor.items() if good_until >= until]
+
     def is_asking(self, now: float) -> bool:
         """Whether a call is under way, or one has just failed."""
-        under_way = bool(self.asking) and now - self.asked_at < ASK_PATIENCE_S
-        return under_way or now < self.not_before
+        asked = self.asked_at_by_call.values()
+        return now < self.not_before or any(now - at < ASK_PATIENCE_S for at in asked)
+
+    def has_ticket_soon(self, executor_id: str, now: float) -> bool:
+        """Whether an executor has a good ticket, or a call under way names it."""
+        if self.ticket(executor_id, now) is not None:
+            return True
+        return any(executor_id in call for call in self.asked_at_by_call)
 
     def may_run(self, executor_id: str) -> bool:
         """Whether the executor is approved or has not been asked about."""
@@ -57,7 +68,7 @@
     def __init__(self) -> None:
         """Create an empty book."""
         self._advice_by_step: dict[StepKey, StepAdvice] = {}
-        self._asking_steps: set[StepKey] = set()
+        self._calls_under_way = 0
         self._answered = 0
         self._approved = 0
 
@@ -68,43 +79,51 @@
             advice = self._advice_by_step[step] = StepAdvice()
         return advice
 
-    def begin(self, step: StepKey, executor_ids: tuple[str, ...], now: float) -> None:
-        """Note that a call is under way."""
-        advice = self.of(step)
-        advice.asking = frozenset(executor_ids)
-        advice.asked_at = now
-        self._asking_steps.add(step)
-
     @property
     def calls_under_way(self) -> int:
         """How many calls have no answer yet."""
-        return len(self._asking_steps)
+        return self._calls_under_way
 
     @property
     def approved_share(self) -> float:
         """Share of the executors asked about that were approved so far; a half before any."""
         return (self._approved + 1.0) / (self._answered + 2.0)
 
+    def begin(self, step: StepKey, executor_ids: Sequence[str], now: float) -> None:
+        """Note that a call is under way."""
+        self.of(step).asked_at_by_call[frozenset(executor_ids)] = now
+        self._calls_under_way += 1
+
     def answer(
-        self, step: StepKey, approved: tuple[Approval, ...], *, validity_s: float, now: float
+        self,
+        step: StepKey,
+        executor_ids: Sequence[str],
+        approved: tuple[Approval, ...],
+        *,
+        validity_s: float,
+        now: float,
     ) -> None:
-        """Take in an answer that came at `now`; TICKET_MARGIN_S covers its way here."""
-        advice = self.of(step)
-        self._answered += len(advice.asking - advice.asked)
+        """Take the answer to a call about `executor_ids` that came at `now`.
+
+        TICKET_MARGIN_S covers its way here.
+        """
+        advice = self._end_call(step, executor_ids)
+        self._answered += len(set(executor_ids) - advice.asked)
         self._approved += sum(1 for a in approved if a.executor_id not in advice.asked)
-        advice.asked |= advice.asking
+        advice.asked.update(executor_ids)
         for approval in approved:
             advice.tickets_by_executor[approval.executor_id] = approval.ticket
             advice.good_until_by_executor[approval.executor_id] = now + validity_s
-        advice.asking = frozenset()
-        self._asking_steps.discard(step)
 
-    def fail(self, step: StepKey, now: float) -> None:
+    def fail(self, step: StepKey, executor_ids: Sequence[str], now: float) -> None:
         """Note that a call has failed."""
+        self._end_call(step, executor_ids).not_before = now + ASK_AGAIN_S
+
+    def _end_call(self, step: StepKey, executor_ids: Sequence[str]) -> StepAdvice:
         advice = self.of(step)
-        advice.asking = frozenset()
-        advice.not_before = now + ASK_AGAIN_S
-        self._asking_steps.discard(step)
+        if advice.asked_at_by_call.pop(frozenset(executor_ids), None) is not None:
+            self._calls_under_way -= 1
+        return advice
 
     def drop_ticket(self, step: StepKey, executor_id: str) -> None:
         """Forget a ticket that the executor did not accept."""
@@ -113,5 +132,5 @@
     def forget_job(self, job_id: str) -> None:
         """Forget all steps of a job."""
         for step in [step for step in self._advice_by_step if step.job == job_id]:
-            del self._advice_by_step[step]
-            self._asking_steps.discard(step)
+            advice = self._advice_by_step.pop(step)
+            self._calls_under_way -= len(advice.asked_at_by_call)
--- a/src/galenastall/coordination/cell/advice_planner.py
+++ b/src/galenastall/coordination/cell/advice_planner.py
@@ -27,6 +27,9 @@
 much, and the tickets outlast it by far."""
 MOST_NAMED: Final = 100
 """Executors that one call may name, as the platform states it."""
+NAMED_AT_ONCE: Final = 30
+"""Executors that each of the calls names which together ask about many: a call takes 0.9 s and 8 ms
+for each of them, so more make it longer than asking through another host."""
 ENOUGH_FACTOR: Final = 1.5
 """A first question names executors until the places expected to be approved are so many times those
 wanted: places get lost to other steps while the call takes its time."""
@@ -51,16 +54,13 @@
         planned: PlannedStart | None,
     ) -> None:
         """Ask about executors that were never asked, or again for the room that is planned."""
-        if not self._may_ask(waiting):
+        if not self._hosts_left(waiting):
             return
-        count = waiting.step.step.count
-        if planned is None:
-            self._ask(waiting, self._fresh(waiting, advice, usable, count))
+        call_s = self._call_s(waiting, NAMED_AT_ONCE)
+        if planned is None or planned.at > waiting.now + 2.0 * call_s:
+            self._ask_fresh(waiting, advice, usable, waiting.step.step.count)
             return
-        call_s = self._call_s(waiting, len(planned.slots))
         if planned.at > waiting.now + call_s + AHEAD_SLACK_S:
-            if planned.at > waiting.now + 2.0 * call_s:
-                self._ask(waiting, self._fresh(waiting, advice, usable, count))
             return
         expiring = any(
             _good_until(advice, slot.executor) < planned.at + TICKET_MARGIN_S
@@ -73,18 +73,22 @@
         self, waiting: WaitingStep, advice: StepAdvice, usable: list[Executor], left: int
     ) -> None:
         """Ask about executors that were never asked, or again where room is near."""
-        if not self._may_ask(waiting):
+        if not self._hosts_left(waiting):
             return
-        wanted: list[Executor] = []
-        if advice.asked:
-            wanted = self._worth_renewing(waiting, advice, usable)
-        self._ask(waiting, wanted or self._fresh(waiting, advice, usable, left))
-
-    def _may_ask(self, waiting: WaitingStep) -> bool:
+        wanted = self._worth_renewing(waiting, advice, usable) if advice.asked else []
+        if wanted:
+            self._ask(waiting, wanted)
+        else:
+            self._ask_fresh(waiting, advice, usable, left)
+
+    def _hosts_left(self, waiting: WaitingStep) -> int:
+        """Return through how many hosts a step may ask at once now."""
         hosts = self._state.advice_calls_at_once
-        if not waiting.is_urgent and hosts > KEPT_FOR_URGENT:
+        if waiting.is_urgent:
+            return max(hosts - self._advice.calls_under_way, 1)
+        if hosts > KEPT_FOR_URGENT:
             hosts -= KEPT_FOR_URGENT
-        return waiting.is_urgent or self._advice.calls_under_way < hosts
+        return max(hosts - self._advice.calls_under_way, 0)
 
     def _call_s(self, waiting: WaitingStep, named: int) -> float:
         timing = waiting.queue.advisor
@@ -107,20 +111,31 @@
             )
         )
 
-    def _fresh(
+    def _ask_fresh(
         self, waiting: WaitingStep, advice: StepAdvice, usable: list[Executor], count: int
-    ) -> list[Executor]:
-        """Return executors never asked about, those with most room first, as many as are needed."""
+    ) -> None:
+        """Ask about executors never asked about, through several hosts where many are needed.
+
+        A gang of 16 tasks whose advisor approves of a third of 176 executors then knows all of them
+        after 1.1 s; with one call after the other its first tickets ran out before it had enough.
+        """
         fresh = [e for e in usable if e.executor_id not in advice.asked]
         fresh.sort(key=lambda e: (-e.free.cores_milli, e.executor_id))
+        wanted = fresh[: self._enough(waiting, fresh, count)]
+        calls = min(-(-len(wanted) // NAMED_AT_ONCE), self._hosts_left(waiting))
+        for number in range(calls):
+            self._ask(waiting, wanted[number::calls][:MOST_NAMED])
+
+    def _enough(self, waiting: WaitingStep, fresh: list[Executor], count: int) -> int:
+        """Return how many of the executors are to be named for `count` places."""
         need = waiting.step.step.need
         share = self._advice.approved_share
         expected = 0.0
-        for number, executor in enumerate(fresh[:MOST_NAMED]):
+        for number, executor in enumerate(fresh):
             if number >= ADVISED_EXECUTORS and expected >= ENOUGH_FACTOR * count:
-                return fresh[:number]
+                return number
             expected += share * executor.room_for(need, count)
-        return fresh[:MOST_NAMED]
+        return len(fresh)
 
     def _renewed(
         self,
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -18,6 +18,11 @@
 PLANNED_GANGS: Final = 12
 """Gangs for which a decision works out when they could start; each takes half a millisecond with 60
 approved executors. Those behind them in the line keep no room yet."""
+TICKETED_SOON_S: Final = 1.5
+"""A start as near as this is planned where tickets are: they last for 2.5 s, a call takes 1 s."""
+
+OpenExecutors = dict[str, Executor]
+"""Executors that take new work, by id."""
 
 
 class Placer:
@@ -40,9 +45,9 @@
         self._planned_gangs = 0
         if not open_executors:
             return
-        by_service: defaultdict[str, list[Executor]] = defaultdict(list)
+        by_service: defaultdict[str, OpenExecutors] = defaultdict(dict)
         for executor in open_executors:
-            by_service[executor.info.service].append(executor)
+            by_service[executor.info.service][executor.executor_id] = executor
         for waiting in self._line.in_order(now=now, wall=wall):
             of_service = by_service[waiting.queue.service]
             self._place(waiting, _usable(of_service, waiting))
@@ -58,7 +63,7 @@
             )
         ]
 
-    def _place(self, waiting: WaitingStep, usable: list[Executor]) -> None:
+    def _place(self, waiting: WaitingStep, usable: OpenExecutors) -> None:
         tasks = waiting.step.waiting()
         if not waiting.step.step.is_gang:
             self._place_singly(waiting, tasks, usable)
@@ -67,42 +72,55 @@
             self._place_gang(waiting, tasks, usable)
 
     def _place_singly(
-        self, waiting: WaitingStep, tasks: list[TaskRun], usable: list[Executor]
+        self, waiting: WaitingStep, tasks: list[TaskRun], usable: OpenExecutors
     ) -> None:
         left = self._start_singly(waiting, tasks, _ticketed(usable, waiting))
         if not left:
             return
         advice = waiting.advice
         if advice is not None and not advice.is_asking(waiting.now):
-            self._planner.ask_for_singles(waiting, advice, usable, left)
+            self._planner.ask_for_singles(waiting, advice, list(usable.values()), left)
         if self._may_keep(waiting):
-            approved = [e for e in usable if waiting.is_approved(e.executor_id)]
-            self.plan.keep_singles(waiting.step.step, left, approved)
+            self.plan.keep_singles(waiting.step.step, left, _approved(usable, waiting))
 
     def _place_gang(
-        self, waiting: WaitingStep, tasks: list[TaskRun], usable: list[Executor]
+        self, waiting: WaitingStep, tasks: list[TaskRun], usable: OpenExecutors
     ) -> None:
         if self._start_gang(waiting, tasks, _ticketed(usable, waiting)):
             return
         planned = self._plan_gang(waiting, usable)
         advice = waiting.advice
         if advice is not None and not advice.is_asking(waiting.now):
-            self._planner.ask_for_gang(waiting, advice, usable, planned)
+            self._planner.ask_for_gang(waiting, advice, list(usable.values()), planned)
 
-    def _plan_gang(self, waiting: WaitingStep, usable: list[Executor]) -> PlannedStart | None:
+    def _plan_gang(self, waiting: WaitingStep, usable: OpenExecutors) -> PlannedStart | None:
         """Return where a gang could start soonest, and keep that room if it is its turn."""
         if self._planned_gangs >= PLANNED_GANGS:
             return None
-        approved = [e for e in usable if waiting.is_approved(e.executor_id)]
+        approved = _approved(usable, waiting)
         step = waiting.step.step
         if not approved:
             return None
         self._planned_gangs += 1
-        planned = self.plan.earliest(step, step.count, approved, not_before=waiting.now)
+        planned = self._plan_on(waiting, approved)
         if planned is not None and self._may_keep(waiting):
             self.plan.keep_gang(planned, step)
         return planned
 
+    def _plan_on(self, waiting: WaitingStep, approved: list[Executor]) -> PlannedStart | None:
+        """Return the soonest start, where tickets are good or on their way if that is soon enough.
+
+        Otherwise the room planned changes with each run that ends elsewhere, and the tickets that
+        come are for other executors than those that have the room by then.
+        """
+        step, advice, now = waiting.step.step, waiting.advice, waiting.now
+        if advice is not None:
+            soon = [e for e in approved if advice.has_ticket_soon(e.executor_id, now)]
+            planned = self.plan.earliest(step, step.count, soon, not_before=now)
+            if planned is not None and planned.at <= now + TICKETED_SOON_S:
+                return planned
+        return self.plan.earliest(step, step.count, approved, not_before=now)
+
     def _may_keep(self, waiting: WaitingStep) -> bool:
         return not waiting.is_worthless and Mechanism.RESERVATIONS not in self._state.without
 
@@ -160,15 +178,24 @@
         )
 
 
-def _usable(executors: list[Executor], waiting: WaitingStep) -> list[Executor]:
+def _usable(executors: OpenExecutors, waiting: WaitingStep) -> OpenExecutors:
     step, service = waiting.step.step, waiting.queue.service
     if not step.label:
         return executors
-    return [executor for executor in executors if may_host(executor, step, service)]
+    return {i: e for i, e in executors.items() if may_host(e, step, service)}
 
 
-def _ticketed(usable: list[Executor], waiting: WaitingStep) -> list[Executor]:
+def _ticketed(usable: OpenExecutors, waiting: WaitingStep) -> list[Executor]:
     """Return the executors on which a step may start now."""
-    if waiting.advice is None:
-        return usable
-    return [executor for executor in usable if waiting.ticket(executor.executor_id) is not None]
+    advice = waiting.advice
+    if advice is None:
+        return list(usable.values())
+    return [usable[i] for i in advice.ticketed(waiting.now) if i in usable]
+
+
+def _approved(usable: OpenExecutors, waiting: WaitingStep) -> list[Executor]:
+    """Return the executors that may run a step, with a ticket that is good or a renewed one."""
+    advice = waiting.advice
+    if advice is None:
+        return list(usable.values())
+    return [usable[i] for i in advice.tickets_by_executor if i in usable]
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -26,7 +26,7 @@
 from galenastall.coordination.cell.placer import Placer
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.timings import CellTimings
-from galenastall.state.cell.jobs import CellJob, Queue, StepKey
+from galenastall.state.cell.jobs import CellJob, Queue
 from galenastall.state.cell.phases import JobPhase, RunEnd
 from galenastall.state.cell.rows import (
     JOB_PREFIX,
@@ -201,16 +201,18 @@
         self._pacing.on_paced(order)
 
     def on_advice(
-        self, step: StepKey, approved: tuple[Approval, ...], *, validity_s: float, now: float
+        self, ask: AskAdvice, approved: tuple[Approval, ...], *, validity_s: float, now: float
     ) -> None:
-        """Take the advisor's answer."""
-        if step.job in self._state.jobs_by_id:
-            self._advice.answer(step, approved, validity_s=validity_s, now=now)
-
-    def on_advice_failed(self, step: StepKey, *, now: float) -> None:
-        """Note that the advisor gave no answer."""
-        if step.job in self._state.jobs_by_id:
-            self._advice.fail(step, now)
+        """Take the advisor's answer to a question."""
+        if ask.step.job in self._state.jobs_by_id:
+            self._advice.answer(
+                ask.step, ask.executor_ids, approved, validity_s=validity_s, now=now
+            )
+
+    def on_advice_failed(self, ask: AskAdvice, *, now: float) -> None:
+        """Note that the advisor gave no answer to a question."""
+        if ask.step.job in self._state.jobs_by_id:
+            self._advice.fail(ask.step, ask.executor_ids, now)
 
     def is_wanted(self, order: StartOrder) -> bool:
         """Whether an order that may leave is still to be sent: its run has not been given up."""
--- a/src/galenastall/node/cell/advice_desk.py
+++ b/src/galenastall/node/cell/advice_desk.py
@@ -94,7 +94,7 @@
         if tries < TRIES:
             self._put(ask, tries)
             return
-        self._context.core.on_advice_failed(ask.step, now=now)
+        self._context.core.on_advice_failed(ask, now=now)
         self._context.wake()
 
     def _take(self, ask: AskAdvice, advice: AdviceAnswer, *, took_s: float) -> None:
@@ -106,6 +106,6 @@
             took_ms=f"{took_s * 1000:.0f}",
         )
         self._context.core.on_advice(
-            ask.step, advice.approved, validity_s=advice.validity_s, now=trio.current_time()
+            ask, advice.approved, validity_s=advice.validity_s, now=trio.current_time()
         )
         self._context.wake()
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -31,6 +31,9 @@
 """Between two reads of the list of executors: drains allow 2 s, and a read costs little."""
 DECIDE_EVERY_S: Final = 0.004
 """Least time between two decisions, so that events that come together share one."""
+DECIDE_PAUSE_FACTOR: Final = 3.0
+"""A decision is followed by a pause of so many times its own length, so that deciding takes a
+quarter of the leader's time at most, and polls and appends go on beside it."""
 DECIDE_AT_LEAST_EVERY_S: Final = 0.1
 """Longest time between two decisions: leases lapse and occurrences come due without an event."""
 LOAD_RETRY_S: Final = 0.1
@@ -197,8 +200,10 @@
             with trio.move_on_after(DECIDE_AT_LEAST_EVERY_S):
                 await self.context.changed.wait()
             self.context.changed = trio.Event()
+            begun_at = trio.current_time()
             self._decide(nursery, desk)
-            await trio.sleep(DECIDE_EVERY_S)
+            took_s = trio.current_time() - begun_at
+            await trio.sleep(max(DECIDE_EVERY_S, DECIDE_PAUSE_FACTOR * took_s))
 
     def _take_config(self) -> None:
         config = self._parts.config()
--- a/tests/test_cell_core.py
+++ b/tests/test_cell_core.py
@@ -6,7 +6,7 @@
 
 from cell.rig import JOB, QUEUE, TIMINGS, WALL, Rig, make_info, make_job, make_step
 from galenastall.coordination.cell.advice import AdviceBook, Approval
-from galenastall.coordination.cell.commands import StartOrder
+from galenastall.coordination.cell.commands import AskAdvice, StartOrder
 from galenastall.coordination.cell.election import Election, HeardBeat, Move
 from galenastall.coordination.cell.lease_clock import LeaseClock
 from galenastall.coordination.cell.listings import ListedEnd, ListedRun, Listing
@@ -984,7 +984,8 @@
     def approve(self, rig: Rig, step: int, *executors: str) -> None:
         key = TaskKey(JOB, 0, step, 0).step_key
         approved = tuple(Approval(executor_id=e, ticket=f"t-{e}") for e in executors)
-        rig.core.on_advice(key, approved, validity_s=1.5, now=rig.now)
+        ask = AskAdvice(step=key, executor_ids=("e1", "e2"), timing=self.TIMING)
+        rig.core.on_advice(ask, approved, validity_s=1.5, now=rig.now)
 
     def test_all_executors_are_asked_about_once(self) -> None:
         rig = self.rig(make_step(1))
@@ -1047,8 +1048,8 @@
 
     def test_a_failed_call_is_made_again_after_a_pause(self) -> None:
         rig = self.rig(make_step(1))
-        rig.core.take_asks()
-        rig.core.on_advice_failed(TaskKey(JOB, 0, 0, 0).step_key, now=rig.now)
+        (ask,) = rig.core.take_asks()
+        rig.core.on_advice_failed(ask, now=rig.now)
         rig.step()
         assert rig.core.take_asks() == []
         rig.now += 0.2
@@ -1059,7 +1060,8 @@
         book = AdviceBook()
         key = TaskKey(JOB, 0, 0, 0).step_key
         book.begin(key, ("e1",), 0.0)
-        book.answer(key, (Approval(executor_id="e1", ticket="t"),), validity_s=1.5, now=0.1)
+        approved = (Approval(executor_id="e1", ticket="t"),)
+        book.answer(key, ("e1",), approved, validity_s=1.5, now=0.1)
         assert book.of(key).ticket("e1", 1.3) == "t"
         assert book.of(key).ticket("e1", 1.4) is None
 
