Add a load lab for the leader of a cell: galenastall bench cell-load

The real scheduler, leader loop, advice desk and group commit in virtual time, against executors, advisor and store in memory; workloads in YAML; report, comparison seed by seed with 95% intervals, plot, and mechanisms that can be switched off.

--- a/src/galenastall/bench/cell_load/figures.py
+++ b/src/galenastall/bench/cell_load/figures.py
@@ -9,7 +9,7 @@
 from hdrh.histogram import HdrHistogram
 
 from galenastall.bench.cell_load.play import JobFate, Play
-from galenastall.state.cell.phases import JobPhase
+from galenastall.bench.cell_load.workload import Workload
 
 LONGEST_MS: Final = 600_000
 DIGITS: Final = 3
@@ -60,7 +60,7 @@
     violations: list[str]
 
 
-def summarize(plays: list[Play], *, workload: str, without: list[str], length_s: float) -> Figures:
+def summarize(plays: list[Play], *, workload: Workload, without: list[str]) -> Figures:
     """Return the report of some seeds."""
     fates_by_queue: defaultdict[str, list[JobFate]] = defaultdict(list)
     for play in plays:
@@ -69,7 +69,7 @@
     jobs = sum(len(fates) for fates in fates_by_queue.values())
     refusals = [f.answered_s for p in plays for f in p.fates if f.is_refused and f.answered_s]
     return Figures(
-        workload=workload,
+        workload=workload.name,
         without=without,
         worth_by_seed={str(play.seed): _worth(play) for play in plays},
         idle_usable_by_seed={
@@ -84,7 +84,7 @@
         refusal=_quantiles(refusals),
         decision=_quantiles([s for play in plays for s in play.decision_s]),
         advice_calls_a_job=sum(play.advice_calls for play in plays) / max(jobs, 1),
-        starts_a_s=fmean(play.starts / length_s for play in plays),
+        starts_a_s=fmean(play.starts / workload.length_s for play in plays),
         violations=[text for play in plays for text in play.violations],
     )
 
@@ -175,11 +175,3 @@
             f" p95 {start.p95:.2f} s, p99 {start.p99:.2f} s"
         )
     return "\n".join([*lines, *figures.violations[:5]])
-
-
-def ended_phases(play: Play) -> dict[JobPhase | None, int]:
-    """Return how many jobs ended in each phase."""
-    counts: defaultdict[JobPhase | None, int] = defaultdict(int)
-    for fate in play.fates:
-        counts[fate.phase] += 1
-    return dict(counts)
--- a/src/galenastall/bench/cell_load/play.py
+++ b/src/galenastall/bench/cell_load/play.py
@@ -70,7 +70,7 @@
     idle_usable: int
     """Free cores that a waiting step could use."""
     capacity: int
-    waiting_tasks: int
+    waiting_jobs: int
 
 
 @dataclass(kw_only=True)
@@ -253,13 +253,13 @@
     def _sample_now(self, term: LeaderTerm) -> Sample:
         up = [executor for executor in self._world.executors.values() if executor.is_up]
         runs = [run for executor in up for run in executor.runs.values()]
-        waiting = term.core.jobs_by_id.values()
+        jobs = term.core.jobs_by_id.values()
         return Sample(
             at_s=trio.current_time() - self._begun_at,
             in_use=sum(run.need.cores_milli for run in runs),
             idle_usable=usable_idle_cores(term.core, self._world),
             capacity=sum(executor.info.capacity.cores_milli for executor in up),
-            waiting_tasks=sum(1 for job in waiting if not job.has_ended and not job.has_started),
+            waiting_jobs=sum(1 for job in jobs if not job.has_ended and not job.has_started),
         )
 
     def _note_ends(self) -> None:
--- /dev/null
+++ b/src/galenastall/bench/cell_load/plot.py
@@ -0,0 +1,27 @@
+"""A picture of one play: cores in use, idle though usable, and jobs that wait."""
+
+from pathlib import Path
+from typing import Final
+
+from galenastall.bench.cell_load.play import Play
+
+WIDTH_IN: Final = 9.0
+HEIGHT_IN: Final = 5.0
+
+
+def write_plot(play: Play, path: Path) -> None:
+    """Draw a play into a .png or .svg file; needs the extra `plots`."""
+    from matplotlib.figure import Figure  # noqa: PLC0415 - optional dependency
+
+    figure = Figure(figsize=(WIDTH_IN, HEIGHT_IN))
+    cores, waiting = figure.subplots(2, 1, sharex=True)
+    at_s = [sample.at_s for sample in play.samples]
+    cores.plot(at_s, [s.in_use / max(s.capacity, 1) for s in play.samples], label="in use")
+    idle = [s.idle_usable / max(s.capacity, 1) for s in play.samples]
+    cores.plot(at_s, idle, label="idle though usable")
+    cores.set_ylabel("share of cores")
+    cores.legend()
+    waiting.plot(at_s, [sample.waiting_jobs for sample in play.samples])
+    waiting.set_ylabel("jobs not started")
+    waiting.set_xlabel("seconds")
+    figure.savefig(path)
--- a/src/galenastall/cli/bench_commands.py
+++ b/src/galenastall/cli/bench_commands.py
@@ -12,11 +12,17 @@
 
 from galenastall.bench import core_slopes, peer_slopes, process_slopes, scenarios, wire_slopes
 from galenastall.bench.capacity_page import put_into, render
+from galenastall.bench.cell_load.figures import differences
+from galenastall.bench.cell_load.figures import to_table as cell_load_table
+from galenastall.bench.cell_load.plot import write_plot as write_cell_plot
+from galenastall.bench.cell_load.run import load_figures, run_seeds, save_figures
+from galenastall.bench.cell_load.workload import load_workload
 from galenastall.bench.compare import compare
 from galenastall.bench.compare import to_table as comparison_table
 from galenastall.bench.experiment import SCENARIOS, ExperimentSettings, run_scenario
 from galenastall.bench.report import ScenarioResult, to_json, to_table, write_plot
 from galenastall.bench.slopes import SLOPES, measure_slope, save_slope
+from galenastall.coordination.cell.mechanisms import Mechanism
 
 SLOPE_MODULES = (core_slopes, peer_slopes, process_slopes, wire_slopes)
 """Imported so that the registry of slopes is full."""
@@ -113,6 +119,45 @@
     raise typer.Exit(0 if result.holds else 1)
 
 
+@bench_app.command("cell-load")
+def cell_load_command(
+    workload: Annotated[Path, typer.Argument(help="A workload file, as in examples/cell-load.")],
+    *,
+    seeds: Annotated[int, typer.Option(help="Seeds to play, from 0 on.")] = 10,
+    jobs: Annotated[int, typer.Option(help="Seeds played at a time, 1 to 4.")] = 1,
+    without: Annotated[
+        list[Mechanism] | None, typer.Option(help="A mechanism to switch off; may be repeated.")
+    ] = None,
+    report: Annotated[Path | None, typer.Option(help="File for the report, in JSON.")] = None,
+    compare_with: Annotated[
+        Path | None, typer.Option("--compare", help="An earlier report to compare with.")
+    ] = None,
+    plot: Annotated[
+        Path | None, typer.Option(help="File for a plot of the first seed, .svg or .png.")
+    ] = None,
+) -> None:
+    """Play a load on the leader of a cell in virtual time, against emulated executors.
+
+    Exits with 1 if anything happened that must never happen, with 2 on bad input.
+    """
+    try:
+        figures, plays = run_seeds(
+            load_workload(workload), seeds=seeds, jobs=jobs, without=without or ()
+        )
+        earlier = None if compare_with is None else load_figures(compare_with)
+    except ValueError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(2) from error
+    typer.echo(cell_load_table(figures))
+    for difference in () if earlier is None else differences(earlier, figures):
+        typer.echo(f"against the earlier report, {difference}")
+    if report is not None:
+        save_figures(figures, report)
+    if plot is not None:
+        write_cell_plot(plays[0], plot)
+    raise typer.Exit(1 if figures.violations else 0)
+
+
 @bench_app.command("compare")
 def compare_command(
     name: Name,
--- a/src/galenastall/coordination/cell/advice.py
+++ b/src/galenastall/coordination/cell/advice.py
@@ -1,5 +1,6 @@
 """Which executors the advisor lets run a step, and until when its tickets are good."""
 
+from collections import defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Final
@@ -62,6 +63,17 @@
         return executor_id in self.tickets_by_executor or executor_id not in self.asked
 
 
+@dataclass(slots=True)
+class _ApprovedShare:
+    answered: int = 0
+    approved: int = 0
+
+    @property
+    def value(self) -> float:
+        """Return the share; a half before any answer."""
+        return (self.approved + 1.0) / (self.answered + 2.0)
+
+
 class AdviceBook:
     """Advice by step; forgotten with the step's last start."""
 
@@ -69,8 +81,7 @@
         """Create an empty book."""
         self._advice_by_step: dict[StepKey, StepAdvice] = {}
         self._calls_under_way = 0
-        self._answered = 0
-        self._approved = 0
+        self._shares_by_queue: defaultdict[str, _ApprovedShare] = defaultdict(_ApprovedShare)
 
     def of(self, step: StepKey) -> StepAdvice:
         """Return what is known about a step, creating an empty entry."""
@@ -84,10 +95,9 @@
         """How many calls have no answer yet."""
         return self._calls_under_way
 
-    @property
-    def approved_share(self) -> float:
-        """Share of the executors asked about that were approved so far; a half before any."""
-        return (self._approved + 1.0) / (self._answered + 2.0)
+    def approved_share(self, queue_name: str) -> float:
+        """Return the share of the executors asked about on a queue that were approved so far."""
+        return self._shares_by_queue[queue_name].value
 
     def begin(self, step: StepKey, executor_ids: Sequence[str], now: float) -> None:
         """Note that a call is under way."""
@@ -102,14 +112,16 @@
         *,
         validity_s: float,
         now: float,
+        queue_name: str = "",
     ) -> None:
         """Take the answer to a call about `executor_ids` that came at `now`.
 
         TICKET_MARGIN_S covers its way here.
         """
         advice = self._end_call(step, executor_ids)
-        self._answered += len(set(executor_ids) - advice.asked)
-        self._approved += sum(1 for a in approved if a.executor_id not in advice.asked)
+        share = self._shares_by_queue[queue_name]
+        share.answered += len(set(executor_ids) - advice.asked)
+        share.approved += sum(1 for a in approved if a.executor_id not in advice.asked)
         advice.asked.update(executor_ids)
         for approval in approved:
             advice.tickets_by_executor[approval.executor_id] = approval.ticket
--- a/src/galenastall/coordination/cell/advice_planner.py
+++ b/src/galenastall/coordination/cell/advice_planner.py
@@ -30,7 +30,7 @@
 NAMED_AT_ONCE: Final = 30
 """Executors that each of the calls names which together ask about many: a call takes 0.9 s and 8 ms
 for each of them, so more make it longer than asking through another host."""
-ENOUGH_FACTOR: Final = 1.5
+ENOUGH_FACTOR: Final = 2.0
 """A first question names executors until the places expected to be approved are so many times those
 wanted: places get lost to other steps while the call takes its time."""
 KEPT_FOR_URGENT: Final = 2
@@ -107,6 +107,7 @@
                 step=waiting.step.key,
                 executor_ids=ids,
                 timing=timing,
+                queue_name=waiting.queue.name,
                 is_urgent=waiting.is_urgent,
             )
         )
@@ -129,7 +130,7 @@
     def _enough(self, waiting: WaitingStep, fresh: list[Executor], count: int) -> int:
         """Return how many of the executors are to be named for `count` places."""
         need = waiting.step.step.need
-        share = self._advice.approved_share
+        share = self._advice.approved_share(waiting.queue.name)
         expected = 0.0
         for number, executor in enumerate(fresh):
             if number >= ADVISED_EXECUTORS and expected >= ENOUGH_FACTOR * count:
--- a/src/galenastall/coordination/cell/commands.py
+++ b/src/galenastall/coordination/cell/commands.py
@@ -45,6 +45,8 @@
     step: StepKey
     executor_ids: tuple[str, ...]
     timing: AdvisorTiming
+    queue_name: str = ""
+    """Queue of the step's job: advisors approve of more on one than on another."""
     is_urgent: bool = False
     """Goes before calls for other work."""
 
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -24,6 +24,7 @@
 from galenastall.coordination.cell.orders import OrderBook, StartOutcome
 from galenastall.coordination.cell.pacing import Pacing
 from galenastall.coordination.cell.placer import Placer
+from galenastall.coordination.cell.room_plan import RoomPlan
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.state.cell.jobs import CellJob, Queue
@@ -78,6 +79,11 @@
         """Jobs that are known, ended ones included for as long as callers may ask."""
         return self._state.jobs_by_id
 
+    @property
+    def plan(self) -> RoomPlan:
+        """Room that the last decision kept."""
+        return self._placer.plan
+
     def next_seq(self) -> int:
         """Return the next number of this leader's sends and receives."""
         return self._state.next_seq()
@@ -206,7 +212,12 @@
         """Take the advisor's answer to a question."""
         if ask.step.job in self._state.jobs_by_id:
             self._advice.answer(
-                ask.step, ask.executor_ids, approved, validity_s=validity_s, now=now
+                ask.step,
+                ask.executor_ids,
+                approved,
+                validity_s=validity_s,
+                now=now,
+                queue_name=ask.queue_name,
             )
 
     def on_advice_failed(self, ask: AskAdvice, *, now: float) -> None:
@@ -365,7 +376,7 @@
         if now - self._tidied_at < TIDY_EVERY_S:
             return
         self._tidied_at = now
-        report_load(self._state, self._placer.plan)
+        report_load(self._state, self.plan)
         oldest = wall - self._state.timings.ended_kept_s
         for job_id, run in list(self._state.jobs_by_id.items()):
             if not run.has_ended or run.assigned():
--- /dev/null
+++ b/tests/test_cell_load.py
@@ -0,0 +1,155 @@
+"""The lab for a leader under load: what it draws, plays, measures and refuses."""
+
+from dataclasses import replace
+from pathlib import Path
+
+import msgspec
+import pytest
+from typer.testing import CliRunner
+
+from galenastall.bench.cell_load.arrivals import draw_arrivals
+from galenastall.bench.cell_load.figures import differences, to_table
+from galenastall.bench.cell_load.play import JobFate, play
+from galenastall.bench.cell_load.run import load_figures, run_seeds, save_figures
+from galenastall.bench.cell_load.workload import Burst, Workload, WorkloadError, load_workload
+from galenastall.cli.app import app
+from galenastall.coordination.cell.mechanisms import Mechanism
+from galenastall.state.cell.phases import JobPhase
+
+WORKLOADS = Path(__file__).parents[1] / "examples" / "cell-load"
+SMALL = """
+name: small
+shows: a few jobs
+executors: 3
+entry_hosts: 3
+length_s: 3
+settle_s: 4
+queues:
+  gangs:
+    jobs_per_s: 1.0
+    priority: 1
+    stretch: 3.0
+    target_s: 1.0
+    steps: {mean: 1}
+    width: {mean: 3}
+    cores_milli: {mean: 16000}
+    memory_mb: {mean: 1000}
+    run_s: {mean: 0.5}
+    gang_share: 1.0
+    advice: {base_s: 0.1, per_executor_s: 0.01, validity_s: 1.5, approved_share: 0.7}
+  urgent:
+    jobs_per_s: 4.0
+    priority: 0
+    stretch: 3.0
+    target_s: 0.5
+    steps: {mean: 1}
+    width: {mean: 2}
+    cores_milli: {mean: 1000}
+    memory_mb: {mean: 100}
+    run_s: {mean: 0.2}
+"""
+
+
+def small(path: Path, text: str = SMALL) -> Workload:
+    file = path / "small.yaml"
+    file.write_text(text)
+    return load_workload(file)
+
+
+class TestWorkloads:
+    def test_all_files_can_be_played(self) -> None:
+        names = [load_workload(path).name for path in sorted(WORKLOADS.glob("*.yaml"))]
+        assert names == sorted(path.stem for path in WORKLOADS.glob("*.yaml"))
+
+    @pytest.mark.parametrize(
+        ("change", "message"),
+        [
+            (("executors: 3", "executors: 0"), "executors: expected 1 to 4000, got 0"),
+            (("entry_hosts: 3", "entry_hosts: 0"), "entry_hosts: expected 1 or more, got 0"),
+            (("executors: 3", "executers: 3"), "executers"),
+            (("executors: 3", "executors: many"), "executors"),
+            (("length_s: 3", "bursts: [{at_s: 1, for_s: 1, factor: 2, queue: x}]"), "no queue 'x'"),
+        ],
+    )
+    def test_bad_files_name_the_field(
+        self, tmp_path: Path, change: tuple[str, str], message: str
+    ) -> None:
+        with pytest.raises(WorkloadError, match=message):
+            small(tmp_path, SMALL.replace(*change))
+
+    def test_arrivals_are_the_same_for_one_seed(self, tmp_path: Path) -> None:
+        workload = small(tmp_path)
+        assert draw_arrivals(workload, seed=3) == draw_arrivals(workload, seed=3)
+        assert draw_arrivals(workload, seed=3) != draw_arrivals(workload, seed=4)
+
+    def test_a_burst_brings_more_jobs(self, tmp_path: Path) -> None:
+        workload = small(tmp_path)
+        burst = msgspec.structs.replace(workload, bursts=[Burst(at_s=0, for_s=3, factor=5)])
+        assert len(draw_arrivals(burst, seed=1)) > 3 * len(draw_arrivals(workload, seed=1))
+
+
+class TestPlay:
+    def test_the_same_seed_plays_the_same(self, tmp_path: Path) -> None:
+        workload = small(tmp_path)
+        first, again = (play(workload, seed=2) for _ in range(2))
+        assert [f.done_s for f in first.fates] == [f.done_s for f in again.fates]
+        assert first.violations == []
+        assert all(fate.phase is JobPhase.COMPLETED for fate in first.fates)
+
+    def test_a_loss_of_all_hosts_and_of_the_store_loses_no_job(self, tmp_path: Path) -> None:
+        text = SMALL + "leader_losses: [{at_s: 1, for_s: 0.7}]\n"
+        text += (
+            "store_outages: [{at_s: 2, for_s: 1}]\ncrashes: [{at_s: 1.5, for_s: 1, share: 0.3}]\n"
+        )
+        played = play(small(tmp_path, text.replace("settle_s: 4", "settle_s: 25")), seed=1)
+        assert played.violations == []
+        accepted = [fate for fate in played.fates if fate.is_accepted]
+        assert accepted
+        assert all(fate.phase is JobPhase.COMPLETED for fate in accepted)
+
+    def test_credit_follows_the_time_of_the_end(self, tmp_path: Path) -> None:
+        arrival = draw_arrivals(small(tmp_path), seed=1)[0]
+        fate = JobFate(arrival=replace(arrival, objective_s=2.0), phase=JobPhase.COMPLETED)
+        shares = []
+        for done_s in (1.9, 2.1, 6.1):
+            fate.done_s = done_s
+            shares.append(fate.earned_share)
+        assert shares == [1.0, 0.2, 0.0]
+
+
+class TestReports:
+    def test_a_report_is_kept_and_compared(self, tmp_path: Path) -> None:
+        figures, _ = run_seeds(small(tmp_path), seeds=2)
+        save_figures(figures, tmp_path / "report.json")
+        again = load_figures(tmp_path / "report.json")
+        assert again == figures
+        assert [each.mean for each in differences(figures, again)] == [0.0, 0.0, 0.0]
+        assert "gangs" in to_table(figures)
+
+    def test_a_mechanism_can_be_switched_off(self, tmp_path: Path) -> None:
+        figures, _ = run_seeds(small(tmp_path), seeds=1, without=[Mechanism.RESERVATIONS])
+        assert figures.without == ["reservations"]
+
+    @pytest.mark.parametrize(("seeds", "jobs"), [(0, 1), (1, 0), (1, 9)])
+    def test_numbers_out_of_range_are_refused(self, tmp_path: Path, seeds: int, jobs: int) -> None:
+        with pytest.raises(ValueError, match="expected 1 to"):
+            run_seeds(small(tmp_path), seeds=seeds, jobs=jobs)
+
+
+class TestCommand:
+    def test_it_prints_the_table_and_writes_report_and_plot(self, tmp_path: Path) -> None:
+        small(tmp_path)
+        report, picture = tmp_path / "report.json", tmp_path / "plot.svg"
+        arguments = ["bench", "cell-load", str(tmp_path / "small.yaml"), "--seeds", "1"]
+        arguments += ["--report", str(report), "--plot", str(picture)]
+        result = CliRunner().invoke(app, arguments)
+        assert result.exit_code == 0, result.output
+        assert "worth" in result.output
+        assert picture.stat().st_size > 0
+        result = CliRunner().invoke(app, [*arguments, "--compare", str(report)])
+        assert "worth: +0.0000" in result.output
+
+    def test_a_bad_file_is_named(self, tmp_path: Path) -> None:
+        result = CliRunner().invoke(app, ["bench", "cell-load", str(tmp_path / "none.yaml")])
+        assert result.exit_code == 2
+        assert "none.yaml" in result.output
--- /dev/null
+++ b/tests/test_cell_room.py
@@ -0,0 +1,150 @@
+"""Room and advice under load: gangs that wait for room, and questions that are worth a call."""
+
+from dataclasses import replace
+
+import pytest
+
+from cell.rig import JOB, QUEUE, Rig, make_info, make_job, make_step
+from galenastall.coordination.cell.advice import Approval
+from galenastall.coordination.cell.commands import AskAdvice, StartOrder
+from galenastall.coordination.cell.listings import ListedRun
+from galenastall.coordination.cell.room_plan import RoomPlan
+from galenastall.state.cell.jobs import AdvisorTiming, Step
+
+TIMING = AdvisorTiming(base_s=0.9, per_executor_s=0.008, validity_s=2.5)
+ADVISED = replace(QUEUE, name="advised", advisor=TIMING)
+FULL = 3600
+"""Thousandths of a core that leave no room for another task on an executor of 4."""
+
+
+class AdvisedRig(Rig):
+    """A core whose jobs need advice, and an advisor that approves by name."""
+
+    def __init__(self, *, executors: int, hosts: int) -> None:
+        super().__init__(*(make_info(f"e{number:03}") for number in range(executors)))
+        self.core.set_queues([QUEUE, ADVISED])
+        self.core.set_advice_calls_at_once(hosts)
+
+    def hand_in(self, step: Step, job_id: str = JOB) -> None:
+        self.submit(make_job(step, job_id=job_id, queue=ADVISED))
+
+    def fill(self, count: int, *, estimate_s: float) -> list[StartOrder]:
+        """Run a large task on each of the first executors."""
+        orders: list[StartOrder] = []
+        for number in range(count):
+            step = make_step(1, cores=FULL, estimate_s=estimate_s)
+            self.submit(make_job(step, job_id=f"{number:016x}"))
+            orders += self.step()
+        self.run_all(orders)
+        return orders
+
+    def asks(self) -> list[AskAdvice]:
+        self.core.decide(now=self.now, wall=self.wall)
+        return self.core.take_asks()
+
+    def answer(self, ask: AskAdvice, approved: set[str] | None = None) -> None:
+        named = [e for e in ask.executor_ids if approved is None or e in approved]
+        answer = tuple(Approval(executor_id=e, ticket=f"t-{e}") for e in named)
+        self.core.on_advice(ask, answer, validity_s=TIMING.validity_s, now=self.now)
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass with all executors answering, their runs at a tenth a second."""
+        self.now += seconds
+        for executor in list(self.core.executors_by_id.values()):
+            percent = min(99, int(10 * (self.now - 100.0)))
+            running = tuple(
+                ListedRun(task=task, run=run, percent=percent)
+                for task, run in executor.runs_by_task.items()
+            )
+            self.listing(executor.executor_id, running)
+
+
+class TestQuestionsAtOnce:
+    """A gang of 16 tasks whose advisor approves of a third of 176 executors."""
+
+    def test_all_executors_are_asked_about_through_several_hosts(self) -> None:
+        rig = AdvisedRig(executors=176, hosts=34)
+        rig.fill(140, estimate_s=9.0)
+        rig.hand_in(make_step(16, cores=3000, is_gang=True))
+        asks = rig.asks()
+        assert len(asks) == 6
+        named = [executor_id for ask in asks for executor_id in ask.executor_ids]
+        assert len(named) == len(set(named)) == 176
+        assert max(len(ask.executor_ids) for ask in asks) <= 30
+
+    def test_no_more_are_asked_about_than_are_needed(self) -> None:
+        rig = AdvisedRig(executors=176, hosts=34)
+        rig.hand_in(make_step(4, cores=2000, is_gang=True))
+        assert [len(ask.executor_ids) for ask in rig.asks()] == [30]
+
+    @pytest.mark.parametrize(("hosts", "calls"), [(6, 4), (3, 1), (1, 1)])
+    def test_hosts_are_left_to_urgent_calls(self, hosts: int, calls: int) -> None:
+        rig = AdvisedRig(executors=176, hosts=hosts)
+        rig.fill(150, estimate_s=9.0)
+        rig.hand_in(make_step(16, cores=3000, is_gang=True))
+        assert len(rig.asks()) == calls
+
+    def test_nothing_is_asked_while_no_host_could_take_it(self) -> None:
+        rig = AdvisedRig(executors=8, hosts=4)
+        for number in range(5):
+            rig.hand_in(make_step(1), job_id=f"{number:016x}")
+        assert len(rig.asks()) == 2
+        assert rig.asks() == []
+
+    def test_the_gang_starts_once_enough_answers_have_come(self) -> None:
+        rig = AdvisedRig(executors=90, hosts=34)
+        rig.fill(60, estimate_s=9.0)
+        rig.hand_in(make_step(16, cores=3000, is_gang=True))
+        asks = rig.asks()
+        assert len(asks) == 3
+        # The 30 with room are spread over the calls: each answer brings ten of them.
+        rig.answer(asks[0])
+        assert rig.step() == []
+        rig.answer(asks[1])
+        assert len(rig.step()) == 16
+
+
+class TestRenewals:
+    """Tickets last for 2.5 s, a call takes 1 s, and room comes later."""
+
+    def test_a_gang_s_tickets_are_renewed_for_the_moment_of_its_room(self) -> None:
+        rig = AdvisedRig(executors=2, hosts=6)
+        rig.fill(2, estimate_s=10.0)
+        rig.hand_in(make_step(2, cores=4000, is_gang=True))
+        (ask,) = rig.asks()
+        rig.answer(ask)
+        for _ in range(8):
+            rig.pass_time(1.0)
+            assert rig.asks() == []
+        rig.pass_time(1.0)
+        (renewed,) = rig.asks()
+        assert set(renewed.executor_ids) == {"e000", "e001"}
+
+    def test_a_gang_that_fits_nowhere_it_is_approved_keeps_no_room(self) -> None:
+        rig = AdvisedRig(executors=4, hosts=6)
+        rig.hand_in(make_step(2, cores=4000, is_gang=True))
+        (ask,) = rig.asks()
+        rig.answer(ask, approved={"e000"})
+        rig.submit(make_job(make_step(8, cores=2000, estimate_s=50.0), job_id="f" * 16))
+        assert len(rig.step()) == 8
+
+
+class TestPlan:
+    def test_nothing_is_left_kept_for_the_next_decision(self) -> None:
+        rig = AdvisedRig(executors=2, hosts=6)
+        rig.fill(2, estimate_s=10.0)
+        rig.submit(make_job(make_step(2, cores=4000, is_gang=True)))
+        rig.step()
+        plan: RoomPlan = rig.core.plan
+        assert plan.kept_count == 2
+        plan.begin(now=rig.now, fleet_size=2)
+        assert plan.kept_count == 0
+
+    def test_two_gangs_that_want_the_same_room_start_one_after_the_other(self) -> None:
+        rig = AdvisedRig(executors=4, hosts=6)
+        for name in "ab":
+            rig.submit(make_job(make_step(3, cores=4000, is_gang=True), job_id=name * 16))
+        first = rig.step()
+        assert {order.task.job for order in first} == {"a" * 16}
+        rig.run_all(first)
+        assert rig.step() == []
