Ask about all executors at once for a gang; take room that is kept last

Hypothesis: what is left of a gang's wait on 176 executors is that it learns of a third of them at a time.

Change: a gang's first question names every executor, 30 a call through as many hosts; single tasks ask about as many as should bring twice the places wanted, by the share approved so far on their queue. More pressing single tasks take room that the decision before kept only where there is no other.

--- a/src/galenastall/coordination/cell/advice_planner.py
+++ b/src/galenastall/coordination/cell/advice_planner.py
@@ -58,7 +58,7 @@
             return
         call_s = self._call_s(waiting, NAMED_AT_ONCE)
         if planned is None or planned.at > waiting.now + 2.0 * call_s:
-            self._ask_fresh(waiting, advice, usable, waiting.step.step.count)
+            self._ask_fresh(waiting, self._fresh(advice, usable))
             return
         if planned.at > waiting.now + call_s + AHEAD_SLACK_S:
             return
@@ -79,7 +79,8 @@
         if wanted:
             self._ask(waiting, wanted)
         else:
-            self._ask_fresh(waiting, advice, usable, left)
+            fresh = self._fresh(advice, usable)
+            self._ask_fresh(waiting, fresh[: self._enough(waiting, fresh, left)])
 
     def _hosts_left(self, waiting: WaitingStep) -> int:
         """Return through how many hosts a step may ask at once now."""
@@ -112,23 +113,24 @@
             )
         )
 
-    def _ask_fresh(
-        self, waiting: WaitingStep, advice: StepAdvice, usable: list[Executor], count: int
-    ) -> None:
-        """Ask about executors never asked about, through several hosts where many are needed.
+    def _fresh(self, advice: StepAdvice, usable: list[Executor]) -> list[Executor]:
+        """Return the executors never asked about, those with most room first."""
+        fresh = [e for e in usable if e.executor_id not in advice.asked]
+        fresh.sort(key=lambda e: (-e.free.cores_milli, e.executor_id))
+        return fresh
+
+    def _ask_fresh(self, waiting: WaitingStep, wanted: list[Executor]) -> None:
+        """Ask about executors never asked about, through several hosts where they are many.
 
         A gang of 16 tasks whose advisor approves of a third of 176 executors then knows all of them
         after 1.1 s; with one call after the other its first tickets ran out before it had enough.
         """
-        fresh = [e for e in usable if e.executor_id not in advice.asked]
-        fresh.sort(key=lambda e: (-e.free.cores_milli, e.executor_id))
-        wanted = fresh[: self._enough(waiting, fresh, count)]
         calls = min(-(-len(wanted) // NAMED_AT_ONCE), self._hosts_left(waiting))
         for number in range(calls):
             self._ask(waiting, wanted[number::calls][:MOST_NAMED])
 
     def _enough(self, waiting: WaitingStep, fresh: list[Executor], count: int) -> int:
-        """Return how many of the executors are to be named for `count` places."""
+        """Return how many of the executors are to be named for `count` single tasks."""
         need = waiting.step.step.need
         share = self._advice.approved_share(waiting.queue.name)
         expected = 0.0
--- a/src/galenastall/coordination/cell/fitting.py
+++ b/src/galenastall/coordination/cell/fitting.py
@@ -7,7 +7,7 @@
 from galenastall.coordination.cell.room_plan import RoomPlan
 from galenastall.state.cell.jobs import Step
 
-Preference = tuple[int, int, float, str]
+Preference = tuple[int, int, int, float, str]
 
 
 def may_host(executor: Executor, step: Step, service: str) -> bool:
@@ -39,7 +39,7 @@
     for executor in usable:
         if not plan.room_for(executor, step.step, 1) or not may_add(executor, step):
             continue
-        key = _preference(executor, step, has_failed=executor.executor_id in task.failed_on)
+        key = _preference(executor, step, plan, has_failed=executor.executor_id in task.failed_on)
         if best_key is None or key < best_key:
             best, best_key = executor, key
     return best
@@ -64,7 +64,7 @@
     failed_on = {executor_id for task in step.tasks for executor_id in task.failed_on}
 
     def preference(executor: Executor) -> Preference:
-        return _preference(executor, step, has_failed=executor.executor_id in failed_on)
+        return _preference(executor, step, plan, has_failed=executor.executor_id in failed_on)
 
     for executor in sorted(usable, key=preference):
         fitting = plan.room_for(executor, step.step, count - len(chosen))
@@ -77,7 +77,9 @@
     return None
 
 
-def _preference(executor: Executor, step: StepRun, *, has_failed: bool) -> Preference:
+def _preference(
+    executor: Executor, step: StepRun, plan: RoomPlan, *, has_failed: bool
+) -> Preference:
     doubtful = 1 if has_failed or executor.consecutive_failures > 1 else 0
     rack = step.step.data_rack
     far = 1 if rack and rack != executor.info.rack else 0
@@ -86,4 +88,5 @@
     cores_left = (executor.free.cores_milli - need.cores_milli) / max(capacity.cores_milli, 1)
     memory_left = (executor.free.memory_mb - need.memory_mb) / max(capacity.memory_mb, 1)
     uneven = abs(cores_left - memory_left)
-    return (doubtful, far, cores_left + memory_left + uneven, executor.executor_id)
+    kept = 1 if plan.was_kept(executor) and not step.step.is_gang else 0
+    return (doubtful, far, kept, cores_left + memory_left + uneven, executor.executor_id)
--- a/src/galenastall/coordination/cell/room_plan.py
+++ b/src/galenastall/coordination/cell/room_plan.py
@@ -60,6 +60,7 @@
         """Plan with these expected ends."""
         self._forecast = forecast
         self._kept_by_id: dict[str, _Kept] = {}
+        self._kept_before: frozenset[str] = frozenset()
         self._now = 0.0
         self._most_kept = 0
 
@@ -75,10 +76,18 @@
 
     def begin(self, *, now: float, fleet_size: int) -> None:
         """Begin a decision for which nothing is kept."""
+        self._kept_before = frozenset(self._kept_by_id)
         self._kept_by_id.clear()
         self._now = now
         self._most_kept = max(1, int(fleet_size * KEPT_SHARE))
 
+    def was_kept(self, executor: Executor) -> bool:
+        """Whether the decision before kept room on an executor.
+
+        More pressing work may have that room, and takes other room where there is some.
+        """
+        return executor.executor_id in self._kept_before
+
     def room_for(self, executor: Executor, step: Step, most: int) -> int:
         """Return how many tasks of a step may start on an executor now, `most` at the highest."""
         fitting = executor.room_for(step.need, most)
--- a/src/galenastall/coordination/cell/waiting_line.py
+++ b/src/galenastall/coordination/cell/waiting_line.py
@@ -11,6 +11,8 @@
 
 STEPS_PER_DECISION: Final = 120
 """Waiting steps looked at in one decision, so that it stays within some milliseconds."""
+TIME_TO_END_SHARE: Final = 1.0
+"""Share of the declared time that a step and those after it need, for what can still be met."""
 URGENT_PRIORITY: Final = 0
 WORTHLESS_RANK: Final = 2
 """Rank of what is so late that it earns nothing more; it runs when nothing else wants the room."""
@@ -30,7 +32,7 @@
     """What the advisor said; None on a queue without one."""
     now: float
     rank: int
-    """How late its job is, as `lateness_rank` tells."""
+    """How late its job would be if it started now, as `lateness_rank` tells."""
 
     @property
     def is_urgent(self) -> bool:
@@ -94,6 +96,8 @@
             advice=None if queue.advisor is None else self._advice.of(step.key),
             now=now,
             rank=lateness_rank(
-                objective=occurrence.objective, begins_at=occurrence.begins_at, now=wall
+                objective=occurrence.objective,
+                begins_at=occurrence.begins_at,
+                now=wall + TIME_TO_END_SHARE * step.time_to_end_s,
             ),
         )
