Switches for the ablation; tell callers in a data centre that is cut off sooner

A submission that a leader may have stored is answered after 0.6 of the caller's time while no leader is heard, instead of after 2.85 of 3 s, so that the next try may reach another data centre; hosts report not ready after 0.9 s without a confirmation instead of 1.3 s. The peer link of the tests' world now loses answers on a path that was cut while the call ran.

Mechanism names the parts of the policy that a lab run can switch off one by one.

--- a/src/galenastall/coordination/cell/advice_planner.py
+++ b/src/galenastall/coordination/cell/advice_planner.py
@@ -15,6 +15,7 @@
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.fitting import may_add
 from galenastall.coordination.cell.forecast import Forecast
+from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.objectives import ADVISED_EXECUTORS
 from galenastall.coordination.cell.room_plan import PlannedStart
 from galenastall.coordination.cell.waiting_line import WaitingStep
@@ -125,6 +126,8 @@
         A gang of 16 tasks whose advisor approves of a third of 176 executors then knows all of them
         after 1.1 s; with one call after the other its first tickets ran out before it had enough.
         """
+        if Mechanism.ADVICE_AT_ONCE in self._state.without:
+            wanted = wanted[:NAMED_AT_ONCE]
         calls = min(-(-len(wanted) // NAMED_AT_ONCE), self._hosts_left(waiting))
         for number in range(calls):
             self._ask(waiting, wanted[number::calls][:MOST_NAMED])
--- a/src/galenastall/coordination/cell/doubts.py
+++ b/src/galenastall/coordination/cell/doubts.py
@@ -7,6 +7,7 @@
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.job_runs import StartState, TaskRun
+from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.state.cell.jobs import StepKey
 
 FAILURES_IN_A_ROW: Final = 3
@@ -81,7 +82,7 @@
         return shares
 
     def _pause(self, executor: Executor, cause: str) -> None:
-        if executor.paused_until > self._state.now:
+        if executor.paused_until > self._state.now or Mechanism.DOUBTS in self._state.without:
             return
         pause_s = min(FIRST_PAUSE_S * 2.0**executor.pauses, LONGEST_PAUSE_S)
         executor.pauses += 1
--- a/src/galenastall/coordination/cell/election.py
+++ b/src/galenastall/coordination/cell/election.py
@@ -82,11 +82,11 @@
             return False
         return now - self._beat.heard_at <= self._timings.beat_silence_s
 
-    def is_confirmed(self, now: float) -> bool:
-        """Whether the leader is heard and the store confirms it."""
+    def is_confirmed(self, now: float, longest_s: float) -> bool:
+        """Whether the leader is heard and the store has confirmed it within `longest_s`."""
         if self._beat is None or not self.is_heard(now):
             return False
-        return self._beat.confirm_age_at(now) <= self._timings.stale_confirm_s
+        return self._beat.confirm_age_at(now) <= longest_s
 
     def on_beat(self, beat: HeardBeat) -> bool:
         """Take a heartbeat; False if a newer leader is known."""
--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -14,6 +14,7 @@
     TaskRun,
 )
 from galenastall.coordination.cell.lease_clock import LeaseClock
+from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.state.cell.phases import RunEnd
 from galenastall.state.resources import NOTHING
@@ -159,7 +160,7 @@
 
     def move_runs(self, *, now: float) -> None:
         """Stop runs that stand still, crawl, or would not end before their executor leaves."""
-        if now - self._judged_at < JUDGE_EVERY_S:
+        if now - self._judged_at < JUDGE_EVERY_S or Mechanism.MOVES in self._state.without:
             return
         self._judged_at = now
         slow_ids = {executor.executor_id for executor in self._doubts.slow_executors()}
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -5,7 +5,7 @@
 from enum import Enum, auto
 from typing import Final
 
-from galenastall.coordination.cell.objectives import objective_at, times_to_end_s
+from galenastall.coordination.cell.objectives import objective_at
 from galenastall.state.cell.jobs import CellJob, Queue, Step, StepKey, TaskKey
 from galenastall.state.cell.phases import ENDED_PHASES, JobPhase, TaskPhase
 from galenastall.state.cell.rows import ProgressRow, TaskRow
@@ -145,9 +145,8 @@
 class StepRun:
     """The tasks of one step of one occurrence."""
 
-    def __init__(self, *, key: StepKey, step: Step, time_to_end_s: float) -> None:
-        """Create all its tasks; `time_to_end_s` is declared from its start to the job's end."""
-        self.time_to_end_s = time_to_end_s
+    def __init__(self, *, key: StepKey, step: Step) -> None:
+        """Create all its tasks."""
         self.key = key
         self.step = step
         self.tasks = [TaskRun(key=TaskKey(*key, index)) for index in range(step.count)]
@@ -191,13 +190,8 @@
         self.number = number
         self.begins_at = begins_at
         self.objective = objective_at(steps=job.steps, queue=queue, begins_at=begins_at)
-        times_s = times_to_end_s(job.steps, queue)
         self.steps = [
-            StepRun(
-                key=StepKey(job.job_id, number, index),
-                step=step,
-                time_to_end_s=times_s[index],
-            )
+            StepRun(key=StepKey(job.job_id, number, index), step=step)
             for index, step in enumerate(job.steps)
         ]
 
--- a/src/galenastall/coordination/cell/mechanisms.py
+++ b/src/galenastall/coordination/cell/mechanisms.py
@@ -8,8 +8,10 @@
 
     RESERVATIONS = "reservations"
     """Room kept for pressing steps while a decision is taken."""
-    HOLDS = "holds"
-    """Room kept for a step while its tickets are renewed."""
+    KEPT_ROOM_LAST = "kept-room-last"
+    """Other room first for work that may have room kept by the decision before."""
+    ADVICE_AT_ONCE = "advice-at-once"
+    """Several calls for advice at once about a gang, through several hosts."""
     DOUBTS = "doubts"
     """Pauses of executors on which runs fail, stand still or crawl."""
     MOVES = "moves"
@@ -19,7 +21,7 @@
     URGENT_FIRST = "urgent-first"
     """Urgent queues before others."""
     LATE_LAST = "late-last"
-    """What can't meet its objective any more after what can."""
+    """What is past its objective after what is not."""
 
 
 Without = frozenset[Mechanism]
--- a/src/galenastall/coordination/cell/objectives.py
+++ b/src/galenastall/coordination/cell/objectives.py
@@ -8,16 +8,11 @@
 """Executors that one call for advice names at most; the objective counts a call on as many."""
 
 
-def advice_call_s(queue: Queue) -> float:
-    """Return how long a call for advice takes on a queue; 0 on one without an advisor."""
-    if queue.advisor is None:
-        return 0.0
-    return queue.advisor.base_s + ADVISED_EXECUTORS * queue.advisor.per_executor_s
-
-
 def longest_chain_s(steps: tuple[Step, ...], queue: Queue) -> float:
     """Return the longest chain of declared run times, with a call for advice a step."""
-    advice_s = advice_call_s(queue)
+    advice_s = 0.0
+    if queue.advisor is not None:
+        advice_s = queue.advisor.base_s + ADVISED_EXECUTORS * queue.advisor.per_executor_s
     ends: list[float] = []
     for step in steps:
         begins = max((ends[earlier] for earlier in step.after), default=0.0)
@@ -25,17 +20,6 @@
     return max(ends, default=0.0)
 
 
-def times_to_end_s(steps: tuple[Step, ...], queue: Queue) -> list[float]:
-    """Return, for each step, the declared time from its start to the end of the job."""
-    advice_s = advice_call_s(queue)
-    times = [step.estimate_s + advice_s for step in steps]
-    own = list(times)
-    for number in range(len(steps) - 1, -1, -1):
-        for earlier in steps[number].after:
-            times[earlier] = max(times[earlier], own[earlier] + times[number])
-    return times
-
-
 def objective_at(*, steps: tuple[Step, ...], queue: Queue, begins_at: float) -> float:
     """Return the wall time by which an occurrence that begins at `begins_at` should be done."""
     return begins_at + queue.stretch * longest_chain_s(steps, queue) + queue.target_s
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -6,6 +6,7 @@
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.commands import StartOrder, StopOrder
 from galenastall.coordination.cell.job_runs import StartState, TaskRun
+from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.state.cell.phases import RunEnd
 
@@ -59,7 +60,7 @@
     def _doubt_path(self, executor_id: str, now: float) -> None:
         """Place nothing on an executor, or beside it, that has not answered since a start left."""
         silent = self._state.executors_by_id.get(executor_id)
-        if silent is None:
+        if silent is None or Mechanism.PATH_DOUBTS in self._state.without:
             return
         sent_at = now - self._state.timings.order_timeout_s
         for executor in self._state.executors_by_id.values():
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -34,7 +34,7 @@
         self._line = WaitingLine(state=state, advice=advice)
         self._forecast = Forecast(state=state)
         self._planner = AdvicePlanner(state=state, advice=advice, forecast=self._forecast)
-        self.plan = RoomPlan(forecast=self._forecast)
+        self.plan = RoomPlan(forecast=self._forecast, without=state.without)
         """Room that the last decision kept."""
         self._planned_gangs = 0
 
--- a/src/galenastall/coordination/cell/room_plan.py
+++ b/src/galenastall/coordination/cell/room_plan.py
@@ -12,6 +12,7 @@
 
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.forecast import OVERDUE_S, Forecast
+from galenastall.coordination.cell.mechanisms import ALL_ON, Mechanism, Without
 from galenastall.state.cell.jobs import Step
 from galenastall.state.resources import NOTHING, Resources
 
@@ -56,8 +57,9 @@
 class RoomPlan:
     """Keeps room while one decision is taken."""
 
-    def __init__(self, *, forecast: Forecast) -> None:
+    def __init__(self, *, forecast: Forecast, without: Without = ALL_ON) -> None:
         """Plan with these expected ends."""
+        self._goes_last = Mechanism.KEPT_ROOM_LAST not in without
         self._forecast = forecast
         self._kept_by_id: dict[str, _Kept] = {}
         self._kept_before: frozenset[str] = frozenset()
@@ -76,7 +78,7 @@
 
     def begin(self, *, now: float, fleet_size: int) -> None:
         """Begin a decision for which nothing is kept."""
-        self._kept_before = frozenset(self._kept_by_id)
+        self._kept_before = frozenset(self._kept_by_id) if self._goes_last else frozenset()
         self._kept_by_id.clear()
         self._now = now
         self._most_kept = max(1, int(fleet_size * KEPT_SHARE))
--- a/src/galenastall/coordination/cell/timings.py
+++ b/src/galenastall/coordination/cell/timings.py
@@ -45,6 +45,9 @@
     """A leader whose last confirmation is older makes standbys look at the store."""
     stale_confirm_s: float = 1.3
     """A leader whose last confirmation is older counts as silent; slow stores stay below it."""
+    ready_confirm_s: float = 0.9
+    """A host whose leader's last confirmation is older reports itself not ready: the balancer takes
+    1 to 2 s more to send callers elsewhere. Confirmations through a slow store stay below it."""
     tip_silence_s: float = 0.35
     """How long the state's end must stand still before a standby claims: a confirmation each 0.2 s
     and an append of some 10 ms. A host that has just started hears a living leader within 0.2 s."""
--- a/src/galenastall/coordination/cell/waiting_line.py
+++ b/src/galenastall/coordination/cell/waiting_line.py
@@ -6,13 +6,12 @@
 from galenastall.coordination.cell.advice import AdviceBook, StepAdvice
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.job_runs import JobRun, Occurrence, StepRun
+from galenastall.coordination.cell.mechanisms import ALL_ON, Mechanism, Without
 from galenastall.coordination.cell.objectives import lateness_rank
 from galenastall.state.cell.jobs import Queue, StepKey
 
 STEPS_PER_DECISION: Final = 120
 """Waiting steps looked at in one decision, so that it stays within some milliseconds."""
-TIME_TO_END_SHARE: Final = 1.0
-"""Share of the declared time that a step and those after it need, for what can still be met."""
 URGENT_PRIORITY: Final = 0
 WORTHLESS_RANK: Final = 2
 """Rank of what is so late that it earns nothing more; it runs when nothing else wants the room."""
@@ -32,7 +31,7 @@
     """What the advisor said; None on a queue without one."""
     now: float
     rank: int
-    """How late its job would be if it started now, as `lateness_rank` tells."""
+    """How late its job is, as `lateness_rank` tells."""
 
     @property
     def is_urgent(self) -> bool:
@@ -52,15 +51,16 @@
         """Whether an executor may run it, with a ticket that is still good or a renewed one."""
         return self.advice is None or executor_id in self.advice.tickets_by_executor
 
-    def order_key(self) -> OrderKey:
+    def order_key(self, without: Without = ALL_ON) -> OrderKey:
         """Return its place in the order of decisions.
 
         Urgent work goes before other work also when it is late: it is an eighth of all work, and
         what waits behind work with seconds to spare ends up earning nothing.
         """
-        urgency = 0 if self.is_urgent else 1
+        urgency = 0 if self.is_urgent or Mechanism.URGENT_FIRST in without else 1
         worthless = 1 if self.is_worthless else 0
-        return (worthless, urgency, self.rank, self.occurrence.objective, self.step.key)
+        rank = 0 if Mechanism.LATE_LAST in without else self.rank
+        return (worthless, urgency, rank, self.occurrence.objective, self.step.key)
 
 
 class WaitingLine:
@@ -81,7 +81,7 @@
                 self._state.waiting_steps.discard(key)
                 continue
             waiting = self._describe(job, step, now, wall)
-            found.append((waiting.order_key(), waiting))
+            found.append((waiting.order_key(self._state.without), waiting))
         found.sort(key=lambda pair: pair[0])
         return [waiting for _, waiting in found[:STEPS_PER_DECISION]]
 
@@ -96,8 +96,6 @@
             advice=None if queue.advisor is None else self._advice.of(step.key),
             now=now,
             rank=lateness_rank(
-                objective=occurrence.objective,
-                begins_at=occurrence.begins_at,
-                now=wall + TIME_TO_END_SHARE * step.time_to_end_s,
+                objective=occurrence.objective, begins_at=occurrence.begins_at, now=wall
             ),
         )
--- a/src/galenastall/node/cell/caller_desk.py
+++ b/src/galenastall/node/cell/caller_desk.py
@@ -27,6 +27,10 @@
 
 NO_LEADER_S: Final = 1.2
 """How long a submission waits for a leader before it is refused; a takeover takes about 1.1 s."""
+UNHEARD_SHARE: Final = 0.6
+"""Share of a caller's time after which a submission that a leader may have stored is answered while
+no leader is heard: in a data centre that is cut off the caller's next try may reach another one;
+it would else be told after 2.9 of its 3 s. A leader answers within 0.4 of that time."""
 ANSWER_MARGIN_S: Final = 0.15
 """Kept of a caller's time for the way back."""
 RETRY_S: Final = 0.05
@@ -65,13 +69,17 @@
         now = trio.current_time()
         until = now + patience_s - ANSWER_MARGIN_S
         leaderless_until = min(until, now + NO_LEADER_S, now + SHARE_OF_PATIENCE * patience_s)
+        unheard_until = min(until, now + UNHEARD_SHARE * patience_s)
         may_be_stored = False
         cause = "no leader is heard"
         # A leader that went away may have stored the job; the next one knows within a second.
         while trio.current_time() < (until if may_be_stored else leaderless_until):
+            if not self._standing.is_heard and trio.current_time() >= unheard_until:
+                break
             left_s = until - trio.current_time()
+            heard_s = max(unheard_until - trio.current_time(), 0.0) or left_s
             message = SubmitJob(job=job, patience_s=left_s)
-            answer = await self._call(message, left_s)
+            answer = await self._call(message, min(left_s, heard_s))
             if isinstance(answer, Success):
                 found: SubmitAnswer = answer.unwrap()
                 if found.verdict is SubmitVerdict.NOT_RUN and not may_be_stored:
--- a/src/galenastall/node/cell/standing.py
+++ b/src/galenastall/node/cell/standing.py
@@ -121,10 +121,11 @@
 
     @property
     def is_confirmed(self) -> bool:
-        """Whether a leader is heard that the store confirms: only then is work taken in."""
+        """Whether a leader is heard whom the store has just confirmed: callers may come here."""
+        longest_s = self._timings.ready_confirm_s
         if self.term is not None:
-            return self.term.confirm_age_s <= self._timings.stale_confirm_s
-        return self._election.is_confirmed(trio.current_time())
+            return self.term.confirm_age_s <= longest_s
+        return self._election.is_confirmed(trio.current_time(), longest_s)
 
     def helpers(self) -> tuple[HostId, ...]:
         """Return the hosts that can be asked to do something for the leader, itself included."""
--- a/tests/cell/world.py
+++ b/tests/cell/world.py
@@ -480,7 +480,8 @@
         with trio.move_on_after(timeout_s):
             await trio.sleep(0.001)
             answer = await target._handlers[type(message)](self._host_id, message)
-            if self.world.links.get(peer) is target:
+            is_answered = (peer, self._host_id) not in self.world.faults.cut
+            if is_answered and self.world.links.get(peer) is target:
                 return Failure(answer) if isinstance(answer, StepError) else Success(answer)
             await trio.sleep_forever()
         return Failure(StepError(step="world.peer", peer=peer, reason=Reason.TIMEOUT))
--- a/tests/test_cell_leadership.py
+++ b/tests/test_cell_leadership.py
@@ -9,6 +9,7 @@
 from cell.cluster import TIMINGS, Cluster, make_job
 from cell.play import check_all_end, hand_in, play, random_trouble
 from cell.world import World
+from galenastall.node.cell.caller_desk import UNHEARD_SHARE
 from galenastall.node.cell.standing import FOLLOWS_S
 from galenastall.protocol.cell.messages import SubmitVerdict
 from galenastall.state.cell.phases import JobPhase
@@ -237,6 +238,25 @@
 
         await play(scenario, seed=31)
 
+    async def test_a_caller_in_a_data_centre_that_is_cut_off_is_told_in_time_to_ask_elsewhere(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            first = await cluster.wait_for_leader()
+            await trio.sleep(1.5)
+            other = next(name for name in cluster.names if name != first)
+            world.faults.cut |= {(first, other), (other, "store")}
+            begun_at = trio.current_time()
+            job = make_job(world, rng, 1)
+            world.jobs[job.job_id] = job
+            told = await cluster.live[other].host.desk.submit(job, patience_s=3.0)
+            assert told.verdict is SubmitVerdict.UNKNOWN
+            assert trio.current_time() - begun_at < UNHEARD_SHARE * 3.0 + 0.1
+            world.faults.clear()
+            assert await cluster.live[first].host.desk.submit(job, patience_s=3.0)
+
+        await play(scenario, seed=33)
+
     async def test_a_handover_claims_where_the_last_append_ended(
         self, autojump_clock: object
     ) -> None:
