--- a/src/galenastall/bench/processes.py
+++ b/src/galenastall/bench/processes.py
@@ -185,7 +185,12 @@
 
 @contextmanager
 def _terminate_as_interrupt() -> Iterator[None]:
-    """Let SIGTERM unwind the experiment like Ctrl-C, so that nothing is left running."""
+    """Let SIGTERM unwind the experiment like Ctrl-C, so that nothing is left running.
+
+    A shell starts what runs in its background with SIGINT ignored, which would lose the signal.
+    """
+    if signal.getsignal(signal.SIGINT) is signal.SIG_IGN:
+        signal.signal(signal.SIGINT, signal.default_int_handler)
     before = signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     try:
         yield
