--- a/src/galenastall/bench/cell_load/play.py
+++ b/src/galenastall/bench/cell_load/play.py
@@ -84,7 +84,6 @@
     """Processor time of each decision."""
     violations: list[str] = field(default_factory=list)
     advice_calls: int = 0
-    advised_executors: int = 0
     starts: int = 0
 
 
@@ -139,7 +138,6 @@
         self._world.check_history()
         self._play.violations = self._world.violations
         self._play.advice_calls = self._ports.advice_calls
-        self._play.advised_executors = self._ports.advised_executors
         self._play.starts = self._world.starts
         return self._play
 
--- a/src/galenastall/bench/cell_load/surroundings.py
+++ b/src/galenastall/bench/cell_load/surroundings.py
@@ -130,7 +130,6 @@
         self._sequence = -1
         self.is_store_away = False
         self.advice_calls = 0
-        self.advised_executors = 0
 
     async def claim(self, *, host_id: str, address: str, tip: int) -> Result[int, StepError]:
         """Not used: the lab names the leader."""
@@ -259,7 +258,6 @@
         timing = arrival.job.queue.advisor
         assert timing is not None, "only steps of advised queues are asked about"
         self.advice_calls += 1
-        self.advised_executors += len(message.executor_ids)
         await trio.sleep(timing.base_s + timing.per_executor_s * len(message.executor_ids))
         approved = tuple(
             Approval(executor_id=executor_id, ticket="ticket")
--- a/src/galenastall/cli/log_files.py
+++ b/src/galenastall/cli/log_files.py
@@ -3,12 +3,16 @@
 import sys
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Final
 
 import typer
 
 from galenastall.cli.output import fail_usage
 from galenastall.coordination.cell.explain_logs import LogLine, parse_lines, tell
+from galenastall.coordination.cell.explain_waiting import tell_waits, waits_of
+
+LONGEST_WAITS: Final = 10
+"""Jobs told one by one after the sums by queue."""
 
 LogsOption = Annotated[
     list[str] | None,
@@ -28,6 +32,12 @@
     _show(story.lines)
 
 
+def show_waits(logs: list[str]) -> None:
+    """Say by queue what jobs waited for before their first start, and which waited longest."""
+    for line in tell_waits(waits_of(_read(logs)), longest=LONGEST_WAITS):
+        typer.echo(line)
+
+
 def show_lines(job: str, logs: list[str]) -> None:
     """Show a job's lines, and what happened to leaders and the store meanwhile."""
     _show(tell(_read(logs), job).lines)
--- a/src/galenastall/cli/ops_commands.py
+++ b/src/galenastall/cli/ops_commands.py
@@ -9,7 +9,7 @@
 from returns.result import Failure
 
 from galenastall.cli.entry_client import EntryOption, call_entry, call_entry_json
-from galenastall.cli.log_files import LogsOption, show_explanation, show_lines
+from galenastall.cli.log_files import LogsOption, show_explanation, show_lines, show_waits
 from galenastall.cli.output import OutputFormat, OutputOption, fail, fail_usage, print_value
 from galenastall.transport.http_client import error_of_answer
 
@@ -60,15 +60,26 @@
 
 
 def explain(
-    subject: SubjectArgument,
+    subject: Annotated[str, typer.Argument(help="An id; not needed with --waiting.")] = "",
     entry: EntryOption = "",
     output: OutputOption = OutputFormat.TEXT,
     logs: LogsOption = None,
+    *,
+    waiting: Annotated[
+        bool, typer.Option("--waiting", help="With --logs: what all jobs waited for, by queue.")
+    ] = False,
 ) -> None:
     """Say why something waits, where it ran or why it was refused.
 
     Exit codes: 0 shown, 2 a file can't be read, 4 no entry host answered.
     """
+    if waiting and not logs:
+        fail_usage("--waiting: needs --logs")
+    if logs and waiting:
+        show_waits(logs)
+        return
+    if not subject:
+        fail_usage("SUBJECT: missing; name an id, or --waiting with --logs")
     if logs:
         show_explanation(subject, logs)
         return
--- a/src/galenastall/coordination/cell/advice.py
+++ b/src/galenastall/coordination/cell/advice.py
@@ -58,10 +58,6 @@
             return True
         return any(executor_id in call for call in self.asked_at_by_call)
 
-    def may_run(self, executor_id: str) -> bool:
-        """Whether the executor is approved or has not been asked about."""
-        return executor_id in self.tickets_by_executor or executor_id not in self.asked
-
 
 @dataclass(slots=True)
 class _ApprovedShare:
--- a/src/galenastall/coordination/cell/advice_planner.py
+++ b/src/galenastall/coordination/cell/advice_planner.py
@@ -162,7 +162,8 @@
             and self._has_room_by(e, waiting, planned.at)
         ]
         others.sort(key=lambda e: (-e.room_for(need, MOST_NAMED), e.executor_id))
-        return [*wanted, *others][: max(2 * len(wanted), ADVISED_EXECUTORS // 2)]
+        most = min(max(2 * len(wanted), ADVISED_EXECUTORS // 2), MOST_NAMED)
+        return [*wanted, *others][:most]
 
     def _worth_renewing(
         self, waiting: WaitingStep, advice: StepAdvice, usable: list[Executor]
--- /dev/null
+++ b/src/galenastall/coordination/cell/explain_waiting.py
@@ -0,0 +1,143 @@
+"""Tell from log lines what jobs waited for before their first start: store, advice or room."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from galenastall.coordination.cell.explain_logs import LogLine
+
+Span = tuple[float, float]
+_OUTAGE_BEGINS: Final = frozenset({"store.lost", "leader.lost"})
+_OUTAGE_ENDS: Final = frozenset({"store.regained", "leader.loaded"})
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobWait:
+    """Seconds from a job's acceptance to its first start, or to the end of the log, by reason."""
+
+    job_id: str
+    queue: str
+    has_started: bool
+    store_s: float
+    """No leader whom the store confirms."""
+    advice_s: float
+    """A call for advice was under way."""
+    room_s: float
+    """The rest: no room, not for all of a gang, or room kept for what comes before it."""
+
+    @property
+    def total_s(self) -> float:
+        """Return the whole wait."""
+        return self.store_s + self.advice_s + self.room_s
+
+
+def waits_of(lines: Sequence[LogLine]) -> list[JobWait]:
+    """Return the wait of each accepted job, the longest first; `lines` are in their order."""
+    if not lines:
+        return []
+    outages = _outages(lines)
+    lines_by_job: defaultdict[str, list[LogLine]] = defaultdict(list)
+    for line in lines:
+        if line.subjects:
+            lines_by_job[line.subjects[0]].append(line)
+    waits = [
+        wait
+        for job_id, own in lines_by_job.items()
+        if (wait := _wait_of(job_id, own, outages, lines[-1].at_s)) is not None
+    ]
+    return sorted(waits, key=lambda wait: (-wait.total_s, wait.job_id))
+
+
+def _wait_of(
+    job_id: str, own: Sequence[LogLine], outages: list[Span], log_ends: float
+) -> JobWait | None:
+    accepted = next((line for line in own if line.event == "job.accepted"), None)
+    if accepted is None:
+        return None
+    first = next((line for line in own if line.event == "run.assigned"), None)
+    ended = next((line for line in own if line.event == "job.ended"), None)
+    until = first or ended
+    whole = (accepted.at_s, max(until.at_s if until else log_ends, accepted.at_s))
+    store = _clip(outages, whole)
+    advice = _clip(_advice_spans(own), whole)
+    store_s = _length(store)
+    advice_s = _length([*store, *advice]) - store_s
+    return JobWait(
+        job_id=job_id,
+        queue=accepted.fields.get("queue", ""),
+        has_started=first is not None,
+        store_s=store_s,
+        advice_s=advice_s,
+        room_s=max(whole[1] - whole[0] - store_s - advice_s, 0.0),
+    )
+
+
+def _outages(lines: Sequence[LogLine]) -> list[Span]:
+    """Return the spans without a leader whom the store confirms, as the leaders tell."""
+    spans: list[Span] = []
+    begun: float | None = None
+    for line in lines:
+        if line.event in _OUTAGE_BEGINS and begun is None:
+            begun = line.at_s
+        elif line.event in _OUTAGE_ENDS and begun is not None:
+            spans.append((begun, line.at_s))
+            begun = None
+    if begun is not None:
+        spans.append((begun, lines[-1].at_s))
+    return spans
+
+
+def _advice_spans(own: Sequence[LogLine]) -> list[Span]:
+    answers = (line for line in own if line.event == "advice.answered")
+    return [(line.at_s - _took_s(line), line.at_s) for line in answers]
+
+
+def _took_s(line: LogLine) -> float:
+    text = line.fields.get("took_ms", "")
+    return int(text) / 1000.0 if text.isdigit() else 0.0
+
+
+def _clip(spans: Iterable[Span], whole: Span) -> list[Span]:
+    clipped = [(max(begin, whole[0]), min(end, whole[1])) for begin, end in spans]
+    return [(begin, end) for begin, end in clipped if end > begin]
+
+
+def _length(spans: Iterable[Span]) -> float:
+    """Return the time that some spans cover together."""
+    covered = 0.0
+    reached = float("-inf")
+    for begin, end in sorted(spans):
+        covered += max(0.0, end - max(begin, reached))
+        reached = max(reached, end)
+    return covered
+
+
+def tell_waits(waits: Sequence[JobWait], *, longest: int) -> list[str]:
+    """Return the sums by queue and the longest waits as lines of text."""
+    waits_by_queue: defaultdict[str, list[JobWait]] = defaultdict(list)
+    for wait in waits:
+        waits_by_queue[wait.queue].append(wait)
+    lines = [_queue_line(queue, own) for queue, own in sorted(waits_by_queue.items())]
+    lines += [_job_line(wait) for wait in waits[:longest]]
+    return lines
+
+
+def _queue_line(queue: str, waits: Sequence[JobWait]) -> str:
+    count = len(waits)
+    started = sum(1 for wait in waits if wait.has_started)
+    store_s = sum(wait.store_s for wait in waits) / count
+    advice_s = sum(wait.advice_s for wait in waits) / count
+    room_s = sum(wait.room_s for wait in waits) / count
+    return (
+        f"{queue}: {count} jobs accepted, {started} started; waited on average for the store"
+        f" {store_s:.3f} s, for advice {advice_s:.3f} s, for room {room_s:.3f} s"
+    )
+
+
+def _job_line(wait: JobWait) -> str:
+    until = "first start" if wait.has_started else "never started"
+    return (
+        f"  {wait.job_id} of {wait.queue}: {wait.total_s:.3f} s, {until}; store"
+        f" {wait.store_s:.3f} s, advice {wait.advice_s:.3f} s, room {wait.room_s:.3f} s"
+    )
--- a/src/galenastall/coordination/cell/waiting_line.py
+++ b/src/galenastall/coordination/cell/waiting_line.py
@@ -47,10 +47,6 @@
         """Return a ticket for the executor; empty where none is needed, None where one is."""
         return "" if self.advice is None else self.advice.ticket(executor_id, self.now)
 
-    def is_approved(self, executor_id: str) -> bool:
-        """Whether an executor may run it, with a ticket that is still good or a renewed one."""
-        return self.advice is None or executor_id in self.advice.tickets_by_executor
-
     def order_key(self, without: Without = ALL_ON) -> OrderKey:
         """Return its place in the order of decisions.
 
--- a/tests/test_cell_room.py
+++ b/tests/test_cell_room.py
@@ -120,6 +120,16 @@
         (renewed,) = rig.asks()
         assert set(renewed.executor_ids) == {"e000", "e001"}
 
+    def test_no_call_names_more_executors_than_the_advisor_takes(self) -> None:
+        rig = AdvisedRig(executors=120, hosts=34)
+        rig.fill(120, estimate_s=10.0)
+        rig.hand_in(make_step(110, cores=4000, is_gang=True))
+        for ask in rig.asks():
+            rig.answer(ask)
+        for _ in range(9):
+            rig.pass_time(1.0)
+        assert [len(ask.executor_ids) for ask in rig.asks()] == [100]
+
     def test_a_gang_that_fits_nowhere_it_is_approved_keeps_no_room(self) -> None:
         rig = AdvisedRig(executors=4, hosts=6)
         rig.hand_in(make_step(2, cores=4000, is_gang=True))
