--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -20,6 +20,7 @@
 from galenastall.platform.standin.hosts import StandinHost, make_hosts
 from galenastall.platform.standin.processes import SOURCE, start_process
 from galenastall.platform.standin.server import PlatformStandin, StandinPlan
+from galenastall.platform.store import CLAIM_KEY, STATE_TOPIC
 from galenastall.standin.cell.live_world import JobPayload, StepPayload
 from galenastall.state.resources import Resources
 from galenastall.transport.clock import TrioClock
@@ -75,7 +76,7 @@
     @property
     def leader(self) -> str:
         """The host that claimed last."""
-        claim = self.standin.store.value("keyed.galenastall-leader", "leader")
+        claim = self.standin.store.value(STATE_TOPIC, CLAIM_KEY)
         return str(claim["host_id"]) if claim else ""
 
     def host(self, name: str) -> StandinHost:
