Count a job as pending until an executor has confirmed a run of it

Where the order never left, the leader being replaced between the append and the order, or got no answer, the job waited again and counted as begun.

Ruled out: a host that answers for a term that is over (it refuses with NOT_OWNER while its term is not ready). Change: an executor's answer, or its listing of the run or of its end, makes a job one that has started; what callers are shown follows. TestPending, four tests, the first three fail without it.

--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -219,6 +219,8 @@
         """Whether its acceptance has left for the store."""
         self.is_durable = False
         self.has_started = False
+        """Whether an executor has confirmed a run of it; an assignment whose order never left, or
+        got no answer, is no start."""
         self.ended_at = 0.0
         self.occurrences_opened = 0
         self.occurrences_by_number: dict[int, Occurrence] = {}
@@ -242,6 +244,12 @@
             return occurrence.objective - occurrence.begins_at
         return 0.0
 
+    def note_start(self) -> None:
+        """Note that an executor has confirmed a run."""
+        self.has_started = True
+        if self.shown_phase is JobPhase.QUEUED:
+            self.shown_phase = JobPhase.RUNNING
+
     def next_due(self) -> float | None:
         """Return the wall time at which the next occurrence is due, or None after the last."""
         recurrence = self.job.recurrence
--- a/src/galenastall/coordination/cell/listings.py
+++ b/src/galenastall/coordination/cell/listings.py
@@ -80,6 +80,7 @@
         found = self._state.find(end.task)
         if found is None or found[2].executor_id != executor.executor_id:
             return
+        found[0].note_start()
         self._ends.apply(end.task, end.run, end.end, wall=wall, saved=end.saved)
 
     def _see_running(self, executor: Executor, listing: Listing, now: float) -> None:
@@ -89,7 +90,8 @@
             found = self._state.find(run.task)
             if found is None:
                 continue
-            task = found[2]
+            job, _, task = found
+            job.note_start()
             task.see(percent=run.percent, now=now, figure=run.figure)
             task.save(run.saved, now=now)
 
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -47,6 +47,7 @@
         if outcome is StartOutcome.STARTED:
             task.state = StartState.STARTED
             task.known_seq = self._state.next_seq()
+            self._state.jobs_by_id[order.task.job].note_start()
             return False
         if outcome is StartOutcome.UNKNOWN:
             self._doubt_path(task.executor_id, now)
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -156,7 +156,6 @@
         state = self._state
         state.assign(task, waiting.step, executor, run, waiting.now)
         self.plan.use(executor, waiting.step.step)
-        waiting.job.has_started = True
         state.note(
             "run.assigned",
             task.key.job,
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -161,7 +161,7 @@
         return run
 
     def pending_of(self, queue_name: str) -> int:
-        """Return how many accepted jobs of a queue have had no start."""
+        """Return how many accepted jobs of a queue have had no start that an executor confirmed."""
         return sum(
             1
             for run in self._state.jobs_by_id.values()
--- a/tests/test_cell_core.py
+++ b/tests/test_cell_core.py
@@ -954,6 +954,42 @@
         assert rig.stops() == []
 
 
+class TestPending:
+    """Jobs count as pending until an executor has confirmed a run of theirs."""
+
+    def test_an_assignment_alone_is_no_start(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(1)))
+        orders = rig.step()
+        assert len(orders) == 1
+        assert (rig.core.pending_of("q"), rig.shown()) == (1, JobPhase.QUEUED)
+        rig.run_all(orders)
+        assert (rig.core.pending_of("q"), rig.shown()) == (0, JobPhase.RUNNING)
+
+    def test_a_start_that_got_no_answer_is_none(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(1)))
+        (order,) = rig.step()
+        rig.core.on_start(order, StartOutcome.UNKNOWN, now=rig.now, wall=rig.wall)
+        assert rig.core.pending_of("q") == 1
+        rig.listing("e1", (ListedRun(task=order.task, run=order.run),))
+        assert rig.core.pending_of("q") == 0
+
+    def test_an_order_that_never_left_an_earlier_leader_is_none(self) -> None:
+        before = Rig(make_info("e1"))
+        before.submit(make_job(make_step(1)))
+        before.step()
+        after = Rig(make_info("e1"), rows=before.rows)
+        assert after.core.pending_of("q") == 1
+
+    def test_an_end_that_is_listed_tells_of_a_start(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(2)))
+        orders = rig.step()
+        rig.end(orders[0], RunEnd.FAILED)
+        assert rig.core.pending_of("q") == 0
+
+
 class TestCancel:
     def test_runs_are_stopped_once_the_cancelling_is_durable(self) -> None:
         rig = Rig(make_info("e1"))
