--- a/src/galenastall/node/cell/caller_desk.py
+++ b/src/galenastall/node/cell/caller_desk.py
@@ -74,12 +74,14 @@
         cause = "no leader is heard"
         # A leader that went away may have stored the job; the next one knows within a second.
         while trio.current_time() < (until if may_be_stored else leaderless_until):
-            if not self._standing.is_heard and trio.current_time() >= unheard_until:
+            now = trio.current_time()
+            if not self._standing.is_heard and now >= unheard_until:
                 break
-            left_s = until - trio.current_time()
-            heard_s = max(unheard_until - trio.current_time(), 0.0) or left_s
+            left_s = until - now
+            # A leader that is heard and has not answered by then is slow, and may take all of it.
+            answer_s = unheard_until - now if now < unheard_until else left_s
             message = SubmitJob(job=job, patience_s=left_s)
-            answer = await self._call(message, min(left_s, heard_s))
+            answer = await self._call(message, answer_s)
             if isinstance(answer, Success):
                 found: SubmitAnswer = answer.unwrap()
                 if found.verdict is SubmitVerdict.NOT_RUN and not may_be_stored:
