--- a/src/galenastall/bench/cell_load/workload.py
+++ b/src/galenastall/bench/cell_load/workload.py
@@ -55,6 +55,22 @@
     fail_share: float = 0.0
     advice: Advice | None = None
 
+    def problem(self) -> str:
+        """Return what is wrong, naming field and value; empty if nothing is."""
+        if self.jobs_per_s < 0:
+            return f"jobs_per_s: expected 0 or more, got {self.jobs_per_s}"
+        for name in ("steps", "width", "cores_milli", "memory_mb", "run_s"):
+            mean = getattr(self, name).mean
+            if mean <= 0:
+                return f"{name}.mean: expected more than 0, got {mean}"
+        shares = {"gang_share": self.gang_share, "fail_share": self.fail_share}
+        if self.advice is not None:
+            shares["advice.approved_share"] = self.advice.approved_share
+        for name, share in shares.items():
+            if not 0.0 <= share <= 1.0:
+                return f"{name}: expected 0 to 1, got {share}"
+        return ""
+
 
 class Burst(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """More jobs of a queue, or of all, for a while."""
@@ -104,6 +120,10 @@
             return "queues: expected at least one, got none"
         if self.entry_hosts < 1:
             return f"entry_hosts: expected 1 or more, got {self.entry_hosts}"
+        for name, load in self.queues.items():
+            problem = load.problem()
+            if problem:
+                return f"queues.{name}.{problem}"
         for burst in self.bursts:
             if burst.queue and burst.queue not in self.queues:
                 return f"bursts: no queue {burst.queue!r}"
--- a/tests/test_cell_load.py
+++ b/tests/test_cell_load.py
@@ -71,6 +71,10 @@
             (("entry_hosts: 3", "entry_hosts: 0"), "entry_hosts: expected 1 or more, got 0"),
             (("executors: 3", "executers: 3"), "executers"),
             (("executors: 3", "executors: many"), "executors"),
+            (("jobs_per_s: 1.0", "jobs_per_s: -1"), "queues.gangs.jobs_per_s: expected 0 or more"),
+            (("width: {mean: 3}", "width: {mean: 0}"), "queues.gangs.width.mean: expected more"),
+            (("gang_share: 1.0", "gang_share: 1.5"), "gang_share: expected 0 to 1, got 1.5"),
+            (("approved_share: 0.7", "approved_share: 7"), "approved_share: expected 0 to 1"),
             (("length_s: 3", "bursts: [{at_s: 1, for_s: 1, factor: 2, queue: x}]"), "no queue 'x'"),
         ],
     )
