--- /dev/null
+++ b/tests/test_cell_standstill.py
@@ -0,0 +1,132 @@
+"""Runs that a leader stops for standing still: who is blamed, and that it comes to an end.
+
+An accepted gang of 22 tasks was stopped by its leader at the same point of its work in run after
+run: after 12.7, 12.7 and 12.9 s, a second gang after 16.3, 16.9 and 16.2 s, each time on other
+executors, and neither ever completed. What ended the runs was the leader's own rule, that a run
+whose progress stands still for 3 s is stopped: it judged members that only waited for the others of
+their gang. A rule like that has to give way to a run that it has stopped before, or the job never
+ends; and while a gang waits, the executors of the members that wait have done nothing wrong, so
+pausing them takes room from everybody (a gang that waited for one member closed the executors of
+all of them).
+"""
+
+import pytest
+
+from cell.rig import JOB, Rig, make_info, make_job, make_step
+from galenastall.coordination.cell.commands import StartOrder
+from galenastall.coordination.cell.listings import ListedRun
+from galenastall.coordination.cell.orders import StartOutcome
+from galenastall.state.cell.phases import RunEnd
+
+LISTED_EVERY_S = 0.5
+LISTED_TIMES = 8
+
+
+def paused(rig: Rig) -> set[str]:
+    """Return the executors that get nothing new for now."""
+    return {i for i, e in rig.core.executors_by_id.items() if e.paused_until > rig.now}
+
+
+def show(rig: Rig, percent_by_order: dict[StartOrder, int]) -> None:
+    """List runs with their progress."""
+    for order, percent in percent_by_order.items():
+        run = ListedRun(task=order.task, run=order.run, percent=percent)
+        rig.listing(order.executor_id, (run,))
+
+
+class TestStandstillOfAGang:
+    def start(self, *, members: int = 3) -> tuple[Rig, list[StartOrder]]:
+        rig = Rig(*(make_info(f"e{number}") for number in range(members + 1)))
+        rig.submit(make_job(make_step(members, cores=4000, is_gang=True)))
+        return rig, rig.step()
+
+    def test_members_that_wait_for_a_missing_one_are_not_blamed(self) -> None:
+        rig, orders = self.start()
+        rig.run_all(orders[:2])
+        rig.core.on_start(orders[2], StartOutcome.UNKNOWN, now=rig.now, wall=rig.wall)
+        for _ in range(LISTED_TIMES):
+            rig.now += LISTED_EVERY_S
+            show(rig, dict.fromkeys(orders[:2], 0))
+            rig.stops()
+        assert paused(rig) == set()
+
+    def test_members_that_all_stand_still_are_not_blamed(self) -> None:
+        rig, orders = self.start()
+        rig.run_all(orders)
+        for _ in range(LISTED_TIMES):
+            rig.now += LISTED_EVERY_S
+            show(rig, dict.fromkeys(orders, 40))
+            rig.stops()
+        assert all(rig.core.jobs_by_id[JOB].find_task(o.task).is_stopping for o in orders)
+        assert paused(rig) == set()
+
+    def test_a_member_that_stands_still_while_the_others_go_on_is_blamed(self) -> None:
+        rig, orders = self.start()
+        rig.run_all(orders)
+        for turn in range(LISTED_TIMES):
+            rig.now += LISTED_EVERY_S
+            show(rig, {orders[0]: 40, orders[1]: 40 + turn, orders[2]: 45 + turn})
+            rig.stops()
+        assert paused(rig) == {orders[0].executor_id}
+
+    def test_a_member_that_the_others_have_waited_for_at_their_end_is_blamed(self) -> None:
+        rig, orders = self.start()
+        rig.run_all(orders)
+        for _ in range(LISTED_TIMES):
+            rig.now += LISTED_EVERY_S
+            show(rig, {orders[0]: 40, orders[1]: 100, orders[2]: 100})
+            rig.stops()
+        assert paused(rig) == {orders[0].executor_id}
+
+
+class TestStandstillRunAfterRun:
+    """A task that shows no progress for longer than others, on sound executors."""
+
+    def stopped_after(self, rig: Rig, order: StartOrder, *, most_s: float = 200.0) -> float | None:
+        """Show a run at 40% until it is stopped; return the seconds, None if it is not."""
+        began_at = rig.now
+        while rig.now - began_at < most_s:
+            show(rig, {order: 40})
+            if rig.stops():
+                return rig.now - began_at
+            rig.now += LISTED_EVERY_S
+        return None
+
+    def test_each_stop_makes_the_leader_wait_longer_for_the_next(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(1)))
+        waits: list[float] = []
+        for number in range(1, 5):
+            order = rig.step()[0]
+            rig.run_all([order])
+            waited_s = self.stopped_after(rig, order)
+            assert waited_s is not None
+            waits.append(waited_s)
+            rig.end(order, RunEnd.STOPPED, position=number)
+            rig.now += 31.0
+            rig.listing("e1")
+        assert waits == [pytest.approx(3.0 * 2.0**n, abs=LISTED_EVERY_S) for n in range(4)]
+
+    def test_a_long_run_is_given_the_time_that_a_percent_of_it_takes(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(1, estimate_s=1800.0)))
+        order = rig.step()[0]
+        rig.run_all([order])
+        for percent in range(4):
+            for _ in range(36):
+                rig.now += LISTED_EVERY_S
+                show(rig, {order: percent})
+                assert rig.stops() == []
+
+    def test_a_run_whose_pace_has_shown_is_given_the_time_of_its_next_percents(self) -> None:
+        rig = Rig(make_info("e1"))
+        rig.submit(make_job(make_step(1, estimate_s=1.0)))
+        order = rig.step()[0]
+        rig.run_all([order])
+        for seconds, percent in ((0.5, 0), (2.5, 1), (2.5, 2), (4.0, 2)):
+            rig.now += seconds
+            show(rig, {order: percent})
+            assert rig.stops() == []
+        rig.now += 4.0
+        show(rig, {order: 2})
+        assert len(rig.stops()) == 1
