Count each call for advice once, however often it is made again

Cause: a step asks again once a call has had no answer for 2.5 s. Two calls about the same executors shared one entry of the book and counted as two; the first answer took the entry, the second found none, so one call stayed counted for the rest of the term. With as many as there are hosts to ask through, no step but urgent ones asked any more: accepted work that never runs, whatever room is free. Ruled out: the desk that makes the calls (each ends with an answer or a failure; read through).

--- a/src/galenastall/coordination/cell/advice.py
+++ b/src/galenastall/coordination/cell/advice.py
@@ -23,6 +23,16 @@
     ticket: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OpenCall:
+    """A call under way."""
+
+    executor_ids: frozenset[str]
+    """Executors that it names."""
+    asked_at: float
+    """Leader's time."""
+
+
 @dataclass(slots=True)
 class StepAdvice:
     """All that the advisor said about one step."""
@@ -32,8 +42,8 @@
     tickets_by_executor: dict[str, str] = field(default_factory=dict)
     good_until_by_executor: dict[str, float] = field(default_factory=dict)
     """Leader's time at which each ticket expires."""
-    asked_at_by_call: dict[frozenset[str], float] = field(default_factory=dict)
-    """Calls under way, by the executors that they name."""
+    open_calls: list[OpenCall] = field(default_factory=list)
+    """Calls under way; one made again about the same executors is there twice."""
     not_before: float = 0.0
 
     def ticket(self, executor_id: str, now: float) -> str | None:
@@ -49,14 +59,23 @@
 
     def is_asking(self, now: float) -> bool:
         """Whether a call is under way, or one has just failed."""
-        asked = self.asked_at_by_call.values()
-        return now < self.not_before or any(now - at < ASK_PATIENCE_S for at in asked)
+        if now < self.not_before:
+            return True
+        return any(now - call.asked_at < ASK_PATIENCE_S for call in self.open_calls)
 
     def has_ticket_soon(self, executor_id: str, now: float) -> bool:
         """Whether an executor has a good ticket, or a call under way names it."""
         if self.ticket(executor_id, now) is not None:
             return True
-        return any(executor_id in call for call in self.asked_at_by_call)
+        return any(executor_id in call.executor_ids for call in self.open_calls)
+
+    def end_call(self, executor_ids: frozenset[str]) -> bool:
+        """Take the oldest call about these executors off; False if there is none."""
+        for call in self.open_calls:
+            if call.executor_ids == executor_ids:
+                self.open_calls.remove(call)
+                return True
+        return False
 
 
 @dataclass(slots=True)
@@ -97,7 +116,8 @@
 
     def begin(self, step: StepKey, executor_ids: Sequence[str], now: float) -> None:
         """Note that a call is under way."""
-        self.of(step).asked_at_by_call[frozenset(executor_ids)] = now
+        call = OpenCall(executor_ids=frozenset(executor_ids), asked_at=now)
+        self.of(step).open_calls.append(call)
         self._calls_under_way += 1
 
     def answer(
@@ -115,6 +135,8 @@
         TICKET_MARGIN_S covers its way here.
         """
         advice = self._end_call(step, executor_ids)
+        if advice is None:
+            return
         share = self._shares_by_queue[queue_name]
         share.answered += len(set(executor_ids) - advice.asked)
         share.approved += sum(1 for a in approved if a.executor_id not in advice.asked)
@@ -125,20 +147,26 @@
 
     def fail(self, step: StepKey, executor_ids: Sequence[str], now: float) -> None:
         """Note that a call has failed."""
-        self._end_call(step, executor_ids).not_before = now + ASK_AGAIN_S
+        advice = self._end_call(step, executor_ids)
+        if advice is not None:
+            advice.not_before = now + ASK_AGAIN_S
 
-    def _end_call(self, step: StepKey, executor_ids: Sequence[str]) -> StepAdvice:
-        advice = self.of(step)
-        if advice.asked_at_by_call.pop(frozenset(executor_ids), None) is not None:
+    def _end_call(self, step: StepKey, executor_ids: Sequence[str]) -> StepAdvice | None:
+        """Take a call off and return its step's entry; None once its job was forgotten."""
+        # Each call is taken off once: one that stayed counted kept a host from being asked through.
+        advice = self._advice_by_step.get(step)
+        if advice is not None and advice.end_call(frozenset(executor_ids)):
             self._calls_under_way -= 1
         return advice
 
     def drop_ticket(self, step: StepKey, executor_id: str) -> None:
         """Forget a ticket that the executor did not accept."""
-        self.of(step).good_until_by_executor.pop(executor_id, None)
+        advice = self._advice_by_step.get(step)
+        if advice is not None:
+            advice.good_until_by_executor.pop(executor_id, None)
 
     def forget_job(self, job_id: str) -> None:
         """Forget all steps of a job."""
         for step in [step for step in self._advice_by_step if step.job == job_id]:
             advice = self._advice_by_step.pop(step)
-            self._calls_under_way -= len(advice.asked_at_by_call)
+            self._calls_under_way -= len(advice.open_calls)
