Judge a run that stands still by its gang and its pace, and give up less each time

Cause: the rule that stops a run after 3 s without progress knew neither what the run waited for nor what it had done to it before. A gang's members that waited for a missing one (a start without an answer, an executor cut off) were all taken for standing still and all their executors paused for 4 to 30 s; and a run that shows no progress for 3 s by its own nature (a task of 300 s and more gains a percent in 3 s) was stopped in each of its runs, for ever. The record shows the second: 12.7, 12.7, 12.9 s. Ruled out: exempting more cases, as was done for members at 100%: each leaves the next one open.

--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -16,6 +16,11 @@
 from galenastall.coordination.cell.lease_clock import LeaseClock
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.run_ends import RunEnds
+from galenastall.coordination.cell.standstill import (
+    STILL_S,
+    is_executor_to_blame,
+    patience_s,
+)
 from galenastall.state.cell.phases import RunEnd
 from galenastall.state.resources import NOTHING
 
@@ -26,9 +31,6 @@
 JUDGE_EVERY_S: Final = 0.2
 """Between two looks at the progress of all runs: listings come once a second, and a look at 250
 runs takes a millisecond."""
-STILL_S: Final = 3.0
-"""A run whose progress has stood still for longer is stopped and started elsewhere. Sound runs
-show progress each 0.2 s, and a gang waits at most as long for its members."""
 WORTH_MOVING_S: Final = 1.0
 """A run on a slow executor is moved if that brings its end forward by more; a start from a
 checkpoint takes 0.3 s."""
@@ -195,10 +197,12 @@
             return
         if step.step.is_gang and task.percent >= WHOLE_PERCENT:
             return
-        if executor.answered_at - task.percent_at < STILL_S:
+        still_s = executor.answered_at - task.percent_at
+        if still_s < STILL_S or still_s < patience_s(step, task):
             return
-        self._doubts.on_standstill(executor)
-        self._ends.stop(task, cause=f"no progress for {STILL_S:g} s at {task.percent}%")
+        if is_executor_to_blame(step, task):
+            self._doubts.on_standstill(executor)
+        self._ends.give_up(task, cause=f"no progress for {still_s:.1f} s at {task.percent}%")
 
     def _move_if_worth_it(self, step: StepRun, task: TaskRun, now: float) -> None:
         """Move a run off a slow executor if it should end clearly sooner elsewhere."""
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -41,6 +41,8 @@
         "figure",
         "first_percent",
         "first_seen_at",
+        "given_up_runs",
+        "is_given_up",
         "is_stopping",
         "key",
         "known_seq",
@@ -88,13 +90,19 @@
         self.listed_at = 0.0
         """Leader's time of the last listing that showed it at work."""
         self.failed_on: tuple[str, ...] = ()
-        """Executors on which runs of it failed; others are tried first."""
+        """Executors on which runs of it failed or stood still; others are tried first."""
+        self.is_given_up = False
+        """Whether its last run was stopped for standing still."""
+        self.given_up_runs = 0
+        """Runs before the last that were stopped for standing still."""
         self.first_percent = 0
         self.first_seen_at: float | None = None
         """Leader's time of the first listing that showed this run at work."""
 
     def assign(self, *, run: int, executor_id: str, now: float) -> None:
         """Give the task a new run on an executor."""
+        self.given_up_runs += int(self.is_given_up)
+        self.is_given_up = False
         self.phase = TaskPhase.ASSIGNED
         self.run = run
         self.executor_id = executor_id
--- a/src/galenastall/coordination/cell/run_ends.py
+++ b/src/galenastall/coordination/cell/run_ends.py
@@ -117,6 +117,14 @@
             if member.phase is TaskPhase.ASSIGNED:
                 self.stop(member, cause=cause)
 
+    def give_up(self, task: TaskRun, *, cause: str) -> None:
+        """Stop a run that stands still; the next is tried elsewhere and with more patience."""
+        if task.is_stopping:
+            return
+        task.is_given_up = True
+        task.failed_on = (*task.failed_on, task.executor_id)
+        self.stop(task, cause=cause)
+
     def stop(self, task: TaskRun, *, cause: str) -> None:
         """Have a task's run stopped; the next decision orders it, and again until it has ended."""
         if task.is_stopping:
--- /dev/null
+++ b/src/galenastall/coordination/cell/standstill.py
@@ -0,0 +1,69 @@
+"""When a run that shows no progress is given up, and whether its executor is to blame for it.
+
+Answers this load: a few executors on which runs hang, beside gangs whose members wait for each
+other and runs that are sound and slow. A run that hangs is found within 3 s. A rule that stops runs
+must not stop the same one at the same point for ever, nor close the executors of all members of a
+gang because one of them hangs or is missing.
+"""
+
+from typing import Final
+
+from galenastall.coordination.cell.job_runs import (
+    WHOLE_PERCENT,
+    StartState,
+    StepRun,
+    TaskRun,
+)
+from galenastall.state.cell.phases import TaskPhase
+
+STILL_S: Final = 3.0
+"""Least time without progress after which a run is given up. Runs of 10 s show progress each 0.1 s,
+and a gang waits some 3 s for a member that is missing."""
+PERCENTS: Final = 3.0
+"""A run is given the time of so many percents of it: progress comes in whole percents, and the pace
+of a sound run differs by a factor of two."""
+MOST_DOUBLINGS: Final = 5
+"""Each run given up doubles the patience with the next, up to 96 s: a task whose own work shows no
+progress for longer would otherwise be stopped in each of its runs and never end."""
+LISTINGS_APART_S: Final = 1.5
+"""Progress of two members counts as made at the same time within this: each executor is listed
+1.2 s after its last listing at the latest."""
+
+
+def patience_s(step: StepRun, task: TaskRun) -> float:
+    """Return for how long a run may show no progress, in seconds."""
+    given_up = max(member.given_up_runs for member in _together(step, task))
+    doubled = STILL_S * 2.0 ** min(given_up, MOST_DOUBLINGS)
+    return max(doubled, PERCENTS * _seconds_a_percent(step, task))
+
+
+def is_executor_to_blame(step: StepRun, task: TaskRun) -> bool:
+    """Whether a run stands still by itself; a member of a gang may wait for the others.
+
+    It does not if the others go on, or have all done their share. Otherwise nobody can tell which
+    member the gang waits for.
+    """
+    others = [member for member in _together(step, task) if member is not task]
+    if not all(_is_at_work(member) for member in others):
+        return False
+    if all(member.percent >= WHOLE_PERCENT for member in others):
+        return True
+    return any(member.percent_at > task.percent_at + LISTINGS_APART_S for member in others)
+
+
+def _together(step: StepRun, task: TaskRun) -> list[TaskRun]:
+    """Return the tasks that run together with this one, itself included."""
+    return step.tasks if step.step.is_gang else [task]
+
+
+def _is_at_work(member: TaskRun) -> bool:
+    is_started = member.phase is TaskPhase.ASSIGNED and member.state is StartState.STARTED
+    return is_started and member.first_seen_at is not None
+
+
+def _seconds_a_percent(step: StepRun, task: TaskRun) -> float:
+    """Return how long a percent of a run takes, by its pace, or before that shows as declared."""
+    gained = task.percent - task.first_percent
+    if task.first_seen_at is None or gained <= 0:
+        return step.step.estimate_s / WHOLE_PERCENT
+    return (task.percent_at - task.first_seen_at) / gained
