Try a refused start elsewhere first, and leave an executor that refuses alone for longer each time

Cause: a refusal for want of health paused its executor for 0.7 s and left no trace in the task. A gang's next run comes about 1 s later, by the same best fit, so that one executor which refuses every start ended each of its runs, for as long as it refused. Ruled out: counting refusals as failed runs (few are allowed, and a refused start has not run). Doublings are bounded before they are worked out: the 1,024th would have raised an OverflowError.

--- a/src/galenastall/coordination/cell/doubts.py
+++ b/src/galenastall/coordination/cell/doubts.py
@@ -16,6 +16,8 @@
 LONGEST_PAUSE_S: Final = 30.0
 """Pauses double from the first to the longest, so that an executor that stays bad is tried
 seldom, and one that recovers is back soon."""
+MOST_DOUBLINGS: Final = 10
+"""Doublings that are worked out; they take the shortest pause beyond the longest."""
 WATCHED_S: Final = 0.6
 """A run is watched for this long before its pace counts; sound ones gain some 20% in it."""
 SLOW_SHARE: Final = 0.4
@@ -47,6 +49,18 @@
         executor.consecutive_failures = 0
         executor.pauses = 0
 
+    def on_refusal(self, executor: Executor, *, now: float) -> None:
+        """Note that it refused a start for want of health or room: each costs its gang a run."""
+        pause_s = _doubled_s(self._state.timings.refused_pause_s, executor.refusals)
+        executor.refusals += 1
+        executor.paused_until = now + pause_s
+
+    def on_start_taken(self, executor_id: str) -> None:
+        """Note that it took a start."""
+        executor = self._state.executors_by_id.get(executor_id)
+        if executor is not None:
+            executor.refusals = 0
+
     def on_standstill(self, executor: Executor) -> None:
         """Note that a run made no progress there."""
         self._pause(executor, "a run stands still")
@@ -84,7 +98,7 @@
     def _pause(self, executor: Executor, cause: str) -> None:
         if executor.paused_until > self._state.now or Mechanism.DOUBTS in self._state.without:
             return
-        pause_s = min(FIRST_PAUSE_S * 2.0**executor.pauses, LONGEST_PAUSE_S)
+        pause_s = _doubled_s(FIRST_PAUSE_S, executor.pauses)
         executor.pauses += 1
         executor.paused_until = self._state.now + pause_s
         self._state.note(
@@ -95,6 +109,11 @@
         )
 
 
+def _doubled_s(first_s: float, times: int) -> float:
+    """Return a pause that has been doubled so many times, the longest one at most."""
+    return min(first_s * 2.0 ** min(times, MOST_DOUBLINGS), LONGEST_PAUSE_S)
+
+
 def _gain_a_second(task: TaskRun) -> float | None:
     """Return the percent of its work that a run does in a second; None while it can't be told."""
     if task.state is not StartState.STARTED or task.first_seen_at is None:
--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -70,6 +70,8 @@
         self.consecutive_failures = 0
         self.pauses = 0
         """Pauses since the last run that was done here."""
+        self.refusals = 0
+        """Starts that it refused since it last took one."""
         self._leaves_at: float | None = None
         self.filler_percent = 100
         """Pace of the fillers here."""
--- a/src/galenastall/coordination/cell/fitting.py
+++ b/src/galenastall/coordination/cell/fitting.py
@@ -31,15 +31,15 @@
 ) -> Executor | None:
     """Return the executor with the least room left that has some, near the data if possible.
 
-    One on which the task has failed is the last choice: few attempts are allowed, and the fault
-    may be the executor's.
+    One on which the task has failed, stood still or been refused is the last choice: few attempts
+    are allowed, and the fault may be the executor's.
     """
     best: Executor | None = None
     best_key: Preference | None = None
     for executor in usable:
         if not plan.room_for(executor, step.step, 1) or not may_add(executor, step):
             continue
-        key = _preference(executor, step, plan, has_failed=executor.executor_id in task.failed_on)
+        key = _preference(executor, step, plan, is_avoided=executor.executor_id in task.avoided)
         if best_key is None or key < best_key:
             best, best_key = executor, key
     return best
@@ -61,10 +61,10 @@
     usable: list[Executor], step: StepRun, count: int, plan: RoomPlan
 ) -> list[Executor] | None:
     chosen: list[Executor] = []
-    failed_on = {executor_id for task in step.tasks for executor_id in task.failed_on}
+    avoided = frozenset[str]().union(*(task.avoided for task in step.tasks))
 
     def preference(executor: Executor) -> Preference:
-        return _preference(executor, step, plan, has_failed=executor.executor_id in failed_on)
+        return _preference(executor, step, plan, is_avoided=executor.executor_id in avoided)
 
     for executor in sorted(usable, key=preference):
         fitting = plan.room_for(executor, step.step, count - len(chosen))
@@ -78,9 +78,9 @@
 
 
 def _preference(
-    executor: Executor, step: StepRun, plan: RoomPlan, *, has_failed: bool
+    executor: Executor, step: StepRun, plan: RoomPlan, *, is_avoided: bool
 ) -> Preference:
-    doubtful = 1 if has_failed or executor.consecutive_failures > 1 else 0
+    doubtful = 1 if is_avoided or executor.consecutive_failures > 1 else 0
     rack = step.step.data_rack
     far = 1 if rack and rack != executor.info.rack else 0
     need = step.step.need
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -33,10 +33,10 @@
     """One task and its last run."""
 
     __slots__ = (
+        "avoided",
         "checkpoint",
         "checkpoint_at",
         "executor_id",
-        "failed_on",
         "failures",
         "figure",
         "first_percent",
@@ -89,8 +89,9 @@
         self.pace_sent_at = float("-inf")
         self.listed_at = 0.0
         """Leader's time of the last listing that showed it at work."""
-        self.failed_on: tuple[str, ...] = ()
-        """Executors on which runs of it failed or stood still; others are tried first."""
+        self.avoided: frozenset[str] = frozenset()
+        """Executors that failed or refused runs of it, or where one stood still; others are tried
+        first."""
         self.is_given_up = False
         """Whether its last run was stopped for standing still."""
         self.given_up_runs = 0
@@ -129,6 +130,10 @@
             self.percent = percent
             self.percent_at = now
 
+    def avoid(self, executor_id: str) -> None:
+        """Have its next runs tried elsewhere first."""
+        self.avoided = self.avoided | {executor_id}
+
     def save(self, checkpoint: str, *, now: float) -> None:
         """Take a checkpoint, if there is one."""
         if checkpoint:
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -5,6 +5,7 @@
 from galenastall.coordination.cell.advice import AdviceBook
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.commands import StartOrder, StopOrder
+from galenastall.coordination.cell.doubts import Doubts
 from galenastall.coordination.cell.job_runs import StartState, TaskRun
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.run_ends import RunEnds
@@ -30,9 +31,12 @@
 class OrderBook:
     """Applies answers to the tables."""
 
-    def __init__(self, *, state: CellState, ends: RunEnds, advice: AdviceBook) -> None:
-        """Work on these tables."""
+    def __init__(
+        self, *, state: CellState, ends: RunEnds, advice: AdviceBook, doubts: Doubts
+    ) -> None:
+        """Work on these tables; `doubts` hears of starts that were taken or refused."""
         self._state = state
+        self._doubts = doubts
         self._ends = ends
         self._advice = advice
 
@@ -48,6 +52,7 @@
             task.state = StartState.STARTED
             task.known_seq = self._state.next_seq()
             self._state.jobs_by_id[order.task.job].note_start()
+            self._doubts.on_start_taken(order.executor_id)
             return False
         if outcome is StartOutcome.UNKNOWN:
             self._doubt_path(task.executor_id, now)
@@ -96,7 +101,9 @@
             self._ends.stop(task, cause=f"refused as {outcome.value} after an unanswered try")
             return
         executor = self._state.executors_by_id.get(order.executor_id)
-        if executor is not None and outcome is not StartOutcome.NO_TICKET:
+        if executor is not None and outcome is StartOutcome.UNHEALTHY:
+            self._doubts.on_refusal(executor, now=now)
+        elif executor is not None and outcome is not StartOutcome.NO_TICKET:
             executor.paused_until = now + self._state.timings.refused_pause_s
         if outcome is StartOutcome.NO_TICKET:
             self._advice.drop_ticket(order.task.step_key, order.executor_id)
@@ -106,6 +113,9 @@
             cause=outcome.value,
             fields={"run": str(order.run), "executor": order.executor_id},
         )
+        if task is not None and outcome is StartOutcome.UNHEALTHY:
+            # A gang would be placed by the same best fit, and refused, as often as it is tried.
+            task.avoid(order.executor_id)
         self._ends.apply(order.task, order.run, RunEnd.NEVER_STARTED, wall=wall)
 
     def on_stop(self, order: StopOrder) -> None:
--- a/src/galenastall/coordination/cell/run_ends.py
+++ b/src/galenastall/coordination/cell/run_ends.py
@@ -54,7 +54,7 @@
 
     def _judge(self, executor: Executor, task: TaskRun, end: RunEnd) -> None:
         if end is RunEnd.FAILED:
-            task.failed_on = (*task.failed_on, executor.executor_id)
+            task.avoid(executor.executor_id)
             self._doubts.on_failure(executor)
         elif end is RunEnd.DONE:
             self._doubts.on_success(executor)
@@ -122,7 +122,7 @@
         if task.is_stopping:
             return
         task.is_given_up = True
-        task.failed_on = (*task.failed_on, task.executor_id)
+        task.avoid(task.executor_id)
         self.stop(task, cause=cause)
 
     def stop(self, task: TaskRun, *, cause: str) -> None:
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -54,7 +54,9 @@
         self._doubts = Doubts(state=self._state)
         self._ends = RunEnds(state=self._state, doubts=self._doubts)
         self._listings = ListingReader(state=self._state, ends=self._ends)
-        self._orders = OrderBook(state=self._state, ends=self._ends, advice=self._advice)
+        self._orders = OrderBook(
+            state=self._state, ends=self._ends, advice=self._advice, doubts=self._doubts
+        )
         self._placer = Placer(state=self._state, advice=self._advice)
         self._fleet = Fleet(state=self._state, ends=self._ends, doubts=self._doubts)
         self._pacing = Pacing(state=self._state)
