Test that a leader writes no more at a time than its store takes

Looked for elsewhere with the cause of the stopped gangs in mind: a step that is repeated as it was though it can't succeed. Settings name the largest append and the largest record; nothing keeps either. The stand-in of the store in memory keeps a limit now (2 MiB, as the platform states it) and tells the largest append it was sent.

--- a/tests/cell/world.py
+++ b/tests/cell/world.py
@@ -62,6 +62,9 @@
         self.last_sequence = -1
         self.claims: list[tuple[str, str]] = []
         self.newest_token = 0
+        self.append_bytes = 2_097_152
+        """Most that one append may write; a larger one is refused however often it is sent."""
+        self.largest_append = 0
 
     def claim(self, host_id: str, address: str, tip: int) -> int | None:
         """Append a claim where the state ends; None if anything came first."""
@@ -309,6 +312,11 @@
         self, *, token: int, sequence: int, values_by_key: dict[str, bytes], timeout_s: float
     ) -> Result[None, StepError]:
         store = self.world.store
+        size = sum(len(key) + len(value) for key, value in values_by_key.items())
+        store.largest_append = max(store.largest_append, size)
+        if size > store.append_bytes:
+            await self._call("store", timeout_s, lambda: None)
+            return self._failure("store", Reason.INVALID)
         answer = await self._call(
             "store", timeout_s, lambda: store.append(token, sequence, values_by_key)
         )
