Write what has changed in as many appends as the store's limit asks for

Cause: all changes went into one append, which was repeated as it was until it was taken; one above the store's limit never is. The limits were read from the settings and kept by nobody. Ruled out: cutting the batch in the adapter (its sequence numbers are the commit loop's). Change: the store's port names its limit, the commit loop writes in parts and acts on none before the last is durable. The adapter's test of bad input names the new bound, 4000 for 10000.

--- a/src/galenastall/bench/cell_load/surroundings.py
+++ b/src/galenastall/bench/cell_load/surroundings.py
@@ -26,6 +26,8 @@
 """Time of a call to an executor and back."""
 APPEND_S: Final = 0.007
 """Time of an append, as measured on the platform."""
+APPEND_BYTES: Final = 1_500_000
+"""Most that an append may write, as on the platform."""
 READ_S: Final = 0.005
 POLL_S: Final = 0.05
 """Between two looks of a long poll at what has ended."""
@@ -131,6 +133,11 @@
         self.is_store_away = False
         self.advice_calls = 0
 
+    @property
+    def append_bytes(self) -> int:
+        """Return the limit of one append."""
+        return APPEND_BYTES
+
     async def claim(self, *, host_id: str, address: str, tip: int) -> Result[int, StepError]:
         """Not used: the lab names the leader."""
         raise NotImplementedError
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -28,7 +28,7 @@
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.state.cell.jobs import CellJob, Queue
-from galenastall.state.cell.phases import JobPhase, RunEnd
+from galenastall.state.cell.phases import ENDED_PHASES, JobPhase, RunEnd
 from galenastall.state.cell.rows import (
     JOB_PREFIX,
     PROGRESS_PREFIX,
@@ -112,6 +112,9 @@
         self.hosts.restore(rows)
 
     def _restore_ended(self, job_id: str, progress: ProgressRow) -> None:
+        if progress.phase not in ENDED_PHASES:
+            cause = f"a stored job is {progress.phase.value} and has no definition"
+            self._state.note("rows.unreadable", cause=cause, fields={"key": job_id})
         queue = Queue(name=progress.queue_name, service="")
         run = JobRun(job=CellJob(job_id=job_id, queue=queue, payload="", steps=()))
         run.restore(progress, wall=progress.ended_at)
@@ -391,10 +394,15 @@
 
 
 def _rows_of(run: JobRun) -> dict[str, bytes]:
+    """Return a job's rows in the order in which they are written.
+
+    A write may break off after any of them: progress without a definition can't be taken up, so the
+    definition is the first row of a job to come and the last to go.
+    """
     job_id = run.job.job_id
-    rows = {PROGRESS_PREFIX + job_id: encode_progress(run.row())}
+    progress = {PROGRESS_PREFIX + job_id: encode_progress(run.row())}
     if run.has_ended:
-        rows[JOB_PREFIX + job_id] = b""
-    elif not run.is_durable:
-        rows[JOB_PREFIX + job_id] = encode_job(run.job)
-    return rows
+        return progress | {JOB_PREFIX + job_id: b""}
+    if not run.is_durable:
+        return {JOB_PREFIX + job_id: encode_job(run.job)} | progress
+    return progress
--- a/src/galenastall/node/cell/commit_loop.py
+++ b/src/galenastall/node/cell/commit_loop.py
@@ -29,6 +29,20 @@
 """Key that an idle leader rewrites."""
 
 
+def parts_of(values_by_key: dict[str, bytes], *, most_bytes: int) -> list[dict[str, bytes]]:
+    """Split values into appends of at most so many bytes, in their order; a value stays whole."""
+    parts: list[dict[str, bytes]] = [{}]
+    size = 0
+    for key, value in values_by_key.items():
+        row_bytes = len(key.encode()) + len(value)
+        if parts[-1] and size + row_bytes > most_bytes:
+            parts.append({})
+            size = 0
+        parts[-1][key] = value
+        size += row_bytes
+    return parts
+
+
 class _Appending:
     """One append, tried until its fate is known."""
 
@@ -77,12 +91,18 @@
             send(await self.commit())
 
     async def commit(self) -> list[StartOrder]:
-        """Make all changes so far durable; return the starts that may leave."""
+        """Make all changes so far durable; return the starts that may leave.
+
+        Nothing is acted on before its last part is durable. Parts that a lost term leaves behind
+        hold assignments whose orders never left, which the next leader's first listings settle.
+        """
         context = self._context
         batch = context.core.take_batch()
         values = batch.values_by_key or {CONFIRM_KEY: b"%d" % self._sequence}
-        self._sequence += 1
-        await self._append(values)
+        # A store refuses an append above its limit as often as it is sent, and all work would stop.
+        for part in parts_of(values, most_bytes=self._state.append_bytes):
+            self._sequence += 1
+            await self._append(part)
         starts = context.core.commit(batch, wall=context.wall())
         context.tell_committed()
         context.wake()
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -185,7 +185,9 @@
         store = self.live.store_address
         config = PlatformConfig(calls=calls, address=store, recorder=self.recorder)
         return CellPorts(
-            state=PlatformStore(calls=calls, address=store),
+            state=PlatformStore(
+                calls=calls, address=store, request_bytes=self._settings.store.request_bytes
+            ),
             fleet=PlatformFleet(calls=calls, address=store, recorder=self.recorder),
             hosts=PlatformHosts(
                 calls=calls,
--- a/src/galenastall/platform/store.py
+++ b/src/galenastall/platform/store.py
@@ -25,6 +25,11 @@
 PRODUCER: Final = "leader"
 """One name for all leaders, so that the epoch of one fences those before it."""
 CALL_TIMEOUT_S: Final = 1.0
+REQUEST_BYTES: Final = 2_097_152
+"""Most that the store takes in one request, where the settings name nothing else."""
+VALUES_SHARE: Final = 0.75
+"""Share of a request that keys and values may make up: each record has 5 bytes besides, and the
+shortest row, of a job that is forgotten, has 20."""
 _OK: Final = 200
 _CONFLICT: Final = 409
 _NOT_AT_END: Final = 412
@@ -40,8 +45,12 @@
 class PlatformStore:
     """StatePort over the platform's log."""
 
-    def __init__(self, *, calls: PlatformCalls, address: Address) -> None:
-        """Use the store at `address`."""
+    def __init__(
+        self, *, calls: PlatformCalls, address: Address, request_bytes: int = REQUEST_BYTES
+    ) -> None:
+        """Use the store at `address`, which takes requests of `request_bytes` at most."""
+        self.append_bytes = int(request_bytes * VALUES_SHARE)
+        """Most that one append may write, keys and values together."""
         self._calls = calls
         self._newest = NewestReader(calls=calls, address=address)
         self._address = address
--- a/src/galenastall/platform/submissions.py
+++ b/src/galenastall/platform/submissions.py
@@ -12,8 +12,9 @@
 
 PAYLOAD_LIMIT_BYTES: Final = 4_000
 """Longest specification, as the platform states it."""
-TASKS_AT_MOST: Final = 10_000
-"""Tasks of one step; far above what callers send, and bounds what one submission can hold."""
+TASKS_AT_MOST: Final = 4_000
+"""Tasks of one job; far above what callers send. Its progress is one row of up to 63 bytes a task,
+and the store takes records of 256 KiB."""
 _STEP: Final = "job.decode"
 
 
@@ -123,6 +124,9 @@
         problem = _problem_of_step(step, index)
         if problem:
             return f"steps[{index}].{problem}"
+    tasks = sum(step.count for step in wire.steps)
+    if tasks > TASKS_AT_MOST:
+        return f"steps: at most {TASKS_AT_MOST} tasks together, got {tasks}"
     return ""
 
 
--- a/src/galenastall/protocol/cell/ports.py
+++ b/src/galenastall/protocol/cell/ports.py
@@ -40,6 +40,10 @@
     be carried out later.
     """
 
+    @property
+    def append_bytes(self) -> int:
+        """Most that one append may write, keys and values together."""
+
     async def claim(self, *, host_id: str, address: str, tip: int) -> Result[int, StepError]:
         """Append a claim and return its token; tokens are unique and rise.
 
--- a/tests/cell/world.py
+++ b/tests/cell/world.py
@@ -297,6 +297,10 @@
     def _failure(self, callee: str, reason: Reason) -> Failure[StepError]:
         return Failure(StepError(step="world.call", peer=callee, reason=reason))
 
+    @property
+    def append_bytes(self) -> int:
+        return self.world.store.append_bytes
+
     async def claim(self, *, host_id: str, address: str, tip: int) -> Result[int, StepError]:
         store = self.world.store
         answer = await self._call("store", 1.0, lambda: store.claim(host_id, address, tip))
--- a/tests/test_cell_large_writes.py
+++ b/tests/test_cell_large_writes.py
@@ -12,7 +12,7 @@
 import trio
 from returns.result import Result
 
-from cell.cluster import Cluster
+from cell.cluster import Cluster, make_job
 from cell.play import check_all_end, hand_in, play
 from cell.world import World
 from galenastall.coordination.cell.job_runs import JobRun
@@ -53,8 +53,9 @@
             world.fail_share = 0.0
             world.store.append_bytes = FEW_BYTES
             await cluster.wait_for_leader()
-            for _ in range(4):
-                await hand_in(cluster, world, rng, JOBS, 0.0)
+            for turn in range(4):
+                for number in range(turn * JOBS, (turn + 1) * JOBS):
+                    cluster.nursery.start_soon(cluster.submit, make_job(world, rng, number))
                 await trio.sleep(rng.uniform(0.01, 0.06))
                 leader = cluster.leader
                 if leader is not None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -240,7 +240,7 @@
         ("body", "message"),
         [
             ({"steps": []}, "steps: expected at least one"),
-            ({"steps": [{"cpu": 5}]}, "steps[0].count: expected 1 to 10000, got 0"),
+            ({"steps": [{"cpu": 5}]}, "steps[0].count: expected 1 to 4000, got 0"),
             ({"steps": [{"count": 1, "cpu": -5}]}, "steps[0].cpu: expected 0 or more, got -5"),
             (
                 {"steps": [{"count": 1, "after": [0]}]},
