Give up a gang whose members have all done their share and do not end

Cause: a member at 100% was never judged, also where no member was left to wait for: a gang that hangs there would have held its room for good. Found by reading the rule once more, not by a run. Change: it is judged unless another member is below 100%. Its test fails without the change.

--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -20,6 +20,7 @@
     STILL_S,
     is_executor_to_blame,
     patience_s,
+    waits_for_members,
 )
 from galenastall.state.cell.phases import RunEnd
 from galenastall.state.resources import NOTHING
@@ -188,14 +189,10 @@
             self._ends.stop(task, cause="its executor leaves before it would end")
 
     def _move_if_still(self, executor: Executor, step: StepRun, task: TaskRun) -> None:
-        """Stop a run that makes no progress.
-
-        A member of a gang that has done its share waits for the slower ones: stopping it threw
-        away 16 s of work of five hosts while one member was cut off and worked on.
-        """
+        """Stop a run that makes no progress."""
         if task.first_seen_at is None or executor.answered_at is None:
             return
-        if step.step.is_gang and task.percent >= WHOLE_PERCENT:
+        if waits_for_members(step, task):
             return
         still_s = executor.answered_at - task.percent_at
         if still_s < STILL_S or still_s < patience_s(step, task):
--- a/src/galenastall/coordination/cell/standstill.py
+++ b/src/galenastall/coordination/cell/standstill.py
@@ -37,6 +37,17 @@
     return max(doubled, PERCENTS * _seconds_a_percent(step, task))
 
 
+def waits_for_members(step: StepRun, task: TaskRun) -> bool:
+    """Whether a member of a gang has done its share, and others have not.
+
+    Stopping such a member threw away 16 s of work of five hosts while one member was cut off and
+    worked on.
+    """
+    if not step.step.is_gang or task.percent < WHOLE_PERCENT:
+        return False
+    return any(member.percent < WHOLE_PERCENT for member in step.tasks)
+
+
 def is_executor_to_blame(step: StepRun, task: TaskRun) -> bool:
     """Whether a run stands still by itself; a member of a gang may wait for the others.
 
--- a/tests/test_cell_standstill.py
+++ b/tests/test_cell_standstill.py
@@ -78,6 +78,17 @@
             rig.stops()
         assert paused(rig) == {orders[0].executor_id}
 
+    def test_a_gang_whose_members_have_all_done_their_share_and_do_not_end_is_given_up(
+        self,
+    ) -> None:
+        rig, orders = self.start()
+        rig.run_all(orders)
+        for _ in range(LISTED_TIMES):
+            rig.now += LISTED_EVERY_S
+            show(rig, dict.fromkeys(orders, 100))
+            rig.stops()
+        assert all(task.is_stopping for task in rig.core.jobs_by_id[JOB].assigned())
+
 
 class TestStandstillRunAfterRun:
     """A task that shows no progress for longer than others, on sound executors."""
