Give each process that starts hosts beside the stand-in loopback addresses of its own

Cause: hosts got 127.0.1.1 to 3 in each run, and serve metrics on one port, so that two runs of the suite at once failed with 'bind 127.0.1.1:9464: Address already in use'. Ruled out: another port (the deploy file names it). Change: two bytes of the address come from the process id. Two runs of tests/test_platform_processes.py at once: both passed (one run each).

--- a/src/galenastall/platform/standin/hosts.py
+++ b/src/galenastall/platform/standin/hosts.py
@@ -1,5 +1,6 @@
 """Settings files of entry hosts beside the stand-in, as the platform writes them."""
 
+import os
 import socket
 from dataclasses import dataclass
 from typing import Final
@@ -7,6 +8,8 @@
 from galenastall.platform.standin.server import PlatformStandin
 
 GRACE_S: Final = 6
+NETWORKS_A_BYTE: Final = 250
+"""Values of each byte that tells the networks of processes apart."""
 PORTS_OF_A_HOST: Final = 3
 
 
@@ -62,7 +65,7 @@
     hosts: list[StandinHost] = []
     for data_centre, names in names_by_data_centre.items():
         for name in names:
-            ip = f"127.0.1.{len(hosts) + 1}"
+            ip = f"{_own_network()}.{len(hosts) + 1}"
             callers, readiness, peer = _free_ports(ip)
             hosts.append(
                 StandinHost(
@@ -77,6 +80,15 @@
     return hosts
 
 
+def _own_network() -> str:
+    """Return the first three bytes of loopback addresses that this process alone uses.
+
+    Hosts serve metrics on one port, so two processes that start hosts at once need two networks.
+    """
+    high, low = divmod(os.getpid() % NETWORKS_A_BYTE**2, NETWORKS_A_BYTE)
+    return f"127.{high + 1}.{low + 1}"
+
+
 def _free_ports(ip: str) -> tuple[int, int, int]:
     sockets = [socket.socket() for _ in range(PORTS_OF_A_HOST)]
     for each in sockets:
