--- a/src/galenastall/cli/log_files.py
+++ b/src/galenastall/cli/log_files.py
@@ -9,6 +9,7 @@
 
 from galenastall.cli.output import fail_usage
 from galenastall.coordination.cell.explain_logs import LogLine, parse_lines, tell
+from galenastall.coordination.cell.explain_reasons import reasons_by_queue, tell_reasons
 from galenastall.coordination.cell.explain_waiting import tell_waits, waits_of
 
 LONGEST_WAITS: Final = 10
@@ -33,9 +34,11 @@
 
 
 def show_waits(logs: list[str]) -> None:
-    """Say by queue what jobs waited for before their first start, and which waited longest."""
-    for line in tell_waits(waits_of(_read(logs)), longest=LONGEST_WAITS):
-        typer.echo(line)
+    """Say by queue what jobs waited for, which waited longest, and what the leader told of it."""
+    lines = _read(logs)
+    told = tell_reasons(reasons_by_queue(lines))
+    for text in [*told, *tell_waits(waits_of(lines), longest=LONGEST_WAITS)]:
+        typer.echo(text)
 
 
 def show_lines(job: str, logs: list[str]) -> None:
--- a/src/galenastall/coordination/cell/advice_planner.py
+++ b/src/galenastall/coordination/cell/advice_planner.py
@@ -83,6 +83,10 @@
             fresh = self._fresh(advice, usable)
             self._ask_fresh(waiting, fresh[: self._enough(waiting, fresh, left)])
 
+    def can_ask(self, waiting: WaitingStep) -> bool:
+        """Whether a host is free to ask about a step now."""
+        return self._hosts_left(waiting) > 0
+
     def _hosts_left(self, waiting: WaitingStep) -> int:
         """Return through how many hosts a step may ask at once now."""
         hosts = self._state.advice_calls_at_once
--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -1,11 +1,13 @@
 """The leader's tables: jobs, executors, what waits, and what must be written next."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 from galenastall.coordination.cell.commands import AskAdvice, Note, PaceOrder, StartOrder, StopOrder
-from galenastall.coordination.cell.executors import Executor
+from galenastall.coordination.cell.executors import Closed, Executor
 from galenastall.coordination.cell.job_runs import JobRun, StepRun, TaskRun
 from galenastall.coordination.cell.mechanisms import ALL_ON, Without
+from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.state.cell.jobs import Queue, StepKey, TaskKey
 from galenastall.state.cell.phases import TaskPhase
@@ -38,6 +40,8 @@
         self.stopping: set[TaskKey] = set()
         """Tasks whose runs are to be stopped and may not have ended."""
         self.stops: list[StopOrder] = []
+        self.stopped_by_rule: Counter[StopRule] = Counter()
+        """Runs that this leader has stopped; a gang's run counts once."""
         self.paces: list[PaceOrder] = []
         self.asks: list[AskAdvice] = []
         self.notes: list[Note] = []
@@ -67,6 +71,23 @@
             return None
         return job, step, step.tasks[key.number]
 
+    def why_closed(self, executor: Executor) -> Closed | None:
+        """Return why an executor takes no new work now; None if it does."""
+        timings = self.timings
+        return executor.why_closed(
+            now=self.now, reach_s=timings.reach_s, delisted_grace_s=timings.delisted_grace_s
+        )
+
+    def count_stop(self, task: TaskRun, rule: StopRule) -> int:
+        """Count a stop, and return how many of the job's runs the rule has stopped."""
+        found = self.find(task.key)
+        if found is None:
+            return 0
+        job, step, _ = found
+        if job.stops.count(task.key, task.run, rule, is_gang=step.step.is_gang):
+            self.stopped_by_rule[rule] += 1
+        return job.stops.by_rule[rule]
+
     def executor_on(self, host: str) -> Executor | None:
         """Return the executor that lives on a host, the one heard last if there are several."""
         lives = [e for e in self.executors_by_id.values() if host and e.info.host == host]
--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -1,7 +1,7 @@
 """Executors as the leader sees them: room, reachability, and the runs that may be there."""
 
 from dataclasses import dataclass
-from enum import Enum, auto
+from enum import Enum, StrEnum, auto
 
 from galenastall.coordination.cell.lease_clock import LeaseClock
 from galenastall.state.cell.jobs import TaskKey
@@ -17,6 +17,23 @@
     """It is given back to the pool that it came from."""
 
 
+class Closed(StrEnum):
+    """Why an executor takes no new work; the first that holds, in this order."""
+
+    DRAINING = "draining"
+    UNUSABLE = "unusable"
+    """Its entry in the list can't be read."""
+    CORDONED = "cordoned"
+    STRANGERS = "strangers"
+    """Runs are there that no live job accounts for."""
+    PAUSED = "paused"
+    DELISTED = "delisted"
+    DOUBTED = "doubted"
+    """A start got no answer since its last listing."""
+    NOT_ANSWERED = "not_answered"
+    """It has given no listing lately, or none yet."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ExecutorInfo:
     """One life of an executor, as the platform's list names it."""
@@ -111,13 +128,26 @@
 
     def is_open(self, *, now: float, reach_s: float, delisted_grace_s: float) -> bool:
         """Whether new work may be placed here now."""
-        if self.info.is_draining or not self.info.is_usable:
-            return False
-        if self.cordons or self.strangers or now < self.paused_until:
-            return False
+        closed = self.why_closed(now=now, reach_s=reach_s, delisted_grace_s=delisted_grace_s)
+        return closed is None
+
+    def why_closed(self, *, now: float, reach_s: float, delisted_grace_s: float) -> Closed | None:
+        """Return why no new work may be placed here now; None if it may."""
+        if self.info.is_draining:
+            return Closed.DRAINING
+        if not self.info.is_usable:
+            return Closed.UNUSABLE
+        if self.cordons:
+            return Closed.CORDONED
+        if self.strangers:
+            return Closed.STRANGERS
+        if now < self.paused_until:
+            return Closed.PAUSED
         if not self.is_listed and now - self.delisted_at > delisted_grace_s:
-            return False
-        return not self.is_doubted and self.has_answered(now=now, reach_s=reach_s)
+            return Closed.DELISTED
+        if self.is_doubted:
+            return Closed.DOUBTED
+        return None if self.has_answered(now=now, reach_s=reach_s) else Closed.NOT_ANSWERED
 
     @property
     def is_doubted(self) -> bool:
--- /dev/null
+++ b/src/galenastall/coordination/cell/explain_restarts.py
@@ -0,0 +1,115 @@
+"""Tell from a job's lines how long it waited after its first start, and what stopped its runs."""
+
+from collections import Counter, defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from galenastall.coordination.cell.explain_logs import LogLine
+from galenastall.coordination.cell.stop_rules import StopRule
+
+Span = tuple[float, float]
+_DONE: Final = "done"
+_NOT_COUNTED: Final = "0"
+"""What a stop says of itself if its run was counted with another member of its gang."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Restarts:
+    """A job's way from its first start on."""
+
+    runs: int
+    """Highest run number of its tasks."""
+    waits: tuple[Span, ...]
+    """Spans without a run of some task, from the end of one to the next assignment."""
+    is_waiting: bool
+    """Whether the last span has no assignment at its end."""
+    stops: tuple[tuple[str, str], ...]
+    """Rule and percent of each run that the leader stopped, in their order."""
+    reasons: tuple[tuple[str, int], ...]
+    """What the job's own lines name as reasons, with their counts, the most frequent first."""
+
+
+def restarts_of(own: Sequence[LogLine], *, log_ends: float) -> Restarts:
+    """Return the restarts of the job that `own` lines, in their order, are about."""
+    waits, open_waits = _waits(own)
+    ended = next((line.at_s for line in own if line.event == "job.ended"), log_ends)
+    told = {_step(line) for line in own if line.event == "job.waiting"}
+    done = {_run(line) for line in own if line.event == "run.ended" and line.cause == _DONE}
+    left = [
+        (line.at_s, max(ended, line.at_s))
+        for line in open_waits
+        if _step(line) in told or _run(line) not in done
+    ]
+    reasons = Counter(line.fields.get("reason", "") for line in own if line.event == "job.waiting")
+    runs = [line.fields.get("run", "") for line in own if line.event == "run.assigned"]
+    return Restarts(
+        runs=max((int(run) for run in runs if run.isdigit()), default=0),
+        waits=tuple(sorted([*waits, *left])),
+        is_waiting=bool(left),
+        stops=tuple(_stops(own)),
+        reasons=tuple(reasons.most_common()),
+    )
+
+
+def _waits(own: Sequence[LogLine]) -> tuple[list[Span], list[LogLine]]:
+    """Return the spans that an assignment ends, and the ends of runs that none has followed.
+
+    Of the latter those of a gang's members are no waits if another member of the run was done, and
+    those of a step for which `job.waiting` came are waits in any case.
+    """
+    waits: list[Span] = []
+    ends_by_task: dict[str, LogLine] = {}
+    for line in own:
+        task = line.subjects[1] if len(line.subjects) > 1 else ""
+        if line.event == "run.ended":
+            if line.cause == _DONE:
+                ends_by_task.pop(task, None)
+            else:
+                ends_by_task[task] = line
+        elif line.event == "run.assigned" and task in ends_by_task:
+            waits.append((ends_by_task.pop(task).at_s, line.at_s))
+    return waits, list(ends_by_task.values())
+
+
+def _stops(own: Sequence[LogLine]) -> list[tuple[str, str]]:
+    """Return rule and percent of each stopped run; a gang's run counts once."""
+    stops: dict[tuple[str, str, str, str], tuple[str, str]] = {}
+    for line in own:
+        rule = line.fields.get("rule", line.cause)
+        count = line.fields.get("stopped_so_far", "")
+        if line.event != "run.stop" or count == _NOT_COUNTED or rule == StopRule.JOB_ENDED:
+            continue
+        stops.setdefault((*_run(line), rule, count), (rule, line.fields.get("percent", "")))
+    return list(stops.values())
+
+
+def _step(line: LogLine) -> str:
+    """Return occurrence and step of a line's task or step."""
+    return ".".join(line.subjects[1].split(".")[:2]) if len(line.subjects) > 1 else ""
+
+
+def _run(line: LogLine) -> tuple[str, str]:
+    return _step(line), line.fields.get("run", "")
+
+
+def tell_restarts(restarts: Restarts) -> list[str]:
+    """Return what is worth telling of a job's restarts as lines of text."""
+    lines: list[str] = []
+    if restarts.waits:
+        longest = max(end - begin for begin, end in restarts.waits)
+        last = ", and not again since the last" if restarts.is_waiting else ""
+        lines.append(
+            f"    {restarts.runs} runs; the longest time from the end of a run to the next"
+            f" {longest:.3f} s{last}"
+        )
+    percents_by_rule: defaultdict[str, list[str]] = defaultdict(list)
+    for rule, percent in restarts.stops:
+        percents_by_rule[rule].append(percent)
+    for rule, percents in percents_by_rule.items():
+        at = f" at {', '.join(percents)}%" if all(percents) else ""
+        lines.append(f"    stopped by the leader {len(percents)} times as {rule}{at}")
+    if restarts.reasons:
+        reasons = ", ".join(f"{reason} {count}" for reason, count in restarts.reasons)
+        lines.append(f"    told as waiting: {reasons}")
+    return lines
--- a/src/galenastall/coordination/cell/explain_waiting.py
+++ b/src/galenastall/coordination/cell/explain_waiting.py
@@ -1,4 +1,4 @@
-"""Tell from log lines what jobs waited for before their first start: store, advice or room."""
+"""Tell from log lines what jobs waited for: store, advice or room, and between their runs."""
 
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
@@ -6,6 +6,7 @@
 from typing import Final
 
 from galenastall.coordination.cell.explain_logs import LogLine
+from galenastall.coordination.cell.explain_restarts import Restarts, restarts_of, tell_restarts
 
 Span = tuple[float, float]
 _OUTAGE_BEGINS: Final = frozenset({"store.lost", "leader.lost"})
@@ -26,14 +27,22 @@
     room_s: float
     """The rest: no room, not for all of a gang, or room kept for what comes before it."""
 
+    restarts: Restarts
+    """What came after the first start."""
+
     @property
     def total_s(self) -> float:
-        """Return the whole wait."""
+        """Return the whole wait for the first start."""
         return self.store_s + self.advice_s + self.room_s
 
+    @property
+    def again_s(self) -> float:
+        """Return the time after the first start in which some task waited for its next run."""
+        return _length(self.restarts.waits)
+
 
 def waits_of(lines: Sequence[LogLine]) -> list[JobWait]:
-    """Return the wait of each accepted job, the longest first; `lines` are in their order."""
+    """Return the waits of each accepted job, the longest first; `lines` are in their order."""
     if not lines:
         return []
     outages = _outages(lines)
@@ -46,7 +55,7 @@
         for job_id, own in lines_by_job.items()
         if (wait := _wait_of(job_id, own, outages, lines[-1].at_s)) is not None
     ]
-    return sorted(waits, key=lambda wait: (-wait.total_s, wait.job_id))
+    return sorted(waits, key=lambda wait: (-wait.total_s - wait.again_s, wait.job_id))
 
 
 def _wait_of(
@@ -70,6 +79,7 @@
         store_s=store_s,
         advice_s=advice_s,
         room_s=max(whole[1] - whole[0] - store_s - advice_s, 0.0),
+        restarts=restarts_of(own, log_ends=log_ends),
     )
 
 
@@ -119,7 +129,8 @@
     for wait in waits:
         waits_by_queue[wait.queue].append(wait)
     lines = [_queue_line(queue, own) for queue, own in sorted(waits_by_queue.items())]
-    lines += [_job_line(wait) for wait in waits[:longest]]
+    for wait in waits[:longest]:
+        lines += [_job_line(wait), *tell_restarts(wait.restarts)]
     return lines
 
 
@@ -129,9 +140,11 @@
     store_s = sum(wait.store_s for wait in waits) / count
     advice_s = sum(wait.advice_s for wait in waits) / count
     room_s = sum(wait.room_s for wait in waits) / count
+    again_s = sum(wait.again_s for wait in waits) / count
     return (
         f"{queue}: {count} jobs accepted, {started} started; waited on average for the store"
-        f" {store_s:.3f} s, for advice {advice_s:.3f} s, for room {room_s:.3f} s"
+        f" {store_s:.3f} s, for advice {advice_s:.3f} s, for room {room_s:.3f} s, and between runs"
+        f" {again_s:.3f} s"
     )
 
 
@@ -139,5 +152,6 @@
     until = "first start" if wait.has_started else "never started"
     return (
         f"  {wait.job_id} of {wait.queue}: {wait.total_s:.3f} s, {until}; store"
-        f" {wait.store_s:.3f} s, advice {wait.advice_s:.3f} s, room {wait.room_s:.3f} s"
+        f" {wait.store_s:.3f} s, advice {wait.advice_s:.3f} s, room {wait.room_s:.3f} s;"
+        f" between runs {wait.again_s:.3f} s"
     )
--- a/src/galenastall/coordination/cell/fitting.py
+++ b/src/galenastall/coordination/cell/fitting.py
@@ -36,6 +36,7 @@
     """
     best: Executor | None = None
     best_key: Preference | None = None
+    plan.begin_search()
     for executor in usable:
         if not plan.room_for(executor, step.step, 1) or not may_add(executor, step):
             continue
@@ -61,6 +62,7 @@
     usable: list[Executor], step: StepRun, count: int, plan: RoomPlan
 ) -> list[Executor] | None:
     chosen: list[Executor] = []
+    plan.begin_search()
     failed_on = {executor_id for task in step.tasks for executor_id in task.failed_on}
 
     def preference(executor: Executor) -> Preference:
@@ -74,6 +76,7 @@
         chosen.extend([executor] * fitting)
         if len(chosen) == count:
             return chosen
+    plan.lacking = count - len(chosen)
     return None
 
 
--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -16,6 +16,7 @@
 from galenastall.coordination.cell.lease_clock import LeaseClock
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.run_ends import RunEnds
+from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.state.cell.phases import RunEnd
 from galenastall.state.resources import NOTHING
 
@@ -183,7 +184,8 @@
         leaves_at = executor.leaves_at(now)
         ends_at = task.ends_at()
         if ends_at is not None and ends_at > leaves_at - LEAVE_MARGIN_S:
-            self._ends.stop(task, cause="its executor leaves before it would end")
+            cause = "its executor leaves before it would end"
+            self._ends.stop(task, rule=StopRule.EXECUTOR_LEAVES, cause=cause)
 
     def _move_if_still(self, executor: Executor, step: StepRun, task: TaskRun) -> None:
         """Stop a run that makes no progress.
@@ -198,7 +200,8 @@
         if executor.answered_at - task.percent_at < STILL_S:
             return
         self._doubts.on_standstill(executor)
-        self._ends.stop(task, cause=f"no progress for {STILL_S:g} s at {task.percent}%")
+        cause = f"no progress for {STILL_S:g} s at {task.percent}%"
+        self._ends.stop(task, rule=StopRule.STANDS_STILL, cause=cause)
 
     def _move_if_worth_it(self, step: StepRun, task: TaskRun, now: float) -> None:
         """Move a run off a slow executor if it should end clearly sooner elsewhere."""
@@ -207,7 +210,8 @@
             return
         left = 1.0 - task.percent / WHOLE_PERCENT if step.step.is_checkpointing else 1.0
         if now + left * step.step.estimate_s + WORTH_MOVING_S < ends_at:
-            self._ends.stop(task, cause="its executor is slow; it ends sooner elsewhere")
+            cause = "its executor is slow; it ends sooner elsewhere"
+            self._ends.stop(task, rule=StopRule.SLOW_EXECUTOR, cause=cause)
 
 
 def _unlisted(executor_id: str) -> ExecutorInfo:
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from galenastall.coordination.cell.objectives import objective_at
+from galenastall.coordination.cell.stop_rules import JobStops
 from galenastall.state.cell.jobs import CellJob, Queue, Step, StepKey, TaskKey
 from galenastall.state.cell.phases import ENDED_PHASES, JobPhase, TaskPhase
 from galenastall.state.cell.rows import ProgressRow, TaskRow
@@ -222,6 +223,8 @@
         """Whether an executor has confirmed a run of it; an assignment whose order never left, or
         got no answer, is no start."""
         self.ended_at = 0.0
+        self.stops = JobStops()
+        """Runs of it that this leader has stopped."""
         self.occurrences_opened = 0
         self.occurrences_by_number: dict[int, Occurrence] = {}
         self.done_occurrences: set[int] = set()
--- a/src/galenastall/coordination/cell/load_report.py
+++ b/src/galenastall/coordination/cell/load_report.py
@@ -1,34 +1,49 @@
 """How full the cell is and what waits, in one line a second."""
 
 from collections import Counter
+from collections.abc import Mapping
 
 from galenastall.coordination.cell.cell_state import CellState
+from galenastall.coordination.cell.executors import Closed
 from galenastall.coordination.cell.room_plan import RoomPlan
 from galenastall.state.cell.phases import TaskPhase
 
 
-def report_load(state: CellState, plan: RoomPlan) -> None:
+def closed_by_id(state: CellState) -> dict[str, Closed]:
+    """Return the executors that take no new work now, also unlisted ones, and why."""
+    return {
+        executor_id: closed
+        for executor_id, executor in state.executors_by_id.items()
+        if (closed := state.why_closed(executor)) is not None
+    }
+
+
+def report_load(
+    state: CellState,
+    plan: RoomPlan,
+    closed: Mapping[str, Closed],
+    *,
+    advice_calls: int,
+    not_looked_at: int,
+) -> None:
     """Note the load for the log, with the room that the last decision kept."""
-    timings = state.timings
     executors = [executor for executor in state.executors_by_id.values() if executor.is_listed]
-    open_now = [
-        executor
-        for executor in executors
-        if executor.is_open(
-            now=state.now, reach_s=timings.reach_s, delisted_grace_s=timings.delisted_grace_s
-        )
-    ]
+    open_now = [executor for executor in executors if executor.executor_id not in closed]
     state.note(
         "cell.load",
         fields={
             "executors": str(len(executors)),
             "open": str(len(open_now)),
+            **{f"closed_{why}": str(n) for why, n in sorted(Counter(closed.values()).items())},
             "kept_on": str(plan.kept_count),
             "kept_cores_milli": str(plan.kept_cores_milli),
             "cores_milli": str(sum(e.info.capacity.cores_milli for e in executors)),
             "free_cores_milli": str(sum(e.free.cores_milli for e in executors)),
             "free_memory_mb": str(sum(e.free.memory_mb for e in executors)),
             "runs": str(sum(len(e.runs_by_task) for e in executors)),
+            "advice_calls": str(advice_calls),
+            "advice_calls_at_once": str(state.advice_calls_at_once),
+            "not_looked_at": str(not_looked_at),
             **_waiting_by_queue(state),
         },
     )
--- a/src/galenastall/coordination/cell/maintenance.py
+++ b/src/galenastall/coordination/cell/maintenance.py
@@ -13,7 +13,9 @@
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.executors import Cordon
 from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome, WriteAhead
+from galenastall.coordination.cell.job_runs import TaskRun
 from galenastall.coordination.cell.run_ends import RunEnds
+from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.state.cell.hosts import HostState, MaintenanceWave, PoolHost, WaveRow
 
 TIME_FOR_WAVE: Final = 0.8
@@ -210,9 +212,13 @@
             _, step, task = found
             if step.step.is_long_running:
                 if self._availability.may_take_away(step, task):
-                    self._ends.stop(task, cause="its host is taken down for maintenance")
+                    self._stop(task)
             elif is_pressing:
-                self._ends.stop(task, cause="its host is taken down for maintenance")
+                self._stop(task)
+
+    def _stop(self, task: TaskRun) -> None:
+        cause = "its host is taken down for maintenance"
+        self._ends.stop(task, rule=StopRule.MAINTENANCE, cause=cause)
 
     def _order(self, progress: WaveProgress, host: str) -> None:
         progress.emptying_since.pop(host, None)
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -8,6 +8,7 @@
 from galenastall.coordination.cell.job_runs import StartState, TaskRun
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.run_ends import RunEnds
+from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.state.cell.phases import RunEnd
 
 
@@ -77,7 +78,8 @@
             return False
         if task.tries < self._state.timings.start_tries:
             return True
-        self._ends.stop(task, cause=f"no answer to {task.tries} starts")
+        cause = f"no answer to {task.tries} starts"
+        self._ends.stop(task, rule=StopRule.NO_ANSWER, cause=cause)
         return False
 
     def _on_ended(self, task: TaskRun) -> None:
@@ -93,7 +95,8 @@
         task = self._state.find_ordered(order)
         if task is not None and task.tries > 1:
             # An earlier try got no answer and may still be carried out: only a stop settles it.
-            self._ends.stop(task, cause=f"refused as {outcome.value} after an unanswered try")
+            cause = f"refused as {outcome.value} after an unanswered try"
+            self._ends.stop(task, rule=StopRule.REFUSED_LATER, cause=cause)
             return
         executor = self._state.executors_by_id.get(order.executor_id)
         if executor is not None and outcome is not StartOutcome.NO_TICKET:
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -13,6 +13,8 @@
 from galenastall.coordination.cell.job_runs import TaskRun
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.room_plan import PlannedStart, RoomPlan
+from galenastall.coordination.cell.wait_reasons import WaitReason, why_not_gang, why_not_singles
+from galenastall.coordination.cell.wait_sight import WaitSight
 from galenastall.coordination.cell.waiting_line import WaitingLine, WaitingStep
 
 PLANNED_GANGS: Final = 12
@@ -36,12 +38,15 @@
         self._planner = AdvicePlanner(state=state, advice=advice, forecast=self._forecast)
         self.plan = RoomPlan(forecast=self._forecast, without=state.without)
         """Room that the last decision kept."""
+        self.sight = WaitSight()
+        """Why the last decision did not start what waits."""
         self._planned_gangs = 0
 
     def decide(self, *, now: float, wall: float) -> None:
         """Place what fits; starts and questions to the advisor go into the tables."""
         open_executors = self._open_executors(now)
         self.plan.begin(now=now, fleet_size=len(open_executors))
+        self.sight.begin(is_any_open=bool(open_executors))
         self._planned_gangs = 0
         if not open_executors:
             return
@@ -70,6 +75,8 @@
         elif len(tasks) == waiting.step.step.count:
             # With fewer, members of its last run are still ending.
             self._place_gang(waiting, tasks, usable)
+        else:
+            self.sight.note(waiting.step.key, WaitReason.LAST_RUN_ENDING)
 
     def _place_singly(
         self, waiting: WaitingStep, tasks: list[TaskRun], usable: OpenExecutors
@@ -82,16 +89,25 @@
             self._planner.ask_for_singles(waiting, advice, list(usable.values()), left)
         if self._may_keep(waiting):
             self.plan.keep_singles(waiting.step.step, left, _approved(usable, waiting))
+        can_ask = self._planner.can_ask(waiting)
+        reason = why_not_singles(waiting, usable, self.plan, can_ask=can_ask)
+        self.sight.note(waiting.step.key, reason)
 
     def _place_gang(
         self, waiting: WaitingStep, tasks: list[TaskRun], usable: OpenExecutors
     ) -> None:
         if self._start_gang(waiting, tasks, _ticketed(usable, waiting)):
             return
+        may_plan = self._planned_gangs < PLANNED_GANGS
         planned = self._plan_gang(waiting, usable)
         advice = waiting.advice
         if advice is not None and not advice.is_asking(waiting.now):
             self._planner.ask_for_gang(waiting, advice, list(usable.values()), planned)
+        can_ask = self._planner.can_ask(waiting)
+        reason = why_not_gang(
+            waiting, usable, self.plan, planned, may_plan=may_plan, can_ask=can_ask
+        )
+        self.sight.note(waiting.step.key, reason)
 
     def _plan_gang(self, waiting: WaitingStep, usable: OpenExecutors) -> PlannedStart | None:
         """Return where a gang could start soonest, and keep that room if it is its turn."""
--- a/src/galenastall/coordination/cell/room_plan.py
+++ b/src/galenastall/coordination/cell/room_plan.py
@@ -70,6 +70,10 @@
         self._kept_before: frozenset[str] = frozenset()
         self._now = 0.0
         self._most_kept = 0
+        self.withheld = 0
+        """Places that the last search for room did not get, as they are kept for others."""
+        self.lacking = 0
+        """Places that the last search for a gang did not find."""
 
     @property
     def kept_count(self) -> int:
@@ -81,6 +85,11 @@
         """How many thousandths of cores are kept."""
         return sum(kept.amount.cores_milli for kept in self._kept_by_id.values())
 
+    def kept_on(self, executor: Executor) -> Resources:
+        """Return what is kept on an executor."""
+        kept = self._kept_by_id.get(executor.executor_id)
+        return NOTHING if kept is None else kept.amount
+
     def begin(self, *, now: float, fleet_size: int) -> None:
         """Begin a decision for which nothing is kept."""
         self._kept_before = frozenset(self._kept_by_id) if self._goes_last else frozenset()
@@ -88,6 +97,10 @@
         self._now = now
         self._most_kept = max(1, int(fleet_size * KEPT_SHARE))
 
+    def begin_search(self) -> None:
+        """Begin to look for room for a task or a gang."""
+        self.withheld = self.lacking = 0
+
     def was_kept(self, executor: Executor) -> bool:
         """Whether the decision before kept room on an executor.
 
@@ -103,7 +116,9 @@
             return fitting
         if self._now + RUN_MARGIN * step.estimate_s <= kept.at:
             return fitting
-        return min(fitting, step.need.count_in(kept.spare, most))
+        allowed = min(fitting, step.need.count_in(kept.spare, most))
+        self.withheld += fitting - allowed
+        return allowed
 
     def use(self, executor: Executor, step: Step) -> None:
         """Note that a task of a step was given room."""
--- a/src/galenastall/coordination/cell/run_ends.py
+++ b/src/galenastall/coordination/cell/run_ends.py
@@ -4,6 +4,7 @@
 from galenastall.coordination.cell.doubts import Doubts
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.job_runs import JobRun, StepRun, TaskRun
+from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.state.cell.jobs import TaskKey
 from galenastall.state.cell.phases import JobPhase, RunEnd, TaskPhase
 
@@ -115,18 +116,23 @@
         """Stop what is left of a gang's run."""
         for member in step.tasks:
             if member.phase is TaskPhase.ASSIGNED:
-                self.stop(member, cause=cause)
+                self.stop(member, rule=StopRule.MEMBER_ENDED, cause=cause)
 
-    def stop(self, task: TaskRun, *, cause: str) -> None:
+    def stop(self, task: TaskRun, *, rule: StopRule, cause: str) -> None:
         """Have a task's run stopped; the next decision orders it, and again until it has ended."""
         if task.is_stopping:
             return
         task.is_stopping = True
         task.stop_sent_at = float("-inf")
         self._state.stopping.add(task.key)
-        self._state.note(
-            "run.stop", task.key.job, _name(task.key), cause=cause, fields={"run": str(task.run)}
-        )
+        fields = {
+            "run": str(task.run),
+            "rule": rule,
+            "executor": task.executor_id,
+            "percent": str(task.percent),
+            "stopped_so_far": str(self._state.count_stop(task, rule)),
+        }
+        self._state.note("run.stop", task.key.job, _name(task.key), cause=cause, fields=fields)
 
 
 def _name(key: TaskKey) -> str:
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -19,14 +19,17 @@
 from galenastall.coordination.cell.host_care import HostCare
 from galenastall.coordination.cell.job_runs import JobRun, StartState
 from galenastall.coordination.cell.listings import Listing, ListingReader
-from galenastall.coordination.cell.load_report import report_load
+from galenastall.coordination.cell.load_report import closed_by_id, report_load
 from galenastall.coordination.cell.mechanisms import ALL_ON, Without
 from galenastall.coordination.cell.orders import OrderBook, StartOutcome
 from galenastall.coordination.cell.pacing import Pacing
 from galenastall.coordination.cell.placer import Placer
 from galenastall.coordination.cell.room_plan import RoomPlan
 from galenastall.coordination.cell.run_ends import RunEnds
+from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.coordination.cell.timings import CellTimings
+from galenastall.coordination.cell.wait_reasons import WaitReason
+from galenastall.coordination.cell.waiting_report import WaitingReport
 from galenastall.state.cell.jobs import CellJob, Queue
 from galenastall.state.cell.phases import JobPhase, RunEnd
 from galenastall.state.cell.rows import (
@@ -56,6 +59,9 @@
         self._listings = ListingReader(state=self._state, ends=self._ends)
         self._orders = OrderBook(state=self._state, ends=self._ends, advice=self._advice)
         self._placer = Placer(state=self._state, advice=self._advice)
+        self._waiting = WaitingReport(
+            state=self._state, advice=self._advice, sight=self._placer.sight, plan=self.plan
+        )
         self._fleet = Fleet(state=self._state, ends=self._ends, doubts=self._doubts)
         self._pacing = Pacing(state=self._state)
         self.hosts = HostCare(state=self._state, ends=self._ends)
@@ -84,6 +90,16 @@
         """Room that the last decision kept."""
         return self._placer.plan
 
+    @property
+    def waiting_by_reason(self) -> dict[WaitReason, int]:
+        """Waiting steps by what kept them from starting, as last reported."""
+        return dict(self._waiting.steps_by_reason)
+
+    @property
+    def stopped_by_rule(self) -> dict[StopRule, int]:
+        """Runs that this leader has stopped so far."""
+        return dict(self._state.stopped_by_rule)
+
     def next_seq(self) -> int:
         """Return the next number of this leader's sends and receives."""
         return self._state.next_seq()
@@ -238,13 +254,17 @@
         self._state.now = now
         self._fleet.expire(now=now, wall=wall)
         self._open_all_due(wall)
-        self._tidy(now, wall)
+        is_report_due = self._tidy(now, wall)
         self._fleet.move_runs(now=now)
         if may_place:
             self.hosts.decide(now=now, wall=wall)
         self._orders.order_stops(now)
         if may_place:
             self._placer.decide(now=now, wall=wall)
+        else:
+            self._placer.sight.hold()
+        if is_report_due:
+            self._report()
 
     def take_batch(self) -> Batch:
         """Return all changes since the last batch; none of them is durable before `commit`."""
@@ -299,7 +319,8 @@
         for task in run.assigned():
             step = run.find_step(task.key.step_key)
             if step is not None and not step.is_done:
-                self._ends.stop(task, cause=f"its job is {run.phase.value}")
+                cause = f"its job is {run.phase.value}"
+                self._ends.stop(task, rule=StopRule.JOB_ENDED, cause=cause)
 
     def _on_durable_in_part(self, run: JobRun) -> None:
         """Note that an earlier state of a job is durable: at least its acceptance is."""
@@ -371,12 +392,24 @@
             self._state.dirty_jobs.add(run.job.job_id)
         self._state.refresh_waiting(run)
 
-    def _tidy(self, now: float, wall: float) -> None:
-        """Forget ended jobs that callers no longer ask for, and the tasks of the others."""
+    def _report(self) -> None:
+        """Tell how full the cell is, and why the decision just taken left steps waiting."""
+        closed = closed_by_id(self._state)
+        self._waiting.tell(closed)
+        not_looked_at = self._waiting.steps_by_reason[WaitReason.NOT_LOOKED_AT]
+        report_load(
+            self._state,
+            self.plan,
+            closed,
+            advice_calls=self._advice.calls_under_way,
+            not_looked_at=not_looked_at,
+        )
+
+    def _tidy(self, now: float, wall: float) -> bool:
+        """Forget what is of no more use of ended jobs once a second; return whether it was due."""
         if now - self._tidied_at < TIDY_EVERY_S:
-            return
+            return False
         self._tidied_at = now
-        report_load(self._state, self.plan)
         oldest = wall - self._state.timings.ended_kept_s
         for job_id, run in list(self._state.jobs_by_id.items()):
             if not run.has_ended or run.assigned():
@@ -386,6 +419,7 @@
                 self._dropped_keys.add(PROGRESS_PREFIX + job_id)
             elif run.shown_phase is run.phase:
                 run.forget_tasks()
+        return True
 
 
 def _rows_of(run: JobRun) -> dict[str, bytes]:
--- /dev/null
+++ b/src/galenastall/coordination/cell/stop_rules.py
@@ -0,0 +1,49 @@
+"""By which of its rules the leader stops runs, and how many of a job by each."""
+
+from collections import Counter
+from enum import StrEnum
+
+from galenastall.state.cell.jobs import TaskKey
+
+_WHOLE_GANG = -1
+
+
+class StopRule(StrEnum):
+    """Why the leader stops a run."""
+
+    STANDS_STILL = "stands_still"
+    """It makes no progress."""
+    SLOW_EXECUTOR = "slow_executor"
+    """It ends sooner elsewhere."""
+    EXECUTOR_LEAVES = "executor_leaves"
+    """Its executor leaves before it would end."""
+    MAINTENANCE = "maintenance"
+    """Its host is emptied."""
+    MEMBER_ENDED = "member_ended"
+    """Another member of its gang has ended."""
+    NO_ANSWER = "no_answer"
+    """Its starts got no answer."""
+    REFUSED_LATER = "refused_later"
+    """A start was refused after one that got no answer."""
+    JOB_ENDED = "job_ended"
+
+
+class JobStops:
+    """Stopped runs of one job by rule, under this leader."""
+
+    __slots__ = ("_last_runs", "by_rule")
+
+    def __init__(self) -> None:
+        """Begin with none."""
+        self.by_rule: Counter[StopRule] = Counter()
+        self._last_runs: dict[tuple[int, int, int], int] = {}
+
+    def count(self, key: TaskKey, run: int, rule: StopRule, *, is_gang: bool) -> bool:
+        """Count a stop; a gang's run counts once, by the rule that stopped its first member."""
+        number = _WHOLE_GANG if is_gang else key.number
+        place = (key.occurrence, key.step, number)
+        if self._last_runs.get(place) == run:
+            return False
+        self._last_runs[place] = run
+        self.by_rule[rule] += 1
+        return True
--- a/src/galenastall/node/cell/cell_metrics.py
+++ b/src/galenastall/node/cell/cell_metrics.py
@@ -41,3 +41,15 @@
             "How long the leader's last append took.",
             lambda: standing.last_append_s,
         )
+        gauge(
+            "galenastall_waiting_steps",
+            "Steps that wait, by what kept the last decision from starting them.",
+            lambda: {(reason,): float(n) for reason, n in standing.waiting_by_reason.items()},
+            labels=["reason"],
+        )
+        gauge(
+            "galenastall_stopped_runs",
+            "Runs that this host has stopped in its term as leader; a gang's run counts once.",
+            lambda: {(rule,): float(n) for rule, n in standing.stopped_by_rule.items()},
+            labels=["rule"],
+        )
--- a/src/galenastall/node/cell/standing.py
+++ b/src/galenastall/node/cell/standing.py
@@ -8,7 +8,9 @@
 from returns.result import Failure
 
 from galenastall.coordination.cell.election import Election, HeardBeat, Move
+from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.coordination.cell.timings import CellTimings
+from galenastall.coordination.cell.wait_reasons import WaitReason
 from galenastall.node.cell.leader_desk import LeaderDesk
 from galenastall.node.cell.leader_term import LeaderTerm, TermParts
 from galenastall.protocol.cell.config import CellConfig
@@ -114,6 +116,16 @@
         """Executors that this host knows as leader."""
         return len(self.term.core.executors_by_id) if self.term is not None else 0
 
+    @property
+    def waiting_by_reason(self) -> dict[WaitReason, int]:
+        """Steps that wait for this host as leader, by what kept them from starting."""
+        return self.term.core.waiting_by_reason if self.term is not None else {}
+
+    @property
+    def stopped_by_rule(self) -> dict[StopRule, int]:
+        """Runs that this host has stopped in its term as leader."""
+        return self.term.core.stopped_by_rule if self.term is not None else {}
+
     @property
     def last_append_s(self) -> float:
         """How long this host's last append as leader took."""
--- /dev/null
+++ b/tests/test_cell_sight.py
@@ -0,0 +1,618 @@
+"""What the leader tells of steps that wait, executors that are closed and runs that it stops."""
+
+from dataclasses import replace
+from enum import StrEnum
+from pathlib import Path
+
+import msgspec
+import pytest
+import trio
+from typer.testing import CliRunner
+
+from cell.rig import JOB, QUEUE, Rig, make_info, make_job, make_step
+from galenastall.cli.app import app
+from galenastall.coordination.cell.advice import Approval
+from galenastall.coordination.cell.commands import AskAdvice, Note, StartOrder
+from galenastall.coordination.cell.executors import Closed, Cordon, Executor
+from galenastall.coordination.cell.explain_logs import parse_lines
+from galenastall.coordination.cell.explain_reasons import reasons_by_queue, tell_reasons
+from galenastall.coordination.cell.explain_restarts import tell_restarts
+from galenastall.coordination.cell.explain_waiting import JobWait, tell_waits, waits_of
+from galenastall.coordination.cell.fleet import STILL_S
+from galenastall.coordination.cell.lease_clock import LeaseClock
+from galenastall.coordination.cell.listings import ListedRun
+from galenastall.coordination.cell.orders import StartOutcome
+from galenastall.coordination.cell.placer import PLANNED_GANGS, TICKETED_SOON_S
+from galenastall.coordination.cell.stop_rules import JobStops, StopRule
+from galenastall.coordination.cell.wait_reasons import SOON_S, WaitReason
+from galenastall.coordination.cell.waiting_line import STEPS_PER_DECISION
+from galenastall.coordination.cell.waiting_report import (
+    LINES_AT_ONCE,
+    LONG_WAIT_S,
+    MOST_COUNTS,
+    TELL_AGAIN_S,
+)
+from galenastall.node.cell.cell_metrics import CellMetrics
+from galenastall.state.cell.jobs import AdvisorTiming, Step, StepKey, TaskKey
+from galenastall.state.cell.phases import RunEnd
+from galenastall.transport.log_budget import LINES_A_SECOND
+from galenastall.transport.metrics import Metrics
+
+TIMING = AdvisorTiming(base_s=0.9, per_executor_s=0.008, validity_s=2.5)
+ADVISED = replace(QUEUE, name="advised", advisor=TIMING)
+OTHER = "f" * 16
+FULL = 4000
+"""Thousandths of a core that an executor has."""
+
+
+class SightRig(Rig):
+    """A core of some executors, and what it tells."""
+
+    def __init__(self, *, executors: int = 2, hosts: int = 6) -> None:
+        super().__init__(*(make_info(f"e{number:03}") for number in range(executors)))
+        self.core.set_queues([QUEUE, ADVISED])
+        self.core.set_advice_calls_at_once(hosts)
+        self.asks: list[AskAdvice] = []
+        self.percent = 0
+
+    def hand_in(self, step: Step, job_id: str = JOB) -> None:
+        self.submit(make_job(step, job_id=job_id, queue=ADVISED))
+
+    def fill(self, executors: int, *, cores: int = FULL, estimate_s: float = 9.0) -> None:
+        """Run a task on each of some executors."""
+        for number in range(executors):
+            step = make_step(1, cores=cores, estimate_s=estimate_s)
+            self.submit(make_job(step, job_id=f"{number:016x}"))
+            self.run_all(self.step())
+
+    def decide(self, *, may_place: bool = True) -> list[StartOrder]:
+        self.core.decide(now=self.now, wall=self.wall, may_place=may_place)
+        self.asks += self.core.take_asks()
+        return self.commit()
+
+    def why(self, job_id: str = JOB) -> WaitReason:
+        """Decide, and return why the job's first step was not started."""
+        self.decide()
+        return self.reason(job_id)
+
+    def reason(self, job_id: str = JOB) -> WaitReason:
+        return self.core._placer.sight.reason_of(StepKey(job_id, 0, 0))
+
+    def answer(self, *approved: str) -> None:
+        """Answer all calls under way."""
+        asks, self.asks = self.asks, []
+        for ask in asks:
+            named = tuple(Approval(executor_id=i, ticket="t") for i in approved)
+            named = tuple(each for each in named if each.executor_id in ask.executor_ids)
+            self.core.on_advice(ask, named, validity_s=TIMING.validity_s, now=self.now)
+
+    def answer_listings(self, percent: int = 0) -> None:
+        for executor in list(self.core.executors_by_id.values()):
+            running = tuple(
+                ListedRun(task=task, run=run, percent=percent)
+                for task, run in executor.runs_by_task.items()
+            )
+            self.listing(executor.executor_id, running)
+
+    def wait(self, seconds: int) -> list[Note]:
+        """Let seconds pass with a decision and progress in each; return what was told."""
+        self.core.take_notes()
+        for _ in range(seconds):
+            self.now += 1.0
+            self.percent += 1
+            self.answer_listings(self.percent)
+            self.decide()
+        return self.core.take_notes()
+
+
+def told(notes: list[Note], event: str) -> list[dict[str, str]]:
+    return [note.fields for note in notes if note.step == event]
+
+
+class TestReasonsWithoutAdvisor:
+    def test_an_empty_fleet(self) -> None:
+        rig = SightRig(executors=0)
+        rig.submit(make_job(make_step(1)))
+        assert rig.why() is WaitReason.NONE_OPEN
+
+    def test_no_executor_carries_the_label(self) -> None:
+        rig = SightRig()
+        rig.submit(make_job(make_step(1, label="b")))
+        assert rig.why() is WaitReason.NONE_OPEN
+
+    def test_no_room_for_one_more_task(self) -> None:
+        rig = SightRig(executors=1)
+        rig.submit(make_job(make_step(3, cores=3000)))
+        assert rig.why() is WaitReason.NO_ROOM
+
+    def test_room_that_is_kept_for_a_gang(self) -> None:
+        rig = SightRig(executors=2)
+        rig.fill(1, estimate_s=1.0)
+        rig.submit(make_job(make_step(2, cores=FULL, is_gang=True)))
+        rig.now += 0.4
+        rig.submit(make_job(make_step(1, cores=1000, estimate_s=60.0), job_id=OTHER))
+        assert rig.why(OTHER) is WaitReason.ROOM_KEPT
+        assert rig.reason() is WaitReason.ROOM_SOON
+
+    def test_room_that_comes_later(self) -> None:
+        rig = SightRig(executors=2)
+        rig.fill(2, estimate_s=9.0)
+        rig.submit(make_job(make_step(2, cores=FULL, is_gang=True)))
+        assert rig.why() is WaitReason.ROOM_LATER
+
+    def test_room_that_never_comes(self) -> None:
+        rig = SightRig(executors=2)
+        rig.submit(make_job(make_step(3, cores=FULL, is_gang=True)))
+        assert rig.why() is WaitReason.NO_ROOM_AHEAD
+
+    def test_appends_that_fail(self) -> None:
+        rig = SightRig(executors=1)
+        rig.submit(make_job(make_step(1)))
+        rig.decide(may_place=False)
+        assert rig.reason() is WaitReason.STORE_AWAY
+
+    def test_steps_beyond_the_line(self) -> None:
+        rig = SightRig(executors=1)
+        rig.fill(1)
+        for number in range(STEPS_PER_DECISION + 7):
+            rig.submit(make_job(make_step(1), job_id=f"a{number:015x}"))
+        (load,) = told(rig.wait(1), "cell.load")
+        assert load["not_looked_at"] == "7"
+        assert rig.core.waiting_by_reason[WaitReason.NOT_LOOKED_AT] == 7
+
+    def test_a_step_that_was_started_is_not_told_of(self) -> None:
+        rig = SightRig(executors=1)
+        rig.submit(make_job(make_step(1)))
+        assert told(rig.wait(2), "cell.waiting") == []
+        assert rig.core.waiting_by_reason == {}
+
+
+class TestReasonsWithAdvisor:
+    def gang(self, *, executors: int = 4, hosts: int = 6, count: int = 2) -> SightRig:
+        rig = SightRig(executors=executors, hosts=hosts)
+        rig.hand_in(make_step(count, cores=FULL, is_gang=True))
+        return rig
+
+    def test_the_first_call_and_one_that_failed(self) -> None:
+        rig = self.gang()
+        assert rig.why() is WaitReason.ADVICE_ASKED
+        (ask,) = rig.asks
+        rig.core.on_advice_failed(ask, now=rig.now)
+        assert rig.why() is WaitReason.ADVICE_FAILED
+
+    def test_no_host_is_free_to_ask(self) -> None:
+        rig = SightRig(executors=4, hosts=1)
+        for job_id in (JOB, OTHER):
+            rig.hand_in(make_step(2, cores=FULL, is_gang=True), job_id)
+        rig.decide()
+        assert {rig.reason(), rig.reason(OTHER)} == {WaitReason.ADVICE_ASKED, WaitReason.NO_HOST}
+
+    def test_none_is_approved(self) -> None:
+        rig = self.gang()
+        rig.decide()
+        rig.answer()
+        assert rig.why() is WaitReason.NONE_APPROVED
+
+    def test_all_that_are_approved_are_closed(self) -> None:
+        rig = self.gang()
+        rig.decide()
+        rig.answer("e000", "e001")
+        for executor_id in ("e000", "e001"):
+            rig.core.executors_by_id[executor_id].cordons.add(Cordon.WAVE)
+        assert rig.why() is WaitReason.APPROVED_CLOSED
+
+    def test_tickets_that_have_run_out_are_asked_for_again(self) -> None:
+        rig = self.gang()
+        rig.decide()
+        rig.answer("e000", "e001")
+        rig.now += TIMING.validity_s
+        rig.answer_listings()
+        assert rig.why() is WaitReason.TICKETS_ASKED
+
+    def test_tickets_have_run_out_and_no_host_is_free(self) -> None:
+        rig = self.gang(hosts=1)
+        rig.decide()
+        rig.answer("e000", "e001")
+        rig.now += TIMING.validity_s
+        rig.answer_listings()
+        rig.core._advice.begin(StepKey(OTHER, 0, 0), ("e000",), rig.now)
+        assert rig.why() is WaitReason.NO_HOST
+
+    def test_gangs_beyond_the_plan(self) -> None:
+        rig = SightRig(executors=2, hosts=99)
+        rig.fill(2)
+        ids = [f"a{number:015x}" for number in range(PLANNED_GANGS + 1)]
+        for job_id in ids:
+            rig.hand_in(make_step(2, cores=FULL, is_gang=True), job_id)
+        rig.decide()
+        rig.answer("e000", "e001")
+        rig.decide()
+        reasons = [rig.reason(job_id) for job_id in ids]
+        assert reasons.count(WaitReason.ROOM_LATER) == 1
+        assert reasons.count(WaitReason.NO_ROOM_AHEAD) == PLANNED_GANGS - 1
+        assert reasons.count(WaitReason.NOT_PLANNED) == 1
+        (counts,) = told(rig.wait(1), "cell.waiting")
+        assert counts["advised:planned_for_others"] == str(PLANNED_GANGS - 1)
+
+    def test_single_tasks_on_full_executors(self) -> None:
+        rig = SightRig(executors=2)
+        rig.fill(2)
+        rig.hand_in(make_step(1, cores=1000))
+        assert rig.why() is WaitReason.ADVICE_ASKED
+        rig.answer("e000")
+        assert rig.why() is WaitReason.NO_ROOM
+
+    def test_members_of_the_last_run_are_still_ending(self) -> None:
+        rig = SightRig(executors=2)
+        rig.submit(make_job(make_step(2, cores=FULL, is_gang=True)))
+        orders = rig.step()
+        rig.run_all(orders)
+        rig.end(orders[0], RunEnd.FAILED)
+        assert rig.why() is WaitReason.LAST_RUN_ENDING
+
+    def test_room_is_near_for_as_long_as_the_placer_says(self) -> None:
+        assert SOON_S == TICKETED_SOON_S
+
+
+class TestSharperReasons:
+    """What a report finds out of gangs that a decision planned."""
+
+    def reasons(self, rig: SightRig) -> set[str]:
+        (counts,) = told(rig.wait(1), "cell.waiting")
+        return set(counts)
+
+    def approve(self, rig: SightRig, *names: str) -> None:
+        rig.decide()
+        rig.answer(*names)
+
+    def test_too_few_are_approved_even_if_they_were_empty(self) -> None:
+        rig = SightRig(executors=4)
+        rig.hand_in(make_step(2, cores=FULL, is_gang=True))
+        self.approve(rig, "e000")
+        assert self.reasons(rig) == {"advised:too_few_approved"}
+
+    def test_enough_are_approved_and_some_are_closed(self) -> None:
+        rig = SightRig(executors=4)
+        rig.hand_in(make_step(2, cores=FULL, is_gang=True))
+        self.approve(rig, "e000", "e001")
+        rig.core.executors_by_id["e001"].paused_until = rig.now + 60.0
+        assert self.reasons(rig) == {"advised:approved_closed"}
+
+    def test_a_service_that_is_too_small(self) -> None:
+        rig = SightRig(executors=2)
+        rig.submit(make_job(make_step(3, cores=FULL, is_gang=True)))
+        assert self.reasons(rig) == {"q:too_few_approved"}
+
+    def test_room_that_is_free_is_kept_for_a_gang_before_it(self) -> None:
+        rig = SightRig(executors=4)
+        rig.fill(1, estimate_s=9.0)
+        step = make_step(4, cores=FULL, is_gang=True)
+        rig.submit(make_job(step, job_id="a" * 16))
+        rig.submit(make_job(replace(step, count=3, estimate_s=60.0), job_id="b" * 16))
+        assert self.reasons(rig) == {"q:room_later", "q:room_kept"}
+
+
+class TestLinesOfJobs:
+    def blocked(self, jobs: int) -> SightRig:
+        rig = SightRig(executors=1)
+        rig.fill(1)
+        for number in range(jobs):
+            rig.submit(make_job(make_step(2, cores=3000), job_id=f"a{number:015x}"))
+        return rig
+
+    def test_a_job_is_told_once_it_has_waited_long_and_seldom_again(self) -> None:
+        rig = self.blocked(1)
+        assert told(rig.wait(int(LONG_WAIT_S)), "job.waiting") == []
+        lines = told(rig.wait(2 * int(TELL_AGAIN_S)), "job.waiting")
+        assert len(lines) == 2
+        expected = {
+            "queue": "q",
+            "reason": "no_room",
+            "tasks": "2",
+            "of": "2",
+            "approved": "1",
+            "approved_open": "1",
+            "places_free": "0",
+            "places_open": "1",
+            "runs": "0",
+            "stops": "",
+        }
+        assert expected.items() <= lines[0].items()
+        assert float(lines[0]["waited_s"]) >= LONG_WAIT_S
+
+    def test_lines_in_a_second_are_bounded_and_all_jobs_come_in_turn(self) -> None:
+        jobs = 3 * LINES_AT_ONCE
+        rig = self.blocked(jobs)
+        rig.wait(int(LONG_WAIT_S))
+        seconds = [
+            [note for note in rig.wait(1) if note.step == "job.waiting"]
+            for _ in range(int(TELL_AGAIN_S))
+        ]
+        assert max(len(notes) for notes in seconds) == LINES_AT_ONCE
+        ids = [note.subjects[0] for notes in seconds for note in notes]
+        assert len(ids) == len(set(ids)) == jobs
+        assert LINES_AT_ONCE < LINES_A_SECOND / 10
+
+    @pytest.mark.parametrize(("comes_another", "lines"), [(True, 0), (False, 1)])
+    def test_a_start_of_one_task_begins_the_wait_anew(
+        self, comes_another: bool, lines: int
+    ) -> None:
+        rig = SightRig(executors=1)
+        rig.submit(make_job(make_step(3, cores=3000)))
+        rig.wait(int(LONG_WAIT_S) - 1)
+        if comes_another:
+            rig.see(make_info("e000"), make_info("e001"))
+        assert len(told(rig.wait(int(LONG_WAIT_S) - 1), "job.waiting")) == lines
+
+    def test_counts_are_bounded(self) -> None:
+        rig = SightRig(executors=1)
+        rig.fill(1)
+        for number in range(MOST_COUNTS + 5):
+            queue = replace(QUEUE, name=f"q{number}")
+            rig.submit(make_job(make_step(1), job_id=f"a{number:015x}", queue=queue))
+        (counts,) = told(rig.wait(1), "cell.waiting")
+        assert len(counts) == MOST_COUNTS + 1
+        assert counts["others"] == "5"
+
+
+class TestClosedExecutors:
+    def executor(self) -> Executor:
+        rig = SightRig(executors=1)
+        return rig.core.executors_by_id["e000"]
+
+    def why(self, executor: Executor, now: float = 100.0) -> Closed | None:
+        why = executor.why_closed(now=now, reach_s=1.5, delisted_grace_s=2.0)
+        assert executor.is_open(now=now, reach_s=1.5, delisted_grace_s=2.0) is (why is None)
+        return why
+
+    def test_an_open_one_has_no_reason(self) -> None:
+        assert self.why(self.executor()) is None
+
+    @pytest.mark.parametrize(
+        ("field", "closed"), [("is_draining", Closed.DRAINING), ("is_usable", Closed.UNUSABLE)]
+    )
+    def test_what_the_list_says(self, field: str, closed: Closed) -> None:
+        executor = self.executor()
+        value = not getattr(executor.info, field)
+        executor.set_info(replace(executor.info, **{field: value}))  # type: ignore[arg-type]
+        assert self.why(executor) is closed
+
+    @pytest.mark.parametrize(
+        ("field", "value", "closed"),
+        [
+            ("cordons", {Cordon.POOL}, Closed.CORDONED),
+            ("strangers", frozenset({(TaskKey(JOB, 0, 0, 0), 1)}), Closed.STRANGERS),
+            ("paused_until", 101.0, Closed.PAUSED),
+            ("doubted_at", 100.0, Closed.DOUBTED),
+            ("answered_at", 98.0, Closed.NOT_ANSWERED),
+            ("answered_at", None, Closed.NOT_ANSWERED),
+        ],
+    )
+    def test_what_the_leader_knows(self, field: str, value: object, closed: Closed) -> None:
+        executor = self.executor()
+        setattr(executor, field, value)
+        assert self.why(executor) is closed
+
+    def test_one_that_is_off_the_list_for_longer_than_the_grace(self) -> None:
+        executor = self.executor()
+        executor.is_listed = False
+        executor.delisted_at = 99.0
+        assert self.why(executor) is None
+        executor.delisted_at = 97.0
+        assert self.why(executor) is Closed.DELISTED
+
+    def test_one_that_was_never_heard(self) -> None:
+        clock = LeaseClock(timings=SightRig().core.timings, unknown_until=0.0)
+        executor = Executor(info=make_info("e1"), clock=clock, now=100.0)
+        assert self.why(executor) is Closed.NOT_ANSWERED
+
+    def test_the_load_report_counts_them_by_reason(self) -> None:
+        rig = SightRig(executors=4)
+        rig.core.executors_by_id["e000"].cordons.add(Cordon.WAVE)
+        rig.core.executors_by_id["e001"].paused_until = rig.now + 60.0
+        rig.core.executors_by_id["e002"].paused_until = rig.now + 60.0
+        (load,) = told(rig.wait(1), "cell.load")
+        expected = {"open": "1", "closed_cordoned": "1", "closed_paused": "2"}
+        assert expected.items() <= load.items()
+        assert {name for name in load if name.startswith("closed_")} == expected.keys() - {"open"}
+
+    def test_the_load_report_counts_calls_for_advice(self) -> None:
+        rig = SightRig(executors=4, hosts=6)
+        rig.hand_in(make_step(1))
+        (load,) = told(rig.wait(1), "cell.load")
+        assert load["advice_calls"] == "1"
+        assert load["advice_calls_at_once"] == "6"
+
+
+class TestStops:
+    def stalled(self) -> tuple[SightRig, list[Note]]:
+        """Run a gang of two whose members both stand still at 40 percent."""
+        rig = SightRig(executors=2)
+        rig.submit(make_job(make_step(2, cores=FULL, is_gang=True, estimate_s=9.0)))
+        rig.run_all(rig.step())
+        rig.answer_listings(40)
+        for _ in range(int(STILL_S) + 1):
+            rig.now += 1.0
+            rig.answer_listings(40)
+            rig.decide()
+        return rig, [note for note in rig.core.take_notes() if note.step == "run.stop"]
+
+    def test_a_stop_names_rule_percent_executor_and_how_often(self) -> None:
+        _, notes = self.stalled()
+        fields = notes[0].fields
+        assert fields["rule"] == "stands_still"
+        assert fields["percent"] == "40"
+        assert fields["executor"] in {"e000", "e001"}
+        assert fields["stopped_so_far"] == "1"
+
+    def test_a_gang_s_run_counts_once(self) -> None:
+        rig, notes = self.stalled()
+        assert len(notes) == 2
+        assert rig.core.stopped_by_rule == {StopRule.STANDS_STILL: 1}
+
+    def test_the_job_s_line_tells_them(self) -> None:
+        rig, _ = self.stalled()
+        for executor_id in ("e000", "e001"):
+            rig.listing(executor_id)
+            rig.core.executors_by_id[executor_id].paused_until = rig.now + 60.0
+        for task in list(rig.core.jobs_by_id[JOB].tasks()):
+            rig.core._ends.apply(task.key, 1, RunEnd.STOPPED, wall=rig.wall)
+        lines = told(rig.wait(int(LONG_WAIT_S) + 2), "job.waiting")
+        assert lines[0]["stops"] == "stands_still:1"
+        assert lines[0]["runs"] == "1"
+        assert lines[0]["reason"] == "none_open"
+
+    def test_a_start_without_an_answer(self) -> None:
+        rig = SightRig(executors=1)
+        rig.submit(make_job(make_step(1)))
+        (order,) = rig.step()
+        for _ in range(rig.core.timings.start_tries):
+            rig.core.on_start(order, StartOutcome.UNKNOWN, now=rig.now, wall=rig.wall)
+        assert rig.core.stopped_by_rule == {StopRule.NO_ANSWER: 1}
+
+    def test_single_tasks_count_each(self) -> None:
+        stops = JobStops()
+        first, second = (TaskKey(JOB, 0, 0, number) for number in range(2))
+        assert stops.count(first, 1, StopRule.SLOW_EXECUTOR, is_gang=False)
+        assert stops.count(second, 1, StopRule.SLOW_EXECUTOR, is_gang=False)
+        assert not stops.count(second, 1, StopRule.MEMBER_ENDED, is_gang=False)
+        assert stops.count(second, 2, StopRule.SLOW_EXECUTOR, is_gang=False)
+        assert stops.by_rule == {StopRule.SLOW_EXECUTOR: 3}
+
+
+class _Standing:
+    """What the gauges read of a host that leads."""
+
+    is_leading = True
+    token = job_count = executor_count = 1
+    last_append_s = 0.0
+
+    def __init__(self) -> None:
+        self.waiting_by_reason = {WaitReason.ROOM_KEPT: 3}
+        self.stopped_by_rule = {StopRule.STANDS_STILL: 2}
+
+
+class _Host:
+    standing = _Standing()
+
+
+class TestMetrics:
+    def test_waiting_steps_and_stopped_runs_are_shown(self) -> None:
+        metrics = Metrics()
+        CellMetrics(metrics=metrics).watch(_Host())  # type: ignore[arg-type]
+        metrics._gauges = [gauge for gauge in metrics._gauges if "config" not in gauge[0]]
+        page = trio.run(metrics.page).decode()
+        assert 'galenastall_waiting_steps{reason="room_kept"} 3.0' in page
+        assert 'galenastall_stopped_runs{rule="stands_still"} 2.0' in page
+
+
+class TestPages:
+    """What the guide names is what the lines name."""
+
+    PAGE = Path(__file__).parents[1] / "docs" / "guide" / "observability.md"
+
+    @pytest.mark.parametrize("kind", [WaitReason, Closed, StopRule])
+    def test_all_reasons_and_rules_are_named(self, kind: type[StrEnum]) -> None:
+        page = self.PAGE.read_text()
+        assert [name.value for name in kind if f"`{name.value}`" not in page] == []
+
+
+START_S = 1_000.0
+
+
+def line(at_s: float, event: str, *subjects: str, **fields: str) -> str:
+    value = {"at": f"{round((START_S + at_s) * 1000)}.0", "process": "entry-1/x", "event": event}
+    return msgspec.json.encode({**value, "subjects": subjects, **fields}).decode()
+
+
+def gang_run(run: int, at_s: float, *, stopped_at_s: float, percent: str) -> list[str]:
+    """Return the lines of a gang of two whose run stands still and is stopped."""
+    tasks = ("0.0.0", "0.0.1")
+    fields = {"rule": "stands_still", "run": str(run), "percent": percent}
+    fields["stopped_so_far"] = str(run)
+    follows = {"rule": "member_ended", "run": str(run), "stopped_so_far": "0"}
+    return [
+        *(line(at_s, "run.assigned", "a", task, run=str(run)) for task in tasks),
+        line(stopped_at_s, "run.stop", "a", tasks[0], **fields),
+        line(stopped_at_s + 0.1, "run.ended", "a", tasks[0], run=str(run), cause="stopped"),
+        line(stopped_at_s + 0.1, "run.stop", "a", tasks[1], **follows),
+        line(stopped_at_s + 0.2, "run.ended", "a", tasks[1], run=str(run), cause="stopped"),
+    ]
+
+
+STOPPED = (
+    line(1.0, "job.accepted", "a", queue="gangs"),
+    *gang_run(1, 2.0, stopped_at_s=6.0, percent="40"),
+    *gang_run(2, 7.1, stopped_at_s=11.0, percent="41"),
+    line(20.0, "job.waiting", "a", "0.0", reason="no_host"),
+    line(30.0, "job.waiting", "a", "0.0", reason="room_kept"),
+    line(40.0, "job.waiting", "a", "0.0", reason="room_kept"),
+    line(40.0, "cell.waiting", **{"gangs:room_kept": "3", "gangs:no_host": "1", "others": "2"}),
+    line(41.0, "cell.waiting", **{"gangs:room_kept": "2"}),
+    line(101.1, "cell.load"),
+)
+
+
+class TestExplain:
+    def wait(self, *texts: str) -> JobWait:
+        (wait,) = waits_of(parse_lines(texts))
+        return wait
+
+    def test_waits_after_the_first_start_reach_to_the_end_of_the_log(self) -> None:
+        wait = self.wait(*STOPPED)
+        assert wait.total_s == pytest.approx(1.0)
+        assert wait.again_s == pytest.approx(91.0)
+        assert wait.restarts.runs == 2
+        assert wait.restarts.is_waiting
+
+    def test_a_gang_s_run_that_was_stopped_is_told_once(self) -> None:
+        assert self.wait(*STOPPED).restarts.stops == (
+            ("stands_still", "40"),
+            ("stands_still", "41"),
+        )
+
+    def test_stops_and_reasons_are_in_the_text(self) -> None:
+        text = "\n".join(tell_waits(waits_of(parse_lines(STOPPED)), longest=1))
+        assert "between runs 91.000 s" in text
+        assert "2 runs; the longest time from the end of a run to the next 90.000 s" in text
+        assert "and not again since the last" in text
+        assert "stopped by the leader 2 times as stands_still at 40, 41%" in text
+        assert "told as waiting: room_kept 2, no_host 1" in text
+
+    def test_stops_that_follow_the_end_of_a_job_are_left_out(self) -> None:
+        stop = line(3.0, "run.stop", "a", "0.0.0", run="1", rule="job_ended", stopped_so_far="1")
+        wait = self.wait(line(1.0, "job.accepted", "a", queue="q"), stop)
+        assert wait.restarts.stops == ()
+        assert tell_restarts(wait.restarts) == []
+
+    @pytest.mark.parametrize(
+        ("is_told", "waited_s"),
+        [(False, 0.0), (True, 5.0)],
+    )
+    def test_a_member_that_was_cut_off_from_a_gang_that_is_done_does_not_wait(
+        self, is_told: bool, waited_s: float
+    ) -> None:
+        texts = [
+            line(1.0, "job.accepted", "a", queue="q"),
+            line(1.0, "run.assigned", "a", "0.0.0", run="1"),
+            line(1.0, "run.assigned", "a", "0.0.1", run="1"),
+            line(4.0, "run.ended", "a", "0.0.0", run="1", cause="done"),
+            line(5.0, "run.ended", "a", "0.0.1", run="1", cause="lapsed"),
+            line(10.0, "job.ended", "a"),
+        ]
+        if is_told:
+            texts.append(line(9.9, "job.waiting", "a", "0.0", reason="no_room"))
+        assert self.wait(*texts).again_s == pytest.approx(waited_s)
+
+    def test_reasons_are_summed_by_queue(self) -> None:
+        sums = reasons_by_queue(parse_lines(STOPPED))
+        assert sums == {"gangs": {"room_kept": 5, "no_host": 1}}
+        (text,) = tell_reasons(sums)
+        assert text.endswith("room_kept 5, no_host 1")
+
+    def test_the_command_tells_all_of_it(self, tmp_path: Path) -> None:
+        (tmp_path / "one.log").write_text("\n".join(STOPPED))
+        result = CliRunner().invoke(app, ["explain", "--logs", str(tmp_path), "--waiting"])
+        assert result.exit_code == 0, result.output
+        for text in ("room_kept 5", "stands_still at 40, 41%", "told as waiting"):
+            assert text in result.output
