--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -22,6 +22,7 @@
     patience_s,
     waits_for_members,
 )
+from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.state.cell.phases import RunEnd
 from galenastall.state.resources import NOTHING
 
@@ -186,7 +187,8 @@
         leaves_at = executor.leaves_at(now)
         ends_at = task.ends_at()
         if ends_at is not None and ends_at > leaves_at - LEAVE_MARGIN_S:
-            self._ends.stop(task, cause="its executor leaves before it would end")
+            cause = "its executor leaves before it would end"
+            self._ends.stop(task, rule=StopRule.EXECUTOR_LEAVES, cause=cause)
 
     def _move_if_still(self, executor: Executor, step: StepRun, task: TaskRun) -> None:
         """Stop a run that makes no progress."""
@@ -208,7 +210,8 @@
             return
         left = 1.0 - task.percent / WHOLE_PERCENT if step.step.is_checkpointing else 1.0
         if now + left * step.step.estimate_s + WORTH_MOVING_S < ends_at:
-            self._ends.stop(task, cause="its executor is slow; it ends sooner elsewhere")
+            cause = "its executor is slow; it ends sooner elsewhere"
+            self._ends.stop(task, rule=StopRule.SLOW_EXECUTOR, cause=cause)
 
 
 def _unlisted(executor_id: str) -> ExecutorInfo:
