--- a/tests/test_cell_sight.py
+++ b/tests/test_cell_sight.py
@@ -23,8 +23,9 @@
 from galenastall.coordination.cell.listings import ListedRun
 from galenastall.coordination.cell.orders import StartOutcome
 from galenastall.coordination.cell.placer import PLANNED_GANGS, TICKETED_SOON_S
+from galenastall.coordination.cell.room_plan import PlannedStart
 from galenastall.coordination.cell.stop_rules import JobStops, StopRule
-from galenastall.coordination.cell.wait_reasons import SOON_S, WaitReason
+from galenastall.coordination.cell.wait_reasons import SOON_S, WaitReason, why_not_gang
 from galenastall.coordination.cell.waiting_line import STEPS_PER_DECISION
 from galenastall.coordination.cell.waiting_report import (
     LINES_AT_ONCE,
@@ -250,6 +251,26 @@
         rig.end(orders[0], RunEnd.FAILED)
         assert rig.why() is WaitReason.LAST_RUN_ENDING
 
+    @pytest.mark.parametrize(
+        ("may_plan", "is_planned", "reason"),
+        [
+            (True, True, WaitReason.TICKETS_OUT),
+            (True, False, WaitReason.NO_ROOM_AHEAD),
+            (False, False, WaitReason.NOT_PLANNED),
+        ],
+    )
+    def test_a_gang_for_which_no_call_was_made_though_a_host_was_free(
+        self, may_plan: bool, is_planned: bool, reason: WaitReason
+    ) -> None:
+        rig = self.gang()
+        rig.decide()
+        rig.answer("e000", "e001")
+        (waiting,) = rig.core._placer._line.in_order(now=rig.now, wall=rig.wall)
+        planned = PlannedStart(at=rig.now, slots=()) if is_planned else None
+        usable, plan = rig.core.executors_by_id, rig.core.plan
+        why = why_not_gang(waiting, usable, plan, planned, may_plan=may_plan, can_ask=True)
+        assert why is reason
+
     def test_room_is_near_for_as_long_as_the_placer_says(self) -> None:
         assert SOON_S == TICKETED_SOON_S
 
