--- a/tests/test_cell_standstill.py
+++ b/tests/test_cell_standstill.py
@@ -34,6 +34,14 @@
         rig.listing(order.executor_id, (run,))
 
 
+def watch(rig: Rig, percents_by_order: dict[StartOrder, tuple[int, int]]) -> None:
+    """List runs for some seconds; each has a progress and what it gains by a listing."""
+    for turn in range(LISTED_TIMES):
+        rig.now += LISTED_EVERY_S
+        show(rig, {o: begin + turn * gain for o, (begin, gain) in percents_by_order.items()})
+        rig.stops()
+
+
 class TestStandstillOfAGang:
     def start(self, *, members: int = 3) -> tuple[Rig, list[StartOrder]]:
         rig = Rig(*(make_info(f"e{number}") for number in range(members + 1)))
@@ -44,38 +52,26 @@
         rig, orders = self.start()
         rig.run_all(orders[:2])
         rig.core.on_start(orders[2], StartOutcome.UNKNOWN, now=rig.now, wall=rig.wall)
-        for _ in range(LISTED_TIMES):
-            rig.now += LISTED_EVERY_S
-            show(rig, dict.fromkeys(orders[:2], 0))
-            rig.stops()
+        watch(rig, dict.fromkeys(orders[:2], (0, 0)))
         assert paused(rig) == set()
 
     def test_members_that_all_stand_still_are_not_blamed(self) -> None:
         rig, orders = self.start()
         rig.run_all(orders)
-        for _ in range(LISTED_TIMES):
-            rig.now += LISTED_EVERY_S
-            show(rig, dict.fromkeys(orders, 40))
-            rig.stops()
+        watch(rig, dict.fromkeys(orders, (40, 0)))
         assert all(task.is_stopping for task in rig.core.jobs_by_id[JOB].assigned())
         assert paused(rig) == set()
 
     def test_a_member_that_stands_still_while_the_others_go_on_is_blamed(self) -> None:
         rig, orders = self.start()
         rig.run_all(orders)
-        for turn in range(LISTED_TIMES):
-            rig.now += LISTED_EVERY_S
-            show(rig, {orders[0]: 40, orders[1]: 40 + turn, orders[2]: 45 + turn})
-            rig.stops()
+        watch(rig, {orders[0]: (40, 0), orders[1]: (40, 1), orders[2]: (45, 1)})
         assert paused(rig) == {orders[0].executor_id}
 
     def test_a_member_that_the_others_have_waited_for_at_their_end_is_blamed(self) -> None:
         rig, orders = self.start()
         rig.run_all(orders)
-        for _ in range(LISTED_TIMES):
-            rig.now += LISTED_EVERY_S
-            show(rig, {orders[0]: 40, orders[1]: 100, orders[2]: 100})
-            rig.stops()
+        watch(rig, {orders[0]: (40, 0), orders[1]: (100, 0), orders[2]: (100, 0)})
         assert paused(rig) == {orders[0].executor_id}
 
     def test_a_gang_whose_members_have_all_done_their_share_and_do_not_end_is_given_up(
@@ -83,10 +79,7 @@
     ) -> None:
         rig, orders = self.start()
         rig.run_all(orders)
-        for _ in range(LISTED_TIMES):
-            rig.now += LISTED_EVERY_S
-            show(rig, dict.fromkeys(orders, 100))
-            rig.stops()
+        watch(rig, dict.fromkeys(orders, (100, 0)))
         assert all(task.is_stopping for task in rig.core.jobs_by_id[JOB].assigned())
 
 
