Replay a turn that comes after the tickets, and a gang wider than a call

Cause: with 1,000 steps ahead a fair turn alone comes each 4.5 s at ten decisions a second, and what was asked about in one turn has lost its tickets of 2.5 s by the next. A call names 100 executors at most, and each renewal of a wider gang names the same 100 of its executors, so that it never holds all of its tickets.

Ruled out: that the first test fails for want of a turn only; with turns and without a look at what an answer came for it fails as well. For the second: 112 executors are free, and the gang is alone in the line.

--- a/tests/test_cell_line.py
+++ b/tests/test_cell_line.py
@@ -198,3 +198,31 @@
             rig.hand_in(SMALL, job_id=job_id(number))
         rig.play(4.0)
         assert len(set(rig.asked_jobs)) == 400
+
+    def test_an_answer_is_used_before_its_tickets_run_out(self) -> None:
+        """With 1,000 ahead a turn comes each 4.5 s, and tickets last for 2.5 s."""
+        rig = LineRig(executors=2)
+        rig.core.set_advice_calls_at_once(2_000)
+        ahead, last = (replace(SMALL, estimate_s=seconds) for seconds in (20.0, 30.0))
+        for number in range(1_000):
+            rig.approve(job_id(number))
+            rig.hand_in(ahead, job_id=job_id(number))
+        rig.submit(make_job(last, job_id=LAST, queue=ADVISED))
+        rig.play(12.0)
+        assert rig.started_jobs == {LAST}
+
+
+class TestGangsWiderThanACall:
+    """A call names 100 executors at most, and each renewal named the same 100 of a wider gang.
+
+    The tickets of the others had run out, so that such a gang never started once it had waited.
+    """
+
+    def test_the_others_are_asked_about_next(self) -> None:
+        rig = LineRig(executors=112)
+        rig.occupy(*range(112), estimate_s=10.0)
+        rig.hand_in(make_step(110, cores=4000, is_gang=True, estimate_s=20.0), job_id=LAST)
+        rig.play(6.0)
+        rig.empty(*range(112))
+        rig.play(6.0)
+        assert rig.started_jobs == {LAST}
