Name in the next call what a call can't name of a wide gang

Cause: a renewal names at most 100 executors, always the first of the planned start; the tickets of the others stayed run out. With more than 100 executors wanted, only those are named whose tickets run out before the start.

tests/test_cell_line.py::TestGangsWiderThanACall, which failed, passes; gangs on 100 executors and fewer are asked about as before.

--- a/src/galenastall/coordination/cell/advice_planner.py
+++ b/src/galenastall/coordination/cell/advice_planner.py
@@ -63,11 +63,7 @@
             return
         if planned.at > waiting.now + call_s + AHEAD_SLACK_S:
             return
-        expiring = any(
-            _good_until(advice, slot.executor) < planned.at + TICKET_MARGIN_S
-            for slot in planned.slots
-        )
-        if expiring:
+        if any(_expires(advice, slot.executor, planned) for slot in planned.slots):
             self._ask(waiting, self._renewed(waiting, advice, usable, planned))
 
     def ask_for_singles(
@@ -152,6 +148,9 @@
     ) -> list[Executor]:
         """Return the executors of a planned start, and other approved ones with room by then."""
         wanted = [slot.executor for slot in planned.slots]
+        if len(wanted) > MOST_NAMED:
+            # A call can't name them all: those that it leaves out are named by the next one.
+            wanted = [e for e in wanted if _expires(advice, e, planned)]
         named = {executor.executor_id for executor in wanted}
         need = waiting.step.step.need
         others = [
@@ -194,5 +193,7 @@
         return False
 
 
-def _good_until(advice: StepAdvice, executor: Executor) -> float:
-    return advice.good_until_by_executor.get(executor.executor_id, float("-inf"))
+def _expires(advice: StepAdvice, executor: Executor, planned: PlannedStart) -> bool:
+    """Whether an executor's ticket runs out before a planned start."""
+    good_until = advice.good_until_by_executor.get(executor.executor_id, float("-inf"))
+    return good_until < planned.at + TICKET_MARGIN_S
