Work out preferences only for gangs that fit now

Cause: each waiting gang's executors were sorted by preference in each decision, though most of the gangs don't fit. The room is counted first; what is chosen is the same.

--- a/src/galenastall/coordination/cell/fitting.py
+++ b/src/galenastall/coordination/cell/fitting.py
@@ -60,21 +60,28 @@
 def _fill(
     usable: list[Executor], step: StepRun, count: int, plan: RoomPlan
 ) -> list[Executor] | None:
-    chosen: list[Executor] = []
+    fitting_by_id = {e.executor_id: _fitting(e, step, count, plan) for e in usable}
+    # Most gangs that wait don't fit: preferences are worked out for those only that do.
+    if sum(fitting_by_id.values()) < count:
+        return None
     failed_on = {executor_id for task in step.tasks for executor_id in task.failed_on}
 
     def preference(executor: Executor) -> Preference:
         return _preference(executor, step, plan, has_failed=executor.executor_id in failed_on)
 
-    for executor in sorted(usable, key=preference):
-        fitting = plan.room_for(executor, step.step, count - len(chosen))
-        most = step.step.most_per_executor
-        if most > 0:
-            fitting = min(fitting, most)
-        chosen.extend([executor] * fitting)
+    chosen: list[Executor] = []
+    for executor in sorted((e for e in usable if fitting_by_id[e.executor_id]), key=preference):
+        chosen.extend([executor] * min(fitting_by_id[executor.executor_id], count - len(chosen)))
         if len(chosen) == count:
-            return chosen
-    return None
+            break
+    return chosen
+
+
+def _fitting(executor: Executor, step: StepRun, count: int, plan: RoomPlan) -> int:
+    """Return how many members of a gang an executor takes now, `count` at the highest."""
+    fitting = plan.room_for(executor, step.step, count)
+    most = step.step.most_per_executor
+    return min(fitting, most) if most > 0 else fitting
 
 
 def _preference(
