Replay a late wide gang beside a steady stream of small tasks

Cause: what earns nothing more goes last and keeps no room. A gang that needs a quarter of 16 executors whole was started after 43 s with 80% of the cores in use by a stream of small tasks, and not within 110 s with 90% and 95%; nothing bounds that wait.

Ruled out: the room itself. The same gang, not late, starts within 0.1 to 2.2 s at each of these loads.

The tests show: three of the four of TestLateGangs fail; the fourth, that a gang which is hardly late goes last as before, passes.

--- a/tests/test_cell_line.py
+++ b/tests/test_cell_line.py
@@ -1,17 +1,23 @@
 """Whose turn it is: work that could run is looked at, however much ahead of it can't."""
 
+from collections import Counter
 from dataclasses import replace
 
+import pytest
+
 from cell.advised import ADVISED, FULL, AdvisedRig
-from cell.rig import QUEUE, make_job, make_step
-from galenastall.coordination.cell.commands import AskAdvice
+from cell.rig import QUEUE, Rig, make_info, make_job, make_step
+from galenastall.coordination.cell.commands import AskAdvice, StartOrder
+from galenastall.coordination.cell.listings import ListedEnd, ListedRun
 from galenastall.coordination.cell.turns import Turns
 from galenastall.state.cell.jobs import Queue, Step, StepKey
+from galenastall.state.cell.phases import RunEnd
 
 LAST = "f" * 16
 """The job that could run; ids order what is equally pressing."""
 CALL_S = 1.1
 TICK_S = 0.1
+MEAN_RUN_S = 2.0
 WIDE = make_step(3, cores=4000, is_gang=True)
 LARGE = make_step(1, cores=4000)
 SMALL = make_step(1, cores=300)
@@ -229,6 +235,89 @@
         assert rig.started_jobs == {LAST}
 
 
+class StreamRig(Rig):
+    """Small tasks come in a steady stream and end after 1 to 3 s."""
+
+    def __init__(self, *, executors: int, load: float) -> None:
+        super().__init__(*(make_info(f"e{number:03}") for number in range(executors)))
+        self.started_jobs: set[str] = set()
+        self._coming_a_tick = load * executors * 4 / MEAN_RUN_S * TICK_S
+        self._due = 0.0
+        self._came = 0
+        self._runs: list[tuple[float, StartOrder]] = []
+        self._positions = Counter[str]()
+
+    def play(self, seconds: float) -> None:
+        for _ in range(round(seconds / TICK_S)):
+            self.now += TICK_S
+            self._end_runs()
+            self._due += self._coming_a_tick
+            while self._due >= 1.0:
+                self._due -= 1.0
+                self._came += 1
+                small = make_step(1, cores=1000, estimate_s=MEAN_RUN_S)
+                self.submit(make_job(small, job_id=job_id(self._came), submitted_at=self.wall))
+            orders = self.step()
+            self.run_all(orders)
+            self.started_jobs |= {order.task.job for order in orders}
+            self._runs += [(self.now + self._run_s(order), order) for order in orders]
+
+    def _run_s(self, order: StartOrder) -> float:
+        return MEAN_RUN_S + (int(order.task.job, 16) * 13 % 21 - 10) / 10
+
+    def _end_runs(self) -> None:
+        ended = [order for at, order in self._runs if at <= self.now]
+        self._runs = [(at, order) for at, order in self._runs if at > self.now]
+        for info in self.infos:
+            own = [order for order in ended if order.executor_id == info.executor_id]
+            gone = {order.task for order in own}
+            ledger = self.core.executors_by_id[info.executor_id].runs_by_task
+            running = tuple(ListedRun(task=t, run=r) for t, r in ledger.items() if t not in gone)
+            self.listing(info.executor_id, running, *(self._ended(order) for order in own))
+
+    def _ended(self, order: StartOrder) -> ListedEnd:
+        self._positions[order.executor_id] += 1
+        position = self._positions[order.executor_id]
+        return ListedEnd(position=position, task=order.task, run=order.run, end=RunEnd.DONE)
+
+
+class TestLateGangs:
+    """A wide gang that was past earning anything never started beside a stream of small tasks.
+
+    It goes last and kept no room, and with 90% of the cores in use the room that came free was
+    never enough for all of it at once: nothing in 110 s, however long the stream goes on.
+    """
+
+    def late(self, rig: StreamRig, step: Step, job: str = LAST) -> None:
+        """Hand in a job that earns nothing any more."""
+        rig.submit(make_job(step, job_id=job, submitted_at=rig.wall - 60.0))
+
+    @pytest.mark.parametrize("load", [0.8, 0.95])
+    def test_one_starts_beside_a_stream_of_small_tasks(self, load: float) -> None:
+        rig = StreamRig(executors=16, load=load)
+        rig.play(5.0)
+        self.late(rig, make_step(4, cores=4000, is_gang=True, estimate_s=1.0))
+        rig.play(10.0)
+        assert LAST in rig.started_jobs
+
+    def test_one_that_can_not_start_does_not_stand_before_another(self) -> None:
+        rig = StreamRig(executors=16, load=0.95)
+        rig.play(5.0)
+        self.late(rig, make_step(17, cores=4000, is_gang=True, estimate_s=1.0), "e" * 16)
+        self.late(rig, make_step(4, cores=4000, is_gang=True, estimate_s=1.0))
+        rig.play(10.0)
+        assert LAST in rig.started_jobs
+
+    def test_one_that_is_hardly_late_lets_all_others_go_first(self) -> None:
+        rig = StreamRig(executors=16, load=0.95)
+        rig.play(5.0)
+        gang = make_step(4, cores=4000, is_gang=True, estimate_s=1.0)
+        # Past three times its objective of 3 s by one second.
+        rig.submit(make_job(gang, job_id=LAST, submitted_at=rig.wall - 10.0))
+        rig.play(5.0)
+        assert LAST not in rig.started_jobs
+
+
 class TestTurns:
     def test_a_stream_of_newcomers_keeps_nobody_waiting(self) -> None:
         """Each decision brings as many new ones as it picks, ahead of all others in the line."""
