--- a/src/galenastall/coordination/cell/turns.py
+++ b/src/galenastall/coordination/cell/turns.py
@@ -96,6 +96,15 @@
         """Whether a gang is beyond the limits, and it is not its turn either."""
         return key in self._left_out and key not in self.in_turn
 
+    def note_hopeless(self, key: StepKey) -> None:
+        """Note that a gang would not fit on empty executors either; it is no look at the runs."""
+        self._fruitless.add(key)
+        self._left_out.pop(key, None)
+
+    def is_fruitless(self, key: StepKey) -> bool:
+        """Whether no start was found when it was last looked for."""
+        return key in self._fruitless
+
     def note(self, key: StepKey, *, is_found: bool) -> bool:
         """Count a look; return whether the gang is among the first, which may keep room."""
         is_first = self._is_among_first(key)
