Name the TLS options of the command line before the function that takes them

Cause: tls_options had a signature of 26 lines in front of 8 lines of work, and the three files' options stood in it in one shape.

Change: Tls, CaFile, CertFile and KeyFile are named types of options, as bench_commands has Directory.

--- a/src/galenastall/cli/tls_options.py
+++ b/src/galenastall/cli/tls_options.py
@@ -15,35 +15,41 @@
 _chosen: ContextVar[ClientTls | None] = ContextVar("galenastall_cli_tls", default=None)
 
 
+Tls = Annotated[
+    bool,
+    typer.Option(
+        "--tls",
+        envvar="GALENASTALL_TLS",
+        help="Talk TLS and trust the system's authorities; implied by the other options.",
+    ),
+]
+CaFile = Annotated[
+    Path | None,
+    typer.Option(
+        envvar="GALENASTALL_CA_FILE",
+        help="PEM of the authority that entry hosts' certificates must come from.",
+    ),
+]
+CertFile = Annotated[
+    Path | None,
+    typer.Option(
+        envvar="GALENASTALL_CERT_FILE",
+        help="PEM of the certificate to show, where entry hosts ask for one.",
+    ),
+]
+KeyFile = Annotated[
+    Path | None,
+    typer.Option(envvar="GALENASTALL_KEY_FILE", help="PEM of that certificate's private key."),
+]
+
+
 def tls_options(
     context: typer.Context,
     *,
-    tls: Annotated[
-        bool,
-        typer.Option(
-            "--tls",
-            envvar="GALENASTALL_TLS",
-            help="Talk TLS and trust the system's authorities; implied by the other options.",
-        ),
-    ] = False,
-    ca_file: Annotated[
-        Path | None,
-        typer.Option(
-            envvar="GALENASTALL_CA_FILE",
-            help="PEM of the authority that entry hosts' certificates must come from.",
-        ),
-    ] = None,
-    cert_file: Annotated[
-        Path | None,
-        typer.Option(
-            envvar="GALENASTALL_CERT_FILE",
-            help="PEM of the certificate to show, where entry hosts ask for one.",
-        ),
-    ] = None,
-    key_file: Annotated[
-        Path | None,
-        typer.Option(envvar="GALENASTALL_KEY_FILE", help="PEM of that certificate's private key."),
-    ] = None,
+    tls: Tls = False,
+    ca_file: CaFile = None,
+    cert_file: CertFile = None,
+    key_file: KeyFile = None,
 ) -> None:
     """Keep the options for the command's calls."""
     if not (tls or ca_file or cert_file or key_file):
