--- a/src/galenastall/bench/peer_slopes.py
+++ b/src/galenastall/bench/peer_slopes.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any, Final
 
 import trio
@@ -26,6 +27,11 @@
 BURST: Final = 50
 """Messages sent before the sender waits for the receiver, well below any high-water mark."""
 
+cpu_slope: Final = partial(
+    slope, x_name="beats", y_unit="us of processor time", sizes=(200, 800, 3200)
+)
+bytes_slope: Final = partial(slope, x_name="beats", y_unit="bytes", sizes=(50, 200, 800))
+
 
 def make_beat(sequence: int) -> Beat:
     """Return a beat of ordinary times."""
@@ -63,52 +69,28 @@
     )
 
 
-@slope(
-    "beat-cpu",
-    what="beats sent by one link and taken in by another",
-    x_name="beats",
-    y_unit="us of processor time",
-    sizes=(200, 800, 3200),
-)
+@cpu_slope("beat-cpu", what="beats sent by one link and taken in by another")
 def beat_cpu(count: int) -> float:
     """Measure both sides of so many beats."""
-    return trio.run(_on_links, lambda near, far: _cost_us(near, far, make_beat, count))
+    return trio.run(_on_links, partial(_cost_us, make=make_beat, count=count))
 
 
-@slope(
-    "beat-bytes",
-    what="beats on the wire",
-    x_name="beats",
-    y_unit="bytes",
-    sizes=(50, 200, 800),
-)
+@bytes_slope("beat-bytes", what="beats on the wire")
 def beat_bytes(count: int) -> float:
     """Count bytes as the sending link does, without TCP and IP."""
-    return trio.run(_on_links, lambda near, far: _bytes(near, far, make_beat, count))
+    return trio.run(_on_links, partial(_bytes, make=make_beat, count=count))
 
 
-@slope(
-    "job-beat-cpu",
-    what="job beats sent by one link and taken in by another",
-    x_name="beats",
-    y_unit="us of processor time",
-    sizes=(200, 800, 3200),
-)
+@cpu_slope("job-beat-cpu", what="job beats sent by one link and taken in by another")
 def job_beat_cpu(count: int) -> float:
     """Measure both sides of so many job beats."""
-    return trio.run(_on_links, lambda near, far: _cost_us(near, far, make_job_beat, count))
+    return trio.run(_on_links, partial(_cost_us, make=make_job_beat, count=count))
 
 
-@slope(
-    "job-beat-bytes",
-    what="job beats on the wire",
-    x_name="beats",
-    y_unit="bytes",
-    sizes=(50, 200, 800),
-)
+@bytes_slope("job-beat-bytes", what="job beats on the wire")
 def job_beat_bytes(count: int) -> float:
     """Count bytes as the sending link does, without TCP and IP."""
-    return trio.run(_on_links, lambda near, far: _bytes(near, far, make_job_beat, count))
+    return trio.run(_on_links, partial(_bytes, make=make_job_beat, count=count))
 
 
 class _Sink:
@@ -153,26 +135,26 @@
 
 
 async def _cost_us(
-    near: ZmqPeerLink, sink: _Sink, make: Callable[[int], object], count: int
+    near: ZmqPeerLink, sink: _Sink, *, make: Callable[[int], object], count: int
 ) -> float:
     costs = []
     for _ in range(REPEATS):
         began = time.process_time()
-        await _exchange(near, sink, make, count)
+        await _exchange(near, sink, make=make, count=count)
         costs.append((time.process_time() - began) * 1e6)
     return min(costs)
 
 
 async def _bytes(
-    near: ZmqPeerLink, sink: _Sink, make: Callable[[int], object], count: int
+    near: ZmqPeerLink, sink: _Sink, *, make: Callable[[int], object], count: int
 ) -> float:
     before = near.counters_by_id[FAR].bytes_out
-    await _exchange(near, sink, make, count)
+    await _exchange(near, sink, make=make, count=count)
     return float(near.counters_by_id[FAR].bytes_out - before)
 
 
 async def _exchange(
-    near: ZmqPeerLink, sink: _Sink, make: Callable[[int], object], count: int
+    near: ZmqPeerLink, sink: _Sink, *, make: Callable[[int], object], count: int
 ) -> None:
     for first in range(0, count, BURST):
         wanted = sink.taken + min(BURST, count - first)
