Say once what the capacity lines of beats, times and append spacing share

Cause: lines of wire and processor repeated text and mechanism, and the spacing of appends was worked out in three places.

Ruled out: one function for an append as a whole (append, spacing, gap): the three times count it differently, and the page names what a line rests on in the order in which it is read.

Change: beat_line, job_beat_line and time_line are the decorator with what is shared filled in; append_spacing_s stands with the other rates.

All lines have the same text, value, basis and source (printed and compared); test_capacity passes, docs/CAPACITY.md unchanged.

--- a/src/galenastall/bench/capacity_log_lines.py
+++ b/src/galenastall/bench/capacity_log_lines.py
@@ -1,5 +1,8 @@
 """Lines of the capacity page: the platform's log, and how long things take."""
 
+from functools import partial
+from typing import Final
+
 from galenastall.bench.capacity import (
     IN_FORCE_BUDGET_S,
     LOG_APPENDS_PER_S,
@@ -11,11 +14,14 @@
 from galenastall.bench.capacity_rates import (
     HOUR_S,
     KB,
+    append_spacing_s,
     owned_starts_per_s,
     owned_workers,
     reads_per_s,
 )
 
+time_line: Final = partial(line, role="times", quantity=Quantity.TIME)
+
 
 @line(
     "log-appends",
@@ -58,17 +64,15 @@
     return (groups * model.each("task-ends-bytes") + jobs + changes) / KB
 
 
-@line(
+@time_line(
     "time-urgent-start",
-    role="times",
-    quantity=Quantity.TIME,
     what="an urgent task from acceptance to its start call, owner alive",
     mechanism="append, its reading by the shard's owner, window of appends, decision, one call",
     at_most=URGENT_START_BUDGET_S,
 )
 def time_urgent_start(model: CapacityModel) -> float:
     """Return seconds."""
-    spacing = model.size.entry_hosts / model.assume("append_budget_per_s")
+    spacing = append_spacing_s(model)
     queue = owned_starts_per_s(model) * model.assume("decision_window_s")
     decide = queue * model.at("placement-decision", owned_workers(model)) / 1e6
     wait = model.assume("log_append_s") + spacing + model.assume("decision_window_s")
@@ -76,26 +80,22 @@
     return wait + decide + 2 * model.each("http-call-cpu") / 1e6
 
 
-@line(
+@time_line(
     "time-in-force",
-    role="times",
-    quantity=Quantity.TIME,
     what="a settings change from its sending to being in force everywhere, log up",
     mechanism="append window, append, long poll, fold",
     at_most=IN_FORCE_BUDGET_S,
 )
 def time_in_force(model: CapacityModel) -> float:
     """Return seconds."""
-    spacing = model.size.entry_hosts / model.assume("append_budget_per_s")
+    spacing = append_spacing_s(model)
     delay = 2 * model.assume("one_way_delay_s")
     delay += model.assume("read_gap_s")
     return model.assume("log_append_s") + spacing + delay + model.assume("poll_wait_s")
 
 
-@line(
+@time_line(
     "time-owner-dies",
-    role="times",
-    quantity=Quantity.TIME,
     what="an urgent task that can only run on a dead owner's workers",
     mechanism="suspicion, claim, fencing, wait for both legs, activation, listings",
     at_most=URGENT_START_BUDGET_S,
@@ -103,6 +103,6 @@
 def time_owner_dies(model: CapacityModel) -> float:
     """Return seconds."""
     legs = model.assume("legs_s") * model.assume("clock_rate_factor")
-    spacing = model.size.entry_hosts / model.assume("append_budget_per_s")
+    spacing = append_spacing_s(model)
     appends = 2 * (model.assume("log_append_s") + spacing + model.assume("read_gap_s"))
     return model.assume("suspect_s") + legs + model.assume("flight_s") + appends
--- a/src/galenastall/bench/capacity_member_lines.py
+++ b/src/galenastall/bench/capacity_member_lines.py
@@ -1,5 +1,8 @@
 """Lines of the capacity page: a member among its peers, its callers, and the process itself."""
 
+from functools import partial
+from typing import Final
+
 from galenastall.bench.capacity import CapacityModel, Quantity, line
 from galenastall.bench.capacity_rates import (
     KB,
@@ -8,50 +11,39 @@
     job_beats_sent_per_s,
 )
 
-
-@line(
-    "member-wire",
+beat_line: Final = partial(
+    line,
     role="member",
-    quantity=Quantity.WIRE,
     what="beats to and from all members of the data centre",
     mechanism="ping and vouch for all ownables in one message a peer",
 )
+job_beat_line: Final = partial(
+    line,
+    role="member",
+    what="job beats to and from all members of the data centre",
+    mechanism="capacity summary and validity of assignments in one message a peer",
+)
+
+
+@beat_line("member-wire", quantity=Quantity.WIRE)
 def member_wire(model: CapacityModel) -> float:
     """Return bytes of beats both ways."""
     return 2 * beats_sent_per_s(model) * model.each("beat-bytes") / KB
 
 
-@line(
-    "member-cpu",
-    role="member",
-    quantity=Quantity.CPU,
-    what="beats to and from all members of the data centre",
-    mechanism="ping and vouch for all ownables in one message a peer",
-)
+@beat_line("member-cpu", quantity=Quantity.CPU)
 def member_cpu(model: CapacityModel) -> float:
     """Return processor time of beats; a slope's unit is one beat sent and one taken in."""
     return beats_sent_per_s(model) * model.each("beat-cpu") * US_PER_S_TO_PERCENT
 
 
-@line(
-    "member-job-wire",
-    role="member",
-    quantity=Quantity.WIRE,
-    what="job beats to and from all members of the data centre",
-    mechanism="capacity summary and validity of assignments in one message a peer",
-)
+@job_beat_line("member-job-wire", quantity=Quantity.WIRE)
 def member_job_wire(model: CapacityModel) -> float:
     """Return bytes of job beats both ways."""
     return 2 * job_beats_sent_per_s(model) * model.each("job-beat-bytes") / KB
 
 
-@line(
-    "member-job-cpu",
-    role="member",
-    quantity=Quantity.CPU,
-    what="job beats to and from all members of the data centre",
-    mechanism="capacity summary and validity of assignments in one message a peer",
-)
+@job_beat_line("member-job-cpu", quantity=Quantity.CPU)
 def member_job_cpu(model: CapacityModel) -> float:
     """Return processor time of job beats."""
     return job_beats_sent_per_s(model) * model.each("job-beat-cpu") * US_PER_S_TO_PERCENT
--- a/src/galenastall/bench/capacity_rates.py
+++ b/src/galenastall/bench/capacity_rates.py
@@ -14,6 +14,11 @@
 """Body of the calls that the slope of call bytes was measured with."""
 
 
+def append_spacing_s(model: CapacityModel) -> float:
+    """Return the time between two appends of one entry host within the fleet's budget."""
+    return model.size.entry_hosts / model.assume("append_budget_per_s")
+
+
 def owned_workers(model: CapacityModel) -> float:
     """Return workers of one owner."""
     return model.size.workers_here / model.size.hosts_per_data_centre
