Call the capacity line of the append budget what it is

Cause: the row `log-appends` and its function log_appends gave the budget in the settings, not a measured figure, and their name was near that of the wire's `log-append`.

Ruled out: a measured row: no slope of the fleet's appends is kept.

Value, bound and basis are the same. No test names the row; the one that compares the page with the model holds both in step.

--- a/src/galenastall/bench/capacity_log_lines.py
+++ b/src/galenastall/bench/capacity_log_lines.py
@@ -24,15 +24,15 @@
 
 
 @line(
-    "log-appends",
+    "log-append-budget",
     role="platform's log",
     quantity=Quantity.APPENDS,
-    what="appends of the whole fleet at the peak",
+    what="budget of appends of the whole fleet, whatever the load",
     mechanism="group commit; each host spaces its appends by live hosts / budget",
     at_most=LOG_APPENDS_PER_S,
 )
-def log_appends(model: CapacityModel) -> float:
-    """Return appends a second: the budget, whatever the load."""
+def append_budget(model: CapacityModel) -> float:
+    """Return the most appends a second that settings allow; nothing of it is measured."""
     return model.assume("append_budget_per_s")
 
 
