Write the bench's mixes by class of job, with sizes in cores and GB

Ruled out: one table for both benches (they draw in another order and from other kinds, so all arrivals kept as figures would change); sharing run times and counts of tasks that are equal by chance; tables in YAML (they'd lose the types). The rows that are left alike are data.

Change: urgent, gang and backfill kinds, lookups and the mixes of the small fleet are the class with what is shared filled in; `sized` makes an amount; a kind has a size in place of two numbers; _draw_off draws one error of a declaration.

--- a/src/galenastall/bench/mix_workloads.py
+++ b/src/galenastall/bench/mix_workloads.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from functools import partial
 from math import cos, pi
 from random import Random
 from typing import Final
 
+from galenastall.bench.mixes import sized
 from galenastall.state.hosts import HostKind, ListedHost
 from galenastall.state.ids import DataCentre, HostId, JobId, TaskId, TeamPath
 from galenastall.state.registry import Registry
@@ -36,8 +38,7 @@
     weight: float
     """Share of the offered core-seconds."""
     tasks: tuple[int, int]
-    cores_milli: int
-    memory_mb: int
+    size: Resources
     run_s: tuple[float, float]
     checkpointable: bool = False
     idempotent: bool = True
@@ -79,59 +80,35 @@
 
 MIXES: Final[Registry[Mix]] = Registry(kind="mix")
 
+_urgent: Final = partial(Kind, urgency=Urgency.URGENT)
+_gang: Final = partial(Kind, workload=Workload.GANG)
+_backfill: Final = partial(Kind, urgency=Urgency.BACKFILL, checkpointable=True)
+
 MIXES.register("dongmun")(
     Mix(
         name="dongmun",
-        worker=Resources(cores_milli=64_000, memory_mb=131_072),
+        worker=sized(64, 128),
         services=6,
         load=0.7,
-        service_size=Resources(cores_milli=4000, memory_mb=8192),
+        service_size=sized(4, 8),
         kinds=(
-            Kind(
-                name="pack",
-                urgency=Urgency.URGENT,
-                weight=0.20,
-                tasks=(4, 16),
-                cores_milli=8000,
-                memory_mb=12_288,
-                run_s=(60.0, 300.0),
-            ),
-            Kind(
-                name="preview",
-                urgency=Urgency.URGENT,
-                weight=0.05,
-                tasks=(1, 3),
-                cores_milli=1000,
-                memory_mb=1024,
-                run_s=(2.0, 12.0),
+            _urgent(
+                name="pack", weight=0.20, tasks=(4, 16), size=sized(8, 12), run_s=(60.0, 300.0)
             ),
+            _urgent(name="preview", weight=0.05, tasks=(1, 3), size=sized(1, 1), run_s=(2.0, 12.0)),
             Kind(
                 name="redaction",
                 weight=0.35,
                 tasks=(5, 40),
-                cores_milli=2000,
-                memory_mb=6144,
+                size=sized(2, 6),
                 run_s=(60.0, 600.0),
                 checkpointable=True,
             ),
-            Kind(
-                name="layout",
-                workload=Workload.GANG,
-                weight=0.10,
-                tasks=(4, 8),
-                cores_milli=16_000,
-                memory_mb=16_384,
-                run_s=(60.0, 180.0),
+            _gang(
+                name="layout", weight=0.10, tasks=(4, 8), size=sized(16, 16), run_s=(60.0, 180.0)
             ),
-            Kind(
-                name="archive",
-                urgency=Urgency.BACKFILL,
-                weight=0.30,
-                tasks=(5, 30),
-                cores_milli=12_000,
-                memory_mb=8192,
-                run_s=(300.0, 900.0),
-                checkpointable=True,
+            _backfill(
+                name="archive", weight=0.30, tasks=(5, 30), size=sized(12, 8), run_s=(300.0, 900.0)
             ),
         ),
     )
@@ -140,48 +117,30 @@
 MIXES.register("citeliq")(
     Mix(
         name="citeliq",
-        worker=Resources(cores_milli=16_000, memory_mb=65_536),
+        worker=sized(16, 64),
         services=9,
         load=0.55,
-        service_size=Resources(cores_milli=1000, memory_mb=3072),
+        service_size=sized(1, 3),
         kinds=(
-            Kind(
-                name="thesis",
-                urgency=Urgency.URGENT,
-                weight=0.20,
-                tasks=(1, 6),
-                cores_milli=3000,
-                memory_mb=8192,
-                run_s=(30.0, 180.0),
+            _urgent(
+                name="thesis", weight=0.20, tasks=(1, 6), size=sized(3, 8), run_s=(30.0, 180.0)
             ),
             Kind(
                 name="conversion",
                 weight=0.40,
                 tasks=(5, 30),
-                cores_milli=1000,
-                memory_mb=6144,
+                size=sized(1, 6),
                 run_s=(60.0, 400.0),
                 idempotent=False,
                 checkpointable=True,
             ),
-            Kind(
-                name="merge",
-                workload=Workload.GANG,
-                weight=0.05,
-                tasks=(3, 6),
-                cores_milli=6000,
-                memory_mb=12_288,
-                run_s=(60.0, 180.0),
-            ),
-            Kind(
+            _gang(name="merge", weight=0.05, tasks=(3, 6), size=sized(6, 12), run_s=(60.0, 180.0)),
+            _backfill(
                 name="coursework",
-                urgency=Urgency.BACKFILL,
                 weight=0.35,
                 tasks=(5, 30),
-                cores_milli=5000,
-                memory_mb=10_240,
+                size=sized(5, 10),
                 run_s=(120.0, 600.0),
-                checkpointable=True,
             ),
         ),
     )
@@ -229,7 +188,7 @@
     core_s_per_s = WORKERS * mix.worker.cores_milli / 1000 * load
     for number, kind in enumerate(mix.kinds):
         mean_tasks = sum(kind.tasks) / 2
-        per_job = mean_tasks * kind.cores_milli / 1000 * sum(kind.run_s) / 2
+        per_job = mean_tasks * kind.size.cores_milli / 1000 * sum(kind.run_s) / 2
         rate = core_s_per_s * kind.weight / per_job
         at = 0.0
         count = 0
@@ -247,13 +206,14 @@
     fate = rng.random()
     is_too_large = fate < TOO_LARGE_SHARE
     fails = TOO_LARGE_SHARE <= fate < TOO_LARGE_SHARE + FAILING_SHARE
-    exact = rng.random() < EXACT_SHARE
-    cores_off = 1.0 if exact else MOST_OFF ** rng.uniform(-1.0, 1.0)
-    memory_off = 1.0 if exact else MOST_OFF ** rng.uniform(-1.0, 1.0)
-    run_off = 1.0 if exact else MOST_OFF ** rng.uniform(-1.0, 1.0)
-    size = rng.uniform(0.7, 1.3)
+    is_exact = rng.random() < EXACT_SHARE
+    cores_off = _draw_off(rng, is_exact=is_exact)
+    memory_off = _draw_off(rng, is_exact=is_exact)
+    run_off = _draw_off(rng, is_exact=is_exact)
+    spread = rng.uniform(0.7, 1.3)
     peak = Resources(
-        cores_milli=round(kind.cores_milli * size), memory_mb=round(kind.memory_mb * size)
+        cores_milli=round(kind.size.cores_milli * spread),
+        memory_mb=round(kind.size.memory_mb * spread),
     )
     declared = Resources(
         cores_milli=min(round(peak.cores_milli * cores_off), mix.worker.cores_milli),
@@ -284,3 +244,8 @@
         for index, run_s in enumerate(runs)
     )
     return Arrival(at=at, tasks=tasks, is_too_large=is_too_large)
+
+
+def _draw_off(rng: Random, *, is_exact: bool) -> float:
+    """Draw declared over true, log-uniform between 1 / MOST_OFF and MOST_OFF."""
+    return 1.0 if is_exact else MOST_OFF ** rng.uniform(-1.0, 1.0)
--- a/src/galenastall/bench/mixes.py
+++ b/src/galenastall/bench/mixes.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 from galenastall.state.ids import JobId, TeamPath
@@ -121,6 +122,11 @@
     return [each.spec.job_id for each in rng.sample(arrivals, round(len(arrivals) * share))]
 
 
+def sized(cores: float, memory_gb: float) -> Resources:
+    """Return an amount of whole or parts of cores and GB."""
+    return Resources(cores_milli=round(cores * 1000), memory_mb=round(memory_gb * 1024))
+
+
 def size_error(rng: random.Random) -> float:
     """Draw real over declared, log-uniform between 1 / SIZE_ERROR and SIZE_ERROR."""
     return math.exp(rng.uniform(-math.log(SIZE_ERROR), math.log(SIZE_ERROR)))
@@ -167,21 +173,25 @@
     )
 
 
-def _cores(cores: float, memory_gb: float) -> Resources:
-    return Resources(cores_milli=round(cores * 1000), memory_mb=round(memory_gb * 1024))
-
-
 _DONGMUN_TEAMS: Final = ("board/packs", "board/redaction", "board/previews")
 _CITELIQ_TEAMS: Final = ("cite/students", "cite/supervisors", "cite/libraries")
 
+_lookup: Final = partial(RequestKind, operation="lookup", urgency="urgent", body_bytes=512)
+
+_due: Final = partial(JobKind, urgency=Urgency.URGENT, idempotent=False)
+"""Urgent jobs, whose tasks may be executed once only."""
+_backfill: Final = partial(JobKind, urgency=Urgency.BACKFILL, checkpointable=True)
+_gang: Final = partial(JobKind, workload=Workload.GANG)
 _IMPOSSIBLE: Final = JobKind(
     kind="impossible", weight=10, tasks=(1, 1), resources=Resources(), run_s=5.0, impossible=True
 )
 """A tenth of all jobs asks for more than any worker has."""
 
+_citeliq_mix: Final = partial(Mix, worker_capacity=sized(16, 64), teams=_CITELIQ_TEAMS)
+
 MIXES.register("dongmun")(
     Mix(
-        worker_capacity=_cores(64, 128),
+        worker_capacity=sized(64, 128),
         teams=_DONGMUN_TEAMS,
         requests=(
             RequestKind(
@@ -209,59 +219,33 @@
             ),
         ),
         jobs=(
-            JobKind(
+            _due(
                 kind="full-pack",
                 weight=20,
-                urgency=Urgency.URGENT,
                 tasks=(1, 4),
-                resources=_cores(8, 12),
+                resources=sized(8, 12),
                 run_s=6.0,
                 deadline_s=60.0,
-                idempotent=False,
             ),
             JobKind(
                 kind="redaction",
                 weight=35,
                 tasks=(1, 12),
-                resources=_cores(4, 6),
+                resources=sized(4, 6),
                 run_s=4.0,
                 checkpointable=True,
             ),
-            JobKind(
-                kind="index",
-                weight=25,
-                urgency=Urgency.BACKFILL,
-                tasks=(4, 24),
-                resources=_cores(2, 4),
-                run_s=8.0,
-                checkpointable=True,
-            ),
-            JobKind(
-                kind="render-all",
-                weight=10,
-                workload=Workload.GANG,
-                tasks=(2, 6),
-                resources=_cores(16, 24),
-                run_s=5.0,
-            ),
+            _backfill(kind="index", weight=25, tasks=(4, 24), resources=sized(2, 4), run_s=8.0),
+            _gang(kind="render-all", weight=10, tasks=(2, 6), resources=sized(16, 24), run_s=5.0),
             _IMPOSSIBLE,
         ),
     )
 )
 
 MIXES.register("citeliq")(
-    Mix(
-        worker_capacity=_cores(16, 64),
-        teams=_CITELIQ_TEAMS,
+    _citeliq_mix(
         requests=(
-            RequestKind(
-                operation="lookup",
-                weight=85,
-                urgency="urgent",
-                deadline_ms=2000,
-                body_bytes=512,
-                teams=("cite/students", "cite/supervisors"),
-            ),
+            _lookup(weight=85, deadline_ms=2000, teams=("cite/students", "cite/supervisors")),
             RequestKind(
                 operation="bibliography",
                 weight=10,
@@ -279,68 +263,35 @@
             ),
         ),
         jobs=(
-            JobKind(
+            _due(
                 kind="thesis",
                 weight=15,
-                urgency=Urgency.URGENT,
                 tasks=(1, 2),
-                resources=_cores(2, 4),
+                resources=sized(2, 4),
                 run_s=3.0,
                 deadline_s=30.0,
-                idempotent=False,
             ),
             JobKind(
                 kind="conversion",
                 weight=45,
                 tasks=(2, 16),
-                resources=_cores(1, 3),
+                resources=sized(1, 3),
                 run_s=4.0,
                 idempotent=False,
             ),
-            JobKind(
-                kind="reindex",
-                weight=25,
-                urgency=Urgency.BACKFILL,
-                tasks=(4, 20),
-                resources=_cores(0.5, 2),
-                run_s=6.0,
-                checkpointable=True,
-            ),
-            JobKind(
-                kind="merge",
-                weight=5,
-                workload=Workload.GANG,
-                tasks=(2, 4),
-                resources=_cores(4, 8),
-                run_s=4.0,
-            ),
+            _backfill(kind="reindex", weight=25, tasks=(4, 20), resources=sized(0.5, 2), run_s=6.0),
+            _gang(kind="merge", weight=5, tasks=(2, 4), resources=sized(4, 8), run_s=4.0),
             _IMPOSSIBLE,
         ),
     )
 )
 
 MIXES.register("lookups")(
-    Mix(
-        worker_capacity=_cores(16, 64),
-        teams=_CITELIQ_TEAMS,
-        requests=(
-            RequestKind(
-                operation="lookup",
-                weight=1,
-                urgency="urgent",
-                deadline_ms=4000,
-                body_bytes=512,
-                teams=_CITELIQ_TEAMS,
-            ),
-        ),
-        jobs=(),
-    )
+    _citeliq_mix(requests=(_lookup(weight=1, deadline_ms=4000, teams=_CITELIQ_TEAMS),), jobs=())
 )
 
 MIXES.register("three-classes")(
-    Mix(
-        worker_capacity=_cores(16, 64),
-        teams=_CITELIQ_TEAMS,
+    _citeliq_mix(
         requests=tuple(
             RequestKind(
                 operation=operation,
