Move what a cell's host knows of the others out of Standing

Ruled out: moving the handover itself: it needs term, election and link, so it would be Standing under another name; moving FOLLOWS_S: a test takes it from standing, so the times are handed in.

`leave` stands with the other public methods. A setdefault before an assignment of the same key is gone.

--- a/src/galenastall/node/cell/standing.py
+++ b/src/galenastall/node/cell/standing.py
@@ -1,7 +1,6 @@
 """Who leads, as this host knows it: heartbeats, looks at the store, claims and terms."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, Final
 
 import trio
@@ -11,6 +10,7 @@
 from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.coordination.cell.wait_reasons import WaitReason
+from galenastall.node.cell.heard_hosts import HeardHosts
 from galenastall.node.cell.leader_desk import LeaderDesk
 from galenastall.node.cell.leader_term import LeaderTerm, TermParts
 from galenastall.protocol.cell.config import CellConfig
@@ -33,16 +33,6 @@
 """Looks and claims at a handover; an append of the leader that stops may come in between."""
 
 
-@dataclass(slots=True)
-class _KnownHost:
-    address: str
-    weight: float
-    started_at: float
-    """Leader's time at which its process started."""
-    heard_at: float
-    is_leaving: bool
-
-
 class Standing:
     """Runs the election on this host, and the term when it wins."""
 
@@ -65,7 +55,7 @@
         self._parts = parts
         self._timings = timings
         self._on_newer_config = on_newer_config
-        self._hosts_by_id: dict[HostId, _KnownHost] = {}
+        self._heard = HeardHosts(fit_within_s=HELPER_HEARD_S, follows_within_s=FOLLOWS_S)
         self._addresses_by_host: dict[str, str] = {}
         self._started_at = trio.current_time()
         self._is_leaving = False
@@ -141,23 +131,7 @@
 
     def helpers(self) -> tuple[HostId, ...]:
         """Return the hosts that can be asked to do something for the leader, itself included."""
-        oldest = trio.current_time() - HELPER_HEARD_S
-        known = (
-            host
-            for host, known in self._hosts_by_id.items()
-            if known.heard_at > oldest and not known.is_leaving
-        )
-        return (self._host_id, *known)
-
-    def _has_followers(self) -> bool:
-        """Whether most of the hosts that were ever heard, this one included, follow it now.
-
-        A host stops making itself known here once it hears a newer leader, so a takeover shows
-        after FOLLOWS_S at the latest.
-        """
-        oldest = trio.current_time() - FOLLOWS_S
-        following = 1 + sum(1 for known in self._hosts_by_id.values() if known.heard_at > oldest)
-        return 2 * following > len(self._hosts_by_id) + 1
+        return (self._host_id, *self._heard.fit(trio.current_time()))
 
     async def run(self) -> None:
         """Run the election until cancelled."""
@@ -167,6 +141,30 @@
                 await self._step(nursery)
                 await trio.sleep(TICK_S)
 
+    async def leave(self, patience_s: float) -> None:
+        """Hand the leadership over, if this host has it, and claim no more.
+
+        Waits up to `patience_s` for a slow store: a takeover in the midst of it costs a second.
+        """
+        self._is_leaving = True
+        with trio.move_on_after(patience_s):
+            while self.term is not None and self.term.is_store_slow:
+                await self.term.context.committed.wait()
+        term = self.term
+        if term is None:
+            leader = self._election.leader
+            if leader:
+                self._link.send(peer=HostId(leader), message=self._hello())
+            return
+        successor = self._heard.successor(trio.current_time())
+        term.give_up("this process stops")
+        if successor is not None:
+            self._recorder.record("leader.hands_over", peer=successor)
+            self._link.send(peer=successor, message=TakeOver(token=term.token))
+
+    def _has_followers(self) -> bool:
+        return self._heard.has_followers(trio.current_time())
+
     async def _step(self, nursery: trio.Nursery) -> None:
         if self.term is not None or self._is_leaving:
             return
@@ -205,7 +203,6 @@
             is_orphaned=is_of_this_host and not self._has_claimed,
         )
         if view.leader is not None and view.leader.host_id != self._host_id:
-            self._addresses_by_host.setdefault(view.leader.host_id, view.leader.address)
             self._addresses_by_host[view.leader.host_id] = view.leader.address
             self._apply_addresses()
             self._link.send(peer=HostId(view.leader.host_id), message=self._hello())
@@ -250,8 +247,7 @@
 
     def _beat(self, term: LeaderTerm) -> None:
         config: CellConfig | None = self._parts.config()
-        addresses = {host: known.address for host, known in self._hosts_by_id.items()}
-        addresses[self._host_id] = self._address
+        addresses = {**self._heard.addresses_by_host(), self._host_id: self._address}
         message = Beat(
             token=term.token,
             address=self._address,
@@ -305,13 +301,7 @@
         return None
 
     async def _on_hello(self, sender: HostId, hello: Hello) -> Any:
-        self._hosts_by_id[sender] = _KnownHost(
-            address=hello.address,
-            weight=hello.weight,
-            started_at=trio.current_time() - hello.uptime_s,
-            heard_at=trio.current_time(),
-            is_leaving=hello.is_leaving,
-        )
+        self._heard.on_hello(sender, hello, trio.current_time())
         self._addresses_by_host[str(sender)] = hello.address
         self._apply_addresses()
         return None
@@ -333,33 +323,3 @@
     def _tell_changed(self) -> None:
         event, self.changed = self.changed, trio.Event()
         event.set()
-
-    async def leave(self, patience_s: float) -> None:
-        """Hand the leadership over, if this host has it, and claim no more.
-
-        Waits up to `patience_s` for a slow store: a takeover in the midst of it costs a second.
-        """
-        self._is_leaving = True
-        with trio.move_on_after(patience_s):
-            while self.term is not None and self.term.is_store_slow:
-                await self.term.context.committed.wait()
-        term = self.term
-        if term is None:
-            leader = self._election.leader
-            if leader:
-                self._link.send(peer=HostId(leader), message=self._hello())
-            return
-        successor = self._successor()
-        term.give_up("this process stops")
-        if successor is not None:
-            self._recorder.record("leader.hands_over", peer=successor)
-            self._link.send(peer=successor, message=TakeOver(token=term.token))
-
-    def _successor(self) -> HostId | None:
-        oldest = trio.current_time() - HELPER_HEARD_S
-        fit = [
-            (-known.weight, -known.started_at, host)
-            for host, known in self._hosts_by_id.items()
-            if known.heard_at > oldest and not known.is_leaving
-        ]
-        return min(fit)[-1] if fit else None
