Blame what is to blame, end what goes on for nothing, and bound what is kept

A task that other executors have failed or refused too is to blame itself, and is tried again after pauses of its own. - A refusal as too late, as another life or for its ticket left no trace in the task; one rack was chosen before it was asked which executors are avoided. - A run that stands still closes its executor only if two steps do so there, or nothing else goes on there. - Fillers that the leader has slowed down counted as standing still and their executor as slow. - A member that goes on though its gang is done held its room for good; one that hangs on a draining executor was not looked at; a gang's patience doubled by member instead of by run. - An overdue step kept its room for as long as its advice did not come: it has 10 s now, and the next comes after a pause of 5 s. Single tasks and gangs that take more than half of all room are brought forward too, after 120 s instead of 15 s, since emptying whole executors holds up work that still earns. - A step asks the advisor again with at most two calls open (792 were left waiting after 30 s). - Occurrences of a timed job open up to 4,000 tasks at once, those done are stored as a number; at most a million repetitions. A host that was moved in stays while work of its service waits. Ruled out: keeping the doubled pauses for all refusals; bringing wide gangs forward after 15 s (4 of 24 small tasks missed their objective).

--- a/src/galenastall/coordination/cell/advice.py
+++ b/src/galenastall/coordination/cell/advice.py
@@ -11,6 +11,9 @@
 """A ticket is used only while it is good for longer: an append and a start take some 30 ms."""
 ASK_PATIENCE_S: Final = 2.5
 """How long an unanswered call for advice keeps another one for its step from being made."""
+MOST_REPEATED: Final = 2
+"""Calls of one step without an answer beyond which it makes none again: the desk ends each of them,
+and with hosts that were slow to answer 100 urgent steps left 792 calls waiting after 30 s."""
 ASK_AGAIN_S: Final = 0.15
 """Pause after a call that failed."""
 
@@ -59,7 +62,7 @@
 
     def is_asking(self, now: float) -> bool:
         """Whether a call is under way, or one has just failed."""
-        if now < self.not_before:
+        if now < self.not_before or len(self.open_calls) >= MOST_REPEATED:
             return True
         return any(now - call.asked_at < ASK_PATIENCE_S for call in self.open_calls)
 
--- a/src/galenastall/coordination/cell/doubts.py
+++ b/src/galenastall/coordination/cell/doubts.py
@@ -8,7 +8,8 @@
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.job_runs import StartState, TaskRun
 from galenastall.coordination.cell.mechanisms import Mechanism
-from galenastall.state.cell.jobs import StepKey
+from galenastall.coordination.cell.standstill import LISTINGS_APART_S
+from galenastall.state.cell.jobs import Step, StepKey
 
 FAILURES_IN_A_ROW: Final = 3
 """Failed runs in a row after which an executor is paused; sound ones fail one run in twenty."""
@@ -37,8 +38,10 @@
         """Judge the executors of these tables."""
         self._state = state
 
-    def on_failure(self, executor: Executor) -> None:
-        """Note that a run failed there."""
+    def on_failure(self, executor: Executor, task: TaskRun) -> None:
+        """Note that a run of a task failed there."""
+        if _is_task_to_blame(executor, task):
+            return
         executor.consecutive_failures += 1
         if executor.consecutive_failures >= FAILURES_IN_A_ROW:
             failures = executor.consecutive_failures
@@ -49,21 +52,52 @@
         executor.consecutive_failures = 0
         executor.pauses = 0
 
-    def on_refusal(self, executor: Executor, *, now: float) -> None:
-        """Note that it refused a start for want of health or room: each costs its gang a run."""
+    def on_refusal(self, executor: Executor, task: TaskRun, *, now: float) -> None:
+        """Note that it refused a start for want of health or room.
+
+        Starts that left together are refused together, and a longer pause stays as it is.
+        """
+        if _is_task_to_blame(executor, task):
+            first_s = self._state.timings.refused_pause_s
+            task.not_before = now + _doubled_s(first_s, len(task.avoided))
+            return
+        if executor.paused_until > now:
+            return
         pause_s = _doubled_s(self._state.timings.refused_pause_s, executor.refusals)
         executor.refusals += 1
         executor.paused_until = now + pause_s
 
+    def on_start_late(self, executor: Executor, *, now: float) -> None:
+        """Note that a start came too late for it, or for another life."""
+        pause_s = self._state.timings.refused_pause_s
+        executor.paused_until = max(executor.paused_until, now + pause_s)
+
     def on_start_taken(self, executor_id: str) -> None:
         """Note that it took a start."""
         executor = self._state.executors_by_id.get(executor_id)
         if executor is not None:
             executor.refusals = 0
 
-    def on_standstill(self, executor: Executor) -> None:
-        """Note that a run made no progress there."""
-        self._pause(executor, "a run stands still")
+    def on_standstill(self, executor: Executor, step: StepKey) -> None:
+        """Note that a run of a step made no progress there.
+
+        While other runs there go on, one step that stands still may do so by its nature; four tasks
+        of one closed four sound executors. Two steps do not.
+        """
+        executor.still_steps.add(step)
+        if len(executor.still_steps) > 1 or not self._goes_on(executor):
+            executor.still_steps.clear()
+            self._pause(executor, "a run stands still")
+
+    def _goes_on(self, executor: Executor) -> bool:
+        """Whether a run there has made progress lately."""
+        for key in executor.runs_by_task:
+            found = self._state.find(key)
+            if found is None or not found[2].has_gained:
+                continue
+            if self._state.now - found[2].percent_at < LISTINGS_APART_S:
+                return True
+        return False
 
     def slow_executors(self) -> list[Executor]:
         """Return the executors that are much slower than most, and pause them."""
@@ -82,7 +116,7 @@
         for executor_id, executor in self._state.executors_by_id.items():
             for key in executor.runs_by_task:
                 found = self._state.find(key)
-                if found is None or found[1].step.is_gang or found[1].step.is_long_running:
+                if found is None or not _is_compared(found[1].step):
                     continue
                 gain = _gain_a_second(found[2])
                 if gain is not None:
@@ -109,11 +143,24 @@
         )
 
 
+def _is_task_to_blame(executor: Executor, task: TaskRun) -> bool:
+    """Whether other executors, too, have failed or refused a task: the fault may be its own.
+
+    One task that fails or is refused wherever it goes closed all executors, one after the other.
+    """
+    return bool(task.avoided - {executor.executor_id})
+
+
 def _doubled_s(first_s: float, times: int) -> float:
     """Return a pause that has been doubled so many times, the longest one at most."""
     return min(first_s * 2.0 ** min(times, MOST_DOUBLINGS), LONGEST_PAUSE_S)
 
 
+def _is_compared(step: Step) -> bool:
+    """Whether the pace of a step's runs is their own: gangs wait, and fillers are slowed down."""
+    return not (step.is_gang or step.is_long_running or step.is_filler)
+
+
 def _gain_a_second(task: TaskRun) -> float | None:
     """Return the percent of its work that a run does in a second; None while it can't be told."""
     if task.state is not StartState.STARTED or task.first_seen_at is None:
--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -4,7 +4,7 @@
 from enum import Enum, StrEnum, auto
 
 from galenastall.coordination.cell.lease_clock import LeaseClock
-from galenastall.state.cell.jobs import TaskKey
+from galenastall.state.cell.jobs import StepKey, TaskKey
 from galenastall.state.resources import Resources
 
 
@@ -87,6 +87,8 @@
         self.consecutive_failures = 0
         self.pauses = 0
         """Pauses since the last run that was done here."""
+        self.still_steps: set[StepKey] = set()
+        """Steps of which a run stood still there since its last pause for that."""
         self.refusals = 0
         """Starts that it refused since it last took one."""
         self._leaves_at: float | None = None
--- a/src/galenastall/coordination/cell/fitting.py
+++ b/src/galenastall/coordination/cell/fitting.py
@@ -50,14 +50,23 @@
     usable: list[Executor], step: StepRun, count: int, plan: RoomPlan
 ) -> list[Executor] | None:
     """Return an executor for each member, on one rack if that is wanted and possible."""
-    if step.step.wants_one_rack:
-        for rack in sorted({e.info.rack for e in usable}):
-            chosen = _fill([e for e in usable if e.info.rack == rack], step, count, plan)
+    if not step.step.wants_one_rack:
+        return _fill(usable, step, count, plan)
+    avoided = _avoided(step)
+    sound = [e for e in usable if e.executor_id not in avoided]
+    # A rack that holds the gang without executors that it avoids goes before the first that fits.
+    for candidates in (sound, usable) if avoided else (usable,):
+        for rack in sorted({e.info.rack for e in candidates}):
+            chosen = _fill([e for e in candidates if e.info.rack == rack], step, count, plan)
             if chosen is not None:
                 return chosen
     return _fill(usable, step, count, plan)
 
 
+def _avoided(step: StepRun) -> frozenset[str]:
+    return frozenset[str]().union(*(task.avoided for task in step.tasks))
+
+
 def _fill(
     usable: list[Executor], step: StepRun, count: int, plan: RoomPlan
 ) -> list[Executor] | None:
@@ -68,7 +77,7 @@
     if fitting < count:
         plan.lacking = count - fitting
         return None
-    avoided = frozenset[str]().union(*(task.avoided for task in step.tasks))
+    avoided = _avoided(step)
 
     def preference(executor: Executor) -> Preference:
         return _preference(executor, step, plan, is_avoided=executor.executor_id in avoided)
--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -171,17 +171,32 @@
         for executor in list(self._state.executors_by_id.values()):
             for key in list(executor.runs_by_task):
                 found = self._state.find(key)
-                if found is None or found[0].has_ended or found[1].is_done:
+                if found is None or found[2].is_stopping:
                     continue
-                task = found[2]
-                if task.is_stopping or task.state is not StartState.STARTED:
+                job, step, task = found
+                if task.state is not StartState.STARTED:
                     continue
-                if executor.info.is_draining:
-                    self._move_if_it_ends_late(executor, task, now)
-                elif not found[1].step.is_long_running:
-                    self._move_if_still(executor, found[1], task)
-                    if executor.executor_id in slow_ids:
-                        self._move_if_worth_it(found[1], task, now)
+                if step.is_done:
+                    self._stop_if_left_over(step, task)
+                elif not job.has_ended:
+                    self._judge(executor, step, task, now, is_slow=executor.executor_id in slow_ids)
+
+    def _judge(
+        self, executor: Executor, step: StepRun, task: TaskRun, now: float, *, is_slow: bool
+    ) -> None:
+        if executor.info.is_draining:
+            self._move_if_it_ends_late(executor, task, now)
+        if step.step.is_long_running:
+            return
+        self._move_if_still(executor, step, task)
+        if is_slow:
+            self._move_if_worth_it(step, task, now)
+
+    def _stop_if_left_over(self, step: StepRun, task: TaskRun) -> None:
+        """Stop a member that goes on though its gang is done: it would hold its room for good."""
+        if task.listed_at > step.done_at + STILL_S:
+            cause = f"its gang was done {STILL_S:g} s before"
+            self._ends.stop(task, rule=StopRule.MEMBER_ENDED, cause=cause)
 
     def _move_if_it_ends_late(self, executor: Executor, task: TaskRun, now: float) -> None:
         leaves_at = executor.leaves_at(now)
@@ -200,7 +215,7 @@
         if still_s < STILL_S or still_s < patience_s(step, task):
             return
         if is_executor_to_blame(step, task):
-            self._doubts.on_standstill(executor)
+            self._doubts.on_standstill(executor, step.key)
         self._ends.give_up(task, cause=f"no progress for {still_s:.1f} s at {task.percent}%")
 
     def _move_if_worth_it(self, step: StepRun, task: TaskRun, now: float) -> None:
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -11,6 +11,9 @@
 from galenastall.state.cell.phases import ENDED_PHASES, JobPhase, TaskPhase
 from galenastall.state.cell.rows import ProgressRow, TaskRow
 
+MOST_OPEN_TASKS: Final = 4_000
+"""Tasks of a timed job's occurrences that are open at once; later ones wait. The progress of all is
+one row, of up to 63 bytes a task, and stores take some 256 KiB."""
 WHOLE_PERCENT: Final = 100
 """What the progress of a run that is done would be."""
 
@@ -48,6 +51,7 @@
         "key",
         "known_seq",
         "listed_at",
+        "not_before",
         "pace_percent",
         "pace_sent_at",
         "pace_sent_percent",
@@ -93,6 +97,9 @@
         self.avoided: frozenset[str] = frozenset()
         """Executors that failed or refused runs of it, or where one stood still; others are tried
         first."""
+        self.not_before = float("-inf")
+        """Leader's time before which it is not tried again: executors have refused it one after the
+        other."""
         self.is_given_up = False
         """Whether its last run was stopped for standing still."""
         self.given_up_runs = 0
@@ -130,6 +137,18 @@
         elif percent > self.percent:
             self.percent = percent
             self.percent_at = now
+        elif self.is_slowed_down:
+            self.percent_at = now
+
+    @property
+    def is_slowed_down(self) -> bool:
+        """Whether it works, or is to work, at a pace that the leader has ordered."""
+        return min(self.pace_percent, self.pace_sent_percent) < WHOLE_PERCENT
+
+    @property
+    def has_gained(self) -> bool:
+        """Whether progress was seen since its first listing."""
+        return self.percent > self.first_percent
 
     def avoid(self, executor_id: str) -> None:
         """Have its next runs tried elsewhere first."""
@@ -165,6 +184,8 @@
         self.step = step
         self.tasks = [TaskRun(key=TaskKey(*key, index)) for index in range(step.count)]
         self.is_done = False
+        self.done_at = float("-inf")
+        """Leader's time at which a gang was done; an earlier leader's is not known."""
         self.gang_failures = 0
         self.failed_run = 0
         """The last run of a gang that was counted as failed."""
@@ -178,6 +199,14 @@
         """Return the tasks that have no run now."""
         return [task for task in self.tasks if task.phase is TaskPhase.WAITING]
 
+    def share_given_up(self) -> None:
+        """Count a gang's run as given up for all members, whichever of them stood still."""
+        before = max(task.given_up_runs for task in self.tasks)
+        given_up_runs = before + int(any(task.is_given_up for task in self.tasks))
+        for task in self.tasks:
+            task.given_up_runs = given_up_runs
+            task.is_given_up = False
+
     def share_checkpoint(self) -> None:
         """Give all members of a gang the newest checkpoint of any of them.
 
@@ -241,7 +270,10 @@
         self.occurrences_opened = 0
         self.occurrences_by_number: dict[int, Occurrence] = {}
         self.done_occurrences: set[int] = set()
-        """Numbers of occurrences of a timed job that are done and forgotten."""
+        """Numbers of occurrences of a timed job that are done and forgotten, but those that follow
+        `done_before`."""
+        self.done_before = 0
+        """All occurrences with lower numbers are done and forgotten."""
 
     @property
     def has_ended(self) -> bool:
@@ -282,8 +314,15 @@
             due = self.next_due()
             if due is None or (self.job.recurrence is not None and due > wall):
                 return opened
+            if self.occurrences_by_number and not self._has_place_for_another():
+                return opened
             opened.append(self._open(due))
 
+    def _has_place_for_another(self) -> bool:
+        """Whether the tasks of one more occurrence fit into the row beside those that are open."""
+        tasks = sum(step.count for step in self.job.steps)
+        return (len(self.occurrences_by_number) + 1) * tasks <= MOST_OPEN_TASKS
+
     def _open(self, due: float) -> Occurrence:
         number = self.occurrences_opened
         occurrence = Occurrence(job=self.job, number=number, begins_at=due, queue=self.queue)
@@ -324,6 +363,12 @@
             if occurrence.is_done and idle:
                 self.done_occurrences.add(number)
                 del self.occurrences_by_number[number]
+        self._fold_done()
+
+    def _fold_done(self) -> None:
+        while self.done_before in self.done_occurrences:
+            self.done_occurrences.remove(self.done_before)
+            self.done_before += 1
 
     def forget_tasks(self) -> None:
         """Forget the tasks and the payload of a job that has ended; some 10 KB a job."""
@@ -333,6 +378,7 @@
 
     def row(self) -> ProgressRow:
         """Return what must be durable of its progress."""
+        self._fold_done()
         if self.has_ended:
             tasks: tuple[TaskRow, ...] = ()
         else:
@@ -345,6 +391,7 @@
             done_occurrences=tuple(sorted(self.done_occurrences)),
             ended_at=self.ended_at,
             tasks=tasks,
+            done_before=self.done_before,
         )
 
     def restore(self, row: ProgressRow, *, wall: float) -> None:
@@ -353,6 +400,7 @@
         self.phase = self.shown_phase = row.phase
         self.has_started = row.has_started
         self.ended_at = row.ended_at
+        self.done_before = self.occurrences_opened = row.done_before
         while self.occurrences_opened < row.occurrences_opened:
             due = self.next_due()
             self._open(wall if due is None else due)
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -104,10 +104,10 @@
             self._ends.stop(task, rule=StopRule.REFUSED_LATER, cause=cause)
             return
         executor = self._state.executors_by_id.get(order.executor_id)
-        if executor is not None and outcome is StartOutcome.UNHEALTHY:
-            self._doubts.on_refusal(executor, now=now)
-        elif executor is not None and outcome is not StartOutcome.NO_TICKET:
-            executor.paused_until = now + self._state.timings.refused_pause_s
+        if executor is not None and task is not None and outcome is StartOutcome.UNHEALTHY:
+            self._doubts.on_refusal(executor, task, now=now)
+        elif executor is not None and outcome is StartOutcome.NOT_STARTED:
+            self._doubts.on_start_late(executor, now=now)
         if outcome is StartOutcome.NO_TICKET:
             self._advice.drop_ticket(order.task.step_key, order.executor_id)
         self._state.note(
@@ -116,7 +116,7 @@
             cause=outcome.value,
             fields={"run": str(order.run), "executor": order.executor_id},
         )
-        if task is not None and outcome is StartOutcome.UNHEALTHY:
+        if task is not None:
             # A gang would be placed by the same best fit, and refused, as often as it is tried.
             task.avoid(order.executor_id)
         self._ends.apply(order.task, order.run, RunEnd.NEVER_STARTED, wall=wall)
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -13,11 +13,12 @@
 from galenastall.coordination.cell.job_runs import TaskRun
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.room_plan import PlannedStart, RoomPlan, could_hold
-from galenastall.coordination.cell.turns import GangTurns, StepTurns
+from galenastall.coordination.cell.turns import GangTurns, OverdueTurns, StepTurns
 from galenastall.coordination.cell.wait_reasons import WaitReason, why_not_gang, why_not_singles
 from galenastall.coordination.cell.wait_sight import WaitSight
 from galenastall.coordination.cell.waiting_line import WaitingLine, WaitingStep
 from galenastall.state.cell.jobs import StepKey
+from galenastall.state.resources import NOTHING, Resources
 
 TICKETED_SOON_S: Final = 1.5
 """A start as near as this is planned where tickets are: they last for 2.5 s, a call takes 1 s."""
@@ -46,7 +47,8 @@
         self._answered: set[StepKey] = set()
         """Steps for which advice came since the last decision."""
         self._overdue: StepKey | None = None
-        """The gang that this decision brings forward."""
+        """The step that this decision brings forward."""
+        self._overdue_turns = OverdueTurns()
 
     def note_answer(self, step: StepKey) -> None:
         """Have the next decision look at a step: with many ahead tickets don't last for a turn."""
@@ -66,7 +68,7 @@
 
     def _looked_at(self, usable: "_Usable", now: float, wall: float) -> list[LookedAt]:
         """Return the steps to look at, in their order, with the executors that may host each."""
-        line = self._bring_forward(self._hosted(usable, now, wall))
+        line = self._bring_forward(self._hosted(usable, now, wall), usable, now)
         chosen = self._step_turns.choose([waiting.step.key for waiting, _ in line])
         chosen |= self._gang_turns.in_turn | self._answered
         self._answered.clear()
@@ -83,20 +85,23 @@
                 self.sight.note(waiting.step.key, WaitReason.NONE_OPEN)
         return line
 
-    def _bring_forward(self, line: list[LookedAt]) -> list[LookedAt]:
-        """Put one overdue gang that may start before all that is neither urgent nor overdue."""
-        overdue = next((pair for pair in line if self._may_bring_forward(pair[0])), None)
-        self._overdue = overdue[0].step.key if overdue is not None else None
+    def _bring_forward(self, line: list[LookedAt], usable: "_Usable", now: float) -> list[LookedAt]:
+        """Put one overdue step before all that is not urgent, unless the last look was in vain."""
+        overdue_keys = [
+            waiting.step.key
+            for waiting, _ in line
+            if waiting.is_worthless
+            and waiting.is_overdue(usable.total(waiting))
+            and not self._gang_turns.is_fruitless(waiting.step.key)
+        ]
+        self._overdue = self._overdue_turns.choose(overdue_keys, now=now)
+        overdue = next((pair for pair in line if pair[0].step.key == self._overdue), None)
         if overdue is None:
             return line
         others = [pair for pair in line if pair is not overdue]
         ahead = list(takewhile(lambda pair: pair[0].is_urgent and not pair[0].is_worthless, others))
         return [*ahead, overdue, *others[len(ahead) :]]
 
-    def _may_bring_forward(self, waiting: WaitingStep) -> bool:
-        """Whether a gang is overdue and the last look at it was not in vain."""
-        return waiting.is_overdue and not self._gang_turns.is_fruitless(waiting.step.key)
-
     def _open_executors(self, now: float) -> list[Executor]:
         timings = self._state.timings
         return [
@@ -108,14 +113,17 @@
         ]
 
     def _place(self, waiting: WaitingStep, usable: OpenExecutors) -> None:
-        tasks = waiting.step.waiting()
-        if not waiting.step.step.is_gang:
-            self._place_singly(waiting, tasks, usable)
-        elif len(tasks) == waiting.step.step.count:
-            # With fewer, members of its last run are still ending.
+        waits = waiting.step.waiting()
+        tasks = [task for task in waits if task.not_before <= waiting.now]
+        is_gang = waiting.step.step.is_gang
+        if is_gang and len(waits) < waiting.step.step.count:
+            self.sight.note(waiting.step.key, WaitReason.LAST_RUN_ENDING)
+        elif not tasks or (is_gang and len(tasks) < len(waits)):
+            self.sight.note(waiting.step.key, WaitReason.REFUSED)
+        elif is_gang:
             self._place_gang(waiting, tasks, usable)
         else:
-            self.sight.note(waiting.step.key, WaitReason.LAST_RUN_ENDING)
+            self._place_singly(waiting, tasks, usable)
 
     def _place_singly(
         self, waiting: WaitingStep, tasks: list[TaskRun], usable: OpenExecutors
@@ -208,6 +216,7 @@
             return False
         run = waiting.step.highest_run + 1
         waiting.step.share_checkpoint()
+        waiting.step.share_given_up()
         for task, executor in zip(tasks, chosen, strict=True):
             self._assign(waiting, task, executor, run)
         self._state.refresh_waiting(waiting.job)
@@ -245,6 +254,7 @@
     def __init__(self, executors: list[Executor]) -> None:
         self._executors = executors
         self._by_requirement: dict[tuple[str, str], OpenExecutors] = {}
+        self._total_by_requirement: dict[tuple[str, str], Resources] = {}
 
     def by(self, waiting: WaitingStep) -> OpenExecutors:
         """Return the executors that may host a step."""
@@ -256,6 +266,15 @@
             self._by_requirement[requirement] = usable
         return usable
 
+    def total(self, waiting: WaitingStep) -> Resources:
+        """Return what the executors that may host a step have together."""
+        requirement = (waiting.queue.service, waiting.step.step.label)
+        total = self._total_by_requirement.get(requirement)
+        if total is None:
+            capacities = (e.info.capacity for e in self.by(waiting).values())
+            total = self._total_by_requirement[requirement] = sum(capacities, NOTHING)
+        return total
+
 
 def _ticketed(usable: OpenExecutors, waiting: WaitingStep) -> list[Executor]:
     """Return the executors on which a step may start now."""
--- a/src/galenastall/coordination/cell/pools.py
+++ b/src/galenastall/coordination/cell/pools.py
@@ -1,6 +1,6 @@
 """Moves hosts that are off into services that lack room, and back when they are not needed."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Final
 
 from galenastall.coordination.cell.cell_state import CellState
@@ -58,9 +58,10 @@
         if not self._standby or not self._hosts_by_id:
             return
         self._note_waits(now)
-        for service, step in self._short_services(now).items():
+        short = self._short_services(now)
+        for service, step in short.items():
             self._grow(service, step, now)
-        self._shrink(now)
+        self._shrink(now, short)
 
     def _note_waits(self, now: float) -> None:
         for key in self._waits_since.keys() - self._state.waiting_steps:
@@ -92,11 +93,12 @@
             self._move(MoveRow(host=host.host, home=host.pool, pool=service), "tasks wait for room")
             return
 
-    def _shrink(self, now: float) -> None:
+    def _shrink(self, now: float, short: Collection[str]) -> None:
+        """Give a host back, unless work of its service waits, which might need it."""
         for host, row in list(self._moves_by_host.items()):
             if not row.is_settled or row.pool == row.home:
                 continue
-            if not self._is_load_low(row.pool, now):
+            if not self._is_load_low(row.pool, now, is_short=row.pool in short):
                 continue
             executor = self._state.executor_on(host)
             if executor is None:
@@ -108,11 +110,11 @@
                 self._move(back, "its service has room without it")
             return
 
-    def _is_load_low(self, service: str, now: float) -> bool:
+    def _is_load_low(self, service: str, now: float, *, is_short: bool) -> bool:
         executors = [e for e in self._state.executors_by_id.values() if e.info.service == service]
         total = sum(e.info.capacity.cores_milli for e in executors)
         free = sum(e.free.cores_milli for e in executors)
-        if not total or 1.0 - free / total >= LOW_LOAD:
+        if is_short or not total or 1.0 - free / total >= LOW_LOAD:
             self._low_since.pop(service, None)
             for executor in executors:
                 executor.cordons.discard(Cordon.POOL)
--- a/src/galenastall/coordination/cell/run_ends.py
+++ b/src/galenastall/coordination/cell/run_ends.py
@@ -55,8 +55,8 @@
 
     def _judge(self, executor: Executor, task: TaskRun, end: RunEnd) -> None:
         if end is RunEnd.FAILED:
+            self._doubts.on_failure(executor, task)
             task.avoid(executor.executor_id)
-            self._doubts.on_failure(executor)
         elif end is RunEnd.DONE:
             self._doubts.on_success(executor)
 
@@ -94,6 +94,7 @@
     def _on_done(self, job: JobRun, step: StepRun, *, wall: float) -> None:
         if step.step.is_gang:
             step.is_done = True
+            step.done_at = self._state.now
             for member in step.waiting():
                 member.phase = TaskPhase.DONE
         if not step.check_done():
--- a/src/galenastall/coordination/cell/turns.py
+++ b/src/galenastall/coordination/cell/turns.py
@@ -22,6 +22,12 @@
 """Gangs beyond these limits for which a start is looked for in turn: without one their tickets are
 not renewed."""
 
+OVERDUE_TURN_S: Final = 10.0
+"""For how long one overdue step is brought forward: a step that may start does so in 2 s beside a
+stream of small tasks on 95% of the cores."""
+OVERDUE_PAUSE_S: Final = 5.0
+"""Between two turns of overdue steps, for work that still earns something."""
+
 
 class Turns:
     """Picks some keys at a time, those first that have waited longest for it."""
@@ -56,6 +62,35 @@
         return frozenset(line[:first]) | self._turns.pick(line[first:])
 
 
+class OverdueTurns:
+    """Chooses the one overdue step that is brought forward.
+
+    It has its turn for a while only, since it may wait for advice that does not come; one without
+    tickets kept three of four executors empty. The next begins after a pause.
+    """
+
+    def __init__(self) -> None:
+        """Begin with nobody's turn."""
+        self._turn: StepKey | None = None
+        self._until = float("-inf")
+        self._next_at = float("-inf")
+        self._had_turn: dict[StepKey, None] = {}
+
+    def choose(self, overdue: Sequence[StepKey], *, now: float) -> StepKey | None:
+        """Return the step whose turn it is; `overdue` are those that may start, in their order."""
+        if self._turn is not None and (self._turn not in overdue or now >= self._until):
+            self._had_turn[self._turn] = None
+            self._turn = None
+            self._next_at = now + OVERDUE_PAUSE_S
+        if self._turn is None and overdue and now >= self._next_at:
+            self._had_turn = {key: None for key in self._had_turn if key in overdue}
+            others = [key for key in overdue if key not in self._had_turn]
+            self._turn = others[0] if others else next(iter(self._had_turn))
+            self._had_turn.pop(self._turn, None)
+            self._until = now + OVERDUE_TURN_S
+        return self._turn
+
+
 class GangTurns:
     """Chooses the gangs for which a decision looks for a start.
 
--- a/src/galenastall/coordination/cell/wait_reasons.py
+++ b/src/galenastall/coordination/cell/wait_reasons.py
@@ -24,6 +24,8 @@
     """No executor of its service and label takes new work."""
     LAST_RUN_ENDING = "last_run_ending"
     """Members of its gang's last run have not ended."""
+    REFUSED = "refused"
+    """Executors have refused its tasks one after the other; it is tried again after a pause."""
     NOT_PLANNED = "not_planned"
     """It is beyond the gangs for which one decision plans, so its tickets are not renewed."""
     ADVICE_ASKED = "advice_asked"
--- a/src/galenastall/coordination/cell/waiting_line.py
+++ b/src/galenastall/coordination/cell/waiting_line.py
@@ -9,13 +9,18 @@
 from galenastall.coordination.cell.mechanisms import ALL_ON, Mechanism, Without
 from galenastall.coordination.cell.objectives import lateness_rank, worthless_at
 from galenastall.state.cell.jobs import Queue, StepKey
+from galenastall.state.resources import Resources
 
 URGENT_PRIORITY: Final = 0
 WORTHLESS_RANK: Final = 2
 """Rank of what is so late that it earns nothing more; it runs when nothing else wants the room."""
 LATE_PATIENCE_S: Final = 15.0
-"""A gang that has earned nothing for longer is brought forward, one at a time: beside a stream of
-small tasks on 90% of the cores it did not start in 110 s, and brought forward it did in 2 s."""
+"""A gang that has earned nothing for longer is brought forward, one step at a time: beside a stream
+of small tasks on 90% of the cores it did not start in 110 s; brought forward it did in 2 s."""
+HEAVY_PATIENCE_S: Final = 120.0
+"""The same for gangs that take more than half of all room, and for single tasks, which may need
+whole executors: room for these is emptied for as long as the longest run takes, at the cost of work
+that still earns. Ten gangs as wide as the cell made 55 of 199 small tasks 3 s late."""
 
 OrderKey = tuple[int, int, int, float, StepKey]
 
@@ -46,12 +51,16 @@
         """Whether it is so late that it earns nothing more."""
         return self.rank >= WORTHLESS_RANK
 
-    @property
-    def is_overdue(self) -> bool:
-        """Whether it is a gang that waited so long for others that its own turn has come."""
-        if not self.step.step.is_gang or self.worthless_s <= LATE_PATIENCE_S:
+    def is_overdue(self, total: Resources) -> bool:
+        """Whether it may start, and earns nothing for so long, that its own turn has come.
+
+        `total` is what all executors that may host it have.
+        """
+        step = self.step.step
+        if step.is_gang and len(self.step.waiting()) < step.count:
             return False
-        return len(self.step.waiting()) == self.step.step.count
+        is_light = step.is_gang and step.need.times(2 * step.count).fits_in(total)
+        return self.worthless_s > (LATE_PATIENCE_S if is_light else HEAVY_PATIENCE_S)
 
     def ticket(self, executor_id: str) -> str | None:
         """Return a ticket for the executor; empty where none is needed, None where one is."""
--- a/src/galenastall/platform/submissions.py
+++ b/src/galenastall/platform/submissions.py
@@ -15,6 +15,8 @@
 TASKS_AT_MOST: Final = 4_000
 """Tasks of one job; far above what callers send. Its progress is one row of up to 63 bytes a task,
 and the store takes records of 256 KiB."""
+REPETITIONS_AT_MOST: Final = 1_000_000
+"""Times that a job runs: one each second for eleven days."""
 _STEP: Final = "job.decode"
 
 
@@ -118,6 +120,8 @@
         return f"specification: at most {PAYLOAD_LIMIT_BYTES} bytes, got {size}"
     if not wire.steps:
         return "steps: expected at least one, got []"
+    if wire.repetitions > REPETITIONS_AT_MOST:
+        return f"repetitions: at most {REPETITIONS_AT_MOST}, got {wire.repetitions}"
     if wire.repetitions > 0 and wire.interval_ms < 0:
         return f"intervalMs: expected 0 or more, got {wire.interval_ms}"
     for index, step in enumerate(wire.steps):
--- a/src/galenastall/state/cell/rows.py
+++ b/src/galenastall/state/cell/rows.py
@@ -47,10 +47,12 @@
     has_started: bool = False
     occurrences_opened: int = 0
     done_occurrences: tuple[int, ...] = ()
-    """Numbers of a timed job's occurrences that are done; their tasks are left out."""
+    """Numbers of a timed job's other occurrences that are done; their tasks are left out."""
     ended_at: float = 0.0
     """Wall time in seconds of its end; 0 while it goes on."""
     tasks: tuple[TaskRow, ...] = ()
+    done_before: int = 0
+    """All occurrences with lower numbers are done; they are not named one by one."""
 
 
 class Rows(msgspec.Struct, frozen=True, kw_only=True):
