Show that hosts that cannot look at the store never learn of a new leader

A host learns of a leader from its heartbeats, which go to the hosts that the leader knows of, or from the store. A leader that has just started knows of nobody; hosts that are cut off from the store, and hosts that stop and so no longer look, go on asking the leader before it.

Ruled out: links between the hosts (they heard the leader of 27.41 at once), the store (other hosts reached it), the balancer (it uses all hosts of a data centre if fewer than half are ready).

--- /dev/null
+++ b/tests/test_cell_cut_off.py
@@ -0,0 +1,98 @@
+"""Hosts that part of the cell can't reach, and how they learn who leads."""
+
+from random import Random
+
+import trio
+
+from cell.cluster import Cluster, make_job
+from cell.play import play
+from cell.world import World
+from galenastall.protocol.cell.messages import SubmitVerdict
+
+FIRST, OTHER, FRESH = "entry-0", "entry-1", "entry-2"
+SOON_S = 1.5
+"""By then a host has noticed that its leader is silent, asked, and heard the other one."""
+
+
+async def _let_fresh_host_take_over(cluster: Cluster, world: World) -> None:
+    """Have a host that has just started, and knows of no host but the leader, lead instead."""
+    assert await cluster.wait_for_leader() == FIRST
+    await trio.sleep(1.5)
+    cluster.kill(FRESH)
+    world.faults.cut.add((FIRST, FRESH))
+    await cluster.start(FRESH)
+    await trio.sleep(0.5)
+    world.faults.cut.add((FIRST, "store"))
+    await cluster.wait_for_other_leader(FIRST)
+    assert cluster.leader == FRESH
+
+
+class TestNewsOfALeader:
+    """Hosts that can't or won't look at the store still have to learn of a new leader.
+
+    Five hosts were cut off from the store, and only from it. The leader was one of them, and a host
+    took over that had started 0.4 s before and knew of no host but the leader. All others looked at
+    the store and made themselves known to it. These five, and eight hosts that were stopping and so
+    did not look, went on asking the host that led before, for up to 5 s:
+
+        27.45 leader.heard by the host cut off, peer=the second leader
+        28.02 leader.claimed by the host that had just started
+        28.16 leader.lost on the second leader, cause=the new one leads with a higher token
+        28.70 to 33.2 job.refused by the host cut off, verdict=unknown
+        33.26 leader.heard by the host cut off, once the store was back
+
+    They refused 221 submissions in these seconds, after 0.4 to 1.8 s each, while 503 were accepted.
+    Four of the hosts were half of a data centre's, and its callers lost the most.
+    """
+
+    async def test_a_host_that_can_not_reach_the_store_follows_a_leader_that_does_not_know_it(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            await cluster.wait_for_leader()
+            await trio.sleep(1.0)
+            world.faults.cut.add((OTHER, "store"))
+            await _let_fresh_host_take_over(cluster, world)
+            await trio.sleep(SOON_S)
+            host = cluster.live[OTHER].host
+            assert host.standing.leader == FRESH
+            assert host.is_ready
+            job = make_job(world, rng, 1)
+            world.jobs[job.job_id] = job
+            taken = await host.desk.submit(job, patience_s=3.0)
+            assert taken.verdict is SubmitVerdict.ACCEPTED
+
+        await play(scenario, seed=41)
+
+    async def test_a_stopping_host_follows_a_leader_that_does_not_know_it(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            await cluster.wait_for_leader()
+            await trio.sleep(1.0)
+            host = cluster.live[OTHER].host
+            await host.leave(0.0)
+            await _let_fresh_host_take_over(cluster, world)
+            await trio.sleep(SOON_S)
+            job = make_job(world, rng, 1)
+            world.jobs[job.job_id] = job
+            taken = await host.desk.submit(job, patience_s=3.0)
+            assert taken.verdict is SubmitVerdict.ACCEPTED
+
+        await play(scenario, seed=42)
+
+    async def test_a_host_behind_a_cut_is_not_told_of_an_older_leader(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            first = await cluster.wait_for_leader()
+            await trio.sleep(1.0)
+            world.faults.cut |= {(first, name) for name in (*cluster.names, "store")}
+            second = await cluster.wait_for_other_leader(first)
+            await trio.sleep(2.0)
+            followed = {
+                live.host.standing.leader for name, live in cluster.live.items() if name != first
+            }
+            assert followed == {second}
+
+        await play(scenario, seed=43, hosts=5)
