Have hosts that hear no leader ask other hosts who leads

Cause: a leader's heartbeats go to the hosts that it knows of, and the others have to find it at the store.

Change: while no leader is heard, a host asks the leader that it heard last and two others in turn, each 0.5 s, and makes itself known to the leader that they hear, unless that is older. The link alone decides nothing: a host still follows only heartbeats with the highest token.

Ruled out: handing the list of hosts over with the claim (the store would carry it), hellos to all hosts (they count as followers, by which a leader says that a job has not run).

--- a/src/galenastall/node/cell/standing.py
+++ b/src/galenastall/node/cell/standing.py
@@ -12,9 +12,10 @@
 from galenastall.coordination.cell.wait_reasons import WaitReason
 from galenastall.node.cell.heard_hosts import HeardHosts
 from galenastall.node.cell.leader_desk import LeaderDesk
+from galenastall.node.cell.leader_search import LeaderSearch
 from galenastall.node.cell.leader_term import LeaderTerm, TermParts
 from galenastall.protocol.cell.config import CellConfig
-from galenastall.protocol.cell.messages import Beat, Hello, TakeOver
+from galenastall.protocol.cell.messages import Beat, Hello, LeaderAnswer, TakeOver
 from galenastall.protocol.cell.ports import StoreView
 from galenastall.protocol.peers import PeerLink
 from galenastall.state.ids import HostId
@@ -65,6 +66,7 @@
         life."""
         self._link: PeerLink = parts.link
         self._recorder: Recorder = parts.recorder
+        self._search = LeaderSearch(link=self._link, view=self)
         self.changed = trio.Event()
         """Set, and replaced, whenever another host leads."""
         self.term: LeaderTerm | None = None
@@ -86,6 +88,16 @@
         """Whether this host leads or hears who does."""
         return self.term is not None or self._election.is_heard(trio.current_time())
 
+    @property
+    def last_leader(self) -> str:
+        """The leader that was heard last; empty if none was."""
+        return self._election.leader
+
+    @property
+    def other_hosts(self) -> set[str]:
+        """All other hosts whose addresses are known."""
+        return set(self._addresses_by_host) - {str(self._host_id)}
+
     @property
     def is_leading(self) -> bool:
         """Whether this host leads."""
@@ -137,6 +149,7 @@
         """Run the election until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._say_hello)
+            nursery.start_soon(self._search.run)
             while True:
                 await self._step(nursery)
                 await trio.sleep(TICK_S)
@@ -203,9 +216,7 @@
             is_orphaned=is_of_this_host and not self._has_claimed,
         )
         if view.leader is not None and view.leader.host_id != self._host_id:
-            self._addresses_by_host[view.leader.host_id] = view.leader.address
-            self._apply_addresses()
-            self._link.send(peer=HostId(view.leader.host_id), message=self._hello())
+            self._make_known_to(view.leader.host_id, view.leader.address)
 
     async def _claim(self, nursery: trio.Nursery, *, cause: str) -> None:
         tip = self._election.tip
@@ -265,6 +276,26 @@
                 self._link.send(peer=HostId(leader), message=self._hello())
             await trio.sleep(HELLO_EVERY_S)
 
+    def _make_known_to(self, leader: str, address: str) -> None:
+        """Have a leader send its heartbeats here, too."""
+        self._addresses_by_host[leader] = address
+        self._apply_addresses()
+        self._link.send(peer=HostId(leader), message=self._hello())
+
+    def sight(self) -> LeaderAnswer:
+        """Return the leader that is heard here, for a host that hears none."""
+        leader = self.leader
+        if leader is None:
+            return LeaderAnswer()
+        known = self._address if self.is_leading else self._addresses_by_host.get(leader, "")
+        return LeaderAnswer(token=self.token, host_id=leader, address=known)
+
+    def take_sight(self, found: LeaderAnswer) -> None:
+        """Follow a leader that another host hears, unless it is older than the one heard last."""
+        is_other = found.address and found.host_id != self._host_id
+        if is_other and not self.is_heard and found.token >= self._election.token:
+            self._make_known_to(found.host_id, found.address)
+
     def _hello(self) -> Hello:
         return Hello(
             address=self._address,
--- a/src/galenastall/protocol/cell/messages.py
+++ b/src/galenastall/protocol/cell/messages.py
@@ -58,6 +58,22 @@
     token: int
 
 
+@PEER_MESSAGES.register("cell.ask_leader")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskLeader:
+    """Ask another host who leads, if none is heard here."""
+
+
+@PEER_MESSAGES.register("cell.leader")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeaderAnswer:
+    """The leader that a host hears, or is; no host if it hears none."""
+
+    token: int = 0
+    host_id: str = ""
+    address: str = ""
+
+
 @PEER_MESSAGES.register("cell.submit")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SubmitJob:
