Say what the limits, patience and turns are, and how far the trace goes

No change of behaviour; the postmortem names what is inferred, what was found elsewhere, and what is left.

--- a/src/galenastall/coordination/cell/doubts.py
+++ b/src/galenastall/coordination/cell/doubts.py
@@ -17,7 +17,7 @@
 LONGEST_PAUSE_S: Final = 30.0
 """Pauses double from the first to the longest, so that an executor that stays bad is tried
 seldom, and one that recovers is back soon."""
-MOST_DOUBLINGS: Final = 10
+MOST_PAUSE_DOUBLINGS: Final = 10
 """Doublings that are worked out; they take the shortest pause beyond the longest."""
 WATCHED_S: Final = 0.6
 """A run is watched for this long before its pace counts; sound ones gain some 20% in it."""
@@ -153,7 +153,7 @@
 
 def _doubled_s(first_s: float, times: int) -> float:
     """Return a pause that has been doubled so many times, the longest one at most."""
-    return min(first_s * 2.0 ** min(times, MOST_DOUBLINGS), LONGEST_PAUSE_S)
+    return min(first_s * 2.0 ** min(times, MOST_PAUSE_DOUBLINGS), LONGEST_PAUSE_S)
 
 
 def _is_compared(step: Step) -> bool:
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -101,7 +101,7 @@
         """Leader's time before which it is not tried again: executors have refused it one after the
         other."""
         self.is_given_up = False
-        """Whether its last run was stopped for standing still."""
+        """Whether its last run was stopped for standing still; counted with its next start."""
         self.given_up_runs = 0
         """Runs before the last that were stopped for standing still."""
         self.first_percent = 0
--- a/src/galenastall/coordination/cell/standstill.py
+++ b/src/galenastall/coordination/cell/standstill.py
@@ -18,11 +18,11 @@
 
 STILL_S: Final = 3.0
 """Least time without progress after which a run is given up. Runs of 10 s show progress each 0.1 s,
-and a gang waits some 3 s for a member that is missing."""
-PERCENTS: Final = 3.0
-"""A run is given the time of so many percents of it: progress comes in whole percents, and the pace
-of a sound run differs by a factor of two."""
-MOST_DOUBLINGS: Final = 5
+listings come 1.2 s apart, and a gang's members start within a second of each other."""
+PATIENCE_PERCENTS: Final = 3.0
+"""A run is given the time that so many percents of it take: progress comes in whole percents, and
+the pace of a sound run differs by a factor of two."""
+MOST_PATIENCE_DOUBLINGS: Final = 5
 """Each run given up doubles the patience with the next, up to 96 s: a task whose own work shows no
 progress for longer would otherwise be stopped in each of its runs and never end."""
 LISTINGS_APART_S: Final = 1.5
@@ -33,8 +33,8 @@
 def patience_s(step: StepRun, task: TaskRun) -> float:
     """Return for how long a run may show no progress, in seconds."""
     given_up = max(member.given_up_runs for member in _together(step, task))
-    doubled = STILL_S * 2.0 ** min(given_up, MOST_DOUBLINGS)
-    return max(doubled, PERCENTS * _seconds_a_percent(step, task))
+    doubled = STILL_S * 2.0 ** min(given_up, MOST_PATIENCE_DOUBLINGS)
+    return max(doubled, PATIENCE_PERCENTS * _seconds_a_percent(step, task))
 
 
 def waits_for_members(step: StepRun, task: TaskRun) -> bool:
@@ -49,10 +49,10 @@
 
 
 def is_executor_to_blame(step: StepRun, task: TaskRun) -> bool:
-    """Whether a run stands still by itself; a member of a gang may wait for the others.
+    """Whether a run stands still by itself, and not for want of other members of its gang.
 
-    It does not if the others go on, or have all done their share. Otherwise nobody can tell which
-    member the gang waits for.
+    It does if the others go on, or have all done their share and wait for it. If all stand still,
+    or one is missing, nobody can tell which member is at fault.
     """
     others = [member for member in _together(step, task) if member is not task]
     if not all(_is_at_work(member) for member in others):
--- a/src/galenastall/coordination/cell/timings.py
+++ b/src/galenastall/coordination/cell/timings.py
@@ -30,8 +30,8 @@
     start_tries: int = 3
     """Tries of one start with one run number before the run is stopped instead."""
     refused_pause_s: float = 0.7
-    """First pause of an executor that refused a start for want of health or room; each further
-    refusal doubles it."""
+    """Pause of an executor that did not take a start; each further refusal for want of health or
+    room doubles it."""
     commit_every_s: float = 0.025
     """Least time between two appends; 40 a second cost 0.3% of what a day earns."""
     confirm_every_s: float = 0.2
--- a/src/galenastall/coordination/cell/turns.py
+++ b/src/galenastall/coordination/cell/turns.py
@@ -16,8 +16,8 @@
 """Gangs for which a decision finds when they could start; each takes half a millisecond with 60
 approved executors. Those behind them in the line keep no room yet."""
 FRUITLESS_PLANS: Final = 8
-"""Gangs for which a decision looks for a start in vain that were looked at in vain before, and as
-many that were not. Such a look takes 0.9 ms with 60 approved executors of 8 runs each."""
+"""Looks for a gang's start that may be in vain in one decision: so many at gangs for which the last
+look was in vain too, and so many at others. One takes 0.9 ms with 60 approved executors."""
 GANGS_IN_TURN: Final = 4
 """Gangs beyond these limits for which a start is looked for in turn: without one their tickets are
 not renewed."""
@@ -92,10 +92,12 @@
 
 
 class GangTurns:
-    """Chooses the gangs for which a decision looks for a start.
+    """Chooses the gangs for which a decision looks for a start: `may_look` first, then `note`.
 
-    Only those that have one count against the limit: else gangs that can't start where they are
-    approved keep those behind them from having their tickets renewed.
+    Gangs that have a start count against PLANNED_GANGS, those that have none against
+    FRUITLESS_PLANS: with one limit for both, gangs that can't start where they are approved kept
+    those behind them from having their tickets renewed. Gangs beyond the limits are left out, and
+    have their turn.
     """
 
     def __init__(self) -> None:
@@ -132,7 +134,7 @@
         return key in self._left_out and key not in self.in_turn
 
     def note_hopeless(self, key: StepKey) -> None:
-        """Note that a gang would not fit on empty executors either; it is no look at the runs."""
+        """Note that a gang would not fit on empty executors either: there is no need to look."""
         self._fruitless.add(key)
         self._left_out.pop(key, None)
 
--- a/src/galenastall/coordination/cell/waiting_report.py
+++ b/src/galenastall/coordination/cell/waiting_report.py
@@ -95,8 +95,9 @@
     def _sharpened(self, wait: _Wait, closed_by_id: Mapping[str, Closed]) -> _Wait:
         """Return a gang's wait with what a decision has no time to find out.
 
-        A decision looks for a start of 32 gangs at most, so no more come here. With 12 of them the
-        whole report takes 2 to 5 ms a second with 220 waiting steps and 176 executors.
+        Only gangs for which a decision looks for a start come here, and the limits of `turns` bound
+        these. With 12 of them the report takes 2 to 5 ms a second with 220 waiting steps and 176
+        executors.
         """
         if wait.reason not in {WaitReason.ROOM_LATER, WaitReason.NO_ROOM_AHEAD}:
             return wait
--- a/tests/test_cell_standstill.py
+++ b/tests/test_cell_standstill.py
@@ -2,12 +2,12 @@
 
 An accepted gang of 22 tasks was stopped by its leader at the same point of its work in run after
 run: after 12.7, 12.7 and 12.9 s, a second gang after 16.3, 16.9 and 16.2 s, each time on other
-executors, and neither ever completed. What ended the runs was the leader's own rule, that a run
-whose progress stands still for 3 s is stopped: it judged members that only waited for the others of
-their gang. A rule like that has to give way to a run that it has stopped before, or the job never
-ends; and while a gang waits, the executors of the members that wait have done nothing wrong, so
-pausing them takes room from everybody (a gang that waited for one member closed the executors of
-all of them).
+executors, and neither ever completed. What ended such runs on a day that brings the same about was
+the leader's own rule that a run whose progress stands still for 3 s is stopped: it judged members
+that only waited for the others of their gang, 39 times as "no progress for 3 s at 100%".
+A rule like that has to give way to a run that it has stopped before, or the job never ends; and
+while a gang waits, the executors of the members that wait have done nothing wrong, so pausing them
+takes room from everybody (a gang that waited for one member closed the executors of all of them).
 """
 
 import pytest
