Have large hosts lead, a leader that loads count as alive, and small or late ones hand over

What a host weighs did not enter a claim. (2) A leader that reads the state confirms nothing, so others took it for silent after 1.3 s: seven claims in a row, 15 s without a leader. (3) Each heartbeat carried the addresses of all hosts: with 97 of them some 17 Mbit/s through a link of 20 (computed, not measured). (4) A page of 1 MB through 10 Mbit/s takes 0.9 s of its time-out of 1.0 s, and one page that failed had all read again.

Ruled out: longer patience for silent leaders (each takeover would take longer); a list of hosts that may lead (no deployment names them).

Change: heartbeats tell the weight of the heaviest host that could lead, claims keep their host's; a host below 0.7 of it claims 0.6 s later. Confirmations go on while the state is read, for 6 s at most. A small leader hands over to a host 1.4 times heavier that has just reached the store; one whose loop is 0.15 s late on average to a calm one, and is not given the lead again for 30 s. A host that has heard nobody waits as long as the others. Addresses go with a heartbeat when they change, and each 2 s in turn. Pages are tried again by themselves and have 3 s. A host weighs the cores that its link can keep busy.

Election has a weight now, which its test names.

--- a/src/galenastall/coordination/cell/election.py
+++ b/src/galenastall/coordination/cell/election.py
@@ -1,5 +1,7 @@
 """When a standby claims the leadership: beats have stopped, and the state's end stands still.
 
+A host that is far smaller than the heaviest one that could lead lets that one claim first.
+
 The store alone decides who leads: a claim's token fences all older leaders. This class only keeps
 standbys from claiming while a leader is well, also one that this host can't hear.
 """
@@ -8,6 +10,7 @@
 from enum import Enum, auto
 from typing import Final
 
+from galenastall.coordination.cell.succession import is_light
 from galenastall.coordination.cell.timings import CellTimings
 
 LOOKS_IN_A_ROW: Final = 3
@@ -31,6 +34,8 @@
     leader: str
     heard_at: float
     confirm_age_s: float
+    heaviest: float = 0.0
+    """Weight of the heaviest host besides the leader that could lead."""
 
     def confirm_age_at(self, now: float) -> float:
         """Return how long ago the store confirmed the leader, at least."""
@@ -40,10 +45,15 @@
 class Election:
     """One host's view of who leads, and its patience."""
 
-    def __init__(self, *, timings: CellTimings, jitter_s: float, may_start: bool) -> None:
+    def __init__(
+        self, *, timings: CellTimings, jitter_s: float, may_start: bool, weight: float
+    ) -> None:
         """`jitter_s` delays this host's claims; `may_start`: the system may be all new."""
         self._timings = timings
         self._jitter_s = jitter_s
+        self._weight = weight
+        self._claimed_weight = 0.0
+        """Weight of the host that made the newest claim seen at the store."""
         self._may_start = may_start
         self._beat: HeardBeat | None = None
         self._token = 0
@@ -102,9 +112,19 @@
         """Make no claim before `until`."""
         self._not_before = until
 
-    def on_look(self, *, token: int, tip: int, now: float, is_orphaned: bool = False) -> None:
+    def on_look(
+        self,
+        *,
+        token: int,
+        tip: int,
+        now: float,
+        is_orphaned: bool = False,
+        claimed_weight: float = 0.0,
+    ) -> None:
         """Take what the store shows; `is_orphaned`: the newest claim is of an earlier life here.
 
+        `claimed_weight` is that of the host that made the newest claim.
+
         An earlier life on this host is over, so the end need not be watched for standing still.
         After a loss of all hosts that saves 0.35 s and the jitter of a takeover.
 
@@ -114,6 +134,7 @@
         if now - self._seen_at > LOOKS_IN_A_ROW * self._timings.tip_every_s:
             self._tip = None
         self._seen_at = now
+        self._claimed_weight = claimed_weight
         if token > self.newest_token:
             # A newer leader may not have reached this host yet. Until it is heard, the one before
             # counts: a claim whose answer was lost has no leader, and fences nobody.
@@ -124,10 +145,10 @@
             self._tip = tip
             self._tip_moved_at = now
         if is_orphaned:
-            still_s = self._timings.tip_silence_s + self._jitter_s
-            self._tip_moved_at = min(self._tip_moved_at, now - still_s)
+            self._tip_moved_at = min(self._tip_moved_at, now - self._still_for_s)
         if token == 0 and self._may_start:
-            self._tip_moved_at = min(self._tip_moved_at, now - self._timings.tip_silence_s)
+            still_s = self._still_for_s - self._jitter_s
+            self._tip_moved_at = min(self._tip_moved_at, now - still_s)
 
     def next_move(self, now: float) -> Move:
         """Return what to do now."""
@@ -135,7 +156,7 @@
             return Move.WAIT
         if self._tip is not None and self._is_silent(now):
             still_s = now - self._tip_moved_at
-            is_still = still_s >= self._timings.tip_silence_s + self._jitter_s
+            is_still = still_s >= self._still_for_s
             is_fresh = now - self._looked_at <= LOOKS_IN_A_ROW * self._timings.tip_every_s
             if is_still and is_fresh and now >= self._not_before:
                 return Move.CLAIM
@@ -144,6 +165,16 @@
             return Move.LOOK
         return Move.WAIT
 
+    @property
+    def _still_for_s(self) -> float:
+        """How long the state's end must stand still before this host claims."""
+        timings = self._timings
+        # A host that has heard nobody yet can't tell silence: it would come before all others.
+        silence_s = timings.tip_silence_s if self._beat is not None else timings.beat_silence_s
+        heaviest = self._beat.heaviest if self._beat is not None else self._claimed_weight
+        light_s = timings.light_delay_s if is_light(self._weight, heaviest) else 0.0
+        return silence_s + self._jitter_s + light_s
+
     def _is_doubtful(self, now: float) -> bool:
         timings = self._timings
         if self._beat is None:
--- /dev/null
+++ b/src/galenastall/coordination/cell/succession.py
@@ -0,0 +1,105 @@
+"""Which host should lead: by what it can carry, and by whether it keeps up.
+
+Answers this load: a leader is lost among hosts of unlike size, and all others would claim within
+milliseconds. A host of half a core then starts work for thousands of tasks too late, and its
+callers wait for seconds. So hosts that are far smaller than the largest one let it go first, a
+small leader hands over to a large host, and a leader that falls behind to one that does not.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+LIGHT_SHARE: Final = 0.7
+"""A host below this share of the heaviest one's weight is light: it lets that one claim first.
+Hosts of one kind differ by less."""
+WORTH_A_HANDOVER: Final = 1.0 / LIGHT_SHARE
+"""How many times heavier a host must be for a leader to hand over to it; a handover loses what the
+advisor has said, which takes a second to ask again."""
+BEHIND_LAG_S: Final = 0.15
+"""A leader whose loop is late by more on average falls behind: an order waits 0.35 s for its
+answer, and with a loop that is late twice on its way orders time out."""
+CALM_LAG_S: Final = 0.05
+"""A host whose loop is late by more is not given the leadership."""
+SETTLED_S: Final = 3.0
+"""A leader is not judged by its loop before: after a takeover all executors answer at once."""
+KNOWN_FOR_S: Final = 1.0
+"""A host is not given the leadership before its process is so old: it connects to everybody."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Contender:
+    """A host that could lead, as it last described itself."""
+
+    host: str
+    weight: float
+    """Cores that it can use for leading."""
+    uptime_s: float
+    lag_s: float
+    """By how much its loop is late on average."""
+    is_willing: bool
+    """False for a while after it fell behind as leader."""
+
+    @property
+    def is_calm(self) -> bool:
+        """Whether it keeps up with what it does now."""
+        return self.is_willing and self.lag_s <= CALM_LAG_S
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeaderHealth:
+    """What a leader knows of itself."""
+
+    weight: float
+    lag_s: float
+    leads_for_s: float
+    """Since its claim."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Handover:
+    """A leader should hand over."""
+
+    successor: str
+    cause: str
+    is_behind: bool
+    """Whether the leader falls behind, and should not lead again soon."""
+
+
+def is_light(weight: float, heaviest: float) -> bool:
+    """Whether a host lets heavier ones claim first."""
+    return weight < LIGHT_SHARE * heaviest
+
+
+def heaviest_of(contenders: Iterable[Contender]) -> float:
+    """Return the weight of the heaviest host that may claim; 0 if there is none."""
+    return max((c.weight for c in contenders if c.is_willing), default=0.0)
+
+
+def successor_of(contenders: Iterable[Contender]) -> Contender | None:
+    """Return who should lead next: who keeps up first, then by weight, then the youngest.
+
+    In a rolling restart the youngest are stopped last.
+    """
+    ranked = sorted(contenders, key=lambda c: (not c.is_calm, -c.weight, c.uptime_s, c.host))
+    return ranked[0] if ranked else None
+
+
+def handover_of(health: LeaderHealth, contenders: Iterable[Contender]) -> Handover | None:
+    """Return to whom a leader should hand over and why; None if it should go on.
+
+    No two hosts hand over to each other in turn: by weight it only goes upwards, and one that fell
+    behind is not willing for a while.
+    """
+    ready = [c for c in contenders if c.is_calm and c.uptime_s >= KNOWN_FOR_S]
+    best = successor_of(ready)
+    if best is None:
+        return None
+    if best.weight > WORTH_A_HANDOVER * health.weight:
+        cause = f"{best.host} has {best.weight:g} cores and this host {health.weight:g}"
+        return Handover(successor=best.host, cause=cause, is_behind=False)
+    is_behind = health.lag_s > BEHIND_LAG_S and health.leads_for_s > SETTLED_S
+    if is_behind and not is_light(best.weight, health.weight):
+        cause = f"this host's loop is {health.lag_s:.2f} s late on average"
+        return Handover(successor=best.host, cause=cause, is_behind=True)
+    return None
--- a/src/galenastall/coordination/cell/timings.py
+++ b/src/galenastall/coordination/cell/timings.py
@@ -57,6 +57,14 @@
     claim_jitter_s: float = 0.1
     """Standbys draw a delay up to this; the store takes one of several claims in any case, so it
     only spares calls."""
+    light_delay_s: float = 0.6
+    """How much later a light host claims: by then a heavy one has looked, claimed and been
+    answered, which differs between hosts by 0.3 s, through a store that takes 0.1 s for each."""
+    load_within_s: float = 6.0
+    """A leader that has not read the state by then is stuck, and ends its term: 4 MB take 4.3 s
+    through a link of 10 Mbit/s, and callers give up within seconds."""
+    unwilling_s: float = 30.0
+    """How long a host that fell behind as leader is not given the leadership again."""
     withdrawn_pause_s: float = 3.0
     """A leader that gave up its place leaves it to others for this long."""
     ended_kept_s: float = 150.0
--- a/src/galenastall/node/cell/cell_host.py
+++ b/src/galenastall/node/cell/cell_host.py
@@ -49,7 +49,7 @@
     peer_address: str
     """`IP:port` at which peers reach its link."""
     weight: float
-    """Processor cores; heavier hosts are preferred as leaders."""
+    """Cores that it can use for leading; heavier hosts are preferred as leaders."""
     claim_delay_s: float
     """This host's place among claimants, as a delay in seconds."""
     may_start: bool
@@ -89,6 +89,7 @@
                 timings=timings,
                 jitter_s=settings.claim_delay_s,
                 may_start=settings.may_start,
+                weight=settings.weight,
             ),
             parts=TermParts(
                 state=ports.state,
--- a/src/galenastall/node/cell/heard_hosts.py
+++ b/src/galenastall/node/cell/heard_hosts.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from galenastall.coordination.cell.succession import Contender, successor_of
 from galenastall.protocol.cell.messages import Hello
 from galenastall.state.ids import HostId
 
@@ -17,6 +18,8 @@
     """This host's time at which the other's process started."""
     heard_at: float
     is_leaving: bool
+    lag_s: float
+    is_willing: bool
 
 
 class HeardHosts:
@@ -28,15 +31,19 @@
         self._follows_within_s = follows_within_s
         self._by_id: dict[HostId, HeardHost] = {}
 
-    def on_hello(self, sender: HostId, hello: Hello, now: float) -> None:
-        """Take what a host says of itself."""
+    def on_hello(self, sender: HostId, hello: Hello, now: float) -> bool:
+        """Take what a host says of itself; return whether its process is new here."""
+        before = self._by_id.get(sender)
         self._by_id[sender] = HeardHost(
             address=hello.address,
             weight=hello.weight,
             started_at=now - hello.uptime_s,
             heard_at=now,
             is_leaving=hello.is_leaving,
+            lag_s=hello.lag_s,
+            is_willing=hello.is_willing,
         )
+        return before is None or hello.uptime_s < now - before.heard_at
 
     def addresses_by_host(self) -> dict[HostId, str]:
         """Return where each of them is reached."""
@@ -47,9 +54,22 @@
         return tuple(host for host, _ in self._fit(now))
 
     def successor(self, now: float) -> HostId | None:
-        """Return the fit host that should lead next: by weight, then the one started last."""
-        ranks = [(-heard.weight, -heard.started_at, host) for host, heard in self._fit(now)]
-        return min(ranks)[-1] if ranks else None
+        """Return the fit host that should lead next."""
+        best = successor_of(self.contenders(now))
+        return HostId(best.host) if best is not None else None
+
+    def contenders(self, now: float) -> list[Contender]:
+        """Return the fit hosts as they last described themselves."""
+        return [
+            Contender(
+                host=host,
+                weight=heard.weight,
+                uptime_s=now - heard.started_at,
+                lag_s=heard.lag_s,
+                is_willing=heard.is_willing,
+            )
+            for host, heard in self._fit(now)
+        ]
 
     def has_followers(self, now: float) -> bool:
         """Whether most of the hosts that were ever heard, this one included, follow it now.
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -125,9 +125,14 @@
     async def run(self) -> None:
         """Fence, load and lead; returns when the term has ended."""
         with self._scope:
-            if await self._fence() and await self._load():
-                self.ready.set()
+            if await self._fence():
                 async with trio.open_nursery() as nursery:
+                    # A leader that loads is alive, and its confirmations show that: seven hosts
+                    # claimed one after the other while the one before was loading, 15 s in all.
+                    nursery.start_soon(self._commits.run, partial(self._start, nursery))
+                    if not await self._load():
+                        return
+                    self.ready.set()
                     nursery.start_soon(self._follow_fleet, nursery)
                     desk = AdviceDesk(
                         context=self.context,
@@ -137,7 +142,6 @@
                     )
                     nursery.start_soon(self._hosts.run)
                     nursery.start_soon(self._decide_forever, nursery, desk)
-                    nursery.start_soon(self._commits.run, partial(self._start, nursery))
         if not self.loss:
             self._on_lost("cancelled")
 
@@ -151,24 +155,32 @@
         return True
 
     async def _load(self) -> bool:
+        """Read the stored state; False if that takes so long that another host should lead."""
         error: StepError | None = None
-        for _ in range(3):
-            answer = await self._parts.state.load()
-            if not isinstance(answer, Failure):
-                rows = decode_rows(answer.unwrap())
-                self.core.restore(rows, wall=self.context.wall())
-                self.context.note(
-                    "leader.loaded",
-                    token=str(self.token),
-                    jobs=str(len(rows.jobs_by_id)),
-                    rows=str(len(rows.progress_by_id)),
-                )
-                return True
-            error = answer.failure()
-            await trio.sleep(LOAD_RETRY_S)
-        self._on_lost(f"load: {error}")
+        begun_at = trio.current_time()
+        with trio.move_on_after(self._parts.timings.load_within_s):
+            while True:
+                answer = await self._parts.state.load()
+                if not isinstance(answer, Failure):
+                    self._restore(answer.unwrap(), took_s=trio.current_time() - begun_at)
+                    return True
+                error = answer.failure()
+                await trio.sleep(LOAD_RETRY_S)
+        self._on_lost(f"load: {error or 'not in time'}")
         return False
 
+    def _restore(self, values_by_key: dict[str, bytes], *, took_s: float) -> None:
+        rows = decode_rows(values_by_key)
+        self.core.restore(rows, wall=self.context.wall())
+        self.context.note(
+            "leader.loaded",
+            token=str(self.token),
+            jobs=str(len(rows.jobs_by_id)),
+            rows=str(len(rows.progress_by_id)),
+            bytes=str(sum(map(len, values_by_key.values()))),
+            took_ms=f"{took_s * 1000:.0f}",
+        )
+
     async def _follow_fleet(self, nursery: trio.Nursery) -> None:
         is_lost = False
         while True:
--- a/src/galenastall/node/cell/standing.py
+++ b/src/galenastall/node/cell/standing.py
@@ -1,6 +1,7 @@
 """Who leads, as this host knows it: heartbeats, looks at the store, claims and terms."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, Final
 
 import trio
@@ -8,16 +9,21 @@
 
 from galenastall.coordination.cell.election import Election, HeardBeat, Move
 from galenastall.coordination.cell.stop_rules import StopRule
+from galenastall.coordination.cell.succession import heaviest_of
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.coordination.cell.wait_reasons import WaitReason
+from galenastall.node.cell.handover import LeaderHandover
 from galenastall.node.cell.heard_hosts import HeardHosts
+from galenastall.node.cell.heartbeats import ToldAddresses
 from galenastall.node.cell.leader_desk import LeaderDesk
 from galenastall.node.cell.leader_search import LeaderSearch
 from galenastall.node.cell.leader_term import LeaderTerm, TermParts
+from galenastall.node.cell.loop_lag import LoopLag
 from galenastall.protocol.cell.config import CellConfig
-from galenastall.protocol.cell.messages import Beat, Hello, LeaderAnswer, TakeOver
+from galenastall.protocol.cell.messages import Beat, CanLead, Hello, LeaderAnswer, TakeOver
 from galenastall.protocol.cell.ports import StoreView
 from galenastall.protocol.peers import PeerLink
+from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId
 from galenastall.transport.logs import Recorder
 
@@ -58,6 +64,10 @@
         self._on_newer_config = on_newer_config
         self._heard = HeardHosts(fit_within_s=HELPER_HEARD_S, follows_within_s=FOLLOWS_S)
         self._addresses_by_host: dict[str, str] = {}
+        self._told = ToldAddresses()
+        self._unwilling_until = float("-inf")
+        self.lag = LoopLag()
+        """By how much this host's loop is late."""
         self._started_at = trio.current_time()
         self._is_leaving = False
         self._is_asked_to_claim = False
@@ -75,6 +85,7 @@
         self._link.handle(Beat, self._on_beat)
         self._link.handle(Hello, self._on_hello)
         self._link.handle(TakeOver, self._on_take_over)
+        self._link.handle(CanLead, self._on_can_lead)
 
     @property
     def leader(self) -> HostId | None:
@@ -150,6 +161,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._say_hello)
             nursery.start_soon(self._search.run)
+            nursery.start_soon(self.lag.run)
             while True:
                 await self._step(nursery)
                 await trio.sleep(TICK_S)
@@ -214,6 +226,7 @@
             tip=view.tip,
             now=trio.current_time(),
             is_orphaned=is_of_this_host and not self._has_claimed,
+            claimed_weight=view.leader.weight if view.leader else 0.0,
         )
         if view.leader is not None and view.leader.host_id != self._host_id:
             self._make_known_to(view.leader.host_id, view.leader.address)
@@ -226,7 +239,7 @@
         claimed_at = trio.current_time()
         self._has_claimed = True
         answer = await self._parts.state.claim(
-            host_id=self._host_id, address=self._address, tip=tip
+            host_id=self._host_id, address=self._address, weight=self._weight, tip=tip
         )
         if isinstance(answer, Failure):
             self._recorder.record("leader.claim_failed", cause=str(answer.failure()))
@@ -234,16 +247,19 @@
         token: int = answer.unwrap()
         if token < self._election.token or self._is_leaving:
             return
-        self._recorder.record("leader.claimed", cause=cause, fields={"token": str(token)})
+        fields = {"token": str(token), "weight": f"{self._weight:g}"}
+        self._recorder.record("leader.claimed", cause=cause, fields=fields)
         term = LeaderTerm(parts=self._parts, token=token, claimed_at=claimed_at)
         self.term = term
         self.desk = LeaderDesk(term=term, host_id=self._host_id, has_followers=self._has_followers)
+        self._told = ToldAddresses()
         self._tell_changed()
         nursery.start_soon(self._lead, term)
 
     async def _lead(self, term: LeaderTerm) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._beat_forever, term)
+            nursery.start_soon(self._handover_of(term).run)
             await term.run()
             nursery.cancel_scope.cancel()
         self.term = None
@@ -251,6 +267,20 @@
         self._election.withdraw(trio.current_time() + self._timings.withdrawn_pause_s)
         self._tell_changed()
 
+    def _handover_of(self, term: LeaderTerm) -> LeaderHandover:
+        return LeaderHandover(
+            term=term,
+            heard=self._heard,
+            weight=self._weight,
+            lag=self.lag,
+            link=self._link,
+            recorder=self._recorder,
+            on_behind=self._on_behind,
+        )
+
+    def _on_behind(self) -> None:
+        self._unwilling_until = trio.current_time() + self._timings.unwilling_s
+
     async def _beat_forever(self, term: LeaderTerm) -> None:
         while True:
             self._beat(term)
@@ -259,14 +289,17 @@
     def _beat(self, term: LeaderTerm) -> None:
         config: CellConfig | None = self._parts.config()
         addresses = {**self._heard.addresses_by_host(), self._host_id: self._address}
-        message = Beat(
+        self._told.set_current({str(host): address for host, address in addresses.items()})
+        plain = Beat(
             token=term.token,
             address=self._address,
             confirm_age_s=term.confirm_age_s,
             config_version=config.version if config else 0,
-            addresses_by_host={str(host): address for host, address in addresses.items()},
+            heaviest=heaviest_of(self._heard.contenders(trio.current_time())),
         )
         for host in set(map(HostId, self._addresses_by_host)) - {self._host_id}:
+            told = self._told.next_for(host)
+            message = replace(plain, addresses_by_host=told) if told else plain
             self._link.send(peer=host, message=message)
 
     async def _say_hello(self) -> None:
@@ -302,6 +335,8 @@
             weight=self._weight,
             uptime_s=trio.current_time() - self._started_at,
             is_leaving=self._is_leaving,
+            lag_s=self.lag.seconds,
+            is_willing=trio.current_time() >= self._unwilling_until,
         )
 
     async def _on_beat(self, sender: HostId, beat: Beat) -> Any:
@@ -313,17 +348,14 @@
             leader=sender,
             heard_at=now,
             confirm_age_s=beat.confirm_age_s,
+            heaviest=beat.heaviest,
         )
         before = self._election.leader, self._election.token
         if not self._election.on_beat(heard):
             return None
         if self.term is not None and beat.token > self.term.token:
             self.term.give_up(f"{sender} leads with a higher token")
-        self._addresses_by_host = {
-            **beat.addresses_by_host,
-            str(sender): beat.address,
-        }
-        self._apply_addresses()
+        self._take_addresses(sender, beat)
         if (self._election.leader, self._election.token) != before:
             self._recorder.record("leader.heard", peer=sender, fields={"token": str(beat.token)})
             self._link.send(peer=sender, message=self._hello())
@@ -331,12 +363,33 @@
         self._on_newer_config(beat.config_version)
         return None
 
-    async def _on_hello(self, sender: HostId, hello: Hello) -> Any:
-        self._heard.on_hello(sender, hello, trio.current_time())
-        self._addresses_by_host[str(sender)] = hello.address
+    def _take_addresses(self, leader: HostId, beat: Beat) -> None:
+        """Take all addresses, if the beat carries them, and the leader's in any case."""
+        if beat.addresses_by_host:
+            self._addresses_by_host = {**beat.addresses_by_host, str(leader): beat.address}
+        elif self._addresses_by_host.get(leader) == beat.address:
+            return
+        else:
+            self._addresses_by_host[str(leader)] = beat.address
         self._apply_addresses()
+
+    async def _on_hello(self, sender: HostId, hello: Hello) -> Any:
+        if self._heard.on_hello(sender, hello, trio.current_time()):
+            self._told.forget(sender)
+        if self._addresses_by_host.get(sender) != hello.address:
+            self._addresses_by_host[str(sender)] = hello.address
+            self._apply_addresses()
         return None
 
+    async def _on_can_lead(self, sender: HostId, _: CanLead) -> Any:
+        if self._is_leaving:
+            detail = "this host stops"
+            return StepError(
+                step="leader.can_lead", peer=self._host_id, reason=Reason.REFUSED, detail=detail
+            )
+        answer = await self._parts.state.look()
+        return answer.failure() if isinstance(answer, Failure) else None
+
     async def _on_take_over(self, sender: HostId, message: TakeOver) -> Any:
         if self.term is None and message.token >= self._election.token:
             self._is_asked_to_claim = True
--- a/src/galenastall/platform/newest.py
+++ b/src/galenastall/platform/newest.py
@@ -13,6 +13,10 @@
 
 PAGE_TIMEOUT_S: Final = 1.0
 """Wait for a page; a slow store takes up to 0.4 s."""
+WHOLE_PAGE_TIMEOUT_S: Final = 3.0
+"""Wait for a page where all are read: a full one of 1 MB takes 0.9 s through 10 Mbit/s."""
+PAGE_TRIES: Final = 3
+"""Tries of one page before all are begun again: a lost opening packet costs 0.5 s."""
 _STEP: Final = "store.newest"
 _OK: Final = 200
 _NOT_FOUND: Final = 404
@@ -53,13 +57,15 @@
         self._calls = calls
         self._address = address
 
-    async def page(self, topic: str, after: str = "") -> Result[NewestRecords, StepError]:
+    async def page(
+        self, topic: str, after: str = "", *, timeout_s: float = PAGE_TIMEOUT_S
+    ) -> Result[NewestRecords, StepError]:
         """Return the keys that sort behind `after`; a topic that nobody wrote to is empty."""
         path = f"/log-newest?topic={topic}&part=0"
         if after:
             path += f"&after={quote(after, safe='')}"
         answer = await self._calls.get(
-            step=_STEP, address=self._address(), path=path, timeout_s=PAGE_TIMEOUT_S
+            step=_STEP, address=self._address(), path=path, timeout_s=timeout_s
         )
         if isinstance(answer, Failure):
             return answer
@@ -76,7 +82,7 @@
         pages: list[NewestRecords] = []
         after = ""
         while True:
-            answer = await self.page(topic, after)
+            answer = await self._page_surely(topic, after)
             if isinstance(answer, Failure):
                 return answer
             page = answer.unwrap()
@@ -90,6 +96,15 @@
                 )
             after = page.last_key
 
+    async def _page_surely(self, topic: str, after: str) -> Result[NewestRecords, StepError]:
+        """Return a page, tried some times: those before it need not be read again."""
+        answer = await self.page(topic, after, timeout_s=WHOLE_PAGE_TIMEOUT_S)
+        for _ in range(PAGE_TRIES - 1):
+            if not isinstance(answer, Failure):
+                break
+            answer = await self.page(topic, after, timeout_s=WHOLE_PAGE_TIMEOUT_S)
+        return answer
+
 
 def decode_page(page: NewestPage) -> NewestRecords:
     """Return the records of a page, each decoded by itself."""
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -151,7 +151,7 @@
             settings=CellHostSettings(
                 host_id=HostId(settings.host_id),
                 peer_address=settings.peer_bind,
-                weight=settings.cores,
+                weight=settings.leading_weight,
                 claim_delay_s=settings.claim_delay_s(random.random()),
                 may_start=settings.may_start,
             ),
--- a/src/galenastall/platform/settings.py
+++ b/src/galenastall/platform/settings.py
@@ -17,6 +17,9 @@
 """Named in the deploy file too, which takes no placeholder there."""
 FIRST_CLAIM_STEP_S: Final = 0.02
 """Between the first claims of the hosts that the settings name as seeds, at the first start."""
+LINK_MBPS_A_CORE: Final = 20.0
+"""Megabits a second that a leader moves for each core that it uses: a link that carries less makes
+up for no core. Reading 2 MB of state then takes a second at most."""
 T = TypeVar("T")
 
 
@@ -56,6 +59,8 @@
     seeds: tuple[str, ...]
     control_address: str
     cores: float
+    link_mbps: float
+    """What the host's own network link carries."""
     memory_mb: int
     may_start: bool
     """Whether the whole system is starting for the first time."""
@@ -67,6 +72,11 @@
     maintenance_s: float
     """How long a host is down for maintenance."""
 
+    @property
+    def leading_weight(self) -> float:
+        """Cores that the host can use for leading: no more than its link can keep busy."""
+        return min(self.cores, self.link_mbps / LINK_MBPS_A_CORE)
+
     def claim_delay_s(self, jitter: float) -> float:
         """Return this host's delay before a claim; seeds go first, `jitter` (0 to 1) decides."""
         longest = CellTimings().claim_jitter_s
@@ -138,6 +148,7 @@
         seeds=tuple(_get(table, "seedNodes", list, default=[])),
         control_address=_get(table, "listenAddresses.control", str, default=""),
         cores=_number(table, "limits.cpuShare", 1.0) * _number(table, "limits.cpuCores", 1.0),
+        link_mbps=_number(table, "limits.linkMbps", 1000.0),
         memory_mb=_get(table, "limits.memoryMb", int, default=300),
         may_start=_get(table, "bootstrap", bool, default=False),
         heartbeat_s=_number(table, "heartbeatMs", 1500.0) / 1000.0,
--- a/src/galenastall/platform/store.py
+++ b/src/galenastall/platform/store.py
@@ -40,6 +40,7 @@
 class _Claim(msgspec.Struct, frozen=True, kw_only=True):
     host_id: str
     address: str
+    weight: float = 0.0
 
 
 class PlatformStore:
@@ -55,9 +56,11 @@
         self._newest = NewestReader(calls=calls, address=address)
         self._address = address
 
-    async def claim(self, *, host_id: str, address: str, tip: int) -> Result[int, StepError]:
+    async def claim(
+        self, *, host_id: str, address: str, weight: float, tip: int
+    ) -> Result[int, StepError]:
         """Append a claim if the state ends at `tip`; its offset + 1 is the token."""
-        value = msgspec.json.encode(_Claim(host_id=host_id, address=address))
+        value = msgspec.json.encode(_Claim(host_id=host_id, address=address, weight=weight))
         answer = await self._append(
             step="store.claim",
             path=f"/log-append?topic={STATE_TOPIC}&part=0&at={tip}",
@@ -115,7 +118,10 @@
                 return Failure(self._error("store.look", Reason.CUT, decoded.failure()))
             claim = decoded.unwrap()
             leader = LeaderRecord(
-                token=record.offset + 1, host_id=claim.host_id, address=claim.address
+                token=record.offset + 1,
+                host_id=claim.host_id,
+                address=claim.address,
+                weight=claim.weight,
             )
         return Success(StoreView(leader=leader, tip=page.end_offset))
 
--- a/src/galenastall/protocol/cell/messages.py
+++ b/src/galenastall/protocol/cell/messages.py
@@ -29,10 +29,14 @@
     address: str
     """Where its peer link listens."""
     weight: float
-    """Cores that it has; heavier hosts are preferred as leaders."""
+    """Cores that it can use for leading; heavier hosts are preferred as leaders."""
     uptime_s: float
     """Since its process started. In a rolling restart the youngest are stopped last."""
     is_leaving: bool = False
+    lag_s: float = 0.0
+    """By how much its loop is late on average."""
+    is_willing: bool = True
+    """False for a while after it fell behind as leader."""
 
 
 @PEER_MESSAGES.register("cell.beat")
@@ -47,13 +51,21 @@
     """Seconds since the store last confirmed the term."""
     config_version: int
     addresses_by_host: dict[str, str] = field(default_factory=dict)
-    """All hosts that it knows, itself included."""
+    """All hosts that it knows, itself included; empty if the receiver was told them before."""
+    heaviest: float = 0.0
+    """Weight of the heaviest other host that could lead."""
+
+
+@PEER_MESSAGES.register("cell.can_lead")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CanLead:
+    """Ask whether a host reaches the store; answered with a failure if it does not."""
 
 
 @PEER_MESSAGES.register("cell.take_over")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TakeOver:
-    """A leader that stops asks this host to claim at once."""
+    """A leader that stops or gives way asks this host to claim at once."""
 
     token: int
 
--- a/src/galenastall/protocol/cell/ports.py
+++ b/src/galenastall/protocol/cell/ports.py
@@ -21,6 +21,8 @@
     token: int
     host_id: str
     address: str
+    weight: float = 0.0
+    """Weight of the host; 0 if the claim does not name it."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -44,7 +46,9 @@
     def append_bytes(self) -> int:
         """Most that one append may write, keys and values together."""
 
-    async def claim(self, *, host_id: str, address: str, tip: int) -> Result[int, StepError]:
+    async def claim(
+        self, *, host_id: str, address: str, weight: float, tip: int
+    ) -> Result[int, StepError]:
         """Append a claim and return its token; tokens are unique and rise.
 
         `tip` is the state's end as the claimant last saw it: CONFLICT says that something has been
--- a/tests/cell/cluster.py
+++ b/tests/cell/cluster.py
@@ -40,6 +40,10 @@
         self.all_recorders: list[Recorder] = []
         """Recorders of all lives of all hosts, to see afterwards what they did."""
         self.names = [f"entry-{number}" for number in range(hosts)]
+        self.weights: dict[str, float] = {}
+        """Weights of hosts; one that is not named has 1."""
+        self.claim_delays_s: dict[str, float] = {}
+        """Delays of hosts' claims; others go in the order of their names."""
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.cancelled: set[str] = set()
@@ -60,8 +64,8 @@
             settings=CellHostSettings(
                 host_id=HostId(name),
                 peer_address=name,
-                weight=1.0,
-                claim_delay_s=0.06 * self.names.index(name),
+                weight=self.weights.get(name, 1.0),
+                claim_delay_s=self.claim_delays_s.get(name, 0.06 * self.names.index(name)),
                 may_start=True,
             ),
             ports=CellPorts(
--- a/tests/cell/play.py
+++ b/tests/cell/play.py
@@ -1,6 +1,6 @@
 """Scenarios on a cluster, and what must hold after each."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from random import Random
 
 import trio
@@ -13,12 +13,25 @@
 Scenario = Callable[[Cluster, World, Random], Awaitable[None]]
 
 
-async def play(scenario: Scenario, *, seed: int, hosts: int = 3, executors: int = 4) -> Cluster:
-    """Play a scenario on a cluster; fails on anything that must never happen."""
+async def play(
+    scenario: Scenario,
+    *,
+    seed: int,
+    hosts: int = 3,
+    executors: int = 4,
+    weights: Sequence[float] = (),
+    claim_delays_s: Sequence[float] = (),
+) -> Cluster:
+    """Play a scenario on a cluster; fails on anything that must never happen.
+
+    Weights and delays of claims are those of the first hosts.
+    """
     rng = Random(seed)
     async with trio.open_nursery() as nursery:
         world = World(rng=rng, nursery=nursery, executors=executors)
         cluster = Cluster(world=world, rng=rng, nursery=nursery, hosts=hosts)
+        cluster.weights.update(zip(cluster.names, weights, strict=False))
+        cluster.claim_delays_s.update(zip(cluster.names, claim_delays_s, strict=False))
         await cluster.start_all()
         await scenario(cluster, world, rng)
         cluster.check_refusals()
--- a/tests/cell/world.py
+++ b/tests/cell/world.py
@@ -44,11 +44,14 @@
     """Share of calls that are not answered and carried out 2 to 6 s later."""
     slow_s: float = 0.0
     """Added to each answer of the store."""
+    load_bytes_per_s: dict[str, float] = field(default_factory=dict)
+    """How fast a host's link carries the state; hosts that are not named load at once."""
 
     def clear(self) -> None:
         """End all trouble."""
         self.cut.clear()
         self.store_refuses.clear()
+        self.load_bytes_per_s.clear()
         self.lost = self.late = self.slow_s = 0.0
 
 
@@ -61,17 +64,24 @@
         self.epoch = 0
         self.last_sequence = -1
         self.claims: list[tuple[str, str]] = []
+        self.claimed_weight = 0.0
         self.newest_token = 0
         self.append_bytes = 2_097_152
         """Most that one append may write; a larger one is refused however often it is sent."""
         self.largest_append = 0
 
-    def claim(self, host_id: str, address: str, tip: int) -> int | None:
+    @property
+    def size(self) -> int:
+        """Bytes of all keys and values."""
+        return sum(len(key) + len(value) for key, value in self.values.items())
+
+    def claim(self, host_id: str, address: str, weight: float, tip: int) -> int | None:
         """Append a claim where the state ends; None if anything came first."""
         if tip != self.tip:
             return None
         self.tip += 1
         self.claims.append((host_id, address))
+        self.claimed_weight = weight
         self.newest_token = self.tip
         return self.newest_token
 
@@ -301,9 +311,11 @@
     def append_bytes(self) -> int:
         return self.world.store.append_bytes
 
-    async def claim(self, *, host_id: str, address: str, tip: int) -> Result[int, StepError]:
+    async def claim(
+        self, *, host_id: str, address: str, weight: float, tip: int
+    ) -> Result[int, StepError]:
         store = self.world.store
-        answer = await self._call("store", 1.0, lambda: store.claim(host_id, address, tip))
+        answer = await self._call("store", 1.0, lambda: store.claim(host_id, address, weight, tip))
         if isinstance(answer, Success) and answer.unwrap() is None:
             return self._failure("store", Reason.CONFLICT)
         return answer
@@ -334,7 +346,11 @@
         return Success(None)
 
     async def load(self) -> Result[dict[str, bytes], StepError]:
-        return await self._call("store", 1.0, lambda: dict(self.world.store.values))
+        answer = await self._call("store", 1.0, lambda: dict(self.world.store.values))
+        rate = self.world.faults.load_bytes_per_s.get(self.host_id)
+        if rate is not None:
+            await trio.sleep(self.world.store.size / rate)
+        return answer
 
     async def look(self) -> Result[StoreView, StepError]:
         return await self._call("store", 1.0, self._view)
@@ -344,7 +360,12 @@
         leader = None
         if store.claims:
             host_id, address = store.claims[-1]
-            leader = LeaderRecord(token=store.newest_token, host_id=host_id, address=address)
+            leader = LeaderRecord(
+                token=store.newest_token,
+                host_id=host_id,
+                address=address,
+                weight=store.claimed_weight,
+            )
         return StoreView(leader=leader, tip=store.tip)
 
     async def read(self) -> Result[tuple[ExecutorInfo, ...], StepError]:
--- a/tests/test_cell_core.py
+++ b/tests/test_cell_core.py
@@ -24,7 +24,7 @@
 
 class TestElection:
     def make(self) -> Election:
-        return Election(timings=TIMINGS, jitter_s=0.1, may_start=False)
+        return Election(timings=TIMINGS, jitter_s=0.1, may_start=False, weight=1.0)
 
     def beat(self, election: Election, token: int, now: float, age: float = 0.0) -> bool:
         beat = HeardBeat(token=token, leader=f"h{token}", heard_at=now, confirm_age_s=age)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -86,6 +86,7 @@
         assert settings.peer_bind == "127.0.0.1:7000"
         assert settings.longest_lease_s == 10.0
         assert settings.may_start
+        assert settings.link_mbps == 1000.0
 
     @pytest.mark.parametrize(
         ("field", "value", "message"),
@@ -94,6 +95,7 @@
             ("nodeName", 7, "nodeName: expected str, got 7"),
             ("internalPortRange", [9, 8], "internalPortRange: expected two rising ports"),
             ("orders", "heartbeat", "orders: expected 'duty_call', got 'heartbeat'"),
+            ("limits", {"linkMbps": 0}, "limits.linkMbps: expected a number above 0, got 0"),
             ("bounds", {"graceS": -1}, "bounds.graceS: expected a number above 0, got -1"),
             ("platform", {"address": "x", "form": "tables"}, "platform.form: expected 'log'"),
         ],
@@ -113,6 +115,16 @@
         with pytest.raises(SettingsError, match="can't be read"):
             load_settings(tmp_path / "gone.toml")
 
+    @pytest.mark.parametrize(
+        ("cores", "link_mbps", "weight"),
+        [(2.0, 1000.0, 2.0), (0.5, 20.0, 0.5), (0.5, 5.0, 0.25), (2.0, 10.0, 0.5)],
+    )
+    def test_a_host_weighs_what_its_cores_and_its_link_can_carry(
+        self, cores: float, link_mbps: float, weight: float
+    ) -> None:
+        limits = {"cpuShare": cores, "cpuCores": 1, "linkMbps": link_mbps}
+        assert decode_settings({**TABLE, "limits": limits}).leading_weight == weight
+
     def test_seeds_claim_first(self) -> None:
         settings = decode_settings(TABLE)
         seed = replace(settings, control_address="10.0.0.1:8166")
@@ -277,11 +289,11 @@
             store = PlatformStore(
                 calls=make_calls(), address=await at(nursery, StoreFace(page_keys=3))
             )
-            first = (await store.claim(host_id="a", address="a:1", tip=0)).unwrap()
+            first = (await store.claim(host_id="a", address="a:1", weight=1.0, tip=0)).unwrap()
             tip = (await store.look()).unwrap().tip
-            second = (await store.claim(host_id="b", address="b:1", tip=tip)).unwrap()
+            second = (await store.claim(host_id="b", address="b:1", weight=1.0, tip=tip)).unwrap()
             assert second > first
-            late = await store.claim(host_id="c", address="c:1", tip=tip)
+            late = await store.claim(host_id="c", address="c:1", weight=1.0, tip=tip)
             assert late.failure().reason is Reason.CONFLICT
             assert not isinstance(await store.fence(token=second), Failure)
             refused = await store.append(
@@ -308,6 +320,30 @@
             assert (await store.look()).unwrap().tip == 8
             nursery.cancel_scope.cancel()
 
+    async def test_a_page_that_fails_is_read_again_and_those_before_it_are_not(self) -> None:
+        class Failing(StoreFace):
+            """Refuses every second question."""
+
+            def __init__(self) -> None:
+                super().__init__(page_keys=3)
+                self.asked_after: list[str] = []
+
+            @route("GET", "/log-newest")
+            async def show_newest(self, request: HttpRequest) -> HttpResponse:
+                self.asked_after.append(request.query.get("after", ""))
+                if len(self.asked_after) % 2:
+                    return HttpResponse(status=503)
+                return await super().show_newest(request)
+
+        async with trio.open_nursery() as nursery:
+            face = Failing()
+            store = PlatformStore(calls=make_calls(), address=await at(nursery, face))
+            values = {f"run/{number}": bytes([1 + number]) for number in range(8)}
+            await store.append(token=3, sequence=1, values_by_key=values, timeout_s=1.0)
+            assert (await store.load()).unwrap() == values
+            assert face.asked_after == ["", "", "run/2", "run/2", "run/5", "run/5"]
+            nursery.cancel_scope.cancel()
+
     async def test_a_refusal_says_that_nothing_was_done(self) -> None:
         async with trio.open_nursery() as nursery:
             face = StoreFace()
