--- a/src/galenastall/bench/cell_load/play.py
+++ b/src/galenastall/bench/cell_load/play.py
@@ -124,7 +124,7 @@
         self._clock = TrioClock(wall_at_start=WALL_AT_START)
         self._begun_at = trio.current_time()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._lead)
+            nursery.start_soon(self._lead, nursery)
             nursery.start_soon(self._sample)
             for fate in self._play.fates:
                 nursery.start_soon(self._submit, fate)
@@ -141,12 +141,15 @@
         self._play.starts = self._world.starts
         return self._play
 
-    async def _lead(self) -> None:
-        """Lead, with a new term after each loss of all entry hosts."""
+    async def _lead(self, nursery: trio.Nursery) -> None:
+        """Lead, with a new term after each loss of all entry hosts, or of the leader alone."""
         begin_s = 0.0
-        for token, span in enumerate((*self._workload.leader_losses, None), start=1):
+        link = AdvisorLink(ports=self._ports, nursery=nursery)
+        losses = set(self._workload.leader_losses)
+        spans = sorted(losses | set(self._workload.leader_changes), key=lambda span: span.at_s)
+        for token, span in enumerate((*spans, None), start=1):
             await trio.sleep_until(self._begun_at + begin_s)
-            term = LeaderTerm(parts=self._parts(), token=token, claimed_at=trio.current_time())
+            term = LeaderTerm(parts=self._parts(link), token=token, claimed_at=trio.current_time())
             self._time_decisions(term)
             self._term = term
             self._desk = LeaderDesk(term=term, host_id="entry-0", has_followers=lambda: True)
@@ -156,10 +159,11 @@
                     begin_s = span.at_s + span.for_s
                 await term.run()
             self._desk = None
+            if span in losses:
+                link = AdvisorLink(ports=self._ports, nursery=nursery)
 
-    def _parts(self) -> TermParts:
+    def _parts(self, link: AdvisorLink) -> TermParts:
         ports: Any = self._ports
-        link = AdvisorLink(ports=self._ports)
         recorder = Recorder(
             process="lab", clock=self._clock, ring=TimelineRing(capacity=RING_EVENTS)
         )
--- a/src/galenastall/bench/cell_load/surroundings.py
+++ b/src/galenastall/bench/cell_load/surroundings.py
@@ -12,9 +12,11 @@
 from galenastall.coordination.cell.advice import Approval
 from galenastall.coordination.cell.commands import PaceOrder, StartOrder, StopOrder
 from galenastall.coordination.cell.executors import ExecutorInfo
+from galenastall.node.cell.advice_proxy import AdviceProxy
 from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
-from galenastall.protocol.cell.messages import AdviceAnswer, GetAdvice
+from galenastall.protocol.cell.messages import AdviceAnswer
 from galenastall.protocol.cell.ports import StoreView
+from galenastall.protocol.peers import PeerHandler
 from galenastall.standin.cell.executors import Executor, ExecutorWorld, Run
 from galenastall.state.cell.hosts import MaintenanceWave, PoolHost
 from galenastall.state.cell.jobs import Step, StepKey, TaskKey
@@ -259,27 +261,51 @@
         await trio.sleep(timeout_s)
         return None
 
-    async def advise(self, message: GetAdvice) -> AdviceAnswer:
+    async def advise(
+        self, *, step: StepKey, executor_ids: tuple[str, ...], timeout_s: float
+    ) -> Result[AdviceAnswer, StepError]:
         """Answer a call for advice after the time that it takes."""
-        arrival = self._world.arrivals_by_id[message.step.job]
+        arrival = self._world.arrivals_by_id[step.job]
         timing = arrival.job.queue.advisor
         assert timing is not None, "only steps of advised queues are asked about"
         self.advice_calls += 1
-        await trio.sleep(timing.base_s + timing.per_executor_s * len(message.executor_ids))
+        await trio.sleep(timing.base_s + timing.per_executor_s * len(executor_ids))
         approved = tuple(
             Approval(executor_id=executor_id, ticket="ticket")
-            for executor_id in message.executor_ids
-            if self._world.is_approved(message.step, executor_id)
+            for executor_id in executor_ids
+            if self._world.is_approved(step, executor_id)
         )
-        return AdviceAnswer(approved=approved, validity_s=timing.validity_s)
+        return Success(AdviceAnswer(approved=approved, validity_s=timing.validity_s))
+
+
+class _HostLink:
+    """The side of a host that is asked: its handlers by the type of message."""
+
+    def __init__(self, *, host_id: HostId) -> None:
+        self.host_id = host_id
+        self._handlers_by_type: dict[type[Any], PeerHandler] = {}
+
+    def set_peers(self, addresses_by_id: dict[HostId, str]) -> None:
+        """Take no addresses: a host that is asked calls nobody."""
+
+    def handle(self, message_type: type[Any], handler: PeerHandler) -> None:
+        self._handlers_by_type[message_type] = handler
+
+    async def call(self, *, peer: HostId, message: object, timeout_s: float) -> Result[Any, Any]:
+        return Success(await self._handlers_by_type[type(message)](peer, message))
+
+    def send(self, *, peer: HostId, message: object) -> None:
+        """Send nothing: a host that is asked only answers."""
 
 
 class AdvisorLink:
-    """A peer link on which each host only asks the advisor."""
+    """A peer link on which each host only asks the advisor, and keeps what it says."""
 
-    def __init__(self, *, ports: LabPorts) -> None:
-        """Ask through `ports`."""
+    def __init__(self, *, ports: LabPorts, nursery: trio.Nursery) -> None:
+        """Ask through `ports`; calls go on in `nursery` when the leader that asked is lost."""
         self._ports = ports
+        self._nursery = nursery
+        self._links_by_host: dict[HostId, _HostLink] = {}
 
     @property
     def host_id(self) -> HostId:
@@ -298,9 +324,23 @@
     async def call(
         self, *, peer: HostId, message: object, timeout_s: float
     ) -> Result[Any, StepError]:
-        """Ask the advisor through a host."""
-        assert isinstance(message, GetAdvice), "the leader asks hosts for advice only"
-        return Success(await self._ports.advise(message))
+        """Ask the advisor through a host, or the host for what the advisor told it."""
+        answers: list[Any] = []
+        answered = trio.Event()
+        self._nursery.start_soon(self._ask, peer, message, answers, answered)
+        await answered.wait()
+        return Failure(answers[0]) if isinstance(answers[0], StepError) else Success(answers[0])
+
+    async def _ask(
+        self, peer: HostId, message: object, answers: list[Any], answered: trio.Event
+    ) -> None:
+        link = self._links_by_host.get(peer)
+        if link is None:
+            link = self._links_by_host[peer] = _HostLink(host_id=peer)
+            AdviceProxy(link=link, advisor=self._ports)
+        answer = await link.call(peer=peer, message=message, timeout_s=0.0)
+        answers.append(answer.unwrap())
+        answered.set()
 
 
 def _silent(peer: str) -> Failure[StepError]:
--- a/src/galenastall/bench/cell_load/workload.py
+++ b/src/galenastall/bench/cell_load/workload.py
@@ -109,6 +109,8 @@
     store_outages: list[Span] = []
     leader_losses: list[Span] = []
     """All entry hosts are gone; one leads again after that time."""
+    leader_changes: list[Span] = []
+    """The leader alone is gone; another host leads after that time."""
     crashes: list[Span] = []
     """Executors that crash, and come back as new lives."""
 
--- a/src/galenastall/coordination/cell/advice.py
+++ b/src/galenastall/coordination/cell/advice.py
@@ -140,13 +140,41 @@
         advice = self._end_call(step, executor_ids)
         if advice is None:
             return
+        self._count(advice, executor_ids, approved, queue_name)
+        for approval in approved:
+            advice.tickets_by_executor[approval.executor_id] = approval.ticket
+            advice.good_until_by_executor[approval.executor_id] = now + validity_s
+
+    def adopt(
+        self,
+        step: StepKey,
+        executor_ids: Sequence[str],
+        approved: tuple[Approval, ...],
+        *,
+        good_until: float,
+        queue_name: str,
+    ) -> None:
+        """Take an answer that an earlier leader asked for; its tickets may have expired."""
+        advice = self.of(step)
+        self._count(advice, executor_ids, approved, queue_name)
+        for approval in approved:
+            known_until = advice.good_until_by_executor.get(approval.executor_id, float("-inf"))
+            if good_until > known_until:
+                advice.tickets_by_executor[approval.executor_id] = approval.ticket
+                advice.good_until_by_executor[approval.executor_id] = good_until
+
+    def _count(
+        self,
+        advice: StepAdvice,
+        executor_ids: Sequence[str],
+        approved: tuple[Approval, ...],
+        queue_name: str,
+    ) -> None:
+        """Count what was not known before, and note all of it as asked."""
         share = self._shares_by_queue[queue_name]
         share.answered += len(set(executor_ids) - advice.asked)
         share.approved += sum(1 for a in approved if a.executor_id not in advice.asked)
         advice.asked.update(executor_ids)
-        for approval in approved:
-            advice.tickets_by_executor[approval.executor_id] = approval.ticket
-            advice.good_until_by_executor[approval.executor_id] = now + validity_s
 
     def fail(self, step: StepKey, executor_ids: Sequence[str], now: float) -> None:
         """Note that a call has failed."""
--- /dev/null
+++ b/src/galenastall/coordination/cell/kept_advice.py
@@ -0,0 +1,66 @@
+"""What a new leader takes over of the advice that earlier leaders asked for.
+
+Answers this load: wide gangs wait for advice that takes a second a call, and the leader is lost.
+Which executors may run a step never changes, and the hosts that asked still hold the answers. A
+ticket is only taken with the time that its host has measured, from before that host was asked.
+"""
+
+from collections.abc import Sequence
+
+from galenastall.coordination.cell.advice import AdviceBook, Approval
+from galenastall.coordination.cell.cell_state import CellState
+from galenastall.coordination.cell.commands import AskAdvice
+from galenastall.state.cell.jobs import StepKey
+
+
+class KeptAdvice:
+    """Puts answers of earlier leaders' calls into the tables."""
+
+    def __init__(self, *, state: CellState, advice: AdviceBook) -> None:
+        """Work on these tables."""
+        self._state = state
+        self._advice = advice
+
+    def wanted_steps(self) -> tuple[StepKey, ...]:
+        """Return the steps that wait and need advice."""
+        return tuple(step for step in self._state.waiting_steps if self._ask(step, ()) is not None)
+
+    def adopt(
+        self,
+        step: StepKey,
+        executor_ids: Sequence[str],
+        approved: tuple[Approval, ...],
+        *,
+        good_until: float,
+    ) -> bool:
+        """Take an answer with tickets that are good until then; False if its step does not wait."""
+        ask = self._ask(step, tuple(executor_ids))
+        if ask is None:
+            return False
+        self._advice.adopt(
+            step, executor_ids, approved, good_until=good_until, queue_name=ask.queue_name
+        )
+        return True
+
+    def begin(self, step: StepKey, executor_ids: Sequence[str], *, now: float) -> AskAdvice | None:
+        """Count a call that is under way, so that it is not made again; None if nobody waits."""
+        ask = self._ask(step, tuple(executor_ids))
+        if ask is not None:
+            self._advice.begin(step, executor_ids, now)
+        return ask
+
+    def _ask(self, step: StepKey, executor_ids: tuple[str, ...]) -> AskAdvice | None:
+        """Return the call about a step that waits and needs advice."""
+        job = self._state.jobs_by_id.get(step.job)
+        if job is None or step not in self._state.waiting_steps:
+            return None
+        queue = self._state.queue_of(job)
+        if queue.advisor is None:
+            return None
+        return AskAdvice(
+            step=step,
+            executor_ids=executor_ids,
+            timing=queue.advisor,
+            queue_name=queue.name,
+            is_urgent=queue.priority == 0,
+        )
--- a/src/galenastall/coordination/cell/mechanisms.py
+++ b/src/galenastall/coordination/cell/mechanisms.py
@@ -12,6 +12,8 @@
     """Other room first for work that may have room kept by the decision before."""
     ADVICE_AT_ONCE = "advice-at-once"
     """Several calls for advice at once about a gang, through several hosts."""
+    KEPT_ADVICE = "kept-advice"
+    """What hosts were told by the advisor for an earlier leader, taken over by the next one."""
     DOUBTS = "doubts"
     """Pauses of executors on which runs fail, stand still or crawl."""
     MOVES = "moves"
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -18,6 +18,7 @@
 from galenastall.coordination.cell.fleet import Fleet
 from galenastall.coordination.cell.host_care import HostCare
 from galenastall.coordination.cell.job_runs import JobRun, StartState
+from galenastall.coordination.cell.kept_advice import KeptAdvice
 from galenastall.coordination.cell.listings import Listing, ListingReader
 from galenastall.coordination.cell.load_report import closed_by_id, report_load
 from galenastall.coordination.cell.mechanisms import ALL_ON, Without
@@ -60,6 +61,8 @@
         self._orders = OrderBook(
             state=self._state, ends=self._ends, advice=self._advice, doubts=self._doubts
         )
+        self.kept_advice = KeptAdvice(state=self._state, advice=self._advice)
+        """Advice that earlier leaders asked for."""
         self._placer = Placer(state=self._state, advice=self._advice)
         self._waiting = WaitingReport(
             state=self._state, advice=self._advice, sight=self._placer.sight, plan=self.plan
--- a/src/galenastall/node/cell/advice_desk.py
+++ b/src/galenastall/node/cell/advice_desk.py
@@ -1,7 +1,8 @@
 """Spread calls for advice over the entry hosts: the advisor serves one a time for each of them."""
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Final
 
 import trio
@@ -50,6 +51,16 @@
         self._put(ask, 0)
         self._dispatch()
 
+    @contextmanager
+    def holding(self, host: HostId) -> Iterator[None]:
+        """Ask nothing through a host in the meantime: a call of an earlier leader has its turn."""
+        self._busy.add(host)
+        try:
+            yield
+        finally:
+            self._busy.discard(host)
+            self._dispatch()
+
     def _put(self, ask: AskAdvice, tries: int) -> None:
         (self._urgent if ask.is_urgent else self._other).append((ask, tries))
 
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -9,10 +9,11 @@
 from returns.result import Failure
 
 from galenastall.coordination.cell.commands import StartOrder
-from galenastall.coordination.cell.mechanisms import ALL_ON, Without
+from galenastall.coordination.cell.mechanisms import ALL_ON, Mechanism, Without
 from galenastall.coordination.cell.scheduler import CellScheduler
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.node.cell.advice_desk import AdviceDesk
+from galenastall.node.cell.advice_recovery import AdviceRecovery
 from galenastall.node.cell.commit_loop import CommitLoop
 from galenastall.node.cell.executor_session import ExecutorSession
 from galenastall.node.cell.hosts_desk import HostsDesk
@@ -141,6 +142,14 @@
                         nursery=nursery,
                     )
                     nursery.start_soon(self._hosts.run)
+                    recovery = AdviceRecovery(
+                        context=self.context,
+                        link=self._parts.link,
+                        desk=desk,
+                        helpers=self._parts.helpers,
+                    )
+                    if Mechanism.KEPT_ADVICE not in self._parts.without:
+                        await nursery.start(recovery.run)
                     nursery.start_soon(self._decide_forever, nursery, desk)
         if not self.loss:
             self._on_lost("cancelled")
--- a/src/galenastall/protocol/cell/messages.py
+++ b/src/galenastall/protocol/cell/messages.py
@@ -166,6 +166,53 @@
     validity_s: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeptAnswer:
+    """An advisor's answer that a host passed on, or could not pass on."""
+
+    step: StepKey
+    executor_ids: tuple[str, ...]
+    """Executors that were asked about."""
+    approved: tuple[Approval, ...]
+    good_for_s: float
+    """For how long the tickets are still good; negative if they have expired."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallUnderWay:
+    """A call to the advisor that has not been answered yet."""
+
+    step: StepKey
+    executor_ids: tuple[str, ...]
+    left_s: float
+    """Until it is given up."""
+
+
+@PEER_MESSAGES.register("cell.recover_advice")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RecoverAdvice:
+    """A new leader asks what the advisor told a host about these steps under earlier leaders."""
+
+    steps: tuple[StepKey, ...]
+
+
+@PEER_MESSAGES.register("cell.recovered_advice")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RecoveredAdvice:
+    """What a host knows of advice, oldest first."""
+
+    answers: tuple[KeptAnswer, ...] = ()
+    under_way: CallUnderWay | None = None
+
+
+@PEER_MESSAGES.register("cell.await_advice")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AwaitAdvice:
+    """Wait for the answer to the call that was under way, which comes as AdviceAnswer."""
+
+    step: StepKey
+
+
 @PEER_MESSAGES.register("cell.get_config")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GetConfig:
