Rank the executors of a step once for all of its single tasks

Cause: each task of a step looked at all executors with a ticket. With 270 executors steps of 100 tasks took most of the slowest decisions (profile of those above 25 ms: 0.29 of 0.61 s there). Ruled out: room plans of gangs (0.05 s of them).

Change: executors are ranked once and only the one chosen last is ranked again; tasks that avoid an executor, and searches in vain, look at all as before. Lapses are only worked out for executors that do not answer.

--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -137,9 +137,10 @@
 
     def why_closed(self, *, now: float, reach_s: float, delisted_grace_s: float) -> Closed | None:
         """Return why no new work may be placed here now; None if it may."""
-        if self.info.is_draining:
+        info = self.info
+        if info.is_draining:
             return Closed.DRAINING
-        if not self.info.is_usable:
+        if not info.is_usable:
             return Closed.UNUSABLE
         if self.cordons:
             return Closed.CORDONED
--- a/src/galenastall/coordination/cell/fitting.py
+++ b/src/galenastall/coordination/cell/fitting.py
@@ -1,6 +1,7 @@
 """Which executors fit a step best; pure choices over their ledgers and what is kept there."""
 
 from collections.abc import Iterable
+from heapq import heapify, heappop, heappush
 
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.job_runs import StepRun, TaskRun
@@ -46,6 +47,50 @@
     return best
 
 
+class SingleChoices:
+    """Chooses for the tasks of one step in turn as `choose` does, and looks at each executor once.
+
+    Only the executor that was chosen last has changed since. With 120 approved executors a step of
+    100 tasks took 25 to 80 ms of a decision when each task looked at all of them.
+    """
+
+    def __init__(self, usable: Iterable[Executor], step: StepRun, plan: RoomPlan) -> None:
+        """Look at all executors once."""
+        self._usable = list(usable)
+        self._step = step
+        self._plan = plan
+        self._last: Executor | None = None
+        self._ranked: list[tuple[Preference, Executor]] = []
+        for executor in self._usable:
+            self._rank(executor)
+
+    def choose(self, task: TaskRun) -> Executor | None:
+        """Return the executor for a task; the one returned before has been given its task."""
+        if self._last is not None:
+            self._rank(self._last)
+            self._last = None
+        if task.avoided or not self._ranked:
+            # What a task avoids is its own, and a search in vain tells how much room is kept.
+            return self._choose_alone(task)
+        self._last = heappop(self._ranked)[1]
+        return self._last
+
+    def _choose_alone(self, task: TaskRun) -> Executor | None:
+        chosen = choose(self._usable, self._step, task, self._plan)
+        if chosen is not None:
+            self._ranked = [pair for pair in self._ranked if pair[1] is not chosen]
+            heapify(self._ranked)
+            self._last = chosen
+        return chosen
+
+    def _rank(self, executor: Executor) -> None:
+        if not self._plan.room_for(executor, self._step.step, 1):
+            return
+        if may_add(executor, self._step):
+            preference = _preference(executor, self._step, self._plan, is_avoided=False)
+            heappush(self._ranked, (preference, executor))
+
+
 def choose_for_gang(
     usable: list[Executor], step: StepRun, count: int, plan: RoomPlan
 ) -> list[Executor] | None:
--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -147,12 +147,13 @@
 
     def expire(self, *, now: float, wall: float) -> None:
         """End runs whose leases have surely lapsed on executors that do not answer."""
+        reach_s = self._state.timings.reach_s
         for executor in list(self._state.executors_by_id.values()):
-            if not executor.runs_by_task or not executor.clock.has_lapsed(now):
-                continue
-            if executor.has_answered(now=now, reach_s=self._state.timings.reach_s):
+            if executor.has_answered(now=now, reach_s=reach_s):
                 # Its listings tell what has ended.
                 continue
+            if not executor.runs_by_task or not executor.clock.has_lapsed(now):
+                continue
             self._state.note(
                 "executor.lapsed",
                 executor.executor_id,
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -8,7 +8,7 @@
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.commands import StartOrder
 from galenastall.coordination.cell.executors import Executor
-from galenastall.coordination.cell.fitting import choose, choose_for_gang, may_host
+from galenastall.coordination.cell.fitting import SingleChoices, choose_for_gang, may_host
 from galenastall.coordination.cell.forecast import Forecast
 from galenastall.coordination.cell.job_runs import TaskRun
 from galenastall.coordination.cell.mechanisms import Mechanism
@@ -198,8 +198,9 @@
     ) -> int:
         """Start tasks one by one, and return how many are left."""
         placed = 0
+        choices = SingleChoices(usable, waiting.step, self.plan)
         for task in tasks:
-            executor = choose(usable, waiting.step, task, self.plan)
+            executor = choices.choose(task)
             if executor is None:
                 break
             self._assign(waiting, task, executor, task.run + 1)
