--- a/src/galenastall/node/cell/cell_host.py
+++ b/src/galenastall/node/cell/cell_host.py
@@ -11,6 +11,7 @@
 from galenastall.node.cell.caller_desk import CallerDesk
 from galenastall.node.cell.config_keeper import ConfigKeeper
 from galenastall.node.cell.leader_term import TermParts
+from galenastall.node.cell.membership import Membership
 from galenastall.node.cell.standing import Standing
 from galenastall.protocol.cell.executor_port import ExecutorPort
 from galenastall.protocol.cell.ports import (
@@ -81,10 +82,12 @@
         self.link = link
         self.config = ConfigKeeper(port=ports.config, link=self.link, recorder=recorder)
         AdviceProxy(link=self.link, advisor=ports.advisor)
+        self.members = Membership(
+            link=self.link, address=settings.peer_address, weight=settings.weight
+        )
         self.standing = Standing(
             host_id=settings.host_id,
-            address=settings.peer_address,
-            weight=settings.weight,
+            members=self.members,
             election=Election(
                 timings=timings,
                 jitter_s=settings.claim_delay_s,
--- a/tests/test_cell_leadership.py
+++ b/tests/test_cell_leadership.py
@@ -10,7 +10,7 @@
 from cell.play import check_all_end, hand_in, play, random_trouble
 from cell.world import World
 from galenastall.node.cell.caller_desk import UNHEARD_SHARE
-from galenastall.node.cell.standing import FOLLOWS_S
+from galenastall.node.cell.membership import FOLLOWS_S
 from galenastall.protocol.cell.messages import SubmitVerdict
 from galenastall.state.cell.phases import JobPhase
 
