--- a/src/galenastall/node/cell/membership.py
+++ b/src/galenastall/node/cell/membership.py
@@ -1,4 +1,4 @@
-"""The other hosts of a cell as this one knows them: where they are, what they said of themselves."""
+"""The other hosts of a cell as this one knows them: where they are and what they said."""
 
 from dataclasses import replace
 from typing import Final
