--- a/src/galenastall/node/cell/caller_desk.py
+++ b/src/galenastall/node/cell/caller_desk.py
@@ -47,6 +47,39 @@
     retry_after_s: float = RETRY_AFTER_S
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Patience:
+    """Until when a submission goes on, in this host's time."""
+
+    until: float
+    """When its caller has to have an answer."""
+    leaderless_until: float
+    """The same while no leader may have stored the job."""
+    unheard_until: float
+    """The same while no leader is heard."""
+
+    @classmethod
+    def of(cls, patience_s: float, *, now: float) -> "_Patience":
+        """Share out a caller's time."""
+        until = now + patience_s - ANSWER_MARGIN_S
+        return cls(
+            until=until,
+            leaderless_until=min(until, now + NO_LEADER_S, now + SHARE_OF_PATIENCE * patience_s),
+            unheard_until=min(until, now + UNHEARD_SHARE * patience_s),
+        )
+
+    def end(self, *, may_be_stored: bool) -> float:
+        """Return until when to go on."""
+        return self.until if may_be_stored else self.leaderless_until
+
+    def answer_s(self, now: float) -> float:
+        """Return how long a leader may take for an answer.
+
+        One that is heard and has not answered by `unheard_until` is slow, and may take all of it.
+        """
+        return (self.unheard_until if now < self.unheard_until else self.until) - now
+
+
 class CallerDesk:
     """Passes callers' operations to the leader."""
 
@@ -66,29 +99,21 @@
         Only a leader can say that: without one, an earlier try of the same job may have been taken
         elsewhere.
         """
-        now = trio.current_time()
-        until = now + patience_s - ANSWER_MARGIN_S
-        leaderless_until = min(until, now + NO_LEADER_S, now + SHARE_OF_PATIENCE * patience_s)
-        unheard_until = min(until, now + UNHEARD_SHARE * patience_s)
+        patience = _Patience.of(patience_s, now=trio.current_time())
         may_be_stored = False
         cause = "no leader is heard"
         # A leader that went away may have stored the job; the next one knows within a second.
-        while trio.current_time() < (until if may_be_stored else leaderless_until):
+        while trio.current_time() < patience.end(may_be_stored=may_be_stored):
             now = trio.current_time()
-            if not self._standing.is_heard and now >= unheard_until:
+            if not self._standing.is_heard and now >= patience.unheard_until:
                 break
-            left_s = until - now
-            # A leader that is heard and has not answered by then is slow, and may take all of it.
-            answer_s = unheard_until - now if now < unheard_until else left_s
-            message = SubmitJob(job=job, patience_s=left_s)
-            answer = await self._call(message, answer_s)
+            message = SubmitJob(job=job, patience_s=patience.until - now)
+            answer = await self._call(message, patience.answer_s(now))
             if isinstance(answer, Success):
                 found: SubmitAnswer = answer.unwrap()
-                if found.verdict is SubmitVerdict.NOT_RUN and not may_be_stored:
-                    return Submitted(verdict=found.verdict, cause=found.cause)
-                if found.verdict is not SubmitVerdict.NOT_RUN:
-                    return Submitted(verdict=found.verdict, cause=found.cause)
                 cause = found.cause
+                if found.verdict is not SubmitVerdict.NOT_RUN or not may_be_stored:
+                    return Submitted(verdict=found.verdict, cause=cause)
             else:
                 error = answer.failure()
                 may_be_stored = may_be_stored or error.may_have_taken_effect
