Keep the longer wait for a page to the state's load

Cause, from reading the change: pages of all keyed topics had got 3 s and three tries, so a host whose connection to the store has gone silent would have waited 3 s and more for the operator's configuration and the list of executors, not 1 s. Ruled out: a shorter wait for the state, which is what the change was for. Change: the load of the state names its own time-out and tries; followers have theirs as before.

--- a/src/galenastall/coordination/cell/succession.py
+++ b/src/galenastall/coordination/cell/succession.py
@@ -3,7 +3,8 @@
 Answers this load: a leader is lost among hosts of unlike size, and all others would claim within
 milliseconds. A host of half a core then starts work for thousands of tasks too late, and its
 callers wait for seconds. So hosts that are far smaller than the largest one let it go first, a
-small leader hands over to a large host, and a leader that falls behind to one that does not.
+small leader hands over to a large host, a leader that falls behind to one that does not, and one
+that the store turns away to one that the store serves.
 """
 
 from collections.abc import Iterable
@@ -14,8 +15,8 @@
 """A host below this share of the heaviest one's weight is light: it lets that one claim first.
 Hosts of one kind differ by less."""
 WORTH_A_HANDOVER: Final = 1.0 / LIGHT_SHARE
-"""How many times heavier a host must be for a leader to hand over to it; a handover loses what the
-advisor has said, which takes a second to ask again."""
+"""How many times heavier a host must be for a leader to hand over to it: nothing starts for some
+0.2 s of a handover, which has to be worth it."""
 BEHIND_LAG_S: Final = 0.15
 """A leader whose loop is late by more on average falls behind: an order waits 0.35 s for its
 answer, and with a loop that is late twice on its way orders time out."""
@@ -104,8 +105,9 @@
 def handover_of(health: LeaderHealth, contenders: Iterable[Contender]) -> Handover | None:
     """Return to whom a leader should hand over and why; None if it should go on.
 
-    No two hosts hand over to each other in turn: by weight it only goes upwards, and one that fell
-    behind is not willing for a while.
+    No two hosts hand over to each other in turn: by weight it only goes upwards, one that fell
+    behind is not willing for a while, and one that the store turns away has to see first that the
+    store serves the other (see `is_turned_away`).
     """
     ready = [c for c in contenders if c.is_calm and c.uptime_s >= KNOWN_FOR_S]
     best = successor_of(ready)
--- a/src/galenastall/platform/newest.py
+++ b/src/galenastall/platform/newest.py
@@ -13,10 +13,6 @@
 
 PAGE_TIMEOUT_S: Final = 1.0
 """Wait for a page; a slow store takes up to 0.4 s."""
-WHOLE_PAGE_TIMEOUT_S: Final = 3.0
-"""Wait for a page where all are read: a full one of 1 MB takes 0.9 s through 10 Mbit/s."""
-PAGE_TRIES: Final = 3
-"""Tries of one page before all are begun again: a lost opening packet costs 0.5 s."""
 _STEP: Final = "store.newest"
 _OK: Final = 200
 _NOT_FOUND: Final = 404
@@ -77,12 +73,20 @@
         page = decode_answer(whole, NewestPage, step=_STEP, peer=self._address())
         return page.map(decode_page)
 
-    async def all(self, topic: str) -> Result[NewestRecords, StepError]:
-        """Return all keys; `end_offset` is the first page's, after which nothing is missed."""
+    async def all(
+        self, topic: str, *, timeout_s: float = PAGE_TIMEOUT_S, tries: int = 1
+    ) -> Result[NewestRecords, StepError]:
+        """Return all keys; `end_offset` is the first page's, after which nothing is missed.
+
+        Each page has `timeout_s` and so many tries: those before it need not be read again.
+        """
         pages: list[NewestRecords] = []
         after = ""
         while True:
-            answer = await self._page_surely(topic, after)
+            answer = await self.page(topic, after, timeout_s=timeout_s)
+            for _ in range(tries - 1):
+                if isinstance(answer, Failure):
+                    answer = await self.page(topic, after, timeout_s=timeout_s)
             if isinstance(answer, Failure):
                 return answer
             page = answer.unwrap()
@@ -96,15 +100,6 @@
                 )
             after = page.last_key
 
-    async def _page_surely(self, topic: str, after: str) -> Result[NewestRecords, StepError]:
-        """Return a page, tried some times: those before it need not be read again."""
-        answer = await self.page(topic, after, timeout_s=WHOLE_PAGE_TIMEOUT_S)
-        for _ in range(PAGE_TRIES - 1):
-            if not isinstance(answer, Failure):
-                break
-            answer = await self.page(topic, after, timeout_s=WHOLE_PAGE_TIMEOUT_S)
-        return answer
-
 
 def decode_page(page: NewestPage) -> NewestRecords:
     """Return the records of a page, each decoded by itself."""
--- a/src/galenastall/platform/store.py
+++ b/src/galenastall/platform/store.py
@@ -25,6 +25,10 @@
 PRODUCER: Final = "leader"
 """One name for all leaders, so that the epoch of one fences those before it."""
 CALL_TIMEOUT_S: Final = 1.0
+STATE_PAGE_TIMEOUT_S: Final = 3.0
+"""Wait for a page of the state: a full one of 1 MB takes 0.9 s through a link of 10 Mbit/s."""
+STATE_PAGE_TRIES: Final = 3
+"""Tries of one page before all are begun again: a lost opening packet costs 0.5 s."""
 REQUEST_BYTES: Final = 2_097_152
 """Most that the store takes in one request, where the settings name nothing else."""
 VALUES_SHARE: Final = 0.75
@@ -93,7 +97,9 @@
 
     async def load(self) -> Result[dict[str, bytes], StepError]:
         """Read all pages; under a fence nobody writes between them."""
-        answer = await self._newest.all(STATE_TOPIC)
+        answer = await self._newest.all(
+            STATE_TOPIC, timeout_s=STATE_PAGE_TIMEOUT_S, tries=STATE_PAGE_TRIES
+        )
         if isinstance(answer, Failure):
             return answer
         found = answer.unwrap()
