Log how long a run had been at work when it ended, and what an executor's life ended with

What callers saw: jobs beside tasks that crash their executors lost runs again and again. Cause of not knowing: a line of a lost run named neither for how long listings had shown it nor whether its start was confirmed, so the task at fault could not be told from those beside it. Change: run.ended has start and at_work_s, executor.life_ended has runs, silent_s and draining. No decision reads it yet.

--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -139,7 +139,16 @@
         executor = self._state.executors_by_id.get(executor_id)
         if executor is None:
             return
-        self._state.note("executor.life_ended", executor_id, cause=cause)
+        self._state.note(
+            "executor.life_ended",
+            executor_id,
+            cause=cause,
+            fields={
+                "runs": str(len(executor.runs_by_task)),
+                "silent_s": _silent_text(executor, now=self._state.now),
+                "draining": str(executor.info.is_draining).lower(),
+            },
+        )
         for key, run in list(executor.runs_by_task.items()):
             self._ends.apply(key, run, RunEnd.LOST, wall=wall)
         self._state.executors_by_id.pop(executor_id, None)
@@ -230,6 +239,11 @@
             self._ends.stop(task, rule=StopRule.SLOW_EXECUTOR, cause=cause)
 
 
+def _silent_text(executor: Executor, *, now: float) -> str:
+    """Return for how many seconds an executor has not answered; empty if it never did."""
+    return "" if executor.answered_at is None else f"{now - executor.answered_at:.2f}"
+
+
 def _unlisted(executor_id: str) -> ExecutorInfo:
     """Return what is known of an executor of which only the id is stored."""
     return ExecutorInfo(
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -38,6 +38,7 @@
 
     __slots__ = (
         "avoided",
+        "began_at",
         "checkpoint",
         "checkpoint_at",
         "executor_id",
@@ -107,6 +108,9 @@
         self.first_percent = 0
         self.first_seen_at: float | None = None
         """Leader's time of the first listing that showed this run at work."""
+        self.began_at: float | None = None
+        """Leader's time at which the executor first confirmed this run, by an answer or a listing.
+        """
 
     def assign(self, *, run: int, executor_id: str, now: float) -> None:
         """Give the task a new run on an executor."""
@@ -123,6 +127,7 @@
         self.percent = 0
         self.percent_at = now
         self.first_seen_at = None
+        self.began_at = None
         self.pace_percent = WHOLE_PERCENT
         self.pace_sent_percent = WHOLE_PERCENT
 
@@ -131,6 +136,8 @@
         self.state = StartState.STARTED
         self.figure = figure
         self.listed_at = now
+        if self.began_at is None:
+            self.began_at = now
         if self.first_seen_at is None:
             self.first_percent = self.percent = percent
             self.first_seen_at = self.percent_at = now
@@ -150,6 +157,13 @@
         """Whether progress was seen since its first listing."""
         return self.percent > self.first_percent
 
+    @property
+    def at_work_s(self) -> float:
+        """For how long a listing has shown its run at work, in seconds; 0 before one does."""
+        if self.began_at is None or self.first_seen_at is None:
+            return 0.0
+        return self.listed_at - self.began_at
+
     def avoid(self, executor_id: str) -> None:
         """Have its next runs tried elsewhere first."""
         self.avoided = self.avoided | {executor_id}
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -52,6 +52,7 @@
         if outcome is StartOutcome.STARTED:
             task.state = StartState.STARTED
             task.known_seq = self._state.next_seq()
+            task.began_at = now if task.began_at is None else task.began_at
             self._state.jobs_by_id[order.task.job].note_start()
             self._doubts.on_start_taken(order.executor_id)
             return False
--- a/src/galenastall/coordination/cell/run_ends.py
+++ b/src/galenastall/coordination/cell/run_ends.py
@@ -39,20 +39,24 @@
             return False
         executor = self._state.free(task, step)
         task.save(saved, now=self._state.now)
+        self._tell(task, end)
         task.release()
-        self._state.note(
-            "run.ended",
-            key.job,
-            _name(key),
-            cause=end.value,
-            fields={"run": str(run), "executor": executor.executor_id if executor else ""},
-        )
         if executor is not None:
             self._judge(executor, task, end)
         self._settle(job, step, task, end, wall=wall)
         self._state.refresh_waiting(job)
         return True
 
+    def _tell(self, task: TaskRun, end: RunEnd) -> None:
+        """Note an end, with what is known of the run: which one began just before tells causes."""
+        fields = {
+            "run": str(task.run),
+            "executor": task.executor_id,
+            "start": task.state.name.lower(),
+            "at_work_s": f"{task.at_work_s:.2f}",
+        }
+        self._state.note("run.ended", task.key.job, _name(task.key), cause=end.value, fields=fields)
+
     def _judge(self, executor: Executor, task: TaskRun, end: RunEnd) -> None:
         if end is RunEnd.FAILED:
             self._doubts.on_failure(executor, task)
