Show that crashing tasks are started without end, and that starts outlive their room

What callers saw: two tasks crashed an executor every 3.3 s each, and took ten runs of others with it each time.

--- a/src/galenastall/standin/cell/executors.py
+++ b/src/galenastall/standin/cell/executors.py
@@ -7,7 +7,7 @@
 from abc import ABC, abstractmethod
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Final
 
 import trio
@@ -29,6 +29,14 @@
 """How long a member waits for the others of its gang, as the platform states it."""
 STOP_S: Final = 0.2
 """How long a stop takes."""
+CRASH_AFTER_S: Final = 0.01
+"""How long a task that crashes its executor has been there by then."""
+SHRUNK_GRACE_S: Final = 3.0
+"""For how long starts may go by an earlier, larger capacity: the list of executors is behind."""
+MOST_CRASHES: Final = 3
+"""Executors that a task may crash before more starts of it count."""
+STARTS_AFTER_CRASHES: Final = 3
+"""Starts of a task after so many crashes that are one too many."""
 
 
 @dataclass(kw_only=True)
@@ -42,6 +50,8 @@
     fails: bool
     started_at: float = 0.0
     stops_at: float | None = None
+    crashes_at: float | None = None
+    """When it crashes its executor."""
     waits_until: float | None = None
 
 
@@ -55,6 +65,8 @@
         self.rate = rate
         self.born = trio.current_time()
         self.is_up = True
+        self._shrunk_at = float("-inf")
+        self._capacity_before = info.capacity
         self.fence = 0
         self.deadline_ms = 0.0
         self.lapsed_at = float("-inf")
@@ -68,11 +80,27 @@
         """Return the reading of its clock."""
         return (trio.current_time() - self.born) * 1000.0 * self.rate + 500_000.0
 
+    def resize(self, capacity: Resources) -> None:
+        """Change its capacity; what runs there goes on."""
+        if not self.info.capacity.fits_in(capacity):
+            self._shrunk_at = trio.current_time()
+            self._capacity_before = self.info.capacity
+        self.info = replace(self.info, capacity=capacity)
+
+    def allowed(self) -> Resources:
+        """Return the capacity that starts have to keep to now."""
+        if trio.current_time() < self._shrunk_at + SHRUNK_GRACE_S:
+            return self.info.capacity.at_least(self._capacity_before)
+        return self.info.capacity
+
     def sweep(self) -> None:
         """Bring the runs up to now."""
         now = trio.current_time()
         if not self.is_up:
             return
+        if any(run.crashes_at is not None and run.crashes_at <= now for run in self.runs.values()):
+            self.world.crash_by_task(self)
+            return
         if self.clock_ms() >= self.deadline_ms:
             lapsed_at = now - (self.clock_ms() - self.deadline_ms) / 1000.0 / self.rate
             self._end_due(lapsed_at)
@@ -184,6 +212,10 @@
         self.noted_ends: defaultdict[TaskKey, list[tuple[float, RunEnd]]] = defaultdict(list)
         self.ended_at: dict[tuple[TaskKey, int], float] = {}
         self.gangs: defaultdict[tuple[Any, ...], dict[TaskKey, Run]] = defaultdict(dict)
+        self.crashing: set[TaskKey] = set()
+        """Tasks that crash each executor that starts them."""
+        self.crashes_of: defaultdict[TaskKey, list[float]] = defaultdict(list)
+        """When executors crashed by a task."""
         self.shows_progress = False
         """Whether listings tell how far runs are; else some figure that mostly rises."""
 
@@ -211,9 +243,20 @@
             if executor.runs.pop(run.task, None) is not None:
                 self._break_gang(run)
 
+    def crash_by_task(self, executor: Executor) -> None:
+        """Crash an executor by the tasks there that do so."""
+        for task in executor.runs.keys() & self.crashing:
+            self.crashes_of[task].append(trio.current_time())
+            executor.runs[task].crashes_at = None
+        self.crash(executor)
+        self.on_crashed_by_task(executor)
+
+    def on_crashed_by_task(self, executor: Executor) -> None:  # noqa: B027 - nothing by itself
+        """Have the executor's host come back, where the world does so."""
+
     def sweep(self) -> None:
         """Bring all runs up to now."""
-        for executor in self.executors.values():
+        for executor in list(self.executors.values()):
             executor.sweep()
 
     def on_start(self, executor: Executor, order: StartOrder) -> Run:
@@ -227,6 +270,7 @@
         if task in self.noted_done:
             self.violations.append(f"{task} starts after its end was noted")
         self.starts_of[task].append(trio.current_time())
+        self._check_crashes(task)
         for earlier in step.after:
             first = TaskKey(task.job, task.occurrence, earlier, 0)
             before = self.step_of(first)
@@ -242,9 +286,20 @@
             ends_at=None if step.is_gang else trio.current_time() + lasts_s,
             fails=fails,
             started_at=trio.current_time(),
+            crashes_at=trio.current_time() + CRASH_AFTER_S if task in self.crashing else None,
             waits_until=trio.current_time() + GANG_WAIT_S if step.is_gang else None,
         )
 
+    def _check_crashes(self, task: TaskKey) -> None:
+        """Check that a task is not started on and on though executors crash under it."""
+        crashes = self.crashes_of[task]
+        if len(crashes) < MOST_CRASHES:
+            return
+        third = crashes[MOST_CRASHES - 1]
+        later = [at for at in self.starts_of[task] if at > third]
+        if len(later) >= STARTS_AFTER_CRASHES:
+            self.violations.append(f"{task} starts {len(later)} times after {third:.2f}")
+
     def join_gang(self, run: Run) -> None:
         """Have a gang begin its work once its last member is there."""
         step = self.step_of(run.task)
@@ -267,7 +322,7 @@
         used = NOTHING
         for run in executor.runs.values():
             used = used + run.need
-        if not used.fits_in(executor.info.capacity):
+        if not used.fits_in(executor.allowed()):
             runs = sorted((*run.task, run.run) for run in executor.runs.values())
             at = f"{executor.info.executor_id} at {trio.current_time():.2f}"
             self.violations.append(f"{at} is over its capacity: {used} by {runs}")
--- a/tests/cell/world.py
+++ b/tests/cell/world.py
@@ -236,6 +236,8 @@
         )
         self.fail_share = 0.05
         self.run_lasts_s = (0.2, 2.5)
+        self.away_s = (1.0, 3.0)
+        """How long a host that a task has crashed stays away."""
         self._lives = 0
         for number in range(executors):
             self.give_life(f"host-{number}")
@@ -258,6 +260,21 @@
         self.listed[executor.info.executor_id] = executor.info
         return executor
 
+    def on_crashed_by_task(self, executor: Executor) -> None:
+        self.nursery.start_soon(self._come_back, executor)
+
+    async def _come_back(self, executor: Executor) -> None:
+        await trio.sleep(self.rng.uniform(*self.away_s))
+        self.give_life(executor.info.host)
+        await trio.sleep(self.rng.uniform(0.0, 3.0))
+        self.listed.pop(executor.info.executor_id, None)
+
+    def resize(self, executor: Executor, capacity: Resources) -> None:
+        """Change an executor's capacity; the list shows it at once."""
+        executor.resize(capacity)
+        if executor.info.executor_id in self.listed:
+            self.listed[executor.info.executor_id] = executor.info
+
     def step_of(self, task: TaskKey) -> Step:
         return self.jobs[task.job].steps[task.step]
 
--- /dev/null
+++ b/tests/test_cell_changing_capacity.py
@@ -0,0 +1,173 @@
+"""Executors whose capacity shrinks and grows again while starts are on their way.
+
+An executor that does not guard its capacity starts what it is told to. The room of a decision may
+be gone by the time at which its starts leave, since they wait until they are durable, and a start
+without an answer is sent again.
+"""
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+import trio
+
+from cell.cluster import Cluster
+from cell.play import hand_in, play, random_trouble
+from cell.rig import JOB, Rig, make_info, make_job, make_step
+from cell.world import CAPACITY, World
+from galenastall.coordination.cell.executors import ExecutorInfo
+from galenastall.coordination.cell.listings import ListedRun
+from galenastall.coordination.cell.orders import StartOutcome
+from galenastall.state.cell.jobs import TaskKey
+from galenastall.state.cell.phases import RunEnd
+from galenastall.state.resources import Resources
+
+OTHER = "fedcba9876543210"
+FIRST = TaskKey(JOB, 0, 0, 0)
+
+
+def resized(info: ExecutorInfo, cores: int) -> ExecutorInfo:
+    return replace(info, capacity=replace(info.capacity, cores_milli=cores))
+
+
+class TestStartsOnTheirWay:
+    def test_a_start_that_waits_for_the_store_does_not_leave(self) -> None:
+        info = make_info("e0")
+        rig = Rig(info)
+        rig.submit(make_job(make_step(4)))
+        rig.core.decide(now=rig.now, wall=rig.wall)
+        rig.see(resized(info, 2000))
+        assert len(rig.commit()) == 2
+        assert len(rig.runs_on("e0")) == 2
+        assert not rig.core.executors_by_id["e0"].free.is_negative()
+
+    def test_all_members_of_a_gang_wait_or_none(self) -> None:
+        infos = [make_info("e0"), make_info("e1")]
+        rig = Rig(*infos)
+        rig.submit(make_job(make_step(6, is_gang=True)))
+        rig.core.decide(now=rig.now, wall=rig.wall)
+        rig.see(resized(infos[0], 2000), infos[1])
+        assert rig.commit() == []
+
+    def test_a_start_without_an_answer_is_not_sent_again(self) -> None:
+        info = make_info("e0")
+        rig = Rig(info)
+        rig.submit(make_job(make_step(4)))
+        orders = rig.step()
+        rig.run_all(orders[1:])
+        rig.see(resized(info, 3000))
+        late = orders[0]
+        again = rig.core.on_start(late, StartOutcome.UNKNOWN, now=rig.now, wall=rig.wall)
+        assert not (again and rig.core.is_wanted(late))
+        assert [stop.task for stop in rig.stops()] == [late.task]
+
+    def test_an_order_sent_again_is_dropped_once_the_room_is_gone(self) -> None:
+        info = make_info("e0")
+        rig = Rig(info)
+        rig.submit(make_job(make_step(4)))
+        orders = rig.step()
+        rig.run_all(orders[1:])
+        assert rig.core.on_start(orders[0], StartOutcome.UNKNOWN, now=rig.now, wall=rig.wall)
+        rig.see(resized(info, 3000))
+        assert not rig.core.is_wanted(orders[0])
+        assert [stop.task for stop in rig.stops()] == [orders[0].task]
+
+
+class TestBelowWhatRuns:
+    @pytest.mark.parametrize("cores", [0, 1000])
+    def test_nothing_starts_where_any_amount_is_over(self, cores: int) -> None:
+        """A filler reserves no processor; an executor over its capacity takes none all the same."""
+        info = make_info("e0")
+        rig = Rig(info)
+        rig.submit(make_job(make_step(4)))
+        rig.run_all(rig.step())
+        rig.see(resized(info, 3000))
+        rig.submit(make_job(make_step(1, cores=cores, is_filler=True), job_id=OTHER))
+        assert rig.step() == []
+
+    def test_runs_go_on(self) -> None:
+        info = make_info("e0")
+        rig = Rig(info)
+        rig.submit(make_job(make_step(4)))
+        rig.run_all(rig.step())
+        rig.see(resized(info, 1000))
+        assert rig.stops() == []
+        assert len(rig.runs_on("e0")) == 4
+
+    def test_room_that_is_back_is_used_at_once(self) -> None:
+        info = make_info("e0")
+        rig = Rig(info)
+        rig.submit(make_job(make_step(6)))
+        rig.run_all(rig.step())
+        rig.see(resized(info, 1000))
+        assert rig.step() == []
+        rig.see(resized(info, 6000))
+        assert len(rig.step()) == 2
+
+    def test_what_is_being_stopped_still_counts(self) -> None:
+        info = make_info("e0")
+        rig = Rig(info)
+        rig.submit(make_job(make_step(4)))
+        orders = rig.step()
+        rig.run_all(orders)
+        rig.core.cancel(JOB, wall=rig.wall)
+        rig.step()
+        assert len(rig.stops()) == 4
+        rig.see(resized(info, 2000))
+        rig.submit(make_job(make_step(1), job_id=OTHER))
+        assert rig.step() == []
+        for position, order in enumerate(orders[:3], start=1):
+            rig.end(order, RunEnd.STOPPED, position)
+        assert len(rig.step()) == 1
+
+    def test_a_new_leader_counts_what_runs_against_the_capacity_of_now(self) -> None:
+        info = make_info("e0")
+        rig = Rig(info)
+        rig.submit(make_job(make_step(4)))
+        rig.run_all(rig.step())
+        heir = Rig(rows=rig.rows)
+        heir.see(resized(info, 3000))
+        heir.listing("e0", tuple(ListedRun(task=task, run=1) for task in rig.runs_on("e0")))
+        assert heir.core.executors_by_id["e0"].free.cores_milli == -1000
+        heir.submit(make_job(make_step(1), job_id=OTHER))
+        assert heir.step() == []
+
+
+class TestTrouble:
+    @pytest.mark.parametrize("seed", range(720, 726))
+    async def test_capacities_that_change_in_a_minute_of_trouble(
+        self, seed: int, autojump_clock: object
+    ) -> None:
+        """No start brings an executor over what it has had for 3 s."""
+
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            cluster.nursery.start_soon(change_capacities, world, Random(seed))
+            await random_trouble(cluster, world, rng)
+
+        await play(scenario, seed=seed, executors=6)
+
+    async def test_a_slow_store(self, autojump_clock: object) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            await cluster.wait_for_leader()
+            world.faults.slow_s = 0.9
+            cluster.nursery.start_soon(change_capacities, world, Random(1))
+            await hand_in(cluster, world, rng, 60, 0.2)
+            await trio.sleep(30.0)
+
+        await play(scenario, seed=726, executors=4)
+
+
+async def change_capacities(world: World, rng: Random) -> None:
+    """Shrink executors and let them grow again, for a minute."""
+    until = trio.current_time() + 60.0
+    while trio.current_time() < until:
+        await trio.sleep(rng.uniform(0.1, 0.6))
+        up = [executor for executor in world.executors.values() if executor.is_up]
+        if not up:
+            continue
+        share = rng.choice([0.25, 0.5, 1.0])
+        cores, memory = int(CAPACITY.cores_milli * share), int(CAPACITY.memory_mb * share)
+        world.resize(rng.choice(up), Resources(cores_milli=cores, memory_mb=memory))
+    for executor in list(world.executors.values()):
+        if executor.is_up:
+            world.resize(executor, CAPACITY)
