Take starts back whose executor's capacity has shrunk before they leave

What callers saw: none reported yet. An executor that does not guard its capacity starts what it is told to, and was brought over it. Cause: a decision's room was not looked at again. Starts wait until they are durable, 4.6 s through an outage; they are sent again without an answer; and after an outage the first append went through before the list of executors was read. A filler, which reserves no processor, was placed where processors were over. Change: starts without room are taken back when they are durable, the last placed first and gangs whole; unanswered ones are stopped; nothing is placed where any amount is over; after an outage starts wait for the list, which is read at once, for half a second at most. Reading the list has a module of its own. Why it holds: the ledger counts what is being stopped and what may be there, and is compared with the list's newest capacity at the last moment before an order leaves. The stand-in went by the last capacity but one only; it goes by all of the last 3 s now.

--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -125,7 +125,12 @@
 
     def room_for(self, need: Resources, most: int) -> int:
         """Return how many of `need` fit now, `most` at the highest."""
-        return need.count_in(self.free, most)
+        return 0 if self.is_over else need.count_in(self.free, most)
+
+    @property
+    def is_over(self) -> bool:
+        """Whether what may be there is more than its capacity, which has shrunk."""
+        return self.free.is_negative()
 
     def take(self, need: Resources) -> None:
         """Reserve room."""
--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -99,10 +99,20 @@
         was_draining = executor.info.is_draining
         executor.set_info(info)
         executor.is_listed = True
+        if executor.is_over:
+            self._stop_unanswered(executor)
         if info.is_draining and not was_draining:
             cause = "the platform's list says so"
             self._state.note("executor.draining", info.executor_id, cause=cause)
 
+    def _stop_unanswered(self, executor: Executor) -> None:
+        """Stop the runs whose starts would be sent again, to an executor without room for them."""
+        for key in executor.runs_by_task:
+            found = self._state.find(key)
+            if found is not None and found[2].state is StartState.UNSURE:
+                cause = "no answer, and no room left"
+                self._ends.stop(found[2], rule=StopRule.ROOM_SHRANK, cause=cause)
+
     def end_earlier_lives(self, executor: Executor, *, asked_seq: int, wall: float) -> None:
         """End the other lives on a host one of which has answered a call sent at `asked_seq`.
 
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -82,6 +82,10 @@
         task.state = StartState.UNSURE
         if task.is_stopping:
             return False
+        executor = self._state.executors_by_id.get(task.executor_id)
+        if executor is not None and executor.is_over:
+            self._ends.stop(task, rule=StopRule.ROOM_SHRANK, cause="no answer, and no room left")
+            return False
         if task.tries < self._state.timings.start_tries:
             return True
         cause = f"no answer to {task.tries} starts"
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -317,8 +317,23 @@
             elif run is not None:
                 self._on_durable_in_part(run)
         self.hosts.release(batch.host_orders)
+        self._withhold_what_has_no_room(batch.starts, wall)
         return [order for order in batch.starts if self._may_leave(order, wall)]
 
+    def _withhold_what_has_no_room(self, orders: Iterable[StartOrder], wall: float) -> None:
+        """Take back starts whose executor's capacity shrank while they were made durable.
+
+        An executor that does not guard its capacity would start them. The last to be placed goes
+        first; a gang waits as a whole.
+        """
+        for order in reversed(list(orders)):
+            executor = self._state.executors_by_id.get(order.executor_id)
+            if executor is None or not executor.is_over:
+                continue
+            fields = {"run": str(order.run), "executor": order.executor_id}
+            self._state.note("run.withheld", order.task.job, cause="no room left", fields=fields)
+            self._ends.apply(order.task, order.run, RunEnd.NEVER_STARTED, wall=wall)
+
     def _on_durable(self, run: JobRun) -> None:
         run.shown_phase = self._shown(run)
         self._on_durable_in_part(run)
--- a/src/galenastall/coordination/cell/stop_rules.py
+++ b/src/galenastall/coordination/cell/stop_rules.py
@@ -25,6 +25,8 @@
     """Its starts got no answer."""
     REFUSED_LATER = "refused_later"
     """A start was refused after one that got no answer."""
+    ROOM_SHRANK = "room_shrank"
+    """Its start got no answer, and its executor has no room for it any more."""
     JOB_ENDED = "job_ended"
 
 
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -9,6 +9,7 @@
 from returns.result import Failure
 
 from galenastall.coordination.cell.commands import StartOrder
+from galenastall.coordination.cell.executors import ExecutorInfo
 from galenastall.coordination.cell.mechanisms import ALL_ON, Mechanism, Without
 from galenastall.coordination.cell.scheduler import CellScheduler
 from galenastall.coordination.cell.timings import CellTimings
@@ -16,6 +17,7 @@
 from galenastall.node.cell.advice_recovery import AdviceRecovery
 from galenastall.node.cell.commit_loop import CommitLoop
 from galenastall.node.cell.executor_session import ExecutorSession
+from galenastall.node.cell.fleet_follower import FleetFollower
 from galenastall.node.cell.hosts_desk import HostsDesk
 from galenastall.node.cell.term_context import TermContext
 from galenastall.protocol.cell.config import CellConfig
@@ -28,8 +30,6 @@
 from galenastall.state.ids import HostId
 from galenastall.transport.logs import Recorder
 
-FLEET_EVERY_S: Final = 0.3
-"""Between two reads of the list of executors: drains allow 2 s, and a read costs little."""
 DECIDE_EVERY_S: Final = 0.004
 """Least time between two decisions, so that events that come together share one."""
 DECIDE_PAUSE_FACTOR: Final = 3.0
@@ -80,7 +80,10 @@
             recorder=parts.recorder,
             on_lost=self._on_lost,
         )
-        self._commits = CommitLoop(context=self.context, state=parts.state, timings=parts.timings)
+        self._fleet = FleetFollower(context=self.context, fleet=parts.fleet)
+        self._commits = CommitLoop(
+            context=self.context, state=parts.state, timings=parts.timings, fleet=self._fleet
+        )
         self._hosts = HostsDesk(context=self.context, hosts=parts.hosts, host_id=parts.host_id)
         self._sessions_by_id: dict[str, ExecutorSession] = {}
         self._scope = trio.CancelScope()
@@ -140,7 +143,7 @@
                     if not await self._load():
                         return
                     self.ready.set()
-                    nursery.start_soon(self._follow_fleet, nursery)
+                    nursery.start_soon(self._fleet.run, partial(self._take_list, nursery))
                     desk = AdviceDesk(
                         context=self.context,
                         link=self._parts.link,
@@ -196,21 +199,11 @@
             took_ms=f"{took_s * 1000:.0f}",
         )
 
-    async def _follow_fleet(self, nursery: trio.Nursery) -> None:
-        is_lost = False
-        while True:
-            answer = await self._parts.fleet.read()
-            if isinstance(answer, Failure):
-                if not is_lost:
-                    self.context.note("fleet.lost", cause=str(answer.failure()))
-                is_lost = True
-            else:
-                is_lost = False
-                self._take_config()
-                self.core.on_fleet(answer.unwrap(), now=trio.current_time())
-                self._open_sessions(nursery)
-                self.context.wake()
-            await trio.sleep(FLEET_EVERY_S)
+    def _take_list(self, nursery: trio.Nursery, infos: tuple[ExecutorInfo, ...]) -> None:
+        self._take_config()
+        self.core.on_fleet(infos, now=trio.current_time())
+        self._open_sessions(nursery)
+        self.context.wake()
 
     def _open_sessions(self, nursery: trio.Nursery) -> None:
         executors_by_id = self.core.executors_by_id
--- a/src/galenastall/standin/cell/executors.py
+++ b/src/galenastall/standin/cell/executors.py
@@ -65,8 +65,8 @@
         self.rate = rate
         self.born = trio.current_time()
         self.is_up = True
-        self._shrunk_at = float("-inf")
-        self._capacity_before = info.capacity
+        self._earlier_capacities: list[tuple[float, Resources]] = []
+        """Capacities that it has had, each with the time until which it had it."""
         self.fence = 0
         self.deadline_ms = 0.0
         self.lapsed_at = float("-inf")
@@ -82,16 +82,16 @@
 
     def resize(self, capacity: Resources) -> None:
         """Change its capacity; what runs there goes on."""
-        if not self.info.capacity.fits_in(capacity):
-            self._shrunk_at = trio.current_time()
-            self._capacity_before = self.info.capacity
+        self._earlier_capacities.append((trio.current_time(), self.info.capacity))
         self.info = replace(self.info, capacity=capacity)
 
     def allowed(self) -> Resources:
         """Return the capacity that starts have to keep to now."""
-        if trio.current_time() < self._shrunk_at + SHRUNK_GRACE_S:
-            return self.info.capacity.at_least(self._capacity_before)
-        return self.info.capacity
+        allowed = self.info.capacity
+        for until, earlier in self._earlier_capacities:
+            if trio.current_time() < until + SHRUNK_GRACE_S:
+                allowed = allowed.at_least(earlier)
+        return allowed
 
     def sweep(self) -> None:
         """Bring the runs up to now."""
--- a/tests/test_cell_changing_capacity.py
+++ b/tests/test_cell_changing_capacity.py
@@ -1,8 +1,13 @@
 """Executors whose capacity shrinks and grows again while starts are on their way.
 
-An executor that does not guard its capacity starts what it is told to. The room of a decision may
-be gone by the time at which its starts leave, since they wait until they are durable, and a start
-without an answer is sent again.
+An executor that does not guard its capacity starts what it is told to. Starts were taken from a
+decision whose room was gone by the time at which they left: they wait until they are durable, are
+sent again without an answer, and leave with the first append after an outage, before the list of
+executors has been read again. In a minute of trouble with capacities that change the stand-in saw
+
+    executor-1 at 32.14 is over its capacity: Resources(cores_milli=3000, memory_mb=2000, ...)
+
+whose capacity had shrunk to 2000 thousandths at 27.49 s; the store was away from then to 32.14 s.
 """
 
 from dataclasses import replace
@@ -156,6 +161,26 @@
 
         await play(scenario, seed=726, executors=4)
 
+    async def test_capacities_that_shrink_while_the_store_is_away(
+        self, autojump_clock: object
+    ) -> None:
+        """Work waits for room; after the outage an append goes through before a list does."""
+
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            world.run_lasts_s = (4.0, 6.0)
+            world.fail_share = 0.0
+            await cluster.wait_for_leader()
+            await hand_in(cluster, world, rng, 30, 0.05)
+            world.faults.cut |= {(host, "store") for host in cluster.names}
+            for executor in world.executors.values():
+                world.resize(executor, Resources(cores_milli=2000, memory_mb=8000))
+            await trio.sleep(8.0)
+            world.faults.clear()
+            await trio.sleep(10.0)
+            assert world.starts > 30
+
+        await play(scenario, seed=727, executors=4)
+
 
 async def change_capacities(world: World, rng: Random) -> None:
     """Shrink executors and let them grow again, for a minute."""
