Give tasks that are lost with their workers out less and less often on the older path

What callers saw: none reported; the same class of fault as with tasks that crash their executors. Cause: an attempt that failed lengthened the pause before the next, one that was lost with its worker did not, and a worker that is gone reports no failure: a task that takes its workers down took one each half second. Change: losses soon after a task was given out double the pause as failures do; one after a minute begins anew. Why it holds: the pause reaches a minute with the seventh loss in a row. The task is not given up: on that path a loss may be a lapsed lease as well, and nothing tells them apart.

--- a/src/galenastall/coordination/jobs/attempt_rules.py
+++ b/src/galenastall/coordination/jobs/attempt_rules.py
@@ -76,6 +76,10 @@
 
 
 def retry_delay_s(run: JobRun, index: int, settings: ShardSettings) -> float:
-    """Return the wait before the next try; it doubles with each failure of the task."""
+    """Return the wait before the next try; it doubles with each failure and loss of the task.
+
+    A loss may be the worker's fault or the task's: one that takes its workers down takes few.
+    """
     failures = sum(1 for each in run.failures if each.index == index)
-    return min(settings.retry_s * float(2 ** min(failures, 10)), settings.max_retry_s)
+    doublings = min(failures + run.losses_by_index.get(index, 0), 10)
+    return min(settings.retry_s * float(2**doublings), settings.max_retry_s)
--- a/src/galenastall/coordination/jobs/job_run.py
+++ b/src/galenastall/coordination/jobs/job_run.py
@@ -55,6 +55,8 @@
     """May be somewhere; nobody has said so yet. Not given out until a census is complete."""
     tries_by_index: dict[int, int] = field(default_factory=dict)
     failures: list[TaskFailure] = field(default_factory=list)
+    losses_by_index: dict[int, int] = field(default_factory=dict)
+    """Attempts lost with their workers, one soon after the other; a task may take these down."""
     delayed: set[int] = field(default_factory=set)
     """Wait for their retry time."""
     giving: set[int] = field(default_factory=set)
@@ -171,6 +173,11 @@
         self.failures.append(failure)
         del self.failures[:-FAILURES_KEPT]
 
+    def add_loss(self, index: int, *, is_soon: bool) -> None:
+        """Count an attempt that was lost with its worker; one after a long run is the first."""
+        before = self.losses_by_index.get(index, 0) if is_soon else 0
+        self.losses_by_index[index] = before + 1
+
     def history(self) -> str:
         """Return the failures in words."""
         return "; ".join(
--- a/src/galenastall/coordination/jobs/report_intake.py
+++ b/src/galenastall/coordination/jobs/report_intake.py
@@ -132,12 +132,15 @@
     def _end_attempt(
         self, run: JobRun, index: int, host: HostId, report: TaskReport, now: float
     ) -> None:
-        del run.assigned_by_index[index]
+        assigned = run.assigned_by_index.pop(index)
         run.tries_by_index[index] = next_attempt(run.tries_by_index.get(index, 0))
         if report.kind is ReportKind.FAILED:
             run.add_failure(
                 TaskFailure(index=index, worker_id=report.worker_id, detail=report.detail)
             )
+        elif report.kind is ReportKind.LOST:
+            is_soon = now - assigned.since < self._tables.settings.max_retry_s
+            run.add_loss(index, is_soon=is_soon)
         verdict = judge(run, index, report, self._tables.settings)
         if verdict.move is NextMove.OFFER:
             self._tables.giver.offer_again(run, index)
--- a/src/galenastall/coordination/jobs/shard_commands.py
+++ b/src/galenastall/coordination/jobs/shard_commands.py
@@ -16,7 +16,7 @@
     backlog: int = 256
     """Tasks of a shard that may wait at one assignee."""
     retry_s: float = 0.5
-    """Wait before the first retry of a task; doubles with each failure."""
+    """Wait before the first retry of a task; doubles with each failure and each loss."""
     max_retry_s: float = 60.0
     max_failures: int = 5
     """Failures of one task after which its job is stopped."""
--- a/tests/test_job_shard.py
+++ b/tests/test_job_shard.py
@@ -69,6 +69,44 @@
         assert given(shard, 2.0) == []
 
 
+class TestLosses:
+    def test_a_task_lost_with_each_worker_is_given_out_less_and_less_often(self) -> None:
+        """A task that takes its worker down took another one every half second, without end.
+
+        Only attempts that failed lengthened the pause, and a worker that is gone reports none.
+        """
+        assert waits_after_losses([5.0] * 8) == [1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 60.0, 60.0]
+
+    def test_a_loss_after_a_long_run_begins_anew(self) -> None:
+        assert waits_after_losses([5.0, 5.0, 500.0, 5.0]) == [1.0, 2.0, 1.0, 2.0]
+
+
+def waits_after_losses(ran_s: list[float]) -> list[float]:
+    """Return how long a task waits after each loss of its worker, having run for so long."""
+    shard = make_shard(is_fresh=True)
+    now = 0.0
+    waits_s: list[float] = []
+    attempt = give(shard, now)
+    for each_s in ran_s:
+        assert attempt is not None
+        now += each_s
+        lost = TaskReport(task_id=TASK, attempt=attempt, kind=ReportKind.LOST, worker_id=A)
+        shard.on_reports(A, [lost], now)
+        lost_at, attempt = now, give(shard, now)
+        while attempt is None and now < lost_at + 100.0:
+            now += 0.5
+            attempt = give(shard, now)
+        waits_s.append(now - lost_at)
+    return waits_s
+
+
+def give(shard: JobShard, now: float) -> int | None:
+    """Return the attempt under which the task is given out now, if it is."""
+    decision = shard.decide(now, summaries={A: make_summary()}, limit=10)
+    attempts = [task.attempt for batch in decision.assigns for task in batch.tasks]
+    return attempts[0] if attempts else None
+
+
 class TestNeedOfOverruns:
     def test_what_overran_is_given_out_with_what_it_needs(self) -> None:
         shard = make_shard(is_fresh=True)
