Have the load lab know tasks that crash executors, and capacities that change

Cause of not knowing: the lab had executors that crash by themselves only. Change: crash_share of a queue, capacity_changes of a workload, an example of both, and a switch that has suspects begin like other tasks. Jobs that can't be done are owed nothing. An order that meets a crash gets no answer, as on the platform.

--- a/src/galenastall/bench/cell_load/arrivals.py
+++ b/src/galenastall/bench/cell_load/arrivals.py
@@ -1,7 +1,7 @@
 """Draws the jobs of a workload, with the run times that only the executors know."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Final
 
@@ -28,6 +28,13 @@
     objective_s: float
     """Time from its coming within which it should be done, by its real run times."""
     worth: float
+    crashes: bool = False
+    """Whether its first task crashes each executor that starts it."""
+
+    @property
+    def is_owed(self) -> bool:
+        """Whether it can be done at all."""
+        return not self.crashes
 
 
 def draw(spread: Spread, rng: Random) -> float:
@@ -72,7 +79,12 @@
             if at_s >= workload.length_s:
                 break
             arrivals.append(_draw_job(name, load, at_s, len(arrivals), rng))
-    return sorted(arrivals, key=lambda arrival: arrival.at_s)
+    # Drawn last, so that the jobs are the same with and without.
+    marked = [
+        replace(each, crashes=rng.random() < workload.queues[each.job.queue.name].crash_share)
+        for each in arrivals
+    ]
+    return sorted(marked, key=lambda arrival: arrival.at_s)
 
 
 def _draw_job(name: str, load: QueueLoad, at_s: float, number: int, rng: Random) -> Arrival:
--- a/src/galenastall/bench/cell_load/figures.py
+++ b/src/galenastall/bench/cell_load/figures.py
@@ -10,6 +10,7 @@
 
 from galenastall.bench.cell_load.play import JobFate, Play
 from galenastall.bench.cell_load.workload import Workload
+from galenastall.state.cell.phases import JobPhase
 
 LONGEST_MS: Final = 600_000
 DIGITS: Final = 3
@@ -58,6 +59,10 @@
     advice_calls_a_job: float
     starts_a_s: float
     violations: list[str]
+    crashes: int = 0
+    """Executors that tasks have crashed."""
+    failed_jobs: int = 0
+    """Jobs shown as failed without a task that crashes executors."""
 
 
 def summarize(plays: list[Play], *, workload: Workload, without: list[str]) -> Figures:
@@ -86,12 +91,17 @@
         advice_calls_a_job=sum(play.advice_calls for play in plays) / max(jobs, 1),
         starts_a_s=fmean(play.starts / workload.length_s for play in plays),
         violations=[text for play in plays for text in play.violations],
+        crashes=sum(play.crashes for play in plays),
+        failed_jobs=sum(
+            1 for p in plays for f in p.fates if f.arrival.is_owed and f.phase is JobPhase.FAILED
+        ),
     )
 
 
 def _worth(play: Play) -> float:
-    owed = sum(fate.arrival.worth for fate in play.fates)
-    return sum(fate.arrival.worth * fate.earned_share for fate in play.fates) / owed
+    fates = [fate for fate in play.fates if fate.arrival.is_owed]
+    owed = sum(fate.arrival.worth for fate in fates)
+    return sum(fate.arrival.worth * fate.earned_share for fate in fates) / owed
 
 
 def _of_queue(fates: list[JobFate]) -> QueueFigures:
@@ -166,6 +176,10 @@
         f" ms; refusal p99 {figures.refusal.p99 * 1000:.0f} ms;"
         f" {len(figures.violations)} violations",
     ]
+    if figures.crashes:
+        lines.append(
+            f"{figures.crashes} executors crashed by tasks, {figures.failed_jobs} other jobs failed"
+        )
     for name, each in figures.by_queue.items():
         start = each.first_start
         lines.append(
--- a/src/galenastall/bench/cell_load/play.py
+++ b/src/galenastall/bench/cell_load/play.py
@@ -12,7 +12,7 @@
 from galenastall.bench.cell_load.arrivals import Arrival, draw_arrivals, queue_of
 from galenastall.bench.cell_load.idle import usable_idle_cores
 from galenastall.bench.cell_load.surroundings import AdvisorLink, LabPorts, LabWorld
-from galenastall.bench.cell_load.workload import Span, Workload
+from galenastall.bench.cell_load.workload import CapacityChange, Span, Workload
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.node.cell.leader_desk import LeaderDesk
@@ -85,6 +85,8 @@
     violations: list[str] = field(default_factory=list)
     advice_calls: int = 0
     starts: int = 0
+    crashes: int = 0
+    """Executors that tasks have crashed."""
 
 
 def play(workload: Workload, *, seed: int, without: Iterable[Mechanism] = ()) -> Play:
@@ -132,6 +134,9 @@
                 nursery.start_soon(self._lose_store, span)
             for span in self._workload.crashes:
                 nursery.start_soon(self._crash, span)
+            for change in self._workload.capacity_changes:
+                nursery.start_soon(self._resize, change)
+            nursery.start_soon(self._world.bring_back)
             await trio.sleep(self._workload.length_s + self._workload.settle_s)
             nursery.cancel_scope.cancel()
         self._note_ends()
@@ -139,6 +144,7 @@
         self._play.violations = self._world.violations
         self._play.advice_calls = self._ports.advice_calls
         self._play.starts = self._world.starts
+        self._play.crashes = self._world.crashed_by_tasks
         return self._play
 
     async def _lead(self, nursery: trio.Nursery) -> None:
@@ -243,6 +249,14 @@
             if f"host-{number}" not in alive:
                 self._world.give_life(number)
 
+    async def _resize(self, change: CapacityChange) -> None:
+        await trio.sleep_until(self._begun_at + change.at_s)
+        numbers = range(self._workload.executors)
+        hit = {number for number in numbers if self._rng.random() < change.share}
+        self._world.resize(hit, change.factor)
+        await trio.sleep(change.for_s)
+        self._world.resize(hit, 1.0)
+
     async def _sample(self) -> None:
         while True:
             await trio.sleep(SAMPLE_S)
--- a/src/galenastall/bench/cell_load/surroundings.py
+++ b/src/galenastall/bench/cell_load/surroundings.py
@@ -34,6 +34,9 @@
 POLL_S: Final = 0.05
 """Between two looks of a long poll at what has ended."""
 SWEEP_EVERY_S: Final = 0.005
+AWAY_S: Final = 1.3
+"""How long a host is away that a task has crashed."""
+BACK_EVERY_S: Final = 0.05
 SPEEDS: Final = (0.8, 1.0, 1.25)
 """Executors differ by these factors."""
 
@@ -55,6 +58,13 @@
         self.seed = seed
         self.arrivals_by_id: Mapping[str, Arrival] = {a.job.job_id: a for a in arrivals}
         self.infos_by_id: dict[str, ExecutorInfo] = {}
+        self.crashing = {
+            TaskKey(job_id, 0, 0, 0) for job_id, a in self.arrivals_by_id.items() if a.crashes
+        }
+        self.crashed_by_tasks = 0
+        """Executors that tasks have crashed."""
+        self._back_at_by_host: dict[int, float] = {}
+        self._factors_by_host: dict[int, float] = {}
         self._lives = 0
         self._swept_at = float("-inf")
         for number in range(workload.executors):
@@ -72,6 +82,7 @@
 
     def give_life(self, number: int) -> None:
         """Start a life on a host."""
+        self._back_at_by_host.pop(number, None)
         self._lives += 1
         info = ExecutorInfo(
             executor_id=f"executor-{self._lives}",
@@ -79,15 +90,43 @@
             address=f"10.0.0.1:{1000 + number}",
             data_centre=f"dc-{number % 3}",
             service=SERVICE,
-            capacity=Resources(
-                cores_milli=self.workload.executor_cores_milli,
-                memory_mb=self.workload.executor_memory_mb,
-            ),
+            capacity=self._capacity_of(number),
             rack=f"rack-{number // self.workload.rack_size}",
         )
         self.infos_by_id[info.executor_id] = info
         self.executors[info.executor_id] = Executor(world=self, info=info)
 
+    def _capacity_of(self, number: int) -> Resources:
+        factor = self._factors_by_host.get(number, 1.0)
+        return Resources(
+            cores_milli=int(self.workload.executor_cores_milli * factor),
+            memory_mb=int(self.workload.executor_memory_mb * factor),
+        )
+
+    def resize(self, numbers: Iterable[int], factor: float) -> None:
+        """Give some hosts a share of their usual capacity."""
+        hosts = {f"host-{number}": number for number in numbers}
+        self._factors_by_host |= dict.fromkeys(hosts.values(), factor)
+        for executor_id, executor in self.executors.items():
+            if executor.is_up and executor.info.host in hosts:
+                executor.resize(self._capacity_of(hosts[executor.info.host]))
+                self.infos_by_id[executor_id] = executor.info
+
+    def on_crashed_by_task(self, executor: Executor) -> None:
+        """Have the executor's host come back after a while."""
+        self.crashed_by_tasks += 1
+        number = int(executor.info.host.removeprefix("host-"))
+        self._back_at_by_host[number] = trio.current_time() + AWAY_S
+
+    async def bring_back(self) -> None:
+        """Start new lives on hosts that tasks have crashed, until cancelled."""
+        while True:
+            await trio.sleep(BACK_EVERY_S)
+            now = trio.current_time()
+            for number, back_at in list(self._back_at_by_host.items()):
+                if back_at <= now:
+                    self.give_life(number)
+
     def speed_of(self, executor: ExecutorInfo) -> float:
         """Return how fast a host is."""
         return SPEEDS[int(chance(self.seed, "speed", executor.host) * len(SPEEDS))]
@@ -256,6 +295,7 @@
     async def _reach(self, executor_id: str, timeout_s: float) -> Executor | None:
         await trio.sleep(ORDER_S)
         executor = self._world.executors[executor_id]
+        executor.sweep()
         if executor.is_up:
             return executor
         await trio.sleep(timeout_s)
--- a/src/galenastall/bench/cell_load/workload.py
+++ b/src/galenastall/bench/cell_load/workload.py
@@ -53,6 +53,9 @@
     """Spread of declared over real run time."""
     gang_share: float = 0.0
     fail_share: float = 0.0
+    crash_share: float = 0.0
+    """Share of the jobs whose first task crashes each executor that starts it; they earn nothing
+    and are owed nothing."""
     advice: Advice | None = None
 
     def problem(self) -> str:
@@ -63,7 +66,11 @@
             mean = getattr(self, name).mean
             if mean <= 0:
                 return f"{name}.mean: expected more than 0, got {mean}"
-        shares = {"gang_share": self.gang_share, "fail_share": self.fail_share}
+        shares = {
+            "gang_share": self.gang_share,
+            "fail_share": self.fail_share,
+            "crash_share": self.crash_share,
+        }
         if self.advice is not None:
             shares["advice.approved_share"] = self.advice.approved_share
         for name, share in shares.items():
@@ -90,6 +97,17 @@
     """Share of the executors that it hits."""
 
 
+class CapacityChange(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """From when and for how long some executors have more or less room."""
+
+    at_s: float
+    for_s: float
+    share: float
+    """Share of the executors that it hits."""
+    factor: float
+    """Their capacity in this time, as a share of the usual one."""
+
+
 class Workload(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """One load on one fleet."""
 
@@ -113,6 +131,7 @@
     """The leader alone is gone; another host leads after that time."""
     crashes: list[Span] = []
     """Executors that crash, and come back as new lives."""
+    capacity_changes: list[CapacityChange] = []
 
     def problem(self) -> str:
         """Return what is wrong, naming field and value; empty if nothing is."""
@@ -129,6 +148,9 @@
         for burst in self.bursts:
             if burst.queue and burst.queue not in self.queues:
                 return f"bursts: no queue {burst.queue!r}"
+        for change in self.capacity_changes:
+            if change.factor < 0:
+                return f"capacity_changes.factor: expected 0 or more, got {change.factor}"
         return ""
 
     def factor_at(self, queue: str, at_s: float) -> float:
--- a/src/galenastall/coordination/cell/mechanisms.py
+++ b/src/galenastall/coordination/cell/mechanisms.py
@@ -16,6 +16,8 @@
     """What hosts were told by the advisor for an earlier leader, taken over by the next one."""
     DOUBTS = "doubts"
     """Pauses of executors on which runs fail, stand still or crawl."""
+    PROBATION = "probation"
+    """Tasks under which an executor has crashed begin apart from others."""
     MOVES = "moves"
     """Stopping runs that crawl or stand still, to start them elsewhere."""
     PATH_DOUBTS = "path-doubts"
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -132,8 +132,8 @@
     def _place_singly(
         self, waiting: WaitingStep, tasks: list[TaskRun], usable: OpenExecutors
     ) -> None:
-        suspects = [task for task in tasks if task.is_suspect]
-        others = [task for task in tasks if not task.is_suspect]
+        suspects = [task for task in tasks if self._is_on_probation(task)]
+        others = [task for task in tasks if not self._is_on_probation(task)]
         ticketed = _ticketed(usable, waiting)
         suspects_left = self._start_on_probation(waiting, suspects, ticketed)
         others_left = self._start_singly(waiting, others, ticketed)
@@ -205,6 +205,9 @@
             return False
         return not waiting.is_worthless or waiting.step.key == self._overdue
 
+    def _is_on_probation(self, task: TaskRun) -> bool:
+        return task.is_suspect and Mechanism.PROBATION not in self._state.without
+
     def _start_on_probation(
         self, waiting: WaitingStep, suspects: list[TaskRun], usable: list[Executor]
     ) -> int:
--- a/tests/test_cell_load.py
+++ b/tests/test_cell_load.py
@@ -114,6 +114,16 @@
         assert accepted
         assert all(fate.phase is JobPhase.COMPLETED for fate in accepted)
 
+    def test_tasks_that_crash_executors_cost_nobody_else_a_job(self, tmp_path: Path) -> None:
+        text = SMALL + "capacity_changes: [{at_s: 1, for_s: 1, share: 0.5, factor: 0.5}]\n"
+        text = text.replace("    priority: 0\n", "    priority: 0\n    crash_share: 0.2\n")
+        played = play(small(tmp_path, text.replace("settle_s: 4", "settle_s: 25")), seed=1)
+        assert played.violations == []
+        phases = {(fate.arrival.crashes, fate.phase) for fate in played.fates}
+        assert phases == {(False, JobPhase.COMPLETED), (True, JobPhase.FAILED)}
+        bad = sum(1 for fate in played.fates if fate.arrival.crashes)
+        assert 2 * bad <= played.crashes <= 4 * bad
+
     def test_credit_follows_the_time_of_the_end(self, tmp_path: Path) -> None:
         arrival = draw_arrivals(small(tmp_path), seed=1)[0]
         fate = JobFate(arrival=replace(arrival, objective_s=2.0), phase=JobPhase.COMPLETED)
