--- a/src/galenastall/coordination/cell/availability.py
+++ b/src/galenastall/coordination/cell/availability.py
@@ -3,7 +3,8 @@
 from typing import Final
 
 from galenastall.coordination.cell.cell_state import CellState
-from galenastall.coordination.cell.job_runs import WHOLE_PERCENT, StartState, StepRun, TaskRun
+from galenastall.coordination.cell.job_runs import StepRun
+from galenastall.coordination.cell.task_runs import WHOLE_PERCENT, StartState, TaskRun
 from galenastall.state.cell.phases import TaskPhase
 
 SETTLED_S: Final = 5.0
--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -5,9 +5,10 @@
 
 from galenastall.coordination.cell.commands import AskAdvice, Note, PaceOrder, StartOrder, StopOrder
 from galenastall.coordination.cell.executors import Closed, Executor
-from galenastall.coordination.cell.job_runs import JobRun, StepRun, TaskRun
+from galenastall.coordination.cell.job_runs import JobRun, StepRun
 from galenastall.coordination.cell.mechanisms import ALL_ON, Without
 from galenastall.coordination.cell.stop_rules import StopRule
+from galenastall.coordination.cell.task_runs import TaskRun
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.state.cell.jobs import Queue, StepKey, TaskKey
 from galenastall.state.cell.phases import TaskPhase
--- a/src/galenastall/coordination/cell/crashes.py
+++ b/src/galenastall/coordination/cell/crashes.py
@@ -14,7 +14,7 @@
 
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.executors import Executor
-from galenastall.coordination.cell.job_runs import StartState, TaskRun
+from galenastall.coordination.cell.task_runs import StartState, TaskRun
 from galenastall.state.cell.jobs import StepKey, TaskKey
 
 PROVEN_S: Final = 0.5
--- a/src/galenastall/coordination/cell/doubts.py
+++ b/src/galenastall/coordination/cell/doubts.py
@@ -6,9 +6,9 @@
 
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.executors import Executor
-from galenastall.coordination.cell.job_runs import StartState, TaskRun
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.standstill import LISTINGS_APART_S
+from galenastall.coordination.cell.task_runs import StartState, TaskRun
 from galenastall.state.cell.jobs import Step, StepKey
 
 FAILURES_IN_A_ROW: Final = 3
--- a/src/galenastall/coordination/cell/fitting.py
+++ b/src/galenastall/coordination/cell/fitting.py
@@ -4,8 +4,9 @@
 from heapq import heapify, heappop, heappush
 
 from galenastall.coordination.cell.executors import Executor
-from galenastall.coordination.cell.job_runs import StepRun, TaskRun
+from galenastall.coordination.cell.job_runs import StepRun
 from galenastall.coordination.cell.room_plan import RoomPlan
+from galenastall.coordination.cell.task_runs import TaskRun
 from galenastall.state.cell.jobs import Step
 
 Preference = tuple[int, int, int, float, str]
--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -7,13 +7,7 @@
 from galenastall.coordination.cell.crashes import NO_BLAME, CrashJudge
 from galenastall.coordination.cell.doubts import Doubts
 from galenastall.coordination.cell.executors import Executor, ExecutorInfo
-from galenastall.coordination.cell.job_runs import (
-    WHOLE_PERCENT,
-    JobRun,
-    StartState,
-    StepRun,
-    TaskRun,
-)
+from galenastall.coordination.cell.job_runs import JobRun, StepRun
 from galenastall.coordination.cell.lease_clock import LeaseClock
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.run_ends import RunEnds
@@ -24,6 +18,7 @@
     waits_for_members,
 )
 from galenastall.coordination.cell.stop_rules import StopRule
+from galenastall.coordination.cell.task_runs import WHOLE_PERCENT, StartState, TaskRun
 from galenastall.state.cell.phases import RunEnd
 from galenastall.state.resources import NOTHING
 
--- a/src/galenastall/coordination/cell/forecast.py
+++ b/src/galenastall/coordination/cell/forecast.py
@@ -5,7 +5,8 @@
 
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.executors import Executor
-from galenastall.coordination.cell.job_runs import StepRun, TaskRun
+from galenastall.coordination.cell.job_runs import StepRun
+from galenastall.coordination.cell.task_runs import TaskRun
 from galenastall.state.resources import Resources
 
 OVERDUE_S: Final = 0.3
--- a/src/galenastall/coordination/cell/listings.py
+++ b/src/galenastall/coordination/cell/listings.py
@@ -7,8 +7,8 @@
 from galenastall.coordination.cell.commands import StopOrder
 from galenastall.coordination.cell.crashes import PROVEN_S
 from galenastall.coordination.cell.executors import Executor
-from galenastall.coordination.cell.job_runs import StartState, TaskRun
 from galenastall.coordination.cell.run_ends import RunEnds
+from galenastall.coordination.cell.task_runs import StartState, TaskRun
 from galenastall.state.cell.jobs import TaskKey
 from galenastall.state.cell.phases import RunEnd, TaskPhase
 
--- a/src/galenastall/coordination/cell/maintenance.py
+++ b/src/galenastall/coordination/cell/maintenance.py
@@ -13,9 +13,9 @@
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.executors import Cordon
 from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome, WriteAhead
-from galenastall.coordination.cell.job_runs import TaskRun
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.stop_rules import StopRule
+from galenastall.coordination.cell.task_runs import TaskRun
 from galenastall.state.cell.hosts import HostState, MaintenanceWave, PoolHost, WaveRow
 
 TIME_FOR_WAVE: Final = 0.8
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -6,10 +6,10 @@
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.commands import StartOrder, StopOrder
 from galenastall.coordination.cell.doubts import Doubts
-from galenastall.coordination.cell.job_runs import StartState, TaskRun
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.stop_rules import StopRule
+from galenastall.coordination.cell.task_runs import StartState, TaskRun
 from galenastall.state.cell.phases import RunEnd
 
 
--- a/src/galenastall/coordination/cell/pacing.py
+++ b/src/galenastall/coordination/cell/pacing.py
@@ -5,7 +5,8 @@
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.commands import PaceOrder
 from galenastall.coordination.cell.executors import Executor
-from galenastall.coordination.cell.job_runs import StartState, StepRun, TaskRun
+from galenastall.coordination.cell.job_runs import StepRun
+from galenastall.coordination.cell.task_runs import StartState, TaskRun
 
 FULL_PERCENT: Final = 100
 TOO_CLOSE: Final = 0.85
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -10,10 +10,10 @@
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.fitting import SingleChoices, choose_for_gang, may_host
 from galenastall.coordination.cell.forecast import Forecast
-from galenastall.coordination.cell.job_runs import TaskRun
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.probation import Probation
 from galenastall.coordination.cell.room_plan import PlannedStart, RoomPlan, could_hold
+from galenastall.coordination.cell.task_runs import TaskRun
 from galenastall.coordination.cell.turns import GangTurns, OverdueTurns, StepTurns
 from galenastall.coordination.cell.wait_reasons import WaitReason, why_not_gang, why_not_singles
 from galenastall.coordination.cell.wait_sight import WaitSight
--- a/src/galenastall/coordination/cell/probation.py
+++ b/src/galenastall/coordination/cell/probation.py
@@ -14,7 +14,8 @@
 from galenastall.coordination.cell.crashes import PROVEN_S
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.fitting import may_add
-from galenastall.coordination.cell.job_runs import StartState, StepRun, TaskRun
+from galenastall.coordination.cell.job_runs import StepRun
+from galenastall.coordination.cell.task_runs import StartState, TaskRun
 from galenastall.coordination.cell.waiting_line import URGENT_PRIORITY
 from galenastall.state.cell.jobs import TaskKey
 from galenastall.state.cell.phases import TaskPhase
--- a/src/galenastall/coordination/cell/run_ends.py
+++ b/src/galenastall/coordination/cell/run_ends.py
@@ -4,8 +4,9 @@
 from galenastall.coordination.cell.crashes import MOST_WEIGHT, NO_BLAME, Blame
 from galenastall.coordination.cell.doubts import Doubts
 from galenastall.coordination.cell.executors import Executor
-from galenastall.coordination.cell.job_runs import JobRun, StepRun, TaskRun
+from galenastall.coordination.cell.job_runs import JobRun, StepRun
 from galenastall.coordination.cell.stop_rules import StopRule
+from galenastall.coordination.cell.task_runs import TaskRun
 from galenastall.state.cell.jobs import TaskKey
 from galenastall.state.cell.phases import JobPhase, RunEnd, TaskPhase
 
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -17,7 +17,7 @@
 from galenastall.coordination.cell.executors import Executor, ExecutorInfo
 from galenastall.coordination.cell.fleet import Fleet
 from galenastall.coordination.cell.host_care import HostCare
-from galenastall.coordination.cell.job_runs import JobRun, StartState
+from galenastall.coordination.cell.job_runs import JobRun
 from galenastall.coordination.cell.kept_advice import KeptAdvice
 from galenastall.coordination.cell.listings import Listing, ListingReader
 from galenastall.coordination.cell.load_report import closed_by_id, report_load
@@ -28,6 +28,7 @@
 from galenastall.coordination.cell.room_plan import RoomPlan
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.stop_rules import StopRule
+from galenastall.coordination.cell.task_runs import StartState
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.coordination.cell.wait_reasons import WaitReason
 from galenastall.coordination.cell.waiting_report import WaitingReport
--- a/src/galenastall/coordination/cell/standstill.py
+++ b/src/galenastall/coordination/cell/standstill.py
@@ -8,12 +8,8 @@
 
 from typing import Final
 
-from galenastall.coordination.cell.job_runs import (
-    WHOLE_PERCENT,
-    StartState,
-    StepRun,
-    TaskRun,
-)
+from galenastall.coordination.cell.job_runs import StepRun
+from galenastall.coordination.cell.task_runs import WHOLE_PERCENT, StartState, TaskRun
 from galenastall.state.cell.phases import TaskPhase
 
 STILL_S: Final = 3.0
--- a/tests/cell/weakenings.py
+++ b/tests/cell/weakenings.py
@@ -7,10 +7,10 @@
 from galenastall.coordination.cell import listings
 from galenastall.coordination.cell.commands import Batch, StartOrder
 from galenastall.coordination.cell.election import Election, Move
-from galenastall.coordination.cell.job_runs import TaskRun
 from galenastall.coordination.cell.lease_clock import LeaseClock
 from galenastall.coordination.cell.orders import OrderBook, StartOutcome
 from galenastall.coordination.cell.scheduler import CellScheduler
+from galenastall.coordination.cell.task_runs import TaskRun
 from galenastall.node.cell.commit_loop import CommitLoop
 from galenastall.state.cell.phases import RunEnd
 
--- a/tests/test_cell_fitting.py
+++ b/tests/test_cell_fitting.py
@@ -7,8 +7,9 @@
 from cell.rig import Rig, make_info, make_job, make_step
 from galenastall.coordination.cell.fitting import SingleChoices, choose
 from galenastall.coordination.cell.forecast import Forecast
-from galenastall.coordination.cell.job_runs import JobRun, StepRun, TaskRun
+from galenastall.coordination.cell.job_runs import JobRun, StepRun
 from galenastall.coordination.cell.room_plan import RoomPlan
+from galenastall.coordination.cell.task_runs import TaskRun
 from galenastall.state.cell.jobs import StepKey
 
 
