--- a/tests/test_ownership_hazards.py
+++ b/tests/test_ownership_hazards.py
@@ -128,6 +128,32 @@
         bound = 2 * MODEL_TIMINGS.list_lag_s + TAKEOVER_S
         assert model.run_until(model.is_served, within=bound) is not None
 
+    def test_owner_paused_before_it_named_a_third_member_is_replaced(self) -> None:
+        """Nobody got the ownables of a paused host of three for as long as it stayed listed.
+
+        It had written its roster when there were two members, and was paused before it named the
+        third, 1.4 s after that had joined. More than half of two is both, so the other could
+        neither find it dead nor fence it. The hosts' logs of a minute have, after the pause,
+
+            lease.help  worker-gangnam-0  its owner is silent; renewing for it
+            job.in_doubt  late-1  its assignee is gone
+
+        and no ownership.claimed of the three workers that it owned.
+        """
+        model = served(2)
+        (owner,) = model.actors(X)
+        model.join()
+        assert model.run_until(lambda: self._all_know(model, members=3), within=5) is not None
+        model.pause(owner)
+        model.run_for(TAKEOVER_S)
+        assert model.actors(X)
+        assert model.actors(X) != [owner]
+
+    @staticmethod
+    def _all_know(model: OwnershipModel, *, members: int) -> bool:
+        nodes = model.nodes_by_host.values()
+        return all(len(node.core.fold.members()) == members for node in nodes)
+
     def test_slow_pairwise_cut_does_not_cost_an_owner_its_ownables(self) -> None:
         model = served(3)
         (owner,) = model.actors(X)
