Find an owner dead by the members of now, and fence a roster with half of an even one

Cause: an owner names its roster a second after it changes, and was paused before it had named a host that had just joined. More than half of the two members it had named is both, itself included, so it could neither be found dead nor be fenced. Change: an owner is also found dead by a majority of the members of now; a roster is fenced once those that have not promised are no majority, which is half of an even one. Why it holds: an owner acts by vouches of more than half of its roster, itself included, or by the log, which the claimant waits out; of 2n members n that promised leave n, which are not more than half. Being wrong about who is dead costs time, not safety. Taking the safeguards out still shows two owners in the model.

--- a/src/galenastall/coordination/ownership/ownership_claims.py
+++ b/src/galenastall/coordination/ownership/ownership_claims.py
@@ -5,7 +5,7 @@
 
 from galenastall.coordination.ownership.membership import Membership
 from galenastall.coordination.ownership.ownership_candidates import rank, spread
-from galenastall.coordination.ownership.ownership_takeover import is_majority
+from galenastall.coordination.ownership.ownership_takeover import is_majority, leaves_no_majority
 from galenastall.coordination.ownership.ownership_timings import OwnershipTimings
 from galenastall.state.ids import Epoch, HostId, OwnableId
 from galenastall.state.ownership_fold import OwnershipFold
@@ -53,11 +53,11 @@
         return self._wanted
 
     def can_fence(self, members: Members, now: float) -> bool:
-        """Return whether more than half of a roster is dead or within reach."""
+        """Return whether enough of a roster is dead or within reach that no majority is left."""
         reachable = sum(
             self.is_dead(m) or not self._membership.is_silent(m.incarnation, now) for m in members
         )
-        return is_majority(reachable, members)
+        return leaves_no_majority(reachable, members)
 
     def is_dead(self, member: Member) -> bool:
         """Return whether the log or the list says that this incarnation never acts again."""
@@ -125,13 +125,22 @@
         return self._membership.is_silent(claimant.incarnation, now)
 
     def _is_dead_by_votes(self, owner: Member, members: Members, now: float) -> bool:
+        """Return whether a majority finds an owner silent, of its own roster or of that of now.
+
+        The owner may have been paused before it named members that have joined since.
+        """
         if not self._membership.is_silent(owner.incarnation, now):
             return False
-        votes = sum(
+        return any(
+            is_majority(self._votes_against(owner, voters, now), voters)
+            for voters in (members, self._fold.members())
+        )
+
+    def _votes_against(self, owner: Member, voters: Members, now: float) -> int:
+        return sum(
             self.is_dead(m) or self._membership.says_silent(m.incarnation, owner.incarnation, now)
-            for m in members
+            for m in voters
         )
-        return is_majority(votes, members)
 
     def _is_my_turn(self, subject: str, hosts: list[HostId], now: float, first_wait: int) -> bool:
         since = self._since_by_subject.setdefault(subject, now)
--- a/src/galenastall/coordination/ownership/ownership_takeover.py
+++ b/src/galenastall/coordination/ownership/ownership_takeover.py
@@ -12,8 +12,8 @@
 class Takeover:
     """A claim that this member read back.
 
-    It is ready once more than half of each old roster can vouch for no lower epoch, and every time
-    on which the old owner may still count has passed.
+    It is ready once so many of each old roster can vouch for no lower epoch that the others are no
+    majority, and every time on which the old owner may still count has passed.
     """
 
     def __init__(
@@ -54,7 +54,7 @@
             if fenced_at != inf:
                 continue
             fenced = sum(m == me or m.incarnation in self._acked or is_dead(m) for m in members)
-            if is_majority(fenced, members):
+            if leaves_no_majority(fenced, members):
                 self._fenced_at_by_roster[members] = now
 
     def ready_at(self) -> float:
@@ -73,3 +73,11 @@
 def is_majority(count: int, members: Members) -> bool:
     """Return whether `count` is more than half of the roster."""
     return 2 * count > len(members)
+
+
+def leaves_no_majority(count: int, members: Members) -> bool:
+    """Return whether those of a roster that are not counted are no more than half of it.
+
+    Of two members one is enough: with more demanded, a paused owner was replaced by nobody.
+    """
+    return 2 * count >= len(members)
--- a/src/galenastall/proof/ownership_weakenings.py
+++ b/src/galenastall/proof/ownership_weakenings.py
@@ -58,7 +58,8 @@
         return count > 0
 
     with (
-        patch.object(ownership_takeover, "is_majority", is_any),
+        patch.object(ownership_takeover, "leaves_no_majority", is_any),
+        patch.object(ownership_claims, "leaves_no_majority", is_any),
         patch.object(ownership_claims, "is_majority", is_any),
     ):
         yield
