Give the leader's batches a module of their own; look at a withheld start's run only

What is written and what may leave afterwards stands in batches.py now. A start that is taken back for want of room is checked to be of the task's run, as elsewhere: a job that was withdrawn and handed in again begins at run 1.

--- /dev/null
+++ b/src/galenastall/coordination/cell/batches.py
@@ -0,0 +1,156 @@
+"""What the leader writes to the store, and what may leave once it is durable."""
+
+from collections.abc import Iterable
+
+from galenastall.coordination.cell.advice import AdviceBook
+from galenastall.coordination.cell.cell_state import CellState
+from galenastall.coordination.cell.commands import Batch, StartOrder
+from galenastall.coordination.cell.host_care import HostCare
+from galenastall.coordination.cell.job_runs import JobRun
+from galenastall.coordination.cell.run_ends import RunEnds
+from galenastall.coordination.cell.stop_rules import StopRule
+from galenastall.coordination.cell.task_runs import StartState
+from galenastall.state.cell.phases import JobPhase, RunEnd
+from galenastall.state.cell.rows import (
+    JOB_PREFIX,
+    PROGRESS_PREFIX,
+    encode_job,
+    encode_progress,
+)
+
+
+class Batches:
+    """Collects changes for one append, and acts on it once it is durable."""
+
+    def __init__(
+        self, *, state: CellState, ends: RunEnds, advice: AdviceBook, hosts: HostCare
+    ) -> None:
+        """Work on these tables; `hosts` adds its rows and orders."""
+        self._state = state
+        self._ends = ends
+        self._advice = advice
+        self._hosts = hosts
+        self._dropped_keys: set[str] = set()
+
+    @property
+    def has_changes(self) -> bool:
+        """Whether a batch would hold anything."""
+        state = self._state
+        has_work = state.dirty_jobs or state.noted_executors or state.new_starts
+        return bool(has_work) or self._hosts.has_changes
+
+    def drop(self, key: str) -> None:
+        """Have the store forget a key."""
+        self._dropped_keys.add(key)
+
+    def take(self) -> Batch:
+        """Return all changes since the last batch; none of them is durable before `commit`."""
+        state = self._state
+        values: dict[str, bytes] = dict.fromkeys(self._dropped_keys, b"")
+        job_ids = tuple(sorted(state.dirty_jobs))
+        for job_id in job_ids:
+            run = state.jobs_by_id.get(job_id)
+            if run is not None:
+                values.update(_rows_of(run))
+                run.is_written = True
+        values.update(self._hosts.take_values())
+        noted = {
+            executor_id: state.executors_by_id[executor_id].noted
+            for executor_id in state.noted_executors
+            if executor_id in state.executors_by_id
+        }
+        batch = Batch(
+            values_by_key=values,
+            starts=tuple(state.new_starts),
+            noted_by_executor=noted,
+            job_ids=job_ids,
+            host_orders=self._hosts.take_orders(),
+        )
+        state.dirty_jobs.clear()
+        state.noted_executors.clear()
+        state.new_starts.clear()
+        self._dropped_keys.clear()
+        return batch
+
+    def commit(self, batch: Batch, *, wall: float) -> list[StartOrder]:
+        """Note that a batch is durable; return the starts that may leave now."""
+        for executor_id, position in batch.noted_by_executor.items():
+            executor = self._state.executors_by_id.get(executor_id)
+            if executor is not None:
+                executor.durable = position
+        for job_id in batch.job_ids:
+            run = self._state.jobs_by_id.get(job_id)
+            if run is not None and job_id not in self._state.dirty_jobs:
+                self._on_durable(run)
+            elif run is not None:
+                self._on_durable_in_part(run)
+        self._hosts.release(batch.host_orders)
+        self._withhold_what_has_no_room(batch.starts, wall)
+        return [order for order in batch.starts if self._may_leave(order, wall)]
+
+    def _withhold_what_has_no_room(self, orders: Iterable[StartOrder], wall: float) -> None:
+        """Take back starts whose executor's capacity shrank while they were made durable.
+
+        An executor that does not guard its capacity would start them. The last to be placed goes
+        first; a gang waits as a whole.
+        """
+        for order in reversed(list(orders)):
+            executor = self._state.executors_by_id.get(order.executor_id)
+            if executor is None or not executor.is_over or not self._state.find_ordered(order):
+                continue
+            fields = {"run": str(order.run), "executor": order.executor_id}
+            self._state.note("run.withheld", order.task.job, cause="no room left", fields=fields)
+            self._ends.apply(order.task, order.run, RunEnd.NEVER_STARTED, wall=wall)
+
+    def _on_durable(self, run: JobRun) -> None:
+        run.shown_phase = self._shown(run)
+        self._on_durable_in_part(run)
+        if not run.has_ended:
+            return
+        self._advice.forget_job(run.job.job_id)
+        for task in run.assigned():
+            step = run.find_step(task.key.step_key)
+            if step is not None and not step.is_done:
+                cause = f"its job is {run.phase.value}"
+                self._ends.stop(task, rule=StopRule.JOB_ENDED, cause=cause)
+
+    def _on_durable_in_part(self, run: JobRun) -> None:
+        """Note that an earlier state of a job is durable: at least its acceptance is."""
+        if not run.is_durable:
+            run.is_durable = True
+            self._state.note(
+                "job.accepted",
+                run.job.job_id,
+                fields={"queue": run.queue.name, "objective_s": f"{run.objective_s:.2f}"},
+            )
+
+    @staticmethod
+    def _shown(run: JobRun) -> JobPhase:
+        if run.phase is JobPhase.QUEUED and run.has_started:
+            return JobPhase.RUNNING
+        return run.phase
+
+    def _may_leave(self, order: StartOrder, wall: float) -> bool:
+        task = self._state.find_ordered(order)
+        if task is None:
+            return False
+        if task.is_stopping or self._state.jobs_by_id[order.task.job].has_ended:
+            self._ends.apply(order.task, order.run, RunEnd.NEVER_STARTED, wall=wall)
+            return False
+        task.state = StartState.SENT
+        return True
+
+
+def _rows_of(run: JobRun) -> dict[str, bytes]:
+    """Return a job's rows in the order in which they are written.
+
+    A write may break off after any of them: progress without a definition can't be taken up, so the
+    definition is the first row of a job to come and the last to go.
+    """
+    job_id = run.job.job_id
+    progress = {PROGRESS_PREFIX + job_id: encode_progress(run.row())}
+    if run.has_ended:
+        return progress | {JOB_PREFIX + job_id: b""}
+    if not run.is_durable:
+        return {JOB_PREFIX + job_id: encode_job(run.job)} | progress
+    return progress
