Show that a host without the log is given back what it can't serve

What callers saw: jobs of three shards in eight stood still while two hosts that could serve them were there, for as long as the third was cut off from the log.

--- a/tests/test_ownership_hazards.py
+++ b/tests/test_ownership_hazards.py
@@ -149,6 +149,31 @@
         assert model.actors(X)
         assert model.actors(X) != [owner]
 
+    def test_owner_that_was_replaced_gets_nothing_back_before_it_reads_the_log(self) -> None:
+        """Jobs of three shards in eight stood still while two hosts that could serve them were there.
+
+        An owner was cut off from the log, paused, replaced, and went on. It follows ownership through
+        its peers, so the spreading gave it its share back; but it serves a job shard only once it has
+        read the log itself. The hosts' logs have, with the cut in force until 46.5 s,
+
+            46.09  3  ownership.activated  jobs/4
+            46.56  3  log.up
+            46.60  3  shard.census         jobs/4
+        """
+        model = served(3)
+        (owner,) = model.actors(X)
+        node = model.nodes_by_host[owner]
+        node.has_log = False
+        model.pause(owner)
+        assert model.run_until(lambda: model.actors(X) != [], within=TAKEOVER_S) is not None
+        model.run_for(5)
+        model.resume(owner)
+        model.run_for(20)
+        assert model.is_served()
+        assert model.owned(owner) == 0
+        node.has_log = True
+        assert model.run_until(lambda: model.owned(owner) > 0, within=10) is not None
+
     @staticmethod
     def _all_know(model: OwnershipModel, *, members: int) -> bool:
         nodes = model.nodes_by_host.values()
