Give nothing to a host that can't read the log

What callers saw: while one host was cut off from the log, jobs of the shards that it was handed stood still, though two well hosts were there (older ownership). Cause: a host counts as able to take work on while it is heard; it follows ownership through its peers' tails, but serves a job shard only once it has read the log itself. Change: a beat tells whether its sender's own reads would hold the log leg; one whose do not is no candidate for handovers and claims. What it owns it keeps. Why it holds: candidates bear on pace only, never on who may act; the flag is sent with the next beat, at once when it changes, and ends with the first read.

--- a/src/galenastall/coordination/ownership/membership.py
+++ b/src/galenastall/coordination/ownership/membership.py
@@ -16,6 +16,7 @@
     sequence: int
     next_offset: Offset
     is_leaving: bool
+    lacks_log: bool
     silent: frozenset[Incarnation]
 
 
@@ -59,6 +60,7 @@
             sequence=beat.sequence,
             next_offset=next_offset,
             is_leaving=beat.is_leaving,
+            lacks_log=beat.lacks_log,
             silent=frozenset(beat.silent),
         )
         return True
@@ -102,13 +104,13 @@
         return view is not None and not self.is_silent(voter, now) and subject in view.silent
 
     def live(self, members: Members, now: float) -> Members:
-        """Return the members that can take on work."""
+        """Return the members that can take on work; one that can't read the log serves no shard."""
         return tuple(member for member in members if self._is_live(member, now))
 
     def _is_live(self, member: Member, now: float) -> bool:
         if member == self._me:
             return True
         view = self._view_by_incarnation.get(member.incarnation)
-        if view is None or view.is_leaving or self.is_gone(member.host):
+        if view is None or view.is_leaving or view.lacks_log or self.is_gone(member.host):
             return False
         return not self.is_silent(member.incarnation, now)
--- a/src/galenastall/coordination/ownership/ownership.py
+++ b/src/galenastall/coordination/ownership/ownership.py
@@ -142,7 +142,7 @@
             self.fold.read_to(next_offset)
             self._refresh(self.fold.drain_touched())
         if read_at is not None and self.fold.is_complete:
-            self.legs.on_tip(read_at)
+            self.legs.on_own_tip(read_at)
 
     def on_tail(
         self, *, start: Offset, end: Offset, records: Sequence[LoggedRecord], now: float
--- a/src/galenastall/coordination/ownership/ownership_beats.py
+++ b/src/galenastall/coordination/ownership/ownership_beats.py
@@ -49,7 +49,8 @@
         """Yield a beat for each other member of the roster if a round is due."""
         peers = [m for m in self._fold.members() if m != self._me]
         silent = self._membership.silent(now)
-        news = (silent, is_leaving)
+        lacks_log = self._legs.lacks_log(now)
+        news = (silent, is_leaving, lacks_log)
         gap = self._timings.beat_interval_s(peers=len(peers))
         if news != self._last_news:
             gap = LEAST_GAP_S
@@ -71,6 +72,7 @@
                 is_leaving=is_leaving,
                 silent=silent,
                 claims=claims,
+                lacks_log=lacks_log,
             )
             yield SendMessage(to=peer.host, message=beat)
 
--- a/src/galenastall/coordination/ownership/ownership_legs.py
+++ b/src/galenastall/coordination/ownership/ownership_legs.py
@@ -18,6 +18,7 @@
         self.timings = timings
         """Replaced when operators change them."""
         self.tip_read_at = -inf
+        self._own_read_at = -inf
         self._sequence = 0
         self._sent_at_by_sequence: dict[int, float] = {}
         self._vouched_at: dict[Incarnation, float] = {}
@@ -44,9 +45,18 @@
         self._until_by_roster.clear()
 
     def on_tip(self, read_at: float) -> None:
-        """Count a read of the log's tip from the time at which it was sent."""
+        """Count a read of the log's tip from the time at which it was sent, by whoever sent it."""
         self.tip_read_at = max(self.tip_read_at, read_at)
 
+    def on_own_tip(self, read_at: float) -> None:
+        """Count a read of the log's tip that this member sent."""
+        self._own_read_at = max(self._own_read_at, read_at)
+        self.on_tip(read_at)
+
+    def lacks_log(self, now: float) -> bool:
+        """Return whether the log leg would not stand by this member's own reads."""
+        return now >= self._own_read_at + self.timings.read_s
+
     def keep_only(self, members: Iterable[Incarnation]) -> None:
         """Forget vouches of all others."""
         kept = set(members)
--- a/src/galenastall/coordination/ownership/ownership_messages.py
+++ b/src/galenastall/coordination/ownership/ownership_messages.py
@@ -35,6 +35,8 @@
     silent: tuple[Incarnation, ...] = ()
     """Roster members that the sender does not hear."""
     claims: tuple[ContestedClaim, ...] = ()
+    lacks_log: bool = False
+    """Whether the sender can't read the log itself, and so can't serve what it would be given."""
 
 
 class Fence(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
--- a/src/galenastall/proof/ownership_costs.py
+++ b/src/galenastall/proof/ownership_costs.py
@@ -142,7 +142,7 @@
         node.core.may_act(names[number % len(names)], now)
     asked = time.process_time()
     for _ in range(TICKS):
-        node.core.legs.on_tip(now)
+        node.core.legs.on_own_tip(now)
         node.core.membership.excuse(now)
         now += 0.1
         node.core.on_tick(now)
--- a/tests/test_ownership_hazards.py
+++ b/tests/test_ownership_hazards.py
@@ -150,11 +150,11 @@
         assert model.actors(X) != [owner]
 
     def test_owner_that_was_replaced_gets_nothing_back_before_it_reads_the_log(self) -> None:
-        """Jobs of three shards in eight stood still while two hosts that could serve them were there.
+        """Jobs of three shards in eight stood still while two hosts that could serve them were up.
 
-        An owner was cut off from the log, paused, replaced, and went on. It follows ownership through
-        its peers, so the spreading gave it its share back; but it serves a job shard only once it has
-        read the log itself. The hosts' logs have, with the cut in force until 46.5 s,
+        An owner was cut off from the log, paused, replaced, and went on. It follows ownership
+        through its peers, so the spreading gave it its share back; but it serves a job shard only
+        once it has read the log itself. The hosts' logs have, with the cut until 46.5 s,
 
             46.09  3  ownership.activated  jobs/4
             46.56  3  log.up
