Count a run that had just begun when its executor fell silent, listed or not

Cause: the list could not be read, so it named the executor until the leases had ended, and the crash counted for nothing. Change: what had just begun is counted all the same, lighter; what was at work only where the executor is off the list. Besides, nothing is listed for suspects where there are none. Why it holds: a cut from callers alone puts 15 of 60 down to a task once, which four cuts at its start in a row would have to repeat.

--- a/src/galenastall/coordination/cell/crashes.py
+++ b/src/galenastall/coordination/cell/crashes.py
@@ -25,8 +25,8 @@
 ALONE_WEIGHT: Final = 24
 """For a task that alone had just begun, or alone of these was suspected before."""
 SHARED_WEIGHT: Final = 15
-"""For each of several that had just begun or of which that is not known, and where other executors
-crashed at the same time."""
+"""For each of several that had just begun, for a task of which that is not known, and for all that
+had just begun where other executors crashed at the same time."""
 AT_WORK_WEIGHT: Final = 12
 """For a task that was at work."""
 MOST_WEIGHT: Final = 60
@@ -84,16 +84,17 @@
     }
 
 
-def blame_for_silence(victims: Iterable[Victim]) -> dict[TaskKey, Blame]:
-    """Return what it means for tasks that their executor is off the list and never answered again.
+def blame_for_silence(victims: Iterable[Victim], *, is_listed: bool) -> dict[TaskKey, Blame]:
+    """Return what it means for tasks that their executor fell silent and their leases have ended.
 
-    It has crashed, or is cut off from its callers and the platform.
+    It has crashed, or is cut off: from its callers alone if the platform's list still names it
+    (`is_listed`), and then only a task that had just begun may have to do with it.
     """
     return {
         victim.task: (
             Blame(weight=SHARED_WEIGHT, is_suspect=True)
             if _has_just_begun(victim)
-            else _blame_at_work(victim)
+            else NO_BLAME if is_listed else _blame_at_work(victim)
         )
         for victim in victims
     }
@@ -141,9 +142,9 @@
 
     def on_lapsed(self, executor: Executor) -> dict[TaskKey, Blame]:
         """Return what it means for tasks that their leases ended before the executor answered."""
-        if executor.is_listed or executor.was_to_leave:
+        if executor.was_to_leave:
             return {}
-        return blame_for_silence(self._victims(executor))
+        return blame_for_silence(self._victims(executor), is_listed=executor.is_listed)
 
     def _count_together(self, executor: Executor) -> int:
         """Count the other executors that fell silent at the same time, and are or were silent."""
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -212,6 +212,8 @@
         self, waiting: WaitingStep, suspects: list[TaskRun], usable: list[Executor]
     ) -> int:
         """Start tasks that have to begin apart from others, and return how many are left."""
+        if not suspects:
+            return 0
         usable_by_id = {executor.executor_id: executor for executor in usable}
         placed = 0
         for task in suspects:
--- a/tests/test_cell_crash_blame.py
+++ b/tests/test_cell_crash_blame.py
@@ -84,11 +84,17 @@
         blames = blame_for_crash([victim(A), victim(B, PROVEN_S), victim(C, None)], is_alone=True)
         assert [blames[task].is_suspect for task in (A, B, C)] == [True, False, True]
 
-    def test_an_executor_that_never_answers_again_weighs_less(self) -> None:
+    @pytest.mark.parametrize(
+        ("is_listed", "weights"),
+        [(False, [SHARED_WEIGHT, AT_WORK_WEIGHT, 0]), (True, [SHARED_WEIGHT, 0, 0])],
+    )
+    def test_an_executor_that_never_answers_again_weighs_less(
+        self, is_listed: bool, weights: list[int]
+    ) -> None:
+        """A task crashed its executor while the store was away; the list named it to the end."""
         victims = [victim(A), victim(B, 2.0), victim(C, SETTLED_S)]
-        blames = blame_for_silence(victims)
-        weights = [blames[task].weight for task in (A, B, C)]
-        assert weights == [SHARED_WEIGHT, AT_WORK_WEIGHT, 0]
+        blames = blame_for_silence(victims, is_listed=is_listed)
+        assert [blames[task].weight for task in (A, B, C)] == weights
 
     @pytest.mark.parametrize("weight", [ALONE_WEIGHT, SHARED_WEIGHT, AT_WORK_WEIGHT])
     def test_each_kind_of_evidence_ends_a_task_in_time(self, weight: int) -> None:
