--- a/tests/test_job_failures.py
+++ b/tests/test_job_failures.py
@@ -163,6 +163,33 @@
             assert all(cluster.starts_of(f"j/{index}") == 1 for index in range(16))
 
 
+class TestAssigneeOutOfTheRoster:
+    """Two jobs of twelve never ran, and no log line named them again.
+
+    A paused host had just gone on. Its summary told of much room before the roster had it back, so
+    tasks were assigned to it; the loop that sends an assignment ends once its host is not in the
+    roster, and left it to the next beat to doubt the tasks. By then the host was back. The logs of
+    the shard's owner end with
+
+        8.39  job.assigned  gangnam-entry-1  late-8/0 .. late-8/3  it has most room
+        8.54  job.assigned  gangnam-entry-1  late-5/0 .. late-5/3  it has most room
+    """
+
+    @pytest.mark.parametrize("idempotent", [True, False])
+    async def test_what_is_assigned_before_it_is_back_runs(
+        self, autojump_clock: Any, idempotent: bool
+    ) -> None:
+        async with open_cluster(names="abc") as cluster:
+            await trio.sleep(3)
+            cluster.owners.roster.discard(B)
+            await cluster.submit(make_spec("j", tasks=60, idempotent=idempotent))
+            await trio.sleep(0.1)
+            cluster.owners.roster.add(B)
+            await cluster.until(lambda: cluster.ended("j"), limit_s=120)
+            cluster.assert_sound()
+            assert done_count(cluster, "j") == 60
+
+
 class TestStaleOwner:
     async def test_cut_off_shard_owner_and_its_queue_start_nothing_twice(
         self, autojump_clock: Any
