Take an assignment back that was never sent, and doubt one whose host has gone

Cause: a paused host that has just gone on tells of much room before the roster has it back. Tasks were assigned to it, the loop that sends ends once the host is not in the roster, and the next beat was to doubt the tasks; by then the host was back. Change: what was never sent is refused at once, what was sent without an answer is doubted by the loop itself. Why it holds: each way out of the loop settles its tasks.

--- a/src/galenastall/node/jobs/shard_driver.py
+++ b/src/galenastall/node/jobs/shard_driver.py
@@ -158,7 +158,11 @@
             nursery.start_soon(self._log_intents)
 
     async def _assign(self, batch: AssignBatch) -> None:
-        """Send until there is an answer, or the assignee is gone and a census tells."""
+        """Send until there is an answer, or the assignee is gone: then a census tells.
+
+        What was never sent goes back at once. Left to the next beat to doubt, tasks stayed assigned
+        for good where the assignee was back in the roster by then.
+        """
         is_repeat = False
         while batch.host in self._ownership.roster():
             if not self.may_act:
@@ -186,6 +190,11 @@
                 return
             is_repeat = True
             await trio.sleep(self._timings.resend_s)
+        if is_repeat:
+            self.core.on_assignee_gone(batch.host)
+        else:
+            self.core.on_assign_answer(batch, AssignAnswer.REFUSED, self._clock.wall())
+        self.wake()
 
     async def _stop(self, host: HostId) -> None:
         try:
