Keep a host that can't read the log among those that get tasks

Cause: what is given to such a host was taken from the list of live members, by which tasks are sent too, so its own workers would have got no tasks while it was cut off from the log. Change: live members as before, and those able to be given more as a list of its own, for spreading alone.

--- a/src/galenastall/coordination/ownership/membership.py
+++ b/src/galenastall/coordination/ownership/membership.py
@@ -104,13 +104,21 @@
         return view is not None and not self.is_silent(voter, now) and subject in view.silent
 
     def live(self, members: Members, now: float) -> Members:
-        """Return the members that can take on work; one that can't read the log serves no shard."""
+        """Return the members that can take on work."""
         return tuple(member for member in members if self._is_live(member, now))
 
     def _is_live(self, member: Member, now: float) -> bool:
         if member == self._me:
             return True
         view = self._view_by_incarnation.get(member.incarnation)
-        if view is None or view.is_leaving or view.lacks_log or self.is_gone(member.host):
+        if view is None or view.is_leaving or self.is_gone(member.host):
             return False
         return not self.is_silent(member.incarnation, now)
+
+    def able(self, live: Members) -> Members:
+        """Return those that may be given more: one that can't read the log serves no shard."""
+        return tuple(member for member in live if member == self._me or not self._lacks_log(member))
+
+    def _lacks_log(self, member: Member) -> bool:
+        view = self._view_by_incarnation.get(member.incarnation)
+        return view is not None and view.lacks_log
--- a/src/galenastall/coordination/ownership/ownership.py
+++ b/src/galenastall/coordination/ownership/ownership.py
@@ -82,7 +82,11 @@
         self.takeovers_by_epoch: dict[Epoch, Takeover] = {}
         self.ownables: frozenset[OwnableId] | None = None
         self.live: Members = ()
+        """Members that are heard and not leaving, this one included."""
+        self.able: Members = ()
+        """Those of them that may be given more."""
         self.live_since = inf
+        """Since when both have been the same."""
         self.is_leaving = False
         self.has_joined = False
         self.is_out = False
@@ -323,8 +327,9 @@
         live = self.membership.live(self.fold.members(), now)
         if self.is_leaving:
             live = tuple(member for member in live if member != self.me)
-        if live != self.live:
-            self.live = live
+        able = self.membership.able(live)
+        if (live, able) != (self.live, self.able):
+            self.live, self.able = live, able
             self.live_since = now
 
     def _on_beat(self, sender: HostId, beat: Beat, now: float) -> None:
--- a/src/galenastall/coordination/ownership/ownership_claims.py
+++ b/src/galenastall/coordination/ownership/ownership_claims.py
@@ -34,22 +34,28 @@
         self._wanted: dict[OwnableId, HostId] = {}
 
     def plan(
-        self, *, ownables: frozenset[OwnableId], live: Members, now: float, is_settled: bool
+        self,
+        *,
+        ownables: frozenset[OwnableId],
+        live: Members,
+        able: Members,
+        now: float,
+        is_settled: bool,
     ) -> Claim | None:
         """Return the next claim to append, covering all that can be fenced alike."""
         group = self._dead_group(live, now) or tuple(
-            self._free(ownables, live, now, is_settled=is_settled)
+            self._free(ownables, live, able, now, is_settled=is_settled)
         )
         if not group:
             return None
         return Claim(by=self._me, ownables=tuple(sorted(group)), seen=self._fold.next_offset)
 
-    def wanted(self, ownables: frozenset[OwnableId], live: Members) -> dict[OwnableId, HostId]:
-        """Return which live host should own what, for an even spread."""
-        key = (ownables, live)
+    def wanted(self, ownables: frozenset[OwnableId], able: Members) -> dict[OwnableId, HostId]:
+        """Return which of these members' hosts should own what, for an even spread."""
+        key = (ownables, able)
         if key != self._wanted_key:
             self._wanted_key = key
-            self._wanted = spread(ownables, sorted(member.host for member in live))
+            self._wanted = spread(ownables, sorted(member.host for member in able))
         return self._wanted
 
     def can_fence(self, members: Members, now: float) -> bool:
@@ -64,13 +70,19 @@
         return not self._fold.has_member(member) or self._membership.is_gone(member.host)
 
     def _free(
-        self, ownables: frozenset[OwnableId], live: Members, now: float, *, is_settled: bool
+        self,
+        ownables: frozenset[OwnableId],
+        live: Members,
+        able: Members,
+        now: float,
+        *,
+        is_settled: bool,
     ) -> Iterator[OwnableId]:
         states = self._fold.state_by_ownable
         free = [o for o in ownables if o not in states or states[o].is_free]
         if not free:
             return
-        wanted = self.wanted(ownables, live)
+        wanted = self.wanted(ownables, able)
         hosts = [member.host for member in live]
         for ownable in free:
             is_mine = is_settled and wanted.get(ownable) == self._me.host
--- a/src/galenastall/coordination/ownership/ownership_upkeep.py
+++ b/src/galenastall/coordination/ownership/ownership_upkeep.py
@@ -67,7 +67,11 @@
         if core.ownables is None:
             return
         claim = core.claims.plan(
-            ownables=core.ownables, live=core.live, now=now, is_settled=self._is_settled(now)
+            ownables=core.ownables,
+            live=core.live,
+            able=core.able,
+            now=now,
+            is_settled=self._is_settled(now),
         )
         if claim is not None:
             core.append(claim, now)
@@ -80,8 +84,8 @@
             return
         gifts = plan_gifts(
             owned=core.holdings.holding_by_ownable,
-            wanted=core.claims.wanted(core.ownables, core.live),
-            live=core.live,
+            wanted=core.claims.wanted(core.ownables, core.able),
+            live=core.able,
             me=core.me,
             limit=core.timings.handover_batch,
         )
@@ -171,8 +175,8 @@
 
     def _farewell_gifts(self, mine: list[OwnableId]) -> tuple[Gift, ...]:
         core = self._core
-        wanted = spread(mine, sorted(member.host for member in core.live))
-        return plan_gifts(owned=mine, wanted=wanted, live=core.live, me=core.me, limit=len(mine))
+        wanted = spread(mine, sorted(member.host for member in core.able))
+        return plan_gifts(owned=mine, wanted=wanted, live=core.able, me=core.me, limit=len(mine))
 
     def _next_generation(self) -> int:
         return self._generation + 1
