--- a/tests/test_cell_crashing_tasks.py
+++ b/tests/test_cell_crashing_tasks.py
@@ -6,10 +6,10 @@
 ever gave such a task up. The leader's log showed it, with some of the runs beside it following
 along:
 
-    run.ended     0.0.0  cause=lost  run=5  executor=i-86cc2dec9e
-    run.assigned  0.0.0  run=6       executor=i-7e72a9feea
-    run.ended     0.0.0  cause=lost  run=6  executor=i-7e72a9feea
-    run.assigned  0.0.0  run=7       executor=i-49625eb427
+    run.ended     0.0.0  cause=lost  run=5  executor=A
+    run.assigned  0.0.0  run=6       executor=B
+    run.ended     0.0.0  cause=lost  run=6  executor=B
+    run.assigned  0.0.0  run=7       executor=C
 """
 
 from dataclasses import replace
