--- a/src/galenastall/standin/cell/executors.py
+++ b/src/galenastall/standin/cell/executors.py
@@ -203,6 +203,8 @@
     def __init__(self) -> None:
         """Create a world without executors."""
         self.executors: dict[str, Executor] = {}
+        self.earlier: list[Executor] = []
+        """Incarnations whose id a later one has."""
         self.violations: list[str] = []
         self.alone: list[tuple[TaskKey, int]] = []
         self.noted_done: set[TaskKey] = set()
--- a/tests/cell/cluster.py
+++ b/tests/cell/cluster.py
@@ -180,7 +180,7 @@
         """A job whose submissions were all refused has never run."""
         started = {
             task.job
-            for executor in self.world.executors.values()
+            for executor in (*self.world.executors.values(), *self.world.earlier)
             for task in executor.dead_runs.keys() | executor.runs.keys()
         }
         for job_id in self.refused & started:
--- a/tests/cell/play.py
+++ b/tests/cell/play.py
@@ -21,14 +21,16 @@
     executors: int = 4,
     weights: Sequence[float] = (),
     claim_delays_s: Sequence[float] = (),
+    keeps_ids: bool = False,
 ) -> Cluster:
     """Play a scenario on a cluster; fails on anything that must never happen.
 
-    Weights and delays of claims are those of the first hosts.
+    Weights and delays of claims are those of the first hosts; `keeps_ids`: executors that start
+    again have the ids that they had.
     """
     rng = Random(seed)
     async with trio.open_nursery() as nursery:
-        world = World(rng=rng, nursery=nursery, executors=executors)
+        world = World(rng=rng, nursery=nursery, executors=executors, keeps_ids=keeps_ids)
         cluster = Cluster(world=world, rng=rng, nursery=nursery, hosts=hosts)
         cluster.weights.update(zip(cluster.names, weights, strict=False))
         cluster.claim_delays_s.update(zip(cluster.names, claim_delays_s, strict=False))
@@ -41,8 +43,11 @@
     return cluster
 
 
-async def hand_in(cluster: Cluster, world: World, rng: Random, jobs: int, every_s: float) -> None:
-    for number in range(jobs):
+async def hand_in(
+    cluster: Cluster, world: World, rng: Random, jobs: int, every_s: float, *, first: int = 0
+) -> None:
+    """Hand in jobs with the numbers from `first` on."""
+    for number in range(first, first + jobs):
         cluster.nursery.start_soon(cluster.submit, make_job(world, rng, number))
         await trio.sleep(rng.uniform(0.0, 2 * every_s))
 
--- a/tests/cell/trouble.py
+++ b/tests/cell/trouble.py
@@ -113,4 +113,4 @@
         await trio.sleep(rng.uniform(0.5, 3.0))
         world.give_life(victim.info.host)
         await trio.sleep(rng.uniform(0.0, 3.0))
-        world.listed.pop(victim.info.executor_id, None)
+        world.delist(victim)
--- a/tests/cell/world.py
+++ b/tests/cell/world.py
@@ -196,7 +196,7 @@
         for executor in self.world.executors.values():
             if executor.info.host == host and executor.is_up:
                 self.world.crash(executor)
-                self.world.listed.pop(executor.info.executor_id, None)
+                self.world.delist(executor)
 
     async def _come_back(self, host: str) -> None:
         await trio.sleep(MAINTENANCE_S)
@@ -220,10 +220,14 @@
 class World(ExecutorWorld):
     """Everything outside the hosts, and the watch over what must hold."""
 
-    def __init__(self, *, rng: Random, nursery: trio.Nursery, executors: int = 4) -> None:
+    def __init__(
+        self, *, rng: Random, nursery: trio.Nursery, executors: int = 4, keeps_ids: bool = False
+    ) -> None:
         super().__init__()
         self.rng = rng
         self.nursery = nursery
+        self.keeps_ids = keeps_ids
+        """Whether an executor that starts again on a host has the id that it had there."""
         self.faults = Faults()
         self.store = Store()
         self.hosts = Hosts(world=self)
@@ -248,7 +252,7 @@
         if (executor := next(living, None)) is not None:
             return executor
         self._lives += 1
-        name = f"executor-{self._lives}"
+        name = self._name_on(host)
         info = ExecutorInfo(
             executor_id=name,
             host=host,
@@ -259,10 +263,23 @@
             labels=("a",),
         )
         executor = Executor(world=self, info=info, rate=self.rng.choice([1.0, 0.98, 0.99]))
-        self.executors[executor.info.executor_id] = executor
-        self.listed[executor.info.executor_id] = executor.info
+        if name in self.executors:
+            self.earlier.append(self.executors[name])
+        self.executors[name] = executor
+        self.listed[name] = executor.info
         return executor
 
+    def _name_on(self, host: str) -> str:
+        """Return the id of an executor that starts on a host now."""
+        names = (name for name, executor in self.executors.items() if executor.info.host == host)
+        known = next(names, None) if self.keeps_ids else None
+        return known or f"executor-{self._lives}"
+
+    def delist(self, executor: Executor) -> None:
+        """Remove an executor's entry, unless a later incarnation has replaced it."""
+        if self.executors.get(executor.info.executor_id) is executor:
+            self.listed.pop(executor.info.executor_id, None)
+
     def on_crashed_by_task(self, executor: Executor) -> None:
         self.nursery.start_soon(self._come_back, executor)
 
@@ -274,7 +291,7 @@
     async def _delist(self, executor: Executor) -> None:
         """Remove an entry after three heartbeats of silence."""
         await trio.sleep(self.rng.uniform(3.0, 4.5))
-        self.listed.pop(executor.info.executor_id, None)
+        self.delist(executor)
 
     def resize(self, executor: Executor, capacity: Resources) -> None:
         """Change an executor's capacity; the list shows it at once."""
