--- a/src/galenastall/bench/cell_load/surroundings.py
+++ b/src/galenastall/bench/cell_load/surroundings.py
@@ -283,7 +283,7 @@
         executor.sweep()
         verdict = executor.hold(deadline_ms, noted, token)
         if verdict is not StartVerdict.STARTED:
-            return Success(ListingAnswer(verdict=verdict, listing=None))
+            return Success(ListingAnswer(verdict=verdict, executor_id=executor_id, listing=None))
         until = trio.current_time() + wait_s
         while trio.current_time() < until and executor.is_up and not executor.ended:
             with trio.move_on_after(min(POLL_S, until - trio.current_time())):
@@ -291,7 +291,8 @@
             executor.sweep()
         if not executor.is_up:
             return _silent(executor_id)
-        return Success(ListingAnswer(verdict=verdict, listing=executor.listing()))
+        listing = executor.listing()
+        return Success(ListingAnswer(verdict=verdict, executor_id=executor_id, listing=listing))
 
     async def _reach(self, executor_id: str, timeout_s: float) -> Executor | None:
         await trio.sleep(ORDER_S)
--- a/src/galenastall/coordination/cell/crashes.py
+++ b/src/galenastall/coordination/cell/crashes.py
@@ -131,8 +131,8 @@
         self._silent_since: deque[float] = deque(maxlen=64)
         """Leader's times at which executors that have crashed were last heard."""
 
-    def on_life_ended(self, executor: Executor) -> dict[TaskKey, Blame]:
-        """Return what the end of an executor's life means for the tasks that were there."""
+    def on_crash(self, executor: Executor) -> dict[TaskKey, Blame]:
+        """Return what the end of an incarnation means for the tasks that were there."""
         if executor.was_to_leave:
             return {}
         is_alone = self._count_together(executor) < OTHERS_TOGETHER
--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -20,6 +20,8 @@
 class Closed(StrEnum):
     """Why an executor takes no new work; the first that holds, in this order."""
 
+    RESTARTED = "restarted"
+    """A later incarnation of it has answered."""
     DRAINING = "draining"
     UNUSABLE = "unusable"
     """Its entry in the list can't be read."""
@@ -36,11 +38,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ExecutorInfo:
-    """One life of an executor, as the platform's list names it."""
+    """One incarnation of an executor, as the platform's list names it."""
 
     executor_id: str
     host: str
-    """The host that it lives on; its next life has another id and the same host."""
+    """The host that it runs on; its next incarnation has another id and the same host."""
     address: str
     data_centre: str
     service: str
@@ -56,19 +58,21 @@
 
 
 class Executor:
-    """One life of an executor; the ledger counts every run that may be there."""
+    """One incarnation of an executor; the ledger counts every run that may be there."""
 
     def __init__(self, *, info: ExecutorInfo, clock: LeaseClock, now: float) -> None:
         """Start with an empty ledger; nothing is placed before the first listing."""
         self.info = info
         self.executor_id = info.executor_id
-        """Id of this life."""
+        """Id of this incarnation."""
         self.clock = clock
         self.runs_by_task: dict[TaskKey, int] = {}
         self.strangers: frozenset[tuple[TaskKey, int]] = frozenset()
         """Runs listed there that no live job accounts for; they are stopped first."""
         self.cordons: set[Cordon] = set()
         """Why its host is being emptied; while there is any reason it gets nothing new."""
+        self.has_restarted = False
+        """Whether a later incarnation has answered in its stead; what it did is not known yet."""
         self.is_listed = True
         self.delisted_at = now
         self.answered_at: float | None = None
@@ -150,6 +154,8 @@
     def why_closed(self, *, now: float, reach_s: float, delisted_grace_s: float) -> Closed | None:
         """Return why no new work may be placed here now; None if it may."""
         info = self.info
+        if self.has_restarted:
+            return Closed.RESTARTED
         if info.is_draining:
             return Closed.DRAINING
         if not info.is_usable:
--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -1,6 +1,7 @@
-"""Executors that come, drain, vanish and are born again."""
+"""Executors that come, drain, vanish and start again."""
 
 from collections.abc import Iterable
+from dataclasses import replace
 from typing import Final
 
 from galenastall.coordination.cell.cell_state import CellState
@@ -9,6 +10,7 @@
 from galenastall.coordination.cell.executors import Executor, ExecutorInfo
 from galenastall.coordination.cell.job_runs import JobRun, StepRun
 from galenastall.coordination.cell.lease_clock import LeaseClock
+from galenastall.coordination.cell.listings import ENDS_IN_A_LISTING, Listing
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.standstill import (
@@ -19,6 +21,8 @@
 )
 from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.coordination.cell.task_runs import WHOLE_PERCENT, StartState, TaskRun
+from galenastall.state.cell.executor_ids import is_same_executor
+from galenastall.state.cell.jobs import TaskKey
 from galenastall.state.cell.phases import RunEnd
 from galenastall.state.resources import NOTHING
 
@@ -44,9 +48,9 @@
         self._doubts = doubts
         self._crashes = CrashJudge(state=state)
         self._judged_at = float("-inf")
-        self._ended_lives: set[str] = set()
-        """Ids of lives that are over. Their entries stay listed for some heartbeats, and one that
-        was held up on its way may be listed again seconds later."""
+        self._ended_ids: set[str] = set()
+        """Ids of incarnations that are over. Their entries stay listed for some heartbeats, and one
+        that was held up on its way may be listed again seconds later."""
         self._unnamed: set[str] = set()
         """Executors that were told of once as being of no service that the configuration names."""
 
@@ -65,10 +69,10 @@
             executor.runs_by_task[task.key] = task.run
 
     def update(self, infos: Iterable[ExecutorInfo], *, now: float) -> None:
-        """Take the list as it is now; which of two lives on a host is over, only answers tell."""
+        """Take the list as it is now; which of two incarnations is over, only answers tell."""
         listed_by_id = {info.executor_id: info for info in infos if self._is_of_service(info)}
         for info in listed_by_id.values():
-            if info.executor_id not in self._ended_lives:
+            if info.executor_id not in self._ended_ids:
                 self._see(info, now=now)
         for executor in list(self._state.executors_by_id.values()):
             if executor.executor_id not in listed_by_id:
@@ -107,26 +111,84 @@
             if found is not None and found[2].state is StartState.UNSURE:
                 self._ends.stop_for_room(found[2])
 
-    def end_earlier_lives(self, executor: Executor, *, asked_seq: int, wall: float) -> None:
-        """End the other lives on a host one of which has answered a call sent at `asked_seq`.
+    def on_restart(self, executor_id: str, later_id: str) -> None:
+        """Take in the incarnation that has answered a call to an earlier one of its name.
 
-        A host has one life at a time. One that answers a call sent after another's last answer came
-        is the later one. The list alone does not tell: the entry of a life that was over had been
-        held up for 4 s, and taken for a new one it ended the runs of the life that was there.
+        Orders to the earlier one may have been carried out by the later one, whose first listing
+        tells; until then all runs that were counted there may be at work.
+        """
+        earlier = self._state.executors_by_id.get(executor_id)
+        if earlier is None:
+            return
+        if not earlier.has_restarted:
+            earlier.has_restarted = True
+            earlier.clock.put_off(self._state.now + self._longest_lease_s)
+            fields = {"incarnation": later_id, "runs": str(len(earlier.runs_by_task))}
+            self._state.note("executor.restarted", executor_id, fields=fields)
+        is_over = later_id in self._ended_ids
+        if not is_over and later_id not in self._state.executors_by_id:
+            # Its entry tells its capacity and labels, which may differ.
+            info = replace(earlier.info, executor_id=later_id, is_usable=False)
+            self._add(info, now=self._state.now)
+
+    def end_earlier(
+        self, executor: Executor, listing: Listing, *, asked_seq: int, wall: float
+    ) -> None:
+        """End the other incarnations on a host of which one listed at a call sent at `asked_seq`.
+
+        A host has one at a time. One that answers a call sent after another's last answer came is
+        the later one. The list alone does not tell: the entry of one that was over had been held up
+        for 4 s, and taken for a new one it ended the runs of the one that was there.
         """
         host = executor.info.host
         for other in list(self._state.executors_by_id.values()):
-            if other is executor or not host or other.info.host != host:
+            is_same = is_same_executor(other.executor_id, executor.executor_id)
+            is_on_host = bool(host) and other.info.host == host
+            if other is executor or not (is_same or is_on_host):
                 continue
-            is_known_here = other.answered_seq > 0 or bool(other.runs_by_task)
+            is_known_here = is_same or other.answered_seq > 0 or bool(other.runs_by_task)
             if is_known_here and asked_seq > other.answered_seq:
-                cause = f"a later life answers on its host as {executor.executor_id}"
-                self.end_life(other.executor_id, cause=cause, wall=wall)
+                if is_same:
+                    self._hand_on(other, executor, listing)
+                cause = f"a later incarnation answers on its host as {executor.executor_id}"
+                self.end_incarnation(other.executor_id, cause=cause, wall=wall)
 
-    def _add(self, info: ExecutorInfo, *, now: float) -> Executor:
+    def _hand_on(self, earlier: Executor, later: Executor, listing: Listing) -> None:
+        """Count runs where an order to an earlier incarnation was carried out by a later one."""
+        later.clock.put_off(self._state.now + self._longest_lease_s)
+        listed = {(run.task, run.run) for run in listing.running}
+        listed |= {(end.task, end.run) for end in listing.ended}
+        is_whole = len(listing.ended) < ENDS_IN_A_LISTING
+        for key, run in list(earlier.runs_by_task.items()):
+            if (key, run) in listed or not is_whole:
+                self._move_run(key, earlier, later)
+
+    def _move_run(self, key: TaskKey, earlier: Executor, later: Executor) -> None:
+        found = self._state.find(key)
+        if found is None:
+            return
+        _, step, task = found
+        later.runs_by_task[key] = earlier.runs_by_task.pop(key)
+        earlier.give_back(step.step.need)
+        later.take(step.step.need)
+        task.executor_id = later.executor_id
+        task.state = StartState.INHERITED
+        # A stop that the earlier incarnation has answered says nothing of this one.
+        task.stop_seq = 0
+        task.stop_sent_at = float("-inf")
+        self._state.dirty_jobs.add(key.job)
+        fields = {"run": str(task.run), "executor": later.executor_id}
+        self._state.note("run.handed_on", key.job, fields=fields)
+
+    @property
+    def _longest_lease_s(self) -> float:
+        """For how long at most a lease goes on that is renewed now, in leader's time."""
         timings = self._state.timings
-        longest_s = timings.lease_s / (1.0 - timings.clock_rate_slack) + timings.lease_slack_s
-        clock = LeaseClock(timings=timings, unknown_until=self._state.fenced_at + longest_s)
+        return timings.lease_s / (1.0 - timings.clock_rate_slack) + timings.lease_slack_s
+
+    def _add(self, info: ExecutorInfo, *, now: float) -> Executor:
+        until = self._state.fenced_at + self._longest_lease_s
+        clock = LeaseClock(timings=self._state.timings, unknown_until=until)
         executor = Executor(info=info, clock=clock, now=now)
         self._state.executors_by_id[info.executor_id] = executor
         return executor
@@ -140,8 +202,8 @@
             del self._state.executors_by_id[executor.executor_id]
             self._state.note("executor.forgotten", executor.executor_id)
 
-    def end_life(self, executor_id: str, *, cause: str, wall: float) -> None:
-        """End all runs of an executor's life that is over, and forget it."""
+    def end_incarnation(self, executor_id: str, *, cause: str, wall: float) -> None:
+        """End all runs of an incarnation that is over, and forget it."""
         executor = self._state.executors_by_id.get(executor_id)
         if executor is None:
             return
@@ -155,12 +217,12 @@
                 "draining": str(executor.info.is_draining).lower(),
             },
         )
-        blames = self._crashes.on_life_ended(executor)
+        blames = self._crashes.on_crash(executor)
         for key, run in list(executor.runs_by_task.items()):
             blame = blames.get(key, NO_BLAME)
             self._ends.apply(key, run, RunEnd.LOST, wall=wall, blame=blame)
         self._state.executors_by_id.pop(executor_id, None)
-        self._ended_lives.add(executor_id)
+        self._ended_ids.add(executor_id)
 
     def expire(self, *, now: float, wall: float) -> None:
         """End runs whose leases have surely lapsed on executors that do not answer."""
--- a/src/galenastall/coordination/cell/lease_clock.py
+++ b/src/galenastall/coordination/cell/lease_clock.py
@@ -12,7 +12,7 @@
     """Samples of one executor's clock against the leader's."""
 
     def __init__(self, *, timings: CellTimings, unknown_until: float) -> None:
-        """`unknown_until`: when leases of earlier leaders have surely ended, in leader's time."""
+        """`unknown_until`: when leases that others named have surely ended, in leader's time."""
         self._timings = timings
         self._unknown_until = unknown_until
         self._clock_ms: int | None = None
@@ -30,6 +30,10 @@
             self._clock_ms = clock_ms
             self._received_at = received_at
 
+    def put_off(self, until: float) -> None:
+        """Count no lease as lapsed before `until`, in leader's time."""
+        self._unknown_until = max(self._unknown_until, until)
+
     @property
     def promised_ms(self) -> int:
         """The latest deadline that was named."""
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -208,13 +208,19 @@
             return
         self._state.now = now
         executor.clock.observe(clock_ms=listing.clock_ms, received_at=now)
-        self._fleet.end_earlier_lives(executor, asked_seq=asked_seq, wall=wall)
+        self._fleet.end_earlier(executor, listing, asked_seq=asked_seq, wall=wall)
         self._listings.read(executor, listing, asked_seq=asked_seq, now=now, wall=wall)
         self._pacing.on_listing(executor)
 
-    def on_other_life(self, executor_id: str, *, wall: float) -> None:
-        """Note that another life answers at an executor's address: this one has ended."""
-        self._fleet.end_life(executor_id, cause="another life answers at its address", wall=wall)
+    def on_other_executor(self, executor_id: str, *, wall: float) -> None:
+        """Note that an executor of another name answers at an executor's address."""
+        cause = "another executor answers at its address"
+        self._fleet.end_incarnation(executor_id, cause=cause, wall=wall)
+
+    def on_restart(self, executor_id: str, later_id: str, *, now: float) -> None:
+        """Note that a later incarnation has answered a call to an executor."""
+        self._state.now = now
+        self._fleet.on_restart(executor_id, later_id)
 
     def on_start(
         self, order: StartOrder, outcome: StartOutcome, *, now: float, wall: float
--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -25,6 +25,9 @@
 """Pause after a failed call."""
 DURABLE_WAIT_S: Final = 0.5
 """How long the next poll waits until ends are durable; leases must go on in an outage."""
+ACKNOWLEDGES_WITHIN_S: Final = 1.0
+"""Ends are acknowledged while a listing is no older: an executor that has started again since would
+forget ends that nobody has read. Longer than DURABLE_WAIT_S, and shorter than a restart."""
 GATHER_S: Final = 0.02
 """Pause between two polls, so that ends that come together cost one call."""
 
@@ -35,13 +38,14 @@
     StartVerdict.TOO_LATE: StartOutcome.NOT_STARTED,
     StartVerdict.NO_TICKET: StartOutcome.NO_TICKET,
     StartVerdict.UNHEALTHY: StartOutcome.UNHEALTHY,
-    StartVerdict.OTHER_LIFE: StartOutcome.NOT_STARTED,
+    StartVerdict.OTHER_EXECUTOR: StartOutcome.NOT_STARTED,
+    StartVerdict.FENCED: StartOutcome.NOT_STARTED,
     StartVerdict.MALFORMED: StartOutcome.UNHEALTHY,
 }
 
 
 class ExecutorSession:
-    """Polls one executor until its life ends or the term does."""
+    """Polls one incarnation of an executor until it ends or the term does."""
 
     def __init__(self, *, context: TermContext, executor: Executor) -> None:
         """Speak to `executor` in the term of `context`."""
@@ -54,7 +58,7 @@
         context = self._context
         executor_id = self._executor.executor_id
         while context.core.executors_by_id.get(executor_id) is self._executor:
-            if not self._executor.info.address:
+            if not self._executor.info.address or self._executor.has_restarted:
                 await trio.sleep(RETRY_S)
                 continue
             is_answered = await self._poll(self._wait_s())
@@ -88,19 +92,31 @@
         context, executor = self._context, self._executor
         executor.wants_look = False
         asked_seq = context.core.next_seq()
+        token = context.token_of(executor.executor_id)
         answer = await context.executors.renew(
             address=executor.info.address,
             executor_id=executor.executor_id,
             deadline_ms=self._renewed_ms(),
-            noted=executor.durable,
+            noted=self._noted(),
             wait_s=wait_s,
-            token=context.token,
+            token=token,
             timeout_s=wait_s + LATE_ANSWER_S,
         )
         if isinstance(answer, Failure):
             self._on_failure(answer.failure())
             return False
-        return self._take(answer.unwrap(), asked_seq)
+        return self._take(answer.unwrap(), asked_seq, token)
+
+    def _noted(self) -> int:
+        """Return the position up to which ends may be forgotten.
+
+        It is 0 where the executor may have started again since its last listing.
+        """
+        executor = self._executor
+        is_sure = executor.lost_at is None and executor.has_answered(
+            now=trio.current_time(), reach_s=ACKNOWLEDGES_WITHIN_S
+        )
+        return executor.durable if is_sure else 0
 
     def _renewed_ms(self) -> int | None:
         """Return the deadline to renew to; None for an executor that has stopped answering."""
@@ -121,13 +137,19 @@
         confirmed_at = self._context.confirmed_at
         return executor.clock.deadline_ms(confirmed_at=confirmed_at, now=trio.current_time())
 
-    def _take(self, answer: ListingAnswer, asked_seq: int) -> bool:
+    def _take(self, answer: ListingAnswer, asked_seq: int, token: int) -> bool:
         context = self._context
+        executor_id = self._executor.executor_id
         if answer.verdict is StartVerdict.FENCED:
-            self._lose()
+            self._on_fenced(token)
+            return False
+        if answer.verdict is StartVerdict.OTHER_EXECUTOR:
+            context.core.on_other_executor(executor_id, wall=context.wall())
+            context.wake()
             return False
-        if answer.verdict is StartVerdict.OTHER_LIFE:
-            context.core.on_other_life(self._executor.executor_id, wall=context.wall())
+        if answer.executor_id != executor_id:
+            context.raise_token(answer.executor_id)
+            context.core.on_restart(executor_id, answer.executor_id, now=trio.current_time())
             context.wake()
             return False
         if answer.listing is None:
@@ -166,13 +188,14 @@
     async def _send_start(self, order: StartOrder) -> StartOutcome:
         context, executor = self._context, self._executor
         deadline_ms = self._deadline_ms()
-        if deadline_ms is None:
+        if deadline_ms is None or executor.has_restarted:
             return StartOutcome.NOT_STARTED
+        token = context.token_of(executor.executor_id)
         answer = await context.executors.start(
             address=executor.info.address,
             order=order,
             deadline_ms=deadline_ms,
-            token=context.token,
+            token=token,
             timeout_s=context.core.timings.order_timeout_s,
         )
         if isinstance(answer, Failure):
@@ -183,44 +206,47 @@
             return StartOutcome.UNHEALTHY
         verdict = answer.unwrap().verdict
         if verdict is StartVerdict.FENCED:
-            self._lose()
-            return StartOutcome.NOT_STARTED
+            self._on_fenced(token)
         return _OUTCOME_BY_VERDICT[verdict]
 
     async def pace(self, order: PaceOrder) -> None:
         """Send a pace; the core repeats it until it is confirmed."""
         context, executor = self._context, self._executor
+        token = context.token_of(executor.executor_id)
         answer = await context.executors.pace(
             address=executor.info.address,
             order=order,
-            token=context.token,
+            token=token,
             timeout_s=context.core.timings.order_timeout_s,
         )
-        if self._is_obeyed(answer):
+        if self._is_obeyed(answer, token):
             context.core.on_paced(order)
 
     async def stop(self, order: StopOrder) -> None:
         """Send a stop; the core repeats it until the run is listed as ended."""
         context, executor = self._context, self._executor
+        token = context.token_of(executor.executor_id)
         answer = await context.executors.stop(
             address=executor.info.address,
             order=order,
-            token=context.token,
+            token=token,
             timeout_s=context.core.timings.order_timeout_s,
         )
-        if self._is_obeyed(answer):
+        if self._is_obeyed(answer, token):
             context.core.on_stop(order)
             context.wake()
 
-    def _is_obeyed(self, answer: Result[OrderAnswer, StepError]) -> bool:
+    def _is_obeyed(self, answer: Result[OrderAnswer, StepError], token: int) -> bool:
         """Whether an order was carried out; one refused for its token ends the term."""
         if isinstance(answer, Failure):
             return False
         verdict = answer.unwrap().verdict
         if verdict is StartVerdict.FENCED:
-            self._lose()
+            self._on_fenced(token)
         return verdict is StartVerdict.STARTED
 
-    def _lose(self) -> None:
+    def _on_fenced(self, token: int) -> None:
+        """Give the term up, unless a later incarnation has been shown a higher token in it."""
         executor_id = self._executor.executor_id
-        self._context.lose(f"executor {executor_id} has seen a higher token")
+        if self._context.is_newest(executor_id, token):
+            self._context.lose(f"executor {executor_id} has seen a higher token")
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -241,6 +241,7 @@
             wall=self.context.wall(),
             may_place=self._commits.failing_since is None,
         )
+        self._open_sessions(nursery)
         for ask in self.core.take_asks():
             desk.ask(ask)
         for stop in self.core.take_stops():
--- a/src/galenastall/node/cell/term_context.py
+++ b/src/galenastall/node/cell/term_context.py
@@ -1,14 +1,19 @@
 """What the parts of one term of leadership share."""
 
 from collections.abc import Callable
+from typing import Final
 
 import trio
 
 from galenastall.coordination.cell.scheduler import CellScheduler
 from galenastall.protocol.cell.executor_port import ExecutorPort
 from galenastall.protocol.clock import Clock
+from galenastall.state.cell.executor_ids import executor_name
 from galenastall.transport.logs import Recorder
 
+TOKENS_IN_A_TERM: Final = 1_000_000
+"""Executors are shown the term's token times this, and a number within the term."""
+
 
 class TermContext:
     """Core, token and signals of a term."""
@@ -34,9 +39,33 @@
         self.changed = trio.Event()
         """Set when there is something to decide."""
         self._clock = clock
+        self._token_number = 0
+        self._tokens_by_executor: dict[str, int] = {}
+        self._newest_token_by_name: dict[str, int] = {}
         self._recorder = recorder
         self._on_lost = on_lost
 
+    def token_of(self, executor_id: str) -> int:
+        """Return the token to show an incarnation of an executor."""
+        token = self._tokens_by_executor.get(executor_id)
+        return self.raise_token(executor_id) if token is None else token
+
+    def raise_token(self, executor_id: str) -> int:
+        """Have an incarnation, once it is shown its token, refuse all calls sent before.
+
+        An executor that starts again has seen no token, so calls that were meant for an earlier
+        incarnation would be carried out by the new one, however late they come.
+        """
+        self._token_number += 1
+        token = self.token * TOKENS_IN_A_TERM + self._token_number
+        self._tokens_by_executor[executor_id] = token
+        self._newest_token_by_name[executor_name(executor_id)] = token
+        return token
+
+    def is_newest(self, executor_id: str, token: int) -> bool:
+        """Whether no higher token was given out in this term for an executor of this name."""
+        return token >= self._newest_token_by_name.get(executor_name(executor_id), token)
+
     def wall(self) -> float:
         """Return seconds since 1970."""
         return self._clock.wall()
--- a/src/galenastall/platform/advisor.py
+++ b/src/galenastall/platform/advisor.py
@@ -9,6 +9,7 @@
 from galenastall.platform.calls import Address, PlatformCalls, decode_answer, refused
 from galenastall.platform.names import step_name
 from galenastall.protocol.cell.messages import AdviceAnswer
+from galenastall.state.cell.executor_ids import executor_name
 from galenastall.state.cell.jobs import StepKey
 from galenastall.state.errors import StepError
 
@@ -22,10 +23,15 @@
     approved: list[tuple[str, str]] = []
     validity_ms: float = 0.0
 
-    def to_answer(self) -> AdviceAnswer:
-        """Return the product's type."""
+    def to_answer(self, executor_ids: tuple[str, ...]) -> AdviceAnswer:
+        """Return the product's type, of a call that asked about `executor_ids`."""
+        ids_by_name = {executor_name(executor_id): executor_id for executor_id in executor_ids}
         return AdviceAnswer(
-            approved=tuple(Approval(executor_id=i, ticket=t) for i, t in self.approved),
+            approved=tuple(
+                Approval(executor_id=ids_by_name[name], ticket=ticket)
+                for name, ticket in self.approved
+                if name in ids_by_name
+            ),
             validity_s=self.validity_ms / 1000.0,
         )
 
@@ -46,7 +52,10 @@
             step=_STEP,
             address=self._address(),
             path="/advise",
-            message={"step": step_name(step), "workers": executor_ids},
+            message={
+                "step": step_name(step),
+                "workers": [executor_name(executor_id) for executor_id in executor_ids],
+            },
             timeout_s=timeout_s,
         )
         if isinstance(answer, Failure):
@@ -55,4 +64,4 @@
         if whole.status != _OK:
             return refused(whole, step=_STEP, peer=self._address())
         advice = decode_answer(whole, WireAdvice, step=_STEP, peer=self._address())
-        return advice.map(WireAdvice.to_answer)
+        return advice.map(lambda found: found.to_answer(executor_ids))
--- a/src/galenastall/platform/executors.py
+++ b/src/galenastall/platform/executors.py
@@ -16,17 +16,22 @@
     OrderAnswer,
     StartVerdict,
 )
+from galenastall.state.cell.executor_ids import (
+    born_ms_of,
+    executor_name,
+    make_executor_id,
+)
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.http_client import WholeAnswer
 
 _OK: Final = 200
 _BAD_REQUEST: Final = 400
 _CONFLICT: Final = 409
-_OTHER_LIFE: Final = 421
+_OTHER_EXECUTOR: Final = 421
 _UNHEALTHY: Final = frozenset({429, 503})
 _FIGURE_AT: Final = 4
-_LIFE_HEADER: Final = "Expected-Instance"
-"""Names the life that an order is meant for; any other answers that it is not the one."""
+_NAME_HEADER: Final = "Expected-Instance"
+"""Names the executor that an order is meant for, in any of its incarnations."""
 _VERDICT_BY_REASON: Final = {
     "fence": StartVerdict.FENCED,
     "old": StartVerdict.OLD_RUN,
@@ -62,6 +67,8 @@
     """Rows of what runs and of what has ended."""
 
     clock_ms: int
+    born: int | None = None
+    """When it started, in milliseconds since 1970; None for an executor that does not say."""
     running: list[list[Any]] = []
     """Task, run, checkpoint, percent, and a rough figure of use or of its tail."""
     finished: list[list[Any]] = []
@@ -169,11 +176,15 @@
             listing = decode_answer(whole, WireListing, step=_RENEW.step, peer=address)
             return listing.map(
                 lambda found: ListingAnswer(
-                    verdict=StartVerdict.STARTED, listing=found.to_listing()
+                    verdict=StartVerdict.STARTED,
+                    executor_id=_answerer(executor_id, found.born),
+                    listing=found.to_listing(),
                 )
             )
         return _verdict(whole, step=_RENEW.step, peer=address).map(
-            lambda found: ListingAnswer(verdict=found.verdict, listing=None)
+            lambda found: ListingAnswer(
+                verdict=found.verdict, executor_id=executor_id, listing=None
+            )
         )
 
     async def _order(
@@ -193,14 +204,21 @@
             path=call.path,
             message=message,
             timeout_s=timeout_s,
-            headers={_LIFE_HEADER: executor_id},
+            headers={_NAME_HEADER: executor_name(executor_id)},
         )
 
 
+def _answerer(executor_id: str, born_ms: int | None) -> str:
+    """Return the id of the incarnation that answered; the one called where births are not told."""
+    if born_ms is None or born_ms_of(executor_id) is None:
+        return executor_id
+    return make_executor_id(executor_name(executor_id), born_ms)
+
+
 def _verdict(whole: WholeAnswer, *, step: str, peer: str) -> Result[OrderAnswer, StepError]:
     """Return what an answer says; CUT where its meaning is not known."""
-    if whole.status == _OTHER_LIFE:
-        return Success(OrderAnswer(verdict=StartVerdict.OTHER_LIFE, clock_ms=None))
+    if whole.status == _OTHER_EXECUTOR:
+        return Success(OrderAnswer(verdict=StartVerdict.OTHER_EXECUTOR, clock_ms=None))
     if whole.status in _UNHEALTHY:
         return Success(OrderAnswer(verdict=StartVerdict.UNHEALTHY, clock_ms=None))
     if whole.status == _BAD_REQUEST:
--- a/src/galenastall/platform/fleet.py
+++ b/src/galenastall/platform/fleet.py
@@ -11,6 +11,7 @@
 from galenastall.platform.calls import Address, PlatformCalls
 from galenastall.platform.entries import decode_entry
 from galenastall.platform.keyed_follower import KeyedFollower
+from galenastall.state.cell.executor_ids import make_executor_id
 from galenastall.state.errors import StepError
 from galenastall.state.resources import Resources
 from galenastall.transport.logs import Level, Recorder
@@ -37,7 +38,7 @@
 
 
 class WireEntry(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
-    """An executor's own entry; its key is its id."""
+    """An executor's own entry; its key is its name."""
 
     service: str
     address: str
@@ -47,7 +48,9 @@
     labels: list[str] = []
     """Its kind, then its rack."""
     machine: str = ""
-    """The host that it is a life of; empty where the platform names none."""
+    """The host that it runs on; empty where the platform names none."""
+    born: int | None = None
+    """When it started, in milliseconds since 1970; None for an executor that does not say."""
     drain_remaining_ms: float = 0.0
 
     def problem(self) -> str:
@@ -64,12 +67,14 @@
         ):
             if value < 0:
                 return f"{name}: expected 0 or more, got {value}"
+        if self.born is not None and self.born < 0:
+            return f"born: expected 0 or more, got {self.born}"
         return ""
 
-    def to_info(self, executor_id: str) -> ExecutorInfo:
+    def to_info(self, name: str) -> ExecutorInfo:
         """Return the product's type; an unnamed host is told by its address."""
         return ExecutorInfo(
-            executor_id=executor_id,
+            executor_id=make_executor_id(name, self.born),
             host=self.machine or self.address,
             address=self.address,
             data_centre=self.zone,
@@ -89,8 +94,8 @@
         """Read from the store at `address`."""
         self._follower = KeyedFollower(calls=calls, address=address, topic=TOPIC, recorder=recorder)
         self._recorder = recorder
-        self._infos_by_id: dict[str, ExecutorInfo] = {}
-        self._values_by_id: dict[str, bytes] = {}
+        self._infos_by_name: dict[str, ExecutorInfo] = {}
+        self._values_by_name: dict[str, bytes] = {}
 
     async def read(self) -> Result[tuple[ExecutorInfo, ...], StepError]:
         """Return the list as it is now."""
@@ -98,29 +103,29 @@
         if isinstance(answer, Failure):
             return answer
         self._decode_changes()
-        return Success(tuple(self._infos_by_id.values()))
+        return Success(tuple(self._infos_by_name.values()))
 
     def _decode_changes(self) -> None:
-        values_by_id = self._follower.values_by_key
-        for gone in self._infos_by_id.keys() - values_by_id.keys():
-            del self._infos_by_id[gone]
-        for executor_id, value in values_by_id.items():
-            if self._values_by_id.get(executor_id) is not value:
-                self._take(executor_id, value)
-        self._values_by_id = dict(values_by_id)
-
-    def _take(self, executor_id: str, value: bytes) -> None:
+        values_by_name = self._follower.values_by_key
+        for gone in self._infos_by_name.keys() - values_by_name.keys():
+            del self._infos_by_name[gone]
+        for name, value in values_by_name.items():
+            if self._values_by_name.get(name) is not value:
+                self._take(name, value)
+        self._values_by_name = dict(values_by_name)
+
+    def _take(self, name: str, value: bytes) -> None:
         entry = decode_executor(value)
         if isinstance(entry, Success):
-            self._infos_by_id[executor_id] = entry.unwrap().to_info(executor_id)
+            self._infos_by_name[name] = entry.unwrap().to_info(name)
             return
         self._recorder.record(
-            "fleet.unreadable", subjects=(executor_id,), cause=entry.failure(), level=Level.WARNING
+            "fleet.unreadable", subjects=(name,), cause=entry.failure(), level=Level.WARNING
         )
-        known = self._infos_by_id.get(executor_id)
+        known = self._infos_by_name.get(name)
         if known is not None:
             # What runs there goes on and ends as its answers say.
-            self._infos_by_id[executor_id] = replace(known, is_usable=False)
+            self._infos_by_name[name] = replace(known, is_usable=False)
 
 
 def decode_executor(value: bytes) -> Result[WireEntry, str]:
--- a/src/galenastall/platform/hosts.py
+++ b/src/galenastall/platform/hosts.py
@@ -47,7 +47,7 @@
     """Its kind, then its rack."""
     capacity: WireCapacity = WireCapacity()
     id: str | None = None
-    """Id of its executor's life, if it has one."""
+    """Name of its executor, if it has one."""
 
     def to_host(self) -> PoolHost:
         """Return the product's type; a state that is not known counts as down."""
--- a/src/galenastall/platform/standin/executor_face.py
+++ b/src/galenastall/platform/standin/executor_face.py
@@ -9,12 +9,13 @@
 from galenastall.platform.names import parse_task, task_name
 from galenastall.protocol.cell.executor_port import StartVerdict
 from galenastall.standin.cell.executors import Executor, ExecutorWorld
+from galenastall.state.cell.executor_ids import born_ms_of, executor_name
 from galenastall.transport.http_json import json_response
 from galenastall.transport.http_messages import HttpRequest, HttpResponse
 from galenastall.transport.http_routes import route
 
 BODY_BYTES: Final = 100_000
-OTHER_LIFE: Final = 421
+OTHER_EXECUTOR: Final = 421
 SWEEP_S: Final = 0.02
 """Between two looks at whether runs have ended, while a caller waits for an end."""
 _REASON_BY_VERDICT: Final = {
@@ -26,10 +27,10 @@
 
 
 class ExecutorFace:
-    """Answers for whichever life is on its address now."""
+    """Answers for whichever incarnation of an executor is up now."""
 
     def __init__(self, *, world: ExecutorWorld, executor_id: str) -> None:
-        """Serve the life `executor_id` of `world`."""
+        """Serve the executor that `world` knows as `executor_id`."""
         self.world = world
         self.executor_id = executor_id
 
@@ -38,7 +39,7 @@
         return self.world.executors[self.executor_id]
 
     def _is_meant(self, request: HttpRequest) -> bool:
-        return request.headers.get("expected-instance") == self.executor_id
+        return request.headers.get("expected-instance") == executor_name(self.executor_id)
 
     @route("POST", "/run-start")
     async def start(self, request: HttpRequest) -> HttpResponse:
@@ -48,7 +49,7 @@
         if task is None:
             return HttpResponse(status=400)
         if not self._is_meant(request):
-            return HttpResponse(status=OTHER_LIFE)
+            return HttpResponse(status=OTHER_EXECUTOR)
         order = StartOrder(
             task=task,
             run=message["run"],
@@ -67,7 +68,7 @@
         if task is None:
             return HttpResponse(status=400)
         if not self._is_meant(request):
-            return HttpResponse(status=OTHER_LIFE)
+            return HttpResponse(status=OTHER_EXECUTOR)
         order = StopOrder(task=task, run=message["run"], executor_id=self.executor_id)
         return self._answer(self._executor.stop(order, message["fencingToken"]))
 
@@ -76,7 +77,7 @@
         """Renew the lease and list what runs and has ended."""
         message = await _read(request)
         if not self._is_meant(request):
-            return HttpResponse(status=OTHER_LIFE)
+            return HttpResponse(status=OTHER_EXECUTOR)
         executor = self._executor
         verdict = executor.hold(
             message.get("deadlineMs"), message["ackPosition"], message["fencingToken"]
@@ -99,9 +100,9 @@
             [end.position, task_name(end.task), end.run, end.end.value, end.saved]
             for end in listing.ended
         ]
-        return json_response(
-            200, {"clockMs": listing.clock_ms, "running": running, "finished": finished}
-        )
+        answer = {"clockMs": listing.clock_ms, "running": running, "finished": finished}
+        born_ms = born_ms_of(executor.info.executor_id)
+        return json_response(200, answer if born_ms is None else {**answer, "born": born_ms})
 
     def _answer(self, verdict: StartVerdict) -> HttpResponse:
         clock_ms = int(self._executor.clock_ms())
--- a/src/galenastall/platform/standin/server.py
+++ b/src/galenastall/platform/standin/server.py
@@ -11,6 +11,11 @@
 from galenastall.protocol.clock import Clock
 from galenastall.standin.cell.executors import Executor
 from galenastall.standin.cell.live_world import LiveWorld
+from galenastall.state.cell.executor_ids import (
+    born_ms_of,
+    executor_name,
+    make_executor_id,
+)
 from galenastall.state.resources import Resources
 from galenastall.transport.http_server import HttpServer
 
@@ -64,7 +69,7 @@
         name = f"executor-{self._lives}"
         face = ExecutorFace(world=self.world, executor_id=name)
         info = ExecutorInfo(
-            executor_id=name,
+            executor_id=make_executor_id(name, int(self._clock.wall() * 1000)),
             host=f"host-{self._lives}",
             address=await self._serve(nursery, face),
             data_centre=data_centre,
@@ -99,8 +104,9 @@
             },
             "labels": list(info.labels),
             "sequence": sequence,
+            "born": born_ms_of(info.executor_id),
         }
-        self.store.put("keyed.servers", info.executor_id, entry)
+        self.store.put("keyed.servers", executor_name(info.executor_id), entry)
 
     def configure(self, *routes: dict[str, Any], version: int = 1) -> None:
         """Write a configuration as the operator does."""
--- a/src/galenastall/protocol/cell/executor_port.py
+++ b/src/galenastall/protocol/cell/executor_port.py
@@ -27,8 +27,8 @@
     """It did nothing and may recover."""
     FENCED = "fenced"
     """Another leader has shown it a higher token."""
-    OTHER_LIFE = "other_life"
-    """Another life of an executor answers at this address."""
+    OTHER_EXECUTOR = "other_executor"
+    """An executor of another name answers at this address."""
     MALFORMED = "malformed"
     """It could not read the order: a defect of ours."""
 
@@ -47,6 +47,8 @@
     """An executor's answer to a request for its listing."""
 
     verdict: StartVerdict
+    executor_id: str
+    """Who answered: the one that was meant, or another incarnation of it."""
     listing: Listing | None
     """None unless the verdict is STARTED, which here says that it obeyed."""
 
--- /dev/null
+++ b/src/galenastall/state/cell/executor_ids.py
@@ -0,0 +1,36 @@
+"""Ids of executors.
+
+An executor may start again under the name that it had. It then holds and knows nothing of before,
+so it has an id of its own: the platform's name of it, and the time of its start.
+"""
+
+from typing import Final
+
+_SEPARATOR: Final = "@"
+
+
+def make_executor_id(name: str, born_ms: int | None) -> str:
+    """Return the id of the incarnation born at `born_ms` since 1970; None where that is not known.
+
+    Different names and times give different ids, whatever characters a name holds.
+    """
+    if born_ms is None and _SEPARATOR not in name:
+        return name
+    return f"{name}{_SEPARATOR}{'' if born_ms is None else born_ms}"
+
+
+def executor_name(executor_id: str) -> str:
+    """Return what the platform calls an executor in all of its incarnations."""
+    name, separator, _ = executor_id.rpartition(_SEPARATOR)
+    return name if separator else executor_id
+
+
+def born_ms_of(executor_id: str) -> int | None:
+    """Return when an incarnation was born, in milliseconds since 1970; None if not told."""
+    _, separator, born_ms = executor_id.rpartition(_SEPARATOR)
+    return int(born_ms) if separator and born_ms else None
+
+
+def is_same_executor(one_id: str, other_id: str) -> bool:
+    """Whether two ids name incarnations of one executor."""
+    return executor_name(one_id) == executor_name(other_id)
--- a/tests/cell/world.py
+++ b/tests/cell/world.py
@@ -20,6 +20,7 @@
 from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
 from galenastall.protocol.cell.ports import LeaderRecord, StoreView
 from galenastall.standin.cell.executors import Executor, ExecutorWorld, Run
+from galenastall.state.cell.executor_ids import executor_name, make_executor_id
 from galenastall.state.cell.hosts import HostState, MaintenanceWave, PoolHost
 from galenastall.state.cell.jobs import CellJob, Queue, Step, TaskKey
 from galenastall.state.errors import Reason, StepError
@@ -253,8 +254,9 @@
             return executor
         self._lives += 1
         name = self._name_on(host)
+        born_ms = int(trio.current_time() * 1000) if self.keeps_ids else None
         info = ExecutorInfo(
-            executor_id=name,
+            executor_id=make_executor_id(name, born_ms),
             host=host,
             address=name,
             data_centre="dc",
@@ -277,8 +279,9 @@
 
     def delist(self, executor: Executor) -> None:
         """Remove an executor's entry, unless a later incarnation has replaced it."""
-        if self.executors.get(executor.info.executor_id) is executor:
-            self.listed.pop(executor.info.executor_id, None)
+        name = executor_name(executor.info.executor_id)
+        if self.executors.get(name) is executor:
+            self.listed.pop(name, None)
 
     def on_crashed_by_task(self, executor: Executor) -> None:
         self.nursery.start_soon(self._come_back, executor)
@@ -296,8 +299,9 @@
     def resize(self, executor: Executor, capacity: Resources) -> None:
         """Change an executor's capacity; the list shows it at once."""
         executor.resize(capacity)
-        if executor.info.executor_id in self.listed:
-            self.listed[executor.info.executor_id] = executor.info
+        name = executor_name(executor.info.executor_id)
+        if name in self.listed:
+            self.listed[name] = executor.info
 
     def step_of(self, task: TaskKey) -> Step:
         return self.jobs[task.job].steps[task.step]
@@ -440,7 +444,8 @@
         return self._checked(answer)
 
     def _executor(self, executor_id: str) -> Executor | None:
-        executor = self.world.executors.get(executor_id)
+        """Return whichever incarnation of an executor is up: calls name no other."""
+        executor = self.world.executors.get(executor_name(executor_id))
         return executor if executor is not None and executor.is_up else None
 
     async def start(
@@ -474,7 +479,7 @@
                 return None
             return OrderAnswer(verdict=act(executor), clock_ms=int(executor.clock_ms()))
 
-        answer = await self._call(executor_id, timeout_s, carry_out)
+        answer = await self._call(executor_name(executor_id), timeout_s, carry_out)
         if isinstance(answer, Success) and answer.unwrap() is None:
             return self._failure(executor_id, Reason.CUT)
         return answer
@@ -498,7 +503,7 @@
         verdict = answer.unwrap().verdict
         executor = self._executor(executor_id)
         if verdict is not StartVerdict.STARTED or executor is None:
-            return Success(ListingAnswer(verdict=verdict, listing=None))
+            return Success(ListingAnswer(verdict=verdict, executor_id=executor_id, listing=None))
         until = trio.current_time() + wait_s
         while trio.current_time() < until:
             executor.sweep()
@@ -506,12 +511,15 @@
                 break
             with trio.move_on_after(min(0.05, until - trio.current_time())):
                 await executor.changed.wait()
-        if not executor.is_up or (self.host_id, executor_id) in self.world.faults.cut:
+        callee = executor_name(executor_id)
+        if not executor.is_up or (self.host_id, callee) in self.world.faults.cut:
             await trio.sleep(0.5)
             return self._failure(executor_id, Reason.TIMEOUT)
         listing = executor.listing()
         await trio.sleep(self.world.rng.uniform(0.001, 0.003))
-        return Success(ListingAnswer(verdict=verdict, listing=listing))
+        return Success(
+            ListingAnswer(verdict=verdict, executor_id=executor.info.executor_id, listing=listing)
+        )
 
 
 class MemoryLink:
--- a/tests/test_cell_core.py
+++ b/tests/test_cell_core.py
@@ -608,7 +608,7 @@
         rig.see(make_info("e1", host="h"), make_info("e2", host="h"))
         rig.listing("e2", (ListedRun(task=order.task, run=order.run),))
         assert rig.runs_on("e2") == {order.task}
-        rig.core.on_other_life("e1", wall=rig.wall)
+        rig.core.on_other_executor("e1", wall=rig.wall)
         assert rig.step() == []
 
     def test_an_answer_to_a_call_sent_before_the_other_s_last_answer_ends_nothing(self) -> None:
--- a/tests/test_cell_crash_blame.py
+++ b/tests/test_cell_crash_blame.py
@@ -170,8 +170,8 @@
         rig.core.take_notes()
         rig.crash("e0.1")
         notes = rig.core.take_notes()
-        (life,) = (note for note in notes if note.step == "executor.life_ended")
-        assert (life.fields["runs"], life.fields["draining"]) == ("2", "false")
+        (end,) = (note for note in notes if note.step == "executor.life_ended")
+        assert (end.fields["runs"], end.fields["draining"]) == ("2", "false")
         ended = {note.subjects[0]: note.fields for note in notes if note.step == "run.ended"}
         assert float(ended[JOB]["at_work_s"]) >= 0.9
         assert float(ended[OTHER]["at_work_s"]) < PROVEN_S
@@ -220,7 +220,7 @@
         rig.now += 2.0
         rig.step()
         for order in orders:
-            rig.core.on_other_life(order.executor_id, wall=rig.wall)
+            rig.core.on_other_executor(order.executor_id, wall=rig.wall)
         blames = [rig.task(order.task)[0] for order in orders]
         assert blames == [SHARED_WEIGHT] * 4
 
--- a/tests/test_cell_executor_restarts.py
+++ b/tests/test_cell_executor_restarts.py
@@ -2,16 +2,46 @@
 
 from dataclasses import replace
 from random import Random
+from typing import Any
 
 import pytest
 import trio
+from returns.result import Failure, Result, Success
 
-from cell.cluster import Cluster, make_job
+from cell.advised import AdvisedRig
+from cell.cluster import Cluster
+from cell.cluster import make_job as make_cluster_job
 from cell.play import check_all_end, hand_in, play, random_trouble
+from cell.rig import JOB, Rig, make_info, make_job, make_step
 from cell.world import World
-from galenastall.state.cell.jobs import Step
-from galenastall.state.cell.phases import JobPhase
+from galenastall.coordination.cell.commands import StartOrder
+from galenastall.coordination.cell.executors import Closed
+from galenastall.coordination.cell.listings import (
+    ENDS_IN_A_LISTING,
+    ListedEnd,
+    ListedRun,
+    Listing,
+)
+from galenastall.node.cell.executor_session import ExecutorSession
+from galenastall.node.cell.term_context import TermContext
+from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
+from galenastall.state.cell.executor_ids import (
+    born_ms_of,
+    executor_name,
+    is_same_executor,
+    make_executor_id,
+)
+from galenastall.state.cell.jobs import Step, TaskKey
+from galenastall.state.cell.phases import JobPhase, RunEnd
+from galenastall.state.errors import Reason, StepError
 from galenastall.state.resources import Resources
+from galenastall.state.timeline_ring import TimelineRing
+from galenastall.transport.clock import TrioClock
+from galenastall.transport.logs import Recorder
+
+EARLIER = make_executor_id("e", 1_000)
+LATER = make_executor_id("e", 2_000)
+TOKEN = 7
 
 
 class TestExecutorRestartsUnderItsId:
@@ -51,7 +81,7 @@
                 world.give_life(executor.info.host)
             await trio.sleep(2.0)
             step = Step(count=2, need=Resources(cores_milli=1000, memory_mb=1000))
-            job = make_job(world, rng, 100)
+            job = make_cluster_job(world, rng, 100)
             job = replace(job, steps=(step, replace(step, after=(0,))))
             assert await cluster.submit(job)
             assert await cluster.wait_ended(job.job_id, 15.0) is JobPhase.COMPLETED
@@ -61,3 +91,290 @@
     @pytest.mark.parametrize("seed", range(8))
     async def test_random_trouble_with_restarts(self, autojump_clock: object, seed: int) -> None:
         await play(random_trouble, seed=seed, keeps_ids=True)
+
+
+class TestExecutorIds:
+    @pytest.mark.parametrize(
+        ("name", "born_ms"),
+        [("i-1", 5), ("i-1", 0), ("i-1", None), ("a@5", None), ("a@5", 5), ("a@", None), ("@", 1)],
+    )
+    def test_an_id_tells_name_and_birth(self, name: str, born_ms: int | None) -> None:
+        executor_id = make_executor_id(name, born_ms)
+        assert executor_name(executor_id) == name
+        assert born_ms_of(executor_id) == born_ms
+
+    def test_other_births_are_other_ids_of_the_same_executor(self) -> None:
+        assert EARLIER != LATER
+        assert is_same_executor(EARLIER, LATER)
+        assert not is_same_executor(EARLIER, make_executor_id("f", 1_000))
+
+
+class RestartRig(Rig):
+    """A core with one executor that runs one task, and starts again."""
+
+    def __init__(self) -> None:
+        super().__init__(make_info(EARLIER, host="h"))
+        self.submit(make_job(make_step(1)))
+        (self.order,) = self.step()
+        self.run_all([self.order])
+
+    def restart(self, running: tuple[ListedRun, ...] = (), *ended: ListedEnd) -> list[StartOrder]:
+        """Have the later incarnation listed, and give its first listing."""
+        self.see(make_info(LATER, host="h"))
+        self.listing(LATER, running, *ended)
+        return self.step()
+
+    @property
+    def listed_run(self) -> ListedRun:
+        return ListedRun(task=self.order.task, run=self.order.run)
+
+
+class TestRunsOfAnEarlierIncarnation:
+    def test_a_run_that_the_later_one_does_not_list_starts_again(self) -> None:
+        rig = RestartRig()
+        assert [(order.run, order.executor_id) for order in rig.restart()] == [(2, LATER)]
+        assert EARLIER not in rig.core.executors_by_id
+
+    def test_a_run_that_the_later_one_has_carried_out_is_not_started_again(self) -> None:
+        rig = RestartRig()
+        assert rig.restart((rig.listed_run,)) == []
+        assert rig.runs_on(LATER) == {rig.order.task}
+
+    def test_the_end_of_a_run_that_the_later_one_has_carried_out_counts(self) -> None:
+        rig = RestartRig()
+        end = ListedEnd(position=1, task=rig.order.task, run=rig.order.run, end=RunEnd.DONE)
+        assert rig.restart((), end) == []
+        assert rig.shown() is JobPhase.COMPLETED
+
+    def test_a_stop_that_the_earlier_one_has_answered_is_sent_to_the_later_one(self) -> None:
+        rig = RestartRig()
+        rig.core.cancel(JOB, wall=rig.wall)
+        rig.commit()
+        (stop,) = rig.stops()
+        rig.core.on_stop(stop)
+        rig.restart((rig.listed_run,))
+        rig.core.take_stops()
+        rig.now += 5.0
+        assert [again.executor_id for again in rig.stops()] == [LATER]
+        assert rig.runs_on(LATER) == {rig.order.task}
+
+    def test_a_full_listing_proves_no_run_gone(self) -> None:
+        rig = RestartRig()
+        others = [
+            ListedEnd(position=n, task=TaskKey("f" * 16, 0, 0, n), run=1, end=RunEnd.DONE)
+            for n in range(1, ENDS_IN_A_LISTING + 1)
+        ]
+        assert rig.restart((), *others) == []
+        assert rig.runs_on(LATER) == {rig.order.task}
+
+    def test_ends_of_the_later_one_count_from_the_first(self) -> None:
+        rig = RestartRig()
+        rig.end(rig.order, RunEnd.FAILED, position=40)
+        rig.commit()
+        (order,) = rig.restart()
+        rig.run_all([order])
+        rig.end(order, RunEnd.DONE, position=1)
+        rig.commit()
+        assert rig.shown() is JobPhase.COMPLETED
+
+    def test_ends_of_the_earlier_one_are_not_acknowledged_to_the_later_one(self) -> None:
+        rig = RestartRig()
+        rig.end(rig.order, RunEnd.FAILED, position=40)
+        batch = rig.core.take_batch()
+        rig.see(make_info(LATER, host="h"))
+        rig.listing(LATER)
+        rig.core.commit(batch, wall=rig.wall)
+        assert rig.core.executors_by_id[LATER].durable == 0
+
+    @pytest.mark.parametrize("born_ms", [2_000, 500])
+    def test_the_order_of_answers_tells_which_is_later(self, born_ms: int) -> None:
+        # Clocks of hosts may go back between two births.
+        rig = RestartRig()
+        later = make_executor_id("e", born_ms)
+        rig.see(make_info(later, host="h"))
+        rig.listing(later)
+        rig.see(make_info(EARLIER, host="h"))
+        assert set(rig.core.executors_by_id) == {later}
+
+    def test_a_new_leader_finds_a_run_that_an_earlier_order_began(self) -> None:
+        rig = RestartRig()
+        following = Rig(rows=rig.rows)
+        following.see(make_info(LATER, host="h"))
+        following.listing(LATER, (rig.listed_run,))
+        assert following.step() == []
+        assert following.runs_on(LATER) == {rig.order.task}
+
+    def test_a_new_leader_starts_again_what_the_later_one_lacks(self) -> None:
+        rig = RestartRig()
+        following = Rig(rows=rig.rows)
+        following.see(make_info(LATER, host="h"))
+        following.listing(LATER)
+        assert [order.run for order in following.step()] == [2]
+
+    def test_rows_that_name_no_birth_are_taken_up(self) -> None:
+        rig = Rig(make_info("e", host="h"))
+        rig.submit(make_job(make_step(1)))
+        (order,) = rig.step()
+        following = Rig(rows=rig.rows)
+        following.see(make_info(LATER, host="h"))
+        following.listing(LATER, (ListedRun(task=order.task, run=order.run),))
+        assert following.runs_on(LATER) == {order.task}
+
+    def test_an_executor_that_has_restarted_is_closed_and_its_runs_are_waited_for(self) -> None:
+        rig = RestartRig()
+        rig.core.on_restart(EARLIER, LATER, now=rig.now)
+        earlier, later = (rig.core.executors_by_id[e] for e in (EARLIER, LATER))
+        reach = {"now": rig.now, "reach_s": 2.0, "delisted_grace_s": 2.0}
+        assert earlier.why_closed(**reach) is Closed.RESTARTED
+        assert later.why_closed(**reach) is Closed.UNUSABLE
+        rig.now += 9.9
+        assert rig.step() == []
+        assert rig.runs_on(EARLIER) == {rig.order.task}
+
+    def test_an_answer_of_one_that_is_over_brings_it_not_back(self) -> None:
+        rig = RestartRig()
+        rig.restart()
+        rig.core.on_restart(LATER, EARLIER, now=rig.now)
+        assert EARLIER not in rig.core.executors_by_id
+
+
+class TestAdviceForALaterIncarnation:
+    def test_one_that_was_not_approved_is_asked_about_again_after_its_restart(self) -> None:
+        # A restarted executor may be of another kind, and tickets hold for one incarnation.
+        rig = AdvisedRig(executors=0, hosts=4)
+        rig.see(make_info(EARLIER, host="h"))
+        rig.listing(EARLIER)
+        rig.hand_in(make_step(1))
+        (ask,) = rig.asks()
+        rig.answer(ask, approved=set())
+        assert rig.asks() == []
+        rig.see(make_info(LATER, host="h"))
+        rig.listing(LATER)
+        assert [ask.executor_ids for ask in rig.asks()] == [(LATER,)]
+
+
+class Port:
+    """An executor that answers as it is told to, and keeps what it was called with."""
+
+    def __init__(self) -> None:
+        self.answerer = EARLIER
+        self.verdict = StartVerdict.STARTED
+        self.is_silent = False
+        self.ended: tuple[ListedEnd, ...] = ()
+        self.renewals: list[dict[str, Any]] = []
+
+    async def renew(self, **call: Any) -> Result[ListingAnswer, StepError]:
+        self.renewals.append(call)
+        if self.is_silent:
+            return Failure(StepError(step="test", peer="e", reason=Reason.TIMEOUT))
+        is_obeyed = self.verdict is StartVerdict.STARTED
+        clock_ms = int(trio.current_time() * 1000)
+        listing = Listing(clock_ms=clock_ms, running=(), ended=self.ended)
+        return Success(
+            ListingAnswer(
+                verdict=self.verdict,
+                executor_id=self.answerer,
+                listing=listing if is_obeyed else None,
+            )
+        )
+
+    async def start(self, **call: Any) -> Result[OrderAnswer, StepError]:
+        return Success(OrderAnswer(verdict=self.verdict, clock_ms=None))
+
+
+class SessionRig:
+    """A session with an executor's first incarnation."""
+
+    def __init__(self) -> None:
+        self.rig = Rig()
+        self.rig.see(make_info(EARLIER, host="h"))
+        self.port = Port()
+        self.losses: list[str] = []
+        clock = TrioClock(wall_at_start=1_000.0)
+        recorder = Recorder(process="test", clock=clock, ring=TimelineRing(capacity=100))
+        self.context = TermContext(
+            core=self.rig.core,
+            token=TOKEN,
+            confirmed_at=trio.current_time(),
+            executors=self.port,  # type: ignore[arg-type]
+            clock=clock,
+            recorder=recorder,
+            on_lost=self.losses.append,
+        )
+        self.session = self.open(EARLIER)
+
+    def open(self, executor_id: str) -> ExecutorSession:
+        executor = self.rig.core.executors_by_id[executor_id]
+        return ExecutorSession(context=self.context, executor=executor)
+
+    async def poll(self, session: ExecutorSession | None = None) -> dict[str, Any]:
+        """Ask for a listing, and return what the executor was called with."""
+        await (session or self.session).look()
+        return self.port.renewals[-1]
+
+
+class TestSessionWithAnExecutorThatRestarts:
+    async def test_the_later_incarnation_is_shown_a_higher_token(
+        self, autojump_clock: object
+    ) -> None:
+        rig = SessionRig()
+        earlier = await rig.poll()
+        rig.port.answerer = LATER
+        await rig.poll()
+        assert rig.rig.core.executors_by_id[EARLIER].has_restarted
+        later = await rig.poll(rig.open(LATER))
+        assert later["token"] > earlier["token"] > TOKEN
+        assert later["noted"] == 0
+        assert set(rig.rig.core.executors_by_id) == {LATER}
+
+    async def test_tokens_of_a_later_term_are_higher(self, autojump_clock: object) -> None:
+        rig, following = SessionRig(), SessionRig()
+        following.context.token = TOKEN + 1
+        assert (await following.poll())["token"] > (await rig.poll())["token"]
+
+    async def test_a_call_to_the_earlier_one_that_is_fenced_does_not_end_the_term(
+        self, autojump_clock: object
+    ) -> None:
+        rig = SessionRig()
+        await rig.poll()
+        rig.context.raise_token(LATER)
+        rig.port.verdict = StartVerdict.FENCED
+        await rig.poll()
+        assert rig.losses == []
+
+    async def test_an_executor_that_has_seen_a_later_term_ends_this_one(
+        self, autojump_clock: object
+    ) -> None:
+        rig = SessionRig()
+        rig.port.verdict = StartVerdict.FENCED
+        await rig.poll()
+        assert len(rig.losses) == 1
+
+    @pytest.mark.parametrize("is_silent", [True, False])
+    async def test_no_end_is_acknowledged_to_one_that_may_have_started_again(
+        self, autojump_clock: object, is_silent: bool
+    ) -> None:
+        # Its first ends would be forgotten before anybody has read them.
+        rig = SessionRig()
+        await rig.poll()
+        rig.rig.core.executors_by_id[EARLIER].durable = 5
+        assert (await rig.poll())["noted"] == 5
+        rig.port.is_silent = is_silent
+        await rig.poll()
+        if not is_silent:
+            await trio.sleep(2.0)
+        assert (await rig.poll())["noted"] == 0
+
+    async def test_nothing_is_started_on_one_that_has_restarted(
+        self, autojump_clock: object
+    ) -> None:
+        rig = SessionRig()
+        await rig.poll()
+        rig.rig.submit(make_job(make_step(1)))
+        rig.rig.now = trio.current_time()
+        (order,) = rig.rig.step()
+        rig.port.answerer = LATER
+        await rig.poll()
+        rig.port.verdict = StartVerdict.MALFORMED
+        await rig.session.start(order)
+        assert rig.rig.runs_on(EARLIER) == set()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -14,14 +14,16 @@
 from returns.result import Failure, Result
 
 from cell.world import World
+from galenastall.coordination.cell.advice import Approval
 from galenastall.coordination.cell.explain_logs import parse_lines
 from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome
 from galenastall.node.cell.caller_desk import Submitted
 from galenastall.node.cell.cell_metrics import CellMetrics
+from galenastall.platform.advisor import PlatformAdvisor
 from galenastall.platform.calls import Address, PlatformCalls
 from galenastall.platform.config import WireConfig
-from galenastall.platform.executors import WireListing
-from galenastall.platform.fleet import WireEntry
+from galenastall.platform.executors import PlatformExecutors, WireListing
+from galenastall.platform.fleet import WireEntry, decode_executor
 from galenastall.platform.hosts import PlatformHosts
 from galenastall.platform.jobs_face import JobsFace
 from galenastall.platform.keyed_follower import KeyedFollower
@@ -46,9 +48,11 @@
 from galenastall.platform.store import PlatformStore
 from galenastall.platform.submissions import decode_job
 from galenastall.protocol.cell.config import CellConfig, QueueRoute
+from galenastall.protocol.cell.executor_port import ListingAnswer, StartVerdict
 from galenastall.protocol.cell.messages import SubmitVerdict
+from galenastall.state.cell.executor_ids import executor_name, make_executor_id
 from galenastall.state.cell.hosts import HostState
-from galenastall.state.cell.jobs import CellJob, Queue, TaskKey
+from galenastall.state.cell.jobs import CellJob, Queue, StepKey, TaskKey
 from galenastall.state.cell.phases import RunEnd
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.resources import Resources
@@ -158,6 +162,18 @@
         assert info.capacity == Resources(cores_milli=16000, memory_mb=32768)
         assert (info.rack, info.is_draining, info.leaves_in_s) == ("r1-3", True, 1.5)
         assert info.host == "10.0.0.9:1"
+        assert info.executor_id == "i-1"
+
+    def test_an_executor_that_starts_again_has_another_id(self) -> None:
+        entry = WireEntry(service="s", address="10.0.0.9:1", state="ready", born=1785827525825)
+        again = msgspec.structs.replace(entry, born=1785827577105)
+        assert entry.to_info("i-1").executor_id != again.to_info("i-1").executor_id
+        assert executor_name(again.to_info("i-1").executor_id) == "i-1"
+
+    @pytest.mark.parametrize("born", [b"-1", b"1.5", b'"x"'])
+    def test_an_entry_whose_birth_is_no_whole_number_is_told(self, born: bytes) -> None:
+        text = b'{"service":"s","address":"10.0.0.9:1","state":"ready","born":' + born + b"}"
+        assert "born" in decode_executor(text).failure()
 
     def test_a_configuration_becomes_routes(self) -> None:
         text = b"""{"version":7,"routes":[{"name":"r","host":"a.example","pathPrefix":"/l/",
@@ -198,6 +214,60 @@
         assert [(end.position, end.end) for end in listing.ended] == [(58, RunEnd.DONE)]
 
 
+class TestCallsToExecutors:
+    """Calls through the stand-in, to an executor that says when it was born."""
+
+    async def renew(self, born_ms: int | None, called_id: str) -> tuple[ListingAnswer, str]:
+        """Return the answer to a call for the listing of `called_id`, and who is there."""
+        async with trio.open_nursery() as nursery:
+            world = World(rng=Random(1), nursery=nursery, executors=1)
+            executor = world.executors["executor-1"]
+            there_id = make_executor_id("executor-1", born_ms)
+            executor.info = replace(executor.info, executor_id=there_id)
+            face = ExecutorFace(world=world, executor_id="executor-1")
+            answer = await PlatformExecutors(calls=make_calls()).renew(
+                address=await serve(nursery, face),
+                executor_id=called_id,
+                deadline_ms=None,
+                noted=0,
+                wait_s=0.0,
+                token=1,
+                timeout_s=5.0,
+            )
+            nursery.cancel_scope.cancel()
+        return answer.unwrap(), there_id
+
+    async def test_a_listing_tells_which_incarnation_answers(self) -> None:
+        answer, there_id = await self.renew(2_000, make_executor_id("executor-1", 1_000))
+        assert answer.executor_id == there_id
+
+    @pytest.mark.parametrize("born_ms", [None, 2_000])
+    async def test_where_births_are_not_told_the_one_called_answers(
+        self, born_ms: int | None
+    ) -> None:
+        called_id = make_executor_id("executor-1", 1_000 if born_ms is None else None)
+        answer, _ = await self.renew(born_ms, called_id)
+        assert answer.executor_id == called_id
+
+    async def test_another_executor_refuses(self) -> None:
+        answer, _ = await self.renew(2_000, make_executor_id("executor-2", 2_000))
+        assert answer.verdict is StartVerdict.OTHER_EXECUTOR
+
+    async def test_the_advisor_is_asked_by_name_and_its_answer_holds_for_one_incarnation(
+        self,
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            face = AdvisorFace()
+            address = await serve(nursery, face)
+            face.refused.add("f")
+            advisor = PlatformAdvisor(calls=make_calls(), address=lambda: address)
+            ids = tuple(make_executor_id(name, 1_000) for name in "ef")
+            answer = await advisor.advise(step=StepKey(JOB, 0, 0), executor_ids=ids, timeout_s=5.0)
+            nursery.cancel_scope.cancel()
+        approved = answer.unwrap().approved
+        assert approved == (Approval(executor_id=ids[0], ticket="ticket-e"),)
+
+
 class TestSubmissions:
     def decode(self, body: Any) -> Result[CellJob, StepError]:
         return decode_job(
