--- a/src/galenastall/bench/cell_load/play.py
+++ b/src/galenastall/bench/cell_load/play.py
@@ -247,7 +247,7 @@
         alive = {e.info.host for e in self._world.executors.values() if e.is_up}
         for number in range(self._workload.executors):
             if f"host-{number}" not in alive:
-                self._world.give_life(number)
+                self._world.start_executor(number)
 
     async def _resize(self, change: CapacityChange) -> None:
         await trio.sleep_until(self._begun_at + change.at_s)
--- a/src/galenastall/bench/cell_load/surroundings.py
+++ b/src/galenastall/bench/cell_load/surroundings.py
@@ -18,6 +18,7 @@
 from galenastall.protocol.cell.ports import StoreView
 from galenastall.protocol.peers import PeerHandler
 from galenastall.standin.cell.executors import Executor, ExecutorWorld, Run
+from galenastall.state.cell.executor_ids import executor_name, make_executor_id
 from galenastall.state.cell.hosts import MaintenanceWave, PoolHost
 from galenastall.state.cell.jobs import Step, StepKey, TaskKey
 from galenastall.state.errors import Reason, StepError
@@ -58,6 +59,8 @@
         self.seed = seed
         self.arrivals_by_id: Mapping[str, Arrival] = {a.job.job_id: a for a in arrivals}
         self.infos_by_id: dict[str, ExecutorInfo] = {}
+        self.newest_by_name: dict[str, Executor] = {}
+        """The last incarnation of each executor: calls name no other."""
         self.crashing = {
             TaskKey(job_id, 0, 0, 0) for job_id, a in self.arrivals_by_id.items() if a.crashes
         }
@@ -65,10 +68,10 @@
         """Executors that tasks have crashed."""
         self._back_at_by_number: dict[int, float] = {}
         self._factors_by_number: dict[int, float] = {}
-        self._lives = 0
+        self._started = 0
         self._swept_at = float("-inf")
         for number in range(workload.executors):
-            self.give_life(number)
+            self.start_executor(number)
 
     def sweep(self) -> None:
         """Bring all runs up to now; with 176 executors not more often than ends can matter.
@@ -80,12 +83,11 @@
             self._swept_at = now
             super().sweep()
 
-    def give_life(self, number: int) -> None:
-        """Start a life on a host."""
+    def start_executor(self, number: int) -> None:
+        """Start an executor on a host, again if there was one."""
         self._back_at_by_number.pop(number, None)
-        self._lives += 1
         info = ExecutorInfo(
-            executor_id=f"executor-{self._lives}",
+            executor_id=self._next_id(number),
             host=f"host-{number}",
             address=f"10.0.0.1:{1000 + number}",
             data_centre=f"dc-{number % 3}",
@@ -93,8 +95,17 @@
             capacity=self._capacity_of(number),
             rack=f"rack-{number // self.workload.rack_size}",
         )
+        executor = Executor(world=self, info=info)
         self.infos_by_id[info.executor_id] = info
-        self.executors[info.executor_id] = Executor(world=self, info=info)
+        self.executors[info.executor_id] = executor
+        self.newest_by_name[executor_name(info.executor_id)] = executor
+
+    def _next_id(self, number: int) -> str:
+        """Return the id of an executor that starts on a host now."""
+        if self.workload.restarts_keep_names:
+            return make_executor_id(f"executor-{number}", int(trio.current_time() * 1000))
+        self._started += 1
+        return f"executor-{self._started}"
 
     def _capacity_of(self, number: int) -> Resources:
         factor = self._factors_by_number.get(number, 1.0)
@@ -120,13 +131,13 @@
         self._back_at_by_number[number] = trio.current_time() + AWAY_S
 
     async def bring_back(self) -> None:
-        """Start new lives on hosts that tasks have crashed, until cancelled."""
+        """Start executors again that tasks have crashed, until cancelled."""
         while True:
             await trio.sleep(BACK_EVERY_S)
             now = trio.current_time()
             for number, back_at in list(self._back_at_by_number.items()):
                 if back_at <= now:
-                    self.give_life(number)
+                    self.start_executor(number)
 
     def speed_of(self, executor: ExecutorInfo) -> float:
         """Return how fast a host is."""
@@ -291,12 +302,12 @@
             executor.sweep()
         if not executor.is_up:
             return _silent(executor_id)
-        listing = executor.listing()
-        return Success(ListingAnswer(verdict=verdict, executor_id=executor_id, listing=listing))
+        there_id, listing = executor.info.executor_id, executor.listing()
+        return Success(ListingAnswer(verdict=verdict, executor_id=there_id, listing=listing))
 
     async def _reach(self, executor_id: str, timeout_s: float) -> Executor | None:
         await trio.sleep(ORDER_S)
-        executor = self._world.executors[executor_id]
+        executor = self._world.newest_by_name[executor_name(executor_id)]
         executor.sweep()
         if executor.is_up:
             return executor
--- a/src/galenastall/bench/cell_load/workload.py
+++ b/src/galenastall/bench/cell_load/workload.py
@@ -130,7 +130,9 @@
     leader_changes: list[Span] = []
     """The leader alone is gone; another host leads after that time."""
     crashes: list[Span] = []
-    """Executors that crash, and come back as new lives."""
+    """Executors that crash, and start again."""
+    restarts_keep_names: bool = False
+    """Whether an executor that starts again has the name that it had."""
     capacity_changes: list[CapacityChange] = []
 
     def problem(self) -> str:
--- a/tests/cell/weakenings.py
+++ b/tests/cell/weakenings.py
@@ -7,11 +7,13 @@
 from galenastall.coordination.cell import listings
 from galenastall.coordination.cell.commands import Batch, StartOrder
 from galenastall.coordination.cell.election import Election, Move
+from galenastall.coordination.cell.fleet import Fleet
 from galenastall.coordination.cell.lease_clock import LeaseClock
 from galenastall.coordination.cell.orders import OrderBook, StartOutcome
 from galenastall.coordination.cell.scheduler import CellScheduler
 from galenastall.coordination.cell.task_runs import TaskRun
 from galenastall.node.cell.commit_loop import CommitLoop
+from galenastall.node.cell.term_context import TOKENS_IN_A_TERM, TermContext
 from galenastall.state.cell.phases import RunEnd
 
 Weakening = Callable[[], Any]
@@ -108,6 +110,24 @@
         yield
 
 
+@contextmanager
+def incarnations_are_shown_one_token() -> Iterator[None]:
+    """Show a restarted executor the token that it was shown before."""
+
+    def raise_token(self: TermContext, executor_id: str) -> int:
+        return self.token * TOKENS_IN_A_TERM
+
+    with replaced(TermContext, "raise_token", raise_token):
+        yield
+
+
+@contextmanager
+def runs_are_not_handed_on() -> Iterator[None]:
+    """Take all runs of an incarnation for lost with it."""
+    with replaced(Fleet, "_hand_on", lambda self, earlier, later, listing: None):
+        yield
+
+
 @contextmanager
 def leases_reach_beyond_the_confirmation() -> Iterator[None]:
     """Renew for as long as the executor answers, whether or not the store confirms the leader."""
--- a/tests/test_cell_executor_restarts.py
+++ b/tests/test_cell_executor_restarts.py
@@ -10,10 +10,12 @@
 from returns.result import Failure, Result, Success
 
 from cell.advised import AdvisedRig
+from cell.alone import play_alone
 from cell.cluster import Cluster
 from cell.cluster import make_job as make_cluster_job
 from cell.play import check_all_end, hand_in, play, random_trouble, restarts_in_trouble
 from cell.rig import JOB, TIMINGS, Rig, make_info, make_job, make_step
+from cell.weakenings import incarnations_are_shown_one_token, runs_are_not_handed_on
 from cell.world import World
 from galenastall.coordination.cell.commands import StartOrder
 from galenastall.coordination.cell.executors import Closed
@@ -116,6 +118,24 @@
         await play(scenario, seed=seed, keeps_ids=True)
 
 
+class TestWeakenedRulesOfRestarts:
+    """Each rule is needed: without it the same seed breaks what must hold."""
+
+    def test_without_handing_runs_on_they_start_again(self) -> None:
+        play_alone(restarts_in_trouble, seed=0, keeps_ids=True)
+        with runs_are_not_handed_on(), pytest.raises(AssertionError, match="starts after"):
+            play_alone(restarts_in_trouble, seed=0, keeps_ids=True)
+
+    def test_without_a_token_for_each_incarnation_late_calls_are_carried_out(self) -> None:
+        scenario = partial(restarts_in_trouble, asks_tickets=True, is_late=True)
+        play_alone(scenario, seed=5, keeps_ids=True)
+        with (
+            incarnations_are_shown_one_token(),
+            pytest.raises(AssertionError, match="starts after"),
+        ):
+            play_alone(scenario, seed=5, keeps_ids=True)
+
+
 class TestExecutorIds:
     @pytest.mark.parametrize(
         ("name", "born_ms"),
--- a/tests/test_cell_load.py
+++ b/tests/test_cell_load.py
@@ -226,6 +226,17 @@
         left = [fate for fate in played.fates if fate.is_accepted and fate.phase is None]
         assert [fate for fate in left if fits_where_approved(workload, fate, seed)] == []
 
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_executors_that_restart_under_their_names_lose_nothing(
+        self, tmp_path: Path, seed: int
+    ) -> None:
+        crashes = "crashes: [{at_s: 1, for_s: 0.3}, {at_s: 2, for_s: 0.3, share: 0.6}]"
+        text = f"{SMALL}restarts_keep_names: true\n{crashes}\n"
+        workload = small(tmp_path, text.replace("approved_share: 0.7", "approved_share: 1.0"))
+        played = play(workload, seed=seed)
+        assert played.violations == []
+        assert [fate for fate in played.fates if fate.is_accepted and fate.phase is None] == []
+
 
 def fits_where_approved(workload: Workload, fate: JobFate, seed: int) -> bool:
     """Return whether the executors that the advisor approves of could hold a gang at all."""
