--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -14,10 +14,12 @@
     StartOrder,
     StopOrder,
 )
+from galenastall.coordination.cell.crashes import CrashJudge
 from galenastall.coordination.cell.doubts import Doubts
 from galenastall.coordination.cell.executors import Executor, ExecutorInfo
 from galenastall.coordination.cell.fleet import Fleet
 from galenastall.coordination.cell.host_care import HostCare
+from galenastall.coordination.cell.incarnations import Incarnations
 from galenastall.coordination.cell.job_runs import JobRun
 from galenastall.coordination.cell.kept_advice import KeptAdvice
 from galenastall.coordination.cell.listings import Listing, ListingReader
@@ -28,6 +30,7 @@
 from galenastall.coordination.cell.placer import Placer
 from galenastall.coordination.cell.room_plan import RoomPlan
 from galenastall.coordination.cell.run_ends import RunEnds
+from galenastall.coordination.cell.run_moves import RunMoves
 from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.coordination.cell.task_runs import StartState
 from galenastall.coordination.cell.timings import CellTimings
@@ -66,7 +69,12 @@
         self._waiting = WaitingReport(
             state=self._state, advice=self._advice, sight=self._placer.sight, plan=self.plan
         )
-        self._fleet = Fleet(state=self._state, ends=self._ends, doubts=self._doubts)
+        crashes = CrashJudge(state=self._state)
+        self._incarnations = Incarnations(state=self._state, ends=self._ends, crashes=crashes)
+        self._fleet = Fleet(
+            state=self._state, ends=self._ends, crashes=crashes, incarnations=self._incarnations
+        )
+        self._moves = RunMoves(state=self._state, ends=self._ends, doubts=self._doubts)
         self._pacing = Pacing(state=self._state)
         self.hosts = HostCare(state=self._state, ends=self._ends)
         self._batches = Batches(
@@ -209,19 +217,19 @@
             return
         self._state.now = now
         executor.clock.observe(clock_ms=listing.clock_ms, received_at=now)
-        self._fleet.end_earlier(executor, listing, asked_seq=asked_seq, wall=wall)
+        self._incarnations.end_earlier(executor, listing, asked_seq=asked_seq, wall=wall)
         self._listings.read(executor, listing, asked_seq=asked_seq, now=now, wall=wall)
         self._pacing.on_listing(executor)
 
     def on_other_executor(self, executor_id: str, *, wall: float) -> None:
         """Note that an executor of another name answers at an executor's address."""
         cause = "another executor answers at its address"
-        self._fleet.end_incarnation(executor_id, cause=cause, wall=wall)
+        self._incarnations.end(executor_id, cause=cause, wall=wall)
 
     def on_restart(self, executor_id: str, later_id: str, *, now: float) -> None:
         """Note that a later incarnation has answered a call to an executor."""
         self._state.now = now
-        self._fleet.on_restart(executor_id, later_id)
+        self._incarnations.on_restart(executor_id, later_id)
 
     def on_start(
         self, order: StartOrder, outcome: StartOutcome, *, now: float, wall: float
@@ -273,7 +281,7 @@
         self._fleet.expire(now=now, wall=wall)
         self._open_all_due(wall)
         is_report_due = self._tidy(now, wall)
-        self._fleet.move_runs(now=now)
+        self._moves.decide(now=now)
         if may_place:
             self.hosts.decide(now=now, wall=wall)
         self._orders.order_stops(now)
--- a/tests/cell/weakenings.py
+++ b/tests/cell/weakenings.py
@@ -7,7 +7,7 @@
 from galenastall.coordination.cell import listings
 from galenastall.coordination.cell.commands import Batch, StartOrder
 from galenastall.coordination.cell.election import Election, Move
-from galenastall.coordination.cell.fleet import Fleet
+from galenastall.coordination.cell.incarnations import Incarnations
 from galenastall.coordination.cell.lease_clock import LeaseClock
 from galenastall.coordination.cell.orders import OrderBook, StartOutcome
 from galenastall.coordination.cell.scheduler import CellScheduler
@@ -124,7 +124,7 @@
 @contextmanager
 def runs_are_not_handed_on() -> Iterator[None]:
     """Take all runs of an incarnation for lost with it."""
-    with replaced(Fleet, "_hand_on", lambda self, earlier, later, listing: None):
+    with replaced(Incarnations, "_hand_on", lambda self, earlier, later, listing: None):
         yield
 
 
