--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -90,9 +90,9 @@
         return job.stops.by_rule[rule]
 
     def executor_on(self, host: str) -> Executor | None:
-        """Return the executor that lives on a host, the one heard last if there are several."""
-        lives = [e for e in self.executors_by_id.values() if host and e.info.host == host]
-        return max(lives, key=lambda e: e.answered_seq, default=None)
+        """Return the executor on a host, the one heard last if there are several."""
+        found = [e for e in self.executors_by_id.values() if host and e.info.host == host]
+        return max(found, key=lambda e: e.answered_seq, default=None)
 
     def find_ordered(self, order: StartOrder | StopOrder | PaceOrder) -> TaskRun | None:
         """Return the task of an order, or None if the order's run is not its run any more.
--- a/src/galenastall/coordination/cell/doubts.py
+++ b/src/galenastall/coordination/cell/doubts.py
@@ -68,7 +68,7 @@
         executor.paused_until = now + pause_s
 
     def on_start_late(self, executor: Executor, *, now: float) -> None:
-        """Note that a start came too late for it, or for another life."""
+        """Note that a start came too late for it, or was meant for another executor."""
         pause_s = self._state.timings.refused_pause_s
         executor.paused_until = max(executor.paused_until, now + pause_s)
 
--- a/src/galenastall/coordination/cell/election.py
+++ b/src/galenastall/coordination/cell/election.py
@@ -121,11 +121,11 @@
         is_orphaned: bool = False,
         claimed_weight: float = 0.0,
     ) -> None:
-        """Take what the store shows; `is_orphaned`: the newest claim is of an earlier life here.
+        """Take what the store shows; `is_orphaned`: the newest claim is of an earlier one here.
 
         `claimed_weight` is that of the host that made the newest claim.
 
-        An earlier life on this host is over, so the end need not be watched for standing still.
+        An earlier incarnation of this host is over, so the end need not be watched.
         After a loss of all hosts that saves 0.35 s and the jitter of a takeover.
 
         What stood between looks that failed is not known: a leader takes a moment to be confirmed
--- a/src/galenastall/platform/standin/server.py
+++ b/src/galenastall/platform/standin/server.py
@@ -47,7 +47,7 @@
         self.advisor_address = ""
         self._plan = plan
         self._clock = clock
-        self._lives = 0
+        self._started = 0
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve; reports started once all executors are listed."""
@@ -65,12 +65,12 @@
         return server.address
 
     async def _add_executor(self, nursery: trio.Nursery, data_centre: str) -> None:
-        self._lives += 1
-        name = f"executor-{self._lives}"
+        self._started += 1
+        name = f"executor-{self._started}"
         face = ExecutorFace(world=self.world, executor_id=name)
         info = ExecutorInfo(
             executor_id=make_executor_id(name, int(self._clock.wall() * 1000)),
-            host=f"host-{self._lives}",
+            host=f"host-{self._started}",
             address=await self._serve(nursery, face),
             data_centre=data_centre,
             service=self._plan.service,
--- a/src/galenastall/standin/cell/executors.py
+++ b/src/galenastall/standin/cell/executors.py
@@ -1,7 +1,7 @@
 """Executors of a cell as the platform describes them, and a watch over what must never happen.
 
-Runs do no work: they last as long as whoever sets the world up says. All lives of one world know of
-each other, as members of a gang must, so that a task that runs twice is noticed at once.
+Runs do no work: they last as long as whoever sets the world up says. All executors of one world
+know of each other, as members of a gang must, so that a task that runs twice is noticed at once.
 """
 
 from abc import ABC, abstractmethod
@@ -56,10 +56,10 @@
 
 
 class Executor:
-    """One life of an executor, by the rules that the platform gives for it."""
+    """One incarnation of an executor, by the rules that the platform gives for it."""
 
     def __init__(self, *, world: "ExecutorWorld", info: ExecutorInfo, rate: float = 1.0) -> None:
-        """Begin a life; its steady clock runs at `rate`, slower than 1 by 2% at most."""
+        """Start it; its steady clock runs at `rate`, slower than 1 by 2% at most."""
         self.world = world
         self.info = info
         self.rate = rate
@@ -200,7 +200,7 @@
 
 
 class ExecutorWorld(ABC):
-    """All lives of executors, and what they did that they must never do."""
+    """All executors, and what they did that they must never do."""
 
     def __init__(self) -> None:
         """Create a world without executors."""
@@ -242,7 +242,7 @@
         """Return how long a gang's run lasts once all members are there."""
 
     def crash(self, executor: Executor) -> None:
-        """End a life, with all that runs there; its entry stays listed for a while."""
+        """End an incarnation, with all that runs there; its entry stays listed for a while."""
         self.sweep()
         executor.is_up = False
         for run in list(executor.runs.values()):
--- a/src/galenastall/state/cell/hosts.py
+++ b/src/galenastall/state/cell/hosts.py
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PoolHost:
-    """One host of a pool; an executor is one life of it."""
+    """One host of a pool; an executor is an incarnation of it."""
 
     host: str
     pool: str
--- a/src/galenastall/state/cell/phases.py
+++ b/src/galenastall/state/cell/phases.py
@@ -42,4 +42,4 @@
     NEVER_STARTED = "never_started"
     """The executor is known to have refused it or never to have got it."""
     LOST = "lost"
-    """Its executor's life has ended."""
+    """Its executor's incarnation has ended."""
--- a/tests/cell/cluster.py
+++ b/tests/cell/cluster.py
@@ -38,7 +38,7 @@
         self.nursery = nursery
         self.live: dict[str, LiveHost] = {}
         self.all_recorders: list[Recorder] = []
-        """Recorders of all lives of all hosts, to see afterwards what they did."""
+        """Recorders of all incarnations of all hosts, to see afterwards what they did."""
         self.names = [f"entry-{number}" for number in range(hosts)]
         self.weights: dict[str, float] = {}
         """Weights of hosts; one that is not named has 1."""
--- a/tests/cell/trouble.py
+++ b/tests/cell/trouble.py
@@ -121,7 +121,7 @@
             world.crash(victim)
         await trio.sleep(rng.uniform(0.1, 2.0))
         for victim in victims:
-            world.give_life(victim.info.host)
+            world.start_executor(victim.info.host)
         if rng.random() < 0.5:
             await trio.sleep(rng.uniform(0.0, 8.0))
         world.faults.clear()
@@ -148,6 +148,6 @@
         victim = rng.choice(up)
         world.crash(victim)
         await trio.sleep(rng.uniform(0.5, 3.0))
-        world.give_life(victim.info.host)
+        world.start_executor(victim.info.host)
         await trio.sleep(rng.uniform(0.0, 3.0))
         world.delist(victim)
--- a/tests/cell/world.py
+++ b/tests/cell/world.py
@@ -131,16 +131,16 @@
         self.told_sequence = -1
 
     def list_all(self) -> tuple[PoolHost, ...]:
-        lives = {e.info.host: e for e in self.world.executors.values() if e.is_up}
+        up_by_host = {e.info.host: e for e in self.world.executors.values() if e.is_up}
         all_hosts = {e.info.host for e in self.world.executors.values()} | self.pools.keys()
         return tuple(
             PoolHost(
                 host=host,
                 pool=self.pools.get(host, "service"),
-                state=self._state_of(host, is_alive=host in lives),
+                state=self._state_of(host, is_alive=host in up_by_host),
                 capacity=CAPACITY,
                 labels=("a",),
-                executor_id=lives[host].info.executor_id if host in lives else "",
+                executor_id=up_by_host[host].info.executor_id if host in up_by_host else "",
             )
             for host in sorted(all_hosts)
         )
@@ -177,7 +177,7 @@
             self.world.violations.append(f"{order.host} goes down at {at} beside {down} others")
         self.begun[order.wave].add(order.host)
         self.down[order.host] = order.wave
-        self._end_life(order.host)
+        self._end(order.host)
         self.world.nursery.start_soon(self._come_back, order.host)
         return HostOutcome.DONE
 
@@ -186,7 +186,7 @@
             return HostOutcome.DONE
         if not self._is_up(host):
             return HostOutcome.BUSY
-        self._end_life(host)
+        self._end(host)
         self.pools[host] = pool
         self.moving.add(host)
         self.world.nursery.start_soon(self._arrive, host)
@@ -196,9 +196,9 @@
         await trio.sleep(1.5)
         self.moving.discard(host)
         if self.pools[host] == "service":
-            self.world.give_life(host)
+            self.world.start_executor(host)
 
-    def _end_life(self, host: str) -> None:
+    def _end(self, host: str) -> None:
         for executor in self.world.executors.values():
             if executor.info.host == host and executor.is_up:
                 self.world.crash(executor)
@@ -207,7 +207,7 @@
     async def _come_back(self, host: str) -> None:
         await trio.sleep(MAINTENANCE_S)
         del self.down[host]
-        self.world.give_life(host)
+        self.world.start_executor(host)
 
     def tell(self, number: int, is_completed: bool, token: int, sequence: int) -> bool:
         if token < self.told_epoch:
@@ -248,16 +248,16 @@
         self.run_lasts_s = (0.2, 2.5)
         self.away_s = (1.0, 3.0)
         """How long a host that a task has crashed stays away."""
-        self._lives = 0
+        self._started = 0
         for number in range(executors):
-            self.give_life(f"host-{number}")
+            self.start_executor(f"host-{number}")
 
-    def give_life(self, host: str) -> Executor:
-        """Start a new life on a host; one that has a life keeps it."""
+    def start_executor(self, host: str) -> Executor:
+        """Start an executor on a host, unless one is up there."""
         living = (e for e in self.executors.values() if e.is_up and e.info.host == host)
         if (executor := next(living, None)) is not None:
             return executor
-        self._lives += 1
+        self._started += 1
         name = self._name_on(host)
         born_ms = int(trio.current_time() * 1000) if self.keeps_ids else None
         info = ExecutorInfo(
@@ -280,7 +280,7 @@
         """Return the id of an executor that starts on a host now."""
         names = (name for name, executor in self.executors.items() if executor.info.host == host)
         known = next(names, None) if self.keeps_ids else None
-        return known or f"executor-{self._lives}"
+        return known or f"executor-{self._started}"
 
     def delist(self, executor: Executor) -> None:
         """Remove an executor's entry, unless a later incarnation has replaced it."""
@@ -294,7 +294,7 @@
     async def _come_back(self, executor: Executor) -> None:
         self.nursery.start_soon(self._delist, executor)
         await trio.sleep(self.rng.uniform(*self.away_s))
-        self.give_life(executor.info.host)
+        self.start_executor(executor.info.host)
 
     async def _delist(self, executor: Executor) -> None:
         """Remove an entry after three heartbeats of silence."""
--- a/tests/test_cell_core.py
+++ b/tests/test_cell_core.py
@@ -588,8 +588,8 @@
         assert rig.core.executors_by_id["e1"].free.cores_milli == 4000
 
 
-class TestLives:
-    def test_a_later_life_that_answers_ends_the_runs_of_the_one_before(self) -> None:
+class TestIncarnations:
+    def test_a_later_incarnation_that_answers_ends_the_runs_of_the_one_before(self) -> None:
         rig = Rig(make_info("e1", host="h"), make_info("x"))
         rig.submit(make_job(make_step(1, cores=4000)))
         order = rig.step()[0]
@@ -600,7 +600,7 @@
         assert "e1" not in rig.core.executors_by_id
         assert [again.run for again in rig.step()] == [2]
 
-    def test_an_entry_that_comes_late_does_not_end_the_life_that_is_there(self) -> None:
+    def test_an_entry_that_comes_late_does_not_end_the_one_that_is_there(self) -> None:
         rig = Rig(make_info("e2", host="h"))
         rig.submit(make_job(make_step(1)))
         (order,) = rig.step()
@@ -620,7 +620,7 @@
         rig.core.on_listing("e2", listing, asked_seq=asked_seq, now=rig.now, wall=rig.wall)
         assert set(rig.core.executors_by_id) == {"e1", "e2"}
 
-    def test_a_life_that_is_over_stays_over_when_its_entry_is_listed_again(self) -> None:
+    def test_an_incarnation_that_is_over_stays_over_when_its_entry_is_listed_again(self) -> None:
         rig = Rig(make_info("e1", host="h"))
         rig.see(make_info("e1", host="h"), make_info("e2", host="h"))
         rig.listing("e2")
@@ -628,7 +628,7 @@
             rig.see(*infos)
             assert "e1" not in rig.core.executors_by_id
 
-    def test_an_entry_that_stays_listed_after_its_life_ended_changes_nothing(self) -> None:
+    def test_an_entry_that_stays_listed_after_its_end_changes_nothing(self) -> None:
         rig = Rig(make_info("e1", host="h"))
         rig.see(make_info("e1", host="h"), make_info("e2", host="h"))
         rig.listing("e2")
@@ -636,7 +636,9 @@
             rig.see(make_info("e1", host="h"), make_info("e2", host="h"))
             assert set(rig.core.executors_by_id) == {"e2"}
 
-    def test_runs_of_a_life_that_never_answered_this_leader_end_with_a_later_one(self) -> None:
+    def test_runs_of_an_incarnation_that_never_answered_this_leader_end_with_a_later_one(
+        self,
+    ) -> None:
         rig = Rig(make_info("e1", host="h"))
         rig.submit(make_job(make_step(1, cores=4000)))
         rig.run_all(rig.step())
@@ -645,7 +647,7 @@
         following.listing("e2")
         assert [again.run for again in following.step()] == [2]
 
-    def test_two_lives_first_seen_together_are_both_kept(self) -> None:
+    def test_two_incarnations_first_seen_together_are_both_kept(self) -> None:
         rig = Rig()
         rig.see(make_info("e1", host="h"), make_info("e2", host="h"))
         assert set(rig.core.executors_by_id) == {"e1", "e2"}
--- a/tests/test_cell_crash_blame.py
+++ b/tests/test_cell_crash_blame.py
@@ -105,12 +105,12 @@
 
 
 class CrashRig(Rig):
-    """A core whose executors crash, and come back as later lives."""
+    """A core whose executors crash, and start again."""
 
     def __init__(self, *, executors: int = 8, rows: dict[str, bytes] | None = None) -> None:
         infos = [make_info(f"e{n}.1", host=f"h{n}") for n in range(executors)]
         super().__init__(*infos, rows=rows)
-        self.lives = [1] * executors
+        self.starts = [1] * executors
 
     def start(self) -> list[StartOrder]:
         """Decide, and have all starts that leave confirmed."""
@@ -119,11 +119,11 @@
         return orders
 
     def crash(self, executor_id: str) -> None:
-        """Have a later life answer on an executor's host."""
+        """Have a later incarnation answer on an executor's host."""
         number = int(executor_id[1:].split(".", maxsplit=1)[0])
-        self.lives[number] += 1
+        self.starts[number] += 1
         self.now += 2.0
-        later = make_info(f"e{number}.{self.lives[number]}", host=f"h{number}")
+        later = make_info(f"e{number}.{self.starts[number]}", host=f"h{number}")
         self.infos = (*(i for i in self.infos if i.executor_id != executor_id), later)
         self.see(*self.infos)
         self.listen()
--- a/tests/test_cell_executor_restarts.py
+++ b/tests/test_cell_executor_restarts.py
@@ -61,7 +61,7 @@
             for executor in list(world.executors.values()):
                 world.crash(executor)
                 await trio.sleep(0.5)
-                world.give_life(executor.info.host)
+                world.start_executor(executor.info.host)
             await trio.sleep(2.0)
             await hand_in(cluster, world, rng, 20, 0.1, first=100)
             await check_all_end(cluster)
@@ -82,7 +82,7 @@
             for executor in list(world.executors.values()):
                 world.crash(executor)
                 await trio.sleep(0.5)
-                world.give_life(executor.info.host)
+                world.start_executor(executor.info.host)
             await trio.sleep(2.0)
             step = Step(count=2, need=Resources(cores_milli=1000, memory_mb=1000))
             job = make_cluster_job(world, rng, 100)
--- a/tests/test_cell_leadership.py
+++ b/tests/test_cell_leadership.py
@@ -294,7 +294,7 @@
             world.crash(victim)
             await trio.sleep(3.0)
             del world.listed["executor-1"]
-            world.give_life("host-0")
+            world.start_executor("host-0")
             await check_all_end(cluster)
 
         await play(scenario, seed=10)
@@ -326,7 +326,7 @@
             world.crash(old)
             del world.listed["executor-1"]
             await trio.sleep(0.5)
-            new = world.give_life(old.info.host)
+            new = world.start_executor(old.info.host)
             await trio.sleep(1.5)
             for number in range(100, 120):
                 cluster.nursery.start_soon(cluster.submit, make_job(world, rng, number))
@@ -380,8 +380,8 @@
 
 
 REGRESSIONS = {
-    115: "two lives of an executor listed together ended each other in turn",
-    131: "the same, with a run of the newer life taken for lost",
+    115: "two incarnations of an executor listed together ended each other in turn",
+    131: "the same, with a run of the newer one taken for lost",
     142: "a claim whose answer was lost kept hosts from following the leader that stood",
     168: "a start left after its run had been counted as lapsed in a long outage of the store",
 }
