--- a/src/galenastall/platform/standin/executor_face.py
+++ b/src/galenastall/platform/standin/executor_face.py
@@ -16,6 +16,7 @@
 
 BODY_BYTES: Final = 100_000
 OTHER_EXECUTOR: Final = 421
+UNHEALTHY: Final = 503
 SWEEP_S: Final = 0.02
 """Between two looks at whether runs have ended, while a caller waits for an end."""
 _REASON_BY_VERDICT: Final = {
@@ -88,6 +89,9 @@
             while not executor.ended and executor.is_up:
                 await trio.sleep(SWEEP_S)
                 self.world.sweep()
+        if not executor.is_up:
+            # It has started again meanwhile: what it knew is gone.
+            return HttpResponse(status=UNHEALTHY)
         return self._listing(executor)
 
     def _listing(self, executor: Executor) -> HttpResponse:
--- a/src/galenastall/platform/standin/server.py
+++ b/src/galenastall/platform/standin/server.py
@@ -1,6 +1,6 @@
 """The stand-in as a whole: a store, executors that register themselves, and the advisor."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Final
 
 import trio
@@ -69,7 +69,7 @@
         name = f"executor-{self._started}"
         face = ExecutorFace(world=self.world, executor_id=name)
         info = ExecutorInfo(
-            executor_id=make_executor_id(name, int(self._clock.wall() * 1000)),
+            executor_id=self._new_id(name),
             host=f"host-{self._started}",
             address=await self._serve(nursery, face),
             data_centre=data_centre,
@@ -77,17 +77,30 @@
             capacity=self._plan.capacity,
             labels=("a", f"{data_centre}-rack"),
         )
+        self._begin(name, info)
+        nursery.start_soon(self._beat, name)
+
+    def restart(self, name: str) -> None:
+        """Have an executor start again under its name; it knows nothing of before."""
+        earlier = self.world.executors[name]
+        self.world.crash(earlier)
+        self.world.earlier.append(earlier)
+        self._begin(name, replace(earlier.info, executor_id=self._new_id(name)))
+
+    def _new_id(self, name: str) -> str:
+        return make_executor_id(name, int(self._clock.wall() * 1000))
+
+    def _begin(self, name: str, info: ExecutorInfo) -> None:
         executor = Executor(world=self.world, info=info)
         self.world.executors[name] = executor
         self._register(executor, 0)
-        nursery.start_soon(self._beat, executor)
 
-    async def _beat(self, executor: Executor) -> None:
+    async def _beat(self, name: str) -> None:
         sequence = 0
-        while executor.is_up:
+        while True:
             await trio.sleep(HEARTBEAT_S)
             sequence += 1
-            self._register(executor, sequence)
+            self._register(self.world.executors[name], sequence)
 
     def _register(self, executor: Executor, sequence: int) -> None:
         info = executor.info
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -198,6 +198,14 @@
     fleet.start(fleet.host(leader))
 
 
+async def restart_executors(fleet: Fleet) -> None:
+    """Restart executors under their names, one after the other, and one of them twice."""
+    for name in sorted(fleet.standin.world.executors):
+        fleet.standin.restart(name)
+        await trio.sleep(0.4)
+    fleet.standin.restart(name)
+
+
 async def kill_all(fleet: Fleet) -> None:
     for host in fleet.hosts:
         fleet.signal(host.name, signal.SIGKILL)
@@ -214,6 +222,7 @@
                 pause_the_leader,
                 refuse_the_store,
                 forget_the_history,
+                restart_executors,
                 kill_all,
             )
             for number, bring_about in enumerate(hazards):
