--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -4,6 +4,7 @@
 from enum import Enum, StrEnum, auto
 
 from galenastall.coordination.cell.lease_clock import LeaseClock
+from galenastall.state.cell.executor_ids import executor_name
 from galenastall.state.cell.jobs import StepKey, TaskKey
 from galenastall.state.resources import Resources
 
@@ -65,6 +66,8 @@
         self.info = info
         self.executor_id = info.executor_id
         """Id of this incarnation."""
+        self.name = executor_name(info.executor_id)
+        """What all incarnations of it are called."""
         self.clock = clock
         self.runs_by_task: dict[TaskKey, int] = {}
         self.strangers: frozenset[tuple[TaskKey, int]] = frozenset()
--- a/src/galenastall/coordination/cell/incarnations.py
+++ b/src/galenastall/coordination/cell/incarnations.py
@@ -13,7 +13,6 @@
 from galenastall.coordination.cell.listings import ENDS_IN_A_LISTING, Listing
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.task_runs import StartState
-from galenastall.state.cell.executor_ids import is_same_executor
 from galenastall.state.cell.jobs import TaskKey
 from galenastall.state.cell.phases import RunEnd
 
@@ -74,7 +73,7 @@
         """
         host = executor.info.host
         for other in list(self._state.executors_by_id.values()):
-            is_same = is_same_executor(other.executor_id, executor.executor_id)
+            is_same = other.name == executor.name
             is_on_host = bool(host) and other.info.host == host
             if other is executor or not (is_same or is_on_host):
                 continue
--- a/src/galenastall/state/cell/executor_ids.py
+++ b/src/galenastall/state/cell/executor_ids.py
@@ -29,8 +29,3 @@
     """Return when an incarnation was born, in milliseconds since 1970; None if not told."""
     _, separator, born_ms = executor_id.rpartition(_SEPARATOR)
     return int(born_ms) if separator and born_ms else None
-
-
-def is_same_executor(one_id: str, other_id: str) -> bool:
-    """Whether two ids name incarnations of one executor."""
-    return executor_name(one_id) == executor_name(other_id)
