--- a/tests/cell/world.py
+++ b/tests/cell/world.py
@@ -4,7 +4,6 @@
 after they were carried out, or carried out seconds later. It watches for what must never happen.
 """
 
-from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
@@ -13,6 +12,8 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from cell.world_hosts import CAPACITY, Hosts
+from cell.world_store import Store
 from galenastall.coordination.cell.commands import PaceOrder, StartOrder, StopOrder
 from galenastall.coordination.cell.executors import ExecutorInfo
 from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome
@@ -21,15 +22,12 @@
 from galenastall.protocol.cell.ports import LeaderRecord, StoreView
 from galenastall.standin.cell.executors import Executor, ExecutorWorld, Run
 from galenastall.state.cell.executor_ids import executor_name, make_executor_id
-from galenastall.state.cell.hosts import HostState, MaintenanceWave, PoolHost
+from galenastall.state.cell.hosts import MaintenanceWave, PoolHost
 from galenastall.state.cell.jobs import CellJob, Queue, Step, TaskKey
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId
 from galenastall.state.resources import Resources
 
-MAINTENANCE_S = 2.0
-CAPACITY = Resources(cores_milli=8000, memory_mb=32000)
-
 
 @dataclass(kw_only=True)
 class Faults:
@@ -61,168 +59,6 @@
         self.lost = self.late = self.slow_s = 0.0
 
 
-class Store:
-    """Keyed topics with epochs and sequence numbers."""
-
-    def __init__(self) -> None:
-        self.values: dict[str, bytes] = {}
-        self.tip = 0
-        self.epoch = 0
-        self.last_sequence = -1
-        self.claims: list[tuple[str, str]] = []
-        self.claimed_weight = 0.0
-        self.newest_token = 0
-        self.append_bytes = 2_097_152
-        """Most that one append may write; a larger one is refused however often it is sent."""
-        self.largest_append = 0
-
-    @property
-    def size(self) -> int:
-        """Bytes of all keys and values."""
-        return sum(len(key) + len(value) for key, value in self.values.items())
-
-    def claim(self, host_id: str, address: str, weight: float, tip: int) -> int | None:
-        """Append a claim where the state ends; None if anything came first."""
-        if tip != self.tip:
-            return None
-        self.tip += 1
-        self.claims.append((host_id, address))
-        self.claimed_weight = weight
-        self.newest_token = self.tip
-        return self.newest_token
-
-    def fence(self, token: int) -> bool:
-        if token < self.epoch:
-            return False
-        if token > self.epoch:
-            self.epoch, self.last_sequence = token, -1
-        return True
-
-    def append(self, token: int, sequence: int, values: dict[str, bytes]) -> bool:
-        if not self.fence(token):
-            return False
-        if sequence <= self.last_sequence:
-            return True
-        self.last_sequence = sequence
-        self.tip += len(values)
-        for key, value in values.items():
-            if value:
-                self.values[key] = value
-            else:
-                self.values.pop(key, None)
-        return True
-
-
-class Hosts:
-    """The platform's hosts: which are down for maintenance, and what was told of waves."""
-
-    def __init__(self, *, world: "World") -> None:
-        self.world = world
-        self.waves: list[MaintenanceWave] = []
-        self.begun: defaultdict[int, set[str]] = defaultdict(set)
-        self.down: dict[str, int] = {}
-        """Hosts that are down, with the wave that they are down for."""
-        self.moving: set[str] = set()
-        self.pools: dict[str, str] = {}
-        """Pools of hosts that are not in the service, or were not at first."""
-        self.fences: defaultdict[str, int] = defaultdict(int)
-        self.told: dict[int, bool] = {}
-        self.told_epoch = 0
-        self.told_sequence = -1
-
-    def list_all(self) -> tuple[PoolHost, ...]:
-        up_by_host = {e.info.host: e for e in self.world.executors.values() if e.is_up}
-        all_hosts = {e.info.host for e in self.world.executors.values()} | self.pools.keys()
-        return tuple(
-            PoolHost(
-                host=host,
-                pool=self.pools.get(host, "service"),
-                state=self._state_of(host, is_alive=host in up_by_host),
-                capacity=CAPACITY,
-                labels=("a",),
-                executor_id=up_by_host[host].info.executor_id if host in up_by_host else "",
-            )
-            for host in sorted(all_hosts)
-        )
-
-    def _state_of(self, host: str, *, is_alive: bool) -> HostState:
-        if host in self.down:
-            return HostState.MAINTENANCE
-        if host in self.moving:
-            return HostState.MOVING
-        is_off = self.pools.get(host, "service") != "service"
-        return HostState.UP if is_alive or is_off else HostState.DOWN
-
-    def _is_up(self, host: str) -> bool:
-        is_alive = any(e.info.host == host and e.is_up for e in self.world.executors.values())
-        return self._state_of(host, is_alive=is_alive) is HostState.UP
-
-    def order(self, order: HostOrder, token: int) -> HostOutcome | None:
-        """Carry an order out; None if it is fenced."""
-        if token < self.fences[order.host]:
-            return None
-        self.fences[order.host] = token
-        if order.pool:
-            return self._move(order.host, order.pool)
-        wave = next(wave for wave in self.waves if wave.number == order.wave)
-        if order.host in self.begun[order.wave]:
-            return HostOutcome.DONE
-        if order.host not in wave.hosts:
-            return HostOutcome.NOT_POSSIBLE
-        if not self._is_up(order.host):
-            return HostOutcome.BUSY
-        down = sum(1 for number in self.down.values() if number == order.wave)
-        if down >= wave.most_down:
-            at = f"{trio.current_time():.2f}"
-            self.world.violations.append(f"{order.host} goes down at {at} beside {down} others")
-        self.begun[order.wave].add(order.host)
-        self.down[order.host] = order.wave
-        self._end(order.host)
-        self.world.nursery.start_soon(self._come_back, order.host)
-        return HostOutcome.DONE
-
-    def _move(self, host: str, pool: str) -> HostOutcome:
-        if self.pools.get(host, "service") == pool:
-            return HostOutcome.DONE
-        if not self._is_up(host):
-            return HostOutcome.BUSY
-        self._end(host)
-        self.pools[host] = pool
-        self.moving.add(host)
-        self.world.nursery.start_soon(self._arrive, host)
-        return HostOutcome.DONE
-
-    async def _arrive(self, host: str) -> None:
-        await trio.sleep(1.5)
-        self.moving.discard(host)
-        if self.pools[host] == "service":
-            self.world.start_executor(host)
-
-    def _end(self, host: str) -> None:
-        for executor in self.world.executors.values():
-            if executor.info.host == host and executor.is_up:
-                self.world.crash(executor)
-                self.world.delist(executor)
-
-    async def _come_back(self, host: str) -> None:
-        await trio.sleep(MAINTENANCE_S)
-        del self.down[host]
-        self.world.start_executor(host)
-
-    def tell(self, number: int, is_completed: bool, token: int, sequence: int) -> bool:
-        if token < self.told_epoch:
-            return False
-        if token > self.told_epoch:
-            self.told_epoch, self.told_sequence = token, -1
-        if sequence > self.told_sequence:
-            self.told_sequence = sequence
-            self.told[number] = is_completed
-            wave = next(wave for wave in self.waves if wave.number == number)
-            if is_completed and not set(wave.hosts) <= self.begun[number]:
-                self.world.violations.append(f"wave {number} is told to be completed and is not")
-        return True
-
-
 class World(ExecutorWorld):
     """Everything outside the hosts, and the watch over what must hold."""
 
--- /dev/null
+++ b/tests/cell/world_store.py
@@ -0,0 +1,53 @@
+"""The store of the tests' world: a keyed topic with claims, epochs and sequence numbers."""
+
+
+class Store:
+    """Keyed topics with epochs and sequence numbers."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, bytes] = {}
+        self.tip = 0
+        self.epoch = 0
+        self.last_sequence = -1
+        self.claims: list[tuple[str, str]] = []
+        self.claimed_weight = 0.0
+        self.newest_token = 0
+        self.append_bytes = 2_097_152
+        """Most that one append may write; a larger one is refused however often it is sent."""
+        self.largest_append = 0
+
+    @property
+    def size(self) -> int:
+        """Bytes of all keys and values."""
+        return sum(len(key) + len(value) for key, value in self.values.items())
+
+    def claim(self, host_id: str, address: str, weight: float, tip: int) -> int | None:
+        """Append a claim where the state ends; None if anything came first."""
+        if tip != self.tip:
+            return None
+        self.tip += 1
+        self.claims.append((host_id, address))
+        self.claimed_weight = weight
+        self.newest_token = self.tip
+        return self.newest_token
+
+    def fence(self, token: int) -> bool:
+        if token < self.epoch:
+            return False
+        if token > self.epoch:
+            self.epoch, self.last_sequence = token, -1
+        return True
+
+    def append(self, token: int, sequence: int, values: dict[str, bytes]) -> bool:
+        if not self.fence(token):
+            return False
+        if sequence <= self.last_sequence:
+            return True
+        self.last_sequence = sequence
+        self.tip += len(values)
+        for key, value in values.items():
+            if value:
+                self.values[key] = value
+            else:
+                self.values.pop(key, None)
+        return True
--- a/tests/test_cell_changing_capacity.py
+++ b/tests/test_cell_changing_capacity.py
@@ -19,7 +19,8 @@
 from cell.cluster import Cluster
 from cell.play import hand_in, play, random_trouble
 from cell.rig import JOB, Rig, make_info, make_job, make_step
-from cell.world import CAPACITY, World
+from cell.world import World
+from cell.world_hosts import CAPACITY
 from galenastall.coordination.cell.executors import ExecutorInfo
 from galenastall.coordination.cell.listings import ListedRun
 from galenastall.coordination.cell.orders import StartOutcome
