--- a/tests/test_cell_executor_restarts.py
+++ b/tests/test_cell_executor_restarts.py
@@ -359,8 +359,9 @@
         executor = self.rig.core.executors_by_id[executor_id]
         return ExecutorSession(context=self.context, executor=executor)
 
-    def place(self) -> StartOrder:
-        """Give the executor a run, and return its order."""
+    async def place(self) -> StartOrder:
+        """Give the executor a run once it has answered, and return its order."""
+        await self.poll()
         self.rig.now = trio.current_time()
         self.rig.submit(make_job(make_step(1)))
         (order,) = self.rig.step()
@@ -428,8 +429,7 @@
         self, autojump_clock: object
     ) -> None:
         rig = SessionRig()
-        await rig.poll()
-        order = rig.place()
+        order = await rig.place()
         rig.port.answerer = LATER
         await rig.poll()
         await rig.session.start(order)
@@ -441,20 +441,30 @@
     ) -> None:
         # A deadline on the clock of before would be a lease of full length after a restart.
         rig = SessionRig()
-        await rig.poll()
-        order = rig.place()
+        order = await rig.place()
         rig.port.is_silent = True
         await rig.poll()
         assert (await rig.poll())["deadline_ms"] is None
         await rig.session.start(order)
         assert rig.port.starts == []
 
-    async def test_an_order_without_an_answer_is_sent_again_only_after_a_listing(
+    async def test_one_that_does_not_answer_is_asked_without_waiting_for_an_end(
         self, autojump_clock: object
     ) -> None:
         rig = SessionRig()
         await rig.poll()
-        order = rig.place()
+        rig.port.is_silent = True
+        with trio.move_on_after(3.0):
+            await rig.session.run()
+        waits_s = [call["wait_s"] for call in rig.port.renewals[1:]]
+        assert waits_s[0] > 0.0
+        assert set(waits_s[1:]) == {0.0}
+
+    async def test_an_order_without_an_answer_is_sent_again_only_after_a_listing(
+        self, autojump_clock: object
+    ) -> None:
+        rig = SessionRig()
+        order = await rig.place()
         rig.port.is_silent = True
         async with trio.open_nursery() as nursery:
             nursery.start_soon(rig.session.start, order)
@@ -469,8 +479,7 @@
     ) -> None:
         rig = SessionRig()
         await trio.sleep(200.0)
-        await rig.poll()
-        order = rig.place()
+        order = await rig.place()
         rig.port.is_silent = True
         sent_at = trio.current_time()
         clock = rig.rig.core.executors_by_id[EARLIER].clock
