Let the stand-ins know workspaces and their limits

Callers of the shifted deployment act for workspaces, whose tasks may have only so much at once. Nothing in the core looks at them yet.

--- a/src/galenastall/protocol/cell/config.py
+++ b/src/galenastall/protocol/cell/config.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from galenastall.state.cell.jobs import Queue
+from galenastall.state.cell.workspaces import Workspace
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -13,6 +14,17 @@
     """Value of the request's Host header, without a port."""
     path_prefix: str
     queue: Queue
+    is_public: bool = False
+    """Whether callers need no key."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Credential:
+    """A key by which callers act for a workspace; the key itself is never kept."""
+
+    digest: str
+    """SHA-256 of the key in hexadecimal digits."""
+    workspace: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -25,6 +37,10 @@
     """Services that it lists; `named_services` has those of the routes too."""
     standby_services: frozenset[str] = field(default_factory=frozenset)
     """Services whose hosts are off until they are moved."""
+    workspaces: tuple[Workspace, ...] = ()
+    credentials: tuple[Credential, ...] = ()
+    requires_keys: bool = False
+    """Whether callers of queues that are not public need a key."""
 
     @property
     def named_services(self) -> frozenset[str]:
--- a/src/galenastall/standin/cell/executors.py
+++ b/src/galenastall/standin/cell/executors.py
@@ -21,8 +21,10 @@
     Listing,
 )
 from galenastall.protocol.cell.executor_port import StartVerdict
+from galenastall.standin.cell.quota_watch import QuotaWatch, sum_of
 from galenastall.state.cell.jobs import Step, TaskKey
 from galenastall.state.cell.phases import RunEnd
+from galenastall.state.cell.workspaces import NO_WORKSPACE
 from galenastall.state.resources import NOTHING, Resources
 
 GANG_WAIT_S: Final = 3.0
@@ -151,6 +153,7 @@
         run = self.world.on_start(self, order)
         self.runs[order.task] = run
         self.world.check_room(self)
+        self.world.check_quota(run)
         self.world.join_gang(run)
         return StartVerdict.STARTED
 
@@ -224,6 +227,11 @@
         """Whether starts carry a ticket, which holds for one incarnation of an executor."""
         self.shows_progress = False
         """Whether listings tell how far runs are; else some figure that mostly rises."""
+        self.quotas = QuotaWatch()
+
+    def workspace_of(self, task: TaskKey) -> str:
+        """Return the workspace that owns a task."""
+        return NO_WORKSPACE
 
     @abstractmethod
     def step_of(self, task: TaskKey) -> Step:
@@ -333,6 +341,21 @@
             at = f"{executor.info.executor_id} at {trio.current_time():.2f}"
             self.violations.append(f"{at} is over its capacity: {used} by {runs}")
 
+    def check_quota(self, started: Run) -> None:
+        """Check that the workspace of a run that has just started may have so much at once."""
+        name = self.workspace_of(started.task)
+        if name == NO_WORKSPACE:
+            return
+        used = sum_of(
+            run.need
+            for executor in self.executors.values()
+            for run in executor.runs.values()
+            if self.workspace_of(run.task) == name
+        )
+        problem = self.quotas.problem(name, used=used, started=started.need)
+        if problem:
+            self.violations.append(f"{problem}, with {started.task} at {trio.current_time():.2f}")
+
     def on_end(self, executor: Executor, run: Run, how: RunEnd) -> None:
         """Note an end; a gang breaks with any end but the common one."""
         self.ended_at.setdefault((run.task, run.run), trio.current_time())
--- a/src/galenastall/standin/cell/live_world.py
+++ b/src/galenastall/standin/cell/live_world.py
@@ -36,6 +36,7 @@
 
     steps: tuple[StepPayload, ...]
     attempts: int = 1
+    workspace: str = ""
 
 
 class LiveWorld(ExecutorWorld):
@@ -57,6 +58,10 @@
     def _payload_of(self, task: TaskKey) -> StepPayload:
         return self._payloads_by_job[task.job].steps[task.step]
 
+    def workspace_of(self, task: TaskKey) -> str:
+        """Return the workspace that a task's payload names."""
+        return self._payloads_by_job[task.job].workspace
+
     def step_of(self, task: TaskKey) -> Step:
         """Return the step that a task belongs to."""
         return self._payload_of(task).to_step()
--- a/src/galenastall/state/cell/jobs.py
+++ b/src/galenastall/state/cell/jobs.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from galenastall.state.cell.workspaces import NO_WORKSPACE
 from galenastall.state.resources import Resources
 
 
@@ -107,3 +108,5 @@
     recurrence: Recurrence | None = None
     submitted_at: float = 0.0
     """Wall time in seconds at which an entry host read the request."""
+    workspace: str = NO_WORKSPACE
+    """Name of the workspace that owns it."""
--- a/src/galenastall/state/cell/rows.py
+++ b/src/galenastall/state/cell/rows.py
@@ -7,6 +7,7 @@
 from galenastall.state.cell.hosts import MOVE_PREFIX, WAVE_PREFIX, MoveRow, WaveRow
 from galenastall.state.cell.jobs import CellJob
 from galenastall.state.cell.phases import JobPhase, TaskPhase
+from galenastall.state.cell.workspaces import NO_WORKSPACE
 
 JOB_PREFIX: Final = "job/"
 """Keys of definitions; dropped when the job has ended."""
@@ -57,6 +58,8 @@
     tasks: tuple[TaskRow, ...] = ()
     done_before: int = 0
     """All occurrences with lower numbers are done; they are not named one by one."""
+    workspace: str = NO_WORKSPACE
+    """Owner of the job; its definition is dropped before this row."""
 
 
 class Rows(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/src/galenastall/state/cell/workspaces.py
@@ -0,0 +1,57 @@
+"""Workspaces of a cell: who owns jobs, what they may run at once, and their shares."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from galenastall.state.resources import NOTHING, Resources
+
+NO_WORKSPACE: Final = ""
+"""Owner of a job that was handed in on a public queue."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Workspace:
+    """One workspace, from the configuration in force when it was read."""
+
+    name: str
+    weight: float = 1.0
+    """Its share when not all fits, and the jobs a second that are on its account."""
+    limit: Resources = NOTHING
+    """What its tasks may have at once across all executors; 0 of a resource is no limit."""
+
+    def allows(self, used: Resources) -> bool:
+        """Whether it may have so much at once."""
+        limit = self.limit
+        return (
+            _is_within(used.cores_milli, limit.cores_milli)
+            and _is_within(used.memory_mb, limit.memory_mb)
+            and _is_within(used.accelerators, limit.accelerators)
+        )
+
+    def room_for(self, need: Resources, *, used: Resources, most: int) -> int:
+        """Return how many of `need` it may add to what it uses, `most` at the highest."""
+        limit = self.limit
+        count = min(
+            _count(need.cores_milli, limit.cores_milli, used.cores_milli, most),
+            _count(need.memory_mb, limit.memory_mb, used.memory_mb, most),
+            _count(need.accelerators, limit.accelerators, used.accelerators, most),
+        )
+        return max(count, 0)
+
+
+def _is_within(amount: int, limit: int) -> bool:
+    return limit <= 0 or amount <= limit
+
+
+def _count(need: int, limit: int, used: int, most: int) -> int:
+    if limit <= 0 or need <= 0:
+        return most
+    return min((limit - used) // need, most)
+
+
+def may_see(*, owner: str, workspace: str) -> bool:
+    """Whether a caller of `workspace` may see and cancel a job of `owner`.
+
+    A job without an owner is open to all callers of its queue.
+    """
+    return owner in {NO_WORKSPACE, workspace}
--- a/tests/cell/play.py
+++ b/tests/cell/play.py
@@ -6,7 +6,7 @@
 import trio
 
 from cell.cluster import Cluster, make_job
-from cell.trouble import crashes, restarts, trouble
+from cell.trouble import crashes, draw_workspaces, quota_changes, restarts, trouble
 from cell.world import World
 from galenastall.state.cell.phases import JobPhase
 
@@ -80,6 +80,13 @@
     assert world.starts > 50
 
 
+async def changed_quotas_in_trouble(cluster: Cluster, world: World, rng: Random) -> None:
+    """Hand in jobs of some workspaces through random trouble while their limits change."""
+    world.set_workspaces(*draw_workspaces(rng))
+    cluster.nursery.start_soon(quota_changes, world, rng, trio.current_time() + 40.0)
+    await random_trouble(cluster, world, rng)
+
+
 async def restarts_in_trouble(
     cluster: Cluster,
     world: World,
--- a/tests/cell/trouble.py
+++ b/tests/cell/trouble.py
@@ -8,6 +8,8 @@
 from cell.cluster import Cluster
 from cell.world import World
 from galenastall.state.cell.executor_ids import executor_name
+from galenastall.state.cell.workspaces import Workspace
+from galenastall.state.resources import Resources
 
 Trouble = Callable[[Cluster, World, Random], Awaitable[bool]]
 """Begins some trouble; returns whether it has ended already."""
@@ -151,3 +153,25 @@
         world.start_executor(victim.info.host)
         await trio.sleep(rng.uniform(0.0, 3.0))
         world.delist(victim)
+
+
+WORKSPACES = ("large", "small", "tiny")
+CORES_AT_WORST = 12_000
+"""What the widest step needs."""
+
+
+def draw_workspaces(rng: Random) -> list[Workspace]:
+    """Return workspaces of which some have limits below what their widest gangs need."""
+    cores = [rng.choice([0, 2_000, CORES_AT_WORST, 20_000]) for _ in WORKSPACES]
+    return [
+        Workspace(name=name, limit=Resources(cores_milli=limit))
+        for name, limit in zip(WORKSPACES, cores, strict=True)
+    ]
+
+
+async def quota_changes(world: World, rng: Random, until: float) -> None:
+    """Change the limits of workspaces now and then, at times far below what they use."""
+    while trio.current_time() < until:
+        world.set_workspaces(*draw_workspaces(rng))
+        await trio.sleep(rng.uniform(2.0, 8.0))
+    world.set_workspaces(*(Workspace(name=name) for name in WORKSPACES))
--- a/tests/cell/world.py
+++ b/tests/cell/world.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any
 
@@ -24,6 +24,7 @@
 from galenastall.state.cell.executor_ids import executor_name, make_executor_id
 from galenastall.state.cell.hosts import MaintenanceWave, PoolHost
 from galenastall.state.cell.jobs import CellJob, Queue, Step, TaskKey
+from galenastall.state.cell.workspaces import Workspace
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId
 from galenastall.state.resources import Resources
@@ -144,6 +145,15 @@
         if name in self.listed:
             self.listed[name] = executor.info
 
+    def workspace_of(self, task: TaskKey) -> str:
+        return self.jobs[task.job].workspace
+
+    def set_workspaces(self, *workspaces: Workspace) -> None:
+        """Have the operator write a version with these workspaces."""
+        version = self.config.version + 1
+        self.config = replace(self.config, version=version, workspaces=workspaces)
+        self.quotas.set_workspaces(workspaces)
+
     def step_of(self, task: TaskKey) -> Step:
         return self.jobs[task.job].steps[task.step]
 
@@ -264,6 +274,9 @@
         await trio.sleep(0.5)
         return await self._call("store", 1.0, lambda: self.world.config)
 
+    async def newest(self) -> Result[CellConfig | None, StepError]:
+        return await self._call("store", 1.0, lambda: self.world.config)
+
     def waves(self) -> tuple[MaintenanceWave, ...]:
         return tuple(self.world.hosts.waves)
 
