Keep what workspaces have at once within their limits

Cause: nothing counted what a workspace runs. Now a run counts from its assignment until its end is proven, whichever executor it may be on; a gang starts whole or not at all, and holds back what is behind it in its workspace, or small tasks would take each bit of the limit. One that is wider than its workspace may ever run waits: the operator may raise the limit, and the caller may cancel. After a limit has fallen nothing more leaves: starts being made durable are withheld, and starts without an answer are stopped instead of sent again.

--- a/src/galenastall/coordination/cell/batches.py
+++ b/src/galenastall/coordination/cell/batches.py
@@ -89,19 +89,28 @@
         return [order for order in batch.starts if self._may_leave(order, wall)]
 
     def _withhold_what_has_no_room(self, orders: Iterable[StartOrder], wall: float) -> None:
-        """Take back starts whose executor's capacity shrank while they were made durable.
+        """Take back starts whose room or quota shrank while they were made durable.
 
         An executor that does not guard its capacity would start them. The last to be placed goes
         first; a gang waits as a whole.
         """
         for order in reversed(list(orders)):
-            executor = self._state.executors_by_id.get(order.executor_id)
-            if executor is None or not executor.is_over or not self._state.find_ordered(order):
+            cause = self._why_withheld(order)
+            if not cause or not self._state.find_ordered(order):
                 continue
             fields = {"run": str(order.run), "executor": order.executor_id}
-            self._state.note("run.withheld", order.task.job, cause="no room left", fields=fields)
+            self._state.note("run.withheld", order.task.job, cause=cause, fields=fields)
             self._ends.apply(order.task, order.run, RunEnd.NEVER_STARTED, wall=wall)
 
+    def _why_withheld(self, order: StartOrder) -> str:
+        executor = self._state.executors_by_id.get(order.executor_id)
+        if executor is not None and executor.is_over:
+            return "no room left"
+        job = self._state.jobs_by_id.get(order.task.job)
+        if job is not None and self._state.workspaces.is_over(job.job.workspace):
+            return "no quota left"
+        return ""
+
     def _on_durable(self, run: JobRun) -> None:
         run.shown_phase = self._shown(run)
         self._on_durable_in_part(run)
--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -10,6 +10,7 @@
 from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.coordination.cell.task_runs import TaskRun
 from galenastall.coordination.cell.timings import CellTimings
+from galenastall.coordination.cell.workspace_use import WorkspaceUse
 from galenastall.state.cell.jobs import Queue, StepKey, TaskKey
 from galenastall.state.cell.phases import TaskPhase
 
@@ -30,6 +31,7 @@
         self.jobs_by_id: dict[str, JobRun] = {}
         self.executors_by_id: dict[str, Executor] = {}
         self.queues_by_name: dict[str, Queue] = {}
+        self.workspaces = WorkspaceUse()
         self.named_services: frozenset[str] | None = None
         """Services that the configuration names; None before the first configuration."""
         self.waiting_steps: set[StepKey] = set()
@@ -124,13 +126,20 @@
         task.assign(run=run, executor_id=executor.executor_id, now=now)
         executor.take(step.step.need)
         executor.runs_by_task[task.key] = run
+        self.count_run(task, step)
         self.dirty_jobs.add(task.key.job)
 
+    def count_run(self, task: TaskRun, step: StepRun) -> None:
+        """Count an assigned run against the limit of its workspace."""
+        job = self.jobs_by_id[task.key.job].job
+        self.workspaces.add(task.key, workspace=job.workspace, need=step.step.need)
+
     def free(self, task: TaskRun, step: StepRun) -> Executor | None:
         """Give back the room of a task's run, which has ended; return its executor if known."""
         executor = self.executors_by_id.get(task.executor_id)
         if executor is not None and executor.runs_by_task.pop(task.key, None) is not None:
             executor.give_back(step.step.need)
+        self.workspaces.remove(task.key)
         self.dirty_jobs.add(task.key.job)
         return executor
 
--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -49,6 +49,7 @@
                 executor.is_listed = False
             executor.take(step.step.need)
             executor.runs_by_task[task.key] = task.run
+            self._state.count_run(task, step)
 
     def update(self, infos: Iterable[ExecutorInfo], *, now: float) -> None:
         """Take the list as it is now; which of two incarnations is over, only answers tell."""
@@ -93,6 +94,16 @@
             if found is not None and found[2].state is StartState.UNSURE:
                 self._ends.stop_for_room(found[2])
 
+    def stop_unanswered_over_limits(self) -> None:
+        """Stop the runs whose starts would be sent again, of workspaces over their limits."""
+        for executor in self._state.executors_by_id.values():
+            for key in executor.runs_by_task:
+                found = self._state.find(key)
+                if found is None or found[2].state is not StartState.UNSURE:
+                    continue
+                if self._state.workspaces.is_over(found[0].job.workspace):
+                    self._ends.stop_for_room(found[2])
+
     def _miss(self, executor: Executor, now: float) -> None:
         if executor.is_listed:
             executor.is_listed = False
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -233,6 +233,7 @@
             ended_at=self.ended_at,
             tasks=tasks,
             done_before=self.done_before,
+            workspace=self.job.workspace,
         )
 
     def restore(self, row: ProgressRow, *, wall: float) -> None:
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -83,7 +83,9 @@
         if task.is_stopping:
             return False
         executor = self._state.executors_by_id.get(task.executor_id)
-        if executor is not None and executor.is_over:
+        job = self._state.jobs_by_id[task.key.job].job
+        has_room = executor is None or not executor.is_over
+        if not has_room or self._state.workspaces.is_over(job.workspace):
             self._ends.stop_for_room(task)
             return False
         if task.tries < self._state.timings.start_tries:
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -66,6 +66,7 @@
         if not open_executors:
             return
         self._gang_turns.begin(self._state.waiting_steps)
+        self._state.workspaces.begin_decision()
         for waiting, usable in self._looked_at(_Usable(open_executors), now, wall):
             self._place(waiting, usable)
         self._forecast.forget()
@@ -124,10 +125,26 @@
             self.sight.note(waiting.step.key, WaitReason.LAST_RUN_ENDING)
         elif not tasks or (is_gang and len(tasks) < len(waits)):
             self.sight.note(waiting.step.key, WaitReason.REFUSED)
-        elif is_gang:
-            self._place_gang(waiting, tasks, usable)
-        else:
-            self._place_singly(waiting, tasks, usable)
+        elif tasks := self._within_quota(waiting, tasks):
+            if is_gang:
+                self._place_gang(waiting, tasks, usable)
+            else:
+                self._place_singly(waiting, tasks, usable)
+
+    def _within_quota(self, waiting: WaitingStep, tasks: list[TaskRun]) -> list[TaskRun]:
+        """Return the tasks that the workspace may start now, and note why others may not."""
+        workspaces, step = self._state.workspaces, waiting.step.step
+        name = waiting.job.job.workspace
+        allowed = workspaces.startable(name, step, len(tasks))
+        if allowed == len(tasks):
+            return tasks
+        if not workspaces.may_ever_start(name, step):
+            self.sight.note(waiting.step.key, WaitReason.OVER_QUOTA)
+            return []
+        self.sight.note(waiting.step.key, WaitReason.QUOTA_USED)
+        if step.is_gang and not waiting.is_worthless:
+            workspaces.hold_for_gang(name)
+        return tasks[:allowed]
 
     def _place_singly(
         self, waiting: WaitingStep, tasks: list[TaskRun], usable: OpenExecutors
--- a/src/galenastall/coordination/cell/run_ends.py
+++ b/src/galenastall/coordination/cell/run_ends.py
@@ -158,7 +158,7 @@
 
     def stop_for_room(self, task: TaskRun) -> None:
         """Stop a run whose start got no answer, where sending it again would be too much."""
-        self.stop(task, rule=StopRule.ROOM_SHRANK, cause="no answer, and no room left")
+        self.stop(task, rule=StopRule.ROOM_SHRANK, cause="no answer, and no room or quota left")
 
     def stop(self, task: TaskRun, *, rule: StopRule, cause: str) -> None:
         """Have a task's run stopped; the next decision orders it, and again until it has ended."""
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -43,6 +43,8 @@
     ProgressRow,
     Rows,
 )
+from galenastall.state.cell.workspaces import Workspace
+from galenastall.state.resources import Resources
 
 TIDY_EVERY_S: Final = 1.0
 """Between two looks through all jobs; a thousand of them take half a millisecond."""
@@ -109,6 +111,11 @@
         """Waiting steps by what kept them from starting, as last reported."""
         return dict(self._waiting.steps_by_reason)
 
+    @property
+    def used_by_workspace(self) -> dict[str, Resources]:
+        """What each workspace may have running now."""
+        return dict(self._state.workspaces.used_by_name)
+
     @property
     def stopped_by_rule(self) -> dict[StopRule, int]:
         """Runs that this leader has stopped so far."""
@@ -144,7 +151,10 @@
             cause = f"a stored job is {progress.phase.value} and has no definition"
             self._state.note("rows.unreadable", cause=cause, fields={"key": job_id})
         queue = Queue(name=progress.queue_name, service="")
-        run = JobRun(job=CellJob(job_id=job_id, queue=queue, payload="", steps=()))
+        ended = CellJob(
+            job_id=job_id, queue=queue, payload="", steps=(), workspace=progress.workspace
+        )
+        run = JobRun(job=ended)
         run.restore(progress, wall=progress.ended_at)
         self._state.jobs_by_id[job_id] = run
 
@@ -152,6 +162,11 @@
         """Take the queues of a newer configuration."""
         self._state.queues_by_name = {queue.name: queue for queue in queues}
 
+    def set_workspaces(self, workspaces: Iterable[Workspace]) -> None:
+        """Take the workspaces of a newer configuration; what a lower limit forbids is held back."""
+        self._state.workspaces.set_workspaces(workspaces)
+        self._fleet.stop_unanswered_over_limits()
+
     def set_services(self, services: frozenset[str]) -> None:
         """Take the services of a newer configuration; executors of others are not used."""
         self._state.named_services = services
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -230,6 +230,7 @@
         if config is not None and config.version != self._config_version:
             self._config_version = config.version
             self.core.set_queues(config.queues())
+            self.core.set_workspaces(config.workspaces)
             self.core.set_services(config.named_services)
             self.core.hosts.set_standby(config.standby_services)
 
--- a/tests/cell/cluster.py
+++ b/tests/cell/cluster.py
@@ -11,6 +11,7 @@
 from galenastall.protocol.cell.messages import SubmitVerdict
 from galenastall.state.cell.jobs import CellJob, Step
 from galenastall.state.cell.phases import ENDED_PHASES, JobPhase
+from galenastall.state.cell.workspaces import NO_WORKSPACE
 from galenastall.state.ids import HostId
 from galenastall.state.resources import Resources
 from galenastall.state.timeline_ring import TimelineRing
@@ -136,7 +137,12 @@
             if host is None:
                 await trio.sleep(0.5)
                 continue
-            submitted = await host.desk.submit(job, patience_s=3.0)
+            if not self._is_admitted(host, job):
+                await trio.sleep(0.5)
+                continue
+            submitted = await host.desk.submit(
+                job, patience_s=3.0, config_version=host.config.version
+            )
             if submitted.verdict is SubmitVerdict.ACCEPTED:
                 self.accepted.add(job.job_id)
                 return True
@@ -146,12 +152,19 @@
             self.refused.add(job.job_id)
         return False
 
+    def _is_admitted(self, host: CellHost, job: CellJob) -> bool:
+        """Whether the configuration in force at a host names the workspace of a job."""
+        config = host.config.current()
+        names = [workspace.name for workspace in config.workspaces] if config else []
+        return job.workspace in {NO_WORKSPACE, *names}
+
     async def cancel(self, job_id: str) -> bool:
         host = self.any_host()
         if host is None:
             return False
         self.cancel_asked.add(job_id)
-        answer = await host.desk.cancel(job_id, patience_s=3.0)
+        workspace = self.world.jobs[job_id].workspace
+        answer = await host.desk.cancel(job_id, patience_s=3.0, workspace=workspace)
         if answer.value_or(None) is JobPhase.CANCELLED:
             self.cancelled.add(job_id)
             return True
@@ -162,7 +175,8 @@
         while True:
             host = self.any_host()
             if host is not None:
-                answer = await host.desk.phase(job_id, patience_s=3.0)
+                workspace = self.world.jobs[job_id].workspace
+                answer = await host.desk.phase(job_id, patience_s=3.0, workspace=workspace)
                 if answer.value_or("no answer") != "no answer":
                     return answer.unwrap()
             await trio.sleep(0.2)
@@ -192,8 +206,10 @@
     steps = [_make_step(rng, ())]
     if rng.random() < 0.4:
         steps.append(_make_step(rng, (0,)))
+    names = [workspace.name for workspace in world.config.workspaces]
     return CellJob(
         job_id=f"{number:016x}",
+        workspace=rng.choice(names) if names else NO_WORKSPACE,
         queue=world.queue,
         payload=f"payload {number}",
         steps=tuple(steps),
