Let callers in by their keys, and serve each call by the leader's configuration

A key is decoded to its workspace in platform/access.py; only digests are kept. Calls without a known key get 401 before their body is read, after one shared look for a newer version at the store and at the host heard of last (three looks a second at most). Versions travel with hellos, beats and calls, so a host that the store turns away follows through any other. Each call names the version that let it in; the leader has it let in anew where its own version is newer by more than a second: a host that goes on by an old version serves keys that are gone, and one that refuses after a bound turns away callers who are in the right in each outage. Jobs are seen by their workspace only.

--- a/src/galenastall/node/cell/caller_desk.py
+++ b/src/galenastall/node/cell/caller_desk.py
@@ -1,13 +1,15 @@
 """Callers' operations on jobs, from any entry host: found leader, retries, true refusals."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import trio
 from returns.result import Failure, Result, Success
 
-from galenastall.node.cell.leader_desk import SHARE_OF_PATIENCE
+from galenastall.coordination.cell.config_age import UNKNOWN_VERSION
+from galenastall.node.cell.config_keeper import ConfigKeeper
+from galenastall.node.cell.leader_desk import SHARE_OF_PATIENCE, LeaderDesk
 from galenastall.node.cell.standing import Standing
 from galenastall.protocol.cell.messages import (
     AskJob,
@@ -22,6 +24,7 @@
 from galenastall.protocol.peers import PeerLink
 from galenastall.state.cell.jobs import CellJob
 from galenastall.state.cell.phases import JobPhase
+from galenastall.state.cell.workspaces import NO_WORKSPACE
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId
 
@@ -34,6 +37,7 @@
 ANSWER_MARGIN_S: Final = 0.15
 """Kept of a caller's time for the way back."""
 RETRY_S: Final = 0.05
+_Call = TypeVar("_Call", SubmitJob, AskJob, CancelJob, CountPending)
 RETRY_AFTER_S: Final = 1.0
 """When callers are told to come back: by then a takeover is mostly over."""
 
@@ -45,6 +49,10 @@
     verdict: SubmitVerdict
     cause: str = ""
     retry_after_s: float = RETRY_AFTER_S
+    is_outdated: bool = False
+    """Whether the leader has a newer configuration, by which the caller must be let in anew."""
+    may_be_stored: bool = False
+    """Whether a try may have stored the job."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -83,9 +91,12 @@
 class CallerDesk:
     """Passes callers' operations to the leader."""
 
-    def __init__(self, *, host_id: HostId, link: PeerLink, standing: Standing) -> None:
+    def __init__(
+        self, *, host_id: HostId, link: PeerLink, standing: Standing, config: ConfigKeeper
+    ) -> None:
         """Answer here if this host leads, else through `link`."""
         self._host_id = host_id
+        self._config = config
         self._link = link
         self._standing = standing
         link.handle(SubmitJob, self._on_submit)
@@ -93,21 +104,29 @@
         link.handle(CancelJob, self._on_cancel)
         link.handle(CountPending, self._on_count)
 
-    async def submit(self, job: CellJob, *, patience_s: float) -> Submitted:
+    async def submit(
+        self,
+        job: CellJob,
+        *,
+        patience_s: float,
+        config_version: int = UNKNOWN_VERSION,
+        may_be_stored: bool = False,
+    ) -> Submitted:
         """Hand a job in; NOT_RUN only if it is stored nowhere and never will be.
 
         Only a leader can say that: without one, an earlier try of the same job may have been taken
-        elsewhere.
+        elsewhere. `may_be_stored` says so of an earlier call here.
         """
         patience = _Patience.of(patience_s, now=trio.current_time())
-        may_be_stored = False
         cause = "no leader is heard"
         # A leader that went away may have stored the job; the next one knows within a second.
         while trio.current_time() < patience.end(may_be_stored=may_be_stored):
             now = trio.current_time()
             if not self._standing.is_heard and now >= patience.unheard_until:
                 break
-            message = SubmitJob(job=job, patience_s=patience.until - now)
+            message = SubmitJob(
+                job=job, patience_s=patience.until - now, config_version=config_version
+            )
             answer = await self._call(message, patience.answer_s(now))
             if isinstance(answer, Success):
                 found: SubmitAnswer = answer.unwrap()
@@ -118,20 +137,69 @@
                 error = answer.failure()
                 may_be_stored = may_be_stored or error.may_have_taken_effect
                 cause = str(error)
+                if error.reason is Reason.CONFLICT:
+                    return Submitted(
+                        verdict=SubmitVerdict.UNKNOWN,
+                        cause=cause,
+                        is_outdated=True,
+                        may_be_stored=may_be_stored,
+                    )
             await trio.sleep(RETRY_S)
         return Submitted(verdict=SubmitVerdict.UNKNOWN, cause=cause)
 
-    async def phase(self, job_id: str, *, patience_s: float) -> Result[JobPhase | None, StepError]:
-        """Return a job's phase, None if there is no such job."""
-        return await self._ask(lambda left: AskJob(job_id=job_id, patience_s=left), patience_s)
+    async def phase(
+        self,
+        job_id: str,
+        *,
+        patience_s: float,
+        workspace: str = NO_WORKSPACE,
+        config_version: int = UNKNOWN_VERSION,
+    ) -> Result[JobPhase | None, StepError]:
+        """Return a job's phase, None if the workspace has no such job.
+
+        CONFLICT: the leader has a newer configuration, by which the caller must be let in anew.
+        """
+        return await self._ask(
+            lambda left: AskJob(
+                job_id=job_id,
+                patience_s=left,
+                workspace=workspace,
+                config_version=config_version,
+            ),
+            patience_s,
+        )
+
+    async def cancel(
+        self,
+        job_id: str,
+        *,
+        patience_s: float,
+        workspace: str = NO_WORKSPACE,
+        config_version: int = UNKNOWN_VERSION,
+    ) -> Result[JobPhase | None, StepError]:
+        """Cancel a job; returns its phase, None if the workspace has no such job.
+
+        CONFLICT: the leader has a newer configuration, by which the caller must be let in anew.
+        """
+        return await self._ask(
+            lambda left: CancelJob(
+                job_id=job_id,
+                patience_s=left,
+                workspace=workspace,
+                config_version=config_version,
+            ),
+            patience_s,
+        )
 
-    async def cancel(self, job_id: str, *, patience_s: float) -> Result[JobPhase | None, StepError]:
-        """Cancel a job; returns its phase, None if there is no such job."""
-        return await self._ask(lambda left: CancelJob(job_id=job_id, patience_s=left), patience_s)
+    async def pending(
+        self, queue_name: str, *, patience_s: float, config_version: int = UNKNOWN_VERSION
+    ) -> Result[int, StepError]:
+        """Return how many accepted jobs of a queue have had no start.
 
-    async def pending(self, queue_name: str, *, patience_s: float) -> Result[int, StepError]:
-        """Return how many accepted jobs of a queue have had no start."""
-        answer = await self._repeat(lambda _: CountPending(queue_name=queue_name), patience_s)
+        CONFLICT: the leader has a newer configuration, by which the caller must be let in anew.
+        """
+        message = CountPending(queue_name=queue_name, config_version=config_version)
+        answer = await self._repeat(lambda _: message, patience_s)
         return answer.map(_count_of)
 
     async def _ask(
@@ -149,7 +217,7 @@
         while trio.current_time() < until:
             left_s = until - trio.current_time()
             answer = await self._call(build(left_s), left_s)
-            if isinstance(answer, Success):
+            if isinstance(answer, Success) or answer.failure().reason is Reason.CONFLICT:
                 return answer
             await trio.sleep(RETRY_S)
         return answer
@@ -170,33 +238,38 @@
         return answer
 
     def _failure(self, reason: Reason, detail: str) -> Result[Any, StepError]:
-        return Failure(
-            StepError(step="cell.call", peer=self._host_id, reason=reason, detail=detail)
-        )
+        return Failure(self._refusal(reason, detail))
 
-    async def _on_submit(self, _: HostId, message: SubmitJob) -> Any:
-        desk = self._standing.desk
-        return self._not_leading() if desk is None else await desk.submit(message)
+    async def _on_submit(self, sender: HostId, message: SubmitJob) -> Any:
+        return await self._serve(sender, message, LeaderDesk.submit)
 
-    async def _on_ask(self, _: HostId, message: AskJob) -> Any:
-        desk = self._standing.desk
-        return self._not_leading() if desk is None else await desk.ask(message)
+    async def _on_ask(self, sender: HostId, message: AskJob) -> Any:
+        return await self._serve(sender, message, LeaderDesk.ask)
 
-    async def _on_cancel(self, _: HostId, message: CancelJob) -> Any:
-        desk = self._standing.desk
-        return self._not_leading() if desk is None else await desk.cancel(message)
+    async def _on_cancel(self, sender: HostId, message: CancelJob) -> Any:
+        return await self._serve(sender, message, LeaderDesk.cancel)
 
-    async def _on_count(self, _: HostId, message: CountPending) -> Any:
+    async def _on_count(self, sender: HostId, message: CountPending) -> Any:
+        return await self._serve(sender, message, LeaderDesk.count_pending)
+
+    async def _serve(
+        self,
+        sender: HostId,
+        message: _Call,
+        serve: Callable[[LeaderDesk, _Call], Awaitable[Any]],
+    ) -> Any:
+        """Answer a call to the leader, unless it was let in by a configuration that is outdated."""
+        self._config.hear_of(message.config_version, sender)
         desk = self._standing.desk
-        return self._not_leading() if desk is None else await desk.count_pending(message)
-
-    def _not_leading(self) -> StepError:
-        return StepError(
-            step="cell.call",
-            peer=self._host_id,
-            reason=Reason.NOT_OWNER,
-            detail="this host does not lead",
-        )
+        if desk is None:
+            return self._refusal(Reason.NOT_OWNER, "this host does not lead")
+        if self._config.is_outdated(message.config_version):
+            detail = f"version {message.config_version} of the configuration is outdated"
+            return self._refusal(Reason.CONFLICT, detail)
+        return await serve(desk, message)
+
+    def _refusal(self, reason: Reason, detail: str) -> StepError:
+        return StepError(step="cell.call", peer=self._host_id, reason=reason, detail=detail)
 
 
 async def _cancel_when(event: trio.Event, scope: trio.CancelScope) -> None:
--- a/src/galenastall/node/cell/cell_host.py
+++ b/src/galenastall/node/cell/cell_host.py
@@ -83,7 +83,10 @@
         self.config = ConfigKeeper(port=ports.config, link=self.link, recorder=recorder)
         AdviceProxy(link=self.link, advisor=ports.advisor)
         self.members = Membership(
-            link=self.link, address=settings.peer_address, weight=settings.weight
+            link=self.link,
+            address=settings.peer_address,
+            weight=settings.weight,
+            config=self.config,
         )
         self.standing = Standing(
             host_id=settings.host_id,
@@ -110,7 +113,9 @@
             timings=timings,
             on_newer_config=lambda version: self.config.hear_of(version, self.standing.leader),
         )
-        self.desk = CallerDesk(host_id=settings.host_id, link=self.link, standing=self.standing)
+        self.desk = CallerDesk(
+            host_id=settings.host_id, link=self.link, standing=self.standing, config=self.config
+        )
 
     def _helpers(self) -> tuple[HostId, ...]:
         return self.standing.helpers()
--- a/src/galenastall/node/cell/leader_desk.py
+++ b/src/galenastall/node/cell/leader_desk.py
@@ -18,6 +18,7 @@
     SubmitVerdict,
 )
 from galenastall.state.cell.phases import ENDED_PHASES
+from galenastall.state.cell.workspaces import may_see
 from galenastall.state.errors import Reason, StepError
 
 BEGIN_WITHIN_S: Final = 0.7
@@ -48,6 +49,8 @@
         if term.store_away_s > STORE_AWAY_S and message.job.job_id not in term.core.jobs_by_id:
             return self._not_taken()
         run = term.core.submit(message.job, wall=term.context.wall())
+        if not may_see(owner=run.job.workspace, workspace=message.job.workspace):
+            return SubmitAnswer(verdict=SubmitVerdict.TAKEN, cause="another workspace has this id")
         term.want_commit()
         patience_s = SHARE_OF_PATIENCE * message.patience_s
         await self._wait_durable(run, min(patience_s, BEGIN_WITHIN_S))
@@ -84,13 +87,13 @@
         """Return a job's durable phase."""
         if not await self._is_ready(message.patience_s):
             return self._error(Reason.NOT_OWNER, "not leading yet")
-        run = self._term.core.jobs_by_id.get(message.job_id)
+        run = self._find(message)
         if run is not None and run.is_durable:
             return JobAnswer(phase=run.shown_phase)
         # Only a leader whom the store confirms after the question may say that a job is unknown.
         if not await self._confirm(message.patience_s):
             return self._error(Reason.UNAVAILABLE, "the store does not confirm this leader")
-        run = self._term.core.jobs_by_id.get(message.job_id)
+        run = self._find(message)
         is_known = run is not None and run.is_durable
         return JobAnswer(phase=run.shown_phase if run is not None and is_known else None)
 
@@ -99,11 +102,12 @@
         if not await self._is_ready(message.patience_s):
             return self._error(Reason.NOT_OWNER, "not leading yet")
         term = self._term
-        run = term.core.cancel(message.job_id, wall=term.context.wall())
+        run = self._find(message)
         if run is None:
             if not await self._confirm(message.patience_s):
                 return self._error(Reason.UNAVAILABLE, "the store does not confirm this leader")
             return JobAnswer(phase=None)
+        term.core.cancel(message.job_id, wall=term.context.wall())
         term.want_commit()
         term.context.wake()
         with trio.move_on_after(message.patience_s):
@@ -113,6 +117,13 @@
             return JobAnswer(phase=run.shown_phase)
         return self._error(Reason.TIMEOUT, "cancelled, and not yet durable")
 
+    def _find(self, message: AskJob | CancelJob) -> JobRun | None:
+        """Return the job that is asked for; None if the caller's workspace has none of that id."""
+        run = self._term.core.jobs_by_id.get(message.job_id)
+        if run is None or not may_see(owner=run.job.workspace, workspace=message.workspace):
+            return None
+        return run
+
     async def count_pending(self, message: CountPending) -> PendingAnswer | StepError:
         """Return how many jobs of a queue wait for their first start."""
         if not self._term.ready.is_set():
--- a/src/galenastall/node/cell/membership.py
+++ b/src/galenastall/node/cell/membership.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from galenastall.node.cell.config_keeper import ConfigKeeper
 from galenastall.node.cell.heard_hosts import HeardHosts
 from galenastall.node.cell.heartbeats import ToldAddresses
 from galenastall.node.cell.loop_lag import LoopLag
@@ -21,8 +22,11 @@
 class Membership:
     """Knows where other hosts are reached, and makes this host known."""
 
-    def __init__(self, *, link: PeerLink, address: str, weight: float) -> None:
+    def __init__(
+        self, *, link: PeerLink, address: str, weight: float, config: ConfigKeeper
+    ) -> None:
         """`address` is where peers reach this host, `weight` the cores that it can lead with."""
+        self._config = config
         self._link = link
         self._started_at = trio.current_time()
         self._addresses_by_host: dict[str, str] = {}
@@ -59,6 +63,7 @@
             is_leaving=self.is_leaving,
             lag_s=self.lag.seconds,
             is_willing=trio.current_time() >= self._unwilling_until,
+            config_version=self._config.version,
         )
         self._link.send(peer=HostId(leader), message=message)
 
@@ -92,6 +97,7 @@
         if self.heard.on_hello(sender, hello, trio.current_time()):
             self._told.forget(sender)
         self._set_address(sender, hello.address)
+        self._config.hear_of(hello.config_version, sender)
 
     def _set_address(self, host: str, address: str) -> None:
         if self._addresses_by_host.get(host) != address:
--- a/src/galenastall/platform/config.py
+++ b/src/galenastall/platform/config.py
@@ -6,12 +6,15 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from galenastall.platform.access import digest_of
 from galenastall.platform.calls import Address, PlatformCalls
 from galenastall.platform.entries import decode_entry
 from galenastall.platform.keyed_follower import KeyedFollower
-from galenastall.protocol.cell.config import CellConfig, QueueRoute
+from galenastall.protocol.cell.config import CellConfig, Credential, QueueRoute
 from galenastall.state.cell.jobs import AdvisorTiming, Queue
+from galenastall.state.cell.workspaces import Workspace
 from galenastall.state.errors import Reason, StepError
+from galenastall.state.resources import Resources
 from galenastall.transport.logs import Recorder
 
 TOPIC: Final = "keyed.op"
@@ -49,6 +52,7 @@
     stretch: float = 1.0
     target_latency_ms: float = 0.0
     placement_advisor: WireAdvisor | None = None
+    public: bool = False
 
     def to_route(self) -> QueueRoute:
         """Return the product's type."""
@@ -56,6 +60,7 @@
         return QueueRoute(
             host=self.host,
             path_prefix=self.path_prefix,
+            is_public=self.public,
             queue=Queue(
                 name=self.name,
                 service=self.service,
@@ -75,12 +80,50 @@
     standby: bool = False
 
 
+class WireLimit(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """What a tenant may have running across all executors; 0 is no limit."""
+
+    cpu: int = 0
+    """Thousandths of a core."""
+    memory_request_mb: int = 0
+    gpus: int = 0
+
+    def to_resources(self) -> Resources:
+        """Return the product's type."""
+        return Resources(
+            cores_milli=self.cpu, memory_mb=self.memory_request_mb, accelerators=self.gpus
+        )
+
+
+class WireTenant(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """A tenant, with the keys that its callers show."""
+
+    name: str = ""
+    api_keys: list[str] = []
+    weight: float = 1.0
+    upper_limit: WireLimit = WireLimit()
+
+    def to_workspace(self) -> Workspace:
+        """Return the product's type."""
+        return Workspace(name=self.name, weight=self.weight, limit=self.upper_limit.to_resources())
+
+    def to_credentials(self) -> list[Credential]:
+        """Return its keys as the product keeps them."""
+        return [Credential(digest=digest_of(key), workspace=self.name) for key in self.api_keys]
+
+
 class WireConfig(msgspec.Struct, frozen=True, kw_only=True):
     """One version, whole."""
 
     version: int
     routes: list[WireRoute] = []
     services: list[WireService] = []
+    tenants: list[WireTenant] | None = None
+    """None in deployments without tenants."""
+
+    def problem(self) -> str:
+        """Return what is wrong with the tenants, naming field and value; no key is shown."""
+        return _problem_of(self.tenants or [])
 
     def to_config(self) -> CellConfig:
         """Return the product's type."""
@@ -89,9 +132,39 @@
             routes=tuple(route.to_route() for route in self.routes),
             services=frozenset(service.name for service in self.services),
             standby_services=frozenset(s.name for s in self.services if s.standby),
+            workspaces=tuple(tenant.to_workspace() for tenant in self.tenants or []),
+            credentials=tuple(c for tenant in self.tenants or [] for c in tenant.to_credentials()),
+            requires_keys=self.tenants is not None,
         )
 
 
+def _problem_of(tenants: list[WireTenant]) -> str:
+    holders_by_key: dict[str, str] = {}
+    names: set[str] = set()
+    for index, tenant in enumerate(tenants):
+        at = f"tenants[{index}]"
+        if not tenant.name:
+            return f"{at}.name: expected a name, got {tenant.name!r}"
+        if tenant.name in names:
+            return f"{at}.name: {tenant.name!r} is there twice"
+        names.add(tenant.name)
+        if not tenant.weight >= 0:
+            return f"{at}.weight: expected 0 or more, got {tenant.weight}"
+        if tenant.upper_limit.to_resources().is_negative():
+            return f"{at}.upperLimit: expected 0 or more, got {tenant.upper_limit}"
+        for number, key in enumerate(tenant.api_keys):
+            holder = holders_by_key.setdefault(key, tenant.name)
+            if not key or holder != tenant.name:
+                held = f"is held by {holder!r} too" if key else "is empty"
+                return f"{at}.apiKeys[{number}]: {held}"
+    return ""
+
+
+def _checked(wire: WireConfig) -> Result[CellConfig, str]:
+    problem = wire.problem()
+    return Failure(problem) if problem else Success(wire.to_config())
+
+
 class PlatformConfig:
     """ConfigPort over the store."""
 
@@ -106,13 +179,20 @@
 
     async def wait(self) -> Result[CellConfig | None, StepError]:
         """Return the newest configuration after a change or the long poll's time."""
-        answer = await self._follower.refresh(wait_s=POLL_S)
+        return await self._read(POLL_S)
+
+    async def newest(self) -> Result[CellConfig | None, StepError]:
+        """Return the newest configuration if it is new here, without waiting for a change."""
+        return await self._read(0.0)
+
+    async def _read(self, wait_s: float) -> Result[CellConfig | None, StepError]:
+        answer = await self._follower.refresh(wait_s=wait_s)
         if isinstance(answer, Failure):
             return answer
         value = self._follower.values_by_key.get(KEY)
         if value is None or not answer.unwrap():
             return Success(None)
-        return decode_entry(value, WireConfig).map(WireConfig.to_config).alt(self._unreadable)
+        return decode_entry(value, WireConfig).bind(_checked).alt(self._unreadable)
 
     def _unreadable(self, detail: str) -> StepError:
         return StepError(
--- a/src/galenastall/platform/keyed_follower.py
+++ b/src/galenastall/platform/keyed_follower.py
@@ -1,5 +1,6 @@
 """Follows a keyed topic: the newest value of each key, by pages first and then by reads."""
 
+from collections.abc import Sequence
 from typing import Final
 
 from returns.result import Failure, Result, Success
@@ -77,10 +78,19 @@
             return Failure(
                 StepError(step=step, peer=self._address(), reason=Reason.CUT, detail=str(error))
             )
-        for record in page.records:
+        return Success(self._apply_from(offset, page.records))
+
+    def _apply_from(self, offset: int, records: Sequence[bytes]) -> bool:
+        """Apply records that begin at `offset`, but those that another read has brought already."""
+        reached = self._offset
+        if reached is None:
+            # Another read has found the history gone; the next one reads all keys.
+            return False
+        new = records[max(reached - offset, 0) :]
+        for record in new:
             self._apply(record)
-        self._offset = offset + len(page.records)
-        return Success(bool(page.records))
+        self._offset = max(reached, offset + len(records))
+        return bool(new)
 
     def _apply(self, record: bytes) -> None:
         try:
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -133,7 +133,7 @@
         )
         jobs = JobsFace(
             desk=self.host.desk,
-            config=self.host.config.current,
+            config=self.host.config,
             clock=self._clock,
             recorder=self.recorder,
             submit_seconds=cell_metrics.submit_seconds,
--- a/src/galenastall/platform/submissions.py
+++ b/src/galenastall/platform/submissions.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from galenastall.state.cell.jobs import CellJob, Queue, Recurrence, Step
+from galenastall.state.cell.workspaces import NO_WORKSPACE
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.resources import Resources
 from galenastall.transport.http_json import decode_json
@@ -92,7 +93,13 @@
 
 
 def decode_job(
-    body: bytes, *, job_id: str, queue: Queue, wall: float, peer: str
+    body: bytes,
+    *,
+    job_id: str,
+    queue: Queue,
+    wall: float,
+    peer: str,
+    workspace: str = NO_WORKSPACE,
 ) -> Result[CellJob, StepError]:
     """Return the typed job, or INVALID naming the field and its value."""
     decoded = decode_json(body, WireJob, step=_STEP, peer=peer)
@@ -110,6 +117,7 @@
             steps=tuple(step.to_step() for step in wire.steps),
             recurrence=wire.recurrence(),
             submitted_at=wall,
+            workspace=workspace,
         )
     )
 
--- a/src/galenastall/protocol/cell/messages.py
+++ b/src/galenastall/protocol/cell/messages.py
@@ -8,6 +8,7 @@
 from galenastall.protocol.codec import PEER_MESSAGES
 from galenastall.state.cell.jobs import CellJob, StepKey
 from galenastall.state.cell.phases import JobPhase
+from galenastall.state.cell.workspaces import NO_WORKSPACE
 
 
 class SubmitVerdict(StrEnum):
@@ -19,6 +20,8 @@
     """Not stored, and never will be."""
     UNKNOWN = "unknown"
     """It may be stored."""
+    TAKEN = "taken"
+    """Another workspace has a job of this id."""
 
 
 @PEER_MESSAGES.register("cell.hello")
@@ -37,6 +40,8 @@
     """By how much its loop is late on average."""
     is_willing: bool = True
     """False for a while after it fell behind as leader."""
+    config_version: int = 0
+    """Version of the configuration in force there."""
 
 
 @PEER_MESSAGES.register("cell.beat")
@@ -94,6 +99,8 @@
     job: CellJob
     patience_s: float
     """How long the caller's side waits for an answer."""
+    config_version: int = 0
+    """Version of the configuration by which the call was let in."""
 
 
 @PEER_MESSAGES.register("cell.submitted")
@@ -112,6 +119,9 @@
 
     job_id: str
     patience_s: float
+    workspace: str = NO_WORKSPACE
+    """For whom the caller acts."""
+    config_version: int = 0
 
 
 @PEER_MESSAGES.register("cell.cancel_job")
@@ -121,6 +131,9 @@
 
     job_id: str
     patience_s: float
+    workspace: str = NO_WORKSPACE
+    """For whom the caller acts."""
+    config_version: int = 0
 
 
 @PEER_MESSAGES.register("cell.job")
@@ -137,6 +150,7 @@
     """Ask how many accepted jobs of a queue have had no start."""
 
     queue_name: str
+    config_version: int = 0
 
 
 @PEER_MESSAGES.register("cell.pending")
@@ -216,7 +230,7 @@
 @PEER_MESSAGES.register("cell.get_config")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GetConfig:
-    """Ask the leader for its configuration, if the store can't be read from here."""
+    """Ask a host for its configuration, if it is newer."""
 
     known_version: int
 
--- a/src/galenastall/protocol/cell/ports.py
+++ b/src/galenastall/protocol/cell/ports.py
@@ -83,6 +83,9 @@
     async def wait(self) -> Result[CellConfig | None, StepError]:
         """Return the newest configuration once it may have changed, None if there is none."""
 
+    async def newest(self) -> Result[CellConfig | None, StepError]:
+        """Return the newest configuration now, None if it was returned before."""
+
 
 class AdvisorPort(Protocol):
     """The placement advisor."""
--- /dev/null
+++ b/tests/test_cell_workspaces.py
@@ -0,0 +1,142 @@
+"""What workspaces see of each other, and how the configuration that tells them apart travels."""
+
+from random import Random
+
+import pytest
+import trio
+
+from cell.cluster import Cluster, make_job
+from cell.play import play
+from cell.world import World
+from galenastall.coordination.cell.config_age import OUTDATED_AFTER_S, is_outdated
+from galenastall.protocol.cell.messages import SubmitVerdict
+from galenastall.state.cell.phases import JobPhase
+from galenastall.state.cell.workspaces import Workspace, may_see
+from galenastall.state.errors import Reason
+
+A = Workspace(name="a")
+B = Workspace(name="b")
+SPREADS_WITHIN_S = 2.0
+
+
+class TestSight:
+    @pytest.mark.parametrize(
+        ("owner", "workspace", "seen"),
+        [("a", "a", True), ("a", "b", False), ("a", "", False), ("", "a", True), ("", "", True)],
+    )
+    def test_a_job_is_seen_by_its_owner(self, owner: str, workspace: str, seen: bool) -> None:
+        assert may_see(owner=owner, workspace=workspace) is seen
+
+    async def test_a_job_of_another_workspace_is_as_if_not_there(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            await cluster.wait_for_leader()
+            world.set_workspaces(A)
+            job = make_job(world, rng, 1)
+            world.set_workspaces(A, B)
+            await trio.sleep(SPREADS_WITHIN_S)
+            assert await cluster.submit(job)
+            desk = cluster.live["entry-1"].host.desk
+            assert (await desk.phase(job.job_id, patience_s=3.0, workspace="b")).unwrap() is None
+            assert (await desk.cancel(job.job_id, patience_s=3.0, workspace="b")).unwrap() is None
+            other = make_job(world, rng, 1)
+            while other.workspace != "b":
+                other = make_job(world, rng, 1)
+            taken = await desk.submit(other, patience_s=3.0)
+            assert taken.verdict is SubmitVerdict.TAKEN
+            assert await cluster.wait_ended(job.job_id) is JobPhase.COMPLETED
+
+        await play(scenario, seed=3)
+
+
+class TestOutdated:
+    @pytest.mark.parametrize(
+        ("version", "own_for_s", "outdated"),
+        [
+            (7, OUTDATED_AFTER_S, False),
+            (6, OUTDATED_AFTER_S, True),
+            (6, OUTDATED_AFTER_S / 2, False),
+            (8, OUTDATED_AFTER_S, False),
+            (0, OUTDATED_AFTER_S, False),
+        ],
+    )
+    def test_an_older_version_is_outdated_after_a_while(
+        self, version: int, own_for_s: float, outdated: bool
+    ) -> None:
+        assert is_outdated(version=version, own_version=7, own_for_s=own_for_s) is outdated
+
+    async def test_a_call_by_an_outdated_version_is_let_in_anew(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            await cluster.wait_for_leader()
+            old = world.config.version
+            world.set_workspaces(A)
+            await trio.sleep(SPREADS_WITHIN_S + OUTDATED_AFTER_S)
+            job = make_job(world, rng, 1)
+            world.jobs[job.job_id] = job
+            desk = cluster.live["entry-1"].host.desk
+            submitted = await desk.submit(job, patience_s=3.0, config_version=old)
+            assert submitted.is_outdated
+            assert not submitted.may_be_stored
+            asked = await desk.phase(job.job_id, patience_s=3.0, config_version=old)
+            assert asked.failure().reason is Reason.CONFLICT
+            version = cluster.live["entry-1"].host.config.version
+            again = await desk.submit(job, patience_s=3.0, config_version=version)
+            assert again.verdict is SubmitVerdict.ACCEPTED
+
+        await play(scenario, seed=4)
+
+
+class TestVersionsTravel:
+    @pytest.mark.parametrize("refused", ["a follower", "the leader"])
+    async def test_a_host_that_the_store_refuses_follows_through_others(
+        self, autojump_clock: object, refused: str
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            leader = await cluster.wait_for_leader()
+            await trio.sleep(1.0)
+            follower = next(name for name in cluster.names if name != leader)
+            name = leader if refused == "the leader" else follower
+            world.faults.store_refuses.add(name)
+            world.set_workspaces(A)
+            await trio.sleep(SPREADS_WITHIN_S)
+            assert cluster.live[name].host.config.version == world.config.version
+
+        await play(scenario, seed=5)
+
+    async def test_a_look_brings_a_version_that_no_read_has_brought_yet(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            await cluster.wait_for_leader()
+            await trio.sleep(1.0)
+            world.set_workspaces(A)
+            config = cluster.live["entry-0"].host.config
+            await config.look()
+            assert config.version == world.config.version
+
+        await play(scenario, seed=6)
+
+    async def test_many_who_wait_share_a_look(self, autojump_clock: object) -> None:
+        async def scenario(cluster: Cluster, world: World, rng: Random) -> None:
+            await cluster.wait_for_leader()
+            await trio.sleep(1.0)
+            config = cluster.live["entry-0"].host.config
+            looks = 0
+            newest = config._port.newest
+
+            async def count() -> object:
+                nonlocal looks
+                looks += 1
+                return await newest()
+
+            config._port.newest = count  # type: ignore[method-assign, assignment]
+            async with trio.open_nursery() as nursery:
+                for _ in range(50):
+                    nursery.start_soon(config.look)
+            await config.look()
+            assert looks == 1
+
+        await play(scenario, seed=7)
--- /dev/null
+++ b/tests/test_platform_access.py
@@ -0,0 +1,222 @@
+"""Keys of callers: decoded once, checked before anything is read, and shown nowhere."""
+
+import re
+from typing import Any
+
+import httpcore
+import msgspec
+import pytest
+import trio
+
+from galenastall.node.cell.caller_desk import Submitted
+from galenastall.node.cell.cell_metrics import CellMetrics
+from galenastall.platform.access import KeyCheck, digest_of
+from galenastall.platform.config import WireConfig
+from galenastall.platform.jobs_face import JobsFace
+from galenastall.protocol.cell.config import CellConfig
+from galenastall.protocol.cell.messages import SubmitVerdict
+from galenastall.state.cell.jobs import CellJob
+from galenastall.state.resources import Resources
+from galenastall.state.timeline_ring import TimelineRing
+from galenastall.transport.clock import TrioClock
+from galenastall.transport.http_server import HttpServer
+from galenastall.transport.logs import Recorder
+from galenastall.transport.metrics import Metrics
+
+JOB = "00000000000000ab"
+KEY = "gkcuyj8pjbvk9m68k7b2"
+NEW_KEY = "ex5wa5xwyhks8nbkxxmi"
+BODY = b'{"specification":"x","steps":[{"count":1,"cpu":1000}]}'
+
+
+def make_table(*tenants: dict[str, Any], version: int = 1) -> dict[str, Any]:
+    shown = {"host": "q.example", "service": "s"}
+    routes = [
+        {"name": "q", "pathPrefix": "/q/", **shown},
+        {"name": "open", "pathPrefix": "/open/", "public": True, **shown},
+    ]
+    return {"version": version, "routes": routes, "tenants": list(tenants)}
+
+
+def decode(table: dict[str, Any]) -> WireConfig:
+    return msgspec.json.decode(msgspec.json.encode(table), type=WireConfig)
+
+
+def make_tenant(name: str = "a", *keys: str, **fields: Any) -> dict[str, Any]:
+    return {"name": name, "apiKeys": list(keys), **fields}
+
+
+class TestConfiguration:
+    def test_tenants_become_workspaces(self) -> None:
+        limit = {"cpu": 1000, "memoryRequestMb": 20, "gpus": 0}
+        config = decode(make_table(make_tenant("a", KEY, weight=19, upperLimit=limit))).to_config()
+        (workspace,) = config.workspaces
+        assert (workspace.name, workspace.weight) == ("a", 19)
+        assert workspace.limit == Resources(cores_milli=1000, memory_mb=20)
+        assert config.requires_keys
+        assert config.find(host="q.example", path="/open/x").is_public  # type: ignore[union-attr]
+
+    def test_no_key_is_kept(self) -> None:
+        config = decode(make_table(make_tenant("a", KEY))).to_config()
+        assert KEY not in repr(config)
+        assert config.credentials[0].digest == digest_of(KEY)
+
+    def test_a_deployment_without_tenants_asks_for_no_key(self) -> None:
+        table = make_table()
+        del table["tenants"]
+        assert not decode(table).to_config().requires_keys
+
+    @pytest.mark.parametrize(
+        ("tenants", "problem"),
+        [
+            ([make_tenant("", KEY)], "tenants[0].name: expected a name, got ''"),
+            ([make_tenant("a"), make_tenant("a")], "tenants[1].name: 'a' is there twice"),
+            (
+                [make_tenant("a", KEY), make_tenant("b", NEW_KEY, KEY)],
+                "tenants[1].apiKeys[1]: is held by 'a' too",
+            ),
+            ([make_tenant("a", "")], "tenants[0].apiKeys[0]: is empty"),
+            ([make_tenant("a", weight=-1)], "tenants[0].weight: expected 0 or more, got -1.0"),
+            (
+                [make_tenant("a", upperLimit={"cpu": -5})],
+                "tenants[0].upperLimit: expected 0 or more, got WireLimit(cpu=-5,",
+            ),
+        ],
+    )
+    def test_a_problem_names_field_and_value_and_no_key(
+        self, tenants: list[dict[str, Any]], problem: str
+    ) -> None:
+        found = decode(make_table(*tenants)).problem()
+        assert found.startswith(problem)
+        assert KEY not in found
+
+
+class TestKeyCheck:
+    def check(self, path: str, key: str) -> str | None:
+        config = decode(make_table(make_tenant("a", KEY), make_tenant("b", NEW_KEY))).to_config()
+        route = config.find(host="q.example", path=path)
+        assert route is not None
+        return KeyCheck().workspace_of(config, route, key)
+
+    @pytest.mark.parametrize(
+        ("path", "key", "workspace"),
+        [
+            ("/q/x", KEY, "a"),
+            ("/q/x", NEW_KEY, "b"),
+            ("/q/x", "", None),
+            ("/q/x", KEY[:-1], None),
+            ("/open/x", "", ""),
+        ],
+    )
+    def test_a_key_decides_the_workspace(self, path: str, key: str, workspace: str | None) -> None:
+        assert self.check(path, key) == workspace
+
+    def test_a_newer_version_counts(self) -> None:
+        check = KeyCheck()
+        for key in (KEY, NEW_KEY):
+            config = decode(make_table(make_tenant("a", key))).to_config()
+            route = config.routes[0]
+            assert check.workspace_of(config, route, key) == "a"
+        assert check.workspace_of(config, route, KEY) is None
+
+
+class Source:
+    """A configuration that a look replaces by a newer one."""
+
+    def __init__(self, config: CellConfig, newer: CellConfig | None = None) -> None:
+        self.config = config
+        self.newer = newer
+        self.looks = 0
+
+    def current(self) -> CellConfig:
+        return self.config
+
+    async def look(self) -> None:
+        self.looks += 1
+        self.config = self.newer or self.config
+
+
+class Desk:
+    """A desk that takes jobs, from callers let in by `least_version` or later."""
+
+    def __init__(self, *, least_version: int = 0) -> None:
+        self.least_version = least_version
+        self.jobs: list[CellJob] = []
+
+    async def submit(
+        self, job: CellJob, *, patience_s: float, config_version: int, may_be_stored: bool
+    ) -> Submitted:
+        if config_version < self.least_version:
+            return Submitted(verdict=SubmitVerdict.UNKNOWN, is_outdated=True)
+        self.jobs.append(job)
+        return Submitted(verdict=SubmitVerdict.ACCEPTED)
+
+
+async def ask(
+    source: Source,
+    desk: Desk,
+    *,
+    key: str = "",
+    path: str = f"/q/{JOB}",
+    method: str = "POST",
+    ring: TimelineRing | None = None,
+) -> tuple[int, bytes]:
+    """Call a face of its own; returns status and body."""
+    clock = TrioClock()
+    face = JobsFace(
+        desk=desk,  # type: ignore[arg-type]
+        config=source,
+        clock=clock,
+        recorder=Recorder(process="t", clock=clock, ring=ring or TimelineRing(capacity=10)),
+        submit_seconds=CellMetrics(metrics=Metrics()).submit_seconds,
+    )
+    server = HttpServer(handlers=[face], clock=clock, bind="127.0.0.1:0")
+    headers = [("Host", "q.example"), ("Deadline-Remaining", "3000")]
+    headers += [("X-Api-Key", key)] if key else []
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.run)
+        async with httpcore.AsyncConnectionPool() as pool:
+            url = f"http://{server.address}{path}"
+            answer = await pool.request(method, url, headers=headers, content=BODY)
+        nursery.cancel_scope.cancel()
+    return answer.status, answer.content
+
+
+class TestCalls:
+    old = decode(make_table(make_tenant("a", KEY))).to_config()
+    new = decode(make_table(make_tenant("a", NEW_KEY), version=2)).to_config()
+
+    async def test_a_key_hands_in_for_its_workspace(self) -> None:
+        desk = Desk()
+        assert (await ask(Source(self.old), desk, key=KEY))[0] == 200
+        assert [job.workspace for job in desk.jobs] == ["a"]
+
+    @pytest.mark.parametrize("method", ["POST", "GET", "DELETE"])
+    @pytest.mark.parametrize("key", ["", "made-up-key"])
+    async def test_a_call_without_a_known_key_is_refused(self, method: str, key: str) -> None:
+        desk = Desk()
+        status, body = await ask(Source(self.old), desk, key=key, method=method)
+        assert status == 401
+        assert desk.jobs == []
+        assert re.search(b"x-api-key: no workspace of version 1 has this key", body)
+        assert not key or key.encode() not in body
+
+    async def test_a_public_queue_asks_for_no_key(self) -> None:
+        desk = Desk()
+        assert (await ask(Source(self.old), desk, path=f"/open/{JOB}"))[0] == 200
+        assert [job.workspace for job in desk.jobs] == [""]
+
+    async def test_a_key_of_a_newer_version_is_looked_for(self) -> None:
+        source = Source(self.old, newer=self.new)
+        assert (await ask(source, Desk(), key=NEW_KEY))[0] == 200
+        assert source.looks == 1
+
+    async def test_a_key_that_the_leader_knows_to_be_gone_is_refused(self) -> None:
+        source = Source(self.old, newer=self.new)
+        desk = Desk(least_version=2)
+        assert (await ask(source, desk, key=KEY))[0] == 401
+        assert desk.jobs == []
+
+    async def test_a_host_that_stays_behind_can_not_say_what_became_of_a_job(self) -> None:
+        desk = Desk(least_version=2)
+        assert (await ask(Source(self.old), desk, key=KEY))[0] == 504
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -475,10 +475,23 @@
             nursery.cancel_scope.cancel()
 
 
+class FixedConfig:
+    """A configuration that never changes."""
+
+    def __init__(self, config: CellConfig) -> None:
+        self._config = config
+
+    def current(self) -> CellConfig:
+        return self._config
+
+    async def look(self) -> None:
+        """There is no newer one."""
+
+
 class SlowDesk:
     """A desk that does not learn whether a job was stored."""
 
-    async def submit(self, job: CellJob, *, patience_s: float) -> Submitted:
+    async def submit(self, job: CellJob, **_: object) -> Submitted:
         return Submitted(verdict=SubmitVerdict.UNKNOWN, cause="no answer", retry_after_s=0.4)
 
 
@@ -490,7 +503,7 @@
         )
         face = JobsFace(
             desk=SlowDesk(),  # type: ignore[arg-type]
-            config=lambda: config,
+            config=FixedConfig(config),
             clock=clock,
             recorder=Recorder(process="t", clock=clock, ring=TimelineRing(capacity=10)),
             submit_seconds=CellMetrics(metrics=Metrics()).submit_seconds,
