Place what a workspace hands in beyond its rate after what is owed, and show limits and use

A workspace is owed weight jobs a second; one that sends many times its usual stood before others by the objectives of its jobs. A new leader judges what it finds by the times of submission; an unknown workspace is always within. Logs name workspace, limit and use of a job that waits, and each change of a limit; two gauges show use and limit.

--- a/src/galenastall/coordination/cell/batches.py
+++ b/src/galenastall/coordination/cell/batches.py
@@ -130,7 +130,11 @@
             self._state.note(
                 "job.accepted",
                 run.job.job_id,
-                fields={"queue": run.queue.name, "objective_s": f"{run.objective_s:.2f}"},
+                fields={
+                    "queue": run.queue.name,
+                    "workspace": run.job.workspace,
+                    "objective_s": f"{run.objective_s:.2f}",
+                },
             )
 
     @staticmethod
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -105,6 +105,8 @@
         self.has_started = False
         """Whether an executor has confirmed a run of it; an assignment whose order never left, or
         got no answer, is no start."""
+        self.is_within_rate = True
+        """Whether its workspace is owed it; what is beyond its rate goes last."""
         self.ended_at = 0.0
         self.stops = JobStops()
         """Runs of it that this leader has stopped."""
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -142,7 +142,7 @@
             self.sight.note(waiting.step.key, WaitReason.OVER_QUOTA)
             return []
         self.sight.note(waiting.step.key, WaitReason.QUOTA_USED)
-        if step.is_gang and not waiting.is_worthless:
+        if step.is_gang and waiting.job.is_within_rate and not waiting.is_worthless:
             workspaces.hold_for_gang(name)
         return tasks[:allowed]
 
@@ -220,7 +220,8 @@
     def _may_keep(self, waiting: WaitingStep) -> bool:
         if Mechanism.RESERVATIONS in self._state.without:
             return False
-        return not waiting.is_worthless or waiting.step.key == self._overdue
+        is_owed = waiting.job.is_within_rate and not waiting.is_worthless
+        return is_owed or waiting.step.key == self._overdue
 
     def _is_on_probation(self, task: TaskRun) -> bool:
         return task.is_suspect and Mechanism.PROBATION not in self._state.without
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -20,6 +20,7 @@
 from galenastall.coordination.cell.fleet import Fleet
 from galenastall.coordination.cell.host_care import HostCare
 from galenastall.coordination.cell.incarnations import Incarnations
+from galenastall.coordination.cell.job_rates import JobRates
 from galenastall.coordination.cell.job_runs import JobRun
 from galenastall.coordination.cell.kept_advice import KeptAdvice
 from galenastall.coordination.cell.listings import Listing, ListingReader
@@ -82,6 +83,7 @@
         self._batches = Batches(
             state=self._state, ends=self._ends, advice=self._advice, hosts=self.hosts
         )
+        self._rates = JobRates()
         self._timed_jobs: set[str] = set()
         """Live jobs whose steps run several times."""
         self._tidied_at = float("-inf")
@@ -142,7 +144,9 @@
         for job_id, progress in rows.progress_by_id.items():
             if job_id not in self._state.jobs_by_id:
                 self._restore_ended(job_id, progress)
-        for run in self._state.jobs_by_id.values():
+        for run in sorted(self._state.jobs_by_id.values(), key=lambda each: each.job.submitted_at):
+            if not run.has_ended:
+                self._charge(run, run.job.submitted_at)
             self._open_due(run, wall)
         self.hosts.restore(rows)
 
@@ -164,7 +168,14 @@
 
     def set_workspaces(self, workspaces: Iterable[Workspace]) -> None:
         """Take the workspaces of a newer configuration; what a lower limit forbids is held back."""
-        self._state.workspaces.set_workspaces(workspaces)
+        for changed in self._state.workspaces.set_workspaces(workspaces):
+            fields = {
+                "weight": f"{changed.weight:g}",
+                "cores_milli": str(changed.limit.cores_milli),
+                "memory_mb": str(changed.limit.memory_mb),
+                "accelerators": str(changed.limit.accelerators),
+            }
+            self._state.note("workspace.changed", changed.name, fields=fields)
         self._fleet.stop_unanswered_over_limits()
 
     def set_services(self, services: frozenset[str]) -> None:
@@ -182,10 +193,21 @@
             return known
         run = JobRun(job=job)
         self._state.jobs_by_id[job.job_id] = run
+        self._charge(run, wall)
         self._open_due(run, wall)
         self._state.dirty_jobs.add(job.job_id)
         return run
 
+    def _charge(self, run: JobRun, wall: float) -> None:
+        name = run.job.workspace
+        if not self._state.workspaces.is_known(name):
+            return
+        workspace = self._state.workspaces.find(name)
+        run.is_within_rate = self._rates.is_within(workspace, wall=wall)
+        if not run.is_within_rate:
+            fields = {"workspace": name, "weight": f"{workspace.weight:g}"}
+            self._state.note("job.beyond_rate", run.job.job_id, fields=fields)
+
     def withdraw(self, job_id: str) -> bool:
         """Forget a job whose acceptance was not begun; False if it may be durable."""
         run = self._state.jobs_by_id.get(job_id)
--- a/src/galenastall/coordination/cell/waiting_line.py
+++ b/src/galenastall/coordination/cell/waiting_line.py
@@ -73,7 +73,7 @@
         what waits behind work with seconds to spare ends up earning nothing.
         """
         urgency = 0 if self.is_urgent or Mechanism.URGENT_FIRST in without else 1
-        worthless = 1 if self.is_worthless else 0
+        worthless = 1 if self.is_worthless or not self.job.is_within_rate else 0
         rank = 0 if Mechanism.LATE_LAST in without else self.rank
         return (worthless, urgency, rank, self.occurrence.objective, self.step.key)
 
--- a/src/galenastall/coordination/cell/waiting_report.py
+++ b/src/galenastall/coordination/cell/waiting_report.py
@@ -129,12 +129,19 @@
     def _tell_job(self, wait: _Wait, room: ApprovedRoom) -> None:
         key = wait.step.key
         stops = wait.job.stops.by_rule
+        workspace = self._state.workspaces.find(wait.job.job.workspace)
+        used = self._state.workspaces.used(workspace.name)
         self._state.note(
             "job.waiting",
             key.job,
             f"{key.occurrence}.{key.step}",
             fields={
                 "queue": wait.job.queue.name,
+                "workspace": workspace.name,
+                "limit_cores_milli": str(workspace.limit.cores_milli),
+                "used_cores_milli": str(used.cores_milli),
+                "limit_memory_mb": str(workspace.limit.memory_mb),
+                "used_memory_mb": str(used.memory_mb),
                 "reason": wait.reason,
                 "waited_s": f"{self._state.now - wait.since:.1f}",
                 "tasks": str(len(wait.step.waiting())),
--- a/src/galenastall/coordination/cell/workspace_use.py
+++ b/src/galenastall/coordination/cell/workspace_use.py
@@ -32,9 +32,19 @@
         """Return a workspace; one that no configuration has named has no limit."""
         return self._workspaces_by_name.get(name) or Workspace(name=name)
 
-    def set_workspaces(self, workspaces: Iterable[Workspace]) -> None:
-        """Take the workspaces of a newer configuration; a removed one keeps its last limit."""
-        self._workspaces_by_name.update({each.name: each for each in workspaces})
+    def is_known(self, name: str) -> bool:
+        """Whether a configuration has named a workspace."""
+        return name in self._workspaces_by_name
+
+    def set_workspaces(self, workspaces: Iterable[Workspace]) -> list[Workspace]:
+        """Take the workspaces of a newer configuration, and return those that have changed.
+
+        A removed one keeps its last limit.
+        """
+        known = self._workspaces_by_name
+        changed = [each for each in workspaces if known.get(each.name) != each]
+        known.update({each.name: each for each in changed})
+        return changed
 
     def add(self, task: TaskKey, *, workspace: str, need: Resources) -> None:
         """Count a run that is assigned."""
--- a/src/galenastall/node/cell/cell_metrics.py
+++ b/src/galenastall/node/cell/cell_metrics.py
@@ -47,6 +47,24 @@
             lambda: {(reason,): float(n) for reason, n in standing.waiting_by_reason.items()},
             labels=["reason"],
         )
+        gauge(
+            "galenastall_workspace_cores",
+            "Cores that the leader counts for what a workspace may have running.",
+            lambda: {
+                (name,): used.cores_milli / 1000.0
+                for name, used in standing.used_by_workspace.items()
+            },
+            labels=["workspace"],
+        )
+        gauge(
+            "galenastall_workspace_limit_cores",
+            "Cores that a workspace may have at once, by the configuration here; 0 is no limit.",
+            lambda: {
+                (workspace.name,): workspace.limit.cores_milli / 1000.0
+                for workspace in (host.config.config.workspaces if host.config.config else ())
+            },
+            labels=["workspace"],
+        )
         gauge(
             "galenastall_stopped_runs",
             "Runs that this host has stopped in its term as leader; a gang's run counts once.",
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -189,6 +189,7 @@
 
     def _restore(self, values_by_key: dict[str, bytes], *, took_s: float) -> None:
         rows = decode_rows(values_by_key)
+        self._take_config()
         self.core.restore(rows, wall=self.context.wall())
         self.context.note(
             "leader.loaded",
--- a/src/galenastall/node/cell/standing.py
+++ b/src/galenastall/node/cell/standing.py
@@ -22,6 +22,7 @@
 from galenastall.protocol.peers import PeerLink
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId
+from galenastall.state.resources import Resources
 from galenastall.transport.logs import Recorder
 
 TICK_S: Final = 0.05
@@ -115,6 +116,11 @@
         """Steps that wait for this host as leader, by what kept them from starting."""
         return self.term.core.waiting_by_reason if self.term is not None else {}
 
+    @property
+    def used_by_workspace(self) -> dict[str, Resources]:
+        """What each workspace may have running, as this host knows it as leader."""
+        return self.term.core.used_by_workspace if self.term is not None else {}
+
     @property
     def stopped_by_rule(self) -> dict[StopRule, int]:
         """Runs that this host has stopped in its term as leader."""
