--- a/src/galenastall/demo/platform_path.py
+++ b/src/galenastall/demo/platform_path.py
@@ -15,8 +15,9 @@
 from galenastall.platform.settings import load_settings
 from galenastall.platform.standin.callers import StandinCaller
 from galenastall.platform.standin.hosts import StandinHost, make_hosts
-from galenastall.platform.standin.server import PlatformStandin, StandinPlan
+from galenastall.platform.standin.server import PlatformStandin, StandinPlan, StandinTenant
 from galenastall.standin.cell.live_world import JobPayload, StepPayload
+from galenastall.state.resources import Resources
 from galenastall.state.timeline_ring import TimelineRing
 from galenastall.transport.clock import TrioClock
 
@@ -25,16 +26,24 @@
 JOB_WITHIN_S: Final = 30.0
 POLL_S: Final = 0.1
 ACCEPTED: Final = 200
+UNAUTHORIZED: Final = 401
+WORKSPACE: Final = StandinTenant(
+    name="board",
+    keys=("demo-key-of-board",),
+    limit=Resources(cores_milli=64_000, memory_mb=65_536),
+)
 BATCH_ID: Final = "00000000000000b1"
 BATCH: Final = JobPayload(
+    workspace=WORKSPACE.name,
     steps=(
         StepPayload(count=8, cores_milli=2000, memory_mb=2048, run_s=1.0),
         StepPayload(count=1, cores_milli=1000, memory_mb=512, after=(0,), run_s=0.5),
-    )
+    ),
 )
 GANG_ID: Final = "00000000000000c1"
 GANG: Final = JobPayload(
-    steps=(StepPayload(count=4, cores_milli=16_000, memory_mb=16_384, is_gang=True, run_s=3.0),)
+    workspace=WORKSPACE.name,
+    steps=(StepPayload(count=4, cores_milli=16_000, memory_mb=16_384, is_gang=True, run_s=3.0),),
 )
 
 Say = Callable[[str], None]
@@ -52,11 +61,13 @@
     clock = TrioClock()
     plan = StandinPlan(executors_by_data_centre={"gangnam": 3, "mapo": 3})
     standin = PlatformStandin(plan=plan, clock=clock)
-    caller = StandinCaller()
+    caller = StandinCaller(key=WORKSPACE.keys[0])
     async with trio.open_nursery() as nursery:
         await nursery.start(standin.run)
         standin.configure(
-            standin.make_route("redaction", priority=2), standin.make_route("packs", priority=0)
+            standin.make_route("redaction", priority=2),
+            standin.make_route("packs", priority=0),
+            tenants=[WORKSPACE],
         )
         running = await _start_hosts(nursery, standin)
         with trio.fail_after(READY_WITHIN_S):
@@ -103,6 +114,12 @@
     running: list[_Running], caller: StandinCaller, standin: PlatformStandin, say: Say
 ) -> bool:
     first = running[0].host
+    status, _ = await StandinCaller(key="made-up").submit(first, "redaction", BATCH_ID, BATCH)
+    say(f"job {BATCH_ID} with a key that no workspace has: status {status}")
+    if status != UNAUTHORIZED:
+        return False
+    limit = WORKSPACE.limit
+    say(f"workspace {WORKSPACE.name} may have {limit.cores_milli // 1000} cores at once")
     for route, job_id, payload in (
         ("redaction", BATCH_ID, BATCH),
         ("packs", GANG_ID, GANG),
--- a/src/galenastall/platform/standin/callers.py
+++ b/src/galenastall/platform/standin/callers.py
@@ -18,10 +18,11 @@
 class StandinCaller:
     """Hands jobs in and asks for them, at whichever host it is told."""
 
-    def __init__(self, *, host_name: str = "standin.example") -> None:
-        """`host_name` is the Host header of the configured routes."""
+    def __init__(self, *, host_name: str = "standin.example", key: str = "") -> None:
+        """`host_name` is the Host header of the configured routes; no key is shown if it is empty."""
         self._pool = httpcore.AsyncConnectionPool()
         self._host_name = host_name
+        self.key = key
 
     async def ask(
         self, host: StandinHost, method: str, path: str, body: bytes = b""
@@ -32,6 +33,8 @@
             ("deadline-remaining", str(int(PATIENCE_S * 1000))),
             ("content-type", "application/json"),
         ]
+        if self.key:
+            headers.append(("x-api-key", self.key))
         url = f"http://{host.callers_address}{path}"
         answer = await self._call(method, url, headers, body)
         if answer is None:
--- a/src/galenastall/platform/standin/server.py
+++ b/src/galenastall/platform/standin/server.py
@@ -1,5 +1,6 @@
 """The stand-in as a whole: a store, executors that register themselves, and the advisor."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Any, Final
 
@@ -16,6 +17,7 @@
     executor_name,
     make_executor_id,
 )
+from galenastall.state.cell.workspaces import Workspace
 from galenastall.state.resources import Resources
 from galenastall.transport.http_server import HttpServer
 
@@ -35,6 +37,34 @@
     """What a call for advice takes."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StandinTenant:
+    """A tenant of the operator's configuration."""
+
+    name: str
+    keys: tuple[str, ...]
+    weight: float = 1.0
+    limit: Resources = Resources()
+
+    def to_wire(self) -> dict[str, Any]:
+        """Return it as the operator writes it."""
+        limit = self.limit
+        return {
+            "name": self.name,
+            "apiKeys": list(self.keys),
+            "weight": self.weight,
+            "upperLimit": {
+                "cpu": limit.cores_milli,
+                "memoryRequestMb": limit.memory_mb,
+                "gpus": limit.accelerators,
+            },
+        }
+
+    def to_workspace(self) -> Workspace:
+        """Return what the watch over the executors judges by."""
+        return Workspace(name=self.name, weight=self.weight, limit=self.limit)
+
+
 class PlatformStandin:
     """Serves all of it on loopback until cancelled."""
 
@@ -121,10 +151,19 @@
         }
         self.store.put("keyed.servers", executor_name(info.executor_id), entry)
 
-    def configure(self, *routes: dict[str, Any], version: int = 1) -> None:
-        """Write a configuration as the operator does."""
+    def configure(
+        self,
+        *routes: dict[str, Any],
+        version: int = 1,
+        tenants: Iterable[StandinTenant] | None = None,
+    ) -> None:
+        """Write a configuration as the operator does; None for one without tenants."""
         services = [{"name": self._plan.service}]
         value = {"version": version, "routes": list(routes), "services": services}
+        if tenants is not None:
+            listed = list(tenants)
+            value["tenants"] = [tenant.to_wire() for tenant in listed]
+            self.world.quotas.set_workspaces(tenant.to_workspace() for tenant in listed)
         self.store.put("keyed.op", "config", value)
 
     def make_route(self, name: str, *, priority: int = 1, attempts: int = 2) -> dict[str, Any]:
