--- a/src/galenastall/bench/cell_load/arrivals.py
+++ b/src/galenastall/bench/cell_load/arrivals.py
@@ -8,6 +8,7 @@
 from galenastall.bench.cell_load.workload import QueueLoad, Spread, Workload
 from galenastall.coordination.cell.objectives import longest_chain_s
 from galenastall.state.cell.jobs import AdvisorTiming, CellJob, Queue, Step
+from galenastall.state.cell.workspaces import NO_WORKSPACE
 from galenastall.state.resources import Resources
 
 SERVICE: Final = "service"
@@ -30,11 +31,13 @@
     worth: float
     crashes: bool = False
     """Whether its first task crashes each executor that starts it."""
+    is_extra: bool = False
+    """Whether it is above what its workspace hands in as usual."""
 
     @property
     def is_owed(self) -> bool:
-        """Whether it can be done at all."""
-        return not self.crashes
+        """Whether it can be done, and is within what its workspace is owed."""
+        return not self.crashes and not self.is_extra
 
 
 def draw(spread: Spread, rng: Random) -> float:
@@ -84,7 +87,39 @@
         replace(each, crashes=rng.random() < workload.queues[each.job.queue.name].crash_share)
         for each in arrivals
     ]
-    return sorted(marked, key=lambda arrival: arrival.at_s)
+    owned = _give_owners(workload, marked, seed=seed)
+    owned += _draw_extra(workload, len(owned), seed=seed)
+    return sorted(owned, key=lambda arrival: arrival.at_s)
+
+
+def _give_owners(workload: Workload, arrivals: list[Arrival], *, seed: int) -> list[Arrival]:
+    """Give jobs to workspaces by their shares; those that no share covers stay without one."""
+    rng = Random(f"{seed}/owners")
+    names = [*workload.workspaces, NO_WORKSPACE]
+    shares = [workspace.share for workspace in workload.workspaces.values()]
+    weights = [*shares, max(1.0 - sum(shares), 0.0)]
+    if not workload.workspaces:
+        return arrivals
+    return [_owned_by(rng.choices(names, weights)[0], arrival) for arrival in arrivals]
+
+
+def _owned_by(workspace: str, arrival: Arrival) -> Arrival:
+    return replace(arrival, job=replace(arrival.job, workspace=workspace))
+
+
+def _draw_extra(workload: Workload, first: int, *, seed: int) -> list[Arrival]:
+    """Return what workspaces hand in above their usual."""
+    rng = Random(f"{seed}/extra")
+    arrivals: list[Arrival] = []
+    for workspace, owner in workload.workspaces.items():
+        for name, load in workload.queues.items():
+            rate = load.jobs_per_s * owner.share * (owner.rate_factor - 1.0)
+            at_s = rng.expovariate(rate) if rate > 0 else workload.length_s
+            while at_s < workload.length_s:
+                arrival = _draw_job(name, load, at_s, first + len(arrivals), rng)
+                arrivals.append(replace(_owned_by(workspace, arrival), is_extra=True))
+                at_s += rng.expovariate(rate)
+    return arrivals
 
 
 def _draw_job(name: str, load: QueueLoad, at_s: float, number: int, rng: Random) -> Arrival:
--- a/src/galenastall/bench/cell_load/figures.py
+++ b/src/galenastall/bench/cell_load/figures.py
@@ -11,6 +11,7 @@
 from galenastall.bench.cell_load.play import JobFate, Play
 from galenastall.bench.cell_load.workload import Workload
 from galenastall.state.cell.phases import JobPhase
+from galenastall.state.cell.workspaces import NO_WORKSPACE
 
 LONGEST_MS: Final = 600_000
 DIGITS: Final = 3
@@ -63,6 +64,8 @@
     """Executors that tasks have crashed."""
     failed_jobs: int = 0
     """Jobs shown as failed without a task that crashes executors."""
+    worth_by_workspace: dict[str, float] = {}
+    """Worth earned over worth owed, over all seeds."""
 
 
 def summarize(plays: list[Play], *, workload: Workload, without: list[str]) -> Figures:
@@ -98,11 +101,25 @@
         failed_jobs=sum(
             1 for p in plays for f in p.fates if f.arrival.is_owed and f.phase is JobPhase.FAILED
         ),
+        worth_by_workspace=_worth_by_workspace(plays),
     )
 
 
+def _worth_by_workspace(plays: list[Play]) -> dict[str, float]:
+    fates_by_workspace: defaultdict[str, list[JobFate]] = defaultdict(list)
+    for play in plays:
+        for fate in play.fates:
+            if fate.arrival.job.workspace != NO_WORKSPACE and fate.arrival.is_owed:
+                fates_by_workspace[fate.arrival.job.workspace].append(fate)
+    return {name: _worth_of(fates) for name, fates in sorted(fates_by_workspace.items())}
+
+
 def _worth(play: Play) -> float:
-    fates = [fate for fate in play.fates if fate.arrival.is_owed]
+    return _worth_of([fate for fate in play.fates if fate.arrival.is_owed])
+
+
+def _worth_of(fates: list[JobFate]) -> float:
+    """Return the worth earned over the worth owed of some jobs."""
     owed = sum(fate.arrival.worth for fate in fates)
     return sum(fate.arrival.worth * fate.earned_share for fate in fates) / owed
 
@@ -191,4 +208,7 @@
             f" {each.largest_in_time:.3f}; first start p50 {start.p50:.2f} s,"
             f" p95 {start.p95:.2f} s, p99 {start.p99:.2f} s"
         )
+    if figures.worth_by_workspace:
+        shares = (f"{name} {share:.3f}" for name, share in figures.worth_by_workspace.items())
+        lines.append(f"  worth by workspace: {', '.join(shares)}")
     return "\n".join([*lines, *figures.violations[:5]])
--- a/src/galenastall/bench/cell_load/play.py
+++ b/src/galenastall/bench/cell_load/play.py
@@ -174,7 +174,9 @@
             process="lab", clock=self._clock, ring=TimelineRing(capacity=RING_EVENTS)
         )
         helpers = tuple(HostId(f"entry-{n}") for n in range(self._workload.entry_hosts))
-        config = CellConfig(version=1, routes=self._routes())
+        config = CellConfig(
+            version=1, routes=self._routes(), workspaces=self._workload.list_workspaces()
+        )
         return TermParts(
             state=ports,
             fleet=ports,
--- a/src/galenastall/bench/cell_load/surroundings.py
+++ b/src/galenastall/bench/cell_load/surroundings.py
@@ -70,6 +70,7 @@
         self._factors_by_number: dict[int, float] = {}
         self._started = 0
         self._swept_at = float("-inf")
+        self.quotas.set_workspaces(workload.list_workspaces())
         for number in range(workload.executors):
             self.start_executor(number)
 
@@ -143,6 +144,10 @@
         """Return how fast a host is."""
         return SPEEDS[int(chance(self.seed, "speed", executor.host) * len(SPEEDS))]
 
+    def workspace_of(self, task: TaskKey) -> str:
+        """Return the workspace that owns a task."""
+        return self.arrivals_by_id[task.job].job.workspace
+
     def step_of(self, task: TaskKey) -> Step:
         """Return the step that a task belongs to."""
         return self.arrivals_by_id[task.job].job.steps[task.step]
--- a/src/galenastall/bench/cell_load/workload.py
+++ b/src/galenastall/bench/cell_load/workload.py
@@ -6,6 +6,11 @@
 import msgspec
 import yaml
 
+from galenastall.state.cell.workspaces import Workspace
+from galenastall.state.resources import Resources
+
+SHARE_SLACK: Final = 1e-9
+"""Rounding of a sum of shares."""
 MOST_EXECUTORS: Final = 4_000
 """The largest fleet to design for has 2,800."""
 
@@ -108,6 +113,36 @@
     """Their capacity in this time, as a share of the usual one."""
 
 
+class WorkspaceLoad(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One workspace: how much of the jobs is its own, and what it may have."""
+
+    share: float
+    """Share of all jobs that it hands in as usual."""
+    weight: float
+    """Jobs a second that it is owed."""
+    limit_cores_milli: int = 0
+    limit_memory_mb: int = 0
+    rate_factor: float = 1.0
+    """How many times its usual it hands in; what is above that is not owed."""
+
+    def to_workspace(self, name: str) -> Workspace:
+        """Return the product's type."""
+        limit = Resources(cores_milli=self.limit_cores_milli, memory_mb=self.limit_memory_mb)
+        return Workspace(name=name, weight=self.weight, limit=limit)
+
+    def problem(self) -> str:
+        """Return what is wrong, naming field and value; empty if nothing is."""
+        if not 0.0 <= self.share <= 1.0:
+            return f"share: expected 0 to 1, got {self.share}"
+        if self.rate_factor < 1.0:
+            return f"rate_factor: expected 1 or more, got {self.rate_factor}"
+        for name in ("weight", "limit_cores_milli", "limit_memory_mb"):
+            value = getattr(self, name)
+            if value < 0:
+                return f"{name}: expected 0 or more, got {value}"
+        return ""
+
+
 class Workload(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """One load on one fleet."""
 
@@ -134,6 +169,8 @@
     restarts_keep_names: bool = False
     """Whether an executor that starts again has the name that it had."""
     capacity_changes: list[CapacityChange] = []
+    workspaces: dict[str, WorkspaceLoad] = {}
+    """By name; jobs that no share covers belong to none."""
 
     def problem(self) -> str:
         """Return what is wrong, naming field and value; empty if nothing is."""
@@ -155,8 +192,22 @@
                 return f"capacity_changes.factor: expected 0 or more, got {change.factor}"
             if not 0.0 <= change.share <= 1.0:
                 return f"capacity_changes.share: expected 0 to 1, got {change.share}"
+        return self._problem_of_workspaces()
+
+    def _problem_of_workspaces(self) -> str:
+        for name, workspace in self.workspaces.items():
+            problem = workspace.problem()
+            if problem:
+                return f"workspaces.{name}.{problem}"
+        shares = sum(workspace.share for workspace in self.workspaces.values())
+        if shares > 1.0 + SHARE_SLACK:
+            return f"workspaces: expected shares of 1 together at most, got {shares}"
         return ""
 
+    def list_workspaces(self) -> tuple[Workspace, ...]:
+        """Return the workspaces as the configuration has them."""
+        return tuple(load.to_workspace(name) for name, load in self.workspaces.items())
+
     def factor_at(self, queue: str, at_s: float) -> float:
         """Return how many times the usual rate a queue's jobs come."""
         factor = 1.0
--- a/src/galenastall/platform/standin/callers.py
+++ b/src/galenastall/platform/standin/callers.py
@@ -19,7 +19,7 @@
     """Hands jobs in and asks for them, at whichever host it is told."""
 
     def __init__(self, *, host_name: str = "standin.example", key: str = "") -> None:
-        """`host_name` is the Host header of the configured routes; no key is shown if it is empty."""
+        """`host_name` is the Host header of the configured routes; an empty key is not shown."""
         self._pool = httpcore.AsyncConnectionPool()
         self._host_name = host_name
         self.key = key
--- a/tests/test_cell_load.py
+++ b/tests/test_cell_load.py
@@ -53,6 +53,10 @@
 """
 
 
+OWNERS = (
+    "workspaces: {{a: {{share: {0}, weight: 5, rate_factor: {1}, limit_cores_milli: {2}}},"
+    " b: {{share: 0.5, weight: 5}}}}"
+)
 CHANGE = "capacity_changes: [{{at_s: 1, for_s: 1, share: {}, factor: {}}}]"
 
 
@@ -80,6 +84,10 @@
             (("approved_share: 0.7", "approved_share: 7"), "approved_share: expected 0 to 1"),
             (("length_s: 3", "bursts: [{at_s: 1, for_s: 1, factor: 2, queue: x}]"), "no queue 'x'"),
             (("gang_share: 1.0", "crash_share: 2"), "crash_share: expected 0 to 1, got 2"),
+            (("length_s: 3", OWNERS.format(2, 1, 0)), "workspaces.a.share: expected 0 to 1"),
+            (("length_s: 3", OWNERS.format(0.6, 1, 0)), "expected shares of 1 together at most"),
+            (("length_s: 3", OWNERS.format(0.5, 0.5, 0)), "a.rate_factor: expected 1 or more"),
+            (("length_s: 3", OWNERS.format(0.5, 1, -1)), "a.limit_cores_milli: expected 0 or more"),
             (("length_s: 3", CHANGE.format(2, 1)), "capacity_changes.share: expected 0 to 1"),
             (("length_s: 3", CHANGE.format(1, -1)), "capacity_changes.factor: expected 0 or more"),
         ],
@@ -101,6 +109,39 @@
         assert len(draw_arrivals(burst, seed=1)) > 3 * len(draw_arrivals(workload, seed=1))
 
 
+class TestWorkspaces:
+    @pytest.fixture
+    def path(self, tmp_path: Path) -> Path:
+        return tmp_path
+
+    def test_owners_change_nothing_else(self, path: Path) -> None:
+        plain = draw_arrivals(small(path), seed=1)
+        owned = draw_arrivals(small(path, SMALL + OWNERS.format(0.5, 1, 0)), seed=1)
+        assert {arrival.job.workspace for arrival in owned} == {"a", "b"}
+        assert [replace(a, job=replace(a.job, workspace="")) for a in owned] == plain
+
+    def test_what_a_workspace_adds_to_its_usual_is_not_owed(self, path: Path) -> None:
+        plain = draw_arrivals(small(path, SMALL + OWNERS.format(0.5, 1, 0)), seed=1)
+        hot = draw_arrivals(small(path, SMALL + OWNERS.format(0.5, 10, 0)), seed=1)
+        assert [arrival for arrival in hot if arrival.is_owed] == plain
+        extra = [arrival for arrival in hot if not arrival.is_owed]
+        assert {arrival.job.workspace for arrival in extra} == {"a"}
+        assert len(extra) > 2 * len(plain)
+
+    def test_a_limit_holds(self, path: Path) -> None:
+        played = play(small(path, SMALL + OWNERS.format(0.5, 3, 20_000)), seed=1)
+        assert played.violations == []
+        assert played.starts > 0
+
+    def test_one_that_fills_the_cell_takes_nothing_from_the_other(self, path: Path) -> None:
+        shares = []
+        for factor in (1, 60):
+            text = SMALL + OWNERS.format(0.5, factor, 0)
+            figures, _ = run_seeds(small(path, text), seeds=2)
+            shares.append(figures.worth_by_workspace["b"])
+        assert shares[1] >= shares[0] - 0.05
+
+
 class TestPlay:
     def test_the_same_seed_plays_the_same(self, tmp_path: Path) -> None:
         workload = small(tmp_path)
