--- a/tests/cell/cluster.py
+++ b/tests/cell/cluster.py
@@ -158,12 +158,16 @@
         names = [workspace.name for workspace in config.workspaces] if config else []
         return job.workspace in {NO_WORKSPACE, *names}
 
+    def _owner_of(self, job_id: str) -> str:
+        job = self.world.jobs.get(job_id)
+        return NO_WORKSPACE if job is None else job.workspace
+
     async def cancel(self, job_id: str) -> bool:
         host = self.any_host()
         if host is None:
             return False
         self.cancel_asked.add(job_id)
-        workspace = self.world.jobs[job_id].workspace
+        workspace = self._owner_of(job_id)
         answer = await host.desk.cancel(job_id, patience_s=3.0, workspace=workspace)
         if answer.value_or(None) is JobPhase.CANCELLED:
             self.cancelled.add(job_id)
@@ -175,7 +179,7 @@
         while True:
             host = self.any_host()
             if host is not None:
-                workspace = self.world.jobs[job_id].workspace
+                workspace = self._owner_of(job_id)
                 answer = await host.desk.phase(job_id, patience_s=3.0, workspace=workspace)
                 if answer.value_or("no answer") != "no answer":
                     return answer.unwrap()
--- a/tests/test_cell_fitting.py
+++ b/tests/test_cell_fitting.py
@@ -25,6 +25,7 @@
         self.job = JobRun(job=make_job(step))
         self.job.open_due(rig.wall)
         self.state = rig.core._state
+        self.state.jobs_by_id[self.job.job.job_id] = self.job
         self.plan = RoomPlan(forecast=Forecast(state=self.state))
         self.plan.begin(now=rig.now, fleet_size=len(infos))
         pressing = make_step(1, cores=3000, estimate_s=60.0)
