--- a/src/galenastall/coordination/cell/advice_planner.py
+++ b/src/galenastall/coordination/cell/advice_planner.py
@@ -31,6 +31,8 @@
 NAMED_AT_ONCE: Final = 30
 """Executors that each of the calls names which together ask about many: a call takes 0.9 s and 8 ms
 for each of them, so more make it longer than asking through another host."""
+HOSTS_A_SHORT_CALL: Final = 4
+"""Hosts that must be free for each of several short calls that take the place of a long one."""
 ENOUGH_FACTOR: Final = 2.0
 """A first question names executors until the places expected to be approved are so many times those
 wanted: places get lost to other steps while the call takes its time."""
@@ -128,7 +130,7 @@
         """
         if Mechanism.ADVICE_AT_ONCE in self._state.without:
             wanted = wanted[:NAMED_AT_ONCE]
-        calls = min(-(-len(wanted) // NAMED_AT_ONCE), self._hosts_left(waiting))
+        calls = _calls_for(len(wanted), hosts_left=self._hosts_left(waiting))
         for number in range(calls):
             self._ask(waiting, wanted[number::calls][:MOST_NAMED])
 
@@ -197,6 +199,18 @@
         return False
 
 
+def _calls_for(count: int, *, hosts_left: int) -> int:
+    """Return through how many hosts to ask about `count` executors that were never asked about.
+
+    Short calls while hosts are idle, and as few as can name them all where others wait for hosts:
+    each call costs its base time besides.
+    """
+    fewest = -(-count // MOST_NAMED)
+    shortest = -(-count // NAMED_AT_ONCE)
+    spread = hosts_left // HOSTS_A_SHORT_CALL
+    return min(max(fewest, min(shortest, spread)), hosts_left)
+
+
 def _expires(advice: StepAdvice, executor: Executor, planned: PlannedStart) -> bool:
     """Whether an executor's ticket runs out before a planned start."""
     good_until = advice.good_until_by_executor.get(executor.executor_id, float("-inf"))
