--- a/tests/test_cell_advice_calls.py
+++ b/tests/test_cell_advice_calls.py
@@ -1,4 +1,4 @@
-"""Through how many hosts the advisor is asked at once, when hosts are idle and when they are few."""
+"""Through how many hosts the advisor is asked at once, with many hosts idle and with few."""
 
 import pytest
 
