Start nothing of a workspace before its limit is known

Found by seed 40 of random trouble with changing limits: a host that had just started led 56 ms before it read its first configuration, and placed waiting jobs of workspaces without limits. They now wait for it as quota_unknown; jobs without a workspace do not.

--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -138,6 +138,9 @@
         allowed = workspaces.startable(name, step, len(tasks))
         if allowed == len(tasks):
             return tasks
+        if not workspaces.is_told:
+            self.sight.note(waiting.step.key, WaitReason.QUOTA_UNKNOWN)
+            return []
         if not workspaces.may_ever_start(name, step):
             self.sight.note(waiting.step.key, WaitReason.OVER_QUOTA)
             return []
--- a/src/galenastall/coordination/cell/wait_reasons.py
+++ b/src/galenastall/coordination/cell/wait_reasons.py
@@ -22,6 +22,8 @@
     """It is beyond the steps that one decision looks at."""
     NONE_OPEN = "none_open"
     """No executor of its service and label takes new work."""
+    QUOTA_UNKNOWN = "quota_unknown"
+    """The leader has read no configuration yet, which names the limits of workspaces."""
     QUOTA_USED = "quota_used"
     """Its workspace may start nothing more, or not all of its gang, until runs of it end."""
     OVER_QUOTA = "over_quota"
--- a/tests/test_cell_quotas.py
+++ b/tests/test_cell_quotas.py
@@ -106,6 +106,15 @@
         rig.submit(make_job(make_step(8), workspace="b"))
         assert len(rig.step()) == 8
 
+    def test_nothing_of_a_workspace_starts_before_its_limit_is_known(self) -> None:
+        """A host that has just started may lead before it has read the configuration."""
+        rig = Rig(make_info("e0"))
+        rig.submit(make_job(make_step(2), workspace="a"))
+        rig.submit(make_job(make_step(1), job_id=OTHER))
+        assert [order.task.job for order in rig.step()] == [OTHER]
+        rig.core.set_workspaces([])
+        assert len(rig.step()) == 2
+
     def test_a_removed_workspace_keeps_its_last_limit(self) -> None:
         rig = QuotaRig(cores=2000)
         rig.hand_in(make_step(8))
@@ -203,7 +212,7 @@
         assert later.used == 0
 
 
-SEEDS = (*range(8), 11, 41, 42)
+SEEDS = (*range(8), 11, 40, 41, 42)
 
 
 class TestRandomTrouble:
