--- a/src/galenastall/node/cell/commit_loop.py
+++ b/src/galenastall/node/cell/commit_loop.py
@@ -73,7 +73,8 @@
     ) -> None:
         """Write to `state` in the term of `context`.
 
-        `read_anew` brings what starts must keep to; it is called after an outage.
+        `read_anew` brings what starts must keep to; it is called before the first starts of the
+        term, and after an outage.
         """
         self._context = context
         self._state = state
@@ -81,8 +82,8 @@
         self._timings = timings
         self._sequence = 0
         self._wanted = trio.Event()
-        self._was_away = False
-        """Whether the store was away since starts last left."""
+        self._may_be_behind = True
+        """Whether no start has left since the term began, or since the store was away."""
         self.last_append_s = 0.0
         """How long the last answered append took."""
         self.failing_since: float | None = None
@@ -118,10 +119,10 @@
         for part in parts_of(values, most_bytes=self._state.append_bytes):
             self._sequence += 1
             await self._append(part)
-        if batch.starts and self._was_away:
+        if batch.starts and self._may_be_behind:
             # Capacities and limits may have shrunk meanwhile, and executors need not guard theirs.
             await self._read_anew()
-            self._was_away = False
+            self._may_be_behind = False
         starts = context.core.commit(batch, wall=context.wall())
         context.tell_committed()
         context.wake()
@@ -183,5 +184,5 @@
     def _note_regained(self) -> None:
         if self.failing_since is not None:
             self.failing_since = None
-            self._was_away = True
+            self._may_be_behind = True
             self._context.note("store.regained")
--- a/tests/test_cell_quotas.py
+++ b/tests/test_cell_quotas.py
@@ -212,6 +212,7 @@
         assert later.used == 0
 
 
+SEEDS_OF_RESTARTS = (0, 2, 11, 31, 36, 41, 42)
 SEEDS = (*range(8), 11, 40, 41, 42)
 
 
@@ -220,6 +221,12 @@
     async def test_limits_hold_through_all_of_it(self, autojump_clock: object, seed: int) -> None:
         await play(changed_quotas_in_trouble, seed=seed)
 
+    @pytest.mark.parametrize("seed", SEEDS_OF_RESTARTS)
+    async def test_limits_hold_where_executors_restart_under_their_ids(
+        self, autojump_clock: object, seed: int
+    ) -> None:
+        await play(changed_quotas_in_trouble, seed=seed, keeps_ids=True)
+
     async def test_a_leader_that_counts_no_runs_is_noticed(self, autojump_clock: object) -> None:
         with replaced(WorkspaceUse, "add", lambda self, task, **_: None):
             await play(busy_workspace, seed=0)
