Say in the core's comments what holds, without how it was found

Constants keep a name, a unit and a short reason; the figures that chose them stand in the commits that brought them and on docs/decisions-under-load.md.

--- a/src/galenastall/coordination/cell/advice.py
+++ b/src/galenastall/coordination/cell/advice.py
@@ -8,12 +8,11 @@
 from galenastall.state.cell.jobs import StepKey
 
 TICKET_MARGIN_S: Final = 0.25
-"""A ticket is used only while it is good for longer: an append and a start take some 30 ms."""
+"""A ticket is used only while it is good for longer: an append and a start come first."""
 ASK_PATIENCE_S: Final = 2.5
 """How long an unanswered call for advice keeps another one for its step from being made."""
 MOST_REPEATED: Final = 2
-"""Calls of one step without an answer beyond which it makes none again: the desk ends each of them,
-and with hosts that were slow to answer 100 urgent steps left 792 calls waiting after 30 s."""
+"""Calls of one step without an answer beyond which it makes none again."""
 ASK_AGAIN_S: Final = 0.15
 """Pause after a call that failed."""
 
@@ -184,7 +183,7 @@
 
     def _end_call(self, step: StepKey, executor_ids: Sequence[str]) -> StepAdvice | None:
         """Take a call off and return its step's entry; None once its job was forgotten."""
-        # Each call is taken off once: one that stayed counted kept a host from being asked through.
+        # Each call is taken off once: one that stays counted keeps a host from being asked through.
         advice = self._advice_by_step.get(step)
         if advice is not None and advice.end_call(frozenset(executor_ids)):
             self._calls_under_way -= 1
--- a/src/galenastall/coordination/cell/advice_planner.py
+++ b/src/galenastall/coordination/cell/advice_planner.py
@@ -21,23 +21,21 @@
 from galenastall.coordination.cell.waiting_line import WaitingStep
 
 RENEW_AHEAD_S: Final = 0.5
-"""Tickets of single tasks are renewed this long before room is expected: a call takes 0.1 to
-0.7 s."""
+"""Tickets of single tasks are renewed this long before room is expected."""
 AHEAD_SLACK_S: Final = 0.15
 """A gang's tickets are asked for this much earlier than a call takes: expected ends are off by as
 much, and the tickets outlast it by far."""
 MOST_NAMED: Final = 100
 """Executors that one call may name, as the platform states it."""
 NAMED_AT_ONCE: Final = 30
-"""Executors that each of the calls names which together ask about many: a call takes 0.9 s and 8 ms
-for each of them, so more make it longer than asking through another host."""
+"""Executors that a short call names; each of them makes the call longer."""
 HOSTS_A_SHORT_CALL: Final = 4
 """Hosts that must be free for each of several short calls that take the place of a long one."""
 ENOUGH_FACTOR: Final = 2.0
 """A first question names executors until the places expected to be approved are so many times those
 wanted: places get lost to other steps while the call takes its time."""
 KEPT_FOR_URGENT: Final = 2
-"""Hosts that calls for other work leave free: one such call takes up to 0.9 s, an urgent 10 ms."""
+"""Hosts that calls for other work, which take many times longer, leave free."""
 
 
 class AdvicePlanner:
@@ -125,8 +123,7 @@
     def _ask_fresh(self, waiting: WaitingStep, wanted: list[Executor]) -> None:
         """Ask about executors never asked about, through several hosts where they are many.
 
-        A gang of 16 tasks whose advisor approves of a third of 176 executors then knows all of them
-        after 1.1 s; with one call after the other its first tickets ran out before it had enough.
+        With one call after the other the first tickets would run out before a gang has enough.
         """
         if Mechanism.ADVICE_AT_ONCE in self._state.without:
             wanted = wanted[:NAMED_AT_ONCE]
--- a/src/galenastall/coordination/cell/fitting.py
+++ b/src/galenastall/coordination/cell/fitting.py
@@ -51,8 +51,7 @@
 class SingleChoices:
     """Chooses for the tasks of one step in turn as `choose` does, and looks at each executor once.
 
-    Only the executor that was chosen last has changed since. With 120 approved executors a step of
-    100 tasks took 25 to 80 ms of a decision when each task looked at all of them.
+    Only the executor that was chosen last has changed since.
     """
 
     def __init__(self, usable: Iterable[Executor], step: StepRun, plan: RoomPlan) -> None:
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -22,7 +22,7 @@
 from galenastall.state.resources import NOTHING, Resources
 
 TICKETED_SOON_S: Final = 1.5
-"""A start as near as this is planned where tickets are: they last for 2.5 s, a call takes 1 s."""
+"""A start as near as this, in seconds, is planned where tickets are."""
 
 OpenExecutors = dict[str, Executor]
 """Executors that take new work, by id."""
--- a/src/galenastall/coordination/cell/room_plan.py
+++ b/src/galenastall/coordination/cell/room_plan.py
@@ -21,15 +21,12 @@
 SINGLE_TASKS: Final = 2
 """Tasks of a step that is no gang for which room is kept: each starts on its own."""
 RUN_MARGIN: Final = 1.5
-"""A run counts as over before a moment if this many times its declared time is: declared times
-are off by a factor of 1.6 in one case of three."""
+"""A run counts as over before a moment if this many times its declared time is."""
 KEPT_AHEAD_S: Final = 0.7
 """Room that is needed later is kept for the first in the line only: it would lie idle for longer
-than what could use it meanwhile runs. Under an overload by wide gangs on 176 executors 0.828 of the
-worth was earned with 0.7 s, 0.810 with 2 s and 0.793 without a limit (3 seeds of 50 s in the load
-lab, each in this order)."""
+than what could use it meanwhile runs."""
 HORIZON_S: Final = 30.0
-"""Room that comes free later is not planned with; the longest runs take half of it."""
+"""Room that comes free later, in seconds, is not planned with."""
 
 
 @dataclass(slots=True)
@@ -167,8 +164,7 @@
 
         None if it does not within `within_s`.
 
-        One pass over the expected ends of all candidates in the order of time: with 60 candidates
-        and 8 runs on each some 500 steps, half a millisecond.
+        One pass over the expected ends of all candidates, in the order of time.
         """
         left_by_id = {e.executor_id: self._left(e) for e in candidates}
         slots_by_id = {e.executor_id: self._slots(e, left_by_id, step, count) for e in candidates}
--- a/src/galenastall/coordination/cell/standstill.py
+++ b/src/galenastall/coordination/cell/standstill.py
@@ -36,8 +36,7 @@
 def waits_for_members(step: StepRun, task: TaskRun) -> bool:
     """Whether a member of a gang has done its share, and others have not.
 
-    Stopping such a member threw away 16 s of work of five hosts while one member was cut off and
-    worked on.
+    Stopping such a member throws the work of all away, though one that is cut off may work on.
     """
     if not step.step.is_gang or task.percent < WHOLE_PERCENT:
         return False
--- a/src/galenastall/coordination/cell/turns.py
+++ b/src/galenastall/coordination/cell/turns.py
@@ -7,24 +7,20 @@
 from galenastall.state.cell.jobs import StepKey
 
 STEPS_PER_DECISION: Final = 120
-"""Waiting steps looked at in one decision, beside those that a call for advice was answered for.
-With 500 waiting on 176 executors of 8 runs each, 60 of them approved, it takes 23 to 57 ms."""
+"""Waiting steps looked at in one decision, beside those that a call for advice was answered for."""
 STEPS_IN_TURN: Final = 20
-"""Those of them that are taken in turn from behind the first: with 500 waiting steps each is looked
-at once in 20 decisions, which take 1.8 to 4.6 s with the pauses between them."""
+"""Those of them that are taken in turn from behind the first."""
 PLANNED_GANGS: Final = 12
-"""Gangs for which a decision finds when they could start; each takes half a millisecond with 60
-approved executors. Those behind them in the line keep no room yet."""
+"""Gangs for which a decision finds when they could start; those behind them keep no room yet."""
 FRUITLESS_PLANS: Final = 8
 """Looks for a gang's start that may be in vain in one decision: so many at gangs for which the last
-look was in vain too, and so many at others. One takes 0.9 ms with 60 approved executors."""
+look was in vain too, and so many at others."""
 GANGS_IN_TURN: Final = 4
 """Gangs beyond these limits for which a start is looked for in turn: without one their tickets are
 not renewed."""
 
 OVERDUE_TURN_S: Final = 10.0
-"""For how long one overdue step is brought forward: a step that may start does so in 2 s beside a
-stream of small tasks on 95% of the cores."""
+"""For how long one overdue step is brought forward."""
 OVERDUE_PAUSE_S: Final = 5.0
 """Between two turns of overdue steps, for work that still earns something."""
 
@@ -65,8 +61,8 @@
 class OverdueTurns:
     """Chooses the one overdue step that is brought forward.
 
-    It has its turn for a while only, since it may wait for advice that does not come; one without
-    tickets kept three of four executors empty. The next begins after a pause.
+    It has its turn for a while only, since it may wait for advice that does not come. The next
+    begins after a pause.
     """
 
     def __init__(self) -> None:
@@ -95,9 +91,8 @@
     """Chooses the gangs for which a decision looks for a start: `may_look` first, then `note`.
 
     Gangs that have a start count against PLANNED_GANGS, those that have none against
-    FRUITLESS_PLANS: with one limit for both, gangs that can't start where they are approved kept
-    those behind them from having their tickets renewed. Gangs beyond the limits are left out, and
-    have their turn.
+    FRUITLESS_PLANS: gangs that can't start where they are approved must not keep those behind them
+    from having their tickets renewed. Gangs beyond the limits are left out, and have their turn.
     """
 
     def __init__(self) -> None:
--- a/src/galenastall/coordination/cell/waiting_line.py
+++ b/src/galenastall/coordination/cell/waiting_line.py
@@ -15,12 +15,11 @@
 WORTHLESS_RANK: Final = 2
 """Rank of what is so late that it earns nothing more; it runs when nothing else wants the room."""
 LATE_PATIENCE_S: Final = 15.0
-"""A gang that has earned nothing for longer is brought forward, one step at a time: beside a stream
-of small tasks on 90% of the cores it did not start in 110 s; brought forward it did in 2 s."""
+"""A gang that has earned nothing for longer is brought forward, one step at a time: small tasks
+would take each bit of room before it."""
 HEAVY_PATIENCE_S: Final = 120.0
 """The same for gangs that take more than half of all room, and for single tasks, which may need
-whole executors: room for these is emptied for as long as the longest run takes, at the cost of work
-that still earns. Ten gangs as wide as the cell made 55 of 199 small tasks 3 s late."""
+whole executors: room for these is emptied at the cost of work that still earns."""
 
 OrderKey = tuple[int, int, int, float, StepKey]
 
@@ -69,8 +68,8 @@
     def order_key(self, without: Without = ALL_ON) -> OrderKey:
         """Return its place in the order of decisions.
 
-        Urgent work goes before other work also when it is late: it is an eighth of all work, and
-        what waits behind work with seconds to spare ends up earning nothing.
+        Urgent work goes before other work also when it is late: what waits behind work with seconds
+        to spare ends up earning nothing.
         """
         urgency = 0 if self.is_urgent or Mechanism.URGENT_FIRST in without else 1
         worthless = 1 if self.is_worthless or not self.job.is_within_rate else 0
--- a/src/galenastall/coordination/cell/waiting_report.py
+++ b/src/galenastall/coordination/cell/waiting_report.py
@@ -96,8 +96,7 @@
         """Return a gang's wait with what a decision has no time to find out.
 
         Only gangs for which a decision looks for a start come here, and the limits of `turns` bound
-        these. With 12 of them the report takes 2 to 5 ms a second with 220 waiting steps and 176
-        executors.
+        these.
         """
         if wait.reason not in {WaitReason.ROOM_LATER, WaitReason.NO_ROOM_AHEAD}:
             return wait
