--- a/src/galenastall/node/cell/caller_desk.py
+++ b/src/galenastall/node/cell/caller_desk.py
@@ -160,13 +160,11 @@
         CONFLICT: the leader has a newer configuration, by which the caller must be let in anew.
         """
         return await self._ask(
-            lambda left: AskJob(
-                job_id=job_id,
-                patience_s=left,
-                workspace=workspace,
-                config_version=config_version,
-            ),
-            patience_s,
+            AskJob,
+            job_id,
+            patience_s=patience_s,
+            workspace=workspace,
+            config_version=config_version,
         )
 
     async def cancel(
@@ -182,13 +180,11 @@
         CONFLICT: the leader has a newer configuration, by which the caller must be let in anew.
         """
         return await self._ask(
-            lambda left: CancelJob(
-                job_id=job_id,
-                patience_s=left,
-                workspace=workspace,
-                config_version=config_version,
-            ),
-            patience_s,
+            CancelJob,
+            job_id,
+            patience_s=patience_s,
+            workspace=workspace,
+            config_version=config_version,
         )
 
     async def pending(
@@ -203,8 +199,22 @@
         return answer.map(_count_of)
 
     async def _ask(
-        self, build: Callable[[float], object], patience_s: float
+        self,
+        kind: type[AskJob] | type[CancelJob],
+        job_id: str,
+        *,
+        patience_s: float,
+        workspace: str,
+        config_version: int,
     ) -> Result[JobPhase | None, StepError]:
+        def build(left_s: float) -> AskJob | CancelJob:
+            return kind(
+                job_id=job_id,
+                patience_s=left_s,
+                workspace=workspace,
+                config_version=config_version,
+            )
+
         answer = await self._repeat(build, patience_s)
         return answer.map(_phase_of)
 
--- /dev/null
+++ b/src/galenastall/platform/amounts.py
@@ -0,0 +1,20 @@
+"""Amounts of resources as the platform writes them."""
+
+import msgspec
+
+from galenastall.state.resources import Resources
+
+
+class WireAmount(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """Processor, memory and accelerators."""
+
+    cpu: int = 0
+    """Thousandths of a core."""
+    memory_request_mb: int = 0
+    gpus: int = 0
+
+    def to_resources(self) -> Resources:
+        """Return the product's type."""
+        return Resources(
+            cores_milli=self.cpu, memory_mb=self.memory_request_mb, accelerators=self.gpus
+        )
--- a/src/galenastall/platform/config.py
+++ b/src/galenastall/platform/config.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from galenastall.platform.access import digest_of
+from galenastall.platform.amounts import WireAmount
 from galenastall.platform.calls import Address, PlatformCalls
 from galenastall.platform.entries import decode_entry
 from galenastall.platform.keyed_follower import KeyedFollower
@@ -14,7 +15,6 @@
 from galenastall.state.cell.jobs import AdvisorTiming, Queue
 from galenastall.state.cell.workspaces import Workspace
 from galenastall.state.errors import Reason, StepError
-from galenastall.state.resources import Resources
 from galenastall.transport.logs import Recorder
 
 TOPIC: Final = "keyed.op"
@@ -80,28 +80,14 @@
     standby: bool = False
 
 
-class WireLimit(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
-    """What a tenant may have running across all executors; 0 is no limit."""
-
-    cpu: int = 0
-    """Thousandths of a core."""
-    memory_request_mb: int = 0
-    gpus: int = 0
-
-    def to_resources(self) -> Resources:
-        """Return the product's type."""
-        return Resources(
-            cores_milli=self.cpu, memory_mb=self.memory_request_mb, accelerators=self.gpus
-        )
-
-
 class WireTenant(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """A tenant, with the keys that its callers show."""
 
     name: str = ""
     api_keys: list[str] = []
     weight: float = 1.0
-    upper_limit: WireLimit = WireLimit()
+    upper_limit: WireAmount = WireAmount()
+    """What it may have running across all executors; 0 is no limit."""
 
     def to_workspace(self) -> Workspace:
         """Return the product's type."""
--- a/src/galenastall/platform/fleet.py
+++ b/src/galenastall/platform/fleet.py
@@ -8,12 +8,12 @@
 from returns.result import Failure, Result, Success
 
 from galenastall.coordination.cell.executors import ExecutorInfo
+from galenastall.platform.amounts import WireAmount
 from galenastall.platform.calls import Address, PlatformCalls
 from galenastall.platform.entries import decode_entry
 from galenastall.platform.keyed_follower import KeyedFollower
 from galenastall.state.cell.executor_ids import make_executor_id
 from galenastall.state.errors import StepError
-from galenastall.state.resources import Resources
 from galenastall.transport.logs import Level, Recorder
 
 TOPIC: Final = "keyed.servers"
@@ -22,21 +22,6 @@
 _DRAINING: Final = "draining"
 
 
-class WireCapacity(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
-    """What an executor offers."""
-
-    cpu: int = 0
-    """Thousandths of a core."""
-    memory_request_mb: int = 0
-    gpus: int = 0
-
-    def to_resources(self) -> Resources:
-        """Return the product's type."""
-        return Resources(
-            cores_milli=self.cpu, memory_mb=self.memory_request_mb, accelerators=self.gpus
-        )
-
-
 class WireEntry(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """An executor's own entry; its key is its name."""
 
@@ -44,7 +29,7 @@
     address: str
     state: str
     zone: str = ""
-    capacity: WireCapacity = WireCapacity()
+    capacity: WireAmount = WireAmount()
     labels: list[str] = []
     """Its kind, then its rack."""
     machine: str = ""
--- a/src/galenastall/platform/hosts.py
+++ b/src/galenastall/platform/hosts.py
@@ -7,9 +7,9 @@
 from returns.result import Failure, Result, Success
 
 from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome
+from galenastall.platform.amounts import WireAmount
 from galenastall.platform.calls import Address, PlatformCalls, decode_answer, refused
 from galenastall.platform.entries import decode_entry
-from galenastall.platform.fleet import WireCapacity
 from galenastall.platform.log_wire import keyed_record
 from galenastall.platform.store import PRODUCER
 from galenastall.state.cell.hosts import HostState, MaintenanceWave, PoolHost
@@ -45,7 +45,7 @@
     state: str
     labels: list[str] = []
     """Its kind, then its rack."""
-    capacity: WireCapacity = WireCapacity()
+    capacity: WireAmount = WireAmount()
     id: str | None = None
     """Name of its executor, if it has one."""
 
--- a/tests/test_platform_access.py
+++ b/tests/test_platform_access.py
@@ -79,7 +79,7 @@
             ([make_tenant("a", weight=-1)], "tenants[0].weight: expected 0 or more, got -1.0"),
             (
                 [make_tenant("a", upperLimit={"cpu": -5})],
-                "tenants[0].upperLimit: expected 0 or more, got WireLimit(cpu=-5,",
+                "tenants[0].upperLimit: expected 0 or more, got WireAmount(cpu=-5,",
             ),
         ],
     )
