--- a/src/galenastall/coordination/cell/job_rates.py
+++ b/src/galenastall/coordination/cell/job_rates.py
@@ -16,12 +16,13 @@
 """Jobs: a workspace of a small weight still hands in whole ones."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class _Account:
     """Jobs that a workspace may hand in at a time."""
 
     jobs: float
     at: float
+    """Wall time in seconds of the last job."""
 
 
 class JobRates:
@@ -34,9 +35,11 @@
     def is_within(self, workspace: Workspace, *, wall: float) -> bool:
         """Charge a job that comes at `wall` seconds; False if it is beyond the workspace's rate."""
         most = max(workspace.weight * BURST_S, LEAST_BURST)
-        known = self._accounts_by_name.get(workspace.name) or _Account(most, wall)
+        full = _Account(jobs=most, at=wall)
+        known = self._accounts_by_name.get(workspace.name, full)
         filled = workspace.weight * max(wall - known.at, 0.0)
         jobs = min(known.jobs + filled, most)
         is_within = jobs >= 1.0
-        self._accounts_by_name[workspace.name] = _Account(jobs - 1.0 if is_within else jobs, wall)
+        left = jobs - 1.0 if is_within else jobs
+        self._accounts_by_name[workspace.name] = _Account(jobs=left, at=wall)
         return is_within
--- a/src/galenastall/node/cell/caller_desk.py
+++ b/src/galenastall/node/cell/caller_desk.py
@@ -37,9 +37,9 @@
 ANSWER_MARGIN_S: Final = 0.15
 """Kept of a caller's time for the way back."""
 RETRY_S: Final = 0.05
-_Call = TypeVar("_Call", SubmitJob, AskJob, CancelJob, CountPending)
 RETRY_AFTER_S: Final = 1.0
 """When callers are told to come back: by then a takeover is mostly over."""
+_Call = TypeVar("_Call", SubmitJob, AskJob, CancelJob, CountPending)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/galenastall/platform/jobs_face.py
+++ b/src/galenastall/platform/jobs_face.py
@@ -197,7 +197,7 @@
         return self._admit_now(request)
 
     async def _admit(self, request: HttpRequest) -> Admission | HttpResponse:
-        """Let a caller in, or refuse it, by a newer configuration if need be."""
+        """Let a caller in; look for a newer configuration before it is refused."""
         admission = self._admit_now(request)
         if isinstance(admission, Admission):
             return admission
