--- a/tests/test_platform_access.py
+++ b/tests/test_platform_access.py
@@ -163,11 +163,12 @@
 ) -> tuple[int, bytes]:
     """Call a face of its own; returns status and body."""
     clock = TrioClock()
+    own_ring = TimelineRing(capacity=10) if ring is None else ring
     face = JobsFace(
         desk=desk,  # type: ignore[arg-type]
         config=source,
         clock=clock,
-        recorder=Recorder(process="t", clock=clock, ring=ring or TimelineRing(capacity=10)),
+        recorder=Recorder(process="t", clock=clock, ring=own_ring),
         submit_seconds=CellMetrics(metrics=Metrics()).submit_seconds,
     )
     server = HttpServer(handlers=[face], clock=clock, bind="127.0.0.1:0")
@@ -219,4 +220,10 @@
 
     async def test_a_host_that_stays_behind_can_not_say_what_became_of_a_job(self) -> None:
         desk = Desk(least_version=2)
-        assert (await ask(Source(self.old), desk, key=KEY))[0] == 504
+        ring = TimelineRing(capacity=10)
+        status, body = await ask(Source(self.old), desk, key=KEY, ring=ring)
+        assert status == 504
+        events = list(ring)
+        assert [event.step for event in events] == ["job.refused"]
+        assert KEY not in repr(events)
+        assert KEY.encode() not in body
