Wait in tests also for jobs that are accepted while others are waited for

Cause: check_all_end looked at the accepted jobs once. A job whose acceptance came 4 ms later was not waited for, and test_a_task_done_after_the_restart_is_not_started_again then found it running (trace: job 0x77 accepted at 14.854 s, the look at 14.850 s, its last task running at 21.5 s).

Change: it looks again until no job is left that it has not waited for, which checks more jobs than before.

--- a/tests/cell/play.py
+++ b/tests/cell/play.py
@@ -53,14 +53,22 @@
 
 
 async def check_all_end(cluster: Cluster, timeout_s: float = 90.0) -> None:
-    for job_id in sorted(cluster.accepted):
-        phase = await cluster.wait_ended(job_id, timeout_s)
-        wanted = {JobPhase.COMPLETED, JobPhase.FAILED}
-        if job_id in cluster.cancelled:
-            wanted = {JobPhase.CANCELLED}
-        elif job_id in cluster.cancel_asked:
-            wanted = wanted | {JobPhase.CANCELLED}
-        assert phase in wanted, f"{job_id} is {phase}"
+    """Wait for all accepted jobs, also those that are accepted meanwhile."""
+    ended: set[str] = set()
+    while new := sorted(cluster.accepted - ended):
+        for job_id in new:
+            await check_ends(cluster, job_id, timeout_s)
+        ended.update(new)
+
+
+async def check_ends(cluster: Cluster, job_id: str, timeout_s: float) -> None:
+    phase = await cluster.wait_ended(job_id, timeout_s)
+    wanted = {JobPhase.COMPLETED, JobPhase.FAILED}
+    if job_id in cluster.cancelled:
+        wanted = {JobPhase.CANCELLED}
+    elif job_id in cluster.cancel_asked:
+        wanted = wanted | {JobPhase.CANCELLED}
+    assert phase in wanted, f"{job_id} is {phase}"
 
 
 async def random_trouble(cluster: Cluster, world: World, rng: Random) -> None:
