Find incarnations by host and name, so that a listing costs the same in every fleet

Cause: every listing looked through all executors for others on the same host (Incarnations.end_earlier): 1.2 ms a listing at 3,000 executors, 0.13 ms at 300. Listings come once a second from each executor, so the work grew with the square of the fleet, and was more than three cores of the one thread of a leader.

Change: the table of executors has indexes by host and by name.

--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from galenastall.coordination.cell.commands import AskAdvice, Note, PaceOrder, StartOrder, StopOrder
+from galenastall.coordination.cell.executor_table import ExecutorTable
 from galenastall.coordination.cell.executors import Closed, Executor
 from galenastall.coordination.cell.job_runs import JobRun, StepRun
 from galenastall.coordination.cell.mechanisms import ALL_ON, Without
@@ -29,7 +30,7 @@
         self.now = fenced_at
         """Leader's time of the event in hand."""
         self.jobs_by_id: dict[str, JobRun] = {}
-        self.executors_by_id: dict[str, Executor] = {}
+        self.executors = ExecutorTable()
         self.queues_by_name: dict[str, Queue] = {}
         self.workspaces = WorkspaceUse()
         self.named_services: frozenset[str] | None = None
@@ -48,10 +49,19 @@
         self.paces: list[PaceOrder] = []
         self.asks: list[AskAdvice] = []
         self.notes: list[Note] = []
+        self.looked_for: set[str] = set()
+        """Executors whose listing is needed now, without waiting for an end."""
+        self.newly_attended: set[str] = set()
+        """Executors that have to be polled without a pause from now on."""
         self.advice_calls_at_once = 1
         """Calls for advice that can be under way at a time: one for each entry host."""
         self._seq = 0
 
+    @property
+    def executors_by_id(self) -> dict[str, Executor]:
+        """Executors that are listed, or that may still run something."""
+        return self.executors.by_id
+
     def next_seq(self) -> int:
         """Return the next number of this leader's sends and receives, in their order."""
         self._seq += 1
@@ -81,6 +91,16 @@
             now=self.now, reach_s=timings.reach_s, delisted_grace_s=timings.delisted_grace_s
         )
 
+    def want_look(self, executor: Executor) -> None:
+        """Have an executor asked for a listing now."""
+        executor.wants_look = True
+        self.looked_for.add(executor.executor_id)
+
+    def attend(self, executor: Executor, *, until: float) -> None:
+        """Have an executor polled without a pause until then, though it runs nothing."""
+        executor.attended_until = max(executor.attended_until, until)
+        self.newly_attended.add(executor.executor_id)
+
     def count_stop(self, task: TaskRun, rule: StopRule) -> int:
         """Count a stop, and return how many of the job's runs the rule has stopped."""
         found = self.find(task.key)
@@ -93,8 +113,8 @@
 
     def executor_on(self, host: str) -> Executor | None:
         """Return the executor on a host, the one heard last if there are several."""
-        found = [e for e in self.executors_by_id.values() if host and e.info.host == host]
-        return max(found, key=lambda e: e.answered_seq, default=None)
+        found = self.executors.on_host(host)
+        return max(found, key=lambda e: (e.answered_seq, e.executor_id), default=None)
 
     def find_ordered(self, order: StartOrder | StopOrder | PaceOrder) -> TaskRun | None:
         """Return the task of an order, or None if the order's run is not its run any more.
--- /dev/null
+++ b/src/galenastall/coordination/cell/executor_table.py
@@ -0,0 +1,65 @@
+"""The executors of a cell, found by id, by name and by host.
+
+Answers this load: thousands of executors that list themselves again and again. What a listing
+costs must not grow with the fleet.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+from galenastall.coordination.cell.executors import Executor, ExecutorInfo
+
+
+class ExecutorTable:
+    """All incarnations that are listed or may still run something; indexes follow changes."""
+
+    def __init__(self) -> None:
+        """Create an empty table."""
+        self.by_id: dict[str, Executor] = {}
+        """To be changed by the methods here only."""
+        self.version = 0
+        """Rises whenever an executor comes or goes."""
+        self._ids_by_name: defaultdict[str, set[str]] = defaultdict(set)
+        self._ids_by_host: defaultdict[str, set[str]] = defaultdict(set)
+
+    def add(self, executor: Executor) -> None:
+        """Take an incarnation in."""
+        self.version += 1
+        self.by_id[executor.executor_id] = executor
+        self._ids_by_name[executor.name].add(executor.executor_id)
+        self._ids_by_host[executor.info.host].add(executor.executor_id)
+
+    def remove(self, executor_id: str) -> None:
+        """Forget an incarnation, if it is known."""
+        executor = self.by_id.pop(executor_id, None)
+        if executor is None:
+            return
+        self.version += 1
+        _discard(self._ids_by_name, executor.name, executor_id)
+        _discard(self._ids_by_host, executor.info.host, executor_id)
+
+    def set_info(self, executor: Executor, info: ExecutorInfo) -> None:
+        """Take what the list says of an incarnation now."""
+        if info.host != executor.info.host:
+            _discard(self._ids_by_host, executor.info.host, executor.executor_id)
+            self._ids_by_host[info.host].add(executor.executor_id)
+        executor.set_info(info)
+
+    def on_host(self, host: str) -> Iterator[Executor]:
+        """Return the incarnations on a host, in no promised order; none on an unnamed one."""
+        ids = self._ids_by_host.get(host, ()) if host else ()
+        return (self.by_id[executor_id] for executor_id in ids)
+
+    def beside(self, executor: Executor) -> list[Executor]:
+        """Return the other incarnations of its name or on its host, in the order of their ids."""
+        ids = {other.executor_id for other in self.on_host(executor.info.host)}
+        ids |= self._ids_by_name.get(executor.name, set())
+        ids.discard(executor.executor_id)
+        return [self.by_id[executor_id] for executor_id in sorted(ids)]
+
+
+def _discard(ids_by_key: defaultdict[str, set[str]], key: str, executor_id: str) -> None:
+    ids = ids_by_key[key]
+    ids.discard(executor_id)
+    if not ids:
+        del ids_by_key[key]
--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -78,8 +78,10 @@
         if executor is None:
             executor = self._incarnations.add(info, now=now)
             self._state.note("executor.seen", info.executor_id, fields={"host": info.host})
+        if executor.info is info and executor.is_listed and not executor.runs_by_task:
+            return
         was_draining = executor.info.is_draining
-        executor.set_info(info)
+        self._state.executors.set_info(executor, info)
         executor.is_listed = True
         if executor.is_over:
             self._stop_unanswered(executor)
@@ -110,13 +112,14 @@
             executor.delisted_at = now
             self._state.note("executor.delisted", executor.executor_id)
         if not executor.runs_by_task and now - executor.delisted_at > FORGET_AFTER_S:
-            del self._state.executors_by_id[executor.executor_id]
+            self._state.executors.remove(executor.executor_id)
             self._state.note("executor.forgotten", executor.executor_id)
 
     def expire(self, *, now: float, wall: float) -> None:
         """End runs whose leases have surely lapsed on executors that do not answer."""
         reach_s = self._state.timings.reach_s
-        for executor in list(self._state.executors_by_id.values()):
+        running = [e for e in self._state.executors_by_id.values() if e.runs_by_task]
+        for executor in running:
             if executor.has_answered(now=now, reach_s=reach_s):
                 # Its listings tell what has ended.
                 continue
--- a/src/galenastall/coordination/cell/incarnations.py
+++ b/src/galenastall/coordination/cell/incarnations.py
@@ -40,7 +40,7 @@
             timings=timings, unknown_until=self._state.fenced_at + longest_lease_s(timings)
         )
         executor = Executor(info=info, clock=clock, now=now)
-        self._state.executors_by_id[info.executor_id] = executor
+        self._state.executors.add(executor)
         return executor
 
     def on_restart(self, executor_id: str, later_id: str) -> None:
@@ -71,12 +71,8 @@
         the later one. The list alone does not tell: the entry of one that was over had been held up
         for 4 s, and taken for a new one it ended the runs of the one that was there.
         """
-        host = executor.info.host
-        for other in list(self._state.executors_by_id.values()):
+        for other in self._state.executors.beside(executor):
             is_same = other.name == executor.name
-            is_on_host = bool(host) and other.info.host == host
-            if other is executor or not (is_same or is_on_host):
-                continue
             is_known_here = is_same or other.answered_seq > 0 or bool(other.runs_by_task)
             if is_known_here and asked_seq > other.answered_seq:
                 if is_same:
@@ -130,7 +126,7 @@
         for key, run in list(executor.runs_by_task.items()):
             blame = blames.get(key, NO_BLAME)
             self._ends.apply(key, run, RunEnd.LOST, wall=wall, blame=blame)
-        self._state.executors_by_id.pop(executor_id, None)
+        self._state.executors.remove(executor_id)
         self._ended_ids.add(executor_id)
 
 
--- a/src/galenastall/standin/cell/executors.py
+++ b/src/galenastall/standin/cell/executors.py
@@ -111,6 +111,11 @@
                 self.end(run, RunEnd.LAPSED)
         self._end_due(now)
 
+    def _sweep_all(self) -> None:
+        """Bring this executor, whose lease may have lapsed, and all runs up to now."""
+        self.sweep()
+        self.world.sweep()
+
     def _end_due(self, now: float) -> None:
         for run in list(self.runs.values()):
             if run.task not in self.runs:
@@ -136,7 +141,7 @@
 
     def start(self, order: StartOrder, deadline_ms: float, token: int) -> StartVerdict:
         """Start a run, as an order with this token and deadline asks."""
-        self.world.sweep()
+        self._sweep_all()
         if token < self.fence:
             return StartVerdict.FENCED
         self.fence = token
@@ -159,7 +164,7 @@
 
     def stop(self, order: StopOrder, token: int) -> StartVerdict:
         """Stop a run, or have it rejected if it comes later."""
-        self.world.sweep()
+        self._sweep_all()
         if token < self.fence:
             return StartVerdict.FENCED
         self.fence = token
@@ -171,7 +176,7 @@
 
     def hold(self, deadline_ms: float | None, noted: int, token: int) -> StartVerdict:
         """Renew the lease, and forget ends up to `noted`."""
-        self.world.sweep()
+        self._sweep_all()
         if token < self.fence:
             return StartVerdict.FENCED
         self.fence = token
@@ -185,7 +190,7 @@
 
     def listing(self) -> Listing:
         """Return what runs and what has ended."""
-        self.world.sweep()
+        self._sweep_all()
         now = trio.current_time()
         return Listing(
             clock_ms=int(self.clock_ms()),
@@ -270,7 +275,8 @@
 
     def sweep(self) -> None:
         """Bring all runs up to now."""
-        for executor in list(self.executors.values()):
+        running = [executor for executor in self.executors.values() if executor.runs]
+        for executor in running:
             executor.sweep()
 
     def on_start(self, executor: Executor, order: StartOrder) -> Run:
--- a/tests/cell/world.py
+++ b/tests/cell/world.py
@@ -86,6 +86,8 @@
         self.away_s = (1.0, 3.0)
         """How long a host that a task has crashed stays away."""
         self._started = 0
+        self.renewals = 0
+        """Calls for a listing so far."""
         for number in range(executors):
             self.start_executor(f"host-{number}")
 
@@ -352,6 +354,7 @@
         token: int,
         timeout_s: float,
     ) -> Result[ListingAnswer, StepError]:
+        self.world.renewals += 1
         answer = await self._order(
             executor_id, timeout_s, lambda e: e.hold(deadline_ms, noted, token)
         )
