Poll executors that run nothing in turns, and look at the fleet only for work that waits

Cause: each executor was polled once a second whether it worked or not, some 2,500 calls a second at 0.8 ms of the leader's thread each; all sessions were opened at once; each decision looked through all executors and sessions though nothing waited (8 ms at 3,000); a gang's first question named all of the fleet.

What runs, what is doubted and what a question to the advisor names is polled without a pause. While more than 500 polls are under way long polls last 1.6 s instead of 1.0 s. Decisions look at executors only if a step waits, and at sessions only if the table or what they ask for has changed. A gang's first question names a few times what it can use, 300 at the least. cell.load is joined by leader.load: the loop's lag, calls and late answers.

--- a/src/galenastall/bench/cell_load/play.py
+++ b/src/galenastall/bench/cell_load/play.py
@@ -194,6 +194,7 @@
             config=lambda: config,
             look_at_config=_look_nowhere,
             helpers=lambda: helpers,
+            lag_s=lambda: 0.0,
             without=self._without,
         )
 
--- a/src/galenastall/coordination/cell/advice_planner.py
+++ b/src/galenastall/coordination/cell/advice_planner.py
@@ -34,6 +34,11 @@
 ENOUGH_FACTOR: Final = 2.0
 """A first question names executors until the places expected to be approved are so many times those
 wanted: places get lost to other steps while the call takes its time."""
+ATTENDED_S: Final = 4.0
+"""How long executors that a question names are polled without a pause: a call takes a second or
+two, and its tickets are good for as long."""
+NAMED_FIRST: Final = 300
+"""Executors that the first question of a gang may name however narrow it is."""
 KEPT_FOR_URGENT: Final = 2
 """Hosts that calls for other work, which take many times longer, leave free."""
 
@@ -59,7 +64,8 @@
             return
         call_s = self._call_s(waiting, NAMED_AT_ONCE)
         if planned is None or planned.at > waiting.now + 2.0 * call_s:
-            self._ask_fresh(waiting, self._fresh(advice, usable))
+            fresh = self._fresh(advice, usable)
+            self._ask_fresh(waiting, fresh[: self._most_named(waiting)])
             return
         if planned.at > waiting.now + call_s + AHEAD_SLACK_S:
             return
@@ -103,6 +109,8 @@
         timing = waiting.queue.advisor
         assert timing is not None, "only steps of advised queues come here"
         ids = tuple(executor.executor_id for executor in wanted)
+        for executor in wanted:
+            self._state.attend(executor, until=waiting.now + ATTENDED_S)
         self._advice.begin(waiting.step.key, ids, waiting.now)
         self._state.asks.append(
             AskAdvice(
@@ -131,6 +139,12 @@
         for number in range(calls):
             self._ask(waiting, wanted[number::calls][:MOST_NAMED])
 
+    def _most_named(self, waiting: WaitingStep) -> int:
+        """Return how many executors a question of a gang may name: a few times what it can use."""
+        share = self._advice.approved_share(waiting.queue.name)
+        wanted = ENOUGH_FACTOR * waiting.step.step.count / share
+        return max(int(wanted), NAMED_FIRST)
+
     def _enough(self, waiting: WaitingStep, fresh: list[Executor], count: int) -> int:
         """Return how many of the executors are to be named for `count` single tasks."""
         need = waiting.step.step.need
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -74,9 +74,12 @@
         for executor in self._state.executors_by_id.values():
             is_beside = executor.info.data_centre == silent.info.data_centre
             has_answered = executor.answered_at is not None and executor.answered_at >= sent_at
-            if executor is silent or (is_beside and not has_answered):
+            is_in_use = bool(executor.runs_by_task) or executor.has_answered(
+                now=now, reach_s=self._state.timings.reach_s
+            )
+            if executor is silent or (is_beside and is_in_use and not has_answered):
                 executor.doubted_at = now
-                executor.wants_look = True
+                self._state.want_look(executor)
 
     def _on_unknown(self, task: TaskRun) -> bool:
         task.state = StartState.UNSURE
@@ -99,7 +102,7 @@
         task.known_seq = self._state.next_seq()
         executor = self._state.executors_by_id.get(task.executor_id)
         if executor is not None:
-            executor.wants_look = True
+            self._state.want_look(executor)
 
     def _on_refused(
         self, order: StartOrder, outcome: StartOutcome, *, now: float, wall: float
@@ -132,7 +135,7 @@
         """Apply the answer to a stop: from now on the run is listed as ended, or never comes."""
         executor = self._state.executors_by_id.get(order.executor_id)
         if executor is not None:
-            executor.wants_look = True
+            self._state.want_look(executor)
         task = self._state.find_ordered(order)
         if task is not None:
             task.stop_seq = self._state.next_seq()
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -58,7 +58,7 @@
 
     def decide(self, *, now: float, wall: float) -> None:
         """Place what fits; starts and questions to the advisor go into the tables."""
-        open_executors = self._open_executors(now)
+        open_executors = self._open_executors(now) if self._state.waiting_steps else []
         self._probation.begin(open_executors)
         self.plan.begin(now=now, fleet_size=len(open_executors))
         self.plan.close(self._probation.kept_ids)
@@ -109,12 +109,16 @@
 
     def _open_executors(self, now: float) -> list[Executor]:
         timings = self._state.timings
-        return [
+        reach_s, grace_s = timings.reach_s, timings.delisted_grace_s
+        answered = (
             executor
             for executor in self._state.executors_by_id.values()
-            if executor.is_open(
-                now=now, reach_s=timings.reach_s, delisted_grace_s=timings.delisted_grace_s
-            )
+            if executor.has_answered(now=now, reach_s=reach_s)
+        )
+        return [
+            executor
+            for executor in answered
+            if executor.is_open(now=now, reach_s=reach_s, delisted_grace_s=grace_s)
         ]
 
     def _place(self, waiting: WaitingStep, usable: OpenExecutors) -> None:
--- a/src/galenastall/coordination/cell/probation.py
+++ b/src/galenastall/coordination/cell/probation.py
@@ -60,7 +60,7 @@
             if executor is None or task is None or not self._is_of_use(place, task, open_ids):
                 del self._places_by_task[key]
             elif self._is_look_due(executor):
-                executor.wants_look = True
+                self._state.want_look(executor)
 
     def choose(
         self, step: StepRun, task: TaskRun, usable: Mapping[str, Executor]
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -98,6 +98,11 @@
         """Executors that are listed, or that may still run something."""
         return self._state.executors_by_id
 
+    @property
+    def executors_version(self) -> int:
+        """Rises whenever an executor comes into the table or leaves it."""
+        return self._state.executors.version
+
     @property
     def jobs_by_id(self) -> dict[str, JobRun]:
         """Jobs that are known, ended ones included for as long as callers may ask."""
@@ -347,6 +352,22 @@
         paces, self._state.paces = self._state.paces, []
         return paces
 
+    def take_looks(self) -> list[str]:
+        """Return the executors whose listing is needed and has not been asked for."""
+        executors_by_id = self._state.executors_by_id
+        wanted = sorted(
+            executor_id
+            for executor_id in self._state.looked_for
+            if executor_id in executors_by_id and executors_by_id[executor_id].wants_look
+        )
+        self._state.looked_for = set(wanted)
+        return wanted
+
+    def take_newly_attended(self) -> list[str]:
+        """Return the executors that have to be polled without a pause from now on."""
+        attended, self._state.newly_attended = self._state.newly_attended, set()
+        return sorted(attended)
+
     def take_asks(self) -> list[AskAdvice]:
         """Return the questions for the advisor."""
         asks, self._state.asks = self._state.asks, []
--- a/src/galenastall/node/cell/cell_host.py
+++ b/src/galenastall/node/cell/cell_host.py
@@ -110,6 +110,7 @@
                 config=self.config.current,
                 look_at_config=self.config.look,
                 helpers=self._helpers,
+                lag_s=lambda: self.members.lag.seconds,
             ),
             timings=timings,
             on_newer_config=lambda version: self.config.hear_of(version, self.standing.leader),
--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -14,6 +14,11 @@
 
 BUSY_WAIT_S: Final = 1.0
 """Long poll of an executor that runs something: renews a lease ten times over."""
+LONG_BUSY_WAIT_S: Final = 1.6
+"""The same while very many are polled; still within the time after which one gets no new work."""
+MANY_POLLED: Final = 500
+"""Executors polled at once from which on the longer poll is used: 500 calls a second take some
+0.4 s of the leader's thread."""
 IDLE_WAIT_S: Final = 1.2
 """Long poll of an idle executor; still within the time after which it gets no new work."""
 LATE_ANSWER_S: Final = 0.6
@@ -49,6 +54,9 @@
         self._context = context
         self._executor = executor
         self._is_looking = False
+        self._woken = trio.Event()
+        """Set, and replaced, to end a wait for a turn."""
+        self._is_resting = False
 
     async def run(self) -> None:
         """Poll for as long as the executor is in the leader's table."""
@@ -58,19 +66,43 @@
             if not self._executor.info.address or self._executor.has_restarted:
                 await trio.sleep(RETRY_S)
                 continue
-            is_answered = await self._poll(self._wait_s())
+            is_in_turn = await self._wait_for_turn()
+            context.polled += 1
+            is_answered = await self._poll(0.0 if is_in_turn else self._wait_s())
+            context.polled -= 1
             if not is_answered:
                 await trio.sleep(RETRY_S)
                 continue
             await self._wait_until_durable()
             await trio.sleep(GATHER_S)
 
+    async def _wait_for_turn(self) -> bool:
+        """Wait until a poll may leave; return whether it had to wait."""
+        if self._executor.is_attended(trio.current_time()):
+            return False
+        turn_at = self._context.idle_polls.next_turn(trio.current_time())
+        if turn_at <= trio.current_time():
+            return False
+        self._is_resting = True
+        with trio.move_on_at(turn_at):
+            await self._woken.wait()
+        self._is_resting = False
+        return True
+
+    def wake(self) -> None:
+        """Poll now if the session waits for its turn; the executor has been given something."""
+        if self._is_resting:
+            event, self._woken = self._woken, trio.Event()
+            event.set()
+
     def _wait_s(self) -> float:
         executor = self._executor
         if executor.lost_at is not None or not executor.clock.is_known:
             # An executor that starts again is to see its token before orders that come late.
             return 0.0
-        return BUSY_WAIT_S if self._executor.runs_by_task else IDLE_WAIT_S
+        if not self._executor.runs_by_task:
+            return IDLE_WAIT_S
+        return LONG_BUSY_WAIT_S if self._context.polled > MANY_POLLED else BUSY_WAIT_S
 
     async def _wait_until_durable(self) -> None:
         with trio.move_on_after(DURABLE_WAIT_S):
@@ -79,6 +111,9 @@
 
     async def look(self) -> None:
         """Get a listing now, beside the long poll."""
+        if self._is_resting:
+            self.wake()
+            return
         if self._is_looking:
             return
         self._is_looking = True
@@ -101,6 +136,7 @@
             token=token,
             timeout_s=wait_s + LATE_ANSWER_S,
         )
+        context.call_counts.add("poll", is_answered=not isinstance(answer, Failure))
         if isinstance(answer, Failure):
             self._on_failure(answer.failure())
             return False
@@ -168,6 +204,7 @@
     async def start(self, order: StartOrder) -> None:
         """Send a start, and again with the same run number while its fate is open."""
         context = self._context
+        self.wake()
         is_wanted = True
         while is_wanted and context.core.is_wanted(order):
             outcome = await self._send_start(order)
@@ -201,6 +238,7 @@
             token=token,
             timeout_s=context.core.timings.order_timeout_s,
         )
+        context.call_counts.add("start", is_answered=not isinstance(answer, Failure))
         if isinstance(answer, Failure):
             error = answer.failure()
             context.note("run.start_failed", order.task.job, cause=str(error))
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -41,6 +41,7 @@
 """How long starts wait for the list of executors after an outage: it may still be away where
 appends go through, and a read takes 7 ms."""
 LOAD_RETRY_S: Final = 0.1
+REPORT_EVERY_S: Final = 1.0
 SLOW_APPEND_S: Final = 0.1
 """An append takes 7 ms; with one above this a takeover takes a second and more."""
 
@@ -63,6 +64,8 @@
     """Brings a newer version of `config`, if there is one."""
     helpers: Callable[[], tuple[HostId, ...]]
     """Entry hosts through which the advisor can be asked."""
+    lag_s: Callable[[], float]
+    """By how many seconds the loop of this process is late on average."""
     without: Without = ALL_ON
 
 
@@ -94,6 +97,8 @@
         )
         self._hosts = HostsDesk(context=self.context, hosts=parts.hosts, host_id=parts.host_id)
         self._sessions_by_id: dict[str, ExecutorSession] = {}
+        self._opened_version = -1
+        """Version of the table of executors at which sessions were opened last."""
         self._scope = trio.CancelScope()
         self._config_version = -1
         self.ready = trio.Event()
@@ -168,6 +173,7 @@
                     if Mechanism.KEPT_ADVICE not in self._parts.without:
                         await nursery.start(recovery.run)
                     nursery.start_soon(self._decide_forever, nursery, desk)
+                    nursery.start_soon(self._report_forever)
         if not self.loss:
             self._on_lost("cancelled")
 
@@ -215,6 +221,9 @@
         self.context.wake()
 
     def _open_sessions(self, nursery: trio.Nursery) -> None:
+        if self._opened_version == self.core.executors_version:
+            return
+        self._opened_version = self.core.executors_version
         executors_by_id = self.core.executors_by_id
         for gone in self._sessions_by_id.keys() - executors_by_id.keys():
             del self._sessions_by_id[gone]
@@ -234,6 +243,15 @@
             took_s = trio.current_time() - begun_at
             await trio.sleep(max(DECIDE_EVERY_S, DECIDE_PAUSE_FACTOR * took_s))
 
+    async def _report_forever(self) -> None:
+        """Tell how far behind this host's loop is, and what calls it makes to executors."""
+        while True:
+            await trio.sleep(REPORT_EVERY_S)
+            fields = self.context.call_counts.take()
+            lag_ms = f"{self._parts.lag_s() * 1000:.0f}"
+            append_ms = f"{self.last_append_s * 1000:.0f}"
+            self.context.note("leader.load", lag_ms=lag_ms, append_ms=append_ms, **fields)
+
     async def _read_anew(self) -> None:
         """Read the configuration and the list of executors as they are now."""
         await self._parts.look_at_config()
@@ -270,9 +288,13 @@
                 nursery.start_soon(session.pace, pace)
         for order in self.core.hosts.take_ready():
             nursery.start_soon(self._hosts.send, order)
-        for executor_id, session in self._sessions_by_id.items():
-            executor = self.core.executors_by_id.get(executor_id)
-            if executor is not None and executor.wants_look:
+        for executor_id in self.core.take_newly_attended():
+            session = self._sessions_by_id.get(executor_id)
+            if session is not None:
+                session.wake()
+        for executor_id in self.core.take_looks():
+            session = self._sessions_by_id.get(executor_id)
+            if session is not None:
                 nursery.start_soon(session.look)
         for note in self.core.take_notes():
             self._parts.recorder.record(
--- a/src/galenastall/node/cell/term_context.py
+++ b/src/galenastall/node/cell/term_context.py
@@ -5,7 +5,9 @@
 
 import trio
 
+from galenastall.coordination.cell.poll_pace import PollPace
 from galenastall.coordination.cell.scheduler import CellScheduler
+from galenastall.node.cell.call_counts import CallCounts
 from galenastall.protocol.cell.executor_port import ExecutorPort
 from galenastall.protocol.clock import Clock
 from galenastall.state.cell.executor_ids import executor_name
@@ -34,6 +36,10 @@
         self.token = token
         self.confirmed_at = confirmed_at
         self.executors = executors
+        self.idle_polls = PollPace()
+        self.call_counts = CallCounts()
+        self.polled = 0
+        """Executors whose answer to a poll is waited for now."""
         self.committed = trio.Event()
         """Set, and replaced, whenever a batch has become durable."""
         self.changed = trio.Event()
