Hold a task while a start of it may be carried out by a restarted executor that is silent

Whether its clock goes on is answered by the platform's page (its counts and its clock start anew), so the order's own deadline refuses nothing: the tests' world is right.

Change: an executor that falls silent is shown a higher token from then on, so that the first call after a restart refuses all orders sent before it. A task with such a start is not started elsewhere while that executor may have restarted unheard.

Why it holds, and where not: once a restarted executor has heard one call no order of before is carried out. Tried and reverted: not to acknowledge ends of such tasks until no copy can come: the copy runs all the same, so callers gain nothing, and long polls no longer wait.

Starts without an answer are looked for beside the silent executor once a data centre in 0.1 s: hundreds of them in a large fleet went through all executors each.

--- a/src/galenastall/coordination/cell/executor_table.py
+++ b/src/galenastall/coordination/cell/executor_table.py
@@ -19,6 +19,7 @@
         """To be changed by the methods here only."""
         self.version = 0
         """Rises whenever an executor comes or goes."""
+        self._ended_ids: set[str] = set()
         self._ids_by_name: defaultdict[str, set[str]] = defaultdict(set)
         self._ids_by_host: defaultdict[str, set[str]] = defaultdict(set)
 
@@ -38,6 +39,19 @@
         _discard(self._ids_by_name, executor.name, executor_id)
         _discard(self._ids_by_host, executor.info.host, executor_id)
 
+    def end(self, executor_id: str) -> None:
+        """Forget an incarnation that is over.
+
+        Its entry stays listed for some heartbeats, and one that was held up on its way may be
+        listed again seconds later.
+        """
+        self.remove(executor_id)
+        self._ended_ids.add(executor_id)
+
+    def is_over(self, executor_id: str) -> bool:
+        """Whether an incarnation is known to have ended."""
+        return executor_id in self._ended_ids
+
     def set_info(self, executor: Executor, info: ExecutorInfo) -> None:
         """Take what the list says of an incarnation now."""
         if info.host != executor.info.host:
@@ -50,6 +64,10 @@
         ids = self._ids_by_host.get(host, ()) if host else ()
         return (self.by_id[executor_id] for executor_id in ids)
 
+    def named(self, name: str) -> list[Executor]:
+        """Return the incarnations of a name, in the order of their ids."""
+        return [self.by_id[executor_id] for executor_id in sorted(self._ids_by_name.get(name, ()))]
+
     def beside(self, executor: Executor) -> list[Executor]:
         """Return the other incarnations of its name or on its host, in the order of their ids."""
         ids = {other.executor_id for other in self.on_host(executor.info.host)}
--- a/src/galenastall/coordination/cell/incarnations.py
+++ b/src/galenastall/coordination/cell/incarnations.py
@@ -25,13 +25,10 @@
         self._state = state
         self._ends = ends
         self._crashes = crashes
-        self._ended_ids: set[str] = set()
-        """Those that are over. Their entries stay listed for some heartbeats, and one that was held
-        up on its way may be listed again seconds later."""
 
     def is_over(self, executor_id: str) -> bool:
         """Whether an incarnation is known to have ended."""
-        return executor_id in self._ended_ids
+        return self._state.executors.is_over(executor_id)
 
     def add(self, info: ExecutorInfo, *, now: float) -> Executor:
         """Take an incarnation into the table; nothing is placed before its first listing."""
@@ -126,8 +123,7 @@
         for key, run in list(executor.runs_by_task.items()):
             blame = blames.get(key, NO_BLAME)
             self._ends.apply(key, run, RunEnd.LOST, wall=wall, blame=blame)
-        self._state.executors.remove(executor_id)
-        self._ended_ids.add(executor_id)
+        self._state.executors.end(executor_id)
 
 
 def _silent_text(executor: Executor, *, now: float) -> str:
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -1,17 +1,23 @@
 """What answers to starts and stops, and their absence, say about runs."""
 
 from enum import StrEnum
+from typing import Final
 
 from galenastall.coordination.cell.advice import AdviceBook
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.commands import StartOrder, StopOrder
 from galenastall.coordination.cell.doubts import Doubts
+from galenastall.coordination.cell.late_copies import LateCopies
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.coordination.cell.task_runs import StartState, TaskRun
 from galenastall.state.cell.phases import RunEnd
 
+DOUBT_EVERY_S: Final = 0.1
+"""Between two looks at a data centre for executors that have not answered since a start left.
+Starts that a cut swallows fail together, by the hundred in a large fleet."""
+
 
 class StartOutcome(StrEnum):
     """What is known after a start order."""
@@ -39,12 +45,16 @@
         self._state = state
         self._doubts = doubts
         self._ends = ends
+        self._copies = LateCopies(state=state)
+        self._doubted_at_by_data_centre: dict[str, float] = {}
         self._advice = advice
 
     def on_start(
         self, order: StartOrder, outcome: StartOutcome, *, now: float, wall: float
     ) -> bool:
         """Apply a start's outcome; return whether the same order should be sent once more."""
+        if outcome is StartOutcome.UNKNOWN:
+            self._copies.note(order, now=now)
         task = self._state.find_ordered(order)
         if task is None:
             return False
@@ -70,14 +80,20 @@
         silent = self._state.executors_by_id.get(executor_id)
         if silent is None or Mechanism.PATH_DOUBTS in self._state.without:
             return
+        silent.doubted_at = now
+        self._state.want_look(silent)
+        data_centre = silent.info.data_centre
+        if now - self._doubted_at_by_data_centre.get(data_centre, float("-inf")) < DOUBT_EVERY_S:
+            return
+        self._doubted_at_by_data_centre[data_centre] = now
         sent_at = now - self._state.timings.order_timeout_s
         for executor in self._state.executors_by_id.values():
-            is_beside = executor.info.data_centre == silent.info.data_centre
+            is_beside = executor.info.data_centre == data_centre
             has_answered = executor.answered_at is not None and executor.answered_at >= sent_at
             is_in_use = bool(executor.runs_by_task) or executor.has_answered(
                 now=now, reach_s=self._state.timings.reach_s
             )
-            if executor is silent or (is_beside and is_in_use and not has_answered):
+            if is_beside and is_in_use and not has_answered:
                 executor.doubted_at = now
                 self._state.want_look(executor)
 
--- a/src/galenastall/coordination/cell/task_runs.py
+++ b/src/galenastall/coordination/cell/task_runs.py
@@ -35,6 +35,7 @@
         "blame",
         "checkpoint",
         "checkpoint_at",
+        "copies_until_by_executor",
         "crashes",
         "executor_id",
         "failures",
@@ -101,12 +102,9 @@
         """Whether its last run was stopped for standing still; counted with its next start."""
         self.given_up_runs = 0
         """Runs before the last that were stopped for standing still."""
-        self.crashes = 0
-        """Executors that have crashed under it."""
-        self.blame = 0
-        """How much of these crashes is put down to it."""
-        self.is_suspect = False
-        """Whether its next run has to begin apart from others."""
+        self.copies_until_by_executor: dict[str, float] = {}
+        """Executors that have not answered a start, and until when each may carry it out."""
+        self._init_crashes()
         self.assigned_at = 0.0
         """Leader's time at which this run was given its executor."""
         self.first_percent = 0
@@ -116,6 +114,14 @@
         """Leader's time at which the executor first confirmed this run, by an answer or a listing.
         """
 
+    def _init_crashes(self) -> None:
+        self.crashes = 0
+        """Executors that have crashed under it."""
+        self.blame = 0
+        """How much of these crashes is put down to it."""
+        self.is_suspect = False
+        """Whether its next run has to begin apart from others."""
+
     def assign(self, *, run: int, executor_id: str, now: float) -> None:
         """Give the task a new run on an executor."""
         self.given_up_runs += int(self.is_given_up)
--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -25,6 +25,10 @@
 """Wait for an answer beyond the long poll; a round trip takes 1 to 8 ms."""
 RETRY_S: Final = 0.2
 """Pause after a failed call."""
+PROBE_EVERY_S: Final = 0.1
+"""Between two calls to a silent executor that has not answered a start."""
+PROBE_ANSWER_S: Final = 0.3
+"""Wait for the answer to one of them; with it, they use as many connections as an executor has."""
 DURABLE_WAIT_S: Final = 0.5
 """How long the next poll waits until ends are durable; leases must go on in an outage."""
 ACKNOWLEDGES_WITHIN_S: Final = 1.0
@@ -66,6 +70,9 @@
             if not self._executor.info.address or self._executor.has_restarted:
                 await trio.sleep(RETRY_S)
                 continue
+            if self._is_probing():
+                await self._probe()
+                continue
             is_in_turn = await self._wait_for_turn()
             context.polled += 1
             is_answered = await self._poll(0.0 if is_in_turn else self._wait_s())
@@ -76,6 +83,18 @@
             await self._wait_until_durable()
             await trio.sleep(GATHER_S)
 
+    def _is_probing(self) -> bool:
+        """Whether a restart has to be met by a call before a start that comes late."""
+        executor = self._executor
+        return executor.lost_at is not None and trio.current_time() < executor.copies_until
+
+    async def _probe(self) -> None:
+        """Ask again and again, without waiting for the answer to the call before."""
+        async with trio.open_nursery() as nursery:
+            while self._is_probing():
+                nursery.start_soon(self._poll, 0.0, PROBE_ANSWER_S)
+                await trio.sleep(PROBE_EVERY_S)
+
     async def _wait_for_turn(self) -> bool:
         """Wait until a poll may leave; return whether it had to wait."""
         if self._executor.is_attended(trio.current_time()):
@@ -122,7 +141,7 @@
         finally:
             self._is_looking = False
 
-    async def _poll(self, wait_s: float) -> bool:
+    async def _poll(self, wait_s: float, late_s: float = LATE_ANSWER_S) -> bool:
         context, executor = self._context, self._executor
         executor.wants_look = False
         asked_seq = context.core.next_seq()
@@ -134,7 +153,7 @@
             noted=self._noted(),
             wait_s=wait_s,
             token=token,
-            timeout_s=wait_s + LATE_ANSWER_S,
+            timeout_s=wait_s + late_s,
         )
         context.call_counts.add("poll", is_answered=not isinstance(answer, Failure))
         if isinstance(answer, Failure):
@@ -199,6 +218,8 @@
     def _on_failure(self, error: StepError) -> None:
         if self._executor.lost_at is None:
             self._executor.lost_at = trio.current_time()
+            # One that starts again and sees this token first refuses what was sent before.
+            self._context.raise_token(self._executor.executor_id)
             self._context.note("executor.lost", self._executor.executor_id, cause=str(error))
 
     async def start(self, order: StartOrder) -> None:
--- a/tests/test_cell_executor_restarts.py
+++ b/tests/test_cell_executor_restarts.py
@@ -26,6 +26,7 @@
     ListedRun,
     Listing,
 )
+from galenastall.coordination.cell.orders import StartOutcome
 from galenastall.node.cell.executor_session import ExecutorSession
 from galenastall.node.cell.term_context import TermContext
 from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
@@ -120,20 +121,20 @@
     """Each rule is needed: without it the same seed breaks what must hold."""
 
     def test_without_handing_runs_on_they_start_again(self) -> None:
-        for seed in (0, 4, 26):
+        for seed in (0, 4, 24, 26):
             play_alone(restarts_in_trouble, seed=seed, keeps_ids=True)
         with runs_are_not_handed_on(), pytest.raises(AssertionError, match="starts after"):
-            play_alone(restarts_in_trouble, seed=26, keeps_ids=True)
+            play_alone(restarts_in_trouble, seed=24, keeps_ids=True)
 
     def test_without_a_token_for_each_incarnation_late_calls_are_carried_out(self) -> None:
         scenario = partial(restarts_in_trouble, asks_tickets=True, is_late=True)
-        for seed in (1, 5):
+        for seed in (1, 2, 5):
             play_alone(scenario, seed=seed, keeps_ids=True)
         with (
             incarnations_are_shown_one_token(),
             pytest.raises(AssertionError, match="starts after"),
         ):
-            play_alone(scenario, seed=1, keeps_ids=True)
+            play_alone(scenario, seed=2, keeps_ids=True)
 
 
 class TestExecutorIds:
@@ -489,3 +490,91 @@
             await rig.session.start(order)
         assert not clock.has_lapsed(sent_at + longest_lease_s(TIMINGS) - 0.1)
         assert clock.has_lapsed(sent_at + longest_lease_s(TIMINGS) + 0.1)
+
+    async def test_one_that_falls_silent_is_shown_a_higher_token_from_then_on(
+        self, autojump_clock: object
+    ) -> None:
+        # A start sent before the silence was carried out by a later incarnation after its first
+        # call, which had shown it no higher token.
+        rig = SessionRig()
+        before = (await rig.poll())["token"]
+        rig.port.is_silent = True
+        await rig.poll()
+        during = {(await rig.poll())["token"] for _ in range(3)}
+        rig.port.is_silent = False
+        after = (await rig.poll())["token"]
+        assert during == {after}
+        assert after > before
+
+    @pytest.mark.parametrize(("is_start_unanswered", "least"), [(True, 18), (False, 8)])
+    async def test_one_with_an_unanswered_start_is_asked_more_often(
+        self, autojump_clock: object, is_start_unanswered: bool, least: int
+    ) -> None:
+        # The longer a restarted executor hears nothing, the likelier a start that comes late.
+        rig = SessionRig()
+        order = await rig.place()
+        rig.port.is_silent = True
+        if is_start_unanswered:
+            with trio.move_on_after(0.1):
+                await rig.session.start(order)
+        await rig.poll()
+        asked = len(rig.port.renewals)
+        with trio.move_on_after(2.0):
+            await rig.session.run()
+        assert least <= len(rig.port.renewals) - asked <= 2 * least
+
+
+class CopyRig(Rig):
+    """Two executors; a start to the first got no answer, and its run was settled as not there."""
+
+    def __init__(self) -> None:
+        super().__init__(make_info("e0"), make_info("e1", cores=500))
+        self.submit(make_job(make_step(1)))
+        (order,) = self.step()
+        self.core.on_start(order, StartOutcome.UNKNOWN, now=self.now, wall=self.wall)
+        self.core.on_start(order, StartOutcome.NOT_STARTED, now=self.now, wall=self.wall)
+        (stop,) = self.stops()
+        self.core.on_stop(stop)
+        self.listing("e0")
+        self.infos = (make_info("e0", cores=500), make_info("e2"))
+        self.see(*self.infos)
+        self.listing("e2")
+        self.core.executors_by_id["e0"].paused_until = 0.0
+
+
+class TestStartsThatMayComeLate:
+    """A task ran twice: a start without an answer came to a restarted executor that was silent."""
+
+    def test_a_task_waits_while_the_executor_may_have_restarted(self) -> None:
+        rig = CopyRig()
+        rig.core.executors_by_id["e0"].lost_at = rig.now
+        assert rig.step() == []
+
+    def test_it_begins_elsewhere_while_the_executor_answers(self) -> None:
+        rig = CopyRig()
+        assert [order.executor_id for order in rig.step()] == ["e2"]
+
+    def test_it_begins_once_the_executor_has_answered_again(self) -> None:
+        rig = CopyRig()
+        rig.core.executors_by_id["e0"].lost_at = rig.now
+        rig.step()
+        rig.now += 1.0
+        rig.core.executors_by_id["e0"].lost_at = None
+        rig.listing("e0")
+        assert len(rig.step()) == 1
+
+    def test_it_begins_when_no_copy_can_come_any_more(self) -> None:
+        rig = CopyRig()
+        rig.core.executors_by_id["e0"].lost_at = rig.now
+        rig.step()
+        rig.now += TIMINGS.late_order_s + 0.1
+        rig.listing("e2")
+        assert len(rig.step()) == 1
+
+    def test_it_begins_once_a_later_incarnation_has_answered(self) -> None:
+        rig = CopyRig()
+        rig.core.executors_by_id["e0"].lost_at = rig.now
+        later = make_info("e9", host="e0", cores=500)
+        rig.see(*rig.infos, later)
+        rig.listing("e9")
+        assert len(rig.step()) == 1
