Weigh a crash by how likely it came by chance, and watch suspects from their start

Change: a suspect's executor is asked each 0.1 s from its start, members of gangs included; a crash after it was seen at work for 0.1 s is one at work. A crash at work weighs less the likelier an executor crashes by itself in that time, by the crashes of the last 30 s under which the task was not.

Why it holds: a task at fault crashes its executor within 0.01 s of its start, which still weighs 24, so three crashes find it (TestGivenUp, unchanged).

--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -51,6 +51,8 @@
         self.notes: list[Note] = []
         self.looked_for: set[str] = set()
         """Executors whose listing is needed now, without waiting for an end."""
+        self.suspect_members: set[TaskKey] = set()
+        """Members of gangs whose next runs are watched from their start."""
         self.newly_attended: set[str] = set()
         """Executors that have to be polled without a pause from now on."""
         self.advice_calls_at_once = 1
--- a/src/galenastall/coordination/cell/crashes.py
+++ b/src/galenastall/coordination/cell/crashes.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
+from math import exp, log
 from typing import Final
 
 from galenastall.coordination.cell.cell_state import CellState
@@ -20,6 +21,8 @@
 PROVEN_S: Final = 0.5
 """A run that was seen at work for as long has not just begun; a task that crashes its executor does
 so within 0.01 s of its start."""
+START_S: Final = 0.1
+"""The same for a suspect, whose executor is asked that often while it begins."""
 SETTLED_S: Final = 10.0
 """A crash under a run that was seen at work for as long is not put down to it."""
 ALONE_WEIGHT: Final = 24
@@ -32,6 +35,13 @@
 MOST_WEIGHT: Final = 60
 """A task with as much is given up: after three crashes at the earliest, for a task that is only
 there may be under two by chance, and after five at the latest."""
+TOLD_S: Final = 1.2
+"""A listing tells what was so up to so long ago; an executor that crashes may have run on."""
+CERTAIN_CHANCE: Final = 0.01
+"""A crash at work counts in full if executors crash by themselves no more often than this in the
+time that the run was there, and the less, the likelier that is."""
+RATE_WINDOW_S: Final = 30.0
+"""Crashes of the other executors within this time tell how often they crash by themselves."""
 TOGETHER_S: Final = 1.5
 """Executors that fall silent within this time of each other may have one cause: each is heard once
 in 1.2 s."""
@@ -52,6 +62,8 @@
     """Whether the executor has said that it started; else it may have crashed before."""
     is_suspect: bool = False
     """Whether it was suspected before."""
+    chance: float = 0.0
+    """How likely it is that its executor crashed by itself while the run was there."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -107,7 +119,9 @@
 
 
 def _has_just_begun(victim: Victim) -> bool:
-    return victim.at_work_s is not None and victim.at_work_s < PROVEN_S
+    if victim.at_work_s is None:
+        return False
+    return victim.at_work_s < (START_S if victim.is_suspect else PROVEN_S)
 
 
 def _blame_begun(*, is_sure: bool) -> Blame:
@@ -118,10 +132,17 @@
     if victim.at_work_s is None:
         return Blame(weight=SHARED_WEIGHT, is_suspect=True)
     if victim.at_work_s < SETTLED_S:
-        return Blame(weight=AT_WORK_WEIGHT, is_suspect=False)
+        return Blame(weight=weight_at_work(victim.chance), is_suspect=False)
     return NO_BLAME
 
 
+def weight_at_work(chance: float) -> int:
+    """Return what a crash weighs on a task at work, by the chance that it was only there."""
+    if chance <= CERTAIN_CHANCE:
+        return AT_WORK_WEIGHT
+    return round(AT_WORK_WEIGHT * log(chance) / log(CERTAIN_CHANCE))
+
+
 class CrashJudge:
     """Finds who was there when an executor crashed, in the leader's tables."""
 
@@ -130,6 +151,8 @@
         self._state = state
         self._silent_since: deque[float] = deque(maxlen=64)
         """Leader's times at which executors that have crashed were last heard."""
+        self._crashed: deque[tuple[float, frozenset[TaskKey]]] = deque()
+        """Crashes within RATE_WINDOW_S, each with the tasks that were there."""
 
     def on_crash(self, executor: Executor) -> dict[TaskKey, Blame]:
         """Return what the end of an incarnation means for the tasks that were there."""
@@ -138,7 +161,9 @@
         is_alone = self._count_together(executor) < OTHERS_TOGETHER
         if executor.answered_at is not None:
             self._silent_since.append(executor.answered_at)
-        return blame_for_crash(self._victims(executor), is_alone=is_alone)
+        blames = blame_for_crash(self._victims(executor), is_alone=is_alone)
+        self._crashed.append((self._state.now, frozenset(executor.runs_by_task)))
+        return blames
 
     def on_lapsed(self, executor: Executor) -> dict[TaskKey, Blame]:
         """Return what it means for tasks that their leases ended before the executor answered."""
@@ -164,6 +189,7 @@
 
     def _victims(self, executor: Executor) -> list[Victim]:
         victims: list[Victim] = []
+        self._forget_crashes()
         for key in executor.runs_by_task:
             found = self._state.find(key)
             if found is None or not _may_have_been_there(executor, found[2]):
@@ -176,10 +202,24 @@
                     at_work_s=_at_work_s(found[2]),
                     is_confirmed=found[2].began_at is not None,
                     is_suspect=found[2].is_suspect,
+                    chance=self._chance_without(key, _at_work_s(found[2])),
                 )
             )
         return victims
 
+    def _forget_crashes(self) -> None:
+        oldest = self._state.now - RATE_WINDOW_S
+        while self._crashed and self._crashed[0][0] < oldest:
+            self._crashed.popleft()
+
+    def _chance_without(self, task: TaskKey, at_work_s: float | None) -> float:
+        """Return how likely an executor crashes in so long, by the crashes without the task."""
+        crashes = sum(1 for _, there in self._crashed if task not in there)
+        executors = max(len(self._state.executors_by_id), 1)
+        watched_s = min(max(self._state.now - self._state.fenced_at, 1.0), RATE_WINDOW_S)
+        rate_per_s = crashes / (watched_s * executors)
+        return 1.0 - exp(-rate_per_s * ((at_work_s or 0.0) + TOLD_S))
+
 
 def _may_have_been_there(executor: Executor, task: TaskRun) -> bool:
     """Whether a run's order may have come to its executor before that fell silent."""
--- a/src/galenastall/coordination/cell/probation.py
+++ b/src/galenastall/coordination/cell/probation.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from galenastall.coordination.cell.cell_state import CellState
-from galenastall.coordination.cell.crashes import PROVEN_S
+from galenastall.coordination.cell.crashes import PROVEN_S, START_S
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.fitting import may_add
 from galenastall.coordination.cell.job_runs import StepRun
@@ -24,8 +24,8 @@
 """Share of the open executors that tasks on probation may have at once, one at least."""
 WAIT_S: Final = 3.0
 """How long an executor is kept for a task until its room is free and what runs there is proven."""
-LOOK_AGAIN_S: Final = 0.2
-"""Between two looks at an executor whose runs are to be proven; a long poll takes a second."""
+LOOK_AGAIN_S: Final = START_S
+"""Between two looks at an executor where a suspect begins; a long poll takes a second."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -61,6 +61,18 @@
                 del self._places_by_task[key]
             elif self._is_look_due(executor):
                 self._state.want_look(executor)
+        self._look_at_gangs()
+
+    def _look_at_gangs(self) -> None:
+        """Ask often what becomes of suspect members, which begin with their gang and not apart."""
+        for key in sorted(self._state.suspect_members):
+            task = self._suspect(key)
+            if task is None:
+                self._state.suspect_members.discard(key)
+                continue
+            executor = self._state.executors_by_id.get(task.executor_id)
+            if executor is not None and self._is_look_due(executor):
+                self._state.want_look(executor)
 
     def choose(
         self, step: StepRun, task: TaskRun, usable: Mapping[str, Executor]
@@ -96,7 +108,8 @@
         found = self._state.find(key)
         if found is None or found[2].at_work_s >= PROVEN_S or found[2].began_at is None:
             return False
-        return self._state.now - found[2].began_at >= PROVEN_S
+        begun_for_s = self._state.now - found[2].began_at
+        return begun_for_s >= (START_S if found[2].is_suspect else PROVEN_S)
 
     def _keep(self, step: StepRun, task: TaskRun, usable: Mapping[str, Executor]) -> _Place | None:
         self._places_by_task.pop(task.key, None)
--- a/src/galenastall/coordination/cell/run_ends.py
+++ b/src/galenastall/coordination/cell/run_ends.py
@@ -56,6 +56,8 @@
         executor = self._state.free(task, step)
         task.save(saved, now=self._state.now)
         _take_blame(task, end, blame)
+        if task.is_suspect and step.step.is_gang:
+            self._state.suspect_members.add(key)
         self._tell(task, end)
         task.release()
         if executor is not None:
--- a/tests/test_cell_crash_blame.py
+++ b/tests/test_cell_crash_blame.py
@@ -14,6 +14,7 @@
     PROVEN_S,
     SETTLED_S,
     SHARED_WEIGHT,
+    START_S,
     Victim,
     blame_for_crash,
     blame_for_silence,
@@ -104,6 +105,39 @@
         assert MOST_STARTS * weight >= MOST_WEIGHT
 
 
+class TestChance:
+    """Tasks were given up where executors crashed by themselves every few seconds."""
+
+    @pytest.mark.parametrize(
+        ("chance", "weight"), [(0.0, AT_WORK_WEIGHT), (0.01, AT_WORK_WEIGHT), (0.1, 6), (1.0, 0)]
+    )
+    def test_a_crash_at_work_weighs_less_the_likelier_it_is(
+        self, chance: float, weight: int
+    ) -> None:
+        there = victim(A, PROVEN_S, chance=chance)
+        assert blame_for_crash([there], is_alone=True)[A].weight == weight
+
+    def test_crashes_of_other_executors_tell_how_likely(self) -> None:
+        rig = CrashRig()
+        rig.submit(make_job(make_step(1)))
+        (order,) = rig.start()
+        rig.work(PROVEN_S)
+        others = [i.executor_id for i in rig.infos if i.executor_id != order.executor_id]
+        for executor_id in others[:4]:
+            rig.crash(executor_id)
+        rig.crash(order.executor_id)
+        assert 0 < rig.task(A)[0] < AT_WORK_WEIGHT
+
+    def test_crashes_under_the_task_itself_do_not(self) -> None:
+        rig = CrashRig()
+        rig.submit(make_job(make_step(1)))
+        for _ in range(2):
+            (order,) = rig.start()
+            rig.work(2 * PROVEN_S)
+            rig.crash(order.executor_id)
+        assert rig.task(A)[0] == 2 * AT_WORK_WEIGHT
+
+
 class CrashRig(Rig):
     """A core whose executors crash, and start again."""
 
@@ -279,6 +313,32 @@
         rig.step()
         assert rig.core.executors_by_id[order.executor_id].wants_look
 
+    def test_a_suspect_that_was_seen_at_work_is_not_at_its_start(self) -> None:
+        # Listings came once a second, so chance crashes counted as crashes at a start.
+        rig = CrashRig()
+        rig.submit(make_job(make_step(1)))
+        (order,) = rig.start()
+        rig.crash(order.executor_id)
+        (order,) = rig.start()
+        rig.work(2 * START_S)
+        rig.crash(order.executor_id)
+        assert rig.task(A)[0] <= ALONE_WEIGHT + AT_WORK_WEIGHT
+
+    def test_suspect_members_of_a_gang_are_watched_from_their_start(self) -> None:
+        rig = CrashRig()
+        rig.submit(make_job(make_step(2, is_gang=True)))
+        orders = rig.start()
+        rig.crash(orders[0].executor_id)
+        rig.listen()
+        rig.now += 1.0
+        orders = rig.start()
+        suspects = [order for order in orders if rig.task(order.task)[1]]
+        rig.now += 2 * START_S
+        rig.step()
+        assert suspects
+        for order in suspects:
+            assert rig.core.executors_by_id[order.executor_id].wants_look
+
     def test_few_executors_are_used_at_a_time(self) -> None:
         rig = CrashRig(executors=8)
         rig.submit(make_job(make_step(8, cores=500)))
