--- a/src/galenastall/coordination/cell/late_copies.py
+++ b/src/galenastall/coordination/cell/late_copies.py
@@ -40,6 +40,8 @@
     def may_begin_unseen(self, task: TaskRun, *, now: float) -> bool:
         """Whether a copy of a start may begin the task where this leader does not see it."""
         copies = task.copies_until_by_executor
+        if not copies:
+            return False
         return any(
             until > now and not self._is_harmless(executor_id, now=now)
             for executor_id, until in copies.items()
