--- a/tests/test_cell_fleet_size.py
+++ b/tests/test_cell_fleet_size.py
@@ -13,11 +13,13 @@
 
 from cell.cluster import Cluster
 from cell.play import check_all_end, hand_in, play
-from cell.rig import Rig, make_info
+from cell.rig import Rig, make_info, make_job, make_step
 from cell.world import World
+from galenastall.coordination.cell.commands import StartOrder
 from galenastall.coordination.cell.executor_table import ExecutorTable
 from galenastall.coordination.cell.executors import Executor, ExecutorInfo
 from galenastall.coordination.cell.lease_clock import LeaseClock
+from galenastall.coordination.cell.orders import StartOutcome
 from galenastall.coordination.cell.poll_pace import BURST, IDLE_POLLS_A_S, PollPace
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.state.cell.phases import JobPhase
@@ -56,6 +58,26 @@
         assert lines_of(partial(small.listing, "e7")) == lines_of(partial(large.listing, "e7"))
 
 
+class TestStartsWithoutAnAnswer:
+    """Each one that a cut had swallowed looked through the fleet, by the hundred in one moment."""
+
+    STARTS = 60
+
+    def test_those_that_fail_together_look_at_the_fleet_once(self) -> None:
+        rig = rig_of(LARGE_FLEET)
+        rig.submit(make_job(make_step(self.STARTS, cores=3000)))
+        orders = rig.step()
+        assert len(orders) == self.STARTS
+        first = lines_of(partial(self._fail, rig, orders[:1]))
+        others = lines_of(partial(self._fail, rig, orders[1:]))
+        assert first > LARGE_FLEET
+        assert others < first
+
+    def _fail(self, rig: Rig, orders: list[StartOrder]) -> None:
+        for order in orders:
+            rig.core.on_start(order, StartOutcome.UNKNOWN, now=rig.now, wall=rig.wall)
+
+
 class TestExecutorTable:
     def setup_method(self) -> None:
         self.table = ExecutorTable()
