--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -8,7 +8,6 @@
 import trio
 from returns.result import Failure
 
-from galenastall.coordination.cell.commands import StartOrder
 from galenastall.coordination.cell.executors import ExecutorInfo
 from galenastall.coordination.cell.mechanisms import ALL_ON, Mechanism, Without
 from galenastall.coordination.cell.scheduler import CellScheduler
@@ -16,7 +15,7 @@
 from galenastall.node.cell.advice_desk import AdviceDesk
 from galenastall.node.cell.advice_recovery import AdviceRecovery
 from galenastall.node.cell.commit_loop import CommitLoop
-from galenastall.node.cell.executor_session import ExecutorSession
+from galenastall.node.cell.executor_sessions import ExecutorSessions
 from galenastall.node.cell.fleet_follower import FleetFollower
 from galenastall.node.cell.hosts_desk import HostsDesk
 from galenastall.node.cell.term_context import TermContext
@@ -96,9 +95,6 @@
             read_anew=self._read_anew,
         )
         self._hosts = HostsDesk(context=self.context, hosts=parts.hosts, host_id=parts.host_id)
-        self._sessions_by_id: dict[str, ExecutorSession] = {}
-        self._opened_version = -1
-        """Version of the table of executors at which sessions were opened last."""
         self._scope = trio.CancelScope()
         self._config_version = -1
         self.ready = trio.Event()
@@ -152,11 +148,12 @@
                 async with trio.open_nursery() as nursery:
                     # A leader that loads is alive, and its confirmations show that: seven hosts
                     # claimed one after the other while the one before was loading, 15 s in all.
-                    nursery.start_soon(self._commits.run, partial(self._start, nursery))
+                    sessions = ExecutorSessions(context=self.context, nursery=nursery)
+                    nursery.start_soon(self._commits.run, sessions.start)
                     if not await self._load():
                         return
                     self.ready.set()
-                    nursery.start_soon(self._fleet.run, partial(self._take_list, nursery))
+                    nursery.start_soon(self._fleet.run, partial(self._take_list, sessions))
                     desk = AdviceDesk(
                         context=self.context,
                         link=self._parts.link,
@@ -172,7 +169,7 @@
                     )
                     if Mechanism.KEPT_ADVICE not in self._parts.without:
                         await nursery.start(recovery.run)
-                    nursery.start_soon(self._decide_forever, nursery, desk)
+                    nursery.start_soon(self._decide_forever, nursery, sessions, desk)
                     nursery.start_soon(self._report_forever)
         if not self.loss:
             self._on_lost("cancelled")
@@ -214,32 +211,21 @@
             took_ms=f"{took_s * 1000:.0f}",
         )
 
-    def _take_list(self, nursery: trio.Nursery, infos: tuple[ExecutorInfo, ...]) -> None:
+    def _take_list(self, sessions: ExecutorSessions, infos: tuple[ExecutorInfo, ...]) -> None:
         self._take_config()
         self.core.on_fleet(infos, now=trio.current_time())
-        self._open_sessions(nursery)
+        sessions.open()
         self.context.wake()
 
-    def _open_sessions(self, nursery: trio.Nursery) -> None:
-        if self._opened_version == self.core.executors_version:
-            return
-        self._opened_version = self.core.executors_version
-        executors_by_id = self.core.executors_by_id
-        for gone in self._sessions_by_id.keys() - executors_by_id.keys():
-            del self._sessions_by_id[gone]
-        for executor_id, executor in executors_by_id.items():
-            if executor_id not in self._sessions_by_id:
-                session = ExecutorSession(context=self.context, executor=executor)
-                self._sessions_by_id[executor_id] = session
-                nursery.start_soon(session.run)
-
-    async def _decide_forever(self, nursery: trio.Nursery, desk: AdviceDesk) -> None:
+    async def _decide_forever(
+        self, nursery: trio.Nursery, sessions: ExecutorSessions, desk: AdviceDesk
+    ) -> None:
         while True:
             with trio.move_on_after(DECIDE_AT_LEAST_EVERY_S):
                 await self.context.changed.wait()
             self.context.changed = trio.Event()
             begun_at = trio.current_time()
-            self._decide(nursery, desk)
+            self._decide(nursery, sessions, desk)
             took_s = trio.current_time() - begun_at
             await trio.sleep(max(DECIDE_EVERY_S, DECIDE_PAUSE_FACTOR * took_s))
 
@@ -267,7 +253,7 @@
             self.core.set_services(config.named_services)
             self.core.hosts.set_standby(config.standby_services)
 
-    def _decide(self, nursery: trio.Nursery, desk: AdviceDesk) -> None:
+    def _decide(self, nursery: trio.Nursery, sessions: ExecutorSessions, desk: AdviceDesk) -> None:
         self._take_config()
         self.core.set_advice_calls_at_once(len(self._parts.helpers()))
         self.core.decide(
@@ -275,27 +261,12 @@
             wall=self.context.wall(),
             may_place=self._commits.failing_since is None,
         )
-        self._open_sessions(nursery)
+        sessions.open()
         for ask in self.core.take_asks():
             desk.ask(ask)
-        for stop in self.core.take_stops():
-            session = self._sessions_by_id.get(stop.executor_id)
-            if session is not None:
-                nursery.start_soon(session.stop, stop)
-        for pace in self.core.take_paces():
-            session = self._sessions_by_id.get(pace.executor_id)
-            if session is not None:
-                nursery.start_soon(session.pace, pace)
+        sessions.send_orders()
         for order in self.core.hosts.take_ready():
             nursery.start_soon(self._hosts.send, order)
-        for executor_id in self.core.take_newly_attended():
-            session = self._sessions_by_id.get(executor_id)
-            if session is not None:
-                session.wake()
-        for executor_id in self.core.take_looks():
-            session = self._sessions_by_id.get(executor_id)
-            if session is not None:
-                nursery.start_soon(session.look)
         for note in self.core.take_notes():
             self._parts.recorder.record(
                 note.step, subjects=note.subjects, cause=note.cause, fields=note.fields
@@ -306,9 +277,3 @@
     def want_commit(self) -> None:
         """Have changes made durable soon, without waiting for the next decision."""
         self._commits.want()
-
-    def _start(self, nursery: trio.Nursery, orders: list[StartOrder]) -> None:
-        for order in orders:
-            session = self._sessions_by_id.get(order.executor_id)
-            if session is not None:
-                nursery.start_soon(session.start, order)
