--- a/src/galenastall/coordination/cell/incarnations.py
+++ b/src/galenastall/coordination/cell/incarnations.py
@@ -75,7 +75,8 @@
                 if is_same:
                     self._hand_on(other, executor, listing)
                 cause = f"a later incarnation answers on its host as {executor.executor_id}"
-                self.end(other.executor_id, cause=cause, wall=wall)
+                clock_ms = str(listing.clock_ms)
+                self.end(other.executor_id, cause=cause, wall=wall, later_clock_ms=clock_ms)
 
     def _hand_on(self, earlier: Executor, later: Executor, listing: Listing) -> None:
         """Count runs where an order to an earlier incarnation was carried out by a later one."""
@@ -104,8 +105,11 @@
         fields = {"run": str(task.run), "executor": later.executor_id}
         self._state.note("run.handed_on", key.job, fields=fields)
 
-    def end(self, executor_id: str, *, cause: str, wall: float) -> None:
-        """End all runs of an incarnation that is over, and forget it."""
+    def end(self, executor_id: str, *, cause: str, wall: float, later_clock_ms: str = "") -> None:
+        """End all runs of an incarnation that is over, and forget it.
+
+        `later_clock_ms` is the clock of the one that has replaced it, for the log.
+        """
         executor = self._state.executors_by_id.get(executor_id)
         if executor is None:
             return
@@ -117,6 +121,7 @@
                 "runs": str(len(executor.runs_by_task)),
                 "silent_s": _silent_text(executor, now=self._state.now),
                 "draining": str(executor.info.is_draining).lower(),
+                "later_clock_ms": later_clock_ms,
             },
         )
         blames = self._crashes.on_crash(executor)
