--- a/src/galenastall/coordination/cell/crashes.py
+++ b/src/galenastall/coordination/cell/crashes.py
@@ -32,6 +32,8 @@
 had just begun where other executors crashed at the same time."""
 AT_WORK_WEIGHT: Final = 12
 """For a task that was at work."""
+LEAST_AT_WORK_WEIGHT: Final = 3
+"""For a task at work however often executors crash by themselves: 20 crashes end it."""
 MOST_WEIGHT: Final = 60
 """A task with as much is given up: after three crashes at the earliest, for a task that is only
 there may be under two by chance, and after five at the latest."""
@@ -140,7 +142,8 @@
     """Return what a crash weighs on a task at work, by the chance that it was only there."""
     if chance <= CERTAIN_CHANCE:
         return AT_WORK_WEIGHT
-    return round(AT_WORK_WEIGHT * log(chance) / log(CERTAIN_CHANCE))
+    weight = round(AT_WORK_WEIGHT * log(chance) / log(CERTAIN_CHANCE))
+    return max(weight, LEAST_AT_WORK_WEIGHT)
 
 
 class CrashJudge:
@@ -181,6 +184,7 @@
             other.answered_at
             for other in self._state.executors_by_id.values()
             if other is not executor
+            and (other.lost_at is not None or other.is_attended(self._state.now))
             and other.answered_at is not None
             and not other.has_answered(now=self._state.now, reach_s=reach_s)
         ]
