Ask an executor no more once its incarnation is over

Read in the change: the closer look at a silent executor with an unanswered start went on for up to 12.5 s after a later incarnation had answered in its stead, at the address of that one; each answer raised its token, which fenced calls of its own session (test, failed before).

--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -65,8 +65,7 @@
     async def run(self) -> None:
         """Poll for as long as the executor is in the leader's table."""
         context = self._context
-        executor_id = self._executor.executor_id
-        while context.core.executors_by_id.get(executor_id) is self._executor:
+        while self._is_in_table():
             if not self._executor.info.address or self._executor.has_restarted:
                 await trio.sleep(RETRY_S)
                 continue
@@ -83,10 +82,16 @@
             await self._wait_until_durable()
             await trio.sleep(GATHER_S)
 
+    def _is_in_table(self) -> bool:
+        executors_by_id = self._context.core.executors_by_id
+        return executors_by_id.get(self._executor.executor_id) is self._executor
+
     def _is_probing(self) -> bool:
         """Whether a restart has to be met by a call before a start that comes late."""
         executor = self._executor
-        return executor.lost_at is not None and trio.current_time() < executor.copies_until
+        if executor.lost_at is None or executor.has_restarted or not self._is_in_table():
+            return False
+        return trio.current_time() < executor.copies_until
 
     async def _probe(self) -> None:
         """Ask again and again, without waiting for the answer to the call before."""
--- a/tests/test_cell_executor_restarts.py
+++ b/tests/test_cell_executor_restarts.py
@@ -523,6 +523,23 @@
             await rig.session.run()
         assert least <= len(rig.port.renewals) - asked <= 2 * least
 
+    async def test_one_that_is_over_is_asked_no_more(self, autojump_clock: object) -> None:
+        # Calls to an earlier incarnation would have fenced those to the later one.
+        rig = SessionRig()
+        order = await rig.place()
+        rig.port.is_silent = True
+        with trio.move_on_after(0.1):
+            await rig.session.start(order)
+        await rig.poll()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(rig.session.run)
+            await trio.sleep(1.0)
+            rig.rig.core.on_other_executor(EARLIER, wall=rig.rig.wall)
+            await trio.sleep(0.5)
+            asked = len(rig.port.renewals)
+            await trio.sleep(5.0)
+            assert len(rig.port.renewals) == asked
+
 
 class CopyRig(Rig):
     """Two executors; a start to the first got no answer, and its run was settled as not there."""
