Name starts that come late, polls and a suspect's first moment by what they are

No logic changes: late_copies.py is late_starts.py, attended executors are those kept polled, and constants of crashes.py say what they are.

--- a/src/galenastall/coordination/cell/advice_planner.py
+++ b/src/galenastall/coordination/cell/advice_planner.py
@@ -34,7 +34,7 @@
 ENOUGH_FACTOR: Final = 2.0
 """A first question names executors until the places expected to be approved are so many times those
 wanted: places get lost to other steps while the call takes its time."""
-ATTENDED_S: Final = 4.0
+POLLED_S: Final = 4.0
 """How long executors that a question names are polled without a pause: a call takes a second or
 two, and its tickets are good for as long."""
 NAMED_FIRST: Final = 300
@@ -110,7 +110,7 @@
         assert timing is not None, "only steps of advised queues come here"
         ids = tuple(executor.executor_id for executor in wanted)
         for executor in wanted:
-            self._state.attend(executor, until=waiting.now + ATTENDED_S)
+            self._state.keep_polled(executor, until=waiting.now + POLLED_S)
         self._advice.begin(waiting.step.key, ids, waiting.now)
         self._state.asks.append(
             AskAdvice(
--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -53,7 +53,7 @@
         """Executors whose listing is needed now, without waiting for an end."""
         self.suspect_members: set[TaskKey] = set()
         """Members of gangs whose next runs are watched from their start."""
-        self.newly_attended: set[str] = set()
+        self.newly_polled: set[str] = set()
         """Executors that have to be polled without a pause from now on."""
         self.advice_calls_at_once = 1
         """Calls for advice that can be under way at a time: one for each entry host."""
@@ -98,10 +98,10 @@
         executor.wants_look = True
         self.looked_for.add(executor.executor_id)
 
-    def attend(self, executor: Executor, *, until: float) -> None:
+    def keep_polled(self, executor: Executor, *, until: float) -> None:
         """Have an executor polled without a pause until then, though it runs nothing."""
-        executor.attended_until = max(executor.attended_until, until)
-        self.newly_attended.add(executor.executor_id)
+        executor.polled_until = max(executor.polled_until, until)
+        self.newly_polled.add(executor.executor_id)
 
     def count_stop(self, task: TaskRun, rule: StopRule) -> int:
         """Count a stop, and return how many of the job's runs the rule has stopped."""
--- a/src/galenastall/coordination/cell/crashes.py
+++ b/src/galenastall/coordination/cell/crashes.py
@@ -21,7 +21,7 @@
 PROVEN_S: Final = 0.5
 """A run that was seen at work for as long has not just begun; a task that crashes its executor does
 so within 0.01 s of its start."""
-START_S: Final = 0.1
+SUSPECT_PROVEN_S: Final = 0.1
 """The same for a suspect, whose executor is asked that often while it begins."""
 SETTLED_S: Final = 10.0
 """A crash under a run that was seen at work for as long is not put down to it."""
@@ -37,9 +37,9 @@
 MOST_WEIGHT: Final = 60
 """A task with as much is given up: after three crashes at the earliest, for a task that is only
 there may be under two by chance, and after five at the latest."""
-TOLD_S: Final = 1.2
+LISTING_AGE_S: Final = 1.2
 """A listing tells what was so up to so long ago; an executor that crashes may have run on."""
-CERTAIN_CHANCE: Final = 0.01
+FULL_WEIGHT_CHANCE: Final = 0.01
 """A crash at work counts in full if executors crash by themselves no more often than this in the
 time that the run was there, and the less, the likelier that is."""
 RATE_WINDOW_S: Final = 30.0
@@ -123,7 +123,7 @@
 def _has_just_begun(victim: Victim) -> bool:
     if victim.at_work_s is None:
         return False
-    return victim.at_work_s < (START_S if victim.is_suspect else PROVEN_S)
+    return victim.at_work_s < (SUSPECT_PROVEN_S if victim.is_suspect else PROVEN_S)
 
 
 def _blame_begun(*, is_sure: bool) -> Blame:
@@ -140,9 +140,9 @@
 
 def weight_at_work(chance: float) -> int:
     """Return what a crash weighs on a task at work, by the chance that it was only there."""
-    if chance <= CERTAIN_CHANCE:
+    if chance <= FULL_WEIGHT_CHANCE:
         return AT_WORK_WEIGHT
-    weight = round(AT_WORK_WEIGHT * log(chance) / log(CERTAIN_CHANCE))
+    weight = round(AT_WORK_WEIGHT * log(chance) / log(FULL_WEIGHT_CHANCE))
     return max(weight, LEAST_AT_WORK_WEIGHT)
 
 
@@ -184,7 +184,7 @@
             other.answered_at
             for other in self._state.executors_by_id.values()
             if other is not executor
-            and (other.lost_at is not None or other.is_attended(self._state.now))
+            and (other.lost_at is not None or other.needs_polling(self._state.now))
             and other.answered_at is not None
             and not other.has_answered(now=self._state.now, reach_s=reach_s)
         ]
@@ -222,7 +222,7 @@
         executors = max(len(self._state.executors_by_id), 1)
         watched_s = min(max(self._state.now - self._state.fenced_at, 1.0), RATE_WINDOW_S)
         rate_per_s = crashes / (watched_s * executors)
-        return 1.0 - exp(-rate_per_s * ((at_work_s or 0.0) + TOLD_S))
+        return 1.0 - exp(-rate_per_s * ((at_work_s or 0.0) + LISTING_AGE_S))
 
 
 def _may_have_been_there(executor: Executor, task: TaskRun) -> bool:
--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -106,9 +106,9 @@
         self.paced_at = float("-inf")
         self.wants_look = False
         """Whether a listing is needed now, without waiting for an end."""
-        self.attended_until = float("-inf")
+        self.polled_until = float("-inf")
         """Until when it is polled without a pause though it runs nothing: a step waits for it."""
-        self.copies_until = float("-inf")
+        self.unanswered_until = float("-inf")
         """Until when a start that it has not answered may be carried out."""
         self.free = info.capacity
         """What the ledger has left; negative where a capacity has shrunk."""
@@ -184,9 +184,9 @@
         """Whether a start got no answer since it last gave a listing."""
         return self.answered_at is not None and self.answered_at <= self.doubted_at
 
-    def is_attended(self, now: float) -> bool:
+    def needs_polling(self, now: float) -> bool:
         """Whether it has to be polled without a pause."""
-        return bool(self.runs_by_task) or self.is_doubted or now < self.attended_until
+        return bool(self.runs_by_task) or self.is_doubted or now < self.polled_until
 
     def has_answered(self, *, now: float, reach_s: float) -> bool:
         """Whether it has given a listing within `reach_s`."""
--- a/src/galenastall/coordination/cell/late_copies.py
+++ b/src/galenastall/coordination/cell/late_starts.py
@@ -1,10 +1,10 @@
 """Starts without an answer, which an executor may carry out seconds later.
 
 Answers this load: executors that restart under their names while orders to them are on their way.
-The executor that an order was sent to refuses a copy of it that comes late, for it knows the run;
-one that has started again carries it out unless it has seen a later token. So until no copy can
-come any more, a task is started again only while each executor that a copy may reach is known not
-to have restarted, or has seen a later token.
+The executor that a start was sent to refuses it when it comes late, for it knows the run; one that
+has started again carries it out unless it has seen a later token. So until the start can't come any
+more, its task is started again only while each executor that it may reach is known not to have
+restarted, or has seen a later token.
 """
 
 from typing import Final
@@ -19,7 +19,7 @@
 """An executor whose last listing is older may have restarted since: a long poll and a margin."""
 
 
-class LateCopies:
+class LateStarts:
     """Knows which tasks may have a start on its way."""
 
     def __init__(self, *, state: CellState) -> None:
@@ -31,20 +31,20 @@
         until = now + self._state.timings.late_order_s
         found = self._state.find(order.task)
         if found is not None:
-            found[2].copies_until_by_executor[order.executor_id] = until
+            found[2].unanswered_until_by_executor[order.executor_id] = until
         executor = self._state.executors_by_id.get(order.executor_id)
         if executor is not None:
-            executor.copies_until = until
-            self._state.attend(executor, until=until)
+            executor.unanswered_until = until
+            self._state.keep_polled(executor, until=until)
 
     def may_begin_unseen(self, task: TaskRun, *, now: float) -> bool:
-        """Whether a copy of a start may begin the task where this leader does not see it."""
-        copies = task.copies_until_by_executor
-        if not copies:
+        """Whether a start that comes late may begin the task where this leader does not see it."""
+        unanswered_until = task.unanswered_until_by_executor
+        if not unanswered_until:
             return False
         return any(
             until > now and not self._is_harmless(executor_id, now=now)
-            for executor_id, until in copies.items()
+            for executor_id, until in unanswered_until.items()
         )
 
     def _is_harmless(self, executor_id: str, *, now: float) -> bool:
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -10,7 +10,7 @@
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.fitting import SingleChoices, choose_for_gang, may_host
 from galenastall.coordination.cell.forecast import Forecast
-from galenastall.coordination.cell.late_copies import LateCopies
+from galenastall.coordination.cell.late_starts import LateStarts
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.probation import Probation
 from galenastall.coordination.cell.room_plan import PlannedStart, RoomPlan, could_hold
@@ -37,7 +37,7 @@
     def __init__(self, *, state: CellState, advice: AdviceBook) -> None:
         """Work on these tables."""
         self._state = state
-        self._copies = LateCopies(state=state)
+        self._late_starts = LateStarts(state=state)
         self._line = WaitingLine(state=state, advice=advice)
         self._forecast = Forecast(state=state)
         self._planner = AdvicePlanner(state=state, advice=advice, forecast=self._forecast)
@@ -129,7 +129,7 @@
             task
             for task in waits
             if task.not_before <= waiting.now
-            and not self._copies.may_begin_unseen(task, now=waiting.now)
+            and not self._late_starts.may_begin_unseen(task, now=waiting.now)
         ]
         is_gang = waiting.step.step.is_gang
         if is_gang and len(waits) < waiting.step.step.count:
--- a/src/galenastall/coordination/cell/probation.py
+++ b/src/galenastall/coordination/cell/probation.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from galenastall.coordination.cell.cell_state import CellState
-from galenastall.coordination.cell.crashes import PROVEN_S, START_S
+from galenastall.coordination.cell.crashes import PROVEN_S, SUSPECT_PROVEN_S
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.fitting import may_add
 from galenastall.coordination.cell.job_runs import StepRun
@@ -24,7 +24,7 @@
 """Share of the open executors that tasks on probation may have at once, one at least."""
 WAIT_S: Final = 3.0
 """How long an executor is kept for a task until its room is free and what runs there is proven."""
-LOOK_AGAIN_S: Final = START_S
+LOOK_AGAIN_S: Final = SUSPECT_PROVEN_S
 """Between two looks at an executor where a suspect begins; a long poll takes a second."""
 
 
@@ -109,7 +109,7 @@
         if found is None or found[2].at_work_s >= PROVEN_S or found[2].began_at is None:
             return False
         begun_for_s = self._state.now - found[2].began_at
-        return begun_for_s >= (START_S if found[2].is_suspect else PROVEN_S)
+        return begun_for_s >= (SUSPECT_PROVEN_S if found[2].is_suspect else PROVEN_S)
 
     def _keep(self, step: StepRun, task: TaskRun, usable: Mapping[str, Executor]) -> _Place | None:
         self._places_by_task.pop(task.key, None)
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -363,10 +363,10 @@
         self._state.looked_for = set(wanted)
         return wanted
 
-    def take_newly_attended(self) -> list[str]:
+    def take_newly_polled(self) -> list[str]:
         """Return the executors that have to be polled without a pause from now on."""
-        attended, self._state.newly_attended = self._state.newly_attended, set()
-        return sorted(attended)
+        polled, self._state.newly_polled = self._state.newly_polled, set()
+        return sorted(polled)
 
     def take_asks(self) -> list[AskAdvice]:
         """Return the questions for the advisor."""
--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -60,7 +60,7 @@
         self._is_looking = False
         self._woken = trio.Event()
         """Set, and replaced, to end a wait for a turn."""
-        self._is_resting = False
+        self._is_waiting_for_turn = False
 
     async def run(self) -> None:
         """Poll for as long as the executor is in the leader's table."""
@@ -73,9 +73,9 @@
                 await self._probe()
                 continue
             is_in_turn = await self._wait_for_turn()
-            context.polled += 1
+            context.polls_under_way += 1
             is_answered = await self._poll(0.0 if is_in_turn else self._wait_s())
-            context.polled -= 1
+            context.polls_under_way -= 1
             if not is_answered:
                 await trio.sleep(RETRY_S)
                 continue
@@ -91,7 +91,7 @@
         executor = self._executor
         if executor.lost_at is None or executor.has_restarted or not self._is_in_table():
             return False
-        return trio.current_time() < executor.copies_until
+        return trio.current_time() < executor.unanswered_until
 
     async def _probe(self) -> None:
         """Ask again and again, without waiting for the answer to the call before."""
@@ -102,20 +102,20 @@
 
     async def _wait_for_turn(self) -> bool:
         """Wait until a poll may leave; return whether it had to wait."""
-        if self._executor.is_attended(trio.current_time()):
+        if self._executor.needs_polling(trio.current_time()):
             return False
         turn_at = self._context.idle_polls.next_turn(trio.current_time())
         if turn_at <= trio.current_time():
             return False
-        self._is_resting = True
+        self._is_waiting_for_turn = True
         with trio.move_on_at(turn_at):
             await self._woken.wait()
-        self._is_resting = False
+        self._is_waiting_for_turn = False
         return True
 
     def wake(self) -> None:
         """Poll now if the session waits for its turn; the executor has been given something."""
-        if self._is_resting:
+        if self._is_waiting_for_turn:
             event, self._woken = self._woken, trio.Event()
             event.set()
 
@@ -126,7 +126,7 @@
             return 0.0
         if not self._executor.runs_by_task:
             return IDLE_WAIT_S
-        return LONG_BUSY_WAIT_S if self._context.polled > MANY_POLLED else BUSY_WAIT_S
+        return LONG_BUSY_WAIT_S if self._context.polls_under_way > MANY_POLLED else BUSY_WAIT_S
 
     async def _wait_until_durable(self) -> None:
         with trio.move_on_after(DURABLE_WAIT_S):
@@ -135,7 +135,7 @@
 
     async def look(self) -> None:
         """Get a listing now, beside the long poll."""
-        if self._is_resting:
+        if self._is_waiting_for_turn:
             self.wake()
             return
         if self._is_looking:
--- a/src/galenastall/node/cell/executor_sessions.py
+++ b/src/galenastall/node/cell/executor_sessions.py
@@ -52,7 +52,7 @@
             session = self._by_id.get(pace.executor_id)
             if session is not None:
                 self._nursery.start_soon(session.pace, pace)
-        for executor_id in core.take_newly_attended():
+        for executor_id in core.take_newly_polled():
             session = self._by_id.get(executor_id)
             if session is not None:
                 session.wake()
--- a/src/galenastall/node/cell/term_context.py
+++ b/src/galenastall/node/cell/term_context.py
@@ -38,8 +38,8 @@
         self.executors = executors
         self.idle_polls = PollPace()
         self.call_counts = CallCounts()
-        self.polled = 0
-        """Executors whose answer to a poll is waited for now."""
+        self.polls_under_way = 0
+        """Polls of this term that have no answer yet."""
         self.committed = trio.Event()
         """Set, and replaced, whenever a batch has become durable."""
         self.changed = trio.Event()
--- a/tests/test_cell_crash_blame.py
+++ b/tests/test_cell_crash_blame.py
@@ -14,7 +14,7 @@
     PROVEN_S,
     SETTLED_S,
     SHARED_WEIGHT,
-    START_S,
+    SUSPECT_PROVEN_S,
     Victim,
     blame_for_crash,
     blame_for_silence,
@@ -332,7 +332,7 @@
         (order,) = rig.start()
         rig.crash(order.executor_id)
         (order,) = rig.start()
-        rig.work(2 * START_S)
+        rig.work(2 * SUSPECT_PROVEN_S)
         rig.crash(order.executor_id)
         assert rig.task(A)[0] <= ALONE_WEIGHT + AT_WORK_WEIGHT
 
@@ -345,7 +345,7 @@
         rig.now += 1.0
         orders = rig.start()
         suspects = [order for order in orders if rig.task(order.task)[1]]
-        rig.now += 2 * START_S
+        rig.now += 2 * SUSPECT_PROVEN_S
         rig.step()
         assert suspects
         for order in suspects:
--- a/tests/test_cell_executor_restarts.py
+++ b/tests/test_cell_executor_restarts.py
@@ -541,7 +541,7 @@
             assert len(rig.port.renewals) == asked
 
 
-class CopyRig(Rig):
+class LateStartRig(Rig):
     """Two executors; a start to the first got no answer, and its run was settled as not there."""
 
     def __init__(self) -> None:
@@ -563,16 +563,16 @@
     """A task ran twice: a start without an answer came to a restarted executor that was silent."""
 
     def test_a_task_waits_while_the_executor_may_have_restarted(self) -> None:
-        rig = CopyRig()
+        rig = LateStartRig()
         rig.core.executors_by_id["e0"].lost_at = rig.now
         assert rig.step() == []
 
     def test_it_begins_elsewhere_while_the_executor_answers(self) -> None:
-        rig = CopyRig()
+        rig = LateStartRig()
         assert [order.executor_id for order in rig.step()] == ["e2"]
 
     def test_it_begins_once_the_executor_has_answered_again(self) -> None:
-        rig = CopyRig()
+        rig = LateStartRig()
         rig.core.executors_by_id["e0"].lost_at = rig.now
         rig.step()
         rig.now += 1.0
@@ -580,8 +580,8 @@
         rig.listing("e0")
         assert len(rig.step()) == 1
 
-    def test_it_begins_when_no_copy_can_come_any_more(self) -> None:
-        rig = CopyRig()
+    def test_it_begins_when_the_start_cannot_come_any_more(self) -> None:
+        rig = LateStartRig()
         rig.core.executors_by_id["e0"].lost_at = rig.now
         rig.step()
         rig.now += TIMINGS.late_order_s + 0.1
@@ -589,7 +589,7 @@
         assert len(rig.step()) == 1
 
     def test_it_begins_once_a_later_incarnation_has_answered(self) -> None:
-        rig = CopyRig()
+        rig = LateStartRig()
         rig.core.executors_by_id["e0"].lost_at = rig.now
         later = make_info("e9", host="e0", cores=500)
         rig.see(*rig.infos, later)
