Take out the closer look at silent executors and the hold of their tasks

The hold delays each task whose start timed out then.

Kept: an executor that falls silent is shown a higher token from then on (test).

--- a/src/galenastall/coordination/cell/executor_table.py
+++ b/src/galenastall/coordination/cell/executor_table.py
@@ -64,10 +64,6 @@
         ids = self._ids_by_host.get(host, ()) if host else ()
         return (self.by_id[executor_id] for executor_id in ids)
 
-    def named(self, name: str) -> list[Executor]:
-        """Return the incarnations of a name, in the order of their ids."""
-        return [self.by_id[executor_id] for executor_id in sorted(self._ids_by_name.get(name, ()))]
-
     def beside(self, executor: Executor) -> list[Executor]:
         """Return the other incarnations of its name or on its host, in the order of their ids."""
         ids = {other.executor_id for other in self.on_host(executor.info.host)}
--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -108,8 +108,6 @@
         """Whether a listing is needed now, without waiting for an end."""
         self.polled_until = float("-inf")
         """Until when it is polled without a pause though it runs nothing: a step waits for it."""
-        self.unanswered_until = float("-inf")
-        """Until when a start that it has not answered may be carried out."""
         self.free = info.capacity
         """What the ledger has left; negative where a capacity has shrunk."""
         self.version = 0
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -7,7 +7,6 @@
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.commands import StartOrder, StopOrder
 from galenastall.coordination.cell.doubts import Doubts
-from galenastall.coordination.cell.late_starts import LateStarts
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.stop_rules import StopRule
@@ -45,7 +44,6 @@
         self._state = state
         self._doubts = doubts
         self._ends = ends
-        self._late_starts = LateStarts(state=state)
         self._doubted_at_by_data_centre: dict[str, float] = {}
         self._advice = advice
 
@@ -53,8 +51,6 @@
         self, order: StartOrder, outcome: StartOutcome, *, now: float, wall: float
     ) -> bool:
         """Apply a start's outcome; return whether the same order should be sent once more."""
-        if outcome is StartOutcome.UNKNOWN:
-            self._late_starts.note(order, now=now)
         task = self._state.find_ordered(order)
         if task is None:
             return False
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -10,7 +10,6 @@
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.fitting import SingleChoices, choose_for_gang, may_host
 from galenastall.coordination.cell.forecast import Forecast
-from galenastall.coordination.cell.late_starts import LateStarts
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.probation import Probation
 from galenastall.coordination.cell.room_plan import PlannedStart, RoomPlan, could_hold
@@ -37,7 +36,6 @@
     def __init__(self, *, state: CellState, advice: AdviceBook) -> None:
         """Work on these tables."""
         self._state = state
-        self._late_starts = LateStarts(state=state)
         self._line = WaitingLine(state=state, advice=advice)
         self._forecast = Forecast(state=state)
         self._planner = AdvicePlanner(state=state, advice=advice, forecast=self._forecast)
@@ -125,12 +123,7 @@
 
     def _place(self, waiting: WaitingStep, usable: OpenExecutors) -> None:
         waits = waiting.step.waiting()
-        tasks = [
-            task
-            for task in waits
-            if task.not_before <= waiting.now
-            and not self._late_starts.may_begin_unseen(task, now=waiting.now)
-        ]
+        tasks = [task for task in waits if task.not_before <= waiting.now]
         is_gang = waiting.step.step.is_gang
         if is_gang and len(waits) < waiting.step.step.count:
             self.sight.note(waiting.step.key, WaitReason.LAST_RUN_ENDING)
--- a/src/galenastall/coordination/cell/task_runs.py
+++ b/src/galenastall/coordination/cell/task_runs.py
@@ -60,7 +60,6 @@
         "stop_sent_at",
         "stop_seq",
         "tries",
-        "unanswered_until_by_executor",
     )
 
     def __init__(self, *, key: TaskKey) -> None:
@@ -102,8 +101,6 @@
         """Whether its last run was stopped for standing still; counted with its next start."""
         self.given_up_runs = 0
         """Runs before the last that were stopped for standing still."""
-        self.unanswered_until_by_executor: dict[str, float] = {}
-        """Executors that have not answered a start, and until when each may carry it out."""
         self._init_crashes()
         self.assigned_at = 0.0
         """Leader's time at which this run was given its executor."""
--- a/src/galenastall/coordination/cell/timings.py
+++ b/src/galenastall/coordination/cell/timings.py
@@ -25,9 +25,6 @@
     """How long an executor that answers may be missing from the list, as the platform states it."""
     order_timeout_s: float = 0.35
     """Wait for the answer to an order, which takes 2 to 8 ms; starts are safe to send again."""
-    late_order_s: float = 12.5
-    """How much later than its sending a call without an answer may be carried out, as the platform
-    states it, and a margin."""
     resend_after_s: float = 0.5
     """Between two tries of a stop that the executor has not yet listed as ended."""
     start_tries: int = 3
--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -25,10 +25,6 @@
 """Wait for an answer beyond the long poll; a round trip takes 1 to 8 ms."""
 RETRY_S: Final = 0.2
 """Pause after a failed call."""
-PROBE_EVERY_S: Final = 0.1
-"""Between two calls to a silent executor that has not answered a start."""
-PROBE_ANSWER_S: Final = 0.3
-"""Wait for the answer to one of them; with it, they use as many connections as an executor has."""
 DURABLE_WAIT_S: Final = 0.5
 """How long the next poll waits until ends are durable; leases must go on in an outage."""
 ACKNOWLEDGES_WITHIN_S: Final = 1.0
@@ -69,9 +65,6 @@
             if not self._executor.info.address or self._executor.has_restarted:
                 await trio.sleep(RETRY_S)
                 continue
-            if self._is_probing():
-                await self._probe()
-                continue
             is_in_turn = await self._wait_for_turn()
             context.polls_under_way += 1
             is_answered = await self._poll(0.0 if is_in_turn else self._wait_s())
@@ -86,20 +79,6 @@
         executors_by_id = self._context.core.executors_by_id
         return executors_by_id.get(self._executor.executor_id) is self._executor
 
-    def _is_probing(self) -> bool:
-        """Whether a restart has to be met by a call before a start that comes late."""
-        executor = self._executor
-        if executor.lost_at is None or executor.has_restarted or not self._is_in_table():
-            return False
-        return trio.current_time() < executor.unanswered_until
-
-    async def _probe(self) -> None:
-        """Ask again and again, without waiting for the answer to the call before."""
-        async with trio.open_nursery() as nursery:
-            while self._is_probing():
-                nursery.start_soon(self._poll, 0.0, PROBE_ANSWER_S)
-                await trio.sleep(PROBE_EVERY_S)
-
     async def _wait_for_turn(self) -> bool:
         """Wait until a poll may leave; return whether it had to wait."""
         if self._executor.needs_polling(trio.current_time()):
@@ -146,7 +125,7 @@
         finally:
             self._is_looking = False
 
-    async def _poll(self, wait_s: float, late_s: float = LATE_ANSWER_S) -> bool:
+    async def _poll(self, wait_s: float) -> bool:
         context, executor = self._context, self._executor
         executor.wants_look = False
         asked_seq = context.core.next_seq()
@@ -158,7 +137,7 @@
             noted=self._noted(),
             wait_s=wait_s,
             token=token,
-            timeout_s=wait_s + late_s,
+            timeout_s=wait_s + LATE_ANSWER_S,
         )
         context.call_counts.add("poll", is_answered=not isinstance(answer, Failure))
         if isinstance(answer, Failure):
