--- a/src/galenastall/coordination/cell/crashes.py
+++ b/src/galenastall/coordination/cell/crashes.py
@@ -36,7 +36,7 @@
 """For a task at work however often executors crash by themselves: 20 crashes end it."""
 MOST_WEIGHT: Final = 60
 """A task with as much is given up: after three crashes at the earliest, for a task that is only
-there may be under two by chance, and after five at the latest."""
+there may be under two by chance, and after five where others do not crash by themselves."""
 LISTING_AGE_S: Final = 1.2
 """A listing tells what was so up to so long ago; an executor that crashes may have run on."""
 FULL_WEIGHT_CHANCE: Final = 0.01
