Log queries that have no result, and explain them

What callers saw: two accepted jobs had no answer when their state was asked for.

Cause of not knowing why: only submissions wrote a line (job.refused). A query that found no leader, got no answer from it, was refused for its configuration or was answered too late left none, so `explain` said that no line was about the job.

Change: job.unanswered names cause, status, time taken, time that the caller waits and the version of the configuration; galenastall_query_seconds counts by status; explain counts such queries, names host and cause of the last, and shows config.lost lines beside them. No logic changed.

--- a/src/galenastall/coordination/cell/explain_logs.py
+++ b/src/galenastall/coordination/cell/explain_logs.py
@@ -18,6 +18,7 @@
         "leader.hands_over",
         "store.lost",
         "store.regained",
+        "config.lost",
         "host.stopping",
         "host.started",
     }
@@ -106,9 +107,8 @@
         if line.event in _CONTEXT_EVENTS and first - 2.0 <= line.at_s <= last + 2.0
     ]
     merged = sorted([*own, *context], key=lambda line: (line.at_s, line.counter))
-    return JobSummary(
-        verdict=_verdict(own), delays=tuple(_delays(own, context)), lines=tuple(merged)
-    )
+    verdict = _verdict(own) + _unanswered(own)
+    return JobSummary(verdict=verdict, delays=tuple(_delays(own, context)), lines=tuple(merged))
 
 
 def _is_about(subject: str, wanted: str) -> bool:
@@ -132,6 +132,15 @@
     return f"never accepted; last event {own[-1].event} ({own[-1].cause})"
 
 
+def _unanswered(own: Sequence[LogLine]) -> str:
+    """Return how often queries about a job had no result, and why the last one had none."""
+    failed = [line for line in own if line.event == "job.unanswered"]
+    if not failed:
+        return ""
+    last = failed[-1]
+    return f"; {len(failed)} queries unanswered, the last at {last.process}: {last.cause}"
+
+
 def _verdict_of_end(own: Sequence[LogLine], end: LogLine, accepted: Sequence[LogLine]) -> str:
     phase = end.fields.get("phase", "ended")
     took = f" {end.at_s - accepted[0].at_s:.3f} s after acceptance" if accepted else ""
--- a/src/galenastall/node/cell/cell_metrics.py
+++ b/src/galenastall/node/cell/cell_metrics.py
@@ -18,6 +18,12 @@
             labels=["verdict"],
             bounds=_MILLISECONDS,
         )
+        self.query_seconds: Histogram = metrics.histogram(
+            "galenastall_query_seconds",
+            "From the arrival of a query or cancellation to its response, by status.",
+            labels=["status"],
+            bounds=_MILLISECONDS,
+        )
 
     def watch(self, host: CellHost) -> None:
         """Register gauges that read the state of `host` at each scrape."""
--- a/src/galenastall/platform/job_routes.py
+++ b/src/galenastall/platform/job_routes.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure, Result
 
+from galenastall.coordination.cell.config_age import UNKNOWN_VERSION
 from galenastall.node.cell.caller_handler import RETRY_AFTER_S, CallerHandler, SubmitOutcome
 from galenastall.platform.access import KEY_HEADER, Admission, KeyCheck
 from galenastall.platform.submissions import decode_job
@@ -30,6 +31,7 @@
 UNAUTHORIZED: Final = 401
 MAX_ADMISSION_ATTEMPTS: Final = 3
 """Attempts to admit one request, each by a newer configuration."""
+_MAX_SUBJECT_LENGTH: Final = 40
 _JOB_ID: Final = re.compile(r"[0-9a-fA-F]{16}")
 
 
@@ -54,9 +56,11 @@
         clock: Clock,
         recorder: Recorder,
         submit_seconds: Histogram,
+        query_seconds: Histogram,
     ) -> None:
         """Pass operations to `handler`, admitted by the routes and keys of `config`."""
         self._submit_seconds = submit_seconds
+        self._query_seconds = query_seconds
         self._handler = handler
         self._config = config
         self._keys = KeyCheck()
@@ -178,20 +182,54 @@
         request: HttpRequest,
         query: Callable[[HttpRequest, Admission], Awaitable[Result[Any, StepError]]],
     ) -> HttpResponse:
-        """Run a query; if the leader's configuration is newer, admit the caller again."""
+        """Run a query, and log it if it has no result or took longer than the caller waits."""
+        began_at = self._clock.now()
+        response, cause = await self._query(request, query)
+        took_s = self._clock.now() - began_at
+        self._query_seconds.record(took_s, str(response.status))
+        if took_s > _remaining_time_s(request):
+            cause = cause or "the response is later than the caller waits"
+        if cause:
+            self._recorder.record(
+                "job.unanswered",
+                subjects=(request.path.rpartition("/")[2][:_MAX_SUBJECT_LENGTH] or request.path,),
+                cause=cause,
+                fields={
+                    "method": request.method,
+                    "status": str(response.status),
+                    "took_ms": f"{took_s * 1000:.0f}",
+                    "caller_waits_ms": f"{_remaining_time_s(request) * 1000:.0f}",
+                    "version": str(self._version()),
+                },
+            )
+        return response
+
+    def _version(self) -> int:
+        config = self._config.current()
+        return UNKNOWN_VERSION if config is None else config.version
+
+    async def _query(
+        self,
+        request: HttpRequest,
+        query: Callable[[HttpRequest, Admission], Awaitable[Result[Any, StepError]]],
+    ) -> tuple[HttpResponse, str]:
+        """Return the response to a query, and why it has no result (empty if it has one).
+
+        If the leader's configuration is newer, the caller is admitted again.
+        """
         admission = await self._admit(request)
         cause = ""
         for _ in range(MAX_ADMISSION_ATTEMPTS):
             if isinstance(admission, HttpResponse):
-                return admission
+                return admission, cause or f"not admitted: status {admission.status}"
             answer = await query(request, admission)
             if not isinstance(answer, Failure):
-                return _status_response(_job_id(request, admission), answer.unwrap())
+                return _status_response(_job_id(request, admission), answer.unwrap()), ""
             cause = str(answer.failure())
             if answer.failure().reason is not Reason.CONFLICT:
                 break
             admission = await self._refresh_and_admit(request)
-        return _unavailable(cause, RETRY_AFTER_S)
+        return _unavailable(cause, RETRY_AFTER_S), cause
 
     async def _refresh_and_admit(self, request: HttpRequest) -> Admission | HttpResponse:
         """Read a newer configuration if there is one, and admit or refuse a caller by it."""
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -137,6 +137,7 @@
             clock=self._clock,
             recorder=self.recorder,
             submit_seconds=cell_metrics.submit_seconds,
+            query_seconds=cell_metrics.query_seconds,
         )
         self._callers = self._server(settings.callers_bind, jobs, linger_s=LINGER_S)
         readiness = ReadinessRoutes(is_ready=self._is_ready)
--- a/tests/test_platform_access.py
+++ b/tests/test_platform_access.py
@@ -170,6 +170,7 @@
         clock=clock,
         recorder=Recorder(process="t", clock=clock, ring=own_ring),
         submit_seconds=CellMetrics(metrics=Metrics()).submit_seconds,
+        query_seconds=CellMetrics(metrics=Metrics()).query_seconds,
     )
     server = HttpServer(handlers=[routes], clock=clock, bind="127.0.0.1:0")
     headers = [("Host", "q.example"), ("Deadline-Remaining", "3000")]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -509,6 +509,7 @@
             clock=clock,
             recorder=Recorder(process="t", clock=clock, ring=TimelineRing(capacity=10)),
             submit_seconds=CellMetrics(metrics=Metrics()).submit_seconds,
+            query_seconds=CellMetrics(metrics=Metrics()).query_seconds,
         )
         async with trio.open_nursery() as nursery:
             address = await serve(nursery, routes)
