--- a/tests/cell/simulation.py
+++ b/tests/cell/simulation.py
@@ -19,6 +19,7 @@
 from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome
 from galenastall.protocol.cell.config import CellConfig, QueueRoute
 from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
+from galenastall.protocol.cell.messages import GetConfig
 from galenastall.protocol.cell.ports import LeaderRecord, StoreView
 from galenastall.standin.cell.executors import Executor, ExecutorSimulation, Run
 from galenastall.state.cell.executor_ids import executor_name, make_executor_id
@@ -48,6 +49,8 @@
     """Minimum and maximum delay of late calls."""
     slow_s: float = 0.0
     """Delay added to each answer of the store."""
+    config_undelivered: set[str] = field(default_factory=set)
+    """Hosts that receive no configuration, neither from the store nor from other hosts."""
     load_bytes_per_s: dict[str, float] = field(default_factory=dict)
     """Rate at which a host loads the state; hosts without an entry load at once."""
 
@@ -56,6 +59,7 @@
         self.cut.clear()
         self.answers_cut.clear()
         self.store_refuses.clear()
+        self.config_undelivered.clear()
         self.load_bytes_per_s.clear()
         self.lost = self.late = self.slow_s = 0.0
 
@@ -278,9 +282,12 @@
 
     async def wait(self) -> Result[CellConfig | None, StepError]:
         await trio.sleep(0.5)
-        return await self._call("store", 1.0, lambda: self.simulation.config)
+        return await self.newest()
 
     async def newest(self) -> Result[CellConfig | None, StepError]:
+        if self.host_id in self.simulation.faults.config_undelivered:
+            await trio.sleep(1.0)
+            return self._failure("store", Reason.TIMEOUT)
         return await self._call("store", 1.0, lambda: self.simulation.config)
 
     def waves(self) -> tuple[MaintenanceWave, ...]:
@@ -424,6 +431,12 @@
             await trio.sleep(0.01)
             reason = Reason.UNREACHABLE
             return Failure(StepError(step="world.peer", peer=peer, reason=reason))
+        if (
+            isinstance(message, GetConfig)
+            and self._host_id in self.simulation.faults.config_undelivered
+        ):
+            await trio.sleep(timeout_s)
+            return Failure(StepError(step="world.peer", peer=peer, reason=Reason.TIMEOUT))
         with trio.move_on_after(timeout_s):
             await trio.sleep(0.001)
             answer = await target._handlers[type(message)](self._host_id, message)
