Ask the leader again for a query, and give up while callers can ask elsewhere

Cause: the first call of a query (state, cancellation, count) to the leader had all of the caller's time, so one message lost on the way, or one answer held up, left no second try; a host that heard no leader, or whose path to it was cut, answered 0.15 s before the caller's time was up, too late to ask another host. An unanswered cancellation could end as "nothing was sent" after a later attempt.

The simulation can lose the next calls or answers of a pair of hosts.

--- a/src/galenastall/node/cell/caller_handler.py
+++ b/src/galenastall/node/cell/caller_handler.py
@@ -14,6 +14,7 @@
 from galenastall.node.cell.config_watcher import ConfigWatcher
 from galenastall.node.cell.leader_handler import SHARE_OF_PATIENCE, LeaderHandler
 from galenastall.node.cell.leadership import Leadership
+from galenastall.node.cell.query_caller import QueryCaller
 from galenastall.protocol.cell.messages import (
     CancelJob,
     CountPending,
@@ -105,6 +106,7 @@
         self._config = config
         self._link = link
         self._leadership = leadership
+        self._queries = QueryCaller(host_id=host_id, leadership=leadership, call=self._call)
         link.handle(SubmitJob, self._on_submit)
         link.handle(GetJob, self._on_ask)
         link.handle(CancelJob, self._on_cancel)
@@ -230,16 +232,8 @@
     async def _retry(
         self, build: Callable[[float], object], patience_s: float
     ) -> Result[Any, StepError]:
-        """Retry an idempotent call until it is answered or the time is up."""
-        until = trio.current_time() + patience_s - ANSWER_MARGIN_S
-        answer = self._failure(Reason.UNAVAILABLE, "no leader is known")
-        while trio.current_time() < until:
-            left_s = until - trio.current_time()
-            answer = await self._call(build(left_s), left_s)
-            if isinstance(answer, Success) or answer.failure().reason is Reason.CONFLICT:
-                return answer
-            await trio.sleep(RETRY_S)
-        return answer
+        """Ask the leader, in several attempts if need be; fails early enough to ask elsewhere."""
+        return await self._queries.ask(build, patience_s)
 
     async def _call(self, message: object, timeout_s: float) -> Result[Any, StepError]:
         """Call the leader once; the call is cancelled when the leader changes."""
--- a/tests/cell/simulation.py
+++ b/tests/cell/simulation.py
@@ -47,6 +47,10 @@
     """Share of calls that are not answered and are carried out late."""
     late_s: tuple[float, float] = (2.0, 6.0)
     """Minimum and maximum delay of late calls."""
+    lost_calls: dict[tuple[str, str], int] = field(default_factory=dict)
+    """How many of the next calls from one host to another are lost on the way."""
+    lost_answers: dict[tuple[str, str], int] = field(default_factory=dict)
+    """How many of the next calls from one host to another are carried out but not answered."""
     slow_s: float = 0.0
     """Delay added to each answer of the store."""
     config_undelivered: set[str] = field(default_factory=set)
@@ -61,9 +65,18 @@
         self.store_refuses.clear()
         self.config_undelivered.clear()
         self.load_bytes_per_s.clear()
+        self.lost_calls.clear()
+        self.lost_answers.clear()
         self.lost = self.late = self.slow_s = 0.0
 
 
+def _takes_one(left_by_pair: dict[tuple[str, str], int], pair: tuple[str, str]) -> bool:
+    """Count down a pair's messages that are still to be lost; whether this one is."""
+    left = left_by_pair.get(pair, 0)
+    left_by_pair[pair] = max(left - 1, 0)
+    return left > 0
+
+
 class Simulation(ExecutorSimulation):
     """Everything outside the hosts, with the checks of the invariants."""
 
@@ -437,10 +450,14 @@
         ):
             await trio.sleep(timeout_s)
             return Failure(StepError(step="world.peer", peer=peer, reason=Reason.TIMEOUT))
+        faults, pair = self.simulation.faults, (self._host_id, peer)
         with trio.move_on_after(timeout_s):
+            if _takes_one(faults.lost_calls, pair):
+                await trio.sleep_forever()
+            is_answer_lost = _takes_one(faults.lost_answers, pair)
             await trio.sleep(0.001)
             answer = await target._handlers[type(message)](self._host_id, message)
-            is_answered = (peer, self._host_id) not in self.simulation.faults.cut
+            is_answered = (peer, self._host_id) not in faults.cut and not is_answer_lost
             if is_answered and self.simulation.links.get(peer) is target:
                 return Failure(answer) if isinstance(answer, StepError) else Success(answer)
             await trio.sleep_forever()
