Let the leader say early that it can't answer a query

Cause: a leader that still loaded its state, that the store didn't confirm or whose append didn't end held a query or cancellation for all of the caller's time, so that the host asked never learned the reason and the caller could not ask again.

A cancellation that isn't durable by then is answered as "cancelled, but not yet durable" (timeout: it may take effect), as before.

Result: five tests (leader that loads: state and cancellation; leader that is not confirmed: state and cancellation; cancellation that is not durable) failed with hosts that only give up by themselves, as the reason was missing, and pass now; the case of a count passed already.

--- a/src/galenastall/node/cell/leader_handler.py
+++ b/src/galenastall/node/cell/leader_handler.py
@@ -84,33 +84,35 @@
                 await self._term.context.committed.wait()
 
     async def query(self, message: GetJob) -> JobAnswer | StepError:
-        """Return a job's durable phase."""
-        if not await self._is_ready(message.patience_s):
+        """Return a job's durable phase, or an error while the caller can still ask again."""
+        until = _answer_until(message)
+        if not await self._is_ready(until - trio.current_time()):
             return self._error(Reason.NOT_OWNER, "not leading yet")
         run = self._find(message)
         if run is not None and run.is_durable:
             return JobAnswer(phase=run.shown_phase)
         # Only a leader confirmed by the store after the query arrived may call a job unknown.
-        if not await self._confirm(message.patience_s):
+        if not await self._confirm(until - trio.current_time()):
             return self._error(Reason.UNAVAILABLE, "the store does not confirm this leader")
         run = self._find(message)
         is_known = run is not None and run.is_durable
         return JobAnswer(phase=run.shown_phase if run is not None and is_known else None)
 
     async def cancel(self, message: CancelJob) -> JobAnswer | StepError:
-        """Cancel a job, and answer once that is durable."""
-        if not await self._is_ready(message.patience_s):
+        """Cancel a job; answer once that is durable, or that it may become so."""
+        until = _answer_until(message)
+        if not await self._is_ready(until - trio.current_time()):
             return self._error(Reason.NOT_OWNER, "not leading yet")
         term = self._term
         run = self._find(message)
         if run is None:
-            if not await self._confirm(message.patience_s):
+            if not await self._confirm(until - trio.current_time()):
                 return self._error(Reason.UNAVAILABLE, "the store does not confirm this leader")
             return JobAnswer(phase=None)
         term.core.cancel(message.job_id, wall=term.context.wall())
         term.request_commit()
         term.context.wake()
-        with trio.move_on_after(message.patience_s):
+        with trio.move_on_at(until):
             while run.shown_phase is not run.phase and not term.loss:
                 await term.context.committed.wait()
         if run.shown_phase in ENDED_PHASES:
@@ -131,7 +133,7 @@
         return PendingAnswer(count=self._term.core.pending_of(message.queue_name))
 
     async def _is_ready(self, timeout_s: float) -> bool:
-        with trio.move_on_after(timeout_s):
+        with trio.move_on_after(max(timeout_s, 0.0)):
             await self._term.ready.wait()
         return self._term.ready.is_set() and not self._term.loss
 
@@ -139,10 +141,15 @@
         """Whether the store confirms the term by a call sent after this point."""
         asked_at = trio.current_time()
         self._term.request_commit()
-        with trio.move_on_after(timeout_s):
+        with trio.move_on_after(max(timeout_s, 0.0)):
             while self._term.context.confirmed_at < asked_at and not self._term.loss:
                 await self._term.context.committed.wait()
         return self._term.context.confirmed_at >= asked_at
 
     def _error(self, reason: Reason, detail: str) -> StepError:
         return StepError(step="cell.leader", peer=self._host_id, reason=reason, detail=detail)
+
+
+def _answer_until(message: GetJob | CancelJob) -> float:
+    """Return by when to answer, whatever is known, so that the caller can still ask again."""
+    return trio.current_time() + SHARE_OF_PATIENCE * message.patience_s
--- a/tests/test_query_attempts.py
+++ b/tests/test_query_attempts.py
@@ -141,7 +141,66 @@
         await run_scenario(scenario, seed=64)
 
 
+class TestLeaderThatCanNotAnswer:
+    @pytest.mark.parametrize("ask", KINDS)
+    async def test_a_leader_that_loads_its_state_does_not_hold_the_caller(
+        self, autojump_clock: object, ask: Ask
+    ) -> None:
+        async def scenario(cluster: Cluster, simulation: Simulation, rng: Random) -> None:
+            leader, _, job_id = await _begin(cluster, simulation, rng)
+            slow = simulation.store.size / 5.0
+            simulation.faults.load_bytes_per_s.update(dict.fromkeys(cluster.names, slow))
+            cluster.kill(leader)
+            with trio.fail_after(5.0):
+                while cluster.leader is None:  # noqa: ASYNC110 - hosts have no event for it
+                    await trio.sleep(0.02)
+            await trio.sleep(0.3)
+            for name in sorted(cluster.live):
+                began_at = trio.current_time()
+                refused = await ask(_handler(cluster, name), job_id)
+                assert isinstance(refused, Failure), refused
+                assert trio.current_time() - began_at <= EARLY_S + 0.01, name
+                assert "not leading yet" in str(refused.failure()), name
+
+        await run_scenario(scenario, seed=65)
+
+    @pytest.mark.parametrize("ask", [_show, _cancel])
+    async def test_a_leader_that_the_store_does_not_confirm_does_not_hold_the_caller(
+        self, autojump_clock: object, ask: Ask
+    ) -> None:
+        async def scenario(cluster: Cluster, simulation: Simulation, rng: Random) -> None:
+            await _begin(cluster, simulation, rng)
+            for name in cluster.names:
+                simulation.faults.cut.add((name, "store"))
+            await trio.sleep(0.1)
+            for name in cluster.names:
+                began_at = trio.current_time()
+                refused = await ask(_handler(cluster, name), f"{99:016x}")
+                assert isinstance(refused, Failure), refused
+                assert trio.current_time() - began_at <= EARLY_S + 0.01, name
+                assert "the store does not confirm" in str(refused.failure()), name
+
+        await run_scenario(scenario, seed=66)
+
+
 class TestCancellations:
+    async def test_a_cancellation_that_is_not_durable_is_neither_held_nor_denied(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, simulation: Simulation, rng: Random) -> None:
+            _, other, job_id = await _begin(cluster, simulation, rng)
+            for name in cluster.names:
+                simulation.faults.cut.add((name, "store"))
+            with trio.fail_after(EARLY_S + 0.1):
+                answer = await _cancel(_handler(cluster, other), job_id)
+            assert answer.failure().may_have_taken_effect, answer
+            assert "not yet durable" in str(answer.failure())
+            simulation.faults.clear()
+            await trio.sleep(SETTLED_S)
+            assert await cluster.phase(job_id) is JobPhase.CANCELLED
+
+        await run_scenario(scenario, seed=67)
+
     async def test_an_unanswered_cancellation_is_not_said_to_have_had_no_effect(
         self, autojump_clock: object
     ) -> None:
