Receive each configuration once, for as long as it keeps arriving

Cause: a read of the configuration had a fixed total time-out (1.7 s), so what a small link can't carry in that time was dropped part-way and read from the start again without end. Looks for a newer version ran a second transfer beside the poll's, and threw theirs away after 0.4 s. A read from an offset returned every superseded version.

Change: - HttpClient.request takes `idle_timeout_s`, which starts anew with each chunk, and `on_progress`, by which the reader gives a response up. Errors say how many bytes had arrived.

The new tests of test_http_client.py need the new parameters and can't run on the earlier code.

--- a/src/galenastall/platform/calls.py
+++ b/src/galenastall/platform/calls.py
@@ -1,5 +1,6 @@
 """HTTP client for all services of the platform, with JSON bodies and typed errors."""
 
+import math
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
@@ -7,7 +8,12 @@
 from returns.result import Failure, Result, Success
 
 from galenastall.state.errors import Reason, StepError
-from galenastall.transport.http_client import BufferedResponse, HttpClient, error_from_response
+from galenastall.transport.http_client import (
+    BufferedResponse,
+    HttpClient,
+    ProgressCheck,
+    error_from_response,
+)
 
 T = TypeVar("T")
 AddressProvider = Callable[[], str]
@@ -23,11 +29,24 @@
         self._client = client
 
     async def get(
-        self, *, step: str, address: str, path: str, timeout_s: float
+        self,
+        *,
+        step: str,
+        address: str,
+        path: str,
+        timeout_s: float,
+        idle_timeout_s: float = math.inf,
+        on_progress: ProgressCheck | None = None,
     ) -> Result[BufferedResponse, StepError]:
         """Send a GET request and return the response, whatever its status."""
         return await self._client.request(
-            method="GET", address=address, path=path, timeout_s=timeout_s, step=step
+            method="GET",
+            address=address,
+            path=path,
+            timeout_s=timeout_s,
+            idle_timeout_s=idle_timeout_s,
+            on_progress=on_progress,
+            step=step,
         )
 
     async def post(
--- a/src/galenastall/platform/config.py
+++ b/src/galenastall/platform/config.py
@@ -11,6 +11,8 @@
 from galenastall.platform.calls import AddressProvider, PlatformCalls
 from galenastall.platform.entries import decode_entry
 from galenastall.platform.keyed_follower import KeyedFollower
+from galenastall.platform.shared_reads import SharedReads
+from galenastall.platform.transfers import TransferSlot
 from galenastall.protocol.cell.config import CellConfig, Credential, QueueRoute
 from galenastall.state.cell.jobs import AdvisorTiming, Queue
 from galenastall.state.cell.workspaces import Workspace
@@ -159,28 +161,77 @@
     ) -> None:
         """Read from the store at `address`."""
         self._address = address
-        self._follower = KeyedFollower(calls=calls, address=address, topic=TOPIC, recorder=recorder)
+        self._recorder = recorder
+        self._transfers = TransferSlot(on_received=self._report_received)
+        self._follower = KeyedFollower(
+            calls=calls,
+            address=address,
+            topic=TOPIC,
+            recorder=recorder,
+            transfers=self._transfers,
+        )
+        self._reads = SharedReads(follower=self._follower, transfers=self._transfers)
+        self._decoded_value = b""
+        self._decoded: Result[CellConfig, StepError] | None = None
+        """What `_decoded_value` says; None before the first."""
+        self._waited_value = b""
+        """The value whose configuration or error `wait` has returned last."""
+        self._newest_value = b""
+        """The same of `newest`."""
 
     def operator_values(self) -> Mapping[str, bytes]:
         """Return the values last read of all the operator's keys."""
         return self._follower.values_by_key
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a response with a newer configuration has begun to arrive."""
+        return self._transfers.is_taken
+
     async def wait(self) -> Result[CellConfig | None, StepError]:
-        """Wait for a change, up to the long poll's time; return the new configuration or None."""
-        return await self._read(POLL_S)
+        """Wait for a change, up to the long poll's time; return the new configuration or None.
+
+        It also returns what a read of `newest` has found whose caller was cancelled.
+        """
+        if self._value() == self._waited_value:
+            answer = await self._reads.wait(POLL_S)
+            if isinstance(answer, Failure):
+                return answer
+        value = self._value()
+        if value == self._waited_value:
+            return Success(None)
+        self._waited_value = value
+        return self._decode(value)
 
     async def newest(self) -> Result[CellConfig | None, StepError]:
-        """Return the newest configuration if it changed since the last read, without waiting."""
-        return await self._read(0.0)
-
-    async def _read(self, wait_s: float) -> Result[CellConfig | None, StepError]:
-        answer = await self._follower.refresh(wait_s=wait_s)
+        """Return the newest configuration without waiting for one; None if it was returned."""
+        answer = await self._reads.read_now()
         if isinstance(answer, Failure):
             return answer
-        value = self._follower.values_by_key.get(KEY)
-        if value is None or not answer.unwrap():
+        value = self._value()
+        if value in (self._waited_value, self._newest_value):
             return Success(None)
-        return decode_entry(value, WireConfig).bind(_validate).alt(self._unreadable)
+        self._newest_value = value
+        return self._decode(value)
+
+    def _value(self) -> bytes:
+        return self._follower.values_by_key.get(KEY, b"")
+
+    def _decode(self, value: bytes) -> Result[CellConfig | None, StepError]:
+        if not value:
+            return Success(None)
+        if self._decoded is None or value != self._decoded_value:
+            entry = decode_entry(value, WireConfig)
+            self._decoded = entry.bind(_validate).alt(self._unreadable)
+            self._decoded_value = value
+        return self._decoded.map(lambda config: config)
+
+    def _report_received(self, size_bytes: int, took_s: float) -> None:
+        self._recorder.record(
+            "config.received",
+            peer=self._address(),
+            fields={"bytes": str(size_bytes), "took_ms": f"{took_s * 1000:.0f}"},
+        )
 
     def _unreadable(self, detail: str) -> StepError:
         return StepError(
--- a/src/galenastall/platform/log_wire.py
+++ b/src/galenastall/platform/log_wire.py
@@ -11,6 +11,8 @@
 
 _LENGTH: Final = struct.Struct(">I")
 _READ_HEAD: Final = struct.Struct(">QQ")
+READ_HEAD_BYTES: Final = _READ_HEAD.size
+"""Size of what a read's response begins with: the end and the first retained offset."""
 _LONGEST_KEY: Final = 255
 
 
@@ -102,6 +104,12 @@
     return ReadAnswer(end=end, first=first, records=tuple(records))
 
 
+def decode_end(body: bytes) -> int:
+    """Return the partition's end from the beginning of the response to a read."""
+    end, _ = _READ_HEAD.unpack_from(body)
+    return int(end)
+
+
 def split_records(body: bytes) -> list[bytes]:
     """Return the contents of consecutive framed records."""
     return list(_records(body))
--- a/src/galenastall/platform/newest_records.py
+++ b/src/galenastall/platform/newest_records.py
@@ -1,6 +1,8 @@
 """Reads the newest record of each key of a keyed topic, page by page."""
 
+import math
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 from urllib.parse import quote
 
@@ -10,6 +12,7 @@
 from galenastall.platform.calls import AddressProvider, PlatformCalls, decode_answer, to_failure
 from galenastall.platform.log_wire import NewestItem, NewestPage, WireError
 from galenastall.state.errors import Reason, StepError
+from galenastall.transport.http_client import ProgressCheck
 
 PAGE_TIMEOUT_S: Final = 1.0
 """Time-out for a page; a slow store takes up to 0.4 s."""
@@ -54,14 +57,25 @@
         self._address = address
 
     async def page(
-        self, topic: str, after: str = "", *, timeout_s: float = PAGE_TIMEOUT_S
+        self,
+        topic: str,
+        after: str = "",
+        *,
+        timeout_s: float = PAGE_TIMEOUT_S,
+        idle_timeout_s: float = math.inf,
+        on_progress: ProgressCheck | None = None,
     ) -> Result[NewestRecords, StepError]:
         """Return the page of keys that sort after `after`; a topic never written to is empty."""
         path = f"/log-newest?topic={topic}&part=0"
         if after:
             path += f"&after={quote(after, safe='')}"
         answer = await self._calls.get(
-            step=_STEP, address=self._address(), path=path, timeout_s=timeout_s
+            step=_STEP,
+            address=self._address(),
+            path=path,
+            timeout_s=timeout_s,
+            idle_timeout_s=idle_timeout_s,
+            on_progress=on_progress,
         )
         if isinstance(answer, Failure):
             return answer
@@ -74,7 +88,13 @@
         return page.map(decode_page)
 
     async def all(
-        self, topic: str, *, timeout_s: float = PAGE_TIMEOUT_S, tries: int = 1
+        self,
+        topic: str,
+        *,
+        timeout_s: float = PAGE_TIMEOUT_S,
+        idle_timeout_s: float = math.inf,
+        on_progress: ProgressCheck | None = None,
+        tries: int = 1,
     ) -> Result[NewestRecords, StepError]:
         """Return all keys; `end_offset` is the first page's, so that reads from it miss nothing.
 
@@ -82,11 +102,18 @@
         """
         pages: list[NewestRecords] = []
         after = ""
+        read_page = partial(
+            self.page,
+            topic,
+            timeout_s=timeout_s,
+            idle_timeout_s=idle_timeout_s,
+            on_progress=on_progress,
+        )
         while True:
-            answer = await self.page(topic, after, timeout_s=timeout_s)
+            answer = await read_page(after)
             for _ in range(tries - 1):
                 if isinstance(answer, Failure):
-                    answer = await self.page(topic, after, timeout_s=timeout_s)
+                    answer = await read_page(after)
             if isinstance(answer, Failure):
                 return answer
             page = answer.unwrap()
--- a/src/galenastall/protocol/cell/ports.py
+++ b/src/galenastall/protocol/cell/ports.py
@@ -84,7 +84,14 @@
         """Wait until the configuration may have changed, and return it; None if there is none."""
 
     async def newest(self) -> Result[CellConfig | None, StepError]:
-        """Return the newest configuration at once; None if it was returned before."""
+        """Return the newest configuration at once; None if it was returned before.
+
+        Cancelling it does not end a response that has begun to arrive: `wait` returns its result.
+        """
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a response with a newer configuration has begun to arrive."""
 
 
 class AdvisorPort(Protocol):
--- a/src/galenastall/transport/http_client.py
+++ b/src/galenastall/transport/http_client.py
@@ -4,8 +4,9 @@
 is TIMEOUT or CUT, including on a pooled connection that the server has closed in the meantime.
 """
 
+import math
 import ssl
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 from typing import Final, TypeVar
@@ -61,6 +62,22 @@
     body: bytes
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ResponseProgress:
+    """What has arrived of a response's body."""
+
+    status: int
+    parts: Sequence[bytes]
+    """Chunks of the body so far; the last one has just arrived."""
+    received_bytes: int
+    expected_bytes: int
+    """Size of the whole body; 0 if the server does not state it."""
+
+
+ProgressCheck = Callable[[ResponseProgress], bool]
+"""Called with each chunk of a response; False gives the rest up, and closes the connection."""
+
+
 class HttpClient:
     """Sends requests to any number of addresses, with a connection pool for each."""
 
@@ -130,9 +147,15 @@
         headers: Mapping[str, str] | None = None,
         body: bytes = b"",
         limit_bytes: int = RESPONSE_LIMIT_BYTES,
+        idle_timeout_s: float = math.inf,
+        on_progress: ProgressCheck | None = None,
         step: str = "http.call",
     ) -> Result[BufferedResponse, StepError]:
-        """Send a request and return its buffered response, whatever its status."""
+        """Send a request and return its buffered response, whatever its status.
+
+        `timeout_s` bounds the whole exchange; `idle_timeout_s` bounds the time to the response's
+        head, and starts anew with each chunk of the body.
+        """
         opened = await self.open(
             method=method,
             address=address,
@@ -141,28 +164,19 @@
             headers=headers,
             body=body,
             content_length=None,
+            idle_timeout_s=idle_timeout_s,
             step=step,
         )
         if isinstance(opened, Failure):
             return opened
         exchange = opened.unwrap()
-        answer = exchange.answer
         try:
-            parts: list[bytes] = []
-            size = 0
-            async for chunk in answer.body:
-                parts.append(chunk)
-                size += len(chunk)
-                if size > limit_bytes:
-                    return Failure(
-                        exchange.call.error(Reason.CUT, f"response over {limit_bytes} bytes")
-                    )
-        except ResponseCutError as error:
-            return Failure(error.error)
+            body_read = await _read_body(exchange, limit_bytes, on_progress)
         finally:
             await exchange.aclose()
-        return Success(
-            BufferedResponse(status=answer.status, headers=answer.headers, body=b"".join(parts))
+        answer = exchange.answer
+        return body_read.map(
+            lambda whole: BufferedResponse(status=answer.status, headers=answer.headers, body=whole)
         )
 
     async def get_json(
@@ -219,8 +233,10 @@
         body: bytes | AsyncIterator[bytes],
         content_length: int | None,
         step: str,
+        idle_timeout_s: float = math.inf,
     ) -> Result[Exchange, StepError]:
         """Open an exchange that the caller closes; cheaper than `stream`, for hot paths."""
+        now = trio.current_time()
         call = Call(
             step=step,
             address=address,
@@ -229,7 +245,9 @@
             headers=headers or {},
             body=body,
             content_length=content_length,
-            deadline=trio.current_time() + timeout_s,
+            deadline=now + timeout_s,
+            head_deadline=now + min(timeout_s, idle_timeout_s),
+            idle_timeout_s=idle_timeout_s,
             connect_timeout_s=self._connect_timeout_s,
         )
         await self._prune()
@@ -272,6 +290,42 @@
     return context
 
 
+async def _read_body(
+    exchange: Exchange, limit_bytes: int, on_progress: ProgressCheck | None
+) -> Result[bytes, StepError]:
+    answer, call = exchange.answer, exchange.call
+    parts: list[bytes] = []
+    size = 0
+    try:
+        async for chunk in answer.body:
+            parts.append(chunk)
+            size += len(chunk)
+            if size > limit_bytes:
+                return Failure(call.error(Reason.CUT, f"response over {limit_bytes} bytes"))
+            if on_progress is not None and not on_progress(_progress_of(answer, parts, size)):
+                detail = f"response given up by its reader: {size} bytes had arrived"
+                return Failure(call.error(Reason.CUT, detail))
+    except ResponseCutError as error:
+        return Failure(error.error)
+    return Success(b"".join(parts))
+
+
+def _progress_of(
+    answer: StreamedResponse, parts: Sequence[bytes], size_bytes: int
+) -> ResponseProgress:
+    return ResponseProgress(
+        status=answer.status,
+        parts=parts,
+        received_bytes=size_bytes,
+        expected_bytes=_expected_bytes(answer.headers),
+    )
+
+
+def _expected_bytes(headers: Mapping[str, str]) -> int:
+    text = headers.get("content-length", "")
+    return int(text) if text.isdigit() else 0
+
+
 def _typed(
     answer: Result[BufferedResponse, StepError], value_type: type[T], *, step: str, peer: str
 ) -> Result[T, StepError]:
--- a/src/galenastall/transport/http_exchange.py
+++ b/src/galenastall/transport/http_exchange.py
@@ -1,5 +1,6 @@
 """One request and its response over a pooled connection, with precise errors."""
 
+import math
 from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Final
@@ -47,6 +48,10 @@
     content_length: int | None = None
     deadline: float
     """Runtime time in seconds by which the response must be complete."""
+    head_deadline: float
+    """Runtime time in seconds by which the response must begin; `deadline` or earlier."""
+    idle_timeout_s: float = math.inf
+    """Longest time without a byte of the body once the response has begun."""
     connect_timeout_s: float
 
     def error(self, reason: Reason, detail: str) -> StepError:
@@ -61,6 +66,7 @@
         self._call = call
         self._chunks = chunks
         self._error: ResponseCutError | None = None
+        self._received_bytes = 0
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         return self
@@ -69,19 +75,25 @@
         if self._error is not None:
             # Iterated again, a failed generator ends normally, as if the body were complete.
             raise self._error
-        with trio.move_on_at(self._call.deadline):
+        call = self._call
+        with trio.move_on_at(min(call.deadline, trio.current_time() + call.idle_timeout_s)):
             try:
                 chunk: bytes = await self._chunks.__anext__()
             except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-                detail = f"response truncated: {error or type(error).__name__}"
-                self._error = ResponseCutError(self._call.error(Reason.CUT, detail))
+                cause = f"response truncated: {error or type(error).__name__}"
+                self._error = self._cut(Reason.CUT, cause)
                 raise self._error from error
+            self._received_bytes += len(chunk)
             return chunk
-        self._error = ResponseCutError(
-            self._call.error(Reason.TIMEOUT, "response incomplete in time")
-        )
+        is_late = trio.current_time() >= call.deadline
+        cause = "response incomplete in time" if is_late else "response stalled"
+        self._error = self._cut(Reason.TIMEOUT, cause)
         raise self._error
 
+    def _cut(self, reason: Reason, cause: str) -> ResponseCutError:
+        detail = f"{cause}: {self._received_bytes} bytes had arrived"
+        return ResponseCutError(self._call.error(reason, detail))
+
 
 class Exchange:
     """A response whose head has arrived; closing it returns the connection to the pool."""
@@ -119,7 +131,7 @@
 
 async def open_exchange(call: Call, pool: AddressPool) -> Result[Exchange, StepError]:
     """Send the request and return an exchange once the response head has arrived."""
-    with trio.move_on_at(call.deadline) as scope:
+    with trio.move_on_at(call.head_deadline) as scope:
         await pool.acquire_slot()
     if scope.cancelled_caught:
         return Failure(call.error(Reason.UNREACHABLE, "no free connection before the deadline"))
@@ -137,7 +149,7 @@
 
 
 async def _connect(call: Call, pool: AddressPool) -> Result[PooledConnection, StepError]:
-    deadline = min(call.deadline, trio.current_time() + call.connect_timeout_s)
+    deadline = min(call.head_deadline, trio.current_time() + call.connect_timeout_s)
     with trio.move_on_at(deadline):
         try:
             return Success(await pool.get_connection())
@@ -152,7 +164,7 @@
 ) -> Result[Exchange, StepError]:
     response: httpcore.Response | None = None
     try:
-        with trio.move_on_at(call.deadline):
+        with trio.move_on_at(call.head_deadline):
             response = await connection.http.handle_async_request(_build_request(call, pool))
     except (httpcore.NetworkError, httpcore.RemoteProtocolError) as error:
         detail = f"no response: {error or type(error).__name__}"
--- a/tests/cell/simulation.py
+++ b/tests/cell/simulation.py
@@ -284,6 +284,10 @@
         await trio.sleep(0.5)
         return await self.newest()
 
+    @property
+    def is_receiving(self) -> bool:
+        return False
+
     async def newest(self) -> Result[CellConfig | None, StepError]:
         if self.host_id in self.simulation.faults.config_undelivered:
             await trio.sleep(1.0)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -7,11 +7,11 @@
 import pytest
 import trio
 import trio.testing
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.clock import TrioClock
-from galenastall.transport.http_client import HttpClient
+from galenastall.transport.http_client import BufferedResponse, HttpClient, ResponseProgress
 from galenastall.transport.http_exchange import ResponseCutError
 from galenastall.transport.http_json import json_response, parse_json
 from galenastall.transport.http_messages import HttpRequest, HttpResponse
@@ -86,6 +86,16 @@
     raise AssertionError(result)
 
 
+async def request_with_idle_timeout(
+    address: str, answers: list[Result[BufferedResponse, StepError]]
+) -> None:
+    """Append the answer to a request that has much time, but no more than 1.7 s of silence."""
+    answer = await HttpClient(clock=TrioClock()).request(
+        method="GET", address=address, path="/", timeout_s=FAR_S, idle_timeout_s=1.7
+    )
+    answers.append(answer)
+
+
 class TestErrors:
     @pytest.mark.parametrize(
         ("data", "expected"),
@@ -130,6 +140,71 @@
             mock_clock.jump(6.0)
         assert reasons == [Reason.TIMEOUT]
 
+    async def test_a_response_that_keeps_arriving_is_not_given_up(
+        self, mock_clock: trio.testing.MockClock
+    ) -> None:
+        chunks = 5
+        sent = trio.Event()
+        answers: list[Result[BufferedResponse, StepError]] = []
+
+        async def behave(stream: trio.SocketStream, request: int) -> None:
+            await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % chunks)
+            for _ in range(chunks):
+                await trio.sleep(1.5)
+                await stream.send_all(b"x")
+            sent.set()
+
+        async with scripted(behave) as (address, script), trio.open_nursery() as nursery:
+            nursery.start_soon(request_with_idle_timeout, address, answers)
+            await script.seen.wait()
+            while not sent.is_set():
+                await trio.testing.wait_all_tasks_blocked(0.01)
+                mock_clock.jump(1.5)
+        assert answers[0].unwrap().body == b"x" * chunks
+
+    @pytest.mark.parametrize(
+        ("sent_first", "detail"),
+        [
+            (b"", "no response in time"),
+            (
+                b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nok",
+                "response stalled: 2 bytes had arrived",
+            ),
+        ],
+    )
+    async def test_a_response_that_stops_arriving_is_given_up(
+        self, sent_first: bytes, detail: str, mock_clock: trio.testing.MockClock
+    ) -> None:
+        answers: list[Result[BufferedResponse, StepError]] = []
+        async with scripted(sends(sent_first)) as (address, script), trio.open_nursery() as nursery:
+            nursery.start_soon(request_with_idle_timeout, address, answers)
+            await script.seen.wait()
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            mock_clock.jump(2.0)
+        error = answers[0].failure()
+        assert (error.reason, error.detail) == (Reason.TIMEOUT, detail)
+
+    async def test_a_response_that_its_reader_gives_up_frees_its_connection(self) -> None:
+        seen: list[tuple[int, int]] = []
+
+        def is_wanted(progress: ResponseProgress) -> bool:
+            seen.append((progress.received_bytes, progress.expected_bytes))
+            return False
+
+        data = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart"
+        async with scripted(sends(data)) as (address, _):
+            client = HttpClient(clock=TrioClock(), max_connections=1)
+            for _ in range(2):
+                answer = await client.request(
+                    method="GET",
+                    address=address,
+                    path="/",
+                    timeout_s=FAR_S,
+                    on_progress=is_wanted,
+                )
+                assert answer.failure().reason is Reason.CUT
+        assert seen == [(4, 9)] * 2
+
     async def test_kept_connection_that_dies_under_a_request_is_cut(self) -> None:
         async def behave(stream: trio.SocketStream, request: int) -> None:
             if request == 1:
