Transfer configurations between hosts in small parts, and only where the store does not deliver

Cause: each heartbeat that announced a newer version made a host ask the leader for all of it, also while the store was sending it. The answer, one message of 0.3 to 0.9 MB, held up all other answers on its connection, came after the time-out of 0.8 s on a link of 5 Mbit/s, was dropped and was asked for again. A look that no longer had time cancelled a read that was arriving.

A failed transfer continues where it ended, also from another host whose data has the same digest. Reads and transfers belong to tasks of ConfigWatcher.run; look() bounds only its wait. - GetConfig and ConfigAnswer stay for hosts with older programs: such a host is still answered, and is asked in this form if it does not know the new one. - config.not_transferred is logged with peer and cause. - ConfigPort.is_receiving tells whether a response of the store has begun to arrive; the platform's adapter returns False until its reads report that.

--- a/src/galenastall/node/cell/config_watcher.py
+++ b/src/galenastall/node/cell/config_watcher.py
@@ -1,13 +1,15 @@
 """Keeps this host's configuration up to date, and never replaces it by an older version."""
 
-from typing import Any, Final
+from typing import Final
 
 import trio
 from returns.result import Failure
 
 from galenastall.coordination.cell.config_age import UNKNOWN_VERSION, is_outdated
+from galenastall.coordination.cell.config_sources import ConfigSources
+from galenastall.node.cell.config_server import ConfigServer
+from galenastall.node.cell.config_transfer import ConfigTransfer
 from galenastall.protocol.cell.config import CellConfig
-from galenastall.protocol.cell.messages import ConfigAnswer, GetConfig
 from galenastall.protocol.cell.ports import ConfigPort
 from galenastall.protocol.peers import PeerLink
 from galenastall.state.ids import HostId
@@ -15,32 +17,39 @@
 
 RETRY_S: Final = 0.3
 """Pause after a read that failed."""
-PEER_TIMEOUT_S: Final = 0.8
-"""Time-out for another host's configuration."""
 REFRESH_WITHIN_S: Final = 0.4
-"""Time-out of a refresh, which callers wait for."""
+"""How long a caller waits for a refresh, which goes on without it."""
 REFRESH_EVERY_S: Final = 0.3
 """Minimum time between two refreshes, so that any number of unknown keys costs three a second."""
 
 
 class ConfigWatcher:
-    """Follows the configuration in the store, and at the host that last announced a newer one."""
+    """Follows the configuration in the store, and at other hosts where the store does not deliver.
+
+    Reads and transfers belong to tasks of `run`: they end when they are done, not when a caller
+    no longer waits for them.
+    """
 
     def __init__(self, *, port: ConfigPort, link: PeerLink, recorder: Recorder) -> None:
         """Read from `port`, and from other hosts through `link`."""
         self._port = port
         self._link = link
         self._recorder = recorder
-        self._newer_version_seen = trio.Event()
-        self._source: HostId | None = None
-        """The host that last announced this version or a newer one."""
+        self._sources = ConfigSources()
+        self._transfer = ConfigTransfer(link=link)
+        self._transfer_scope: trio.CancelScope | None = None
+        """Scope of the transfer under way; None if there is none."""
+        self._changed = trio.Event()
+        """Set and replaced when whom to ask must be decided again."""
         self._is_lost = False
         self._in_force_since = 0.0
+        self._read_wanted = trio.Event()
+        """Set from the start of a refresh until its read of the store ends."""
         self._refresh_ended: trio.Event | None = None
         """Set when the refresh under way ends; None if there is none."""
         self._refreshed_at = float("-inf")
         self.config: CellConfig | None = None
-        link.handle(GetConfig, self._on_get)
+        ConfigServer(link=link, current=self.current)
 
     def current(self) -> CellConfig | None:
         """Return the configuration in force; None before the first."""
@@ -58,76 +67,115 @@
 
     def note_version(self, version: int, host: HostId | None) -> None:
         """Record that a host has this version."""
-        if host is None:
+        if host is None or host == self._link.host_id:
             return
-        if version >= self.version:
-            self._source = host
-        if version > self.version:
-            self._newer_version_seen.set()
+        if self._sources.on_announced(version, host, now=trio.current_time()):
+            self._notify_changed()
 
     async def look(self) -> None:
-        """Query the store and a host for a newer version; concurrent callers share one query."""
-        if self._refresh_ended is not None:
-            with trio.move_on_after(REFRESH_WITHIN_S):
-                await self._refresh_ended.wait()
-            return
-        if trio.current_time() - self._refreshed_at < REFRESH_EVERY_S:
-            return
-        self._refresh_ended = trio.Event()
-        try:
-            with trio.move_on_after(REFRESH_WITHIN_S):
-                await self._query_all()
-        finally:
-            self._refreshed_at = trio.current_time()
-            self._refresh_ended.set()
-            self._refresh_ended = None
-
-    async def _query_all(self) -> None:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._query_store, nursery.cancel_scope)
-            nursery.start_soon(self._query_source)
-
-    async def _query_store(self, other_query: trio.CancelScope) -> None:
-        answer = await self._port.newest()
-        if isinstance(answer, Failure):
-            self._recorder.record("config.look_failed", cause=str(answer.failure()))
-            return
-        self._adopt(answer.unwrap(), source="store")
-        other_query.cancel()
+        """Wait for a look at the store for a newer version, and at a host if the store is away.
+
+        Concurrent callers share one; it goes on when they no longer wait.
+        """
+        if self._refresh_ended is None:
+            now = trio.current_time()
+            if now - self._refreshed_at < REFRESH_EVERY_S:
+                return
+            self._refresh_ended = trio.Event()
+            self._sources.on_look(now=now)
+            self._read_wanted.set()
+            self._notify_changed()
+        with trio.move_on_after(REFRESH_WITHIN_S):
+            await self._refresh_ended.wait()
 
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow_store)
             nursery.start_soon(self._follow_hosts)
-            while True:
-                answer = await self._port.wait()
-                if isinstance(answer, Failure):
-                    if not self._is_lost:
-                        self._recorder.record("config.lost", cause=str(answer.failure()))
-                    self._is_lost = True
-                    await trio.sleep(RETRY_S)
-                    continue
-                self._is_lost = False
-                self._adopt(answer.unwrap(), source="store")
+            nursery.start_soon(self._refresh_when_wanted)
 
-    async def _follow_hosts(self) -> None:
+    async def _follow_store(self) -> None:
+        while True:
+            answer = await self._port.wait()
+            self._on_store_read(is_failed=isinstance(answer, Failure))
+            if isinstance(answer, Failure):
+                if not self._is_lost:
+                    self._recorder.record("config.lost", cause=str(answer.failure()))
+                self._is_lost = True
+                await trio.sleep(RETRY_S)
+                continue
+            self._is_lost = False
+            self._adopt(answer.unwrap(), source="store")
+
+    async def _refresh_when_wanted(self) -> None:
         while True:
-            await self._newer_version_seen.wait()
-            self._newer_version_seen = trio.Event()
-            await self._query_source()
+            await self._read_wanted.wait()
+            answer = await self._port.newest()
+            self._read_wanted = trio.Event()
+            self._on_store_read(is_failed=isinstance(answer, Failure))
+            if isinstance(answer, Failure):
+                self._recorder.record("config.look_failed", cause=str(answer.failure()))
+                if not self._is_host_asked():
+                    self._end_refresh()
+                continue
+            self._adopt(answer.unwrap(), source="store")
+            self._end_refresh()
+
+    def _on_store_read(self, *, is_failed: bool) -> None:
+        self._sources.on_store_read(is_failed=is_failed)
+        self._notify_changed()
+
+    def _is_host_asked(self) -> bool:
+        """Whether a host is being asked, or is about to be."""
+        if self._transfer_scope is not None:
+            return True
+        found = self._sources.next_host(now=trio.current_time(), is_receiving=False)
+        return found is not None and found.after_s == 0
+
+    def _end_refresh(self) -> None:
+        """Let the callers that wait for the refresh go on."""
+        self._sources.on_look_ended()
+        if self._refresh_ended is not None:
+            self._refreshed_at = trio.current_time()
+            self._refresh_ended.set()
+            self._refresh_ended = None
 
-    async def _query_source(self) -> None:
-        source = self._source
-        if source is None or source == self._link.host_id:
+    async def _follow_hosts(self) -> None:
+        """Transfer newer versions from other hosts, one at a time."""
+        while True:
+            changed = self._changed
+            found = self._sources.next_host(
+                now=trio.current_time(), is_receiving=self._port.is_receiving
+            )
+            if found is not None and found.after_s == 0:
+                await self._transfer_from(HostId(found.host))
+                continue
+            with trio.move_on_after(float("inf") if found is None else found.after_s):
+                await changed.wait()
+
+    async def _transfer_from(self, host: HostId) -> None:
+        with trio.CancelScope() as scope:
+            self._transfer_scope = scope
+            try:
+                answer = await self._transfer.receive(host, known_version=self.version)
+            finally:
+                self._transfer_scope = None
+        if scope.cancelled_caught:
             return
-        answer = await self._link.call(
-            peer=source,
-            message=GetConfig(known_version=self.version),
-            timeout_s=PEER_TIMEOUT_S,
-        )
-        if not isinstance(answer, Failure):
-            found: ConfigAnswer = answer.unwrap()
-            self._adopt(found.config, source=str(source))
+        if isinstance(answer, Failure):
+            self._on_not_transferred(host, cause=str(answer.failure()))
+        elif answer.unwrap() is None:
+            if self._sources.has_newer:
+                self._on_not_transferred(host, cause="it does not have the version it announced")
+            self._sources.on_not_newer(host)
+        else:
+            self._adopt(answer.unwrap(), source=str(host))
+        self._end_refresh()
+
+    def _on_not_transferred(self, host: HostId, *, cause: str) -> None:
+        self._sources.on_transfer_failed(host, now=trio.current_time())
+        self._recorder.record("config.not_transferred", peer=host, cause=cause)
 
     def _adopt(self, config: CellConfig | None, *, source: str) -> None:
         if config is None:
@@ -136,6 +184,11 @@
             return
         self.config = config
         self._in_force_since = trio.current_time()
+        self._sources.on_in_force(config.version, now=self._in_force_since)
+        if self._transfer_scope is not None and not self._sources.has_newer:
+            self._transfer_scope.cancel()
+        self._end_refresh()
+        self._notify_changed()
         self._recorder.record(
             "config.in_force",
             peer=source,
@@ -147,7 +200,6 @@
             },
         )
 
-    async def _on_get(self, _: HostId, message: GetConfig) -> Any:
-        config = self.config
-        is_newer = config is not None and config.version > message.known_version
-        return ConfigAnswer(config=config if is_newer else None)
+    def _notify_changed(self) -> None:
+        event, self._changed = self._changed, trio.Event()
+        event.set()
--- a/src/galenastall/platform/config.py
+++ b/src/galenastall/platform/config.py
@@ -165,6 +165,11 @@
         """Return the values last read of all the operator's keys."""
         return self._follower.values_by_key
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a response with a newer configuration has begun to arrive."""
+        return False
+
     async def wait(self) -> Result[CellConfig | None, StepError]:
         """Wait for a change, up to the long poll's time; return the new configuration or None."""
         return await self._read(POLL_S)
--- a/src/galenastall/protocol/cell/messages.py
+++ b/src/galenastall/protocol/cell/messages.py
@@ -230,7 +230,7 @@
 @PEER_MESSAGES.register("cell.get_config")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GetConfig:
-    """Request the configuration of a host, if it is newer."""
+    """Request the whole configuration of a host, if it is newer; sent to and by older programs."""
 
     known_version: int
 
@@ -241,3 +241,30 @@
     """The configuration; None if it is not newer than the sender's of the request."""
 
     config: CellConfig | None
+
+
+@PEER_MESSAGES.register("cell.get_config_part")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GetConfigPart:
+    """Request a part of the packed configuration of a host, if it is newer."""
+
+    known_version: int
+    """Version in force at the sender."""
+    digest: str = ""
+    """Digest of the packed configuration of which the sender has the parts before `offset`."""
+    offset: int = 0
+
+
+@PEER_MESSAGES.register("cell.config_part")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigPart:
+    """A part of the packed configuration; version 0 if it is not newer than the sender's."""
+
+    version: int = 0
+    digest: str = ""
+    """Digest of the packed configuration; other than the request's if that was replaced."""
+    size: int = 0
+    """Bytes of the packed configuration."""
+    offset: int = 0
+    """Where the part begins: 0 if the packed configuration of the request was replaced."""
+    data: bytes = b""
--- a/src/galenastall/protocol/cell/ports.py
+++ b/src/galenastall/protocol/cell/ports.py
@@ -80,6 +80,10 @@
 class ConfigPort(Protocol):
     """The operator's configuration."""
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a response with a newer configuration has begun to arrive."""
+
     async def wait(self) -> Result[CellConfig | None, StepError]:
         """Wait until the configuration may have changed, and return it; None if there is none."""
 
--- a/tests/cell/simulation.py
+++ b/tests/cell/simulation.py
@@ -19,7 +19,7 @@
 from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome
 from galenastall.protocol.cell.config import CellConfig, QueueRoute
 from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
-from galenastall.protocol.cell.messages import GetConfig
+from galenastall.protocol.cell.messages import GetConfig, GetConfigPart
 from galenastall.protocol.cell.ports import LeaderRecord, StoreView
 from galenastall.standin.cell.executors import Executor, ExecutorSimulation, Run
 from galenastall.state.cell.executor_ids import executor_name, make_executor_id
@@ -280,6 +280,10 @@
     async def read(self) -> Result[tuple[ExecutorInfo, ...], StepError]:
         return await self._call("store", 1.0, lambda: tuple(self.simulation.listed.values()))
 
+    @property
+    def is_receiving(self) -> bool:
+        return False
+
     async def wait(self) -> Result[CellConfig | None, StepError]:
         await trio.sleep(0.5)
         return await self.newest()
@@ -432,7 +436,7 @@
             reason = Reason.UNREACHABLE
             return Failure(StepError(step="world.peer", peer=peer, reason=reason))
         if (
-            isinstance(message, GetConfig)
+            isinstance(message, GetConfig | GetConfigPart)
             and self._host_id in self.simulation.faults.config_undelivered
         ):
             await trio.sleep(timeout_s)
