Have the leader admit callers of hosts whose configuration is outdated

Cause: a host whose configuration is older than the leader's refused its callers for as long as it could not receive the newer one. The leader answered CONFLICT, three looks of up to 0.4 s found nothing that a small link could bring in time, and the caller got 503 or 504, also for the state of an accepted job; routes and keys that were new got 404 and 401.

Change: AdmitCall carries Host header, path, digest of the key and the host's version to the leader, which answers with a CallAdmission: route, workspace and version, or a refusal. Host and leader decide by the same rules (protocol/cell/call_admission.py; in the protocol layer, as coordination may not import CellConfig). CallAdmissions chooses who decides: the host by its own version; the leader after a CONFLICT, where the host's version would refuse the call, and on every call once it has decided on one by a newer version than the host has. A host without a configuration serves by the leader too. The time of the admission counts within the caller's time. ConfigWatcher gets the property newest_known_version; config.behind tells when the leader begins to decide.

Tests: the fakes of test_platform_access.py, test_unanswered_queries.py and test_platform_adapter.py get a leader's decision and the newest known version, with all their checks as before; the key checks use AdmissionRules in place of KeyCheck. The simulation takes note of jobs that reach it by submissions only, of which it could not check a start before.

--- /dev/null
+++ b/src/galenastall/node/cell/call_admissions.py
@@ -0,0 +1,142 @@
+"""Admits callers by this host's configuration, or by the leader's where that is newer.
+
+A version may take minutes to reach a host with a small link. Its callers are admitted by the leader
+meanwhile, and once one was, none is admitted by an older version.
+"""
+
+from typing import Protocol
+
+from returns.result import Failure, Result, Success
+
+from galenastall.coordination.cell.config_age import UNKNOWN_VERSION
+from galenastall.coordination.cell.refusal_budget import RefusalBudget
+from galenastall.protocol.cell.call_admission import AdmissionRules, CallAddress
+from galenastall.protocol.cell.config import CellConfig
+from galenastall.protocol.cell.messages import CallAdmission
+from galenastall.protocol.clock import Clock
+from galenastall.state.errors import Reason, StepError
+from galenastall.transport.logs import Recorder
+
+
+class ConfigSource(Protocol):
+    """Source of this host's current configuration."""
+
+    @property
+    def newest_known_version(self) -> int:
+        """The newest version that any host has announced to this one."""
+
+    def current(self) -> CellConfig | None:
+        """Return the configuration; None before the first was read."""
+
+    async def look(self) -> None:
+        """Read a newer configuration if there is one."""
+
+
+class LeaderAccess(Protocol):
+    """Way to the leader's decisions on calls."""
+
+    async def admit(
+        self, call: CallAddress, *, patience_s: float, config_version: int
+    ) -> Result[CallAdmission, StepError]:
+        """Return the leader's decision on a call; `config_version` is this host's version."""
+
+
+class CallAdmissions:
+    """Decides which configuration version admits or refuses each call at this host."""
+
+    def __init__(
+        self, *, leader: LeaderAccess, config: ConfigSource, clock: Clock, recorder: Recorder
+    ) -> None:
+        """Decide by `config`, and by `leader` where its version is needed."""
+        self._leader = leader
+        self._config = config
+        self._clock = clock
+        self._recorder = recorder
+        self._rules = AdmissionRules()
+        self._budget = RefusalBudget()
+        self._floor = UNKNOWN_VERSION
+        """The newest version by which the leader has decided on a call of this host."""
+
+    async def admit(
+        self, call: CallAddress, *, patience_s: float
+    ) -> Result[CallAdmission, StepError]:
+        """Admit or refuse a call; fails if the version that has to decide can't be reached."""
+        until = self._clock.now() + patience_s
+        own = self._own_decision(call)
+        if not _admits(own) and not self._is_behind:
+            await self._config.look()
+            own = self._own_decision(call)
+        left_s = until - self._clock.now()
+        if own is None or not own.is_admitted:
+            return await self._admit_unknown(call, patience_s=left_s)
+        if own.version < self._floor:
+            return await self.admit_by_leader(call, patience_s=left_s)
+        return Success(own)
+
+    async def admit_by_leader(
+        self, call: CallAddress, *, patience_s: float
+    ) -> Result[CallAdmission, StepError]:
+        """Admit or refuse a call by the leader's version, or this host's if that is newer."""
+        answer = await self._leader.admit(
+            call, patience_s=patience_s, config_version=self._own_version
+        )
+        if isinstance(answer, Failure):
+            return answer
+        found = answer.unwrap()
+        if self._own_version >= max(found.version, self._floor):
+            own = self._own_decision(call)
+            return Success(found if own is None else own)
+        if found.version < self._floor:
+            return self._failure(
+                f"the leader has version {found.version} of the configuration, and this host has"
+                f" served callers by version {self._floor}"
+            )
+        self._raise_floor(found.version)
+        return Success(found)
+
+    async def _admit_unknown(
+        self, call: CallAddress, *, patience_s: float
+    ) -> Result[CallAdmission, StepError]:
+        """Pass a call that this host's version would refuse to the leader, within the budget."""
+        if not self._budget.take(self._clock.now()):
+            own = self._own_decision(call)
+            if own is not None and not self._is_behind:
+                return Success(own)
+            return self._failure("too many calls of unknown routes or keys wait for the leader")
+        answer = await self.admit_by_leader(call, patience_s=patience_s)
+        if isinstance(answer, Success) and answer.unwrap().is_admitted:
+            self._budget.give_back()
+        return answer
+
+    @property
+    def _own_version(self) -> int:
+        config = self._config.current()
+        return UNKNOWN_VERSION if config is None else config.version
+
+    @property
+    def _is_behind(self) -> bool:
+        """Whether a newer version than this host's is known to exist."""
+        return self._own_version < max(self._floor, self._config.newest_known_version)
+
+    def _own_decision(self, call: CallAddress) -> CallAdmission | None:
+        config = self._config.current()
+        return None if config is None else self._rules.decide(config, call)
+
+    def _raise_floor(self, version: int) -> None:
+        if version <= self._floor:
+            return
+        self._floor = version
+        self._recorder.record(
+            "config.behind",
+            cause="a call was decided on by the leader's version, which this host lacks",
+            fields={"version": str(self._own_version), "leader_version": str(version)},
+        )
+
+    def _failure(self, detail: str) -> Result[CallAdmission, StepError]:
+        return Failure(
+            StepError(step="call.admit", peer="", reason=Reason.UNAVAILABLE, detail=detail)
+        )
+
+
+def _admits(decision: CallAdmission | None) -> bool:
+    return decision is not None and decision.is_admitted
--- a/src/galenastall/node/cell/caller_handler.py
+++ b/src/galenastall/node/cell/caller_handler.py
@@ -14,7 +14,10 @@
 from galenastall.node.cell.config_watcher import ConfigWatcher
 from galenastall.node.cell.leader_handler import SHARE_OF_PATIENCE, LeaderHandler
 from galenastall.node.cell.leadership import Leadership
+from galenastall.protocol.cell.call_admission import AdmissionRules, CallAddress
 from galenastall.protocol.cell.messages import (
+    AdmitCall,
+    CallAdmission,
     CancelJob,
     CountPending,
     GetJob,
@@ -105,11 +108,25 @@
         self._config = config
         self._link = link
         self._leadership = leadership
+        self._rules = AdmissionRules()
+        link.handle(AdmitCall, self._on_admit)
         link.handle(SubmitJob, self._on_submit)
         link.handle(GetJob, self._on_ask)
         link.handle(CancelJob, self._on_cancel)
         link.handle(CountPending, self._on_count)
 
+    async def admit(
+        self, call: CallAddress, *, patience_s: float, config_version: int
+    ) -> Result[CallAdmission, StepError]:
+        """Return the leader's decision on a call; `config_version` is this host's version."""
+        message = AdmitCall(
+            host=call.host,
+            path=call.path,
+            key_digest=call.key_digest,
+            config_version=config_version,
+        )
+        return await self._retry(lambda _: message, patience_s)
+
     async def submit(
         self,
         job: CellJob,
@@ -259,6 +276,17 @@
     def _failure(self, reason: Reason, detail: str) -> Result[Any, StepError]:
         return Failure(self._refusal(reason, detail))
 
+    async def _on_admit(self, sender: HostId, message: AdmitCall) -> Any:
+        """Decide on a call by the leader's configuration."""
+        self._config.note_version(message.config_version, sender)
+        if self._leadership.leader_handler is None:
+            return self._refusal(Reason.NOT_OWNER, "this host is not the leader")
+        config = self._config.current()
+        if config is None:
+            return self._refusal(Reason.UNAVAILABLE, "the leader has read no configuration yet")
+        call = CallAddress(host=message.host, path=message.path, key_digest=message.key_digest)
+        return self._rules.decide(config, call)
+
     async def _on_submit(self, sender: HostId, message: SubmitJob) -> Any:
         return await self._serve(sender, message, LeaderHandler.submit)
 
--- a/src/galenastall/node/cell/config_watcher.py
+++ b/src/galenastall/node/cell/config_watcher.py
@@ -34,6 +34,7 @@
         self._newer_version_seen = trio.Event()
         self._source: HostId | None = None
         """The host that last announced this version or a newer one."""
+        self._newest_announced = UNKNOWN_VERSION
         self._is_lost = False
         self._in_force_since = 0.0
         self._refresh_ended: trio.Event | None = None
@@ -51,6 +52,11 @@
         """The version in force; 0 before the first."""
         return self.config.version if self.config is not None else UNKNOWN_VERSION
 
+    @property
+    def newest_known_version(self) -> int:
+        """The newest version that is in force here or that any host has announced."""
+        return max(self.version, self._newest_announced)
+
     def is_outdated(self, version: int) -> bool:
         """Whether a call admitted by this version must be admitted again by the current one."""
         held_for_s = trio.current_time() - self._in_force_since
@@ -58,6 +64,7 @@
 
     def note_version(self, version: int, host: HostId | None) -> None:
         """Record that a host has this version."""
+        self._newest_announced = max(self._newest_announced, version)
         if host is None:
             return
         if version >= self.version:
--- a/src/galenastall/protocol/cell/messages.py
+++ b/src/galenastall/protocol/cell/messages.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 
 from galenastall.coordination.cell.advice import Approval
-from galenastall.protocol.cell.config import CellConfig
+from galenastall.protocol.cell.config import CellConfig, QueueRoute
 from galenastall.protocol.codec import PEER_MESSAGES
 from galenastall.state.cell.jobs import CellJob, StepKey
 from galenastall.state.cell.phases import JobPhase
@@ -91,6 +91,47 @@
     address: str = ""
 
 
+class CallRefusal(StrEnum):
+    """Why a configuration does not admit a call."""
+
+    NOT_FOUND = "not_found"
+    """No route matches its host and path."""
+    UNAUTHORIZED = "unauthorized"
+    """No workspace has its key."""
+
+
+@PEER_MESSAGES.register("cell.admit_call")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AdmitCall:
+    """Query whether the leader's configuration admits a call."""
+
+    host: str
+    """Value of the request's Host header."""
+    path: str
+    key_digest: str
+    config_version: int
+    """Version of the configuration in force on the sender."""
+
+
+@PEER_MESSAGES.register("cell.call_admission")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallAdmission:
+    """The decision of one configuration version on a call."""
+
+    version: int
+    route: QueueRoute | None = None
+    """None if the call was refused."""
+    workspace: str = NO_WORKSPACE
+    """For whom the caller acts."""
+    refusal: CallRefusal | None = None
+    """None if the call was admitted."""
+
+    @property
+    def is_admitted(self) -> bool:
+        """Whether the call was admitted."""
+        return self.refusal is None
+
+
 @PEER_MESSAGES.register("cell.submit")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SubmitJob:
--- a/tests/cell/simulation.py
+++ b/tests/cell/simulation.py
@@ -19,7 +19,7 @@
 from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome
 from galenastall.protocol.cell.config import CellConfig, QueueRoute
 from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
-from galenastall.protocol.cell.messages import GetConfig
+from galenastall.protocol.cell.messages import GetConfig, SubmitJob
 from galenastall.protocol.cell.ports import LeaderRecord, StoreView
 from galenastall.standin.cell.executors import Executor, ExecutorSimulation, Run
 from galenastall.state.cell.executor_ids import executor_name, make_executor_id
@@ -437,6 +437,8 @@
         ):
             await trio.sleep(timeout_s)
             return Failure(StepError(step="world.peer", peer=peer, reason=Reason.TIMEOUT))
+        if isinstance(message, SubmitJob):
+            self.simulation.jobs.setdefault(message.job.job_id, message.job)
         with trio.move_on_after(timeout_s):
             await trio.sleep(0.001)
             answer = await target._handlers[type(message)](self._host_id, message)
--- a/tests/test_platform_access.py
+++ b/tests/test_platform_access.py
@@ -7,15 +7,18 @@
 import msgspec
 import pytest
 import trio
+from returns.result import Failure, Result, Success
 
 from galenastall.node.cell.caller_handler import SubmitOutcome
 from galenastall.node.cell.cell_metrics import CellMetrics
-from galenastall.platform.access import KeyCheck, digest_of
+from galenastall.platform.access import digest_of
 from galenastall.platform.config import WireConfig
 from galenastall.platform.job_routes import JobRoutes
+from galenastall.protocol.cell.call_admission import AdmissionRules, CallAddress
 from galenastall.protocol.cell.config import CellConfig
-from galenastall.protocol.cell.messages import SubmitVerdict
+from galenastall.protocol.cell.messages import CallAdmission, SubmitVerdict
 from galenastall.state.cell.jobs import CellJob
+from galenastall.state.errors import Reason, StepError
 from galenastall.state.resources import Resources
 from galenastall.state.timeline_ring import TimelineRing
 from galenastall.transport.clock import TrioClock
@@ -91,12 +94,12 @@
         assert KEY not in found
 
 
-class TestKeyCheck:
+class TestKeys:
     def check(self, path: str, key: str) -> str | None:
         config = decode(make_table(make_tenant("a", KEY), make_tenant("b", NEW_KEY))).to_config()
         route = config.find(host="q.example", path=path)
         assert route is not None
-        return KeyCheck().workspace_of(config, route, key)
+        return AdmissionRules().workspace_of(config, route, digest_of(key))
 
     @pytest.mark.parametrize(
         ("path", "key", "workspace"),
@@ -112,12 +115,12 @@
         assert self.check(path, key) == workspace
 
     def test_a_newer_configuration_replaces_the_keys(self) -> None:
-        check = KeyCheck()
+        rules = AdmissionRules()
         for key in (KEY, NEW_KEY):
             config = decode(make_table(make_tenant("a", key))).to_config()
             route = config.routes[0]
-            assert check.workspace_of(config, route, key) == "a"
-        assert check.workspace_of(config, route, KEY) is None
+            assert rules.workspace_of(config, route, digest_of(key)) == "a"
+        assert rules.workspace_of(config, route, digest_of(KEY)) is None
 
 
 class FakeConfigSource:
@@ -131,15 +134,37 @@
     def current(self) -> CellConfig:
         return self.config
 
+    @property
+    def newest_known_version(self) -> int:
+        return self.config.version
+
     async def look(self) -> None:
         self.look_count += 1
         self.config = self.newer or self.config
 
 
-class FakeHandler:
+class FakeLeader:
+    """Decides on calls by a configuration of its own; without one it is not reached."""
+
+    def __init__(self, config: CellConfig | None = None) -> None:
+        self.leader_config = config
+        self.admission_count = 0
+
+    async def admit(
+        self, call: CallAddress, *, patience_s: float, config_version: int
+    ) -> Result[CallAdmission, StepError]:
+        self.admission_count += 1
+        if self.leader_config is None:
+            error = StepError(step="peer.call", peer="entry-1", reason=Reason.UNREACHABLE)
+            return Failure(error)
+        return Success(AdmissionRules().decide(self.leader_config, call))
+
+
+class FakeHandler(FakeLeader):
     """Accepts jobs from callers admitted by configuration `least_version` or newer."""
 
-    def __init__(self, *, least_version: int = 0) -> None:
+    def __init__(self, *, least_version: int = 0, leader_config: CellConfig | None = None) -> None:
+        super().__init__(leader_config)
         self.least_version = least_version
         self.jobs: list[CellJob] = []
 
@@ -196,7 +221,7 @@
     @pytest.mark.parametrize("method", ["POST", "GET", "DELETE"])
     @pytest.mark.parametrize("key", ["", "made-up-key"])
     async def test_a_call_without_a_known_key_is_refused(self, method: str, key: str) -> None:
-        handler = FakeHandler()
+        handler = FakeHandler(leader_config=self.old)
         status, body = await send_request(
             FakeConfigSource(self.old), handler, key=key, method=method
         )
@@ -219,7 +244,7 @@
 
     async def test_a_key_revoked_at_the_leader_is_refused(self) -> None:
         source = FakeConfigSource(self.old, newer=self.new)
-        handler = FakeHandler(least_version=2)
+        handler = FakeHandler(least_version=2, leader_config=self.new)
         assert (await send_request(source, handler, key=KEY))[0] == 401
         assert handler.jobs == []
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -486,6 +486,10 @@
     def current(self) -> CellConfig:
         return self._config
 
+    @property
+    def newest_known_version(self) -> int:
+        return self._config.version
+
     async def look(self) -> None:
         """Do nothing: there is no newer configuration."""
 
--- a/tests/test_unanswered_queries.py
+++ b/tests/test_unanswered_queries.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from galenastall.coordination.cell.explain_logs import explain_job, parse_lines
+from galenastall.protocol.cell.config import CellConfig
 from galenastall.state.cell.phases import JobPhase
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.timeline import TimelineEvent
@@ -15,6 +16,7 @@
     KEY,
     NEW_KEY,
     FakeConfigSource,
+    FakeLeader,
     decode,
     make_table,
     make_tenant,
@@ -25,10 +27,11 @@
 NEW = decode(make_table(make_tenant("a", NEW_KEY), version=2)).to_config()
 
 
-class QueryHandler:
+class QueryHandler(FakeLeader):
     """Answers queries with a fixed result."""
 
-    def __init__(self, result: Result[Any, StepError]) -> None:
+    def __init__(self, result: Result[Any, StepError], leader_config: CellConfig) -> None:
+        super().__init__(leader_config)
         self.result = result
 
     async def phase(self, job_id: str, **_: object) -> Result[Any, StepError]:
@@ -48,7 +51,7 @@
     ring = TimelineRing(capacity=10)
     status, _ = await send_request(
         FakeConfigSource(OLD, newer=NEW if newer else None),
-        QueryHandler(result),  # type: ignore[arg-type]
+        QueryHandler(result, NEW if newer else OLD),  # type: ignore[arg-type]
         key=KEY,
         method=method,
         ring=ring,
