--- a/src/galenastall/node/cell/config_watcher.py
+++ b/src/galenastall/node/cell/config_watcher.py
@@ -41,6 +41,7 @@
         """Scope of the transfer under way; None if there is none."""
         self._changed = trio.Event()
         """Set and replaced when whom to ask must be decided again."""
+        self._newest_announced = UNKNOWN_VERSION
         self._is_lost = False
         self._in_force_since = 0.0
         self._read_wanted = trio.Event()
@@ -60,6 +61,11 @@
         """The version in force; 0 before the first."""
         return self.config.version if self.config is not None else UNKNOWN_VERSION
 
+    @property
+    def newest_known_version(self) -> int:
+        """The newest version that is in force here or that any host has announced."""
+        return max(self.version, self._newest_announced)
+
     def is_outdated(self, version: int) -> bool:
         """Whether a call admitted by this version must be admitted again by the current one."""
         held_for_s = trio.current_time() - self._in_force_since
@@ -67,6 +73,7 @@
 
     def note_version(self, version: int, host: HostId | None) -> None:
         """Record that a host has this version."""
+        self._newest_announced = max(self._newest_announced, version)
         if host is None or host == self._link.host_id:
             return
         if self._sources.on_announced(version, host, now=trio.current_time()):
--- a/src/galenastall/protocol/cell/ports.py
+++ b/src/galenastall/protocol/cell/ports.py
@@ -93,10 +93,6 @@
         Cancelling it does not end a response that has begun to arrive: `wait` returns its result.
         """
 
-    @property
-    def is_receiving(self) -> bool:
-        """Whether a response with a newer configuration has begun to arrive."""
-
 
 class AdvisorPort(Protocol):
     """The placement advisor."""
--- a/tests/cell/simulation.py
+++ b/tests/cell/simulation.py
@@ -19,7 +19,7 @@
 from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome
 from galenastall.protocol.cell.config import CellConfig, QueueRoute
 from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
-from galenastall.protocol.cell.messages import GetConfig, GetConfigPart
+from galenastall.protocol.cell.messages import GetConfig, GetConfigPart, SubmitJob
 from galenastall.protocol.cell.ports import LeaderRecord, StoreView
 from galenastall.standin.cell.executors import Executor, ExecutorSimulation, Run
 from galenastall.state.cell.executor_ids import executor_name, make_executor_id
@@ -301,10 +301,6 @@
         await trio.sleep(0.5)
         return await self.newest()
 
-    @property
-    def is_receiving(self) -> bool:
-        return False
-
     async def newest(self) -> Result[CellConfig | None, StepError]:
         if self.host_id in self.simulation.faults.config_undelivered:
             await trio.sleep(1.0)
@@ -458,6 +454,8 @@
         ):
             await trio.sleep(timeout_s)
             return Failure(StepError(step="world.peer", peer=peer, reason=Reason.TIMEOUT))
+        if isinstance(message, SubmitJob):
+            self.simulation.jobs.setdefault(message.job.job_id, message.job)
         faults, pair = self.simulation.faults, (self._host_id, peer)
         with trio.move_on_after(timeout_s):
             if _takes_one(faults.lost_calls, pair):
