Allow an append the time that its bytes need over a small link

Cause: a further try of an unanswered append began 0.25 s after the first, up to four at once, and each was cut after 1.5 s, whatever its size. Over half of a link of 5 Mbit/s an append of 180 KB needs 0.58 s alone; with the copies beside it nothing is kept of what any of them sent.

Change: the pauses between tries and the time-out of a try include the time for the bytes at 312,500 bytes a second, which doubles twice when no answer comes; above 96 KB the tries follow one another. The decision is in coordination/cell/append_timing.py. The latency from which the second try's pause follows leaves the transfer out.

--- a/src/galenastall/node/cell/commit_loop.py
+++ b/src/galenastall/node/cell/commit_loop.py
@@ -6,23 +6,19 @@
 import trio
 from returns.result import Failure
 
+from galenastall.coordination.cell.append_timing import (
+    answer_within_s,
+    first_wait_s,
+    max_at_once,
+    next_wait_s,
+    transfer_s,
+)
 from galenastall.coordination.cell.commands import StartOrder
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.node.cell.term_context import TermContext
 from galenastall.protocol.cell.ports import StatePort
 from galenastall.state.errors import Reason, StepError
 
-SHORTEST_TIMEOUT_S: Final = 0.25
-"""Minimum wait for an append's answer before the next try. An append takes 7 ms; each lost answer
-delays all work by this much."""
-TIMEOUT_FACTOR: Final = 4.0
-"""The next try begins after this many times the duration of the last answered append."""
-NEXT_TRY_AFTER_S: Final = 0.3
-"""Interval between further tries, and thus the longest delay until a recovered store is noticed."""
-ANSWER_WITHIN_S: Final = 1.5
-"""Time-out of a try; a slow store takes up to 0.4 s."""
-MAX_UNDER_WAY: Final = 4
-"""Limit of concurrent tries: half of the connections to the store."""
 RETRY_PAUSE_S: Final = 0.05
 """Pause after a failed try before the append is retried under the same sequence number."""
 CONFIRM_KEY: Final = "confirm"
@@ -34,7 +30,7 @@
     parts: list[dict[str, bytes]] = [{}]
     size = 0
     for key, value in values_by_key.items():
-        row_bytes = len(key.encode()) + len(value)
+        row_bytes = _row_bytes(key, value)
         if parts[-1] and size + row_bytes > max_bytes:
             parts.append({})
             size = 0
@@ -43,12 +39,19 @@
     return parts
 
 
+def _row_bytes(key: str, value: bytes) -> int:
+    return len(key.encode()) + len(value)
+
+
 class _PendingAppend:
     """An append that is retried until its outcome is known."""
 
     def __init__(self, *, values_by_key: dict[str, bytes]) -> None:
         self.values_by_key = values_by_key
+        self.size_bytes = sum(_row_bytes(key, value) for key, value in values_by_key.items())
         self.begun_at = trio.current_time()
+        self.unanswered = 0
+        """How often the wait for an answer has passed."""
         self.under_way = 0
         self.is_over = False
         self.failure: StepError | None = None
@@ -86,6 +89,8 @@
         """Whether no start has been sent since the term began or the store last failed."""
         self.last_append_s = 0.0
         """Duration of the last answered append."""
+        self._latency_s = 0.0
+        """The part of it beyond the transfer."""
         self.failing_since: float | None = None
         """When appends began to fail; None while they succeed."""
         self.refused_since: float | None = None
@@ -138,17 +143,17 @@
         still hung.
         """
         pending = _PendingAppend(values_by_key=values_by_key)
-        # Each try costs a slow store about 0.2 s more, so the second try waits longer there.
-        pause_s = max(SHORTEST_TIMEOUT_S, TIMEOUT_FACTOR * self.last_append_s)
+        pause_s = first_wait_s(pending.size_bytes, latency_s=self._latency_s)
         async with trio.open_nursery() as nursery:
             while not pending.is_over:
-                if pending.under_way < MAX_UNDER_WAY:
+                if pending.under_way < max_at_once(pending.size_bytes):
                     nursery.start_soon(self._try, pending)
-                with trio.move_on_after(min(pause_s, ANSWER_WITHIN_S)):
+                with trio.move_on_after(pause_s) as wait:
                     await pending.answered.wait()
                     await trio.sleep(0.0 if pending.is_over else RETRY_PAUSE_S)
+                pending.unanswered += wait.cancelled_caught
                 self._update_outage(pending)
-                pause_s = NEXT_TRY_AFTER_S
+                pause_s = next_wait_s(pending.size_bytes, unanswered=pending.unanswered)
             nursery.cancel_scope.cancel()
 
     async def _try(self, pending: "_PendingAppend") -> None:
@@ -159,12 +164,13 @@
             token=context.token,
             sequence=self._sequence,
             values_by_key=pending.values_by_key,
-            timeout_s=ANSWER_WITHIN_S,
+            timeout_s=answer_within_s(pending.size_bytes, unanswered=pending.unanswered),
         )
         pending.under_way -= 1
         if not isinstance(answer, Failure):
             context.confirmed_at = max(context.confirmed_at, sent_at)
             self.last_append_s = trio.current_time() - sent_at
+            self._latency_s = max(self.last_append_s - transfer_s(pending.size_bytes), 0.0)
             self.refused_since = None
             pending.is_over = True
         else:
--- /dev/null
+++ b/tests/test_small_links.py
@@ -0,0 +1,149 @@
+"""Transfers that grow with the fleet or with the jobs, over the link of a small host."""
+
+from types import SimpleNamespace
+from typing import Any
+
+import trio
+from returns.result import Failure, Result, Success
+
+from galenastall.coordination.cell.timings import CellTimings
+from galenastall.node.cell.commit_loop import CommitLoop
+from galenastall.state.errors import Reason, StepError
+
+LINK_BYTES_PER_S = 312_500
+"""Half of a link of 5 Mbit/s; answers to callers take the other half."""
+CHUNK_BYTES = 2_500
+STORE_S = 0.01
+GIVE_UP_AFTER_S = 60.0
+
+
+class Link:
+    """A link whose bandwidth concurrent transfers share."""
+
+    def __init__(self, *, bytes_per_s: float = LINK_BYTES_PER_S) -> None:
+        self.bytes_per_s = bytes_per_s
+        self.sent_bytes = 0
+        self._lock = trio.StrictFIFOLock()
+
+    async def send(self, size: int) -> None:
+        for begin in range(0, size, CHUNK_BYTES):
+            chunk = min(CHUNK_BYTES, size - begin)
+            async with self._lock:
+                await trio.sleep(chunk / self.bytes_per_s)
+            self.sent_bytes += chunk
+
+
+class StateBehindLink:
+    """The state in a store that is reached over a link."""
+
+    append_bytes = 1_572_864
+
+    def __init__(self, *, link: Link) -> None:
+        self.link = link
+        self.begun_at: list[float] = []
+        self.lost_answers = 0
+        """How many of the next answers are lost."""
+        self.values_by_key: dict[str, bytes] = {}
+
+    async def append(
+        self, *, token: int, sequence: int, values_by_key: dict[str, bytes], timeout_s: float
+    ) -> Result[None, StepError]:
+        self.begun_at.append(trio.current_time())
+        with trio.move_on_after(timeout_s):
+            await self.link.send(sum(map(len, values_by_key.values())))
+            await trio.sleep(STORE_S)
+            self.values_by_key.update(values_by_key)
+            if self.lost_answers:
+                self.lost_answers -= 1
+                await trio.sleep_forever()
+            return Success(None)
+        return Failure(StepError(step="store.append", peer="store", reason=Reason.TIMEOUT))
+
+
+class Term:
+    """A term whose next batch is given, with the longest time that a confirmation took."""
+
+    def __init__(self, values_by_key: dict[str, bytes]) -> None:
+        self.token = 1
+        self.longest_confirm_s = 0.0
+        batch = SimpleNamespace(values_by_key=values_by_key, starts=[])
+        self.core = SimpleNamespace(take_batch=lambda: batch, commit=lambda _batch, wall: [])
+        self._confirmed_at = trio.current_time()
+
+    @property
+    def confirmed_at(self) -> float:
+        return self._confirmed_at
+
+    @confirmed_at.setter
+    def confirmed_at(self, sent_at: float) -> None:
+        age_s = trio.current_time() - self._confirmed_at
+        self.longest_confirm_s = max(self.longest_confirm_s, age_s)
+        self._confirmed_at = sent_at
+
+    def wall(self) -> float:
+        return 0.0
+
+    def wake(self) -> None:
+        """Ignore it: there is nothing to decide."""
+
+    def notify_committed(self) -> None:
+        """Ignore it: nobody waits."""
+
+    def note(self, *_: Any, **__: Any) -> None:
+        """Ignore it."""
+
+
+async def commit(state: StateBehindLink, values_by_key: dict[str, bytes]) -> Term:
+    """Append a batch; fails if that takes longer than any caller waits."""
+    term = Term(values_by_key)
+
+    async def refresh() -> None:
+        """Read nothing."""
+
+    commits = CommitLoop(
+        context=term,  # type: ignore[arg-type]
+        state=state,  # type: ignore[arg-type]
+        timings=CellTimings(),
+        refresh_inputs=refresh,
+    )
+    with trio.fail_after(GIVE_UP_AFTER_S):
+        await commits.commit()
+    return term
+
+
+def make_rows(count: int, size: int) -> dict[str, bytes]:
+    return {f"run/{number:04}": b"x" * size for number in range(count)}
+
+
+class TestAppendsOverASmallLink:
+    """A try beside an unanswered one takes bandwidth from it, so that both come too late."""
+
+    async def test_an_append_is_sent_once_while_its_transfer_lasts(
+        self, autojump_clock: object
+    ) -> None:
+        state = StateBehindLink(link=Link())
+        rows = make_rows(90, 2_000)
+        await commit(state, rows)
+        assert state.link.sent_bytes == sum(map(len, rows.values()))
+
+    async def test_the_largest_row_is_sent_once(self, autojump_clock: object) -> None:
+        state = StateBehindLink(link=Link())
+        await commit(state, make_rows(1, 262_144))
+        assert state.link.sent_bytes == 262_144
+
+    async def test_an_append_ends_though_the_link_is_slower_than_expected(
+        self, autojump_clock: object
+    ) -> None:
+        state = StateBehindLink(link=Link(bytes_per_s=LINK_BYTES_PER_S / 4))
+        rows = make_rows(90, 2_000)
+        await commit(state, rows)
+        assert state.values_by_key == rows
+
+    async def test_a_lost_answer_to_a_small_append_delays_it_only_briefly(
+        self, autojump_clock: object
+    ) -> None:
+        state = StateBehindLink(link=Link())
+        state.lost_answers = 1
+        await commit(state, make_rows(1, 1_000))
+        first, second = state.begun_at
+        assert second - first < 0.3
