Write a large batch in parts that a small link carries in time

Cause: after an outage all changes went into one append of up to 1.5 MB, 4.8 s over half of a link of 5 Mbit/s. The other hosts claim the leadership when the store has not confirmed the leader for 1.3 s, and the next leader begins anew.

Change: batches are split at 96 KB, 0.3 s over such a link. Parts of this size may be tried concurrently again, since a lost answer must not delay all work by seconds; once a try has timed out at most two of a part above 16 KB are under way.

Measured on the mock clock: a batch of 1.5 MB left the leader without a confirmation for 4.81 s before, below 1.3 s now. With four tries of a part at once the test at a quarter of the rate never ended; it ends with two.

--- a/src/galenastall/coordination/cell/append_timing.py
+++ b/src/galenastall/coordination/cell/append_timing.py
@@ -21,9 +21,14 @@
 """How often the time for the transfer doubles: a try that hangs in an outage must end soon."""
 MAX_AT_ONCE: Final = 4
 """Limit of concurrent tries: half of the connections to the store."""
+MAX_AT_ONCE_AFTER_TIMEOUT: Final = 2
+"""Limit for an append that is not small, once a try of it has timed out: the link may carry less
+than expected, and more tries would share it until none of them ends in time."""
+SMALL_BYTES: Final = 16_000
+"""Below this size a transfer ends before the next try begins, even at a quarter of the rate."""
 LARGE_BYTES: Final = 96_000
-"""Above this size the tries of an append follow one another: concurrent ones would share a link
-that carries less than expected until none of them ends in time."""
+"""Batches are split at this size, a third of a second over a small link, so that the store goes on
+confirming the leader meanwhile. Tries of a single larger value follow one another."""
 
 
 def transfer_s(size_bytes: int, *, unanswered: int = 0) -> float:
@@ -54,6 +59,10 @@
     return NEXT_TRY_AFTER_S + transfer_s(size_bytes, unanswered=unanswered)
 
 
-def max_at_once(size_bytes: int) -> int:
+def max_at_once(size_bytes: int, *, has_timed_out: bool) -> int:
     """Return how many tries of an append may be under way."""
-    return 1 if size_bytes > LARGE_BYTES else MAX_AT_ONCE
+    if size_bytes > LARGE_BYTES:
+        return 1
+    if has_timed_out and size_bytes > SMALL_BYTES:
+        return MAX_AT_ONCE_AFTER_TIMEOUT
+    return MAX_AT_ONCE
--- a/src/galenastall/node/cell/commit_loop.py
+++ b/src/galenastall/node/cell/commit_loop.py
@@ -7,6 +7,7 @@
 from returns.result import Failure
 
 from galenastall.coordination.cell.append_timing import (
+    LARGE_BYTES,
     answer_within_s,
     first_wait_s,
     max_at_once,
@@ -52,12 +53,19 @@
         self.begun_at = trio.current_time()
         self.unanswered = 0
         """How often the wait for an answer has passed."""
+        self.has_timed_out = False
+        """Whether any try has."""
         self.under_way = 0
         self.is_over = False
         self.failure: StepError | None = None
         self.answered = trio.Event()
         """Set and replaced whenever a try has ended."""
 
+    @property
+    def max_at_once(self) -> int:
+        """Limit of concurrent tries."""
+        return max_at_once(self.size_bytes, has_timed_out=self.has_timed_out)
+
     def notify(self) -> None:
         event, self.answered = self.answered, trio.Event()
         event.set()
@@ -122,7 +130,7 @@
         batch = context.core.take_batch()
         values = batch.values_by_key or {CONFIRM_KEY: b"%d" % self._sequence}
         # The store refuses an append above its size limit on every retry, so all work would stop.
-        for part in split_appends(values, max_bytes=self._state.append_bytes):
+        for part in split_appends(values, max_bytes=min(self._state.append_bytes, LARGE_BYTES)):
             self._sequence += 1
             await self._append(part)
         if batch.starts and self._inputs_may_be_stale:
@@ -146,7 +154,7 @@
         pause_s = first_wait_s(pending.size_bytes, latency_s=self._latency_s)
         async with trio.open_nursery() as nursery:
             while not pending.is_over:
-                if pending.under_way < max_at_once(pending.size_bytes):
+                if pending.under_way < pending.max_at_once:
                     nursery.start_soon(self._try, pending)
                 with trio.move_on_after(pause_s) as wait:
                     await pending.answered.wait()
@@ -175,6 +183,7 @@
             pending.is_over = True
         else:
             pending.failure = answer.failure()
+            pending.has_timed_out |= pending.failure.reason is Reason.TIMEOUT
             if self.refused_since is None and not pending.failure.may_have_taken_effect:
                 self.refused_since = sent_at
             if pending.failure.reason is Reason.CONFLICT:
--- a/tests/test_small_links.py
+++ b/tests/test_small_links.py
@@ -131,6 +131,15 @@
         await commit(state, make_rows(1, 262_144))
         assert state.link.sent_bytes == 262_144
 
+    async def test_all_changes_of_an_outage_are_written_and_the_leader_counts_as_alive(
+        self, autojump_clock: object
+    ) -> None:
+        state = StateBehindLink(link=Link())
+        rows = make_rows(750, 2_000)
+        term = await commit(state, rows)
+        assert state.values_by_key == rows
+        assert term.longest_confirm_s < CellTimings().stale_confirm_s
+
     async def test_an_append_ends_though_the_link_is_slower_than_expected(
         self, autojump_clock: object
     ) -> None:
