Give the load of the state a time-out for each page, and keep its pages

Cause: a new leader had 6 s for the whole state. 3 MB, the rows of the jobs of 30 s and of those that ended within 150 s, take 9.6 s over half of a link of 5 Mbit/s; the term was ended, and the next host began anew. Three failures of one page also began the load anew.

Change: StatePort reads pages, and StateLoader keeps those that have arrived, tries the next one again after 0.1 s, and gives up if it doesn't arrive in 6 s.

A leader that receives no page is replaced as before (tests/test_cell_succession.py).

--- a/src/galenastall/bench/cell_load/emulation.py
+++ b/src/galenastall/bench/cell_load/emulation.py
@@ -15,7 +15,7 @@
 from galenastall.node.cell.advice_proxy import AdviceProxy
 from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
 from galenastall.protocol.cell.messages import AdviceAnswer
-from galenastall.protocol.cell.ports import StoreView
+from galenastall.protocol.cell.ports import StatePage, StoreView
 from galenastall.protocol.peers import PeerHandler
 from galenastall.standin.cell.executors import Executor, ExecutorSimulation, Run
 from galenastall.state.cell.executor_ids import executor_name, make_executor_id
@@ -227,10 +227,10 @@
                 self._values.pop(key, None)
         return Success(None)
 
-    async def load(self) -> Result[dict[str, bytes], StepError]:
-        """Return all rows."""
+    async def load_page(self, *, after: str) -> Result[StatePage, StepError]:
+        """Return all rows, in one page."""
         await trio.sleep(READ_S)
-        return Success(dict(self._values))
+        return Success(StatePage(values_by_key=dict(self._values)))
 
     async def read(self) -> Result[tuple[ExecutorInfo, ...], StepError]:
         """Return the executors that are up."""
--- a/src/galenastall/coordination/cell/timings.py
+++ b/src/galenastall/coordination/cell/timings.py
@@ -67,9 +67,9 @@
     """Additional delay of a light host's claim: by then a heavy host has read the store, claimed
     and been answered, which differs between hosts by 0.3 s, through a store that takes 0.1 s for
     each."""
-    load_timeout_s: float = 6.0
-    """A leader that has not read the state by then is stuck, and ends its term: 4 MB take 4.3 s
-    over a link of 10 Mbit/s, and callers give up within seconds."""
+    load_page_timeout_s: float = 6.0
+    """A leader that has not read the next page of the state by then is stuck, and ends its term: a
+    page of 1 MB takes 3.4 s over half of a link of 5 Mbit/s."""
     fell_behind_pause_s: float = 30.0
     """How long a host that fell behind as leader is not given the leadership again."""
     withdrawn_pause_s: float = 3.0
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -18,6 +18,7 @@
 from galenastall.node.cell.executor_sessions import ExecutorSessions
 from galenastall.node.cell.fleet_follower import FleetFollower
 from galenastall.node.cell.hosts_driver import HostsDriver
+from galenastall.node.cell.state_loader import StateLoader
 from galenastall.node.cell.term_context import TermContext
 from galenastall.protocol.cell.config import CellConfig
 from galenastall.protocol.cell.executor_port import ExecutorPort
@@ -25,7 +26,6 @@
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.peers import PeerLink
 from galenastall.state.cell.rows import decode_rows
-from galenastall.state.errors import StepError
 from galenastall.state.ids import HostId
 from galenastall.transport.logs import Recorder
 
@@ -39,7 +39,6 @@
 LIST_WITHIN_S: Final = 0.5
 """How long starts wait for the list of executors after an outage: it can still be unavailable when
 appends succeed again; a read takes 7 ms."""
-LOAD_RETRY_S: Final = 0.1
 REPORT_EVERY_S: Final = 1.0
 SLOW_APPEND_S: Final = 0.1
 """Appends above this count as slow: a normal one takes 7 ms, and with a slow store a takeover takes
@@ -187,18 +186,14 @@
 
     async def _load(self) -> bool:
         """Read the stored state; False on a time-out, after which another host should lead."""
-        error: StepError | None = None
         begun_at = trio.current_time()
-        with trio.move_on_after(self._parts.timings.load_timeout_s):
-            while True:
-                answer = await self._parts.state.load()
-                if not isinstance(answer, Failure):
-                    self._restore(answer.unwrap(), took_s=trio.current_time() - begun_at)
-                    return True
-                error = answer.failure()
-                await trio.sleep(LOAD_RETRY_S)
-        self._on_lost(f"load: {error or 'timed out'}")
-        return False
+        timeout_s = self._parts.timings.load_page_timeout_s
+        answer = await StateLoader(state=self._parts.state, page_timeout_s=timeout_s).load()
+        if isinstance(answer, Failure):
+            self._on_lost(f"load: {answer.failure()}")
+            return False
+        self._restore(answer.unwrap(), took_s=trio.current_time() - begun_at)
+        return True
 
     def _restore(self, values_by_key: dict[str, bytes], *, took_s: float) -> None:
         rows = decode_rows(values_by_key)
--- a/src/galenastall/platform/store.py
+++ b/src/galenastall/platform/store.py
@@ -13,7 +13,7 @@
     keyed_record,
 )
 from galenastall.platform.newest_records import NewestReader
-from galenastall.protocol.cell.ports import LeaderRecord, StoreView
+from galenastall.protocol.cell.ports import LeaderRecord, StatePage, StoreView
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.http_client import BufferedResponse
 
@@ -27,8 +27,6 @@
 CALL_TIMEOUT_S: Final = 1.0
 STATE_PAGE_TIMEOUT_S: Final = 3.0
 """Time-out for a page of the state: a full one of 1 MB takes 0.9 s over a link of 10 Mbit/s."""
-STATE_PAGE_TRIES: Final = 3
-"""Attempts to read one page before the whole load starts over: a lost SYN costs 0.5 s."""
 REQUEST_BYTES: Final = 2_097_152
 """Default for the largest request that the store accepts, if the settings have none."""
 VALUES_SHARE: Final = 0.75
@@ -95,19 +93,19 @@
         )
         return answer.map(lambda _: None)
 
-    async def load(self) -> Result[dict[str, bytes], StepError]:
-        """Read all pages; after a fence, nothing is written between them."""
-        answer = await self._newest.all(
-            STATE_TOPIC, timeout_s=STATE_PAGE_TIMEOUT_S, tries=STATE_PAGE_TRIES
-        )
+    async def load_page(self, *, after: str) -> Result[StatePage, StepError]:
+        """Read one page; after a fence, nothing is written between two pages but confirmations."""
+        answer = await self._newest.page(STATE_TOPIC, after, timeout_s=STATE_PAGE_TIMEOUT_S)
         if isinstance(answer, Failure):
             return answer
-        found = answer.unwrap()
-        if found.problems:
+        page = answer.unwrap()
+        if page.problems:
             # Skipping a row would lose a job; leaders alone write rows, and only complete ones.
-            return Failure(self._error("store.load", Reason.CUT, "; ".join(found.problems)))
-        rows = {key: value for key, value in found.values_by_key.items() if key != CLAIM_KEY}
-        return Success(rows)
+            return Failure(self._error("store.load", Reason.CUT, "; ".join(page.problems)))
+        rows = {key: value for key, value in page.values_by_key.items() if key != CLAIM_KEY}
+        return Success(
+            StatePage(values_by_key=rows, next_after=page.last_key if page.has_more else "")
+        )
 
     async def poll(self) -> Result[StoreView, StepError]:
         """Read the newest claim and the end offset of the log, in one page."""
--- a/src/galenastall/protocol/cell/ports.py
+++ b/src/galenastall/protocol/cell/ports.py
@@ -34,6 +34,15 @@
     """End offset of the state log; it advances with each claim, and while a leader is confirmed."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StatePage:
+    """One page of the state."""
+
+    values_by_key: dict[str, bytes]
+    next_after: str = ""
+    """The key after which the next page begins; empty on the last page."""
+
+
 class StatePort(Protocol):
     """Durable state of the cell; writes are fenced by token.
 
@@ -63,8 +72,8 @@
     ) -> Result[None, StepError]:
         """Write all values or none; idempotent by sequence number."""
 
-    async def load(self) -> Result[dict[str, bytes], StepError]:
-        """Return the newest value of each key."""
+    async def load_page(self, *, after: str) -> Result[StatePage, StepError]:
+        """Return the newest values of the keys that sort after `after`, as many as fit a page."""
 
     async def poll(self) -> Result[StoreView, StepError]:
         """Return the newest claim and the end of the state log."""
--- a/tests/cell/simulation_store.py
+++ b/tests/cell/simulation_store.py
@@ -1,5 +1,10 @@
 """The store of the simulated platform: a keyed topic with claims, epochs and sequence numbers."""
 
+from galenastall.protocol.cell.ports import StatePage
+
+PAGE_BYTES = 1_000_000
+PAGE_KEYS = 500
+
 
 class Store:
     """A keyed topic with a log end, claims, epochs and sequence numbers."""
@@ -21,6 +26,17 @@
         """Total size of all keys and values in bytes."""
         return sum(len(key) + len(value) for key, value in self.values.items())
 
+    def page(self, after: str) -> StatePage:
+        """Return the first keys that sort after `after`: at least one, if there is any."""
+        values: dict[str, bytes] = {}
+        size = 0
+        for key in sorted(key for key in self.values if key > after):
+            size += len(key) + len(self.values[key])
+            if values and (size > PAGE_BYTES or len(values) == PAGE_KEYS):
+                return StatePage(values_by_key=values, next_after=max(values))
+            values[key] = self.values[key]
+        return StatePage(values_by_key=values)
+
     def claim(self, host_id: str, address: str, weight: float, log_end: int) -> int | None:
         """Append a claim if the log ends at `log_end`; None if another append came first."""
         if log_end != self.log_end:
--- a/tests/test_small_links.py
+++ b/tests/test_small_links.py
@@ -1,11 +1,15 @@
 """Transfers that grow with the fleet or with the jobs, over the link of a small host."""
 
+from random import Random
 from types import SimpleNamespace
 from typing import Any
 
 import trio
 from returns.result import Failure, Result, Success
 
+from cell.cluster import Cluster
+from cell.scenarios import run_scenario
+from cell.simulation import Simulation
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.node.cell.commit_loop import CommitLoop
 from galenastall.state.errors import Reason, StepError
@@ -15,6 +19,8 @@
 CHUNK_BYTES = 2_500
 STORE_S = 0.01
 GIVE_UP_AFTER_S = 60.0
+STATE_BYTES = 3_000_000
+"""The rows of the jobs of 30 s, and those of the jobs that ended within 150 s."""
 
 
 class Link:
@@ -156,3 +162,24 @@
         await commit(state, make_rows(1, 1_000))
         first, second = state.begun_at
         assert second - first < 0.3
+
+
+class TestLoadsOverASmallLink:
+    """A load that is cut before its end is begun anew by the next host, and cut there as well."""
+
+    async def test_a_leader_that_receives_page_after_page_is_not_replaced(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, simulation: Simulation, rng: Random) -> None:
+            first = await cluster.wait_for_leader()
+            rows = {f"history/{number}": b"x" * 100_000 for number in range(STATE_BYTES // 100_000)}
+            simulation.store.values.update(rows)
+            await trio.sleep(2.0)
+            for name in cluster.names:
+                simulation.faults.load_bytes_per_s[name] = LINK_BYTES_PER_S
+            before = len(simulation.store.claims)
+            cluster.kill(first)
+            await cluster.wait_for_leader(timeout_s=STATE_BYTES / LINK_BYTES_PER_S + 3.0)
+            assert len(simulation.store.claims) == before + 1
+
+        await run_scenario(scenario, seed=61, hosts=6)
