--- a/src/galenastall/coordination/cell/append_timing.py
+++ b/src/galenastall/coordination/cell/append_timing.py
@@ -32,10 +32,13 @@
 
 
 def transfer_s(size_bytes: int, *, unanswered: int = 0) -> float:
-    """Return the time to allow for a transfer; it doubles with each try that was not answered.
+    """Return the time to allow for a transfer, beside what any try is allowed.
 
-    A link that carries less than expected would otherwise cut each try at the same point.
+    It doubles with each try that was not answered: a link that carries less than expected would
+    otherwise cut each try at the same point.
     """
+    if size_bytes <= SMALL_BYTES:
+        return 0.0
     return size_bytes / SMALL_LINK_BYTES_PER_S * 2.0 ** min(unanswered, MAX_DOUBLINGS)
 
 
