Send no more starts at once than the leader's link carries in time

Cause: starts are sent as soon as they are durable, hundreds at once after an outage, and each has 0.35 s. On a small link they share the bandwidth, all of them go unanswered, and they are sent again in full once a listing shows what became of them.

Change: a leader keeps the bytes of starts under way to what half of its link carries in 0.6 of an order's time-out (66 KB on 5 Mbit/s, 1.3 MB on 100 Mbit/s), in the order of their arrival; an order that is no longer needed when its turn comes is not sent.

--- a/src/galenastall/node/cell/cell_host.py
+++ b/src/galenastall/node/cell/cell_host.py
@@ -1,6 +1,7 @@
 """An entry host of a cell, assembled from its parts."""
 
 from dataclasses import dataclass
+from math import inf
 from typing import Final, Protocol
 
 import trio
@@ -55,6 +56,8 @@
     """Delay in seconds before this host claims the leadership, which orders claimants."""
     may_start: bool
     """Whether the whole system may be starting for the first time."""
+    link_bytes_per_s: float = inf
+    """What its network link carries."""
 
 
 class RunnableLink(PeerLink, Protocol):
@@ -111,6 +114,7 @@
                 refresh_config=self.config.look,
                 available_hosts=self._available_hosts,
                 lag_s=lambda: self.members.lag.seconds,
+                link_bytes_per_s=settings.link_bytes_per_s,
             ),
             timings=timings,
             on_newer_config=lambda version: self.config.note_version(
--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -8,6 +8,7 @@
 from galenastall.coordination.cell.commands import StartOrder, StopOrder, ThrottleOrder
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.orders import StartOutcome
+from galenastall.coordination.cell.start_flow import start_bytes
 from galenastall.node.cell.term_context import TermContext
 from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
 from galenastall.state.errors import StepError
@@ -215,7 +216,10 @@
         self.wake()
         is_wanted = True
         while is_wanted and context.core.is_needed(order):
-            outcome = await self._send_start(order)
+            async with context.start_budget.hold(start_bytes(order)):
+                if not context.core.is_needed(order):
+                    return
+                outcome = await self._send_start(order)
             is_wanted = context.core.on_start(
                 order, outcome, now=trio.current_time(), wall=context.wall()
             )
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from functools import partial
+from math import inf
 from typing import Final
 
 import trio
@@ -65,6 +66,8 @@
     """Entry hosts through which the advisor can be called."""
     lag_s: Callable[[], float]
     """Average lag of this process's event loop in seconds."""
+    link_bytes_per_s: float = inf
+    """What this host's network link carries."""
     without: DisabledMechanisms = ALL_ON
 
 
@@ -86,6 +89,7 @@
             clock=parts.clock,
             recorder=parts.recorder,
             on_lost=self._on_lost,
+            link_bytes_per_s=parts.link_bytes_per_s,
         )
         self._fleet = FleetFollower(context=self.context, fleet=parts.fleet)
         self._commits = CommitLoop(
--- a/src/galenastall/node/cell/term_context.py
+++ b/src/galenastall/node/cell/term_context.py
@@ -1,12 +1,15 @@
 """State shared by the parts of one leader term."""
 
 from collections.abc import Callable
+from math import inf
 from typing import Final
 
 import trio
 
 from galenastall.coordination.cell.poll_limiter import IdlePollLimiter
 from galenastall.coordination.cell.scheduler import CellScheduler
+from galenastall.coordination.cell.start_flow import max_start_bytes
+from galenastall.node.cell.byte_budget import ByteBudget
 from galenastall.node.cell.call_counts import CallCounts
 from galenastall.protocol.cell.executor_port import ExecutorPort
 from galenastall.protocol.clock import Clock
@@ -30,6 +33,7 @@
         clock: Clock,
         recorder: Recorder,
         on_lost: Callable[[str], None],
+        link_bytes_per_s: float = inf,
     ) -> None:
         """`confirmed_at` is when the last call that the store confirmed was sent."""
         self.core = core
@@ -38,6 +42,11 @@
         self.executors = executors
         self.idle_polls = IdlePollLimiter()
         self.call_counts = CallCounts()
+        self.start_budget = ByteBudget(
+            max_bytes=max_start_bytes(
+                link_bytes_per_s=link_bytes_per_s, order_timeout_s=core.timings.order_timeout_s
+            )
+        )
         self.polls_under_way = 0
         """Polls of this term without an answer yet."""
         self.committed = trio.Event()
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -155,6 +155,7 @@
                 weight=settings.leadership_weight,
                 claim_delay_s=settings.claim_delay_s(random.random()),
                 may_start=settings.may_start,
+                link_bytes_per_s=settings.link_bytes_per_s,
             ),
             ports=self._ports(),
             link=ZmqPeerLink(
--- a/src/galenastall/platform/settings.py
+++ b/src/galenastall/platform/settings.py
@@ -17,6 +17,7 @@
 """Also written out in the deploy file, which takes no placeholder there."""
 FIRST_CLAIM_STEP_S: Final = 0.02
 """Delay between the claims of successive seed hosts, at the first start."""
+BYTES_PER_S_PER_MBPS: Final = 125_000.0
 LINK_MBPS_PER_CORE: Final = 20.0
 """Megabits per second that a leader transfers per core that it uses: on a slower link, the core
 is not fully usable. Reading 2 MB of state then takes a second at most."""
@@ -77,6 +78,11 @@
         """Cores that the host can use as leader: no more than its link can keep busy."""
         return min(self.cores, self.link_mbps / LINK_MBPS_PER_CORE)
 
+    @property
+    def link_bytes_per_s(self) -> float:
+        """What the host's own network link carries."""
+        return self.link_mbps * BYTES_PER_S_PER_MBPS
+
     def claim_delay_s(self, jitter: float) -> float:
         """Return the delay before a claim: seeds first, in order; others by `jitter` (0 to 1)."""
         longest = CellTimings().claim_jitter_s
--- a/tests/test_small_links.py
+++ b/tests/test_small_links.py
@@ -1,5 +1,6 @@
 """Transfers that grow with the fleet or with the jobs, over the link of a small host."""
 
+from math import inf
 from random import Random
 from types import SimpleNamespace
 from typing import Any
@@ -10,9 +11,22 @@
 from cell.cluster import Cluster
 from cell.scenarios import run_scenario
 from cell.simulation import Simulation
+from galenastall.coordination.cell.commands import StartOrder
+from galenastall.coordination.cell.executors import ExecutorInfo
+from galenastall.coordination.cell.listings import Listing
+from galenastall.coordination.cell.orders import StartOutcome
+from galenastall.coordination.cell.scheduler import CellScheduler
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.node.cell.commit_loop import CommitLoop
+from galenastall.node.cell.executor_sessions import ExecutorSessions
+from galenastall.node.cell.term_context import TermContext
+from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
+from galenastall.state.cell.jobs import TaskKey
 from galenastall.state.errors import Reason, StepError
+from galenastall.state.resources import Resources
+from galenastall.state.timeline_ring import TimelineRing
+from galenastall.transport.clock import TrioClock
+from galenastall.transport.logs import Recorder
 
 LINK_BYTES_PER_S = 312_500
 """Half of a link of 5 Mbit/s; answers to callers take the other half."""
@@ -22,18 +36,31 @@
 STATE_BYTES = 3_000_000
 """The rows of the jobs of 30 s, and those of the jobs that ended within 150 s."""
 
+EXECUTORS = 350
+LISTING_BYTES = 1_200
+"""Twenty rows: what runs, and what has ended while nobody led."""
+LEASE_S = 6.0
+"""How long the leases last that the previous leader granted, at most."""
+
+ROUNDS_WITHOUT_LIST = 5
+"""How often each executor writes its entry meanwhile: every 1.5 s."""
+GIVE_UP_READING_S = 20.0
+
 
 class Link:
     """A link whose bandwidth concurrent transfers share."""
 
-    def __init__(self, *, bytes_per_s: float = LINK_BYTES_PER_S) -> None:
+    def __init__(
+        self, *, bytes_per_s: float = LINK_BYTES_PER_S, chunk_bytes: int = CHUNK_BYTES
+    ) -> None:
         self.bytes_per_s = bytes_per_s
+        self._chunk_bytes = chunk_bytes
         self.sent_bytes = 0
         self._lock = trio.StrictFIFOLock()
 
     async def send(self, size: int) -> None:
-        for begin in range(0, size, CHUNK_BYTES):
-            chunk = min(CHUNK_BYTES, size - begin)
+        for begin in range(0, size, self._chunk_bytes):
+            chunk = min(self._chunk_bytes, size - begin)
             async with self._lock:
                 await trio.sleep(chunk / self.bytes_per_s)
             self.sent_bytes += chunk
@@ -183,3 +210,95 @@
             assert len(simulation.store.claims) == before + 1
 
         await run_scenario(scenario, seed=61, hosts=6)
+
+
+class ExecutorsBehindLink:
+    """Executors whose listings arrive over the leader's link."""
+
+    def __init__(self, *, link: Link, listing_bytes: int = LISTING_BYTES) -> None:
+        self.link = link
+        self.listed: set[str] = set()
+        self._listing_bytes = listing_bytes
+
+    async def renew(
+        self, *, executor_id: str, timeout_s: float, **_: Any
+    ) -> Result[ListingAnswer, StepError]:
+        with trio.move_on_after(timeout_s):
+            await self.link.send(self._listing_bytes)
+            self.listed.add(executor_id)
+            listing = Listing(clock_ms=int(trio.current_time() * 1000), running=(), ended=())
+            return Success(
+                ListingAnswer(
+                    verdict=StartVerdict.STARTED, executor_id=executor_id, listing=listing
+                )
+            )
+        return Failure(StepError(step="executor.renew", peer=executor_id, reason=Reason.TIMEOUT))
+
+    async def start(
+        self, *, order: StartOrder, timeout_s: float, **_: Any
+    ) -> Result[OrderAnswer, StepError]:
+        with trio.move_on_after(timeout_s):
+            await self.link.send(len(order.payload))
+            return Success(OrderAnswer(verdict=StartVerdict.STARTED, clock_ms=None))
+        peer = order.executor_id
+        return Failure(StepError(step="executor.start", peer=peer, reason=Reason.TIMEOUT))
+
+
+def make_context(executors: ExecutorsBehindLink, *, link_bytes_per_s: float = inf) -> TermContext:
+    core = CellScheduler(timings=CellTimings(), fenced_at=trio.current_time())
+    core.on_fleet([make_info(number) for number in range(EXECUTORS)], now=trio.current_time())
+    ring = TimelineRing(capacity=1_000)
+    return TermContext(
+        core=core,
+        token=1,
+        confirmed_at=trio.current_time(),
+        executors=executors,  # type: ignore[arg-type]
+        clock=TrioClock(),
+        recorder=Recorder(process="entry-1", clock=TrioClock(), ring=ring),
+        on_lost=lambda _cause: None,
+        link_bytes_per_s=link_bytes_per_s,
+    )
+
+
+def make_info(number: int) -> ExecutorInfo:
+    return ExecutorInfo(
+        executor_id=f"executor-{number}",
+        host=f"host-{number}",
+        address=f"executor-{number}",
+        data_centre="dc",
+        service="service",
+        capacity=Resources(cores_milli=16_000, memory_mb=32_000),
+    )
+
+
+class TestStartsOverASmallLink:
+    """Starts that are all sent at once go unanswered, and are sent again in full."""
+
+    async def test_starts_after_an_outage_are_answered_at_the_first_try(
+        self, autojump_clock: object
+    ) -> None:
+        executors = ExecutorsBehindLink(link=Link(), listing_bytes=0)
+        context = make_context(executors, link_bytes_per_s=2 * LINK_BYTES_PER_S)
+        outcomes: list[StartOutcome] = []
+        async with trio.open_nursery() as nursery:
+            sessions = ExecutorSessions(context=context, nursery=nursery)
+            sessions.open()
+            await trio.sleep(0.1)
+            core = context.core
+            core.is_needed = bool  # type: ignore[method-assign]
+            core.on_start = lambda _, outcome, **__: outcomes.append(  # type: ignore[method-assign,assignment]
+                outcome
+            )
+            sessions.start(make_order(number) for number in range(EXECUTORS))
+            await trio.sleep(GIVE_UP_AFTER_S)
+            nursery.cancel_scope.cancel()
+        assert outcomes == [StartOutcome.STARTED] * EXECUTORS
+
+
+def make_order(number: int) -> StartOrder:
+    return StartOrder(
+        task=TaskKey("0" * 16, 0, 0, number),
+        run=1,
+        executor_id=f"executor-{number}",
+        payload="x" * 4_000,
+    )
