Request no more listings at once than the leader's link carries in time

Cause: a new leader requests the listings of all executors at once, each with 0.6 s, and requests those that did not come again after 0.2 s. 350 listings of 1,200 bytes take 1.34 s over half of a link of 5 Mbit/s, so that most of them miss the time-out, again and again, until the leases end.

Change: listings that are answered at once take turns, by what half of the link carries in 0.6 of their time-out (112 KB on 5 Mbit/s, that is 93 listings; all of a fleet on 100 Mbit/s). Long polls have no turns: an executor without ends keeps its poll for its whole wait.

--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -5,11 +5,11 @@
 import trio
 from returns.result import Failure, Result
 
+from galenastall.coordination.cell.call_flow import LISTING_BYTES, start_bytes
 from galenastall.coordination.cell.commands import StartOrder, StopOrder, ThrottleOrder
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.orders import StartOutcome
-from galenastall.coordination.cell.start_flow import start_bytes
-from galenastall.node.cell.term_context import TermContext
+from galenastall.node.cell.term_context import LATE_ANSWER_S, TermContext
 from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
 from galenastall.state.errors import StepError
 
@@ -22,8 +22,6 @@
 the leader's thread."""
 IDLE_WAIT_S: Final = 1.2
 """Long poll of an idle executor; still short enough that it keeps getting work."""
-LATE_ANSWER_S: Final = 0.6
-"""Time allowed for an answer beyond the long poll; a round trip takes 1 to 8 ms."""
 RETRY_S: Final = 0.2
 """Pause after a failed call."""
 DURABLE_WAIT_S: Final = 0.5
@@ -69,7 +67,7 @@
                 continue
             has_waited = await self._wait_for_poll_slot()
             context.polls_under_way += 1
-            is_answered = await self._poll(0.0 if has_waited else self._wait_s())
+            is_answered = await self._poll_in_turn(0.0 if has_waited else self._wait_s())
             context.polls_under_way -= 1
             if not is_answered:
                 await trio.sleep(RETRY_S)
@@ -129,6 +127,13 @@
         finally:
             self._is_polling_now = False
 
+    async def _poll_in_turn(self, wait_s: float) -> bool:
+        """Poll; a listing that is answered at once waits until the link has room for it."""
+        if wait_s > 0:
+            return await self._poll(wait_s)
+        async with self._context.listing_budget.hold(LISTING_BYTES):
+            return await self._poll(wait_s)
+
     async def _poll(self, wait_s: float) -> bool:
         context, executor = self._context, self._executor
         executor.needs_listing = False
--- a/src/galenastall/node/cell/term_context.py
+++ b/src/galenastall/node/cell/term_context.py
@@ -6,9 +6,9 @@
 
 import trio
 
+from galenastall.coordination.cell.call_flow import max_call_bytes
 from galenastall.coordination.cell.poll_limiter import IdlePollLimiter
 from galenastall.coordination.cell.scheduler import CellScheduler
-from galenastall.coordination.cell.start_flow import max_start_bytes
 from galenastall.node.cell.byte_budget import ByteBudget
 from galenastall.node.cell.call_counts import CallCounts
 from galenastall.protocol.cell.executor_port import ExecutorPort
@@ -19,6 +19,9 @@
 TOKENS_PER_TERM: Final = 1_000_000
 """Executors see the term's token times this, plus a counter within the term."""
 
+LATE_ANSWER_S: Final = 0.6
+"""Time allowed for a listing beyond the long poll; a round trip takes 1 to 8 ms."""
+
 
 class TermContext:
     """The core, token and events of a term."""
@@ -43,10 +46,13 @@
         self.idle_polls = IdlePollLimiter()
         self.call_counts = CallCounts()
         self.start_budget = ByteBudget(
-            max_bytes=max_start_bytes(
-                link_bytes_per_s=link_bytes_per_s, order_timeout_s=core.timings.order_timeout_s
+            max_bytes=max_call_bytes(
+                link_bytes_per_s=link_bytes_per_s, timeout_s=core.timings.order_timeout_s
             )
         )
+        self.listing_budget = ByteBudget(
+            max_bytes=max_call_bytes(link_bytes_per_s=link_bytes_per_s, timeout_s=LATE_ANSWER_S)
+        )
         self.polls_under_way = 0
         """Polls of this term without an answer yet."""
         self.committed = trio.Event()
--- a/tests/test_small_links.py
+++ b/tests/test_small_links.py
@@ -221,9 +221,10 @@
         self._listing_bytes = listing_bytes
 
     async def renew(
-        self, *, executor_id: str, timeout_s: float, **_: Any
+        self, *, executor_id: str, wait_s: float, timeout_s: float, **_: Any
     ) -> Result[ListingAnswer, StepError]:
         with trio.move_on_after(timeout_s):
+            await trio.sleep(wait_s)
             await self.link.send(self._listing_bytes)
             self.listed.add(executor_id)
             listing = Listing(clock_ms=int(trio.current_time() * 1000), running=(), ended=())
@@ -260,6 +261,21 @@
     )
 
 
+class TestListingsOverASmallLink:
+    """Listings that share the link all miss a fixed time-out, and are requested again at once."""
+
+    async def test_a_new_leader_receives_the_listings_of_all_executors(
+        self, autojump_clock: object
+    ) -> None:
+        executors = ExecutorsBehindLink(link=Link(chunk_bytes=LISTING_BYTES // 10))
+        context = make_context(executors, link_bytes_per_s=2 * LINK_BYTES_PER_S)
+        async with trio.open_nursery() as nursery:
+            ExecutorSessions(context=context, nursery=nursery).open()
+            await trio.sleep(LEASE_S)
+            nursery.cancel_scope.cancel()
+        assert len(executors.listed) == EXECUTORS
+
+
 def make_info(number: int) -> ExecutorInfo:
     return ExecutorInfo(
         executor_id=f"executor-{number}",
@@ -285,7 +301,7 @@
             sessions.open()
             await trio.sleep(0.1)
             core = context.core
-            core.is_needed = bool  # type: ignore[method-assign]
+            core.is_needed = bool  # type: ignore[method-assign,assignment]
             core.on_start = lambda _, outcome, **__: outcomes.append(  # type: ignore[method-assign,assignment]
                 outcome
             )
