Show by failing tests two more reads that a small link can't carry in time

Cause: a page of the state has 3 s, and the records of the executors' list have 0.8 s, whatever their size; both are begun anew in full.

Both wait for a time-out by progress in HttpClient.request.

--- a/tests/test_small_links.py
+++ b/tests/test_small_links.py
@@ -19,7 +19,11 @@
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.node.cell.commit_loop import CommitLoop
 from galenastall.node.cell.executor_sessions import ExecutorSessions
+from galenastall.node.cell.state_loader import StateLoader
 from galenastall.node.cell.term_context import TermContext
+from galenastall.platform.fleet import TOPIC as FLEET_TOPIC
+from galenastall.platform.fleet import PlatformFleet
+from galenastall.platform.store import STATE_TOPIC, PlatformStore
 from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
 from galenastall.state.cell.jobs import TaskKey
 from galenastall.state.errors import Reason, StepError
@@ -27,6 +31,8 @@
 from galenastall.state.timeline_ring import TimelineRing
 from galenastall.transport.clock import TrioClock
 from galenastall.transport.logs import Recorder
+from test_large_configurations import StoreBehindLink
+from test_platform_adapter import make_calls, make_recorder, serve_address
 
 LINK_BYTES_PER_S = 312_500
 """Half of a link of 5 Mbit/s; answers to callers take the other half."""
@@ -211,6 +217,55 @@
 
         await run_scenario(scenario, seed=61, hosts=6)
 
+    async def test_a_full_page_that_takes_longer_than_its_time_out_is_read(self) -> None:
+        store = StoreBehindLink()
+        for number in range(400):
+            store.put(STATE_TOPIC, f"run/{number:04}", "x" * 2_000)
+        async with trio.open_nursery() as nursery:
+            state = PlatformStore(calls=make_calls(), address=await serve_address(nursery, store))
+            loader = StateLoader(state=state, page_timeout_s=GIVE_UP_READING_S)
+            assert len((await loader.load()).value_or({})) == 400
+            nursery.cancel_scope.cancel()
+
+
+class TestListsOverASmallLink:
+    """New records gather while the list can't be read, until a read of them never ends in time."""
+
+    async def test_the_list_is_read_again_after_an_outage_of_seconds(self) -> None:
+        store = StoreBehindLink()
+        put_executors(store, state="ready")
+        async with trio.open_nursery() as nursery:
+            fleet = PlatformFleet(
+                calls=make_calls(),
+                address=await serve_address(nursery, store),
+                recorder=make_recorder(),
+            )
+            assert len((await fleet.read()).unwrap()) == EXECUTORS
+            for _ in range(ROUNDS_WITHOUT_LIST):
+                put_executors(store, state="ready")
+            put_executors(store, state="draining")
+            infos: tuple[ExecutorInfo, ...] = ()
+            with trio.move_on_after(GIVE_UP_READING_S):
+                while not infos:
+                    infos = (await fleet.read()).value_or(())
+            assert [info.is_draining for info in infos] == [True] * EXECUTORS
+            nursery.cancel_scope.cancel()
+
+
+def put_executors(store: StoreBehindLink, *, state: str) -> None:
+    for number in range(EXECUTORS):
+        entry = {
+            "service": "pack-assembly",
+            "address": f"10.0.{number // 200}.{number % 200}:8080",
+            "state": state,
+            "zone": "seoul-gangnam",
+            "capacity": {"cpu": 16_000, "memoryRequestMb": 32_000, "gpus": 0},
+            "labels": ["kind-a", f"rack-{number // 12}"],
+            "machine": f"machine-{number:04}",
+            "born": 1_700_000_000_000,
+        }
+        store.put(FLEET_TOPIC, f"executor-{number:04}", entry)
+
 
 class ExecutorsBehindLink:
     """Executors whose listings arrive over the leader's link."""
