--- a/src/galenastall/node/cell/term_context.py
+++ b/src/galenastall/node/cell/term_context.py
@@ -1,12 +1,15 @@
 """State shared by the parts of one leader term."""
 
 from collections.abc import Callable
+from math import inf
 from typing import Final
 
 import trio
 
+from galenastall.coordination.cell.call_flow import max_call_bytes
 from galenastall.coordination.cell.poll_limiter import IdlePollLimiter
 from galenastall.coordination.cell.scheduler import CellScheduler
+from galenastall.node.cell.byte_budget import ByteBudget
 from galenastall.node.cell.call_counts import CallCounts
 from galenastall.protocol.cell.executor_port import ExecutorPort
 from galenastall.protocol.clock import Clock
@@ -16,6 +19,9 @@
 TOKENS_PER_TERM: Final = 1_000_000
 """Executors see the term's token times this, plus a counter within the term."""
 
+LATE_ANSWER_S: Final = 0.6
+"""Time allowed for a listing beyond the long poll; a round trip takes 1 to 8 ms."""
+
 
 class TermContext:
     """The core, token and events of a term."""
@@ -30,6 +36,7 @@
         clock: Clock,
         recorder: Recorder,
         on_lost: Callable[[str], None],
+        link_bytes_per_s: float = inf,
     ) -> None:
         """`confirmed_at` is when the last call that the store confirmed was sent."""
         self.core = core
@@ -38,6 +45,14 @@
         self.executors = executors
         self.idle_polls = IdlePollLimiter()
         self.call_counts = CallCounts()
+        self.start_budget = ByteBudget(
+            max_bytes=max_call_bytes(
+                link_bytes_per_s=link_bytes_per_s, timeout_s=core.timings.order_timeout_s
+            )
+        )
+        self.listing_budget = ByteBudget(
+            max_bytes=max_call_bytes(link_bytes_per_s=link_bytes_per_s, timeout_s=LATE_ANSWER_S)
+        )
         self.polls_under_way = 0
         """Polls of this term without an answer yet."""
         self.committed = trio.Event()
