Let pages of the state and the executors' list arrive as long as they progress

Cause: a page of the state had 3 s and the records of the executors' list 0.8 s, whatever their size; what a small link can't carry in that time was dropped and begun anew.

Change: both use the time-out by progress that reads of the configuration have. Pages are retried by StateLoader, so NewestReader.all has no tries of its own any more.

--- a/src/galenastall/platform/calls.py
+++ b/src/galenastall/platform/calls.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Callable, Mapping
-from typing import Any, TypeVar
+from typing import Any, Final, TypeVar
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -16,6 +16,10 @@
 )
 
 T = TypeVar("T")
+TRANSFER_TIMEOUT_S: Final = 120.0
+"""Time-out for a whole response that grows with the fleet, the jobs or the configuration."""
+SILENCE_TIMEOUT_S: Final = 1.7
+"""Longest time in which nothing of such a response arrives; a stall must be found within 2 s."""
 AddressProvider = Callable[[], str]
 """Returns the current `IP:port` of a service; the settings may change while the process runs."""
 _JSON_HEADERS = {"content-type": "application/json"}
--- a/src/galenastall/platform/keyed_follower.py
+++ b/src/galenastall/platform/keyed_follower.py
@@ -1,12 +1,17 @@
 """Follows the newest value of each key of a topic: reads all keys first, then new records."""
 
-import math
 from collections.abc import Sequence
 from typing import Final
 
 from returns.result import Failure, Result, Success
 
-from galenastall.platform.calls import AddressProvider, PlatformCalls, to_failure
+from galenastall.platform.calls import (
+    SILENCE_TIMEOUT_S,
+    TRANSFER_TIMEOUT_S,
+    AddressProvider,
+    PlatformCalls,
+    to_failure,
+)
 from galenastall.platform.log_wire import WireError, decode_read, split_keyed
 from galenastall.platform.newest_records import PAGE_TIMEOUT_S, NewestReader
 from galenastall.platform.transfers import ResponseWatch, TransferSlot
@@ -16,10 +21,6 @@
 
 ANSWER_MARGIN_S: Final = 0.8
 """Added to the time of a long poll for its time-out; a slow store takes up to 0.4 s."""
-TRANSFER_TIMEOUT_S: Final = 120.0
-"""Time-out for a whole response with large values, which may arrive slowly."""
-SILENCE_TIMEOUT_S: Final = 1.7
-"""Longest time in which nothing of such a response arrives; a stall must be found within 2 s."""
 _OK: Final = 200
 _GONE: Final = 410
 _NOT_FOUND: Final = 404
@@ -39,8 +40,8 @@
     ) -> None:
         """Follow partition 0 of `topic`; unreadable records are logged and skipped.
 
-        With `transfers`, values may be large: a response has time as long as it keeps arriving,
-        and concurrent reads wait for it instead of receiving the same records.
+        A response has time as long as it keeps arriving. With `transfers`, values may be large:
+        concurrent reads wait for a response instead of receiving the same records.
         """
         self._calls = calls
         self._address = address
@@ -92,16 +93,14 @@
                 self._transfers.release(watch, is_complete=is_complete)
 
     async def _read_newest(self, watch: ResponseWatch | None) -> Result[None, StepError]:
-        if watch is None:
-            answer = await self._newest.all(self._topic, timeout_s=PAGE_TIMEOUT_S)
-        else:
+        if watch is not None:
             watch.expect_newest()
-            answer = await self._newest.all(
-                self._topic,
-                timeout_s=TRANSFER_TIMEOUT_S,
-                idle_timeout_s=SILENCE_TIMEOUT_S,
-                on_progress=watch.check,
-            )
+        answer = await self._newest.all(
+            self._topic,
+            timeout_s=TRANSFER_TIMEOUT_S,
+            idle_timeout_s=PAGE_TIMEOUT_S if watch is None else SILENCE_TIMEOUT_S,
+            on_progress=None if watch is None else watch.check,
+        )
         if isinstance(answer, Failure):
             return answer
         page = answer.unwrap()
@@ -156,8 +155,8 @@
             step=step,
             address=self._address(),
             path=path,
-            timeout_s=answer_s if watch is None else TRANSFER_TIMEOUT_S,
-            idle_timeout_s=math.inf if watch is None else max(answer_s, SILENCE_TIMEOUT_S),
+            timeout_s=TRANSFER_TIMEOUT_S,
+            idle_timeout_s=answer_s if watch is None else max(answer_s, SILENCE_TIMEOUT_S),
             on_progress=None if watch is None else watch.check,
         )
 
--- a/src/galenastall/platform/newest_records.py
+++ b/src/galenastall/platform/newest_records.py
@@ -94,11 +94,10 @@
         timeout_s: float = PAGE_TIMEOUT_S,
         idle_timeout_s: float = math.inf,
         on_progress: ProgressCheck | None = None,
-        tries: int = 1,
     ) -> Result[NewestRecords, StepError]:
         """Return all keys; `end_offset` is the first page's, so that reads from it miss nothing.
 
-        Each page has `timeout_s` and `tries` attempts, so that a retry repeats no earlier page.
+        Each page has `timeout_s`.
         """
         pages: list[NewestRecords] = []
         after = ""
@@ -111,9 +110,6 @@
         )
         while True:
             answer = await read_page(after)
-            for _ in range(tries - 1):
-                if isinstance(answer, Failure):
-                    answer = await read_page(after)
             if isinstance(answer, Failure):
                 return answer
             page = answer.unwrap()
--- a/src/galenastall/platform/store.py
+++ b/src/galenastall/platform/store.py
@@ -5,7 +5,14 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from galenastall.platform.calls import AddressProvider, PlatformCalls, decode_answer, to_failure
+from galenastall.platform.calls import (
+    SILENCE_TIMEOUT_S,
+    TRANSFER_TIMEOUT_S,
+    AddressProvider,
+    PlatformCalls,
+    decode_answer,
+    to_failure,
+)
 from galenastall.platform.entries import decode_entry
 from galenastall.platform.log_wire import (
     AppendAnswer,
@@ -25,8 +32,6 @@
 PRODUCER: Final = "leader"
 """Shared by all leaders, so that the epoch of one fences its predecessors."""
 CALL_TIMEOUT_S: Final = 1.0
-STATE_PAGE_TIMEOUT_S: Final = 3.0
-"""Time-out for a page of the state: a full one of 1 MB takes 0.9 s over a link of 10 Mbit/s."""
 REQUEST_BYTES: Final = 2_097_152
 """Default for the largest request that the store accepts, if the settings have none."""
 VALUES_SHARE: Final = 0.75
@@ -95,7 +100,12 @@
 
     async def load_page(self, *, after: str) -> Result[StatePage, StepError]:
         """Read one page; after a fence, nothing is written between two pages but confirmations."""
-        answer = await self._newest.page(STATE_TOPIC, after, timeout_s=STATE_PAGE_TIMEOUT_S)
+        answer = await self._newest.page(
+            STATE_TOPIC,
+            after,
+            timeout_s=TRANSFER_TIMEOUT_S,
+            idle_timeout_s=SILENCE_TIMEOUT_S,
+        )
         if isinstance(answer, Failure):
             return answer
         page = answer.unwrap()
