Let a look end only with its own read of the store, unless that fails

The leader's look after an outage returned without the limits that were in the store, and the leader started tasks over them. Also, a look joined a read that had begun in the outage and was not going to be answered.

Change: answers of hosts and adopted versions end a look only if its read of the store has ended. A read that has not begun to arrive after REFRESH_WITHIN_S is given up and leaves config.look_failed, so that the next look reads anew; one that arrives goes on.

--- a/src/galenastall/node/cell/config_watcher.py
+++ b/src/galenastall/node/cell/config_watcher.py
@@ -3,15 +3,16 @@
 from typing import Final
 
 import trio
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from galenastall.coordination.cell.config_age import UNKNOWN_VERSION, is_outdated
-from galenastall.coordination.cell.config_sources import ConfigSources
+from galenastall.coordination.cell.config_sources import RECHECK_S, ConfigSources
 from galenastall.node.cell.config_server import ConfigServer
 from galenastall.node.cell.config_transfer import ConfigTransfer
 from galenastall.protocol.cell.config import CellConfig
 from galenastall.protocol.cell.ports import ConfigPort
 from galenastall.protocol.peers import PeerLink
+from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId
 from galenastall.transport.logs import Recorder
 
@@ -26,8 +27,8 @@
 class ConfigWatcher:
     """Follows the configuration in the store, and at other hosts where the store does not deliver.
 
-    Reads and transfers belong to tasks of `run`: they end when they are done, not when a caller
-    no longer waits for them.
+    Reads and transfers belong to tasks of `run`: once they have begun to arrive they end when they
+    are done, not when a caller no longer waits for them.
     """
 
     def __init__(self, *, port: ConfigPort, link: PeerLink, recorder: Recorder) -> None:
@@ -111,17 +112,49 @@
     async def _refresh_when_wanted(self) -> None:
         while True:
             await self._read_wanted.wait()
-            answer = await self._port.newest()
+            give_up_at = trio.current_time() + REFRESH_WITHIN_S
+            answer = await self._read_newest(give_up_at)
             self._read_wanted = trio.Event()
             self._on_store_read(is_failed=isinstance(answer, Failure))
             if isinstance(answer, Failure):
                 self._recorder.record("config.look_failed", cause=str(answer.failure()))
-                if not self._is_host_asked():
-                    self._end_refresh()
-                continue
-            self._adopt(answer.unwrap(), source="store")
+                await self._wait_for_host(give_up_at)
+            else:
+                self._adopt(answer.unwrap(), source="store")
             self._end_refresh()
 
+    async def _read_newest(self, give_up_at: float) -> Result[CellConfig | None, StepError]:
+        """Read from the store; gives up a read that has not begun to arrive by `give_up_at`.
+
+        A read that began while the store was away must not delay those of later callers.
+        """
+        answer: Result[CellConfig | None, StepError] = Failure(
+            StepError(
+                step="config.look",
+                peer="store",
+                reason=Reason.TIMEOUT,
+                detail=f"no answer in {REFRESH_WITHIN_S:g} s",
+            )
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_unless_receiving, nursery.cancel_scope, give_up_at)
+            answer = await self._port.newest()
+            nursery.cancel_scope.cancel()
+        return answer
+
+    async def _cancel_unless_receiving(self, scope: trio.CancelScope, at: float) -> None:
+        await trio.sleep_until(at)
+        while self._port.is_receiving:  # noqa: ASYNC110 - the port has no event for it
+            await trio.sleep(RECHECK_S)
+        scope.cancel()
+
+    async def _wait_for_host(self, give_up_at: float) -> None:
+        """Wait until the host that is asked in place of the store has answered."""
+        if self._refresh_ended is None or not self._is_host_asked():
+            return
+        with trio.CancelScope(deadline=give_up_at):
+            await self._refresh_ended.wait()
+
     def _on_store_read(self, *, is_failed: bool) -> None:
         self._sources.on_store_read(is_failed=is_failed)
         self._notify_changed()
@@ -133,6 +166,12 @@
         found = self._sources.next_host(now=trio.current_time(), is_receiving=False)
         return found is not None and found.after_s == 0
 
+    def _end_refresh_unless_reading(self) -> None:
+        """End the refresh, unless the store is still being read: it may have a newer version."""
+        self._sources.on_look_ended()
+        if not self._read_wanted.is_set():
+            self._end_refresh()
+
     def _end_refresh(self) -> None:
         """Let the callers that wait for the refresh go on."""
         self._sources.on_look_ended()
@@ -171,7 +210,7 @@
             self._sources.on_not_newer(host)
         else:
             self._adopt(answer.unwrap(), source=str(host))
-        self._end_refresh()
+        self._end_refresh_unless_reading()
 
     def _on_not_transferred(self, host: HostId, *, cause: str) -> None:
         self._sources.on_transfer_failed(host, now=trio.current_time())
@@ -187,7 +226,7 @@
         self._sources.on_in_force(config.version, now=self._in_force_since)
         if self._transfer_scope is not None and not self._sources.has_newer:
             self._transfer_scope.cancel()
-        self._end_refresh()
+        self._end_refresh_unless_reading()
         self._notify_changed()
         self._recorder.record(
             "config.in_force",
--- a/tests/test_config_transfer.py
+++ b/tests/test_config_transfer.py
@@ -168,6 +168,7 @@
         self.is_receiving = False
         self.fails_after_s: float | None = None
         """How long after a response has begun to arrive it breaks off."""
+        self.answers_after_s = LATENCY_S
         self.read_s = 0.0
         """How long a response takes to arrive."""
         self.reads = 0
@@ -185,7 +186,7 @@
         if self.is_unresponsive:
             await trio.sleep(1.7)
             return unavailable()
-        await trio.sleep(LATENCY_S)
+        await trio.sleep(self.answers_after_s)
         if self.config is None:
             return unavailable()
         found = self.config
@@ -495,6 +496,45 @@
             assert len(host.lines("config.look_failed")) == 1
             nursery.cancel_scope.cancel()
 
+    @pytest.mark.parametrize("is_source_lost", [False, True])
+    async def test_a_look_after_an_outage_does_not_wait_for_a_read_that_began_in_it(
+        self, autojump_clock: object, is_source_lost: bool
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            network = Network(nursery)
+            Host(network, SOURCE, make_config(1, routes=1))
+            host = Host(network, HOST, make_config(1, routes=1))
+            host.store.wait = trio.sleep_forever  # type: ignore[method-assign]
+            host.store.is_unresponsive = True
+            if is_source_lost:
+                network.silent.add(SOURCE)
+                host.watcher.note_version(1, SOURCE)
+            await host.watcher.look()
+            host.store.is_unresponsive = False
+            host.store.config = make_config(2, routes=1)
+            await trio.sleep(REFRESH_EVERY_S + 0.01)
+            begun_at = trio.current_time()
+            await host.watcher.look()
+            assert host.watcher.version == 2
+            assert trio.current_time() - begun_at <= 0.01
+            nursery.cancel_scope.cancel()
+
+    async def test_a_host_without_a_newer_version_does_not_end_a_look_before_the_store(
+        self, autojump_clock: object
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            network = Network(nursery)
+            Host(network, SOURCE, make_config(1, routes=1))
+            host = Host(network, HOST, make_config(1, routes=1))
+            host.watcher.note_version(1, SOURCE)
+            await trio.sleep(0.1)
+            assert len(host.lines("config.lost")) == 1
+            host.store.config, host.store.answers_after_s = make_config(2, routes=1), 0.1
+            await host.watcher.look()
+            assert network.sent_bytes[SOURCE] > 0
+            assert host.watcher.version == 2
+            nursery.cancel_scope.cancel()
+
 
 class TestSourceWithoutTheVersion:
     async def test_a_host_that_announces_what_it_does_not_have_is_asked_rarely(
