--- a/src/galenastall/platform/job_routes.py
+++ b/src/galenastall/platform/job_routes.py
@@ -72,6 +72,8 @@
     response: HttpResponse
     cause: str = ""
     """Why it has no result; empty if it has one."""
+    refusal: str = ""
+    """Why the configuration does not admit it, which is a result; empty if it does."""
     version: int = UNKNOWN_VERSION
     """Version of the configuration that decided on it."""
 
@@ -251,6 +253,13 @@
         cause = outcome.cause
         if took_s > _patience_s(request):
             cause = cause or "the response is later than the caller waits"
+        if outcome.refusal and not cause:
+            self._recorder.record(
+                "job.not_admitted",
+                subjects=(call.subject,),
+                cause=outcome.refusal,
+                fields={"method": request.method, "status": status},
+            )
         if cause:
             self._recorder.record(
                 "job.unanswered",
@@ -279,8 +288,11 @@
             version = admission.version
             if admission.route is None:
                 response = refusal_response(call.request, admission)
-                cause = "; ".join([*causes, f"not admitted: status {response.status}"])
-                return QueryOutcome(response=response, cause=cause, version=version)
+                refusal = refusal_detail(call.request, admission)
+                cause = "; ".join([*causes, refusal]) if causes else ""
+                return QueryOutcome(
+                    response=response, cause=cause, refusal=refusal, version=version
+                )
             answer = await query(call, admission, admission.route)
             if not isinstance(answer, Failure):
                 job_id = _job_id(call.request, admission.route)
--- a/tests/test_unanswered_queries.py
+++ b/tests/test_unanswered_queries.py
@@ -46,17 +46,22 @@
 
 
 async def events_of(
-    result: Result[Any, StepError], *, method: str = "GET", newer: bool = False
+    result: Result[Any, StepError],
+    *,
+    method: str = "GET",
+    newer: bool = False,
+    key: str = KEY,
+    step: str = "job.unanswered",
 ) -> tuple[int, list[TimelineEvent]]:
     ring = TimelineRing(capacity=10)
     status, _ = await send_request(
         FakeConfigSource(OLD, newer=NEW if newer else None),
         QueryHandler(result, NEW if newer else OLD),  # type: ignore[arg-type]
-        key=KEY,
+        key=key,
         method=method,
         ring=ring,
     )
-    return status, [event for event in ring if event.step == "job.unanswered"]
+    return status, [event for event in ring if event.step == step]
 
 
 class TestUnansweredQueries:
@@ -86,6 +91,20 @@
         assert events == []
 
 
+class TestRefusedQueries:
+    @pytest.mark.parametrize("method", ["GET", "DELETE"])
+    async def test_a_refusal_is_not_counted_as_unanswered(self, method: str) -> None:
+        result = Success(JobPhase.RUNNING)
+        status, (event,) = await events_of(
+            result, method=method, key=NEW_KEY, step="job.not_admitted"
+        )
+        assert status == 401
+        assert event.subjects == (JOB,)
+        assert event.cause == "x-api-key: no workspace of version 1 has this key"
+        assert NEW_KEY not in repr(event)
+        assert (await events_of(result, method=method, key=NEW_KEY))[1] == []
+
+
 class TestExplanation:
     LINES = (
         '{"at":"1000.0","process":"entry-1/x","event":"job.accepted","subjects":["j"]}',
