Refuse no caller by a version that is older than the newest known

Cause: a host passes a call that its own version refuses to the leader, and took the leader's refusal as final. A leader whose configuration is behind too refuses routes and keys that a newer version has, and the caller was answered 404 or 401, although the host had heard of that version.

Change: such a refusal, by the leader's version or by the host's own, is answered as 'cannot be told now' (503 for a query, 504 for a submission) until the newest known version is in force on either.

--- a/src/galenastall/node/cell/call_admissions.py
+++ b/src/galenastall/node/cell/call_admissions.py
@@ -85,14 +85,27 @@
         found = answer.unwrap()
         if self._own_version >= max(found.version, self._floor):
             own = self._own_decision(call)
-            return Success(found if own is None else own)
+            return self._unless_superseded(found if own is None else own)
         if found.version < self._floor:
             return self._failure(
                 f"the leader has version {found.version} of the configuration, and this host has"
                 f" served callers by version {self._floor}"
             )
         self._raise_floor(found.version)
-        return Success(found)
+        return self._unless_superseded(found)
+
+    def _unless_superseded(self, found: CallAdmission) -> Result[CallAdmission, StepError]:
+        """Fail instead of refusing a call that a newer version may admit.
+
+        The leader may be behind as well, with a link as small as this host's.
+        """
+        newest = self._config.newest_known_version
+        if found.is_admitted or found.version >= newest:
+            return Success(found)
+        return self._failure(
+            f"version {found.version} of the configuration refuses the call, and version {newest},"
+            " which neither this host nor the leader has, may admit it"
+        )
 
     async def _admit_unknown(
         self, call: CallAddress, *, patience_s: float
--- a/tests/test_call_admissions.py
+++ b/tests/test_call_admissions.py
@@ -137,6 +137,19 @@
         found = (await admit(admissions)).unwrap()
         assert (found.version, found.refusal) == (3, CallRefusal.UNAUTHORIZED)
 
+    @pytest.mark.parametrize(("path", "key"), [("/added/x", KEY), ("/q/x", NEW_KEY)])
+    @pytest.mark.parametrize("own_version", [0, 1, 2])
+    async def test_nobody_is_refused_by_a_version_older_than_the_newest_known(
+        self, path: str, key: str, own_version: int
+    ) -> None:
+        """The leader is behind as well: what it refuses may be in the version it lacks."""
+        config = make_config(own_version, "/q/") if own_version else None
+        leader = FakeLeader(make_config(2, "/q/"))
+        answer = await admit(
+            make_admissions(HostConfig(config, newest_known=3), leader), path, key=key
+        )
+        assert answer.failure().reason is Reason.UNAVAILABLE
+
     @pytest.mark.parametrize(("path", "key"), [("/added/x", KEY), ("/q/x", NEW_KEY)])
     async def test_without_a_leader_nothing_is_guessed(self, path: str, key: str) -> None:
         admissions = make_admissions(HostConfig(self.old, newest_known=2), FakeLeader())
