--- a/src/galenastall/node/cell/term_context.py
+++ b/src/galenastall/node/cell/term_context.py
@@ -43,6 +43,7 @@
         self.token = token
         self.confirmed_at = confirmed_at
         self.executors = executors
+        self.link_bytes_per_s = link_bytes_per_s
         self.idle_polls = IdlePollLimiter()
         self.call_counts = CallCounts()
         self.start_budget = ByteBudget(
--- a/tests/test_small_links.py
+++ b/tests/test_small_links.py
@@ -1,5 +1,6 @@
 """Transfers that grow with the fleet or with the jobs, over the link of a small host."""
 
+from dataclasses import replace
 from math import inf
 from random import Random
 from types import SimpleNamespace
@@ -45,6 +46,8 @@
 EXECUTORS = 350
 LISTING_BYTES = 1_200
 """Twenty rows: what runs, and what has ended while nobody led."""
+LARGEST_PAYLOAD_BYTES = 250_000
+"""About what the body of a submission may hold."""
 LEASE_S = 6.0
 """How long the leases last that the previous leader granted, at most."""
 
@@ -373,3 +376,53 @@
         executor_id=f"executor-{number}",
         payload="x" * 4_000,
     )
+
+
+class TestLargeStartsOverASmallLink:
+    """A start that can't be sent within the time-out of an order is cut there at each try."""
+
+    async def test_the_largest_start_is_answered(self, autojump_clock: object) -> None:
+        executors = ExecutorsBehindLink(link=Link(), listing_bytes=0)
+        context = make_context(executors, link_bytes_per_s=2 * LINK_BYTES_PER_S)
+        outcomes: list[StartOutcome] = []
+        order = replace(make_order(0), payload="x" * LARGEST_PAYLOAD_BYTES)
+        async with trio.open_nursery() as nursery:
+            sessions = ExecutorSessions(context=context, nursery=nursery)
+            sessions.open()
+            await trio.sleep(0.1)
+            core = context.core
+            core.is_needed = bool  # type: ignore[method-assign,assignment]
+            core.on_start = lambda _, outcome, **__: outcomes.append(  # type: ignore[method-assign,assignment]
+                outcome
+            )
+            sessions.start([order])
+            await trio.sleep(GIVE_UP_AFTER_S)
+            nursery.cancel_scope.cancel()
+        assert outcomes == [StartOutcome.STARTED]
+
+
+class TestDarkExecutors:
+    """Executors that do not answer hold their share of the link until their call times out."""
+
+    async def test_those_that_answer_are_listed_meanwhile(self, autojump_clock: object) -> None:
+        executors = HalfDarkExecutors(link=Link(chunk_bytes=LISTING_BYTES // 10))
+        context = make_context(executors, link_bytes_per_s=2 * LINK_BYTES_PER_S)
+        async with trio.open_nursery() as nursery:
+            ExecutorSessions(context=context, nursery=nursery).open()
+            await trio.sleep(LEASE_S)
+            nursery.cancel_scope.cancel()
+        assert len(executors.listed) == EXECUTORS // 2
+
+
+class HalfDarkExecutors(ExecutorsBehindLink):
+    """Executors of which each second one does not answer."""
+
+    async def renew(self, *, executor_id: str, wait_s: float, timeout_s: float, **rest: Any) -> Any:
+        if int(executor_id.rpartition("-")[2]) % 2:
+            await trio.sleep(timeout_s)
+            return Failure(
+                StepError(step="executor.renew", peer=executor_id, reason=Reason.TIMEOUT)
+            )
+        return await super().renew(
+            executor_id=executor_id, wait_s=wait_s, timeout_s=timeout_s, **rest
+        )
