Refuse callers at an up-to-date host without the leader, and wait for a takeover

Cause, found in review: a host that knew of no newer version passed each unknown route or key to the leader and answered 503 or 504 where there was none, as late as half of the caller's time; before, it answered 404 or 401 after its look. A submission that needs the leader's admission gave up after 0.48 s without a leader, as shares of shares were taken, and a takeover takes 1.1 s. A leader with an older program refuses the message as INVALID, and was asked again and again.

Change: the refusal of a host that is not behind stands if the leader doesn't confirm it within 0.5 s. Admissions have the time that queries have. INVALID is final for a query; after it the host looks and decides by its own version, if that is not below its floor.

--- a/src/galenastall/node/cell/call_admissions.py
+++ b/src/galenastall/node/cell/call_admissions.py
@@ -4,7 +4,7 @@
 meanwhile, and once one was, none is admitted by an older version.
 """
 
-from typing import Protocol
+from typing import Final, Protocol
 
 from returns.result import Failure, Result, Success
 
@@ -17,6 +17,10 @@
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.logs import Recorder
 
+CONFIRM_WITHIN_S: Final = 0.5
+"""Time for the leader to confirm a refusal of a host that knows of no newer version: by then a
+caller without a route or key should have its refusal, whether or not there is a leader."""
+
 
 class ConfigSource(Protocol):
     """Source of this host's current configuration."""
@@ -81,6 +85,8 @@
             call, patience_s=patience_s, config_version=self._own_version
         )
         if isinstance(answer, Failure):
+            if answer.failure().reason is Reason.INVALID:
+                return await self._admit_after_look(call)
             return answer
         found = answer.unwrap()
         if self._own_version >= max(found.version, self._floor):
@@ -110,17 +116,31 @@
     async def _admit_unknown(
         self, call: CallAddress, *, patience_s: float
     ) -> Result[CallAdmission, StepError]:
-        """Pass a call that this host's version would refuse to the leader, within the budget."""
+        """Pass a call that this host's version would refuse to the leader, within the budget.
+
+        The refusal of a host that knows of no newer version stands if the leader can't be reached.
+        """
+        own = None if self._is_behind else self._own_decision(call)
         if not self._budget.take(self._clock.now()):
-            own = self._own_decision(call)
-            if own is not None and not self._is_behind:
+            if own is not None:
                 return Success(own)
             return self._failure("too many calls of unknown routes or keys wait for the leader")
+        patience_s = patience_s if own is None else min(patience_s, CONFIRM_WITHIN_S)
         answer = await self.admit_by_leader(call, patience_s=patience_s)
-        if isinstance(answer, Success) and answer.unwrap().is_admitted:
+        if isinstance(answer, Failure):
+            return answer if own is None or self._is_behind else Success(own)
+        if answer.unwrap().is_admitted:
             self._budget.give_back()
         return answer
 
+    async def _admit_after_look(self, call: CallAddress) -> Result[CallAdmission, StepError]:
+        """Decide by this host's version, read again, where the leader's program is older."""
+        await self._config.look()
+        own = self._own_decision(call)
+        if own is None or own.version < self._floor:
+            return self._failure("the leader's program does not admit callers of other hosts")
+        return Success(own)
+
     @property
     def _own_version(self) -> int:
         config = self._config.current()
--- a/src/galenastall/node/cell/query_caller.py
+++ b/src/galenastall/node/cell/query_caller.py
@@ -12,6 +12,9 @@
 
 LOOK_EVERY_S: Final = 0.05
 """Interval between two looks for a leader whose heartbeats stop or come back: no event tells."""
+FINAL_REASONS: Final = frozenset({Reason.CONFLICT, Reason.INVALID})
+"""Failures that a further attempt does not change: the caller must be admitted again, or the leader
+runs an older program that does not know the message."""
 _STEP: Final = "cell.query"
 
 Build = Callable[[float], object]
@@ -114,7 +117,7 @@
     async def _attempt(self, left_s: float, attempts: QueryAttempts) -> None:
         answer = await self._call(self._build(left_s), left_s)
         self._unanswered -= 1
-        if isinstance(answer, Success) or answer.failure().reason is Reason.CONFLICT:
+        if isinstance(answer, Success) or answer.failure().reason in FINAL_REASONS:
             self.answer = answer if self.answer is None else self.answer
         else:
             error = self._last_error = answer.failure()
--- a/src/galenastall/platform/job_routes.py
+++ b/src/galenastall/platform/job_routes.py
@@ -10,12 +10,10 @@
 from galenastall.coordination.cell.config_age import UNKNOWN_VERSION
 from galenastall.node.cell.call_admissions import CallAdmissions, ConfigSource
 from galenastall.node.cell.caller_handler import (
-    LEADERLESS_WAIT_S,
     RETRY_AFTER_S,
     CallerHandler,
     SubmitOutcome,
 )
-from galenastall.node.cell.leader_handler import SHARE_OF_PATIENCE
 from galenastall.platform.access import KEY_HEADER, digest_of
 from galenastall.platform.job_responses import (
     invalid,
@@ -109,9 +107,7 @@
     async def submit(self, request: HttpRequest) -> HttpResponse:
         """Submit a job."""
         call = self._call_of(request)
-        admitted = await self._admissions.admit(
-            call.address, patience_s=_submission_share(self._left_s(call))
-        )
+        admitted = await self._admissions.admit(call.address, patience_s=self._left_s(call))
         if isinstance(admitted, Failure):
             return self._not_admitted(call, str(admitted.failure()))
         admission = admitted.unwrap()
@@ -156,10 +152,8 @@
             if not submitted.is_outdated:
                 return submitted
             may_be_stored = submitted.may_be_stored
-            left_s = self._left_s(call)
             admitted = await self._admissions.admit_by_leader(
-                call.address,
-                patience_s=left_s if may_be_stored else _submission_share(left_s),
+                call.address, patience_s=self._left_s(call)
             )
             if isinstance(admitted, Failure):
                 return _unknown(submitted, str(admitted.failure()))
@@ -322,11 +316,6 @@
         return max(call.until - self._clock.now(), 0.0)
 
 
-def _submission_share(left_s: float) -> float:
-    """Return how long a submission may wait for its admission, so that the caller can retry."""
-    return min(LEADERLESS_WAIT_S, SHARE_OF_PATIENCE * left_s)
-
-
 def _unknown(submitted: SubmitOutcome, cause: str) -> SubmitOutcome:
     """Return the outcome of a submission that could not be admitted again."""
     return replace(submitted, cause=f"{submitted.cause}; {cause}")
--- a/tests/test_call_admissions.py
+++ b/tests/test_call_admissions.py
@@ -157,6 +157,61 @@
         assert answer.failure().reason is Reason.UNREACHABLE
 
 
+class OlderProgram(FakeLeader):
+    """A leader whose program does not know the message."""
+
+    async def admit(
+        self, call: CallAddress, *, patience_s: float, config_version: int
+    ) -> Result[CallAdmission, StepError]:
+        self.admission_count += 1
+        return Failure(StepError(step="peer.call", peer="entry-1", reason=Reason.INVALID))
+
+
+class TestUpToDateHosts:
+    """Hosts that know of no newer version, and read again before they refuse a call."""
+
+    config = make_config(1, "/q/")
+
+    @pytest.mark.parametrize(
+        ("path", "key", "refusal"),
+        [("/made-up/x", KEY, CallRefusal.NOT_FOUND), ("/q/x", NEW_KEY, CallRefusal.UNAUTHORIZED)],
+    )
+    @pytest.mark.parametrize("leader", [FakeLeader(), OlderProgram()])
+    async def test_their_refusal_stands_without_a_leader(
+        self, path: str, key: str, refusal: CallRefusal, leader: FakeLeader
+    ) -> None:
+        own = HostConfig(self.config)
+        found = (await admit(make_admissions(own, leader), path, key=key)).unwrap()
+        assert (found.version, found.refusal) == (1, refusal)
+        assert own.look_count >= 1
+
+    async def test_a_call_after_a_conflict_is_decided_after_a_look_if_the_leader_is_older(
+        self,
+    ) -> None:
+        own = HostConfig(self.config)
+        call = CallAddress(host="q", path=f"/q/{JOB}", key_digest=digest_of(KEY))
+        admissions = make_admissions(own, OlderProgram())
+        found = (await admissions.admit_by_leader(call, patience_s=WAITS_S)).unwrap()
+        assert (found.version, found.workspace) == (1, "a")
+        assert own.look_count == 1
+
+    async def test_a_refusal_is_not_late_while_a_leader_is_missing(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, simulation: Simulation, rng: Random) -> None:
+            leader = await cluster.wait_for_leader()
+            await trio.sleep(PROPAGATION_S)
+            other = next(name for name in cluster.names if name != leader)
+            simulation.faults.cut |= {(leader, other), (other, leader)}
+            await trio.sleep(PROPAGATION_S)
+            began_at = trio.current_time()
+            answer = await Caller(cluster, other).call("POST", "/made-up/x", body=BODY)
+            assert answer.status == 404
+            assert trio.current_time() - began_at <= WAITS_S / 4
+
+        await run_scenario(scenario, seed=62)
+
+
 class TestFloor:
     old, new = make_config(1, "/q/", "/dropped/"), make_config(2, "/q/", keys=(KEY, NEW_KEY))
 
@@ -306,6 +361,25 @@
         handler = OutdatedThenAccepted(self.revoked, may_be_stored=may_be_stored)
         assert (await submit_by(handler, HostConfig(self.old))).status == status
 
+    async def test_an_admission_waits_for_a_takeover(self, autojump_clock: object) -> None:
+        async def scenario(cluster: Cluster, simulation: Simulation, rng: Random) -> None:
+            old = simulation.config.routes
+            added = replace(old[0], path_prefix="/added/")
+            await cluster.wait_for_leader()
+            await trio.sleep(PROPAGATION_S)
+            first = cluster.leader
+            assert first is not None
+            behind = "entry-1"
+            assert first != behind
+            simulation.faults.config_undelivered.add(behind)
+            set_config(simulation, *old, added)
+            await trio.sleep(PROPAGATION_S)
+            cluster.kill(first)
+            answer = await Caller(cluster, behind).call("POST", f"/added/{JOB}", body=BODY)
+            assert answer.status == 200, answer.body
+
+        await run_scenario(scenario, seed=63, claim_delays_s=(0.0, 0.5, 0.0))
+
     async def test_the_admission_counts_within_the_callers_time(
         self, autojump_clock: object
     ) -> None:
--- a/tests/test_query_attempts.py
+++ b/tests/test_query_attempts.py
@@ -309,10 +309,15 @@
 
 
 class TestOutcomes:
-    async def test_an_outdated_configuration_is_told_at_once(self, autojump_clock: object) -> None:
-        answer, took_s = await _ask_fixed(Leader(after_s=0.01, answer=_error(Reason.CONFLICT)))
-        assert answer.failure().reason is Reason.CONFLICT
+    @pytest.mark.parametrize("reason", [Reason.CONFLICT, Reason.INVALID])
+    async def test_an_outdated_configuration_or_program_is_told_at_once(
+        self, autojump_clock: object, reason: Reason
+    ) -> None:
+        leader = Leader(after_s=0.01, answer=_error(reason))
+        answer, took_s = await _ask_fixed(leader)
+        assert answer.failure().reason is reason
         assert took_s == pytest.approx(0.01)
+        assert leader.messages == 1
 
     async def test_an_attempt_that_may_have_taken_effect_is_not_forgotten(
         self, autojump_clock: object
