Time appends by the leader's own link

Cause: appends were timed for a link of 5 Mbit/s on every leader. Over a larger link a batch of 1 MB was split into parts of 96 KB, and a lost answer to a row of 262 KB held all commits for more than half a second.

Change: AppendTiming takes the rate of the link from the term's context. The limits for small and large appends are transfer times (0.05 s and 0.3 s at half of the link, 15.6 and 93.75 KB on 5 Mbit/s). An unknown link limits nothing. The usable share is the one of call_flow.

Measured: three new tests (one append for 1 MB and a second try within 0.5 s for 262 KB on 100 Mbit/s, four tries within 0.9 s on an unknown link) failed before and pass now.

--- a/src/galenastall/coordination/cell/call_flow.py
+++ b/src/galenastall/coordination/cell/call_flow.py
@@ -11,7 +11,8 @@
 from galenastall.coordination.cell.commands import StartOrder
 
 USABLE_SHARE: Final = 0.5
-"""Share of the link that they may take; answers to callers and appends take the rest."""
+"""Share of the link that calls may take, and at whose rate appends are timed; answers to callers
+take the rest."""
 TIMEOUT_SHARE: Final = 0.6
 """Share of a call's time-out that its transfer may take, beside the round trip."""
 OVERHEAD_BYTES: Final = 450
--- a/src/galenastall/node/cell/commit_loop.py
+++ b/src/galenastall/node/cell/commit_loop.py
@@ -6,14 +6,7 @@
 import trio
 from returns.result import Failure
 
-from galenastall.coordination.cell.append_timing import (
-    LARGE_BYTES,
-    answer_within_s,
-    first_wait_s,
-    max_at_once,
-    next_wait_s,
-    transfer_s,
-)
+from galenastall.coordination.cell.append_timing import AppendTiming
 from galenastall.coordination.cell.commands import StartOrder
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.node.cell.term_context import TermContext
@@ -26,7 +19,7 @@
 """Key that an idle leader rewrites to have the store confirm its term."""
 
 
-def split_appends(values_by_key: dict[str, bytes], *, max_bytes: int) -> list[dict[str, bytes]]:
+def split_appends(values_by_key: dict[str, bytes], *, max_bytes: float) -> list[dict[str, bytes]]:
     """Split values, in order, into appends of at most `max_bytes`; a value is never split."""
     parts: list[dict[str, bytes]] = [{}]
     size = 0
@@ -61,11 +54,6 @@
         self.answered = trio.Event()
         """Set and replaced whenever a try has ended."""
 
-    @property
-    def max_at_once(self) -> int:
-        """Limit of concurrent tries."""
-        return max_at_once(self.size_bytes, has_timed_out=self.has_timed_out)
-
     def notify(self) -> None:
         event, self.answered = self.answered, trio.Event()
         event.set()
@@ -91,6 +79,7 @@
         self._state = state
         self._refresh_inputs = refresh_inputs
         self._timings = timings
+        self._append_timing = AppendTiming(link_bytes_per_s=context.link_bytes_per_s)
         self._sequence = 0
         self._requested = trio.Event()
         self._inputs_may_be_stale = True
@@ -130,7 +119,8 @@
         batch = context.core.take_batch()
         values = batch.values_by_key or {CONFIRM_KEY: b"%d" % self._sequence}
         # The store refuses an append above its size limit on every retry, so all work would stop.
-        for part in split_appends(values, max_bytes=min(self._state.append_bytes, LARGE_BYTES)):
+        max_bytes = min(self._state.append_bytes, self._append_timing.large_bytes)
+        for part in split_appends(values, max_bytes=max_bytes):
             self._sequence += 1
             await self._append(part)
         if batch.starts and self._inputs_may_be_stale:
@@ -150,35 +140,38 @@
         try at a time, a leader appeared unresponsive at the end of an outage because its last try
         still hung.
         """
+        timing = self._append_timing
         pending = _PendingAppend(values_by_key=values_by_key)
-        pause_s = first_wait_s(pending.size_bytes, latency_s=self._latency_s)
+        size_bytes = pending.size_bytes
+        pause_s = timing.first_wait_s(size_bytes, latency_s=self._latency_s)
         async with trio.open_nursery() as nursery:
             while not pending.is_over:
-                if pending.under_way < pending.max_at_once:
+                at_most = timing.max_at_once(size_bytes, has_timed_out=pending.has_timed_out)
+                if pending.under_way < at_most:
                     nursery.start_soon(self._try, pending)
                 with trio.move_on_after(pause_s) as wait:
                     await pending.answered.wait()
                     await trio.sleep(0.0 if pending.is_over else RETRY_PAUSE_S)
                 pending.unanswered += wait.cancelled_caught
                 self._update_outage(pending)
-                pause_s = next_wait_s(pending.size_bytes, unanswered=pending.unanswered)
+                pause_s = timing.next_wait_s(size_bytes, unanswered=pending.unanswered)
             nursery.cancel_scope.cancel()
 
     async def _try(self, pending: "_PendingAppend") -> None:
-        context = self._context
+        context, timing = self._context, self._append_timing
         sent_at = trio.current_time()
         pending.under_way += 1
         answer = await self._state.append(
             token=context.token,
             sequence=self._sequence,
             values_by_key=pending.values_by_key,
-            timeout_s=answer_within_s(pending.size_bytes, unanswered=pending.unanswered),
+            timeout_s=timing.answer_within_s(pending.size_bytes, unanswered=pending.unanswered),
         )
         pending.under_way -= 1
         if not isinstance(answer, Failure):
             context.confirmed_at = max(context.confirmed_at, sent_at)
             self.last_append_s = trio.current_time() - sent_at
-            self._latency_s = max(self.last_append_s - transfer_s(pending.size_bytes), 0.0)
+            self._latency_s = max(self.last_append_s - timing.transfer_s(pending.size_bytes), 0.0)
             self.refused_since = None
             pending.is_over = True
         else:
--- a/tests/test_small_links.py
+++ b/tests/test_small_links.py
@@ -37,6 +37,8 @@
 
 LINK_BYTES_PER_S = 312_500
 """Half of a link of 5 Mbit/s; answers to callers take the other half."""
+LARGE_LINK_BYTES_PER_S = 12_500_000
+"""A link of 100 Mbit/s, in full."""
 CHUNK_BYTES = 2_500
 STORE_S = 0.01
 GIVE_UP_AFTER_S = 60.0
@@ -105,8 +107,9 @@
 class Term:
     """A term whose next batch is given, with the longest time that a confirmation took."""
 
-    def __init__(self, values_by_key: dict[str, bytes]) -> None:
+    def __init__(self, values_by_key: dict[str, bytes], *, link_bytes_per_s: float) -> None:
         self.token = 1
+        self.link_bytes_per_s = link_bytes_per_s
         self.longest_confirm_s = 0.0
         batch = SimpleNamespace(values_by_key=values_by_key, starts=[])
         self.core = SimpleNamespace(take_batch=lambda: batch, commit=lambda _batch, wall: [])
@@ -135,9 +138,14 @@
         """Ignore it."""
 
 
-async def commit(state: StateBehindLink, values_by_key: dict[str, bytes]) -> Term:
+async def commit(
+    state: StateBehindLink,
+    values_by_key: dict[str, bytes],
+    *,
+    link_bytes_per_s: float = 2 * LINK_BYTES_PER_S,
+) -> Term:
     """Append a batch; fails if that takes longer than any caller waits."""
-    term = Term(values_by_key)
+    term = Term(values_by_key, link_bytes_per_s=link_bytes_per_s)
 
     async def refresh() -> None:
         """Read nothing."""
@@ -200,6 +208,37 @@
         assert second - first < 0.3
 
 
+class TestAppendsOverALargeLink:
+    """Limits that suit a small link cost a larger one calls and time, and keep nothing from it."""
+
+    async def test_a_large_batch_is_one_append(self, autojump_clock: object) -> None:
+        state = StateBehindLink(link=Link(bytes_per_s=LARGE_LINK_BYTES_PER_S / 2))
+        rows = make_rows(500, 2_000)
+        await commit(state, rows, link_bytes_per_s=LARGE_LINK_BYTES_PER_S)
+        assert state.values_by_key == rows
+        assert len(state.begun_at) == 1
+
+    async def test_a_lost_answer_to_the_largest_row_delays_it_only_briefly(
+        self, autojump_clock: object
+    ) -> None:
+        state = StateBehindLink(link=Link(bytes_per_s=LARGE_LINK_BYTES_PER_S / 2))
+        state.lost_answers = 1
+        await commit(state, make_rows(1, 262_144), link_bytes_per_s=LARGE_LINK_BYTES_PER_S)
+        first, second = state.begun_at
+        assert second - first < 0.5
+
+    async def test_an_unknown_link_limits_neither_appends_nor_their_tries(
+        self, autojump_clock: object
+    ) -> None:
+        state = StateBehindLink(link=Link(bytes_per_s=inf))
+        state.lost_answers = 4
+        rows = make_rows(750, 2_000)
+        await commit(state, rows, link_bytes_per_s=inf)
+        assert state.values_by_key == rows
+        first, *_, fourth = state.begun_at[:4]
+        assert fourth - first < 0.9
+
+
 class TestLoadsOverASmallLink:
     """A load that is cut before its end is begun anew by the next host, and cut there as well."""
 
