Name the time-out of a call to an executor for what it is

Cause: call_flow.answer_within_s had a namesake in append_timing.

Change: it is called call_timeout_s.

Measured: the four tests of starts and listings in tests/test_small_links.py pass; mypy and ruff find nothing.

--- a/src/galenastall/coordination/cell/call_flow.py
+++ b/src/galenastall/coordination/cell/call_flow.py
@@ -27,7 +27,7 @@
     return OVERHEAD_BYTES + len(order.payload) + len(order.checkpoint) + len(order.ticket)
 
 
-def answer_within_s(size_bytes: int, *, link_bytes_per_s: float, timeout_s: float) -> float:
+def call_timeout_s(size_bytes: int, *, link_bytes_per_s: float, timeout_s: float) -> float:
     """Return the time-out of a call of this size, whose transfer may take longer than `timeout_s`.
 
     A call that is larger than the link carries in a fixed time would be cut at each try.
--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -5,7 +5,7 @@
 import trio
 from returns.result import Failure, Result
 
-from galenastall.coordination.cell.call_flow import LISTING_BYTES, answer_within_s, start_bytes
+from galenastall.coordination.cell.call_flow import LISTING_BYTES, call_timeout_s, start_bytes
 from galenastall.coordination.cell.commands import StartOrder, StopOrder, ThrottleOrder
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.orders import StartOutcome
@@ -255,7 +255,7 @@
             order=order,
             deadline_ms=deadline_ms,
             token=token,
-            timeout_s=answer_within_s(
+            timeout_s=call_timeout_s(
                 start_bytes(order),
                 link_bytes_per_s=context.link_bytes_per_s,
                 timeout_s=context.core.timings.order_timeout_s,
