Wake those who wait for a confirmation after each part of a batch

Cause: each part of a batch moves confirmed_at, but a query for an unknown job looked again only once the whole batch was durable, up to 5 s later over a small link.

Change: the term's context has an event for confirmations, set after each part. The event for durability is still set once the whole batch is durable: a wave of hosts is reported when it fires, and a job in the batch being written would be called unknown. A query for such a job waits as before.

Measured: the new test of a query for an unknown job failed before and passes now. Two more tests guard what must not change; both failed in a scratch copy that set the event for durability after each part. tests/test_small_links.py and tests/test_cell_large_writes.py: 22 passed.

--- a/src/galenastall/node/cell/commit_loop.py
+++ b/src/galenastall/node/cell/commit_loop.py
@@ -123,6 +123,7 @@
         for part in split_appends(values, max_bytes=max_bytes):
             self._sequence += 1
             await self._append(part)
+            context.notify_confirmed()
         if batch.starts and self._inputs_may_be_stale:
             # Capacities and limits may have shrunk meanwhile, and executors do not have to enforce
             # their own.
--- a/src/galenastall/node/cell/leader_handler.py
+++ b/src/galenastall/node/cell/leader_handler.py
@@ -91,8 +91,10 @@
         run = self._find(message)
         if run is not None and run.is_durable:
             return JobAnswer(phase=run.shown_phase)
-        # Only a leader confirmed by the store after the query arrived may call a job unknown.
-        if not await self._confirm(until - trio.current_time()):
+        # Only a leader confirmed by the store after the query arrived may call a job unknown. A job
+        # that may be in the batch being written is looked for once all of the batch is durable.
+        confirm = self._confirm if run is None else self._confirm_by_batch
+        if not await confirm(until - trio.current_time()):
             return self._error(Reason.UNAVAILABLE, "the store does not confirm this leader")
         run = self._find(message)
         is_known = run is not None and run.is_durable
@@ -139,11 +141,20 @@
 
     async def _confirm(self, timeout_s: float) -> bool:
         """Whether the store confirms the term by a call sent after this point."""
+        context = self._term.context
+        return await self._confirm_by(lambda: context.confirmed, timeout_s)
+
+    async def _confirm_by_batch(self, timeout_s: float) -> bool:
+        """Whether the store confirms the term so; wait for the end of the batch under way."""
+        context = self._term.context
+        return await self._confirm_by(lambda: context.committed, timeout_s)
+
+    async def _confirm_by(self, event: Callable[[], trio.Event], timeout_s: float) -> bool:
         asked_at = trio.current_time()
         self._term.request_commit()
         with trio.move_on_after(max(timeout_s, 0.0)):
             while self._term.context.confirmed_at < asked_at and not self._term.loss:
-                await self._term.context.committed.wait()
+                await event().wait()
         return self._term.context.confirmed_at >= asked_at
 
     def _error(self, reason: Reason, detail: str) -> StepError:
--- a/src/galenastall/node/cell/term_context.py
+++ b/src/galenastall/node/cell/term_context.py
@@ -58,6 +58,9 @@
         """Polls of this term without an answer yet."""
         self.committed = trio.Event()
         """Set and replaced whenever a batch has become durable."""
+        self.confirmed = trio.Event()
+        """Set and replaced whenever `confirmed_at` has moved with a part of a batch, or a batch has
+        become durable."""
         self.changed = trio.Event()
         """Set when the core has input for a decision."""
         self._clock = clock
@@ -105,6 +108,12 @@
         self._recorder.record(step, subjects=subjects, cause=cause, fields=fields)
 
     def notify_committed(self) -> None:
-        """Wake all tasks that wait for durability."""
+        """Wake all tasks that wait for durability or for a confirmation."""
         event, self.committed = self.committed, trio.Event()
         event.set()
+        self.notify_confirmed()
+
+    def notify_confirmed(self) -> None:
+        """Wake all tasks that wait for a confirmation of the term."""
+        event, self.confirmed = self.confirmed, trio.Event()
+        event.set()
--- a/tests/test_small_links.py
+++ b/tests/test_small_links.py
@@ -20,13 +20,17 @@
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.node.cell.commit_loop import CommitLoop
 from galenastall.node.cell.executor_sessions import ExecutorSessions
+from galenastall.node.cell.leader_handler import LeaderHandler
 from galenastall.node.cell.state_loader import StateLoader
 from galenastall.node.cell.term_context import TermContext
 from galenastall.platform.fleet import TOPIC as FLEET_TOPIC
 from galenastall.platform.fleet import PlatformFleet
 from galenastall.platform.store import STATE_TOPIC, PlatformStore
 from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
+from galenastall.protocol.cell.messages import GetJob, JobAnswer
 from galenastall.state.cell.jobs import TaskKey
+from galenastall.state.cell.phases import JobPhase
+from galenastall.state.cell.workspaces import NO_WORKSPACE
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.resources import Resources
 from galenastall.state.timeline_ring import TimelineRing
@@ -134,6 +138,9 @@
     def notify_committed(self) -> None:
         """Ignore it: nobody waits."""
 
+    def notify_confirmed(self) -> None:
+        """Ignore it: nobody waits."""
+
     def note(self, *_: Any, **__: Any) -> None:
         """Ignore it."""
 
@@ -239,6 +246,86 @@
         assert fourth - first < 0.9
 
 
+class TestConfirmationsByParts:
+    """Each part of a batch confirms the leader, but only the whole batch makes changes durable."""
+
+    async def test_a_query_for_an_unknown_job_does_not_wait_for_the_last_part(
+        self, autojump_clock: object
+    ) -> None:
+        context = make_context(
+            ExecutorsBehindLink(link=Link()), link_bytes_per_s=2 * LINK_BYTES_PER_S
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(commit_rows, context)
+            await trio.sleep(1.0)
+            with trio.fail_after(1.0):
+                answer = await make_handler(context).query(GetJob(job_id="0" * 16, patience_s=10.0))
+            assert answer == JobAnswer(phase=None)
+            nursery.cancel_scope.cancel()
+
+    async def test_a_job_in_the_batch_is_not_called_unknown_before_the_last_part(
+        self, autojump_clock: object
+    ) -> None:
+        context = make_context(
+            ExecutorsBehindLink(link=Link()), link_bytes_per_s=2 * LINK_BYTES_PER_S
+        )
+        job = SimpleNamespace(workspace=NO_WORKSPACE)
+        run: Any = SimpleNamespace(job=job, is_durable=False, shown_phase=JobPhase.QUEUED)
+        context.core.jobs_by_id["0" * 16] = run
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(commit_rows, context)
+            await trio.sleep(1.0)
+            with trio.move_on_after(2.0) as wait:
+                await make_handler(context).query(GetJob(job_id="0" * 16, patience_s=10.0))
+            assert wait.cancelled_caught
+            nursery.cancel_scope.cancel()
+
+    async def test_nothing_counts_as_durable_before_the_last_part(
+        self, autojump_clock: object
+    ) -> None:
+        context = make_context(
+            ExecutorsBehindLink(link=Link()), link_bytes_per_s=2 * LINK_BYTES_PER_S
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(commit_rows, context)
+            with trio.move_on_after(4.0) as wait:
+                await context.committed.wait()
+            assert wait.cancelled_caught
+            with trio.fail_after(2.0):
+                await context.committed.wait()
+
+
+def make_handler(context: TermContext) -> LeaderHandler:
+    ready = trio.Event()
+    ready.set()
+    term = SimpleNamespace(
+        context=context, core=context.core, ready=ready, loss="", request_commit=lambda: None
+    )
+    return LeaderHandler(
+        term=term,  # type: ignore[arg-type]
+        host_id="entry-1",
+        has_followers=lambda: True,
+    )
+
+
+async def commit_rows(context: TermContext) -> None:
+    """Append a batch of 1.5 MB, which takes 4.8 s over a small link."""
+    batch: Any = SimpleNamespace(values_by_key=make_rows(750, 2_000), starts=[])
+    core: Any = context.core
+    core.take_batch = lambda: batch
+    core.commit = lambda _batch, wall: []
+
+    async def refresh() -> None:
+        """Read nothing."""
+
+    await CommitLoop(
+        context=context,
+        state=StateBehindLink(link=Link()),  # type: ignore[arg-type]
+        timings=CellTimings(),
+        refresh_inputs=refresh,
+    ).commit()
+
+
 class TestLoadsOverASmallLink:
     """A load that is cut before its end is begun anew by the next host, and cut there as well."""
 
