--- a/src/galenastall/coordination/cell/call_flow.py
+++ b/src/galenastall/coordination/cell/call_flow.py
@@ -11,7 +11,8 @@
 from galenastall.coordination.cell.commands import StartOrder
 
 USABLE_SHARE: Final = 0.5
-"""Share of the link that they may take; answers to callers and appends take the rest."""
+"""Share of the link that calls may take, and at whose rate appends are timed; answers to callers
+take the rest."""
 TIMEOUT_SHARE: Final = 0.6
 """Share of a call's time-out that its transfer may take, beside the round trip."""
 OVERHEAD_BYTES: Final = 450
@@ -26,7 +27,7 @@
     return OVERHEAD_BYTES + len(order.payload) + len(order.checkpoint) + len(order.ticket)
 
 
-def answer_within_s(size_bytes: int, *, link_bytes_per_s: float, timeout_s: float) -> float:
+def call_timeout_s(size_bytes: int, *, link_bytes_per_s: float, timeout_s: float) -> float:
     """Return the time-out of a call of this size, whose transfer may take longer than `timeout_s`.
 
     A call that is larger than the link carries in a fixed time would be cut at each try.
--- a/tests/test_small_links.py
+++ b/tests/test_small_links.py
@@ -20,13 +20,17 @@
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.node.cell.commit_loop import CommitLoop
 from galenastall.node.cell.executor_sessions import ExecutorSessions
+from galenastall.node.cell.leader_handler import LeaderHandler
 from galenastall.node.cell.state_loader import StateLoader
 from galenastall.node.cell.term_context import TermContext
 from galenastall.platform.fleet import TOPIC as FLEET_TOPIC
 from galenastall.platform.fleet import PlatformFleet
 from galenastall.platform.store import STATE_TOPIC, PlatformStore
 from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
+from galenastall.protocol.cell.messages import GetJob, JobAnswer
 from galenastall.state.cell.jobs import TaskKey
+from galenastall.state.cell.phases import JobPhase
+from galenastall.state.cell.workspaces import NO_WORKSPACE
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.resources import Resources
 from galenastall.state.timeline_ring import TimelineRing
@@ -37,6 +41,8 @@
 
 LINK_BYTES_PER_S = 312_500
 """Half of a link of 5 Mbit/s; answers to callers take the other half."""
+LARGE_LINK_BYTES_PER_S = 12_500_000
+"""A link of 100 Mbit/s, in full."""
 CHUNK_BYTES = 2_500
 STORE_S = 0.01
 GIVE_UP_AFTER_S = 60.0
@@ -105,8 +111,9 @@
 class Term:
     """A term whose next batch is given, with the longest time that a confirmation took."""
 
-    def __init__(self, values_by_key: dict[str, bytes]) -> None:
+    def __init__(self, values_by_key: dict[str, bytes], *, link_bytes_per_s: float) -> None:
         self.token = 1
+        self.link_bytes_per_s = link_bytes_per_s
         self.longest_confirm_s = 0.0
         batch = SimpleNamespace(values_by_key=values_by_key, starts=[])
         self.core = SimpleNamespace(take_batch=lambda: batch, commit=lambda _batch, wall: [])
@@ -131,13 +138,21 @@
     def notify_committed(self) -> None:
         """Ignore it: nobody waits."""
 
+    def notify_confirmed(self) -> None:
+        """Ignore it: nobody waits."""
+
     def note(self, *_: Any, **__: Any) -> None:
         """Ignore it."""
 
 
-async def commit(state: StateBehindLink, values_by_key: dict[str, bytes]) -> Term:
+async def commit(
+    state: StateBehindLink,
+    values_by_key: dict[str, bytes],
+    *,
+    link_bytes_per_s: float = 2 * LINK_BYTES_PER_S,
+) -> Term:
     """Append a batch; fails if that takes longer than any caller waits."""
-    term = Term(values_by_key)
+    term = Term(values_by_key, link_bytes_per_s=link_bytes_per_s)
 
     async def refresh() -> None:
         """Read nothing."""
@@ -200,6 +215,117 @@
         assert second - first < 0.3
 
 
+class TestAppendsOverALargeLink:
+    """Limits that suit a small link cost a larger one calls and time, and keep nothing from it."""
+
+    async def test_a_large_batch_is_one_append(self, autojump_clock: object) -> None:
+        state = StateBehindLink(link=Link(bytes_per_s=LARGE_LINK_BYTES_PER_S / 2))
+        rows = make_rows(500, 2_000)
+        await commit(state, rows, link_bytes_per_s=LARGE_LINK_BYTES_PER_S)
+        assert state.values_by_key == rows
+        assert len(state.begun_at) == 1
+
+    async def test_a_lost_answer_to_the_largest_row_delays_it_only_briefly(
+        self, autojump_clock: object
+    ) -> None:
+        state = StateBehindLink(link=Link(bytes_per_s=LARGE_LINK_BYTES_PER_S / 2))
+        state.lost_answers = 1
+        await commit(state, make_rows(1, 262_144), link_bytes_per_s=LARGE_LINK_BYTES_PER_S)
+        first, second = state.begun_at
+        assert second - first < 0.5
+
+    async def test_an_unknown_link_limits_neither_appends_nor_their_tries(
+        self, autojump_clock: object
+    ) -> None:
+        state = StateBehindLink(link=Link(bytes_per_s=inf))
+        state.lost_answers = 4
+        rows = make_rows(750, 2_000)
+        await commit(state, rows, link_bytes_per_s=inf)
+        assert state.values_by_key == rows
+        first, *_, fourth = state.begun_at[:4]
+        assert fourth - first < 0.9
+
+
+class TestConfirmationsByParts:
+    """Each part of a batch confirms the leader, but only the whole batch makes changes durable."""
+
+    async def test_a_query_for_an_unknown_job_does_not_wait_for_the_last_part(
+        self, autojump_clock: object
+    ) -> None:
+        context = make_context(
+            ExecutorsBehindLink(link=Link()), link_bytes_per_s=2 * LINK_BYTES_PER_S
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(commit_rows, context)
+            await trio.sleep(1.0)
+            with trio.fail_after(1.0):
+                answer = await make_handler(context).query(GetJob(job_id="0" * 16, patience_s=10.0))
+            assert answer == JobAnswer(phase=None)
+            nursery.cancel_scope.cancel()
+
+    async def test_a_job_in_the_batch_is_not_called_unknown_before_the_last_part(
+        self, autojump_clock: object
+    ) -> None:
+        context = make_context(
+            ExecutorsBehindLink(link=Link()), link_bytes_per_s=2 * LINK_BYTES_PER_S
+        )
+        job = SimpleNamespace(workspace=NO_WORKSPACE)
+        run: Any = SimpleNamespace(job=job, is_durable=False, shown_phase=JobPhase.QUEUED)
+        context.core.jobs_by_id["0" * 16] = run
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(commit_rows, context)
+            await trio.sleep(1.0)
+            with trio.move_on_after(2.0) as wait:
+                await make_handler(context).query(GetJob(job_id="0" * 16, patience_s=10.0))
+            assert wait.cancelled_caught
+            nursery.cancel_scope.cancel()
+
+    async def test_nothing_counts_as_durable_before_the_last_part(
+        self, autojump_clock: object
+    ) -> None:
+        context = make_context(
+            ExecutorsBehindLink(link=Link()), link_bytes_per_s=2 * LINK_BYTES_PER_S
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(commit_rows, context)
+            with trio.move_on_after(4.0) as wait:
+                await context.committed.wait()
+            assert wait.cancelled_caught
+            with trio.fail_after(2.0):
+                await context.committed.wait()
+
+
+def make_handler(context: TermContext) -> LeaderHandler:
+    ready = trio.Event()
+    ready.set()
+    term = SimpleNamespace(
+        context=context, core=context.core, ready=ready, loss="", request_commit=lambda: None
+    )
+    return LeaderHandler(
+        term=term,  # type: ignore[arg-type]
+        host_id="entry-1",
+        has_followers=lambda: True,
+    )
+
+
+async def commit_rows(context: TermContext) -> None:
+    """Append a batch of 1.5 MB, which takes 4.8 s over a small link."""
+    batch: Any = SimpleNamespace(values_by_key=make_rows(750, 2_000), starts=[])
+    core: Any = context.core
+    core.take_batch = lambda: batch
+    core.commit = lambda _batch, wall: []
+
+    async def refresh() -> None:
+        """Read nothing."""
+
+    await CommitLoop(
+        context=context,
+        state=StateBehindLink(link=Link()),  # type: ignore[arg-type]
+        timings=CellTimings(),
+        refresh_inputs=refresh,
+    ).commit()
+
+
 class TestLoadsOverASmallLink:
     """A load that is cut before its end is begun anew by the next host, and cut there as well."""
 
