--- a/src/galenastall/node/cell/config_watcher.py
+++ b/src/galenastall/node/cell/config_watcher.py
@@ -83,7 +83,8 @@
     async def look(self) -> None:
         """Wait for a look at the store for a newer version, and at a host if the store is away.
 
-        Concurrent callers share one; it goes on when they no longer wait.
+        Concurrent callers share one; it goes on when they no longer wait. It first reads the store,
+        and if that fails waits for the host that is asked instead.
         """
         if self._refresh_ended is None:
             now = trio.current_time()
--- a/src/galenastall/platform/job_routes.py
+++ b/src/galenastall/platform/job_routes.py
@@ -245,7 +245,7 @@
         status = str(outcome.response.status)
         self._query_seconds.record(took_s, status)
         cause = outcome.cause
-        if took_s > _patience_s(request):
+        if took_s > _remaining_time_s(request):
             cause = cause or "the response is later than the caller waits"
         if outcome.refusal and not cause:
             self._recorder.record(
@@ -263,7 +263,7 @@
                     "method": request.method,
                     "status": status,
                     "took_ms": f"{took_s * 1000:.0f}",
-                    "caller_waits_ms": f"{_patience_s(request) * 1000:.0f}",
+                    "caller_waits_ms": f"{_remaining_time_s(request) * 1000:.0f}",
                     "version": str(outcome.version),
                 },
             )
@@ -309,7 +309,7 @@
             path=request.path,
             key_digest=digest_of(request.headers.get(KEY_HEADER, "")),
         )
-        until = self._clock.now() + _patience_s(request)
+        until = self._clock.now() + _remaining_time_s(request)
         return Call(request=request, address=address, until=until)
 
     def _left_s(self, call: Call) -> float:
@@ -325,7 +325,7 @@
     return request.path[len(found.path_prefix) :]
 
 
-def _patience_s(request: HttpRequest) -> float:
+def _remaining_time_s(request: HttpRequest) -> float:
     text = request.headers.get(DEADLINE_HEADER, "")
     try:
         left_s = float(text) / 1000.0
--- a/src/galenastall/platform/keyed_follower.py
+++ b/src/galenastall/platform/keyed_follower.py
@@ -67,6 +67,7 @@
             answer = await self._read(wait_s, watch)
             if watch is None or not watch.is_duplicate:
                 break
+        # A concurrent read may still be receiving what this one was meant to find.
         await self._wait_for_transfer()
         return answer.map(lambda _: self._changes != changes)
 
