--- a/tests/test_cell_executor_restarts.py
+++ b/tests/test_cell_executor_restarts.py
@@ -113,7 +113,7 @@
         scenario = partial(restarts_with_faults, requires_tickets=True, is_late=True)
         await run_scenario(scenario, seed=seed, keeps_ids=True)
 
-    @pytest.mark.parametrize("seed", [0, 2, 4, 7, 9, 27, 28, 31, 40])
+    @pytest.mark.parametrize("seed", [0, 2, 4, 5, 7, 9, 10, 12, 27, 28, 31, 40])
     async def test_restarts_where_orders_come_late_without_tickets(
         self, autojump_clock: object, seed: int
     ) -> None:
