Count a run that is carried out after it was taken for lost

What callers saw: a task that had run to its end once ran again.

Cause: the run was counted as lost when the executor's restart was known. A further incarnation carried out its late start and listed its end as done; no table knew the run, so the end was acknowledged and dropped, and a further run started. A failed end was no attempt either.

Change: a listed run whose start had no answer, and that is the last run of a task which waits to be started again, is counted again where it is listed; a gang's member is then stopped, since the others have ended.

--- a/src/galenastall/coordination/cell/listings.py
+++ b/src/galenastall/coordination/cell/listings.py
@@ -7,7 +7,9 @@
 from galenastall.coordination.cell.commands import StopOrder
 from galenastall.coordination.cell.crashes import STARTUP_S
 from galenastall.coordination.cell.executors import Executor
+from galenastall.coordination.cell.job_runs import JobRun, StepRun
 from galenastall.coordination.cell.run_ends import RunEnds
+from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.coordination.cell.task_runs import StartState, TaskRun
 from galenastall.state.cell.jobs import TaskKey
 from galenastall.state.cell.phases import RunEnd, TaskPhase
@@ -75,7 +77,7 @@
         self._stop_unknown_runs(executor, running, now)
 
     def _note_listed(self, executor: Executor, listing: Listing) -> None:
-        """Take note of runs whose starts got no answer."""
+        """Take note of runs whose starts got no answer, and count those taken for lost."""
         late_orders, now = self._state.late_orders, self._state.now
         if not late_orders.may_come_to(executor.name, now=now):
             return
@@ -84,11 +86,36 @@
         for key, run in listed:
             sent_to = late_orders.on_listed(key, run)
             if sent_to:
-                fields = {"run": str(run), "sent_to": sent_to, "executor": executor.executor_id}
-                self._state.note("run.found", key.job, fields=fields)
+                self._on_found(executor, key, run, sent_to)
         if len(listing.ended) < MAX_LISTED_ENDS:
             late_orders.on_listing(executor.name, now=now)
 
+    def _on_found(self, executor: Executor, key: TaskKey, run: int, sent_to: str) -> None:
+        found = self._state.find(key)
+        if found is None:
+            return
+        job, step, task = found
+        fields = {"run": str(run), "sent_to": sent_to, "executor": executor.executor_id}
+        self._state.note("run.found", key.job, fields=fields)
+        is_last_run = task.phase is TaskPhase.WAITING and task.run == run
+        if is_last_run and not job.has_ended and not step.is_done:
+            self._take_back(executor, job, step, task)
+
+    def _take_back(self, executor: Executor, job: JobRun, step: StepRun, task: TaskRun) -> None:
+        """Count a run that was taken for lost and has been carried out late."""
+        task.phase = TaskPhase.ASSIGNED
+        task.executor_id = executor.executor_id
+        task.state = StartState.INHERITED
+        executor.reserve(step.step.need)
+        executor.runs_by_task[task.key] = task.run
+        self._state.count_run(task, step)
+        self._state.dirty_jobs.add(task.key.job)
+        self._state.refresh_waiting(job)
+        fields = {"run": str(task.run), "executor": executor.executor_id}
+        self._state.note("run.taken_back", task.key.job, fields=fields)
+        if step.step.is_gang:
+            self._ends.stop(task, rule=StopRule.MEMBER_ENDED, cause="its gang's run has ended")
+
     def _apply_end(self, executor: Executor, end: ListedEnd, wall: float) -> None:
         if end.position <= executor.applied_position:
             return
--- a/tests/test_cell_late_orders.py
+++ b/tests/test_cell_late_orders.py
@@ -9,13 +9,17 @@
 import trio
 
 from cell.cluster import Cluster, make_job
+from cell.rig import Harness, make_info, make_step
+from cell.rig import make_job as make_rig_job
 from cell.scenarios import check_all_end, run_scenario
 from cell.simulation import Simulation
 from galenastall.coordination.cell.commands import StartOrder
 from galenastall.coordination.cell.late_orders import LateOrders
+from galenastall.coordination.cell.listings import ListedRun
+from galenastall.coordination.cell.orders import StartOutcome
 from galenastall.state.cell.executor_ids import make_executor_id
 from galenastall.state.cell.jobs import CellJob, Step, TaskKey
-from galenastall.state.cell.phases import JobPhase
+from galenastall.state.cell.phases import JobPhase, RunEnd
 from galenastall.state.resources import Resources
 
 NAME = "executor-1"
@@ -109,6 +113,47 @@
 
 
 EARLIER = make_executor_id("e", 1_000)
+LATER = make_executor_id("e", 2_000)
+
+
+class UnansweredRig(Harness):
+    """A core whose only executor has left a start without an answer."""
+
+    def __init__(self) -> None:
+        super().__init__(make_info(EARLIER, host="h"))
+        self.submit(make_rig_job(make_step(1)))
+        (self.order,) = self.step()
+        self.sent_at = self.now
+        self.core.late_orders.on_sent(self.order)
+        self.core.late_orders.on_unanswered(self.order, sent_at=self.sent_at)
+        self.core.on_start(self.order, StartOutcome.UNKNOWN, now=self.now, wall=self.wall)
+        self.commit()
+
+    @property
+    def listed_run(self) -> ListedRun:
+        return ListedRun(task=self.order.task, run=self.order.run)
+
+
+class TestTasksWithAnUnansweredStart:
+    def test_a_run_that_was_lost_and_is_listed_counts_again(self) -> None:
+        rig = UnansweredRig()
+        rig.update_fleet(make_info(LATER, host="h"))
+        rig.listing(LATER)
+        rig.listing(LATER, (rig.listed_run,))
+        assert rig.stops() == []
+        assert rig.runs_on(LATER) == {rig.order.task}
+        rig.end(replace(rig.order, executor_id=LATER), RunEnd.DONE)
+        rig.commit()
+        assert rig.shown() is JobPhase.COMPLETED
+
+    def test_a_failure_that_is_read_after_the_run_was_lost_is_an_attempt(self) -> None:
+        rig = UnansweredRig()
+        rig.update_fleet(make_info(LATER, host="h"))
+        rig.listing(LATER)
+        rig.end(replace(rig.order, executor_id=LATER), RunEnd.FAILED)
+        task = rig.core.jobs_by_id[rig.order.task.job].find_task(rig.order.task)
+        assert task is not None
+        assert task.failures == 1
 
 
 TASK = TaskKey("0" * 16, 0, 0, 0)
