Start a task nowhere else while a start of it may be carried out

What callers saw: a task ran twice at a time, or again after it was done.

Cause: a run counted as lost as soon as its executor's restart was known, and its task was started again within 2 to 12 s, while its one start could still be carried out by a further incarnation. Where no call reached the executor, the task started 10.5 s after the start was sent, before the start could no longer come. A new leader knew of no start of the last one.

Change: a task with an unanswered start waits until a listing arrives 12.5 s or more after the start was sent, or for one more lease where none arrives; `job.waiting` names `start_unanswered`. The task's row names the executor, so the next leader waits as well; it also waits for runs that it inherits and that no listing shows, since it can't tell which were answered. An executor under another name on the same host, or at the address, ends the wait: it refuses such calls.

A new leader now starts what a later incarnation lacks after 12.5 s.

--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -9,8 +9,9 @@
 from galenastall.coordination.cell.incarnations import Incarnations
 from galenastall.coordination.cell.job_runs import JobRun
 from galenastall.coordination.cell.run_ends import RunEnds
-from galenastall.coordination.cell.task_runs import StartState
-from galenastall.state.cell.phases import RunEnd
+from galenastall.coordination.cell.task_runs import StartState, TaskRun
+from galenastall.state.cell.executor_ids import started_at_ms_of
+from galenastall.state.cell.phases import RunEnd, TaskPhase
 from galenastall.state.resources import NOTHING
 
 FORGET_AFTER_S: Final = 5.0
@@ -50,6 +51,15 @@
             executor.reserve(step.step.need)
             executor.runs_by_task[task.key] = task.run
             self._state.count_run(task, step)
+            if run.queue.advisor is None and started_at_ms_of(task.executor_id) is not None:
+                self._inherit_start(task, task.executor_id)
+        for task in run.tasks():
+            if task.phase is TaskPhase.WAITING and task.unanswered_by:
+                self._inherit_start(task, task.unanswered_by)
+
+    def _inherit_start(self, task: TaskRun, executor_id: str) -> None:
+        sent_by = self._state.fenced_at
+        self._state.late_orders.inherit(task.key, task.run, executor_id, sent_by=sent_by)
 
     def update(self, infos: Iterable[ExecutorInfo], *, now: float) -> None:
         """Apply the current list; which of two incarnations has ended is decided by answers."""
--- a/src/galenastall/coordination/cell/incarnations.py
+++ b/src/galenastall/coordination/cell/incarnations.py
@@ -75,6 +75,8 @@
             if is_known_here and asked_seq > other.answered_seq:
                 if is_same:
                     self._transfer_runs(other, executor, listing)
+                else:
+                    self._state.late_orders.drop_name(other.name)
                 cause = f"a later incarnation answers on its host as {executor.executor_id}"
                 clock_ms = str(listing.clock_ms)
                 self.end(other.executor_id, cause=cause, wall=wall, later_clock_ms=clock_ms)
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -284,6 +284,7 @@
         checkpoint=task.checkpoint,
         crashes=task.crashes,
         blame=task.blame,
+        unanswered_by=task.unanswered_by,
     )
 
 
@@ -295,6 +296,7 @@
     task.checkpoint = row.checkpoint
     task.crashes = row.crashes
     task.blame = row.blame
+    task.unanswered_by = row.unanswered_by
     # Whether it was cleared since is not stored, so it starts in isolation once more.
     task.is_suspect = row.blame > 0
     task.state = StartState.INHERITED
--- a/src/galenastall/coordination/cell/late_orders.py
+++ b/src/galenastall/coordination/cell/late_orders.py
@@ -3,8 +3,8 @@
 A call that got no answer may be carried out seconds later, after newer calls. The incarnation that
 it was meant for refuses it by then if it has seen the run or a higher token. A later incarnation
 under the same name has seen neither, and carries the start out if it arrives before the leader's
-first call. So a start is sent once until a listing shows the run or it can't be carried out any
-more. Two kinds of starts need no such wait: one with a
+first call. So a start is sent once, and its task starts nowhere else, until a listing shows the run
+or the start can't be carried out any more. Two kinds of starts need no such wait: one with a
 ticket, which is valid for a single incarnation, and one to an executor whose name is not reused.
 """
 
@@ -65,6 +65,10 @@
         self._remove(task, run)
         return "" if start.until is None else start.executor_id
 
+    def inherit(self, task: TaskKey, run: int, executor_id: str, *, sent_by: float) -> None:
+        """Record a start of an earlier leader, sent before `sent_by`."""
+        self._put(task, run, executor_id, until=sent_by + self._late_s)
+
     def on_listing(self, name: str, *, now: float) -> None:
         """Record that a listing arrived, after `on_listed` for each of its runs.
 
@@ -75,6 +79,11 @@
             if start.until is not None and now >= start.until:
                 self._remove(task, start.run)
 
+    def drop_name(self, name: str) -> None:
+        """Drop the starts sent to an executor whose name is not used again."""
+        for task in self._tasks_by_name.pop(name, set()):
+            del self._starts_by_task[task]
+
     def sent_to(self, task: TaskKey, *, now: float) -> str:
         """Return the incarnation that a task's start was meant for; empty if none may come."""
         start = self._starts_by_task.get(task)
--- a/src/galenastall/coordination/cell/listings.py
+++ b/src/galenastall/coordination/cell/listings.py
@@ -95,8 +95,10 @@
         if found is None:
             return
         job, step, task = found
-        fields = {"run": str(run), "sent_to": sent_to, "executor": executor.executor_id}
-        self._state.note("run.found", key.job, fields=fields)
+        if task.unanswered_by:
+            fields = {"run": str(run), "sent_to": sent_to, "executor": executor.executor_id}
+            self._state.note("run.found", key.job, fields=fields)
+        task.unanswered_by = ""
         is_last_run = task.phase is TaskPhase.WAITING and task.run == run
         if is_last_run and not job.has_ended and not step.is_done:
             self._take_back(executor, job, step, task)
--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -51,6 +51,8 @@
         self, order: StartOrder, outcome: StartOutcome, *, now: float, wall: float
     ) -> bool:
         """Apply a start's outcome; return whether the same order should be retried."""
+        if outcome is StartOutcome.UNKNOWN:
+            self._record_unanswered(order, now)
         task = self._state.find_ordered(order)
         if task is None:
             return False
@@ -71,6 +73,14 @@
         self._on_refused(order, outcome, now=now, wall=wall)
         return False
 
+    def _record_unanswered(self, order: StartOrder, now: float) -> None:
+        """Make it durable that an unanswered start may still be carried out."""
+        found = self._state.find(order.task)
+        sent_to = self._state.late_orders.sent_to(order.task, now=now)
+        if found is not None and sent_to:
+            found[2].unanswered_by = sent_to
+            self._state.dirty_jobs.add(order.task.job)
+
     def _hold_unresponsive(self, executor_id: str, now: float) -> None:
         """Hold new work from an executor that left a start unanswered.
 
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -129,8 +129,12 @@
 
     def _place(self, waiting: WaitingStep, usable: OpenExecutors) -> None:
         waits = waiting.step.waiting()
-        tasks = [task for task in waits if task.not_before <= waiting.now]
+        tasks = [task for task in waits if not self._may_start_late(task)]
         is_gang = waiting.step.step.is_gang
+        if len(tasks) < len(waits) and (is_gang or not tasks):
+            self.observations.note(waiting.step.key, WaitReason.START_UNANSWERED)
+            return
+        tasks = [task for task in tasks if task.not_before <= waiting.now]
         if is_gang and len(waits) < waiting.step.step.count:
             self.observations.note(waiting.step.key, WaitReason.LAST_RUN_ENDING)
         elif not tasks or (is_gang and len(tasks) < len(waits)):
@@ -141,6 +145,10 @@
             else:
                 self._place_singly(waiting, tasks, usable)
 
+    def _may_start_late(self, task: TaskRun) -> bool:
+        """Whether an executor may still carry out an earlier start of a task."""
+        return bool(self._state.late_orders.sent_to(task.key, now=self._state.now))
+
     def _within_quota(self, waiting: WaitingStep, tasks: list[TaskRun]) -> list[TaskRun]:
         """Return the tasks that the workspace may start now, and note why others may not start."""
         workspaces, step = self._state.workspaces, waiting.step.step
--- a/src/galenastall/coordination/cell/run_ends.py
+++ b/src/galenastall/coordination/cell/run_ends.py
@@ -59,6 +59,7 @@
         if task.is_suspect and step.step.is_gang:
             self._state.suspect_members.add(key)
         self._log_end(task, end)
+        task.unanswered_by = self._state.late_orders.sent_to(key, now=self._state.now)
         task.release()
         if executor is not None:
             self._update_health(executor, task, end)
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -38,6 +38,7 @@
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.coordination.cell.wait_reasons import WaitReason
 from galenastall.coordination.cell.waiting_report import WaitingReport
+from galenastall.state.cell.executor_ids import executor_name
 from galenastall.state.cell.jobs import CellJob, Queue
 from galenastall.state.cell.phases import ENDED_PHASES, JobPhase
 from galenastall.state.cell.rows import (
@@ -270,6 +271,7 @@
     def on_address_reused(self, executor_id: str, *, wall: float) -> None:
         """Note that an executor with another id answers at an executor's address."""
         cause = "another executor answers at its address"
+        self._state.late_orders.drop_name(executor_name(executor_id))
         self._incarnations.end(executor_id, cause=cause, wall=wall)
 
     def on_restart(self, executor_id: str, later_id: str, *, now: float) -> None:
--- a/src/galenastall/coordination/cell/task_runs.py
+++ b/src/galenastall/coordination/cell/task_runs.py
@@ -61,6 +61,7 @@
         "stop_sent_at",
         "stop_seq",
         "tries",
+        "unanswered_by",
     )
 
     def __init__(self, *, key: TaskKey) -> None:
@@ -93,6 +94,8 @@
         self.rate_sent_at = float("-inf")
         self.listed_at = 0.0
         """Leader's time of the last listing that showed it in progress."""
+        self.unanswered_by = ""
+        """Executor that left a start without an answer, and may still carry it out."""
         self.avoided: frozenset[str] = frozenset()
         """Executors on which its runs failed, were refused or stalled; others are tried first."""
         self.not_before = float("-inf")
@@ -128,6 +131,7 @@
         self.executor_id = executor_id
         self.state = StartState.WRITING
         self.tries = 0
+        self.unanswered_by = ""
         self.confirmed_seq = 0
         self.is_stopping = False
         self.stop_seq = 0
--- a/src/galenastall/coordination/cell/wait_reasons.py
+++ b/src/galenastall/coordination/cell/wait_reasons.py
@@ -32,6 +32,8 @@
     """Members of its gang's last run have not ended."""
     REFUSED = "refused"
     """Executors have repeatedly refused its tasks; it is retried after a pause."""
+    START_UNANSWERED = "start_unanswered"
+    """A start of one of its tasks got no answer, and an executor may still carry it out."""
     ON_PROBATION = "on_probation"
     """An executor crashed under one of its tasks, which must run in isolation; few may at a
     time."""
--- a/src/galenastall/state/cell/rows.py
+++ b/src/galenastall/state/cell/rows.py
@@ -42,6 +42,8 @@
     """Number of executors that crashed while running it."""
     blame: int = 0
     """Share of these crashes that is attributed to the task."""
+    unanswered_by: str = ""
+    """Executor that left a start of its last run without an answer; empty if none did."""
 
 
 class ProgressRow(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
--- a/tests/test_cell_executor_restarts.py
+++ b/tests/test_cell_executor_restarts.py
@@ -257,6 +257,9 @@
         following = Harness(rows=rig.rows)
         following.update_fleet(make_info(LATER, host="h"))
         following.listing(LATER)
+        assert following.step() == []
+        following.now += TIMINGS.late_order_s
+        following.listing(LATER)
         assert [order.run for order in following.step()] == [2]
 
     def test_rows_that_name_no_birth_are_taken_up(self) -> None:
--- a/tests/test_cell_late_orders.py
+++ b/tests/test_cell_late_orders.py
@@ -8,15 +8,18 @@
 import pytest
 import trio
 
+from cell.advised import AdvisedHarness
 from cell.cluster import Cluster, make_job
-from cell.rig import Harness, make_info, make_step
+from cell.rig import TIMINGS, Harness, make_info, make_step
 from cell.rig import make_job as make_rig_job
 from cell.scenarios import check_all_end, run_scenario
 from cell.simulation import Simulation
 from galenastall.coordination.cell.commands import StartOrder
 from galenastall.coordination.cell.late_orders import LateOrders
+from galenastall.coordination.cell.lease_clock import longest_lease_s
 from galenastall.coordination.cell.listings import ListedRun
 from galenastall.coordination.cell.orders import StartOutcome
+from galenastall.coordination.cell.wait_reasons import WaitReason
 from galenastall.state.cell.executor_ids import make_executor_id
 from galenastall.state.cell.jobs import CellJob, Step, TaskKey
 from galenastall.state.cell.phases import JobPhase, RunEnd
@@ -111,9 +114,51 @@
 
         await run_scenario(scenario, seed=1, executors=1, keeps_ids=True)
 
+    async def test_a_run_lost_in_a_restart_runs_elsewhere_as_its_start_is_carried_out(
+        self, autojump_clock: object
+    ) -> None:
+        # The start came after a second restart, while the task ran again on the other executor.
+        async def scenario(cluster: Cluster, world: Simulation, rng: Random) -> None:
+            rig = LateOrderRig(cluster=cluster, world=world, rng=rng)
+            await rig.begin(lasts_s=8.0)
+            world.faults.late_starts_s = [6.0]
+            with_room = world.executors[NAME].info.capacity
+            world.resize(world.executors["executor-2"], Resources())
+            await trio.sleep(1.0)
+            await rig.submit()
+            world.resize(world.executors["executor-2"], with_room)
+            await rig.at(1.3)
+            await rig.restart()
+            world.resize(world.executors[NAME], Resources())
+            await rig.at(6.2)
+            world.resize(world.executors[NAME], with_room)
+            await rig.restart_behind_cut(until_s=8.0)
+            await check_all_end(cluster)
+
+        await run_scenario(scenario, seed=1, executors=2, keeps_ids=True)
+
+    async def test_a_run_counted_as_lost_is_carried_out_late_and_its_end_is_dropped(
+        self, autojump_clock: object
+    ) -> None:
+        # The end of the only run was acknowledged and ignored, and the task started again.
+        async def scenario(cluster: Cluster, world: Simulation, rng: Random) -> None:
+            rig = LateOrderRig(cluster=cluster, world=world, rng=rng)
+            await rig.begin()
+            world.faults.late_starts_s = [6.0]
+            job = await rig.submit()
+            await rig.at(0.2)
+            await rig.restart()
+            await rig.at(5.5)
+            await rig.restart_behind_cut(until_s=6.8)
+            await rig.check_ran_once(job)
+
+        await run_scenario(scenario, seed=1, executors=1, keeps_ids=True)
+
 
 EARLIER = make_executor_id("e", 1_000)
 LATER = make_executor_id("e", 2_000)
+OTHER = make_executor_id("f", 1_000)
+LATE_S = TIMINGS.late_order_s
 
 
 class UnansweredRig(Harness):
@@ -134,7 +179,85 @@
         return ListedRun(task=self.order.task, run=self.order.run)
 
 
+def starts_at(rig: Harness, executor_id: str, now: float) -> list[StartOrder]:
+    """Let an executor list nothing at `now`, and return the starts that are sent then."""
+    rig.now = now
+    rig.listing(executor_id)
+    return rig.step()
+
+
 class TestTasksWithAnUnansweredStart:
+    def test_a_run_lost_in_a_restart_waits_until_its_start_can_not_come(self) -> None:
+        rig = UnansweredRig()
+        rig.update_fleet(make_info(LATER, host="h"))
+        assert starts_at(rig, LATER, rig.now) == []
+        reasons = rig.core._placer.observations
+        assert reasons.reason_of(rig.order.task.step_key) is WaitReason.START_UNANSWERED
+        assert starts_at(rig, LATER, rig.sent_at + LATE_S - 0.1) == []
+        (order,) = starts_at(rig, LATER, rig.sent_at + LATE_S)
+        assert order.run == rig.order.run + 1
+
+    def test_a_new_leader_waits_for_starts_of_runs_that_no_executor_lists(self) -> None:
+        rig = UnansweredRig()
+        following = Harness(rows=rig.rows)
+        began_at = following.now
+        following.update_fleet(make_info(EARLIER, host="h"))
+        assert starts_at(following, EARLIER, began_at + LATE_S - 0.1) == []
+        assert len(starts_at(following, EARLIER, began_at + LATE_S)) == 1
+
+    def test_a_new_leader_knows_of_the_unanswered_start_of_a_run_that_was_lost(self) -> None:
+        rig = UnansweredRig()
+        rig.update_fleet(make_info(LATER, host="h"))
+        assert starts_at(rig, LATER, rig.now) == []
+        following = Harness(rows=rig.rows)
+        began_at = following.now
+        following.update_fleet(make_info(LATER, host="h"))
+        assert starts_at(following, LATER, began_at + LATE_S - 0.1) == []
+        assert len(starts_at(following, LATER, began_at + LATE_S)) == 1
+
+    def test_a_new_leader_knows_of_a_start_that_was_under_way_as_its_run_was_lost(self) -> None:
+        rig = Harness(make_info(EARLIER, host="h"))
+        rig.submit(make_rig_job(make_step(1)))
+        (order,) = rig.step()
+        rig.core.late_orders.on_sent(order)
+        rig.update_fleet(make_info(LATER, host="h"))
+        assert starts_at(rig, LATER, rig.now) == []
+        following = Harness(rows=rig.rows)
+        following.update_fleet(make_info(LATER, host="h"))
+        assert starts_at(following, LATER, following.now) == []
+
+    def test_a_new_leader_does_not_wait_where_starts_had_tickets(self) -> None:
+        rig = AdvisedHarness(executors=0, hosts=4)
+        rig.update_fleet(make_info(EARLIER, host="h"))
+        rig.listing(EARLIER)
+        rig.hand_in(make_step(1))
+        (request,) = rig.asks()
+        rig.answer(request)
+        assert [order.executor_id for order in rig.step()] == [EARLIER]
+        following = Harness(rows=rig.rows)
+        assert following.runs_on(EARLIER)
+        assert not following.core.late_orders.may_come_to("e", now=following.now)
+
+    def test_a_new_leader_does_not_wait_where_the_run_is_listed(self) -> None:
+        rig = UnansweredRig()
+        following = Harness(rows=rig.rows)
+        following.update_fleet(make_info(EARLIER, host="h"))
+        following.listing(EARLIER, (rig.listed_run,))
+        assert not following.core.late_orders.may_come_to("e", now=following.now)
+
+    def test_a_start_may_run_for_a_lease_on_an_executor_that_is_not_reached(self) -> None:
+        rig = UnansweredRig()
+        rig.update_fleet(make_info(EARLIER, host="h"), make_info(OTHER, host="g"))
+        until = rig.sent_at + LATE_S + longest_lease_s(TIMINGS)
+        assert starts_at(rig, OTHER, rig.sent_at + LATE_S) == []
+        assert starts_at(rig, OTHER, until - 0.1) == []
+        assert [order.executor_id for order in starts_at(rig, OTHER, until)] == [OTHER]
+
+    def test_an_executor_under_another_name_on_its_host_ends_the_wait(self) -> None:
+        rig = UnansweredRig()
+        rig.update_fleet(make_info(OTHER, host="h"))
+        assert len(starts_at(rig, OTHER, rig.now)) == 1
+
     def test_a_run_that_was_lost_and_is_listed_counts_again(self) -> None:
         rig = UnansweredRig()
         rig.update_fleet(make_info(LATER, host="h"))
@@ -214,3 +337,8 @@
         assert late_orders.on_listed(TASK, 3) == ""
         late_orders.on_unanswered(ORDER, sent_at=100.0)
         assert late_orders.sent_to(TASK, now=100.0) == ""
+
+    def test_a_name_that_is_not_used_again_is_dropped(self) -> None:
+        late_orders = self.make()
+        late_orders.drop_name("e")
+        assert late_orders.sent_to(TASK, now=100.0) == ""
