Show an executor a higher token than the one it refuses a call for

What callers saw: jobs that never ended, since their runs on one executor were never read again.

Cause: a call to an earlier incarnation, under a higher token than that of the later one, reached the later one. It then refused all calls of its own session as fenced; the session took the token for one of this term, which it was, and went on with the old one for good.

Change: a session refused for a token of its own term takes a higher one.

--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -322,7 +322,9 @@
         return verdict is StartVerdict.STARTED
 
     def _on_fenced(self, token: int) -> None:
-        """Give up the term, unless it issued a higher token itself, to a later incarnation."""
+        """Give up the term, unless it issued the higher token itself, to another incarnation."""
         executor_id = self._executor.executor_id
         if self._context.is_newest(executor_id, token):
             self._context.lose(f"executor {executor_id} has seen a higher token")
+        elif self._is_in_table():
+            self._context.raise_token(executor_id)
--- a/tests/test_cell_executor_restarts.py
+++ b/tests/test_cell_executor_restarts.py
@@ -413,6 +413,17 @@
         await rig.poll()
         assert rig.losses == []
 
+    async def test_one_that_has_seen_a_higher_token_of_the_term_is_shown_a_higher_one(
+        self, autojump_clock: object
+    ) -> None:
+        # A call to another incarnation had reached it, and it refused all further calls.
+        rig = SessionHarness()
+        await rig.poll()
+        seen = rig.context.raise_token(LATER)
+        rig.port.verdict = StartVerdict.FENCED
+        await rig.poll()
+        assert (await rig.poll())["token"] > seen
+
     async def test_an_executor_that_has_seen_a_later_term_ends_this_one(
         self, autojump_clock: object
     ) -> None:
