Acknowledge no ends while a start or an earlier acknowledgement may come late

What callers saw: a task that was done ran again.

Cause: polls come late as well. One that acknowledged ends of an earlier incarnation, 10 to 11 s old, made a later one forget the end of a run that a late start had begun there. Nobody had read it, so the run counted as lost and its task started again.

Change: while a start without an answer may be carried out, its executor is sent no acknowledgement; polls of it then pause 0.25 s, since listed ends end a long poll at once. A start without a ticket carries a higher token than an acknowledgement that is still unanswered, so what has carried out the start refuses it. Tokens are now counted for each executor, and a term ends before they reach those of the next. `Acknowledgements` decides, without I/O.

--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -5,9 +5,11 @@
 import trio
 from returns.result import Failure, Result
 
+from galenastall.coordination.cell.acknowledgements import Acknowledgements
 from galenastall.coordination.cell.call_flow import LISTING_BYTES, call_timeout_s, start_bytes
 from galenastall.coordination.cell.commands import StartOrder, StopOrder, ThrottleOrder
 from galenastall.coordination.cell.executors import Executor
+from galenastall.coordination.cell.late_orders import can_come_late
 from galenastall.coordination.cell.orders import StartOutcome
 from galenastall.node.cell.term_context import LATE_ANSWER_S, TermContext
 from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
@@ -27,9 +29,8 @@
 DURABLE_WAIT_S: Final = 0.5
 """How long the next poll waits for ends to become durable; in an outage leases must still be
 renewed."""
-ACKNOWLEDGES_WITHIN_S: Final = 1.0
-"""Ends are acknowledged only while the last listing is no older: an executor that has restarted
-since would forget ends that nobody has read. Longer than DURABLE_WAIT_S, shorter than a restart."""
+WITHHELD_PAUSE_S: Final = 0.25
+"""Pause between two polls while ends are not acknowledged: they end each long poll at once."""
 BATCH_PAUSE_S: Final = 0.02
 """Pause between two polls, so that ends that arrive together cost one call."""
 
@@ -57,6 +58,7 @@
         self._woken = trio.Event()
         """Set and replaced to end a wait for a poll slot."""
         self._is_waiting_for_slot = False
+        self._acks = Acknowledgements(executor=executor, late_orders=context.core.late_orders)
 
     async def run(self) -> None:
         """Poll for as long as the executor is in the leader's table."""
@@ -73,7 +75,8 @@
                 await trio.sleep(RETRY_S)
                 continue
             await self._wait_until_durable()
-            await trio.sleep(BATCH_PAUSE_S)
+            are_withheld = self._acks.are_withheld(trio.current_time())
+            await trio.sleep(WITHHELD_PAUSE_S if are_withheld else BATCH_PAUSE_S)
 
     def _is_in_table(self) -> bool:
         executors_by_id = self._context.core.executors_by_id
@@ -139,11 +142,13 @@
         executor.needs_listing = False
         asked_seq = context.core.next_seq()
         token = context.token_of(executor.executor_id)
+        noted = self._acks.position(trio.current_time())
+        self._acks.on_sent(noted, token)
         answer = await context.executors.renew(
             address=executor.info.address,
             executor_id=executor.executor_id,
             deadline_ms=self._deadline_ms(),
-            noted=self._noted(),
+            noted=noted,
             wait_s=wait_s,
             token=token,
             timeout_s=wait_s + LATE_ANSWER_S,
@@ -152,19 +157,9 @@
         if isinstance(answer, Failure):
             self._on_failure(answer.failure())
             return False
+        self._acks.on_answered(noted, token)
         return self._take(answer.unwrap(), asked_seq, token)
 
-    def _noted(self) -> int:
-        """Return the position up to which the executor may forget ends.
-
-        It is 0 if the executor may have restarted since its last listing.
-        """
-        executor = self._executor
-        is_confirmed = executor.lost_at is None and executor.has_answered(
-            now=trio.current_time(), reach_s=ACKNOWLEDGES_WITHIN_S
-        )
-        return executor.durable_position if is_confirmed else 0
-
     def _deadline_ms(self) -> int | None:
         """Return the lease deadline to send now; None for an executor that does not answer.
 
@@ -253,7 +248,7 @@
         deadline_ms = self._deadline_ms()
         if deadline_ms is None:
             return StartOutcome.NOT_STARTED
-        token = context.token_of(executor.executor_id)
+        token = self._start_token(order)
         late_orders = context.core.late_orders
         late_orders.on_sent(order)
         sent_at = trio.current_time()
@@ -285,6 +280,19 @@
             self._on_fenced(token)
         return _OUTCOME_BY_VERDICT[verdict]
 
+    def _start_token(self, order: StartOrder) -> int:
+        """Return the token for a start: a higher one than that of acknowledgements without answer.
+
+        An acknowledgement that comes late is then refused by an incarnation that has carried out
+        the start, and can't make it forget the end of the run.
+        """
+        executor_id = self._executor.executor_id
+        token = self._context.token_of(executor_id)
+        is_newest = self._context.is_newest(executor_id, token)
+        if can_come_late(order) and is_newest and self._acks.may_come_late(token):
+            return self._context.raise_token(executor_id)
+        return token
+
     async def throttle(self, order: ThrottleOrder) -> None:
         """Send a throttling rate; the core repeats it until it is confirmed."""
         context, executor = self._context, self._executor
--- a/src/galenastall/node/cell/term_context.py
+++ b/src/galenastall/node/cell/term_context.py
@@ -17,7 +17,7 @@
 from galenastall.transport.logs import Recorder
 
 TOKENS_PER_TERM: Final = 1_000_000
-"""Executors see the term's token times this, plus a counter within the term."""
+"""Executors see the term's token times this, plus a counter for each executor."""
 
 LATE_ANSWER_S: Final = 0.6
 """Time allowed for a listing beyond the long poll; a round trip takes 1 to 8 ms."""
@@ -64,7 +64,6 @@
         self.changed = trio.Event()
         """Set when the core has input for a decision."""
         self._clock = clock
-        self._token_number = 0
         self._tokens_by_executor: dict[str, int] = {}
         self._newest_token_by_name: dict[str, int] = {}
         self._recorder = recorder
@@ -79,12 +78,14 @@
         """Issue a higher token to an incarnation, which then refuses all calls sent before.
 
         A restarted executor has seen no token yet. Without a higher one it would carry out calls
-        meant for an earlier incarnation, however late they arrive.
+        meant for an earlier incarnation, however late they arrive. The term ends with its tokens.
         """
-        self._token_number += 1
-        token = self.token * TOKENS_PER_TERM + self._token_number
+        name = executor_name(executor_id)
+        token = 1 + self._newest_token_by_name.get(name, self.token * TOKENS_PER_TERM)
+        if token >= (self.token + 1) * TOKENS_PER_TERM:
+            self.lose(f"executor {executor_id} was shown all tokens of the term")
         self._tokens_by_executor[executor_id] = token
-        self._newest_token_by_name[executor_name(executor_id)] = token
+        self._newest_token_by_name[name] = token
         return token
 
     def is_newest(self, executor_id: str, token: int) -> bool:
--- a/tests/test_cell_executor_restarts.py
+++ b/tests/test_cell_executor_restarts.py
@@ -32,6 +32,7 @@
     ListedRun,
     Listing,
 )
+from galenastall.node.cell import term_context
 from galenastall.node.cell.executor_session import ExecutorSession
 from galenastall.node.cell.term_context import TermContext
 from galenastall.protocol.cell.executor_port import ListingAnswer, OrderAnswer, StartVerdict
@@ -319,12 +320,15 @@
         self.answerer = EARLIER
         self.verdict = StartVerdict.STARTED
         self.is_silent = False
+        self.renewal_s = 0.0
+        """How long a poll takes."""
         self.ended: tuple[ListedEnd, ...] = ()
         self.renewals: list[dict[str, Any]] = []
         self.starts: list[dict[str, Any]] = []
 
     async def renew(self, **call: Any) -> Result[ListingAnswer, StepError]:
         self.renewals.append(call)
+        await trio.sleep(self.renewal_s)
         if self.is_silent:
             return Failure(StepError(step="test", peer="e", reason=Reason.TIMEOUT))
         is_obeyed = self.verdict is StartVerdict.STARTED
@@ -403,6 +407,17 @@
         following.context.token = TOKEN + 1
         assert (await following.poll())["token"] > (await rig.poll())["token"]
 
+    async def test_a_term_ends_before_its_tokens_reach_those_of_the_next(
+        self, autojump_clock: object, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(term_context, "TOKENS_PER_TERM", 3)
+        rig = SessionHarness()
+        tokens = [rig.context.raise_token(EARLIER) for _ in range(2)]
+        assert tokens == [3 * TOKEN + 1, 3 * TOKEN + 2]
+        assert rig.losses == []
+        rig.context.raise_token(EARLIER)
+        assert len(rig.losses) == 1
+
     async def test_a_call_to_the_earlier_one_that_is_fenced_does_not_end_the_term(
         self, autojump_clock: object
     ) -> None:
@@ -447,6 +462,34 @@
             await trio.sleep(2.0)
         assert (await rig.poll())["noted"] == 0
 
+    async def test_no_end_is_acknowledged_while_a_start_may_be_carried_out_late(
+        self, autojump_clock: object
+    ) -> None:
+        rig = SessionHarness()
+        order = await rig.place()
+        rig.rig.core.executors_by_id[EARLIER].durable_position = 5
+        rig.port.is_silent = True
+        with trio.move_on_after(1.0):
+            await rig.session.start(order)
+        rig.port.is_silent = False
+        assert [(await rig.poll())["noted"] for _ in range(2)] == [0, 0]
+        await trio.sleep(TIMINGS.late_order_s)
+        assert [(await rig.poll())["noted"] for _ in range(2)] == [0, 5]
+
+    async def test_a_start_carries_a_higher_token_than_an_unanswered_acknowledgement(
+        self, autojump_clock: object
+    ) -> None:
+        rig = SessionHarness()
+        order = await rig.place()
+        rig.rig.core.executors_by_id[EARLIER].durable_position = 5
+        rig.port.renewal_s = 1.0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(rig.session.poll_now)
+            await trio.sleep(0.1)
+            await rig.session.start(order)
+        assert rig.port.renewals[-1]["noted"] == 5
+        assert rig.port.starts[-1]["token"] > rig.port.renewals[-1]["token"]
+
     async def test_nothing_is_started_on_one_that_has_restarted(
         self, autojump_clock: object
     ) -> None:
--- a/tests/test_cell_late_orders.py
+++ b/tests/test_cell_late_orders.py
@@ -155,6 +155,50 @@
         await run_scenario(scenario, seed=1, executors=1, keeps_ids=True)
 
 
+class TestLateAcknowledgements:
+    """Without these rules an incarnation forgets ends that nobody has read."""
+
+    async def test_an_acknowledgement_sent_before_a_start_is_carried_out_after_the_run(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: Simulation, rng: Random) -> None:
+            rig = LateOrderRig(cluster=cluster, world=world, rng=rng)
+            await rig.begin()
+            world.faults.late_acks_s = [4.0]
+            await rig.submit()
+            await rig.at(0.6)
+            assert not world.faults.late_acks_s
+            world.faults.late_starts_s = [3.0]
+            job = await rig.submit()
+            await rig.at(2.7)
+            assert not world.faults.late_starts_s
+            await rig.restart_behind_cut(until_s=5.0)
+            await rig.check_ran_once(job)
+
+        await run_scenario(scenario, seed=1, executors=1, keeps_ids=True)
+
+    async def test_an_acknowledgement_sent_after_a_start_is_carried_out_after_the_run(
+        self, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: Simulation, rng: Random) -> None:
+            rig = LateOrderRig(cluster=cluster, world=world, rng=rng)
+            await rig.begin()
+            world.run_lasts_s = (0.8, 0.8)
+            await rig.submit()
+            await rig.at(0.2)
+            world.run_lasts_s = (0.2, 0.2)
+            world.faults.late_starts_s = [3.0]
+            world.faults.late_acks_s = [3.0]
+            job = await rig.submit()
+            await rig.at(2.7)
+            assert not world.faults.late_starts_s
+            await rig.restart_behind_cut(until_s=5.0)
+            world.faults.late_acks_s.clear()
+            await rig.check_ran_once(job)
+
+        await run_scenario(scenario, seed=1, executors=1, keeps_ids=True)
+
+
 EARLIER = make_executor_id("e", 1_000)
 LATER = make_executor_id("e", 2_000)
 OTHER = make_executor_id("f", 1_000)
