Acknowledge no end between a start and the next listing

What callers saw: a task that was done ran again.

Cause: an executor restarted within a second of its last listing. A start meant for the earlier incarnation was carried out and answered by the later one; a poll meant for the earlier one then acknowledged its ends, and the later one forgot the end of the new run, which nobody had read. The bound of 1 s for that was longer than a restart.

Change: after the answer to a start that any incarnation accepts, ends are acknowledged within 0.1 s of a listing, or once a listing that was requested since has arrived.

Result: the new test failed before and passes; with a ticket ends are acknowledged as before.

--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -200,6 +200,7 @@
             now=trio.current_time(),
             wall=context.wall(),
         )
+        self._acks.on_listing(asked_seq)
         context.wake()
         return True
 
@@ -275,6 +276,8 @@
             late_orders.on_answered(order)
             return StartOutcome.UNHEALTHY
         late_orders.on_answered(order)
+        if can_come_late(order):
+            self._acks.on_start_answered(context.core.next_seq())
         verdict = answer.unwrap().verdict
         if verdict is StartVerdict.FENCED:
             self._on_fenced(token)
--- a/tests/test_cell_executor_restarts.py
+++ b/tests/test_cell_executor_restarts.py
@@ -462,6 +462,19 @@
             await trio.sleep(2.0)
         assert (await rig.poll())["noted"] == 0
 
+    @pytest.mark.parametrize(("ticket", "noted"), [("", [0, 5]), ("t", [5, 5])])
+    async def test_no_end_is_acknowledged_between_a_start_and_the_next_listing(
+        self, autojump_clock: object, ticket: str, noted: list[int]
+    ) -> None:
+        # An incarnation that had restarted within a second carried out a start meant for the
+        # earlier one, and forgot its end, which nobody had read.
+        rig = SessionHarness()
+        order = replace(await rig.place(), ticket=ticket)
+        rig.rig.core.executors_by_id[EARLIER].durable_position = 5
+        await rig.session.start(order)
+        await trio.sleep(0.5)
+        assert [(await rig.poll())["noted"] for _ in range(2)] == noted
+
     async def test_no_end_is_acknowledged_while_a_start_may_be_carried_out_late(
         self, autojump_clock: object
     ) -> None:
