--- a/tests/test_cell_late_orders.py
+++ b/tests/test_cell_late_orders.py
@@ -122,16 +122,16 @@
             rig = LateOrderRig(cluster=cluster, world=world, rng=rng)
             await rig.begin(lasts_s=8.0)
             world.faults.late_starts_s = [6.0]
-            with_room = world.executors[NAME].info.capacity
+            capacity = world.executors[NAME].info.capacity
             world.resize(world.executors["executor-2"], Resources())
             await trio.sleep(1.0)
             await rig.submit()
-            world.resize(world.executors["executor-2"], with_room)
+            world.resize(world.executors["executor-2"], capacity)
             await rig.at(1.3)
             await rig.restart()
             world.resize(world.executors[NAME], Resources())
             await rig.at(6.2)
-            world.resize(world.executors[NAME], with_room)
+            world.resize(world.executors[NAME], capacity)
             await rig.restart_behind_cut(until_s=8.0)
             await check_all_end(cluster)
 
@@ -313,6 +313,24 @@
         rig.commit()
         assert rig.shown() is JobPhase.COMPLETED
 
+    def test_a_late_member_is_stopped_before_its_gang_starts_again(self) -> None:
+        # The gang's next run began while the member was still in progress.
+        rig = Harness(make_info(EARLIER, host="h"))
+        rig.submit(make_rig_job(make_step(2, is_gang=True)))
+        late, answered = rig.step()
+        rig.core.late_orders.on_sent(late)
+        rig.core.late_orders.on_unanswered(late, sent_at=rig.now)
+        rig.core.on_start(late, StartOutcome.UNKNOWN, now=rig.now, wall=rig.wall)
+        rig.confirm_starts([answered])
+        rig.update_fleet(make_info(LATER, host="h"), make_info(OTHER, host="g"))
+        rig.listing(OTHER)
+        assert starts_at(rig, LATER, rig.now) == []
+        rig.listing(LATER, (ListedRun(task=late.task, run=late.run),))
+        assert [stop.task for stop in rig.stops()] == [late.task]
+        assert rig.commit() == []
+        rig.end(replace(late, executor_id=LATER), RunEnd.STOPPED)
+        assert {order.run for order in rig.step()} == {late.run + 1}
+
     def test_a_failure_that_is_read_after_the_run_was_lost_is_an_attempt(self) -> None:
         rig = UnansweredRig()
         rig.update_fleet(make_info(LATER, host="h"))
