Agree on the parts for hard load and on the interfaces between them

Cause: two deployments whose load exceeds the room at times, or whose executors differ in speed, meet no decision that knows backlog, shares, speeds or urgent capacity. No rule is read yet, so all orders are as before.

--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -10,6 +10,7 @@
     StopOrder,
     ThrottleOrder,
 )
+from galenastall.coordination.cell.contention import NO_RULES, ContentionRules
 from galenastall.coordination.cell.executor_table import ExecutorTable
 from galenastall.coordination.cell.executors import ClosedReason, Executor
 from galenastall.coordination.cell.job_runs import JobRun, StepRun
@@ -41,6 +42,8 @@
         self.executors = ExecutorTable()
         self.queues_by_name: dict[str, Queue] = {}
         self.workspaces = WorkspaceUse()
+        self.contention: ContentionRules = NO_RULES
+        """Rules for workspaces that compete; set with each configuration."""
         self.named_services: frozenset[str] | None = None
         """Services that the configuration names; None before the first configuration."""
         self.waiting_steps: set[StepKey] = set()
--- a/src/galenastall/coordination/cell/mechanisms.py
+++ b/src/galenastall/coordination/cell/mechanisms.py
@@ -26,6 +26,16 @@
     """Urgent queues before others."""
     LATE_LAST = "late-last"
     """Work past its objective after work that is not."""
+    ADMISSION = "admission"
+    """Refusal of jobs that the backlog keeps from being done in time."""
+    SHARES = "shares"
+    """Workspaces that use less of their share before others."""
+    URGENT_CAPACITY = "urgent-capacity"
+    """Capacity for urgent work that other work does not take, or gives up."""
+    SPEEDS = "speeds"
+    """Learned speeds of executors in forecasts and in the choice of executors."""
+    RETURN_TIMES = "return-times"
+    """Retry delays that depend on how much time a refused job has left."""
 
 
 DisabledMechanisms = frozenset[Mechanism]
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -14,6 +14,7 @@
     StopOrder,
     ThrottleOrder,
 )
+from galenastall.coordination.cell.contention import ContentionRules, contention_rules
 from galenastall.coordination.cell.crashes import CrashAttributor
 from galenastall.coordination.cell.executor_health import ExecutorHealth
 from galenastall.coordination.cell.executors import Executor, ExecutorInfo
@@ -128,6 +129,11 @@
         """Resources of all runs of each workspace that may still be running."""
         return dict(self._state.workspaces.used_by_name)
 
+    @property
+    def contention(self) -> ContentionRules:
+        """Rules in force for workspaces that compete."""
+        return self._state.contention
+
     @property
     def stopped_by_rule(self) -> dict[StopRule, int]:
         """Number of runs that this leader has stopped so far, by rule."""
@@ -186,6 +192,7 @@
                 "accelerators": str(changed.limit.accelerators),
             }
             self._state.note("workspace.changed", changed.name, fields=fields)
+        self._state.contention = contention_rules(self._state.workspaces.known, self._state.without)
         self._fleet.stop_unanswered_over_limits()
 
     def set_services(self, services: frozenset[str]) -> None:
--- a/src/galenastall/coordination/cell/workspace_use.py
+++ b/src/galenastall/coordination/cell/workspace_use.py
@@ -30,6 +30,11 @@
         """Resources in use by workspace; workspaces that use nothing may be missing."""
         return self._used_by_name
 
+    @property
+    def known(self) -> tuple[Workspace, ...]:
+        """Return the workspaces of all configurations read so far, in order of their names."""
+        return tuple(self._workspaces_by_name[name] for name in sorted(self._workspaces_by_name))
+
     def find(self, name: str) -> Workspace:
         """Return a workspace; one that is in no configuration has no limit."""
         return self._workspaces_by_name.get(name) or Workspace(name=name)
--- /dev/null
+++ b/tests/test_cell_contention.py
@@ -0,0 +1,56 @@
+"""Tests of which rules for contention a configuration switches on."""
+
+import pytest
+
+from galenastall.coordination.cell.contention import (
+    NO_RULES,
+    ContentionRules,
+    contention_rules,
+)
+from galenastall.coordination.cell.mechanisms import ALL_ON, Mechanism
+from galenastall.coordination.cell.scheduler import CellScheduler
+from galenastall.coordination.cell.timings import CellTimings
+from galenastall.state.cell.workspaces import Workspace
+
+COMPETING = (Workspace(name="a", weight=2.0), Workspace(name="b", weight=1.0))
+
+
+class TestContentionRules:
+    """Rules are in force only where several workspaces have weights."""
+
+    @pytest.mark.parametrize(
+        "workspaces",
+        [(), COMPETING[:1], (Workspace(name="a", weight=0.0), Workspace(name="b", weight=1.0))],
+    )
+    def test_a_cell_without_competing_workspaces_keeps_its_orders(
+        self, workspaces: tuple[Workspace, ...]
+    ) -> None:
+        """No rule is in force without at least two weights to compare."""
+        assert contention_rules(workspaces, ALL_ON) == NO_RULES
+
+    def test_all_rules_hold_for_competing_workspaces(self) -> None:
+        """Two weights are enough."""
+        assert contention_rules(COMPETING, ALL_ON) == ContentionRules(
+            refuses_by_backlog=True, orders_by_share=True, reserves_for_urgent=True
+        )
+
+    @pytest.mark.parametrize(
+        ("mechanism", "field"),
+        [
+            (Mechanism.ADMISSION, "refuses_by_backlog"),
+            (Mechanism.SHARES, "orders_by_share"),
+            (Mechanism.URGENT_CAPACITY, "reserves_for_urgent"),
+        ],
+    )
+    def test_a_disabled_mechanism_is_not_in_force(self, mechanism: Mechanism, field: str) -> None:
+        """Each rule can be switched off by itself."""
+        rules = contention_rules(COMPETING, frozenset({mechanism}))
+        assert not getattr(rules, field)
+        assert sum(getattr(rules, name) for name in ContentionRules.__dataclass_fields__) == 2
+
+    def test_a_new_configuration_changes_the_rules_of_a_running_leader(self) -> None:
+        """A leader that starts without workspaces applies the rules once it reads of some."""
+        core = CellScheduler(timings=CellTimings(), fenced_at=0.0)
+        assert core.contention == NO_RULES
+        core.set_workspaces(COMPETING)
+        assert core.contention.orders_by_share
