Carry the time to return, and a refusal for load, from the leader to the caller

Cause: a leader that refuses could neither say that it does so for load nor when to come back. Change: SubmitVerdict.OVERLOADED, answered with 429, and SubmitAnswer.retry_after_s. No leader uses them yet. The test of the 504 became a row of a table that also checks the exact time for 503 and 429.

--- a/src/galenastall/node/cell/caller_handler.py
+++ b/src/galenastall/node/cell/caller_handler.py
@@ -46,6 +46,7 @@
 RETRY_S: Final = 0.05
 RETRY_AFTER_S: Final = 1.0
 """Retry delay suggested to callers: by then most takeovers have finished."""
+_NOT_STORED: Final = frozenset({SubmitVerdict.NOT_RUN, SubmitVerdict.OVERLOADED})
 _Call = TypeVar("_Call", SubmitJob, GetJob, CancelJob, CountPending)
 
 
@@ -156,8 +157,12 @@
             if isinstance(answer, Success):
                 found: SubmitAnswer = answer.unwrap()
                 cause = found.cause
-                if found.verdict is not SubmitVerdict.NOT_RUN or not may_be_stored:
-                    return SubmitOutcome(verdict=found.verdict, cause=cause)
+                if found.verdict not in _NOT_STORED or not may_be_stored:
+                    return SubmitOutcome(
+                        verdict=found.verdict,
+                        cause=cause,
+                        retry_after_s=found.retry_after_s or RETRY_AFTER_S,
+                    )
             else:
                 error = answer.failure()
                 may_be_stored = may_be_stored or error.may_have_taken_effect
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -499,21 +499,35 @@
         """Do nothing: there is no newer configuration."""
 
 
-class UnknownOutcomeHandler:
-    """A handler that does not learn whether a job was stored."""
+class FixedOutcomeHandler:
+    """A handler for which each submission has the same outcome."""
+
+    def __init__(self, outcome: SubmitOutcome) -> None:
+        self._outcome = outcome
 
     async def submit(self, job: CellJob, **_: object) -> SubmitOutcome:
-        return SubmitOutcome(verdict=SubmitVerdict.UNKNOWN, cause="no answer", retry_after_s=0.4)
+        return self._outcome
 
 
 class TestJobRoutes:
-    async def test_an_unknown_outcome_is_reported_with_retry_after(self) -> None:
+    @pytest.mark.parametrize(
+        ("verdict", "retry_after_s", "status", "header"),
+        [
+            (SubmitVerdict.UNKNOWN, 0.4, 504, "1"),
+            (SubmitVerdict.NOT_RUN, 1.0, 503, "1"),
+            (SubmitVerdict.OVERLOADED, 3.0, 429, "3"),
+        ],
+    )
+    async def test_a_job_that_is_not_accepted_is_answered_with_the_time_to_return(
+        self, verdict: SubmitVerdict, retry_after_s: float, status: int, header: str
+    ) -> None:
         clock = TrioClock()
         config = CellConfig(
             version=1, routes=(QueueRoute(queue=QUEUE, host="q.example", path_prefix="/q/"),)
         )
+        outcome = SubmitOutcome(verdict=verdict, cause="a cause", retry_after_s=retry_after_s)
         routes = JobRoutes(
-            handler=UnknownOutcomeHandler(),  # type: ignore[arg-type]
+            handler=FixedOutcomeHandler(outcome),  # type: ignore[arg-type]
             config=FixedConfig(config),
             clock=clock,
             recorder=Recorder(process="t", clock=clock, ring=TimelineRing(capacity=10)),
@@ -529,9 +543,9 @@
                     headers=[("Host", "q.example"), ("Deadline-Remaining", "3000")],
                     content=b'{"specification":"x","steps":[{"count":1,"cpu":1000}]}',
                 )
-            assert answer.status == 504
+            assert answer.status == status
             headers = {name.lower(): value for name, value in answer.headers}
-            assert float(headers[b"retry-after"]) > 0.0
+            assert headers[b"retry-after"].decode() == header
             nursery.cancel_scope.cancel()
 
 
