Add random faults under hard load to the seeded runs

Cause: no seeded run had workspaces that compete, urgent jobs beside others, or executors of unlike speed. Change: a scenario with a flood of one workspace, weights that change, a workspace that is removed and restored, urgent jobs and speeds from 0.6 to 1.6, under the random faults of the other scenarios. A refusal for load counts as a refusal in the check that no refused job runs.

--- a/tests/cell/cluster.py
+++ b/tests/cell/cluster.py
@@ -1,6 +1,6 @@
 """Cell hosts in one process on a simulated platform, and callers that submit jobs."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 import trio
@@ -19,6 +19,8 @@
 from galenastall.transport.logs import Recorder
 
 TIMINGS = CellTimings()
+REJECTED = frozenset({SubmitVerdict.NOT_RUN, SubmitVerdict.OVERLOADED})
+"""Verdicts that say that a job is not stored and never will be."""
 
 
 @dataclass(kw_only=True)
@@ -148,7 +150,7 @@
             if submitted.verdict is SubmitVerdict.ACCEPTED:
                 self.accepted.add(job.job_id)
                 return True
-            was_rejected = was_rejected and submitted.verdict is SubmitVerdict.NOT_RUN
+            was_rejected = was_rejected and submitted.verdict in REJECTED
             await trio.sleep(0.3)
         if was_rejected:
             self.refused.add(job.job_id)
@@ -212,6 +214,13 @@
             self.simulation.violations.append(f"{job_id} was refused and ran")
 
 
+def make_urgent_job(simulation: Simulation, rng: Random, number: int) -> CellJob:
+    """Return a random job of one small step in the urgent queue."""
+    job = make_job(simulation, rng, number)
+    step = replace(job.steps[0], count=min(job.steps[0].count, 3), is_gang=False)
+    return replace(job, queue=simulation.urgent_queue, steps=(step,))
+
+
 def make_job(simulation: Simulation, rng: Random, number: int) -> CellJob:
     """Return a random job of one or two steps, some of them gangs."""
     steps = [_make_step(rng, ())]
--- a/tests/cell/scenarios.py
+++ b/tests/cell/scenarios.py
@@ -1,14 +1,16 @@
 """Runs of scenarios on a simulated cluster, with checks of the invariants after each."""
 
 from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import replace
 from random import Random
 
 import trio
 
-from cell.cluster import Cluster, make_job
+from cell.cluster import Cluster, make_job, make_urgent_job
 from cell.fault_injection import crashes, draw_workspaces, inject_faults, quota_changes, restarts
 from cell.simulation import Simulation
 from galenastall.state.cell.phases import JobPhase
+from galenastall.state.cell.workspaces import Workspace
 
 Scenario = Callable[[Cluster, Simulation, Random], Awaitable[None]]
 
@@ -103,6 +105,53 @@
     await random_faults(cluster, simulation, rng)
 
 
+async def competing_workspaces_with_faults(
+    cluster: Cluster, simulation: Simulation, rng: Random
+) -> None:
+    """Flood executors of unlike speed for one workspace, with urgent jobs, under random faults."""
+    flooding, others = Workspace(name="flooding", weight=1.0), Workspace(name="others", weight=2.0)
+    simulation.add_urgent_queue()
+    simulation.set_workspaces(flooding, others)
+    hosts = sorted({executor.info.host for executor in simulation.executors.values()})
+    simulation.speeds_by_host = {host: rng.choice([0.6, 1.0, 1.6]) for host in hosts}
+    await cluster.wait_for_leader()
+    until = trio.current_time() + 40.0
+    cluster.nursery.start_soon(_submit_urgent_jobs, cluster, simulation, rng, until)
+    cluster.nursery.start_soon(_flood, cluster, simulation, rng)
+    cluster.nursery.start_soon(_change_weights, simulation, rng, (flooding, others), until)
+    await random_faults(cluster, simulation, rng)
+
+
+async def _flood(cluster: Cluster, simulation: Simulation, rng: Random) -> None:
+    """Submit 60 jobs of the flooding workspace within 6 s."""
+    await trio.sleep(rng.uniform(2.0, 20.0))
+    for number in range(1000, 1060):
+        job = replace(make_job(simulation, rng, number), workspace="flooding")
+        cluster.nursery.start_soon(cluster.submit, job)
+        await trio.sleep(0.1)
+
+
+async def _submit_urgent_jobs(
+    cluster: Cluster, simulation: Simulation, rng: Random, until: float
+) -> None:
+    number = 2000
+    while trio.current_time() < until:
+        cluster.nursery.start_soon(cluster.submit, make_urgent_job(simulation, rng, number))
+        number += 1
+        await trio.sleep(rng.uniform(0.1, 0.6))
+
+
+async def _change_weights(
+    simulation: Simulation, rng: Random, workspaces: Sequence[Workspace], until: float
+) -> None:
+    """Change the weights of workspaces, and remove and restore one of them, during a flood."""
+    while trio.current_time() < until:
+        await trio.sleep(rng.uniform(3.0, 8.0))
+        changed = [replace(each, weight=rng.choice([0.1, 1.0, 3.0])) for each in workspaces]
+        simulation.set_workspaces(*changed[rng.randrange(2) :])
+    simulation.set_workspaces(*workspaces)
+
+
 async def restarts_with_faults(
     cluster: Cluster,
     simulation: Simulation,
--- a/tests/cell/simulation.py
+++ b/tests/cell/simulation.py
@@ -102,8 +102,12 @@
         self.config = CellConfig(
             version=1, routes=(QueueRoute(host="q", path_prefix="/q/", queue=self.queue),)
         )
+        self.urgent_queue = replace(self.queue, name="urgent", priority=0)
         self.fail_share = 0.05
         self.run_lasts_s = (0.2, 2.5)
+        self.speeds_by_host: dict[str, float] = {}
+        """Speeds of hosts, 1.0 where there is no entry; a run takes its time divided by the speed.
+        """
         self.crash_downtime_s = (1.0, 3.0)
         """Minimum and maximum downtime of a host that a task has crashed."""
         self._started = 0
@@ -177,6 +181,12 @@
         self.config = replace(self.config, version=version, workspaces=workspaces)
         self.quotas.set_workspaces(workspaces)
 
+    def add_urgent_queue(self) -> None:
+        """Write a new configuration version with the urgent queue, as the operator would."""
+        route = QueueRoute(host="q", path_prefix="/urgent/", queue=self.urgent_queue)
+        routes = (*self.config.routes, route)
+        self.config = replace(self.config, version=self.config.version + 1, routes=routes)
+
     def step_of(self, task: TaskKey) -> Step:
         return self.jobs[task.job].steps[task.step]
 
@@ -185,7 +195,9 @@
 
     def draw_run(self, order: StartOrder) -> tuple[float, bool]:
         lasts_s = self.rng.uniform(*self.run_lasts_s)
-        return lasts_s, self.rng.random() < self.fail_share
+        host = self.executors[executor_name(order.executor_id)].info.host
+        speed = self.speeds_by_host.get(host, 1.0)
+        return lasts_s / speed, self.rng.random() < self.fail_share
 
     def draw_gang_s(self, members: Iterable[Run]) -> float:
         return self.rng.uniform(0.2, 2.0)
