Choose return times by the job's time, and ask the leader on a last try

Cause: all callers refused in an outage were told to return after 1 s, whatever time their jobs have.

Change: return_times.py spreads a caller's retries over the time in which its job can still start in time, less a takeover, and over what the caller has said that it waits. A try with up to 0.3 s left is passed to the leader and gets all of that time. Mechanism.RETURN_TIMES is gone: the entry hosts choose, which no measurement switches off.

--- a/src/galenastall/coordination/cell/mechanisms.py
+++ b/src/galenastall/coordination/cell/mechanisms.py
@@ -34,8 +34,6 @@
     """Capacity for urgent work that other work does not take, or gives up."""
     SPEEDS = "speeds"
     """Learned speeds of executors in forecasts and in the choice of executors."""
-    RETURN_TIMES = "return-times"
-    """Retry delays that depend on how much time a refused job has left."""
 
 
 DisabledMechanisms = frozenset[Mechanism]
--- a/src/galenastall/node/cell/caller_handler.py
+++ b/src/galenastall/node/cell/caller_handler.py
@@ -11,8 +11,9 @@
 from returns.result import Failure, Result, Success
 
 from galenastall.coordination.cell.config_age import UNKNOWN_VERSION
+from galenastall.coordination.cell.return_times import SHORTEST_RETURN_S
 from galenastall.node.cell.config_watcher import ConfigWatcher
-from galenastall.node.cell.leader_handler import SHARE_OF_PATIENCE, LeaderHandler
+from galenastall.node.cell.leader_handler import LeaderHandler, answer_within_s, is_last_try
 from galenastall.node.cell.leadership import Leadership
 from galenastall.node.cell.query_caller import QueryCaller
 from galenastall.protocol.cell.call_admission import AdmissionRules, CallAddress
@@ -43,9 +44,11 @@
 this limit it would be answered after 2.9 of its 3 s. A leader answers within 0.4 of that time."""
 ANSWER_MARGIN_S: Final = 0.15
 """Part of a caller's time reserved for returning the answer."""
+MARGIN_SHARE: Final = 0.25
+"""Largest share of a caller's time that is reserved so."""
 RETRY_S: Final = 0.05
-RETRY_AFTER_S: Final = 1.0
-"""Retry delay suggested to callers: by then most takeovers have finished."""
+RETRY_AFTER_S: Final = SHORTEST_RETURN_S
+"""Retry delay suggested to callers of whose job nothing is known."""
 _NOT_STORED: Final = frozenset({SubmitVerdict.NOT_RUN, SubmitVerdict.OVERLOADED})
 _Call = TypeVar("_Call", SubmitJob, GetJob, CancelJob, CountPending)
 
@@ -56,7 +59,8 @@
 
     verdict: SubmitVerdict
     cause: str = ""
-    retry_after_s: float = RETRY_AFTER_S
+    retry_after_s: float = 0.0
+    """Time after which the caller may return, from the leader; 0 if it has told none."""
     is_outdated: bool = False
     """Whether the leader has a newer configuration, by which the caller must be admitted again."""
     may_be_stored: bool = False
@@ -77,12 +81,12 @@
     @classmethod
     def of(cls, patience_s: float, *, now: float) -> "_Deadlines":
         """Derive the deadlines from the time that the caller waits."""
-        until = now + patience_s - ANSWER_MARGIN_S
+        until = now + patience_s - min(ANSWER_MARGIN_S, MARGIN_SHARE * patience_s)
+        if is_last_try(patience_s):
+            return cls(until=until, not_stored_until=until, no_leader_until=until)
         return cls(
             until=until,
-            not_stored_until=min(
-                until, now + LEADERLESS_WAIT_S, now + SHARE_OF_PATIENCE * patience_s
-            ),
+            not_stored_until=min(until, now + LEADERLESS_WAIT_S, now + answer_within_s(patience_s)),
             no_leader_until=min(until, now + LEADERLESS_SHARE * patience_s),
         )
 
@@ -144,7 +148,7 @@
         accepted elsewhere. `may_be_stored` says that an earlier call here may have stored it.
         """
         deadlines = _Deadlines.of(patience_s, now=trio.current_time())
-        cause = "no leader is known"
+        cause = "no time is left for an attempt"
         # A lost leader may have stored the job; the next one knows within a second.
         while trio.current_time() < deadlines.end(may_be_stored=may_be_stored):
             now = trio.current_time()
@@ -161,7 +165,7 @@
                     return SubmitOutcome(
                         verdict=found.verdict,
                         cause=cause,
-                        retry_after_s=found.retry_after_s or RETRY_AFTER_S,
+                        retry_after_s=found.retry_after_s,
                     )
             else:
                 error = answer.failure()
--- a/src/galenastall/node/cell/leader_handler.py
+++ b/src/galenastall/node/cell/leader_handler.py
@@ -26,10 +26,23 @@
 SHARE_OF_PATIENCE: Final = 0.4
 """Largest share of a caller's time after which it is answered that its job is not stored, or that
 the outcome is unknown, so that it can still retry."""
+LAST_TRY_S: Final = 0.3
+"""A caller with less time makes no further try, so the current one gets all of it: an append takes
+some 10 ms."""
 STORE_OUTAGE_S: Final = 0.5
 """Once appends have failed for longer, submissions are refused at once instead of waiting."""
 
 
+def is_last_try(patience_s: float) -> bool:
+    """Return whether a caller with this time left can't make a further try."""
+    return patience_s <= LAST_TRY_S
+
+
+def answer_within_s(patience_s: float) -> float:
+    """Return for how long a submission may stay unanswered of the time that its caller has left."""
+    return patience_s if is_last_try(patience_s) else SHARE_OF_PATIENCE * patience_s
+
+
 class LeaderHandler:
     """Serves calls during one term."""
 
@@ -52,7 +65,7 @@
         if not may_access(owner=run.job.workspace, workspace=message.job.workspace):
             return SubmitAnswer(verdict=SubmitVerdict.TAKEN, cause="another workspace has this id")
         term.request_commit()
-        timeout_s = SHARE_OF_PATIENCE * message.patience_s
+        timeout_s = answer_within_s(message.patience_s)
         await self._wait_durable(run, min(timeout_s, BEGIN_WITHIN_S))
         if run.is_durable:
             return SubmitAnswer(verdict=SubmitVerdict.ACCEPTED)
--- a/src/galenastall/platform/job_routes.py
+++ b/src/galenastall/platform/job_routes.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result
 
 from galenastall.coordination.cell.config_age import UNKNOWN_VERSION
+from galenastall.coordination.cell.return_times import return_after_s
 from galenastall.node.cell.call_admissions import CallAdmissions, ConfigSource
 from galenastall.node.cell.caller_handler import (
     RETRY_AFTER_S,
@@ -135,7 +136,10 @@
         if isinstance(submitted, HttpResponse):
             return submitted
         self._submit_seconds.record(self._clock.now() - began_at, submitted.verdict.value)
-        return self._submit_response(request, job_id, submitted)
+        return_s = submitted.retry_after_s or return_after_s(
+            job.unwrap(), caller_waits_s=self._said_left_s(call)
+        )
+        return self._submit_response(request, job_id, replace(submitted, retry_after_s=return_s))
 
     async def _submit(
         self, call: Call, admission: CallAdmission, job: CellJob
@@ -174,7 +178,7 @@
         """
         is_new = self._config.current() is None
         verdict = SubmitVerdict.NOT_RUN if is_new else SubmitVerdict.UNKNOWN
-        outcome = SubmitOutcome(verdict=verdict, cause=cause)
+        outcome = SubmitOutcome(verdict=verdict, cause=cause, retry_after_s=RETRY_AFTER_S)
         return self._submit_response(call.request, call.subject, outcome)
 
     def _submit_response(
@@ -186,7 +190,10 @@
             "job.refused",
             subjects=(job_id,),
             cause=submitted.cause,
-            fields={"verdict": submitted.verdict.value},
+            fields={
+                "verdict": submitted.verdict.value,
+                "return_s": f"{submitted.retry_after_s:g}",
+            },
         )
         if submitted.verdict is SubmitVerdict.NOT_RUN:
             return unavailable(submitted.cause, submitted.retry_after_s)
@@ -318,6 +325,10 @@
     def _left_s(self, call: Call) -> float:
         return max(call.until - self._clock.now(), 0.0)
 
+    def _said_left_s(self, call: Call) -> float | None:
+        """Return for how long the caller still waits; None if it has not said so."""
+        return None if _said_time_s(call.request) is None else self._left_s(call)
+
 
 def _unknown(submitted: SubmitOutcome, cause: str) -> SubmitOutcome:
     """Return the outcome of a submission that could not be admitted again."""
@@ -329,9 +340,15 @@
 
 
 def _remaining_time_s(request: HttpRequest) -> float:
+    said_s = _said_time_s(request)
+    return DEFAULT_TIMEOUT_S if said_s is None else said_s
+
+
+def _said_time_s(request: HttpRequest) -> float | None:
+    """Return for how long a caller says that it waits; None if it doesn't."""
     text = request.headers.get(DEADLINE_HEADER, "")
     try:
         left_s = float(text) / 1000.0
     except ValueError:
-        return DEFAULT_TIMEOUT_S
+        return None
     return max(left_s, 0.0)
