Notice the end of a store's silence within one interval of tries

Cause: a leader has four tries of an append under way at most, each for 1.5 s, begun within 0.85 s. With all of them hanging in a silent store it sent none for 0.7 s, and refused callers meanwhile, although the interval of tries is 0.3 s.

Change: five tries of 1.4 s, as many as fit into the interval. They are the spare connections to the store. Nothing changes for a store that answers or refuses.

--- a/src/galenastall/coordination/cell/append_timing.py
+++ b/src/galenastall/coordination/cell/append_timing.py
@@ -16,12 +16,13 @@
 """The next try begins after this many times the latency of the last answered append."""
 NEXT_TRY_AFTER_S: Final = 0.3
 """Interval between further tries, and thus the longest delay until a recovered store is noticed."""
-ANSWER_WITHIN_S: Final = 1.5
+ANSWER_WITHIN_S: Final = 1.4
 """Time-out of a try beyond its transfer; a slow store takes up to 0.4 s."""
 MAX_DOUBLINGS: Final = 2
 """How often the time for the transfer doubles: a try that hangs in an outage must end soon."""
-MAX_AT_ONCE: Final = 4
-"""Limit of concurrent tries: half of the connections to the store."""
+MAX_AT_ONCE: Final = 5
+"""Limit of concurrent tries: as many as begin at `NEXT_TRY_AFTER_S` within `ANSWER_WITHIN_S`. With
+fewer, no try is sent to a silent store while all of them hang."""
 MAX_AT_ONCE_AFTER_TIMEOUT: Final = 2
 """Limit for an append that is not small, once a try of it has timed out: the link may carry less
 than expected, and more tries would share it until none of them ends in time."""
--- a/tests/test_cell_return_times.py
+++ b/tests/test_cell_return_times.py
@@ -2,19 +2,24 @@
 
 During outages of 4 to 6 s, callers with four retries were told to return after 1 s each time, so
 that none was left when the store came back. And a caller's last try, which arrives with some 0.1 s
-left, was answered as unknown without asking the leader, which takes 10 ms.
+left, was answered as unknown without asking the leader, which takes 10 ms. And a leader whose store
+was silent sent no try to it for 0.7 s at a time, while callers were refused.
 """
 
 from collections import Counter
 from dataclasses import dataclass, replace
 from random import Random
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 import trio
+from returns.result import Failure, Result, Success
 
 from cell.cluster import Cluster, make_job
 from cell.scenarios import run_scenario
 from cell.simulation import Simulation
+from galenastall.coordination.cell.append_timing import NEXT_TRY_AFTER_S
 from galenastall.coordination.cell.objectives import longest_chain_s, objective_at
 from galenastall.coordination.cell.return_times import (
     LONGEST_RETURN_S,
@@ -23,8 +28,11 @@
     TAKEOVER_S,
     return_after_s,
 )
+from galenastall.coordination.cell.timings import CellTimings
+from galenastall.node.cell.commit_loop import CommitLoop
 from galenastall.protocol.cell.messages import SubmitVerdict
 from galenastall.state.cell.jobs import CellJob, Queue, Recurrence, Step
+from galenastall.state.errors import Reason, StepError
 from galenastall.state.resources import Resources
 
 JOBS = 400
@@ -198,3 +206,53 @@
             assert trio.current_time() - begun_at < 0.2
 
         await run_scenario(scenario, seed=43)
+
+
+@dataclass(kw_only=True)
+class SilentStore:
+    """A store that answers no call sent before `answers_from`."""
+
+    answers_from: float
+    append_bytes: int = 1_000_000
+
+    async def append(self, *, timeout_s: float, **_: Any) -> Result[None, StepError]:
+        """Answer in 5 ms, or not at all."""
+        if trio.current_time() >= self.answers_from:
+            await trio.sleep(0.005)
+            return Success(None)
+        await trio.sleep(timeout_s)
+        return Failure(StepError(step="store.append", peer="store", reason=Reason.TIMEOUT))
+
+
+def make_commit_loop(store: SilentStore) -> CommitLoop:
+    """Return a commit loop without changes: it confirms its term."""
+    batch = SimpleNamespace(values_by_key={}, starts=[])
+    core = SimpleNamespace(take_batch=lambda: batch, commit=lambda *_, **__: [])
+    context: Any = SimpleNamespace(
+        core=core,
+        token=1,
+        confirmed_at=0.0,
+        link_bytes_per_s=float("inf"),
+        wall=trio.current_time,
+        note=lambda *_, **__: None,
+        wake=lambda: None,
+        notify_committed=lambda: None,
+        notify_confirmed=lambda: None,
+    )
+    state: Any = store
+
+    async def refresh() -> None:
+        return None
+
+    return CommitLoop(context=context, state=state, timings=CellTimings(), refresh_inputs=refresh)
+
+
+class TestSilentStore:
+    async def test_its_return_is_noticed_within_one_interval_of_tries(
+        self, autojump_clock: object
+    ) -> None:
+        for step in range(60):
+            begun_at = trio.current_time()
+            store = SilentStore(answers_from=begun_at + 2.0 + 0.05 * step)
+            await make_commit_loop(store).commit()
+            assert trio.current_time() - store.answers_from <= NEXT_TRY_AFTER_S + 0.01, step
