Answer last tries as their leader judges them, and keep the third that a caller is told

Change: both judge by the time in the message; the cap comes after the rounding; ten connections to the store; 1 s for unknown outcomes; a Deadline-Remaining that is no finite number counts as none; return_s only where the header is sent. Bounds of the tests are those of the rule (a third, LONGEST_RETURN_S). Measured: the new test fails on the node code before for 0.31, 0.35 and 0.39 s and passes now; tests/test_cell_return_times.py, test_platform_adapter.py, test_cell_leadership.py, test_small_links.py pass.

--- a/src/galenastall/coordination/cell/return_times.py
+++ b/src/galenastall/coordination/cell/return_times.py
@@ -5,7 +5,7 @@
 its job had time for an outage of 8 s.
 
 Load pattern: hundreds of callers a second refused for the length of an outage, each with a limited
-number of retries. Returns are spread evenly over the time in which the job can still be started in
+number of retries. The retries of a job are spread over the time in which it can still be started in
 time. A job with less time returns sooner, so after an outage the most pressing callers come first.
 
 Limits: the job's objective, less its declared critical path and a takeover; what the caller has
@@ -41,9 +41,12 @@
     limit_s = min((_spare_s(job) - TAKEOVER_S) / RETRIES, LONGEST_RETURN_S)
     if caller_waits_s is not None:
         limit_s = min(limit_s, CALLER_SHARE * caller_waits_s)
-    if limit_s <= SHORTEST_RETURN_S:
+    if not limit_s > SHORTEST_RETURN_S:
         return SHORTEST_RETURN_S
-    return float(floor(limit_s + _fraction_of(job)))
+    told_s = floor(limit_s + _fraction_of(job))
+    if caller_waits_s is not None:
+        told_s = min(told_s, floor(CALLER_SHARE * caller_waits_s))
+    return max(float(told_s), SHORTEST_RETURN_S)
 
 
 def _spare_s(job: CellJob) -> float:
--- a/src/galenastall/node/cell/caller_handler.py
+++ b/src/galenastall/node/cell/caller_handler.py
@@ -82,7 +82,7 @@
     def of(cls, patience_s: float, *, now: float) -> "_Deadlines":
         """Derive the deadlines from the time that the caller waits."""
         until = now + patience_s - min(ANSWER_MARGIN_S, MARGIN_SHARE * patience_s)
-        if is_last_try(patience_s):
+        if is_last_try(until - now):
             return cls(until=until, not_stored_until=until, no_leader_until=until)
         return cls(
             until=until,
@@ -97,10 +97,13 @@
     def answer_s(self, now: float) -> float:
         """Return how long a leader may take for an answer.
 
-        After `no_leader_until` a leader that still sends heartbeats is slow and gets all the time
-        that is left.
+        A last try gets all the time that is left, as the leader judges it by the same time. So does
+        a slow leader that still sends heartbeats after `no_leader_until`.
         """
-        return (self.no_leader_until if now < self.no_leader_until else self.until) - now
+        left_s = self.until - now
+        if is_last_try(left_s) or now >= self.no_leader_until:
+            return left_s
+        return self.no_leader_until - now
 
 
 class CallerHandler:
--- a/src/galenastall/platform/job_routes.py
+++ b/src/galenastall/platform/job_routes.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
+from math import isfinite
 from typing import Any, Final
 
 from returns.result import Failure, Result
@@ -136,10 +137,20 @@
         if isinstance(submitted, HttpResponse):
             return submitted
         self._submit_seconds.record(self._clock.now() - began_at, submitted.verdict.value)
-        return_s = submitted.retry_after_s or return_after_s(
-            job.unwrap(), caller_waits_s=self._said_left_s(call)
-        )
-        return self._submit_response(request, job_id, replace(submitted, retry_after_s=return_s))
+        if not submitted.retry_after_s:
+            submitted = replace(
+                submitted, retry_after_s=self._return_s(call, job.unwrap(), submitted)
+            )
+        return self._submit_response(request, job_id, submitted)
+
+    def _return_s(self, call: Call, job: CellJob, submitted: SubmitOutcome) -> float:
+        """Return when the caller of a job that is not accepted should return, in seconds.
+
+        Where the outcome is unknown another host may know it, so the caller need not wait.
+        """
+        if submitted.verdict is SubmitVerdict.UNKNOWN:
+            return RETRY_AFTER_S
+        return return_after_s(job, caller_waits_s=self._said_left_s(call))
 
     async def _submit(
         self, call: Call, admission: CallAdmission, job: CellJob
@@ -186,14 +197,11 @@
     ) -> HttpResponse:
         if submitted.verdict is SubmitVerdict.ACCEPTED:
             return json_response(200, {})
+        fields = {"verdict": submitted.verdict.value}
+        if submitted.verdict is not SubmitVerdict.TAKEN:
+            fields["return_s"] = f"{submitted.retry_after_s:g}"
         self._recorder.record(
-            "job.refused",
-            subjects=(job_id,),
-            cause=submitted.cause,
-            fields={
-                "verdict": submitted.verdict.value,
-                "return_s": f"{submitted.retry_after_s:g}",
-            },
+            "job.refused", subjects=(job_id,), cause=submitted.cause, fields=fields
         )
         if submitted.verdict is SubmitVerdict.NOT_RUN:
             return unavailable(submitted.cause, submitted.retry_after_s)
@@ -351,4 +359,4 @@
         left_s = float(text) / 1000.0
     except ValueError:
         return None
-    return max(left_s, 0.0)
+    return max(left_s, 0.0) if isfinite(left_s) else None
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -53,8 +53,9 @@
 """Part of the grace time kept for the handover and the drain after a wait for a slow store."""
 CONNECT_TIMEOUT_S: Final = 0.5
 """Connecting takes some milliseconds; a lost SYN is sent again after a second."""
-STORE_CONNECTIONS: Final = 8
-"""To the store: an append, a claim read, a list and a long poll at once, and spares for retries."""
+STORE_CONNECTIONS: Final = 10
+"""To the store: five appends while it is silent, a claim read, a list, a configuration, a report of
+a wave and a long poll at once."""
 EXECUTOR_CONNECTIONS: Final = 3
 """To an executor: the long poll and two for orders, which take 3 ms each; each one has a cost."""
 LOG_FLUSH_INTERVAL_S: Final = 1.0
--- a/tests/test_cell_return_times.py
+++ b/tests/test_cell_return_times.py
@@ -131,24 +131,24 @@
 
     def test_jobs_refused_together_do_not_all_return_together(self) -> None:
         told = Counter(return_after_s(make_one(BATCH, number)) for number in range(JOBS))
-        assert len(told) > 1
-        assert max(told.values()) < 0.8 * JOBS
+        assert len(told) == 2
+        assert min(told.values()) > JOBS / 10
 
     def test_one_job_is_not_rounded_up_each_time(self) -> None:
         told = {return_after_s(make_one(BATCH, submitted_at=1.0 * at)) for at in range(20)}
         assert len(told) > 1
 
-    @pytest.mark.parametrize("waits_s", [0.1, 1.0, 3.0, 6.0])
+    @pytest.mark.parametrize("waits_s", [0.1, 1.0, 3.0, 3.06, 3.5, 3.9, 4.5, 5.9, 6.0])
     def test_a_caller_is_not_told_to_return_after_it_has_stopped_waiting(
         self, waits_s: float
     ) -> None:
         for number in range(JOBS):
             told_s = return_after_s(make_one(BATCH, number), caller_waits_s=waits_s)
-            assert told_s <= max(waits_s / 2, SHORTEST_RETURN_S)
+            assert told_s <= max(SHORTEST_RETURN_S, waits_s / 3)
 
     def test_a_caller_with_hours_to_spare_returns_soon_after_an_outage(self) -> None:
         job = make_one(replace(BATCH, target_s=7200.0))
-        assert return_after_s(job) <= LONGEST_RETURN_S + 1.0
+        assert return_after_s(job) <= LONGEST_RETURN_S
 
     def test_work_without_an_end_and_timed_work_return_at_once(self) -> None:
         job = make_one(BATCH)
@@ -190,6 +190,25 @@
 
         await run_scenario(scenario, seed=42)
 
+    @pytest.mark.parametrize("patience_s", [0.2, 0.29, 0.31, 0.35, 0.39, 0.5])
+    async def test_a_try_whose_append_hangs_is_refused_before_its_host_stops_listening(
+        self, autojump_clock: object, patience_s: float
+    ) -> None:
+        async def scenario(cluster: Cluster, simulation: Simulation, rng: Random) -> None:
+            first = await cluster.wait_for_leader()
+            await trio.sleep(1.0)
+            for name in cluster.names:
+                simulation.faults.cut.add((name, "store"))
+            await trio.sleep(0.1)
+            other = next(name for name in cluster.names if name != first)
+            job = make_job(simulation, rng, 1)
+            submitted = await cluster.live[other].host.caller_handler.submit(
+                job, patience_s=patience_s
+            )
+            assert submitted.verdict is SubmitVerdict.NOT_RUN, submitted
+
+        await run_scenario(scenario, seed=44)
+
     async def test_a_last_try_without_a_leader_is_answered_in_time(
         self, autojump_clock: object
     ) -> None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -561,18 +561,25 @@
         assert answer == (status, header)
 
     @pytest.mark.parametrize(
-        ("headers", "told"), [({"Deadline-Remaining": "3000"}, {"1"}), ({}, {"4", "5"})]
+        ("verdict", "headers", "told"),
+        [
+            (SubmitVerdict.NOT_RUN, {"Deadline-Remaining": "3000"}, {"1"}),
+            (SubmitVerdict.NOT_RUN, {}, {"4", "5"}),
+            (SubmitVerdict.NOT_RUN, {"Deadline-Remaining": "nan"}, {"4", "5"}),
+            (SubmitVerdict.NOT_RUN, {"Deadline-Remaining": "inf"}, {"4", "5"}),
+            (SubmitVerdict.UNKNOWN, {}, {"1"}),
+        ],
     )
     async def test_a_caller_returns_by_its_job_s_time_within_what_it_says_that_it_waits(
-        self, headers: dict[str, str], told: set[str]
+        self, verdict: SubmitVerdict, headers: dict[str, str], told: set[str]
     ) -> None:
         status, header = await post_job(
-            SubmitOutcome(verdict=SubmitVerdict.NOT_RUN, cause="a cause"),
+            SubmitOutcome(verdict=verdict, cause="a cause"),
             queue=replace(QUEUE, stretch=4.0, target_s=3.0),
             headers=headers,
             body=b'{"specification":"x","steps":[{"count":1,"estimatedMs":5000}]}',
         )
-        assert status == 503
+        assert status == (503 if verdict is SubmitVerdict.NOT_RUN else 504)
         assert header in told
 
 
