--- a/src/galenastall/coordination/cell/executor_health.py
+++ b/src/galenastall/coordination/cell/executor_health.py
@@ -106,10 +106,16 @@
             if len(shares) < RUNS_TO_JUDGE or median(shares) >= SLOW_SHARE:
                 continue
             executor = self._state.executors_by_id[executor_id]
-            self._pause(executor, f"its runs progress at {median(shares):.2f} of the usual speed")
+            self._pause(executor, self._slow_cause(executor, median(shares)))
             slow.append(executor)
         return slow
 
+    def _slow_cause(self, executor: Executor, share: float) -> str:
+        if not self._state.speeds.is_in_use:
+            return f"its runs progress at {share:.2f} of the usual speed"
+        own = self._state.speeds.of(executor.info.host)
+        return f"its runs progress at {share:.2f} of its own speed, which is {own:.2f} of the usual"
+
     def _shares_by_executor(self) -> dict[str, list[float]]:
         """Return each run's speed as a share of the median of its step, by executor.
 
--- a/src/galenastall/coordination/cell/executor_speeds.py
+++ b/src/galenastall/coordination/cell/executor_speeds.py
@@ -143,6 +143,9 @@
         """Speeds in use; empty while they are alike."""
         self._levels_by_host: dict[str, int] = {}
         self._stored_by_host: dict[str, HostSpeedRow] = {}
+        self.spread = 1.0
+        """How many times as fast as the tenth slowest of a hundred known hosts the tenth fastest
+        is."""
         self._middle = 0.0
         """Logarithm of the usual speed, as the median of the known hosts."""
         self._refreshed_at = float("-inf")
@@ -223,14 +226,14 @@
                 known.executor_id, known.kind = info.executor_id, kind
         return len(infos_by_host)
 
-    @staticmethod
-    def _differ(known: dict[str, _Estimate], hosts: int, *, was_in_use: bool) -> bool:
+    def _differ(self, known: dict[str, _Estimate], hosts: int, *, was_in_use: bool) -> bool:
         """Whether the known speeds are too unlike to be those of executors of one kind."""
         if len(known) < max(MIN_KNOWN_HOSTS, MIN_KNOWN_SHARE * hosts):
             return False
         ordered = sorted(each.log_speed for each in known.values())
         tenth = len(ordered) // 10
         spread = ordered[-1 - tenth] - ordered[tenth]
+        self.spread = exp(spread)
         return spread >= (SPREAD_TO_KEEP if was_in_use else SPREAD_TO_USE)
 
     def _speed_of(self, known: _Estimate, before: float | None) -> float:
--- a/src/galenastall/coordination/cell/run_moves.py
+++ b/src/galenastall/coordination/cell/run_moves.py
@@ -67,7 +67,7 @@
             return
         self._move_if_stalled(executor, step, task)
         if is_slow:
-            self._move_if_faster_elsewhere(step, task, now)
+            self._move_if_faster_elsewhere(executor, step, task, now)
 
     def _stop_if_left_over(self, step: StepRun, task: TaskRun) -> None:
         """Stop a member that continues after its gang is done and would never free its capacity."""
@@ -95,12 +95,18 @@
             self._health.on_stall(executor, step.key)
         self._ends.stop_stalled(task, cause=f"no progress for {stalled_s:.1f} s at {task.percent}%")
 
-    def _move_if_faster_elsewhere(self, step: StepRun, task: TaskRun, now: float) -> None:
-        """Move a run off a slow executor if it should end clearly earlier elsewhere."""
+    def _move_if_faster_elsewhere(
+        self, executor: Executor, step: StepRun, task: TaskRun, now: float
+    ) -> None:
+        """Move a run off a slow executor if it should end clearly earlier elsewhere.
+
+        Executors elsewhere count as no faster than this one usually is.
+        """
         ends_at = task.ends_at()
         if step.step.is_gang or ends_at is None:
             return
         left = 1.0 - task.percent / DONE_PERCENT if step.step.is_checkpointing else 1.0
-        if now + left * step.step.estimate_s + MIN_MOVE_GAIN_S < ends_at:
+        speed = min(self._state.speeds.of(executor.info.host), 1.0)
+        if now + left * step.step.estimate_s / speed + MIN_MOVE_GAIN_S < ends_at:
             cause = "its executor is slow; the run should end sooner elsewhere"
             self._ends.stop(task, rule=StopRule.SLOW_EXECUTOR, cause=cause)
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -423,8 +423,15 @@
         return self._batches.has_changes
 
     def _refresh_speeds(self, now: float, wall: float) -> None:
+        speeds, was_in_use = self._state.speeds, self._state.speeds.is_in_use
         infos = (executor.info for executor in self._state.executors_by_id.values())
-        for change in self._state.speeds.refresh(infos, now=now):
+        changes = speeds.refresh(infos, now=now)
+        if speeds.is_in_use != was_in_use:
+            counts = {each.value: str(n) for each, n in speeds.count_by_class().items()}
+            cause = "they differ clearly" if speeds.is_in_use else "they are alike"
+            fields = {"spread": f"{speeds.spread:.2f}", **counts}
+            self._state.note("speeds.changed", cause=cause, fields=fields)
+        for change in changes:
             fields = {
                 "speed": f"{change.speed:.2f}",
                 "before": change.before,
@@ -432,7 +439,7 @@
                 "precision": f"{change.precision:.0f}",
             }
             self._state.note("executor.speed", change.host, fields=fields)
-        row = self._state.speeds.take_row(now=now, wall=wall)
+        row = speeds.take_row(now=now, wall=wall)
         if row is not None:
             self._batches.store_speeds(row)
 
