--- a/src/galenastall/coordination/cell/executor_speeds.py
+++ b/src/galenastall/coordination/cell/executor_speeds.py
@@ -23,8 +23,8 @@
 """Precision of the assumption that a host is usual: most are within 0.35 of it, in logarithms."""
 MAX_PRECISION: Final = 150.0
 """An estimate keeps moving by what some 15 runs of one step say."""
-KNOWN_PRECISION: Final = 40.0
-"""A host is known from here on: with four runs of wide steps, or with twice as many others."""
+KNOWN_PRECISION: Final = 30.0
+"""A host is known from here on: with two runs of wide steps, or with some more of others."""
 RESTORED_PRECISION: Final = 80.0
 """What an earlier leader learned counts like eight runs."""
 MAX_SURPRISE: Final = 1.3
@@ -291,7 +291,7 @@
         if not self.is_enabled:
             return ""
         age_s = wall - row.written_at
-        if not 0.0 <= age_s <= MAX_AGE_S:
+        if age_s > MAX_AGE_S:
             return f"written_at: expected at most {MAX_AGE_S:g} s ago, got {age_s:.0f} s"
         for each in row.hosts[:MAX_STORED_HOSTS]:
             if not 100 * MIN_SPEED <= each.speed_percent <= 100 * MAX_SPEED:
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -10,6 +10,7 @@
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.fitting import SingleChoices, choose_for_gang, may_host
 from galenastall.coordination.cell.forecast import Forecast
+from galenastall.coordination.cell.gang_pace import pays_to_wait, plan_gang
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.probation import Probation
 from galenastall.coordination.cell.reservation_plan import PlannedStart, ReservationPlan, could_hold
@@ -234,14 +235,13 @@
         would arrive for other executors than those that have the capacity by then.
         """
         step, advice, now = waiting.step.step, waiting.advice, waiting.now
+        wish = wish_of(waiting, self._state.speeds)
         if advice is not None:
             soon = [e for e in approved if advice.has_ticket_soon(e.executor_id, now)]
-            planned = self.plan.earliest_start(
-                step, step.count, soon, not_before=now, within_s=TICKETED_SOON_S
-            )
+            planned = plan_gang(self.plan, step, soon, wish, now=now, within_s=TICKETED_SOON_S)
             if planned is not None:
                 return planned
-        return self.plan.earliest_start(step, step.count, approved, not_before=now)
+        return plan_gang(self.plan, step, approved, wish, now=now)
 
     def _may_reserve(self, waiting: WaitingStep) -> bool:
         if Mechanism.RESERVATIONS in self._state.without:
@@ -294,6 +294,8 @@
         chosen = choose_for_gang(usable, waiting.step, len(tasks), self.plan, wish)
         if chosen is None:
             return False
+        if pays_to_wait(self.plan, waiting.step.step, chosen, usable, wish, now=waiting.now):
+            return False
         run = waiting.step.highest_run + 1
         waiting.step.share_checkpoint()
         waiting.step.share_given_up()
--- a/src/galenastall/coordination/cell/speed_wish.py
+++ b/src/galenastall/coordination/cell/speed_wish.py
@@ -26,13 +26,21 @@
     """None while speeds are alike, so that nothing depends on them."""
     prefers_fast: bool = False
     spare_speed: float = inf
-    """The lowest speed at which the step is still done in time; infinite if there is none."""
+    """The lowest speed at which the step has time to spare; infinite if there is none."""
+    done_by: float = inf
+    """Leader's time by which the step has to be done."""
+
+    def is_in_time(self, end: float) -> bool:
+        """Whether a step that ends then, by its declared time, is in time."""
+        return end <= self.done_by
+
+    def level_of(self, executor: Executor) -> int:
+        """Return the level of the executor's speed; 0 while speeds are alike."""
+        return 0 if self.speeds is None else self.speeds.level_of(executor.info.host)
 
     def rank(self, executor: Executor) -> int:
         """Return the executor's place among others by speed, the wanted ones first."""
-        if self.speeds is None:
-            return 0
-        level = self.speeds.level_of(executor.info.host)
+        level = self.level_of(executor)
         return -level if self.prefers_fast else level
 
     def speed_of(self, executor: Executor) -> float:
@@ -47,21 +55,26 @@
     """Return the speed that a step wants."""
     if not speeds.is_in_use:
         return ANY_SPEED
+    left_s = _left_s(waiting)
+    done_by = waiting.now + left_s
     if waiting.is_urgent:
-        return SpeedWish(speeds=speeds, prefers_fast=True)
-    spare_speed = _spare_speed(waiting)
-    is_short_of_time = spare_speed > 1.0 and not waiting.is_worthless
-    return SpeedWish(speeds=speeds, prefers_fast=is_short_of_time, spare_speed=spare_speed)
-
-
-def _spare_speed(waiting: WaitingStep) -> float:
-    """Return the lowest speed of its executors at which a step leaves the later ones their time."""
+        return SpeedWish(speeds=speeds, prefers_fast=True, done_by=done_by)
+    spare_speed = TIME_MARGIN * waiting.step.step.estimate_s / left_s if left_s > 0.0 else inf
+    return SpeedWish(
+        speeds=speeds,
+        prefers_fast=spare_speed > 1.0 and not waiting.is_worthless,
+        spare_speed=spare_speed,
+        done_by=done_by,
+    )
+
+
+def _left_s(waiting: WaitingStep) -> float:
+    """Return the time until a step has to be done, so that the later ones have theirs."""
     steps = tuple(each.step for each in waiting.occurrence.steps)
     index = waiting.step.key.step
     begun = longest_chain_s(steps[: index + 1], waiting.queue)
     later_s = longest_chain_s(steps, waiting.queue) - begun
-    left_s = _time_left_s(waiting) - later_s
-    return TIME_MARGIN * waiting.step.step.estimate_s / left_s if left_s > 0.0 else inf
+    return _time_left_s(waiting) - later_s
 
 
 def _time_left_s(waiting: WaitingStep) -> float:
--- a/tests/test_cell_executor_speeds.py
+++ b/tests/test_cell_executor_speeds.py
@@ -3,27 +3,38 @@
 from collections.abc import Callable
 from dataclasses import replace
 from math import exp, log
+from pathlib import Path
 from random import Random
 
+import msgspec
 import pytest
 
-from cell.rig import JOB, Harness, make_info, make_job, make_step
-from galenastall.bench.cell_load.arrivals import draw_arrivals
+from cell.rig import JOB, QUEUE, WALL, Harness, make_info, make_job, make_step
+from galenastall.bench.cell_load.simulation import SimulationResult, simulate
 from galenastall.bench.cell_load.workload import load_workload
-from galenastall.coordination.cell.commands import StartOrder
 from galenastall.coordination.cell.executor_speeds import (
     MAX_AGE_S,
-    RESTORED_PRECISION,
     ExecutorSpeeds,
     SpeedClass,
+    kind_of,
 )
+from galenastall.coordination.cell.executors import ExecutorInfo
 from galenastall.coordination.cell.job_runs import JobRun
-from galenastall.coordination.cell.listings import ListedEnd, ListedRun
-from galenastall.state.cell.jobs import Queue, Step
+from galenastall.coordination.cell.listings import ListedRun
+from galenastall.coordination.cell.mechanisms import Mechanism
+from galenastall.state.cell.jobs import AdvisorTiming, Queue, Step
 from galenastall.state.cell.phases import RunEnd
-from galenastall.state.cell.rows import decode_rows
-from galenastall.state.cell.speeds import SPEEDS_KEY, HostSpeedRow, SpeedsRow, encode_speeds
+from galenastall.state.cell.speeds import (
+    MAX_STORED_HOSTS,
+    SPEEDS_KEY,
+    HostSpeedRow,
+    SpeedsRow,
+    encode_speeds,
+)
+from galenastall.state.resources import Resources
 
+WORKLOADS = Path(__file__).parents[1] / "examples" / "cell-load"
+SICK = {"e1", "e3", "e5"}
 UNEVEN = (0.6, 1.0, 1.6)
 HEALTHY = (0.8, 1.0, 1.25)
 URGENT = Queue(name="urgent", service="s", priority=0, stretch=1.5, target_s=0.3, max_attempts=9)
@@ -133,3 +144,249 @@
         cell.learn(20)
         assert {cell.of(f"e{n}") for n in range(HOSTS)} == {1.0}
         assert SPEEDS_KEY not in cell.rows
+
+    def test_a_host_with_few_runs_counts_as_usual(self) -> None:
+        speeds = ExecutorSpeeds()
+        infos = [make_info(f"e{number}") for number in range(HOSTS)]
+        for info in infos[1:]:
+            teach(speeds, info, speed_on(info.host, UNEVEN))
+        speeds.observe(infos[0], log(0.3), variance=0.4)
+        speeds.refresh(infos, now=1.0)
+        assert speeds.is_in_use
+        assert speeds.of("e0") == 1.0
+
+    def test_runs_that_take_many_times_as_long_change_nothing(self) -> None:
+        speeds, infos = learned()
+        before = speeds.of("e2")
+        for _ in range(3):
+            speeds.observe(infos[2], log(before / 7.0), variance=0.09)
+        speeds.refresh(infos, now=2.0)
+        assert speeds.of("e2") == before
+
+    def test_a_change_of_speed_that_lasts_is_learned(self) -> None:
+        speeds, infos = learned()
+        teach(speeds, infos[2], 0.25, times=30)
+        speeds.refresh(infos, now=2.0)
+        assert speeds.of("e2") == pytest.approx(0.25, rel=0.2)
+
+    @pytest.mark.parametrize(
+        ("change", "is_kept"),
+        [
+            ({"executor_id": "e2@9"}, True),
+            ({"executor_id": "e2@9", "labels": ("b",)}, False),
+            ({"executor_id": "e2@9", "capacity": Resources(cores_milli=9, memory_mb=9)}, False),
+        ],
+    )
+    def test_a_host_with_another_kind_of_executor_is_learned_anew(
+        self, change: dict[str, object], is_kept: bool
+    ) -> None:
+        speeds, infos = learned()
+        infos[2] = replace(infos[2], **change)  # type: ignore[arg-type]
+        speeds.refresh(infos, now=2.0)
+        assert (speeds.of("e2") > 1.4) is is_kept
+
+    def test_a_host_that_is_away_for_seconds_keeps_its_speed(self) -> None:
+        speeds, infos = learned()
+        speeds.refresh(infos[3:], now=2.0)
+        assert speeds.of("e2") == 1.0
+        speeds.refresh(infos, now=4.0)
+        assert speeds.of("e2") > 1.4
+
+    def test_hosts_beyond_the_bound_are_not_learned(self) -> None:
+        speeds = ExecutorSpeeds()
+        for number in range(MAX_STORED_HOSTS + 10):
+            speeds.observe(make_info(f"e{number}"), 0.0, variance=0.1)
+        assert len(speeds._estimates_by_host) == MAX_STORED_HOSTS
+
+    @pytest.mark.parametrize("without", [{"is_gang": True}, {"is_filler": True, "cores": 0}])
+    def test_members_of_gangs_and_fillers_tell_nothing(self, without: dict[str, object]) -> None:
+        cell = Cell(UNEVEN)
+        for _ in range(6):
+            cell.run_steps(make_step(30, **{"cores": 900} | without))  # type: ignore[arg-type]
+        assert not cell.core._state.speeds._estimates_by_host
+
+
+def teach(speeds: ExecutorSpeeds, info: ExecutorInfo, speed: float, times: int = 12) -> None:
+    for _ in range(times):
+        speeds.observe(info, log(speed), variance=0.09)
+
+
+def learned(speeds: tuple[float, ...] = UNEVEN) -> tuple[ExecutorSpeeds, list[ExecutorInfo]]:
+    """Return a table in which `speeds` are in use, and its executors."""
+    table = ExecutorSpeeds()
+    infos = [make_info(f"e{number}") for number in range(HOSTS)]
+    for info in infos:
+        teach(table, info, speed_on(info.host, speeds))
+    table.refresh(infos, now=1.0)
+    return table, infos
+
+
+def teach_all(harness: Harness, speeds: tuple[float, ...] = UNEVEN) -> None:
+    for info in harness.infos:
+        teach(harness.core._state.speeds, info, speed_on(info.host, speeds))
+    harness.step()
+
+
+class TestChoice:
+    @pytest.mark.parametrize(
+        ("queue", "speed"),
+        [(URGENT, 1.6), (QUEUE, 0.6), (replace(QUEUE, stretch=0.5, target_s=1.0), 1.6)],
+        ids=["urgent", "time to spare", "short of time"],
+    )
+    @pytest.mark.parametrize("is_gang", [False, True])
+    def test_work_goes_to_executors_of_the_speed_that_it_needs(
+        self, queue: Queue, speed: float, is_gang: bool
+    ) -> None:
+        cell = Cell(UNEVEN)
+        teach_all(cell)
+        step = make_step(8, cores=900, estimate_s=2.0, is_gang=is_gang)
+        cell.submit(make_job(step, queue=queue, submitted_at=cell.wall))
+        assert {speed_on(order.executor_id, UNEVEN) for order in cell.step()} == {speed}
+
+    def test_a_gang_takes_slow_members_only_if_it_is_in_time_there(self) -> None:
+        """Its slowest member sets its pace: one of 0.6 would make it late."""
+        cell = Cell(UNEVEN)
+        teach_all(cell)
+        tight = replace(QUEUE, stretch=1.9, target_s=0.0)
+        step = make_step(20, cores=1900, estimate_s=3.0, is_gang=True)
+        cell.submit(make_job(step, queue=tight, submitted_at=cell.wall))
+        assert {speed_on(order.executor_id, UNEVEN) for order in cell.step()} == {1.0, 1.6}
+
+    def test_a_gang_that_is_late_on_slow_executors_waits_for_fast_ones_in_time(self) -> None:
+        cell = Cell(UNEVEN)
+        teach_all(cell)
+        fast = make_step(10, cores=1900, estimate_s=0.5)
+        cell.submit(make_job(fast, job_id="a" * 16, queue=URGENT, submitted_at=cell.wall))
+        assert {speed_on(order.executor_id, UNEVEN) for order in cell.step()} == {1.6}
+        tight = replace(QUEUE, stretch=0.8, target_s=0.0)
+        gang = make_step(10, cores=1900, estimate_s=5.0, is_gang=True)
+        cell.submit(make_job(gang, queue=tight, submitted_at=cell.wall))
+        slow = make_step(10, cores=1900, estimate_s=20.0)
+        cell.submit(make_job(slow, job_id="b" * 16, submitted_at=cell.wall))
+        assert JOB not in {order.task.job for order in cell.step()}
+
+    def test_advice_on_urgent_work_names_fast_executors_first(self) -> None:
+        cell = Cell(UNEVEN)
+        teach_all(cell)
+        advised = replace(
+            URGENT, advisor=AdvisorTiming(base_s=0.01, per_executor_s=0.0, validity_s=1.5)
+        )
+        cell.submit(make_job(make_step(2), queue=advised, submitted_at=cell.wall))
+        cell.step()
+        (request,) = cell.core.take_advice_requests()
+        named = [speed_on(executor_id, UNEVEN) for executor_id in request.executor_ids]
+        assert named == sorted(named, reverse=True)
+        assert named[0] == 1.6
+
+
+class TestHealth:
+    def observed(self, percents: Callable[[float], int]) -> Harness:
+        """Return a cell whose runs gain `percents` of their executor's speed in 2 s."""
+        cell = Cell(UNEVEN)
+        teach_all(cell)
+        cell.submit(make_job(make_step(60, cores=900, estimate_s=10.0, is_checkpointing=True)))
+        orders = cell.step()
+        cell.confirm_starts(orders)
+        for passed_s in (0.0, 2.0):
+            cell.now += passed_s
+            for info in cell.infos:
+                speed = speed_on(info.host, UNEVEN) * (0.3 if info.host in SICK else 1.0)
+                percent = percents(speed) if passed_s else 0
+                there = [o.task for o in orders if o.executor_id == info.executor_id]
+                running = tuple(ListedRun(task=t, run=1, percent=percent) for t in there)
+                cell.listing(info.executor_id, running)
+        return cell
+
+    def test_sound_slow_executors_are_used_and_those_that_become_slow_are_found(self) -> None:
+        cell = self.observed(lambda speed: int(20 * speed))
+        assert {stop.executor_id for stop in cell.stops()} == SICK
+
+    def test_a_pause_says_whose_speed_it_is_measured_by(self) -> None:
+        cell = self.observed(lambda speed: int(20 * speed))
+        cell.stops()
+        causes = {n.subjects[0]: n.cause for n in cell.core.take_notes() if "paused" in n.step}
+        assert causes.keys() == SICK
+        assert all("of its own speed" in cause for cause in causes.values())
+
+
+class TestRow:
+    def test_the_next_leader_knows_the_speeds(self) -> None:
+        cell = Cell(UNEVEN)
+        cell.learn()
+        cell.step()
+        after = Cell(UNEVEN, rows=cell.rows)
+        after.now += 1.0
+        after.step()
+        for number in range(HOSTS):
+            assert after.of(f"e{number}") == pytest.approx(cell.of(f"e{number}"), rel=0.3)
+
+    def test_it_is_written_seldom_and_only_for_changes_of_weight(self) -> None:
+        speeds, infos = learned()
+        assert speeds.take_row(now=1.0, wall=1.0) is not None
+        teach(speeds, infos[2], 0.3, times=40)
+        speeds.refresh(infos, now=5.0)
+        assert speeds.take_row(now=5.0, wall=5.0) is None
+        assert speeds.take_row(now=11.5, wall=11.5) is not None
+        assert speeds.take_row(now=60.0, wall=60.0) is None
+
+    def test_its_size_is_bounded(self) -> None:
+        names = (f"a-host-with-a-long-name-{n:06}" for n in range(MAX_STORED_HOSTS))
+        hosts = tuple(HostSpeedRow(host=n, kind=2**32 - 1, speed_percent=160) for n in names)
+        assert len(encode_speeds(SpeedsRow(written_at=WALL, hosts=hosts))) < 200_000
+
+    @pytest.mark.parametrize("stored", ["whole", "half-written", "old", "out of range", "missing"])
+    def test_a_row_that_is_of_no_use_costs_only_what_was_learned(self, stored: str) -> None:
+        hosts = tuple(
+            HostSpeedRow(
+                host=f"e{n}",
+                kind=kind_of(make_info(f"e{n}", cores=2000)),
+                speed_percent=-5 if stored == "out of range" else int(100 * UNEVEN[n % 3]),
+            )
+            for n in range(HOSTS)
+        )
+        at = WALL - (MAX_AGE_S + 1.0 if stored == "old" else 1.0)
+        value = encode_speeds(SpeedsRow(written_at=at, hosts=hosts))
+        rows = {SPEEDS_KEY: value[: len(value) // 2] if stored == "half-written" else value}
+        cell = Cell(UNEVEN, rows={} if stored == "missing" else rows)
+        cell.now += 1.0
+        cell.step()
+        assert cell.core._state.speeds.is_in_use is (stored == "whole")
+        unreadable = [n for n in cell.core.take_notes() if n.step == "rows.unreadable"]
+        assert bool(unreadable) is (stored in {"half-written", "old"})
+        cell.run_steps(make_step(60, cores=900))
+        assert len(cell.was_on[-1]) == 60
+
+    def test_it_is_deleted_once_speeds_are_alike(self) -> None:
+        speeds, infos = learned()
+        assert speeds.take_row(now=1.0, wall=1.0) is not None
+        for info in infos:
+            teach(speeds, info, 1.0, times=60)
+        speeds.refresh(infos, now=20.0)
+        assert not speeds.is_in_use
+        assert speeds.take_row(now=20.0, wall=20.0) == SpeedsRow(written_at=20.0)
+        assert speeds.take_row(now=40.0, wall=40.0) is None
+
+
+class TestAlike:
+    """Where executors are alike, each start is the same as without speeds."""
+
+    @pytest.mark.parametrize("speeds", [[], [1.0]], ids=["0.8 to 1.25", "equal"])
+    def test_orders_are_those_without_speeds(self, speeds: list[float]) -> None:
+        whole = load_workload(WORKLOADS / "shifted-176.yaml")
+        queues = {
+            name: msgspec.structs.replace(load, jobs_per_s=load.jobs_per_s / 4)
+            for name, load in whole.queues.items()
+        }
+        small = msgspec.structs.replace(
+            whole, queues=queues, executors=44, speeds=speeds, length_s=8.0, settle_s=4.0
+        )
+        with_speeds, without = (
+            simulate(small, seed=1, without=off) for off in ((), (Mechanism.SPEEDS,))
+        )
+        assert _what_happened(with_speeds) == _what_happened(without)
+
+
+def _what_happened(result: SimulationResult) -> tuple[object, ...]:
+    ends = [(each.started_s, each.done_s, each.phase) for each in result.outcomes]
+    samples = [(each.in_use, each.waiting_jobs) for each in result.samples]
+    return (ends, samples, result.starts, result.advice_calls)
