--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -308,15 +308,18 @@
         state = self._state
         state.assign(task, waiting.step, executor, run, waiting.now)
         self.plan.use(executor, waiting.step.step)
+        fields = {
+            "run": str(run),
+            "executor": executor.executor_id,
+            "free_cores_milli": str(executor.free.cores_milli),
+        }
+        if state.speeds.is_in_use:
+            fields["speed"] = f"{state.speeds.of(executor.info.host):.2f}"
         state.note(
             "run.assigned",
             task.key.job,
             f"{task.key.occurrence}.{task.key.step}.{task.key.number}",
-            fields={
-                "run": str(run),
-                "executor": executor.executor_id,
-                "free_cores_milli": str(executor.free.cores_milli),
-            },
+            fields=fields,
         )
         state.new_starts.append(
             StartOrder(
