Measure long runs by their progress, before they end

A fleet whose tasks take a minute learned nothing for a minute. A step counts once most of its runs have been seen for five seconds; fewer would be those on slow executors alone. Tests of the lab's speeds and tails.

--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -488,4 +488,5 @@
             elif run.shown_phase is run.phase:
                 run.forget_tasks()
         self._ends.samples.forget()
+        self._ends.samples.measure_long_runs()
         return True
--- a/src/galenastall/coordination/cell/speed_samples.py
+++ b/src/galenastall/coordination/cell/speed_samples.py
@@ -1,19 +1,23 @@
-"""Measures the speed of executors by completed runs, against other runs of the same step.
+"""Measures the speed of executors by runs, against other runs of the same step.
+
+Short runs count when they end, long ones by their progress before that.
 
 A step with few runs is measured against its declared time, corrected by how far the declared times
 of its queue are usually off. Members of gangs wait for each other, so their runs tell nothing, and
 neither do runs that were throttled, continued from a checkpoint, or far from their data.
 """
 
+from collections import defaultdict
 from dataclasses import dataclass, field
 from math import inf, log
+from statistics import median
 from typing import Final
 
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.executors import Executor, ExecutorInfo
 from galenastall.coordination.cell.job_runs import JobRun, StepRun
 from galenastall.coordination.cell.task_runs import TaskRun
-from galenastall.state.cell.jobs import StepKey
+from galenastall.state.cell.jobs import StepKey, TaskKey
 
 STEP_VARIANCE: Final = 0.3**2
 """Variance of the logarithm of the run times of one step's tasks."""
@@ -22,6 +26,9 @@
 DONE_SHARE: Final = 0.75
 """A step is measured from the time at which this share of its runs is done: the first ones to end
 are the short ones and those on fast executors."""
+LONG_RUN_S: Final = 5.0
+"""A run whose progress has been seen for this long counts before its end."""
+MIN_GAINED_PERCENT: Final = 5
 MAX_STEPS: Final = 2_000
 """Steps whose first runs wait for the others; beyond it the one that began first is forgotten."""
 MIN_RUN_S: Final = 0.1
@@ -69,6 +76,8 @@
         self._speeds = state.speeds
         self._runs_by_step: dict[StepKey, _StepRuns] = {}
         self._declared_by_queue: dict[str, _DeclaredTimes] = {}
+        self._measured_early: set[tuple[TaskKey, int]] = set()
+        """Runs in progress that have counted already."""
 
     def on_done(self, job: JobRun, step: StepRun, task: TaskRun, executor: Executor) -> None:
         """Take note of a run that has just ended as done."""
@@ -81,16 +90,20 @@
         if step.step.count < RUNS_TO_COMPARE:
             self._measure_by_declared(job, step, executor.info, log(run_s))
         else:
-            self._measure_by_step(step, executor.info, log(run_s))
+            is_measured = (task.key, task.run) in self._measured_early
+            self._measure_by_step(step, executor.info, log(run_s), is_measured=is_measured)
 
-    def _measure_by_step(self, step: StepRun, info: ExecutorInfo, log_s: float) -> None:
+    def _measure_by_step(
+        self, step: StepRun, info: ExecutorInfo, log_s: float, *, is_measured: bool
+    ) -> None:
         runs = self._runs_by_step.get(step.key)
         if runs is None:
             runs = self._runs_by_step[step.key] = _StepRuns()
             if len(self._runs_by_step) > MAX_STEPS:
                 del self._runs_by_step[next(iter(self._runs_by_step))]
         runs.works.append(log_s + self._speeds.estimate_of(info.host))
-        runs.unmeasured.append((info, log_s))
+        if not is_measured:
+            runs.unmeasured.append((info, log_s))
         if len(runs.works) < DONE_SHARE * step.step.count:
             return
         usual = _median_of(runs.works, step.step.count)
@@ -118,6 +131,35 @@
             self._speeds.observe(info, expected - log_s, variance=variance)
         declared.add(error)
 
+    def measure_long_runs(self) -> None:
+        """Take note of the progress of steps most of whose runs have been seen for long."""
+        if not self._speeds.is_enabled:
+            return
+        runs_by_step: defaultdict[StepKey, list[_LongRun]] = defaultdict(list)
+        counts_by_step: dict[StepKey, int] = {}
+        in_progress: set[tuple[TaskKey, int]] = set()
+        for executor in self._state.executors_by_id.values():
+            for key, run in executor.runs_by_task.items():
+                found = self._state.find(key)
+                if found is None:
+                    continue
+                in_progress.add((key, run))
+                log_gain = _log_gain(found[1], found[2], executor)
+                if log_gain is not None:
+                    runs_by_step[key.step_key].append((executor.info, (key, run), log_gain))
+                    counts_by_step[key.step_key] = found[1].step.count
+        self._measured_early &= in_progress
+        for step, runs in runs_by_step.items():
+            if len(runs) >= max(RUNS_TO_COMPARE, DONE_SHARE * counts_by_step[step]):
+                self._measure_progress(runs)
+
+    def _measure_progress(self, runs: list["_LongRun"]) -> None:
+        usual = median(gain - self._speeds.estimate_of(info.host) for info, _, gain in runs)
+        for info, run, gain in runs:
+            if run not in self._measured_early:
+                self._measured_early.add(run)
+                self._speeds.observe(info, gain - usual, variance=STEP_VARIANCE)
+
     def forget(self) -> None:
         """Drop steps whose jobs have ended."""
         for key in list(self._runs_by_step):
@@ -126,6 +168,21 @@
                 del self._runs_by_step[key]
 
 
+_LongRun = tuple[ExecutorInfo, tuple[TaskKey, int], float]
+"""Executor and run, and the logarithm of its progress in percent per second."""
+
+
+def _log_gain(step: StepRun, task: TaskRun, executor: Executor) -> float | None:
+    """Return the logarithm of a long run's progress per second; None unless it can be measured."""
+    if task.first_seen_at is None or not _is_measured(step, task, executor):
+        return None
+    observed_s = task.listed_at - task.first_seen_at
+    gained = task.percent - task.first_percent
+    if observed_s < LONG_RUN_S or gained < MIN_GAINED_PERCENT:
+        return None
+    return log(gained / observed_s)
+
+
 def _is_measured(step: StepRun, task: TaskRun, executor: Executor) -> bool:
     """Whether the time that a run took depends on its executor's speed and its own work alone."""
     kind = step.step
--- a/tests/test_cell_executor_speeds.py
+++ b/tests/test_cell_executor_speeds.py
@@ -145,6 +145,24 @@
         assert {cell.of(f"e{n}") for n in range(HOSTS)} == {1.0}
         assert SPEEDS_KEY not in cell.rows
 
+    def test_long_runs_tell_speeds_before_they_end(self) -> None:
+        cell = Cell(UNEVEN)
+        for number in range(2):
+            step = make_step(30, cores=900, estimate_s=60.0)
+            cell.submit(make_job(step, job_id=f"{number:016x}", submitted_at=cell.wall))
+        orders = cell.step()
+        cell.confirm_starts(orders)
+        for second in range(8):
+            cell.now += 1.0
+            for info in cell.infos:
+                percent = int(2 * second * speed_on(info.host, UNEVEN))
+                there = [order.task for order in orders if order.executor_id == info.executor_id]
+                running = tuple(ListedRun(task=t, run=1, percent=percent) for t in there)
+                cell.listing(info.executor_id, running)
+            cell.step()
+        for speed in UNEVEN:
+            assert cell.mean_of(speed) == pytest.approx(speed, rel=0.25)
+
     def test_a_host_with_few_runs_counts_as_usual(self) -> None:
         speeds = ExecutorSpeeds()
         infos = [make_info(f"e{number}") for number in range(HOSTS)]
@@ -192,6 +210,14 @@
         speeds.refresh(infos, now=4.0)
         assert speeds.of("e2") > 1.4
 
+    def test_nothing_is_learned_while_switched_off(self) -> None:
+        speeds = ExecutorSpeeds(is_enabled=False)
+        infos = [make_info(f"e{number}") for number in range(HOSTS)]
+        for info in infos:
+            teach(speeds, info, speed_on(info.host, UNEVEN))
+        assert speeds.refresh(infos, now=1.0) == []
+        assert not speeds.is_in_use
+
     def test_hosts_beyond_the_bound_are_not_learned(self) -> None:
         speeds = ExecutorSpeeds()
         for number in range(MAX_STORED_HOSTS + 10):
--- a/tests/test_cell_load.py
+++ b/tests/test_cell_load.py
@@ -85,6 +85,9 @@
             (("approved_share: 0.7", "approved_share: 7"), "approved_share: expected 0 to 1"),
             (("length_s: 3", "bursts: [{at_s: 1, for_s: 1, factor: 2, queue: x}]"), "no queue 'x'"),
             (("gang_share: 1.0", "crash_share: 2"), "crash_share: expected 0 to 1, got 2"),
+            (("gang_share: 1.0", "tail_share: 2"), "tail_share: expected 0 to 1, got 2"),
+            (("gang_share: 1.0", "tail_factor: 0"), "tail_factor: expected more than 0, got 0"),
+            (("executors: 3", "speeds: [0, 1]"), "speeds: expected more than 0 each"),
             (("length_s: 3", WORKSPACES.format(2, 1, 0)), "workspaces.a.share: expected 0 to 1"),
             (
                 ("length_s: 3", WORKSPACES.format(0.6, 1, 0)),
@@ -105,6 +108,21 @@
         with pytest.raises(WorkloadError, match=message):
             make_workload(tmp_path, SMALL.replace(*change))
 
+    def test_tails_lengthen_steps_with_their_declared_times_and_nothing_else(
+        self, tmp_path: Path
+    ) -> None:
+        text = SMALL.replace("run_s: {mean: 0.2}", "run_s: {mean: 0.2}\n    tail_share: 0.3")
+        usual = draw_arrivals(make_workload(tmp_path, text + "    tail_factor: 1\n"), seed=3)
+        longer = draw_arrivals(make_workload(tmp_path, text + "    tail_factor: 7\n"), seed=3)
+        assert draw_arrivals(make_workload(tmp_path), seed=3) == usual
+        factors = [
+            round(long.job.steps[0].estimate_s / short.job.steps[0].estimate_s, 6)
+            for long, short in zip(longer, usual, strict=True)
+        ]
+        assert set(factors) == {1.0, 7.0}
+        for factor, long, short in zip(factors, longer, usual, strict=True):
+            assert long.run_s_by_step[0][0] == pytest.approx(factor * short.run_s_by_step[0][0])
+
     def test_arrivals_are_the_same_for_one_seed(self, tmp_path: Path) -> None:
         workload = make_workload(tmp_path)
         assert draw_arrivals(workload, seed=3) == draw_arrivals(workload, seed=3)
