--- a/src/galenastall/coordination/cell/gang_pace.py
+++ b/src/galenastall/coordination/cell/gang_pace.py
@@ -37,7 +37,7 @@
         planned = plan.earliest_start(step, step.count, quick, not_before=now, within_s=within_s)
         if planned is None:
             continue
-        end = planned.at + run_s_on([slot.executor for slot in planned.slots], step, wish)
+        end = planned.at + _run_s([slot.executor for slot in planned.slots], step, wish)
         if best is None or end < best_end:
             best, best_end = planned, end
         if wish.is_in_time(end):
@@ -45,25 +45,6 @@
     return best
 
 
-def pays_to_wait(
-    plan: ReservationPlan,
-    step: Step,
-    chosen: Sequence[Executor],
-    candidates: Sequence[Executor],
-    wish: SpeedWish,
-    *,
-    now: float,
-) -> bool:
-    """Whether a gang that is late on the executors it has now is in time on others, if it waits."""
-    if wish.speeds is None or wish.is_in_time(now + run_s_on(chosen, step, wish)):
-        return False
-    planned = plan_gang(plan, step, candidates, wish, now=now)
-    if planned is None or planned.at <= now:
-        return False
-    executors = [slot.executor for slot in planned.slots]
-    return wish.is_in_time(planned.at + run_s_on(executors, step, wish))
-
-
-def run_s_on(executors: Sequence[Executor], step: Step, wish: SpeedWish) -> float:
+def _run_s(executors: Sequence[Executor], step: Step, wish: SpeedWish) -> float:
     """Return how long a gang should run on some executors, in seconds."""
     return step.estimate_s / min(wish.speed_of(executor) for executor in executors)
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -10,7 +10,7 @@
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.fitting import SingleChoices, choose_for_gang, may_host
 from galenastall.coordination.cell.forecast import Forecast
-from galenastall.coordination.cell.gang_pace import pays_to_wait, plan_gang
+from galenastall.coordination.cell.gang_pace import plan_gang
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.probation import Probation
 from galenastall.coordination.cell.reservation_plan import PlannedStart, ReservationPlan, could_hold
@@ -294,8 +294,6 @@
         chosen = choose_for_gang(usable, waiting.step, len(tasks), self.plan, wish)
         if chosen is None:
             return False
-        if pays_to_wait(self.plan, waiting.step.step, chosen, usable, wish, now=waiting.now):
-            return False
         run = waiting.step.highest_run + 1
         waiting.step.share_checkpoint()
         waiting.step.share_given_up()
