Learn speeds from small steps by comparing their runs with each other

Runs of steps of two to five tasks, which are most of the runs, were measured against declared times that they share, so each said little. Change: such a step's runs are compared with the mean of the others once all are done; steps whose runs differ by more than a factor of five are left out, as one of them takes many times as long. The test of declared times got single runs beside steps of three, with the same bound.

--- a/src/galenastall/coordination/cell/speed_samples.py
+++ b/src/galenastall/coordination/cell/speed_samples.py
@@ -2,9 +2,10 @@
 
 Short runs count when they end, long ones by their progress before that.
 
-A step with few runs is measured against its declared time, corrected by how far the declared times
-of its queue are usually off. Members of gangs wait for each other, so their runs tell nothing, and
-neither do runs that were throttled, continued from a checkpoint, or far from their data.
+The runs of a step with few of them are measured against each other, and a single one against its
+declared time, corrected by how far the declared times of its queue are usually off. Members of
+gangs wait for each other, so their runs tell nothing, and neither do runs that were throttled,
+continued from a checkpoint, or far from their data.
 """
 
 from collections import defaultdict
@@ -22,7 +23,10 @@
 STEP_VARIANCE: Final = 0.3**2
 """Variance of the logarithm of the run times of one step's tasks."""
 RUNS_TO_COMPARE: Final = 6
-"""Runs that a step must have to be measured against itself."""
+"""Runs that a step must have for its median to tell its usual run time."""
+MAX_PEER_SPREAD: Final = 1.6
+"""Few runs of a step that differ by more, in logarithms, are not compared: one of them takes many
+times as long, and nothing tells whether that is due to its executor."""
 DONE_SHARE: Final = 0.75
 """A step is measured from the time at which this share of its runs is done: the first ones to end
 are the short ones and those on fast executors."""
@@ -87,20 +91,43 @@
         run_s = self._state.now - task.began_at
         if run_s < MIN_RUN_S:
             return
-        if step.step.count < RUNS_TO_COMPARE:
+        if step.step.count == 1:
             self._measure_by_declared(job, step, executor.info, log(run_s))
+        elif step.step.count < RUNS_TO_COMPARE:
+            self._measure_by_peers(step, executor.info, log(run_s))
         else:
             is_measured = (task.key, task.run) in self._measured_early
             self._measure_by_step(step, executor.info, log(run_s), is_measured=is_measured)
 
-    def _measure_by_step(
-        self, step: StepRun, info: ExecutorInfo, log_s: float, *, is_measured: bool
-    ) -> None:
+    def _runs_of(self, step: StepRun) -> "_StepRuns":
         runs = self._runs_by_step.get(step.key)
         if runs is None:
             runs = self._runs_by_step[step.key] = _StepRuns()
             if len(self._runs_by_step) > MAX_STEPS:
                 del self._runs_by_step[next(iter(self._runs_by_step))]
+        return runs
+
+    def _measure_by_peers(self, step: StepRun, info: ExecutorInfo, log_s: float) -> None:
+        """Compare each run of a step with the mean of the others once all of them are done."""
+        runs = self._runs_of(step)
+        runs.works.append(log_s + self._speeds.estimate_of(info.host))
+        runs.unmeasured.append((info, log_s))
+        count = step.step.count
+        if len(runs.works) < count:
+            return
+        del self._runs_by_step[step.key]
+        if max(runs.works) - min(runs.works) > MAX_PEER_SPREAD:
+            return
+        variance = STEP_VARIANCE * count / (count - 1)
+        total = sum(runs.works)
+        for work, (each, each_log_s) in zip(runs.works, runs.unmeasured, strict=True):
+            usual = (total - work) / (count - 1)
+            self._speeds.observe(each, usual - each_log_s, variance=variance)
+
+    def _measure_by_step(
+        self, step: StepRun, info: ExecutorInfo, log_s: float, *, is_measured: bool
+    ) -> None:
+        runs = self._runs_of(step)
         runs.works.append(log_s + self._speeds.estimate_of(info.host))
         if not is_measured:
             runs.unmeasured.append((info, log_s))
@@ -126,8 +153,7 @@
             declared = self._declared_by_queue[job.queue.name] = _DeclaredTimes()
         if declared.runs >= MIN_QUEUE_RUNS:
             expected = log(step.step.estimate_s) + declared.mean
-            # The runs of one step share the error of its declared time.
-            variance = max(declared.variance, STEP_VARIANCE) * step.step.count
+            variance = max(declared.variance, STEP_VARIANCE)
             self._speeds.observe(info, expected - log_s, variance=variance)
         declared.add(error)
 
--- a/tests/test_cell_executor_speeds.py
+++ b/tests/test_cell_executor_speeds.py
@@ -105,6 +105,24 @@
         factor *= self.rng.uniform(1.0 - self.uneven, 1.0 + self.uneven)
         return factor * usual_s / speed_on(executor_id, self.speeds)
 
+    def run_small_steps(self, steps: int, *, count: int, off: float) -> None:
+        """Note the ends of steps of `count` runs whose declared times are off by `off`."""
+        state = self.core._state
+        for number in range(steps):
+            estimate_s = 3.0 * exp(self.rng.gauss(0.0, off))
+            job = JobRun(job=make_job(make_step(count, estimate_s=estimate_s)))
+            job.open_due(self.wall)
+            step = job.occurrences_by_number[0].steps[0]
+            for task in step.tasks:
+                executor = state.executors_by_id[f"e{self.rng.randrange(HOSTS)}"]
+                task.began_at = state.now - self.run_s(executor.executor_id, 2.0)
+                self.core._ends.samples.on_done(job, step, task, executor)
+            if number % 10 == 0:
+                self.now += 0.6
+                self.step()
+        self.now += 0.6
+        self.step()
+
     def learn(self, rounds: int = 8) -> None:
         for _ in range(rounds):
             self.run_steps(make_step(60, cores=900))
@@ -122,22 +140,33 @@
         assert cell.core.hosts_by_speed[SpeedClass.SLOW] in range(8, 13)
 
     @pytest.mark.parametrize("off", [0.0, 0.5, 0.9])
-    def test_steps_with_few_runs_tell_speeds_by_their_declared_times(self, off: float) -> None:
+    @pytest.mark.parametrize(("count", "steps"), [(1, 6_000), (3, 2_000)])
+    def test_steps_with_few_runs_tell_speeds_whatever_they_declare(
+        self, count: int, steps: int, off: float
+    ) -> None:
         cell = Cell(UNEVEN)
-        state = cell.core._state
-        for _ in range(2_000):
-            job = JobRun(job=make_job(make_step(3, estimate_s=3.0 * exp(cell.rng.gauss(0.0, off)))))
-            job.open_due(cell.wall)
-            step = job.occurrences_by_number[0].steps[0]
-            for task in step.tasks:
-                executor = state.executors_by_id[f"e{cell.rng.randrange(HOSTS)}"]
-                task.began_at = state.now - cell.run_s(executor.executor_id, 2.0)
-                cell.core._ends.samples.on_done(job, step, task, executor)
-        cell.now += 0.6
-        cell.step()
+        cell.run_small_steps(steps, count=count, off=off)
         for speed in UNEVEN:
             assert cell.mean_of(speed) == pytest.approx(speed, rel=0.25)
 
+    @pytest.mark.parametrize("seed", range(3))
+    @pytest.mark.parametrize("count", [2, 3, 5])
+    def test_some_ten_runs_a_host_of_small_steps_are_enough(self, count: int, seed: int) -> None:
+        cell = Cell(UNEVEN, seed=seed, tail_share=0.03)
+        cell.run_small_steps(10 * HOSTS // count, count=count, off=0.5)
+        assert cell.core._state.speeds.is_in_use
+        for speed in UNEVEN:
+            assert cell.mean_of(speed) == pytest.approx(speed, rel=0.3)
+
+    @pytest.mark.parametrize("speeds", [(1.0,), HEALTHY])
+    @pytest.mark.parametrize("count", [2, 3, 5])
+    def test_small_steps_on_one_kind_of_executor_stay_without_effect(
+        self, count: int, speeds: tuple[float, ...]
+    ) -> None:
+        cell = Cell(speeds, tail_share=0.03)
+        cell.run_small_steps(40 * HOSTS // count, count=count, off=0.9)
+        assert {cell.of(f"e{n}") for n in range(HOSTS)} == {1.0}
+
     @pytest.mark.parametrize("speeds", [(1.0,), HEALTHY])
     def test_speeds_of_one_kind_of_executor_stay_out_of_use(
         self, speeds: tuple[float, ...]
