--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -10,10 +10,12 @@
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.fitting import SingleChoices, choose_for_gang, may_host
 from galenastall.coordination.cell.forecast import Forecast
+from galenastall.coordination.cell.gang_pace import plan_gang
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.probation import Probation
 from galenastall.coordination.cell.reservation_plan import PlannedStart, ReservationPlan, could_hold
 from galenastall.coordination.cell.rotation import GangRotation, OverdueRotation, StepRotation
+from galenastall.coordination.cell.speed_wish import wish_of
 from galenastall.coordination.cell.task_runs import TaskRun
 from galenastall.coordination.cell.wait_observations import WaitObservations
 from galenastall.coordination.cell.wait_queue import WaitingStep, WaitQueue
@@ -39,7 +41,9 @@
         self._queue = WaitQueue(state=state, advice=advice)
         self._forecast = Forecast(state=state)
         self._planner = AdvicePlanner(state=state, advice=advice, forecast=self._forecast)
-        self.plan = ReservationPlan(forecast=self._forecast, without=state.without)
+        self.plan = ReservationPlan(
+            forecast=self._forecast, speeds=state.speeds, without=state.without
+        )
         """Capacity that the last decision reserved."""
         self._probation = Probation(state=state)
         self.observations = WaitObservations()
@@ -231,14 +235,13 @@
         would arrive for other executors than those that have the capacity by then.
         """
         step, advice, now = waiting.step.step, waiting.advice, waiting.now
+        wish = wish_of(waiting, self._state.speeds)
         if advice is not None:
             soon = [e for e in approved if advice.has_ticket_soon(e.executor_id, now)]
-            planned = self.plan.earliest_start(
-                step, step.count, soon, not_before=now, within_s=TICKETED_SOON_S
-            )
+            planned = plan_gang(self.plan, step, soon, wish, now=now, within_s=TICKETED_SOON_S)
             if planned is not None:
                 return planned
-        return self.plan.earliest_start(step, step.count, approved, not_before=now)
+        return plan_gang(self.plan, step, approved, wish, now=now)
 
     def _may_reserve(self, waiting: WaitingStep) -> bool:
         if Mechanism.RESERVATIONS in self._state.without:
@@ -272,7 +275,8 @@
     ) -> int:
         """Start tasks one by one, and return how many are left."""
         placed = 0
-        choices = SingleChoices(usable, waiting.step, self.plan)
+        wish = wish_of(waiting, self._state.speeds)
+        choices = SingleChoices(usable, waiting.step, self.plan, wish)
         for task in tasks:
             executor = choices.choose(task)
             if executor is None:
@@ -286,7 +290,8 @@
     def _start_gang(
         self, waiting: WaitingStep, tasks: list[TaskRun], usable: list[Executor]
     ) -> bool:
-        chosen = choose_for_gang(usable, waiting.step, len(tasks), self.plan)
+        wish = wish_of(waiting, self._state.speeds)
+        chosen = choose_for_gang(usable, waiting.step, len(tasks), self.plan, wish)
         if chosen is None:
             return False
         run = waiting.step.highest_run + 1
@@ -301,15 +306,18 @@
         state = self._state
         state.assign(task, waiting.step, executor, run, waiting.now)
         self.plan.use(executor, waiting.step.step)
+        fields = {
+            "run": str(run),
+            "executor": executor.executor_id,
+            "free_cores_milli": str(executor.free.cores_milli),
+        }
+        if state.speeds.is_in_use:
+            fields["speed"] = f"{state.speeds.of(executor.info.host):.2f}"
         state.note(
             "run.assigned",
             task.key.job,
             f"{task.key.occurrence}.{task.key.step}.{task.key.number}",
-            fields={
-                "run": str(run),
-                "executor": executor.executor_id,
-                "free_cores_milli": str(executor.free.cores_milli),
-            },
+            fields=fields,
         )
         state.new_starts.append(
             StartOrder(
