Keep capacity for urgent work by its recent demand

Cause: urgent tasks of half a second wait for runs of several seconds to end; whatever an urgent run frees is taken by other work at once.

Change: under ContentionRules.reserves_for_urgent the leader learns by service how many urgent tasks run at once on average (arrivals times declared run times) and keeps that and a quarter more free, less what urgent runs hold, in units of one task on as many executors as possible and never above a quarter of the cores. cell.load, a gauge and the wait reason kept_for_urgent tell it.

--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -15,6 +15,7 @@
 from galenastall.coordination.cell.reservation_plan import PlannedStart, ReservationPlan, could_hold
 from galenastall.coordination.cell.rotation import GangRotation, OverdueRotation, StepRotation
 from galenastall.coordination.cell.task_runs import TaskRun
+from galenastall.coordination.cell.urgent_reserve import UrgentCapacity
 from galenastall.coordination.cell.wait_observations import WaitObservations
 from galenastall.coordination.cell.wait_queue import WaitingStep, WaitQueue
 from galenastall.coordination.cell.wait_reasons import WaitReason, why_not_gang, why_not_singles
@@ -51,6 +52,7 @@
         self._overdue: StepKey | None = None
         """The overdue step that this decision promotes."""
         self._overdue_rotation = OverdueRotation()
+        self._urgent_capacity = UrgentCapacity(state=state)
 
     def note_answer(self, step: StepKey) -> None:
         """Consider a step next time: in a long queue its tickets expire before its rotation."""
@@ -67,7 +69,12 @@
             return
         self._gang_rotation.begin(self._state.waiting_steps)
         self._state.workspaces.begin_decision()
-        for waiting, usable in self._steps_to_place(_UsableExecutors(open_executors), now, wall):
+        steps = self._steps_to_place(_UsableExecutors(open_executors), now, wall)
+        is_reserve_kept = not self._state.contention.reserves_for_urgent
+        for waiting, usable in steps:
+            if not is_reserve_kept and not waiting.has_urgent_claim:
+                self.plan.keep_for_urgent(self._urgent_capacity.reserve(open_executors))
+                is_reserve_kept = True
             self._place(waiting, usable)
         self._forecast.forget()
 
@@ -86,7 +93,10 @@
     ) -> list[PlaceableStep]:
         """Return the waiting steps in order, without those that no open executor may host."""
         queue: list[PlaceableStep] = []
-        for waiting in self._queue.in_order(now=now, wall=wall):
+        in_order = self._queue.in_order(now=now, wall=wall)
+        if self._state.contention.reserves_for_urgent:
+            self._urgent_capacity.observe(in_order, now=now)
+        for waiting in in_order:
             hosting = usable.by(waiting)
             if hosting:
                 queue.append((waiting, hosting))
--- a/src/galenastall/coordination/cell/reservation_plan.py
+++ b/src/galenastall/coordination/cell/reservation_plan.py
@@ -14,6 +14,7 @@
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.forecast import OVERDUE_S, Forecast
 from galenastall.coordination.cell.mechanisms import ALL_ON, DisabledMechanisms, Mechanism
+from galenastall.coordination.cell.urgent_reserve import NO_RESERVE, UrgentReserve
 from galenastall.state.cell.jobs import Step
 from galenastall.state.resources import NOTHING, Resources
 
@@ -70,6 +71,11 @@
         self._now = 0.0
         self._max_reserved = 0
         self._closed_ids: frozenset[str] = frozenset()
+        self.urgent = NO_RESERVE
+        """Free capacity that only urgent work may use."""
+        self.withheld_for_urgent = 0
+        """Slots that the last search for capacity could not use because they are kept for urgent
+        work."""
         self.withheld = 0
         """Slots that the last search for capacity could not use because they are reserved for
         others."""
@@ -99,6 +105,7 @@
             frozenset(self._reservations_by_id) if self._avoids_reserved else frozenset()
         )
         self._reservations_by_id.clear()
+        self.urgent = NO_RESERVE
         self._now = now
         self._max_reserved = max(1, int(fleet_size * MAX_RESERVED_SHARE))
 
@@ -106,9 +113,13 @@
         """Start nothing more on these executors in this decision."""
         self._closed_ids = executor_ids
 
+    def keep_for_urgent(self, reserve: UrgentReserve) -> None:
+        """Keep free capacity from all that this decision starts from now on."""
+        self.urgent = reserve
+
     def begin_search(self) -> None:
         """Begin a search for capacity for a task or a gang."""
-        self.withheld = self.missing_slots = 0
+        self.withheld = self.withheld_for_urgent = self.missing_slots = 0
 
     def was_reserved(self, executor: Executor) -> bool:
         """Whether the previous decision reserved capacity on an executor.
@@ -122,7 +133,7 @@
         """Return how many tasks of a step, up to `most`, may start on an executor now."""
         if executor.executor_id in self._closed_ids:
             return 0
-        fitting = executor.count_fitting(step.need, most)
+        fitting = self._count_beside_urgent(executor, step, most)
         reservation = self._reservations_by_id.get(executor.executor_id)
         if reservation is None or fitting == 0:
             return fitting
@@ -132,6 +143,21 @@
         self.withheld += fitting - allowed
         return allowed
 
+    def _count_beside_urgent(self, executor: Executor, step: Step, most: int) -> int:
+        """Return how many tasks fit beside the capacity kept for urgent work."""
+        fitting = executor.count_fitting(step.need, most)
+        kept = self._kept_for_urgent(executor, step.need)
+        if kept is NOTHING or fitting == 0:
+            return fitting
+        allowed = step.need.count_in(executor.free - kept, most)
+        self.withheld_for_urgent += fitting - allowed
+        return allowed
+
+    def _kept_for_urgent(self, executor: Executor, need: Resources) -> Resources:
+        """Return what is kept on an executor; nothing if a task could never fit beside it."""
+        kept = self.urgent.amount_by_id.get(executor.executor_id, NOTHING)
+        return kept if (kept + need).fits_in(executor.info.capacity) else NOTHING
+
     def use(self, executor: Executor, step: Step) -> None:
         """Note that a task of a step was assigned to an executor."""
         reservation = self._reservations_by_id.get(executor.executor_id)
@@ -151,7 +177,9 @@
         """Reserve capacity for some tasks that start one by one, where they fit soonest."""
         left = min(wanted, MAX_RESERVED_SINGLES)
         usable = [e for e in candidates if self._fits_with_reservation(e, step.need)]
-        usable.sort(key=lambda e: (-_fit_ratio(self._unreserved(e), step.need), e.executor_id))
+        usable.sort(
+            key=lambda e: (-_fit_ratio(self._unreserved(e, step.need), step.need), e.executor_id)
+        )
         for executor in usable:
             if left <= 0:
                 return
@@ -174,7 +202,7 @@
 
         Takes one pass over the expected ends of all candidates, in time order.
         """
-        unreserved_by_id = {e.executor_id: self._unreserved(e) for e in candidates}
+        unreserved_by_id = {e.executor_id: self._unreserved(e, step.need) for e in candidates}
         slots_by_id = {
             e.executor_id: self._slots(e, unreserved_by_id, step, count) for e in candidates
         }
@@ -203,13 +231,14 @@
     ) -> int:
         return _slots_in(unreserved_by_id[executor.executor_id], step, count)
 
-    def _unreserved(self, executor: Executor) -> Resources:
-        """Return the capacity that is free now and not reserved; may be negative."""
+    def _unreserved(self, executor: Executor, need: Resources) -> Resources:
+        """Return the capacity that is free for a task now and not reserved; may be negative."""
         reservation = self._reservations_by_id.get(executor.executor_id)
-        return executor.free if reservation is None else executor.free - reservation.amount
+        free = executor.free - self._kept_for_urgent(executor, need)
+        return free if reservation is None else free - reservation.amount
 
     def _first_fit(self, executor: Executor, need: Resources) -> float:
-        free = self._unreserved(executor)
+        free = self._unreserved(executor, need)
         at = self._now
         for release in self._forecast.releases(executor):
             if need.fits_in(free):
--- a/src/galenastall/coordination/cell/wait_queue.py
+++ b/src/galenastall/coordination/cell/wait_queue.py
@@ -45,6 +45,11 @@
         """Whether its queue has the urgent priority."""
         return self.queue.priority == URGENT_PRIORITY
 
+    @property
+    def has_urgent_claim(self) -> bool:
+        """Whether it may use capacity kept for urgent work: it has value and is within its rate."""
+        return self.is_urgent and not self.is_worthless and self.job.is_within_rate
+
     @property
     def is_worthless(self) -> bool:
         """Whether it is so late that it has no value left."""
--- a/src/galenastall/coordination/cell/wait_reasons.py
+++ b/src/galenastall/coordination/cell/wait_reasons.py
@@ -57,6 +57,8 @@
     """There is capacity, but no valid tickets, and no advice call is pending."""
     ROOM_KEPT = "room_kept"
     """There is capacity, but it is reserved for others."""
+    KEPT_FOR_URGENT = "kept_for_urgent"
+    """There is capacity, but it is kept for urgent work."""
     ROOM_SOON = "room_soon"
     """Its start is planned for the near future; if this persists, others take its capacity each
     time."""
@@ -82,6 +84,8 @@
         return WaitReason.NONE_OPEN
     if plan.withheld > 0:
         return WaitReason.ROOM_KEPT
+    if plan.withheld_for_urgent > 0:
+        return WaitReason.KEPT_FOR_URGENT
     advice = waiting.advice
     if advice is None:
         return WaitReason.NO_ROOM
@@ -102,6 +106,9 @@
         return WaitReason.NONE_OPEN
     if plan.withheld > 0 and plan.withheld >= plan.missing_slots:
         return WaitReason.ROOM_KEPT
+    withheld = plan.withheld + plan.withheld_for_urgent
+    if plan.withheld_for_urgent > 0 and withheld >= plan.missing_slots:
+        return WaitReason.KEPT_FOR_URGENT
     if planned is not None and planned.at > waiting.now:
         is_soon = planned.at <= waiting.now + SOON_S
         return WaitReason.ROOM_SOON if is_soon else WaitReason.ROOM_LATER
--- a/src/galenastall/node/cell/cell_metrics.py
+++ b/src/galenastall/node/cell/cell_metrics.py
@@ -73,6 +73,11 @@
             },
             labels=["workspace"],
         )
+        gauge(
+            "galenastall_kept_for_urgent_cores",
+            "Free cores that the leader's last decision kept for urgent work.",
+            lambda: leadership.kept_for_urgent_cores,
+        )
         gauge(
             "galenastall_stopped_runs",
             "Runs that this host has stopped in its term as leader; a gang's run counts once.",
--- a/src/galenastall/node/cell/leadership.py
+++ b/src/galenastall/node/cell/leadership.py
@@ -121,6 +121,11 @@
         """Resources counted against each workspace's limit; empty unless this host leads."""
         return self.term.core.used_by_workspace if self.term is not None else {}
 
+    @property
+    def kept_for_urgent_cores(self) -> float:
+        """Free cores that the last decision kept for urgent work; 0 unless this host leads."""
+        return self.term.core.plan.urgent.kept_cores_milli / 1000.0 if self.term else 0.0
+
     @property
     def stopped_by_rule(self) -> dict[StopRule, int]:
         """Runs stopped in this host's current term, by rule; empty unless this host leads."""
