Take checkpoints and stop times out of the lab again

Cause: they were there to judge preemption, which stays out. An urgent step has some 0.6 s until it must start; capacity that a stop frees later has a fifth of the value at most.

--- a/src/galenastall/bench/cell_load/arrivals.py
+++ b/src/galenastall/bench/cell_load/arrivals.py
@@ -89,23 +89,9 @@
     ]
     owned = _assign_workspaces(workload, marked, seed=seed)
     owned += _draw_extra(workload, len(owned), seed=seed)
-    owned = _mark_checkpointing(workload, owned, seed=seed)
     return sorted(owned, key=lambda arrival: arrival.at_s)
 
 
-def _mark_checkpointing(workload: Workload, arrivals: list[Arrival], *, seed: int) -> list[Arrival]:
-    """Mark the steps that write checkpoints; the jobs are otherwise the same."""
-    rng = Random(f"{seed}/checkpoints")
-    marked: list[Arrival] = []
-    for arrival in arrivals:
-        share = workload.queues[arrival.job.queue.name].checkpoint_share
-        steps = tuple(
-            replace(step, is_checkpointing=rng.random() < share) for step in arrival.job.steps
-        )
-        marked.append(replace(arrival, job=replace(arrival.job, steps=steps)))
-    return marked
-
-
 def _assign_workspaces(workload: Workload, arrivals: list[Arrival], *, seed: int) -> list[Arrival]:
     """Assign jobs to workspaces by share; jobs not covered by any share get none."""
     rng = Random(f"{seed}/owners")
--- a/src/galenastall/bench/cell_load/emulation.py
+++ b/src/galenastall/bench/cell_load/emulation.py
@@ -48,11 +48,6 @@
     return int.from_bytes(digest, "big") / 2.0**64
 
 
-def _saved_share(checkpoint: str) -> float:
-    """Return the share of a task's work that a checkpoint holds."""
-    return float(checkpoint) if checkpoint else 0.0
-
-
 class EmulatedFleet(ExecutorSimulation):
     """Executors that run the arriving tasks for the drawn run times."""
 
@@ -60,7 +55,6 @@
         """Start the executors of a workload."""
         super().__init__()
         self.shows_progress = True
-        self.stop_s = workload.stop_s
         self.workload = workload
         self.seed = seed
         self.arrivals_by_id: Mapping[str, Arrival] = {a.job.job_id: a for a in arrivals}
@@ -169,18 +163,9 @@
     def draw_run(self, order: StartOrder) -> tuple[float, bool]:
         """Return the duration of a run and whether it fails."""
         speed = self.speed_of(self.infos_by_id[order.executor_id])
-        work_s = self._run_s(order.task) * (1.0 - _saved_share(order.checkpoint))
-        restore_s = self.workload.restore_s if order.checkpoint else 0.0
         load = self.workload.queues[self.arrivals_by_id[order.task.job].job.queue.name]
         fails = hash_to_unit_interval(self.seed, "fails", order.task, order.run) < load.fail_share
-        return work_s / speed + restore_s, fails
-
-    def checkpoint_of(self, executor: Executor, run: Run) -> str:
-        """Return the share of a checkpointing task's work that is done, as a checkpoint."""
-        if run.ends_at is None or not self.step_of(run.task).is_checkpointing:
-            return ""
-        left_s = max(run.ends_at - trio.current_time(), 0.0) * self.speed_of(executor.info)
-        return f"{max(1.0 - left_s / self._run_s(run.task), 0.0):.6f}"
+        return self._run_s(order.task) / speed, fails
 
     def draw_gang_s(self, members: Iterable[Run]) -> float:
         """Return the duration of a gang's run: that of its longest member at the lowest speed."""
--- a/src/galenastall/bench/cell_load/workload.py
+++ b/src/galenastall/bench/cell_load/workload.py
@@ -58,8 +58,6 @@
     """Standard deviation of the logarithm of declared over actual run time."""
     gang_share: float = 0.0
     fail_share: float = 0.0
-    checkpoint_share: float = 0.0
-    """Share of the steps whose runs write a checkpoint when they are stopped."""
     crash_share: float = 0.0
     """Share of the jobs whose first task crashes each executor that starts it; they count
     neither as worth earned nor in the total."""
@@ -76,7 +74,6 @@
         shares = {
             "gang_share": self.gang_share,
             "fail_share": self.fail_share,
-            "checkpoint_share": self.checkpoint_share,
             "crash_share": self.crash_share,
         }
         if self.advice is not None:
@@ -158,10 +155,6 @@
     rack_size: int = 8
     entry_hosts: int = 6
     """Hosts through which the advisor can be called, one call at a time each."""
-    stop_s: float = 0.2
-    """How long a stop takes, until the end of the run is listed."""
-    restore_s: float = 0.1
-    """How long a run takes to resume from a checkpoint."""
     length_s: float = 40.0
     settle_s: float = 25.0
     """Time after the arrivals end for accepted jobs to complete."""
@@ -187,9 +180,6 @@
             return "queues: expected at least one, got none"
         if self.entry_hosts < 1:
             return f"entry_hosts: expected 1 or more, got {self.entry_hosts}"
-        for name in ("stop_s", "restore_s"):
-            if getattr(self, name) < 0:
-                return f"{name}: expected 0 or more, got {getattr(self, name)}"
         for name, load in self.queues.items():
             problem = load.problem()
             if problem:
--- a/src/galenastall/standin/cell/executors.py
+++ b/src/galenastall/standin/cell/executors.py
@@ -30,7 +30,7 @@
 GANG_WAIT_S: Final = 3.0
 """How long a gang member waits for the others, as the platform specifies it."""
 STOP_S: Final = 0.2
-"""How long a stop takes unless a simulation sets it."""
+"""How long a stop takes."""
 CRASH_AFTER_S: Final = 0.01
 """How long a task that crashes its executor runs before it does so."""
 SHRUNK_GRACE_S: Final = 3.0
@@ -136,10 +136,7 @@
             return
         self.position += 1
         self.finished_runs[run.task] = max(self.finished_runs.get(run.task, 0), run.run)
-        saved = self.simulation.checkpoint_of(self, run) if how is RunEnd.STOPPED else ""
-        self.ended.append(
-            ListedEnd(position=self.position, task=run.task, run=run.run, end=how, saved=saved)
-        )
+        self.ended.append(ListedEnd(position=self.position, task=run.task, run=run.run, end=how))
         self.simulation.on_end(self, run, how)
         event, self.changed = self.changed, trio.Event()
         event.set()
@@ -176,7 +173,7 @@
         self.finished_runs[order.task] = max(self.finished_runs.get(order.task, 0), order.run)
         present = self.runs.get(order.task)
         if present is not None and present.run <= order.run and present.stops_at is None:
-            present.stops_at = trio.current_time() + self.simulation.stop_s
+            present.stops_at = trio.current_time() + STOP_S
         return StartVerdict.STARTED
 
     def hold(self, deadline_ms: float | None, noted: int, token: int) -> StartVerdict:
@@ -238,11 +235,6 @@
         self.shows_progress = False
         """Whether listings show the true progress of runs, instead of a mostly rising number."""
         self.quotas = QuotaChecker()
-        self.stop_s = STOP_S
-
-    def checkpoint_of(self, executor: Executor, run: Run) -> str:
-        """Return the checkpoint that a run writes when it is stopped; empty for none."""
-        return ""
 
     def workspace_of(self, task: TaskKey) -> str:
         """Return the workspace that owns a task."""
