--- a/src/galenastall/coordination/cell/reservation_plan.py
+++ b/src/galenastall/coordination/cell/reservation_plan.py
@@ -146,17 +146,23 @@
     def _count_beside_urgent(self, executor: Executor, step: Step, most: int) -> int:
         """Return how many tasks fit beside the capacity kept for urgent work."""
         fitting = executor.count_fitting(step.need, most)
-        kept = self._kept_for_urgent(executor, step.need)
+        kept = self._kept_for_urgent(executor, step)
         if kept is NOTHING or fitting == 0:
             return fitting
         allowed = step.need.count_in(executor.free - kept, most)
         self.withheld_for_urgent += fitting - allowed
         return allowed
 
-    def _kept_for_urgent(self, executor: Executor, need: Resources) -> Resources:
-        """Return what is kept on an executor; nothing if a task could never fit beside it."""
+    def _kept_for_urgent(self, executor: Executor, step: Step) -> Resources:
+        """Return what is kept on an executor from a step.
+
+        Gangs may use it: they wait longest, and lose most, where capacity is broken up. So may a
+        task that could never fit beside it.
+        """
+        if step.is_gang:
+            return NOTHING
         kept = self.urgent.amount_by_id.get(executor.executor_id, NOTHING)
-        return kept if (kept + need).fits_in(executor.info.capacity) else NOTHING
+        return kept if (kept + step.need).fits_in(executor.info.capacity) else NOTHING
 
     def use(self, executor: Executor, step: Step) -> None:
         """Note that a task of a step was assigned to an executor."""
@@ -178,13 +184,13 @@
         left = min(wanted, MAX_RESERVED_SINGLES)
         usable = [e for e in candidates if self._fits_with_reservation(e, step.need)]
         usable.sort(
-            key=lambda e: (-_fit_ratio(self._unreserved(e, step.need), step.need), e.executor_id)
+            key=lambda e: (-_fit_ratio(self._unreserved(e, step), step.need), e.executor_id)
         )
         for executor in usable:
             if left <= 0:
                 return
             if self._may_reserve_on({executor.executor_id}):
-                self._reserve(executor, step.need, self._first_fit(executor, step.need))
+                self._reserve(executor, step.need, self._first_fit(executor, step))
                 left -= 1
 
     def earliest_start(
@@ -202,7 +208,7 @@
 
         Takes one pass over the expected ends of all candidates, in time order.
         """
-        unreserved_by_id = {e.executor_id: self._unreserved(e, step.need) for e in candidates}
+        unreserved_by_id = {e.executor_id: self._unreserved(e, step) for e in candidates}
         slots_by_id = {
             e.executor_id: self._slots(e, unreserved_by_id, step, count) for e in candidates
         }
@@ -231,17 +237,17 @@
     ) -> int:
         return _slots_in(unreserved_by_id[executor.executor_id], step, count)
 
-    def _unreserved(self, executor: Executor, need: Resources) -> Resources:
+    def _unreserved(self, executor: Executor, step: Step) -> Resources:
         """Return the capacity that is free for a task now and not reserved; may be negative."""
         reservation = self._reservations_by_id.get(executor.executor_id)
-        free = executor.free - self._kept_for_urgent(executor, need)
+        free = executor.free - self._kept_for_urgent(executor, step)
         return free if reservation is None else free - reservation.amount
 
-    def _first_fit(self, executor: Executor, need: Resources) -> float:
-        free = self._unreserved(executor, need)
+    def _first_fit(self, executor: Executor, step: Step) -> float:
+        free = self._unreserved(executor, step)
         at = self._now
         for release in self._forecast.releases(executor):
-            if need.fits_in(free):
+            if step.need.fits_in(free):
                 break
             free = free + release.amount
             at = max(release.at, self._now + OVERDUE_S)
--- a/src/galenastall/coordination/cell/wait_reasons.py
+++ b/src/galenastall/coordination/cell/wait_reasons.py
@@ -106,9 +106,6 @@
         return WaitReason.NONE_OPEN
     if plan.withheld > 0 and plan.withheld >= plan.missing_slots:
         return WaitReason.ROOM_KEPT
-    withheld = plan.withheld + plan.withheld_for_urgent
-    if plan.withheld_for_urgent > 0 and withheld >= plan.missing_slots:
-        return WaitReason.KEPT_FOR_URGENT
     if planned is not None and planned.at > waiting.now:
         is_soon = planned.at <= waiting.now + SOON_S
         return WaitReason.ROOM_SOON if is_soon else WaitReason.ROOM_LATER
