--- a/src/galenastall/coordination/cell/contention.py
+++ b/src/galenastall/coordination/cell/contention.py
@@ -14,10 +14,6 @@
 class ContentionRules:
     """The rules in force; all are off where no workspaces compete."""
 
-    refuses_by_backlog: bool = False
-    """Whether jobs that can't be done in time are refused when they are submitted."""
-    orders_by_share: bool = False
-    """Whether workspaces that use less of what their weight entitles them to come first."""
     reserves_for_urgent: bool = False
     """Whether capacity is made available for urgent work before other work uses it."""
 
@@ -32,8 +28,4 @@
     weighted = sum(1 for workspace in workspaces if workspace.weight > 0)
     if weighted < MIN_COMPETING_WORKSPACES:
         return NO_RULES
-    return ContentionRules(
-        refuses_by_backlog=Mechanism.ADMISSION not in without,
-        orders_by_share=Mechanism.SHARES not in without,
-        reserves_for_urgent=Mechanism.URGENT_CAPACITY not in without,
-    )
+    return ContentionRules(reserves_for_urgent=Mechanism.URGENT_CAPACITY not in without)
--- a/src/galenastall/node/cell/caller_handler.py
+++ b/src/galenastall/node/cell/caller_handler.py
@@ -49,7 +49,6 @@
 RETRY_S: Final = 0.05
 RETRY_AFTER_S: Final = SHORTEST_RETURN_S
 """Retry delay suggested to callers of whose job nothing is known."""
-_NOT_STORED: Final = frozenset({SubmitVerdict.NOT_RUN, SubmitVerdict.OVERLOADED})
 _Call = TypeVar("_Call", SubmitJob, GetJob, CancelJob, CountPending)
 
 
@@ -60,7 +59,7 @@
     verdict: SubmitVerdict
     cause: str = ""
     retry_after_s: float = 0.0
-    """Time after which the caller may return, from the leader; 0 if it has told none."""
+    """Time after which the caller may return; 0 if it follows from the job."""
     is_outdated: bool = False
     """Whether the leader has a newer configuration, by which the caller must be admitted again."""
     may_be_stored: bool = False
@@ -164,12 +163,8 @@
             if isinstance(answer, Success):
                 found: SubmitAnswer = answer.unwrap()
                 cause = found.cause
-                if found.verdict not in _NOT_STORED or not may_be_stored:
-                    return SubmitOutcome(
-                        verdict=found.verdict,
-                        cause=cause,
-                        retry_after_s=found.retry_after_s,
-                    )
+                if found.verdict is not SubmitVerdict.NOT_RUN or not may_be_stored:
+                    return SubmitOutcome(verdict=found.verdict, cause=cause)
             else:
                 error = answer.failure()
                 may_be_stored = may_be_stored or error.may_have_taken_effect
--- a/src/galenastall/platform/job_responses.py
+++ b/src/galenastall/platform/job_responses.py
@@ -53,19 +53,15 @@
 
 def unavailable(detail: str, retry_after_s: float) -> HttpResponse:
     """Return the response to a call that can't be served now."""
-    return _not_served(Reason.UNAVAILABLE, detail, retry_after_s)
-
-
-def overloaded(detail: str, retry_after_s: float) -> HttpResponse:
-    """Return the response to a submission for which there is too much work ahead."""
-    return _not_served(Reason.OVERLOADED, detail, retry_after_s)
-
-
-def _not_served(reason: Reason, detail: str, retry_after_s: float) -> HttpResponse:
-    error = StepError(
-        step="job.serve", peer="", reason=reason, detail=detail, retry_after_s=retry_after_s
+    return error_response(
+        StepError(
+            step="job.serve",
+            peer="",
+            reason=Reason.UNAVAILABLE,
+            detail=detail,
+            retry_after_s=retry_after_s,
+        )
     )
-    return error_response(error)
 
 
 def _job_not_found(job_id: str) -> HttpResponse:
--- a/src/galenastall/platform/job_routes.py
+++ b/src/galenastall/platform/job_routes.py
@@ -19,7 +19,6 @@
 from galenastall.platform.access import KEY_HEADER, digest_of
 from galenastall.platform.job_responses import (
     invalid,
-    overloaded,
     refusal_detail,
     refusal_response,
     refused,
@@ -205,8 +204,6 @@
         )
         if submitted.verdict is SubmitVerdict.NOT_RUN:
             return unavailable(submitted.cause, submitted.retry_after_s)
-        if submitted.verdict is SubmitVerdict.OVERLOADED:
-            return overloaded(submitted.cause, submitted.retry_after_s)
         if submitted.verdict is SubmitVerdict.TAKEN:
             return refused(request, Reason.CONFLICT, submitted.cause)
         return error_response(
--- a/src/galenastall/protocol/cell/messages.py
+++ b/src/galenastall/protocol/cell/messages.py
@@ -18,8 +18,6 @@
     """The job is durable, from this submission or an earlier one."""
     NOT_RUN = "not_run"
     """The job is not stored, and never will be."""
-    OVERLOADED = "overloaded"
-    """The same, because it can't be done in time."""
     UNKNOWN = "unknown"
     """The job may be stored."""
     TAKEN = "taken"
@@ -153,8 +151,6 @@
 
     verdict: SubmitVerdict
     cause: str = ""
-    retry_after_s: float = 0.0
-    """Time after which the caller may return; 0 if the host that answers it chooses."""
 
 
 @PEER_MESSAGES.register("cell.ask_job")
