Measure speeds only by runs whose begin and end are known, and place by time to spare

Cause (review of the speeds): work with little time to spare went first to executors where it is late; tasks of one step that differ by more than 0.3, ends learned late and begins learned late made executors of one kind look unlike; a leader without a list deleted the row; the row could exceed a record; long runs took 12.7 ms a second. Measuring long runs by their progress is taken out.

--- a/src/galenastall/coordination/cell/executor_speeds.py
+++ b/src/galenastall/coordination/cell/executor_speeds.py
@@ -16,7 +16,12 @@
 from zlib import crc32
 
 from galenastall.coordination.cell.executors import ExecutorInfo
-from galenastall.state.cell.speeds import MAX_STORED_HOSTS, HostSpeedRow, SpeedsRow
+from galenastall.state.cell.speeds import (
+    MAX_HOST_NAME_BYTES,
+    MAX_STORED_HOSTS,
+    HostSpeedRow,
+    SpeedsRow,
+)
 
 USUAL: Final = 1.0
 PRIOR_PRECISION: Final = 1.0 / 0.35**2
@@ -35,7 +40,7 @@
 SPREAD_TO_USE: Final = log(2.0)
 """Speeds are used once the tenth fastest of a hundred hosts is this much faster, in logarithms,
 than the tenth slowest; healthy executors of one kind differ by 0.8 to 1.25."""
-SPREAD_TO_KEEP: Final = log(1.75)
+SPREAD_TO_KEEP: Final = log(1.9)
 """They are used until it is less than this."""
 MIN_KNOWN_HOSTS: Final = 6
 MIN_KNOWN_SHARE: Final = 0.5
@@ -148,6 +153,8 @@
         is."""
         self._middle = 0.0
         """Logarithm of the usual speed, as the median of the known hosts."""
+        self._are_alike = False
+        """Whether enough hosts are known to tell that their speeds are alike."""
         self._refreshed_at = float("-inf")
         self._stored_at = float("-inf")
 
@@ -228,13 +235,15 @@
 
     def _differ(self, known: dict[str, _Estimate], hosts: int, *, was_in_use: bool) -> bool:
         """Whether the known speeds are too unlike to be those of executors of one kind."""
+        self._are_alike = False
         if len(known) < max(MIN_KNOWN_HOSTS, MIN_KNOWN_SHARE * hosts):
             return False
         ordered = sorted(each.log_speed for each in known.values())
         tenth = len(ordered) // 10
         spread = ordered[-1 - tenth] - ordered[tenth]
         self.spread = exp(spread)
-        return spread >= (SPREAD_TO_KEEP if was_in_use else SPREAD_TO_USE)
+        self._are_alike = spread < (SPREAD_TO_KEEP if was_in_use else SPREAD_TO_USE)
+        return not self._are_alike
 
     def _speed_of(self, known: _Estimate, before: float | None) -> float:
         learned = known.log_speed - self._middle
@@ -264,18 +273,18 @@
         if now < self._stored_at + STORE_EVERY_S or not self._is_worth_storing():
             return None
         self._stored_at = now
-        hosts = sorted(self._speeds_by_host)[:MAX_STORED_HOSTS]
-        self._stored_by_host = {host: self._host_row(host) for host in hosts}
+        hosts = [host for host in sorted(self._speeds_by_host) if _is_storable(host)]
+        self._stored_by_host = {host: self._host_row(host) for host in hosts[:MAX_STORED_HOSTS]}
         return SpeedsRow(written_at=wall, hosts=tuple(self._stored_by_host.values()))
 
     def _is_worth_storing(self) -> bool:
         if not self._speeds_by_host:
-            return bool(self._stored_by_host)
+            return bool(self._stored_by_host) and self._are_alike
         stored = self._stored_by_host
         for host, speed in self._speeds_by_host.items():
             row = stored.get(host)
             if row is None:
-                if len(stored) < MAX_STORED_HOSTS:
+                if len(stored) < MAX_STORED_HOSTS and _is_storable(host):
                     return True
             elif abs(log(100.0 * speed / row.speed_percent)) > STORED_CHANGE:
                 return True
@@ -306,3 +315,8 @@
             )
             self._stored_by_host[each.host] = each
         return ""
+
+
+def _is_storable(host: str) -> bool:
+    """Whether a host's name keeps the row within its size."""
+    return len(host.encode()) <= MAX_HOST_NAME_BYTES
--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -81,6 +81,8 @@
         self.delisted_at = now
         self.answered_at: float | None = None
         """Leader's time of its last successful listing."""
+        self.answered_before_at: float | None = None
+        """The same of the one before it."""
         self.answered_seq = 0
         """Sequence number at which that listing arrived; 0 before the first."""
         self.lost_at: float | None = None
--- a/src/galenastall/coordination/cell/gang_pace.py
+++ b/src/galenastall/coordination/cell/gang_pace.py
@@ -22,27 +22,45 @@
     now: float,
     within_s: float = HORIZON_S,
 ) -> PlannedStart | None:
-    """Return the start of a gang on the slowest executors on which it is done in time.
+    """Return the earliest start of a gang if it is in time, else that with the earlier end.
 
-    If there are none, the one with the earliest end; while speeds are alike, the earliest one.
+    The other choice is on executors that are fast enough for it to be in time, or the fastest.
     """
     if wish.speeds is None:
         return plan.earliest_start(step, step.count, candidates, not_before=now, within_s=within_s)
-    best: PlannedStart | None = None
-    best_end = 0.0
-    for level in sorted({wish.level_of(executor) for executor in candidates}):
+    planned = plan.earliest_start(step, step.count, candidates, not_before=now, within_s=within_s)
+    if planned is not None and wish.is_in_time(_end_of(planned, step, wish)):
+        return planned
+    quick = _quick_enough(step, candidates, wish, now=now)
+    if len(quick) == len(candidates):
+        return planned
+    sooner = plan.earliest_start(step, step.count, quick, not_before=now, within_s=within_s)
+    found = [each for each in (planned, sooner) if each is not None]
+    return min(found, key=lambda each: _end_of(each, step, wish), default=None)
+
+
+def _quick_enough(
+    step: Step, candidates: Sequence[Executor], wish: SpeedWish, *, now: float
+) -> Sequence[Executor]:
+    """Return the executors that would be in time for a gang that starts now, if they hold it.
+
+    Otherwise the fastest ones that hold it.
+    """
+    left_s = wish.done_by - now
+    if left_s > 0.0:
+        quick = [e for e in candidates if wish.speed_of(e) * left_s >= step.estimate_s]
+        if could_hold(step, step.count, quick):
+            return quick
+    for level in sorted({wish.level_of(executor) for executor in candidates}, reverse=True):
         quick = [executor for executor in candidates if wish.level_of(executor) >= level]
-        if not could_hold(step, step.count, quick):
-            break
-        planned = plan.earliest_start(step, step.count, quick, not_before=now, within_s=within_s)
-        if planned is None:
-            continue
-        end = planned.at + _run_s([slot.executor for slot in planned.slots], step, wish)
-        if best is None or end < best_end:
-            best, best_end = planned, end
-        if wish.is_in_time(end):
-            break
-    return best
+        if could_hold(step, step.count, quick):
+            return quick
+    return candidates
+
+
+def _end_of(planned: PlannedStart, step: Step, wish: SpeedWish) -> float:
+    """Return when a gang should end that starts as planned, by its declared time."""
+    return planned.at + _run_s([slot.executor for slot in planned.slots], step, wish)
 
 
 def _run_s(executors: Sequence[Executor], step: Step, wish: SpeedWish) -> float:
--- a/src/galenastall/coordination/cell/listings.py
+++ b/src/galenastall/coordination/cell/listings.py
@@ -64,6 +64,7 @@
         self, executor: Executor, listing: Listing, *, asked_seq: int, now: float, wall: float
     ) -> None:
         """Apply a listing that was requested at sequence number `asked_seq`."""
+        executor.answered_before_at = executor.answered_at
         executor.answered_at = now
         executor.version += 1
         executor.answered_seq = self._state.next_seq()
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -488,5 +488,4 @@
             elif run.shown_phase is run.phase:
                 run.forget_tasks()
         self._ends.samples.forget()
-        self._ends.samples.measure_long_runs()
         return True
--- a/src/galenastall/coordination/cell/speed_wish.py
+++ b/src/galenastall/coordination/cell/speed_wish.py
@@ -13,6 +13,7 @@
 from galenastall.coordination.cell.objectives import longest_chain_s, worthless_at
 from galenastall.coordination.cell.wait_queue import WaitingStep
 
+AFTER_ALL_LEVELS: Final = 100
 TIME_MARGIN: Final = 1.5
 """A step has time to spare on an executor if this multiple of its expected time is left: declared
 times are off, and its tasks differ."""
@@ -39,9 +40,15 @@
         return 0 if self.speeds is None else self.speeds.level_of(executor.info.host)
 
     def rank(self, executor: Executor) -> int:
-        """Return the executor's place among others by speed, the wanted ones first."""
+        """Return the executor's place among others by speed, the wanted ones first.
+
+        The slowest on which there is time to spare comes first, and then faster ones; those on
+        which there is none come last, the fastest of them first.
+        """
         level = self.level_of(executor)
-        return -level if self.prefers_fast else level
+        if self.prefers_fast:
+            return -level
+        return level if self.speed_of(executor) >= self.spare_speed else AFTER_ALL_LEVELS - level
 
     def speed_of(self, executor: Executor) -> float:
         """Return the executor's speed; 1.0 while speeds are alike."""
--- a/src/galenastall/state/cell/speeds.py
+++ b/src/galenastall/state/cell/speeds.py
@@ -9,7 +9,9 @@
 SPEEDS_KEY: Final = f"{SPEEDS_PREFIX}hosts"
 """Key of the only row."""
 MAX_STORED_HOSTS: Final = 4_000
-"""Hosts of which the row holds a speed, which makes it some 100 KB at most."""
+"""Hosts of which the row holds a speed."""
+MAX_HOST_NAME_BYTES: Final = 40
+"""Hosts with longer names are left out, so that the row stays below 256 KiB, the longest record."""
 
 
 class HostSpeedRow(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
