Refuse jobs that the backlog keeps from being done while they have value

Cause: under an overload every job is accepted, keeps a row and takes advice, and some end worthless.

Change: the leader estimates the wait of a submitted job from the work ahead of it in the order and from the measured turnover of its service; a job that it puts well beyond its last useful time is answered OVERLOADED with a time to return, once the store has confirmed the leader. Only where ContentionRules.refuses_by_backlog holds.

--- a/src/galenastall/bench/cell_load/simulation.py
+++ b/src/galenastall/bench/cell_load/simulation.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
+from math import ceil
 from random import Random
 from typing import Any, Final
 
@@ -19,6 +20,7 @@
 from galenastall.node.cell.leader_term import LeaderTerm, TermParts
 from galenastall.protocol.cell.config import CellConfig, QueueRoute
 from galenastall.protocol.cell.messages import SubmitAnswer, SubmitJob, SubmitVerdict
+from galenastall.state.cell.jobs import CellJob
 from galenastall.state.cell.phases import JobPhase
 from galenastall.state.ids import HostId
 from galenastall.state.timeline_ring import TimelineRing
@@ -28,6 +30,11 @@
 SUBMIT_TIMEOUT_S: Final = 3.0
 """Time-out of a submission over all of its attempts."""
 SUBMIT_ATTEMPTS: Final = 4
+RETRY_S: Final = 0.3
+"""Pause between two tries of a caller that returns at its own pace."""
+TOLD_BY_DEFAULT_S: Final = 1.0
+"""Time to return where an answer names none, as hosts tell it."""
+_REFUSED: Final = frozenset({SubmitVerdict.NOT_RUN, SubmitVerdict.OVERLOADED})
 SAMPLE_INTERVAL_S: Final = 0.1
 LATE_FACTOR: Final = 3.0
 LATE_SHARE: Final = 0.2
@@ -42,6 +49,10 @@
 
     arrival: Arrival
     is_refused: bool = False
+    refusals: int = 0
+    """How often it was refused."""
+    first_refusal_s: float | None = None
+    """How long the answer to its first try took, if that was a refusal."""
     answered_s: float | None = None
     """Time from submission to the end of the last attempt to submit it."""
     is_accepted: bool = False
@@ -223,23 +234,45 @@
         await trio.sleep_until(self._started_at + outcome.arrival.at_s)
         until = trio.current_time() + SUBMIT_TIMEOUT_S
         job = replace(outcome.arrival.job, submitted_at=self._clock.wall())
-        was_refused = False
+        verdict: SubmitVerdict | None = None
         for _ in range(SUBMIT_ATTEMPTS):
+            if self._workload.returns_as_told:
+                until = trio.current_time() + SUBMIT_TIMEOUT_S
+                job = replace(job, submitted_at=self._clock.wall())
             left_s = until - trio.current_time()
             if left_s <= 0:
                 break
-            pause_s = 0.3
-            if self._leader_handler is not None:
-                answer = await self._leader_handler.submit(SubmitJob(job=job, patience_s=left_s))
-                if isinstance(answer, SubmitAnswer):
-                    was_refused = answer.verdict is SubmitVerdict.NOT_RUN
-                    if answer.verdict is SubmitVerdict.ACCEPTED:
-                        outcome.is_accepted = True
-                        break
-            await trio.sleep(pause_s)
-        outcome.is_refused = was_refused and not outcome.is_accepted
+            answer = await self._try_to_submit(outcome, job, left_s)
+            verdict = answer.verdict if answer is not None else verdict
+            if verdict is SubmitVerdict.ACCEPTED:
+                outcome.is_accepted = True
+                break
+            await trio.sleep(self._pause_s(answer))
+        outcome.is_refused = verdict in _REFUSED
         outcome.answered_s = trio.current_time() - self._started_at - outcome.arrival.at_s
 
+    async def _try_to_submit(
+        self, outcome: JobOutcome, job: CellJob, patience_s: float
+    ) -> SubmitAnswer | None:
+        if self._leader_handler is None:
+            return None
+        began_at = trio.current_time()
+        answer = await self._leader_handler.submit(SubmitJob(job=job, patience_s=patience_s))
+        if not isinstance(answer, SubmitAnswer):
+            return None
+        if answer.verdict in _REFUSED:
+            outcome.refusals += 1
+            if outcome.refusals == 1:
+                outcome.first_refusal_s = trio.current_time() - began_at
+        return answer
+
+    def _pause_s(self, answer: SubmitAnswer | None) -> float:
+        """Return how long a caller waits before its next try."""
+        if not self._workload.returns_as_told:
+            return RETRY_S
+        told_s = answer.retry_after_s if answer is not None else 0.0
+        return float(ceil(told_s or TOLD_BY_DEFAULT_S))
+
     async def _interrupt_store(self, span: Span) -> None:
         await trio.sleep_until(self._started_at + span.at_s)
         self._ports.is_store_unavailable = True
--- a/src/galenastall/bench/cell_load/workload.py
+++ b/src/galenastall/bench/cell_load/workload.py
@@ -182,6 +182,9 @@
     restarts_keep_names: bool = False
     """Whether a restarted executor keeps its name."""
     capacity_changes: list[CapacityChange] = []
+    returns_as_told: bool = False
+    """Whether refused callers return after the time that they were told, in whole seconds;
+    otherwise they retry every 0.3 s for 3 s."""
     workspaces: dict[str, WorkspaceLoad] = {}
     """By name; jobs not covered by any share belong to no workspace."""
 
--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -20,6 +20,7 @@
 from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.coordination.cell.task_runs import TaskRun
 from galenastall.coordination.cell.timings import CellTimings
+from galenastall.coordination.cell.turnover import Turnover
 from galenastall.coordination.cell.workspace_use import WorkspaceUse
 from galenastall.state.cell.jobs import Queue, StepKey, TaskKey
 from galenastall.state.cell.phases import TaskPhase
@@ -48,6 +49,7 @@
         """Services that the configuration names; None before the first configuration."""
         self.waiting_steps: set[StepKey] = set()
         """Steps that are ready to run and have tasks without a run."""
+        self.turnovers_by_service: dict[str, Turnover] = {}
         self.dirty_jobs: set[str] = set()
         self.noted_executors: set[str] = set()
         """Executors with run ends that were applied and are not yet durable."""
@@ -76,6 +78,10 @@
         """Executors that are listed, or that may still run something."""
         return self.executors.by_id
 
+    def turnover_of(self, service: str) -> Turnover:
+        """Return how fast the executors of a service release capacity."""
+        return self.turnovers_by_service.setdefault(service, Turnover())
+
     def next_seq(self) -> int:
         """Return the next sequence number for messages that this leader sends and receives."""
         self._seq += 1
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -10,6 +10,7 @@
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.fitting import SingleChoices, choose_for_gang, may_host
 from galenastall.coordination.cell.forecast import Forecast
+from galenastall.coordination.cell.job_runs import JobRun
 from galenastall.coordination.cell.mechanisms import Mechanism
 from galenastall.coordination.cell.probation import Probation
 from galenastall.coordination.cell.reservation_plan import PlannedStart, ReservationPlan, could_hold
@@ -44,6 +45,10 @@
         self._probation = Probation(state=state)
         self.observations = WaitObservations()
         """Reasons why the last decision did not start waiting steps."""
+        self.waiting_in_order: list[WaitingStep] = []
+        """Steps that waited when the last decision began."""
+        self.open_executors: list[Executor] = []
+        """Executors that the last decision could use; empty if nothing waited."""
         self._step_rotation = StepRotation()
         self._gang_rotation = GangRotation()
         self._answered: set[StepKey] = set()
@@ -56,9 +61,15 @@
         """Consider a step next time: in a long queue its tickets expire before its rotation."""
         self._answered.add(step)
 
+    def describe_new(self, job: JobRun, *, now: float, wall: float) -> list[WaitingStep]:
+        """Return the steps of a job that is not in the tables, as they would wait at first."""
+        return self._queue.describe_new(job, now=now, wall=wall)
+
     def decide(self, *, now: float, wall: float) -> None:
         """Place what fits; start orders and advice requests are added to the tables."""
         open_executors = self._open_executors(now) if self._state.waiting_steps else []
+        self.open_executors = open_executors
+        self.waiting_in_order = []
         self._probation.begin(open_executors)
         self.plan.begin(now=now, fleet_size=len(open_executors))
         self.plan.close(self._probation.reserved_ids)
@@ -86,7 +97,8 @@
     ) -> list[PlaceableStep]:
         """Return the waiting steps in order, without those that no open executor may host."""
         queue: list[PlaceableStep] = []
-        for waiting in self._queue.in_order(now=now, wall=wall):
+        self.waiting_in_order = self._queue.in_order(now=now, wall=wall)
+        for waiting in self.waiting_in_order:
             hosting = usable.by(waiting)
             if hosting:
                 queue.append((waiting, hosting))
--- a/src/galenastall/coordination/cell/run_ends.py
+++ b/src/galenastall/coordination/cell/run_ends.py
@@ -63,6 +63,8 @@
         task.release()
         if executor is not None:
             self._update_health(executor, task, end)
+        if executor is not None and end is not RunEnd.NEVER_STARTED:
+            self._state.turnover_of(executor.info.service).note_release(step.step.need)
         self._advance_job(job, step, task, end, wall=wall)
         self._state.refresh_waiting(job)
         return True
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -22,10 +22,12 @@
 from galenastall.coordination.cell.host_operations import HostOperations
 from galenastall.coordination.cell.incarnations import Incarnations
 from galenastall.coordination.cell.inherited_advice import InheritedAdvice
+from galenastall.coordination.cell.job_admission import LoadRefusal
 from galenastall.coordination.cell.job_rates import JobRates
 from galenastall.coordination.cell.job_runs import JobRun
 from galenastall.coordination.cell.late_orders import LateOrders
 from galenastall.coordination.cell.listings import Listing, ListingReader
+from galenastall.coordination.cell.load_admission import LoadAdmission
 from galenastall.coordination.cell.load_report import closed_by_id, report_load
 from galenastall.coordination.cell.mechanisms import ALL_ON, DisabledMechanisms
 from galenastall.coordination.cell.orders import OrderOutcomes, StartOutcome
@@ -90,6 +92,7 @@
             state=self._state, ends=self._ends, advice=self._advice, hosts=self.hosts
         )
         self._rates = JobRates()
+        self._admission = LoadAdmission(state=self._state, placer=self._placer)
         self._recurring_jobs: set[str] = set()
         """Live jobs with a recurrence."""
         self._cleaned_up_at = float("-inf")
@@ -134,6 +137,11 @@
         """Rules in force for workspaces that compete."""
         return self._state.contention
 
+    @property
+    def refused_by_reason(self) -> dict[tuple[str, str], int]:
+        """Number of jobs refused for load by this leader, by reason and workspace."""
+        return dict(self._admission.refused_by_reason)
+
     @property
     def stopped_by_rule(self) -> dict[StopRule, int]:
         """Number of runs that this leader has stopped so far, by rule."""
@@ -203,6 +211,23 @@
         """Set how many advice calls can be pending at once: one for each entry host."""
         self._state.advice_calls_at_once = count
 
+    def why_overloaded(self, job: CellJob, *, now: float, wall: float) -> LoadRefusal | None:
+        """Return why the backlog keeps a job from being accepted; None to accept it.
+
+        A job that is known is never refused.
+        """
+        if not self.contention.refuses_by_backlog or job.job_id in self._state.jobs_by_id:
+            return None
+        is_within = True
+        if self._state.workspaces.is_known(job.workspace):
+            workspace = self._state.workspaces.find(job.workspace)
+            is_within = self._rates.allows(workspace, wall=wall)
+        return self._admission.consider(job, is_within_rate=is_within, now=now, wall=wall)
+
+    def note_overloaded(self, job: CellJob, refusal: LoadRefusal, *, now: float) -> float:
+        """Record that a job was refused; return after how many seconds its caller may return."""
+        return float(self._admission.note_refusal(job, refusal, now=now))
+
     def submit(self, job: CellJob, *, wall: float) -> JobRun:
         """Return the job of this id, adding it if it is new; it is durable with the next batch."""
         known = self._state.jobs_by_id.get(job.job_id)
@@ -354,6 +379,8 @@
             self._placer.decide(now=now, wall=wall)
         else:
             self._placer.observations.hold()
+        if self.contention.refuses_by_backlog:
+            self._admission.after_decision(now=now)
         if is_report_due:
             self._report()
 
--- a/src/galenastall/coordination/cell/wait_queue.py
+++ b/src/galenastall/coordination/cell/wait_queue.py
@@ -99,6 +99,15 @@
         found.sort(key=lambda pair: pair[0])
         return [waiting for _, waiting in found]
 
+    def describe_new(self, job: JobRun, *, now: float, wall: float) -> list[WaitingStep]:
+        """Return the steps of a job that is not in the tables, as they would wait at first."""
+        return [
+            self._describe(job, step, now, wall)
+            for occurrence in job.occurrences_by_number.values()
+            for step in occurrence.steps
+            if occurrence.is_ready(step)
+        ]
+
     def _describe(self, job: JobRun, step: StepRun, now: float, wall: float) -> WaitingStep:
         queue = self._state.queue_of(job)
         occurrence = job.occurrences_by_number[step.key.occurrence]
--- a/src/galenastall/node/cell/leader_handler.py
+++ b/src/galenastall/node/cell/leader_handler.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from galenastall.coordination.cell.job_admission import LoadRefusal
 from galenastall.coordination.cell.job_runs import JobRun
 from galenastall.node.cell.leader_term import LeaderTerm
 from galenastall.protocol.cell.messages import (
@@ -17,6 +18,7 @@
     SubmitJob,
     SubmitVerdict,
 )
+from galenastall.state.cell.jobs import CellJob
 from galenastall.state.cell.phases import ENDED_PHASES
 from galenastall.state.cell.workspaces import may_access
 from galenastall.state.errors import Reason, StepError
@@ -26,6 +28,9 @@
 SHARE_OF_PATIENCE: Final = 0.4
 """Largest share of a caller's time after which it is answered that its job is not stored, or that
 the outcome is unknown, so that it can still retry."""
+CONFIRM_WITHIN_S: Final = 0.3
+"""A job is accepted instead of refused for load if the store has not confirmed this leader by then;
+a confirmation takes two appends at most, some 20 ms."""
 STORE_OUTAGE_S: Final = 0.5
 """Once appends have failed for longer, submissions are refused at once instead of waiting."""
 
@@ -48,6 +53,9 @@
         term = self._term
         if term.store_outage_s > STORE_OUTAGE_S and message.job.job_id not in term.core.jobs_by_id:
             return self._not_stored()
+        refusal = await self._refuse_by_load(message)
+        if refusal is not None:
+            return refusal
         run = term.core.submit(message.job, wall=term.context.wall())
         if not may_access(owner=run.job.workspace, workspace=message.job.workspace):
             return SubmitAnswer(verdict=SubmitVerdict.TAKEN, cause="another workspace has this id")
@@ -66,6 +74,29 @@
             return SubmitAnswer(verdict=SubmitVerdict.ACCEPTED)
         return SubmitAnswer(verdict=SubmitVerdict.UNKNOWN, cause="no answer from the store")
 
+    async def _refuse_by_load(self, message: SubmitJob) -> SubmitAnswer | None:
+        """Return the answer to a job that the backlog keeps from being done in time.
+
+        Only a leader that the store confirms after the submission arrived knows that no other has
+        stored the job.
+        """
+        core, job = self._term.core, message.job
+        if self._why_overloaded(job) is None:
+            return None
+        if not await self._confirm(min(CONFIRM_WITHIN_S, SHARE_OF_PATIENCE * message.patience_s)):
+            return None
+        refusal = self._why_overloaded(job)
+        if refusal is None or self._term.loss:
+            return None
+        retry_after_s = core.note_overloaded(job, refusal, now=trio.current_time())
+        return SubmitAnswer(
+            verdict=SubmitVerdict.OVERLOADED, cause=refusal.cause, retry_after_s=retry_after_s
+        )
+
+    def _why_overloaded(self, job: CellJob) -> LoadRefusal | None:
+        now, wall = trio.current_time(), self._term.context.wall()
+        return self._term.core.why_overloaded(job, now=now, wall=wall)
+
     def _not_stored(self) -> SubmitAnswer:
         """Answer for a job that this leader has not stored while the store is unavailable.
 
