--- a/src/galenastall/coordination/cell/explain_logs.py
+++ b/src/galenastall/coordination/cell/explain_logs.py
@@ -24,6 +24,8 @@
     }
 )
 """Events that concern no particular job but may explain the outcome of one."""
+_NOT_STORED: Final = frozenset({"not_run", "overloaded"})
+"""Verdicts of submissions whose job is certainly not stored."""
 LONG_WAIT_S: Final = 0.5
 """Minimum gap between two events of a job that is reported as a delay."""
 
@@ -127,7 +129,8 @@
         return f"accepted and not ended; last event {last.event} ({last.cause})"
     if refusals:
         last = refusals[-1]
-        known = "not run" if last.fields.get("verdict") == "not_run" else "unknown whether stored"
+        is_certain = last.fields.get("verdict") in _NOT_STORED
+        known = "not run" if is_certain else "unknown whether stored"
         return f"refused {len(refusals)} times, {known}: {last.cause}"
     return f"never accepted; last event {own[-1].event} ({own[-1].cause})"
 
--- a/src/galenastall/node/cell/cell_metrics.py
+++ b/src/galenastall/node/cell/cell_metrics.py
@@ -79,3 +79,9 @@
             lambda: {(rule,): float(n) for rule, n in leadership.stopped_by_rule.items()},
             labels=["rule"],
         )
+        gauge(
+            "galenastall_jobs_overloaded",
+            "Jobs that this host has refused for load in its term, by reason and workspace.",
+            lambda: {labels: float(n) for labels, n in leadership.refused_by_reason.items()},
+            labels=["reason", "workspace"],
+        )
--- a/src/galenastall/node/cell/leadership.py
+++ b/src/galenastall/node/cell/leadership.py
@@ -126,6 +126,11 @@
         """Runs stopped in this host's current term, by rule; empty unless this host leads."""
         return self.term.core.stopped_by_rule if self.term is not None else {}
 
+    @property
+    def refused_by_reason(self) -> dict[tuple[str, str], int]:
+        """Jobs refused for load in this host's current term, by reason and workspace."""
+        return self.term.core.refused_by_reason if self.term is not None else {}
+
     @property
     def last_append_s(self) -> float:
         """Duration of this host's last append as leader."""
--- a/src/galenastall/transport/log_budget.py
+++ b/src/galenastall/transport/log_budget.py
@@ -15,7 +15,9 @@
 """Higher limit for kinds that explain a rejection or a failed job, so they are suppressed last."""
 BURST_S: Final = 2.0
 """Bucket size: how many seconds' worth of lines may be written at once."""
-EXPLAINING_KINDS: Final = frozenset({"job.refused", "job.ended", "job.withdrawn", "leader.lost"})
+EXPLAINING_KINDS: Final = frozenset(
+    {"job.overloaded", "job.refused", "job.ended", "job.withdrawn", "leader.lost"}
+)
 
 
 class LineBudget:
