Refuse for load only what would end worthless, by work that really goes before it

Small tasks start on capacity that is too small for the larger ones ahead of them. Change: the limit is the loss of all value for all jobs, and larger tasks ahead don't count.

--- a/src/galenastall/coordination/cell/backlog.py
+++ b/src/galenastall/coordination/cell/backlog.py
@@ -28,8 +28,6 @@
     """Work that waits for the executors of one service, in order, and their capacity."""
 
     works: tuple[WaitingWork, ...]
-    sums: tuple[Resources, ...]
-    """What all work before each position needs; one longer than `works`."""
     free: Resources
     total: Resources
     turnover_per_s: float | None
@@ -44,36 +42,32 @@
         total: Resources,
         turnover_per_s: float | None,
     ) -> "Backlog":
-        """Sort waiting work by its order, and sum it up."""
+        """Sort waiting work by its order."""
         ordered = tuple(sorted(works, key=lambda work: work.key))
-        sums = [NOTHING]
-        for work in ordered:
-            sums.append(sums[-1] + work.need.times(work.count))
-        return cls(
-            works=ordered,
-            sums=tuple(sums),
-            free=free,
-            total=total,
-            turnover_per_s=turnover_per_s,
-        )
-
-    def ahead(self, key: OrderKey) -> tuple[WaitingWork, ...]:
-        """Return the work that goes before `key`."""
-        return self.works[: self._position(key)]
-
-    def share_ahead(self, key: OrderKey) -> float:
-        """Return what the work before `key` needs, as a share of all capacity."""
-        return self.sums[self._position(key)].dominant_share(self.total)
-
-    def wait_s(self, key: OrderKey, need: Resources) -> float | None:
+        return cls(works=ordered, free=free, total=total, turnover_per_s=turnover_per_s)
+
+    def competing(self, key: OrderKey, task: Resources) -> list[WaitingWork]:
+        """Return the work that goes before `key` and whose tasks are not larger than `task`.
+
+        Larger tasks don't delay it for certain: it may start on capacity too small for them.
+        """
+        end = bisect_left(self.works, key, key=lambda work: work.key)
+        return [work for work in self.works[:end] if work.need.fits_in(task)]
+
+    def share_ahead(self, key: OrderKey, task: Resources) -> float:
+        """Return what the competing work needs, as a share of all capacity."""
+        return self._ahead(key, task).dominant_share(self.total)
+
+    def wait_s(self, key: OrderKey, need: Resources, task: Resources) -> float | None:
         """Return for how long work at `key` that needs `need` at once waits, in seconds.
 
-        None while the release rate is unknown.
+        `task` is the need of its largest task. None while the release rate is unknown.
         """
         if not self.turnover_per_s:
             return None
-        missing = self.sums[self._position(key)] + need - self.free
+        missing = self._ahead(key, task) + need - self.free
         return missing.dominant_share(self.total) / self.turnover_per_s
 
-    def _position(self, key: OrderKey) -> int:
-        return bisect_left(self.works, key, key=lambda work: work.key)
+    def _ahead(self, key: OrderKey, task: Resources) -> Resources:
+        needs = (work.need.times(work.count) for work in self.competing(key, task))
+        return sum(needs, NOTHING)
--- a/src/galenastall/coordination/cell/job_admission.py
+++ b/src/galenastall/coordination/cell/job_admission.py
@@ -19,8 +19,6 @@
 times and the release rate may be off by as much."""
 LEAVE_FACTOR: Final = 1.2
 """They are accepted again once one would wait at most this many times as long as it may."""
-LATE_FACTOR: Final = 2.0
-"""A job beyond its workspace's rate may take this many times the time that its objective allows."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -40,6 +38,8 @@
     """Its position in the order of waiting work."""
     need: Resources
     """What the tasks that it starts with need together."""
+    task: Resources
+    """The most that one of these tasks needs."""
     work_s: float
     """Its longest chain of declared run times."""
     objective_s: float
@@ -47,9 +47,8 @@
 
     @property
     def may_wait_s(self) -> float:
-        """For how long it may wait before it is not worth accepting."""
-        limit_s = self.worthless_s if self.kind.is_within_rate else LATE_FACTOR * self.objective_s
-        return max(limit_s - self.work_s, 0.0)
+        """For how long it may wait before it ends without value."""
+        return max(self.worthless_s - self.work_s, 0.0)
 
     @property
     def starts_in_time_s(self) -> float:
@@ -75,17 +74,17 @@
 
     @property
     def reason(self) -> str:
-        """Why, as a metric's label."""
-        return "worthless" if self.job.kind.is_within_rate else "beyond_rate"
+        """Why, as a metric's label: what the caller or operator can change."""
+        return "capacity" if self.job.kind.is_within_rate else "beyond_rate"
 
     @property
     def cause(self) -> str:
         """Why, for the caller."""
-        end = "it would end without value"
-        if not self.job.kind.is_within_rate:
-            end = "its workspace is beyond its rate, and it would end late"
-        wait = f"overloaded: {self.wait_s:.1f} s of work are ahead"
-        return f"{wait}; {end}; a new job like it would be done in time later"
+        beyond = "" if self.job.kind.is_within_rate else ", as its workspace is beyond its rate"
+        return (
+            f"overloaded: it would wait {self.wait_s:.1f} s{beyond}, and could not be done in time;"
+            " a new job like it could after the time to return"
+        )
 
 
 def decide(job: NewJob, backlog: Backlog, *, is_refusing: bool) -> LoadRefusal | None:
@@ -93,7 +92,7 @@
 
     `is_refusing`: whether the last job of its kind was refused.
     """
-    wait_s = backlog.wait_s(job.key, job.need)
+    wait_s = backlog.wait_s(job.key, job.need, job.task)
     if wait_s is None or backlog.turnover_per_s is None:
         return None
     factor = LEAVE_FACTOR if is_refusing else ENTER_FACTOR
@@ -102,7 +101,7 @@
     return LoadRefusal(
         job=job,
         wait_s=wait_s,
-        share_ahead=backlog.share_ahead(job.key),
+        share_ahead=backlog.share_ahead(job.key, job.task),
         turnover_per_s=backlog.turnover_per_s,
     )
 
@@ -111,13 +110,15 @@
     """Return what decides on a job whose first steps are `waiting`; the first goes first."""
     first = waiting[0]
     objective, begins_at = first.occurrence.objective, first.occurrence.begins_at
-    need = NOTHING
+    need = task = NOTHING
     for each in waiting:
+        task = task.at_least(each.step.step.need)
         need = need + each.step.step.need.times(each.step.step.count)
     return NewJob(
         kind=JobKind(queue=first.queue.name, is_within_rate=first.job.is_within_rate),
         key=key,
         need=need,
+        task=task,
         work_s=longest_chain_s(first.job.job.steps, first.queue),
         objective_s=objective - wall,
         worthless_s=worthless_at(objective=objective, begins_at=begins_at) - wall,
--- a/src/galenastall/coordination/cell/load_admission.py
+++ b/src/galenastall/coordination/cell/load_admission.py
@@ -137,8 +137,8 @@
         self, waiting: WaitingStep, executors: list[Executor], backlog: Backlog, new: NewJob
     ) -> bool:
         step = waiting.step.step
-        smaller = (work for work in backlog.ahead(new.key) if work.need.fits_in(step.need))
-        wanted = step.count + sum(work.count for work in smaller)
+        competing = backlog.competing(new.key, step.need)
+        wanted = step.count + sum(work.count for work in competing)
         found = 0
         for executor in executors:
             found += self._placer.plan.startable_count(executor, step, wanted - found)
