Leave no advice entry behind for a job that is refused for load

Cause: describing a job that is not stored created an empty entry in the advice table for each. Measured: tests/test_cell_admission.py; the new test fails without the line.

--- a/src/galenastall/coordination/cell/wait_queue.py
+++ b/src/galenastall/coordination/cell/wait_queue.py
@@ -101,12 +101,14 @@
 
     def describe_new(self, job: JobRun, *, now: float, wall: float) -> list[WaitingStep]:
         """Return the steps of a job that is not in the tables, as they would wait at first."""
-        return [
+        described = [
             self._describe(job, step, now, wall)
             for occurrence in job.occurrences_by_number.values()
             for step in occurrence.steps
             if occurrence.is_ready(step)
         ]
+        self._advice.forget_job(job.job.job_id)
+        return described
 
     def _describe(self, job: JobRun, step: StepRun, now: float, wall: float) -> WaitingStep:
         queue = self._state.queue_of(job)
--- a/tests/test_cell_admission.py
+++ b/tests/test_cell_admission.py
@@ -27,7 +27,7 @@
 from galenastall.node.cell.caller_handler import CallerHandler
 from galenastall.node.cell.leader_handler import LeaderHandler
 from galenastall.protocol.cell.messages import SubmitAnswer, SubmitJob, SubmitVerdict
-from galenastall.state.cell.jobs import CellJob, StepKey
+from galenastall.state.cell.jobs import AdvisorTiming, CellJob, StepKey
 from galenastall.state.cell.phases import RunEnd
 from galenastall.state.cell.workspaces import Workspace
 from galenastall.state.errors import Reason, StepError
@@ -37,6 +37,7 @@
 CORE = Resources(cores_milli=1000, memory_mb=1)
 WORKSPACES = (Workspace(name="large", weight=1.0), Workspace(name="small", weight=1.0))
 FLOOD_JOBS = 240
+ADVISOR = AdvisorTiming(base_s=0.1, per_executor_s=0.0, validity_s=1.0)
 
 
 def key_at(objective: float) -> OrderKey:
@@ -215,6 +216,13 @@
         monkeypatch.setattr(JobRates, "allows", lambda *_, **__: False)
         assert flood.refuses(flood.make("small"))
 
+    def test_refused_jobs_leave_no_entries(self) -> None:
+        flood = Flood()
+        job = replace(flood.make("large"), queue=replace(QUEUE, advisor=ADVISOR))
+        flood.core.set_queues([QUEUE, job.queue])
+        assert flood.refuses(job)
+        assert StepKey(job.job_id, 0, 0) not in flood.core._advice._advice_by_step
+
     def test_a_stored_job_is_accepted_again(self) -> None:
         flood = Flood()
         job = flood.submit("large")
