--- a/src/galenastall/bench/cell_load/arrivals.py
+++ b/src/galenastall/bench/cell_load/arrivals.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Final
 
-from galenastall.bench.cell_load.workload import LogNormal, QueueLoad, Workload
+from galenastall.bench.cell_load.workload import Flood, LogNormal, QueueLoad, Workload
 from galenastall.coordination.cell.objectives import longest_chain_s
 from galenastall.state.cell.jobs import AdvisorTiming, CellJob, Queue, Step
 from galenastall.state.cell.workspaces import NO_WORKSPACE
@@ -89,6 +89,7 @@
     ]
     owned = _assign_workspaces(workload, marked, seed=seed)
     owned += _draw_extra(workload, len(owned), seed=seed)
+    owned += _draw_floods(workload, len(owned), seed=seed)
     return sorted(owned, key=lambda arrival: arrival.at_s)
 
 
@@ -112,13 +113,34 @@
     rng = Random(f"{seed}/extra")
     arrivals: list[Arrival] = []
     for workspace, owner in workload.workspaces.items():
-        for name, load in workload.queues.items():
-            rate = load.jobs_per_s * owner.share * (owner.rate_factor - 1.0)
-            at_s = rng.expovariate(rate) if rate > 0 else workload.length_s
-            while at_s < workload.length_s:
-                arrival = _draw_job(name, load, at_s, first + len(arrivals), rng)
-                arrivals.append(replace(_with_workspace(workspace, arrival), is_extra=True))
-                at_s += rng.expovariate(rate)
+        always = Flood(at_s=0.0, for_s=workload.length_s, factor=owner.rate_factor)
+        arrivals += _draw_flood(workload, workspace, always, first + len(arrivals), rng)
+    return arrivals
+
+
+def _draw_floods(workload: Workload, first: int, *, seed: int) -> list[Arrival]:
+    """Return the jobs that workspaces submit above their usual rate for a time."""
+    rng = Random(f"{seed}/floods")
+    arrivals: list[Arrival] = []
+    for workspace, owner in workload.workspaces.items():
+        for flood in owner.floods:
+            arrivals += _draw_flood(workload, workspace, flood, first + len(arrivals), rng)
+    return arrivals
+
+
+def _draw_flood(
+    workload: Workload, workspace: str, flood: Flood, first: int, rng: Random
+) -> list[Arrival]:
+    share = workload.workspaces[workspace].share
+    ends_at_s = min(flood.at_s + flood.for_s, workload.length_s)
+    arrivals: list[Arrival] = []
+    for name, load in workload.queues.items():
+        rate = load.jobs_per_s * share * (flood.factor - 1.0)
+        at_s = flood.at_s + rng.expovariate(rate) if rate > 0 else ends_at_s
+        while at_s < ends_at_s:
+            arrival = _draw_job(name, load, at_s, first + len(arrivals), rng)
+            arrivals.append(replace(_with_workspace(workspace, arrival), is_extra=True))
+            at_s += rng.expovariate(rate)
     return arrivals
 
 
--- a/src/galenastall/bench/cell_load/figures.py
+++ b/src/galenastall/bench/cell_load/figures.py
@@ -17,6 +17,8 @@
 SIGNIFICANT_DIGITS: Final = 3
 NORMAL_95: Final = 1.96
 """Half-width of a 95% interval in standard errors."""
+WORST_WORKSPACES: Final = 2
+"""Number of worst-served workspaces reported separately."""
 TOP_DECILE: Final = 0.9
 """The largest tenth of a queue's jobs by work is reported separately."""
 
@@ -66,6 +68,8 @@
     """Entitled jobs reported as failed; jobs whose task crashes executors are not among them."""
     worth_by_workspace: dict[str, float] = {}
     """The same ratio for each workspace, over all seeds."""
+    worst_workspaces_by_seed: dict[str, float] = {}
+    """The same ratio, averaged over the two workspaces with the lowest; without workspaces, 0."""
 
 
 def summarize(
@@ -107,6 +111,9 @@
             if f.arrival.is_entitled and f.phase is JobPhase.FAILED
         ),
         worth_by_workspace=_worth_by_workspace(results),
+        worst_workspaces_by_seed={
+            str(result.seed): _worst_workspaces(_worth_by_workspace([result])) for result in results
+        },
     )
 
 
@@ -121,6 +128,11 @@
     }
 
 
+def _worst_workspaces(worth_by_workspace: dict[str, float]) -> float:
+    worst = sorted(worth_by_workspace.values())[:WORST_WORKSPACES]
+    return fmean(worst) if worst else 0.0
+
+
 def _worth_ratio_of_run(result: SimulationResult) -> float:
     return _worth_ratio([outcome for outcome in result.outcomes if outcome.arrival.is_entitled])
 
@@ -172,6 +184,7 @@
         _difference(name, old, new)
         for name, old, new in (
             ("worth", before.worth_by_seed, after.worth_by_seed),
+            ("worst workspaces", before.worst_workspaces_by_seed, after.worst_workspaces_by_seed),
             ("idle though usable", before.idle_usable_by_seed, after.idle_usable_by_seed),
             ("in use", before.in_use_by_seed, after.in_use_by_seed),
         )
@@ -218,4 +231,6 @@
     if figures.worth_by_workspace:
         shares = (f"{name} {share:.3f}" for name, share in figures.worth_by_workspace.items())
         lines.append(f"  worth by workspace: {', '.join(shares)}")
+        worst = fmean(figures.worst_workspaces_by_seed.values())
+        lines.append(f"  worst {WORST_WORKSPACES} workspaces of a seed: {worst:.3f}")
     return "\n".join([*lines, *figures.violations[:5]])
--- a/src/galenastall/bench/cell_load/workload.py
+++ b/src/galenastall/bench/cell_load/workload.py
@@ -113,6 +113,15 @@
     """Their capacity during the change, relative to the usual one."""
 
 
+class Flood(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A temporary increase of the submission rate of one workspace, in all queues."""
+
+    at_s: float
+    for_s: float
+    factor: float
+    """Its rate relative to the usual; the jobs above the usual rate are not entitled."""
+
+
 class WorkspaceLoad(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Load of one workspace, with its weight and limits."""
 
@@ -124,6 +133,7 @@
     limit_memory_mb: int = 0
     rate_factor: float = 1.0
     """Its submission rate relative to the usual; jobs above the usual rate are not entitled."""
+    floods: list[Flood] = []
 
     def to_workspace(self, name: str) -> Workspace:
         """Return the workspace as the scheduler's own type."""
@@ -136,6 +146,9 @@
             return f"share: expected 0 to 1, got {self.share}"
         if self.rate_factor < 1.0:
             return f"rate_factor: expected 1 or more, got {self.rate_factor}"
+        for flood in self.floods:
+            if flood.factor < 1.0:
+                return f"floods.factor: expected 1 or more, got {flood.factor}"
         for name in ("weight", "limit_cores_milli", "limit_memory_mb"):
             value = getattr(self, name)
             if value < 0:
--- a/tests/test_cell_load.py
+++ b/tests/test_cell_load.py
@@ -58,6 +58,10 @@
     "workspaces: {{a: {{share: {0}, weight: 5, rate_factor: {1}, limit_cores_milli: {2}}},"
     " b: {{share: 0.5, weight: 5}}}}"
 )
+FLOODS = (
+    "workspaces: {{a: {{share: 0.5, weight: 5, floods: [{{at_s: {}, for_s: {}, factor: {}}}]}},"
+    " b: {{share: 0.5, weight: 5}}}}"
+)
 CHANGE = "capacity_changes: [{{at_s: 1, for_s: 1, share: {}, factor: {}}}]"
 
 
@@ -95,6 +99,7 @@
                 ("length_s: 3", WORKSPACES.format(0.5, 1, -1)),
                 "a.limit_cores_milli: expected 0 or more",
             ),
+            (("length_s: 3", FLOODS.format(1, 1, 0.5)), "a.floods.factor: expected 1 or more"),
             (("length_s: 3", CHANGE.format(2, 1)), "capacity_changes.share: expected 0 to 1"),
             (("length_s: 3", CHANGE.format(1, -1)), "capacity_changes.factor: expected 0 or more"),
         ],
@@ -135,6 +140,15 @@
         assert {arrival.job.workspace for arrival in extra} == {"a"}
         assert len(extra) > 2 * len(plain)
 
+    def test_a_flood_adds_jobs_of_its_workspace_while_it_lasts(self, path: Path) -> None:
+        plain = draw_arrivals(make_workload(path, SMALL + WORKSPACES.format(0.5, 1, 0)), seed=1)
+        flooded = draw_arrivals(make_workload(path, SMALL + FLOODS.format(1, 1, 10)), seed=1)
+        assert [arrival for arrival in flooded if arrival.is_entitled] == plain
+        extra = [arrival for arrival in flooded if not arrival.is_entitled]
+        assert {arrival.job.workspace for arrival in extra} == {"a"}
+        assert all(1 <= arrival.at_s < 2 for arrival in extra)
+        assert len(extra) > len(plain)
+
     def test_a_workspace_limit_is_enforced(self, path: Path) -> None:
         result = simulate(make_workload(path, SMALL + WORKSPACES.format(0.5, 3, 20_000)), seed=1)
         assert result.violations == []
@@ -198,7 +212,7 @@
         save_figures(figures, tmp_path / "report.json")
         again = load_figures(tmp_path / "report.json")
         assert again == figures
-        assert [each.mean for each in differences(figures, again)] == [0.0, 0.0, 0.0]
+        assert [each.mean for each in differences(figures, again)] == [0.0, 0.0, 0.0, 0.0]
         assert "gangs" in to_table(figures)
 
     def test_a_mechanism_can_be_switched_off(self, tmp_path: Path) -> None:
