Order waiting work by what its workspace uses of its share

Cause: among work of like urgency and lateness there was no order by workspace, so one that floods the cell goes level with those that use less than their weight entitles them to.

Change: the smoothed dominant share of each workspace over its weight's part, once a decision, from the runs that WorkspaceUse counts; work of workspaces above their share goes after that of others of like urgency and lateness. Off without two weights, or without the mechanism.

--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -86,7 +86,7 @@
     ) -> list[PlaceableStep]:
         """Return the waiting steps in order, without those that no open executor may host."""
         queue: list[PlaceableStep] = []
-        for waiting in self._queue.in_order(now=now, wall=wall):
+        for waiting in self._queue.in_order(now=now, wall=wall, capacity=usable.capacity):
             hosting = usable.by(waiting)
             if hosting:
                 queue.append((waiting, hosting))
@@ -331,6 +331,11 @@
         self._by_requirement: dict[tuple[str, str], OpenExecutors] = {}
         self._total_by_requirement: dict[tuple[str, str], Resources] = {}
 
+    @property
+    def capacity(self) -> Resources:
+        """Return the total capacity of all of them."""
+        return sum((executor.info.capacity for executor in self._executors), NOTHING)
+
     def by(self, waiting: WaitingStep) -> OpenExecutors:
         """Return the executors that may host a step."""
         step, service = waiting.step.step, waiting.queue.service
--- a/src/galenastall/coordination/cell/wait_queue.py
+++ b/src/galenastall/coordination/cell/wait_queue.py
@@ -8,8 +8,10 @@
 from galenastall.coordination.cell.job_runs import JobRun, Occurrence, StepRun
 from galenastall.coordination.cell.mechanisms import ALL_ON, DisabledMechanisms, Mechanism
 from galenastall.coordination.cell.objectives import lateness_rank, worthless_at
+from galenastall.coordination.cell.workspace_shares import NO_SHARE, Share, WorkspaceShares
 from galenastall.state.cell.jobs import Queue, StepKey
-from galenastall.state.resources import Resources
+from galenastall.state.cell.workspaces import NO_WORKSPACE
+from galenastall.state.resources import NOTHING, Resources
 
 URGENT_PRIORITY: Final = 0
 WORTHLESS_RANK: Final = 2
@@ -21,7 +23,12 @@
 """The same for gangs that take more than half of all capacity, and for single tasks, which may need
 whole executors: draining these delays work that still has value."""
 
-OrderKey = tuple[int, int, int, float, StepKey]
+SHARE_STEP: Final = 0.5
+"""Jobs beyond the rate of their workspace are ordered by its share in steps of this size."""
+MAX_SHARE_STEPS: Final = 100
+"""Larger shares, up to infinity where the weight is 0, count as this many steps."""
+
+OrderKey = tuple[int, int, int, int, float, StepKey]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -39,6 +46,8 @@
     """How late its job is, as `lateness_rank` returns it."""
     worthless_s: float
     """For how long it has had no value, in seconds; negative while it has some."""
+    share: Share = NO_SHARE
+    """How much of its share its workspace uses; nothing where the order ignores shares."""
 
     @property
     def is_urgent(self) -> bool:
@@ -74,7 +83,15 @@
         urgency = 0 if self.is_urgent or Mechanism.URGENT_FIRST in without else 1
         worthless = 1 if self.is_worthless or not self.job.is_within_rate else 0
         rank = 0 if Mechanism.LATE_LAST in without else self.rank
-        return (worthless, urgency, rank, self.occurrence.objective, self.step.key)
+        objective = self.occurrence.objective
+        return (worthless, urgency, rank, self.share_rank, objective, self.step.key)
+
+    @property
+    def share_rank(self) -> int:
+        """Position by the share of its workspace among work of like urgency and lateness."""
+        if self.job.is_within_rate:
+            return int(self.share.is_above)
+        return int(min(self.share.ratio / SHARE_STEP, MAX_SHARE_STEPS))
 
 
 class WaitQueue:
@@ -84,9 +101,17 @@
         """Read these tables."""
         self._state = state
         self._advice = advice
+        self.shares = WorkspaceShares()
+        """Shares of the workspaces, as of the last decision."""
 
-    def in_order(self, *, now: float, wall: float) -> list[WaitingStep]:
-        """Return the waiting steps, highest priority first."""
+    def in_order(
+        self, *, now: float, wall: float, capacity: Resources = NOTHING
+    ) -> list[WaitingStep]:
+        """Return the waiting steps, highest priority first.
+
+        `capacity` is that of all open executors.
+        """
+        self._update_shares(now, capacity)
         found: list[tuple[OrderKey, WaitingStep]] = []
         for key in list(self._state.waiting_steps):
             job = self._state.jobs_by_id.get(key.job)
@@ -99,6 +124,24 @@
         found.sort(key=lambda pair: pair[0])
         return [waiting for _, waiting in found]
 
+    def _update_shares(self, now: float, capacity: Resources) -> None:
+        if not self._state.contention.orders_by_share:
+            return
+        jobs = (self._state.jobs_by_id.get(key.job) for key in self._state.waiting_steps)
+        workspaces = self._state.workspaces
+        names = {job.job.workspace for job in jobs if job is not None}
+        names |= {name for name, used in workspaces.used_by_name.items() if used != NOTHING}
+        names.discard(NO_WORKSPACE)
+        self.shares.update(
+            map(workspaces.find, names),
+            used_by_name=workspaces.used_by_name,
+            capacity=capacity,
+            now=now,
+        )
+
+    def _share_of(self, name: str) -> Share:
+        return self.shares.of(name) if self._state.contention.orders_by_share else NO_SHARE
+
     def _describe(self, job: JobRun, step: StepRun, now: float, wall: float) -> WaitingStep:
         queue = self._state.queue_of(job)
         occurrence = job.occurrences_by_number[step.key.occurrence]
@@ -114,4 +157,5 @@
             ),
             worthless_s=wall
             - worthless_at(objective=occurrence.objective, begins_at=occurrence.begins_at),
+            share=self._share_of(job.job.workspace),
         )
