--- a/src/galenastall/coordination/cell/explain_waiting.py
+++ b/src/galenastall/coordination/cell/explain_waiting.py
@@ -1,7 +1,7 @@
 """Explains from log lines what jobs waited for: store, advice or capacity, and between runs."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -27,6 +27,9 @@
     capacity_s: float
     """The rest: capacity was insufficient, also for a complete gang, or reserved for others."""
 
+    share_s: float
+    """Part of `capacity_s` in which its workspace was above its share: others went first."""
+
     restarts: Restarts
     """Restarts after the first start."""
 
@@ -46,6 +49,7 @@
     if not lines:
         return []
     outages = _outages(lines)
+    above_by_workspace = _above_share(lines)
     lines_by_job: defaultdict[str, list[LogLine]] = defaultdict(list)
     for line in lines:
         if line.subjects:
@@ -53,13 +57,17 @@
     waits = [
         wait
         for job_id, own in lines_by_job.items()
-        if (wait := _wait_of(job_id, own, outages, lines[-1].at_s)) is not None
+        if (wait := _wait_of(job_id, own, outages, above_by_workspace, lines[-1].at_s)) is not None
     ]
     return sorted(waits, key=lambda wait: (-wait.total_s - wait.restart_wait_s, wait.job_id))
 
 
 def _wait_of(
-    job_id: str, own: Sequence[LogLine], outages: list[Span], log_end_s: float
+    job_id: str,
+    own: Sequence[LogLine],
+    outages: list[Span],
+    above_by_workspace: Mapping[str, list[Span]],
+    log_end_s: float,
 ) -> JobWait | None:
     accepted = next((line for line in own if line.event == "job.accepted"), None)
     if accepted is None:
@@ -72,6 +80,8 @@
     advice = _clip(_advice_spans(own), window)
     store_s = _length(store)
     advice_s = _length([*store, *advice]) - store_s
+    other_s = _length([*store, *advice])
+    above = _clip(above_by_workspace.get(accepted.fields.get("workspace", ""), []), window)
     return JobWait(
         job_id=job_id,
         queue=accepted.fields.get("queue", ""),
@@ -79,6 +89,7 @@
         store_s=store_s,
         advice_s=advice_s,
         capacity_s=max(window[1] - window[0] - store_s - advice_s, 0.0),
+        share_s=_length([*store, *advice, *above]) - other_s,
         restarts=restarts_of(own, log_end_s=log_end_s),
     )
 
@@ -98,6 +109,26 @@
     return spans
 
 
+def _above_share(lines: Sequence[LogLine]) -> dict[str, list[Span]]:
+    """Return by workspace the spans in which it was above its share, as logged by the leaders."""
+    begun_by_name: dict[str, float] = {}
+    spans_by_name: defaultdict[str, list[Span]] = defaultdict(list)
+    for line in lines:
+        if line.event == "workspace.above_share":
+            begun_by_name.setdefault(line.subjects[0], line.at_s)
+            continue
+        ended: list[str] = []
+        if line.event == "workspace.within_share":
+            ended = [line.subjects[0]]
+        elif line.event == "leader.loaded":
+            ended = list(begun_by_name)
+        for name in ended:
+            spans_by_name[name].append((begun_by_name.pop(name, line.at_s), line.at_s))
+    for name, begun in begun_by_name.items():
+        spans_by_name[name].append((begun, lines[-1].at_s))
+    return spans_by_name
+
+
 def _advice_spans(own: Sequence[LogLine]) -> list[Span]:
     answers = (line for line in own if line.event == "advice.answered")
     return [(line.at_s - _took_s(line), line.at_s) for line in answers]
@@ -140,18 +171,23 @@
     store_s = sum(wait.store_s for wait in waits) / count
     advice_s = sum(wait.advice_s for wait in waits) / count
     capacity_s = sum(wait.capacity_s for wait in waits) / count
+    share_s = sum(wait.share_s for wait in waits) / count
     restart_wait_s = sum(wait.restart_wait_s for wait in waits) / count
     return (
         f"{queue}: {count} jobs accepted, {started} started; waited on average for the store"
-        f" {store_s:.3f} s, for advice {advice_s:.3f} s, for capacity {capacity_s:.3f} s, and"
-        f" between runs {restart_wait_s:.3f} s"
+        f" {store_s:.3f} s, for advice {advice_s:.3f} s, for capacity {capacity_s:.3f} s"
+        f"{_of_share(share_s)}, and between runs {restart_wait_s:.3f} s"
     )
 
 
+def _of_share(share_s: float) -> str:
+    return f" ({share_s:.3f} s with its workspace above its share)" if share_s > 0 else ""
+
+
 def _job_line(wait: JobWait) -> str:
     until = "first start" if wait.has_started else "never started"
     return (
         f"  {wait.job_id} of {wait.queue}: {wait.total_s:.3f} s, {until}; store"
-        f" {wait.store_s:.3f} s, advice {wait.advice_s:.3f} s, capacity {wait.capacity_s:.3f} s;"
-        f" between runs {wait.restart_wait_s:.3f} s"
+        f" {wait.store_s:.3f} s, advice {wait.advice_s:.3f} s, capacity {wait.capacity_s:.3f} s"
+        f"{_of_share(wait.share_s)}; between runs {wait.restart_wait_s:.3f} s"
     )
--- a/src/galenastall/coordination/cell/job_rates.py
+++ b/src/galenastall/coordination/cell/job_rates.py
@@ -32,14 +32,20 @@
         """Start with full buckets."""
         self._buckets_by_name: dict[str, _TokenBucket] = {}
 
+    def would_be_within(self, workspace: Workspace, *, wall: float) -> bool:
+        """Whether a job submitted at `wall` seconds would be within the workspace's rate."""
+        return self._left(workspace, wall) >= 1.0
+
     def is_within(self, workspace: Workspace, *, wall: float) -> bool:
         """Charge a job submitted at `wall` seconds; False if it is beyond the workspace's rate."""
-        most = max(workspace.weight * BURST_S, MIN_BURST)
-        full = _TokenBucket(jobs=most, at=wall)
-        known = self._buckets_by_name.get(workspace.name, full)
-        filled = workspace.weight * max(wall - known.at, 0.0)
-        jobs = min(known.jobs + filled, most)
+        jobs = self._left(workspace, wall)
         is_within = jobs >= 1.0
         left = jobs - 1.0 if is_within else jobs
         self._buckets_by_name[workspace.name] = _TokenBucket(jobs=left, at=wall)
         return is_within
+
+    def _left(self, workspace: Workspace, wall: float) -> float:
+        most = max(workspace.weight * BURST_S, MIN_BURST)
+        known = self._buckets_by_name.get(workspace.name, _TokenBucket(jobs=most, at=wall))
+        filled = workspace.weight * max(wall - known.at, 0.0)
+        return min(known.jobs + filled, most)
--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -1,5 +1,6 @@
 """Chooses executors for waiting steps in priority order; gangs start completely or not at all."""
 
+from collections.abc import Iterable
 from itertools import takewhile
 from typing import Final
 
@@ -16,9 +17,10 @@
 from galenastall.coordination.cell.rotation import GangRotation, OverdueRotation, StepRotation
 from galenastall.coordination.cell.task_runs import TaskRun
 from galenastall.coordination.cell.wait_observations import WaitObservations
-from galenastall.coordination.cell.wait_queue import WaitingStep, WaitQueue
+from galenastall.coordination.cell.wait_queue import OrderKey, WaitingStep, WaitQueue
 from galenastall.coordination.cell.wait_reasons import WaitReason, why_not_gang, why_not_singles
-from galenastall.state.cell.jobs import StepKey
+from galenastall.coordination.cell.workspace_shares import WorkspaceShares
+from galenastall.state.cell.jobs import CellJob, StepKey
 from galenastall.state.resources import NOTHING, Resources
 
 TICKETED_SOON_S: Final = 1.5
@@ -56,15 +58,25 @@
         """Consider a step next time: in a long queue its tickets expire before its rotation."""
         self._answered.add(step)
 
+    @property
+    def shares(self) -> WorkspaceShares:
+        """Shares of the workspaces, as of the last decision."""
+        return self._queue.shares
+
+    def key_of_new(self, job: CellJob, *, is_within_rate: bool, wall: float) -> OrderKey:
+        """Return the sort key that the first step of a job would have if it were submitted now."""
+        return self._queue.key_of_new(job, is_within_rate=is_within_rate, wall=wall)
+
     def decide(self, *, now: float, wall: float) -> None:
         """Place what fits; start orders and advice requests are added to the tables."""
-        open_executors = self._open_executors(now) if self._state.waiting_steps else []
+        open_executors = self._open_executors(now) if self._needs_executors() else []
         self._probation.begin(open_executors)
         self.plan.begin(now=now, fleet_size=len(open_executors))
         self.plan.close(self._probation.reserved_ids)
         self.observations.begin(is_any_open=bool(open_executors))
         if not open_executors:
             return
+        self._queue.update_shares(now=now, capacity=_capacity_of(open_executors))
         self._gang_rotation.begin(self._state.waiting_steps)
         self._state.workspaces.begin_decision()
         for waiting, usable in self._steps_to_place(_UsableExecutors(open_executors), now, wall):
@@ -86,7 +98,7 @@
     ) -> list[PlaceableStep]:
         """Return the waiting steps in order, without those that no open executor may host."""
         queue: list[PlaceableStep] = []
-        for waiting in self._queue.in_order(now=now, wall=wall, capacity=usable.capacity):
+        for waiting in self._queue.in_order(now=now, wall=wall):
             hosting = usable.by(waiting)
             if hosting:
                 queue.append((waiting, hosting))
@@ -113,6 +125,10 @@
         ahead = list(takewhile(lambda pair: pair[0].is_urgent and not pair[0].is_worthless, others))
         return [*ahead, overdue, *others[len(ahead) :]]
 
+    def _needs_executors(self) -> bool:
+        """Whether this decision has steps to place, or shares to compute."""
+        return bool(self._state.waiting_steps) or self._state.contention.orders_by_share
+
     def _open_executors(self, now: float) -> list[Executor]:
         timings = self._state.timings
         reach_s, grace_s = timings.reach_s, timings.delisted_grace_s
@@ -331,11 +347,6 @@
         self._by_requirement: dict[tuple[str, str], OpenExecutors] = {}
         self._total_by_requirement: dict[tuple[str, str], Resources] = {}
 
-    @property
-    def capacity(self) -> Resources:
-        """Return the total capacity of all of them."""
-        return sum((executor.info.capacity for executor in self._executors), NOTHING)
-
     def by(self, waiting: WaitingStep) -> OpenExecutors:
         """Return the executors that may host a step."""
         step, service = waiting.step.step, waiting.queue.service
@@ -351,11 +362,15 @@
         requirement = (waiting.queue.service, waiting.step.step.label)
         total = self._total_by_requirement.get(requirement)
         if total is None:
-            capacities = (e.info.capacity for e in self.by(waiting).values())
-            total = self._total_by_requirement[requirement] = sum(capacities, NOTHING)
+            total = _capacity_of(self.by(waiting).values())
+            self._total_by_requirement[requirement] = total
         return total
 
 
+def _capacity_of(executors: Iterable[Executor]) -> Resources:
+    return sum((executor.info.capacity for executor in executors), NOTHING)
+
+
 def _ticketed(usable: OpenExecutors, waiting: WaitingStep) -> list[Executor]:
     """Return the executors on which a step may start now."""
     advice = waiting.advice
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -37,6 +37,7 @@
 from galenastall.coordination.cell.task_runs import StartState
 from galenastall.coordination.cell.throttling import Throttling
 from galenastall.coordination.cell.timings import CellTimings
+from galenastall.coordination.cell.wait_queue import OrderKey
 from galenastall.coordination.cell.wait_reasons import WaitReason
 from galenastall.coordination.cell.waiting_report import WaitingReport
 from galenastall.state.cell.executor_ids import executor_name
@@ -77,6 +78,7 @@
             advice=self._advice,
             observations=self._placer.observations,
             plan=self.plan,
+            shares=self._placer.shares,
         )
         crashes = CrashAttributor(state=self._state)
         self._incarnations = Incarnations(state=self._state, ends=self._ends, crashes=crashes)
@@ -129,6 +131,11 @@
         """Resources of all runs of each workspace that may still be running."""
         return dict(self._state.workspaces.used_by_name)
 
+    @property
+    def share_by_workspace(self) -> dict[str, float]:
+        """Use of each workspace with live work as a multiple of its share; smoothed."""
+        return {name: share.ratio for name, share in self._placer.shares.by_name.items()}
+
     @property
     def contention(self) -> ContentionRules:
         """Rules in force for workspaces that compete."""
@@ -225,6 +232,21 @@
             fields = {"workspace": name, "weight": f"{workspace.weight:g}"}
             self._state.note("job.beyond_rate", run.job.job_id, fields=fields)
 
+    def order_key_of_new(self, job: CellJob, *, wall: float) -> OrderKey:
+        """Return the position that a job would have in the wait queue, without charging its rate.
+
+        It compares with `WaitingStep.order_key` of the steps that wait.
+        """
+        return self._placer.key_of_new(
+            job, is_within_rate=self._would_be_within_rate(job.workspace, wall), wall=wall
+        )
+
+    def _would_be_within_rate(self, name: str, wall: float) -> bool:
+        workspaces = self._state.workspaces
+        if not workspaces.is_known(name):
+            return True
+        return self._rates.would_be_within(workspaces.find(name), wall=wall)
+
     def withdraw(self, job_id: str) -> bool:
         """Forget a job that no batch has written yet; return False if it may be durable."""
         run = self._state.jobs_by_id.get(job_id)
--- a/src/galenastall/coordination/cell/wait_queue.py
+++ b/src/galenastall/coordination/cell/wait_queue.py
@@ -7,9 +7,9 @@
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.job_runs import JobRun, Occurrence, StepRun
 from galenastall.coordination.cell.mechanisms import ALL_ON, DisabledMechanisms, Mechanism
-from galenastall.coordination.cell.objectives import lateness_rank, worthless_at
+from galenastall.coordination.cell.objectives import lateness_rank, objective_at, worthless_at
 from galenastall.coordination.cell.workspace_shares import NO_SHARE, Share, WorkspaceShares
-from galenastall.state.cell.jobs import Queue, StepKey
+from galenastall.state.cell.jobs import CellJob, Queue, StepKey
 from galenastall.state.cell.workspaces import NO_WORKSPACE
 from galenastall.state.resources import NOTHING, Resources
 
@@ -75,23 +75,45 @@
         return "" if self.advice is None else self.advice.ticket(executor_id, self.now)
 
     def order_key(self, without: DisabledMechanisms = ALL_ON) -> OrderKey:
-        """Return the sort key that gives its position in the queue.
+        """Return the sort key that gives its position in the queue."""
+        return order_key_of(
+            is_urgent=self.is_urgent,
+            is_worthless=self.is_worthless,
+            is_within_rate=self.job.is_within_rate,
+            rank=self.rank,
+            share=self.share,
+            objective=self.occurrence.objective,
+            step=self.step.key,
+            without=without,
+        )
 
-        Urgent work goes before other work even when it is late: work that waits behind other work
-        with only seconds to spare ends up worthless.
-        """
-        urgency = 0 if self.is_urgent or Mechanism.URGENT_FIRST in without else 1
-        worthless = 1 if self.is_worthless or not self.job.is_within_rate else 0
-        rank = 0 if Mechanism.LATE_LAST in without else self.rank
-        objective = self.occurrence.objective
-        return (worthless, urgency, rank, self.share_rank, objective, self.step.key)
 
-    @property
-    def share_rank(self) -> int:
-        """Position by the share of its workspace among work of like urgency and lateness."""
-        if self.job.is_within_rate:
-            return int(self.share.is_above)
-        return int(min(self.share.ratio / SHARE_STEP, MAX_SHARE_STEPS))
+def order_key_of(
+    *,
+    is_urgent: bool,
+    is_worthless: bool,
+    is_within_rate: bool,
+    rank: int,
+    share: Share,
+    objective: float,
+    step: StepKey,
+    without: DisabledMechanisms = ALL_ON,
+) -> OrderKey:
+    """Return the sort key of a step, waiting or not.
+
+    Urgent work goes before other work even when it is late: work that waits behind other work with
+    only seconds to spare ends up worthless.
+    """
+    urgency = 0 if is_urgent or Mechanism.URGENT_FIRST in without else 1
+    worthless = 1 if is_worthless or not is_within_rate else 0
+    lateness = 0 if Mechanism.LATE_LAST in without else rank
+    return (worthless, urgency, lateness, _share_rank(share, is_within_rate), objective, step)
+
+
+def _share_rank(share: Share, is_within_rate: bool) -> int:
+    if is_within_rate:
+        return int(share.is_above)
+    return int(min(share.ratio / SHARE_STEP, MAX_SHARE_STEPS))
 
 
 class WaitQueue:
@@ -104,14 +126,8 @@
         self.shares = WorkspaceShares()
         """Shares of the workspaces, as of the last decision."""
 
-    def in_order(
-        self, *, now: float, wall: float, capacity: Resources = NOTHING
-    ) -> list[WaitingStep]:
-        """Return the waiting steps, highest priority first.
-
-        `capacity` is that of all open executors.
-        """
-        self._update_shares(now, capacity)
+    def in_order(self, *, now: float, wall: float) -> list[WaitingStep]:
+        """Return the waiting steps, highest priority first."""
         found: list[tuple[OrderKey, WaitingStep]] = []
         for key in list(self._state.waiting_steps):
             job = self._state.jobs_by_id.get(key.job)
@@ -124,7 +140,22 @@
         found.sort(key=lambda pair: pair[0])
         return [waiting for _, waiting in found]
 
-    def _update_shares(self, now: float, capacity: Resources) -> None:
+    def key_of_new(self, job: CellJob, *, is_within_rate: bool, wall: float) -> OrderKey:
+        """Return the sort key that the first step of a job would have if it were submitted now."""
+        queue = self._state.queues_by_name.get(job.queue.name, job.queue)
+        return order_key_of(
+            is_urgent=queue.priority == URGENT_PRIORITY,
+            is_worthless=False,
+            is_within_rate=is_within_rate,
+            rank=0,
+            share=self._share_of(job.workspace),
+            objective=objective_at(steps=job.steps, queue=job.queue, begins_at=wall),
+            step=StepKey(job.job_id, 0, 0),
+            without=self._state.without,
+        )
+
+    def update_shares(self, *, now: float, capacity: Resources) -> None:
+        """Apply what the workspaces use now of the capacity of all open executors."""
         if not self._state.contention.orders_by_share:
             return
         jobs = (self._state.jobs_by_id.get(key.job) for key in self._state.waiting_steps)
@@ -132,12 +163,28 @@
         names = {job.job.workspace for job in jobs if job is not None}
         names |= {name for name, used in workspaces.used_by_name.items() if used != NOTHING}
         names.discard(NO_WORKSPACE)
-        self.shares.update(
+        changed = self.shares.update(
             map(workspaces.find, names),
             used_by_name=workspaces.used_by_name,
             capacity=capacity,
             now=now,
         )
+        for name in changed:
+            self._note_change(name, capacity)
+
+    def _note_change(self, name: str, capacity: Resources) -> None:
+        share = self.shares.of(name)
+        used = self._state.workspaces.used(name)
+        event = "workspace.above_share" if share.is_above else "workspace.within_share"
+        fields = {
+            "share": f"{share.ratio:.2f}",
+            "weight": f"{self._state.workspaces.find(name).weight:g}",
+            "used_cores_milli": str(used.cores_milli),
+            "used_memory_mb": str(used.memory_mb),
+            "open_cores_milli": str(capacity.cores_milli),
+            "open_memory_mb": str(capacity.memory_mb),
+        }
+        self._state.note(event, name, fields=fields)
 
     def _share_of(self, name: str) -> Share:
         return self.shares.of(name) if self._state.contention.orders_by_share else NO_SHARE
--- a/src/galenastall/coordination/cell/waiting_report.py
+++ b/src/galenastall/coordination/cell/waiting_report.py
@@ -13,6 +13,7 @@
 from galenastall.coordination.cell.reservation_plan import ReservationPlan
 from galenastall.coordination.cell.wait_observations import WaitObservations
 from galenastall.coordination.cell.wait_reasons import WaitReason
+from galenastall.coordination.cell.workspace_shares import WorkspaceShares
 from galenastall.state.cell.jobs import StepKey
 
 LONG_WAIT_S: Final = 5.0
@@ -57,8 +58,10 @@
         advice: AdviceTable,
         observations: WaitObservations,
         plan: ReservationPlan,
+        shares: WorkspaceShares,
     ) -> None:
         """Read the given state."""
+        self._shares = shares
         self._plan = plan
         self._state = state
         self._advice = advice
@@ -139,6 +142,7 @@
         stops = wait.job.stops.by_rule
         workspace = self._state.workspaces.find(wait.job.job.workspace)
         used = self._state.workspaces.used(workspace.name)
+        share = self._shares.of(workspace.name)
         self._state.note(
             "job.waiting",
             key.job,
@@ -150,6 +154,8 @@
                 "used_cores_milli": str(used.cores_milli),
                 "limit_memory_mb": str(workspace.limit.memory_mb),
                 "used_memory_mb": str(used.memory_mb),
+                "share": f"{share.ratio:.2f}",
+                "is_above_share": "yes" if share.is_above else "no",
                 "reason": wait.reason,
                 "waited_s": f"{self._state.now - wait.since:.1f}",
                 "tasks": str(len(wait.step.waiting())),
--- a/src/galenastall/node/cell/cell_metrics.py
+++ b/src/galenastall/node/cell/cell_metrics.py
@@ -64,6 +64,12 @@
             },
             labels=["workspace"],
         )
+        gauge(
+            "galenastall_workspace_share",
+            "Use of a workspace as a multiple of what its weight entitles it to; smoothed.",
+            lambda: {(name,): share for name, share in leadership.share_by_workspace.items()},
+            labels=["workspace"],
+        )
         gauge(
             "galenastall_workspace_limit_cores",
             "Cores that a workspace may have at once, by the configuration here; 0 is no limit.",
--- a/src/galenastall/node/cell/leadership.py
+++ b/src/galenastall/node/cell/leadership.py
@@ -116,6 +116,11 @@
         """Number of waiting steps by wait reason; empty unless this host leads."""
         return self.term.core.waiting_by_reason if self.term is not None else {}
 
+    @property
+    def share_by_workspace(self) -> dict[str, float]:
+        """Use of each workspace as a multiple of its share, while this host leads."""
+        return self.term.core.share_by_workspace if self.term is not None else {}
+
     @property
     def used_by_workspace(self) -> dict[str, Resources]:
         """Resources counted against each workspace's limit; empty unless this host leads."""
