--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -21,7 +21,7 @@
 from galenastall.coordination.cell.wait_reasons import WaitReason, why_not_gang, why_not_singles
 from galenastall.coordination.cell.workspace_shares import WorkspaceShares
 from galenastall.state.cell.jobs import CellJob, StepKey
-from galenastall.state.resources import NOTHING, Resources
+from galenastall.state.resources import Resources
 
 TICKETED_SOON_S: Final = 1.5
 """A gang start at most this far ahead, in seconds, is planned on executors with tickets."""
@@ -368,7 +368,12 @@
 
 
 def _capacity_of(executors: Iterable[Executor]) -> Resources:
-    return sum((executor.info.capacity for executor in executors), NOTHING)
+    capacities = [executor.info.capacity for executor in executors]
+    return Resources(
+        cores_milli=sum(capacity.cores_milli for capacity in capacities),
+        memory_mb=sum(capacity.memory_mb for capacity in capacities),
+        accelerators=sum(capacity.accelerators for capacity in capacities),
+    )
 
 
 def _ticketed(usable: OpenExecutors, waiting: WaitingStep) -> list[Executor]:
