--- a/src/galenastall/coordination/cell/contention.py
+++ b/src/galenastall/coordination/cell/contention.py
@@ -17,7 +17,7 @@
     refuses_by_backlog: bool = False
     """Whether jobs that can't be done in time are refused when they are submitted."""
     orders_by_share: bool = False
-    """Whether workspaces that use less of what their weight entitles them to come first."""
+    """Whether jobs beyond the rates of their workspaces are ordered by the workspaces' shares."""
     reserves_for_urgent: bool = False
     """Whether capacity is made available for urgent work before other work uses it."""
 
--- a/src/galenastall/coordination/cell/explain_waiting.py
+++ b/src/galenastall/coordination/cell/explain_waiting.py
@@ -28,7 +28,8 @@
     """The rest: capacity was insufficient, also for a complete gang, or reserved for others."""
 
     share_s: float
-    """Part of `capacity_s` in which its workspace was above its share: others went first."""
+    """Part of `capacity_s` in which a job beyond its workspace's rate waited behind others, as the
+    workspace was above its share."""
 
     restarts: Restarts
     """Restarts after the first start."""
@@ -81,7 +82,10 @@
     store_s = _length(store)
     advice_s = _length([*store, *advice]) - store_s
     other_s = _length([*store, *advice])
-    above = _clip(above_by_workspace.get(accepted.fields.get("workspace", ""), []), window)
+    above: list[Span] = []
+    if any(line.event == "job.beyond_rate" for line in own):
+        workspace = accepted.fields.get("workspace", "")
+        above = _clip(above_by_workspace.get(workspace, []), window)
     return JobWait(
         job_id=job_id,
         queue=accepted.fields.get("queue", ""),
--- a/src/galenastall/coordination/cell/wait_queue.py
+++ b/src/galenastall/coordination/cell/wait_queue.py
@@ -112,7 +112,7 @@
 
 def _share_rank(share: Share, is_within_rate: bool) -> int:
     if is_within_rate:
-        return int(share.is_above)
+        return 0
     return int(min(share.ratio / SHARE_STEP, MAX_SHARE_STEPS))
 
 
--- a/src/galenastall/coordination/cell/waiting_report.py
+++ b/src/galenastall/coordination/cell/waiting_report.py
@@ -154,6 +154,7 @@
                 "used_cores_milli": str(used.cores_milli),
                 "limit_memory_mb": str(workspace.limit.memory_mb),
                 "used_memory_mb": str(used.memory_mb),
+                "is_within_rate": "yes" if wait.job.is_within_rate else "no",
                 "share": f"{share.ratio:.2f}",
                 "is_above_share": "yes" if share.is_above else "no",
                 "reason": wait.reason,
--- a/src/galenastall/coordination/cell/workspace_shares.py
+++ b/src/galenastall/coordination/cell/workspace_shares.py
@@ -29,7 +29,7 @@
     ratio: float = 0.0
     """Smoothed use divided by the entitlement; 1 is exactly its share."""
     is_above: bool = False
-    """Whether others go before it under contention."""
+    """Whether it uses clearly more than its weight entitles it to."""
 
 
 NO_SHARE: Final = Share()
