Give the reserve's place in a decision a method of its own

Cause: a flag in the loop over steps told whether the reserve was kept. Change: no behaviour; tests/test_cell_urgent_capacity.py and test_cell_contention.py pass.

--- a/src/galenastall/coordination/cell/placer.py
+++ b/src/galenastall/coordination/cell/placer.py
@@ -17,7 +17,7 @@
 from galenastall.coordination.cell.rotation import GangRotation, OverdueRotation, StepRotation
 from galenastall.coordination.cell.speed_wish import wish_of
 from galenastall.coordination.cell.task_runs import TaskRun
-from galenastall.coordination.cell.urgent_reserve import UrgentCapacity
+from galenastall.coordination.cell.urgent_reserve import NO_RESERVE, UrgentCapacity
 from galenastall.coordination.cell.wait_observations import WaitObservations
 from galenastall.coordination.cell.wait_queue import WaitingStep, WaitQueue
 from galenastall.coordination.cell.wait_reasons import WaitReason, why_not_gang, why_not_singles
@@ -75,15 +75,18 @@
             return
         self._gang_rotation.begin(self._state.waiting_steps)
         self._state.workspaces.begin_decision()
-        steps = self._steps_to_place(_UsableExecutors(open_executors), now, wall)
-        is_reserve_kept = not self._state.contention.reserves_for_urgent
-        for waiting, usable in steps:
-            if not is_reserve_kept and not waiting.has_urgent_claim:
-                self.plan.keep_for_urgent(self._urgent_capacity.reserve(open_executors))
-                is_reserve_kept = True
+        for waiting, usable in self._steps_to_place(_UsableExecutors(open_executors), now, wall):
+            self._keep_for_urgent(waiting, open_executors)
             self._place(waiting, usable)
         self._forecast.forget()
 
+    def _keep_for_urgent(self, waiting: WaitingStep, open_executors: list[Executor]) -> None:
+        """Keep capacity for urgent work before the first step that has no claim to it."""
+        if not self._state.contention.reserves_for_urgent or waiting.has_urgent_claim:
+            return
+        if self.plan.urgent is NO_RESERVE:
+            self.plan.keep_for_urgent(self._urgent_capacity.reserve(open_executors))
+
     def _steps_to_place(
         self, usable: "_UsableExecutors", now: float, wall: float
     ) -> list[PlaceableStep]:
