Count runs that are not compared in how much runs of small steps differ

Cause: steps whose runs differ by more than a factor of five are not compared, and were left out of the variance too, so tasks of one step that differ by 0.9 (logarithms) made healthy executors look unlike. Change: they count in the variance, each by 1.5 at most.

--- a/src/galenastall/coordination/cell/speed_samples.py
+++ b/src/galenastall/coordination/cell/speed_samples.py
@@ -43,7 +43,7 @@
 """Runs over which the usual error of a queue's declared times is averaged."""
 MIN_QUEUE_RUNS: Final = 20.0
 """Runs of a queue before its declared times are used."""
-MAX_QUEUE_ERROR: Final = 1.5
+MAX_ERROR: Final = 1.5
 """Errors count up to this much, in logarithms: some tasks take many times as long."""
 MAX_QUEUES: Final = 500
 
@@ -67,7 +67,7 @@
     variance: float = 1.0
 
     def add(self, error: float) -> None:
-        off = min(max(error - self.mean, -MAX_QUEUE_ERROR), MAX_QUEUE_ERROR)
+        off = min(max(error - self.mean, -MAX_ERROR), MAX_ERROR)
         self.runs = min(self.runs + 1.0, QUEUE_RUNS)
         self.mean += off / self.runs
         self.variance += (off * off - self.variance) / self.runs
@@ -129,18 +129,19 @@
         if len(runs.works) < count:
             return
         del self._runs_by_step[step.key]
-        if max(runs.works) - min(runs.works) > MAX_PEER_SPREAD:
-            return
         variance = max(self._peer_variance, STEP_VARIANCE) * count / (count - 1)
+        is_alike = max(runs.works) - min(runs.works) <= MAX_PEER_SPREAD
         total = sum(runs.works)
         for work, (each, each_log_s) in zip(runs.works, runs.unmeasured, strict=True):
             usual = (total - work) / (count - 1)
-            self._speeds.observe(each, usual - each_log_s, variance=variance)
             self._add_peer(work - usual, count)
+            if is_alike:
+                self._speeds.observe(each, usual - each_log_s, variance=variance)
 
     def _add_peer(self, off: float, count: int) -> None:
         """Average the variance of single runs from how far one is off the mean of the others."""
         self._peer_runs = min(self._peer_runs + 1.0, PEER_RUNS)
+        off = min(max(off, -MAX_ERROR), MAX_ERROR)
         found = off * off * (count - 1) / count
         self._peer_variance += (found - self._peer_variance) / self._peer_runs
 
--- a/tests/test_cell_executor_speeds.py
+++ b/tests/test_cell_executor_speeds.py
@@ -221,10 +221,11 @@
 
     @pytest.mark.parametrize("speeds", [(1.0,), HEALTHY])
     @pytest.mark.parametrize("count", [2, 3, 5])
+    @pytest.mark.parametrize("spread", [0.0, 0.5, 0.9])
     def test_small_steps_on_one_kind_of_executor_stay_without_effect(
-        self, count: int, speeds: tuple[float, ...]
+        self, spread: float, count: int, speeds: tuple[float, ...]
     ) -> None:
-        cell = Cell(speeds, tail_share=0.03)
+        cell = Cell(speeds, tail_share=0.03, spread=spread)
         cell.run_small_steps(40 * HOSTS // count, count=count, off=0.9)
         assert {cell.of(f"e{n}") for n in range(HOSTS)} == {1.0}
 
