--- a/src/galenastall/coordination/cell/return_times.py
+++ b/src/galenastall/coordination/cell/return_times.py
@@ -38,7 +38,7 @@
     """
     if job.recurrence is not None or any(step.is_long_running for step in job.steps):
         return SHORTEST_RETURN_S
-    limit_s = min((_spare_s(job) - TAKEOVER_S) / RETRIES, LONGEST_RETURN_S)
+    limit_s = min((_slack_s(job) - TAKEOVER_S) / RETRIES, LONGEST_RETURN_S)
     if caller_waits_s is not None:
         limit_s = min(limit_s, CALLER_SHARE * caller_waits_s)
     if not limit_s > SHORTEST_RETURN_S:
@@ -49,7 +49,7 @@
     return max(float(told_s), SHORTEST_RETURN_S)
 
 
-def _spare_s(job: CellJob) -> float:
+def _slack_s(job: CellJob) -> float:
     """Return how much later the job may start and still meet its objective."""
     allowed_s = objective_at(steps=job.steps, queue=job.queue, begins_at=0.0)
     return allowed_s - longest_chain_s(job.steps, job.queue)
