--- a/review/standin/machines.py
+++ b/review/standin/machines.py
@@ -247,10 +247,8 @@
         await self.executor.start()
         self.state = "up"
 
-    async def upkeep(self, wave: int) -> None:
+    async def upkeep(self) -> None:
         """Be down for an upkeep, then join the pool again."""
-        self.upkeeps.add(wave)
-        self.state = "upkeep"
         executor, self.executor = self.executor, None
         if executor is not None:
             for run in executor.runs.values():
@@ -352,7 +350,9 @@
             return Response(409, {"reason": "busy"})
         holder = request.headers.get("lease-holder", "")
         self.record(f"upkeep of {machine.name} ordered by {holder} under token {token}")
-        self.tasks.add(asyncio.create_task(machine.upkeep(wave.number)))
+        machine.upkeeps.add(wave.number)
+        machine.state = "upkeep"
+        self.tasks.add(asyncio.create_task(machine.upkeep()))
         await asyncio.sleep(0)
         return Response(OK)
 
