--- a/review/standin/machines.py
+++ b/review/standin/machines.py
@@ -65,6 +65,11 @@
         self._server = Server(self._serve)
         self._tasks: list[asyncio.Task[None]] = []
 
+    @property
+    def address(self) -> str:
+        """Where it takes orders."""
+        return self._server.address
+
     async def start(self) -> None:
         """Serve, register in the store and keep the entry there."""
         await self._server.start()
