Store the leases of executors that do not answer

Cause: a new leader knows nothing of earlier leases, so for an executor that it can't reach it waits for the longest lease from its own fence, 10.5 s. Each further change of the leader begins the wait anew: with the leader lost 8 s after the executors, it ends after 19 s.

Change: a leader stores which executors do not answer, with the end of their leases, and a clock of the cell that continues from leader to leader. While the row names an executor no leader extends its lease: one that answers again is first taken out, durably. So the row holds for an executor that was only cut off as well, and nothing is assumed from the platform's list, which drops executors that run on behind a cut. An executor to which a start may still come late is not named.

Why it works: a deadline is a time on the executor's own clock, so once no later one is sent the end of the lease is fixed. The cell's clock stands still between two leaders, so it is never ahead of the time that has passed.

Cost: 20 bytes five times a second, in appends that are made anyway, and 30 bytes for each executor that falls silent or answers again. Executors that the leader has not missed yet (1.8 s, or a failed poll) when it is lost still lapse 10.5 s after the fence.

--- a/src/galenastall/coordination/cell/batches.py
+++ b/src/galenastall/coordination/cell/batches.py
@@ -10,6 +10,7 @@
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.coordination.cell.task_runs import StartState
+from galenastall.coordination.cell.unresponsive import UnresponsiveExecutors
 from galenastall.state.cell.phases import JobPhase, RunEnd
 from galenastall.state.cell.rows import (
     JOB_PREFIX,
@@ -24,13 +25,20 @@
     """Collects changes for one append, and applies its effects once it is durable."""
 
     def __init__(
-        self, *, state: CellState, ends: RunEnds, advice: AdviceTable, hosts: HostOperations
+        self,
+        *,
+        state: CellState,
+        ends: RunEnds,
+        advice: AdviceTable,
+        hosts: HostOperations,
+        unresponsive: UnresponsiveExecutors,
     ) -> None:
-        """Work on these tables; `hosts` adds its own rows and orders to each batch."""
+        """Work on these tables; `hosts` and `unresponsive` add their own rows to each batch."""
         self._state = state
         self._ends = ends
         self._advice = advice
         self._hosts = hosts
+        self._unresponsive = unresponsive
         self._dropped_keys: set[str] = set()
         self._speeds_value: bytes | None = None
         """The speeds to write with the next batch, empty to delete them; None if there are none."""
@@ -40,7 +48,7 @@
         """Whether a batch taken now would contain anything."""
         state = self._state
         has_work = state.dirty_jobs or state.noted_executors or state.new_starts
-        return bool(has_work) or self._hosts.has_changes
+        return bool(has_work) or self._hosts.has_changes or self._unresponsive.has_changes
 
     def store_speeds(self, row: SpeedsRow) -> None:
         """Write the speeds of hosts with the next batch that has anything else to write."""
@@ -61,6 +69,7 @@
                 values.update(_job_rows(run))
                 run.is_written = True
         values.update(self._hosts.take_values())
+        values.update(self._unresponsive.take_values())
         if self._speeds_value is not None:
             values[SPEEDS_KEY] = self._speeds_value
             self._speeds_value = None
@@ -75,6 +84,7 @@
             noted_by_executor=noted,
             job_ids=job_ids,
             host_orders=self._hosts.take_orders(),
+            answering=self._unresponsive.take_answering(),
         )
         state.dirty_jobs.clear()
         state.noted_executors.clear()
@@ -95,6 +105,7 @@
             elif run is not None:
                 self._on_acceptance_durable(run)
         self._hosts.release(batch.host_orders)
+        self._unresponsive.release(batch.answering)
         self._withhold_over_capacity(batch.starts, wall)
         return [order for order in batch.starts if self._may_send(order, wall)]
 
--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from galenastall.coordination.cell.cell_clock import CellClock
 from galenastall.coordination.cell.commands import (
     AdviceRequest,
     Note,
@@ -39,6 +40,7 @@
         self.fenced_at = fenced_at
         self.now = fenced_at
         """Leader's time of the current event."""
+        self.clock = CellClock(fenced_at=fenced_at)
         self.jobs_by_id: dict[str, JobRun] = {}
         self.executors = ExecutorTable()
         self.speeds = ExecutorSpeeds(is_enabled=Mechanism.SPEEDS not in without)
--- a/src/galenastall/coordination/cell/commands.py
+++ b/src/galenastall/coordination/cell/commands.py
@@ -73,3 +73,5 @@
     job_ids: tuple[str, ...] = ()
     """Jobs whose progress is in the rows."""
     host_orders: tuple[HostOrder, ...] = ()
+    answering: tuple[str, ...] = ()
+    """Executors that answer again, and that the stored leases name until the rows are durable."""
--- a/src/galenastall/coordination/cell/executors.py
+++ b/src/galenastall/coordination/cell/executors.py
@@ -79,14 +79,7 @@
         that one carried out."""
         self.is_listed = True
         self.delisted_at = now
-        self.answered_at: float | None = None
-        """Leader's time of its last successful listing."""
-        self.answered_before_at: float | None = None
-        """The same of the one before it."""
-        self.answered_seq = 0
-        """Sequence number at which that listing arrived; 0 before the first."""
-        self.lost_at: float | None = None
-        """Leader's time at which it stopped answering; None while it answers."""
+        self._init_answers()
         self.start_unanswered_at = float("-inf")
         """Leader's time at which a start got no answer, here or from another executor of the same
         data centre. It gets no new work until it answers again: each start sent into a network cut
@@ -116,6 +109,18 @@
         self.version = 0
         """Increases with each change of the ledger and each listing."""
 
+    def _init_answers(self) -> None:
+        self.answered_at: float | None = None
+        """Leader's time of its last successful listing."""
+        self.earlier_answered_at: float | None = None
+        """Leader's time until which it certainly answered an earlier leader; None if not known."""
+        self.answered_before_at: float | None = None
+        """The same of the one before it."""
+        self.answered_seq = 0
+        """Sequence number at which that listing arrived; 0 before the first."""
+        self.lost_at: float | None = None
+        """Leader's time at which it stopped answering; None while it answers."""
+
     def set_info(self, info: ExecutorInfo) -> None:
         """Apply the current entry of the list; a changed capacity is applied to the ledger."""
         old, new = self.info.capacity, info.capacity
--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -10,6 +10,7 @@
 from galenastall.coordination.cell.job_runs import JobRun
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.task_runs import StartState, TaskRun
+from galenastall.coordination.cell.unresponsive import UnresponsiveExecutors
 from galenastall.state.cell.executor_ids import started_at_ms_of
 from galenastall.state.cell.phases import RunEnd, TaskPhase
 from galenastall.state.resources import NOTHING
@@ -28,12 +29,14 @@
         ends: RunEnds,
         crashes: CrashAttributor,
         incarnations: Incarnations,
+        unresponsive: UnresponsiveExecutors,
     ) -> None:
         """Work on these tables; `incarnations` adds executors that are newly listed."""
         self._state = state
         self._ends = ends
         self._crashes = crashes
         self._incarnations = incarnations
+        self._unresponsive = unresponsive
         self._unknown_service_ids: set[str] = set()
         """Executors already logged as being of a service that no configuration names."""
 
@@ -48,6 +51,7 @@
             if executor is None:
                 executor = self._incarnations.add(info, now=self._state.fenced_at)
                 executor.is_listed = False
+                self._unresponsive.adopt(executor)
             executor.reserve(step.step.need)
             executor.runs_by_task[task.key] = task.run
             self._state.count_run(task, step)
--- a/src/galenastall/coordination/cell/lease_clock.py
+++ b/src/galenastall/coordination/cell/lease_clock.py
@@ -23,6 +23,7 @@
         self._clock_ms: int | None = None
         self._received_at = 0.0
         self._promised_ms = 0
+        self._is_held = False
 
     @property
     def is_known(self) -> bool:
@@ -39,32 +40,52 @@
         """Assume that a lease was granted at `at`, by any clock, and don't report it as expired."""
         self._unknown_until = max(self._unknown_until, at + longest_lease_s(self._timings))
 
+    def limit_earlier_leases(self, until: float) -> None:
+        """Record that leases of earlier leaders have certainly ended by `until`."""
+        self._unknown_until = min(self._unknown_until, until)
+
+    def hold(self) -> None:
+        """Extend no lease until `release`."""
+        self._is_held = True
+
+    def release(self) -> None:
+        """Extend leases again."""
+        self._is_held = False
+
     @property
     def promised_ms(self) -> int:
         """The latest deadline sent to the executor, on its clock."""
         return self._promised_ms
 
     def deadline_ms(self, *, confirmed_at: float, now: float) -> int | None:
-        """Return the deadline to send now, or None before the first answer.
+        """Return the deadline to send now; None if none can be sent.
 
-        It is one renewal period after `now`, but never more than one lease after the store's last
-        confirmation. If this process pauses between the clock readings, the result is earlier,
-        never later.
+        There is none before the first answer. While leases are held it is the last one sent.
+        Otherwise it is one renewal period after `now`, but never more than one lease after the
+        store's last confirmation. If this process pauses between the clock readings, the result is
+        earlier, never later.
         """
         if self._clock_ms is None:
             return None
+        if self._is_held:
+            return self._promised_ms or None
         timings = self._timings
         until = min(now + timings.renewal_s, confirmed_at + timings.lease_s)
         deadline = int(self._clock_ms + (until - self._received_at) * 1000.0)
         self._promised_ms = max(self._promised_ms, deadline)
         return deadline
 
+    @property
+    def lapses_at(self) -> float:
+        """Leader's time by which every lease granted to the executor has certainly expired."""
+        if self._clock_ms is None:
+            return self._unknown_until
+        timings = self._timings
+        left_s = (self._promised_ms - self._clock_ms) / 1000.0 + timings.lease_slack_s
+        return max(
+            self._received_at + left_s / (1.0 - timings.clock_rate_slack), self._unknown_until
+        )
+
     def has_lapsed(self, now: float) -> bool:
         """Whether every lease granted to the executor has certainly expired."""
-        timings = self._timings
-        if self._clock_ms is None:
-            return now >= self._unknown_until
-        elapsed_s = max(0.0, now - self._received_at) * (1.0 - timings.clock_rate_slack)
-        earliest_ms = self._clock_ms + elapsed_s * 1000.0
-        lease_over = earliest_ms > self._promised_ms + timings.lease_slack_s * 1000.0
-        return lease_over and now >= self._unknown_until
+        return now >= self.lapses_at
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -38,6 +38,7 @@
 from galenastall.coordination.cell.task_runs import StartState
 from galenastall.coordination.cell.throttling import Throttling
 from galenastall.coordination.cell.timings import CellTimings
+from galenastall.coordination.cell.unresponsive import UnresponsiveExecutors
 from galenastall.coordination.cell.wait_reasons import WaitReason
 from galenastall.coordination.cell.waiting_report import WaitingReport
 from galenastall.state.cell.executor_ids import executor_name
@@ -82,14 +83,23 @@
         )
         crashes = CrashAttributor(state=self._state)
         self._incarnations = Incarnations(state=self._state, ends=self._ends, crashes=crashes)
+        self._unresponsive = UnresponsiveExecutors(state=self._state)
         self._fleet = Fleet(
-            state=self._state, ends=self._ends, crashes=crashes, incarnations=self._incarnations
+            state=self._state,
+            ends=self._ends,
+            crashes=crashes,
+            incarnations=self._incarnations,
+            unresponsive=self._unresponsive,
         )
         self._moves = RunMoves(state=self._state, ends=self._ends, health=self._doubts)
         self._throttling = Throttling(state=self._state)
         self.hosts = HostOperations(state=self._state, ends=self._ends)
         self._batches = Batches(
-            state=self._state, ends=self._ends, advice=self._advice, hosts=self.hosts
+            state=self._state,
+            ends=self._ends,
+            advice=self._advice,
+            hosts=self.hosts,
+            unresponsive=self._unresponsive,
         )
         self._rates = JobRates()
         self._recurring_jobs: set[str] = set()
@@ -155,6 +165,7 @@
         for key in rows.unreadable:
             cause = "a stored row can't be decoded"
             self._state.note("rows.unreadable", cause=cause, fields={"key": key})
+        self._unresponsive.restore(rows.clock_ms, rows.unresponsive)
         for job_id, job in rows.jobs_by_id.items():
             run = JobRun(job=job)
             progress = rows.progress_by_id.get(job_id)
@@ -289,6 +300,7 @@
         self._incarnations.end_earlier(executor, listing, asked_seq=asked_seq, wall=wall)
         self._listings.read(executor, listing, asked_seq=asked_seq, now=now, wall=wall)
         self._throttling.on_listing(executor)
+        self._unresponsive.on_answer(executor)
 
     def on_address_reused(self, executor_id: str, *, wall: float) -> None:
         """Note that an executor with another id answers at an executor's address."""
--- a/src/galenastall/state/cell/rows.py
+++ b/src/galenastall/state/cell/rows.py
@@ -6,6 +6,13 @@
 
 from galenastall.state.cell.hosts import MOVE_PREFIX, WAVE_PREFIX, MoveRow, WaveRow
 from galenastall.state.cell.jobs import CellJob
+from galenastall.state.cell.leases import (
+    CLOCK_KEY,
+    LEASES_PREFIX,
+    UnresponsiveRow,
+    decode_clock,
+    decode_unresponsive,
+)
 from galenastall.state.cell.phases import JobPhase, TaskPhase
 from galenastall.state.cell.speeds import SPEEDS_PREFIX, SpeedsRow
 from galenastall.state.cell.workspaces import NO_WORKSPACE
@@ -24,6 +31,7 @@
     WAVE = WAVE_PREFIX
     MOVE = MOVE_PREFIX
     SPEEDS = SPEEDS_PREFIX
+    LEASES = LEASES_PREFIX
 
 
 class TaskRow(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -74,6 +82,9 @@
     waves: tuple[WaveRow, ...] = ()
     moves: tuple[MoveRow, ...] = ()
     speeds: SpeedsRow | None = None
+    clock_ms: int | None = None
+    """The cell's clock when the last leader stored it; None if none did."""
+    unresponsive: tuple[UnresponsiveRow, ...] = ()
     unreadable: tuple[str, ...] = ()
     """Keys whose values could not be decoded."""
 
@@ -95,6 +106,8 @@
     waves: list[WaveRow] = []
     moves: list[MoveRow] = []
     speeds: SpeedsRow | None = None
+    clock_ms: int | None = None
+    unresponsive: tuple[UnresponsiveRow, ...] = ()
     unreadable: list[str] = []
     for key, value in values_by_key.items():
         prefix, _, name = key.partition("/")
@@ -111,6 +124,10 @@
                     moves.append(msgspec.msgpack.decode(value, type=MoveRow))
                 case _Prefix.SPEEDS:
                     speeds = msgspec.msgpack.decode(value, type=SpeedsRow)
+                case _Prefix.LEASES if key == CLOCK_KEY:
+                    clock_ms = decode_clock(value)
+                case _Prefix.LEASES:
+                    unresponsive = decode_unresponsive(value)
         except msgspec.MsgspecError:
             unreadable.append(key)
     return Rows(
@@ -119,5 +136,7 @@
         waves=tuple(waves),
         moves=tuple(moves),
         speeds=speeds,
+        clock_ms=clock_ms,
+        unresponsive=unresponsive,
         unreadable=tuple(unreadable),
     )
--- /dev/null
+++ b/tests/test_cell_lost_executors.py
@@ -0,0 +1,281 @@
+"""When tasks restart whose executors are lost for good, several at a time, and then the leader.
+
+Jobs had nothing running for 18 s with most of the capacity free. The next leader reached none of
+the lost executors, waited for 10.5 s after its own fence until their leases had certainly expired,
+and then started their tasks one by one on an eighth of the executors, as suspects of a crash:
+
+    leader.loaded     jobs=120
+    executor.lapsed   runs=10  cause=its leases expired before it answered again
+    run.ended         cause=lapsed  start=inherited  at_work_s=0.00  blame=15 of 60
+"""
+
+import pytest
+import trio
+
+from cell.cluster import TIMINGS, Cluster
+from cell.rig import Harness, make_info, make_job, make_step
+from cell.simulation import Simulation
+from galenastall.coordination.cell.commands import StartOrder
+from galenastall.coordination.cell.executors import ExecutorInfo
+from galenastall.coordination.cell.lease_clock import longest_lease_s
+from galenastall.coordination.cell.listings import ListedEnd, ListedRun
+from galenastall.state.cell.executor_ids import make_executor_id
+from galenastall.state.cell.jobs import CellJob, Step
+from galenastall.state.cell.leases import CLOCK_KEY, UNRESPONSIVE_KEY, decode_unresponsive
+from galenastall.state.cell.rows import decode_rows
+from galenastall.state.resources import Resources
+
+EXECUTORS = 24
+MAX_IDLE_S = 14.0
+"""The platform's bound, `finish_s`, on the time from the end of the traffic to the last start."""
+MAX_AWAY_S = 9.0
+"""The platform's bound on how long a task that lasts is away in a calm cell."""
+RENEWED_LEASE_S = TIMINGS.renewal_s / (1 - TIMINGS.clock_rate_slack) + TIMINGS.lease_slack_s
+"""When a lease has certainly expired after the poll that renewed it."""
+
+
+def make_long_job(world: Simulation, number: int, *, is_long_running: bool = False) -> CellJob:
+    need = Resources(cores_milli=500, memory_mb=500)
+    step = Step(count=1, need=need, estimate_s=30.0, is_long_running=is_long_running)
+    return CellJob(
+        job_id=f"{number:016x}",
+        queue=world.queue,
+        payload="payload",
+        steps=(step,),
+        submitted_at=1_000.0 + trio.current_time(),
+    )
+
+
+def running_jobs(world: Simulation) -> set[str]:
+    up = [executor for executor in world.executors.values() if executor.is_up]
+    return {task.job for executor in up for task in executor.runs}
+
+
+def lose_busiest(world: Simulation, count: int) -> None:
+    """Have the executors with the most runs stop for good; their entries stay for some seconds."""
+    up = [executor for executor in world.executors.values() if executor.is_up]
+    for executor in sorted(up, key=lambda each: len(each.runs), reverse=True)[:count]:
+        world.crash(executor)
+        world.nursery.start_soon(world._delist, executor)
+
+
+async def wait_until_running(world: Simulation, jobs: set[str], timeout_s: float) -> float:
+    """Return the seconds until all jobs have a run."""
+    began_at = trio.current_time()
+    with trio.move_on_after(timeout_s):
+        while not running_jobs(world) >= jobs:
+            await trio.sleep(0.05)
+            world.sweep()
+    return trio.current_time() - began_at
+
+
+async def begin_jobs(cluster: Cluster, world: Simulation, jobs: int, every_s: float) -> set[str]:
+    """Submit jobs of one long task each, and return them once all have a run."""
+    world.fail_share = 0.0
+    world.run_lasts_s = (60.0, 60.0)
+    await cluster.wait_for_leader()
+    for number in range(jobs):
+        cluster.nursery.start_soon(cluster.submit, make_long_job(world, number))
+        await trio.sleep(every_s)
+    expected = {f"{number:016x}" for number in range(jobs)}
+    assert await wait_until_running(world, expected, 10.0) < 10.0
+    return expected
+
+
+class LeaseHarness(Harness):
+    """A core whose executors e1 and e2 run one task each, unless a later leader takes over."""
+
+    def __init__(self, *infos: ExecutorInfo, rows: dict[str, bytes] | None = None) -> None:
+        super().__init__(*(infos or (make_info("e1"), make_info("e2"))), rows=rows)
+
+    @classmethod
+    def with_runs(cls) -> "LeaseHarness":
+        harness = cls()
+        # After this, no lease granted by an earlier leader can still be valid.
+        harness.pass_time(longest_lease_s(TIMINGS) + 0.2, "e1", "e2")
+        harness.submit(make_job(make_step(2, cores=4000)))
+        harness.confirm_starts(harness.step())
+        return harness
+
+    def successor(self, *infos: ExecutorInfo) -> "LeaseHarness":
+        """Return the core of the next leader, which reaches the executors given only."""
+        return LeaseHarness(*(infos or (make_info("e2"),)), rows=self.rows)
+
+    def pass_time(self, for_s: float, *answering: str) -> list[StartOrder]:
+        """Decide and write each 0.1 s, while these executors answer; return the starts sent."""
+        sent: list[StartOrder] = []
+        for _ in range(round(for_s / 0.1)):
+            self.now += 0.1
+            for executor_id in answering:
+                self.answer(executor_id)
+            sent += self.step()
+        return sent
+
+    def listing(
+        self, executor_id: str, running: tuple[ListedRun, ...] = (), *ended: ListedEnd
+    ) -> None:
+        """Apply a listing; without `running` it shows all runs of the ledger in progress."""
+        there = self.core.executors_by_id[executor_id].runs_by_task
+        all_runs = tuple(ListedRun(task=task, run=run) for task, run in there.items())
+        super().listing(executor_id, running or all_runs, *ended)
+
+    def answer(self, executor_id: str) -> None:
+        """Have an executor list all its runs as in progress."""
+        self.core.executors_by_id[executor_id].lost_at = None
+        self.listing(executor_id)
+
+    def lose(self, executor_id: str) -> None:
+        """Note that a poll of an executor failed."""
+        self.core.executors_by_id[executor_id].lost_at = self.now
+
+    def stored_ids(self) -> list[str]:
+        """Return the executors that the stored row names."""
+        value = self.rows.get(UNRESPONSIVE_KEY)
+        return [row.executor_id for row in decode_unresponsive(value)] if value else []
+
+
+class TestStoredLeases:
+    """The next leader knows when the leases of executors end that did not answer the last one."""
+
+    def test_the_next_leader_does_not_begin_the_wait_anew(self) -> None:
+        first = LeaseHarness.with_runs()
+        first.lose("e1")
+        first.pass_time(4.0, "e2")
+        second = first.successor()
+        second.answer("e2")
+        left_s = RENEWED_LEASE_S - 4.0
+        assert second.pass_time(left_s - 0.2, "e2") == []
+        assert "e1" in second.core.executors_by_id
+        second.pass_time(0.5, "e2")
+        assert not second.core.executors_by_id["e1"].runs_by_task
+
+    def test_neither_do_further_leaders(self) -> None:
+        leader = LeaseHarness.with_runs()
+        leader.lose("e1")
+        leader.pass_time(0.5, "e2")
+        waited_s = 0.5
+        while waited_s < RENEWED_LEASE_S - 1.0:
+            leader = leader.successor()
+            leader.answer("e2")
+            leader.pass_time(1.0, "e2")
+            waited_s += 1.0
+            assert leader.runs_on("e1")
+        leader.pass_time(2.0, "e2")
+        assert not leader.core.executors_by_id["e1"].runs_by_task
+
+    def test_a_leader_that_never_reached_it_passes_on_when_its_own_wait_ends(self) -> None:
+        # The first leader is lost before it notices that the executor does not answer.
+        first = LeaseHarness.with_runs()
+        first.pass_time(1.0, "e1", "e2")
+        second = first.successor()
+        second.pass_time(5.0, "e2")
+        third = second.successor()
+        left_s = longest_lease_s(TIMINGS) - 5.0
+        third.pass_time(left_s - 0.3, "e2")
+        assert third.runs_on("e1")
+        third.pass_time(0.6, "e2")
+        assert not third.core.executors_by_id["e1"].runs_by_task
+
+    def test_an_executor_that_was_only_cut_off_keeps_its_runs(self) -> None:
+        """The second leader extends its lease; the third must not rely on the first one's row."""
+        first = LeaseHarness.with_runs()
+        first.lose("e1")
+        first.pass_time(4.0, "e2")
+        second = first.successor(make_info("e1"), make_info("e2"))
+        second.pass_time(6.0, "e1", "e2")
+        assert second.stored_ids() == []
+        third = second.successor()
+        third.pass_time(longest_lease_s(TIMINGS) - 0.3, "e2")
+        assert third.runs_on("e1")
+
+    def test_no_lease_is_extended_before_the_row_is_durable_without_it(self) -> None:
+        harness = LeaseHarness.with_runs()
+        harness.lose("e1")
+        harness.pass_time(0.5, "e2")
+        assert harness.stored_ids() == ["e1"]
+        clock = harness.core.executors_by_id["e1"].clock
+        last_ms = clock.promised_ms
+        harness.now += 1.0
+        harness.answer("e1")
+        assert harness.core.has_changes
+        assert clock.deadline_ms(confirmed_at=harness.now, now=harness.now) == last_ms
+        batch = harness.core.take_batch()
+        assert clock.deadline_ms(confirmed_at=harness.now, now=harness.now) == last_ms
+        harness.core.commit(batch, wall=harness.wall)
+        extended_ms = clock.deadline_ms(confirmed_at=harness.now, now=harness.now)
+        assert extended_ms is not None
+        assert extended_ms > last_ms
+
+    def test_one_that_falls_silent_again_meanwhile_stays_held(self) -> None:
+        harness = LeaseHarness.with_runs()
+        harness.lose("e1")
+        harness.pass_time(0.5, "e2")
+        harness.answer("e1")
+        taken_out = harness.core.take_batch()
+        harness.lose("e1")
+        harness.now += 0.3
+        harness.core.decide(now=harness.now, wall=harness.wall)
+        named_again = harness.core.take_batch()
+        harness.core.commit(taken_out, wall=harness.wall)
+        assert UNRESPONSIVE_KEY in named_again.values_by_key
+        clock = harness.core.executors_by_id["e1"].clock
+        last_ms = clock.promised_ms
+        assert clock.deadline_ms(confirmed_at=harness.now, now=harness.now) == last_ms
+
+    def test_an_answer_extends_leases_again_without_a_decision_in_between(self) -> None:
+        harness = LeaseHarness.with_runs()
+        harness.lose("e1")
+        harness.pass_time(0.5, "e2")
+        harness.answer("e1")
+        harness.commit()
+        assert harness.stored_ids() == []
+        assert not harness.core.has_changes
+
+    def test_an_executor_whose_runs_have_ended_is_not_named(self) -> None:
+        harness = LeaseHarness.with_runs()
+        harness.lose("e1")
+        harness.pass_time(RENEWED_LEASE_S + 0.5, "e2")
+        assert harness.stored_ids() == []
+
+    def test_a_late_start_that_a_later_incarnation_may_carry_out_keeps_it_out(self) -> None:
+        # That incarnation holds a lease by its own clock, which the row would not cover.
+        executor_id = make_executor_id("e1", 5)
+        harness = LeaseHarness(make_info(executor_id))
+        harness.submit(make_job(make_step(1, cores=4000)))
+        (order,) = harness.step()
+        harness.core.late_orders.on_sent(order)
+        harness.core.late_orders.on_unanswered(order, sent_at=harness.now)
+        harness.lose(executor_id)
+        harness.pass_time(1.0)
+        assert harness.stored_ids() == []
+
+    def test_nothing_is_written_before_the_state_is_loaded(self) -> None:
+        """A new leader appends while it loads, and would replace the last reading of the clock."""
+        harness = LeaseHarness.with_runs()
+        stored = harness.rows[CLOCK_KEY]
+        loading = LeaseHarness.__new__(LeaseHarness)
+        Harness.__init__(loading, rows={})
+        loading.core = type(loading.core)(timings=TIMINGS, fenced_at=100.0)
+        loading.rows = dict(harness.rows)
+        loading.commit()
+        assert loading.rows[CLOCK_KEY] == stored
+
+    def test_the_clock_is_written_at_most_five_times_a_second(self) -> None:
+        harness = LeaseHarness.with_runs()
+        written = 0
+        for _ in range(100):
+            harness.now += 0.025
+            harness.core.decide(now=harness.now, wall=harness.wall)
+            written += CLOCK_KEY in harness.core.take_batch().values_by_key
+        assert 11 <= written <= 13
+
+    @pytest.mark.parametrize("key", [CLOCK_KEY, UNRESPONSIVE_KEY])
+    def test_unreadable_rows_leave_the_longest_wait(self, key: str) -> None:
+        first = LeaseHarness.with_runs()
+        first.lose("e1")
+        first.pass_time(4.0, "e2")
+        first.rows[key] = b"\xc1"
+        assert decode_rows(first.rows).unreadable == (key,)
+        second = first.successor()
+        second.pass_time(longest_lease_s(TIMINGS) - 0.3, "e2")
+        assert second.runs_on("e1")
