Count earlier leases from the confirmed fence

What callers could see: a task that runs twice.

Cause: a term took its creation for the time of its fence. Until the fence is confirmed, up to a second later where the store is slow, the leader before may be confirmed and extend leases, and those were counted as ended that much too early.

Change: leases of earlier leaders count from the answer to the fence.

Test: TestFence, with a fence that takes 0.8 s; it failed before.

--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -33,7 +33,10 @@
     def __init__(
         self, *, timings: CellTimings, fenced_at: float, without: DisabledMechanisms = ALL_ON
     ) -> None:
-        """Create empty tables of a leader whose fence has been in place since `fenced_at`."""
+        """Create empty tables of a leader whose fence has been in place since `fenced_at`.
+
+        Until the fence is confirmed, an earlier leader may still extend leases (see `set_fenced`).
+        """
         self.timings = timings
         self.without = without
         """Mechanisms that are switched off, to measure what each contributes."""
@@ -75,6 +78,11 @@
         """Number of advice calls that can be pending at a time: one for each entry host."""
         self._seq = 0
 
+    def set_fenced(self, at: float) -> None:
+        """Record when the fence was confirmed, before anything is restored."""
+        self.fenced_at = self.now = at
+        self.clock = CellClock(fenced_at=at)
+
     @property
     def executors_by_id(self) -> dict[str, Executor]:
         """Executors that are listed, or that may still run something."""
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -63,7 +63,7 @@
     def __init__(
         self, *, timings: CellTimings, fenced_at: float, without: DisabledMechanisms = ALL_ON
     ) -> None:
-        """Create the core of a leader that has been fenced at the store since `fenced_at`."""
+        """Create the core of a leader whose fence has been in place since `fenced_at`."""
         self._state = CellState(timings=timings, fenced_at=fenced_at, without=without)
         self._advice = AdviceTable()
         self._doubts = ExecutorHealth(state=self._state)
@@ -111,6 +111,11 @@
         """Timeouts and intervals of this leader."""
         return self._state.timings
 
+    @property
+    def fenced_at(self) -> float:
+        """Leader's time from which no earlier leader can have extended a lease."""
+        return self._state.fenced_at
+
     @property
     def executors_by_id(self) -> dict[str, Executor]:
         """Executors that are listed, or that may still run something."""
@@ -160,6 +165,10 @@
         """Return the next sequence number for messages that this leader sends and receives."""
         return self._state.next_seq()
 
+    def on_fenced(self, *, now: float) -> None:
+        """Note that the store has confirmed the fence: earlier leaders extend no more leases."""
+        self._state.set_fenced(now)
+
     def restore(self, rows: Rows, *, wall: float) -> None:
         """Load the state from the rows in the store."""
         for key in rows.unreadable:
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -186,6 +186,7 @@
             self._on_lost(f"fence: {answer.failure()}")
             return False
         self.context.confirmed_at = sent_at
+        self.core.on_fenced(now=trio.current_time())
         return True
 
     async def _load(self) -> bool:
--- a/tests/test_cell_lost_executors.py
+++ b/tests/test_cell_lost_executors.py
@@ -9,12 +9,16 @@
     run.ended         cause=lapsed  start=inherited  at_work_s=0.00  blame=15 of 60
 """
 
+from random import Random
+
 import pytest
 import trio
+from returns.result import Result
 
 from cell.cluster import TIMINGS, Cluster
 from cell.rig import Harness, make_info, make_job, make_step
-from cell.simulation import Simulation
+from cell.scenarios import run_scenario
+from cell.simulation import HostView, Simulation
 from galenastall.coordination.cell.commands import StartOrder
 from galenastall.coordination.cell.executors import ExecutorInfo
 from galenastall.coordination.cell.lease_clock import longest_lease_s
@@ -23,6 +27,7 @@
 from galenastall.state.cell.jobs import CellJob, Step
 from galenastall.state.cell.leases import CLOCK_KEY, UNRESPONSIVE_KEY, decode_unresponsive
 from galenastall.state.cell.rows import decode_rows
+from galenastall.state.errors import StepError
 from galenastall.state.resources import Resources
 
 EXECUTORS = 24
@@ -279,3 +284,27 @@
         second = first.successor()
         second.pass_time(longest_lease_s(TIMINGS) - 0.3, "e2")
         assert second.runs_on("e1")
+
+
+class TestFence:
+    async def test_earlier_leaders_leases_count_from_the_confirmed_fence(
+        self, autojump_clock: object, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """They counted from the claim, after which an earlier leader may still extend leases."""
+        fenced_at: list[float] = []
+
+        async def fence_late(self: HostView, *, token: int) -> Result[None, StepError]:
+            await trio.sleep(0.8)
+            fenced_at.append(trio.current_time())
+            return await original(self, token=token)
+
+        original = HostView.fence
+        monkeypatch.setattr(HostView, "fence", fence_late)
+
+        async def scenario(cluster: Cluster, world: Simulation, rng: Random) -> None:
+            leader = await cluster.wait_for_leader()
+            term = cluster.live[leader].host.leadership.term
+            assert term is not None
+            assert term.core.fenced_at >= fenced_at[-1]
+
+        await run_scenario(scenario, seed=53)
