Store when runs were assigned, so that a next leader suspects fewer

Cause: a leader can't tell how long a run of an earlier leader was at work, so every task that was on a lost executor became a suspect, however long it had run. Suspects are started one by one.

Change: a task's row holds when its run was assigned, on the cell's clock. With the time until which the executor certainly answered an earlier leader, the next one knows for how long the run was at work at least, and attributes the loss as the leader before would have: only a run that may have been starting makes a suspect. The start of a run that is first listed under this leader is dated likewise; an executor that crashed right after a change of leader made suspects of all its tasks. Whether a task is suspect is stored, too; it was taken from its weight, so one that had been cleared, or had only been at work, was suspect again after each change of the leader.

Why it works: both times are bounds on the safe side, as the cell's clock stands still between two leaders; where they are not known, all is as before.

Cost: up to 6 bytes more a task in a row, so a row holds 3,600 tasks of open occurrences (4,000 before).

--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -170,6 +170,7 @@
     ) -> None:
         """Reserve capacity for a new run of a task and count the run in the ledger."""
         task.assign(run=run, executor_id=executor.executor_id, now=now)
+        task.assigned_ms = self.clock.ms_at(now)
         executor.reserve(step.step.need)
         executor.runs_by_task[task.key] = run
         self.count_run(task, step)
--- a/src/galenastall/coordination/cell/crashes.py
+++ b/src/galenastall/coordination/cell/crashes.py
@@ -45,6 +45,9 @@
 run was there is at most this; the weight falls as that chance rises."""
 RATE_WINDOW_S: Final = 30.0
 """Window of crashes from which the rate of spontaneous crashes is estimated."""
+START_DELAY_S: Final = 0.5
+"""Assumed time from the assignment of a run of an earlier leader to its start: an append and an
+order, while the store and the executor are well."""
 CONCURRENT_S: Final = 1.5
 """Executors that stop answering within this time of each other may have a common cause: each sends
 a listing every 1.2 s."""
@@ -210,18 +213,28 @@
             if found is None or not _may_have_reached_executor(executor, found[2]):
                 continue
             unit = key.step_key if found[1].step.is_gang else key
+            at_work_s = self._at_work_s(executor, found[2])
             affected_runs.append(
                 AffectedRun(
                     task=key,
                     unit=unit,
-                    at_work_s=_at_work_s(found[2]),
+                    at_work_s=at_work_s,
                     is_confirmed=found[2].began_at is not None,
                     is_suspect=found[2].is_suspect,
-                    chance=self._chance_without(key, _at_work_s(found[2])),
+                    chance=self._chance_without(key, at_work_s),
                 )
             )
         return affected_runs
 
+    def _at_work_s(self, executor: Executor, task: TaskRun) -> float | None:
+        """Return how long a run was certainly at work; None if that is not known."""
+        if task.state is not StartState.INHERITED or task.began_at is not None:
+            return task.at_work_s
+        began_at = inherited_began_at(self._state, task)
+        if began_at is None or executor.earlier_answered_at is None:
+            return None
+        return max(0.0, executor.earlier_answered_at - began_at)
+
     def _forget_crashes(self) -> None:
         oldest = self._state.now - RATE_WINDOW_S
         while self._crashed and self._crashed[0][0] < oldest:
@@ -245,6 +258,9 @@
     return task.began_at is not None or task.assigned_at <= executor.lost_at
 
 
-def _at_work_s(task: TaskRun) -> float | None:
-    is_known = task.state is not StartState.INHERITED or task.began_at is not None
-    return task.at_work_s if is_known else None
+def inherited_began_at(state: CellState, task: TaskRun) -> float | None:
+    """Return the leader's time by which a run of an earlier leader had begun; None if unknown.
+
+    It is later than the true time: the cell's clock stands still between two leaders.
+    """
+    return state.clock.time_at(task.assigned_ms) + START_DELAY_S if task.assigned_ms else None
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -11,9 +11,9 @@
 from galenastall.state.cell.phases import ENDED_PHASES, JobPhase, TaskPhase
 from galenastall.state.cell.rows import ProgressRow, TaskRow
 
-MAX_OPEN_TASKS: Final = 4_000
+MAX_OPEN_TASKS: Final = 3_600
 """Maximum number of tasks in open occurrences of a timed job; later occurrences wait. Their
-progress is one row of up to 65 bytes per task, and stores accept rows of some 256 KiB."""
+progress is one row of up to 71 bytes per task, and stores accept rows of some 256 KiB."""
 
 
 class StepRun:
@@ -285,6 +285,8 @@
         crashes=task.crashes,
         blame=task.blame,
         unanswered_by=task.unanswered_by,
+        assigned_ms=task.assigned_ms if task.phase is TaskPhase.ASSIGNED else 0,
+        is_suspect=task.is_suspect,
     )
 
 
@@ -297,6 +299,6 @@
     task.crashes = row.crashes
     task.blame = row.blame
     task.unanswered_by = row.unanswered_by
-    # Whether it was cleared since is not stored, so it starts in isolation once more.
-    task.is_suspect = row.blame > 0
+    task.assigned_ms = row.assigned_ms
+    task.is_suspect = row.blame > 0 if row.is_suspect is None else row.is_suspect
     task.state = StartState.INHERITED
--- a/src/galenastall/coordination/cell/listings.py
+++ b/src/galenastall/coordination/cell/listings.py
@@ -5,7 +5,7 @@
 
 from galenastall.coordination.cell.cell_state import CellState
 from galenastall.coordination.cell.commands import StopOrder
-from galenastall.coordination.cell.crashes import STARTUP_S
+from galenastall.coordination.cell.crashes import STARTUP_S, inherited_began_at
 from galenastall.coordination.cell.executors import Executor
 from galenastall.coordination.cell.job_runs import JobRun, StepRun
 from galenastall.coordination.cell.run_ends import RunEnds
@@ -139,11 +139,20 @@
                 continue
             job, _, task = found
             job.note_start()
+            self._date_inherited(task, now)
             task.record_progress(percent=run.percent, now=now, figure=run.figure)
             if task.at_work_s >= STARTUP_S:
                 task.is_suspect = False
             task.save(run.saved, now=now)
 
+    def _date_inherited(self, task: TaskRun, now: float) -> None:
+        """Date the start of an earlier leader's run before its first listing under this leader."""
+        if task.state is not StartState.INHERITED or task.began_at is not None:
+            return
+        began_at = inherited_began_at(self._state, task)
+        if began_at is not None:
+            task.began_at = min(began_at, now)
+
     def _end_missing(
         self,
         executor: Executor,
--- a/src/galenastall/coordination/cell/task_runs.py
+++ b/src/galenastall/coordination/cell/task_runs.py
@@ -31,6 +31,7 @@
 
     __slots__ = (
         "assigned_at",
+        "assigned_ms",
         "avoided",
         "began_at",
         "blame",
@@ -107,6 +108,8 @@
         self._init_crashes()
         self.assigned_at = 0.0
         """Leader's time at which this run was assigned to its executor."""
+        self.assigned_ms = 0
+        """The same on the cell's clock, also for a run of an earlier leader; 0 if unknown."""
         self.first_percent = 0
         self.first_seen_at: float | None = None
         """Leader's time of the first listing that showed this run in progress."""
--- a/src/galenastall/state/cell/rows.py
+++ b/src/galenastall/state/cell/rows.py
@@ -54,6 +54,10 @@
     """Share of these crashes that is attributed to the task."""
     unanswered_by: str = ""
     """Executor that left a start of its last run without an answer; empty if none did."""
+    assigned_ms: int = 0
+    """Time on the cell's clock at which its last run was assigned; 0 if unknown or not assigned."""
+    is_suspect: bool | None = None
+    """Whether its next run has to start in isolation; None in rows that do not state it."""
 
 
 class ProgressRow(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
--- a/tests/test_cell_lost_executors.py
+++ b/tests/test_cell_lost_executors.py
@@ -16,15 +16,16 @@
 from returns.result import Result
 
 from cell.cluster import TIMINGS, Cluster
-from cell.rig import Harness, make_info, make_job, make_step
+from cell.rig import JOB, Harness, make_info, make_job, make_step
 from cell.scenarios import run_scenario
 from cell.simulation import HostView, Simulation
 from galenastall.coordination.cell.commands import StartOrder
+from galenastall.coordination.cell.crashes import AT_WORK_WEIGHT, START_DELAY_S, STARTUP_S
 from galenastall.coordination.cell.executors import ExecutorInfo
 from galenastall.coordination.cell.lease_clock import longest_lease_s
 from galenastall.coordination.cell.listings import ListedEnd, ListedRun
 from galenastall.state.cell.executor_ids import make_executor_id
-from galenastall.state.cell.jobs import CellJob, Step
+from galenastall.state.cell.jobs import CellJob, Step, TaskKey
 from galenastall.state.cell.leases import CLOCK_KEY, UNRESPONSIVE_KEY, decode_unresponsive
 from galenastall.state.cell.rows import decode_rows
 from galenastall.state.errors import StepError
@@ -87,6 +88,35 @@
     return expected
 
 
+class TestLostWithTheLeader:
+    """Tasks of six lost executors start elsewhere in time, however often the leader changes."""
+
+    @pytest.mark.parametrize("kills", [0, 1, 3])
+    @pytest.mark.parametrize(
+        "first_kill_s", [pytest.param(0.3, id="at once"), pytest.param(8.0, id="before the lapse")]
+    )
+    async def test_jobs_are_not_left_idle(
+        self, kills: int, first_kill_s: float, autojump_clock: object
+    ) -> None:
+        async def scenario(cluster: Cluster, world: Simulation, rng: Random) -> None:
+            jobs = await begin_jobs(cluster, world, 120, 0.03)
+            await trio.sleep(1.0)
+            lose_busiest(world, 3)
+            await trio.sleep(0.9)
+            lose_busiest(world, 3)
+            lost_at = trio.current_time()
+            await trio.sleep(first_kill_s)
+            for _ in range(kills):
+                killed = await cluster.wait_for_leader()
+                cluster.kill(killed)
+                await trio.sleep(1.0)
+                await cluster.start(killed)
+            await wait_until_running(world, jobs, 60.0)
+            assert trio.current_time() - lost_at <= MAX_IDLE_S
+
+        await run_scenario(scenario, seed=51, executors=EXECUTORS)
+
+
 class LeaseHarness(Harness):
     """A core whose executors e1 and e2 run one task each, unless a later leader takes over."""
 
@@ -308,3 +338,71 @@
             assert term.core.fenced_at >= fenced_at[-1]
 
         await run_scenario(scenario, seed=53)
+
+
+class TestSuspicionUnderTheNextLeader:
+    """Only tasks that may have been starting when their executor was lost become suspects."""
+
+    def lose_with_leader(self, at_work_s: float) -> LeaseHarness:
+        """Return the leader after one that lost e1 `at_work_s` after its run had started."""
+        first = LeaseHarness.with_runs()
+        first.pass_time(at_work_s, "e1", "e2")
+        first.lose("e1")
+        first.pass_time(2.0, "e2")
+        second = first.successor()
+        second.pass_time(RENEWED_LEASE_S, "e2")
+        assert not second.core.executors_by_id["e1"].runs_by_task
+        return second
+
+    def task_of(self, harness: LeaseHarness) -> tuple[int, bool]:
+        """Return the weight attributed to the task that was on e1, and whether it is suspect."""
+        found = harness.core._state.find(TaskKey(JOB, 0, 0, 0))
+        assert found is not None
+        return found[2].blame, found[2].is_suspect
+
+    def test_a_run_that_was_at_work_is_no_suspect(self) -> None:
+        harness = self.lose_with_leader(START_DELAY_S + STARTUP_S + 0.2)
+        assert self.task_of(harness) == (AT_WORK_WEIGHT, False)
+
+    def test_one_that_was_at_work_for_long_is_not_blamed(self) -> None:
+        assert self.task_of(self.lose_with_leader(12.0)) == (0, False)
+
+    @pytest.mark.parametrize("at_work_s", [0.0, 0.3])
+    def test_one_that_had_just_started_is_suspect(self, at_work_s: float) -> None:
+        blame, is_suspect = self.task_of(self.lose_with_leader(at_work_s))
+        assert blame > 0
+        assert is_suspect
+
+    def test_an_executor_lost_unnoticed_counts_as_lost_before_the_leader_would_notice(self) -> None:
+        first = LeaseHarness.with_runs()
+        first.pass_time(TIMINGS.reach_s + START_DELAY_S, "e1", "e2")
+        second = first.successor()
+        second.pass_time(longest_lease_s(TIMINGS) + 0.2, "e2")
+        assert self.task_of(second)[1]
+
+    def test_a_run_of_an_earlier_leader_is_not_starting_at_its_first_listing(self) -> None:
+        # An executor that crashed right after a change of leader made suspects of all its tasks.
+        first = LeaseHarness.with_runs()
+        first.pass_time(3.0, "e1", "e2")
+        second = first.successor(make_info("e1", host="h"), make_info("e2"))
+        second.answer("e1")
+        second.core.on_address_reused("e1", wall=second.wall)
+        assert self.task_of(second) == (AT_WORK_WEIGHT, False)
+
+    def test_a_run_without_a_time_of_assignment_is_suspect(self) -> None:
+        """Rows written before the time was stored do not tell how long it was at work."""
+        first = LeaseHarness.with_runs()
+        first.pass_time(4.0, "e1", "e2")
+        for run in first.core.jobs_by_id[JOB].assigned():
+            run.assigned_ms = 0
+        first.core._state.dirty_jobs.add(JOB)
+        first.commit()
+        second = first.successor()
+        second.pass_time(longest_lease_s(TIMINGS) + 0.2, "e2")
+        assert self.task_of(second)[1]
+
+    def test_a_task_that_was_cleared_is_not_suspect_again(self) -> None:
+        harness = self.lose_with_leader(START_DELAY_S + STARTUP_S + 0.2)
+        assert self.task_of(harness)[0] > 0
+        harness.commit()
+        assert not self.task_of(harness.successor())[1]
