Log the leases that a leader knows from the one before

An operator could not tell why the tasks of a silent executor wait for less long under the next leader than the longest lease. `executor.known_silent` names the executor and in how many seconds its lease ends.

--- a/src/galenastall/coordination/cell/unresponsive.py
+++ b/src/galenastall/coordination/cell/unresponsive.py
@@ -70,8 +70,11 @@
                 executor.earlier_answered_at = self._state.fenced_at - self._state.timings.reach_s
             return
         executor.earlier_answered_at = self._state.clock.time_at(row.answered_ms)
-        executor.clock.limit_earlier_leases(self._state.clock.time_at(row.lease_ends_ms))
+        lease_ends_at = self._state.clock.time_at(row.lease_ends_ms)
+        executor.clock.limit_earlier_leases(lease_ends_at)
         self._hold(executor)
+        fields = {"lease_ends_in_s": f"{lease_ends_at - self._state.fenced_at:.2f}"}
+        self._state.note("executor.known_silent", executor.executor_id, fields=fields)
 
     def on_answer(self, executor: Executor) -> None:
         """Note that an executor answers; its lease is extended once the row no longer names it."""
--- a/tests/test_cell_lost_executors.py
+++ b/tests/test_cell_lost_executors.py
@@ -190,6 +190,8 @@
         first.lose("e1")
         first.pass_time(4.0, "e2")
         second = first.successor()
+        notes = [note for note in second.core.take_notes() if note.step == "executor.known_silent"]
+        assert [note.subjects for note in notes] == [("e1",)]
         second.answer("e2")
         left_s = RENEWED_LEASE_S - 4.0
         assert second.pass_time(left_s - 0.2, "e2") == []
