Leave times of assignment out of rows that would not fit into a record

What callers would have seen: one job of 4,000 tasks stops all appends, as its row with a time for each task has 291,643 bytes in the test, above the store's limit for a record of 262,144, and is refused on each retry.

Change: a row of more than 3,000 tasks holds neither the times nor the flags; a next leader treats those runs as before.

Test: test_a_row_of_many_tasks_fits_into_a_record, which fails with a limit of 4,000.

--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -11,9 +11,12 @@
 from galenastall.state.cell.phases import ENDED_PHASES, JobPhase, TaskPhase
 from galenastall.state.cell.rows import ProgressRow, TaskRow
 
+MAX_DATED_TASKS: Final = 3_000
+"""Maximum number of tasks in a row that tells of each when its run was assigned and whether it is
+suspect, with up to 77 bytes per task; stores accept rows of some 256 KiB."""
 MAX_OPEN_TASKS: Final = 3_600
 """Maximum number of tasks in open occurrences of a timed job; later occurrences wait. Their
-progress is one row of up to 71 bytes per task, and stores accept rows of some 256 KiB."""
+progress is one row of up to 69 bytes per task, and stores accept rows of some 256 KiB."""
 
 
 class StepRun:
@@ -225,7 +228,9 @@
         if self.has_ended:
             tasks: tuple[TaskRow, ...] = ()
         else:
-            tasks = tuple(_task_row(task) for task in self.tasks() if _needs_row(task))
+            stored = [task for task in self.tasks() if _needs_row(task)]
+            is_dated = len(stored) <= MAX_DATED_TASKS
+            tasks = tuple(_task_row(task, is_dated=is_dated) for task in stored)
         return ProgressRow(
             phase=self.phase,
             queue_name=self.queue.name,
@@ -272,7 +277,7 @@
     return task.run > 0 or task.phase is not TaskPhase.WAITING
 
 
-def _task_row(task: TaskRun) -> TaskRow:
+def _task_row(task: TaskRun, *, is_dated: bool) -> TaskRow:
     return TaskRow(
         occurrence=task.key.occurrence,
         step=task.key.step,
@@ -285,8 +290,8 @@
         crashes=task.crashes,
         blame=task.blame,
         unanswered_by=task.unanswered_by,
-        assigned_ms=task.assigned_ms if task.phase is TaskPhase.ASSIGNED else 0,
-        is_suspect=task.is_suspect,
+        assigned_ms=task.assigned_ms if is_dated and task.phase is TaskPhase.ASSIGNED else 0,
+        is_suspect=task.is_suspect if is_dated else None,
     )
 
 
--- a/tests/test_cell_lost_executors.py
+++ b/tests/test_cell_lost_executors.py
@@ -16,22 +16,26 @@
 from returns.result import Result
 
 from cell.cluster import TIMINGS, Cluster
-from cell.rig import JOB, Harness, make_info, make_job, make_step
+from cell.rig import JOB, WALL, Harness, make_info, make_job, make_step
 from cell.scenarios import run_scenario
 from cell.simulation import HostView, Simulation
 from galenastall.coordination.cell.commands import StartOrder
 from galenastall.coordination.cell.crashes import AT_WORK_WEIGHT, START_DELAY_S, STARTUP_S
 from galenastall.coordination.cell.executors import ExecutorInfo
+from galenastall.coordination.cell.job_runs import MAX_DATED_TASKS, JobRun
 from galenastall.coordination.cell.lease_clock import LeaseClock, longest_lease_s
 from galenastall.coordination.cell.listings import ListedEnd, ListedRun
+from galenastall.platform.submissions import MAX_TASKS
 from galenastall.state.cell.executor_ids import make_executor_id
 from galenastall.state.cell.jobs import CellJob, Step, TaskKey
 from galenastall.state.cell.leases import CLOCK_KEY, UNRESPONSIVE_KEY, decode_unresponsive
-from galenastall.state.cell.rows import decode_rows
+from galenastall.state.cell.rows import decode_rows, encode_progress
 from galenastall.state.errors import StepError
 from galenastall.state.resources import Resources
 
 EXECUTORS = 24
+RECORD_BYTES = 262_144
+"""The platform's limit on a record."""
 MAX_IDLE_S = 14.0
 """The platform's bound, `finish_s`, on the time from the end of the traffic to the last start."""
 MAX_AWAY_S = 9.0
@@ -467,6 +471,18 @@
         second.pass_time(longest_lease_s(TIMINGS) + 0.2, "e2")
         assert self.task_of(second)[1]
 
+    @pytest.mark.parametrize("tasks", [MAX_DATED_TASKS, MAX_TASKS])
+    def test_a_row_of_many_tasks_fits_into_a_record(self, tasks: int) -> None:
+        """The store refuses one that does not, on each retry, and with it all other writes."""
+        run = JobRun(job=make_job(make_step(tasks)))
+        run.open_due(WALL)
+        for task in run.tasks():
+            task.assign(run=200, executor_id="i-" + "0" * 10, now=0.0)
+            task.assigned_ms = 40_000_000_000
+            task.checkpoint = "0" * 16
+            task.unanswered_by = task.executor_id
+        assert len(encode_progress(run.row())) < RECORD_BYTES
+
     def test_a_task_that_was_cleared_is_not_suspect_again(self) -> None:
         harness = self.lose_with_leader(START_DELAY_S + STARTUP_S + 0.2)
         assert self.task_of(harness)[0] > 0
