Date the ends of simulated runs by when they happened

A run that had ended before its executor's lease expired, and was found after, counted as ended after the expiry; so its end counted as noted when it was acknowledged, though the lease had expired between the two.

The checks are as they were; those on starts after an end compare with an earlier time now, so they are stricter.

--- a/src/galenastall/standin/cell/executors.py
+++ b/src/galenastall/standin/cell/executors.py
@@ -366,7 +366,7 @@
 
     def on_end(self, executor: Executor, run: Run, how: RunEnd) -> None:
         """Record an end; any end other than DONE breaks the rest of a gang."""
-        self.ended_at.setdefault((run.task, run.run), trio.current_time())
+        self.ended_at.setdefault((run.task, run.run), _ended_at(run, how))
         if how is RunEnd.DONE:
             self.done.add(run.task)
         if how is not RunEnd.DONE:
@@ -401,3 +401,11 @@
                     self.violations.append(f"{task} starts after it was done")
                 if before.count(RunEnd.FAILED) >= self.attempts_of(task):
                     self.violations.append(f"{task} starts after {before.count(RunEnd.FAILED)}")
+
+
+def _ended_at(run: Run, how: RunEnd) -> float:
+    """Return when a run ended, which may be before the sweep that finds it."""
+    now = trio.current_time()
+    if run.ends_at is None or how not in (RunEnd.DONE, RunEnd.FAILED):
+        return now
+    return min(run.ends_at, now)
