--- a/tests/test_cell_lost_executors.py
+++ b/tests/test_cell_lost_executors.py
@@ -17,7 +17,7 @@
 
 from cell.cluster import TIMINGS, Cluster
 from cell.rig import JOB, WALL, Harness, make_info, make_job, make_step
-from cell.scenarios import run_scenario
+from cell.scenarios import check_all_end, run_scenario, submit_jobs
 from cell.simulation import HostView, Simulation
 from galenastall.coordination.cell.commands import StartOrder
 from galenastall.coordination.cell.crashes import AT_WORK_WEIGHT, START_DELAY_S, STARTUP_S
@@ -83,6 +83,7 @@
     """Submit jobs of one long task each, and return them once all have a run."""
     world.fail_share = 0.0
     world.run_lasts_s = (60.0, 60.0)
+    world.shows_progress = True
     await cluster.wait_for_leader()
     for number in range(jobs):
         cluster.nursery.start_soon(cluster.submit, make_long_job(world, number))
@@ -134,6 +135,91 @@
         await run_scenario(scenario, seed=52, executors=EXECUTORS)
 
 
+async def cut_off_executors_and_kill_leaders(
+    cluster: Cluster, world: Simulation, rng: Random
+) -> None:
+    """Cut executors off, or lose them, and change the leader meanwhile, for 60 s."""
+    world.run_lasts_s = (1.0, 9.0)
+    await cluster.wait_for_leader()
+    until = trio.current_time() + 60.0
+    cluster.nursery.start_soon(submit_jobs, cluster, world, rng, 80, 0.6)
+    while trio.current_time() < until:
+        await trio.sleep(rng.uniform(0.2, 3.0))
+        _disturb_some(cluster, world, rng)
+        for _ in range(rng.randrange(4)):
+            await trio.sleep(rng.uniform(0.3, 4.0))
+            await _restart_leader(cluster, rng)
+        await trio.sleep(rng.uniform(0.0, 9.0))
+        world.faults.clear()
+    await trio.sleep(20.0)
+    await check_all_end(cluster)
+
+
+def _disturb_some(cluster: Cluster, world: Simulation, rng: Random) -> None:
+    names = sorted(name for name, executor in world.executors.items() if executor.is_up)
+    for name in rng.sample(names, min(len(names), rng.randint(1, 3))):
+        hosts = rng.sample(cluster.names, rng.randint(1, len(cluster.names)))
+        pairs = {(host, name) for host in hosts}
+        match rng.randrange(4):
+            case 0 | 1:
+                world.faults.cut |= pairs
+            case 2:
+                world.faults.answers_cut |= pairs
+            case _:
+                world.crash(world.executors[name])
+                world.on_crashed_by_task(world.executors[name])
+    if rng.random() < 0.2:
+        world.faults.cut |= {(host, "store") for host in cluster.names}
+    if rng.random() < 0.2:
+        world.faults.slow_s = 0.25
+
+
+async def _restart_leader(cluster: Cluster, rng: Random) -> None:
+    leader = cluster.leader
+    if leader is None:
+        return
+    cluster.kill(leader)
+    await trio.sleep(rng.uniform(0.1, 1.5))
+    await cluster.start(leader)
+
+
+async def answer_while_the_store_is_down(cluster: Cluster, world: Simulation, rng: Random) -> None:
+    """Let an executor answer after it was stored as silent, and cut it off from the next leader."""
+    jobs = await begin_jobs(cluster, world, 12, 0.05)
+    # After this, no lease granted by an earlier leader can still be valid.
+    await trio.sleep(TIMINGS.lease_s + 1.0)
+    leader = await cluster.wait_for_leader()
+    name = max(world.executors, key=lambda each: len(world.executors[each].runs))
+    world.faults.cut.add((leader, name))
+    await trio.sleep(2.1)
+    world.faults.cut = {(host, "store") for host in cluster.names}
+    await trio.sleep(1.0)
+    cluster.kill(leader)
+    world.faults.cut = {(host, name) for host in cluster.names}
+    await trio.sleep(10.0)
+    assert running_jobs(world) >= jobs
+
+
+class TestCutOffWhileTheLeaderChanges:
+    """A stored lease never lets a task run twice, also where its executor was only cut off."""
+
+    @pytest.mark.parametrize("seed", [*range(6), 17])
+    async def test_random_cuts_and_leaders(self, seed: int, autojump_clock: object) -> None:
+        await run_scenario(cut_off_executors_and_kill_leaders, seed=seed, executors=6)
+
+    async def test_an_executor_that_answers_while_the_store_is_down(
+        self, autojump_clock: object
+    ) -> None:
+        await run_scenario(answer_while_the_store_is_down, seed=54, executors=4)
+
+    async def test_without_holding_its_lease_its_tasks_run_twice(
+        self, autojump_clock: object, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(LeaseClock, "hold", lambda self: None)
+        with pytest.raises(AssertionError, match="runs twice"):
+            await run_scenario(answer_while_the_store_is_down, seed=54, executors=4)
+
+
 class LeaseHarness(Harness):
     """A core whose executors e1 and e2 run one task each, unless a later leader takes over."""
 
