Extend the lease of an executor that answers again as soon as its row is durable

What callers would have seen: runs that were cut off with a data centre for 6.4 s end after the cut, where the store takes 0.1 s.

Cause: the next long poll left 20 ms after the first answer, before the row without the executor was durable. It extended nothing, and the one after it came a second later; a lease of 8.3 s that has outlasted such a cut has 0.9 s left.

Change: while its lease is held, an executor's session waits for the append (half a second at most), and its polls return at once.

--- a/src/galenastall/coordination/cell/lease_clock.py
+++ b/src/galenastall/coordination/cell/lease_clock.py
@@ -44,6 +44,11 @@
         """Record that leases of earlier leaders have certainly ended by `until`."""
         self._unknown_until = min(self._unknown_until, until)
 
+    @property
+    def is_held(self) -> bool:
+        """Whether no lease is extended."""
+        return self._is_held
+
     def hold(self) -> None:
         """Extend no lease until `release`."""
         self._is_held = True
--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -106,6 +106,9 @@
         if executor.lost_at is not None or not executor.clock.is_known:
             # A restarted executor must see its new token before orders that arrive late.
             return 0.0
+        if executor.clock.is_held:
+            # The lease, which may be short, is extended by the poll after the append.
+            return 0.0
         if not self._executor.runs_by_task:
             return IDLE_WAIT_S
         return (
@@ -114,9 +117,14 @@
 
     async def _wait_until_durable(self) -> None:
         with trio.move_on_after(DURABLE_WAIT_S):
-            while self._executor.durable_position < self._executor.applied_position:
+            while self._is_append_awaited():
                 await self._context.committed.wait()
 
+    def _is_append_awaited(self) -> bool:
+        """Whether ends can't be acknowledged, or its lease not be extended, before an append."""
+        executor = self._executor
+        return executor.clock.is_held or executor.durable_position < executor.applied_position
+
     async def poll_now(self) -> None:
         """Fetch a listing now, concurrently with the long poll."""
         if self._is_waiting_for_slot:
--- a/tests/test_cell_lost_executors.py
+++ b/tests/test_cell_lost_executors.py
@@ -26,6 +26,7 @@
 from galenastall.coordination.cell.lease_clock import LeaseClock, longest_lease_s
 from galenastall.coordination.cell.listings import ListedEnd, ListedRun
 from galenastall.platform.submissions import MAX_TASKS
+from galenastall.standin.cell.executors import Run
 from galenastall.state.cell.executor_ids import make_executor_id
 from galenastall.state.cell.jobs import CellJob, Step, TaskKey
 from galenastall.state.cell.leases import CLOCK_KEY, UNRESPONSIVE_KEY, decode_unresponsive
@@ -38,6 +39,8 @@
 """The platform's limit on a record."""
 MAX_IDLE_S = 14.0
 """The platform's bound, `finish_s`, on the time from the end of the traffic to the last start."""
+LONGEST_CUT_S = 6.4
+"""The longest cut of a data centre so far, which a renewed lease has to outlast."""
 MAX_AWAY_S = 9.0
 """The platform's bound on how long a task that lasts is away in a calm cell."""
 RENEWED_LEASE_S = TIMINGS.renewal_s / (1 - TIMINGS.clock_rate_slack) + TIMINGS.lease_slack_s
@@ -61,6 +64,11 @@
     return {task.job for executor in up for task in executor.runs}
 
 
+def all_runs(world: Simulation) -> dict[TaskKey, Run]:
+    world.sweep()
+    return {task: run for e in world.executors.values() for task, run in e.runs.items()}
+
+
 def lose_busiest(world: Simulation, count: int) -> None:
     """Have the executors with the most runs stop for good; their entries stay for some seconds."""
     up = [executor for executor in world.executors.values() if executor.is_up]
@@ -200,6 +208,30 @@
     assert running_jobs(world) >= jobs
 
 
+class TestCutOffAndBack:
+    """An executor that was stored as silent has its lease extended as soon as it answers."""
+
+    @pytest.mark.parametrize("phase_s", [0.0, 0.2, 0.4, 0.6, 0.8])
+    async def test_runs_outlast_the_cut_of_a_data_centre(
+        self, phase_s: float, autojump_clock: object
+    ) -> None:
+        """Its next long poll went out before the row was durable, and extended nothing for 1 s."""
+
+        async def scenario(cluster: Cluster, world: Simulation, rng: Random) -> None:
+            jobs = await begin_jobs(cluster, world, 12, 0.05)
+            await trio.sleep(TIMINGS.lease_s + 1.0 + phase_s)
+            before = {(task, run.run) for task, run in all_runs(world).items()}
+            world.faults.cut = {(host, "executor-1") for host in cluster.names}
+            await trio.sleep(LONGEST_CUT_S)
+            world.faults.clear()
+            world.faults.slow_s = 0.1
+            await trio.sleep(3.0)
+            assert {(task, run.run) for task, run in all_runs(world).items()} == before
+            assert running_jobs(world) >= jobs
+
+        await run_scenario(scenario, seed=55, executors=4)
+
+
 class TestCutOffWhileTheLeaderChanges:
     """A stored lease never lets a task run twice, also where its executor was only cut off."""
 
