Wait for a run that a later incarnation has just started

What callers could see: a task that runs twice, on a platform that uses the ids of executors again and asks for no tickets.

Cause: an executor restarts under its id while a start is on its way. A listing of the later incarnation ends the run as lost; then that incarnation carries the start out and answers it. The answer was taken as the end of the uncertainty, so the task started elsewhere.

Change: such a start counts as one that may still take effect, until a listing shows its run, which is then counted there; the later incarnation gets nothing new before that listing. Orders that no later incarnation carries out take the same path as before.

--- a/src/galenastall/coordination/cell/executor_table.py
+++ b/src/galenastall/coordination/cell/executor_table.py
@@ -64,6 +64,10 @@
         ids = self._ids_by_host.get(host, ()) if host else ()
         return (self.by_id[executor_id] for executor_id in ids)
 
+    def named(self, name: str) -> list[Executor]:
+        """Return the incarnations with a name, ordered by id."""
+        return [self.by_id[executor_id] for executor_id in sorted(self._ids_by_name.get(name, ()))]
+
     def sharing_name_or_host(self, executor: Executor) -> list[Executor]:
         """Return the other incarnations with its name or on its host, ordered by id."""
         ids = {other.executor_id for other in self.on_host(executor.info.host)}
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -366,6 +366,20 @@
         """Starts without an answer, which may still be carried out."""
         return self._state.late_orders
 
+    def on_started_later(self, order: StartOrder, *, sent_at: float, now: float) -> None:
+        """Note that a start was carried out whose executor has been replaced since it was sent.
+
+        The run is on a later incarnation, which gets nothing new before its next listing.
+        """
+        self._state.late_orders.on_unanswered(order, sent_at=sent_at)
+        for executor in self._state.executors.named(executor_name(order.executor_id)):
+            executor.start_unanswered_at = now
+            self._state.request_listing(executor)
+
+    def is_assigned(self, order: StartOrder) -> bool:
+        """Whether an order's run is still the task's current one, on the same executor."""
+        return self._state.find_ordered(order) is not None
+
     def is_needed(self, order: StartOrder) -> bool:
         """Whether to still send an order: its run is neither given up nor known to have started."""
         task = self._state.find_ordered(order)
--- a/src/galenastall/node/cell/executor_session.py
+++ b/src/galenastall/node/cell/executor_session.py
@@ -295,14 +295,23 @@
                 return StartOutcome.UNKNOWN
             late_orders.on_answered(order)
             return StartOutcome.UNHEALTHY
-        late_orders.on_answered(order)
+        verdict = answer.unwrap().verdict
+        if self._is_started_later(order, verdict):
+            context.core.on_started_later(order, sent_at=sent_at, now=trio.current_time())
+        else:
+            late_orders.on_answered(order)
         if can_come_late(order):
             self._acks.on_start_answered(context.core.next_seq())
-        verdict = answer.unwrap().verdict
         if verdict is StartVerdict.FENCED:
             self._on_fenced(token)
         return _OUTCOME_BY_VERDICT[verdict]
 
+    def _is_started_later(self, order: StartOrder, verdict: StartVerdict) -> bool:
+        """Whether a later incarnation has carried out a start whose run was taken for lost."""
+        if verdict is not StartVerdict.STARTED or not can_come_late(order):
+            return False
+        return not self._context.core.is_assigned(order)
+
     def _start_token(self, order: StartOrder) -> int:
         """Return the token for a start: a higher one than that of acknowledgements without answer.
 
--- a/tests/test_cell_executor_restarts.py
+++ b/tests/test_cell_executor_restarts.py
@@ -101,7 +101,7 @@
     async def test_random_trouble_with_restarts(self, autojump_clock: object, seed: int) -> None:
         await run_scenario(random_faults, seed=seed, keeps_ids=True)
 
-    @pytest.mark.parametrize("seed", range(6))
+    @pytest.mark.parametrize("seed", [*range(6), 2002])
     async def test_restarts_where_calls_or_answers_get_lost(
         self, autojump_clock: object, seed: int
     ) -> None:
--- a/tests/test_cell_late_orders.py
+++ b/tests/test_cell_late_orders.py
@@ -345,6 +345,29 @@
 ORDER = StartOrder(task=TASK, run=3, executor_id=EARLIER, payload="")
 
 
+class TestStartsThatALaterIncarnationAnswers:
+    """Such a start ran while its task was started elsewhere, beside runs that filled its place."""
+
+    def test_the_task_waits_for_the_listing_that_shows_the_run(self) -> None:
+        earlier, later = make_info(EARLIER, host="h"), make_info(LATER, host="h")
+        rig = Harness(earlier)
+        rig.submit(make_rig_job(make_step(1, cores=3000)))
+        (order,) = rig.step()
+        rig.core.late_orders.on_sent(order)
+        rig.update_fleet(earlier, later, make_info("e2"))
+        rig.listing(LATER)
+        rig.listing("e2")
+        assert not rig.core.is_assigned(order)
+        rig.core.on_started_later(order, sent_at=rig.now, now=rig.now)
+        rig.submit(make_rig_job(make_step(2, cores=3000), job_id="f" * 16))
+        assert {each.executor_id for each in rig.step()} == {"e2"}
+        assert rig.core.executors_by_id[LATER].needs_listing
+        rig.now += 0.1
+        rig.listing(LATER, (ListedRun(task=order.task, run=order.run),))
+        assert rig.runs_on(LATER) == {order.task}
+        assert rig.step() == []
+
+
 class TestLateOrders:
     def make(self, order: StartOrder = ORDER) -> LateOrders:
         """Return records of one start, sent at 100 s without an answer."""
