Move the upkeep of speeds and late starts out of the scheduler's module

Refreshing and restoring speeds has a module of its own; a start that a later incarnation answered is an outcome of an order and goes to those. `_heard_at` is named by the term of the field that it reads. No logic changes.

--- a/src/galenastall/coordination/cell/orders.py
+++ b/src/galenastall/coordination/cell/orders.py
@@ -11,6 +11,7 @@
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.stop_rules import StopRule
 from galenastall.coordination.cell.task_runs import StartState, TaskRun
+from galenastall.state.cell.executor_ids import executor_name
 from galenastall.state.cell.phases import RunEnd
 
 PATH_CHECK_INTERVAL_S: Final = 0.1
@@ -73,6 +74,16 @@
         self._on_refused(order, outcome, now=now, wall=wall)
         return False
 
+    def on_started_later(self, order: StartOrder, *, sent_at: float, now: float) -> None:
+        """Wait for the listing of the later incarnation that has carried out a start.
+
+        That incarnation gets nothing new before.
+        """
+        self._state.late_orders.on_unanswered(order, sent_at=sent_at)
+        for executor in self._state.executors.named(executor_name(order.executor_id)):
+            executor.start_unanswered_at = now
+            self._state.request_listing(executor)
+
     def _record_unanswered(self, order: StartOrder, now: float) -> None:
         """Make it durable that an unanswered start may still be carried out."""
         found = self._state.find(order.task)
--- a/src/galenastall/coordination/cell/scheduler.py
+++ b/src/galenastall/coordination/cell/scheduler.py
@@ -35,6 +35,7 @@
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.run_moves import RunMoves
 from galenastall.coordination.cell.stop_rules import StopRule
+from galenastall.coordination.cell.stored_speeds import StoredSpeeds
 from galenastall.coordination.cell.task_runs import StartState
 from galenastall.coordination.cell.throttling import Throttling
 from galenastall.coordination.cell.timings import CellTimings
@@ -49,7 +50,6 @@
     ProgressRow,
     Rows,
 )
-from galenastall.state.cell.speeds import SPEEDS_KEY, SpeedsRow
 from galenastall.state.cell.workspaces import Workspace
 from galenastall.state.resources import Resources
 
@@ -101,6 +101,7 @@
             hosts=self.hosts,
             unresponsive=self._unresponsive,
         )
+        self._speeds = StoredSpeeds(state=self._state, batches=self._batches)
         self._rates = JobRates()
         self._recurring_jobs: set[str] = set()
         """Live jobs with a recurrence."""
@@ -192,14 +193,7 @@
                 self._charge(run, run.job.submitted_at)
             self._open_due(run, wall)
         self.hosts.restore(rows)
-        self._restore_speeds(rows.speeds, wall)
-
-    def _restore_speeds(self, row: SpeedsRow | None, wall: float) -> None:
-        if row is None:
-            return
-        cause = self._state.speeds.restore(row, now=self._state.now, wall=wall)
-        if cause:
-            self._state.note("rows.unreadable", cause=cause, fields={"key": SPEEDS_KEY})
+        self._speeds.restore(rows.speeds, wall=wall)
 
     def _restore_ended(self, job_id: str, progress: ProgressRow) -> None:
         if progress.phase not in ENDED_PHASES:
@@ -367,14 +361,8 @@
         return self._state.late_orders
 
     def on_started_later(self, order: StartOrder, *, sent_at: float, now: float) -> None:
-        """Note that a start was carried out whose executor has been replaced since it was sent.
-
-        The run is on a later incarnation, which gets nothing new before its next listing.
-        """
-        self._state.late_orders.on_unanswered(order, sent_at=sent_at)
-        for executor in self._state.executors.named(executor_name(order.executor_id)):
-            executor.start_unanswered_at = now
-            self._state.request_listing(executor)
+        """Note that a start was carried out whose executor has been replaced since it was sent."""
+        self._orders.on_started_later(order, sent_at=sent_at, now=now)
 
     def is_assigned(self, order: StartOrder) -> bool:
         """Whether an order's run is still the task's current one, on the same executor."""
@@ -394,7 +382,7 @@
         """
         self._state.now = now
         self._fleet.expire(now=now, wall=wall)
-        self._refresh_speeds(now, wall)
+        self._speeds.refresh(now=now, wall=wall)
         self._open_all_due(wall)
         is_report_due = self._clean_up(now, wall)
         self._moves.decide(now=now)
@@ -457,27 +445,6 @@
         """Whether a batch would contain anything."""
         return self._batches.has_changes
 
-    def _refresh_speeds(self, now: float, wall: float) -> None:
-        speeds, was_in_use = self._state.speeds, self._state.speeds.is_in_use
-        infos = (executor.info for executor in self._state.executors_by_id.values())
-        changes = speeds.refresh(infos, now=now)
-        if speeds.is_in_use != was_in_use:
-            counts = {each.value: str(n) for each, n in speeds.count_by_class().items()}
-            cause = "they differ clearly" if speeds.is_in_use else "they are alike"
-            fields = {"spread": f"{speeds.spread:.2f}", **counts}
-            self._state.note("speeds.changed", cause=cause, fields=fields)
-        for change in changes:
-            fields = {
-                "speed": f"{change.speed:.2f}",
-                "before": change.before,
-                "after": change.after,
-                "precision": f"{change.precision:.0f}",
-            }
-            self._state.note("executor.speed", change.host, fields=fields)
-        row = speeds.take_row(now=now, wall=wall)
-        if row is not None:
-            self._batches.store_speeds(row)
-
     def _open_all_due(self, wall: float) -> None:
         for job_id in list(self._recurring_jobs):
             run = self._state.jobs_by_id.get(job_id)
--- a/src/galenastall/coordination/cell/unresponsive.py
+++ b/src/galenastall/coordination/cell/unresponsive.py
@@ -144,7 +144,7 @@
         # A later incarnation that carries out such a start holds a lease by its own clock.
         return not self._state.late_orders.may_come_to(executor.name, now=self._state.now)
 
-    def _heard_at(self, executor: Executor) -> float:
+    def _last_answered_at(self, executor: Executor) -> float:
         """Return the time until which the executor certainly answered some leader."""
         if executor.answered_at is not None:
             return executor.answered_at
@@ -165,5 +165,5 @@
         return UnresponsiveRow(
             executor_id=executor_id,
             lease_ends_ms=1 + self._state.clock.ms_at(executor.clock.lapses_at),
-            answered_ms=self._state.clock.ms_at(self._heard_at(executor)),
+            answered_ms=self._state.clock.ms_at(self._last_answered_at(executor)),
         )
