--- a/review/standin_2/executors.py
+++ b/review/standin_2/executors.py
@@ -109,6 +109,8 @@
         self.state = "ready"
         self.fails_all = False
         """Whether it fails all that it starts."""
+        self.has_started = asyncio.Event()
+        """Set once it has started a task."""
         self.healed = asyncio.Event()
         """Cleared while it is cut off from the system's machines."""
         self.healed.set()
@@ -298,6 +300,7 @@
         run = Run(task, number, step, time.monotonic())
         self.runs[task] = run
         self.platform.note("start", self, task, number)
+        self.has_started.set()
         self._begin(run)
         self.platform.on_start(self, run)
         return as_json(200, {"clockMs": self.clock_ms})
