--- a/review/standin_2/http.py
+++ b/review/standin_2/http.py
@@ -130,6 +130,48 @@
             writer.transport.abort()
 
 
+class Connection:
+    """A connection that a client keeps open to one address."""
+
+    def __init__(self, address: str) -> None:
+        """Connect with the first call, and again after a call without an answer."""
+        self._address = address
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self.opened = 0
+        """How often it was opened."""
+
+    async def call(
+        self, method: str, path: str, *, headers: dict[str, str], timeout_s: float = 3.0
+    ) -> tuple[int, Any]:
+        """Send a request without a body; status 0 if there is no whole answer in time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                reader, writer = self._streams or await self._open()
+                lines = [f"{method} {path} HTTP/1.1"]
+                lines += [f"{name}: {value}" for name, value in headers.items()]
+                writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+                pairs = (line.partition(":") for line in head[1:] if line)
+                found = {name.strip().lower(): value.strip() for name, _, value in pairs}
+                answer = await reader.readexactly(int(found.get("content-length", "0")))
+                return int(head[0].split(" ")[1]), _decoded(answer)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+            self.close()
+            return 0, None
+
+    async def _open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = self._address.rpartition(":")
+        self._streams = await asyncio.open_connection(host, int(port))
+        self.opened += 1
+        return self._streams
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._streams is not None:
+            self._streams[1].transport.abort()
+        self._streams = None
+
+
 def _decoded(body: bytes) -> Any:
     try:
         return json.loads(body) if body else None
