--- a/review/standin_2/executors.py
+++ b/review/standin_2/executors.py
@@ -145,6 +145,18 @@
             self._break_others(run)
         self.runs.clear()
 
+    def vanish(self) -> None:
+        """End this life without a sign: it sends nothing more, and calls to it hang."""
+        self.platform.workers.pop(self.id, None)
+        self.cut_off()
+        for task in self._tasks:
+            task.cancel()
+        for run in list(self.runs.values()):
+            self.platform.note("crashed", self, run.task, run.run)
+            self._break_others(run)
+        self.runs.clear()
+        self._tasks.append(asyncio.create_task(self.expire_entry()))
+
     async def expire_entry(self) -> None:
         """Let the store's entry expire after three heartbeats of silence."""
         await asyncio.sleep(3 * HEARTBEAT_S)
