--- a/review/standin_2/world.py
+++ b/review/standin_2/world.py
@@ -17,7 +17,7 @@
 from standin_2.store import Store
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
-PREFIX = "/work/"
+PREFIX = "/batch/"
 SERVICE = "service-1"
 ROUTE = "r-work"
 LIMIT_S = 115.0
