Divide values that exceed one record of the store

What callers saw: a client handed in a job of 1,500 steps (0.1 MB, a legal body) and got 504 five times. With one host left nothing became durable any more: accepted work was not started, tasks that last lapsed, no job was accepted. With standbys each try of the client cost a leader.

Cause: a row was one record, and the store limits a record. A step of 12 bytes in a body has some 230 in the row. The store answers 400, for good; the leader took any failure but a conflict for an outage and repeated the append for ever. `recordBytes` was read and used nowhere.

Change: RecordLayout divides a value above the limit into parts with a head under its key; parts of the newer value come first, then the head, then the deletion of the older parts, in two alternating sets of keys. So a write may stop after any record, and the next leader reads the older or the newer value: the size of one append bounds nothing either. The limit comes from the settings less frame and key. An append that is refused for good ends the term and logs its keys.

The simulated store and the stand-in refuse long records now.

--- a/src/galenastall/bench/cell_load/emulation.py
+++ b/src/galenastall/bench/cell_load/emulation.py
@@ -31,6 +31,8 @@
 """Latency of an append to the emulated platform store, in seconds."""
 APPEND_BYTES: Final = 1_500_000
 """Size limit of an append, as on the platform."""
+RECORD_BYTES: Final = 262_000
+"""Size limit of one key and its value, as on the platform."""
 READ_S: Final = 0.005
 POLL_S: Final = 0.05
 """Interval at which a long poll checks for ended runs."""
@@ -212,6 +214,11 @@
         """Return the size limit of one append in bytes."""
         return APPEND_BYTES
 
+    @property
+    def record_bytes(self) -> int:
+        """Return the size limit of one key and its value in bytes."""
+        return RECORD_BYTES
+
     async def claim(self, *, host_id: str, address: str, log_end: int) -> Result[int, StepError]:
         """Not used: the simulation appoints the leader."""
         raise NotImplementedError
--- a/src/galenastall/node/cell/commit_loop.py
+++ b/src/galenastall/node/cell/commit_loop.py
@@ -11,6 +11,7 @@
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.node.cell.term_context import TermContext
 from galenastall.protocol.cell.ports import StatePort
+from galenastall.state.cell.record_layout import RecordLayout
 from galenastall.state.errors import Reason, StepError
 
 RETRY_PAUSE_S: Final = 0.05
@@ -20,7 +21,7 @@
 
 
 def split_appends(values_by_key: dict[str, bytes], *, max_bytes: float) -> list[dict[str, bytes]]:
-    """Split values, in order, into appends of at most `max_bytes`; a value is never split."""
+    """Split records, in order, into appends of at most `max_bytes`; a record is never split."""
     parts: list[dict[str, bytes]] = [{}]
     size = 0
     for key, value in values_by_key.items():
@@ -79,6 +80,8 @@
         self._state = state
         self._refresh_inputs = refresh_inputs
         self._timings = timings
+        self.records = RecordLayout(max_record_bytes=state.record_bytes)
+        """How the values are divided into records."""
         self._append_timing = AppendTiming(link_bytes_per_s=context.link_bytes_per_s)
         self._sequence = 0
         self._requested = trio.Event()
@@ -120,7 +123,8 @@
         values = batch.values_by_key or {CONFIRM_KEY: b"%d" % self._sequence}
         # The store refuses an append above its size limit on every retry, so all work would stop.
         max_bytes = min(self._state.append_bytes, self._append_timing.large_bytes)
-        for part in split_appends(values, max_bytes=max_bytes):
+        records = self.records.divide(values)
+        for part in split_appends(records, max_bytes=max_bytes):
             self._sequence += 1
             await self._append(part)
             context.notify_confirmed()
@@ -182,6 +186,8 @@
                 self.refused_since = sent_at
             if pending.failure.reason is Reason.CONFLICT:
                 context.lose(str(pending.failure))
+            if pending.failure.reason is Reason.INVALID:
+                context.lose(_refusal_cause(pending))
         pending.notify()
 
     def _update_outage(self, pending: "_PendingAppend") -> None:
@@ -198,3 +204,10 @@
             self.failing_since = None
             self._inputs_may_be_stale = True
             self._context.note("store.regained")
+
+
+def _refusal_cause(pending: _PendingAppend) -> str:
+    """Return why an append can't succeed, and what it would have written."""
+    keys = list(pending.values_by_key)
+    written = f"{len(keys)} records, {pending.size_bytes} bytes, {keys[0]!r} to {keys[-1]!r}"
+    return f"{pending.failure}; refused for good: {written}"
--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -201,7 +201,7 @@
         return True
 
     def _restore(self, values_by_key: dict[str, bytes], *, took_s: float) -> None:
-        rows = decode_rows(values_by_key)
+        rows = decode_rows(self._commits.records.join(values_by_key))
         self._apply_config()
         self.core.restore(rows, wall=self.context.wall())
         self.context.note(
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -189,7 +189,10 @@
         config = PlatformConfig(calls=calls, address=store, recorder=self.recorder)
         return CellPorts(
             state=PlatformStore(
-                calls=calls, address=store, request_bytes=self._settings.store.request_bytes
+                calls=calls,
+                address=store,
+                request_bytes=self._settings.store.request_bytes,
+                record_bytes=self._settings.store.record_bytes,
             ),
             fleet=PlatformFleet(calls=calls, address=store, recorder=self.recorder),
             hosts=PlatformHosts(
--- a/src/galenastall/platform/settings.py
+++ b/src/galenastall/platform/settings.py
@@ -7,6 +7,7 @@
 from typing import Any, Final, TypeVar
 
 from galenastall.coordination.cell.timings import CellTimings
+from galenastall.platform.store import RECORD_BYTES, REQUEST_BYTES
 from galenastall.state.errors import GalenastallError
 
 SETTINGS_VARIABLE: Final = "GALENASTALL_SETTINGS"
@@ -21,6 +22,8 @@
 LINK_MBPS_PER_CORE: Final = 20.0
 """Megabits per second that a leader transfers per core that it uses: on a slower link, the core
 is not fully usable. Reading 2 MB of state then takes a second at most."""
+MIN_RECORD_BYTES: Final = 512
+"""The smallest limit of a record with which every key fits into a record."""
 T = TypeVar("T")
 
 
@@ -146,8 +149,8 @@
         metrics_bind=f"{ip}:{METRICS_PORT}",
         store=StoreSettings(
             address=_get(table, "platform.address", str),
-            request_bytes=_get(table, "platform.requestBytes", int, default=2_097_152),
-            record_bytes=_get(table, "platform.recordBytes", int, default=262_144),
+            request_bytes=_size(table, "platform.requestBytes", default=REQUEST_BYTES),
+            record_bytes=_size(table, "platform.recordBytes", default=RECORD_BYTES),
         ),
         advisor_address=_get(table, "placementAdvisor", str, default=""),
         hosts_address=_get(table, "cloudApi.address", str, default=""),
@@ -184,6 +187,13 @@
     return value
 
 
+def _size(table: dict[str, Any], name: str, *, default: int) -> int:
+    value = _get(table, name, int, default=default)
+    if value < MIN_RECORD_BYTES:
+        raise SettingsError(f"{name}: expected at least {MIN_RECORD_BYTES} bytes, got {value!r}")
+    return value
+
+
 def _number(table: dict[str, Any], name: str, default: float) -> float:
     value = _find(table, name)
     if value is None:
--- a/src/galenastall/platform/standin/log_store.py
+++ b/src/galenastall/platform/standin/log_store.py
@@ -17,6 +17,8 @@
 CACHED_APPENDS: Final = 5
 """Latest appends of each producer whose responses are repeated on a retry."""
 REQUEST_BYTES: Final = 2_097_152
+RECORD_BYTES: Final = 262_144
+"""The largest record, without the four bytes of its length."""
 READ_ONLY_TOPICS: Final = frozenset({"keyed.op", "keyed.servers"})
 """Topics that entry hosts may only read."""
 
@@ -125,6 +127,10 @@
             records = split_records(body)
         except WireError as error:
             return json_response(400, {"reason": str(error)})
+        longest = max(map(len, records), default=0)
+        if longest > RECORD_BYTES:
+            detail = f"record: at most {RECORD_BYTES} bytes, got {longest}"
+            return json_response(400, {"reason": detail})
         return self._add(topic, records, request.query, is_keyed=name.startswith(KEYED_PREFIX))
 
     def _add(
--- a/src/galenastall/platform/store.py
+++ b/src/galenastall/platform/store.py
@@ -34,6 +34,10 @@
 CALL_TIMEOUT_S: Final = 1.0
 REQUEST_BYTES: Final = 2_097_152
 """Default for the largest request that the store accepts, if the settings have none."""
+RECORD_BYTES: Final = 262_144
+"""Default for the largest record that the store accepts, if the settings have none."""
+RECORD_FRAME_BYTES: Final = 5
+"""Bytes of a record beside its key and value: its length, and the length of its key."""
 VALUES_SHARE: Final = 0.75
 """Share of a request that keys and values may fill: each record has 5 bytes of framing, and the
 shortest row, that of a deleted job, has 20."""
@@ -54,11 +58,18 @@
     """StatePort on the platform's log."""
 
     def __init__(
-        self, *, calls: PlatformCalls, address: AddressProvider, request_bytes: int = REQUEST_BYTES
+        self,
+        *,
+        calls: PlatformCalls,
+        address: AddressProvider,
+        request_bytes: int = REQUEST_BYTES,
+        record_bytes: int = RECORD_BYTES,
     ) -> None:
-        """Use the store at `address`, which accepts requests of `request_bytes` at most."""
+        """Use the store at `address`, with its limits of the size of a request and of a record."""
         self.append_bytes = int(request_bytes * VALUES_SHARE)
         """Most bytes that one append may write, keys and values together."""
+        self.record_bytes = min(record_bytes - RECORD_FRAME_BYTES, self.append_bytes)
+        """Most bytes of one key and its value together."""
         self._calls = calls
         self._newest = NewestReader(calls=calls, address=address)
         self._address = address
--- a/src/galenastall/protocol/cell/ports.py
+++ b/src/galenastall/protocol/cell/ports.py
@@ -46,7 +46,8 @@
 class StatePort(Protocol):
     """Durable state of the cell; writes are fenced by token.
 
-    Failures: CONFLICT means that a newer token exists. UNREACHABLE, OVERLOADED and UNAVAILABLE
+    Failures: CONFLICT means that a newer token exists. INVALID means that nothing was done and that
+    the same call fails whenever it is sent. UNREACHABLE, OVERLOADED and UNAVAILABLE
     mean that nothing was done. After TIMEOUT and CUT the call may have been carried out, or may
     still be carried out later.
     """
@@ -55,6 +56,10 @@
     def append_bytes(self) -> int:
         """Maximum bytes that one append may write, keys and values together."""
 
+    @property
+    def record_bytes(self) -> int:
+        """Maximum bytes of one key and its value together."""
+
     async def claim(
         self, *, host_id: str, address: str, weight: float, log_end: int
     ) -> Result[int, StepError]:
--- a/tests/cell/simulation.py
+++ b/tests/cell/simulation.py
@@ -250,6 +250,11 @@
     def append_bytes(self) -> int:
         return self.simulation.store.append_bytes
 
+    @property
+    def record_bytes(self) -> int:
+        store = self.simulation.store
+        return min(store.record_bytes, store.append_bytes)
+
     async def claim(
         self, *, host_id: str, address: str, weight: float, log_end: int
     ) -> Result[int, StepError]:
@@ -274,6 +279,10 @@
         if size > store.append_bytes:
             await self._call("store", timeout_s, lambda: None)
             return self._failure("store", Reason.INVALID)
+        if not all(store.takes_record(key, value) for key, value in values_by_key.items()):
+            store.refused_records += 1
+            await self._call("store", timeout_s, lambda: None)
+            return self._failure("store", Reason.INVALID)
         answer = await self._call(
             "store", timeout_s, lambda: store.append(token, sequence, values_by_key)
         )
--- a/tests/cell/simulation_store.py
+++ b/tests/cell/simulation_store.py
@@ -19,7 +19,13 @@
         self.newest_token = 0
         self.append_bytes = 2_097_152
         """Size limit of an append; a larger one is refused on every retry."""
+        self.record_bytes = 262_144
+        """Size limit of a record, its key and value together; a longer one is refused likewise."""
+        self.refuses_keys: tuple[str, ...] = ()
+        """Prefixes of keys whose records are refused whatever they hold."""
         self.largest_append = 0
+        self.refused_records = 0
+        """Number of appends refused for one of their records."""
 
     @property
     def size(self) -> int:
@@ -54,6 +60,11 @@
             self.epoch, self.last_sequence = token, -1
         return True
 
+    def takes_record(self, key: str, value: bytes) -> bool:
+        """Whether the store accepts a record in an append."""
+        is_short = len(key) + len(value) <= self.record_bytes
+        return is_short and not key.startswith(self.refuses_keys)
+
     def append(self, token: int, sequence: int, values: dict[str, bytes]) -> bool:
         if not self.fence(token):
             return False
--- a/tests/test_cell_return_times.py
+++ b/tests/test_cell_return_times.py
@@ -233,6 +233,7 @@
 
     answers_from: float
     append_bytes: int = 1_000_000
+    record_bytes: int = 262_144
 
     async def append(self, *, timeout_s: float, **_: Any) -> Result[None, StepError]:
         """Answer in 5 ms, or not at all."""
--- a/tests/test_small_links.py
+++ b/tests/test_small_links.py
@@ -85,6 +85,7 @@
     """The state in a store that is reached over a link."""
 
     append_bytes = 1_572_864
+    record_bytes = append_bytes
 
     def __init__(self, *, link: Link) -> None:
         self.link = link
