Store which run of a gang was counted as failed last

What callers saw: a gang of two failed once, with two attempts allowed, and its job was shown as failed.

Cause: a failed run counts once, however many members fail, by the number of the last counted run. That number was in the leader's memory alone, beside a stored count. When the leader was lost between the two ends, the next one counted the second end of the same run as a new failure.

Change: the number is stored with the job's progress, for gangs with a failed run only. Count and number are in one row, so no leader has one without the other. A row of an earlier version has no number and is read as before.

--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -9,7 +9,7 @@
 from galenastall.coordination.cell.task_runs import StartState, TaskRun
 from galenastall.state.cell.jobs import CellJob, Queue, Step, StepKey, TaskKey
 from galenastall.state.cell.phases import ENDED_PHASES, JobPhase, TaskPhase
-from galenastall.state.cell.rows import ProgressRow, TaskRow
+from galenastall.state.cell.rows import GangRow, ProgressRow, TaskRow
 
 MAX_DATED_TASKS: Final = 3_000
 """Maximum number of tasks in a row that tells of each when its run was assigned and whether it is
@@ -178,9 +178,8 @@
 
     def tasks(self) -> Iterator[TaskRun]:
         """Yield the tasks of all open occurrences."""
-        for occurrence in self.occurrences_by_number.values():
-            for step in occurrence.steps:
-                yield from step.tasks
+        for step in self._steps():
+            yield from step.tasks
 
     def assigned(self) -> list[TaskRun]:
         """Return the assigned tasks, whose runs may exist."""
@@ -225,12 +224,8 @@
     def row(self) -> ProgressRow:
         """Return the progress that must be durable, as a row."""
         self._fold_done()
-        if self.has_ended:
-            tasks: tuple[TaskRow, ...] = ()
-        else:
-            stored = [task for task in self.tasks() if _needs_row(task)]
-            is_dated = len(stored) <= MAX_DATED_TASKS
-            tasks = tuple(_task_row(task, is_dated=is_dated) for task in stored)
+        stored = [] if self.has_ended else [task for task in self.tasks() if _needs_row(task)]
+        is_dated = len(stored) <= MAX_DATED_TASKS
         return ProgressRow(
             phase=self.phase,
             queue_name=self.queue.name,
@@ -238,11 +233,22 @@
             occurrences_opened=self.occurrences_opened,
             done_occurrences=tuple(sorted(self.done_occurrences)),
             ended_at=self.ended_at,
-            tasks=tasks,
+            tasks=tuple(_task_row(task, is_dated=is_dated) for task in stored),
             done_before=self.done_before,
             workspace=self.job.workspace,
+            gangs=() if self.has_ended else tuple(self._gang_rows()),
         )
 
+    def _gang_rows(self) -> Iterator[GangRow]:
+        for step in self._steps():
+            if step.failed_run:
+                key = step.key
+                yield GangRow(occurrence=key.occurrence, step=key.step, failed_run=step.failed_run)
+
+    def _steps(self) -> Iterator[StepRun]:
+        for occurrence in self.occurrences_by_number.values():
+            yield from occurrence.steps
+
     def restore(self, row: ProgressRow, *, wall: float) -> None:
         """Restore the progress that an earlier leader made durable."""
         self.is_written = self.is_durable = True
@@ -261,9 +267,12 @@
             task = self.find_task(key)
             if task is not None:
                 _restore_task(task, task_row)
-        for occurrence in self.occurrences_by_number.values():
-            for step in occurrence.steps:
-                _restore_step(step)
+        for gang_row in row.gangs:
+            gang = self.find_step(StepKey(self.job.job_id, gang_row.occurrence, gang_row.step))
+            if gang is not None:
+                gang.failed_run = gang_row.failed_run
+        for step in self._steps():
+            _restore_step(step)
 
 
 def _restore_step(step: StepRun) -> None:
--- a/src/galenastall/state/cell/rows.py
+++ b/src/galenastall/state/cell/rows.py
@@ -60,6 +60,15 @@
     """Whether its next run has to start in isolation; None in rows that do not state it."""
 
 
+class GangRow(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """Progress of one gang beside that of its tasks; omitted until one of its runs has failed."""
+
+    occurrence: int
+    step: int
+    failed_run: int
+    """Number of its last run that is counted in the failures of its tasks."""
+
+
 class ProgressRow(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """Progress of one job; tasks that never had a run are omitted."""
 
@@ -76,6 +85,7 @@
     """All occurrences with lower numbers are done; they are not listed in `done_occurrences`."""
     workspace: str = NO_WORKSPACE
     """Owner of the job; kept here because the definition is deleted before this row."""
+    gangs: tuple[GangRow, ...] = ()
 
 
 class Rows(msgspec.Struct, frozen=True, kw_only=True):
