Stop the members of a gang whose run has failed under an earlier leader

Cause: when a member of a gang ends, the leader stops the others and keeps that in memory. A leader that takes over in between has rows in which one member waits and the others are assigned to the same run, and left these at work: the gang waits until they end by themselves, broken, alone or stalled.

Change: the next leader derives the stops from the rows when it loads them.

Test: TestMembersLeftRunning; the first of its two fails on the code before (no stop is sent), the second holds there too.

--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -60,6 +60,9 @@
         for task in run.tasks():
             if task.phase is TaskPhase.WAITING and task.unanswered_by:
                 self._inherit_start(task, task.unanswered_by)
+        for step in run.steps():
+            if step.has_lost_members:
+                self._ends.stop_members(step, cause="a member ended under an earlier leader")
 
     def _inherit_start(self, task: TaskRun, executor_id: str) -> None:
         sent_by = self._state.fenced_at
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -39,6 +39,14 @@
         """The highest run number among its tasks."""
         return max(task.run for task in self.tasks)
 
+    @property
+    def has_lost_members(self) -> bool:
+        """Whether some members of a gang's last run have ended, and others may still be at work."""
+        if not self.step.is_gang or self.is_done:
+            return False
+        runs = {task.run for task in self.tasks if task.phase is TaskPhase.ASSIGNED}
+        return any(task.run in runs for task in self.waiting())
+
     def waiting(self) -> list[TaskRun]:
         """Return the tasks that wait for a run."""
         return [task for task in self.tasks if task.phase is TaskPhase.WAITING]
@@ -176,9 +184,14 @@
         self.occurrences_opened += 1
         return occurrence
 
+    def steps(self) -> Iterator[StepRun]:
+        """Yield the steps of all open occurrences."""
+        for occurrence in self.occurrences_by_number.values():
+            yield from occurrence.steps
+
     def tasks(self) -> Iterator[TaskRun]:
         """Yield the tasks of all open occurrences."""
-        for step in self._steps():
+        for step in self.steps():
             yield from step.tasks
 
     def assigned(self) -> list[TaskRun]:
@@ -240,15 +253,11 @@
         )
 
     def _gang_rows(self) -> Iterator[GangRow]:
-        for step in self._steps():
+        for step in self.steps():
             if step.failed_run:
                 key = step.key
                 yield GangRow(occurrence=key.occurrence, step=key.step, failed_run=step.failed_run)
 
-    def _steps(self) -> Iterator[StepRun]:
-        for occurrence in self.occurrences_by_number.values():
-            yield from occurrence.steps
-
     def restore(self, row: ProgressRow, *, wall: float) -> None:
         """Restore the progress that an earlier leader made durable."""
         self.is_written = self.is_durable = True
@@ -271,7 +280,7 @@
             gang = self.find_step(StepKey(self.job.job_id, gang_row.occurrence, gang_row.step))
             if gang is not None:
                 gang.failed_run = gang_row.failed_run
-        for step in self._steps():
+        for step in self.steps():
             _restore_step(step)
 
 
--- a/tests/test_cell_gang_takeovers.py
+++ b/tests/test_cell_gang_takeovers.py
@@ -125,3 +125,26 @@
         progress = decode_rows(terms.leader.rows).progress_by_id[JOB]
         assert progress.gangs == (GangRow(occurrence=0, step=0, failed_run=1),)
         assert PROGRESS_PREFIX + JOB in terms.leader.rows
+
+
+class TestMembersLeftRunning:
+    def test_the_next_leader_stops_members_of_a_run_that_has_failed(self) -> None:
+        terms = Terms(members=2)
+        first, second = terms.start()
+        terms.list_end(first, RunEnd.FAILED)
+        terms.read(first.executor_id)
+        terms.leader.commit()
+        terms.replace_leader(reached=0)
+        terms.read(first.executor_id)
+        running = ListedRun(task=second.task, run=second.run, percent=40)
+        terms.leader.listing(second.executor_id, (running,))
+        assert [stop.task for stop in terms.leader.stops()] == [second.task]
+
+    def test_members_of_a_run_in_which_none_has_ended_go_on(self) -> None:
+        terms = Terms(members=2)
+        orders = terms.start()
+        terms.replace_leader(reached=0)
+        for order in orders:
+            running = ListedRun(task=order.task, run=order.run, percent=40)
+            terms.leader.listing(order.executor_id, (running,))
+        assert terms.leader.stops() == []
