Watch suspect members of gangs from their start under a new leader too

Cause: whether a task is suspect of a crash is stored, but the set of members whose executors are polled often from the start of their run was filled at the end of a run alone. A leader that took over while a gang waited polled them at the usual interval, so a crash at a start was put down to more tasks.

Change: the set is rebuilt from the rows.

Test: TestSuspectMembers, which fails on the code before.

--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -63,6 +63,9 @@
         for step in run.steps():
             if step.has_lost_members:
                 self._ends.stop_members(step, cause="a member ended under an earlier leader")
+            if step.step.is_gang:
+                suspects = (task.key for task in step.tasks if task.is_suspect)
+                self._state.suspect_members.update(suspects)
 
     def _inherit_start(self, task: TaskRun, executor_id: str) -> None:
         sent_by = self._state.fenced_at
--- a/tests/test_cell_gang_takeovers.py
+++ b/tests/test_cell_gang_takeovers.py
@@ -6,12 +6,14 @@
 """
 
 import pytest
+from msgspec.structs import replace
 
 from cell.rig import JOB, Harness, make_info, make_job, make_step
 from galenastall.coordination.cell.commands import StartOrder
+from galenastall.coordination.cell.crashes import SUSPECT_STARTUP_S
 from galenastall.coordination.cell.listings import ListedEnd, ListedRun
 from galenastall.state.cell.phases import JobPhase, RunEnd
-from galenastall.state.cell.rows import PROGRESS_PREFIX, GangRow, decode_rows
+from galenastall.state.cell.rows import PROGRESS_PREFIX, GangRow, decode_rows, encode_progress
 
 MEMBERS = 4
 
@@ -148,3 +150,24 @@
             running = ListedRun(task=order.task, run=order.run, percent=40)
             terms.leader.listing(order.executor_id, (running,))
         assert terms.leader.stops() == []
+
+
+class TestSuspectMembers:
+    def test_the_next_leader_polls_their_executors_from_the_start(self) -> None:
+        terms = Terms(members=2)
+        for order in terms.start():
+            terms.list_end(order, RunEnd.BROKEN)
+        terms.read(*terms.ends_by_id)
+        terms.leader.commit()
+        stored = terms.leader.core.jobs_by_id[JOB].row()
+        suspects = tuple(replace(task, is_suspect=True) for task in stored.tasks)
+        rows = terms.leader.rows
+        rows[PROGRESS_PREFIX + JOB] = encode_progress(replace(stored, tasks=suspects))
+        terms.replace_leader(reached=2)
+        for order in terms.start():
+            running = ListedRun(task=order.task, run=order.run)
+            terms.leader.listing(order.executor_id, (running,))
+        terms.leader.now += 2 * SUSPECT_STARTUP_S
+        terms.leader.step()
+        for info in terms.infos:
+            assert terms.leader.core.executors_by_id[info.executor_id].needs_listing
