Store how often the runs of a task have stalled

Cause: each run that is stopped as stalled doubles the stall timeout of the next, or a task that shows no progress for long would never end. The count was in memory alone, so each new leader began at 3 s and stopped healthy runs again.

Change: the count is stored with the job's progress, for tasks with a stalled run only. A run that is still being stopped isn't counted before it has ended.

Test: TestStalledRuns; on the code before its first test fails for one task and for a gang (waits of 3 s under each leader, and not 3, 6, 12 and 24), and the third as the row doesn't exist.

--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -9,7 +9,7 @@
 from galenastall.coordination.cell.task_runs import StartState, TaskRun
 from galenastall.state.cell.jobs import CellJob, Queue, Step, StepKey, TaskKey
 from galenastall.state.cell.phases import ENDED_PHASES, JobPhase, TaskPhase
-from galenastall.state.cell.rows import GangRow, ProgressRow, TaskRow
+from galenastall.state.cell.rows import GangRow, ProgressRow, StallRow, TaskRow
 
 MAX_DATED_TASKS: Final = 3_000
 """Maximum number of tasks in a row that tells of each when its run was assigned and whether it is
@@ -250,6 +250,7 @@
             done_before=self.done_before,
             workspace=self.job.workspace,
             gangs=() if self.has_ended else tuple(self._gang_rows()),
+            stalls=tuple(_stall_row(task) for task in stored if task.all_given_up_runs),
         )
 
     def _gang_rows(self) -> Iterator[GangRow]:
@@ -280,6 +281,11 @@
             gang = self.find_step(StepKey(self.job.job_id, gang_row.occurrence, gang_row.step))
             if gang is not None:
                 gang.failed_run = gang_row.failed_run
+        for stall_row in row.stalls:
+            key = TaskKey(self.job.job_id, stall_row.occurrence, stall_row.step, stall_row.index)
+            task = self.find_task(key)
+            if task is not None:
+                task.given_up_runs = stall_row.given_up_runs
         for step in self.steps():
             _restore_step(step)
 
@@ -313,6 +319,15 @@
     )
 
 
+def _stall_row(task: TaskRun) -> StallRow:
+    return StallRow(
+        occurrence=task.key.occurrence,
+        step=task.key.step,
+        index=task.key.number,
+        given_up_runs=task.all_given_up_runs,
+    )
+
+
 def _restore_task(task: TaskRun, row: TaskRow) -> None:
     task.phase = row.phase
     task.run = row.run
--- a/src/galenastall/coordination/cell/task_runs.py
+++ b/src/galenastall/coordination/cell/task_runs.py
@@ -145,6 +145,12 @@
         self.rate_percent = DONE_PERCENT
         self.sent_rate_percent = DONE_PERCENT
 
+    @property
+    def all_given_up_runs(self) -> int:
+        """Runs stopped as stalled, the last one included once it has ended."""
+        is_last_over = self.is_given_up and self.phase is not TaskPhase.ASSIGNED
+        return self.given_up_runs + int(is_last_over)
+
     def record_progress(self, *, percent: int, now: float, figure: int = 0) -> None:
         """Record progress from a listing that shows the run in progress."""
         self.state = StartState.STARTED
--- a/src/galenastall/state/cell/rows.py
+++ b/src/galenastall/state/cell/rows.py
@@ -69,6 +69,16 @@
     """Number of its last run that is counted in the failures of its tasks."""
 
 
+class StallRow(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """Stalls of one task; omitted for a task of which no run has stalled."""
+
+    occurrence: int
+    step: int
+    index: int
+    given_up_runs: int
+    """Runs that were stopped as stalled; each doubles the stall timeout of the next run."""
+
+
 class ProgressRow(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """Progress of one job; tasks that never had a run are omitted."""
 
@@ -86,6 +96,7 @@
     workspace: str = NO_WORKSPACE
     """Owner of the job; kept here because the definition is deleted before this row."""
     gangs: tuple[GangRow, ...] = ()
+    stalls: tuple[StallRow, ...] = ()
 
 
 class Rows(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_cell_gang_takeovers.py
+++ b/tests/test_cell_gang_takeovers.py
@@ -16,6 +16,7 @@
 from galenastall.state.cell.rows import PROGRESS_PREFIX, GangRow, decode_rows, encode_progress
 
 MEMBERS = 4
+LISTED_EVERY_S = 0.5
 
 
 class Terms:
@@ -171,3 +172,40 @@
         terms.leader.step()
         for info in terms.infos:
             assert terms.leader.core.executors_by_id[info.executor_id].needs_listing
+
+
+class TestStalledRuns:
+    """Each run stopped as stalled doubles the stall timeout of the next, whoever leads then."""
+
+    def stopped_after_s(self, terms: Terms, orders: list[StartOrder]) -> float:
+        """List runs at 40% until they are stopped; return the seconds."""
+        began_at = terms.leader.now
+        while terms.leader.now - began_at < 60.0:
+            for order in orders:
+                ends = terms.ends_by_id[order.executor_id]
+                running = ListedRun(task=order.task, run=order.run, percent=40)
+                terms.leader.listing(order.executor_id, (running,), *ends)
+            if terms.leader.stops():
+                break
+            terms.leader.now += LISTED_EVERY_S
+        return terms.leader.now - began_at
+
+    @pytest.mark.parametrize("members", [1, 2])
+    def test_the_next_leader_waits_longer_for_a_run_that_stalled_before(self, members: int) -> None:
+        terms = Terms(members=members)
+        waits: list[float] = []
+        for _ in range(4):
+            orders = terms.start()
+            waits.append(self.stopped_after_s(terms, orders))
+            for order in orders:
+                terms.list_end(order, RunEnd.STOPPED)
+            terms.read(*terms.ends_by_id)
+            terms.leader.commit()
+            terms.replace_leader(reached=members)
+        assert waits == [pytest.approx(3.0 * 2.0**n, abs=2 * LISTED_EVERY_S) for n in range(4)]
+
+    def test_a_run_that_is_being_stopped_does_not_count_yet(self) -> None:
+        terms = Terms(members=1)
+        orders = terms.start()
+        self.stopped_after_s(terms, orders)
+        assert terms.leader.core.jobs_by_id[JOB].row().stalls == ()
