Keep occurrences that are done as ranges

Cause: occurrences of a timed job that are done out of order were listed one by one. Behind one that goes on, 80,000 made up a row of 268,576 bytes, more than a record, and 1,000,000 (the most allowed) one of 4,868,576 bytes, sorted and written at each change. A new leader opened every occurrence before it dropped those that are done.

Change: a set of ranges, in memory and in the row; it has no more ranges than open occurrences and one. A new leader opens only what is not done. Rows of earlier versions are read.

One line of test_many_occurrences_that_are_done_fit_into_a_row assigned a set to the field; it adds the same 100,000 numbers one by one now, since the field is no plain set any more. What it checks is unchanged.

--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -7,7 +7,8 @@
 from galenastall.coordination.cell.objectives import objective_at
 from galenastall.coordination.cell.stop_rules import JobStops
 from galenastall.coordination.cell.task_runs import StartState, TaskRun
-from galenastall.state.cell.jobs import CellJob, Queue, Step, StepKey, TaskKey
+from galenastall.state.cell.jobs import CellJob, Queue, Recurrence, Step, StepKey, TaskKey
+from galenastall.state.cell.number_ranges import NumberRange, NumberRanges
 from galenastall.state.cell.phases import ENDED_PHASES, JobPhase, TaskPhase
 from galenastall.state.cell.rows import GangRow, ProgressRow, StallRow, TaskRow
 
@@ -123,11 +124,8 @@
         """Counts of its runs stopped by this leader."""
         self.occurrences_opened = 0
         self.occurrences_by_number: dict[int, Occurrence] = {}
-        self.done_occurrences: set[int] = set()
-        """Numbers from `done_before` on of a timed job's occurrences that are done and have been
-        dropped."""
-        self.done_before = 0
-        """All occurrences with lower numbers are done and have been dropped."""
+        self.done_occurrences = NumberRanges()
+        """Numbers of a timed job's occurrences that are done and have been dropped."""
 
     @property
     def has_ended(self) -> bool:
@@ -159,7 +157,11 @@
             return self.job.submitted_at if self.occurrences_opened == 0 else None
         if self.occurrences_opened >= recurrence.times:
             return None
-        return recurrence.first_due + self.occurrences_opened * recurrence.interval_s
+        return self._due_of(self.occurrences_opened, recurrence)
+
+    @staticmethod
+    def _due_of(number: int, recurrence: Recurrence) -> float:
+        return recurrence.first_due + number * recurrence.interval_s
 
     def open_due(self, wall: float) -> list[Occurrence]:
         """Open and return the occurrences that are due; a job that is not timed has only one."""
@@ -170,18 +172,17 @@
                 return opened
             if self.occurrences_by_number and not self._fits_another_occurrence():
                 return opened
-            opened.append(self._open(due))
+            opened.append(self._open(self.occurrences_opened, due))
+            self.occurrences_opened += 1
 
     def _fits_another_occurrence(self) -> bool:
         """Whether the tasks of one more occurrence fit into the row with the open ones."""
         tasks = sum(step.count for step in self.job.steps)
         return (len(self.occurrences_by_number) + 1) * tasks <= MAX_OPEN_TASKS
 
-    def _open(self, due: float) -> Occurrence:
-        number = self.occurrences_opened
+    def _open(self, number: int, due: float) -> Occurrence:
         occurrence = Occurrence(job=self.job, number=number, begins_at=due, queue=self.queue)
         self.occurrences_by_number[number] = occurrence
-        self.occurrences_opened += 1
         return occurrence
 
     def steps(self) -> Iterator[StepRun]:
@@ -221,12 +222,6 @@
             if occurrence.is_done and idle:
                 self.done_occurrences.add(number)
                 del self.occurrences_by_number[number]
-        self._fold_done()
-
-    def _fold_done(self) -> None:
-        while self.done_before in self.done_occurrences:
-            self.done_occurrences.remove(self.done_before)
-            self.done_before += 1
 
     def forget_tasks(self) -> None:
         """Drop the tasks and the payload of a job that has ended; this frees some 10 KB per job."""
@@ -236,7 +231,7 @@
 
     def row(self) -> ProgressRow:
         """Return the progress that must be durable, as a row."""
-        self._fold_done()
+        done_before, done_ranges = _split_done(self.done_occurrences)
         stored = [] if self.has_ended else [task for task in self.tasks() if _needs_row(task)]
         is_dated = len(stored) <= MAX_DATED_TASKS
         return ProgressRow(
@@ -244,10 +239,10 @@
             queue_name=self.queue.name,
             has_started=self.has_started,
             occurrences_opened=self.occurrences_opened,
-            done_occurrences=tuple(sorted(self.done_occurrences)),
             ended_at=self.ended_at,
             tasks=tuple(_task_row(task, is_dated=is_dated) for task in stored),
-            done_before=self.done_before,
+            done_before=done_before,
+            done_ranges=done_ranges,
             workspace=self.job.workspace,
             gangs=() if self.has_ended else tuple(self._gang_rows()),
             stalls=tuple(_stall_row(task) for task in stored if task.all_given_up_runs),
@@ -259,19 +254,25 @@
                 key = step.key
                 yield GangRow(occurrence=key.occurrence, step=key.step, failed_run=step.failed_run)
 
+    def _reopen(self, count: int, wall: float) -> None:
+        """Open the occurrences with numbers below `count` that are not done."""
+        recurrence = self.job.recurrence
+        for number in self.done_occurrences.missing_below(count):
+            if recurrence is not None:
+                due = self._due_of(number, recurrence)
+            else:
+                due = self.job.submitted_at if number == 0 else wall
+            self._open(number, due)
+        self.occurrences_opened = count
+
     def restore(self, row: ProgressRow, *, wall: float) -> None:
         """Restore the progress that an earlier leader made durable."""
         self.is_written = self.is_durable = True
         self.phase = self.shown_phase = row.phase
         self.has_started = row.has_started
         self.ended_at = row.ended_at
-        self.done_before = self.occurrences_opened = row.done_before
-        while self.occurrences_opened < row.occurrences_opened:
-            due = self.next_due()
-            self._open(wall if due is None else due)
-        for number in row.done_occurrences:
-            self.done_occurrences.add(number)
-            self.occurrences_by_number.pop(number, None)
+        self.done_occurrences = _restore_done(row)
+        self._reopen(row.occurrences_opened, wall)
         for task_row in row.tasks:
             key = TaskKey(self.job.job_id, task_row.occurrence, task_row.step, task_row.index)
             task = self.find_task(key)
@@ -290,6 +291,22 @@
             _restore_step(step)
 
 
+def _split_done(done: NumberRanges) -> tuple[int, tuple[NumberRange, ...]]:
+    """Return up to which number all are done, and the ranges of the others that are."""
+    ranges = tuple(done)
+    if ranges and ranges[0][0] == 0:
+        return ranges[0][1] + 1, ranges[1:]
+    return 0, ranges
+
+
+def _restore_done(row: ProgressRow) -> NumberRanges:
+    before = [(0, row.done_before - 1)] if row.done_before else []
+    done = NumberRanges([*before, *row.done_ranges])
+    for number in row.done_occurrences:
+        done.add(number)
+    return done
+
+
 def _restore_step(step: StepRun) -> None:
     if step.step.is_gang:
         step.is_done = any(task.phase is TaskPhase.DONE for task in step.tasks)
--- a/src/galenastall/state/cell/rows.py
+++ b/src/galenastall/state/cell/rows.py
@@ -13,6 +13,7 @@
     decode_clock,
     decode_unresponsive,
 )
+from galenastall.state.cell.number_ranges import NumberRange
 from galenastall.state.cell.phases import JobPhase, TaskPhase
 from galenastall.state.cell.speeds import SPEEDS_PREFIX, SpeedsRow
 from galenastall.state.cell.workspaces import NO_WORKSPACE
@@ -87,16 +88,18 @@
     has_started: bool = False
     occurrences_opened: int = 0
     done_occurrences: tuple[int, ...] = ()
-    """Numbers of further completed occurrences of a recurring job; their tasks are omitted."""
+    """Numbers of completed occurrences in rows of earlier versions; replaced by `done_ranges`."""
     ended_at: float = 0.0
     """Wall time in seconds of the job's end; 0 until then."""
     tasks: tuple[TaskRow, ...] = ()
     done_before: int = 0
-    """All occurrences with lower numbers are done; they are not listed in `done_occurrences`."""
+    """All occurrences with lower numbers are done; they are in no other field."""
     workspace: str = NO_WORKSPACE
     """Owner of the job; kept here because the definition is deleted before this row."""
     gangs: tuple[GangRow, ...] = ()
     stalls: tuple[StallRow, ...] = ()
+    done_ranges: tuple[NumberRange, ...] = ()
+    """Numbers of further completed occurrences of a recurring job; their tasks are omitted."""
 
 
 class Rows(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_cell_review.py
+++ b/tests/test_cell_review.py
@@ -342,7 +342,8 @@
     def test_many_occurrences_that_are_done_fit_into_a_row(self) -> None:
         run = self.timed(1, times=100_000)
         run.occurrences_opened = 100_000
-        run.done_occurrences = set(range(100_000))
+        for number in range(100_000):
+            run.done_occurrences.add(number)
         assert len(encode_progress(run.row())) < RECORD_BYTES
 
     def test_a_job_whose_occurrences_are_all_due_at_once_is_refused(self) -> None:
