--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -61,7 +61,7 @@
             if task.phase is TaskPhase.WAITING and task.unanswered_by:
                 self._inherit_start(task, task.unanswered_by)
         for step in run.steps():
-            if step.has_lost_members:
+            if step.has_ended_members:
                 self._ends.stop_members(step, cause="a member ended under an earlier leader")
             if step.step.is_gang:
                 suspects = (task.key for task in step.tasks if task.is_suspect)
--- a/src/galenastall/coordination/cell/job_runs.py
+++ b/src/galenastall/coordination/cell/job_runs.py
@@ -14,10 +14,11 @@
 
 MAX_DATED_TASKS: Final = 3_000
 """Maximum number of tasks in a row that tells of each when its run was assigned and whether it is
-suspect, with up to 77 bytes per task; stores accept rows of some 256 KiB."""
+suspect, with up to 77 bytes per task; a row of more than some 256 KiB takes several records."""
 MAX_OPEN_TASKS: Final = 3_600
 """Maximum number of tasks in open occurrences of a timed job; later occurrences wait. Their
-progress is one row of up to 69 bytes per task, and stores accept rows of some 256 KiB."""
+progress is one row of up to 69 bytes per task, and one of more than some 256 KiB takes several
+records."""
 
 
 class StepRun:
@@ -41,8 +42,8 @@
         return max(task.run for task in self.tasks)
 
     @property
-    def has_lost_members(self) -> bool:
-        """Whether some members of a gang's last run have ended, and others may still be at work."""
+    def has_ended_members(self) -> bool:
+        """Whether members of a gang's last run have ended while others may still be at work."""
         if not self.step.is_gang or self.is_done:
             return False
         runs = {task.run for task in self.tasks if task.phase is TaskPhase.ASSIGNED}
@@ -274,22 +275,23 @@
         self.done_occurrences = _restore_done(row)
         self._reopen(row.occurrences_opened, wall)
         for task_row in row.tasks:
-            key = TaskKey(self.job.job_id, task_row.occurrence, task_row.step, task_row.index)
-            task = self.find_task(key)
+            task = self._task_of(task_row)
             if task is not None:
                 _restore_task(task, task_row)
+        for stall_row in row.stalls:
+            task = self._task_of(stall_row)
+            if task is not None:
+                task.given_up_runs = stall_row.given_up_runs
         for gang_row in row.gangs:
             gang = self.find_step(StepKey(self.job.job_id, gang_row.occurrence, gang_row.step))
             if gang is not None:
                 gang.failed_run = gang_row.failed_run
-        for stall_row in row.stalls:
-            key = TaskKey(self.job.job_id, stall_row.occurrence, stall_row.step, stall_row.index)
-            task = self.find_task(key)
-            if task is not None:
-                task.given_up_runs = stall_row.given_up_runs
         for step in self.steps():
             _restore_step(step)
 
+    def _task_of(self, row: TaskRow | StallRow) -> TaskRun | None:
+        return self.find_task(TaskKey(self.job.job_id, row.occurrence, row.step, row.index))
+
 
 def _split_done(done: NumberRanges) -> tuple[int, tuple[NumberRange, ...]]:
     """Return up to which number all are done, and the ranges of the others that are."""
--- a/src/galenastall/platform/submissions.py
+++ b/src/galenastall/platform/submissions.py
@@ -14,8 +14,8 @@
 PAYLOAD_LIMIT_BYTES: Final = 4_000
 """Longest specification, as defined by the platform."""
 MAX_TASKS: Final = 4_000
-"""Tasks of one job; far above what callers send. A job's progress is one row with up to 63 bytes
-per task, and the store accepts records of 256 KiB."""
+"""Tasks of one job; far above what callers send. A job's progress is one row, mostly with up to 63
+bytes per task, and is written whole at each change."""
 MAX_REPETITIONS: Final = 1_000_000
 """Occurrences of one job: one each second for eleven days."""
 _STEP: Final = "job.decode"
--- a/tests/test_cell_record_layout.py
+++ b/tests/test_cell_record_layout.py
@@ -138,7 +138,7 @@
 
 
 class TestDefinitionRows:
-    """A row named every field of every step, and was up to sixteen times its body."""
+    """A row named every field of every step, and was up to nineteen times its body."""
 
     def decode(self, step: dict[str, object], count: int) -> tuple[bytes, CellJob]:
         body = msgspec.json.encode({"specification": "s", "steps": [step] * count})
