Read what is pending after every use of a peer socket

What callers saw: a leader froze for 3 s and woke; after some freezes it heard no leader any more, was not ready and answered 503 on connections that were open before, until somebody restarted it.

Cause: the descriptor of a ZeroMQ socket is edge-triggered, and each use of the socket takes the signal, whether it succeeds or not. Reads followed successful sends only. A host that wakes answers calls whose callers have connected anew: these sends fail just when the next leader's messages arrive, and as they come over one connection that has data already, no further signal follows.

Change: PolledSocket owns each socket of peers, the authentication's too, and is the only place that uses one; each send ends with a look at what is pending on every path. Reads are bounded by 256 messages, between which other tasks have a turn, and no longer nest: a refusal read the next call from within its own, and 900 of them at once ended the process with a RecursionError.

--- a/src/galenastall/transport/peer_inbox.py
+++ b/src/galenastall/transport/peer_inbox.py
@@ -4,13 +4,12 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-import zmq
-
 from galenastall.protocol.security import CurveKeys
 from galenastall.state.ids import HostId
 from galenastall.transport.link_faults import DroppedCounters, LinkCounters
 from galenastall.transport.peer_wire import Envelope, decode_envelope
-from galenastall.transport.zmq_sockets import Context, SocketReader, bound_address, make_router
+from galenastall.transport.polled_socket import PolledSocket
+from galenastall.transport.zmq_sockets import Context, bound_address, make_router
 
 _FRAMES: Final = 2
 
@@ -36,41 +35,39 @@
         on_forged: OnForged = lambda _claimed, _authenticated: None,
     ) -> None:
         """Bind; with CURVE the sender must be the host that its key belongs to."""
-        self._socket = make_router(context=context, bind=bind, curve=curve)
-        self.address = bound_address(self._socket)
+        socket = make_router(context=context, bind=bind, curve=curve)
+        self.address = bound_address(socket)
         self._has_authentication = curve is not None
         self._counters_by_id = counters_by_id
         self._dropped = dropped
         self._on_request = on_request
         self._on_forged = on_forged
-        self._reader = SocketReader(socket=self._socket, on_readable=self._read)
+        # Only frames, not plain bytes, carry the host id that the authentication established.
+        self._socket = PolledSocket(
+            socket=socket,
+            on_message=self._on_message,
+            copies_frames=not self._has_authentication,
+        )
 
     async def run(self) -> None:
         """Read until cancelled."""
-        await self._reader.run()
+        await self._socket.run()
 
     def answer(self, return_route: bytes, caller: HostId, frame: bytes) -> None:
         """Send an answer, or count it if the caller is gone or its queue is full."""
-        try:
-            self._socket.send_multipart([return_route, frame], zmq.NOBLOCK)
-        except zmq.ZMQError:
+        if not self._socket.send([return_route, frame]):
             self._dropped.unsent_answers += 1
             return
         counters = self._counters_by_id[caller]
         counters.messages_out += 1
         counters.bytes_out += len(frame)
-        while self._reader.drain():
-            pass
 
-    def _read(self) -> None:
+    def _on_message(self, frames: list[Any]) -> None:
         if not self._has_authentication:
-            frames = self._socket.recv_multipart(zmq.NOBLOCK)
             self._accept_frames(frames, authenticated=None)
             return
-        # Only frames, not plain bytes, carry the host id that the authentication established.
-        checked: list[Any] = self._socket.recv_multipart(zmq.NOBLOCK, copy=False)
-        authenticated = checked[-1].get("User-Id")
-        self._accept_frames([frame.bytes for frame in checked], authenticated=authenticated)
+        authenticated = frames[-1].get("User-Id")
+        self._accept_frames([frame.bytes for frame in frames], authenticated=authenticated)
 
     def _accept_frames(self, frames: list[bytes], *, authenticated: str | None) -> None:
         envelope = decode_envelope(frames[1]) if len(frames) == _FRAMES else None
--- a/src/galenastall/transport/zap_server.py
+++ b/src/galenastall/transport/zap_server.py
@@ -13,6 +13,7 @@
 from zmq.utils import z85
 
 from galenastall.state.ids import HostId
+from galenastall.transport.polled_socket import PolledSocket
 
 ZAP_DOMAIN: Final = b"galenastall"
 _ENDPOINT: Final = "inproc://zeromq.zap.01"
@@ -44,8 +45,10 @@
         self.refused_by_peer: dict[tuple[str, str], int] = {}
         """The same by IP address and public key."""
         self.set_allowed(allowed)
-        self._socket = context.socket(zmq.REP)
-        self._socket.bind(_ENDPOINT)
+        socket = context.socket(zmq.REP)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.bind(_ENDPOINT)
+        self._socket = PolledSocket(socket=socket, on_message=self._answer)
 
     def set_allowed(self, allowed: dict[HostId, str]) -> None:
         """Replace the list; raises ValueError if two hosts share a key or a key is malformed."""
@@ -60,14 +63,7 @@
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve authentication requests until cancelled."""
         task_status.started()
-        descriptor = int(self._socket.getsockopt(zmq.FD))
-        try:
-            while True:
-                while int(self._socket.getsockopt(zmq.EVENTS)) & zmq.POLLIN:
-                    self._answer(self._socket.recv_multipart(zmq.NOBLOCK))
-                await trio.lowlevel.wait_readable(descriptor)
-        finally:
-            self._socket.close(linger=0)
+        await self._socket.run()
 
     def _answer(self, frames: list[bytes]) -> None:
         host = self._host_of(frames)
@@ -77,7 +73,7 @@
             reply = [_VERSION, request_id, b"400", b"unknown key", b"", b""]
         else:
             reply = [_VERSION, request_id, b"200", b"OK", host.encode(), b""]
-        self._socket.send_multipart(reply, zmq.NOBLOCK)
+        self._socket.send(reply)
 
     def _host_of(self, frames: list[bytes]) -> HostId | None:
         if len(frames) < _REQUEST_FRAMES or frames[0] != _VERSION or frames[5] != b"CURVE":
--- a/src/galenastall/transport/zmq_sockets.py
+++ b/src/galenastall/transport/zmq_sockets.py
@@ -1,17 +1,12 @@
-"""Creates ZeroMQ sockets for peer links and reads them from the trio loop.
+"""Creates ZeroMQ sockets for peer links."""
 
-A socket's descriptor is edge-triggered: it signals a change only once, and sending may consume
-the signal. Both a wake-up and a send are therefore followed by reading until the socket is empty.
-"""
-
-from collections.abc import Callable
 from typing import Any, Final
 
-import trio
 import zmq
 from zmq.utils import z85
 
 from galenastall.protocol.security import CurveKeys
+from galenastall.transport.polled_socket import Socket
 from galenastall.transport.zap_server import ZAP_DOMAIN
 
 MAX_MESSAGE_BYTES: Final = 4 * 1024 * 1024
@@ -28,9 +23,7 @@
 _HEARTBEAT_TIMEOUT_MS: Final = 1_500
 _KEEPALIVE_IDLE_S: Final = 30
 _CLOSE_LINGER_MS: Final = 200
-_READ_BATCH: Final = 256
 
-Socket = zmq.Socket[bytes]
 Context = zmq.Context[Socket]
 
 
@@ -99,47 +92,3 @@
     socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MS)
     socket.setsockopt(zmq.TCP_KEEPALIVE, 1)
     socket.setsockopt(zmq.TCP_KEEPALIVE_IDLE, _KEEPALIVE_IDLE_S)
-
-
-class SocketReader:
-    """Passes a socket's messages to a callback on the trio loop."""
-
-    def __init__(
-        self,
-        *,
-        socket: Socket,
-        on_readable: Callable[[], None],
-        on_writable: Callable[[], None] | None = None,
-    ) -> None:
-        """Create a reader; `on_readable` receives one message, and neither callback may block."""
-        self._socket = socket
-        self._on_readable = on_readable
-        self._on_writable = on_writable
-        self._scope = trio.CancelScope()
-        self._descriptor = int(socket.getsockopt(zmq.FD))
-
-    def drain(self) -> bool:
-        """Read pending messages, up to a bound; return whether more may be pending."""
-        for _ in range(_READ_BATCH):
-            events = int(self._socket.getsockopt(zmq.EVENTS))
-            if events & zmq.POLLOUT and self._on_writable is not None:
-                self._on_writable()
-            if not events & zmq.POLLIN:
-                return False
-            self._on_readable()
-        return True
-
-    async def run(self) -> None:
-        """Read until stopped, then close the socket."""
-        try:
-            with self._scope:
-                while True:
-                    while self.drain():
-                        await trio.lowlevel.checkpoint()
-                    await trio.lowlevel.wait_readable(self._descriptor)
-        finally:
-            self._socket.close()
-
-    def stop(self) -> None:
-        """End `run`."""
-        self._scope.cancel()
