Play random trouble while most rows take several records

A soak for divided values: records of 300 bytes, so that definitions, progress and leases are divided, under the random trouble of the tests' world.

--- a/tests/test_cell_record_layout.py
+++ b/tests/test_cell_record_layout.py
@@ -12,8 +12,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cell.alone import simulate_isolated
 from cell.cluster import Cluster
-from cell.scenarios import check_all_end, run_scenario, submit_jobs
+from cell.scenarios import check_all_end, random_faults, run_scenario, submit_jobs
 from cell.simulation import Simulation
 from galenastall.coordination.cell.job_runs import JobRun
 from galenastall.platform.job_routes import BODY_LIMIT_BYTES
@@ -246,6 +247,19 @@
         await run_scenario(scenario, seed=31)
 
 
+class TestRandomTrouble:
+    """Random trouble while most rows take several records."""
+
+    @pytest.mark.parametrize("seed", range(7000, 7004))
+    def test_no_rule_is_broken(self, seed: int) -> None:
+        async def scenario(cluster: Cluster, world: Simulation, rng: Random) -> None:
+            world.store.record_bytes = 300
+            await random_faults(cluster, world, rng)
+            assert world.store.refused_records == 0
+
+        simulate_isolated(scenario, seed=seed)
+
+
 class TestRefusalsForGood:
     async def test_an_append_that_is_always_refused_is_not_repeated(
         self, autojump_clock: object
