Freeze leaders in turn beside 200 calls a second, with real processes

A soak for hosts that wake from a freeze: three processes on the stand-in, the leader frozen for 3 s, then ready again, and the next.

A first form waited for readiness on the connections of the caller that also made the calls, and failed after 60 s: httpcore's pool held 10 connections as active with no active request, while an independent request found the host ready. Calls spread over 100 callers now, and the probe has its own.

--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -28,6 +28,10 @@
 TIMEOUT_S: Final = 60.0
 JOBS: Final = 24
 SUBMIT_INTERVAL_S: Final = 0.15
+CALLS_PER_S: Final = 200
+CALLERS: Final = 100
+"""Calls to a frozen host hang, ten of them at most on the connections of one caller."""
+FREEZE_S: Final = 3.0
 ENDED: Final = frozenset({"completed", "failed"})
 ROUTE: Final = "q"
 
@@ -238,6 +242,44 @@
             assert len(fleet.accepted) > 4 * JOBS
 
 
+async def keep_calling(fleet: Fleet, rng: Random) -> None:
+    """Ask for the states of jobs at random hosts; answers are late or missing while one freezes."""
+    callers = [StandinCaller() for _ in range(CALLERS)]
+    async with trio.open_nursery() as nursery:
+        while True:
+            job_id = f"{rng.randrange(JOBS):016x}"
+            caller, host = rng.choice(callers), rng.choice(fleet.hosts)
+            nursery.start_soon(caller.state, host, ROUTE, job_id)
+            await trio.sleep(1.0 / CALLS_PER_S)
+
+
+async def freeze_leaders_in_turn(folder: Path, *, seed: int, freezes: int) -> list[float]:
+    """Freeze each leader beside calls; return how long each took to be ready after it woke."""
+    took_s: list[float] = []
+    probe = StandinCaller()
+    async with running_fleet(folder) as fleet, trio.open_nursery() as nursery:
+        nursery.start_soon(keep_calling, fleet, Random(seed))
+        await fleet.submit_some(0)
+        for _ in range(freezes):
+            leader = fleet.leader
+            fleet.signal(leader, signal.SIGSTOP)
+            await trio.sleep(FREEZE_S)
+            fleet.signal(leader, signal.SIGCONT)
+            woke_at = trio.current_time()
+            with trio.fail_after(TIMEOUT_S):
+                await probe.wait_ready(fleet.host(leader))
+            took_s.append(trio.current_time() - woke_at)
+        nursery.cancel_scope.cancel()
+    return took_s
+
+
+class TestFreezesBesideCalls:
+    async def test_a_leader_that_wakes_hears_the_next_one(self, tmp_path: Path) -> None:
+        """It answers calls from before its freeze, whose callers have connected anew."""
+        took_s = await freeze_leaders_in_turn(tmp_path, seed=1, freezes=2)
+        assert len(took_s) == 2
+
+
 class TestStart:
     def test_an_entry_host_starts_without_the_metrics_library(self) -> None:
         """Importing it takes about 0.2 s, during which nothing is served."""
