Record each unexpected error that ends a process, with its place

So nobody could tell whether an entry, an answer of an executor or a caller had brought it about.

Now host.failed is an event for each error, with its type, the module, line and function of the innermost frame of this package and the end of its stack. galenastall_events counts it. The error is raised again.

--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -42,6 +42,7 @@
 from galenastall.transport.log_stream import BoundedLogStream
 from galenastall.transport.metrics import Metrics
 from galenastall.transport.peer_link import ZmqPeerLink
+from galenastall.transport.unexpected import unexpected_recorded
 
 EXIT_SETTINGS: Final = 2
 """Exit code when the settings can't be used."""
@@ -81,7 +82,10 @@
 async def serve(settings: PlatformSettings, path: Path) -> None:
     """Serve until SIGTERM, then hand over and drain."""
     process = EntryProcess(settings=settings, path=path)
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+    with (
+        trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals,
+        unexpected_recorded(process.recorder, "host.failed"),
+    ):
         async with trio.open_nursery() as nursery:
             await process.start(nursery)
             await _wait_for_stop(signals, process)
--- /dev/null
+++ b/src/galenastall/transport/unexpected.py
@@ -0,0 +1,61 @@
+"""Events for unexpected errors: one for each, with the place in this package where it arose."""
+
+import traceback
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from typing import Final
+
+from galenastall.state.decoding import shorten
+from galenastall.transport.logs import Level, Recorder
+
+_PACKAGE: Final = "/galenastall/"
+_STACK_CHARS: Final = 4_000
+"""Most of a stack that an event carries: its end, where the error arose."""
+
+
+@contextmanager
+def unexpected_recorded(recorder: Recorder, step: str) -> Iterator[None]:
+    """Record the errors that leave the block, and raise them again."""
+    try:
+        yield
+    except Exception as error:
+        record_unexpected(recorder, step, error)
+        raise
+
+
+def record_unexpected(
+    recorder: Recorder,
+    step: str,
+    error: BaseException,
+    *,
+    peer: str = "",
+    subjects: Sequence[str] = (),
+) -> None:
+    """Record an error, or each error of a group, with its place and its stack."""
+    for each in _errors_in(error):
+        stack = "".join(traceback.format_exception(each, chain=False))
+        recorder.record(
+            step,
+            peer=peer,
+            subjects=subjects,
+            cause=shorten(f"{type(each).__name__}: {each}"),
+            fields={"place": place_of(each), "stack": stack[-_STACK_CHARS:]},
+            level=Level.ERROR,
+        )
+
+
+def place_of(error: BaseException) -> str:
+    """Return module, line and function of the innermost frame in this package."""
+    for frame in reversed(traceback.extract_tb(error.__traceback__)):
+        _, found, module = frame.filename.rpartition(_PACKAGE)
+        if found:
+            return f"{module}:{frame.lineno} {frame.name}"
+    return "outside this package"
+
+
+def _errors_in(error: BaseException) -> Iterator[BaseException]:
+    if not isinstance(error, BaseExceptionGroup):
+        yield error
+        return
+    for inner in error.exceptions:
+        yield from _errors_in(inner)
