--- a/tests/test_entries_of_others.py
+++ b/tests/test_entries_of_others.py
@@ -111,6 +111,11 @@
         value = b'{"x":' + b"[" * 100_000
         assert isinstance(decode_executor(value), Failure)
 
+    def test_a_port_of_thousands_of_digits_does_not_end_the_reader(self) -> None:
+        # `int` raises ValueError above 4,300 digits, which ended each host that came to lead.
+        entry = changed(address="10.0.0.9:" + "9" * 4_400)
+        assert "address" in decode_executor(msgspec.json.encode(entry)).failure()
+
     @pytest.mark.parametrize(
         ("entry", "named"),
         [
