Decide no maintenance before the executors are listed

A new leader restores runs on placeholders that name no host. If the list of machines arrives before that of the executors, no machine has an executor, and a machine without one counted as empty. The same holds for an executor that the list lacks.

Now maintenance waits for a list of executors of this term, and a machine without a known executor waits while runs are on executors whose host is not known; their leases end that wait.

--- a/src/galenastall/coordination/cell/cell_state.py
+++ b/src/galenastall/coordination/cell/cell_state.py
@@ -51,6 +51,8 @@
         self.workspaces = WorkspaceUse()
         self.contention: ContentionRules = NO_RULES
         """Rules for workspaces that compete; set with each configuration."""
+        self.has_executor_list = False
+        """Whether the platform's list of executors has been read in this term."""
         self.named_services: frozenset[str] | None = None
         """Services that the configuration names; None before the first configuration."""
         self.waiting_steps: set[StepKey] = set()
@@ -137,6 +139,11 @@
             self.stopped_by_rule[rule] += 1
         return job.stops.by_rule[rule]
 
+    @property
+    def has_unplaced_runs(self) -> bool:
+        """Whether runs are on executors of which it is not known on which hosts they are."""
+        return any(e.runs_by_task and not e.info.host for e in self.executors_by_id.values())
+
     def executor_on(self, host: str) -> Executor | None:
         """Return the executor on a host; if there are several, the one that answered last."""
         found = self.executors.on_host(host)
--- a/src/galenastall/coordination/cell/fleet.py
+++ b/src/galenastall/coordination/cell/fleet.py
@@ -73,6 +73,7 @@
 
     def update(self, infos: Iterable[ExecutorInfo], *, now: float) -> None:
         """Apply the current list; which of two incarnations has ended is decided by answers."""
+        self._state.has_executor_list = True
         listed_by_id = {info.executor_id: info for info in infos if self._is_of_service(info)}
         for info in listed_by_id.values():
             if not self._incarnations.has_ended(info.executor_id):
--- a/src/galenastall/coordination/cell/maintenance.py
+++ b/src/galenastall/coordination/cell/maintenance.py
@@ -138,8 +138,11 @@
         return self._listed_at - self._seen_at.get(host, self._listed_at) >= GONE_AFTER_S
 
     def decide(self, *, wall: float) -> None:
-        """Drain the next hosts, and order maintenance of those that are empty."""
-        if not self._hosts_by_id:
+        """Drain the next hosts, and order maintenance of those that are empty.
+
+        Until the executors are listed, it is not known which hosts have runs.
+        """
+        if not self._hosts_by_id or not self._state.has_executor_list:
             return
         for progress in self._progress_by_number.values():
             if not progress.is_completed:
@@ -201,7 +204,9 @@
         """Drain a host, and order its maintenance once it has no runs."""
         executor = self._state.executor_on(host)
         if executor is None:
-            self._order(progress, host)
+            # Runs of an executor that the list lacks may be on any host, until their leases expire.
+            if not self._state.has_unplaced_runs:
+                self._order(progress, host)
             return
         executor.cordons.add(Cordon.WAVE)
         if not executor.runs_by_task:
--- a/tests/cell/rig.py
+++ b/tests/cell/rig.py
@@ -45,14 +45,20 @@
 class Harness:
     """A leader's core, with a store that keeps what it writes."""
 
-    def __init__(self, *infos: ExecutorInfo, rows: dict[str, bytes] | None = None) -> None:
+    def __init__(
+        self,
+        *infos: ExecutorInfo,
+        rows: dict[str, bytes] | None = None,
+        has_executor_list: bool = True,
+    ) -> None:
         self.now = 100.0
         self.core = CellScheduler(timings=TIMINGS, fenced_at=self.now)
         self.rows = dict(rows or {})
         self.core.set_queues([QUEUE])
         self.core.restore(decode_rows(self.rows), wall=self.wall)
         self.infos = infos
-        self.update_fleet(*infos)
+        if has_executor_list:
+            self.update_fleet(*infos)
         for info in infos:
             self.listing(info.executor_id)
 
--- a/tests/test_cell_hosts.py
+++ b/tests/test_cell_hosts.py
@@ -15,6 +15,7 @@
 from galenastall.coordination.cell.availability import AVAILABLE_AFTER_S
 from galenastall.coordination.cell.commands import StartOrder
 from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome
+from galenastall.coordination.cell.lease_clock import longest_lease_s
 from galenastall.coordination.cell.listings import ListedRun
 from galenastall.coordination.cell.maintenance import GONE_AFTER_S, STALE_LIST_MARGIN_S
 from galenastall.coordination.cell.pools import GROW_AFTER_S, SHRINK_AFTER_S
@@ -229,6 +230,48 @@
         assert harness.stops() == []
 
 
+class TestWavesUnderTheNextLeader:
+    """A leader that has just taken over takes down no host whose runs it has not placed yet."""
+
+    def take_over(self) -> tuple[Harness, list[StartOrder]]:
+        """Let one task last on each host, and return the next leader, which has read no list."""
+        harness = HostHarness()
+        step = make_step(3, is_long_running=True, most_per_executor=1, most_unavailable=1)
+        harness.submit(make_job(step))
+        orders = harness.step()
+        harness.confirm_starts(orders)
+        harness.keep_listing(orders)
+        following = Harness(rows=harness.rows, has_executor_list=False)
+        wave = make_wave(*HostHarness.names, most_down=3)
+        following.core.hosts.set_waves([wave], wall=following.wall)
+        following.core.hosts.set_hosts(make_hosts(HostHarness.names), wall=following.wall)
+        return following, orders
+
+    def host_orders(self, harness: Harness) -> list[HostOrder]:
+        harness.step()
+        return harness.core.hosts.take_ready()
+
+    def test_hosts_at_work_stay_up_until_the_executors_are_listed(self) -> None:
+        harness, _ = self.take_over()
+        assert self.host_orders(harness) == []
+        harness.update_fleet(*(make_info(name) for name in HostHarness.names))
+        assert self.host_orders(harness) == []
+
+    def test_a_host_whose_executor_the_list_lacks_stays_up_until_leases_expire(self) -> None:
+        harness, orders = self.take_over()
+        run_of = {order.executor_id: ListedRun(task=order.task, run=order.run) for order in orders}
+        harness.update_fleet(make_info("e1"), make_info("e2"))
+        for _ in range(2):
+            for name in ("e1", "e2"):
+                harness.listing(name, (replace(run_of[name], percent=100),))
+            assert self.host_orders(harness) == []
+            harness.now += longest_lease_s(TIMINGS) / 2
+        harness.now += AVAILABLE_AFTER_S
+        for name in ("e1", "e2"):
+            harness.listing(name, (replace(run_of[name], percent=100),))
+        assert [order.host for order in self.host_orders(harness)] == ["e3"]
+
+
 class TestPools:
     def harness(self) -> HostHarness:
         harness = HostHarness()
