Hold signals that arrive while the program is imported

A process that is told to read its settings again right after its start was gone.

The interpreter's own start, before the first line, is not covered.

--- a/deploy/entry_host.py
+++ b/deploy/entry_host.py
@@ -2,6 +2,10 @@
 
 import sys
 
-from galenastall.platform.process import main
+from galenastall.node.early_signals import hold_signals
+
+hold_signals()
+
+from galenastall.platform.process import main  # noqa: E402 - signals are held before this import
 
 sys.exit(main())
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -16,6 +16,7 @@
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.node.cell.cell_host import CellHost, CellHostSettings, CellPorts
 from galenastall.node.cell.cell_metrics import CellMetrics
+from galenastall.node.early_signals import HANDLED, release_signals
 from galenastall.platform.advisor import PlatformAdvisor
 from galenastall.platform.calls import PlatformCalls
 from galenastall.platform.config import PlatformConfig
@@ -83,9 +84,10 @@
     """Serve until SIGTERM, then hand over and drain."""
     process = EntryProcess(settings=settings, path=path)
     with (
-        trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals,
+        trio.open_signal_receiver(*HANDLED) as signals,
         unexpected_recorded(process.recorder, "host.failed"),
     ):
+        release_signals()
         async with trio.open_nursery() as nursery:
             await process.start(nursery)
             await _wait_for_stop(signals, process)
