Rebuild the sockets of a host whose inbox reads nothing

While a host hears no leader it passes its views of the store to LinkRepair, which probes the inbox and rebuilds the sockets when DeafnessWatch says so. host.deaf is recorded once for each rebuild, with the age of the last heartbeat, leader and token, and the log end's movement. If the address can't be bound, host.not_rebound is recorded and it is tried again every 0.5 s; nothing is raised. Calls in progress over the old sockets end as TIMEOUT. The probe's socket belongs to the link's nursery, since one that is open would block the end of its context. While heartbeats arrive none of this runs.

Tests: on real sockets an inbox that reads nothing hears its leader again, with one host.deaf; calls in progress, an address that is in use for a moment, keys, the end of a link during a probe, and a message whose signal was taken, which a probe alone gets read. In a cell on the simulated platform a deaf host is ready again; it stays deaf if LinkRepair doesn't run (trial).

--- a/src/galenastall/node/cell/cell_host.py
+++ b/src/galenastall/node/cell/cell_host.py
@@ -13,6 +13,7 @@
 from galenastall.node.cell.config_watcher import ConfigWatcher
 from galenastall.node.cell.leader_term import TermParts
 from galenastall.node.cell.leadership import Leadership
+from galenastall.node.cell.link_repair import LinkRepair
 from galenastall.node.cell.membership import Membership
 from galenastall.protocol.cell.executor_port import ExecutorPort
 from galenastall.protocol.cell.ports import (
@@ -23,7 +24,7 @@
     StatePort,
 )
 from galenastall.protocol.clock import Clock
-from galenastall.protocol.peers import PeerLink
+from galenastall.protocol.peers import RepairableLink
 from galenastall.state.ids import HostId
 from galenastall.transport.logs import Recorder
 
@@ -60,7 +61,7 @@
     """What its network link carries."""
 
 
-class RunnableLink(PeerLink, Protocol):
+class RunnableLink(RepairableLink, Protocol):
     """A peer link with a `run` method."""
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -117,6 +118,9 @@
                 link_bytes_per_s=settings.link_bytes_per_s,
             ),
             timings=timings,
+            repair=LinkRepair(
+                link=self.link, timings=timings, lag=self.members.lag, recorder=recorder
+            ),
             on_newer_config=lambda version: self.config.note_version(
                 version, self.leadership.leader
             ),
--- a/src/galenastall/node/cell/leadership.py
+++ b/src/galenastall/node/cell/leadership.py
@@ -16,6 +16,7 @@
 from galenastall.node.cell.leader_handler import LeaderHandler
 from galenastall.node.cell.leader_search import LeaderSearch
 from galenastall.node.cell.leader_term import LeaderTerm, TermParts
+from galenastall.node.cell.link_repair import LinkRepair
 from galenastall.node.cell.membership import Membership
 from galenastall.protocol.cell.config import CellConfig
 from galenastall.protocol.cell.messages import CanLead, Heartbeat, LeaderAnswer, TakeOver
@@ -45,6 +46,7 @@
         election: Election,
         parts: TermParts,
         timings: CellTimings,
+        repair: LinkRepair,
         on_newer_config: Callable[[int], None],
     ) -> None:
         """`on_newer_config` is called with the configuration version that a leader announces."""
@@ -53,6 +55,7 @@
         self._election = election
         self._parts = parts
         self._timings = timings
+        self._repair = repair
         self._on_newer_config = on_newer_config
         self._is_asked_to_claim = False
         self._has_claimed = False
@@ -159,6 +162,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._say_hello)
             nursery.start_soon(self._search.run)
+            nursery.start_soon(self._repair.run)
             nursery.start_soon(self._members.lag.run)
             while True:
                 await self._step(nursery)
@@ -218,6 +222,7 @@
         if isinstance(answer, Failure):
             return
         view: StoreView = answer.unwrap()
+        self._repair.on_store_view(view)
         token = view.leader.token if view.leader else 0
         is_of_this_host = view.leader is not None and view.leader.host_id == self._host_id
         self._election.on_store_view(
@@ -326,6 +331,7 @@
             self._members.make_known_to(found.host_id, found.address)
 
     async def _on_heartbeat(self, sender: HostId, heartbeat: Heartbeat) -> Any:
+        self._repair.on_heartbeat()
         if self.term is not None and heartbeat.token < self.term.token:
             return None
         now = trio.current_time()
--- a/src/galenastall/protocol/peers.py
+++ b/src/galenastall/protocol/peers.py
@@ -38,3 +38,21 @@
 
     def send(self, *, peer: HostId, message: object) -> None:
         """Send without waiting for an answer; dropped silently if the peer is unreachable."""
+
+
+class RepairableLink(PeerLink, Protocol):
+    """A peer link that can check whether it receives anything, and make its sockets anew."""
+
+    async def probe_inbox(self, *, timeout_s: float) -> Result[None, StepError]:
+        """Call this host's own inbox over a new connection.
+
+        TIMEOUT: the inbox accepted the connection and did not answer within `timeout_s`. All other
+        failures say nothing of the inbox, since nothing was sent to it.
+        """
+
+    async def rebuild(self) -> Result[None, StepError]:
+        """Close all sockets and bind the same address again; calls in progress end as TIMEOUT.
+
+        Failure: the address can't be bound now, and no peer reaches this host until a further call
+        succeeds.
+        """
--- a/src/galenastall/transport/peer_inbox.py
+++ b/src/galenastall/transport/peer_inbox.py
@@ -53,6 +53,14 @@
         """Read until cancelled."""
         await self._socket.run()
 
+    def stop(self) -> None:
+        """End `run`, which closes the socket."""
+        self._socket.stop()
+
+    def close(self) -> None:
+        """Close the socket of an inbox that never ran."""
+        self._socket.close()
+
     def answer(self, return_route: bytes, caller: HostId, frame: bytes) -> None:
         """Send an answer, or count it if the caller is gone or its queue is full."""
         if not self._socket.send([return_route, frame]):
--- a/src/galenastall/transport/peer_link.py
+++ b/src/galenastall/transport/peer_link.py
@@ -20,11 +20,13 @@
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.codec import decode_message
 from galenastall.protocol.peers import PeerHandler
+from galenastall.protocol.probe_messages import InboxProbe
 from galenastall.protocol.security import CurveKeys
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId, Incarnation
 from galenastall.transport import peer_wire
 from galenastall.transport.delay_line import DelayLine
+from galenastall.transport.inbox_probe import InboxCall
 from galenastall.transport.link_faults import DroppedCounters, LinkCounters, LinkFaults
 from galenastall.transport.peer_handlers import ErrorLog, PeerHandlers
 from galenastall.transport.peer_inbox import PeerInbox
@@ -37,6 +39,8 @@
 
 MAX_CONCURRENT_MESSAGES: Final = 2_000
 """Messages handled concurrently; further calls are answered OVERLOADED."""
+_BIND_TRIES: Final = 20
+_BIND_EVERY_S: Final = 0.02
 _STEP: Final = "peer.call"
 _MAX_REPORTED_FORGERIES: Final = 256
 
@@ -81,6 +85,7 @@
         self._clock = clock
         self._hybrid = hybrid or HybridClock()
         self._handlers = PeerHandlers(host_id=host_id, log_error=log_error)
+        self._handlers.add(InboxProbe, _answer_probe)
         self._addresses_by_id: dict[HostId, str] = {}
         self._outboxes_by_id: dict[HostId, PeerOutbox] = {}
         self._pending_by_id: dict[int, _Pending] = {}
@@ -162,15 +167,7 @@
                         on_refused=self._on_refused_key,
                     )
                     await nursery.start(self._zap.run)
-                self._inbox = PeerInbox(
-                    context=context,
-                    bind=self._bind,
-                    curve=self._curve,
-                    counters_by_id=self.counters_by_id,
-                    dropped=self.dropped,
-                    on_request=self._on_request,
-                    on_forged=self._on_forged,
-                )
+                self._inbox = self._make_inbox(context, self._bind)
                 self._context, self._nursery = context, nursery
                 nursery.start_soon(self._inbox.run)
                 nursery.start_soon(self._delays.run)
@@ -208,6 +205,63 @@
         if len(frame) <= MAX_MESSAGE_BYTES:
             self._send_with_faults(peer, lambda: outbox.send_or_queue(frame))
 
+    async def probe_inbox(self, *, timeout_s: float) -> Result[None, StepError]:
+        """Call the own inbox over a connection; see `protocol.peers.RepairableLink`."""
+        if self._context is None or self._nursery is None:
+            return _failure(self._host_id, Reason.UNAVAILABLE, "the link does not run")
+        call = InboxCall(
+            context=self._context,
+            nursery=self._nursery,
+            address=self.address,
+            curve=self._curve,
+            clock=self._clock,
+        )
+        correlation_id = next(self._correlation_ids)
+        frame = self._request_frame(peer_wire.CALL, correlation_id, self._host_id, InboxProbe())
+        return await call.run(frame, timeout_s=timeout_s)
+
+    async def rebuild(self) -> Result[None, StepError]:
+        """Close all sockets and bind the address again; see `protocol.peers.RepairableLink`."""
+        for outbox in self._outboxes_by_id.values():
+            outbox.close()
+        self._outboxes_by_id.clear()
+        if self._inbox is not None:
+            self._inbox.stop()
+        failure: OSError | zmq.ZMQError | None = None
+        for _ in range(_BIND_TRIES):
+            # The address becomes free only after the old socket's I/O thread has closed it.
+            await trio.sleep(_BIND_EVERY_S)
+            if self._context is None or self._nursery is None:
+                return _failure(self._host_id, Reason.UNAVAILABLE, "the link does not run")
+            try:
+                self._start_inbox(self._context, self._nursery)
+            except (OSError, zmq.ZMQError) as error:
+                failure = error
+            else:
+                return Success(None)
+        return _failure(self._host_id, Reason.UNAVAILABLE, str(failure))
+
+    def _start_inbox(self, context: Context, nursery: trio.Nursery) -> None:
+        inbox = self._make_inbox(context, self.address)
+        try:
+            nursery.start_soon(inbox.run)
+        except RuntimeError:
+            # The link has ended; a socket left open would block the termination of its context.
+            inbox.close()
+            return
+        self._inbox = inbox
+
+    def _make_inbox(self, context: Context, bind: str) -> PeerInbox:
+        return PeerInbox(
+            context=context,
+            bind=bind,
+            curve=self._curve,
+            counters_by_id=self.counters_by_id,
+            dropped=self.dropped,
+            on_request=self._on_request,
+            on_forged=self._on_forged,
+        )
+
     async def _exchange(
         self, outbox: PeerOutbox, peer: HostId, correlation_id: int, frame: bytes, timeout_s: float
     ) -> Result[Any, StepError]:
@@ -395,5 +449,9 @@
         return _failure(self._host_id, Reason.TIMEOUT, f"no answer in {timeout_s:g} s")
 
 
+async def _answer_probe(_: HostId, __: InboxProbe) -> None:
+    return None
+
+
 def _failure(peer: HostId, reason: Reason, detail: str) -> Result[Any, StepError]:
     return Failure(StepError(step=_STEP, peer=peer, reason=reason, detail=detail))
--- a/src/galenastall/transport/polled_socket.py
+++ b/src/galenastall/transport/polled_socket.py
@@ -77,6 +77,10 @@
         """End `run`."""
         self._scope.cancel()
 
+    def close(self) -> None:
+        """Close the socket at once; only for one whose `run` was never started."""
+        self._socket.close(linger=0)
+
     def _serve(self) -> bool:
         """Read a batch and report that the socket is writable; return whether nothing is left."""
         is_empty = self._read_batch()
--- a/tests/cell/simulation.py
+++ b/tests/cell/simulation.py
@@ -41,6 +41,10 @@
     """Pairs of caller and callee between which calls arrive but answers are lost."""
     store_refuses: set[str] = field(default_factory=set)
     """Hosts whose calls the store refuses."""
+    deaf: set[str] = field(default_factory=set)
+    """Hosts that read nothing that other hosts send, until their sockets are rebuilt."""
+    failed_rebuilds: int = 0
+    """How many of the next rebuilds of sockets can't bind the address."""
     lost: float = 0.0
     """Share of calls that are carried out but not answered."""
     late: float = 0.0
@@ -65,6 +69,7 @@
     def clear(self) -> None:
         """End all faults."""
         self.cut.clear()
+        self.deaf.clear()
         self.answers_cut.clear()
         self.store_refuses.clear()
         self.config_undelivered.clear()
@@ -96,6 +101,8 @@
         self.store = Store()
         self.hosts = Hosts(simulation=self)
         self.links: dict[str, MemoryLink] = {}
+        self.rebuilt: list[str] = []
+        """Hosts that have rebuilt their sockets, in this order."""
         self.listed: dict[str, ExecutorInfo] = {}
         self.jobs: dict[str, CellJob] = {}
         self.queue = Queue(name="queue", service="service", max_attempts=3, stretch=4.0)
@@ -495,7 +502,7 @@
             self.simulation.jobs.setdefault(message.job.job_id, message.job)
         faults, pair = self.simulation.faults, (self._host_id, peer)
         with trio.move_on_after(timeout_s):
-            if _takes_one(faults.lost_calls, pair):
+            if _takes_one(faults.lost_calls, pair) or peer in faults.deaf:
                 await trio.sleep_forever()
             is_answer_lost = _takes_one(faults.lost_answers, pair)
             await trio.sleep(0.001)
@@ -508,6 +515,23 @@
 
     def send(self, *, peer: HostId, message: object) -> None:
         target = self._reach(peer)
+        if peer in self.simulation.faults.deaf:
+            return
         if target is not None and target._nursery is not None:
             handler = target._handlers[type(message)]
             target._nursery.start_soon(handler, self._host_id, message)
+
+    async def probe_inbox(self, *, timeout_s: float) -> Result[None, StepError]:
+        if self._host_id not in self.simulation.faults.deaf:
+            return Success(None)
+        await trio.sleep(timeout_s)
+        return Failure(StepError(step="world.probe", peer="", reason=Reason.TIMEOUT))
+
+    async def rebuild(self) -> Result[None, StepError]:
+        faults = self.simulation.faults
+        if faults.failed_rebuilds > 0:
+            faults.failed_rebuilds -= 1
+            return Failure(StepError(step="world.rebuild", peer="", reason=Reason.UNAVAILABLE))
+        faults.deaf.discard(self._host_id)
+        self.simulation.rebuilt.append(self._host_id)
+        return Success(None)
