Show which cuts make a host probe its inbox, and how often

A cut that leaves the store within reach is probed, at most every 5 s; an outage and a cut from the store are not. So the test that sockets are kept in cuts rests on the probe, not on a silence that was never noticed.

--- a/tests/cell/simulation.py
+++ b/tests/cell/simulation.py
@@ -101,6 +101,8 @@
         self.store = Store()
         self.hosts = Hosts(simulation=self)
         self.links: dict[str, MemoryLink] = {}
+        self.probed: list[str] = []
+        """Hosts that have probed their inboxes, in this order."""
         self.rebuilt: list[str] = []
         """Hosts that have rebuilt their sockets, in this order."""
         self.listed: dict[str, ExecutorInfo] = {}
@@ -522,6 +524,7 @@
             target._nursery.start_soon(handler, self._host_id, message)
 
     async def probe_inbox(self, *, timeout_s: float) -> Result[None, StepError]:
+        self.simulation.probed.append(self._host_id)
         if self._host_id not in self.simulation.faults.deaf:
             return Success(None)
         await trio.sleep(timeout_s)
--- a/tests/test_cell_deafness.py
+++ b/tests/test_cell_deafness.py
@@ -9,7 +9,12 @@
 from cell.cluster import Cluster
 from cell.scenarios import run_scenario, submit_jobs
 from cell.simulation import Simulation
-from galenastall.coordination.cell.deafness import PROBE_TIMEOUT_S, PROBES, SILENT_CONFIRMS
+from galenastall.coordination.cell.deafness import (
+    PROBE_PAUSE_S,
+    PROBE_TIMEOUT_S,
+    PROBES,
+    SILENT_CONFIRMS,
+)
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.node.cell.link_repair import REBIND_EVERY_S
 
@@ -102,25 +107,27 @@
 
 class TestHealthySockets:
     @pytest.mark.parametrize(
-        "begin",
+        ("begin", "probed"),
         [
-            _cut_from_leader,
-            _cut_one_way,
-            _cut_from_all_hosts,
-            _cut_from_all,
-            _lose_store,
-            _slow_store,
-            _deaf_in_an_outage,
+            (_cut_from_leader, {OTHER}),
+            (_cut_one_way, {OTHER}),
+            (_cut_from_all_hosts, {OTHER}),
+            (_cut_from_all, set()),
+            (_lose_store, set()),
+            (_slow_store, set()),
+            (_deaf_in_an_outage, set()),
         ],
     )
     async def test_they_are_kept_in_cuts_and_outages(
-        self, autojump_clock: object, begin: Callable[[Simulation], None]
+        self, autojump_clock: object, begin: Callable[[Simulation], None], probed: set[str]
     ) -> None:
         async def scenario(cluster: Cluster, simulation: Simulation, rng: Random) -> None:
             await _settle(cluster)
             begin(simulation)
             await trio.sleep(20.0)
             assert simulation.rebuilt == []
+            assert set(simulation.probed) == probed
+            assert len(simulation.probed) <= 20.0 / PROBE_PAUSE_S
             simulation.faults.clear()
             await trio.sleep(3.0)
             assert all(live.host.is_ready for live in cluster.live.values())
