Read an executor's listing into typed rows, or count it as no answer

Callers saw requests end without an answer and, later, 503: with one of 24 executors that listed a row that is too short, a word where a number stands or deep nesting, three hosts ended about 30 times each in 60 s.

Cause: rows were plain lists. Cells were indexed and passed to `int` after the checked decoding, and the decoder's RecursionError was not caught.

Rows are now typed, with bounded numbers and texts. A row that can't be read makes the whole answer an error of that executor that names row and field: without the row, its run would look ended and start twice. The executor counts as not answering; ends in such an answer are not acknowledged and are listed again. Rows with an unknown task or end name are skipped as before. Task names are matched whole, so no long or foreign digits reach `int`.

--- a/src/galenastall/platform/executors.py
+++ b/src/galenastall/platform/executors.py
@@ -7,9 +7,9 @@
 from returns.result import Failure, Result, Success
 
 from galenastall.coordination.cell.commands import StartOrder, StopOrder, ThrottleOrder
-from galenastall.coordination.cell.listings import ListedEnd, ListedRun, Listing
 from galenastall.platform.calls import PlatformCalls, decode_answer
-from galenastall.platform.names import END_BY_NAME, parse_task, task_name
+from galenastall.platform.listings import WireListing, decode_listing
+from galenastall.platform.names import task_name
 from galenastall.protocol.cell.executor_port import (
     ExecutorPort,
     ListingAnswer,
@@ -21,6 +21,7 @@
     make_executor_id,
     started_at_ms_of,
 )
+from galenastall.state.decoding import Whole
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.http_client import BufferedResponse
 
@@ -29,7 +30,6 @@
 _CONFLICT: Final = 409
 _OTHER_EXECUTOR: Final = 421
 _UNHEALTHY: Final = frozenset({429, 503})
-_FIGURE_INDEX: Final = 4
 _EXPECTED_EXECUTOR_HEADER: Final = "Expected-Instance"
 """Names the executor that an order is addressed to, in any of its incarnations."""
 _VERDICT_BY_REASON: Final = {
@@ -59,51 +59,10 @@
 class WireAnswer(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """Fields that any response of an executor may carry."""
 
-    clock_ms: int | None = None
+    clock_ms: Whole | None = None
     reason: str = ""
 
 
-class WireListing(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
-    """Rows of running and of finished runs."""
-
-    clock_ms: int
-    born: int | None = None
-    """Start time in milliseconds since 1970; None if the executor does not report it."""
-    running: list[list[Any]] = []
-    """Task, run, checkpoint, percent done, and a rough figure: CPU use or tail latency."""
-    finished: list[list[Any]] = []
-    """Position, task, run, end, checkpoint."""
-
-    def to_listing(self) -> Listing:
-        """Convert to the internal type; rows with an unknown task or end name are skipped."""
-        return Listing(
-            clock_ms=self.clock_ms,
-            running=tuple(run for row in self.running if (run := _running(row)) is not None),
-            ended=tuple(end for row in self.finished if (end := _ended(row)) is not None),
-        )
-
-
-def _running(row: list[Any]) -> ListedRun | None:
-    task = parse_task(str(row[0]))
-    if task is None:
-        return None
-    return ListedRun(
-        task=task,
-        run=int(row[1]),
-        saved=str(row[2]),
-        percent=int(row[3]),
-        figure=int(row[4]) if len(row) > _FIGURE_INDEX else 0,
-    )
-
-
-def _ended(row: list[Any]) -> ListedEnd | None:
-    task = parse_task(str(row[1]))
-    end = END_BY_NAME.get(str(row[3]))
-    if task is None or end is None:
-        return None
-    return ListedEnd(position=int(row[0]), task=task, run=int(row[2]), end=end, saved=str(row[4]))
-
-
 class PlatformExecutors(ExecutorPort):
     """ExecutorPort over HTTP."""
 
@@ -173,8 +132,7 @@
             return answer
         response = answer.unwrap()
         if response.status == _OK:
-            listing = decode_answer(response, WireListing, step=_RENEW.step, peer=address)
-            return listing.map(
+            return _listing(response, peer=address).map(
                 lambda found: ListingAnswer(
                     verdict=StartVerdict.STARTED,
                     executor_id=_responding_id(executor_id, found.born),
@@ -225,6 +183,14 @@
     return make_executor_id(executor_name(executor_id), born_ms)
 
 
+def _listing(response: BufferedResponse, *, peer: str) -> Result[WireListing, StepError]:
+    return decode_listing(response.body).alt(
+        lambda detail: StepError(
+            step=_RENEW.step, peer=peer, reason=Reason.CUT, detail=f"listing: {detail}"
+        )
+    )
+
+
 def _verdict(response: BufferedResponse, *, step: str, peer: str) -> Result[OrderAnswer, StepError]:
     """Return the verdict of a response; CUT if its status or body is not understood."""
     if response.status == _OTHER_EXECUTOR:
--- a/src/galenastall/platform/names.py
+++ b/src/galenastall/platform/names.py
@@ -1,9 +1,13 @@
 """The platform's names of tasks, steps and run ends."""
 
+import re
+from typing import Final
+
 from galenastall.state.cell.jobs import StepKey, TaskKey
 from galenastall.state.cell.phases import RunEnd
 
-_TASK_PARTS = 4
+_TASK: Final = re.compile(r"([^.]{0,64})\.(\d{1,15})\.(\d{1,15})\.(\d{1,15})", re.ASCII)
+"""Bounds each number: `int` raises ValueError for a text of thousands of digits."""
 END_BY_NAME = {
     "done": RunEnd.DONE,
     "failed": RunEnd.FAILED,
@@ -26,8 +30,8 @@
 
 def parse_task(name: str) -> TaskKey | None:
     """Return the task of a name, or None if the name is malformed."""
-    parts = name.split(".")
-    if len(parts) != _TASK_PARTS or not all(part.isdecimal() for part in parts[1:]):
+    found = _TASK.fullmatch(name)
+    if found is None:
         return None
-    job, occurrence, step, number = parts
+    job, occurrence, step, number = found.groups()
     return TaskKey(job, int(occurrence), int(step), int(number))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -23,11 +23,12 @@
 from galenastall.platform.advisor import PlatformAdvisor
 from galenastall.platform.calls import AddressProvider, PlatformCalls
 from galenastall.platform.config import WireConfig
-from galenastall.platform.executors import PlatformExecutors, WireListing
+from galenastall.platform.executors import PlatformExecutors
 from galenastall.platform.fleet import WireEntry, decode_executor
 from galenastall.platform.hosts import PlatformHosts
 from galenastall.platform.job_routes import JobRoutes
 from galenastall.platform.keyed_follower import KeyedFollower
+from galenastall.platform.listings import WireListing
 from galenastall.platform.live_settings import LiveSettings
 from galenastall.platform.log_wire import (
     WireError,
