Return a typed error for requests and responses that can't be coded

A header outside Latin-1 or with a line break, a path outside ASCII, a port above 65535 and a host that is no name raised from the HTTP client, as did a time to retry in superscripts and an error body that is nested deeply; the caller's task ended, with a leader its host. A time to retry of 400 digits was read as infinity, which can't be rounded for the answer.

Cause: the errors named were those of the network and of the peer only, and `isdigit` accepts more than `int` and `float` read.

Numbers are read by parse_whole.

--- a/src/galenastall/transport/http_client.py
+++ b/src/galenastall/transport/http_client.py
@@ -17,6 +17,7 @@
 
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.security import ClientTls, TlsFiles
+from galenastall.state.decoding import decode_json_value, parse_whole
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.http_exchange import (
     Call,
@@ -322,8 +323,7 @@
 
 
 def _expected_bytes(headers: Mapping[str, str]) -> int:
-    text = headers.get("content-length", "")
-    return int(text) if text.isdigit() else 0
+    return parse_whole(headers.get("content-length", "")) or 0
 
 
 def _typed(
@@ -346,9 +346,8 @@
     A typed error in the body is kept, with the responding peer filled in; otherwise the status
     decides. An unknown server error counts as one after which the request may have taken effect.
     """
-    try:
-        typed = msgspec.json.decode(answer.body, type=StepError)
-    except msgspec.MsgspecError:
+    typed = decode_json_value(answer.body, StepError)
+    if isinstance(typed, Failure):
         reason = _REASON_BY_STATUS.get(answer.status, _reason_of_class(answer.status))
         text = answer.body[:_DETAIL_LIMIT_BYTES].decode("utf-8", "replace")
         detail = f"status {answer.status}: {text}"
@@ -356,7 +355,8 @@
         return StepError(
             step=step, peer=peer, reason=reason, detail=detail, retry_after_s=retry_after_s
         )
-    return replace(typed, peer=typed.peer or peer)
+    found = typed.unwrap()
+    return replace(found, peer=found.peer or peer)
 
 
 def _reason_of_class(status: int) -> Reason:
@@ -364,5 +364,5 @@
 
 
 def _retry_after(headers: Mapping[str, str]) -> float | None:
-    text = headers.get("retry-after", "")
-    return float(text) if text.isdigit() else None
+    seconds = parse_whole(headers.get("retry-after", ""))
+    return None if seconds is None else float(seconds)
--- a/src/galenastall/transport/http_exchange.py
+++ b/src/galenastall/transport/http_exchange.py
@@ -9,12 +9,17 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from galenastall.state.decoding import shorten
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.http_pool import AddressPool, PooledConnection
 
 _NO_BODY_STATUSES: Final = frozenset({204, 304})
 
 
+_CONNECT_ERRORS: Final = (OSError, trio.BrokenResourceError, ValueError, OverflowError)
+"""What connecting may raise; the last two for a host that is no address."""
+
+
 class ResponseCutError(Exception):
     """A response body was truncated or missed the deadline."""
 
@@ -59,6 +64,11 @@
         return StepError(step=self.step, peer=self.address, reason=reason, detail=detail)
 
 
+def _describe(error: Exception) -> str:
+    """Return the text of an error, shortened, or its type if it has none."""
+    return shorten(str(error)) or type(error).__name__
+
+
 class _ResponseBody:
     """Chunks of a response; a class rather than a generator, so that abandoning it is cheap."""
 
@@ -80,7 +90,7 @@
             try:
                 chunk: bytes = await self._chunks.__anext__()
             except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-                cause = f"response truncated: {error or type(error).__name__}"
+                cause = f"response truncated: {_describe(error)}"
                 self._error = self._cut(Reason.CUT, cause)
                 raise self._error from error
             self._received_bytes += len(chunk)
@@ -153,22 +163,32 @@
     with trio.move_on_at(deadline):
         try:
             return Success(await pool.get_connection())
-        except (OSError, trio.BrokenResourceError) as error:
+        except _CONNECT_ERRORS as error:
             cause = error.__cause__ or error
-            return Failure(call.error(Reason.UNREACHABLE, f"connect: {cause}"))
+            return Failure(call.error(Reason.UNREACHABLE, f"connect: {shorten(str(cause))}"))
     return Failure(call.error(Reason.UNREACHABLE, "connect: timed out"))
 
 
 async def _send(
     call: Call, pool: AddressPool, connection: PooledConnection
 ) -> Result[Exchange, StepError]:
+    try:
+        request = _build_request(call, pool)
+    except ValueError as error:
+        detail = f"request can't be encoded: {_describe(error)}"
+        return Failure(await _give_up(call, connection, Reason.CUT, detail))
     response: httpcore.Response | None = None
     try:
         with trio.move_on_at(call.head_deadline):
-            response = await connection.http.handle_async_request(_build_request(call, pool))
+            response = await connection.http.handle_async_request(request)
     except (httpcore.NetworkError, httpcore.RemoteProtocolError) as error:
-        detail = f"no response: {error or type(error).__name__}"
+        detail = f"no response: {_describe(error)}"
         return Failure(await _give_up(call, connection, Reason.CUT, detail))
+    except httpcore.LocalProtocolError as error:
+        if connection.stream.has_sent:
+            await connection.stream.aclose()
+            raise
+        return Failure(await _give_up(call, connection, Reason.CUT, _describe(error)))
     except BaseException:
         await connection.stream.aclose()
         raise
--- a/src/galenastall/transport/http_pool.py
+++ b/src/galenastall/transport/http_pool.py
@@ -9,8 +9,10 @@
 import trio
 
 from galenastall.protocol.clock import Clock
+from galenastall.state.decoding import parse_whole, shorten
 from galenastall.transport.http_stream import SendTrackingStream, connect_stream
 
+MAX_PORT: Final = 65_535
 DEFAULT_KEEP_ALIVE_S: Final = 15.0
 """Seconds that an idle connection is kept; well below the keep-alive time of servers."""
 
@@ -38,10 +40,11 @@
     ) -> None:
         """Create an empty pool; raises ValueError if `address` is not `IP:port`."""
         host, _, port = address.rpartition(":")
-        if not host or not port.isdigit():
-            raise ValueError(f"address: expected IP:port, got {address!r}")
+        port_number = parse_whole(port, most=MAX_PORT)
+        if not host or port_number is None:
+            raise ValueError(f"address: expected IP:port, got {shorten(repr(address))}")
         self._host = host.strip("[]")
-        self._port = int(port)
+        self._port = port_number
         scheme = b"http" if tls_context is None else b"https"
         self.scheme = scheme
         self.host = self._host.encode()
