Confine an unexpected error in a call to one executor to that executor

One executor whose answer raised where no error was expected ended the leader, and the next one, which called the same executor.

The leader now calls executors through a port that turns an unexpected exception into CUT, as the order may have been carried out, and records it with its place and stack as executor.unexpected: one line when it begins, each one in galenastall_events. The executor counts as not answering, so it gets no starts and no lease, its runs lapse and start elsewhere. Errors of the leader's core and of its store are not covered and still end the term.

Details no longer use up the budget of their kind's log lines: repeats for one executor took the first line of the next.

--- a/src/galenastall/node/cell/leader_term.py
+++ b/src/galenastall/node/cell/leader_term.py
@@ -16,6 +16,7 @@
 from galenastall.node.cell.advice_dispatcher import AdviceDispatcher
 from galenastall.node.cell.advice_recovery import AdviceRecovery
 from galenastall.node.cell.commit_loop import CommitLoop
+from galenastall.node.cell.contained_executors import ContainedExecutors
 from galenastall.node.cell.executor_sessions import ExecutorSessions
 from galenastall.node.cell.fleet_follower import FleetFollower
 from galenastall.node.cell.hosts_driver import HostsDriver
@@ -85,7 +86,7 @@
             core=self.core,
             token=token,
             confirmed_at=claimed_at,
-            executors=parts.executors,
+            executors=ContainedExecutors(executors=parts.executors, recorder=parts.recorder),
             clock=parts.clock,
             recorder=parts.recorder,
             on_lost=self._on_lost,
--- a/src/galenastall/transport/log_budget.py
+++ b/src/galenastall/transport/log_budget.py
@@ -72,7 +72,8 @@
     ) -> None:
         """Count an event, and write its line if the budget of its kind allows it."""
         self._events.add(1, step)
-        kept = level if self._budget.allows(step) else Level.DETAIL
+        is_line = level > Level.DETAIL
+        kept = level if is_line and self._budget.allows(step) else Level.DETAIL
         super().record(step, peer=peer, subjects=subjects, cause=cause, fields=fields, level=kept)
 
     def report_suppressed(self, dropped_writes: int) -> None:
--- a/src/galenastall/transport/unexpected.py
+++ b/src/galenastall/transport/unexpected.py
@@ -30,6 +30,7 @@
     *,
     peer: str = "",
     subjects: Sequence[str] = (),
+    level: Level = Level.ERROR,
 ) -> None:
     """Record an error, or each error of a group, with its place and its stack."""
     for each in _errors_in(error):
@@ -40,7 +41,7 @@
             subjects=subjects,
             cause=shorten(f"{type(each).__name__}: {each}"),
             fields={"place": place_of(each), "stack": stack[-_STACK_CHARS:]},
-            level=Level.ERROR,
+            level=level,
         )
 
 
