Show with real processes that odd rows of one executor end no host

Three entry hosts and four executors, one of which lists rows that are too short: its jobs complete on the others, no host ends, and it gets work once its answers can be read.

--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -14,16 +14,21 @@
 from random import Random
 from typing import Final
 
+import pytest
 import trio
 
 from galenastall.platform.standin.callers import StandinCaller
+from galenastall.platform.standin.executor_routes import ExecutorRoutes
 from galenastall.platform.standin.hosts import StandinHost, make_hosts
 from galenastall.platform.standin.processes import SOURCE, start_process
 from galenastall.platform.standin.server import PlatformStandin, StandinPlan
 from galenastall.platform.store import CLAIM_KEY, STATE_TOPIC
+from galenastall.standin.cell.executors import Executor
 from galenastall.standin.cell.live_simulation import JobPayload, StepPayload
 from galenastall.state.resources import Resources
 from galenastall.transport.clock import TrioClock
+from galenastall.transport.http_json import json_response
+from galenastall.transport.http_messages import HttpResponse
 
 TIMEOUT_S: Final = 60.0
 JOBS: Final = 24
@@ -105,9 +110,9 @@
         if was_rejected:
             self.refused.add(job_id)
 
-    async def submit_some(self, first: int) -> None:
+    async def submit_some(self, first: int, *, jobs: int = JOBS) -> None:
         async with trio.open_nursery() as nursery:
-            for number in range(first, first + JOBS):
+            for number in range(first, first + jobs):
                 nursery.start_soon(self.submit, number)
                 await trio.sleep(SUBMIT_INTERVAL_S)
 
@@ -280,6 +285,38 @@
         assert len(took_s) == 2
 
 
+class TestOddAnswers:
+    async def test_an_executor_whose_rows_are_too_short_ends_no_host(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        odd = {"executor-1"}
+        listing = ExecutorRoutes._listing
+
+        def answer(routes: ExecutorRoutes, executor: Executor) -> HttpResponse:
+            if routes.executor_id not in odd:
+                return listing(routes, executor)
+            return json_response(200, {"clockMs": 5, "running": [["a.0.0.0", 1]]})
+
+        monkeypatch.setattr(ExecutorRoutes, "_listing", answer)
+        async with running_fleet(tmp_path) as fleet:
+            await fleet.submit_some(0, jobs=8)
+            await fleet.wait_all_ended()
+            assert len(fleet.accepted) == 8
+            simulation = fleet.standin.simulation
+            assert not simulation.executors["executor-1"].finished_runs
+            odd.clear()
+
+            async def has_work() -> bool:
+                await fleet.submit_some(fleet.rng.randrange(10**6, 10**9), jobs=8)
+                executor = simulation.executors["executor-1"]
+                return bool(executor.runs or executor.finished_runs)
+
+            await eventually(has_work)
+            await fleet.wait_all_ended()
+            assert all(process.poll() is None for process in fleet.processes.values())
+            assert simulation.violations == []
+
+
 class TestStart:
     def test_an_entry_host_starts_without_the_metrics_library(self) -> None:
         """Importing it takes about 0.2 s, during which nothing is served."""
