Reject a port of thousands of digits as an unusable entry

What callers saw: requests at a host that came to lead were lost when the host ended by itself (exit code 1), and others got 503 for want of a leader, for as long as the entry stood.

Cause: `_is_address` converted the text of the port by `int` after the checked decoding. `int` raises ValueError above 4,300 digits, and nothing between the reader of the list and the process catches it. Only leaders read the list, so each host that came to lead ended in turn.

Evidence: the users' record holds that message with 4,400 digits on four hosts, all of which led; hosts that never led show no such line.

Change: the port is read by `parse_whole`, which checks the length before it converts, so no text of a port can raise. What the message quotes of the entry is shortened.

--- a/src/galenastall/platform/fleet.py
+++ b/src/galenastall/platform/fleet.py
@@ -13,6 +13,7 @@
 from galenastall.platform.entries import decode_entry
 from galenastall.platform.keyed_follower import KeyedFollower
 from galenastall.state.cell.executor_ids import make_executor_id
+from galenastall.state.decoding import parse_whole, shorten
 from galenastall.state.errors import StepError
 from galenastall.transport.logs import Level, Recorder
 
@@ -41,9 +42,9 @@
     def problem(self) -> str:
         """Return the first error of the entry, with field and value; empty if it is valid."""
         if self.state not in {_READY, _DRAINING}:
-            return f"state: expected {_READY} or {_DRAINING}, got {self.state!r}"
+            return f"state: expected {_READY} or {_DRAINING}, got {shorten(self.state)!r}"
         if not _is_address(self.address):
-            return f"address: expected IP:port, got {self.address!r}"
+            return f"address: expected IP:port, got {shorten(self.address)!r}"
         for name, value in (
             ("cpu", self.capacity.cpu),
             ("memoryRequestMb", self.capacity.memory_request_mb),
@@ -131,4 +132,4 @@
         IPv4Address(host)
     except AddressValueError:
         return False
-    return port.isascii() and port.isdecimal() and 0 < int(port) <= HIGHEST_PORT
+    return bool(parse_whole(port, most=HIGHEST_PORT))
