Skip an executor whose name can't be sent as a header

Cause: only the value of an entry was checked. Its key becomes the header Expected-Instance of each poll; encoding it as Latin-1 raised UnicodeEncodeError, or the HTTP library LocalProtocolError, in the task of the session.

Change: the name is checked with the entry. It has 1 to 200 bytes of printable Latin-1 letters without spaces at its ends, else the entry is unusable: it isn't polled, and the others hold. An entry is reported once for as long as it can't be used, also when it is rewritten with each heartbeat or when all keys are read again.

--- a/src/galenastall/platform/fleet.py
+++ b/src/galenastall/platform/fleet.py
@@ -12,6 +12,7 @@
 from galenastall.platform.calls import AddressProvider, PlatformCalls
 from galenastall.platform.entries import decode_entry
 from galenastall.platform.keyed_follower import KeyedFollower
+from galenastall.platform.names import name_problem
 from galenastall.state.cell.executor_ids import make_executor_id
 from galenastall.state.decoding import parse_whole, shorten
 from galenastall.state.errors import StepError
@@ -84,6 +85,8 @@
         self._recorder = recorder
         self._infos_by_name: dict[str, ExecutorInfo] = {}
         self._values_by_name: dict[str, bytes] = {}
+        self._unusable_names: set[str] = set()
+        """Names whose entry can't be used, each reported once while that lasts."""
 
     async def read(self) -> Result[tuple[ExecutorInfo, ...], StepError]:
         """Return the current list of executors."""
@@ -95,27 +98,42 @@
 
     def _decode_changes(self) -> None:
         values_by_name = self._follower.values_by_key
+        self._unusable_names = {name for name in self._unusable_names if name in values_by_name}
         for gone in self._infos_by_name.keys() - values_by_name.keys():
             del self._infos_by_name[gone]
         for name, value in values_by_name.items():
-            if self._values_by_name.get(name) is not value:
+            if self._values_by_name.get(name) != value:
                 self._apply_entry(name, value)
         self._values_by_name = dict(values_by_name)
 
     def _apply_entry(self, name: str, value: bytes) -> None:
-        entry = decode_executor(value)
-        if isinstance(entry, Success):
-            self._infos_by_name[name] = entry.unwrap().to_info(name)
+        info = decode_info(name, value)
+        if isinstance(info, Success):
+            self._infos_by_name[name] = info.unwrap()
+            self._unusable_names.discard(name)
             return
-        self._recorder.record(
-            "fleet.unreadable", subjects=(name,), cause=entry.failure(), level=Level.WARNING
-        )
+        if name not in self._unusable_names:
+            self._recorder.record(
+                "fleet.unreadable", subjects=(name,), cause=info.failure(), level=Level.WARNING
+            )
+        self._set_unusable(name)
+
+    def _set_unusable(self, name: str) -> None:
+        self._unusable_names.add(name)
         known = self._infos_by_name.get(name)
         if known is not None:
             # It gets no new tasks; its runs go on, and end as its listings report.
             self._infos_by_name[name] = replace(known, is_usable=False)
 
 
+def decode_info(name: str, value: bytes) -> Result[ExecutorInfo, str]:
+    """Return the executor that an entry under `name` describes, or an error message."""
+    problem = name_problem(name)
+    if problem:
+        return Failure(f"name: {problem}")
+    return decode_executor(value).map(lambda entry: entry.to_info(name))
+
+
 def decode_executor(value: bytes) -> Result[WireEntry, str]:
     """Return an executor's entry, or an error message."""
     return decode_entry(value, WireEntry).bind(_validate)
--- a/src/galenastall/platform/names.py
+++ b/src/galenastall/platform/names.py
@@ -1,8 +1,14 @@
-"""The platform's names of tasks, steps and run ends."""
+"""The platform's names of tasks, steps, run ends, executors and machines."""
+
+from typing import Final
 
 from galenastall.state.cell.jobs import StepKey, TaskKey
 from galenastall.state.cell.phases import RunEnd
+from galenastall.state.decoding import shorten
 
+MAX_NAME_BYTES: Final = 200
+"""Longest name of an executor or machine; with a prefix it still is a key of the store."""
+_LAST_LATIN_1: Final = "\u00ff"
 _TASK_PARTS = 4
 END_BY_NAME = {
     "done": RunEnd.DONE,
@@ -31,3 +37,13 @@
         return None
     job, occurrence, step, number = parts
     return TaskKey(job, int(occurrence), int(step), int(number))
+
+
+def name_problem(name: str) -> str:
+    """Return why a name can't be sent as the value of a header; empty if it can."""
+    if not name:
+        return "expected a name, got ''"
+    if len(name.encode()) > MAX_NAME_BYTES:
+        return f"expected at most {MAX_NAME_BYTES} bytes, got {shorten(name)!r}"
+    is_sendable = name.isprintable() and max(name) <= _LAST_LATIN_1 and name == name.strip()
+    return "" if is_sendable else f"expected printable Latin-1 letters, got {name!r}"
--- a/tests/test_entries_of_others.py
+++ b/tests/test_entries_of_others.py
@@ -22,6 +22,7 @@
 from galenastall.platform.log_wire import NewestPage, WireError, split_keyed
 from galenastall.platform.newest_records import decode_page
 from galenastall.platform.standin.log_store import StandinStore
+from galenastall.state.cell.executor_ids import executor_name
 from galenastall.state.timeline_ring import TimelineRing
 from galenastall.transport.clock import TrioClock
 from galenastall.transport.http_client import HttpClient
@@ -37,6 +38,16 @@
     "labels": ["a", "r1"],
 }
 ROUTE: dict[str, Any] = {"name": "q", "host": "h", "service": "service"}
+UNSENDABLE_NAMES = [
+    "\uc810\uac80-01",
+    " i-2",
+    "i-2 ",
+    "i\n2",
+    "i\r\n2",
+    "i\x002",
+    "i\x7f",
+    "n" * 201,
+]
 NOT_UTF8 = b"\x02\xff\xfe" + msgspec.json.encode(GOOD)
 """A keyed record whose key is not UTF-8."""
 
@@ -179,6 +190,28 @@
             assert count_events(harness.recorder, "store.unreadable") == 1
             nursery.cancel_scope.cancel()
 
+    @pytest.mark.parametrize("name", UNSENDABLE_NAMES)
+    async def test_a_name_that_no_header_can_carry_is_skipped_and_reported_once(
+        self, name: str
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            harness = await open_store(nursery)
+            harness.store.put(FLEET_TOPIC, "i-1", GOOD)
+            for sequence in range(3):
+                harness.store.put(FLEET_TOPIC, name, changed(sequence=sequence))
+                assert set(await harness.infos()) == {"i-1"}
+            assert count_events(harness.recorder, "fleet.unreadable") == 1
+            nursery.cancel_scope.cancel()
+
+    @pytest.mark.parametrize("name", ["i-1", "a@b", "é-1", "a b", "n" * 200])
+    async def test_a_name_that_a_header_can_carry_is_used(self, name: str) -> None:
+        async with trio.open_nursery() as nursery:
+            harness = await open_store(nursery)
+            harness.store.put(FLEET_TOPIC, name, GOOD)
+            (executor_id,) = await harness.infos()
+            assert executor_name(executor_id) == name
+            nursery.cancel_scope.cancel()
+
     async def test_an_executor_whose_entry_becomes_invalid_gets_no_new_tasks(self) -> None:
         async with trio.open_nursery() as nursery:
             harness = await open_store(nursery)
