--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -8,13 +8,14 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from galenastall.platform.advisor import WireAdvice
+from galenastall.platform.calls import decode_answer
 from galenastall.platform.config import decode_config
 from galenastall.platform.entries import decode_entry
 from galenastall.platform.fleet import decode_info
-from galenastall.platform.hosts import WireMachine, WireWave
+from galenastall.platform.hosts import WireMachine, WireMachines, WireRefusal, WireWave
 from galenastall.protocol.addresses import split_address
 from galenastall.protocol.cell.config import CellConfig
 from galenastall.protocol.cell.packed_config import PackedConfig, PartialConfig
@@ -23,6 +24,8 @@
     make_executor_id,
     started_at_ms_of,
 )
+from galenastall.state.errors import Reason, StepError
+from galenastall.transport.http_client import BufferedResponse
 from odd_values import ODD_VALUES, replaced
 
 ENTRY: dict[str, Any] = {
@@ -232,3 +235,15 @@
     def test_an_odd_port_is_a_value_error_that_says_what_is_expected(self, port: str) -> None:
         with pytest.raises(ValueError, match="must be IP:port"):
             split_address(f"10.0.0.9:{port}")
+
+
+class TestAnswers:
+    @pytest.mark.parametrize("wanted", [WireMachines, WireRefusal, WireAdvice])
+    @pytest.mark.parametrize("odd", ODD_VALUES)
+    def test_any_body_is_an_answer_or_cut(self, wanted: type[Any], odd: str) -> None:
+        value = ODD_VALUES[odd]
+        for body in (value, b'{"unknown":' + value + b"}", b'{"reason":' + value + b"}"):
+            response = BufferedResponse(status=200, headers={}, body=body)
+            found: Result[Any, StepError] = decode_answer(response, wanted, step="s", peer="p")
+            if isinstance(found, Failure):
+                assert found.failure().reason is Reason.CUT
