Let an unexpected error in one entry cost that entry only

What callers saw: the error of the long port left the reader of the list, the term and the process, though 24 other entries were sound.

Cause: nothing between the conversion of one entry and the process stops an error, so that the next unknown input ends each leader in turn as well.

Change: an executor's entry, a wave and a configuration are decoded in `decode_contained`. What its decoder raises is recorded as fleet.unexpected, wave.unexpected or config.unexpected, with its place and stack and once while it lasts, and the entry can't be used. Only decoding is inside; errors of the core still end the process.

--- a/src/galenastall/platform/config.py
+++ b/src/galenastall/platform/config.py
@@ -9,7 +9,7 @@
 from galenastall.platform.access import digest_of
 from galenastall.platform.amounts import WireAmount
 from galenastall.platform.calls import AddressProvider, PlatformCalls
-from galenastall.platform.entries import ShortText, decode_entry
+from galenastall.platform.entries import EntryProblem, ShortText, decode_contained, decode_entry
 from galenastall.platform.keyed_follower import KeyedFollower
 from galenastall.platform.shared_reads import SharedReads
 from galenastall.platform.transfers import TransferSlot
@@ -225,7 +225,7 @@
         if not value:
             return Success(None)
         if self._decoded is None or value != self._decoded_value:
-            self._decoded = decode_config(value).alt(self._unreadable)
+            self._decoded = decode_contained(lambda: decode_config(value)).alt(self._unreadable)
             self._decoded_value = value
         return self._decoded.map(lambda config: config)
 
@@ -236,7 +236,9 @@
             fields={"bytes": str(size_bytes), "took_ms": f"{took_s * 1000:.0f}"},
         )
 
-    def _unreadable(self, detail: str) -> StepError:
+    def _unreadable(self, problem: EntryProblem) -> StepError:
+        if problem.error is not None:
+            problem.record(self._recorder, kind="config", name=KEY)
         return StepError(
-            step="config.decode", peer=self._address(), reason=Reason.INVALID, detail=detail
+            step="config.decode", peer=self._address(), reason=Reason.INVALID, detail=problem.cause
         )
--- a/src/galenastall/platform/fleet.py
+++ b/src/galenastall/platform/fleet.py
@@ -10,13 +10,13 @@
 from galenastall.coordination.cell.executors import ExecutorInfo
 from galenastall.platform.amounts import WireAmount
 from galenastall.platform.calls import AddressProvider, PlatformCalls
-from galenastall.platform.entries import ShortText, decode_entry
+from galenastall.platform.entries import ShortText, decode_contained, decode_entry
 from galenastall.platform.keyed_follower import KeyedFollower
 from galenastall.platform.names import name_problem
 from galenastall.state.cell.executor_ids import make_executor_id
 from galenastall.state.decoding import Quantity, Whole, parse_whole, shorten
 from galenastall.state.errors import StepError
-from galenastall.transport.logs import Level, Recorder
+from galenastall.transport.logs import Recorder
 
 TOPIC: Final = "keyed.servers"
 HIGHEST_PORT: Final = 65_535
@@ -97,15 +97,13 @@
         self._values_by_name = dict(values_by_name)
 
     def _apply_entry(self, name: str, value: bytes) -> None:
-        info = decode_info(name, value)
+        info = decode_contained(lambda: decode_info(name, value))
         if isinstance(info, Success):
             self._infos_by_name[name] = info.unwrap()
             self._unusable_names.discard(name)
             return
         if name not in self._unusable_names:
-            self._recorder.record(
-                "fleet.unreadable", subjects=(name,), cause=info.failure(), level=Level.WARNING
-            )
+            info.failure().record(self._recorder, kind="fleet", name=name)
         self._set_unusable(name)
 
     def _set_unusable(self, name: str) -> None:
--- a/src/galenastall/platform/hosts.py
+++ b/src/galenastall/platform/hosts.py
@@ -9,14 +9,14 @@
 from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome
 from galenastall.platform.amounts import WireAmount
 from galenastall.platform.calls import AddressProvider, PlatformCalls, decode_answer, to_failure
-from galenastall.platform.entries import ShortText, decode_entry
+from galenastall.platform.entries import ShortText, decode_contained, decode_entry
 from galenastall.platform.log_wire import keyed_record
 from galenastall.platform.store import PRODUCER
 from galenastall.state.cell.hosts import HostState, MaintenanceWave, PoolHost
 from galenastall.state.decoding import Quantity, Whole
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.http_client import BufferedResponse
-from galenastall.transport.logs import Level, Recorder
+from galenastall.transport.logs import Recorder
 
 WAVE_KEY_PREFIX: Final = "wave/"
 """Prefix of the keys in which the operator writes waves, and of those with their states."""
@@ -125,12 +125,10 @@
 
     def _decode_wave(self, key: str, value: bytes) -> MaintenanceWave | None:
         if value not in self._waves_by_value:
-            entry = decode_entry(value, WireWave)
-            if isinstance(entry, Failure):
-                self._recorder.record(
-                    "wave.unreadable", subjects=(key,), cause=entry.failure(), level=Level.WARNING
-                )
-            self._waves_by_value[value] = entry.map(WireWave.to_wave).value_or(None)
+            wave = decode_contained(lambda: decode_entry(value, WireWave).map(WireWave.to_wave))
+            if isinstance(wave, Failure):
+                wave.failure().record(self._recorder, kind="wave", name=key)
+            self._waves_by_value[value] = wave.value_or(None)
         return self._waves_by_value[value]
 
     async def list_hosts(self) -> Result[tuple[PoolHost, ...], StepError]:
--- a/tests/test_entries_of_others.py
+++ b/tests/test_entries_of_others.py
@@ -1,5 +1,6 @@
 """Entries of other writers in the store: no bytes there crash or mislead a host."""
 
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
@@ -17,7 +18,7 @@
 from galenastall.platform.config import PlatformConfig, WireConfig
 from galenastall.platform.entries import decode_entry
 from galenastall.platform.fleet import TOPIC as FLEET_TOPIC
-from galenastall.platform.fleet import PlatformFleet, decode_executor
+from galenastall.platform.fleet import PlatformFleet, WireEntry, decode_executor
 from galenastall.platform.hosts import PlatformHosts, WireWave
 from galenastall.platform.log_wire import NewestPage, WireError, split_keyed
 from galenastall.platform.newest_records import decode_page
@@ -251,6 +252,67 @@
             nursery.cancel_scope.cancel()
 
 
+def fail_for(
+    monkeypatch: pytest.MonkeyPatch, wanted: Any, method: str, is_odd: Callable[..., bool]
+) -> None:
+    """Let a converter raise for the entries that `is_odd` selects."""
+    convert = getattr(wanted, method)
+
+    def fail_or_convert(entry: Any, *arguments: Any) -> Any:
+        if is_odd(entry, *arguments):
+            raise ZeroDivisionError("injected")
+        return convert(entry, *arguments)
+
+    monkeypatch.setattr(wanted, method, fail_or_convert)
+
+
+class TestContainment:
+    async def test_an_unexpected_error_in_one_entry_costs_that_entry_only(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        fail_for(monkeypatch, WireEntry, "to_info", lambda _, name: name == "i-2")
+        async with trio.open_nursery() as nursery:
+            harness = await open_store(nursery)
+            for sequence in range(2):
+                for name in ("i-1", "i-2", "i-3"):
+                    harness.store.put(FLEET_TOPIC, name, changed(sequence=sequence))
+                assert set(await harness.infos()) == {"i-1", "i-3"}
+            (event,) = [e for e in harness.recorder.ring if e.step == "fleet.unexpected"]
+            assert event.subjects == ("i-2",)
+            assert "injected" in event.cause
+            assert "fleet.py" in event.fields["place"]
+            nursery.cancel_scope.cancel()
+
+    async def test_an_unexpected_error_in_one_wave_costs_that_wave_only(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        fail_for(monkeypatch, WireWave, "to_wave", lambda wave: wave.wave == 1)
+        async with trio.open_nursery() as nursery:
+            harness = await open_store(nursery)
+            for number in (1, 2):
+                wave = {"wave": number, "machines": ["m"]}
+                harness.store.put(OPERATOR_TOPIC, f"wave/{number}", wave)
+            await harness.config.wait()
+            for _ in range(2):
+                assert [wave.number for wave in harness.hosts.waves()] == [2]
+            assert count_events(harness.recorder, "wave.unexpected") == 1
+            nursery.cancel_scope.cancel()
+
+    async def test_an_unexpected_error_in_a_configuration_costs_that_version_only(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        fail_for(monkeypatch, WireConfig, "to_config", lambda config: config.version == 1)
+        async with trio.open_nursery() as nursery:
+            harness = await open_store(nursery)
+            harness.store.put(OPERATOR_TOPIC, "config", {"version": 1, "routes": [ROUTE]})
+            assert "ZeroDivisionError" in (await harness.config.wait()).failure().detail
+            harness.store.put(OPERATOR_TOPIC, "config", {"version": 2, "routes": [ROUTE]})
+            config = (await harness.config.wait()).unwrap()
+            assert config is not None
+            assert count_events(harness.recorder, "config.unexpected") == 1
+            nursery.cancel_scope.cancel()
+
+
 class TestCore:
     def test_an_unusable_executor_keeps_its_runs_and_gets_no_others(self) -> None:
         info = make_info("e1")
