Keep the leader when a wave under way is rewritten without hosts

What callers saw: nothing so far. An operator's wave whose list of machines is empty, or missing, while an order of it is out ended the leader, and each next one, as the stored row holds the order.

Cause: the patience of a host is the spare time divided by the rounds of the wave, which are 0 without hosts: ZeroDivisionError.

Change: a wave has one round at least. The order that is out is repeated until its outcome is known; then the wave is completed.

The test, with the leader that ordered and with the next one, failed before.

--- a/src/galenastall/coordination/cell/maintenance.py
+++ b/src/galenastall/coordination/cell/maintenance.py
@@ -62,7 +62,7 @@
 
         `down_s` is the time that each host is down.
         """
-        rounds = ceil(len(self.wave.hosts) / max(self.wave.most_down, 1))
+        rounds = max(ceil(len(self.wave.hosts) / max(self.wave.most_down, 1)), 1)
         spare_s = self.wave.duration_s * WAVE_START_SHARE - rounds * down_s
         return max(spare_s / rounds, MIN_PATIENCE_S)
 
--- a/tests/test_cell_hosts.py
+++ b/tests/test_cell_hosts.py
@@ -111,6 +111,19 @@
         following.begin(make_wave("e1", "e2"))
         assert [order.host for order in following.orders()] == ["e1"]
 
+    def test_a_wave_rewritten_without_hosts_does_not_end_the_leader(self) -> None:
+        harness = HostHarness()
+        harness.begin(make_wave("e1"))
+        (order,) = harness.orders()
+        harness.begin(make_wave())
+        assert harness.orders() == []
+        following = HostHarness(rows=harness.rows)
+        following.begin(make_wave())
+        assert following.orders() == [order]
+        assert not following.answer(order, HostOutcome.DONE)
+        following.orders()
+        assert following.core.hosts.unreported_waves() == {7: True}
+
     def test_a_host_that_is_still_listed_down_counts(self) -> None:
         harness = HostHarness()
         harness.begin(make_wave("e1", "e2"))
