Keep a machine that can't be used on the list, as one that is down

What callers saw: nothing so far. One machine with a number out of range, or a field of another type, failed the whole list, so that no machine was moved or maintained while it stood. A page token with a line feed or letters outside ASCII raised in the HTTP library and ended the leader; a page that names itself as the next one was read for ever.

Cause: a page was decoded as one value, its numbers were not bounded, and its token was put into a path as it came.

Change: machines are decoded one by one. One that can't be used counts as down, so it gets no order, and is not taken for gone; it is reported once as machine.unreadable (machine.unexpected for a defect of the decoder). One without a name makes the list an error as before: nothing may be ordered from an incomplete list. Names that would not fit a key of the store count as down too. The token is quoted; one that was read already is an error.

--- a/src/galenastall/platform/hosts.py
+++ b/src/galenastall/platform/hosts.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from typing import Final
+from urllib.parse import quote
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -11,10 +12,12 @@
 from galenastall.platform.calls import AddressProvider, PlatformCalls, decode_answer, to_failure
 from galenastall.platform.entries import ShortText, decode_contained, decode_entry
 from galenastall.platform.log_wire import keyed_record
+from galenastall.platform.names import MAX_NAME_BYTES
 from galenastall.platform.store import PRODUCER
 from galenastall.state.cell.hosts import HostState, MaintenanceWave, PoolHost
-from galenastall.state.decoding import Quantity, Whole
+from galenastall.state.decoding import Quantity, Whole, shorten
 from galenastall.state.errors import Reason, StepError
+from galenastall.state.resources import NOTHING
 from galenastall.transport.http_client import BufferedResponse
 from galenastall.transport.logs import Recorder
 
@@ -41,13 +44,13 @@
 class WireMachine(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """One machine of a pool."""
 
-    machine: str
-    pool: str
-    state: str
-    labels: list[str] = []
+    machine: ShortText
+    pool: ShortText
+    state: ShortText
+    labels: list[ShortText] = []
     """Its kind, then its rack."""
     capacity: WireAmount = WireAmount()
-    id: str | None = None
+    id: ShortText | None = None
     """Name of its executor, if it has one."""
 
     def to_host(self) -> PoolHost:
@@ -65,8 +68,31 @@
 class WireMachines(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """One page of the list of machines."""
 
-    machines: list[WireMachine] = []
-    next_page_token: str | None = None
+    machines: list[msgspec.Raw] = []
+    """Each a `WireMachine`, decoded on its own so that an unusable one does not fail the list."""
+    next_page_token: ShortText | None = None
+
+
+class WireNamedMachine(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """What must be known of a machine that can't be used."""
+
+    machine: ShortText
+
+    def to_host(self) -> PoolHost:
+        """Return a host that is down: it is on the list, and gets no order."""
+        return PoolHost(host=self.machine, pool="", state=HostState.DOWN, capacity=NOTHING)
+
+
+def decode_machine(value: bytes) -> Result[PoolHost, str]:
+    """Return a machine of the list, or an error message."""
+    return decode_entry(value, WireMachine).bind(_validate)
+
+
+def _validate(machine: WireMachine) -> Result[PoolHost, str]:
+    if 0 < len(machine.machine.encode()) <= MAX_NAME_BYTES:
+        return Success(machine.to_host())
+    detail = f"expected 1 to {MAX_NAME_BYTES} bytes, got {shorten(machine.machine)!r}"
+    return Failure(f"machine: {detail}")
 
 
 class WireWave(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
@@ -112,6 +138,8 @@
         self._store = store
         self._operator_values = operator_values
         self._recorder = recorder
+        self._unusable_names: set[str] = set()
+        """Machines that can't be used, each reported once while that lasts."""
         self._waves_by_value: dict[bytes, MaintenanceWave | None] = {}
 
     def waves(self) -> tuple[MaintenanceWave, ...]:
@@ -136,7 +164,9 @@
         step = "hosts.list"
         hosts: list[PoolHost] = []
         path = "/machines"
-        while True:
+        paths: set[str] = set()
+        while path not in paths:
+            paths.add(path)
             answer = await self._calls.get(
                 step=step, address=self._address(), path=path, timeout_s=CALL_TIMEOUT_S
             )
@@ -149,10 +179,37 @@
             if isinstance(page, Failure):
                 return page
             found = page.unwrap()
-            hosts += [machine.to_host() for machine in found.machines]
+            for raw in found.machines:
+                host = self._decode_machine(bytes(raw))
+                if isinstance(host, Failure):
+                    return Failure(self._cut(step, f"machines[{len(hosts)}]: {host.failure()}"))
+                hosts.append(host.unwrap())
             if not found.next_page_token:
+                self._unusable_names &= {host.host for host in hosts}
                 return Success(tuple(hosts))
-            path = f"/machines?pageToken={found.next_page_token}"
+            path = f"/machines?pageToken={quote(found.next_page_token, safe='')}"
+        return Failure(self._cut(step, "nextPageToken: a page names one that was read already"))
+
+    def _decode_machine(self, raw: bytes) -> Result[PoolHost, str]:
+        """Return a machine, down if it can't be used, or an error message if it has no name.
+
+        Without its name the list would be incomplete, and nothing may be ordered by that.
+        """
+        host = decode_contained(lambda: decode_machine(raw))
+        if isinstance(host, Success):
+            self._unusable_names.discard(host.unwrap().host)
+            return Success(host.unwrap())
+        named = decode_entry(raw, WireNamedMachine).map(WireNamedMachine.to_host)
+        if isinstance(named, Failure):
+            return Failure(host.failure().cause)
+        name = named.unwrap().host
+        if name not in self._unusable_names:
+            self._unusable_names.add(name)
+            host.failure().record(self._recorder, kind="machine", name=name)
+        return named
+
+    def _cut(self, step: str, detail: str) -> StepError:
+        return StepError(step=step, peer=self._address(), reason=Reason.CUT, detail=detail)
 
     async def order(
         self, order: HostOrder, *, holder: str, token: int
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -15,7 +15,7 @@
 from galenastall.platform.config import decode_config
 from galenastall.platform.entries import decode_entry
 from galenastall.platform.fleet import decode_info
-from galenastall.platform.hosts import WireMachine, WireMachines, WireRefusal, WireWave
+from galenastall.platform.hosts import WireMachines, WireRefusal, WireWave, decode_machine
 from galenastall.protocol.addresses import split_address
 from galenastall.protocol.cell.config import CellConfig
 from galenastall.protocol.cell.packed_config import PackedConfig, PartialConfig
@@ -104,7 +104,7 @@
 
 
 def read_machine(value: bytes) -> Result[Any, str]:
-    return decode_entry(value, WireMachine).map(WireMachine.to_host)
+    return decode_machine(value)
 
 
 def read_advice(value: bytes) -> Result[Any, str]:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -613,8 +613,23 @@
         return self.answers.pop(0) if self.answers else HttpResponse(status=200)
 
 
+class RepeatingRoutes:
+    """A list of machines whose pages all name the same next page."""
+
+    def __init__(self, token: str) -> None:
+        self.token = token
+        self.tokens: list[str] = []
+
+    @route("GET", "/machines")
+    async def show(self, request: HttpRequest) -> HttpResponse:
+        self.tokens.append(request.query.get("pageToken", ""))
+        return json_response(200, {"machines": [], "nextPageToken": self.token})
+
+
 async def make_hosts_port(
-    nursery: trio.Nursery, routes: HostRoutes, values: dict[str, bytes] | None = None
+    nursery: trio.Nursery,
+    routes: HostRoutes | RepeatingRoutes,
+    values: dict[str, bytes] | None = None,
 ) -> tuple[PlatformHosts, StandinStore]:
     store = StandinStore()
     port = PlatformHosts(
@@ -658,6 +673,50 @@
             assert hosts[1].capacity == Resources(cores_milli=4000)
             nursery.cancel_scope.cancel()
 
+    @pytest.mark.parametrize(
+        "odd",
+        [
+            {"machine": "m-2", "pool": "s", "state": "up", "capacity": {"cpu": 10**20}},
+            {"machine": "m-2", "pool": "s", "state": "up", "capacity": {"cpu": -1}},
+            {"machine": "m-2", "pool": 3, "state": "up"},
+            {"machine": "m-2"},
+        ],
+    )
+    async def test_an_odd_machine_stays_on_the_list_and_gets_no_order(
+        self, odd: dict[str, Any]
+    ) -> None:
+        machines = [{"machine": "m-1", "pool": "s", "state": "up"}, odd]
+        async with trio.open_nursery() as nursery:
+            port, _ = await make_hosts_port(nursery, HostRoutes(*machines))
+            for _ in range(2):
+                first, second = (await port.list_hosts()).unwrap()
+                assert (first.host, first.state) == ("m-1", HostState.UP)
+                assert (second.host, second.state) == ("m-2", HostState.DOWN)
+            nursery.cancel_scope.cancel()
+
+    @pytest.mark.parametrize("odd", [{}, {"machine": 3}, {"machine": "m" * 1_001}])
+    async def test_a_machine_without_a_name_makes_the_list_an_error(
+        self, odd: dict[str, Any]
+    ) -> None:
+        machines = [{"machine": "m-1", "pool": "s", "state": "up"}, odd]
+        async with trio.open_nursery() as nursery:
+            port, _ = await make_hosts_port(nursery, HostRoutes(*machines))
+            error = (await port.list_hosts()).failure()
+            assert error.reason is Reason.CUT
+            assert error.detail.startswith("machines[1]: ")
+            nursery.cancel_scope.cancel()
+
+    @pytest.mark.parametrize("token", ["0", "\uc810 &x=", "a\r\nb"])
+    async def test_any_page_token_is_sent_and_a_repeated_one_ends_the_reading(
+        self, token: str
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            routes = RepeatingRoutes(token)
+            port, _ = await make_hosts_port(nursery, routes)
+            assert "nextPageToken" in (await port.list_hosts()).failure().detail
+            assert routes.tokens == ["", token]
+            nursery.cancel_scope.cancel()
+
     async def test_orders_carry_holder_and_token(self) -> None:
         async with trio.open_nursery() as nursery:
             routes = HostRoutes()
