Test what holds while an odd entry stands, and when it goes

Asked of the design, and found to hold; no code is changed.

- An executor whose entry turns odd is unusable, goes with its entry, and is used again with a sound one.
- Its runs go on: for 30 s it is polled at the address read last, its leases are extended, and nothing of it is started elsewhere.
- A new leader that has read nothing but the odd entry starts the runs there again only once their leases have expired, each once.

--- a/tests/test_entries_of_others.py
+++ b/tests/test_entries_of_others.py
@@ -12,7 +12,9 @@
 from returns.result import Failure, Success
 
 from cell.rig import Harness, make_info, make_job, make_step
+from galenastall.coordination.cell.commands import StartOrder
 from galenastall.coordination.cell.executors import ExecutorInfo
+from galenastall.coordination.cell.listings import ListedRun
 from galenastall.platform.calls import PlatformCalls
 from galenastall.platform.config import TOPIC as OPERATOR_TOPIC
 from galenastall.platform.config import PlatformConfig, WireConfig
@@ -23,12 +25,14 @@
 from galenastall.platform.log_wire import NewestPage, WireError, split_keyed
 from galenastall.platform.newest_records import decode_page
 from galenastall.platform.standin.log_store import StandinStore
+from galenastall.protocol.addresses import split_address
 from galenastall.state.cell.executor_ids import executor_name
 from galenastall.state.timeline_ring import TimelineRing
 from galenastall.transport.clock import TrioClock
 from galenastall.transport.http_client import HttpClient
 from galenastall.transport.http_server import HttpServer
 from galenastall.transport.logs import Recorder
+from odd_values import replaced
 
 GOOD: dict[str, Any] = {
     "service": "service",
@@ -226,6 +230,38 @@
             assert (await harness.infos())["i-1"].is_usable
             nursery.cancel_scope.cancel()
 
+    async def test_among_odd_entries_the_sound_ones_stay_in_use(self) -> None:
+        odd = dict(replaced(GOOD))
+        async with trio.open_nursery() as nursery:
+            harness = await open_store(nursery)
+            assert await harness.infos() == {}
+            for number, value in enumerate(odd.values()):
+                key = f"odd-{number}".encode()
+                harness.store.put_record(FLEET_TOPIC, bytes([len(key)]) + key + value)
+                if number % 50 == 0:
+                    harness.store.put(FLEET_TOPIC, f"i-{number}", GOOD)
+            for _ in range(2):
+                infos = await harness.infos()
+                assert {f"i-{n}" for n in range(0, len(odd), 50)} <= set(infos)
+                assert all(split_address(info.address)[1] > 0 for info in infos.values())
+            skipped = len(odd) - sum(1 for each in infos if each.startswith("odd-"))
+            gone = sum(1 for value in odd.values() if not value)
+            assert 0 < skipped - gone == count_events(harness.recorder, "fleet.unreadable")
+            nursery.cancel_scope.cancel()
+
+    async def test_an_odd_entry_of_a_known_executor_goes_and_comes_back(self) -> None:
+        async with trio.open_nursery() as nursery:
+            harness = await open_store(nursery)
+            for _ in range(2):
+                harness.store.put(FLEET_TOPIC, "i-1", GOOD)
+                assert (await harness.infos())["i-1"].is_usable
+                harness.store.put(FLEET_TOPIC, "i-1", changed(address="10.0.0.9:" + "9" * 4_400))
+                assert not (await harness.infos())["i-1"].is_usable
+                harness.store.put_record(FLEET_TOPIC, b"\x03i-1")
+                assert await harness.infos() == {}
+            assert count_events(harness.recorder, "fleet.unreadable") == 2
+            nursery.cancel_scope.cancel()
+
 
 class TestOperatorEntries:
     async def test_an_unreadable_configuration_is_a_failure_and_the_next_one_is_read(self) -> None:
@@ -327,6 +363,52 @@
             now=harness.now, reach_s=10.0, delisted_grace_s=10.0
         )
 
+    def test_runs_of_an_executor_whose_entry_turns_odd_go_on_and_keep_their_lease(self) -> None:
+        info, other = make_info("e1"), make_info("e2")
+        harness = Harness(info)
+        harness.submit(make_job(make_step(2, cores=2000)))
+        orders = harness.step()
+        harness.confirm_starts(orders)
+        running = tuple(ListedRun(task=order.task, run=order.run) for order in orders)
+        for _ in range(60):
+            harness.now += 0.5
+            harness.update_fleet(replace(info, is_usable=False), other)
+            executor = harness.core.executors_by_id["e1"]
+            assert executor.needs_polling(harness.now)
+            assert executor.info.address == info.address
+            harness.listing("e1", running)
+            harness.listing("e2")
+            assert harness.step() == []
+            assert not executor.clock.has_lapsed(harness.now)
+        assert harness.runs_on("e1") == {order.task for order in orders}
+
+    def test_a_new_leader_that_reads_an_odd_entry_starts_its_runs_again_after_their_lease(
+        self,
+    ) -> None:
+        info = make_info("e1")
+        earlier = Harness(info)
+        earlier.submit(make_job(make_step(2, cores=2000)))
+        orders = earlier.step()
+        earlier.confirm_starts(orders)
+        earlier.commit()
+        other = make_info("e2")
+        later = Harness(other, rows=earlier.rows)
+        adopted = later.core.executors_by_id["e1"]
+        assert later.runs_on("e1") == {order.task for order in orders}
+        again: list[StartOrder] = []
+        for _ in range(200):
+            later.now += 0.5
+            later.update_fleet(other)
+            later.listing("e2", tuple(ListedRun(task=o.task, run=o.run) for o in again))
+            has_lapsed = adopted.clock.has_lapsed(later.now)
+            started = later.step()
+            assert has_lapsed or not started
+            later.confirm_starts(started)
+            again += started
+        assert {order.task for order in again} == {order.task for order in orders}
+        assert {order.executor_id for order in again} == {"e2"}
+        assert len(again) == len(orders)
+
     def test_executors_of_services_that_are_not_named_are_not_in_the_table(self) -> None:
         harness = Harness()
         unnamed = replace(make_info("e2"), service="strange")
--- a/tests/test_platform_access.py
+++ b/tests/test_platform_access.py
@@ -89,7 +89,6 @@
         assert found.startswith(problem)
         assert KEY not in found
 
-
     @pytest.mark.parametrize("amount", [-5, 2**41, 10**20])
     def test_a_limit_out_of_range_is_an_error_with_its_field(self, amount: int) -> None:
         table = make_table(make_tenant("a", KEY, upperLimit={"cpu": amount}))
