--- a/src/galenastall/platform/fleet.py
+++ b/src/galenastall/platform/fleet.py
@@ -10,11 +10,13 @@
 from galenastall.coordination.cell.executors import ExecutorInfo
 from galenastall.platform.amounts import WireAmount
 from galenastall.platform.calls import AddressProvider, PlatformCalls
-from galenastall.platform.entries import decode_entry
+from galenastall.platform.entries import ShortText, decode_contained, decode_entry
 from galenastall.platform.keyed_follower import KeyedFollower
+from galenastall.platform.names import name_problem
 from galenastall.state.cell.executor_ids import make_executor_id
+from galenastall.state.decoding import Quantity, Whole, parse_whole, shorten
 from galenastall.state.errors import StepError
-from galenastall.transport.logs import Level, Recorder
+from galenastall.transport.logs import Recorder
 
 TOPIC: Final = "keyed.servers"
 HIGHEST_PORT: Final = 65_535
@@ -25,35 +27,25 @@
 class WireEntry(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """An executor's entry; its key is the executor's name."""
 
-    service: str
-    address: str
-    state: str
-    zone: str = ""
+    service: ShortText
+    address: ShortText
+    state: ShortText
+    zone: ShortText = ""
     capacity: WireAmount = WireAmount()
-    labels: list[str] = []
+    labels: list[ShortText] = []
     """Its kind, then its rack."""
-    machine: str = ""
+    machine: ShortText = ""
     """The host that it runs on; empty if the platform names none."""
-    born: int | None = None
+    born: Whole | None = None
     """Start time in milliseconds since 1970; None if the executor does not report it."""
-    drain_remaining_ms: float = 0.0
+    drain_remaining_ms: Quantity = 0.0
 
     def problem(self) -> str:
         """Return the first error of the entry, with field and value; empty if it is valid."""
         if self.state not in {_READY, _DRAINING}:
-            return f"state: expected {_READY} or {_DRAINING}, got {self.state!r}"
+            return f"state: expected {_READY} or {_DRAINING}, got {shorten(self.state)!r}"
         if not _is_address(self.address):
-            return f"address: expected IP:port, got {self.address!r}"
-        for name, value in (
-            ("cpu", self.capacity.cpu),
-            ("memoryRequestMb", self.capacity.memory_request_mb),
-            ("gpus", self.capacity.gpus),
-            ("drainRemainingMs", self.drain_remaining_ms),
-        ):
-            if value < 0:
-                return f"{name}: expected 0 or more, got {value}"
-        if self.born is not None and self.born < 0:
-            return f"born: expected 0 or more, got {self.born}"
+            return f"address: expected IP:port, got {shorten(self.address)!r}"
         return ""
 
     def to_info(self, name: str) -> ExecutorInfo:
@@ -83,6 +75,8 @@
         self._recorder = recorder
         self._infos_by_name: dict[str, ExecutorInfo] = {}
         self._values_by_name: dict[str, bytes] = {}
+        self._unusable_names: set[str] = set()
+        """Names whose entry can't be used, each reported once while that lasts."""
 
     async def read(self) -> Result[tuple[ExecutorInfo, ...], StepError]:
         """Return the current list of executors."""
@@ -94,27 +88,40 @@
 
     def _decode_changes(self) -> None:
         values_by_name = self._follower.values_by_key
+        self._unusable_names = {name for name in self._unusable_names if name in values_by_name}
         for gone in self._infos_by_name.keys() - values_by_name.keys():
             del self._infos_by_name[gone]
         for name, value in values_by_name.items():
-            if self._values_by_name.get(name) is not value:
+            if self._values_by_name.get(name) != value:
                 self._apply_entry(name, value)
         self._values_by_name = dict(values_by_name)
 
     def _apply_entry(self, name: str, value: bytes) -> None:
-        entry = decode_executor(value)
-        if isinstance(entry, Success):
-            self._infos_by_name[name] = entry.unwrap().to_info(name)
+        info = decode_contained(lambda: decode_info(name, value))
+        if isinstance(info, Success):
+            self._infos_by_name[name] = info.unwrap()
+            self._unusable_names.discard(name)
             return
-        self._recorder.record(
-            "fleet.unreadable", subjects=(name,), cause=entry.failure(), level=Level.WARNING
-        )
+        if name not in self._unusable_names:
+            info.failure().record(self._recorder, kind="fleet", name=name)
+        self._set_unusable(name)
+
+    def _set_unusable(self, name: str) -> None:
+        self._unusable_names.add(name)
         known = self._infos_by_name.get(name)
         if known is not None:
             # It gets no new tasks; its runs go on, and end as its listings report.
             self._infos_by_name[name] = replace(known, is_usable=False)
 
 
+def decode_info(name: str, value: bytes) -> Result[ExecutorInfo, str]:
+    """Return the executor that an entry under `name` describes, or an error message."""
+    problem = name_problem(name)
+    if problem:
+        return Failure(f"name: {problem}")
+    return decode_executor(value).map(lambda entry: entry.to_info(name))
+
+
 def decode_executor(value: bytes) -> Result[WireEntry, str]:
     """Return an executor's entry, or an error message."""
     return decode_entry(value, WireEntry).bind(_validate)
@@ -131,4 +138,4 @@
         IPv4Address(host)
     except AddressValueError:
         return False
-    return port.isascii() and port.isdecimal() and 0 < int(port) <= HIGHEST_PORT
+    return bool(parse_whole(port, most=HIGHEST_PORT))
--- a/src/galenastall/platform/listings.py
+++ b/src/galenastall/platform/listings.py
@@ -13,7 +13,7 @@
 
 MAX_ROWS: Final = 10_000
 """Most rows of a list: far more tasks than an executor has room for."""
-MAX_CHECKPOINT_CHARS: Final = 4_096
+MAX_CHECKPOINT_CHARS: Final = 65_536
 """Longest checkpoint: it is stored with its task and sent with the task's next start."""
 _MOST_PERCENT: Final = 100
 _ROW_FIELD: Final = re.compile(r"`\$\.(running|finished)\[(\d+)\]\[(\d+)\]`")
