Refuse JSON that is nested too deeply, in place of raising RecursionError

Callers saw: a body nested some thousand levels deep got 500 where 400 is right, for each field of a job; so did one with a number above 64 bits beside a wrong field.

Cause: decode_json caught msgspec's errors alone. The decoder raises RecursionError for deep nesting, and the value shown in the message was encoded again, which raises OverflowError for numbers above 64 bits.

Why this works: both places catch all that decoding and encoding of outside values may raise; the message is shortened. A value that can't be shown is left out.

Test that failed before: TestDecodedBodies in tests/test_odd_submissions.py, 4 of 7 cases.

--- a/src/galenastall/transport/http_json.py
+++ b/src/galenastall/transport/http_json.py
@@ -6,6 +6,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from galenastall.state.decoding import DECODE_ERRORS, shorten
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.http_messages import HttpRequest, HttpResponse
 
@@ -65,19 +66,20 @@
     """Return the typed value, or INVALID naming the field and its value."""
     try:
         return Success(msgspec.json.decode(text, type=value_type))
-    except msgspec.MsgspecError as error:
-        detail = f"{error}{_offending_value(text, str(error))}"
+    except DECODE_ERRORS as error:
+        detail = f"{shorten(str(error))}{_offending_value(text, str(error))}"
         return Failure(StepError(step=step, peer=peer, reason=Reason.INVALID, detail=detail))
 
 
 def _offending_value(text: bytes, message: str) -> str:
+    """Return the value that a decoder's message is about; empty if it can't be shown."""
     found = _PATH.search(message)
     path = found["path"] if found else ""
     try:
         value: Any = msgspec.json.decode(text)
         for key, index in _PATH_STEP.findall(path):
             value = value[key] if key else value[int(index)]
-    except (msgspec.MsgspecError, LookupError, TypeError):
+        shown = msgspec.json.encode(value).decode()
+    except (*DECODE_ERRORS, LookupError, TypeError, OverflowError):
         return ""
-    shown = msgspec.json.encode(value).decode()
     return f" (value {shown[:_VALUE_LIMIT_CHARS]})"
