Bound each number and name of a job where it is decoded

Callers saw: no answer to a job with a targetMs of 1.7e308, or a cpu, memoryRequestMb, gpus, antiAffinity or allowMiss above 64 bits; the leader's process ended and the next one took over.

Cause: the fields took any number. int(targetMs) has 309 digits then, and the row of the job's definition can't hold whole numbers above 64 bits: encoding it raised OverflowError in the commit loop, after the job had entered the core's state.

A negative targetMs or allowMiss is refused too. Estimates of 0 and 10^15 ms stay accepted.

Why this works: what the decoder accepts is far below what rows hold and what sums over all tasks overflow. The tests submit what is accepted to the core, store it in records of the store's limit, compare it, and restore it in a new leader.

--- a/src/galenastall/platform/submissions.py
+++ b/src/galenastall/platform/submissions.py
@@ -1,12 +1,16 @@
 """Decodes the job submissions of the platform's callers into internal types."""
 
-from typing import Final
+import re
+from dataclasses import replace
+from typing import Annotated, Final
 
 import msgspec
+from msgspec import Meta
 from returns.result import Failure, Result, Success
 
 from galenastall.state.cell.jobs import CellJob, Queue, Recurrence, Step
 from galenastall.state.cell.workspaces import NO_WORKSPACE
+from galenastall.state.decoding import MAX_WHOLE, Amount, Finite, Quantity, Whole
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.resources import Resources
 from galenastall.transport.http_json import decode_json
@@ -19,31 +23,40 @@
 MAX_REPETITIONS: Final = 1_000_000
 """Occurrences of one job: one each second for eleven days."""
 _STEP: Final = "job.decode"
+_Name = Annotated[str, Meta(max_length=1_000)]
+"""A label, rack or image, none of which is nearly as long."""
+_Integer = Annotated[int, Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
+_FIELD_ERROR: Final = re.compile(
+    r"(?P<problem>.+?)(?:, got `\w+`)? - at `\$\.?(?P<path>[^`]*)`(?: \(value (?P<value>.*)\))?",
+    re.DOTALL,
+)
+"""The decoder's message about one field, with the field's value if it can be shown."""
+_BOUND: Final = re.compile(r"`(?:int|float)` (?P<sign>[<>]=) (?P<limit>[-+.\de]+)")
 
 
 class WireStep(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """One step; callers omit fields that are 0, false or empty."""
 
-    count: int = 0
-    cpu: int = 0
+    count: Whole = 0
+    cpu: Amount = 0
     """Thousandths of a core."""
-    memory_request_mb: int = 0
-    gpus: int = 0
-    estimated_ms: float = 0.0
-    after: list[int] = []
+    memory_request_mb: Amount = 0
+    gpus: Amount = 0
+    estimated_ms: Quantity = 0.0
+    after: list[Whole] = []
     gang_scheduled: bool = False
     same_rack: bool = False
-    requirements: str = ""
+    requirements: _Name = ""
     """One label that the executor must have."""
-    data_rack: str = ""
-    anti_affinity: int = 0
+    data_rack: _Name = ""
+    anti_affinity: Whole = 0
     """Most tasks of the step on one executor."""
     checkpointing: bool = False
     long_running: bool = False
-    image: str = ""
-    target_ms: float = 0.0
+    image: _Name = ""
+    target_ms: Quantity = 0.0
     fills: bool = False
-    allow_miss: int = 0
+    allow_miss: Whole = 0
 
     def to_step(self) -> Step:
         """Convert to the internal type; no CPU is reserved for a filler task."""
@@ -76,10 +89,10 @@
 
     specification: str = ""
     steps: list[WireStep] = []
-    repetitions: int = 0
-    first_run_ms: float = 0.0
+    repetitions: _Integer = 0
+    first_run_ms: Finite = 0.0
     """Wall time of the first occurrence."""
-    interval_ms: float = 0.0
+    interval_ms: Finite = 0.0
 
     def recurrence(self) -> Recurrence | None:
         """Return when its steps run again; None for a job that runs once."""
@@ -104,7 +117,8 @@
     """Return the typed job, or INVALID naming the field and its value."""
     decoded = decode_json(body, WireJob, step=_STEP, peer=peer)
     if isinstance(decoded, Failure):
-        return decoded
+        error = decoded.failure()
+        return Failure(replace(error, detail=_described(error.detail)))
     wire = decoded.unwrap()
     problem = _problem_of(wire)
     if problem:
@@ -122,6 +136,20 @@
     )
 
 
+def _described(message: str) -> str:
+    """Return the decoder's message in the form `field: expected ..., got ...`."""
+    found = _FIELD_ERROR.fullmatch(message)
+    if found is None:
+        return message
+    problem = _BOUND.sub(_bound_text, found["problem"])
+    got = "" if found["value"] is None else f", got {found['value']}"
+    return f"{found['path'] or 'body'}: {problem[:1].lower()}{problem[1:]}{got}"
+
+
+def _bound_text(bound: re.Match[str]) -> str:
+    return f"{float(bound['limit']):.0f} or {'more' if bound['sign'] == '>=' else 'less'}"
+
+
 def _problem_of(wire: WireJob) -> str:
     if len(wire.specification.encode()) > PAYLOAD_LIMIT_BYTES:
         size = len(wire.specification.encode())
@@ -145,15 +173,6 @@
 def _problem_of_step(step: WireStep, index: int) -> str:
     if not 1 <= step.count <= MAX_TASKS:
         return f"count: expected 1 to {MAX_TASKS}, got {step.count}"
-    for name, value in (
-        ("cpu", step.cpu),
-        ("memoryRequestMb", step.memory_request_mb),
-        ("gpus", step.gpus),
-        ("estimatedMs", step.estimated_ms),
-        ("antiAffinity", step.anti_affinity),
-    ):
-        if value < 0:
-            return f"{name}: expected 0 or more, got {value}"
     for earlier in step.after:
         if not 0 <= earlier < index:
             return f"after: expected numbers of earlier steps, got {earlier}"
