Let a leader refuse a job that it can't store or compute with

Callers saw: no answer, and the end of the leader, when an entry host of another version passes on a job whose numbers this version's decoder refuses.

Cause: the leader put each job into the core's state and encoded its row in the commit loop; an error there ends the process, and each of the caller's tries ends the next leader.

Each other field comes from a decoder, so its row can be encoded. The entry host answers 400 with the field, its limit and value, unless an earlier try may have stored the job. Jobs that were accepted before stay accepted. A refusal is an event, job.invalid, which is counted. MAX_TASKS moves to state/cell/job_limits.py; two tests import it from there.

--- a/src/galenastall/node/cell/caller_handler.py
+++ b/src/galenastall/node/cell/caller_handler.py
@@ -13,7 +13,12 @@
 from galenastall.coordination.cell.config_age import UNKNOWN_VERSION
 from galenastall.coordination.cell.return_times import SHORTEST_RETURN_S
 from galenastall.node.cell.config_watcher import ConfigWatcher
-from galenastall.node.cell.leader_handler import LeaderHandler, answer_within_s, is_last_try
+from galenastall.node.cell.leader_handler import (
+    LEADER_STEP,
+    LeaderHandler,
+    answer_within_s,
+    is_last_try,
+)
 from galenastall.node.cell.leadership import Leadership
 from galenastall.node.cell.query_caller import QueryCaller
 from galenastall.protocol.cell.call_admission import AdmissionRules, CallAddress
@@ -64,6 +69,8 @@
     """Whether the leader has a newer configuration, by which the caller must be admitted again."""
     may_be_stored: bool = False
     """Whether a try may have stored the job."""
+    problem: str = ""
+    """What is wrong with the job, if no leader will accept it."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -176,6 +183,10 @@
                         is_outdated=True,
                         may_be_stored=may_be_stored,
                     )
+                if _is_refused_for_good(error) and not may_be_stored:
+                    return SubmitOutcome(
+                        verdict=SubmitVerdict.NOT_RUN, cause=cause, problem=error.detail
+                    )
             await trio.sleep(RETRY_S)
         return SubmitOutcome(verdict=SubmitVerdict.UNKNOWN, cause=cause)
 
@@ -325,6 +336,11 @@
     scope.cancel()
 
 
+def _is_refused_for_good(error: StepError) -> bool:
+    """Whether a leader has read the job and refuses it, as each leader will."""
+    return error.reason is Reason.INVALID and error.step == LEADER_STEP
+
+
 def _phase_of(answer: JobAnswer) -> JobPhase | None:
     return answer.phase
 
--- a/src/galenastall/node/cell/leader_handler.py
+++ b/src/galenastall/node/cell/leader_handler.py
@@ -17,6 +17,7 @@
     SubmitJob,
     SubmitVerdict,
 )
+from galenastall.state.cell.job_limits import limit_problem
 from galenastall.state.cell.phases import ENDED_PHASES
 from galenastall.state.cell.workspaces import may_access
 from galenastall.state.errors import Reason, StepError
@@ -33,6 +34,8 @@
 """Share of a caller's time for its last try; the rest is for the way back."""
 STORE_OUTAGE_S: Final = 0.5
 """Once appends have failed for longer, submissions are refused at once instead of waiting."""
+LEADER_STEP: Final = "cell.leader"
+"""Step of the errors that a leader answers with itself."""
 
 
 def is_last_try(patience_s: float) -> bool:
@@ -62,8 +65,13 @@
         if not await self._is_ready(message.patience_s):
             return self._error(Reason.NOT_OWNER, "not leading yet")
         term = self._term
-        if term.store_outage_s > STORE_OUTAGE_S and message.job.job_id not in term.core.jobs_by_id:
-            return self._not_stored()
+        if message.job.job_id not in term.core.jobs_by_id:
+            # An entry host of another version may accept other numbers.
+            problem = limit_problem(message.job)
+            if problem:
+                return self._error(Reason.INVALID, problem)
+            if term.store_outage_s > STORE_OUTAGE_S:
+                return self._not_stored()
         run = term.core.submit(message.job, wall=term.context.wall())
         if not may_access(owner=run.job.workspace, workspace=message.job.workspace):
             return SubmitAnswer(verdict=SubmitVerdict.TAKEN, cause="another workspace has this id")
@@ -174,7 +182,7 @@
         return self._term.context.confirmed_at >= asked_at
 
     def _error(self, reason: Reason, detail: str) -> StepError:
-        return StepError(step="cell.leader", peer=self._host_id, reason=reason, detail=detail)
+        return StepError(step=LEADER_STEP, peer=self._host_id, reason=reason, detail=detail)
 
 
 def _answer_until(message: GetJob | CancelJob) -> float:
--- a/src/galenastall/platform/job_routes.py
+++ b/src/galenastall/platform/job_routes.py
@@ -117,7 +117,8 @@
             return refusal_response(request, admission)
         job_id = _job_id(request, admission.route)
         if not _JOB_ID.fullmatch(job_id):
-            return invalid(request, f"id: expected 16 hexadecimal digits, got {job_id[:40]!r}")
+            detail = f"id: expected 16 hexadecimal digits, got {job_id[:40]!r}"
+            return self._invalid(request, job_id, detail)
         body = await request.read_body(BODY_LIMIT_BYTES)
         if isinstance(body, Failure):
             return error_response(body.failure())
@@ -130,7 +131,7 @@
             peer=request.client,
         )
         if isinstance(job, Failure):
-            return error_response(job.failure())
+            return self._invalid(request, job_id, job.failure().detail)
         began_at = self._clock.now()
         submitted = await self._submit(call, admission, job.unwrap())
         if isinstance(submitted, HttpResponse):
@@ -196,6 +197,8 @@
     ) -> HttpResponse:
         if submitted.verdict is SubmitVerdict.ACCEPTED:
             return json_response(200, {})
+        if submitted.problem:
+            return self._invalid(request, job_id, submitted.problem)
         fields = {"verdict": submitted.verdict.value}
         if submitted.verdict is not SubmitVerdict.TAKEN:
             fields["return_s"] = f"{submitted.retry_after_s:g}"
@@ -216,6 +219,12 @@
             )
         )
 
+    def _invalid(self, request: HttpRequest, job_id: str, detail: str) -> HttpResponse:
+        """Answer a submission that is malformed or out of bounds, and log why."""
+        shown_id = job_id[:_MAX_SUBJECT_LENGTH]
+        self._recorder.record("job.invalid", subjects=(shown_id,), cause=detail)
+        return invalid(request, detail)
+
     @route("GET", "/{path*}")
     async def show(self, request: HttpRequest) -> HttpResponse:
         """Return a job's state, or the number of a queue's jobs that wait for their first start."""
--- a/src/galenastall/platform/submissions.py
+++ b/src/galenastall/platform/submissions.py
@@ -8,6 +8,7 @@
 from msgspec import Meta
 from returns.result import Failure, Result, Success
 
+from galenastall.state.cell.job_limits import MAX_TASKS
 from galenastall.state.cell.jobs import CellJob, Queue, Recurrence, Step
 from galenastall.state.cell.workspaces import NO_WORKSPACE
 from galenastall.state.decoding import MAX_WHOLE, Amount, Finite, Quantity, Whole
@@ -17,9 +18,6 @@
 
 PAYLOAD_LIMIT_BYTES: Final = 4_000
 """Longest specification, as defined by the platform."""
-MAX_TASKS: Final = 4_000
-"""Tasks of one job; far above what callers send. A job's progress is one row, mostly with up to 63
-bytes per task, and is written whole at each change."""
 MAX_REPETITIONS: Final = 1_000_000
 """Occurrences of one job: one each second for eleven days."""
 _STEP: Final = "job.decode"
--- a/tests/test_cell_lost_executors.py
+++ b/tests/test_cell_lost_executors.py
@@ -25,9 +25,9 @@
 from galenastall.coordination.cell.job_runs import MAX_DATED_TASKS, JobRun
 from galenastall.coordination.cell.lease_clock import LeaseClock, longest_lease_s
 from galenastall.coordination.cell.listings import ListedEnd, ListedRun
-from galenastall.platform.submissions import MAX_TASKS
 from galenastall.standin.cell.executors import Run
 from galenastall.state.cell.executor_ids import make_executor_id
+from galenastall.state.cell.job_limits import MAX_TASKS
 from galenastall.state.cell.jobs import CellJob, Step, TaskKey
 from galenastall.state.cell.leases import CLOCK_KEY, UNRESPONSIVE_KEY, decode_unresponsive
 from galenastall.state.cell.rows import decode_rows, encode_progress
--- a/tests/test_cell_record_layout.py
+++ b/tests/test_cell_record_layout.py
@@ -19,7 +19,8 @@
 from galenastall.coordination.cell.job_runs import JobRun
 from galenastall.platform.job_routes import BODY_LIMIT_BYTES
 from galenastall.platform.settings import SettingsError, decode_settings
-from galenastall.platform.submissions import MAX_TASKS, decode_job
+from galenastall.platform.submissions import decode_job
+from galenastall.state.cell.job_limits import MAX_TASKS
 from galenastall.state.cell.jobs import CellJob, Queue
 from galenastall.state.cell.phases import JobPhase, TaskPhase
 from galenastall.state.cell.record_layout import PARTS_PREFIX, RecordLayout
