Serve HTTP/1.1 to clients that offer another protocol

Callers saw: no response, or 500, to a GET that offers to change to websockets or HTTP/2, and a closed connection if the settings in the offer can't be decoded (binascii.Error in hypercorn, and ValueError: unsupported ASGI scope 'websocket' in ours). The offers of others never ended the server: one connection at a time.

Cause: hypercorn acts on such offers, and nothing else here serves these protocols.

Why this works: an offer may be ignored, so the protocol object of each connection is one that leaves the header out and never changes.

--- a/src/galenastall/transport/http_connection.py
+++ b/src/galenastall/transport/http_connection.py
@@ -11,9 +11,11 @@
 from functools import partial
 from typing import Any, Final
 
+import h11
 import trio
 from hypercorn.config import Config
 from hypercorn.events import Event, RawData
+from hypercorn.protocol.h11 import H11Protocol
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import AppWrapper, ConnectionState
@@ -77,6 +79,27 @@
         return self._idle_since is not None
 
 
+class _Http1Protocol(H11Protocol):
+    """Serves HTTP/1.1 alone; a client's offer to change to another protocol is ignored.
+
+    Hypercorn left odd offers without a response.
+    """
+
+    async def _check_protocol(self, event: h11.Request) -> None:
+        """Never change to HTTP/2."""
+
+    async def _create_stream(self, request: h11.Request) -> None:
+        headers = [(name, value) for name, value in request.headers if name != b"upgrade"]
+        if len(headers) < len(request.headers):
+            request = h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=headers,
+                http_version=request.http_version,
+            )
+        await super()._create_stream(request)
+
+
 class HttpConnection(TCPServer):
     """One accepted connection."""
 
@@ -116,6 +139,18 @@
         await super().protocol_send(event)
 
     async def _read_data(self) -> None:
+        made = self.protocol
+        made.protocol = _Http1Protocol(
+            made.app,
+            made.config,
+            made.context,
+            made.task_group,
+            made.state,
+            made.ssl,
+            made.client,
+            made.server,
+            made.send,
+        )
         try:
             await super()._read_data()
         finally:
