Answer 413 to a job that is too large, and bound how long a caller may say it waits

Callers saw: 400 for a body above 262,144 bytes, where 413 tells them what is wrong; and a caller that says it waits for 1e308 ms held its request for ever while no leader answered.

Cause: reading a body that is too large and one that is malformed fail with the same reason; the time in Deadline-Remaining was used as it came.

Why this works: the submission's route answers 413 to a body above its limit, and counts no more than an hour of a caller's time.

Tests that failed before: 4 of tests/test_odd_requests.py, the large body and the waits of ages.

--- a/src/galenastall/platform/job_routes.py
+++ b/src/galenastall/platform/job_routes.py
@@ -43,6 +43,9 @@
 DEFAULT_TIMEOUT_S: Final = 2.5
 """For callers that send no deadline."""
 BODY_LIMIT_BYTES: Final = 262_144
+TOO_LARGE: Final = 413
+LONGEST_WAIT_S: Final = 3_600.0
+"""For callers that say they wait longer."""
 MAX_ADMISSION_ATTEMPTS: Final = 3
 """Attempts to admit one request, each by a newer configuration."""
 _MAX_SUBJECT_LENGTH: Final = 40
@@ -121,7 +124,8 @@
             return self._invalid(request, job_id, detail)
         body = await request.read_body(BODY_LIMIT_BYTES)
         if isinstance(body, Failure):
-            return error_response(body.failure())
+            is_too_large = body.failure().reason is Reason.INVALID
+            return error_response(body.failure(), status=TOO_LARGE if is_too_large else None)
         job = decode_job(
             body.unwrap(),
             job_id=job_id,
@@ -365,4 +369,4 @@
         left_s = float(text) / 1000.0
     except ValueError:
         return None
-    return max(left_s, 0.0) if isfinite(left_s) else None
+    return min(max(left_s, 0.0), LONGEST_WAIT_S) if isfinite(left_s) else None
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -11,7 +11,7 @@
 from galenastall.node.cell.call_admissions import ConfigSource
 from galenastall.node.cell.caller_handler import SubmitOutcome
 from galenastall.node.cell.cell_metrics import CellMetrics
-from galenastall.platform.job_routes import JobRoutes
+from galenastall.platform.job_routes import BODY_LIMIT_BYTES, LONGEST_WAIT_S, JobRoutes
 from galenastall.protocol.cell.call_admission import AdmissionRules, CallAddress
 from galenastall.protocol.cell.config import CellConfig, QueueRoute
 from galenastall.protocol.cell.messages import CallAdmission, SubmitVerdict
@@ -90,6 +90,7 @@
     "an unknown encoding": (request(POST, b"Transfer-Encoding: gzip"), {400, 501}),
     "a chunk size that is a word": (request(POST, CHUNKED) + b"zz\r\n", {400}),
     "a chunk size of 6,000 digits": (request(POST, CHUNKED) + b"0" * 6_000 + b"1\r\na\r\n", {400}),
+    "a body that is too large": (submission(body=b" " * (BODY_LIMIT_BYTES + 1)), {413}),
     "a body of any bytes": (submission(body=bytes(range(256))), {400}),
     "a body of 100,000 levels": (submission(body=b"[" * 100_000), {400}),
     "an empty body": (submission(body=b""), {400}),
@@ -190,6 +191,14 @@
         await with_server(run, errors)
         assert errors == []
 
+    @pytest.mark.parametrize("text", ["1e308", "9" * 300, "86400000"])
+    async def test_a_wait_of_ages_is_bounded(self, text: str) -> None:
+        async def run(address: str, handler: Handler) -> None:
+            assert await ask(address, submission(b"Deadline-Remaining: " + text.encode())) == 200
+            assert LONGEST_WAIT_S - ANSWER_WITHIN_S < handler.waits_s[0] <= LONGEST_WAIT_S
+
+        await with_server(run)
+
     @pytest.mark.parametrize("text", ["", "many", "nan", "1e400", "9" * 4_400, "\u00b2", "-1"])
     async def test_a_wait_that_is_no_time_is_answered(self, text: str) -> None:
         async def run(address: str, handler: Handler) -> None:
