Count unexpected errors in callers' requests, with their place

Operators saw: a request that failed with 500 left a log line, but no count in galenastall_events.

Cause: Recorder.record_error writes the line beside the counting of record.

Test that failed before (with record_error): TestRequests in tests/test_unexpected.py, no count.

--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -42,7 +42,7 @@
 from galenastall.transport.log_stream import BoundedLogStream
 from galenastall.transport.metrics import Metrics
 from galenastall.transport.peer_link import ZmqPeerLink
-from galenastall.transport.unexpected import unexpected_recorded
+from galenastall.transport.unexpected import counted_error_log, unexpected_recorded
 
 EXIT_SETTINGS: Final = 2
 """Exit code when the settings can't be used."""
@@ -217,7 +217,7 @@
             clock=self._clock,
             bind=bind,
             linger_s=linger_s,
-            log_error=self.recorder.record_error,
+            log_error=counted_error_log(self.recorder),
         )
 
     def _is_ready(self) -> bool:
--- a/src/galenastall/transport/unexpected.py
+++ b/src/galenastall/transport/unexpected.py
@@ -1,11 +1,12 @@
 """Events for unexpected errors: one for each, with the place in this package where it arose."""
 
 import traceback
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from typing import Final
 
 from galenastall.state.decoding import shorten
+from galenastall.state.errors import StepError
 from galenastall.transport.logs import Level, Recorder
 
 _PACKAGE: Final = "/galenastall/"
@@ -44,6 +45,17 @@
         )
 
 
+def counted_error_log(recorder: Recorder) -> Callable[[StepError, BaseException], None]:
+    """Return an error log that records each exception as an event, which is counted."""
+
+    def record(error: StepError, exception: BaseException) -> None:
+        record_unexpected(
+            recorder, error.step, exception, peer=error.peer, subjects=(error.detail,)
+        )
+
+    return record
+
+
 def place_of(error: BaseException) -> str:
     """Return module, line and function of the innermost frame in this package."""
     for frame in reversed(traceback.extract_tb(error.__traceback__)):
--- a/tests/test_unexpected.py
+++ b/tests/test_unexpected.py
@@ -6,8 +6,14 @@
 from galenastall.protocol.addresses import split_address
 from galenastall.state.timeline_ring import TimelineRing
 from galenastall.transport.clock import TrioClock
+from galenastall.transport.http_messages import HttpRequest, HttpResponse
+from galenastall.transport.http_routes import route
+from galenastall.transport.http_server import HttpServer
+from galenastall.transport.log_budget import BudgetedRecorder, LineBudget
 from galenastall.transport.logs import Recorder
-from galenastall.transport.unexpected import unexpected_recorded
+from galenastall.transport.metrics import Metrics
+from galenastall.transport.unexpected import counted_error_log, unexpected_recorded
+from http_support import connect
 
 
 def make_recorder() -> Recorder:
@@ -55,3 +61,39 @@
         with trio.move_on_after(0.01), unexpected_recorded(recorder, "host.failed"):
             await trio.sleep_forever()
         assert list(recorder.ring) == []
+
+
+class Failing:
+    """A handler that has a defect."""
+
+    @route("GET", "/failing")
+    async def fail(self, request: HttpRequest) -> HttpResponse:
+        split_address("nowhere")
+        return HttpResponse()
+
+
+class TestRequests:
+    async def test_a_defect_in_a_handler_is_answered_and_counted_with_its_place(self) -> None:
+        clock, metrics = TrioClock(), Metrics()
+        recorder = BudgetedRecorder(
+            budget=LineBudget(clock=clock),
+            metrics=metrics,
+            process="p",
+            clock=clock,
+            ring=TimelineRing(capacity=100),
+        )
+        server = HttpServer(
+            handlers=[Failing()], clock=clock, log_error=counted_error_log(recorder)
+        )
+        async with trio.open_nursery() as nursery:
+            await nursery.start(server.run)
+            client = await connect(server.address)
+            assert (await client.request("GET", "/failing")).status == 500
+            assert (await client.request("GET", "/failing")).status == 500
+            nursery.cancel_scope.cancel()
+        page = (await metrics.page()).decode()
+        counted = [line for line in page.splitlines() if 'kind="http.handle"' in line]
+        assert [line.split()[-1] for line in counted if "_total" in line] == ["2.0"]
+        event = next(iter(recorder.ring))
+        assert event.fields["place"].endswith(" split_address")
+        assert event.subjects == ("GET /failing: ValueError",)
