--- a/src/galenastall/platform/job_routes.py
+++ b/src/galenastall/platform/job_routes.py
@@ -43,6 +43,9 @@
 DEFAULT_TIMEOUT_S: Final = 2.5
 """For callers that send no deadline."""
 BODY_LIMIT_BYTES: Final = 262_144
+TOO_LARGE: Final = 413
+LONGEST_WAIT_S: Final = 3_600.0
+"""For callers that say they wait longer."""
 MAX_ADMISSION_ATTEMPTS: Final = 3
 """Attempts to admit one request, each by a newer configuration."""
 _MAX_SUBJECT_LENGTH: Final = 40
@@ -117,10 +120,12 @@
             return refusal_response(request, admission)
         job_id = _job_id(request, admission.route)
         if not _JOB_ID.fullmatch(job_id):
-            return invalid(request, f"id: expected 16 hexadecimal digits, got {job_id[:40]!r}")
+            detail = f"id: expected 16 hexadecimal digits, got {job_id[:40]!r}"
+            return self._invalid(request, job_id, detail)
         body = await request.read_body(BODY_LIMIT_BYTES)
         if isinstance(body, Failure):
-            return error_response(body.failure())
+            is_too_large = body.failure().reason is Reason.INVALID
+            return error_response(body.failure(), status=TOO_LARGE if is_too_large else None)
         job = decode_job(
             body.unwrap(),
             job_id=job_id,
@@ -130,7 +135,7 @@
             peer=request.client,
         )
         if isinstance(job, Failure):
-            return error_response(job.failure())
+            return self._invalid(request, job_id, job.failure().detail)
         began_at = self._clock.now()
         submitted = await self._submit(call, admission, job.unwrap())
         if isinstance(submitted, HttpResponse):
@@ -196,6 +201,8 @@
     ) -> HttpResponse:
         if submitted.verdict is SubmitVerdict.ACCEPTED:
             return json_response(200, {})
+        if submitted.problem:
+            return self._invalid(request, job_id, submitted.problem)
         fields = {"verdict": submitted.verdict.value}
         if submitted.verdict is not SubmitVerdict.TAKEN:
             fields["return_s"] = f"{submitted.retry_after_s:g}"
@@ -216,6 +223,12 @@
             )
         )
 
+    def _invalid(self, request: HttpRequest, job_id: str, detail: str) -> HttpResponse:
+        """Answer a submission that is malformed or out of bounds, and log why."""
+        shown_id = job_id[:_MAX_SUBJECT_LENGTH]
+        self._recorder.record("job.invalid", subjects=(shown_id,), cause=detail)
+        return invalid(request, detail)
+
     @route("GET", "/{path*}")
     async def show(self, request: HttpRequest) -> HttpResponse:
         """Return a job's state, or the number of a queue's jobs that wait for their first start."""
@@ -356,4 +369,4 @@
         left_s = float(text) / 1000.0
     except ValueError:
         return None
-    return max(left_s, 0.0) if isfinite(left_s) else None
+    return min(max(left_s, 0.0), LONGEST_WAIT_S) if isfinite(left_s) else None
