Reject ports of thousands of digits and of other scripts in addresses

What callers saw: a settings file with such a port failed with the message of `int` ("Exceeds the limit (4300 digits)"), which names neither the address nor what is allowed; digits of other scripts were taken for a port.

Cause: the text was converted by `int` before its length and its letters were checked.

The length is checked first now, and a long host is shown shortened. Failed before: test_an_odd_port_is_an_error_of_bounded_length (two of ten ports) and test_an_odd_host_is_an_error_of_bounded_length (a host of 5,000 digits).

--- a/src/galenastall/protocol/addresses.py
+++ b/src/galenastall/protocol/addresses.py
@@ -8,20 +8,23 @@
 
 from pydantic import AfterValidator
 
+from galenastall.state.decoding import parse_whole, shorten
+
 MAX_PORT: Final = 65535
 
 
 def split_address(address: str) -> tuple[str, int]:
     """Return IP and port of `IP:port` (`[IP]:port` for IPv6); raises ValueError otherwise."""
-    ip, separator, port = address.rpartition(":")
-    if not separator or not port.isdecimal() or int(port) > MAX_PORT:
+    ip, separator, port_text = address.rpartition(":")
+    port = parse_whole(port_text, most=MAX_PORT)
+    if not separator or port is None:
         raise ValueError(f"must be IP:port with a port of 0 to {MAX_PORT}, for example 10.0.0.1:80")
     if ip.startswith("[") and ip.endswith("]"):
-        return str(ipaddress.IPv6Address(ip[1:-1])), int(port)
+        return str(ipaddress.IPv6Address(ip[1:-1])), port
     try:
-        return str(ipaddress.IPv4Address(ip)), int(port)
+        return str(ipaddress.IPv4Address(ip)), port
     except ValueError:
-        raise ValueError(f"must start with an IP address, not a host name: {ip!r}") from None
+        raise ValueError(f"must start with an IP address, not a host name: {shorten(ip)!r}") from None
 
 
 def is_wildcard(address: str) -> bool:
