Drop a frame of a peer that is nested too deeply instead of ending

What callers saw: a frame of some kilobytes on the peer port, nested more deeply than the interpreter's stack, ended the process that received it, and its requests with it.

Cause: decoding raises RecursionError, which the decoders of frames, messages, answers and records did not name, and which arises outside of the handlers. An error of a peer might carry an infinite time to retry after, too.

Evidence: over real sockets, frames with each field replaced by each of 22 odd values. The decoders now take their errors from `state.decoding`. Failed before: test_an_odd_field_of_a_frame_is_usable_or_none, test_an_odd_error_is_usable_or_cut and test_odd_frames_do_not_end_the_link.

--- a/src/galenastall/protocol/codec.py
+++ b/src/galenastall/protocol/codec.py
@@ -6,6 +6,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from galenastall.state.decoding import DECODE_ERRORS, shorten
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import Offset, RecordId, StreamName
 from galenastall.state.records import RECORDS, LoggedRecord, UnknownRecord
@@ -39,11 +40,11 @@
 def decode_message(name: str, body: bytes, *, peer: str) -> Result[Any, StepError]:
     """Return the typed message, or an INVALID error that names the peer and the invalid field."""
     if name not in PEER_MESSAGES:
-        return Failure(_invalid("codec.decode_message", peer, f"unknown message {name!r}"))
+        return Failure(_invalid("codec.decode_message", peer, f"unknown message {shorten(name)!r}"))
     try:
         return Success(msgspec.msgpack.decode(body, type=PEER_MESSAGES.get(name)))
-    except msgspec.MsgspecError as error:
-        return Failure(_invalid("codec.decode_message", peer, f"{name}: {error}"))
+    except DECODE_ERRORS as error:
+        return Failure(_invalid("codec.decode_message", peer, f"{name}: {shorten(str(error))}"))
 
 
 def encode_record(record: object, *, record_id: RecordId) -> str:
@@ -63,8 +64,8 @@
         record: Any = UnknownRecord(name=envelope.type)
         if envelope.type in RECORDS:
             record = msgspec.json.decode(envelope.body, type=RECORDS.get(envelope.type))
-    except msgspec.MsgspecError as error:
-        return Failure(_invalid("codec.decode_record", peer, str(error)))
+    except DECODE_ERRORS as error:
+        return Failure(_invalid("codec.decode_record", peer, shorten(str(error))))
     record_id = RecordId(envelope.id)
     return Success(LoggedRecord(stream=stream, offset=offset, record_id=record_id, record=record))
 
--- a/src/galenastall/state/errors.py
+++ b/src/galenastall/state/errors.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from galenastall.state.decoding import Quantity
+
 
 class Reason(StrEnum):
     """Why a step did not succeed; determines how the caller proceeds."""
@@ -45,7 +47,7 @@
     """The host, process or file on the other side; empty for this process."""
     reason: Reason
     detail: str = ""
-    retry_after_s: float | None = None
+    retry_after_s: Quantity | None = None
     """Seconds after which a retry makes sense; None if unknown."""
 
     @property
--- a/src/galenastall/transport/peer_wire.py
+++ b/src/galenastall/transport/peer_wire.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from galenastall.protocol.codec import decode_message, encode_message
+from galenastall.state.decoding import DECODE_ERRORS, shorten
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId
 from galenastall.state.timeline import HybridTime
@@ -94,7 +95,7 @@
     """Return the envelope, or None if the frame is not one."""
     try:
         return _decode(frame)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
 
 
@@ -108,8 +109,8 @@
         )
     try:
         error = msgspec.msgpack.decode(envelope.body, type=StepError)
-    except msgspec.MsgspecError as fault:
-        return Failure(_cut(peer, str(fault)))
+    except DECODE_ERRORS as fault:
+        return Failure(_cut(peer, shorten(str(fault))))
     return Failure(error if error.peer else replace(error, peer=peer))
 
 
