Reject a peer's clock reading whose counter can't be counted up

What callers saw: one frame with a counter of 64 bits and a time of up to a minute ahead ended the process with OverflowError, as each later message counts that reading up and can't be encoded.

The reading is rejected, like one that is too far ahead; its message is accepted, so that peers that have counted on from a high reading are still heard. Failed before: test_a_counter_near_its_limit_does_not_stop_later_messages.

--- a/src/galenastall/coordination/timeline/hybrid_clock.py
+++ b/src/galenastall/coordination/timeline/hybrid_clock.py
@@ -7,6 +7,7 @@
 
 from typing import Final
 
+from galenastall.state.decoding import MAX_WHOLE
 from galenastall.state.timeline import HybridTime
 
 MAX_AHEAD_MS: Final = 60_000
@@ -34,8 +35,11 @@
         return HybridTime(wall_ms=self._wall_ms, counter=self._counter)
 
     def observe(self, wall_ms: int, counter: int, *, wall_s: float) -> bool:
-        """Make later readings follow a peer's; False if it was rejected as too far ahead."""
-        if wall_ms > int(wall_s * 1000) + MAX_AHEAD_MS:
+        """Make later readings follow a peer's; False if it was rejected as too far ahead.
+
+        A counter of 64 bits could not be sent any more once it has been counted up.
+        """
+        if wall_ms > int(wall_s * 1000) + MAX_AHEAD_MS or counter > MAX_WHOLE:
             self.rejected += 1
             return False
         self._wall_ms, self._counter = max((self._wall_ms, self._counter), (wall_ms, counter))
--- a/tests/test_odd_peer_frames.py
+++ b/tests/test_odd_peer_frames.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
+from galenastall.coordination.timeline.hybrid_clock import HybridClock
 from galenastall.protocol.codec import PEER_MESSAGES, encode_message
 from galenastall.state.errors import StepError
 from galenastall.state.ids import HostId, Incarnation
@@ -50,6 +51,9 @@
     if envelope is None:
         return
     assert msgspec.msgpack.encode(envelope), name
+    clock = HybridClock()
+    clock.observe(envelope.wall_ms, envelope.counter, wall_s=1.0)
+    assert msgspec.msgpack.encode(clock.tick(0.0)), name
     for kind in (peer_wire.ANSWER, peer_wire.ERROR, envelope.kind):
         answer = msgspec.structs.replace(envelope, kind=kind)
         found = peer_wire.decode_answer(answer, peer=B)
@@ -181,3 +185,22 @@
                     await trio.sleep(0.01)
                 await made.check_is_serving()
                 assert made.link.dropped.malformed > 100
+
+    async def test_a_counter_near_its_limit_does_not_stop_later_messages(self) -> None:
+        async with odd_link() as made:
+            with OddPeer(made.link.address) as peer:
+                now_ms = int(TrioClock().wall() * 1000)
+                envelope = peer_wire.Envelope(
+                    peer_wire.CALL, 1, ODD, peer_wire.host_digest(A), "test.odd_ping"
+                )
+                for counter in (2**64 - 1, 2**63, 2**53):
+                    odd = msgspec.structs.replace(
+                        envelope,
+                        wall_ms=now_ms + 30_000,
+                        counter=counter,
+                        body=msgspec.Raw(b"\x80"),
+                    )
+                    peer.send(msgspec.msgpack.encode(odd))
+                while made.received < 3:  # noqa: ASYNC110 - counters have no event
+                    await trio.sleep(0.01)
+                await made.check_is_serving()
