Fail a call alone whose answer can't be encoded

What callers saw: a handler's answer with a value that can't be encoded, as a number above 64 bits taken from a message, ended the process: handlers are contained, the encoding of their answers was not.

The call is answered CUT, and the error is logged with its stack like that of a handler. Failed before: test_an_answer_that_cannot_be_sent_fails_its_call_alone.

--- a/src/galenastall/transport/peer_handlers.py
+++ b/src/galenastall/transport/peer_handlers.py
@@ -37,10 +37,13 @@
         try:
             return await handler(sender, message)
         except Exception as error:
-            detail = f"{type(message).__name__}: {type(error).__name__}"
-            step_error = self.error(Reason.CUT, detail)
-            self._log_error(step_error, error)
-            return step_error
+            return self.fault(type(message).__name__, error)
+
+    def fault(self, name: str, error: Exception) -> StepError:
+        """Log an unexpected error in handling or answering a message, and return it typed."""
+        step_error = self.error(Reason.CUT, f"{name}: {type(error).__name__}")
+        self._log_error(step_error, error)
+        return step_error
 
     def error(self, reason: Reason, detail: str) -> StepError:
         """Return an error of message handling at this entry host."""
--- a/src/galenastall/transport/peer_link.py
+++ b/src/galenastall/transport/peer_link.py
@@ -377,7 +377,11 @@
         self, return_route: bytes, caller: HostId, correlation_id: int, answer: Any
     ) -> None:
         at = self._hybrid.tick(self._clock.wall())
-        frame = peer_wire.encode_answer(correlation_id=correlation_id, answer=answer, at=at)
+        try:
+            frame = peer_wire.encode_answer(correlation_id=correlation_id, answer=answer, at=at)
+        except Exception as unexpected:
+            fault = self._handlers.fault(type(answer).__name__, unexpected)
+            frame = peer_wire.encode_answer(correlation_id=correlation_id, answer=fault)
         if len(frame) > MAX_MESSAGE_BYTES:
             detail = f"answer of {len(frame)} bytes is too large"
             error = self._handlers.error(Reason.CUT, detail)
--- a/tests/test_odd_peer_frames.py
+++ b/tests/test_odd_peer_frames.py
@@ -15,7 +15,7 @@
 
 from galenastall.coordination.timeline.hybrid_clock import HybridClock
 from galenastall.protocol.codec import PEER_MESSAGES, encode_message
-from galenastall.state.errors import StepError
+from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId, Incarnation
 from galenastall.transport import peer_wire
 from galenastall.transport.clock import TrioClock
@@ -186,6 +186,13 @@
                 await made.check_is_serving()
                 assert made.link.dropped.malformed > 100
 
+    async def test_an_answer_that_cannot_be_sent_fails_its_call_alone(self) -> None:
+        async with odd_link() as made:
+            answer = await made.other.call(peer=A, message=OddPing(number=13), timeout_s=FAR_S)
+            assert answer.failure().reason is Reason.CUT
+            await made.check_is_serving()
+        assert [type(exception) for _, exception in made.errors] == [OverflowError]
+
     async def test_a_counter_near_its_limit_does_not_stop_later_messages(self) -> None:
         async with odd_link() as made:
             with OddPeer(made.link.address) as peer:
