Treat a peer at an address that can't be connected to as unreachable

What callers saw: a host's announcement, a heartbeat's list or the claim in the store with an address such as "nowhere" ended each process that called or answered that peer with ZMQError, and the socket that was left open kept the process from exiting. A host name was resolved, and "10.0.0.1:80;10.0.0.2:90" connected.

Cause: addresses of others went to the socket library unchecked. They are checked before a socket is made, an error of the library closes the socket, the peer is unreachable, and its address is reported once. Failed before (raised, then hung at the end): test_a_peer_at_an_odd_address_is_unreachable_and_others_are_called.

--- a/src/galenastall/protocol/addresses.py
+++ b/src/galenastall/protocol/addresses.py
@@ -24,7 +24,9 @@
     try:
         return str(ipaddress.IPv4Address(ip)), port
     except ValueError:
-        raise ValueError(f"must start with an IP address, not a host name: {shorten(ip)!r}") from None
+        raise ValueError(
+            f"must start with an IP address, not a host name: {shorten(ip)!r}"
+        ) from None
 
 
 def is_wildcard(address: str) -> bool:
@@ -37,7 +39,8 @@
     return address
 
 
-def _check_reachable(address: str) -> str:
+def check_reachable(address: str) -> str:
+    """Return the address if others can connect to it; raises ValueError otherwise."""
     _, port = split_address(address)
     if port == 0 or is_wildcard(address):
         raise ValueError("must be a single address that others can connect to, with a port above 0")
@@ -46,5 +49,5 @@
 
 BindAddress = Annotated[str, AfterValidator(_check_bind)]
 """`IP:port` to listen on; with port 0 the operating system chooses one."""
-ReachableAddress = Annotated[str, AfterValidator(_check_reachable)]
+ReachableAddress = Annotated[str, AfterValidator(check_reachable)]
 """`IP:port` that another process can connect to."""
--- a/src/galenastall/transport/peer_link.py
+++ b/src/galenastall/transport/peer_link.py
@@ -21,6 +21,7 @@
 from galenastall.protocol.codec import decode_message
 from galenastall.protocol.peers import PeerHandler
 from galenastall.protocol.security import CurveKeys
+from galenastall.state.decoding import shorten
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId, Incarnation
 from galenastall.transport import peer_wire
@@ -82,6 +83,8 @@
         self._hybrid = hybrid or HybridClock()
         self._handlers = PeerHandlers(host_id=host_id, log_error=log_error)
         self._addresses_by_id: dict[HostId, str] = {}
+        self._unusable_by_id: dict[HostId, str] = {}
+        """Addresses that can't be connected to, and have been reported."""
         self._outboxes_by_id: dict[HostId, PeerOutbox] = {}
         self._pending_by_id: dict[int, _Pending] = {}
         # Ids differ between incarnations of a process, so that logs can distinguish their calls.
@@ -273,9 +276,13 @@
             server_key = self._curve.allowed_by_host_id.get(peer, "")
             if not server_key:
                 return None
-        socket = make_dealer(
-            context=self._context, address=address, curve=self._curve, server_key=server_key
-        )
+        try:
+            socket = make_dealer(
+                context=self._context, address=address, curve=self._curve, server_key=server_key
+            )
+        except ValueError as error:
+            self._on_unusable_address(peer, address, str(error))
+            return None
         outbox = PeerOutbox(
             address=address,
             socket=socket,
@@ -293,6 +300,11 @@
         self._outboxes_by_id[peer] = outbox
         return outbox
 
+    def _on_unusable_address(self, peer: HostId, address: str, cause: str) -> None:
+        if self._unusable_by_id.get(peer) != address:
+            self._unusable_by_id[peer] = address
+            self._on_rejected_peer(peer, f"address {shorten(address)!r}: {cause}")
+
     def _on_refused_key(self, address: str, key: str) -> None:
         self._on_rejected_peer(address, f"public key {key} is not allowed")
 
--- a/src/galenastall/transport/zmq_sockets.py
+++ b/src/galenastall/transport/zmq_sockets.py
@@ -5,7 +5,9 @@
 import zmq
 from zmq.utils import z85
 
+from galenastall.protocol.addresses import check_reachable
 from galenastall.protocol.security import CurveKeys
+from galenastall.state.decoding import shorten
 from galenastall.transport.polled_socket import Socket
 from galenastall.transport.zap_server import ZAP_DOMAIN
 
@@ -62,7 +64,11 @@
 def make_dealer(
     *, context: Context, address: str, curve: CurveKeys | None, server_key: str
 ) -> Socket:
-    """Return a socket that connects to a peer and queues nothing until it is connected."""
+    """Return a socket that connects to a peer and queues nothing until it is connected.
+
+    Raises ValueError if others could not connect to the address either.
+    """
+    check_reachable(address)
     socket = context.socket(zmq.DEALER)
     _set_limits(socket)
     socket.setsockopt(zmq.IMMEDIATE, 1)
@@ -72,7 +78,12 @@
         socket.setsockopt(zmq.CURVE_SERVERKEY, server_key.encode())
         socket.setsockopt(zmq.CURVE_PUBLICKEY, curve.public_key.encode())
         socket.setsockopt(zmq.CURVE_SECRETKEY, curve.secret_key.encode())
-    socket.connect(f"tcp://{address}")
+    try:
+        socket.connect(f"tcp://{address}")
+    except zmq.ZMQError as error:
+        # A socket left open would block the termination of its context.
+        socket.close(linger=0)
+        raise ValueError(f"can't connect to {shorten(address)!r}: {error.strerror}") from error
     return socket
 
 
--- a/tests/test_odd_peer_frames.py
+++ b/tests/test_odd_peer_frames.py
@@ -7,6 +7,7 @@
 from typing import Any, Final
 
 import msgspec
+import pytest
 import trio
 import zmq
 from hypothesis import given
@@ -211,3 +212,33 @@
                 while made.received < 3:  # noqa: ASYNC110 - counters have no event
                     await trio.sleep(0.01)
                 await made.check_is_serving()
+
+
+ODD_ADDRESSES: Final = (
+    "",
+    "nowhere",
+    "*:1",
+    "10.0.0.1:" + "9" * 5_000,
+    "10.0.0.1:99999",
+    "10.0.0.1:0",
+    "0.0.0.0:80",
+    "a\0b:1",
+    "10.0.0.1:80;10.0.0.2:90",
+    "name.example:80",
+    "\u0661:\u0661",
+)
+
+
+class TestAddresses:
+    @pytest.mark.parametrize("address", ODD_ADDRESSES)
+    async def test_a_peer_at_an_odd_address_is_unreachable_and_others_are_called(
+        self, address: str
+    ) -> None:
+        async with odd_link() as made:
+            made.link.set_peers({ODD: address, B: made.other.address})
+            for _ in range(2):
+                answer = await made.link.call(peer=ODD, message=OddPing(), timeout_s=FAR_S)
+                assert answer.failure().reason is Reason.UNREACHABLE
+                made.link.send(peer=ODD, message=OddPing())
+            await made.check_is_serving()
+        assert [peer for peer, _ in made.rejected] == [ODD]
