Keep the old settings when the settings file gets odd content

What callers saw: a settings file that changed, while the process ran, to text that is not UTF-8, a number of thousands of digits (decimal, or hexadecimal in a field that is shown in an error) or of 400 digits, or deep nesting, ended the process and its requests, as these raise ValueError, OverflowError or RecursionError, and reloading expects SettingsError alone. "nan" was taken for a number above 0, and an address of the store without a usable port came into force.

Cause: text and fields are checked by type, not by bounds, and values are shown in full in messages.

Each field is bounded now, an address has a host and a port of at most 65535, and messages show the beginning of a value.

--- a/src/galenastall/platform/settings.py
+++ b/src/galenastall/platform/settings.py
@@ -8,6 +8,8 @@
 
 from galenastall.coordination.cell.timings import CellTimings
 from galenastall.platform.store import RECORD_BYTES, REQUEST_BYTES
+from galenastall.protocol.addresses import MAX_PORT
+from galenastall.state.decoding import DECODE_ERRORS, MAX_WHOLE, parse_whole, shorten
 from galenastall.state.errors import GalenastallError
 
 SETTINGS_VARIABLE: Final = "GALENASTALL_SETTINGS"
@@ -111,17 +113,19 @@
 def read_settings(path: Path) -> str:
     """Return the file's text; raises SettingsError if it can't be read."""
     try:
-        return path.read_text()
+        return path.read_text(encoding="utf-8")
     except OSError as error:
         raise SettingsError(f"{path}: can't be read: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{path}: is not UTF-8: {error.reason}") from error
 
 
 def parse_settings(path: Path, text: str) -> PlatformSettings:
     """Return the settings in the text of the file at `path`; raises SettingsError."""
     try:
         table = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        raise SettingsError(f"{path}: is not TOML: {error}") from error
+    except DECODE_ERRORS as error:
+        raise SettingsError(f"{path}: is not TOML: {shorten(str(error))}") from error
     return decode_settings(table)
 
 
@@ -129,36 +133,38 @@
     """Return the settings of a decoded file; unknown fields are ignored."""
     orders = _get(table, "orders", str, default=ORDERS_BY_CALL)
     if orders != ORDERS_BY_CALL:
-        raise SettingsError(f"orders: expected {ORDERS_BY_CALL!r}, got {orders!r}")
+        raise SettingsError(f"orders: expected {ORDERS_BY_CALL!r}, got {_shown(orders)}")
     form = _get(table, "platform.form", str, default="log")
     if form != "log":
-        raise SettingsError(f"platform.form: expected 'log', got {form!r}")
+        raise SettingsError(f"platform.form: expected 'log', got {_shown(form)}")
     ip = _get(table, "ipAddress", str)
     ports = _get(table, "internalPortRange", list)
     match ports:
-        case [int(first), int(last)] if first < last:
+        case [int(first), int(last)] if 0 < first < last <= MAX_PORT:
             pass
         case _:
-            raise SettingsError(f"internalPortRange: expected two ascending ports, got {ports!r}")
+            raise SettingsError(
+                f"internalPortRange: expected two ascending ports, got {_shown(ports)}"
+            )
     return PlatformSettings(
         host_id=_get(table, "nodeName", str),
         data_centre=_get(table, "zone", str),
-        callers_bind=_get(table, "listenAddresses.front", str),
-        readiness_bind=_get(table, "listenAddresses.readiness", str),
+        callers_bind=_address(table, "listenAddresses.front"),
+        readiness_bind=_address(table, "listenAddresses.readiness"),
         peer_bind=f"{ip}:{first}",
         metrics_bind=f"{ip}:{METRICS_PORT}",
         store=StoreSettings(
-            address=_get(table, "platform.address", str),
+            address=_address(table, "platform.address"),
             request_bytes=_size(table, "platform.requestBytes", default=REQUEST_BYTES),
             record_bytes=_size(table, "platform.recordBytes", default=RECORD_BYTES),
         ),
-        advisor_address=_get(table, "placementAdvisor", str, default=""),
-        hosts_address=_get(table, "cloudApi.address", str, default=""),
-        seeds=tuple(_get(table, "seedNodes", list, default=[])),
+        advisor_address=_address(table, "placementAdvisor", default=""),
+        hosts_address=_address(table, "cloudApi.address", default=""),
+        seeds=_texts(table, "seedNodes"),
         control_address=_get(table, "listenAddresses.control", str, default=""),
         cores=_number(table, "limits.cpuShare", 1.0) * _number(table, "limits.cpuCores", 1.0),
         link_mbps=_number(table, "limits.linkMbps", 1000.0),
-        memory_mb=_get(table, "limits.memoryMb", int, default=300),
+        memory_mb=_whole(table, "limits.memoryMb", default=300),
         may_start=_get(table, "bootstrap", bool, default=False),
         heartbeat_s=_number(table, "heartbeatMs", 1500.0) / 1000.0,
         stop_grace_s=_number(table, "bounds.graceS", 6.0),
@@ -183,14 +189,46 @@
             raise SettingsError(f"{name}: missing")
         return default
     if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
-        raise SettingsError(f"{name}: expected {kind.__name__}, got {value!r}")
+        raise SettingsError(f"{name}: expected {kind.__name__}, got {_shown(value)}")
     return value
 
 
-def _size(table: dict[str, Any], name: str, *, default: int) -> int:
+def _address(table: dict[str, Any], name: str, *, default: str | None = None) -> str:
+    """Return a host and a port; whether the host is there is not checked."""
+    value = _get(table, name, str, default=default)
+    host, _, port = value.rpartition(":")
+    is_printable = host.isascii() and host.isprintable() and " " not in host
+    if value and not (host and is_printable and parse_whole(port, most=MAX_PORT) is not None):
+        raise SettingsError(f"{name}: expected IP:port, got {_shown(value)}")
+    return value
+
+
+def _texts(table: dict[str, Any], name: str) -> tuple[str, ...]:
+    values = _get(table, name, list, default=[])
+    if not all(isinstance(value, str) for value in values):
+        raise SettingsError(f"{name}: expected a list of str, got {_shown(values)}")
+    return tuple(values)
+
+
+def _shown(value: object) -> str:
+    """Return a value as error messages show it; it may have too many digits to be shown."""
+    try:
+        return shorten(repr(value))
+    except ValueError:
+        return "a number with too many digits"
+
+
+def _whole(table: dict[str, Any], name: str, *, default: int) -> int:
     value = _get(table, name, int, default=default)
+    if not 0 <= value <= MAX_WHOLE:
+        raise SettingsError(f"{name}: expected 0 to {MAX_WHOLE}, got {_shown(value)}")
+    return value
+
+
+def _size(table: dict[str, Any], name: str, *, default: int) -> int:
+    value = _whole(table, name, default=default)
     if value < MIN_RECORD_BYTES:
-        raise SettingsError(f"{name}: expected at least {MIN_RECORD_BYTES} bytes, got {value!r}")
+        raise SettingsError(f"{name}: expected at least {MIN_RECORD_BYTES} bytes, got {value}")
     return value
 
 
@@ -198,6 +236,7 @@
     value = _find(table, name)
     if value is None:
         return default
-    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
-        raise SettingsError(f"{name}: expected a number above 0, got {value!r}")
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not 0 < value <= MAX_WHOLE:
+        raise SettingsError(f"{name}: expected a number above 0, got {_shown(value)}")
     return float(value)
