Bound offsets, values and pages in the answers of the store

What callers saw: one entry among those of the operator or the executors whose value holds letters outside ASCII ended its reader with ValueError; a page or an append's answer that is nested very deeply did with RecursionError. An offset above 64 bits in the answer to a claim became a token that no message can carry. Pages that end with the same key over and over were read without end, and kept in memory.

Cause: base64 raises ValueError beside its own error, decoders did not name RecursionError, JSON numbers have any size, and nothing checked that a page gets on. A claim is appended at the end that it names, so that an answer with another offset is CUT.

--- a/src/galenastall/node/cell/state_loader.py
+++ b/src/galenastall/node/cell/state_loader.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from galenastall.protocol.cell.ports import StatePage, StatePort
+from galenastall.state.decoding import shorten
 from galenastall.state.errors import Reason, StepError
 
 RETRY_S: Final = 0.1
@@ -28,6 +29,7 @@
         """Return all rows, or the last error if a page does not arrive."""
         values_by_key: dict[str, bytes] = {}
         after = ""
+        read_after: set[str] = set()
         while True:
             answer = await self._page(after)
             if isinstance(answer, Failure):
@@ -36,7 +38,13 @@
             values_by_key.update(page.values_by_key)
             if not page.next_after:
                 return Success(values_by_key)
+            if page.next_after in read_after:
+                detail = f"page ends with key {shorten(page.next_after)!r} again"
+                return Failure(
+                    StepError(step="state.load", peer="store", reason=Reason.CUT, detail=detail)
+                )
             after = page.next_after
+            read_after.add(after)
 
     async def _page(self, after: str) -> Result[StatePage, StepError]:
         detail = f"no page after {after!r} in {self._page_timeout_s:g} s"
--- a/src/galenastall/platform/calls.py
+++ b/src/galenastall/platform/calls.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from galenastall.state.decoding import decode_json_value
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.http_client import (
     BufferedResponse,
@@ -99,11 +100,11 @@
     answer: BufferedResponse, wanted: type[T], *, step: str, peer: str
 ) -> Result[T, StepError]:
     """Return the typed body of a response; CUT if it can't be decoded."""
-    try:
-        return Success(msgspec.json.decode(answer.body, type=wanted))
-    except msgspec.MsgspecError as error:
-        detail = f"status {answer.status}: {error}"
-        return Failure(StepError(step=step, peer=peer, reason=Reason.CUT, detail=detail))
+    body = decode_json_value(answer.body, wanted)
+    if isinstance(body, Success):
+        return body
+    detail = f"status {answer.status}: {body.failure()}"
+    return Failure(StepError(step=step, peer=peer, reason=Reason.CUT, detail=detail))
 
 
 def to_failure(answer: BufferedResponse, *, step: str, peer: str) -> Failure[StepError]:
--- a/src/galenastall/platform/log_wire.py
+++ b/src/galenastall/platform/log_wire.py
@@ -1,7 +1,6 @@
 """Wire format of the platform's log: framed records, keys and values, and read responses."""
 
 import base64
-import binascii
 import struct
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -9,6 +8,8 @@
 
 import msgspec
 
+from galenastall.state.decoding import MAX_WHOLE, Whole
+
 _LENGTH: Final = struct.Struct(">I")
 _READ_HEAD: Final = struct.Struct(">QQ")
 READ_HEAD_BYTES: Final = _READ_HEAD.size
@@ -37,13 +38,14 @@
     key: str
     value: str = ""
     """In base64."""
-    offset: int = 0
+    offset: Whole = 0
 
     def content(self) -> bytes:
         """Return the value's bytes."""
         try:
             return base64.b64decode(self.value, validate=True)
-        except binascii.Error as error:
+        except ValueError as error:
+            # Not only binascii.Error: letters outside ASCII raise ValueError itself.
             raise WireError(f"value of {self.key[:40]!r}: {error}") from error
 
 
@@ -53,21 +55,21 @@
     items: list[msgspec.Raw] = []
     """Each a `NewestItem`, decoded on its own so that an unreadable one does not fail the page."""
     has_more: bool = False
-    end_offset: int = 0
+    end_offset: Whole = 0
 
 
 class AppendAnswer(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """Offsets of appended records."""
 
-    offset: int = 0
-    end_offset: int = 0
+    offset: Whole = 0
+    end_offset: Whole = 0
 
 
 class AppendRefusal(msgspec.Struct, frozen=True, kw_only=True):
     """Why an append was refused with a conflict."""
 
     reason: str = ""
-    sequence: int | None = None
+    sequence: Whole | None = None
     """The expected sequence number, if the one given was wrong."""
 
 
@@ -100,6 +102,8 @@
     if len(body) < _READ_HEAD.size:
         raise WireError(f"page: expected at least {_READ_HEAD.size} bytes, got {len(body)}")
     end, first = _READ_HEAD.unpack_from(body)
+    if end > MAX_WHOLE or first > MAX_WHOLE:
+        raise WireError(f"page: expected offsets up to {MAX_WHOLE}, got {end} and {first}")
     records = split_records(body[_READ_HEAD.size :])
     return ReadAnswer(end=end, first=first, records=tuple(records))
 
--- a/src/galenastall/platform/newest_records.py
+++ b/src/galenastall/platform/newest_records.py
@@ -10,7 +10,8 @@
 from returns.result import Failure, Result, Success
 
 from galenastall.platform.calls import AddressProvider, PlatformCalls, decode_answer, to_failure
-from galenastall.platform.log_wire import NewestItem, NewestPage, WireError
+from galenastall.platform.log_wire import NewestItem, NewestPage
+from galenastall.state.decoding import DECODE_ERRORS, shorten
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.http_client import ProgressCheck
 
@@ -101,6 +102,7 @@
         """
         pages: list[NewestRecords] = []
         after = ""
+        read_after: set[str] = set()
         read_page = partial(
             self.page,
             topic,
@@ -117,11 +119,16 @@
             if not page.has_more:
                 return Success(_join(pages))
             if not page.last_key:
-                detail = "page has no readable key, so the next page can't be requested"
-                return Failure(
-                    StepError(step=_STEP, peer=self._address(), reason=Reason.CUT, detail=detail)
-                )
+                return self._cut("page has no readable key, so the next page can't be requested")
+            if page.last_key in read_after:
+                return self._cut(f"page ends with key {shorten(page.last_key)!r} again")
             after = page.last_key
+            read_after.add(after)
+
+    def _cut(self, detail: str) -> Failure[StepError]:
+        return Failure(
+            StepError(step=_STEP, peer=self._address(), reason=Reason.CUT, detail=detail)
+        )
 
 
 def decode_page(page: NewestPage) -> NewestRecords:
@@ -134,8 +141,8 @@
             item = msgspec.json.decode(raw, type=NewestItem)
             last_key = item.key
             record = NewestRecord(key=item.key, value=item.content(), offset=item.offset)
-        except (msgspec.MsgspecError, UnicodeDecodeError, WireError) as error:
-            problems.append(str(error))
+        except DECODE_ERRORS as error:
+            problems.append(shorten(str(error)))
             continue
         records.append(record)
     return NewestRecords(
--- a/src/galenastall/platform/store.py
+++ b/src/galenastall/platform/store.py
@@ -21,6 +21,7 @@
 )
 from galenastall.platform.newest_records import NewestReader
 from galenastall.protocol.cell.ports import LeaderRecord, StatePage, StoreView
+from galenastall.state.decoding import shorten
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.http_client import BufferedResponse
 
@@ -85,6 +86,9 @@
             body=keyed_record(CLAIM_KEY, value),
             timeout_s=CALL_TIMEOUT_S,
         )
+        if isinstance(answer, Success) and answer.unwrap().offset != log_end:
+            detail = f"offset: expected {log_end}, got {answer.unwrap().offset}"
+            return Failure(self._error("store.claim", Reason.CUT, detail))
         return answer.map(lambda appended: appended.offset + 1)
 
     async def fence(self, *, token: int) -> Result[None, StepError]:
@@ -170,7 +174,7 @@
     def _conflict(self, response: BufferedResponse, step: str) -> Result[AppendAnswer, StepError]:
         """Return CONFLICT: a newer epoch is set, or another writer has used this one."""
         refusal = decode_answer(response, AppendRefusal, step=step, peer=self._address())
-        detail = f"{refusal.value_or(AppendRefusal(reason='unreadable'))}"
+        detail = shorten(f"{refusal.value_or(AppendRefusal(reason='unreadable'))}")
         return Failure(self._error(step, Reason.CONFLICT, detail))
 
     def _error(self, step: str, reason: Reason, detail: str) -> StepError:
