Treat a packed configuration that is nested too deeply as unreadable

What callers saw: a peer's packed configuration with a field that is nested very deeply ended the host that received it with RecursionError, out of a loop outside of the handlers of messages. One with another version than its parts announce came into force, and kept all later versions out if that was very high.

The errors of decoding are those of `state.decoding`, and the version must be the announced one. Failed before: test_an_unknown_field_that_is_nested_deeply_is_an_error and test_another_version_than_announced_is_an_error.

--- a/src/galenastall/protocol/cell/packed_config.py
+++ b/src/galenastall/protocol/cell/packed_config.py
@@ -10,6 +10,7 @@
 
 from galenastall.protocol.cell.config import CellConfig
 from galenastall.protocol.cell.messages import ConfigPart
+from galenastall.state.decoding import DECODE_ERRORS, shorten
 
 PART_BYTES: Final = 24 * 1024
 """Size of a part: one delays other messages on a link of 5 Mbit/s by 40 ms."""
@@ -90,9 +91,12 @@
             encoded = unpacker.decompress(data, MAX_CONFIG_BYTES)
             if not unpacker.eof:
                 return Failure(f"data: incomplete, or over {MAX_CONFIG_BYTES} bytes")
-            return Success(msgspec.msgpack.decode(encoded, type=CellConfig))
-        except (zlib.error, msgspec.MsgspecError) as error:
-            return Failure(f"data: {error}")
+            config = msgspec.msgpack.decode(encoded, type=CellConfig)
+        except (zlib.error, *DECODE_ERRORS) as error:
+            return Failure(f"data: {shorten(str(error))}")
+        if config.version != self.version:
+            return Failure(f"version: expected {self.version}, got {config.version}")
+        return Success(config)
 
     def _start(self, part: ConfigPart) -> None:
         self.version, self.digest, self._size = part.version, part.digest, part.size
