Check the type and the numbers of peers' messages where they are decoded

What callers saw: a peer that answers a query of the leader, of advice or of the configuration with nothing or with another message ended the host that asked, with AttributeError out of a loop outside of the handlers. Hello and heartbeats with a token or version above 53 bits, or a weight or age that is not a number, went into the election and into messages that can't be encoded.

Each query of the cell names the type of its answer, once, beside the messages; another one is CUT. The numbers of the cell's messages are bounded by their types. Failed before: test_an_answer_of_another_type_is_cut (both) and test_an_odd_field_is_bounded_or_an_error (eight of nine messages; RecoveredAdvice held).

--- a/src/galenastall/protocol/cell/config.py
+++ b/src/galenastall/protocol/cell/config.py
@@ -4,6 +4,7 @@
 
 from galenastall.state.cell.jobs import Queue
 from galenastall.state.cell.workspaces import Workspace
+from galenastall.state.decoding import Whole
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -31,7 +32,7 @@
 class CellConfig:
     """One complete version of the configuration."""
 
-    version: int
+    version: Whole
     routes: tuple[QueueRoute, ...] = ()
     services: frozenset[str] = field(default_factory=frozenset)
     """Explicitly listed services; `named_services` also includes those of the routes."""
--- a/src/galenastall/protocol/cell/messages.py
+++ b/src/galenastall/protocol/cell/messages.py
@@ -5,10 +5,11 @@
 
 from galenastall.coordination.cell.advice import Approval
 from galenastall.protocol.cell.config import CellConfig, QueueRoute
-from galenastall.protocol.codec import PEER_MESSAGES
+from galenastall.protocol.codec import ANSWER_TYPES, PEER_MESSAGES
 from galenastall.state.cell.jobs import CellJob, StepKey
 from galenastall.state.cell.phases import JobPhase
 from galenastall.state.cell.workspaces import NO_WORKSPACE
+from galenastall.state.decoding import Finite, Quantity, Whole
 
 
 class SubmitVerdict(StrEnum):
@@ -31,16 +32,16 @@
 
     address: str
     """Address at which its peer link listens."""
-    weight: float
+    weight: Quantity
     """Cores that it can use for leading; heavier hosts are preferred as leaders."""
-    uptime_s: float
+    uptime_s: Quantity
     """Time since its process started. A rolling restart stops the youngest hosts last."""
     is_leaving: bool = False
-    lag_s: float = 0.0
+    lag_s: Quantity = 0.0
     """Average lag of its event loop."""
     is_willing: bool = True
     """False for a while after it was overloaded as leader."""
-    config_version: int = 0
+    config_version: Whole = 0
     """Version of the configuration in force on the host."""
 
 
@@ -49,15 +50,15 @@
 class Heartbeat:
     """Heartbeat from the leader to each host that it knows."""
 
-    token: int
+    token: Whole
     """Fencing token of its term."""
     address: str
-    confirm_age_s: float
+    confirm_age_s: Quantity
     """Seconds since the store last confirmed the term."""
-    config_version: int
+    config_version: Whole
     addresses_by_host: dict[str, str] = field(default_factory=dict)
     """All hosts that the leader knows, including itself; empty if already sent to the receiver."""
-    heaviest: float = 0.0
+    heaviest: Quantity = 0.0
     """Weight of the heaviest other host that could lead."""
 
 
@@ -72,7 +73,7 @@
 class TakeOver:
     """Request to claim leadership at once, from a leader that stops or hands over."""
 
-    token: int
+    token: Whole
 
 
 @PEER_MESSAGES.register("cell.ask_leader")
@@ -86,7 +87,7 @@
 class LeaderAnswer:
     """The leader that the answering host follows, or is; empty if it knows none."""
 
-    token: int = 0
+    token: Whole = 0
     host_id: str = ""
     address: str = ""
 
@@ -109,7 +110,7 @@
     """Value of the request's Host header."""
     path: str
     key_digest: str
-    config_version: int
+    config_version: Whole
     """Version of the configuration in force on the sender."""
 
 
@@ -118,7 +119,7 @@
 class CallAdmission:
     """The decision of one configuration version on a call."""
 
-    version: int
+    version: Whole
     route: QueueRoute | None = None
     """None if the call was refused."""
     workspace: str = NO_WORKSPACE
@@ -138,9 +139,9 @@
     """Submit a job; idempotent by its id."""
 
     job: CellJob
-    patience_s: float
+    patience_s: Finite
     """How long the sender waits for an answer."""
-    config_version: int = 0
+    config_version: Whole = 0
     """Version of the configuration by which the call was admitted."""
 
 
@@ -159,10 +160,10 @@
     """Query a job's phase."""
 
     job_id: str
-    patience_s: float
+    patience_s: Finite
     workspace: str = NO_WORKSPACE
     """For whom the caller acts."""
-    config_version: int = 0
+    config_version: Whole = 0
 
 
 @PEER_MESSAGES.register("cell.cancel_job")
@@ -171,10 +172,10 @@
     """Cancel a job; idempotent."""
 
     job_id: str
-    patience_s: float
+    patience_s: Finite
     workspace: str = NO_WORKSPACE
     """For whom the caller acts."""
-    config_version: int = 0
+    config_version: Whole = 0
 
 
 @PEER_MESSAGES.register("cell.job")
@@ -191,7 +192,7 @@
     """Query how many accepted jobs of a queue have not started yet."""
 
     queue_name: str
-    config_version: int = 0
+    config_version: Whole = 0
 
 
 @PEER_MESSAGES.register("cell.pending")
@@ -199,7 +200,7 @@
 class PendingAnswer:
     """The number of accepted jobs that have not started yet."""
 
-    count: int
+    count: Whole
 
 
 @PEER_MESSAGES.register("cell.get_advice")
@@ -209,7 +210,7 @@
 
     step: StepKey
     executor_ids: tuple[str, ...]
-    timeout_s: float
+    timeout_s: Quantity
 
 
 @PEER_MESSAGES.register("cell.advice")
@@ -218,7 +219,7 @@
     """The advisor's answer."""
 
     approved: tuple[Approval, ...]
-    validity_s: float
+    validity_s: Finite
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -229,7 +230,7 @@
     executor_ids: tuple[str, ...]
     """Executors named in the call."""
     approved: tuple[Approval, ...]
-    good_for_s: float
+    good_for_s: Finite
     """Remaining validity of the tickets; negative if they have expired."""
 
 
@@ -239,7 +240,7 @@
 
     step: StepKey
     executor_ids: tuple[str, ...]
-    left_s: float
+    left_s: Finite
     """Remaining time until the call is given up."""
 
 
@@ -273,7 +274,7 @@
 class GetConfig:
     """Request the whole configuration of a host, if it is newer; sent to and by older programs."""
 
-    known_version: int
+    known_version: Whole
 
 
 @PEER_MESSAGES.register("cell.config")
@@ -289,11 +290,11 @@
 class GetConfigPart:
     """Request a part of the packed configuration of a host, if it is newer."""
 
-    known_version: int
+    known_version: Whole
     """Version in force at the sender."""
     digest: str = ""
     """Digest of the packed configuration of which the sender has the parts before `offset`."""
-    offset: int = 0
+    offset: Whole = 0
 
 
 @PEER_MESSAGES.register("cell.config_part")
@@ -301,11 +302,28 @@
 class ConfigPart:
     """A part of the packed configuration; version 0 if it is not newer than the sender's."""
 
-    version: int = 0
+    version: Whole = 0
     digest: str = ""
     """Digest of the packed configuration; other than the request's if that was replaced."""
-    size: int = 0
+    size: Whole = 0
     """Bytes of the packed configuration."""
-    offset: int = 0
+    offset: Whole = 0
     """Where the part begins: 0 if the packed configuration of the request was replaced."""
     data: bytes = b""
+
+
+ANSWER_TYPES.update(
+    {
+        GetLeader: LeaderAnswer,
+        AdmitCall: CallAdmission,
+        SubmitJob: SubmitAnswer,
+        GetJob: JobAnswer,
+        CancelJob: JobAnswer,
+        CountPending: PendingAnswer,
+        GetAdvice: AdviceAnswer,
+        AwaitAdvice: AdviceAnswer,
+        RecoverAdvice: RecoveredAdvice,
+        GetConfig: ConfigAnswer,
+        GetConfigPart: ConfigPart,
+    }
+)
--- a/src/galenastall/protocol/codec.py
+++ b/src/galenastall/protocol/codec.py
@@ -16,6 +16,10 @@
 """Frozen data classes by wire name; filled with `@PEER_MESSAGES.register("name")`."""
 
 
+ANSWER_TYPES: Final[dict[type[Any], type[Any]]] = {}
+"""Types of the answers to some requests; a request that is not listed may get any answer."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _RecordEnvelope:
     id: str
--- a/src/galenastall/transport/peer_link.py
+++ b/src/galenastall/transport/peer_link.py
@@ -18,7 +18,7 @@
 
 from galenastall.coordination.timeline.hybrid_clock import HybridClock
 from galenastall.protocol.clock import Clock
-from galenastall.protocol.codec import decode_message
+from galenastall.protocol.codec import ANSWER_TYPES, decode_message
 from galenastall.protocol.peers import PeerHandler
 from galenastall.protocol.security import CurveKeys
 from galenastall.state.decoding import shorten
@@ -196,7 +196,11 @@
         frame = self._request_frame(peer_wire.CALL, correlation_id, peer, message)
         if len(frame) > MAX_MESSAGE_BYTES:
             return _failure(peer, Reason.INVALID, f"message of {len(frame)} bytes is too large")
-        return await self._exchange(outbox, peer, correlation_id, frame, timeout_s)
+        answer = await self._exchange(outbox, peer, correlation_id, frame, timeout_s)
+        if isinstance(answer, Failure):
+            return answer
+        wanted = ANSWER_TYPES.get(type(message))
+        return peer_wire.decode_answer(answer.unwrap(), peer=peer, wanted=wanted)
 
     def send(self, *, peer: HostId, message: object) -> None:
         """Send a one-way message; it is lost silently if the peer can't be reached."""
@@ -213,7 +217,7 @@
 
     async def _exchange(
         self, outbox: PeerOutbox, peer: HostId, correlation_id: int, frame: bytes, timeout_s: float
-    ) -> Result[Any, StepError]:
+    ) -> Result[Envelope, StepError]:
         pending = self._pending_by_id[correlation_id] = _Pending(peer=peer)
         is_sent = False
         try:
@@ -224,7 +228,7 @@
         finally:
             del self._pending_by_id[correlation_id]
         if pending.answer is not None:
-            return peer_wire.decode_answer(pending.answer, peer=peer)
+            return Success(pending.answer)
         if not is_sent:
             return _failure(peer, Reason.UNREACHABLE, "not connected, or its queue is full")
         return _failure(peer, Reason.TIMEOUT, f"no answer in {timeout_s:g} s")
--- a/src/galenastall/transport/peer_wire.py
+++ b/src/galenastall/transport/peer_wire.py
@@ -99,14 +99,23 @@
         return None
 
 
-def decode_answer(envelope: Envelope, *, peer: HostId) -> Result[Any, StepError]:
-    """Return the result of the peer's handler; an undecodable answer is a CUT error."""
+def decode_answer(
+    envelope: Envelope, *, peer: HostId, wanted: type[Any] | None = None
+) -> Result[Any, StepError]:
+    """Return the result of the peer's handler.
+
+    An answer that can't be decoded, or is not of the wanted type, is a CUT error.
+    """
     if envelope.kind == NO_MESSAGE:
-        return Success(None)
+        return Success(None) if wanted is None else Failure(_cut(peer, "answer without a message"))
     if envelope.kind == ANSWER:
-        return decode_message(envelope.name, bytes(envelope.body), peer=peer).alt(
+        answer = decode_message(envelope.name, bytes(envelope.body), peer=peer).alt(
             lambda error: _cut(peer, error.detail)
         )
+        if wanted is None or isinstance(answer, Failure) or isinstance(answer.unwrap(), wanted):
+            return answer
+        detail = f"expected {wanted.__name__}, got message {envelope.name!r}"
+        return Failure(_cut(peer, detail))
     try:
         error = msgspec.msgpack.decode(envelope.body, type=StepError)
     except DECODE_ERRORS as fault:
--- a/tests/test_odd_peer_frames.py
+++ b/tests/test_odd_peer_frames.py
@@ -1,7 +1,7 @@
 """Frames of peers: whatever bytes they hold, they end no more than their own message."""
 
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any, Final
@@ -15,7 +15,20 @@
 from returns.result import Failure, Success
 
 from galenastall.coordination.timeline.hybrid_clock import HybridClock
-from galenastall.protocol.codec import PEER_MESSAGES, encode_message
+from galenastall.protocol.cell.messages import (
+    CachedAdvice,
+    ConfigPart,
+    CountPending,
+    GetConfigPart,
+    GetJob,
+    Heartbeat,
+    Hello,
+    LeaderAnswer,
+    RecoveredAdvice,
+    TakeOver,
+)
+from galenastall.protocol.codec import ANSWER_TYPES, PEER_MESSAGES, decode_message, encode_message
+from galenastall.state.cell.jobs import StepKey
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId, Incarnation
 from galenastall.transport import peer_wire
@@ -41,6 +54,9 @@
     number: int = 0
 
 
+ANSWER_TYPES[OddPing] = OddPing
+
+
 @PEER_MESSAGES.register("test.unsendable")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Unsendable:
@@ -80,6 +96,58 @@
             assert wait_s is None or 0 <= int(wait_s) < 2**54, name
 
 
+CELL_MESSAGES: Final[tuple[Any, ...]] = (
+    Hello(address="10.0.0.1:1", weight=1.0, uptime_s=2.0),
+    Heartbeat(
+        token=3,
+        address="10.0.0.1:1",
+        confirm_age_s=0.5,
+        config_version=4,
+        addresses_by_host={"a": "10.0.0.1:1"},
+        heaviest=1.0,
+    ),
+    TakeOver(token=3),
+    LeaderAnswer(token=3, host_id="a", address="10.0.0.1:1"),
+    GetJob(job_id="ab", patience_s=1.0),
+    CountPending(queue_name="q"),
+    GetConfigPart(known_version=3),
+    ConfigPart(version=3, digest="x", size=4, data=b"abcd"),
+    RecoveredAdvice(
+        answers=(
+            CachedAdvice(
+                step=StepKey(job="ab", occurrence=0, step=0),
+                executor_ids=("e",),
+                approved=(),
+                good_for_s=-1.0,
+            ),
+        )
+    ),
+)
+
+
+def numbers_in(value: Any) -> Iterator[int | float]:
+    if isinstance(value, bool):
+        return
+    if isinstance(value, int | float):
+        yield value
+    inner: Any = value if isinstance(value, list) else ()
+    for each in value.values() if isinstance(value, dict) else inner:
+        yield from numbers_in(each)
+
+
+class TestCellMessages:
+    @pytest.mark.parametrize("message", CELL_MESSAGES, ids=lambda message: type(message).__name__)
+    def test_an_odd_field_is_bounded_or_an_error(self, message: Any) -> None:
+        name, body = encode_message(message)
+        assert decode_message(name, body, peer="p") == Success(message)
+        for shown, odd in replaced_in_message(msgspec.msgpack.decode(body)):
+            found = decode_message(name, odd, peer="p")
+            if isinstance(found, Failure):
+                continue
+            for number in numbers_in(msgspec.to_builtins(found.unwrap())):
+                assert abs(number) <= 2**53, shown
+
+
 class OddPeer:
     """Sends any bytes to a link, as a peer without this program might."""
 
@@ -121,6 +189,10 @@
         return link
 
     async def _on_ping(self, _: HostId, message: OddPing) -> Any:
+        if message.number == 12:
+            return None
+        if message.number == 11:
+            return Unsendable(number=1)
         if message.number == 13:
             return Unsendable(number=2**70)
         return message
@@ -187,6 +259,12 @@
                 await made.check_is_serving()
                 assert made.link.dropped.malformed > 100
 
+    @pytest.mark.parametrize("number", [11, 12])
+    async def test_an_answer_of_another_type_is_cut(self, number: int) -> None:
+        async with odd_link() as made:
+            answer = await made.other.call(peer=A, message=OddPing(number=number), timeout_s=FAR_S)
+            assert answer.failure().reason is Reason.CUT
+
     async def test_an_answer_that_cannot_be_sent_fails_its_call_alone(self) -> None:
         async with odd_link() as made:
             answer = await made.other.call(peer=A, message=OddPing(number=13), timeout_s=FAR_S)
