Let hosts claim after a claim that can't be read

What callers saw: while the newest claim in the store could not be read, each read of the store failed at each host, so that none could ever claim, and callers got 503 without end once the leader's heartbeats had stopped.

Cause: the claim was decoded as a whole, although its token is its offset. An unreadable claim has an unknown host now, is reported once as leader.claim_unreadable, and is waited for and followed by the next claim like any other. Only the cell's own programs write there. Failed before: test_a_claim_that_cannot_be_read_keeps_its_token.

--- a/src/galenastall/node/cell/leadership.py
+++ b/src/galenastall/node/cell/leadership.py
@@ -58,6 +58,8 @@
         self._has_claimed = False
         """Whether this process has sent a claim; otherwise a claim in this host's name is of an
         earlier process."""
+        self._unreadable_token = 0
+        """Token of the last claim that could not be read, and has been reported."""
         self._link: PeerLink = parts.link
         self._recorder: Recorder = parts.recorder
         self._search = LeaderSearch(link=self._link, view=self)
@@ -227,8 +229,13 @@
             is_orphaned=is_of_this_host and not self._has_claimed,
             claimed_weight=view.leader.weight if view.leader else 0.0,
         )
-        if view.leader is not None and view.leader.host_id != self._host_id:
+        if view.leader is None or view.leader.host_id == self._host_id:
+            return
+        if view.leader.host_id:
             self._members.make_known_to(view.leader.host_id, view.leader.address)
+        elif token != self._unreadable_token:
+            self._unreadable_token = token
+            self._recorder.record("leader.claim_unreadable", fields={"token": str(token)})
 
     async def _claim(self, nursery: trio.Nursery, *, cause: str) -> None:
         log_end = self._election.log_end
--- a/src/galenastall/platform/store.py
+++ b/src/galenastall/platform/store.py
@@ -21,7 +21,7 @@
 )
 from galenastall.platform.newest_records import NewestReader
 from galenastall.protocol.cell.ports import LeaderRecord, StatePage, StoreView
-from galenastall.state.decoding import shorten
+from galenastall.state.decoding import Quantity, shorten
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.http_client import BufferedResponse
 
@@ -52,7 +52,10 @@
 class _Claim(msgspec.Struct, frozen=True, kw_only=True):
     host_id: str
     address: str
-    weight: float = 0.0
+    weight: Quantity = 0.0
+
+
+_UNREADABLE_CLAIM: Final = _Claim(host_id="", address="")
 
 
 class PlatformStore:
@@ -143,9 +146,8 @@
             if record.key != CLAIM_KEY:
                 continue
             decoded = decode_entry(record.value, _Claim)
-            if isinstance(decoded, Failure):
-                return Failure(self._error("store.look", Reason.CUT, decoded.failure()))
-            claim = decoded.unwrap()
+            # Without the token of an unreadable claim, no host could ever claim after it.
+            claim = decoded.value_or(_UNREADABLE_CLAIM)
             leader = LeaderRecord(
                 token=record.offset + 1,
                 host_id=claim.host_id,
--- a/src/galenastall/protocol/cell/ports.py
+++ b/src/galenastall/protocol/cell/ports.py
@@ -20,6 +20,7 @@
 
     token: int
     host_id: str
+    """Empty if the claim can't be read."""
     address: str
     weight: float = 0.0
     """Weight of the host; 0 if the claim does not state it."""
--- a/tests/test_odd_pages.py
+++ b/tests/test_odd_pages.py
@@ -137,6 +137,20 @@
         made = await store.claim(host_id="a", address="10.0.0.1:1", weight=1.0, log_end=7)
         assert made.failure().reason is Reason.CUT
 
+    async def test_a_claim_that_cannot_be_read_keeps_its_token(self, nursery: trio.Nursery) -> None:
+        names = [name for name, _ in replaced(CLAIM)]
+        items = [
+            {"key": "~leader", "value": base64.b64encode(claim).decode(), "offset": 9}
+            for _, claim in replaced(CLAIM)
+        ]
+        pages = [msgspec.json.encode({"items": [item], "endOffset": 12}) for item in items]
+        store, _ = await open_store(nursery, *pages)
+        for name in names:
+            view = (await store.poll()).unwrap()
+            assert view.leader is not None, name
+            assert (view.leader.token, view.log_end) == (10, 12), name
+            assert 0.0 <= view.leader.weight <= 2**53, name
+
     async def test_a_claim_at_the_end_gets_its_token(self, nursery: trio.Nursery) -> None:
         store, _ = await open_store(nursery, msgspec.json.encode({"offset": 7}))
         assert await store.claim(host_id="a", address="x", weight=1.0, log_end=7) == Success(8)
