--- a/src/galenastall/platform/store.py
+++ b/src/galenastall/platform/store.py
@@ -21,6 +21,7 @@
 )
 from galenastall.platform.newest_records import NewestReader
 from galenastall.protocol.cell.ports import LeaderRecord, StatePage, StoreView
+from galenastall.state.decoding import Quantity, shorten
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.http_client import BufferedResponse
 
@@ -51,7 +52,10 @@
 class _Claim(msgspec.Struct, frozen=True, kw_only=True):
     host_id: str
     address: str
-    weight: float = 0.0
+    weight: Quantity = 0.0
+
+
+_UNREADABLE_CLAIM: Final = _Claim(host_id="", address="")
 
 
 class PlatformStore:
@@ -85,6 +89,9 @@
             body=keyed_record(CLAIM_KEY, value),
             timeout_s=CALL_TIMEOUT_S,
         )
+        if isinstance(answer, Success) and answer.unwrap().offset != log_end:
+            detail = f"offset: expected {log_end}, got {answer.unwrap().offset}"
+            return Failure(self._error("store.claim", Reason.CUT, detail))
         return answer.map(lambda appended: appended.offset + 1)
 
     async def fence(self, *, token: int) -> Result[None, StepError]:
@@ -139,9 +146,8 @@
             if record.key != CLAIM_KEY:
                 continue
             decoded = decode_entry(record.value, _Claim)
-            if isinstance(decoded, Failure):
-                return Failure(self._error("store.look", Reason.CUT, decoded.failure()))
-            claim = decoded.unwrap()
+            # Without the token of an unreadable claim, no host could ever claim after it.
+            claim = decoded.value_or(_UNREADABLE_CLAIM)
             leader = LeaderRecord(
                 token=record.offset + 1,
                 host_id=claim.host_id,
@@ -170,7 +176,7 @@
     def _conflict(self, response: BufferedResponse, step: str) -> Result[AppendAnswer, StepError]:
         """Return CONFLICT: a newer epoch is set, or another writer has used this one."""
         refusal = decode_answer(response, AppendRefusal, step=step, peer=self._address())
-        detail = f"{refusal.value_or(AppendRefusal(reason='unreadable'))}"
+        detail = shorten(f"{refusal.value_or(AppendRefusal(reason='unreadable'))}")
         return Failure(self._error(step, Reason.CONFLICT, detail))
 
     def _error(self, step: str, reason: Reason, detail: str) -> StepError:
--- a/src/galenastall/protocol/addresses.py
+++ b/src/galenastall/protocol/addresses.py
@@ -15,17 +15,18 @@
 
 def split_address(address: str) -> tuple[str, int]:
     """Return IP and port of `IP:port` (`[IP]:port` for IPv6); raises ValueError otherwise."""
-    ip, separator, port = address.rpartition(":")
-    number = parse_whole(port, most=MAX_PORT)
-    if not separator or number is None:
+    ip, separator, port_text = address.rpartition(":")
+    port = parse_whole(port_text, most=MAX_PORT)
+    if not separator or port is None:
         raise ValueError(f"must be IP:port with a port of 0 to {MAX_PORT}, for example 10.0.0.1:80")
     if ip.startswith("[") and ip.endswith("]"):
-        return str(ipaddress.IPv6Address(ip[1:-1])), number
+        return str(ipaddress.IPv6Address(ip[1:-1])), port
     try:
-        return str(ipaddress.IPv4Address(ip)), number
+        return str(ipaddress.IPv4Address(ip)), port
     except ValueError:
-        message = f"must start with an IP address, not a host name: {shorten(ip)!r}"
-        raise ValueError(message) from None
+        raise ValueError(
+            f"must start with an IP address, not a host name: {shorten(ip)!r}"
+        ) from None
 
 
 def is_wildcard(address: str) -> bool:
@@ -38,7 +39,8 @@
     return address
 
 
-def _check_reachable(address: str) -> str:
+def check_reachable(address: str) -> str:
+    """Return the address if others can connect to it; raises ValueError otherwise."""
     _, port = split_address(address)
     if port == 0 or is_wildcard(address):
         raise ValueError("must be a single address that others can connect to, with a port above 0")
@@ -47,5 +49,5 @@
 
 BindAddress = Annotated[str, AfterValidator(_check_bind)]
 """`IP:port` to listen on; with port 0 the operating system chooses one."""
-ReachableAddress = Annotated[str, AfterValidator(_check_reachable)]
+ReachableAddress = Annotated[str, AfterValidator(check_reachable)]
 """`IP:port` that another process can connect to."""
--- a/src/galenastall/transport/peer_link.py
+++ b/src/galenastall/transport/peer_link.py
@@ -18,10 +18,11 @@
 
 from galenastall.coordination.timeline.hybrid_clock import HybridClock
 from galenastall.protocol.clock import Clock
-from galenastall.protocol.codec import decode_message
+from galenastall.protocol.codec import ANSWER_TYPES, decode_message
 from galenastall.protocol.peers import PeerHandler
 from galenastall.protocol.probe_messages import InboxProbe
 from galenastall.protocol.security import CurveKeys
+from galenastall.state.decoding import shorten
 from galenastall.state.errors import Reason, StepError
 from galenastall.state.ids import HostId, Incarnation
 from galenastall.transport import peer_wire
@@ -87,6 +88,8 @@
         self._handlers = PeerHandlers(host_id=host_id, log_error=log_error)
         self._handlers.add(InboxProbe, _answer_probe)
         self._addresses_by_id: dict[HostId, str] = {}
+        self._unusable_by_id: dict[HostId, str] = {}
+        """Addresses that can't be connected to, and have been reported."""
         self._outboxes_by_id: dict[HostId, PeerOutbox] = {}
         self._pending_by_id: dict[int, _Pending] = {}
         # Ids differ between incarnations of a process, so that logs can distinguish their calls.
@@ -190,7 +193,11 @@
         frame = self._request_frame(peer_wire.CALL, correlation_id, peer, message)
         if len(frame) > MAX_MESSAGE_BYTES:
             return _failure(peer, Reason.INVALID, f"message of {len(frame)} bytes is too large")
-        return await self._exchange(outbox, peer, correlation_id, frame, timeout_s)
+        answer = await self._exchange(outbox, peer, correlation_id, frame, timeout_s)
+        if isinstance(answer, Failure):
+            return answer
+        wanted = ANSWER_TYPES.get(type(message))
+        return peer_wire.decode_answer(answer.unwrap(), peer=peer, wanted=wanted)
 
     def send(self, *, peer: HostId, message: object) -> None:
         """Send a one-way message; it is lost silently if the peer can't be reached."""
@@ -264,7 +271,7 @@
 
     async def _exchange(
         self, outbox: PeerOutbox, peer: HostId, correlation_id: int, frame: bytes, timeout_s: float
-    ) -> Result[Any, StepError]:
+    ) -> Result[Envelope, StepError]:
         pending = self._pending_by_id[correlation_id] = _Pending(peer=peer)
         is_sent = False
         try:
@@ -275,7 +282,7 @@
         finally:
             del self._pending_by_id[correlation_id]
         if pending.answer is not None:
-            return peer_wire.decode_answer(pending.answer, peer=peer)
+            return Success(pending.answer)
         if not is_sent:
             return _failure(peer, Reason.UNREACHABLE, "not connected, or its queue is full")
         return _failure(peer, Reason.TIMEOUT, f"no answer in {timeout_s:g} s")
@@ -327,9 +334,13 @@
             server_key = self._curve.allowed_by_host_id.get(peer, "")
             if not server_key:
                 return None
-        socket = make_dealer(
-            context=self._context, address=address, curve=self._curve, server_key=server_key
-        )
+        try:
+            socket = make_dealer(
+                context=self._context, address=address, curve=self._curve, server_key=server_key
+            )
+        except ValueError as error:
+            self._on_unusable_address(peer, address, str(error))
+            return None
         outbox = PeerOutbox(
             address=address,
             socket=socket,
@@ -347,6 +358,11 @@
         self._outboxes_by_id[peer] = outbox
         return outbox
 
+    def _on_unusable_address(self, peer: HostId, address: str, cause: str) -> None:
+        if self._unusable_by_id.get(peer) != address:
+            self._unusable_by_id[peer] = address
+            self._on_rejected_peer(peer, f"address {shorten(address)!r}: {cause}")
+
     def _on_refused_key(self, address: str, key: str) -> None:
         self._on_rejected_peer(address, f"public key {key} is not allowed")
 
@@ -431,7 +447,11 @@
         self, return_route: bytes, caller: HostId, correlation_id: int, answer: Any
     ) -> None:
         at = self._hybrid.tick(self._clock.wall())
-        frame = peer_wire.encode_answer(correlation_id=correlation_id, answer=answer, at=at)
+        try:
+            frame = peer_wire.encode_answer(correlation_id=correlation_id, answer=answer, at=at)
+        except Exception as unexpected:
+            fault = self._handlers.fault(type(answer).__name__, unexpected)
+            frame = peer_wire.encode_answer(correlation_id=correlation_id, answer=fault)
         if len(frame) > MAX_MESSAGE_BYTES:
             detail = f"answer of {len(frame)} bytes is too large"
             error = self._handlers.error(Reason.CUT, detail)
