Report a YAML file with odd values as a problem

What callers saw: a settings file in YAML that is nested deeply, or has a number of thousands of digits or a date that does not exist, gave a traceback in place of a problem that names the file: the parser converts values itself and lets ValueError and RecursionError out. Failed before: test_an_odd_file_is_a_problem (deep nesting, number, date).

--- a/src/galenastall/protocol/yaml_files.py
+++ b/src/galenastall/protocol/yaml_files.py
@@ -12,6 +12,7 @@
 import yaml
 from returns.result import Failure, Result, Success
 
+from galenastall.state.decoding import DECODE_ERRORS, shorten
 from galenastall.state.settings_problems import SettingsProblem, SettingsProblems
 
 
@@ -58,6 +59,9 @@
         return Failure(_one_problem(source, where, error.problem or "not valid YAML"))
     except yaml.YAMLError as error:
         return Failure(_one_problem(source, "", str(error)))
+    except DECODE_ERRORS as error:
+        # Values are converted while the text is read: long numbers, dates that do not exist.
+        return Failure(_one_problem(source, "", f"not valid YAML: {shorten(str(error))}"))
 
 
 def load_yaml(path: Path) -> Result[Any, SettingsProblems]:
