Report peers that can't be connected to, and count errors in their messages

On the operations platform a peer at an address that can't be connected to left no line in the log, and unexpected errors in the handling of a peer's message were logged without being counted: nobody passed the link a callback for the first, and the second went past the counter of events.

--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -41,6 +41,7 @@
 from galenastall.transport.http_server import HttpServer
 from galenastall.transport.log_budget import BudgetedRecorder, LineBudget
 from galenastall.transport.log_stream import BoundedLogStream
+from galenastall.transport.logs import Level
 from galenastall.transport.metrics import Metrics
 from galenastall.transport.peer_link import ZmqPeerLink
 from galenastall.transport.unexpected import counted_error_log, unexpected_recorded
@@ -170,7 +171,8 @@
                 incarnation=incarnation,
                 clock=self._clock,
                 bind=settings.peer_bind,
-                log_error=self.recorder.record_error,
+                log_error=counted_error_log(self.recorder),
+                on_rejected_peer=self._on_rejected_peer,
             ),
             timings=replace(
                 CellTimings(),
@@ -181,6 +183,9 @@
             recorder=self.recorder,
         )
 
+    def _on_rejected_peer(self, peer: str, why: str) -> None:
+        self.recorder.record("peer.kept_out", peer=peer, cause=why, level=Level.WARNING)
+
     def _calls(self, max_connections: int) -> PlatformCalls:
         client = HttpClient(
             clock=self._clock,
