Find the executor of a machine by the list of machines too

An executor whose entry names no machine counts as being on a host named like its address. A wave of maintenance then took its machine down with a task at work, beside `allowMiss` 0 (AVAIL): no executor was known on the machine, and none held runs at an unknown place.

The platform's list of machines names each machine's executor. Where no entry names the machine, that executor is drained like any other.

--- a/src/galenastall/coordination/cell/maintenance.py
+++ b/src/galenastall/coordination/cell/maintenance.py
@@ -11,7 +11,7 @@
 
 from galenastall.coordination.cell.availability import Availability
 from galenastall.coordination.cell.cell_state import CellState
-from galenastall.coordination.cell.executors import Cordon
+from galenastall.coordination.cell.executors import Cordon, Executor
 from galenastall.coordination.cell.host_orders import HostOrder, HostOutcome, WriteAhead
 from galenastall.coordination.cell.run_ends import RunEnds
 from galenastall.coordination.cell.stop_rules import StopRule
@@ -197,12 +197,21 @@
         return listed is not None and listed.state is HostState.UP
 
     def _run_count(self, host: str) -> int:
-        executor = self._state.executor_on(host)
+        executor = self._executor_of(host)
         return len(executor.runs_by_task) if executor is not None else 0
 
+    def _executor_of(self, host: str) -> Executor | None:
+        """Return the executor on a host, by its own entry or else by the list of hosts."""
+        executor = self._state.executor_on(host)
+        listed = self._hosts_by_id.get(host)
+        if executor is not None or listed is None:
+            return executor
+        named = self._state.executors.named(listed.executor_id)
+        return max(named, key=lambda e: e.answered_seq, default=None)
+
     def _drain(self, progress: WaveProgress, host: str, *, is_overdue: bool) -> None:
         """Drain a host, and order its maintenance once it has no runs."""
-        executor = self._state.executor_on(host)
+        executor = self._executor_of(host)
         if executor is None:
             # Runs of an executor that the list lacks may be on any host, until their leases expire.
             if not self._state.has_unplaced_runs:
@@ -242,7 +251,7 @@
             return True
         progress.ordered.discard(order.host)
         progress.begun.add(order.host)
-        executor = self._state.executor_on(order.host)
+        executor = self._executor_of(order.host)
         if outcome is HostOutcome.DONE:
             progress.begun_at[order.host] = wall
         elif executor is not None:
--- a/tests/test_cell_hosts.py
+++ b/tests/test_cell_hosts.py
@@ -198,6 +198,24 @@
         assert len(harness.step()) == 3
 
 
+class TestExecutorsThatNameNoHost:
+    @pytest.mark.parametrize("host", ["e2", "10.0.0.2:80"])
+    def test_a_machine_whose_executor_names_none_is_not_taken_down_at_work(self, host: str) -> None:
+        # An entry without a machine counts as being on a host named like its address.
+        harness = Harness(make_info("e2", host=host))
+        harness.submit(make_job(make_step(1, is_long_running=True, most_unavailable=0)))
+        (order,) = harness.step()
+        harness.confirm_starts([order])
+        row = ListedRun(task=order.task, run=order.run, percent=100)
+        for _ in range(20):
+            harness.now += 0.5
+            harness.listing("e2", (row,))
+        harness.core.hosts.set_waves([make_wave("e2")], wall=harness.wall)
+        harness.core.hosts.set_hosts(make_hosts(("e2",)), wall=harness.wall)
+        harness.step()
+        assert harness.core.hosts.take_ready() == []
+
+
 class TestAvailability:
     """Tasks of a service leave a host one by one, within the limit that its step declares."""
 
