End a list of machines that names ever new pages, and forget old waves

A list whose pages name ever new ones was read without end (157,000 pages in 3 s of a test), and each version of a wave that the operator rewrites was kept for ever. A list has at most 1,000 pages now, more make it an error; decoded waves are kept while they are in the store.

--- a/src/galenastall/platform/hosts.py
+++ b/src/galenastall/platform/hosts.py
@@ -25,6 +25,8 @@
 """Prefix of the keys in which the operator writes waves, and of those with their states."""
 STATUS_TOPIC: Final = "keyed.status"
 CALL_TIMEOUT_S: Final = 1.0
+MAX_PAGES: Final = 1_000
+"""Pages of a list of machines; one that names ever new pages would never end."""
 _OK: Final = 200
 _BAD_REQUEST: Final = 400
 _CONFLICT: Final = 409
@@ -144,11 +146,14 @@
 
     def waves(self) -> tuple[MaintenanceWave, ...]:
         """Return the waves that were last read."""
-        found = [
-            self._decode_wave(key, value)
+        values_by_key = {
+            key: value
             for key, value in self._operator_values().items()
             if key.startswith(WAVE_KEY_PREFIX)
-        ]
+        }
+        found = [self._decode_wave(key, value) for key, value in values_by_key.items()]
+        current = {value: self._waves_by_value[value] for value in values_by_key.values()}
+        self._waves_by_value = current
         return tuple(wave for wave in found if wave is not None)
 
     def _decode_wave(self, key: str, value: bytes) -> MaintenanceWave | None:
@@ -165,7 +170,7 @@
         hosts: list[PoolHost] = []
         path = "/machines"
         paths: set[str] = set()
-        while path not in paths:
+        while path not in paths and len(paths) < MAX_PAGES:
             paths.add(path)
             answer = await self._calls.get(
                 step=step, address=self._address(), path=path, timeout_s=CALL_TIMEOUT_S
@@ -188,7 +193,8 @@
                 self._unusable_names &= {host.host for host in hosts}
                 return Success(tuple(hosts))
             path = f"/machines?pageToken={quote(found.next_page_token, safe='')}"
-        return Failure(self._cut(step, "nextPageToken: a page names one that was read already"))
+        detail = f"nextPageToken: names a page that was read already, or more than {MAX_PAGES}"
+        return Failure(self._cut(step, detail))
 
     def _decode_machine(self, raw: bytes) -> Result[PoolHost, str]:
         """Return a machine, down if it can't be used, or an error message if it has no name.
