--- a/src/galenastall/platform/config.py
+++ b/src/galenastall/platform/config.py
@@ -9,7 +9,13 @@
 from galenastall.platform.access import digest_of
 from galenastall.platform.amounts import WireAmount
 from galenastall.platform.calls import AddressProvider, PlatformCalls
-from galenastall.platform.entries import EntryProblem, ShortText, decode_contained, decode_entry
+from galenastall.platform.entries import (
+    EntryProblem,
+    PathText,
+    ShortText,
+    decode_contained,
+    decode_entry,
+)
 from galenastall.platform.keyed_follower import KeyedFollower
 from galenastall.platform.shared_reads import SharedReads
 from galenastall.platform.transfers import TransferSlot
@@ -47,8 +53,8 @@
     """A queue, with the host and path prefix of its requests."""
 
     name: ShortText
-    host: ShortText = ""
-    path_prefix: ShortText = "/"
+    host: PathText = ""
+    path_prefix: PathText = "/"
     service: ShortText = ""
     priority: Whole = 1
     max_attempts: Whole = 1
--- a/src/galenastall/platform/entries.py
+++ b/src/galenastall/platform/entries.py
@@ -15,6 +15,8 @@
 
 ShortText = Annotated[str, Meta(max_length=1_000)]
 """A name or label; it is stored in rows and shown in logs."""
+PathText = Annotated[str, Meta(max_length=65_536)]
+"""A host or path prefix of requests, which no request line can exceed."""
 
 
 def decode_entry(value: bytes, wanted: type[T]) -> Result[T, str]:
