--- a/src/galenastall/platform/config.py
+++ b/src/galenastall/platform/config.py
@@ -25,6 +25,7 @@
 from galenastall.state.decoding import Finite, Quantity, Whole
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.logs import Recorder
+from galenastall.transport.unexpected import record_unexpected
 
 TOPIC: Final = "keyed.op"
 KEY: Final = "config"
@@ -244,7 +245,7 @@
 
     def _unreadable(self, problem: EntryProblem) -> StepError:
         if problem.error is not None:
-            problem.record(self._recorder, kind="config", name=KEY)
+            record_unexpected(self._recorder, "config.unexpected", problem.error, subjects=(KEY,))
         return StepError(
             step="config.decode", peer=self._address(), reason=Reason.INVALID, detail=problem.cause
         )
--- a/tests/test_log_stories.py
+++ b/tests/test_log_stories.py
@@ -93,7 +93,12 @@
         return set(re.findall(r"^\| `([a-z_.]+)` \|", self.PAGE.read_text(), re.MULTILINE))
 
     def test_its_table_has_all_events_and_no_others(self) -> None:
-        events = set(re.findall(r'\.(?:note|record)\(\s*"([a-z_]+\.[a-z_]+)"', self.source()))
+        source = self.source()
+        events = set(re.findall(r'\.(?:note|record)\(\s*"([a-z_]+\.[a-z_]+)"', source))
+        events |= set(re.findall(r'unexpected(?:_recorded)?\([^"()]*"([a-z_]+\.[a-z_]+)"', source))
+        events |= set(re.findall(r'^STEP: Final = "([a-z_]+\.[a-z_]+)"', source, re.MULTILINE))
+        kinds = re.findall(r'\.record\([^"()]*kind="([a-z_]+)"', source)
+        events |= {f"{kind}.{end}" for kind in kinds for end in ("unreadable", "unexpected")}
         assert events == {row for row in self.rows() if "." in row}
 
     def test_its_table_has_all_metrics_and_no_others(self) -> None:
