Write an empty response before the next request of its connection begins

What callers saw: a client that sent many requests ahead to an address whose responses are empty, such as the readiness probe, and did not read them, made the host grow without bound.

Cause: the head of a response is held until its first body bytes, so that a small response is one write. A response without a body has none, so its head left only after hypercorn had begun the connection's next request. Each request sent ahead therefore started a task that waited for the same lock.

Why this works: the end of a response flushes its held head, so the next request begins when the response is written.

--- a/src/galenastall/transport/http_connection.py
+++ b/src/galenastall/transport/http_connection.py
@@ -121,15 +121,16 @@
     async def protocol_send(self, event: Event) -> None:
         """Send the protocol's output, skipping empty writes.
 
-        The head of a response with a content length is held until its first body bytes, so that a
-        small response is one write: each write costs an iteration of the event loop.
+        The head of a response with a content length is held until its first body bytes or its end,
+        so that a small response is one write: each write costs an iteration of the event loop. It
+        must not be held longer, since the next request begins with the end.
         """
         if isinstance(event, RawData):
-            if not event.data:
-                return
             if self._head is not None:
                 event = RawData(self._head.data + event.data)
                 self._head = None
+            elif not event.data:
+                return
             elif event.data.startswith(_HEAD_START) and _LENGTH in event.data:
                 self._head = event
                 return
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -9,6 +9,7 @@
 import trio.testing
 from returns.result import Failure
 
+from client_crowds import connect as connect_with_small_buffer
 from galenastall.state.errors import Reason
 from galenastall.transport.http_json import json_response, parse_json
 from galenastall.transport.http_messages import BodyStream, HttpRequest, HttpResponse
@@ -28,6 +29,7 @@
         self.entered = trio.Event()
         self.release = trio.Event()
         self.was_disconnected = trio.Event()
+        self.answered = 0
 
     @route("GET", "/v1/jobs/{job_id}")
     async def show(self, request: HttpRequest) -> HttpResponse:
@@ -68,6 +70,11 @@
         await self.release.wait()
         return HttpResponse(body=b"late but whole")
 
+    @route("GET", "/empty")
+    async def empty(self, request: HttpRequest) -> HttpResponse:
+        self.answered += 1
+        return HttpResponse()
+
     @route("GET", "/until-gone")
     async def until_gone(self, request: HttpRequest) -> HttpResponse:
         self.entered.set()
@@ -168,6 +175,23 @@
             await handlers.was_disconnected.wait()
 
 
+class TestRequestsSentAhead:
+    async def test_the_next_one_waits_until_an_empty_response_is_written(self) -> None:
+        """Else each unread response would keep a task and its memory."""
+        handlers = Handlers()
+        async with serving(handlers) as server, trio.open_nursery() as nursery:
+            client = await connect_with_small_buffer(server.address)
+            requests = b"GET /empty HTTP/1.1\r\nhost: a\r\n\r\n" * 100_000
+            nursery.start_soon(client.send_all, requests)
+            before = -1
+            while handlers.answered > before:
+                before = handlers.answered
+                await trio.sleep(0.5)
+            assert handlers.answered < 100_000
+            assert trio.lowlevel.current_statistics().tasks_living < 20
+            nursery.cancel_scope.cancel()
+
+
 class TestIdleConnections:
     async def test_one_that_the_client_closes_is_freed_at_once(
         self, mock_clock: trio.testing.MockClock
