Bound what clients hold together: connections, memory and time

What callers saw: crowds of clients that do not behave ended a host, or made it serve nobody: bodies of legal size that stop just short of their end, in one piece or in tiny ones, bodies far over the limit, jobs of very many fields, requests sent ahead without reading, silent and slow connections; at any path. On a real machine the host ran out of memory or descriptors.

Cause: one body was bounded, all together were not, and neither was the number of connections. A body kept an object for each chunk and was joined at its end. Nothing bounded how long a body took, or a response that was read a few bytes at a time. What was already refused was queued. An unfinished request held up a stop to the end of its grace time.

The fix is one budget that all HTTP servers of a process share, in transport/, derived from the machine's memory and descriptors. It holds an account for each connection in the order of progress, and refuses or closes the one whose progress is longest ago. Requests that have arrived completely are answered. No limit is tighter than the operator's configuration, whose `limits` are read now.

--- a/src/galenastall/node/entry_host.py
+++ b/src/galenastall/node/entry_host.py
@@ -1,6 +1,7 @@
 """The entry host: builds all services, starts them in order, and drains them on stop."""
 
 import random
+import resource
 from collections.abc import Sequence
 from typing import BinaryIO, Final
 
@@ -47,7 +48,9 @@
 from galenastall.state.shared_settings import SharedSettings
 from galenastall.state.timeline_ring import TimelineRing
 from galenastall.state.work import JobSpec
+from galenastall.transport.client_limits import MEBIBYTE, ClientLimits, limits_within
 from galenastall.transport.http_server import HttpServer
+from galenastall.transport.limited_clients import make_budget
 from galenastall.transport.link_faults import LinkFaults
 from galenastall.transport.logs import Level, Recorder
 from galenastall.transport.metrics import Metrics
@@ -202,6 +205,10 @@
         )
         self.drain_route = HttpDrain(is_log_up=lambda: appender.is_log_up)
         self.guard = LoadGuard(clock=clock, counters=self.request_side.requests.counters)
+        client_limits = _client_limits(settings)
+        self.clients = make_budget(
+            limits=lambda: client_limits, recorder=self.recorder, metrics=self.metrics
+        )
         self.server = HttpServer(
             handlers=(
                 ops,
@@ -217,6 +224,7 @@
             verify_clients=settings.tls is not None and settings.tls.ca_file is not None,
             log_error=self.recorder.record_error,
             guard=self.guard.check,
+            budget=self.clients,
         )
         self._incarnation = incarnation
         self._clock = clock
@@ -228,6 +236,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self.link.run)
             nursery.start_soon(self.guard.run)
+            nursery.start_soon(self.clients.run)
             await nursery.start(self.server.run)
             self._record_bound()
             task_status.started()
@@ -354,3 +363,8 @@
 
     def _find_team_problem(self, spec: JobSpec) -> str | None:
         return find_team_problem(self.shared.current, spec)
+
+
+def _client_limits(settings: ProcessSettings) -> ClientLimits:
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return limits_within(memory_bytes=settings.memory.total_mb * MEBIBYTE, sockets=descriptors)
--- a/src/galenastall/node/requests/http_requests.py
+++ b/src/galenastall/node/requests/http_requests.py
@@ -117,7 +117,9 @@
         key = request.headers.get(KEY, "")
         body = await self._body(request, settings, keyed=bool(key))
         if isinstance(body, Failure):
-            return self._refuse(body.failure(), request, RequestReason.BODY_TOO_LARGE)
+            is_overload = body.failure().reason is Reason.OVERLOADED
+            reason = RequestReason.OVERLOADED if is_overload else RequestReason.BODY_TOO_LARGE
+            return self._refuse(body.failure(), request, reason)
         length = request.headers.get("content-length", "")
         call = RequestCall(
             request_id=_request_id(request.headers) or self._requests.next_ticket(),
--- a/src/galenastall/platform/config.py
+++ b/src/galenastall/platform/config.py
@@ -19,7 +19,7 @@
 from galenastall.platform.keyed_follower import KeyedFollower
 from galenastall.platform.shared_reads import SharedReads
 from galenastall.platform.transfers import TransferSlot
-from galenastall.protocol.cell.config import CellConfig, Credential, QueueRoute
+from galenastall.protocol.cell.config import CallerAllowance, CellConfig, Credential, QueueRoute
 from galenastall.state.cell.jobs import AdvisorTiming, Queue
 from galenastall.state.cell.workspaces import Workspace
 from galenastall.state.decoding import Finite, Quantity, Whole
@@ -90,6 +90,24 @@
     standby: bool = False
 
 
+class WireLimits(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """What callers may send, and how long they may take."""
+
+    max_header_bytes: Whole = 0
+    max_body_bytes: Whole = 0
+    header_timeout_ms: Quantity = 0.0
+    idle_timeout_ms: Quantity = 0.0
+
+    def to_allowance(self) -> CallerAllowance:
+        """Convert to the internal type."""
+        return CallerAllowance(
+            head_bytes=self.max_header_bytes,
+            body_bytes=self.max_body_bytes,
+            head_s=self.header_timeout_ms / 1000.0,
+            idle_s=self.idle_timeout_ms / 1000.0,
+        )
+
+
 class WireTenant(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """A tenant, with the API keys of its callers."""
 
@@ -114,6 +132,7 @@
     version: Whole
     routes: list[WireRoute] = []
     services: list[WireService] = []
+    limits: WireLimits = WireLimits()
     tenants: list[WireTenant] | None = None
     """None in deployments without tenants."""
 
@@ -131,6 +150,7 @@
             workspaces=tuple(tenant.to_workspace() for tenant in self.tenants or []),
             credentials=tuple(c for tenant in self.tenants or [] for c in tenant.to_credentials()),
             requires_keys=self.tenants is not None,
+            callers=self.limits.to_allowance(),
         )
 
 
--- a/src/galenastall/platform/job_routes.py
+++ b/src/galenastall/platform/job_routes.py
@@ -6,7 +6,7 @@
 from math import isfinite
 from typing import Any, Final
 
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from galenastall.coordination.cell.config_age import UNKNOWN_VERSION
 from galenastall.coordination.cell.return_times import return_after_s
@@ -25,7 +25,7 @@
     status_response,
     unavailable,
 )
-from galenastall.platform.submissions import decode_job
+from galenastall.platform.submissions import decode_job, decoded_bytes
 from galenastall.protocol.cell.call_admission import CallAddress
 from galenastall.protocol.cell.config import QueueRoute
 from galenastall.protocol.cell.messages import CallAdmission, SubmitVerdict
@@ -122,10 +122,9 @@
         if not _JOB_ID.fullmatch(job_id):
             detail = f"id: expected 16 hexadecimal digits, got {job_id[:40]!r}"
             return self._invalid(request, job_id, detail)
-        body = await request.read_body(BODY_LIMIT_BYTES)
+        body = await self._read_body(request)
         if isinstance(body, Failure):
-            is_too_large = body.failure().reason is Reason.INVALID
-            return error_response(body.failure(), status=TOO_LARGE if is_too_large else None)
+            return self._unread(job_id, body.failure())
         job = decode_job(
             body.unwrap(),
             job_id=job_id,
@@ -147,6 +146,29 @@
             )
         return self._submit_response(request, job_id, submitted)
 
+    async def _read_body(self, request: HttpRequest) -> Result[bytes, StepError]:
+        """Return a submission's body once there is memory to decode it."""
+        config = self._config.current()
+        allowed = 0 if config is None else config.callers.body_bytes
+        body = await request.read_body(max(BODY_LIMIT_BYTES, allowed))
+        if isinstance(body, Failure):
+            return body
+        prepared = await request.prepare(decoded_bytes(body.unwrap()))
+        return body if isinstance(prepared, Success) else Failure(prepared.failure())
+
+    def _unread(self, job_id: str, error: StepError) -> HttpResponse:
+        """Answer a submission whose body was not read, or not decoded."""
+        if error.reason is Reason.OVERLOADED:
+            fields = {
+                "verdict": SubmitVerdict.NOT_RUN.value,
+                "return_s": f"{error.retry_after_s or RETRY_AFTER_S:g}",
+            }
+            self._recorder.record(
+                "job.refused", subjects=(job_id,), cause=error.detail, fields=fields
+            )
+        is_too_large = error.reason is Reason.INVALID
+        return error_response(error, status=TOO_LARGE if is_too_large else None)
+
     def _return_s(self, call: Call, job: CellJob, submitted: SubmitOutcome) -> float:
         """Return when the caller of a job that is not accepted should return, in seconds.
 
--- a/src/galenastall/platform/process.py
+++ b/src/galenastall/platform/process.py
@@ -34,11 +34,14 @@
     settings_path,
 )
 from galenastall.platform.store import PlatformStore
+from galenastall.protocol.cell.config import CellConfig
 from galenastall.state.ids import HostId, Incarnation
 from galenastall.state.timeline_ring import TimelineRing
+from galenastall.transport.client_limits import ClientLimits
 from galenastall.transport.clock import TrioClock
 from galenastall.transport.http_client import HttpClient
 from galenastall.transport.http_server import HttpServer
+from galenastall.transport.limited_clients import make_budget
 from galenastall.transport.log_budget import BudgetedRecorder, LineBudget
 from galenastall.transport.log_stream import BoundedLogStream
 from galenastall.transport.logs import Level
@@ -61,6 +64,8 @@
 a wave and a long poll at once."""
 EXECUTOR_CONNECTIONS: Final = 3
 """To an executor: the long poll and two for orders, which take 3 ms each; each one has a cost."""
+SEND_BUFFER_BYTES: Final = 64 * 1024
+"""What the kernel keeps of one connection's responses, which are small."""
 LOG_FLUSH_INTERVAL_S: Final = 1.0
 GC_THRESHOLDS: Final = (5_000, 50, 1_000)
 RING_EVENTS: Final = 2_000
@@ -139,6 +144,11 @@
             "Log writes that no reader took in time.",
             lambda: float(self._log.dropped),
         )
+        self._client_limits = settings.client_limits
+        self._limits_by_config: CellConfig | None = None
+        self._clients = make_budget(
+            limits=self._limits, recorder=self.recorder, metrics=self._metrics
+        )
         jobs = JobRoutes(
             handler=self.host.caller_handler,
             config=self.host.config,
@@ -225,13 +235,28 @@
             bind=bind,
             linger_s=linger_s,
             log_error=counted_error_log(self.recorder),
+            budget=self._clients,
+            send_buffer_bytes=SEND_BUFFER_BYTES,
         )
 
+    def _limits(self) -> ClientLimits:
+        """Return the limits on clients: never tighter than what the operator allows them."""
+        config = self.host.config.current()
+        if config is not None and config is not self._limits_by_config:
+            self._limits_by_config = config
+            self._client_limits = self._settings.client_limits.widened(
+                head_bytes=config.callers.head_bytes,
+                head_s=config.callers.head_s,
+                idle_s=config.callers.idle_s,
+            )
+        return self._client_limits
+
     def _is_ready(self) -> bool:
         return self.host.is_ready and not self._is_stopping
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start serving."""
+        await nursery.start(self._clients.run)
         await nursery.start(self._callers.run)
         await nursery.start(self._readiness.run)
         await nursery.start(self._metrics_server.run)
--- a/src/galenastall/platform/settings.py
+++ b/src/galenastall/platform/settings.py
@@ -11,6 +11,7 @@
 from galenastall.protocol.addresses import MAX_PORT
 from galenastall.state.decoding import DECODE_ERRORS, MAX_WHOLE, parse_whole, shorten
 from galenastall.state.errors import GalenastallError
+from galenastall.transport.client_limits import MEBIBYTE, ClientLimits, limits_within
 
 SETTINGS_VARIABLE: Final = "GALENASTALL_SETTINGS"
 """Environment variable with the path of the settings file; named by the platform."""
@@ -24,6 +25,8 @@
 LINK_MBPS_PER_CORE: Final = 20.0
 """Megabits per second that a leader transfers per core that it uses: on a slower link, the core
 is not fully usable. Reading 2 MB of state then takes a second at most."""
+FILE_RESERVE: Final = 200
+"""Descriptors that the platform reserves for files; sockets share the others."""
 MIN_RECORD_BYTES: Final = 512
 """The smallest limit of a record with which every key fits into a record."""
 T = TypeVar("T")
@@ -68,6 +71,7 @@
     link_mbps: float
     """Bandwidth of the host's own network link."""
     memory_mb: int
+    file_descriptors: int
     may_start: bool
     """Whether the whole system is starting for the first time."""
     heartbeat_s: float
@@ -78,6 +82,14 @@
     maintenance_s: float
     """How long a host is down for maintenance."""
 
+    @property
+    def client_limits(self) -> ClientLimits:
+        """Limits on what the clients of all HTTP servers may hold together."""
+        return limits_within(
+            memory_bytes=self.memory_mb * MEBIBYTE,
+            sockets=max(self.file_descriptors - FILE_RESERVE, 0),
+        )
+
     @property
     def leadership_weight(self) -> float:
         """Cores that the host can use as leader: no more than its link can keep busy."""
@@ -165,6 +177,7 @@
         cores=_number(table, "limits.cpuShare", 1.0) * _number(table, "limits.cpuCores", 1.0),
         link_mbps=_number(table, "limits.linkMbps", 1000.0),
         memory_mb=_whole(table, "limits.memoryMb", default=300),
+        file_descriptors=_whole(table, "limits.fileDescriptors", default=4_100),
         may_start=_get(table, "bootstrap", bool, default=False),
         heartbeat_s=_number(table, "heartbeatMs", 1500.0) / 1000.0,
         stop_grace_s=_number(table, "bounds.graceS", 6.0),
--- a/src/galenastall/platform/standin/hosts.py
+++ b/src/galenastall/platform/standin/hosts.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from galenastall.platform.settings import METRICS_PORT
 from galenastall.platform.standin.server import PlatformStandin
 
 GRACE_S: Final = 6
@@ -23,6 +24,8 @@
     callers_port: int
     readiness_port: int
     peer_port: int
+    memory_mb: int = 300
+    file_descriptors: int = 4_100
 
     @property
     def callers_address(self) -> str:
@@ -34,6 +37,11 @@
         """Address of the readiness probe."""
         return f"{self.ip}:{self.readiness_port}"
 
+    @property
+    def metrics_address(self) -> str:
+        """Address of the metrics page."""
+        return f"{self.ip}:{METRICS_PORT}"
+
     def settings_text(self, standin: PlatformStandin) -> str:
         """Return the text of the settings file, as the platform writes it."""
         return f"""
@@ -53,14 +61,20 @@
 [limits]
 cpuShare = 1.0
 cpuCores = 1
-memoryMb = 300
+memoryMb = {self.memory_mb}
+fileDescriptors = {self.file_descriptors}
 [bounds]
 graceS = {GRACE_S}
 maxHoldMs = 10000
 """
 
 
-def make_hosts(names_by_data_centre: dict[str, tuple[str, ...]]) -> list[StandinHost]:
+def make_hosts(
+    names_by_data_centre: dict[str, tuple[str, ...]],
+    *,
+    memory_mb: int = 300,
+    file_descriptors: int = 4_100,
+) -> list[StandinHost]:
     """Return hosts with free ports, each on its own loopback address."""
     hosts: list[StandinHost] = []
     for data_centre, names in names_by_data_centre.items():
@@ -75,6 +89,8 @@
                     callers_port=callers,
                     readiness_port=readiness,
                     peer_port=peer,
+                    memory_mb=memory_mb,
+                    file_descriptors=file_descriptors,
                 )
             )
     return hosts
--- a/src/galenastall/platform/submissions.py
+++ b/src/galenastall/platform/submissions.py
@@ -20,7 +20,11 @@
 """Longest specification, as defined by the platform."""
 MAX_REPETITIONS: Final = 1_000_000
 """Occurrences of one job: one each second for eleven days."""
+STEP_BYTES: Final = 640
+"""Memory that a decoded step takes."""
 _STEP: Final = "job.decode"
+_TEXTS: Final = re.compile(rb'"(?:[^"\\]++|\\.)*+(?:"|\\?\Z)', re.DOTALL)
+"""JSON texts, and one without its end: a search that fails would begin again at each quote."""
 _Name = Annotated[str, Meta(max_length=1_000)]
 """A label, rack or image, none of which is nearly as long."""
 _Integer = Annotated[int, Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
@@ -67,7 +71,7 @@
             count=self.count,
             need=need,
             estimate_s=self.estimated_ms / 1000.0,
-            after=tuple(self.after),
+            after=tuple(dict.fromkeys(self.after)),
             is_gang=self.gang_scheduled,
             wants_one_rack=self.same_rack,
             label=self.requirements,
@@ -103,6 +107,18 @@
         )
 
 
+def count_objects(body: bytes) -> int:
+    """Return how many JSON objects a body contains at most, without decoding it."""
+    count = body.count(b"{")
+    # Braces in texts are no objects, but removing the texts takes time.
+    return count if count <= MAX_TASKS + 1 else _TEXTS.sub(b"", body).count(b"{")
+
+
+def decoded_bytes(body: bytes) -> int:
+    """Return about how much memory a decoded body takes."""
+    return 2 * len(body) + min(count_objects(body), MAX_TASKS) * STEP_BYTES
+
+
 def decode_job(
     body: bytes,
     *,
@@ -113,6 +129,10 @@
     workspace: str = NO_WORKSPACE,
 ) -> Result[CellJob, StepError]:
     """Return the typed job, or INVALID naming the field and its value."""
+    objects = count_objects(body)
+    if objects > MAX_TASKS + 1:
+        detail = f"body: at most {MAX_TASKS + 1} objects, got {objects}"
+        return Failure(StepError(step=_STEP, peer=peer, reason=Reason.INVALID, detail=detail))
     decoded = decode_json(body, WireJob, step=_STEP, peer=peer)
     if isinstance(decoded, Failure):
         error = decoded.failure()
--- a/src/galenastall/protocol/cell/config.py
+++ b/src/galenastall/protocol/cell/config.py
@@ -4,7 +4,7 @@
 
 from galenastall.state.cell.jobs import Queue
 from galenastall.state.cell.workspaces import Workspace
-from galenastall.state.decoding import Whole
+from galenastall.state.decoding import Quantity, Whole
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -28,6 +28,18 @@
     workspace: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerAllowance:
+    """What the operator allows callers; 0 where the configuration does not say."""
+
+    head_bytes: Whole = 0
+    body_bytes: Whole = 0
+    head_s: Quantity = 0.0
+    """Time for the head of a request."""
+    idle_s: Quantity = 0.0
+    """Time without any byte on an open connection."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CellConfig:
     """One complete version of the configuration."""
@@ -42,6 +54,7 @@
     credentials: tuple[Credential, ...] = ()
     requires_keys: bool = False
     """Whether callers need a key for queues that are not public."""
+    callers: CallerAllowance = field(default_factory=CallerAllowance)
 
     @property
     def named_services(self) -> frozenset[str]:
--- a/src/galenastall/transport/http_app.py
+++ b/src/galenastall/transport/http_app.py
@@ -15,6 +15,8 @@
 from galenastall.state.errors import Reason, StepError
 from galenastall.transport.http_json import error_response
 from galenastall.transport.http_messages import (
+    RETURN_S,
+    BodyRefusedError,
     BodyStream,
     HttpRequest,
     HttpResponse,
@@ -22,6 +24,7 @@
     RequestCutError,
 )
 from galenastall.transport.http_routes import Route, RouteTable
+from galenastall.transport.request_body import BODY_KEY
 
 UNREAD_BODY_TIMEOUT_S: Final = 5.0
 """Seconds for which the rest of an upload is read and discarded after an early response."""
@@ -87,7 +90,7 @@
                 return
         headers = _headers_of(scope["headers"])
         has_body = "content-length" in headers or "transfer-encoding" in headers
-        stream = BodyStream(receive=receive, is_complete=not has_body)
+        stream = _stream_of(scope, receive, is_complete=not has_body)
         response = await self._handle(scope, headers, stream)
         if response is None:
             return
@@ -98,12 +101,14 @@
     ) -> None:
         """Send a rejection; a small request body is read to its end first, which is cheapest."""
         lengths = [value for name, value in scope["headers"] if name in _BODY_HEADERS]
-        stream = BodyStream(receive=receive, is_complete=not lengths)
+        stream = _stream_of(scope, receive, is_complete=not lengths)
         if lengths and len(lengths[0]) <= _SMALL_LENGTH_DIGITS and lengths[0].isdigit():
             with trio.move_on_after(UNREAD_BODY_TIMEOUT_S):
                 try:
                     while await stream.next_chunk():
                         pass
+                except BodyRefusedError:
+                    pass
                 except RequestCutError:
                     return
         await self._respond(scope, refusal, stream, send)
@@ -120,20 +125,14 @@
     async def _send_end(self, response: HttpResponse, stream: BodyStream, send: Send) -> None:
         """End a response, even if the request's body was not read.
 
-        Unread chunks fill hypercorn's bounded queue and would block its end of stream. Closing
-        while the client still sends resets the connection and discards the response.
+        Closing while the client still sends resets the connection and discards the response.
         """
-        end = {"type": "http.response.body", "body": b"", "more_body": False}
-        if stream.is_complete:
-            await send(end)
-            return
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(stream.discard)
+        if not stream.is_complete:
+            stream.drop()
             if isinstance(response.body, bytes):
                 with trio.move_on_after(UNREAD_BODY_TIMEOUT_S):
-                    await stream.ended.wait()
-            await send(end)
-            nursery.cancel_scope.cancel()
+                    await stream.wait_ended()
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
 
     async def _handle(
         self, scope: Any, headers: dict[str, str], stream: BodyStream
@@ -158,6 +157,15 @@
         )
         try:
             return await matched.handler(request)
+        except BodyRefusedError as error:
+            refused = StepError(
+                step="http.read_body",
+                peer=client,
+                reason=Reason.OVERLOADED,
+                detail=str(error),
+                retry_after_s=RETURN_S,
+            )
+            return error_response(refused)
         except RequestCutError:
             return None
         except Exception as error:
@@ -246,6 +254,10 @@
     return bytes(buffer)
 
 
+def _stream_of(scope: Any, receive: Receive, *, is_complete: bool) -> BodyStream:
+    return BodyStream(receive=receive, is_complete=is_complete, source=scope.get(BODY_KEY))
+
+
 def _headers_of(pairs: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
     headers: dict[str, str] = {}
     for raw_name, raw_value in pairs:
--- a/src/galenastall/transport/http_json.py
+++ b/src/galenastall/transport/http_json.py
@@ -14,6 +14,8 @@
 
 JSON_LIMIT_BYTES: Final = 4 * 1024 * 1024
 """Largest JSON body that is accepted."""
+DECODED_FACTOR: Final = 4
+"""How many times its length a decoded body takes, for the limit on what clients hold."""
 _VALUE_LIMIT_CHARS: Final = 80
 
 STATUS_BY_REASON: Final[dict[Reason, int]] = {
@@ -59,6 +61,9 @@
     body = await request.read_body(limit_bytes)
     if isinstance(body, Failure):
         return body
+    prepared = await request.prepare(DECODED_FACTOR * len(body.unwrap()))
+    if isinstance(prepared, Failure):
+        return prepared
     return decode_json(body.unwrap(), value_type, step="http.parse_json", peer=request.client)
 
 
--- a/src/galenastall/transport/http_server.py
+++ b/src/galenastall/transport/http_server.py
@@ -16,6 +16,7 @@
 
 from galenastall.protocol.clock import Clock
 from galenastall.protocol.security import TlsFiles
+from galenastall.transport.connection_budget import ConnectionBudget
 from galenastall.transport.http_app import ErrorLog, Guard, HttpApp
 from galenastall.transport.http_connection import ConnectionServer
 
@@ -25,6 +26,7 @@
 """Seconds for which a draining server still accepts requests, asking each client to close."""
 STALLED_WRITE_S: Final = 30.0
 """Seconds after which a client that reads no bytes is disconnected."""
+RECEIVE_BUFFER_BYTES: Final = 16 * 1024
 _BACKLOG: Final = 512
 _MAX_REQUESTS_PER_CONNECTION: Final = 1_000_000
 
@@ -67,18 +69,26 @@
         linger_s: float = DRAIN_LINGER_S,
         log_error: ErrorLog | None = None,
         guard: Guard | None = None,
+        budget: ConnectionBudget | None = None,
+        send_buffer_bytes: int | None = None,
     ) -> None:
         """Collect the handlers' routes; the socket is bound by `run`.
 
         `guard` may reject a request before it is processed. `verify_clients` requires every client
-        to present a certificate signed by `tls.ca_file`.
+        to present a certificate signed by `tls.ca_file`. Servers of one process share a `budget`,
+        which their process runs; without one, the server has its own. `send_buffer_bytes` bounds
+        what the kernel keeps of one connection's responses; without it, the kernel decides, so that
+        a client may send a long streamed body before it reads the response.
         """
         self._app = HttpApp(handlers=handlers, log_error=log_error, guard=guard)
         self._clock = clock
         self._bind = bind
+        self._send_buffer_bytes = send_buffer_bytes
         self._linger_s = linger_s
         app: Any = self._app
+        self._own_budget = ConnectionBudget() if budget is None else None
         self._connections = ConnectionServer(
+            budget=budget or self._own_budget or ConnectionBudget(),
             app=ASGIWrapper(app),
             config=_make_config(tls=tls, verify_clients=verify_clients, keep_alive_s=keep_alive_s),
         )
@@ -107,14 +117,18 @@
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Bind and serve; reports started once connections are accepted."""
-        listener = _bind_socket(self._bind)
+        listener = _bind_socket(self._bind, self._send_buffer_bytes)
         host, port = listener.getsockname()[:2]
         self._address = f"{host}:{port}"
         try:
-            await self._connections.run(
-                trio.SocketListener(trio.socket.from_stdlib_socket(listener)),
-                task_status=task_status,
-            )
+            async with trio.open_nursery() as nursery:
+                if self._own_budget is not None:
+                    nursery.start_soon(self._own_budget.run)
+                await self._connections.run(
+                    trio.SocketListener(trio.socket.from_stdlib_socket(listener)),
+                    task_status=task_status,
+                )
+                nursery.cancel_scope.cancel()
         finally:
             self._stopped.set()
 
@@ -134,13 +148,17 @@
         return self._app.open_requests
 
 
-def _bind_socket(bind: str) -> socket.socket:
+def _bind_socket(bind: str, send_buffer_bytes: int | None) -> socket.socket:
     host, _, port = bind.rpartition(":")
     host = host.strip("[]")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     listener = socket.socket(family, socket.SOCK_STREAM)
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Inherited by accepted connections; the kernel would let them grow to megabytes each.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    if send_buffer_bytes is not None:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes)
     if hasattr(socket, "TCP_USER_TIMEOUT"):
         # Hypercorn shields its writes from cancellation, so the kernel has to abort stalled ones.
         listener.setsockopt(
--- a/tests/http_support.py
+++ b/tests/http_support.py
@@ -8,6 +8,7 @@
 import trio
 
 from galenastall.transport.clock import TrioClock
+from galenastall.transport.connection_budget import ConnectionBudget
 from galenastall.transport.http_server import HttpServer
 
 
@@ -71,9 +72,13 @@
 
 
 @asynccontextmanager
-async def serving(*handlers: object, linger_s: float = 0.0) -> AsyncIterator[HttpServer]:
-    server = HttpServer(handlers=handlers, clock=TrioClock(), linger_s=linger_s)
+async def serving(
+    *handlers: object, linger_s: float = 0.0, budget: ConnectionBudget | None = None
+) -> AsyncIterator[HttpServer]:
+    server = HttpServer(handlers=handlers, clock=TrioClock(), linger_s=linger_s, budget=budget)
     async with trio.open_nursery() as nursery:
+        if budget is not None:
+            await nursery.start(budget.run)
         await nursery.start(server.run)
         yield server
         nursery.cancel_scope.cancel()
--- a/tests/test_call_admissions.py
+++ b/tests/test_call_admissions.py
@@ -34,6 +34,7 @@
 from galenastall.transport.http_messages import BodyStream, HttpRequest, HttpResponse
 from galenastall.transport.logs import Recorder
 from galenastall.transport.metrics import Metrics
+from galenastall.transport.request_body import REFUSED
 from test_outdated_hosts import (
     BODY,
     KEY,
@@ -324,7 +325,11 @@
 
 
 async def submit_by(
-    handler: FakeLeader, own: HostConfig, *, recorder: Recorder | None = None
+    handler: FakeLeader,
+    own: HostConfig,
+    *,
+    recorder: Recorder | None = None,
+    stream: BodyStream | None = None,
 ) -> HttpResponse:
     routes = JobRoutes(
         handler=handler,  # type: ignore[arg-type]
@@ -335,9 +340,8 @@
         query_seconds=CellMetrics(metrics=Metrics()).query_seconds,
     )
     headers = {"host": "q", KEY_HEADER: KEY, DEADLINE_HEADER: str(int(WAITS_S * 1000))}
-    request = HttpRequest(
-        method="POST", path=f"/q/{JOB}", headers=headers, stream=BodyStream.of(BODY)
-    )
+    stream = stream or BodyStream.of(BODY)
+    request = HttpRequest(method="POST", path=f"/q/{JOB}", headers=headers, stream=stream)
     return await routes.submit(request)
 
 
@@ -361,6 +365,18 @@
         handler = OutdatedThenAccepted(self.revoked, may_be_stored=may_be_stored)
         assert (await submit_by(handler, HostConfig(self.old))).status == status
 
+    async def test_a_body_that_is_not_read_on_is_refused_as_not_run(self) -> None:
+        async def receive() -> dict[str, str]:
+            return {"type": REFUSED}
+
+        handler, recorder = OutdatedThenAccepted(self.new, may_be_stored=False), make_recorder()
+        stream = BodyStream(receive=receive)
+        response = await submit_by(handler, HostConfig(self.old), recorder=recorder, stream=stream)
+        assert (response.status, response.headers["retry-after"]) == (429, "1")
+        assert handler.submissions == []
+        [event] = [each for each in recorder.ring if each.step == "job.refused"]
+        assert event.fields["verdict"] == "not_run"
+
     async def test_an_admission_waits_for_a_takeover(self, autojump_clock: object) -> None:
         async def scenario(cluster: Cluster, simulation: Simulation, rng: Random) -> None:
             old = simulation.config.routes
--- a/tests/test_log_stories.py
+++ b/tests/test_log_stories.py
@@ -86,7 +86,8 @@
             for folder in self.FOLDERS
             for file in sorted((ROOT / "src" / "galenastall" / folder).glob("*.py"))
         ]
-        files.append(ROOT / "src" / "galenastall" / "transport" / "log_budget.py")
+        transport = ROOT / "src" / "galenastall" / "transport"
+        files += [transport / "limited_clients.py", transport / "log_budget.py"]
         return "\n".join(file.read_text() for file in files)
 
     def rows(self) -> set[str]:
--- a/tests/test_odd_submissions.py
+++ b/tests/test_odd_submissions.py
@@ -7,11 +7,12 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from cell.rig import QUEUE, WALL, Harness, make_info
 from galenastall.platform.store import RECORD_BYTES
-from galenastall.platform.submissions import WireJob, decode_job
+from galenastall.platform.submissions import WireJob, count_objects, decode_job
+from galenastall.state.cell.job_limits import MAX_TASKS
 from galenastall.state.cell.jobs import CellJob
 from galenastall.state.cell.record_layout import RecordLayout
 from galenastall.state.cell.rows import decode_rows
@@ -221,3 +222,32 @@
     def test_any_values_in_the_fields(self, steps: list[Any], others: dict[str, Any]) -> None:
         body = json.dumps({"steps": steps, **others}).encode()
         check_is_refused_or_runs(body)
+
+
+class TestManyObjects:
+    MOST = MAX_TASKS + 1
+
+    def decode(self, body: bytes) -> Result[CellJob, StepError]:
+        return decode_job(body, job_id=JOB, queue=QUEUE, wall=WALL, peer="")
+
+    def test_more_than_a_job_may_have_are_refused_undecoded(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr("galenastall.platform.submissions.decode_json", None)
+        body = b'{"steps":[' + b",".join([b"{}"] * self.MOST) + b"]}"
+        refused = self.decode(body).failure()
+        assert refused.reason is Reason.INVALID
+        assert refused.detail == f"body: at most {self.MOST} objects, got {self.MOST + 1}"
+
+    @pytest.mark.parametrize("text", ["{" * 4_000, '\\"{' * 1_300, "{\\\\" * 1_300])
+    def test_braces_in_texts_are_no_objects(self, text: str) -> None:
+        step = {"count": 1, "image": "{" * 900, "dataRack": "{" * 900}
+        body = msgspec.json.encode({"specification": text, "steps": [step] * 3})
+        assert count_objects(body) == 4
+        assert isinstance(self.decode(body), Success)
+
+    @pytest.mark.parametrize("end", [b"", b"\\", b'"'])
+    def test_a_text_without_end_is_scanned_once(self, end: bytes) -> None:
+        """Scans that began again at each quote would take hours."""
+        body = b'"' + b'\\"{' * 80_000 + end
+        assert count_objects(body) <= 1
--- a/tests/test_platform_access.py
+++ b/tests/test_platform_access.py
@@ -15,7 +15,7 @@
 from galenastall.platform.config import WireConfig, decode_config
 from galenastall.platform.job_routes import JobRoutes
 from galenastall.protocol.cell.call_admission import AdmissionRules, CallAddress
-from galenastall.protocol.cell.config import CellConfig
+from galenastall.protocol.cell.config import CallerAllowance, CellConfig
 from galenastall.protocol.cell.messages import CallAdmission, SubmitVerdict
 from galenastall.state.cell.jobs import CellJob
 from galenastall.state.errors import Reason, StepError
@@ -261,3 +261,20 @@
         assert [event.step for event in events] == ["job.refused"]
         assert KEY not in repr(events)
         assert KEY.encode() not in body
+
+
+class TestCallerLimits:
+    def test_are_read_from_the_configuration(self) -> None:
+        limits = {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 262144,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        }
+        config = decode_config(msgspec.json.encode({"version": 1, "limits": limits})).unwrap()
+        assert config.callers == CallerAllowance(
+            head_bytes=16384, body_bytes=262144, head_s=3.0, idle_s=15.0
+        )
+
+    def test_a_configuration_without_them_allows_nothing_more(self) -> None:
+        assert decode_config(b'{"version":1}').unwrap().callers == CallerAllowance()
