--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,5 +2,5 @@
 # Builds the stand-ins of cases 9 to 13: plain Python 3.11 without libraries, so they are only compiled.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-python3 -m compileall -q review/standin_3 review/9 review/10 review/11 review/12 review/13 || true
-python3 -c "import sys; sys.path.insert(0, 'review'); import standin_3.case"
+python3 -m compileall -q review/standin_3
+python3 -c "import sys; sys.path.insert(0, 'review'); import standin_3.case, standin_3.idle"
--- a/review/standin_3/executors.py
+++ b/review/standin_3/executors.py
@@ -70,6 +70,10 @@
         self.finished: list[list] = []
         self.position = 0
         self.highest: dict[str, int] = {}
+        self.lapsed_at = 0.0
+        """When its lease was last found to have lapsed."""
+        self.ended_at: dict[int, float] = {}
+        """When each end was listed."""
         self.server = Server(self._handle)
         self.ended = asyncio.Event()
         self.answers_late_s = 0.0
@@ -143,6 +147,8 @@
         if not self.is_up:
             return
         lapsed = self.clock_ms() >= self.deadline_ms
+        if lapsed:
+            self.lapsed_at = now
         for run in list(self.runs.values()):
             if run.task not in self.runs:
                 continue
@@ -162,6 +168,7 @@
         del self.runs[run.task]
         self.position += 1
         self.highest[run.task] = max(self.highest.get(run.task, 0), run.run)
+        self.ended_at[self.position] = time.monotonic()
         self.finished.append([self.position, run.task, run.run, how, run.saved])
         self.platform.note("run.end", run.task, run=run.run, on=self.name, how=how)
         if how == "stopped":
@@ -232,7 +239,7 @@
         self._extend(message)
         noted = message.get("ackPosition", 0)
         for row in self.finished:
-            if row[0] <= noted:
+            if row[0] <= noted and self.lapsed_at < self.ended_at[row[0]]:
                 self.platform.on_noted(row)
         self.finished = [row for row in self.finished if row[0] > noted]
         until = time.monotonic() + message.get("waitMs", 0) / 1000.0
@@ -313,7 +320,6 @@
         self.tickets: dict[tuple[str, str], tuple[str, float]] = {}
         self.advised_routes: set[str] = set()
         """Ids of jobs whose starts need a ticket."""
-        self.advisor = Server(self._advise)
         self.decision_s, self.period_s, self.validity_s = 0.05, 0.0, 1.5
         self._turns: dict[str, asyncio.Lock] = {}
         self.at_work_at: dict[str, float] = {}
@@ -325,6 +331,10 @@
         self.late_share = self.lost_share = 0.0
         """Shares of the calls to executors that are carried out late, or whose answer is lost."""
 
+    def advisor_for(self, host: str) -> Server:
+        """Return the advisor's server for one entry host."""
+        return Server(self._advise, caller=host)
+
     def step_of(self, task: str) -> dict:
         """Return the step that a task belongs to."""
         job, _, step, _ = task.split(".")
--- a/review/standin_3/fleet.py
+++ b/review/standin_3/fleet.py
@@ -52,6 +52,8 @@
         self.name, self.zone, self.ip = name, zone, ip
         self.front, self.readiness, self.control, self.peers = free_ports(ip, 4)
         self.process: subprocess.Popen | None = None
+        self.store: Server | None = None
+        self.advisor: Server | None = None
         self.starts = 0
 
     @property
@@ -116,9 +118,12 @@
 
     async def start(self) -> None:
         """Start the stand-ins, then all entry hosts, and wait until these are ready."""
-        await self.store.server.start()
-        await self.executors.advisor.start()
         await self.cloud.server.start()
+        for host in self.hosts:
+            host.store = self.store.server_for(host.name)
+            host.advisor = self.executors.advisor_for(host.name)
+            await host.store.start()
+            await host.advisor.start()
         for number in range(self._machines):
             zone = self.zones[number % len(self.zones)]
             labels = self._labels(number)
@@ -190,7 +195,7 @@
 entry = "virtual_ip"
 heartbeatMs = 1500
 orders = "duty_call"
-placementAdvisor = "{self.executors.advisor.address}"
+placementAdvisor = "{host.advisor.address}"
 [zones]
 {zones}
 [listenAddresses]
@@ -218,7 +223,7 @@
 leaseMs = 3000
 enforcesFencing = true
 [platform]
-address = "{self.store.server.address}"
+address = "{host.store.address}"
 form = "log"
 writesPerS = 800
 readsPerS = 2000
@@ -333,6 +338,8 @@
             task.cancel()
         for executor in self.executors.up():
             executor.server.stop()
-        servers: list[Server] = [self.store.server, self.executors.advisor, self.cloud.server]
-        for server in servers:
-            server.stop()
+        self.cloud.server.stop()
+        for host in self.hosts:
+            for server in (host.store, host.advisor):
+                if server is not None:
+                    server.stop()
--- a/review/standin_3/http.py
+++ b/review/standin_3/http.py
@@ -19,6 +19,7 @@
     headers: dict[str, str]
     body: bytes
     peer: str = ""
+    """The calling machine, where it has an address of its own to call."""
 
     def json(self) -> dict:
         """Return the decoded body."""
@@ -45,9 +46,10 @@
 class Server:
     """Serves one handler; a handler that returns None has its connection closed unanswered."""
 
-    def __init__(self, handler: Handler) -> None:
-        """Serve `handler`."""
+    def __init__(self, handler: Handler, *, caller: str = "") -> None:
+        """Serve `handler`; `caller` names the only machine that calls this address."""
         self._handler = handler
+        self._caller = caller
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
@@ -80,7 +82,7 @@
                 request = await read_request(reader)
                 if request is None:
                     break
-                request.peer = writer.get_extra_info("peername")[0]
+                request.peer = self._caller
                 answer = await self._handler(request)
                 if answer is None:
                     break
--- a/review/standin_3/store.py
+++ b/review/standin_3/store.py
@@ -52,9 +52,8 @@
     def __init__(self) -> None:
         """Start without topics."""
         self.topics: defaultdict[str, Topic] = defaultdict(Topic)
-        self.server = Server(self._handle)
         self.turned_away: set[str] = set()
-        """IP addresses of entry hosts that get 503."""
+        """Names of entry hosts that get 503."""
         self.is_down = False
         """Whether all calls get 503."""
         self.delay_s = 0.0
@@ -63,6 +62,10 @@
         self.on_append = None
         """Called with the topic's name and the records of each append."""
 
+    def server_for(self, host: str) -> Server:
+        """Return a server for one entry host: on loopback all have the same source address."""
+        return Server(self._handle, caller=host)
+
     def put(self, topic: str, key: str, value: object) -> None:
         """Write a key as the operator or an executor does; None deletes it."""
         name = key.encode()
