--- a/review/standin_3/fleet.py
+++ b/review/standin_3/fleet.py
@@ -310,7 +310,12 @@
         """Submit a job as a client does, with retries at any host; return its id if accepted."""
         job_id = f"{self.random.getrandbits(64):016x}"
         body = {"specification": f"spec-{job_id}", "steps": steps, **(more or {})}
-        self.jobs[job_id] = {"body": body, "steps": steps, "profile": profile or {}}
+        self.jobs[job_id] = {
+            "route": route,
+            "body": body,
+            "steps": steps,
+            "profile": profile or {},
+        }
         if any(r["name"] == route and r.get("placementAdvisor") for r in self.routes):
             self.executors.advised_routes.add(job_id)
         for _ in range(tries):
