Review case 9: two large jobs at once, and nothing accepted is run any more

Rule: LOST (14 s after the end of the traffic, accepted jobs have nothing running for 3 s, with nearly all cores free; some callers get no answer).

Disruption: large jobs come at once; two of 4,000 tasks of 0.01 core, which the program accepts.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,7 +1,8 @@
-"""Two machines of one kind crash in turn, and a job that lasts is given up as `failed`."""
+"""Two jobs of many small tasks come at once, and nothing that was accepted is run any more."""
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
@@ -10,59 +11,83 @@
 from standin_3.fleet import Fleet
 
 MACHINES = 24
-KIND = "b"
-OF_KIND = 2
-PERIOD_S = 7.0
-"""Time from one crash to the next."""
-DOWN_S = 3.0
-"""How long a machine is down: the site's largest dose is 4.5 s."""
-CRASHES = 6
-AFTERWARDS_S = 8.0
+LARGE_JOBS = 2
+TASKS = 4_000
+SMALL_JOBS = 12
+SMALL_EVERY_S = 0.25
+FINISH_S = 14.0
+"""From the end of the traffic until jobs are asked for, as on the site."""
+IDLE_S = 3.0
+"""For how long a job may have nothing running then."""
+LOOK_S = 0.1
 
 
-def labels(number: int) -> list[str]:
-    """Return a machine's kind and rack: the first two are of a kind of their own."""
-    return [KIND if number < OF_KIND else "a", f"r{number // 8}"]
+async def submit_small(fleet: Fleet) -> list[str]:
+    """Hand in small jobs, one after the other; return those that were accepted."""
+    step = {"count": 2, "cpu": 1000, "memoryRequestMb": 128, "estimatedMs": 500}
+    jobs = []
+    for _ in range(SMALL_JOBS):
+        jobs.append(await fleet.submit("small", [step], profile={"lasts_s": 0.5}, tries=5))
+        await asyncio.sleep(SMALL_EVERY_S)
+    return [job for job in jobs if job]
 
 
-async def crash_in_turn(fleet: Fleet) -> None:
-    """Crash the machines of the kind, one at a time; each comes back with a new executor."""
-    for number in range(CRASHES):
-        machine = fleet.executors.machines[f"m{number % OF_KIND:02d}"]
-        machine.executor.crash()
-        await asyncio.sleep(DOWN_S)
-        await fleet.executors.add(machine)
-        await asyncio.sleep(PERIOD_S - DOWN_S)
+async def submit_large(fleet: Fleet) -> str:
+    """Hand in one job of many tasks that need next to nothing."""
+    step = {"count": TASKS, "cpu": 10, "memoryRequestMb": 1, "estimatedMs": 1000}
+    return await fleet.submit("large", [step], profile={"lasts_s": 1.0}, tries=5)
+
+
+def is_stuck(fleet: Fleet, job: str) -> bool:
+    """Whether a small job isn't done and has nothing running."""
+    tasks = [f"{job}.0.0.{number}" for number in range(2)]
+    if all(task in fleet.executors.done for task in tasks):
+        return False
+    return not any(task in executor.runs for executor in fleet.executors.up() for task in tasks)
+
+
+async def watch(fleet: Fleet, jobs: list[str]) -> list[str]:
+    """Return the jobs that have nothing running for all of the time of the rule."""
+    stuck = set(jobs)
+    until = time.monotonic() + IDLE_S
+    while time.monotonic() < until:
+        stuck = {job for job in stuck if is_stuck(fleet, job)}
+        await asyncio.sleep(LOOK_S)
+    return sorted(stuck)
+
+
+def cores_in_use(fleet: Fleet) -> float:
+    """Return the cores that all runs have been given."""
+    tasks = [task for executor in fleet.executors.up() for task in executor.runs]
+    return sum(fleet.executors.step_of(task)["cpu"] for task in tasks) / 1000.0
 
 
 async def play(fleet: Fleet, has_trouble: bool) -> list[str]:
-    """Submit a job that lasts, crash its machines, and ask for its state."""
-    fleet.route("lasting")
+    """Hand in small jobs, and two large ones among them; ask for the small ones later."""
+    fleet.route("small")
+    fleet.route("large")
     await fleet.start()
-    step = {
-        "count": 1,
-        "cpu": 4000,
-        "memoryRequestMb": 2048,
-        "longRunning": True,
-        "requirements": KIND,
-    }
-    job = await fleet.submit("lasting", [step])
-    await asyncio.sleep(4.0)
-    if await fleet.state("lasting", job) != "running":
-        raise RuntimeError("the job does not run")
-    if has_trouble:
-        await crash_in_turn(fleet)
-    else:
-        await asyncio.sleep(CRASHES * PERIOD_S)
-    await asyncio.sleep(AFTERWARDS_S)
-    states = {await fleet.state("lasting", job, host) for host in fleet.hosts}
-    if states <= {"running", "queued"}:
-        return []
-    detail = f"job {job}, which nobody cancelled and no run of which ended `failed`, is shown as"
-    return [f"LOST: {detail} {sorted(states)}"]
+    async with asyncio.TaskGroup() as group:
+        small = group.create_task(submit_small(fleet))
+        await asyncio.sleep(1.0)
+        for _ in range(LARGE_JOBS if has_trouble else 0):
+            group.create_task(submit_large(fleet))
+    accepted = small.result()
+    fleet.note("traffic.end", accepted=len(accepted))
+    if not accepted:
+        raise RuntimeError("no small job was accepted")
+    await asyncio.sleep(FINISH_S)
+    stuck = await watch(fleet, accepted)
+    fleet.note("stuck", jobs=",".join(stuck), cores=f"{cores_in_use(fleet):.1f}")
+    states = [await fleet.state("small", job) for job in accepted]
+    fleet.note("states", states=",".join(states))
+    return [
+        f"LOST: {job} has nothing running {FINISH_S:g} s after the traffic, for {IDLE_S:g} s"
+        for job in stuck
+    ]
 
 
 if __name__ == "__main__":
     zones = {"z1": 2, "z2": 1}
     folder = Path(__file__).parent
-    sys.exit(run_case(folder, play, zones=zones, machines=MACHINES, labels=labels))
+    sys.exit(run_case(folder, play, zones=zones, machines=MACHINES, has_store_process=True))
--- a/review/standin_3/fleet.py
+++ b/review/standin_3/fleet.py
@@ -18,6 +18,7 @@
 from standin_3.executors import Executors, Machine
 from standin_3.http import Server, call
 from standin_3.store import Store
+from standin_3.store_process import StoreProcess
 
 ROOT = Path(__file__).resolve().parents[2]
 ENVIRONMENT = ("PATH", "HOME", "JAVA_HOME", "LANG")
@@ -85,13 +86,17 @@
         capacity: dict[str, int] | None = None,
         labels: object = None,
         standby: int = 0,
+        has_store_process: bool = False,
         seed: int = 0,
     ) -> None:
         """`zones` gives the number of entry hosts of each; `labels` those of machine number i.
 
-        `standby` machines more are switched off, in a pool of their own.
+        `standby` machines more are switched off, in a pool of their own. The store serves in this
+        process, or in one of its own.
         """
         self._standby = standby
+        self._has_store_process = has_store_process
+        self._store_process: StoreProcess | None = None
         self.note = record
         self.random = random.Random(seed)
         self.jobs: dict[str, dict] = {}
@@ -124,6 +129,9 @@
             host.advisor = self.executors.advisor_for(host.name)
             await host.store.start()
             await host.advisor.start()
+        if self._has_store_process:
+            self._store_process = StoreProcess([host.name for host in self.hosts])
+            self.executors.store = self.store = self._store_process
         for number in range(self._machines):
             zone = self.zones[number % len(self.zones)]
             labels = self._labels(number)
@@ -223,7 +231,7 @@
 leaseMs = 3000
 enforcesFencing = true
 [platform]
-address = "{host.store.address}"
+address = "{self._store_address(host)}"
 form = "log"
 writesPerS = 800
 readsPerS = 2000
@@ -237,6 +245,11 @@
 dutyPerS = 60.0
 """
 
+    def _store_address(self, host: EntryHost) -> str:
+        if self._store_process is not None:
+            return self._store_process.addresses[host.name]
+        return host.store.address
+
     def start_host(self, host: EntryHost) -> None:
         """Start a host's process with the command of the deploy file."""
         path = self.folder / f"{host.name}.toml"
@@ -343,6 +356,8 @@
             task.cancel()
         for executor in self.executors.up():
             executor.server.stop()
+        if self._store_process is not None:
+            self._store_process.stop()
         self.cloud.server.stop()
         for host in self.hosts:
             for server in (host.store, host.advisor):
